--- /dev/null
+++ b/packages/cli/src/fleetCommands.ts
@@ -0,0 +1,110 @@
+/** `celerydrift targets`, `status` and `stop …`. */
+import * as crypto from 'node:crypto';
+import type * as domain from '@celerydrift/domain';
+import { Err, Ok, Result } from 'ts-results';
+import type * as errors from './errors';
+import * as operatorsClient from './operatorsClient';
+import * as output from './output';
+
+type Outcome = Promise<Result<void, errors.CommandError>>;
+
+const SUBJECTS: Record<string, domain.stop.stop.Subject> = {
+  target: 'target',
+  vm: 'vm',
+  'data-centre': 'dataCentre',
+};
+
+export async function listTargets(
+  client: operatorsClient.OperatorsClient,
+  asJson: boolean,
+): Outcome {
+  const answer = await client.get('targets');
+  if (answer.err) return answer;
+  const list = answer.val as domain.target.target.Target[];
+  if (asJson) output.json(list);
+  else {
+    const rows = list.map(({ name, kind, status, dataCentre, address, load, models }) => {
+      const loaded = models.map(({ base, adapter, version }) => `${base}/${adapter}/${version}`);
+      const queued = String(load.queuedTokens);
+      return [name, kind, status, dataCentre, address, queued, loaded.join(' ')];
+    });
+    output.table(['target', 'kind', 'status', 'data centre', 'address', 'queued', 'models'], rows);
+  }
+  return Ok(undefined);
+}
+
+export async function showStatus(
+  client: operatorsClient.OperatorsClient,
+  asJson: boolean,
+): Outcome {
+  const answer = await client.get('status');
+  if (answer.err) return answer;
+  if (asJson) {
+    output.json(answer.val);
+    return Ok(undefined);
+  }
+  const { counters, daemons, members, ...rest } = answer.val as Record<string, unknown>;
+  output.table(
+    ['', ''],
+    Object.entries(rest).map(([key, value]) => [key, String(value)]),
+  );
+  const known = (daemons ?? []) as domain.membership.daemon.Daemon[];
+  output.table(
+    ['daemon', 'data centre', 'status', 'incarnation'],
+    known.map(({ id, dataCentre, status: standing, incarnation }) => {
+      return [id, dataCentre, standing, String(incarnation)];
+    }),
+  );
+  return Ok(undefined);
+}
+
+export async function announceStop(
+  client: operatorsClient.OperatorsClient,
+  kind: string,
+  name: string,
+  options: { id?: string; grace: string; json: boolean },
+): Outcome {
+  const subject = SUBJECTS[kind];
+  const graceSeconds = Number(options.grace);
+  if (subject === undefined) {
+    return Err({ kind: 'usage', message: `"${kind}": give target, vm or data-centre` });
+  }
+  if (!(graceSeconds >= 0)) {
+    return Err({ kind: 'usage', message: `--grace "${options.grace}": give seconds` });
+  }
+  const id = options.id ?? crypto.randomUUID();
+  const answer = await client.call('POST', 'stops', { id, subject, name, graceSeconds });
+  if (answer.err) return answer;
+  if (answer.val.status >= 300) return Err(operatorsClient.refusal(answer.val));
+  if (options.json) output.json({ id });
+  else output.line(`announced: ${id}`);
+  return Ok(undefined);
+}
+
+export async function cancelStop(client: operatorsClient.OperatorsClient, id: string): Outcome {
+  const answer = await client.call('DELETE', `stops/${encodeURIComponent(id)}`);
+  if (answer.err) return answer;
+  if (answer.val.status >= 300) return Err(operatorsClient.refusal(answer.val));
+  output.line(`cancelled: ${id}`);
+  return Ok(undefined);
+}
+
+interface StopReport extends domain.stop.stop.Stop {
+  progress: string;
+  running: number;
+  waitingFor: string[];
+}
+
+export async function listStops(client: operatorsClient.OperatorsClient, asJson: boolean): Outcome {
+  const answer = await client.get('stops');
+  if (answer.err) return answer;
+  const stops = answer.val as StopReport[];
+  if (asJson) output.json(stops);
+  else {
+    const rows = stops.map(({ id, subject, name, progress, running, waitingFor }) => {
+      return [id, subject, name, progress, String(running), waitingFor.join(' ')];
+    });
+    output.table(['id', 'subject', 'name', 'progress', 'running', 'waiting for'], rows);
+  }
+  return Ok(undefined);
+}
--- /dev/null
+++ b/packages/cli/src/index.ts
@@ -0,0 +1,3 @@
+/** The command-line tool as a library. */
+export * as main from './main';
+export * as textDiff from './textDiff';
--- /dev/null
+++ b/packages/daemon/src/control/controlMachine.ts
@@ -0,0 +1,29 @@
+/** The settings log's machine in a replica: applies commands and hands what changed to the view. */
+import * as domain from '@celerydrift/domain';
+import type * as machine from '../replicas/machine';
+
+type Delta = domain.control.state.Delta;
+
+export class ControlMachine implements machine.Machine {
+  state = new domain.control.state.State();
+
+  constructor(
+    private readonly onApplied: (deltas: Delta[], index: number) => void,
+    private readonly onRestored: (state: domain.control.state.State) => void,
+  ) {}
+
+  apply(command: unknown, index: number): unknown {
+    const { answer, delta } = this.state.apply(command as domain.control.state.Command, index);
+    this.onApplied(delta === undefined ? [] : [delta], index);
+    return answer;
+  }
+
+  snapshot(): unknown {
+    return this.state.snapshot();
+  }
+
+  restore(state: unknown): void {
+    this.state = domain.control.state.State.restore(state as domain.control.state.Snapshot);
+    this.onRestored(this.state);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control/controlPlane.ts
@@ -0,0 +1,396 @@
+/**
+ * Everything about settings and state in one daemon: its view and freshness, the follower, and on a
+ * VM with a disk the replicas of the logs with the duties of a leader.
+ */
+import * as path from 'node:path';
+import * as domain from '@celerydrift/domain';
+import { Err, Ok, Result } from 'ts-results';
+import type * as configuration from '../configuration/configuration';
+import type * as observer from '../observability/observer';
+import * as founding from '../replicas/founding';
+import type * as logHost from '../replicas/logHost';
+import type * as machine from '../replicas/machine';
+import * as repairer from '../replicas/repairer';
+import * as replicaSet from '../replicas/replicaSet';
+import * as ledgerClient from '../requests/ledgerClient';
+import type * as peerClient from '../rpc/peerClient';
+import type * as peerServer from '../rpc/peerServer';
+import type * as startErrors from '../errors';
+import * as contacts from './contacts';
+import * as controlMachine from './controlMachine';
+import * as follower from './follower';
+import * as ledgerMachine from './ledgerMachine';
+import * as logClient from './logClient';
+import * as logServer from './logServer';
+import * as query from './query';
+import type * as spread from './spread';
+import * as stopProgress from './stopProgress';
+import * as upstream from './upstream';
+
+export interface Options {
+  configuration: configuration.Configuration;
+  address: string;
+  client: peerClient.PeerClient;
+  observer: observer.Observer;
+  hash: domain.shared.hashing.Hash;
+  random: domain.shared.random.Random;
+  now: () => number;
+  /** Live daemons of the own data centre, and of all. */
+  live: () => { near: string[]; all: string[] };
+  onChange: () => void;
+  onDiskFailure: (error: unknown) => void;
+}
+
+const DUTY_EVERY_MS = 250;
+
+const PROBE_EVERY_MS = 500;
+
+/** Daemons asked at once while this one has no lease. */
+const EXCHANGE_FANOUT = 16;
+
+/** Silence after which a daemon is taken off the register, in milliseconds. */
+const UNREGISTER_AFTER_MS = 600_000;
+
+export class ControlPlane {
+  readonly view = new domain.control.view.View();
+
+  readonly contacts = new contacts.Contacts();
+
+  readonly freshness: domain.membership.freshness.Freshness;
+
+  readonly client: logClient.LogClient;
+
+  readonly query: query.QueryClient;
+
+  private readonly upstream: upstream.Upstream;
+
+  private readonly follower: follower.Follower;
+
+  private readonly machine: controlMachine.ControlMachine;
+
+  private readonly stops: stopProgress.StopProgress;
+
+  private replicas: replicaSet.ReplicaSet | undefined;
+
+  private repairer: repairer.Repairer | undefined;
+
+  private timers: NodeJS.Timeout[] = [];
+
+  private busy = false;
+
+  private leaderSince = 0;
+
+  constructor(private readonly options: Options) {
+    const { configuration: settings, client, observer: observe, hash, now } = options;
+    this.freshness = new domain.membership.freshness.Freshness(settings.staleness);
+    const addresses = (): string[] => this.replicaAddresses();
+    this.client = new logClient.LogClient(client, addresses, now);
+    this.query = new query.QueryClient(client, addresses);
+    const ageMs = (): number => this.ageMs();
+    const { view, contacts: heard, freshness } = this;
+    this.upstream = new upstream.Upstream({ view, contacts: heard, hash, ageMs, now });
+    const onChange = (): void => this.changed();
+    const upstreams = (): string[] => this.upstreams();
+    const self = settings.name;
+    const shared = { view, contacts: heard, freshness, client, observer: observe, hash, now };
+    this.follower = new follower.Follower({ ...shared, upstreams, self, onChange });
+    this.machine = new controlMachine.ControlMachine(
+      (deltas, index) => {
+        if (this.view.advance(deltas, index)) this.changed();
+      },
+      (state) => {
+        if (this.view.adopt(state)) this.changed();
+      },
+    );
+    this.stops = new stopProgress.StopProgress(() => options.live().all, now);
+  }
+
+  /** The settings log's replica here, if this VM has a disk. */
+  get host(): logHost.LogHost | undefined {
+    return this.replicas?.hosts.get(logServer.SETTINGS_LOG);
+  }
+
+  get replicaId(): string {
+    return this.replicas?.id ?? '';
+  }
+
+  get isFounded(): boolean {
+    return this.view.index > 0 || (this.replicas?.isFounded ?? false);
+  }
+
+  get ordered(): ReadonlySet<string> {
+    return this.machine.state.ordered;
+  }
+
+  /** Term and start of this daemon's leadership of the settings log, while its lease holds. */
+  leadership(): { term: number; since: number } | undefined {
+    const { host } = this;
+    if (host === undefined || !host.replica.hasLease(this.options.now())) return undefined;
+    return { term: host.replica.term, since: this.leaderSince };
+  }
+
+  founders(): domain.replication.messages.Member[] {
+    return this.host?.replica.members ?? [];
+  }
+
+  async open(server: peerServer.PeerServer): Promise<Result<void, startErrors.StartError>> {
+    const { dataFolder } = this.options.configuration;
+    if (dataFolder !== '') {
+      const opened = await this.openReplicas(dataFolder);
+      if (opened.err) return opened;
+      this.replicas?.start(server);
+    }
+    this.serve(server);
+    return Ok(undefined);
+  }
+
+  start(): void {
+    void this.follower.run();
+    const duties = (): void => {
+      void this.duties();
+    };
+    const exchange = (): void => {
+      void this.exchangeFreshness();
+    };
+    this.timers = [setInterval(duties, DUTY_EVERY_MS), setInterval(exchange, PROBE_EVERY_MS)];
+  }
+
+  async stop(): Promise<void> {
+    this.follower.stop();
+    this.timers.forEach((timer) => clearInterval(timer));
+    await this.replicas?.stop();
+  }
+
+  /** Whether requests may be admitted under the settings held here. */
+  verdict(): domain.membership.freshness.Verdict {
+    const registered = [...this.view.daemons.keys()];
+    const { name } = this.options.configuration;
+    return this.freshness.verdict(this.options.now(), name, registered);
+  }
+
+  /** Writes what the system did by itself into the audit trail. */
+  note(action: string, subject: string, detail: string): void {
+    const command: domain.control.state.Command = { kind: 'note', action, subject, detail, at: 0 };
+    void this.client.execute(logServer.SETTINGS_LOG, command);
+  }
+
+  /** Tells every replica what still runs here on places under a stop. */
+  reportStops(remainders: domain.stop.stop.Remainder[]): void {
+    const report = { daemon: this.options.configuration.name, remainders };
+    this.replicaAddresses().forEach((address) => {
+      void this.options.client.call(address, 'stopReport', report);
+    });
+  }
+
+  private async openReplicas(folder: string): Promise<Result<void, startErrors.StartError>> {
+    const { configuration: settings, address, client, observer: observe, random } = this.options;
+    const machines = new Map<string, machine.Machine>([[logServer.SETTINGS_LOG, this.machine]]);
+    for (let shard = 0; shard < settings.ledgerShards; shard++) {
+      machines.set(ledgerClient.shardName(shard), new ledgerMachine.LedgerMachine());
+    }
+    try {
+      const opened = await replicaSet.ReplicaSet.open({
+        folder: path.resolve(folder),
+        address,
+        dataCentre: settings.dataCentre,
+        machines,
+        timing: domain.replication.replica.DEFAULT_TIMING,
+        random,
+        client,
+        observer: observe,
+        onDiskFailure: this.options.onDiskFailure,
+      });
+      if (opened.err) {
+        observe.log('journalCorrupt', { folder, offset: opened.val.offset });
+        const detail = `a journal in ${folder} fails its checksum at byte ${opened.val.offset}`;
+        return Err({ kind: 'corruptJournal', detail });
+      }
+      this.replicas = opened.val;
+    } catch (error) {
+      return Err({ kind: 'dataFolder', detail: `${folder}: ${String(error)}` });
+    }
+    this.repairer = new repairer.Repairer({
+      size: settings.replicas,
+      deadAfterMs: settings.timeouts.deadReplicaMs,
+      observer: observe,
+      now: this.options.now,
+      spares: () => this.spares(),
+      note: (action, subject, detail) => this.note(action, subject, detail),
+    });
+    return Ok(undefined);
+  }
+
+  private serve(server: peerServer.PeerServer): void {
+    const hosts = this.replicas?.hosts ?? new Map<string, logHost.LogHost>();
+    const registered = (): ReadonlyMap<string, unknown> => this.machine.state.daemons;
+    const { now } = this.options;
+    const logs = new logServer.LogServer(hosts, registered, this.contacts, now);
+    server.add('execute', (parameters) => logs.execute(parameters as logServer.Execute));
+    server.add('follow', (parameters) => this.onFollow(parameters as spread.Follow));
+    server.add('report', (parameters) => {
+      this.contacts.take((parameters as { contacts: contacts.Contact[] }).contacts, now());
+      this.follower.reportSoon();
+      return { taken: true };
+    });
+    server.add('parts', (parameters) => this.upstream.parts(parameters as spread.PartsRequest));
+    server.add('freshness', () => ({ index: this.view.index }));
+    server.add('stopReport', (parameters) => {
+      const { daemon, remainders } = parameters as {
+        daemon: string;
+        remainders: domain.stop.stop.Remainder[];
+      };
+      this.stops.take(daemon, remainders);
+      return { taken: true };
+    });
+    server.add('query', (parameters) => this.onQuery(parameters as query.Question));
+  }
+
+  private onFollow(request: spread.Follow): Promise<spread.Followed> {
+    const followed = this.upstream.follow(request);
+    this.follower.reportSoon();
+    return followed;
+  }
+
+  private onQuery(question: query.Question): query.Answered {
+    const { host } = this;
+    if (host === undefined) return { kind: 'notLeader', leader: '' };
+    const { now } = this.options;
+    return new query.QueryServer(host, this.machine, this.contacts, this.stops, now).answer(
+      question,
+    );
+  }
+
+  private ageMs(): number {
+    const now = this.options.now();
+    // On the leader the view follows every applied entry, so its lease makes the view current.
+    if (this.host?.hasFreshState() === true) return 0;
+    return this.freshness.age(now);
+  }
+
+  private changed(): void {
+    this.upstream.changed();
+    this.options.onChange();
+  }
+
+  private replicaAddresses(): string[] {
+    const { seeds } = this.options.configuration;
+    const known = [...this.view.daemons.values()].filter(({ replica }) => replica !== '');
+    const members = this.host?.replica.members ?? [];
+    const leader = this.host?.leaderAddress ?? '';
+    const all = [
+      leader,
+      ...members.map(({ address }) => address),
+      ...known.map(({ address }) => address),
+      ...seeds,
+    ];
+    return [...new Set(all)].filter((address) => address !== '');
+  }
+
+  /** Peer addresses to follow, best first. The leader of the log follows nobody. */
+  private upstreams(): string[] {
+    const { host } = this;
+    const { address: own, hash, configuration: settings } = this.options;
+    if (host?.isLeader === true) return [];
+    const others = this.replicaAddresses().filter((address) => address !== own);
+    const isMember = host?.replica.members.some(({ address }) => address === own) === true;
+    if (isMember) return others;
+    const { daemons } = this.view;
+    const addressOf = (id: string): string => daemons.get(id)?.address ?? '';
+    const ranked = domain.membership.relay.upstreams(
+      hash,
+      settings.name,
+      settings.dataCentre,
+      this.options.live().near,
+      others,
+    );
+    const isAddress = (name: string): boolean => name.includes(':');
+    const addresses = ranked.map((name) => (isAddress(name) ? name : addressOf(name)));
+    return [...new Set(addresses)].filter((address) => address !== '' && address !== own);
+  }
+
+  /** Registered VMs with a disk that were heard lately. */
+  private spares(): domain.replication.repair.Spare[] {
+    const now = this.options.now();
+    const lease = domain.membership.freshness.DEFAULT_LEASE;
+    return [...this.machine.state.daemons.values()]
+      .filter(({ id, replica }) => replica !== '' && now - this.contacts.at(id) <= lease)
+      .map(({ replica, address, dataCentre }) => ({ id: replica, address, dataCentre }));
+  }
+
+  private async duties(): Promise<void> {
+    const now = this.options.now();
+    const { host, view } = this;
+    if (host?.hasFreshState() === true) {
+      if (this.leaderSince === 0) this.leaderSince = now;
+      this.freshness.confirm(now);
+      const self = this.options.configuration.name;
+      this.contacts.take([{ id: self, index: view.index, ageMs: 0 }], now);
+    } else this.leaderSince = 0;
+    this.replicas?.hosts.forEach((each) => this.repairer?.step(each));
+    if (this.busy) return;
+    this.busy = true;
+    await this.found();
+    await this.register();
+    await this.unregisterSilent(now);
+    this.busy = false;
+  }
+
+  private async found(): Promise<void> {
+    const { founders, seeds } = this.options.configuration;
+    const { replicas: set } = this;
+    if (set === undefined || set.isFounded) return;
+    const { client, address } = this.options;
+    if (!founders.includes(address)) return;
+    await founding.attempt({ set, client, founders, seeds, address });
+  }
+
+  private async register(): Promise<void> {
+    const { name: id, dataCentre } = this.options.configuration;
+    const { address } = this.options;
+    const daemon = { id, address, dataCentre, replica: this.replicaId };
+    const known = this.view.daemons.get(id);
+    if (known !== undefined && JSON.stringify(known) === JSON.stringify(daemon)) return;
+    const command: domain.control.state.Command = { kind: 'register', daemon, at: 0 };
+    await this.client.execute(logServer.SETTINGS_LOG, command, 1_500);
+  }
+
+  private async unregisterSilent(now: number): Promise<void> {
+    const since = this.leadership()?.since;
+    if (since === undefined || now - since < UNREGISTER_AFTER_MS) return;
+    const silent = [...this.machine.state.daemons.keys()].find(
+      (id) => now - Math.max(since, this.contacts.at(id)) > UNREGISTER_AFTER_MS,
+    );
+    if (silent === undefined) return;
+    this.contacts.forget(silent);
+    const reason = `not heard for ${UNREGISTER_AFTER_MS / 60_000} minutes`;
+    const command: domain.control.state.Command = {
+      kind: 'unregister',
+      id: silent,
+      at: 0,
+      reason,
+    };
+    await this.client.execute(logServer.SETTINGS_LOG, command, 1_500);
+  }
+
+  /** Without a lease, asks other registered daemons where they stand and catches up with them. */
+  private async exchangeFreshness(): Promise<void> {
+    const now = this.options.now();
+    if (this.freshness.hasLease(now)) return;
+    const { name } = this.options.configuration;
+    const others = [...this.view.daemons.values()].filter(({ id }) => id !== name);
+    const { random, client } = this.options;
+    const asked = others
+      .map((daemon) => ({ daemon, order: random.uniform() }))
+      .sort((a, b) => a.order - b.order)
+      .slice(0, EXCHANGE_FANOUT);
+    await Promise.all(
+      asked.map(async ({ daemon: { id, address } }) => {
+        const call = { timeoutMs: PROBE_EVERY_MS, fresh: true };
+        const answer = await client.call<{ index: number }>(address, 'freshness', {}, call);
+        if (answer.err) return;
+        if (answer.val.index > this.view.index) await this.follower.catchUpFrom(address);
+        if (answer.val.index <= this.view.index) this.freshness.exchanged(id, now);
+      }),
+    );
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control/ledgerMachine.ts
@@ -0,0 +1,19 @@
+/** One ledger shard's machine in a replica. */
+import * as domain from '@celerydrift/domain';
+import type * as machine from '../replicas/machine';
+
+export class LedgerMachine implements machine.Machine {
+  ledger = new domain.ledger.ledger.Ledger();
+
+  apply(command: unknown): unknown {
+    return this.ledger.apply(command as domain.ledger.ledger.Command);
+  }
+
+  snapshot(): unknown {
+    return this.ledger.snapshot();
+  }
+
+  restore(state: unknown): void {
+    this.ledger = domain.ledger.ledger.Ledger.restore(state as domain.ledger.ledger.Snapshot);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/control/logServer.ts
@@ -0,0 +1,99 @@
+/**
+ * Takes commands for the logs from other daemons and carries them out if this replica leads. Which
+ * commands need contact with a majority of the registered daemons is decided here.
+ */
+import * as domain from '@celerydrift/domain';
+import type * as logHost from '../replicas/logHost';
+import type * as contacts from './contacts';
+
+export interface Execute {
+  log: string;
+  command: unknown;
+}
+
+export type Executed =
+  | { kind: 'done'; index: number; answer: unknown }
+  | { kind: 'refused'; reason: string; leader: string }
+  | { kind: 'unknown'; reason: string; leader: string };
+
+export const SETTINGS_LOG = 'settings';
+
+const HELD_TIMEOUT_MS = 5_000;
+
+const HELD_POLL_MS = 5;
+
+type Command = domain.control.state.Command;
+
+/**
+ * Commands that must not be accepted without the majority: whatever a stale daemon would act
+ * against, and whatever changes the registered daemons, of which the majority is counted. Notes and
+ * a daemon's new address change neither.
+ */
+function needsMajority(command: Command, registered: ReadonlyMap<string, unknown>): boolean {
+  if (command.kind === 'note') return false;
+  return !(command.kind === 'register' && registered.has(command.daemon.id));
+}
+
+export class LogServer {
+  constructor(
+    private readonly hosts: ReadonlyMap<string, logHost.LogHost>,
+    private readonly registered: () => ReadonlyMap<string, unknown>,
+    private readonly contacts: contacts.Contacts,
+    private readonly now: () => number,
+  ) {}
+
+  async execute({ log, command }: Execute): Promise<Executed> {
+    const host = this.hosts.get(log);
+    if (host === undefined) return { kind: 'refused', reason: 'no such log here', leader: '' };
+    const leader = host.leaderAddress;
+    if (!host.isLeader) return { kind: 'refused', reason: 'notLeader', leader };
+    if (log === SETTINGS_LOG && !this.mayAccept(command as Command)) {
+      return { kind: 'refused', reason: 'noMajorityOfDaemons', leader };
+    }
+    const result = await host.propose(this.stamped(command));
+    if (result.ok) {
+      const held =
+        log !== SETTINGS_LOG || (await this.isHeld(command as Command, result.val.index));
+      if (held) return { kind: 'done', ...result.val };
+      return { kind: 'unknown', reason: 'not yet held by a majority of daemons', leader };
+    }
+    const { kind } = result.val;
+    const open = kind === 'lost' || kind === 'timeout';
+    return { kind: open ? 'unknown' : 'refused', reason: kind, leader: result.val.leader };
+  }
+
+  /**
+   * Waits until a majority of the registered daemons hold the change. Without it a leader could accept
+   * and then lose touch, and a majority that never heard of the change would go on serving without it.
+   */
+  private async isHeld(command: Command, index: number): Promise<boolean> {
+    const { isHeldByMajority } = domain.membership.freshness;
+    const until = this.now() + HELD_TIMEOUT_MS;
+    const isNeeded = command.kind === 'change' || command.kind === 'announceStop';
+    while (isNeeded && this.now() < until) {
+      const ids = [...this.registered().keys()];
+      if (isHeldByMajority(index, ids, (id) => this.contacts.indexOf(id))) return true;
+      await new Promise((resolve) => {
+        setTimeout(resolve, HELD_POLL_MS);
+      });
+    }
+    return !isNeeded;
+  }
+
+  private mayAccept(command: Command): boolean {
+    const registered = this.registered();
+    if (!needsMajority(command, registered)) return true;
+    const ids = [...registered.keys()];
+    const { mayAccept, DEFAULT_LEASE } = domain.membership.freshness;
+    return mayAccept(this.now(), ids, (id) => this.contacts.at(id), DEFAULT_LEASE);
+  }
+
+  /** Times come from the leader's clock, so that replicas agree on them. */
+  private stamped(command: unknown): unknown {
+    const at = this.now();
+    const typed = command as Command;
+    if (typed.kind === 'change') return { ...typed, change: { ...typed.change, at } };
+    if (typed.kind === 'announceStop') return { ...typed, stop: { ...typed.stop, at } };
+    return { ...typed, at };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,534 @@
+/** One daemon: puts the parts together, starts them in order and stops them as a planned stop. */
+import * as fs from 'node:fs/promises';
+import type * as tls from 'node:tls';
+import * as domain from '@celerydrift/domain';
+import { Err, Ok, Result } from 'ts-results';
+import * as configuration from './configuration/configuration';
+import * as controlPlane from './control/controlPlane';
+import * as logServer from './control/logServer';
+import type * as errors from './errors';
+import * as callersApi from './http/callersApi';
+import * as listener from './http/listener';
+import * as operatorsApi from './http/operatorsApi';
+import * as targetsApi from './http/targetsApi';
+import * as members from './membership/members';
+import type * as news from './membership/news';
+import * as observer from './observability/observer';
+import * as orderLoop from './orders/orderLoop';
+import type * as founding from './replicas/founding';
+import * as admission from './requests/admission';
+import type * as execution from './requests/execution';
+import * as gatherer from './requests/gatherer';
+import * as holdingsLoop from './requests/holdingsLoop';
+import * as ledgerClient from './requests/ledgerClient';
+import * as policies from './requests/policies';
+import * as router from './requests/router';
+import * as serviceProxy from './requests/serviceProxy';
+import * as stopWatch from './requests/stopWatch';
+import * as peerClient from './rpc/peerClient';
+import * as peerServer from './rpc/peerServer';
+import * as httpAdapter from './targets/httpAdapter';
+import * as httpClient from './targets/httpClient';
+import * as targetTable from './targets/targetTable';
+
+type Target = domain.target.target.Target;
+
+export interface Ports {
+  callers: number;
+  targets: number;
+  operators: number;
+  peers: number;
+}
+
+const WORK_EVERY_MS = 1_000;
+
+const STOPS_EVERY_MS = 250;
+
+/** After turning unready, how long the balancer gets to notice, in milliseconds. */
+const BALANCER_MS = 500;
+
+export interface Tls {
+  server: tls.TlsOptions;
+  client: tls.ConnectionOptions;
+}
+
+export class Daemon {
+  readonly observer: observer.Observer;
+
+  readonly peers: peerClient.PeerClient;
+
+  readonly targetsClient: httpClient.HttpClient;
+
+  readonly control: controlPlane.ControlPlane;
+
+  readonly members: members.Members;
+
+  readonly targets: targetTable.TargetTable;
+
+  readonly router: router.Router;
+
+  readonly admission: admission.Admission;
+
+  readonly holdings: holdingsLoop.HoldingsLoop;
+
+  readonly running = new Set<execution.Execution>();
+
+  ports: Ports = { callers: 0, targets: 0, operators: 0, peers: 0 };
+
+  private readonly server: peerServer.PeerServer;
+
+  private readonly orders: orderLoop.OrderLoop;
+
+  private readonly stopWatch: stopWatch.StopWatch;
+
+  private readonly listeners: listener.Listener[];
+
+  private readonly incarnation = Date.now();
+
+  private readonly now = (): number => Date.now();
+
+  private readonly adapter: httpAdapter.HttpAdapter;
+
+  private timers: NodeJS.Timeout[] = [];
+
+  private stopping = false;
+
+  private wasReady = false;
+
+  private workVersion = 0;
+
+  private lastWork = '';
+
+  private constructor(
+    private readonly settings: configuration.Configuration,
+    private readonly hash: domain.shared.hashing.Hash,
+    tlsOptions: Tls | undefined,
+    private readonly onFailure: (error: unknown) => void,
+  ) {
+    const { name, dataCentre, peerSecret, logLevel, statsd, timeouts, limits } = settings;
+    const address = configuration.format(settings.peers);
+    const { now } = this;
+    const random = domain.shared.random.seeded(this.incarnation ^ hash(name));
+    this.observer = new observer.Observer(name, logLevel, statsd);
+    this.peers = new peerClient.PeerClient(peerSecret, tlsOptions?.client, this.observer);
+    this.server = new peerServer.PeerServer(peerSecret, tlsOptions?.server, this.observer);
+    this.targetsClient = new httpClient.HttpClient(timeouts.connectMs, tlsOptions?.client);
+    this.adapter = new httpAdapter.HttpAdapter(this.targetsClient);
+    this.members = new members.Members({
+      self: { id: name, address, dataCentre, incarnation: this.incarnation, status: 'alive' },
+      seeds: settings.seeds,
+      client: this.peers,
+      observer: this.observer,
+      random,
+      hash,
+      now,
+      take: (record) => this.takeNews(record),
+      onDaemons: () => this.daemonsChanged(),
+    });
+    this.control = new controlPlane.ControlPlane({
+      configuration: settings,
+      address,
+      client: this.peers,
+      observer: this.observer,
+      hash,
+      random,
+      now,
+      live: () => this.liveDaemons(),
+      onChange: () => this.settingsChanged(),
+      onDiskFailure: onFailure,
+    });
+    this.targets = new targetTable.TargetTable({
+      client: this.peers,
+      observer: this.observer,
+      hash,
+      now,
+      members: () => this.members,
+      onChange: (target, before) => this.targetChanged(target, before),
+    });
+    this.router = new router.Router({
+      self: name,
+      dataCentre,
+      hash,
+      policy: policies.byName(settings.policy, random),
+      adapter: this.adapter,
+      observer: this.observer,
+      now,
+    });
+    this.admission = new admission.Admission({
+      hash,
+      now,
+      daemons: () => this.liveDaemons().all.length,
+      peerDemand: (organisation) => this.router.peerDemand(organisation),
+    });
+    this.holdings = new holdingsLoop.HoldingsLoop({
+      adapter: this.adapter,
+      observer: this.observer,
+      now,
+      target: (target) => this.targets.get(target),
+      keptEngines: () => this.keptEngines(),
+      standing: (daemon) => this.standing(daemon),
+      note: (action, subject, detail) => this.control.note(action, subject, detail),
+    });
+    this.orders = new orderLoop.OrderLoop({
+      adapter: this.adapter,
+      observer: this.observer,
+      now,
+      leadership: () => this.control.leadership(),
+      wanted: () => this.admission.directory.wantedModels(),
+      targets: () => this.targets.list(),
+      ours: () => this.control.ordered,
+      record: (key, loaded) => this.recordOrder(key, loaded),
+    });
+    this.stopWatch = new stopWatch.StopWatch({
+      host: settings.peers.host,
+      dataCentre,
+      stops: () => [...this.control.view.stops.values()],
+      target: (target) => this.targets.get(target),
+      running: this.running,
+      now,
+    });
+    const owner = (): domain.memory.holding.Owner => {
+      return { daemon: name, incarnation: this.incarnation };
+    };
+    const budget = new domain.request.retry.Budget();
+    const callers = new callersApi.CallersApi({
+      admission: this.admission,
+      services: new serviceProxy.ServiceProxy({
+        client: this.targetsClient,
+        ledger: new ledgerClient.LedgerClient(this.control.client, hash, settings.ledgerShards),
+        router: this.router,
+        observer: this.observer,
+        budget,
+        random,
+        targets: (service) => this.openTargets().filter((target) => target.service === service),
+        self: owner,
+        now,
+      }),
+      execution: {
+        router: this.router,
+        adapter: this.adapter,
+        gatherer: new gatherer.Gatherer({
+          adapter: this.adapter,
+          holdings: this.holdings,
+          random,
+          owner,
+          engines: () => this.openTargets().filter(({ kind }) => kind === 'engine'),
+          now,
+        }),
+        holdings: this.holdings,
+        observer: this.observer,
+        budget,
+        random,
+        owner,
+        silenceMs: timeouts.silenceMs,
+        learn: (model, bytes, tokens) => this.admission.estimator.learn(model, bytes, tokens),
+        now,
+      },
+      observer: this.observer,
+      unready: () => this.unready(),
+      running: this.running,
+      now,
+    });
+    const announcements = new targetsApi.TargetsApi(settings.targetSecret, this.targets);
+    const operators = new operatorsApi.OperatorsApi({
+      fleetTokenHash: settings.operatorTokenHash,
+      directory: () => this.admission.directory,
+      client: this.control.client,
+      query: this.control.query,
+      observer: this.observer,
+      status: () => this.status(),
+      targets: () => this.targets.list(),
+    });
+    const onError = (error: unknown): void => {
+      this.observer.log('crashed', { error: String(error) });
+    };
+    const routes: listener.Route[] = [
+      (call) => callers.route(call),
+      (call) => announcements.route(call),
+      (call) => operators.route(call),
+    ];
+    this.listeners = routes.map(
+      (route) => new listener.Listener(limits, tlsOptions?.server, route, onError),
+    );
+  }
+
+  /** Starts a daemon; it turns ready by itself once it knows the settings in force. */
+  static async start(
+    settings: configuration.Configuration,
+    onFailure: (error: unknown) => void,
+  ): Promise<Result<Daemon, errors.StartError>> {
+    const hash = await domain.shared.hashing.load();
+    const tlsOptions = await readTls(settings.tls);
+    if (tlsOptions.err) return tlsOptions;
+    const daemon = new Daemon(settings, hash, tlsOptions.val, onFailure);
+    const opened = await daemon.open();
+    return opened.err ? opened : Ok(daemon);
+  }
+
+  /**
+   * A planned stop of this daemon: unready first, so that the balancer sends nothing more; then it
+   * finishes what runs, releases what it holds and tells the others that it left.
+   */
+  async stop(): Promise<void> {
+    if (this.stopping) return;
+    this.stopping = true;
+    this.observer.log('stopping');
+    await this.members.leave();
+    await pause(BALANCER_MS);
+    const until = this.now() + this.settings.timeouts.stopSeconds * 1_000;
+    while ((this.running.size > 0 || this.holdings.holdings.size > 0) && this.now() < until) {
+      await pause(20);
+    }
+    const closed = Promise.all(this.listeners.map((each) => each.close()));
+    await Promise.race([closed, pause(BALANCER_MS)]);
+    await this.halt();
+    this.observer.log('stopped');
+  }
+
+  /** Ends everything at once, as a crash would, but for files and timers of this process. */
+  async halt(): Promise<void> {
+    this.stopping = true;
+    this.timers.forEach((timer) => clearInterval(timer));
+    this.orders.stop();
+    this.holdings.stop();
+    this.targets.stop();
+    this.router.stop();
+    this.members.stop();
+    this.listeners.forEach((each) => each.abort());
+    await Promise.all(this.listeners.map((each) => each.close()));
+    await this.control.stop();
+    this.peers.close();
+    this.targetsClient.close();
+    await this.server.close();
+    this.observer.close();
+  }
+
+  /** Why this daemon admits nothing now, or undefined when it is ready. */
+  unready(): string | undefined {
+    if (this.stopping) return 'this daemon is stopping';
+    if (this.control.view.index === 0) return 'the settings in force are not known yet';
+    if (this.stopWatch.ownStop() !== undefined) return 'a planned stop of this VM is announced';
+    if (this.control.verdict() === 'refuse') return 'the settings held here may be out of date';
+    return undefined;
+  }
+
+  status(): unknown {
+    const { host } = this.control;
+    const { replica } = host ?? {};
+    const memory = process.memoryUsage();
+    const cpu = process.cpuUsage();
+    return {
+      daemon: this.settings.name,
+      dataCentre: this.settings.dataCentre,
+      incarnation: this.incarnation,
+      ready: this.unready() === undefined,
+      unready: this.unready(),
+      settingsIndex: this.control.view.index,
+      freshnessMs: Math.min(this.control.freshness.age(this.now()), 1e9),
+      replica: this.control.replicaId,
+      replicaState: replica?.state,
+      term: replica?.term,
+      members: replica?.members,
+      daemons: this.members.detector.list(),
+      targetsKept: this.targets.kept,
+      running: this.running.size,
+      holdings: this.holdings.holdings.size,
+      memoryBytes: memory.rss,
+      heapBytes: memory.heapUsed,
+      cpuMicroseconds: cpu.user + cpu.system,
+      uptimeSeconds: process.uptime(),
+      counters: this.observer.counters(),
+    };
+  }
+
+  private async open(): Promise<Result<void, errors.StartError>> {
+    const { callers, targets, operators, peers } = this.settings;
+    try {
+      this.ports.peers = await this.server.listen(peers);
+    } catch (error) {
+      const detail = `listen peers ${configuration.format(peers)}: ${String(error)}`;
+      return Err({ kind: 'addressInUse', detail });
+    }
+    const opened = await this.control.open(this.server);
+    if (opened.err) return opened;
+    this.server.add('identify', () => this.identity());
+    this.members.start(this.server);
+    this.targets.start(this.server);
+    this.control.start();
+    this.router.start();
+    this.holdings.start();
+    this.orders.start();
+    const addresses = [callers, targets, operators];
+    const names = ['callers', 'targets', 'operators'] as const;
+    for (const [i, address] of addresses.entries()) {
+      const name = names[i];
+      try {
+        this.ports[name] = await this.listeners[i].listen(address);
+      } catch (error) {
+        const detail = `listen ${name} ${configuration.format(address)}: ${String(error)}`;
+        return Err({ kind: 'addressInUse', detail });
+      }
+    }
+    this.timers = [
+      setInterval(() => this.tellWork(), WORK_EVERY_MS),
+      setInterval(() => this.watchStops(), STOPS_EVERY_MS),
+    ];
+    this.observer.log('started', { ports: this.ports, dataCentre: this.settings.dataCentre });
+    return Ok(undefined);
+  }
+
+  private identity(): founding.Identity {
+    const { name, dataCentre, peers } = this.settings;
+    return {
+      daemon: name,
+      replica: this.control.replicaId,
+      address: configuration.format(peers),
+      dataCentre,
+      founded: this.control.isFounded,
+      members: this.control.founders(),
+    };
+  }
+
+  private liveDaemons(): { near: string[]; all: string[] } {
+    const live = this.members.detector.list().filter(domain.membership.daemon.isLive);
+    const near = live.filter(({ dataCentre }) => dataCentre === this.settings.dataCentre);
+    return { near: near.map(({ id }) => id).sort(), all: live.map(({ id }) => id) };
+  }
+
+  private settingsChanged(): void {
+    const { view } = this.control;
+    this.admission.directory = new domain.settings.directory.Directory([...view.subtrees.values()]);
+    this.members.learn(view.daemons.values());
+    this.enginesChanged();
+    this.observer.log('settingInForce', { index: view.index });
+  }
+
+  private daemonsChanged(): void {
+    this.members.detector
+      .list()
+      .filter(({ status }) => status === 'dead' || status === 'leaving')
+      .forEach(({ id }) => this.router.forgetPeer(id));
+  }
+
+  private targetChanged(target: Target, before: Target | undefined): void {
+    if (before !== undefined && before.incarnation < target.incarnation) {
+      this.holdings.holdings.targetRestarted(target.name, target.incarnation);
+      this.targetsClient.forget(before.address);
+    }
+    if (target.status === 'gone') {
+      this.holdings.holdings.targetGone(target.name);
+      this.targetsClient.forget(target.address);
+    }
+    const sameShape =
+      before?.status === target.status &&
+      before.incarnation === target.incarnation &&
+      before.models.length === target.models.length &&
+      JSON.stringify(before.models) === JSON.stringify(target.models);
+    if (!sameShape) this.enginesChanged();
+  }
+
+  private enginesChanged(): void {
+    this.router.setEngines(this.openTargets().filter(({ kind }) => kind === 'engine'));
+  }
+
+  private openTargets(): Target[] {
+    return this.targets.list().filter((target) => this.stopWatch.isOpen(target));
+  }
+
+  /** The engines whose first keeper this daemon is, so that one survivor reclaims and not all. */
+  private keptEngines(): Target[] {
+    const { near } = this.liveDaemons();
+    return this.targets.list().filter(({ name, kind, status, dataCentre }) => {
+      if (kind !== 'engine' || status === 'gone') return false;
+      const live = this.members.liveIn(dataCentre);
+      const keepers = domain.target.keeper.keepersOf(
+        this.hash,
+        name,
+        live.length > 0 ? live : near,
+      );
+      return keepers[0] === this.settings.name;
+    });
+  }
+
+  private standing(daemon: string): domain.memory.holding.Standing {
+    const known = this.members.detector.get(daemon);
+    if (known === undefined) return { kind: 'unknown' };
+    if (known.status === 'dead') return { kind: 'dead' };
+    return { kind: 'live', incarnation: known.incarnation };
+  }
+
+  private async recordOrder(key: string, loaded: boolean): Promise<boolean> {
+    const command: domain.control.state.Command = { kind: 'ordered', key, loaded, at: 0 };
+    const done = await this.control.client.execute(logServer.SETTINGS_LOG, command, 2_000);
+    return done.ok;
+  }
+
+  private takeNews(record: news.News): boolean {
+    if (record.kind === 'target') return this.targets.merge(record.target);
+    if (record.kind === 'work') return this.takeWork(record.work);
+    return false;
+  }
+
+  private readonly workSeen = new Map<string, { incarnation: number; version: number }>();
+
+  private takeWork(work: news.Work): boolean {
+    if (work.daemon === this.settings.name) return false;
+    const seen = this.workSeen.get(work.daemon);
+    const older =
+      seen !== undefined &&
+      (work.incarnation < seen.incarnation ||
+        (work.incarnation === seen.incarnation && work.version <= seen.version));
+    if (older) return false;
+    this.workSeen.set(work.daemon, { incarnation: work.incarnation, version: work.version });
+    this.router.peerWork(work);
+    return true;
+  }
+
+  /** Tells peers of own work, only when it changed. */
+  private tellWork(): void {
+    const own = { ...this.router.ownWork(), organisations: this.admission.demand() };
+    const shape = JSON.stringify(own);
+    if (shape === this.lastWork) return;
+    this.lastWork = shape;
+    this.workVersion += 1;
+    const { name: daemon } = this.settings;
+    const { incarnation, workVersion: version } = this;
+    this.members.post({ kind: 'work', work: { daemon, incarnation, version, ...own } });
+  }
+
+  private watchStops(): void {
+    const unready = this.unready();
+    if ((unready === undefined) !== this.wasReady) {
+      this.wasReady = unready === undefined;
+      this.observer.log(this.wasReady ? 'ready' : 'unready', { reason: unready });
+    }
+    if (this.control.view.stops.size === 0) return;
+    this.stopWatch.moveOverdue();
+    this.control.reportStops(this.stopWatch.remainders());
+  }
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+/** Reads the TLS files; daemons and targets prove themselves by certificates of one authority. */
+async function readTls(
+  files: configuration.Tls | undefined,
+): Promise<Result<Tls | undefined, errors.StartError>> {
+  if (files === undefined) return Ok(undefined);
+  try {
+    const [cert, key, ca] = await Promise.all([
+      fs.readFile(files.certificateFile),
+      fs.readFile(files.keyFile),
+      fs.readFile(files.authorityFile),
+    ]);
+    // Peers are addressed by IP; what proves them is a certificate of the fleet's own authority.
+    const client = { cert, key, ca, checkServerIdentity: () => undefined };
+    return Ok({ server: { cert, key, ca }, client });
+  } catch (error) {
+    return Err({ kind: 'tlsFile', detail: String(error) });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/http/callersApi.ts
@@ -0,0 +1,245 @@
+/** The interface for callers: OpenAI-compatible paths, plain services, health for the balancer. */
+import * as crypto from 'node:crypto';
+import * as domain from '@celerydrift/domain';
+import type * as observer from '../observability/observer';
+import type * as admission from '../requests/admission';
+import * as errors from '../requests/errors';
+import * as execution from '../requests/execution';
+import type * as serviceProxy from '../requests/serviceProxy';
+import * as chatRequest from './chatRequest';
+import * as completionWriter from './completionWriter';
+import * as listener from './listener';
+import * as reply from './reply';
+
+export interface Options {
+  admission: admission.Admission;
+  services: serviceProxy.ServiceProxy;
+  execution: execution.Parts;
+  observer: observer.Observer;
+  /** Why this daemon admits nothing now, or undefined. */
+  unready: () => string | undefined;
+  running: Set<execution.Execution>;
+  now: () => number;
+}
+
+const SERVICE_PATH = /^\/services\/([^/]+)(\/.*)?$/;
+
+/** Headers that belong to one connection or to this system, and are not passed on. */
+const OWN_HEADERS = new Set([
+  'authorization',
+  'connection',
+  'content-length',
+  'expect',
+  'host',
+  'idempotency-key',
+  'keep-alive',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+  'x-deadline-ms',
+  'x-organisation',
+  'x-priority',
+]);
+
+function header(call: listener.Call, name: string): string {
+  const value = call.headers[name];
+  return typeof value === 'string' ? value : '';
+}
+
+export class CallersApi {
+  constructor(private readonly options: Options) {}
+
+  async route(call: listener.Call): Promise<void> {
+    if (call.path === '/healthz') {
+      reply.json(call.response, 200, { alive: true });
+      return;
+    }
+    const unready = this.options.unready();
+    if (call.path === '/readyz') {
+      reply.json(call.response, unready === undefined ? 200 : 503, { ready: !unready, unready });
+      return;
+    }
+    if (unready !== undefined) {
+      reply.error(call.response, errors.notRun('notReady', unready, 1_000));
+      return;
+    }
+    const startedAt = this.options.now();
+    await this.admitted(call);
+    this.options.observer.timing('request.ms', this.options.now() - startedAt);
+  }
+
+  private async admitted(call: listener.Call): Promise<void> {
+    const tenant = this.options.admission.tenant(listener.bearer(call.headers));
+    if (tenant.err) {
+      reply.error(call.response, tenant.val);
+      return;
+    }
+    const service = SERVICE_PATH.exec(call.path);
+    if (service !== null) {
+      await this.callService(call, tenant.val, service[1], service[2] ?? '/');
+    } else if (call.path === '/v1/models' && call.method === 'GET') {
+      this.listModels(call, tenant.val);
+    } else if (call.path === '/v1/chat/completions' && call.method === 'POST') {
+      await this.complete(call, tenant.val, true);
+    } else if (call.path === '/v1/completions' && call.method === 'POST') {
+      await this.complete(call, tenant.val, false);
+    } else {
+      const message = `no such path: ${call.method} ${call.path}`;
+      reply.error(call.response, errors.notRun('notFound', message));
+    }
+  }
+
+  private listModels(call: listener.Call, tenant: domain.settings.directory.Tenant): void {
+    const data = this.options.admission.directory.models(tenant).map(({ name }) => {
+      return { id: name, object: 'model', created: 0, owned_by: tenant.team };
+    });
+    reply.json(call.response, 200, { object: 'list', data });
+  }
+
+  private async complete(
+    call: listener.Call,
+    tenant: domain.settings.directory.Tenant,
+    chat: boolean,
+  ): Promise<void> {
+    const read = chatRequest.read(call.body, chat);
+    if (read.err) {
+      reply.error(call.response, read.val);
+      return;
+    }
+    const prompt = this.prompt(call, tenant, read.val);
+    if ('kind' in prompt) {
+      reply.error(call.response, prompt);
+      return;
+    }
+    await this.execute(call, read.val, prompt, chat);
+  }
+
+  private prompt(
+    call: listener.Call,
+    tenant: domain.settings.directory.Tenant,
+    wish: chatRequest.ChatRequest,
+  ): execution.Prompt | errors.RequestError {
+    const { admission: admit } = this.options;
+    const model = admit.model(tenant, wish.model);
+    if (model.err) return model.val;
+    const deadline = admit.deadline(tenant, header(call, 'x-deadline-ms'));
+    if (deadline.err) return deadline.val;
+    const priority = admit.priority(tenant, header(call, 'x-priority'));
+    if (priority.err) return priority.val;
+    const promptTokens = admit.estimator.estimate(model.val.base, wish.prompt.length);
+    const total = promptTokens + wish.answerTokens;
+    const { gatherer, router } = this.options.execution;
+    const { base, adapter, version } = model.val;
+    const largest = router.dispatcher.largestMemory({ base, adapter, version });
+    if (largest > 0 && total > largest && !gatherer.canHold(total)) {
+      return errors.notRun('tooLong', `about ${total} tokens are more than the engines can hold`);
+    }
+    const charged = admit.charge(tenant, total);
+    if (charged.err) return charged.val;
+    return {
+      id: crypto.randomUUID(),
+      tenant,
+      model: model.val,
+      prompt: wish.prompt,
+      promptTokens,
+      answerTokens: wish.answerTokens,
+      prefixKeys: admit.prefixKeys(wish.prompt),
+      priority: priority.val,
+      deadline: deadline.val,
+    };
+  }
+
+  private async execute(
+    call: listener.Call,
+    wish: chatRequest.ChatRequest,
+    prompt: execution.Prompt,
+    chat: boolean,
+  ): Promise<void> {
+    const { response } = call;
+    const gone = new AbortController();
+    response.on('close', () => {
+      if (!response.writableFinished) gone.abort();
+    });
+    const shape: completionWriter.Shape = {
+      id: `${chat ? 'chatcmpl' : 'cmpl'}-${prompt.id}`,
+      model: wish.model,
+      chat,
+      created: Math.floor(this.options.now() / 1_000),
+      includeUsage: wish.includeUsage,
+    };
+    const writer = new completionWriter.StreamWriter(response, shape);
+    const write = (text: string): void => {
+      if (wish.stream) writer.write(text);
+    };
+    const running = new execution.Execution(
+      prompt,
+      { write, gone: gone.signal },
+      this.options.execution,
+    );
+    this.options.running.add(running);
+    const result = await running.run();
+    this.options.running.delete(running);
+    this.report(prompt, result.ok ? 'completed' : result.val.outcome);
+    if (result.err) writer.fail(result.val);
+    else if (wish.stream) writer.end(result.val);
+    else completionWriter.whole(response, shape, result.val);
+  }
+
+  private report(prompt: execution.Prompt, outcome: domain.request.outcome.Outcome): void {
+    const { observer: observe } = this.options;
+    observe.count(`request.${outcome}`);
+    observe.log('requestEnded', {
+      request: prompt.id,
+      outcome,
+      team: prompt.tenant.team,
+      organisation: prompt.tenant.organisation.name,
+      tokens: prompt.promptTokens,
+    });
+  }
+
+  private async callService(
+    call: listener.Call,
+    tenant: domain.settings.directory.Tenant,
+    name: string,
+    path: string,
+  ): Promise<void> {
+    const service = this.options.admission.service(tenant, name);
+    if (service.err) {
+      reply.error(call.response, service.val);
+      return;
+    }
+    const query = call.query.size > 0 ? `?${call.query.toString()}` : '';
+    const deadline = this.options.admission.deadline(tenant, header(call, 'x-deadline-ms'));
+    if (deadline.err) {
+      reply.error(call.response, deadline.val);
+      return;
+    }
+    const longest = this.options.now() + service.val.timeoutSeconds * 1_000;
+    const headers = Object.entries(call.headers).flatMap(([key, value]): [string, string][] =>
+      OWN_HEADERS.has(key) || typeof value !== 'string' ? [] : [[key, value]],
+    );
+    const result = await this.options.services.handle({
+      tenant,
+      service: service.val,
+      method: call.method,
+      path: `${path}${query}`,
+      headers: Object.fromEntries(headers),
+      body: call.body,
+      key: header(call, 'idempotency-key'),
+      deadline: Math.min(deadline.val, longest),
+    });
+    this.options.observer.count(`service.${result.ok ? 'completed' : result.val.outcome}`);
+    if (result.err) {
+      reply.error(call.response, result.val);
+      return;
+    }
+    const { status, contentType, body, replayed } = result.val;
+    call.response.writeHead(status, {
+      'content-type': contentType,
+      ...reply.outcomeHeader('completed'),
+      ...(replayed ? { 'x-celerydrift-replayed': 'true' } : {}),
+    });
+    call.response.end(body);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/http/completionWriter.ts
@@ -0,0 +1,100 @@
+/** Writes answers in the shapes of `/v1/chat/completions` and `/v1/completions`. */
+import type * as http from 'node:http';
+import type * as errors from '../requests/errors';
+import type * as execution from '../requests/execution';
+import * as reply from './reply';
+
+export interface Shape {
+  id: string;
+  model: string;
+  chat: boolean;
+  created: number;
+  includeUsage: boolean;
+}
+
+function choice({ chat }: Shape, text: string, finish: string | null, streamed: boolean): unknown {
+  const base = { index: 0, finish_reason: finish, logprobs: null };
+  if (!chat) return { ...base, text };
+  if (!streamed) return { ...base, message: { role: 'assistant', content: text, refusal: null } };
+  return { ...base, delta: text === '' ? {} : { role: 'assistant', content: text } };
+}
+
+function usage({ promptTokens, tokens }: execution.Whole): unknown {
+  return {
+    prompt_tokens: promptTokens,
+    completion_tokens: tokens,
+    total_tokens: promptTokens + tokens,
+  };
+}
+
+function envelope({ id, model, chat, created }: Shape, streamed: boolean): Record<string, unknown> {
+  const kind = chat ? 'chat.completion' : 'text_completion';
+  return { id, object: chat && streamed ? `${kind}.chunk` : kind, created, model };
+}
+
+/** The whole answer at once. */
+export function whole(response: http.ServerResponse, shape: Shape, result: execution.Whole): void {
+  const content = {
+    ...envelope(shape, false),
+    choices: [choice(shape, result.text, 'stop', false)],
+    usage: usage(result),
+  };
+  reply.json(response, 200, content, {
+    ...reply.outcomeHeader('completed'),
+    'x-celerydrift-target': result.target,
+  });
+}
+
+/**
+ * A streamed answer. Headers leave with the first token, so that what fails before it still gets a
+ * status of its own; after that an error is an explicit frame, and `[DONE]` comes only after the
+ * whole answer.
+ */
+export class StreamWriter {
+  private started = false;
+
+  private readonly prefix: Record<string, unknown>;
+
+  constructor(
+    private readonly response: http.ServerResponse,
+    private readonly shape: Shape,
+  ) {
+    this.prefix = envelope(shape, true);
+  }
+
+  write(text: string): void {
+    this.start();
+    this.frame({ ...this.prefix, choices: [choice(this.shape, text, null, true)] });
+  }
+
+  end(result: execution.Whole): void {
+    this.start();
+    this.frame({ ...this.prefix, choices: [choice(this.shape, '', 'stop', true)] });
+    if (this.shape.includeUsage) {
+      this.frame({ ...this.prefix, choices: [], usage: usage(result) });
+    }
+    this.response.end('data: [DONE]\n\n');
+  }
+
+  fail(error: errors.RequestError): void {
+    if (!this.started) {
+      reply.error(this.response, error);
+      return;
+    }
+    this.frame(reply.errorBody(error));
+    this.response.end();
+  }
+
+  private start(): void {
+    if (this.started) return;
+    this.started = true;
+    this.response.writeHead(200, {
+      'content-type': 'text/event-stream',
+      'cache-control': 'no-cache',
+    });
+  }
+
+  private frame(content: unknown): void {
+    this.response.write(`data: ${JSON.stringify(content)}\n\n`);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/http/listener.ts
@@ -0,0 +1,134 @@
+/**
+ * An HTTP listener with bounds: header and body size, slow senders, connections. Every route gets the
+ * whole body or the caller gets a clear error.
+ */
+import * as http from 'node:http';
+import * as https from 'node:https';
+import type * as net from 'node:net';
+import type * as tls from 'node:tls';
+import type * as configuration from '../configuration/configuration';
+import * as errors from '../requests/errors';
+import * as reply from './reply';
+
+export interface Call {
+  method: string;
+  path: string;
+  query: URLSearchParams;
+  headers: http.IncomingHttpHeaders;
+  body: Buffer;
+  address: string;
+  response: http.ServerResponse;
+}
+
+export type Route = (call: Call) => Promise<void>;
+
+const HEADER_BYTES = 16 * 1024;
+
+/** The body is longer than the bound. */
+class TooLarge extends Error {}
+
+async function readBody(request: http.IncomingMessage, limit: number): Promise<Buffer> {
+  if (Number(request.headers['content-length'] ?? 0) > limit) throw new TooLarge();
+  const chunks: Buffer[] = [];
+  let length = 0;
+  for await (const chunk of request) {
+    length += (chunk as Buffer).length;
+    if (length > limit) throw new TooLarge();
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks);
+}
+
+/** The header that carries a bearer token or key. */
+export function bearer(headers: http.IncomingHttpHeaders): string {
+  const match = /^Bearer (\S+)$/i.exec(headers.authorization ?? '');
+  return match?.[1] ?? '';
+}
+
+export class Listener {
+  private readonly server: http.Server | https.Server;
+
+  constructor(
+    private readonly limits: configuration.Configuration['limits'],
+    tlsOptions: tls.TlsOptions | undefined,
+    private readonly route: Route,
+    private readonly onError: (error: unknown) => void,
+  ) {
+    const options = {
+      maxHeaderSize: HEADER_BYTES,
+      headersTimeout: limits.headerSeconds * 1_000,
+      requestTimeout: limits.bodySeconds * 1_000,
+      connectionsCheckingInterval: 1_000,
+      keepAliveTimeout: 65_000,
+      noDelay: true,
+    };
+    const serve = (request: http.IncomingMessage, response: http.ServerResponse): void => {
+      void this.serve(request, response);
+    };
+    this.server =
+      tlsOptions === undefined
+        ? http.createServer(options, serve)
+        : https.createServer({ ...options, ...tlsOptions }, serve);
+    this.server.maxConnections = limits.connections;
+  }
+
+  async listen({ host, port }: configuration.Address): Promise<number> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+    return (this.server.address() as net.AddressInfo).port;
+  }
+
+  /** Stops accepting; open calls go on to their end. */
+  async close(): Promise<void> {
+    const closed = new Promise<void>((resolve) => {
+      this.server.close(() => resolve());
+    });
+    this.server.closeIdleConnections();
+    const idle = setInterval(() => this.server.closeIdleConnections(), 100);
+    await closed;
+    clearInterval(idle);
+  }
+
+  abort(): void {
+    this.server.closeAllConnections();
+  }
+
+  private async serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    try {
+      const body = await readBody(request, this.limits.bodyBytes);
+      const url = new URL(request.url ?? '/', 'http://daemon');
+      await this.route({
+        method: request.method ?? 'GET',
+        path: url.pathname,
+        query: url.searchParams,
+        headers: request.headers,
+        body,
+        address: request.socket.remoteAddress ?? '',
+        response,
+      });
+    } catch (error) {
+      this.fail(request, response, error);
+    }
+  }
+
+  private fail(request: http.IncomingMessage, response: http.ServerResponse, error: unknown): void {
+    if (error instanceof TooLarge) {
+      const message = `the body is over ${this.limits.bodyBytes} bytes`;
+      response.setHeader('connection', 'close');
+      reply.error(response, errors.notRun('tooLarge', message));
+      request.resume();
+    } else if (request.destroyed && !request.complete) {
+      response.destroy();
+    } else if (response.headersSent) {
+      this.onError(error);
+      response.destroy();
+    } else {
+      const bad = error instanceof SyntaxError || error instanceof URIError;
+      if (!bad) this.onError(error);
+      const message = bad ? `the request can't be read: ${error.message}` : 'unexpected error';
+      reply.error(response, errors.notRun('badRequest', message));
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/http/reply.ts
@@ -0,0 +1,41 @@
+/** Answers in the form that callers of OpenAI-compatible interfaces expect. */
+import type * as http from 'node:http';
+import * as domain from '@celerydrift/domain';
+import * as errors from '../requests/errors';
+
+export const OUTCOME_HEADER = 'x-celerydrift-outcome';
+
+const OUTCOME_WORD: Record<domain.request.outcome.Outcome, string> = {
+  completed: 'completed',
+  notRun: 'not-run',
+  failed: 'failed',
+  unknown: 'unknown',
+};
+
+export function json(
+  response: http.ServerResponse,
+  status: number,
+  content: unknown,
+  headers: Record<string, string> = {},
+): void {
+  if (response.headersSent || response.destroyed) return;
+  response.writeHead(status, { 'content-type': 'application/json', ...headers });
+  response.end(JSON.stringify(content));
+}
+
+export function outcomeHeader(outcome: domain.request.outcome.Outcome): Record<string, string> {
+  return { [OUTCOME_HEADER]: OUTCOME_WORD[outcome] };
+}
+
+export function errorBody(problem: errors.RequestError): unknown {
+  const { kind, message, outcome } = problem;
+  return { error: { message, type: kind, code: kind, outcome: OUTCOME_WORD[outcome] } };
+}
+
+export function error(response: http.ServerResponse, problem: errors.RequestError): void {
+  const headers = outcomeHeader(problem.outcome);
+  if (problem.retryAfterMs > 0) {
+    headers['retry-after'] = String(Math.ceil(problem.retryAfterMs / 1_000));
+  }
+  json(response, errors.STATUS[problem.kind], errorBody(problem), headers);
+}
--- /dev/null
+++ b/packages/daemon/src/membership/members.ts
@@ -0,0 +1,262 @@
+/**
+ * Membership of this daemon: probes one peer a second, exchanges news with it, and tells everybody at
+ * once what can't wait. Own data centre first; a relay also exchanges with another data centre.
+ */
+import * as domain from '@celerydrift/domain';
+import type * as observer from '../observability/observer';
+import type * as peerClient from '../rpc/peerClient';
+import type * as peerServer from '../rpc/peerServer';
+import * as news from './news';
+
+type Daemon = domain.membership.daemon.Daemon;
+
+export interface Options {
+  self: Daemon;
+  seeds: readonly string[];
+  client: peerClient.PeerClient;
+  observer: observer.Observer;
+  random: domain.shared.random.Random;
+  hash: domain.shared.hashing.Hash;
+  now: () => number;
+  /** News other than of daemons; gives back whether it was new here. */
+  take: (record: news.News) => boolean;
+  onDaemons: () => void;
+}
+
+interface Exchange {
+  from: Daemon;
+  records: news.News[];
+}
+
+interface Pushed {
+  records: news.News[];
+  /** The receiver passes it on within its data centre. */
+  passOn: boolean;
+}
+
+const PROBE_TIMEOUT_MS = 500;
+
+/** Records in one exchange; a newcomer gets the rest in the next. */
+const BATCH_LIMIT = 200;
+
+const HELPERS = 2;
+
+export class Members {
+  readonly detector: domain.membership.detector.Detector;
+
+  private readonly board = new domain.membership.gossip.Board<news.News>();
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private seedTurn = 0;
+
+  constructor(private readonly options: Options) {
+    const { self, random } = options;
+    this.detector = new domain.membership.detector.Detector(self, random);
+    this.board.post(`daemon/${self.id}`, { kind: 'daemon', daemon: self }, '');
+  }
+
+  start(server: peerServer.PeerServer): void {
+    server.add('gossip', (parameters) => this.onExchange(parameters as Exchange));
+    server.add('push', (parameters) => this.onPush(parameters as Pushed));
+    server.add('probeFor', (parameters) =>
+      this.probeFor((parameters as { address: string }).address),
+    );
+    const round = (): void => {
+      void this.round();
+    };
+    this.timer = setInterval(round, domain.membership.detector.DEFAULT_TIMING.period);
+    round();
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  get self(): Daemon {
+    return this.detector.own;
+  }
+
+  /** Live daemons of a data centre, by id. */
+  liveIn(dataCentre: string): string[] {
+    return this.detector.liveIn(dataCentre);
+  }
+
+  isRelay(): boolean {
+    const { id, dataCentre } = this.self;
+    const live = this.liveIn(dataCentre);
+    return domain.membership.relay.relaysOf(this.options.hash, dataCentre, live).includes(id);
+  }
+
+  /** Tells the news in the next exchanges. */
+  post(record: news.News): void {
+    this.board.post(news.keyOf(record), record, '');
+  }
+
+  /**
+   * Tells it at once to every live daemon of the data centre, and to two of each other one that pass
+   * it on. Gossip carries it as well, so one silent path keeps it from nobody.
+   */
+  async push(record: news.News): Promise<void> {
+    this.post(record);
+    const everyone = this.detector.list().filter(domain.membership.daemon.isLive);
+    const near = everyone.filter(({ dataCentre }) => dataCentre === this.self.dataCentre);
+    const far = everyone.filter(({ dataCentre }) => dataCentre !== this.self.dataCentre);
+    const ambassadors = [...new Set(far.map(({ dataCentre }) => dataCentre))].flatMap((name) =>
+      far.filter(({ dataCentre }) => dataCentre === name).slice(0, HELPERS),
+    );
+    await Promise.all([
+      ...near.map((peer) => this.pushTo(peer, record, false)),
+      ...ambassadors.map((peer) => this.pushTo(peer, record, true)),
+    ]);
+  }
+
+  /** Daemons that the control state names; those never heard are probed like the others. */
+  learn(daemons: Iterable<domain.control.state.Registered>): void {
+    for (const { id, address, dataCentre } of daemons) {
+      if (id === this.self.id || this.detector.get(id) !== undefined) continue;
+      this.merge({ id, address, dataCentre, incarnation: 0, status: 'alive' }, '');
+    }
+  }
+
+  async leave(): Promise<void> {
+    const daemon = this.detector.leave();
+    await this.push({ kind: 'daemon', daemon });
+  }
+
+  private async pushTo(peer: Daemon, record: news.News, passOn: boolean): Promise<void> {
+    if (peer.id === this.self.id) return;
+    const message: Pushed = { records: [record], passOn };
+    const { client } = this.options;
+    const sent = await client.call(peer.address, 'push', message, { timeoutMs: PROBE_TIMEOUT_MS });
+    // The open connection may have gone silent; a new one may work.
+    if (sent.err) {
+      await client.call(peer.address, 'push', message, {
+        timeoutMs: PROBE_TIMEOUT_MS,
+        fresh: true,
+      });
+    }
+  }
+
+  private onPush({ records, passOn }: Pushed): { taken: true } {
+    const fresh = records.filter((record) => this.take(record, ''));
+    if (passOn) {
+      const near = this.liveIn(this.self.dataCentre);
+      near
+        .map((id) => this.detector.get(id))
+        .forEach((peer) => {
+          if (peer === undefined) return;
+          fresh.forEach((record) => {
+            void this.pushTo(peer, record, false);
+          });
+        });
+    }
+    return { taken: true };
+  }
+
+  private async round(): Promise<void> {
+    const now = this.options.now();
+    this.detector.expire(now).forEach((changed) => this.changed(changed, ''));
+    const peer = this.detector.nextProbe();
+    if (peer !== undefined) void this.probe(peer);
+    else void this.greetSeed();
+    if (this.isRelay()) void this.exchangeAbroad();
+  }
+
+  /** Without known peers in the data centre, the configured addresses are asked in turn. */
+  private async greetSeed(): Promise<void> {
+    const seeds = this.options.seeds.filter((address) => address !== this.self.address);
+    if (seeds.length === 0) return;
+    this.seedTurn += 1;
+    await this.exchange(seeds[this.seedTurn % seeds.length], '', false);
+  }
+
+  private async exchangeAbroad(): Promise<void> {
+    const abroad = this.detector
+      .list()
+      .filter(({ dataCentre }) => dataCentre !== this.self.dataCentre)
+      .filter(domain.membership.daemon.isLive);
+    if (abroad.length === 0) {
+      await this.greetSeed();
+      return;
+    }
+    const peer = domain.shared.random.pick(this.options.random, abroad);
+    const reached = await this.exchange(peer.address, peer.id, false);
+    if (!reached) await this.exchange(peer.address, peer.id, true);
+  }
+
+  private async probe(peer: Daemon): Promise<void> {
+    if (await this.exchange(peer.address, peer.id, false)) return;
+    // The open connection may be the only thing that is dead.
+    if (await this.exchange(peer.address, peer.id, true)) return;
+    const helpers = this.detector.helpers(peer.id, HELPERS);
+    const answers = await Promise.all(
+      helpers.map(({ address }) =>
+        this.options.client.call<boolean>(
+          address,
+          'probeFor',
+          { address: peer.address },
+          { timeoutMs: PROBE_TIMEOUT_MS * 2 },
+        ),
+      ),
+    );
+    if (answers.some((answer) => answer.ok && answer.val)) return;
+    this.detector.suspect(peer.id, this.options.now()).forEach((each) => this.changed(each, ''));
+  }
+
+  private async probeFor(address: string): Promise<boolean> {
+    const { client } = this.options;
+    const answer = await client.call(address, 'identify', {}, { timeoutMs: PROBE_TIMEOUT_MS });
+    return answer.ok;
+  }
+
+  private async exchange(address: string, id: string, fresh: boolean): Promise<boolean> {
+    const batch = this.board.batchFor(id, BATCH_LIMIT);
+    const message: Exchange = { from: this.self, records: batch.records };
+    const options = { timeoutMs: PROBE_TIMEOUT_MS, fresh };
+    const answer = await this.options.client.call<Exchange>(address, 'gossip', message, options);
+    if (answer.err) return false;
+    if (id !== '') this.board.acknowledged(id, batch.upTo);
+    this.takeAll(answer.val);
+    return true;
+  }
+
+  private onExchange(exchange: Exchange): Exchange {
+    this.takeAll(exchange);
+    const { id } = exchange.from;
+    const batch = this.board.batchFor(id, BATCH_LIMIT);
+    // Lost answers are not sent again to this peer, but reach it from others and by its own probes.
+    this.board.acknowledged(id, batch.upTo);
+    return { from: this.self, records: batch.records };
+  }
+
+  private takeAll({ from, records }: Exchange): void {
+    const known = this.detector.get(from.id);
+    const restarted = known !== undefined && known.incarnation < from.incarnation;
+    if (restarted) this.board.forget(from.id);
+    this.take({ kind: 'daemon', daemon: from }, from.id);
+    records.forEach((record) => this.take(record, from.id));
+  }
+
+  private take(record: news.News, from: string): boolean {
+    if (record.kind === 'daemon') return this.merge(record.daemon, from);
+    const fresh = this.options.take(record);
+    if (fresh) this.board.post(news.keyOf(record), record, from);
+    return fresh;
+  }
+
+  private merge(daemon: Daemon, from: string): boolean {
+    const changes = this.detector.merge(daemon, this.options.now());
+    changes.forEach((changed) => this.changed(changed, from));
+    return changes.length > 0;
+  }
+
+  private changed(daemon: Daemon, from: string): void {
+    this.board.post(`daemon/${daemon.id}`, { kind: 'daemon', daemon }, from);
+    const { id, status } = daemon;
+    if (status === 'suspect') this.options.observer.log('daemonSuspected', { id });
+    if (status === 'dead') this.options.observer.log('daemonDead', { id });
+    if (status === 'alive') this.options.observer.log('daemonAlive', { id });
+    this.options.onDaemons();
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/observability/events.ts
@@ -0,0 +1,61 @@
+/**
+ * The catalogue of log events. Each has a number that never changes meaning; docs/LOG_EVENTS.md lists
+ * them with what to do, and a test holds the two equal.
+ */
+
+export type Level = 'debug' | 'info' | 'warn' | 'error';
+
+export interface Event {
+  number: number;
+  level: Level;
+  text: string;
+}
+
+export const EVENTS = {
+  started: { number: 1001, level: 'info', text: 'daemon started' },
+  ready: { number: 1002, level: 'info', text: 'ready for callers' },
+  unready: { number: 1003, level: 'warn', text: 'not ready for callers' },
+  stopping: { number: 1004, level: 'info', text: 'planned stop of this daemon' },
+  stopped: { number: 1005, level: 'info', text: 'daemon stopped' },
+  crashed: { number: 1006, level: 'error', text: 'unexpected error' },
+  replicaFounded: { number: 2001, level: 'info', text: 'replica set founded' },
+  replicaRole: { number: 2002, level: 'info', text: 'replica changed its state' },
+  journalCut: { number: 2003, level: 'warn', text: 'torn end of the journal cut' },
+  journalCorrupt: { number: 2004, level: 'error', text: 'journal is corrupt; replica stays out' },
+  snapshotMade: { number: 2005, level: 'info', text: 'snapshot made' },
+  snapshotInstalled: { number: 2006, level: 'info', text: 'snapshot installed' },
+  repairStep: { number: 2007, level: 'warn', text: 'replica set changed by repair' },
+  spareWaiting: { number: 2008, level: 'info', text: 'data folder is a spare' },
+  settingAccepted: { number: 3001, level: 'info', text: 'change of settings accepted' },
+  settingRefused: { number: 3002, level: 'warn', text: 'change of settings refused' },
+  settingInForce: { number: 3003, level: 'debug', text: 'settings in force here' },
+  upstreamChanged: { number: 3004, level: 'info', text: 'following another upstream' },
+  upstreamLost: { number: 3005, level: 'warn', text: 'upstream silent or refused' },
+  caughtUp: { number: 3006, level: 'info', text: 'caught up by comparing digests' },
+  daemonSuspected: { number: 4001, level: 'warn', text: 'daemon suspected' },
+  daemonDead: { number: 4002, level: 'warn', text: 'daemon dead' },
+  daemonAlive: { number: 4003, level: 'info', text: 'daemon alive' },
+  targetServing: { number: 4101, level: 'info', text: 'target serving' },
+  targetLeaving: { number: 4102, level: 'info', text: 'target leaving' },
+  targetGone: { number: 4103, level: 'warn', text: 'target gone' },
+  circuitOpened: { number: 4104, level: 'warn', text: 'circuit of a target opened' },
+  circuitClosed: { number: 4105, level: 'info', text: 'circuit of a target closed' },
+  requestEnded: { number: 5001, level: 'info', text: 'request ended' },
+  attemptFailed: { number: 5002, level: 'warn', text: 'attempt failed' },
+  frameCrossed: { number: 5003, level: 'error', text: 'frame of another request dropped' },
+  connectionSilent: { number: 5004, level: 'warn', text: 'silent connection, target alive' },
+  streamMoved: { number: 5005, level: 'info', text: 'stream moved by a planned stop' },
+  claimUnknown: {
+    number: 5101,
+    level: 'warn',
+    text: 'outcome of a call that runs once is unknown',
+  },
+  orderSent: { number: 6001, level: 'info', text: 'order sent to a target' },
+  orderRefused: { number: 6002, level: 'warn', text: 'order refused by a target' },
+  reclaimed: { number: 6003, level: 'warn', text: 'holding of a dead daemon reclaimed' },
+  releaseRetried: { number: 6004, level: 'debug', text: 'release sent again' },
+  peerRejected: { number: 7001, level: 'warn', text: 'peer failed to prove itself' },
+  operatorRejected: { number: 7002, level: 'warn', text: 'operator rejected' },
+} as const satisfies Record<string, Event>;
+
+export type Name = keyof typeof EVENTS;
--- /dev/null
+++ b/packages/daemon/src/observability/observer.ts
@@ -0,0 +1,52 @@
+/**
+ * Logs and metrics of one daemon. Logs are numbered events through bunyan; metrics go to a StatsD
+ * listener through hot-shots, and are also counted here for `status` and for measurements.
+ */
+import * as bunyan from 'bunyan';
+import { StatsD } from 'hot-shots';
+import type * as configuration from '../configuration/configuration';
+import * as events from './events';
+
+export class Observer {
+  private readonly logger: bunyan;
+
+  private readonly statsd: StatsD | undefined;
+
+  private readonly counts = new Map<string, number>();
+
+  constructor(name: string, level: string, statsd: configuration.Address | undefined) {
+    this.logger = bunyan.createLogger({ name: 'celerydriftd', daemon: name });
+    this.logger.level(level as bunyan.LogLevel);
+    if (statsd !== undefined) {
+      const { host, port } = statsd;
+      this.statsd = new StatsD({ host, port, prefix: 'celerydrift.', errorHandler: () => {} });
+    }
+  }
+
+  log(event: events.Name, fields: Record<string, unknown> = {}): void {
+    const { number, level, text } = events.EVENTS[event];
+    this.logger[level]({ event: number, ...fields }, text);
+  }
+
+  count(metric: string, amount = 1): void {
+    this.counts.set(metric, (this.counts.get(metric) ?? 0) + amount);
+    this.statsd?.increment(metric, amount);
+  }
+
+  timing(metric: string, ms: number): void {
+    this.statsd?.timing(metric, ms);
+  }
+
+  gauge(metric: string, value: number): void {
+    this.counts.set(metric, value);
+    this.statsd?.gauge(metric, value);
+  }
+
+  counters(): Record<string, number> {
+    return Object.fromEntries([...this.counts].sort(([a], [b]) => (a < b ? -1 : 1)));
+  }
+
+  close(): void {
+    this.statsd?.close(() => undefined);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/orders/orderLoop.ts
@@ -0,0 +1,96 @@
+/** Sends orders to targets while this daemon leads: the difference between settings and reports. */
+import * as domain from '@celerydrift/domain';
+import type * as observer from '../observability/observer';
+import type * as adapter from '../targets/adapter';
+
+type Target = domain.target.target.Target;
+
+export interface Leadership {
+  term: number;
+  since: number;
+}
+
+export interface Options {
+  adapter: adapter.Adapter;
+  observer: observer.Observer;
+  now: () => number;
+  /** The term in which this daemon leads with its lease, or undefined. */
+  leadership: () => Leadership | undefined;
+  wanted: () => domain.settings.document.Model[];
+  targets: () => Target[];
+  ours: () => ReadonlySet<string>;
+  /** Records what this system loaded, before the order leaves. */
+  record: (key: string, loaded: boolean) => Promise<boolean>;
+}
+
+/** The former leader's lease plus the longest way of one of its orders. */
+const QUIET_MS =
+  domain.replication.replica.DEFAULT_TIMING.electionMax + domain.placement.order.ORDER_DELAY_MS;
+
+const EVERY_MS = 500;
+
+export class OrderLoop {
+  private issuer: domain.placement.order.Issuer | undefined;
+
+  private term = 0;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private busy = false;
+
+  constructor(private readonly options: Options) {}
+
+  start(): void {
+    this.timer = setInterval(() => {
+      void this.round();
+    }, EVERY_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  private async round(): Promise<void> {
+    const leadership = this.options.leadership();
+    if (leadership === undefined || this.busy) return;
+    this.busy = true;
+    await this.issue(leadership);
+    this.busy = false;
+  }
+
+  private async issue({ term, since }: Leadership): Promise<void> {
+    if (this.issuer === undefined || this.term !== term) {
+      this.issuer = new domain.placement.order.Issuer(term, since, QUIET_MS);
+      this.term = term;
+    }
+    const targets = this.options.targets();
+    const fencingOf = (name: string): domain.target.target.Fencing =>
+      targets.find((target) => target.name === name)?.fencing ?? 'ignored';
+    const wishes = domain.placement.order.differences(
+      this.options.wanted(),
+      targets,
+      this.options.ours(),
+    );
+    const orders = this.issuer.issue(wishes, fencingOf, this.options.now());
+    for (const order of orders) await this.send(order, targets);
+  }
+
+  private async send(
+    order: domain.placement.order.Order,
+    targets: readonly Target[],
+  ): Promise<void> {
+    const target = targets.find(({ name }) => name === order.target);
+    if (target === undefined) return;
+    const key = domain.placement.order.keyOf(order.target, order.model);
+    // Recorded first: a model that was loaded and not recorded could never be unloaded again.
+    if (order.kind === 'load' && !(await this.options.record(key, true))) return;
+    if (this.options.now() > order.expiresAt || this.options.leadership()?.term !== this.term)
+      return;
+    const sent = await this.options.adapter.order(target, order);
+    const { kind, model, fence } = order;
+    const fields = { target: order.target, kind, ...model, ...fence };
+    if (sent.err) this.options.observer.log('orderRefused', { ...fields, detail: sent.val.detail });
+    else this.options.observer.log('orderSent', fields);
+    if (sent.ok && order.kind === 'unload') await this.options.record(key, false);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/replicas/repairer.ts
@@ -0,0 +1,44 @@
+/**
+ * Lets the leader of each log repair its replica set from spares: VMs with a data folder that are
+ * registered and answer. One step at a time, each committed before the next.
+ */
+import * as domain from '@celerydrift/domain';
+import type * as observer from '../observability/observer';
+import type * as logHost from './logHost';
+
+export interface Options {
+  size: number;
+  deadAfterMs: number;
+  observer: observer.Observer;
+  now: () => number;
+  /** Registered daemons with a disk that answered lately. */
+  spares: () => domain.replication.repair.Spare[];
+  /** Writes what the system did by itself into the audit trail. */
+  note: (action: string, subject: string, detail: string) => void;
+}
+
+export class Repairer {
+  constructor(private readonly options: Options) {}
+
+  step(host: logHost.LogHost): void {
+    const now = this.options.now();
+    if (!host.isLeader || !host.replica.hasLease(now)) return;
+    const { members } = host.replica;
+    const health = members
+      .filter(({ id }) => id !== host.replica.id)
+      .map(({ id }) => ({
+        id,
+        silentFor: now - host.replica.contactAt(id),
+        caughtUp: host.replica.isCaughtUp(id),
+      }));
+    const { size, deadAfterMs } = this.options;
+    const spares = this.options.spares();
+    const step = domain.replication.repair.nextStep(members, health, spares, size, deadAfterMs);
+    if (step === undefined) return;
+    const { reason, subject } = step;
+    host.changeMembers(step.members, () => {
+      this.options.observer.log('repairStep', { log: host.id, reason, subject });
+      this.options.note(reason, subject, `log ${host.id}, ${step.members.length} members`);
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/replicas/replicaSet.ts
@@ -0,0 +1,122 @@
+/**
+ * All logs of one data folder: the settings log and the ledger shards. Opens their journals, gives
+ * each message to its log, and answers who this replica is.
+ */
+import * as path from 'node:path';
+import * as domain from '@celerydrift/domain';
+import { Err, Ok, Result } from 'ts-results';
+import type * as observer from '../observability/observer';
+import type * as peerClient from '../rpc/peerClient';
+import type * as peerServer from '../rpc/peerServer';
+import type * as frames from '../storage/frames';
+import * as identity from '../storage/identity';
+import * as journal from '../storage/journal';
+import * as logHost from './logHost';
+import type * as machine from './machine';
+
+type Member = domain.replication.messages.Member;
+
+export interface Options {
+  folder: string;
+  address: string;
+  dataCentre: string;
+  machines: ReadonlyMap<string, machine.Machine>;
+  timing: domain.replication.replica.Timing;
+  random: domain.shared.random.Random;
+  client: peerClient.PeerClient;
+  observer: observer.Observer;
+  onDiskFailure: (error: unknown) => void;
+}
+
+export interface Envelope {
+  log: string;
+  /** Peer address of the sender. */
+  address: string;
+  message: domain.replication.messages.Message;
+}
+
+const TICK_MS = 20;
+
+export class ReplicaSet {
+  readonly hosts = new Map<string, logHost.LogHost>();
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private constructor(
+    readonly id: string,
+    private readonly options: Options,
+  ) {}
+
+  static async open(options: Options): Promise<Result<ReplicaSet, frames.Corrupt>> {
+    const id = await identity.readOrMake(options.folder);
+    const set = new ReplicaSet(id, options);
+    for (const [log, state] of options.machines) {
+      const opened = await set.openLog(log, state);
+      if (opened.err) return Err(opened.val);
+    }
+    return Ok(set);
+  }
+
+  get isFounded(): boolean {
+    return [...this.hosts.values()].some(({ replica }) => replica.isFounded);
+  }
+
+  /** This replica as a member of its sets. */
+  member(role: domain.replication.messages.Role): Member {
+    const { address, dataCentre } = this.options;
+    return { id: this.id, address, dataCentre, role };
+  }
+
+  start(server: peerServer.PeerServer): void {
+    server.add('replicate', (parameters) => {
+      const { log, address, message } = parameters as Envelope;
+      this.hosts.get(log)?.receive(message, address);
+    });
+    server.add('found', async (parameters) => {
+      await this.found((parameters as { members: Member[] }).members);
+      return { founded: true };
+    });
+    this.timer = setInterval(() => this.hosts.forEach((host) => host.tick()), TICK_MS);
+  }
+
+  async found(members: Member[]): Promise<void> {
+    for (const host of this.hosts.values()) await host.found(members);
+    this.options.observer.log('replicaFounded', { members: members.map(({ id }) => id) });
+  }
+
+  async stop(): Promise<void> {
+    clearInterval(this.timer);
+    for (const host of this.hosts.values()) await host.close();
+  }
+
+  private async openLog(
+    log: string,
+    state: machine.Machine,
+  ): Promise<Result<void, frames.Corrupt>> {
+    const opened = await journal.Journal.open(path.join(this.options.folder, log));
+    if (opened.err) return opened;
+    const durable = opened.val.durable ?? domain.replication.messages.emptyDurable();
+    if (opened.val.durable === undefined) await opened.val.journal.rewrite(durable);
+    if (opened.val.cut) this.options.observer.log('journalCut', { log });
+    if (durable.snapshot.index > 0) state.restore(durable.snapshot.state);
+    const { timing, random, client, observer: observe, address } = this.options;
+    const send = (to: string, message: domain.replication.messages.Message): void => {
+      client.notify(to, 'replicate', { log, address, message } satisfies Envelope);
+    };
+    const now = (): number => Date.now();
+    this.hosts.set(
+      log,
+      new logHost.LogHost({
+        id: log,
+        replica: new domain.replication.replica.Replica(this.id, durable, timing, random, now()),
+        journal: opened.val.journal,
+        machine: state,
+        send,
+        now,
+        observer: observe,
+        onDiskFailure: this.options.onDiskFailure,
+      }),
+    );
+    return Ok(undefined);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/requests/admission.ts
@@ -0,0 +1,139 @@
+/**
+ * Admission: who calls, for which model, how long the prompt is, by when it must be answered, and
+ * whether the organisation's limit still allows it. What is refused here was certainly not run.
+ */
+import * as crypto from 'node:crypto';
+import * as domain from '@celerydrift/domain';
+import * as Option from 'fp-ts/Option';
+import { Err, Ok, Result } from 'ts-results';
+import * as errors from './errors';
+
+type Tenant = domain.settings.directory.Tenant;
+
+export interface Options {
+  hash: domain.shared.hashing.Hash;
+  now: () => number;
+  /** Live daemons, which share each limit. */
+  daemons: () => number;
+  peerDemand: (organisation: string) => number;
+}
+
+/** Longest deadline that a caller may ask for, in milliseconds. */
+const MAX_DEADLINE_MS = 3_600_000;
+
+const REBALANCE_MS = 1_000;
+
+interface Limited {
+  limit: domain.request.limit.SharedLimit;
+  rebalancedAt: number;
+}
+
+const RANK: Record<domain.settings.document.Priority, number> = { high: 0, normal: 1, low: 2 };
+
+export function hashOf(key: string): string {
+  return crypto.createHash('sha256').update(key).digest('hex');
+}
+
+export class Admission {
+  directory = new domain.settings.directory.Directory([]);
+
+  readonly estimator = new domain.request.tokens.Estimator();
+
+  private readonly limits = new Map<string, Limited>();
+
+  constructor(private readonly options: Options) {}
+
+  tenant(key: string): Result<Tenant, errors.RequestError> {
+    const found = key === '' ? Option.none : this.directory.tenant(hashOf(key));
+    if (Option.isSome(found)) return Ok(found.value);
+    return Err(errors.notRun('unauthorized', 'give the bearer key of your organisation'));
+  }
+
+  model(tenant: Tenant, name: string): Result<domain.settings.document.Model, errors.RequestError> {
+    const found = this.directory.model(tenant, name);
+    if (Option.isSome(found)) return Ok(found.value);
+    return Err(errors.notRun('notFound', `no model ${name} for this organisation`));
+  }
+
+  service(
+    tenant: Tenant,
+    name: string,
+  ): Result<domain.settings.document.Service, errors.RequestError> {
+    const found = this.directory.service(tenant, name);
+    if (Option.isSome(found)) return Ok(found.value);
+    return Err(errors.notRun('notFound', `no service ${name} for this organisation`));
+  }
+
+  /** The deadline as a time, from the caller's wish in milliseconds or the organisation's setting. */
+  deadline({ organisation }: Tenant, wish: string): Result<number, errors.RequestError> {
+    const now = this.options.now();
+    if (wish === '') return Ok(now + organisation.deadlineSeconds * 1_000);
+    const ms = Number(wish);
+    if (ms > 0 && ms <= MAX_DEADLINE_MS) return Ok(now + ms);
+    const message = `x-deadline-ms: give milliseconds up to ${MAX_DEADLINE_MS}`;
+    return Err(errors.notRun('badRequest', message));
+  }
+
+  /** A caller may lower its organisation's priority for a request, not raise it. */
+  priority(
+    { organisation }: Tenant,
+    wish: string,
+  ): Result<domain.settings.document.Priority, errors.RequestError> {
+    const own = organisation.priority;
+    if (wish === '') return Ok(own);
+    if (!(wish in RANK)) {
+      return Err(errors.notRun('badRequest', 'x-priority: give high, normal or low'));
+    }
+    const wished = wish as domain.settings.document.Priority;
+    return Ok(RANK[wished] < RANK[own] ? own : wished);
+  }
+
+  /** Charges the organisation's limit. */
+  charge({ team, organisation }: Tenant, tokens: number): Result<void, errors.RequestError> {
+    if (organisation.tokensPerSecond === 0) return Ok(undefined);
+    const now = this.options.now();
+    const limited = this.limited(`${team}/${organisation.name}`, organisation.tokensPerSecond, now);
+    const admission = limited.admit(tokens, now);
+    if (admission.kind === 'admitted') return Ok(undefined);
+    const message = `the limit of ${organisation.tokensPerSecond} tokens per second is used up`;
+    return Err(errors.notRun('overLimit', message, admission.retryAfterMs));
+  }
+
+  /** Own demand by limited organisation, in tokens per second, for the peers. */
+  demand(): Record<string, number> {
+    const now = this.options.now();
+    const rates = [...this.limits].map(([name, { limit }]): [string, number] => [
+      name,
+      domain.target.target.quantised(limit.demandRate(now)),
+    ]);
+    return Object.fromEntries(rates.filter(([, rate]) => rate > 0));
+  }
+
+  /** Keys of the prompt's blocks, each covering all before it. */
+  prefixKeys(prompt: string): number[] {
+    const blockLength =
+      domain.routing.prefixIndex.BLOCK_TOKENS * domain.request.tokens.INITIAL_RATIO;
+    const keys: number[] = [];
+    let previous = 0;
+    for (let end = blockLength; end <= prompt.length; end += blockLength) {
+      previous = this.options.hash(`${previous}/${prompt.slice(end - blockLength, end)}`);
+      keys.push(previous);
+    }
+    return keys;
+  }
+
+  private limited(name: string, rate: number, now: number): domain.request.limit.SharedLimit {
+    const daemons = this.options.daemons();
+    const known = this.limits.get(name);
+    if (known === undefined) {
+      const limit = new domain.request.limit.SharedLimit(rate, daemons, now);
+      this.limits.set(name, { limit, rebalancedAt: now });
+      return limit;
+    }
+    if (now - known.rebalancedAt > REBALANCE_MS) {
+      known.rebalancedAt = now;
+      known.limit.rebalance(rate, this.options.peerDemand(name), daemons, now);
+    }
+    return known.limit;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/requests/errors.ts
@@ -0,0 +1,52 @@
+/** How a request that did not complete is told to its caller. */
+import type * as domain from '@celerydrift/domain';
+
+export type Kind =
+  | 'unauthorized'
+  | 'notFound'
+  | 'badRequest'
+  | 'tooLarge'
+  | 'overLimit'
+  | 'notReady'
+  | 'overloaded'
+  | 'deadlineInfeasible'
+  | 'noTarget'
+  | 'tooLong'
+  | 'deadline'
+  | 'failed'
+  | 'outcomeUnknown'
+  | 'keyMismatch'
+  | 'keyExpired'
+  | 'callerGone';
+
+export interface RequestError {
+  kind: Kind;
+  outcome: domain.request.outcome.Outcome;
+  message: string;
+  /** When to come again, in milliseconds; 0 says nothing. */
+  retryAfterMs: number;
+}
+
+export const STATUS: Record<Kind, number> = {
+  unauthorized: 401,
+  notFound: 404,
+  badRequest: 400,
+  tooLarge: 413,
+  overLimit: 429,
+  notReady: 503,
+  overloaded: 503,
+  deadlineInfeasible: 503,
+  noTarget: 503,
+  tooLong: 400,
+  deadline: 504,
+  failed: 502,
+  outcomeUnknown: 502,
+  keyMismatch: 422,
+  keyExpired: 410,
+  callerGone: 499,
+};
+
+/** A refusal before anything reached a target. */
+export function notRun(kind: Kind, message: string, retryAfterMs = 0): RequestError {
+  return { kind, outcome: 'notRun', message, retryAfterMs };
+}
--- /dev/null
+++ b/packages/daemon/src/requests/gatherer.ts
@@ -0,0 +1,98 @@
+/**
+ * Gathers memory of several engines for one long prompt: in the order of their names, all or none,
+ * everything given back on refusal before the next try.
+ */
+import * as domain from '@celerydrift/domain';
+import { Err, Ok, Result } from 'ts-results';
+import type * as adapter from '../targets/adapter';
+import type * as holdingsLoop from './holdingsLoop';
+
+type Target = domain.target.target.Target;
+type Part = domain.memory.gathering.Part;
+
+export interface Options {
+  adapter: adapter.Adapter;
+  holdings: holdingsLoop.HoldingsLoop;
+  random: domain.shared.random.Random;
+  owner: () => domain.memory.holding.Owner;
+  /** Engines that may lend memory. */
+  engines: () => Target[];
+  now: () => number;
+}
+
+/** Why memory could not be gathered. */
+export type GatherError = 'tooLong' | 'deadline' | 'stopped';
+
+const RETRY_MS = { least: 50, most: 500 };
+
+export class Gatherer {
+  constructor(private readonly options: Options) {}
+
+  /** Whether engines together could ever hold so much. */
+  canHold(tokens: number): boolean {
+    const engines = this.options.engines();
+    const [primary, ...others] = [...engines].sort((a, b) => b.memoryTokens - a.memoryTokens);
+    if (primary === undefined) return false;
+    return this.plan(tokens, primary, others) !== undefined;
+  }
+
+  async gather(
+    id: string,
+    request: domain.routing.dispatcher.Request,
+    primary: Target,
+    signal: AbortSignal,
+  ): Promise<Result<Part[], GatherError>> {
+    const tokens = request.promptTokens + request.answerTokens;
+    if (tokens <= primary.memoryTokens) return Ok([]);
+    const { now, random } = this.options;
+    while (!signal.aborted && now() < request.deadline) {
+      const others = this.options.engines().filter(({ name }) => name !== primary.name);
+      const parts = this.plan(tokens, primary, others);
+      if (parts === undefined) return Err('tooLong');
+      if (await this.reserveAll(id, parts)) return Ok(parts);
+      const pause = RETRY_MS.least + random.uniform() * (RETRY_MS.most - RETRY_MS.least);
+      await new Promise((resolve) => {
+        setTimeout(resolve, pause);
+      });
+    }
+    return Err(signal.aborted ? 'stopped' : 'deadline');
+  }
+
+  giveBack(id: string, parts: readonly Part[]): void {
+    parts.forEach(({ target }) =>
+      this.options.holdings.release(target, this.reservation(id, target)),
+    );
+  }
+
+  private plan(tokens: number, primary: Target, others: readonly Target[]): Part[] | undefined {
+    const free = new Map(others.map(({ name, load }) => [name, load.freeTokens]));
+    return domain.memory.gathering.plan(tokens, primary, others, (name) => free.get(name) ?? 0);
+  }
+
+  private reservation(id: string, target: string): string {
+    return `${id}@${target}`;
+  }
+
+  private async reserveAll(id: string, parts: readonly Part[]): Promise<boolean> {
+    for (const [position, part] of parts.entries()) {
+      if (!(await this.reserve(id, part))) {
+        // The failed one too: its answer may have been lost after it was granted.
+        this.giveBack(id, parts.slice(0, position + 1));
+        return false;
+      }
+    }
+    return true;
+  }
+
+  private async reserve(id: string, { target: name, tokens }: Part): Promise<boolean> {
+    const { holdings, adapter: engine, owner } = this.options;
+    const target = this.options.engines().find((each) => each.name === name);
+    if (target === undefined) return false;
+    const reservation = this.reservation(id, name);
+    holdings.hold(target, reservation, 'reservation');
+    const leaseMs = domain.memory.holding.LEASE_MS;
+    const wish = { id: reservation, owner: owner(), tokens, leaseMs };
+    const reserved = await engine.reserve(target, wish);
+    return reserved.ok && reserved.val;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/requests/ledgerClient.ts
@@ -0,0 +1,29 @@
+/** Claims on calls that run at most once, spread over the ledger shards by their key. */
+import type * as domain from '@celerydrift/domain';
+import type { Result } from 'ts-results';
+import type * as controlErrors from '../control/errors';
+import type * as logClient from '../control/logClient';
+
+type Command = domain.ledger.ledger.Command;
+type Verdict = domain.ledger.ledger.Verdict;
+
+export function shardName(shard: number): string {
+  return `ledger-${shard}`;
+}
+
+export class LedgerClient {
+  constructor(
+    private readonly client: logClient.LogClient,
+    private readonly hash: domain.shared.hashing.Hash,
+    private readonly shards: number,
+  ) {}
+
+  async execute(
+    command: Command,
+    patienceMs?: number,
+  ): Promise<Result<Verdict, controlErrors.ControlError>> {
+    const log = shardName(this.hash(command.key) % this.shards);
+    const done = await this.client.execute(log, command, patienceMs);
+    return done.map(({ answer }) => answer as Verdict);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/requests/serviceProxy.ts
@@ -0,0 +1,289 @@
+/**
+ * Calls to plain services. A call that may be repeated is retried like any other; one that may not is
+ * claimed in the ledger first and dispatched at most once, by whoever got the claim.
+ */
+import * as crypto from 'node:crypto';
+import * as domain from '@celerydrift/domain';
+import { Err, Ok, Result } from 'ts-results';
+import type * as observer from '../observability/observer';
+import type * as targetErrors from '../targets/errors';
+import * as httpClient from '../targets/httpClient';
+import * as errors from './errors';
+import type * as ledgerClient from './ledgerClient';
+import type * as router from './router';
+
+type Target = domain.target.target.Target;
+type Verdict = domain.ledger.ledger.Verdict;
+
+export interface Call {
+  tenant: domain.settings.directory.Tenant;
+  service: domain.settings.document.Service;
+  method: string;
+  /** Path and query below the service. */
+  path: string;
+  headers: Record<string, string>;
+  body: Buffer;
+  /** The caller's idempotency key, or empty. */
+  key: string;
+  deadline: number;
+}
+
+export interface Answer {
+  status: number;
+  contentType: string;
+  body: Buffer;
+  /** From the ledger rather than from the service just now. */
+  replayed: boolean;
+}
+
+export interface Options {
+  client: httpClient.HttpClient;
+  ledger: ledgerClient.LedgerClient;
+  router: router.Router;
+  observer: observer.Observer;
+  budget: domain.request.retry.Budget;
+  random: domain.shared.random.Random;
+  targets: (service: string) => Target[];
+  self: () => domain.memory.holding.Owner;
+  now: () => number;
+}
+
+/** A resend that meets the running first call looks again so often, in milliseconds. */
+const WAIT_STEP_MS = 50;
+
+type Failed = { attempt: domain.request.outcome.Attempt; error: targetErrors.TargetError };
+
+export function isRepeatable(service: domain.settings.document.Service, call: Call): boolean {
+  return !service.notRepeatable.some((rule) => {
+    const [method, prefix] = rule.split(' ') as [string, string];
+    return call.method === method && call.path.startsWith(prefix);
+  });
+}
+
+export class ServiceProxy {
+  private readonly turns = new Map<string, number>();
+
+  constructor(private readonly options: Options) {}
+
+  async handle(call: Call): Promise<Result<Answer, errors.RequestError>> {
+    if (isRepeatable(call.service, call)) return this.repeatable(call);
+    // Without a key a resend can't be recognised; this daemon then tries once and never again.
+    return call.key === '' ? this.once(call) : this.claimed(call);
+  }
+
+  private async repeatable(call: Call): Promise<Result<Answer, errors.RequestError>> {
+    const attempts: domain.request.outcome.Attempt[] = [];
+    this.options.budget.firstAttempt();
+    for (;;) {
+      const result = await this.attempt(call, attempts, false);
+      if (result.ok) return result;
+      if (result.val === 'noTarget') return Err(noTarget(call, attempts, true));
+      attempts.push(result.val.attempt);
+      const decision = domain.request.retry.decide(
+        attempts,
+        true,
+        call.deadline - this.options.now(),
+        result.val.error.retryAfterMs,
+        this.options.budget,
+        this.options.random,
+      );
+      if (decision.kind === 'giveUp') return Err(endOf(attempts, true));
+      await pause(decision.delayMs);
+    }
+  }
+
+  /** Tries other targets only while it is certain that none has run the call. */
+  private async once(call: Call): Promise<Result<Answer, errors.RequestError>> {
+    const attempts: domain.request.outcome.Attempt[] = [];
+    for (;;) {
+      const result = await this.attempt(call, attempts, true);
+      if (result.ok) return result;
+      if (result.val === 'noTarget') return Err(noTarget(call, attempts, false));
+      attempts.push(result.val.attempt);
+      const certain = domain.request.outcome.proof(result.val.attempt) === 'notRun';
+      if (!certain || this.options.now() >= call.deadline) return Err(endOf(attempts, false));
+    }
+  }
+
+  private async claimed(call: Call): Promise<Result<Answer, errors.RequestError>> {
+    const { team, organisation } = call.tenant;
+    const key = [team, organisation.name, call.service.name, call.key].join('/');
+    const attempt = crypto.randomUUID();
+    const claim: domain.ledger.ledger.Claim = {
+      kind: 'claim',
+      key,
+      organisation: `${team}/${organisation.name}`,
+      content: digestOf(call),
+      attempt,
+      deadline: call.deadline,
+      at: 0,
+    };
+    for (;;) {
+      const left = call.deadline - this.options.now();
+      const verdict = await this.options.ledger.execute(claim, Math.min(left, 8_000));
+      if (verdict.err) {
+        // The claim may still take effect later; it is given back so that a resend can run.
+        void this.options.ledger.execute({ kind: 'release', key, attempt, at: 0 }, 30_000);
+        return Err(unclaimed(verdict.val.detail));
+      }
+      if (verdict.val.kind === 'granted') return this.runClaimed(call, key, attempt);
+      if (verdict.val.kind !== 'running') return answerOf(verdict.val);
+      if (left <= WAIT_STEP_MS) return Err(stillRunning());
+      await pause(WAIT_STEP_MS);
+    }
+  }
+
+  private async runClaimed(
+    call: Call,
+    key: string,
+    attempt: string,
+  ): Promise<Result<Answer, errors.RequestError>> {
+    // The claim may have been granted late; after the deadline others take it for unknown.
+    if (this.options.now() >= call.deadline) {
+      await this.settle({ kind: 'release', key, attempt, at: 0 });
+      return Err(errors.notRun('deadline', 'out of time before the call was sent'));
+    }
+    const result = await this.once(call);
+    if (result.ok) {
+      const { status, contentType, body } = result.val;
+      const answer = { status, contentType, body: body.toString('base64') };
+      await this.settle({ kind: 'settle', key, attempt, settlement: 'completed', answer, at: 0 });
+      return result;
+    }
+    if (result.val.outcome === 'notRun') {
+      await this.settle({ kind: 'release', key, attempt, at: 0 });
+      return result;
+    }
+    this.options.observer.log('claimUnknown', { key });
+    const unknown = { settlement: 'unknown', answer: undefined } as const;
+    await this.settle({ kind: 'settle', key, attempt, ...unknown, at: 0 });
+    return result;
+  }
+
+  /** Not being able to record an end is safe: the claim stays, and resends hear "unknown". */
+  private async settle(command: domain.ledger.ledger.Command): Promise<void> {
+    const settled = await this.options.ledger.execute(command, 2_000);
+    if (settled.err) void this.options.ledger.execute(command, 30_000);
+  }
+
+  private async attempt(
+    call: Call,
+    attempts: readonly domain.request.outcome.Attempt[],
+    fresh: boolean,
+  ): Promise<Result<Answer, Failed | 'noTarget'>> {
+    const target = this.choose(call, attempts);
+    if (target === undefined) return Err('noTarget');
+    try {
+      const answer = await this.send(call, target, fresh);
+      if (answer.ok) this.options.router.succeeded(target.name);
+      return answer;
+    } catch (error) {
+      this.options.router.failed(target.name);
+      const known = httpClient.errorOf(error);
+      const { progress, fault } = known;
+      return Err({ attempt: { target: target.name, progress, fault }, error: known });
+    }
+  }
+
+  private choose(
+    call: Call,
+    attempts: readonly domain.request.outcome.Attempt[],
+  ): Target | undefined {
+    const tried = new Set(attempts.map(({ target }) => target));
+    const all = this.options.targets(call.service.name).filter(({ name }) => !tried.has(name));
+    const sound = all.filter(({ name }) => !this.options.router.isBroken(name));
+    const able = sound.length > 0 ? sound : all;
+    const turn = (this.turns.get(call.service.name) ?? 0) + 1;
+    this.turns.set(call.service.name, turn);
+    return able[turn % Math.max(1, able.length)];
+  }
+
+  private async send(call: Call, target: Target, fresh: boolean): Promise<Result<Answer, Failed>> {
+    const left = Math.max(1, call.deadline - this.options.now());
+    const timeout = Math.min(left, call.service.timeoutSeconds * 1_000);
+    const { statusCode, headers, body } = await this.options.client.request(target.address, {
+      method: call.method,
+      path: call.path,
+      headers: { ...call.headers, 'x-organisation': call.tenant.organisation.name },
+      body: call.body,
+      signal: AbortSignal.timeout(timeout),
+      headersTimeoutMs: 0,
+      // A pooled connection may have been closed by the other side just now; then nobody could tell
+      // whether the call was read. A call that runs once always takes a new connection.
+      fresh,
+    });
+    const content = Buffer.from(await body.arrayBuffer());
+    if (headers['x-not-run'] === 'true') {
+      const attempt = {
+        target: target.name,
+        progress: 'refusedByTarget',
+        fault: 'refused',
+      } as const;
+      const retryAfterMs = Number(headers['retry-after'] ?? 0) * 1_000;
+      const error = { ...attempt, detail: `status ${statusCode}`, retryAfterMs };
+      return Err({ attempt, error });
+    }
+    const contentType = String(headers['content-type'] ?? 'application/octet-stream');
+    return Ok({ status: statusCode, contentType, body: content, replayed: false });
+  }
+}
+
+function digestOf({ method, path, body }: Call): string {
+  return crypto.createHash('sha256').update(`${method} ${path}\n`).update(body).digest('hex');
+}
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
+
+function unclaimed(detail: string): errors.RequestError {
+  // Nothing is dispatched without a granted claim, so this is certain.
+  return errors.notRun('notReady', `the ledger can't take the call now: ${detail}`, 1_000);
+}
+
+function stillRunning(): errors.RequestError {
+  const message = 'the first call with this key is still running';
+  return { kind: 'outcomeUnknown', outcome: 'unknown', message, retryAfterMs: 1_000 };
+}
+
+function noTarget(
+  { service }: Call,
+  attempts: readonly domain.request.outcome.Attempt[],
+  repeatable: boolean,
+): errors.RequestError {
+  if (attempts.length > 0) return endOf(attempts, repeatable);
+  return errors.notRun('noTarget', `no target of service ${service.name} is there now`, 1_000);
+}
+
+function endOf(
+  attempts: readonly domain.request.outcome.Attempt[],
+  repeatable: boolean,
+): errors.RequestError {
+  const outcome = domain.request.outcome.outcomeOf(attempts, repeatable);
+  const last = attempts.at(-1);
+  const message = `${last?.fault ?? 'failed'} at ${last?.target ?? 'no target'}`;
+  if (outcome === 'unknown') return { kind: 'outcomeUnknown', outcome, message, retryAfterMs: 0 };
+  return { kind: 'failed', outcome, message, retryAfterMs: outcome === 'notRun' ? 1_000 : 0 };
+}
+
+function answerOf(verdict: Verdict): Result<Answer, errors.RequestError> {
+  if (verdict.kind === 'mismatch') {
+    return Err(errors.notRun('keyMismatch', 'this idempotency key was used for another call'));
+  }
+  if (verdict.kind === 'expired') {
+    const message = 'this idempotency key is too old; its outcome is no longer stored';
+    return Err({ kind: 'keyExpired', outcome: 'unknown', message, retryAfterMs: 0 });
+  }
+  if (verdict.kind === 'overLimit') {
+    const message = 'the organisation holds too many claims';
+    return Err(errors.notRun('overLimit', message, verdict.retryAfterMs));
+  }
+  if (verdict.kind === 'settled' && verdict.settlement === 'completed') {
+    const { status, contentType, body } = verdict.answer as domain.ledger.ledger.Answer;
+    return Ok({ status, contentType, body: Buffer.from(body, 'base64'), replayed: true });
+  }
+  const message = 'an earlier call with this key ended without a known outcome';
+  return Err({ kind: 'outcomeUnknown', outcome: 'unknown', message, retryAfterMs: 0 });
+}
--- /dev/null
+++ b/packages/daemon/src/rpc/framing.ts
@@ -0,0 +1,61 @@
+/**
+ * Frames between daemons: four bytes of length, then a msgpack value. Bytes are few and countable; the
+ * values are JSON-RPC 2.0 objects.
+ */
+import * as msgpackr from 'msgpackr';
+
+/** A longer frame is refused before it is read, so a stranger can't fill the memory. */
+export const MAX_FRAME_BYTES = 64 * 1024 * 1024;
+
+const LENGTH_BYTES = 4;
+
+const packr = new msgpackr.Packr({ useRecords: false });
+
+export type Take = (value: unknown, bytes: number) => void;
+
+export function encode(value: unknown): Buffer {
+  const body = packr.pack(value);
+  const frame = Buffer.allocUnsafe(LENGTH_BYTES + body.length);
+  frame.writeUInt32BE(body.length, 0);
+  body.copy(frame, LENGTH_BYTES);
+  return frame;
+}
+
+/** Cuts a byte stream into frames. `push` throws on a frame that is too long or no msgpack. */
+export class Splitter {
+  private chunks: Buffer[] = [];
+
+  private length = 0;
+
+  constructor(
+    private readonly take: Take,
+    private readonly maximum: number = MAX_FRAME_BYTES,
+  ) {}
+
+  /** @throws Error when the bytes are no frame of this protocol */
+  push(chunk: Buffer): void {
+    this.chunks.push(chunk);
+    this.length += chunk.length;
+    let wanted = this.frameLength();
+    while (wanted !== undefined && this.length >= wanted) {
+      const all = this.joined();
+      const body = all.subarray(LENGTH_BYTES, wanted);
+      this.chunks = [all.subarray(wanted)];
+      this.length = all.length - wanted;
+      this.take(packr.unpack(body), wanted);
+      wanted = this.frameLength();
+    }
+  }
+
+  private frameLength(): number | undefined {
+    if (this.length < LENGTH_BYTES) return undefined;
+    if ((this.chunks[0]?.length ?? 0) < LENGTH_BYTES) this.chunks = [this.joined()];
+    const body = this.chunks[0].readUInt32BE(0);
+    if (body > this.maximum) throw new Error(`frame of ${body} bytes is over the limit`);
+    return LENGTH_BYTES + body;
+  }
+
+  private joined(): Buffer {
+    return this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/rpc/proof.ts
@@ -0,0 +1,20 @@
+/**
+ * How daemons prove themselves to each other where there is no mutual TLS: each side sends a random
+ * challenge, and answers the other's with an HMAC under the shared secret. The secret never travels,
+ * and an answer can't be replayed on another connection.
+ */
+import * as crypto from 'node:crypto';
+
+export function challenge(): string {
+  return crypto.randomBytes(16).toString('hex');
+}
+
+export function answer(secret: string, side: 'caller' | 'callee', nonce: string): string {
+  return crypto.createHmac('sha256', secret).update(`${side}/${nonce}`).digest('hex');
+}
+
+export function isEqual(a: string, b: string): boolean {
+  const left = crypto.createHash('sha256').update(a).digest();
+  const right = crypto.createHash('sha256').update(b).digest();
+  return crypto.timingSafeEqual(left, right);
+}
--- /dev/null
+++ b/packages/daemon/src/storage/frames.ts
@@ -0,0 +1,74 @@
+/**
+ * Frames of the journal: a header with length and checksums, then a msgpack payload. One frame is one
+ * write and one sync, so a crash can tear only the last frame.
+ */
+import * as zlib from 'node:zlib';
+import * as msgpackr from 'msgpackr';
+import { Err, Ok, Result } from 'ts-results';
+
+/** Length, checksum of the length, checksum of the payload; four bytes each. */
+const HEADER_BYTES = 12;
+
+const packr = new msgpackr.Packr({ useRecords: false, structuredClone: false });
+
+/** A frame in the middle fails its checksum although whole frames follow: the disk lost data. */
+export interface Corrupt {
+  kind: 'corrupt';
+  offset: number;
+}
+
+export interface Replay {
+  payloads: unknown[];
+  /** Bytes that hold whole frames; what follows is torn. */
+  length: number;
+  torn: boolean;
+}
+
+export function encode(payload: unknown): Buffer {
+  const body = packr.pack(payload);
+  const frame = Buffer.alloc(HEADER_BYTES + body.length);
+  frame.writeUInt32LE(body.length, 0);
+  frame.writeUInt32LE(zlib.crc32(frame.subarray(0, 4)), 4);
+  frame.writeUInt32LE(zlib.crc32(body), 8);
+  body.copy(frame, HEADER_BYTES);
+  return frame;
+}
+
+/** End of the whole frame at `offset`, or undefined if there is none. */
+function frameEnd(file: Buffer, offset: number): number | undefined {
+  if (offset + HEADER_BYTES > file.length) return undefined;
+  const lengthField = file.subarray(offset, offset + 4);
+  if (zlib.crc32(lengthField) !== file.readUInt32LE(offset + 4)) return undefined;
+  const start = offset + HEADER_BYTES;
+  const end = start + file.readUInt32LE(offset);
+  if (end > file.length) return undefined;
+  const intact = zlib.crc32(file.subarray(start, end)) === file.readUInt32LE(offset + 8);
+  return intact ? end : undefined;
+}
+
+function hasFrameAfter(file: Buffer, offset: number): boolean {
+  for (let next = offset + 1; next + HEADER_BYTES <= file.length; next++) {
+    if (frameEnd(file, next) !== undefined) return true;
+  }
+  return false;
+}
+
+/**
+ * Reads a whole journal. A torn last frame was never acknowledged and is cut. A bad frame before good
+ * ones was acknowledged and is lost: to go on as if it had never been would let this replica vote
+ * against what it accepted, so that is an error.
+ */
+export function replay(file: Buffer): Result<Replay, Corrupt> {
+  const payloads: unknown[] = [];
+  let offset = 0;
+  while (offset < file.length) {
+    const end = frameEnd(file, offset);
+    if (end === undefined) {
+      if (hasFrameAfter(file, offset)) return Err({ kind: 'corrupt', offset });
+      return Ok({ payloads, length: offset, torn: true });
+    }
+    payloads.push(packr.unpack(file.subarray(offset + HEADER_BYTES, end)));
+    offset = end;
+  }
+  return Ok({ payloads, length: offset, torn: false });
+}
--- /dev/null
+++ b/packages/daemon/src/storage/identity.ts
@@ -0,0 +1,25 @@
+/**
+ * The identity of a data folder, written when it is made. A VM that comes back with an empty disk
+ * gets a new one and is a new replica: it must not vote as the old, whose promises it forgot.
+ */
+import * as crypto from 'node:crypto';
+import * as fs from 'node:fs/promises';
+import * as path from 'node:path';
+import * as journal from './journal';
+
+const FILE = 'identity';
+
+export async function readOrMake(folder: string): Promise<string> {
+  await fs.mkdir(folder, { recursive: true });
+  const file = path.join(folder, FILE);
+  const known = await fs.readFile(file, 'utf8').catch(() => '');
+  if (known.trim() !== '') return known.trim();
+  const made = `replica-${crypto.randomBytes(8).toString('hex')}`;
+  const handle = await fs.open(`${file}.new`, 'w');
+  await handle.writeFile(`${made}\n`);
+  await handle.sync();
+  await handle.close();
+  await fs.rename(`${file}.new`, file);
+  await journal.syncFolder(folder);
+  return made;
+}
--- /dev/null
+++ b/packages/daemon/src/storage/journal.ts
@@ -0,0 +1,99 @@
+/**
+ * The journal of one replica: a file of frames, each a batch of records that was synced before
+ * anything that depends on it left the process. A snapshot rewrites the file beside the old one and
+ * renames it, so that at every moment one whole journal is there.
+ */
+import * as fs from 'node:fs/promises';
+import * as path from 'node:path';
+import * as domain from '@celerydrift/domain';
+import { Err, Ok, Result } from 'ts-results';
+import * as frames from './frames';
+
+type Durable = domain.replication.messages.Durable;
+type Record = domain.replication.messages.Record;
+
+export interface Opened {
+  journal: Journal;
+  /** Undefined for a journal that was never founded. */
+  durable: Durable | undefined;
+  cut: boolean;
+}
+
+const FILE = 'journal';
+
+/** Applies one record to what the journal holds. */
+export function applyRecord(durable: Durable, record: Record): Durable {
+  if (record.kind === 'vote') return { ...durable, vote: record.vote };
+  if (record.kind === 'append') {
+    // Pushed in place: replay of a long journal would otherwise copy it once per record.
+    record.entries.forEach((entry) => durable.entries.push(entry));
+    return durable;
+  }
+  if (record.kind === 'truncate') {
+    return { ...durable, entries: durable.entries.filter(({ index }) => index < record.from) };
+  }
+  const { snapshot } = record;
+  const entries = durable.entries.filter(({ index }) => index > snapshot.index);
+  return { ...durable, snapshot, entries };
+}
+
+export class Journal {
+  private constructor(
+    private readonly folder: string,
+    private handle: fs.FileHandle,
+  ) {}
+
+  static async open(folder: string): Promise<Result<Opened, frames.Corrupt>> {
+    await fs.mkdir(folder, { recursive: true });
+    await fs.rm(path.join(folder, `${FILE}.new`), { force: true });
+    const handle = await fs.open(path.join(folder, FILE), 'a+');
+    const replayed = frames.replay(await handle.readFile());
+    if (replayed.err) {
+      await handle.close();
+      return Err(replayed.val);
+    }
+    const { payloads, length, torn } = replayed.val;
+    if (torn) {
+      await handle.truncate(length);
+      await handle.datasync();
+    }
+    const durable = rebuild(payloads as (Durable | Record[])[]);
+    return Ok({ journal: new Journal(folder, handle), durable, cut: torn });
+  }
+
+  /** Writes and syncs a batch; once this resolves it survives a crash. */
+  async append(records: readonly Record[]): Promise<void> {
+    await this.handle.appendFile(frames.encode(records));
+    await this.handle.datasync();
+  }
+
+  /** Replaces the whole journal by its present content. */
+  async rewrite(durable: Durable): Promise<void> {
+    const fresh = path.join(this.folder, `${FILE}.new`);
+    const handle = await fs.open(fresh, 'w');
+    await handle.appendFile(frames.encode(durable));
+    await handle.sync();
+    await fs.rename(fresh, path.join(this.folder, FILE));
+    await syncFolder(this.folder);
+    await this.handle.close();
+    await handle.close();
+    this.handle = await fs.open(path.join(this.folder, FILE), 'a+');
+  }
+
+  async close(): Promise<void> {
+    await this.handle.close();
+  }
+}
+
+function rebuild(payloads: readonly (Durable | Record[])[]): Durable | undefined {
+  const [first, ...rest] = payloads;
+  if (first === undefined) return undefined;
+  return (rest as Record[][]).flat().reduce(applyRecord, first as Durable);
+}
+
+/** A rename is durable only once its folder is synced. */
+export async function syncFolder(folder: string): Promise<void> {
+  const handle = await fs.open(folder, 'r');
+  await handle.sync();
+  await handle.close();
+}
--- /dev/null
+++ b/packages/daemon/src/targets/errors.ts
@@ -0,0 +1,10 @@
+/** Errors of calls to targets, with what they prove about whether the call ran. */
+import type * as domain from '@celerydrift/domain';
+
+export interface TargetError {
+  progress: domain.request.outcome.Progress;
+  fault: domain.request.outcome.Fault;
+  detail: string;
+  /** What the target asked to wait, in milliseconds; 0 if it said nothing. */
+  retryAfterMs: number;
+}
--- /dev/null
+++ b/packages/daemon/src/targets/httpAdapter.ts
@@ -0,0 +1,189 @@
+/** Engines that speak the HTTP protocol of docs/API.md, "Targets". */
+import * as stringDecoder from 'node:string_decoder';
+import * as domain from '@celerydrift/domain';
+import * as eventSource from 'eventsource-parser';
+import { Err, Ok, Result } from 'ts-results';
+import type * as undici from 'undici';
+import type * as adapter from './adapter';
+import type * as errors from './errors';
+import * as httpClient from './httpClient';
+
+type Target = domain.target.target.Target;
+type Answer<T> = Promise<Result<T, errors.TargetError>>;
+
+interface Refused {
+  error?: string;
+  notRun?: boolean;
+}
+
+interface Waiter {
+  resolve: (frame: adapter.EngineFrame | undefined) => void;
+  reject: (error: Error) => void;
+}
+
+/** Frames of a server-sent event stream, as they come. */
+class HttpStream implements adapter.EngineStream {
+  private readonly frames: adapter.EngineFrame[] = [];
+
+  private waiter: Waiter | undefined;
+
+  private ended = false;
+
+  private failure: Error | undefined;
+
+  constructor(private readonly body: undici.Dispatcher.ResponseData['body']) {
+    const parser = eventSource.createParser({
+      onEvent: ({ data }) => this.put(JSON.parse(data) as adapter.EngineFrame),
+    });
+    // A character may be split between two chunks.
+    const decoder = new stringDecoder.StringDecoder('utf8');
+    body.on('data', (chunk: Buffer) => {
+      try {
+        parser.feed(decoder.write(chunk));
+      } catch (error) {
+        this.fail(error as Error);
+        this.close();
+      }
+    });
+    body.on('end', () => this.finish());
+    body.on('error', (error: Error) => this.fail(error));
+  }
+
+  next(): Promise<adapter.EngineFrame | undefined> {
+    const frame = this.frames.shift();
+    if (frame !== undefined) return Promise.resolve(frame);
+    if (this.failure !== undefined) return Promise.reject(this.failure);
+    if (this.ended) return Promise.resolve(undefined);
+    return new Promise((resolve, reject) => {
+      this.waiter = { resolve, reject };
+    });
+  }
+
+  close(): void {
+    this.body.on('error', () => undefined);
+    this.body.destroy();
+    this.finish();
+  }
+
+  private put(frame: adapter.EngineFrame): void {
+    if (this.waiter === undefined) this.frames.push(frame);
+    else this.settle((waiter) => waiter.resolve(frame));
+  }
+
+  private finish(): void {
+    this.ended = true;
+    this.settle((waiter) => waiter.resolve(undefined));
+  }
+
+  private fail(error: Error): void {
+    this.failure = error;
+    this.settle((waiter) => waiter.reject(error));
+  }
+
+  private settle(how: (waiter: Waiter) => void): void {
+    const { waiter } = this;
+    this.waiter = undefined;
+    if (waiter !== undefined) how(waiter);
+  }
+}
+
+function refusal(
+  status: number,
+  { error, notRun }: Refused,
+  retryAfter: string,
+): errors.TargetError {
+  return {
+    progress: notRun === true ? 'refusedByTarget' : 'sent',
+    fault: 'refused',
+    detail: `${status} ${error ?? ''}`.trim(),
+    retryAfterMs: Number(retryAfter || 0) * 1_000,
+  };
+}
+
+export class HttpAdapter implements adapter.Adapter {
+  constructor(private readonly client: httpClient.HttpClient) {}
+
+  async generate(
+    target: Target,
+    generation: adapter.Generation,
+    signal: AbortSignal,
+  ): Answer<adapter.EngineStream> {
+    const body = JSON.stringify({ ...generation, system: domain.memory.holding.SYSTEM });
+    const headers = { 'content-type': 'application/json' };
+    const call = { method: 'POST', path: '/v1/generate', body, headers, signal } as const;
+    return this.open(target, { ...call, headersTimeoutMs: 0 });
+  }
+
+  async resume(target: Target, request: string, from: number): Answer<adapter.EngineStream> {
+    const path = `/v1/requests/${encodeURIComponent(request)}/stream?from=${from}`;
+    return this.open(target, { method: 'GET', path, fresh: true });
+  }
+
+  async stateOf(target: Target, request: string): Answer<adapter.RequestState> {
+    const path = `/v1/requests/${encodeURIComponent(request)}`;
+    const call = { method: 'GET', path, fresh: true } as const;
+    const answer = await this.json<{ state: adapter.RequestState }>(target, call);
+    return answer.map(({ state }) => state);
+  }
+
+  async release(target: Target, id: string, kind: domain.memory.holding.Kind): Answer<void> {
+    const collection = kind === 'stream' ? 'requests' : 'holdings';
+    const path = `/v1/${collection}/${encodeURIComponent(id)}`;
+    const answer = await this.json(target, { method: 'DELETE', path, fresh: true });
+    return answer.map(() => undefined);
+  }
+
+  async reserve(target: Target, reservation: adapter.Reservation): Answer<boolean> {
+    const body = JSON.stringify({ ...reservation, system: domain.memory.holding.SYSTEM });
+    const call = { method: 'POST', path: '/v1/reservations', body } as const;
+    const answer = await this.json<{ granted: boolean }>(target, call, [409]);
+    return answer.map(({ granted }) => granted);
+  }
+
+  async renew(target: Target, id: string, leaseMs: number): Answer<void> {
+    const body = JSON.stringify({ leaseMs });
+    const path = `/v1/reservations/${encodeURIComponent(id)}`;
+    const answer = await this.json(target, { method: 'PUT', path, body });
+    return answer.map(() => undefined);
+  }
+
+  async holdings(target: Target): Answer<adapter.Holdings> {
+    return this.json<adapter.Holdings>(target, { method: 'GET', path: '/v1/holdings' });
+  }
+
+  async order(target: Target, order: domain.placement.order.Order): Answer<void> {
+    const body = JSON.stringify(order);
+    const answer = await this.json(target, { method: 'POST', path: '/v1/orders', body });
+    return answer.map(() => undefined);
+  }
+
+  async cache(target: Target, since: number): Answer<adapter.CacheListing> {
+    const path = `/v1/cache?since=${since}`;
+    return this.json<adapter.CacheListing>(target, { method: 'GET', path });
+  }
+
+  private async open(target: Target, call: httpClient.Call): Answer<adapter.EngineStream> {
+    try {
+      const { statusCode, body, headers } = await this.client.request(target.address, call);
+      if (statusCode === 200) return Ok(new HttpStream(body));
+      const content = (await body.json().catch(() => ({}))) as Refused;
+      return Err(refusal(statusCode, content, String(headers['retry-after'] ?? '')));
+    } catch (error) {
+      return Err(httpClient.errorOf(error));
+    }
+  }
+
+  private async json<T>(
+    target: Target,
+    call: httpClient.Call,
+    accepted: readonly number[] = [],
+  ): Answer<T> {
+    try {
+      const { status, content } = await this.client.json<T & Refused>(target.address, call);
+      if (status < 300 || accepted.includes(status)) return Ok(content);
+      return Err(refusal(status, content, ''));
+    } catch (error) {
+      return Err(httpClient.errorOf(error));
+    }
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/targets/httpClient.ts
@@ -0,0 +1,109 @@
+/**
+ * HTTP to targets through undici. Pools hold connections for calls that may be repeated; a connection
+ * whose answer was not read to its end is closed by the library and never used again. Calls that must
+ * not meet a connection which died unnoticed take a new one.
+ */
+import type * as tls from 'node:tls';
+import * as undici from 'undici';
+import type * as errors from './errors';
+
+/** A target that has not answered a control call by then is asked again later; milliseconds. */
+const CONTROL_TIMEOUT_MS = 2_000;
+
+const NOT_SENT = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'];
+
+export interface Call {
+  method: undici.Dispatcher.HttpMethod;
+  path: string;
+  body?: string | Buffer;
+  headers?: Record<string, string>;
+  signal?: AbortSignal;
+  fresh?: boolean;
+  /** Zero waits for ever. */
+  headersTimeoutMs?: number;
+}
+
+export class HttpClient {
+  private readonly pools = new Map<string, undici.Pool>();
+
+  /** Addresses that may not be reached; tests cut paths with it. */
+  readonly cut = new Set<string>();
+
+  constructor(
+    private readonly connectMs: number,
+    private readonly tlsOptions: tls.ConnectionOptions | undefined,
+  ) {}
+
+  async request(address: string, call: Call): Promise<undici.Dispatcher.ResponseData> {
+    if (this.cut.has(address)) {
+      throw Object.assign(new Error('path cut'), { code: 'EHOSTUNREACH' });
+    }
+    const { fresh = false, headersTimeoutMs = CONTROL_TIMEOUT_MS, ...rest } = call;
+    const dispatcher = fresh ? this.single(address) : this.pool(address);
+    const answer = await dispatcher
+      .request({ ...rest, headersTimeout: headersTimeoutMs, bodyTimeout: 0 })
+      .catch((error: unknown) => {
+        if (fresh) void dispatcher.destroy();
+        throw error;
+      });
+    if (fresh) {
+      const close = (): void => {
+        void dispatcher.destroy();
+      };
+      answer.body.once('close', close);
+    }
+    return answer;
+  }
+
+  async json<T>(address: string, call: Call): Promise<{ status: number; content: T }> {
+    const signal = AbortSignal.timeout(CONTROL_TIMEOUT_MS);
+    const { statusCode, body } = await this.request(address, { signal, ...call });
+    return { status: statusCode, content: (await body.json()) as T };
+  }
+
+  /** The target went or restarted: its connections are of no use. */
+  forget(address: string): void {
+    void this.pools.get(address)?.destroy();
+    this.pools.delete(address);
+  }
+
+  close(): void {
+    this.pools.forEach((pool) => {
+      void pool.destroy();
+    });
+    this.pools.clear();
+  }
+
+  private origin(address: string): string {
+    return this.tlsOptions === undefined ? `http://${address}` : `https://${address}`;
+  }
+
+  private options(): undici.Pool.Options {
+    const connect = { timeout: this.connectMs, ...this.tlsOptions };
+    return { connect, pipelining: 1, allowH2: false };
+  }
+
+  private pool(address: string): undici.Pool {
+    const known = this.pools.get(address);
+    if (known !== undefined) return known;
+    const made = new undici.Pool(this.origin(address), { ...this.options(), connections: 256 });
+    this.pools.set(address, made);
+    return made;
+  }
+
+  private single(address: string): undici.Client {
+    return new undici.Client(this.origin(address), this.options());
+  }
+}
+
+/** What an error of a call proves. Anything not known to be before the sending counts as sent. */
+export function errorOf(error: unknown): errors.TargetError {
+  const { code = '', message = String(error) } = error as { code?: string; message?: string };
+  const notSent = NOT_SENT.includes(code);
+  return {
+    progress: notSent ? 'notSent' : 'sent',
+    fault: notSent ? 'connectFailed' : 'connectionLost',
+    detail: `${code} ${message}`.trim(),
+    retryAfterMs: 0,
+  };
+}
--- /dev/null
+++ b/packages/daemon/src/targets/targetTable.ts
@@ -0,0 +1,129 @@
+/**
+ * The targets as this daemon knows them, from announcements, keepers and gossip. Keepers hold the
+ * leases; whoever receives an announcement hands it to them.
+ */
+import * as domain from '@celerydrift/domain';
+import type * as members from '../membership/members';
+import type * as observer from '../observability/observer';
+import type * as peerClient from '../rpc/peerClient';
+import type * as peerServer from '../rpc/peerServer';
+
+type Target = domain.target.target.Target;
+
+export interface Options {
+  client: peerClient.PeerClient;
+  observer: observer.Observer;
+  hash: domain.shared.hashing.Hash;
+  now: () => number;
+  members: () => members.Members;
+  onChange: (target: Target, before: Target | undefined) => void;
+}
+
+const HAND_OVER_TIMEOUT_MS = 500;
+
+const EXPIRE_EVERY_MS = 500;
+
+export class TargetTable {
+  private readonly targets = new Map<string, Target>();
+
+  private readonly keeper = new domain.target.keeper.Keeper();
+
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly options: Options) {}
+
+  start(server: peerServer.PeerServer): void {
+    server.add('announce', (parameters) => {
+      this.keep(parameters as Target);
+      return { taken: true };
+    });
+    this.timer = setInterval(() => this.watch(), EXPIRE_EVERY_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  list(): Target[] {
+    return [...this.targets.values()];
+  }
+
+  get(name: string): Target | undefined {
+    return this.targets.get(name);
+  }
+
+  get kept(): number {
+    return this.keeper.size;
+  }
+
+  /** An announcement that the balancer gave to this daemon. */
+  async announced(target: Target): Promise<void> {
+    if (target.status === 'leaving' && this.get(target.name)?.status !== 'leaving') {
+      this.merge(target);
+      await this.options.members().push({ kind: 'target', target });
+    }
+    const { self } = this.options.members();
+    const keepers = this.keepersOf(target);
+    if (keepers.includes(self.id)) this.keep(target);
+    await Promise.all(
+      keepers.filter((id) => id !== self.id).map((id) => this.handOver(id, target)),
+    );
+  }
+
+  /** Takes a record from gossip, a push or a keeper; true when it was new here. */
+  merge(target: Target): boolean {
+    const before = this.targets.get(target.name);
+    if (!domain.target.target.isNewer(target, before)) return false;
+    this.targets.set(target.name, target);
+    if (before?.status !== target.status) this.logStatus(target);
+    this.options.onChange(target, before);
+    return true;
+  }
+
+  private logStatus({ name, status, incarnation }: Target): void {
+    const event =
+      status === 'serving'
+        ? 'targetServing'
+        : status === 'leaving'
+          ? 'targetLeaving'
+          : 'targetGone';
+    this.options.observer.log(event, { target: name, incarnation });
+  }
+
+  private keepersOf({ name, dataCentre }: Target): readonly string[] {
+    const near = this.options.members().liveIn(dataCentre);
+    // A data centre may have targets and no daemon; then those of this one keep them.
+    const { self } = this.options.members();
+    const live = near.length > 0 ? near : this.options.members().liveIn(self.dataCentre);
+    return domain.target.keeper.keepersOf(this.options.hash, name, live);
+  }
+
+  private async handOver(id: string, target: Target): Promise<void> {
+    const peer = this.options.members().detector.get(id);
+    if (peer === undefined) return;
+    const { client } = this.options;
+    const call = { timeoutMs: HAND_OVER_TIMEOUT_MS };
+    const taken = await client.call(peer.address, 'announce', target, call);
+    // A keeper that can't be reached must not make a target look gone, so this daemon tells it on.
+    if (taken.err) this.keep(target);
+  }
+
+  private keep(target: Target): void {
+    const news = this.keeper.announce(target, this.options.now());
+    if (!this.merge(target)) return;
+    if (news) this.options.members().post({ kind: 'target', target });
+  }
+
+  private watch(): void {
+    const now = this.options.now();
+    const { self } = this.options.members();
+    this.targets.forEach((target) => {
+      const mine = this.keepersOf(target).includes(self.id);
+      if (mine && target.status === 'serving') this.keeper.adopt(target, now);
+      if (!mine) this.keeper.drop(target.name);
+    });
+    this.keeper.expire(now).forEach((gone) => {
+      if (this.merge(gone)) void this.options.members().push({ kind: 'target', target: gone });
+    });
+  }
+}
--- /dev/null
+++ b/packages/domain/src/control/index.ts
@@ -0,0 +1,2 @@
+export * as state from './state';
+export * as view from './view';
--- /dev/null
+++ b/packages/domain/src/ledger/index.ts
@@ -0,0 +1,1 @@
+export * as ledger from './ledger';
--- /dev/null
+++ b/packages/domain/src/ledger/ledger.ts
@@ -0,0 +1,221 @@
+/**
+ * Claims on calls that may not be repeated. A claim is committed in the replicated log before the
+ * call is dispatched, and only the attempt that holds the claim ever dispatches it, once. Whatever
+ * dies afterwards, a resend finds the claim: it gets the stored answer, or waits, or hears that the
+ * outcome is unknown, but never runs the call again.
+ */
+
+/** What a caller is told again on a resend. */
+export interface Answer {
+  status: number;
+  contentType: string;
+  body: string;
+}
+
+export type Settlement = 'completed' | 'unknown';
+
+/** Asks to run a call. */
+export interface Claim {
+  kind: 'claim';
+  key: string;
+  organisation: string;
+  /** Digest of method, path and body: the same key with other content is an error. */
+  content: string;
+  /** One HTTP request at one daemon; a claim resent by the same attempt is granted again. */
+  attempt: string;
+  /** Milliseconds; after it the attempt dispatches no more, so silence means unknown. */
+  deadline: number;
+  at: number;
+}
+
+export interface Settle {
+  kind: 'settle';
+  key: string;
+  attempt: string;
+  settlement: Settlement;
+  answer: Answer | undefined;
+  at: number;
+}
+
+/** Gives a claim back because the call certainly did not run. */
+export interface Release {
+  kind: 'release';
+  key: string;
+  attempt: string;
+  at: number;
+}
+
+export type Command = Claim | Settle | Release;
+
+export type Verdict =
+  | { kind: 'granted' }
+  | { kind: 'running'; deadline: number }
+  | { kind: 'settled'; settlement: Settlement; answer: Answer | undefined }
+  | { kind: 'mismatch' }
+  | { kind: 'expired' }
+  | { kind: 'overLimit'; retryAfterMs: number }
+  | { kind: 'released' }
+  | { kind: 'ignored' };
+
+interface Entry {
+  key: string;
+  organisation: string;
+  content: string;
+  attempt: string;
+  deadline: number;
+  at: number;
+  settlement: Settlement | 'running';
+  answer: Answer | undefined;
+}
+
+/** Bounds of one ledger. */
+export interface Bounds {
+  /** Milliseconds that an answer is kept for resends. */
+  retention: number;
+  /** Milliseconds that the key alone is remembered after that, and refused. */
+  tombstones: number;
+  /** Claims one organisation may hold within the retention. */
+  claimsPerOrganisation: number;
+  /** Longest stored body, in characters; of a longer answer only the status is kept. */
+  answerLength: number;
+}
+
+export const DEFAULT_BOUNDS: Bounds = {
+  retention: 24 * 3600 * 1000,
+  tombstones: 30 * 24 * 3600 * 1000,
+  claimsPerOrganisation: 100_000,
+  answerLength: 64 * 1024,
+};
+
+export interface Snapshot {
+  entries: Entry[];
+  tombstones: { key: string; at: number }[];
+}
+
+/** The aggregate. Only `apply` changes it, in log order, so that every replica decides alike. */
+export class Ledger {
+  private readonly entries = new Map<string, Entry>();
+
+  private readonly tombstones = new Map<string, number>();
+
+  private readonly perOrganisation = new Map<string, number>();
+
+  constructor(private readonly bounds: Bounds = DEFAULT_BOUNDS) {}
+
+  get size(): number {
+    return this.entries.size;
+  }
+
+  apply(command: Command): Verdict {
+    this.expire(command.at);
+    if (command.kind === 'claim') return this.claim(command);
+    if (command.kind === 'settle') return this.settle(command);
+    return this.release(command);
+  }
+
+  /** What is known of a key, without claiming it. */
+  look(key: string, now: number): Verdict {
+    const entry = this.entries.get(key);
+    if (entry === undefined) return { kind: this.tombstones.has(key) ? 'expired' : 'released' };
+    return this.standing(entry, now);
+  }
+
+  snapshot(): Snapshot {
+    const tombstones = [...this.tombstones].map(([key, at]) => ({ key, at }));
+    return { entries: [...this.entries.values()], tombstones };
+  }
+
+  static restore(snapshot: Snapshot, bounds: Bounds = DEFAULT_BOUNDS): Ledger {
+    const ledger = new Ledger(bounds);
+    snapshot.entries.forEach((entry) => ledger.add({ ...entry }));
+    snapshot.tombstones.forEach(({ key, at }) => ledger.tombstones.set(key, at));
+    return ledger;
+  }
+
+  private claim(claim: Claim): Verdict {
+    const known = this.entries.get(claim.key);
+    if (known !== undefined) {
+      if (known.content !== claim.content) return { kind: 'mismatch' };
+      // The grant was lost on its way: the same attempt has not dispatched yet, so it may.
+      const again = known.attempt === claim.attempt && known.settlement === 'running';
+      return again ? { kind: 'granted' } : this.standing(known, claim.at);
+    }
+    if (this.tombstones.has(claim.key)) return { kind: 'expired' };
+    const held = this.perOrganisation.get(claim.organisation) ?? 0;
+    if (held >= this.bounds.claimsPerOrganisation) {
+      return { kind: 'overLimit', retryAfterMs: this.untilOldestExpires(claim) };
+    }
+    const { key, organisation, content, attempt, deadline, at } = claim;
+    const running = { settlement: 'running', answer: undefined } as const;
+    this.add({ key, organisation, content, attempt, deadline, at, ...running });
+    return { kind: 'granted' };
+  }
+
+  private standing(entry: Entry, now: number): Verdict {
+    if (entry.settlement !== 'running') {
+      return { kind: 'settled', settlement: entry.settlement, answer: entry.answer };
+    }
+    // Its attempt dispatches nothing after the deadline; if it still has not settled, it died or was
+    // cut off, and nobody can say whether the call ran.
+    if (now > entry.deadline) return { kind: 'settled', settlement: 'unknown', answer: undefined };
+    return { kind: 'running', deadline: entry.deadline };
+  }
+
+  private settle(settle: Settle): Verdict {
+    const entry = this.entries.get(settle.key);
+    if (entry === undefined || entry.attempt !== settle.attempt) return { kind: 'ignored' };
+    // Knowledge only grows: an answer may replace "unknown", never the other way about.
+    if (entry.settlement === 'completed') return this.standing(entry, settle.at);
+    entry.settlement = settle.settlement;
+    entry.answer = this.bounded(settle.answer);
+    return this.standing(entry, settle.at);
+  }
+
+  private bounded(answer: Answer | undefined): Answer | undefined {
+    if (answer === undefined || answer.body.length <= this.bounds.answerLength) return answer;
+    return { ...answer, body: '' };
+  }
+
+  private release({ key, attempt }: Release): Verdict {
+    const entry = this.entries.get(key);
+    const mine = entry?.attempt === attempt && entry.settlement === 'running';
+    if (!mine) return { kind: 'ignored' };
+    this.drop(key);
+    return { kind: 'released' };
+  }
+
+  private add(entry: Entry): void {
+    this.entries.set(entry.key, entry);
+    const held = this.perOrganisation.get(entry.organisation) ?? 0;
+    this.perOrganisation.set(entry.organisation, held + 1);
+  }
+
+  private drop(key: string): void {
+    const entry = this.entries.get(key);
+    if (entry === undefined) return;
+    this.entries.delete(key);
+    const held = (this.perOrganisation.get(entry.organisation) ?? 1) - 1;
+    if (held > 0) this.perOrganisation.set(entry.organisation, held);
+    else this.perOrganisation.delete(entry.organisation);
+  }
+
+  /** Entries are in order of claiming, so expiry looks only at the oldest. */
+  private expire(now: number): void {
+    for (const [key, entry] of this.entries) {
+      if (entry.at + this.bounds.retention > now) break;
+      this.drop(key);
+      this.tombstones.set(key, entry.at);
+    }
+    for (const [key, at] of this.tombstones) {
+      if (at + this.bounds.retention + this.bounds.tombstones > now) break;
+      this.tombstones.delete(key);
+    }
+  }
+
+  private untilOldestExpires({ organisation, at }: Claim): number {
+    for (const entry of this.entries.values()) {
+      if (entry.organisation === organisation) return entry.at + this.bounds.retention - at;
+    }
+    return this.bounds.retention;
+  }
+}
--- /dev/null
+++ b/packages/domain/src/membership/daemon.ts
@@ -0,0 +1,30 @@
+/**
+ * A daemon as its peers know it, after SWIM (Das, Gupta, Motivala, 2002): alive until probes fail,
+ * then suspected, then dead; a daemon that hears it is suspected refutes it with a new incarnation.
+ */
+
+export type Status = 'alive' | 'leaving' | 'suspect' | 'dead';
+
+export interface Daemon {
+  id: string;
+  address: string;
+  dataCentre: string;
+  /** Raised by the daemon itself at its start and for each refutation. */
+  incarnation: number;
+  status: Status;
+}
+
+const RANK: Record<Status, number> = { alive: 0, leaving: 1, suspect: 2, dead: 3 };
+
+export function isNewer(candidate: Daemon, current: Daemon | undefined): boolean {
+  if (current === undefined) return true;
+  if (candidate.incarnation !== current.incarnation) {
+    return candidate.incarnation > current.incarnation;
+  }
+  return RANK[candidate.status] > RANK[current.status];
+}
+
+/** Whether work and state may be placed on it. */
+export function isLive({ status }: Daemon): boolean {
+  return status === 'alive' || status === 'suspect';
+}
--- /dev/null
+++ b/packages/domain/src/membership/detector.ts
@@ -0,0 +1,131 @@
+/**
+ * The failure detector of one daemon. Once a period it probes one peer of its own data centre, over
+ * a new connection if the open one is silent, and through other peers if that fails too. The cost is
+ * constant per daemon. One flapping VM moves only its own record.
+ */
+import * as random from '../shared/random';
+import * as daemon from './daemon';
+
+export interface Timing {
+  /** Between two probes, in milliseconds. */
+  period: number;
+  /** From suspicion to death; time for the suspect to refute. */
+  suspicion: number;
+  /** How long a dead record is kept, so that a late copy can't revive it. */
+  forget: number;
+}
+
+export const DEFAULT_TIMING: Timing = { period: 1_000, suspicion: 3_000, forget: 600_000 };
+
+interface Known {
+  record: daemon.Daemon;
+  changedAt: number;
+}
+
+export class Detector {
+  private readonly known = new Map<string, Known>();
+
+  private round: string[] = [];
+
+  constructor(
+    private self: daemon.Daemon,
+    private readonly source: random.Random,
+    private readonly timing: Timing = DEFAULT_TIMING,
+  ) {
+    this.known.set(self.id, { record: self, changedAt: 0 });
+  }
+
+  get own(): daemon.Daemon {
+    return this.self;
+  }
+
+  /** Takes a record heard from a peer; gives back what changed here, to be passed on. */
+  merge(record: daemon.Daemon, now: number): daemon.Daemon[] {
+    if (record.id === this.self.id) return this.refute(record);
+    const current = this.known.get(record.id);
+    if (!daemon.isNewer(record, current?.record)) return [];
+    this.known.set(record.id, { record, changedAt: now });
+    return [record];
+  }
+
+  /** Says that this daemon is leaving; it stays so in this incarnation. */
+  leave(): daemon.Daemon {
+    this.self = { ...this.self, incarnation: this.self.incarnation + 1, status: 'leaving' };
+    this.known.set(this.self.id, { record: this.self, changedAt: 0 });
+    return this.self;
+  }
+
+  /** The peer to probe next: each once in a random order, so that none is left out for long. */
+  nextProbe(): daemon.Daemon | undefined {
+    if (this.round.length === 0) this.round = this.shuffledPeers();
+    while (this.round.length > 0) {
+      const record = this.known.get(this.round.pop() ?? '')?.record;
+      if (record !== undefined && record.status !== 'dead') return record;
+    }
+    return undefined;
+  }
+
+  /** Other live peers of the data centre, to probe through. */
+  helpers(subject: string, count: number): daemon.Daemon[] {
+    return this.shuffledPeers()
+      .map((id) => this.known.get(id)?.record)
+      .filter((record) => record?.status === 'alive' && record.id !== subject)
+      .slice(0, count) as daemon.Daemon[];
+  }
+
+  /** A probe failed on every path. */
+  suspect(id: string, now: number): daemon.Daemon[] {
+    const current = this.known.get(id);
+    if (current === undefined || !daemon.isLive(current.record)) return [];
+    return this.merge({ ...current.record, status: 'suspect' }, now);
+  }
+
+  /** Suspects that did not refute in time. */
+  expire(now: number): daemon.Daemon[] {
+    const changes: daemon.Daemon[] = [];
+    this.known.forEach(({ record, changedAt }, id) => {
+      const age = now - changedAt;
+      if (record.status === 'suspect' && age > this.timing.suspicion) {
+        changes.push(...this.merge({ ...record, status: 'dead' }, now));
+      }
+      const ended = record.status === 'dead' || record.status === 'leaving';
+      if (ended && id !== this.self.id && age > this.timing.forget) this.known.delete(id);
+    });
+    return changes;
+  }
+
+  list(): daemon.Daemon[] {
+    return [...this.known.values()].map(({ record }) => record);
+  }
+
+  get(id: string): daemon.Daemon | undefined {
+    return this.known.get(id)?.record;
+  }
+
+  /** Ids of the live daemons of a data centre, this one included unless it is leaving. */
+  liveIn(dataCentre: string): string[] {
+    return this.list()
+      .filter((record) => record.dataCentre === dataCentre && daemon.isLive(record))
+      .map(({ id }) => id)
+      .sort();
+  }
+
+  private refute(record: daemon.Daemon): daemon.Daemon[] {
+    const accused = record.incarnation >= this.self.incarnation;
+    if (!accused || record.status === this.self.status) return [];
+    this.self = { ...this.self, incarnation: record.incarnation + 1 };
+    this.known.set(this.self.id, { record: this.self, changedAt: 0 });
+    return [this.self];
+  }
+
+  private shuffledPeers(): string[] {
+    const ids = this.list()
+      .filter(({ id, dataCentre }) => id !== this.self.id && dataCentre === this.self.dataCentre)
+      .map(({ id }) => id);
+    for (let i = ids.length - 1; i > 0; i--) {
+      const j = random.below(this.source, i + 1);
+      [ids[i], ids[j]] = [ids[j], ids[i]];
+    }
+    return ids;
+  }
+}
--- /dev/null
+++ b/packages/domain/src/membership/freshness.ts
@@ -0,0 +1,85 @@
+/**
+ * Whether a daemon may go on admitting requests when it can't reach the control plane.
+ *
+ * Failure: a partition leaves some daemons with old settings while others, with the leader, accept
+ * new ones. The callers of the first group would be served by settings that no longer hold.
+ * Rule: the leader answers "accepted" only when a majority of the registered daemons hold the change;
+ * a daemon without a fresh lease admits only while it can exchange indexes with a majority of them.
+ * Two majorities share a member, and through it the newer settings reach the daemon, so a stale
+ * group that serves and a change that was accepted can't exist side by side for longer than a lease. A control plane that is
+ * merely dead stops nobody, as long as a majority of the daemons see each other.
+ */
+
+/** What to do without a fresh lease. */
+export type Rule = 'majority' | 'refuse' | 'serve';
+
+export type Verdict = 'admit' | 'refuse';
+
+/** Milliseconds without word from the leader after which a daemon's view may be stale. */
+export const DEFAULT_LEASE = 4_000;
+
+export function isMajority(count: number, registered: number): boolean {
+  return count * 2 > registered;
+}
+
+export class Freshness {
+  private freshAsOf = -Infinity;
+
+  private readonly exchanges = new Map<string, number>();
+
+  constructor(
+    private readonly rule: Rule,
+    private readonly lease: number = DEFAULT_LEASE,
+  ) {}
+
+  /** The view was the leader's at this time of the own clock. */
+  confirm(asOf: number): void {
+    this.freshAsOf = Math.max(this.freshAsOf, asOf);
+  }
+
+  /** A peer told its index, and this daemon has caught up with it; asked at `askedAt`. */
+  exchanged(peer: string, askedAt: number): void {
+    this.exchanges.set(peer, Math.max(this.exchanges.get(peer) ?? -Infinity, askedAt));
+  }
+
+  age(now: number): number {
+    return now - this.freshAsOf;
+  }
+
+  hasLease(now: number): boolean {
+    return this.age(now) <= this.lease;
+  }
+
+  /** Whether to admit; `registered` are all registered daemons, `self` among them or not. */
+  verdict(now: number, self: string, registered: readonly string[]): Verdict {
+    if (this.hasLease(now) || this.rule === 'serve') return 'admit';
+    if (this.rule === 'refuse' || this.freshAsOf === -Infinity) return 'refuse';
+    const recent = registered.filter(
+      (id) => id === self || now - (this.exchanges.get(id) ?? -Infinity) <= this.lease,
+    );
+    return isMajority(recent.length, registered.length) ? 'admit' : 'refuse';
+  }
+}
+
+/** The leader's side, before it logs a change: contact with a majority of the registered daemons. */
+export function mayAccept(
+  now: number,
+  registered: readonly string[],
+  contactAt: (id: string) => number,
+  lease: number,
+): boolean {
+  if (registered.length === 0) return true;
+  const recent = registered.filter((id) => now - contactAt(id) <= lease);
+  return isMajority(recent.length, registered.length);
+}
+
+/** The leader's side, before it answers "accepted": a majority holds the change. */
+export function isHeldByMajority(
+  index: number,
+  registered: readonly string[],
+  indexOf: (id: string) => number,
+): boolean {
+  if (registered.length === 0) return true;
+  const holders = registered.filter((id) => indexOf(id) >= index);
+  return isMajority(holders.length, registered.length);
+}
--- /dev/null
+++ b/packages/domain/src/memory/index.ts
@@ -0,0 +1,2 @@
+export * as gathering from './gathering';
+export * as holding from './holding';
--- /dev/null
+++ b/packages/domain/src/placement/index.ts
@@ -0,0 +1,1 @@
+export * as order from './order';
--- /dev/null
+++ b/packages/domain/src/placement/order.ts
@@ -0,0 +1,165 @@
+/**
+ * Orders to targets: load a model, adapter and version, or unload it. Desired state follows from the
+ * settings; an order is the difference to what a target reports. Orders carry (term, sequence); some
+ * targets refuse old numbers, others ignore them, and for those time does the work: one issuer at a
+ * time by its lease, an expiry on every order, and a wait after a change of issuer.
+ */
+import * as document from '../settings/document';
+import * as target from '../target/target';
+
+export interface Fence {
+  term: number;
+  sequence: number;
+}
+
+export interface Order {
+  kind: 'load' | 'unload';
+  target: string;
+  model: target.Loaded;
+  fence: Fence;
+  /** Milliseconds; a target or the path to it must drop the order after this. */
+  expiresAt: number;
+}
+
+export function isStale(order: Fence, seen: Fence): boolean {
+  return order.term < seen.term || (order.term === seen.term && order.sequence <= seen.sequence);
+}
+
+/** How long an order may travel, in milliseconds. */
+export const ORDER_DELAY_MS = 2_000;
+
+function sameModel(a: target.Loaded, b: target.Loaded): boolean {
+  return a.base === b.base && a.adapter === b.adapter && a.version === b.version;
+}
+
+/** What this system ordered and may therefore unload again; everything else is the older system's. */
+export type Ours = ReadonlySet<string>;
+
+export function keyOf(name: string, model: target.Loaded): string {
+  return [name, model.base, model.adapter, model.version].join('/');
+}
+
+export interface Difference {
+  kind: 'load' | 'unload';
+  target: string;
+  model: target.Loaded;
+  /** Lower goes first: a model that nobody serves comes before one more copy. */
+  urgency: number;
+}
+
+/**
+ * The differences between wanted and reported. A new version is loaded wherever its base already
+ * runs; an old version is unloaded only where the new one is up and only if this system loaded it.
+ */
+export function differences(
+  wanted: readonly document.Model[],
+  targets: readonly target.Target[],
+  ours: Ours,
+): Difference[] {
+  const models: target.Loaded[] = wanted.map(({ base, adapter, version }) => {
+    return { base, adapter, version };
+  });
+  const engines = targets.filter(({ kind, status }) => kind === 'engine' && status === 'serving');
+  const loads = models.flatMap((model) => {
+    const serving = engines.filter((engine) => target.serves(engine, model)).length;
+    return engines
+      .filter((engine) => engine.models.some(({ base }) => base === model.base))
+      .filter((engine) => !target.serves(engine, model))
+      .map((engine): Difference => {
+        return { kind: 'load', target: engine.name, model, urgency: serving === 0 ? 0 : 1 };
+      });
+  });
+  const unloads = engines.flatMap((engine) =>
+    engine.models
+      .filter((model) => ours.has(keyOf(engine.name, model)))
+      .filter((model) => !models.some((wish) => sameModel(wish, model)))
+      .filter((model) => replacementIsUp(engine, model, models))
+      .map((model): Difference => ({ kind: 'unload', target: engine.name, model, urgency: 2 })),
+  );
+  return [...loads, ...unloads].sort((a, b) => a.urgency - b.urgency);
+}
+
+function replacementIsUp(
+  engine: target.Target,
+  old: target.Loaded,
+  wanted: readonly target.Loaded[],
+): boolean {
+  const successors = wanted.filter(
+    ({ base, adapter }) => base === old.base && adapter === old.adapter,
+  );
+  return successors.every((model) => target.serves(engine, model));
+}
+
+export interface Options {
+  /** Loads that the weight store stands per second. */
+  loadsPerSecond: number;
+  /** Between two orders of the same thing to the same target, in milliseconds. */
+  repeatMs: number;
+}
+
+export const DEFAULT_OPTIONS: Options = { loadsPerSecond: 2, repeatMs: 10_000 };
+
+/** Issues orders for one leader. A new leader makes a new issuer. */
+export class Issuer {
+  private sequence = 0;
+
+  private allowance = 1;
+
+  private allowedAt: number;
+
+  private readonly issuedAt = new Map<string, number>();
+
+  /**
+   * @param term the leader's term
+   * @param since when it became leader
+   * @param quietMs how long the former leader's lease and its orders may still be under way
+   */
+  constructor(
+    private readonly term: number,
+    private readonly since: number,
+    private readonly quietMs: number,
+    private readonly options: Options = DEFAULT_OPTIONS,
+  ) {
+    this.allowedAt = since;
+  }
+
+  /** The orders to send now. */
+  issue(
+    wishes: readonly Difference[],
+    fencingOf: (name: string) => target.Fencing,
+    now: number,
+  ): Order[] {
+    this.refill(now);
+    const orders: Order[] = [];
+    wishes.forEach((difference) => {
+      const key = `${difference.kind}/${keyOf(difference.target, difference.model)}`;
+      const repeated = now - (this.issuedAt.get(key) ?? -Infinity) < this.options.repeatMs;
+      // A target that ignores fencing numbers would carry out a late order of the former leader
+      // after ours, and end in its state. So nothing goes to it until no such order can be left.
+      const tooSoon = fencingOf(difference.target) === 'ignored' && now < this.since + this.quietMs;
+      if (repeated || tooSoon || !this.allow(difference)) return;
+      this.issuedAt.set(key, now);
+      orders.push(this.order(difference, now));
+    });
+    return orders;
+  }
+
+  private order({ kind, target: name, model }: Difference, now: number): Order {
+    this.sequence += 1;
+    const fence = { term: this.term, sequence: this.sequence };
+    return { kind, target: name, model, fence, expiresAt: now + ORDER_DELAY_MS };
+  }
+
+  private refill(now: number): void {
+    const gained = ((now - this.allowedAt) / 1_000) * this.options.loadsPerSecond;
+    this.allowance = Math.min(Math.max(1, this.options.loadsPerSecond), this.allowance + gained);
+    this.allowedAt = now;
+  }
+
+  private allow({ kind }: Difference): boolean {
+    if (kind === 'unload') return true;
+    if (this.allowance < 1) return false;
+    this.allowance -= 1;
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/domain/src/replication/__tests__/schedule.ts
@@ -0,0 +1,314 @@
+/**
+ * A seeded schedule of replicas, disks and a network, small enough to run thousands of times: steps
+ * are ticks, deliveries, losses, duplicates, crashes at a write, partitions, disk losses and proposals.
+ */
+import * as shared from '../../shared';
+import * as messages from '../messages';
+import * as repair from '../repair';
+import * as replica from '../replica';
+
+interface Disk {
+  durable: messages.Durable;
+}
+
+interface Node {
+  id: string;
+  disk: Disk;
+  replica: replica.Replica | undefined;
+  /** Commands applied by this process, by index. */
+  applied: Map<number, unknown>;
+  /** Offset of its clock, in milliseconds. */
+  skew: number;
+}
+
+interface Flying {
+  from: string;
+  to: string;
+  message: messages.Message;
+  at: number;
+}
+
+export interface Finding {
+  seed: number;
+  problem: string;
+}
+
+export interface Options {
+  voters: number;
+  spares: number;
+  steps: number;
+  /** Chance of a crash at each write. */
+  crash: number;
+  loss: number;
+}
+
+const LATENCY_MS = 5;
+
+function applyRecord(durable: messages.Durable, record: messages.Record): messages.Durable {
+  if (record.kind === 'vote') return { ...durable, vote: record.vote };
+  if (record.kind === 'append') {
+    return { ...durable, entries: [...durable.entries, ...record.entries] };
+  }
+  if (record.kind === 'truncate') {
+    return { ...durable, entries: durable.entries.filter(({ index }) => index < record.from) };
+  }
+  const { snapshot } = record;
+  const entries = durable.entries.filter(({ index }) => index > snapshot.index);
+  return { ...durable, snapshot, entries };
+}
+
+export class Schedule {
+  readonly nodes = new Map<string, Node>();
+
+  private now = 1_000;
+
+  private flying: Flying[] = [];
+
+  private readonly source: shared.random.Random;
+
+  private cut = new Set<string>();
+
+  /** The naive store: what was committed at each index, by the first replica to apply it. */
+  readonly committed = new Map<number, string>();
+
+  /** Proposals that were acknowledged, with their index. */
+  readonly acknowledged = new Map<string, number>();
+
+  private readonly pending = new Map<string, { index: number; term: number; node: string }>();
+
+  private readonly leaders = new Map<number, string>();
+
+  private readonly votes = new Map<string, string>();
+
+  private proposals = 0;
+
+  problem = '';
+
+  /** Once the faults are over, writes no longer crash. */
+  private healing = false;
+
+  constructor(
+    readonly seed: number,
+    private readonly options: Options,
+  ) {
+    this.source = shared.random.seeded(seed);
+    const ids = Array.from({ length: options.voters }, (_v, i) => `n${i}`);
+    const members = ids.map((id): messages.Member => {
+      return { id, address: id, dataCentre: `dc${id}`, role: 'voter' };
+    });
+    ids.forEach((id) => {
+      const empty = messages.emptyDurable();
+      this.addNode(id, { ...empty, snapshot: { ...empty.snapshot, members } });
+    });
+    for (let i = 0; i < options.spares; i++) this.addNode(`s${i}`, messages.emptyDurable());
+  }
+
+  run(): Finding | undefined {
+    for (let i = 0; i < this.options.steps && this.problem === ''; i++) this.step();
+    return this.problem === '' ? undefined : { seed: this.seed, problem: this.problem };
+  }
+
+  /** Everything heals; then all live replicas must agree and take a new command. */
+  heal(ms: number): void {
+    this.healing = true;
+    this.cut.clear();
+    this.nodes.forEach((node) => this.start(node));
+    for (let t = 0; t < ms && this.problem === ''; t += 10) {
+      this.now += 10;
+      this.tickAll();
+      this.deliverDue(0);
+    }
+  }
+
+  leader(): Node | undefined {
+    return [...this.nodes.values()].find((node) => node.replica?.hasLease(this.nowAt(node)));
+  }
+
+  propose(): string {
+    const node = this.leader();
+    this.proposals += 1;
+    const command = `c${this.proposals}`;
+    if (node?.replica === undefined) return '';
+    const { positions, effects } = node.replica.propose([command], this.nowAt(node));
+    const position = positions[0];
+    if (position !== undefined) this.pending.set(command, { ...position, node: node.id });
+    this.carryOut(node, effects);
+    return position === undefined ? '' : command;
+  }
+
+  /** Takes a VM and its disk away for good. */
+  destroy(id: string): void {
+    const node = this.nodes.get(id);
+    if (node !== undefined) node.replica = undefined;
+    this.nodes.delete(id);
+  }
+
+  /** One look of the leader's repair; spares are the nodes in no replica set. */
+  repairStep(size: number, deadAfter: number): repair.Step | undefined {
+    const node = this.leader();
+    const leader = node?.replica;
+    if (node === undefined || leader === undefined) return undefined;
+    const now = this.nowAt(node);
+    const health = leader.members
+      .filter(({ id }) => id !== node.id)
+      .map(({ id }) => ({
+        id,
+        silentFor: now - leader.contactAt(id),
+        caughtUp: leader.isCaughtUp(id),
+      }));
+    const spares = [...this.nodes.values()]
+      .filter(({ id }) => id.startsWith('s'))
+      .map(({ id }) => ({ id, address: id, dataCentre: `dc${id}` }));
+    const step = repair.nextStep(leader.members, health, spares, size, deadAfter);
+    if (step === undefined) return undefined;
+    const { refusal, effects } = leader.changeMembers(step.members, now);
+    this.carryOut(node, effects);
+    return refusal === undefined ? step : undefined;
+  }
+
+  isolate(id: string): void {
+    this.cut.add(id);
+  }
+
+  private addNode(id: string, durable: messages.Durable): void {
+    const skew = Math.floor(this.source.uniform() * 1_000);
+    const node: Node = { id, disk: { durable }, replica: undefined, applied: new Map(), skew };
+    this.nodes.set(id, node);
+    this.start(node);
+  }
+
+  private start(node: Node): void {
+    if (node.replica !== undefined) return;
+    const random = shared.random.seeded(Math.floor(this.source.uniform() * 2 ** 31));
+    const timing = replica.DEFAULT_TIMING;
+    node.replica = new replica.Replica(
+      node.id,
+      structuredClone(node.disk.durable),
+      timing,
+      random,
+      this.nowAt(node),
+    );
+    node.applied = new Map();
+  }
+
+  private nowAt(node: Node): number {
+    return this.now + node.skew;
+  }
+
+  private step(): void {
+    this.now += Math.floor(this.source.uniform() * 15);
+    const choice = this.source.uniform();
+    if (choice < 0.01) this.toggleCut();
+    else if (choice < 0.02) this.crash(this.pickNode());
+    else if (choice < 0.06) this.start(this.pickNode());
+    else if (choice < 0.15) this.propose();
+    else if (choice < 0.16) this.compact(this.pickNode());
+    else if (choice < 0.17) this.duplicate();
+    else if (choice < 0.5) this.deliverDue(this.options.loss);
+    else this.tickAll();
+  }
+
+  private pickNode(): Node {
+    return shared.random.pick(this.source, [...this.nodes.values()]);
+  }
+
+  private toggleCut(): void {
+    const { id } = this.pickNode();
+    if (!this.cut.delete(id)) this.cut.add(id);
+  }
+
+  private crash(node: Node): void {
+    node.replica = undefined;
+  }
+
+  private duplicate(): void {
+    if (this.flying.length > 0) this.flying.push(shared.random.pick(this.source, this.flying));
+  }
+
+  private compact(node: Node): void {
+    if (node.replica === undefined) return;
+    const { commit } = node.replica;
+    this.carryOut(node, node.replica.compact(commit, [...node.applied]));
+  }
+
+  private tickAll(): void {
+    this.nodes.forEach((node) => {
+      if (node.replica !== undefined) {
+        this.carryOut(node, node.replica.tick(this.nowAt(node)));
+      }
+    });
+  }
+
+  private deliverDue(loss: number): void {
+    const due = this.flying.filter(({ at }) => at <= this.now);
+    this.flying = this.flying.filter(({ at }) => at > this.now);
+    due.forEach(({ from, to, message }) => {
+      const node = this.nodes.get(to);
+      const lost = this.cut.has(from) !== this.cut.has(to) || this.source.uniform() < loss;
+      if (lost || node?.replica === undefined) return;
+      this.carryOut(node, node.replica.receive(structuredClone(message), this.nowAt(node)));
+    });
+  }
+
+  private carryOut(node: Node, effects: messages.Effects): void {
+    if (effects.persist.length > 0) {
+      // A crash at a write: either none of the batch is on disk or all of it, and nothing was sent.
+      const crash = !this.healing && this.source.uniform() < this.options.crash;
+      const synced = !crash || this.source.uniform() < 0.5;
+      if (synced) {
+        node.disk.durable = effects.persist.reduce(applyRecord, node.disk.durable);
+        this.checkVote(node);
+      }
+      if (crash) {
+        this.crash(node);
+        return;
+      }
+    }
+    const { replica: running } = node;
+    effects.send.forEach(({ to, message }) => {
+      const jitter = this.source.uniform() * LATENCY_MS * 4;
+      const at = this.now + LATENCY_MS + jitter;
+      this.flying.push({ from: node.id, to, message: structuredClone(message), at });
+    });
+    if (effects.install !== undefined) {
+      node.applied = new Map(effects.install.state as [number, unknown][]);
+    }
+    effects.apply.forEach((entry) => this.apply(node, entry));
+    if (running?.state === 'leader') this.checkLeader(node, running.term);
+  }
+
+  private checkVote({ id, disk }: Node): void {
+    const { term, votedFor } = disk.durable.vote;
+    if (votedFor === '') return;
+    const key = `${id}/${term}`;
+    const earlier = this.votes.get(key);
+    if (earlier !== undefined && earlier !== votedFor) {
+      this.problem = `${id} voted for ${earlier} and ${votedFor} in term ${term}`;
+    }
+    this.votes.set(key, votedFor);
+  }
+
+  private checkLeader({ id }: Node, term: number): void {
+    const earlier = this.leaders.get(term);
+    if (earlier !== undefined && earlier !== id) {
+      this.problem = `${earlier} and ${id} both lead term ${term}`;
+    }
+    this.leaders.set(term, id);
+  }
+
+  private apply(node: Node, entry: messages.Entry): void {
+    const value = JSON.stringify(entry);
+    const first = this.committed.get(entry.index);
+    if (first === undefined) this.committed.set(entry.index, value);
+    else if (first !== value) {
+      this.problem = `index ${entry.index}: ${first} was committed, ${node.id} applies ${value}`;
+    }
+    if (entry.kind !== 'command') return;
+    node.applied.set(entry.index, entry.command);
+    const command = String(entry.command);
+    const pending = this.pending.get(command);
+    if (pending?.node === node.id && pending.term === entry.term) {
+      this.acknowledged.set(command, entry.index);
+    }
+  }
+}
--- /dev/null
+++ b/packages/domain/src/replication/replica.ts
@@ -0,0 +1,528 @@
+/**
+ * One replica of one log: follower, candidate or leader. It holds no clock, disk or connection: a
+ * step takes a message or the time and gives back what to persist, send, install and apply. The
+ * process must have synced `persist` before it sends anything of the same step.
+ */
+import * as random from '../shared/random';
+import * as log from './log';
+import * as messages from './messages';
+
+export type State = 'follower' | 'preCandidate' | 'candidate' | 'leader';
+
+/** Times in milliseconds. */
+export interface Timing {
+  heartbeat: number;
+  /** Shortest time without a leader before a replica stands for election. */
+  electionMin: number;
+  electionMax: number;
+}
+
+export const DEFAULT_TIMING: Timing = { heartbeat: 100, electionMin: 500, electionMax: 900 };
+
+/** Most entries in one append request; more follow when it is answered. */
+const BATCH_LIMIT = 256;
+
+/**
+ * Share of the shortest election time for which a leader trusts its last quorum contact. The rest
+ * covers clock rates that differ between VMs.
+ */
+const LEASE_SHARE = 0.8;
+
+interface Progress {
+  next: number;
+  matched: number;
+  /** The leader's clock at the sending of the last request that was answered. */
+  contactAt: number;
+  /** When the last request with entries left, and not yet answered; 0 if none. */
+  waitingSince: number;
+}
+
+/** Why a replica can't take a command or a change of the replica set now. */
+export type Refusal = 'notLeader' | 'noQuorumContact' | 'changeInProgress' | 'notCaughtUp';
+
+/** Where a proposal stands in the log. */
+export interface Position {
+  index: number;
+  term: number;
+}
+
+export class Replica {
+  readonly id: string;
+
+  state: State = 'follower';
+
+  leader = '';
+
+  commit: number;
+
+  private readonly log: log.Log;
+
+  private vote: messages.Vote;
+
+  private readonly timing: Timing;
+
+  private readonly random: random.Random;
+
+  private electionAt = 0;
+
+  private heartbeatAt = 0;
+
+  private heardLeaderAt: number;
+
+  private leaderSince = 0;
+
+  private grants = new Set<string>();
+
+  private progress = new Map<string, Progress>();
+
+  private effects = messages.noEffects();
+
+  constructor(
+    id: string,
+    durable: messages.Durable,
+    timing: Timing,
+    source: random.Random,
+    now: number,
+  ) {
+    this.id = id;
+    this.log = new log.Log(durable.snapshot, durable.entries);
+    this.vote = durable.vote;
+    this.commit = durable.snapshot.index;
+    this.timing = timing;
+    this.random = source;
+    // A restarted replica can't know when it last heard a leader. Counting from now keeps it from
+    // helping to elect a second one while the lease of the first, which it confirmed, still runs.
+    this.heardLeaderAt = now;
+    this.resetElection(now);
+  }
+
+  get term(): number {
+    return this.vote.term;
+  }
+
+  get lastIndex(): number {
+    return this.log.lastIndex;
+  }
+
+  /** Entries kept since the snapshot; the process makes a new one when they grow many. */
+  get logLength(): number {
+    return this.log.length;
+  }
+
+  /** The replica set in use: the latest in the log, committed or not. */
+  get members(): messages.Member[] {
+    return this.log.membersAt(this.log.lastIndex);
+  }
+
+  /** What the disk must hold for this replica, for rewriting its journal. */
+  get durable(): messages.Durable {
+    const entries = this.log.from(this.log.snapshot.index + 1, Infinity);
+    return { vote: this.vote, snapshot: this.log.snapshot, entries };
+  }
+
+  /** Whether this replica belongs to a replica set or ever held an entry of one. */
+  get isFounded(): boolean {
+    return this.members.length > 0 || this.log.lastIndex > 0;
+  }
+
+  /** Makes this empty replica a founding member. Does nothing to one that is founded. */
+  found(members: messages.Member[]): messages.Effects {
+    if (this.isFounded) return messages.noEffects();
+    const snapshot = { ...this.log.snapshot, members };
+    this.log.compact(snapshot);
+    this.effects.persist.push({ kind: 'snapshot', snapshot });
+    return this.take();
+  }
+
+  /** Lets time pass: elections, heartbeats, the leader's check that it still has a quorum. */
+  tick(now: number): messages.Effects {
+    if (this.state === 'leader') this.tickLeader(now);
+    else if (now >= this.electionAt) this.startPreVote(now);
+    return this.take();
+  }
+
+  receive(message: messages.Message, now: number): messages.Effects {
+    this.observeTerm(message, now);
+    if (message.kind === 'voteRequest') this.onVoteRequest(message, now);
+    if (message.kind === 'voteAnswer') this.onVoteAnswer(message, now);
+    if (message.kind === 'appendRequest') this.onAppendRequest(message, now);
+    if (message.kind === 'appendAnswer') this.onAppendAnswer(message, now);
+    if (message.kind === 'snapshotRequest') this.onSnapshotRequest(message, now);
+    return this.take();
+  }
+
+  /**
+   * Takes commands into the log. Nothing is accepted until the entry is applied with the term given
+   * here; an entry of another term at that index means that the command was lost.
+   */
+  propose(
+    commands: readonly unknown[],
+    now: number,
+  ): { refusal?: Refusal; positions: Position[]; effects: messages.Effects } {
+    const refusal = this.refusalToPropose(now);
+    if (refusal !== undefined) return { refusal, positions: [], effects: messages.noEffects() };
+    const first = this.log.lastIndex + 1;
+    const entries = commands.map((command, offset): messages.Entry => {
+      return { kind: 'command', index: first + offset, term: this.term, command };
+    });
+    this.appendOwn(entries, now);
+    const positions = entries.map(({ index, term }) => ({ index, term }));
+    return { positions, effects: this.take() };
+  }
+
+  /** Replaces the replica set by one that differs in one member. */
+  changeMembers(
+    members: messages.Member[],
+    now: number,
+  ): { refusal?: Refusal; effects: messages.Effects } {
+    const refusal = this.refusalToChange(members, now);
+    if (refusal !== undefined) return { refusal, effects: messages.noEffects() };
+    const index = this.log.lastIndex + 1;
+    this.appendOwn([{ kind: 'members', index, term: this.term, members }], now);
+    return { effects: this.take() };
+  }
+
+  /** Whether a quorum confirmed this leader so lately that no other can have been elected. */
+  hasLease(now: number): boolean {
+    if (this.state !== 'leader') return false;
+    const confirmed = this.log.termAt(this.commit) === this.term;
+    return confirmed && now - this.quorumContactAt(now) < this.timing.electionMin * LEASE_SHARE;
+  }
+
+  /** When the leader last heard from `id`, by the sending time of the request it answered. */
+  contactAt(id: string): number {
+    return this.progress.get(id)?.contactAt ?? this.leaderSince;
+  }
+
+  /** Whether `id` holds everything committed. */
+  isCaughtUp(id: string): boolean {
+    return (this.progress.get(id)?.matched ?? 0) >= this.commit;
+  }
+
+  /** Drops entries that the machine's state at `index` covers. */
+  compact(index: number, state: unknown): messages.Effects {
+    const term = this.log.termAt(index);
+    if (term === undefined || index > this.commit || index <= this.log.snapshot.index) {
+      return messages.noEffects();
+    }
+    const snapshot = { index, term, members: this.log.membersAt(index), state };
+    this.log.compact(snapshot);
+    this.effects.persist.push({ kind: 'snapshot', snapshot });
+    return this.take();
+  }
+
+  private take(): messages.Effects {
+    const { effects } = this;
+    this.effects = messages.noEffects();
+    return effects;
+  }
+
+  private send(to: string, message: messages.Message): void {
+    this.effects.send.push({ to, message });
+  }
+
+  private get voters(): messages.Member[] {
+    return this.members.filter(({ role }) => role === 'voter');
+  }
+
+  private get isVoter(): boolean {
+    return this.voters.some(({ id }) => id === this.id);
+  }
+
+  private get peers(): messages.Member[] {
+    return this.members.filter(({ id }) => id !== this.id);
+  }
+
+  private isQuorum(count: number): boolean {
+    return count * 2 > this.voters.length;
+  }
+
+  private resetElection(now: number): void {
+    const { electionMin, electionMax } = this.timing;
+    this.electionAt = now + electionMin + this.random.uniform() * (electionMax - electionMin);
+  }
+
+  private persistVote(vote: messages.Vote): void {
+    this.vote = vote;
+    this.effects.persist.push({ kind: 'vote', vote });
+  }
+
+  /** A higher term ends whatever this replica was doing, except that pre-votes bind nobody. */
+  private observeTerm(message: messages.Message, now: number): void {
+    if (message.term <= this.term) return;
+    if (message.kind === 'voteRequest' && (message.pre || this.trustsLeader(now))) return;
+    if (message.kind === 'voteAnswer' && message.pre && message.granted) return;
+    this.becomeFollower(message.term, '', now);
+  }
+
+  private becomeFollower(term: number, leader: string, now: number): void {
+    if (term > this.term) this.persistVote({ term, votedFor: '' });
+    this.state = 'follower';
+    this.leader = leader;
+    this.progress.clear();
+    this.resetElection(now);
+  }
+
+  /**
+   * A follower that heard its leader lately, and a leader with a quorum, refuse to vote. Without it a
+   * replica that was cut off would depose a working leader, and a leader's lease would prove nothing.
+   */
+  private trustsLeader(now: number): boolean {
+    if (this.state === 'leader') return true;
+    return now - this.heardLeaderAt < this.timing.electionMin;
+  }
+
+  private startPreVote(now: number): void {
+    this.resetElection(now);
+    this.leader = '';
+    if (!this.isVoter) return;
+    this.state = 'preCandidate';
+    this.requestVotes(true, this.term + 1);
+    if (this.isQuorum(this.grants.size)) this.startElection(now);
+  }
+
+  private startElection(now: number): void {
+    this.state = 'candidate';
+    this.persistVote({ term: this.term + 1, votedFor: this.id });
+    this.requestVotes(false, this.term);
+    if (this.isQuorum(this.grants.size)) this.becomeLeader(now);
+  }
+
+  private requestVotes(pre: boolean, term: number): void {
+    this.grants = new Set([this.id]);
+    const { lastIndex, lastTerm } = this.log;
+    this.voters
+      .filter(({ id }) => id !== this.id)
+      .forEach(({ id }) => {
+        this.send(id, { kind: 'voteRequest', from: this.id, pre, term, lastIndex, lastTerm });
+      });
+  }
+
+  private onVoteRequest(request: messages.VoteRequest, now: number): void {
+    const granted = this.mayGrant(request, now);
+    if (granted && !request.pre) {
+      this.persistVote({ term: request.term, votedFor: request.from });
+      this.resetElection(now);
+    }
+    const term = granted && request.pre ? request.term : this.term;
+    const { pre } = request;
+    this.send(request.from, { kind: 'voteAnswer', from: this.id, pre, term, granted });
+  }
+
+  private mayGrant(request: messages.VoteRequest, now: number): boolean {
+    if (request.term < this.term || this.trustsLeader(now)) return false;
+    const { lastIndex, lastTerm } = this.log;
+    const upToDate =
+      request.lastTerm > lastTerm ||
+      (request.lastTerm === lastTerm && request.lastIndex >= lastIndex);
+    if (!upToDate) return false;
+    if (request.pre) return request.term > this.term;
+    return this.vote.votedFor === '' || this.vote.votedFor === request.from;
+  }
+
+  private onVoteAnswer(answer: messages.VoteAnswer, now: number): void {
+    const wanted = answer.pre ? 'preCandidate' : 'candidate';
+    const asked = answer.pre ? this.term + 1 : this.term;
+    if (this.state !== wanted || !answer.granted || answer.term !== asked) return;
+    if (!this.voters.some(({ id }) => id === answer.from)) return;
+    this.grants.add(answer.from);
+    if (!this.isQuorum(this.grants.size)) return;
+    if (answer.pre) this.startElection(now);
+    else this.becomeLeader(now);
+  }
+
+  private becomeLeader(now: number): void {
+    this.state = 'leader';
+    this.leader = this.id;
+    this.leaderSince = now;
+    this.progress.clear();
+    this.appendOwn([{ kind: 'empty', index: this.log.lastIndex + 1, term: this.term }], now);
+  }
+
+  private tickLeader(now: number): void {
+    // Quorum check: a leader cut off from a majority must stop answering as one. Without it an
+    // isolated leader would go on for as long as the partition lasts.
+    if (now - this.quorumContactAt(now) > this.timing.electionMax) {
+      this.becomeFollower(this.term, '', now);
+      return;
+    }
+    if (now >= this.heartbeatAt) this.broadcast(now);
+  }
+
+  private quorumContactAt(now: number): number {
+    const times = this.voters.map(({ id }) => (id === this.id ? now : this.contactAt(id)));
+    times.sort((a, b) => b - a);
+    return times[Math.floor(times.length / 2)] ?? -Infinity;
+  }
+
+  private appendOwn(entries: messages.Entry[], now: number): void {
+    this.log.append(entries);
+    this.effects.persist.push({ kind: 'append', entries });
+    this.broadcast(now);
+    this.advanceCommit();
+  }
+
+  private broadcast(now: number): void {
+    this.heartbeatAt = now + this.timing.heartbeat;
+    this.peers.forEach(({ id }) => this.sendAppend(id, now, true));
+  }
+
+  private progressOf(id: string, now: number): Progress {
+    const known = this.progress.get(id);
+    if (known !== undefined) return known;
+    const fresh = {
+      next: this.log.lastIndex + 1,
+      matched: 0,
+      // A member counts as silent from now on, not from before it was one.
+      contactAt: now,
+      waitingSince: 0,
+    };
+    this.progress.set(id, fresh);
+    return fresh;
+  }
+
+  /** Sends what `id` lacks; while a batch is under way, only a heartbeat without entries. */
+  private sendAppend(id: string, now: number, heartbeat: boolean): void {
+    const progress = this.progressOf(id, now);
+    const waiting =
+      progress.waitingSince > 0 && now - progress.waitingSince < this.timing.electionMin;
+    if (waiting && !heartbeat) return;
+    const previousTerm = this.log.termAt(progress.next - 1);
+    if (previousTerm === undefined) {
+      if (!waiting) this.sendSnapshot(id, progress, now);
+      return;
+    }
+    const entries = waiting ? [] : this.log.from(progress.next, BATCH_LIMIT);
+    if (entries.length > 0) progress.waitingSince = now;
+    this.send(id, {
+      kind: 'appendRequest',
+      from: this.id,
+      term: this.term,
+      previousIndex: progress.next - 1,
+      previousTerm,
+      entries,
+      commit: this.commit,
+      sentAt: now,
+    });
+  }
+
+  private sendSnapshot(id: string, progress: Progress, now: number): void {
+    progress.waitingSince = now;
+    const { snapshot } = this.log;
+    const { term } = this;
+    this.send(id, { kind: 'snapshotRequest', from: this.id, term, snapshot, sentAt: now });
+  }
+
+  private onAppendRequest(request: messages.AppendRequest, now: number): void {
+    const { from, sentAt } = request;
+    const answer = (success: boolean, matched: number): void => {
+      const { term } = this;
+      this.send(from, { kind: 'appendAnswer', from: this.id, term, success, matched, sentAt });
+    };
+    if (request.term < this.term) {
+      answer(false, 0);
+      return;
+    }
+    this.followLeader(from, now);
+    // What the snapshot covers is committed and therefore the same here as at any leader.
+    const covered = request.previousIndex < this.log.snapshot.index;
+    const known = this.log.termAt(request.previousIndex);
+    if (!covered && known !== request.previousTerm) {
+      answer(false, Math.min(this.log.lastIndex, request.previousIndex - 1));
+      return;
+    }
+    this.storeEntries(request.entries);
+    const matched = request.previousIndex + request.entries.length;
+    this.advanceTo(Math.min(request.commit, matched));
+    answer(true, matched);
+  }
+
+  private followLeader(leader: string, now: number): void {
+    if (this.state !== 'follower' || this.leader !== leader) {
+      this.becomeFollower(this.term, leader, now);
+    }
+    this.heardLeaderAt = now;
+    this.resetElection(now);
+  }
+
+  private storeEntries(entries: readonly messages.Entry[]): void {
+    const conflict = entries.find(
+      ({ index, term }) => index > this.log.snapshot.index && this.log.termAt(index) !== term,
+    );
+    if (conflict === undefined) return;
+    if (conflict.index <= this.log.lastIndex) {
+      this.log.truncate(conflict.index);
+      this.effects.persist.push({ kind: 'truncate', from: conflict.index });
+    }
+    const fresh = entries.filter(({ index }) => index >= conflict.index);
+    this.log.append(fresh);
+    this.effects.persist.push({ kind: 'append', entries: fresh });
+  }
+
+  private onAppendAnswer(answer: messages.AppendAnswer, now: number): void {
+    if (this.state !== 'leader' || answer.term !== this.term) return;
+    if (!this.members.some(({ id }) => id === answer.from)) return;
+    const progress = this.progressOf(answer.from, now);
+    progress.contactAt = Math.max(progress.contactAt, answer.sentAt);
+    if (answer.sentAt >= progress.waitingSince) progress.waitingSince = 0;
+    if (answer.success) {
+      progress.matched = Math.max(progress.matched, answer.matched);
+      progress.next = Math.max(progress.next, progress.matched + 1);
+      this.advanceCommit();
+    } else {
+      progress.next = Math.max(progress.matched + 1, Math.min(progress.next, answer.matched + 1));
+      progress.waitingSince = 0;
+    }
+    if (progress.next <= this.log.lastIndex) this.sendAppend(answer.from, now, false);
+  }
+
+  /** Commits what a quorum holds. Only entries of this term count; earlier ones follow with them. */
+  private advanceCommit(): void {
+    const matched = this.voters.map(({ id }) =>
+      id === this.id ? this.log.lastIndex : (this.progress.get(id)?.matched ?? 0),
+    );
+    matched.sort((a, b) => b - a);
+    const held = matched[Math.floor(matched.length / 2)] ?? 0;
+    if (held > this.commit && this.log.termAt(held) === this.term) this.advanceTo(held);
+  }
+
+  private advanceTo(commit: number): void {
+    if (commit <= this.commit) return;
+    const entries = this.log.from(this.commit + 1, commit - this.commit);
+    this.commit += entries.length;
+    this.effects.apply.push(...entries);
+  }
+
+  private onSnapshotRequest(request: messages.SnapshotRequest, now: number): void {
+    const { snapshot, from, sentAt } = request;
+    if (request.term < this.term) return;
+    this.followLeader(from, now);
+    // A snapshot older than what is applied here must not replace it: settings never revert.
+    if (snapshot.index > this.commit) {
+      this.log.compact(snapshot);
+      this.commit = snapshot.index;
+      this.effects.persist.push({ kind: 'snapshot', snapshot });
+      this.effects.install = snapshot;
+    }
+    const matched = snapshot.index;
+    const { term } = this;
+    this.send(from, { kind: 'appendAnswer', from: this.id, term, success: true, matched, sentAt });
+  }
+
+  private refusalToPropose(now: number): Refusal | undefined {
+    if (this.state !== 'leader') return 'notLeader';
+    return this.hasLease(now) ? undefined : 'noQuorumContact';
+  }
+
+  private refusalToChange(members: messages.Member[], now: number): Refusal | undefined {
+    const refusal = this.refusalToPropose(now);
+    if (refusal !== undefined) return refusal;
+    // Two changes under way at once could form two disjoint quorums.
+    if (this.log.membersIndex > this.commit) return 'changeInProgress';
+    const promoted = members.filter(({ id, role }) => {
+      const before = this.members.find((member) => member.id === id);
+      return role === 'voter' && before?.role !== 'voter';
+    });
+    return promoted.every(({ id }) => this.isCaughtUp(id)) ? undefined : 'notCaughtUp';
+  }
+}
--- /dev/null
+++ b/packages/domain/src/request/index.ts
@@ -0,0 +1,6 @@
+export * as circuit from './circuit';
+export * as limit from './limit';
+export * as outcome from './outcome';
+export * as retry from './retry';
+export * as stream from './stream';
+export * as tokens from './tokens';
--- /dev/null
+++ b/packages/domain/src/request/outcome.ts
@@ -0,0 +1,37 @@
+/**
+ * How a request ended, and what may be said about it. "Not run" is said only on proof: no byte of
+ * the request reached a target, or the target itself said that it did not run it.
+ */
+
+export type Outcome = 'completed' | 'notRun' | 'failed' | 'unknown';
+
+/** How far an attempt got, from which the proof follows. */
+export type Progress = 'notSent' | 'refusedByTarget' | 'sent' | 'answering';
+
+export type Fault =
+  | 'connectFailed'
+  | 'connectionLost'
+  | 'silent'
+  | 'crossed'
+  | 'cutShort'
+  | 'refused'
+  | 'deadline'
+  | 'callerGone'
+  | 'targetStopped';
+
+export interface Attempt {
+  target: string;
+  progress: Progress;
+  fault: Fault;
+}
+
+/** What one attempt proves about whether the call ran. */
+export function proof({ progress }: Attempt): 'notRun' | 'mayHaveRun' {
+  return progress === 'notSent' || progress === 'refusedByTarget' ? 'notRun' : 'mayHaveRun';
+}
+
+/** The outcome of a request none of whose attempts completed. */
+export function outcomeOf(attempts: readonly Attempt[], repeatable: boolean): Outcome {
+  if (attempts.every((attempt) => proof(attempt) === 'notRun')) return 'notRun';
+  return repeatable ? 'failed' : 'unknown';
+}
