--- /dev/null
+++ b/packages/domain/src/request/retry.ts
@@ -0,0 +1,76 @@
+/**
+ * Whether a failed attempt is tried again, where and when. Only what may be repeated, or certainly
+ * did not run; never past the deadline; on another target; and from a budget that is a share of the
+ * recent first attempts, so that an outage isn't multiplied by its retries.
+ */
+import * as random from '../shared/random';
+import * as outcome from './outcome';
+
+export interface Options {
+  /** Retries earned by each first attempt. */
+  share: number;
+  /** Most retries saved up. */
+  reserve: number;
+  attempts: number;
+  baseDelayMs: number;
+  maxDelayMs: number;
+}
+
+export const DEFAULT_OPTIONS: Options = {
+  share: 0.2,
+  reserve: 50,
+  attempts: 4,
+  baseDelayMs: 10,
+  maxDelayMs: 2_000,
+};
+
+export class Budget {
+  private balance: number;
+
+  constructor(private readonly options: Options = DEFAULT_OPTIONS) {
+    this.balance = options.reserve;
+  }
+
+  firstAttempt(): void {
+    this.balance = Math.min(this.options.reserve, this.balance + this.options.share);
+  }
+
+  /** Takes one retry out, if there is one. */
+  spend(): boolean {
+    if (this.balance < 1) return false;
+    this.balance -= 1;
+    return true;
+  }
+}
+
+export type Decision =
+  | { kind: 'retry'; delayMs: number }
+  | { kind: 'giveUp'; reason: 'notRepeatable' | 'attempts' | 'budget' | 'deadline' };
+
+/** What to do after the latest of `attempts` failed. */
+export function decide(
+  attempts: readonly outcome.Attempt[],
+  repeatable: boolean,
+  timeLeftMs: number,
+  retryAfterMs: number,
+  budget: Budget,
+  source: random.Random,
+  options: Options = DEFAULT_OPTIONS,
+): Decision {
+  const last = attempts.at(-1);
+  if (last === undefined) return { kind: 'retry', delayMs: 0 };
+  if (!repeatable && outcome.proof(last) === 'mayHaveRun') {
+    return { kind: 'giveUp', reason: 'notRepeatable' };
+  }
+  if (last.fault === 'callerGone' || last.fault === 'deadline') {
+    return { kind: 'giveUp', reason: 'deadline' };
+  }
+  if (attempts.length >= options.attempts) return { kind: 'giveUp', reason: 'attempts' };
+  const ceiling = Math.min(options.maxDelayMs, options.baseDelayMs * 2 ** (attempts.length - 1));
+  const delayMs = Math.max(retryAfterMs, source.uniform() * ceiling);
+  if (delayMs >= timeLeftMs) return { kind: 'giveUp', reason: 'deadline' };
+  // A planned stop is nobody's fault, so moving its streams costs no budget.
+  const free = last.fault === 'targetStopped';
+  if (!free && !budget.spend()) return { kind: 'giveUp', reason: 'budget' };
+  return { kind: 'retry', delayMs };
+}
--- /dev/null
+++ b/packages/domain/src/routing/fairQueue.ts
@@ -0,0 +1,88 @@
+/**
+ * The waiting requests of one band: weighted fair queueing by tokens between organisations, after
+ * start-time fair queueing (Goyal, Vin, Cheng, 1996), within classes of priority, with ageing so that
+ * no class starves. Tokens and requests are bounded; what doesn't fit is refused at once.
+ */
+import * as document from '../settings/document';
+
+export interface Item {
+  id: string;
+  organisation: string;
+  share: number;
+  priority: document.Priority;
+  tokens: number;
+  enqueuedAt: number;
+}
+
+const CLASS: Record<document.Priority, number> = { high: 0, normal: 1, low: 2 };
+
+/** Waiting this long raises a request by one class. */
+export const DEFAULT_AGEING_MS = 5_000;
+
+interface Tagged<T extends Item> {
+  item: T;
+  /** Virtual time at which its organisation's share allows it to start. */
+  start: number;
+}
+
+export class FairQueue<T extends Item> {
+  private readonly waiting: Tagged<T>[] = [];
+
+  private readonly finish = new Map<string, number>();
+
+  private virtual = 0;
+
+  private sum = 0;
+
+  constructor(private readonly ageingMs: number = DEFAULT_AGEING_MS) {}
+
+  get length(): number {
+    return this.waiting.length;
+  }
+
+  /** Prompt tokens waiting. */
+  get tokens(): number {
+    return this.sum;
+  }
+
+  push(item: T): void {
+    const start = Math.max(this.virtual, this.finish.get(item.organisation) ?? 0);
+    this.finish.set(item.organisation, start + item.tokens / item.share);
+    this.waiting.push({ item, start });
+    this.sum += item.tokens;
+  }
+
+  /** The request to serve next, left in place. */
+  peek(now: number): T | undefined {
+    return this.best(now)?.item;
+  }
+
+  /** Takes out one request, normally the one that `peek` showed. */
+  remove(id: string): T | undefined {
+    const position = this.waiting.findIndex(({ item }) => item.id === id);
+    if (position === -1) return undefined;
+    const [removed] = this.waiting.splice(position, 1) as [Tagged<T>];
+    this.sum -= removed.item.tokens;
+    this.virtual = Math.max(this.virtual, removed.start);
+    if (this.waiting.length === 0) this.finish.clear();
+    return removed.item;
+  }
+
+  items(): T[] {
+    return this.waiting.map(({ item }) => item);
+  }
+
+  private best(now: number): Tagged<T> | undefined {
+    return this.waiting.reduce<Tagged<T> | undefined>((best, candidate) => {
+      if (best === undefined) return candidate;
+      const difference = this.rank(candidate, now) - this.rank(best, now);
+      const first = difference < 0 || (difference === 0 && candidate.start < best.start);
+      return first ? candidate : best;
+    }, undefined);
+  }
+
+  private rank({ item }: Tagged<T>, now: number): number {
+    const raised = Math.floor((now - item.enqueuedAt) / this.ageingMs);
+    return Math.max(0, CLASS[item.priority] - raised);
+  }
+}
--- /dev/null
+++ b/packages/domain/src/settings/__tests__/settings.test.ts
@@ -0,0 +1,108 @@
+/** The settings tree against a naive sequential store, and the errors of bad files. */
+import * as chai from 'chai';
+import * as fastCheck from 'fast-check';
+import * as document from '../document';
+import * as schema from '../schema';
+import * as tree from '../tree';
+
+const { expect } = chai;
+
+const KEY = `sha256:${'a'.repeat(64)}`;
+
+const GOOD = `[organisation.kisumu]
+key = ${KEY}
+share = 2
+[model.quotes]
+base = base
+organisations = kisumu
+[service.parts]
+not-repeatable = POST /holds
+[operator.amina]
+token = ${KEY}
+`;
+
+function change(id: string, basedOn: number, text: string, subtree = 'team'): tree.Change {
+  return { id, subtree, basedOn, text, author: 'a', address: '', at: 0 };
+}
+
+const STEP = fastCheck.record({
+  subtree: fastCheck.constantFrom('fitters', 'pits'),
+  basedOn: fastCheck.integer({ min: 0, max: 6 }),
+  id: fastCheck.integer({ min: 0, max: 25 }),
+  variant: fastCheck.integer({ min: 0, max: 2 }),
+  restore: fastCheck.boolean(),
+});
+
+describe('settings tree', () => {
+  it('decides like a naive sequential store, through snapshots', () => {
+    fastCheck.assert(
+      fastCheck.property(fastCheck.array(STEP, { maxLength: 50 }), (steps) => {
+        let tested = new tree.Tree();
+        const revisions = new Map<string, number>();
+        const answers = new Map<string, { content: string; kind: string }>();
+        steps.forEach(({ subtree, basedOn, id, variant, restore }, index) => {
+          const text = variant === 0 ? '' : `${GOOD}; ${variant}`;
+          const wish = change(`id${id}`, basedOn, text, subtree);
+          const content = JSON.stringify([subtree, basedOn, text]);
+          const earlier = answers.get(wish.id);
+          const revision = revisions.get(subtree) ?? 0;
+          const fresh = basedOn === revision ? 'accepted' : 'conflict';
+          const replayed = earlier?.content === content ? earlier.kind : 'reused';
+          const expected = earlier === undefined ? fresh : replayed;
+          if (restore) tested = tree.Tree.restore(structuredClone(tested.snapshot()));
+          expect(tested.apply(wish, index + 1).answer.kind).to.equal(expected);
+          if (earlier !== undefined) return;
+          answers.set(wish.id, { content, kind: fresh });
+          if (fresh === 'accepted') revisions.set(subtree, revision + 1);
+        });
+      }),
+      { seed: 5, numRuns: 1_000 },
+    );
+  });
+
+  /*
+   * Two operators look at revision 1 and both send a change. One must win; the other must see what
+   * was changed, and a resend of the winner after its answer was lost must get the first answer.
+   */
+  it('lets one of two racing operators win and shows the other what changed', () => {
+    const tested = new tree.Tree();
+    tested.apply(change('one', 0, GOOD), 1);
+    expect({
+      winner: tested.apply(change('two', 1, `${GOOD}; two`), 2).answer.kind,
+      loser: tested.apply(change('three', 1, `${GOOD}; three`), 3).answer,
+      resend: tested.apply(change('two', 1, `${GOOD}; two`), 4).answer,
+      reused: tested.apply(change('two', 2, GOOD), 5).answer,
+    }).toMatchSnapshot();
+  });
+
+  it('names section, key, value and mend of everything wrong in a file', () => {
+    const bad = {
+      unknownSection: '[organisations.a]\nkey = x',
+      unknownKey: `[organisation.a]\nkey = ${KEY}\nshares = 2`,
+      missing: '[organisation.a]\nshare = 2',
+      badValue: `[organisation.a]\nkey = ${KEY}\nshare = much\npriority = top`,
+      plainKey: '[organisation.a]\nkey = secret',
+      dangling: '[model.m]\nbase = b\norganisations = nobody',
+      badCall: '[service.s]\nnot-repeatable = holds',
+      noName: '[model]\nbase = b',
+    };
+    const problems = Object.entries(bad).map(([name, text]): [string, unknown] => {
+      const read = document.read(text);
+      return [name, read.ok ? 'accepted' : read.val.map(schema.describe)];
+    });
+    expect(Object.fromEntries(problems)).toMatchSnapshot();
+  });
+
+  it('reads any text without throwing', () => {
+    const line = fastCheck.oneof(
+      fastCheck.string(),
+      fastCheck.constantFrom('[model.a]', '[__proto__]', '[organisation.constructor]', 'a[] = 1'),
+    );
+    fastCheck.assert(
+      fastCheck.property(fastCheck.array(line), (lines) => {
+        document.read(lines.join('\n'));
+      }),
+      { seed: 3, numRuns: 2_000 },
+    );
+  });
+});
--- /dev/null
+++ b/packages/domain/src/settings/directory.ts
@@ -0,0 +1,82 @@
+/**
+ * What the settings in force mean for a request: which organisation a key belongs to, which model
+ * or service a name stands for. Built from the subtrees whenever one changes; only reads after that.
+ */
+import * as Option from 'fp-ts/Option';
+import * as document from './document';
+import * as tree from './tree';
+
+export interface Tenant {
+  team: string;
+  organisation: document.Organisation;
+}
+
+function allowed(organisations: readonly string[], name: string): boolean {
+  return organisations.includes('*') || organisations.includes(name);
+}
+
+/** Looks up callers, models, services and operators in one consistent set of subtrees. */
+export class Directory {
+  private readonly tenants = new Map<string, Tenant>();
+
+  private readonly documents = new Map<string, document.Document>();
+
+  constructor(subtrees: readonly tree.Subtree[]) {
+    subtrees.forEach((subtree) => {
+      const read = document.read(subtree.text);
+      if (read.ok) this.add(subtree.name, read.val);
+    });
+  }
+
+  /** The organisation whose bearer key has this SHA-256. */
+  tenant(keyHash: string): Option.Option<Tenant> {
+    return Option.fromNullable(this.tenants.get(keyHash));
+  }
+
+  model(tenant: Tenant, name: string): Option.Option<document.Model> {
+    const models = this.documents.get(tenant.team)?.models ?? [];
+    const found = models.find((model) => model.name === name);
+    const open = found !== undefined && allowed(found.organisations, tenant.organisation.name);
+    return open ? Option.some(found) : Option.none;
+  }
+
+  models(tenant: Tenant): document.Model[] {
+    const models = this.documents.get(tenant.team)?.models ?? [];
+    return models.filter(({ organisations }) => allowed(organisations, tenant.organisation.name));
+  }
+
+  service(tenant: Tenant, name: string): Option.Option<document.Service> {
+    const services = this.documents.get(tenant.team)?.services ?? [];
+    const found = services.find((service) => service.name === name);
+    const open = found !== undefined && allowed(found.organisations, tenant.organisation.name);
+    return open ? Option.some(found) : Option.none;
+  }
+
+  /** The operator of `team` whose token has this SHA-256. */
+  operator(team: string, tokenHash: string): Option.Option<document.Operator> {
+    const operators = this.documents.get(team)?.operators ?? [];
+    return Option.fromNullable(operators.find((operator) => operator.tokenHash === tokenHash));
+  }
+
+  /** The teams for which a token with this SHA-256 speaks. */
+  teamsOf(tokenHash: string): string[] {
+    const teams = [...this.documents.keys()];
+    return teams.filter((team) => Option.isSome(this.operator(team, tokenHash)));
+  }
+
+  /** Every (base, adapter, version) that some team serves. */
+  wantedModels(): document.Model[] {
+    return [...this.documents.values()].flatMap(({ models }) => models);
+  }
+
+  organisations(): Tenant[] {
+    return [...this.tenants.values()];
+  }
+
+  private add(team: string, content: document.Document): void {
+    this.documents.set(team, content);
+    content.organisations.forEach((organisation) => {
+      organisation.keyHashes.forEach((hash) => this.tenants.set(hash, { team, organisation }));
+    });
+  }
+}
--- /dev/null
+++ b/packages/domain/src/settings/schema.ts
@@ -0,0 +1,120 @@
+/**
+ * Reading of INI texts against a schema: typed values come out, or everything that is wrong, each with
+ * section, key, value and mend. Serves the teams' settings and a daemon's own.
+ */
+import * as ini from 'ini';
+import * as t from 'io-ts';
+import * as Either from 'fp-ts/Either';
+
+/** One thing wrong with a settings file. */
+export interface Problem {
+  section: string;
+  key: string;
+  value: string;
+  mend: string;
+}
+
+export const NAME = /^[a-z0-9][a-z0-9._-]{0,62}$/;
+
+const SHA256_HEX = /^[0-9a-f]{64}$/;
+
+/** Reads one value, and says how to mend a bad one. */
+export interface Codec<A> {
+  type: t.Decoder<unknown, A>;
+  mend: string;
+}
+
+/** A codec from a parsing function that gives undefined for what it doesn't take. */
+export function textCodec<A>(
+  name: string,
+  parse: (text: string) => A | undefined,
+  mend: string,
+): Codec<A> {
+  const type = new t.Type<A, string, unknown>(
+    name,
+    (_value): _value is A => true,
+    (input, context) => {
+      const parsed = typeof input === 'string' ? parse(input) : undefined;
+      return parsed === undefined ? t.failure(input, context) : t.success(parsed);
+    },
+    String,
+  );
+  return { type, mend };
+}
+
+export function list(text: string): string[] {
+  return text
+    .split(',')
+    .map((part) => part.trim())
+    .filter((part) => part !== '');
+}
+
+export function hashes(text: string): string[] | undefined {
+  const parts = list(text).map((part) => part.replace(/^sha256:/, ''));
+  return parts.length > 0 && parts.every((part) => SHA256_HEX.test(part)) ? parts : undefined;
+}
+
+export function numberIn(minimum: number, maximum: number): (text: string) => number | undefined {
+  return (text) => {
+    const value = Number(text);
+    const usable = text.trim() !== '' && value >= minimum && value <= maximum;
+    return usable ? value : undefined;
+  };
+}
+
+export function names(text: string): string[] | undefined {
+  const parts = list(text);
+  const usable = parts.length > 0 && parts.every((part) => part === '*' || NAME.test(part));
+  return usable ? parts : undefined;
+}
+
+export type Fields = Record<string, Codec<unknown>>;
+
+export type Values = Map<string, unknown>;
+
+/** Reads the keys of one section; adds to `problems` what is wrong. */
+export function readFields(
+  section: string,
+  fields: Fields,
+  raw: Record<string, unknown>,
+  defaults: Readonly<Record<string, string>>,
+  problems: Problem[],
+): Values {
+  const values: Values = new Map();
+  Object.keys(raw)
+    .filter((key) => fields[key] === undefined)
+    .forEach((key) => {
+      const mend = `remove it or use one of: ${Object.keys(fields).join(', ')}`;
+      problems.push({ section, key, value: String(raw[key]), mend });
+    });
+  Object.entries(fields).forEach(([key, codec]) => {
+    const given = raw[key] ?? defaults[key];
+    const decoded = codec.type.decode(given === undefined ? undefined : String(given));
+    if (Either.isRight(decoded)) values.set(key, decoded.right);
+    else problems.push({ section, key, value: String(given ?? '(missing)'), mend: codec.mend });
+  });
+  return values;
+}
+
+/** Flattens `[a.b]` sections, which the INI library nests at each dot, back to `a.b`. */
+export function sectionsOf(text: string): Map<string, Record<string, unknown>> {
+  const parsed = ini.parse(text) as Record<string, unknown>;
+  const sections = new Map<string, Record<string, unknown>>();
+  const visit = (prefix: string, node: Record<string, unknown>): void => {
+    const scalars = Object.entries(node).filter(([, value]) => typeof value !== 'object');
+    const children = Object.entries(node).filter(([, value]) => typeof value === 'object');
+    const isSection = scalars.length > 0 || children.length === 0;
+    if (isSection) sections.set(prefix, Object.fromEntries(scalars));
+    children.forEach(([key, value]) => {
+      visit(prefix === '' ? key : `${prefix}.${key}`, value as Record<string, unknown>);
+    });
+  };
+  if (Object.keys(parsed).length > 0) visit('', parsed);
+  return sections;
+}
+
+/** One line for people: section, key, value and mend. */
+export function describe(problem: Problem): string {
+  const place = problem.key === '' ? `[${problem.section}]` : `[${problem.section}] ${problem.key}`;
+  return `${place} = "${problem.value}": ${problem.mend}`;
+}
--- /dev/null
+++ b/packages/domain/src/settings/tree.ts
@@ -0,0 +1,178 @@
+/**
+ * The settings tree: subtrees with revisions, changed by compare-and-set. A change names the
+ * revision it was based on and an id; of two operators with equal numbers exactly one wins, and a
+ * resend of an id gets the first answer again. All of it is decided when the log entry is applied,
+ * so every replica decides alike.
+ */
+import * as document from './document';
+import * as schema from './schema';
+
+/** A wish to replace the text of one subtree. An empty text removes it. */
+export interface Change {
+  id: string;
+  subtree: string;
+  /** Revision of the subtree that the author saw; 0 for a new one. */
+  basedOn: number;
+  text: string;
+  author: string;
+  address: string;
+  /** Milliseconds since the epoch, by the leader's clock. */
+  at: number;
+}
+
+export interface Accepted {
+  kind: 'accepted';
+  subtree: string;
+  revision: number;
+  index: number;
+}
+
+export interface Conflict {
+  kind: 'conflict';
+  subtree: string;
+  /** Revision in force, and who made it. */
+  revision: number;
+  author: string;
+  text: string;
+}
+
+export interface Invalid {
+  kind: 'invalid';
+  problems: schema.Problem[];
+}
+
+/** The id was used before for other content. */
+export interface Reused {
+  kind: 'reused';
+  id: string;
+}
+
+export type Answer = Accepted | Conflict | Invalid | Reused;
+
+export interface Subtree {
+  name: string;
+  revision: number;
+  text: string;
+  author: string;
+  at: number;
+  /** Log index of the change that made it. */
+  index: number;
+}
+
+interface Remembered {
+  id: string;
+  content: string;
+  answer: Answer;
+}
+
+export interface Snapshot {
+  subtrees: Subtree[];
+  removed: { name: string; revision: number }[];
+  remembered: Remembered[];
+}
+
+/**
+ * How many answers are kept for resends: two and a half days at 8,100 changes a day. An older resend
+ * is still harmless: its base revision is stale, so it ends as a conflict and never applies twice.
+ */
+export const REMEMBERED_ANSWERS = 20_000;
+
+const SUBTREE_NAME = /^[a-z0-9][a-z0-9-]{0,62}$/;
+
+function contentOf(change: Change): string {
+  return JSON.stringify([change.subtree, change.basedOn, change.text, change.author]);
+}
+
+/** The aggregate. Only `apply` changes it, in log order. */
+export class Tree {
+  private readonly subtrees = new Map<string, Subtree>();
+
+  /** Revisions go on counting after a removal, so that an old base can't match a new subtree. */
+  private readonly removed = new Map<string, number>();
+
+  private readonly remembered = new Map<string, Remembered>();
+
+  /** Applies one change; the second value says whether the tree changed. */
+  apply(change: Change, index: number): { answer: Answer; changed: boolean } {
+    const earlier = this.remembered.get(change.id);
+    if (earlier !== undefined) {
+      const same = earlier.content === contentOf(change);
+      return { answer: same ? earlier.answer : { kind: 'reused', id: change.id }, changed: false };
+    }
+    const answer = this.decide(change, index);
+    this.remember({ id: change.id, content: contentOf(change), answer });
+    if (answer.kind === 'accepted') this.store(change, answer);
+    return { answer, changed: answer.kind === 'accepted' };
+  }
+
+  get(name: string): Subtree | undefined {
+    return this.subtrees.get(name);
+  }
+
+  list(): Subtree[] {
+    return [...this.subtrees.values()];
+  }
+
+  /** The answer that a resend of `change` would get, if the id is known. */
+  answerFor(change: Change): Answer | undefined {
+    const earlier = this.remembered.get(change.id);
+    if (earlier === undefined) return undefined;
+    return earlier.content === contentOf(change)
+      ? earlier.answer
+      : { kind: 'reused', id: change.id };
+  }
+
+  snapshot(): Snapshot {
+    const removed = [...this.removed].map(([name, revision]) => ({ name, revision }));
+    return { subtrees: this.list(), removed, remembered: [...this.remembered.values()] };
+  }
+
+  static restore(snapshot: Snapshot): Tree {
+    const tree = new Tree();
+    snapshot.subtrees.forEach((subtree) => tree.subtrees.set(subtree.name, subtree));
+    snapshot.removed.forEach(({ name, revision }) => tree.removed.set(name, revision));
+    snapshot.remembered.forEach((entry) => tree.remembered.set(entry.id, entry));
+    return tree;
+  }
+
+  private revisionOf(name: string): number {
+    return this.subtrees.get(name)?.revision ?? this.removed.get(name) ?? 0;
+  }
+
+  private decide(change: Change, index: number): Answer {
+    if (!SUBTREE_NAME.test(change.subtree)) {
+      const mend = 'name a subtree with lower-case letters, digits and dashes';
+      const problem = { section: '', key: 'subtree', value: change.subtree, mend };
+      return { kind: 'invalid', problems: [problem] };
+    }
+    const revision = this.revisionOf(change.subtree);
+    if (revision !== change.basedOn) return this.conflict(change.subtree, revision);
+    const read = document.read(change.text);
+    if (read.err) return { kind: 'invalid', problems: read.val };
+    return { kind: 'accepted', subtree: change.subtree, revision: revision + 1, index };
+  }
+
+  private conflict(subtree: string, revision: number): Conflict {
+    const current = this.subtrees.get(subtree);
+    const author = current?.author ?? '';
+    return { kind: 'conflict', subtree, revision, author, text: current?.text ?? '' };
+  }
+
+  private store(change: Change, { revision, index }: Accepted): void {
+    const { subtree: name, text, author, at } = change;
+    if (text.trim() === '') {
+      this.subtrees.delete(name);
+      this.removed.set(name, revision);
+      return;
+    }
+    this.removed.delete(name);
+    this.subtrees.set(name, { name, revision, text, author, at, index });
+  }
+
+  private remember(entry: Remembered): void {
+    this.remembered.set(entry.id, entry);
+    if (this.remembered.size <= REMEMBERED_ANSWERS) return;
+    const oldest = this.remembered.keys().next().value;
+    if (oldest !== undefined) this.remembered.delete(oldest);
+  }
+}
--- /dev/null
+++ b/packages/domain/src/shared/index.ts
@@ -0,0 +1,2 @@
+export * as hashing from './hashing';
+export * as random from './random';
--- /dev/null
+++ b/packages/domain/src/stop/index.ts
@@ -0,0 +1,1 @@
+export * as stop from './stop';
--- /dev/null
+++ b/packages/domain/src/stop/stop.ts
@@ -0,0 +1,60 @@
+/**
+ * Planned stops of a target, a VM or a data centre. Announced by an operator or the platform, kept
+ * in the replicated log, in force on every daemon like a setting.
+ */
+
+export type Subject = 'target' | 'vm' | 'dataCentre';
+
+export interface Stop {
+  id: string;
+  subject: Subject;
+  name: string;
+  author: string;
+  at: number;
+  /** Seconds that running streams get before they are moved elsewhere. */
+  graceSeconds: number;
+}
+
+/** What a stop is matched against. */
+export interface Place {
+  target: string;
+  /** Address without port; a VM stop covers everything on it. */
+  host: string;
+  dataCentre: string;
+}
+
+export function covers(stop: Stop, place: Place): boolean {
+  if (stop.subject === 'target') return stop.name === place.target;
+  if (stop.subject === 'vm') return stop.name === place.host;
+  return stop.name === place.dataCentre;
+}
+
+export function stopFor(stops: readonly Stop[], place: Place): Stop | undefined {
+  return stops.find((stop) => covers(stop, place));
+}
+
+/** Whether streams on the place should be moved now rather than waited for. */
+export function graceIsOver(stop: Stop, now: number): boolean {
+  return now - stop.at > stop.graceSeconds * 1000;
+}
+
+/** What one daemon still runs on the place of a stop. */
+export interface Remainder {
+  stop: string;
+  running: number;
+}
+
+export type Progress = 'draining' | 'safeToStop';
+
+/** A stop is safe when every live daemon knows it and runs nothing there any more. */
+export function progress(
+  stop: Stop,
+  daemons: readonly string[],
+  remainders: ReadonlyMap<string, readonly Remainder[]>,
+): Progress {
+  const done = daemons.every((id) => {
+    const own = remainders.get(id)?.find((remainder) => remainder.stop === stop.id);
+    return own !== undefined && own.running === 0;
+  });
+  return done ? 'safeToStop' : 'draining';
+}
--- /dev/null
+++ b/packages/domain/src/target/index.ts
@@ -0,0 +1,2 @@
+export * as keeper from './keeper';
+export * as target from './target';
--- /dev/null
+++ b/packages/domain/src/target/keeper.ts
@@ -0,0 +1,66 @@
+/**
+ * The keeper of a target holds its lease: it hears every announcement, and tells the others only
+ * what changed. Two keepers per target are picked by rendezvous hashing over the live daemons of its
+ * data centre, so the cost per daemon depends on targets per daemon and not on the fleet.
+ */
+import * as hashing from '../shared/hashing';
+import * as target from './target';
+
+export const KEEPERS_PER_TARGET = 2;
+
+/** Silence after which a target is gone, in milliseconds: three missed announcements. */
+export const DEFAULT_LEASE = 6_000;
+
+export function keepersOf(
+  hash: hashing.Hash,
+  name: string,
+  daemons: readonly string[],
+): readonly string[] {
+  return hashing.rendezvous(hash, name, daemons).slice(0, KEEPERS_PER_TARGET);
+}
+
+interface Lease {
+  announced: target.Target;
+  heardAt: number;
+}
+
+export class Keeper {
+  private readonly leases = new Map<string, Lease>();
+
+  constructor(private readonly lease: number = DEFAULT_LEASE) {}
+
+  /** Takes an announcement; true when the other daemons should hear of it. */
+  announce(announced: target.Target, now: number): boolean {
+    const current = this.leases.get(announced.name);
+    if (!target.isNewer(announced, current?.announced)) return false;
+    this.leases.set(announced.name, { announced, heardAt: now });
+    return target.isNews(announced, current?.announced);
+  }
+
+  /** Starts the lease of a target whose former keepers may be dead together with it. */
+  adopt(announced: target.Target, now: number): void {
+    if (!this.leases.has(announced.name)) {
+      this.leases.set(announced.name, { announced, heardAt: now });
+    }
+  }
+
+  /** Gives up a lease that other daemons keep now. */
+  drop(name: string): void {
+    this.leases.delete(name);
+  }
+
+  names(): string[] {
+    return [...this.leases.keys()];
+  }
+
+  /** Targets whose lease ran out, as "gone" at the sequence last heard. */
+  expire(now: number): target.Target[] {
+    const silent = [...this.leases.values()].filter(({ heardAt }) => now - heardAt > this.lease);
+    silent.forEach(({ announced }) => this.leases.delete(announced.name));
+    return silent.map(({ announced }) => ({ ...announced, status: 'gone' }));
+  }
+
+  get size(): number {
+    return this.leases.size;
+  }
+}
--- /dev/null
+++ b/packages/measure/src/teams.ts
@@ -0,0 +1,42 @@
+/** Settings of two teams, one like each user, for measurements and the demo. */
+import * as fleet from './fleet';
+
+export interface Team {
+  name: string;
+  key: string;
+  model: string;
+  text: string;
+}
+
+function team(name: string, organisation: string, model: string, services: string): Team {
+  const key = `key-of-${organisation}`;
+  const text = `[organisation.${organisation}]
+key = sha256:${fleet.sha256(key)}
+share = 2
+deadline-seconds = 120
+[model.${model}]
+base = base
+version = 1
+${services}`;
+  return { name, key, model, text };
+}
+
+export const FITTERS = team(
+  'fitters',
+  'kisumu',
+  'quotes',
+  `[service.parts]
+not-repeatable = POST /holds
+timeout-seconds = 20
+`,
+);
+
+export const PITS = team(
+  'pits',
+  'maypen',
+  'summaries',
+  `[service.ledger]
+not-repeatable = POST /entries
+timeout-seconds = 20
+`,
+);
--- /dev/null
+++ b/packages/standins/src/announcer.ts
@@ -0,0 +1,64 @@
+/**
+ * Announces a stand-in to the daemons, as real targets do: through the platform's balancer, here a
+ * list of entries of which each announcement takes the next that answers.
+ */
+import type * as domain from '@celerydrift/domain';
+import * as undici from 'undici';
+
+export type Announcement = domain.target.target.Target;
+
+const TIMEOUT_MS = 1_000;
+
+export class Announcer {
+  private next = 0;
+
+  private sequence = 0;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(
+    private readonly entries: readonly string[],
+    private readonly secret: string,
+    private readonly describe: () => Omit<Announcement, 'sequence'>,
+    private readonly periodMs = 1_000,
+  ) {}
+
+  start(): void {
+    const announce = (): void => {
+      void this.announce();
+    };
+    this.timer = setInterval(announce, this.periodMs);
+    announce();
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  async announce(): Promise<boolean> {
+    this.sequence += 1;
+    const body = JSON.stringify({ ...this.describe(), sequence: this.sequence });
+    for (let tries = 0; tries < this.entries.length; tries++) {
+      const entry = this.entries[this.next % this.entries.length] ?? '';
+      this.next += 1;
+      if (await this.post(entry, body)) return true;
+    }
+    return false;
+  }
+
+  private async post(entry: string, body: string): Promise<boolean> {
+    try {
+      const { statusCode, body: answer } = await undici.request(`${entry}/targets/announce`, {
+        method: 'POST',
+        headers: { 'content-type': 'application/json', authorization: `Bearer ${this.secret}` },
+        body,
+        headersTimeout: TIMEOUT_MS,
+        bodyTimeout: TIMEOUT_MS,
+      });
+      await answer.dump();
+      return statusCode < 300;
+    } catch {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/packages/standins/src/engine/engineServer.ts
@@ -0,0 +1,406 @@
+/**
+ * The engine stand-in behind HTTP: generation as server-sent events, state and cancelling of
+ * requests, resuming of streams, reservations and holdings, orders with or without fencing, cache
+ * events. docs/API.md describes the protocol under "Targets".
+ */
+import * as crypto from 'node:crypto';
+import type * as http from 'node:http';
+import type * as domain from '@celerydrift/domain';
+import * as announcer from '../announcer';
+import * as faults from '../faults';
+import * as httpServer from '../httpServer';
+import * as engineModel from './engineModel';
+import * as holdings from './holdings';
+import * as parameters from './parameters';
+
+export interface Options {
+  name: string;
+  host: string;
+  port: number;
+  dataCentre: string;
+  models: domain.target.target.Loaded[];
+  fencing: domain.target.target.Fencing;
+  entries: string[];
+  secret: string;
+  parameters: parameters.Parameters;
+}
+
+interface GenerateBody {
+  request: string;
+  model: domain.target.target.Loaded;
+  prompt: string;
+  answerTokens: number;
+  priority: number;
+  resumeFrom: number;
+  prefixKeys: number[];
+  owner: domain.memory.holding.Owner;
+  system: string;
+  reservations: { target: string; tokens: number }[];
+}
+
+interface Stream {
+  body: GenerateBody;
+  digest: string;
+  /** Frames made so far; a resumed stream is served from here. */
+  frames: string[];
+  response: http.ServerResponse | undefined;
+  crossed: boolean;
+  cutAfter: number;
+  whole: boolean;
+}
+
+/** How long a stream without a reader is kept for resuming, in milliseconds. */
+const RESUME_MS = 5_000;
+
+const BYTES_PER_TOKEN = 4;
+
+export class EngineServer {
+  readonly model: engineModel.EngineModel;
+
+  readonly held = new holdings.Holdings();
+
+  readonly incarnation = Date.now();
+
+  private readonly server: httpServer.HttpServer;
+
+  private readonly streams = new Map<string, Stream>();
+
+  private readonly switches = new faults.Faults();
+
+  private readonly announcer: announcer.Announcer;
+
+  private models: domain.target.target.Loaded[];
+
+  private fence: domain.placement.order.Fence = { term: 0, sequence: 0 };
+
+  private status: domain.target.target.Status = 'serving';
+
+  private port = 0;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  /** Counts by request id of how often a prompt was started here. */
+  readonly started = new Map<string, number>();
+
+  constructor(private readonly options: Options) {
+    this.model = new engineModel.EngineModel(options.parameters);
+    this.models = options.models;
+    this.server = new httpServer.HttpServer((call) => this.handle(call));
+    const describe = (): Omit<announcer.Announcement, 'sequence'> => this.describe();
+    this.announcer = new announcer.Announcer(options.entries, options.secret, describe);
+  }
+
+  async start(): Promise<number> {
+    this.port = await this.server.listen(this.options.host, this.options.port);
+    this.announcer.start();
+    this.timer = setInterval(() => this.expire(), 500);
+    return this.port;
+  }
+
+  async stop(): Promise<void> {
+    this.announcer.stop();
+    clearInterval(this.timer);
+    await this.server.close();
+  }
+
+  /** Announces that the target is leaving. */
+  async leave(): Promise<void> {
+    this.status = 'leaving';
+    await this.announcer.announce();
+  }
+
+  private describe(): Omit<announcer.Announcement, 'sequence'> {
+    const { name, host, dataCentre, fencing } = this.options;
+    const { queuedTokens, streams, freeTokens } = this.model.load(Date.now());
+    return {
+      name,
+      incarnation: this.incarnation,
+      kind: 'engine',
+      address: `${host}:${this.port}`,
+      dataCentre,
+      status: this.status,
+      fencing,
+      service: '',
+      models: this.models,
+      memoryTokens: this.options.parameters.memoryTokens,
+      load: { queuedTokens, streams, freeTokens },
+    };
+  }
+
+  private handle(call: httpServer.Call): void {
+    const [, version, collection, id = '', detail] = call.path.split('/');
+    if (version === 'fault') this.onFault(call);
+    else if (collection === 'generate') this.onGenerate(call);
+    else if (collection === 'requests' && detail === 'stream') this.onResume(call, id);
+    else if (collection === 'requests') this.onRequest(call, id);
+    else if (collection === 'reservations') this.onReservation(call, id);
+    else if (collection === 'holdings') this.onHoldings(call, id);
+    else if (collection === 'orders') this.onOrder(call);
+    else if (collection === 'cache') this.onCache(call);
+    else if (collection === 'leave') void this.leave().then(() => httpServer.reply(call, 200, {}));
+    else httpServer.reply(call, 404, { error: 'no such path' });
+  }
+
+  private onFault(call: httpServer.Call): void {
+    const fault = JSON.parse(call.body) as faults.Fault | { kind: 'clear' };
+    httpServer.reply(call, 200, {});
+    if (fault.kind === 'clear') this.switches.clear();
+    else if (fault.kind === 'die') process.exit(1);
+    else if (fault.kind === 'silent') this.silence();
+    else this.switches.set(fault);
+  }
+
+  /** Detaches every open connection without closing it: the other side sees nothing any more. */
+  private silence(): void {
+    this.server.sockets.forEach((socket) => {
+      socket.pause();
+      socket.removeAllListeners('data');
+      socket.write = () => true;
+      socket.end = () => socket;
+      socket.destroy = () => socket;
+    });
+  }
+
+  private onGenerate(call: httpServer.Call): void {
+    const body = JSON.parse(call.body) as GenerateBody;
+    const served = this.models.some(
+      (model) => JSON.stringify(model) === JSON.stringify(body.model),
+    );
+    if (this.switches.take('refuse') !== undefined || this.status !== 'serving' || !served) {
+      const error = served ? 'not taking work' : 'model not loaded';
+      httpServer.reply(call, 503, { error, notRun: true });
+      return;
+    }
+    if (this.streams.has(body.request)) {
+      httpServer.reply(call, 409, { error: 'request id in use', notRun: false });
+      return;
+    }
+    this.run(call, body);
+  }
+
+  private run(call: httpServer.Call, body: GenerateBody): void {
+    this.started.set(body.request, (this.started.get(body.request) ?? 0) + 1);
+    const stream: Stream = {
+      body,
+      digest: digestOf(body.prompt),
+      frames: [],
+      response: undefined,
+      crossed: this.switches.take('cross') !== undefined,
+      cutAfter: this.switches.take('cut') === undefined ? Infinity : 2,
+      whole: false,
+    };
+    this.streams.set(body.request, stream);
+    const promptTokens = Math.ceil(body.prompt.length / BYTES_PER_TOKEN) + body.resumeFrom;
+    const remoteTokens = body.reservations.reduce((sum, { tokens }) => sum + tokens, 0);
+    this.held.add({
+      id: body.request,
+      system: body.system,
+      kind: 'stream',
+      owner: body.owner,
+      tokens: promptTokens,
+      expiresAt: Infinity,
+    });
+    this.attach(call, body.request, stream);
+    const job = {
+      id: body.request,
+      promptTokens,
+      answerTokens: Math.max(1, body.answerTokens - body.resumeFrom),
+      priority: body.priority,
+      prefixKeys: body.prefixKeys,
+      remoteTokens,
+    };
+    const late = this.switches.take('late');
+    setTimeout(() => this.submit(job), late?.delayMs ?? 0);
+  }
+
+  private submit(job: engineModel.Job): void {
+    if (!this.streams.has(job.id)) return;
+    this.model.submit(job, Date.now());
+    this.step();
+  }
+
+  private attach(call: httpServer.Call, id: string, stream: Stream): void {
+    const { response } = call;
+    response.writeHead(200, { 'content-type': 'text/event-stream' });
+    response.flushHeaders();
+    stream.response = response;
+    response.on('close', () => {
+      if (stream.response !== response) return;
+      stream.response = undefined;
+      setTimeout(() => this.drop(id, stream), RESUME_MS);
+    });
+  }
+
+  /** Ends a stream that nobody came back for. */
+  private drop(id: string, stream: Stream): void {
+    if (stream.response === undefined && this.streams.get(id) === stream) this.end(id);
+  }
+
+  private onResume(call: httpServer.Call, id: string): void {
+    const stream = this.streams.get(id);
+    if (stream === undefined) {
+      httpServer.reply(call, 404, { error: 'no such request' });
+      return;
+    }
+    const from = Number(call.query.get('from') ?? 0) - stream.body.resumeFrom;
+    this.attach(call, id, stream);
+    stream.crossed = false;
+    stream.cutAfter = Infinity;
+    stream.frames.slice(Math.max(0, from)).forEach((frame) => call.response.write(frame));
+    if (stream.whole) this.finishStream(id, stream);
+  }
+
+  private onRequest(call: httpServer.Call, id: string): void {
+    if (call.method === 'DELETE') {
+      this.end(id);
+      httpServer.reply(call, 200, { released: true });
+      return;
+    }
+    const stream = this.streams.get(id);
+    const state = stream !== undefined && stream.whole ? 'finished' : this.model.stateOf(id);
+    const known = stream !== undefined;
+    httpServer.reply(call, 200, { state: known && state === 'unknown' ? 'queued' : state, known });
+  }
+
+  private end(id: string): void {
+    this.model.cancel(id, Date.now());
+    this.streams.get(id)?.response?.destroy();
+    this.streams.delete(id);
+    this.held.remove(id);
+  }
+
+  private step(): void {
+    if (this.model.stepping) return;
+    const duration = this.model.begin();
+    if (duration === undefined) return;
+    setTimeout(() => {
+      this.model.finish(Date.now()).forEach((token) => this.emit(token));
+      this.step();
+    }, duration);
+  }
+
+  private emit(token: engineModel.Token): void {
+    const stream = this.streams.get(token.id);
+    if (stream === undefined) return;
+    const position = token.position + stream.body.resumeFrom;
+    const { loadLagMs } = this.options.parameters;
+    const edge = token.position === 0 || token.last;
+    const load = edge ? { ...this.model.load(Date.now()), ageMs: loadLagMs } : undefined;
+    const promptTokens = Math.ceil(stream.body.prompt.length / BYTES_PER_TOKEN);
+    const frame = `data: ${JSON.stringify({
+      request: stream.crossed ? `${token.id}-other` : token.id,
+      position,
+      text: `${stream.digest}.${position} `,
+      tokens: 1,
+      last: token.last,
+      load,
+      promptTokens: edge ? promptTokens : undefined,
+    })}\n\n`;
+    stream.frames.push(frame);
+    stream.whole = token.last;
+    if (stream.frames.length > stream.cutAfter) {
+      stream.response?.destroy();
+      return;
+    }
+    stream.response?.write(frame);
+    if (token.last) this.finishStream(token.id, stream);
+  }
+
+  private finishStream(id: string, stream: Stream): void {
+    if (stream.response === undefined) return;
+    stream.response.end();
+    this.streams.delete(id);
+    this.held.remove(id);
+  }
+
+  private onReservation(call: httpServer.Call, id: string): void {
+    if (call.method === 'DELETE') {
+      this.free(id);
+      httpServer.reply(call, 200, { released: true });
+      return;
+    }
+    const now = Date.now();
+    const wish = JSON.parse(call.body) as Omit<holdings.Holding, 'kind' | 'expiresAt'> & {
+      leaseMs: number;
+    };
+    const expiresAt = now + wish.leaseMs;
+    if (call.method === 'PUT') {
+      const known = this.held.renew(id, expiresAt);
+      httpServer.reply(call, known ? 200 : 404, { renewed: known });
+      return;
+    }
+    const granted = this.held.get(wish.id) !== undefined || this.model.reserve(wish.tokens);
+    if (granted) {
+      const { id: name, system, owner, tokens } = wish;
+      this.held.add({ id: name, system, kind: 'reservation', owner, tokens, expiresAt });
+    }
+    const { freeTokens } = this.model.trueLoad(now);
+    httpServer.reply(call, granted ? 200 : 409, { granted, freeTokens });
+  }
+
+  private free(id: string): void {
+    const holding = this.held.remove(id);
+    if (holding?.kind === 'reservation') this.model.unreserve(holding.tokens);
+  }
+
+  private expire(): void {
+    this.held.expired(Date.now()).forEach(({ id }) => this.free(id));
+  }
+
+  private onHoldings(call: httpServer.Call, id: string): void {
+    if (call.method === 'DELETE') {
+      if (this.held.get(id)?.kind === 'reservation') this.free(id);
+      else this.end(id);
+      httpServer.reply(call, 200, { released: true });
+      return;
+    }
+    if (call.method === 'POST') {
+      const holding = JSON.parse(call.body) as holdings.Holding;
+      this.model.reserve(holding.tokens);
+      this.held.add({ ...holding, expiresAt: Date.now() + 3_600_000 });
+    }
+    const list = this.held.list().map(({ expiresAt, ...listed }) => listed);
+    const started = Object.fromEntries(this.started);
+    httpServer.reply(call, 200, { incarnation: this.incarnation, holdings: list, started });
+  }
+
+  private onOrder(call: httpServer.Call): void {
+    const order = JSON.parse(call.body) as domain.placement.order.Order;
+    const { term, sequence } = order.fence;
+    const stale =
+      term < this.fence.term || (term === this.fence.term && sequence <= this.fence.sequence);
+    if (this.options.fencing === 'checked' && stale) {
+      httpServer.reply(call, 409, { error: 'old fencing number', seen: this.fence });
+      return;
+    }
+    if (order.expiresAt < Date.now()) {
+      httpServer.reply(call, 410, { error: 'order expired' });
+      return;
+    }
+    this.fence = order.fence;
+    const key = JSON.stringify(order.model);
+    const rest = this.models.filter((model) => JSON.stringify(model) !== key);
+    this.models = order.kind === 'load' ? [...rest, order.model] : rest;
+    httpServer.reply(call, 200, { models: this.models });
+    void this.announcer.announce();
+  }
+
+  private onCache(call: httpServer.Call): void {
+    const since = Number(call.query.get('since') ?? -1);
+    const { cache } = this.model;
+    if (since < 0) httpServer.reply(call, 200, { sequence: cache.sequence, keys: cache.keys() });
+    else httpServer.reply(call, 200, { sequence: cache.sequence, events: this.lossy(since) });
+  }
+
+  /** Cache events as the engine publishes them: some are lost. */
+  private lossy(since: number): unknown[] {
+    const { eventLoss } = this.options.parameters;
+    const every = eventLoss > 0 ? Math.round(1 / eventLoss) : Infinity;
+    return this.model.cache.since(since).filter(({ sequence }) => sequence % every !== 0);
+  }
+}
+
+/** A mark of the prompt in every word of the answer, so that a stranger's answer shows. */
+export function digestOf(prompt: string): string {
+  return crypto.createHash('sha1').update(prompt).digest('hex').slice(0, 6);
+}
--- /dev/null
+++ b/packages/standins/src/service/plainService.ts
@@ -0,0 +1,102 @@
+/**
+ * A plain service beside the engines: parts holds and tonnage entries, each of which counts how often
+ * it ran, and lookups that may be repeated.
+ */
+import * as announcer from '../announcer';
+import * as faults from '../faults';
+import * as httpServer from '../httpServer';
+
+export interface Options {
+  name: string;
+  service: string;
+  host: string;
+  port: number;
+  dataCentre: string;
+  entries: string[];
+  secret: string;
+  /** Time a call takes, in milliseconds. */
+  workMs: number;
+}
+
+export class PlainService {
+  readonly runs = new Map<string, number>();
+
+  private readonly incarnation = Date.now();
+
+  private readonly switches = new faults.Faults();
+
+  private readonly server: httpServer.HttpServer;
+
+  private readonly announcer: announcer.Announcer;
+
+  private port = 0;
+
+  constructor(private readonly options: Options) {
+    this.server = new httpServer.HttpServer((call) => this.handle(call));
+    const describe = (): Omit<announcer.Announcement, 'sequence'> => this.describe();
+    this.announcer = new announcer.Announcer(options.entries, options.secret, describe);
+  }
+
+  async start(): Promise<number> {
+    this.port = await this.server.listen(this.options.host, this.options.port);
+    this.announcer.start();
+    return this.port;
+  }
+
+  async stop(): Promise<void> {
+    this.announcer.stop();
+    await this.server.close();
+  }
+
+  private describe(): Omit<announcer.Announcement, 'sequence'> {
+    const { name, service, host, dataCentre } = this.options;
+    return {
+      name,
+      incarnation: this.incarnation,
+      kind: 'service',
+      address: `${host}:${this.port}`,
+      dataCentre,
+      status: 'serving',
+      fencing: 'ignored',
+      service,
+      models: [],
+      memoryTokens: 0,
+      load: { queuedTokens: 0, streams: 0, freeTokens: 0 },
+    };
+  }
+
+  private async handle(call: httpServer.Call): Promise<void> {
+    if (call.path === '/fault') {
+      const fault = JSON.parse(call.body) as faults.Fault;
+      if (fault.kind === 'die') process.exit(1);
+      this.switches.set(fault);
+      httpServer.reply(call, 200, {});
+    } else if (call.path === '/runs') {
+      httpServer.reply(call, 200, Object.fromEntries(this.runs));
+    } else if (call.method === 'POST') {
+      await this.enter(call);
+    } else {
+      const { method, path, headers } = call;
+      httpServer.reply(call, 200, { method, path, organisation: headers['x-organisation'] ?? '' });
+    }
+  }
+
+  private async enter(call: httpServer.Call): Promise<void> {
+    if (this.switches.take('refuse') !== undefined) {
+      call.response.setHeader('x-not-run', 'true');
+      httpServer.reply(call, 503, { error: 'not taking work', notRun: true });
+      return;
+    }
+    const { id } = JSON.parse(call.body) as { id: string };
+    const runs = (this.runs.get(id) ?? 0) + 1;
+    this.runs.set(id, runs);
+    await new Promise((resolve) => {
+      setTimeout(resolve, this.switches.take('late')?.delayMs ?? this.options.workMs);
+    });
+    if (this.switches.take('cut') !== undefined) {
+      call.response.destroy();
+      return;
+    }
+    httpServer.reply(call, 201, { id, runs, path: call.path });
+  }
+}
