Route by an elastic reserve, memory beliefs and refusals for room

Cause: with three hard bands, medium prompts (p95 26 s) and long ones (78 s) queued while the short band idled; a dump of the engines showed 22 long prompts piled on one engine, each daemon sending on a second-old view, and medium prompts stuck in engine queues for memory that long ones held. Change: only a reserve is fenced off, sized from demand and shrunk while longer work waits; beliefs track memory; costs per token are learned over all targets; the engine refuses at once what it has no memory for, and the request waits in the daemon in its old place.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -80,5 +80,11 @@
   prettier, // The formatter decides on layout.
   { files: ['**/*.ts'], rules: deviations },
   domainBoundary,
-  { files: ['**/__tests__/**/*.ts'], rules: { '@typescript-eslint/no-unused-expressions': 'off' } },
+  {
+    files: ['**/__tests__/**/*.ts'],
+    languageOptions: {
+      parserOptions: { projectService: false, project: ['./tsconfig.tests.json'] },
+    },
+    rules: { '@typescript-eslint/no-unused-expressions': 'off' },
+  },
 ];
--- a/packages/daemon/src/configuration/configuration.ts
+++ b/packages/daemon/src/configuration/configuration.ts
@@ -79,7 +79,7 @@
   authority: '',
   statsd: '',
   level: 'info',
-  policy: 'elasticBands',
+  policy: 'elasticReserve',
   'body-bytes': '67108864',
   connections: '10000',
   'header-seconds': '10',
@@ -158,7 +158,7 @@
     level: oneOf('trace', 'debug', 'info', 'warn', 'error', 'fatal'),
   },
   routing: {
-    policy: oneOf('elasticBands', 'enginePriority', 'longCap', 'roundRobin', 'leastOutstanding'),
+    policy: oneOf('elasticReserve', 'enginePriority', 'longCap', 'roundRobin', 'leastOutstanding'),
   },
   limits: {
     'body-bytes': range(1_024, 268_435_456),
--- a/packages/daemon/src/requests/policies.ts
+++ b/packages/daemon/src/requests/policies.ts
@@ -11,5 +11,5 @@
   if (name === 'leastOutstanding') return new policy.LeastOutstanding(random);
   if (name === 'enginePriority') return new policy.EnginePriority();
   if (name === 'longCap') return new policy.LongCap();
-  return new policy.ElasticBands(random);
+  return new policy.ElasticReserve(random);
 }
--- a/packages/domain/src/routing/band.ts
+++ b/packages/domain/src/routing/band.ts
@@ -1,6 +1,8 @@
 /**
- * Bands of prompt length. Short requests must not wait behind long ones, so each target serves one
- * band at a time, and how many targets a band has follows its demand.
+ * Bands of prompt length, and the elastic reserve of targets that is kept clear of longer work. Short
+ * requests must not wait behind long ones; a fixed partition would keep them apart, but leaves targets
+ * idle on one side while the other queues. So only a reserve is fenced off, as large as short demand
+ * needs and as the rest can spare, and short requests may use idle targets of the rest as well.
  */
 
 export type Band = 'short' | 'medium' | 'long';
@@ -13,7 +15,7 @@
   medium: number;
 }
 
-export const DEFAULT_THRESHOLDS: Thresholds = { short: 8_192, medium: 65_536 };
+export const DEFAULT_THRESHOLDS: Thresholds = { short: 8_192, medium: 100_000 };
 
 export function bandOf(tokens: number, thresholds: Thresholds): Band {
   if (tokens <= thresholds.short) return 'short';
@@ -26,63 +28,34 @@
 export type Demand = PerBand<number>;
 
 export interface Plan {
-  /** Extra targets a band gets beyond its demand, as a factor on the demand. */
-  headroom: PerBand<number>;
+  /** Targets in the reserve for each that short demand keeps busy, at least. */
+  shortHeadroom: number;
+  /** Targets left to longer work for each that it keeps busy; what is beyond joins the reserve. */
+  otherHeadroom: number;
   /** How far, in targets, the wish must be from the present size before the size changes. */
   hysteresis: number;
 }
 
-export const DEFAULT_PLAN: Plan = {
-  headroom: { short: 1.6, medium: 1.15, long: 1 },
-  hysteresis: 0.75,
-};
-
-/** Spreads `count` targets over the bands in proportion to `weights`, one at least for each in use. */
-export function ideal(count: number, weights: Demand): Demand {
-  const total = BANDS.reduce((sum, band) => sum + weights[band], 0);
-  if (total === 0) return { short: count, medium: 0, long: 0 };
-  const share = (band: Band): number => (weights[band] / total) * count;
-  return { short: share('short'), medium: share('medium'), long: share('long') };
-}
+export const DEFAULT_PLAN: Plan = { shortHeadroom: 1.3, otherHeadroom: 1.25, hysteresis: 0.75 };
 
 /**
- * Sizes of the bands for `count` targets, moving from `current` only where the wish is further away
- * than the hysteresis: a target that changes band drains for a while, so flapping costs capacity.
+ * Size of the reserve among `count` targets, moving from `current` only where the wish is further away
+ * than the hysteresis: a target that joins has to finish its longer work first, so flapping costs.
  */
-export function sizes(
+export function reserveSize(
   count: number,
   demand: Demand,
-  current: PerBand<number> | undefined,
+  othersWait: boolean,
+  current: number | undefined,
   plan: Plan,
-): PerBand<number> {
-  if (count < BANDS.length) return { short: count, medium: 0, long: 0 };
-  const weights = {
-    short: demand.short * plan.headroom.short,
-    medium: demand.medium * plan.headroom.medium,
-    long: demand.long * plan.headroom.long,
-  };
-  const wish = ideal(count, weights);
-  const total = current === undefined ? 0 : current.short + current.medium + current.long;
-  const settled = (band: Band): boolean =>
-    current !== undefined && Math.abs(wish[band] - current[band]) <= plan.hysteresis;
-  if (current !== undefined && total === count && BANDS.every(settled)) return current;
-  const used = (band: Band): number => (demand[band] > 0 ? 1 : 0);
-  const long = Math.max(used('long'), Math.round(wish.long));
-  const medium = Math.max(used('medium'), Math.round(wish.medium));
-  const short = Math.max(1, count - long - medium);
-  const excess = short + medium + long - count;
-  return { short, medium: Math.max(0, medium - Math.max(0, excess)), long };
-}
-
-/**
- * The band of each target: all daemons rank the same names alike, so they agree without asking but
- * for the targets next to a border while their views of demand differ.
- */
-export function assign(ranked: readonly string[], size: PerBand<number>): Map<string, Band> {
-  const assigned = new Map<string, Band>();
-  ranked.forEach((name, position) => {
-    if (position < size.short) assigned.set(name, 'short');
-    else assigned.set(name, position < size.short + size.medium ? 'medium' : 'long');
-  });
-  return assigned;
+): number {
+  const others = demand.medium + demand.long;
+  if (others === 0) return count;
+  const needed = demand.short * plan.shortHeadroom;
+  const spare = count - others * plan.otherHeadroom;
+  // While longer work waits, the reserve keeps only what short demand needs.
+  const wish = othersWait ? needed : Math.max(needed, spare);
+  const bounded = Math.min(Math.max(wish, count > 1 ? 1 : 0), count - 1);
+  const settled = current !== undefined && Math.abs(bounded - current) <= plan.hysteresis;
+  return settled && current < count ? current : Math.round(bounded);
 }
--- a/packages/domain/src/routing/dispatcher.ts
+++ b/packages/domain/src/routing/dispatcher.ts
@@ -7,6 +7,7 @@
 import * as document from '../settings/document';
 import * as target from '../target/target';
 import * as band from './band';
+import * as cost from './cost';
 import * as estimate from './estimate';
 import * as fairQueue from './fairQueue';
 import * as policy from './policy';
@@ -36,6 +37,8 @@
   target: target.Target;
   band: band.Band;
   enginePriority: number;
+  /** The engine should refuse at once rather than queue it for lack of memory. */
+  needsRoom: boolean;
   predictedMs: number;
 }
 
@@ -62,11 +65,17 @@
 };
 
 /** Time over which demand is averaged, in milliseconds. */
-const DEMAND_WINDOW_MS = 20_000;
+const DEMAND_WINDOW_MS = 30_000;
 
 /** Between two looks at the sizes of the bands, in milliseconds. */
 const REPLAN_MS = 1_000;
 
+/**
+ * Largest share of an engine's memory for one prompt; the rest of a longer one is held by others. It
+ * leaves shorter requests some room on every engine.
+ */
+export const PRIMARY_SHARE = 0.8;
+
 interface Waiting extends Request {
   tokens: number;
   band: band.Band;
@@ -79,7 +88,9 @@
 
 interface Running {
   target: string;
-  band: band.Band;
+  waiting: Waiting;
+  /** Its place in the fair queue, in case the target has no room. */
+  start: number;
 }
 
 export class Dispatcher {
@@ -87,6 +98,8 @@
 
   private readonly targets = new Map<string, Known>();
 
+  private readonly sharedCost = new cost.SharedCost();
+
   private readonly broken = new Set<string>();
 
   private readonly queues: band.PerBand<fairQueue.FairQueue<Waiting>> = {
@@ -101,11 +114,13 @@
 
   private demandAt = 0;
 
+  private demandSince: number | undefined;
+
   private peerDemand: band.Demand = { short: 0, medium: 0, long: 0 };
 
-  private size: band.PerBand<number> | undefined;
+  private reserveSize: number | undefined;
 
-  private assigned = new Map<string, band.Band>();
+  private reserve = new Set<string>();
 
   private plannedAt = -Infinity;
 
@@ -133,10 +148,14 @@
     const known = this.targets.get(announced.name);
     const restarted = known !== undefined && known.announced.incarnation !== announced.incarnation;
     if (restarted) this.prefixes.forget(announced.name);
-    const belief = known === undefined || restarted ? new estimate.Estimate() : known.belief;
+    const belief = known === undefined || restarted ? this.newBelief(announced) : known.belief;
     this.targets.set(announced.name, { announced, belief });
   }
 
+  private newBelief({ memoryTokens }: target.Target): estimate.Estimate {
+    return new estimate.Estimate(new cost.Cost(this.sharedCost), memoryTokens);
+  }
+
   /** Targets whose circuit is open get nothing until it closes. */
   setBroken(name: string, broken: boolean): void {
     if (broken) this.broken.add(name);
@@ -192,6 +211,15 @@
     this.targets.get(running.target)?.belief.ended(id, now);
   }
 
+  /** The target had no room after all and ran nothing; the request waits again, in its old place. */
+  refused(id: string, report: estimate.Report, now: number): void {
+    const running = this.running.get(id);
+    if (running === undefined) return;
+    this.ended(id, now);
+    this.targets.get(running.target)?.belief.reported(report, now);
+    this.queues[running.waiting.band].putBack(running.waiting, running.start);
+  }
+
   reported(name: string, report: estimate.Report, now: number): void {
     this.targets.get(name)?.belief.reported(report, now);
   }
@@ -209,11 +237,10 @@
   ownDemand(now: number): band.Demand {
     this.fadeDemand(now);
     const { short, medium, long } = this.demand;
-    return {
-      short: short / DEMAND_WINDOW_MS,
-      medium: medium / DEMAND_WINDOW_MS,
-      long: long / DEMAND_WINDOW_MS,
-    };
+    // Since the first request less than the whole window may have passed.
+    const age = Math.max(1_000, now - (this.demandSince ?? now));
+    const window = DEMAND_WINDOW_MS * (1 - Math.exp(-age / DEMAND_WINDOW_MS));
+    return { short: short / window, medium: medium / window, long: long / window };
   }
 
   /** Own outstanding tokens by target, for the peers. */
@@ -237,7 +264,9 @@
     const candidates = this.candidates(request);
     if (candidates.length === 0) return 'noTarget';
     const soonest = Math.min(
-      ...candidates.map(({ estimate: belief }) => belief.serviceMs(inBand, request.promptTokens)),
+      ...candidates.map(({ estimate: belief }) =>
+        belief.cost.serviceMs(inBand, request.promptTokens),
+      ),
     );
     // Half the belief, since it is a guess: refusing what could have been served is the worse error.
     return now + soonest / 2 > request.deadline ? 'deadlineInfeasible' : undefined;
@@ -253,7 +282,7 @@
         estimate: belief,
         distanceMs: announced.dataCentre === this.dataCentre ? 0 : this.options.remoteMs,
         cachedTokens: this.prefixes.cachedTokens(announced.name, request.prefixKeys),
-        band: this.assigned.get(announced.name) ?? 'short',
+        reserved: this.reserve.has(announced.name),
         memoryTokens: announced.memoryTokens,
       }));
   }
@@ -264,7 +293,8 @@
     for (let next = queue.peek(now); next !== undefined; next = queue.peek(now)) {
       const dispatch = this.place(next, now);
       if (dispatch === undefined) break;
-      queue.remove(next.id);
+      const start = queue.remove(next.id)?.start ?? 0;
+      this.running.set(next.id, { target: dispatch.target.name, waiting: next, start });
       dispatches.push(dispatch);
     }
     return dispatches;
@@ -274,24 +304,36 @@
     const { id, promptTokens: tokens, answerTokens } = waiting;
     const largest = this.largestMemory(waiting.model);
     // Longer than any one engine: the daemon gathers memory of others before it starts.
-    const memoryTokens = Math.min(tokens + answerTokens, largest);
+    const memoryTokens = Math.min(tokens + answerTokens, Math.floor(largest * PRIMARY_SHARE));
     const job = { id, band: waiting.band, tokens, memoryTokens };
     const placement = this.choice.place(job, this.candidates(waiting), now);
     if (placement === undefined) return undefined;
-    const { target: name, enginePriority, predictedMs } = placement;
+    const { target: name, enginePriority, needsRoom, predictedMs } = placement;
     const known = this.targets.get(name) as Known;
     const cached = this.prefixes.cachedTokens(name, waiting.prefixKeys);
-    known.belief.dispatched(id, waiting.band, Math.max(0, tokens - cached), now);
+    const uncached = Math.max(0, tokens - cached);
+    known.belief.dispatched(id, waiting.band, uncached, memoryTokens, now);
     this.prefixes.expect(name, waiting.prefixKeys);
-    this.running.set(id, { target: name, band: waiting.band });
     const { announced } = known;
-    return { request: waiting, target: announced, band: waiting.band, enginePriority, predictedMs };
+    const { band: inBand } = waiting;
+    return {
+      request: waiting,
+      target: announced,
+      band: inBand,
+      enginePriority,
+      needsRoom,
+      predictedMs,
+    };
   }
 
   private countDemand(inBand: band.Band, tokens: number, now: number): void {
     this.fadeDemand(now);
+    this.demandSince ??= now;
     const beliefs = [...this.targets.values()];
-    const total = beliefs.reduce((sum, { belief }) => sum + belief.serviceMs(inBand, tokens), 0);
+    const total = beliefs.reduce(
+      (sum, { belief }) => sum + belief.cost.serviceMs(inBand, tokens),
+      0,
+    );
     this.demand[inBand] += total / Math.max(1, beliefs.length);
   }
 
@@ -314,7 +356,17 @@
       long: own.long + peers.long,
     };
     const names = [...this.targets.keys()];
-    this.size = band.sizes(names.length, demand, this.size, this.options.plan);
-    this.assigned = band.assign(hashing.rendezvous(this.hash, 'band', names), this.size);
+    const othersWait = this.queues.medium.length + this.queues.long.length > 0;
+    this.reserveSize = band.reserveSize(
+      names.length,
+      demand,
+      othersWait,
+      this.reserveSize,
+      this.options.plan,
+    );
+    // All daemons rank the same names alike, so they agree on the reserve without asking, but for the
+    // targets next to its border while their views of demand differ.
+    const ranked = hashing.rendezvous(this.hash, 'reserve', names);
+    this.reserve = new Set(ranked.slice(0, this.reserveSize));
   }
 }
--- a/packages/domain/src/routing/estimate.ts
+++ b/packages/domain/src/routing/estimate.ts
@@ -1,10 +1,11 @@
 /**
- * What a daemon believes about the work waiting on one target. Load reports arrive late, several
+ * What a daemon believes about the work and memory on one target. Load reports arrive late, several
  * daemons send work at the same time, and an older system uses the engines unseen, so the belief is
  * put together from three parts: own dispatches that have shown no token yet (exact), the peers'
  * summaries of theirs (a second old), and what a report held beyond both when it was made (unseen).
  */
 import * as band from './band';
+import * as cost from './cost';
 
 /** A dispatched request that has shown no token yet. */
 interface Pending {
@@ -15,6 +16,11 @@
   aheadMs: number;
 }
 
+interface Held {
+  tokens: number;
+  since: number;
+}
+
 export interface Report {
   queuedTokens: number;
   streams: number;
@@ -28,23 +34,17 @@
 
 export const NOTHING_OUTSTANDING: Outstanding = { short: 0, medium: 0, long: 0 };
 
-/** First guess of the cost of one prompt token, in milliseconds, until answers teach better. */
-const INITIAL_COST_MS = 0.01;
-
-/** Weight of a new observation of cost. */
-const LEARNING_WEIGHT = 0.05;
+/** An unseen lump of more tokens than this counts as long work. */
+const LONG_LUMP_TOKENS = 100_000;
 
-/** Observations outside this factor of the present belief are clipped to it. */
-const CLIP = 3;
+/** Prompt tokens that engines usually take into one step. */
+const CHUNK_TOKENS = 3_072;
 
-/** Fixed time of a request on an idle engine, in milliseconds: one step. */
-const BASE_MS = 12;
+/** Own totals kept to compare with reports. */
+const HISTORY_LENGTH = 64;
 
-/** How long the history of own totals is kept to compare with reports, in milliseconds. */
-const HISTORY_MS = 5_000;
-
-/** Share of a peer summary or unseen load that is believed gone after this many milliseconds. */
-const FADE_MS = 1_000;
+/** A report older than this says nothing about memory now; milliseconds. */
+const REPORT_AGE_MS = 3_000;
 
 interface Total {
   at: number;
@@ -54,11 +54,8 @@
 export class Estimate {
   private readonly pending = new Map<string, Pending>();
 
-  private readonly costs: band.PerBand<number> = {
-    short: INITIAL_COST_MS,
-    medium: INITIAL_COST_MS,
-    long: INITIAL_COST_MS,
-  };
+  /** Memory of own requests, streaming ones included. */
+  private readonly held = new Map<string, Held>();
 
   private peers: Outstanding = NOTHING_OUTSTANDING;
 
@@ -72,11 +69,14 @@
 
   private history: Total[] = [];
 
-  private running = 0;
+  constructor(
+    readonly cost: cost.Cost,
+    private readonly memoryTokens: number,
+  ) {}
 
   /** Running requests of this daemon on the target, streaming ones included. */
   get streams(): number {
-    return this.running;
+    return this.held.size;
   }
 
   /** Prompt tokens of this daemon without a first token yet, by band. */
@@ -88,7 +88,7 @@
     return sums;
   }
 
-  /** Whether this daemon or, as far as known, a peer has a prompt longer than `limit` under way. */
+  /** Whether this daemon or, as far as known, a peer has a long prompt under way there. */
   hasLong(): boolean {
     return this.peers.long > 0 || [...this.pending.values()].some((entry) => entry.band === 'long');
   }
@@ -97,14 +97,28 @@
     return this.pending.size;
   }
 
-  freeTokens(fallback: number): number {
-    return this.report?.freeTokens ?? fallback;
+  /** Memory believed free, in tokens: the last report less what was sent there since. */
+  freeTokens(now: number): number {
+    const { report } = this;
+    const known = report !== undefined && now - report.measuredAt < REPORT_AGE_MS;
+    const since = known ? report.measuredAt : -Infinity;
+    let free = known ? report.freeTokens : this.memoryTokens;
+    this.held.forEach((each) => {
+      if (each.since >= since) free -= each.tokens;
+    });
+    return free;
   }
 
-  dispatched(id: string, inBand: band.Band, tokens: number, now: number): void {
+  dispatched(
+    id: string,
+    inBand: band.Band,
+    tokens: number,
+    memoryTokens: number,
+    now: number,
+  ): void {
     const aheadMs = this.aheadMs(inBand, now);
     this.pending.set(id, { band: inBand, tokens, dispatchedAt: now, aheadMs });
-    this.running += 1;
+    this.held.set(id, { tokens: memoryTokens, since: now });
     this.remember(now);
   }
 
@@ -114,12 +128,12 @@
     if (entry === undefined) return;
     this.pending.delete(id);
     this.remember(now);
-    this.learn(entry, now);
+    this.cost.learn(entry.band, entry.tokens, now - entry.dispatchedAt, entry.aheadMs);
   }
 
   ended(id: string, now: number): void {
     this.pending.delete(id);
-    this.running = Math.max(0, this.running - 1);
+    this.held.delete(id);
     this.remember(now);
   }
 
@@ -129,17 +143,14 @@
   }
 
   reported(report: Report, now: number): void {
+    if (this.report !== undefined && report.measuredAt < this.report.measuredAt) return;
     this.report = report;
-    const known = this.ownAt(report.measuredAt) + this.peerTokens(report.measuredAt);
+    const { short, medium, long } = this.peers;
+    const known = this.ownAt(report.measuredAt) + short + medium + long;
     this.unseen = Math.max(0, report.queuedTokens - known);
     this.unseenAt = now;
   }
 
-  /** Milliseconds of one prompt of this size on the idle target. */
-  serviceMs(inBand: band.Band, tokens: number): number {
-    return BASE_MS + tokens * this.costs[inBand];
-  }
-
   /**
    * Milliseconds of work that a request of this band would wait for. Engines honour priorities, and
    * shorter bands are sent with higher ones, so longer bands don't count.
@@ -147,47 +158,49 @@
   aheadMs(inBand: band.Band, now: number): number {
     const upTo = band.BANDS.indexOf(inBand);
     const counted = band.BANDS.slice(0, upTo + 1);
-    const own = this.outstanding();
-    const faded = this.fade(now - this.peersAt);
-    const ms = counted.reduce(
-      (sum, each) => sum + (own[each] + this.peers[each] * faded) * this.costs[each],
-      0,
-    );
-    return ms + this.unseen * this.fade(now - this.unseenAt) * this.costs.medium;
+    const ms = counted.reduce((sum, each) => sum + this.knownMs(each, now), 0);
+    return ms + this.unseenMs(inBand, now);
   }
 
-  /** All waiting work in milliseconds, whatever its band. */
-  totalMs(now: number): number {
-    return this.aheadMs('long', now);
+  /** Known waiting work of one band alone, in milliseconds. */
+  knownMs(inBand: band.Band, now: number): number {
+    const perToken = this.cost.perToken(inBand);
+    const own = this.outstanding()[inBand] * perToken;
+    // What peers told drains as the engine works on it, one millisecond each millisecond at best.
+    const peers = this.peers[inBand] * perToken;
+    return own + Math.max(0, peers - Math.max(0, now - this.peersAt));
   }
 
-  private fade(age: number): number {
-    return Math.exp(-Math.max(0, age) / FADE_MS);
+  /**
+   * Milliseconds until a step under way with a chunk of longer work ends, on average. Priorities act
+   * between steps, so this is what a request of `inBand` waits even when it goes first.
+   */
+  residualMs(inBand: band.Band, now: number): number {
+    const longer = band.BANDS.slice(band.BANDS.indexOf(inBand) + 1).reverse();
+    const running = longer.find((each) => this.knownMs(each, now) > 0);
+    const lump = this.unseen > LONG_LUMP_TOKENS && inBand !== 'long' ? 'long' : undefined;
+    const worst = running ?? lump;
+    return worst === undefined ? 0 : (CHUNK_TOKENS / 2) * this.cost.perToken(worst);
   }
 
-  private peerTokens(at: number): number {
-    const { short, medium, long } = this.peers;
-    return (short + medium + long) * this.fade(at - this.peersAt);
+  /**
+   * Work that a report showed beyond what was known then. A lump longer than a medium prompt is most
+   * likely a peer's long prompt, which waits for shorter ones and not they for it.
+   */
+  private unseenMs(inBand: band.Band, now: number): number {
+    if (inBand !== 'long' && this.unseen > LONG_LUMP_TOKENS) return 0;
+    const ms = this.unseen * this.cost.perToken('medium');
+    return Math.max(0, ms - Math.max(0, now - this.unseenAt));
   }
 
   private remember(now: number): void {
     const { short, medium, long } = this.outstanding();
     this.history.push({ at: now, tokens: short + medium + long });
-    if (this.history.length > 64) {
-      this.history = this.history.filter(({ at }) => now - at < HISTORY_MS).slice(-64);
-    }
+    if (this.history.length > HISTORY_LENGTH * 2)
+      this.history = this.history.slice(-HISTORY_LENGTH);
   }
 
   private ownAt(at: number): number {
     return this.history.findLast((total) => total.at <= at)?.tokens ?? 0;
   }
-
-  private learn(entry: Pending, now: number): void {
-    // Waiting blurs the measurement, so only requests that hardly waited teach.
-    const took = now - entry.dispatchedAt - BASE_MS;
-    if (took <= 0 || entry.tokens < 512 || entry.aheadMs > took / 4) return;
-    const believed = this.costs[entry.band];
-    const seen = Math.min(believed * CLIP, Math.max(believed / CLIP, took / entry.tokens));
-    this.costs[entry.band] = believed + LEARNING_WEIGHT * (seen - believed);
-  }
 }
--- a/packages/domain/src/routing/fairQueue.ts
+++ b/packages/domain/src/routing/fairQueue.ts
@@ -19,7 +19,7 @@
 /** Waiting this long raises a request by one class. */
 export const DEFAULT_AGEING_MS = 5_000;
 
-interface Tagged<T extends Item> {
+export interface Tagged<T extends Item> {
   item: T;
   /** Virtual time at which its organisation's share allows it to start. */
   start: number;
@@ -52,20 +52,26 @@
     this.sum += item.tokens;
   }
 
+  /** Puts back a request that a target refused, at the place in line that it had. */
+  putBack(item: T, start: number): void {
+    this.waiting.push({ item, start });
+    this.sum += item.tokens;
+  }
+
   /** The request to serve next, left in place. */
   peek(now: number): T | undefined {
     return this.best(now)?.item;
   }
 
   /** Takes out one request, normally the one that `peek` showed. */
-  remove(id: string): T | undefined {
+  remove(id: string): Tagged<T> | undefined {
     const position = this.waiting.findIndex(({ item }) => item.id === id);
     if (position === -1) return undefined;
     const [removed] = this.waiting.splice(position, 1) as [Tagged<T>];
     this.sum -= removed.item.tokens;
     this.virtual = Math.max(this.virtual, removed.start);
     if (this.waiting.length === 0) this.finish.clear();
-    return removed.item;
+    return removed;
   }
 
   items(): T[] {
--- a/packages/domain/src/routing/index.ts
+++ b/packages/domain/src/routing/index.ts
@@ -1,4 +1,5 @@
 export * as band from './band';
+export * as cost from './cost';
 export * as dispatcher from './dispatcher';
 export * as estimate from './estimate';
 export * as fairQueue from './fairQueue';
--- a/packages/domain/src/routing/policy.ts
+++ b/packages/domain/src/routing/policy.ts
@@ -25,8 +25,8 @@
   distanceMs: number;
   /** Prompt tokens believed cached there. */
   cachedTokens: number;
-  /** Band that the elastic plan gives it. */
-  band: band.Band;
+  /** In the reserve that is kept clear of longer work. */
+  reserved: boolean;
   memoryTokens: number;
 }
 
@@ -34,6 +34,8 @@
   target: string;
   /** Priority told to the engine; lower is served first. */
   enginePriority: number;
+  /** The engine should refuse at once rather than queue it for lack of memory. */
+  needsRoom: boolean;
   predictedMs: number;
 }
 
@@ -55,7 +57,7 @@
 /** Predicted milliseconds until the first token. */
 function predicted(job: Job, { estimate: belief, ...candidate }: Candidate, now: number): number {
   const uncached = Math.max(0, job.tokens - candidate.cachedTokens);
-  const service = belief.serviceMs(job.band, uncached);
+  const service = belief.cost.serviceMs(job.band, uncached);
   return belief.aheadMs(job.band, now) + service + candidate.distanceMs;
 }
 
@@ -82,7 +84,7 @@
     const chosen = able[this.next % able.length];
     this.next += 1;
     const predictedMs = predicted(job, chosen, now);
-    return { target: chosen.name, enginePriority: NEUTRAL_PRIORITY, predictedMs };
+    return { target: chosen.name, enginePriority: NEUTRAL_PRIORITY, needsRoom: false, predictedMs };
   }
 }
 
@@ -99,7 +101,7 @@
     if (tied.length === 0) return undefined;
     const chosen = random.pick(this.source, tied);
     const predictedMs = predicted(job, chosen, now);
-    return { target: chosen.name, enginePriority: NEUTRAL_PRIORITY, predictedMs };
+    return { target: chosen.name, enginePriority: NEUTRAL_PRIORITY, needsRoom: false, predictedMs };
   }
 }
 
@@ -119,7 +121,7 @@
     if (free.length === 0) return undefined;
     const chosen = random.pick(this.source, free);
     const predictedMs = predicted(job, chosen, now);
-    return { target: chosen.name, enginePriority: NEUTRAL_PRIORITY, predictedMs };
+    return { target: chosen.name, enginePriority: NEUTRAL_PRIORITY, needsRoom: false, predictedMs };
   }
 }
 
@@ -132,7 +134,8 @@
     const chosen = least(able, (candidate) => predicted(job, candidate, now));
     if (chosen === undefined) return undefined;
     const enginePriority = ENGINE_PRIORITY[job.band];
-    return { target: chosen.name, enginePriority, predictedMs: predicted(job, chosen, now) };
+    const predictedMs = predicted(job, chosen, now);
+    return { target: chosen.name, enginePriority, needsRoom: false, predictedMs };
   }
 }
 
@@ -149,27 +152,27 @@
   }
 }
 
-/** How the elastic policy holds back and compares. */
+/** How the elastic policy holds back. */
 export interface ElasticOptions {
   /** Most predicted waiting on a target, in milliseconds, at which it still gets a request. */
   windowMs: band.PerBand<number>;
-  /** Cost put on a target of a longer band for a short request: the chunk it may wait out. */
-  strangerMs: number;
 }
 
 export const DEFAULT_ELASTIC: ElasticOptions = {
-  windowMs: { short: 400, medium: 800, long: 1_000 },
-  strangerMs: 40,
+  windowMs: { short: 400, medium: 2_000, long: 2_000 },
 };
 
+/** Predictions this close together, as a share and in milliseconds, count as equal. */
+const TIE = { share: 0.02, ms: 0.5 };
+
 /**
- * Targets are split into bands sized by demand; a request goes to its own band, or to one of a longer
- * band where that is predicted to be sooner, never to one of a shorter band. Within reach it takes
- * the better of the best two found, with ties at random, so that daemons with the same stale view
- * don't all run to the same target.
+ * A reserve of targets is kept clear of medium and long prompts; the rest is shared by all, with engine
+ * priorities. A request goes where its first token is predicted soonest, the step under way there
+ * included. Longer ones wait in the daemon until a target is nearly free (late binding). Near ties are
+ * broken at random, so that daemons with the same stale view don't all run to the same target.
  */
-export class ElasticBands implements Policy {
-  readonly name: string = 'elasticBands';
+export class ElasticReserve implements Policy {
+  readonly name: string = 'elasticReserve';
 
   constructor(
     private readonly source: random.Random,
@@ -177,29 +180,44 @@
   ) {}
 
   place(job: Job, candidates: readonly Candidate[], now: number): Placement | undefined {
-    const able = this.reachable(job, candidates);
+    const able = this.withRoom(job, this.reachable(job, candidates), now);
     const scored = able.map((candidate) => ({ candidate, cost: this.cost(job, candidate, now) }));
     const bestCost = Math.min(...scored.map(({ cost }) => cost));
-    const near = scored.filter(({ cost }) => cost <= bestCost * 1.02 + 0.5);
+    const near = scored.filter(({ cost }) => cost <= bestCost * (1 + TIE.share) + TIE.ms);
     if (near.length === 0) return undefined;
     const { candidate } = random.pick(this.source, near);
-    if (candidate.estimate.aheadMs(job.band, now) > this.options.windowMs[job.band]) {
-      return undefined;
-    }
+    if (this.isFull(job.band, candidate, now)) return undefined;
     const enginePriority = ENGINE_PRIORITY[job.band];
-    return { target: candidate.name, enginePriority, predictedMs: predicted(job, candidate, now) };
+    const predictedMs = predicted(job, candidate, now);
+    return { target: candidate.name, enginePriority, needsRoom: true, predictedMs };
+  }
+
+  /** A long prompt waits for long ones only: shorter ones pass it on the engine all the time. */
+  private isFull(inBand: band.Band, { estimate: belief }: Candidate, now: number): boolean {
+    const waiting = inBand === 'long' ? belief.knownMs('long', now) : belief.aheadMs(inBand, now);
+    return waiting > this.options.windowMs[inBand];
   }
 
   private reachable(job: Job, candidates: readonly Candidate[]): Candidate[] {
-    const wanted = band.BANDS.indexOf(job.band);
     const able = candidates.filter((candidate) => fits(job, candidate));
-    const own = able.filter((candidate) => band.BANDS.indexOf(candidate.band) >= wanted);
-    // With every target of the bands gone, a slow answer is better than none.
-    return own.length > 0 ? own : able;
+    if (job.band === 'short') return able;
+    const open = able.filter(({ reserved }) => !reserved);
+    // With every other target gone, the reserve is better than nothing.
+    return open.length > 0 ? open : able;
+  }
+
+  /**
+   * Those with memory for it now. An engine that lacks it would hold the request in its own queue,
+   * where no other engine that frees memory sooner can take it.
+   */
+  private withRoom(job: Job, candidates: readonly Candidate[], now: number): readonly Candidate[] {
+    const roomy = candidates.filter(
+      ({ estimate: belief }) => belief.freeTokens(now) >= job.memoryTokens,
+    );
+    return roomy.length > 0 || job.band !== 'short' ? roomy : candidates;
   }
 
   private cost(job: Job, candidate: Candidate, now: number): number {
-    const stranger = candidate.band !== job.band && candidate.estimate.totalMs(now) > 0;
-    return predicted(job, candidate, now) + (stranger ? this.options.strangerMs : 0);
+    return predicted(job, candidate, now) + candidate.estimate.residualMs(job.band, now);
   }
 }
--- /dev/null
+++ b/packages/measure/src/mixed/eventQueue.ts
@@ -0,0 +1,73 @@
+/** Events of a virtual clock in order of time: a binary heap, ties in order of insertion. */
+
+interface Entry {
+  at: number;
+  order: number;
+  action: () => void;
+}
+
+function isBefore(a: Entry, b: Entry): boolean {
+  return a.at < b.at || (a.at === b.at && a.order < b.order);
+}
+
+export class EventQueue {
+  private readonly heap: Entry[] = [];
+
+  private inserted = 0;
+
+  now = 0;
+
+  get size(): number {
+    return this.heap.length;
+  }
+
+  at(time: number, action: () => void): void {
+    this.inserted += 1;
+    this.heap.push({ at: Math.max(time, this.now), order: this.inserted, action });
+    this.siftUp(this.heap.length - 1);
+  }
+
+  /** Runs the next event and moves the clock to it. */
+  next(): void {
+    const first = this.heap[0];
+    const last = this.heap.pop();
+    if (first === undefined || last === undefined) return;
+    if (this.heap.length > 0) {
+      this.heap[0] = last;
+      this.siftDown(0);
+    }
+    this.now = first.at;
+    first.action();
+  }
+
+  private siftUp(start: number): void {
+    let child = start;
+    while (child > 0) {
+      const parent = Math.floor((child - 1) / 2);
+      if (!isBefore(this.heap[child] as Entry, this.heap[parent] as Entry)) return;
+      this.swap(child, parent);
+      child = parent;
+    }
+  }
+
+  private siftDown(start: number): void {
+    let parent = start;
+    for (;;) {
+      const left = parent * 2 + 1;
+      if (left >= this.heap.length) return;
+      const right = left + 1;
+      const rightFirst =
+        right < this.heap.length && isBefore(this.heap[right] as Entry, this.heap[left] as Entry);
+      const child = rightFirst ? right : left;
+      if (!isBefore(this.heap[child] as Entry, this.heap[parent] as Entry)) return;
+      this.swap(child, parent);
+      parent = child;
+    }
+  }
+
+  private swap(a: number, b: number): void {
+    const kept = this.heap[a] as Entry;
+    this.heap[a] = this.heap[b] as Entry;
+    this.heap[b] = kept;
+  }
+}
--- /dev/null
+++ b/packages/measure/src/statistics.ts
@@ -0,0 +1,35 @@
+/** Percentiles and straight lines through measured points. */
+import * as hdr from 'hdr-histogram-js';
+
+export interface Percentiles {
+  p50: number;
+  p95: number;
+  p99: number;
+  count: number;
+}
+
+/** Recorded in hundredths, as the histogram holds whole numbers. */
+const SCALE = 100;
+
+export function percentiles(values: readonly number[]): Percentiles {
+  const histogram = hdr.build({ numberOfSignificantValueDigits: 3 });
+  values.forEach((value) => histogram.recordValue(Math.max(1, Math.round(value * SCALE))));
+  const at = (share: number): number => histogram.getValueAtPercentile(share) / SCALE;
+  return { p50: at(50), p95: at(95), p99: at(99), count: values.length };
+}
+
+export interface Fit {
+  slope: number;
+  intercept: number;
+}
+
+/** Least squares through points (x, y). */
+export function fit(points: readonly { x: number; y: number }[]): Fit {
+  const n = points.length;
+  const meanX = points.reduce((sum, { x }) => sum + x, 0) / n;
+  const meanY = points.reduce((sum, { y }) => sum + y, 0) / n;
+  const covariance = points.reduce((sum, { x, y }) => sum + (x - meanX) * (y - meanY), 0);
+  const variance = points.reduce((sum, { x }) => sum + (x - meanX) ** 2, 0);
+  const slope = variance === 0 ? 0 : covariance / variance;
+  return { slope, intercept: meanY - slope * meanX };
+}
--- a/packages/standins/src/engine/engineModel.ts
+++ b/packages/standins/src/engine/engineModel.ts
@@ -31,6 +31,9 @@
   at: number;
 }
 
+/** Every so many tokens of a stream carry the engine's load. */
+export const REPORT_EVERY = 16;
+
 interface Running {
   job: Job;
   arrival: number;
@@ -67,6 +70,12 @@
     this.noteLoad(now);
   }
 
+  /** Whether the request could start at the next step, with all that wait already. */
+  hasRoom(job: Job): boolean {
+    const waiting = this.queue.reduce((sum, queued) => sum + this.ownTokens(queued.job), 0);
+    return this.freeTokens() - waiting >= this.ownTokens(job);
+  }
+
   /** Ends a request wherever it is; true if it was here. */
   cancel(id: string, now: number): boolean {
     const queued = this.queue.length;
@@ -172,7 +181,7 @@
     const matched = this.cache.match(job.prefixKeys);
     const pinned = job.prefixKeys.slice(0, matched);
     const cached = Math.min(job.promptTokens - 1, matched * prefixCache.BLOCK_TOKENS);
-    const ownTokens = Math.max(0, job.promptTokens + job.answerTokens - cached - job.remoteTokens);
+    const ownTokens = this.ownTokens(job);
     this.cache.pin(pinned);
     if (this.freeTokens() < ownTokens) {
       this.cache.unpin(pinned);
@@ -183,6 +192,12 @@
     return true;
   }
 
+  private ownTokens({ prefixKeys, promptTokens, answerTokens, remoteTokens }: Job): number {
+    const matched = this.cache.match(prefixKeys) * prefixCache.BLOCK_TOKENS;
+    const cached = Math.min(promptTokens - 1, matched);
+    return Math.max(0, promptTokens + answerTokens - cached - remoteTokens);
+  }
+
   private planStep(): number {
     const { stepTokens, stepBaseMs, tokenMs, attentionTokens, streamMs } = this.options;
     let budget = stepTokens;
--- a/packages/standins/src/engine/engineServer.ts
+++ b/packages/standins/src/engine/engineServer.ts
@@ -285,7 +285,8 @@
     const position = token.position + stream.body.resumeFrom;
     const { loadLagMs } = this.options.parameters;
     const edge = token.position === 0 || token.last;
-    const load = edge ? { ...this.model.load(Date.now()), ageMs: loadLagMs } : undefined;
+    const reports = edge || token.position % engineModel.REPORT_EVERY === 0;
+    const load = reports ? { ...this.model.load(Date.now()), ageMs: loadLagMs } : undefined;
     const promptTokens = Math.ceil(stream.body.prompt.length / BYTES_PER_TOKEN);
     const frame = `data: ${JSON.stringify({
       request: stream.crossed ? `${token.id}-other` : token.id,
--- a/packages/standins/src/engine/parameters.ts
+++ b/packages/standins/src/engine/parameters.ts
@@ -24,10 +24,10 @@
 }
 
 export const DEFAULT_PARAMETERS: Parameters = {
-  memoryTokens: 420_000,
-  stepTokens: 4_096,
+  memoryTokens: 450_000,
+  stepTokens: 3_072,
   stepBaseMs: 10,
-  tokenMs: 0.008,
+  tokenMs: 0.012,
   attentionTokens: 200_000,
   streamMs: 0.06,
   maxStreams: 256,
