--- a/packages/daemon/src/control/controlPlane.ts
+++ b/packages/daemon/src/control/controlPlane.ts
@@ -268,10 +268,18 @@
   }
 
   private changed(): void {
+    if (this.host?.isLeader === true) this.countSelf();
     this.upstream.changed();
     this.options.onChange();
   }
 
+  /** The leader follows nobody, so it counts itself among those that hold the view. */
+  private countSelf(): void {
+    const { name: id } = this.options.configuration;
+    const contact = { id, index: this.view.index, ageMs: 0 };
+    this.contacts.take([contact], this.options.now());
+  }
+
   private replicaAddresses(): string[] {
     const { seeds } = this.options.configuration;
     const known = [...this.view.daemons.values()].filter(({ replica }) => replica !== '');
@@ -319,12 +327,11 @@
 
   private async duties(): Promise<void> {
     const now = this.options.now();
-    const { host, view } = this;
+    const { host } = this;
     if (host?.hasFreshState() === true) {
       if (this.leaderSince === 0) this.leaderSince = now;
       this.freshness.confirm(now);
-      const self = this.options.configuration.name;
-      this.contacts.take([{ id: self, index: view.index, ageMs: 0 }], now);
+      this.countSelf();
     } else this.leaderSince = 0;
     this.replicas?.hosts.forEach((each) => this.repairer?.step(each));
     if (this.busy) return;
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -404,6 +404,8 @@
   }
 
   private daemonsChanged(): void {
+    const { all } = this.liveDaemons();
+    this.router.setPosition(Math.max(0, all.sort().indexOf(this.settings.name)), all.length);
     this.members.detector
       .list()
       .filter(({ status }) => status === 'dead' || status === 'leaving')
--- a/packages/daemon/src/requests/execution.ts
+++ b/packages/daemon/src/requests/execution.ts
@@ -62,6 +62,7 @@
   retryAfterMs: number;
   /** The target itself is at fault; a planned stop or a gone caller is not. */
   blame: boolean;
+  noRoom?: adapter.AgedLoad;
 }
 
 const BLAMELESS: readonly Fault[] = ['callerGone', 'deadline', 'targetStopped', 'refused'];
@@ -138,15 +139,33 @@
         continue;
       }
       if (typeof dispatch === 'string') return Err(this.notDispatched(dispatch));
-      this.target = dispatch.target.name;
-      const failure = await this.attempt(id, dispatch);
+      const { last, failure } = await this.attemptWithRoom(id, dispatch);
       this.parts.router.ended(id);
-      if (failure === undefined) return Ok(this.whole(dispatch));
+      if (failure === undefined) return Ok(this.whole(last));
       const given = await this.afterFailure(failure);
       if (given !== undefined) return Err(given);
     }
   }
 
+  /** An engine without room ran nothing, so the request goes back to its place in the queue. */
+  private async attemptWithRoom(
+    id: string,
+    first: Dispatch,
+  ): Promise<{ last: Dispatch; failure: Failure | undefined }> {
+    let last = first;
+    for (;;) {
+      this.target = last.target.name;
+      const failure = await this.attempt(id, last);
+      if (failure?.noRoom === undefined) return { last, failure };
+      const next = await this.parts.router.refused(id, failure.noRoom);
+      if (typeof next === 'string') {
+        const fault = this.stopReason ?? 'deadline';
+        return { last, failure: this.failure(last.target.name, 'refusedByTarget', fault, 0) };
+      }
+      last = next;
+    }
+  }
+
   private endedEarly(): errors.RequestError | undefined {
     if (this.sink.gone.aborted)
       return this.failed('callerGone', 'the caller closed the connection');
@@ -202,7 +221,8 @@
     this.check.continueAs(id);
     this.parts.holdings.hold(target, id, 'stream');
     const failure = await this.stream(id, dispatch, gathered.val);
-    if (failure === undefined) this.parts.holdings.holdings.confirmed(target.name, id);
+    const nothingHeld = failure === undefined || failure.noRoom !== undefined;
+    if (nothingHeld) this.parts.holdings.holdings.confirmed(target.name, id);
     else this.parts.holdings.release(target.name, id);
     this.parts.gatherer.giveBack(id, gathered.val);
     return failure;
@@ -210,7 +230,7 @@
 
   private async stream(
     id: string,
-    { target, enginePriority }: Dispatch,
+    { target, enginePriority, needsRoom }: Dispatch,
     reservations: readonly domain.memory.gathering.Part[],
   ): Promise<Failure | undefined> {
     const { model, prompt, answerTokens, prefixKeys } = this.prompt;
@@ -227,6 +247,7 @@
         prefixKeys,
         owner: this.parts.owner(),
         reservations,
+        needsRoom,
       },
       this.abort.signal,
     );
@@ -236,7 +257,8 @@
 
   private openFailure(target: string, error: targetErrors.TargetError): Failure {
     const fault = this.stopReason ?? error.fault;
-    return this.failure(target, error.progress, fault, error.retryAfterMs);
+    const failure = this.failure(target, error.progress, fault, error.retryAfterMs);
+    return this.stopReason === undefined ? { ...failure, noRoom: error.noRoom } : failure;
   }
 
   private async readAll(
--- a/packages/daemon/src/requests/gatherer.ts
+++ b/packages/daemon/src/requests/gatherer.ts
@@ -43,7 +43,8 @@
     signal: AbortSignal,
   ): Promise<Result<Part[], GatherError>> {
     const tokens = request.promptTokens + request.answerTokens;
-    if (tokens <= primary.memoryTokens) return Ok([]);
+    const share = domain.routing.dispatcher.PRIMARY_SHARE;
+    if (tokens <= Math.floor(primary.memoryTokens * share)) return Ok([]);
     const { now, random } = this.options;
     while (!signal.aborted && now() < request.deadline) {
       const others = this.options.engines().filter(({ name }) => name !== primary.name);
--- a/packages/daemon/src/requests/router.ts
+++ b/packages/daemon/src/requests/router.ts
@@ -84,6 +84,22 @@
     });
   }
 
+  /** The engine had no room; the request waits again, and this resolves to its next target. */
+  async refused(id: string, load: adapter.AgedLoad): Promise<Dispatch | Ended> {
+    const now = this.options.now();
+    const { ageMs, ...report } = load;
+    return new Promise((resolve) => {
+      this.waiters.set(id, resolve);
+      this.dispatcher.refused(id, { ...report, measuredAt: now - ageMs }, now);
+      this.poll();
+    });
+  }
+
+  /** Where this daemon stands among the live ones. */
+  setPosition(index: number, count: number): void {
+    this.dispatcher.setPosition(index, count);
+  }
+
   withdraw(id: string): void {
     if (this.dispatcher.withdraw(id)) this.wake(id, 'withdrawn');
   }
@@ -98,10 +114,10 @@
     this.poll();
   }
 
-  load(target: string, load: NonNullable<adapter.EngineFrame['load']>): void {
+  load(target: string, load: adapter.AgedLoad): void {
     const now = this.options.now();
     const { ageMs, ...report } = load;
-    this.dispatcher.reported(target, { ...report, measuredAt: now - ageMs }, now);
+    this.dispatcher.reported(target, { ...report, measuredAt: now - ageMs });
   }
 
   succeeded(target: string): void {
--- a/packages/daemon/src/targets/adapter.ts
+++ b/packages/daemon/src/targets/adapter.ts
@@ -22,10 +22,20 @@
   prefixKeys: readonly number[];
   owner: domain.memory.holding.Owner;
   reservations: readonly domain.memory.gathering.Part[];
+  /** The engine refuses at once, as not run, if it has no memory for it now. */
+  needsRoom: boolean;
+}
+
+/** An engine's load, measured `ageMs` before it was sent. */
+export interface AgedLoad {
+  queuedTokens: number;
+  streams: number;
+  freeTokens: number;
+  ageMs: number;
 }
 
 export interface EngineFrame extends domain.request.stream.Frame {
-  load?: { queuedTokens: number; streams: number; freeTokens: number; ageMs: number };
+  load?: AgedLoad;
   promptTokens?: number;
 }
 
--- a/packages/daemon/src/targets/errors.ts
+++ b/packages/daemon/src/targets/errors.ts
@@ -1,5 +1,6 @@
 /** Errors of calls to targets, with what they prove about whether the call ran. */
 import type * as domain from '@celerydrift/domain';
+import type * as adapter from './adapter';
 
 export interface TargetError {
   progress: domain.request.outcome.Progress;
@@ -7,4 +8,6 @@
   detail: string;
   /** What the target asked to wait, in milliseconds; 0 if it said nothing. */
   retryAfterMs: number;
+  /** Set when an engine refused for lack of memory: its load at that moment. */
+  noRoom?: adapter.AgedLoad;
 }
--- a/packages/daemon/src/targets/httpAdapter.ts
+++ b/packages/daemon/src/targets/httpAdapter.ts
@@ -14,6 +14,8 @@
 interface Refused {
   error?: string;
   notRun?: boolean;
+  /** Load of an engine that refused for lack of memory. */
+  noRoom?: adapter.AgedLoad;
 }
 
 interface Waiter {
@@ -89,7 +91,7 @@
 
 function refusal(
   status: number,
-  { error, notRun }: Refused,
+  { error, notRun, noRoom }: Refused,
   retryAfter: string,
 ): errors.TargetError {
   return {
@@ -97,6 +99,7 @@
     fault: 'refused',
     detail: `${status} ${error ?? ''}`.trim(),
     retryAfterMs: Number(retryAfter || 0) * 1_000,
+    noRoom,
   };
 }
 
--- a/packages/domain/src/routing/band.ts
+++ b/packages/domain/src/routing/band.ts
@@ -36,7 +36,7 @@
   hysteresis: number;
 }
 
-export const DEFAULT_PLAN: Plan = { shortHeadroom: 1.3, otherHeadroom: 1.25, hysteresis: 0.75 };
+export const DEFAULT_PLAN: Plan = { shortHeadroom: 2, otherHeadroom: 1.25, hysteresis: 0.75 };
 
 /**
  * Size of the reserve among `count` targets, moving from `current` only where the wish is further away
--- a/packages/domain/src/routing/dispatcher.ts
+++ b/packages/domain/src/routing/dispatcher.ts
@@ -122,6 +122,11 @@
 
   private reserve = new Set<string>();
 
+  /** Place of each target on the circle on which daemons take their preferences, from 0 to 1. */
+  private circle = new Map<string, number>();
+
+  private offset = 0;
+
   private plannedAt = -Infinity;
 
   constructor(
@@ -156,6 +161,14 @@
     return new estimate.Estimate(new cost.Cost(this.sharedCost), memoryTokens);
   }
 
+  /**
+   * Where this daemon stands among the `count` live ones. Each prefers other targets, evenly spread:
+   * its own dispatches it knows exactly, those of the others only late.
+   */
+  setPosition(index: number, count: number): void {
+    this.offset = count > 0 ? index / count : 0;
+  }
+
   /** Targets whose circuit is open get nothing until it closes. */
   setBroken(name: string, broken: boolean): void {
     if (broken) this.broken.add(name);
@@ -216,12 +229,12 @@
     const running = this.running.get(id);
     if (running === undefined) return;
     this.ended(id, now);
-    this.targets.get(running.target)?.belief.reported(report, now);
+    this.targets.get(running.target)?.belief.reported(report);
     this.queues[running.waiting.band].putBack(running.waiting, running.start);
   }
 
-  reported(name: string, report: estimate.Report, now: number): void {
-    this.targets.get(name)?.belief.reported(report, now);
+  reported(name: string, report: estimate.Report): void {
+    this.targets.get(name)?.belief.reported(report);
   }
 
   peersReported(name: string, outstanding: estimate.Outstanding, now: number): void {
@@ -265,7 +278,7 @@
     if (candidates.length === 0) return 'noTarget';
     const soonest = Math.min(
       ...candidates.map(({ estimate: belief }) =>
-        belief.cost.serviceMs(inBand, request.promptTokens),
+        belief.costs.serviceMs(inBand, request.promptTokens),
       ),
     );
     // Half the belief, since it is a guess: refusing what could have been served is the worse error.
@@ -283,10 +296,16 @@
         distanceMs: announced.dataCentre === this.dataCentre ? 0 : this.options.remoteMs,
         cachedTokens: this.prefixes.cachedTokens(announced.name, request.prefixKeys),
         reserved: this.reserve.has(announced.name),
+        preference: this.preferenceOf(announced.name),
         memoryTokens: announced.memoryTokens,
       }));
   }
 
+  private preferenceOf(name: string): number {
+    const place = this.circle.get(name) ?? 0;
+    return (place - this.offset + 1) % 1;
+  }
+
   private drain(inBand: band.Band, now: number): Dispatch[] {
     const dispatches: Dispatch[] = [];
     const queue = this.queues[inBand];
@@ -331,7 +350,7 @@
     this.demandSince ??= now;
     const beliefs = [...this.targets.values()];
     const total = beliefs.reduce(
-      (sum, { belief }) => sum + belief.cost.serviceMs(inBand, tokens),
+      (sum, { belief }) => sum + belief.costs.serviceMs(inBand, tokens),
       0,
     );
     this.demand[inBand] += total / Math.max(1, beliefs.length);
@@ -367,6 +386,13 @@
     // All daemons rank the same names alike, so they agree on the reserve without asking, but for the
     // targets next to its border while their views of demand differ.
     const ranked = hashing.rendezvous(this.hash, 'reserve', names);
-    this.reserve = new Set(ranked.slice(0, this.reserveSize));
+    const reserved = ranked.slice(0, this.reserveSize);
+    const open = ranked.slice(this.reserveSize);
+    this.reserve = new Set(reserved);
+    this.circle = new Map(
+      [reserved, open].flatMap((part) =>
+        part.map((name, i): [string, number] => [name, i / part.length]),
+      ),
+    );
   }
 }
--- a/packages/domain/src/routing/estimate.ts
+++ b/packages/domain/src/routing/estimate.ts
@@ -5,7 +5,7 @@
  * summaries of theirs (a second old), and what a report held beyond both when it was made (unseen).
  */
 import * as band from './band';
-import * as cost from './cost';
+import type * as cost from './cost';
 
 /** A dispatched request that has shown no token yet. */
 interface Pending {
@@ -70,7 +70,7 @@
   private history: Total[] = [];
 
   constructor(
-    readonly cost: cost.Cost,
+    readonly costs: cost.Cost,
     private readonly memoryTokens: number,
   ) {}
 
@@ -128,7 +128,7 @@
     if (entry === undefined) return;
     this.pending.delete(id);
     this.remember(now);
-    this.cost.learn(entry.band, entry.tokens, now - entry.dispatchedAt, entry.aheadMs);
+    this.costs.learn(entry.band, entry.tokens, now - entry.dispatchedAt, entry.aheadMs);
   }
 
   ended(id: string, now: number): void {
@@ -142,13 +142,14 @@
     this.peersAt = now;
   }
 
-  reported(report: Report, now: number): void {
+  reported(report: Report): void {
     if (this.report !== undefined && report.measuredAt < this.report.measuredAt) return;
     this.report = report;
     const { short, medium, long } = this.peers;
     const known = this.ownAt(report.measuredAt) + short + medium + long;
     this.unseen = Math.max(0, report.queuedTokens - known);
-    this.unseenAt = now;
+    // The engine has worked on it since the measurement, not only since the report's arrival.
+    this.unseenAt = report.measuredAt;
   }
 
   /**
@@ -164,7 +165,7 @@
 
   /** Known waiting work of one band alone, in milliseconds. */
   knownMs(inBand: band.Band, now: number): number {
-    const perToken = this.cost.perToken(inBand);
+    const perToken = this.costs.perToken(inBand);
     const own = this.outstanding()[inBand] * perToken;
     // What peers told drains as the engine works on it, one millisecond each millisecond at best.
     const peers = this.peers[inBand] * perToken;
@@ -180,7 +181,7 @@
     const running = longer.find((each) => this.knownMs(each, now) > 0);
     const lump = this.unseen > LONG_LUMP_TOKENS && inBand !== 'long' ? 'long' : undefined;
     const worst = running ?? lump;
-    return worst === undefined ? 0 : (CHUNK_TOKENS / 2) * this.cost.perToken(worst);
+    return worst === undefined ? 0 : (CHUNK_TOKENS / 2) * this.costs.perToken(worst);
   }
 
   /**
@@ -189,7 +190,7 @@
    */
   private unseenMs(inBand: band.Band, now: number): number {
     if (inBand !== 'long' && this.unseen > LONG_LUMP_TOKENS) return 0;
-    const ms = this.unseen * this.cost.perToken('medium');
+    const ms = this.unseen * this.costs.perToken('medium');
     return Math.max(0, ms - Math.max(0, now - this.unseenAt));
   }
 
--- a/packages/domain/src/routing/policy.ts
+++ b/packages/domain/src/routing/policy.ts
@@ -27,6 +27,8 @@
   cachedTokens: number;
   /** In the reserve that is kept clear of longer work. */
   reserved: boolean;
+  /** From 0, the daemon's own favourite, to 1. */
+  preference: number;
   memoryTokens: number;
 }
 
@@ -57,7 +59,7 @@
 /** Predicted milliseconds until the first token. */
 function predicted(job: Job, { estimate: belief, ...candidate }: Candidate, now: number): number {
   const uncached = Math.max(0, job.tokens - candidate.cachedTokens);
-  const service = belief.cost.serviceMs(job.band, uncached);
+  const service = belief.costs.serviceMs(job.band, uncached);
   return belief.aheadMs(job.band, now) + service + candidate.distanceMs;
 }
 
@@ -156,10 +158,13 @@
 export interface ElasticOptions {
   /** Most predicted waiting on a target, in milliseconds, at which it still gets a request. */
   windowMs: band.PerBand<number>;
+  /** Cost put on the least preferred target, in milliseconds. */
+  preferenceMs: number;
 }
 
 export const DEFAULT_ELASTIC: ElasticOptions = {
   windowMs: { short: 400, medium: 2_000, long: 2_000 },
+  preferenceMs: 10,
 };
 
 /** Predictions this close together, as a share and in milliseconds, count as equal. */
@@ -218,6 +223,8 @@
   }
 
   private cost(job: Job, candidate: Candidate, now: number): number {
-    return predicted(job, candidate, now) + candidate.estimate.residualMs(job.band, now);
+    const { preference, estimate: belief } = candidate;
+    const bias = preference * this.options.preferenceMs;
+    return predicted(job, candidate, now) + belief.residualMs(job.band, now) + bias;
   }
 }
--- /dev/null
+++ b/packages/measure/src/faults/faults.ts
@@ -0,0 +1,314 @@
+/**
+ * Scenario `faults`: each failure of the brief under load, alone, together and twice, on real
+ * processes; then counts of everything that must not happen, and how long recovery took.
+ */
+import * as client from '../client';
+import * as fleet from '../fleet';
+import * as teams from '../teams';
+import * as workers from './workers';
+
+export interface Result {
+  hung: number;
+  wrong: number;
+  cut: number;
+  ranTwice: number;
+  notRunButRan: number;
+  holdingsLeft: number;
+  /** Settings accepted during the faults and missing at the end. */
+  settingsLost: number;
+  /** Requests that lost their connection to a daemon under a planned stop. */
+  cutByPlannedStop: number;
+  /** From the fault until short prompts complete through all live entries, the fault still there. */
+  recoverySeconds: Record<string, number>;
+  holdingsZeroSeconds: number;
+  counts: workers.Counts;
+  errors: Record<string, number>;
+}
+
+interface Step {
+  name: string;
+  inject: (target: fleet.Fleet) => Promise<void>;
+  /** What ends the fault, if the system can't. */
+  heal?: (target: fleet.Fleet) => Promise<void>;
+  /** Time under the fault, in milliseconds. */
+  lastsMs: number;
+}
+
+/** Engines ten times as fast as the usual stand-in, so that many requests meet each fault. */
+const FAST = { tokenMs: 0.0012, stepBaseMs: 2 };
+
+const ENGINES = ['engine-1', 'engine-2', 'engine-3', 'engine-4'];
+
+const PROBE_TOKENS = 3;
+
+async function leaderOf(target: fleet.Fleet): Promise<string> {
+  for (const [entry, { name }] of target.plans.entries()) {
+    const answer = await target
+      .operatorCall<{ replicaState?: string }>('GET', 'status', undefined, entry)
+      .catch(() => undefined);
+    if (answer?.content.replicaState === 'leader') return name;
+  }
+  return target.plans[0]?.name ?? '';
+}
+
+async function restartEngine(target: fleet.Fleet, name: string): Promise<void> {
+  await target.startEngine({ name, parameters: FAST });
+}
+
+async function killEngine(target: fleet.Fleet, name: string): Promise<void> {
+  await target.standIns.get(name)?.process.kill();
+}
+
+/** Daemons killed by a step, to be started again when it ends. */
+const killed: string[] = [];
+
+async function killDaemon(target: fleet.Fleet, name: string): Promise<void> {
+  await target.daemon(name).kill();
+  killed.push(name);
+}
+
+async function restartKilled(target: fleet.Fleet): Promise<void> {
+  killed.splice(0).forEach((name) => target.startDaemon(name));
+}
+
+function fault(kind: string, count = 1, delayMs = 0): unknown {
+  return { kind, count, delayMs };
+}
+
+const STEPS: readonly Step[] = [
+  {
+    name: 'engineKilled',
+    inject: (target) => killEngine(target, 'engine-1'),
+    heal: (target) => restartEngine(target, 'engine-1'),
+    lastsMs: 1_500,
+  },
+  {
+    name: 'connectionsSilent',
+    inject: async (target) => {
+      await target.standInCall('engine-2', '/fault', fault('silent'));
+    },
+    lastsMs: 3_000,
+  },
+  {
+    name: 'answersCrossed',
+    inject: async (target) => {
+      await target.standInCall('engine-3', '/fault', fault('cross', 5));
+    },
+    lastsMs: 1_000,
+  },
+  {
+    name: 'streamsCut',
+    inject: async (target) => {
+      await target.standInCall('engine-3', '/fault', fault('cut', 5));
+    },
+    lastsMs: 1_000,
+  },
+  {
+    name: 'answersLate',
+    inject: async (target) => {
+      await target.standInCall('engine-4', '/fault', fault('late', 5, 1_000));
+    },
+    lastsMs: 1_500,
+  },
+  {
+    name: 'serviceCutsAnswers',
+    inject: async (target) => {
+      await target.standInCall('parts-1', '/fault', fault('cut', 3));
+      await target.standInCall('parts-2', '/fault', fault('refuse', 5));
+    },
+    lastsMs: 1_000,
+  },
+  {
+    name: 'engineFrozen',
+    inject: async (target) => target.standIns.get('engine-1')?.process.signal('SIGSTOP'),
+    heal: async (target) => target.standIns.get('engine-1')?.process.signal('SIGCONT'),
+    lastsMs: 4_000,
+  },
+  {
+    name: 'leaderKilled',
+    inject: async (target) => killDaemon(target, await leaderOf(target)),
+    heal: restartKilled,
+    lastsMs: 2_500,
+  },
+  {
+    name: 'leaderFrozen',
+    inject: async (target) => {
+      const leader = await leaderOf(target);
+      target.daemon(leader).signal('SIGSTOP');
+      killed.push(leader);
+    },
+    heal: async (target) => {
+      killed.splice(0).forEach((name) => target.daemon(name).signal('SIGCONT'));
+    },
+    lastsMs: 4_000,
+  },
+  {
+    name: 'diskLost',
+    inject: async (target) => {
+      await killDaemon(target, 'vm-2');
+      target.wipe('vm-2');
+    },
+    heal: restartKilled,
+    lastsMs: 500,
+  },
+  {
+    name: 'engineAndDaemonKilled',
+    inject: async (target) => {
+      await Promise.all([killEngine(target, 'engine-3'), killDaemon(target, 'vm-5')]);
+    },
+    heal: async (target) => {
+      await restartEngine(target, 'engine-3');
+      await restartKilled(target);
+    },
+    lastsMs: 2_000,
+  },
+  {
+    name: 'engineKilledTwice',
+    inject: async (target) => {
+      await killEngine(target, 'engine-4');
+      await restartEngine(target, 'engine-4');
+      await fleet.sleep(400);
+      await killEngine(target, 'engine-4');
+    },
+    heal: (target) => restartEngine(target, 'engine-4'),
+    lastsMs: 500,
+  },
+  {
+    name: 'plannedStopOfDaemon',
+    inject: async (target) => {
+      await target.daemon('vm-4').kill('SIGTERM');
+      killed.push('vm-4');
+    },
+    heal: restartKilled,
+    lastsMs: 200,
+  },
+];
+
+/** Whether short prompts complete through every live entry. */
+async function isHealthy(target: fleet.Fleet, team: teams.Team): Promise<boolean> {
+  const live = target.plans.filter(({ name }) => !killed.includes(name));
+  const results = await Promise.all(
+    live.map(({ ports }, i) =>
+      client.complete({
+        entry: `http://127.0.0.1:${ports.callers}`,
+        key: team.key,
+        model: team.model,
+        prompt: client.promptOf(1_000, `probe${i}`),
+        answerTokens: PROBE_TOKENS,
+        deadlineMs: 1_500,
+        signal: AbortSignal.timeout(2_000),
+      }),
+    ),
+  );
+  return results.every(({ whole }) => whole);
+}
+
+async function recover(target: fleet.Fleet, team: teams.Team, since: number): Promise<number> {
+  while (Date.now() - since < 30_000) {
+    if (await isHealthy(target, team)) break;
+    await fleet.sleep(50);
+  }
+  return (Date.now() - since) / 1_000;
+}
+
+async function holdings(target: fleet.Fleet): Promise<number> {
+  const lists = await Promise.all(
+    ENGINES.map((name) =>
+      target.standInCall<{ holdings: { system: string }[] }>(name, '/v1/holdings'),
+    ),
+  );
+  return lists.flatMap((list) => list.holdings).filter(({ system }) => system === 'celerydrift')
+    .length;
+}
+
+async function holdingsAfter(target: fleet.Fleet): Promise<{ left: number; seconds: number }> {
+  const since = Date.now();
+  let left = await holdings(target);
+  while (left > 0 && Date.now() - since < 20_000) {
+    await fleet.sleep(100);
+    left = await holdings(target);
+  }
+  return { left, seconds: (Date.now() - since) / 1_000 };
+}
+
+async function checkCalls(
+  target: fleet.Fleet,
+  calls: readonly workers.Call[],
+): Promise<{ ranTwice: number; notRunButRan: number }> {
+  const runs = await Promise.all(
+    ['parts-1', 'parts-2'].map((name) => target.standInCall<Record<string, number>>(name, '/runs')),
+  );
+  const count = (id: string): number => runs.reduce((sum, each) => sum + (each[id] ?? 0), 0);
+  const ranTwice = calls.filter(({ id }) => count(id) > 1).length;
+  const notRunButRan = calls.filter(({ id, told }) => told === 'not-run' && count(id) > 0).length;
+  return { ranTwice, notRunButRan };
+}
+
+/** Five daemons: three replicas in three data centres, a spare with a disk, one without. */
+export async function startFleet(): Promise<fleet.Fleet> {
+  const target = await fleet.Fleet.plan({
+    daemons: [
+      { dataCentre: 'dc-1', disk: true, founder: true },
+      { dataCentre: 'dc-2', disk: true, founder: true },
+      { dataCentre: 'dc-3', disk: true, founder: true },
+      { dataCentre: 'dc-1', disk: true, founder: false },
+      { dataCentre: 'dc-2', disk: false, founder: false },
+    ],
+    extra: '[timeouts]\nsilence-ms = 500\ndead-replica-ms = 3000\n',
+    logLevel: 'warn',
+  });
+  target.startDaemons();
+  for (const name of ENGINES) await target.startEngine({ name, parameters: FAST });
+  await target.startService('parts-1', 'parts');
+  await target.startService('parts-2', 'parts');
+  return target;
+}
+
+export async function run(say: (line: string) => void): Promise<Result> {
+  const target = await startFleet();
+  const recoverySeconds: Record<string, number> = {};
+  try {
+    await target.apply(teams.FITTERS.name, teams.FITTERS.text, 0);
+    await target.untilReady();
+    await target.untilTargets(ENGINES.length + 2);
+    const load = new workers.Workers(target, teams.FITTERS, '/services/parts/holds', 1);
+    const running = load.run(10, 3);
+    let accepted = 0;
+    const lostIn = new Map<string, number>();
+    for (const step of STEPS) {
+      const since = Date.now();
+      const lostBefore = load.counts.entryLost;
+      await step.inject(target);
+      recoverySeconds[step.name] = await recover(target, teams.FITTERS, since);
+      await fleet.sleep(Math.max(0, step.lastsMs - (Date.now() - since)));
+      // A change in the middle of the fault: whatever is accepted must still be there at the end.
+      await target.apply(`probe-${accepted}`, `; ${step.name}\n`, 0, 15_000);
+      accepted += 1;
+      await step.heal?.(target);
+      await target.untilReady();
+      lostIn.set(step.name, load.counts.entryLost - lostBefore);
+      say(`${step.name}: ${recoverySeconds[step.name]?.toFixed(1)} s`);
+    }
+    load.stop();
+    await running;
+    const { left, seconds } = await holdingsAfter(target);
+    const { content } = await target.operatorCall<{ name: string }[]>('GET', 'subtrees');
+    const kept = content.filter(({ name }) => name.startsWith('probe-')).length;
+    const { hung, wrong, cut } = load.counts;
+    return {
+      hung,
+      wrong,
+      cut,
+      ...(await checkCalls(target, load.calls)),
+      holdingsLeft: left,
+      settingsLost: accepted - kept,
+      cutByPlannedStop: lostIn.get('plannedStopOfDaemon') ?? 0,
+      recoverySeconds,
+      holdingsZeroSeconds: seconds,
+      counts: load.counts,
+      errors: Object.fromEntries(load.errors),
+    };
+  } finally {
+    await target.stopAll();
+  }
+}
--- a/packages/measure/src/fleet.ts
+++ b/packages/measure/src/fleet.ts
@@ -14,7 +14,7 @@
 
 const PEER_SECRET = 'peer-secret-for-measurements';
 
-const TARGET_SECRET = 'target-secret-for-measurements';
+export const TARGET_SECRET = 'target-secret-for-measurements';
 
 export interface Ports {
   callers: number;
--- /dev/null
+++ b/packages/measure/src/measure.ts
@@ -0,0 +1,51 @@
+/** `npm run measure -- SCENARIO [--quick]`: runs a scenario; its last line is one JSON object. */
+import * as fs from 'node:fs';
+import * as domain from '@celerydrift/domain';
+import * as commander from 'commander';
+import * as faults from './faults/faults';
+import * as ledger from './ledger/ledger';
+import * as mixed from './mixed/mixedScenario';
+import * as overhead from './overhead/overhead';
+import * as settings from './settings/settings';
+import * as slopes from './slopes/slopes';
+
+type Say = (line: string) => void;
+
+type Scenario = (quick: boolean, say: Say) => Promise<unknown>;
+
+const SCENARIOS: Record<string, Scenario> = {
+  mixed: async (quick, say) => mixed.run(quick, say, await domain.shared.hashing.load()),
+  overhead: overhead.run,
+  faults: (_quick, say) => faults.run(say),
+  settings: settings.run,
+  ledger: ledger.run,
+  slopes: slopes.run,
+};
+
+/** Folder of the last result of each scenario, for the report. */
+export const MEASURES_FOLDER = 'measures';
+
+async function run(name: string, options: { quick?: boolean }): Promise<void> {
+  const scenario = SCENARIOS[name];
+  if (scenario === undefined) {
+    const known = Object.keys(SCENARIOS).join(', ');
+    process.stderr.write(`measure: no scenario "${name}"; give one of ${known}\n`);
+    process.exit(2);
+  }
+  const say: Say = (line) => {
+    process.stderr.write(`${line}\n`);
+  };
+  const result = await scenario(options.quick === true, say);
+  fs.mkdirSync(MEASURES_FOLDER, { recursive: true });
+  fs.writeFileSync(`${MEASURES_FOLDER}/${name}.json`, `${JSON.stringify(result, null, 1)}\n`);
+  process.stdout.write(`${JSON.stringify(result)}\n`);
+  process.exit(0);
+}
+
+export async function main(argv: readonly string[]): Promise<void> {
+  await new commander.Command('measure')
+    .argument('<scenario>', Object.keys(SCENARIOS).join(', '))
+    .option('--quick', 'within 50 seconds, with fewer samples')
+    .action(run)
+    .parseAsync([...argv]);
+}
--- a/packages/measure/src/mixed/eventQueue.ts
+++ b/packages/measure/src/mixed/eventQueue.ts
@@ -44,7 +44,7 @@
     let child = start;
     while (child > 0) {
       const parent = Math.floor((child - 1) / 2);
-      if (!isBefore(this.heap[child] as Entry, this.heap[parent] as Entry)) return;
+      if (!isBefore(this.heap[child], this.heap[parent])) return;
       this.swap(child, parent);
       child = parent;
     }
@@ -56,18 +56,17 @@
       const left = parent * 2 + 1;
       if (left >= this.heap.length) return;
       const right = left + 1;
-      const rightFirst =
-        right < this.heap.length && isBefore(this.heap[right] as Entry, this.heap[left] as Entry);
+      const rightFirst = right < this.heap.length && isBefore(this.heap[right], this.heap[left]);
       const child = rightFirst ? right : left;
-      if (!isBefore(this.heap[child] as Entry, this.heap[parent] as Entry)) return;
+      if (!isBefore(this.heap[child], this.heap[parent])) return;
       this.swap(child, parent);
       parent = child;
     }
   }
 
   private swap(a: number, b: number): void {
-    const kept = this.heap[a] as Entry;
-    this.heap[a] = this.heap[b] as Entry;
+    const kept = this.heap[a];
+    this.heap[a] = this.heap[b];
     this.heap[b] = kept;
   }
 }
--- a/packages/measure/src/mixed/simulation.ts
+++ b/packages/measure/src/mixed/simulation.ts
@@ -120,6 +120,7 @@
     const { hash, dispatcher: options } = this.options;
     const policy = this.options.policy(domain.shared.random.seeded(this.options.seed + index));
     const made = new domain.routing.dispatcher.Dispatcher('dc-1', hash, policy, options);
+    made.setPosition(index, this.options.daemons);
     const { memoryTokens } = this.options.parameters;
     made.setTargets(
       [...this.engines.keys()].map((name) => ({
@@ -149,7 +150,7 @@
   }
 
   private arrive(arrival: workload.Arrival): void {
-    const dispatcher = this.dispatchers[arrival.daemon] as Dispatcher;
+    const dispatcher = this.dispatchers[arrival.daemon];
     const refusal = dispatcher.enqueue(
       {
         id: arrival.id,
@@ -177,7 +178,7 @@
   }
 
   private poll(index: number): void {
-    const dispatcher = this.dispatchers[index] as Dispatcher;
+    const dispatcher = this.dispatchers[index];
     if (this.options.clairvoyant) this.tellTruth(dispatcher);
     dispatcher.poll(this.now).forEach((dispatch) => this.dispatch(index, dispatch));
   }
@@ -213,7 +214,7 @@
     const report = { ...engine.model.trueLoad(this.now), measuredAt: this.now };
     const wait = gathered ? this.options.networkMs : RETRY_MS;
     this.events.at(this.now + wait, () => {
-      (this.dispatchers[index] as Dispatcher).refused(job.id, report, this.now);
+      this.dispatchers[index].refused(job.id, report, this.now);
       this.poll(index);
     });
   }
@@ -265,10 +266,10 @@
     const load = engine.model.load(this.now);
     const measuredAt = this.now - loadLagMs;
     this.events.at(this.now + this.options.networkMs, () => {
-      const dispatcher = this.dispatchers[owner] as Dispatcher;
+      const dispatcher = this.dispatchers[owner];
       if (token.position === 0) this.serveFirst(token.id, dispatcher);
       if (token.last) dispatcher.ended(token.id, this.now);
-      dispatcher.reported(engine.name, { ...load, measuredAt }, this.now);
+      dispatcher.reported(engine.name, { ...load, measuredAt });
       this.poll(owner);
     });
   }
@@ -313,7 +314,7 @@
       const told = { short: sum('short'), medium: sum('medium'), long: sum('long') };
       dispatcher.peersReported(name, told, this.now);
       const load = model.trueLoad(this.now);
-      dispatcher.reported(name, { ...load, measuredAt: this.now }, this.now);
+      dispatcher.reported(name, { ...load, measuredAt: this.now });
     });
   }
 
--- /dev/null
+++ b/packages/measure/src/overhead/overhead.ts
@@ -0,0 +1,148 @@
+/**
+ * Scenario `overhead`: what one daemon adds to a request and to a streamed token against a direct
+ * connection to the engine, in time and in processor time.
+ */
+import * as undici from 'undici';
+import * as client from '../client';
+import * as fleet from '../fleet';
+import * as statistics from '../statistics';
+import * as teams from '../teams';
+
+export interface Result {
+  addedMsP50: number;
+  addedMsP99: number;
+  /** Requests of a thousand tokens, answered with one, per second of one core. */
+  requestsPerCoreSecond: number;
+  cpuMsPerRequest: number;
+  cpuMicrosecondsPerToken: number;
+  /** Streams at 53 ms between tokens that one core carries. */
+  streamsPerCore: number;
+  /** Processor time of a request with a prompt of a million tokens, in milliseconds. */
+  cpuMsPerMillionTokenPrompt: number;
+}
+
+/** An engine that takes almost no time, so that what is left is the daemon's. */
+const INSTANT = { tokenMs: 0, stepBaseMs: 0.2, streamMs: 0, memoryTokens: 50_000_000 };
+
+const TOKEN_GAP_MS = 53;
+
+interface Status {
+  cpuMicroseconds: number;
+}
+
+async function cpuOf(target: fleet.Fleet): Promise<number> {
+  return (await target.operatorCall<Status>('GET', 'status')).content.cpuMicroseconds / 1_000;
+}
+
+/** Time to the first token of an engine asked directly, in its own protocol. */
+async function direct(port: number, id: string, prompt: string): Promise<number> {
+  const since = performance.now();
+  const { body } = await undici.request(`http://127.0.0.1:${port}/v1/generate`, {
+    method: 'POST',
+    body: JSON.stringify({
+      request: id,
+      model: { base: 'base', adapter: '', version: '1' },
+      prompt,
+      answerTokens: 1,
+      priority: 0,
+      resumeFrom: 0,
+      prefixKeys: [],
+      owner: { daemon: 'direct', incarnation: 0 },
+      system: 'direct',
+      reservations: [],
+      needsRoom: false,
+    }),
+  });
+  let first = 0;
+  for await (const _chunk of body) first ||= performance.now() - since;
+  return first;
+}
+
+async function through(target: fleet.Fleet, prompt: string, answerTokens: number): Promise<number> {
+  const { ttftMs, whole } = await client.complete({
+    entry: target.entries[0],
+    key: teams.FITTERS.key,
+    model: teams.FITTERS.model,
+    prompt,
+    answerTokens,
+  });
+  if (!whole) throw new Error('a request failed');
+  return ttftMs;
+}
+
+async function latency(target: fleet.Fleet, count: number): Promise<{ p50: number; p99: number }> {
+  const port = target.port('engine-1');
+  const bare: number[] = [];
+  const served: number[] = [];
+  for (let i = 0; i < count; i++) {
+    const prompt = client.promptOf(1_000, `latency${i}`);
+    bare.push(await direct(port, `direct-${i}`, prompt));
+    served.push(await through(target, prompt, 1));
+  }
+  // The first ones warm up connections and code on both ways.
+  const warm = Math.floor(count / 5);
+  const a = statistics.percentiles(served.slice(warm));
+  const b = statistics.percentiles(bare.slice(warm));
+  return { p50: a.p50 - b.p50, p99: a.p99 - b.p99 };
+}
+
+/** Processor time of the daemon for `count` requests, less what it uses when idle. */
+async function cpuFor(
+  target: fleet.Fleet,
+  count: number,
+  tokens: number,
+  answerTokens: number,
+  parallel: number,
+): Promise<number> {
+  const idleSince = performance.now();
+  const idleBefore = await cpuOf(target);
+  await fleet.sleep(1_000);
+  const idlePerMs = ((await cpuOf(target)) - idleBefore) / (performance.now() - idleSince);
+  const before = await cpuOf(target);
+  const since = performance.now();
+  let next = 0;
+  await Promise.all(
+    Array.from({ length: parallel }, async () => {
+      while (next < count) {
+        next += 1;
+        await through(target, client.promptOf(tokens, `cpu${tokens}-${next}`), answerTokens);
+      }
+    }),
+  );
+  const used = (await cpuOf(target)) - before;
+  return (used - idlePerMs * (performance.now() - since)) / count;
+}
+
+export async function run(quick: boolean, say: (line: string) => void): Promise<Result> {
+  const target = await fleet.Fleet.plan({
+    daemons: [{ dataCentre: 'dc-1', disk: true, founder: true }],
+    logLevel: 'error',
+  });
+  const scale = quick ? 1 : 5;
+  try {
+    target.startDaemons();
+    await target.startEngine({ name: 'engine-1', parameters: INSTANT });
+    await target.apply(teams.FITTERS.name, teams.FITTERS.text, 0);
+    await target.untilReady();
+    await target.untilTargets(1);
+    const added = await latency(target, 300 * scale);
+    say(`added: ${JSON.stringify(added)}`);
+    await cpuFor(target, 500, 1_000, 1, 16);
+    const perRequest = await cpuFor(target, 1_000 * scale, 1_000, 1, 16);
+    say(`cpu per request: ${perRequest.toFixed(3)} ms`);
+    const long = await cpuFor(target, 60 * scale, 1_000, 1_001, 16);
+    const perToken = (long - perRequest) / 1_000;
+    const million = await cpuFor(target, 3 * scale, 1_000_000, 1, 1);
+    return {
+      addedMsP50: added.p50,
+      addedMsP99: added.p99,
+      requestsPerCoreSecond: 1_000 / perRequest,
+      cpuMsPerRequest: perRequest,
+      cpuMicrosecondsPerToken: perToken * 1_000,
+      streamsPerCore: TOKEN_GAP_MS / perToken,
+      cpuMsPerMillionTokenPrompt: million,
+    };
+  } finally {
+    await target.stopAll();
+  }
+}
--- /dev/null
+++ b/packages/measure/src/settings/partitions.ts
@@ -0,0 +1,200 @@
+/**
+ * Partitions of every shape between daemons that run in this process, so that single paths can be cut:
+ * how long does a daemon on the wrong side go on admitting under settings that no longer hold?
+ */
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as daemonPackage from '@celerydrift/daemon';
+import * as fleet from '../fleet';
+import * as teams from '../teams';
+
+type Daemon = daemonPackage.daemon.Daemon;
+
+interface Member {
+  daemon: Daemon;
+  address: string;
+  operators: string;
+}
+
+export interface Shape {
+  name: string;
+  /** Indexes of the side that is cut off; the leader is 0 after sorting. */
+  cut: readonly number[];
+  lastsMs: number;
+}
+
+/** Five daemons, the first three with disks; the leader is moved to the front. */
+export const SHAPES: readonly Shape[] = [
+  { name: 'oneEntryCut', cut: [4], lastsMs: 7_000 },
+  { name: 'twoEntriesCutTogether', cut: [3, 4], lastsMs: 7_000 },
+  { name: 'leaderCut', cut: [0], lastsMs: 7_000 },
+  { name: 'leaderAndEntryCut', cut: [0, 4], lastsMs: 7_000 },
+  { name: 'replicasCutFromEntries', cut: [0, 1, 2], lastsMs: 7_000 },
+];
+
+const COUNT = 5;
+
+const SAMPLE_MS = 20;
+
+function settingsText(name: string, index: number, ports: number[], folder: string): string {
+  const peer = (i: number): string => `127.0.0.1:${ports[i * 4 + 3]}`;
+  const [callers, targets, operators, peers] = ports.slice(index * 4);
+  const disk = index < 3;
+  return `[daemon]
+name = ${name}
+data-centre = dc-${(index % 3) + 1}
+[listen]
+callers = 127.0.0.1:${callers}
+targets = 127.0.0.1:${targets}
+operators = 127.0.0.1:${operators}
+peers = 127.0.0.1:${peers}
+[peers]
+seeds = ${[0, 1, 2].map(peer).join(',')}
+secret = secret-of-the-partition-run
+[data]
+founders = ${[0, 1, 2].map(peer).join(',')}
+${disk ? `folder = ${path.join(folder, name)}` : ''}
+[security]
+target-secret = secret-of-the-partition-run
+operator-token = sha256:${fleet.sha256(fleet.OPERATOR_TOKEN)}
+[observe]
+level = fatal
+`;
+}
+
+async function startAll(folder: string): Promise<Member[]> {
+  const ports = await fleet.freePorts(COUNT * 4);
+  const members: Member[] = [];
+  for (let i = 0; i < COUNT; i++) {
+    const read = daemonPackage.configuration.read(settingsText(`vm-${i}`, i, ports, folder));
+    if (read.err) throw new Error(JSON.stringify(read.val));
+    const started = await daemonPackage.daemon.Daemon.start(read.val, (error) => {
+      throw error;
+    });
+    if (started.err) throw new Error(started.val.detail);
+    members.push({
+      daemon: started.val,
+      address: `127.0.0.1:${ports[i * 4 + 3]}`,
+      operators: `http://127.0.0.1:${ports[i * 4 + 2]}`,
+    });
+  }
+  return members;
+}
+
+async function change(
+  members: readonly Member[],
+  subtree: string,
+  id: string,
+  basedOn: number,
+): Promise<number | undefined> {
+  for (const { operators } of members) {
+    const answer = await fetch(`${operators}/v1/settings/${subtree}`, {
+      method: 'PUT',
+      headers: { authorization: `Bearer ${fleet.OPERATOR_TOKEN}` },
+      body: JSON.stringify({ id, basedOn, text: `; ${id}\n${teams.FITTERS.text}` }),
+      signal: AbortSignal.timeout(15_000),
+    }).catch(() => undefined);
+    if (answer?.status === 200) return ((await answer.json()) as { index: number }).index;
+  }
+  return undefined;
+}
+
+function isLeader({ daemon }: Member): boolean {
+  return daemon.control.host?.isLeader === true;
+}
+
+/** The leader first, the other daemons with disks next, the rest last. */
+function ordered(members: readonly Member[]): Member[] {
+  const rank = (member: Member): number => {
+    if (isLeader(member)) return 0;
+    return member.daemon.control.host === undefined ? 2 : 1;
+  };
+  return [...members].sort((a, b) => rank(a) - rank(b));
+}
+
+function setCut(side: readonly Member[], rest: readonly Member[], cut: boolean): void {
+  side.forEach((a) => {
+    rest.forEach((b) => {
+      if (cut) {
+        a.daemon.peers.cut.add(b.address);
+        b.daemon.peers.cut.add(a.address);
+      } else {
+        a.daemon.peers.cut.delete(b.address);
+        b.daemon.peers.cut.delete(a.address);
+      }
+    });
+  });
+}
+
+async function untilReady(members: readonly Member[], timeoutMs = 15_000): Promise<boolean> {
+  const until = Date.now() + timeoutMs;
+  while (members.some(({ daemon }) => daemon.unready() !== undefined)) {
+    if (Date.now() > until) return false;
+    await fleet.sleep(20);
+  }
+  return true;
+}
+
+export interface ShapeResult {
+  /** Longest time after an acceptance for which some daemon admitted without the change. */
+  servedStaleMs: number;
+  accepted: number;
+  /** Daemons that admitted at the end of the partition. */
+  admitting: number;
+  healed: boolean;
+}
+
+async function runShape(members: readonly Member[], shape: Shape): Promise<ShapeResult> {
+  const sorted = ordered(members);
+  const side = shape.cut.map((index) => sorted[index]);
+  const rest = sorted.filter((member) => !side.includes(member));
+  const acceptances: { index: number; at: number }[] = [];
+  let servedStaleMs = 0;
+  const sample = (): void => {
+    const now = Date.now();
+    members.forEach(({ daemon }) => {
+      if (daemon.unready() !== undefined) return;
+      const missed = acceptances.find(({ index }) => index > daemon.control.view.index);
+      if (missed !== undefined) servedStaleMs = Math.max(servedStaleMs, now - missed.at);
+    });
+  };
+  setCut(side, rest, true);
+  const timer = setInterval(sample, SAMPLE_MS);
+  const until = Date.now() + shape.lastsMs;
+  for (let n = 0; Date.now() < until; n++) {
+    const subtree = `team-${shape.name.toLowerCase()}`;
+    const index = await change([...rest, ...side], subtree, `${subtree}-${n}`, n);
+    if (index !== undefined) acceptances.push({ index, at: Date.now() });
+    else n -= 1;
+    await fleet.sleep(100);
+  }
+  const admitting = members.filter(({ daemon }) => daemon.unready() === undefined).length;
+  clearInterval(timer);
+  setCut(side, rest, false);
+  const healed = await untilReady(members);
+  return { servedStaleMs, accepted: acceptances.length, admitting, healed };
+}
+
+export async function run(
+  shapes: readonly Shape[],
+  say: (line: string) => void,
+): Promise<Record<string, ShapeResult>> {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'celerydrift-'));
+  const members = await startAll(folder);
+  const results: Record<string, ShapeResult> = {};
+  try {
+    while ((await change(members, 'fitters', 'first', 0)) === undefined) await fleet.sleep(100);
+    await untilReady(members);
+    for (const shape of shapes) {
+      const result = await runShape(members, shape);
+      results[shape.name] = result;
+      say(`${shape.name}: ${JSON.stringify(result)}`);
+      await fleet.sleep(500);
+    }
+  } finally {
+    await Promise.all(members.map(({ daemon }) => daemon.halt()));
+    fs.rmSync(folder, { recursive: true, force: true });
+  }
+  return results;
+}
--- /dev/null
+++ b/packages/measure/src/slopes/slopes.ts
@@ -0,0 +1,256 @@
+/**
+ * Scenario `slopes`: control traffic, processor time and memory of a daemon against the number of
+ * daemons, of targets and of settings changes, with a straight line through each.
+ */
+import * as undici from 'undici';
+import * as fleet from '../fleet';
+import * as statistics from '../statistics';
+import * as teams from '../teams';
+
+export interface Point {
+  daemons: number;
+  targets: number;
+  changesPerSecond: number;
+  /** Means per daemon. Bytes count what it sends. */
+  bytesPerSecond: number;
+  cpuShare: number;
+  residentMb: number;
+  /** The busiest daemon, which is the leader. */
+  leaderBytesPerSecond: number;
+  leaderCpuShare: number;
+  /** Bytes sent per second by kind of message, over all daemons together. */
+  byKind: Record<string, number>;
+}
+
+export interface Result {
+  points: Point[];
+  /** Per daemon, target or change per second: bytes/s, share of a core, MB. */
+  slopes: Record<string, Record<string, statistics.Fit>>;
+}
+
+interface Status {
+  cpuMicroseconds: number;
+  memoryBytes: number;
+  counters: Record<string, number>;
+}
+
+interface Sample {
+  at: number;
+  statuses: Status[];
+}
+
+const DATA_CENTRE_SIZE = 8;
+
+const ANNOUNCE_MS = 1_000;
+
+async function sample(target: fleet.Fleet): Promise<Sample> {
+  const statuses = await Promise.all(
+    target.plans.map(async (_plan, entry) => {
+      return (await target.operatorCall<Status>('GET', 'status', undefined, entry)).content;
+    }),
+  );
+  return { at: performance.now(), statuses };
+}
+
+function sentBytes({ counters }: Status): number {
+  return Object.entries(counters)
+    .filter(([name]) => name.startsWith('rpc.out.') && name.endsWith('.bytes'))
+    .reduce((sum, [, bytes]) => sum + bytes, 0);
+}
+
+function kinds(before: Sample, after: Sample, seconds: number): Record<string, number> {
+  const sums = new Map<string, number>();
+  after.statuses.forEach(({ counters }, i) => {
+    Object.entries(counters).forEach(([name, value]) => {
+      const match = /^rpc\.out\.(\w+)\.bytes$/.exec(name);
+      if (match === null) return;
+      const kind = match[1];
+      const grown = value - (before.statuses[i]?.counters[name] ?? 0);
+      sums.set(kind, (sums.get(kind) ?? 0) + grown / seconds);
+    });
+  });
+  return Object.fromEntries([...sums].map(([kind, rate]) => [kind, Math.round(rate)]));
+}
+
+/** Announces targets that do nothing else, with loads that move now and then. */
+class Announcements {
+  private timer: NodeJS.Timeout | undefined;
+
+  private sequence = 0;
+
+  constructor(
+    private readonly target: fleet.Fleet,
+    private readonly count: number,
+  ) {}
+
+  start(): void {
+    this.timer = setInterval(() => this.announceAll(), ANNOUNCE_MS);
+    this.announceAll();
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  private announceAll(): void {
+    this.sequence += 1;
+    for (let i = 0; i < this.count; i++) void this.announce(i);
+  }
+
+  private async announce(i: number): Promise<void> {
+    const { plans } = this.target;
+    const { ports } = plans[(i + this.sequence) % plans.length];
+    const dataCentres = Math.ceil(plans.length / DATA_CENTRE_SIZE);
+    const load = (1 + Math.floor(this.sequence / 8 + i)) % 7;
+    const answer = await undici
+      .request(`http://127.0.0.1:${ports.targets}/targets/announce`, {
+        method: 'POST',
+        headers: { authorization: `Bearer ${fleet.TARGET_SECRET}` },
+        body: JSON.stringify({
+          name: `idle-${i}`,
+          incarnation: 1,
+          sequence: this.sequence,
+          kind: 'service',
+          address: '127.0.0.1:9',
+          dataCentre: `dc-${(i % dataCentres) + 1}`,
+          status: 'serving',
+          fencing: 'ignored',
+          service: 'idle',
+          models: [],
+          memoryTokens: 0,
+          load: { queuedTokens: load * 8_192, streams: load * 8, freeTokens: 0 },
+        }),
+      })
+      .catch(() => undefined);
+    await answer?.body.dump();
+  }
+}
+
+async function changes(
+  target: fleet.Fleet,
+  perSecond: number,
+  until: number,
+  tag: string,
+): Promise<void> {
+  for (let i = 0; perSecond > 0 && Date.now() < until; i++) {
+    await target.apply(`slope-${tag}`, `; ${i}\n${teams.FITTERS.text}`, i);
+    await fleet.sleep(1_000 / perSecond);
+  }
+}
+
+async function measure(
+  target: fleet.Fleet,
+  targets: number,
+  changesPerSecond: number,
+  seconds: number,
+): Promise<Point> {
+  const announcements = new Announcements(target, targets);
+  announcements.start();
+  await fleet.sleep(3_000);
+  const tag = `${targets}-${changesPerSecond}`;
+  const changing = changes(target, changesPerSecond, Date.now() + seconds * 1_000 + 500, tag);
+  const before = await sample(target);
+  await fleet.sleep(seconds * 1_000);
+  const after = await sample(target);
+  await changing;
+  announcements.stop();
+  const elapsed = (after.at - before.at) / 1_000;
+  const each = after.statuses.map((status, i) => {
+    const earlier = before.statuses[i];
+    return {
+      bytes: (sentBytes(status) - sentBytes(earlier)) / elapsed,
+      cpu: (status.cpuMicroseconds - earlier.cpuMicroseconds) / 1e6 / elapsed,
+      resident: status.memoryBytes / 2 ** 20,
+    };
+  });
+  const mean = (read: (one: (typeof each)[number]) => number): number =>
+    each.reduce((sum, one) => sum + read(one), 0) / each.length;
+  return {
+    daemons: target.plans.length,
+    targets,
+    changesPerSecond,
+    bytesPerSecond: mean(({ bytes }) => bytes),
+    cpuShare: mean(({ cpu }) => cpu),
+    residentMb: mean(({ resident }) => resident),
+    leaderBytesPerSecond: Math.max(...each.map(({ bytes }) => bytes)),
+    leaderCpuShare: Math.max(...each.map(({ cpu }) => cpu)),
+    byKind: kinds(before, after, elapsed),
+  };
+}
+
+async function startFleet(daemons: number): Promise<fleet.Fleet> {
+  const dataCentres = Math.ceil(daemons / DATA_CENTRE_SIZE);
+  const target = await fleet.Fleet.plan({
+    daemons: Array.from({ length: daemons }, (_value, i) => ({
+      dataCentre: `dc-${(i % dataCentres) + 1}`,
+      disk: i < 3,
+      founder: i < 3,
+    })),
+    logLevel: 'error',
+  });
+  // All at once would keep the machine busy with starting instead of with founding.
+  for (const { name } of target.plans) {
+    target.startDaemon(name);
+    if (daemons > 16) await fleet.sleep(60);
+  }
+  await target.apply('fitters', teams.FITTERS.text, 0, 60_000);
+  await target.untilReady(60_000);
+  return target;
+}
+
+function fitted(
+  points: readonly Point[],
+  x: (point: Point) => number,
+): Record<string, statistics.Fit> {
+  const line = (y: (point: Point) => number): statistics.Fit =>
+    statistics.fit(points.map((point) => ({ x: x(point), y: y(point) })));
+  return {
+    bytesPerSecond: line(({ bytesPerSecond }) => bytesPerSecond),
+    cpuShare: line(({ cpuShare }) => cpuShare),
+    residentMb: line(({ residentMb }) => residentMb),
+    leaderBytesPerSecond: line(({ leaderBytesPerSecond }) => leaderBytesPerSecond),
+    leaderCpuShare: line(({ leaderCpuShare }) => leaderCpuShare),
+  };
+}
+
+export async function run(quick: boolean, say: (line: string) => void): Promise<Result> {
+  const seconds = quick ? 4 : 15;
+  const sizes = quick ? [4, 8, 16] : [4, 8, 16, 32, 64];
+  const targetCounts = quick ? [40] : [20, 40, 80];
+  const rates = quick ? [5] : [2, 5, 10];
+  const points: Point[] = [];
+  const take = (point: Point): Point => {
+    const { byKind, ...rest } = point;
+    say(JSON.stringify(rest));
+    points.push(point);
+    return point;
+  };
+  const idle: Point[] = [];
+  const byTargets: Point[] = [];
+  const byChanges: Point[] = [];
+  for (const daemons of sizes) {
+    const target = await startFleet(daemons);
+    try {
+      const still = take(await measure(target, 0, 0, seconds));
+      idle.push(still);
+      if (daemons === 8) {
+        byTargets.push(still);
+        byChanges.push(still);
+        for (const count of targetCounts)
+          byTargets.push(take(await measure(target, count, 0, seconds)));
+        await fleet.sleep(8_000);
+        for (const rate of rates) byChanges.push(take(await measure(target, 0, rate, seconds)));
+      }
+    } finally {
+      await target.stopAll();
+    }
+  }
+  return {
+    points,
+    slopes: {
+      daemons: fitted(idle, ({ daemons }) => daemons),
+      targets: fitted(byTargets, ({ targets }) => targets),
+      changesPerSecond: fitted(byChanges, ({ changesPerSecond }) => changesPerSecond),
+    },
+  };
+}
--- a/packages/standins/src/engine/engineServer.ts
+++ b/packages/standins/src/engine/engineServer.ts
@@ -36,6 +36,7 @@
   owner: domain.memory.holding.Owner;
   system: string;
   reservations: { target: string; tokens: number }[];
+  needsRoom: boolean;
 }
 
 interface Stream {
@@ -175,10 +176,27 @@
       httpServer.reply(call, 409, { error: 'request id in use', notRun: false });
       return;
     }
-    this.run(call, body);
+    const job = this.jobOf(body);
+    if (body.needsRoom && !this.model.hasRoom(job)) {
+      const noRoom = { ...this.model.trueLoad(Date.now()), ageMs: 0 };
+      httpServer.reply(call, 409, { error: 'no room', notRun: true, noRoom });
+      return;
+    }
+    this.run(call, body, job);
   }
 
-  private run(call: httpServer.Call, body: GenerateBody): void {
+  private jobOf(body: GenerateBody): engineModel.Job {
+    return {
+      id: body.request,
+      promptTokens: Math.ceil(body.prompt.length / BYTES_PER_TOKEN) + body.resumeFrom,
+      answerTokens: Math.max(1, body.answerTokens - body.resumeFrom),
+      priority: body.priority,
+      prefixKeys: body.prefixKeys,
+      remoteTokens: body.reservations.reduce((sum, { tokens }) => sum + tokens, 0),
+    };
+  }
+
+  private run(call: httpServer.Call, body: GenerateBody, job: engineModel.Job): void {
     this.started.set(body.request, (this.started.get(body.request) ?? 0) + 1);
     const stream: Stream = {
       body,
@@ -190,27 +208,18 @@
       whole: false,
     };
     this.streams.set(body.request, stream);
-    const promptTokens = Math.ceil(body.prompt.length / BYTES_PER_TOKEN) + body.resumeFrom;
-    const remoteTokens = body.reservations.reduce((sum, { tokens }) => sum + tokens, 0);
     this.held.add({
       id: body.request,
       system: body.system,
       kind: 'stream',
       owner: body.owner,
-      tokens: promptTokens,
+      tokens: job.promptTokens,
       expiresAt: Infinity,
     });
     this.attach(call, body.request, stream);
-    const job = {
-      id: body.request,
-      promptTokens,
-      answerTokens: Math.max(1, body.answerTokens - body.resumeFrom),
-      priority: body.priority,
-      prefixKeys: body.prefixKeys,
-      remoteTokens,
-    };
     const late = this.switches.take('late');
-    setTimeout(() => this.submit(job), late?.delayMs ?? 0);
+    if (late === undefined) this.submit(job);
+    else setTimeout(() => this.submit(job), late.delayMs);
   }
 
   private submit(job: engineModel.Job): void {
