--- /dev/null
+++ b/packages/daemon/src/__tests__/__fixtures__/bench.ts
@@ -0,0 +1,272 @@
+/** A small fleet inside the test process: daemons, engines and services that announce themselves. */
+import * as crypto from 'node:crypto';
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as standins from '@celerydrift/standins';
+import * as undici from 'undici';
+import * as configuration from '../../configuration/configuration';
+import * as daemon from '../../daemon';
+
+export const KEY = 'caller-key';
+
+export const TOKEN = 'operator-token';
+
+const SECRET = 'secret-of-the-tests';
+
+export function sha256(text: string): string {
+  return crypto.createHash('sha256').update(text).digest('hex');
+}
+
+export const TEAM = `[organisation.kisumu]
+key = sha256:${sha256(KEY)}
+deadline-seconds = 20
+[organisation.limited]
+key = sha256:${sha256('limited-key')}
+tokens-per-second = 100
+[model.quotes]
+base = base
+[service.parts]
+not-repeatable = POST /holds
+timeout-seconds = 5
+[operator.amina]
+token = sha256:${sha256('amina-token')}
+`;
+
+/** Engines fast enough that tests need not wait. */
+const FAST: standins.parameters.Parameters = {
+  ...standins.parameters.DEFAULT_PARAMETERS,
+  tokenMs: 0.0001,
+  stepBaseMs: 1,
+  attentionTokens: 1e9,
+};
+
+async function freePort(): Promise<number> {
+  const { createServer } = await import('node:net');
+  const server = createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as { port: number };
+  await new Promise<void>((resolve) => {
+    server.close(() => resolve());
+  });
+  return port;
+}
+
+/** Waits for a condition; tests never assert how long it took. */
+export async function until(
+  what: string,
+  condition: () => boolean | Promise<boolean>,
+  timeoutMs = 30_000,
+): Promise<void> {
+  const end = Date.now() + timeoutMs;
+  while (!(await condition())) {
+    if (Date.now() > end) throw new Error(`waited in vain for ${what}`);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 10);
+    });
+  }
+}
+
+export interface Reply {
+  status: number;
+  outcome: string;
+  headers: Record<string, unknown>;
+  text: string;
+}
+
+export class Bench {
+  readonly daemons: daemon.Daemon[] = [];
+
+  readonly engines = new Map<string, standins.engineServer.EngineServer>();
+
+  readonly services = new Map<string, standins.plainService.PlainService>();
+
+  readonly folder = fs.mkdtempSync(path.join(os.tmpdir(), 'celerydrift-test-'));
+
+  private readonly peers: number[] = [];
+
+  private readonly targetPorts: number[] = [];
+
+  private readonly enginePorts = new Map<string, number>();
+
+  /** Starts `count` daemons, all with disks, and applies the team's settings. */
+  async start(count: number): Promise<void> {
+    for (let i = 0; i < count; i++) {
+      this.peers.push(await freePort());
+      this.targetPorts.push(await freePort());
+    }
+    for (let i = 0; i < count; i++) await this.startDaemon(i);
+    await this.apply('fitters', TEAM, 0);
+    await until('ready', () => this.daemons.every((each) => each.unready() === undefined));
+  }
+
+  async startDaemon(index: number): Promise<void> {
+    const read = configuration.read(this.settings(index));
+    const started = await daemon.Daemon.start(read.unwrap(), (error) => {
+      throw error;
+    });
+    this.daemons[index] = started.unwrap();
+  }
+
+  async startEngine(
+    name: string,
+    changed: Partial<standins.parameters.Parameters> = {},
+    fencing: 'checked' | 'ignored' = 'checked',
+  ): Promise<standins.engineServer.EngineServer> {
+    const engine = new standins.engineServer.EngineServer({
+      name,
+      host: '127.0.0.1',
+      port: this.enginePorts.get(name) ?? 0,
+      dataCentre: 'dc-1',
+      models: [{ base: 'base', adapter: '', version: '1' }],
+      fencing,
+      entries: this.entries(),
+      secret: SECRET,
+      parameters: { ...FAST, ...changed },
+    });
+    this.enginePorts.set(name, await engine.start());
+    this.engines.set(name, engine);
+    await this.untilKnown(name);
+    return engine;
+  }
+
+  async startService(name: string): Promise<standins.plainService.PlainService> {
+    const service = new standins.plainService.PlainService({
+      name,
+      service: 'parts',
+      host: '127.0.0.1',
+      port: 0,
+      dataCentre: 'dc-1',
+      entries: this.entries(),
+      secret: SECRET,
+      workMs: 2,
+    });
+    this.enginePorts.set(name, await service.start());
+    this.services.set(name, service);
+    await this.untilKnown(name);
+    return service;
+  }
+
+  async untilKnown(name: string): Promise<void> {
+    await until(`${name} known`, () =>
+      this.daemons.every((each) => each.targets.get(name)?.status === 'serving'),
+    );
+  }
+
+  /** A fault switch of a stand-in. */
+  async fault(name: string, kind: string, count = 1, delayMs = 0): Promise<void> {
+    const url = `http://127.0.0.1:${this.enginePorts.get(name)}/fault`;
+    const { body } = await undici.request(url, {
+      method: 'POST',
+      body: JSON.stringify({ kind, count, delayMs }),
+    });
+    await body.dump();
+  }
+
+  url(index = 0): string {
+    return `http://127.0.0.1:${this.daemons[index]?.ports.callers}`;
+  }
+
+  async call(
+    method: string,
+    urlPath: string,
+    body?: unknown,
+    { key = KEY, index = 0, headers = {} } = {},
+  ): Promise<Reply> {
+    const answer = await undici.request(`${this.url(index)}${urlPath}`, {
+      method: method as 'GET',
+      headers: { authorization: `Bearer ${key}`, ...headers },
+      body: body === undefined ? undefined : JSON.stringify(body),
+    });
+    const outcome = String(answer.headers['x-celerydrift-outcome'] ?? '');
+    const text = await answer.body.text();
+    return { status: answer.statusCode, outcome, headers: answer.headers, text };
+  }
+
+  complete(prompt: string, answerTokens: number, index = 0): Promise<Reply> {
+    const body = { model: 'quotes', prompt, max_tokens: answerTokens };
+    return this.call('POST', '/v1/completions', body, { index });
+  }
+
+  async operator(
+    method: string,
+    urlPath: string,
+    body?: unknown,
+    token = TOKEN,
+    index = 0,
+  ): Promise<{ status: number; content: Record<string, unknown> }> {
+    const url = `http://127.0.0.1:${this.daemons[index]?.ports.operators}/v1/${urlPath}`;
+    const answer = await undici.request(url, {
+      method: method as 'GET',
+      headers: { authorization: `Bearer ${token}` },
+      body: body === undefined ? undefined : JSON.stringify(body),
+    });
+    return {
+      status: answer.statusCode,
+      content: (await answer.body.json()) as Record<string, unknown>,
+    };
+  }
+
+  async apply(subtree: string, text: string, basedOn: number, index = 0): Promise<number> {
+    const id = crypto.randomUUID();
+    let status = 503;
+    await until(`${subtree} accepted`, async () => {
+      const answer = await this.operator(
+        'PUT',
+        `settings/${subtree}`,
+        { id, basedOn, text },
+        TOKEN,
+        index,
+      );
+      ({ status } = answer);
+      return status !== 503;
+    });
+    return status;
+  }
+
+  async stop(): Promise<void> {
+    await Promise.all([...this.engines.values()].map((each) => each.stop()));
+    await Promise.all([...this.services.values()].map((each) => each.stop()));
+    await Promise.all(this.daemons.map((each) => each.halt()));
+    fs.rmSync(this.folder, { recursive: true, force: true });
+  }
+
+  wipe(index: number): void {
+    fs.rmSync(path.join(this.folder, `vm-${index}`), { recursive: true, force: true });
+  }
+
+  private entries(): string[] {
+    return this.targetPorts.map((port) => `http://127.0.0.1:${port}`);
+  }
+
+  private settings(index: number): string {
+    const peers = this.peers.map((port) => `127.0.0.1:${port}`).join(',');
+    return `[daemon]
+name = vm-${index}
+data-centre = dc-1
+[listen]
+callers = 127.0.0.1:0
+targets = 127.0.0.1:${this.targetPorts[index]}
+operators = 127.0.0.1:0
+peers = 127.0.0.1:${this.peers[index]}
+[peers]
+seeds = ${peers}
+secret = ${SECRET}
+[data]
+folder = ${path.join(this.folder, `vm-${index}`)}
+founders = ${peers}
+[security]
+target-secret = ${SECRET}
+operator-token = sha256:${sha256(TOKEN)}
+[observe]
+level = fatal
+[limits]
+body-bytes = 8000000
+[timeouts]
+silence-ms = 150
+dead-replica-ms = 1500
+`;
+  }
+}
--- a/packages/daemon/src/control/controlPlane.ts
+++ b/packages/daemon/src/control/controlPlane.ts
@@ -110,6 +110,11 @@
     return this.replicas?.hosts.get(logServer.SETTINGS_LOG);
   }
 
+  /** All logs replicated here. */
+  get hosts(): ReadonlyMap<string, logHost.LogHost> {
+    return this.replicas?.hosts ?? new Map();
+  }
+
   get replicaId(): string {
     return this.replicas?.id ?? '';
   }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -18,6 +18,8 @@
 import type * as founding from './replicas/founding';
 import * as admission from './requests/admission';
 import type * as execution from './requests/execution';
+import * as allocations from './requests/allocations';
+import * as allocator from './requests/allocator';
 import * as gatherer from './requests/gatherer';
 import * as holdingsLoop from './requests/holdingsLoop';
 import * as ledgerClient from './requests/ledgerClient';
@@ -99,6 +101,10 @@
 
   private lastWork = '';
 
+  private cell: domain.routing.cell.Cell;
+
+  private readonly allocator: allocator.Allocator;
+
   private constructor(
     private readonly settings: configuration.Configuration,
     private readonly hash: domain.shared.hashing.Hash,
@@ -108,6 +114,7 @@
     const { name, dataCentre, peerSecret, logLevel, statsd, timeouts, limits } = settings;
     const address = configuration.format(settings.peers);
     const { now } = this;
+    this.cell = { targets: [], allocator: name };
     const random = domain.shared.random.seeded(this.incarnation ^ hash(name));
     this.observer = new observer.Observer(name, logLevel, statsd);
     this.peers = new peerClient.PeerClient(peerSecret, tlsOptions?.client, this.observer);
@@ -146,7 +153,6 @@
       onChange: (target, before) => this.targetChanged(target, before),
     });
     this.router = new router.Router({
-      self: name,
       dataCentre,
       hash,
       policy: policies.byName(settings.policy, random),
@@ -154,6 +160,11 @@
       observer: this.observer,
       now,
     });
+    this.allocator = new allocator.Allocator({
+      router: this.router,
+      now,
+      isDead: (daemon) => this.standing(daemon).kind === 'dead',
+    });
     this.admission = new admission.Admission({
       hash,
       now,
@@ -206,6 +217,15 @@
       }),
       execution: {
         router: this.router,
+        allocations: new allocations.Allocations({
+          self: name,
+          router: this.router,
+          client: this.peers,
+          observer: this.observer,
+          now,
+          allocator: () => this.allocatorAddress(),
+          target: (target) => this.openTarget(target),
+        }),
         adapter: this.adapter,
         gatherer: new gatherer.Gatherer({
           adapter: this.adapter,
@@ -213,6 +233,7 @@
           random,
           owner,
           engines: () => this.openTargets().filter(({ kind }) => kind === 'engine'),
+          freeTokens: (name) => this.router.freeTokens(name),
           now,
         }),
         holdings: this.holdings,
@@ -293,6 +314,7 @@
     this.holdings.stop();
     this.targets.stop();
     this.router.stop();
+    this.allocator.stop();
     this.members.stop();
     this.listeners.forEach((each) => each.abort());
     await Promise.all(this.listeners.map((each) => each.close()));
@@ -356,6 +378,7 @@
     this.targets.start(this.server);
     this.control.start();
     this.router.start();
+    this.allocator.start(this.server);
     this.holdings.start();
     this.orders.start();
     const addresses = [callers, targets, operators];
@@ -406,6 +429,7 @@
   private daemonsChanged(): void {
     const { all } = this.liveDaemons();
     this.router.setPosition(Math.max(0, all.sort().indexOf(this.settings.name)), all.length);
+    this.enginesChanged();
     this.members.detector
       .list()
       .filter(({ status }) => status === 'dead' || status === 'leaving')
@@ -430,7 +454,26 @@
   }
 
   private enginesChanged(): void {
-    this.router.setEngines(this.openTargets().filter(({ kind }) => kind === 'engine'));
+    const open = this.openTargets().filter(({ kind }) => kind === 'engine');
+    const live = this.members.detector.list().filter(domain.membership.daemon.isLive);
+    const { name: id, dataCentre } = this.settings;
+    const places = open.map(({ name, dataCentre: place }) => ({ id: name, dataCentre: place }));
+    this.cell = domain.routing.cell.cellOf(this.hash, { id, dataCentre }, live, places);
+    const names = new Set(this.cell.targets);
+    this.router.setEngines(open.filter(({ name }) => names.has(name)));
+  }
+
+  /** Where requests of this cell are placed; empty when it is here. */
+  private allocatorAddress(): string {
+    const { allocator: id } = this.cell;
+    if (id === this.settings.name) return '';
+    const known = this.members.detector.get(id);
+    return known?.status === 'alive' ? known.address : '';
+  }
+
+  private openTarget(name: string): Target | undefined {
+    const target = this.targets.get(name);
+    return target !== undefined && this.stopWatch.isOpen(target) ? target : undefined;
   }
 
   private openTargets(): Target[] {
--- /dev/null
+++ b/packages/daemon/src/requests/allocation.ts
@@ -0,0 +1,94 @@
+/** What entries and allocators say to each other, as short lists: it is said for every request. */
+import type * as domain from '@celerydrift/domain';
+import type * as adapter from '../targets/adapter';
+
+type Request = domain.routing.dispatcher.Request;
+
+/** Prefix keys sent along; further ones matter little for the choice. */
+const KEYS_LIMIT = 64;
+
+/** Times travel as ages and remaining times, since the clocks of VMs differ. */
+export type Ask = readonly [
+  owner: string,
+  id: string,
+  organisation: string,
+  share: number,
+  priority: domain.settings.document.Priority,
+  model: readonly [base: string, adapter: string, version: string],
+  promptTokens: number,
+  answerTokens: number,
+  prefixKeys: readonly number[],
+  waitedMs: number,
+  leftMs: number,
+  excluded: readonly string[],
+];
+
+export type Told =
+  | readonly [
+      'placed',
+      target: string,
+      band: domain.routing.band.Band,
+      priority: number,
+      room: boolean,
+    ]
+  | readonly ['wait']
+  | readonly ['refused', reason: domain.routing.dispatcher.Refusal]
+  | readonly ['ended', reason: 'withdrawn' | 'deadline'];
+
+export type NoteKind = 'first' | 'ended' | 'withdrawn' | 'noRoom';
+
+/** What happened to a placed request, with the engine's load where it was told. */
+export type Note = readonly [
+  kind: NoteKind,
+  id: string,
+  target: string,
+  load:
+    readonly [queuedTokens: number, streams: number, freeTokens: number, ageMs: number] | undefined,
+];
+
+export function pack(owner: string, request: Request, now: number): Ask {
+  const { base, adapter: loaded, version } = request.model;
+  return [
+    owner,
+    request.id,
+    request.organisation,
+    request.share,
+    request.priority,
+    [base, loaded, version],
+    request.promptTokens,
+    request.answerTokens,
+    request.prefixKeys.slice(0, KEYS_LIMIT),
+    now - request.enqueuedAt,
+    request.deadline - now,
+    [...request.excluded],
+  ];
+}
+
+export function unpack(ask: Ask, now: number): Request {
+  const [, id, organisation, share, priority, [base, loaded, version], ...rest] = ask;
+  const [promptTokens, answerTokens, prefixKeys, waitedMs, leftMs, excluded] = rest;
+  return {
+    id,
+    organisation,
+    share,
+    priority,
+    model: { base, adapter: loaded, version },
+    promptTokens,
+    answerTokens,
+    prefixKeys,
+    enqueuedAt: now - waitedMs,
+    deadline: now + leftMs,
+    excluded: new Set(excluded),
+  };
+}
+
+export function packLoad(load: adapter.AgedLoad | undefined): Note[3] {
+  if (load === undefined) return undefined;
+  return [load.queuedTokens, load.streams, load.freeTokens, load.ageMs];
+}
+
+export function unpackLoad(packed: Note[3] | null): adapter.AgedLoad | undefined {
+  if (packed === undefined || packed === null) return undefined;
+  const [queuedTokens, streams, freeTokens, ageMs] = packed;
+  return { queuedTokens, streams, freeTokens, ageMs };
+}
--- a/packages/daemon/src/requests/execution.ts
+++ b/packages/daemon/src/requests/execution.ts
@@ -7,6 +7,7 @@
 import type * as observer from '../observability/observer';
 import type * as adapter from '../targets/adapter';
 import type * as targetErrors from '../targets/errors';
+import type * as allocations from './allocations';
 import * as errors from './errors';
 import type * as gatherer from './gatherer';
 import type * as holdingsLoop from './holdingsLoop';
@@ -36,6 +37,7 @@
 
 export interface Parts {
   router: router.Router;
+  allocations: allocations.Allocations;
   adapter: adapter.Adapter;
   gatherer: gatherer.Gatherer;
   holdings: holdingsLoop.HoldingsLoop;
@@ -84,6 +86,9 @@
 
   private promptTokens: number;
 
+  /** Load of the target that the latest frame with one told. */
+  private lastLoad: adapter.AgedLoad | undefined;
+
   /** Target of the attempt under way, for planned stops. */
   target = '';
 
@@ -117,7 +122,7 @@
 
   private stop(reason: Fault): void {
     this.stopReason ??= reason;
-    this.parts.router.withdraw(this.attemptId());
+    this.parts.allocations.withdraw(this.attemptId());
     this.abort.abort();
   }
 
@@ -132,15 +137,10 @@
       this.abort = new AbortController();
       this.stopReason = undefined;
       const id = this.attemptId();
-      const dispatch = await this.parts.router.acquire(this.request(id));
-      // Tried everywhere: a target that failed once is better than none.
-      if (dispatch === 'noTarget' && this.excluded.size > 0) {
-        this.excluded = new Set();
-        continue;
-      }
+      const dispatch = await this.parts.allocations.acquire(this.request(id));
       if (typeof dispatch === 'string') return Err(this.notDispatched(dispatch));
       const { last, failure } = await this.attemptWithRoom(id, dispatch);
-      this.parts.router.ended(id);
+      this.parts.allocations.ended(id, this.target, this.lastLoad);
       if (failure === undefined) return Ok(this.whole(last));
       const given = await this.afterFailure(failure);
       if (given !== undefined) return Err(given);
@@ -155,9 +155,10 @@
     let last = first;
     for (;;) {
       this.target = last.target.name;
+      this.lastLoad = undefined;
       const failure = await this.attempt(id, last);
       if (failure?.noRoom === undefined) return { last, failure };
-      const next = await this.parts.router.refused(id, failure.noRoom);
+      const next = await this.parts.allocations.refused(id, failure.noRoom);
       if (typeof next === 'string') {
         const fault = this.stopReason ?? 'deadline';
         return { last, failure: this.failure(last.target.name, 'refusedByTarget', fault, 0) };
@@ -220,11 +221,11 @@
     if (gathered.err) return this.failure(target.name, 'notSent', this.stopReason ?? 'refused', 0);
     this.check.continueAs(id);
     this.parts.holdings.hold(target, id, 'stream');
-    const failure = await this.stream(id, dispatch, gathered.val);
+    const failure = await this.stream(id, dispatch, gathered.val.parts);
     const nothingHeld = failure === undefined || failure.noRoom !== undefined;
     if (nothingHeld) this.parts.holdings.holdings.confirmed(target.name, id);
     else this.parts.holdings.release(target.name, id);
-    this.parts.gatherer.giveBack(id, gathered.val);
+    this.parts.gatherer.giveBack(gathered.val);
     return failure;
   }
 
@@ -288,7 +289,7 @@
           stream = resumed.val;
           continue;
         }
-        if (!seen) this.parts.router.firstToken(id);
+        if (!seen) this.parts.allocations.firstToken(id, target.name, frame.load);
         seen = true;
         const finding = this.take(target.name, frame);
         if (finding === 'whole') return undefined;
@@ -350,13 +351,18 @@
       this.parts.observer.log('frameCrossed', { target, finding: finding.kind });
       return 'wrong';
     }
-    if (frame.load !== undefined) this.parts.router.load(target, frame.load);
+    if (frame.load !== undefined) this.noteLoad(target, frame.load);
     if (frame.promptTokens !== undefined) this.learn(frame.promptTokens);
     if (finding.kind === 'repeated') return 'more';
     this.sink.write(finding.text);
     return finding.last ? 'whole' : 'more';
   }
 
+  private noteLoad(target: string, load: adapter.AgedLoad): void {
+    this.lastLoad = load;
+    this.parts.router.load(target, load);
+  }
+
   private learn(promptTokens: number): void {
     this.promptTokens = promptTokens;
     this.parts.learn(this.prompt.model.base, this.prompt.prompt.length, promptTokens);
--- a/packages/daemon/src/requests/gatherer.ts
+++ b/packages/daemon/src/requests/gatherer.ts
@@ -17,15 +17,25 @@
   owner: () => domain.memory.holding.Owner;
   /** Engines that may lend memory. */
   engines: () => Target[];
+  /** Memory believed free on an engine. */
+  freeTokens: (name: string) => number;
   now: () => number;
 }
 
 /** Why memory could not be gathered. */
 export type GatherError = 'tooLong' | 'deadline' | 'stopped';
 
+/** Memory of other engines, reserved under ids that begin with `tag`. */
+export interface Gathered {
+  tag: string;
+  parts: Part[];
+}
+
 const RETRY_MS = { least: 50, most: 500 };
 
 export class Gatherer {
+  private rounds = 0;
+
   constructor(private readonly options: Options) {}
 
   /** Whether engines together could ever hold so much. */
@@ -41,16 +51,17 @@
     request: domain.routing.dispatcher.Request,
     primary: Target,
     signal: AbortSignal,
-  ): Promise<Result<Part[], GatherError>> {
+  ): Promise<Result<Gathered, GatherError>> {
     const tokens = request.promptTokens + request.answerTokens;
     const share = domain.routing.dispatcher.PRIMARY_SHARE;
-    if (tokens <= Math.floor(primary.memoryTokens * share)) return Ok([]);
+    if (tokens <= Math.floor(primary.memoryTokens * share)) return Ok({ tag: id, parts: [] });
     const { now, random } = this.options;
     while (!signal.aborted && now() < request.deadline) {
       const others = this.options.engines().filter(({ name }) => name !== primary.name);
       const parts = this.plan(tokens, primary, others);
       if (parts === undefined) return Err('tooLong');
-      if (await this.reserveAll(id, parts)) return Ok(parts);
+      const gathered = { tag: this.newTag(id), parts };
+      if (await this.reserveAll(gathered)) return Ok(gathered);
       const pause = RETRY_MS.least + random.uniform() * (RETRY_MS.most - RETRY_MS.least);
       await new Promise((resolve) => {
         setTimeout(resolve, pause);
@@ -59,37 +70,45 @@
     return Err(signal.aborted ? 'stopped' : 'deadline');
   }
 
-  giveBack(id: string, parts: readonly Part[]): void {
-    parts.forEach(({ target }) =>
-      this.options.holdings.release(target, this.reservation(id, target)),
-    );
+  giveBack({ tag, parts }: Gathered): void {
+    parts.forEach(({ target }) => {
+      this.options.holdings.release(target, this.reservation(tag, target));
+    });
+  }
+
+  /**
+   * Every try has ids of its own. With the same ids, a late release of the former try would free the
+   * reservation of the next, and its confirmation would make this daemon forget what it still holds.
+   */
+  private newTag(id: string): string {
+    this.rounds += 1;
+    return `${id}~${this.rounds}`;
   }
 
   private plan(tokens: number, primary: Target, others: readonly Target[]): Part[] | undefined {
-    const free = new Map(others.map(({ name, load }) => [name, load.freeTokens]));
-    return domain.memory.gathering.plan(tokens, primary, others, (name) => free.get(name) ?? 0);
+    return domain.memory.gathering.plan(tokens, primary, others, this.options.freeTokens);
   }
 
-  private reservation(id: string, target: string): string {
-    return `${id}@${target}`;
+  private reservation(tag: string, target: string): string {
+    return `${tag}@${target}`;
   }
 
-  private async reserveAll(id: string, parts: readonly Part[]): Promise<boolean> {
+  private async reserveAll({ tag, parts }: Gathered): Promise<boolean> {
     for (const [position, part] of parts.entries()) {
-      if (!(await this.reserve(id, part))) {
+      if (!(await this.reserve(tag, part))) {
         // The failed one too: its answer may have been lost after it was granted.
-        this.giveBack(id, parts.slice(0, position + 1));
+        this.giveBack({ tag, parts: parts.slice(0, position + 1) });
         return false;
       }
     }
     return true;
   }
 
-  private async reserve(id: string, { target: name, tokens }: Part): Promise<boolean> {
+  private async reserve(tag: string, { target: name, tokens }: Part): Promise<boolean> {
     const { holdings, adapter: engine, owner } = this.options;
     const target = this.options.engines().find((each) => each.name === name);
     if (target === undefined) return false;
-    const reservation = this.reservation(id, name);
+    const reservation = this.reservation(tag, name);
     holdings.hold(target, reservation, 'reservation');
     const leaseMs = domain.memory.holding.LEASE_MS;
     const wish = { id: reservation, owner: owner(), tokens, leaseMs };
--- a/packages/daemon/src/requests/router.ts
+++ b/packages/daemon/src/requests/router.ts
@@ -11,7 +11,6 @@
 type Dispatch = domain.routing.dispatcher.Dispatch;
 
 export interface Options {
-  self: string;
   dataCentre: string;
   hash: domain.shared.hashing.Hash;
   policy: domain.routing.policy.Policy;
@@ -65,14 +64,9 @@
     clearTimeout(this.pollTimer);
   }
 
-  /** Sets the engines that may get work: serving, and under no planned stop. */
+  /** Sets the engines of the cell that may get work: serving, and under no planned stop. */
   setEngines(engines: readonly Target[]): void {
-    const names = domain.routing.subset.subset(
-      this.options.hash,
-      this.options.self,
-      engines.map(({ name }) => name).sort(),
-    );
-    this.engines = engines.filter(({ name }) => names.includes(name));
+    this.engines = [...engines];
     this.dispatcher.setTargets(this.engines);
     this.poll();
   }
@@ -142,6 +136,14 @@
     this.dispatcher.setBroken(target, true);
   }
 
+  freeTokens(target: string): number {
+    return this.dispatcher.freeTokens(target, this.options.now());
+  }
+
+  brokenTargets(): string[] {
+    return [...this.circuits.keys()].filter((target) => this.isBroken(target));
+  }
+
   isBroken(target: string): boolean {
     return this.circuit(target).state === 'open';
   }
--- /dev/null
+++ b/packages/daemon/src/rpc/__tests__/rpc.test.ts
@@ -0,0 +1,133 @@
+/** Calls between daemons: proof, garbage, silence. */
+import * as net from 'node:net';
+import * as chai from 'chai';
+import * as fastCheck from 'fast-check';
+import * as observer from '../../observability/observer';
+import * as framing from '../framing';
+import * as peerClient from '../peerClient';
+import * as peerServer from '../peerServer';
+
+const { expect } = chai;
+
+const LOCAL = { host: '127.0.0.1', port: 0 };
+
+describe('peer calls', () => {
+  const observe = new observer.Observer('test', 'fatal', undefined);
+  const server = new peerServer.PeerServer('right-secret', undefined, observe);
+  let address = '';
+
+  before(async () => {
+    server.add('echo', (parameters) => parameters);
+    server.add('never', () => new Promise(() => undefined));
+    server.add('throws', () => {
+      throw new Error('bad');
+    });
+    address = `127.0.0.1:${await server.listen(LOCAL)}`;
+  });
+
+  after(() => server.close());
+
+  function client(secret = 'right-secret'): peerClient.PeerClient {
+    return new peerClient.PeerClient(secret, undefined, observe);
+  }
+
+  it('answers a peer with the secret, and nobody else', async () => {
+    const good = client();
+    const bad = client('wrong-secret');
+    const answered = await good.call(address, 'echo', { a: [1, 'x'] });
+    const refused = await bad.call(address, 'echo', {}, { timeoutMs: 500 });
+    const failed = await good.call(address, 'throws', {});
+    const unknown = await good.call(address, 'nothing', {});
+    expect([answered.val, refused.ok, failed.ok, unknown.ok]).to.deep.equal([
+      { a: [1, 'x'] },
+      false,
+      false,
+      false,
+    ]);
+    good.close();
+    bad.close();
+  });
+
+  /*
+   * A connection goes silent for good because something between lost track of it, while new ones work.
+   * The call times out; the next must not wait on the same connection.
+   */
+  it('leaves a silent connection and reaches the peer over a new one', async () => {
+    const proxied: net.Socket[] = [];
+    const proxy = net.createServer((socket) => {
+      const [host, port] = address.split(':') as [string, string];
+      const through = net.connect(Number(port), host);
+      socket.on('error', () => undefined);
+      through.on('error', () => undefined);
+      proxied.push(socket, through);
+      socket.pipe(through).pipe(socket);
+    });
+    await new Promise<void>((resolve) => {
+      proxy.listen(0, '127.0.0.1', resolve);
+    });
+    const port = (proxy.address() as net.AddressInfo).port;
+    const caller = client();
+    const through = `127.0.0.1:${port}`;
+    const first = await caller.call(through, 'echo', 1);
+    proxied.forEach((socket) => {
+      socket.unpipe();
+      socket.pause();
+    });
+    const silent = await caller.call(through, 'echo', 2, { timeoutMs: 150 });
+    const next = await caller.call(through, 'echo', 3, { timeoutMs: 2_000 });
+    expect([first.val, silent.err && silent.val.kind, next.val]).to.deep.equal([1, 'timeout', 3]);
+    caller.close();
+    proxied.forEach((socket) => socket.destroy());
+    proxy.close();
+  });
+
+  it('goes on serving after a thousand malformed frames', async () => {
+    const bytes = fastCheck.sample(fastCheck.uint8Array({ minLength: 1, maxLength: 60 }), {
+      seed: 7,
+      numRuns: 1_000,
+    });
+    for (let i = 0; i < bytes.length; i += 50) {
+      await Promise.all(
+        bytes.slice(i, i + 50).map(
+          (garbage) =>
+            new Promise<void>((resolve) => {
+              const [host, port] = address.split(':') as [string, string];
+              const socket = net.connect(Number(port), host, () => {
+                socket.write(framing.encode(i % 100 === 0 ? { nonce: 'n', answer: 'a' } : garbage));
+                socket.end(Buffer.from(garbage));
+              });
+              socket.resume();
+              socket.on('error', () => resolve());
+              socket.on('close', () => resolve());
+            }),
+        ),
+      );
+    }
+    const caller = client();
+    expect((await caller.call(address, 'echo', 'alive')).val).to.equal('alive');
+    caller.close();
+  });
+
+  it('refuses a frame over the limit before reading it', () => {
+    const splitter = new framing.Splitter(() => undefined, 10);
+    expect(() => splitter.push(framing.encode('longer than ten bytes'))).to.throw(/over the limit/);
+  });
+
+  it('puts frames together however the bytes are cut', () => {
+    const values = [{ a: 1 }, 'x', [1, 2, 3], null];
+    const all = Buffer.concat(values.map(framing.encode));
+    fastCheck.assert(
+      fastCheck.property(fastCheck.array(fastCheck.integer({ min: 1, max: 9 })), (sizes) => {
+        const taken: unknown[] = [];
+        const splitter = new framing.Splitter((value) => taken.push(value));
+        let at = 0;
+        [...sizes, all.length].forEach((size) => {
+          splitter.push(all.subarray(at, at + size));
+          at = Math.min(all.length, at + size);
+        });
+        expect(taken).to.deep.equal(values);
+      }),
+      { seed: 2 },
+    );
+  });
+});
--- /dev/null
+++ b/packages/daemon/src/storage/__tests__/storage.test.ts
@@ -0,0 +1,101 @@
+/** The journal under crashes at every byte, and the identity of a data folder. */
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as domain from '@celerydrift/domain';
+import * as chai from 'chai';
+import * as fastCheck from 'fast-check';
+import * as frames from '../frames';
+import * as identity from '../identity';
+import * as journal from '../journal';
+
+const { expect } = chai;
+
+function entry(index: number): domain.replication.messages.Entry {
+  return { kind: 'command', index, term: 1, command: `c${index}` };
+}
+
+describe('journal frames', () => {
+  const payloads = [{ a: 1 }, ['b', 2], 'c'.repeat(40), { d: [1, 2, 3] }];
+  const file = Buffer.concat(payloads.map(frames.encode));
+
+  /** A crash tears the last write at any byte: what was synced before must all be there. */
+  it('keeps every whole frame when the file is cut at any byte', () => {
+    const ends = payloads.map(
+      (_p, i) => Buffer.concat(payloads.slice(0, i + 1).map(frames.encode)).length,
+    );
+    for (let length = 0; length <= file.length; length++) {
+      const whole = ends.filter((end) => end <= length).length;
+      const replayed = frames.replay(file.subarray(0, length)).unwrap();
+      expect(replayed.payloads).to.deep.equal(payloads.slice(0, whole));
+      expect(replayed.torn).to.equal(length > 0 && !ends.includes(length));
+    }
+  });
+
+  /*
+   * Accepted settings vanish although the disk held them: a sector in the middle went bad, and the
+   * replica went on as if the rest had never been written.
+   */
+  it('never takes a bad byte before good frames for a torn end', () => {
+    const last = frames.encode(payloads.at(-1)).length;
+    for (let at = 0; at < file.length - last; at++) {
+      const bad = Buffer.from(file);
+      bad[at] = bad[at] ^ 0x41;
+      expect(frames.replay(bad).err, `byte ${at}`).to.equal(true);
+    }
+  });
+
+  it('reads any bytes without throwing', () => {
+    fastCheck.assert(
+      fastCheck.property(fastCheck.uint8Array({ maxLength: 200 }), (bytes) => {
+        frames.replay(Buffer.from(bytes));
+      }),
+      { seed: 1, numRuns: 2_000 },
+    );
+  });
+});
+
+describe('journal', () => {
+  let folder = '';
+
+  beforeEach(() => {
+    folder = fs.mkdtempSync(path.join(os.tmpdir(), 'celerydrift-test-'));
+  });
+
+  afterEach(() => fs.rmSync(folder, { recursive: true, force: true }));
+
+  it('comes back with what was synced, after truncation, rewriting and a torn write', async () => {
+    const first = (await journal.Journal.open(folder)).unwrap();
+    const empty = domain.replication.messages.emptyDurable();
+    await first.journal.rewrite(empty);
+    await first.journal.append([{ kind: 'append', entries: [1, 2, 3, 4].map(entry) }]);
+    await first.journal.append([
+      { kind: 'vote', vote: { term: 2, votedFor: 'x' } },
+      { kind: 'truncate', from: 3 },
+      { kind: 'append', entries: [entry(3)] },
+    ]);
+    await first.journal.close();
+    fs.appendFileSync(path.join(folder, 'journal'), Buffer.from([9, 9, 9]));
+    const second = (await journal.Journal.open(folder)).unwrap();
+    expect([first.durable, second.cut, second.durable]).toMatchSnapshot();
+    await second.journal.rewrite({
+      ...(second.durable as domain.replication.messages.Durable),
+      snapshot: { index: 2, term: 1, members: [], state: 'state' },
+    });
+    await second.journal.append([{ kind: 'append', entries: [entry(4)] }]);
+    await second.journal.close();
+    const third = (await journal.Journal.open(folder)).unwrap();
+    await third.journal.close();
+    expect([third.cut, third.durable?.snapshot.index, third.durable?.entries.length]).to.deep.equal(
+      [false, 2, 4],
+    );
+  });
+
+  it('gives a data folder its identity once, and an emptied one another', async () => {
+    const made = await identity.readOrMake(folder);
+    const again = await identity.readOrMake(folder);
+    fs.rmSync(folder, { recursive: true });
+    const other = await identity.readOrMake(folder);
+    expect([again === made, other === made]).to.deep.equal([true, false]);
+  });
+});
--- a/packages/daemon/src/targets/targetTable.ts
+++ b/packages/daemon/src/targets/targetTable.ts
@@ -23,12 +23,18 @@
 
 const EXPIRE_EVERY_MS = 500;
 
+/** Between two looks at which targets this daemon keeps; it ranks all of them, so it is rare. */
+const ADOPT_EVERY_MS = 3_000;
+
+/** Name, incarnation and sequence: all that a keeper needs while nothing else changes. */
+type Renewal = [name: string, incarnation: number, sequence: number];
+
 export class TargetTable {
   private readonly targets = new Map<string, Target>();
 
   private readonly keeper = new domain.target.keeper.Keeper();
 
-  private timer: NodeJS.Timeout | undefined;
+  private timers: NodeJS.Timeout[] = [];
 
   constructor(private readonly options: Options) {}
 
@@ -37,11 +43,18 @@
       this.keep(parameters as Target);
       return { taken: true };
     });
-    this.timer = setInterval(() => this.watch(), EXPIRE_EVERY_MS);
+    server.add('renew', (parameters) => {
+      const [name, incarnation, sequence] = parameters as Renewal;
+      return this.keeper.renew(name, incarnation, sequence, this.options.now());
+    });
+    this.timers = [
+      setInterval(() => this.expire(), EXPIRE_EVERY_MS),
+      setInterval(() => this.adopt(), ADOPT_EVERY_MS),
+    ];
   }
 
   stop(): void {
-    clearInterval(this.timer);
+    this.timers.forEach((timer) => clearInterval(timer));
   }
 
   list(): Target[] {
@@ -62,12 +75,13 @@
       this.merge(target);
       await this.options.members().push({ kind: 'target', target });
     }
+    const known = this.get(target.name);
+    const unchanged = known !== undefined && !domain.target.target.isNews(target, known);
     const { self } = this.options.members();
     const keepers = this.keepersOf(target);
     if (keepers.includes(self.id)) this.keep(target);
-    await Promise.all(
-      keepers.filter((id) => id !== self.id).map((id) => this.handOver(id, target)),
-    );
+    const others = keepers.filter((id) => id !== self.id);
+    await Promise.all(others.map((id) => this.handOver(id, target, unchanged)));
   }
 
   /** Takes a record from gossip, a push or a keeper; true when it was new here. */
@@ -98,11 +112,16 @@
     return domain.target.keeper.keepersOf(this.options.hash, name, live);
   }
 
-  private async handOver(id: string, target: Target): Promise<void> {
+  private async handOver(id: string, target: Target, unchanged: boolean): Promise<void> {
     const peer = this.options.members().detector.get(id);
     if (peer === undefined) return;
     const { client } = this.options;
     const call = { timeoutMs: HAND_OVER_TIMEOUT_MS };
+    if (unchanged) {
+      const renewal: Renewal = [target.name, target.incarnation, target.sequence];
+      const renewed = await client.call<boolean>(peer.address, 'renew', renewal, call);
+      if (renewed.ok && renewed.val) return;
+    }
     const taken = await client.call(peer.address, 'announce', target, call);
     // A keeper that can't be reached must not make a target look gone, so this daemon tells it on.
     if (taken.err) this.keep(target);
@@ -114,7 +133,8 @@
     if (news) this.options.members().post({ kind: 'target', target });
   }
 
-  private watch(): void {
+  /** Takes up leases whose former keepers died, and gives up those that others keep now. */
+  private adopt(): void {
     const now = this.options.now();
     const { self } = this.options.members();
     this.targets.forEach((target) => {
@@ -122,7 +142,10 @@
       if (mine && target.status === 'serving') this.keeper.adopt(target, now);
       if (!mine) this.keeper.drop(target.name);
     });
-    this.keeper.expire(now).forEach((gone) => {
+  }
+
+  private expire(): void {
+    this.keeper.expire(this.options.now()).forEach((gone) => {
       if (this.merge(gone)) void this.options.members().push({ kind: 'target', target: gone });
     });
   }
--- a/packages/domain/src/request/retry.ts
+++ b/packages/domain/src/request/retry.ts
@@ -19,8 +19,8 @@
 export const DEFAULT_OPTIONS: Options = {
   share: 0.2,
   reserve: 50,
-  attempts: 4,
-  baseDelayMs: 10,
+  attempts: 6,
+  baseDelayMs: 50,
   maxDelayMs: 2_000,
 };
 
--- a/packages/domain/src/routing/__tests__/routing.test.ts
+++ b/packages/domain/src/routing/__tests__/routing.test.ts
@@ -5,11 +5,11 @@
 import * as random from '../../shared/random';
 import * as target from '../../target/target';
 import * as band from '../band';
+import * as cell from '../cell';
 import * as dispatcher from '../dispatcher';
 import * as fairQueue from '../fairQueue';
 import * as policy from '../policy';
 import * as prefixIndex from '../prefixIndex';
-import * as subset from '../subset';
 
 const { expect } = chai;
 
@@ -220,18 +220,27 @@
   });
 });
 
-describe('subset', () => {
-  it('moves little when a target goes, and spreads daemons evenly', async () => {
+describe('cells', () => {
+  const places = (count: number, prefix: string): cell.Placed[] =>
+    Array.from({ length: count }, (_v, i) => ({ id: `${prefix}${i}`, dataCentre: `dc${i % 17}` }));
+
+  it('are one for a small fleet, and all daemons name the same allocator', async () => {
     const hash = await hashing.load();
-    const targets = Array.from({ length: 141 }, (_v, i) => `t${i}`);
-    const uses = new Map<string, number>();
-    for (let d = 0; d < 48; d++) {
-      const before = subset.subset(hash, `d${d}`, targets);
-      before.forEach((name) => uses.set(name, (uses.get(name) ?? 0) + 1));
-      const after = subset.subset(hash, `d${d}`, targets.slice(1));
-      const kept = after.filter((name) => before.includes(name)).length;
-      expect(kept).to.be.at.least(subset.DEFAULT_SUBSET - 1);
-    }
-    expect(Math.min(...targets.map((name) => uses.get(name) ?? 0))).to.be.at.least(3);
+    const daemons = places(8, 'd');
+    const targets = places(25, 't');
+    const cells = daemons.map((self) => cell.cellOf(hash, self, daemons, targets));
+    expect(new Set(cells.map(({ allocator }) => allocator)).size).to.equal(1);
+    expect(cells.every((each) => each.targets.length === 25)).to.equal(true);
+  });
+
+  it('stay within a data centre and bounded at the size of the letter', async () => {
+    const hash = await hashing.load();
+    const daemons = places(810, 'd');
+    const targets = places(2_400, 't');
+    const cells = daemons.map((self) => cell.cellOf(hash, self, daemons, targets));
+    const used = new Set(cells.flatMap((each) => each.targets));
+    const allocators = new Set(cells.map(({ allocator }) => allocator));
+    const largest = Math.max(...cells.map((each) => each.targets.length));
+    expect([largest <= cell.CELL_TARGETS * 2, used.size, allocators.size]).toMatchSnapshot();
   });
 });
--- /dev/null
+++ b/packages/domain/src/routing/cell.ts
@@ -0,0 +1,52 @@
+/**
+ * Which daemon places requests for whom. Daemons that place each for itself on second-old views of the
+ * others collide: in the measured mix every seventh short request met another daemon's. So the targets
+ * are split into cells, and in each cell one daemon, the allocator, places the requests of all; it knows
+ * every dispatch exactly. Allocators are picked by rendezvous hashing, so there is nothing to elect, and
+ * a daemon that can't reach its allocator places by itself until another takes over.
+ */
+import * as hashing from '../shared/hashing';
+
+/** Targets in a cell. All of today's 20 to 25 servers fit into one. */
+export const CELL_TARGETS = 32;
+
+/** Fleets up to this many daemons share cells over all data centres. */
+export const SMALL_FLEET = 16;
+
+export interface Placed {
+  id: string;
+  dataCentre: string;
+}
+
+export interface Cell {
+  /** Names of the targets that the daemon uses. */
+  targets: string[];
+  /** Id of the daemon that places. */
+  allocator: string;
+}
+
+function inCell(hash: hashing.Hash, kind: string, name: string, count: number): number {
+  return hash(`cell/${kind}/${name}`) % count;
+}
+
+/** The cell of the daemon `self`; `daemons` are the live ones, itself included or not. */
+export function cellOf(
+  hash: hashing.Hash,
+  self: Placed,
+  daemons: readonly Placed[],
+  targets: readonly Placed[],
+): Cell {
+  const small = daemons.length <= SMALL_FLEET;
+  const near = (placed: Placed): boolean => small || placed.dataCentre === self.dataCentre;
+  const nearTargets = targets.filter(near).map(({ id }) => id);
+  const nearDaemons = daemons.filter(near).map(({ id }) => id);
+  const count = Math.max(1, Math.ceil(nearTargets.length / CELL_TARGETS));
+  const own = inCell(hash, 'daemon', self.id, count);
+  const members = nearDaemons.filter((id) => inCell(hash, 'daemon', id, count) === own);
+  const place = small ? 'fleet' : self.dataCentre;
+  const ranked = hashing.rendezvous(hash, `allocator/${place}/${own}`, members);
+  return {
+    targets: nearTargets.filter((name) => inCell(hash, 'target', name, count) === own),
+    allocator: ranked[0] ?? self.id,
+  };
+}
--- a/packages/domain/src/routing/dispatcher.ts
+++ b/packages/domain/src/routing/dispatcher.ts
@@ -183,6 +183,11 @@
     return Math.max(0, ...able.map(({ announced }) => announced.memoryTokens));
   }
 
+  /** Memory believed free on a target, in tokens. */
+  freeTokens(name: string, now: number): number {
+    return this.targets.get(name)?.belief.freeTokens(now) ?? 0;
+  }
+
   enqueue(request: Request, now: number): Refusal | undefined {
     const inBand = band.bandOf(request.promptTokens, this.options.thresholds);
     const refusal = this.refusal(request, inBand, now);
@@ -274,8 +279,10 @@
     const waiting = band.BANDS.reduce((sum, each) => sum + this.queues[each].tokens, 0);
     if (waiting + request.promptTokens > this.options.queueTokens) return 'queueFull';
     if (this.queueLength >= this.options.queueLength) return 'queueFull';
+    if (this.serving(request).length === 0) return 'noTarget';
     const candidates = this.candidates(request);
-    if (candidates.length === 0) return 'noTarget';
+    // All circuits open: it waits for the next trial, as long as its deadline allows.
+    if (candidates.length === 0) return undefined;
     const soonest = Math.min(
       ...candidates.map(({ estimate: belief }) =>
         belief.costs.serviceMs(inBand, request.promptTokens),
@@ -285,20 +292,23 @@
     return now + soonest / 2 > request.deadline ? 'deadlineInfeasible' : undefined;
   }
 
+  private serving({ model }: Request): Known[] {
+    return [...this.targets.values()].filter(({ announced }) => target.serves(announced, model));
+  }
+
+  /** Sound targets that were not tried yet; when all were, one that failed once is better than none. */
   private candidates(request: Request): policy.Candidate[] {
-    return [...this.targets.values()]
-      .filter(({ announced }) => target.serves(announced, request.model))
-      .filter(({ announced }) => !request.excluded.has(announced.name))
-      .filter(({ announced }) => !this.broken.has(announced.name))
-      .map(({ announced, belief }) => ({
-        name: announced.name,
-        estimate: belief,
-        distanceMs: announced.dataCentre === this.dataCentre ? 0 : this.options.remoteMs,
-        cachedTokens: this.prefixes.cachedTokens(announced.name, request.prefixKeys),
-        reserved: this.reserve.has(announced.name),
-        preference: this.preferenceOf(announced.name),
-        memoryTokens: announced.memoryTokens,
-      }));
+    const sound = this.serving(request).filter(({ announced }) => !this.broken.has(announced.name));
+    const untried = sound.filter(({ announced }) => !request.excluded.has(announced.name));
+    return (untried.length > 0 ? untried : sound).map(({ announced, belief }) => ({
+      name: announced.name,
+      estimate: belief,
+      distanceMs: announced.dataCentre === this.dataCentre ? 0 : this.options.remoteMs,
+      cachedTokens: this.prefixes.cachedTokens(announced.name, request.prefixKeys),
+      reserved: this.reserve.has(announced.name),
+      preference: this.preferenceOf(announced.name),
+      memoryTokens: announced.memoryTokens,
+    }));
   }
 
   private preferenceOf(name: string): number {
--- a/packages/domain/src/target/__tests__/target.test.ts
+++ b/packages/domain/src/target/__tests__/target.test.ts
@@ -80,9 +80,11 @@
     const told = [
       tested.announce(announced(1, 1), 0),
       tested.announce(announced(1, 2), 500),
-      tested.announce(announced(1, 3, 'serving', 100_000), 600),
+      tested.announce({ ...announced(1, 3), memoryTokens: 2 }, 600),
+      tested.renew('t', 1, 4, 650),
+      tested.renew('t', 2, 5, 650),
       tested.announce(announced(1, 1), 700),
-      tested.announce(announced(1, 4, 'leaving', 100_000), 800),
+      tested.announce(announced(1, 5, 'leaving'), 800),
     ];
     const gone = [1_700, 1_900, 2_000].map((now) => tested.expire(now).map((t) => t.status));
     expect({ told, gone }).toMatchSnapshot();
--- a/packages/domain/src/target/keeper.ts
+++ b/packages/domain/src/target/keeper.ts
@@ -37,6 +37,17 @@
     return target.isNews(announced, current?.announced);
   }
 
+  /** Renews a lease by name alone; false if the target isn't kept here in this incarnation. */
+  renew(name: string, incarnation: number, sequence: number, now: number): boolean {
+    const lease = this.leases.get(name);
+    if (lease === undefined || lease.announced.incarnation !== incarnation) return false;
+    if (sequence > lease.announced.sequence) {
+      const announced = { ...lease.announced, sequence };
+      this.leases.set(name, { announced, heardAt: now });
+    }
+    return true;
+  }
+
   /** Starts the lease of a target whose former keepers may be dead together with it. */
   adopt(announced: target.Target, now: number): void {
     if (!this.leases.has(announced.name)) {
--- a/packages/domain/src/target/target.ts
+++ b/packages/domain/src/target/target.ts
@@ -75,18 +75,13 @@
   return Math.round(2 ** (Math.round(Math.log2(count) * 4) / 4));
 }
 
-/** Whether the difference between two announcements is worth telling daemons that don't keep it. */
+/**
+ * Whether the difference between two announcements is worth telling daemons that don't keep it. Load is
+ * not: engines tell it with their answers, to those that use them, at no cost in messages.
+ */
 export function isNews(candidate: Target, current: Target | undefined): boolean {
   if (current === undefined) return true;
-  const shape = (target: Target): string =>
-    JSON.stringify([
-      target.incarnation,
-      target.status,
-      target.address,
-      target.models,
-      target.memoryTokens,
-      quantised(target.load.queuedTokens / 4096),
-      quantised(target.load.streams / 4),
-    ]);
+  const shape = ({ incarnation, status, address, models, memoryTokens }: Target): string =>
+    JSON.stringify([incarnation, status, address, models, memoryTokens]);
   return shape(candidate) !== shape(current);
 }
--- a/packages/measure/src/mixed/mixed.ts
+++ b/packages/measure/src/mixed/mixed.ts
@@ -48,6 +48,9 @@
   { name: '1M', upTo: 1_100_000 },
 ];
 
+/** One-way delay between VMs of the first user's data centres, in milliseconds. */
+const HOP_MS = 0.5;
+
 /** Requests up to this length are the short ones of the users. */
 export const SHORT_TOKENS = 8_000;
 
@@ -65,16 +68,27 @@
   name: string;
   policy: (source: domain.shared.random.Random) => domain.routing.policy.Policy;
   clairvoyant?: boolean;
+  /** Each daemon places for itself instead of asking the allocator. */
+  alone?: boolean;
   options?: Partial<domain.routing.dispatcher.Options>;
 }
 
 export const CONTENDERS: readonly Contender[] = [
   { name: 'product', policy: (source) => new policy.ElasticReserve(source) },
-  { name: 'naive.roundRobin', policy: () => new policy.RoundRobin() },
-  { name: 'naive.leastOutstanding', policy: (source) => new policy.LeastOutstanding(source) },
-  { name: 'naive.fifo', policy: (source) => new policy.SharedFifo(source) },
-  { name: 'enginePriority', policy: () => new policy.EnginePriority() },
-  { name: 'longCap', policy: () => new policy.LongCap() },
+  {
+    name: 'withoutAllocator',
+    policy: (source) => new policy.ElasticReserve(source),
+    alone: true,
+  },
+  { name: 'naive.roundRobin', policy: () => new policy.RoundRobin(), alone: true },
+  {
+    name: 'naive.leastOutstanding',
+    policy: (source) => new policy.LeastOutstanding(source),
+    alone: true,
+  },
+  { name: 'naive.fifo', policy: (source) => new policy.SharedFifo(source), alone: true },
+  { name: 'enginePriority', policy: () => new policy.EnginePriority(), alone: true },
+  { name: 'longCap', policy: () => new policy.LongCap(), alone: true },
   {
     name: 'clairvoyant',
     policy: (source) => new policy.ElasticReserve(source),
@@ -129,8 +143,9 @@
     parameters: setup.parameters,
     policy: contender.policy,
     dispatcher: { ...dispatcher.DEFAULT_OPTIONS, ...contender.options },
-    networkMs: 0.5,
+    networkMs: HOP_MS,
     summaryMs: 1_000,
+    allocatorHopMs: contender.alone === true || contender.clairvoyant === true ? undefined : HOP_MS,
     clairvoyant: contender.clairvoyant === true,
     olderShare: setup.olderShare,
     hash,
--- a/packages/measure/src/mixed/simulation.ts
+++ b/packages/measure/src/mixed/simulation.ts
@@ -22,6 +22,8 @@
   networkMs: number;
   /** Period of the peers' summaries, in milliseconds. */
   summaryMs: number;
+  /** One daemon places for all, a hop of so many milliseconds away; undefined: each for itself. */
+  allocatorHopMs: number | undefined;
   /** Whether dispatchers see the engines' true state at every moment. */
   clairvoyant: boolean;
   /** Part of each engine that an older system uses, unseen but for load reports. */
@@ -43,11 +45,16 @@
 
 const MODEL: domain.target.target.Loaded = { base: 'base', adapter: '', version: '1' };
 
+const { REPORT_EVERY } = standins.engineModel;
+
 /** Requests of the older system: medium prompts in a steady stream. */
 const OLDER_PROMPT_TOKENS = 4_000;
 
 const OLDER_ANSWER_TOKENS = 100;
 
+/** The dispatcher that places for all. */
+const ALLOCATOR = 0;
+
 const POLL_MS = 5;
 
 /** Time after the last arrival during which requests may still finish, in milliseconds. */
@@ -100,7 +107,7 @@
   run(work: readonly workload.Arrival[]): Served[] {
     work.forEach((arrival) => {
       this.arrivals.set(arrival.id, arrival);
-      this.events.at(arrival.at, () => this.arrive(arrival));
+      this.events.at(arrival.at + this.hop, () => this.arrive(arrival));
     });
     const end = (work.at(-1)?.at ?? 0) + DRAIN_MS;
     if (this.options.olderShare > 0) this.scheduleOlder(0, work.at(-1)?.at ?? 0);
@@ -149,8 +156,13 @@
     this.events.at(period, tick);
   }
 
+  private get hop(): number {
+    return this.options.allocatorHopMs ?? 0;
+  }
+
   private arrive(arrival: workload.Arrival): void {
-    const dispatcher = this.dispatchers[arrival.daemon];
+    const index = this.options.allocatorHopMs === undefined ? arrival.daemon : ALLOCATOR;
+    const dispatcher = this.dispatchers[index];
     const refusal = dispatcher.enqueue(
       {
         id: arrival.id,
@@ -167,7 +179,7 @@
       },
       this.now,
     );
-    if (refusal === undefined) this.poll(arrival.daemon);
+    if (refusal === undefined) this.poll(index);
     else this.refused += 1;
   }
 
@@ -193,7 +205,7 @@
     const priority = dispatch.enginePriority;
     const job = { id, promptTokens, answerTokens, priority, prefixKeys, remoteTokens };
     const engine = this.engines.get(dispatch.target.name) as Engine;
-    this.events.at(this.now + this.options.networkMs, () => {
+    this.events.at(this.now + this.hop + this.options.networkMs, () => {
       this.submit(index, engine, job, dispatch.needsRoom);
     });
   }
@@ -212,7 +224,7 @@
     }
     if (gathered) this.giveBack(job.id);
     const report = { ...engine.model.trueLoad(this.now), measuredAt: this.now };
-    const wait = gathered ? this.options.networkMs : RETRY_MS;
+    const wait = gathered ? this.options.networkMs + this.hop : RETRY_MS;
     this.events.at(this.now + wait, () => {
       this.dispatchers[index].refused(job.id, report, this.now);
       this.poll(index);
@@ -260,24 +272,28 @@
     const owner = this.owners.get(token.id);
     if (owner === undefined) return;
     if (token.last) this.giveBack(token.id);
-    const reports = token.position % standins.engineModel.REPORT_EVERY === 0 || token.last;
+    // An allocator hears of loads only with first and last tokens.
+    const every = this.options.allocatorHopMs === undefined ? REPORT_EVERY : Infinity;
+    const reports = token.position % every === 0 || token.last;
     if (!reports) return;
     const { loadLagMs } = this.options.parameters;
     const load = engine.model.load(this.now);
     const measuredAt = this.now - loadLagMs;
-    this.events.at(this.now + this.options.networkMs, () => {
+    if (token.position === 0) this.serveFirst(token.id);
+    this.events.at(this.now + this.options.networkMs + this.hop, () => {
       const dispatcher = this.dispatchers[owner];
-      if (token.position === 0) this.serveFirst(token.id, dispatcher);
+      if (token.position === 0) dispatcher.firstToken(token.id, this.now);
       if (token.last) dispatcher.ended(token.id, this.now);
       dispatcher.reported(engine.name, { ...load, measuredAt });
       this.poll(owner);
     });
   }
 
-  private serveFirst(id: string, dispatcher: Dispatcher): void {
-    dispatcher.firstToken(id, this.now);
+  /** The entry passes the first token on at once; only the allocator hears of it a hop later. */
+  private serveFirst(id: string): void {
     const { at, promptTokens, organisation } = this.arrivals.get(id) as workload.Arrival;
-    this.served.push({ promptTokens, ttftMs: this.now - at, organisation });
+    const ttftMs = this.now + this.options.networkMs - at;
+    this.served.push({ promptTokens, ttftMs, organisation });
   }
 
   /** What gossip carries between daemons: medium and long work, and demand. */
--- a/packages/standins/src/engine/engineServer.ts
+++ b/packages/standins/src/engine/engineServer.ts
@@ -129,7 +129,7 @@
   }
 
   private handle(call: httpServer.Call): void {
-    const [, version, collection, id = '', detail] = call.path.split('/');
+    const [, version, collection, id = '', detail] = call.path.split('/').map(decodeURIComponent);
     if (version === 'fault') this.onFault(call);
     else if (collection === 'generate') this.onGenerate(call);
     else if (collection === 'requests' && detail === 'stream') this.onResume(call, id);
--- a/packages/standins/src/service/plainService.ts
+++ b/packages/standins/src/service/plainService.ts
@@ -67,9 +67,10 @@
 
   private async handle(call: httpServer.Call): Promise<void> {
     if (call.path === '/fault') {
-      const fault = JSON.parse(call.body) as faults.Fault;
+      const fault = JSON.parse(call.body) as faults.Fault | { kind: 'clear' };
       if (fault.kind === 'die') process.exit(1);
-      this.switches.set(fault);
+      if (fault.kind === 'clear') this.switches.clear();
+      else this.switches.set(fault);
       httpServer.reply(call, 200, {});
     } else if (call.path === '/runs') {
       httpServer.reply(call, 200, Object.fromEntries(this.runs));
