Repair ledger shards too, whoever leads them

Cause: a test that loses a disk and then a VM failed in one of five runs. The spare VMs were taken from the settings leader's contacts; when another daemon led the ledger shard it saw no spare, and the shard stayed one voter short, so a second loss would have stopped claims. Ruled out: timing of the test (it waited 30 s), the shard's own log (its leader had its lease). Change: spares are registered VMs with a disk that membership knows as live. Conclusion: leadership of one log must not be a premise of another's repair.

--- a/packages/daemon/src/configuration/__tests__/configuration.test.ts
+++ b/packages/daemon/src/configuration/__tests__/configuration.test.ts
@@ -62,7 +62,7 @@
 describe('log events', () => {
   it('are the same in the catalogue and in docs/LOG_EVENTS.md', () => {
     const page = fs.readFileSync(path.join(DOCS, 'LOG_EVENTS.md'), 'utf8');
-    const documented = [...page.matchAll(/^\| (\d{4}) \| (\w+) \| (\w+) \| ([^|]+) \|/gm)].map(
+    const documented = [...page.matchAll(/^\| (\d{4}) +\| (\w+) +\| (\w+) +\| ([^|]+) \|/gm)].map(
       ([, number, name, level, text]) => `${number} ${name} ${level} ${text.trim()}`,
     );
     const declared = Object.entries(events.EVENTS).map(
--- a/packages/daemon/src/control/controlPlane.ts
+++ b/packages/daemon/src/control/controlPlane.ts
@@ -321,12 +321,14 @@
     return [...new Set(addresses)].filter((address) => address !== '' && address !== own);
   }
 
-  /** Registered VMs with a disk that were heard lately. */
+  /**
+   * Registered VMs with a disk that membership knows as live. The leader's contacts would not do: the
+   * leader of a ledger shard may be another daemon, whom nobody reports to.
+   */
   private spares(): domain.replication.repair.Spare[] {
-    const now = this.options.now();
-    const lease = domain.membership.freshness.DEFAULT_LEASE;
-    return [...this.machine.state.daemons.values()]
-      .filter(({ id, replica }) => replica !== '' && now - this.contacts.at(id) <= lease)
+    const live = new Set(this.options.live().all);
+    return [...this.view.daemons.values()]
+      .filter(({ id, replica }) => replica !== '' && live.has(id))
       .map(({ replica, address, dataCentre }) => ({ id: replica, address, dataCentre }));
   }
 
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -224,7 +224,7 @@
           observer: this.observer,
           now,
           allocator: () => this.allocatorAddress(),
-          target: (target) => this.openTarget(target),
+          target: (wanted) => this.openTarget(wanted),
         }),
         adapter: this.adapter,
         gatherer: new gatherer.Gatherer({
@@ -233,7 +233,7 @@
           random,
           owner,
           engines: () => this.openTargets().filter(({ kind }) => kind === 'engine'),
-          freeTokens: (name) => this.router.freeTokens(name),
+          freeTokens: (target) => this.router.freeTokens(target),
           now,
         }),
         holdings: this.holdings,
--- a/packages/daemon/src/rpc/__tests__/rpc.test.ts
+++ b/packages/daemon/src/rpc/__tests__/rpc.test.ts
@@ -18,7 +18,6 @@
 
   before(async () => {
     server.add('echo', (parameters) => parameters);
-    server.add('never', () => new Promise(() => undefined));
     server.add('throws', () => {
       throw new Error('bad');
     });
--- a/packages/daemon/src/storage/__tests__/storage.test.ts
+++ b/packages/daemon/src/storage/__tests__/storage.test.ts
@@ -40,7 +40,7 @@
     const last = frames.encode(payloads.at(-1)).length;
     for (let at = 0; at < file.length - last; at++) {
       const bad = Buffer.from(file);
-      bad[at] = bad[at] ^ 0x41;
+      bad.writeUInt8(bad.readUInt8(at) ^ 0x41, at);
       expect(frames.replay(bad).err, `byte ${at}`).to.equal(true);
     }
   });
--- a/packages/measure/src/overhead/overhead.ts
+++ b/packages/measure/src/overhead/overhead.ts
@@ -54,7 +54,12 @@
     }),
   });
   let first = 0;
-  for await (const _chunk of body) first ||= performance.now() - since;
+  body.once('data', () => {
+    first = performance.now() - since;
+  });
+  await new Promise((resolve) => {
+    body.once('end', resolve);
+  });
   return first;
 }
 
