Let equal checksums spare first meetings, and shorten the way of freshness

Gossip: two daemons that met for the first time told each other all they knew. Freshness: 14 KB/s of probes, because a follower three hops from the leader counted the time of each waiting call as age, up to 6 s against a lease of 4 s, and so lost its lease in a healthy fleet. Change: exchanges carry a checksum of the lasting records; the upstream says how long it held the call; relays follow the leader itself; readings of subtrees that did not change are kept.

--- a/packages/daemon/src/__tests__/__fixtures__/bench.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/bench.ts
@@ -76,6 +76,12 @@
   text: string;
 }
 
+export interface TlsFiles {
+  certificate: string;
+  key: string;
+  authority: string;
+}
+
 export class Bench {
   readonly daemons: daemon.Daemon[] = [];
 
@@ -91,6 +97,16 @@
 
   private readonly enginePorts = new Map<string, number>();
 
+  private readonly scheme: string;
+
+  private readonly dispatcher: undici.Agent;
+
+  constructor(private readonly tls?: TlsFiles) {
+    this.scheme = tls === undefined ? 'http' : 'https';
+    const ca = tls === undefined ? undefined : fs.readFileSync(tls.authority);
+    this.dispatcher = new undici.Agent({ connect: { ca } });
+  }
+
   /** Starts `count` daemons, all with disks, and applies the team's settings. */
   async start(count: number): Promise<void> {
     for (let i = 0; i < count; i++) {
@@ -166,7 +182,7 @@
   }
 
   url(index = 0): string {
-    return `http://127.0.0.1:${this.daemons[index]?.ports.callers}`;
+    return `${this.scheme}://127.0.0.1:${this.daemons[index]?.ports.callers}`;
   }
 
   async call(
@@ -177,6 +193,7 @@
   ): Promise<Reply> {
     const answer = await undici.request(`${this.url(index)}${urlPath}`, {
       method: method as 'GET',
+      dispatcher: this.dispatcher,
       headers: { authorization: `Bearer ${key}`, ...headers },
       body: body === undefined ? undefined : JSON.stringify(body),
     });
@@ -197,9 +214,10 @@
     token = TOKEN,
     index = 0,
   ): Promise<{ status: number; content: Record<string, unknown> }> {
-    const url = `http://127.0.0.1:${this.daemons[index]?.ports.operators}/v1/${urlPath}`;
+    const url = `${this.scheme}://127.0.0.1:${this.daemons[index]?.ports.operators}/v1/${urlPath}`;
     const answer = await undici.request(url, {
       method: method as 'GET',
+      dispatcher: this.dispatcher,
       headers: { authorization: `Bearer ${token}` },
       body: body === undefined ? undefined : JSON.stringify(body),
     });
@@ -237,6 +255,12 @@
     fs.rmSync(path.join(this.folder, `vm-${index}`), { recursive: true, force: true });
   }
 
+  private tlsLines(): string {
+    if (this.tls === undefined) return '';
+    const { certificate, key, authority } = this.tls;
+    return `certificate = ${certificate}\nkey = ${key}\nauthority = ${authority}\n`;
+  }
+
   private entries(): string[] {
     return this.targetPorts.map((port) => `http://127.0.0.1:${port}`);
   }
@@ -260,7 +284,7 @@
 [security]
 target-secret = ${SECRET}
 operator-token = sha256:${sha256(TOKEN)}
-[observe]
+${this.tlsLines()}[observe]
 level = fatal
 [limits]
 body-bytes = 8000000
--- /dev/null
+++ b/packages/daemon/src/__tests__/tls.test.ts
@@ -0,0 +1,68 @@
+/** TLS on every listener, and daemons that prove themselves by certificates of one authority. */
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as tls from 'node:tls';
+import * as chai from 'chai';
+import * as selfsigned from 'selfsigned';
+import * as bench from './__fixtures__/bench';
+
+const { expect } = chai;
+
+function makeCertificate(folder: string, name: string): bench.TlsFiles {
+  const made = selfsigned.generate([{ name: 'commonName', value: name }], {
+    keySize: 2_048,
+    extensions: [
+      { name: 'basicConstraints', cA: true },
+      { name: 'subjectAltName', altNames: [{ type: 7, ip: '127.0.0.1' }] },
+    ],
+  });
+  const files = {
+    certificate: path.join(folder, `${name}.pem`),
+    key: path.join(folder, `${name}.key`),
+    authority: path.join(folder, `${name}.pem`),
+  };
+  fs.writeFileSync(files.certificate, made.cert);
+  fs.writeFileSync(files.key, made.private);
+  return files;
+}
+
+/** Whether a peer listener lets a connection with this certificate live. */
+function isLetIn(port: number, files: bench.TlsFiles, authority: string): Promise<boolean> {
+  return new Promise((resolve) => {
+    const socket = tls.connect({
+      host: '127.0.0.1',
+      port,
+      cert: fs.readFileSync(files.certificate),
+      key: fs.readFileSync(files.key),
+      ca: fs.readFileSync(authority),
+    });
+    socket.on('data', () => resolve(true));
+    socket.on('error', () => resolve(false));
+    socket.on('close', () => resolve(false));
+  });
+}
+
+describe('TLS', () => {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'celerydrift-test-'));
+  const own = makeCertificate(folder, 'fleet');
+  const stranger = makeCertificate(folder, 'stranger');
+  const fleet = new bench.Bench(own);
+
+  after(async () => {
+    await fleet.stop();
+    fs.rmSync(folder, { recursive: true });
+  });
+
+  it('founds a replica set, accepts settings and answers callers, and shuts out strangers', async () => {
+    await fleet.start(2);
+    const ready = await fleet.call('GET', '/readyz');
+    const models = await fleet.call('GET', '/v1/models');
+    const port = fleet.daemons[0]?.ports.peers;
+    const letIn = [
+      await isLetIn(port, own, own.authority),
+      await isLetIn(port, stranger, own.authority),
+    ];
+    expect([ready.status, models.status, letIn]).to.deep.equal([200, 200, [true, false]]);
+  });
+});
--- a/packages/daemon/src/control/controlPlane.ts
+++ b/packages/daemon/src/control/controlPlane.ts
@@ -88,7 +88,8 @@
     this.query = new query.QueryClient(client, addresses);
     const ageMs = (): number => this.ageMs();
     const { view, contacts: heard, freshness } = this;
-    this.upstream = new upstream.Upstream({ view, contacts: heard, hash, ageMs, now });
+    const leader = (): string => this.leaderAddress();
+    this.upstream = new upstream.Upstream({ view, contacts: heard, hash, ageMs, now, leader });
     const onChange = (): void => this.changed();
     const upstreams = (): string[] => this.upstreams();
     const self = settings.name;
@@ -285,13 +286,17 @@
     this.contacts.take([contact], this.options.now());
   }
 
+  private leaderAddress(): string {
+    const own = this.host?.leaderAddress ?? '';
+    return own === '' ? this.follower.leader : own;
+  }
+
   private replicaAddresses(): string[] {
     const { seeds } = this.options.configuration;
     const known = [...this.view.daemons.values()].filter(({ replica }) => replica !== '');
     const members = this.host?.replica.members ?? [];
-    const leader = this.host?.leaderAddress ?? '';
     const all = [
-      leader,
+      this.leaderAddress(),
       ...members.map(({ address }) => address),
       ...known.map(({ address }) => address),
       ...seeds,
@@ -309,13 +314,11 @@
     if (isMember) return others;
     const { daemons } = this.view;
     const addressOf = (id: string): string => daemons.get(id)?.address ?? '';
-    const ranked = domain.membership.relay.upstreams(
-      hash,
-      settings.name,
-      settings.dataCentre,
-      this.options.live().near,
-      others,
-    );
+    const { near } = this.options.live();
+    const relays = domain.membership.relay.relaysOf(hash, settings.dataCentre, near);
+    // A relay follows the leader itself: each hop makes its word up to a second older.
+    if (relays.includes(settings.name)) return others;
+    const ranked = domain.membership.relay.upstreams(hash, settings.name, relays, others);
     const isAddress = (name: string): boolean => name.includes(':');
     const addresses = ranked.map((name) => (isAddress(name) ? name : addressOf(name)));
     return [...new Set(addresses)].filter((address) => address !== '' && address !== own);
--- a/packages/daemon/src/control/follower.ts
+++ b/packages/daemon/src/control/follower.ts
@@ -37,6 +37,9 @@
 
   private current = '';
 
+  /** Peer address of the leader, as the upstream told it. */
+  leader = '';
+
   private bestTriedAt = 0;
 
   private reportTimer: NodeJS.Timeout | undefined;
@@ -131,11 +134,12 @@
     if (followed.kind === 'stale') return false;
     if (followed.kind === 'deltas') this.advance(followed.deltas, followed.index);
     else if (!(await this.catchUp(address, followed.digest))) return false;
-    // The upstream's view was the leader's `ageMs` before it answered, hence at least as much before
-    // this daemon asked.
+    // The upstream answered no sooner than `heldMs` after this daemon asked, and its view was the
+    // leader's `ageMs` before that.
     if (Number.isFinite(followed.ageMs)) {
-      this.options.freshness.confirm(askedAt - followed.ageMs);
+      this.options.freshness.confirm(askedAt + followed.heldMs - followed.ageMs);
     }
+    this.leader = followed.leader;
     return followed.ageMs < domain.membership.freshness.DEFAULT_LEASE;
   }
 
--- a/packages/daemon/src/control/spread.ts
+++ b/packages/daemon/src/control/spread.ts
@@ -12,9 +12,19 @@
   waitMs: number;
 }
 
+/** How old the upstream's word is, and how to get a fresher one. */
+export interface Freshness {
+  /** Milliseconds before the answer at which its view was surely the leader's. */
+  ageMs: number;
+  /** How long the upstream held the call before it answered. */
+  heldMs: number;
+  /** Peer address of the leader as the upstream knows it, or empty. */
+  leader: string;
+}
+
 export type Followed =
-  | { kind: 'deltas'; index: number; deltas: domain.control.state.Delta[]; ageMs: number }
-  | { kind: 'digest'; digest: domain.control.view.Digest; ageMs: number }
+  | ({ kind: 'deltas'; index: number; deltas: domain.control.state.Delta[] } & Freshness)
+  | ({ kind: 'digest'; digest: domain.control.view.Digest } & Freshness)
   /** The upstream knows no more than the follower and isn't fresh; another may be. */
   | { kind: 'stale'; index: number };
 
--- a/packages/daemon/src/control/upstream.ts
+++ b/packages/daemon/src/control/upstream.ts
@@ -10,6 +10,8 @@
   /** Milliseconds since this daemon's view was surely the leader's; Infinity if never. */
   ageMs: () => number;
   now: () => number;
+  /** Peer address of the leader, as far as known. */
+  leader: () => string;
 }
 
 export class Upstream {
@@ -24,16 +26,18 @@
   }
 
   async follow(request: spread.Follow): Promise<spread.Followed> {
-    const { view, contacts: heard } = this.options;
-    heard.take(request.contacts, this.options.now());
+    const { view, contacts: heard, now } = this.options;
+    const askedAt = now();
+    heard.take(request.contacts, askedAt);
     if (view.index <= request.index) await this.wait(request.waitMs);
-    const ageMs = this.options.ageMs();
+    const heldMs = now() - askedAt;
+    const fresh = { ageMs: this.options.ageMs(), heldMs, leader: this.options.leader() };
     if (view.index < request.index) return { kind: 'stale', index: view.index };
     const deltas = view.since(request.index);
     if (deltas === undefined) {
-      return { kind: 'digest', digest: view.digest(this.options.hash), ageMs };
+      return { kind: 'digest', digest: view.digest(this.options.hash), ...fresh };
     }
-    return { kind: 'deltas', index: view.index, deltas, ageMs };
+    return { kind: 'deltas', index: view.index, deltas, ...fresh };
   }
 
   parts({ buckets }: spread.PartsRequest): spread.Parts {
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -420,7 +420,9 @@
 
   private settingsChanged(): void {
     const { view } = this.control;
-    this.admission.directory = new domain.settings.directory.Directory([...view.subtrees.values()]);
+    const subtrees = [...view.subtrees.values()];
+    const { directory: former } = this.admission;
+    this.admission.directory = new domain.settings.directory.Directory(subtrees, former);
     this.members.learn(view.daemons.values());
     this.enginesChanged();
     this.observer.log('settingInForce', { index: view.index });
--- a/packages/daemon/src/membership/members.ts
+++ b/packages/daemon/src/membership/members.ts
@@ -25,6 +25,8 @@
 
 interface Exchange {
   from: Daemon;
+  /** Checksum of the sender's lasting records. */
+  checksum: number;
   records: news.News[];
 }
 
@@ -44,14 +46,18 @@
 export class Members {
   readonly detector: domain.membership.detector.Detector;
 
-  private readonly board = new domain.membership.gossip.Board<news.News>();
+  private readonly board: domain.membership.gossip.Board<news.News>;
 
   private timer: NodeJS.Timeout | undefined;
 
   private seedTurn = 0;
 
+  /** Peers with which an exchange succeeded in their present life. */
+  private readonly met = new Set<string>();
+
   constructor(private readonly options: Options) {
-    const { self, random } = options;
+    const { self, random, hash } = options;
+    this.board = new domain.membership.gossip.Board(hash);
     this.detector = new domain.membership.detector.Detector(self, random);
     this.board.post(`daemon/${self.id}`, { kind: 'daemon', daemon: self }, '');
   }
@@ -90,7 +96,11 @@
 
   /** Tells the news in the next exchanges. */
   post(record: news.News): void {
-    this.board.post(news.keyOf(record), record, '');
+    this.postFrom(record, '');
+  }
+
+  private postFrom(record: news.News, from: string): void {
+    this.board.post(news.keyOf(record), record, from, record.kind === 'work');
   }
 
   /**
@@ -208,12 +218,17 @@
   }
 
   private async exchange(address: string, id: string, fresh: boolean): Promise<boolean> {
-    const batch = this.board.batchFor(id, BATCH_LIMIT);
-    const message: Exchange = { from: this.self, records: batch.records };
+    // At a first meeting only the checksum is sent: the answer shows whether anything is to be told.
+    const met = this.met.has(id);
+    const batch = this.board.batchFor(id, met ? BATCH_LIMIT : 0);
+    const { checksum } = this.board;
+    const message: Exchange = { from: this.self, checksum, records: batch.records };
     const options = { timeoutMs: PROBE_TIMEOUT_MS, fresh };
     const answer = await this.options.client.call<Exchange>(address, 'gossip', message, options);
     if (answer.err) return false;
-    if (id !== '') this.board.acknowledged(id, batch.upTo);
+    this.met.add(id);
+    if (answer.val.checksum === checksum) this.board.agreed(id);
+    else this.board.acknowledged(id, batch.upTo);
     this.takeAll(answer.val);
     return true;
   }
@@ -221,16 +236,21 @@
   private onExchange(exchange: Exchange): Exchange {
     this.takeAll(exchange);
     const { id } = exchange.from;
+    const { checksum } = this.board;
+    if (exchange.checksum === checksum) this.board.agreed(id);
     const batch = this.board.batchFor(id, BATCH_LIMIT);
     // Lost answers are not sent again to this peer, but reach it from others and by its own probes.
     this.board.acknowledged(id, batch.upTo);
-    return { from: this.self, records: batch.records };
+    return { from: this.self, checksum, records: batch.records };
   }
 
   private takeAll({ from, records }: Exchange): void {
     const known = this.detector.get(from.id);
     const restarted = known !== undefined && known.incarnation < from.incarnation;
-    if (restarted) this.board.forget(from.id);
+    if (restarted) {
+      this.board.forget(from.id);
+      this.met.delete(from.id);
+    }
     this.take({ kind: 'daemon', daemon: from }, from.id);
     records.forEach((record) => this.take(record, from.id));
   }
@@ -238,7 +258,7 @@
   private take(record: news.News, from: string): boolean {
     if (record.kind === 'daemon') return this.merge(record.daemon, from);
     const fresh = this.options.take(record);
-    if (fresh) this.board.post(news.keyOf(record), record, from);
+    if (fresh) this.postFrom(record, from);
     return fresh;
   }
 
--- a/packages/domain/src/membership/gossip.ts
+++ b/packages/domain/src/membership/gossip.ts
@@ -2,14 +2,23 @@
  * What still has to be told to whom. Every accepted record gets the next local number; for each peer
  * the board knows up to which number it has told it, and from whom a record came, so that nothing is
  * sent back. A record is kept once per key: what a peer missed is at most the current state.
+ *
+ * Two peers that meet for the first time would tell each other everything, in a large fleet mostly what
+ * both know. So exchanges carry a checksum of the lasting records, and equal checksums say it all.
  */
+import type * as hashing from '../shared/hashing';
 
 interface Posted<R> {
   number: number;
   record: R;
   from: string;
+  /** Its part in the checksum; 0 for a passing record. */
+  sum: number;
 }
 
+/** Checksums are whole numbers below this. */
+const MODULUS = 2 ** 32;
+
 export interface Batch<R> {
   records: R[];
   /** Number up to which the peer has been told once it acknowledges the batch. */
@@ -23,15 +32,37 @@
 
   private counter = 0;
 
-  /** Posts the current record of `key`; `from` is the peer that told us, or empty for our own. */
-  post(key: string, record: R, from: string): void {
+  private sum = 0;
+
+  constructor(private readonly hash: hashing.Hash) {}
+
+  /** Checksum of the lasting records, whatever the order in which they came. */
+  get checksum(): number {
+    return this.sum;
+  }
+
+  /**
+   * Posts the current record of `key`; `from` is the peer that told us, or empty for our own. A passing
+   * record is replaced soon and doesn't count for the checksum.
+   */
+  post(key: string, record: R, from: string, passing = false): void {
+    this.remove(key);
     this.counter += 1;
-    this.posted.delete(key);
-    this.posted.set(key, { number: this.counter, record, from });
+    const sum = passing ? 0 : this.hash(`${key}=${JSON.stringify(record)}`);
+    this.sum = (this.sum + sum) % MODULUS;
+    this.posted.set(key, { number: this.counter, record, from, sum });
   }
 
   remove(key: string): void {
+    const known = this.posted.get(key);
+    if (known === undefined) return;
     this.posted.delete(key);
+    this.sum = (this.sum - known.sum + MODULUS) % MODULUS;
+  }
+
+  /** The peer holds the same lasting records; there is nothing to tell it of them. */
+  agreed(peer: string): void {
+    this.told.set(peer, this.counter);
   }
 
   /** Up to `limit` records that `peer` has not been told, oldest first. */
--- a/packages/domain/src/membership/relay.ts
+++ b/packages/domain/src/membership/relay.ts
@@ -16,20 +16,16 @@
 }
 
 /**
- * Whom `self` may follow, best first. Another relay and then the replicas are there for when the
- * first choice is silent, so one dead or cut-off relay never keeps a change from a daemon.
+ * Whom a daemon that is no relay may follow, best first. Another relay and then the replicas are there
+ * for when the first choice is silent, so one dead or cut-off relay never keeps a change from a daemon.
  */
 export function upstreams(
   hash: hashing.Hash,
   self: string,
-  dataCentre: string,
-  live: readonly string[],
+  relays: readonly string[],
   replicas: readonly string[],
 ): string[] {
-  const others = replicas.filter((id) => id !== self);
-  const ranked = hashing.rendezvous(hash, `upstream/${self}`, others);
-  const relays = relaysOf(hash, dataCentre, live);
-  if (relays.includes(self)) return ranked;
   const preferred = hashing.rendezvous(hash, `upstream/${self}`, relays);
-  return [...preferred, ...ranked.filter((id) => !preferred.includes(id))];
+  const rest = replicas.filter((id) => !preferred.includes(id));
+  return [...preferred, ...hashing.rendezvous(hash, `upstream/${self}`, rest)];
 }
--- a/packages/domain/src/settings/directory.ts
+++ b/packages/domain/src/settings/directory.ts
@@ -21,10 +21,16 @@
 
   private readonly documents = new Map<string, document.Document>();
 
-  constructor(subtrees: readonly tree.Subtree[]) {
-    subtrees.forEach((subtree) => {
-      const read = document.read(subtree.text);
-      if (read.ok) this.add(subtree.name, read.val);
+  private readonly revisions = new Map<string, number>();
+
+  /** `former` lends its documents for subtrees that did not change: reading hundreds takes a while. */
+  constructor(subtrees: readonly tree.Subtree[], former?: Directory) {
+    subtrees.forEach(({ name, index, text }) => {
+      this.revisions.set(name, index);
+      const same = former?.revisions.get(name) === index;
+      const known = same ? former?.documents.get(name) : undefined;
+      const content = known ?? document.read(text).unwrapOr(undefined);
+      if (content !== undefined) this.add(name, content);
     });
   }
 
