--- a/packages/daemon/src/replicas/logHost.ts
+++ b/packages/daemon/src/replicas/logHost.ts
@@ -190,9 +190,10 @@
 
   private async persist(records: domain.replication.messages.Record[]): Promise<void> {
     if (records.length === 0) return;
-    const rewrite = records.some(({ kind }) => kind === 'snapshot');
+    const appended = records.filter((record) => record.kind !== 'snapshot');
+    const rewrite = appended.length < records.length;
     if (rewrite) await this.parts.journal.rewrite(this.replica.durable);
-    else await this.parts.journal.append(records);
+    else await this.parts.journal.append(appended);
     this.parts.observer.count(`log.${this.id}.syncs`);
   }
 
--- a/packages/daemon/src/storage/journal.ts
+++ b/packages/daemon/src/storage/journal.ts
@@ -10,7 +10,8 @@
 import * as frames from './frames';
 
 type Durable = domain.replication.messages.Durable;
-type Record = domain.replication.messages.Record;
+/** A snapshot is no record to append: it rewrites the journal from the replica's whole state. */
+type Record = Exclude<domain.replication.messages.Record, { kind: 'snapshot' }>;
 
 export interface Opened {
   journal: Journal;
@@ -29,12 +30,7 @@
     record.entries.forEach((entry) => durable.entries.push(entry));
     return durable;
   }
-  if (record.kind === 'truncate') {
-    return { ...durable, entries: durable.entries.filter(({ index }) => index < record.from) };
-  }
-  const { snapshot } = record;
-  const entries = durable.entries.filter(({ index }) => index > snapshot.index);
-  return { ...durable, snapshot, entries };
+  return { ...durable, entries: durable.entries.filter(({ index }) => index < record.from) };
 }
 
 export class Journal {
--- a/packages/domain/src/replication/__tests__/replica.test.ts
+++ b/packages/domain/src/replication/__tests__/replica.test.ts
@@ -1,5 +1,8 @@
 /** The replicated log against a naive store, under seeded schedules and in the brief's failures. */
 import * as chai from 'chai';
+import * as random from '../../shared/random';
+import * as messages from '../messages';
+import * as replica from '../replica';
 import * as schedule from './schedule';
 
 const { expect } = chai;
@@ -28,7 +31,7 @@
     const findings: schedule.Finding[] = [];
     for (let seed = 1; seed <= SCHEDULES; seed++) {
       const voters = seed % 4 === 0 ? 5 : 3;
-      const options = { voters, spares: 0, steps: 400, crash: 0.02, loss: 0.05 };
+      const options = { voters, spares: 0, steps: 700, crash: 0.02, loss: 0.05 };
       const finding = run(seed, options);
       if (finding !== undefined) findings.push(finding);
     }
@@ -44,9 +47,11 @@
     made.heal(3_000);
     const old = made.leader()?.id ?? '';
     made.isolate(old);
-    for (let t = 0; t < 200; t++) (made as unknown as { step: () => void }).step();
+    made.pass(3_000);
     const isolated = made.nodes.get(old)?.replica;
     expect(isolated?.state).to.not.equal('leader');
+    expect(made.leader()?.id).to.not.equal(old);
+    made.propose();
     made.heal(3_000);
     made.propose();
     made.heal(500);
@@ -54,6 +59,103 @@
     expect(made.acknowledged.size).to.be.greaterThan(0);
   });
 
+  /*
+   * An operator reads settings from a leader whose successor has already accepted newer ones. The path
+   * between leader and one follower is cut in silence; the other follower, which confirmed the leader's
+   * lease a moment ago, restarts, forgets that, and would help to elect the first.
+   */
+  [false, true].forEach((restarts) => {
+    it(`lets no second leader in beside a lease, ${restarts ? 'with' : 'without'} restarts`, () => {
+      for (let seed = 1; seed <= 20; seed++) {
+        const options = { voters: 3, spares: 0, steps: 0, crash: 0, loss: 0 };
+        const made = new schedule.Schedule(seed, options);
+        made.heal(3_000);
+        const leader = made.leader()?.id as string;
+        const [cut, other] = [...made.nodes.keys()].filter((id) => id !== leader) as [
+          string,
+          string,
+        ];
+        made.cutLink(leader, cut);
+        for (let round = 0; round < 100; round++) {
+          if (restarts) made.restart(other);
+          made.pass(50);
+        }
+        expect(made.problem, `seed ${seed}`).to.equal('');
+        if (!restarts) expect(made.leader()?.id, `seed ${seed}`).to.equal(leader);
+      }
+    });
+  });
+
+  /*
+   * A change that was told as accepted is replaced: a leader took an entry of an earlier term for
+   * committed because a majority held it, and a replica with a later term overwrote it.
+   */
+  it('counts an entry of an earlier term as committed only with one of its own', () => {
+    const members = ['a', 'b', 'c'].map((id): messages.Member => {
+      return { id, address: id, dataCentre: id, role: 'voter' };
+    });
+    const empty = messages.emptyDurable();
+    const durable: messages.Durable = {
+      vote: { term: 3, votedFor: '' },
+      snapshot: { ...empty.snapshot, members },
+      entries: [{ kind: 'command', index: 1, term: 2, command: 'old' }],
+    };
+    const timing = replica.DEFAULT_TIMING;
+    const tested = new replica.Replica('a', durable, timing, random.seeded(1), 0);
+    const now = timing.electionMax + 1;
+    tested.tick(now);
+    const vote = { kind: 'voteAnswer', from: 'b', term: 4, granted: true } as const;
+    tested.receive({ ...vote, pre: true }, now);
+    tested.receive({ ...vote, pre: false }, now);
+    const answer = {
+      kind: 'appendAnswer',
+      from: 'b',
+      term: 4,
+      success: true,
+      sentAt: now,
+    } as const;
+    tested.receive({ ...answer, matched: 1 }, now);
+    const before = tested.commit;
+    tested.receive({ ...answer, matched: 2 }, now);
+    expect([tested.state, before, tested.commit]).to.deep.equal(['leader', 0, 2]);
+  });
+
+  /** A member that can't vote for what it lacks must not get a vote. */
+  it('refuses to promote a learner that does not hold everything committed', () => {
+    const made = new schedule.Schedule(3, { voters: 3, spares: 1, steps: 0, crash: 0, loss: 0 });
+    made.heal(3_000);
+    made.propose();
+    made.heal(300);
+    const leader = made.leader();
+    const members = leader?.replica?.members ?? [];
+    const spare = { id: 's0', address: 's0', dataCentre: 'd', role: 'voter' } as const;
+    const now = (leader as unknown as { skew: number }).skew;
+    const asked = leader?.replica?.changeMembers([...members, spare], made.clock + now);
+    expect(asked?.refusal).to.equal('notCaughtUp');
+  });
+
+  /*
+   * A setting is in force and then the one before it is back: an old snapshot, late on its way, was
+   * installed over what the replica had applied since.
+   */
+  it('installs no snapshot older than what it applied', () => {
+    const made = new schedule.Schedule(4, { voters: 3, spares: 0, steps: 0, crash: 0, loss: 0 });
+    made.heal(3_000);
+    for (let i = 0; i < 3; i++) {
+      made.propose();
+      made.heal(100);
+    }
+    const leader = made.leader();
+    const follower = [...made.nodes.values()].find(({ id }) => id !== leader?.id);
+    const snapshot = { index: 1, term: 1, members: leader?.replica?.members ?? [], state: 'old' };
+    const effects = follower?.replica?.receive(
+      { kind: 'snapshotRequest', from: leader?.id ?? '', term: 9, snapshot, sentAt: 0 },
+      made.clock,
+    );
+    expect(effects?.install).to.equal(undefined);
+    expect(follower?.replica?.commit).to.be.greaterThan(1);
+  });
+
   /*
    * A VM dies, the system repairs itself with a spare, and right after the repair a second VM is lost.
    * Had the repair counted as done before the new voter held everything, accepted settings would be
--- a/packages/domain/src/replication/__tests__/schedule.ts
+++ b/packages/domain/src/replication/__tests__/schedule.ts
@@ -52,9 +52,7 @@
   if (record.kind === 'truncate') {
     return { ...durable, entries: durable.entries.filter(({ index }) => index < record.from) };
   }
-  const { snapshot } = record;
-  const entries = durable.entries.filter(({ index }) => index > snapshot.index);
-  return { ...durable, snapshot, entries };
+  return durable;
 }
 
 export class Schedule {
@@ -68,6 +66,8 @@
 
   private cut = new Set<string>();
 
+  private readonly cutLinks = new Set<string>();
+
   /** The naive store: what was committed at each index, by the first replica to apply it. */
   readonly committed = new Map<number, string>();
 
@@ -113,13 +113,24 @@
     this.healing = true;
     this.cut.clear();
     this.nodes.forEach((node) => this.start(node));
+    this.pass(ms);
+  }
+
+  /** Lets time pass without new faults; what is cut off stays so. */
+  pass(ms: number): void {
     for (let t = 0; t < ms && this.problem === ''; t += 10) {
       this.now += 10;
       this.tickAll();
       this.deliverDue(0);
+      this.checkLeases();
     }
   }
 
+  /** The schedule's own time; a node's clock is off by its skew. */
+  get clock(): number {
+    return this.now;
+  }
+
   leader(): Node | undefined {
     return [...this.nodes.values()].find((node) => node.replica?.hasLease(this.nowAt(node)));
   }
@@ -170,6 +181,18 @@
     this.cut.add(id);
   }
 
+  /** Cuts the path between two nodes in silence; both still reach the others. */
+  cutLink(a: string, b: string): void {
+    this.cutLinks.add([a, b].sort().join());
+  }
+
+  /** Ends a process and starts it again at once on its disk. */
+  restart(id: string): void {
+    const node = this.nodes.get(id) as Node;
+    this.crash(node);
+    this.start(node);
+  }
+
   private addNode(id: string, durable: messages.Durable): void {
     const skew = Math.floor(this.source.uniform() * 1_000);
     const node: Node = { id, disk: { durable }, replica: undefined, applied: new Map(), skew };
@@ -195,15 +218,24 @@
     return this.now + node.skew;
   }
 
+  /** Two leases at once would let two leaders answer reads as fresh. */
+  private checkLeases(): void {
+    const holders = [...this.nodes.values()].filter((node) => {
+      return node.replica?.hasLease(this.nowAt(node));
+    });
+    if (holders.length > 1) this.problem = `two leases: ${holders.map(({ id }) => id).join()}`;
+  }
+
   private step(): void {
-    this.now += Math.floor(this.source.uniform() * 15);
+    this.checkLeases();
+    this.now += Math.floor(this.source.uniform() * 40);
     const choice = this.source.uniform();
-    if (choice < 0.01) this.toggleCut();
-    else if (choice < 0.02) this.crash(this.pickNode());
-    else if (choice < 0.06) this.start(this.pickNode());
+    if (choice < 0.015) this.toggleCut();
+    else if (choice < 0.025) this.crash(this.pickNode());
+    else if (choice < 0.065) this.start(this.pickNode());
     else if (choice < 0.15) this.propose();
     else if (choice < 0.16) this.compact(this.pickNode());
-    else if (choice < 0.17) this.duplicate();
+    else if (choice < 0.175) this.duplicate();
     else if (choice < 0.5) this.deliverDue(this.options.loss);
     else this.tickAll();
   }
@@ -244,7 +276,9 @@
     this.flying = this.flying.filter(({ at }) => at > this.now);
     due.forEach(({ from, to, message }) => {
       const node = this.nodes.get(to);
-      const lost = this.cut.has(from) !== this.cut.has(to) || this.source.uniform() < loss;
+      const linked = !this.cutLinks.has([from, to].sort().join());
+      const together = this.cut.has(from) === this.cut.has(to);
+      const lost = !linked || !together || this.source.uniform() < loss;
       if (lost || node?.replica === undefined) return;
       this.carryOut(node, node.replica.receive(structuredClone(message), this.nowAt(node)));
     });
@@ -256,7 +290,13 @@
       const crash = !this.healing && this.source.uniform() < this.options.crash;
       const synced = !crash || this.source.uniform() < 0.5;
       if (synced) {
-        node.disk.durable = effects.persist.reduce(applyRecord, node.disk.durable);
+        // A snapshot rewrites the journal from the replica's state, as the daemon does.
+        const rewrite = effects.persist.some(({ kind }) => kind === 'snapshot');
+        const durable = rewrite ? node.replica?.durable : undefined;
+        node.disk.durable =
+          durable === undefined
+            ? effects.persist.reduce(applyRecord, node.disk.durable)
+            : structuredClone(durable);
         this.checkVote(node);
       }
       if (crash) {
--- a/packages/measure/src/slopes/slopes.ts
+++ b/packages/measure/src/slopes/slopes.ts
@@ -41,7 +41,7 @@
 
 const DATA_CENTRE_SIZE = 8;
 
-const ANNOUNCE_MS = 1_000;
+const ANNOUNCE_MS = 2_000;
 
 /** Until first gossip is over and code is warm. */
 const SETTLE_MS = 8_000;
@@ -81,6 +81,8 @@
 
   private sequence = 0;
 
+  private readonly incarnation = Date.now();
+
   constructor(
     private readonly target: fleet.Fleet,
     private readonly count: number,
@@ -111,7 +113,7 @@
         headers: { authorization: `Bearer ${fleet.TARGET_SECRET}` },
         body: JSON.stringify({
           name: `idle-${i}`,
-          incarnation: 1,
+          incarnation: this.incarnation,
           sequence: this.sequence,
           kind: 'service',
           address: '127.0.0.1:9',
