Let calls to services end before a planned stop, and split the daemon's wiring

Cause: reading the stop of a daemon as a newcomer showed that it waits for prompts but not for calls to services; one that took longer than half a second was cut. Change: a planned stop waits for every admitted call; cell, work and TLS files have modules of their own; the joining is by part. Conclusion: a stop now cuts nothing that was admitted.

--- a/packages/daemon/src/__tests__/failures.test.ts
+++ b/packages/daemon/src/__tests__/failures.test.ts
@@ -251,6 +251,22 @@
     expect([other.status, other.outcome, runs('x')]).to.deep.equal([422, 'not-run', 0]);
   });
 
+  /*
+   * A VM is stopped as planned and the clerk loses the answer to his hold: the daemon waited for prompts
+   * but not for calls to services.
+   */
+  it('lets a call to a service end before a daemon under a planned stop goes', async () => {
+    await fleet.fault('parts-1', 'late', 1, 1_500);
+    await fleet.fault('parts-2', 'late', 1, 1_500);
+    const running = hold('h4', 2);
+    await bench.until('running', () => runs('h4') === 1);
+    await fleet.daemons[2]?.stop();
+    const reply = await running;
+    expect([reply.status, reply.outcome]).to.deep.equal([201, 'completed']);
+    await fleet.startDaemon(2);
+    await bench.until('ready', () => fleet.daemons[2]?.unready() === undefined);
+  });
+
   /*
    * A daemon with a replica dies, comes back with an empty disk under the same name, and then another
    * dies. Had the empty one voted as its old self, accepted settings and claims would be gone.
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,9 +1,9 @@
 /** One daemon: puts the parts together, starts them in order and stops them as a planned stop. */
-import * as fs from 'node:fs/promises';
 import type * as tls from 'node:tls';
 import * as domain from '@celerydrift/domain';
 import { Err, Ok, Result } from 'ts-results';
 import * as configuration from './configuration/configuration';
+import * as tlsFiles from './configuration/tlsFiles';
 import * as controlPlane from './control/controlPlane';
 import * as logServer from './control/logServer';
 import type * as errors from './errors';
@@ -13,10 +13,12 @@
 import * as targetsApi from './http/targetsApi';
 import * as members from './membership/members';
 import type * as news from './membership/news';
+import * as workTeller from './membership/workTeller';
 import * as observer from './observability/observer';
 import * as orderLoop from './orders/orderLoop';
 import type * as founding from './replicas/founding';
 import * as admission from './requests/admission';
+import * as cellWatch from './requests/cellWatch';
 import type * as execution from './requests/execution';
 import * as allocations from './requests/allocations';
 import * as allocator from './requests/allocator';
@@ -49,11 +51,6 @@
 /** After turning unready, how long the balancer gets to notice, in milliseconds. */
 const BALANCER_MS = 500;
 
-export interface Tls {
-  server: tls.TlsOptions;
-  client: tls.ConnectionOptions;
-}
-
 export class Daemon {
   readonly observer: observer.Observer;
 
@@ -97,25 +94,29 @@
 
   private wasReady = false;
 
-  private workVersion = 0;
+  private readonly work: workTeller.WorkTeller;
 
-  private lastWork = '';
-
-  private cell: domain.routing.cell.Cell;
+  private readonly cells: cellWatch.CellWatch;
 
   private readonly allocator: allocator.Allocator;
 
+  private readonly random: domain.shared.random.Random;
+
+  private readonly budget = new domain.request.retry.Budget();
+
+  private readonly callers: callersApi.CallersApi;
+
   private constructor(
     private readonly settings: configuration.Configuration,
     private readonly hash: domain.shared.hashing.Hash,
-    tlsOptions: Tls | undefined,
+    tlsOptions: tlsFiles.TlsOptions | undefined,
     private readonly onFailure: (error: unknown) => void,
   ) {
-    const { name, dataCentre, peerSecret, logLevel, statsd, timeouts, limits } = settings;
+    const { name, dataCentre, peerSecret, logLevel, statsd, timeouts } = settings;
     const address = configuration.format(settings.peers);
     const { now } = this;
-    this.cell = { targets: [], allocator: name };
-    const random = domain.shared.random.seeded(this.incarnation ^ hash(name));
+    this.random = domain.shared.random.seeded(this.incarnation ^ hash(name));
+    const { random } = this;
     this.observer = new observer.Observer(name, logLevel, statsd);
     this.peers = new peerClient.PeerClient(peerSecret, tlsOptions?.client, this.observer);
     this.server = new peerServer.PeerServer(peerSecret, tlsOptions?.server, this.observer);
@@ -198,79 +199,23 @@
       running: this.running,
       now,
     });
-    const owner = (): domain.memory.holding.Owner => {
-      return { daemon: name, incarnation: this.incarnation };
-    };
-    const budget = new domain.request.retry.Budget();
-    const callers = new callersApi.CallersApi({
-      admission: this.admission,
-      services: new serviceProxy.ServiceProxy({
-        client: this.targetsClient,
-        ledger: new ledgerClient.LedgerClient(this.control.client, hash, settings.ledgerShards),
-        router: this.router,
-        observer: this.observer,
-        budget,
-        random,
-        targets: (service) => this.openTargets().filter((target) => target.service === service),
-        self: owner,
-        now,
-      }),
-      execution: {
-        router: this.router,
-        allocations: new allocations.Allocations({
-          self: name,
-          router: this.router,
-          client: this.peers,
-          observer: this.observer,
-          now,
-          allocator: () => this.allocatorAddress(),
-          target: (wanted) => this.openTarget(wanted),
-        }),
-        adapter: this.adapter,
-        gatherer: new gatherer.Gatherer({
-          adapter: this.adapter,
-          holdings: this.holdings,
-          random,
-          owner,
-          engines: () => this.openTargets().filter(({ kind }) => kind === 'engine'),
-          freeTokens: (target) => this.router.freeTokens(target),
-          now,
-        }),
-        holdings: this.holdings,
-        observer: this.observer,
-        budget,
-        random,
-        owner,
-        silenceMs: timeouts.silenceMs,
-        learn: (model, bytes, tokens) => this.admission.estimator.learn(model, bytes, tokens),
-        now,
-      },
-      observer: this.observer,
-      unready: () => this.unready(),
-      running: this.running,
-      now,
+    this.cells = new cellWatch.CellWatch({
+      self: { id: name, dataCentre },
+      hash,
+      members: this.members,
+      targets: this.targets,
+      router: this.router,
+      stops: this.stopWatch,
     });
-    const announcements = new targetsApi.TargetsApi(settings.targetSecret, this.targets);
-    const operators = new operatorsApi.OperatorsApi({
-      fleetTokenHash: settings.operatorTokenHash,
-      directory: () => this.admission.directory,
-      client: this.control.client,
-      query: this.control.query,
-      observer: this.observer,
-      status: () => this.status(),
-      targets: () => this.targets.list(),
+    this.work = new workTeller.WorkTeller({
+      self: name,
+      incarnation: this.incarnation,
+      router: this.router,
+      demand: () => this.admission.demand(),
+      post: (record) => this.members.post(record),
     });
-    const onError = (error: unknown): void => {
-      this.observer.log('crashed', { error: String(error) });
-    };
-    const routes: listener.Route[] = [
-      (call) => callers.route(call),
-      (call) => announcements.route(call),
-      (call) => operators.route(call),
-    ];
-    this.listeners = routes.map(
-      (route) => new listener.Listener(limits, tlsOptions?.server, route, onError),
-    );
+    this.callers = this.makeCallers();
+    this.listeners = this.makeListeners(tlsOptions?.server);
   }
 
   /** Starts a daemon; it turns ready by itself once it knows the settings in force. */
@@ -279,7 +224,7 @@
     onFailure: (error: unknown) => void,
   ): Promise<Result<Daemon, errors.StartError>> {
     const hash = await domain.shared.hashing.load();
-    const tlsOptions = await readTls(settings.tls);
+    const tlsOptions = await tlsFiles.read(settings.tls);
     if (tlsOptions.err) return tlsOptions;
     const daemon = new Daemon(settings, hash, tlsOptions.val, onFailure);
     const opened = await daemon.open();
@@ -297,7 +242,7 @@
     await this.members.leave();
     await pause(BALANCER_MS);
     const until = this.now() + this.settings.timeouts.stopSeconds * 1_000;
-    while ((this.running.size > 0 || this.holdings.holdings.size > 0) && this.now() < until) {
+    while ((this.callers.active > 0 || this.holdings.holdings.size > 0) && this.now() < until) {
       await pause(20);
     }
     const closed = Promise.all(this.listeners.map((each) => each.close()));
@@ -393,13 +338,104 @@
       }
     }
     this.timers = [
-      setInterval(() => this.tellWork(), WORK_EVERY_MS),
+      setInterval(() => this.work.tell(), WORK_EVERY_MS),
       setInterval(() => this.watchStops(), STOPS_EVERY_MS),
     ];
     this.observer.log('started', { ports: this.ports, dataCentre: this.settings.dataCentre });
     return Ok(undefined);
   }
 
+  private owner(): domain.memory.holding.Owner {
+    return { daemon: this.settings.name, incarnation: this.incarnation };
+  }
+
+  private makeCallers(): callersApi.CallersApi {
+    return new callersApi.CallersApi({
+      admission: this.admission,
+      services: this.makeServices(),
+      execution: this.makeExecutionParts(),
+      observer: this.observer,
+      unready: () => this.unready(),
+      running: this.running,
+      now: this.now,
+    });
+  }
+
+  private makeServices(): serviceProxy.ServiceProxy {
+    const { hash, settings, observer: observe, router: route, budget, random, now } = this;
+    const ledger = new ledgerClient.LedgerClient(this.control.client, hash, settings.ledgerShards);
+    return new serviceProxy.ServiceProxy({
+      client: this.targetsClient,
+      ledger,
+      router: route,
+      observer: observe,
+      budget,
+      random,
+      targets: (service) => this.cells.open().filter((target) => target.service === service),
+      now,
+    });
+  }
+
+  private makeExecutionParts(): execution.Parts {
+    const { adapter, holdings, observer: observe, router: route, budget, random, now } = this;
+    const owner = (): domain.memory.holding.Owner => this.owner();
+    return {
+      router: route,
+      allocations: new allocations.Allocations({
+        self: this.settings.name,
+        router: route,
+        client: this.peers,
+        observer: observe,
+        now,
+        allocator: () => this.cells.allocatorAddress(),
+        target: (wanted) => this.cells.openTarget(wanted),
+      }),
+      adapter,
+      gatherer: new gatherer.Gatherer({
+        adapter,
+        holdings,
+        random,
+        owner,
+        engines: () => this.cells.openEngines(),
+        freeTokens: (target) => route.freeTokens(target),
+        now,
+      }),
+      holdings,
+      observer: observe,
+      budget,
+      random,
+      owner,
+      silenceMs: this.settings.timeouts.silenceMs,
+      learn: (model, bytes, tokens) => this.admission.estimator.learn(model, bytes, tokens),
+      now,
+    };
+  }
+
+  private makeListeners(tlsOptions: tls.TlsOptions | undefined): listener.Listener[] {
+    const { settings } = this;
+    const announcements = new targetsApi.TargetsApi(settings.targetSecret, this.targets);
+    const operators = new operatorsApi.OperatorsApi({
+      fleetTokenHash: settings.operatorTokenHash,
+      directory: () => this.admission.directory,
+      client: this.control.client,
+      query: this.control.query,
+      observer: this.observer,
+      status: () => this.status(),
+      targets: () => this.targets.list(),
+    });
+    const onError = (error: unknown): void => {
+      this.observer.log('crashed', { error: String(error) });
+    };
+    const routes: listener.Route[] = [
+      (call) => this.callers.route(call),
+      (call) => announcements.route(call),
+      (call) => operators.route(call),
+    ];
+    return routes.map(
+      (route) => new listener.Listener(settings.limits, tlsOptions, route, onError),
+    );
+  }
+
   private identity(): founding.Identity {
     const { name, dataCentre, peers } = this.settings;
     return {
@@ -424,14 +460,12 @@
     const { directory: former } = this.admission;
     this.admission.directory = new domain.settings.directory.Directory(subtrees, former);
     this.members.learn(view.daemons.values());
-    this.enginesChanged();
+    this.cells.refresh();
     this.observer.log('settingInForce', { index: view.index });
   }
 
   private daemonsChanged(): void {
-    const { all } = this.liveDaemons();
-    this.router.setPosition(Math.max(0, all.sort().indexOf(this.settings.name)), all.length);
-    this.enginesChanged();
+    this.cells.refresh();
     this.members.detector
       .list()
       .filter(({ status }) => status === 'dead' || status === 'leaving')
@@ -452,34 +486,7 @@
       before.incarnation === target.incarnation &&
       before.models.length === target.models.length &&
       JSON.stringify(before.models) === JSON.stringify(target.models);
-    if (!sameShape) this.enginesChanged();
-  }
-
-  private enginesChanged(): void {
-    const open = this.openTargets().filter(({ kind }) => kind === 'engine');
-    const live = this.members.detector.list().filter(domain.membership.daemon.isLive);
-    const { name: id, dataCentre } = this.settings;
-    const places = open.map(({ name, dataCentre: place }) => ({ id: name, dataCentre: place }));
-    this.cell = domain.routing.cell.cellOf(this.hash, { id, dataCentre }, live, places);
-    const names = new Set(this.cell.targets);
-    this.router.setEngines(open.filter(({ name }) => names.has(name)));
-  }
-
-  /** Where requests of this cell are placed; empty when it is here. */
-  private allocatorAddress(): string {
-    const { allocator: id } = this.cell;
-    if (id === this.settings.name) return '';
-    const known = this.members.detector.get(id);
-    return known?.status === 'alive' ? known.address : '';
-  }
-
-  private openTarget(name: string): Target | undefined {
-    const target = this.targets.get(name);
-    return target !== undefined && this.stopWatch.isOpen(target) ? target : undefined;
-  }
-
-  private openTargets(): Target[] {
-    return this.targets.list().filter((target) => this.stopWatch.isOpen(target));
+    if (!sameShape) this.cells.refresh();
   }
 
   /** The engines whose first keeper this daemon is, so that one survivor reclaims and not all. */
@@ -512,37 +519,10 @@
 
   private takeNews(record: news.News): boolean {
     if (record.kind === 'target') return this.targets.merge(record.target);
-    if (record.kind === 'work') return this.takeWork(record.work);
+    if (record.kind === 'work') return this.work.take(record.work);
     return false;
   }
 
-  private readonly workSeen = new Map<string, { incarnation: number; version: number }>();
-
-  private takeWork(work: news.Work): boolean {
-    if (work.daemon === this.settings.name) return false;
-    const seen = this.workSeen.get(work.daemon);
-    const older =
-      seen !== undefined &&
-      (work.incarnation < seen.incarnation ||
-        (work.incarnation === seen.incarnation && work.version <= seen.version));
-    if (older) return false;
-    this.workSeen.set(work.daemon, { incarnation: work.incarnation, version: work.version });
-    this.router.peerWork(work);
-    return true;
-  }
-
-  /** Tells peers of own work, only when it changed. */
-  private tellWork(): void {
-    const own = { ...this.router.ownWork(), organisations: this.admission.demand() };
-    const shape = JSON.stringify(own);
-    if (shape === this.lastWork) return;
-    this.lastWork = shape;
-    this.workVersion += 1;
-    const { name: daemon } = this.settings;
-    const { incarnation, workVersion: version } = this;
-    this.members.post({ kind: 'work', work: { daemon, incarnation, version, ...own } });
-  }
-
   private watchStops(): void {
     const unready = this.unready();
     if ((unready === undefined) !== this.wasReady) {
@@ -560,22 +540,3 @@
     setTimeout(resolve, ms);
   });
 }
-
-/** Reads the TLS files; daemons and targets prove themselves by certificates of one authority. */
-async function readTls(
-  files: configuration.Tls | undefined,
-): Promise<Result<Tls | undefined, errors.StartError>> {
-  if (files === undefined) return Ok(undefined);
-  try {
-    const [cert, key, ca] = await Promise.all([
-      fs.readFile(files.certificateFile),
-      fs.readFile(files.keyFile),
-      fs.readFile(files.authorityFile),
-    ]);
-    // Peers are addressed by IP; what proves them is a certificate of the fleet's own authority.
-    const client = { cert, key, ca, checkServerIdentity: () => undefined };
-    return Ok({ server: { cert, key, ca }, client });
-  } catch (error) {
-    return Err({ kind: 'tlsFile', detail: String(error) });
-  }
-}
--- a/packages/daemon/src/http/callersApi.ts
+++ b/packages/daemon/src/http/callersApi.ts
@@ -48,6 +48,9 @@
 }
 
 export class CallersApi {
+  /** Admitted calls without a last byte yet; a planned stop waits for them. */
+  active = 0;
+
   constructor(private readonly options: Options) {}
 
   async route(call: listener.Call): Promise<void> {
@@ -65,7 +68,12 @@
       return;
     }
     const startedAt = this.options.now();
-    await this.admitted(call);
+    this.active += 1;
+    try {
+      await this.admitted(call);
+    } finally {
+      this.active -= 1;
+    }
     this.options.observer.timing('request.ms', this.options.now() - startedAt);
   }
 
--- /dev/null
+++ b/packages/daemon/src/requests/cellWatch.ts
@@ -0,0 +1,66 @@
+/**
+ * Which targets this daemon may use, and which daemon places for its cell, as membership, targets and
+ * planned stops change.
+ */
+import * as domain from '@celerydrift/domain';
+import type * as members from '../membership/members';
+import type * as targetTable from '../targets/targetTable';
+import type * as router from './router';
+import type * as stopWatch from './stopWatch';
+
+type Target = domain.target.target.Target;
+
+export interface Options {
+  self: domain.routing.cell.Placed;
+  hash: domain.shared.hashing.Hash;
+  members: members.Members;
+  targets: targetTable.TargetTable;
+  router: router.Router;
+  stops: stopWatch.StopWatch;
+}
+
+export class CellWatch {
+  private cell: domain.routing.cell.Cell;
+
+  constructor(private readonly options: Options) {
+    this.cell = { targets: [], allocator: options.self.id };
+  }
+
+  /** Targets of any kind that may get work. */
+  open(): Target[] {
+    const { targets, stops } = this.options;
+    return targets.list().filter((target) => stops.isOpen(target));
+  }
+
+  openEngines(): Target[] {
+    return this.open().filter(({ kind }) => kind === 'engine');
+  }
+
+  openTarget(name: string): Target | undefined {
+    const { targets, stops } = this.options;
+    const target = targets.get(name);
+    return target !== undefined && stops.isOpen(target) ? target : undefined;
+  }
+
+  /** Looks again after a change of daemons, targets or stops. */
+  refresh(): void {
+    const { hash, self, members: known, router: own } = this.options;
+    const engines = this.openEngines();
+    const live = known.detector.list().filter(domain.membership.daemon.isLive);
+    const ids = live.map(({ id }) => id).sort();
+    own.setPosition(Math.max(0, ids.indexOf(self.id)), ids.length);
+    const places = engines.map(({ name, dataCentre }) => ({ id: name, dataCentre }));
+    this.cell = domain.routing.cell.cellOf(hash, self, live, places);
+    const names = new Set(this.cell.targets);
+    own.setEngines(engines.filter(({ name }) => names.has(name)));
+  }
+
+  /** Peer address of the daemon that places for this cell; empty when it is this one. */
+  allocatorAddress(): string {
+    const { self, members: known } = this.options;
+    const { allocator: id } = this.cell;
+    if (id === self.id) return '';
+    const daemon = known.detector.get(id);
+    return daemon?.status === 'alive' ? daemon.address : '';
+  }
+}
--- a/packages/daemon/src/requests/serviceProxy.ts
+++ b/packages/daemon/src/requests/serviceProxy.ts
@@ -44,7 +44,6 @@
   budget: domain.request.retry.Budget;
   random: domain.shared.random.Random;
   targets: (service: string) => Target[];
-  self: () => domain.memory.holding.Owner;
   now: () => number;
 }
 
--- a/packages/measure/src/ledger/ledger.ts
+++ b/packages/measure/src/ledger/ledger.ts
@@ -2,8 +2,6 @@
  * Scenario `ledger`: what a claim costs a call that runs once, and whether any call runs twice while
  * daemons and leaders die at every step and callers send again through other entries.
  */
-import * as crypto from 'node:crypto';
-import * as domain from '@celerydrift/domain';
 import * as client from '../client';
 import * as fleet from '../fleet';
 import * as statistics from '../statistics';
@@ -19,8 +17,6 @@
   resends: number;
   resendsUnlikeFirst: number;
   unknown: number;
-  /** Memory of one settled claim with an answer of 200 characters, in bytes. */
-  bytesPerClaim: number;
 }
 
 const HOLDS = '/services/parts/holds';
@@ -106,24 +102,6 @@
   return all;
 }
 
-/** Memory of a ledger shard by the number of its claims. */
-function bytesPerClaim(count: number): number {
-  const shard = new domain.ledger.ledger.Ledger();
-  const before = process.memoryUsage().heapUsed;
-  for (let i = 0; i < count; i++) {
-    const key = `fitters/kisumu/parts/${crypto.randomUUID()}`;
-    const attempt = crypto.randomUUID();
-    const content = crypto.createHash('sha256').update(key).digest('hex');
-    const organisation = `fitters/org-${i % 1_000}`;
-    const claim = { kind: 'claim', key, organisation, content, attempt } as const;
-    shard.apply({ ...claim, deadline: 1_000, at: i });
-    const answer = { status: 201, contentType: 'application/json', body: `${i}`.padEnd(200) };
-    const settle = { kind: 'settle', key, attempt, settlement: 'completed' } as const;
-    shard.apply({ ...settle, answer, at: i });
-  }
-  return (process.memoryUsage().heapUsed - before) / shard.size;
-}
-
 export async function run(quick: boolean, say: (line: string) => void): Promise<Result> {
   const target = await fleet.Fleet.plan({
     daemons: ['dc-1', 'dc-2', 'dc-3'].map((dataCentre) => {
@@ -158,7 +136,6 @@
       notRunButRan: never.filter(({ id }) => count(id) > 0).length,
       resends: told.reduce((sum, { outcomes }) => sum + outcomes.length - 1, 0),
       resendsUnlikeFirst: told.filter(({ texts }) => texts.size > 1).length,
-      bytesPerClaim: bytesPerClaim(50_000),
       unknown: told.filter(({ outcomes }) => outcomes.at(-1) === 'unknown').length,
     };
   } finally {
--- a/packages/measure/src/measure.ts
+++ b/packages/measure/src/measure.ts
@@ -8,6 +8,7 @@
 import * as overhead from './overhead/overhead';
 import * as settings from './settings/settings';
 import * as slopes from './slopes/slopes';
+import * as state from './state/state';
 
 type Say = (line: string) => void;
 
@@ -20,6 +21,7 @@
   settings: settings.run,
   ledger: ledger.run,
   slopes: slopes.run,
+  state: state.run,
 };
 
 /** Folder of the last result of each scenario, for the report. */
--- /dev/null
+++ b/packages/measure/src/state/state.ts
@@ -0,0 +1,175 @@
+/**
+ * Scenario `state`: memory of one item of each kind that a daemon holds, and the time of what is done
+ * over all of them, as slopes for docs/CAPACITY.md.
+ */
+import * as crypto from 'node:crypto';
+import * as domain from '@celerydrift/domain';
+import * as teams from '../teams';
+
+export interface Result {
+  /** Bytes of heap for each. */
+  bytesPerSubtree: number;
+  bytesPerDaemon: number;
+  bytesPerTarget: number;
+  bytesPerClaim: number;
+  bytesPerTombstone: number;
+  /** Milliseconds for a view of a thousand subtrees and a thousand daemons. */
+  digestMs: number;
+  directoryMs: number;
+  directoryAfterChangeMs: number;
+  /** Milliseconds to find the own cell among 810 daemons and 2,400 targets. */
+  cellMs: number;
+  /** Milliseconds to place one request among 32 targets. */
+  placeMs: number;
+  snapshotMsPerThousandClaims: number;
+}
+
+const COUNT = 1_000;
+
+const CLAIMS = 20_000;
+
+function heap(): number {
+  (globalThis as { gc?: () => void }).gc?.();
+  return process.memoryUsage().heapUsed;
+}
+
+function bytesEach<T>(count: number, make: () => T): { bytes: number; made: T } {
+  const before = heap();
+  const made = make();
+  return { bytes: (heap() - before) / count, made };
+}
+
+function msOf(action: () => unknown, times: number): number {
+  action();
+  const since = performance.now();
+  for (let i = 0; i < times; i++) action();
+  return (performance.now() - since) / times;
+}
+
+/** A text of its own, as if it had come over the network. */
+function copy(text: string): string {
+  return Buffer.from(text).toString();
+}
+
+function subtree(i: number, index: number): domain.settings.tree.Subtree {
+  const text = copy(teams.FITTERS.text.replaceAll('kisumu', `org-${i}`));
+  return { name: `team-${i}`, revision: 1, text, author: 'a', at: 0, index };
+}
+
+function target(i: number): domain.target.target.Target {
+  return {
+    name: copy(`engine-${i}`),
+    incarnation: 1,
+    sequence: 1,
+    kind: 'engine',
+    address: copy(`10.0.${i}.1:8000`),
+    dataCentre: `dc-${i % 17}`,
+    status: 'serving',
+    fencing: 'checked',
+    service: '',
+    models: [{ base: 'base', adapter: '', version: '1' }],
+    memoryTokens: 450_000,
+    load: { queuedTokens: 0, streams: 0, freeTokens: 450_000 },
+  };
+}
+
+function fillLedger(count: number): domain.ledger.ledger.Ledger {
+  const shard = new domain.ledger.ledger.Ledger();
+  for (let i = 0; i < count; i++) {
+    const key = `fitters/kisumu/parts/${crypto.randomUUID()}`;
+    const attempt = crypto.randomUUID();
+    const content = crypto.createHash('sha256').update(key).digest('hex');
+    const claim = { kind: 'claim', key, organisation: `o${i % 99}`, content, attempt } as const;
+    shard.apply({ ...claim, deadline: 1_000, at: i });
+    const answer = { status: 201, contentType: 'application/json', body: copy('x'.repeat(200)) };
+    const settle = { kind: 'settle', key, attempt, settlement: 'completed' } as const;
+    shard.apply({ ...settle, answer, at: i });
+  }
+  return shard;
+}
+
+function placeMs(hash: domain.shared.hashing.Hash): number {
+  const choice = new domain.routing.policy.ElasticReserve(domain.shared.random.seeded(1));
+  const dispatcher = new domain.routing.dispatcher.Dispatcher('dc-1', hash, choice);
+  dispatcher.setTargets(Array.from({ length: 32 }, (_value, i) => target(i)));
+  let now = 0;
+  let made = 0;
+  const model = { base: 'base', adapter: '', version: '1' };
+  return msOf(() => {
+    made += 1;
+    now += 5;
+    const request: domain.routing.dispatcher.Request = {
+      id: `r${made}`,
+      organisation: 'o',
+      share: 1,
+      priority: 'normal',
+      model,
+      promptTokens: 3_000,
+      answerTokens: 200,
+      prefixKeys: [made, made + 1],
+      enqueuedAt: now,
+      deadline: now + 60_000,
+      excluded: new Set(),
+    };
+    dispatcher.enqueue(request, now);
+    dispatcher.poll(now);
+    if (made > 100) {
+      dispatcher.firstToken(`r${made - 10}`, now);
+      dispatcher.ended(`r${made - 100}`, now);
+    }
+  }, 5_000);
+}
+
+export async function run(_quick: boolean, _say: (line: string) => void): Promise<Result> {
+  const hash = await domain.shared.hashing.load();
+  const view = new domain.control.view.View();
+  const numbers = Array.from({ length: COUNT }, (_value, i) => i);
+  const subtrees = bytesEach(COUNT, () => {
+    const list = numbers.map((i) => subtree(i, i + 1));
+    const deltas = list.map((each, i): domain.control.state.Delta => {
+      return { kind: 'subtree', index: i + 1, name: each.name, subtree: each };
+    });
+    view.advance(deltas, COUNT);
+    return new domain.settings.directory.Directory(list);
+  });
+  const daemons = bytesEach(COUNT, () => {
+    numbers.forEach((i) => {
+      const daemon = { id: copy(`vm-${i}`), address: copy(`10.1.${i}.1:8083`) };
+      const registered = { ...daemon, dataCentre: `dc-${i % 17}`, replica: '' };
+      const index = COUNT + 1 + i;
+      view.advance([{ kind: 'daemon', index, id: daemon.id, daemon: registered }], index);
+    });
+    return view;
+  });
+  const targets = bytesEach(COUNT, () => new Map(numbers.map((i) => [`e${i}`, target(i)])));
+  const claims = bytesEach(CLAIMS, () => fillLedger(CLAIMS));
+  const tombstones = bytesEach(CLAIMS, () => {
+    const shard = fillLedger(CLAIMS);
+    const { retention } = domain.ledger.ledger.DEFAULT_BOUNDS;
+    shard.apply({ kind: 'release', key: '', attempt: '', at: retention + CLAIMS + 1 });
+    return shard;
+  });
+  const all = [...view.subtrees.values()];
+  const changed = all.map((each, i) => (i === 0 ? { ...each, index: 1e6 } : each));
+  const { Directory } = domain.settings.directory;
+  const former = subtrees.made;
+  const place = (prefix: string, i: number): domain.routing.cell.Placed => {
+    return { id: `${prefix}${i}`, dataCentre: `dc-${i % 17}` };
+  };
+  const fleet = Array.from({ length: 810 }, (_value, i) => place('vm', i));
+  const engines = Array.from({ length: 2_400 }, (_value, i) => place('e', i));
+  const self = fleet[0];
+  return {
+    bytesPerSubtree: subtrees.bytes,
+    bytesPerDaemon: daemons.bytes,
+    bytesPerTarget: targets.bytes,
+    bytesPerClaim: claims.bytes,
+    bytesPerTombstone: tombstones.bytes,
+    digestMs: msOf(() => view.digest(hash), 20),
+    directoryMs: msOf(() => new Directory(all), 5),
+    directoryAfterChangeMs: msOf(() => new Directory(changed, former), 20),
+    cellMs: msOf(() => domain.routing.cell.cellOf(hash, self, fleet, engines), 20),
+    placeMs: placeMs(hash),
+    snapshotMsPerThousandClaims: msOf(() => claims.made.snapshot(), 5) / (CLAIMS / 1_000),
+  };
+}
