Watch pooled connections that go silent before the headers of an answer

Cause: silence was watched only between frames. A request sent over a pooled connection that had gone silent while idle waited for headers until its deadline. The faults scenario had not met it, since its pools were busy. Change: while the headers are awaited, the engine is asked over a new connection after the same silence; if it knows the request, the answer is read there, else the attempt is lost and another target takes it. Conclusion: every wait on a target now has a look over a new connection.

--- a/packages/daemon/src/__tests__/__fixtures__/bench.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/bench.ts
@@ -177,6 +177,8 @@
     const { body } = await undici.request(url, {
       method: 'POST',
       body: JSON.stringify({ kind, count, delayMs }),
+      // The next fault must not go over a connection that this one silenced.
+      reset: true,
     });
     await body.dump();
   }
--- a/packages/daemon/src/__tests__/failures.test.ts
+++ b/packages/daemon/src/__tests__/failures.test.ts
@@ -89,6 +89,18 @@
     expect([reply.status, textOf(reply)]).to.deep.equal([200, expected('silent', 40)]);
   });
 
+  /*
+   * A fitter's short lookup takes until its deadline: the daemon sent it over a pooled connection that had
+   * gone silent while idle, and waited for the headers of an answer that could not come.
+   */
+  it('does not wait for headers on a pooled connection that went silent', async () => {
+    await fleet.complete('warms the pool', 2);
+    await fleet.fault('slow', 'silent');
+    const reply = await fleet.complete('over the silent one', 5);
+    expect([reply.status, textOf(reply)]).to.deep.equal([200, expected('over the silent one', 5)]);
+    await nothingHeld();
+  });
+
   /*
    * A planned stop of an engine must cut no request: what runs there goes on to its end or is moved,
    * and nothing new goes there.
--- a/packages/daemon/src/control/controlPlane.ts
+++ b/packages/daemon/src/control/controlPlane.ts
@@ -7,7 +7,6 @@
 import { Err, Ok, Result } from 'ts-results';
 import type * as configuration from '../configuration/configuration';
 import type * as observer from '../observability/observer';
-import * as founding from '../replicas/founding';
 import type * as logHost from '../replicas/logHost';
 import type * as machine from '../replicas/machine';
 import * as repairer from '../replicas/repairer';
@@ -23,6 +22,7 @@
 import * as logClient from './logClient';
 import * as logServer from './logServer';
 import * as query from './query';
+import * as registrar from './registrar';
 import type * as spread from './spread';
 import * as stopProgress from './stopProgress';
 import * as upstream from './upstream';
@@ -48,9 +48,6 @@
 /** Daemons asked at once while this one has no lease. */
 const EXCHANGE_FANOUT = 16;
 
-/** Silence after which a daemon is taken off the register, in milliseconds. */
-const UNREGISTER_AFTER_MS = 600_000;
-
 export class ControlPlane {
   readonly view = new domain.control.view.View();
 
@@ -70,6 +67,8 @@
 
   private readonly stops: stopProgress.StopProgress;
 
+  private readonly registrar: registrar.Registrar;
+
   private replicas: replicaSet.ReplicaSet | undefined;
 
   private repairer: repairer.Repairer | undefined;
@@ -103,6 +102,16 @@
         if (this.view.adopt(state)) this.changed();
       },
     );
+    this.registrar = new registrar.Registrar({
+      configuration: settings,
+      address: options.address,
+      view,
+      contacts: heard,
+      logs: this.client,
+      peers: client,
+      observer: observe,
+      now,
+    });
     this.stops = new stopProgress.StopProgress(() => options.live().all, now);
   }
 
@@ -346,47 +355,11 @@
     this.replicas?.hosts.forEach((each) => this.repairer?.step(each));
     if (this.busy) return;
     this.busy = true;
-    await this.found();
-    await this.register();
-    await this.unregisterSilent(now);
-    this.busy = false;
-  }
-
-  private async found(): Promise<void> {
-    const { founders, seeds } = this.options.configuration;
-    const { replicas: set } = this;
-    if (set === undefined || set.isFounded) return;
-    const { client, address } = this.options;
-    if (!founders.includes(address)) return;
-    await founding.attempt({ set, client, founders, seeds, address });
-  }
-
-  private async register(): Promise<void> {
-    const { name: id, dataCentre } = this.options.configuration;
-    const { address } = this.options;
-    const daemon = { id, address, dataCentre, replica: this.replicaId };
-    const known = this.view.daemons.get(id);
-    if (known !== undefined && JSON.stringify(known) === JSON.stringify(daemon)) return;
-    const command: domain.control.state.Command = { kind: 'register', daemon, at: 0 };
-    await this.client.execute(logServer.SETTINGS_LOG, command, 1_500);
-  }
-
-  private async unregisterSilent(now: number): Promise<void> {
+    await this.registrar.found(this.replicas);
+    await this.registrar.register(this.replicas);
     const since = this.leadership()?.since;
-    if (since === undefined || now - since < UNREGISTER_AFTER_MS) return;
-    const silent = [...this.machine.state.daemons.keys()].find(
-      (id) => now - Math.max(since, this.contacts.at(id)) > UNREGISTER_AFTER_MS,
-    );
-    if (silent === undefined) return;
-    this.contacts.forget(silent);
-    const reason = `not heard for ${UNREGISTER_AFTER_MS / 60_000} minutes`;
-    const command: domain.control.state.Command = {
-      kind: 'unregister',
-      id: silent,
-      at: 0,
-      reason,
-    };
-    await this.client.execute(logServer.SETTINGS_LOG, command, 1_500);
+    if (since !== undefined) await this.registrar.unregisterSilent(since);
+    this.busy = false;
   }
 
   /** Without a lease, asks other registered daemons where they stand and catches up with them. */
--- /dev/null
+++ b/packages/daemon/src/control/registrar.ts
@@ -0,0 +1,82 @@
+/**
+ * Who takes part: founding of the replica set, registration of this daemon, and on the leader taking
+ * daemons off the register that have been silent for long.
+ */
+import type * as domain from '@celerydrift/domain';
+import type * as configuration from '../configuration/configuration';
+import type * as observer from '../observability/observer';
+import * as founding from '../replicas/founding';
+import type * as replicaSet from '../replicas/replicaSet';
+import type * as peerClient from '../rpc/peerClient';
+import type * as contacts from './contacts';
+import type * as logClient from './logClient';
+import * as logServer from './logServer';
+
+type Command = domain.control.state.Command;
+
+export interface Options {
+  configuration: configuration.Configuration;
+  address: string;
+  view: domain.control.view.View;
+  contacts: contacts.Contacts;
+  logs: logClient.LogClient;
+  peers: peerClient.PeerClient;
+  observer: observer.Observer;
+  now: () => number;
+}
+
+/** Silence after which a daemon is taken off the register, in milliseconds. */
+const UNREGISTER_AFTER_MS = 600_000;
+
+/** Patience of one try; the next comes with the next round of duties. */
+const TRY_MS = 1_500;
+
+export class Registrar {
+  private wasSpare = false;
+
+  constructor(private readonly options: Options) {}
+
+  /** One try at founding, where this VM is to be a founder and nothing is founded yet. */
+  async found(set: replicaSet.ReplicaSet | undefined): Promise<void> {
+    const { configuration: settings, peers: client, address } = this.options;
+    const { founders, seeds } = settings;
+    if (set === undefined || set.isFounded) return;
+    this.watchSpare();
+    if (!founders.includes(address)) return;
+    await founding.attempt({ set, client, founders, seeds, address });
+  }
+
+  /** Registers this daemon, or its new address or data folder. */
+  async register(set: replicaSet.ReplicaSet | undefined): Promise<void> {
+    const { configuration: settings, address, view } = this.options;
+    const { name: id, dataCentre } = settings;
+    const daemon = { id, address, dataCentre, replica: set?.id ?? '' };
+    const known = view.daemons.get(id);
+    if (known !== undefined && JSON.stringify(known) === JSON.stringify(daemon)) return;
+    await this.execute({ kind: 'register', daemon, at: 0 });
+  }
+
+  /** The leader since `since` takes one silent daemon off the register. */
+  async unregisterSilent(since: number): Promise<void> {
+    const { contacts: heard, view, now } = this.options;
+    if (now() - since < UNREGISTER_AFTER_MS) return;
+    const silent = [...view.daemons.keys()].find(
+      (id) => now() - Math.max(since, heard.at(id)) > UNREGISTER_AFTER_MS,
+    );
+    if (silent === undefined) return;
+    heard.forget(silent);
+    const reason = `not heard for ${UNREGISTER_AFTER_MS / 60_000} minutes`;
+    await this.execute({ kind: 'unregister', id: silent, at: 0, reason });
+  }
+
+  private async execute(command: Command): Promise<void> {
+    await this.options.logs.execute(logServer.SETTINGS_LOG, command, TRY_MS);
+  }
+
+  /** An empty folder in a fleet that is founded waits to be taken in by repair. */
+  private watchSpare(): void {
+    const isSpare = this.options.view.index > 0;
+    if (isSpare && !this.wasSpare) this.options.observer.log('spareWaiting');
+    this.wasSpare = isSpare;
+  }
+}
--- a/packages/daemon/src/requests/execution.ts
+++ b/packages/daemon/src/requests/execution.ts
@@ -235,27 +235,65 @@
     reservations: readonly domain.memory.gathering.Part[],
   ): Promise<Failure | undefined> {
     const { model, prompt, answerTokens, prefixKeys } = this.prompt;
-    const opened = await this.parts.adapter.generate(
-      target,
-      {
-        request: id,
-        model: { base: model.base, adapter: model.adapter, version: model.version },
-        prompt,
-        answerTokens,
-        priority: enginePriority,
-        resumeFrom: this.check.position,
-        emitted: this.check.text,
-        prefixKeys,
-        owner: this.parts.owner(),
-        reservations,
-        needsRoom,
-      },
-      this.abort.signal,
-    );
+    const opened = await this.open(target, {
+      request: id,
+      model: { base: model.base, adapter: model.adapter, version: model.version },
+      prompt,
+      answerTokens,
+      priority: enginePriority,
+      resumeFrom: this.check.position,
+      emitted: this.check.text,
+      prefixKeys,
+      owner: this.parts.owner(),
+      reservations,
+      needsRoom,
+    });
     if (opened.err) return this.openFailure(target.name, opened.val);
     return this.readAll(id, target, opened.val);
   }
 
+  /**
+   * Sends the prompt and waits for the engine to take it. A pooled connection may have gone silent while
+   * idle: then no headers ever come, and without a look over a new connection the request would wait for
+   * its deadline. An engine that knows it is read over the new one; one that doesn't never got it.
+   */
+  private async open(
+    target: domain.target.target.Target,
+    generation: adapter.Generation,
+  ): Promise<Result<adapter.EngineStream, targetErrors.TargetError>> {
+    const opening = new AbortController();
+    const signal = AbortSignal.any([this.abort.signal, opening.signal]);
+    const generated = this.parts.adapter.generate(target, generation, signal);
+    for (;;) {
+      const opened = await this.orSilence(generated);
+      if (opened !== SILENT) return opened;
+      const { request } = generation;
+      const state = await this.parts.adapter.stateOf(target, request);
+      if (state.err || state.val === 'unknown') {
+        opening.abort();
+        return Err({ progress: 'sent', fault: 'silent', detail: 'no headers', retryAfterMs: 0 });
+      }
+      const resumed = await this.parts.adapter.resume(target, request, this.check.position);
+      if (resumed.ok) {
+        this.parts.observer.log('connectionSilent', { target: target.name, request });
+        opening.abort();
+        return resumed;
+      }
+    }
+  }
+
+  private async orSilence<T>(promise: Promise<T>): Promise<T | typeof SILENT> {
+    let timer: NodeJS.Timeout | undefined;
+    const silence = new Promise<typeof SILENT>((resolve) => {
+      timer = setTimeout(() => resolve(SILENT), this.parts.silenceMs);
+    });
+    try {
+      return await Promise.race([promise, silence]);
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
   private openFailure(target: string, error: targetErrors.TargetError): Failure {
     const fault = this.stopReason ?? error.fault;
     const failure = this.failure(target, error.progress, fault, error.retryAfterMs);
@@ -308,20 +346,15 @@
     stream: adapter.EngineStream,
   ): Promise<adapter.EngineFrame | undefined | 'broken' | typeof SILENT | typeof STOPPED> {
     if (this.abort.signal.aborted) return STOPPED;
-    let timer: NodeJS.Timeout | undefined;
     let onAbort: (() => void) | undefined;
-    const silence = new Promise<typeof SILENT>((resolve) => {
-      timer = setTimeout(() => resolve(SILENT), this.parts.silenceMs);
-    });
     const stopped = new Promise<typeof STOPPED>((resolve) => {
       onAbort = () => resolve(STOPPED);
       this.abort.signal.addEventListener('abort', onAbort);
     });
     const next = stream.next().catch(() => 'broken' as const);
     try {
-      return await Promise.race([next, silence, stopped]);
+      return await this.orSilence(Promise.race([next, stopped]));
     } finally {
-      clearTimeout(timer);
       if (onAbort !== undefined) this.abort.signal.removeEventListener('abort', onAbort);
     }
   }
--- a/packages/domain/src/routing/dispatcher.ts
+++ b/packages/domain/src/routing/dispatcher.ts
@@ -8,6 +8,7 @@
 import * as target from '../target/target';
 import * as band from './band';
 import * as cost from './cost';
+import * as demandMeter from './demandMeter';
 import * as estimate from './estimate';
 import * as fairQueue from './fairQueue';
 import * as policy from './policy';
@@ -64,9 +65,6 @@
   remoteMs: 1.5,
 };
 
-/** Time over which demand is averaged, in milliseconds. */
-const DEMAND_WINDOW_MS = 30_000;
-
 /** Between two looks at the sizes of the bands, in milliseconds. */
 const REPLAN_MS = 1_000;
 
@@ -110,11 +108,7 @@
 
   private readonly running = new Map<string, Running>();
 
-  private readonly demand: band.Demand = { short: 0, medium: 0, long: 0 };
-
-  private demandAt = 0;
-
-  private demandSince: number | undefined;
+  private readonly demand = new demandMeter.DemandMeter();
 
   private peerDemand: band.Demand = { short: 0, medium: 0, long: 0 };
 
@@ -253,12 +247,7 @@
 
   /** Own demand, in engine-milliseconds per millisecond by band. */
   ownDemand(now: number): band.Demand {
-    this.fadeDemand(now);
-    const { short, medium, long } = this.demand;
-    // Since the first request less than the whole window may have passed.
-    const age = Math.max(1_000, now - (this.demandSince ?? now));
-    const window = DEMAND_WINDOW_MS * (1 - Math.exp(-age / DEMAND_WINDOW_MS));
-    return { short: short / window, medium: medium / window, long: long / window };
+    return this.demand.rate(now);
   }
 
   /** Own outstanding tokens by target, for the peers. */
@@ -356,22 +345,12 @@
   }
 
   private countDemand(inBand: band.Band, tokens: number, now: number): void {
-    this.fadeDemand(now);
-    this.demandSince ??= now;
     const beliefs = [...this.targets.values()];
     const total = beliefs.reduce(
       (sum, { belief }) => sum + belief.costs.serviceMs(inBand, tokens),
       0,
     );
-    this.demand[inBand] += total / Math.max(1, beliefs.length);
-  }
-
-  private fadeDemand(now: number): void {
-    const factor = Math.exp(-(now - this.demandAt) / DEMAND_WINDOW_MS);
-    this.demandAt = now;
-    band.BANDS.forEach((each) => {
-      this.demand[each] *= factor;
-    });
+    this.demand.count(inBand, total / Math.max(1, beliefs.length), now);
   }
 
   private replan(now: number): void {
--- a/packages/measure/src/faults/faults.ts
+++ b/packages/measure/src/faults/faults.ts
@@ -18,6 +18,10 @@
   settingsLost: number;
   /** Requests that lost their connection to a daemon under a planned stop. */
   cutByPlannedStop: number;
+  /** Prompts started on a target later than two seconds after its planned stop was announced. */
+  newWorkAfterStop: number;
+  /** From the announcement to "safe to stop", in seconds. */
+  safeToStopSeconds: number;
   /** From the fault until short prompts complete through all live entries, the fault still there. */
   recoverySeconds: Record<string, number>;
   holdingsZeroSeconds: number;
@@ -244,6 +248,34 @@
   return { ranTwice, notRunButRan };
 }
 
+async function startedOn(target: fleet.Fleet, name: string): Promise<number> {
+  const { started } = await target.standInCall<{ started: object }>(name, '/v1/holdings');
+  return Object.keys(started).length;
+}
+
+/** A planned stop of an engine under load: no new work after two seconds, and then safe. */
+async function plannedStop(
+  target: fleet.Fleet,
+  name: string,
+): Promise<{ newWork: number; seconds: number }> {
+  const since = Date.now();
+  const stop = { id: `stop-${name}`, subject: 'target', name, graceSeconds: 1 };
+  await target.operatorCall('POST', 'stops', stop);
+  await fleet.sleep(2_000);
+  const before = await startedOn(target, name);
+  let isSafe = false;
+  while (!isSafe && Date.now() - since < 20_000) {
+    const { content } = await target.operatorCall<{ progress: string }[]>('GET', 'stops');
+    isSafe = content[0]?.progress === 'safeToStop';
+    await fleet.sleep(50);
+  }
+  const seconds = (Date.now() - since) / 1_000;
+  await fleet.sleep(1_500);
+  const newWork = (await startedOn(target, name)) - before;
+  await target.operatorCall('DELETE', `stops/${stop.id}`);
+  return { newWork, seconds: isSafe ? seconds : Infinity };
+}
+
 /** Five daemons: three replicas in three data centres, a spare with a disk, one without. */
 export async function startFleet(): Promise<fleet.Fleet> {
   const target = await fleet.Fleet.plan({
@@ -289,6 +321,7 @@
       lostIn.set(step.name, load.counts.entryLost - lostBefore);
       say(`${step.name}: ${recoverySeconds[step.name]?.toFixed(1)} s`);
     }
+    const stopped = await plannedStop(target, 'engine-2');
     load.stop();
     await running;
     const { left, seconds } = await holdingsAfter(target);
@@ -303,6 +336,8 @@
       holdingsLeft: left,
       settingsLost: accepted - kept,
       cutByPlannedStop: lostIn.get('plannedStopOfDaemon') ?? 0,
+      newWorkAfterStop: stopped.newWork,
+      safeToStopSeconds: stopped.seconds,
       recoverySeconds,
       holdingsZeroSeconds: seconds,
       counts: load.counts,
