Find the leader in one place, and drop what nothing uses

Cause: reading the whole change again: two scenarios asked for the leader with the same loop; a quick look at idle fleets, a look-up of claims and a field of the daemon were used by nothing. Change: the fleet of the measurements says who leads; the rest is gone. Behaviour is as it was.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -110,7 +110,7 @@
     private readonly settings: configuration.Configuration,
     private readonly hash: domain.shared.hashing.Hash,
     tlsOptions: tlsFiles.TlsOptions | undefined,
-    private readonly onFailure: (error: unknown) => void,
+    onFailure: (error: unknown) => void,
   ) {
     const { name, dataCentre, peerSecret, logLevel, statsd, timeouts } = settings;
     const address = configuration.format(settings.peers);
--- a/packages/domain/src/ledger/ledger.ts
+++ b/packages/domain/src/ledger/ledger.ts
@@ -113,13 +113,6 @@
     return this.release(command);
   }
 
-  /** What is known of a key, without claiming it. */
-  look(key: string, now: number): Verdict {
-    const entry = this.entries.get(key);
-    if (entry === undefined) return { kind: this.tombstones.has(key) ? 'expired' : 'released' };
-    return this.standing(entry, now);
-  }
-
   snapshot(): Snapshot {
     const tombstones = [...this.tombstones].map(([key, at]) => ({ key, at }));
     return { entries: [...this.entries.values()], tombstones };
--- a/packages/measure/src/faults/faults.ts
+++ b/packages/measure/src/faults/faults.ts
@@ -45,16 +45,6 @@
 
 const PROBE_TOKENS = 3;
 
-async function leaderOf(target: fleet.Fleet): Promise<string> {
-  for (const [entry, { name }] of target.plans.entries()) {
-    const answer = await target
-      .operatorCall<{ replicaState?: string }>('GET', 'status', undefined, entry)
-      .catch(() => undefined);
-    if (answer?.content.replicaState === 'leader') return name;
-  }
-  return target.plans[0]?.name ?? '';
-}
-
 async function restartEngine(target: fleet.Fleet, name: string): Promise<void> {
   await target.startEngine({ name, parameters: FAST });
 }
@@ -130,14 +120,14 @@
   },
   {
     name: 'leaderKilled',
-    inject: async (target) => killDaemon(target, await leaderOf(target)),
+    inject: async (target) => killDaemon(target, (await target.leader()).name),
     heal: restartKilled,
     lastsMs: 2_500,
   },
   {
     name: 'leaderFrozen',
     inject: async (target) => {
-      const leader = await leaderOf(target);
+      const leader = (await target.leader()).name;
       target.daemon(leader).signal('SIGSTOP');
       killed.push(leader);
     },
--- a/packages/measure/src/fleet.ts
+++ b/packages/measure/src/fleet.ts
@@ -215,6 +215,20 @@
     return daemon;
   }
 
+  /** The daemon that leads the settings log; the first one while nobody says that it does. */
+  async leader(): Promise<DaemonPlan> {
+    for (const [entry, plan] of this.plans.entries()) {
+      const answer = await this.operatorCall<{ replicaState?: string }>(
+        'GET',
+        'status',
+        undefined,
+        entry,
+      ).catch(() => undefined);
+      if (answer?.content.replicaState === 'leader') return plan;
+    }
+    return this.plans[0];
+  }
+
   /** Empties a data folder, as a VM that lost its disk. */
   wipe(name: string): void {
     fs.rmSync(this.dataFolder(name), { recursive: true, force: true });
--- a/packages/measure/src/settings/settings.ts
+++ b/packages/measure/src/settings/settings.ts
@@ -132,22 +132,12 @@
   return twice;
 }
 
-async function leaderOf(target: fleet.Fleet): Promise<number> {
-  for (const entry of target.plans.keys()) {
-    const answer = await target
-      .operatorCall<{ replicaState?: string }>('GET', 'status', undefined, entry)
-      .catch(() => undefined);
-    if (answer?.content.replicaState === 'leader') return entry;
-  }
-  return 0;
-}
-
 async function takeover(
   target: fleet.Fleet,
 ): Promise<{ takeoverMs: number; inForceMs: number; acceptedTwice: number }> {
-  const leader = await leaderOf(target);
+  const { name } = await target.leader();
+  const leader = target.plans.findIndex((plan) => plan.name === name);
   const first = await putUntilAnswered(target, 'taken', 'taken-0', 0, 1);
-  const { name } = target.plans[leader];
   const since = performance.now();
   void target.daemon(name).kill();
   const entry = (leader + 1) % target.plans.length;
--- a/packages/measure/src/slopes/slopes.ts
+++ b/packages/measure/src/slopes/slopes.ts
@@ -259,13 +259,3 @@
     },
   };
 }
-
-/** One idle fleet, for a quick look between rounds. */
-export async function idlePoint(daemons: number, seconds: number): Promise<Point> {
-  const target = await startFleet(daemons);
-  try {
-    return await measure(target, 0, 0, seconds);
-  } finally {
-    await target.stopAll();
-  }
-}
