--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -69,7 +69,7 @@
 
 export default [
   {
-    ignores: ['**/dist/**', '**/bin/**', '**/__snapshots__/**', 'eslint.config.mjs', 'testing/**'],
+    ignores: ['**/dist/**', 'target/**', '**/bin/**', '**/__snapshots__/**', 'eslint.config.mjs', '**/bundle.mjs', 'testing/**'],
   },
   plugins.stylistic,
   plugins.importX,
--- /dev/null
+++ b/packages/daemon/src/configuration/codecs.ts
@@ -0,0 +1,84 @@
+/** Codecs of values that stand in settings files of processes. */
+import * as domain from '@celerydrift/domain';
+
+const { schema } = domain.settings;
+
+type Codec<A> = domain.settings.schema.Codec<A>;
+
+export interface Address {
+  host: string;
+  port: number;
+}
+
+export function addressOf(text: string): Address | undefined {
+  const match = /^([0-9.]+|\[[0-9a-f:]+\]):(\d{1,5})$/.exec(text);
+  const port = Number(match?.[2]);
+  return match === null || port > 65_535 ? undefined : { host: match[1], port };
+}
+
+function addressesOf(text: string): string[] | undefined {
+  const parts = schema.list(text);
+  return parts.every((part) => addressOf(part) !== undefined) ? parts : undefined;
+}
+
+export function format({ host, port }: Address): string {
+  return `${host}:${port}`;
+}
+
+export function oneOf(...words: readonly string[]): Codec<string> {
+  const parse = (text: string): string | undefined => (words.includes(text) ? text : undefined);
+  return schema.textCodec('word', parse, `give one of ${words.join(', ')}`);
+}
+
+export function range(minimum: number, maximum: number): Codec<number> {
+  const mend = `give a number from ${minimum} to ${maximum}`;
+  return schema.textCodec('number', schema.numberIn(minimum, maximum), mend);
+}
+
+export const NAME = schema.textCodec(
+  'name',
+  (text) => (schema.NAME.test(text) ? text : undefined),
+  'give a name of lower-case letters, digits, dot, dash, underscore',
+);
+export const ADDRESS = schema.textCodec('address', addressOf, 'give IP:PORT, such as 10.0.0.7:8080');
+export const OPTIONAL_ADDRESS = schema.textCodec<Address | ''>(
+  'address',
+  (text) => (text === '' ? '' : addressOf(text)),
+  'leave it out or give IP:PORT',
+);
+export const ADDRESSES = schema.textCodec(
+  'addresses',
+  addressesOf,
+  'give IP:PORT, several separated by commas',
+);
+export const TEXT = schema.textCodec('text', (text) => text, 'give a text');
+export const SECRET = schema.textCodec(
+  'secret',
+  (text) => (text.length >= 16 ? text : undefined),
+  'give at least 16 characters that nobody can guess',
+);
+export const HASHES = schema.textCodec('hashes', schema.hashes, 'give sha256:<64 hex digits>');
+
+export type Sections = Record<string, domain.settings.schema.Fields>;
+
+/** Reads all sections of a file; `problems` gets everything that is wrong. Keys are `section.key`. */
+export function readSections(
+  text: string,
+  sections: Sections,
+  defaults: Readonly<Record<string, string>>,
+  problems: domain.settings.schema.Problem[],
+): domain.settings.schema.Values {
+  const all: domain.settings.schema.Values = new Map();
+  const given = schema.sectionsOf(text);
+  given.forEach((_raw, section) => {
+    if (sections[section] !== undefined) return;
+    const mend = `use one of ${Object.keys(sections).join(', ')}`;
+    problems.push({ section, key: '', value: section, mend });
+  });
+  Object.entries(sections).forEach(([section, fields]) => {
+    const raw = given.get(section) ?? {};
+    const values = schema.readFields(section, fields, raw, defaults, problems);
+    values.forEach((value, key) => all.set(`${section}.${key}`, value));
+  });
+  return all;
+}
--- a/packages/daemon/src/configuration/configuration.ts
+++ b/packages/daemon/src/configuration/configuration.ts
@@ -2,15 +2,13 @@
  * A daemon's own settings, from an INI file: names and addresses, peers, data folder, TLS, timeouts.
  * Everything wrong with a file is said at once, each with section, key, value and mend.
  */
-import * as domain from '@celerydrift/domain';
+import type * as domain from '@celerydrift/domain';
 import { Err, Ok, Result } from 'ts-results';
+import * as codecs from './codecs';
 
-const { schema } = domain.settings;
+export type Address = codecs.Address;
 
-export interface Address {
-  host: string;
-  port: number;
-}
+export const { format } = codecs;
 
 export interface Tls {
   certificateFile: string;
@@ -90,52 +88,9 @@
   'dead-replica-ms': '10000',
 } as const;
 
-function addressOf(text: string): Address | undefined {
-  const match = /^([0-9.]+|\[[0-9a-f:]+\]):(\d{1,5})$/.exec(text);
-  const port = Number(match?.[2]);
-  return match === null || port > 65_535 ? undefined : { host: match[1], port };
-}
-
-function addressesOf(text: string): string[] | undefined {
-  const parts = schema.list(text);
-  return parts.every((part) => addressOf(part) !== undefined) ? parts : undefined;
-}
+const { ADDRESS, ADDRESSES, HASHES, NAME, OPTIONAL_ADDRESS, SECRET, TEXT, oneOf, range } = codecs;
 
-function oneOf(...words: readonly string[]): domain.settings.schema.Codec<string> {
-  const parse = (text: string): string | undefined => (words.includes(text) ? text : undefined);
-  return schema.textCodec('word', parse, `give one of ${words.join(', ')}`);
-}
-
-function range(minimum: number, maximum: number): domain.settings.schema.Codec<number> {
-  const mend = `give a number from ${minimum} to ${maximum}`;
-  return schema.textCodec('number', schema.numberIn(minimum, maximum), mend);
-}
-
-const NAME = schema.textCodec(
-  'name',
-  (text) => (schema.NAME.test(text) ? text : undefined),
-  'give a name of lower-case letters, digits, dot, dash, underscore',
-);
-const ADDRESS = schema.textCodec('address', addressOf, 'give IP:PORT, such as 10.0.0.7:8080');
-const OPTIONAL_ADDRESS = schema.textCodec<Address | ''>(
-  'address',
-  (text) => (text === '' ? '' : addressOf(text)),
-  'leave it out or give IP:PORT',
-);
-const ADDRESSES = schema.textCodec(
-  'addresses',
-  addressesOf,
-  'give IP:PORT, several separated by commas',
-);
-const TEXT = schema.textCodec('text', (text) => text, 'give a text');
-const SECRET = schema.textCodec(
-  'secret',
-  (text) => (text.length >= 16 ? text : undefined),
-  'give at least 16 characters that nobody can guess',
-);
-const HASHES = schema.textCodec('hashes', schema.hashes, 'give sha256:<64 hex digits>');
-
-const SECTIONS: Record<string, domain.settings.schema.Fields> = {
+const SECTIONS: codecs.Sections = {
   daemon: { name: NAME, 'data-centre': NAME },
   listen: { callers: ADDRESS, targets: ADDRESS, operators: ADDRESS, peers: ADDRESS },
   peers: { seeds: ADDRESSES, secret: SECRET },
@@ -174,23 +129,7 @@
   },
 };
 
-type Values = Map<string, unknown>;
-
-function readSections(text: string, problems: domain.settings.schema.Problem[]): Values {
-  const all: Values = new Map();
-  const given = schema.sectionsOf(text);
-  given.forEach((_raw, section) => {
-    if (SECTIONS[section] !== undefined) return;
-    const mend = `use one of ${Object.keys(SECTIONS).join(', ')}`;
-    problems.push({ section, key: '', value: section, mend });
-  });
-  Object.entries(SECTIONS).forEach(([section, fields]) => {
-    const raw = given.get(section) ?? {};
-    const values = schema.readFields(section, fields, raw, DEFAULTS, problems);
-    values.forEach((value, key) => all.set(`${section}.${key}`, value));
-  });
-  return all;
-}
+type Values = domain.settings.schema.Values;
 
 function tlsOf(values: Values, problems: domain.settings.schema.Problem[]): Tls | undefined {
   const certificateFile = String(values.get('security.certificate') ?? '');
@@ -259,11 +198,7 @@
 /** Reads a daemon's settings file, or says everything that is wrong with it. */
 export function read(text: string): Result<Configuration, domain.settings.schema.Problem[]> {
   const problems: domain.settings.schema.Problem[] = [];
-  const values = readSections(text, problems);
+  const values = codecs.readSections(text, SECTIONS, DEFAULTS, problems);
   const tls = tlsOf(values, problems);
   return problems.length > 0 ? Err(problems) : Ok(configurationOf(values, tls));
 }
-
-export function format({ host, port }: Address): string {
-  return `${host}:${port}`;
-}
--- /dev/null
+++ b/packages/daemon/src/entry/answer.ts
@@ -0,0 +1,183 @@
+/**
+ * The answer that a caller gets, built from what one or several targets send. Nothing of a target's
+ * answer goes on before it is known to belong to this request; of a stream only whole events do.
+ */
+import type * as http from 'node:http';
+import * as domain from '@celerydrift/domain';
+import * as clock from '../clock';
+import type * as protocols from '../edges/protocols';
+import type * as targetClient from './targetClient';
+
+type Route = domain.catalogue.catalogue.Route;
+
+/** Answers up to this size are held until they are whole, so that a broken one can be had elsewhere. */
+const HELD_BYTES = 1_048_576;
+
+/** Headers of an answer that concern the target's connection, and the framing that is ours. */
+const HOP_BY_HOP = new Set([
+  'connection',
+  'keep-alive',
+  'proxy-connection',
+  'te',
+  'trailer',
+  'transfer-encoding',
+  'upgrade',
+]);
+
+export type Verdict =
+  | { kind: 'passedOn' }
+  /** The target says that it didn't run the request. */
+  | { kind: 'notRun'; detail: string }
+  /** The answer isn't one that the caller may get. */
+  | { kind: 'unusable'; detail: string };
+
+export class Answer implements targetClient.Receiver {
+  /** Id of the last event that the caller has. */
+  lastEventId: string | undefined;
+
+  /** When the last event went on; 0 before the first. */
+  lastEventAt = 0;
+
+  private head: targetClient.Head | undefined;
+
+  private facts: protocols.AnswerFacts | undefined;
+
+  private splitter = new domain.request.eventSplitter.EventSplitter();
+
+  private held: Buffer[] = [];
+
+  private heldBytes = 0;
+
+  private attempt: targetClient.Attempt | undefined;
+
+  /** Whether a held answer has grown too long and goes on as it comes. */
+  private isOverflowing = false;
+
+  constructor(
+    private readonly response: http.ServerResponse,
+    private readonly route: Route,
+    private readonly caller: protocols.CallerFacts,
+    private readonly protocol: protocols.TrafficProtocol,
+  ) {}
+
+  /** Whether the caller has bytes that no other target can go on from. */
+  get isBeyondRepair(): boolean {
+    return this.response.headersSent && (!this.isStream || this.lastEventId === undefined);
+  }
+
+  beginAttempt(): void {
+    this.head = undefined;
+    this.facts = undefined;
+    this.attempt = undefined;
+    this.splitter = new domain.request.eventSplitter.EventSplitter();
+    this.held = [];
+    this.heldBytes = 0;
+  }
+
+  control(attempt: targetClient.Attempt): void {
+    this.attempt = attempt;
+  }
+
+  onHead(head: targetClient.Head): void {
+    this.head = head;
+    this.facts = this.protocol.answerFacts(head.status, head.headers);
+  }
+
+  onData(chunk: Buffer): void {
+    if (this.isStream && this.isUsable) this.passEvents(chunk);
+    else this.hold(chunk);
+  }
+
+  /** The target's answer is whole. With `mayRepeat` a failure of the target's own may be tried elsewhere. */
+  complete(mayRepeat: boolean): Verdict {
+    const { head, facts } = this;
+    if (head === undefined || facts === undefined) {
+      return { kind: 'unusable', detail: 'no answer' };
+    }
+    if (facts.isNotRun) return { kind: 'notRun', detail: `target refused: ${head.status}` };
+    if (!this.isUsable) return { kind: 'unusable', detail: `unusable answer: ${head.status}` };
+    if (mayRepeat && head.status >= 500) {
+      return { kind: 'unusable', detail: `target failed: ${head.status}` };
+    }
+    if (!this.isStream) return this.passHeld(head);
+    if (this.splitter.isInsideEvent) return { kind: 'unusable', detail: 'half an event at the end' };
+    this.writeHead(head);
+    this.response.end();
+    return { kind: 'passedOn' };
+  }
+
+  /** An answer of our own; one that has begun is broken off, so that it can't be taken for whole. */
+  refuse(status: number, retryAfterMs: number | undefined): void {
+    if (this.response.headersSent) {
+      this.response.destroy();
+      return;
+    }
+    const headers: http.OutgoingHttpHeaders = { 'Content-Length': 0 };
+    if (retryAfterMs !== undefined) headers['Retry-After'] = (retryAfterMs / 1_000).toFixed(2);
+    this.response.writeHead(status, headers);
+    this.response.end();
+  }
+
+  private get isStream(): boolean {
+    return this.route.kind === 'streaming' && this.head?.status === 200;
+  }
+
+  /** Whether the head shows an answer of this target to this request. */
+  private get isUsable(): boolean {
+    const { head, facts, caller } = this;
+    if (head === undefined || facts === undefined || facts.isNotRun) return false;
+    const isOurs = facts.requestId === caller.requestId;
+    if (!isOurs || facts.isEncoded) return false;
+    return facts.isSigned && !PROMISES.has(head.status);
+  }
+
+  private passEvents(chunk: Buffer): void {
+    const { head } = this;
+    const cut = this.splitter.push(chunk);
+    if (head === undefined || cut.events === 0) return;
+    this.writeHead(head);
+    this.lastEventId = cut.lastId ?? this.lastEventId;
+    this.lastEventAt = clock.steady();
+    this.write(cut.bytes);
+  }
+
+  private hold(chunk: Buffer): void {
+    if (this.isOverflowing) {
+      this.write(chunk);
+      return;
+    }
+    this.held.push(chunk);
+    this.heldBytes += chunk.length;
+    if (this.heldBytes <= HELD_BYTES || !this.isUsable || this.head === undefined) return;
+    this.isOverflowing = true;
+    this.writeHead(this.head);
+    this.held.splice(0).forEach((each) => this.write(each));
+  }
+
+  private passHeld(head: targetClient.Head): Verdict {
+    this.writeHead(head);
+    this.held.splice(0).forEach((each) => this.response.write(each));
+    this.response.end();
+    return { kind: 'passedOn' };
+  }
+
+  private write(bytes: Buffer): void {
+    if (this.response.write(bytes)) return;
+    this.attempt?.pause();
+    this.response.once('drain', () => this.attempt?.resume());
+  }
+
+  private writeHead({ status, raw }: targetClient.Head): void {
+    if (this.response.headersSent) return;
+    const kept: string[] = [];
+    // A stream may go on at another target, whose part the first one's length doesn't count.
+    const dropped = this.isStream ? new Set([...HOP_BY_HOP, 'content-length']) : HOP_BY_HOP;
+    for (let i = 0; i + 1 < raw.length; i += 2) {
+      if (!dropped.has(raw[i].toLowerCase())) kept.push(raw[i], raw[i + 1]);
+    }
+    this.response.writeHead(status, kept as unknown as http.OutgoingHttpHeaders);
+  }
+}
+
+/** Statuses by which a target promises that it didn't run a request; without its own word they say nothing. */
+const PROMISES = new Set([408, 421, 429, 503]);
--- /dev/null
+++ b/packages/daemon/src/entry/chooser.ts
@@ -0,0 +1,152 @@
+/**
+ * Where a request goes. Prompts get their engines from the leader's allocator, which has one view of all
+ * dispatches; while it doesn't answer, the entry places by its own dispatches. Calls to plain services
+ * go to the ready target with the fewest calls of this entry.
+ */
+import * as domain from '@celerydrift/domain';
+import type * as holding from '../fleet/holding';
+import type * as leaderLink from '../fleet/leaderLink';
+import type * as messages from '../fleet/messages';
+import type * as observer from '../observability/observer';
+import type * as peerClient from '../rpc/peerClient';
+
+type Ending = domain.allocation.allocator.Ending;
+type Placement = domain.allocation.allocator.Placement;
+
+export interface Wish {
+  id: string;
+  service: string;
+  tokens: number;
+  answerTokens: number;
+  objectiveMs: number;
+  pauseMs: number;
+  excluded: readonly string[];
+  patienceMs: number;
+}
+
+export type Choice =
+  | { kind: 'placed'; placement: Placement; release: (ending: Ending) => void }
+  | { kind: 'noPlace'; retryAfterMs: number };
+
+export interface Options {
+  name: string;
+  dataCentre: string;
+  holding: holding.Holding;
+  link: leaderLink.LeaderLink;
+  client: peerClient.PeerClient;
+  observer: observer.Observer;
+  random: domain.shared.random.Random;
+  now: () => number;
+}
+
+/** The leader is asked only if it confirmed this entry lately; two of the usual pauses, milliseconds. */
+const LEADER_FRESH_MS = 1_300;
+
+/** What the leader's answer may take beyond the wait for a place, milliseconds: ten times the usual. */
+const PLACE_TIMEOUT_MS = 150;
+
+/** Ends of dispatches are gathered for so long before they are told to the leader, milliseconds. */
+const GATHER_MS = 5;
+
+/** How long callers are told to stay away where no target is there, milliseconds. */
+const NO_TARGET_RETRY_MS = 500;
+
+/** How long a plain target that failed is passed over while others are there, milliseconds. */
+const AVOID_MS: Record<Ending, number> = {
+  done: 0,
+  cancelled: 0,
+  full: 100,
+  broken: 300,
+  unreachable: 1_500,
+};
+
+export class Chooser {
+  /** Places by this entry's dispatches alone. */
+  readonly fallback = new domain.allocation.allocator.Allocator();
+
+  private readonly calls = new Map<string, number>();
+
+  private readonly avoided = new Map<string, number>();
+
+  private ends: { leader: string; id: string; ending: Ending }[] = [];
+
+  private failures = 0;
+
+  constructor(private readonly options: Options) {}
+
+  async choose(wish: Wish): Promise<Choice> {
+    const service = this.options.holding.directory?.service(wish.service);
+    if (service?.engine === undefined) return this.choosePlain(wish);
+    const { link } = this.options;
+    const { leader } = link;
+    const usable = leader !== '' && link.age < LEADER_FRESH_MS;
+    const answer = usable ? await this.askLeader(leader, wish) : undefined;
+    return answer ?? this.chooseLocally(wish);
+  }
+
+  private async askLeader(leader: string, wish: Wish): Promise<Choice | undefined> {
+    const { name, dataCentre, client, link } = this.options;
+    const question: messages.Place = { ...wish, entry: name, dataCentre };
+    const timeoutMs = wish.patienceMs + PLACE_TIMEOUT_MS;
+    const answer = await client.call<messages.PlaceAnswer>(leader, 'place', question, { timeoutMs });
+    if (answer.err || answer.val.kind === 'redirect') {
+      link.doubt(leader);
+      return undefined;
+    }
+    if (answer.val.kind === 'noPlace') return answer.val;
+    const release = (ending: Ending): void => this.tell(leader, wish.id, ending);
+    return { kind: 'placed', placement: answer.val.placement, release };
+  }
+
+  private chooseLocally(wish: Wish): Choice {
+    const { name, dataCentre, now, observer } = this.options;
+    const placement = this.fallback.place({ ...wish, entry: name, dataCentre }, now());
+    if (placement === undefined) return { kind: 'noPlace', retryAfterMs: NO_TARGET_RETRY_MS };
+    this.failures += 1;
+    observer.log('placedLocally', { request: wish.id, target: placement.target });
+    const release = (ending: Ending): void => this.fallback.ended(wish.id, ending, now());
+    return { kind: 'placed', placement, release };
+  }
+
+  private choosePlain(wish: Wish): Choice {
+    const { holding, random, dataCentre, now } = this.options;
+    const ready = holding.registry
+      .ready(wish.service)
+      .filter(({ id }) => !wish.excluded.includes(id));
+    const sound = ready.filter(({ id }) => (this.avoided.get(id) ?? 0) <= now());
+    const candidates = sound.length > 0 ? sound : ready;
+    if (candidates.length === 0) return { kind: 'noPlace', retryAfterMs: NO_TARGET_RETRY_MS };
+    const scored = candidates.map((record) => {
+      const far = record.dataCentre === dataCentre ? 0 : 0.5;
+      const calls = this.calls.get(record.id) ?? 0;
+      return { record, score: calls + far + random.uniform() };
+    });
+    const { record } = scored.reduce((best, each) => (each.score < best.score ? each : best));
+    this.calls.set(record.id, (this.calls.get(record.id) ?? 0) + 1);
+    const placement = { target: record.id, address: record.address, helpers: [], firstTokenMs: 0 };
+    return { kind: 'placed', placement, release: (ending) => this.releasePlain(record.id, ending) };
+  }
+
+  private releasePlain(target: string, ending: Ending): void {
+    const left = (this.calls.get(target) ?? 1) - 1;
+    if (left > 0) this.calls.set(target, left);
+    else this.calls.delete(target);
+    if (AVOID_MS[ending] === 0) return;
+    this.avoided.set(target, this.options.now() + AVOID_MS[ending]);
+  }
+
+  private tell(leader: string, id: string, ending: Ending): void {
+    if (this.ends.length === 0) setTimeout(() => this.flush(), GATHER_MS);
+    this.ends.push({ leader, id, ending });
+  }
+
+  private flush(): void {
+    const ends = this.ends.splice(0);
+    new Set(ends.map(({ leader }) => leader)).forEach((leader) => {
+      const dispatches = ends
+        .filter((each) => each.leader === leader)
+        .map(({ id, ending }) => ({ id, ending }));
+      this.options.client.notify(leader, 'ended', { dispatches } satisfies messages.Ended);
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/entry.ts
@@ -0,0 +1,201 @@
+/**
+ * An entry: a process without a disk that takes callers' requests. It has nothing to restore: settings and
+ * targets come from the leader of the keepers within a second of its start.
+ */
+import * as http from 'node:http';
+import * as domain from '@celerydrift/domain';
+import * as clock from '../clock';
+import * as codecs from '../configuration/codecs';
+import type * as roleSettings from '../configuration/roleSettings';
+import type * as protocols from '../edges/protocols';
+import * as holding from '../fleet/holding';
+import * as leaderLink from '../fleet/leaderLink';
+import type * as messages from '../fleet/messages';
+import type * as observer from '../observability/observer';
+import * as peerClient from '../rpc/peerClient';
+import * as peerServer from '../rpc/peerServer';
+import * as chooser from './chooser';
+import * as exchange from './exchange';
+import * as ingress from './ingress';
+import * as targetClient from './targetClient';
+
+export interface Parts {
+  settings: roleSettings.Settings;
+  control: protocols.ControlProtocol;
+  traffic: protocols.TrafficProtocol;
+  observer: observer.Observer;
+  random: domain.shared.random.Random;
+}
+
+/**
+ * Part of the time in which a key must be refused that an entry serves keys without a confirmation. The
+ * rest, a second at 5 s, covers a request that was admitted at the last moment and its way to a target.
+ */
+const LEASE_SHARE = 0.8;
+
+/**
+ * After a planned stop begins, the balancer still sends new connections until it has asked twice without
+ * success, once a second; the listener stays open for a third.
+ */
+const LINGER_MS = 3_000;
+
+/** What is left of the time for a planned stop when the process ends whatever still runs. */
+const STOP_MARGIN_MS = 500;
+
+const STOP_CHECK_MS = 50;
+
+export class Entry {
+  private readonly client: peerClient.PeerClient;
+
+  private readonly server: peerServer.PeerServer;
+
+  private readonly holding: holding.Holding;
+
+  private readonly link: leaderLink.LeaderLink;
+
+  private readonly ingress: ingress.Ingress;
+
+  private readonly targets = new targetClient.TargetClient();
+
+  private readonly chooser: chooser.Chooser;
+
+  private readonly budget: domain.request.repeatBudget.RepeatBudget;
+
+  private readonly readiness: http.Server;
+
+  private isLeaving = false;
+
+  private wasFresh = false;
+
+  constructor(private readonly parts: Parts) {
+    const { settings, observer: observe, control, random } = parts;
+    this.client = new peerClient.PeerClient(settings.secret, undefined, observe);
+    this.server = new peerServer.PeerServer(settings.secret, undefined, observe);
+    this.budget = new domain.request.repeatBudget.RepeatBudget(settings.repeats);
+    this.holding = new holding.Holding({
+      protocol: control,
+      observer: observe,
+      now: clock.steady,
+      onCatalogue: (directory) => this.takeCatalogue(directory),
+      onRecord: (record) => this.takeRecord(record),
+    });
+    this.link = new leaderLink.LeaderLink({
+      name: settings.name,
+      role: 'entry',
+      address: codecs.format(settings.peers),
+      dataCentre: settings.dataCentre,
+      replica: () => undefined,
+      seeds: settings.seeds,
+      client: this.client,
+      holding: this.holding,
+      observer: observe,
+      sinceBoot: clock.sinceBoot,
+      onConfirmed: ({ entries }) => this.budget.shareWith(entries),
+    });
+    this.chooser = new chooser.Chooser({
+      name: settings.name,
+      dataCentre: settings.dataCentre,
+      holding: this.holding,
+      link: this.link,
+      client: this.client,
+      observer: observe,
+      random,
+      now: clock.steady,
+    });
+    this.ingress = this.makeIngress();
+    this.readiness = http.createServer((_request, response) => {
+      response.writeHead(this.isReady ? 200 : 503, { 'Content-Length': 0 });
+      response.end();
+    });
+  }
+
+  async start(): Promise<void> {
+    const { settings } = this.parts;
+    this.server.add('learn', (news) => {
+      this.holding.takeNews(news as messages.News);
+      return {};
+    });
+    await this.server.listen(settings.peers);
+    await this.ingress.listen(settings.callers as codecs.Address);
+    const { host, port } = settings.readiness as codecs.Address;
+    await new Promise<void>((resolve, reject) => {
+      this.readiness.once('error', reject);
+      this.readiness.listen(port, host, resolve);
+    });
+    this.link.start();
+  }
+
+  reload(settings: roleSettings.Settings): void {
+    this.link.addSeeds(settings.seeds);
+  }
+
+  /** A planned stop: not ready at once, open requests are finished, new ones served for a while. */
+  async stop(): Promise<void> {
+    const begun = clock.steady();
+    this.isLeaving = true;
+    this.ingress.leave();
+    const until = begun + this.parts.settings.stopMs - STOP_MARGIN_MS;
+    const isDone = (): boolean => {
+      const elapsed = clock.steady() - begun;
+      return elapsed >= LINGER_MS && this.ingress.activeRequests === 0;
+    };
+    while (!isDone() && clock.steady() < until) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, STOP_CHECK_MS);
+      });
+    }
+    this.ingress.close();
+    this.link.stop();
+    this.readiness.close();
+    this.targets.close();
+    await this.server.close();
+    this.client.close();
+  }
+
+  /** Whether the balancer should send callers here. */
+  get isReady(): boolean {
+    return !this.isLeaving && this.holding.directory !== undefined && this.isFresh();
+  }
+
+  private isFresh(): boolean {
+    const isFresh = this.link.age < this.parts.settings.revokeMs * LEASE_SHARE;
+    if (this.wasFresh && !isFresh) {
+      this.parts.observer.log('leaseEnded', { confirmedMsAgo: Math.round(this.link.age) });
+    }
+    this.wasFresh = isFresh;
+    return isFresh;
+  }
+
+  private makeIngress(): ingress.Ingress {
+    const { traffic, observer: observe, random } = this.parts;
+    const services: exchange.Services = {
+      protocol: traffic,
+      chooser: this.chooser,
+      targets: this.targets,
+      budget: this.budget,
+      observer: observe,
+      random,
+      now: clock.steady,
+      isFresh: () => this.isFresh(),
+    };
+    return new ingress.Ingress({
+      protocol: traffic,
+      observer: observe,
+      now: clock.steady,
+      directory: () => this.holding.directory,
+      isFresh: () => this.isFresh(),
+      serve: (admitted) => new exchange.Exchange(admitted, services).run(),
+    });
+  }
+
+  private takeCatalogue(directory: domain.catalogue.directory.Directory): void {
+    this.ingress.applyLimits(directory.catalogue.limits);
+    this.chooser.fallback.setServices(directory.catalogue.services);
+    this.holding.registry.records().forEach((record) => this.chooser.fallback.observe(record));
+  }
+
+  private takeRecord(record: domain.registry.registry.Announcement): void {
+    this.chooser.fallback.observe(record);
+    if (record.state === 'gone') this.targets.forget(record.id);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/exchange.ts
@@ -0,0 +1,313 @@
+/**
+ * One caller's request from its route to its final answer. Every way out is an answer: the target's own,
+ * or one of ours that says exactly what is known. 503 promises that the request did not run and never
+ * will; 502 and 504 promise nothing.
+ */
+import type * as http from 'node:http';
+import * as domain from '@celerydrift/domain';
+import type * as protocols from '../edges/protocols';
+import type * as observer from '../observability/observer';
+import * as answer from './answer';
+import type * as chooser from './chooser';
+import * as targetClient from './targetClient';
+
+type Route = domain.catalogue.catalogue.Route;
+type Ending = domain.allocation.allocator.Ending;
+
+export interface Services {
+  protocol: protocols.TrafficProtocol;
+  chooser: chooser.Chooser;
+  targets: targetClient.TargetClient;
+  budget: domain.request.repeatBudget.RepeatBudget;
+  observer: observer.Observer;
+  random: domain.shared.random.Random;
+  now: () => number;
+  /** Whether what is in force here is known to be fresh enough to admit keys. */
+  isFresh: () => boolean;
+}
+
+export interface Admitted {
+  request: http.IncomingMessage;
+  response: http.ServerResponse;
+  facts: protocols.CallerFacts;
+  route: Route;
+  organisation: string | undefined;
+  body: Buffer;
+  arrivedAt: number;
+}
+
+/** What one sending came to, beyond how the connection ended. */
+type Outcome =
+  /** The caller has its final answer. */
+  | { kind: 'answered' }
+  /** The target certainly didn't run it. */
+  | { kind: 'notRun'; ending: Ending; detail: string }
+  /** It may have run, and the caller has nothing or a part of a stream. */
+  | { kind: 'failed'; ending: Ending; detail: string }
+  | { kind: 'gone' }
+  | { kind: 'late' };
+
+/** Part of the time left that a request may wait for a place. */
+const PATIENCE_SHARE = 0.3;
+
+/** Silence of a stream beyond its usual pause before it goes on elsewhere, milliseconds. */
+const STREAM_SILENCE_MS = 600;
+
+/** Silence of a stream before its first event, against the predicted time. */
+const FIRST_EVENT_SHARE = 2;
+
+/** Silence of a call that may be repeated, against its objective, before another target is tried. */
+const CALL_SILENCE_SHARE = 3;
+
+/** What a caller is told to wait before it comes back, milliseconds, where nothing better is known. */
+const RETRY_AFTER_MS = 300;
+
+export class Exchange {
+  private readonly deadline: number;
+
+  private readonly tried: string[] = [];
+
+  private readonly reply: answer.Answer;
+
+  /** Whether some target may have run the request. */
+  private mayHaveRun = false;
+
+  private isOver = false;
+
+  private attempt: targetClient.Attempt | undefined;
+
+  private interrupt: ((outcome: Outcome) => void) | undefined;
+
+  constructor(
+    private readonly admitted: Admitted,
+    private readonly services: Services,
+  ) {
+    const { route, facts, arrivedAt, response, request } = admitted;
+    this.deadline = arrivedAt + Math.min(route.timeoutMs, facts.patienceMs ?? Infinity);
+    this.reply = new answer.Answer(response, route, facts, services.protocol);
+    response.once('close', () => {
+      if (!response.writableFinished) this.cancel({ kind: 'gone' });
+    });
+    request.once('error', () => this.cancel({ kind: 'gone' }));
+  }
+
+  private get isRepeatable(): boolean {
+    const { kind, isResumable } = this.admitted.route;
+    return kind === 'safe' || (kind === 'streaming' && isResumable);
+  }
+
+  private get timeLeftMs(): number {
+    return this.deadline - this.services.now();
+  }
+
+  async run(): Promise<void> {
+    const timer = setTimeout(() => this.cancel({ kind: 'late' }), Math.max(0, this.timeLeftMs));
+    try {
+      await this.attempts();
+    } finally {
+      clearTimeout(timer);
+    }
+  }
+
+  private async attempts(): Promise<void> {
+    const { route } = this.admitted;
+    const service = domain.catalogue.directory.pickService(route, this.services.random);
+    this.services.budget.countFirst(this.services.now());
+    for (;;) {
+      const choice = await this.choose(service);
+      if (this.isOver) {
+        if (choice.kind === 'placed') choice.release('cancelled');
+        return;
+      }
+      if (choice.kind === 'noPlace') {
+        this.fail('no target with a free place', choice.retryAfterMs);
+        return;
+      }
+      if (!this.services.isFresh() && this.admitted.organisation !== undefined) {
+        choice.release('cancelled');
+        this.fail('settings not confirmed fresh', RETRY_AFTER_MS);
+        return;
+      }
+      const outcome = await this.send(choice);
+      if (outcome.kind === 'answered' || this.isOver) return;
+      if (!this.mayRepeat(outcome)) {
+        this.fail('detail' in outcome ? outcome.detail : outcome.kind, RETRY_AFTER_MS);
+        return;
+      }
+    }
+  }
+
+  private choose(service: string): Promise<chooser.Choice> {
+    const { facts, route } = this.admitted;
+    const maximum = facts.maxAnswerTokens ?? Infinity;
+    const answerTokens = Math.min(maximum, facts.likelyAnswerTokens ?? maximum);
+    return this.services.chooser.choose({
+      id: `${facts.requestId}/${this.tried.length}`,
+      service,
+      tokens: facts.promptTokens ?? 0,
+      answerTokens: Number.isFinite(answerTokens) ? answerTokens : 0,
+      objectiveMs: route.objectiveMs,
+      pauseMs: route.pauseMs,
+      excluded: this.tried,
+      patienceMs: Math.max(0, this.timeLeftMs * PATIENCE_SHARE),
+    });
+  }
+
+  private async send(choice: chooser.Choice & { kind: 'placed' }): Promise<Outcome> {
+    const { placement, release } = choice;
+    const { request, body, facts, organisation } = this.admitted;
+    const { observer, protocol, targets } = this.services;
+    this.tried.push(placement.target);
+    this.reply.beginAttempt();
+    const resumeAfter = this.reply.lastEventId;
+    const headers = protocol.requestHeaders(request.rawHeaders, {
+      target: placement.target,
+      organisation,
+      timeLeftMs: this.timeLeftMs,
+      helpers: placement.helpers,
+      resumeAfter,
+    });
+    observer.log('requestPlaced', {
+      request: facts.requestId,
+      target: placement.target,
+      helpers: placement.helpers.length,
+      attempt: this.tried.length,
+      resumeAfter,
+    });
+    const attempt = targets.send(
+      {
+        target: placement.target,
+        address: placement.address,
+        method: request.method ?? 'GET',
+        path: request.url ?? '/',
+        headers,
+        body,
+      },
+      this.reply,
+    );
+    this.attempt = attempt;
+    this.reply.control(attempt);
+    const outcome = await this.outcomeOf(attempt, placement);
+    attempt.cancel();
+    this.attempt = undefined;
+    if (attempt.wasSent && outcome.kind !== 'notRun') this.mayHaveRun = true;
+    release(endingOf(outcome));
+    return outcome;
+  }
+
+  /** Waits for the end of a sending, its silence, or an interruption, whichever comes first. */
+  private async outcomeOf(
+    attempt: targetClient.Attempt,
+    placement: domain.allocation.allocator.Placement,
+  ): Promise<Outcome> {
+    const interrupted = new Promise<Outcome>((resolve) => {
+      this.interrupt = resolve;
+    });
+    const silence = this.watch(placement, () => {
+      this.interrupt?.({ kind: 'failed', ending: 'broken', detail: 'target silent' });
+    });
+    const ended = attempt.end.then((end) => this.judge(end));
+    const outcome = await Promise.race([interrupted, ended]);
+    clearInterval(silence);
+    this.interrupt = undefined;
+    return outcome;
+  }
+
+  private judge(end: targetClient.End): Outcome {
+    if (end.kind === 'notSent') {
+      return { kind: 'notRun', ending: 'unreachable', detail: end.detail };
+    }
+    if (end.kind === 'broken') return { kind: 'failed', ending: 'broken', detail: end.detail };
+    if (end.kind === 'cancelled') return { kind: 'gone' };
+    const verdict = this.reply.complete(this.isRepeatable && this.hasAttemptsLeft);
+    if (verdict.kind === 'passedOn') return { kind: 'answered' };
+    if (verdict.kind === 'notRun') return { kind: 'notRun', ending: 'full', detail: verdict.detail };
+    return { kind: 'failed', ending: 'broken', detail: verdict.detail };
+  }
+
+  /**
+   * Looks whether the target has fallen silent. Only requests that may be repeated are given up for that:
+   * for the others silence is no proof that they don't run.
+   */
+  private watch(
+    { firstTokenMs }: domain.allocation.allocator.Placement,
+    onSilent: () => void,
+  ): NodeJS.Timeout | undefined {
+    if (!this.isRepeatable || !this.hasAttemptsLeft) return undefined;
+    const { route } = this.admitted;
+    const { now } = this.services;
+    const sentAt = now();
+    const firstMs =
+      route.kind === 'streaming'
+        ? FIRST_EVENT_SHARE * firstTokenMs + Math.max(STREAM_SILENCE_MS, route.objectiveMs)
+        : CALL_SILENCE_SHARE * route.objectiveMs;
+    const nextMs = Math.max(STREAM_SILENCE_MS, 2 * route.pauseMs);
+    const look = (): void => {
+      const { lastEventAt } = this.reply;
+      const silentFor = now() - Math.max(sentAt, lastEventAt);
+      if (silentFor > (lastEventAt > sentAt ? nextMs : firstMs)) onSilent();
+    };
+    return setInterval(look, Math.max(50, Math.min(firstMs, nextMs) / 4));
+  }
+
+  private get hasAttemptsLeft(): boolean {
+    return this.tried.length < this.admitted.route.maxAttempts;
+  }
+
+  private mayRepeat(outcome: Outcome): boolean {
+    if (outcome.kind === 'gone' || outcome.kind === 'late') return false;
+    if (outcome.kind === 'failed' && !this.isRepeatable) return false;
+    if (this.reply.isBeyondRepair) return false;
+    if (!this.hasAttemptsLeft || this.timeLeftMs <= 0) return false;
+    const { facts } = this.admitted;
+    const { detail } = outcome as { detail: string };
+    const target = this.tried[this.tried.length - 1];
+    const isGranted = this.services.budget.spend(this.services.now());
+    this.services.observer.log('attemptFailed', {
+      request: facts.requestId,
+      target,
+      detail,
+      repeated: isGranted,
+    });
+    return isGranted;
+  }
+
+  /** The caller left or its time is over: whatever runs for it is stopped. */
+  private cancel(outcome: Outcome): void {
+    if (this.isOver || this.admitted.response.writableFinished) return;
+    if (outcome.kind === 'late') {
+      this.mayHaveRun ||= this.attempt?.wasSent === true;
+      this.fail('time is over', RETRY_AFTER_MS);
+    } else {
+      this.services.observer.log('callerGone', { request: this.admitted.facts.requestId });
+    }
+    this.isOver = true;
+    this.interrupt?.(outcome);
+  }
+
+  private fail(detail: string, retryAfterMs: number): void {
+    if (this.isOver) return;
+    this.isOver = true;
+    const { facts, route, arrivedAt } = this.admitted;
+    const status = this.status();
+    this.services.observer.log('requestEnded', {
+      request: facts.requestId,
+      route: route.name,
+      status,
+      detail,
+      targets: this.tried,
+      tookMs: Math.round(this.services.now() - arrivedAt),
+    });
+    this.reply.refuse(status, status === 503 ? retryAfterMs : undefined);
+  }
+
+  private status(): number {
+    if (!this.mayHaveRun) return 503;
+    return this.timeLeftMs <= 0 ? 504 : 502;
+  }
+}
+
+function endingOf(outcome: Outcome): Ending {
+  if (outcome.kind === 'answered') return 'done';
+  return 'ending' in outcome ? outcome.ending : 'cancelled';
+}
--- /dev/null
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -0,0 +1,198 @@
+/**
+ * One sending of a request to one target, through undici. Connections are kept for each lifetime of a
+ * target, so none of a dead lifetime meets its successor. What an attempt proves is exact: a request
+ * whose first byte was never written did not run.
+ */
+import * as net from 'node:net';
+import * as undici from 'undici';
+
+/** The head of a target's answer. */
+export interface Head {
+  status: number;
+  /** Names and values in turn, as received. */
+  raw: string[];
+  headers: Readonly<Record<string, unknown>>;
+}
+
+export interface Receiver {
+  /** Called at the first sign of an answer. */
+  onHead: (head: Head) => void;
+  onData: (chunk: Buffer) => void;
+}
+
+/** How a sending ended. */
+export type End =
+  | { kind: 'complete' }
+  /** No byte was written: the target certainly didn't run it. */
+  | { kind: 'notSent'; detail: string }
+  /** Bytes were written and no whole answer came. */
+  | { kind: 'broken'; detail: string }
+  | { kind: 'cancelled' };
+
+export interface Sending {
+  target: string;
+  address: string;
+  method: string;
+  path: string;
+  headers: string[];
+  body: Buffer;
+}
+
+/**
+ * Longest time for a new connection, milliseconds. One way takes a few; a lost opening packet is sent again
+ * after a second, and by then another target has the request.
+ */
+const CONNECT_TIMEOUT_MS = 400;
+
+/** An idle connection is given up this long before the target closes it, milliseconds. */
+const IDLE_MARGIN_MS = 500;
+
+/** How long an idle connection is kept where the target says nothing, milliseconds. */
+const IDLE_MS = 4_000;
+
+function connect(
+  options: { hostname: string; port: string },
+  callback: (error: Error | null, socket: net.Socket | null) => void,
+): void {
+  const { hostname, port } = options;
+  const socket = net.connect({ host: hostname, port: Number(port), noDelay: true });
+  const fail = (error: Error): void => {
+    clearTimeout(timer);
+    socket.destroy();
+    callback(error, null);
+  };
+  const timer = setTimeout(() => fail(new Error('connect timeout')), CONNECT_TIMEOUT_MS);
+  socket.once('error', fail);
+  socket.once('connect', () => {
+    clearTimeout(timer);
+    socket.off('error', fail);
+    callback(null, socket);
+  });
+}
+
+/** A sending under way; `cancel` closes its connection, which also stops the target. */
+export class Attempt implements undici.Dispatcher.DispatchHandler {
+  readonly end: Promise<End>;
+
+  private settle!: (end: End) => void;
+
+  private controller: undici.Dispatcher.DispatchController | undefined;
+
+  private cancelled = false;
+
+  private isSettled = false;
+
+  constructor(private readonly receiver: Receiver) {
+    this.end = new Promise((resolve) => {
+      this.settle = resolve;
+    });
+  }
+
+  cancel(): void {
+    if (this.isSettled) return;
+    this.cancelled = true;
+    this.controller?.abort(new Error('cancelled'));
+    this.finish({ kind: 'cancelled' });
+  }
+
+  /** Whether bytes of the request may have left. */
+  get wasSent(): boolean {
+    return this.controller !== undefined;
+  }
+
+  pause(): void {
+    this.controller?.pause();
+  }
+
+  resume(): void {
+    this.controller?.resume();
+  }
+
+  onRequestStart(controller: undici.Dispatcher.DispatchController): void {
+    if (this.cancelled) {
+      controller.abort(new Error('cancelled'));
+      return;
+    }
+    this.controller = controller;
+  }
+
+  onResponseStart(
+    controller: undici.Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void {
+    if (this.isSettled || status < 200) return;
+    const raw = (controller.rawHeaders ?? []) as (Buffer | string)[];
+    this.receiver.onHead({ status, headers, raw: raw.map((part) => part.toString('latin1')) });
+  }
+
+  onResponseData(_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+    if (!this.isSettled) this.receiver.onData(chunk);
+  }
+
+  onResponseEnd(): void {
+    this.finish({ kind: 'complete' });
+  }
+
+  onResponseError(_controller: undici.Dispatcher.DispatchController, error: Error): void {
+    const { code = '' } = error as { code?: string };
+    const detail = `${code} ${error.message}`.trim();
+    this.finish(this.wasSent ? { kind: 'broken', detail } : { kind: 'notSent', detail });
+  }
+
+  private finish(end: End): void {
+    if (this.isSettled) return;
+    this.isSettled = true;
+    this.settle(end);
+  }
+}
+
+export class TargetClient {
+  private readonly pools = new Map<string, undici.Pool>();
+
+  send({ target, address, method, path, headers, body }: Sending, receiver: Receiver): Attempt {
+    const attempt = new Attempt(receiver);
+    this.pool(target, address).dispatch(
+      {
+        method: method as undici.Dispatcher.HttpMethod,
+        path,
+        headers,
+        body: body.length === 0 ? null : body,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      },
+      attempt,
+    );
+    return attempt;
+  }
+
+  /** The lifetime ended: its idle connections are closed, running answers go on. */
+  forget(target: string): void {
+    const pool = this.pools.get(target);
+    this.pools.delete(target);
+    // Closing fails only for a pool that is closed already.
+    void pool?.close().catch(() => undefined);
+  }
+
+  close(): void {
+    this.pools.forEach((pool) => {
+      void pool.destroy();
+    });
+    this.pools.clear();
+  }
+
+  private pool(target: string, address: string): undici.Pool {
+    const known = this.pools.get(target);
+    if (known !== undefined) return known;
+    const made = new undici.Pool(`http://${address}`, {
+      connect: connect as unknown as undici.buildConnector.connector,
+      pipelining: 1,
+      allowH2: false,
+      connections: null,
+      keepAliveTimeout: IDLE_MS,
+      keepAliveTimeoutThreshold: IDLE_MARGIN_MS,
+    });
+    this.pools.set(target, made);
+    return made;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/holding.ts
@@ -0,0 +1,73 @@
+/**
+ * What an entry or a keeper has in force: the newest catalogue it heard of, and the registry of targets.
+ * Both only move forward within the life of a process.
+ */
+import * as domain from '@celerydrift/domain';
+import type * as protocols from '../edges/protocols';
+import type * as observer from '../observability/observer';
+import * as editions from './editions';
+import * as messages from './messages';
+
+type Announcement = domain.registry.registry.Announcement;
+type Directory = domain.catalogue.directory.Directory;
+
+export interface Options {
+  protocol: protocols.ControlProtocol;
+  observer: observer.Observer;
+  now: () => number;
+  onCatalogue: (directory: Directory) => void;
+  onRecord: (record: Announcement) => void;
+}
+
+export class Holding {
+  readonly registry = new domain.registry.registry.Registry();
+
+  mark: messages.RegistryMark = messages.NO_MARK;
+
+  private current: Directory | undefined;
+
+  constructor(private readonly options: Options) {}
+
+  get directory(): Directory | undefined {
+    return this.current;
+  }
+
+  get version(): number {
+    return this.current?.version ?? 0;
+  }
+
+  takeEdition(edition: domain.catalogue.versions.Edition): void {
+    if (edition.version <= this.version) return;
+    const decoded = this.options.protocol.catalogue(editions.unpack(edition));
+    if (decoded.err) {
+      // Only what a keeper could read is accepted, so this one is an older program.
+      this.options.observer.log('catalogueRefused', {
+        version: edition.version,
+        reason: decoded.val.detail,
+      });
+      return;
+    }
+    this.current = new domain.catalogue.directory.Directory(decoded.val);
+    this.options.observer.log('catalogueInForce', { version: edition.version });
+    this.options.onCatalogue(this.current);
+  }
+
+  takeRecords(records: readonly Announcement[]): Announcement[] {
+    const changed = this.registry.merge(records, this.options.now());
+    changed.forEach((record) => {
+      const { id, service, address, state, sequence } = record;
+      this.options.observer.log('targetAnnounced', { target: id, service, address, state, sequence });
+      this.options.onRecord(record);
+    });
+    return changed;
+  }
+
+  /** Takes news; false where they build on a state that isn't this one, so that a full copy is needed. */
+  takeNews({ edition, mark, since, records }: messages.News): boolean {
+    if (edition !== undefined) this.takeEdition(edition);
+    this.takeRecords(records);
+    if (since !== undefined && !messages.isSameMark(since, this.mark)) return false;
+    this.mark = mark;
+    return true;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/leaderLink.ts
@@ -0,0 +1,166 @@
+/**
+ * Follows the leader of the keepers: finds it, asks it again and again whether what is held here is the
+ * newest, and takes its news. Each confirmation starts a lease. A daemon without one may be cut off from
+ * changes, such as a key that was taken away, and must not serve what they could forbid.
+ */
+import type * as observer from '../observability/observer';
+import type * as peerClient from '../rpc/peerClient';
+import type * as holding from './holding';
+import * as messages from './messages';
+
+export interface Options {
+  name: string;
+  role: 'entry' | 'keeper';
+  address: string;
+  dataCentre: string;
+  replica: () => string | undefined;
+  seeds: readonly string[];
+  client: peerClient.PeerClient;
+  holding: holding.Holding;
+  observer: observer.Observer;
+  /** A clock that counts suspensions: a lease must not outlive one. */
+  sinceBoot: () => number;
+  onConfirmed: (answer: messages.Confirmed) => void;
+}
+
+/** Pause between two confirmations, milliseconds. Eight fit into the shortest lease of 4 s. */
+const FOLLOW_EVERY_MS = 500;
+
+/** Pause while no leader is known; a new one is elected within 0.8 to 1.2 s. */
+const SEARCH_EVERY_MS = 100;
+
+/** A leader that is silent for longer is looked for elsewhere; covers its wait for the next heartbeat. */
+const FOLLOW_TIMEOUT_MS = 700;
+
+export class LeaderLink {
+  /** Peer address of the leader; empty while none is known. */
+  leader = '';
+
+  private readonly known: Set<string>;
+
+  private confirmedAt = -Infinity;
+
+  private next = 0;
+
+  private timer: NodeJS.Timeout | undefined;
+
+  private stopped = false;
+
+  /** The last leader that got this daemon's whole registry. */
+  private told = '';
+
+  constructor(private readonly options: Options) {
+    this.known = new Set(options.seeds);
+  }
+
+  start(): void {
+    this.schedule(0);
+  }
+
+  stop(): void {
+    this.stopped = true;
+    clearTimeout(this.timer);
+  }
+
+  /** Keepers from a settings file that was read again. */
+  addSeeds(seeds: readonly string[]): void {
+    seeds.forEach((seed) => this.known.add(seed));
+  }
+
+  get keepers(): string[] {
+    return [...this.known];
+  }
+
+  /** Milliseconds since a confirmation was asked for that came; infinite if none ever did. */
+  get age(): number {
+    return this.options.sinceBoot() - this.confirmedAt;
+  }
+
+  /** The leader didn't answer another call: the next question goes elsewhere. */
+  doubt(address: string): void {
+    if (address === this.leader) this.lose('a call to it failed');
+  }
+
+  private schedule(delayMs: number): void {
+    if (this.stopped) return;
+    clearTimeout(this.timer);
+    this.timer = setTimeout(() => {
+      void this.round();
+    }, delayMs);
+  }
+
+  private async round(): Promise<void> {
+    const address = this.leader === '' ? this.nextCandidate() : this.leader;
+    const confirmed = address !== '' && (await this.ask(address));
+    this.schedule(confirmed ? FOLLOW_EVERY_MS : SEARCH_EVERY_MS);
+  }
+
+  private nextCandidate(): string {
+    const candidates = this.keepers.filter((address) => address !== this.options.address);
+    if (candidates.length === 0) return '';
+    this.next = (this.next + 1) % candidates.length;
+    return candidates[this.next];
+  }
+
+  private async ask(address: string): Promise<boolean> {
+    const askedAt = this.options.sinceBoot();
+    const answer = await this.options.client.call<messages.FollowAnswer>(
+      address,
+      'follow',
+      this.question(address),
+      { timeoutMs: FOLLOW_TIMEOUT_MS },
+    );
+    if (answer.err) {
+      this.lose(`${answer.val.kind}: ${answer.val.detail}`);
+      return false;
+    }
+    if (answer.val.kind === 'redirect') {
+      this.redirect(address, answer.val.leader);
+      return false;
+    }
+    this.confirm(address, askedAt, answer.val);
+    return true;
+  }
+
+  private question(address: string): messages.Follow {
+    const { name, role, dataCentre, replica, holding } = this.options;
+    return {
+      name,
+      role,
+      address: this.options.address,
+      version: holding.version,
+      mark: holding.mark,
+      records: this.told === address ? [] : holding.registry.records(),
+      replica: replica(),
+      dataCentre,
+    };
+  }
+
+  private redirect(from: string, leader: string): void {
+    if (this.leader === from) this.lose('no longer the leader');
+    if (leader === '' || leader === from) return;
+    this.known.add(leader);
+    this.leader = leader;
+  }
+
+  private confirm(address: string, askedAt: number, answer: messages.Confirmed): void {
+    if (this.told !== address) {
+      this.options.observer.log('leaderFound', { leader: address });
+      this.told = address;
+    }
+    this.leader = address;
+    answer.keepers.forEach((keeper) => this.known.add(keeper));
+    this.options.holding.takeNews(answer.news);
+    this.confirmedAt = Math.max(this.confirmedAt, askedAt);
+    this.options.onConfirmed(answer);
+  }
+
+  private lose(reason: string): void {
+    if (this.leader !== '') {
+      const { leader, age } = this;
+      this.options.observer.log('leaderLost', { leader, reason, confirmedMsAgo: Math.round(age) });
+    }
+    this.leader = '';
+    this.told = '';
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/fleet/messages.ts
@@ -0,0 +1,101 @@
+/** What entries and keepers say to the leader of the keepers, and it to them. */
+import type * as domain from '@celerydrift/domain';
+
+type Announcement = domain.registry.registry.Announcement;
+
+/** A state of the registry at one leader; numbers of different leaderships don't compare. */
+export interface RegistryMark {
+  /** Drawn by each leader at the beginning of its leadership. */
+  epoch: string;
+  change: number;
+}
+
+/** `follow`: sent by each entry and keeper again and again; answered once a quorum confirmed the leader. */
+export interface Follow {
+  name: string;
+  role: 'entry' | 'keeper';
+  /** Peer address of the follower, for pushes. */
+  address: string;
+  /** Version of the catalogue that the follower has in force. */
+  version: number;
+  mark: RegistryMark;
+  /** What the follower knows of targets, for a leader that it meets for the first time. */
+  records: Announcement[];
+  /** A keeper's replica, for a leader that may need it as a voter. */
+  replica: string | undefined;
+  dataCentre: string;
+}
+
+export interface Confirmed {
+  kind: 'confirmed';
+  /** Peer addresses of all voters. */
+  keepers: string[];
+  /** Entries that follow the leader. */
+  entries: number;
+  news: News;
+}
+
+/** The asked keeper doesn't lead; `leader` is empty while it knows none. */
+export interface Redirect {
+  kind: 'redirect';
+  leader: string;
+}
+
+export type FollowAnswer = Confirmed | Redirect;
+
+/** Changes that a follower lacks. */
+export interface News {
+  /** A newer catalogue. */
+  edition: domain.catalogue.versions.Edition | undefined;
+  /** The mark after `records`. */
+  mark: RegistryMark;
+  /** The mark that `records` build on; undefined where they are the whole registry. */
+  since: RegistryMark | undefined;
+  records: Announcement[];
+}
+
+/** `place`: a request that needs an engine. */
+export type Place = Omit<domain.allocation.allocator.Request, 'entry'> & {
+  entry: string;
+  /** How long the entry waits for a place, milliseconds. */
+  patienceMs: number;
+};
+
+export type PlaceAnswer =
+  | { kind: 'placed'; placement: domain.allocation.allocator.Placement }
+  | { kind: 'noPlace'; retryAfterMs: number }
+  | Redirect;
+
+/** `ended`: dispatches of an entry that ended; sent together for a moment's worth of them. */
+export interface Ended {
+  dispatches: { id: string; ending: domain.allocation.allocator.Ending }[];
+}
+
+/** `announce` from the keeper that a target talked to. */
+export interface Announced {
+  record: Announcement;
+}
+
+export interface Departed {
+  id: string;
+}
+
+/** `submit`: a catalogue from the keeper that an operator talked to. */
+export interface Submit {
+  edition: domain.catalogue.versions.Edition;
+}
+
+export type SubmitAnswer =
+  | { kind: 'accepted'; version: number }
+  | { kind: 'unavailable'; detail: string };
+
+/** `newest`: the newest catalogue, as of the asking. */
+export type NewestAnswer =
+  | { kind: 'newest'; edition: domain.catalogue.versions.Edition | undefined }
+  | { kind: 'unavailable'; detail: string };
+
+export const NO_MARK: RegistryMark = { epoch: '', change: 0 };
+
+export function isSameMark(a: RegistryMark, b: RegistryMark): boolean {
+  return a.epoch === b.epoch && a.change === b.change;
+}
--- /dev/null
+++ b/packages/daemon/src/keeper/controlServer.ts
@@ -0,0 +1,128 @@
+/**
+ * A keeper's listener for targets and operators. Any keeper takes any call and passes it to the leader;
+ * what it can't settle it answers 503, so that the caller turns to another keeper.
+ */
+import * as http from 'node:http';
+import * as domain from '@celerydrift/domain';
+import type * as codecs from '../configuration/codecs';
+import type * as protocols from '../edges/protocols';
+import * as editions from '../fleet/editions';
+import type * as messages from '../fleet/messages';
+import type * as observer from '../observability/observer';
+
+type Announcement = domain.registry.registry.Announcement;
+
+export interface Parts {
+  protocol: protocols.ControlProtocol;
+  observer: observer.Observer;
+  /** Passes an announcement on; true once the leader has it. */
+  announce: (record: Announcement) => Promise<boolean>;
+  depart: (id: string) => Promise<boolean>;
+  submit: (edition: domain.catalogue.versions.Edition) => Promise<messages.SubmitAnswer>;
+  newest: () => Promise<messages.NewestAnswer>;
+}
+
+interface Reply {
+  status: number;
+  body: Buffer | string;
+}
+
+/** Longest document or announcement; 350 routes take some 100 KB. */
+const MAX_BODY_BYTES = 16 * 1024 * 1024;
+
+/** How long a target or operator may keep an idle connection, milliseconds. */
+const KEEP_ALIVE_MS = 15_000;
+
+const UNAVAILABLE: Reply = { status: 503, body: '{"error":"no leader in touch"}' };
+
+export class ControlServer {
+  private readonly server: http.Server;
+
+  constructor(private readonly parts: Parts) {
+    this.server = http.createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (request, response) => {
+      void this.serve(request, response);
+    });
+  }
+
+  async listen({ host, port }: codecs.Address): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeIdleConnections();
+  }
+
+  private async serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    const body = await readBody(request);
+    if (body === 'broken') return;
+    const reply = body === 'tooLarge' ? { status: 413, body: '' } : await this.reply(request, body);
+    if (response.destroyed) return;
+    const { status } = reply;
+    const length = Buffer.byteLength(reply.body);
+    response.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': length });
+    response.end(reply.body);
+  }
+
+  private async reply(request: http.IncomingMessage, body: Buffer): Promise<Reply> {
+    const path = (request.url ?? '').split('?')[0];
+    const call = this.parts.protocol.call(request.method ?? '', path);
+    if (call === undefined) return { status: 404, body: '' };
+    if (call.kind === 'announce') return this.announce(call.id, body);
+    if (call.kind === 'depart') {
+      return (await this.parts.depart(call.id)) ? { status: 200, body: '{}' } : UNAVAILABLE;
+    }
+    return call.kind === 'submit' ? this.submit(body) : this.read();
+  }
+
+  private async announce(id: string, body: Buffer): Promise<Reply> {
+    const decoded = this.parts.protocol.announcement(id, body);
+    if (decoded.err) return { status: 400, body: JSON.stringify({ error: decoded.val.detail }) };
+    return (await this.parts.announce(decoded.val)) ? { status: 200, body: '{}' } : UNAVAILABLE;
+  }
+
+  private async submit(body: Buffer): Promise<Reply> {
+    const decoded = this.parts.protocol.catalogue(body);
+    if (decoded.err) return this.refuse(0, decoded.val.detail);
+    const { version } = decoded.val;
+    const [problem] = domain.catalogue.catalogue.problemsOf(decoded.val);
+    if (problem !== undefined) return this.refuse(version, `${problem.fault}: ${problem.subject}`);
+    const answer = await this.parts.submit(editions.pack(version, body));
+    if (answer.kind === 'unavailable') {
+      this.parts.observer.log('catalogueUnsettled', { version, reason: answer.detail });
+      return UNAVAILABLE;
+    }
+    this.parts.observer.log('catalogueAccepted', { version, inForce: answer.version });
+    return { status: 200, body: JSON.stringify({ version: answer.version }) };
+  }
+
+  private refuse(version: number, reason: string): Reply {
+    this.parts.observer.log('catalogueRefused', { version, reason });
+    return { status: 400, body: JSON.stringify({ error: reason }) };
+  }
+
+  private async read(): Promise<Reply> {
+    const answer = await this.parts.newest();
+    if (answer.kind === 'unavailable' || answer.edition === undefined) return UNAVAILABLE;
+    return { status: 200, body: editions.unpack(answer.edition) };
+  }
+}
+
+async function readBody(request: http.IncomingMessage): Promise<Buffer | 'tooLarge' | 'broken'> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  try {
+    for await (const chunk of request) {
+      length += (chunk as Buffer).length;
+      if (length > MAX_BODY_BYTES) return 'tooLarge';
+      chunks.push(chunk as Buffer);
+    }
+  } catch {
+    // The sender broke off, so nobody waits for an answer.
+    return 'broken';
+  }
+  return Buffer.concat(chunks);
+}
--- /dev/null
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -0,0 +1,325 @@
+/**
+ * A keeper: a process with a disk that holds a replica of the log, and talks to targets and operators.
+ * One of them leads; the others pass on to it what they are told, and keep a copy of the registry.
+ */
+import * as domain from '@celerydrift/domain';
+import * as clock from '../clock';
+import * as codecs from '../configuration/codecs';
+import type * as roleSettings from '../configuration/roleSettings';
+import type * as protocols from '../edges/protocols';
+import * as holding from '../fleet/holding';
+import * as leaderLink from '../fleet/leaderLink';
+import * as messages from '../fleet/messages';
+import type * as observer from '../observability/observer';
+import * as founding from '../replicas/founding';
+import type * as logHost from '../replicas/logHost';
+import * as repairer from '../replicas/repairer';
+import * as replicaSet from '../replicas/replicaSet';
+import * as peerClient from '../rpc/peerClient';
+import * as peerServer from '../rpc/peerServer';
+import * as catalogueMachine from './catalogueMachine';
+import * as controlServer from './controlServer';
+import * as leadership from './leadership';
+
+type Announcement = domain.registry.registry.Announcement;
+type Edition = domain.catalogue.versions.Edition;
+
+export interface Parts {
+  settings: roleSettings.Settings;
+  protocol: protocols.ControlProtocol;
+  observer: observer.Observer;
+  random: domain.shared.random.Random;
+  onDiskFailure: (error: unknown) => void;
+}
+
+const LOG = 'catalogue';
+
+const DUTY_EVERY_MS = 100;
+
+/** Editions in the log before a snapshot replaces them; at 10 KB each, the journal stays under 1 MB. */
+const SNAPSHOT_EVERY = 64;
+
+/**
+ * Silence after which a voter is replaced by a spare, if there is one. A successor must hold everything
+ * within 4 s of its start; the rest is for catching up and two changes of the replica set.
+ */
+const DEAD_AFTER_MS = 2_000;
+
+/** Longest wait for the leader's answer to what another keeper passes on, milliseconds. */
+const PASS_ON_TIMEOUT_MS = 900;
+
+/** A catalogue waits longer: for a sync on a slow disk, and for a push to the entries. */
+const SUBMIT_TIMEOUT_MS = 3_000;
+
+export class Keeper {
+  private readonly client: peerClient.PeerClient;
+
+  private readonly server: peerServer.PeerServer;
+
+  private readonly control: controlServer.ControlServer;
+
+  private readonly holding: holding.Holding;
+
+  private readonly link: leaderLink.LeaderLink;
+
+  private readonly machine: catalogueMachine.CatalogueMachine;
+
+  private readonly timers: NodeJS.Timeout[] = [];
+
+  private replicas!: replicaSet.ReplicaSet;
+
+  private host!: logHost.LogHost;
+
+  private leadership!: leadership.Leadership;
+
+  private founding = false;
+
+  constructor(private readonly parts: Parts) {
+    const { settings, observer: observe, protocol } = parts;
+    this.client = new peerClient.PeerClient(settings.secret, undefined, observe);
+    this.server = new peerServer.PeerServer(settings.secret, undefined, observe);
+    this.machine = new catalogueMachine.CatalogueMachine((edition) => this.take(edition));
+    this.holding = new holding.Holding({
+      protocol,
+      observer: observe,
+      now: clock.steady,
+      onCatalogue: ({ catalogue }) => this.leadership?.allocator.setServices(catalogue.services),
+      onRecord: (record) => this.leadership?.allocator.observe(record),
+    });
+    this.link = this.makeLink();
+    this.control = new controlServer.ControlServer({
+      protocol,
+      observer: observe,
+      announce: (record) => this.announce(record),
+      depart: (id) => this.depart(id),
+      submit: (edition) => this.submit(edition),
+      newest: () => this.newest(),
+    });
+  }
+
+  /** Opens the replica and starts; false when the disk lost what it had synced. */
+  async start(): Promise<boolean> {
+    const { settings, observer: observe, random, onDiskFailure } = this.parts;
+    const opened = await replicaSet.ReplicaSet.open({
+      folder: settings.dataFolder,
+      address: codecs.format(settings.peers),
+      dataCentre: settings.dataCentre,
+      machines: new Map([[LOG, this.machine]]),
+      timing: domain.replication.replica.DEFAULT_TIMING,
+      random,
+      client: this.client,
+      observer: observe,
+      snapshotEvery: SNAPSHOT_EVERY,
+      onDiskFailure,
+    });
+    if (opened.err) return false;
+    this.replicas = opened.val;
+    this.host = this.replicas.hosts.get(LOG) as logHost.LogHost;
+    this.leadership = this.makeLeadership();
+    this.serveMethods();
+    this.replicas.start(this.server);
+    await this.server.listen(settings.peers);
+    await this.control.listen(settings.control as codecs.Address);
+    this.link.start();
+    this.startDuties();
+    return true;
+  }
+
+  reload(settings: roleSettings.Settings): void {
+    this.link.addSeeds(settings.seeds);
+  }
+
+  async stop(): Promise<void> {
+    this.timers.forEach((timer) => clearInterval(timer));
+    this.link.stop();
+    this.control.close();
+    await this.replicas.stop();
+    await this.server.close();
+    this.client.close();
+  }
+
+  private makeLink(): leaderLink.LeaderLink {
+    const { settings, observer: observe } = this.parts;
+    return new leaderLink.LeaderLink({
+      name: settings.name,
+      role: 'keeper',
+      address: codecs.format(settings.peers),
+      dataCentre: settings.dataCentre,
+      replica: () => this.replicas.id,
+      seeds: settings.seeds,
+      client: this.client,
+      holding: this.holding,
+      observer: observe,
+      sinceBoot: clock.sinceBoot,
+      onConfirmed: () => undefined,
+    });
+  }
+
+  private makeLeadership(): leadership.Leadership {
+    const made = new leadership.Leadership({
+      host: this.host,
+      holding: this.holding,
+      client: this.client,
+      observer: this.parts.observer,
+      now: clock.steady,
+      newest: () => this.machine.versions.newest,
+    });
+    const { directory } = this.holding;
+    if (directory !== undefined) made.allocator.setServices(directory.catalogue.services);
+    return made;
+  }
+
+  /** A catalogue was committed: it comes into force here, and the leader tells its followers. */
+  private take(edition: Edition): void {
+    this.holding.takeEdition(edition);
+  }
+
+  private serveMethods(): void {
+    const { server } = this;
+    server.add('identify', () => this.identity());
+    server.add('follow', (question) => this.follow(question as messages.Follow));
+    server.add('learn', (news) => {
+      this.holding.takeNews(news as messages.News);
+      return {};
+    });
+    server.add('announced', (content) => this.announcedBy((content as messages.Announced).record));
+    server.add('departed', (content) => this.departedBy((content as messages.Departed).id));
+    server.add('submit', (content) => this.submitHere((content as messages.Submit).edition));
+    server.add('newest', () => this.newestHere());
+    server.add('place', (request) => this.place(request as messages.Place));
+    server.add('ended', (content) => {
+      this.leadership.ended(content as messages.Ended);
+      return {};
+    });
+  }
+
+  private startDuties(): void {
+    const repair = new repairer.Repairer({
+      size: this.parts.settings.replicas,
+      deadAfterMs: DEAD_AFTER_MS,
+      observer: this.parts.observer,
+      now: clock.steady,
+      spares: () => this.leadership.followers.spares(),
+      note: () => undefined,
+    });
+    const duties = (): void => {
+      this.leadership.tick();
+      repair.step(this.host);
+      void this.found();
+    };
+    this.timers.push(setInterval(duties, DUTY_EVERY_MS));
+  }
+
+  private async found(): Promise<void> {
+    const { settings } = this.parts;
+    const address = codecs.format(settings.peers);
+    const founder = settings.mayFound && settings.seeds.includes(address);
+    if (!founder || this.founding || this.replicas.isFounded) return;
+    this.founding = true;
+    await founding.attempt({
+      set: this.replicas,
+      client: this.client,
+      founders: settings.seeds,
+      seeds: settings.seeds,
+      address,
+    });
+    this.founding = false;
+  }
+
+  private identity(): founding.Identity {
+    const { settings } = this.parts;
+    return {
+      daemon: settings.name,
+      replica: this.replicas.id,
+      address: codecs.format(settings.peers),
+      dataCentre: settings.dataCentre,
+      founded: this.replicas.isFounded,
+      members: this.host.replica.members,
+    };
+  }
+
+  private get leader(): string {
+    if (this.host.isLeader) return codecs.format(this.parts.settings.peers);
+    return this.host.leaderAddress || this.link.leader;
+  }
+
+  private redirect(): messages.Redirect {
+    return { kind: 'redirect', leader: this.host.isLeader ? '' : this.leader };
+  }
+
+  private async follow(question: messages.Follow): Promise<messages.FollowAnswer> {
+    if (!this.host.isLeader) return this.redirect();
+    return (await this.leadership.follow(question)) ?? this.redirect();
+  }
+
+  private async place(request: messages.Place): Promise<messages.PlaceAnswer> {
+    return this.host.isLeader ? this.leadership.place(request) : this.redirect();
+  }
+
+  private async announce(record: Announcement): Promise<boolean> {
+    if (this.host.isLeader) return this.announcedBy(record);
+    return this.passOn('announced', { record } satisfies messages.Announced);
+  }
+
+  private async announcedBy(record: Announcement): Promise<boolean> {
+    if (!this.host.isLeader) return false;
+    await this.leadership.take([record]);
+    return true;
+  }
+
+  private async depart(id: string): Promise<boolean> {
+    if (this.host.isLeader) return this.departedBy(id);
+    return this.passOn('departed', { id } satisfies messages.Departed);
+  }
+
+  private async departedBy(id: string): Promise<boolean> {
+    if (!this.host.isLeader) return false;
+    await this.leadership.depart(id);
+    return true;
+  }
+
+  private async passOn(method: string, content: object): Promise<boolean> {
+    const { leader } = this;
+    if (leader === '') return false;
+    const options = { timeoutMs: PASS_ON_TIMEOUT_MS };
+    const answer = await this.client.call<boolean>(leader, method, content, options);
+    if (answer.err) this.link.doubt(leader);
+    return answer.ok && answer.val;
+  }
+
+  private async submit(edition: Edition): Promise<messages.SubmitAnswer> {
+    if (this.host.isLeader) return this.submitHere(edition);
+    const { leader } = this;
+    if (leader === '') return { kind: 'unavailable', detail: 'no leader known' };
+    const answer = await this.client.call<messages.SubmitAnswer>(
+      leader,
+      'submit',
+      { edition } satisfies messages.Submit,
+      { timeoutMs: SUBMIT_TIMEOUT_MS },
+    );
+    return answer.ok ? answer.val : { kind: 'unavailable', detail: answer.val.detail };
+  }
+
+  private async submitHere(edition: Edition): Promise<messages.SubmitAnswer> {
+    const applied = await this.host.propose(edition);
+    if (applied.err) return { kind: 'unavailable', detail: applied.val.kind };
+    const { version, changed } = applied.val.answer as domain.catalogue.versions.Acceptance;
+    if (changed) await this.leadership.publishEdition(edition);
+    return { kind: 'accepted', version };
+  }
+
+  private async newest(): Promise<messages.NewestAnswer> {
+    if (this.host.isLeader) return this.newestHere();
+    const { leader } = this;
+    if (leader === '') return { kind: 'unavailable', detail: 'no leader known' };
+    const options = { timeoutMs: PASS_ON_TIMEOUT_MS };
+    const answer = await this.client.call<messages.NewestAnswer>(leader, 'newest', {}, options);
+    return answer.ok ? answer.val : { kind: 'unavailable', detail: answer.val.detail };
+  }
+
+  private async newestHere(): Promise<messages.NewestAnswer> {
+    const confirmed = await this.host.confirm(true);
+    if (!confirmed) return { kind: 'unavailable', detail: 'not confirmed by a quorum' };
+    return { kind: 'newest', edition: this.machine.versions.newest };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -0,0 +1,160 @@
+/**
+ * What the leader of the keepers does beside leading the log: confirms followers, keeps the registry and
+ * pushes its changes, places requests on engines, and repairs the replica set. All of it is soft state that a
+ * new leader gets back from the followers within a second.
+ */
+import * as crypto from 'node:crypto';
+import * as domain from '@celerydrift/domain';
+import type * as holding from '../fleet/holding';
+import * as messages from '../fleet/messages';
+import type * as observer from '../observability/observer';
+import type * as logHost from '../replicas/logHost';
+import type * as peerClient from '../rpc/peerClient';
+import * as followers from './followers';
+import * as waitingLine from './waitingLine';
+
+type Announcement = domain.registry.registry.Announcement;
+type Placement = domain.allocation.allocator.Placement;
+
+export interface Options {
+  host: logHost.LogHost;
+  holding: holding.Holding;
+  client: peerClient.PeerClient;
+  observer: observer.Observer;
+  now: () => number;
+  newest: () => domain.catalogue.versions.Edition | undefined;
+}
+
+/** Time that callers are told to stay away when no place is free, milliseconds; some passes of an engine. */
+const RETRY_AFTER_MS = 300;
+
+/** Records of the registry's changes that are kept for followers that missed a push. */
+const KEPT_CHANGES = 512;
+
+export class Leadership {
+  readonly followers: followers.Followers;
+
+  readonly allocator = new domain.allocation.allocator.Allocator();
+
+  private mark: messages.RegistryMark = messages.NO_MARK;
+
+  private changes: { mark: messages.RegistryMark; record: Announcement }[] = [];
+
+  private readonly line = new waitingLine.WaitingLine<Placement>();
+
+  private leads = false;
+
+  constructor(private readonly options: Options) {
+    this.followers = new followers.Followers(options.client, options.now);
+  }
+
+  /** Lets time pass; to be called some times a second. */
+  tick(): void {
+    const { host, holding: held, now } = this.options;
+    if (host.isLeader !== this.leads) this.turn(host.isLeader);
+    if (!this.leads) return;
+    this.followers
+      .forgetSilent()
+      .filter(({ role }) => role === 'entry')
+      .forEach(({ name }) => this.allocator.forgetEntry(name, now()));
+    held.registry.forget(now());
+    this.line.serve(now());
+  }
+
+  /** Answers a follower, or undefined when this keeper doesn't lead. */
+  async follow(question: messages.Follow): Promise<messages.Confirmed | undefined> {
+    if (!(await this.options.host.confirm(false))) return undefined;
+    if (!this.leads) this.turn(true);
+    this.followers.heard(question);
+    this.take(question.records);
+    return {
+      kind: 'confirmed',
+      keepers: this.options.host.replica.members.map(({ address }) => address),
+      entries: this.followers.entries(),
+      news: this.newsFor(question),
+    };
+  }
+
+  /** Takes announcements; resolves when the followers in touch know what changed. */
+  async take(records: readonly Announcement[]): Promise<void> {
+    const changed = this.options.holding.takeRecords(records);
+    if (changed.length > 0) await this.publish(changed);
+  }
+
+  async depart(id: string): Promise<void> {
+    const known = this.options.holding.registry.get(id);
+    const changed = this.options.holding.registry.depart(id, this.options.now());
+    if (changed.length === 0) return;
+    this.options.observer.log('targetAnnounced', { target: id, state: 'gone', before: known?.state });
+    changed.forEach((record) => this.allocator.observe(record));
+    await this.publish(changed);
+  }
+
+  /** Pushes a catalogue that was accepted. */
+  async publishEdition(edition: domain.catalogue.versions.Edition): Promise<void> {
+    await this.followers.push({ edition, mark: this.mark, since: this.mark, records: [] });
+  }
+
+  place(request: messages.Place): Promise<messages.PlaceAnswer> {
+    const { now } = this.options;
+    const attempt = (): Placement | undefined => this.allocator.place(request, now());
+    return new Promise((resolve) => {
+      const settle = (placement: Placement | undefined): void => {
+        if (placement === undefined) resolve({ kind: 'noPlace', retryAfterMs: RETRY_AFTER_MS });
+        else resolve({ kind: 'placed', placement });
+      };
+      const found = this.line.length === 0 ? attempt() : undefined;
+      if (found !== undefined) {
+        settle(found);
+        return;
+      }
+      const since = now();
+      const until = since + request.patienceMs;
+      this.line.add({ rank: 0, since, until, attempt, resolve: settle });
+      this.line.serve(since);
+    });
+  }
+
+  ended({ dispatches }: messages.Ended): void {
+    const now = this.options.now();
+    dispatches.forEach(({ id, ending }) => this.allocator.ended(id, ending, now));
+    this.line.serve(now);
+  }
+
+  private turn(leads: boolean): void {
+    this.leads = leads;
+    this.followers.clear();
+    this.line.clear();
+    if (leads) this.mark = { epoch: crypto.randomBytes(6).toString('hex'), change: 0 };
+    this.changes = [];
+  }
+
+  private async publish(records: Announcement[]): Promise<void> {
+    const since = this.mark;
+    records.forEach((record) => {
+      this.mark = { ...this.mark, change: this.mark.change + 1 };
+      this.changes.push({ mark: this.mark, record });
+    });
+    this.changes.splice(0, Math.max(0, this.changes.length - KEPT_CHANGES));
+    await this.followers.push({ edition: undefined, mark: this.mark, since, records });
+  }
+
+  private newsFor({ version, mark }: messages.Follow): messages.News {
+    const newest = this.options.newest();
+    const edition = newest !== undefined && newest.version > version ? newest : undefined;
+    return { edition, mark: this.mark, ...this.recordsSince(mark) };
+  }
+
+  private recordsSince(mark: messages.RegistryMark): Pick<messages.News, 'since' | 'records'> {
+    if (messages.isSameMark(mark, this.mark)) return { since: mark, records: [] };
+    const first = this.changes[0];
+    const reaches =
+      first !== undefined &&
+      mark.epoch === this.mark.epoch &&
+      mark.change >= first.mark.change - 1 &&
+      mark.change < this.mark.change;
+    if (!reaches) return { since: undefined, records: this.options.holding.registry.records() };
+    const missed = this.changes.filter((each) => each.mark.change > mark.change);
+    return { since: mark, records: missed.map(({ record }) => record) };
+  }
+}
--- a/packages/daemon/src/observability/observer.ts
+++ b/packages/daemon/src/observability/observer.ts
@@ -14,8 +14,14 @@
 
   private readonly counts = new Map<string, number>();
 
-  constructor(name: string, level: string, statsd: configuration.Address | undefined) {
-    this.logger = bunyan.createLogger({ name: 'celerydriftd', daemon: name });
+  constructor(
+    name: string,
+    level: string,
+    statsd: configuration.Address | undefined,
+    output?: NodeJS.WritableStream,
+  ) {
+    const streams = output === undefined ? {} : { streams: [{ stream: output }] };
+    this.logger = bunyan.createLogger({ name: 'celerydriftd', daemon: name, ...streams });
     this.logger.level(level as bunyan.LogLevel);
     if (statsd !== undefined) {
       const { host, port } = statsd;
--- a/packages/daemon/src/replicas/logHost.ts
+++ b/packages/daemon/src/replicas/logHost.ts
@@ -27,7 +27,11 @@
   send: (address: string, message: Message) => void;
   now: () => number;
   observer: observer.Observer;
-  /** Called when the disk fails; the process must not go on. */
+  /** Makes the replica again from what the disk holds. */
+  reopen: (durable: domain.replication.messages.Durable) => Replica;
+  /** Entries kept before a snapshot replaces them. */
+  snapshotEvery: number | undefined;
+  /** Called when the disk lost what it had synced; the process must not go on. */
   onDiskFailure: (error: unknown) => void;
 }
 
@@ -40,14 +44,25 @@
 /** Entries kept before a snapshot replaces them. */
 const SNAPSHOT_EVERY = 4_096;
 
+/** Pause before a disk that refused a write is tried again, milliseconds. */
+const RECOVER_EVERY_MS = 250;
+
+/** How long the question whether this replica still leads may stay open, milliseconds. */
+const CONFIRM_TIMEOUT_MS = 700;
+
 const PROPOSAL_TIMEOUT_MS = 5_000;
 
+interface Confirmation {
+  since: number;
+  resolve: (confirmed: boolean) => void;
+}
+
 type Input = (now: number) => Effects;
 
 export class LogHost {
   readonly id: string;
 
-  readonly replica: Replica;
+  replica: Replica;
 
   private readonly inputs: Input[] = [];
 
@@ -63,6 +78,10 @@
 
   private founded: (() => void) | undefined;
 
+  private confirmations: Confirmation[] = [];
+
+  private recovering = false;
+
   private readonly addresses = new Map<string, string>();
 
   constructor(private readonly parts: Parts) {
@@ -94,6 +113,24 @@
     });
   }
 
+  /**
+   * Whether this replica still leads and holds the newest state as of now. An urgent question asks the
+   * quorum at once; any other waits for the next heartbeat.
+   */
+  confirm(urgent: boolean): Promise<boolean> {
+    return new Promise((resolve) => {
+      const timer = setTimeout(() => resolve(false), CONFIRM_TIMEOUT_MS);
+      const settle = (confirmed: boolean): void => {
+        clearTimeout(timer);
+        resolve(confirmed);
+      };
+      this.put((now) => {
+        this.confirmations.push({ since: now, resolve: settle });
+        return urgent ? this.replica.askQuorum(now) : domain.replication.messages.noEffects();
+      });
+    });
+  }
+
   /** Proposes another replica set; the step is done when a later look shows it committed. */
   changeMembers(members: domain.replication.messages.Member[], onTaken: () => void): void {
     this.put((now) => {
@@ -141,18 +178,53 @@
   }
 
   private async run(): Promise<void> {
-    if (this.running) return;
+    if (this.running || this.recovering) return;
     this.running = true;
     try {
       while (this.inputs.length > 0 || this.proposals.length > 0) await this.round();
     } catch (error) {
-      // After a failed sync nobody knows what the disk holds, so this replica must not answer again.
-      this.parts.onDiskFailure(error);
+      this.parts.observer.log('diskRefused', { log: this.id, detail: String(error) });
+      void this.recover();
     } finally {
       this.running = false;
     }
   }
 
+  /**
+   * A full disk refuses writes for a while. What the failed step did in memory was told to nobody, so the
+   * replica is made again from the disk, and says nothing until a write succeeds: a leader falls silent and
+   * another one is elected.
+   */
+  private async recover(): Promise<void> {
+    this.recovering = true;
+    this.dropPending();
+    while (this.recovering) {
+      await new Promise((resolve) => {
+        setTimeout(resolve, RECOVER_EVERY_MS);
+      });
+      this.dropPending();
+      const recovered = await this.parts.journal.recover().catch(() => undefined);
+      if (recovered?.err === true) {
+        this.parts.onDiskFailure(recovered.val);
+        return;
+      }
+      if (recovered === undefined) continue;
+      const durable = recovered.val ?? domain.replication.messages.emptyDurable();
+      this.replica = this.parts.reopen(durable);
+      this.recovering = false;
+      this.parts.observer.log('diskAccepted', { log: this.id, entries: durable.entries.length });
+    }
+    void this.run();
+  }
+
+  private dropPending(): void {
+    this.inputs.length = 0;
+    this.proposals.splice(0).forEach(({ resolve }) => resolve(this.error('notLeader')));
+    this.pending.forEach(({ resolve }) => resolve(this.error('lost')));
+    this.pending.clear();
+    this.confirmations.splice(0).forEach(({ resolve }) => resolve(false));
+  }
+
   private async round(): Promise<void> {
     const now = this.parts.now();
     const effects = this.inputs.splice(0).map((input) => input(now));
@@ -163,6 +235,18 @@
     this.founded?.();
     this.founded = undefined;
     effects.forEach((each) => this.carryOut(each));
+    this.settleConfirmations();
+  }
+
+  private settleConfirmations(): void {
+    if (this.confirmations.length === 0) return;
+    const leads = this.isLeader;
+    const settled = this.confirmations.filter(
+      ({ since }) => !leads || this.replica.isConfirmedSince(since),
+    );
+    if (settled.length === 0) return;
+    this.confirmations = this.confirmations.filter((each) => !settled.includes(each));
+    settled.forEach(({ resolve }) => resolve(leads));
   }
 
   private proposeAll(now: number): Effects {
@@ -178,7 +262,7 @@
   }
 
   private compact(): Effects {
-    if (this.replica.logLength < SNAPSHOT_EVERY) {
+    if (this.replica.logLength < (this.parts.snapshotEvery ?? SNAPSHOT_EVERY)) {
       return domain.replication.messages.noEffects();
     }
     const effects = this.replica.compact(this.applied, this.parts.machine.snapshot());
--- a/packages/daemon/src/replicas/replicaSet.ts
+++ b/packages/daemon/src/replicas/replicaSet.ts
@@ -5,6 +5,7 @@
 import * as path from 'node:path';
 import * as domain from '@celerydrift/domain';
 import { Err, Ok, Result } from 'ts-results';
+import * as clock from '../clock';
 import type * as observer from '../observability/observer';
 import type * as peerClient from '../rpc/peerClient';
 import type * as peerServer from '../rpc/peerServer';
@@ -27,6 +28,8 @@
   random: domain.shared.random.Random;
   client: peerClient.PeerClient;
   observer: observer.Observer;
+  /** Entries of a log that are kept before a snapshot replaces them. */
+  snapshotEvery?: number;
   onDiskFailure: (error: unknown) => void;
 }
 
@@ -115,17 +118,21 @@
     const send = (to: string, message: domain.replication.messages.Message): void => {
       this.outgoing.add(to, { log, message: wire.pack(message) });
     };
-    const now = (): number => Date.now();
+    const now = clock.steady;
+    const open = (held: domain.replication.messages.Durable): domain.replication.replica.Replica =>
+      new domain.replication.replica.Replica(this.id, held, timing, random, now());
     this.hosts.set(
       log,
       new logHost.LogHost({
         id: log,
-        replica: new domain.replication.replica.Replica(this.id, durable, timing, random, now()),
+        replica: open(durable),
+        reopen: open,
         journal: opened.val.journal,
         machine: state,
         send,
         now,
         observer: observe,
+        snapshotEvery: this.options.snapshotEvery,
         onDiskFailure: this.options.onDiskFailure,
       }),
     );
--- a/packages/daemon/src/storage/journal.ts
+++ b/packages/daemon/src/storage/journal.ts
@@ -37,6 +37,8 @@
   private constructor(
     private readonly folder: string,
     private handle: fs.FileHandle,
+    /** Bytes that a sync has covered. */
+    private syncedBytes: number,
   ) {}
 
   static async open(folder: string): Promise<Result<Opened, frames.Corrupt>> {
@@ -54,26 +56,44 @@
       await handle.datasync();
     }
     const durable = rebuild(payloads as (Durable | Record[])[]);
-    return Ok({ journal: new Journal(folder, handle), durable, cut: torn });
+    return Ok({ journal: new Journal(folder, handle, length), durable, cut: torn });
   }
 
   /** Writes and syncs a batch; once this resolves it survives a crash. */
   async append(records: readonly Record[]): Promise<void> {
-    await this.handle.appendFile(frames.encode(records));
+    const frame = frames.encode(records);
+    await this.handle.appendFile(frame);
     await this.handle.datasync();
+    this.syncedBytes += frame.length;
+  }
+
+  /**
+   * Drops what a failed write or sync left behind and reads back the rest. After a failed sync nobody knows
+   * which of its bytes the disk holds; none of them was promised to anybody, so they are cut.
+   */
+  async recover(): Promise<Result<Durable | undefined, frames.Corrupt>> {
+    await fs.rm(path.join(this.folder, `${FILE}.new`), { force: true });
+    await this.handle.close();
+    this.handle = await fs.open(path.join(this.folder, FILE), 'a+');
+    await this.handle.truncate(this.syncedBytes);
+    await this.handle.datasync();
+    const replayed = frames.replay(await this.handle.readFile());
+    return replayed.map(({ payloads }) => rebuild(payloads as (Durable | Record[])[]));
   }
 
   /** Replaces the whole journal by its present content. */
   async rewrite(durable: Durable): Promise<void> {
     const fresh = path.join(this.folder, `${FILE}.new`);
     const handle = await fs.open(fresh, 'w');
-    await handle.appendFile(frames.encode(durable));
+    const frame = frames.encode(durable);
+    await handle.appendFile(frame);
     await handle.sync();
     await fs.rename(fresh, path.join(this.folder, FILE));
     await syncFolder(this.folder);
     await this.handle.close();
     await handle.close();
     this.handle = await fs.open(path.join(this.folder, FILE), 'a+');
+    this.syncedBytes = frame.length;
   }
 
   async close(): Promise<void> {
--- /dev/null
+++ b/packages/domain/src/allocation/allocator.ts
@@ -0,0 +1,164 @@
+/**
+ * Gives every prompt of a service its engines, with one view of all dispatches. Entries ask for a place,
+ * say when an answer ended, and the allocator counts what each engine has. Losing the allocator loses only the
+ * counts: entries then choose by their own dispatches until another one has taken over.
+ */
+import type * as catalogue from '../catalogue/catalogue';
+import type * as registry from '../registry/registry';
+import * as cost from './cost';
+import * as load from './load';
+import * as planner from './planner';
+
+export interface Request extends planner.Prompt {
+  id: string;
+  /** The entry that asks; its dispatches end with it. */
+  entry: string;
+  service: string;
+  /** Targets that this request was sent to before. */
+  excluded: readonly string[];
+}
+
+export interface Placement {
+  /** Id of the target that gets the request. */
+  target: string;
+  /** HOST:PORT of that target. */
+  address: string;
+  /** Addresses of targets that help it to read. */
+  helpers: string[];
+  firstTokenMs: number;
+}
+
+/** How a dispatch ended, as far as it says something of the target. */
+export type Ending = 'done' | 'full' | 'broken' | 'unreachable' | 'cancelled';
+
+interface Dispatch {
+  entry: string;
+  loads: load.Load[];
+  writer: load.Load;
+}
+
+/** How long a target that failed gets nothing, by ending, milliseconds. */
+const AVOID_MS: Record<Ending, number> = {
+  done: 0,
+  cancelled: 0,
+  // The model was wrong about its load; a few passes later it may be right again.
+  full: 250,
+  // One broken answer may be chance, so the target is tried again soon.
+  broken: 500,
+  // A refused or silent connection: most likely it is down.
+  unreachable: 1_500,
+};
+
+export class Allocator {
+  private readonly loads = new Map<string, load.Load>();
+
+  private readonly planners = new Map<string, planner.Planner>();
+
+  private readonly dispatches = new Map<string, Dispatch>();
+
+  private engines = new Map<string, catalogue.Engine>();
+
+  /** Takes the engines of a new catalogue; loads of an engine that changed begin anew. */
+  setServices(services: readonly catalogue.Service[]): void {
+    const before = this.engines;
+    this.engines = new Map(
+      services.flatMap(({ name, engine }) => (engine === undefined ? [] : [[name, engine]])),
+    );
+    this.engines.forEach((engine, name) => {
+      if (JSON.stringify(before.get(name)) === JSON.stringify(engine)) return;
+      this.planners.set(name, new planner.Planner(engine));
+      [...this.loads.values()]
+        .filter(({ record }) => record.service === name)
+        .forEach(({ record }) => this.loads.set(record.id, new load.Load(engine, record)));
+    });
+  }
+
+  /** Takes what the registry says of a target. */
+  observe(record: registry.Announcement): void {
+    const known = this.loads.get(record.id);
+    if (record.state === 'gone') this.loads.delete(record.id);
+    else if (known !== undefined) known.record = record;
+    else this.add(record);
+  }
+
+  /** A place for the request, or undefined where every engine is full. */
+  place(request: Request, now: number): Placement | undefined {
+    const usable = this.usable(request, now);
+    const plan = this.planners.get(request.service)?.plan(request, usable, now);
+    if (plan === undefined) return undefined;
+    this.dispatch(request, plan, now);
+    return {
+      target: plan.writer.record.id,
+      address: plan.writer.record.address,
+      helpers: plan.helpers.map(({ record }) => record.address),
+      firstTokenMs: plan.firstTokenMs,
+    };
+  }
+
+  /** Whether the service has engines at all, full or not. */
+  serves(service: string): boolean {
+    return [...this.loads.values()].some(({ record }) => record.service === service);
+  }
+
+  ended(id: string, ending: Ending, now: number): void {
+    const dispatch = this.dispatches.get(id);
+    if (dispatch === undefined) return;
+    this.dispatches.delete(id);
+    dispatch.loads.forEach((each) => each.remove(id, now));
+    const { writer } = dispatch;
+    writer.avoidUntil = Math.max(writer.avoidUntil, now + AVOID_MS[ending]);
+  }
+
+  /** Ends all dispatches of an entry that is gone. */
+  forgetEntry(entry: string, now: number): void {
+    [...this.dispatches]
+      .filter(([, dispatch]) => dispatch.entry === entry)
+      .forEach(([id]) => this.ended(id, 'cancelled', now));
+  }
+
+  get size(): number {
+    return this.dispatches.size;
+  }
+
+  private add(record: registry.Announcement): void {
+    const engine = this.engines.get(record.service);
+    if (engine !== undefined) this.loads.set(record.id, new load.Load(engine, record));
+  }
+
+  /** Engines that take work; those that failed lately only where there are no others. */
+  private usable({ service, excluded }: Request, now: number): load.Load[] {
+    const ready = [...this.loads.values()].filter(
+      ({ record }) =>
+        record.service === service && record.state === 'ready' && !excluded.includes(record.id),
+    );
+    const sound = ready.filter(({ avoidUntil }) => avoidUntil <= now);
+    return sound.length > 0 ? sound : ready;
+  }
+
+  private dispatch(request: Request, plan: planner.Plan, now: number): void {
+    const parts = plan.helpers.length + 1;
+    const engine = plan.writer.engine;
+    const task = {
+      request: request.id,
+      readMs: cost.readMs(engine, request.tokens, parts),
+    };
+    plan.writer.add(
+      {
+        ...task,
+        role: 'writer',
+        contextTokens: request.tokens / parts,
+        memoryTokens: request.tokens + request.answerTokens,
+        pauseMs: request.pauseMs,
+      },
+      now,
+    );
+    plan.helpers.forEach((each) => {
+      each.add(
+        { ...task, role: 'helper', contextTokens: 0, memoryTokens: 0, pauseMs: Infinity },
+        now,
+      );
+    });
+    const loads = [plan.writer, ...plan.helpers];
+    this.dispatches.set(request.id, { entry: request.entry, loads, writer: plan.writer });
+  }
+}
--- /dev/null
+++ b/packages/domain/src/allocation/index.ts
@@ -0,0 +1,4 @@
+export * as allocator from './allocator';
+export * as cost from './cost';
+export * as load from './load';
+export * as planner from './planner';
--- /dev/null
+++ b/packages/domain/src/allocation/load.ts
@@ -0,0 +1,113 @@
+/**
+ * What one engine has been given and has not finished, and what more it bears. The allocator's own
+ * dispatches are exact where an engine's report is some hundred milliseconds old, so a load is counted
+ * from them; what the model gets wrong ends when the request does.
+ */
+import type * as catalogue from '../catalogue/catalogue';
+import type * as registry from '../registry/registry';
+import * as cost from './cost';
+
+/** One request's share in an engine: as the engine that writes, or as one that only helps to read. */
+export interface Task {
+  request: string;
+  role: 'writer' | 'helper';
+  /** Reading that this engine does for it, milliseconds. */
+  readMs: number;
+  /** Tokens of context that each of its steps costs here. */
+  contextTokens: number;
+  /** Memory it takes here at its end, tokens. */
+  memoryTokens: number;
+  /** Longest pause between its events that its caller bears; infinite for a helper. */
+  pauseMs: number;
+}
+
+/**
+ * Part of a caller's longest pause that predictions may use up. The rest covers the way of an event to
+ * the caller, prompts that arrive in the same pass, and the model's error.
+ */
+const PAUSE_SHARE = 0.85;
+
+interface Reading {
+  task: Task;
+  endsAt: number;
+}
+
+export class Load {
+  private readonly tasks = new Map<string, Task>();
+
+  private readings: Reading[] = [];
+
+  /** Until then no work is given to the engine, as it failed lately. */
+  avoidUntil = 0;
+
+  /** Its time for a piece of work against the model's; over 1 for a slow one. */
+  pace = 1;
+
+  constructor(
+    readonly engine: catalogue.Engine,
+    public record: registry.Announcement,
+  ) {}
+
+  get writers(): number {
+    return this.writerTasks().length;
+  }
+
+  get freeSlots(): number {
+    return Math.min(this.engine.slots, this.record.slots) - this.writers;
+  }
+
+  get freeMemory(): number {
+    return [...this.tasks.values()].reduce(
+      (left, task) => left - task.memoryTokens,
+      this.engine.memoryTokens,
+    );
+  }
+
+  /** Requests that this engine helps to read for others at `now`. */
+  helping(now: number): number {
+    return this.readings.filter(({ task, endsAt }) => task.role === 'helper' && endsAt > now).length;
+  }
+
+  /** The tightest pause that a caller of this engine bears, infinite where nobody writes. */
+  get tightestPauseMs(): number {
+    return Math.min(Infinity, ...this.writerTasks().map(({ pauseMs }) => pauseMs));
+  }
+
+  passMs(extraContextTokens = 0): number {
+    const writers = this.writerTasks();
+    const context = writers.reduce((sum, task) => sum + task.contextTokens, extraContextTokens);
+    const count = writers.length + (extraContextTokens > 0 ? 1 : 0);
+    return this.pace * cost.passMs(this.engine, count, context);
+  }
+
+  /** Reading that was given to the engine and isn't done, milliseconds. */
+  pendingReadMs(now: number): number {
+    const last = this.readings.at(-1);
+    return last === undefined ? 0 : Math.max(0, last.endsAt - now);
+  }
+
+  /** How much more reading the engine takes before a pause of someone who writes there is too long. */
+  allowanceMs(now: number): number {
+    const tightest = this.tightestPauseMs;
+    if (tightest === Infinity) return Infinity;
+    return PAUSE_SHARE * tightest - this.passMs() - this.pendingReadMs(now);
+  }
+
+  add(task: Task, now: number): void {
+    this.tasks.set(task.request, task);
+    const startsAt = now + this.pendingReadMs(now);
+    this.readings = this.readings.filter(({ endsAt }) => endsAt > now);
+    this.readings.push({ task, endsAt: startsAt + this.pace * task.readMs });
+  }
+
+  remove(request: string, now: number): void {
+    this.tasks.delete(request);
+    this.readings = this.readings.filter(
+      ({ task, endsAt }) => task.request !== request && endsAt > now,
+    );
+  }
+
+  private writerTasks(): Task[] {
+    return [...this.tasks.values()].filter(({ role }) => role === 'writer');
+  }
+}
--- /dev/null
+++ b/packages/domain/src/registry/index.ts
@@ -0,0 +1,1 @@
+export * as registry from './registry';
--- /dev/null
+++ b/packages/domain/src/registry/registry.ts
@@ -0,0 +1,177 @@
+/**
+ * The registry of targets: who announced itself, where, and whether it is leaving. Announcements reach
+ * keepers late, twice and out of order, and copies of the registry meet after partitions, so records of one
+ * lifetime are ordered by state first and sequence second: a lifetime that left never returns.
+ */
+
+export type State = 'ready' | 'draining' | 'gone';
+
+/** What a target says of itself. Each start of a target is a lifetime with an id of its own. */
+export interface Announcement {
+  id: string;
+  service: string;
+  /** HOST:PORT. */
+  address: string;
+  dataCentre: string;
+  slots: number;
+  state: State;
+  /** Rises with each announcement of the lifetime. */
+  sequence: number;
+}
+
+const RANK: Record<State, number> = { ready: 0, draining: 1, gone: 2 };
+
+/**
+ * How long a lifetime that is gone is remembered, milliseconds. An announcement that a partition held up may
+ * come after the lifetime ended; partitions that heal later than this are not expected.
+ */
+export const REMEMBER_GONE_MS = 120_000;
+
+/**
+ * A lifetime that was taken for dead, because another one turned up at its address, is alive after all if it
+ * announces itself again this long after the first time. A single announcement may have been held up since
+ * before its death. Milliseconds; half of the usual pause between announcements.
+ */
+const REVIVE_AFTER_MS = 600;
+
+interface Entry {
+  record: Announcement;
+  heardAt: number;
+  /** Whether its end was only concluded from another lifetime at its address. */
+  isPresumedDead: boolean;
+  /** First announcement after it was presumed dead; 0 if none came. */
+  contradictedAt: number;
+}
+
+export class Registry {
+  private readonly entries = new Map<string, Entry>();
+
+  /** Takes what a target says of itself; the records that changed with it come back. */
+  announce(announcement: Announcement, now: number): Announcement[] {
+    const known = this.entries.get(announcement.id);
+    if (known === undefined) return this.add(announcement, now);
+    if (known.isPresumedDead) return this.contradict(known, announcement, now);
+    return this.update(known, announcement, now);
+  }
+
+  /** The lifetime ended or announced that it does. */
+  depart(id: string, now: number): Announcement[] {
+    const known = this.entries.get(id);
+    if (known === undefined) {
+      const record: Announcement = { ...UNKNOWN, id };
+      this.keep(record, now);
+      return [record];
+    }
+    known.isPresumedDead = false;
+    if (known.record.state === 'gone') return [];
+    return [this.end(known, now)];
+  }
+
+  /** Takes over what other copies of the registry know. */
+  merge(records: readonly Announcement[], now: number): Announcement[] {
+    return records.flatMap((record) => {
+      const known = this.entries.get(record.id);
+      if (known !== undefined) return this.update(known, record, now);
+      // Which of two lifetimes at an address came later, a copy can't say. The one that lives announces
+      // itself again.
+      const isContested = record.state !== 'gone' && this.at(record.address).length > 0;
+      if (!isContested) {
+        this.keep(record, now);
+        return [record];
+      }
+      const presumed: Announcement = { ...record, state: 'gone' };
+      this.keep(presumed, now).isPresumedDead = true;
+      return [];
+    });
+  }
+
+  get(id: string): Announcement | undefined {
+    return this.entries.get(id)?.record;
+  }
+
+  records(): Announcement[] {
+    return [...this.entries.values()].map(({ record }) => record);
+  }
+
+  /** Targets of a service that take new work. */
+  ready(service: string): Announcement[] {
+    return this.records().filter((each) => each.service === service && each.state === 'ready');
+  }
+
+  /** Milliseconds since the lifetime was last heard; infinite for an unknown one. */
+  silentFor(id: string, now: number): number {
+    const entry = this.entries.get(id);
+    return entry === undefined ? Infinity : now - entry.heardAt;
+  }
+
+  /** Drops lifetimes that ended long ago. */
+  forget(now: number): void {
+    this.entries.forEach(({ record, heardAt }, id) => {
+      if (record.state === 'gone' && now - heardAt > REMEMBER_GONE_MS) this.entries.delete(id);
+    });
+  }
+
+  private keep(record: Announcement, now: number): Entry {
+    const entry = { record, heardAt: now, isPresumedDead: false, contradictedAt: 0 };
+    this.entries.set(record.id, entry);
+    return entry;
+  }
+
+  private end(entry: Entry, now: number): Announcement {
+    entry.record = { ...entry.record, state: 'gone' };
+    entry.heardAt = now;
+    return entry.record;
+  }
+
+  private at(address: string): Entry[] {
+    return [...this.entries.values()].filter(
+      ({ record }) => record.address === address && record.state !== 'gone',
+    );
+  }
+
+  private update(known: Entry, announcement: Announcement, now: number): Announcement[] {
+    if (known.record.state !== 'gone') known.heardAt = now;
+    if (RANK[announcement.state] < RANK[known.record.state]) return [];
+    const sameState = announcement.state === known.record.state;
+    if (sameState && announcement.sequence <= known.record.sequence) return [];
+    const moved = announcement.address !== known.record.address;
+    known.record = announcement;
+    return sameState && !moved ? [] : [announcement];
+  }
+
+  /**
+   * A new lifetime at an address ends the one that was there: one address serves one target. The dead
+   * one's last announcement may still come; it then finds its lifetime gone.
+   */
+  private add(announcement: Announcement, now: number): Announcement[] {
+    const ended = this.presumeDead(announcement.address, now);
+    this.keep(announcement, now);
+    return [...ended, announcement];
+  }
+
+  private presumeDead(address: string, now: number): Announcement[] {
+    return this.at(address).map((entry) => {
+      entry.isPresumedDead = true;
+      entry.contradictedAt = 0;
+      return this.end(entry, now);
+    });
+  }
+
+  private contradict(known: Entry, announcement: Announcement, now: number): Announcement[] {
+    if (announcement.sequence <= known.record.sequence) return [];
+    if (known.contradictedAt === 0) known.contradictedAt = now;
+    if (now - known.contradictedAt < REVIVE_AFTER_MS) return [];
+    return this.add(announcement, now);
+  }
+}
+
+/** What is known of a lifetime whose end came before its first announcement. */
+const UNKNOWN: Announcement = {
+  id: '',
+  service: '',
+  address: '',
+  dataCentre: '',
+  slots: 0,
+  state: 'gone',
+  sequence: Number.MAX_SAFE_INTEGER,
+};
--- a/packages/domain/src/replication/replica.ts
+++ b/packages/domain/src/replication/replica.ts
@@ -33,6 +33,8 @@
   matched: number;
   /** The leader's clock at the sending of the last request that was answered. */
   contactAt: number;
+  /** As `contactAt`, but only by real answers: a member that never answered has none. */
+  answeredAt: number;
   /** When the last request with entries left, and not yet answered; 0 if none. */
   waitingSince: number;
 }
@@ -189,6 +191,25 @@
     return confirmed && now - this.quorumContactAt(now) < this.timing.electionMin * LEASE_SHARE;
   }
 
+  /** Asks a quorum at once whether this replica still leads. */
+  askQuorum(now: number): messages.Effects {
+    if (this.state === 'leader') this.broadcast(now);
+    return this.take();
+  }
+
+  /**
+   * Whether a quorum answered something that this leader sent at `since` or later. Then no other leader can
+   * have committed anything before `since`, so what is applied here is the newest state as of then. Unlike
+   * the lease it holds without any clock: a leader that was suspended proves nothing by old answers.
+   */
+  isConfirmedSince(since: number): boolean {
+    if (this.state !== 'leader' || this.log.termAt(this.commit) !== this.term) return false;
+    const confirming = this.voters.filter(({ id }) => {
+      return id === this.id || (this.progress.get(id)?.answeredAt ?? -Infinity) >= since;
+    });
+    return this.isQuorum(confirming.length);
+  }
+
   /** When the leader last heard from `id`, by the sending time of the request it answered. */
   contactAt(id: string): number {
     return this.progress.get(id)?.contactAt ?? this.leaderSince;
@@ -375,6 +396,7 @@
       matched: 0,
       // A member counts as silent from now on, not from before it was one.
       contactAt: now,
+      answeredAt: -Infinity,
       waitingSince: 0,
     };
     this.progress.set(id, fresh);
@@ -464,6 +486,7 @@
     if (!this.members.some(({ id }) => id === answer.from)) return;
     const progress = this.progressOf(answer.from, now);
     progress.contactAt = Math.max(progress.contactAt, answer.sentAt);
+    progress.answeredAt = Math.max(progress.answeredAt, answer.sentAt);
     if (answer.sentAt >= progress.waitingSince) progress.waitingSince = 0;
     if (answer.success) {
       progress.matched = Math.max(progress.matched, answer.matched);
--- /dev/null
+++ b/packages/program/src/main.ts
@@ -0,0 +1,23 @@
+/**
+ * celerydrift: one process of a fleet on the users' platform. The only place that joins the product with
+ * the platform's adapter. Built into one file, as start-up decides how long a restarted VM is away.
+ */
+import * as daemon from '@celerydrift/daemon';
+import * as platform from '@celerydrift/platform';
+
+/** Names the settings file where the command line doesn't. */
+const FILE_VARIABLE = 'CELERYDRIFT_NODE_FILE';
+
+function main(): void {
+  const words = process.argv.slice(2);
+  const checkOnly = words.includes('--check');
+  const file = words.find((word) => !word.startsWith('-')) ?? process.env[FILE_VARIABLE];
+  if (file === undefined) {
+    process.stderr.write(`usage: celerydrift [--check] SETTINGS, or set ${FILE_VARIABLE}\n`);
+    process.exit(2);
+  }
+  const adapter = { traffic: new platform.traffic.Traffic(), control: new platform.control.Control() };
+  void daemon.roleMain.run(file, adapter, checkOnly);
+}
+
+main();
