Plan prompts by what they spoil, and never take a reset answer for whole

Change: plans are compared by the work that comes late; a wait ends at half the objective; the end of a connection is noted before the library hears of it; a new leader hears which dispatches run; durations of the daemon are on the steady clock, and a claim travels with its time left in place of a point in time.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -69,7 +69,15 @@
 
 export default [
   {
-    ignores: ['**/dist/**', 'target/**', '**/bin/**', '**/__snapshots__/**', 'eslint.config.mjs', '**/bundle.mjs', 'testing/**'],
+    ignores: [
+      '**/dist/**',
+      'target/**',
+      '**/bin/**',
+      '**/__snapshots__/**',
+      'eslint.config.mjs',
+      '**/bundle.mjs',
+      'testing/**',
+    ],
   },
   plugins.stylistic,
   plugins.importX,
--- a/packages/daemon/src/clock.ts
+++ b/packages/daemon/src/clock.ts
@@ -14,3 +14,11 @@
 export function sinceBoot(): number {
   return os.uptime() * 1_000;
 }
+
+/**
+ * The time of day, milliseconds. For people who read the audit trail, and for how long claims of calls are
+ * kept, where a step of seconds doesn't matter. Nothing else may use it: it is stepped while processes run.
+ */
+export function timeOfDay(): number {
+  return Date.now();
+}
--- a/packages/daemon/src/configuration/codecs.ts
+++ b/packages/daemon/src/configuration/codecs.ts
@@ -40,7 +40,11 @@
   (text) => (schema.NAME.test(text) ? text : undefined),
   'give a name of lower-case letters, digits, dot, dash, underscore',
 );
-export const ADDRESS = schema.textCodec('address', addressOf, 'give IP:PORT, such as 10.0.0.7:8080');
+export const ADDRESS = schema.textCodec(
+  'address',
+  addressOf,
+  'give IP:PORT, such as 10.0.0.7:8080',
+);
 export const OPTIONAL_ADDRESS = schema.textCodec<Address | ''>(
   'address',
   (text) => (text === '' ? '' : addressOf(text)),
--- a/packages/daemon/src/configuration/roleSettings.ts
+++ b/packages/daemon/src/configuration/roleSettings.ts
@@ -91,7 +91,9 @@
 function seedsOf(values: Values): string[] {
   const port = values.get('keepers.keeper-port') as number;
   const seeds = values.get('keepers.seeds') as string[];
-  return port === 0 ? seeds : seeds.map((seed) => `${seed.slice(0, seed.lastIndexOf(':'))}:${port}`);
+  return port === 0
+    ? seeds
+    : seeds.map((seed) => `${seed.slice(0, seed.lastIndexOf(':'))}:${port}`);
 }
 
 function listenersOf(
--- a/packages/daemon/src/control/logServer.ts
+++ b/packages/daemon/src/control/logServer.ts
@@ -3,6 +3,7 @@
  * commands need contact with a majority of the registered daemons is decided here.
  */
 import * as domain from '@celerydrift/domain';
+import * as clock from '../clock';
 import type * as logHost from '../replicas/logHost';
 import type * as contacts from './contacts';
 
@@ -90,7 +91,9 @@
 
   /** Times come from the leader's clock, so that replicas agree on them. */
   private stamped(command: unknown): unknown {
-    const at = this.now();
+    const at = clock.timeOfDay();
+    const claim = command as domain.ledger.ledger.TimedClaim;
+    if (claim.kind === 'claim') return { ...claim, at, deadline: at + claim.timeLeftMs };
     const typed = command as Command;
     if (typed.kind === 'change') return { ...typed, change: { ...typed.change, at } };
     if (typed.kind === 'announceStop') return { ...typed, stop: { ...typed.stop, at } };
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -2,6 +2,7 @@
 import type * as tls from 'node:tls';
 import * as domain from '@celerydrift/domain';
 import { Err, Ok, Result } from 'ts-results';
+import * as clock from './clock';
 import * as configuration from './configuration/configuration';
 import * as tlsFiles from './configuration/tlsFiles';
 import * as controlPlane from './control/controlPlane';
@@ -82,9 +83,13 @@
 
   private readonly listeners: listener.Listener[];
 
-  private readonly incarnation = Date.now();
+  /**
+   * Higher than that of an earlier process of this name. Where the clock was stepped back meanwhile, the
+   * first peer that still knows the earlier one makes this one raise it, as it does against a suspicion.
+   */
+  private readonly incarnation = clock.timeOfDay();
 
-  private readonly now = (): number => Date.now();
+  private readonly now = clock.steady;
 
   private readonly adapter: httpAdapter.HttpAdapter;
 
--- a/packages/daemon/src/entry/answer.ts
+++ b/packages/daemon/src/entry/answer.ts
@@ -100,7 +100,8 @@
       return { kind: 'unusable', detail: `target failed: ${head.status}` };
     }
     if (!this.isStream) return this.passHeld(head);
-    if (this.splitter.isInsideEvent) return { kind: 'unusable', detail: 'half an event at the end' };
+    if (this.splitter.isInsideEvent)
+      return { kind: 'unusable', detail: 'half an event at the end' };
     this.writeHead(head);
     this.response.end();
     return { kind: 'passedOn' };
--- a/packages/daemon/src/entry/chooser.ts
+++ b/packages/daemon/src/entry/chooser.ts
@@ -68,12 +68,19 @@
 
   private readonly avoided = new Map<string, number>();
 
-  private ends: { leader: string; id: string; ending: Ending }[] = [];
+  /** Dispatches on engines that run, by request. */
+  private readonly running = new Map<string, messages.Dispatched>();
+
+  private ends: messages.Ended['dispatches'] = [];
 
   private failures = 0;
 
   constructor(private readonly options: Options) {}
 
+  get dispatches(): messages.Dispatched[] {
+    return [...this.running.values()];
+  }
+
   async choose(wish: Wish): Promise<Choice> {
     const service = this.options.holding.directory?.service(wish.service);
     if (service?.engine === undefined) return this.choosePlain(wish);
@@ -88,14 +95,20 @@
     const { name, dataCentre, client, link } = this.options;
     const question: messages.Place = { ...wish, entry: name, dataCentre };
     const timeoutMs = wish.patienceMs + PLACE_TIMEOUT_MS;
-    const answer = await client.call<messages.PlaceAnswer>(leader, 'place', question, { timeoutMs });
+    const answer = await client.call<messages.PlaceAnswer>(leader, 'place', question, {
+      timeoutMs,
+    });
     if (answer.err || answer.val.kind === 'redirect') {
       link.doubt(leader);
       return undefined;
     }
     if (answer.val.kind === 'noPlace') return answer.val;
-    const release = (ending: Ending): void => this.tell(leader, wish.id, ending);
-    return { kind: 'placed', placement: answer.val.placement, release };
+    const { placement } = answer.val;
+    this.running.set(wish.id, {
+      request: { ...wish, entry: name, dataCentre },
+      target: placement.target,
+    });
+    return { kind: 'placed', placement, release: (ending) => this.tell(wish.id, ending) };
   }
 
   private chooseLocally(wish: Wish): Choice {
@@ -104,7 +117,14 @@
     if (placement === undefined) return { kind: 'noPlace', retryAfterMs: NO_TARGET_RETRY_MS };
     this.failures += 1;
     observer.log('placedLocally', { request: wish.id, target: placement.target });
-    const release = (ending: Ending): void => this.fallback.ended(wish.id, ending, now());
+    this.running.set(wish.id, {
+      request: { ...wish, entry: name, dataCentre },
+      target: placement.target,
+    });
+    const release = (ending: Ending): void => {
+      this.fallback.ended(wish.id, ending, now());
+      this.tell(wish.id, ending);
+    };
     return { kind: 'placed', placement, release };
   }
 
@@ -135,18 +155,17 @@
     this.avoided.set(target, this.options.now() + AVOID_MS[ending]);
   }
 
-  private tell(leader: string, id: string, ending: Ending): void {
+  /** Tells whoever leads now: a new leader may have counted a dispatch of the old one. */
+  private tell(id: string, ending: Ending): void {
+    this.running.delete(id);
     if (this.ends.length === 0) setTimeout(() => this.flush(), GATHER_MS);
-    this.ends.push({ leader, id, ending });
+    this.ends.push({ id, ending });
   }
 
   private flush(): void {
-    const ends = this.ends.splice(0);
-    new Set(ends.map(({ leader }) => leader)).forEach((leader) => {
-      const dispatches = ends
-        .filter((each) => each.leader === leader)
-        .map(({ id, ending }) => ({ id, ending }));
-      this.options.client.notify(leader, 'ended', { dispatches } satisfies messages.Ended);
-    });
+    const dispatches = this.ends.splice(0);
+    const { leader } = this.options.link;
+    if (leader === '') return;
+    this.options.client.notify(leader, 'ended', { dispatches } satisfies messages.Ended);
   }
 }
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -90,6 +90,7 @@
       holding: this.holding,
       observer: observe,
       sinceBoot: clock.sinceBoot,
+      dispatches: () => this.chooser.dispatches,
       onConfirmed: ({ entries }) => this.budget.shareWith(entries),
     });
     this.chooser = new chooser.Chooser({
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -47,8 +47,11 @@
   | { kind: 'gone' }
   | { kind: 'late' };
 
-/** Part of the time left that a request may wait for a place. */
-const PATIENCE_SHARE = 0.3;
+/**
+ * Part of the latency objective that a request may wait for a place. Longer and the answer is late whatever
+ * comes; a caller that hears at once that it was refused can still go elsewhere or come back.
+ */
+const PATIENCE_SHARE = 0.5;
 
 /** Silence of a stream beyond its usual pause before it goes on elsewhere, milliseconds. */
 const STREAM_SILENCE_MS = 600;
@@ -149,7 +152,7 @@
       objectiveMs: route.objectiveMs,
       pauseMs: route.pauseMs,
       excluded: this.tried,
-      patienceMs: Math.max(0, this.timeLeftMs * PATIENCE_SHARE),
+      patienceMs: Math.max(0, Math.min(this.timeLeftMs, route.objectiveMs) * PATIENCE_SHARE),
     });
   }
 
@@ -221,7 +224,8 @@
     if (end.kind === 'cancelled') return { kind: 'gone' };
     const verdict = this.reply.complete(this.isRepeatable && this.hasAttemptsLeft);
     if (verdict.kind === 'passedOn') return { kind: 'answered' };
-    if (verdict.kind === 'notRun') return { kind: 'notRun', ending: 'full', detail: verdict.detail };
+    if (verdict.kind === 'notRun')
+      return { kind: 'notRun', ending: 'full', detail: verdict.detail };
     return { kind: 'failed', ending: 'broken', detail: verdict.detail };
   }
 
--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -121,8 +121,7 @@
     const { limits } = directory.catalogue;
     const isKeyed = route !== undefined && directory.needsKeys && !route.isPublic;
     const refusal =
-      this.headProblem(request, limits) ??
-      this.accessProblem(route, isKeyed, organisation);
+      this.headProblem(request, limits) ?? this.accessProblem(route, isKeyed, organisation);
     if (refusal !== undefined || route === undefined) {
       this.refuse(request, response, refusal ?? { status: 404, reason: 'no route' });
       return;
@@ -175,7 +174,12 @@
   ): void {
     const { requestId } = this.parts.protocol.facts(request.headers);
     const version = this.parts.directory()?.version ?? 0;
-    this.parts.observer.log('requestEnded', { request: requestId, status, detail: reason, version });
+    this.parts.observer.log('requestEnded', {
+      request: requestId,
+      status,
+      detail: reason,
+      version,
+    });
     const headers: http.OutgoingHttpHeaders = { 'Content-Length': 0 };
     if (status === 503) headers['Retry-After'] = RETRY_AFTER_SECONDS;
     // The rest of a body that nobody reads must not be taken for the next request.
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -50,24 +50,50 @@
 /** How long an idle connection is kept where the target says nothing, milliseconds. */
 const IDLE_MS = 4_000;
 
-function connect(
-  options: { hostname: string; port: string },
-  callback: (error: Error | null, socket: net.Socket | null) => void,
-): void {
-  const { hostname, port } = options;
-  const socket = net.connect({ host: hostname, port: Number(port), noDelay: true });
-  const fail = (error: Error): void => {
-    clearTimeout(timer);
-    socket.destroy();
-    callback(error, null);
+/** What happens to a connection at this very moment, while its listeners run. */
+type Event = 'none' | 'closedByTarget' | 'reset';
+
+/**
+ * Notes the end of a connection before the HTTP library hears of it. The library takes an answer for whole
+ * when its connection ends and the head announced that it would: also where the connection was reset, and
+ * where a chunked body lacks its last chunk. A caller would get a cut answer that looks complete.
+ */
+class Connections {
+  private event: Event = 'none';
+
+  get current(): Event {
+    return this.event;
+  }
+
+  readonly connect = (
+    options: { hostname: string; port: string },
+    callback: (error: Error | null, socket: net.Socket | null) => void,
+  ): void => {
+    const { hostname, port } = options;
+    const socket = net.connect({ host: hostname, port: Number(port), noDelay: true });
+    const fail = (error: Error): void => {
+      clearTimeout(timer);
+      socket.destroy();
+      callback(error, null);
+    };
+    const timer = setTimeout(() => fail(new Error('connect timeout')), CONNECT_TIMEOUT_MS);
+    socket.once('error', fail);
+    socket.once('connect', () => {
+      clearTimeout(timer);
+      socket.off('error', fail);
+      socket.on('error', () => this.note('reset'));
+      socket.on('end', () => this.note('closedByTarget'));
+      callback(null, socket);
+    });
   };
-  const timer = setTimeout(() => fail(new Error('connect timeout')), CONNECT_TIMEOUT_MS);
-  socket.once('error', fail);
-  socket.once('connect', () => {
-    clearTimeout(timer);
-    socket.off('error', fail);
-    callback(null, socket);
-  });
+
+  /** Listeners run in the order in which they were added, all before the next microtask. */
+  private note(event: Event): void {
+    this.event = event;
+    queueMicrotask(() => {
+      this.event = 'none';
+    });
+  }
 }
 
 /** A sending under way; `cancel` closes its connection, which also stops the target. */
@@ -82,7 +108,12 @@
 
   private isSettled = false;
 
-  constructor(private readonly receiver: Receiver) {
+  private isChunked = false;
+
+  constructor(
+    private readonly receiver: Receiver,
+    private readonly connections: Connections,
+  ) {
     this.end = new Promise((resolve) => {
       this.settle = resolve;
     });
@@ -122,6 +153,7 @@
     headers: Record<string, string | string[] | undefined>,
   ): void {
     if (this.isSettled || status < 200) return;
+    this.isChunked = headers['transfer-encoding'] !== undefined;
     const raw = (controller.rawHeaders ?? []) as (Buffer | string)[];
     this.receiver.onHead({ status, headers, raw: raw.map((part) => part.toString('latin1')) });
   }
@@ -131,7 +163,9 @@
   }
 
   onResponseEnd(): void {
-    this.finish({ kind: 'complete' });
+    const { current } = this.connections;
+    const isCut = current === 'reset' || (current === 'closedByTarget' && this.isChunked);
+    this.finish(isCut ? { kind: 'broken', detail: `${current} midway` } : { kind: 'complete' });
   }
 
   onResponseError(_controller: undici.Dispatcher.DispatchController, error: Error): void {
@@ -150,11 +184,13 @@
 export class TargetClient {
   private readonly pools = new Map<string, undici.Pool>();
 
+  private readonly connections = new Connections();
+
   send({ target, address, method, path, headers, body }: Sending, receiver: Receiver): Attempt {
-    const attempt = new Attempt(receiver);
+    const attempt = new Attempt(receiver, this.connections);
     this.pool(target, address).dispatch(
       {
-        method: method as undici.Dispatcher.HttpMethod,
+        method,
         path,
         headers,
         body: body.length === 0 ? null : body,
@@ -185,7 +221,7 @@
     const known = this.pools.get(target);
     if (known !== undefined) return known;
     const made = new undici.Pool(`http://${address}`, {
-      connect: connect as unknown as undici.buildConnector.connector,
+      connect: this.connections.connect as unknown as undici.buildConnector.connector,
       pipelining: 1,
       allowH2: false,
       connections: null,
--- a/packages/daemon/src/fleet/holding.ts
+++ b/packages/daemon/src/fleet/holding.ts
@@ -56,7 +56,13 @@
     const changed = this.registry.merge(records, this.options.now());
     changed.forEach((record) => {
       const { id, service, address, state, sequence } = record;
-      this.options.observer.log('targetAnnounced', { target: id, service, address, state, sequence });
+      this.options.observer.log('targetAnnounced', {
+        target: id,
+        service,
+        address,
+        state,
+        sequence,
+      });
       this.options.onRecord(record);
     });
     return changed;
--- a/packages/daemon/src/fleet/leaderLink.ts
+++ b/packages/daemon/src/fleet/leaderLink.ts
@@ -20,6 +20,8 @@
   observer: observer.Observer;
   /** A clock that counts suspensions: a lease must not outlive one. */
   sinceBoot: () => number;
+  /** What runs here, for a new leader's allocator. */
+  dispatches: () => messages.Dispatched[];
   onConfirmed: (answer: messages.Confirmed) => void;
 }
 
@@ -124,13 +126,15 @@
 
   private question(address: string): messages.Follow {
     const { name, role, dataCentre, replica, holding } = this.options;
+    const isNew = this.told !== address;
     return {
       name,
       role,
       address: this.options.address,
       version: holding.version,
       mark: holding.mark,
-      records: this.told === address ? [] : holding.registry.records(),
+      records: isNew ? holding.registry.records() : [],
+      dispatches: isNew ? this.options.dispatches() : [],
       replica: replica(),
       dataCentre,
     };
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -21,11 +21,19 @@
   mark: RegistryMark;
   /** What the follower knows of targets, for a leader that it meets for the first time. */
   records: Announcement[];
+  /** Dispatches of an entry that run, for a leader that it meets for the first time. */
+  dispatches: Dispatched[];
   /** A keeper's replica, for a leader that may need it as a voter. */
   replica: string | undefined;
   dataCentre: string;
 }
 
+/** A request and the target that writes its answer. */
+export interface Dispatched {
+  request: domain.allocation.allocator.Request;
+  target: string;
+}
+
 export interface Confirmed {
   kind: 'confirmed';
   /** Peer addresses of all voters. */
@@ -86,8 +94,7 @@
 }
 
 export type SubmitAnswer =
-  | { kind: 'accepted'; version: number }
-  | { kind: 'unavailable'; detail: string };
+  { kind: 'accepted'; version: number } | { kind: 'unavailable'; detail: string };
 
 /** `newest`: the newest catalogue, as of the asking. */
 export type NewestAnswer =
--- a/packages/daemon/src/http/callersApi.ts
+++ b/packages/daemon/src/http/callersApi.ts
@@ -1,6 +1,7 @@
 /** The interface for callers: OpenAI-compatible paths, plain services, health for the balancer. */
 import * as crypto from 'node:crypto';
 import * as domain from '@celerydrift/domain';
+import * as clock from '../clock';
 import type * as observer from '../observability/observer';
 import type * as admission from '../requests/admission';
 import * as errors from '../requests/errors';
@@ -173,7 +174,7 @@
       id: `${chat ? 'chatcmpl' : 'cmpl'}-${prompt.id}`,
       model: wish.model,
       chat,
-      created: Math.floor(this.options.now() / 1_000),
+      created: Math.floor(clock.timeOfDay() / 1_000),
       includeUsage: wish.includeUsage,
     };
     const writer = new completionWriter.StreamWriter(response, shape);
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -151,6 +151,7 @@
       holding: this.holding,
       observer: observe,
       sinceBoot: clock.sinceBoot,
+      dispatches: () => [],
       onConfirmed: () => undefined,
     });
   }
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -66,7 +66,10 @@
     if (!(await this.options.host.confirm(false))) return undefined;
     if (!this.leads) this.turn(true);
     this.followers.heard(question);
-    this.take(question.records);
+    void this.take(question.records);
+    question.dispatches.forEach(({ request, target }) => {
+      this.allocator.restore(request, target, this.options.now());
+    });
     return {
       kind: 'confirmed',
       keepers: this.options.host.replica.members.map(({ address }) => address),
@@ -85,7 +88,11 @@
     const known = this.options.holding.registry.get(id);
     const changed = this.options.holding.registry.depart(id, this.options.now());
     if (changed.length === 0) return;
-    this.options.observer.log('targetAnnounced', { target: id, state: 'gone', before: known?.state });
+    this.options.observer.log('targetAnnounced', {
+      target: id,
+      state: 'gone',
+      before: known?.state,
+    });
     changed.forEach((record) => this.allocator.observe(record));
     await this.publish(changed);
   }
--- a/packages/daemon/src/requests/ledgerClient.ts
+++ b/packages/daemon/src/requests/ledgerClient.ts
@@ -4,7 +4,8 @@
 import type * as controlErrors from '../control/errors';
 import type * as logClient from '../control/logClient';
 
-type Command = domain.ledger.ledger.Command;
+type Command =
+  Exclude<domain.ledger.ledger.Command, { kind: 'claim' }> | domain.ledger.ledger.TimedClaim;
 type Verdict = domain.ledger.ledger.Verdict;
 
 export function shardName(shard: number): string {
--- a/packages/daemon/src/requests/serviceProxy.ts
+++ b/packages/daemon/src/requests/serviceProxy.ts
@@ -108,18 +108,18 @@
     const { team, organisation } = call.tenant;
     const key = [team, organisation.name, call.service.name, call.key].join('/');
     const attempt = crypto.randomUUID();
-    const claim: domain.ledger.ledger.Claim = {
+    const claim = {
       kind: 'claim',
       key,
       organisation: `${team}/${organisation.name}`,
       content: digestOf(call),
       attempt,
-      deadline: call.deadline,
       at: 0,
-    };
+    } as const;
     for (;;) {
       const left = call.deadline - this.options.now();
-      const verdict = await this.options.ledger.execute(claim, Math.min(left, 8_000));
+      const timed = { ...claim, timeLeftMs: left };
+      const verdict = await this.options.ledger.execute(timed, Math.min(left, 8_000));
       if (verdict.err) {
         // The claim may still take effect later; it is given back so that a resend can run.
         void this.options.ledger.execute({ kind: 'release', key, attempt, at: 0 }, 30_000);
@@ -160,7 +160,9 @@
   }
 
   /** Not being able to record an end is safe: the claim stays, and resends hear "unknown". */
-  private async settle(command: domain.ledger.ledger.Command): Promise<void> {
+  private async settle(
+    command: domain.ledger.ledger.Settle | domain.ledger.ledger.Release,
+  ): Promise<void> {
     const settled = await this.options.ledger.execute(command, 2_000);
     if (settled.err) void this.options.ledger.execute(command, 30_000);
   }
@@ -198,7 +200,7 @@
   }
 
   private async send(call: Call, target: Target, fresh: boolean): Promise<Result<Answer, Failed>> {
-    const left = Math.max(1, call.deadline - this.options.now());
+    const left = Math.max(1, Math.ceil(call.deadline - this.options.now()));
     const timeout = Math.min(left, call.service.timeoutSeconds * 1_000);
     const { statusCode, headers, body } = await this.options.client.request(target.address, {
       method: call.method,
--- /dev/null
+++ b/packages/domain/src/allocation/__tests__/allocator.test.ts
@@ -0,0 +1,112 @@
+/** Placement of prompts on engines, with the users' published figures. */
+import * as chai from 'chai';
+import type * as catalogue from '../../catalogue/catalogue';
+import type * as registry from '../../registry/registry';
+import * as allocator from '../allocator';
+import * as cost from '../cost';
+
+const { expect } = chai;
+
+const ENGINE: catalogue.Engine = {
+  slots: 11,
+  memoryTokens: 315_000,
+  stepsPerPass: 51,
+  stepMs: 0.85,
+  writerStepMs: 0.0062,
+  contextStepMs: 0.00285,
+  readTokensPerMs: 177,
+  pairMsPerMillion: 0.184,
+  chunkTokens: 2_048,
+  hopMs: 0.05,
+  usualAnswerTokens: 1_600,
+};
+
+function target(index: number): registry.Announcement {
+  return {
+    id: `t${index}`,
+    service: 'engines',
+    address: `10.0.0.${index}:80`,
+    dataCentre: 'east',
+    slots: 11,
+    state: 'ready',
+    sequence: 1,
+  };
+}
+
+function fleet(size: number): allocator.Allocator {
+  const made = new allocator.Allocator();
+  made.setServices([
+    { name: 'engines', healthPath: '/health', maxConnections: 200, engine: ENGINE },
+  ]);
+  for (let i = 0; i < size; i++) made.observe(target(i));
+  return made;
+}
+
+function request(id: string, more: Partial<allocator.Request> = {}): allocator.Request {
+  return {
+    id,
+    entry: 'e1',
+    service: 'engines',
+    tokens: 5_000,
+    answerTokens: 1_600,
+    objectiveMs: 300,
+    pauseMs: 250,
+    dataCentre: 'east',
+    excluded: [],
+    ...more,
+  };
+}
+
+const LONG = { tokens: 154_000, answerTokens: 800, objectiveMs: 3_000, pauseMs: 1_000 };
+
+describe('cost of an engine', () => {
+  it('follows the published figures', () => {
+    const readings = [5_000, 45_000, 154_000, 220_000].map((tokens) => {
+      return [tokens, Math.round(cost.readMs(ENGINE, tokens)), cost.passMs(ENGINE, 4, 20_000)];
+    });
+    expect(readings).toMatchSnapshot();
+  });
+});
+
+describe('allocator', () => {
+  /*
+   * Readers of short summaries would see their text stop for seconds. A prompt of 154k tokens takes 3 s to
+   * read on one engine, and all who write there wait for it; over many engines each waits under the pause
+   * that its callers bear.
+   */
+  it('reads a long prompt in parts that the writers on each engine bear', () => {
+    const made = fleet(23);
+    for (let i = 0; i < 30; i++) made.place(request(`s${i}`), i * 200);
+    const placed = made.place(request('long', LONG), 6_000);
+    const parts = 1 + (placed?.helpers.length ?? 0);
+    expect(parts).to.be.within(8, 17);
+    expect(placed?.firstTokenMs).to.be.lessThan(1_000);
+  });
+
+  it('packs short streams, so that other engines stay clear for long readings', () => {
+    const made = fleet(23);
+    const targets = new Set<string>();
+    for (let i = 0; i < 20; i++) targets.add(made.place(request(`s${i}`), i * 60)?.target ?? '');
+    expect(targets.size).to.be.lessThan(6);
+  });
+
+  it('gives the place of a request back when it ended or its entry is gone', () => {
+    const made = fleet(1);
+    for (let i = 0; i < 11; i++) made.place(request(`s${i}`, { pauseMs: 1e6 }), 0);
+    expect(made.place(request('more'), 0)).to.equal(undefined);
+    made.ended('s3', 'done', 10);
+    expect(made.place(request('more', { entry: 'e2' }), 10)).to.not.equal(undefined);
+    made.forgetEntry('e1', 20);
+    expect(made.size).to.equal(1);
+  });
+
+  it('passes over a target that failed, unless there is no other', () => {
+    const made = fleet(2);
+    const first = made.place(request('a'), 0)?.target;
+    made.ended('a', 'unreachable', 10);
+    expect(made.place(request('b'), 20)?.target).to.not.equal(first);
+    made.observe({ ...target(0), state: 'draining' });
+    made.observe({ ...target(1), state: 'draining' });
+    expect(made.place(request('c'), 20)).to.equal(undefined);
+  });
+});
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -95,6 +95,13 @@
     };
   }
 
+  /** Counts a dispatch that another allocator made, whose reading is over by now. */
+  restore(request: Request, target: string, now: number): void {
+    const writer = this.loads.get(target);
+    if (writer === undefined || this.dispatches.has(request.id)) return;
+    this.occupy({ ...request, tokens: 0 }, writer, [], now);
+  }
+
   /** Whether the service has engines at all, full or not. */
   serves(service: string): boolean {
     return [...this.loads.values()].some(({ record }) => record.service === service);
@@ -136,29 +143,29 @@
   }
 
   private dispatch(request: Request, plan: planner.Plan, now: number): void {
-    const parts = plan.helpers.length + 1;
-    const engine = plan.writer.engine;
+    this.occupy(request, plan.writer, plan.helpers, now);
+  }
+
+  private occupy(request: Request, writer: load.Load, helpers: load.Load[], now: number): void {
+    const parts = helpers.length + 1;
     const task = {
       request: request.id,
-      readMs: cost.readMs(engine, request.tokens, parts),
+      readMs: cost.readMs(writer.engine, request.tokens, parts),
     };
-    plan.writer.add(
+    writer.add(
       {
         ...task,
         role: 'writer',
         contextTokens: request.tokens / parts,
         memoryTokens: request.tokens + request.answerTokens,
         pauseMs: request.pauseMs,
+        value: planner.valueOf(request),
       },
       now,
     );
-    plan.helpers.forEach((each) => {
-      each.add(
-        { ...task, role: 'helper', contextTokens: 0, memoryTokens: 0, pauseMs: Infinity },
-        now,
-      );
-    });
-    const loads = [plan.writer, ...plan.helpers];
-    this.dispatches.set(request.id, { entry: request.entry, loads, writer: plan.writer });
+    const help = { contextTokens: 0, memoryTokens: 0, pauseMs: Infinity, value: 0 };
+    helpers.forEach((each) => each.add({ ...task, ...help, role: 'helper' }, now));
+    const loads = [writer, ...helpers];
+    this.dispatches.set(request.id, { entry: request.entry, loads, writer });
   }
 }
--- a/packages/domain/src/allocation/cost.ts
+++ b/packages/domain/src/allocation/cost.ts
@@ -14,9 +14,7 @@
 /** Length of a pass in which `writers` requests with `contextTokens` between them write. */
 export function passMs(engine: catalogue.Engine, writers: number, contextTokens: number): number {
   const perStep =
-    engine.stepMs +
-    writers * engine.writerStepMs +
-    (contextTokens / 1_000) * engine.contextStepMs;
+    engine.stepMs + writers * engine.writerStepMs + (contextTokens / 1_000) * engine.contextStepMs;
   return engine.stepsPerPass * perStep;
 }
 
--- a/packages/domain/src/allocation/load.ts
+++ b/packages/domain/src/allocation/load.ts
@@ -19,6 +19,8 @@
   memoryTokens: number;
   /** Longest pause between its events that its caller bears; infinite for a helper. */
   pauseMs: number;
+  /** What is lost if it comes late, in tokens of work. */
+  value: number;
 }
 
 /**
@@ -65,7 +67,8 @@
 
   /** Requests that this engine helps to read for others at `now`. */
   helping(now: number): number {
-    return this.readings.filter(({ task, endsAt }) => task.role === 'helper' && endsAt > now).length;
+    return this.readings.filter(({ task, endsAt }) => task.role === 'helper' && endsAt > now)
+      .length;
   }
 
   /** The tightest pause that a caller of this engine bears, infinite where nobody writes. */
@@ -93,6 +96,14 @@
     return PAUSE_SHARE * tightest - this.passMs() - this.pendingReadMs(now);
   }
 
+  /** Value of the writers here whose pauses a further reading of `readMs` makes too long. */
+  valueAtRisk(readMs: number, pendingMs: number): number {
+    const pause = this.passMs() + pendingMs + readMs;
+    return this.writerTasks()
+      .filter(({ pauseMs }) => PAUSE_SHARE * pauseMs < pause)
+      .reduce((sum, { value }) => sum + value, 0);
+  }
+
   add(task: Task, now: number): void {
     this.tasks.set(task.request, task);
     const startsAt = now + this.pendingReadMs(now);
--- a/packages/domain/src/allocation/planner.ts
+++ b/packages/domain/src/allocation/planner.ts
@@ -27,11 +27,16 @@
   /** Reading on each of the engines, milliseconds. */
   partMs: number;
   firstTokenMs: number;
+  /** What the plan spoils: tokens of work that come late, of this request and of others. */
+  harm: number;
 }
 
 /** Most engines that help one to read; the engines' interface takes no more. */
 export const MAX_HELPERS = 16;
 
+/** Numbers of engines that are tried for one prompt. */
+const PART_COUNTS = [1, 2, 3, 4, 6, 8, 12, MAX_HELPERS + 1];
+
 /**
  * Part of the latency objective that one part of a reading may take before it is split further. At a
  * twelfth, a mean long prompt of 154k tokens (3 s alone, objective 3 s) is split over 12 engines.
@@ -41,128 +46,150 @@
 /** Parts shorter than this aren't worth a further engine; milliseconds, three passes of an engine. */
 const SHORTEST_PART_MS = 150;
 
-/** Part of the objective that an engine's queue may take before the next engine is opened. */
-const PACK_SHARE = 0.4;
+/**
+ * Shares of the objective between which a predicted first token turns from surely in time to surely late.
+ * Wide, as the prediction misses by a pass or two.
+ */
+const SURELY_IN_TIME = 0.5;
+const SURELY_LATE = 1;
+
+/** What a late answer is worth less than one in time; callers' own figures lie around a quarter. */
+const LATE_LOSS = 0.75;
+
+/** Work that a token of an answer is, against one of a prompt: an engine writes ten times as slowly. */
+const ANSWER_WEIGHT = 10;
 
-/** Preference for the caller's own data centre, milliseconds; the way there and back between two. */
+/** Preference for the caller's own data centre, as milliseconds of its objective. */
 const NEAR_MS = 3;
 
+/** Preference for an engine for each request there with equally tight pauses, as a share of this one. */
+const PACK_GAIN = 0.002;
+
+/** Loss by a wait of the whole objective that still leaves the answer in time, as a share of the request. */
+const WAIT_LOSS = 0.002;
+
+/** Writers whose pauses are at least this share of a request's own are as tolerant as it is. */
+const ALIKE_SHARE = 0.5;
+
+/** Cost of one more engine for a prompt, as a share of the request; breaks ties for fewer. */
+const PART_LOSS = 0.001;
+
+interface Candidate {
+  load: load.Load;
+  /** Reading it may take before someone's pause is too long, milliseconds. */
+  allowanceMs: number;
+  pendingMs: number;
+}
+
 export class Planner {
   constructor(private readonly engine: catalogue.Engine) {}
 
-  /** The best plan over `loads`, or undefined where no engine has a place. */
+  /** The plan over `loads` that spoils least, or undefined where no engine has a place. */
   plan(prompt: Prompt, loads: readonly load.Load[], now: number): Plan | undefined {
     const memory = prompt.tokens + prompt.answerTokens;
-    const writers = loads.filter((each) => each.freeSlots > 0 && each.freeMemory >= memory);
-    if (writers.length === 0) return undefined;
-    return this.unsplit(prompt, writers, now) ?? this.split(prompt, writers, loads, now);
-  }
-
-  private longestPartMs({ objectiveMs }: Prompt): number {
-    return Math.max(SHORTEST_PART_MS, objectiveMs * PART_SHARE);
+    const hasPlace = new Set(
+      loads.filter((each) => each.freeSlots > 0 && each.freeMemory >= memory),
+    );
+    if (hasPlace.size === 0) return undefined;
+    const candidates = loads.map((each) => {
+      const [allowanceMs, pendingMs] = [each.allowanceMs(now), each.pendingReadMs(now)];
+      return { load: each, allowanceMs, pendingMs };
+    });
+    const plans = this.partCounts(prompt, loads.length).flatMap((parts) => {
+      const plan = this.planFor(prompt, parts, candidates, hasPlace, now);
+      return plan === undefined ? [] : [plan];
+    });
+    return plans.length === 0 ? undefined : least(plans, ({ harm }) => harm);
   }
 
-  /** A plan with one engine, if the reading is short and some engine bears it. */
-  private unsplit(prompt: Prompt, writers: readonly load.Load[], now: number): Plan | undefined {
-    const partMs = cost.readMs(this.engine, prompt.tokens);
-    if (partMs > this.longestPartMs(prompt)) return undefined;
-    const bearing = writers.filter((each) => each.allowanceMs(now) >= partMs);
-    if (bearing.length === 0) return undefined;
-    const writer = this.packed(prompt, bearing, partMs, now);
-    return { writer, helpers: [], partMs, firstTokenMs: this.firstTokenMs(writer, partMs, now) };
+  /** Numbers of engines worth trying: from where the parts are short enough, else all. */
+  private partCounts(prompt: Prompt, engines: number): number[] {
+    const longestPartMs = Math.max(SHORTEST_PART_MS, prompt.objectiveMs * PART_SHARE);
+    const wanted = cost.readMs(this.engine, prompt.tokens) / longestPartMs;
+    const possible = PART_COUNTS.filter((count) => count <= engines);
+    const enough = possible.filter((count) => count >= wanted);
+    if (enough.length === 0) return possible.slice(-1);
+    // Beyond the first sufficient number more engines only help where the parts are still too long.
+    return enough.slice(0, 3);
   }
 
-  /**
-   * The fullest engine among those whose writers bear pauses as tight as this one's and whose queue
-   * leaves the first token in time; else the one with the soonest first token.
-   */
-  private packed(
+  private planFor(
     prompt: Prompt,
-    bearing: readonly load.Load[],
-    partMs: number,
+    parts: number,
+    candidates: readonly Candidate[],
+    hasPlace: ReadonlySet<load.Load>,
     now: number,
-  ): load.Load {
-    const soon = bearing.filter((each) => {
-      const tight = each.tightestPauseMs <= prompt.pauseMs;
-      return tight && this.firstTokenMs(each, partMs, now) <= prompt.objectiveMs * PACK_SHARE;
+  ): Plan | undefined {
+    const partMs = cost.readMs(this.engine, prompt.tokens, parts);
+    const value = valueOf(prompt);
+    const scored = candidates
+      .filter(({ load: each }) => parts === 1 || each.helping(now) < each.engine.slots)
+      .map((candidate) => ({ candidate, harm: this.harmOf(prompt, candidate, partMs) }));
+    const withPlace = scored.filter(({ candidate }) => hasPlace.has(candidate.load));
+    if (withPlace.length === 0) return undefined;
+    const writer = least(withPlace, ({ candidate, harm }) => {
+      return harm - value * packingGain(prompt, candidate.load);
     });
-    const nearness = (each: load.Load): number =>
-      each.record.dataCentre === prompt.dataCentre ? 0 : NEAR_MS;
-    if (soon.length > 0) {
-      return least(soon, (each) => -each.writers + nearness(each) / (10 * NEAR_MS));
-    }
-    return least(bearing, (each) => this.firstTokenMs(each, partMs, now) + nearness(each));
-  }
-
-  /**
-   * A plan over several engines: as many as make the parts short enough, those first that bear the
-   * longest part. Where not enough of them bear it, the parts go to those that bear the most.
-   */
-  private split(
-    prompt: Prompt,
-    writers: readonly load.Load[],
-    loads: readonly load.Load[],
-    now: number,
-  ): Plan {
-    const whole = cost.readMs(this.engine, prompt.tokens);
-    const wanted = Math.ceil(whole / this.longestPartMs(prompt));
-    const ranked = this.ranked(loads, now);
-    const most = Math.min(MAX_HELPERS + 1, ranked.length);
-    const bearable = (parts: number): boolean => {
-      const last = ranked[parts - 1];
-      return last !== undefined && last.allowance >= whole / parts;
-    };
-    const counts = Array.from({ length: most }, (_, i) => i + 1);
-    const parts =
-      counts.find((count) => count >= wanted && bearable(count)) ??
-      [...counts].reverse().find(bearable) ??
-      most;
-    const chosen = ranked.slice(0, parts).map((each) => each.load);
-    const writer = this.writerOf(prompt, writers, chosen, now);
-    const helpers = chosen.filter((each) => each !== writer).slice(0, parts - 1);
-    const partMs = whole / (helpers.length + 1);
+    const helpers = scored
+      .filter((each) => each !== writer)
+      .sort((a, b) => helperScore(a, value) - helperScore(b, value))
+      .slice(0, parts - 1);
     const firstTokenMs = Math.max(
-      ...[writer, ...helpers].map((each) => this.firstTokenMs(each, partMs, now)),
+      ...[writer, ...helpers].map(({ candidate }) => this.firstTokenMs(candidate, partMs)),
     );
-    return { writer, helpers, partMs, firstTokenMs };
-  }
-
-  /** Engines that may help, those first whose writers bear most; ties go to the shorter queue. */
-  private ranked(
-    loads: readonly load.Load[],
-    now: number,
-  ): { load: load.Load; allowance: number }[] {
-    return loads
-      .filter((each) => each.helping(now) < each.engine.slots)
-      .map((each) => {
-        return { load: each, allowance: each.allowanceMs(now), pending: each.pendingReadMs(now) };
-      })
-      .sort((a, b) => {
-        if (a.allowance !== b.allowance) return a.allowance > b.allowance ? -1 : 1;
-        return a.pending - b.pending;
-      });
+    const spoiled = helpers.reduce((sum, { harm }) => sum + harm, writer.harm);
+    const late = value * LATE_LOSS * lateness(firstTokenMs, prompt.objectiveMs);
+    return {
+      writer: writer.candidate.load,
+      helpers: helpers.map(({ candidate }) => candidate.load),
+      partMs,
+      firstTokenMs,
+      harm: spoiled + late + parts * PART_LOSS * value,
+    };
   }
 
-  /** Where the answer is written: among the engines that read, where the pauses stay shortest. */
-  private writerOf(
-    prompt: Prompt,
-    writers: readonly load.Load[],
-    chosen: readonly load.Load[],
-    now: number,
-  ): load.Load {
-    const among = chosen.filter((each) => writers.includes(each));
-    const candidates = among.length > 0 ? among : writers;
-    const tooTight = (each: load.Load): number =>
-      each.tightestPauseMs < prompt.pauseMs ? prompt.objectiveMs : 0;
-    return least(candidates, (each) => tooTight(each) + each.pendingReadMs(now) + each.passMs(1));
+  /** What a part on this engine spoils, with a preference for the shorter queue and way. */
+  private harmOf(prompt: Prompt, candidate: Candidate, partMs: number): number {
+    const { load: on, allowanceMs, pendingMs } = candidate;
+    const isTooLong = partMs > allowanceMs;
+    const spoiled = isTooLong ? LATE_LOSS * on.valueAtRisk(partMs, pendingMs) : 0;
+    const waits = lateness(this.firstTokenMs(candidate, partMs), prompt.objectiveMs);
+    const way = on.record.dataCentre === prompt.dataCentre ? 0 : NEAR_MS;
+    const queue = (WAIT_LOSS * (pendingMs + way)) / prompt.objectiveMs;
+    return spoiled + valueOf(prompt) * (LATE_LOSS * waits + queue);
   }
 
-  private firstTokenMs(on: load.Load, partMs: number, now: number): number {
+  private firstTokenMs({ load: on, pendingMs }: Candidate, partMs: number): number {
     const pass = on.writers > 0 ? on.passMs() : 0;
-    return on.pendingReadMs(now) + on.pace * partMs + pass;
+    return pendingMs + on.pace * partMs + pass;
   }
 }
 
+/** The work of a request in tokens; what is lost when it fails, and most of it when it is late. */
+export function valueOf({ tokens, answerTokens }: Prompt): number {
+  return tokens + ANSWER_WEIGHT * answerTokens;
+}
+
+/** Requests are packed with those whose callers bear pauses as long, so that other engines stay clear. */
+function packingGain({ pauseMs }: Prompt, on: load.Load): number {
+  const tightest = on.tightestPauseMs;
+  const isAlike = tightest <= pauseMs && tightest >= ALIKE_SHARE * pauseMs;
+  return isAlike ? PACK_GAIN * on.writers : 0;
+}
+
+/** Among engines on which a part spoils nothing, those help first where the fewest wait for tokens. */
+function helperScore(scored: { candidate: Candidate; harm: number }, value: number): number {
+  return scored.harm + PACK_GAIN * value * scored.candidate.load.writers;
+}
+
+/** How surely a first token after `ms` is late: 0 to 1, and beyond with the time that it is later. */
+function lateness(ms: number, objectiveMs: number): number {
+  const share = ms / objectiveMs;
+  if (share <= SURELY_IN_TIME) return 0;
+  if (share >= SURELY_LATE) return 1 + (share - SURELY_LATE) / 100;
+  return (share - SURELY_IN_TIME) / (SURELY_LATE - SURELY_IN_TIME);
+}
+
 function least<T>(items: readonly T[], score: (item: T) => number): T {
   return items.reduce((best, item) => (score(item) < score(best) ? item : best));
 }
--- /dev/null
+++ b/packages/domain/src/catalogue/__tests__/catalogue.test.ts
@@ -0,0 +1,95 @@
+/** Catalogues: what is refused, which route is found, which version wins. */
+import * as chai from 'chai';
+import * as random from '../../shared/random';
+import * as catalogue from '../catalogue';
+import * as directory from '../directory';
+import * as versions from '../versions';
+
+const { expect } = chai;
+
+function route(name: string, more: Partial<catalogue.Route> = {}): catalogue.Route {
+  return {
+    name,
+    host: 'a.example',
+    pathPrefix: `/${name}/`,
+    kind: 'safe',
+    timeoutMs: 1_000,
+    objectiveMs: 100,
+    priority: 1,
+    shares: [{ service: 'app', weight: 1 }],
+    maxAttempts: 2,
+    isPublic: false,
+    isResumable: false,
+    pauseMs: 1_000,
+    ...more,
+  };
+}
+
+function made(more: Partial<catalogue.Catalogue> = {}): catalogue.Catalogue {
+  return {
+    version: 1,
+    routes: [route('a')],
+    services: [{ name: 'app', healthPath: '/health', maxConnections: 8, engine: undefined }],
+    organisations: [{ name: 'north', keys: ['k1', 'k2'], priority: 1 }],
+    limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+    ...more,
+  };
+}
+
+describe('catalogue', () => {
+  it('names everything that keeps it from being put in force', () => {
+    const problems = catalogue.problemsOf(
+      made({
+        routes: [
+          route('unknown', { shares: [{ service: 'none', weight: 1 }] }),
+          route('empty', { shares: [] }),
+          route('weightless', { shares: [{ service: 'app', weight: 0 }] }),
+          route('timeless', { timeoutMs: 0 }),
+          route('one', { pathPrefix: '/same/' }),
+          route('two', { pathPrefix: '/same/' }),
+        ],
+        organisations: [
+          { name: 'north', keys: ['k1', 'k1'], priority: 1 },
+          { name: 'south', keys: ['k1'], priority: 1 },
+        ],
+      }),
+    );
+    expect(problems).toMatchSnapshot();
+  });
+
+  it('finds the longest prefix of a host, whatever its case and port', () => {
+    const routes = [route('short', { pathPrefix: '/x/' }), route('long', { pathPrefix: '/x/y/' })];
+    const found = new directory.Directory(made({ routes }));
+    expect(found.route('A.example:80', '/x/y/1')?.name).to.equal('long');
+    expect(found.route('a.example', '/x/z')?.name).to.equal('short');
+    expect(found.route('b.example', '/x/y/1')).to.equal(undefined);
+    expect(found.organisation('k2')?.name).to.equal('north');
+  });
+
+  it('splits a route by weight', () => {
+    const split = route('split', {
+      shares: [
+        { service: 'app', weight: 90 },
+        { service: 'other', weight: 10 },
+      ],
+    });
+    const source = random.seeded(3);
+    const picks = Array.from({ length: 1_000 }, () => directory.pickService(split, source));
+    expect(picks.filter((name) => name === 'other').length).to.be.within(60, 140);
+  });
+
+  /*
+   * Settings would fall back. Two operators send versions 7 and 9 at once and 7, whose answer was lost, is
+   * sent again after 9 is in force.
+   */
+  it('keeps the highest version whatever comes later', () => {
+    const held = new versions.Versions();
+    const edition = (version: number, byte = version): versions.Edition => {
+      return { version, packed: Uint8Array.of(byte) };
+    };
+    held.apply(edition(9));
+    expect(held.apply(edition(7))).to.deep.equal({ version: 9, changed: false });
+    expect(held.apply(edition(9, 1))).to.deep.equal({ version: 9, changed: false });
+    expect(held.newest).to.deep.equal(edition(9));
+  });
+});
--- a/packages/domain/src/ledger/ledger.ts
+++ b/packages/domain/src/ledger/ledger.ts
@@ -23,11 +23,14 @@
   content: string;
   /** One HTTP request at one daemon; a claim resent by the same attempt is granted again. */
   attempt: string;
-  /** Milliseconds; after it the attempt dispatches no more, so silence means unknown. */
+  /** On the clock of the leader that took it, milliseconds; after it the attempt dispatches no more, so silence means unknown. */
   deadline: number;
   at: number;
 }
 
+/** A claim on its way to the leader, which turns the time left into a point in time of its own clock. */
+export type TimedClaim = Omit<Claim, 'deadline'> & { timeLeftMs: number };
+
 export interface Settle {
   kind: 'settle';
   key: string;
--- /dev/null
+++ b/packages/domain/src/registry/__tests__/registry.test.ts
@@ -0,0 +1,81 @@
+/** The registry of targets under announcements that come late, twice and from other copies. */
+import * as chai from 'chai';
+import * as registry from '../registry';
+
+const { expect } = chai;
+
+function announcement(
+  id: string,
+  more: Partial<registry.Announcement> = {},
+): registry.Announcement {
+  return {
+    id,
+    service: 'engines',
+    address: '10.0.0.1:80',
+    dataCentre: 'east',
+    slots: 11,
+    state: 'ready',
+    sequence: 1,
+    ...more,
+  };
+}
+
+function states(of: registry.Registry): Record<string, string> {
+  return Object.fromEntries(of.records().map(({ id, state }) => [id, state]));
+}
+
+describe('registry', () => {
+  /*
+   * Callers would see requests refused by a server that announced it leaves. Its draining overtakes an
+   * older announcement on the way; the older one comes last and says ready.
+   */
+  it('never takes a lifetime back from draining to ready', () => {
+    const made = new registry.Registry();
+    made.announce(announcement('a', { state: 'draining', sequence: 5 }), 0);
+    expect(made.announce(announcement('a', { sequence: 4 }), 10)).to.deep.equal([]);
+    expect(made.announce(announcement('a', { sequence: 9 }), 20)).to.deep.equal([]);
+    expect(states(made)).to.deep.equal({ a: 'draining' });
+  });
+
+  /*
+   * Requests would go to a dead server's id at an address that serves another one by now. The old lifetime
+   * crashed behind a partition; its last announcement was held up there and comes after the new one's.
+   */
+  it('ends the lifetime that another one replaced, and ignores its late announcement', () => {
+    const made = new registry.Registry();
+    made.announce(announcement('old'), 0);
+    made.announce(announcement('new'), 1_000);
+    made.announce(announcement('old', { sequence: 2 }), 1_100);
+    expect(states(made)).to.deep.equal({ old: 'gone', new: 'ready' });
+  });
+
+  /*
+   * A live server would get no work for ever. The late announcement of a dead lifetime is the first that a
+   * new leader hears, so it takes the live one for replaced; the live one goes on announcing itself.
+   */
+  it('revives a lifetime that was wrongly presumed dead', () => {
+    const made = new registry.Registry();
+    made.announce(announcement('live', { sequence: 7 }), 0);
+    made.announce(announcement('dead', { sequence: 3 }), 100);
+    expect(states(made)).to.deep.equal({ live: 'gone', dead: 'ready' });
+    made.announce(announcement('live', { sequence: 8 }), 1_200);
+    made.announce(announcement('live', { sequence: 9 }), 2_400);
+    expect(states(made)).to.deep.equal({ live: 'ready', dead: 'gone' });
+  });
+
+  it('lets no copy of another registry end a target that is known here', () => {
+    const made = new registry.Registry();
+    made.announce(announcement('live'), 0);
+    expect(made.merge([announcement('dead')], 10)).to.deep.equal([]);
+    expect(states(made)).to.deep.equal({ live: 'ready', dead: 'gone' });
+  });
+
+  it('remembers an end that came before the first announcement', () => {
+    const made = new registry.Registry();
+    made.depart('a', 0);
+    made.announce(announcement('a'), 10);
+    expect(states(made)).to.deep.equal({ a: 'gone' });
+    made.forget(registry.REMEMBER_GONE_MS + 1);
+    expect(states(made)).to.deep.equal({});
+  });
+});
--- /dev/null
+++ b/packages/domain/src/request/__tests__/streamsAndBudget.test.ts
@@ -0,0 +1,72 @@
+/** Cutting streams at events, and one entry's part of the budget for repeats. */
+import * as chai from 'chai';
+import * as fc from 'fast-check';
+import * as eventSplitter from '../eventSplitter';
+import * as repeatBudget from '../repeatBudget';
+
+const { expect } = chai;
+
+const STREAM = 'id: 1\ndata: a\n\nid: 2\r\ndata: b\r\n\r\nversions: 3\nid: 3\ndata: c\n\n';
+
+describe('event splitter', () => {
+  /*
+   * A caller would read the beginning of an event twice. A target breaks off in the middle of one, and the
+   * stream goes on at another target after the last whole event.
+   */
+  it('passes on only whole events, however the bytes are cut', () => {
+    fc.assert(
+      fc.property(fc.array(fc.integer({ min: 1, max: 9 }), { maxLength: 60 }), (sizes) => {
+        const splitter = new eventSplitter.EventSplitter();
+        const bytes = Buffer.from(`${STREAM}id: 4\ndata: half`);
+        let at = 0;
+        let passed = '';
+        let events = 0;
+        let lastId: string | undefined;
+        [...sizes, bytes.length].forEach((size) => {
+          const cut = splitter.push(bytes.subarray(at, at + size));
+          at += size;
+          passed += cut.bytes.toString();
+          events += cut.events;
+          lastId = cut.lastId ?? lastId;
+        });
+        expect(passed).to.equal(STREAM);
+        expect({ events, lastId }).to.deep.equal({ events: 3, lastId: '3' });
+        expect(splitter.isInsideEvent).to.equal(true);
+      }),
+      { seed: 11 },
+    );
+  });
+});
+
+describe('repeat budget', () => {
+  /*
+   * A service that fails would be failed by our own repeats. All entries lose their targets at once, each
+   * repeats all it may, and one of them has just started and counts itself alone.
+   */
+  it('keeps all entries together under the bound while entries come', () => {
+    const rule = { ratio: 0.2, slack: 100, windowMs: 10_000 };
+    const entries = Array.from({ length: 8 }, () => new repeatBudget.RepeatBudget(rule));
+    entries.forEach((entry) => entry.shareWith(8));
+    let firsts = 0;
+    let repeats = 0;
+    for (let now = 0; now < 10_000; now += 100) {
+      entries.forEach((entry) => {
+        entry.countFirst(now);
+        firsts += 1;
+        while (entry.spend(now)) repeats += 1;
+      });
+    }
+    expect(repeats).to.be.lessThan(rule.ratio * firsts + rule.slack);
+    expect(repeats).to.be.greaterThan(100);
+  });
+
+  it('gives repeats back when they leave the window', () => {
+    const entry = new repeatBudget.RepeatBudget({ ratio: 0, slack: 10, windowMs: 1_000 });
+    const taken = (now: number): number => {
+      let count = 0;
+      while (entry.spend(now)) count += 1;
+      return count;
+    };
+    expect([taken(0), taken(500), taken(1_100)]).to.deep.equal([7, 0, 7]);
+  });
+});
--- a/packages/program/src/main.ts
+++ b/packages/program/src/main.ts
@@ -16,7 +16,10 @@
     process.stderr.write(`usage: celerydrift [--check] SETTINGS, or set ${FILE_VARIABLE}\n`);
     process.exit(2);
   }
-  const adapter = { traffic: new platform.traffic.Traffic(), control: new platform.control.Control() };
+  const adapter = {
+    traffic: new platform.traffic.Traffic(),
+    control: new platform.control.Control(),
+  };
   void daemon.roleMain.run(file, adapter, checkOnly);
 }
 
