--- /dev/null
+++ b/packages/daemon/src/entry/__tests__/targetClient.test.ts
@@ -0,0 +1,97 @@
+/** One sending to one target, against targets that answer as badly as real ones. */
+import * as net from 'node:net';
+import * as chai from 'chai';
+import * as targetClient from '../targetClient';
+
+const { expect } = chai;
+
+interface Result {
+  end: targetClient.End;
+  body: string;
+}
+
+/** Sends one request to a target that treats its connection as `behave` does. */
+async function sendTo(behave: (socket: net.Socket) => void): Promise<Result> {
+  const server = net.createServer((socket) => {
+    socket.on('error', () => undefined);
+    socket.once('data', () => behave(socket));
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as net.AddressInfo;
+  const client = new targetClient.TargetClient();
+  let body = '';
+  const attempt = client.send(
+    {
+      target: 't',
+      address: `127.0.0.1:${port}`,
+      method: 'GET',
+      path: '/',
+      headers: ['host', 'a.example'],
+      body: Buffer.alloc(0),
+    },
+    {
+      onHead: () => undefined,
+      onData: (chunk) => {
+        body += chunk.toString();
+      },
+    },
+  );
+  const end = await attempt.end;
+  client.close();
+  server.close();
+  return { end, body };
+}
+
+const UNFRAMED = 'HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n';
+const CHUNKED = 'HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n';
+
+describe('target client', () => {
+  it('takes an answer without a length for whole when its connection ends in order', async () => {
+    const { end, body } = await sendTo((socket) => socket.end(`${UNFRAMED}whole`));
+    expect([end.kind, body]).to.deep.equal(['complete', 'whole']);
+  });
+
+  /*
+   * A caller would take half an answer for a whole one. The target sends an answer that ends with its
+   * connection and crashes midway: data and reset arrive together, and the event loop reports an end.
+   */
+  it('never takes an answer for whole whose connection was reset', async () => {
+    const together = await sendTo((socket) => {
+      socket.write(`${UNFRAMED}half`);
+      socket.resetAndDestroy();
+    });
+    const later = await sendTo((socket) => {
+      socket.write(`${UNFRAMED}half`);
+      setTimeout(() => socket.resetAndDestroy(), 30);
+    });
+    expect([together.end.kind, later.end.kind]).to.deep.equal(['broken', 'broken']);
+  });
+
+  it('misses the last chunk and bytes that a length promised', async () => {
+    const chunked = await sendTo((socket) => socket.end(`${CHUNKED}4\r\nhalf\r\n`));
+    const short = await sendTo((socket) =>
+      socket.end('HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf'),
+    );
+    expect([chunked.end.kind, short.end.kind]).to.deep.equal(['broken', 'broken']);
+  });
+
+  it('knows that nothing was sent where no connection was made', async () => {
+    const client = new targetClient.TargetClient();
+    const nothing = { onHead: () => undefined, onData: () => undefined };
+    const attempt = client.send(
+      {
+        target: 't',
+        address: '127.0.0.1:1',
+        method: 'POST',
+        path: '/',
+        headers: [],
+        body: Buffer.from('x'),
+      },
+      nothing,
+    );
+    expect((await attempt.end).kind).to.equal('notSent');
+    client.close();
+  });
+});
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -3,6 +3,7 @@
  * target, so none of a dead lifetime meets its successor. What an attempt proves is exact: a request
  * whose first byte was never written did not run.
  */
+import * as fs from 'node:fs';
 import * as net from 'node:net';
 import * as undici from 'undici';
 
@@ -53,6 +54,22 @@
 /** What happens to a connection at this very moment, while its listeners run. */
 type Event = 'none' | 'closedByTarget' | 'reset';
 
+/**
+ * Whether a connection that seems to have ended in order was reset. Where data and a reset arrive together,
+ * the event loop's library reads the data and reports an end without asking again; the reset then waits in
+ * the socket, and one more read brings it out. After an end in order that read gives no bytes.
+ */
+function wasReset(socket: net.Socket): boolean {
+  // The descriptor has no public name; without one the socket is closed already, which proves nothing.
+  const { _handle: handle } = socket as unknown as { _handle?: { fd?: number } | null };
+  if (handle?.fd === undefined || handle.fd < 0) return true;
+  try {
+    return fs.readSync(handle.fd, Buffer.alloc(1)) > 0;
+  } catch {
+    return true;
+  }
+}
+
 /**
  * Notes the end of a connection before the HTTP library hears of it. The library takes an answer for whole
  * when its connection ends and the head announced that it would: also where the connection was reset, and
@@ -82,7 +99,7 @@
       clearTimeout(timer);
       socket.off('error', fail);
       socket.on('error', () => this.note('reset'));
-      socket.on('end', () => this.note('closedByTarget'));
+      socket.on('end', () => this.note(wasReset(socket) ? 'reset' : 'closedByTarget'));
       callback(null, socket);
     });
   };
