Measure leases on the steady clock and the time of day, whichever is longer

Change: an age is the longer of both clocks'; the time of day can only end a lease early. Conclusion: the guard against suspensions no longer needs a boot clock.

--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -89,7 +89,7 @@
       client: this.client,
       holding: this.holding,
       observer: observe,
-      sinceBoot: clock.sinceBoot,
+      moment: clock.moment,
       dispatches: () => this.chooser.dispatches,
       onConfirmed: ({ entries }) => this.budget.shareWith(entries),
     });
--- a/packages/daemon/src/fleet/leaderLink.ts
+++ b/packages/daemon/src/fleet/leaderLink.ts
@@ -3,6 +3,7 @@
  * newest, and takes its news. Each confirmation starts a lease. A daemon without one may be cut off from
  * changes, such as a key that was taken away, and must not serve what they could forbid.
  */
+import * as clock from '../clock';
 import type * as observer from '../observability/observer';
 import type * as peerClient from '../rpc/peerClient';
 import type * as holding from './holding';
@@ -18,8 +19,7 @@
   client: peerClient.PeerClient;
   holding: holding.Holding;
   observer: observer.Observer;
-  /** A clock that counts suspensions: a lease must not outlive one. */
-  sinceBoot: () => number;
+  moment: () => clock.Moment;
   /** What runs here, for a new leader's allocator. */
   dispatches: () => messages.Dispatched[];
   onConfirmed: (answer: messages.Confirmed) => void;
@@ -40,7 +40,7 @@
 
   private readonly known: Set<string>;
 
-  private confirmedAt = -Infinity;
+  private confirmedAt = clock.NEVER;
 
   private next = 0;
 
@@ -75,7 +75,7 @@
 
   /** Milliseconds since a confirmation was asked for that came; infinite if none ever did. */
   get age(): number {
-    return this.options.sinceBoot() - this.confirmedAt;
+    return clock.elapsed(this.confirmedAt, this.options.moment());
   }
 
   /** The leader didn't answer another call: the next question goes elsewhere. */
@@ -105,7 +105,7 @@
   }
 
   private async ask(address: string): Promise<boolean> {
-    const askedAt = this.options.sinceBoot();
+    const askedAt = this.options.moment();
     const answer = await this.options.client.call<messages.FollowAnswer>(
       address,
       'follow',
@@ -147,7 +147,7 @@
     this.leader = leader;
   }
 
-  private confirm(address: string, askedAt: number, answer: messages.Confirmed): void {
+  private confirm(address: string, askedAt: clock.Moment, answer: messages.Confirmed): void {
     if (this.told !== address) {
       this.options.observer.log('leaderFound', { leader: address });
       this.told = address;
@@ -155,7 +155,7 @@
     this.leader = address;
     answer.keepers.forEach((keeper) => this.known.add(keeper));
     this.options.holding.takeNews(answer.news);
-    this.confirmedAt = Math.max(this.confirmedAt, askedAt);
+    this.confirmedAt = askedAt;
     this.options.onConfirmed(answer);
   }
 
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -150,7 +150,7 @@
       client: this.client,
       holding: this.holding,
       observer: observe,
-      sinceBoot: clock.sinceBoot,
+      moment: clock.moment,
       dispatches: () => [],
       onConfirmed: () => undefined,
     });
