Use all engines, and weigh a long part by what it keeps from short prompts

Change: the allocator keeps all records and adds those of a service when it learns of its engines; the number of parts follows from what they spoil and how long they shut an engine; predictions count the passes that lie before the first event; each answer is logged with prediction and outcome.

--- a/packages/daemon/src/entry/answer.ts
+++ b/packages/daemon/src/entry/answer.ts
@@ -35,9 +35,14 @@
   /** Id of the last event that the caller has. */
   lastEventId: string | undefined;
 
-  /** When the last event went on; 0 before the first. */
+  /** When the first and the last event went on; 0 before the first. */
+  firstEventAt = 0;
+
   lastEventAt = 0;
 
+  /** The longest pause between two events, milliseconds. */
+  longestPauseMs = 0;
+
   private head: targetClient.Head | undefined;
 
   private facts: protocols.AnswerFacts | undefined;
@@ -119,6 +124,11 @@
     this.response.end();
   }
 
+  /** Status of the answer that the caller got or gets. */
+  get status(): number {
+    return this.response.statusCode;
+  }
+
   private get isStream(): boolean {
     return this.route.kind === 'streaming' && this.head?.status === 200;
   }
@@ -138,10 +148,16 @@
     if (head === undefined || cut.events === 0) return;
     this.writeHead(head);
     this.lastEventId = cut.lastId ?? this.lastEventId;
-    this.lastEventAt = clock.steady();
+    this.noteEvent(clock.steady());
     this.write(cut.bytes);
   }
 
+  private noteEvent(now: number): void {
+    if (this.firstEventAt === 0) this.firstEventAt = now;
+    else this.longestPauseMs = Math.max(this.longestPauseMs, now - this.lastEventAt);
+    this.lastEventAt = now;
+  }
+
   private hold(chunk: Buffer): void {
     if (this.isOverflowing) {
       this.write(chunk);
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -173,7 +173,8 @@
     observer.log('requestPlaced', {
       request: facts.requestId,
       target: placement.target,
-      helpers: placement.helpers.length,
+      helpers: placement.helpers,
+      predictedMs: Math.round(placement.firstTokenMs),
       attempt: this.tried.length,
       resumeAfter,
     });
@@ -194,10 +195,28 @@
     attempt.cancel();
     this.attempt = undefined;
     if (attempt.wasSent && outcome.kind !== 'notRun') this.mayHaveRun = true;
+    if (outcome.kind === 'answered') this.logAnswered(placement);
     release(endingOf(outcome));
     return outcome;
   }
 
+  private logAnswered({ firstTokenMs }: domain.allocation.allocator.Placement): void {
+    const { facts, route, arrivedAt } = this.admitted;
+    const { firstEventAt, longestPauseMs, status } = this.reply;
+    const sinceArrival = (at: number): number => Math.round(at - arrivedAt);
+    this.services.observer.log('requestEnded', {
+      request: facts.requestId,
+      route: route.name,
+      status,
+      tokens: facts.promptTokens,
+      targets: this.tried,
+      tookMs: sinceArrival(this.services.now()),
+      firstMs: firstEventAt === 0 ? undefined : sinceArrival(firstEventAt),
+      predictedMs: Math.round(firstTokenMs),
+      pauseMs: Math.round(longestPauseMs),
+    });
+  }
+
   /** Waits for the end of a sending, its silence, or an interruption, whichever comes first. */
   private async outcomeOf(
     attempt: targetClient.Attempt,
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -52,6 +52,9 @@
 export class Allocator {
   private readonly loads = new Map<string, load.Load>();
 
+  /** Targets that aren't gone, of all services. */
+  private readonly records = new Map<string, registry.Announcement>();
+
   private readonly planners = new Map<string, planner.Planner>();
 
   private readonly dispatches = new Map<string, Dispatch>();
@@ -64,21 +67,29 @@
     this.engines = new Map(
       services.flatMap(({ name, engine }) => (engine === undefined ? [] : [[name, engine]])),
     );
-    this.engines.forEach((engine, name) => {
-      if (JSON.stringify(before.get(name)) === JSON.stringify(engine)) return;
+    const changed = [...this.engines].filter(([name, engine]) => {
+      return JSON.stringify(before.get(name)) !== JSON.stringify(engine);
+    });
+    changed.forEach(([name, engine]) => {
       this.planners.set(name, new planner.Planner(engine));
-      [...this.loads.values()]
-        .filter(({ record }) => record.service === name)
-        .forEach(({ record }) => this.loads.set(record.id, new load.Load(engine, record)));
+      this.records.forEach((record) => {
+        if (record.service === name) this.loads.set(record.id, new load.Load(engine, record));
+      });
     });
   }
 
-  /** Takes what the registry says of a target. */
+  /** Takes what the registry says of a target, which may come before the catalogue that knows its service. */
   observe(record: registry.Announcement): void {
+    if (record.state === 'gone') {
+      this.records.delete(record.id);
+      this.loads.delete(record.id);
+      return;
+    }
+    this.records.set(record.id, record);
     const known = this.loads.get(record.id);
-    if (record.state === 'gone') this.loads.delete(record.id);
-    else if (known !== undefined) known.record = record;
-    else this.add(record);
+    const engine = this.engines.get(record.service);
+    if (known !== undefined) known.record = record;
+    else if (engine !== undefined) this.loads.set(record.id, new load.Load(engine, record));
   }
 
   /** A place for the request, or undefined where every engine is full. */
@@ -127,11 +138,6 @@
     return this.dispatches.size;
   }
 
-  private add(record: registry.Announcement): void {
-    const engine = this.engines.get(record.service);
-    if (engine !== undefined) this.loads.set(record.id, new load.Load(engine, record));
-  }
-
   /** Engines that take work; those that failed lately only where there are no others. */
   private usable({ service, excluded }: Request, now: number): load.Load[] {
     const ready = [...this.loads.values()].filter(
--- a/packages/domain/src/allocation/planner.ts
+++ b/packages/domain/src/allocation/planner.ts
@@ -37,20 +37,11 @@
 /** Numbers of engines that are tried for one prompt. */
 const PART_COUNTS = [1, 2, 3, 4, 6, 8, 12, MAX_HELPERS + 1];
 
-/**
- * Part of the latency objective that one part of a reading may take before it is split further. At a
- * twelfth, a mean long prompt of 154k tokens (3 s alone, objective 3 s) is split over 12 engines.
- */
-const PART_SHARE = 1 / 12;
-
-/** Parts shorter than this aren't worth a further engine; milliseconds, three passes of an engine. */
-const SHORTEST_PART_MS = 150;
-
 /**
  * Shares of the objective between which a predicted first token turns from surely in time to surely late.
  * Wide, as the prediction misses by a pass or two.
  */
-const SURELY_IN_TIME = 0.5;
+const SURELY_IN_TIME = 0.6;
 const SURELY_LATE = 1;
 
 /** What a late answer is worth less than one in time; callers' own figures lie around a quarter. */
@@ -63,7 +54,7 @@
 const NEAR_MS = 3;
 
 /** Preference for an engine for each request there with equally tight pauses, as a share of this one. */
-const PACK_GAIN = 0.002;
+const PACK_GAIN = 0.01;
 
 /** Loss by a wait of the whole objective that still leaves the answer in time, as a share of the request. */
 const WAIT_LOSS = 0.002;
@@ -71,9 +62,33 @@
 /** Writers whose pauses are at least this share of a request's own are as tolerant as it is. */
 const ALIKE_SHARE = 0.5;
 
-/** Cost of one more engine for a prompt, as a share of the request; breaks ties for fewer. */
+/** Cost of one more engine for a prompt, as a share of the request. */
 const PART_LOSS = 0.001;
 
+/**
+ * Cost of keeping each engine for the whole objective, as a share of the request: long parts shut an engine
+ * for short prompts. With `PART_LOSS`, a mean long prompt is read by four to six engines where all are free.
+ */
+const BLOCK_LOSS = 0.02;
+
+/** Parts up to this length shut an engine for nobody; milliseconds, two passes. */
+const HARMLESS_PART_MS = 100;
+
+/**
+ * Passes between the reading's start and the first event: half of the one that runs when the prompt comes,
+ * on average, and a whole one that writes the event.
+ */
+const PASSES_WHERE_OTHERS_WRITE = 1.5;
+
+/**
+ * What a part spoils where callers bear less than this one's, against what the writers there are worth now:
+ * others come before the part is read. Measured on calm days with few short and many long prompts.
+ */
+const TIGHT_RISK = 2;
+
+/** Cost of help by an engine that is idle or whose callers bear less, in steps, as a share of the request. */
+const SPREAD_LOSS = 0.002;
+
 interface Candidate {
   load: load.Load;
   /** Reading it may take before someone's pause is too long, milliseconds. */
@@ -81,6 +96,12 @@
   pendingMs: number;
 }
 
+interface Scored {
+  candidate: Candidate;
+  /** What a part there spoils. */
+  harm: number;
+}
+
 export class Planner {
   constructor(private readonly engine: catalogue.Engine) {}
 
@@ -95,24 +116,14 @@
       const [allowanceMs, pendingMs] = [each.allowanceMs(now), each.pendingReadMs(now)];
       return { load: each, allowanceMs, pendingMs };
     });
-    const plans = this.partCounts(prompt, loads.length).flatMap((parts) => {
+    const counts = PART_COUNTS.filter((count) => count <= loads.length);
+    const plans = counts.flatMap((parts) => {
       const plan = this.planFor(prompt, parts, candidates, hasPlace, now);
       return plan === undefined ? [] : [plan];
     });
     return plans.length === 0 ? undefined : least(plans, ({ harm }) => harm);
   }
 
-  /** Numbers of engines worth trying: from where the parts are short enough, else all. */
-  private partCounts(prompt: Prompt, engines: number): number[] {
-    const longestPartMs = Math.max(SHORTEST_PART_MS, prompt.objectiveMs * PART_SHARE);
-    const wanted = cost.readMs(this.engine, prompt.tokens) / longestPartMs;
-    const possible = PART_COUNTS.filter((count) => count <= engines);
-    const enough = possible.filter((count) => count >= wanted);
-    if (enough.length === 0) return possible.slice(-1);
-    // Beyond the first sufficient number more engines only help where the parts are still too long.
-    return enough.slice(0, 3);
-  }
-
   private planFor(
     prompt: Prompt,
     parts: number,
@@ -132,19 +143,20 @@
     });
     const helpers = scored
       .filter((each) => each !== writer)
-      .sort((a, b) => helperScore(a, value) - helperScore(b, value))
+      .sort((a, b) => helperScore(prompt, a) - helperScore(prompt, b))
       .slice(0, parts - 1);
     const firstTokenMs = Math.max(
       ...[writer, ...helpers].map(({ candidate }) => this.firstTokenMs(candidate, partMs)),
     );
     const spoiled = helpers.reduce((sum, { harm }) => sum + harm, writer.harm);
+    const blocked = Math.max(0, partMs - HARMLESS_PART_MS) / prompt.objectiveMs;
     const late = value * LATE_LOSS * lateness(firstTokenMs, prompt.objectiveMs);
     return {
       writer: writer.candidate.load,
       helpers: helpers.map(({ candidate }) => candidate.load),
       partMs,
       firstTokenMs,
-      harm: spoiled + late + parts * PART_LOSS * value,
+      harm: spoiled + late + value * (parts * PART_LOSS + BLOCK_LOSS * blocked),
     };
   }
 
@@ -152,7 +164,8 @@
   private harmOf(prompt: Prompt, candidate: Candidate, partMs: number): number {
     const { load: on, allowanceMs, pendingMs } = candidate;
     const isTooLong = partMs > allowanceMs;
-    const spoiled = isTooLong ? LATE_LOSS * on.valueAtRisk(partMs, pendingMs) : 0;
+    const risk = isTight(prompt, on) ? TIGHT_RISK * LATE_LOSS : LATE_LOSS;
+    const spoiled = isTooLong ? risk * on.valueAtRisk(partMs, pendingMs) : 0;
     const waits = lateness(this.firstTokenMs(candidate, partMs), prompt.objectiveMs);
     const way = on.record.dataCentre === prompt.dataCentre ? 0 : NEAR_MS;
     const queue = (WAIT_LOSS * (pendingMs + way)) / prompt.objectiveMs;
@@ -160,8 +173,8 @@
   }
 
   private firstTokenMs({ load: on, pendingMs }: Candidate, partMs: number): number {
-    const pass = on.writers > 0 ? on.passMs() : 0;
-    return pendingMs + on.pace * partMs + pass;
+    const passes = on.writers > 0 ? PASSES_WHERE_OTHERS_WRITE : 1;
+    return pendingMs + on.pace * partMs + passes * on.passMs();
   }
 }
 
@@ -177,9 +190,20 @@
   return isAlike ? PACK_GAIN * on.writers : 0;
 }
 
-/** Among engines on which a part spoils nothing, those help first where the fewest wait for tokens. */
-function helperScore(scored: { candidate: Candidate; harm: number }, value: number): number {
-  return scored.harm + PACK_GAIN * value * scored.candidate.load.writers;
+/** Whether callers of an engine bear clearly shorter pauses than this one. */
+function isTight(prompt: Prompt, on: load.Load): boolean {
+  return on.tightestPauseMs < ALIKE_SHARE * prompt.pauseMs;
+}
+
+/**
+ * Among engines on which a part spoils nothing, those help first that already work for callers as tolerant
+ * as this one; then idle ones; last those with tight pauses, the emptiest first.
+ */
+function helperScore(prompt: Prompt, { candidate, harm }: Scored): number {
+  const { load: on, pendingMs } = candidate;
+  const isIdle = on.writers === 0 && pendingMs === 0;
+  const steps = (isIdle ? 1 : 0) + (isTight(prompt, on) ? 2 + on.writers : 0);
+  return harm + SPREAD_LOSS * steps * valueOf(prompt);
 }
 
 /** How surely a first token after `ms` is late: 0 to 1, and beyond with the time that it is later. */
