--- a/packages/daemon/src/edges/protocols.ts
+++ b/packages/daemon/src/edges/protocols.ts
@@ -21,6 +21,20 @@
   lastEventId: string | undefined;
 }
 
+/** A target that helps to read a prompt, and the reservation there that keeps a part of its memory. */
+export interface Helper {
+  address: string;
+  reservation: string | undefined;
+}
+
+/** A call to a target that isn't a caller's request. */
+export interface TargetCall {
+  method: string;
+  path: string;
+  headers: string[];
+  body: string;
+}
+
 /** What an entry adds to a request for a target. */
 export interface Dispatch {
   /** Lifetime that must serve it; another one at that address refuses. */
@@ -28,8 +42,8 @@
   organisation: string | undefined;
   /** Time that the target has, milliseconds. */
   timeLeftMs: number;
-  /** Addresses of targets that help to read the prompt. */
-  helpers: readonly string[];
+  /** Targets that help to read the prompt. */
+  helpers: readonly Helper[];
   /** Last event that has reached the caller; undefined for a stream from the beginning. */
   resumeAfter: string | undefined;
 }
@@ -52,6 +66,9 @@
   /** Headers of a request for a target: the caller's, with what the entry adds and replaces. */
   requestHeaders(raw: readonly string[], dispatch: Dispatch): string[];
   answerFacts(status: number, headers: Readonly<Record<string, unknown>>): AnswerFacts;
+  /** Reserves memory on a target for so long from the call's arrival; sent again it renews. */
+  reserve(target: string, reservation: string, tokens: number, holdMs: number): TargetCall;
+  release(target: string, reservation: string): TargetCall;
 }
 
 /** A call from a target or an operator that the keepers' listener understands. */
--- /dev/null
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
@@ -0,0 +1,220 @@
+/** An ingress with exchanges behind it, and targets that behave as a test says, over real sockets. */
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as domain from '@celerydrift/domain';
+import * as clock from '../../../clock';
+import type * as protocols from '../../../edges/protocols';
+import * as observer from '../../../observability/observer';
+import type * as chooser from '../../chooser';
+import * as exchange from '../../exchange';
+import * as ingress from '../../ingress';
+import * as targetClient from '../../targetClient';
+
+/** A protocol as plain as possible: `id`, `signed`, `not-run`, `resume-after`. */
+const PROTOCOL: protocols.TrafficProtocol = {
+  readinessPath: '/ready',
+  facts: (headers) => ({
+    requestId: String(headers.id ?? ''),
+    patienceMs: undefined,
+    key: headers.key as string | undefined,
+    promptTokens: undefined,
+    maxAnswerTokens: undefined,
+    likelyAnswerTokens: undefined,
+    lastEventId: undefined,
+  }),
+  requestHeaders: (raw, { target, resumeAfter }) => {
+    const kept = raw.flatMap((value, i) => {
+      const isId = i % 2 === 0 && value.toLowerCase() === 'id';
+      return isId ? [value, raw[i + 1]] : [];
+    });
+    const resume = resumeAfter === undefined ? [] : ['resume-after', resumeAfter];
+    return [...kept, 'target', target, ...resume];
+  },
+  answerFacts: (_status, headers) => ({
+    requestId: headers.id as string | undefined,
+    isSigned: headers.signed !== undefined,
+    isNotRun: headers['not-run'] !== undefined,
+    isEncoded: false,
+  }),
+  reserve: () => ({ method: 'POST', path: '/', headers: [], body: '' }),
+  release: () => ({ method: 'POST', path: '/', headers: [], body: '' }),
+};
+
+export type Behaviour = (request: string, socket: net.Socket) => void;
+
+export interface Reply {
+  status: number;
+  headers: http.IncomingHttpHeaders;
+  body: string;
+  /** Whether the answer ended as whole. */
+  isWhole: boolean;
+}
+
+const CATALOGUE: domain.catalogue.catalogue.Catalogue = {
+  version: 1,
+  routes: (['safe', 'unsafe', 'streaming'] as const).map((kind) => ({
+    name: kind,
+    host: 'a.example',
+    pathPrefix: `/${kind}/`,
+    kind,
+    timeoutMs: 1_500,
+    objectiveMs: 100,
+    priority: 1,
+    shares: [{ service: 'app', weight: 1 }],
+    maxAttempts: kind === 'unsafe' ? 1 : 2,
+    isPublic: false,
+    isResumable: true,
+    pauseMs: 100,
+  })),
+  services: [{ name: 'app', healthPath: '/', maxConnections: 9, engine: undefined }],
+  organisations: [{ name: 'north', keys: ['k'], priority: 1 }],
+  limits: {
+    maxHeaderBytes: 2_000,
+    maxBodyBytes: 100,
+    headerTimeoutMs: 1_000,
+    idleTimeoutMs: 1_000,
+  },
+};
+
+async function listen(server: net.Server): Promise<number> {
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  return (server.address() as net.AddressInfo).port;
+}
+
+export class Bench {
+  /** Requests that targets saw, by target. */
+  readonly seen: string[] = [];
+
+  /** How placements ended. */
+  readonly endings: string[] = [];
+
+  isFresh = true;
+
+  readonly ingress: ingress.Ingress;
+
+  port = 0;
+
+  private readonly servers: net.Server[] = [];
+
+  private readonly targets = new targetClient.TargetClient();
+
+  private constructor(private readonly addresses: string[]) {
+    const services: exchange.Services = {
+      protocol: PROTOCOL,
+      chooser: { choose: (wish: chooser.Wish) => this.choose(wish) } as chooser.Chooser,
+      targets: this.targets,
+      budget: new domain.request.repeatBudget.RepeatBudget({
+        ratio: 1,
+        slack: 100,
+        windowMs: 10_000,
+      }),
+      observer: new observer.Observer('test', 'fatal', undefined),
+      random: domain.shared.random.seeded(1),
+      now: clock.steady,
+      isFresh: () => this.isFresh,
+    };
+    const directory = new domain.catalogue.directory.Directory(CATALOGUE);
+    this.ingress = new ingress.Ingress({
+      protocol: PROTOCOL,
+      observer: services.observer,
+      now: clock.steady,
+      directory: () => directory,
+      isFresh: services.isFresh,
+      serve: (admitted) => new exchange.Exchange(admitted, services).run(),
+    });
+  }
+
+  /** Targets are tried in the order of their behaviours. */
+  static async start(...behaviours: Behaviour[]): Promise<Bench> {
+    const addresses: string[] = [];
+    const made = new Bench(addresses);
+    for (const behave of behaviours) {
+      const server = net.createServer((socket) => {
+        socket.on('error', () => undefined);
+        socket.on('data', (data) => {
+          made.seen.push(data.toString());
+          behave(data.toString(), socket);
+        });
+      });
+      made.servers.push(server);
+      addresses.push(`127.0.0.1:${await listen(server)}`);
+    }
+    const free = net.createServer();
+    made.port = await listen(free);
+    await new Promise((resolve) => {
+      free.close(resolve);
+    });
+    await made.ingress.listen({ host: '127.0.0.1', port: made.port });
+    return made;
+  }
+
+  stop(): void {
+    this.ingress.close();
+    this.targets.close();
+    this.servers.forEach((server) => server.close());
+  }
+
+  /** A request to a route; `leaveAfterMs` closes the connection then. */
+  async ask(
+    path: string,
+    headers: http.OutgoingHttpHeaders = {},
+    body = '',
+    leaveAfterMs?: number,
+  ): Promise<Reply> {
+    return new Promise((resolve) => {
+      const reply: Reply = { status: 0, headers: {}, body: '', isWhole: false };
+      const request = http.request(
+        {
+          host: '127.0.0.1',
+          port: this.port,
+          path,
+          method: 'POST',
+          headers: { host: 'a.example', id: 'r1', key: 'k', ...headers },
+          agent: false,
+        },
+        (response) => {
+          reply.status = response.statusCode ?? 0;
+          reply.headers = response.headers;
+          response.on('data', (chunk: Buffer) => {
+            reply.body += chunk.toString();
+          });
+          response.on('error', () => undefined);
+          response.on('close', () => resolve({ ...reply, isWhole: response.complete }));
+        },
+      );
+      request.on('error', () => resolve(reply));
+      request.end(body);
+      if (leaveAfterMs !== undefined) setTimeout(() => request.destroy(), leaveAfterMs);
+    });
+  }
+
+  private async choose({ excluded }: chooser.Wish): Promise<chooser.Choice> {
+    const index = excluded.length;
+    const address = this.addresses[index];
+    if (address === undefined) return { kind: 'noPlace', retryAfterMs: 250 };
+    const placement = { target: `t${index}`, address, helpers: [], firstTokenMs: 0 };
+    const release = (ending: string): void => {
+      this.endings.push(ending);
+    };
+    return { kind: 'placed', placement, release };
+  }
+}
+
+/** A whole signed answer with a length. */
+export function answer(body: string, status = 200, more = ''): string {
+  const head = `HTTP/1.1 ${status} X\r\nid: r1\r\nsigned: 1\r\n${more}`;
+  return `${head}Content-Length: ${body.length}\r\n\r\n${body}`;
+}
+
+/** The head of a signed stream. */
+export const STREAM =
+  'HTTP/1.1 200 OK\r\nid: r1\r\nsigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n';
+
+/** Chunks of a stream. */
+export function chunk(text: string): string {
+  return `${text.length.toString(16)}\r\n${text}\r\n`;
+}
+
+export const LAST_CHUNK = '0\r\n\r\n';
--- /dev/null
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -0,0 +1,152 @@
+/** What a caller gets, and what targets see, when targets fail in each of their ways. */
+import * as chai from 'chai';
+import * as bench from './__fixtures__/bench';
+
+const { expect } = chai;
+
+const WHOLE: bench.Behaviour = (_request, socket) => socket.write(bench.answer('whole'));
+
+describe('exchange', () => {
+  let made: bench.Bench;
+
+  afterEach(() => made.stop());
+
+  it('passes an answer on unchanged', async () => {
+    made = await bench.Bench.start(WHOLE);
+    const reply = await made.ask('/unsafe/1', {}, 'body');
+    expect([reply.status, reply.body, reply.headers.signed]).to.deep.equal([200, 'whole', '1']);
+    expect(made.endings).to.deep.equal(['done']);
+  });
+
+  /*
+   * A parts hold would be booked twice. The target reads the call and its connection breaks; nobody knows
+   * whether it ran, so it is neither sent again nor answered with a status that promises it did not run.
+   */
+  it('never repeats an unsafe call that may have run, and promises nothing', async () => {
+    made = await bench.Bench.start((_request, socket) => socket.resetAndDestroy(), WHOLE);
+    const reply = await made.ask('/unsafe/1');
+    expect([reply.status, made.seen.length]).to.deep.equal([502, 1]);
+  });
+
+  it('says that an unsafe call did not run where the target says so', async () => {
+    const refuse = bench.answer('', 503, 'not-run: 1\r\n');
+    made = await bench.Bench.start((_request, socket) => socket.write(refuse), WHOLE);
+    const reply = await made.ask('/unsafe/1');
+    expect([reply.status, made.seen.length]).to.deep.equal([503, 1]);
+    expect(Number(reply.headers['retry-after'])).to.be.greaterThan(0);
+  });
+
+  /*
+   * A caller would take a call for not run that ran. A faulty target answers 503 without saying that it didn't
+   * run the request.
+   */
+  it("doesn't pass on a promise that the target didn't make", async () => {
+    made = await bench.Bench.start((_request, socket) => socket.write(bench.answer('', 503)));
+    expect((await made.ask('/unsafe/1')).status).to.equal(502);
+  });
+
+  it('has a safe call answered by another target when the first fails', async () => {
+    made = await bench.Bench.start(
+      (_request, socket) => socket.write(bench.answer('broken', 500)),
+      WHOLE,
+    );
+    expect((await made.ask('/safe/1')).body).to.equal('whole');
+    expect(made.endings).to.deep.equal(['broken', 'done']);
+  });
+
+  it('gives up a safe call on a target that is silent', async () => {
+    made = await bench.Bench.start(() => undefined, WHOLE);
+    expect((await made.ask('/safe/1')).body).to.equal('whole');
+  });
+
+  /*
+   * A caller would read another caller's text. A target sends a late answer to an earlier request, where the
+   * next one's is expected.
+   */
+  it('never passes on an answer to another request', async () => {
+    const other = bench.answer('other').replace('id: r1', 'id: r0');
+    made = await bench.Bench.start((_request, socket) => socket.write(other));
+    const reply = await made.ask('/unsafe/1');
+    expect([reply.status, reply.body]).to.deep.equal([502, '']);
+  });
+
+  /*
+   * A reader would see a part twice, or a gap. The target crashes in the middle of an event; the stream goes
+   * on at another target after the last whole one, within the same answer.
+   */
+  it('goes on with a stream after its last whole event', async () => {
+    const first: bench.Behaviour = (_request, socket) => {
+      socket.write(bench.STREAM + bench.chunk('id: 1\ndata: a\n\nid: 2\nda'));
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    };
+    const second: bench.Behaviour = (_request, socket) =>
+      socket.write(bench.STREAM + bench.chunk('id: 2\ndata: b\n\n') + bench.LAST_CHUNK);
+    made = await bench.Bench.start(first, second);
+    const reply = await made.ask('/streaming/1');
+    expect([reply.body, reply.isWhole]).to.deep.equal([
+      'id: 1\ndata: a\n\nid: 2\ndata: b\n\n',
+      true,
+    ]);
+    expect(made.seen[1]).to.match(/resume-after: 1\r\n/);
+  });
+
+  it('breaks a stream off that nobody can go on with', async () => {
+    const half: bench.Behaviour = (_request, socket) => {
+      socket.write(bench.STREAM + bench.chunk('id: 1\ndata: a\n\n'));
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    };
+    made = await bench.Bench.start(half, half);
+    const reply = await made.ask('/streaming/1');
+    expect([reply.status, reply.isWhole]).to.deep.equal([200, false]);
+  });
+
+  it('closes the connection to the target when the caller leaves', async () => {
+    let closed = false;
+    made = await bench.Bench.start((_request, socket) => {
+      socket.once('close', () => {
+        closed = true;
+      });
+    });
+    await made.ask('/unsafe/1', {}, '', 50);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 100);
+    });
+    expect([closed, made.endings]).to.deep.equal([true, ['cancelled']]);
+  });
+
+  it("answers at the route's timeout", async () => {
+    made = await bench.Bench.start(() => undefined);
+    const startedAt = performance.now();
+    const reply = await made.ask('/unsafe/1');
+    expect(reply.status).to.equal(504);
+    expect(performance.now() - startedAt).to.be.within(1_450, 1_900);
+  });
+
+  it('refuses keys while nothing is known to be fresh, and serves them after', async () => {
+    made = await bench.Bench.start(WHOLE);
+    made.isFresh = false;
+    expect((await made.ask('/safe/1')).status).to.equal(503);
+    expect((await made.ask('/none/1')).status).to.equal(503);
+    made.isFresh = true;
+    expect((await made.ask('/safe/1')).status).to.equal(200);
+    expect((await made.ask('/none/1')).status).to.equal(404);
+    expect(made.seen.length).to.equal(1);
+  });
+
+  it('bounds what a caller may send', async () => {
+    made = await bench.Bench.start(WHOLE);
+    const statuses = [
+      (await made.ask('/safe/1', { key: 'wrong' })).status,
+      (await made.ask('/safe/1', { long: 'x'.repeat(3_000) })).status,
+      (await made.ask('/safe/1', {}, 'x'.repeat(101))).status,
+    ];
+    expect([statuses, made.seen.length]).to.deep.equal([[401, 431, 413], 0]);
+  });
+
+  it('says which connection is its last when the entry leaves', async () => {
+    made = await bench.Bench.start(WHOLE);
+    made.ingress.leave();
+    const reply = await made.ask('/safe/1');
+    expect([reply.status, reply.headers.connection]).to.deep.equal([200, 'close']);
+  });
+});
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -153,6 +153,16 @@
     this.client.close();
   }
 
+  gauges(): Record<string, number> {
+    return {
+      ready: this.isReady ? 1 : 0,
+      catalogueVersion: this.holding.version,
+      confirmedMsAgo: Math.min(this.link.age, Number.MAX_SAFE_INTEGER),
+      targets: this.holding.registry.records().length,
+      activeRequests: this.ingress.activeRequests,
+    };
+  }
+
   /** Whether the balancer should send callers here. */
   get isReady(): boolean {
     return !this.isLeaving && this.holding.directory !== undefined && this.isFresh();
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -9,6 +9,7 @@
 import type * as observer from '../observability/observer';
 import * as answer from './answer';
 import type * as chooser from './chooser';
+import * as reservations from './reservations';
 import * as targetClient from './targetClient';
 
 type Route = domain.catalogue.catalogue.Route;
@@ -44,6 +45,8 @@
   | { kind: 'notRun'; ending: Ending; detail: string }
   /** It may have run, and the caller has nothing or a part of a stream. */
   | { kind: 'failed'; ending: Ending; detail: string }
+  /** The helpers had no memory to reserve; nothing was sent. */
+  | { kind: 'noMemory' }
   | { kind: 'gone' }
   | { kind: 'late' };
 
@@ -65,6 +68,10 @@
 /** What a caller is told to wait before it comes back, milliseconds, where nothing better is known. */
 const RETRY_AFTER_MS = 300;
 
+/** How often a prompt larger than an engine looks for memory, and the pause between; milliseconds. */
+const RESERVATION_TRIES = 5;
+const RESERVATION_PAUSE_MS = 200;
+
 export class Exchange {
   private readonly deadline: number;
 
@@ -77,6 +84,11 @@
 
   private isOver = false;
 
+  /** Whether the time for the request is over; a timer may end a moment before the clock says so. */
+  private isLate = false;
+
+  private reservationTries = 0;
+
   private attempt: targetClient.Attempt | undefined;
 
   private interrupt: ((outcome: Outcome) => void) | undefined;
@@ -133,6 +145,11 @@
       }
       const outcome = await this.send(choice);
       if (outcome.kind === 'answered' || this.isOver) return;
+      if (outcome.kind === 'noMemory' && this.reservationTries < RESERVATION_TRIES) {
+        this.reservationTries += 1;
+        await pause(RESERVATION_PAUSE_MS);
+        continue;
+      }
       if (!this.mayRepeat(outcome)) {
         this.fail('detail' in outcome ? outcome.detail : outcome.kind, RETRY_AFTER_MS);
         return;
@@ -145,7 +162,7 @@
     const maximum = facts.maxAnswerTokens ?? Infinity;
     const answerTokens = Math.min(maximum, facts.likelyAnswerTokens ?? maximum);
     return this.services.chooser.choose({
-      id: `${facts.requestId}/${this.tried.length}`,
+      id: `${facts.requestId}/${this.tried.length}.${this.reservationTries}`,
       service,
       tokens: facts.promptTokens ?? 0,
       answerTokens: Number.isFinite(answerTokens) ? answerTokens : 0,
@@ -157,7 +174,17 @@
   }
 
   private async send(choice: chooser.Choice & { kind: 'placed' }): Promise<Outcome> {
-    const { placement, release } = choice;
+    const { placement } = choice;
+    const held = new reservations.Reservations(this.admitted.facts.requestId, this.services);
+    const isReserved = await held.take(placement.helpers);
+    const release = (ending: Ending): void => {
+      held.release();
+      choice.release(ending);
+    };
+    if (this.isOver || !isReserved) {
+      release('cancelled');
+      return { kind: 'noMemory' };
+    }
     const { request, body, facts, organisation } = this.admitted;
     const { observer, protocol, targets } = this.services;
     this.tried.push(placement.target);
@@ -167,13 +194,13 @@
       target: placement.target,
       organisation,
       timeLeftMs: this.timeLeftMs,
-      helpers: placement.helpers,
+      helpers: held.named(placement.helpers),
       resumeAfter,
     });
     observer.log('requestPlaced', {
       request: facts.requestId,
       target: placement.target,
-      helpers: placement.helpers,
+      helpers: placement.helpers.map(({ address }) => address),
       predictedMs: Math.round(placement.firstTokenMs),
       attempt: this.tried.length,
       resumeAfter,
@@ -204,7 +231,12 @@
     const { facts, route, arrivedAt } = this.admitted;
     const { firstEventAt, longestPauseMs, status } = this.reply;
     const sinceArrival = (at: number): number => Math.round(at - arrivedAt);
-    this.services.observer.log('requestEnded', {
+    const { observer } = this.services;
+    observer.timing(`request.${route.kind}`, this.services.now() - arrivedAt);
+    if (firstEventAt > 0) observer.timing('request.firstEvent', firstEventAt - arrivedAt);
+    if (longestPauseMs > 0) observer.timing('request.longestPause', longestPauseMs);
+    observer.count(`answers.${status}`);
+    observer.log('requestEnded', {
       request: facts.requestId,
       route: route.name,
       status,
@@ -278,12 +310,12 @@
   }
 
   private mayRepeat(outcome: Outcome): boolean {
-    if (outcome.kind === 'gone' || outcome.kind === 'late') return false;
+    if (outcome.kind !== 'failed' && outcome.kind !== 'notRun') return false;
     if (outcome.kind === 'failed' && !this.isRepeatable) return false;
     if (this.reply.isBeyondRepair) return false;
     if (!this.hasAttemptsLeft || this.timeLeftMs <= 0) return false;
     const { facts } = this.admitted;
-    const { detail } = outcome as { detail: string };
+    const { detail } = outcome;
     const target = this.tried[this.tried.length - 1];
     const isGranted = this.services.budget.spend(this.services.now());
     this.services.observer.log('attemptFailed', {
@@ -300,6 +332,7 @@
     if (this.isOver || this.admitted.response.writableFinished) return;
     if (outcome.kind === 'late') {
       this.mayHaveRun ||= this.attempt?.wasSent === true;
+      this.isLate = true;
       this.fail('time is over', RETRY_AFTER_MS);
     } else {
       this.services.observer.log('callerGone', { request: this.admitted.facts.requestId });
@@ -313,6 +346,7 @@
     this.isOver = true;
     const { facts, route, arrivedAt } = this.admitted;
     const status = this.status();
+    this.services.observer.count(`answers.${status}.own`);
     this.services.observer.log('requestEnded', {
       request: facts.requestId,
       route: route.name,
@@ -326,7 +360,7 @@
 
   private status(): number {
     if (!this.mayHaveRun) return 503;
-    return this.timeLeftMs <= 0 ? 504 : 502;
+    return this.isLate ? 504 : 502;
   }
 }
 
@@ -334,3 +368,9 @@
   if (outcome.kind === 'answered') return 'done';
   return 'ending' in outcome ? outcome.ending : 'cancelled';
 }
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -6,6 +6,7 @@
 import * as fs from 'node:fs';
 import * as net from 'node:net';
 import * as undici from 'undici';
+import type * as protocols from '../edges/protocols';
 
 /** The head of a target's answer. */
 export interface Head {
@@ -219,6 +220,28 @@
     return attempt;
   }
 
+  /** A call of our own; its status, or 0 where no answer came in time. */
+  async call(
+    target: string,
+    address: string,
+    { method, path, headers, body }: protocols.TargetCall,
+    timeoutMs: number,
+  ): Promise<number> {
+    let status = 0;
+    const receiver: Receiver = {
+      onHead: (head) => {
+        status = head.status;
+      },
+      onData: () => undefined,
+    };
+    const sending = { target, address, method, path, headers, body: Buffer.from(body) };
+    const attempt = this.send(sending, receiver);
+    const timer = setTimeout(() => attempt.cancel(), timeoutMs);
+    const end = await attempt.end;
+    clearTimeout(timer);
+    return end.kind === 'complete' ? status : 0;
+  }
+
   /** The lifetime ended: its idle connections are closed, running answers go on. */
   forget(target: string): void {
     const pool = this.pools.get(target);
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -129,6 +129,19 @@
     this.link.addSeeds(settings.seeds);
   }
 
+  gauges(): Record<string, number> {
+    const { replica } = this.host;
+    return {
+      leads: this.host.isLeader ? 1 : 0,
+      term: replica.term,
+      committed: replica.commit,
+      members: replica.members.length,
+      catalogueVersion: this.holding.version,
+      targets: this.holding.registry.records().length,
+      dispatches: this.leadership.allocator.size,
+    };
+  }
+
   async stop(): Promise<void> {
     this.timers.forEach((timer) => clearInterval(timer));
     this.link.stop();
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -63,6 +63,7 @@
   requestPlaced: { number: 5006, level: 'info', text: 'request placed on targets' },
   placedLocally: { number: 5007, level: 'warn', text: 'no allocator; entry chose by itself' },
   callerGone: { number: 5009, level: 'info', text: 'caller left; target cancelled' },
+  memoryReserved: { number: 5010, level: 'info', text: 'memory reserved on helpers' },
   claimUnknown: {
     number: 5101,
     level: 'warn',
@@ -75,6 +76,7 @@
   peerRejected: { number: 7001, level: 'warn', text: 'peer failed to prove itself' },
   operatorRejected: { number: 7002, level: 'warn', text: 'operator rejected' },
   linesDropped: { number: 7003, level: 'warn', text: 'log lines dropped to bound their volume' },
+  metricsUnavailable: { number: 7004, level: 'warn', text: 'metrics address taken' },
 } as const satisfies Record<string, Event>;
 
 export type Name = keyof typeof EVENTS;
--- /dev/null
+++ b/packages/daemon/src/observability/metricsServer.ts
@@ -0,0 +1,62 @@
+/**
+ * Counters and latency histograms as text, for whoever scrapes the metrics address. Counters are copied from
+ * the observer when they are asked for, so counting costs a request no more than an addition.
+ */
+import * as http from 'node:http';
+import * as prometheus from 'prom-client';
+import type * as codecs from '../configuration/codecs';
+import type * as observer from './observer';
+
+/** Upper bounds of the histograms' buckets, milliseconds: from a pass of an engine to the longest prompts. */
+const BUCKETS_MS = [5, 20, 50, 100, 200, 300, 500, 1_000, 2_000, 3_000, 5_000, 10_000, 20_000];
+
+export class MetricsServer {
+  private readonly registry = new prometheus.Registry();
+
+  private readonly durations: prometheus.Histogram;
+
+  private readonly server: http.Server;
+
+  constructor(observe: observer.Observer, gauges: () => Record<string, number>) {
+    this.durations = new prometheus.Histogram({
+      name: 'celerydrift_duration_ms',
+      help: 'Durations by what was timed.',
+      labelNames: ['of'],
+      buckets: BUCKETS_MS,
+      registers: [this.registry],
+    });
+    this.copy('celerydrift_events', 'Counts of events since the start.', () => observe.counters());
+    this.copy('celerydrift_state', 'State at the moment.', gauges);
+    observe.onTiming = (of, ms) => this.durations.observe({ of }, ms);
+    this.server = http.createServer((_request, response) => {
+      void this.registry.metrics().then((text) => {
+        response.writeHead(200, { 'Content-Type': this.registry.contentType });
+        response.end(text);
+      });
+    });
+  }
+
+  async listen({ host, port }: codecs.Address): Promise<void> {
+    await new Promise<void>((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen(port, host, resolve);
+    });
+  }
+
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private copy(name: string, help: string, read: () => Record<string, number>): void {
+    const gauge = new prometheus.Gauge({
+      name,
+      help,
+      labelNames: ['of'],
+      registers: [this.registry],
+      collect: () => {
+        Object.entries(read()).forEach(([of, value]) => gauge.set({ of }, value));
+      },
+    });
+  }
+}
--- a/packages/daemon/src/observability/observer.ts
+++ b/packages/daemon/src/observability/observer.ts
@@ -12,6 +12,9 @@
 
   private readonly statsd: StatsD | undefined;
 
+  /** Called with each duration, for histograms. */
+  onTiming: ((metric: string, ms: number) => void) | undefined;
+
   private readonly counts = new Map<string, number>();
 
   constructor(
@@ -31,6 +34,7 @@
 
   log(event: events.Name, fields: Record<string, unknown> = {}): void {
     const { number, level, text } = events.EVENTS[event];
+    this.count(`event.${event}`);
     this.logger[level]({ event: number, ...fields }, text);
   }
 
@@ -40,6 +44,7 @@
   }
 
   timing(metric: string, ms: number): void {
+    this.onTiming?.(metric, ms);
     this.statsd?.timing(metric, ms);
   }
 
--- a/packages/daemon/src/roleMain.ts
+++ b/packages/daemon/src/roleMain.ts
@@ -6,6 +6,7 @@
 import * as fs from 'node:fs';
 import * as domain from '@celerydrift/domain';
 import * as clock from './clock';
+import type * as codecs from './configuration/codecs';
 import * as roleSettings from './configuration/roleSettings';
 import type * as protocols from './edges/protocols';
 import * as entry from './entry/entry';
@@ -19,6 +20,8 @@
 }
 
 interface Process {
+  /** State for the metrics, by name. */
+  gauges: () => Record<string, number>;
   reload: (settings: roleSettings.Settings) => void;
   stop: () => Promise<void>;
 }
@@ -84,6 +87,20 @@
   return (await made.start()) ? made : undefined;
 }
 
+/** Serves metrics; loaded when callers are served already, as start-up decides how long a VM is away. */
+async function serveMetrics(
+  address: codecs.Address,
+  observe: observer.Observer,
+  started: Process,
+): Promise<void> {
+  const metricsServer = await import('./observability/metricsServer.js');
+  const metrics = new metricsServer.MetricsServer(observe, () => started.gauges());
+  await metrics.listen(address).catch((error: unknown) => {
+    // Callers are served without metrics too.
+    observe.log('metricsUnavailable', { detail: String(error) });
+  });
+}
+
 /** Calls `onChange` with the settings each time the file holds other valid ones. */
 function watch(
   file: string,
@@ -121,6 +138,7 @@
     return undefined;
   });
   if (started === undefined) process.exit(EXIT.cannotStart);
+  if (settings.metrics !== undefined) void serveMetrics(settings.metrics, observe, started);
   const { role, seeds, mayFound } = settings;
   observe.log('started', { role, seeds, mayFound, afterMs: Math.round(clock.steady()) });
   watch(file, observe, (changed) => started.reload(changed));
--- a/packages/domain/src/allocation/__tests__/allocator.test.ts
+++ b/packages/domain/src/allocation/__tests__/allocator.test.ts
@@ -81,7 +81,8 @@
       hosts.add(made.place(request(`s${i}`), 5_000 + i * 30)?.address ?? '');
     }
     const placed = made.place(request('long', LONG), 6_000);
-    const engines = [placed?.address ?? '', ...(placed?.helpers ?? [])];
+    const helpers = placed?.helpers.map(({ address }) => address) ?? [];
+    const engines = [placed?.address ?? '', ...helpers];
     expect(engines.length).to.be.at.least(4);
     expect(placed?.firstTokenMs).to.be.lessThan(1_000);
     expect(engines.filter((address) => hosts.has(address))).to.deep.equal([]);
@@ -127,3 +128,35 @@
     expect(made.place(request('c'), 20)).to.equal(undefined);
   });
 });
+
+describe('prompts larger than an engine', () => {
+  const huge = { tokens: 500_000, answerTokens: 800, objectiveMs: 3_000, pauseMs: 1_000 };
+
+  /*
+   * Callers with the longest histories would always be refused: no engine holds 500k tokens. Helpers keep
+   * what the writer's engine has no room for.
+   */
+  it('are kept by several engines', () => {
+    const made = fleet(8);
+    const placed = made.place(request('huge', huge), 0);
+    const kept = placed?.helpers.reduce((sum, { keptTokens }) => sum + keptTokens, 0) ?? 0;
+    expect(kept).to.be.greaterThan(huge.tokens + huge.answerTokens - ENGINE.memoryTokens);
+    placed?.helpers.forEach(({ keptTokens }) => {
+      expect(keptTokens).to.be.at.most(ENGINE.memoryTokens);
+    });
+  });
+
+  it('take their memory from what later prompts find free, and give it back', () => {
+    const made = fleet(2);
+    expect(made.place(request('huge', huge), 0)).to.not.equal(undefined);
+    expect(made.place(request('next', { ...LONG, tokens: 250_000 }), 0)).to.equal(undefined);
+    made.ended('huge', 'done', 5_000);
+    expect(made.place(request('next', { ...LONG, tokens: 250_000 }), 5_000)).to.not.equal(
+      undefined,
+    );
+  });
+
+  it('find no place where all engines together have no room', () => {
+    expect(fleet(1).place(request('huge', huge), 0)).to.equal(undefined);
+  });
+});
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -18,13 +18,21 @@
   excluded: readonly string[];
 }
 
+/** A target that helps to read. */
+export interface Helper {
+  target: string;
+  /** HOST:PORT. */
+  address: string;
+  /** Tokens of memory to reserve there for the prompt; 0 where it only reads. */
+  keptTokens: number;
+}
+
 export interface Placement {
   /** Id of the target that gets the request. */
   target: string;
   /** HOST:PORT of that target. */
   address: string;
-  /** Addresses of targets that help it to read. */
-  helpers: string[];
+  helpers: Helper[];
   firstTokenMs: number;
 }
 
@@ -101,7 +109,9 @@
     return {
       target: plan.writer.record.id,
       address: plan.writer.record.address,
-      helpers: plan.helpers.map(({ record }) => record.address),
+      helpers: plan.helpers.map(({ load: { record }, keptTokens }) => {
+        return { target: record.id, address: record.address, keptTokens };
+      }),
       firstTokenMs: plan.firstTokenMs,
     };
   }
@@ -110,7 +120,8 @@
   restore(request: Request, target: string, now: number): void {
     const writer = this.loads.get(target);
     if (writer === undefined || this.dispatches.has(request.id)) return;
-    this.occupy({ ...request, tokens: 0 }, writer, [], now);
+    const writerTokens = request.tokens + request.answerTokens;
+    this.occupy({ ...request, tokens: 0 }, { writer, writerTokens, helpers: [] }, now);
   }
 
   /** Whether the service has engines at all, full or not. */
@@ -149,10 +160,14 @@
   }
 
   private dispatch(request: Request, plan: planner.Plan, now: number): void {
-    this.occupy(request, plan.writer, plan.helpers, now);
+    this.occupy(request, plan, now);
   }
 
-  private occupy(request: Request, writer: load.Load, helpers: load.Load[], now: number): void {
+  private occupy(
+    request: Request,
+    { writer, writerTokens, helpers }: Pick<planner.Plan, 'writer' | 'writerTokens' | 'helpers'>,
+    now: number,
+  ): void {
     const parts = helpers.length + 1;
     const task = {
       request: request.id,
@@ -163,15 +178,23 @@
         ...task,
         role: 'writer',
         contextTokens: request.tokens / parts,
-        memoryTokens: request.tokens + request.answerTokens,
+        memoryTokens: writerTokens,
         pauseMs: request.pauseMs,
         value: planner.valueOf(request),
       },
       now,
     );
-    const help = { contextTokens: 0, memoryTokens: 0, pauseMs: Infinity, value: 0 };
-    helpers.forEach((each) => each.add({ ...task, ...help, role: 'helper' }, now));
-    const loads = [writer, ...helpers];
+    const help = {
+      ...task,
+      role: 'helper',
+      contextTokens: 0,
+      pauseMs: Infinity,
+      value: 0,
+    } as const;
+    helpers.forEach(({ load: each, keptTokens }) => {
+      each.add({ ...help, memoryTokens: keptTokens }, now);
+    });
+    const loads = [writer, ...helpers.map((each) => each.load)];
     this.dispatches.set(request.id, { entry: request.entry, loads, writer });
   }
 }
--- a/packages/domain/src/allocation/planner.ts
+++ b/packages/domain/src/allocation/planner.ts
@@ -21,9 +21,18 @@
   dataCentre: string;
 }
 
+/** An engine that helps to read, and keeps tokens of the prompt's memory where the writer lacks room. */
+export interface Helper {
+  load: load.Load;
+  /** Tokens of memory that are reserved there; 0 where it only reads. */
+  keptTokens: number;
+}
+
 export interface Plan {
   writer: load.Load;
-  helpers: load.Load[];
+  /** Tokens of memory that the request takes on the writer's engine. */
+  writerTokens: number;
+  helpers: Helper[];
   /** Reading on each of the engines, milliseconds. */
   partMs: number;
   firstTokenMs: number;
@@ -89,6 +98,15 @@
 /** Cost of help by an engine that is idle or whose callers bear less, in steps, as a share of the request. */
 const SPREAD_LOSS = 0.002;
 
+/** Share of an engine's memory that must be free to write the answer of a prompt larger than the engine. */
+const LEAST_WRITER_SHARE = 0.5;
+
+/** Part of the free memory of an engine that a larger prompt may take there. */
+const RESERVED_SHARE = 0.92;
+
+/** Fewer tokens aren't worth a reservation on an engine; a tenth of one's memory. */
+const LEAST_KEPT_TOKENS = 30_000;
+
 interface Candidate {
   load: load.Load;
   /** Reading it may take before someone's pause is too long, milliseconds. */
@@ -107,9 +125,9 @@
 
   /** The plan over `loads` that spoils least, or undefined where no engine has a place. */
   plan(prompt: Prompt, loads: readonly load.Load[], now: number): Plan | undefined {
-    const memory = prompt.tokens + prompt.answerTokens;
+    const needed = this.leastWriterMemory(prompt);
     const hasPlace = new Set(
-      loads.filter((each) => each.freeSlots > 0 && each.freeMemory >= memory),
+      loads.filter((each) => each.freeSlots > 0 && each.freeMemory >= needed),
     );
     if (hasPlace.size === 0) return undefined;
     const candidates = loads.map((each) => {
@@ -124,6 +142,13 @@
     return plans.length === 0 ? undefined : least(plans, ({ harm }) => harm);
   }
 
+  /** Memory that an engine must have free to write the answer: all of it, or what helpers can't keep. */
+  private leastWriterMemory({ tokens, answerTokens }: Prompt): number {
+    const whole = tokens + answerTokens;
+    const { memoryTokens } = this.engine;
+    return whole <= memoryTokens ? whole : LEAST_WRITER_SHARE * memoryTokens;
+  }
+
   private planFor(
     prompt: Prompt,
     parts: number,
@@ -145,6 +170,12 @@
       .filter((each) => each !== writer)
       .sort((a, b) => helperScore(prompt, a) - helperScore(prompt, b))
       .slice(0, parts - 1);
+    const storage = store(
+      prompt,
+      writer.candidate.load,
+      helpers.map(({ candidate }) => candidate.load),
+    );
+    if (storage === undefined) return undefined;
     const firstTokenMs = Math.max(
       ...[writer, ...helpers].map(({ candidate }) => this.firstTokenMs(candidate, partMs)),
     );
@@ -153,7 +184,7 @@
     const late = value * LATE_LOSS * lateness(firstTokenMs, prompt.objectiveMs);
     return {
       writer: writer.candidate.load,
-      helpers: helpers.map(({ candidate }) => candidate.load),
+      ...storage,
       partMs,
       firstTokenMs,
       harm: spoiled + late + value * (parts * PART_LOSS + BLOCK_LOSS * blocked),
@@ -178,6 +209,27 @@
   }
 }
 
+/**
+ * Spreads a prompt's memory: as much as fits on the writer's engine, the rest on helpers with room. A
+ * reservation never asks for all that is free, as what is counted as free may be used by now.
+ */
+function store(
+  { tokens, answerTokens }: Prompt,
+  writer: load.Load,
+  helpers: readonly load.Load[],
+): Pick<Plan, 'writerTokens' | 'helpers'> | undefined {
+  const whole = tokens + answerTokens;
+  const writerTokens = whole <= writer.freeMemory ? whole : RESERVED_SHARE * writer.freeMemory;
+  let rest = whole - writerTokens;
+  const storing = helpers.map((each) => {
+    const room = RESERVED_SHARE * each.freeMemory;
+    const keptTokens = Math.ceil(room >= LEAST_KEPT_TOKENS ? Math.min(room, rest) : 0);
+    rest -= keptTokens;
+    return { load: each, keptTokens };
+  });
+  return rest > 0 ? undefined : { writerTokens, helpers: storing };
+}
+
 /** The work of a request in tokens; what is lost when it fails, and most of it when it is late. */
 export function valueOf({ tokens, answerTokens }: Prompt): number {
   return tokens + ANSWER_WEIGHT * answerTokens;
--- a/packages/program/bundle.mjs
+++ b/packages/program/bundle.mjs
@@ -18,7 +18,9 @@
     '@celerydrift/daemon': './packages/daemon/src/index.ts',
     '@celerydrift/domain': './packages/domain/src/index.ts',
     '@celerydrift/platform': './platform/src/index.ts',
+    undici: './packages/program/undiciParts.cjs',
+    'undici/lib/dispatcher/pool': './node_modules/undici/lib/dispatcher/pool.js',
   },
-  // Optional parts of bunyan that it does without.
-  external: ['dtrace-provider', 'mv', 'source-map-support'],
+  // Optional parts of bunyan and msgpackr that they do without.
+  external: ['dtrace-provider', 'mv', 'source-map-support', 'msgpackr-extract'],
 });
