--- a/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
@@ -177,8 +177,8 @@
         (response) => {
           reply.status = response.statusCode ?? 0;
           reply.headers = response.headers;
-          response.on('data', (chunk: Buffer) => {
-            reply.body += chunk.toString();
+          response.on('data', (data: Buffer) => {
+            reply.body += data.toString();
           });
           response.on('error', () => undefined);
           response.on('close', () => resolve({ ...reply, isWhole: response.complete }));
