Find the leader at once after a start, and test keepers over real sockets and disks

Cause: an entry that starts again waited a pause after each hint to the leader and for a heartbeat before its first catalogue, and seconds for a seed that is down; callers got 503 meanwhile. Change: candidates are asked side by side, a hint is followed at once, a follower without a catalogue makes the leader ask its quorum at once. Gauges say whether a keeper votes.

--- a/packages/daemon/src/fleet/leaderLink.ts
+++ b/packages/daemon/src/fleet/leaderLink.ts
@@ -25,11 +25,16 @@
   onConfirmed: (answer: messages.Confirmed) => void;
 }
 
-/** Pause between two confirmations, milliseconds. Eight fit into the shortest lease of 4 s. */
-const FOLLOW_EVERY_MS = 500;
+type Outcome = 'confirmed' | 'redirected' | 'failed';
 
-/** Pause while no leader is known; a new one is elected within 0.8 to 1.2 s. */
-const SEARCH_EVERY_MS = 100;
+/** Pause before the next question, by what came of the last, milliseconds. */
+const PAUSE_MS: Record<Outcome, number> = {
+  // Eight fit into the shortest lease of 4 s.
+  confirmed: 500,
+  redirected: 0,
+  // No leader is known; a new one is elected within 0.8 to 1.2 s.
+  failed: 100,
+};
 
 /** A leader that is silent for longer is looked for elsewhere; covers its wait for the next heartbeat. */
 const FOLLOW_TIMEOUT_MS = 700;
@@ -44,6 +49,9 @@
 
   private next = 0;
 
+  /** Hints to a leader since the last confirmation. */
+  private redirects = 0;
+
   private timer: NodeJS.Timeout | undefined;
 
   private stopped = false;
@@ -92,9 +100,20 @@
   }
 
   private async round(): Promise<void> {
-    const address = this.leader === '' ? this.nextCandidate() : this.leader;
-    const confirmed = address !== '' && (await this.ask(address));
-    this.schedule(confirmed ? FOLLOW_EVERY_MS : SEARCH_EVERY_MS);
+    if (this.leader === '') {
+      // One that is down or cut off doesn't answer; the others are asked meanwhile.
+      void this.search();
+      this.schedule(PAUSE_MS.failed);
+      return;
+    }
+    const outcome = await this.ask(this.leader);
+    this.schedule(PAUSE_MS[outcome]);
+  }
+
+  private async search(): Promise<void> {
+    const address = this.nextCandidate();
+    const outcome = address === '' ? 'failed' : await this.ask(address);
+    if (outcome === 'redirected') this.schedule(PAUSE_MS.redirected);
   }
 
   private nextCandidate(): string {
@@ -104,7 +123,7 @@
     return candidates[this.next];
   }
 
-  private async ask(address: string): Promise<boolean> {
+  private async ask(address: string): Promise<Outcome> {
     const askedAt = this.options.moment();
     const answer = await this.options.client.call<messages.FollowAnswer>(
       address,
@@ -113,15 +132,14 @@
       { timeoutMs: FOLLOW_TIMEOUT_MS },
     );
     if (answer.err) {
-      this.lose(`${answer.val.kind}: ${answer.val.detail}`);
-      return false;
+      if (address === this.leader) this.lose(`${answer.val.kind}: ${answer.val.detail}`);
+      return 'failed';
     }
     if (answer.val.kind === 'redirect') {
-      this.redirect(address, answer.val.leader);
-      return false;
+      return this.redirect(address, answer.val.leader) ? 'redirected' : 'failed';
     }
     this.confirm(address, askedAt, answer.val);
-    return true;
+    return 'confirmed';
   }
 
   private question(address: string): messages.Follow {
@@ -140,11 +158,15 @@
     };
   }
 
-  private redirect(from: string, leader: string): void {
+  /** Whether there is a leader to turn to at once. */
+  private redirect(from: string, leader: string): boolean {
     if (this.leader === from) this.lose('no longer the leader');
-    if (leader === '' || leader === from) return;
+    if (leader === '' || leader === from || this.leader !== '') return false;
     this.known.add(leader);
     this.leader = leader;
+    // Two keepers may each take the other for the leader for a moment; only the first hint is free.
+    this.redirects += 1;
+    return this.redirects === 1;
   }
 
   private confirm(address: string, askedAt: clock.Moment, answer: messages.Confirmed): void {
@@ -153,6 +175,7 @@
       this.told = address;
     }
     this.leader = address;
+    this.redirects = 0;
     answer.keepers.forEach((keeper) => this.known.add(keeper));
     this.options.holding.takeNews(answer.news);
     this.confirmedAt = askedAt;
--- /dev/null
+++ b/packages/daemon/src/keeper/__tests__/keeper.test.ts
@@ -0,0 +1,306 @@
+/** Keepers over real sockets and disks: founding, catalogues, announcements, a takeover, a lost disk. */
+import * as fs from 'node:fs/promises';
+import * as net from 'node:net';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as chai from 'chai';
+import type * as domain from '@celerydrift/domain';
+import * as random from '@celerydrift/domain/dist/shared/random';
+import { Err, Ok } from 'ts-results';
+import * as clock from '../../clock';
+import * as roleSettings from '../../configuration/roleSettings';
+import type * as protocols from '../../edges/protocols';
+import * as holding from '../../fleet/holding';
+import * as leaderLink from '../../fleet/leaderLink';
+import * as messages from '../../fleet/messages';
+import * as observer from '../../observability/observer';
+import * as peerClient from '../../rpc/peerClient';
+import * as peerServer from '../../rpc/peerServer';
+import * as keeper from '../keeper';
+
+const { expect } = chai;
+
+const SECRET = 'a-secret-of-the-test';
+
+const LIMITS = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
+
+/** Documents are `{version, valid}`; announcements are the product's own records. */
+const PROTOCOL: protocols.ControlProtocol = {
+  call: (method, url) => {
+    if (url === '/catalogue') return { kind: method === 'PUT' ? 'submit' : 'read' };
+    const id = url.slice(1);
+    return { kind: method === 'PUT' ? 'announce' : 'depart', id };
+  },
+  announcement: (_id, body) =>
+    Ok(JSON.parse(body.toString()) as domain.registry.registry.Announcement),
+  catalogue: (document) => {
+    const { version, valid } = JSON.parse(document.toString()) as {
+      version: number;
+      valid: boolean;
+    };
+    if (!valid) return Err({ kind: 'unreadable', detail: 'not valid' });
+    return Ok({ version, routes: [], services: [], organisations: undefined, limits: LIMITS });
+  },
+};
+
+interface Place {
+  folder: string;
+  settings: roleSettings.Settings;
+}
+
+async function freePorts(count: number): Promise<number[]> {
+  const servers = Array.from({ length: count }, () => net.createServer());
+  const ports = await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise<number>((resolve) => {
+          server.listen(0, '127.0.0.1', () => resolve((server.address() as net.AddressInfo).port));
+        }),
+    ),
+  );
+  await Promise.all(
+    servers.map(
+      (server) =>
+        new Promise((resolve) => {
+          server.close(resolve);
+        }),
+    ),
+  );
+  return ports;
+}
+
+async function until(what: string, check: () => boolean | Promise<boolean>): Promise<void> {
+  const end = clock.steady() + 15_000;
+  while (!(await check())) {
+    if (clock.steady() > end) throw new Error(`waited in vain for ${what}`);
+    await new Promise((resolve) => {
+      setTimeout(resolve, 20);
+    });
+  }
+}
+
+function settingsOf(text: string): roleSettings.Settings {
+  const read = roleSettings.read(text);
+  if (read.err) throw new Error(JSON.stringify(read.val));
+  return read.val;
+}
+
+class Fleet {
+  readonly running = new Map<number, keeper.Keeper>();
+
+  readonly observer = new observer.Observer('test', 'fatal', undefined);
+
+  private readonly closing: (() => Promise<void> | void)[] = [];
+
+  private constructor(
+    readonly places: Place[],
+    readonly followerPort: number,
+  ) {}
+
+  static async make(size: number): Promise<Fleet> {
+    const ports = await freePorts(2 * size + 1);
+    const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'keeper-'));
+    const seeds = ports.slice(0, 3).map((port) => `127.0.0.1:${port}`);
+    const places = Array.from({ length: size }, (_, i) => {
+      const home = path.join(folder, String(i));
+      const settings = settingsOf(`
+[daemon]
+role = keeper
+name = k${i}
+data-centre = dc${i % 3}
+[listen]
+peers = 127.0.0.1:${ports[i]}
+control = 127.0.0.1:${ports[size + i]}
+[keepers]
+seeds = ${seeds.join(',')}
+secret = ${SECRET}
+[data]
+folder = ${home}
+may-found = true
+tolerated-losses = 1
+`);
+      return { folder: home, settings };
+    });
+    return new Fleet(places, ports[2 * size]);
+  }
+
+  async start(i: number, mayFound = true): Promise<void> {
+    const made = new keeper.Keeper({
+      settings: { ...this.places[i].settings, mayFound },
+      protocol: PROTOCOL,
+      observer: this.observer,
+      random: random.seeded(i + 1),
+      onDiskFailure: (error) => {
+        throw new Error(String(error));
+      },
+    });
+    expect(await made.start()).to.equal(true);
+    this.running.set(i, made);
+  }
+
+  async stop(i: number): Promise<void> {
+    await this.running.get(i)?.stop();
+    this.running.delete(i);
+  }
+
+  async stopAll(): Promise<void> {
+    for (const close of this.closing) await close();
+    for (const i of [...this.running.keys()]) await this.stop(i);
+  }
+
+  get leader(): number {
+    return [...this.running].find(([, each]) => each.gauges().leads === 1)?.[0] ?? -1;
+  }
+
+  async call(i: number, method: string, url: string, body?: unknown): Promise<[number, string]> {
+    const { port } = this.places[i].settings.control as { port: number };
+    const answer = await fetch(`http://127.0.0.1:${port}${url}`, {
+      method,
+      body: body === undefined ? undefined : JSON.stringify(body),
+    });
+    return [answer.status, await answer.text()];
+  }
+
+  /** Submits until a keeper takes it, as operators do. */
+  async submit(version: number): Promise<void> {
+    await until(`version ${version} accepted`, async () => {
+      for (const i of this.running.keys()) {
+        const [status] = await this.call(i, 'PUT', '/catalogue', { version, valid: true });
+        if (status === 200) return true;
+      }
+      return false;
+    });
+  }
+
+  async version(): Promise<number> {
+    for (const i of this.running.keys()) {
+      const [status, body] = await this.call(i, 'GET', '/catalogue');
+      if (status === 200) return (JSON.parse(body) as { version: number }).version;
+    }
+    return 0;
+  }
+
+  /** Something that follows the leader as an entry does. */
+  async follow(): Promise<{ held: holding.Holding; link: leaderLink.LeaderLink }> {
+    const address = `127.0.0.1:${this.followerPort}`;
+    const client = new peerClient.PeerClient(SECRET, undefined, this.observer);
+    const server = new peerServer.PeerServer(SECRET, undefined, this.observer);
+    const held = new holding.Holding({
+      protocol: PROTOCOL,
+      observer: this.observer,
+      now: clock.steady,
+      onCatalogue: () => undefined,
+      onRecord: () => undefined,
+    });
+    server.add('learn', (news) => {
+      held.takeNews(news as messages.News);
+      return {};
+    });
+    await server.listen({ host: '127.0.0.1', port: this.followerPort });
+    const link = new leaderLink.LeaderLink({
+      name: 'follower',
+      role: 'entry',
+      address,
+      dataCentre: 'dc0',
+      replica: () => undefined,
+      seeds: this.places[0].settings.seeds,
+      client,
+      holding: held,
+      observer: this.observer,
+      moment: clock.moment,
+      dispatches: () => [],
+      onConfirmed: () => undefined,
+    });
+    link.start();
+    this.closing.push(
+      () => link.stop(),
+      () => server.close(),
+      () => client.close(),
+    );
+    return { held, link };
+  }
+}
+
+function target(state: 'ready' | 'draining', sequence: number): object {
+  return {
+    id: 'i1',
+    service: 's',
+    address: '10.0.0.1:80',
+    dataCentre: 'dc0',
+    slots: 4,
+    state,
+    sequence,
+  };
+}
+
+describe('keepers', () => {
+  let fleet: Fleet;
+
+  beforeEach(async () => {
+    fleet = await Fleet.make(4);
+    for (let i = 0; i < 3; i++) await fleet.start(i);
+    await until('a leader', () => fleet.leader >= 0);
+  });
+
+  afterEach(async () => fleet.stopAll());
+
+  it('found one replica set and refuse what is not valid', async () => {
+    await fleet.submit(3);
+    const [status] = await fleet.call(0, 'PUT', '/catalogue', { version: 9, valid: false });
+    const [older] = await fleet.call(1, 'PUT', '/catalogue', { version: 2, valid: true });
+    expect([status, older, await fleet.version()]).to.deep.equal([400, 200, 3]);
+  });
+
+  /*
+   * Accepted settings would be gone, or a key come back. The leader dies right after it accepted a version;
+   * another one takes over and must show that version to operators and push the next to entries.
+   */
+  it('keep what was accepted when the leader dies, and go on', async () => {
+    const { held, link } = await fleet.follow();
+    await fleet.submit(3);
+    await fleet.stop(fleet.leader);
+    expect(await fleet.version().catch(() => 0)).to.be.oneOf([0, 3]);
+    await fleet.submit(4);
+    await until('the follower has it', () => held.version === 4);
+    await until('a confirmation', () => link.age < 700);
+    expect(await fleet.version()).to.equal(4);
+  });
+
+  /*
+   * Two leaders, or settings lost. A VM comes back with an empty disk, is told that it may not found, and must
+   * neither vote as its old self nor hold the others up; with it back, the next death must lose nothing.
+   */
+  it('take a keeper with an empty disk back as a new voter', async () => {
+    await fleet.submit(3);
+    const lost = (fleet.leader + 1) % 3;
+    await fleet.stop(lost);
+    await fs.rm(fleet.places[lost].folder, { recursive: true });
+    await fleet.start(lost, false);
+    await until('three voters, all caught up', () => {
+      const leader = fleet.running.get(fleet.leader)?.gauges();
+      const back = fleet.running.get(lost)?.gauges();
+      return leader?.members === 3 && back?.votes === 1 && back.committed === leader.committed;
+    });
+    await fleet.stop(fleet.leader);
+    await fleet.submit(5);
+    expect(await fleet.version()).to.equal(5);
+  });
+
+  /*
+   * Requests would reach a target that is gone. It says through any keeper that it leaves; when that is
+   * acknowledged, whoever follows the leader must know.
+   */
+  it('acknowledge that a target leaves once followers know', async () => {
+    const { held, link } = await fleet.follow();
+    await until('a confirmation', () => link.age < 700);
+    const other = (fleet.leader + 1) % 3;
+    await until('announced', async () => {
+      return (await fleet.call(other, 'PUT', '/i1', target('ready', 1)))[0] === 200;
+    });
+    expect(held.registry.get('i1')?.state).to.equal('ready');
+    expect((await fleet.call(other, 'PUT', '/i1', target('draining', 2)))[0]).to.equal(200);
+    expect(held.registry.get('i1')?.state).to.equal('draining');
+    expect((await fleet.call(fleet.leader, 'DELETE', '/i1'))[0]).to.equal(200);
+    expect(held.registry.get('i1')?.state).to.equal('gone');
+  });
+});
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -133,6 +133,7 @@
     const { replica } = this.host;
     return {
       leads: this.host.isLeader ? 1 : 0,
+      votes: replica.members.some(({ id, role }) => id === replica.id && role === 'voter') ? 1 : 0,
       term: replica.term,
       committed: replica.commit,
       members: replica.members.length,
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -63,7 +63,9 @@
 
   /** Answers a follower, or undefined when this keeper doesn't lead. */
   async follow(question: messages.Follow): Promise<messages.Confirmed | undefined> {
-    if (!(await this.options.host.confirm(false))) return undefined;
+    // A follower without a catalogue can't serve, so it doesn't wait for the next heartbeat.
+    const isUrgent = question.version === 0;
+    if (!(await this.options.host.confirm(isUrgent))) return undefined;
     if (!this.leads) this.turn(true);
     this.followers.heard(question);
     void this.take(question.records);
