Don't begin prompts that spoil more than they are worth, and elect leaders sooner

Cause: in bursts of long prompts, plans whose first token came after the caller had left still took engines for ten seconds, and short prompts queued behind them; a fleet that was all down had no leader for a second after its keepers were back; a late plan counted its lateness once for each engine.

--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -36,6 +36,17 @@
 
 const DUTY_EVERY_MS = 100;
 
+/**
+ * Milliseconds. Keepers are few and one way between them takes a millisecond or two, so a leader is missed
+ * sooner than among the daemons of a wide fleet: callers are refused for as long as nobody leads after all
+ * keepers were down. A keeper that is five times slower than usual still answers in time.
+ */
+const TIMING: domain.replication.replica.Timing = {
+  heartbeat: 120,
+  electionMin: 450,
+  electionMax: 750,
+};
+
 /** Editions in the log before a snapshot replaces them; at 10 KB each, the journal stays under 1 MB. */
 const SNAPSHOT_EVERY = 64;
 
@@ -105,7 +116,7 @@
       address: codecs.format(settings.peers),
       dataCentre: settings.dataCentre,
       machines: new Map([[LOG, this.machine]]),
-      timing: domain.replication.replica.DEFAULT_TIMING,
+      timing: TIMING,
       random,
       client: this.client,
       observer: observe,
--- a/packages/domain/src/allocation/planner.ts
+++ b/packages/domain/src/allocation/planner.ts
@@ -56,8 +56,20 @@
 /** What a late answer is worth less than one in time; callers' own figures lie around a quarter. */
 const LATE_LOSS = 0.75;
 
-/** Work that a token of an answer is, against one of a prompt: an engine writes ten times as slowly. */
-const ANSWER_WEIGHT = 10;
+/** Further loss for each objective that an answer is later; prefers the sooner of two late ones. */
+const LATE_SLOPE = 0.02;
+
+/**
+ * Callers wait for a first token up to this many objectives, and leave; an answer after that is lost. From the
+ * users' pages.
+ */
+const GIVEN_UP = 4;
+
+/**
+ * What a token of an answer counts against one of a prompt. With five, requests of 5k, 45k and 154k tokens count
+ * as 1 : 3.8 : 12; their callers say that they are worth 1 : 3.2 : 16 to them.
+ */
+const ANSWER_WEIGHT = 5;
 
 /** Preference for the caller's own data centre, as milliseconds of its objective. */
 const NEAR_MS = 3;
@@ -116,14 +128,16 @@
 
 interface Scored {
   candidate: Candidate;
-  /** What a part there spoils. */
+  /** What a part there spoils for others. */
+  spoiled: number;
+  /** That, and what the request itself loses by the wait there. */
   harm: number;
 }
 
 export class Planner {
   constructor(private readonly engine: catalogue.Engine) {}
 
-  /** The plan over `loads` that spoils least, or undefined where no engine has a place. */
+  /** The plan over `loads` that spoils least, or undefined where none is worth it or no engine has a place. */
   plan(prompt: Prompt, loads: readonly load.Load[], now: number): Plan | undefined {
     const needed = this.leastWriterMemory(prompt);
     const hasPlace = new Set(
@@ -139,7 +153,10 @@
       const plan = this.planFor(prompt, parts, candidates, hasPlace, now);
       return plan === undefined ? [] : [plan];
     });
-    return plans.length === 0 ? undefined : least(plans, ({ harm }) => harm);
+    if (plans.length === 0) return undefined;
+    const best = least(plans, ({ harm }) => harm);
+    // An answer that spoils more than it is worth, or that its caller won't wait for, isn't begun.
+    return best.harm < valueOf(prompt) ? best : undefined;
   }
 
   /** Memory that an engine must have free to write the answer: all of it, or what helpers can't keep. */
@@ -160,7 +177,7 @@
     const value = valueOf(prompt);
     const scored = candidates
       .filter(({ load: each }) => parts === 1 || each.helping(now) < each.engine.slots)
-      .map((candidate) => ({ candidate, harm: this.harmOf(prompt, candidate, partMs) }));
+      .map((candidate) => this.score(prompt, candidate, partMs));
     const withPlace = scored.filter(({ candidate }) => hasPlace.has(candidate.load));
     if (withPlace.length === 0) return undefined;
     const writer = least(withPlace, ({ candidate, harm }) => {
@@ -179,9 +196,9 @@
     const firstTokenMs = Math.max(
       ...[writer, ...helpers].map(({ candidate }) => this.firstTokenMs(candidate, partMs)),
     );
-    const spoiled = helpers.reduce((sum, { harm }) => sum + harm, writer.harm);
+    const spoiled = helpers.reduce((sum, each) => sum + each.spoiled, writer.spoiled);
     const blocked = Math.max(0, partMs - HARMLESS_PART_MS) / prompt.objectiveMs;
-    const late = value * LATE_LOSS * lateness(firstTokenMs, prompt.objectiveMs);
+    const late = value * loss(firstTokenMs, prompt.objectiveMs);
     return {
       writer: writer.candidate.load,
       ...storage,
@@ -192,15 +209,16 @@
   }
 
   /** What a part on this engine spoils, with a preference for the shorter queue and way. */
-  private harmOf(prompt: Prompt, candidate: Candidate, partMs: number): number {
+  private score(prompt: Prompt, candidate: Candidate, partMs: number): Scored {
     const { load: on, allowanceMs, pendingMs } = candidate;
     const isTooLong = partMs > allowanceMs;
     const risk = isTight(prompt, on) ? TIGHT_RISK * LATE_LOSS : LATE_LOSS;
     const spoiled = isTooLong ? risk * on.valueAtRisk(partMs, pendingMs) : 0;
-    const waits = lateness(this.firstTokenMs(candidate, partMs), prompt.objectiveMs);
+    const waits = loss(this.firstTokenMs(candidate, partMs), prompt.objectiveMs);
     const way = on.record.dataCentre === prompt.dataCentre ? 0 : NEAR_MS;
     const queue = (WAIT_LOSS * (pendingMs + way)) / prompt.objectiveMs;
-    return spoiled + valueOf(prompt) * (LATE_LOSS * waits + queue);
+    const harm = spoiled + valueOf(prompt) * (waits + queue);
+    return { candidate, spoiled, harm };
   }
 
   private firstTokenMs({ load: on, pendingMs }: Candidate, partMs: number): number {
@@ -258,12 +276,16 @@
   return harm + SPREAD_LOSS * steps * valueOf(prompt);
 }
 
-/** How surely a first token after `ms` is late: 0 to 1, and beyond with the time that it is later. */
-function lateness(ms: number, objectiveMs: number): number {
+/**
+ * The part of a request's value that is lost when its first token comes after `ms`: nothing, most of it when
+ * it is late, all of it when its caller has left by then.
+ */
+function loss(ms: number, objectiveMs: number): number {
   const share = ms / objectiveMs;
   if (share <= SURELY_IN_TIME) return 0;
-  if (share >= SURELY_LATE) return 1 + (share - SURELY_LATE) / 100;
-  return (share - SURELY_IN_TIME) / (SURELY_LATE - SURELY_IN_TIME);
+  if (share >= GIVEN_UP) return 1 + (share - GIVEN_UP) / 100;
+  if (share >= SURELY_LATE) return LATE_LOSS + LATE_SLOPE * (share - SURELY_LATE);
+  return (LATE_LOSS * (share - SURELY_IN_TIME)) / (SURELY_LATE - SURELY_IN_TIME);
 }
 
 function least<T>(items: readonly T[], score: (item: T) => number): T {
