Judge targets by outcomes in a row, and forget at once lifetimes that others answer for

Change: one refusal by another lifetime ends the record for all until it announces itself; shut-outs double and end in a trial; parts of a reading aren't shorter than 40 ms; the target at fault is blamed where the answer names it.

--- a/packages/daemon/src/edges/protocols.ts
+++ b/packages/daemon/src/edges/protocols.ts
@@ -55,6 +55,10 @@
   isSigned: boolean;
   /** Whether the target says for certain that it didn't run the request and won't. */
   isNotRun: boolean;
+  /** Whether another lifetime has the address, which doesn't run the request. */
+  isWrongLifetime: boolean;
+  /** The target that made the request fail, as the answer names it; undefined for the one that answers. */
+  faulty: string | undefined;
   /** Whether the body is encoded though nobody asked for it; it isn't the target's then. */
   isEncoded: boolean;
 }
--- a/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
@@ -34,6 +34,8 @@
     requestId: headers.id as string | undefined,
     isSigned: headers.signed !== undefined,
     isNotRun: headers['not-run'] !== undefined,
+    isWrongLifetime: false,
+    faulty: undefined,
     isEncoded: false,
   }),
   reserve: () => ({ method: 'POST', path: '/', headers: [], body: '' }),
--- a/packages/daemon/src/entry/answer.ts
+++ b/packages/daemon/src/entry/answer.ts
@@ -27,7 +27,7 @@
 export type Verdict =
   | { kind: 'passedOn' }
   /** The target says that it didn't run the request. */
-  | { kind: 'notRun'; detail: string }
+  | { kind: 'notRun'; detail: string; isWrongLifetime: boolean; faulty: string | undefined }
   /** The answer isn't one that the caller may get. */
   | { kind: 'unusable'; detail: string };
 
@@ -99,7 +99,10 @@
     if (head === undefined || facts === undefined) {
       return { kind: 'unusable', detail: 'no answer' };
     }
-    if (facts.isNotRun) return { kind: 'notRun', detail: `target refused: ${head.status}` };
+    if (facts.isNotRun) {
+      const { isWrongLifetime, faulty } = facts;
+      return { kind: 'notRun', detail: `target refused: ${head.status}`, isWrongLifetime, faulty };
+    }
     if (!this.isUsable) return { kind: 'unusable', detail: `unusable answer: ${head.status}` };
     if (mayRepeat && head.status >= 500) {
       return { kind: 'unusable', detail: `target failed: ${head.status}` };
--- a/packages/daemon/src/entry/chooser.ts
+++ b/packages/daemon/src/entry/chooser.ts
@@ -10,7 +10,7 @@
 import type * as observer from '../observability/observer';
 import type * as peerClient from '../rpc/peerClient';
 
-type Ending = domain.allocation.allocator.Ending;
+type Ending = domain.allocation.soundness.Ending;
 type Placement = domain.allocation.allocator.Placement;
 
 export interface Wish {
@@ -24,8 +24,11 @@
   patienceMs: number;
 }
 
+/** Says how a dispatch ended, and which target made it fail where that isn't the chosen one. */
+export type Release = (ending: Ending, faulty?: string) => void;
+
 export type Choice =
-  | { kind: 'placed'; placement: Placement; release: (ending: Ending) => void }
+  | { kind: 'placed'; placement: Placement; release: Release }
   | { kind: 'noPlace'; retryAfterMs: number };
 
 export interface Options {
@@ -51,22 +54,13 @@
 /** How long callers are told to stay away where no target is there, milliseconds. */
 const NO_TARGET_RETRY_MS = 500;
 
-/** How long a plain target that failed is passed over while others are there, milliseconds. */
-const AVOID_MS: Record<Ending, number> = {
-  done: 0,
-  cancelled: 0,
-  full: 100,
-  broken: 300,
-  unreachable: 1_500,
-};
-
 export class Chooser {
   /** Places by this entry's dispatches alone. */
   readonly fallback = new domain.allocation.allocator.Allocator();
 
   private readonly calls = new Map<string, number>();
 
-  private readonly avoided = new Map<string, number>();
+  private readonly soundness = new Map<string, domain.allocation.soundness.Soundness>();
 
   /** Dispatches on engines that run, by request. */
   private readonly running = new Map<string, messages.Dispatched>();
@@ -108,7 +102,11 @@
       request: { ...wish, entry: name, dataCentre },
       target: placement.target,
     });
-    return { kind: 'placed', placement, release: (ending) => this.tell(wish.id, ending) };
+    return {
+      kind: 'placed',
+      placement,
+      release: (ending, faulty) => this.tell(wish.id, placement.target, ending, faulty),
+    };
   }
 
   private chooseLocally(wish: Wish): Choice {
@@ -121,9 +119,9 @@
       request: { ...wish, entry: name, dataCentre },
       target: placement.target,
     });
-    const release = (ending: Ending): void => {
-      this.fallback.ended(wish.id, ending, now());
-      this.tell(wish.id, ending);
+    const release: Release = (ending, faulty) => {
+      this.fallback.ended(wish.id, ending, now(), faulty);
+      this.tell(wish.id, placement.target, ending, faulty);
     };
     return { kind: 'placed', placement, release };
   }
@@ -133,7 +131,9 @@
     const ready = holding.registry
       .ready(wish.service)
       .filter(({ id }) => !wish.excluded.includes(id));
-    const sound = ready.filter(({ id }) => (this.avoided.get(id) ?? 0) <= now());
+    const sound = ready.filter(({ id }) => {
+      return this.soundness.get(id)?.isUsable(now(), !this.calls.has(id)) !== false;
+    });
     const candidates = sound.length > 0 ? sound : ready;
     if (candidates.length === 0) return { kind: 'noPlace', retryAfterMs: NO_TARGET_RETRY_MS };
     const scored = candidates.map((record) => {
@@ -151,15 +151,23 @@
     const left = (this.calls.get(target) ?? 1) - 1;
     if (left > 0) this.calls.set(target, left);
     else this.calls.delete(target);
-    if (AVOID_MS[ending] === 0) return;
-    this.avoided.set(target, this.options.now() + AVOID_MS[ending]);
+    const soundness = this.soundness.get(target) ?? new domain.allocation.soundness.Soundness();
+    soundness.ended(ending, this.options.now());
+    this.soundness.set(target, soundness);
+    // The leader is told too: it may be the only one that can presume the lifetime ended for all.
+    if (ending === 'replaced') this.tell('', target, ending, undefined);
+  }
+
+  /** A lifetime ended: nothing more is known of it. */
+  forget(target: string): void {
+    this.soundness.delete(target);
   }
 
   /** Tells whoever leads now: a new leader may have counted a dispatch of the old one. */
-  private tell(id: string, ending: Ending): void {
+  private tell(id: string, target: string, ending: Ending, faulty: string | undefined): void {
     this.running.delete(id);
     if (this.ends.length === 0) setTimeout(() => this.flush(), GATHER_MS);
-    this.ends.push({ id, ending });
+    this.ends.push({ id, ending, faulty, target });
   }
 
   private flush(): void {
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -207,6 +207,8 @@
 
   private takeRecord(record: domain.registry.registry.Announcement): void {
     this.chooser.fallback.observe(record);
-    if (record.state === 'gone') this.targets.forget(record.id);
+    if (record.state !== 'gone') return;
+    this.targets.forget(record.id);
+    this.chooser.forget(record.id);
   }
 }
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -13,7 +13,7 @@
 import * as targetClient from './targetClient';
 
 type Route = domain.catalogue.catalogue.Route;
-type Ending = domain.allocation.allocator.Ending;
+type Ending = domain.allocation.soundness.Ending;
 
 export interface Services {
   protocol: protocols.TrafficProtocol;
@@ -42,7 +42,7 @@
   /** The caller has its final answer. */
   | { kind: 'answered' }
   /** The target certainly didn't run it. */
-  | { kind: 'notRun'; ending: Ending; detail: string }
+  | { kind: 'notRun'; ending: Ending; detail: string; faulty?: string }
   /** It may have run, and the caller has nothing or a part of a stream. */
   | { kind: 'failed'; ending: Ending; detail: string }
   /** The helpers had no memory to reserve; nothing was sent. */
@@ -177,9 +177,9 @@
     const { placement } = choice;
     const held = new reservations.Reservations(this.admitted.facts.requestId, this.services);
     const isReserved = await held.take(placement.helpers);
-    const release = (ending: Ending): void => {
+    const release: chooser.Release = (ending, faulty) => {
       held.release();
-      choice.release(ending);
+      choice.release(ending, faulty);
     };
     if (this.isOver || !isReserved) {
       release('cancelled');
@@ -223,7 +223,7 @@
     this.attempt = undefined;
     if (attempt.wasSent && outcome.kind !== 'notRun') this.mayHaveRun = true;
     if (outcome.kind === 'answered') this.logAnswered(placement);
-    release(endingOf(outcome));
+    release(endingOf(outcome), faultyOf(outcome, placement));
     return outcome;
   }
 
@@ -364,6 +364,15 @@
   }
 }
 
+/** The helper that made a request fail; undefined where it was the chosen target itself. */
+function faultyOf(
+  outcome: Outcome,
+  { helpers }: domain.allocation.allocator.Placement,
+): string | undefined {
+  const named = outcome.kind === 'notRun' ? outcome.faulty : undefined;
+  return helpers.find(({ target, address }) => named === target || named === address)?.target;
+}
+
 function endingOf(outcome: Outcome): Ending {
   if (outcome.kind === 'answered') return 'done';
   return 'ending' in outcome ? outcome.ending : 'cancelled';
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -74,9 +74,18 @@
   | { kind: 'noPlace'; retryAfterMs: number }
   | Redirect;
 
+export interface EndedDispatch {
+  id: string;
+  ending: domain.allocation.soundness.Ending;
+  /** Id of the target that made it fail, where that isn't the one that got the request. */
+  faulty: string | undefined;
+  /** Id of the target that got the request. */
+  target: string;
+}
+
 /** `ended`: dispatches of an entry that ended; sent together for a moment's worth of them. */
 export interface Ended {
-  dispatches: { id: string; ending: domain.allocation.allocator.Ending }[];
+  dispatches: EndedDispatch[];
 }
 
 /** `announce` from the keeper that a target talked to. */
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -126,10 +126,22 @@
 
   ended({ dispatches }: messages.Ended): void {
     const now = this.options.now();
-    dispatches.forEach(({ id, ending }) => this.allocator.ended(id, ending, now));
+    dispatches.forEach(({ id, ending, faulty, target }) => {
+      this.allocator.ended(id, ending, now, faulty);
+      if (ending === 'replaced') this.presumeEnded(faulty ?? target);
+    });
     this.line.serve(now);
   }
 
+  /** Without it every request would find out by itself that another lifetime has the address. */
+  private presumeEnded(id: string): void {
+    const changed = this.options.holding.registry.presumeEnded(id, this.options.now());
+    if (changed.length === 0) return;
+    this.options.observer.log('targetAnnounced', { target: id, state: 'gone', presumed: true });
+    changed.forEach((record) => this.allocator.observe(record));
+    void this.publish(changed);
+  }
+
   private turn(leads: boolean): void {
     this.leads = leads;
     this.followers.clear();
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -8,6 +8,7 @@
 import * as cost from './cost';
 import * as load from './load';
 import * as planner from './planner';
+import type * as soundness from './soundness';
 
 export interface Request extends planner.Prompt {
   id: string;
@@ -36,27 +37,12 @@
   firstTokenMs: number;
 }
 
-/** How a dispatch ended, as far as it says something of the target. */
-export type Ending = 'done' | 'full' | 'broken' | 'unreachable' | 'cancelled';
-
 interface Dispatch {
   entry: string;
   loads: load.Load[];
   writer: load.Load;
 }
 
-/** How long a target that failed gets nothing, by ending, milliseconds. */
-const AVOID_MS: Record<Ending, number> = {
-  done: 0,
-  cancelled: 0,
-  // The model was wrong about its load; a few passes later it may be right again.
-  full: 250,
-  // One broken answer may be chance, so the target is tried again soon.
-  broken: 500,
-  // A refused or silent connection: most likely it is down.
-  unreachable: 1_500,
-};
-
 export class Allocator {
   private readonly loads = new Map<string, load.Load>();
 
@@ -129,13 +115,14 @@
     return [...this.loads.values()].some(({ record }) => record.service === service);
   }
 
-  ended(id: string, ending: Ending, now: number): void {
+  /** A dispatch ended; `faulty` names the target that made it fail, where that isn't the writer. */
+  ended(id: string, ending: soundness.Ending, now: number, faulty?: string): void {
     const dispatch = this.dispatches.get(id);
     if (dispatch === undefined) return;
     this.dispatches.delete(id);
     dispatch.loads.forEach((each) => each.remove(id, now));
-    const { writer } = dispatch;
-    writer.avoidUntil = Math.max(writer.avoidUntil, now + AVOID_MS[ending]);
+    const blamed = (faulty === undefined ? undefined : this.loads.get(faulty)) ?? dispatch.writer;
+    blamed.soundness.ended(ending, now);
   }
 
   /** Ends all dispatches of an entry that is gone. */
@@ -155,7 +142,7 @@
       ({ record }) =>
         record.service === service && record.state === 'ready' && !excluded.includes(record.id),
     );
-    const sound = ready.filter(({ avoidUntil }) => avoidUntil <= now);
+    const sound = ready.filter((each) => each.soundness.isUsable(now, each.writers === 0));
     return sound.length > 0 ? sound : ready;
   }
 
--- a/packages/domain/src/allocation/load.ts
+++ b/packages/domain/src/allocation/load.ts
@@ -6,6 +6,7 @@
 import type * as catalogue from '../catalogue/catalogue';
 import type * as registry from '../registry/registry';
 import * as cost from './cost';
+import * as soundness from './soundness';
 
 /** One request's share in an engine: as the engine that writes, or as one that only helps to read. */
 export interface Task {
@@ -39,8 +40,7 @@
 
   private readings: Reading[] = [];
 
-  /** Until then no work is given to the engine, as it failed lately. */
-  avoidUntil = 0;
+  readonly soundness = new soundness.Soundness();
 
   /** Its time for a piece of work against the model's; over 1 for a slow one. */
   pace = 1;
--- a/packages/domain/src/allocation/planner.ts
+++ b/packages/domain/src/allocation/planner.ts
@@ -43,6 +43,12 @@
 /** Most engines that help one to read; the engines' interface takes no more. */
 export const MAX_HELPERS = 16;
 
+/**
+ * Parts aren't shorter than this, milliseconds: less than a pass saves nothing, and a request fails with each of
+ * the engines that read it.
+ */
+const SHORTEST_PART_MS = 40;
+
 /** Numbers of engines that are tried for one prompt. */
 const PART_COUNTS = [1, 2, 3, 4, 6, 8, 12, MAX_HELPERS + 1];
 
@@ -149,7 +155,9 @@
       return { load: each, allowanceMs, pendingMs };
     });
     const counts = PART_COUNTS.filter((count) => count <= loads.length);
-    const plans = counts.flatMap((parts) => {
+    const whole = cost.readMs(this.engine, prompt.tokens);
+    const sensible = counts.filter((count) => count === 1 || whole / count >= SHORTEST_PART_MS);
+    const plans = sensible.flatMap((parts) => {
       const plan = this.planFor(prompt, parts, candidates, hasPlace, now);
       return plan === undefined ? [] : [plan];
     });
--- /dev/null
+++ b/packages/domain/src/allocation/soundness.ts
@@ -0,0 +1,66 @@
+/**
+ * Whether a target that failed gets work again. Health checks of a grey target are good, so outcomes decide:
+ * each failure in a row shuts it out for twice as long, and then one request at a time tries it until one
+ * succeeds. One bad answer may be chance and costs a target little.
+ */
+
+/** How a dispatch ended, as far as it says something of the target. */
+export type Ending =
+  | 'done'
+  /** The target was full, against the model. */
+  | 'full'
+  /** Its answer broke off, was none, or didn't come. */
+  | 'broken'
+  /** No connection was made. */
+  | 'unreachable'
+  /** Another lifetime answered at its address. */
+  | 'replaced'
+  | 'cancelled';
+
+/** How long a target is shut out after the first failure in a row, milliseconds. */
+const SHUT_OUT_MS: Record<Ending, number> = {
+  done: 0,
+  cancelled: 0,
+  // A few passes later the model may be right again.
+  full: 250,
+  broken: 500,
+  // Most likely it is down; a restart takes seconds.
+  unreachable: 1_500,
+  // It doesn't come back, unless it announces itself.
+  replaced: 3_000,
+};
+
+/** Longest time that a target is shut out, milliseconds; usual failures last five to ten seconds. */
+const LONGEST_SHUT_OUT_MS = 4_000;
+
+/**
+ * Failures in a row after which a target must pass a trial. One may be chance, or our own doing, as where a long
+ * reading made a stream pause; a trial of one stream takes its engine away for two seconds.
+ */
+const FAILURES_TO_TRIAL = 2;
+
+/** Beyond this every shut-out is the longest. */
+const MOST_DOUBLINGS = 4;
+
+export class Soundness {
+  private failures = 0;
+
+  private shutUntil = 0;
+
+  ended(ending: Ending, now: number): void {
+    if (ending === 'done') this.failures = 0;
+    if (SHUT_OUT_MS[ending] === 0) return;
+    // Requests that were sent together fail together; that is one failure.
+    if (now < this.shutUntil) return;
+    const shutOut = SHUT_OUT_MS[ending] * 2 ** Math.min(this.failures, MOST_DOUBLINGS);
+    this.shutUntil = now + Math.min(LONGEST_SHUT_OUT_MS, shutOut);
+    if (ending === 'full') return;
+    this.failures += ending === 'broken' ? 1 : FAILURES_TO_TRIAL;
+  }
+
+  /** Whether the target takes work; after failures in a row only if it has none, as a trial. */
+  isUsable(now: number, isIdle: boolean): boolean {
+    if (now < this.shutUntil) return false;
+    return this.failures < FAILURES_TO_TRIAL || isIdle;
+  }
+}
--- a/packages/domain/src/registry/__tests__/registry.test.ts
+++ b/packages/domain/src/registry/__tests__/registry.test.ts
@@ -70,6 +70,20 @@
     expect(states(made)).to.deep.equal({ live: 'ready', dead: 'gone' });
   });
 
+  /*
+   * Each request would learn by itself that a server is gone. It crashed and sent nothing, and at its address
+   * another one refuses what is meant for it; after the first refusal everybody should know.
+   */
+  it('ends a lifetime that others answer for, until it announces itself again', () => {
+    const made = new registry.Registry();
+    made.announce(announcement('a'), 0);
+    made.presumeEnded('a', 100);
+    expect(states(made)).to.deep.equal({ a: 'gone' });
+    made.announce(announcement('a', { sequence: 2 }), 200);
+    made.announce(announcement('a', { sequence: 3 }), 1_400);
+    expect(states(made)).to.deep.equal({ a: 'ready' });
+  });
+
   it('remembers an end that came before the first announcement', () => {
     const made = new registry.Registry();
     made.depart('a', 0);
--- a/packages/domain/src/registry/registry.ts
+++ b/packages/domain/src/registry/registry.ts
@@ -67,6 +67,15 @@
     return [this.end(known, now)];
   }
 
+  /** Somebody else answered at the address of this lifetime. It may revive by announcing itself. */
+  presumeEnded(id: string, now: number): Announcement[] {
+    const known = this.entries.get(id);
+    if (known === undefined || known.record.state === 'gone') return [];
+    known.isPresumedDead = true;
+    known.contradictedAt = 0;
+    return [this.end(known, now)];
+  }
+
   /** Takes over what other copies of the registry know. */
   merge(records: readonly Announcement[], now: number): Announcement[] {
     return records.flatMap((record) => {
