--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -54,7 +54,10 @@
       'error',
       {
         patterns: [
-          { regex: '^(node:|undici|@celerydrift/)', message: 'The domain has no input or output.' },
+          {
+            regex: '^(node:|undici|@celerydrift/)|/platform/',
+            message: 'The domain has no input or output.',
+          },
         ],
       },
     ],
@@ -67,6 +70,25 @@
   },
 };
 
+/** Only the program joins the product with the platform's adapter; nothing else knows the platform's names. */
+const platformBoundary = {
+  files: ['packages/**/*.ts'],
+  ignores: ['packages/program/**'],
+  rules: {
+    'no-restricted-imports': [
+      'error',
+      {
+        patterns: [
+          {
+            regex: '^@celerydrift/platform|/platform/',
+            message: 'Only packages/program imports the adapter to the platform.',
+          },
+        ],
+      },
+    ],
+  },
+};
+
 export default [
   {
     ignores: [
@@ -87,6 +109,7 @@
   ...configs.base.typescript,
   prettier, // The formatter decides on layout.
   { files: ['**/*.ts'], rules: deviations },
+  platformBoundary,
   domainBoundary,
   {
     files: ['**/__tests__/**/*.ts'],
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -25,8 +25,12 @@
   newest: () => domain.catalogue.versions.Edition | undefined;
 }
 
-/** Time that callers are told to stay away when no place is free, milliseconds; some passes of an engine. */
-const RETRY_AFTER_MS = 300;
+/**
+ * Bounds of the time that callers are told to stay away when no place is free, milliseconds: a few passes of an
+ * engine, so that those who were refused together don't return together to the same few places; and what a
+ * caller bears.
+ */
+const RETRY_AFTER_MS = { least: 200, most: 2_000 } as const;
 
 /** Records of the registry's changes that are kept for followers that missed a push. */
 const KEPT_CHANGES = 512;
@@ -106,10 +110,11 @@
 
   place(request: messages.Place): Promise<messages.PlaceAnswer> {
     const { now } = this.options;
+    const since = now();
     const attempt = (): Placement | undefined => this.allocator.place(request, now());
     return new Promise((resolve) => {
       const settle = (placement: Placement | undefined): void => {
-        if (placement === undefined) resolve({ kind: 'noPlace', retryAfterMs: RETRY_AFTER_MS });
+        if (placement === undefined) resolve(this.refusal(request, now() - since));
         else resolve({ kind: 'placed', placement });
       };
       const found = this.line.length === 0 ? attempt() : undefined;
@@ -117,13 +122,27 @@
         settle(found);
         return;
       }
-      const since = now();
       const until = since + request.patienceMs;
       this.line.add({ rank: 0, since, until, attempt, resolve: settle });
       this.line.serve(since);
     });
   }
 
+  private refusal({ id, service, tokens }: messages.Place, waitedMs: number): messages.PlaceAnswer {
+    const { least, most } = RETRY_AFTER_MS;
+    const predicted = this.allocator.nextPlaceMs(service, this.options.now());
+    const retryAfterMs = Math.round(Math.min(most, Math.max(least, predicted)));
+    this.options.observer.log('requestNotPlaced', {
+      request: id,
+      tokens,
+      waitedMs: Math.round(waitedMs),
+      waiting: this.line.length,
+      dispatches: this.allocator.size,
+      retryAfterMs,
+    });
+    return { kind: 'noPlace', retryAfterMs };
+  }
+
   ended({ dispatches }: messages.Ended): void {
     const now = this.options.now();
     dispatches.forEach(({ id, ending, faulty, target }) => {
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -64,6 +64,7 @@
   placedLocally: { number: 5007, level: 'warn', text: 'no allocator; entry chose by itself' },
   callerGone: { number: 5009, level: 'info', text: 'caller left; target cancelled' },
   memoryReserved: { number: 5010, level: 'info', text: 'memory reserved on helpers' },
+  requestNotPlaced: { number: 5011, level: 'warn', text: 'no engine for a request' },
   claimUnknown: {
     number: 5101,
     level: 'warn',
--- a/packages/domain/src/allocation/__tests__/allocator.test.ts
+++ b/packages/domain/src/allocation/__tests__/allocator.test.ts
@@ -118,6 +118,15 @@
     expect(made.place(request('a'), 0)?.target).to.equal('t0');
   });
 
+  it('predicts when the least busy engine is free again', () => {
+    const made = fleet(1);
+    expect(made.nextPlaceMs('engines', 0)).to.be.lessThan(100);
+    made.place(request('long', { ...LONG, tokens: 100_000 }), 0);
+    expect(made.nextPlaceMs('engines', 0)).to.be.within(1_400, 1_700);
+    expect(made.nextPlaceMs('engines', 1_000)).to.be.within(400, 700);
+    expect(made.nextPlaceMs('other', 0)).to.equal(Infinity);
+  });
+
   it('passes over a target that failed, unless there is no other', () => {
     const made = fleet(2);
     const first = made.place(request('a'), 0)?.target;
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -102,6 +102,17 @@
     };
   }
 
+  /**
+   * When the least busy engine of a service will have read what it was given, milliseconds from now; infinite
+   * without engines. A request that found no place finds one then, if nobody else takes it.
+   */
+  nextPlaceMs(service: string, now: number): number {
+    const waits = [...this.loads.values()]
+      .filter(({ record }) => record.service === service && record.state === 'ready')
+      .map((each) => each.pendingReadMs(now) + each.passMs());
+    return Math.min(Infinity, ...waits);
+  }
+
   /** Counts a dispatch that another allocator made, whose reading is over by now. */
   restore(request: Request, target: string, now: number): void {
     const writer = this.loads.get(target);
