--- a/packages/daemon/src/entry/answer.ts
+++ b/packages/daemon/src/entry/answer.ts
@@ -5,6 +5,7 @@
 import type * as http from 'node:http';
 import * as domain from '@celerydrift/domain';
 import * as clock from '../clock';
+import * as hopByHop from '../edges/hopByHop';
 import type * as protocols from '../edges/protocols';
 import type * as targetClient from './targetClient';
 
@@ -13,17 +14,6 @@
 /** Answers up to this size are held until they are whole, so that a broken one can be had elsewhere. */
 const HELD_BYTES = 1_048_576;
 
-/** Headers of an answer that concern the target's connection, and the framing that is ours. */
-const HOP_BY_HOP = new Set([
-  'connection',
-  'keep-alive',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
-
 export type Verdict =
   | { kind: 'passedOn' }
   /** The target says that it didn't run the request. */
@@ -191,9 +181,10 @@
     if (this.response.headersSent) return;
     const kept: string[] = [];
     // A stream may go on at another target, whose part the first one's length doesn't count.
-    const dropped = this.isStream ? new Set([...HOP_BY_HOP, 'content-length']) : HOP_BY_HOP;
+    const isDropped = (name: string): boolean =>
+      hopByHop.HOP_BY_HOP.has(name) || (this.isStream && name === 'content-length');
     for (let i = 0; i + 1 < raw.length; i += 2) {
-      if (!dropped.has(raw[i].toLowerCase())) kept.push(raw[i], raw[i + 1]);
+      if (!isDropped(raw[i].toLowerCase())) kept.push(raw[i], raw[i + 1]);
     }
     this.response.writeHead(status, kept as unknown as http.OutgoingHttpHeaders);
   }
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -11,6 +11,7 @@
 import * as holding from '../fleet/holding';
 import * as leaderLink from '../fleet/leaderLink';
 import type * as messages from '../fleet/messages';
+import * as listening from '../http/listening';
 import type * as observer from '../observability/observer';
 import * as peerClient from '../rpc/peerClient';
 import * as peerServer from '../rpc/peerServer';
@@ -118,11 +119,7 @@
     });
     await this.server.listen(settings.peers);
     await this.ingress.listen(settings.callers as codecs.Address);
-    const { host, port } = settings.readiness as codecs.Address;
-    await new Promise<void>((resolve, reject) => {
-      this.readiness.once('error', reject);
-      this.readiness.listen(port, host, resolve);
-    });
+    await listening.listen(this.readiness, settings.readiness as codecs.Address);
     this.link.start();
   }
 
--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -7,6 +7,7 @@
 import type * as domain from '@celerydrift/domain';
 import type * as codecs from '../configuration/codecs';
 import type * as protocols from '../edges/protocols';
+import * as listening from '../http/listening';
 import type * as observer from '../observability/observer';
 import type * as exchange from './exchange';
 
@@ -64,11 +65,8 @@
     });
   }
 
-  async listen({ host, port }: codecs.Address): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
+  listen(address: codecs.Address): Promise<void> {
+    return listening.listen(this.server, address);
   }
 
   /** Requests that have no final answer yet. */
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,6 +1,7 @@
 /** The daemon as a library, for measurements and tests, and for programs that bring an adapter. */
 export * as configuration from './configuration/configuration';
 export * as daemon from './daemon';
+export * as hopByHop from './edges/hopByHop';
 export * as main from './main';
 export * as protocols from './edges/protocols';
 export * as roleMain from './roleMain';
--- a/packages/daemon/src/keeper/controlServer.ts
+++ b/packages/daemon/src/keeper/controlServer.ts
@@ -8,6 +8,7 @@
 import type * as protocols from '../edges/protocols';
 import * as editions from '../fleet/editions';
 import type * as messages from '../fleet/messages';
+import * as listening from '../http/listening';
 import type * as observer from '../observability/observer';
 
 type Announcement = domain.registry.registry.Announcement;
@@ -44,11 +45,8 @@
     });
   }
 
-  async listen({ host, port }: codecs.Address): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
+  listen(address: codecs.Address): Promise<void> {
+    return listening.listen(this.server, address);
   }
 
   close(): void {
--- a/packages/daemon/src/observability/metricsServer.ts
+++ b/packages/daemon/src/observability/metricsServer.ts
@@ -5,6 +5,7 @@
 import * as http from 'node:http';
 import * as prometheus from 'prom-client';
 import type * as codecs from '../configuration/codecs';
+import * as listening from '../http/listening';
 import type * as observer from './observer';
 
 /** Upper bounds of the histograms' buckets, milliseconds: from a pass of an engine to the longest prompts. */
@@ -36,11 +37,8 @@
     });
   }
 
-  async listen({ host, port }: codecs.Address): Promise<void> {
-    await new Promise<void>((resolve, reject) => {
-      this.server.once('error', reject);
-      this.server.listen(port, host, resolve);
-    });
+  listen(address: codecs.Address): Promise<void> {
+    return listening.listen(this.server, address);
   }
 
   close(): void {
