Refuse what comes too late to be finished before a stop

Change: requests are taken for three seconds after SIGTERM; from then on no connections are taken, and what comes on open ones is refused as not run.

--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -1,4 +1,5 @@
 /** What a caller gets, and what targets see, when targets fail in each of their ways. */
+import * as net from 'node:net';
 import * as chai from 'chai';
 import * as bench from './__fixtures__/bench';
 
@@ -149,4 +150,31 @@
     const reply = await made.ask('/safe/1');
     expect([reply.status, reply.headers.connection]).to.deep.equal([200, 'close']);
   });
+
+  /*
+   * A reader would see a stream end midway. An entry stops; 4.5 s later a request comes on a connection that was
+   * open, is sent to a target, and is cut when the process ends. The refusal lets its caller go elsewhere.
+   */
+  it('refuses what comes too late to be finished before a stop, and finishes the rest', async () => {
+    const slow: bench.Behaviour = (_request, socket) => {
+      setTimeout(() => socket.write(bench.answer('whole')), 200);
+    };
+    made = await bench.Bench.start(slow);
+    const first = made.ask('/unsafe/1');
+    const late = net.connect(made.port, '127.0.0.1');
+    late.write('POST /unsafe/2 HTTP/1.1\r\nHost: a.example\r\nid: r1\r\nkey: k\r\n');
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    made.ingress.refuseNew();
+    late.write('Content-Length: 0\r\n\r\n');
+    const answered = await new Promise<string>((resolve) => {
+      late.once('data', (data: Buffer) => resolve(data.toString()));
+    });
+    expect(answered).to.match(/^HTTP\/1.1 503 /);
+    expect(answered).to.match(/Connection: close/i);
+    expect((await first).body).to.equal('whole');
+    expect(made.seen.length).to.equal(1);
+    late.destroy();
+  });
 });
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -36,7 +36,8 @@
 
 /**
  * After a planned stop begins, the balancer still sends new connections until it has asked twice without
- * success, once a second; the listener stays open for a third.
+ * success, once a second; requests are taken for a third. One that came later could be cut by the end of the
+ * process, so it is refused as not run, and its caller finds another entry.
  */
 const LINGER_MS = 3_000;
 
@@ -127,22 +128,15 @@
     this.link.addSeeds(settings.seeds);
   }
 
-  /** A planned stop: not ready at once, open requests are finished, new ones served for a while. */
+  /** A planned stop: not ready at once, new requests served for a while, those under way finished. */
   async stop(): Promise<void> {
     const begun = clock.steady();
     this.isLeaving = true;
     this.ingress.leave();
+    await pause(LINGER_MS);
+    this.ingress.refuseNew();
     const until = begun + this.parts.settings.stopMs - STOP_MARGIN_MS;
-    const isDone = (): boolean => {
-      const elapsed = clock.steady() - begun;
-      return elapsed >= LINGER_MS && this.ingress.activeRequests === 0;
-    };
-    while (!isDone() && clock.steady() < until) {
-      await new Promise((resolve) => {
-        setTimeout(resolve, STOP_CHECK_MS);
-      });
-    }
-    this.ingress.close();
+    while (this.ingress.activeRequests > 0 && clock.steady() < until) await pause(STOP_CHECK_MS);
     this.link.stop();
     this.readiness.close();
     this.targets.close();
@@ -209,3 +203,9 @@
     this.chooser.forget(record.id);
   }
 }
+
+function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -47,6 +47,8 @@
 
   private isLeaving = false;
 
+  private isRefusing = false;
+
   constructor(private readonly parts: Parts) {
     this.server = http.createServer(
       {
@@ -84,6 +86,12 @@
     this.isLeaving = true;
   }
 
+  /** Takes no new connections, and refuses requests that come on open ones; those under way go on. */
+  refuseNew(): void {
+    this.isRefusing = true;
+    this.close();
+  }
+
   close(): void {
     this.server.close();
     this.server.closeIdleConnections();
@@ -98,6 +106,10 @@
     if (this.isLeaving) response.setHeader('Connection', 'close');
     // An error of the caller's connection ends its exchange by `close`; nothing else follows from it.
     response.on('error', () => undefined);
+    if (this.isRefusing) {
+      this.refuse(request, response, { status: 503, reason: 'this entry stops' });
+      return;
+    }
     const directory = this.parts.directory();
     if (directory === undefined) {
       this.refuse(request, response, { status: 503, reason: 'no catalogue yet' });
