Choose test ports that no outgoing connection can take

Cause: a test run failed once with EADDRINUSE (TLS, a daemon's listener): fixtures chose a port by binding to a free one and closing it, and it lay in the range for outgoing connections, one of which took it meanwhile.

--- a/packages/daemon/src/__tests__/__fixtures__/bench.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/bench.ts
@@ -7,6 +7,7 @@
 import * as undici from 'undici';
 import * as configuration from '../../configuration/configuration';
 import * as daemon from '../../daemon';
+import * as ports from './ports';
 
 export const KEY = 'caller-key';
 
@@ -41,19 +42,6 @@
   attentionTokens: 1e9,
 };
 
-async function freePort(): Promise<number> {
-  const { createServer } = await import('node:net');
-  const server = createServer();
-  await new Promise<void>((resolve) => {
-    server.listen(0, '127.0.0.1', resolve);
-  });
-  const { port } = server.address() as { port: number };
-  await new Promise<void>((resolve) => {
-    server.close(() => resolve());
-  });
-  return port;
-}
-
 /** Waits for a condition; tests never assert how long it took. */
 export async function until(
   what: string,
@@ -110,8 +98,8 @@
   /** Starts `count` daemons, all with disks, and applies the team's settings. */
   async start(count: number): Promise<void> {
     for (let i = 0; i < count; i++) {
-      this.peers.push(await freePort());
-      this.targetPorts.push(await freePort());
+      this.peers.push(await ports.freePort());
+      this.targetPorts.push(await ports.freePort());
     }
     for (let i = 0; i < count; i++) await this.startDaemon(i);
     await this.apply('fitters', TEAM, 0);
--- a/packages/daemon/src/keeper/__tests__/keeper.test.ts
+++ b/packages/daemon/src/keeper/__tests__/keeper.test.ts
@@ -1,12 +1,12 @@
 /** Keepers over real sockets and disks: founding, catalogues, announcements, a takeover, a lost disk. */
 import * as fs from 'node:fs/promises';
-import * as net from 'node:net';
 import * as os from 'node:os';
 import * as path from 'node:path';
 import * as chai from 'chai';
 import type * as domain from '@celerydrift/domain';
 import * as random from '@celerydrift/domain/dist/shared/random';
 import { Err, Ok } from 'ts-results';
+import * as fixture from '../../__tests__/__fixtures__/ports';
 import * as clock from '../../clock';
 import * as roleSettings from '../../configuration/roleSettings';
 import type * as protocols from '../../edges/protocols';
@@ -48,27 +48,6 @@
   settings: roleSettings.Settings;
 }
 
-async function freePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => net.createServer());
-  const ports = await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise<number>((resolve) => {
-          server.listen(0, '127.0.0.1', () => resolve((server.address() as net.AddressInfo).port));
-        }),
-    ),
-  );
-  await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise((resolve) => {
-          server.close(resolve);
-        }),
-    ),
-  );
-  return ports;
-}
-
 async function until(what: string, check: () => boolean | Promise<boolean>): Promise<void> {
   const end = clock.steady() + 15_000;
   while (!(await check())) {
@@ -98,7 +77,8 @@
   ) {}
 
   static async make(size: number): Promise<Fleet> {
-    const ports = await freePorts(2 * size + 1);
+    const ports: number[] = [];
+    while (ports.length < 2 * size + 1) ports.push(await fixture.freePort());
     const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'keeper-'));
     const seeds = ports.slice(0, 3).map((port) => `127.0.0.1:${port}`);
     const places = Array.from({ length: size }, (_, i) => {
