--- a/packages/daemon/src/configuration/codecs.ts
+++ b/packages/daemon/src/configuration/codecs.ts
@@ -1,4 +1,5 @@
 /** Codecs of values that stand in settings files of processes. */
+import * as net from 'node:net';
 import * as domain from '@celerydrift/domain';
 
 const { schema } = domain.settings;
@@ -50,6 +51,11 @@
   (text) => (text === '' ? '' : addressOf(text)),
   'leave it out or give IP:PORT',
 );
+export const OPTIONAL_IP = schema.textCodec(
+  'IP address',
+  (text) => (text === '' || net.isIP(text) !== 0 ? text : undefined),
+  'leave it out or give an IP address of this VM',
+);
 export const ADDRESSES = schema.textCodec(
   'addresses',
   addressesOf,
--- a/packages/daemon/src/configuration/roleSettings.ts
+++ b/packages/daemon/src/configuration/roleSettings.ts
@@ -19,6 +19,10 @@
   /** Listener of a keeper for targets and operators. */
   control: codecs.Address | undefined;
   peers: codecs.Address;
+  /** Address by which others reach `peers`; another one where a forwarder stands in between. */
+  advertised: codecs.Address;
+  /** IP address that outgoing connections come from; undefined where the operating system chooses. */
+  source: string | undefined;
   metrics: codecs.Address | undefined;
   /** Peer addresses of keepers to ask first. */
   seeds: string[];
@@ -46,6 +50,8 @@
   callers: '',
   readiness: '',
   control: '',
+  advertised: '',
+  source: '',
   metrics: '',
   seeds: '',
   'keeper-port': '0',
@@ -61,7 +67,8 @@
   'repeat-window-seconds': '10',
 } as const;
 
-const { ADDRESS, ADDRESSES, NAME, OPTIONAL_ADDRESS, SECRET, TEXT, oneOf, range } = codecs;
+const { ADDRESS, ADDRESSES, NAME, OPTIONAL_ADDRESS, OPTIONAL_IP, SECRET, TEXT, oneOf, range } =
+  codecs;
 
 const SECTIONS: codecs.Sections = {
   daemon: { role: oneOf('entry', 'keeper'), name: NAME, 'data-centre': NAME },
@@ -70,6 +77,8 @@
     readiness: OPTIONAL_ADDRESS,
     control: OPTIONAL_ADDRESS,
     peers: ADDRESS,
+    advertised: OPTIONAL_ADDRESS,
+    source: OPTIONAL_IP,
     metrics: OPTIONAL_ADDRESS,
   },
   keepers: { seeds: ADDRESSES, 'keeper-port': range(0, 65_535), secret: SECRET },
@@ -98,14 +107,20 @@
 
 function listenersOf(
   values: Values,
-): Pick<Settings, 'callers' | 'readiness' | 'control' | 'peers' | 'metrics'> {
+): Pick<
+  Settings,
+  'callers' | 'readiness' | 'control' | 'peers' | 'advertised' | 'source' | 'metrics'
+> {
   const optional = (key: string): codecs.Address | undefined =>
     (values.get(key) as codecs.Address | '') || undefined;
+  const peers = values.get('listen.peers') as codecs.Address;
   return {
     callers: optional('listen.callers'),
     readiness: optional('listen.readiness'),
     control: optional('listen.control'),
-    peers: values.get('listen.peers') as codecs.Address,
+    peers,
+    advertised: optional('listen.advertised') ?? peers,
+    source: (values.get('listen.source') as string) || undefined,
     metrics: optional('listen.metrics'),
   };
 }
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -57,7 +57,7 @@
 
   private readonly ingress: ingress.Ingress;
 
-  private readonly targets = new targetClient.TargetClient();
+  private readonly targets: targetClient.TargetClient;
 
   private readonly chooser: chooser.Chooser;
 
@@ -71,7 +71,8 @@
 
   constructor(private readonly parts: Parts) {
     const { settings, observer: observe, control, random } = parts;
-    this.client = new peerClient.PeerClient(settings.secret, undefined, observe);
+    this.client = new peerClient.PeerClient(settings.secret, undefined, observe, settings.source);
+    this.targets = new targetClient.TargetClient(settings.source);
     this.server = new peerServer.PeerServer(settings.secret, undefined, observe);
     this.budget = new domain.request.repeatBudget.RepeatBudget(settings.repeats);
     this.holding = new holding.Holding({
@@ -84,7 +85,7 @@
     this.link = new leaderLink.LeaderLink({
       name: settings.name,
       role: 'entry',
-      address: codecs.format(settings.peers),
+      address: codecs.format(settings.advertised),
       dataCentre: settings.dataCentre,
       replica: () => undefined,
       seeds: settings.seeds,
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -79,6 +79,8 @@
 class Connections {
   private event: Event = 'none';
 
+  constructor(private readonly localAddress: string | undefined) {}
+
   get current(): Event {
     return this.event;
   }
@@ -88,7 +90,12 @@
     callback: (error: Error | null, socket: net.Socket | null) => void,
   ): void => {
     const { hostname, port } = options;
-    const socket = net.connect({ host: hostname, port: Number(port), noDelay: true });
+    const socket = net.connect({
+      host: hostname,
+      port: Number(port),
+      localAddress: this.localAddress,
+      noDelay: true,
+    });
     const fail = (error: Error): void => {
       clearTimeout(timer);
       socket.destroy();
@@ -202,7 +209,12 @@
 export class TargetClient {
   private readonly pools = new Map<string, undici.Pool>();
 
-  private readonly connections = new Connections();
+  private readonly connections: Connections;
+
+  /** `source` is the IP address that connections come from; undefined where the operating system chooses. */
+  constructor(source?: string) {
+    this.connections = new Connections(source);
+  }
 
   send({ target, address, method, path, headers, body }: Sending, receiver: Receiver): Attempt {
     const attempt = new Attempt(receiver, this.connections);
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -87,7 +87,7 @@
 
   constructor(private readonly parts: Parts) {
     const { settings, observer: observe, protocol } = parts;
-    this.client = new peerClient.PeerClient(settings.secret, undefined, observe);
+    this.client = new peerClient.PeerClient(settings.secret, undefined, observe, settings.source);
     this.server = new peerServer.PeerServer(settings.secret, undefined, observe);
     this.machine = new catalogueMachine.CatalogueMachine((edition) => this.take(edition));
     this.holding = new holding.Holding({
@@ -113,7 +113,7 @@
     const { settings, observer: observe, random, onDiskFailure } = this.parts;
     const opened = await replicaSet.ReplicaSet.open({
       folder: settings.dataFolder,
-      address: codecs.format(settings.peers),
+      address: codecs.format(settings.advertised),
       dataCentre: settings.dataCentre,
       machines: new Map([[LOG, this.machine]]),
       timing: TIMING,
@@ -168,7 +168,7 @@
     return new leaderLink.LeaderLink({
       name: settings.name,
       role: 'keeper',
-      address: codecs.format(settings.peers),
+      address: codecs.format(settings.advertised),
       dataCentre: settings.dataCentre,
       replica: () => this.replicas.id,
       seeds: settings.seeds,
@@ -238,7 +238,7 @@
 
   private async found(): Promise<void> {
     const { settings } = this.parts;
-    const address = codecs.format(settings.peers);
+    const address = codecs.format(settings.advertised);
     const founder = settings.mayFound && settings.seeds.includes(address);
     if (!founder || this.founding || this.replicas.isFounded) return;
     this.founding = true;
@@ -257,7 +257,7 @@
     return {
       daemon: settings.name,
       replica: this.replicas.id,
-      address: codecs.format(settings.peers),
+      address: codecs.format(settings.advertised),
       dataCentre: settings.dataCentre,
       founded: this.replicas.isFounded,
       members: this.host.replica.members,
@@ -265,7 +265,7 @@
   }
 
   private get leader(): string {
-    if (this.host.isLeader) return codecs.format(this.parts.settings.peers);
+    if (this.host.isLeader) return codecs.format(this.parts.settings.advertised);
     return this.host.leaderAddress || this.link.leader;
   }
 
--- a/packages/daemon/src/rpc/peerClient.ts
+++ b/packages/daemon/src/rpc/peerClient.ts
@@ -46,14 +46,16 @@
     private readonly secret: string,
     tlsOptions: tls.ConnectionOptions | undefined,
     private readonly observer: observer.Observer,
+    localAddress: string | undefined,
   ) {
     const colon = address.lastIndexOf(':');
     const host = address.slice(0, colon);
     const port = Number(address.slice(colon + 1));
+    const path: net.TcpNetConnectOpts = { host, port, localAddress };
     this.socket =
       tlsOptions === undefined
-        ? net.connect({ host, port, noDelay: true })
-        : tls.connect({ host, port, ...tlsOptions });
+        ? net.connect({ ...path, noDelay: true })
+        : tls.connect({ ...path, ...tlsOptions });
     this.client = new jsonRpc.JSONRPCClient((request) => this.send(request));
     const splitter = new framing.Splitter((value, bytes) => this.take(value, bytes));
     this.socket.on('data', (chunk: Buffer) => {
@@ -114,6 +116,8 @@
     private readonly secret: string,
     private readonly tlsOptions: tls.ConnectionOptions | undefined,
     private readonly observer: observer.Observer,
+    /** IP address that connections come from; undefined where the operating system chooses. */
+    private readonly source?: string,
   ) {}
 
   async call<T>(
@@ -176,7 +180,7 @@
     }
     const open = this.connections.get(address);
     if (open !== undefined && !open.closed) return open;
-    const made = new Connection(address, this.secret, this.tlsOptions, this.observer);
+    const made = new Connection(address, this.secret, this.tlsOptions, this.observer, this.source);
     this.connections.set(address, made);
     return made;
   }
