Keep requests that come just before the settings, and serve them

Change: an entry without settings that it may serve by reads the request and keeps it for up to 1.5 s, at most a fifth of the caller's patience; settings that come wake it.

--- a/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
@@ -94,6 +94,8 @@
 
   isFresh = true;
 
+  hasCatalogue = true;
+
   readonly ingress: ingress.Ingress;
 
   port = 0;
@@ -122,7 +124,7 @@
       protocol: PROTOCOL,
       observer: services.observer,
       now: clock.steady,
-      directory: () => directory,
+      directory: () => (this.hasCatalogue ? directory : undefined),
       isFresh: services.isFresh,
       serve: (admitted) => new exchange.Exchange(admitted, services).run(),
     });
--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -134,6 +134,32 @@
     expect(made.seen.length).to.equal(1);
   });
 
+  /*
+   * Callers would lose one of their few tries, all at once. All VMs lose power and come back; an entry takes
+   * requests half a second before the keepers have a leader that can tell it the settings.
+   */
+  it('keeps requests that come just before the settings, and serves them', async () => {
+    made = await bench.Bench.start(WHOLE);
+    made.hasCatalogue = false;
+    made.isFresh = false;
+    const asked = made.ask('/safe/1', {}, 'body');
+    setTimeout(() => {
+      made.hasCatalogue = true;
+      made.isFresh = true;
+      made.ingress.wake();
+    }, 300);
+    expect((await asked).body).to.equal('whole');
+  });
+
+  it('refuses as not run what the settings come too late for', async () => {
+    made = await bench.Bench.start(WHOLE);
+    made.hasCatalogue = false;
+    const startedAt = performance.now();
+    const reply = await made.ask('/safe/1', {}, 'body');
+    expect([reply.status, made.seen.length]).to.deep.equal([503, 0]);
+    expect(performance.now() - startedAt).to.be.within(900, 1_300);
+  });
+
   it('bounds what a caller may send', async () => {
     made = await bench.Bench.start(WHOLE);
     const statuses = [
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -94,7 +94,10 @@
       observer: observe,
       moment: clock.moment,
       dispatches: () => this.chooser.dispatches,
-      onConfirmed: ({ entries }) => this.budget.shareWith(entries),
+      onConfirmed: ({ entries }) => {
+        this.budget.shareWith(entries);
+        this.ingress.wake();
+      },
     });
     this.chooser = new chooser.Chooser({
       name: settings.name,
--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -10,6 +10,7 @@
 import * as listening from '../http/listening';
 import type * as observer from '../observability/observer';
 import type * as exchange from './exchange';
+import * as settingsWait from './settingsWait';
 
 type Directory = domain.catalogue.directory.Directory;
 type Limits = domain.catalogue.catalogue.Limits;
@@ -29,6 +30,18 @@
   reason: string;
 }
 
+interface Arrival {
+  request: http.IncomingMessage;
+  response: http.ServerResponse;
+  arrivedAt: number;
+}
+
+/** A caller's body, or why there is none. */
+type Body = Buffer | 'tooLarge' | 'broken';
+
+/** Longest body that is read before the catalogue's limit is known; the limit of the deployments. */
+const EARLY_BODY_BYTES = 4 * 1024 * 1024;
+
 /** Longest head that Node parses at all; the catalogue's limit, which may change, is checked below it. */
 const PARSER_HEADER_BYTES = 65_536;
 
@@ -49,7 +62,10 @@
 
   private isRefusing = false;
 
+  private readonly settings: settingsWait.SettingsWait;
+
   constructor(private readonly parts: Parts) {
+    this.settings = new settingsWait.SettingsWait(() => this.isSettled);
     this.server = http.createServer(
       {
         maxHeaderSize: PARSER_HEADER_BYTES,
@@ -81,6 +97,11 @@
     this.server.headersTimeout = headerTimeoutMs;
   }
 
+  /** Settings came or were confirmed: requests that waited for them go on. */
+  wake(): void {
+    this.settings.wake();
+  }
+
   /** From now on each answer closes its connection; new requests are still served. */
   leave(): void {
     this.isLeaving = true;
@@ -110,19 +131,31 @@
       this.refuse(request, response, { status: 503, reason: 'this entry stops' });
       return;
     }
+    const early = this.isSettled ? undefined : await this.readAndWait(request);
+    if (early === 'broken' || response.destroyed) return;
     const directory = this.parts.directory();
     if (directory === undefined) {
       this.refuse(request, response, { status: 503, reason: 'no catalogue yet' });
       return;
     }
-    await this.admit(directory, request, response, arrivedAt);
+    await this.admit(directory, { request, response, arrivedAt }, early);
+  }
+
+  private get isSettled(): boolean {
+    return this.parts.directory() !== undefined && this.parts.isFresh();
+  }
+
+  /** Callers leave an entry that doesn't read their request, so the body comes before the wait. */
+  private async readAndWait(request: http.IncomingMessage): Promise<Body> {
+    const body = await readBody(request, EARLY_BODY_BYTES);
+    await this.settings.wait(this.parts.protocol.facts(request.headers).patienceMs);
+    return body;
   }
 
   private async admit(
     directory: Directory,
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
-    arrivedAt: number,
+    { request, response, arrivedAt }: Arrival,
+    early: Body | undefined,
   ): Promise<void> {
     const facts = this.parts.protocol.facts(request.headers);
     const path = request.url ?? '/';
@@ -136,9 +169,9 @@
       this.refuse(request, response, refusal ?? { status: 404, reason: 'no route' });
       return;
     }
-    const body = await readBody(request, limits.maxBodyBytes);
+    const body = early ?? (await readBody(request, limits.maxBodyBytes));
     if (body === 'broken') return;
-    if (body === 'tooLarge') {
+    if (body === 'tooLarge' || body.length > limits.maxBodyBytes) {
       this.refuse(request, response, { status: 413, reason: 'body too large' });
       return;
     }
@@ -199,10 +232,7 @@
   }
 }
 
-async function readBody(
-  request: http.IncomingMessage,
-  maximum: number,
-): Promise<Buffer | 'tooLarge' | 'broken'> {
+async function readBody(request: http.IncomingMessage, maximum: number): Promise<Body> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let length = 0;
