Soak real processes under faults from outside, and check the promises

The check now asks whether every document that may be in force there has the key; keys are replaced one after the other.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -70,10 +70,13 @@
   },
 };
 
-/** Only the program joins the product with the platform's adapter; nothing else knows the platform's names. */
+/**
+ * Only the program joins the product with the platform's adapter; nothing else knows the platform's names. The
+ * soak runs that program, and its stand-ins speak through the adapter's counterpart.
+ */
 const platformBoundary = {
   files: ['packages/**/*.ts'],
-  ignores: ['packages/program/**'],
+  ignores: ['packages/program/**', 'packages/soak/**'],
   rules: {
     'no-restricted-imports': [
       'error',
@@ -81,7 +84,7 @@
         patterns: [
           {
             regex: '^@celerydrift/platform|/platform/',
-            message: 'Only packages/program imports the adapter to the platform.',
+            message: 'Only packages/program and packages/soak import the adapter to the platform.',
           },
         ],
       },
--- /dev/null
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -0,0 +1,141 @@
+/** Each promise is found broken where it is, and none where it isn't. */
+import * as chai from 'chai';
+import * as answers from '../answers';
+import * as checks from '../checks';
+import * as observations from '../observations';
+
+const { expect } = chai;
+
+type Observations = observations.Observations;
+
+const PATH = '/unsafe/call';
+
+function answered(status: number, body = ''): observations.Ending {
+  return { kind: 'answered', status, isSigned: true, body };
+}
+
+function asked(request: string, more: Partial<observations.Asked> = {}): observations.Asked {
+  return {
+    request,
+    kind: 'unsafe',
+    path: PATH,
+    entry: 0,
+    incarnation: 1,
+    key: 'k',
+    sentAt: 10_000,
+    endedAt: 10_100,
+    ending: answered(200, answers.callBody(request, PATH)),
+    ...more,
+  };
+}
+
+function probe(version: number, sentAt: number, status: number): observations.Probe {
+  const base = asked(`p${version}-${sentAt}`, { kind: 'safe', sentAt, endedAt: sentAt + 10 });
+  return { ...base, version, label: '', ending: answered(status) };
+}
+
+function sent(version: number, ackedAt: number | undefined, keys = ['k']): observations.Sent {
+  return { version, label: '', keys, sentAt: (ackedAt ?? 5_000) - 100, ackedAt };
+}
+
+/** A run in which everything was kept, changed by a test. */
+function seen(change: (good: Observations) => void): string[] {
+  const good = observations.empty();
+  good.sent.push(sent(1, 1_000));
+  good.readBack = { version: 1, label: '' };
+  good.healedAt = 20_000;
+  good.asked.push(asked('r1'), asked('r2', { sentAt: 30_000, endedAt: 30_100 }));
+  good.ran.push({ request: 'r1', target: 't0-1', at: 10_050 });
+  good.lifetimes.push({ target: 't0-1', index: 0 });
+  good.probes.push(probe(1, 9_000, 200));
+  change(good);
+  return checks.violations(good).map(({ promise }) => promise);
+}
+
+describe('soak: checks', () => {
+  it('find nothing in a run in which everything was kept', () => {
+    expect(seen(() => undefined)).to.deep.equal([]);
+  });
+
+  const breaches: [checks.Breach, (good: Observations) => void][] = [
+    ['wrongAnswer', ({ asked: all }) => all.push(asked('r3', { ending: answered(200, 'other') }))],
+    ['ranTwice', ({ ran }) => ran.push({ request: 'r1', target: 't1-1', at: 10_060 })],
+    [
+      'falseNotRun',
+      ({ asked: all, ran }) => {
+        all.push(asked('r3', { ending: answered(503) }));
+        ran.push({ request: 'r3', target: 't0-1', at: 12_000 });
+      },
+    ],
+    ['hung', ({ asked: all }) => all.push(asked('r3', { ending: { kind: 'hung' } }))],
+    ['denied', ({ asked: all }) => all.push(asked('r3', { ending: answered(401) }))],
+    [
+      'wentBack',
+      ({ probes, sent: all }) => {
+        all.push(sent(2, undefined));
+        probes.push(probe(2, 8_000, 200));
+      },
+    ],
+    [
+      'notInForce',
+      ({ sent: all, readBack }) => {
+        all.push(sent(2, 6_000));
+        Object.assign(readBack as object, { version: 2 });
+      },
+    ],
+    ['twoContents', ({ probes }) => probes.push({ ...probe(1, 9_000, 200), label: 'b' })],
+    ['lost', ({ sent: all }) => all.push(sent(2, 19_000))],
+    [
+      'revokedKeyRan',
+      ({ revoked, ran, asked: all }) => {
+        revoked.push({ key: 'old', ackedAt: 1_000 });
+        all.push(asked('r3', { key: 'old', sentAt: 6_100 }));
+        ran.push({ request: 'r3', target: 't0-1', at: 6_150 });
+      },
+    ],
+    ['drainedTargetRan', ({ drained }) => drained.push({ target: 't0-1', at: 7_000 })],
+    [
+      'cutByStop',
+      ({ asked: all, ran, stopped }) => {
+        all.push(asked('r3', { ending: { kind: 'broken' } }));
+        ran.push({ request: 'r3', target: 't0-1', at: 10_050 });
+        stopped.push({ entry: 0, incarnation: 1, from: 9_000, until: 12_000 });
+      },
+    ],
+    [
+      'memoryLeft',
+      (good) => {
+        good.reservationsLeft = 1;
+      },
+    ],
+    [
+      'notRecovered',
+      ({ asked: all }) => all.push(asked('r3', { sentAt: 30_000, ending: answered(502) })),
+    ],
+  ];
+
+  breaches.forEach(([promise, change]) => {
+    it(`find ${promise}`, () => {
+      expect(seen(change)).to.include(promise);
+    });
+  });
+
+  it('allow what can happen to a process that is out of touch', () => {
+    const found = seen(({ probes, asked: all, disturbances, sent: documents }) => {
+      const harm = {
+        subject: 'entry',
+        index: 0,
+        what: 'entryCut',
+        from: 0,
+        until: 15_000,
+      } as const;
+      disturbances.push(harm);
+      documents.push({ ...sent(2, 2_000, ['k', 'new']), label: '' });
+      documents.push(sent(3, 19_500));
+      probes.push(probe(2, 14_000, 404));
+      all.push(asked('r3', { key: 'new', ending: answered(401) }));
+    });
+    // Only the document that nobody can read back any more counts.
+    expect(found).to.deep.equal(['lost']);
+  });
+});
--- /dev/null
+++ b/packages/soak/src/__tests__/schedule.test.ts
@@ -0,0 +1,43 @@
+/** Plans follow from their seed and stay within what a fleet must bear. */
+import * as chai from 'chai';
+import * as layout from '../layout';
+import * as schedule from '../schedule';
+
+const { expect } = chai;
+
+const SIZE = layout.LAYOUTS.small;
+
+/** Seconds within which a keeper counts as lost. */
+const LOST = 5;
+
+const LOSES_KEEPER = /^keeper(Kill|Pause|Cut|Wipe|Tear)|^disk/;
+
+describe('soak: schedule', () => {
+  it('draws the same plan from the same seed', () => {
+    expect(schedule.draw(7, 20, SIZE)).to.deep.equal(schedule.draw(7, 20, SIZE));
+    expect(schedule.draw(7, 4, SIZE).steps).toMatchSnapshot();
+  });
+
+  it('never takes more than two keepers at once, nor any beside a loss of all', () => {
+    for (let seed = 0; seed < 300; seed++) {
+      const { steps } = schedule.draw(seed, 40, SIZE);
+      steps.forEach((step, i) => {
+        const before = steps.slice(0, i).filter((each) => {
+          return each.at + each.forSeconds + LOST > step.at;
+        });
+        const lost = before.filter(({ kind }) => LOSES_KEEPER.test(kind)).length;
+        const all = before.filter(({ kind }) => /^(keepers|fleet)Kill/.test(kind)).length;
+        if (LOSES_KEEPER.test(step.kind)) expect(lost + 2 * all).to.be.at.most(1);
+        if (/^(keepers|fleet)Kill/.test(step.kind)) expect(lost + all).to.equal(0);
+      });
+    }
+  });
+
+  it('draws every kind sooner or later', () => {
+    const drawn = new Set<string>();
+    for (let seed = 0; seed < 300; seed++) {
+      schedule.draw(seed, 40, SIZE).steps.forEach(({ kind }) => drawn.add(kind));
+    }
+    expect([...drawn].sort()).toMatchSnapshot();
+  });
+});
--- /dev/null
+++ b/packages/soak/src/answers.ts
@@ -0,0 +1,27 @@
+/** What a stand-in target answers to a request; known from the request alone, so that a caller can check it. */
+
+/** Events of a whole stream. */
+export const EVENTS = 8;
+
+/** A path with this word gets a stream. */
+export const STREAM_WORD = 'stream';
+
+/** Where a stand-in tells its state. */
+export const STATE_PATH = '/state';
+
+export function callBody(request: string, path: string): string {
+  return `answer to ${request} at ${path}`;
+}
+
+export function event(request: string, id: number): string {
+  return `id: ${id}\ndata: ${request} ${id} of ${EVENTS}\n\n`;
+}
+
+export function streamBody(request: string): string {
+  return Array.from({ length: EVENTS }, (_, i) => event(request, i + 1)).join('');
+}
+
+/** The whole answer to a request. */
+export function whole(request: string, path: string): string {
+  return path.includes(STREAM_WORD) ? streamBody(request) : callBody(request, path);
+}
--- /dev/null
+++ b/packages/soak/src/callers.ts
@@ -0,0 +1,108 @@
+/** Callers: requests to entries over connections that stay open, and exactly how each one ended. */
+import * as http from 'node:http';
+import * as domain from '@celerydrift/domain';
+import { counterpart } from '@celerydrift/platform';
+import * as answers from './answers';
+import type * as fleet from './fleet';
+import * as layout from './layout';
+import type * as observations from './observations';
+
+export const HOST = 'soak.example';
+
+/** How long callers wait, milliseconds. */
+const PATIENCE_MS = { safe: 1_500, unsafe: 1_500, stream: 6_000 } as const;
+
+/** Time beyond the caller's own after which a request counts as hung, milliseconds. */
+const HANG_MS = 1_500;
+
+/** A prompt of this size needs memory on several engines. */
+const LARGE_PROMPT_TOKENS = 420_000;
+const SMALL_PROMPT_TOKENS = 4_000;
+const LARGE_SHARE = 0.05;
+
+/** A new connection is made for some requests; the others use open ones. */
+const NEW_CONNECTION_SHARE = 0.2;
+
+export interface Question {
+  entry: fleet.Vm;
+  kind: observations.RequestKind;
+  path: string;
+  key: string;
+}
+
+export class Callers {
+  private readonly agent = new http.Agent({ keepAlive: true, maxSockets: Infinity });
+
+  private count = 0;
+
+  constructor(private readonly random: domain.shared.random.Random) {}
+
+  async ask({ entry, kind, path, key }: Question): Promise<observations.Asked> {
+    this.count += 1;
+    const request = `r${this.count}`;
+    const sentAt = Date.now();
+    const { incarnation } = entry.process;
+    const ending = await this.send(entry.host, request, kind, path, key);
+    const endedAt = Date.now();
+    return { request, kind, path, entry: entry.index, incarnation, key, sentAt, endedAt, ending };
+  }
+
+  close(): void {
+    this.agent.destroy();
+  }
+
+  private send(
+    host: string,
+    requestId: string,
+    kind: observations.RequestKind,
+    path: string,
+    key: string,
+  ): Promise<observations.Ending> {
+    const isLarge = kind === 'stream' && this.random.uniform() < LARGE_SHARE;
+    const patienceMs = PATIENCE_MS[kind];
+    const headers = counterpart.callerHeaders({
+      requestId,
+      key,
+      patienceMs,
+      promptTokens: isLarge ? LARGE_PROMPT_TOKENS : SMALL_PROMPT_TOKENS,
+      answerTokens: answers.EVENTS,
+    });
+    const agent = this.random.uniform() < NEW_CONNECTION_SHARE ? false : this.agent;
+    return new Promise((resolve) => {
+      const request = http.request({
+        host,
+        port: layout.PORT.callers,
+        path,
+        method: 'POST',
+        headers: { ...headers, host: HOST },
+        agent,
+      });
+      const hung = setTimeout(() => {
+        resolve({ kind: 'hung' });
+        request.destroy();
+      }, patienceMs + HANG_MS);
+      const settle = (ending: observations.Ending): void => {
+        clearTimeout(hung);
+        resolve(ending);
+      };
+      request.on('error', () => settle({ kind: 'broken' }));
+      request.on('response', (response) => {
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('error', () => undefined);
+        response.on('close', () => settle(endingOf(response, Buffer.concat(chunks))));
+      });
+      request.end('soak');
+    });
+  }
+}
+
+function endingOf(response: http.IncomingMessage, body: Buffer): observations.Ending {
+  if (!response.complete) return { kind: 'broken' };
+  return {
+    kind: 'answered',
+    status: response.statusCode ?? 0,
+    isSigned: counterpart.isSigned(response.headers),
+    body: body.toString(),
+  };
+}
--- /dev/null
+++ b/packages/soak/src/checks.ts
@@ -0,0 +1,283 @@
+/**
+ * The promises, checked on what was seen from outside. Those without a time bound hold always; the others hold for
+ * processes that were in touch, which is said where it matters.
+ */
+import * as answers from './answers';
+import * as layout from './layout';
+import type * as observations from './observations';
+
+type Asked = observations.Asked;
+type Observations = observations.Observations;
+type Probe = observations.Probe;
+
+export type Breach =
+  /** A success that isn't the caller's whole own answer. */
+  | 'wrongAnswer'
+  | 'ranTwice'
+  /** Told that it didn't run, though it did. */
+  | 'falseNotRun'
+  | 'hung'
+  /** A proper request refused for its route or key. */
+  | 'denied'
+  /** An older version seen after a newer one in the same process. */
+  | 'wentBack'
+  | 'notInForce'
+  /** Two documents with one version both in force. */
+  | 'twoContents'
+  /** An acknowledged document is gone at the end. */
+  | 'lost'
+  | 'revokedKeyRan'
+  | 'drainedTargetRan'
+  | 'cutByStop'
+  | 'memoryLeft'
+  | 'notRecovered';
+
+export interface Violation {
+  promise: Breach;
+  detail: string;
+}
+
+/** A process counts as in touch when nothing was done to it or to the keepers for so long, milliseconds. */
+const CALM_MS = 5_000;
+
+/** A probe's answer may show a state of some milliseconds before it was sent. */
+const PROBE_SLACK_MS = 500;
+
+/** The way of a request from an entry to a target. */
+const WAY_MS = 150;
+
+/** Statuses that promise that a request didn't run. */
+const PROMISES = new Set([408, 421, 429, 503]);
+
+const DENIALS = new Set([401, 403, 404]);
+
+/** Share of requests that must be served when everything is well again. */
+const RECOVERED_SHARE = 0.95;
+
+/** How long after the end of all harm that holds, milliseconds. */
+export const RECOVER_MS = 8_000;
+
+type Check = (seen: Observations) => Violation[];
+
+const CHECKS: Check[] = [
+  wrongAnswers,
+  runs,
+  hangs,
+  denials,
+  steps,
+  inForce,
+  oneContent,
+  nothingLost,
+  revokedKeys,
+  drainedTargets,
+  plannedStops,
+  memory,
+  recovery,
+];
+
+export function violations(seen: Observations): Violation[] {
+  return CHECKS.flatMap((check) => check(seen));
+}
+
+function wrongAnswers({ asked }: Observations): Violation[] {
+  return asked.flatMap(({ request, path, ending }) => {
+    if (ending.kind !== 'answered' || ending.status !== 200) return [];
+    if (ending.isSigned && ending.body === answers.whole(request, path)) return [];
+    const detail = `${request} ${path} got ${JSON.stringify(ending.body.slice(0, 200))}`;
+    return [{ promise: 'wrongAnswer', detail }];
+  });
+}
+
+function runs({ asked, ran }: Observations): Violation[] {
+  const counts = new Map<string, number>();
+  ran.forEach(({ request }) => counts.set(request, (counts.get(request) ?? 0) + 1));
+  return asked
+    .filter(({ kind }) => kind === 'unsafe')
+    .flatMap(({ request, ending }): Violation[] => {
+      const count = counts.get(request) ?? 0;
+      if (count > 1) return [{ promise: 'ranTwice', detail: `${request} ran ${count} times` }];
+      const isPromised = ending.kind === 'answered' && PROMISES.has(ending.status);
+      return isPromised && count > 0
+        ? [{ promise: 'falseNotRun', detail: `${request} ran and got ${ending.status}` }]
+        : [];
+    });
+}
+
+function hangs(seen: Observations): Violation[] {
+  return seen.asked
+    .filter(({ ending }) => ending.kind === 'hung')
+    .filter((each) => !isHarmed(seen, 'entry', each.entry, each.sentAt, each.endedAt))
+    .map(({ request, entry }) => ({ promise: 'hung', detail: `${request} at entry ${entry}` }));
+}
+
+/** Base routes are in every document, so an entry may refuse only keys, and those for a document without them. */
+function denials(seen: Observations): Violation[] {
+  return seen.asked.flatMap((asked) => {
+    const { request, key, ending, entry } = asked;
+    if (ending.kind !== 'answered' || !DENIALS.has(ending.status)) return [];
+    const possible = possibleDocuments(seen, asked);
+    if (possible.some(({ keys }) => !keys.includes(key))) return [];
+    return [{ promise: 'denied', detail: `${request} got ${ending.status} at entry ${entry}` }];
+  });
+}
+
+/** Documents that an entry may have in force for a request; one that isn't in touch may have any. */
+function possibleDocuments(seen: Observations, asked: Asked): observations.Sent[] {
+  const sent = seen.sent.filter(({ sentAt }) => sentAt < asked.endedAt);
+  if (!isCalm(seen, asked.entry, asked.sentAt, asked.endedAt)) return sent;
+  const bound = asked.sentAt - layout.BOUNDS.applyMs;
+  const settled = sent.filter(({ ackedAt }) => (ackedAt ?? Infinity) < bound);
+  const oldest = Math.max(0, ...settled.map(({ version }) => version));
+  return sent.filter(({ version }) => version >= oldest);
+}
+
+function isServed({ ending }: Asked): boolean {
+  return ending.kind === 'answered' && ending.status === 200;
+}
+
+function isUnknown({ ending }: Asked): boolean {
+  return ending.kind === 'answered' && ending.status === 404;
+}
+
+function steps({ probes }: Observations): Violation[] {
+  const served = probes.filter(isServed);
+  return served.flatMap((later) => {
+    const earlier = served.find(
+      (each) =>
+        each.entry === later.entry &&
+        each.incarnation === later.incarnation &&
+        each.version > later.version &&
+        each.endedAt + PROBE_SLACK_MS < later.sentAt,
+    );
+    if (earlier === undefined) return [];
+    const detail = `entry ${later.entry}: ${later.request} saw ${later.version} after ${earlier.version}`;
+    return [{ promise: 'wentBack', detail }];
+  });
+}
+
+function inForce(seen: Observations): Violation[] {
+  return seen.probes.flatMap((probe) => {
+    const { entry, sentAt, endedAt } = probe;
+    if (!isCalm(seen, entry, sentAt, endedAt)) return [];
+    const bound = sentAt - layout.BOUNDS.applyMs;
+    const newer = seen.sent.find(
+      ({ version, ackedAt }) => version > probe.version && (ackedAt ?? Infinity) < bound,
+    );
+    if (isServed(probe) && newer !== undefined) return [lateness(probe, 'still served')];
+    return isUnknown(probe) && mustKnow(seen, probe, bound) ? [lateness(probe, 'unknown')] : [];
+  });
+}
+
+/** Whether the probed route is in the only document that may be in force. */
+function mustKnow({ sent }: Observations, probe: Probe, bound: number): boolean {
+  const isOvertaken = sent.some(({ version, label, sentAt }) => {
+    const isOther = version > probe.version || (version === probe.version && label !== probe.label);
+    return isOther && sentAt < probe.endedAt;
+  });
+  if (isOvertaken) return false;
+  return sent.some(({ version, label, ackedAt }) => {
+    return version === probe.version && label === probe.label && (ackedAt ?? Infinity) < bound;
+  });
+}
+
+function lateness({ entry, version, request }: Probe, what: string): Violation {
+  return { promise: 'notInForce', detail: `entry ${entry}: ${version} ${what} (${request})` };
+}
+
+function oneContent({ probes }: Observations): Violation[] {
+  const labels = new Map<number, Set<string>>();
+  probes.filter(isServed).forEach(({ version, label }) => {
+    labels.set(version, (labels.get(version) ?? new Set()).add(label));
+  });
+  return [...labels]
+    .filter(([, seen]) => seen.size > 1)
+    .map(([version]) => ({ promise: 'twoContents', detail: `version ${version}` }));
+}
+
+function nothingLost({ sent, readBack }: Observations): Violation[] {
+  const acked = sent.filter(({ ackedAt }) => ackedAt !== undefined);
+  const newest = Math.max(0, ...acked.map(({ version }) => version));
+  if (readBack === undefined) return [{ promise: 'lost', detail: 'no document read back' }];
+  const isSent = sent.some(
+    ({ version, label }) => version === readBack.version && label === readBack.label,
+  );
+  return readBack.version >= newest && isSent
+    ? []
+    : [{ promise: 'lost', detail: `${readBack.version}${readBack.label} read, ${newest} acked` }];
+}
+
+function revokedKeys({ asked, ran, revoked }: Observations): Violation[] {
+  const all = new Set(ran.map(({ request }) => request));
+  return asked.flatMap(({ key, request, sentAt }) => {
+    const taken = revoked.find((each) => each.key === key);
+    const isLate = taken !== undefined && sentAt > taken.ackedAt + layout.BOUNDS.revokeMs;
+    if (!isLate || !all.has(request)) return [];
+    return [{ promise: 'revokedKeyRan', detail: `${request} with ${key}` }];
+  });
+}
+
+function drainedTargets(seen: Observations): Violation[] {
+  const byRequest = new Map(seen.asked.map((each) => [each.request, each]));
+  return seen.ran.flatMap(({ request, target, at }) => {
+    const drained = seen.drained.find((each) => each.target === target);
+    const asked = byRequest.get(request);
+    if (drained === undefined || asked === undefined) return [];
+    if (at < drained.at + layout.BOUNDS.drainMs + WAY_MS) return [];
+    if (!isCalm(seen, asked.entry, drained.at, at)) return [];
+    return [{ promise: 'drainedTargetRan', detail: `${request} at ${target}` }];
+  });
+}
+
+/** A request that a stopping entry had passed on must get its whole answer, unless its target was harmed. */
+function plannedStops(seen: Observations): Violation[] {
+  const ran = new Map(seen.ran.map((each) => [each.request, each]));
+  return seen.stopped.flatMap(({ entry, incarnation, from, until }) => {
+    const cut = seen.asked.filter((each) => {
+      const isThere = each.entry === entry && each.incarnation === incarnation;
+      return isThere && each.ending.kind === 'broken' && each.endedAt > from;
+    });
+    return cut
+      .filter(({ request }) => ran.has(request) && !isTargetHarmed(seen, ran.get(request)?.target))
+      .filter(({ sentAt }) => !isHarmed(seen, 'entry', entry, sentAt, until))
+      .map(({ request }) => ({ promise: 'cutByStop', detail: `${request} at entry ${entry}` }));
+  });
+}
+
+function memory({ reservationsLeft }: Observations): Violation[] {
+  return reservationsLeft === 0
+    ? []
+    : [{ promise: 'memoryLeft', detail: `${reservationsLeft} reservations` }];
+}
+
+function recovery({ asked, revoked, healedAt }: Observations): Violation[] {
+  const gone = new Set(revoked.map(({ key }) => key));
+  const late = asked.filter(({ sentAt, key }) => sentAt > healedAt + RECOVER_MS && !gone.has(key));
+  const served = late.filter(isServed).length;
+  if (late.length > 0 && served >= RECOVERED_SHARE * late.length) return [];
+  return [{ promise: 'notRecovered', detail: `${served} of ${late.length} served` }];
+}
+
+/** Whether harm was done to a process, or to all ways, within a span. */
+function isHarmed(
+  { disturbances }: Observations,
+  subject: observations.Subject,
+  index: number | undefined,
+  from: number,
+  until: number,
+): boolean {
+  return disturbances.some((each) => {
+    const isOverlapping = each.from <= until && each.until >= from;
+    const isIt = each.subject === subject && (index === undefined || each.index === index);
+    return isOverlapping && (isIt || each.subject === 'network');
+  });
+}
+
+function isCalm(seen: Observations, entry: number, from: number, until: number): boolean {
+  const isEntryCalm = !isHarmed(seen, 'entry', entry, from - CALM_MS, until);
+  return isEntryCalm && !isHarmed(seen, 'keeper', undefined, from - CALM_MS, until);
+}
+
+function isTargetHarmed(seen: Observations, target: string | undefined): boolean {
+  const index = seen.lifetimes.find((each) => each.target === target)?.index;
+  return seen.disturbances.some((each) => each.subject === 'target' && each.index === index);
+}
--- /dev/null
+++ b/packages/soak/src/child.ts
@@ -0,0 +1,71 @@
+/** One process that the soak started. Only these are ever signalled, by their ids. */
+import * as childProcess from 'node:child_process';
+import * as fs from 'node:fs';
+import * as readline from 'node:readline';
+
+export interface Command {
+  name: string;
+  /** Arguments for Node.js. */
+  words: string[];
+  environment: Record<string, string>;
+  /** Everything that the process writes is appended here. */
+  logFile: string;
+  /** Called for each line of its standard output. */
+  onLine?: (line: string) => void;
+}
+
+export class Child {
+  private process: childProcess.ChildProcess | undefined;
+
+  /** Counts starts; a process that was started again is another incarnation. */
+  incarnation = 0;
+
+  constructor(readonly command: Command) {}
+
+  get isRunning(): boolean {
+    return this.process !== undefined;
+  }
+
+  start(): void {
+    if (this.process !== undefined) return;
+    const { words, environment, logFile, onLine } = this.command;
+    this.incarnation += 1;
+    const log = fs.openSync(logFile, 'a');
+    const started = childProcess.spawn(process.execPath, words, {
+      env: { ...environment, PATH: process.env.PATH },
+      stdio: ['ignore', onLine === undefined ? log : 'pipe', log],
+    });
+    fs.closeSync(log);
+    this.process = started;
+    started.once('exit', () => {
+      if (this.process === started) this.process = undefined;
+    });
+    if (onLine === undefined || started.stdout === null) return;
+    readline.createInterface({ input: started.stdout }).on('line', (line) => {
+      fs.appendFileSync(logFile, `${line}\n`);
+      onLine(line);
+    });
+  }
+
+  signal(name: NodeJS.Signals): void {
+    this.process?.kill(name);
+  }
+
+  /** Resolves when the process has ended; one that outlasts `graceMs` is killed. */
+  async ended(graceMs: number): Promise<void> {
+    const running = this.process;
+    if (running === undefined) return;
+    const timer = setTimeout(() => running.kill('SIGKILL'), graceMs);
+    await new Promise<void>((resolve) => {
+      if (running.exitCode !== null || running.signalCode !== null) resolve();
+      else running.once('exit', () => resolve());
+    });
+    clearTimeout(timer);
+    if (this.process === running) this.process = undefined;
+  }
+
+  async kill(): Promise<void> {
+    this.signal('SIGKILL');
+    await this.ended(0);
+  }
+}
--- /dev/null
+++ b/packages/soak/src/main.ts
@@ -0,0 +1,83 @@
+/** `npm run soak -- --seed N`: plays seeds; the last line is one JSON object with counts. */
+import * as fs from 'node:fs';
+import * as path from 'node:path';
+import * as commander from 'commander';
+import type * as layout from './layout';
+import * as run from './run';
+
+interface Words {
+  seed: string;
+  seeds: string;
+  seconds: string;
+  parallel: string;
+  size: string;
+  program: string;
+  folder: string;
+  keep?: boolean;
+}
+
+/** First of the networks in 127/8 that runs use; a run beside another takes the next. */
+const FIRST_NETWORK = 40;
+
+function whole(name: string, text: string, least: number, most: number): number {
+  const number = Number(text);
+  if (Number.isInteger(number) && number >= least && number <= most) return number;
+  process.stderr.write(`soak: --${name} ${text}: give a whole number from ${least} to ${most}\n`);
+  process.exit(2);
+}
+
+async function playAll(words: Words): Promise<void> {
+  const first = whole('seed', words.seed, 0, 2 ** 31 - 1);
+  const count = whole('seeds', words.seeds, 1, 1_000);
+  const seconds = whole('seconds', words.seconds, 1, 3_600);
+  const parallel = whole('parallel', words.parallel, 1, 8);
+  if (words.size !== 'small' && words.size !== 'large') {
+    process.stderr.write(`soak: --size ${words.size}: give small or large\n`);
+    process.exit(2);
+  }
+  const size: layout.Size = words.size;
+  const seeds = Array.from({ length: count }, (_, i) => first + i);
+  const reports: run.Report[] = [];
+  const play = async (network: number): Promise<void> => {
+    for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
+      const folder = path.resolve(words.folder, `seed-${seed}`);
+      const program = path.resolve(words.program);
+      const report = await run
+        .play({ seed, seconds, size, program, folder, network })
+        .catch((error: unknown) => run.notPlayed(seed, folder, error));
+      reports.push(report);
+      process.stderr.write(`${JSON.stringify(report)}\n`);
+      const isGood = Object.keys(report.broken).length === 0;
+      if (isGood && words.keep !== true) fs.rmSync(folder, { recursive: true, force: true });
+    }
+  };
+  await Promise.all(Array.from({ length: parallel }, (_, i) => play(FIRST_NETWORK + i)));
+  const failed = reports.filter(({ broken }) => Object.keys(broken).length > 0);
+  const sum = (of: (report: run.Report) => number): number =>
+    reports.reduce((total, report) => total + of(report), 0);
+  const summary = {
+    seeds: reports.length,
+    failed: failed.map(({ seed, broken }) => ({ seed, broken })),
+    steps: sum(({ steps }) => steps),
+    asked: sum(({ asked }) => asked),
+    served: sum(({ served }) => served),
+    changes: sum(({ changes }) => changes),
+  };
+  process.stdout.write(`${JSON.stringify(summary)}\n`);
+  process.exit(failed.length === 0 ? 0 : 1);
+}
+
+export async function main(argv: readonly string[]): Promise<void> {
+  await new commander.Command('soak')
+    .description('Real processes, faults from outside, promises checked while they run.')
+    .option('--seed <n>', 'first seed', '1')
+    .option('--seeds <n>', 'how many seeds, one after the other', '1')
+    .option('--seconds <n>', 'how long harm is done in a run', '20')
+    .option('--parallel <n>', 'runs at the same time', '1')
+    .option('--size <size>', 'small or large', 'small')
+    .option('--program <file>', 'program that runs on the VMs', 'target/celerydrift.js')
+    .option('--folder <folder>', 'where failed runs are kept', 'soak-runs')
+    .option('--keep', 'keeps the folders of good runs too')
+    .action(playAll)
+    .parseAsync([...argv]);
+}
--- /dev/null
+++ b/packages/soak/src/operator.ts
@@ -0,0 +1,236 @@
+/**
+ * The operator: whole documents with rising versions, sent again to any keeper until one acknowledges them. Each
+ * version has a route of its own, so that a probe of it shows which document an entry has in force.
+ */
+import * as http from 'node:http';
+import * as domain from '@celerydrift/domain';
+import { control, counterpart } from '@celerydrift/platform';
+import * as callers from './callers';
+import * as fleet from './fleet';
+import type * as observations from './observations';
+
+type Catalogue = domain.catalogue.catalogue.Catalogue;
+type Route = domain.catalogue.catalogue.Route;
+
+const ORGANISATIONS = 3;
+const KINDS = ['safe', 'unsafe', 'stream'] as const;
+const CALL_TIMEOUT_MS = 1_000;
+const PAUSE_MS = 100;
+/** A change without an acknowledgement is given up after so long; it may still come into force. */
+const GIVE_UP_MS = 20_000;
+
+/** Versions rise in uneven steps up to this. */
+const LARGEST_STEP = 4;
+
+const ENGINE: domain.catalogue.catalogue.Engine = {
+  slots: fleet.ENGINE_SLOTS,
+  memoryTokens: fleet.ENGINE_MEMORY_TOKENS,
+  stepsPerPass: 8,
+  stepMs: 1,
+  writerStepMs: 0.01,
+  contextStepMs: 0.003,
+  readTokensPerMs: 200,
+  pairMsPerMillion: 0.01,
+  chunkTokens: 2_048,
+  hopMs: 0,
+  usualAnswerTokens: 100,
+};
+
+interface Answer {
+  status: number;
+  body: string;
+}
+
+export function basePath(kind: observations.RequestKind): string {
+  return `/${kind}/call`;
+}
+
+export function probePath(version: number, label: string): string {
+  return `/v${version}${label}/call`;
+}
+
+function routeOf(name: string, kind: observations.RequestKind): Route {
+  const isStream = kind === 'stream';
+  return {
+    name,
+    host: callers.HOST,
+    pathPrefix: `/${name}/`,
+    kind: isStream ? 'streaming' : kind,
+    timeoutMs: isStream ? 6_000 : 1_500,
+    objectiveMs: isStream ? 500 : 200,
+    priority: 1,
+    shares: [{ service: isStream ? fleet.SERVICE.engines : fleet.SERVICE.plain, weight: 1 }],
+    maxAttempts: kind === 'unsafe' ? 1 : 3,
+    isPublic: false,
+    isResumable: isStream,
+    pauseMs: 200,
+  };
+}
+
+export class Operator {
+  private version = 0;
+
+  /** One key after the other is taken away. */
+  private revoking: Promise<void> = Promise.resolve();
+
+  /** Number of the key of each organisation; a new one takes the old one away. */
+  private readonly generations = Array.from({ length: ORGANISATIONS }, () => 1);
+
+  constructor(
+    private readonly controls: readonly string[],
+    private readonly seen: observations.Observations,
+    private readonly random: domain.shared.random.Random,
+  ) {}
+
+  /** A key that every document so far has had since it came. */
+  key(): string {
+    return this.keyOf(domain.shared.random.below(this.random, ORGANISATIONS));
+  }
+
+  /** The newest documents that may be in force, newest first. */
+  recent(): observations.Sent[] {
+    return this.seen.sent.slice(-3).reverse();
+  }
+
+  change(): Promise<void> {
+    this.step();
+    return this.submit(this.catalogue(this.version, ''), '');
+  }
+
+  /** Two documents at once, with one version or with two. */
+  async race(isSameVersion: boolean): Promise<void> {
+    this.step();
+    const first = this.catalogue(this.version, 'a');
+    if (!isSameVersion) this.step();
+    const second = this.catalogue(this.version, 'b');
+    await Promise.all([this.submit(first, 'a'), this.submit(second, 'b')]);
+  }
+
+  /** Takes a key away from an organisation that gets a new one instead. */
+  revoke(index: number): Promise<void> {
+    this.revoking = this.revoking.then(() => this.replaceKey(index % ORGANISATIONS));
+    return this.revoking;
+  }
+
+  private async replaceKey(organisation: number): Promise<void> {
+    const key = this.keyOf(organisation);
+    // Callers go on with the old key for a while; the new one must be in force before they use it.
+    this.step();
+    const keys = [key, `${key}+`];
+    await this.submit(this.catalogue(this.version, '', new Map([[organisation, keys]])), '');
+    this.generations[organisation] += 1;
+    this.step();
+    await this.submit(this.catalogue(this.version, '', new Map([[organisation, [`${key}+`]]])), '');
+    const done = this.seen.sent.at(-1);
+    if (done?.ackedAt !== undefined) this.seen.revoked.push({ key, ackedAt: done.ackedAt });
+  }
+
+  /** A document that nobody may put in force. */
+  async invalid(): Promise<void> {
+    const broken = this.catalogue(this.version + 1, 'invalid');
+    const routes = [...broken.routes, routeOf('safe', 'safe')];
+    const { status } = await this.call(this.anyKeeper(), counterpart.submit({ ...broken, routes }));
+    if (status === 200) throw new Error('an invalid document was acknowledged');
+  }
+
+  /** Which document the fleet says is the newest. */
+  async readBack(): Promise<observations.Observations['readBack']> {
+    const until = Date.now() + GIVE_UP_MS;
+    while (Date.now() < until) {
+      const { status, body } = await this.call(this.anyKeeper(), counterpart.read());
+      if (status === 200) return identityOf(body);
+      await pause(PAUSE_MS);
+    }
+    return undefined;
+  }
+
+  private step(): void {
+    this.version += 1 + domain.shared.random.below(this.random, LARGEST_STEP);
+  }
+
+  private keyOf(organisation: number): string {
+    return `k${organisation}${'+'.repeat(this.generations[organisation] - 1)}`;
+  }
+
+  private catalogue(
+    version: number,
+    label: string,
+    keys: ReadonlyMap<number, string[]> = new Map(),
+  ): Catalogue {
+    return {
+      version,
+      routes: [...KINDS.map((kind) => routeOf(kind, kind)), routeOf(`v${version}${label}`, 'safe')],
+      services: [
+        { name: fleet.SERVICE.engines, healthPath: '/', maxConnections: 200, engine: ENGINE },
+        { name: fleet.SERVICE.plain, healthPath: '/', maxConnections: 200, engine: undefined },
+      ],
+      organisations: this.generations.map((_, i) => {
+        return { name: `o${i}`, keys: keys.get(i) ?? [this.keyOf(i)], priority: 1 };
+      }),
+      limits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 1_000_000,
+        headerTimeoutMs: 3_000,
+        idleTimeoutMs: 15_000,
+      },
+    };
+  }
+
+  private async submit(catalogue: Catalogue, label: string): Promise<void> {
+    const sent: observations.Sent = {
+      version: catalogue.version,
+      label,
+      keys: (catalogue.organisations ?? []).flatMap(({ keys }) => keys),
+      sentAt: Date.now(),
+      ackedAt: undefined,
+    };
+    this.seen.sent.push(sent);
+    const call = counterpart.submit(catalogue);
+    const until = Date.now() + GIVE_UP_MS;
+    while (Date.now() < until) {
+      const { status } = await this.call(this.anyKeeper(), call);
+      if (status === 200) {
+        sent.ackedAt = Date.now();
+        return;
+      }
+      await pause(PAUSE_MS);
+    }
+  }
+
+  private anyKeeper(): string {
+    return domain.shared.random.pick(this.random, this.controls);
+  }
+
+  private call(keeper: string, { method, path, body }: counterpart.ControlCall): Promise<Answer> {
+    const [host, port] = keeper.split(':');
+    return new Promise((resolve) => {
+      const none = (): void => resolve({ status: 0, body: '' });
+      const request = http.request({ host, port, method, path, agent: false }, (response) => {
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        response.on('error', none);
+        response.on('end', () => {
+          resolve({ status: response.statusCode ?? 0, body: Buffer.concat(chunks).toString() });
+        });
+      });
+      request.setTimeout(CALL_TIMEOUT_MS, () => request.destroy());
+      request.on('error', none);
+      request.end(body);
+    });
+  }
+}
+
+/** The version and label that a document's probe route names. */
+function identityOf(body: string): { version: number; label: string } | undefined {
+  const decoded = new control.Control().catalogue(Buffer.from(body));
+  if (decoded.err) return undefined;
+  const { version, routes } = decoded.val;
+  const probe = routes.find(({ name }) => name.startsWith(`v${version}`));
+  return probe && { version, label: probe.name.slice(`v${version}`.length) };
+}
+
+export function pause(ms: number): Promise<void> {
+  return new Promise((resolve) => {
+    setTimeout(resolve, ms);
+  });
+}
--- /dev/null
+++ b/packages/soak/src/runtimeFaults.ts
@@ -0,0 +1,71 @@
+/**
+ * Loaded into each VM's process before the program: a time of day that can be stepped, and a disk that can be full
+ * or stalled. What holds at the moment stands in a file that the soak writes.
+ */
+import * as fs from 'node:fs';
+
+export type Disk = 'sound' | 'full' | 'stalled';
+
+export interface RuntimeFaults {
+  /** Added to the time of day, milliseconds. */
+  clockMs: number;
+  disk: Disk;
+}
+
+/** Names the file. */
+export const VARIABLE = 'CELERYDRIFT_SOAK_FAULTS';
+
+export const SOUND: RuntimeFaults = { clockMs: 0, disk: 'sound' };
+
+const LOOK_EVERY_MS = 50;
+
+function install(file: string): void {
+  let current = SOUND;
+  const look = (): void => {
+    try {
+      current = JSON.parse(fs.readFileSync(file, 'utf8')) as RuntimeFaults;
+    } catch {
+      // The soak is writing it; the next look finds it whole.
+    }
+  };
+  look();
+  setInterval(look, LOOK_EVERY_MS).unref();
+  const { now } = Date;
+  Date.now = () => now() + current.clockMs;
+  const { open } = fs.promises;
+  fs.promises.open = async (...parameters) => {
+    const handle = await open(...parameters);
+    harm(handle, () => current.disk);
+    return handle;
+  };
+}
+
+function harm(handle: fs.promises.FileHandle, disk: () => Disk): void {
+  const pass = async (): Promise<void> => {
+    while (disk() === 'stalled') {
+      await new Promise((resolve) => {
+        setTimeout(resolve, LOOK_EVERY_MS);
+      });
+    }
+  };
+  const { appendFile, datasync, sync } = handle;
+  handle.appendFile = async (data, options) => {
+    await pass();
+    if (disk() !== 'full') return appendFile.call(handle, data, options);
+    // A write that a full disk ends midway leaves a torn frame.
+    const bytes = Buffer.from(data as Uint8Array);
+    await appendFile.call(handle, bytes.subarray(0, bytes.length / 2));
+    throw Object.assign(new Error('ENOSPC: no space left on device'), { code: 'ENOSPC' });
+  };
+  handle.datasync = async () => {
+    await pass();
+    await datasync.call(handle);
+  };
+  handle.sync = async () => {
+    await pass();
+    await sync.call(handle);
+  };
+}
+
+const named = process.env[VARIABLE];
+if (named !== undefined) install(named);
--- /dev/null
+++ b/packages/soak/src/schedule.ts
@@ -0,0 +1,154 @@
+/** What is done to a fleet in one run, from a seed: harm in series and overlapping with changes and planned stops. */
+import * as domain from '@celerydrift/domain';
+import type * as layout from './layout';
+
+export type Kind =
+  | 'entryKill'
+  | 'entryStop'
+  | 'entryPause'
+  | 'entryCut'
+  | 'keeperKill'
+  | 'keeperPause'
+  | 'keeperCut'
+  | 'keeperWipe'
+  | 'keeperTear'
+  | 'keepersKill'
+  | 'fleetKill'
+  | 'diskFull'
+  | 'diskStall'
+  | 'clockStep'
+  | 'silence'
+  | 'reset'
+  | 'delay'
+  | 'targetKill'
+  | 'targetLeave'
+  | 'targetPause'
+  | 'targetGrey'
+  | 'changes'
+  | 'race'
+  | 'revoke'
+  | 'invalid'
+  | 'reload';
+
+export interface Step {
+  kind: Kind;
+  /** Seconds from the beginning of traffic. */
+  at: number;
+  /** How long it lasts, seconds, where it does. */
+  forSeconds: number;
+  /** Number of the process that it is done to. */
+  index: number;
+  /** For a choice within a kind: a number in [0, 1). */
+  variant: number;
+}
+
+/** How often a kind is drawn against the others. What is planned comes more often than what is harmful. */
+const WEIGHTS: Record<Kind, number> = {
+  entryKill: 2,
+  entryStop: 4,
+  entryPause: 2,
+  entryCut: 2,
+  keeperKill: 2,
+  keeperPause: 2,
+  keeperCut: 2,
+  keeperWipe: 1,
+  keeperTear: 1,
+  keepersKill: 0.5,
+  fleetKill: 0.5,
+  diskFull: 1,
+  diskStall: 1,
+  clockStep: 2,
+  silence: 1,
+  reset: 1,
+  delay: 1,
+  targetKill: 2,
+  targetLeave: 3,
+  targetPause: 2,
+  targetGrey: 3,
+  changes: 4,
+  race: 2,
+  revoke: 3,
+  invalid: 1,
+  reload: 1,
+};
+
+/** Harm to keepers: at most so many may be lost at once, by the settings. */
+const TOLERATED_KEEPERS = 2;
+
+const ON_KEEPERS = new Set<Kind>([
+  'keeperKill',
+  'keeperPause',
+  'keeperCut',
+  'keeperWipe',
+  'keeperTear',
+  'diskFull',
+  'diskStall',
+]);
+
+/** Everything at once; keepers must not be harmed otherwise around it. */
+const ON_ALL = new Set<Kind>(['keepersKill', 'fleetKill']);
+
+/** A keeper counts as lost for so long after it is back, seconds: it has to catch up and to vote again. */
+const CATCH_UP_SECONDS = 5;
+
+const MEAN_PAUSE_SECONDS = 0.8;
+const LONGEST_SECONDS = 4;
+const SHORTEST_SECONDS = 0.5;
+
+export interface Plan {
+  seed: number;
+  seconds: number;
+  steps: Step[];
+}
+
+function drawKind(random: domain.shared.random.Random): Kind {
+  const kinds = Object.entries(WEIGHTS) as [Kind, number][];
+  let left = random.uniform() * kinds.reduce((sum, [, weight]) => sum + weight, 0);
+  const drawn = kinds.find(([, weight]) => {
+    left -= weight;
+    return left < 0;
+  });
+  return (drawn ?? kinds[0])[0];
+}
+
+/** Number of processes that a kind picks one of. */
+function choices(kind: Kind, { keepers, entries, engines, services }: layout.Layout): number {
+  if (ON_KEEPERS.has(kind)) return keepers;
+  if (kind.startsWith('target')) return engines + services;
+  if (kind === 'clockStep') return keepers + entries;
+  return entries;
+}
+
+/** Whether a step would take more keepers than the fleet tolerates. */
+function isTooMuch(step: Step, steps: readonly Step[]): boolean {
+  const isOnKeepers = (each: Step): boolean => ON_KEEPERS.has(each.kind) || ON_ALL.has(each.kind);
+  if (!isOnKeepers(step)) return false;
+  const others = steps.filter((each) => {
+    const end = each.at + each.forSeconds + CATCH_UP_SECONDS;
+    return isOnKeepers(each) && end > step.at;
+  });
+  if (ON_ALL.has(step.kind)) return others.length > 0;
+  return others.some(({ kind }) => ON_ALL.has(kind)) || others.length >= TOLERATED_KEEPERS;
+}
+
+export function draw(seed: number, seconds: number, size: layout.Layout): Plan {
+  const random = domain.shared.random.seeded(seed);
+  const steps: Step[] = [];
+  for (
+    let at = 1;
+    at < seconds;
+    at += domain.shared.random.exponential(random, MEAN_PAUSE_SECONDS)
+  ) {
+    const kind = drawKind(random);
+    const span = LONGEST_SECONDS - SHORTEST_SECONDS;
+    const step: Step = {
+      kind,
+      at: Math.round(at * 1_000) / 1_000,
+      forSeconds: Math.round((SHORTEST_SECONDS + span * random.uniform()) * 1_000) / 1_000,
+      index: domain.shared.random.below(random, choices(kind, size)),
+      variant: random.uniform(),
+    };
+    if (!isTooMuch(step, steps)) steps.push(step);
+  }
+  return { seed, seconds, steps };
+}
--- /dev/null
+++ b/packages/soak/src/targetMain.ts
@@ -0,0 +1,230 @@
+/**
+ * A stand-in target in a process of its own: an engine or a plain service. Says on standard output what it ran, before it
+ * answers, and which of its announcements were acknowledged. Its answers follow from the request's id, so that a
+ * caller knows whether it got its own, and all of it.
+ */
+import * as fs from 'node:fs';
+import * as http from 'node:http';
+import { counterpart } from '@celerydrift/platform';
+import * as answers from './answers';
+
+/** How a target behaves; `sound` in all but grey times. */
+export type Mode = 'sound' | 'failing' | 'mute' | 'cutting' | 'crossed' | 'extra';
+
+export interface Options {
+  id: string;
+  service: string;
+  dataCentre: string;
+  host: string;
+  port: number;
+  /** HOST:PORT that it announces. */
+  address: string;
+  slots: number;
+  /** Tokens of memory; 0 for a plain service. */
+  memoryTokens: number;
+  /** Control addresses of keepers. */
+  keepers: string[];
+  /** Holds the mode of the moment. */
+  modeFile: string;
+}
+
+/** A line of its output. */
+export type Line =
+  | { kind: 'ran'; request: string; target: string; organisation: string; at: number }
+  | { kind: 'draining'; target: string; at: number };
+
+const ANNOUNCE_EVERY_MS = 500;
+const ANNOUNCE_TIMEOUT_MS = 1_000;
+/** A target that leaves serves on for so long after the acknowledgement. */
+const DRAIN_MS = 3_000;
+const CALL_MS = 20;
+const EVENT_MS = 30;
+
+class Target {
+  private state: 'ready' | 'draining' = 'ready';
+
+  private sequence = 0;
+
+  private running = 0;
+
+  private readonly reservations = new Map<string, { tokens: number; expiresAt: number }>();
+
+  constructor(private readonly options: Options) {}
+
+  start(): void {
+    const server = http.createServer((request, response) => {
+      const chunks: Buffer[] = [];
+      request.on('data', (chunk: Buffer) => chunks.push(chunk));
+      request.on('end', () => this.serve(request, response, Buffer.concat(chunks).toString()));
+      response.on('error', () => undefined);
+    });
+    server.listen(this.options.port, this.options.host);
+    const announce = (): void => {
+      void this.announce();
+    };
+    setInterval(announce, ANNOUNCE_EVERY_MS);
+    announce();
+    process.on('SIGTERM', () => {
+      void this.leave();
+    });
+  }
+
+  private serve(request: http.IncomingMessage, response: http.ServerResponse, body: string): void {
+    const path = request.url ?? '';
+    if (path === answers.STATE_PATH) {
+      this.expire();
+      response.end(JSON.stringify({ reservations: this.reservations.size }));
+      return;
+    }
+    const order = counterpart.memoryOrder(path, body);
+    if (order !== undefined) {
+      response.writeHead(this.obey(order)).end('{"free":0}');
+      return;
+    }
+    this.run(request, response, path);
+  }
+
+  private obey(order: counterpart.MemoryOrder): number {
+    if (order.kind === 'release') {
+      this.reservations.delete(order.reservation);
+      return 200;
+    }
+    this.expire();
+    const held = [...this.reservations].filter(([id]) => id !== order.reservation);
+    const used = held.reduce((sum, [, { tokens }]) => sum + tokens, 0);
+    if (used + order.tokens > this.options.memoryTokens) return 409;
+    const expiresAt = performance.now() + order.holdMs;
+    this.reservations.set(order.reservation, { tokens: order.tokens, expiresAt });
+    return 200;
+  }
+
+  private expire(): void {
+    this.reservations.forEach(({ expiresAt }, id) => {
+      if (expiresAt < performance.now()) this.reservations.delete(id);
+    });
+  }
+
+  private run(request: http.IncomingMessage, response: http.ServerResponse, path: string): void {
+    const {
+      requestId,
+      target,
+      organisation = '',
+      resumeAfter,
+    } = counterpart.received(request.headers);
+    const { id, slots } = this.options;
+    if (target !== id || this.running >= slots) {
+      const status = target === id ? 503 : 421;
+      response.writeHead(status, counterpart.answerHeaders(requestId, id, true)).end();
+      return;
+    }
+    say({ kind: 'ran', request: requestId, target: id, organisation, at: Date.now() });
+    this.running += 1;
+    response.once('close', () => {
+      this.running -= 1;
+    });
+    const mode = this.mode();
+    if (mode === 'mute') return;
+    const named = mode === 'crossed' ? `${requestId}x` : requestId;
+    const headers = counterpart.answerHeaders(named, id);
+    if (mode === 'failing') response.writeHead(500, headers).end('failed');
+    else if (path.includes(answers.STREAM_WORD)) {
+      this.stream(response, headers, named, resumeAfter, mode === 'cutting');
+    } else this.call(response, headers, answers.callBody(named, path), mode);
+  }
+
+  private call(response: http.ServerResponse, headers: string[], body: string, mode: Mode): void {
+    setTimeout(() => {
+      response.writeHead(200, [...headers, 'content-length', String(body.length)]);
+      if (mode === 'cutting') {
+        response.write(body.slice(0, body.length / 2));
+        setTimeout(() => response.destroy(), 1);
+        return;
+      }
+      const { socket } = response;
+      response.end(body, () => {
+        if (mode === 'extra') socket?.write('HTTP/1.1 200 OK\r\ncontent-length: 2\r\n\r\nno');
+      });
+    }, CALL_MS);
+  }
+
+  private stream(
+    response: http.ServerResponse,
+    headers: string[],
+    requestId: string,
+    resumeAfter: number,
+    isCut: boolean,
+  ): void {
+    response.writeHead(200, [...headers, 'content-type', 'text/event-stream']);
+    let next = resumeAfter + 1;
+    const timer = setInterval(() => {
+      const event = answers.event(requestId, next);
+      if (isCut && next === 3) {
+        response.write(event.slice(0, 5));
+        setTimeout(() => response.destroy(), 1);
+        return;
+      }
+      response.write(event);
+      next += 1;
+      if (next > answers.EVENTS) response.end();
+    }, EVENT_MS);
+    response.once('close', () => clearInterval(timer));
+  }
+
+  private mode(): Mode {
+    try {
+      return fs.readFileSync(this.options.modeFile, 'utf8') as Mode;
+    } catch {
+      return 'sound';
+    }
+  }
+
+  private async announce(): Promise<boolean> {
+    this.sequence += 1;
+    const { id, service, address, dataCentre, slots } = this.options;
+    const { state, sequence } = this;
+    return this.tell(
+      counterpart.announce({ id, service, address, dataCentre, slots, state, sequence }),
+    );
+  }
+
+  /** Sends a call to one keeper after the other until one acknowledges it. */
+  private async tell(call: counterpart.ControlCall): Promise<boolean> {
+    const { keepers } = this.options;
+    const first = Math.floor(Math.random() * keepers.length);
+    for (let i = 0; i < keepers.length; i++) {
+      const keeper = keepers[(first + i) % keepers.length];
+      if (await acknowledged(keeper, call)) return true;
+    }
+    return false;
+  }
+
+  private async leave(): Promise<void> {
+    this.state = 'draining';
+    const { id } = this.options;
+    if (await this.announce()) say({ kind: 'draining', target: id, at: Date.now() });
+    setTimeout(() => {
+      void this.tell(counterpart.depart(id)).then(() => process.exit(0));
+    }, DRAIN_MS);
+  }
+}
+
+/** Standard output is a pipe, which Node.js writes synchronously: a line said before a kill is there. */
+function say(line: Line): void {
+  process.stdout.write(`${JSON.stringify(line)}\n`);
+}
+
+function acknowledged(keeper: string, call: counterpart.ControlCall): Promise<boolean> {
+  const { method, path, body } = call;
+  const [host, port] = keeper.split(':');
+  return new Promise((resolve) => {
+    const request = http.request({ host, port, method, path, agent: false }, (response) => {
+      response.resume();
+      resolve((response.statusCode ?? 500) < 300);
+    });
+    request.setTimeout(ANNOUNCE_TIMEOUT_MS, () => request.destroy());
+    request.on('error', () => resolve(false));
+    request.end(body);
+  });
+}
+
+new Target(JSON.parse(process.argv[2]) as Options).start();
