Keep the leader quick under bursts, and judge silence by what callers bear

Streams whose engine read a long prompt were taken for silent after 0.6 s and read a second time (1,127 times). New leaders told entries that they share the repeat budget with few, so 796 repeats were sent where 790 are allowed.

--- a/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
@@ -105,15 +105,14 @@
   private readonly targets = new targetClient.TargetClient();
 
   private constructor(private readonly addresses: string[]) {
+    const rule = { ratio: 1, slack: 100, windowMs: 10_000 };
+    const budget = new domain.request.repeatBudget.RepeatBudget(rule);
+    budget.shareWith(1, clock.steady());
     const services: exchange.Services = {
       protocol: PROTOCOL,
       chooser: { choose: (wish: chooser.Wish) => this.choose(wish) } as chooser.Chooser,
       targets: this.targets,
-      budget: new domain.request.repeatBudget.RepeatBudget({
-        ratio: 1,
-        slack: 100,
-        windowMs: 10_000,
-      }),
+      budget,
       observer: new observer.Observer('test', 'fatal', undefined),
       random: domain.shared.random.seeded(1),
       now: clock.steady,
--- /dev/null
+++ b/packages/daemon/src/entry/__tests__/silence.test.ts
@@ -0,0 +1,57 @@
+/** When a target is given up for its silence. */
+import * as chai from 'chai';
+import type * as domain from '@celerydrift/domain';
+import * as silence from '../silence';
+
+const { expect } = chai;
+
+function route(
+  kind: domain.catalogue.catalogue.RouteKind,
+  objectiveMs: number,
+  pauseMs: number,
+): domain.catalogue.catalogue.Route {
+  return {
+    name: kind,
+    host: 'a.example',
+    pathPrefix: '/',
+    kind,
+    timeoutMs: 10_000,
+    objectiveMs,
+    priority: 1,
+    shares: [],
+    maxAttempts: 2,
+    isPublic: false,
+    isResumable: true,
+    pauseMs,
+  };
+}
+
+describe('silence of a target', () => {
+  it('is bounded by what its callers bear', () => {
+    const bounds = [
+      silence.boundsOf(route('streaming', 300, 250), 100),
+      silence.boundsOf(route('streaming', 1_500, 600), 400),
+      silence.boundsOf(route('streaming', 3_000, 1_000), 700),
+      silence.boundsOf(route('safe', 193, 1_000), 0),
+    ];
+    expect(bounds).toMatchSnapshot();
+  });
+
+  /*
+   * In a burst of long prompts each engine read for a second between the events of its short streams. Entries
+   * took them for silent after 0.6 s and sent a thousand prompts a second time, and more engines were
+   * busy reading.
+   */
+  it("isn't a pause that the reading of a long prompt makes", () => {
+    const bounds = silence.boundsOf(route('streaming', 300, 250), 100);
+    const flowing = { sentAt: 0, lastEventAt: 500 };
+    expect(silence.isSilent(bounds, flowing, 1_500)).to.equal(false);
+    expect(silence.isSilent(bounds, flowing, 1_750)).to.equal(true);
+  });
+
+  it('leaves a second target time to answer a long prompt within its objective', () => {
+    const predictedMs = 500;
+    const bounds = silence.boundsOf(route('streaming', 3_000, 1_000), predictedMs);
+    expect(bounds.firstMs + predictedMs).to.be.lessThan(3_000);
+  });
+});
--- a/packages/daemon/src/entry/chooser.ts
+++ b/packages/daemon/src/entry/chooser.ts
@@ -20,6 +20,8 @@
   answerTokens: number;
   objectiveMs: number;
   pauseMs: number;
+  /** How long the caller has waited already. */
+  waitedMs: number;
   excluded: readonly string[];
   patienceMs: number;
 }
@@ -48,6 +50,12 @@
 /** What the leader's answer may take beyond the wait for a place, milliseconds: ten times the usual. */
 const PLACE_TIMEOUT_MS = 150;
 
+/**
+ * How long no other request waits for a leader that left one without an answer, milliseconds; the link asks it
+ * about twice in that time. Without the pause every request to a frozen leader would wait.
+ */
+const SUSPECT_MS = 600;
+
 /** Ends of dispatches are gathered for so long before they are told to the leader, milliseconds. */
 const GATHER_MS = 5;
 
@@ -65,6 +73,8 @@
   /** Dispatches on engines that run, by request. */
   private readonly running = new Map<string, messages.Dispatched>();
 
+  private leaderSuspectUntil = 0;
+
   private ends: messages.Ended['dispatches'] = [];
 
   constructor(private readonly options: Options) {}
@@ -78,7 +88,8 @@
     if (service?.engine === undefined) return this.choosePlain(wish);
     const { link } = this.options;
     const { leader } = link;
-    const usable = leader !== '' && link.age < LEADER_FRESH_MS;
+    const isSuspect = this.options.now() < this.leaderSuspectUntil;
+    const usable = leader !== '' && link.age < LEADER_FRESH_MS && !isSuspect;
     const answer = usable ? await this.askLeader(leader, wish) : undefined;
     return answer ?? this.chooseLocally(wish);
   }
@@ -89,7 +100,13 @@
     const timeoutMs = wish.patienceMs + PLACE_TIMEOUT_MS;
     const answer = await client.call<messages.PlaceAnswer>(leader, 'place', question, {
       timeoutMs,
+      toleratesDelay: true,
     });
+    if (answer.err && answer.val.kind === 'timeout') {
+      // Whether it still leads, the link finds out; a leader that is only busy must not be dropped for it.
+      this.leaderSuspectUntil = this.options.now() + SUSPECT_MS;
+      return undefined;
+    }
     if (answer.err || answer.val.kind === 'redirect') {
       link.doubt(leader);
       return undefined;
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -95,7 +95,7 @@
       moment: clock.moment,
       dispatches: () => this.chooser.dispatches,
       onConfirmed: ({ entries }) => {
-        this.budget.shareWith(entries);
+        if (entries > 0) this.budget.shareWith(entries, clock.steady());
         this.ingress.wake();
       },
     });
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -10,11 +10,13 @@
 import type * as observer from '../observability/observer';
 import * as answer from './answer';
 import type * as chooser from './chooser';
+import * as outcomes from './outcome';
 import * as reservations from './reservations';
+import * as silence from './silence';
 import * as targetClient from './targetClient';
 
 type Route = domain.catalogue.catalogue.Route;
-type Ending = domain.allocation.soundness.Ending;
+type Outcome = outcomes.Outcome;
 
 export interface Services {
   protocol: protocols.TrafficProtocol;
@@ -38,34 +40,12 @@
   arrivedAt: number;
 }
 
-/** What one sending came to, beyond how the connection ended. */
-type Outcome =
-  /** The caller has its final answer. */
-  | { kind: 'answered' }
-  /** The target certainly didn't run it. */
-  | { kind: 'notRun'; ending: Ending; detail: string; faulty?: string }
-  /** It may have run, and the caller has nothing or a part of a stream. */
-  | { kind: 'failed'; ending: Ending; detail: string }
-  /** The helpers had no memory to reserve; nothing was sent. */
-  | { kind: 'noMemory' }
-  | { kind: 'gone' }
-  | { kind: 'late' };
-
 /**
- * Part of the latency objective that a request may wait for a place. Longer and the answer is late whatever
- * comes; a caller that hears at once that it was refused can still go elsewhere or come back.
+ * Part of the time after which its caller gives up that a request may wait for a place. A late answer is worth a
+ * quarter of one in time, a refusal nothing; the other half is for reading the prompt and for a second target.
  */
 const PATIENCE_SHARE = 0.5;
 
-/** Silence of a stream beyond its usual pause before it goes on elsewhere, milliseconds. */
-const STREAM_SILENCE_MS = 600;
-
-/** Silence of a stream before its first event, against the predicted time. */
-const FIRST_EVENT_SHARE = 2;
-
-/** Silence of a call that may be repeated, against its objective, before another target is tried. */
-const CALL_SILENCE_SHARE = 3;
-
 /** What a caller is told to wait before it comes back, milliseconds, where nothing better is known. */
 const RETRY_AFTER_MS = 300;
 
@@ -170,7 +150,8 @@
       objectiveMs: route.objectiveMs,
       pauseMs: route.pauseMs,
       excluded: this.tried,
-      patienceMs: Math.max(0, Math.min(this.timeLeftMs, route.objectiveMs) * PATIENCE_SHARE),
+      waitedMs: this.services.now() - this.admitted.arrivedAt,
+      patienceMs: Math.max(0, PATIENCE_SHARE * Math.min(this.timeLeftMs, silence.giveUpMs(route))),
     });
   }
 
@@ -224,7 +205,7 @@
     this.attempt = undefined;
     if (attempt.wasSent && outcome.kind !== 'notRun') this.mayHaveRun = true;
     if (outcome.kind === 'answered') this.logAnswered(placement);
-    release(endingOf(outcome), faultyOf(outcome, placement));
+    release(outcomes.endingOf(outcome), outcomes.faultyOf(outcome, placement));
     return outcome;
   }
 
@@ -258,12 +239,12 @@
     const interrupted = new Promise<Outcome>((resolve) => {
       this.interrupt = resolve;
     });
-    const silence = this.watch(placement, () => {
+    const watching = this.watch(placement, () => {
       this.interrupt?.({ kind: 'failed', ending: 'broken', detail: 'target silent' });
     });
     const ended = attempt.end.then((end) => this.judge(end));
     const outcome = await Promise.race([interrupted, ended]);
-    clearInterval(silence);
+    clearInterval(watching);
     this.interrupt = undefined;
     return outcome;
   }
@@ -281,29 +262,20 @@
     return { kind: 'failed', ending: 'broken', detail: verdict.detail };
   }
 
-  /**
-   * Looks whether the target has fallen silent. Only requests that may be repeated are given up for that:
-   * for the others silence is no proof that they don't run.
-   */
+  /** Only requests that may be repeated are given up for silence: for the others it is no proof that they don't run. */
   private watch(
     { firstTokenMs }: domain.allocation.allocator.Placement,
     onSilent: () => void,
   ): NodeJS.Timeout | undefined {
     if (!this.isRepeatable || !this.hasAttemptsLeft) return undefined;
-    const { route } = this.admitted;
+    const bounds = silence.boundsOf(this.admitted.route, firstTokenMs);
     const { now } = this.services;
     const sentAt = now();
-    const firstMs =
-      route.kind === 'streaming'
-        ? FIRST_EVENT_SHARE * firstTokenMs + Math.max(STREAM_SILENCE_MS, route.objectiveMs)
-        : CALL_SILENCE_SHARE * route.objectiveMs;
-    const nextMs = Math.max(STREAM_SILENCE_MS, 2 * route.pauseMs);
     const look = (): void => {
-      const { lastEventAt } = this.reply;
-      const silentFor = now() - Math.max(sentAt, lastEventAt);
-      if (silentFor > (lastEventAt > sentAt ? nextMs : firstMs)) onSilent();
+      if (silence.isSilent(bounds, { sentAt, lastEventAt: this.reply.lastEventAt }, now()))
+        onSilent();
     };
-    return setInterval(look, Math.max(50, Math.min(firstMs, nextMs) / 4));
+    return setInterval(look, silence.lookEveryMs(bounds));
   }
 
   private get hasAttemptsLeft(): boolean {
@@ -364,17 +336,3 @@
     return this.isLate ? 504 : 502;
   }
 }
-
-/** The helper that made a request fail; undefined where it was the chosen target itself. */
-function faultyOf(
-  outcome: Outcome,
-  { helpers }: domain.allocation.allocator.Placement,
-): string | undefined {
-  const named = outcome.kind === 'notRun' ? outcome.faulty : undefined;
-  return helpers.find(({ target, address }) => named === target || named === address)?.target;
-}
-
-function endingOf(outcome: Outcome): Ending {
-  if (outcome.kind === 'answered') return 'done';
-  return 'ending' in outcome ? outcome.ending : 'cancelled';
-}
--- /dev/null
+++ b/packages/daemon/src/entry/outcome.ts
@@ -0,0 +1,30 @@
+/** What one sending of a request came to, beyond how its connection ended. */
+import type * as domain from '@celerydrift/domain';
+
+type Ending = domain.allocation.soundness.Ending;
+
+export type Outcome =
+  /** The caller has its final answer. */
+  | { kind: 'answered' }
+  /** The target certainly didn't run it. */
+  | { kind: 'notRun'; ending: Ending; detail: string; faulty?: string }
+  /** It may have run, and the caller has nothing or a part of a stream. */
+  | { kind: 'failed'; ending: Ending; detail: string }
+  /** The helpers had no memory to reserve; nothing was sent. */
+  | { kind: 'noMemory' }
+  | { kind: 'gone' }
+  | { kind: 'late' };
+
+/** The helper that made a request fail; undefined where it was the chosen target itself. */
+export function faultyOf(
+  outcome: Outcome,
+  { helpers }: domain.allocation.allocator.Placement,
+): string | undefined {
+  const named = outcome.kind === 'notRun' ? outcome.faulty : undefined;
+  return helpers.find(({ target, address }) => named === target || named === address)?.target;
+}
+
+export function endingOf(outcome: Outcome): Ending {
+  if (outcome.kind === 'answered') return 'done';
+  return 'ending' in outcome ? outcome.ending : 'cancelled';
+}
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -38,7 +38,7 @@
   kind: 'confirmed';
   /** Peer addresses of all voters. */
   keepers: string[];
-  /** Entries that follow the leader. */
+  /** Entries that follow the leader; 0 while it has led too briefly to know all. */
   entries: number;
   news: News;
 }
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -282,9 +282,15 @@
     return this.host.isLeader ? this.leadership.place(request) : this.redirect();
   }
 
-  private async announce(record: Announcement): Promise<boolean> {
-    if (this.host.isLeader) return this.announcedBy(record);
-    return this.passOn('announced', { record } satisfies messages.Announced);
+  private announce(record: Announcement): Promise<boolean> {
+    const content = { record } satisfies messages.Announced;
+    return this.atLeader(
+      { method: 'announced', content, timeoutMs: PASS_ON_TIMEOUT_MS },
+      {
+        here: () => this.announcedBy(record),
+        unavailable: () => false,
+      },
+    );
   }
 
   private async announcedBy(record: Announcement): Promise<boolean> {
@@ -293,9 +299,15 @@
     return true;
   }
 
-  private async depart(id: string): Promise<boolean> {
-    if (this.host.isLeader) return this.departedBy(id);
-    return this.passOn('departed', { id } satisfies messages.Departed);
+  private depart(id: string): Promise<boolean> {
+    const content = { id } satisfies messages.Departed;
+    return this.atLeader(
+      { method: 'departed', content, timeoutMs: PASS_ON_TIMEOUT_MS },
+      {
+        here: () => this.departedBy(id),
+        unavailable: () => false,
+      },
+    );
   }
 
   private async departedBy(id: string): Promise<boolean> {
@@ -304,48 +316,57 @@
     return true;
   }
 
-  private async passOn(method: string, content: object): Promise<boolean> {
-    const { leader } = this;
-    if (leader === '') return false;
-    const options = { timeoutMs: PASS_ON_TIMEOUT_MS };
-    const answer = await this.client.call<boolean>(leader, method, content, options);
-    if (answer.err) this.link.doubt(leader);
-    return answer.ok && answer.val;
-  }
-
-  private async submit(edition: Edition): Promise<messages.SubmitAnswer> {
-    if (this.host.isLeader) return this.submitHere(edition);
-    const { leader } = this;
-    if (leader === '') return { kind: 'unavailable', detail: 'no leader known' };
-    const answer = await this.client.call<messages.SubmitAnswer>(
-      leader,
-      'submit',
-      { edition } satisfies messages.Submit,
-      { timeoutMs: SUBMIT_TIMEOUT_MS },
+  private submit(edition: Edition): Promise<messages.SubmitAnswer> {
+    const content = { edition } satisfies messages.Submit;
+    return this.atLeader<messages.SubmitAnswer>(
+      { method: 'submit', content, timeoutMs: SUBMIT_TIMEOUT_MS },
+      { here: () => this.submitHere(edition), unavailable },
     );
-    return answer.ok ? answer.val : { kind: 'unavailable', detail: answer.val.detail };
   }
 
   private async submitHere(edition: Edition): Promise<messages.SubmitAnswer> {
     const applied = await this.host.propose(edition);
-    if (applied.err) return { kind: 'unavailable', detail: applied.val.kind };
+    if (applied.err) return unavailable(applied.val.kind);
     const { version, changed } = applied.val.answer as domain.catalogue.versions.Acceptance;
     if (changed) await this.leadership.publishEdition(edition);
     return { kind: 'accepted', version };
   }
 
-  private async newest(): Promise<messages.NewestAnswer> {
-    if (this.host.isLeader) return this.newestHere();
-    const { leader } = this;
-    if (leader === '') return { kind: 'unavailable', detail: 'no leader known' };
-    const options = { timeoutMs: PASS_ON_TIMEOUT_MS };
-    const answer = await this.client.call<messages.NewestAnswer>(leader, 'newest', {}, options);
-    return answer.ok ? answer.val : { kind: 'unavailable', detail: answer.val.detail };
+  private newest(): Promise<messages.NewestAnswer> {
+    return this.atLeader<messages.NewestAnswer>(
+      { method: 'newest', content: {}, timeoutMs: PASS_ON_TIMEOUT_MS },
+      { here: () => this.newestHere(), unavailable },
+    );
   }
 
   private async newestHere(): Promise<messages.NewestAnswer> {
     const confirmed = await this.host.confirm(true);
-    if (!confirmed) return { kind: 'unavailable', detail: 'not confirmed by a quorum' };
+    if (!confirmed) return unavailable('not confirmed by a quorum');
     return { kind: 'newest', edition: this.machine.versions.newest };
   }
+
+  /** Has a call settled by the leader: here, or by passing it on. */
+  private async atLeader<T>(
+    { method, content, timeoutMs }: LeaderCall,
+    settle: { here: () => Promise<T>; unavailable: (detail: string) => T },
+  ): Promise<T> {
+    if (this.host.isLeader) return settle.here();
+    const { leader } = this;
+    if (leader === '') return settle.unavailable('no leader known');
+    const answer = await this.client.call<T>(leader, method, content, { timeoutMs });
+    if (answer.ok) return answer.val;
+    this.link.doubt(leader);
+    return settle.unavailable(answer.val.detail);
+  }
+}
+
+/** A call that only the leader can settle. */
+interface LeaderCall {
+  method: string;
+  content: object;
+  timeoutMs: number;
+}
+
+function unavailable(detail: string): { kind: 'unavailable'; detail: string } {
+  return { kind: 'unavailable', detail };
 }
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -32,6 +32,12 @@
  */
 const RETRY_AFTER_MS = { least: 200, most: 2_000 } as const;
 
+/** A new leader has heard of all entries after so long, milliseconds: three of their questions. */
+const KNOWS_ALL_MS = 1_500;
+
+/** Pause between two servings of those who wait, milliseconds; a fifth of a pass. */
+const SERVE_PAUSE_MS = 10;
+
 /** Records of the registry's changes that are kept for followers that missed a push. */
 const KEPT_CHANGES = 512;
 
@@ -48,6 +54,10 @@
 
   private leads = false;
 
+  private leadsSince = 0;
+
+  private isServingSoon = false;
+
   constructor(private readonly options: Options) {
     this.followers = new followers.Followers(options.client, options.now);
   }
@@ -67,6 +77,7 @@
 
   /** Answers a follower, or undefined when this keeper doesn't lead. */
   async follow(question: messages.Follow): Promise<messages.Confirmed | undefined> {
+    const { now } = this.options;
     // A follower without a catalogue can't serve, so it doesn't wait for the next heartbeat.
     const isUrgent = question.version === 0;
     if (!(await this.options.host.confirm(isUrgent))) return undefined;
@@ -74,12 +85,12 @@
     this.followers.heard(question);
     void this.take(question.records);
     question.dispatches.forEach(({ request, target }) => {
-      this.allocator.restore(request, target, this.options.now());
+      this.allocator.restore(request, target, now());
     });
     return {
       kind: 'confirmed',
       keepers: this.options.host.replica.members.map(({ address }) => address),
-      entries: this.followers.entries(),
+      entries: now() - this.leadsSince < KNOWS_ALL_MS ? 0 : this.followers.entries(),
       news: this.newsFor(question),
     };
   }
@@ -111,20 +122,26 @@
   place(request: messages.Place): Promise<messages.PlaceAnswer> {
     const { now } = this.options;
     const since = now();
-    const attempt = (): Placement | undefined => this.allocator.place(request, now());
+    const attempt = (): Placement | undefined => {
+      const waitedMs = request.waitedMs + now() - since;
+      return this.allocator.place({ ...request, waitedMs }, now());
+    };
     return new Promise((resolve) => {
       const settle = (placement: Placement | undefined): void => {
         if (placement === undefined) resolve(this.refusal(request, now() - since));
         else resolve({ kind: 'placed', placement });
       };
-      const found = this.line.length === 0 ? attempt() : undefined;
+      // Those that are late already don't hold up one that can still be in time.
+      const found = this.line.hasInTime(since) ? undefined : attempt();
       if (found !== undefined) {
         settle(found);
         return;
       }
       const until = since + request.patienceMs;
-      this.line.add({ rank: 0, since, until, attempt, resolve: settle });
-      this.line.serve(since);
+      const inTimeUntil = since + request.objectiveMs - request.waitedMs;
+      const { tokens, pauseMs } = request;
+      this.line.add({ tokens, pauseMs, since, inTimeUntil, until, attempt, resolve: settle });
+      this.serveSoon();
     });
   }
 
@@ -149,7 +166,18 @@
       this.allocator.ended(id, ending, now, faulty);
       if (ending === 'replaced') this.presumeEnded(faulty ?? target);
     });
-    this.line.serve(now);
+    this.serveSoon();
+  }
+
+  /** While requests wait, as places become free with time too: what an engine has to read becomes less. */
+  private serveSoon(): void {
+    if (this.isServingSoon || this.line.length === 0) return;
+    this.isServingSoon = true;
+    setTimeout(() => {
+      this.isServingSoon = false;
+      this.line.serve(this.options.now());
+      this.serveSoon();
+    }, SERVE_PAUSE_MS);
   }
 
   /** Without it every request would find out by itself that another lifetime has the address. */
@@ -165,6 +193,7 @@
     this.leads = leads;
     this.followers.clear();
     this.line.clear();
+    this.leadsSince = this.options.now();
     if (leads) this.mark = { epoch: crypto.randomBytes(6).toString('hex'), change: 0 };
     this.changes = [];
   }
--- a/packages/daemon/src/keeper/waitingLine.ts
+++ b/packages/daemon/src/keeper/waitingLine.ts
@@ -1,17 +1,28 @@
 /**
- * Requests that wait for a place on an engine, the most urgent first and among equals the oldest. Each
- * waits for a bounded time, as its caller is better told early when to come back than kept.
+ * Requests that wait for a place on an engine. Those that can still be in time go before those that are late
+ * already, and among equals the oldest is first. Each waits for a bounded time.
+ *
+ * An attempt costs the leader up to a millisecond. In a burst hundreds wait while hundreds of places become free
+ * each second; to try all of them each time kept a leader busy for seconds, entries lost it, and all chose
+ * engines by themselves. So a serving skips what can't succeed where a smaller request has just failed.
  */
 
 export interface Waiting<T> {
-  rank: number;
+  /** Prompt tokens; where a request finds no place, a larger one with the same `pauseMs` finds none either. */
+  tokens: number;
+  pauseMs: number;
   since: number;
+  /** Before this a place may still lead to an answer in time. */
+  inTimeUntil: number;
   until: number;
   /** Tries to find a place; undefined where there still is none. */
   attempt: () => T | undefined;
   resolve: (found: T | undefined) => void;
 }
 
+/** Attempts without success in one serving; some for each class of requests. */
+const MOST_FAILED = 8;
+
 export class WaitingLine<T> {
   private line: Waiting<T>[] = [];
 
@@ -19,19 +30,25 @@
     return this.line.length;
   }
 
+  /** Whether one waits that can still be in time; others must not overtake it. */
+  hasInTime(now: number): boolean {
+    return this.line.some(({ inTimeUntil }) => inTimeUntil > now);
+  }
+
   add(waiting: Waiting<T>): void {
     this.line.push(waiting);
-    this.line.sort((a, b) => a.rank - b.rank || a.since - b.since);
   }
 
-  /** Serves whoever can be served now, and ends the waits that are over. */
+  /** Serves those that can be served now, and ends the waits that are over. */
   serve(now: number): void {
-    this.line = this.line.filter((waiting) => {
-      const found = waiting.attempt();
-      if (found === undefined && now < waiting.until) return true;
-      waiting.resolve(found);
-      return false;
-    });
+    const expired = this.line.filter(({ until }) => until <= now);
+    const isLate = (waiting: Waiting<T>): number => (waiting.inTimeUntil <= now ? 1 : 0);
+    const current = this.line
+      .filter(({ until }) => until > now)
+      .sort((a, b) => isLate(a) - isLate(b) || a.since - b.since);
+    this.line = [];
+    expired.forEach(({ resolve }) => resolve(undefined));
+    this.line.push(...unserved(current));
   }
 
   /** Ends all waits. */
@@ -39,3 +56,20 @@
     this.line.splice(0).forEach(({ resolve }) => resolve(undefined));
   }
 }
+
+/** Serves what it can; the others come back. */
+function unserved<T>(line: readonly Waiting<T>[]): Waiting<T>[] {
+  const failed: Waiting<T>[] = [];
+  return line.filter((waiting) => {
+    const { tokens, pauseMs } = waiting;
+    const isHopeless = failed.some((each) => each.pauseMs === pauseMs && each.tokens <= tokens);
+    if (isHopeless || failed.length >= MOST_FAILED) return true;
+    const found = waiting.attempt();
+    if (found === undefined) {
+      failed.push(waiting);
+      return true;
+    }
+    waiting.resolve(found);
+    return false;
+  });
+}
--- a/packages/daemon/src/rpc/__tests__/rpc.test.ts
+++ b/packages/daemon/src/rpc/__tests__/rpc.test.ts
@@ -18,6 +18,12 @@
 
   before(async () => {
     server.add('echo', (parameters) => parameters);
+    server.add('slow', async () => {
+      await new Promise((resolve) => {
+        setTimeout(resolve, 200);
+      });
+      return 'slow';
+    });
     server.add('throws', () => {
       throw new Error('bad');
     });
@@ -47,6 +53,23 @@
     bad.close();
   });
 
+  /*
+   * One late answer ended all calls of an entry to a busy leader: their connection was closed, and the entry
+   * took the leader for lost. A call whose callee may be slow leaves the connection to the others.
+   */
+  it('lets the other calls on a connection go on when a call that tolerates delay times out', async () => {
+    const caller = client();
+    const beside = caller.call(address, 'slow', {});
+    const late = caller.call(address, 'slow', {}, { timeoutMs: 50, toleratesDelay: true });
+    expect([(await late).ok, (await beside).val]).to.deep.equal([false, 'slow']);
+    const strict = caller.call(address, 'slow', {}, { timeoutMs: 50 });
+    expect([(await caller.call(address, 'slow', {})).ok, (await strict).ok]).to.deep.equal([
+      false,
+      false,
+    ]);
+    caller.close();
+  });
+
   /*
    * A connection goes silent for good because something between lost track of it, while new ones work.
    * The call times out; the next must not wait on the same connection.
--- a/packages/daemon/src/rpc/peerClient.ts
+++ b/packages/daemon/src/rpc/peerClient.ts
@@ -16,6 +16,11 @@
   timeoutMs?: number;
   /** Makes a new connection for this call. */
   fresh?: boolean;
+  /**
+   * Leaves the connection open after a timeout: for calls whose callee may be slow for a reason of its own, so that
+   * one late answer doesn't end the calls beside it. Another call must watch the connection for silence.
+   */
+  toleratesDelay?: boolean;
 }
 
 const DEFAULT_TIMEOUT_MS = 2_000;
@@ -124,7 +129,7 @@
     address: string,
     method: string,
     parameters: unknown,
-    { timeoutMs = DEFAULT_TIMEOUT_MS, fresh = false }: CallOptions = {},
+    { timeoutMs = DEFAULT_TIMEOUT_MS, fresh = false, toleratesDelay = false }: CallOptions = {},
   ): Promise<Result<T, errors.CallError>> {
     if (fresh) this.drop(address, 'replaced');
     const connection = this.connection(address);
@@ -134,7 +139,7 @@
     let timer: NodeJS.Timeout | undefined;
     const timeout = new Promise<Result<T, errors.CallError>>((resolve) => {
       timer = setTimeout(() => {
-        connection.close('timeout');
+        if (!toleratesDelay) connection.close('timeout');
         resolve(Err({ kind: 'timeout', address, method, detail: `${timeoutMs} ms` }));
       }, timeoutMs);
     });
--- a/packages/domain/src/allocation/__tests__/allocator.test.ts
+++ b/packages/domain/src/allocation/__tests__/allocator.test.ts
@@ -51,6 +51,7 @@
     answerTokens: 1_600,
     objectiveMs: 300,
     pauseMs: 250,
+    waitedMs: 0,
     dataCentre: 'east',
     excluded: [],
     ...more,
@@ -192,4 +193,18 @@
     const long = { ...LONG, tokens: 60_000, objectiveMs: 500 };
     expect(made.place(request('long', long), 2_300)).to.equal(undefined);
   });
+
+  /*
+   * Others would be late for nothing. A prompt that has waited past its objective is late in any case; it may no
+   * longer spoil the pauses of those who write, as one that can still be in time may.
+   */
+  it('spoils less for a prompt that is late already', () => {
+    const spoiledBy = (waitedMs: number): number => {
+      const made = fleet(2);
+      for (let i = 0; i < 6; i++) made.place(request(`s${i}`), 0);
+      const placed = made.place(request('long', { ...LONG, waitedMs }), 400);
+      return placed === undefined ? 0 : placed.helpers.length + 1;
+    };
+    expect([spoiledBy(0), spoiledBy(4_000)]).to.deep.equal([2, 0]);
+  });
 });
--- a/packages/domain/src/allocation/load.ts
+++ b/packages/domain/src/allocation/load.ts
@@ -30,6 +30,15 @@
  */
 const PAUSE_SHARE = 0.85;
 
+/** Sums and extremes over an engine's tasks. */
+interface Figures {
+  /** Tokens. */
+  freeMemory: number;
+  tightestPauseMs: number;
+  /** Length of a pass on an engine of usual speed. */
+  passMs: number;
+}
+
 interface Reading {
   task: Task;
   endsAt: number;
@@ -38,9 +47,15 @@
 export class Load {
   private readonly tasks = new Map<string, Task>();
 
-  /** The writers among `tasks`; a plan asks for them many times between two changes. */
+  /** The writers among `tasks`. */
   private writing: Task[] = [];
 
+  /**
+   * What follows from the tasks. A plan asks every engine for it some ten times, and tasks change once a
+   * request: with 78 engines, kept figures make a plan four times cheaper.
+   */
+  private figures: Figures;
+
   private readings: Reading[] = [];
 
   readonly soundness = new soundness.Soundness();
@@ -51,7 +66,9 @@
   constructor(
     readonly engine: catalogue.Engine,
     public record: registry.Announcement,
-  ) {}
+  ) {
+    this.figures = this.figuresNow();
+  }
 
   get writers(): number {
     return this.writing.length;
@@ -62,26 +79,23 @@
   }
 
   get freeMemory(): number {
-    return [...this.tasks.values()].reduce(
-      (left, task) => left - task.memoryTokens,
-      this.engine.memoryTokens,
-    );
+    return this.figures.freeMemory;
   }
 
   /** Requests that this engine helps to read for others at `now`. */
   helping(now: number): number {
+    if (this.pendingReadMs(now) === 0) return 0;
     return this.readings.filter(({ task, endsAt }) => task.role === 'helper' && endsAt > now)
       .length;
   }
 
   /** The tightest pause that a caller of this engine bears, infinite where nobody writes. */
   get tightestPauseMs(): number {
-    return Math.min(Infinity, ...this.writing.map(({ pauseMs }) => pauseMs));
+    return this.figures.tightestPauseMs;
   }
 
   passMs(): number {
-    const context = this.writing.reduce((sum, { contextTokens }) => sum + contextTokens, 0);
-    return this.pace * cost.passMs(this.engine, this.writing.length, context);
+    return this.pace * this.figures.passMs;
   }
 
   /** Reading that was given to the engine and isn't done, milliseconds. */
@@ -107,7 +121,7 @@
 
   add(task: Task, now: number): void {
     this.tasks.set(task.request, task);
-    this.refreshWriting();
+    this.refresh();
     const startsAt = now + this.pendingReadMs(now);
     this.readings = this.readings.filter(({ endsAt }) => endsAt > now);
     this.readings.push({ task, endsAt: startsAt + this.pace * task.readMs });
@@ -115,13 +129,25 @@
 
   remove(request: string, now: number): void {
     this.tasks.delete(request);
-    this.refreshWriting();
+    this.refresh();
     this.readings = this.readings.filter(
       ({ task, endsAt }) => task.request !== request && endsAt > now,
     );
   }
 
-  private refreshWriting(): void {
+  private refresh(): void {
     this.writing = [...this.tasks.values()].filter(({ role }) => role === 'writer');
+    this.figures = this.figuresNow();
+  }
+
+  private figuresNow(): Figures {
+    const tasks = [...this.tasks.values()];
+    const used = tasks.reduce((sum, { memoryTokens }) => sum + memoryTokens, 0);
+    const context = this.writing.reduce((sum, { contextTokens }) => sum + contextTokens, 0);
+    return {
+      freeMemory: this.engine.memoryTokens - used,
+      tightestPauseMs: Math.min(Infinity, ...this.writing.map(({ pauseMs }) => pauseMs)),
+      passMs: cost.passMs(this.engine, this.writing.length, context),
+    };
   }
 }
--- a/packages/domain/src/allocation/planner.ts
+++ b/packages/domain/src/allocation/planner.ts
@@ -18,6 +18,8 @@
   answerTokens: number;
   objectiveMs: number;
   pauseMs: number;
+  /** How long the caller has waited already, milliseconds. */
+  waitedMs: number;
   dataCentre: string;
 }
 
@@ -127,6 +129,8 @@
 
 interface Candidate {
   load: load.Load;
+  /** Whether it helps as many others as it takes. */
+  isHelpingMost: boolean;
   /** Reading it may take before someone's pause is too long, milliseconds. */
   allowanceMs: number;
   pendingMs: number;
@@ -138,6 +142,8 @@
   spoiled: number;
   /** That, and what the request itself loses by the wait there. */
   harm: number;
+  /** Order among helpers, the least first. */
+  asHelper: number;
 }
 
 export class Planner {
@@ -151,14 +157,18 @@
     );
     if (hasPlace.size === 0) return undefined;
     const candidates = loads.map((each) => {
-      const [allowanceMs, pendingMs] = [each.allowanceMs(now), each.pendingReadMs(now)];
-      return { load: each, allowanceMs, pendingMs };
+      return {
+        load: each,
+        isHelpingMost: each.helping(now) >= each.engine.slots,
+        allowanceMs: each.allowanceMs(now),
+        pendingMs: each.pendingReadMs(now),
+      };
     });
     const counts = PART_COUNTS.filter((count) => count <= loads.length);
     const whole = cost.readMs(this.engine, prompt.tokens);
     const sensible = counts.filter((count) => count === 1 || whole / count >= SHORTEST_PART_MS);
     const plans = sensible.flatMap((parts) => {
-      const plan = this.planFor(prompt, parts, candidates, hasPlace, now);
+      const plan = this.planFor(prompt, parts, candidates, hasPlace);
       return plan === undefined ? [] : [plan];
     });
     if (plans.length === 0) return undefined;
@@ -179,22 +189,18 @@
     parts: number,
     candidates: readonly Candidate[],
     hasPlace: ReadonlySet<load.Load>,
-    now: number,
   ): Plan | undefined {
     const partMs = cost.readMs(this.engine, prompt.tokens, parts);
     const value = valueOf(prompt);
     const scored = candidates
-      .filter(({ load: each }) => parts === 1 || each.helping(now) < each.engine.slots)
+      .filter(({ isHelpingMost }) => parts === 1 || !isHelpingMost)
       .map((candidate) => this.score(prompt, candidate, partMs));
     const withPlace = scored.filter(({ candidate }) => hasPlace.has(candidate.load));
     if (withPlace.length === 0) return undefined;
     const writer = least(withPlace, ({ candidate, harm }) => {
       return harm - value * packingGain(prompt, candidate.load);
     });
-    const helpers = scored
-      .filter((each) => each !== writer)
-      .sort((a, b) => helperScore(prompt, a) - helperScore(prompt, b))
-      .slice(0, parts - 1);
+    const helpers = parts === 1 ? [] : bestHelpers(scored, writer, parts - 1);
     const storage = store(
       prompt,
       writer.candidate.load,
@@ -206,7 +212,7 @@
     );
     const spoiled = helpers.reduce((sum, each) => sum + each.spoiled, writer.spoiled);
     const blocked = Math.max(0, partMs - HARMLESS_PART_MS) / prompt.objectiveMs;
-    const late = value * loss(firstTokenMs, prompt.objectiveMs);
+    const late = value * loss(prompt.waitedMs + firstTokenMs, prompt.objectiveMs);
     return {
       writer: writer.candidate.load,
       ...storage,
@@ -222,11 +228,11 @@
     const isTooLong = partMs > allowanceMs;
     const risk = isTight(prompt, on) ? TIGHT_RISK * LATE_LOSS : LATE_LOSS;
     const spoiled = isTooLong ? risk * on.valueAtRisk(partMs, pendingMs) : 0;
-    const waits = loss(this.firstTokenMs(candidate, partMs), prompt.objectiveMs);
+    const waits = loss(prompt.waitedMs + this.firstTokenMs(candidate, partMs), prompt.objectiveMs);
     const way = on.record.dataCentre === prompt.dataCentre ? 0 : NEAR_MS;
     const queue = (WAIT_LOSS * (pendingMs + way)) / prompt.objectiveMs;
     const harm = spoiled + valueOf(prompt) * (waits + queue);
-    return { candidate, spoiled, harm };
+    return { candidate, spoiled, harm, asHelper: helperScore(prompt, candidate, harm) };
   }
 
   private firstTokenMs({ load: on, pendingMs }: Candidate, partMs: number): number {
@@ -277,13 +283,19 @@
  * Among engines on which a part spoils nothing, those help first that already work for callers as tolerant
  * as this one; then idle ones; last those with tight pauses, the emptiest first.
  */
-function helperScore(prompt: Prompt, { candidate, harm }: Scored): number {
-  const { load: on, pendingMs } = candidate;
+function helperScore(prompt: Prompt, { load: on, pendingMs }: Candidate, harm: number): number {
   const isIdle = on.writers === 0 && pendingMs === 0;
   const steps = (isIdle ? 1 : 0) + (isTight(prompt, on) ? 2 + on.writers : 0);
   return harm + SPREAD_LOSS * steps * valueOf(prompt);
 }
 
+function bestHelpers(scored: readonly Scored[], writer: Scored, count: number): Scored[] {
+  return scored
+    .filter((each) => each !== writer)
+    .sort((a, b) => a.asHelper - b.asHelper)
+    .slice(0, count);
+}
+
 /**
  * The part of a request's value that is lost when its first token comes after `ms`: nothing, most of it when
  * it is late, all of it when its caller has left by then.
--- a/packages/domain/src/request/__tests__/streamsAndBudget.test.ts
+++ b/packages/domain/src/request/__tests__/streamsAndBudget.test.ts
@@ -46,7 +46,7 @@
   it('keeps all entries together under the bound while entries come', () => {
     const rule = { ratio: 0.2, slack: 100, windowMs: 10_000 };
     const entries = Array.from({ length: 8 }, () => new repeatBudget.RepeatBudget(rule));
-    entries.forEach((entry) => entry.shareWith(8));
+    entries.forEach((entry) => entry.shareWith(8, 0));
     let firsts = 0;
     let repeats = 0;
     for (let now = 0; now < 10_000; now += 100) {
@@ -62,6 +62,7 @@
 
   it('gives repeats back when they leave the window', () => {
     const entry = new repeatBudget.RepeatBudget({ ratio: 0, slack: 10, windowMs: 1_000 });
+    entry.shareWith(1, 0);
     const taken = (now: number): number => {
       let count = 0;
       while (entry.spend(now)) count += 1;
@@ -69,4 +70,27 @@
     };
     expect([taken(0), taken(500), taken(1_100)]).to.deep.equal([7, 0, 7]);
   });
+
+  /*
+   * A service got 796 repeats where 790 were allowed. The keepers changed their leader three times in five
+   * seconds; each new one knew few entries at first, and told those that they shared the slack with a few.
+   */
+  it('trusts no small number of entries that follows a larger one within the window', () => {
+    const rule = { ratio: 0, slack: 194, windowMs: 10_000 };
+    const entry = new repeatBudget.RepeatBudget(rule);
+    let repeats = 0;
+    [59, 59, 3, 20, 59, 2].forEach((entries, i) => {
+      entry.shareWith(entries, i * 1_000);
+      while (entry.spend(i * 1_000)) repeats += 1;
+    });
+    expect(repeats).to.be.at.most(rule.slack / 59);
+  });
+
+  it('spends no slack before it knows with how many it shares', () => {
+    const entry = new repeatBudget.RepeatBudget({ ratio: 1, slack: 100, windowMs: 1_000 });
+    expect(entry.spend(0)).to.equal(false);
+    entry.countFirst(0);
+    entry.countFirst(0);
+    expect([entry.spend(0), entry.spend(0)]).to.deep.equal([true, false]);
+  });
 });
--- a/packages/domain/src/request/repeatBudget.ts
+++ b/packages/domain/src/request/repeatBudget.ts
@@ -23,13 +23,18 @@
 
   private readonly repeats: number[] = [];
 
-  private entries = 1;
+  /** Numbers of entries that were told within the last window, oldest first. */
+  private told: { at: number; entries: number }[] = [];
 
   constructor(private readonly rule: Rule) {}
 
-  /** Entries that share the budget now. */
-  shareWith(entries: number): void {
-    this.entries = Math.max(1, entries);
+  /**
+   * So many entries share the budget now. The largest number of the last window counts: those that ended since
+   * have spent their parts in it.
+   */
+  shareWith(entries: number, now: number): void {
+    this.told = this.told.filter(({ at }) => now - at < this.rule.windowMs);
+    this.told.push({ at: now, entries });
   }
 
   countFirst(now: number): void {
@@ -41,7 +46,10 @@
     this.expire(this.firsts, now);
     this.expire(this.repeats, now);
     const { ratio, slack } = this.rule;
-    const allowed = GIVEN_SHARE * (ratio * this.firsts.length + slack / this.entries);
+    // Without any number there is no part of the slack: an entry can't tell how small its own is.
+    const entries = Math.max(0, ...this.told.map((each) => each.entries));
+    const share = entries === 0 ? 0 : slack / entries;
+    const allowed = GIVEN_SHARE * (ratio * this.firsts.length + share);
     if (this.repeats.length + 1 > allowed) return false;
     this.repeats.push(now);
     return true;
