Let the soak take unsynced bytes at a kill, and cut entries off for longer than their lease

Cause: a log that acknowledges before its sync lost nothing in the soak, as a killed process leaves its bytes with the operating system; and no cut lasted longer than an entry's lease, so keys that never expire went unseen.

Change: runtimeFaults counts the bytes that syncs cover, and a killed keeper's files are cut to them; harm lasts up to 8 s; runs beside each other choose their addresses.

--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -18,6 +18,8 @@
   forwarded: string;
   settingsFile: string;
   dataFolder: string;
+  /** What is harmed in its process, for `runtimeFaults`. */
+  faultsFile: string;
   process: child.Child;
   setFaults: (faults: runtimeFaults.RuntimeFaults) => void;
 }
@@ -103,10 +105,22 @@
 
   /** Empties a keeper's folder: what its disk held is gone. It must not found a fleet again. */
   wipe(keeper: Vm): void {
+    fs.rmSync(runtimeFaults.syncedFile(keeper.faultsFile), { force: true });
     fs.rmSync(keeper.dataFolder, { recursive: true, force: true });
     fs.mkdirSync(keeper.dataFolder, { recursive: true });
   }
 
+  /** Takes from a keeper's files what no sync has covered, as a power loss may. */
+  losePower({ faultsFile }: Vm): void {
+    const file = runtimeFaults.syncedFile(faultsFile);
+    if (!fs.existsSync(file)) return;
+    const synced = JSON.parse(fs.readFileSync(file, 'utf8')) as Record<string, number>;
+    Object.entries(synced)
+      .filter(([name]) => fs.existsSync(name))
+      .filter(([name, bytes]) => fs.statSync(name).size > bytes)
+      .forEach(([name, bytes]) => fs.truncateSync(name, bytes));
+  }
+
   /** Leaves half a frame at the end of a keeper's journal, as a write does that a power loss cut. */
   tear(keeper: Vm): void {
     const journal = path.join(keeper.dataFolder, 'catalogue', 'journal');
@@ -161,6 +175,7 @@
       forwarded: this.addresses.host('vmForwarded', place),
       settingsFile,
       dataFolder,
+      faultsFile,
       setFaults,
       process: new child.Child({
         name,
--- a/packages/soak/src/harm.ts
+++ b/packages/soak/src/harm.ts
@@ -169,6 +169,7 @@
 
   private async restart(vm: fleet.Vm, downMs: number, meanwhile?: () => void): Promise<void> {
     await vm.process.kill();
+    this.running.losePower(vm);
     meanwhile?.();
     await operator.pause(RESTART_MS + downMs);
     vm.process.start();
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -13,12 +13,10 @@
   size: string;
   program: string;
   folder: string;
+  network: string;
   keep?: boolean;
 }
 
-/** First of the networks in 127/8 that runs use; a run beside another takes the next. */
-const FIRST_NETWORK = 40;
-
 function whole(name: string, text: string, least: number, most: number): number {
   const number = Number(text);
   if (Number.isInteger(number) && number >= least && number <= most) return number;
@@ -30,6 +28,7 @@
   const first = whole('seed', words.seed, 0, 2 ** 31 - 1);
   const count = whole('seeds', words.seeds, 1, 1_000);
   const seconds = whole('seconds', words.seconds, 1, 3_600);
+  const network = whole('network', words.network, 1, 240);
   const parallel = whole('parallel', words.parallel, 1, 8);
   if (words.size !== 'small' && words.size !== 'large') {
     process.stderr.write(`soak: --size ${words.size}: give small or large\n`);
@@ -38,12 +37,12 @@
   const size: layout.Size = words.size;
   const seeds = Array.from({ length: count }, (_, i) => first + i);
   const reports: run.Report[] = [];
-  const play = async (network: number): Promise<void> => {
+  const play = async (own: number): Promise<void> => {
     for (let seed = seeds.shift(); seed !== undefined; seed = seeds.shift()) {
       const folder = path.resolve(words.folder, `seed-${seed}`);
       const program = path.resolve(words.program);
       const report = await run
-        .play({ seed, seconds, size, program, folder, network })
+        .play({ seed, seconds, size, program, folder, network: own })
         .catch((error: unknown) => run.notPlayed(seed, folder, error));
       reports.push(report);
       process.stderr.write(`${JSON.stringify(report)}\n`);
@@ -51,7 +50,7 @@
       if (isGood && words.keep !== true) fs.rmSync(folder, { recursive: true, force: true });
     }
   };
-  await Promise.all(Array.from({ length: parallel }, (_, i) => play(FIRST_NETWORK + i)));
+  await Promise.all(Array.from({ length: parallel }, (_, i) => play(network + i)));
   const failed = reports.filter(({ broken }) => Object.keys(broken).length > 0);
   const sum = (of: (report: run.Report) => number): number =>
     reports.reduce((total, report) => total + of(report), 0);
@@ -77,6 +76,7 @@
     .option('--size <size>', 'small or large', 'small')
     .option('--program <file>', 'program that runs on the VMs', 'target/celerydrift.js')
     .option('--folder <folder>', 'where failed runs are kept', 'soak-runs')
+    .option('--network <n>', "second byte of the first run's addresses in 127/8", '40')
     .option('--keep', 'keeps the folders of good runs too')
     .action(playAll)
     .parseAsync([...argv]);
--- a/packages/soak/src/runtimeFaults.ts
+++ b/packages/soak/src/runtimeFaults.ts
@@ -1,6 +1,7 @@
 /**
  * Loaded into each VM's process before the program: a time of day that can be stepped, and a disk that can be full
- * or stalled. What holds at the moment stands in a file that the soak writes.
+ * or stalled. What holds at the moment stands in a file that the soak writes. Beside it stands how many bytes of each
+ * file a sync has covered, as a power loss keeps no more.
  */
 import * as fs from 'node:fs';
 
@@ -17,8 +18,31 @@
 
 export const SOUND: RuntimeFaults = { clockMs: 0, disk: 'sound' };
 
+/** Where the bytes that are synced stand, beside the file of faults: a table by path. */
+export function syncedFile(faultsFile: string): string {
+  return `${faultsFile}.synced`;
+}
+
 const LOOK_EVERY_MS = 50;
 
+/** Keeps count of what syncs have covered. */
+class Syncs {
+  private readonly bytes: Record<string, number> = {};
+
+  constructor(private readonly file: string) {}
+
+  note(path: string, size: number): void {
+    this.bytes[path] = size;
+    fs.writeFileSync(this.file, JSON.stringify(this.bytes));
+  }
+
+  move(from: string, to: string): void {
+    if (this.bytes[from] === undefined) return;
+    this.note(to, this.bytes[from]);
+    delete this.bytes[from];
+  }
+}
+
 function install(file: string): void {
   let current = SOUND;
   const look = (): void => {
@@ -33,11 +57,29 @@
   const { now } = Date;
   Date.now = () => now() + current.clockMs;
   const { open } = fs.promises;
+  const syncs = new Syncs(syncedFile(file));
   fs.promises.open = async (...parameters) => {
     const handle = await open(...parameters);
     harm(handle, () => current.disk);
+    const path = String(parameters[0]);
+    if (!(await handle.stat()).isDirectory()) countSyncs(handle, path, syncs);
     return handle;
   };
+  const { rename } = fs.promises;
+  fs.promises.rename = async (from, to) => {
+    await rename(from, to);
+    syncs.move(String(from), String(to));
+  };
+}
+
+function countSyncs(handle: fs.promises.FileHandle, path: string, syncs: Syncs): void {
+  const counted = (sync: () => Promise<void>) => async () => {
+    const { size } = await handle.stat();
+    await sync.call(handle);
+    syncs.note(path, size);
+  };
+  handle.datasync = counted(handle.datasync);
+  handle.sync = counted(handle.sync);
 }
 
 function harm(handle: fs.promises.FileHandle, disk: () => Disk): void {
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -92,7 +92,8 @@
 const CATCH_UP_SECONDS = 5;
 
 const MEAN_PAUSE_SECONDS = 0.8;
-const LONGEST_SECONDS = 4;
+/** Longer than the lease of an entry, so that one that is cut off must notice by itself. */
+const LONGEST_SECONDS = 8;
 const SHORTEST_SECONDS = 0.5;
 
 export interface Plan {
