Don't take a caller's short patience for a wait

Change: only the time since a request came counts.

Conclusion: the reading of time left is dropped.

--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -158,7 +158,7 @@
       objectiveMs: route.objectiveMs,
       pauseMs: route.pauseMs,
       excluded: this.tried,
-      waitedMs: this.services.now() - this.admitted.arrivedAt + waitedBefore(this.admitted),
+      waitedMs: this.services.now() - this.admitted.arrivedAt,
       patienceMs: Math.max(0, PATIENCE_SHARE * Math.min(this.timeLeftMs, silence.giveUpMs(route))),
     });
   }
@@ -355,11 +355,3 @@
     return this.isLate ? 504 : 502;
   }
 }
-
-/**
- * Milliseconds that a caller has waited before this request came. One that was refused or cut off elsewhere comes back
- * with less of its time left than the route gives; its objective counts from its first try.
- */
-function waitedBefore({ facts, route }: Admitted): number {
-  return Math.max(0, route.timeoutMs - (facts.patienceMs ?? route.timeoutMs));
-}
