--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -43,7 +43,7 @@
 /**
  * Part of the time after which its caller gives up that a request may wait for a place. A late answer is worth a
  * quarter of one in time, a refusal nothing; the rest is for reading the prompt and for a second target. With a
- * half, 749 short prompts of a day were refused only after a second, of which half came back in vain.
+ * half, the short prompts that a burst had no places for (749 on a played day) heard so only after a second.
  */
 const PATIENCE_SHARE = 0.3;
 
--- a/packages/daemon/src/entry/settingsWait.ts
+++ b/packages/daemon/src/entry/settingsWait.ts
@@ -2,7 +2,8 @@
  * Requests that came before the entry has settings that it may serve by. After all keepers were down they
  * elect a leader within 0.45 to 0.75 s, and an entry that was started again has the settings some milliseconds
  * later; callers that were refused meanwhile would have lost one of their few tries. So a request waits for a bounded
- * part of its caller's patience. In played days with such an outage this was four in five of all refusals.
+ * part of its caller's patience. In played days with such an outage three in four of all refusals were of
+ * this kind.
  */
 
 /** Longest wait, milliseconds: two elections, as the first may end without a leader. */
--- a/packages/domain/src/allocation/load.ts
+++ b/packages/domain/src/allocation/load.ts
@@ -58,7 +58,7 @@
 
   /**
    * What follows from the tasks. A plan asks every engine for it some ten times, and tasks change once a
-   * request: with 78 engines, kept figures make a plan four times cheaper.
+   * request: with 78 engines, kept figures make a plan three times cheaper.
    */
   private figures: Figures;
 
