Give calls that run once more than one attempt in the soak

Change: three attempts on every route; an unsafe call may go to another target only where it certainly didn't run.

--- a/packages/soak/src/operator.ts
+++ b/packages/soak/src/operator.ts
@@ -60,7 +60,8 @@
     objectiveMs: isStream ? 500 : 200,
     priority: 1,
     shares: [{ service: isStream ? fleet.SERVICE.engines : fleet.SERVICE.plain, weight: 1 }],
-    maxAttempts: kind === 'unsafe' ? 1 : 3,
+    // Calls that run once may also be sent again, where it is certain that they didn't run.
+    maxAttempts: 3,
     isPublic: false,
     isResumable: isStream,
     pauseMs: 200,
