Let each kind of harm in the soak be one line of a table

Cause: one function carried out 26 kinds in a switch of eighty lines.

Change: a table from kind to action; what harms one process is a function of its own. Schedules and actions are the same.

--- a/packages/soak/src/harm.ts
+++ b/packages/soak/src/harm.ts
@@ -1,5 +1,6 @@
 /** Carries out the steps of a plan on a fleet, and notes from when to when each harms what. */
 import type * as fleet from './fleet';
+import type * as forwarder from './forwarder';
 import type * as observations from './observations';
 import * as operator from './operator';
 import * as runtimeFaults from './runtimeFaults';
@@ -10,6 +11,9 @@
 
 const GREY: targetMain.Mode[] = ['failing', 'mute', 'cutting', 'crossed', 'extra'];
 
+/** Ways of a VM that a cut takes; both more often. */
+const DIRECTIONS = ['in', 'out', 'both', 'both'] as const;
+
 /** Pause before a process that ended is started again, milliseconds. */
 const RESTART_MS = 300;
 
@@ -33,82 +37,53 @@
   ) {}
 
   /** Starts a step; resolves when it is over. */
-  async carryOut(step: Step): Promise<void> {
-    const { kind, index, variant } = step;
-    const entry = this.running.entries[index];
-    const keeper = this.running.keepers[index];
-    const target = this.running.targets[index];
-    const lasts = step.forSeconds * 1_000;
-    switch (kind) {
-      case 'entryKill':
-        return this.around(entry, kind, () => this.restart(entry, 0));
-      case 'keeperKill':
-        return this.around(keeper, kind, () => this.restart(keeper, lasts));
-      case 'keeperWipe':
-        return this.around(keeper, kind, () =>
-          this.restart(keeper, lasts, () => this.running.wipe(keeper)),
-        );
-      case 'keeperTear':
-        return this.around(keeper, kind, () =>
-          this.restart(keeper, lasts, () => this.running.tear(keeper)),
-        );
-      case 'keepersKill':
-        return this.together(this.running.keepers, kind, lasts);
-      case 'fleetKill':
-        return this.together(this.running.vms, kind, lasts);
-      case 'entryStop':
-        return this.stop(entry);
-      case 'entryPause':
-        return this.around(entry, kind, () => this.freeze(entry, lasts));
-      case 'keeperPause':
-        return this.around(keeper, kind, () => this.freeze(keeper, lasts));
-      case 'entryCut':
-        return this.around(entry, kind, () => this.cut(entry, variant, lasts));
-      case 'keeperCut':
-        return this.around(keeper, kind, () => this.cut(keeper, variant, lasts));
-      case 'diskFull':
-      case 'diskStall':
-        return this.around(keeper, kind, () => this.spoilDisk(keeper, kind, lasts));
-      case 'clockStep':
-        return this.stepClock(index, variant, lasts);
-      case 'silence':
-        return this.acrossNetwork(kind, 0, () => this.running.network.silence(this.hits(variant)));
-      case 'reset':
-        return this.acrossNetwork(kind, 0, () => this.running.network.reset(this.hits(variant)));
-      case 'delay':
-        return this.acrossNetwork(kind, lasts, () => {
-          this.running.network.delayMs = DELAY_MS;
-        });
-      case 'targetKill':
-        return this.aroundTarget(target, kind, async () => {
-          await target.process.kill();
-          await operator.pause(RESTART_MS);
-          this.start(target);
-        });
-      case 'targetPause':
-        return this.aroundTarget(target, kind, () => this.freeze(target, lasts));
-      case 'targetGrey':
-        return this.aroundTarget(target, kind, async () => {
-          target.setMode(GREY[Math.floor(variant * GREY.length)]);
-          await operator.pause(lasts);
-          target.setMode('sound');
-        });
-      case 'targetLeave':
-        return this.leave(target);
-      case 'changes':
-        return this.storm();
-      case 'race':
-        return this.operators.race(variant < 0.5);
-      case 'revoke':
-        return this.operators.revoke(index);
-      case 'invalid':
-        return this.operators.invalid();
-      case 'reload':
-        this.running.writeSettings(entry, false);
-        entry.process.signal('SIGHUP');
-        return undefined;
-    }
-  }
+  carryOut(step: Step): Promise<void> {
+    return this.actions[step.kind](step);
+  }
+
+  /** What each kind of step does. */
+  private readonly actions: Record<schedule.Kind, (step: Step) => Promise<void>> = {
+    entryKill: (step) => this.around(this.entry(step), step, (vm) => this.restart(vm, 0)),
+    entryStop: (step) => this.stop(this.entry(step)),
+    entryPause: (step) => this.around(this.entry(step), step, (vm) => freeze(vm, lasts(step))),
+    entryCut: (step) => this.around(this.entry(step), step, (vm) => this.cut(vm, step)),
+    keeperKill: (step) => this.lose(step),
+    keeperPause: (step) => this.around(this.keeper(step), step, (vm) => freeze(vm, lasts(step))),
+    keeperCut: (step) => this.around(this.keeper(step), step, (vm) => this.cut(vm, step)),
+    keeperWipe: (step) => this.lose(step, (vm) => this.running.wipe(vm)),
+    keeperTear: (step) => this.lose(step, (vm) => this.running.tear(vm)),
+    keepersKill: (step) => this.together(this.running.keepers, step),
+    fleetKill: (step) => this.together(this.running.vms, step),
+    diskFull: (step) => this.around(this.keeper(step), step, (vm) => spoilDisk(vm, 'full', step)),
+    diskStall: (step) =>
+      this.around(this.keeper(step), step, (vm) => spoilDisk(vm, 'stalled', step)),
+    clockStep: (step) =>
+      this.around(this.running.vms[step.index], step, (vm) => stepClock(vm, step)),
+    silence: (step) => {
+      return this.acrossNetwork(step, 0, (network) => network.silence(this.hits(step.variant)));
+    },
+    reset: (step) => {
+      return this.acrossNetwork(step, 0, (network) => network.reset(this.hits(step.variant)));
+    },
+    delay: (step) => {
+      return this.acrossNetwork(step, lasts(step), (network) => {
+        network.delayMs = DELAY_MS;
+      });
+    },
+    targetKill: (step) => this.aroundTarget(step, (target) => this.killTarget(target)),
+    targetLeave: (step) => this.leave(this.running.targets[step.index]),
+    targetPause: (step) => this.aroundTarget(step, (target) => freeze(target, lasts(step))),
+    targetGrey: (step) => this.aroundTarget(step, (target) => turnGrey(target, step)),
+    changes: () => this.storm(),
+    race: ({ variant }) => this.operators.race(variant < 0.5),
+    revoke: ({ index }) => this.operators.revoke(index),
+    invalid: () => this.operators.invalid(),
+    reload: async (step) => {
+      const entry = this.entry(step);
+      this.running.writeSettings(entry, false);
+      entry.process.signal('SIGHUP');
+    },
+  };
 
   /** Ends everything that lasts, and starts what is down. */
   heal(): void {
@@ -139,27 +114,43 @@
     };
   }
 
-  private async around(vm: fleet.Vm, what: string, act: () => Promise<void>): Promise<void> {
-    const end = this.begin(vm.role, vm.index, what);
-    await act();
+  private entry({ index }: Step): fleet.Vm {
+    return this.running.entries[index];
+  }
+
+  private keeper({ index }: Step): fleet.Vm {
+    return this.running.keepers[index];
+  }
+
+  private async around(
+    vm: fleet.Vm,
+    { kind }: Step,
+    act: (vm: fleet.Vm) => Promise<void>,
+  ): Promise<void> {
+    const end = this.begin(vm.role, vm.index, kind);
+    await act(vm);
     end();
   }
 
   private async aroundTarget(
-    target: fleet.TargetVm,
-    what: string,
-    act: () => Promise<void>,
+    { kind, index }: Step,
+    act: (target: fleet.TargetVm) => Promise<void>,
   ): Promise<void> {
-    const end = this.begin('target', target.index, what);
-    await act();
+    const end = this.begin('target', index, kind);
+    await act(this.running.targets[index]);
     end();
   }
 
-  private async acrossNetwork(what: string, lasts: number, act: () => void): Promise<void> {
-    const end = this.begin('network', 0, what);
-    act();
-    await operator.pause(lasts);
-    this.running.network.delayMs = 0;
+  private async acrossNetwork(
+    { kind }: Step,
+    lastsMs: number,
+    act: (network: forwarder.Network) => void,
+  ): Promise<void> {
+    const { network } = this.running;
+    const end = this.begin('network', 0, kind);
+    act(network);
+    await operator.pause(lastsMs);
+    network.delayMs = 0;
     end();
   }
 
@@ -167,46 +158,38 @@
     return () => this.random() < share;
   }
 
-  private async restart(vm: fleet.Vm, downMs: number, meanwhile?: () => void): Promise<void> {
+  private async restart(
+    vm: fleet.Vm,
+    downMs: number,
+    meanwhile?: (vm: fleet.Vm) => void,
+  ): Promise<void> {
     await vm.process.kill();
     this.running.losePower(vm);
-    meanwhile?.();
+    meanwhile?.(vm);
     await operator.pause(RESTART_MS + downMs);
     vm.process.start();
     await operator.pause(WARM_MS);
   }
 
-  private async together(vms: readonly fleet.Vm[], what: string, downMs: number): Promise<void> {
-    await Promise.all(vms.map((vm) => this.around(vm, what, () => this.restart(vm, downMs))));
+  /** A keeper loses power for a while; `meanwhile` harms its disk. */
+  private lose(step: Step, meanwhile?: (vm: fleet.Vm) => void): Promise<void> {
+    return this.around(this.keeper(step), step, (vm) => this.restart(vm, lasts(step), meanwhile));
   }
 
-  private async freeze({ process }: Pick<fleet.Vm, 'process'>, lasts: number): Promise<void> {
-    process.signal('SIGSTOP');
-    await operator.pause(lasts);
-    process.signal('SIGCONT');
+  private async together(vms: readonly fleet.Vm[], step: Step): Promise<void> {
+    await Promise.all(vms.map((vm) => this.around(vm, step, () => this.restart(vm, lasts(step)))));
   }
 
-  private async cut(vm: fleet.Vm, variant: number, lasts: number): Promise<void> {
-    const directions = ['in', 'out', 'both', 'both'] as const;
-    this.running.cut(vm, directions[Math.floor(variant * directions.length)]);
-    await operator.pause(lasts);
+  private async cut(vm: fleet.Vm, step: Step): Promise<void> {
+    this.running.cut(vm, DIRECTIONS[Math.floor(step.variant * DIRECTIONS.length)]);
+    await operator.pause(lasts(step));
     this.running.mend(vm);
   }
 
-  private async spoilDisk(vm: fleet.Vm, kind: string, lasts: number): Promise<void> {
-    vm.setFaults({ clockMs: 0, disk: kind === 'diskFull' ? 'full' : 'stalled' });
-    await operator.pause(lasts);
-    vm.setFaults(runtimeFaults.SOUND);
-  }
-
-  private async stepClock(index: number, variant: number, lasts: number): Promise<void> {
-    const vm = this.running.vms[index];
-    const clockMs = variant < 0.5 ? -CLOCK_STEP_MS : CLOCK_STEP_MS;
-    await this.around(vm, 'clockStep', async () => {
-      vm.setFaults({ clockMs, disk: 'sound' });
-      await operator.pause(lasts);
-      vm.setFaults(runtimeFaults.SOUND);
-    });
+  private async killTarget(target: fleet.TargetVm): Promise<void> {
+    await target.process.kill();
+    await operator.pause(RESTART_MS);
+    this.start(target);
   }
 
   private async stop(entry: fleet.Vm): Promise<void> {
@@ -235,3 +218,33 @@
     }
   }
 }
+
+/** How long a step lasts, milliseconds. */
+function lasts({ forSeconds }: Step): number {
+  return forSeconds * 1_000;
+}
+
+async function freeze({ process }: Pick<fleet.Vm, 'process'>, lastsMs: number): Promise<void> {
+  process.signal('SIGSTOP');
+  await operator.pause(lastsMs);
+  process.signal('SIGCONT');
+}
+
+async function spoilDisk(vm: fleet.Vm, disk: runtimeFaults.Disk, step: Step): Promise<void> {
+  vm.setFaults({ clockMs: 0, disk });
+  await operator.pause(lasts(step));
+  vm.setFaults(runtimeFaults.SOUND);
+}
+
+async function stepClock(vm: fleet.Vm, step: Step): Promise<void> {
+  const clockMs = step.variant < 0.5 ? -CLOCK_STEP_MS : CLOCK_STEP_MS;
+  vm.setFaults({ clockMs, disk: 'sound' });
+  await operator.pause(lasts(step));
+  vm.setFaults(runtimeFaults.SOUND);
+}
+
+async function turnGrey(target: fleet.TargetVm, step: Step): Promise<void> {
+  target.setMode(GREY[Math.floor(step.variant * GREY.length)]);
+  await operator.pause(lasts(step));
+  target.setMode('sound');
+}
