Count no wait for a stream that goes on elsewhere

Change: a stream that goes on counts no wait; any other request at most its objective, so it is late, not lost. The test fails without the change (the wait told was the time since the arrival).

--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -78,6 +78,27 @@
     expect(made.wishes[0].waitedMs).to.be.lessThan(100);
   });
 
+  /*
+   * A reader saw his text end midway, beside a change of settings, with engines free. The target cut a stream after
+   * 1.8 s; the time since the request came was taken for a wait of six objectives, for which no engine is given.
+   */
+  it('counts no wait for a stream that goes on elsewhere, and no more than the objective otherwise', async () => {
+    const cut: bench.Behaviour = (_request, socket) => {
+      socket.write(bench.STREAM + bench.chunk('id: 1\ndata: a\n\n'));
+      setTimeout(() => socket.resetAndDestroy(), 300);
+    };
+    const rest: bench.Behaviour = (_request, socket) =>
+      socket.write(bench.STREAM + bench.chunk('id: 2\ndata: b\n\n') + bench.LAST_CHUNK);
+    made = await bench.Bench.start(cut, rest);
+    expect((await made.ask('/streaming/1')).isWhole).to.equal(true);
+    expect(made.wishes[1].waitedMs).to.equal(0);
+    made.stop();
+
+    made = await bench.Bench.start(() => undefined, WHOLE);
+    expect((await made.ask('/safe/1')).body).to.equal('whole');
+    expect(made.wishes[1].waitedMs).to.equal(100);
+  });
+
   it('has a safe call answered by another target when the first fails', async () => {
     made = await bench.Bench.start(
       (_request, socket) => socket.write(bench.answer('broken', 500)),
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -158,11 +158,22 @@
       objectiveMs: route.objectiveMs,
       pauseMs: route.pauseMs,
       excluded: this.tried,
-      waitedMs: this.services.now() - this.admitted.arrivedAt,
+      waitedMs: this.waitedMs,
       patienceMs: Math.max(0, PATIENCE_SHARE * Math.min(this.timeLeftMs, silence.giveUpMs(route))),
     });
   }
 
+  /**
+   * What its caller has waited for a first event. A stream that goes on has had its first one, and one that comes
+   * to a second target is late, not lost: counted further, no engine would be worth it, and a stream that was
+   * cut midway would be broken off with engines free.
+   */
+  private get waitedMs(): number {
+    if (this.reply.lastEventId !== undefined) return 0;
+    const { arrivedAt, route } = this.admitted;
+    return Math.min(this.services.now() - arrivedAt, route.objectiveMs);
+  }
+
   private async send(choice: chooser.Choice & { kind: 'placed' }): Promise<Outcome> {
     const { placement } = choice;
     const held = new reservations.Reservations(this.admitted.facts.requestId, this.services);
