--- /dev/null
+++ b/packages/soak/src/controlClient.ts
@@ -0,0 +1,32 @@
+/** One call of a target or the operator to one keeper. */
+import * as http from 'node:http';
+import type { counterpart } from '@celerydrift/platform';
+
+/** Status 0 where no whole answer came within the timeout. */
+export interface Answer {
+  status: number;
+  body: string;
+}
+
+const TIMEOUT_MS = 1_000;
+
+export function call(
+  keeper: string,
+  { method, path, body }: counterpart.ControlCall,
+): Promise<Answer> {
+  const [host, port] = keeper.split(':');
+  return new Promise((resolve) => {
+    const none = (): void => resolve({ status: 0, body: '' });
+    const request = http.request({ host, port, method, path, agent: false }, (response) => {
+      const chunks: Buffer[] = [];
+      response.on('data', (chunk: Buffer) => chunks.push(chunk));
+      response.on('error', none);
+      response.on('end', () => {
+        resolve({ status: response.statusCode ?? 0, body: Buffer.concat(chunks).toString() });
+      });
+    });
+    request.setTimeout(TIMEOUT_MS, () => request.destroy());
+    request.on('error', none);
+    request.end(body);
+  });
+}
--- a/packages/soak/src/operator.ts
+++ b/packages/soak/src/operator.ts
@@ -2,10 +2,10 @@
  * The operator: whole documents with rising versions, sent again to any keeper until one acknowledges them. Each
  * version has a route of its own, so that a probe of it shows which document an entry has in force.
  */
-import * as http from 'node:http';
 import * as domain from '@celerydrift/domain';
 import { control, counterpart } from '@celerydrift/platform';
 import * as callers from './callers';
+import * as controlClient from './controlClient';
 import * as fleet from './fleet';
 import type * as observations from './observations';
 
@@ -13,8 +13,7 @@
 type Route = domain.catalogue.catalogue.Route;
 
 const ORGANISATIONS = 3;
-const KINDS = ['safe', 'unsafe', 'stream'] as const;
-const CALL_TIMEOUT_MS = 1_000;
+export const KINDS = ['safe', 'unsafe', 'stream'] as const;
 const PAUSE_MS = 100;
 /** A change without an acknowledgement is given up after so long; it may still come into force. */
 const GIVE_UP_MS = 20_000;
@@ -36,11 +35,6 @@
   usualAnswerTokens: 100,
 };
 
-interface Answer {
-  status: number;
-  body: string;
-}
-
 export function basePath(kind: observations.RequestKind): string {
   return `/${kind}/call`;
 }
@@ -130,7 +124,10 @@
   async invalid(): Promise<void> {
     const broken = this.catalogue(this.version + 1, 'invalid');
     const routes = [...broken.routes, routeOf('safe', 'safe')];
-    const { status } = await this.call(this.anyKeeper(), counterpart.submit({ ...broken, routes }));
+    const { status } = await controlClient.call(
+      this.anyKeeper(),
+      counterpart.submit({ ...broken, routes }),
+    );
     if (status === 200) throw new Error('an invalid document was acknowledged');
   }
 
@@ -138,7 +135,7 @@
   async readBack(): Promise<observations.Observations['readBack']> {
     const until = Date.now() + GIVE_UP_MS;
     while (Date.now() < until) {
-      const { status, body } = await this.call(this.anyKeeper(), counterpart.read());
+      const { status, body } = await controlClient.call(this.anyKeeper(), counterpart.read());
       if (status === 200) return identityOf(body);
       await pause(PAUSE_MS);
     }
@@ -189,7 +186,7 @@
     const call = counterpart.submit(catalogue);
     const until = Date.now() + GIVE_UP_MS;
     while (Date.now() < until) {
-      const { status } = await this.call(this.anyKeeper(), call);
+      const { status } = await controlClient.call(this.anyKeeper(), call);
       if (status === 200) {
         sent.ackedAt = Date.now();
         return;
@@ -201,24 +198,6 @@
   private anyKeeper(): string {
     return domain.shared.random.pick(this.random, this.controls);
   }
-
-  private call(keeper: string, { method, path, body }: counterpart.ControlCall): Promise<Answer> {
-    const [host, port] = keeper.split(':');
-    return new Promise((resolve) => {
-      const none = (): void => resolve({ status: 0, body: '' });
-      const request = http.request({ host, port, method, path, agent: false }, (response) => {
-        const chunks: Buffer[] = [];
-        response.on('data', (chunk: Buffer) => chunks.push(chunk));
-        response.on('error', none);
-        response.on('end', () => {
-          resolve({ status: response.statusCode ?? 0, body: Buffer.concat(chunks).toString() });
-        });
-      });
-      request.setTimeout(CALL_TIMEOUT_MS, () => request.destroy());
-      request.on('error', none);
-      request.end(body);
-    });
-  }
 }
 
 /** The version and label that a document's probe route names. */
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -47,8 +47,6 @@
 /** Memory must be free by then after the last request, milliseconds. */
 const FREE_MS = 4_500;
 
-const KINDS: readonly observations.RequestKind[] = ['safe', 'unsafe', 'stream'];
-
 /** Part of the requests that go on with a key that was taken away. */
 const REVOKED_SHARE = 0.05;
 
@@ -146,7 +144,7 @@
   private async trafficLoop(): Promise<void> {
     const meanMs = 1_000 / layout.LAYOUTS[this.options.size].requestsPerSecond;
     while (this.isAsking) {
-      const kind = domain.shared.random.pick(this.random, KINDS);
+      const kind = domain.shared.random.pick(this.random, operator.KINDS);
       const entry = domain.shared.random.pick(this.random, this.running.entries);
       const question = { entry, kind, path: operator.basePath(kind), key: this.key() };
       const asking = this.callers.ask(question).then((asked) => {
--- a/packages/soak/src/targetMain.ts
+++ b/packages/soak/src/targetMain.ts
@@ -7,6 +7,7 @@
 import * as http from 'node:http';
 import { counterpart } from '@celerydrift/platform';
 import * as answers from './answers';
+import * as controlClient from './controlClient';
 
 /** How a target behaves; `sound` in all but grey times. */
 export type Mode = 'sound' | 'failing' | 'mute' | 'cutting' | 'crossed' | 'extra';
@@ -34,7 +35,6 @@
   | { kind: 'draining'; target: string; at: number };
 
 const ANNOUNCE_EVERY_MS = 500;
-const ANNOUNCE_TIMEOUT_MS = 1_000;
 /** A target that leaves serves on for so long after the acknowledgement. */
 const DRAIN_MS = 3_000;
 const CALL_MS = 20;
@@ -193,7 +193,8 @@
     const first = Math.floor(Math.random() * keepers.length);
     for (let i = 0; i < keepers.length; i++) {
       const keeper = keepers[(first + i) % keepers.length];
-      if (await acknowledged(keeper, call)) return true;
+      const { status } = await controlClient.call(keeper, call);
+      if (status >= 200 && status < 300) return true;
     }
     return false;
   }
@@ -213,18 +214,4 @@
   process.stdout.write(`${JSON.stringify(line)}\n`);
 }
 
-function acknowledged(keeper: string, call: counterpart.ControlCall): Promise<boolean> {
-  const { method, path, body } = call;
-  const [host, port] = keeper.split(':');
-  return new Promise((resolve) => {
-    const request = http.request({ host, port, method, path, agent: false }, (response) => {
-      response.resume();
-      resolve((response.statusCode ?? 500) < 300);
-    });
-    request.setTimeout(ANNOUNCE_TIMEOUT_MS, () => request.destroy());
-    request.on('error', () => resolve(false));
-    request.end(body);
-  });
-}
-
 new Target(JSON.parse(process.argv[2]) as Options).start();
