Know targets that start again under their id, and those at another's old address

The registry ordered lifetimes by state and sequence alone, so such a target was forgotten for ever.

Change: announcements carry bornAt; a later one ends the former life (its dispatches, pace, failure counts and pooled connections go with its record) and begins anew; an earlier one changes nothing. Keepers take a target's own word through announce(). Soak: two in five killed targets come back under their id.

--- a/packages/daemon/src/edges/protocols.ts
+++ b/packages/daemon/src/edges/protocols.ts
@@ -91,5 +91,7 @@
 export interface ControlProtocol {
   call(method: string, path: string): ControlCall | undefined;
   announcement(id: string, body: Buffer): Result<domain.registry.registry.Announcement, Unreadable>;
+  /** When the lifetime that says it departs began, Unix milliseconds; undefined where it doesn't say. */
+  departedLifetime(body: Buffer): number | undefined;
   catalogue(document: Buffer): Result<domain.catalogue.catalogue.Catalogue, Unreadable>;
 }
--- a/packages/daemon/src/entry/__tests__/chooser.test.ts
+++ b/packages/daemon/src/entry/__tests__/chooser.test.ts
@@ -35,6 +35,7 @@
   dataCentre: 'east',
   slots: 8,
   state: 'ready',
+  bornAt: 0,
   sequence: 1,
 };
 
--- a/packages/daemon/src/fleet/holding.ts
+++ b/packages/daemon/src/fleet/holding.ts
@@ -52,12 +52,22 @@
     this.options.onCatalogue(this.current);
   }
 
+  /** Takes what copies of the registry say; the records that changed with it come back. */
   takeRecords(records: readonly Announcement[]): Announcement[] {
-    const changed = this.registry.merge(records, this.options.now());
+    return this.changed(this.registry.merge(records, this.options.now()));
+  }
+
+  /** Takes a target's own word. */
+  takeAnnouncement(announcement: Announcement): Announcement[] {
+    return this.changed(this.registry.announce(announcement, this.options.now()));
+  }
+
+  private changed(changed: Announcement[]): Announcement[] {
     changed.forEach((record) => {
-      const { id, service, address, state, sequence } = record;
+      const { id, service, address, state, sequence, bornAt } = record;
       this.options.observer.log('targetAnnounced', {
         target: id,
+        bornAt,
         service,
         address,
         state,
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -97,6 +97,8 @@
 
 export interface Departed {
   id: string;
+  /** When the lifetime that ended began, Unix milliseconds; undefined where the target didn't say. */
+  bornAt: number | undefined;
 }
 
 /** `submit`: a catalogue from the keeper that an operator talked to. */
--- a/packages/daemon/src/keeper/__tests__/keeper.test.ts
+++ b/packages/daemon/src/keeper/__tests__/keeper.test.ts
@@ -24,6 +24,8 @@
 
 const LIMITS = { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 };
 
+const SERVICE = { name: 's', healthPath: '/', maxConnections: 10, engine: undefined };
+
 /** Documents are `{version, valid}`; announcements are the product's own records. */
 const PROTOCOL: protocols.ControlProtocol = {
   call: (method, url) => {
@@ -31,15 +33,24 @@
     const id = url.slice(1);
     return { kind: method === 'PUT' ? 'announce' : 'depart', id };
   },
-  announcement: (_id, body) =>
-    Ok(JSON.parse(body.toString()) as domain.registry.registry.Announcement),
+  announcement: (id, body) => {
+    const record = JSON.parse(body.toString()) as domain.registry.registry.Announcement;
+    return Ok({ ...record, id });
+  },
+  departedLifetime: () => undefined,
   catalogue: (document) => {
     const { version, valid } = JSON.parse(document.toString()) as {
       version: number;
       valid: boolean;
     };
     if (!valid) return Err({ kind: 'unreadable', detail: 'not valid' });
-    return Ok({ version, routes: [], services: [], organisations: undefined, limits: LIMITS });
+    return Ok({
+      version,
+      routes: [],
+      services: [SERVICE],
+      organisations: undefined,
+      limits: LIMITS,
+    });
   },
 };
 
@@ -203,7 +214,7 @@
 
 function target(state: 'ready' | 'draining', sequence: number): object {
   return {
-    id: 'i1',
+    bornAt: 0,
     service: 's',
     address: '10.0.0.1:80',
     dataCentre: 'dc0',
@@ -283,4 +294,40 @@
     expect((await fleet.call(fleet.leader, 'DELETE', '/i1'))[0]).to.equal(200);
     expect(held.registry.get('i1')?.state).to.equal('gone');
   });
+
+  /*
+   * Callers would be refused while an engine stands idle for the rest of the day. It crashed without a word, and another
+   * one started at its address; the keepers must take the new one's word for it, and not wait until the
+   * old one says that it is gone.
+   */
+  it('know a target that started at the address of one that crashed', async () => {
+    const { held, link } = await fleet.follow();
+    await until('a confirmation', () => link.age < 700);
+    await until('the first', async () => {
+      return (await fleet.call(fleet.leader, 'PUT', '/i1', target('ready', 1)))[0] === 200;
+    });
+    expect((await fleet.call(fleet.leader, 'PUT', '/i2', target('ready', 1)))[0]).to.equal(200);
+    const states = ['i1', 'i2'].map((id) => held.registry.get(id)?.state);
+    expect(states).to.deep.equal(['gone', 'ready']);
+  });
+
+  /*
+   * A sound target would lose its place to one that nobody can use. Another program announces a target of a service
+   * that isn't there, at the same address, and one whose slots are a word.
+   */
+  it('take nothing of announcements by other programs', async () => {
+    const { held, link } = await fleet.follow();
+    await until('a confirmation', () => link.age < 700);
+    await fleet.submit(1);
+    await until('settings', () => held.version === 1);
+    await until('the target', async () => {
+      return (await fleet.call(fleet.leader, 'PUT', '/i1', target('ready', 1)))[0] === 200;
+    });
+    const foreign = { ...target('ready', 1), service: 'unknown' };
+    expect((await fleet.call(fleet.leader, 'PUT', '/i2', foreign))[0]).to.equal(200);
+    const broken = { ...target('ready', 1), slots: 'many' };
+    expect((await fleet.call(fleet.leader, 'PUT', '/i3', broken))[0]).to.equal(400);
+    const states = ['i1', 'i2', 'i3'].map((id) => held.registry.get(id)?.state);
+    expect(states).to.deep.equal(['ready', undefined, undefined]);
+  });
 });
--- a/packages/daemon/src/keeper/controlServer.ts
+++ b/packages/daemon/src/keeper/controlServer.ts
@@ -18,7 +18,7 @@
   observer: observer.Observer;
   /** Passes an announcement on; true once the leader has it. */
   announce: (record: Announcement) => Promise<boolean>;
-  depart: (id: string) => Promise<boolean>;
+  depart: (departed: messages.Departed) => Promise<boolean>;
   submit: (edition: domain.catalogue.versions.Edition) => Promise<messages.SubmitAnswer>;
   newest: () => Promise<messages.NewestAnswer>;
 }
@@ -70,18 +70,27 @@
     const call = this.parts.protocol.call(request.method ?? '', path);
     if (call === undefined) return { status: 404, body: '' };
     if (call.kind === 'announce') return this.announce(call.id, body);
-    if (call.kind === 'depart') {
-      return (await this.parts.depart(call.id)) ? { status: 200, body: '{}' } : UNAVAILABLE;
-    }
+    if (call.kind === 'depart') return this.depart(call.id, body);
     return call.kind === 'submit' ? this.submit(body) : this.read();
   }
 
   private async announce(id: string, body: Buffer): Promise<Reply> {
     const decoded = this.parts.protocol.announcement(id, body);
-    if (decoded.err) return { status: 400, body: JSON.stringify({ error: decoded.val.detail }) };
+    const problem = decoded.err
+      ? decoded.val.detail
+      : domain.registry.validity.problemOf(decoded.val);
+    if (decoded.err || problem !== undefined) {
+      this.parts.observer.log('announcementIgnored', { target: id, reason: problem });
+      return { status: 400, body: JSON.stringify({ error: problem }) };
+    }
     return (await this.parts.announce(decoded.val)) ? { status: 200, body: '{}' } : UNAVAILABLE;
   }
 
+  private async depart(id: string, body: Buffer): Promise<Reply> {
+    const bornAt = this.parts.protocol.departedLifetime(body);
+    return (await this.parts.depart({ id, bornAt })) ? { status: 200, body: '{}' } : UNAVAILABLE;
+  }
+
   private async submit(body: Buffer): Promise<Reply> {
     const decoded = this.parts.protocol.catalogue(body);
     if (decoded.err) return this.refuse(0, decoded.val.detail);
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -104,7 +104,7 @@
       protocol,
       observer: observe,
       announce: (record) => this.announce(record),
-      depart: (id) => this.depart(id),
+      depart: (departed) => this.depart(departed),
       submit: (edition) => this.submit(edition),
       newest: () => this.newest(),
     });
@@ -212,7 +212,7 @@
       return {};
     });
     server.add('announced', (content) => this.announcedBy((content as messages.Announced).record));
-    server.add('departed', (content) => this.departedBy((content as messages.Departed).id));
+    server.add('departed', (content) => this.departedBy(content as messages.Departed));
     server.add('submit', (content) => this.submitHere((content as messages.Submit).edition));
     server.add('newest', () => this.newestHere());
     server.add('place', (request) => this.place(request as messages.Place));
@@ -298,24 +298,23 @@
 
   private async announcedBy(record: Announcement): Promise<boolean> {
     if (!this.host.isLeader) return false;
-    await this.leadership.take([record]);
+    await this.leadership.announce(record);
     return true;
   }
 
-  private depart(id: string): Promise<boolean> {
-    const content = { id } satisfies messages.Departed;
+  private depart(content: messages.Departed): Promise<boolean> {
     return this.atLeader(
       { method: 'departed', content, timeoutMs: PASS_ON_TIMEOUT_MS },
       {
-        here: () => this.departedBy(id),
+        here: () => this.departedBy(content),
         unavailable: () => false,
       },
     );
   }
 
-  private async departedBy(id: string): Promise<boolean> {
+  private async departedBy(departed: messages.Departed): Promise<boolean> {
     if (!this.host.isLeader) return false;
-    await this.leadership.depart(id);
+    await this.leadership.depart(departed);
     return true;
   }
 
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -106,15 +106,29 @@
     };
   }
 
-  /** Takes announcements; resolves when the followers in touch know what changed. */
-  async take(records: readonly Announcement[]): Promise<void> {
+  /** Takes a target's own word; resolves when the followers in touch know what changed. */
+  async announce(announcement: Announcement): Promise<void> {
+    const { holding: held, observer } = this.options;
+    const { id, service } = announcement;
+    const isUsable = held.directory === undefined || held.directory.service(service) !== undefined;
+    if (!isUsable && held.registry.get(id) === undefined) {
+      // Taken, it would end whoever is known at its address. It announces itself again once there is such a service.
+      observer.log('announcementIgnored', { target: id, reason: `no service ${service}` });
+      return;
+    }
+    const changed = held.takeAnnouncement(announcement);
+    if (changed.length > 0) await this.publish(changed);
+  }
+
+  /** Takes what a follower knows of targets. */
+  private async take(records: readonly Announcement[]): Promise<void> {
     const changed = this.options.holding.takeRecords(records);
     if (changed.length > 0) await this.publish(changed);
   }
 
-  async depart(id: string): Promise<void> {
+  async depart({ id, bornAt }: messages.Departed): Promise<void> {
     const known = this.options.holding.registry.get(id);
-    const changed = this.options.holding.registry.depart(id, this.options.now());
+    const changed = this.options.holding.registry.depart(id, this.options.now(), bornAt);
     if (changed.length === 0) return;
     this.options.observer.log('targetAnnounced', {
       target: id,
--- a/packages/domain/src/allocation/__tests__/allocator.test.ts
+++ b/packages/domain/src/allocation/__tests__/allocator.test.ts
@@ -30,6 +30,7 @@
     dataCentre: 'east',
     slots: 11,
     state: 'ready',
+    bornAt: 0,
     sequence: 1,
   };
 }
--- a/packages/domain/src/registry/__tests__/registry.test.ts
+++ b/packages/domain/src/registry/__tests__/registry.test.ts
@@ -1,6 +1,7 @@
 /** The registry of targets under announcements that come late, twice and from other copies. */
 import * as chai from 'chai';
 import * as registry from '../registry';
+import * as validity from '../validity';
 
 const { expect } = chai;
 
@@ -10,6 +11,7 @@
 ): registry.Announcement {
   return {
     id,
+    bornAt: 0,
     service: 'engines',
     address: '10.0.0.1:80',
     dataCentre: 'east',
@@ -92,4 +94,71 @@
     made.forget(registry.REMEMBER_GONE_MS + 1);
     expect(states(made)).to.deep.equal({});
   });
+
+  /*
+   * An engine that crashed and came back under its id would get no work for ever: it had said that it leaves, or
+   * others had answered at its address, and its counts begin anew below those of its former life.
+   */
+  it('takes a target back that started again under its id', () => {
+    const made = new registry.Registry();
+    made.announce(announcement('a', { bornAt: 100, sequence: 9, state: 'draining' }), 0);
+    made.depart('a', 10);
+    made.announce(announcement('a', { bornAt: 200, sequence: 1 }), 20);
+    expect(states(made)).to.deep.equal({ a: 'ready' });
+  });
+
+  /*
+   * Work of the former life would count against the new one: those who keep it hear only that the target is ready,
+   * as it was before. They must hear of the end in between.
+   */
+  it('ends the former life where a target starts again unnoticed, here and in copies', () => {
+    const made = new registry.Registry();
+    const copy = new registry.Registry();
+    copy.merge(made.announce(announcement('a', { bornAt: 100, sequence: 9 }), 0), 0);
+    const changes = made.announce(announcement('a', { bornAt: 200 }), 10);
+    const told = (each: registry.Announcement): string => `${each.state} ${each.bornAt}`;
+    expect(changes.map(told)).to.deep.equal(['gone 100', 'ready 200']);
+    expect(copy.merge(made.records(), 20).map(told)).to.deep.equal(['gone 100', 'ready 200']);
+  });
+
+  /*
+   * A running engine would get no more work. Reports of its former life, that it leaves and that it is gone, were
+   * held up by a cut and come after it started again.
+   */
+  it('ignores late reports of a former life', () => {
+    const made = new registry.Registry();
+    made.announce(announcement('a', { bornAt: 200 }), 0);
+    const late = announcement('a', { bornAt: 100, state: 'draining', sequence: 9 });
+    expect(made.announce(late, 10)).to.deep.equal([]);
+    expect(made.merge([{ ...late, state: 'gone' }], 20)).to.deep.equal([]);
+    expect(made.depart('a', 30, 100)).to.deep.equal([]);
+    expect(states(made)).to.deep.equal({ a: 'ready' });
+    made.depart('a', 40, 200);
+    expect(states(made)).to.deep.equal({ a: 'gone' });
+  });
+});
+
+describe('an announcement', () => {
+  /*
+   * Each request would fail that is sent to an address that is none, and other programs announce themselves too. What
+   * can't be used is refused with the field's name.
+   */
+  it('must name a target that can be used', () => {
+    const problems = [
+      {},
+      { id: 'a b' },
+      { id: '' },
+      { service: '' },
+      { dataCentre: '' },
+      { address: '10.0.0.1' },
+      { address: '10.0.0.1:0' },
+      { address: 'host:80' },
+      { address: '10.0.0.1:80:1' },
+      { slots: 1.5 },
+      { slots: -1 },
+      { sequence: 2 ** 60 },
+      { bornAt: 0.5 },
+    ].map((more) => [more, validity.problemOf(announcement('a', more)) ?? 'none']);
+    expect(problems).toMatchSnapshot();
+  });
 });
--- a/packages/domain/src/registry/index.ts
+++ b/packages/domain/src/registry/index.ts
@@ -1,1 +1,2 @@
 export * as registry from './registry';
+export * as validity from './validity';
--- a/packages/domain/src/registry/registry.ts
+++ b/packages/domain/src/registry/registry.ts
@@ -1,14 +1,20 @@
 /**
  * The registry of targets: who announced itself, where, and whether it is leaving. Announcements reach
  * keepers late, twice and out of order, and copies of the registry meet after partitions, so records of one
- * lifetime are ordered by state first and sequence second: a lifetime that left never returns.
+ * lifetime are ordered by state first and sequence second: a lifetime that left never returns. A target may start
+ * again under its id; its start then tells the new lifetime from the old one.
  */
 
 export type State = 'ready' | 'draining' | 'gone';
 
-/** What a target says of itself. Each start of a target is a lifetime with an id of its own. */
+/** What a target says of itself. */
 export interface Announcement {
   id: string;
+  /**
+   * When this lifetime of the target began, Unix milliseconds by the target's clock; 0 where it doesn't say. Only
+   * the two of one id are ever compared.
+   */
+  bornAt: number;
   service: string;
   /** HOST:PORT. */
   address: string;
@@ -50,13 +56,16 @@
   announce(announcement: Announcement, now: number): Announcement[] {
     const known = this.entries.get(announcement.id);
     if (known === undefined) return this.add(announcement, now);
+    if (announcement.bornAt > known.record.bornAt) return this.startAgain(known, announcement, now);
+    if (announcement.bornAt < known.record.bornAt) return [];
     if (known.isPresumedDead) return this.contradict(known, announcement, now);
     return this.update(known, announcement, now);
   }
 
-  /** The lifetime ended or announced that it does. */
-  depart(id: string, now: number): Announcement[] {
+  /** The lifetime ended or announced that it does; `bornAt` where it said which one. */
+  depart(id: string, now: number, bornAt = Infinity): Announcement[] {
     const known = this.entries.get(id);
+    if (known !== undefined && bornAt < known.record.bornAt) return [];
     if (known === undefined) {
       const record: Announcement = { ...UNKNOWN, id };
       this.keep(record, now);
@@ -80,7 +89,7 @@
   merge(records: readonly Announcement[], now: number): Announcement[] {
     return records.flatMap((record) => {
       const known = this.entries.get(record.id);
-      if (known !== undefined) return this.update(known, record, now);
+      if (known !== undefined) return this.mergeKnown(known, record, now);
       // Which of two lifetimes at an address came later, a copy can't say. The one that lives announces
       // itself again.
       const isContested = record.state !== 'gone' && this.at(record.address).length > 0;
@@ -132,6 +141,20 @@
     );
   }
 
+  private mergeKnown(known: Entry, record: Announcement, now: number): Announcement[] {
+    if (record.bornAt > known.record.bornAt) return this.startAgain(known, record, now);
+    return record.bornAt < known.record.bornAt ? [] : this.update(known, record, now);
+  }
+
+  /**
+   * The target started again under its id: whatever was known of the former lifetime ends with it, also that it left.
+   * Without the end of the old one in between, its dispatches would count against the new one.
+   */
+  private startAgain(known: Entry, announcement: Announcement, now: number): Announcement[] {
+    const ended = known.record.state === 'gone' ? [] : [this.end(known, now)];
+    return [...ended, ...this.add(announcement, now)];
+  }
+
   private update(known: Entry, announcement: Announcement, now: number): Announcement[] {
     if (known.record.state !== 'gone') known.heardAt = now;
     if (RANK[announcement.state] < RANK[known.record.state]) return [];
@@ -171,6 +194,7 @@
 /** What is known of a lifetime whose end came before its first announcement. */
 const UNKNOWN: Announcement = {
   id: '',
+  bornAt: Number.MAX_SAFE_INTEGER,
   service: '',
   address: '',
   dataCentre: '',
--- /dev/null
+++ b/packages/domain/src/registry/validity.ts
@@ -0,0 +1,41 @@
+/**
+ * Whether an announcement names a target that can be used. Others write announcements too, with values of their own;
+ * an address that is none would fail each request that is sent there, an id with a line break each header.
+ */
+import type * as registry from './registry';
+
+const ID = /^[\x21-\x7e]{1,128}$/;
+
+const HIGHEST_OCTET = 255;
+
+const HIGHEST_PORT = 65_535;
+
+/** More requests at once than any target serves. */
+const MOST_SLOTS = 100_000;
+
+function isWithin(text: string | undefined, most: number): boolean {
+  return text !== undefined && /^\d{1,5}$/.test(text) && Number(text) <= most;
+}
+
+function isAddress(text: string): boolean {
+  const [host, port, ...rest] = text.split(':');
+  const octets = host.split('.');
+  const isHost = octets.length === 4 && octets.every((each) => isWithin(each, HIGHEST_OCTET));
+  return rest.length === 0 && isHost && isWithin(port, HIGHEST_PORT) && Number(port) > 0;
+}
+
+function isCount(value: number, most = Number.MAX_SAFE_INTEGER): boolean {
+  return Number.isSafeInteger(value) && value >= 0 && value <= most;
+}
+
+/** What is wrong with an announcement; undefined where it can be used. */
+export function problemOf(announcement: registry.Announcement): string | undefined {
+  const { id, address, slots, sequence, bornAt, service, dataCentre } = announcement;
+  if (!ID.test(id)) return 'id is empty, too long or not printable';
+  if (service === '') return 'service is empty';
+  if (dataCentre === '') return 'data centre is empty';
+  if (!isAddress(address)) return `address ${address.slice(0, 64)} is not IPV4:PORT`;
+  if (!isCount(slots, MOST_SLOTS)) return `slots ${slots} is not a whole number in range`;
+  if (!isCount(sequence)) return `sequence ${sequence} is not a whole number in range`;
+  return isCount(bornAt) ? undefined : `start ${bornAt} is not a whole number in range`;
+}
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -93,10 +93,10 @@
     this.targets.forEach((target) => this.startTarget(target));
   }
 
-  /** Starts a target as a new lifetime. */
-  startTarget(target: TargetVm): void {
+  /** Starts a target as a new lifetime, under a new id or the one that it had. */
+  startTarget(target: TargetVm, keepsId = false): void {
     if (target.process.isRunning) return;
-    target.lifetime = `t${target.index}-${target.process.incarnation + 1}`;
+    if (!keepsId) target.lifetime = `t${target.index}-${target.process.incarnation + 1}`;
     const words = target.process.command.words;
     const options = JSON.parse(words[1]) as targetMain.Options;
     words[1] = JSON.stringify({ ...options, id: target.lifetime } satisfies targetMain.Options);
--- a/packages/soak/src/harm.ts
+++ b/packages/soak/src/harm.ts
@@ -20,6 +20,9 @@
 /** Longest time for a planned stop; the process is killed then. */
 const STOP_MS = 8_000;
 
+/** Part of the killed targets that start again under the id that they had. */
+const REBORN_SHARE = 0.4;
+
 const STORM_CHANGES = 6;
 const STORM_PAUSE_MS = 150;
 const CLOCK_STEP_MS = 3_000;
@@ -70,7 +73,7 @@
         network.delayMs = DELAY_MS;
       });
     },
-    targetKill: (step) => this.aroundTarget(step, (target) => this.killTarget(target)),
+    targetKill: (step) => this.aroundTarget(step, (target) => this.killTarget(target, step)),
     targetLeave: (step) => this.leave(this.running.targets[step.index]),
     targetPause: (step) => this.aroundTarget(step, (target) => freeze(target, lasts(step))),
     targetGrey: (step) => this.aroundTarget(step, (target) => turnGrey(target, step)),
@@ -101,8 +104,8 @@
     });
   }
 
-  private start(target: fleet.TargetVm): void {
-    this.running.startTarget(target);
+  private start(target: fleet.TargetVm, keepsId = false): void {
+    this.running.startTarget(target, keepsId);
     this.seen.lifetimes.push({ target: target.lifetime, index: target.index });
   }
 
@@ -186,10 +189,10 @@
     this.running.mend(vm);
   }
 
-  private async killTarget(target: fleet.TargetVm): Promise<void> {
+  private async killTarget(target: fleet.TargetVm, { variant }: Step): Promise<void> {
     await target.process.kill();
     await operator.pause(RESTART_MS);
-    this.start(target);
+    this.start(target, variant < REBORN_SHARE);
   }
 
   private async stop(entry: fleet.Vm): Promise<void> {
--- a/packages/soak/src/targetMain.ts
+++ b/packages/soak/src/targetMain.ts
@@ -45,6 +45,8 @@
 
   private sequence = 0;
 
+  private readonly bornAt = Date.now();
+
   private running = 0;
 
   private readonly reservations = new Map<string, { tokens: number; expiresAt: number }>();
@@ -181,10 +183,9 @@
   private async announce(): Promise<boolean> {
     this.sequence += 1;
     const { id, service, address, dataCentre, slots } = this.options;
-    const { state, sequence } = this;
-    return this.tell(
-      counterpart.announce({ id, service, address, dataCentre, slots, state, sequence }),
-    );
+    const { state, sequence, bornAt } = this;
+    const about = { id, bornAt, service, address, dataCentre, slots };
+    return this.tell(counterpart.announce({ ...about, state, sequence }));
   }
 
   /** Sends a call to one keeper after the other until one acknowledges it. */
@@ -202,9 +203,10 @@
   private async leave(): Promise<void> {
     this.state = 'draining';
     const { id } = this.options;
+    const { bornAt } = this;
     if (await this.announce()) say({ kind: 'draining', target: id, at: Date.now() });
     setTimeout(() => {
-      void this.tell(counterpart.depart(id)).then(() => process.exit(0));
+      void this.tell(counterpart.depart({ id, bornAt })).then(() => process.exit(0));
     }, DRAIN_MS);
   }
 }
