Predict by the order in which engines really read

Cause: requests that were read together ended 2 to 2.7 s later than predicted, and later ones overtook earlier ones.

Change: readQueue keeps an engine's readings in that order, outlook says what one more costs those that are read already, and the planner counts it in place of the time to wait. Loss by lateness is a module of its own.

--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -9,6 +9,7 @@
 import * as cost from './cost';
 import * as load from './load';
 import * as planner from './planner';
+import * as reading from './reading';
 import type * as soundness from './soundness';
 
 export interface Request extends planner.Prompt {
@@ -180,10 +181,13 @@
     now: number,
   ): void {
     const parts = helpers.length + 1;
-    const task = {
-      request: request.id,
-      readMs: cost.readMs(writer.engine, request.tokens, parts),
+    const value = planner.valueOf(request);
+    const { id, objectiveMs, waitedMs } = request;
+    const share = {
+      reading: new reading.Reading(id, value, objectiveMs, now - waitedMs),
+      isPart: parts > 1,
     };
+    const task = { request: id, readMs: cost.readMs(writer.engine, request.tokens, parts) };
     writer.add(
       {
         ...task,
@@ -191,8 +195,9 @@
         contextTokens: request.tokens / parts,
         memoryTokens: writerTokens,
         pauseMs: request.pauseMs,
-        value: planner.valueOf(request),
+        value,
       },
+      share,
       now,
     );
     const help = {
@@ -203,7 +208,7 @@
       value: 0,
     } as const;
     helpers.forEach(({ load: each, keptTokens }) => {
-      each.add({ ...help, memoryTokens: keptTokens }, now);
+      each.add({ ...help, memoryTokens: keptTokens }, share, now);
     });
     const loads = [writer, ...helpers.map((each) => each.load)];
     this.dispatches.set(request.id, { entry: request.entry, loads, writer });
--- a/packages/domain/src/allocation/index.ts
+++ b/packages/domain/src/allocation/index.ts
@@ -1,5 +1,9 @@
 export * as allocator from './allocator';
 export * as cost from './cost';
+export * as lateness from './lateness';
 export * as load from './load';
+export * as outlook from './outlook';
 export * as planner from './planner';
+export * as reading from './reading';
+export * as readQueue from './readQueue';
 export * as soundness from './soundness';
--- a/packages/domain/src/allocation/load.ts
+++ b/packages/domain/src/allocation/load.ts
@@ -6,6 +6,8 @@
 import type * as catalogue from '../catalogue/catalogue';
 import type * as registry from '../registry/registry';
 import * as cost from './cost';
+import type * as reading from './reading';
+import * as readQueue from './readQueue';
 import * as soundness from './soundness';
 
 /** One request's share in an engine: as the engine that writes, or as one that only helps to read. */
@@ -24,12 +26,6 @@
   value: number;
 }
 
-/**
- * Part of a caller's longest pause that predictions may use up. The rest covers the way of an event to
- * the caller, prompts that arrive in the same pass, and the model's error.
- */
-const PAUSE_SHARE = 0.85;
-
 /**
  * Bounds of a measured pace, and the weight of a new measure: a few answers turn the figure, and one odd
  * answer doesn't.
@@ -45,24 +41,22 @@
   passMs: number;
 }
 
-interface Reading {
-  task: Task;
-  endsAt: number;
-}
-
-export class Load {
+export class Load implements reading.Place, readQueue.Writing {
   private readonly tasks = new Map<string, Task>();
 
-  /** The writers among `tasks`. */
+  /** The writers among `tasks`, and the others. */
   private writing: Task[] = [];
 
+  private helped: Task[] = [];
+
   /**
    * What follows from the tasks. A plan asks every engine for it some ten times, and tasks change once a
    * request: with 78 engines, kept figures make a plan three times cheaper.
    */
   private figures: Figures;
 
-  private readings: Reading[] = [];
+  /** What it has to read. */
+  readonly queue = new readQueue.ReadQueue(this);
 
   readonly soundness = new soundness.Soundness();
 
@@ -91,11 +85,15 @@
     return this.figures.freeMemory;
   }
 
-  /** Requests that this engine helps to read for others at `now`. */
+  /** Requests that this engine still helps to read for others. */
   helping(now: number): number {
-    if (this.pendingReadMs(now) === 0) return 0;
-    return this.readings.filter(({ task, endsAt }) => task.role === 'helper' && endsAt > now)
-      .length;
+    if (this.queue.isIdle(now)) return 0;
+    return this.helped.filter(({ request }) => this.queue.has(request)).length;
+  }
+
+  /** Whether somebody's answer is being written here, and not still read. */
+  get isWriting(): boolean {
+    return this.writing.some(({ request }) => !this.queue.has(request));
   }
 
   /** The tightest pause that a caller of this engine bears, infinite where nobody writes. */
@@ -113,45 +111,43 @@
     this.pace += PACE.weight * (sample - this.pace);
   }
 
-  /** Reading that was given to the engine and isn't done, milliseconds. */
+  /** Time until this engine could begin to read a prompt alone, milliseconds. */
   pendingReadMs(now: number): number {
-    const last = this.readings.at(-1);
-    return last === undefined ? 0 : Math.max(0, last.endsAt - now);
-  }
-
-  /** How much more reading the engine takes before a pause of someone who writes there is too long. */
-  allowanceMs(now: number): number {
-    const tightest = this.tightestPauseMs;
-    if (tightest === Infinity) return Infinity;
-    return PAUSE_SHARE * tightest - this.passMs() - this.pendingReadMs(now);
+    return this.queue.restMs(now) + this.queue.waitingMs(now);
   }
 
-  /** Value of the writers here whose pauses a further reading of `readMs` makes too long. */
-  valueAtRisk(readMs: number, pendingMs: number): number {
-    const pause = this.passMs() + pendingMs + readMs;
+  /** Value of those who write here and bear only pauses shorter than so many milliseconds. */
+  valueOfTighter(than: number): number {
     return this.writing
-      .filter(({ pauseMs }) => PAUSE_SHARE * pauseMs < pause)
+      .filter(({ pauseMs }) => pauseMs < than)
       .reduce((sum, { value }) => sum + value, 0);
   }
 
-  add(task: Task, now: number): void {
+  endOf(wanted: reading.Reading, now: number): number | undefined {
+    return this.queue.endOf(wanted, now);
+  }
+
+  /** Takes a share of a request; `isPart` where others read parts of the same prompt. */
+  add(task: Task, share: { reading: reading.Reading; isPart: boolean }, now: number): void {
+    const leftMs = this.pace * task.readMs;
+    if (leftMs > 0) {
+      this.queue.add({ ...share, leftMs }, now);
+      share.reading.addPlace(this);
+    }
     this.tasks.set(task.request, task);
     this.refresh();
-    const startsAt = now + this.pendingReadMs(now);
-    this.readings = this.readings.filter(({ endsAt }) => endsAt > now);
-    this.readings.push({ task, endsAt: startsAt + this.pace * task.readMs });
   }
 
   remove(request: string, now: number): void {
+    this.queue.remove(request, now);
     this.tasks.delete(request);
     this.refresh();
-    this.readings = this.readings.filter(
-      ({ task, endsAt }) => task.request !== request && endsAt > now,
-    );
   }
 
   private refresh(): void {
-    this.writing = [...this.tasks.values()].filter(({ role }) => role === 'writer');
+    const tasks = [...this.tasks.values()];
+    this.writing = tasks.filter(({ role }) => role === 'writer');
+    this.helped = tasks.filter(({ role }) => role === 'helper');
     this.figures = this.figuresNow();
   }
 
--- a/packages/domain/src/allocation/planner.ts
+++ b/packages/domain/src/allocation/planner.ts
@@ -10,7 +10,9 @@
  */
 import type * as catalogue from '../catalogue/catalogue';
 import * as cost from './cost';
+import * as lateness from './lateness';
 import * as load from './load';
+import * as outlooks from './outlook';
 
 export interface Prompt {
   tokens: number;
@@ -54,25 +56,6 @@
 /** Numbers of engines that are tried for one prompt. */
 const PART_COUNTS = [1, 2, 3, 4, 6, 8, 12, MAX_HELPERS + 1];
 
-/**
- * Shares of the objective between which a predicted first token turns from surely in time to surely late.
- * Wide, as the prediction misses by a pass or two.
- */
-const SURELY_IN_TIME = 0.6;
-const SURELY_LATE = 1;
-
-/** What a late answer is worth less than one in time; callers' own figures lie around a quarter. */
-const LATE_LOSS = 0.75;
-
-/** Further loss for each objective that an answer is later; prefers the sooner of two late ones. */
-const LATE_SLOPE = 0.02;
-
-/**
- * Callers wait for a first token up to this many objectives, and leave; an answer after that is lost. From the
- * users' pages.
- */
-const GIVEN_UP = 4;
-
 /**
  * What a token of an answer counts against one of a prompt. With five, requests of 5k, 45k and 154k tokens count
  * as 1 : 3.8 : 12; their callers say that they are worth 1 : 3.2 : 16 to them.
@@ -106,12 +89,6 @@
 /** Parts up to this length shut an engine for nobody; milliseconds, two passes. */
 const HARMLESS_PART_MS = 100;
 
-/**
- * Passes between the reading's start and the first event: half of the one that runs when the prompt comes,
- * on average, and a whole one that writes the event.
- */
-const PASSES_WHERE_OTHERS_WRITE = 1.5;
-
 /**
  * What a part spoils where callers bear less than this one's, against what the writers there are worth now:
  * others come before the part is read. Measured on calm days with few short and many long prompts.
@@ -132,20 +109,25 @@
 
 interface Candidate {
   load: load.Load;
+  outlook: outlooks.Outlook;
   /** Whether it helps as many others as it takes. */
   isHelpingMost: boolean;
-  /** Reading it may take before someone's pause is too long, milliseconds. */
-  allowanceMs: number;
-  pendingMs: number;
   /** Share of its last dispatches that failed. */
   failureShare: number;
 }
 
+/** What each of the engines that read a prompt has to do for it. */
+interface Part {
+  readMs: number;
+  /** Whether others read parts too. */
+  isShared: boolean;
+}
+
 interface Scored {
   candidate: Candidate;
-  /** What a part there spoils for others. */
-  spoiled: number;
-  /** That, and what the request itself loses by the wait there. */
+  /** What a part there spoils by longer pauses of those who write there. */
+  spoiledPauses: number;
+  /** That, what it delays, and what the request itself loses by the wait there. */
   harm: number;
   /** Order among helpers, the least first. */
   asHelper: number;
@@ -164,9 +146,8 @@
     const candidates = loads.map((each) => {
       return {
         load: each,
+        outlook: new outlooks.Outlook(each, now),
         isHelpingMost: each.helping(now) >= each.engine.slots,
-        allowanceMs: each.allowanceMs(now),
-        pendingMs: each.pendingReadMs(now),
         failureShare: each.soundness.failureShare(now),
       };
     });
@@ -196,11 +177,14 @@
     candidates: readonly Candidate[],
     hasPlace: ReadonlySet<load.Load>,
   ): Plan | undefined {
-    const partMs = cost.readMs(this.engine, prompt.tokens, parts);
+    const part = {
+      readMs: cost.readMs(this.engine, prompt.tokens, parts),
+      isShared: parts > 1,
+    };
     const value = valueOf(prompt);
     const scored = candidates
       .filter(({ isHelpingMost }) => parts === 1 || !isHelpingMost)
-      .map((candidate) => this.score(prompt, candidate, partMs));
+      .map((candidate) => score(prompt, candidate, part));
     const withPlace = scored.filter(({ candidate }) => hasPlace.has(candidate.load));
     if (withPlace.length === 0) return undefined;
     const writer = least(withPlace, ({ candidate, harm }) => {
@@ -213,39 +197,41 @@
       helpers.map(({ candidate }) => candidate.load),
     );
     if (storage === undefined) return undefined;
+    const all = [writer, ...helpers];
+    const outlookOf = all.map(({ candidate }) => candidate.outlook);
     const firstTokenMs = Math.max(
-      ...[writer, ...helpers].map(({ candidate }) => this.firstTokenMs(candidate, partMs)),
+      ...outlookOf.map((each) => each.firstTokenMs(part.readMs, part.isShared)),
+    );
+    const pauses = all.reduce((sum, each) => sum + each.spoiledPauses, 0);
+    const delays = outlooks.lossBy(
+      outlookOf.flatMap((each) => each.delays(part.readMs, part.isShared)),
     );
-    const spoiled = helpers.reduce((sum, each) => sum + each.spoiled, writer.spoiled);
-    const blocked = Math.max(0, partMs - HARMLESS_PART_MS) / prompt.objectiveMs;
-    const late = value * loss(prompt.waitedMs + firstTokenMs, prompt.objectiveMs);
+    const blocked = Math.max(0, part.readMs - HARMLESS_PART_MS) / prompt.objectiveMs;
+    const late = value * lateness.loss(prompt.waitedMs + firstTokenMs, prompt.objectiveMs);
     return {
       writer: writer.candidate.load,
       ...storage,
-      partMs,
+      partMs: part.readMs,
       firstTokenMs,
-      harm: spoiled + late + value * (parts * PART_LOSS + BLOCK_LOSS * blocked),
+      harm: pauses + delays + late + value * (parts * PART_LOSS + BLOCK_LOSS * blocked),
     };
   }
+}
 
-  /** What a part on this engine spoils, with a preference for the shorter queue and way. */
-  private score(prompt: Prompt, candidate: Candidate, partMs: number): Scored {
-    const { load: on, allowanceMs, pendingMs } = candidate;
-    const isTooLong = partMs > allowanceMs;
-    const risk = isTight(prompt, on) ? TIGHT_RISK * LATE_LOSS : LATE_LOSS;
-    const spoiled = isTooLong ? risk * on.valueAtRisk(partMs, pendingMs) : 0;
-    const waits = loss(prompt.waitedMs + this.firstTokenMs(candidate, partMs), prompt.objectiveMs);
-    const way = on.record.dataCentre === prompt.dataCentre ? 0 : NEAR_MS;
-    const queue = (WAIT_LOSS * (pendingMs + way)) / prompt.objectiveMs;
-    const fails = FAILURE_LOSS * candidate.failureShare;
-    const harm = spoiled + valueOf(prompt) * (waits + queue + fails);
-    return { candidate, spoiled, harm, asHelper: helperScore(prompt, candidate, harm) };
-  }
-
-  private firstTokenMs({ load: on, pendingMs }: Candidate, partMs: number): number {
-    const passes = on.writers > 0 ? PASSES_WHERE_OTHERS_WRITE : 1;
-    return pendingMs + on.pace * partMs + passes * on.passMs();
-  }
+/** What a part on this engine spoils, with a preference for the shorter queue and way. */
+function score(prompt: Prompt, candidate: Candidate, { readMs, isShared }: Part): Scored {
+  const { load: on, outlook } = candidate;
+  const risk = isTight(prompt, on) ? TIGHT_RISK * lateness.LATE_LOSS : lateness.LATE_LOSS;
+  const isTooLong = readMs > outlook.allowanceMs;
+  const spoiledPauses = isTooLong ? risk * outlook.valueAtRisk(readMs) : 0;
+  const delays = outlooks.lossBy(outlook.delays(readMs, isShared));
+  const firstTokenMs = outlook.firstTokenMs(readMs, isShared);
+  const waits = lateness.loss(prompt.waitedMs + firstTokenMs, prompt.objectiveMs);
+  const way = on.record.dataCentre === prompt.dataCentre ? 0 : NEAR_MS;
+  const queue = (WAIT_LOSS * (outlook.pendingMs + firstTokenMs + way)) / prompt.objectiveMs;
+  const fails = FAILURE_LOSS * candidate.failureShare;
+  const harm = spoiledPauses + delays + valueOf(prompt) * (waits + queue + fails);
+  return { candidate, spoiledPauses, harm, asHelper: helperScore(prompt, candidate, harm) };
 }
 
 /**
@@ -290,8 +276,8 @@
  * Among engines on which a part spoils nothing, those help first that already work for callers as tolerant
  * as this one; then idle ones; last those with tight pauses, the emptiest first.
  */
-function helperScore(prompt: Prompt, { load: on, pendingMs }: Candidate, harm: number): number {
-  const isIdle = on.writers === 0 && pendingMs === 0;
+function helperScore(prompt: Prompt, { load: on, outlook }: Candidate, harm: number): number {
+  const isIdle = on.writers === 0 && outlook.pendingMs === 0;
   const steps = (isIdle ? 1 : 0) + (isTight(prompt, on) ? 2 + on.writers : 0);
   return harm + SPREAD_LOSS * steps * valueOf(prompt);
 }
@@ -303,18 +289,6 @@
     .slice(0, count);
 }
 
-/**
- * The part of a request's value that is lost when its first token comes after `ms`: nothing, most of it when
- * it is late, all of it when its caller has left by then.
- */
-function loss(ms: number, objectiveMs: number): number {
-  const share = ms / objectiveMs;
-  if (share <= SURELY_IN_TIME) return 0;
-  if (share >= GIVEN_UP) return 1 + (share - GIVEN_UP) / 100;
-  if (share >= SURELY_LATE) return LATE_LOSS + LATE_SLOPE * (share - SURELY_LATE);
-  return (LATE_LOSS * (share - SURELY_IN_TIME)) / (SURELY_LATE - SURELY_IN_TIME);
-}
-
-function least<T>(items: readonly T[], score: (item: T) => number): T {
-  return items.reduce((best, item) => (score(item) < score(best) ? item : best));
+function least<T>(items: readonly T[], sizeOf: (item: T) => number): T {
+  return items.reduce((best, item) => (sizeOf(item) < sizeOf(best) ? item : best));
 }
