Ask a silent target whether it lives before giving it up

Change: silence has two bounds. Overdue by the prediction: the target is asked for its report over a connection of its own, once a second at most, shared by all requests on it; no answer within 0.3 s gives it up. Alive: it is given up only when its callers are about to leave. SilenceWatch and LifeChecks are modules of their own; exchange.ts loses the loop.

Tests: 'leaves a target alone that is overdue and alive' fails before.

--- a/packages/daemon/src/edges/protocols.ts
+++ b/packages/daemon/src/edges/protocols.ts
@@ -72,6 +72,8 @@
   /** Reserves memory on a target for so long from the call's arrival; sent again it renews. */
   reserve(target: string, reservation: string, tokens: number, holdMs: number): TargetCall;
   release(target: string, reservation: string): TargetCall;
+  /** Asks a target for its state; one that lives answers at once, however busy. */
+  report(target: string): TargetCall;
 }
 
 /** A call from a target or an operator that the keepers' listener understands. */
--- a/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
@@ -9,8 +9,12 @@
 import type * as chooser from '../../chooser';
 import * as exchange from '../../exchange';
 import * as ingress from '../../ingress';
+import * as lifeChecks from '../../lifeChecks';
 import * as targetClient from '../../targetClient';
 
+/** Where targets of these tests are asked whether they live. */
+export const REPORT_PATH = '/alive';
+
 /** A protocol as plain as possible: `id`, `signed`, `not-run`, `resume-after`. */
 const PROTOCOL: protocols.TrafficProtocol = {
   facts: (headers) => ({
@@ -40,6 +44,7 @@
   }),
   reserve: () => ({ method: 'POST', path: '/', headers: [], body: '' }),
   release: () => ({ method: 'POST', path: '/', headers: [], body: '' }),
+  report: () => ({ method: 'GET', path: REPORT_PATH, headers: [], body: '' }),
 };
 
 export type Behaviour = (request: string, socket: net.Socket) => void;
@@ -115,6 +120,11 @@
       protocol: PROTOCOL,
       chooser: { choose: (wish: chooser.Wish) => this.choose(wish) } as chooser.Chooser,
       targets: this.targets,
+      lifeChecks: new lifeChecks.LifeChecks({
+        protocol: PROTOCOL,
+        observer: new observer.Observer('test', 'fatal', undefined),
+        source: undefined,
+      }),
       budget,
       observer: new observer.Observer('test', 'fatal', undefined),
       random: domain.shared.random.seeded(1),
--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -144,6 +144,37 @@
     expect(made.seen[1]).to.match(/resume-after: 1\r\n/);
   });
 
+  /*
+   * A long prompt was read a second time while its engine was about to answer. It is overdue by what was
+   * predicted, and alive; its entry asks before it gives up.
+   */
+  it('leaves a target alone that is overdue and alive', async () => {
+    const busy: bench.Behaviour = (request, socket) => {
+      if (request.includes(bench.REPORT_PATH)) socket.write(bench.answer('{}'));
+      else setTimeout(() => socket.write(stream), 1_200);
+    };
+    const stream = `${bench.STREAM}${bench.chunk('id: 1\ndata: a\n\n')}${bench.LAST_CHUNK}`;
+    made = await bench.Bench.start(busy, WHOLE);
+    const reply = await made.ask('/streaming/1');
+    expect([reply.body, made.endings]).to.deep.equal(['id: 1\ndata: a\n\n', ['done']]);
+  });
+
+  /*
+   * Callers waited for seconds on an engine that had gone dark: it took connections' bytes and said nothing. It
+   * doesn't answer the question whether it lives either, so another one gets the request.
+   */
+  it('leaves a dead target as soon as it is overdue', async () => {
+    const stream = `${bench.STREAM}${bench.chunk('id: 1\ndata: a\n\n')}${bench.LAST_CHUNK}`;
+    made = await bench.Bench.start(
+      () => undefined,
+      (_request, socket) => socket.write(stream),
+    );
+    const since = performance.now();
+    const reply = await made.ask('/streaming/1');
+    expect([reply.body, made.endings]).to.deep.equal(['id: 1\ndata: a\n\n', ['broken', 'done']]);
+    expect(performance.now() - since).to.be.lessThan(950);
+  });
+
   it('breaks a stream off that nobody can go on with', async () => {
     const half: bench.Behaviour = (_request, socket) => {
       socket.write(bench.STREAM + bench.chunk('id: 1\ndata: a\n\n'));
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -18,6 +18,7 @@
 import * as chooser from './chooser';
 import * as exchange from './exchange';
 import * as ingress from './ingress';
+import * as lifeChecks from './lifeChecks';
 import * as targetClient from './targetClient';
 
 export interface Parts {
@@ -179,6 +180,11 @@
       protocol: traffic,
       chooser: this.chooser,
       targets: this.targets,
+      lifeChecks: new lifeChecks.LifeChecks({
+        protocol: traffic,
+        observer: observe,
+        source: this.parts.settings.source,
+      }),
       budget: this.budget,
       observer: observe,
       random,
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -10,9 +10,11 @@
 import type * as observer from '../observability/observer';
 import * as answer from './answer';
 import type * as chooser from './chooser';
+import type * as lifeChecks from './lifeChecks';
 import * as outcomes from './outcome';
 import * as reservations from './reservations';
 import * as silence from './silence';
+import * as silenceWatch from './silenceWatch';
 import * as targetClient from './targetClient';
 
 type Route = domain.catalogue.catalogue.Route;
@@ -22,6 +24,7 @@
   protocol: protocols.TrafficProtocol;
   chooser: chooser.Chooser;
   targets: targetClient.TargetClient;
+  lifeChecks: Pick<lifeChecks.LifeChecks, 'isAlive'>;
   budget: domain.request.repeatBudget.RepeatBudget;
   observer: observer.Observer;
   random: domain.shared.random.Random;
@@ -200,6 +203,8 @@
     });
     observer.log('requestPlaced', {
       request: facts.requestId,
+      tokens: facts.promptTokens,
+      waitedMs: Math.round(this.waitedMs),
       target: placement.target,
       helpers: placement.helpers.map(({ address }) => address),
       predictedMs: Math.round(placement.firstTokenMs),
@@ -246,6 +251,8 @@
       request: facts.requestId,
       route: route.name,
       status,
+      objectiveMs: route.objectiveMs,
+      bearsPauseMs: route.pauseMs,
       tokens: facts.promptTokens,
       targets: this.tried,
       tookMs: sinceArrival(this.services.now()),
@@ -263,12 +270,12 @@
     const interrupted = new Promise<Outcome>((resolve) => {
       this.interrupt = resolve;
     });
-    const watching = this.watch(placement, () => {
-      this.interrupt?.({ kind: 'failed', ending: 'broken', detail: 'target silent' });
+    const watch = this.watch(placement, (detail) => {
+      this.interrupt?.({ kind: 'failed', ending: 'broken', detail });
     });
     const ended = attempt.end.then((end) => this.judge(end));
     const outcome = await Promise.race([interrupted, ended]);
-    clearInterval(watching);
+    watch?.stop();
     this.interrupt = undefined;
     return outcome;
   }
@@ -288,19 +295,20 @@
 
   /** Only requests that may be repeated are given up for silence: for the others it is no proof that they don't run. */
   private watch(
-    { firstTokenMs }: domain.allocation.allocator.Placement,
-    onSilent: () => void,
-  ): NodeJS.Timeout | undefined {
+    { firstTokenMs, target, address }: domain.allocation.allocator.Placement,
+    onSilent: (detail: string) => void,
+  ): silenceWatch.SilenceWatch | undefined {
     if (!this.isRepeatable) return undefined;
-    const bounds = silence.boundsOf(this.admitted.route, firstTokenMs);
-    const { now } = this.services;
-    const sentAt = now();
-    const look = (): void => {
-      if (!this.hasAttemptsLeft) return;
-      if (silence.isSilent(bounds, { sentAt, lastEventAt: this.reply.lastEventAt }, now()))
-        onSilent();
-    };
-    return setInterval(look, silence.lookEveryMs(bounds));
+    const { now, lifeChecks: checks } = this.services;
+    return new silenceWatch.SilenceWatch({
+      bounds: silence.boundsOf(this.admitted.route, firstTokenMs),
+      sentAt: now(),
+      now,
+      lastEventAt: () => this.reply.lastEventAt,
+      isAlive: () => checks.isAlive(target, address),
+      hasAlternative: () => this.hasAttemptsLeft,
+      onSilent,
+    });
   }
 
   private get hasAttemptsLeft(): boolean {
@@ -355,6 +363,9 @@
       route: route.name,
       status,
       detail,
+      objectiveMs: route.objectiveMs,
+      bearsPauseMs: route.pauseMs,
+      tokens: facts.promptTokens,
       targets: this.tried,
       tookMs: Math.round(this.services.now() - arrivedAt),
     });
--- /dev/null
+++ b/packages/daemon/src/entry/lifeChecks.ts
@@ -0,0 +1,44 @@
+/**
+ * Asks targets whether they live. A connection may be dead while its target is well, and a target that is late may be
+ * busy; so the question goes over a connection of its own, and only an answer of the lifetime that was meant counts.
+ */
+import type * as protocols from '../edges/protocols';
+import type * as observer from '../observability/observer';
+import * as targetClient from './targetClient';
+
+export interface Parts {
+  protocol: protocols.TrafficProtocol;
+  observer: observer.Observer;
+  /** IP address that connections come from; undefined where the operating system chooses. */
+  source: string | undefined;
+}
+
+/** Longest wait for the answer, milliseconds: a new connection and a hundred ways there and back. */
+const ANSWER_TIMEOUT_MS = 300;
+
+export class LifeChecks {
+  /** Questions under way; requests on the same target share one. */
+  private readonly asking = new Map<string, Promise<boolean>>();
+
+  constructor(private readonly parts: Parts) {}
+
+  /** Whether this lifetime of a target answers. */
+  isAlive(target: string, address: string): Promise<boolean> {
+    const known = this.asking.get(target);
+    if (known !== undefined) return known;
+    const asked = this.ask(target, address).finally(() => this.asking.delete(target));
+    this.asking.set(target, asked);
+    return asked;
+  }
+
+  private async ask(target: string, address: string): Promise<boolean> {
+    const client = new targetClient.TargetClient(this.parts.source);
+    const call = this.parts.protocol.report(target);
+    const status = await client.call(target, address, call, ANSWER_TIMEOUT_MS);
+    client.close();
+    const isAlive = status === 200;
+    this.parts.observer.count(isAlive ? 'lifeChecks.alive' : 'lifeChecks.dead');
+    this.parts.observer.log('targetAsked', { target, status, isAlive });
+    return isAlive;
+  }
+}
--- a/packages/daemon/src/entry/silence.ts
+++ b/packages/daemon/src/entry/silence.ts
@@ -1,36 +1,44 @@
-/** When a target counts as silent, by what its route asks and what was predicted of it. Milliseconds. */
+/**
+ * When a target counts as silent, by what its route asks and what was predicted of it. Milliseconds.
+ *
+ * A target that is late may be dead, or busy with work that came after the prediction. Until it is `overdue` nothing is
+ * done; then it is asked whether it lives, over a connection of its own; one that doesn't answer is given up at once,
+ * and one that does only after a `hopeless` silence. By the clock alone, 45 of 49 targets that were given up on a day
+ * with bursts were alive, and 1.7 of 24 million prompt tokens were read twice.
+ */
 import type * as domain from '@celerydrift/domain';
 
 type Route = domain.catalogue.catalogue.Route;
 
-/**
- * Silence of a stream after which it goes on elsewhere, milliseconds. An engine that reads a long prompt leaves
- * its writers without an event for up to a second; to give such a one up costs a second reading and helps
- * nobody, as the pause is too long already. Callers bear two seconds.
- */
-const STREAM_SILENCE_MS = 1_200;
+/** Silence before the first event that is overdue: so many times the predicted time, and a pass or two. */
+const OVERDUE_SHARE = 1.5;
+const OVERDUE_MARGIN_MS = 300;
 
-/**
- * Silence before the first event: so many times the predicted time, and a margin that leaves a second
- * target time to answer within the objective where that is long.
- */
-const FIRST_EVENT_SHARE = 2;
-const FIRST_EVENT_MARGIN_MS = 1_000;
-const FIRST_EVENT_MARGIN_SHARE = 0.4;
+/** Silence between two events that is overdue: longer than passes that read for others usually are. */
+const OVERDUE_GAP_MS = 600;
+const OVERDUE_PAUSES = 1.5;
+
+/** Silence that is hopeless, as a share of the time after which callers leave, and the least of it. */
+const HOPELESS_SHARE = 0.5;
+const LEAST_HOPELESS_MS = 1_500;
 
 /** Silence of a call that may be repeated, against its objective, before another target is tried. */
 const CALL_SILENCE_SHARE = 3;
 
+/** A target that lives isn't asked again for so long. */
+export const ASK_EVERY_MS = 1_000;
+
 /** Time without an event after which callers of a stream leave; from the users' pages. */
 export function giveUpMs({ kind, objectiveMs, pauseMs }: Route): number {
   return kind === 'streaming' ? Math.max(2_000, 4 * objectiveMs, 8 * pauseMs) : objectiveMs;
 }
 
 export interface Bounds {
-  /** Longest silence before the first event or the answer. */
-  firstMs: number;
-  /** Longest silence between two events. */
-  nextMs: number;
+  /** Silence before the first event or the answer that is overdue, and between two events. */
+  overdueFirstMs: number;
+  overdueGapMs: number;
+  /** Silence after which the target is given up even if it lives. */
+  hopelessMs: number;
 }
 
 /** What is known of a sending. */
@@ -40,25 +48,33 @@
   lastEventAt: number;
 }
 
+export type Verdict = 'fine' | 'overdue' | 'hopeless';
+
 const SHORTEST_LOOK_MS = 50;
 
-export function boundsOf({ kind, objectiveMs, pauseMs }: Route, firstTokenMs: number): Bounds {
-  const nextMs = Math.max(STREAM_SILENCE_MS, 2 * pauseMs);
-  if (kind !== 'streaming') return { firstMs: CALL_SILENCE_SHARE * objectiveMs, nextMs };
-  const margin = Math.max(FIRST_EVENT_MARGIN_MS, FIRST_EVENT_MARGIN_SHARE * objectiveMs);
-  return { firstMs: FIRST_EVENT_SHARE * firstTokenMs + margin, nextMs };
+export function boundsOf(route: Route, firstTokenMs: number): Bounds {
+  const { kind, objectiveMs, pauseMs } = route;
+  if (kind !== 'streaming') {
+    const silenceMs = CALL_SILENCE_SHARE * objectiveMs;
+    return { overdueFirstMs: silenceMs, overdueGapMs: silenceMs, hopelessMs: silenceMs };
+  }
+  const hopelessMs = Math.max(LEAST_HOPELESS_MS, HOPELESS_SHARE * giveUpMs(route));
+  return {
+    overdueFirstMs: Math.min(hopelessMs, OVERDUE_SHARE * firstTokenMs + OVERDUE_MARGIN_MS),
+    overdueGapMs: Math.max(OVERDUE_GAP_MS, OVERDUE_PAUSES * pauseMs),
+    hopelessMs,
+  };
 }
 
-export function isSilent(
-  { firstMs, nextMs }: Bounds,
-  { sentAt, lastEventAt }: Progress,
-  now: number,
-): boolean {
+export function judge(bounds: Bounds, { sentAt, lastEventAt }: Progress, now: number): Verdict {
   const isFlowing = lastEventAt > sentAt;
-  return isFlowing ? now - lastEventAt > nextMs : now - sentAt > firstMs;
+  const silentMs = now - (isFlowing ? lastEventAt : sentAt);
+  if (silentMs > bounds.hopelessMs) return 'hopeless';
+  const overdueMs = isFlowing ? bounds.overdueGapMs : bounds.overdueFirstMs;
+  return silentMs > overdueMs ? 'overdue' : 'fine';
 }
 
 /** How often to look, so that silence is noticed a quarter late at most. */
-export function lookEveryMs({ firstMs, nextMs }: Bounds): number {
-  return Math.max(SHORTEST_LOOK_MS, Math.min(firstMs, nextMs) / 4);
+export function lookEveryMs({ overdueFirstMs, overdueGapMs }: Bounds): number {
+  return Math.max(SHORTEST_LOOK_MS, Math.min(overdueFirstMs, overdueGapMs) / 4);
 }
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -56,6 +56,7 @@
   circuitClosed: { number: 4105, level: 'info', text: 'circuit of a target closed' },
   targetAnnounced: { number: 4106, level: 'info', text: 'target changed its state' },
   announcementIgnored: { number: 4107, level: 'warn', text: 'announcement names no usable target' },
+  targetAsked: { number: 4108, level: 'info', text: 'silent target asked whether it lives' },
   requestEnded: { number: 5001, level: 'info', text: 'request ended' },
   attemptFailed: { number: 5002, level: 'warn', text: 'attempt failed' },
   frameCrossed: { number: 5003, level: 'error', text: 'frame of another request dropped' },
