Begin a long prompt later where that spoils less

Change: where beginning now spoils a tenth of a request's worth or more, the planner weighs to begin when enough engines have read what they have to (postponement.ts), and the leader considers the request again then. A keeper that stops leading sends those who wait on to the next leader; it told their callers that there was no place.

--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -43,6 +43,12 @@
 /** A new leader has heard of all entries after so long, milliseconds: three of their questions. */
 const KNOWS_ALL_MS = 1_500;
 
+/**
+ * Bounds of the time after which a prompt that is better begun later is considered again, milliseconds: engines may be
+ * free sooner than predicted, and a consideration costs the leader up to a millisecond.
+ */
+const POSTPONED_MS = { least: 20, most: 200 } as const;
+
 /** Pause between two servings of those who wait, milliseconds; a fifth of a pass. */
 const SERVE_PAUSE_MS = 10;
 
@@ -52,6 +58,13 @@
 /** Records of the registry's changes that are kept for followers that missed a push. */
 const KEPT_CHANGES = 512;
 
+/** A request that has no place yet. */
+interface Candidate {
+  request: messages.Place;
+  since: number;
+  settle: (placement: Placement | undefined) => void;
+}
+
 export class Leadership {
   readonly followers: followers.Followers;
 
@@ -145,29 +158,55 @@
   }
 
   place(request: messages.Place): Promise<messages.PlaceAnswer> {
+    const since = this.options.now();
+    return new Promise((resolve) => {
+      const settle = (placement: Placement | undefined): void => {
+        const waitedMs = this.options.now() - since;
+        if (placement !== undefined) resolve({ kind: 'placed', placement });
+        else if (this.leads) resolve(this.refusal(request, waitedMs));
+        // Whoever leads now, or the entry itself, may have a place.
+        else resolve({ kind: 'redirect', leader: '' });
+      };
+      this.consider({ request, since, settle });
+    });
+  }
+
+  /** Places a request, waits until it is better begun, or lets it stand in line for a place. */
+  private consider(candidate: Candidate): void {
+    const { now } = this.options;
+    const { request, since, settle } = candidate;
+    // Those that are late already don't hold up one that can still be in time.
+    if (this.line.hasInTime(now())) {
+      this.standInLine(candidate);
+      return;
+    }
+    if (!this.leads) {
+      settle(undefined);
+      return;
+    }
+    const waitedMs = request.waitedMs + now() - since;
+    const mayWait = now() - since < request.patienceMs;
+    const choice = this.allocator.choose({ ...request, waitedMs }, now(), mayWait);
+    if (choice.kind === 'placed') settle(choice.placement);
+    else if (choice.kind === 'full') this.standInLine(candidate);
+    else {
+      const { least, most } = POSTPONED_MS;
+      const inMs = Math.min(most, Math.max(least, choice.inMs));
+      setTimeout(() => this.consider(candidate), inMs);
+    }
+  }
+
+  private standInLine({ request, since, settle }: Candidate): void {
     const { now } = this.options;
-    const since = now();
     const attempt = (): Placement | undefined => {
       const waitedMs = request.waitedMs + now() - since;
       return this.allocator.place({ ...request, waitedMs }, now());
     };
-    return new Promise((resolve) => {
-      const settle = (placement: Placement | undefined): void => {
-        if (placement === undefined) resolve(this.refusal(request, now() - since));
-        else resolve({ kind: 'placed', placement });
-      };
-      // Those that are late already don't hold up one that can still be in time.
-      const found = this.line.hasInTime(since) ? undefined : attempt();
-      if (found !== undefined) {
-        settle(found);
-        return;
-      }
-      const until = since + request.patienceMs;
-      const inTimeUntil = since + START_SHARE * request.objectiveMs - request.waitedMs;
-      const { tokens, pauseMs } = request;
-      this.line.add({ tokens, pauseMs, since, inTimeUntil, until, attempt, resolve: settle });
-      this.serveSoon();
-    });
+    const until = since + request.patienceMs;
+    const inTimeUntil = since + START_SHARE * request.objectiveMs - request.waitedMs;
+    const { tokens, pauseMs } = request;
+    this.line.add({ tokens, pauseMs, since, inTimeUntil, until, attempt, resolve: settle });
+    this.serveSoon();
   }
 
   private refusal({ id, service, tokens }: messages.Place, waitedMs: number): messages.PlaceAnswer {
--- a/packages/domain/src/allocation/__tests__/reading.test.ts
+++ b/packages/domain/src/allocation/__tests__/reading.test.ts
@@ -102,10 +102,10 @@
   /** Gives a prompt to the engines that the planner chooses. */
   function begin(loads: load.Load[], name: string, tokens: number, now: number): reading.Reading {
     const prompt = { ...PROMPT, tokens };
-    const plan = new planner.Planner(ENGINE).plan(prompt, loads, now);
+    const decision = new planner.Planner(ENGINE).decide(prompt, loads, now, false);
     const made = new reading.Reading(name, planner.valueOf(prompt), PROMPT.objectiveMs, now);
-    if (plan === undefined) throw new Error(`no plan for ${name}`);
-    const { helpers, writer, partMs, writerTokens } = plan;
+    if (decision.kind !== 'begin') throw new Error(`no plan for ${name}`);
+    const { helpers, writer, partMs, writerTokens } = decision.plan;
     const task = { request: name, readMs: partMs, contextTokens: 0, value: 0 };
     const share = { reading: made, isPart: helpers.length > 0 };
     writer.add(
@@ -140,4 +140,27 @@
     expect(Math.round(twice)).to.equal(375);
     expect(outlook.lossBy([{ ...delay, later: 1_500 }])).to.equal(0);
   });
+
+  /*
+   * A review that was half read came late, for one that could have waited: the newer one's parts went first on all of
+   * its engines. Begun when these have ended, the newer one is in time as well.
+   */
+  it('is begun later where that spoils less', () => {
+    const loads = fleet(4);
+    begin(loads, 'first', 250_000, 0);
+    const decide = (now: number, waitedMs: number): planner.Decision => {
+      const prompt = { ...PROMPT, tokens: 100_000, waitedMs };
+      return new planner.Planner(ENGINE).decide(prompt, loads, now, true);
+    };
+    const sooner = decide(100, 0);
+    if (sooner.kind !== 'later') throw new Error(sooner.kind);
+    expect(sooner.inMs).to.be.within(1_500, 1_800);
+    expect(decide(1_900, 1_800).kind).to.equal('begin');
+  });
+
+  it('is begun at once where waiting wins nothing', () => {
+    const prompt = { ...PROMPT, tokens: 100_000 };
+    const decision = new planner.Planner(ENGINE).decide(prompt, fleet(4), 0, true);
+    expect(decision.kind).to.equal('begin');
+  });
 });
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -39,6 +39,9 @@
   firstTokenMs: number;
 }
 
+export type Choice =
+  { kind: 'placed'; placement: Placement } | Exclude<planner.Decision, { kind: 'begin' }>;
+
 /** What an entry saw of a dispatch beside its ending. */
 export interface Seen {
   /** The target that made it fail, where that isn't the writer. */
@@ -102,20 +105,20 @@
     else if (engine !== undefined) this.loads.set(record.id, new load.Load(engine, record));
   }
 
-  /** A place for the request, or undefined where every engine is full. */
+  /** A place for the request at once, or undefined where every engine is full. */
   place(request: Request, now: number): Placement | undefined {
+    const choice = this.choose(request, now, false);
+    return choice.kind === 'placed' ? choice.placement : undefined;
+  }
+
+  /** A place for the request, or with `mayWait` the time at which to ask again. */
+  choose(request: Request, now: number, mayWait: boolean): Choice {
     const usable = this.usable(request, now);
-    const plan = this.planners.get(request.service)?.plan(request, usable, now);
-    if (plan === undefined) return undefined;
-    this.dispatch(request, plan, now);
-    return {
-      target: plan.writer.record.id,
-      address: plan.writer.record.address,
-      helpers: plan.helpers.map(({ load: { record }, keptTokens }) => {
-        return { target: record.id, address: record.address, keptTokens };
-      }),
-      firstTokenMs: plan.firstTokenMs,
-    };
+    const decision = this.planners.get(request.service)?.decide(request, usable, now, mayWait);
+    if (decision === undefined) return { kind: 'full' };
+    if (decision.kind !== 'begin') return decision;
+    this.occupy(request, decision.plan, now);
+    return { kind: 'placed', placement: placementOf(decision.plan) };
   }
 
   /**
@@ -171,10 +174,6 @@
     return this.chance === undefined ? usable : random.shuffled(this.chance, usable);
   }
 
-  private dispatch(request: Request, plan: planner.Plan, now: number): void {
-    this.occupy(request, plan, now);
-  }
-
   private occupy(
     request: Request,
     { writer, writerTokens, helpers }: Pick<planner.Plan, 'writer' | 'writerTokens' | 'helpers'>,
@@ -214,3 +213,14 @@
     this.dispatches.set(request.id, { entry: request.entry, loads, writer });
   }
 }
+
+function placementOf({ writer, helpers, firstTokenMs }: planner.Plan): Placement {
+  return {
+    target: writer.record.id,
+    address: writer.record.address,
+    helpers: helpers.map(({ load: { record }, keptTokens }) => {
+      return { target: record.id, address: record.address, keptTokens };
+    }),
+    firstTokenMs,
+  };
+}
--- a/packages/domain/src/allocation/index.ts
+++ b/packages/domain/src/allocation/index.ts
@@ -4,6 +4,7 @@
 export * as load from './load';
 export * as outlook from './outlook';
 export * as planner from './planner';
+export * as postponement from './postponement';
 export * as reading from './reading';
 export * as readQueue from './readQueue';
 export * as soundness from './soundness';
--- a/packages/domain/src/allocation/outlook.ts
+++ b/packages/domain/src/allocation/outlook.ts
@@ -55,6 +55,11 @@
     return (isPart ? this.restMs : this.pendingMs) + ownMs;
   }
 
+  /** Whether those who write here bear a reading of `readMs` once what waits has been read. */
+  bears(readMs: number): boolean {
+    return this.passMs + this.load.pace * readMs <= PAUSE_SHARE * this.load.tightestPauseMs;
+  }
+
   /** Value of the writers here whose pauses a further reading of `readMs` makes too long. */
   valueAtRisk(readMs: number): number {
     const pauseMs = this.passMs + this.waitingMs + readMs;
--- a/packages/domain/src/allocation/planner.ts
+++ b/packages/domain/src/allocation/planner.ts
@@ -13,6 +13,7 @@
 import * as lateness from './lateness';
 import * as load from './load';
 import * as outlooks from './outlook';
+import * as postponement from './postponement';
 
 export interface Prompt {
   tokens: number;
@@ -44,6 +45,13 @@
   harm: number;
 }
 
+export type Decision =
+  | { kind: 'begin'; plan: Plan }
+  /** It is better begun in so many milliseconds, when engines have read what they have to. */
+  | { kind: 'later'; inMs: number }
+  /** No engine has a place, or none for which it is worth it. */
+  | { kind: 'full' };
+
 /** Most engines that help one to read; the engines' interface takes no more. */
 export const MAX_HELPERS = 16;
 
@@ -136,13 +144,13 @@
 export class Planner {
   constructor(private readonly engine: catalogue.Engine) {}
 
-  /** The plan over `loads` that spoils least, or undefined where none is worth it or no engine has a place. */
-  plan(prompt: Prompt, loads: readonly load.Load[], now: number): Plan | undefined {
+  /** What is best for a prompt over `loads`; with `mayWait`, also to begin later. */
+  decide(prompt: Prompt, loads: readonly load.Load[], now: number, mayWait: boolean): Decision {
     const needed = this.leastWriterMemory(prompt);
     const hasPlace = new Set(
       loads.filter((each) => each.freeSlots > 0 && each.freeMemory >= needed),
     );
-    if (hasPlace.size === 0) return undefined;
+    if (hasPlace.size === 0) return { kind: 'full' };
     const candidates = loads.map((each) => {
       return {
         load: each,
@@ -158,10 +166,22 @@
       const plan = this.planFor(prompt, parts, candidates, hasPlace);
       return plan === undefined ? [] : [plan];
     });
-    if (plans.length === 0) return undefined;
+    if (plans.length === 0) return { kind: 'full' };
     const best = least(plans, ({ harm }) => harm);
+    const value = valueOf(prompt);
+    const laterMs = !mayWait
+      ? undefined
+      : postponement.betterInMs({
+          engine: this.engine,
+          prompt,
+          value,
+          harm: best.harm,
+          partCounts: sensible,
+          outlooks: candidates.map(({ outlook }) => outlook),
+        });
+    if (laterMs !== undefined) return { kind: 'later', inMs: laterMs };
     // An answer that spoils more than it is worth, or that its caller won't wait for, isn't begun.
-    return best.harm < valueOf(prompt) ? best : undefined;
+    return best.harm < value ? { kind: 'begin', plan: best } : { kind: 'full' };
   }
 
   /** Memory that an engine must have free to write the answer: all of it, or what helpers can't keep. */
