Let an entry without a leader assume what others write

One prompt of half a million tokens went to 17 of 21 engines; all who wrote there paused for up to two seconds, eight long answers were late by it, and 19 streams were read again elsewhere within 0.2 s.

Change: with each confirmation the leader says what engines write on average and the tightest pause among them (three numbers a service); an entry that places by itself assumes as much on each engine.

Test: 'spares writers that it may not see' (more than 11 engines before, fewer than 5 now).

--- a/packages/daemon/src/entry/__tests__/chooser.test.ts
+++ b/packages/daemon/src/entry/__tests__/chooser.test.ts
@@ -97,6 +97,7 @@
       kind: 'confirmed',
       keepers: [],
       entries: 1,
+      crowding: [],
       news: { edition: undefined, mark: messages.NO_MARK, since: undefined, records: [] },
     };
     server.add('follow', () => after(delays.other, confirmed));
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -95,7 +95,8 @@
       observer: observe,
       moment: clock.moment,
       dispatches: () => this.chooser.dispatches,
-      onConfirmed: ({ entries }) => {
+      onConfirmed: ({ entries, crowding }) => {
+        this.chooser.fallback.assume(crowding);
         if (entries > 0) this.budget.shareWith(entries, clock.steady());
         this.ingress.wake();
       },
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -40,6 +40,8 @@
   keepers: string[];
   /** Entries that follow the leader; 0 while it has led too briefly to know all. */
   entries: number;
+  /** What engines write on average, for an entry that loses the leader and then sees only its own dispatches. */
+  crowding: domain.allocation.unseen.Crowding[];
   news: News;
 }
 
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -115,6 +115,7 @@
       kind: 'confirmed',
       keepers: this.options.host.replica.members.map(({ address }) => address),
       entries: now() - this.leadsSince < KNOWS_ALL_MS ? 0 : this.followers.entries(),
+      crowding: question.role === 'entry' ? this.allocator.averages() : [],
       news: this.newsFor(question),
     };
   }
--- a/packages/domain/src/allocation/__tests__/allocator.test.ts
+++ b/packages/domain/src/allocation/__tests__/allocator.test.ts
@@ -223,6 +223,27 @@
     expect(chosen.size).to.be.greaterThan(6);
   });
 
+  /*
+   * All who wrote anywhere paused for two seconds. An entry that had lost the leader took all engines for idle, as it
+   * knew its own dispatches alone, and had one prompt read by 17 of them, a second each.
+   */
+  it('spares writers that it may not see, in an entry that chooses by itself', () => {
+    const leader = fleet(21);
+    for (let i = 0; i < 120; i++) leader.place(request(`s${i}`, { pauseMs: 250 }), i * 40);
+    const partsIn = (entry: allocator.Allocator): number => {
+      const placed = entry.place(request('long', { ...LONG, tokens: 470_000 }), 5_000);
+      return (placed?.helpers.length ?? -1) + 1;
+    };
+    const entry = fleet(21, random.seeded(1));
+    expect(partsIn(entry)).to.be.greaterThan(11);
+    entry.ended('long', 'done', 5_000);
+    entry.assume(leader.averages());
+    expect(partsIn(entry)).to.be.lessThan(5);
+    entry.ended('long', 'done', 5_000);
+    entry.assume([{ service: 'engines', value: 0, pauseMs: 0 }]);
+    expect(partsIn(entry)).to.be.greaterThan(11);
+  });
+
   /*
    * Long prompts were late on idle engines. One engine had turned four times slower, and went on getting a
    * part of each, as only outcomes that fail were counted against it.
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -11,6 +11,7 @@
 import * as planner from './planner';
 import * as reading from './reading';
 import type * as soundness from './soundness';
+import * as unseen from './unseen';
 
 export interface Request extends planner.Prompt {
   id: string;
@@ -68,6 +69,9 @@
 
   private engines = new Map<string, catalogue.Engine>();
 
+  /** What is assumed to be written where this allocator doesn't see it, by service. */
+  private readonly crowding = new Map<string, unseen.Crowding>();
+
   /**
    * `chance` is for an allocator that sees only a part of all dispatches: it chooses among equal engines by
    * chance. Without that, all entries that lost their leader chose the same few engines for all prompts.
@@ -86,7 +90,7 @@
     changed.forEach(([name, engine]) => {
       this.planners.set(name, new planner.Planner(engine));
       this.records.forEach((record) => {
-        if (record.service === name) this.loads.set(record.id, new load.Load(engine, record));
+        if (record.service === name) this.loads.set(record.id, this.loadOf(engine, record));
       });
     });
   }
@@ -102,7 +106,25 @@
     const known = this.loads.get(record.id);
     const engine = this.engines.get(record.service);
     if (known !== undefined) known.record = record;
-    else if (engine !== undefined) this.loads.set(record.id, new load.Load(engine, record));
+    else if (engine !== undefined) this.loads.set(record.id, this.loadOf(engine, record));
+  }
+
+  /** What is written on the engines of each service on average, for those who see only a part of it. */
+  averages(): unseen.Crowding[] {
+    const loads = [...this.loads.values()].filter(({ record }) => record.state === 'ready');
+    return [...this.engines.keys()].map((name) => {
+      const ofService = loads.filter(({ record }) => record.service === name);
+      return unseen.crowdingOf(name, ofService);
+    });
+  }
+
+  /** Assumes that others write as much on each engine. */
+  assume(averages: readonly unseen.Crowding[]): void {
+    averages.forEach((each) => this.crowding.set(each.service, each));
+    this.loads.forEach((each) => {
+      const crowding = this.crowding.get(each.record.service);
+      if (crowding !== undefined) unseen.assume(each, crowding);
+    });
   }
 
   /** A place for the request at once, or undefined where every engine is full. */
@@ -163,6 +185,13 @@
     return this.dispatches.size;
   }
 
+  private loadOf(engine: catalogue.Engine, record: registry.Announcement): load.Load {
+    const made = new load.Load(engine, record);
+    const crowding = this.crowding.get(record.service);
+    if (crowding !== undefined) unseen.assume(made, crowding);
+    return made;
+  }
+
   /** Engines that take work; those that failed lately only where there are no others. */
   private usable({ service, excluded }: Request, now: number): load.Load[] {
     const ready = [...this.loads.values()].filter(
--- a/packages/domain/src/allocation/index.ts
+++ b/packages/domain/src/allocation/index.ts
@@ -8,3 +8,4 @@
 export * as reading from './reading';
 export * as readQueue from './readQueue';
 export * as soundness from './soundness';
+export * as unseen from './unseen';
--- a/packages/domain/src/allocation/load.ts
+++ b/packages/domain/src/allocation/load.ts
@@ -127,6 +127,17 @@
     return this.queue.endOf(wanted, now);
   }
 
+  /** Counts a writer that isn't known to be there, and has nothing to read. */
+  assume(task: Task): void {
+    this.tasks.set(task.request, task);
+    this.refresh();
+  }
+
+  forgetAssumed(request: string): void {
+    this.tasks.delete(request);
+    this.refresh();
+  }
+
   /** Takes a share of a request; `isPart` where others read parts of the same prompt. */
   add(task: Task, share: { reading: reading.Reading; isPart: boolean }, now: number): void {
     const leftMs = this.pace * task.readMs;
