--- a/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
@@ -34,11 +34,11 @@
     const resume = resumeAfter === undefined ? [] : ['resume-after', resumeAfter];
     return [...kept, 'target', target, ...resume];
   },
-  answerFacts: (_status, headers) => ({
+  answerFacts: (status, headers) => ({
     requestId: headers.id as string | undefined,
     isSigned: headers.signed !== undefined,
     isNotRun: headers['not-run'] !== undefined,
-    isWrongLifetime: false,
+    isWrongLifetime: status === 421,
     faulty: undefined,
     isEncoded: false,
   }),
@@ -211,7 +211,8 @@
 
   private async choose(wish: chooser.Wish): Promise<chooser.Choice> {
     this.wishes.push(wish);
-    const index = wish.excluded.length;
+    const again = wish.writers?.[0];
+    const index = again === undefined ? wish.excluded.length : Number(again.slice(1));
     const address = this.addresses[index];
     if (address === undefined) return { kind: 'noPlace', retryAfterMs: 250 };
     const placement = { target: `t${index}`, address, helpers: [], firstTokenMs: 0 };
--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -61,6 +61,34 @@
     ]);
   });
 
+  /*
+   * A review was refused with ten seconds left. Its first target had no room; its second one refused because a helper had
+   * died; a route allows two targets, but one that refused may be asked again.
+   */
+  it('asks a target again that refused, where no further one is allowed', async () => {
+    const refuse = bench.answer('', 503, 'not-run: 1\r\n');
+    let asked = 0;
+    const secondTime: bench.Behaviour = (_request, socket) => {
+      asked += 1;
+      socket.write(asked === 1 ? refuse : bench.answer('whole'));
+    };
+    made = await bench.Bench.start(secondTime, (_request, socket) => socket.write(refuse));
+    const reply = await made.ask('/safe/1');
+    expect([reply.body, made.endings]).to.deep.equal(['whole', ['full', 'full', 'done']]);
+    expect(made.wishes[2].writers).to.deep.equal(['t0', 't1']);
+  });
+
+  /*
+   * Each request found out by itself that a server was gone and another one had its address: the refusal that said
+   * so was taken for a full server, and nobody was told.
+   */
+  it('says which lifetime was gone when another one answered', async () => {
+    const other = bench.answer('', 421, 'not-run: 1\r\n');
+    made = await bench.Bench.start((_request, socket) => socket.write(other), WHOLE);
+    await made.ask('/safe/1');
+    expect(made.endings).to.deep.equal(['replaced', 'done']);
+  });
+
   it("goes on to a few targets at most that can't be reached", async () => {
     made = await bench.Bench.start(WHOLE, WHOLE, WHOLE, WHOLE, WHOLE);
     for (let i = 0; i < 4; i++) await made.crash(i);
--- a/packages/daemon/src/entry/chooser.ts
+++ b/packages/daemon/src/entry/chooser.ts
@@ -26,6 +26,8 @@
   /** How long the caller has waited already. */
   waitedMs: number;
   excluded: readonly string[];
+  /** The only targets that may answer; undefined for any. */
+  writers?: readonly string[];
   patienceMs: number;
 }
 
@@ -175,7 +177,7 @@
     const { holding, random, dataCentre, now } = this.options;
     const ready = holding.registry
       .ready(wish.service)
-      .filter(({ id }) => !wish.excluded.includes(id));
+      .filter(({ id }) => !wish.excluded.includes(id) && wish.writers?.includes(id) !== false);
     const sound = ready.filter(({ id }) => {
       return this.soundness.get(id)?.isUsable(now(), !this.calls.has(id)) !== false;
     });
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -9,6 +9,7 @@
 import type * as protocols from '../edges/protocols';
 import type * as observer from '../observability/observer';
 import * as answer from './answer';
+import * as attempts from './attempts';
 import type * as chooser from './chooser';
 import type * as lifeChecks from './lifeChecks';
 import * as outcomes from './outcome';
@@ -53,8 +54,8 @@
 /** What a caller is told to wait before it comes back, milliseconds, where nothing better is known. */
 const RETRY_AFTER_MS = 300;
 
-/** Targets that couldn't be reached, beyond the route's bound on those that a request is sent to. */
-const MOST_UNREACHABLE = 2;
+/** Pause before a target is asked once more that refused the request, milliseconds: two passes. */
+const RETURN_PAUSE_MS = 100;
 
 /** How often a prompt larger than an engine looks for memory, and the pause between; milliseconds. */
 const RESERVATION_TRIES = 5;
@@ -63,11 +64,7 @@
 export class Exchange {
   private readonly deadline: number;
 
-  /** Targets that this request was placed on. */
-  private readonly tried: string[] = [];
-
-  /** Targets that bytes of it may have reached; only these count against the route's bound. */
-  private sentTo = 0;
+  private readonly attempts: attempts.Attempts;
 
   private readonly reply: answer.Answer;
 
@@ -83,6 +80,9 @@
 
   private attempt: targetClient.Attempt | undefined;
 
+  /** Target of the attempt under way. */
+  private underWay: string | undefined;
+
   private interrupt: ((outcome: Outcome) => void) | undefined;
 
   constructor(
@@ -91,6 +91,7 @@
   ) {
     const { route, facts, arrivedAt, response, request } = admitted;
     this.deadline = arrivedAt + Math.min(route.timeoutMs, facts.patienceMs ?? Infinity);
+    this.attempts = new attempts.Attempts(route.maxAttempts);
     this.reply = new answer.Answer(response, route, facts, services.protocol);
     response.once('close', () => {
       if (!response.writableFinished) this.cancel({ kind: 'gone' });
@@ -110,13 +111,13 @@
   async run(): Promise<void> {
     const timer = setTimeout(() => this.cancel({ kind: 'late' }), Math.max(0, this.timeLeftMs));
     try {
-      await this.attempts();
+      await this.untilAnswered();
     } finally {
       clearTimeout(timer);
     }
   }
 
-  private async attempts(): Promise<void> {
+  private async untilAnswered(): Promise<void> {
     const { route } = this.admitted;
     const service = domain.catalogue.directory.pickService(route, this.services.random);
     this.services.budget.countFirst(this.services.now());
@@ -146,6 +147,7 @@
         this.fail('detail' in outcome ? outcome.detail : outcome.kind, RETRY_AFTER_MS);
         return;
       }
+      if (this.attempts.isBound) await clock.pause(RETURN_PAUSE_MS);
     }
   }
 
@@ -154,13 +156,14 @@
     const maximum = facts.maxAnswerTokens ?? Infinity;
     const answerTokens = Math.min(maximum, facts.likelyAnswerTokens ?? maximum);
     return this.services.chooser.choose({
-      id: `${facts.requestId}/${this.tried.length}.${this.reservationTries}`,
+      id: `${facts.requestId}/${this.attempts.targets.length}.${this.reservationTries}`,
       service,
       tokens: facts.promptTokens ?? 0,
       answerTokens: Number.isFinite(answerTokens) ? answerTokens : 0,
       objectiveMs: route.objectiveMs,
       pauseMs: route.pauseMs,
-      excluded: this.tried,
+      excluded: this.attempts.excluded,
+      writers: this.attempts.writers,
       waitedMs: this.waitedMs,
       patienceMs: Math.max(0, PATIENCE_SHARE * Math.min(this.timeLeftMs, silence.giveUpMs(route))),
     });
@@ -191,7 +194,7 @@
     }
     const { request, body, facts, organisation } = this.admitted;
     const { observer, protocol, targets } = this.services;
-    this.tried.push(placement.target);
+    this.attempts.begin(placement.target);
     this.reply.beginAttempt();
     const resumeAfter = this.reply.lastEventId;
     const headers = protocol.requestHeaders(request.rawHeaders, {
@@ -208,7 +211,7 @@
       target: placement.target,
       helpers: placement.helpers.map(({ address }) => address),
       predictedMs: Math.round(placement.firstTokenMs),
-      attempt: this.tried.length,
+      attempt: this.attempts.targets.length,
       resumeAfter,
     });
     const attempt = targets.send(
@@ -223,16 +226,24 @@
       this.reply,
     );
     this.attempt = attempt;
+    this.underWay = placement.target;
     this.reply.control(attempt);
     const outcome = await this.outcomeOf(attempt, placement);
     const { wasSent } = attempt;
     attempt.cancel();
     this.attempt = undefined;
-    if (wasSent) this.sentTo += 1;
+    this.underWay = undefined;
+    const faulty = outcomes.faultyOf(outcome, placement);
+    this.attempts.ended({
+      target: placement.target,
+      wasSent,
+      wasRefused: outcome.kind === 'notRun' && outcome.ending === 'full',
+      wasHelperAtFault: faulty !== undefined,
+    });
     if (wasSent && outcome.kind !== 'notRun') this.mayHaveRun = true;
     if (outcome.kind === 'answered') this.logAnswered(placement);
     release(outcomes.endingOf(outcome), {
-      faulty: outcomes.faultyOf(outcome, placement),
+      faulty,
       gapMs: this.reply.usualGapMs,
     });
     return outcome;
@@ -254,7 +265,7 @@
       objectiveMs: route.objectiveMs,
       bearsPauseMs: route.pauseMs,
       tokens: facts.promptTokens,
-      targets: this.tried,
+      targets: this.attempts.targets,
       tookMs: sinceArrival(this.services.now()),
       firstMs: firstEventAt === 0 ? undefined : sinceArrival(firstEventAt),
       predictedMs: Math.round(firstTokenMs),
@@ -288,8 +299,10 @@
     if (end.kind === 'cancelled') return { kind: 'gone' };
     const verdict = this.reply.complete(this.isRepeatable && this.hasAttemptsLeft);
     if (verdict.kind === 'passedOn') return { kind: 'answered' };
-    if (verdict.kind === 'notRun')
-      return { kind: 'notRun', ending: 'full', detail: verdict.detail };
+    if (verdict.kind === 'notRun') {
+      const { detail, faulty, isWrongLifetime } = verdict;
+      return { kind: 'notRun', ending: isWrongLifetime ? 'replaced' : 'full', detail, faulty };
+    }
     return { kind: 'failed', ending: 'broken', detail: verdict.detail };
   }
 
@@ -312,10 +325,8 @@
   }
 
   private get hasAttemptsLeft(): boolean {
-    const { maxAttempts } = this.admitted.route;
-    const underWay = this.attempt?.wasSent === true ? 1 : 0;
-    const isBounded = this.tried.length < maxAttempts + MOST_UNREACHABLE;
-    return isBounded && this.sentTo + underWay < maxAttempts;
+    const isSent = this.attempt?.wasSent === true;
+    return this.attempts.hasLeft(isSent ? this.underWay : undefined);
   }
 
   private mayRepeat(outcome: Outcome): boolean {
@@ -325,7 +336,7 @@
     if (!this.hasAttemptsLeft || this.timeLeftMs <= 0) return false;
     const { facts } = this.admitted;
     const { detail } = outcome;
-    const target = this.tried[this.tried.length - 1];
+    const target = this.attempts.targets.at(-1);
     // The budget bounds what reaches targets; a target that wasn't reached costs it nothing.
     const isFree = outcome.kind === 'notRun' && outcome.ending === 'unreachable';
     const isGranted = isFree || this.services.budget.spend(this.services.now());
@@ -366,7 +377,7 @@
       objectiveMs: route.objectiveMs,
       bearsPauseMs: route.pauseMs,
       tokens: facts.promptTokens,
-      targets: this.tried,
+      targets: this.attempts.targets,
       tookMs: Math.round(this.services.now() - arrivedAt),
     });
     this.reply.refuse(status, status === 503 ? retryAfterMs : undefined);
--- a/packages/domain/src/allocation/planner.ts
+++ b/packages/domain/src/allocation/planner.ts
@@ -24,6 +24,8 @@
   /** How long the caller has waited already, milliseconds. */
   waitedMs: number;
   dataCentre: string;
+  /** The only targets that may write the answer; undefined for any. */
+  writers?: readonly string[];
 }
 
 /** An engine that helps to read, and keeps tokens of the prompt's memory where the writer lacks room. */
@@ -148,7 +150,10 @@
   decide(prompt: Prompt, loads: readonly load.Load[], now: number, mayWait: boolean): Decision {
     const needed = this.leastWriterMemory(prompt);
     const hasPlace = new Set(
-      loads.filter((each) => each.freeSlots > 0 && each.freeMemory >= needed),
+      loads.filter(({ freeSlots, freeMemory, record }) => {
+        const mayWrite = prompt.writers?.includes(record.id) !== false;
+        return mayWrite && freeSlots > 0 && freeMemory >= needed;
+      }),
     );
     if (hasPlace.size === 0) return { kind: 'full' };
     const candidates = loads.map((each) => {
