--- a/packages/domain/src/allocation/__tests__/reading.test.ts
+++ b/packages/domain/src/allocation/__tests__/reading.test.ts
@@ -130,6 +130,17 @@
     expect(Math.max(...waits)).to.be.lessThan(0.75 * PROMPT.objectiveMs);
   });
 
+  /*
+   * In a burst of long prompts all were read by the same engines, each newer one first, and most of them late; parts of
+   * later prompts came before the planner could know of them. An engine reads for one prompt at a time.
+   */
+  it('is given to no engine that reads a part for another prompt', () => {
+    const loads = fleet(12);
+    ['a', 'b', 'c', 'd'].forEach((name, i) => begin(loads, name, 150_000, i * 50));
+    const helping = loads.map((each) => each.helping(150));
+    expect(Math.max(...helping)).to.equal(1);
+  });
+
   it('costs what the delayed ones lose, each once, however many engines delay it', () => {
     const delayed = new reading.Reading('a', 1_000, 3_000, 0);
     const delay = { reading: delayed, sooner: 1_000 };
--- a/packages/domain/src/allocation/planner.ts
+++ b/packages/domain/src/allocation/planner.ts
@@ -131,7 +131,7 @@
       return {
         load: each,
         outlook: new outlooks.Outlook(each, now),
-        isHelpingMost: each.helping(now) >= each.engine.slots,
+        isHelpingMost: each.helping(now) >= Math.min(this.weighed.mostHelped, each.engine.slots),
         failureShare: each.soundness.failureShare(now),
       };
     });
--- a/packages/domain/src/allocation/weights.ts
+++ b/packages/domain/src/allocation/weights.ts
@@ -6,6 +6,12 @@
 export interface Weights {
   /** Most engines that read one prompt; the engines' interface takes no more than 17. */
   mostParts: number;
+  /**
+   * Prompts that an engine helps to read at once. A second part makes the first wait, as engines read the newest first. The
+   * planner counts that, but can't know what comes next, nor what entries without a leader do: on days with bursts of
+   * long prompts, a quarter fewer prompt tokens were read twice than with as many as an engine takes.
+   */
+  mostHelped: number;
   /** Preference for the caller's own data centre, as milliseconds of its objective. */
   nearMs: number;
   /** Preference for an engine for each request there with equally tight pauses, so that others stay clear. */
@@ -35,6 +41,7 @@
 
 export const WEIGHTS: Weights = {
   mostParts: 17,
+  mostHelped: 1,
   nearMs: 3,
   packGain: 0.01,
   waitLoss: 0.002,
--- a/packages/domain/src/replication/__tests__/replica.test.ts
+++ b/packages/domain/src/replication/__tests__/replica.test.ts
@@ -41,7 +41,7 @@
   });
 
   it('keeps them where replicas vote at once after a start, and counts on no lease', () => {
-    const timing = { ...replica.DEFAULT_TIMING, restart: { min: 450, max: 700 } };
+    const timing = { ...replica.DEFAULT_TIMING, restart: { ...RESTART, min: 450, max: 700 } };
     const findings: schedule.Finding[] = [];
     for (let seed = 1; seed <= SCHEDULES / 2; seed++) {
       const options = { voters: 5, spares: 0, steps: 700, crash: 0.03, loss: 0.05, timing };
--- a/packages/measure/src/measure.ts
+++ b/packages/measure/src/measure.ts
@@ -2,6 +2,7 @@
 import * as fs from 'node:fs';
 import * as domain from '@celerydrift/domain';
 import * as commander from 'commander';
+import * as decisions from './decisions/decisions';
 import * as faults from './faults/faults';
 import * as ledger from './ledger/ledger';
 import * as mixed from './mixed/mixedScenario';
@@ -15,6 +16,7 @@
 type Scenario = (quick: boolean, say: Say) => Promise<unknown>;
 
 const SCENARIOS: Record<string, Scenario> = {
+  decisions: decisions.run,
   mixed: async (quick, say) => mixed.run(quick, say, await domain.shared.hashing.load()),
   overhead: overhead.run,
   faults: (_quick, say) => faults.run(say),
--- a/packages/measure/src/statistics.ts
+++ b/packages/measure/src/statistics.ts
@@ -33,3 +33,24 @@
   const slope = variance === 0 ? 0 : covariance / variance;
   return { slope, intercept: meanY - slope * meanX };
 }
+
+/** A mean of paired differences, and half of its 95% interval. */
+export interface Difference {
+  mean: number;
+  within: number;
+}
+
+/** 97.5th percentile of the normal distribution. */
+const NORMAL_975 = 1.96;
+
+export function difference(values: readonly number[]): Difference {
+  const n = values.length;
+  const mean = values.reduce((sum, value) => sum + value, 0) / n;
+  const squares = values.reduce((sum, value) => sum + (value - mean) ** 2, 0);
+  const deviation = n > 1 ? Math.sqrt(squares / (n - 1)) : 0;
+  return { mean, within: (NORMAL_975 * deviation) / Math.sqrt(n) };
+}
+
+export function tell({ mean, within }: Difference): string {
+  return `${mean >= 0 ? '+' : ''}${mean.toFixed(4)} ± ${within.toFixed(4)}`;
+}
