--- a/packages/domain/src/allocation/__tests__/allocator.test.ts
+++ b/packages/domain/src/allocation/__tests__/allocator.test.ts
@@ -1,26 +1,14 @@
 /** Placement of prompts on engines, with the users' published figures. */
 import * as chai from 'chai';
-import type * as catalogue from '../../catalogue/catalogue';
 import type * as registry from '../../registry/registry';
 import * as random from '../../shared/random';
 import * as allocator from '../allocator';
 import * as cost from '../cost';
+import * as fixture from './__fixtures__/engine';
 
 const { expect } = chai;
 
-const ENGINE: catalogue.Engine = {
-  slots: 11,
-  memoryTokens: 315_000,
-  stepsPerPass: 51,
-  stepMs: 0.85,
-  writerStepMs: 0.0062,
-  contextStepMs: 0.00285,
-  readTokensPerMs: 177,
-  pairMsPerMillion: 0.184,
-  chunkTokens: 2_048,
-  hopMs: 0.05,
-  usualAnswerTokens: 1_600,
-};
+const { ENGINE } = fixture;
 
 function target(index: number): registry.Announcement {
   return {
--- a/packages/domain/src/allocation/__tests__/reading.test.ts
+++ b/packages/domain/src/allocation/__tests__/reading.test.ts
@@ -5,6 +5,7 @@
 import * as planner from '../planner';
 import * as reading from '../reading';
 import * as readQueue from '../readQueue';
+import * as fixture from './__fixtures__/engine';
 
 const { expect } = chai;
 
@@ -70,19 +71,7 @@
 });
 
 describe('a part on an engine that reads for others', () => {
-  const ENGINE = {
-    slots: 11,
-    memoryTokens: 315_000,
-    stepsPerPass: 51,
-    stepMs: 0.85,
-    writerStepMs: 0.0062,
-    contextStepMs: 0.00285,
-    readTokensPerMs: 177,
-    pairMsPerMillion: 0.184,
-    chunkTokens: 2_048,
-    hopMs: 0.05,
-    usualAnswerTokens: 1_600,
-  };
+  const { ENGINE } = fixture;
 
   const PROMPT = {
     answerTokens: 800,
--- a/packages/measure/src/demo.ts
+++ b/packages/measure/src/demo.ts
@@ -7,6 +7,7 @@
 import * as client from './client';
 import * as workers from './faults/workers';
 import * as fleet from './fleet';
+import * as processes from './processes';
 import * as statistics from './statistics';
 import * as teams from './teams';
 
@@ -69,7 +70,7 @@
     const again = completion.status === 0 || completion.outcome === 'not-run';
     const lost = !completion.whole && completion.outcome === '';
     if (wrong || !(again || lost) || turn > id + 6) return { length, completion, wrong };
-    await fleet.sleep(100);
+    await processes.sleep(100);
   }
 }
 
--- a/packages/measure/src/faults/faults.ts
+++ b/packages/measure/src/faults/faults.ts
@@ -4,6 +4,7 @@
  */
 import * as client from '../client';
 import * as fleet from '../fleet';
+import * as processes from '../processes';
 import * as teams from '../teams';
 import * as workers from './workers';
 
@@ -161,7 +162,7 @@
     inject: async (target) => {
       await killEngine(target, 'engine-4');
       await restartEngine(target, 'engine-4');
-      await fleet.sleep(400);
+      await processes.sleep(400);
       await killEngine(target, 'engine-4');
     },
     heal: (target) => restartEngine(target, 'engine-4'),
@@ -200,7 +201,7 @@
 async function recover(target: fleet.Fleet, team: teams.Team, since: number): Promise<number> {
   while (Date.now() - since < 30_000) {
     if (await isHealthy(target, team)) break;
-    await fleet.sleep(50);
+    await processes.sleep(50);
   }
   return (Date.now() - since) / 1_000;
 }
@@ -219,7 +220,7 @@
   const since = Date.now();
   let left = await holdings(target);
   while (left > 0 && Date.now() - since < 20_000) {
-    await fleet.sleep(100);
+    await processes.sleep(100);
     left = await holdings(target);
   }
   return { left, seconds: (Date.now() - since) / 1_000 };
@@ -251,16 +252,16 @@
   const since = Date.now();
   const stop = { id: `stop-${name}`, subject: 'target', name, graceSeconds: 1 };
   await target.operatorCall('POST', 'stops', stop);
-  await fleet.sleep(2_000);
+  await processes.sleep(2_000);
   const before = await startedOn(target, name);
   let isSafe = false;
   while (!isSafe && Date.now() - since < 20_000) {
     const { content } = await target.operatorCall<{ progress: string }[]>('GET', 'stops');
     isSafe = content[0]?.progress === 'safeToStop';
-    await fleet.sleep(50);
+    await processes.sleep(50);
   }
   const seconds = (Date.now() - since) / 1_000;
-  await fleet.sleep(1_500);
+  await processes.sleep(1_500);
   const newWork = (await startedOn(target, name)) - before;
   await target.operatorCall('DELETE', `stops/${stop.id}`);
   return { newWork, seconds: isSafe ? seconds : Infinity };
@@ -302,7 +303,7 @@
       const lostBefore = load.counts.entryLost;
       await step.inject(target);
       recoverySeconds[step.name] = await recover(target, teams.FITTERS, since);
-      await fleet.sleep(Math.max(0, step.lastsMs - (Date.now() - since)));
+      await processes.sleep(Math.max(0, step.lastsMs - (Date.now() - since)));
       // A change in the middle of the fault: whatever is accepted must still be there at the end.
       await target.apply(`probe-${accepted}`, `; ${step.name}\n`, 0, 15_000);
       accepted += 1;
--- a/packages/measure/src/fleet.ts
+++ b/packages/measure/src/fleet.ts
@@ -2,13 +2,11 @@
  * A fleet of real processes on loopback for measurements and the demo: daemons with their settings
  * files, engines and services, each started here and ended here by its process id.
  */
-import * as childProcess from 'node:child_process';
 import * as crypto from 'node:crypto';
 import * as fs from 'node:fs';
-import * as net from 'node:net';
 import * as os from 'node:os';
 import * as path from 'node:path';
-import * as readline from 'node:readline';
+import * as processes from './processes';
 
 export const OPERATOR_TOKEN = 'fleet-operator-token';
 
@@ -43,97 +41,6 @@
   return crypto.createHash('sha256').update(text).digest('hex');
 }
 
-/** Free ports of the loopback address; held only for the moment of asking. */
-export async function freePorts(count: number): Promise<number[]> {
-  const servers = await Promise.all(
-    Array.from(
-      { length: count },
-      () =>
-        new Promise<net.Server>((resolve) => {
-          const server = net.createServer();
-          server.listen(0, '127.0.0.1', () => resolve(server));
-        }),
-    ),
-  );
-  const ports = servers.map((server) => (server.address() as net.AddressInfo).port);
-  await Promise.all(
-    servers.map(
-      (server) =>
-        new Promise<void>((resolve) => {
-          server.close(() => resolve());
-        }),
-    ),
-  );
-  return ports;
-}
-
-/** One process of the fleet. */
-export class Process {
-  private child: childProcess.ChildProcess | undefined;
-
-  readonly lines: string[] = [];
-
-  constructor(
-    readonly name: string,
-    private readonly script: string,
-    private readonly parameters: readonly string[],
-  ) {}
-
-  get pid(): number | undefined {
-    return this.child?.pid;
-  }
-
-  start(): void {
-    const child = childProcess.spawn(process.execPath, [this.script, ...this.parameters], {
-      stdio: ['ignore', 'pipe', 'pipe'],
-    });
-    this.child = child;
-    [child.stdout, child.stderr].forEach((stream) => {
-      readline.createInterface({ input: stream }).on('line', (line) => {
-        this.lines.push(line);
-        if (this.lines.length > 5_000) this.lines.splice(0, 1_000);
-      });
-    });
-  }
-
-  signal(name: NodeJS.Signals): void {
-    if (this.child?.exitCode === null) this.child.kill(name);
-  }
-
-  /** Kills it at once and waits for its end. */
-  async kill(name: NodeJS.Signals = 'SIGKILL'): Promise<number | null> {
-    const { child } = this;
-    if (child === undefined || child.exitCode !== null || child.signalCode !== null) {
-      return child?.exitCode ?? null;
-    }
-    const ended = new Promise<number | null>((resolve) => {
-      child.once('exit', (code) => resolve(code));
-    });
-    child.kill(name);
-    if (name !== 'SIGTERM') child.kill('SIGCONT');
-    return ended;
-  }
-
-  /** The first line that `parse` takes. */
-  async line<T>(parse: (line: string) => T | undefined, timeoutMs = 15_000): Promise<T> {
-    const until = Date.now() + timeoutMs;
-    while (Date.now() < until) {
-      for (const line of this.lines) {
-        const parsed = parse(line);
-        if (parsed !== undefined) return parsed;
-      }
-      await sleep(20);
-    }
-    throw new Error(`${this.name} said nothing expected: ${this.lines.slice(-5).join('\n')}`);
-  }
-}
-
-export function sleep(ms: number): Promise<void> {
-  return new Promise((resolve) => {
-    setTimeout(resolve, ms);
-  });
-}
-
 const DAEMON_SCRIPT = require.resolve('@celerydrift/daemon/bin/celerydriftd.js');
 
 const STANDIN_SCRIPT = require.resolve('@celerydrift/standins/bin/standin.js');
@@ -147,7 +54,7 @@
 }
 
 interface StandIn {
-  process: Process;
+  process: processes.Process;
   port: number;
 }
 
@@ -156,7 +63,7 @@
 
   readonly plans: DaemonPlan[];
 
-  readonly daemons = new Map<string, Process>();
+  readonly daemons = new Map<string, processes.Process>();
 
   readonly standIns = new Map<string, StandIn>();
 
@@ -170,7 +77,7 @@
 
   /** Plans a fleet and writes its settings files; nothing runs yet. */
   static async plan(options: FleetOptions): Promise<Fleet> {
-    const ports = await freePorts(options.daemons.length * 4);
+    const ports = await processes.freePorts(options.daemons.length * 4);
     const plans = options.daemons.map((daemon, i): DaemonPlan => {
       const [callers, targets, operators, peers] = ports.slice(i * 4) as [
         number,
@@ -204,12 +111,12 @@
   }
 
   startDaemon(name: string): void {
-    const daemon = new Process(name, DAEMON_SCRIPT, [this.settingsFile(name)]);
+    const daemon = new processes.Process(name, DAEMON_SCRIPT, [this.settingsFile(name)]);
     this.daemons.set(name, daemon);
     daemon.start();
   }
 
-  daemon(name: string): Process {
+  daemon(name: string): processes.Process {
     const daemon = this.daemons.get(name);
     if (daemon === undefined) throw new Error(`daemon ${name} was not started`);
     return daemon;
@@ -296,7 +203,7 @@
       if (answer !== undefined && answer.status !== 503) {
         throw new Error(`settings refused: ${JSON.stringify(answer.content)}`);
       }
-      await sleep(50);
+      await processes.sleep(50);
     }
     throw new Error('settings not accepted in time');
   }
@@ -310,7 +217,7 @@
           const lines = this.daemons.get(name)?.lines.slice(-8).join('\n');
           throw new Error(`${name} did not turn ready:\n${lines}`);
         }
-        await sleep(25);
+        await processes.sleep(25);
       }
     }
   }
@@ -328,17 +235,17 @@
         );
         if (content.filter(({ status }) => status === 'serving').length >= count) break;
         if (Date.now() > until) throw new Error(`vm-${entry + 1} knows ${content.length} targets`);
-        await sleep(50);
+        await processes.sleep(50);
       }
     }
   }
 
   async stopAll(): Promise<void> {
-    const processes = [
+    const running = [
       ...this.daemons.values(),
       ...[...this.standIns.values()].map((each) => each.process),
     ];
-    await Promise.all(processes.map((each) => each.kill()));
+    await Promise.all(running.map((each) => each.kill()));
     fs.rmSync(this.folder, { recursive: true, force: true });
   }
 
@@ -359,7 +266,7 @@
   private async startStandIn(name: string, parameters: string[]): Promise<number> {
     const known = this.standIns.get(name);
     const port = known === undefined ? [] : ['--port', String(known.port)];
-    const made = new Process(name, STANDIN_SCRIPT, [...parameters, ...port]);
+    const made = new processes.Process(name, STANDIN_SCRIPT, [...parameters, ...port]);
     made.start();
     const said = await made.line((line) => {
       return line.startsWith('{') ? (JSON.parse(line) as { port: number }) : undefined;
--- a/packages/measure/src/ledger/ledger.ts
+++ b/packages/measure/src/ledger/ledger.ts
@@ -4,6 +4,7 @@
  */
 import * as client from '../client';
 import * as fleet from '../fleet';
+import * as processes from '../processes';
 import * as statistics from '../statistics';
 import * as teams from '../teams';
 
@@ -91,9 +92,9 @@
   });
   for (let round = 0; round < rounds; round++) {
     const { name } = target.plans[round % 3];
-    await fleet.sleep(700 + 37 * round);
+    await processes.sleep(700 + 37 * round);
     await target.daemon(name).kill();
-    await fleet.sleep(500);
+    await processes.sleep(500);
     target.startDaemon(name);
     await target.untilReady();
   }
--- a/packages/measure/src/overhead/overhead.ts
+++ b/packages/measure/src/overhead/overhead.ts
@@ -5,6 +5,7 @@
 import * as undici from 'undici';
 import * as client from '../client';
 import * as fleet from '../fleet';
+import * as processes from '../processes';
 import * as statistics from '../statistics';
 import * as teams from '../teams';
 
@@ -113,7 +114,7 @@
 ): Promise<number> {
   const idleSince = performance.now();
   const idleBefore = await cpuOf(target);
-  await fleet.sleep(1_000);
+  await processes.sleep(1_000);
   const idlePerMs = ((await cpuOf(target)) - idleBefore) / (performance.now() - idleSince);
   const before = await cpuOf(target);
   const since = performance.now();
--- a/packages/measure/src/settings/partitions.ts
+++ b/packages/measure/src/settings/partitions.ts
@@ -7,6 +7,7 @@
 import * as path from 'node:path';
 import * as daemonPackage from '@celerydrift/daemon';
 import * as fleet from '../fleet';
+import * as processes from '../processes';
 import * as teams from '../teams';
 
 type Daemon = daemonPackage.daemon.Daemon;
@@ -64,7 +65,7 @@
 }
 
 async function startAll(folder: string): Promise<Member[]> {
-  const ports = await fleet.freePorts(COUNT * 4);
+  const ports = await processes.freePorts(COUNT * 4);
   const members: Member[] = [];
   for (let i = 0; i < COUNT; i++) {
     const read = daemonPackage.configuration.read(settingsText(`vm-${i}`, i, ports, folder));
@@ -131,7 +132,7 @@
   const until = Date.now() + timeoutMs;
   while (members.some(({ daemon }) => daemon.unready() !== undefined)) {
     if (Date.now() > until) return false;
-    await fleet.sleep(20);
+    await processes.sleep(20);
   }
   return true;
 }
@@ -167,7 +168,7 @@
     const index = await change([...rest, ...side], subtree, `${subtree}-${n}`, n);
     if (index !== undefined) acceptances.push({ index, at: Date.now() });
     else n -= 1;
-    await fleet.sleep(100);
+    await processes.sleep(100);
   }
   const admitting = members.filter(({ daemon }) => daemon.unready() === undefined).length;
   clearInterval(timer);
@@ -184,13 +185,13 @@
   const members = await startAll(folder);
   const results: Record<string, ShapeResult> = {};
   try {
-    while ((await change(members, 'fitters', 'first', 0)) === undefined) await fleet.sleep(100);
+    while ((await change(members, 'fitters', 'first', 0)) === undefined) await processes.sleep(100);
     await untilReady(members);
     for (const shape of shapes) {
       const result = await runShape(members, shape);
       results[shape.name] = result;
       say(`${shape.name}: ${JSON.stringify(result)}`);
-      await fleet.sleep(500);
+      await processes.sleep(500);
     }
   } finally {
     await Promise.all(members.map(({ daemon }) => daemon.halt()));
--- a/packages/measure/src/settings/settings.ts
+++ b/packages/measure/src/settings/settings.ts
@@ -3,6 +3,7 @@
  * and a long absence do to them.
  */
 import * as fleet from '../fleet';
+import * as processes from '../processes';
 import * as statistics from '../statistics';
 import * as teams from '../teams';
 import * as partitions from './partitions';
@@ -51,7 +52,7 @@
       entry,
     );
     if (status === 200 && content.missing.length === 0 && content.inForce > 0) return;
-    await fleet.sleep(2);
+    await processes.sleep(2);
   }
 }
 
@@ -79,7 +80,7 @@
   for (let turn = entry; ; turn++) {
     const answer = await put(target, subtree, id, basedOn, turn);
     if (answer !== undefined && answer.status !== 503) return answer.content;
-    await fleet.sleep(20);
+    await processes.sleep(20);
   }
 }
 
@@ -250,6 +251,6 @@
   for (;;) {
     const answer = await fetch(`http://127.0.0.1:${ports.callers}/readyz`).catch(() => undefined);
     if (answer?.status === 200) return performance.now() - since;
-    await fleet.sleep(2);
+    await processes.sleep(2);
   }
 }
--- a/packages/measure/src/slopes/slopes.ts
+++ b/packages/measure/src/slopes/slopes.ts
@@ -4,6 +4,7 @@
  */
 import * as undici from 'undici';
 import * as fleet from '../fleet';
+import * as processes from '../processes';
 import * as statistics from '../statistics';
 import * as teams from '../teams';
 
@@ -139,7 +140,7 @@
 ): Promise<void> {
   for (let i = 0; perSecond > 0 && Date.now() < until; i++) {
     await target.apply(`slope-${tag}`, `; ${i}\n${teams.FITTERS.text}`, i);
-    await fleet.sleep(1_000 / perSecond);
+    await processes.sleep(1_000 / perSecond);
   }
 }
 
@@ -151,11 +152,11 @@
 ): Promise<Point> {
   const announcements = new Announcements(target, targets);
   announcements.start();
-  await fleet.sleep(SETTLE_MS);
+  await processes.sleep(SETTLE_MS);
   const tag = `${targets}-${changesPerSecond}`;
   const changing = changes(target, changesPerSecond, Date.now() + seconds * 1_000 + 500, tag);
   const before = await sample(target);
-  await fleet.sleep(seconds * 1_000);
+  await processes.sleep(seconds * 1_000);
   const after = await sample(target);
   await changing;
   announcements.stop();
@@ -196,7 +197,7 @@
   // All at once would keep the machine busy with starting instead of with founding.
   for (const { name } of target.plans) {
     target.startDaemon(name);
-    if (daemons > 16) await fleet.sleep(60);
+    if (daemons > 16) await processes.sleep(60);
   }
   await target.apply('fitters', teams.FITTERS.text, 0, 60_000);
   await target.untilReady(60_000);
@@ -243,7 +244,7 @@
         byChanges.push(still);
         for (const count of targetCounts)
           byTargets.push(take(await measure(target, count, 0, seconds)));
-        await fleet.sleep(8_000);
+        await processes.sleep(8_000);
         for (const rate of rates) byChanges.push(take(await measure(target, 0, rate, seconds)));
       }
     } finally {
