Let another program write announcements in the soak, and count a stop only after a calm span

Cause: the users' pages have announcements by other writers.

Change: foreignWriter.ts sends seven kinds of announcements that name no target, one every 0.3 s, in all runs. The check of planned stops leaves out requests within 3 s after another harm to the entry, which is the users' rule (no unplanned disturbance from the stable window before the request); a test holds both sides of the bound.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -138,4 +138,20 @@
     // Only the document that nobody can read back any more counts.
     expect(found).to.deep.equal(['lost']);
   });
+
+  /*
+   * Three streams were cut by a planned stop. Their entry had been frozen when it was told to stop and woke 5.8 s
+   * later; 2.2 s after that its time was over and it was killed. Right before a stop that isn't counted; longer before it is.
+   */
+  it('allow a stop to cut what came right after a freeze, and nothing later', () => {
+    const cutAfter = (frozenUntil: number): string[] =>
+      seen(({ asked: all, ran, stopped, disturbances }) => {
+        all.push(asked('r3', { ending: { kind: 'broken' } }));
+        ran.push({ request: 'r3', target: 't0-1', at: 10_050 });
+        stopped.push({ entry: 0, incarnation: 1, from: 4_000, until: 12_000 });
+        const freeze = { subject: 'entry', index: 0, what: 'entryPause' } as const;
+        disturbances.push({ ...freeze, from: 2_000, until: frozenUntil });
+      });
+    expect([cutAfter(8_000), cutAfter(6_900)]).to.deep.equal([[], ['cutByStop']]);
+  });
 });
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -40,6 +40,12 @@
 /** A process counts as in touch when nothing was done to it or to the keepers for so long, milliseconds. */
 const CALM_MS = 5_000;
 
+/**
+ * A planned stop answers for requests that came so long after any other harm, milliseconds: by the users' pages. A process
+ * that is frozen when it is to stop wakes with no more than the rest of its time, and doesn't know that.
+ */
+const STABLE_MS = 3_000;
+
 /** A probe's answer may show a state of some milliseconds before it was sent. */
 const PROBE_SLACK_MS = 500;
 
@@ -238,7 +244,7 @@
     });
     return cut
       .filter(({ request }) => ran.has(request) && !isTargetHarmed(seen, ran.get(request)?.target))
-      .filter(({ sentAt }) => !isHarmed(seen, 'entry', entry, sentAt, until))
+      .filter(({ sentAt }) => !isHarmed(seen, 'entry', entry, sentAt - STABLE_MS, until))
       .map(({ request }) => ({ promise: 'cutByStop', detail: `${request} at entry ${entry}` }));
   });
 }
--- /dev/null
+++ b/packages/soak/src/foreignWriter.ts
@@ -0,0 +1,57 @@
+/**
+ * Another program that writes announcements, of its own kind: fields missing or of another type, an unknown service at a
+ * sound target's address, bytes that can't be read. None of it names a target; the others must hold.
+ */
+import { counterpart } from '@celerydrift/platform';
+import type * as domain from '@celerydrift/domain';
+import * as controlClient from './controlClient';
+
+const FOREIGN_ID = 'foreign';
+
+export class ForeignWriter {
+  private written = 0;
+
+  constructor(
+    private readonly keepers: readonly string[],
+    /** HOST:PORT of sound targets. */
+    private readonly addresses: readonly string[],
+  ) {}
+
+  /** Sends the next announcement, to the next keeper; what it answers doesn't matter. */
+  async write(): Promise<void> {
+    const turn = this.written;
+    this.written += 1;
+    const bodies = this.bodies(this.addresses[turn % this.addresses.length]);
+    const { method, path } = counterpart.announce(announcement(''));
+    const body = bodies[turn % bodies.length];
+    await controlClient.call(this.keepers[turn % this.keepers.length], { method, path, body });
+  }
+
+  private bodies(address: string): string[] {
+    const { body } = counterpart.announce(announcement(address));
+    const fields = JSON.parse(body) as Record<string, unknown>;
+    const { slots, ...withoutSlots } = fields;
+    return [
+      body,
+      JSON.stringify(withoutSlots),
+      JSON.stringify({ ...fields, slots: `${String(slots)} or so` }),
+      JSON.stringify({ ...fields, state: 'resting' }),
+      JSON.stringify({ ...fields, address: 'nowhere' }),
+      body.slice(0, body.length / 2),
+      '\u0000\u0001',
+    ];
+  }
+}
+
+function announcement(address: string): domain.registry.registry.Announcement {
+  return {
+    id: FOREIGN_ID,
+    bornAt: 1,
+    service: 'of another program',
+    address,
+    dataCentre: 'elsewhere',
+    slots: 4,
+    state: 'ready',
+    sequence: 1,
+  };
+}
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -7,6 +7,7 @@
 import * as callers from './callers';
 import * as checks from './checks';
 import * as fleet from './fleet';
+import * as foreignWriter from './foreignWriter';
 import * as harm from './harm';
 import * as layout from './layout';
 import * as observations from './observations';
@@ -38,6 +39,9 @@
 }
 
 const START_TIMEOUT_MS = 20_000;
+/** Pause between two announcements of another program, milliseconds. */
+const FOREIGN_EVERY_MS = 300;
+
 const LOOK_EVERY_MS = 200;
 const PROBE_EVERY_MS = 250;
 
@@ -94,7 +98,7 @@
       await this.operators.change();
       await this.untilServing();
       this.running.forbidFounding();
-      const traffic = [this.trafficLoop(), this.probeLoop()];
+      const traffic = [this.trafficLoop(), this.probeLoop(), this.foreignLoop()];
       await this.follow(plan);
       this.harm.heal();
       this.seen.healedAt = Date.now();
@@ -141,6 +145,17 @@
     await Promise.all(under);
   }
 
+  private async foreignLoop(): Promise<void> {
+    const addresses = this.running.targets.map(
+      ({ forwarded }) => `${forwarded}:${layout.TARGET_PORT}`,
+    );
+    const writer = new foreignWriter.ForeignWriter(this.running.controls, addresses);
+    while (this.isAsking) {
+      await writer.write();
+      await operator.pause(FOREIGN_EVERY_MS);
+    }
+  }
+
   private async trafficLoop(): Promise<void> {
     const meanMs = 1_000 / layout.LAYOUTS[this.options.size].requestsPerSecond;
     while (this.isAsking) {
