End the recovery of a disk when its log host is closed

Traced with the inspector in that process: logHost.recover() went on every half second. Ruled out: the new timers of placing, silenceWatch and lifeChecks.

Change: a closed host doesn't recover.

No test of its own yet: open.

--- a/packages/daemon/src/replicas/logHost.ts
+++ b/packages/daemon/src/replicas/logHost.ts
@@ -83,6 +83,8 @@
 
   private recovering = false;
 
+  private isClosed = false;
+
   private readonly addresses = new Map<string, string>();
 
   constructor(private readonly parts: Parts) {
@@ -165,6 +167,8 @@
   }
 
   async close(): Promise<void> {
+    // A write under way fails when the journal closes; nothing must be recovered for that, for ever, in a closed host.
+    this.isClosed = true;
     while (this.running) {
       await new Promise((resolve) => {
         setImmediate(resolve);
@@ -199,7 +203,7 @@
   private async recover(): Promise<void> {
     this.recovering = true;
     this.dropPending();
-    while (this.recovering) {
+    while (this.recovering && !this.isClosed) {
       await clock.pause(RECOVER_EVERY_MS);
       this.dropPending();
       const recovered = await this.parts.journal.recover().catch(() => undefined);
