--- a/packages/daemon/src/entry/chooser.ts
+++ b/packages/daemon/src/entry/chooser.ts
@@ -181,7 +181,9 @@
     const sound = ready.filter(({ id }) => {
       return this.soundness.get(id)?.isUsable(now(), !this.calls.has(id)) !== false;
     });
-    const candidates = sound.length > 0 ? sound : ready;
+    // One that hasn't spoken since all keepers were down may be gone; a call finds out, and the others go elsewhere.
+    const careful = sound.filter(({ id, isRemembered }) => !(isRemembered && this.calls.has(id)));
+    const candidates = [careful, sound, ready].find(({ length }) => length > 0) ?? [];
     if (candidates.length === 0) return { kind: 'noPlace', retryAfterMs: NO_TARGET_RETRY_MS };
     const scored = candidates.map((record) => {
       const far = record.dataCentre === dataCentre ? 0 : 0.5;
--- a/packages/daemon/src/fleet/holding.ts
+++ b/packages/daemon/src/fleet/holding.ts
@@ -52,6 +52,18 @@
     this.options.onCatalogue(this.current);
   }
 
+  /** Takes what this process's disk held at its start. */
+  recall(records: readonly Announcement[]): Announcement[] {
+    const recalled = this.registry.remember(records, this.options.now());
+    recalled.forEach((record) => this.options.onRecord(record));
+    return recalled;
+  }
+
+  /** Gives up remembered targets that were silent for too long since `since`. */
+  endRemembered(since: number): Announcement[] {
+    return this.changed(this.registry.endRemembered(this.options.now(), since));
+  }
+
   /** Takes what copies of the registry say; the records that changed with it come back. */
   takeRecords(records: readonly Announcement[]): Announcement[] {
     return this.changed(this.registry.merge(records, this.options.now()));
@@ -64,7 +76,7 @@
 
   private changed(changed: Announcement[]): Announcement[] {
     changed.forEach((record) => {
-      const { id, service, address, state, sequence, bornAt } = record;
+      const { id, service, address, state, sequence, bornAt, isRemembered } = record;
       this.options.observer.log('targetAnnounced', {
         target: id,
         bornAt,
@@ -72,6 +84,7 @@
         address,
         state,
         sequence,
+        isRemembered,
       });
       this.options.onRecord(record);
     });
--- a/packages/daemon/src/keeper/__tests__/keeper.test.ts
+++ b/packages/daemon/src/keeper/__tests__/keeper.test.ts
@@ -16,7 +16,9 @@
 import * as observer from '../../observability/observer';
 import * as peerClient from '../../rpc/peerClient';
 import * as peerServer from '../../rpc/peerServer';
+import * as frames from '../../storage/frames';
 import * as keeper from '../keeper';
+import * as targetMemory from '../targetMemory';
 
 const { expect } = chai;
 
@@ -330,4 +332,54 @@
     const states = ['i1', 'i2', 'i3'].map((id) => held.registry.get(id)?.state);
     expect(states).to.deep.equal(['ready', undefined, undefined]);
   });
+
+  /*
+   * Every prompt would be refused for over a second with engines idle. All keepers lose power together; the new
+   * leader knows no target until each announces itself again, unless the disks tell.
+   */
+  it('remember targets over a loss of all until they speak', async () => {
+    await until('the target', async () => {
+      return (await fleet.call(fleet.leader, 'PUT', '/i1', target('ready', 1)))[0] === 200;
+    });
+    const files = [0, 1, 2].map((i) => path.join(fleet.places[i].folder, 'targets'));
+    await until('it on a disk', async () =>
+      (await Promise.all(files.map(sizeOf))).some((n) => n > 60),
+    );
+    for (const i of [0, 1, 2]) await fleet.stop(i);
+    for (const i of [0, 1, 2]) await fleet.start(i, false);
+    const { held } = await fleet.follow();
+    await until('the target from the disk', () => held.registry.get('i1') !== undefined);
+    expect(held.registry.get('i1')).to.include({ state: 'ready', isRemembered: true });
+    await until('its word', async () => {
+      return (await fleet.call(fleet.leader, 'PUT', '/i1', target('ready', 2)))[0] === 200;
+    });
+    expect(held.registry.get('i1')?.state).to.equal('ready');
+    expect(held.registry.get('i1')?.isRemembered).to.equal(undefined);
+  });
+
+  /*
+   * A keeper that doesn't start would be one loss more. The file of targets is torn by a power loss, or some other
+   * program's; the keeper says so in its log and starts without it.
+   */
+  it('start without targets from a file that is torn or foreign', async () => {
+    const { folder } = fleet.places[0];
+    await fleet.stop(0);
+    const whole = frames.encode([{ ...target('ready', 1), id: 'i1' }]);
+    const foreign = frames.encode([{ id: 5 }]);
+    const unusable = { ...target('ready', 1), id: 'i1', address: 'nowhere' };
+    const contents = [whole.subarray(0, -3), Buffer.from('{"targets":[]}'), foreign];
+    for (const content of contents) {
+      await fs.writeFile(path.join(folder, 'targets'), content);
+      expect((await targetMemory.read(folder)).err).to.equal(true);
+    }
+    await fleet.start(0, false);
+    await fs.writeFile(path.join(folder, 'targets'), frames.encode([unusable]));
+    expect((await targetMemory.read(folder)).unwrap()).to.deep.equal([]);
+    await fs.writeFile(path.join(folder, 'targets'), whole);
+    expect((await targetMemory.read(folder)).unwrap().map(({ id }) => id)).to.deep.equal(['i1']);
+  });
 });
+
+async function sizeOf(file: string): Promise<number> {
+  return (await fs.stat(file).catch(() => ({ size: 0 }))).size;
+}
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -20,6 +20,7 @@
 import * as catalogueMachine from './catalogueMachine';
 import * as controlServer from './controlServer';
 import * as leadership from './leadership';
+import * as targetMemory from './targetMemory';
 
 type Announcement = domain.registry.registry.Announcement;
 type Edition = domain.catalogue.versions.Edition;
@@ -78,6 +79,8 @@
 
   private readonly machine: catalogueMachine.CatalogueMachine;
 
+  private readonly memory: targetMemory.TargetMemory;
+
   private readonly timers: NodeJS.Timeout[] = [];
 
   private replicas!: replicaSet.ReplicaSet;
@@ -98,7 +101,15 @@
       observer: observe,
       now: clock.steady,
       onCatalogue: ({ catalogue }) => this.leadership?.allocator.setServices(catalogue.services),
-      onRecord: (record) => this.leadership?.allocator.observe(record),
+      onRecord: (record) => {
+        this.leadership?.allocator.observe(record);
+        this.memory.changed();
+      },
+    });
+    this.memory = new targetMemory.TargetMemory({
+      folder: settings.dataFolder,
+      observer: observe,
+      records: () => this.holding.registry.durable(),
     });
     this.link = this.makeLink();
     this.control = new controlServer.ControlServer({
@@ -130,6 +141,7 @@
     this.replicas = opened.val;
     this.host = this.replicas.hosts.get(LOG) as logHost.LogHost;
     this.leadership = this.makeLeadership();
+    await this.recallTargets();
     this.serveMethods();
     this.replicas.start(this.server);
     await this.server.listen(settings.peers);
@@ -161,11 +173,24 @@
     this.timers.forEach((timer) => clearInterval(timer));
     this.link.stop();
     this.control.close();
+    await this.memory.close();
     await this.replicas.stop();
     await this.server.close();
     this.client.close();
   }
 
+  private async recallTargets(): Promise<void> {
+    const { settings, observer: observe } = this.parts;
+    const remembered = await targetMemory.read(settings.dataFolder);
+    if (remembered.err) {
+      observe.log('targetsNotRemembered', { reason: remembered.val.detail });
+      return;
+    }
+    const records = this.holding.recall(remembered.val);
+    const ready = records.filter(({ state }) => state === 'ready');
+    observe.log('targetsRemembered', { known: records.length, ready: ready.length });
+  }
+
   private makeLink(): leaderLink.LeaderLink {
     const { settings, observer: observe } = this.parts;
     return new leaderLink.LeaderLink({
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -76,6 +76,8 @@
       .filter(({ role }) => role === 'entry')
       .forEach(({ name }) => this.allocator.forgetEntry(name, now()));
     held.registry.forget(now());
+    const silent = held.endRemembered(this.leadsSince);
+    if (silent.length > 0) void this.publish(silent);
     this.placing.serveSoon();
   }
 
--- a/packages/domain/src/allocation/__tests__/allocator.test.ts
+++ b/packages/domain/src/allocation/__tests__/allocator.test.ts
@@ -250,4 +250,34 @@
     for (let i = 0; i < 30; i++) write({ excluded: ['t1'] });
     expect(write({ excluded: [] })).to.equal('t0');
   });
+
+  /*
+   * Sixteen prompts waited 1.6 s at one engine and then failed, while others were idle. The engine had ended while
+   * the keepers were down; their disks still named it, and those with equally tight pauses are packed together.
+   */
+  it('gives a remembered engine one request until it has spoken', () => {
+    const made = fleet(0);
+    [0, 1, 2].forEach((index) => made.observe({ ...target(index), isRemembered: true }));
+    const targets = [1, 2, 3, 4].map((id) => made.place(request(`r${id}`), 0)?.target);
+    expect([...targets].sort()).to.deep.equal(['t0', 't1', 't2', undefined]);
+    made.observe(target(1));
+    expect(made.place(request('r5'), 100)?.target).to.equal('t1');
+    expect(made.place(request('r6'), 100)?.target).to.equal('t1');
+  });
+
+  /*
+   * A long prompt would be late, or read by one engine for seconds, were remembered engines no help; and it would fail
+   * with each of them that ended, were they to help several.
+   */
+  it('has remembered engines help one prompt each', () => {
+    const made = fleet(0);
+    for (let i = 0; i < 10; i++) made.observe({ ...target(i), isRemembered: true });
+    const first = made.place(request('long1', LONG), 0);
+    const second = made.place(request('long2', LONG), 0);
+    const used = [first, second].flatMap((each) => {
+      return each === undefined ? [] : [each.target, ...each.helpers.map(({ target: id }) => id)];
+    });
+    expect(first?.helpers.length).to.be.greaterThan(1);
+    expect(new Set(used).size).to.equal(used.length);
+  });
 });
--- a/packages/domain/src/allocation/load.ts
+++ b/packages/domain/src/allocation/load.ts
@@ -32,6 +32,12 @@
  */
 const PACE = { least: 0.8, most: 8, weight: 0.25 } as const;
 
+/**
+ * Requests that a remembered engine gets until it has spoken. It may have ended while the keepers were down, and
+ * whoever is sent there then waits in vain; engines that live speak within about a second.
+ */
+const MOST_UNCONFIRMED = 1;
+
 /** Sums and extremes over an engine's tasks. */
 interface Figures {
   /** Tokens. */
@@ -44,6 +50,9 @@
 export class Load implements reading.Place, readQueue.Writing {
   private readonly tasks = new Map<string, Task>();
 
+  /** Ids among `tasks` that nobody dispatched. */
+  private readonly assumed = new Set<string>();
+
   /** The writers among `tasks`, and the others. */
   private writing: Task[] = [];
 
@@ -78,7 +87,19 @@
   }
 
   get freeSlots(): number {
-    return Math.min(this.engine.slots, this.record.slots) - this.writers;
+    const free = Math.min(this.engine.slots, this.record.slots) - this.writers;
+    return this.record.isRemembered === true ? Math.min(free, this.unconfirmedLeft) : free;
+  }
+
+  /** Whether it may help to read for one request more. */
+  mayHelp(most: number, now: number): boolean {
+    if (this.record.isRemembered === true && this.unconfirmedLeft <= 0) return false;
+    return this.helping(now) < Math.min(most, this.engine.slots);
+  }
+
+  /** Requests, written or read for, that it may still get before it has spoken. */
+  private get unconfirmedLeft(): number {
+    return MOST_UNCONFIRMED - (this.tasks.size - this.assumed.size);
   }
 
   get freeMemory(): number {
@@ -129,11 +150,13 @@
 
   /** Counts a writer that isn't known to be there, and has nothing to read. */
   assume(task: Task): void {
+    this.assumed.add(task.request);
     this.tasks.set(task.request, task);
     this.refresh();
   }
 
   forgetAssumed(request: string): void {
+    this.assumed.delete(request);
     this.tasks.delete(request);
     this.refresh();
   }
--- a/packages/domain/src/allocation/planner.ts
+++ b/packages/domain/src/allocation/planner.ts
@@ -88,8 +88,8 @@
 interface Candidate {
   load: load.Load;
   outlook: outlooks.Outlook;
-  /** Whether it helps as many others as it takes. */
-  isHelpingMost: boolean;
+  /** Whether it may help to read for one more. */
+  mayHelp: boolean;
   /** Share of its last dispatches that failed. */
   failureShare: number;
 }
@@ -131,7 +131,7 @@
       return {
         load: each,
         outlook: new outlooks.Outlook(each, now),
-        isHelpingMost: each.helping(now) >= Math.min(this.weighed.mostHelped, each.engine.slots),
+        mayHelp: each.mayHelp(this.weighed.mostHelped, now),
         failureShare: each.soundness.failureShare(now),
       };
     });
@@ -181,7 +181,7 @@
     };
     const value = valueOf(prompt);
     const scored = candidates
-      .filter(({ isHelpingMost }) => parts === 1 || !isHelpingMost)
+      .filter(({ mayHelp }) => parts === 1 || mayHelp)
       .map((candidate) => this.score(prompt, candidate, part));
     const withPlace = scored.filter(({ candidate }) => hasPlace.has(candidate.load));
     if (withPlace.length === 0) return undefined;
--- a/packages/domain/src/registry/registry.ts
+++ b/packages/domain/src/registry/registry.ts
@@ -23,6 +23,11 @@
   state: State;
   /** Rises with each announcement of the lifetime. */
   sequence: number;
+  /**
+   * Whether this comes from the disk of a keeper that was started again, and the target hasn't spoken since. Such a
+   * target may have ended meanwhile, so it is used with care.
+   */
+  isRemembered?: boolean;
 }
 
 const RANK: Record<State, number> = { ready: 0, draining: 1, gone: 2 };
@@ -40,6 +45,12 @@
  */
 const REVIVE_AFTER_MS = 600;
 
+/**
+ * How long a remembered target may stay silent, milliseconds: two of the usual pauses between announcements. One that
+ * lives speaks within that, and one that left was told before that it may be used no longer than some seconds more.
+ */
+export const REMEMBERED_MS = 2_400;
+
 interface Entry {
   record: Announcement;
   heardAt: number;
@@ -85,18 +96,41 @@
     return [this.end(known, now)];
   }
 
+  /**
+   * Takes what a disk held when this process started. A lifetime that was leaving or gone stays so; of the others nobody
+   * knows yet whether they live.
+   */
+  remember(records: readonly Announcement[], now: number): Announcement[] {
+    return records
+      .filter(({ id }) => !this.entries.has(id))
+      .map((record) => {
+        const isRemembered = record.state === 'ready' ? true : undefined;
+        return this.keep({ ...record, isRemembered }, now).record;
+      });
+  }
+
+  /** Ends remembered targets that were silent for too long since `since`, when whoever calls began to listen. */
+  endRemembered(now: number, since = -Infinity): Announcement[] {
+    return [...this.entries.values()]
+      .filter(({ record, heardAt }) => {
+        const isSilent = now - Math.max(heardAt, since) > REMEMBERED_MS;
+        return isOnlyRemembered(record) && record.state !== 'gone' && isSilent;
+      })
+      .map((entry) => this.end(entry, now));
+  }
+
   /** Takes over what other copies of the registry know. */
   merge(records: readonly Announcement[], now: number): Announcement[] {
     return records.flatMap((record) => {
       const known = this.entries.get(record.id);
       if (known !== undefined) return this.mergeKnown(known, record, now);
+      if (record.state === 'gone') return [this.keep(record, now).record];
       // Which of two lifetimes at an address came later, a copy can't say. The one that lives announces
-      // itself again.
-      const isContested = record.state !== 'gone' && this.at(record.address).length > 0;
-      if (!isContested) {
-        this.keep(record, now);
-        return [record];
-      }
+      // itself again. Only a remembered one yields at once.
+      const isContested = this.at(record.address).some(({ record: other }) => {
+        return !isOnlyRemembered(other) || isOnlyRemembered(record);
+      });
+      if (!isContested) return this.add(record, now);
       const presumed: Announcement = { ...record, state: 'gone' };
       this.keep(presumed, now).isPresumedDead = true;
       return [];
@@ -111,6 +145,18 @@
     return [...this.entries.values()].map(({ record }) => record);
   }
 
+  /**
+   * What a restart should know. Ends that were only concluded are left out: there such a lifetime could never return, as
+   * the words that prove them wrong may come after the restart.
+   */
+  durable(): Announcement[] {
+    return [...this.entries.values()]
+      .filter(({ record, isPresumedDead }) => {
+        return !isPresumedDead && !(record.state === 'gone' && isOnlyRemembered(record));
+      })
+      .map(({ record }) => record);
+  }
+
   /** Targets of a service that take new work. */
   ready(service: string): Announcement[] {
     return this.records().filter((each) => each.service === service && each.state === 'ready');
@@ -156,6 +202,10 @@
   }
 
   private update(known: Entry, announcement: Announcement, now: number): Announcement[] {
+    if (isOnlyRemembered(known.record) && !isOnlyRemembered(announcement)) {
+      return this.confirm(known, announcement, now);
+    }
+    if (isOnlyRemembered(announcement) && !isOnlyRemembered(known.record)) return [];
     if (known.record.state !== 'gone') known.heardAt = now;
     if (RANK[announcement.state] < RANK[known.record.state]) return [];
     const sameState = announcement.state === known.record.state;
@@ -165,6 +215,14 @@
     return sameState && !moved ? [] : [announcement];
   }
 
+  /** A remembered target speaks, also one that was given up for its silence; what is older than the memory says nothing. */
+  private confirm(known: Entry, announcement: Announcement, now: number): Announcement[] {
+    if (announcement.sequence < known.record.sequence) return [];
+    if (known.record.state === 'gone') return this.add(announcement, now);
+    this.keep(announcement, now);
+    return [announcement];
+  }
+
   /**
    * A new lifetime at an address ends the one that was there: one address serves one target. The dead
    * one's last announcement may still come; it then finds its lifetime gone.
@@ -191,6 +249,10 @@
   }
 }
 
+function isOnlyRemembered({ isRemembered }: Announcement): boolean {
+  return isRemembered === true;
+}
+
 /** What is known of a lifetime whose end came before its first announcement. */
 const UNKNOWN: Announcement = {
   id: '',
