Push what a new leader learns together, and ask entries for nothing it knows

Each of 150 announcements was pushed to each of 195 entries (30,000 calls), each entry sent its whole registry and got one, each asked the quorum by itself, and each of 27 editions in the log was decoded (80 ms) before the last one counted. Entries and keepers lost the busy leader and began anew.

Change: changes of targets that may be used are gathered for 150 ms, those that leave go at once; one push at a time to each follower; entries send their registry only to a leader without targets; urgent questions to the quorum are gathered for 10 ms; of editions that are committed together the newest is read; averages are kept for 100 ms.

--- a/packages/daemon/src/entry/__tests__/chooser.test.ts
+++ b/packages/daemon/src/entry/__tests__/chooser.test.ts
@@ -97,6 +97,7 @@
       kind: 'confirmed',
       keepers: [],
       entries: 1,
+      lacksTargets: false,
       crowding: [],
       news: { edition: undefined, mark: messages.NO_MARK, since: undefined, records: [] },
     };
--- a/packages/daemon/src/fleet/leaderLink.ts
+++ b/packages/daemon/src/fleet/leaderLink.ts
@@ -73,9 +73,12 @@
   /** Called when the present leader is lost. */
   private readonly losses = new Set<() => void>();
 
-  /** The last leader that got this daemon's whole registry. */
+  /** The last leader that got this daemon's dispatches, and a keeper's whole registry. */
   private told = '';
 
+  /** Whether the leader asked for this daemon's registry. */
+  private isAskedForRecords = false;
+
   constructor(private readonly options: Options) {
     this.known = new Set(options.seeds);
   }
@@ -185,13 +188,15 @@
   private question(address: string): messages.Follow {
     const { name, role, dataCentre, replica, holding } = this.options;
     const isNew = this.told !== address;
+    // Hundreds of entries know no more than the few keepers; a new leader would read the same records for half a second.
+    const sendsRecords = this.isAskedForRecords || (isNew && role === 'keeper');
     return {
       name,
       role,
       address: this.options.address,
       version: holding.version,
       mark: holding.mark,
-      records: isNew ? holding.registry.records() : [],
+      records: sendsRecords ? holding.registry.records() : [],
       dispatches: isNew ? this.options.dispatches() : [],
       replica: replica(),
       dataCentre,
@@ -216,6 +221,7 @@
     }
     this.leader = address;
     this.redirects = 0;
+    this.isAskedForRecords = answer.lacksTargets;
     answer.keepers.forEach((keeper) => this.known.add(keeper));
     this.options.holding.takeNews(answer.news);
     this.confirmedAt = askedAt;
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -19,7 +19,7 @@
   /** Version of the catalogue that the follower has in force. */
   version: number;
   mark: RegistryMark;
-  /** What the follower knows of targets, for a leader that it meets for the first time. */
+  /** What a keeper knows of targets, for a leader that it meets for the first time; an entry's where the leader asked. */
   records: Announcement[];
   /** Dispatches of an entry that run, for a leader that it meets for the first time. */
   dispatches: Dispatched[];
@@ -40,6 +40,8 @@
   keepers: string[];
   /** Entries that follow the leader; 0 while it has led too briefly to know all. */
   entries: number;
+  /** Whether the leader knows no targets, so that a follower's copy of the registry helps. */
+  lacksTargets: boolean;
   /** What engines write on average, for an entry that loses the leader and then sees only its own dispatches. */
   crowding: domain.allocation.unseen.Crowding[];
   news: News;
--- /dev/null
+++ b/packages/daemon/src/keeper/__tests__/crowd.test.ts
@@ -0,0 +1,161 @@
+/**
+ * The load of a large fleet on a new leader: some 200 followers that all ask at once and some 150 targets that all announce
+ * themselves, as after a loss of all. The numbers are those of the largest fleet served today.
+ */
+import * as chai from 'chai';
+import type * as domain from '@celerydrift/domain';
+import * as random from '@celerydrift/domain/dist/shared/random';
+import { Ok } from 'ts-results';
+import * as clock from '../../clock';
+import * as holding from '../../fleet/holding';
+import * as messages from '../../fleet/messages';
+import * as observer from '../../observability/observer';
+import type * as logHost from '../../replicas/logHost';
+import type * as peerClient from '../../rpc/peerClient';
+import * as leadership from '../leadership';
+
+const { expect } = chai;
+
+const FOLLOWERS = 200;
+
+const TARGETS = 150;
+
+/** Pause between two announcements of different targets where each announces itself every 1.2 s, milliseconds. */
+const BETWEEN_MS = 8;
+
+const observe = new observer.Observer('test', 'fatal', undefined);
+
+interface Push {
+  address: string;
+  news: messages.News;
+}
+
+interface Crowd {
+  led: leadership.Leadership;
+  pushes: Push[];
+}
+
+/** A leader whose followers take `answerMs` for each push. */
+async function crowd(answerMs: number): Promise<Crowd> {
+  const pushes: Push[] = [];
+  const client = {
+    call: async (address: string, _method: string, news: messages.News) => {
+      pushes.push({ address, news });
+      await clock.pause(answerMs);
+      return Ok({});
+    },
+  };
+  const host = { isLeader: true, confirm: async () => true, replica: { members: [] } };
+  const led = new leadership.Leadership({
+    host: host as unknown as logHost.LogHost,
+    holding: new holding.Holding({
+      protocol: {} as holding.Options['protocol'],
+      observer: observe,
+      now: clock.steady,
+      onCatalogue: () => undefined,
+      onRecord: () => undefined,
+    }),
+    client: client as unknown as peerClient.PeerClient,
+    observer: observe,
+    // Followers stay in touch however long the test takes.
+    now: () => 0,
+    random: random.seeded(1),
+    newest: () => undefined,
+  });
+  led.tick();
+  for (let i = 0; i < FOLLOWERS; i++) await led.follow(question(i));
+  return { led, pushes };
+}
+
+function question(i: number): messages.Follow {
+  return {
+    name: `e${i}`,
+    role: 'entry',
+    address: `10.0.0.${i}:1`,
+    version: 1,
+    mark: messages.NO_MARK,
+    records: [],
+    dispatches: [],
+    replica: undefined,
+    dataCentre: 'dc0',
+  };
+}
+
+function announcement(
+  i: number,
+  state: domain.registry.registry.State = 'ready',
+): domain.registry.registry.Announcement {
+  return {
+    id: `t${i}`,
+    bornAt: 1,
+    service: 's',
+    address: `10.1.0.${i}:1`,
+    dataCentre: 'dc0',
+    slots: 7,
+    state,
+    sequence: state === 'ready' ? 1 : 2,
+  };
+}
+
+describe('a new leader of many followers', () => {
+  /*
+   * Callers of 200 entries were refused for four seconds after a power loss. Each of 150 targets announced itself to the
+   * new leader, which pushed each to each entry: 30,000 calls, behind which it answered nobody, so that entries and
+   * keepers took it for dead and began anew, time after time.
+   */
+  it('pushes the announcements of many targets together', async () => {
+    const { led, pushes } = await crowd(1);
+    const begun = clock.steady();
+    const told: Promise<void>[] = [];
+    for (let i = 0; i < TARGETS; i++) {
+      told.push(led.announce(announcement(i)));
+      await clock.pause(BETWEEN_MS);
+    }
+    await Promise.all(told);
+    // One push in 150 ms to each, and one more for the rest; on a busy machine it takes longer than 1.2 s.
+    const windows = (clock.steady() - begun) / 150;
+    expect(pushes.length).to.be.at.most(FOLLOWERS * (windows + 1));
+    const first = pushes.filter(({ address }) => address === '10.0.0.0:1');
+    expect(first.flatMap(({ news }) => news.records).length).to.equal(TARGETS);
+  });
+
+  /*
+   * Requests would go on to a target that leaves. Its word must not wait behind those that are gathered, and what was
+   * gathered goes with it, in order.
+   */
+  it('pushes at once that a target leaves', async () => {
+    const { led, pushes } = await crowd(1);
+    const ready = led.announce(announcement(1));
+    await led.announce(announcement(1, 'draining'));
+    await ready;
+    expect(pushes.length).to.equal(FOLLOWERS);
+    expect(pushes[0].news.records.map(({ state }) => state)).to.deep.equal(['ready', 'draining']);
+  });
+
+  /*
+   * A leader that falls behind would fall further behind with each push. Followers answer late; what is to be told meanwhile
+   * goes in one push when the one before is answered, and in the order in which it came.
+   */
+  it('has one push under way to each follower, and loses nothing of what waits', async () => {
+    const { led, pushes } = await crowd(200);
+    const told = [1, 2, 3, 4, 5].map((i) => led.announce(announcement(i, 'draining')));
+    await Promise.all(told);
+    const first = pushes.filter(({ address }) => address === '10.0.0.0:1');
+    expect(first.length).to.equal(2);
+    const ids = first.flatMap(({ news }) => news.records).map(({ id }) => id);
+    expect(ids).to.deep.equal(['t1', 't2', 't3', 't4', 't5']);
+    expect(first[1].news.since).to.deep.equal(first[0].news.mark);
+  });
+
+  /*
+   * A new leader would read the same records two hundred times while entries wait for their settings. Keepers bring what
+   * they know; an entry is asked only where nobody else knows targets.
+   */
+  it('asks entries for their targets only where it knows none', async () => {
+    const { led } = await crowd(1);
+    const empty = await led.follow(question(0));
+    await led.announce(announcement(1));
+    const known = await led.follow(question(1));
+    expect([empty?.lacksTargets, known?.lacksTargets]).to.deep.equal([true, false]);
+  });
+});
--- a/packages/daemon/src/keeper/catalogueMachine.ts
+++ b/packages/daemon/src/keeper/catalogueMachine.ts
@@ -7,12 +7,14 @@
 export class CatalogueMachine implements machine.Machine {
   readonly versions = new domain.catalogue.versions.Versions();
 
+  private isTelling = false;
+
+  /** `onChange` is told the newest edition once all that were committed together are applied. */
   constructor(private readonly onChange: (edition: Edition) => void) {}
 
   apply(command: unknown): domain.catalogue.versions.Acceptance {
-    const edition = command as Edition;
-    const acceptance = this.versions.apply(edition);
-    if (acceptance.changed) this.onChange(edition);
+    const acceptance = this.versions.apply(command as Edition);
+    if (acceptance.changed) this.tellSoon();
     return acceptance;
   }
 
@@ -26,4 +28,18 @@
     this.versions.restore(edition);
     this.onChange(edition);
   }
+
+  /**
+   * A new leader applies all editions since the snapshot at once. To read each of them took one 80 ms after a loss of
+   * all, while every entry waited for the last.
+   */
+  private tellSoon(): void {
+    if (this.isTelling) return;
+    this.isTelling = true;
+    queueMicrotask(() => {
+      this.isTelling = false;
+      const { newest } = this.versions;
+      if (newest !== undefined) this.onChange(newest);
+    });
+  }
 }
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -28,6 +28,16 @@
 /** A new leader has heard of all entries after so long, milliseconds: three of their questions. */
 const KNOWS_ALL_MS = 1_500;
 
+/**
+ * Changes of targets that may be used are gathered for so long before they are pushed, milliseconds. After a loss of all 150
+ * targets announce themselves within 1.2 s; with a push for each, a new leader of 200 followers sent 30,000 and answered
+ * nobody for four seconds. Targets that leave are pushed at once, with all that was gathered.
+ */
+const GATHER_MS = 150;
+
+/** How long averages over the engines are given out before they are worked out anew, milliseconds; a fifth of a follower's pause. */
+const AVERAGES_MS = 100;
+
 /** Records of the registry's changes that are kept for followers that missed a push. */
 const KEPT_CHANGES = 512;
 
@@ -42,6 +52,14 @@
 
   private readonly placing: placing.Placing;
 
+  /** The end of the push that gathers changes now. */
+  private gathering: { done: Promise<void>; push: () => void } | undefined;
+
+  /** The mark that followers have once all that was pushed has arrived. */
+  private pushed: messages.RegistryMark = messages.NO_MARK;
+
+  private averages: { at: number; of: domain.allocation.unseen.Crowding[] } | undefined;
+
   private leads = false;
 
   private leadsSince = 0;
@@ -97,7 +115,8 @@
       kind: 'confirmed',
       keepers: this.options.host.replica.members.map(({ address }) => address),
       entries: now() - this.leadsSince < KNOWS_ALL_MS ? 0 : this.followers.entries(),
-      crowding: question.role === 'entry' ? this.allocator.averages() : [],
+      lacksTargets: this.options.holding.registry.size === 0,
+      crowding: question.role === 'entry' ? this.averagesNow() : [],
       news: this.newsFor(question),
     };
   }
@@ -137,7 +156,8 @@
 
   /** Pushes a catalogue that was accepted. */
   async publishEdition(edition: domain.catalogue.versions.Edition): Promise<void> {
-    await this.followers.push({ edition, mark: this.mark, since: this.mark, records: [] });
+    const { pushed } = this;
+    await this.followers.push({ edition, mark: pushed, since: pushed, records: [] });
   }
 
   async place(request: messages.Place): Promise<messages.PlaceAnswer> {
@@ -170,17 +190,51 @@
     else this.placing.close();
     this.leadsSince = this.options.now();
     if (leads) this.mark = { epoch: crypto.randomBytes(6).toString('hex'), change: 0 };
+    this.pushed = this.mark;
     this.changes = [];
   }
 
-  private async publish(records: Announcement[]): Promise<void> {
-    const since = this.mark;
+  private averagesNow(): domain.allocation.unseen.Crowding[] {
+    const now = this.options.now();
+    if (this.averages === undefined || now - this.averages.at >= AVERAGES_MS) {
+      this.averages = { at: now, of: this.allocator.averages() };
+    }
+    return this.averages.of;
+  }
+
+  /** Notes changes and pushes them; resolves when the followers in touch have them. */
+  private publish(records: Announcement[]): Promise<void> {
     records.forEach((record) => {
       this.mark = { ...this.mark, change: this.mark.change + 1 };
       this.changes.push({ mark: this.mark, record });
     });
     this.changes.splice(0, Math.max(0, this.changes.length - KEPT_CHANGES));
-    await this.followers.push({ edition: undefined, mark: this.mark, since, records });
+    const gathering = this.gather();
+    if (records.some(({ state }) => state !== 'ready')) gathering.push();
+    return gathering.done;
+  }
+
+  /** The push to which changes are added now. */
+  private gather(): { done: Promise<void>; push: () => void } {
+    if (this.gathering !== undefined) return this.gathering;
+    let push = (): void => undefined;
+    const done = new Promise<void>((resolve) => {
+      push = () => {
+        if (this.gathering?.done !== done) return;
+        this.gathering = undefined;
+        void this.pushChanges().then(resolve);
+      };
+    });
+    this.gathering = { done, push };
+    setTimeout(push, GATHER_MS);
+    return this.gathering;
+  }
+
+  private async pushChanges(): Promise<void> {
+    const { mark } = this;
+    const { since, records } = this.recordsSince(this.pushed);
+    this.pushed = mark;
+    await this.followers.push({ edition: undefined, mark, since, records });
   }
 
   private newsFor({ version, mark }: messages.Follow): messages.News {
--- a/packages/daemon/src/keeper/placing.ts
+++ b/packages/daemon/src/keeper/placing.ts
@@ -58,6 +58,12 @@
 /** Pause between two servings of those who wait, milliseconds; a fifth of a pass. */
 const SERVE_PAUSE_MS = 10;
 
+/**
+ * The pause is also so many times what the last serving took, so that servings take a quarter of the leader's time at
+ * most. With 150 engines one takes several milliseconds, and a leader that serves without end answers no entry.
+ */
+const SERVE_PAUSE_SHARE = 3;
+
 /** Callers that waited in vain are told to come back after so many times their wait. */
 const SPREAD = { least: 1, most: 2 } as const;
 
@@ -75,6 +81,8 @@
 
   private isServingSoon = false;
 
+  private servePauseMs = SERVE_PAUSE_MS;
+
   constructor(private readonly parts: Parts) {}
 
   open(): void {
@@ -109,9 +117,11 @@
     if (this.isServingSoon || this.line.length === 0) return;
     this.isServingSoon = true;
     // Once more while requests wait: places become free with time too, as what an engine has to read becomes less.
-    this.parts.clock.after(SERVE_PAUSE_MS, () => {
+    this.parts.clock.after(this.servePauseMs, () => {
       this.isServingSoon = false;
-      this.line.serve(this.now);
+      const begun = this.now;
+      this.line.serve(begun);
+      this.servePauseMs = Math.max(SERVE_PAUSE_MS, SERVE_PAUSE_SHARE * (this.now - begun));
       this.serveSoon();
     });
   }
--- a/packages/daemon/src/replicas/logHost.ts
+++ b/packages/daemon/src/replicas/logHost.ts
@@ -48,6 +48,12 @@
 /** Pause before a disk that refused a write is tried again, milliseconds. */
 const RECOVER_EVERY_MS = 250;
 
+/**
+ * Urgent questions whether this replica still leads are gathered for so long, milliseconds. After a loss of all, each of
+ * two hundred entries asks within some tenths of a second, and one round of the quorum answers them as well as two hundred.
+ */
+const GATHER_URGENT_MS = 10;
+
 /** How long the question whether this replica still leads may stay open, milliseconds. */
 const CONFIRM_TIMEOUT_MS = 700;
 
@@ -81,6 +87,8 @@
 
   private confirmations: Confirmation[] = [];
 
+  private asking: NodeJS.Timeout | undefined;
+
   private recovering = false;
 
   private isClosed = false;
@@ -118,7 +126,7 @@
 
   /**
    * Whether this replica still leads and holds the newest state as of now. An urgent question asks the
-   * quorum at once; any other waits for the next heartbeat.
+   * quorum soon; any other waits for the next heartbeat.
    */
   confirm(urgent: boolean): Promise<boolean> {
     return new Promise((resolve) => {
@@ -129,11 +137,19 @@
       };
       this.put((now) => {
         this.confirmations.push({ since: now, resolve: settle });
-        return urgent ? this.replica.askQuorum(now) : domain.replication.messages.noEffects();
+        return domain.replication.messages.noEffects();
       });
+      if (urgent) this.askSoon();
     });
   }
 
+  private askSoon(): void {
+    this.asking ??= setTimeout(() => {
+      this.asking = undefined;
+      this.put((now) => this.replica.askQuorum(now));
+    }, GATHER_URGENT_MS);
+  }
+
   /** Proposes another replica set; the step is done when a later look shows it committed. */
   changeMembers(members: domain.replication.messages.Member[], onTaken: () => void): void {
     this.put((now) => {
@@ -169,6 +185,7 @@
   async close(): Promise<void> {
     // A write under way fails when the journal closes; nothing must be recovered for that, for ever, in a closed host.
     this.isClosed = true;
+    clearTimeout(this.asking);
     while (this.running) {
       await new Promise((resolve) => {
         setImmediate(resolve);
--- a/packages/domain/src/registry/registry.ts
+++ b/packages/domain/src/registry/registry.ts
@@ -141,6 +141,10 @@
     return this.entries.get(id)?.record;
   }
 
+  get size(): number {
+    return this.entries.size;
+  }
+
   records(): Announcement[] {
     return [...this.entries.values()].map(({ record }) => record);
   }
