Keep a new leader answering while a crowd of prompts comes back

Change: places are given four in a turn of the loop; those who wait get a quarter of the leader's time, and a postponed prompt 4 in 100, both by what an attempt costs for each engine. Fleets of some 20 engines keep their 10 ms.

--- a/packages/daemon/src/keeper/__tests__/crowd.test.ts
+++ b/packages/daemon/src/keeper/__tests__/crowd.test.ts
@@ -13,6 +13,7 @@
 import type * as logHost from '../../replicas/logHost';
 import type * as peerClient from '../../rpc/peerClient';
 import * as leadership from '../leadership';
+import * as turns from '../turns';
 
 const { expect } = chai;
 
@@ -158,4 +159,31 @@
     const known = await led.follow(question(1));
     expect([empty?.lacksTargets, known?.lacksTargets]).to.deep.equal([true, false]);
   });
+
+  /*
+   * A living leader would be replaced. Five hundred prompts come back within a turn of its loop, each costs it two
+   * milliseconds, and its next heartbeat must not wait for all of them.
+   */
+  it('places a crowd of prompts a few in each turn', async () => {
+    const queue = new turns.Turns();
+    const order: string[] = [];
+    const placed = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10].map((i) =>
+      queue.run(() => {
+        order.push(`prompt ${i}`);
+      }),
+    );
+    const between = async (): Promise<void> => {
+      while (order.length < 11) {
+        await new Promise(setImmediate);
+        if (order.length > 0) order.push('other work');
+      }
+    };
+    await Promise.all([...placed, between()]);
+    expect(order.indexOf('other work')).to.be.within(1, 4);
+    expect(order.filter((each) => each !== 'other work')).to.deep.equal(
+      placed.map((_each, i) => `prompt ${i + 1}`),
+    );
+    const failing = queue.run(() => Promise.reject(new Error('no')));
+    expect(await failing.catch((error: Error) => error.message)).to.equal('no');
+  });
 });
--- /dev/null
+++ b/packages/daemon/src/keeper/__tests__/placing.test.ts
@@ -0,0 +1,99 @@
+/** What those who wait for a place cost a leader of 150 engines, in virtual time. */
+import * as chai from 'chai';
+import * as domain from '@celerydrift/domain';
+import * as random from '@celerydrift/domain/dist/shared/random';
+import * as placing from '../placing';
+
+const { expect } = chai;
+
+const ENGINES = 150;
+
+/** Cost of an attempt at so many engines with cold code, as measured; milliseconds. */
+const ATTEMPT_MS = 1.5;
+
+/** The engines of the users' largest fleet. */
+const ENGINE: domain.catalogue.catalogue.Engine = {
+  memoryTokens: 315_000,
+  slots: 7,
+  stepMs: 0.85,
+  writerStepMs: 0.006,
+  contextStepMs: 0.00285,
+  readTokensPerMs: 177,
+  pairMsPerMillion: 0.184,
+  chunkTokens: 2_048,
+  stepsPerPass: 80,
+  usualAnswerTokens: 1_600,
+  hopMs: 0.05,
+};
+
+/** Counts attempts, all in vain. */
+class Full extends domain.allocation.allocator.Allocator {
+  attempts = 0;
+
+  override choose(): domain.allocation.allocator.Choice {
+    this.attempts += 1;
+    return { kind: 'full' };
+  }
+}
+
+function fullFleet(): Full {
+  const made = new Full();
+  made.setServices([{ name: 's', healthPath: '/', maxConnections: 200, engine: ENGINE }]);
+  for (let i = 0; i < ENGINES; i++) {
+    made.observe({
+      id: `t${i}`,
+      bornAt: 1,
+      service: 's',
+      address: `10.0.0.${i}:80`,
+      dataCentre: 'east',
+      slots: 7,
+      state: 'ready',
+      sequence: 1,
+    });
+  }
+  return made;
+}
+
+describe('placing in a burst', () => {
+  /*
+   * Entries and keepers lost a leader that was only busy. Hundreds of prompts of several kinds waited while all engines
+   * were full, and every 10 ms it tried eight of them at 150 engines: more than it could do in 10 ms.
+   */
+  it('spends a quarter of the leader on those who wait', () => {
+    const allocator = fullFleet();
+    const timers: { at: number; action: () => void }[] = [];
+    let now = 0;
+    const tested = new placing.Placing({
+      allocator,
+      clock: { now: () => now, after: (ms, action) => timers.push({ at: now + ms, action }) },
+      random: random.seeded(1),
+      onRefused: () => undefined,
+    });
+    tested.open();
+    for (let i = 0; i < 200; i++) {
+      const request = {
+        id: `r${i}`,
+        entry: 'e',
+        service: 's',
+        tokens: 10_000 - i,
+        answerTokens: 1_600,
+        // Ten kinds of callers, so that a failure says little of the others.
+        objectiveMs: 4_000,
+        pauseMs: 200 + (i % 10),
+        waitedMs: 0,
+        dataCentre: 'east',
+        excluded: [],
+        patienceMs: 2_000,
+      };
+      tested.ask(request, () => undefined);
+    }
+    allocator.attempts = 0;
+    while (timers.length > 0 && now < 1_000) {
+      timers.sort((a, b) => a.at - b.at);
+      const next = timers.shift();
+      now = next?.at ?? now;
+      next?.action();
+    }
+    expect(allocator.attempts * ATTEMPT_MS).to.be.within(100, 300);
+  });
+});
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -13,6 +13,7 @@
 import type * as peerClient from '../rpc/peerClient';
 import * as followers from './followers';
 import * as placing from './placing';
+import * as turns from './turns';
 
 type Announcement = domain.registry.registry.Announcement;
 
@@ -53,6 +54,8 @@
 
   private readonly placing: placing.Placing;
 
+  private readonly turns = new turns.Turns();
+
   /** The end of the push that gathers changes now. */
   private gathering: { done: Promise<void>; push: () => void } | undefined;
 
@@ -165,7 +168,7 @@
   }
 
   async place(request: messages.Place): Promise<messages.PlaceAnswer> {
-    const answer = await this.placing.place(request);
+    const answer = await this.turns.run(() => this.placing.place(request));
     return answer.kind === 'closed' ? { kind: 'redirect', leader: '' } : answer;
   }
 
--- a/packages/daemon/src/keeper/placing.ts
+++ b/packages/daemon/src/keeper/placing.ts
@@ -55,14 +55,27 @@
  */
 const POSTPONED_MS = { least: 20, most: 200 } as const;
 
+/**
+ * What considering a prompt that several engines read costs, in attempts for a short one, and the part of a leader's time that
+ * each postponed prompt may take. Bursts postpone some twenty of them at once.
+ */
+const CONSIDERATION = 3;
+const POSTPONED_SHARE = 0.04;
+
 /** Pause between two servings of those who wait, milliseconds; a fifth of a pass. */
 const SERVE_PAUSE_MS = 10;
 
 /**
- * The pause is also so many times what the last serving took, so that servings take a quarter of the leader's time at
- * most. With 150 engines one takes several milliseconds, and a leader that serves without end answers no entry.
+ * What an attempt to place a prompt costs a leader for each engine, milliseconds: the first hundred after a start, when the
+ * code is cold, at 150 engines; later ones a third.
+ */
+const ATTEMPT_MS_PER_ENGINE = 0.01;
+
+/**
+ * Part of its time that a leader spends on those who wait. With 150 engines eight attempts take 12 ms; every 10 ms, they
+ * kept a leader from its heartbeats and its followers for a second, and another one was elected.
  */
-const SERVE_PAUSE_SHARE = 3;
+const SERVE_SHARE = 0.25;
 
 /** Callers that waited in vain are told to come back after so many times their wait. */
 const SPREAD = { least: 1, most: 2 } as const;
@@ -119,13 +132,18 @@
     // Once more while requests wait: places become free with time too, as what an engine has to read becomes less.
     this.parts.clock.after(this.servePauseMs, () => {
       this.isServingSoon = false;
-      const begun = this.now;
-      this.line.serve(begun);
-      this.servePauseMs = Math.max(SERVE_PAUSE_MS, SERVE_PAUSE_SHARE * (this.now - begun));
+      const attempts = this.line.serve(this.now);
+      const workMs = attempts * this.attemptMs;
+      this.servePauseMs = Math.max(SERVE_PAUSE_MS, workMs / SERVE_SHARE);
       this.serveSoon();
     });
   }
 
+  /** What placing a prompt takes, milliseconds; a short one. */
+  private get attemptMs(): number {
+    return ATTEMPT_MS_PER_ENGINE * this.parts.allocator.engineCount;
+  }
+
   private get now(): number {
     return this.parts.clock.now();
   }
@@ -153,7 +171,8 @@
 
   private postpone(candidate: Candidate, wantedMs: number): void {
     const { least, most } = POSTPONED_MS;
-    const inMs = Math.min(most, Math.max(least, wantedMs));
+    const bearable = Math.max(least, (this.attemptMs * CONSIDERATION) / POSTPONED_SHARE);
+    const inMs = Math.min(most, Math.max(bearable, wantedMs));
     this.parts.clock.after(inMs, () => this.consider(candidate));
   }
 
--- a/packages/daemon/src/keeper/waitingLine.ts
+++ b/packages/daemon/src/keeper/waitingLine.ts
@@ -39,8 +39,11 @@
     this.line.push(waiting);
   }
 
-  /** Serves those that can be served now, and ends the waits that are over. */
-  serve(now: number): void {
+  /**
+   * Serves those that can be served now, and ends the waits that are over; the number of attempts comes back. Those
+   * without success cost as much as others.
+   */
+  serve(now: number): number {
     const expired = this.line.filter(({ until }) => until <= now);
     const isLate = (waiting: Waiting<T>): number => (waiting.inTimeUntil <= now ? 1 : 0);
     const current = this.line
@@ -48,7 +51,9 @@
       .sort((a, b) => isLate(a) - isLate(b) || a.since - b.since);
     this.line = current;
     expired.forEach(({ resolve }) => resolve(undefined));
-    this.line = unserved(current);
+    const { left, attempts } = serveEach(current);
+    this.line = left;
+    return attempts;
   }
 
   /** Ends all waits. */
@@ -58,9 +63,10 @@
 }
 
 /** Serves what it can; the others come back. */
-function unserved<T>(line: readonly Waiting<T>[]): Waiting<T>[] {
+function serveEach<T>(line: readonly Waiting<T>[]): { left: Waiting<T>[]; attempts: number } {
   const failed: Waiting<T>[] = [];
-  return line.filter((waiting) => {
+  let served = 0;
+  const left = line.filter((waiting) => {
     const { tokens, pauseMs } = waiting;
     const isHopeless = failed.some((each) => each.pauseMs === pauseMs && each.tokens <= tokens);
     if (isHopeless || failed.length >= MOST_FAILED) return true;
@@ -69,7 +75,9 @@
       failed.push(waiting);
       return true;
     }
+    served += 1;
     waiting.resolve(found);
     return false;
   });
+  return { left, attempts: served + failed.length };
 }
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -218,6 +218,11 @@
       .forEach(([id]) => this.ended(id, 'cancelled', now));
   }
 
+  /** Engines that it knows, of all services. */
+  get engineCount(): number {
+    return this.loads.size;
+  }
+
   get size(): number {
     return this.dispatches.size;
   }
