--- a/packages/measure/src/measure.ts
+++ b/packages/measure/src/measure.ts
@@ -4,6 +4,7 @@
 import * as commander from 'commander';
 import * as decisions from './decisions/decisions';
 import * as faults from './faults/faults';
+import * as leader from './leader/leader';
 import * as ledger from './ledger/ledger';
 import * as mixed from './mixed/mixedScenario';
 import * as overhead from './overhead/overhead';
@@ -21,6 +22,7 @@
   overhead: overhead.run,
   faults: (_quick, say) => faults.run(say),
   settings: settings.run,
+  leader: leader.run,
   ledger: ledger.run,
   slopes: slopes.run,
   state: state.run,
