Ask a busy leader for one sign of life at a time

Change: a sign of life serves for 300 ms; a prompt that goes on waiting asks again every 150 ms, so that a leader that freezes right after a sign is found 300 ms later at most. Test: eight that wait ask 2 to 5 times together.

--- a/packages/daemon/src/entry/__tests__/chooser.test.ts
+++ b/packages/daemon/src/entry/__tests__/chooser.test.ts
@@ -70,6 +70,9 @@
   let made: chooser.Chooser;
   let ended: messages.EndedDispatch[];
 
+  /** How often the leader was asked for a sign of life. */
+  let asked: number;
+
   /** How the leader behaves: after how long it answers each call; infinite for never. */
   let delays: { place: number; other: number };
 
@@ -86,9 +89,13 @@
   beforeEach(async () => {
     delays = { place: 0, other: 0 };
     ended = [];
+    asked = 0;
     server = new peerServer.PeerServer('a-secret-of-the-test', undefined, observe);
     server.add('place', () => after(delays.place, PLACED));
-    server.add('identify', () => after(delays.other, {}));
+    server.add('identify', () => {
+      asked += 1;
+      return after(delays.other, {});
+    });
     server.add('ended', (content) => {
       ended.push(...(content as messages.Ended).dispatches);
       return {};
@@ -181,4 +188,20 @@
     await pause(500);
     expect(ended.map(({ id, ending }) => [id, ending])).to.deep.equal([['r1/0.0', 'cancelled']]);
   });
+
+  /*
+   * A busy leader was asked for signs of life a thousand times a second, and had no time left for places. Each prompt that
+   * waited a little asked by itself; one sign serves all that wait at an entry.
+   */
+  it('asks a busy leader for one sign of life at a time, however many wait', async () => {
+    delays.place = 1_000;
+    const waiting: Promise<unknown>[] = [];
+    for (let i = 0; i < 8; i++) {
+      waiting.push(target(2_000));
+      await pause(50);
+    }
+    await Promise.all(waiting);
+    // The first after 150 ms, the last after 1.4 s, and 300 ms between them.
+    expect(asked).to.be.within(2, 5);
+  });
 });
--- a/packages/daemon/src/entry/chooser.ts
+++ b/packages/daemon/src/entry/chooser.ts
@@ -135,7 +135,8 @@
   /** The leader's answer; undefined where it comes too late or the leader is lost before. */
   private async inTime<T>(answering: Promise<T>, timeoutMs: number): Promise<T | undefined> {
     const { link } = this.options;
-    const verify = setTimeout(() => {
+    // Again and again, as one that has just given a sign of life isn't asked at once.
+    const verify = setInterval(() => {
       void link.verify();
     }, PLACE_TIMEOUT_MS);
     let limit: NodeJS.Timeout | undefined;
@@ -145,7 +146,7 @@
       forget = link.onLost(() => resolve(undefined));
     });
     const answer = await Promise.race([answering, given]);
-    clearTimeout(verify);
+    clearInterval(verify);
     clearTimeout(limit);
     forget();
     return answer;
--- a/packages/daemon/src/fleet/leaderLink.ts
+++ b/packages/daemon/src/fleet/leaderLink.ts
@@ -42,6 +42,13 @@
  */
 const SIGN_OF_LIFE_MS = 300;
 
+/**
+ * A leader that gave a sign of life so lately isn't asked for another, milliseconds; a frozen one is
+ * found that much later at most. While a crowd came back to a new leader, two hundred entries asked it a
+ * thousand times a second, each time one of their prompts had waited a little.
+ */
+const SIGN_FRESH_MS = 300;
+
 /** A leader that is silent for longer is looked for elsewhere; covers its wait for the next heartbeat. */
 const FOLLOW_TIMEOUT_MS = 700;
 
@@ -70,6 +77,9 @@
 
   private isVerifying = false;
 
+  /** When the present leader last answered that it lives. */
+  private signOfLifeAt = clock.NEVER;
+
   /** Called when the present leader is lost. */
   private readonly losses = new Set<() => void>();
 
@@ -123,15 +133,19 @@
    */
   async verify(): Promise<void> {
     const { leader, isVerifying } = this;
-    if (isVerifying || leader === '') return;
+    const sinceSignMs = clock.elapsed(this.signOfLifeAt, this.options.moment());
+    if (isVerifying || leader === '' || sinceSignMs < SIGN_FRESH_MS) return;
     this.isVerifying = true;
     const options = { timeoutMs: SIGN_OF_LIFE_MS };
     const answer = await this.options.client.call(leader, 'identify', {}, options);
     this.isVerifying = false;
-    if (answer.err && this.leader === leader) {
-      this.lose('no sign of life');
-      this.schedule(0);
+    if (this.leader !== leader) return;
+    if (answer.ok) {
+      this.signOfLifeAt = this.options.moment();
+      return;
     }
+    this.lose('no sign of life');
+    this.schedule(0);
   }
 
   private schedule(delayMs: number): void {
@@ -235,6 +249,7 @@
     }
     this.leader = '';
     this.told = '';
+    this.signOfLifeAt = clock.NEVER;
     [...this.losses].forEach((onLost) => onLost());
     this.losses.clear();
   }
