Let a lifetime that was wrongly presumed dead return at the followers too

Cause (found in reading): the leader revives a target whose end it only concluded once the target goes on announcing itself, and publishes it; entries and other keepers held that a lifetime that is gone never returns, so a plain target got no calls from any entry for the rest of its life, and a new leader never used it.

Change: an end that was only concluded says so and yields to a later word, unless another lifetime has the address by then; an end that was announced stands. Tests: revived at followers (fails before), no copy revives one whose address is taken.

--- a/packages/domain/src/registry/__tests__/registry.test.ts
+++ b/packages/domain/src/registry/__tests__/registry.test.ts
@@ -51,6 +51,42 @@
     expect(states(made)).to.deep.equal({ old: 'gone', new: 'ready' });
   });
 
+  /*
+   * A plain target got no calls from any entry for the rest of the day. The leader took it for ended, told the entries
+   * so, and revived it when it went on announcing itself; the entries held that a lifetime that is gone never returns.
+   */
+  it('revives it at followers too, and only by a later word', () => {
+    const leader = new registry.Registry();
+    const follower = new registry.Registry();
+    const tell = (changed: registry.Announcement[]): void => {
+      follower.merge(changed, 0);
+    };
+    tell(leader.announce(announcement('a', { sequence: 7 }), 0));
+    tell(leader.presumeEnded('a', 100));
+    expect(states(follower)).to.deep.equal({ a: 'gone' });
+    // Another copy of the registry that hasn't heard of the end says nothing new.
+    tell([announcement('a', { sequence: 7 })]);
+    expect(states(follower)).to.deep.equal({ a: 'gone' });
+    tell(leader.announce(announcement('a', { sequence: 8 }), 200));
+    tell(leader.announce(announcement('a', { sequence: 9 }), 1_000));
+    expect(states(follower)).to.deep.equal({ a: 'ready' });
+    tell(leader.depart('a', 1_100));
+    tell([announcement('a', { sequence: 10 })]);
+    expect(states(follower)).to.deep.equal({ a: 'gone' });
+  });
+
+  /*
+   * A living target would lose its requests to a dead one at its address. A keeper that missed the end of the old lifetime
+   * meets a new leader, and its copy says that the old one is ready, with a later number than the leader heard.
+   */
+  it('lets no copy revive a lifetime whose address another one has', () => {
+    const leader = new registry.Registry();
+    leader.announce(announcement('old', { sequence: 7 }), 0);
+    leader.announce(announcement('new'), 100);
+    leader.merge([announcement('old', { sequence: 9 })], 200);
+    expect(states(leader)).to.deep.equal({ old: 'gone', new: 'ready' });
+  });
+
   /*
    * A live server would get no work for ever. The late announcement of a dead lifetime is the first that a
    * new leader hears, so it takes the live one for replaced; the live one goes on announcing itself.
--- a/packages/domain/src/registry/registry.ts
+++ b/packages/domain/src/registry/registry.ts
@@ -28,6 +28,11 @@
    * target may have ended meanwhile, so it is used with care.
    */
   isRemembered?: boolean;
+  /**
+   * Whether this end was only concluded from somebody else at the target's address. A later word of its own proves
+   * that wrong; an end that it announced itself stands.
+   */
+  isPresumed?: boolean;
 }
 
 const RANK: Record<State, number> = { ready: 0, draining: 1, gone: 2 };
@@ -54,8 +59,6 @@
 interface Entry {
   record: Announcement;
   heardAt: number;
-  /** Whether its end was only concluded from another lifetime at its address. */
-  isPresumedDead: boolean;
   /** First announcement after it was presumed dead; 0 if none came. */
   contradictedAt: number;
 }
@@ -69,7 +72,7 @@
     if (known === undefined) return this.add(announcement, now);
     if (announcement.bornAt > known.record.bornAt) return this.startAgain(known, announcement, now);
     if (announcement.bornAt < known.record.bornAt) return [];
-    if (known.isPresumedDead) return this.contradict(known, announcement, now);
+    if (isPresumedDead(known)) return this.contradict(known, announcement, now);
     return this.update(known, announcement, now);
   }
 
@@ -82,7 +85,7 @@
       this.keep(record, now);
       return [record];
     }
-    known.isPresumedDead = false;
+    known.record = { ...known.record, isPresumed: undefined };
     if (known.record.state === 'gone') return [];
     return [this.end(known, now)];
   }
@@ -91,9 +94,7 @@
   presumeEnded(id: string, now: number): Announcement[] {
     const known = this.entries.get(id);
     if (known === undefined || known.record.state === 'gone') return [];
-    known.isPresumedDead = true;
-    known.contradictedAt = 0;
-    return [this.end(known, now)];
+    return [this.presumeEnd(known, now)];
   }
 
   /**
@@ -131,8 +132,7 @@
         return !isOnlyRemembered(other) || isOnlyRemembered(record);
       });
       if (!isContested) return this.add(record, now);
-      const presumed: Announcement = { ...record, state: 'gone' };
-      this.keep(presumed, now).isPresumedDead = true;
+      this.keep({ ...record, state: 'gone', isPresumed: true }, now);
       return [];
     });
   }
@@ -155,10 +155,9 @@
    */
   durable(): Announcement[] {
     return [...this.entries.values()]
-      .filter(({ record, isPresumedDead }) => {
-        return !isPresumedDead && !(record.state === 'gone' && isOnlyRemembered(record));
-      })
-      .map(({ record }) => record);
+      .filter((entry) => !isPresumedDead(entry))
+      .map(({ record }) => record)
+      .filter((record) => record.state !== 'gone' || !isOnlyRemembered(record));
   }
 
   /** Targets of a service that take new work. */
@@ -174,7 +173,7 @@
   }
 
   private keep(record: Announcement, now: number): Entry {
-    const entry = { record, heardAt: now, isPresumedDead: false, contradictedAt: 0 };
+    const entry = { record, heardAt: now, contradictedAt: 0 };
     this.entries.set(record.id, entry);
     return entry;
   }
@@ -185,6 +184,13 @@
     return entry.record;
   }
 
+  private presumeEnd(entry: Entry, now: number): Announcement {
+    this.end(entry, now);
+    entry.record = { ...entry.record, isPresumed: true };
+    entry.contradictedAt = 0;
+    return entry.record;
+  }
+
   private at(address: string): Entry[] {
     return [...this.entries.values()].filter(
       ({ record }) => record.address === address && record.state !== 'gone',
@@ -193,7 +199,16 @@
 
   private mergeKnown(known: Entry, record: Announcement, now: number): Announcement[] {
     if (record.bornAt > known.record.bornAt) return this.startAgain(known, record, now);
-    return record.bornAt < known.record.bornAt ? [] : this.update(known, record, now);
+    if (record.bornAt < known.record.bornAt) return [];
+    // Whoever heard it speak has judged whether that was a word held up since before its death.
+    const isRevived =
+      isPresumedDead(known) &&
+      record.state !== 'gone' &&
+      !isOnlyRemembered(record) &&
+      record.sequence > known.record.sequence &&
+      // A copy that missed the end must not take the address from the one that lives there.
+      this.at(record.address).length === 0;
+    return isRevived ? this.add(record, now) : this.update(known, record, now);
   }
 
   /**
@@ -238,11 +253,7 @@
   }
 
   private presumeDead(address: string, now: number): Announcement[] {
-    return this.at(address).map((entry) => {
-      entry.isPresumedDead = true;
-      entry.contradictedAt = 0;
-      return this.end(entry, now);
-    });
+    return this.at(address).map((entry) => this.presumeEnd(entry, now));
   }
 
   private contradict(known: Entry, announcement: Announcement, now: number): Announcement[] {
@@ -253,6 +264,10 @@
   }
 }
 
+function isPresumedDead({ record }: Entry): boolean {
+  return record.isPresumed === true;
+}
+
 function isOnlyRemembered({ isRemembered }: Announcement): boolean {
   return isRemembered === true;
 }
