--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -3,16 +3,15 @@
  * pushes its changes, places requests on engines, and repairs the replica set. All of it is soft state that a
  * new leader gets back from the followers within a second.
  */
-import * as crypto from 'node:crypto';
 import * as domain from '@celerydrift/domain';
 import type * as holding from '../fleet/holding';
-import * as messages from '../fleet/messages';
-import * as registryCopies from '../fleet/registryCopies';
+import type * as messages from '../fleet/messages';
 import type * as observer from '../observability/observer';
 import type * as logHost from '../replicas/logHost';
 import type * as peerClient from '../rpc/peerClient';
 import * as followers from './followers';
 import * as placing from './placing';
+import * as registryNews from './registryNews';
 import * as turns from './turns';
 
 type Announcement = domain.registry.registry.Announcement;
@@ -30,40 +29,19 @@
 /** A new leader has heard of all entries after so long, milliseconds: three of their questions. */
 const KNOWS_ALL_MS = 1_500;
 
-/**
- * Changes of targets that may be used are gathered for so long before they are pushed, milliseconds. After a loss of all 150
- * targets announce themselves within 1.2 s; with a push for each, a new leader of 200 followers sent 30,000 and answered
- * nobody for four seconds. Targets that leave are pushed at once, with all that was gathered.
- */
-const GATHER_MS = 150;
-
 /** How long averages over the engines are given out before they are worked out anew, milliseconds; a fifth of a follower's pause. */
 const AVERAGES_MS = 100;
 
-/** Records of the registry's changes that are kept for followers that missed a push. */
-const KEPT_CHANGES = 512;
-
 export class Leadership {
   readonly followers: followers.Followers;
 
   readonly allocator = new domain.allocation.allocator.Allocator();
 
-  private mark: messages.RegistryMark = messages.NO_MARK;
-
-  private changes: { mark: messages.RegistryMark; record: Announcement }[] = [];
-
   private readonly placing: placing.Placing;
 
   private readonly turns = new turns.Turns();
 
-  /** The end of the push that gathers changes now. */
-  private gathering: { done: Promise<void>; push: () => void } | undefined;
-
-  /** The mark that followers have once all that was pushed has arrived. */
-  private pushed: messages.RegistryMark = messages.NO_MARK;
-
-  /** The whole registry at a mark, for followers that need all of it. */
-  private copy: { mark: messages.RegistryMark; packed: Uint8Array } | undefined;
+  private readonly news: registryNews.RegistryNews;
 
   private averages: { at: number; of: domain.allocation.unseen.Crowding[] } | undefined;
 
@@ -74,6 +52,10 @@
   constructor(private readonly options: Options) {
     const { client, now, random, observer: observe } = options;
     this.followers = new followers.Followers(client, now);
+    this.news = new registryNews.RegistryNews({
+      records: () => this.options.holding.registry.records(),
+      push: (news) => this.followers.push(news),
+    });
     this.placing = new placing.Placing({
       allocator: this.allocator,
       clock: { now, after: (ms, action) => setTimeout(action, ms) },
@@ -102,7 +84,7 @@
       .forEach(({ name }) => this.allocator.forgetEntry(name, now()));
     held.registry.forget(now());
     const silent = held.endRemembered(this.leadsSince);
-    if (silent.length > 0) void this.publish(silent);
+    if (silent.length > 0) void this.news.publish(silent);
     this.placing.serveSoon();
   }
 
@@ -139,13 +121,13 @@
       return;
     }
     const changed = held.takeAnnouncement(announcement);
-    if (changed.length > 0) await this.publish(changed);
+    if (changed.length > 0) await this.news.publish(changed);
   }
 
   /** Takes what a follower knows of targets. */
   private async take(records: readonly Announcement[]): Promise<void> {
     const changed = this.options.holding.takeRecords(records);
-    if (changed.length > 0) await this.publish(changed);
+    if (changed.length > 0) await this.news.publish(changed);
   }
 
   async depart({ id, bornAt }: messages.Departed): Promise<void> {
@@ -158,13 +140,12 @@
       before: known?.state,
     });
     changed.forEach((record) => this.allocator.observe(record));
-    await this.publish(changed);
+    await this.news.publish(changed);
   }
 
   /** Pushes a catalogue that was accepted. */
-  async publishEdition(edition: domain.catalogue.versions.Edition): Promise<void> {
-    const { pushed } = this;
-    await this.followers.push({ edition, mark: pushed, since: pushed, records: [] });
+  publishEdition(edition: domain.catalogue.versions.Edition): Promise<void> {
+    return this.news.publishEdition(edition);
   }
 
   async place(request: messages.Place): Promise<messages.PlaceAnswer> {
@@ -187,7 +168,7 @@
     if (changed.length === 0) return;
     this.options.observer.log('targetAnnounced', { target: id, state: 'gone', presumed: true });
     changed.forEach((record) => this.allocator.observe(record));
-    void this.publish(changed);
+    void this.news.publish(changed);
   }
 
   private turn(leads: boolean): void {
@@ -196,9 +177,7 @@
     if (leads) this.placing.open();
     else this.placing.close();
     this.leadsSince = this.options.now();
-    if (leads) this.mark = { epoch: crypto.randomBytes(6).toString('hex'), change: 0 };
-    this.pushed = this.mark;
-    this.changes = [];
+    if (leads) this.news.begin();
   }
 
   private averagesNow(): domain.allocation.unseen.Crowding[] {
@@ -209,67 +188,9 @@
     return this.averages.of;
   }
 
-  /** Notes changes and pushes them; resolves when the followers in touch have them. */
-  private publish(records: Announcement[]): Promise<void> {
-    records.forEach((record) => {
-      this.mark = { ...this.mark, change: this.mark.change + 1 };
-      this.changes.push({ mark: this.mark, record });
-    });
-    this.changes.splice(0, Math.max(0, this.changes.length - KEPT_CHANGES));
-    const gathering = this.gather();
-    if (records.some(({ state }) => state !== 'ready')) gathering.push();
-    return gathering.done;
-  }
-
-  /** The push to which changes are added now. */
-  private gather(): { done: Promise<void>; push: () => void } {
-    if (this.gathering !== undefined) return this.gathering;
-    let push = (): void => undefined;
-    const done = new Promise<void>((resolve) => {
-      push = () => {
-        if (this.gathering?.done !== done) return;
-        this.gathering = undefined;
-        void this.pushChanges().then(resolve);
-      };
-    });
-    this.gathering = { done, push };
-    setTimeout(push, GATHER_MS);
-    return this.gathering;
-  }
-
-  private async pushChanges(): Promise<void> {
-    const { mark } = this;
-    const news = this.recordsSince(this.pushed);
-    this.pushed = mark;
-    await this.followers.push({ edition: undefined, mark, ...news });
-  }
-
-  private wholeRegistry(): Uint8Array {
-    if (this.copy === undefined || !messages.isSameMark(this.copy.mark, this.mark)) {
-      const packed = registryCopies.pack(this.options.holding.registry.records());
-      this.copy = { mark: this.mark, packed };
-    }
-    return this.copy.packed;
-  }
-
   private newsFor({ version, mark }: messages.Follow): messages.News {
     const newest = this.options.newest();
     const edition = newest !== undefined && newest.version > version ? newest : undefined;
-    return { edition, mark: this.mark, ...this.recordsSince(mark) };
-  }
-
-  private recordsSince(
-    mark: messages.RegistryMark,
-  ): Pick<messages.News, 'since' | 'records' | 'packedRegistry'> {
-    if (messages.isSameMark(mark, this.mark)) return { since: mark, records: [] };
-    const first = this.changes[0];
-    const reaches =
-      first !== undefined &&
-      mark.epoch === this.mark.epoch &&
-      mark.change >= first.mark.change - 1 &&
-      mark.change < this.mark.change;
-    if (!reaches) return { since: undefined, records: [], packedRegistry: this.wholeRegistry() };
-    const missed = this.changes.filter((each) => each.mark.change > mark.change);
-    return { since: mark, records: missed.map(({ record }) => record) };
+    return { edition, ...this.news.since(mark) };
   }
 }
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -140,10 +140,7 @@
   /** Assumes that others write as much on each engine. */
   assume(averages: readonly unseen.Crowding[]): void {
     averages.forEach((each) => this.crowding.set(each.service, each));
-    this.loads.forEach((each) => {
-      const crowding = this.crowding.get(each.record.service);
-      if (crowding !== undefined) unseen.assume(each, crowding);
-    });
+    this.loads.forEach((each) => this.assumeOthers(each));
   }
 
   /** A place for the request at once, or undefined where every engine is full. */
@@ -229,11 +226,15 @@
 
   private loadOf(engine: catalogue.Engine, record: registry.Announcement): load.Load {
     const made = new load.Load(engine, record);
-    const crowding = this.crowding.get(record.service);
-    if (crowding !== undefined) unseen.assume(made, crowding);
+    this.assumeOthers(made);
     return made;
   }
 
+  private assumeOthers(on: load.Load): void {
+    const crowding = this.crowding.get(on.record.service);
+    if (crowding !== undefined) unseen.assume(on, crowding);
+  }
+
   /** Engines that take work; those that failed lately only where there are no others. */
   private usable({ service, excluded }: Request, now: number): load.Load[] {
     const ready = [...this.loads.values()].filter(
