--- a/packages/domain/src/registry/__tests__/registry.test.ts
+++ b/packages/domain/src/registry/__tests__/registry.test.ts
@@ -2,25 +2,11 @@
 import * as chai from 'chai';
 import * as registry from '../registry';
 import * as validity from '../validity';
+import * as fixture from './__fixtures__/announcement';
 
 const { expect } = chai;
 
-function announcement(
-  id: string,
-  more: Partial<registry.Announcement> = {},
-): registry.Announcement {
-  return {
-    id,
-    bornAt: 0,
-    service: 'engines',
-    address: '10.0.0.1:80',
-    dataCentre: 'east',
-    slots: 11,
-    state: 'ready',
-    sequence: 1,
-    ...more,
-  };
-}
+const { announcement } = fixture;
 
 function states(of: registry.Registry): Record<string, string> {
   return Object.fromEntries(of.records().map(({ id, state }) => [id, state]));
--- a/packages/domain/src/registry/__tests__/remembered.test.ts
+++ b/packages/domain/src/registry/__tests__/remembered.test.ts
@@ -1,6 +1,7 @@
 /** Targets that a keeper's disk names after a loss of all, until they speak for themselves. */
 import * as chai from 'chai';
 import * as registry from '../registry';
+import * as fixture from './__fixtures__/announcement';
 
 const { expect } = chai;
 
@@ -8,17 +9,7 @@
   id: string,
   more: Partial<registry.Announcement> = {},
 ): registry.Announcement {
-  return {
-    id,
-    bornAt: 1,
-    service: 'engines',
-    address: `10.0.0.${id.length}:80`,
-    dataCentre: 'east',
-    slots: 11,
-    state: 'ready',
-    sequence: 5,
-    ...more,
-  };
+  return fixture.announcement(id, { address: `10.0.0.${id.length}:80`, sequence: 5, ...more });
 }
 
 function remembering(...records: registry.Announcement[]): registry.Registry {
