Tell requests by their content, and log which targets ended while they ran them

Ids are new with each attempt, so the logs couldn't tell one request that crashes engines from engines that crash by themselves. 5002 now bears the content (address, caller, body) and 5012 says that a target didn't answer any more after a connection to it broke. The digest is worked out only where an attempt failed. The exchange tests' bench counted the new question as a caller's request; it now counts questions apart, and requests as before.

--- a/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
@@ -91,9 +91,12 @@
 }
 
 export class Bench {
-  /** Requests that targets saw, by target. */
+  /** Callers' requests that targets saw. */
   readonly seen: string[] = [];
 
+  /** How often targets were asked whether they live. */
+  questions = 0;
+
   /** What was asked of the chooser. */
   readonly wishes: chooser.Wish[] = [];
 
@@ -150,8 +153,10 @@
       const server = net.createServer((socket) => {
         socket.on('error', () => undefined);
         socket.on('data', (data) => {
-          made.seen.push(data.toString());
-          behave(data.toString(), socket);
+          const text = data.toString();
+          if (text.includes(REPORT_PATH)) made.questions += 1;
+          else made.seen.push(text);
+          behave(text, socket);
         });
       });
       made.servers.push(server);
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -11,6 +11,7 @@
 import * as answer from './answer';
 import * as attempts from './attempts';
 import type * as chooser from './chooser';
+import * as fingerprint from './fingerprint';
 import type * as lifeChecks from './lifeChecks';
 import * as outcomes from './outcome';
 import * as reservations from './reservations';
@@ -246,6 +247,7 @@
     });
     if (wasSent && outcome.kind !== 'notRun') this.mayHaveRun = true;
     if (outcome.kind === 'answered') this.logAnswered(placement);
+    if (wasSent && outcome.kind === 'failed' && outcome.isCut) void this.askWhetherEnded(placement);
     release(outcomes.endingOf(outcome), {
       faulty,
       gapMs: this.reply.usualGapMs,
@@ -253,6 +255,34 @@
     return outcome;
   }
 
+  /** A connection that breaks may be all that broke; only a target that doesn't answer any more has ended. */
+  private async askWhetherEnded({
+    target,
+    address,
+  }: domain.allocation.allocator.Placement): Promise<void> {
+    const { lifeChecks: checks, observer } = this.services;
+    if (await checks.isAlive(target, address)) return;
+    observer.count('targets.endedUnderRequest');
+    observer.log('targetEndedUnder', {
+      request: this.admitted.facts.requestId,
+      content: this.content,
+      target,
+    });
+  }
+
+  /** The request as it is told from others that came under other ids. */
+  private get content(): string {
+    const { request, organisation, body } = this.admitted;
+    const { url = '/', method = 'GET' } = request;
+    return fingerprint.of({
+      host: request.headers.host ?? '',
+      method,
+      path: url,
+      organisation,
+      body,
+    });
+  }
+
   private logAnswered({ firstTokenMs }: domain.allocation.allocator.Placement): void {
     const { facts, route, arrivedAt } = this.admitted;
     const { firstEventAt, longestPauseMs, status } = this.reply;
@@ -286,7 +316,7 @@
       this.interrupt = resolve;
     });
     const watch = this.watch(placement, (detail) => {
-      this.interrupt?.({ kind: 'failed', ending: 'broken', detail });
+      this.interrupt?.({ kind: 'failed', ending: 'broken', detail, isCut: true });
     });
     const ended = attempt.end.then((end) => this.judge(end));
     const outcome = await Promise.race([interrupted, ended]);
@@ -299,7 +329,9 @@
     if (end.kind === 'notSent') {
       return { kind: 'notRun', ending: 'unreachable', detail: end.detail };
     }
-    if (end.kind === 'broken') return { kind: 'failed', ending: 'broken', detail: end.detail };
+    if (end.kind === 'broken') {
+      return { kind: 'failed', ending: 'broken', detail: end.detail, isCut: true };
+    }
     if (end.kind === 'cancelled') return { kind: 'gone' };
     const verdict = this.reply.complete(this.isRepeatable && this.hasAttemptsLeft);
     if (verdict.kind === 'passedOn') return { kind: 'answered' };
@@ -307,7 +339,7 @@
       const { detail, faulty, isWrongLifetime } = verdict;
       return { kind: 'notRun', ending: isWrongLifetime ? 'replaced' : 'full', detail, faulty };
     }
-    return { kind: 'failed', ending: 'broken', detail: verdict.detail };
+    return { kind: 'failed', ending: 'broken', detail: verdict.detail, isCut: false };
   }
 
   /** Only requests that may be repeated are given up for silence: for the others it is no proof that they don't run. */
@@ -346,6 +378,7 @@
     const isGranted = isFree || this.budget?.spend(this.services.now()) === true;
     this.services.observer.log('attemptFailed', {
       request: facts.requestId,
+      content: this.content,
       target,
       detail,
       repeated: isGranted,
--- a/packages/daemon/src/entry/outcome.ts
+++ b/packages/daemon/src/entry/outcome.ts
@@ -9,7 +9,13 @@
   /** The target certainly didn't run it. */
   | { kind: 'notRun'; ending: Ending; detail: string; faulty?: string }
   /** It may have run, and the caller has nothing or a part of a stream. */
-  | { kind: 'failed'; ending: Ending; detail: string }
+  | {
+      kind: 'failed';
+      ending: Ending;
+      detail: string;
+      /** Whether nothing came to an end: the connection broke, or the target fell silent. */
+      isCut: boolean;
+    }
   /** The helpers had no memory to reserve; nothing was sent. */
   | { kind: 'noMemory' }
   | { kind: 'gone' }
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -71,6 +71,7 @@
   callerGone: { number: 5009, level: 'info', text: 'caller left; target cancelled' },
   memoryReserved: { number: 5010, level: 'info', text: 'memory reserved on helpers' },
   requestNotPlaced: { number: 5011, level: 'warn', text: 'no engine for a request' },
+  targetEndedUnder: { number: 5012, level: 'warn', text: 'target ended while it ran a request' },
   claimUnknown: {
     number: 5101,
     level: 'warn',
