--- /dev/null
+++ b/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
@@ -0,0 +1,160 @@
+/**
+ * A target that ends when it begins to run a request whose body says so, and comes back at its address as another lifetime.
+ * Other requests get a stream that lasts long enough to run beside one of those.
+ */
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import type * as domain from '@celerydrift/domain';
+import * as clock from '../../clock';
+import * as bench from '../../entry/__tests__/__fixtures__/bench';
+
+/** Word in the body of a request under which targets end. */
+export const CRASH_WORD = 'crash';
+
+/** How long a target runs such a request, milliseconds. */
+const RUN_MS = 30;
+
+/** How long a target is away, milliseconds. */
+const DOWN_MS = 500;
+
+const ANNOUNCE_EVERY_MS = 200;
+
+const EVENTS = 4;
+const EVENT_EVERY_MS = 40;
+
+export interface Arrival {
+  target: string;
+  body: string;
+  /** On the steady clock, milliseconds. */
+  at: number;
+}
+
+export interface Options {
+  name: string;
+  service: string;
+  port: number;
+  announce: (record: domain.registry.registry.Announcement) => Promise<void>;
+  onArrival: (arrival: Arrival) => void;
+  onEnd: (target: string, at: number) => void;
+}
+
+export class CrashableTarget {
+  private lifetime = 0;
+
+  private sequence = 0;
+
+  private server: http.Server | undefined;
+
+  private readonly sockets = new Set<net.Socket>();
+
+  private timers: NodeJS.Timeout[] = [];
+
+  private isStopped = false;
+
+  constructor(private readonly options: Options) {}
+
+  get id(): string {
+    return `${this.options.name}-${this.lifetime}`;
+  }
+
+  async start(): Promise<void> {
+    if (this.isStopped) return;
+    this.lifetime += 1;
+    this.sequence = 0;
+    const server = http.createServer((request, response) => this.take(request, response));
+    server.on('connection', (socket) => {
+      this.sockets.add(socket);
+      socket.once('close', () => this.sockets.delete(socket));
+    });
+    this.server = server;
+    await new Promise<void>((resolve) => {
+      server.listen(this.options.port, '127.0.0.1', resolve);
+    });
+    await this.announce();
+    const announceAgain = (): void => {
+      void this.announce();
+    };
+    this.timers = [setInterval(announceAgain, ANNOUNCE_EVERY_MS)];
+  }
+
+  stop(): void {
+    this.isStopped = true;
+    this.end();
+  }
+
+  /** All connections are reset and new ones refused, as when a process crashes. */
+  private end(): void {
+    this.timers.forEach((timer) => clearInterval(timer));
+    this.server?.close();
+    this.server = undefined;
+    this.sockets.forEach((socket) => socket.resetAndDestroy());
+  }
+
+  private take(request: http.IncomingMessage, response: http.ServerResponse): void {
+    const chunks: Buffer[] = [];
+    request.on('data', (chunk: Buffer) => chunks.push(chunk));
+    request.on('error', () => undefined);
+    response.on('error', () => undefined);
+    request.on('end', () => {
+      const { id } = this;
+      if (request.headers.target !== id) this.reply(request, response, 421);
+      else if (request.url === bench.REPORT_PATH) this.reply(request, response, 200);
+      else this.run(request, response, Buffer.concat(chunks).toString());
+    });
+  }
+
+  private reply(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    status: number,
+  ): void {
+    const notRun = status === 200 ? [] : ['not-run', '1'];
+    response.writeHead(status, ['id', String(request.headers.id), 'signed', '1', ...notRun]).end();
+  }
+
+  private run(request: http.IncomingMessage, response: http.ServerResponse, body: string): void {
+    const { id } = this;
+    this.options.onArrival({ target: id, body, at: clock.steady() });
+    if (!body.includes(CRASH_WORD)) {
+      this.stream(request, response);
+      return;
+    }
+    setTimeout(() => {
+      if (this.server === undefined || this.id !== id) return;
+      this.options.onEnd(id, clock.steady());
+      this.end();
+      setTimeout(() => {
+        void this.start();
+      }, DOWN_MS);
+    }, RUN_MS);
+  }
+
+  private stream(request: http.IncomingMessage, response: http.ServerResponse): void {
+    response.writeHead(200, ['id', String(request.headers.id), 'signed', '1']);
+    let next = Number(request.headers['resume-after'] ?? 0) + 1;
+    const timer = setInterval(() => {
+      response.write(`id: ${next}\ndata: x\n\n`);
+      next += 1;
+      if (next > EVENTS) response.end();
+      if (next > EVENTS) clearInterval(timer);
+    }, EVENT_EVERY_MS);
+    response.once('close', () => clearInterval(timer));
+  }
+
+  private async announce(): Promise<void> {
+    this.sequence += 1;
+    const { service, port } = this.options;
+    await this.options
+      .announce({
+        id: this.id,
+        bornAt: this.lifetime,
+        service,
+        address: `127.0.0.1:${port}`,
+        dataCentre: 'dc0',
+        slots: 8,
+        state: 'ready',
+        sequence: this.sequence,
+      })
+      .catch(() => undefined);
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
@@ -0,0 +1,322 @@
+/** Keepers, entries and targets in one process, over real sockets and disks. */
+import * as fs from 'node:fs/promises';
+import * as http from 'node:http';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as domain from '@celerydrift/domain';
+import { Ok } from 'ts-results';
+import * as clock from '../../clock';
+import * as roleSettings from '../../configuration/roleSettings';
+import type * as protocols from '../../edges/protocols';
+import * as entry from '../../entry/entry';
+import * as bench from '../../entry/__tests__/__fixtures__/bench';
+import * as keeper from '../../keeper/keeper';
+import * as observer from '../../observability/observer';
+import * as crashableTarget from './crashableTarget';
+import * as ports from './ports';
+
+const KEEPERS = 3;
+export const ENTRIES = 3;
+const TARGETS = 8;
+
+const ENGINE: domain.catalogue.catalogue.Engine = {
+  slots: 8,
+  memoryTokens: 300_000,
+  stepsPerPass: 50,
+  stepMs: 0.85,
+  writerStepMs: 0.006,
+  contextStepMs: 0.003,
+  readTokensPerMs: 177,
+  pairMsPerMillion: 0.184,
+  chunkTokens: 2_048,
+  hopMs: 0.05,
+  usualAnswerTokens: 200,
+};
+
+/** Each service has a route for each kind, named after both. */
+const SERVICES = ['engines', 'plain'] as const;
+export type Service = (typeof SERVICES)[number];
+
+const CATALOGUE: domain.catalogue.catalogue.Catalogue = {
+  version: 1,
+  routes: SERVICES.flatMap((service) =>
+    (['safe', 'unsafe', 'streaming'] as const).map((kind) => ({
+      name: `${service}-${kind}`,
+      host: 'a.example',
+      pathPrefix: `/${service}/${kind}/`,
+      kind,
+      timeoutMs: 5_000,
+      objectiveMs: 500,
+      priority: 1,
+      shares: [{ service, weight: 1 }],
+      maxAttempts: kind === 'unsafe' ? 1 : 2,
+      isPublic: false,
+      isResumable: true,
+      pauseMs: 250,
+    })),
+  ),
+  services: SERVICES.map((name) => ({
+    name,
+    healthPath: '/',
+    maxConnections: 99,
+    engine: name === 'engines' ? ENGINE : undefined,
+  })),
+  organisations: [
+    { name: 'north', keys: ['k'], priority: 1 },
+    { name: 'south', keys: ['s'], priority: 1 },
+  ],
+  limits: {
+    maxHeaderBytes: 4_000,
+    maxBodyBytes: 4_000,
+    headerTimeoutMs: 1_000,
+    idleTimeoutMs: 1_000,
+  },
+};
+
+const CONTROL: protocols.ControlProtocol = {
+  call: (method, url) => {
+    if (url === '/catalogue') return { kind: method === 'PUT' ? 'submit' : 'read' };
+    return { kind: method === 'PUT' ? 'announce' : 'depart', id: url.slice(1) };
+  },
+  announcement: (_id, body) =>
+    Ok(JSON.parse(body.toString()) as domain.registry.registry.Announcement),
+  departedLifetime: () => undefined,
+  catalogue: (document) =>
+    Ok(JSON.parse(document.toString()) as domain.catalogue.catalogue.Catalogue),
+};
+
+/** Every request is a short prompt. */
+const TRAFFIC: protocols.TrafficProtocol = {
+  ...bench.PROTOCOL,
+  facts: (headers) => ({
+    ...bench.PROTOCOL.facts(headers),
+    promptTokens: 2_000,
+    maxAnswerTokens: 200,
+  }),
+};
+
+export interface Reply {
+  status: number;
+  retryAfter: string | undefined;
+  body: string;
+  isWhole: boolean;
+  tookMs: number;
+}
+
+export interface Question {
+  service: Service;
+  kind?: domain.catalogue.catalogue.RouteKind;
+  body: string;
+  key?: string;
+  path?: string;
+}
+
+export async function until(what: string, check: () => boolean | Promise<boolean>): Promise<void> {
+  const end = clock.steady() + 15_000;
+  while (!(await check())) {
+    if (clock.steady() > end) throw new Error(`waited in vain for ${what}`);
+    await clock.pause(10);
+  }
+}
+
+export class SmallFleet {
+  readonly keepers = new Map<number, keeper.Keeper>();
+
+  readonly entries = new Map<number, entry.Entry>();
+
+  readonly arrivals: crashableTarget.Arrival[] = [];
+
+  readonly ends: { target: string; at: number }[] = [];
+
+  private readonly observer = new observer.Observer('test', 'fatal', undefined);
+
+  private readonly targets: crashableTarget.CrashableTarget[] = [];
+
+  private asked = 0;
+
+  private constructor(
+    private readonly folder: string,
+    private readonly at: Record<'control' | 'peers' | 'callers' | 'ready' | 'targets', number[]>,
+  ) {}
+
+  static async start(service: Service): Promise<SmallFleet> {
+    const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'fleet-'));
+    const take = async (count: number): Promise<number[]> => {
+      const taken: number[] = [];
+      while (taken.length < count) taken.push(await ports.freePort());
+      return taken;
+    };
+    const made = new SmallFleet(folder, {
+      control: await take(KEEPERS),
+      peers: await take(KEEPERS + ENTRIES),
+      callers: await take(ENTRIES),
+      ready: await take(ENTRIES),
+      targets: await take(TARGETS),
+    });
+    for (let i = 0; i < KEEPERS; i++) await made.startKeeper(i);
+    await until('a leader', () => made.leader >= 0);
+    await until('a catalogue', () => made.submit());
+    for (let i = 0; i < ENTRIES; i++) await made.startEntry(i);
+    await made.startTargets(service);
+    await until('targets at the entries', () => made.knowAllTargets());
+    return made;
+  }
+
+  async stop(): Promise<void> {
+    this.targets.forEach((target) => target.stop());
+    await Promise.all([...this.entries.keys()].map((i) => this.stopEntry(i)));
+    for (const i of [...this.keepers.keys()]) await this.stopKeeper(i);
+    await fs.rm(this.folder, { recursive: true, force: true });
+  }
+
+  get leader(): number {
+    return [...this.keepers].find(([, each]) => each.gauges().leads === 1)?.[0] ?? -1;
+  }
+
+  async startKeeper(i: number): Promise<void> {
+    const made = new keeper.Keeper({
+      settings: this.settings(`
+role = keeper
+name = k${i}
+data-centre = dc${i}
+[listen]
+peers = 127.0.0.1:${this.at.peers[i]}
+control = 127.0.0.1:${this.at.control[i]}
+[data]
+folder = ${path.join(this.folder, String(i))}
+may-found = true
+tolerated-losses = 1
+`),
+      protocol: CONTROL,
+      observer: this.observer,
+      random: domain.shared.random.seeded(i + 1),
+      onDiskFailure: () => undefined,
+    });
+    await made.start();
+    this.keepers.set(i, made);
+  }
+
+  async stopKeeper(i: number): Promise<void> {
+    const stopped = this.keepers.get(i);
+    this.keepers.delete(i);
+    await stopped?.stop();
+  }
+
+  async startEntry(i: number): Promise<void> {
+    const made = new entry.Entry({
+      settings: this.settings(`
+role = entry
+name = e${i}
+data-centre = dc0
+[listen]
+callers = 127.0.0.1:${this.at.callers[i]}
+readiness = 127.0.0.1:${this.at.ready[i]}
+peers = 127.0.0.1:${this.at.peers[KEEPERS + i]}
+[bounds]
+stop-seconds = 8
+`),
+      control: CONTROL,
+      traffic: TRAFFIC,
+      observer: this.observer,
+      random: domain.shared.random.seeded(100 + i),
+    });
+    await made.start();
+    this.entries.set(i, made);
+    await until(`entry ${i}`, () => made.isReady);
+  }
+
+  async stopEntry(i: number): Promise<void> {
+    const stopped = this.entries.get(i);
+    this.entries.delete(i);
+    await stopped?.stop();
+  }
+
+  ask(entryIndex: number, question: Question): Promise<Reply> {
+    const { service, kind = 'streaming', body, key = 'k', path: rest = 'a' } = question;
+    this.asked += 1;
+    const since = clock.steady();
+    const id = `r${this.asked}`;
+    return new Promise((resolve) => {
+      const ended = (reply: Omit<Reply, 'tookMs'>): void => {
+        resolve({ ...reply, tookMs: clock.steady() - since });
+      };
+      const request = http.request(
+        {
+          host: '127.0.0.1',
+          port: this.at.callers[entryIndex],
+          path: `/${service}/${kind}/${rest}`,
+          method: 'POST',
+          headers: { host: 'a.example', id, key },
+          agent: false,
+        },
+        (response) => {
+          const chunks: Buffer[] = [];
+          response.on('data', (chunk: Buffer) => chunks.push(chunk));
+          response.on('error', () => undefined);
+          response.on('close', () => {
+            ended({
+              status: response.statusCode ?? 0,
+              retryAfter: response.headers['retry-after'],
+              body: Buffer.concat(chunks).toString(),
+              isWhole: response.complete,
+            });
+          });
+        },
+      );
+      request.on('error', () => {
+        ended({ status: 0, retryAfter: undefined, body: '', isWhole: false });
+      });
+      request.end(body);
+    });
+  }
+
+  /** Arrivals of one body at targets. */
+  arrivalsOf(body: string): crashableTarget.Arrival[] {
+    return this.arrivals.filter((each) => each.body === body);
+  }
+
+  private settings(text: string): roleSettings.Settings {
+    const seeds = this.at.peers.slice(0, KEEPERS).map((port) => `127.0.0.1:${port}`);
+    const common = `[keepers]\nseeds = ${seeds.join(',')}\nsecret = a-secret-of-the-test\n`;
+    const read = roleSettings.read(`[daemon]${text}${common}`);
+    if (read.err) throw new Error(JSON.stringify(read.val));
+    return read.val;
+  }
+
+  private async submit(): Promise<boolean> {
+    return this.tell('PUT', '/catalogue', CATALOGUE);
+  }
+
+  private async startTargets(service: Service): Promise<void> {
+    for (let i = 0; i < TARGETS; i++) {
+      const target = new crashableTarget.CrashableTarget({
+        name: `t${i}`,
+        service,
+        port: this.at.targets[i],
+        announce: async (record) => {
+          await this.tell('PUT', `/${record.id}`, record);
+        },
+        onArrival: (arrival) => this.arrivals.push(arrival),
+        onEnd: (ended, at) => this.ends.push({ target: ended, at }),
+      });
+      this.targets.push(target);
+      await target.start();
+    }
+  }
+
+  private knowAllTargets(): boolean {
+    return [...this.entries.values()].every((each) => each.gauges().targets === TARGETS);
+  }
+
+  /** Tells the first keeper that takes it. */
+  private async tell(method: string, url: string, content: unknown): Promise<boolean> {
+    for (const i of this.keepers.keys()) {
+      const answer = await fetch(`http://127.0.0.1:${this.at.control[i]}${url}`, {
+        method,
+        body: JSON.stringify(content),
+      }).catch(() => undefined);
+      if (answer?.status === 200) return true;
+    }
+    return false;
+  }
+}
--- a/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
@@ -16,7 +16,7 @@
 export const REPORT_PATH = '/alive';
 
 /** A protocol as plain as possible: `id`, `signed`, `not-run`, `resume-after`. */
-const PROTOCOL: protocols.TrafficProtocol = {
+export const PROTOCOL: protocols.TrafficProtocol = {
   facts: (headers) => ({
     requestId: String(headers.id ?? ''),
     patienceMs: headers.patience === undefined ? undefined : Number(headers.patience),
