--- a/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
@@ -70,11 +70,15 @@
     await new Promise<void>((resolve) => {
       server.listen(this.options.port, '127.0.0.1', resolve);
     });
-    await this.announce();
+    if (this.isStopped) {
+      server.close();
+      return;
+    }
     const announceAgain = (): void => {
       void this.announce();
     };
     this.timers = [setInterval(announceAgain, ANNOUNCE_EVERY_MS)];
+    await this.announce();
   }
 
   stop(): void {
--- a/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
@@ -7,9 +7,11 @@
 import * as ports from '../../../__tests__/__fixtures__/ports';
 import * as observer from '../../../observability/observer';
 import type * as chooser from '../../chooser';
+import * as crashWatch from '../../crashWatch';
 import * as exchange from '../../exchange';
 import * as ingress from '../../ingress';
 import * as lifeChecks from '../../lifeChecks';
+import * as peerClient from '../../../rpc/peerClient';
 import * as targetClient from '../../targetClient';
 
 /** Where targets of these tests are asked whether they live. */
@@ -113,23 +115,40 @@
 
   private readonly servers: net.Server[] = [];
 
+  private readonly crashes: crashWatch.CrashWatch;
+
   private readonly targets = new targetClient.TargetClient();
 
   private constructor(private readonly addresses: string[]) {
     const rule = { ratio: 1, slack: 100, windowMs: 10_000 };
     const budgets = new domain.request.repeatBudget.RepeatBudgets(rule);
     budgets.shareWith(1, clock.steady());
+    const observe = new observer.Observer('test', 'fatal', undefined);
+    const checks = new lifeChecks.LifeChecks({
+      protocol: PROTOCOL,
+      observer: observe,
+      source: undefined,
+    });
+    this.crashes = new crashWatch.CrashWatch({
+      name: 'e0',
+      holding: {
+        quarantine: new domain.quarantine.quarantine.Quarantine(),
+        registry: new domain.registry.registry.Registry(),
+      },
+      link: { leader: '' },
+      client: new peerClient.PeerClient('secret', undefined, observe),
+      lifeChecks: checks,
+      observer: observe,
+      now: clock.steady,
+    });
     const services: exchange.Services = {
       protocol: PROTOCOL,
       chooser: { choose: (wish: chooser.Wish) => this.choose(wish) } as chooser.Chooser,
       targets: this.targets,
-      lifeChecks: new lifeChecks.LifeChecks({
-        protocol: PROTOCOL,
-        observer: new observer.Observer('test', 'fatal', undefined),
-        source: undefined,
-      }),
+      lifeChecks: checks,
+      crashes: this.crashes,
       budgets,
-      observer: new observer.Observer('test', 'fatal', undefined),
+      observer: observe,
       random: domain.shared.random.seeded(1),
       now: clock.steady,
       isFresh: () => this.isFresh,
@@ -177,6 +196,7 @@
   stop(): void {
     this.ingress.close();
     this.targets.close();
+    this.crashes.close();
     this.servers.forEach((server) => server.close());
   }
 
--- a/packages/daemon/src/entry/__tests__/chooser.test.ts
+++ b/packages/daemon/src/entry/__tests__/chooser.test.ts
@@ -106,7 +106,13 @@
       entries: 1,
       lacksTargets: false,
       crowding: [],
-      news: { edition: undefined, mark: messages.NO_MARK, since: undefined, records: [] },
+      news: {
+        edition: undefined,
+        mark: messages.NO_MARK,
+        since: undefined,
+        records: [],
+        suspects: [],
+      },
     };
     server.add('follow', () => after(delays.other, confirmed));
     const address = `127.0.0.1:${await server.listen({ host: '127.0.0.1', port: 0 })}`;
@@ -114,6 +120,7 @@
     const held = {
       directory: { service: () => SERVICE },
       registry: new domain.registry.registry.Registry(),
+      suspectsToTell: () => [],
       takeNews: () => true,
     } as unknown as holding.Holding;
     link = new leaderLink.LeaderLink({
--- a/packages/daemon/src/entry/chooser.ts
+++ b/packages/daemon/src/entry/chooser.ts
@@ -28,6 +28,8 @@
   excluded: readonly string[];
   /** The only targets that may answer; undefined for any. */
   writers?: readonly string[];
+  /** How many targets ended while they ran its content; undefined for none. */
+  endings?: number;
   patienceMs: number;
 }
 
--- /dev/null
+++ b/packages/daemon/src/entry/crashWatch.ts
@@ -0,0 +1,194 @@
+/**
+ * An entry's part against requests under which targets end. Tells the leader which contents a target ran when it ended,
+ * refuses what is in quarantine, and asks before it lets a suspect run. While nothing is suspected, a request costs one look into
+ * an empty map; its content is worked out only where a suspect has a body of the same length.
+ */
+import * as domain from '@celerydrift/domain';
+import * as clock from '../clock';
+import type * as holding from '../fleet/holding';
+import type * as leaderLink from '../fleet/leaderLink';
+import type * as messages from '../fleet/messages';
+import type * as observer from '../observability/observer';
+import type * as peerClient from '../rpc/peerClient';
+import type * as lifeChecks from './lifeChecks';
+
+/** A request as far as it matters here. */
+export interface Suspectable {
+  requestId: string;
+  bodyBytes: number;
+  /** Works out its content; see `fingerprint`. */
+  content: () => string;
+}
+
+/** A target that a request was sent to. */
+export interface Sent {
+  target: string;
+  address: string;
+}
+
+export type Permit =
+  | { kind: 'granted'; endings: number; end: (ranWhole: boolean) => void }
+  /** Another request with its content runs, and shows soon whether it ends its target. */
+  | { kind: 'busy' }
+  | { kind: 'quarantined' };
+
+export interface Parts {
+  /** Name of this entry. */
+  name: string;
+  holding: Pick<holding.Holding, 'quarantine' | 'registry'>;
+  link: Pick<leaderLink.LeaderLink, 'leader'>;
+  client: Pick<peerClient.PeerClient, 'call' | 'notify'>;
+  lifeChecks: Pick<lifeChecks.LifeChecks, 'isAlive'>;
+  observer: observer.Observer;
+  now: () => number;
+}
+
+/**
+ * How long a request whose connection broke waits for the verdict on its target before it goes on elsewhere, milliseconds. A
+ * crashed one refuses a connection, and one that lives answers, after one way there and back; a dark one isn't waited for.
+ */
+const VERDICT_MS = 20;
+
+/** Longest wait for the leader's word, milliseconds: ten times the usual, as for a place. */
+const LEADER_MS = 150;
+
+/** Pause before ends are told again that no leader took, milliseconds. */
+const TELL_AGAIN_MS = 100;
+
+/** Most ends that wait for a leader; those of an entry that is cut off from all targets for some seconds. */
+const MOST_UNTOLD = 500;
+
+export class CrashWatch {
+  /** Suspects that run here; the leader's view is wider, but may be out of reach. */
+  private readonly trials = new domain.quarantine.trials.Trials();
+
+  private readonly untold: messages.EndedTarget[] = [];
+
+  private isTelling = false;
+
+  private isClosed = false;
+
+  constructor(private readonly parts: Parts) {}
+
+  /** Whether a request may be sent to a target now. */
+  async permit(request: Suspectable): Promise<Permit> {
+    const standing = this.standing(request);
+    if (standing === 'quarantined') return this.refuse(request);
+    if (standing === 'free') return { kind: 'granted', endings: 0, end: this.ender(request) };
+    const { name, now } = this.parts;
+    const content = request.content();
+    const id = request.requestId;
+    if (!this.trials.begin(content, { id, entry: name }, now())) return { kind: 'busy' };
+    const answer = await this.askLeader({ content, id, entry: name });
+    const end = (ranWhole: boolean): void => this.endTrial({ content, id, ranWhole });
+    if (answer?.kind === 'granted') return { kind: 'granted', endings: answer.endings, end };
+    // Without a leader the count that is known here decides.
+    if (answer === undefined) return { kind: 'granted', endings: this.endings(content), end };
+    this.trials.end(content, id);
+    return answer.kind === 'busy' ? { kind: 'busy' } : this.refuse(request);
+  }
+
+  isQuarantined(request: Suspectable): boolean {
+    return this.standing(request) === 'quarantined';
+  }
+
+  /** A request was sent and got no answer. Resolves when it is known whether its target ended, or soon. */
+  async cut(request: Suspectable, sent: Sent): Promise<void> {
+    await Promise.race([this.judge(request, sent), clock.pause(VERDICT_MS)]);
+  }
+
+  /** Ends that no leader has taken by now stay untold. */
+  close(): void {
+    this.isClosed = true;
+  }
+
+  private standing({ bodyBytes, content }: Suspectable): domain.quarantine.quarantine.Standing {
+    const { quarantine } = this.parts.holding;
+    return quarantine.mayKnow(bodyBytes) ? quarantine.standing(content()) : 'free';
+  }
+
+  private endings(content: string): number {
+    return this.parts.holding.quarantine.endings(content).length;
+  }
+
+  private refuse(request: Suspectable): Permit {
+    const { observer: observe, holding: held } = this.parts;
+    const content = request.content();
+    observe.count('quarantine.refused');
+    observe.log('requestHeldBack', {
+      request: request.requestId,
+      content,
+      lifetimes: held.quarantine.endings(content),
+    });
+    return { kind: 'quarantined' };
+  }
+
+  /** Of a request that nobody suspected when it began: that it ran to its end acquits its content all the same. */
+  private ender(request: Suspectable): (ranWhole: boolean) => void {
+    return (ranWhole) => {
+      if (!ranWhole || this.standing(request) === 'free') return;
+      this.tellTrialEnded({ content: request.content(), id: request.requestId, ranWhole });
+    };
+  }
+
+  private endTrial(ended: messages.TrialEnded): void {
+    this.trials.end(ended.content, ended.id);
+    this.tellTrialEnded(ended);
+  }
+
+  private tellTrialEnded(ended: messages.TrialEnded): void {
+    const { client, link } = this.parts;
+    if (link.leader !== '') client.notify(link.leader, 'trialEnded', ended);
+  }
+
+  private async askLeader(
+    question: messages.PermitQuestion,
+  ): Promise<Exclude<messages.PermitAnswer, messages.Redirect> | undefined> {
+    const { client, link } = this.parts;
+    if (link.leader === '') return undefined;
+    const answer = await client.call<messages.PermitAnswer>(link.leader, 'permit', question, {
+      timeoutMs: LEADER_MS,
+      toleratesDelay: true,
+    });
+    return answer.err || answer.val.kind === 'redirect' ? undefined : answer.val;
+  }
+
+  private async judge(request: Suspectable, { target, address }: Sent): Promise<void> {
+    const { lifeChecks: checks, observer: observe, holding: held, now } = this.parts;
+    if (await checks.isAlive(target, address)) return;
+    const content = request.content();
+    observe.count('targets.endedUnderRequest');
+    observe.log('targetEndedUnder', { request: request.requestId, content, target });
+    const bornAt = held.registry.get(target)?.bornAt ?? 0;
+    const lifetime = domain.quarantine.quarantine.lifetimeOf({ id: target, bornAt });
+    held.quarantine.blame(content, lifetime, now());
+    this.untold.push({ content, lifetime });
+    this.untold.splice(0, Math.max(0, this.untold.length - MOST_UNTOLD));
+    void this.tell();
+  }
+
+  /** Until a leader has taken them: an end that is lost would cost a further target. */
+  private async tell(): Promise<void> {
+    if (this.isTelling) return;
+    this.isTelling = true;
+    while (this.untold.length > 0 && !this.isClosed) {
+      const told = [...this.untold];
+      if (await this.tellLeader(told)) this.untold.splice(0, told.length);
+      else await clock.pause(TELL_AGAIN_MS);
+    }
+    this.isTelling = false;
+  }
+
+  private async tellLeader(ended: messages.EndedTarget[]): Promise<boolean> {
+    const { client, link } = this.parts;
+    if (link.leader === '') return false;
+    const blame: messages.Blame = { ended };
+    const answer = await client.call<{ kind: 'taken' } | messages.Redirect>(
+      link.leader,
+      'blame',
+      blame,
+      { timeoutMs: LEADER_MS, toleratesDelay: true },
+    );
+    return answer.ok && answer.val.kind === 'taken';
+  }
+}
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -16,6 +16,7 @@
 import * as peerClient from '../rpc/peerClient';
 import * as peerServer from '../rpc/peerServer';
 import * as chooser from './chooser';
+import * as crashWatch from './crashWatch';
 import * as exchange from './exchange';
 import * as ingress from './ingress';
 import * as lifeChecks from './lifeChecks';
@@ -62,6 +63,10 @@
 
   private readonly chooser: chooser.Chooser;
 
+  private readonly lifeChecks: lifeChecks.LifeChecks;
+
+  private readonly crashes: crashWatch.CrashWatch;
+
   private readonly budgets: domain.request.repeatBudget.RepeatBudgets;
 
   private readonly readiness: http.Server;
@@ -117,6 +122,20 @@
       random,
       now: clock.steady,
     });
+    this.lifeChecks = new lifeChecks.LifeChecks({
+      protocol: parts.traffic,
+      observer: observe,
+      source: settings.source,
+    });
+    this.crashes = new crashWatch.CrashWatch({
+      name: settings.name,
+      holding: this.holding,
+      link: this.link,
+      client: this.client,
+      lifeChecks: this.lifeChecks,
+      observer: observe,
+      now: clock.steady,
+    });
     this.ingress = this.makeIngress();
     this.readiness = http.createServer((_request, response) => {
       response.writeHead(this.isReady ? 200 : 503, { 'Content-Length': 0 });
@@ -151,6 +170,7 @@
     while (this.ingress.activeRequests > 0 && clock.steady() < until)
       await clock.pause(STOP_CHECK_MS);
     this.link.stop();
+    this.crashes.close();
     this.readiness.close();
     this.targets.close();
     await this.server.close();
@@ -163,6 +183,8 @@
       catalogueVersion: this.holding.version,
       confirmedMsAgo: Math.min(this.link.age, Number.MAX_SAFE_INTEGER),
       targets: this.holding.registry.records().length,
+      suspects: this.holding.quarantine.size,
+      quarantined: this.holding.quarantine.quarantined,
       activeRequests: this.ingress.activeRequests,
     };
   }
@@ -187,11 +209,8 @@
       protocol: traffic,
       chooser: this.chooser,
       targets: this.targets,
-      lifeChecks: new lifeChecks.LifeChecks({
-        protocol: traffic,
-        observer: observe,
-        source: this.parts.settings.source,
-      }),
+      lifeChecks: this.lifeChecks,
+      crashes: this.crashes,
       budgets: this.budgets,
       observer: observe,
       random,
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -11,6 +11,7 @@
 import * as answer from './answer';
 import * as attempts from './attempts';
 import type * as chooser from './chooser';
+import type * as crashWatch from './crashWatch';
 import * as fingerprint from './fingerprint';
 import type * as lifeChecks from './lifeChecks';
 import * as outcomes from './outcome';
@@ -27,6 +28,7 @@
   chooser: chooser.Chooser;
   targets: targetClient.TargetClient;
   lifeChecks: Pick<lifeChecks.LifeChecks, 'isAlive'>;
+  crashes: Pick<crashWatch.CrashWatch, 'permit' | 'cut' | 'isQuarantined'>;
   budgets: domain.request.repeatBudget.RepeatBudgets;
   observer: observer.Observer;
   random: domain.shared.random.Random;
@@ -58,6 +60,12 @@
 /** Pause before a target is asked once more that refused the request, milliseconds: two passes. */
 const RETURN_PAUSE_MS = 100;
 
+/** What a caller is told to wait while a copy of its request may end a target; it shows within the time to a first event. */
+const COPY_RUNS_MS = 500;
+
+/** From this status on, an answer of a target's own doesn't show that it ran the request to its end. */
+const FAILURE_STATUS = 500;
+
 /** How often a prompt larger than an engine looks for memory, and the pause between; milliseconds. */
 const RESERVATION_TRIES = 5;
 const RESERVATION_PAUSE_MS = 200;
@@ -84,8 +92,14 @@
   /** Target of the attempt under way. */
   private underWay: string | undefined;
 
+  /** Whether the last target was overdue when its sending ended. */
+  private wasSilent = false;
+
   private interrupt: ((outcome: Outcome) => void) | undefined;
 
+  /** What `content` has worked out. */
+  private knownContent: string | undefined;
+
   /** Repeats of the service that the request goes to; undefined before that is chosen. */
   private budget: domain.request.repeatBudget.RepeatBudget | undefined;
 
@@ -126,37 +140,72 @@
     const service = domain.catalogue.directory.pickService(route, this.services.random);
     this.budget = this.services.budgets.of(service);
     this.budget.countFirst(this.services.now());
-    for (;;) {
-      const choice = await this.choose(service);
-      if (this.isOver) {
-        if (choice.kind === 'placed') choice.release('cancelled');
-        return;
-      }
-      if (choice.kind === 'noPlace') {
-        this.fail('no target with a free place', choice.retryAfterMs);
-        return;
-      }
-      if (!this.services.isFresh() && this.admitted.organisation !== undefined) {
-        choice.release('cancelled');
-        this.fail('settings not confirmed fresh', RETRY_AFTER_MS);
-        return;
-      }
-      const outcome = await this.send(choice);
-      if (outcome.kind === 'answered' || this.isOver) return;
-      if (outcome.kind === 'noMemory' && this.reservationTries < RESERVATION_TRIES) {
-        this.reservationTries += 1;
-        await clock.pause(RESERVATION_PAUSE_MS);
-        continue;
-      }
-      if (!this.mayRepeat(outcome)) {
-        this.fail('detail' in outcome ? outcome.detail : outcome.kind, RETRY_AFTER_MS);
-        return;
-      }
-      if (this.attempts.isBound) await clock.pause(RETURN_PAUSE_MS);
+    let goesOn = true;
+    while (goesOn) goesOn = await this.tryWithPermit(service);
+  }
+
+  /** One placing and sending, if the content may run at all; whether another one should follow. */
+  private async tryWithPermit(service: string): Promise<boolean> {
+    const permit = await this.services.crashes.permit(this.suspectable);
+    if (permit.kind !== 'granted') {
+      this.refuseSuspect(permit.kind);
+      return false;
+    }
+    let outcome: Outcome | undefined;
+    try {
+      outcome = this.isOver ? undefined : await this.tryOnce(service, permit.endings);
+    } finally {
+      permit.end(outcome?.kind === 'answered' && this.reply.status < FAILURE_STATUS);
+    }
+    return outcome !== undefined && this.goesOn(outcome);
+  }
+
+  /** Places and sends the request once; undefined where it is over without a sending. */
+  private async tryOnce(service: string, endings: number): Promise<Outcome | undefined> {
+    const choice = await this.choose(service, endings);
+    if (this.isOver) {
+      if (choice.kind === 'placed') choice.release('cancelled');
+      return undefined;
+    }
+    if (choice.kind === 'noPlace') {
+      this.fail('no target with a free place', choice.retryAfterMs);
+      return undefined;
+    }
+    if (!this.services.isFresh() && this.admitted.organisation !== undefined) {
+      choice.release('cancelled');
+      this.fail('settings not confirmed fresh', RETRY_AFTER_MS);
+      return undefined;
     }
+    return this.send(choice);
   }
 
-  private choose(service: string): Promise<chooser.Choice> {
+  /** Whether the request is sent once more after such an outcome; otherwise its caller has its final answer. */
+  private async goesOn(outcome: Outcome): Promise<boolean> {
+    if (outcome.kind === 'answered' || this.isOver) return false;
+    if (outcome.kind === 'noMemory' && this.reservationTries < RESERVATION_TRIES) {
+      this.reservationTries += 1;
+      await clock.pause(RESERVATION_PAUSE_MS);
+      return true;
+    }
+    if (!this.mayRepeat(outcome)) {
+      this.fail('detail' in outcome ? outcome.detail : outcome.kind, RETRY_AFTER_MS);
+      return false;
+    }
+    if (this.attempts.isBound) await clock.pause(RETURN_PAUSE_MS);
+    return true;
+  }
+
+  /**
+   * What ended three targets isn't sent to a fourth. It has run, if under another id, so 503 with its promise would only
+   * bring it back; one whose copy runs at this moment hasn't, and is told to come back.
+   */
+  private refuseSuspect(kind: 'quarantined' | 'busy'): void {
+    this.mayHaveRun ||= kind === 'quarantined';
+    const isBusy = kind === 'busy';
+    this.fail(isBusy ? 'a copy of it runs' : 'in quarantine: targets ended under it', COPY_RUNS_MS);
+  }
+
+  private choose(service: string, endings: number): Promise<chooser.Choice> {
     const { facts, route } = this.admitted;
     const maximum = facts.maxAnswerTokens ?? Infinity;
     const answerTokens = Math.min(maximum, facts.likelyAnswerTokens ?? maximum);
@@ -169,6 +218,7 @@
       pauseMs: route.pauseMs,
       excluded: this.attempts.excluded,
       writers: this.attempts.writers,
+      endings: endings > 0 ? endings : undefined,
       waitedMs: this.waitedMs,
       patienceMs: Math.max(0, PATIENCE_SHARE * Math.min(this.timeLeftMs, silence.giveUpMs(route))),
     });
@@ -247,40 +297,36 @@
     });
     if (wasSent && outcome.kind !== 'notRun') this.mayHaveRun = true;
     if (outcome.kind === 'answered') this.logAnswered(placement);
-    if (wasSent && outcome.kind === 'failed' && outcome.isCut) void this.askWhetherEnded(placement);
     release(outcomes.endingOf(outcome), {
       faulty,
       gapMs: this.reply.usualGapMs,
     });
+    if (wasSent && outcomes.mayHaveEnded(outcome, this.wasSilent)) {
+      await this.services.crashes.cut(this.suspectable, placement);
+    }
     return outcome;
   }
 
-  /** A connection that breaks may be all that broke; only a target that doesn't answer any more has ended. */
-  private async askWhetherEnded({
-    target,
-    address,
-  }: domain.allocation.allocator.Placement): Promise<void> {
-    const { lifeChecks: checks, observer } = this.services;
-    if (await checks.isAlive(target, address)) return;
-    observer.count('targets.endedUnderRequest');
-    observer.log('targetEndedUnder', {
-      request: this.admitted.facts.requestId,
-      content: this.content,
-      target,
-    });
+  private get suspectable(): crashWatch.Suspectable {
+    const { facts, body } = this.admitted;
+    return {
+      requestId: facts.requestId,
+      bodyBytes: body.length,
+      content: () => this.content,
+    };
   }
 
   /** The request as it is told from others that came under other ids. */
   private get content(): string {
     const { request, organisation, body } = this.admitted;
-    const { url = '/', method = 'GET' } = request;
-    return fingerprint.of({
+    this.knownContent ??= fingerprint.of({
       host: request.headers.host ?? '',
-      method,
-      path: url,
+      method: request.method ?? 'GET',
+      path: request.url ?? '/',
       organisation,
       body,
     });
+    return this.knownContent;
   }
 
   private logAnswered({ firstTokenMs }: domain.allocation.allocator.Placement): void {
@@ -321,6 +367,7 @@
     const ended = attempt.end.then((end) => this.judge(end));
     const outcome = await Promise.race([interrupted, ended]);
     watch?.stop();
+    this.wasSilent = watch?.isOverdue ?? outcome.kind === 'late';
     this.interrupt = undefined;
     return outcome;
   }
@@ -375,7 +422,8 @@
     const target = this.attempts.targets.at(-1);
     // The budget bounds what reaches targets; a target that wasn't reached costs it nothing.
     const isFree = outcome.kind === 'notRun' && outcome.ending === 'unreachable';
-    const isGranted = isFree || this.budget?.spend(this.services.now()) === true;
+    const isHeldBack = this.services.crashes.isQuarantined(this.suspectable);
+    const isGranted = !isHeldBack && (isFree || this.budget?.spend(this.services.now()) === true);
     this.services.observer.log('attemptFailed', {
       request: facts.requestId,
       content: this.content,
--- a/packages/daemon/src/entry/outcome.ts
+++ b/packages/daemon/src/entry/outcome.ts
@@ -34,3 +34,9 @@
   if (outcome.kind === 'answered') return 'done';
   return 'ending' in outcome ? outcome.ending : 'cancelled';
 }
+
+/** Whether the target may have ended: its connection broke, or it was silent until its caller left. */
+export function mayHaveEnded(outcome: Outcome, wasSilent: boolean): boolean {
+  if (outcome.kind === 'failed') return outcome.isCut;
+  return wasSilent && (outcome.kind === 'gone' || outcome.kind === 'late');
+}
--- a/packages/daemon/src/entry/silenceWatch.ts
+++ b/packages/daemon/src/entry/silenceWatch.ts
@@ -28,6 +28,11 @@
     clearInterval(this.timer);
   }
 
+  /** Whether an event is overdue by now. */
+  get isOverdue(): boolean {
+    return this.verdict !== 'fine';
+  }
+
   private get verdict(): silence.Verdict {
     const { bounds, sentAt, lastEventAt, now } = this.parts;
     return silence.judge(bounds, { sentAt, lastEventAt: lastEventAt() }, now());
--- a/packages/daemon/src/fleet/holding.ts
+++ b/packages/daemon/src/fleet/holding.ts
@@ -18,11 +18,19 @@
   now: () => number;
   onCatalogue: (directory: Directory) => void;
   onRecord: (record: Announcement) => void;
+  /** What is known of suspects changed by news. */
+  onSuspects?: () => void;
 }
 
+/** Endings from which on a suspect is worth telling to a new leader; most with fewer are innocent, and they are many. */
+const TOLD_ENDINGS = 2;
+
 export class Holding {
   readonly registry = new domain.registry.registry.Registry();
 
+  /** Requests under which targets end. */
+  readonly quarantine = new domain.quarantine.quarantine.Quarantine();
+
   mark: messages.RegistryMark = messages.NO_MARK;
 
   private current: Directory | undefined;
@@ -70,6 +78,12 @@
     return this.changed(this.registry.merge(records, this.options.now()));
   }
 
+  private takeCopy({ records, suspects }: registryCopies.Copy): void {
+    this.takeRegistry(records);
+    this.quarantine.takeAll(suspects, this.options.now());
+    this.options.onSuspects?.();
+  }
+
   /**
    * Takes a whole copy of the registry, in one line of the log: an entry that has just started has callers waiting, and a
    * line for each of 155 targets took it 40 KB of log before it could serve the first of them.
@@ -86,6 +100,12 @@
     });
   }
 
+  /** What a new leader should know of suspects. */
+  suspectsToTell(): domain.quarantine.quarantine.Report[] {
+    const reports = this.quarantine.reports(this.options.now());
+    return reports.filter(({ endings }) => endings.length >= TOLD_ENDINGS);
+  }
+
   /** Takes a target's own word. */
   takeAnnouncement(announcement: Announcement): Announcement[] {
     return this.changed(this.registry.announce(announcement, this.options.now()));
@@ -109,10 +129,12 @@
   }
 
   /** Takes news; false where they build on a state that isn't this one, so that a full copy is needed. */
-  takeNews({ edition, mark, since, records, packedRegistry }: messages.News): boolean {
+  takeNews({ edition, mark, since, records, suspects, packedRegistry }: messages.News): boolean {
     if (edition !== undefined) this.takeEdition(edition);
-    if (packedRegistry !== undefined) this.takeRegistry(registryCopies.unpack(packedRegistry));
+    if (packedRegistry !== undefined) this.takeCopy(registryCopies.unpack(packedRegistry));
     this.takeRecords(records);
+    suspects.forEach((report) => this.quarantine.take(report, this.options.now()));
+    if (suspects.length > 0) this.options.onSuspects?.();
     if (since !== undefined && !messages.isSameMark(since, this.mark)) return false;
     this.mark = mark;
     return true;
--- a/packages/daemon/src/fleet/leaderLink.ts
+++ b/packages/daemon/src/fleet/leaderLink.ts
@@ -218,6 +218,7 @@
       mark: holding.mark,
       records: sendsRecords ? holding.registry.records() : [],
       dispatches: isNew ? this.options.dispatches() : [],
+      suspects: isNew ? holding.suspectsToTell() : [],
       replica: replica(),
       dataCentre,
     };
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -2,6 +2,7 @@
 import type * as domain from '@celerydrift/domain';
 
 type Announcement = domain.registry.registry.Announcement;
+type SuspectReport = domain.quarantine.quarantine.Report;
 
 /** A state of the registry at one leader; numbers of different leaderships don't compare. */
 export interface RegistryMark {
@@ -23,6 +24,8 @@
   records: Announcement[];
   /** Dispatches of an entry that run, for a leader that it meets for the first time. */
   dispatches: Dispatched[];
+  /** Requests under which targets ended, for a leader that it meets for the first time. */
+  suspects: SuspectReport[];
   /** A keeper's replica, for a leader that may need it as a voter. */
   replica: string | undefined;
   dataCentre: string;
@@ -64,10 +67,46 @@
   /** The mark that `records` build on; undefined where a whole registry comes, in `packedRegistry`. */
   since: RegistryMark | undefined;
   records: Announcement[];
-  /** A whole registry, as `registryCopies` packs it. */
+  /** Requests under which targets ended, as they are known after the change. */
+  suspects: SuspectReport[];
+  /** A whole registry and all suspects, as `registryCopies` packs them. */
   packedRegistry?: Uint8Array;
 }
 
+/** A lifetime that ended while it ran a content. */
+export interface EndedTarget {
+  content: string;
+  lifetime: string;
+}
+
+/** `blame`: targets that ended while they ran requests of an entry. */
+export interface Blame {
+  ended: EndedTarget[];
+}
+
+/** `permit`: whether a suspect may run now. */
+export interface PermitQuestion {
+  content: string;
+  /** Id of the request, and the entry that has it. */
+  id: string;
+  entry: string;
+}
+
+export type PermitAnswer =
+  /** It runs as the only one with its content; `endings` is 0 where the leader suspects nothing. */
+  | { kind: 'granted'; endings: number }
+  /** Another request with its content runs. */
+  | { kind: 'busy' }
+  | { kind: 'quarantined' }
+  | Redirect;
+
+/** `trialEnded`: a suspect runs no longer. */
+export interface TrialEnded {
+  content: string;
+  id: string;
+  ranWhole: boolean;
+}
+
 /** `place`: a request that needs an engine. */
 export type Place = Omit<domain.allocation.allocator.Request, 'entry'> & {
   entry: string;
--- a/packages/daemon/src/fleet/registryCopies.ts
+++ b/packages/daemon/src/fleet/registryCopies.ts
@@ -7,14 +7,19 @@
 import type * as domain from '@celerydrift/domain';
 import * as msgpackr from 'msgpackr';
 
-type Announcement = domain.registry.registry.Announcement;
+/** What a follower takes whole. */
+export interface Copy {
+  records: readonly domain.registry.registry.Announcement[];
+  /** Requests under which targets ended. */
+  suspects: readonly domain.quarantine.quarantine.Report[];
+}
 
 const packr = new msgpackr.Packr({ useRecords: true, structuredClone: false });
 
-export function pack(records: readonly Announcement[]): Uint8Array {
-  return zlib.deflateRawSync(packr.pack(records));
+export function pack(copy: Copy): Uint8Array {
+  return zlib.deflateRawSync(packr.pack(copy));
 }
 
-export function unpack(packed: Uint8Array): Announcement[] {
-  return packr.unpack(zlib.inflateRawSync(packed)) as Announcement[];
+export function unpack(packed: Uint8Array): Copy {
+  return packr.unpack(zlib.inflateRawSync(packed)) as Copy;
 }
--- a/packages/daemon/src/keeper/__tests__/crowd.test.ts
+++ b/packages/daemon/src/keeper/__tests__/crowd.test.ts
@@ -64,6 +64,7 @@
     now: () => 0,
     random: random.seeded(1),
     newest: () => undefined,
+    onSuspects: () => undefined,
   });
   led.tick();
   for (let i = 0; i < FOLLOWERS; i++) await led.follow(question(i));
@@ -79,6 +80,7 @@
     mark: messages.NO_MARK,
     records: [],
     dispatches: [],
+    suspects: [],
     replica: undefined,
     dataCentre: 'dc0',
   };
--- a/packages/daemon/src/keeper/followers.ts
+++ b/packages/daemon/src/keeper/followers.ts
@@ -115,5 +115,6 @@
   // A whole registry replaces what came before.
   if (second.since === undefined) return { ...second, edition };
   const records = [...first.records, ...second.records];
-  return { ...first, edition, mark: second.mark, records };
+  const suspects = [...first.suspects, ...second.suspects];
+  return { ...first, edition, mark: second.mark, records, suspects };
 }
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -111,6 +111,7 @@
         this.leadership?.allocator.observe(record);
         this.memory.changed();
       },
+      onSuspects: () => this.memory.changed(),
     });
     this.memory = new targetMemory.TargetMemory({
       folder: settings.dataFolder,
@@ -149,6 +150,7 @@
     this.leadership = this.makeLeadership();
     await this.recallTargets();
     this.serveMethods();
+    this.serveSuspicions();
     this.replicas.start(this.server);
     await this.server.listen(settings.peers);
     await this.control.listen(settings.control as codecs.Address);
@@ -172,6 +174,8 @@
       catalogueVersion: this.holding.version,
       targets: this.holding.registry.records().length,
       dispatches: this.leadership.allocator.size,
+      suspects: this.holding.quarantine.size,
+      quarantined: this.holding.quarantine.quarantined,
     };
   }
 
@@ -224,6 +228,7 @@
       now: clock.steady,
       random: this.parts.random,
       newest: () => this.machine.versions.newest,
+      onSuspects: () => this.memory.changed(),
     });
     const { directory } = this.holding;
     if (directory !== undefined) made.allocator.setServices(directory.catalogue.services);
@@ -254,6 +259,26 @@
     });
   }
 
+  /** What only a leader does for entries about requests under which targets end. */
+  private serveSuspicions(): void {
+    const { server } = this;
+    const { suspicions } = this.leadership;
+    server.add('blame', (content) => {
+      if (!this.host.isLeader) return this.redirect();
+      suspicions.blame(content as messages.Blame);
+      return { kind: 'taken' };
+    });
+    server.add('permit', (question): messages.PermitAnswer => {
+      return this.host.isLeader
+        ? suspicions.permit(question as messages.PermitQuestion)
+        : this.redirect();
+    });
+    server.add('trialEnded', (content) => {
+      suspicions.trialEnded(content as messages.TrialEnded);
+      return {};
+    });
+  }
+
   private startDuties(): void {
     const repair = new repairer.Repairer({
       size: this.parts.settings.replicas,
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -6,12 +6,14 @@
 import * as domain from '@celerydrift/domain';
 import type * as holding from '../fleet/holding';
 import type * as messages from '../fleet/messages';
+import type * as registryCopies from '../fleet/registryCopies';
 import type * as observer from '../observability/observer';
 import type * as logHost from '../replicas/logHost';
 import type * as peerClient from '../rpc/peerClient';
 import * as followers from './followers';
 import * as placing from './placing';
 import * as registryNews from './registryNews';
+import * as suspicions from './suspicions';
 import * as turns from './turns';
 
 type Announcement = domain.registry.registry.Announcement;
@@ -24,6 +26,8 @@
   now: () => number;
   random: domain.shared.random.Random;
   newest: () => domain.catalogue.versions.Edition | undefined;
+  /** What is known of suspects changed. */
+  onSuspects: () => void;
 }
 
 /** A new leader has heard of all entries after so long, milliseconds: three of their questions. */
@@ -43,6 +47,8 @@
 
   private readonly news: registryNews.RegistryNews;
 
+  readonly suspicions: suspicions.Suspicions;
+
   private averages: { at: number; of: domain.allocation.unseen.Crowding[] } | undefined;
 
   private leads = false;
@@ -53,9 +59,18 @@
     const { client, now, random, observer: observe } = options;
     this.followers = new followers.Followers(client, now);
     this.news = new registryNews.RegistryNews({
-      records: () => this.options.holding.registry.records(),
+      copy: () => this.copy(),
       push: (news) => this.followers.push(news),
     });
+    this.suspicions = new suspicions.Suspicions({
+      quarantine: options.holding.quarantine,
+      observer: observe,
+      now,
+      publish: (reports) => {
+        options.onSuspects();
+        this.news.publishSuspects(reports);
+      },
+    });
     this.placing = new placing.Placing({
       allocator: this.allocator,
       clock: { now, after: (ms, action) => setTimeout(action, ms) },
@@ -81,10 +96,14 @@
     this.followers
       .forgetSilent()
       .filter(({ role }) => role === 'entry')
-      .forEach(({ name }) => this.allocator.forgetEntry(name, now()));
+      .forEach(({ name }) => {
+        this.allocator.forgetEntry(name, now());
+        this.suspicions.forgetEntry(name);
+      });
     held.registry.forget(now());
     const silent = held.endRemembered(this.leadsSince);
     if (silent.length > 0) void this.news.publish(silent);
+    this.suspicions.tick();
     this.placing.serveSoon();
   }
 
@@ -97,6 +116,7 @@
     if (!this.leads) this.turn(true);
     this.followers.heard(question);
     void this.take(question.records);
+    this.suspicions.merge(question.suspects);
     question.dispatches.forEach(({ request, target }) => {
       this.allocator.restore(request, target, now());
     });
@@ -120,6 +140,7 @@
       observer.log('announcementIgnored', { target: id, reason: `no service ${service}` });
       return;
     }
+    this.suspicions.spoke(announcement);
     const isConfirmed = isConfirmation(held.registry.get(id), announcement);
     const changed = held.takeAnnouncement(announcement);
     if (changed.length === 0) return;
@@ -178,12 +199,18 @@
   private turn(leads: boolean): void {
     this.leads = leads;
     this.followers.clear();
+    this.suspicions.turn();
     if (leads) this.placing.open();
     else this.placing.close();
     this.leadsSince = this.options.now();
     if (leads) this.news.begin();
   }
 
+  private copy(): registryCopies.Copy {
+    const { holding: held, now } = this.options;
+    return { records: held.registry.records(), suspects: held.quarantine.reports(now()) };
+  }
+
   private averagesNow(): domain.allocation.unseen.Crowding[] {
     const now = this.options.now();
     if (this.averages === undefined || now - this.averages.at >= AVERAGES_MS) {
--- a/packages/daemon/src/keeper/registryNews.ts
+++ b/packages/daemon/src/keeper/registryNews.ts
@@ -1,5 +1,5 @@
 /**
- * The changes of the registry under one leader: numbered, kept for followers that missed some, and pushed to those in touch.
+ * The changes of the registry and of suspects under one leader: numbered, kept for followers that missed some, and pushed to those in touch.
  * What a follower lacks follows from the last number that it has; one that is too far behind, or comes from another
  * leader, gets a whole copy.
  */
@@ -9,12 +9,13 @@
 import * as registryCopies from '../fleet/registryCopies';
 
 type Announcement = domain.registry.registry.Announcement;
+type SuspectReport = domain.quarantine.quarantine.Report;
 
 /** What a follower lacks, without an edition. */
-export type Missed = Pick<messages.News, 'mark' | 'since' | 'records' | 'packedRegistry'>;
+export type Missed = Omit<messages.News, 'edition'>;
 
 export interface Parts {
-  records: () => Announcement[];
+  copy: () => registryCopies.Copy;
   /** Resolves when the followers in touch have it, or after a bound. */
   push: (news: messages.News) => Promise<void>;
 }
@@ -26,6 +27,12 @@
  */
 const GATHER_MS = 150;
 
+/**
+ * The same for requests under which targets end, milliseconds. Entries that had requests on the same target tell of its end
+ * within a few; a copy of the request that comes later must find it known everywhere.
+ */
+const SUSPECTS_GATHER_MS = 5;
+
 /** Changes that are kept for followers that missed a push. */
 const KEPT_CHANGES = 512;
 
@@ -35,13 +42,20 @@
   push: () => void;
 }
 
+/** A change of the registry, or of what is known of a suspect. */
+interface Change {
+  mark: messages.RegistryMark;
+  record?: Announcement;
+  suspect?: SuspectReport;
+}
+
 export class RegistryNews {
   private mark: messages.RegistryMark = messages.NO_MARK;
 
   /** The mark that followers have once all that was pushed has arrived. */
   private pushed: messages.RegistryMark = messages.NO_MARK;
 
-  private changes: { mark: messages.RegistryMark; record: Announcement }[] = [];
+  private changes: Change[] = [];
 
   private gathering: Gathering | undefined;
 
@@ -62,11 +76,13 @@
    * every target confirms within 1.2 s what the disks said; pushed, that kept a new leader of 195 entries busy for a second.
    */
   note(records: readonly Announcement[]): void {
-    records.forEach((record) => {
-      this.mark = { ...this.mark, change: this.mark.change + 1 };
-      this.changes.push({ mark: this.mark, record });
-    });
-    this.changes.splice(0, Math.max(0, this.changes.length - KEPT_CHANGES));
+    this.add(records.map((record) => ({ record })));
+  }
+
+  /** Notes what became of suspects, and pushes it soon. */
+  publishSuspects(suspects: readonly SuspectReport[]): void {
+    this.add(suspects.map((suspect) => ({ suspect })));
+    setTimeout(this.gather().push, SUSPECTS_GATHER_MS);
   }
 
   /** Notes changes and pushes them; resolves when the followers in touch have them. */
@@ -80,21 +96,32 @@
   /** Pushes an edition; it changes nothing of the registry. */
   async publishEdition(edition: domain.catalogue.versions.Edition): Promise<void> {
     const { pushed } = this;
-    await this.parts.push({ edition, mark: pushed, since: pushed, records: [] });
+    await this.parts.push({ edition, mark: pushed, since: pushed, records: [], suspects: [] });
   }
 
   /** What a follower at `mark` lacks. */
   since(mark: messages.RegistryMark): Missed {
-    if (messages.isSameMark(mark, this.mark)) return { mark: this.mark, since: mark, records: [] };
+    const nothing = { mark: this.mark, records: [], suspects: [] };
+    if (messages.isSameMark(mark, this.mark)) return { ...nothing, since: mark };
     const first = this.changes[0];
     const reaches =
       first !== undefined &&
       mark.epoch === this.mark.epoch &&
       mark.change >= first.mark.change - 1 &&
       mark.change < this.mark.change;
-    if (!reaches) return { mark: this.mark, since: undefined, records: [], ...this.wholeCopy() };
+    if (!reaches) return { ...nothing, since: undefined, ...this.wholeCopy() };
     const missed = this.changes.filter((each) => each.mark.change > mark.change);
-    return { mark: this.mark, since: mark, records: missed.map(({ record }) => record) };
+    const records = missed.flatMap(({ record }) => (record === undefined ? [] : [record]));
+    const suspects = missed.flatMap(({ suspect }) => (suspect === undefined ? [] : [suspect]));
+    return { mark: this.mark, since: mark, records, suspects };
+  }
+
+  private add(changes: readonly Omit<Change, 'mark'>[]): void {
+    changes.forEach((change) => {
+      this.mark = { ...this.mark, change: this.mark.change + 1 };
+      this.changes.push({ mark: this.mark, ...change });
+    });
+    this.changes.splice(0, Math.max(0, this.changes.length - KEPT_CHANGES));
   }
 
   private gather(): Gathering {
@@ -120,7 +147,7 @@
 
   private wholeCopy(): { packedRegistry: Uint8Array } {
     if (this.copy === undefined || !messages.isSameMark(this.copy.mark, this.mark)) {
-      this.copy = { mark: this.mark, packed: registryCopies.pack(this.parts.records()) };
+      this.copy = { mark: this.mark, packed: registryCopies.pack(this.parts.copy()) };
     }
     return { packedRegistry: this.copy.packed };
   }
--- /dev/null
+++ b/packages/daemon/src/keeper/suspicions.ts
@@ -0,0 +1,88 @@
+/**
+ * What a leader does about requests under which targets end: counts what entries tell, lets suspects run one at a time, and
+ * tells all followers what became of each. Entries refuse what is in quarantine by themselves; the leader alone ends it.
+ */
+import * as domain from '@celerydrift/domain';
+import type * as messages from '../fleet/messages';
+import type * as observer from '../observability/observer';
+
+type Change = domain.quarantine.quarantine.Change;
+type Report = domain.quarantine.quarantine.Report;
+
+export interface Parts {
+  quarantine: domain.quarantine.quarantine.Quarantine;
+  observer: observer.Observer;
+  now: () => number;
+  /** Tells all followers. */
+  publish: (reports: Report[]) => void;
+}
+
+export class Suspicions {
+  private readonly trials = new domain.quarantine.trials.Trials();
+
+  constructor(private readonly parts: Parts) {}
+
+  /** Another leadership begins or ends; runs that another leader allowed aren't known. */
+  turn(): void {
+    this.trials.clear();
+  }
+
+  tick(): void {
+    const { quarantine, now } = this.parts;
+    if (quarantine.size > 0) this.changed(quarantine.tick(now()));
+  }
+
+  /** Takes what a follower knows that this leader may not. */
+  merge(reports: readonly Report[]): void {
+    this.changed(this.parts.quarantine.merge(reports, this.parts.now()));
+  }
+
+  blame({ ended }: messages.Blame): void {
+    const { quarantine, now } = this.parts;
+    const changes = ended.map(({ content, lifetime }) =>
+      quarantine.blame(content, lifetime, now()),
+    );
+    this.changed(changes.filter((change) => change !== undefined));
+  }
+
+  /** A target announced itself. */
+  spoke({ id, bornAt, sequence, state }: domain.registry.registry.Announcement): void {
+    const { quarantine } = this.parts;
+    if (quarantine.size === 0 || state === 'gone') return;
+    this.changed(quarantine.spoke({ id, bornAt }, sequence));
+  }
+
+  permit({ content, id, entry }: messages.PermitQuestion): messages.PermitAnswer {
+    const { quarantine, now } = this.parts;
+    const standing = quarantine.standing(content);
+    if (standing === 'quarantined') return { kind: 'quarantined' };
+    if (standing === 'free') return { kind: 'granted', endings: 0 };
+    if (!this.trials.begin(content, { id, entry }, now())) return { kind: 'busy' };
+    return { kind: 'granted', endings: quarantine.endings(content).length };
+  }
+
+  trialEnded({ content, id, ranWhole }: messages.TrialEnded): void {
+    this.trials.end(content, id);
+    const change = ranWhole ? this.parts.quarantine.ranWhole(content) : undefined;
+    if (change !== undefined) this.changed([change]);
+  }
+
+  forgetEntry(entry: string): void {
+    this.trials.forgetEntry(entry);
+  }
+
+  private changed(changes: readonly Change[]): void {
+    if (changes.length === 0) return;
+    const { quarantine, observer: observe, now } = this.parts;
+    changes.forEach(({ content, standing, endings, reason }) => {
+      if (standing === 'quarantined') {
+        observe.count('quarantine.begun');
+        const lifetimes = quarantine.endings(content);
+        observe.log('requestQuarantined', { content, endings, lifetimes });
+      } else if (reason === undefined) observe.log('requestSuspected', { content, endings });
+      else observe.log('suspicionEnded', { content, endings, reason });
+    });
+    const contents = new Set(changes.map(({ content }) => content));
+    this.parts.publish([...contents].map((content) => quarantine.report(content, now())));
+  }
+}
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -72,6 +72,10 @@
   memoryReserved: { number: 5010, level: 'info', text: 'memory reserved on helpers' },
   requestNotPlaced: { number: 5011, level: 'warn', text: 'no engine for a request' },
   targetEndedUnder: { number: 5012, level: 'warn', text: 'target ended while it ran a request' },
+  requestHeldBack: { number: 5013, level: 'warn', text: 'request in quarantine not sent' },
+  requestSuspected: { number: 5014, level: 'info', text: 'request suspected of ending a target' },
+  requestQuarantined: { number: 5015, level: 'error', text: 'request put into quarantine' },
+  suspicionEnded: { number: 5016, level: 'info', text: 'suspicion of a request ended or eased' },
   claimUnknown: {
     number: 5101,
     level: 'warn',
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -7,6 +7,7 @@
 import type * as registry from '../registry/registry';
 import * as random from '../shared/random';
 import * as cost from './cost';
+import * as isolation from './isolation';
 import * as load from './load';
 import * as planner from './planner';
 import * as reading from './reading';
@@ -21,6 +22,8 @@
   service: string;
   /** Targets that this request was sent to before. */
   excluded: readonly string[];
+  /** How many targets ended while they ran this content; undefined for none. */
+  endings?: number;
 }
 
 /** A target that helps to read. */
@@ -83,6 +86,9 @@
 
   private readonly dispatches = new Map<string, Dispatch>();
 
+  /** Requests that run now and may end their engine. */
+  private readonly suspects = new isolation.Isolation();
+
   private engines = new Map<string, catalogue.Engine>();
 
   /** What is assumed to be written where this allocator doesn't see it, by service. */
@@ -201,6 +207,7 @@
     const dispatch = this.dispatches.get(id);
     if (dispatch === undefined) return;
     this.dispatches.delete(id);
+    this.suspects.end(id);
     const { faulty, gapMs } = seen;
     if (gapMs !== undefined) dispatch.writer.observePass(gapMs);
     dispatch.loads.forEach((each) => each.remove(id, now));
@@ -236,13 +243,15 @@
   }
 
   /** Engines that take work; those that failed lately only where there are no others. */
-  private usable({ service, excluded }: Request, now: number): load.Load[] {
+  private usable({ service, excluded, writers, endings }: Request, now: number): load.Load[] {
     const ready = [...this.loads.values()].filter(
       ({ record }) =>
         record.service === service && record.state === 'ready' && !excluded.includes(record.id),
     );
     const sound = ready.filter((each) => each.soundness.isUsable(now, each.writers === 0));
-    const usable = sound.length > 0 ? sound : ready;
+    const able = sound.length > 0 ? sound : ready;
+    // Whoever is bound to a target that has the request already can't go elsewhere.
+    const usable = writers === undefined ? this.suspects.suitable(able, endings) : able;
     return this.chance === undefined ? usable : random.shuffled(this.chance, usable);
   }
 
@@ -282,6 +291,7 @@
       each.add({ ...help, memoryTokens: keptTokens }, share, now);
     });
     const loads = [writer, ...helpers.map((each) => each.load)];
+    this.suspects.begin(request, writer);
     this.dispatches.set(request.id, { entry: request.entry, loads, writer });
   }
 }
--- /dev/null
+++ b/packages/domain/src/quarantine/index.ts
@@ -0,0 +1,2 @@
+export * as quarantine from './quarantine';
+export * as trials from './trials';
--- /dev/null
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -0,0 +1,339 @@
+/**
+ * Requests under which targets end. A request that crashes whatever runs it comes again under new ids, and each attempt would
+ * cost further targets; so every end of a target counts against the contents that it ran. Most of these ran beside the
+ * culprit, so a count is a suspicion: suspects run one at a time and apart from each other, and only the culprit's count
+ * goes on rising. After the third end the content is in quarantine and runs nowhere.
+ *
+ * A suspicion ends when a blamed target turns out to live, when the content runs to its end, when a content in quarantine
+ * explains what it was blamed for, and with time. A quarantine ends as well; after it one run decides.
+ */
+
+/** One life of a target, as it announces itself. */
+export interface Lifetime {
+  id: string;
+  bornAt: number;
+}
+
+/** A lifetime that ended while it ran a content; `at` is the owner's clock, milliseconds. */
+interface Ending {
+  lifetime: string;
+  at: number;
+}
+
+interface Suspect {
+  content: string;
+  endings: Ending[];
+  /** Quarantines that it has been through, the present one included. */
+  quarantines: number;
+  /** Since when it is in quarantine; undefined while it isn't. */
+  quarantinedAt: number | undefined;
+}
+
+/** A suspect as it travels; clocks of different VMs don't compare, so times are ages. No endings: nothing is left of it. */
+export interface Report {
+  content: string;
+  endings: { lifetime: string; agoMs: number }[];
+  quarantines: number;
+  quarantinedForMs: number | undefined;
+}
+
+export type Standing = 'free' | 'suspected' | 'quarantined';
+
+/** Why a suspicion ended. */
+export type Reason = 'targetLives' | 'ranWhole' | 'explained' | 'expired';
+
+/**
+ * Ends that put a content into quarantine. One is chance, and two may be for a request beside the culprit; a third run happens
+ * apart from other suspects. With two, the crash of a whole data centre beside any other crash would refuse innocent requests.
+ */
+export const MOST_ENDINGS = 3;
+
+/** A suspect that hasn't been blamed for so long is forgotten, milliseconds; callers give up sooner. */
+const SUSPECT_MS = 600_000;
+
+/**
+ * How long the first quarantine lasts, milliseconds, and how many times as long each further one; the longest is a day. A
+ * wrong one ends with its first run after two minutes; one that is right costs a target after 2, 22 and 222 minutes, and then
+ * one a day.
+ */
+const FIRST_QUARANTINE_MS = 120_000;
+const QUARANTINE_GROWTH = 10;
+const LONGEST_QUARANTINE_MS = 86_400_000;
+
+/**
+ * How long a quarantine must last before it explains ends for others, milliseconds. Blame for one end arrives from several
+ * entries; the culprit's may come last, and must not be explained by what ran beside it.
+ */
+const EXPLAINS_AFTER_MS = 500;
+
+/**
+ * Most suspects that are kept; some 400 bytes each. A crash leaves a suspect for each request that the target had, ten or so,
+ * so that this covers hundreds of crashes within `SUSPECT_MS`.
+ */
+export const MOST_SUSPECTS = 4_000;
+
+/** Endings that are left after a quarantine: the next one is the third again. */
+const LEFT_AFTER_QUARANTINE = MOST_ENDINGS - 1;
+
+export function lifetimeOf({ id, bornAt }: Lifetime): string {
+  return `${id}/${bornAt}`;
+}
+
+/** What a change did, for the log. */
+export interface Change {
+  content: string;
+  standing: Standing;
+  endings: number;
+  /** Why nothing, or less, is left of it; undefined where blame was added. */
+  reason: Reason | undefined;
+}
+
+export class Quarantine {
+  private readonly suspects = new Map<string, Suspect>();
+
+  /** Contents that a lifetime is counted against, and the first sequence that it announced after its end was told. */
+  private readonly blamed = new Map<string, { contents: Set<string>; heard: number | undefined }>();
+
+  /** Contents by the length of their bodies, so that others needn't be worked out. */
+  private readonly lengths = new Map<string, number>();
+
+  get size(): number {
+    return this.suspects.size;
+  }
+
+  get quarantined(): number {
+    return [...this.suspects.values()].filter(isQuarantined).length;
+  }
+
+  /** Whether some suspect's body has this length, bytes; to be asked before a content is worked out. */
+  mayKnow(bodyBytes: number): boolean {
+    return this.lengths.has(String(bodyBytes));
+  }
+
+  standing(content: string): Standing {
+    const suspect = this.suspects.get(content);
+    if (suspect === undefined) return 'free';
+    return isQuarantined(suspect) ? 'quarantined' : 'suspected';
+  }
+
+  /** Lifetimes that ended under a content. */
+  endings(content: string): string[] {
+    return this.suspects.get(content)?.endings.map(({ lifetime }) => lifetime) ?? [];
+  }
+
+  /** A lifetime ended while it ran the content; undefined where that was known. */
+  blame(content: string, lifetime: string, now: number): Change | undefined {
+    const known = this.suspects.get(content) ?? this.add(content, now);
+    if (known.endings.some((each) => each.lifetime === lifetime)) return undefined;
+    known.endings.push({ lifetime, at: now });
+    this.index(content, lifetime);
+    if (known.endings.length >= MOST_ENDINGS && !isQuarantined(known)) {
+      known.quarantinedAt = now;
+      known.quarantines += 1;
+    }
+    return this.changeOf(known, undefined);
+  }
+
+  /**
+   * A lifetime announced itself. One announcement may have been held up since before its death; with a second one, of a
+   * higher sequence, it lives, and whoever couldn't reach it was cut off.
+   */
+  spoke(lifetime: Lifetime, sequence: number): Change[] {
+    const key = lifetimeOf(lifetime);
+    const blamed = this.blamed.get(key);
+    if (blamed === undefined) return [];
+    blamed.heard ??= sequence;
+    if (sequence <= blamed.heard) return [];
+    return [...blamed.contents].map((content) => this.acquit(content, key, 'targetLives'));
+  }
+
+  /** The content ran to its end: whatever ended beside it, it wasn't the cause. */
+  ranWhole(content: string): Change | undefined {
+    const known = this.suspects.get(content);
+    return known === undefined ? undefined : this.drop(known, 'ranWhole');
+  }
+
+  /** Lets time pass: ends quarantines and old suspicions, and explains what ran beside a culprit. */
+  tick(now: number): Change[] {
+    const suspects = [...this.suspects.values()];
+    const released = suspects.filter(isQuarantined).flatMap((each) => this.release(each, now));
+    const old = suspects
+      .filter((each) => !isQuarantined(each) && now - lastOf(each) > SUSPECT_MS)
+      .map((each) => this.drop(each, 'expired'));
+    return [...released, ...old, ...this.explain(now)];
+  }
+
+  reports(now: number): Report[] {
+    return [...this.suspects.values()].map((each) => reportOf(each, now));
+  }
+
+  /** A content as it is known here; without endings where it isn't. */
+  report(content: string, now: number): Report {
+    const known = this.suspects.get(content);
+    if (known !== undefined) return reportOf(known, now);
+    return { content, endings: [], quarantines: 0, quarantinedForMs: undefined };
+  }
+
+  /** Takes a leader's word, which replaces what was known of the content. */
+  take(report: Report, now: number): void {
+    const known = this.suspects.get(report.content);
+    if (known !== undefined) this.remove(known);
+    if (report.endings.length > 0) this.restore(report, now);
+  }
+
+  /** Takes a leader's whole copy. */
+  takeAll(reports: readonly Report[], now: number): void {
+    [...this.suspects.values()].forEach((each) => this.remove(each));
+    reports.forEach((report) => this.restore(report, now));
+  }
+
+  /** Adds what another copy knows, for a new leader; the contents that changed. */
+  merge(reports: readonly Report[], now: number): Change[] {
+    return reports.flatMap((report) => {
+      const known = this.suspects.get(report.content);
+      if (known === undefined) {
+        return report.endings.length === 0
+          ? []
+          : [this.changeOf(this.restore(report, now), undefined)];
+      }
+      known.quarantines = Math.max(known.quarantines, report.quarantines);
+      return report.endings
+        .map(({ lifetime }) => this.blame(report.content, lifetime, now))
+        .filter((change) => change !== undefined);
+    });
+  }
+
+  private add(content: string, now: number): Suspect {
+    if (this.suspects.size >= MOST_SUSPECTS) this.evict(now);
+    const made: Suspect = { content, endings: [], quarantines: 0, quarantinedAt: undefined };
+    this.suspects.set(content, made);
+    const length = lengthOf(content);
+    this.lengths.set(length, (this.lengths.get(length) ?? 0) + 1);
+    return made;
+  }
+
+  private restore(
+    { content, endings, quarantines, quarantinedForMs }: Report,
+    now: number,
+  ): Suspect {
+    const made = this.add(content, now);
+    made.endings = endings.map(({ lifetime, agoMs }) => ({ lifetime, at: now - agoMs }));
+    made.quarantines = quarantines;
+    made.quarantinedAt = quarantinedForMs === undefined ? undefined : now - quarantinedForMs;
+    endings.forEach(({ lifetime }) => this.index(content, lifetime));
+    return made;
+  }
+
+  private index(content: string, lifetime: string): void {
+    const known = this.blamed.get(lifetime);
+    if (known === undefined) {
+      this.blamed.set(lifetime, { contents: new Set([content]), heard: undefined });
+      return;
+    }
+    known.contents.add(content);
+    // Whoever tells this end may have looked after the last announcement.
+    known.heard = undefined;
+  }
+
+  private unindex(content: string, lifetime: string): void {
+    const known = this.blamed.get(lifetime);
+    known?.contents.delete(content);
+    if (known?.contents.size === 0) this.blamed.delete(lifetime);
+  }
+
+  private remove(suspect: Suspect): void {
+    const { content, endings } = suspect;
+    this.suspects.delete(content);
+    endings.forEach(({ lifetime }) => this.unindex(content, lifetime));
+    const length = lengthOf(content);
+    const left = (this.lengths.get(length) ?? 1) - 1;
+    if (left > 0) this.lengths.set(length, left);
+    else this.lengths.delete(length);
+  }
+
+  private drop(suspect: Suspect, reason: Reason): Change {
+    this.remove(suspect);
+    return { content: suspect.content, standing: 'free', endings: 0, reason };
+  }
+
+  /** A lifetime no longer counts against a content. */
+  private acquit(content: string, lifetime: string, reason: Reason): Change {
+    const suspect = this.suspects.get(content) as Suspect;
+    suspect.endings = suspect.endings.filter((each) => each.lifetime !== lifetime);
+    this.unindex(content, lifetime);
+    if (suspect.endings.length === 0) return this.drop(suspect, reason);
+    if (suspect.endings.length < MOST_ENDINGS) suspect.quarantinedAt = undefined;
+    return this.changeOf(suspect, reason);
+  }
+
+  private release(suspect: Suspect, now: number): Change[] {
+    const { quarantines, quarantinedAt = now } = suspect;
+    if (now - quarantinedAt < quarantineMs(quarantines)) return [];
+    const kept = suspect.endings.slice(-LEFT_AFTER_QUARANTINE);
+    suspect.endings
+      .slice(0, -LEFT_AFTER_QUARANTINE)
+      .forEach(({ lifetime }) => this.unindex(suspect.content, lifetime));
+    suspect.endings = kept.map(({ lifetime }) => ({ lifetime, at: now }));
+    suspect.quarantinedAt = undefined;
+    return [this.changeOf(suspect, 'expired')];
+  }
+
+  /** What ended under a content in quarantine no longer counts against those that ran beside it and are blamed for less. */
+  private explain(now: number): Change[] {
+    const culprits = [...this.suspects.values()].filter(({ quarantinedAt = Infinity }) => {
+      return now - quarantinedAt >= EXPLAINS_AFTER_MS;
+    });
+    return culprits.flatMap((culprit) =>
+      culprit.endings.flatMap(({ lifetime }) => {
+        const contents = [...(this.blamed.get(lifetime)?.contents ?? [])];
+        return contents
+          .filter((content) => {
+            const other = this.suspects.get(content) as Suspect;
+            return !isQuarantined(other) && other.endings.length < culprit.endings.length;
+          })
+          .map((content) => this.acquit(content, lifetime, 'explained'));
+      }),
+    );
+  }
+
+  /** Makes room: whoever is blamed for least goes first, and of those the one that was blamed longest ago. */
+  private evict(now: number): void {
+    const weight = (each: Suspect): number => {
+      return each.endings.length * SUSPECT_MS - Math.min(SUSPECT_MS, now - lastOf(each));
+    };
+    const all = [...this.suspects.values()];
+    this.remove(all.reduce((least, each) => (weight(each) < weight(least) ? each : least)));
+  }
+
+  private changeOf(suspect: Suspect, reason: Reason | undefined): Change {
+    const { content, endings } = suspect;
+    return { content, standing: this.standing(content), endings: endings.length, reason };
+  }
+}
+
+function isQuarantined({ quarantinedAt }: Suspect): boolean {
+  return quarantinedAt !== undefined;
+}
+
+function lastOf({ endings }: Suspect): number {
+  return Math.max(...endings.map(({ at }) => at));
+}
+
+function reportOf({ content, endings, quarantines, quarantinedAt }: Suspect, now: number): Report {
+  return {
+    content,
+    endings: endings.map(({ lifetime, at }) => ({ lifetime, agoMs: now - at })),
+    quarantines,
+    quarantinedForMs: quarantinedAt === undefined ? undefined : now - quarantinedAt,
+  };
+}
+
+function quarantineMs(quarantines: number): number {
+  const grown = FIRST_QUARANTINE_MS * QUARANTINE_GROWTH ** Math.max(0, quarantines - 1);
+  return Math.min(LONGEST_QUARANTINE_MS, grown);
+}
+
+/** Contents begin with the length of the body. */
+function lengthOf(content: string): string {
+  return content.slice(0, content.indexOf('-'));
+}
