Keep quarantines on the keepers' disks, and tell of ends before asking for a permit

A loss of all VMs would cost three targets again for each request in quarantine: keepers write these beside the targets they remember (one class for both files now, one function that replaces a file, also for the identity). A request beside the culprit was hit twice: the entry's word that its target ended waited for the answer to an earlier one, so the question whether it may run overtook it and it was placed beside the culprit again. Each word now leaves at once.

--- a/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
@@ -19,6 +19,11 @@
 export const ENTRIES = 3;
 const TARGETS = 8;
 
+/** Until a new leader has told all entries how many share the budget for repeats, milliseconds. */
+const BUDGET_MS = 2_000;
+
+const WRITTEN_MS = 700;
+
 const ENGINE: domain.catalogue.catalogue.Engine = {
   slots: 8,
   memoryTokens: 300_000,
@@ -159,6 +164,7 @@
     for (let i = 0; i < ENTRIES; i++) await made.startEntry(i);
     await made.startTargets(service);
     await until('targets at the entries', () => made.knowAllTargets());
+    await clock.pause(BUDGET_MS);
     return made;
   }
 
@@ -231,6 +237,19 @@
     await stopped?.stop();
   }
 
+  /** All keepers and entries end together and come back; targets go on. */
+  async loseAll(): Promise<void> {
+    // What the disks hold is written some time after each change.
+    await clock.pause(WRITTEN_MS);
+    await Promise.all([
+      ...[...this.entries.keys()].map((i) => this.stopEntry(i)),
+      ...[...this.keepers.keys()].map((i) => this.stopKeeper(i)),
+    ]);
+    for (let i = 0; i < KEEPERS; i++) await this.startKeeper(i);
+    for (let i = 0; i < ENTRIES; i++) await this.startEntry(i);
+    await until('targets at the entries', () => this.knowAllTargets());
+  }
+
   ask(entryIndex: number, question: Question): Promise<Reply> {
     const { service, kind = 'streaming', body, key = 'k', path: rest = 'a' } = question;
     this.asked += 1;
--- a/packages/daemon/src/entry/crashWatch.ts
+++ b/packages/daemon/src/entry/crashWatch.ts
@@ -62,9 +62,9 @@
   /** Suspects that run here; the leader's view is wider, but may be out of reach. */
   private readonly trials = new domain.quarantine.trials.Trials();
 
-  private readonly untold: messages.EndedTarget[] = [];
+  private untold: messages.EndedTarget[] = [];
 
-  private isTelling = false;
+  private isTellingAgain = false;
 
   private isClosed = false;
 
@@ -162,21 +162,25 @@
     const bornAt = held.registry.get(target)?.bornAt ?? 0;
     const lifetime = domain.quarantine.quarantine.lifetimeOf({ id: target, bornAt });
     held.quarantine.blame(content, lifetime, now());
-    this.untold.push({ content, lifetime });
-    this.untold.splice(0, Math.max(0, this.untold.length - MOST_UNTOLD));
-    void this.tell();
+    void this.tell({ content, lifetime });
   }
 
-  /** Until a leader has taken them: an end that is lost would cost a further target. */
-  private async tell(): Promise<void> {
-    if (this.isTelling) return;
-    this.isTelling = true;
+  /**
+   * At once, also while an earlier word is under way: on one connection it then comes before the question whether its request
+   * may run again. An end that is lost would cost a further target, so what no leader took is told again.
+   */
+  private async tell(ended: messages.EndedTarget): Promise<void> {
+    if (await this.tellLeader([ended])) return;
+    this.untold = [...this.untold, ended].slice(-MOST_UNTOLD);
+    if (this.isTellingAgain) return;
+    this.isTellingAgain = true;
     while (this.untold.length > 0 && !this.isClosed) {
-      const told = [...this.untold];
-      if (await this.tellLeader(told)) this.untold.splice(0, told.length);
-      else await clock.pause(TELL_AGAIN_MS);
+      await clock.pause(TELL_AGAIN_MS);
+      const told = this.untold;
+      const isTaken = await this.tellLeader(told);
+      if (isTaken) this.untold = this.untold.filter((each) => !told.includes(each));
     }
-    this.isTelling = false;
+    this.isTellingAgain = false;
   }
 
   private async tellLeader(ended: messages.EndedTarget[]): Promise<boolean> {
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -20,6 +20,8 @@
 import * as catalogueMachine from './catalogueMachine';
 import * as controlServer from './controlServer';
 import * as leadership from './leadership';
+import * as memoryFile from './memoryFile';
+import * as suspectMemory from './suspectMemory';
 import * as targetMemory from './targetMemory';
 
 type Announcement = domain.registry.registry.Announcement;
@@ -79,7 +81,12 @@
 
   private readonly machine: catalogueMachine.CatalogueMachine;
 
-  private readonly memory: targetMemory.TargetMemory;
+  private readonly targetFile: memoryFile.MemoryFile;
+
+  private readonly quarantineFile: memoryFile.MemoryFile;
+
+  /** Contents that the file of the quarantine holds or will hold. */
+  private writtenQuarantine = '';
 
   private readonly timers: NodeJS.Timeout[] = [];
 
@@ -109,14 +116,22 @@
       onCatalogue: ({ catalogue }) => this.leadership?.allocator.setServices(catalogue.services),
       onRecord: (record) => {
         this.leadership?.allocator.observe(record);
-        this.memory.changed();
+        this.targetFile.changed();
       },
-      onSuspects: () => this.memory.changed(),
+      onSuspects: () => this.noteSuspects(),
     });
-    this.memory = new targetMemory.TargetMemory({
-      folder: settings.dataFolder,
+    const { dataFolder: folder } = settings;
+    this.targetFile = new memoryFile.MemoryFile({
+      folder,
+      name: targetMemory.FILE,
       observer: observe,
-      records: () => this.holding.registry.durable(),
+      content: () => this.holding.registry.durable(),
+    });
+    this.quarantineFile = new memoryFile.MemoryFile({
+      folder,
+      name: suspectMemory.FILE,
+      observer: observe,
+      content: () => suspectMemory.contentOf(this.holding.quarantine, clock.steady()),
     });
     this.link = this.makeLink();
     this.control = new controlServer.ControlServer({
@@ -149,6 +164,7 @@
     this.host = this.replicas.hosts.get(LOG) as logHost.LogHost;
     this.leadership = this.makeLeadership();
     await this.recallTargets();
+    await this.recallQuarantine();
     this.serveMethods();
     this.serveSuspicions();
     this.replicas.start(this.server);
@@ -183,7 +199,7 @@
     this.timers.forEach((timer) => clearInterval(timer));
     this.link.stop();
     this.control.close();
-    await this.memory.close();
+    await Promise.all([this.targetFile.close(), this.quarantineFile.close()]);
     await this.replicas.stop();
     await this.server.close();
     this.client.close();
@@ -193,7 +209,7 @@
     const { settings, observer: observe } = this.parts;
     const remembered = await targetMemory.read(settings.dataFolder);
     if (remembered.err) {
-      observe.log('targetsNotRemembered', { reason: remembered.val.detail });
+      observe.log('memoryNotRead', { file: targetMemory.FILE, reason: remembered.val.detail });
       return;
     }
     const records = this.holding.recall(remembered.val);
@@ -201,6 +217,26 @@
     observe.log('targetsRemembered', { known: records.length, ready: ready.length });
   }
 
+  private async recallQuarantine(): Promise<void> {
+    const { settings, observer: observe } = this.parts;
+    const recalled = await suspectMemory.read(settings.dataFolder);
+    if (recalled.err) {
+      observe.log('memoryNotRead', { file: suspectMemory.FILE, reason: recalled.val.detail });
+      return;
+    }
+    this.holding.quarantine.merge(recalled.val, clock.steady());
+    observe.log('quarantineRecalled', { contents: recalled.val.length });
+  }
+
+  /** Most suspects are never in quarantine, and cost the disk nothing. */
+  private noteSuspects(): void {
+    const reports = suspectMemory.contentOf(this.holding.quarantine, clock.steady());
+    const contents = reports.map(({ content }) => content).join(' ');
+    if (contents === this.writtenQuarantine) return;
+    this.writtenQuarantine = contents;
+    this.quarantineFile.changed();
+  }
+
   private makeLink(): leaderLink.LeaderLink {
     const { settings, observer: observe } = this.parts;
     return new leaderLink.LeaderLink({
@@ -228,7 +264,7 @@
       now: clock.steady,
       random: this.parts.random,
       newest: () => this.machine.versions.newest,
-      onSuspects: () => this.memory.changed(),
+      onSuspects: () => this.noteSuspects(),
     });
     const { directory } = this.holding;
     if (directory !== undefined) made.allocator.setServices(directory.catalogue.services);
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -58,8 +58,8 @@
   announcementIgnored: { number: 4107, level: 'warn', text: 'announcement names no usable target' },
   targetAsked: { number: 4108, level: 'info', text: 'silent target asked whether it lives' },
   targetsRemembered: { number: 4109, level: 'info', text: 'targets read from the disk' },
-  targetsNotRemembered: { number: 4110, level: 'warn', text: 'no targets read from the disk' },
-  targetsNotWritten: { number: 4111, level: 'warn', text: 'targets not written to the disk' },
+  memoryNotRead: { number: 4110, level: 'warn', text: 'file of soft state not read' },
+  memoryNotWritten: { number: 4111, level: 'warn', text: 'file of soft state not written' },
   registryTaken: { number: 4112, level: 'info', text: 'whole registry taken' },
   requestEnded: { number: 5001, level: 'info', text: 'request ended' },
   attemptFailed: { number: 5002, level: 'warn', text: 'attempt failed' },
@@ -76,6 +76,7 @@
   requestSuspected: { number: 5014, level: 'info', text: 'request suspected of ending a target' },
   requestQuarantined: { number: 5015, level: 'error', text: 'request put into quarantine' },
   suspicionEnded: { number: 5016, level: 'info', text: 'suspicion of a request ended or eased' },
+  quarantineRecalled: { number: 5017, level: 'info', text: 'quarantine read from the disk' },
   claimUnknown: {
     number: 5101,
     level: 'warn',
--- a/packages/daemon/src/storage/identity.ts
+++ b/packages/daemon/src/storage/identity.ts
@@ -5,7 +5,7 @@
 import * as crypto from 'node:crypto';
 import * as fs from 'node:fs/promises';
 import * as path from 'node:path';
-import * as journal from './journal';
+import * as replaceFile from './replaceFile';
 
 const FILE = 'identity';
 
@@ -15,11 +15,6 @@
   const known = await fs.readFile(file, 'utf8').catch(() => '');
   if (known.trim() !== '') return known.trim();
   const made = `replica-${crypto.randomBytes(8).toString('hex')}`;
-  const handle = await fs.open(`${file}.new`, 'w');
-  await handle.writeFile(`${made}\n`);
-  await handle.sync();
-  await handle.close();
-  await fs.rename(`${file}.new`, file);
-  await journal.syncFolder(folder);
+  await replaceFile.replaceFile(folder, FILE, `${made}\n`);
   return made;
 }
