Bound what a suspicion costs innocent requests, and targets lost in the product's own interface

A target that said that it leaves doesn't count against what it cut short; at most a tenth of the engines is kept for suspects that run alone; a thousand suspects are kept in place of four thousand, as an entry that starts takes all. The same cause elsewhere: a prompt of the product's own interface was given up to six targets, now three once they are lost under it (nothing is kept across its requests there; open).

--- a/packages/daemon/src/entry/crashWatch.ts
+++ b/packages/daemon/src/entry/crashWatch.ts
@@ -156,10 +156,12 @@
   private async judge(request: Suspectable, { target, address }: Sent): Promise<void> {
     const { lifeChecks: checks, observer: observe, holding: held, now } = this.parts;
     if (await checks.isAlive(target, address)) return;
+    const record = held.registry.get(target);
+    if (record !== undefined && hasLeft(record)) return;
     const content = request.content();
     observe.count('targets.endedUnderRequest');
     observe.log('targetEndedUnder', { request: request.requestId, content, target });
-    const bornAt = held.registry.get(target)?.bornAt ?? 0;
+    const { bornAt } = record ?? { bornAt: 0 };
     const lifetime = domain.quarantine.quarantine.lifetimeOf({ id: target, bornAt });
     held.quarantine.blame(content, lifetime, now());
     void this.tell({ content, lifetime });
@@ -196,3 +198,13 @@
     return answer.ok && answer.val.kind === 'taken';
   }
 }
+
+/** A target that said that it leaves has ended by itself, and whatever it cut short didn't end it. */
+function hasLeft({
+  state,
+  isPresumed,
+  isRemembered,
+}: domain.registry.registry.Announcement): boolean {
+  if (state === 'ready') return false;
+  return isPresumed !== true && isRemembered !== true;
+}
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -12,6 +12,7 @@
 import * as attempts from './attempts';
 import type * as chooser from './chooser';
 import type * as crashWatch from './crashWatch';
+import * as exchangeLog from './exchangeLog';
 import * as fingerprint from './fingerprint';
 import type * as lifeChecks from './lifeChecks';
 import * as outcomes from './outcome';
@@ -77,6 +78,8 @@
 
   private readonly reply: answer.Answer;
 
+  private readonly log: exchangeLog.ExchangeLog;
+
   /** Whether some target may have run the request. */
   private mayHaveRun = false;
 
@@ -111,6 +114,15 @@
     this.deadline = arrivedAt + Math.min(route.timeoutMs, facts.patienceMs ?? Infinity);
     this.attempts = new attempts.Attempts(route.maxAttempts);
     this.reply = new answer.Answer(response, route, facts, services.protocol);
+    const { attempts: made, reply } = this;
+    const { observer: observe, now } = services;
+    this.log = new exchangeLog.ExchangeLog({
+      admitted,
+      attempts: made,
+      reply,
+      observer: observe,
+      now,
+    });
     response.once('close', () => {
       if (!response.writableFinished) this.cancel({ kind: 'gone' });
     });
@@ -247,8 +259,8 @@
       release('cancelled');
       return { kind: 'noMemory' };
     }
-    const { request, body, facts, organisation } = this.admitted;
-    const { observer, protocol, targets } = this.services;
+    const { request, body, organisation } = this.admitted;
+    const { protocol, targets } = this.services;
     this.attempts.begin(placement.target);
     this.reply.beginAttempt();
     const resumeAfter = this.reply.lastEventId;
@@ -259,16 +271,7 @@
       helpers: held.named(placement.helpers),
       resumeAfter,
     });
-    observer.log('requestPlaced', {
-      request: facts.requestId,
-      tokens: facts.promptTokens,
-      waitedMs: Math.round(this.waitedMs),
-      target: placement.target,
-      helpers: placement.helpers.map(({ address }) => address),
-      predictedMs: Math.round(placement.firstTokenMs),
-      attempt: this.attempts.targets.length,
-      resumeAfter,
-    });
+    this.log.placed(placement, this.waitedMs);
     const attempt = targets.send(
       {
         target: placement.target,
@@ -296,7 +299,7 @@
       wasHelperAtFault: faulty !== undefined,
     });
     if (wasSent && outcome.kind !== 'notRun') this.mayHaveRun = true;
-    if (outcome.kind === 'answered') this.logAnswered(placement);
+    if (outcome.kind === 'answered') this.log.answered(placement);
     release(outcomes.endingOf(outcome), {
       faulty,
       gapMs: this.reply.usualGapMs,
@@ -329,30 +332,6 @@
     return this.knownContent;
   }
 
-  private logAnswered({ firstTokenMs }: domain.allocation.allocator.Placement): void {
-    const { facts, route, arrivedAt } = this.admitted;
-    const { firstEventAt, longestPauseMs, status } = this.reply;
-    const sinceArrival = (at: number): number => Math.round(at - arrivedAt);
-    const { observer } = this.services;
-    observer.timing(`request.${route.kind}`, this.services.now() - arrivedAt);
-    if (firstEventAt > 0) observer.timing('request.firstEvent', firstEventAt - arrivedAt);
-    if (longestPauseMs > 0) observer.timing('request.longestPause', longestPauseMs);
-    observer.count(`answers.${status}`);
-    observer.log('requestEnded', {
-      request: facts.requestId,
-      route: route.name,
-      status,
-      objectiveMs: route.objectiveMs,
-      bearsPauseMs: route.pauseMs,
-      tokens: facts.promptTokens,
-      targets: this.attempts.targets,
-      tookMs: sinceArrival(this.services.now()),
-      firstMs: firstEventAt === 0 ? undefined : sinceArrival(firstEventAt),
-      predictedMs: Math.round(firstTokenMs),
-      pauseMs: Math.round(longestPauseMs),
-    });
-  }
-
   /** Waits for the end of a sending, its silence, or an interruption, whichever comes first. */
   private async outcomeOf(
     attempt: targetClient.Attempt,
@@ -417,20 +396,11 @@
     if (outcome.kind === 'failed' && !this.isRepeatable) return false;
     if (this.reply.isBeyondRepair) return false;
     if (!this.hasAttemptsLeft || this.timeLeftMs <= 0) return false;
-    const { facts } = this.admitted;
-    const { detail } = outcome;
-    const target = this.attempts.targets.at(-1);
     // The budget bounds what reaches targets; a target that wasn't reached costs it nothing.
     const isFree = outcome.kind === 'notRun' && outcome.ending === 'unreachable';
     const isHeldBack = this.services.crashes.isQuarantined(this.suspectable);
     const isGranted = !isHeldBack && (isFree || this.budget?.spend(this.services.now()) === true);
-    this.services.observer.log('attemptFailed', {
-      request: facts.requestId,
-      content: this.content,
-      target,
-      detail,
-      repeated: isGranted,
-    });
+    this.log.attemptFailed({ content: this.content, detail: outcome.detail, repeated: isGranted });
     return isGranted;
   }
 
@@ -442,7 +412,7 @@
       this.isLate = true;
       this.fail('time is over', RETRY_AFTER_MS);
     } else {
-      this.services.observer.log('callerGone', { request: this.admitted.facts.requestId });
+      this.log.callerGone();
     }
     this.isOver = true;
     this.interrupt?.(outcome);
@@ -451,20 +421,8 @@
   private fail(detail: string, retryAfterMs: number): void {
     if (this.isOver) return;
     this.isOver = true;
-    const { facts, route, arrivedAt } = this.admitted;
     const status = this.status();
-    this.services.observer.count(`answers.${status}.own`);
-    this.services.observer.log('requestEnded', {
-      request: facts.requestId,
-      route: route.name,
-      status,
-      detail,
-      objectiveMs: route.objectiveMs,
-      bearsPauseMs: route.pauseMs,
-      tokens: facts.promptTokens,
-      targets: this.attempts.targets,
-      tookMs: Math.round(this.services.now() - arrivedAt),
-    });
+    this.log.refused(status, detail);
     this.reply.refuse(status, status === 503 ? retryAfterMs : undefined);
   }
 
--- /dev/null
+++ b/packages/daemon/src/entry/exchangeLog.ts
@@ -0,0 +1,94 @@
+/** What is logged and counted of one caller's request: its placements, failed attempts and its end. */
+import type * as domain from '@celerydrift/domain';
+import type * as observer from '../observability/observer';
+import type * as answer from './answer';
+import type * as attempts from './attempts';
+import type * as exchange from './exchange';
+
+type Placement = domain.allocation.allocator.Placement;
+
+export interface Parts {
+  admitted: exchange.Admitted;
+  attempts: attempts.Attempts;
+  reply: answer.Answer;
+  observer: observer.Observer;
+  now: () => number;
+}
+
+export interface FailedAttempt {
+  content: string;
+  detail: string;
+  repeated: boolean;
+}
+
+export class ExchangeLog {
+  constructor(private readonly parts: Parts) {}
+
+  placed({ target, helpers, firstTokenMs }: Placement, waitedMs: number): void {
+    const { admitted, attempts: made, reply, observer: observe } = this.parts;
+    observe.log('requestPlaced', {
+      request: admitted.facts.requestId,
+      tokens: admitted.facts.promptTokens,
+      waitedMs: Math.round(waitedMs),
+      target,
+      helpers: helpers.map(({ address }) => address),
+      predictedMs: Math.round(firstTokenMs),
+      attempt: made.targets.length,
+      resumeAfter: reply.lastEventId,
+    });
+  }
+
+  attemptFailed({ content, detail, repeated }: FailedAttempt): void {
+    const { admitted, attempts: made, observer: observe } = this.parts;
+    observe.log('attemptFailed', {
+      request: admitted.facts.requestId,
+      content,
+      target: made.targets.at(-1),
+      detail,
+      repeated,
+    });
+  }
+
+  /** The caller has a target's whole answer. */
+  answered({ firstTokenMs }: Placement): void {
+    const { admitted, reply, observer: observe, now } = this.parts;
+    const { route, arrivedAt } = admitted;
+    const { firstEventAt, longestPauseMs, status } = reply;
+    const firstMs = firstEventAt === 0 ? undefined : firstEventAt - arrivedAt;
+    observe.timing(`request.${route.kind}`, now() - arrivedAt);
+    if (firstMs !== undefined) observe.timing('request.firstEvent', firstMs);
+    if (longestPauseMs > 0) observe.timing('request.longestPause', longestPauseMs);
+    observe.count(`answers.${status}`);
+    this.ended(status, {
+      firstMs: firstMs === undefined ? undefined : Math.round(firstMs),
+      predictedMs: Math.round(firstTokenMs),
+      pauseMs: Math.round(longestPauseMs),
+    });
+  }
+
+  /** The caller gets an answer of our own. */
+  refused(status: number, detail: string): void {
+    this.parts.observer.count(`answers.${status}.own`);
+    this.ended(status, { detail });
+  }
+
+  callerGone(): void {
+    this.parts.observer.log('callerGone', { request: this.parts.admitted.facts.requestId });
+  }
+
+  private ended(status: number, more: object): void {
+    const { admitted, attempts: made, observer: observe, now } = this.parts;
+    const { facts, route, arrivedAt } = admitted;
+    observe.log('requestEnded', {
+      request: facts.requestId,
+      route: route.name,
+      status,
+      objectiveMs: route.objectiveMs,
+      bearsPauseMs: route.pauseMs,
+      tokens: facts.promptTokens,
+      targets: made.targets,
+      tookMs: Math.round(now() - arrivedAt),
+      ...more,
+    });
+  }
+}
--- a/packages/domain/src/allocation/isolation.ts
+++ b/packages/domain/src/allocation/isolation.ts
@@ -12,6 +12,12 @@
 /** Part of the engines, the emptiest, among which such a suspect is placed; enough that a long prompt finds helpers. */
 const EMPTIEST_SHARE = 1 / 3;
 
+/**
+ * Part of the engines that may be kept for such suspects alone. When many engines crash at once, twice in a row, dozens of
+ * innocent requests are blamed twice, and their engines would be missing for as long as they write.
+ */
+const MOST_ALONE_SHARE = 0.1;
+
 interface Suspect {
   id: string;
   endings?: number;
@@ -32,11 +38,11 @@
   /** Engines that suit a request of which so many ended; all where none do, as a suspicion may be wrong and must not refuse. */
   suitable(loads: load.Load[], endings = 0): load.Load[] {
     if (this.running.size === 0 && endings < ALONE_FROM) return loads;
-    const avoided = new Set(
-      [...this.running.values()]
-        .filter((suspect) => endings > 0 || suspect.endings >= ALONE_FROM)
-        .map(({ target }) => target),
-    );
+    const running = [...this.running.values()];
+    const alone = running.filter((suspect) => suspect.endings >= ALONE_FROM);
+    const most = Math.ceil(MOST_ALONE_SHARE * loads.length);
+    const besides = endings > 0 ? running : alone.slice(0, most);
+    const avoided = new Set(besides.map(({ target }) => target));
     const apart = loads.filter(({ record }) => !avoided.has(record.id));
     if (apart.length === 0) return loads;
     return endings < ALONE_FROM ? apart : emptiest(apart);
--- /dev/null
+++ b/packages/domain/src/quarantine/__tests__/quarantine.test.ts
@@ -0,0 +1,129 @@
+/** When a request is suspected of ending targets, when it is held back, and how each of these ends. */
+import * as chai from 'chai';
+import * as quarantine from '../quarantine';
+import * as trials from '../trials';
+
+const { expect } = chai;
+
+const CULPRIT = '9-culprit';
+const BESIDE = '7-beside';
+
+function life(id: string): string {
+  return quarantine.lifetimeOf({ id, bornAt: 1 });
+}
+
+/** The culprit ends so many targets, one each second. */
+function afterEnds(count: number): quarantine.Quarantine {
+  const made = new quarantine.Quarantine();
+  for (let i = 0; i < count; i++) made.blame(CULPRIT, life(`t${i}`), 1_000 * i);
+  return made;
+}
+
+describe('quarantine', () => {
+  it('begins with the third lifetime that ended, however often each is told', () => {
+    const made = new quarantine.Quarantine();
+    const seen = ['t0', 't0', 't1', 't1', 't2'].map((id) => {
+      made.blame(CULPRIT, life(id), 0);
+      return made.standing(CULPRIT);
+    });
+    expect(seen.join(' ')).to.equal('suspected suspected suspected suspected quarantined');
+    expect([made.mayKnow(9), made.mayKnow(8)]).to.deep.equal([true, false]);
+  });
+
+  /*
+   * A clerk's lookup was refused for minutes. Three targets couldn't be reached from its entries, which were cut off, and
+   * they all lived. A target that announces itself twice afterwards lives; one word may be from before its end.
+   */
+  it('ends when targets that were blamed speak again, but not at a word that was held up', () => {
+    const made = afterEnds(3);
+    const target = { id: 't0', bornAt: 1 };
+    made.spoke(target, 7);
+    made.spoke(target, 7);
+    expect(made.standing(CULPRIT)).to.equal('quarantined');
+    made.spoke({ id: 't0', bornAt: 2 }, 8);
+    expect(made.standing(CULPRIT)).to.equal('quarantined');
+    expect(made.spoke(target, 8)).to.deep.equal([
+      { content: CULPRIT, standing: 'suspected', endings: 2, reason: 'targetLives' },
+    ]);
+  });
+
+  it('ends when the content runs whole', () => {
+    const made = afterEnds(3);
+    made.ranWhole(CULPRIT);
+    expect([made.standing(CULPRIT), made.size, made.mayKnow(9)]).to.deep.equal(['free', 0, false]);
+  });
+
+  /*
+   * A foreman's summary ran beside the culprit at two of its three targets and would have been refused after the next
+   * crash, whatever caused it. What a culprit explains doesn't count, but only when all who tell of an end have told.
+   */
+  it('explains ends to what ran beside the culprit', () => {
+    const made = afterEnds(3);
+    ['t0', 't1'].forEach((id) => made.blame(BESIDE, life(id), 2_000));
+    made.tick(2_400);
+    expect(made.standing(BESIDE)).to.equal('suspected');
+    made.tick(2_500);
+    expect([made.standing(BESIDE), made.standing(CULPRIT)]).to.deep.equal(['free', 'quarantined']);
+  });
+
+  it('lasts two minutes at first, then one run decides, and longer each time', () => {
+    const made = afterEnds(3);
+    const [minute, since] = [60_000, 2_000];
+    const standings = [1, 2].map((minutes) => {
+      made.tick(since + minutes * minute);
+      return made.standing(CULPRIT);
+    });
+    expect(standings).to.deep.equal(['quarantined', 'suspected']);
+    made.blame(CULPRIT, life('t9'), since + 3 * minute);
+    made.tick(since + 3 * minute + 19 * minute);
+    expect(made.standing(CULPRIT)).to.equal('quarantined');
+    made.tick(since + 3 * minute + 20 * minute);
+    expect(made.standing(CULPRIT)).to.equal('suspected');
+    made.tick(since + 40 * minute);
+    expect(made.size).to.equal(0);
+  });
+
+  /* Engines crash by the hundred, each with its requests: memory stays bounded, and who is blamed most is kept longest. */
+  it('forgets whoever is blamed least where there are too many', () => {
+    const made = afterEnds(3);
+    for (let i = 0; i < 2 * quarantine.MOST_SUSPECTS; i++)
+      made.blame(`5-${i}`, life(`u${i}`), 3_000 + i);
+    expect([made.size, made.standing(CULPRIT)]).to.deep.equal([
+      quarantine.MOST_SUSPECTS,
+      'quarantined',
+    ]);
+    expect(made.standing(`5-${2 * quarantine.MOST_SUSPECTS - 1}`)).to.equal('suspected');
+  });
+
+  it('travels as ages, replaces what a follower knew, and adds to what a new leader knows', () => {
+    const [leader, follower] = [afterEnds(3), afterEnds(1)];
+    follower.blame(BESIDE, life('t0'), 0);
+    follower.takeAll(leader.reports(10_000), 500_000);
+    expect([follower.standing(CULPRIT), follower.standing(BESIDE)]).to.deep.equal([
+      'quarantined',
+      'free',
+    ]);
+    const next = afterEnds(1);
+    next.merge(follower.reports(500_000), 20_000);
+    expect(next.standing(CULPRIT)).to.equal('quarantined');
+    follower.take(new quarantine.Quarantine().report(CULPRIT, 0), 500_000);
+    expect(follower.size).to.equal(0);
+  });
+});
+
+describe('trials', () => {
+  it('run one request with a content at a time, and end with their entry', () => {
+    const made = new trials.Trials();
+    const begin = (id: string, entry: string, now = 0): boolean => {
+      return made.begin(CULPRIT, { id, entry }, now);
+    };
+    const begun = [begin('r1', 'e1'), begin('r1', 'e1'), begin('r2', 'e1'), begin('r1', 'e2')];
+    made.forgetEntry('e1');
+    begun.push(begin('r3', 'e2'));
+    made.end(CULPRIT, 'r2');
+    begun.push(begin('r4', 'e2'));
+    made.end(CULPRIT, 'r3');
+    begun.push(begin('r4', 'e2'), begin('r5', 'e2', 61_000));
+    expect(begun).to.deep.equal([true, true, false, false, true, false, true, true]);
+  });
+});
--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -67,10 +67,11 @@
 const EXPLAINS_AFTER_MS = 500;
 
 /**
- * Most suspects that are kept; some 400 bytes each. A crash leaves a suspect for each request that the target had, ten or so,
- * so that this covers hundreds of crashes within `SUSPECT_MS`.
+ * Most suspects that are kept; some 400 bytes each, and 60 for an entry that starts and takes all. A crash leaves a suspect for
+ * each request that the target had, ten or so, so this covers a hundred crashes within `SUSPECT_MS`. Beyond that those
+ * blamed for least go first.
  */
-export const MOST_SUSPECTS = 4_000;
+export const MOST_SUSPECTS = 1_000;
 
 /** Endings that are left after a quarantine: the next one is the third again. */
 const LEFT_AFTER_QUARANTINE = MOST_ENDINGS - 1;
--- a/packages/domain/src/request/__tests__/request.test.ts
+++ b/packages/domain/src/request/__tests__/request.test.ts
@@ -72,6 +72,21 @@
   });
 });
 
+describe('a request whose targets are lost', () => {
+  /*
+   * Six engines ended under one prompt within a second. It crashed each that began to run it, and the attempts that cover a
+   * long outage were all spent on it.
+   */
+  it('gets no fourth', () => {
+    const source = random.seeded(1);
+    const kinds = [1, 2, 3].map((count) => {
+      const attempts = Array.from({ length: count }, () => attempt('answering'));
+      return retry.decide(attempts, true, 60_000, 0, new retry.Budget(), source).kind;
+    });
+    expect(kinds).to.deep.equal(['retry', 'retry', 'giveUp']);
+  });
+});
+
 describe('circuit', () => {
   it('opens by the share of failures, and closes after one good trial', () => {
     const tested = new circuit.Circuit();
--- a/packages/domain/src/request/retry.ts
+++ b/packages/domain/src/request/retry.ts
@@ -3,6 +3,7 @@
  * did not run; never past the deadline; on another target; and from a budget that is a share of the
  * recent first attempts, so that an outage isn't multiplied by its retries.
  */
+import * as quarantine from '../quarantine/quarantine';
 import * as random from '../shared/random';
 import * as outcome from './outcome';
 
@@ -45,7 +46,18 @@
 
 export type Decision =
   | { kind: 'retry'; delayMs: number }
-  | { kind: 'giveUp'; reason: 'notRepeatable' | 'attempts' | 'budget' | 'deadline' };
+  | {
+      kind: 'giveUp';
+      reason: 'notRepeatable' | 'attempts' | 'budget' | 'deadline' | 'targetsLost';
+    };
+
+/**
+ * Targets that may be lost under one request before it is taken for the cause. With all attempts it would end twice as many;
+ * three that fail by themselves under one request are rarer than a request that crashes what runs it.
+ */
+const MOST_LOST = quarantine.MOST_ENDINGS;
+
+const LOST: readonly outcome.Fault[] = ['connectionLost', 'cutShort'];
 
 /** What to do after the latest of `attempts` failed. */
 export function decide(
@@ -65,6 +77,8 @@
   if (last.fault === 'callerGone' || last.fault === 'deadline') {
     return { kind: 'giveUp', reason: 'deadline' };
   }
+  const lost = attempts.filter(({ fault }) => LOST.includes(fault));
+  if (lost.length >= MOST_LOST) return { kind: 'giveUp', reason: 'targetsLost' };
   if (attempts.length >= options.attempts) return { kind: 'giveUp', reason: 'attempts' };
   const ceiling = Math.min(options.maxDelayMs, options.baseDelayMs * 2 ** (attempts.length - 1));
   const delayMs = Math.max(retryAfterMs, source.uniform() * ceiling);
