Don't believe an entry that was cut off about targets that have spoken since

It took every target for ended and told so when it was back; a content that many callers send would have been in quarantine at every entry until the targets had spoken twice more, up to 2.4 s. Ends now travel with their age, and the leader compares it with what it heard. The placement tests of suspects moved to the allocator's block.

--- a/packages/daemon/src/entry/crashWatch.ts
+++ b/packages/daemon/src/entry/crashWatch.ts
@@ -58,11 +58,14 @@
 /** Most ends that wait for a leader; those of an entry that is cut off from all targets for some seconds. */
 const MOST_UNTOLD = 500;
 
+/** A target's end that the leader is told of; `at` is this entry's clock. */
+type Noticed = Omit<messages.EndedTarget, 'agoMs'> & { at: number };
+
 export class CrashWatch {
   /** Suspects that run here; the leader's view is wider, but may be out of reach. */
   private readonly trials = new domain.quarantine.trials.Trials();
 
-  private untold: messages.EndedTarget[] = [];
+  private untold: Noticed[] = [];
 
   private isTellingAgain = false;
 
@@ -162,16 +165,17 @@
     observe.count('targets.endedUnderRequest');
     observe.log('targetEndedUnder', { request: request.requestId, content, target });
     const { bornAt } = record ?? { bornAt: 0 };
-    const lifetime = domain.quarantine.quarantine.lifetimeOf({ id: target, bornAt });
-    held.quarantine.blame(content, lifetime, now());
-    void this.tell({ content, lifetime });
+    const lifetime = { id: target, bornAt };
+    const key = domain.quarantine.quarantine.lifetimeOf(lifetime);
+    held.quarantine.blame(content, key, now());
+    void this.tell({ content, lifetime, at: now() });
   }
 
   /**
    * At once, also while an earlier word is under way: on one connection it then comes before the question whether its request
    * may run again. An end that is lost would cost a further target, so what no leader took is told again.
    */
-  private async tell(ended: messages.EndedTarget): Promise<void> {
+  private async tell(ended: Noticed): Promise<void> {
     if (await this.tellLeader([ended])) return;
     this.untold = [...this.untold, ended].slice(-MOST_UNTOLD);
     if (this.isTellingAgain) return;
@@ -185,9 +189,10 @@
     this.isTellingAgain = false;
   }
 
-  private async tellLeader(ended: messages.EndedTarget[]): Promise<boolean> {
-    const { client, link } = this.parts;
+  private async tellLeader(noticed: readonly Noticed[]): Promise<boolean> {
+    const { client, link, now } = this.parts;
     if (link.leader === '') return false;
+    const ended = noticed.map(({ at, ...each }) => ({ ...each, agoMs: now() - at }));
     const blame: messages.Blame = { ended };
     const answer = await client.call<{ kind: 'taken' } | messages.Redirect>(
       link.leader,
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -76,7 +76,9 @@
 /** A lifetime that ended while it ran a content. */
 export interface EndedTarget {
   content: string;
-  lifetime: string;
+  lifetime: domain.quarantine.quarantine.Lifetime;
+  /** How long before the message it was noticed, milliseconds; an entry that was cut off tells later. */
+  agoMs: number;
 }
 
 /** `blame`: targets that ended while they ran requests of an entry. */
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -64,6 +64,7 @@
     });
     this.suspicions = new suspicions.Suspicions({
       quarantine: options.holding.quarantine,
+      heardAt: (lifetime) => options.holding.registry.heardAt(lifetime),
       observer: observe,
       now,
       publish: (reports) => {
--- a/packages/daemon/src/keeper/suspicions.ts
+++ b/packages/daemon/src/keeper/suspicions.ts
@@ -9,8 +9,13 @@
 type Change = domain.quarantine.quarantine.Change;
 type Report = domain.quarantine.quarantine.Report;
 
+/** An announcement from before an end may come this much after it, milliseconds: a usual pause between two. */
+const HELD_UP_MS = 1_200;
+
 export interface Parts {
   quarantine: domain.quarantine.quarantine.Quarantine;
+  /** When a lifetime announced itself last; undefined where it isn't known. */
+  heardAt: (lifetime: domain.quarantine.quarantine.Lifetime) => number | undefined;
   observer: observer.Observer;
   now: () => number;
   /** Tells all followers. */
@@ -39,9 +44,11 @@
 
   blame({ ended }: messages.Blame): void {
     const { quarantine, now } = this.parts;
-    const changes = ended.map(({ content, lifetime }) =>
-      quarantine.blame(content, lifetime, now()),
-    );
+    const changes = ended
+      .filter((each) => !this.hasSpokenSince(each))
+      .map(({ content, lifetime }) => {
+        return quarantine.blame(content, domain.quarantine.quarantine.lifetimeOf(lifetime), now());
+      });
     this.changed(changes.filter((change) => change !== undefined));
   }
 
@@ -71,6 +78,16 @@
     this.trials.forgetEntry(entry);
   }
 
+  /**
+   * An entry that was cut off took all targets for ended, and tells so once it is back: for a content that many callers send, that
+   * would be a quarantine at every entry until the targets have spoken twice more.
+   */
+  private hasSpokenSince({ lifetime, agoMs }: messages.EndedTarget): boolean {
+    const { heardAt, now } = this.parts;
+    const endedAt = now() - agoMs;
+    return (heardAt(lifetime) ?? -Infinity) > endedAt + HELD_UP_MS;
+  }
+
   private changed(changes: readonly Change[]): void {
     if (changes.length === 0) return;
     const { quarantine, observer: observe, now } = this.parts;
--- a/packages/domain/src/allocation/__tests__/allocator.test.ts
+++ b/packages/domain/src/allocation/__tests__/allocator.test.ts
@@ -60,6 +60,33 @@
 });
 
 describe('allocator', () => {
+  /*
+   * Ten requests ran beside one that crashed their engine. Sent on together they were blamed for the next crash together, and
+   * refused with the culprit after the third. Apart, each can be told from the others; whoever is blamed twice runs alone.
+   */
+  it('places suspects apart from each other, and alone before the last end that is allowed', () => {
+    const made = fleet(12);
+    const where = (id: string, endings?: number): string | undefined => {
+      return made.place(request(id, { endings }), 0)?.target;
+    };
+    const suspects = Array.from({ length: 10 }, (_, i) => where(`s${i}`, 1));
+    expect(new Set(suspects).size).to.equal(10);
+    const last = where('last', 2);
+    expect(suspects).not.to.include(last);
+    const others = Array.from({ length: 60 }, (_, i) => where(`o${i}`));
+    expect(others).not.to.include(last);
+    made.ended('last', 'done', 0);
+    expect(Array.from({ length: 60 }, (_, i) => where(`p${i}`))).to.include(last);
+  });
+
+  it('refuses no suspect for want of an engine apart', () => {
+    const made = fleet(2);
+    const placed = Array.from({ length: 6 }, (_, i) =>
+      made.place(request(`s${i}`, { endings: 2 }), 0),
+    );
+    expect(placed.every((each) => each !== undefined)).to.equal(true);
+  });
+
   /*
    * Readers of short summaries would see their text stop for seconds. A prompt of 154k tokens takes 3 s to
    * read on one engine, and all who write there wait for it; over many engines each waits under the pause
@@ -301,31 +328,4 @@
     expect(near).to.be.within(100, 330);
     expect(places.some(Number.isNaN)).to.equal(false);
   });
-
-  /*
-   * Ten requests ran beside one that crashed their engine. Sent on together they were blamed for the next crash together, and
-   * refused with the culprit after the third. Apart, each can be told from the others; whoever is blamed twice runs alone.
-   */
-  it('places suspects apart from each other, and alone before the last end that is allowed', () => {
-    const made = fleet(12);
-    const where = (id: string, endings?: number): string | undefined => {
-      return made.place(request(id, { endings }), 0)?.target;
-    };
-    const suspects = Array.from({ length: 10 }, (_, i) => where(`s${i}`, 1));
-    expect(new Set(suspects).size).to.equal(10);
-    const last = where('last', 2);
-    expect(suspects).not.to.include(last);
-    const others = Array.from({ length: 60 }, (_, i) => where(`o${i}`));
-    expect(others).not.to.include(last);
-    made.ended('last', 'done', 0);
-    expect(Array.from({ length: 60 }, (_, i) => where(`p${i}`))).to.include(last);
-  });
-
-  it('refuses no suspect for want of an engine apart', () => {
-    const made = fleet(2);
-    const placed = Array.from({ length: 6 }, (_, i) =>
-      made.place(request(`s${i}`, { endings: 2 }), 0),
-    );
-    expect(placed.every((each) => each !== undefined)).to.equal(true);
-  });
 });
--- a/packages/domain/src/registry/registry.ts
+++ b/packages/domain/src/registry/registry.ts
@@ -141,6 +141,13 @@
     return this.entries.get(id)?.record;
   }
 
+  /** When a lifetime announced itself last; undefined where it isn't known, or known as gone. */
+  heardAt({ id, bornAt }: Pick<Announcement, 'id' | 'bornAt'>): number | undefined {
+    const known = this.entries.get(id);
+    const isIt = known?.record.bornAt === bornAt && known.record.state !== 'gone';
+    return isIt ? known.heardAt : undefined;
+  }
+
   get size(): number {
     return this.entries.size;
   }
