--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -52,7 +52,34 @@
   return checks.violations(good).map(({ promise }) => promise);
 }
 
+/** Copies that the users' pages allow after the third end. */
+const MOST_LATER = 3;
+
+/** Three targets end under a content by 11.2 s; so many copies of it reach further ones from 14.3 s on, sent by entry 0. */
+function crashing(good: Observations, later: number): void {
+  for (let i = 0; i < 3; i++) {
+    good.crashed.push({ target: `t9-${i}`, body: 'crash 1', at: 11_000 + 100 * i });
+  }
+  for (let i = 0; i < later; i++) {
+    const at = 14_300 + 100 * i;
+    const request = `r9${i}`;
+    const ending = answered(502);
+    good.crashers.push({ ...asked(request, { sentAt: at, endedAt: at, ending }), body: 'crash 1' });
+    good.ran.push({ request, target: 't0-1', at });
+  }
+}
+
 describe('soak: checks', () => {
+  it('allow a few copies after a third end, and all from an entry that is out of touch', () => {
+    expect(seen((good) => crashing(good, MOST_LATER))).to.deep.equal([]);
+    const found = seen((good) => {
+      crashing(good, 9);
+      const what = { subject: 'entry', index: 0, what: 'entryCut' } as const;
+      good.disturbances.push({ ...what, from: 13_000, until: 14_000 });
+    });
+    expect(found).to.deep.equal([]);
+  });
+
   it('find nothing in a run in which everything was kept', () => {
     expect(seen(() => undefined)).to.deep.equal([]);
   });
@@ -102,6 +129,14 @@
         stopped.push({ entry: 0, incarnation: 1, from: 9_000, until: 12_000 });
       },
     ],
+    ['crashedOn', (good) => crashing(good, MOST_LATER + 1)],
+    [
+      'falseNotRun',
+      (good) => {
+        crashing(good, 1);
+        good.crashers.push({ ...asked('r90', { ending: answered(503) }), body: 'crash 1' });
+      },
+    ],
     [
       'memoryLeft',
       (good) => {
--- a/packages/soak/src/answers.ts
+++ b/packages/soak/src/answers.ts
@@ -25,3 +25,6 @@
 export function whole(request: string, path: string): string {
   return path.includes(STREAM_WORD) ? streamBody(request) : callBody(request, path);
 }
+
+/** The body of a request begins with this where targets are to end when they begin to run it. */
+export const CRASH_WORD = 'crash';
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -28,8 +28,12 @@
   kind: observations.RequestKind;
   path: string;
   key: string;
+  body?: string;
 }
 
+/** Body of all requests that don't name one, so that most contents are hot: every caller of a key sends the same. */
+const USUAL_BODY = 'soak';
+
 export class Callers {
   private readonly agent = new http.Agent({ keepAlive: true, maxSockets: Infinity });
 
@@ -37,12 +41,12 @@
 
   constructor(private readonly random: domain.shared.random.Random) {}
 
-  async ask({ entry, kind, path, key }: Question): Promise<observations.Asked> {
+  async ask({ entry, kind, path, key, body = USUAL_BODY }: Question): Promise<observations.Asked> {
     this.count += 1;
     const request = `r${this.count}`;
     const sentAt = Date.now();
     const { incarnation } = entry.process;
-    const ending = await this.send(entry.host, request, kind, path, key);
+    const ending = await this.send(entry.host, request, { kind, path, key, body });
     const endedAt = Date.now();
     return { request, kind, path, entry: entry.index, incarnation, key, sentAt, endedAt, ending };
   }
@@ -54,9 +58,7 @@
   private send(
     host: string,
     requestId: string,
-    kind: observations.RequestKind,
-    path: string,
-    key: string,
+    { kind, path, key, body }: Omit<Required<Question>, 'entry'>,
   ): Promise<observations.Ending> {
     const isLarge = kind === 'stream' && this.random.uniform() < LARGE_SHARE;
     const patienceMs = PATIENCE_MS[kind];
@@ -92,7 +94,7 @@
         response.on('error', () => undefined);
         response.on('close', () => settle(endingOf(response, Buffer.concat(chunks))));
       });
-      request.end('soak');
+      request.end(body);
     });
   }
 }
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -29,6 +29,8 @@
   | 'revokedKeyRan'
   | 'drainedTargetRan'
   | 'cutByStop'
+  /** A request under which three targets had ended went on reaching targets. */
+  | 'crashedOn'
   | 'memoryLeft'
   | 'notRecovered';
 
@@ -77,6 +79,8 @@
   revokedKeys,
   drainedTargets,
   plannedStops,
+  crashes,
+  crashersNotRun,
   memory,
   recovery,
 ];
@@ -110,7 +114,7 @@
 }
 
 function hangs(seen: Observations): Violation[] {
-  return seen.asked
+  return [...seen.asked, ...seen.crashers]
     .filter(({ ending }) => ending.kind === 'hung')
     .filter((each) => !isHarmed(seen, 'entry', each.entry, each.sentAt, each.endedAt))
     .map(({ request, entry }) => ({ promise: 'hung', detail: `${request} at entry ${entry}` }));
@@ -249,6 +253,37 @@
   });
 }
 
+/** By the users' pages: after three ends, at most three more arrivals from entries in touch, later than the stable window. */
+const MOST_ENDS = 3;
+const MOST_LATER = 3;
+
+function crashes(seen: Observations): Violation[] {
+  const contents = new Set(seen.crashed.map(({ body }) => body));
+  return [...contents].flatMap((body): Violation[] => {
+    const ends = seen.crashed.filter((each) => each.body === body).sort((a, b) => a.at - b.at);
+    if (ends.length < MOST_ENDS) return [];
+    const known = ends[MOST_ENDS - 1].at + STABLE_MS;
+    const copies = new Map(
+      seen.crashers.filter((each) => each.body === body).map((each) => [each.request, each]),
+    );
+    const later = seen.ran.filter(({ request, at }) => {
+      const copy = copies.get(request);
+      return copy !== undefined && at > known && isCalm(seen, copy.entry, copy.sentAt, at);
+    });
+    if (later.length <= MOST_LATER) return [];
+    const detail = `"${body}" reached ${later.length} targets more; ${ends.length} ended in all`;
+    return [{ promise: 'crashedOn', detail }];
+  });
+}
+
+function crashersNotRun({ crashers, ran }: Observations): Violation[] {
+  const all = new Set(ran.map(({ request }) => request));
+  return crashers
+    .filter(({ ending }) => ending.kind === 'answered' && PROMISES.has(ending.status))
+    .filter(({ request }) => all.has(request))
+    .map(({ request }) => ({ promise: 'falseNotRun', detail: `${request} ran and crashed` }));
+}
+
 function memory({ reservationsLeft }: Observations): Violation[] {
   return reservationsLeft === 0
     ? []
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -61,6 +61,11 @@
     asked: sum(({ asked }) => asked),
     served: sum(({ served }) => served),
     changes: sum(({ changes }) => changes),
+    crashing: {
+      contents: sum(({ crashing }) => crashing.contents),
+      copies: sum(({ crashing }) => crashing.copies),
+      ended: sum(({ crashing }) => crashing.ended),
+    },
   };
   process.stdout.write(`${JSON.stringify(summary)}\n`);
   process.exit(failed.length === 0 ? 0 : 1);
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -31,6 +31,18 @@
   label: string;
 }
 
+/** A request under which targets end. */
+export interface Crasher extends Asked {
+  body: string;
+}
+
+/** A target that ended under a request with this body. */
+export interface Crashed {
+  target: string;
+  body: string;
+  at: number;
+}
+
 export interface Ran {
   request: string;
   target: string;
@@ -83,6 +95,8 @@
 export interface Observations {
   asked: Asked[];
   probes: Probe[];
+  crashers: Crasher[];
+  crashed: Crashed[];
   ran: Ran[];
   sent: Sent[];
   revoked: Revoked[];
@@ -103,6 +117,8 @@
   return {
     asked: [],
     probes: [],
+    crashers: [],
+    crashed: [],
     ran: [],
     sent: [],
     revoked: [],
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -6,6 +6,7 @@
 import * as answers from './answers';
 import * as callers from './callers';
 import * as checks from './checks';
+import * as crashers from './crashers';
 import * as fleet from './fleet';
 import * as foreignWriter from './foreignWriter';
 import * as harm from './harm';
@@ -33,6 +34,8 @@
   asked: number;
   served: number;
   changes: number;
+  /** Contents under which targets ended, copies of them, and targets that ended. */
+  crashing: { contents: number; copies: number; ended: number };
   /** Number of violations by promise; empty for a good run. */
   broken: Partial<Record<checks.Breach | 'notPlayed', number>>;
   folder: string;
@@ -67,6 +70,8 @@
 
   private readonly harm: harm.Harm;
 
+  private readonly crashers: crashers.Crashers;
+
   private readonly open = new Set<Promise<void>>();
 
   private isAsking = true;
@@ -81,11 +86,19 @@
       layout: layout.LAYOUTS[size],
       onLine: (line) => {
         if (line.kind === 'ran') this.seen.ran.push(line);
-        else this.seen.drained.push(line);
+        else if (line.kind === 'draining') this.seen.drained.push(line);
+        else this.crashers.ended(line);
       },
     });
     this.operators = new operator.Operator(this.running.controls, this.seen, this.random);
     this.callers = new callers.Callers(this.random);
+    this.crashers = new crashers.Crashers({
+      running: this.running,
+      callers: this.callers,
+      seen: this.seen,
+      random: domain.shared.random.independent(seed),
+      key: () => this.operators.key(),
+    });
     this.harm = new harm.Harm(this.running, this.operators, this.seen, () => this.random.uniform());
   }
 
@@ -132,11 +145,14 @@
     return ending.kind === 'answered' && ending.status === 200;
   }
 
-  private async follow({ steps, seconds }: schedule.Plan): Promise<void> {
+  private async follow({ steps, crashing, seconds }: schedule.Plan): Promise<void> {
     const begun = Date.now();
     const until = async (at: number): Promise<void> =>
       operator.pause(Math.max(0, begun + at * 1_000 - Date.now()));
-    const under: Promise<void>[] = [];
+    const under: Promise<void>[] = crashing.map(async (each) => {
+      await until(each.at);
+      await this.crashers.carryOut(each);
+    });
     for (const step of steps) {
       await until(step.at);
       under.push(this.harm.carryOut(step));
@@ -253,6 +269,11 @@
     asked: seen.asked.length,
     served: served.length,
     changes: seen.sent.length,
+    crashing: {
+      contents: new Set(seen.crashers.map(({ body }) => body)).size,
+      copies: seen.crashers.length,
+      ended: seen.crashed.length,
+    },
     broken,
     folder,
   };
@@ -269,5 +290,7 @@
 /** The report of a run that the soak itself couldn't carry out; it counts as failed. */
 export function notPlayed(seed: number, folder: string, error: unknown): Report {
   fs.writeFileSync(path.join(folder, 'error.txt'), `${String((error as Error).stack ?? error)}\n`);
-  return { seed, steps: 0, asked: 0, served: 0, changes: 0, broken: { notPlayed: 1 }, folder };
+  const crashing = { contents: 0, copies: 0, ended: 0 };
+  const counts = { steps: 0, asked: 0, served: 0, changes: 0, crashing };
+  return { seed, ...counts, broken: { notPlayed: 1 }, folder };
 }
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -1,6 +1,7 @@
 /** What is done to a fleet in one run, from a seed: harm in series and overlapping with changes and planned stops. */
 import * as domain from '@celerydrift/domain';
 import type * as layout from './layout';
+import type * as observations from './observations';
 
 export type Kind =
   | 'entryKill'
@@ -96,10 +97,41 @@
 const LONGEST_SECONDS = 8;
 const SHORTEST_SECONDS = 0.5;
 
+/** A request under which targets end, sent again and again. */
+export interface Crashing {
+  at: number;
+  forSeconds: number;
+  kind: observations.RequestKind;
+  /** Mean pause between two copies, seconds; much shorter and longer than a copy takes to end its target. */
+  pauseSeconds: number;
+}
+
 export interface Plan {
   seed: number;
   seconds: number;
   steps: Step[];
+  crashing: Crashing[];
+}
+
+const CRASHING_KINDS: readonly observations.RequestKind[] = ['stream', 'safe', 'unsafe'];
+const MEAN_PAUSE_BETWEEN_CRASHING_SECONDS = 4;
+const COPY_PAUSE_SECONDS = { least: 0.01, most: 0.5 } as const;
+
+/** Drawn apart from the steps, so that the steps of a seed stay what they are. */
+function drawCrashing(seed: number, seconds: number): Crashing[] {
+  const random = domain.shared.random.independent(seed);
+  const drawn: Crashing[] = [];
+  const mean = MEAN_PAUSE_BETWEEN_CRASHING_SECONDS;
+  const { least, most } = COPY_PAUSE_SECONDS;
+  let at = domain.shared.random.exponential(random, mean);
+  while (at < seconds) {
+    const forSeconds = SHORTEST_SECONDS + (LONGEST_SECONDS - SHORTEST_SECONDS) * random.uniform();
+    const kind = domain.shared.random.pick(random, CRASHING_KINDS);
+    const pauseSeconds = least + (most - least) * random.uniform() ** 2;
+    drawn.push({ at, forSeconds, kind, pauseSeconds });
+    at += domain.shared.random.exponential(random, mean);
+  }
+  return drawn;
 }
 
 function drawKind(random: domain.shared.random.Random): Kind {
@@ -151,5 +183,5 @@
     };
     if (!isTooMuch(step, steps)) steps.push(step);
   }
-  return { seed, seconds, steps };
+  return { seed, seconds, steps, crashing: drawCrashing(seed, seconds) };
 }
--- a/packages/soak/src/targetMain.ts
+++ b/packages/soak/src/targetMain.ts
@@ -32,13 +32,17 @@
 /** A line of its output. */
 export type Line =
   | { kind: 'ran'; request: string; target: string; organisation: string; at: number }
-  | { kind: 'draining'; target: string; at: number };
+  | { kind: 'draining'; target: string; at: number }
+  /** It ends now, under a request with this body. */
+  | { kind: 'crashed'; target: string; body: string; at: number };
 
 const ANNOUNCE_EVERY_MS = 500;
 /** A target that leaves serves on for so long after the acknowledgement. */
 const DRAIN_MS = 3_000;
 const CALL_MS = 20;
 const EVENT_MS = 30;
+/** How long a request that crashes its target runs there. */
+const CRASH_MS = 20;
 
 class Target {
   private state: 'ready' | 'draining' = 'ready';
@@ -83,7 +87,7 @@
       response.writeHead(this.obey(order)).end('{"free":0}');
       return;
     }
-    this.run(request, response, path);
+    this.run(request, response, path, body);
   }
 
   private obey(order: counterpart.MemoryOrder): number {
@@ -106,7 +110,12 @@
     });
   }
 
-  private run(request: http.IncomingMessage, response: http.ServerResponse, path: string): void {
+  private run(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    path: string,
+    body: string,
+  ): void {
     const {
       requestId,
       target,
@@ -124,6 +133,10 @@
     response.once('close', () => {
       this.running -= 1;
     });
+    if (body.startsWith(answers.CRASH_WORD)) {
+      setTimeout(() => this.crash(body), CRASH_MS);
+      return;
+    }
     const mode = this.mode();
     if (mode === 'mute') return;
     const named = mode === 'crossed' ? `${requestId}x` : requestId;
@@ -134,6 +147,11 @@
     } else this.call(response, headers, answers.callBody(named, path), mode);
   }
 
+  private crash(body: string): void {
+    say({ kind: 'crashed', target: this.options.id, body, at: Date.now() });
+    process.kill(process.pid, 'SIGKILL');
+  }
+
   private call(response: http.ServerResponse, headers: string[], body: string, mode: Mode): void {
     setTimeout(() => {
       response.writeHead(200, [...headers, 'content-length', String(body.length)]);
