Tell innocent contents that many callers send from the culprit

Found by the soak, where all callers of a key send the same content: it is on all targets at once. Runs that were under way together count as one end, later ends count only in trials; nobody is blamed for a target that had ended before the request was sent (a crashed one is announced as ready for some seconds, and its broken connections were blamed on all who met them); a trial at a plain service gets a target that runs no other suspect; a quarantine explains only single ends, as wrongly held contents had acquitted the culprit again and again.

--- a/packages/daemon/src/entry/crashWatch.ts
+++ b/packages/daemon/src/entry/crashWatch.ts
@@ -18,16 +18,31 @@
   bodyBytes: number;
   /** Works out its content; see `fingerprint`. */
   content: () => string;
+  service: string;
+  /** Targets that it was sent to before. */
+  excluded: readonly string[];
 }
 
 /** A target that a request was sent to. */
 export interface Sent {
   target: string;
   address: string;
+  sentAt: number;
+  /** Whether that was a trial; see `Grant`. */
+  isTrial: boolean;
+}
+
+/** A request may be sent; `endings` count against its content, and with any of them the sending is a trial. */
+export interface Grant {
+  kind: 'granted';
+  endings: number;
+  /** Where it must run; undefined for any target. */
+  target: string | undefined;
+  end: (ranWhole: boolean) => void;
 }
 
 export type Permit =
-  | { kind: 'granted'; endings: number; end: (ranWhole: boolean) => void }
+  | Grant
   /** Another request with its content runs, and shows soon whether it ends its target. */
   | { kind: 'busy' }
   | { kind: 'quarantined' };
@@ -59,7 +74,7 @@
 const MOST_UNTOLD = 500;
 
 /** A target's end that the leader is told of; `at` is this entry's clock. */
-type Noticed = Omit<messages.EndedTarget, 'agoMs'> & { at: number };
+type Noticed = Omit<messages.EndedTarget, 'agoMs' | 'sentAgoMs'> & { at: number; sentAt: number };
 
 export class CrashWatch {
   /** Suspects that run here; the leader's view is wider, but may be out of reach. */
@@ -77,16 +92,22 @@
   async permit(request: Suspectable): Promise<Permit> {
     const standing = this.standing(request);
     if (standing === 'quarantined') return this.refuse(request);
-    if (standing === 'free') return { kind: 'granted', endings: 0, end: this.ender(request) };
+    if (standing === 'free') {
+      return { kind: 'granted', endings: 0, target: undefined, end: this.ender(request) };
+    }
     const { name, now } = this.parts;
+    const { requestId: id, service, excluded } = request;
     const content = request.content();
-    const id = request.requestId;
-    if (!this.trials.begin(content, { id, entry: name }, now())) return { kind: 'busy' };
-    const answer = await this.askLeader({ content, id, entry: name });
+    const trial = { id, entry: name, target: undefined };
+    if (!this.trials.begin(content, trial, now())) return { kind: 'busy' };
+    const answer = await this.askLeader({ content, id, entry: name, service, excluded });
     const end = (ranWhole: boolean): void => this.endTrial({ content, id, ranWhole });
-    if (answer?.kind === 'granted') return { kind: 'granted', endings: answer.endings, end };
-    // Without a leader the count that is known here decides.
-    if (answer === undefined) return { kind: 'granted', endings: this.endings(content), end };
+    if (answer?.kind === 'granted') return { ...answer, end };
+    if (answer === undefined) {
+      // Without a leader the count that is known here decides.
+      const endings = this.parts.holding.quarantine.count(content);
+      return { kind: 'granted', endings, target: undefined, end };
+    }
     this.trials.end(content, id);
     return answer.kind === 'busy' ? { kind: 'busy' } : this.refuse(request);
   }
@@ -110,10 +131,6 @@
     return quarantine.mayKnow(bodyBytes) ? quarantine.standing(content()) : 'free';
   }
 
-  private endings(content: string): number {
-    return this.parts.holding.quarantine.endings(content).length;
-  }
-
   private refuse(request: Suspectable): Permit {
     const { observer: observe, holding: held } = this.parts;
     const content = request.content();
@@ -156,7 +173,10 @@
     return answer.err || answer.val.kind === 'redirect' ? undefined : answer.val;
   }
 
-  private async judge(request: Suspectable, { target, address }: Sent): Promise<void> {
+  private async judge(
+    request: Suspectable,
+    { target, address, sentAt, isTrial }: Sent,
+  ): Promise<void> {
     const { lifeChecks: checks, observer: observe, holding: held, now } = this.parts;
     if (await checks.isAlive(target, address)) return;
     const record = held.registry.get(target);
@@ -167,8 +187,8 @@
     const { bornAt } = record ?? { bornAt: 0 };
     const lifetime = { id: target, bornAt };
     const key = domain.quarantine.quarantine.lifetimeOf(lifetime);
-    held.quarantine.blame(content, key, now());
-    void this.tell({ content, lifetime, at: now() });
+    held.quarantine.blame(content, key, { sentAt, isTrial }, now());
+    void this.tell({ content, lifetime, isTrial, sentAt, at: now() });
   }
 
   /**
@@ -192,7 +212,9 @@
   private async tellLeader(noticed: readonly Noticed[]): Promise<boolean> {
     const { client, link, now } = this.parts;
     if (link.leader === '') return false;
-    const ended = noticed.map(({ at, ...each }) => ({ ...each, agoMs: now() - at }));
+    const ended = noticed.map(({ at, sentAt, ...each }) => {
+      return { ...each, agoMs: now() - at, sentAgoMs: now() - sentAt };
+    });
     const blame: messages.Blame = { ended };
     const answer = await client.call<{ kind: 'taken' } | messages.Redirect>(
       link.leader,
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -98,6 +98,11 @@
   /** Whether the last target was overdue when its sending ended. */
   private wasSilent = false;
 
+  private sentAt = 0;
+
+  /** Whether the last target may have ended under the request. */
+  private mayHaveEnded = false;
+
   private interrupt: ((outcome: Outcome) => void) | undefined;
 
   /** What `content` has worked out. */
@@ -158,23 +163,23 @@
 
   /** One placing and sending, if the content may run at all; whether another one should follow. */
   private async tryWithPermit(service: string): Promise<boolean> {
-    const permit = await this.services.crashes.permit(this.suspectable);
+    const permit = await this.services.crashes.permit(this.suspectable(service));
     if (permit.kind !== 'granted') {
       this.refuseSuspect(permit.kind);
       return false;
     }
     let outcome: Outcome | undefined;
     try {
-      outcome = this.isOver ? undefined : await this.tryOnce(service, permit.endings);
+      outcome = this.isOver ? undefined : await this.tryOnce(service, permit);
     } finally {
       permit.end(outcome?.kind === 'answered' && this.reply.status < FAILURE_STATUS);
     }
-    return outcome !== undefined && this.goesOn(outcome);
+    return outcome !== undefined && this.goesOn(service, outcome);
   }
 
   /** Places and sends the request once; undefined where it is over without a sending. */
-  private async tryOnce(service: string, endings: number): Promise<Outcome | undefined> {
-    const choice = await this.choose(service, endings);
+  private async tryOnce(service: string, permit: crashWatch.Grant): Promise<Outcome | undefined> {
+    const choice = await this.choose(service, permit);
     if (this.isOver) {
       if (choice.kind === 'placed') choice.release('cancelled');
       return undefined;
@@ -188,18 +193,21 @@
       this.fail('settings not confirmed fresh', RETRY_AFTER_MS);
       return undefined;
     }
-    return this.send(choice);
+    this.mayHaveEnded = false;
+    const outcome = await this.send(choice);
+    await this.lookForEnd(service, permit, choice.placement);
+    return outcome;
   }
 
   /** Whether the request is sent once more after such an outcome; otherwise its caller has its final answer. */
-  private async goesOn(outcome: Outcome): Promise<boolean> {
+  private async goesOn(service: string, outcome: Outcome): Promise<boolean> {
     if (outcome.kind === 'answered' || this.isOver) return false;
     if (outcome.kind === 'noMemory' && this.reservationTries < RESERVATION_TRIES) {
       this.reservationTries += 1;
       await clock.pause(RESERVATION_PAUSE_MS);
       return true;
     }
-    if (!this.mayRepeat(outcome)) {
+    if (!this.mayRepeat(service, outcome)) {
       this.fail('detail' in outcome ? outcome.detail : outcome.kind, RETRY_AFTER_MS);
       return false;
     }
@@ -217,7 +225,7 @@
     this.fail(isBusy ? 'a copy of it runs' : 'in quarantine: targets ended under it', COPY_RUNS_MS);
   }
 
-  private choose(service: string, endings: number): Promise<chooser.Choice> {
+  private choose(service: string, { endings, target }: crashWatch.Grant): Promise<chooser.Choice> {
     const { facts, route } = this.admitted;
     const maximum = facts.maxAnswerTokens ?? Infinity;
     const answerTokens = Math.min(maximum, facts.likelyAnswerTokens ?? maximum);
@@ -229,7 +237,7 @@
       objectiveMs: route.objectiveMs,
       pauseMs: route.pauseMs,
       excluded: this.attempts.excluded,
-      writers: this.attempts.writers,
+      writers: this.attempts.writers ?? (target === undefined ? undefined : [target]),
       endings: endings > 0 ? endings : undefined,
       waitedMs: this.waitedMs,
       patienceMs: Math.max(0, PATIENCE_SHARE * Math.min(this.timeLeftMs, silence.giveUpMs(route))),
@@ -283,6 +291,7 @@
       },
       this.reply,
     );
+    this.sentAt = this.services.now();
     this.attempt = attempt;
     this.underWay = placement.target;
     this.reply.control(attempt);
@@ -304,18 +313,29 @@
       faulty,
       gapMs: this.reply.usualGapMs,
     });
-    if (wasSent && outcomes.mayHaveEnded(outcome, this.wasSilent)) {
-      await this.services.crashes.cut(this.suspectable, placement);
-    }
+    this.mayHaveEnded = wasSent && outcomes.mayHaveEnded(outcome, this.wasSilent);
     return outcome;
   }
 
-  private get suspectable(): crashWatch.Suspectable {
+  /** A target that didn't answer may have ended under the request. */
+  private async lookForEnd(
+    service: string,
+    { endings }: crashWatch.Grant,
+    { target, address }: domain.allocation.allocator.Placement,
+  ): Promise<void> {
+    if (!this.mayHaveEnded) return;
+    const sent = { target, address, sentAt: this.sentAt, isTrial: endings > 0 };
+    await this.services.crashes.cut(this.suspectable(service), sent);
+  }
+
+  private suspectable(service: string): crashWatch.Suspectable {
     const { facts, body } = this.admitted;
     return {
       requestId: facts.requestId,
       bodyBytes: body.length,
       content: () => this.content,
+      service,
+      excluded: this.attempts.targets,
     };
   }
 
@@ -391,14 +411,14 @@
     return this.attempts.hasLeft(isSent ? this.underWay : undefined);
   }
 
-  private mayRepeat(outcome: Outcome): boolean {
+  private mayRepeat(service: string, outcome: Outcome): boolean {
     if (outcome.kind !== 'failed' && outcome.kind !== 'notRun') return false;
     if (outcome.kind === 'failed' && !this.isRepeatable) return false;
     if (this.reply.isBeyondRepair) return false;
     if (!this.hasAttemptsLeft || this.timeLeftMs <= 0) return false;
     // The budget bounds what reaches targets; a target that wasn't reached costs it nothing.
     const isFree = outcome.kind === 'notRun' && outcome.ending === 'unreachable';
-    const isHeldBack = this.services.crashes.isQuarantined(this.suspectable);
+    const isHeldBack = this.services.crashes.isQuarantined(this.suspectable(service));
     const isGranted = !isHeldBack && (isFree || this.budget?.spend(this.services.now()) === true);
     this.log.attemptFailed({ content: this.content, detail: outcome.detail, repeated: isGranted });
     return isGranted;
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -77,8 +77,11 @@
 export interface EndedTarget {
   content: string;
   lifetime: domain.quarantine.quarantine.Lifetime;
-  /** How long before the message it was noticed, milliseconds; an entry that was cut off tells later. */
+  /** Whether that run was a trial, allowed while the content was suspected already. */
+  isTrial: boolean;
+  /** How long before the message it was noticed, and the request sent, milliseconds; an entry that was cut off tells later. */
   agoMs: number;
+  sentAgoMs: number;
 }
 
 /** `blame`: targets that ended while they ran requests of an entry. */
@@ -92,12 +95,18 @@
   /** Id of the request, and the entry that has it. */
   id: string;
   entry: string;
+  service: string;
+  /** Targets that it was sent to before. */
+  excluded: readonly string[];
 }
 
 export type PermitAnswer =
-  /** It runs as the only one with its content; `endings` is 0 where the leader suspects nothing. */
-  | { kind: 'granted'; endings: number }
-  /** Another request with its content runs. */
+  /**
+   * It runs as the only one with its content; `endings` is 0 where the leader suspects nothing. `target` is where it must run;
+   * undefined for any.
+   */
+  | { kind: 'granted'; endings: number; target: string | undefined }
+  /** Another request with its content runs, or no target is there that runs no other suspect. */
   | { kind: 'busy' }
   | { kind: 'quarantined' }
   | Redirect;
--- a/packages/daemon/src/keeper/__tests__/suspicions.test.ts
+++ b/packages/daemon/src/keeper/__tests__/suspicions.test.ts
@@ -18,13 +18,18 @@
     const published: domain.quarantine.quarantine.Report[] = [];
     const made = new suspicions.Suspicions({
       quarantine,
-      heardAt: ({ id }) => (id === 'silent' ? 0 : 9_500),
+      registry: { heardAt: ({ id }) => (id === 'silent' ? 0 : 9_500), ready: () => [] },
+      isAllocated: () => false,
       observer: new observer.Observer('test', 'fatal', undefined),
       now: () => 10_000,
       publish: (reports) => published.push(...reports),
     });
     const tell = (id: string, agoMs: number): void => {
-      made.blame({ ended: [{ content: CONTENT, lifetime: { id, bornAt: 1 }, agoMs }] });
+      made.blame({
+        ended: [
+          { content: CONTENT, lifetime: { id, bornAt: 1 }, isTrial: true, agoMs, sentAgoMs: agoMs },
+        ],
+      });
     };
     ['a', 'b', 'c'].forEach((id) => tell(id, 5_000));
     expect([quarantine.size, published.length]).to.deep.equal([0, 0]);
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -64,7 +64,10 @@
     });
     this.suspicions = new suspicions.Suspicions({
       quarantine: options.holding.quarantine,
-      heardAt: (lifetime) => options.holding.registry.heardAt(lifetime),
+      registry: options.holding.registry,
+      isAllocated: (service) => {
+        return options.holding.directory?.service(service)?.engine !== undefined;
+      },
       observer: observe,
       now,
       publish: (reports) => {
--- a/packages/daemon/src/keeper/suspectMemory.ts
+++ b/packages/daemon/src/keeper/suspectMemory.ts
@@ -15,7 +15,7 @@
 const REPORTS = t.array(
   t.type({
     content: t.string,
-    endings: t.array(t.type({ lifetime: t.string, agoMs: t.number })),
+    endings: t.array(t.type({ lifetime: t.string, agoMs: t.number, isTrial: t.boolean })),
     quarantines: t.number,
     quarantinedForMs: t.number,
   }),
--- a/packages/daemon/src/keeper/suspicions.ts
+++ b/packages/daemon/src/keeper/suspicions.ts
@@ -12,10 +12,14 @@
 /** An announcement from before an end may come this much after it, milliseconds: a usual pause between two. */
 const HELD_UP_MS = 1_200;
 
+/** Ends that count against a content before its last trial. */
+const LAST_TRIAL = domain.quarantine.quarantine.MOST_ENDINGS - 1;
+
 export interface Parts {
   quarantine: domain.quarantine.quarantine.Quarantine;
-  /** When a lifetime announced itself last; undefined where it isn't known. */
-  heardAt: (lifetime: domain.quarantine.quarantine.Lifetime) => number | undefined;
+  registry: Pick<domain.registry.registry.Registry, 'heardAt' | 'ready'>;
+  /** Whether the allocator chooses targets of a service; it keeps suspects apart by itself. */
+  isAllocated: (service: string) => boolean;
   observer: observer.Observer;
   now: () => number;
   /** Tells all followers. */
@@ -46,8 +50,10 @@
     const { quarantine, now } = this.parts;
     const changes = ended
       .filter((each) => !this.hasSpokenSince(each))
-      .map(({ content, lifetime }) => {
-        return quarantine.blame(content, domain.quarantine.quarantine.lifetimeOf(lifetime), now());
+      .map(({ content, lifetime, isTrial, sentAgoMs }) => {
+        const key = domain.quarantine.quarantine.lifetimeOf(lifetime);
+        const run = { sentAt: now() - sentAgoMs, isTrial };
+        return quarantine.blame(content, key, run, now());
       });
     this.changed(changes.filter((change) => change !== undefined));
   }
@@ -59,13 +65,20 @@
     this.changed(quarantine.spoke({ id, bornAt }, sequence));
   }
 
-  permit({ content, id, entry }: messages.PermitQuestion): messages.PermitAnswer {
+  permit(question: messages.PermitQuestion): messages.PermitAnswer {
     const { quarantine, now } = this.parts;
+    const { content, id, entry } = question;
     const standing = quarantine.standing(content);
     if (standing === 'quarantined') return { kind: 'quarantined' };
-    if (standing === 'free') return { kind: 'granted', endings: 0 };
-    if (!this.trials.begin(content, { id, entry }, now())) return { kind: 'busy' };
-    return { kind: 'granted', endings: quarantine.endings(content).length };
+    if (standing === 'free') return { kind: 'granted', endings: 0, target: undefined };
+    if (!this.trials.mayBegin(content, { id, entry }, now())) return { kind: 'busy' };
+    const endings = quarantine.count(content);
+    const choice = this.choose(question);
+    // The end that would count as the last must not be another suspect's.
+    if (choice === 'none' && endings >= LAST_TRIAL) return { kind: 'busy' };
+    const target = choice === 'any' || choice === 'none' ? undefined : choice.id;
+    this.trials.begin(content, { id, entry, target }, now());
+    return { kind: 'granted', endings, target };
   }
 
   trialEnded({ content, id, ranWhole }: messages.TrialEnded): void {
@@ -78,14 +91,26 @@
     this.trials.forgetEntry(entry);
   }
 
+  /** A target of a plain service that runs no other suspect; engines are chosen by the allocator. */
+  private choose({
+    service,
+    excluded,
+  }: messages.PermitQuestion): 'any' | 'none' | domain.registry.registry.Announcement {
+    const { quarantine, registry, isAllocated } = this.parts;
+    if (isAllocated(service)) return 'any';
+    const taken = new Set([...this.trials.targets, ...excluded]);
+    const free = registry.ready(service).filter(({ id }) => !taken.has(id));
+    return free.find((record) => !quarantine.hasEnded(record)) ?? 'none';
+  }
+
   /**
    * An entry that was cut off took all targets for ended, and tells so once it is back: for a content that many callers send, that
    * would be a quarantine at every entry until the targets have spoken twice more.
    */
   private hasSpokenSince({ lifetime, agoMs }: messages.EndedTarget): boolean {
-    const { heardAt, now } = this.parts;
+    const { registry, now } = this.parts;
     const endedAt = now() - agoMs;
-    return (heardAt(lifetime) ?? -Infinity) > endedAt + HELD_UP_MS;
+    return (registry.heardAt(lifetime) ?? -Infinity) > endedAt + HELD_UP_MS;
   }
 
   private changed(changes: readonly Change[]): void {
--- a/packages/domain/src/quarantine/__tests__/quarantine.test.ts
+++ b/packages/domain/src/quarantine/__tests__/quarantine.test.ts
@@ -15,7 +15,8 @@
 /** The culprit ends so many targets, one each second. */
 function afterEnds(count: number): quarantine.Quarantine {
   const made = new quarantine.Quarantine();
-  for (let i = 0; i < count; i++) made.blame(CULPRIT, life(`t${i}`), 1_000 * i);
+  for (let i = 0; i < count; i++)
+    made.blame(CULPRIT, life(`t${i}`), { sentAt: 1_000 * i, isTrial: true }, 1_000 * i);
   return made;
 }
 
@@ -23,13 +24,40 @@
   it('begins with the third lifetime that ended, however often each is told', () => {
     const made = new quarantine.Quarantine();
     const seen = ['t0', 't0', 't1', 't1', 't2'].map((id) => {
-      made.blame(CULPRIT, life(id), 0);
+      made.blame(CULPRIT, life(id), { sentAt: 0, isTrial: true }, 0);
       return made.standing(CULPRIT);
     });
     expect(seen.join(' ')).to.equal('suspected suspected suspected suspected quarantined');
     expect([made.mayKnow(9), made.mayKnow(8)]).to.deep.equal([true, false]);
   });
 
+  /*
+   * All lookups were refused after one crash. The target was announced as ready for two seconds more; each request that met its
+   * broken connections was blamed for its end, and the third time put into quarantine.
+   */
+  it("doesn't blame what was sent after the end", () => {
+    const made = afterEnds(1);
+    expect(made.blame(BESIDE, life('t0'), { sentAt: 1, isTrial: true }, 5)).to.equal(undefined);
+    made.blame(BESIDE, life('t0'), { sentAt: -1, isTrial: false }, 5);
+    expect(made.standing(BESIDE)).to.equal('suspected');
+  });
+
+  /*
+   * A lookup that many callers send was refused with the culprit for two minutes: it ran on three targets at once, and the
+   * culprit's copies ended all of them within a moment. What was under way then counts once; the next run decides.
+   */
+  it('counts runs that were under way together as one', () => {
+    const made = new quarantine.Quarantine();
+    ['t0', 't1', 't2', 't3'].forEach((id) =>
+      made.blame(BESIDE, life(id), { sentAt: 0, isTrial: false }, 0),
+    );
+    expect([made.standing(BESIDE), made.count(BESIDE)]).to.deep.equal(['suspected', 1]);
+    ['t4', 't5'].forEach((id) =>
+      made.blame(BESIDE, life(id), { sentAt: 1_000, isTrial: true }, 1_000),
+    );
+    expect(made.standing(BESIDE)).to.equal('quarantined');
+  });
+
   /*
    * A clerk's lookup was refused for minutes. Three targets couldn't be reached from its entries, which were cut off, and
    * they all lived. A target that announces itself twice afterwards lives; one word may be from before its end.
@@ -59,7 +87,9 @@
    */
   it('explains ends to what ran beside the culprit', () => {
     const made = afterEnds(3);
-    ['t0', 't1'].forEach((id) => made.blame(BESIDE, life(id), 2_000));
+    ['t0', 't1'].forEach((id) =>
+      made.blame(BESIDE, life(id), { sentAt: 0, isTrial: false }, 2_000),
+    );
     made.tick(2_400);
     expect(made.standing(BESIDE)).to.equal('suspected');
     made.tick(2_500);
@@ -74,7 +104,12 @@
       return made.standing(CULPRIT);
     });
     expect(standings).to.deep.equal(['quarantined', 'suspected']);
-    made.blame(CULPRIT, life('t9'), since + 3 * minute);
+    made.blame(
+      CULPRIT,
+      life('t9'),
+      { sentAt: since + 3 * minute, isTrial: true },
+      since + 3 * minute,
+    );
     made.tick(since + 3 * minute + 19 * minute);
     expect(made.standing(CULPRIT)).to.equal('quarantined');
     made.tick(since + 3 * minute + 20 * minute);
@@ -87,7 +122,7 @@
   it('forgets whoever is blamed least where there are too many', () => {
     const made = afterEnds(3);
     for (let i = 0; i < 2 * quarantine.MOST_SUSPECTS; i++)
-      made.blame(`5-${i}`, life(`u${i}`), 3_000 + i);
+      made.blame(`5-${i}`, life(`u${i}`), { sentAt: 3_000 + i, isTrial: false }, 3_000 + i);
     expect([made.size, made.standing(CULPRIT)]).to.deep.equal([
       quarantine.MOST_SUSPECTS,
       'quarantined',
@@ -97,7 +132,7 @@
 
   it('travels as ages, replaces what a follower knew, and adds to what a new leader knows', () => {
     const [leader, follower] = [afterEnds(3), afterEnds(1)];
-    follower.blame(BESIDE, life('t0'), 0);
+    follower.blame(BESIDE, life('t0'), { sentAt: 0, isTrial: true }, 0);
     follower.takeAll(leader.reports(10_000), 500_000);
     expect([follower.standing(CULPRIT), follower.standing(BESIDE)]).to.deep.equal([
       'quarantined',
@@ -115,7 +150,7 @@
   it('run one request with a content at a time, and end with their entry', () => {
     const made = new trials.Trials();
     const begin = (id: string, entry: string, now = 0): boolean => {
-      return made.begin(CULPRIT, { id, entry }, now);
+      return made.begin(CULPRIT, { id, entry, target: undefined }, now);
     };
     const begun = [begin('r1', 'e1'), begin('r1', 'e1'), begin('r2', 'e1'), begin('r1', 'e2')];
     made.forgetEntry('e1');
--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -18,6 +18,8 @@
 interface Ending {
   lifetime: string;
   at: number;
+  /** Whether that run was a trial: begun as the only one with a content that was suspected already. */
+  isTrial: boolean;
 }
 
 interface Suspect {
@@ -32,7 +34,7 @@
 /** A suspect as it travels; clocks of different VMs don't compare, so times are ages. No endings: nothing is left of it. */
 export interface Report {
   content: string;
-  endings: { lifetime: string; agoMs: number }[];
+  endings: { lifetime: string; agoMs: number; isTrial: boolean }[];
   quarantines: number;
   quarantinedForMs: number | undefined;
 }
@@ -45,6 +47,8 @@
 /**
  * Ends that put a content into quarantine. One is chance, and two may be for a request beside the culprit; a third run happens
  * apart from other suspects. With two, the crash of a whole data centre beside any other crash would refuse innocent requests.
+ * Runs that were under way when the first one ended its target count as one end together: what many callers send at the same
+ * time is on many targets at once, and one culprit that crashes some of them would have it refused with itself.
  */
 export const MOST_ENDINGS = 3;
 
@@ -73,6 +77,9 @@
  */
 export const MOST_SUSPECTS = 1_000;
 
+/** Most lifetimes whose end is remembered; a crashed one is announced as ready for some seconds at most. */
+const MOST_ENDED = 500;
+
 /** Endings that are left after a quarantine: the next one is the third again. */
 const LEFT_AFTER_QUARANTINE = MOST_ENDINGS - 1;
 
@@ -89,7 +96,21 @@
   reason: Reason | undefined;
 }
 
+/** A sending that got no answer. */
+export interface Run {
+  /** By the clock of whoever owns the quarantine. */
+  sentAt: number;
+  /** Whether it was a trial; see `Ending`. */
+  isTrial: boolean;
+}
+
 export class Quarantine {
+  /**
+   * When lifetimes were first told to have ended, the latest last. A target that crashed is still announced as ready for some
+   * seconds, and a request that meets its broken connections then hasn't ended it.
+   */
+  private readonly endedAt = new Map<string, number>();
+
   private readonly suspects = new Map<string, Suspect>();
 
   /** Contents that a lifetime is counted against, and the first sequence that it announced after its end was told. */
@@ -117,18 +138,32 @@
     return isQuarantined(suspect) ? 'quarantined' : 'suspected';
   }
 
+  /** Ends that count against a content. */
+  count(content: string): number {
+    const suspect = this.suspects.get(content);
+    return suspect === undefined ? 0 : countOf(suspect);
+  }
+
   /** Lifetimes that ended under a content. */
   endings(content: string): string[] {
     return this.suspects.get(content)?.endings.map(({ lifetime }) => lifetime) ?? [];
   }
 
-  /** A lifetime ended while it ran the content; undefined where that was known. */
-  blame(content: string, lifetime: string, now: number): Change | undefined {
+  /** A lifetime ended while it ran the content; undefined where that was known, or it had ended before. */
+  blame(
+    content: string,
+    lifetime: string,
+    { sentAt, isTrial }: Run,
+    now: number,
+  ): Change | undefined {
+    const endedAt = this.endedAt.get(lifetime);
+    if (endedAt !== undefined && endedAt < sentAt) return undefined;
+    this.noteEnd(lifetime, now);
     const known = this.suspects.get(content) ?? this.add(content, now);
     if (known.endings.some((each) => each.lifetime === lifetime)) return undefined;
-    known.endings.push({ lifetime, at: now });
+    known.endings.push({ lifetime, at: now, isTrial });
     this.index(content, lifetime);
-    if (known.endings.length >= MOST_ENDINGS && !isQuarantined(known)) {
+    if (countOf(known) >= MOST_ENDINGS && !isQuarantined(known)) {
       known.quarantinedAt = now;
       known.quarantines += 1;
     }
@@ -145,9 +180,15 @@
     if (blamed === undefined) return [];
     blamed.heard ??= sequence;
     if (sequence <= blamed.heard) return [];
+    this.endedAt.delete(key);
     return [...blamed.contents].map((content) => this.acquit(content, key, 'targetLives'));
   }
 
+  /** Whether a lifetime is taken for ended. */
+  hasEnded(lifetime: Lifetime): boolean {
+    return this.endedAt.has(lifetimeOf(lifetime));
+  }
+
   /** The content ran to its end: whatever ended beside it, it wasn't the cause. */
   ranWhole(content: string): Change | undefined {
     const known = this.suspects.get(content);
@@ -198,9 +239,14 @@
           : [this.changeOf(this.restore(report, now), undefined)];
       }
       known.quarantines = Math.max(known.quarantines, report.quarantines);
-      return report.endings
-        .map(({ lifetime }) => this.blame(report.content, lifetime, now))
-        .filter((change) => change !== undefined);
+      return (
+        report.endings
+          // Whoever told it has judged whether the request was sent before the end.
+          .map(({ lifetime, isTrial }) => {
+            return this.blame(report.content, lifetime, { sentAt: -Infinity, isTrial }, now);
+          })
+          .filter((change) => change !== undefined)
+      );
     });
   }
 
@@ -218,10 +264,13 @@
     now: number,
   ): Suspect {
     const made = this.add(content, now);
-    made.endings = endings.map(({ lifetime, agoMs }) => ({ lifetime, at: now - agoMs }));
+    made.endings = endings.map(({ agoMs, ...each }) => ({ ...each, at: now - agoMs }));
     made.quarantines = quarantines;
     made.quarantinedAt = quarantinedForMs === undefined ? undefined : now - quarantinedForMs;
-    endings.forEach(({ lifetime }) => this.index(content, lifetime));
+    endings.forEach(({ lifetime, agoMs }) => {
+      this.index(content, lifetime);
+      this.noteEnd(lifetime, now - agoMs);
+    });
     return made;
   }
 
@@ -236,6 +285,14 @@
     known.heard = undefined;
   }
 
+  private noteEnd(lifetime: string, at: number): void {
+    if (this.endedAt.has(lifetime)) return;
+    this.endedAt.set(lifetime, at);
+    if (this.endedAt.size <= MOST_ENDED) return;
+    const [oldest] = this.endedAt.keys();
+    this.endedAt.delete(oldest);
+  }
+
   private unindex(content: string, lifetime: string): void {
     const known = this.blamed.get(lifetime);
     known?.contents.delete(content);
@@ -263,7 +320,7 @@
     suspect.endings = suspect.endings.filter((each) => each.lifetime !== lifetime);
     this.unindex(content, lifetime);
     if (suspect.endings.length === 0) return this.drop(suspect, reason);
-    if (suspect.endings.length < MOST_ENDINGS) suspect.quarantinedAt = undefined;
+    if (countOf(suspect) < MOST_ENDINGS) suspect.quarantinedAt = undefined;
     return this.changeOf(suspect, reason);
   }
 
@@ -274,12 +331,15 @@
     suspect.endings
       .slice(0, -LEFT_AFTER_QUARANTINE)
       .forEach(({ lifetime }) => this.unindex(suspect.content, lifetime));
-    suspect.endings = kept.map(({ lifetime }) => ({ lifetime, at: now }));
+    suspect.endings = kept.map(({ lifetime }) => ({ lifetime, at: now, isTrial: true }));
     suspect.quarantinedAt = undefined;
     return [this.changeOf(suspect, 'expired')];
   }
 
-  /** What ended under a content in quarantine no longer counts against those that ran beside it and are blamed for less. */
+  /**
+   * What ended under a content in quarantine no longer counts against those that ran beside it once. Whoever was blamed in a trial
+   * as well may be a culprit of its own.
+   */
   private explain(now: number): Change[] {
     const culprits = [...this.suspects.values()].filter(({ quarantinedAt = Infinity }) => {
       return now - quarantinedAt >= EXPLAINS_AFTER_MS;
@@ -290,7 +350,7 @@
         return contents
           .filter((content) => {
             const other = this.suspects.get(content) as Suspect;
-            return !isQuarantined(other) && other.endings.length < culprit.endings.length;
+            return countOf(other) === 1;
           })
           .map((content) => this.acquit(content, lifetime, 'explained'));
       }),
@@ -300,15 +360,15 @@
   /** Makes room: whoever is blamed for least goes first, and of those the one that was blamed longest ago. */
   private evict(now: number): void {
     const weight = (each: Suspect): number => {
-      return each.endings.length * SUSPECT_MS - Math.min(SUSPECT_MS, now - lastOf(each));
+      return countOf(each) * SUSPECT_MS - Math.min(SUSPECT_MS, now - lastOf(each));
     };
     const all = [...this.suspects.values()];
     this.remove(all.reduce((least, each) => (weight(each) < weight(least) ? each : least)));
   }
 
   private changeOf(suspect: Suspect, reason: Reason | undefined): Change {
-    const { content, endings } = suspect;
-    return { content, standing: this.standing(content), endings: endings.length, reason };
+    const { content } = suspect;
+    return { content, standing: this.standing(content), endings: countOf(suspect), reason };
   }
 }
 
@@ -316,6 +376,12 @@
   return quarantinedAt !== undefined;
 }
 
+/** Ends that count against a suspect. */
+function countOf({ endings }: Pick<Suspect, 'endings'>): number {
+  const inTrials = endings.filter(({ isTrial }) => isTrial).length;
+  return inTrials < endings.length ? inTrials + 1 : inTrials;
+}
+
 function lastOf({ endings }: Suspect): number {
   return Math.max(...endings.map(({ at }) => at));
 }
@@ -323,7 +389,7 @@
 function reportOf({ content, endings, quarantines, quarantinedAt }: Suspect, now: number): Report {
   return {
     content,
-    endings: endings.map(({ lifetime, at }) => ({ lifetime, agoMs: now - at })),
+    endings: endings.map(({ at, ...each }) => ({ ...each, agoMs: now - at })),
     quarantines,
     quarantinedForMs: quarantinedAt === undefined ? undefined : now - quarantinedAt,
   };
--- a/packages/domain/src/quarantine/trials.ts
+++ b/packages/domain/src/quarantine/trials.ts
@@ -6,24 +6,36 @@
 /** A run that nobody ended for so long is over, milliseconds; longer than any caller waits. */
 const LONGEST_TRIAL_MS = 60_000;
 
-interface Trial {
+export interface Trial {
   id: string;
   entry: string;
-  since: number;
+  /** The target that it was given; undefined where an allocator chooses one. */
+  target: string | undefined;
 }
 
 export class Trials {
-  private readonly byContent = new Map<string, Trial>();
+  private readonly byContent = new Map<string, Trial & { since: number }>();
 
   /** Begins a run of a content; false while another request with that content runs. */
-  begin(content: string, { id, entry }: { id: string; entry: string }, now: number): boolean {
-    const other = this.byContent.get(content);
-    const isOver = other === undefined || now - other.since > LONGEST_TRIAL_MS;
-    if (!isOver && !(other.id === id && other.entry === entry)) return false;
-    this.byContent.set(content, { id, entry, since: now });
+  begin(content: string, trial: Trial, now: number): boolean {
+    if (!this.mayBegin(content, trial, now)) return false;
+    this.byContent.set(content, { ...trial, since: now });
     return true;
   }
 
+  mayBegin(content: string, { id, entry }: Omit<Trial, 'target'>, now: number): boolean {
+    const other = this.byContent.get(content);
+    if (other === undefined || now - other.since > LONGEST_TRIAL_MS) return true;
+    return other.id === id && other.entry === entry;
+  }
+
+  /** Targets that run suspects. */
+  get targets(): string[] {
+    return [...this.byContent.values()].flatMap(({ target }) =>
+      target === undefined ? [] : [target],
+    );
+  }
+
   end(content: string, id: string): void {
     if (this.byContent.get(content)?.id === id) this.byContent.delete(content);
   }
--- a/packages/soak/src/runtimeFaults.ts
+++ b/packages/soak/src/runtimeFaults.ts
@@ -33,7 +33,9 @@
 
   note(path: string, size: number): void {
     this.bytes[path] = size;
-    fs.writeFileSync(this.file, JSON.stringify(this.bytes));
+    // Whole at every moment: the process may be killed while it writes.
+    fs.writeFileSync(`${this.file}.new`, JSON.stringify(this.bytes));
+    fs.renameSync(`${this.file}.new`, this.file);
   }
 
   move(from: string, to: string): void {
