End a quarantine soon whose every end is another content's too

One more trial after 2 s decides, once for each content; a culprit pays a target more, which is its own.

--- a/packages/domain/src/quarantine/__tests__/quarantine.test.ts
+++ b/packages/domain/src/quarantine/__tests__/quarantine.test.ts
@@ -96,6 +96,26 @@
     expect([made.standing(BESIDE), made.standing(CULPRIT)]).to.deep.equal(['free', 'quarantined']);
   });
 
+  /*
+   * Two culprits ended all engines within a tenth of a second. A summary that many callers send was beside them each time, and was
+   * refused with them for two minutes. Its ends are all theirs too, so one more run decides; a culprit's own end tells.
+   */
+  it('ends soon where all of its ends are those of others', () => {
+    const made = afterEnds(3);
+    const other = '8-other';
+    const trial = { sentAt: 0, isTrial: true };
+    ['t3', 't4', 't5'].forEach((id) => made.blame(other, life(id), trial, 2_000));
+    ['t0', 't3', 't4'].forEach((id) => made.blame(BESIDE, life(id), trial, 2_000));
+    made.tick(3_900);
+    expect(made.standing(BESIDE)).to.equal('quarantined');
+    made.tick(4_000);
+    const standings = [BESIDE, CULPRIT, other].map((each) => made.standing(each));
+    expect(standings).to.deep.equal(['suspected', 'quarantined', 'quarantined']);
+    made.blame(BESIDE, life('t9'), { sentAt: 4_100, isTrial: true }, 4_200);
+    made.tick(9_000);
+    expect(made.standing(BESIDE)).to.equal('quarantined');
+  });
+
   it('lasts two minutes at first, then one run decides, and longer each time', () => {
     const made = afterEnds(3);
     const [minute, since] = [60_000, 2_000];
--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -29,6 +29,8 @@
   quarantines: number;
   /** Since when it is in quarantine; undefined while it isn't. */
   quarantinedAt: number | undefined;
+  /** Whether a doubtful quarantine of it was ended once. */
+  wasDoubted: boolean;
 }
 
 /** A suspect as it travels; clocks of different VMs don't compare, so times are ages. No endings: nothing is left of it. */
@@ -42,7 +44,7 @@
 export type Standing = 'free' | 'suspected' | 'quarantined';
 
 /** Why a suspicion ended. */
-export type Reason = 'targetLives' | 'ranWhole' | 'explained' | 'expired';
+export type Reason = 'targetLives' | 'ranWhole' | 'explained' | 'doubtful' | 'expired';
 
 /**
  * Ends that put a content into quarantine. One is chance, and two may be for a request beside the culprit; a third run happens
@@ -80,6 +82,14 @@
 /** Most lifetimes whose end is remembered; a crashed one is announced as ready for some seconds at most. */
 const MOST_ENDED = 500;
 
+/**
+ * A quarantine is in doubt where each of its ends is one of another content in quarantine too: when several culprits end most
+ * targets at one moment, what many callers send was beside them each time, its trials included. After so long, milliseconds,
+ * one more trial decides. An innocent content is refused for two seconds in place of two minutes; a culprit costs a target
+ * more, once, and that end is its own.
+ */
+const DOUBT_AFTER_MS = 2_000;
+
 /** Endings that are left after a quarantine: the next one is the third again. */
 const LEFT_AFTER_QUARANTINE = MOST_ENDINGS - 1;
 
@@ -252,7 +262,13 @@
 
   private add(content: string, now: number): Suspect {
     if (this.suspects.size >= MOST_SUSPECTS) this.evict(now);
-    const made: Suspect = { content, endings: [], quarantines: 0, quarantinedAt: undefined };
+    const made: Suspect = {
+      content,
+      endings: [],
+      quarantines: 0,
+      quarantinedAt: undefined,
+      wasDoubted: false,
+    };
     this.suspects.set(content, made);
     const length = lengthOf(content);
     this.lengths.set(length, (this.lengths.get(length) ?? 0) + 1);
@@ -326,14 +342,25 @@
 
   private release(suspect: Suspect, now: number): Change[] {
     const { quarantines, quarantinedAt = now } = suspect;
-    if (now - quarantinedAt < quarantineMs(quarantines)) return [];
+    const isOver = now - quarantinedAt >= quarantineMs(quarantines);
+    const isDoubted = !isOver && now - quarantinedAt >= DOUBT_AFTER_MS && this.isDoubtful(suspect);
+    if (!isOver && !isDoubted) return [];
+    suspect.wasDoubted ||= isDoubted;
     const kept = suspect.endings.slice(-LEFT_AFTER_QUARANTINE);
     suspect.endings
       .slice(0, -LEFT_AFTER_QUARANTINE)
       .forEach(({ lifetime }) => this.unindex(suspect.content, lifetime));
     suspect.endings = kept.map(({ lifetime }) => ({ lifetime, at: now, isTrial: true }));
     suspect.quarantinedAt = undefined;
-    return [this.changeOf(suspect, 'expired')];
+    return [this.changeOf(suspect, isDoubted ? 'doubtful' : 'expired')];
+  }
+
+  private isDoubtful({ content, endings, wasDoubted }: Suspect): boolean {
+    if (wasDoubted) return false;
+    return endings.every(({ lifetime }) => {
+      const contents = [...(this.blamed.get(lifetime)?.contents ?? [])];
+      return contents.some((other) => other !== content && this.standing(other) === 'quarantined');
+    });
   }
 
   /**
