--- a/packages/daemon/src/keeper/suspicions.ts
+++ b/packages/daemon/src/keeper/suspicions.ts
@@ -61,7 +61,7 @@
   /** A target announced itself. */
   spoke({ id, bornAt, sequence, state }: domain.registry.registry.Announcement): void {
     const { quarantine } = this.parts;
-    if (quarantine.size === 0 || state === 'gone') return;
+    if (state === 'gone') return;
     this.changed(quarantine.spoke({ id, bornAt }, sequence));
   }
 
@@ -100,7 +100,7 @@
     if (isAllocated(service)) return 'any';
     const taken = new Set([...this.trials.targets, ...excluded]);
     const free = registry.ready(service).filter(({ id }) => !taken.has(id));
-    return free.find((record) => !quarantine.hasEnded(record)) ?? 'none';
+    return free.find((record) => !quarantine.hasEnded(record)) ?? free.at(0) ?? 'none';
   }
 
   /**
--- a/packages/domain/src/quarantine/__tests__/quarantine.test.ts
+++ b/packages/domain/src/quarantine/__tests__/quarantine.test.ts
@@ -75,6 +75,21 @@
     ]);
   });
 
+  /*
+   * All lookups were refused as "a copy runs" for as long as the fleet ran. Its three targets had been frozen and were taken for ended;
+   * by the time they spoke again nobody was blamed for it any more, and nobody noted that they live.
+   */
+  it('takes targets that speak again for alive, whoever was blamed', () => {
+    const made = afterEnds(1);
+    const target = { id: 't0', bornAt: 1 };
+    made.ranWhole(CULPRIT);
+    const seen = [7, 8].map((sequence) => {
+      made.spoke(target, sequence);
+      return made.hasEnded(target);
+    });
+    expect(seen).to.deep.equal([true, false]);
+  });
+
   it('ends when the content runs whole', () => {
     const made = afterEnds(3);
     made.ranWhole(CULPRIT);
--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -106,6 +106,13 @@
   reason: Reason | undefined;
 }
 
+/** What is known of a lifetime that was told to have ended. */
+interface Ended {
+  at: number;
+  /** The first sequence that it announced after that was told last. */
+  heard: number | undefined;
+}
+
 /** A sending that got no answer. */
 export interface Run {
   /** By the clock of whoever owns the quarantine. */
@@ -119,12 +126,12 @@
    * When lifetimes were first told to have ended, the latest last. A target that crashed is still announced as ready for some
    * seconds, and a request that meets its broken connections then hasn't ended it.
    */
-  private readonly endedAt = new Map<string, number>();
+  private readonly ended = new Map<string, Ended>();
 
   private readonly suspects = new Map<string, Suspect>();
 
-  /** Contents that a lifetime is counted against, and the first sequence that it announced after its end was told. */
-  private readonly blamed = new Map<string, { contents: Set<string>; heard: number | undefined }>();
+  /** Contents that the end of a lifetime counts against. */
+  private readonly blamed = new Map<string, Set<string>>();
 
   /** Contents by the length of their bodies, so that others needn't be worked out. */
   private readonly lengths = new Map<string, number>();
@@ -166,8 +173,8 @@
     { sentAt, isTrial }: Run,
     now: number,
   ): Change | undefined {
-    const endedAt = this.endedAt.get(lifetime);
-    if (endedAt !== undefined && endedAt < sentAt) return undefined;
+    const ended = this.ended.get(lifetime);
+    if (ended !== undefined && ended.at < sentAt) return undefined;
     this.noteEnd(lifetime, now);
     const known = this.suspects.get(content) ?? this.add(content, now);
     if (known.endings.some((each) => each.lifetime === lifetime)) return undefined;
@@ -186,17 +193,18 @@
    */
   spoke(lifetime: Lifetime, sequence: number): Change[] {
     const key = lifetimeOf(lifetime);
-    const blamed = this.blamed.get(key);
-    if (blamed === undefined) return [];
-    blamed.heard ??= sequence;
-    if (sequence <= blamed.heard) return [];
-    this.endedAt.delete(key);
-    return [...blamed.contents].map((content) => this.acquit(content, key, 'targetLives'));
+    const ended = this.ended.get(key);
+    if (ended === undefined) return [];
+    ended.heard ??= sequence;
+    if (sequence <= ended.heard) return [];
+    this.ended.delete(key);
+    const contents = [...(this.blamed.get(key) ?? [])];
+    return contents.map((content) => this.acquit(content, key, 'targetLives'));
   }
 
   /** Whether a lifetime is taken for ended. */
   hasEnded(lifetime: Lifetime): boolean {
-    return this.endedAt.has(lifetimeOf(lifetime));
+    return this.ended.has(lifetimeOf(lifetime));
   }
 
   /** The content ran to its end: whatever ended beside it, it wasn't the cause. */
@@ -291,28 +299,23 @@
   }
 
   private index(content: string, lifetime: string): void {
-    const known = this.blamed.get(lifetime);
-    if (known === undefined) {
-      this.blamed.set(lifetime, { contents: new Set([content]), heard: undefined });
-      return;
-    }
-    known.contents.add(content);
-    // Whoever tells this end may have looked after the last announcement.
-    known.heard = undefined;
+    const contents = this.blamed.get(lifetime) ?? new Set();
+    this.blamed.set(lifetime, contents.add(content));
   }
 
   private noteEnd(lifetime: string, at: number): void {
-    if (this.endedAt.has(lifetime)) return;
-    this.endedAt.set(lifetime, at);
-    if (this.endedAt.size <= MOST_ENDED) return;
-    const [oldest] = this.endedAt.keys();
-    this.endedAt.delete(oldest);
+    const known = this.ended.get(lifetime);
+    // Whoever tells it again may have looked after the last announcement.
+    this.ended.set(lifetime, { at: known?.at ?? at, heard: undefined });
+    if (this.ended.size <= MOST_ENDED) return;
+    const [oldest] = this.ended.keys();
+    this.ended.delete(oldest);
   }
 
   private unindex(content: string, lifetime: string): void {
     const known = this.blamed.get(lifetime);
-    known?.contents.delete(content);
-    if (known?.contents.size === 0) this.blamed.delete(lifetime);
+    known?.delete(content);
+    if (known?.size === 0) this.blamed.delete(lifetime);
   }
 
   private remove(suspect: Suspect): void {
@@ -358,7 +361,7 @@
   private isDoubtful({ content, endings, wasDoubted }: Suspect): boolean {
     if (wasDoubted) return false;
     return endings.every(({ lifetime }) => {
-      const contents = [...(this.blamed.get(lifetime)?.contents ?? [])];
+      const contents = [...(this.blamed.get(lifetime) ?? [])];
       return contents.some((other) => other !== content && this.standing(other) === 'quarantined');
     });
   }
@@ -373,7 +376,7 @@
     });
     return culprits.flatMap((culprit) =>
       culprit.endings.flatMap(({ lifetime }) => {
-        const contents = [...(this.blamed.get(lifetime)?.contents ?? [])];
+        const contents = [...(this.blamed.get(lifetime) ?? [])];
         return contents
           .filter((content) => {
             const other = this.suspects.get(content) as Suspect;
