--- a/packages/domain/src/registry/__tests__/remembered.test.ts
+++ b/packages/domain/src/registry/__tests__/remembered.test.ts
@@ -113,4 +113,19 @@
     made.announce(announcement('ccc', { state: 'gone' }), 3_200);
     expect(made.durable().map(({ id, state }) => `${id} ${state}`)).to.deep.equal(['ccc gone']);
   });
+
+  /*
+   * Lookups were refused for good with all three targets well. They crashed and came back while no keeper ran; the keepers
+   * remembered the lives before, and took the new ones' word. Entries had lived on and heard the old ones speak, so they
+   * didn't believe an end that came with the mark of a memory, and the new ones stood at addresses that were taken.
+   */
+  it('end at followers that heard them speak when another lifetime has their address', () => {
+    const follower = new registry.Registry();
+    follower.announce(announcement('old'), 0);
+    const leader = remembering(announcement('old'));
+    leader.announce(announcement('new', { bornAt: 5 }), 1_000);
+    // A whole copy may name them in any order.
+    follower.merge([...leader.records()].reverse(), 1_100);
+    expect(ready(follower)).to.deep.equal(['new']);
+  });
 });
