Believe the end of a remembered target that another lifetime has replaced

Such an end bore the mark of a memory, and whoever had heard the target speak didn't believe it; its successor then stood at a taken address and was never used. Ends that follow from another lifetime's own word bear the mark no more, and a copy's ends are taken first.

--- a/packages/domain/src/registry/registry.ts
+++ b/packages/domain/src/registry/registry.ts
@@ -122,7 +122,10 @@
 
   /** Takes over what other copies of the registry know. */
   merge(records: readonly Announcement[], now: number): Announcement[] {
-    return records.flatMap((record) => {
+    // Ends first: one lifetime's end and its successor at the same address come in one copy, in any order.
+    const ends = records.filter(({ state }) => state === 'gone');
+    const others = records.filter(({ state }) => state !== 'gone');
+    return [...ends, ...others].flatMap((record) => {
       const known = this.entries.get(record.id);
       if (known !== undefined) return this.mergeKnown(known, record, now);
       if (record.state === 'gone') return [this.keep(record, now).record];
@@ -193,7 +196,8 @@
 
   private presumeEnd(entry: Entry, now: number): Announcement {
     this.end(entry, now);
-    entry.record = { ...entry.record, isPresumed: true };
+    // Somebody else's own word ends it, so the end counts also for those who heard it speak since the memory.
+    entry.record = { ...entry.record, isPresumed: true, isRemembered: undefined };
     entry.contradictedAt = 0;
     return entry.record;
   }
