--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -1,9 +1,11 @@
 /** The daemon as a library, for measurements and tests, and for programs that bring an adapter. */
 export * as configuration from './configuration/configuration';
 export * as daemon from './daemon';
+export * as fingerprint from './entry/fingerprint';
 export * as hopByHop from './edges/hopByHop';
 export * as main from './main';
 export * as placing from './keeper/placing';
 export * as protocols from './edges/protocols';
+export * as registryCopies from './fleet/registryCopies';
 export * as roleMain from './roleMain';
 export * as silence from './entry/silence';
--- a/packages/measure/src/measure.ts
+++ b/packages/measure/src/measure.ts
@@ -8,6 +8,7 @@
 import * as ledger from './ledger/ledger';
 import * as mixed from './mixed/mixedScenario';
 import * as overhead from './overhead/overhead';
+import * as quarantine from './quarantine/quarantine';
 import * as settings from './settings/settings';
 import * as slopes from './slopes/slopes';
 import * as state from './state/state';
@@ -24,6 +25,7 @@
   settings: settings.run,
   leader: leader.run,
   ledger: ledger.run,
+  quarantine: quarantine.run,
   slopes: slopes.run,
   state: state.run,
 };
