Show that an entry keeps a suspicion that its leader doesn't share (fails; listed as red)

Found in reading: a leader that doesn't believe an end changes nothing and so tells nobody; the entry that told it refuses the content until it is restarted. The test has three ends that the leader knows to be none.

--- /dev/null
+++ b/packages/daemon/src/entry/__tests__/crashWatch.test.ts
@@ -0,0 +1,50 @@
+/** What an entry holds against a request, and who has the last word on it. */
+import * as chai from 'chai';
+import * as domain from '@celerydrift/domain';
+import { Ok } from 'ts-results';
+import * as clock from '../../clock';
+import * as observer from '../../observability/observer';
+import * as crashWatch from '../crashWatch';
+
+const { expect } = chai;
+
+const CONTENT = '4-content';
+
+function request(requestId: string): crashWatch.Suspectable {
+  return { requestId, bodyBytes: 4, content: () => CONTENT, service: 'plain', excluded: [] };
+}
+
+describe('an entry that was cut off from all targets', () => {
+  /*
+   * One entry in eight refused a lookup with 502 until it was restarted. It had been cut off and taken three targets for ended; the
+   * leader knew better and changed nothing, so it told nobody, and what the entry had noted by itself stayed.
+   */
+  it('takes the word of its leader, who knows that they live', async () => {
+    const quarantine = new domain.quarantine.quarantine.Quarantine();
+    const nothing = new domain.quarantine.quarantine.Quarantine().report(CONTENT, 0);
+    const made = new crashWatch.CrashWatch({
+      name: 'e0',
+      holding: { quarantine, registry: new domain.registry.registry.Registry() },
+      link: { leader: '10.0.0.1:1' },
+      client: {
+        call: async <T>() => {
+          await clock.pause(1);
+          return Ok({ kind: 'taken', reports: [nothing] } as T);
+        },
+        notify: () => undefined,
+      },
+      lifeChecks: { isAlive: async () => false },
+      observer: new observer.Observer('test', 'fatal', undefined),
+      now: clock.steady,
+    });
+    for (const target of ['a', 'b', 'c']) {
+      const sent = { target, address: '10.0.0.2:1', sentAt: clock.steady(), isTrial: true };
+      await made.cut(request('r1'), sent);
+    }
+    await clock.pause(10);
+    expect([quarantine.size, (await made.permit(request('r2'))).kind]).to.deep.equal([
+      0,
+      'granted',
+    ]);
+  });
+});
