--- a/packages/daemon/src/entry/crashWatch.ts
+++ b/packages/daemon/src/entry/crashWatch.ts
@@ -186,7 +186,7 @@
     observe.log('targetEndedUnder', { request: request.requestId, content, target });
     const { bornAt } = record ?? { bornAt: 0 };
     const lifetime = { id: target, bornAt };
-    const key = domain.quarantine.quarantine.lifetimeOf(lifetime);
+    const key = domain.quarantine.endedLifetimes.lifetimeOf(lifetime);
     held.quarantine.blame(content, key, { sentAt, isTrial }, now());
     void this.tell({ content, lifetime, isTrial, sentAt, at: now() });
   }
@@ -210,19 +210,20 @@
   }
 
   private async tellLeader(noticed: readonly Noticed[]): Promise<boolean> {
-    const { client, link, now } = this.parts;
+    const { client, link, holding: held, now } = this.parts;
     if (link.leader === '') return false;
     const ended = noticed.map(({ at, sentAt, ...each }) => {
       return { ...each, agoMs: now() - at, sentAgoMs: now() - sentAt };
     });
     const blame: messages.Blame = { ended };
-    const answer = await client.call<{ kind: 'taken' } | messages.Redirect>(
-      link.leader,
-      'blame',
-      blame,
-      { timeoutMs: LEADER_MS, toleratesDelay: true },
-    );
-    return answer.ok && answer.val.kind === 'taken';
+    const answer = await client.call<messages.BlameAnswer>(link.leader, 'blame', blame, {
+      timeoutMs: LEADER_MS,
+      toleratesDelay: true,
+    });
+    if (answer.err || answer.val.kind === 'redirect') return false;
+    // A leader that doesn't believe an end changes nothing and tells nobody else.
+    answer.val.reports.forEach((report) => held.quarantine.take(report, now()));
+    return true;
   }
 }
 
--- a/packages/daemon/src/fleet/holding.ts
+++ b/packages/daemon/src/fleet/holding.ts
@@ -101,7 +101,7 @@
   }
 
   /** What a new leader should know of suspects. */
-  suspectsToTell(): domain.quarantine.quarantine.Report[] {
+  suspectsToTell(): domain.quarantine.suspect.Report[] {
     const reports = this.quarantine.reports(this.options.now());
     return reports.filter(({ endings }) => endings.length >= TOLD_ENDINGS);
   }
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -2,7 +2,7 @@
 import type * as domain from '@celerydrift/domain';
 
 type Announcement = domain.registry.registry.Announcement;
-type SuspectReport = domain.quarantine.quarantine.Report;
+type SuspectReport = domain.quarantine.suspect.Report;
 
 /** A state of the registry at one leader; numbers of different leaderships don't compare. */
 export interface RegistryMark {
@@ -76,7 +76,7 @@
 /** A lifetime that ended while it ran a content. */
 export interface EndedTarget {
   content: string;
-  lifetime: domain.quarantine.quarantine.Lifetime;
+  lifetime: domain.quarantine.endedLifetimes.Lifetime;
   /** Whether that run was a trial, allowed while the content was suspected already. */
   isTrial: boolean;
   /** How long before the message it was noticed, and the request sent, milliseconds; an entry that was cut off tells later. */
@@ -89,6 +89,9 @@
   ended: EndedTarget[];
 }
 
+/** What the leader knows of the blamed contents now, which replaces what the entry noted by itself. */
+export type BlameAnswer = { kind: 'taken'; reports: SuspectReport[] } | Redirect;
+
 /** `permit`: whether a suspect may run now. */
 export interface PermitQuestion {
   content: string;
--- a/packages/daemon/src/fleet/registryCopies.ts
+++ b/packages/daemon/src/fleet/registryCopies.ts
@@ -11,7 +11,7 @@
 export interface Copy {
   records: readonly domain.registry.registry.Announcement[];
   /** Requests under which targets ended. */
-  suspects: readonly domain.quarantine.quarantine.Report[];
+  suspects: readonly domain.quarantine.suspect.Report[];
 }
 
 const packr = new msgpackr.Packr({ useRecords: true, structuredClone: false });
--- a/packages/daemon/src/keeper/__tests__/suspicions.test.ts
+++ b/packages/daemon/src/keeper/__tests__/suspicions.test.ts
@@ -15,7 +15,7 @@
    */
   it('believes nobody about a target that has spoken since', () => {
     const quarantine = new domain.quarantine.quarantine.Quarantine();
-    const published: domain.quarantine.quarantine.Report[] = [];
+    const published: domain.quarantine.suspect.Report[] = [];
     const made = new suspicions.Suspicions({
       quarantine,
       registry: { heardAt: ({ id }) => (id === 'silent' ? 0 : 9_500), ready: () => [] },
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -299,10 +299,9 @@
   private serveSuspicions(): void {
     const { server } = this;
     const { suspicions } = this.leadership;
-    server.add('blame', (content) => {
+    server.add('blame', (content): messages.BlameAnswer => {
       if (!this.host.isLeader) return this.redirect();
-      suspicions.blame(content as messages.Blame);
-      return { kind: 'taken' };
+      return { kind: 'taken', reports: suspicions.blame(content as messages.Blame) };
     });
     server.add('permit', (question): messages.PermitAnswer => {
       return this.host.isLeader
--- a/packages/daemon/src/keeper/registryNews.ts
+++ b/packages/daemon/src/keeper/registryNews.ts
@@ -9,7 +9,7 @@
 import * as registryCopies from '../fleet/registryCopies';
 
 type Announcement = domain.registry.registry.Announcement;
-type SuspectReport = domain.quarantine.quarantine.Report;
+type SuspectReport = domain.quarantine.suspect.Report;
 
 /** What a follower lacks, without an edition. */
 export type Missed = Omit<messages.News, 'edition'>;
--- a/packages/daemon/src/keeper/suspectMemory.ts
+++ b/packages/daemon/src/keeper/suspectMemory.ts
@@ -8,7 +8,7 @@
 import { Err, Ok, Result } from 'ts-results';
 import * as memoryFile from './memoryFile';
 
-type Report = domain.quarantine.quarantine.Report;
+type Report = domain.quarantine.suspect.Report;
 
 export const FILE = 'quarantine';
 
--- a/packages/daemon/src/keeper/suspicions.ts
+++ b/packages/daemon/src/keeper/suspicions.ts
@@ -7,7 +7,7 @@
 import type * as observer from '../observability/observer';
 
 type Change = domain.quarantine.quarantine.Change;
-type Report = domain.quarantine.quarantine.Report;
+type Report = domain.quarantine.suspect.Report;
 
 /** An announcement from before an end may come this much after it, milliseconds: a usual pause between two. */
 const HELD_UP_MS = 1_200;
@@ -46,16 +46,18 @@
     this.changed(this.parts.quarantine.merge(reports, this.parts.now()));
   }
 
-  blame({ ended }: messages.Blame): void {
+  /** The reports of all contents that were blamed come back, also where nothing changed. */
+  blame({ ended }: messages.Blame): Report[] {
     const { quarantine, now } = this.parts;
     const changes = ended
       .filter((each) => !this.hasSpokenSince(each))
       .map(({ content, lifetime, isTrial, sentAgoMs }) => {
-        const key = domain.quarantine.quarantine.lifetimeOf(lifetime);
+        const key = domain.quarantine.endedLifetimes.lifetimeOf(lifetime);
         const run = { sentAt: now() - sentAgoMs, isTrial };
         return quarantine.blame(content, key, run, now());
       });
     this.changed(changes.filter((change) => change !== undefined));
+    return ended.map(({ content }) => quarantine.report(content, now()));
   }
 
   /** A target announced itself. */
--- a/packages/domain/src/quarantine/__tests__/quarantine.test.ts
+++ b/packages/domain/src/quarantine/__tests__/quarantine.test.ts
@@ -1,5 +1,6 @@
 /** When a request is suspected of ending targets, when it is held back, and how each of these ends. */
 import * as chai from 'chai';
+import * as endedLifetimes from '../endedLifetimes';
 import * as quarantine from '../quarantine';
 import * as trials from '../trials';
 
@@ -9,7 +10,7 @@
 const BESIDE = '7-beside';
 
 function life(id: string): string {
-  return quarantine.lifetimeOf({ id, bornAt: 1 });
+  return endedLifetimes.lifetimeOf({ id, bornAt: 1 });
 }
 
 /** The culprit ends so many targets, one each second. */
--- /dev/null
+++ b/packages/domain/src/quarantine/suspect.ts
@@ -0,0 +1,88 @@
+/** A content that targets ended under: what counts against it, and how it travels between VMs. */
+
+/** A lifetime that ended while it ran a content; `at` is the owner's clock, milliseconds. */
+export interface Ending {
+  lifetime: string;
+  at: number;
+  /** Whether that run was a trial: begun as the only one with a content that was suspected already. */
+  isTrial: boolean;
+}
+
+export interface Suspect {
+  content: string;
+  endings: Ending[];
+  /** Quarantines that it has been through, the present one included. */
+  quarantines: number;
+  /** Since when it is in quarantine; undefined while it isn't. */
+  quarantinedAt: number | undefined;
+  /** Whether a doubtful quarantine of it was ended once. */
+  wasDoubted: boolean;
+}
+
+/** A suspect as it travels; clocks of different VMs don't compare, so times are ages. No endings: nothing is left of it. */
+export interface Report {
+  content: string;
+  endings: { lifetime: string; agoMs: number; isTrial: boolean }[];
+  quarantines: number;
+  quarantinedForMs: number | undefined;
+}
+
+/**
+ * How long the first quarantine lasts, milliseconds, and how many times as long each further one; the longest is a day. A
+ * wrong one ends with its first run after two minutes; one that is right costs a target after 2, 22 and 222 minutes, and then
+ * one a day.
+ */
+const FIRST_QUARANTINE_MS = 120_000;
+const QUARANTINE_GROWTH = 10;
+const LONGEST_QUARANTINE_MS = 86_400_000;
+
+export function isQuarantined({ quarantinedAt }: Suspect): boolean {
+  return quarantinedAt !== undefined;
+}
+
+/** How long its present quarantine lasts, milliseconds. */
+export function quarantineMs({ quarantines }: Suspect): number {
+  const grown = FIRST_QUARANTINE_MS * QUARANTINE_GROWTH ** Math.max(0, quarantines - 1);
+  return Math.min(LONGEST_QUARANTINE_MS, grown);
+}
+
+/**
+ * Ends that count against it. Runs that were under way when the first one ended its target count as one end together: what many
+ * callers send at the same time is on many targets at once, and one culprit that crashes some of them would have it
+ * refused with itself.
+ */
+export function countOf({ endings }: Suspect): number {
+  const inTrials = endings.filter(({ isTrial }) => isTrial).length;
+  return inTrials < endings.length ? inTrials + 1 : inTrials;
+}
+
+/** When it was last blamed. */
+export function blamedAt({ endings }: Suspect): number {
+  return Math.max(...endings.map(({ at }) => at));
+}
+
+export function reportOf(suspect: Suspect, now: number): Report {
+  const { content, endings, quarantines, quarantinedAt } = suspect;
+  return {
+    content,
+    endings: endings.map(({ at, ...each }) => ({ ...each, agoMs: now - at })),
+    quarantines,
+    quarantinedForMs: quarantinedAt === undefined ? undefined : now - quarantinedAt,
+  };
+}
+
+/** Nothing is known of a content. */
+export function nothingOf(content: string): Report {
+  return { content, endings: [], quarantines: 0, quarantinedForMs: undefined };
+}
+
+export function suspectOf(report: Report, now: number): Suspect {
+  const { content, endings, quarantines, quarantinedForMs } = report;
+  return {
+    content,
+    endings: endings.map(({ agoMs, ...each }) => ({ ...each, at: now - agoMs })),
+    quarantines,
+    quarantinedAt: quarantinedForMs === undefined ? undefined : now - quarantinedForMs,
+    wasDoubted: false,
+  };
+}
--- a/packages/measure/src/quarantine/quarantine.ts
+++ b/packages/measure/src/quarantine/quarantine.ts
@@ -37,7 +37,7 @@
 function table(suspects: number, bodyBytes: number): Quarantine {
   const made = new domain.quarantine.quarantine.Quarantine();
   for (let i = 0; i < suspects; i++) {
-    const lifetime = domain.quarantine.quarantine.lifetimeOf({ id: `i-${i}`, bornAt: i });
+    const lifetime = domain.quarantine.endedLifetimes.lifetimeOf({ id: `i-${i}`, bornAt: i });
     made.blame(`${bodyBytes}-${i}`, lifetime, { sentAt: i, isTrial: false }, i);
   }
   return made;
