--- a/packages/domain/src/quarantine/__tests__/quarantine.test.ts
+++ b/packages/domain/src/quarantine/__tests__/quarantine.test.ts
@@ -127,9 +127,19 @@
     made.tick(4_000);
     const standings = [BESIDE, CULPRIT, other].map((each) => made.standing(each));
     expect(standings).to.deep.equal(['suspected', 'quarantined', 'quarantined']);
-    made.blame(BESIDE, life('t9'), { sentAt: 4_100, isTrial: true }, 4_200);
-    made.tick(9_000);
+    // Beside the other once more: four seconds this time. Then by itself: two minutes, as a first quarantine lasts.
+    made.blame(other, life('t8'), { sentAt: 4_100, isTrial: true }, 4_200);
+    made.blame(BESIDE, life('t8'), { sentAt: 4_100, isTrial: true }, 4_200);
+    const later = [8_100, 8_200].map((at) => {
+      made.tick(at);
+      return made.standing(BESIDE);
+    });
+    expect(later).to.deep.equal(['quarantined', 'suspected']);
+    made.blame(BESIDE, life('t9'), { sentAt: 8_300, isTrial: true }, 8_400);
+    made.tick(8_400 + 119_000);
     expect(made.standing(BESIDE)).to.equal('quarantined');
+    made.tick(8_400 + 120_000);
+    expect(made.standing(BESIDE)).to.equal('suspected');
   });
 
   it('lasts two minutes at first, then one run decides, and longer each time', () => {
--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -43,8 +43,8 @@
 /**
  * A quarantine is in doubt where each of its ends is one of another content in quarantine too: when several culprits end most
  * targets at one moment, what many callers send was beside them each time, its trials included. After so long, milliseconds,
- * one more trial decides. An innocent content is refused for two seconds in place of two minutes; a culprit costs a target
- * more, once, and that end is its own.
+ * twice as long each further time, one more trial decides. An innocent content is refused for two seconds in place of two
+ * minutes; a culprit costs a target more, once, as that end is its own.
  */
 const DOUBT_AFTER_MS = 2_000;
 
@@ -243,9 +243,14 @@
   private release(suspect: Suspect, now: number): Change[] {
     const { quarantinedAt = now } = suspect;
     const isOver = now - quarantinedAt >= suspects.quarantineMs(suspect);
-    const isDoubted = !isOver && now - quarantinedAt >= DOUBT_AFTER_MS && this.isDoubtful(suspect);
+    const doubtAfterMs = DOUBT_AFTER_MS * 2 ** suspect.doubts;
+    const isDoubted = !isOver && now - quarantinedAt >= doubtAfterMs && this.isDoubtful(suspect);
     if (!isOver && !isDoubted) return [];
-    suspect.wasDoubted ||= isDoubted;
+    if (isDoubted) {
+      suspect.doubts += 1;
+      // It may never have been a culprit, so it makes no later quarantine longer.
+      suspect.quarantines -= 1;
+    }
     const kept = suspect.endings.slice(-LEFT_AFTER_QUARANTINE);
     suspect.endings
       .slice(0, -LEFT_AFTER_QUARANTINE)
@@ -255,8 +260,7 @@
     return [this.changeOf(suspect, isDoubted ? 'doubtful' : 'expired')];
   }
 
-  private isDoubtful({ content, endings, wasDoubted }: Suspect): boolean {
-    if (wasDoubted) return false;
+  private isDoubtful({ content, endings }: Suspect): boolean {
     return endings.every(({ lifetime }) => {
       const others = this.lifetimes.blamed(lifetime).filter((other) => other !== content);
       return others.some((other) => this.standing(other) === 'quarantined');
--- a/packages/domain/src/quarantine/suspect.ts
+++ b/packages/domain/src/quarantine/suspect.ts
@@ -15,8 +15,8 @@
   quarantines: number;
   /** Since when it is in quarantine; undefined while it isn't. */
   quarantinedAt: number | undefined;
-  /** Whether a doubtful quarantine of it was ended once. */
-  wasDoubted: boolean;
+  /** Doubtful quarantines of it that were ended. */
+  doubts: number;
 }
 
 /** A suspect as it travels; clocks of different VMs don't compare, so times are ages. No endings: nothing is left of it. */
@@ -83,6 +83,6 @@
     endings: endings.map(({ agoMs, ...each }) => ({ ...each, at: now - agoMs })),
     quarantines,
     quarantinedAt: quarantinedForMs === undefined ? undefined : now - quarantinedForMs,
-    wasDoubted: false,
+    doubts: 0,
   };
 }
