--- a/packages/domain/src/quarantine/__tests__/quarantine.test.ts
+++ b/packages/domain/src/quarantine/__tests__/quarantine.test.ts
@@ -142,6 +142,21 @@
     expect(made.standing(BESIDE)).to.equal('suspected');
   });
 
+  /*
+   * A summary was refused for two minutes. It had the same ends as the culprit; both were in doubt, and the culprit's trial was
+   * granted first, so that nothing in quarantine explained the summary's ends any more. The culprit never came again.
+   */
+  it('ends for all that are in doubt at the same time', () => {
+    const made = afterEnds(3);
+    const trial = { sentAt: 0, isTrial: true };
+    ['t0', 't1', 't2'].forEach((id) => made.blame(BESIDE, life(id), trial, 2_000));
+    made.tick(4_000);
+    expect([made.standing(CULPRIT), made.standing(BESIDE)]).to.deep.equal([
+      'suspected',
+      'suspected',
+    ]);
+  });
+
   it('lasts two minutes at first, then one run decides, and longer each time', () => {
     const made = afterEnds(3);
     const [minute, since] = [60_000, 2_000];
