--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -147,7 +147,12 @@
   /** Lets time pass: ends quarantines and old suspicions, and explains what ran beside a culprit. */
   tick(now: number): Change[] {
     const all = [...this.suspects.values()];
-    const released = all.filter(suspects.isQuarantined).flatMap((each) => this.release(each, now));
+    // Chosen before any is let out: each may be what puts another one in doubt.
+    const due = all.flatMap((each) => {
+      const reason = this.dueReason(each, now);
+      return reason === undefined ? [] : [{ suspect: each, reason }];
+    });
+    const released = due.map(({ suspect, reason }) => this.release(suspect, reason, now));
     const old = all
       .filter((each) => !suspects.isQuarantined(each) && now - suspects.blamedAt(each) > SUSPECT_MS)
       .map((each) => this.drop(each, 'expired'));
@@ -240,13 +245,18 @@
     return this.changeOf(suspect, reason);
   }
 
-  private release(suspect: Suspect, now: number): Change[] {
-    const { quarantinedAt = now } = suspect;
-    const isOver = now - quarantinedAt >= suspects.quarantineMs(suspect);
-    const doubtAfterMs = DOUBT_AFTER_MS * 2 ** suspect.doubts;
-    const isDoubted = !isOver && now - quarantinedAt >= doubtAfterMs && this.isDoubtful(suspect);
-    if (!isOver && !isDoubted) return [];
-    if (isDoubted) {
+  /** Why a quarantine ends now; undefined where it doesn't. */
+  private dueReason(suspect: Suspect, now: number): 'expired' | 'doubtful' | undefined {
+    const { quarantinedAt, doubts } = suspect;
+    if (quarantinedAt === undefined) return undefined;
+    const lastedMs = now - quarantinedAt;
+    if (lastedMs >= suspects.quarantineMs(suspect)) return 'expired';
+    if (lastedMs < DOUBT_AFTER_MS * 2 ** doubts) return undefined;
+    return this.isDoubtful(suspect) ? 'doubtful' : undefined;
+  }
+
+  private release(suspect: Suspect, reason: 'expired' | 'doubtful', now: number): Change {
+    if (reason === 'doubtful') {
       suspect.doubts += 1;
       // It may never have been a culprit, so it makes no later quarantine longer.
       suspect.quarantines -= 1;
@@ -257,16 +267,22 @@
       .forEach(({ lifetime }) => this.lifetimes.acquit(suspect.content, lifetime));
     suspect.endings = kept.map(({ lifetime }) => ({ lifetime, at: now, isTrial: true }));
     suspect.quarantinedAt = undefined;
-    return [this.changeOf(suspect, isDoubted ? 'doubtful' : 'expired')];
+    return this.changeOf(suspect, reason);
   }
 
   private isDoubtful({ content, endings }: Suspect): boolean {
     return endings.every(({ lifetime }) => {
       const others = this.lifetimes.blamed(lifetime).filter((other) => other !== content);
-      return others.some((other) => this.standing(other) === 'quarantined');
+      return others.some((other) => this.wasConvicted(other));
     });
   }
 
+  /** Also one that doubt let out: it may be the culprit, and its trial is to come. */
+  private wasConvicted(content: string): boolean {
+    const suspect = this.suspects.get(content);
+    return suspect !== undefined && (suspects.isQuarantined(suspect) || suspect.doubts > 0);
+  }
+
   /**
    * What ended under a content in quarantine no longer counts against those that ran beside it once. Whoever was blamed in a trial
    * as well may be a culprit of its own.
