--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -41,10 +41,10 @@
 export const MOST_SUSPECTS = 1_000;
 
 /**
- * A quarantine is in doubt where each of its ends is one of another content in quarantine too: when several culprits end most
- * targets at one moment, what many callers send was beside them each time, its trials included. After so long, milliseconds,
- * twice as long each further time, one more trial decides. An innocent content is refused for two seconds in place of two
- * minutes; a culprit costs a target more, once, as that end is its own.
+ * A quarantine is in doubt where at most one of its ends isn't one of another convicted content too: when several culprits end
+ * most targets at one moment, what many callers send was beside them each time, its trials included. After so long,
+ * milliseconds, twice as long each further time, one more trial decides. An innocent content is refused for two seconds in
+ * place of two minutes; a culprit costs up to two targets more, as these ends are its own.
  */
 const DOUBT_AFTER_MS = 2_000;
 
@@ -270,11 +270,12 @@
     return this.changeOf(suspect, reason);
   }
 
-  private isDoubtful({ content, endings }: Suspect): boolean {
-    return endings.every(({ lifetime }) => {
-      const others = this.lifetimes.blamed(lifetime).filter((other) => other !== content);
-      return others.some((other) => this.wasConvicted(other));
+  private isDoubtful(suspect: Suspect): boolean {
+    const own = suspect.endings.filter(({ lifetime }) => {
+      const others = this.lifetimes.blamed(lifetime).filter((other) => other !== suspect.content);
+      return !others.some((other) => this.wasConvicted(other));
     });
+    return suspects.countOf({ endings: own }) < LEFT_AFTER_QUARANTINE;
   }
 
   /** Also one that doubt let out: it may be the culprit, and its trial is to come. */
--- a/packages/domain/src/quarantine/suspect.ts
+++ b/packages/domain/src/quarantine/suspect.ts
@@ -51,7 +51,7 @@
  * callers send at the same time is on many targets at once, and one culprit that crashes some of them would have it
  * refused with itself.
  */
-export function countOf({ endings }: Suspect): number {
+export function countOf({ endings }: Pick<Suspect, 'endings'>): number {
   const inTrials = endings.filter(({ isTrial }) => isTrial).length;
   return inTrials < endings.length ? inTrials + 1 : inTrials;
 }
