--- a/packages/daemon/src/keeper/__tests__/crowd.test.ts
+++ b/packages/daemon/src/keeper/__tests__/crowd.test.ts
@@ -231,4 +231,22 @@
     expect(lines).to.deep.equal(['registryTaken']);
     expect(answer?.news.packedRegistry?.length).to.be.lessThan(TARGETS * 40);
   });
+
+  /*
+   * One caller's summaries were refused as "a copy of it runs" for a minute. Their entry was killed while it ran one as a trial
+   * and was back within a second under its name, so the leader never missed it and kept the trial of a process that was gone.
+   */
+  it('ends the trials of an entry that started again', async () => {
+    const { led } = await crowd(1);
+    const lifetime = { id: 't0', bornAt: 1 };
+    const run = { isTrial: false, agoMs: 0, sentAgoMs: 10 };
+    led.suspicions.blame({ ended: [{ content: '4-content', lifetime, ...run }] });
+    const ask = (entry: string): string => {
+      const wish = { content: '4-content', id: entry, entry, service: 's', excluded: [] };
+      return led.suspicions.permit(wish).kind;
+    };
+    const told = [ask('e0'), ask('e1')];
+    await led.follow(question(0));
+    expect([...told, ask('e1')]).to.deep.equal(['granted', 'busy', 'granted']);
+  });
 });
