End the trials of an entry that started again

A killed entry that is back under its name within a second is never missed by its leader, which kept its trials for a minute and refused every other request with their contents. A question from a process that has taken no news yet ends them.

--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -5,7 +5,7 @@
  */
 import * as domain from '@celerydrift/domain';
 import type * as holding from '../fleet/holding';
-import type * as messages from '../fleet/messages';
+import * as messages from '../fleet/messages';
 import type * as registryCopies from '../fleet/registryCopies';
 import type * as observer from '../observability/observer';
 import type * as logHost from '../replicas/logHost';
@@ -119,6 +119,10 @@
     if (!(await this.options.host.confirm(isUrgent))) return undefined;
     if (!this.leads) this.turn(true);
     this.followers.heard(question);
+    // A process that has taken no news yet has just started: what its predecessor ran under the name ended with it.
+    if (messages.isSameMark(question.mark, messages.NO_MARK)) {
+      this.suspicions.forgetEntry(question.name);
+    }
     void this.take(question.records);
     this.suspicions.merge(question.suspects);
     question.dispatches.forEach(({ request, target }) => {
