--- a/packages/domain/src/quarantine/__tests__/quarantine.test.ts
+++ b/packages/domain/src/quarantine/__tests__/quarantine.test.ts
@@ -178,6 +178,20 @@
     ]);
   });
 
+  /*
+   * A summary was refused for two minutes, all of whose ends were the culprit's. The culprit was convicted a moment before it and
+   * so was doubted a moment before; that shortened its ends, and the summary's seemed to be its own.
+   */
+  it('ends soon also where what explains it was doubted just before', () => {
+    const made = new quarantine.Quarantine();
+    const trial = { sentAt: 0, isTrial: true };
+    made.blame(CULPRIT, life('t0'), { sentAt: 0, isTrial: false }, 2_000);
+    ['t1', 't2', 't3', 't4'].forEach((id) => made.blame(CULPRIT, life(id), trial, 2_000));
+    ['t1', 't2', 't3', 't4'].forEach((id) => made.blame(BESIDE, life(id), trial, 2_100));
+    [4_000, 4_100, 4_200].forEach((at) => made.tick(at));
+    expect(made.standing(BESIDE)).to.equal('suspected');
+  });
+
   it('lasts two minutes at first, then one run decides, and longer each time', () => {
     const made = afterEnds(3);
     const [minute, since] = [60_000, 2_000];
