Let what doubt drops go on explaining the quarantines of that time

Cause: a quarantine that ends for doubt keeps the content's last two ends; the others no longer counted against it and so no longer explained anything.

Change: as a doubt drops an end, each content that is in quarantine then and has the same end notes that it is explained. A first try, ends that explain for good, was reverted: it lets a content out that ends a target by itself after the doubt ("ends soon where all of its ends are those of others" holds such a content for two minutes, and is right).

--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -262,16 +262,30 @@
       suspect.quarantines -= 1;
     }
     const kept = suspect.endings.slice(-LEFT_AFTER_QUARANTINE);
-    suspect.endings
-      .slice(0, -LEFT_AFTER_QUARANTINE)
-      .forEach(({ lifetime }) => this.lifetimes.acquit(suspect.content, lifetime));
+    suspect.endings.slice(0, -LEFT_AFTER_QUARANTINE).forEach(({ lifetime }) => {
+      this.lifetimes.acquit(suspect.content, lifetime);
+      if (reason === 'doubtful') this.noteExplained(lifetime);
+    });
     suspect.endings = kept.map(({ lifetime }) => ({ lifetime, at: now, isTrial: true }));
     suspect.quarantinedAt = undefined;
+    suspect.explained.clear();
     return this.changeOf(suspect, reason);
   }
 
+  /**
+   * A content that is let out for doubt may still be the culprit. Without a note, what ended under it would look like the others'
+   * own doing as soon as it no longer counts, and who was beside it each time would stay refused for the whole quarantine.
+   */
+  private noteExplained(lifetime: string): void {
+    this.lifetimes.blamed(lifetime).forEach((content) => {
+      const beside = this.suspects.get(content);
+      if (beside !== undefined && suspects.isQuarantined(beside)) beside.explained.add(lifetime);
+    });
+  }
+
   private isDoubtful(suspect: Suspect): boolean {
     const own = suspect.endings.filter(({ lifetime }) => {
+      if (suspect.explained.has(lifetime)) return false;
       const others = this.lifetimes.blamed(lifetime).filter((other) => other !== suspect.content);
       return !others.some((other) => this.wasConvicted(other));
     });
--- a/packages/domain/src/quarantine/suspect.ts
+++ b/packages/domain/src/quarantine/suspect.ts
@@ -17,6 +17,8 @@
   quarantinedAt: number | undefined;
   /** Doubtful quarantines of it that were ended. */
   doubts: number;
+  /** Lifetimes that ended under it and also under one whose quarantine was ended for doubt since this one's began. */
+  explained: Set<string>;
 }
 
 /** A suspect as it travels; clocks of different VMs don't compare, so times are ages. No endings: nothing is left of it. */
@@ -84,5 +86,6 @@
     quarantines,
     quarantinedAt: quarantinedForMs === undefined ? undefined : now - quarantinedForMs,
     doubts: 0,
+    explained: new Set(),
   };
 }
