Look targets up by address and by service

Cause: whoever takes a whole registry searched all targets for each record's address, 9 million comparisons at 3,000 targets, and each plain call searched all of them for its service. Change: LiveTargets holds the targets that aren't gone by both; every change of a record goes through Registry.write.

--- /dev/null
+++ b/packages/domain/src/registry/liveTargets.ts
@@ -0,0 +1,49 @@
+/**
+ * Targets that aren't gone, by their address and by their service. With thousands of targets, a search through all of them for
+ * each announcement kept an entry that takes a whole registry busy for seconds.
+ */
+
+/** What is indexed of a target. */
+export interface Place {
+  service: string;
+  /** HOST:PORT. */
+  address: string;
+  isGone: boolean;
+}
+
+export class LiveTargets<T> {
+  private readonly byAddress = new Map<string, Set<T>>();
+
+  private readonly byService = new Map<string, Set<T>>();
+
+  /** A target came, moved or went; the order of those that stay where they are doesn't change. */
+  moved(target: T, from: Place | undefined, to: Place | undefined): void {
+    const before = from?.isGone === false ? from : undefined;
+    const after = to?.isGone === false ? to : undefined;
+    move(this.byAddress, target, { from: before?.address, to: after?.address });
+    move(this.byService, target, { from: before?.service, to: after?.service });
+  }
+
+  at(address: string): T[] {
+    return [...(this.byAddress.get(address) ?? [])];
+  }
+
+  of(service: string): T[] {
+    return [...(this.byService.get(service) ?? [])];
+  }
+}
+
+interface Move {
+  from: string | undefined;
+  to: string | undefined;
+}
+
+function move<T>(index: Map<string, Set<T>>, target: T, { from, to }: Move): void {
+  if (from === to) return;
+  if (from !== undefined) {
+    const left = index.get(from);
+    left?.delete(target);
+    if (left?.size === 0) index.delete(from);
+  }
+  if (to !== undefined) index.set(to, (index.get(to) ?? new Set<T>()).add(target));
+}
--- a/packages/domain/src/registry/registry.ts
+++ b/packages/domain/src/registry/registry.ts
@@ -5,6 +5,8 @@
  * again under its id; its start then tells the new lifetime from the old one.
  */
 
+import * as liveTargets from './liveTargets';
+
 export type State = 'ready' | 'draining' | 'gone';
 
 /** What a target says of itself. */
@@ -66,6 +68,8 @@
 export class Registry {
   private readonly entries = new Map<string, Entry>();
 
+  private readonly live = new liveTargets.LiveTargets<Entry>();
+
   /** Takes what a target says of itself; the records that changed with it come back. */
   announce(announcement: Announcement, now: number): Announcement[] {
     const known = this.entries.get(announcement.id);
@@ -85,7 +89,7 @@
       this.keep(record, now);
       return [record];
     }
-    known.record = { ...known.record, isPresumed: undefined };
+    this.write(known, { ...known.record, isPresumed: undefined });
     if (known.record.state === 'gone') return [];
     return [this.end(known, now)];
   }
@@ -131,7 +135,7 @@
       if (record.state === 'gone') return [this.keep(record, now).record];
       // Which of two lifetimes at an address came later, a copy can't say. The one that lives announces
       // itself again. Only a remembered one yields at once.
-      const isContested = this.at(record.address).some(({ record: other }) => {
+      const isContested = this.live.at(record.address).some(({ record: other }) => {
         return !isOnlyRemembered(other) || isOnlyRemembered(record);
       });
       if (!isContested) return this.add(record, now);
@@ -172,7 +176,10 @@
 
   /** Targets of a service that take new work. */
   ready(service: string): Announcement[] {
-    return this.records().filter((each) => each.service === service && each.state === 'ready');
+    return this.live
+      .of(service)
+      .map(({ record }) => record)
+      .filter(({ state }) => state === 'ready');
   }
 
   /** Drops lifetimes that ended long ago. */
@@ -183,13 +190,24 @@
   }
 
   private keep(record: Announcement, now: number): Entry {
+    const known = this.entries.get(record.id);
+    if (known !== undefined) {
+      this.write(known, record);
+      return Object.assign(known, { heardAt: now, contradictedAt: 0 });
+    }
     const entry = { record, heardAt: now, contradictedAt: 0 };
     this.entries.set(record.id, entry);
+    this.live.moved(entry, undefined, placeOf(record));
     return entry;
   }
 
+  private write(entry: Entry, record: Announcement): void {
+    this.live.moved(entry, placeOf(entry.record), placeOf(record));
+    entry.record = record;
+  }
+
   private end(entry: Entry, now: number): Announcement {
-    entry.record = { ...entry.record, state: 'gone' };
+    this.write(entry, { ...entry.record, state: 'gone' });
     entry.heardAt = now;
     return entry.record;
   }
@@ -197,17 +215,11 @@
   private presumeEnd(entry: Entry, now: number): Announcement {
     this.end(entry, now);
     // Somebody else's own word ends it, so the end counts also for those who heard it speak since the memory.
-    entry.record = { ...entry.record, isPresumed: true, isRemembered: undefined };
+    this.write(entry, { ...entry.record, isPresumed: true, isRemembered: undefined });
     entry.contradictedAt = 0;
     return entry.record;
   }
 
-  private at(address: string): Entry[] {
-    return [...this.entries.values()].filter(
-      ({ record }) => record.address === address && record.state !== 'gone',
-    );
-  }
-
   private mergeKnown(known: Entry, record: Announcement, now: number): Announcement[] {
     if (record.bornAt > known.record.bornAt) return this.startAgain(known, record, now);
     if (record.bornAt < known.record.bornAt) return [];
@@ -218,7 +230,7 @@
       !isOnlyRemembered(record) &&
       record.sequence > known.record.sequence &&
       // A copy that missed the end must not take the address from the one that lives there.
-      this.at(record.address).length === 0;
+      this.live.at(record.address).length === 0;
     return isRevived ? this.add(record, now) : this.update(known, record, now);
   }
 
@@ -241,7 +253,7 @@
     const sameState = announcement.state === known.record.state;
     if (sameState && announcement.sequence <= known.record.sequence) return [];
     const moved = announcement.address !== known.record.address;
-    known.record = announcement;
+    this.write(known, announcement);
     return sameState && !moved ? [] : [announcement];
   }
 
@@ -264,7 +276,7 @@
   }
 
   private presumeDead(address: string, now: number): Announcement[] {
-    return this.at(address).map((entry) => this.presumeEnd(entry, now));
+    return this.live.at(address).map((entry) => this.presumeEnd(entry, now));
   }
 
   private contradict(known: Entry, announcement: Announcement, now: number): Announcement[] {
@@ -275,6 +287,10 @@
   }
 }
 
+function placeOf({ service, address, state }: Announcement): liveTargets.Place {
+  return { service, address, isGone: state === 'gone' };
+}
+
 function isPresumedDead({ record }: Entry): boolean {
   return record.isPresumed === true;
 }
