Show what a leader of 300 entries and 3,000 targets sends and weighs (fails; listed as red)

Three amounts grow with entries times targets, and one with targets for each prompt. Change: four tests without network, with bounds from the leader's link and the pause between two questions; the fixture of the crowd of 200 moved to its own file.

--- /dev/null
+++ b/packages/daemon/src/keeper/__tests__/__fixtures__/crowd.ts
@@ -0,0 +1,101 @@
+/** A leader with many followers, without a network. */
+import type * as domain from '@celerydrift/domain';
+import * as random from '@celerydrift/domain/dist/shared/random';
+import { Ok } from 'ts-results';
+import * as clock from '../../../clock';
+import * as holding from '../../../fleet/holding';
+import * as messages from '../../../fleet/messages';
+import * as observer from '../../../observability/observer';
+import type * as logHost from '../../../replicas/logHost';
+import type * as peerClient from '../../../rpc/peerClient';
+import * as leadership from '../../leadership';
+
+const observe = new observer.Observer('test', 'fatal', undefined);
+
+export interface Push {
+  address: string;
+  news: messages.News;
+}
+
+export interface Crowd {
+  led: leadership.Leadership;
+  held: holding.Holding;
+  pushes: Push[];
+}
+
+export interface Size {
+  followers: number;
+  /** What a follower takes for each push, milliseconds. */
+  answerMs: number;
+  /** The leader's clock; by default followers stay in touch however long a test takes. */
+  now?: () => number;
+}
+
+/** A leader that all its followers have found. */
+export async function crowd({ followers, answerMs, now = () => 0 }: Size): Promise<Crowd> {
+  const pushes: Push[] = [];
+  const client = {
+    call: async (address: string, _method: string, news: messages.News) => {
+      pushes.push({ address, news });
+      await clock.pause(answerMs);
+      return Ok({});
+    },
+  };
+  const host = { isLeader: true, confirm: async () => true, replica: { members: [] } };
+  const held = new holding.Holding({
+    protocol: {} as holding.Options['protocol'],
+    observer: observe,
+    now: clock.steady,
+    onCatalogue: () => undefined,
+    onRecord: () => undefined,
+  });
+  const led = new leadership.Leadership({
+    host: host as unknown as logHost.LogHost,
+    holding: held,
+    client: client as unknown as peerClient.PeerClient,
+    observer: observe,
+    now,
+    random: random.seeded(1),
+    newest: () => undefined,
+    onSuspects: () => undefined,
+  });
+  led.tick();
+  for (let i = 0; i < followers; i++) await led.follow(question(i));
+  return { led, held, pushes };
+}
+
+/** Peer address of a follower. */
+export function addressOf(i: number): string {
+  return `10.0.${Math.floor(i / 250)}.${i % 250}:1`;
+}
+
+export function question(i: number): messages.Follow {
+  return {
+    name: `e${i}`,
+    role: 'entry',
+    address: addressOf(i),
+    version: 1,
+    mark: messages.NO_MARK,
+    records: [],
+    dispatches: [],
+    suspects: [],
+    replica: undefined,
+    dataCentre: 'dc0',
+  };
+}
+
+export function announcement(
+  i: number,
+  state: domain.registry.registry.State = 'ready',
+): domain.registry.registry.Announcement {
+  return {
+    id: `t${i}`,
+    bornAt: 1,
+    service: 's',
+    address: `10.1.${Math.floor(i / 250)}.${i % 250}:1`,
+    dataCentre: 'dc0',
+    slots: 7,
+    state,
+    sequence: state === 'ready' ? 1 : 2,
+  };
+}
--- a/packages/daemon/src/keeper/__tests__/crowd.test.ts
+++ b/packages/daemon/src/keeper/__tests__/crowd.test.ts
@@ -3,20 +3,17 @@
  * themselves, as after a loss of all. The numbers are those of the largest fleet served today.
  */
 import * as chai from 'chai';
-import type * as domain from '@celerydrift/domain';
-import * as random from '@celerydrift/domain/dist/shared/random';
-import { Ok } from 'ts-results';
 import * as clock from '../../clock';
 import * as holding from '../../fleet/holding';
 import * as messages from '../../fleet/messages';
-import * as observer from '../../observability/observer';
-import type * as logHost from '../../replicas/logHost';
-import type * as peerClient from '../../rpc/peerClient';
-import * as leadership from '../leadership';
+import type * as observer from '../../observability/observer';
 import * as turns from '../turns';
+import * as fixture from './__fixtures__/crowd';
 
 const { expect } = chai;
 
+const { announcement, question } = fixture;
+
 const FOLLOWERS = 200;
 
 const TARGETS = 150;
@@ -24,82 +21,8 @@
 /** Pause between two announcements of different targets where each announces itself every 1.2 s, milliseconds. */
 const BETWEEN_MS = 8;
 
-const observe = new observer.Observer('test', 'fatal', undefined);
-
-interface Push {
-  address: string;
-  news: messages.News;
-}
-
-interface Crowd {
-  led: leadership.Leadership;
-  held: holding.Holding;
-  pushes: Push[];
-}
-
-/** A leader whose followers take `answerMs` for each push. */
-async function crowd(answerMs: number): Promise<Crowd> {
-  const pushes: Push[] = [];
-  const client = {
-    call: async (address: string, _method: string, news: messages.News) => {
-      pushes.push({ address, news });
-      await clock.pause(answerMs);
-      return Ok({});
-    },
-  };
-  const host = { isLeader: true, confirm: async () => true, replica: { members: [] } };
-  const held = new holding.Holding({
-    protocol: {} as holding.Options['protocol'],
-    observer: observe,
-    now: clock.steady,
-    onCatalogue: () => undefined,
-    onRecord: () => undefined,
-  });
-  const led = new leadership.Leadership({
-    host: host as unknown as logHost.LogHost,
-    holding: held,
-    client: client as unknown as peerClient.PeerClient,
-    observer: observe,
-    // Followers stay in touch however long the test takes.
-    now: () => 0,
-    random: random.seeded(1),
-    newest: () => undefined,
-    onSuspects: () => undefined,
-  });
-  led.tick();
-  for (let i = 0; i < FOLLOWERS; i++) await led.follow(question(i));
-  return { led, held, pushes };
-}
-
-function question(i: number): messages.Follow {
-  return {
-    name: `e${i}`,
-    role: 'entry',
-    address: `10.0.0.${i}:1`,
-    version: 1,
-    mark: messages.NO_MARK,
-    records: [],
-    dispatches: [],
-    suspects: [],
-    replica: undefined,
-    dataCentre: 'dc0',
-  };
-}
-
-function announcement(
-  i: number,
-  state: domain.registry.registry.State = 'ready',
-): domain.registry.registry.Announcement {
-  return {
-    id: `t${i}`,
-    bornAt: 1,
-    service: 's',
-    address: `10.1.0.${i}:1`,
-    dataCentre: 'dc0',
-    slots: 7,
-    state,
-    sequence: state === 'ready' ? 1 : 2,
-  };
+function crowd(answerMs: number): Promise<fixture.Crowd> {
+  return fixture.crowd({ followers: FOLLOWERS, answerMs });
 }
 
 describe('a new leader of many followers', () => {
--- /dev/null
+++ b/packages/daemon/src/keeper/__tests__/largeFleet.test.ts
@@ -0,0 +1,137 @@
+/**
+ * The load of a fleet of 300 entries and 3,000 targets on its leader: all targets announce themselves when the fleet
+ * starts, and all entries ask a new leader for the registry at once. Bounds follow from the leader's link.
+ */
+import * as crypto from 'node:crypto';
+import * as chai from 'chai';
+import type * as domain from '@celerydrift/domain';
+import * as clock from '../../clock';
+import * as holding from '../../fleet/holding';
+import * as messages from '../../fleet/messages';
+import type * as observer from '../../observability/observer';
+import * as framing from '../../rpc/framing';
+import * as fixture from './__fixtures__/crowd';
+
+const { expect } = chai;
+
+const FOLLOWERS = 300;
+
+const TARGETS = 3_000;
+
+/** What the leader's link carries in a second, bytes: 170 Mbit/s. */
+const LINK_BYTES_PER_S = 21_000_000;
+
+/** Targets announce themselves within so long, milliseconds. */
+const ANNOUNCING_MS = 1_200;
+
+/** Announcements come in so many groups, each within one turn of the loop. */
+const GROUPS = 60;
+
+/** Ids and births as unlike as real ones, which don't compress. */
+function announcement(i: number): domain.registry.registry.Announcement {
+  const digest = crypto.createHash('sha256').update(String(i)).digest();
+  const bornAt = 1_700_000_000_000 + digest.readUInt32BE(8);
+  return { ...fixture.announcement(i), id: `i-${digest.toString('hex', 0, 5)}`, bornAt };
+}
+
+/** Notes of a follower that takes what it is told. */
+function follower(): holding.Holding {
+  return new holding.Holding({
+    protocol: {} as holding.Options['protocol'],
+    observer: { log: () => undefined } as unknown as observer.Observer,
+    now: clock.steady,
+    onCatalogue: () => undefined,
+    onRecord: () => undefined,
+  });
+}
+
+/** All targets announce themselves; `between` runs after each group. */
+async function announceAll(
+  { led }: fixture.Crowd,
+  between: () => Promise<void> = async () => undefined,
+): Promise<void> {
+  const told: Promise<void>[] = [];
+  const perGroup = TARGETS / GROUPS;
+  for (let group = 0; group < GROUPS; group++) {
+    for (let i = 0; i < perGroup; i++) {
+      told.push(led.announce(announcement(group * perGroup + i)));
+    }
+    await between();
+    await clock.pause(ANNOUNCING_MS / GROUPS);
+  }
+  await Promise.all(told);
+}
+
+function bytesOf(news: messages.News): number {
+  return framing.encode(news).length;
+}
+
+describe('a leader of 300 entries and 3,000 targets', () => {
+  /*
+   * Nothing was served for the whole day. Each announcement went to each entry in full, 230 bytes 900,000 times, which takes the
+   * leader's link ten seconds; pushes and questions timed out, their connections were closed and all was sent again.
+   */
+  it('tells its followers of all targets within two seconds of its link', async () => {
+    const crowd = await fixture.crowd({ followers: FOLLOWERS, answerMs: 20 });
+    await announceAll(crowd);
+    const sent = crowd.pushes.reduce((sum, { news }) => sum + bytesOf(news), 0);
+    expect(sent).to.be.below(2 * LINK_BYTES_PER_S);
+    const one = follower();
+    const first = crowd.pushes.filter(({ address }) => address === fixture.addressOf(0));
+    first.forEach(({ news }) => one.takeNews(news));
+    expect(one.registry.ready('s').length).to.equal(TARGETS);
+  });
+
+  /*
+   * While all targets announced themselves, an entry that asked twice a second was too far behind each time and got the whole
+   * registry again.
+   */
+  it('sends a follower that asks meanwhile only what it lacks', async () => {
+    const crowd = await fixture.crowd({ followers: 1, answerMs: 1 });
+    const one = follower();
+    const begin = await crowd.led.follow(fixture.question(0));
+    if (begin !== undefined) one.takeNews(begin.news);
+    const told = Array.from({ length: TARGETS }, (_each, i) => {
+      return crowd.led.announce(announcement(i));
+    });
+    const answer = await crowd.led.follow({ ...fixture.question(0), mark: one.mark });
+    await Promise.all(told);
+    expect(answer?.news.packedRegistry).to.equal(undefined);
+    const last = await crowd.led.follow({ ...fixture.question(0), mark: one.mark });
+    if (last !== undefined) one.takeNews(last.news);
+    expect(one.registry.ready('s').length).to.equal(TARGETS);
+  });
+
+  /*
+   * All entries came back to a new leader at once, and each got the whole registry in the answer to its first question: together
+   * two seconds of the leader's link. Every answer came after its timeout, so each entry looked for another leader, and asked
+   * for the same again; 30 s after a kill of all processes nothing was served yet.
+   */
+  it('answers all who find it at once, and hands out the registry by turns', async () => {
+    let now = 0;
+    const crowd = await fixture.crowd({ followers: 0, answerMs: 1, now: () => now });
+    crowd.held.recall(Array.from({ length: TARGETS }, (_each, i) => announcement(i)));
+    const entries = Array.from({ length: FOLLOWERS }, () => follower());
+    let firstBytes = 0;
+    let rounds = 0;
+    const lacking = (): holding.Holding[] => {
+      return entries.filter(({ registry }) => registry.ready('s').length < TARGETS);
+    };
+    while (lacking().length > 0 && rounds < 100) {
+      let sent = 0;
+      for (let i = 0; i < FOLLOWERS; i++) {
+        const answer = await crowd.led.follow({ ...fixture.question(i), mark: entries[i].mark });
+        expect(answer?.kind).to.equal('confirmed');
+        if (answer === undefined) return;
+        sent += bytesOf(answer.news);
+        entries[i].takeNews(answer.news);
+      }
+      if (rounds === 0) firstBytes = sent;
+      rounds += 1;
+      now += 500;
+    }
+    // Half of what the link carries within the pause between two questions.
+    expect(firstBytes).to.be.below(LINK_BYTES_PER_S / 4);
+    expect(rounds).to.be.below(20);
+  });
+});
--- a/packages/domain/src/allocation/__tests__/allocator.test.ts
+++ b/packages/domain/src/allocation/__tests__/allocator.test.ts
@@ -4,6 +4,7 @@
 import * as random from '../../shared/random';
 import * as allocator from '../allocator';
 import * as cost from '../cost';
+import * as load from '../load';
 import * as fixture from './__fixtures__/engine';
 
 const { expect } = chai;
@@ -329,3 +330,34 @@
     expect(places.some(Number.isNaN)).to.equal(false);
   });
 });
+
+describe('a fleet of thousands of engines', () => {
+  /*
+   * Prompts waited seconds for a place although most engines were idle: the leader weighed each prompt on all 3,000 engines,
+   * which takes it longer than the next prompt takes to come.
+   */
+  it('weighs a prompt on a bounded number of engines, and finds idle ones', () => {
+    const made = fleet(3_000);
+    const asked = new Set<load.Load>();
+    const { get } = Object.getOwnPropertyDescriptor(load.Load.prototype, 'freeMemory') ?? {};
+    Object.defineProperty(load.Load.prototype, 'freeMemory', {
+      configurable: true,
+      get(this: load.Load) {
+        asked.add(this);
+        return get?.call(this);
+      },
+    });
+    const most: number[] = [];
+    const waits: number[] = [];
+    for (let i = 0; i < 100; i++) {
+      asked.clear();
+      const placed = made.place(request(`r${i}`, i % 10 === 0 ? LONG : {}), 0);
+      most.push(asked.size);
+      waits.push(placed?.firstTokenMs ?? Infinity);
+    }
+    Object.defineProperty(load.Load.prototype, 'freeMemory', { configurable: true, get });
+    expect(Math.max(...most)).to.be.at.most(400);
+    expect(Math.max(...waits.filter((_each, i) => i % 10 !== 0))).to.be.below(300);
+    expect(Math.max(...waits)).to.be.below(3_000);
+  });
+});
