Weigh a prompt on some cells of a large service

Cause: a plan asks each engine what the prompt would spoil there, and for a long one each reading asks all engines again; with 3,000 engines a leader is busy with one prompt when the next ones come. Smaller services are one cell and are weighed as before (own data centre first). The pause between servings of those who wait follows from the engines that are asked, not from all.

--- a/packages/daemon/src/keeper/placing.ts
+++ b/packages/daemon/src/keeper/placing.ts
@@ -141,7 +141,7 @@
 
   /** What placing a prompt takes, milliseconds; a short one. */
   private get attemptMs(): number {
-    return ATTEMPT_MS_PER_ENGINE * this.parts.allocator.engineCount;
+    return ATTEMPT_MS_PER_ENGINE * this.parts.allocator.mostAsked;
   }
 
   private get now(): number {
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -6,6 +6,7 @@
 import type * as catalogue from '../catalogue/catalogue';
 import type * as registry from '../registry/registry';
 import * as random from '../shared/random';
+import * as cells from './cells';
 import * as cost from './cost';
 import * as isolation from './isolation';
 import * as load from './load';
@@ -79,6 +80,9 @@
 export class Allocator {
   private readonly loads = new Map<string, load.Load>();
 
+  /** The same by service. */
+  private readonly cells = new Map<string, cells.Cells>();
+
   /** Targets that aren't gone, of all services. */
   private readonly records = new Map<string, registry.Announcement>();
 
@@ -115,7 +119,7 @@
     changed.forEach(([name, engine]) => {
       this.planners.set(name, new planner.Planner(engine, this.weighed));
       this.records.forEach((record) => {
-        if (record.service === name) this.loads.set(record.id, this.loadOf(engine, record));
+        if (record.service === name) this.replace(this.loadOf(engine, record));
       });
     });
   }
@@ -124,22 +128,23 @@
   observe(record: registry.Announcement): void {
     if (record.state === 'gone') {
       this.records.delete(record.id);
-      this.loads.delete(record.id);
+      this.drop(record.id);
       return;
     }
     this.records.set(record.id, record);
     const known = this.loads.get(record.id);
     const engine = this.engines.get(record.service);
-    if (known !== undefined) known.record = record;
-    else if (engine !== undefined) this.loads.set(record.id, this.loadOf(engine, record));
+    if (known !== undefined && isSamePlace(known.record, record)) known.record = record;
+    else if (engine !== undefined) this.replace(this.loadOf(engine, record));
   }
 
   /** What is written on the engines of each service on average, for those who see only a part of it. */
   averages(): unseen.Crowding[] {
-    const loads = [...this.loads.values()].filter(({ record }) => record.state === 'ready');
     return [...this.engines.keys()].map((name) => {
-      const ofService = loads.filter(({ record }) => record.service === name);
-      return unseen.crowdingOf(name, ofService);
+      const ready = this.cellsOf(name)
+        .all()
+        .filter(({ record }) => record.state === 'ready');
+      return unseen.crowdingOf(name, ready);
     });
   }
 
@@ -159,24 +164,40 @@
   choose(request: Request, now: number, mayWait: boolean): Choice {
     const made = this.planners.get(request.service);
     if (made === undefined) return { kind: 'full' };
-    const usable = this.usable(request, now);
+    const scope = this.scopeOf(request);
+    const usable = this.usable(request, scope.all, now);
     const decision =
-      this.decideNear(made, request, usable, now) ?? made.decide(request, usable, now, mayWait);
+      this.decideNear(made, request, { ...scope, all: usable }, now) ??
+      made.decide(request, usable, now, mayWait);
     if (decision.kind !== 'begin') return decision;
     this.occupy(request, decision.plan, now);
     return { kind: 'placed', placement: placementOf(decision.plan) };
   }
 
-  /** A plan among the engines of the caller's data centre, where these are enough and it spoils next to nothing. */
+  /** Engines that are asked for a request: all of a small service, else some cells and those that it is bound to. */
+  private scopeOf({ service, dataCentre, writers = [] }: Request): cells.Scope {
+    const scope = this.cellsOf(service).scope(dataCentre);
+    const bound = writers.flatMap((id) => this.loads.get(id) ?? []);
+    return { ...scope, all: [...new Set([...scope.all, ...bound])] };
+  }
+
+  /** A plan among the engines of the first cell or of the caller's data centre, where these are enough and it spoils next to nothing. */
   private decideNear(
     made: planner.Planner,
     request: Request,
-    usable: readonly load.Load[],
+    { first, all }: cells.Scope,
     now: number,
   ): planner.Decision | undefined {
-    const near = usable.filter(({ record }) => record.dataCentre === request.dataCentre);
-    const enough = Math.max(NEAR_ENGINES, NEAR_FOR_EACH_PART * made.sensibleParts(request));
-    if (near.length < enough || near.length === usable.length) return undefined;
+    const ofFirst = new Set(first);
+    const near = all.filter((each) => {
+      return first === undefined
+        ? each.record.dataCentre === request.dataCentre
+        : ofFirst.has(each);
+    });
+    const wanted = NEAR_FOR_EACH_PART * made.sensibleParts(request);
+    // A cell has engines enough for any prompt.
+    const enough = first === undefined ? Math.max(NEAR_ENGINES, wanted) : NEAR_ENGINES;
+    if (near.length < enough || near.length === all.length) return undefined;
     const decision = made.decide(request, near, now, false);
     const isGood =
       decision.kind === 'begin' && decision.plan.harm <= NEAR_HARM * planner.valueOf(request);
@@ -188,8 +209,9 @@
    * without engines. A request that found no place finds one then, if nobody else takes it.
    */
   nextPlaceMs(service: string, now: number): number {
-    const waits = [...this.loads.values()]
-      .filter(({ record }) => record.service === service && record.state === 'ready')
+    const waits = this.cellsOf(service)
+      .all()
+      .filter(({ record }) => record.state === 'ready')
       .map((each) => each.pendingReadMs(now) + each.passMs());
     return Math.min(Infinity, ...waits);
   }
@@ -222,15 +244,34 @@
       .forEach(([id]) => this.ended(id, 'cancelled', now));
   }
 
-  /** Engines that it knows, of all services. */
-  get engineCount(): number {
-    return this.loads.size;
+  /** Most engines that one prompt is weighed on. */
+  get mostAsked(): number {
+    return Math.max(0, ...[...this.cells.values()].map((each) => each.mostAsked));
   }
 
   get size(): number {
     return this.dispatches.size;
   }
 
+  private cellsOf(service: string): cells.Cells {
+    const known = this.cells.get(service) ?? new cells.Cells();
+    this.cells.set(service, known);
+    return known;
+  }
+
+  private replace(made: load.Load): void {
+    this.drop(made.record.id);
+    this.loads.set(made.record.id, made);
+    this.cellsOf(made.record.service).add(made);
+  }
+
+  private drop(id: string): void {
+    const known = this.loads.get(id);
+    if (known === undefined) return;
+    this.loads.delete(id);
+    this.cellsOf(known.record.service).remove(known);
+  }
+
   private loadOf(engine: catalogue.Engine, record: registry.Announcement): load.Load {
     const made = new load.Load(engine, record);
     this.assumeOthers(made);
@@ -243,10 +284,13 @@
   }
 
   /** Engines that take work; those that failed lately only where there are no others. */
-  private usable({ service, excluded, writers, endings }: Request, now: number): load.Load[] {
-    const ready = [...this.loads.values()].filter(
-      ({ record }) =>
-        record.service === service && record.state === 'ready' && !excluded.includes(record.id),
+  private usable(
+    { excluded, writers, endings }: Request,
+    asked: readonly load.Load[],
+    now: number,
+  ): load.Load[] {
+    const ready = asked.filter(
+      ({ record }) => record.state === 'ready' && !excluded.includes(record.id),
     );
     const sound = ready.filter((each) => each.soundness.isUsable(now, each.writers === 0));
     const able = sound.length > 0 ? sound : ready;
@@ -296,6 +340,10 @@
   }
 }
 
+function isSamePlace(a: registry.Announcement, b: registry.Announcement): boolean {
+  return a.service === b.service && a.dataCentre === b.dataCentre;
+}
+
 function placementOf({ writer, helpers, firstTokenMs }: planner.Plan): Placement {
   return {
     target: writer.record.id,
--- a/packages/measure/src/leader/leader.ts
+++ b/packages/measure/src/leader/leader.ts
@@ -27,7 +27,7 @@
   slopes: Record<string, number>;
 }
 
-const SIZES = [24, 100, 300, 600];
+const SIZES = [24, 100, 300, 600, 3_000];
 
 const QUICK_SIZES = [24, 100];
 
