Send followers what they lack, packed, and the whole registry by turns; pass words of targets on together

Cause, by the tests without network (300 entries, 3,000 targets): each announcement went to each entry in full; a follower more than 512 changes behind got the whole registry with each question; a new leader gave all of them a copy in its first answers; each heartbeat of a target was a call to the leader, 2,500 a second. Together more than its link carries: pushes and questions time out, close their connections, and all is sent again.

Change: many changes travel packed, once for all who lack the same (registryCopies.bundle, registryNews.since); 12,000 changes are kept; a copy is handed out while it is nearly fresh, with the changes since, and by turns within a quarter of the link (CopyTurns, setting link-mbps); who waits for it gets the targets of plain services. A push sends what its follower lacks when it goes, silent connections end after 1.5 s in place of 0.4. AnnouncementRelay passes words on together. A leader without targets asks three followers, not all.

--- a/packages/daemon/src/configuration/roleSettings.ts
+++ b/packages/daemon/src/configuration/roleSettings.ts
@@ -34,6 +34,8 @@
   /** Voters that the replica set grows to. */
   replicas: number;
   logLevel: string;
+  /** What the VM's link carries, megabits a second; copies of the registry may fill a part of it. */
+  linkMbps: number;
   /** How long a planned stop may take, milliseconds. */
   stopMs: number;
   /** A key that was taken away must be refused after so long, milliseconds. */
@@ -59,6 +61,7 @@
   'may-found': 'false',
   'tolerated-losses': '1',
   level: 'info',
+  'link-mbps': '100',
   'stop-seconds': '8',
   'revoke-ms': '5000',
   'drain-ms': '2000',
@@ -85,6 +88,7 @@
   data: { folder: TEXT, 'may-found': oneOf('true', 'false'), 'tolerated-losses': range(0, 4) },
   observe: { level: oneOf('trace', 'debug', 'info', 'warn', 'error', 'fatal') },
   bounds: {
+    'link-mbps': range(1, 1_000_000),
     'stop-seconds': range(1, 3_600),
     'revoke-ms': range(500, 3_600_000),
     'drain-ms': range(100, 3_600_000),
@@ -138,6 +142,7 @@
     mayFound: values.get('data.may-found') === 'true',
     replicas: 2 * number('data.tolerated-losses') + 1,
     logLevel: values.get('observe.level') as string,
+    linkMbps: number('bounds.link-mbps'),
     stopMs: number('bounds.stop-seconds') * 1_000,
     revokeMs: number('bounds.revoke-ms'),
     drainMs: number('bounds.drain-ms'),
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -147,7 +147,7 @@
     const { settings } = this.parts;
     this.server.add('learn', (news) => {
       this.holding.takeNews(news as messages.News);
-      return {};
+      return { mark: this.holding.mark } satisfies messages.Learned;
     });
     await this.server.listen(settings.peers);
     await this.ingress.listen(settings.callers as codecs.Address);
--- a/packages/daemon/src/fleet/holding.ts
+++ b/packages/daemon/src/fleet/holding.ts
@@ -25,6 +25,9 @@
 /** Endings from which on a suspect is worth telling to a new leader; most with fewer are innocent, and they are many. */
 const TOLD_ENDINGS = 2;
 
+/** Changes of targets that are taken together and still get a line of the log each. */
+const MOST_LINES = 20;
+
 export class Holding {
   readonly registry = new domain.registry.registry.Registry();
 
@@ -128,15 +131,31 @@
     return changed;
   }
 
-  /** Takes news; false where they build on a state that isn't this one, so that a full copy is needed. */
-  takeNews({ edition, mark, since, records, suspects, packedRegistry }: messages.News): boolean {
+  /** Takes news; false where they build on a state that isn't held here, so that a full copy is needed. */
+  takeNews(news: messages.News): boolean {
+    const { edition, mark, since, packedRegistry } = news;
     if (edition !== undefined) this.takeEdition(edition);
     if (packedRegistry !== undefined) this.takeCopy(registryCopies.unpack(packedRegistry));
-    this.takeRecords(records);
+    this.takeMany(registryCopies.unbundle(news));
+    // A push that was held up comes after the answer to a question: what it says of suspects is no longer so.
+    if (!isLater(this.mark, mark)) this.takeSuspects(news.suspects);
+    if (since !== undefined && !messages.holds(this.mark, since)) return false;
+    if (!isLater(this.mark, mark)) this.mark = mark;
+    return true;
+  }
+
+  private takeSuspects(suspects: messages.News['suspects']): void {
     suspects.forEach((report) => this.quarantine.take(report, this.options.now()));
     if (suspects.length > 0) this.options.onSuspects?.();
-    if (since !== undefined && !messages.isSameMark(since, this.mark)) return false;
-    this.mark = mark;
-    return true;
   }
+
+  /** Takes changes; many in one line of the log, like a whole copy. */
+  private takeMany(records: readonly Announcement[]): void {
+    if (records.length > MOST_LINES) this.takeRegistry(records);
+    else this.takeRecords(records);
+  }
+}
+
+function isLater(a: messages.RegistryMark, b: messages.RegistryMark): boolean {
+  return a.epoch === b.epoch && a.change > b.change;
 }
--- a/packages/daemon/src/fleet/leaderLink.ts
+++ b/packages/daemon/src/fleet/leaderLink.ts
@@ -8,6 +8,7 @@
 import type * as peerClient from '../rpc/peerClient';
 import type * as holding from './holding';
 import * as messages from './messages';
+import * as registryCopies from './registryCopies';
 
 export interface Options {
   name: string;
@@ -216,7 +217,7 @@
       address: this.options.address,
       version: holding.version,
       mark: holding.mark,
-      records: sendsRecords ? holding.registry.records() : [],
+      ...registryCopies.bundle(sendsRecords ? holding.registry.records() : []),
       dispatches: isNew ? this.options.dispatches() : [],
       suspects: isNew ? holding.suspectsToTell() : [],
       replica: replica(),
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -1,5 +1,6 @@
 /** What entries and keepers say to the leader of the keepers, and it to them. */
 import type * as domain from '@celerydrift/domain';
+import type * as registryCopies from './registryCopies';
 
 type Announcement = domain.registry.registry.Announcement;
 type SuspectReport = domain.quarantine.suspect.Report;
@@ -11,8 +12,11 @@
   change: number;
 }
 
-/** `follow`: sent by each entry and keeper again and again; answered once a quorum confirmed the leader. */
-export interface Follow {
+/**
+ * `follow`: sent by each entry and keeper again and again; answered once a quorum confirmed the leader. The records are what a
+ * keeper knows of targets, for a leader that it meets for the first time; an entry's where the leader asked.
+ */
+export interface Follow extends registryCopies.Bundle {
   name: string;
   role: 'entry' | 'keeper';
   /** Peer address of the follower, for pushes. */
@@ -20,8 +24,6 @@
   /** Version of the catalogue that the follower has in force. */
   version: number;
   mark: RegistryMark;
-  /** What a keeper knows of targets, for a leader that it meets for the first time; an entry's where the leader asked. */
-  records: Announcement[];
   /** Dispatches of an entry that run, for a leader that it meets for the first time. */
   dispatches: Dispatched[];
   /** Requests under which targets ended, for a leader that it meets for the first time. */
@@ -58,21 +60,25 @@
 
 export type FollowAnswer = Confirmed | Redirect;
 
-/** Changes that a follower lacks. */
-export interface News {
+/** Changes that a follower lacks; the records come after those of `packedRegistry`. */
+export interface News extends registryCopies.Bundle {
   /** A newer catalogue. */
   edition: domain.catalogue.versions.Edition | undefined;
-  /** The mark after `records`. */
+  /** The mark after the records. */
   mark: RegistryMark;
-  /** The mark that `records` build on; undefined where a whole registry comes, in `packedRegistry`. */
+  /** The mark that the records build on; undefined where a whole registry comes, in `packedRegistry`. */
   since: RegistryMark | undefined;
-  records: Announcement[];
   /** Requests under which targets ended, as they are known after the change. */
   suspects: SuspectReport[];
   /** A whole registry and all suspects, as `registryCopies` packs them. */
   packedRegistry?: Uint8Array;
 }
 
+/** What a follower has in force once it took a push. */
+export interface Learned {
+  mark: RegistryMark;
+}
+
 /** A lifetime that ended while it ran a content. */
 export interface EndedTarget {
   content: string;
@@ -149,9 +155,9 @@
   dispatches: EndedDispatch[];
 }
 
-/** `announce` from the keeper that a target talked to. */
+/** `announced`: what targets said to the keeper that sends it. */
 export interface Announced {
-  record: Announcement;
+  records: Announcement[];
 }
 
 export interface Departed {
@@ -175,6 +181,11 @@
 
 export const NO_MARK: RegistryMark = { epoch: '', change: 0 };
 
+/** Whether a state holds all that another one of the same leadership does. */
+export function holds(a: RegistryMark, b: RegistryMark): boolean {
+  return a.epoch === b.epoch && a.change >= b.change;
+}
+
 export function isSameMark(a: RegistryMark, b: RegistryMark): boolean {
   return a.epoch === b.epoch && a.change === b.change;
 }
--- a/packages/daemon/src/fleet/registryCopies.ts
+++ b/packages/daemon/src/fleet/registryCopies.ts
@@ -1,5 +1,5 @@
 /**
- * Whole registries as they travel to followers: packed once for all who ask at the same state. After a loss of all two
+ * Registries and many changes of them as they travel to followers: packed once for all who lack the same. After a loss of all two
  * hundred entries ask a new leader within some tenths of a second; to pack 155 targets for each took it 0.1 s in all, and
  * 3.6 MB on its link where compressed copies take a sixth.
  */
@@ -7,13 +7,24 @@
 import type * as domain from '@celerydrift/domain';
 import * as msgpackr from 'msgpackr';
 
+type Announcement = domain.registry.registry.Announcement;
+
 /** What a follower takes whole. */
 export interface Copy {
-  records: readonly domain.registry.registry.Announcement[];
+  records: readonly Announcement[];
   /** Requests under which targets ended. */
   suspects: readonly domain.quarantine.suspect.Report[];
 }
 
+/** Records as they travel: many of them packed, some 20 bytes each in place of 230. */
+export interface Bundle {
+  records: Announcement[];
+  packedRecords?: Uint8Array;
+}
+
+/** Fewer records aren't worth the time to pack and unpack them. */
+const PACKED_FROM = 64;
+
 const packr = new msgpackr.Packr({ useRecords: true, structuredClone: false });
 
 export function pack(copy: Copy): Uint8Array {
@@ -23,3 +34,12 @@
 export function unpack(packed: Uint8Array): Copy {
   return packr.unpack(zlib.inflateRawSync(packed)) as Copy;
 }
+
+export function bundle(records: Announcement[]): Bundle {
+  if (records.length < PACKED_FROM) return { records };
+  return { records: [], packedRecords: pack({ records, suspects: [] }) };
+}
+
+export function unbundle({ records, packedRecords }: Bundle): readonly Announcement[] {
+  return packedRecords === undefined ? records : [...unpack(packedRecords).records, ...records];
+}
--- a/packages/daemon/src/keeper/__tests__/__fixtures__/crowd.ts
+++ b/packages/daemon/src/keeper/__tests__/__fixtures__/crowd.ts
@@ -56,6 +56,7 @@
     observer: observe,
     now,
     random: random.seeded(1),
+    linkMbps: 170,
     newest: () => undefined,
     onSuspects: () => undefined,
   });
--- a/packages/daemon/src/keeper/followers.ts
+++ b/packages/daemon/src/keeper/followers.ts
@@ -23,15 +23,30 @@
 const FORGET_MS = 4_000;
 
 /** Longest wait for a follower's acknowledgement, milliseconds; a fifth of the shortest drain bound. */
-const PUSH_TIMEOUT_MS = 400;
+const ACKNOWLEDGED_MS = 400;
+
+/**
+ * A push that isn't answered for so long ends its connection, milliseconds. Sooner, a busy link or follower would cost the
+ * connections of a whole fleet, and making them anew keeps it busy; the follower asks over its own connection meanwhile.
+ */
+const SILENT_MS = 1_500;
 
 /** What is on its way to one follower, and what waits until that has arrived. */
 interface Lane {
-  waiting: messages.News | undefined;
+  /** The state that the follower has with what is on its way. */
+  mark: messages.RegistryMark;
+  isWaiting: boolean;
+  /** The newest catalogue among what waits. */
+  edition: domain.catalogue.versions.Edition | undefined;
   /** Resolves when what waits now has arrived, or was given up. */
   next: Promise<void>;
 }
 
+/** What a follower with a state lacks; undefined where only a whole copy would do, which isn't pushed. */
+export type MissedSince = (
+  mark: messages.RegistryMark,
+) => Omit<messages.News, 'edition'> | undefined;
+
 export class Followers {
   private readonly byName = new Map<string, Follower>();
 
@@ -41,6 +56,7 @@
   constructor(
     private readonly client: peerClient.PeerClient,
     private readonly now: () => number,
+    private readonly missedSince: MissedSince,
   ) {}
 
   heard({ name, role, address, dataCentre, replica }: messages.Follow): void {
@@ -56,6 +72,10 @@
     return this.all().filter(({ role }) => role === 'entry').length;
   }
 
+  get size(): number {
+    return this.byName.size;
+  }
+
   /** Forgets the silent ones and names them. */
   forgetSilent(): Follower[] {
     const silent = this.all().filter(({ heardAt }) => this.now() - heardAt > FORGET_MS);
@@ -74,17 +94,18 @@
   }
 
   /**
-   * One push at a time to each follower; what comes meanwhile goes together. So a leader that can't keep up sends fewer and
-   * larger pushes, where it would otherwise fall further behind with each.
+   * One push at a time to each follower; what it lacks by the time that this one is answered goes together. So a leader that can't
+   * keep up sends fewer and larger pushes, where it would otherwise fall further behind with each.
    */
   private async pushTo(address: string, news: messages.News): Promise<void> {
     const lane = this.lanes.get(address);
     if (lane === undefined) {
-      await this.send(address, news);
+      await Promise.race([this.send(address, news), clock.pause(ACKNOWLEDGED_MS)]);
       return;
     }
-    lane.waiting = lane.waiting === undefined ? news : together(lane.waiting, news);
-    await Promise.race([lane.next, clock.pause(PUSH_TIMEOUT_MS)]);
+    lane.isWaiting = true;
+    lane.edition = news.edition ?? lane.edition;
+    await Promise.race([lane.next, clock.pause(ACKNOWLEDGED_MS)]);
   }
 
   private async send(address: string, news: messages.News): Promise<void> {
@@ -92,12 +113,16 @@
     const next = new Promise<void>((resolve) => {
       finish = resolve;
     });
-    const lane: Lane = { waiting: undefined, next };
+    const lane: Lane = { mark: news.mark, isWaiting: false, edition: undefined, next };
     this.lanes.set(address, lane);
-    await this.client.call(address, 'learn', news, { timeoutMs: PUSH_TIMEOUT_MS });
+    const answer = await this.client.call<Partial<messages.Learned>>(address, 'learn', news, {
+      timeoutMs: SILENT_MS,
+    });
     this.lanes.delete(address);
-    if (lane.waiting === undefined) finish();
-    else void this.send(address, lane.waiting).then(finish);
+    const reached = answer.ok ? (answer.val.mark ?? lane.mark) : news.since;
+    const missed = lane.isWaiting && reached !== undefined ? this.missedSince(reached) : undefined;
+    if (missed === undefined && lane.edition === undefined) finish();
+    else void this.send(address, newsOf(lane.edition, missed)).then(finish);
   }
 
   /** Keepers with a replica that asked lately, as spares for the replica set. */
@@ -109,12 +134,11 @@
   }
 }
 
-/** Two pushes of which the second follows the first. */
-function together(first: messages.News, second: messages.News): messages.News {
-  const edition = second.edition ?? first.edition;
-  // A whole registry replaces what came before.
-  if (second.since === undefined) return { ...second, edition };
-  const records = [...first.records, ...second.records];
-  const suspects = [...first.suspects, ...second.suspects];
-  return { ...first, edition, mark: second.mark, records, suspects };
+/** A push of what is known; an edition alone builds on no state. */
+function newsOf(
+  edition: domain.catalogue.versions.Edition | undefined,
+  missed: Omit<messages.News, 'edition'> | undefined,
+): messages.News {
+  const nothing = { mark: messages.NO_MARK, since: messages.NO_MARK, records: [], suspects: [] };
+  return { edition, ...(missed ?? nothing) };
 }
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -17,6 +17,7 @@
 import * as replicaSet from '../replicas/replicaSet';
 import * as peerClient from '../rpc/peerClient';
 import * as peerServer from '../rpc/peerServer';
+import * as announcementRelay from './announcementRelay';
 import * as catalogueMachine from './catalogueMachine';
 import * as controlServer from './controlServer';
 import * as leadership from './leadership';
@@ -81,6 +82,10 @@
 
   private readonly machine: catalogueMachine.CatalogueMachine;
 
+  private readonly relay = new announcementRelay.AnnouncementRelay((records) => {
+    return this.announce(records);
+  });
+
   private readonly targetFile: memoryFile.MemoryFile;
 
   private readonly quarantineFile: memoryFile.MemoryFile;
@@ -137,7 +142,7 @@
     this.control = new controlServer.ControlServer({
       protocol,
       observer: observe,
-      announce: (record) => this.announce(record),
+      announce: (record) => this.relay.tell(record),
       depart: (departed) => this.depart(departed),
       submit: (edition) => this.submit(edition),
       newest: () => this.newest(),
@@ -265,6 +270,7 @@
       random: this.parts.random,
       newest: () => this.machine.versions.newest,
       onSuspects: () => this.noteSuspects(),
+      linkMbps: this.parts.settings.linkMbps,
     });
     const { directory } = this.holding;
     if (directory !== undefined) made.allocator.setServices(directory.catalogue.services);
@@ -282,9 +288,9 @@
     server.add('follow', (question) => this.follow(question as messages.Follow));
     server.add('learn', (news) => {
       this.holding.takeNews(news as messages.News);
-      return {};
+      return { mark: this.holding.mark } satisfies messages.Learned;
     });
-    server.add('announced', (content) => this.announcedBy((content as messages.Announced).record));
+    server.add('announced', (content) => this.announced(content as messages.Announced));
     server.add('departed', (content) => this.departedBy(content as messages.Departed));
     server.add('submit', (content) => this.submitHere((content as messages.Submit).edition));
     server.add('newest', () => this.newestHere());
@@ -377,20 +383,21 @@
     return this.host.isLeader ? this.leadership.place(request) : this.redirect();
   }
 
-  private announce(record: Announcement): Promise<boolean> {
-    const content = { record } satisfies messages.Announced;
+  private announce(records: Announcement[]): Promise<boolean> {
+    const content = { records } satisfies messages.Announced;
     return this.atLeader(
       { method: 'announced', content, timeoutMs: PASS_ON_TIMEOUT_MS },
       {
-        here: () => this.announcedBy(record),
+        here: () => this.announced(content),
         unavailable: () => false,
       },
     );
   }
 
-  private async announcedBy(record: Announcement): Promise<boolean> {
+  /** Resolves once followers know what is new. */
+  private async announced({ records }: messages.Announced): Promise<boolean> {
     if (!this.host.isLeader) return false;
-    await this.leadership.announce(record);
+    await Promise.all(records.map((record) => this.leadership.announce(record)));
     return true;
   }
 
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -6,10 +6,11 @@
 import * as domain from '@celerydrift/domain';
 import type * as holding from '../fleet/holding';
 import * as messages from '../fleet/messages';
-import type * as registryCopies from '../fleet/registryCopies';
+import * as registryCopies from '../fleet/registryCopies';
 import type * as observer from '../observability/observer';
 import type * as logHost from '../replicas/logHost';
 import type * as peerClient from '../rpc/peerClient';
+import * as copyTurns from './copyTurns';
 import * as followers from './followers';
 import * as placing from './placing';
 import * as registryNews from './registryNews';
@@ -28,11 +29,16 @@
   newest: () => domain.catalogue.versions.Edition | undefined;
   /** What is known of suspects changed. */
   onSuspects: () => void;
+  /** What this VM's link carries, megabits a second. */
+  linkMbps: number;
 }
 
 /** A new leader has heard of all entries after so long, milliseconds: three of their questions. */
 const KNOWS_ALL_MS = 1_500;
 
+/** Followers that a leader without targets asks for what they know; one may have just started too. */
+const MOST_ASKED = 3;
+
 /** How long averages over the engines are given out before they are worked out anew, milliseconds; a fifth of a follower's pause. */
 const AVERAGES_MS = 100;
 
@@ -45,6 +51,14 @@
 
   private readonly turns = new turns.Turns();
 
+  private readonly copies: copyTurns.CopyTurns;
+
+  /** Followers that were confirmed without the registry, as its copies were under way to others. */
+  private readonly waitsForCopy = new Set<string>();
+
+  /** Followers that were asked for their copy of the registry. */
+  private readonly askedForRecords = new Set<string>();
+
   private readonly news: registryNews.RegistryNews;
 
   readonly suspicions: suspicions.Suspicions;
@@ -57,9 +71,12 @@
 
   constructor(private readonly options: Options) {
     const { client, now, random, observer: observe } = options;
-    this.followers = new followers.Followers(client, now);
+    this.followers = new followers.Followers(client, now, (mark) => this.missedSince(mark));
+    this.copies = new copyTurns.CopyTurns(options.linkMbps, now);
     this.news = new registryNews.RegistryNews({
       copy: () => this.copy(),
+      now,
+      followers: () => this.followers.size,
       push: (news) => this.followers.push(news),
     });
     this.suspicions = new suspicions.Suspicions({
@@ -118,12 +135,9 @@
     const isUrgent = question.version === 0;
     if (!(await this.options.host.confirm(isUrgent))) return undefined;
     if (!this.leads) this.turn(true);
+    this.forgetFormerLife(question);
     this.followers.heard(question);
-    // A process that has taken no news yet has just started: what its predecessor ran under the name ended with it.
-    if (messages.isSameMark(question.mark, messages.NO_MARK)) {
-      this.suspicions.forgetEntry(question.name);
-    }
-    void this.take(question.records);
+    void this.take(registryCopies.unbundle(question));
     this.suspicions.merge(question.suspects);
     question.dispatches.forEach(({ request, target }) => {
       this.allocator.restore(request, target, now());
@@ -132,12 +146,27 @@
       kind: 'confirmed',
       keepers: this.options.host.replica.members.map(({ address }) => address),
       entries: now() - this.leadsSince < KNOWS_ALL_MS ? 0 : this.followers.entries(),
-      lacksTargets: this.options.holding.registry.size === 0,
+      lacksTargets: this.asksForRecords(question.name),
       crowding: question.role === 'entry' ? this.averagesNow() : [],
       news: this.newsFor(question),
     };
   }
 
+  /** A process that has taken no news yet has just started: what its predecessor ran under the name ended with it. */
+  private forgetFormerLife({ name, mark, version }: messages.Follow): void {
+    const hasNothing = messages.isSameMark(mark, messages.NO_MARK);
+    // One with a catalogue waits for its copy of the registry.
+    const isWaiting = version > 0 && this.waitsForCopy.has(name);
+    if (hasNothing && !isWaiting) this.suspicions.forgetEntry(name);
+  }
+
+  /** A leader without targets asks some followers for theirs; all of them would fill its link with the same. */
+  private asksForRecords(name: string): boolean {
+    if (this.options.holding.registry.size > 0) return false;
+    if (this.askedForRecords.size < MOST_ASKED) this.askedForRecords.add(name);
+    return this.askedForRecords.has(name);
+  }
+
   /** Takes a target's own word; resolves when the followers in touch know what changed. */
   async announce(announcement: Announcement): Promise<void> {
     const { holding: held, observer } = this.options;
@@ -207,6 +236,8 @@
   private turn(leads: boolean): void {
     this.leads = leads;
     this.followers.clear();
+    this.waitsForCopy.clear();
+    this.askedForRecords.clear();
     this.suspicions.turn();
     if (leads) this.placing.open();
     else this.placing.close();
@@ -227,10 +258,31 @@
     return this.averages.of;
   }
 
-  private newsFor({ version, mark }: messages.Follow): messages.News {
+  private newsFor({ name, version, mark }: messages.Follow): messages.News {
     const newest = this.options.newest();
     const edition = newest !== undefined && newest.version > version ? newest : undefined;
-    return { edition, ...this.news.since(mark) };
+    return { edition, ...this.missedBy(name, mark) };
+  }
+
+  private missedBy(name: string, mark: messages.RegistryMark): registryNews.Missed {
+    this.waitsForCopy.delete(name);
+    if (this.news.reaches(mark)) return this.news.since(mark);
+    const whole = this.news.whole();
+    if (this.copies.take(whole.packedRegistry.length)) return whole;
+    this.waitsForCopy.add(name);
+    return { mark, since: mark, records: this.plainTargets(), suspects: [] };
+  }
+
+  /** What is pushed to a follower that missed some; one that needs a whole copy gets it when it asks. */
+  private missedSince(mark: messages.RegistryMark): registryNews.Missed | undefined {
+    return this.news.reaches(mark) ? this.news.since(mark) : undefined;
+  }
+
+  /** Targets of services without engines: entries choose among these by themselves. */
+  private plainTargets(): Announcement[] {
+    const { directory, registry } = this.options.holding;
+    const plain = directory?.catalogue.services.filter(({ engine }) => engine === undefined) ?? [];
+    return plain.flatMap(({ name }) => registry.ready(name));
   }
 }
 
--- a/packages/daemon/src/keeper/registryNews.ts
+++ b/packages/daemon/src/keeper/registryNews.ts
@@ -14,8 +14,13 @@
 /** What a follower lacks, without an edition. */
 export type Missed = Omit<messages.News, 'edition'>;
 
+/** What a follower lacks whose state doesn't lead to the present one by the changes that are kept. */
+export type MissedAll = Missed & { packedRegistry: Uint8Array };
+
 export interface Parts {
   copy: () => registryCopies.Copy;
+  now: () => number;
+  followers: () => number;
   /** Resolves when the followers in touch have it, or after a bound. */
   push: (news: messages.News) => Promise<void>;
 }
@@ -33,8 +38,37 @@
  */
 const SUSPECTS_GATHER_MS = 5;
 
-/** Changes that are kept for followers that missed a push. */
-const KEPT_CHANGES = 512;
+/**
+ * Pushing to one follower may take this much of the pause between two pushes, milliseconds, so that pushes take a leader of many
+ * followers no more than a third of its time.
+ */
+const GATHER_MS_PER_FOLLOWER = 1;
+
+/**
+ * Changes that are kept for followers that missed a push. When a fleet of 3,000 targets starts, all announce themselves between
+ * two questions of a follower; with fewer kept, it would get the whole registry again with each.
+ */
+const KEPT_CHANGES = 12_000;
+
+/**
+ * Most changes that a follower gets to the very last one. More go up to a state that all who ask within `OFFERED_MS` share, so
+ * that they are packed once and not for each.
+ */
+const MOST_UNSHARED = 256;
+
+/** How long such a state is handed out, milliseconds. */
+const OFFERED_MS = 150;
+
+/** Packed changes that are kept: as many as there are states that followers may have during some pushes. */
+const KEPT_BUNDLES = 16;
+
+/** Part of the registry's size by which it may change before it is packed anew; the changes since go with the copy. */
+const STALE_SHARE = 0.1;
+
+interface Span {
+  from: messages.RegistryMark;
+  to: messages.RegistryMark;
+}
 
 /** A push that takes further changes until it begins. */
 interface Gathering {
@@ -60,7 +94,13 @@
   private gathering: Gathering | undefined;
 
   /** The whole registry at a mark. */
-  private copy: { mark: messages.RegistryMark; packed: Uint8Array } | undefined;
+  private copy: { mark: messages.RegistryMark; packed: Uint8Array; size: number } | undefined;
+
+  /** The state that followers who lack much are brought to. */
+  private offered: { mark: messages.RegistryMark; at: number } | undefined;
+
+  /** Packed records of some spans, the latest last. */
+  private bundles = new Map<string, registryCopies.Bundle>();
 
   constructor(private readonly parts: Parts) {}
 
@@ -69,6 +109,9 @@
     this.mark = { epoch: crypto.randomBytes(6).toString('hex'), change: 0 };
     this.pushed = this.mark;
     this.changes = [];
+    this.copy = undefined;
+    this.offered = undefined;
+    this.bundles.clear();
   }
 
   /**
@@ -99,21 +142,55 @@
     await this.parts.push({ edition, mark: pushed, since: pushed, records: [], suspects: [] });
   }
 
-  /** What a follower at `mark` lacks. */
+  /** Whether a state leads to the present one by the changes that are kept. */
+  reaches(mark: messages.RegistryMark): boolean {
+    const first = this.changes[0] ?? { mark: { ...this.mark, change: this.mark.change + 1 } };
+    return messages.holds(this.mark, mark) && mark.change >= first.mark.change - 1;
+  }
+
+  /** What a follower at `mark` lacks; a whole copy where it doesn't reach the present state. */
   since(mark: messages.RegistryMark): Missed {
-    const nothing = { mark: this.mark, records: [], suspects: [] };
-    if (messages.isSameMark(mark, this.mark)) return { ...nothing, since: mark };
-    const first = this.changes[0];
-    const reaches =
-      first !== undefined &&
-      mark.epoch === this.mark.epoch &&
-      mark.change >= first.mark.change - 1 &&
-      mark.change < this.mark.change;
-    if (!reaches) return { ...nothing, since: undefined, ...this.wholeCopy() };
-    const missed = this.changes.filter((each) => each.mark.change > mark.change);
-    const records = missed.flatMap(({ record }) => (record === undefined ? [] : [record]));
-    const suspects = missed.flatMap(({ suspect }) => (suspect === undefined ? [] : [suspect]));
-    return { mark: this.mark, since: mark, records, suspects };
+    if (!this.reaches(mark)) return this.whole();
+    const isFew = this.mark.change - mark.change <= MOST_UNSHARED;
+    const to = isFew ? this.mark : this.offeredMark();
+    return this.changesIn({ from: mark, to: messages.holds(to, mark) ? to : mark });
+  }
+
+  /** The whole registry, for a follower that knows nothing of it. */
+  whole(): MissedAll {
+    const { mark, packed } = this.wholeCopy();
+    const changes = this.changesIn({ from: mark, to: this.mark });
+    return { ...changes, since: undefined, packedRegistry: packed };
+  }
+
+  private changesIn({ from, to }: Span): Missed {
+    const before = (this.changes[0]?.mark.change ?? 0) - 1;
+    const changes = this.changes.slice(
+      Math.max(0, from.change - before),
+      Math.max(0, to.change - before),
+    );
+    const suspects = changes.flatMap(({ suspect }) => (suspect === undefined ? [] : [suspect]));
+    return { mark: to, since: from, ...this.bundleOf({ from, to }, changes), suspects };
+  }
+
+  private bundleOf({ from, to }: Span, changes: readonly Change[]): registryCopies.Bundle {
+    const key = `${from.change} ${to.change}`;
+    const known = this.bundles.get(key);
+    if (known !== undefined) return known;
+    const records = changes.flatMap(({ record }) => (record === undefined ? [] : [record]));
+    const made = registryCopies.bundle(records);
+    if (made.packedRecords === undefined) return made;
+    this.bundles.set(key, made);
+    if (this.bundles.size > KEPT_BUNDLES) this.bundles.delete([...this.bundles.keys()][0]);
+    return made;
+  }
+
+  private offeredMark(): messages.RegistryMark {
+    const now = this.parts.now();
+    if (this.offered === undefined || now - this.offered.at >= OFFERED_MS) {
+      this.offered = { mark: this.mark, at: now };
+    }
+    return this.offered.mark;
   }
 
   private add(changes: readonly Omit<Change, 'mark'>[]): void {
@@ -135,20 +212,26 @@
       };
     });
     this.gathering = { done, push };
-    setTimeout(push, GATHER_MS);
+    setTimeout(push, Math.max(GATHER_MS, GATHER_MS_PER_FOLLOWER * this.parts.followers()));
     return this.gathering;
   }
 
   private async pushChanges(): Promise<void> {
-    const missed = this.since(this.pushed);
+    const missed = this.changesIn({ from: this.pushed, to: this.mark });
     this.pushed = missed.mark;
     await this.parts.push({ edition: undefined, ...missed });
   }
 
-  private wholeCopy(): { packedRegistry: Uint8Array } {
-    if (this.copy === undefined || !messages.isSameMark(this.copy.mark, this.mark)) {
-      this.copy = { mark: this.mark, packed: registryCopies.pack(this.parts.copy()) };
-    }
-    return { packedRegistry: this.copy.packed };
+  private wholeCopy(): { mark: messages.RegistryMark; packed: Uint8Array } {
+    const { copy } = this;
+    const isFresh =
+      copy !== undefined &&
+      this.reaches(copy.mark) &&
+      this.mark.change - copy.mark.change <= STALE_SHARE * copy.size;
+    if (isFresh) return copy;
+    const whole = this.parts.copy();
+    const size = whole.records.length;
+    this.copy = { mark: this.mark, packed: registryCopies.pack(whole), size };
+    return this.copy;
   }
 }
