--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -203,6 +203,32 @@
     expect(performance.now() - since).to.be.lessThan(950);
   });
 
+  /*
+   * Two clerks sent the same lookup at the same moment, and their target crashed under both. One was sent on as the trial; the
+   * other one was answered 502 at once, though targets were free and the trial told a moment later that it may run.
+   */
+  it('lets a copy that a crash cut wait for the trial of the other one', async () => {
+    const sockets: net.Socket[] = [];
+    const crashing: bench.Behaviour = (_request, socket) => {
+      sockets.push(socket);
+      if (sockets.length < 2) return;
+      void made.crash(0);
+      sockets.forEach((each) => each.resetAndDestroy());
+    };
+    const slow: bench.Behaviour = (request, socket) => {
+      const id = /id: (\S+)/.exec(request)?.[1] ?? '';
+      setTimeout(() => socket.write(bench.answer('whole').replace('id: r1', `id: ${id}`)), 200);
+    };
+    made = await bench.Bench.start(crashing, slow);
+    const replies = await Promise.all(
+      ['r1', 'r2'].map((id) => made.ask('/safe/1', { id }, 'same')),
+    );
+    expect(replies.map(({ status, body }) => `${status} ${body}`)).to.deep.equal([
+      '200 whole',
+      '200 whole',
+    ]);
+  });
+
   it('breaks a stream off that nobody can go on with', async () => {
     const half: bench.Behaviour = (_request, socket) => {
       socket.write(bench.STREAM + bench.chunk('id: 1\ndata: a\n\n'));
