Let a copy that a crash cut wait for the trial of the other one

Cause: of the requests with one content that one crash cuts together, one goes on as the trial and the others were answered 502, as they may have run, with targets free. Change: who was cut asks again every 100 ms whether the trial is over; it then goes on or is refused for good. Who wasn't sent yet still hears 503 and when to come back.

--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -64,6 +64,9 @@
 /** What a caller is told to wait while a copy of its request may end a target; it shows within the time to a first event. */
 const COPY_RUNS_MS = 500;
 
+/** Pause before a request that was cut asks again whether the trial of its copy is over, milliseconds. */
+const TRIAL_PAUSE_MS = 100;
+
 /** From this status on, an answer of a target's own doesn't show that it ran the request to its end. */
 const FAILURE_STATUS = 500;
 
@@ -164,6 +167,7 @@
   /** One placing and sending, if the content may run at all; whether another one should follow. */
   private async tryWithPermit(service: string): Promise<boolean> {
     const permit = await this.services.crashes.permit(this.suspectable(service));
+    if (permit.kind === 'busy' && this.mayHaveRun) return this.awaitTrial();
     if (permit.kind !== 'granted') {
       this.refuseSuspect(permit.kind);
       return false;
@@ -177,6 +181,15 @@
     return outcome !== undefined && this.goesOn(service, outcome);
   }
 
+  /**
+   * A crash cut this request together with a copy that is now in its trial. Its caller can't be told that it didn't run, so a
+   * refusal would be final with targets free; the trial shows within a second or two whether it may go on.
+   */
+  private async awaitTrial(): Promise<boolean> {
+    await clock.pause(TRIAL_PAUSE_MS);
+    return !this.isOver;
+  }
+
   /** Places and sends the request once; undefined where it is over without a sending. */
   private async tryOnce(service: string, permit: crashWatch.Grant): Promise<Outcome | undefined> {
     const choice = await this.choose(service, permit);
