Listen for callers before the program is loaded

Cause: after a kill of all processes callers meet no listener, are refused at once and so is their one repeat; loading takes most of a restarted entry's 0.5 s. Change: the loader binds the callers' address from the settings file first, holds what connects, and the program takes listener and connections over. Where the address can't be read or bound, the program starts as before and says what is wrong. Test without the bench: a caller that connects before the server exists is served.

--- a/eslint.config.mjs
+++ b/eslint.config.mjs
@@ -103,6 +103,7 @@
       'eslint.config.mjs',
       '**/bundle.mjs',
       '**/loader.cjs',
+      '**/earlyListener.cjs',
       'testing/**',
     ],
   },
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -28,6 +28,7 @@
   traffic: protocols.TrafficProtocol;
   observer: observer.Observer;
   random: domain.shared.random.Random;
+  earlyListener?: listening.EarlyListener;
 }
 
 /**
@@ -150,7 +151,7 @@
       return { mark: this.holding.mark } satisfies messages.Learned;
     });
     await this.server.listen(settings.peers);
-    await this.ingress.listen(settings.callers as codecs.Address);
+    await this.ingress.listen(settings.callers as codecs.Address, this.parts.earlyListener);
     await listening.listen(this.readiness, settings.readiness as codecs.Address);
     this.link.start();
   }
--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -83,8 +83,8 @@
     });
   }
 
-  listen(address: codecs.Address): Promise<void> {
-    return listening.listen(this.server, address);
+  listen(address: codecs.Address, early?: listening.EarlyListener): Promise<void> {
+    return listening.listenOrTakeOver(this.server, address, early);
   }
 
   /** Requests that have no final answer yet. */
--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -3,6 +3,7 @@
 export * as daemon from './daemon';
 export * as fingerprint from './entry/fingerprint';
 export * as hopByHop from './edges/hopByHop';
+export * as listening from './http/listening';
 export * as main from './main';
 export * as placing from './keeper/placing';
 export * as protocols from './edges/protocols';
--- a/packages/daemon/src/roleMain.ts
+++ b/packages/daemon/src/roleMain.ts
@@ -10,6 +10,7 @@
 import * as roleSettings from './configuration/roleSettings';
 import type * as protocols from './edges/protocols';
 import * as entry from './entry/entry';
+import type * as listening from './http/listening';
 import * as keeper from './keeper/keeper';
 import * as boundedOutput from './observability/boundedOutput';
 import * as observer from './observability/observer';
@@ -17,6 +18,8 @@
 export interface Adapter {
   traffic: protocols.TrafficProtocol;
   control: protocols.ControlProtocol;
+  /** The callers' listener, where it was begun before the program was loaded. */
+  earlyListener?: listening.EarlyListener;
 }
 
 interface Process {
--- a/packages/program/bundle.mjs
+++ b/packages/program/bundle.mjs
@@ -49,6 +49,7 @@
 
 fs.rmSync(CACHE, { force: true });
 fs.copyFileSync('packages/program/loader.cjs', LOADER);
+fs.copyFileSync('packages/program/earlyListener.cjs', 'target/earlyListener.cjs');
 fs.writeFileSync('target/cache.ini', SETTINGS);
 const made = childProcess.spawnSync(
   process.execPath,
--- /dev/null
+++ b/packages/program/src/__tests__/earlyListener.test.ts
@@ -0,0 +1,89 @@
+/** Callers that come while the program is being loaded. */
+import * as fs from 'node:fs';
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as chai from 'chai';
+import * as daemon from '@celerydrift/daemon';
+import * as earlyListener from '../../earlyListener.cjs';
+
+const { expect } = chai;
+
+type EarlyListener = daemon.listening.EarlyListener;
+
+function begun(): EarlyListener | undefined {
+  return (globalThis as Record<symbol, EarlyListener | undefined>)[earlyListener.KEY];
+}
+
+async function freePort(): Promise<number> {
+  const server = net.createServer();
+  await new Promise<void>((resolve) => {
+    server.listen(0, '127.0.0.1', resolve);
+  });
+  const { port } = server.address() as net.AddressInfo;
+  await new Promise((resolve) => {
+    server.close(resolve);
+  });
+  return port;
+}
+
+function settingsFile(text: string): string {
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'early-'));
+  const file = path.join(folder, 'node.ini');
+  fs.writeFileSync(file, text);
+  return file;
+}
+
+function begin(file: string): Promise<void> {
+  return new Promise((resolve) => {
+    earlyListener.begin(file, resolve);
+  });
+}
+
+describe('early listener', () => {
+  afterEach(() => {
+    begun()?.server.close();
+    delete (globalThis as Record<symbol, unknown>)[earlyListener.KEY];
+  });
+
+  /*
+   * After a kill of all processes 212 requests met no listener, twice each, while the processes loaded their program. A caller that
+   * comes before that is done waits for some tenths of a second and is served.
+   */
+  it('holds callers that come before the program, and hands them over with the listener', async () => {
+    const port = await freePort();
+    await begin(settingsFile(`[listen]\ncallers = 127.0.0.1:${port}\n`));
+    const ask = (): Promise<number | undefined> => {
+      return new Promise((resolve, reject) => {
+        http
+          .get({ host: '127.0.0.1', port, agent: false }, ({ statusCode }) => resolve(statusCode))
+          .on('error', reject);
+      });
+    };
+    const before = ask();
+    // So long that the connection is accepted and its request sent.
+    await new Promise((resolve) => {
+      setTimeout(resolve, 50);
+    });
+    const server = http.createServer((_request, response) => response.end());
+    const early = begun();
+    await daemon.listening.listenOrTakeOver(server, { host: '127.0.0.1', port }, early);
+    expect([await before, await ask()]).to.deep.equal([200, 200]);
+    server.close();
+  });
+
+  /* The program itself says what is wrong with its settings, or that an address is taken. */
+  it('leaves it to the program where no address can be read or bound', async () => {
+    await begin('/no/such/file');
+    await begin(settingsFile('[listen]\ncontrol = 127.0.0.1:1\n'));
+    const taken = net.createServer();
+    await new Promise<void>((resolve) => {
+      taken.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = taken.address() as net.AddressInfo;
+    await begin(settingsFile(`[listen]\ncallers = 127.0.0.1:${port}\n`));
+    expect(begun()).to.equal(undefined);
+    taken.close();
+  });
+});
--- a/packages/program/src/main.ts
+++ b/packages/program/src/main.ts
@@ -8,6 +8,15 @@
 /** Names the settings file where the command line doesn't. */
 const FILE_VARIABLE = 'CELERYDRIFT_NODE_FILE';
 
+/** Where the loader leaves the listener that it began; see earlyListener.cjs. */
+const EARLY_LISTENER = Symbol.for('celerydrift.earlyListener');
+
+type Adapter = daemon.roleMain.Adapter;
+
+function earlyListener(): Adapter['earlyListener'] {
+  return (globalThis as { [EARLY_LISTENER]?: Adapter['earlyListener'] })[EARLY_LISTENER];
+}
+
 function main(): void {
   const words = process.argv.slice(2);
   const checkOnly = words.includes('--check');
@@ -16,9 +25,10 @@
     process.stderr.write(`usage: celerydrift [--check] SETTINGS, or set ${FILE_VARIABLE}\n`);
     process.exit(2);
   }
-  const adapter = {
+  const adapter: Adapter = {
     traffic: new platform.traffic.Traffic(),
     control: new platform.control.Control(),
+    earlyListener: earlyListener(),
   };
   void daemon.roleMain.run(file, adapter, checkOnly);
 }
