Remember across requests which prompts engines were lost under, in the product's own interface

Cause: the own interface bounded each request to three lost engines and kept nothing; the same prompt sent again cost three more, each time. Change: ContentMemory holds the domain's quarantine for the prompts of one daemon: three losses hold a prompt back, at first for two minutes, a whole run acquits it. Figures: before 3 engines a request; in the test 3 for all requests of a daemon.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -23,6 +23,7 @@
 import type * as execution from './requests/execution';
 import * as allocations from './requests/allocations';
 import * as allocator from './requests/allocator';
+import * as contentMemory from './requests/contentMemory';
 import * as gatherer from './requests/gatherer';
 import * as holdingsLoop from './requests/holdingsLoop';
 import * as ledgerClient from './requests/ledgerClient';
@@ -408,6 +409,7 @@
       holdings,
       observer: observe,
       budget,
+      contents: new contentMemory.ContentMemory(now),
       random,
       owner,
       silenceMs: this.settings.timeouts.silenceMs,
--- /dev/null
+++ b/packages/daemon/src/requests/__tests__/contentMemory.test.ts
@@ -0,0 +1,47 @@
+/** Prompts that crash each engine that runs them, sent again and again to one daemon. */
+import * as chai from 'chai';
+import type * as execution from '../execution';
+import * as contentMemory from '../contentMemory';
+
+const { expect } = chai;
+
+type Prompt = Parameters<contentMemory.ContentMemory['standing']>[0];
+
+function prompt(text: string): Prompt {
+  const tenant = { team: 'pits', organisation: { name: 'north' } } as execution.Prompt['tenant'];
+  const model = { base: 'm', adapter: '', version: '1' } as execution.Prompt['model'];
+  return { prompt: text, tenant, model };
+}
+
+describe('memory of contents', () => {
+  /*
+   * A foreman's summary crashed three engines, was refused, and was sent again: three more. The daemon bounded each request and
+   * remembered nothing between them.
+   */
+  it('holds back a prompt under which three engines were lost, in whichever request', () => {
+    let now = 0;
+    const memory = new contentMemory.ContentMemory(() => now);
+    const [culprit, other] = [prompt('crashes'), prompt('another')];
+    const standings = [1, 2, 3, 4].map((run) => {
+      const standing = memory.standing(culprit);
+      now += 1_000;
+      const target = { name: `engine-${run}`, incarnation: 1 };
+      const isTrial = standing !== 'free';
+      if (standing !== 'quarantined') memory.engineLost(culprit, { target, sentAt: now, isTrial });
+      return standing;
+    });
+    expect(standings).to.deep.equal(['free', 'suspected', 'suspected', 'quarantined']);
+    expect(memory.standing(other)).to.equal('free');
+    now += 120_000;
+    expect(memory.standing(culprit)).to.equal('suspected');
+  });
+
+  it('forgets a suspicion once the prompt runs whole', () => {
+    const memory = new contentMemory.ContentMemory(() => 0);
+    const target = { name: 'engine-1', incarnation: 1 };
+    memory.engineLost(prompt('a'), { target, sentAt: 0, isTrial: false });
+    expect(memory.standing(prompt('a'))).to.equal('suspected');
+    memory.ranWhole(prompt('a'));
+    expect(memory.standing(prompt('a'))).to.equal('free');
+  });
+});
--- a/packages/daemon/src/requests/execution.ts
+++ b/packages/daemon/src/requests/execution.ts
@@ -8,6 +8,7 @@
 import type * as adapter from '../targets/adapter';
 import type * as targetErrors from '../targets/errors';
 import type * as allocations from './allocations';
+import type * as contentMemory from './contentMemory';
 import * as errors from './errors';
 import type * as gatherer from './gatherer';
 import type * as holdingsLoop from './holdingsLoop';
@@ -43,6 +44,7 @@
   holdings: holdingsLoop.HoldingsLoop;
   observer: observer.Observer;
   budget: domain.request.retry.Budget;
+  contents: Pick<contentMemory.ContentMemory, 'standing' | 'engineLost' | 'ranWhole'>;
   random: domain.shared.random.Random;
   owner: () => domain.memory.holding.Owner;
   silenceMs: number;
@@ -92,6 +94,9 @@
   /** Target of the attempt under way, for planned stops. */
   target = '';
 
+  /** What an attempt that loses its engine counts as. */
+  private lossOfRun: Omit<contentMemory.Lost, 'target'> = { sentAt: 0, isTrial: false };
+
   constructor(
     private readonly prompt: Prompt,
     private readonly sink: Sink,
@@ -134,14 +139,20 @@
     for (;;) {
       const ended = this.endedEarly();
       if (ended !== undefined) return Err(ended);
+      const standing = this.parts.contents.standing(this.prompt);
+      if (standing === 'quarantined') return Err(this.heldBack());
       this.abort = new AbortController();
       this.stopReason = undefined;
       const id = this.attemptId();
       const dispatch = await this.parts.allocations.acquire(this.request(id));
       if (typeof dispatch === 'string') return Err(this.notDispatched(dispatch));
+      this.lossOfRun = { sentAt: this.parts.now(), isTrial: standing === 'suspected' };
       const { last, failure } = await this.attemptWithRoom(id, dispatch);
       this.parts.allocations.ended(id, this.target, this.lastLoad);
       if (failure === undefined) return Ok(this.whole(last));
+      if (domain.request.retry.LOST.includes(failure.attempt.fault)) {
+        this.parts.contents.engineLost(this.prompt, { target: last.target, ...this.lossOfRun });
+      }
       const given = await this.afterFailure(failure);
       if (given !== undefined) return Err(given);
     }
@@ -174,6 +185,13 @@
     return undefined;
   }
 
+  private heldBack(): errors.RequestError {
+    return this.failed(
+      'failed',
+      'engines were lost under this prompt; it is held back for a while',
+    );
+  }
+
   private request(id: string): domain.routing.dispatcher.Request {
     const { tenant, model, prefixKeys, priority, deadline, answerTokens } = this.prompt;
     return {
@@ -449,6 +467,7 @@
 
   private whole({ target }: Dispatch): Whole {
     this.parts.router.succeeded(target.name);
+    this.parts.contents.ranWhole(this.prompt);
     const { position: tokens, text } = this.check;
     const attempts = this.attempts.length + 1;
     return { text, tokens, promptTokens: this.promptTokens, target: target.name, attempts };
--- a/packages/domain/src/request/retry.ts
+++ b/packages/domain/src/request/retry.ts
@@ -57,7 +57,8 @@
  */
 const MOST_LOST = quarantine.MOST_ENDINGS;
 
-const LOST: readonly outcome.Fault[] = ['connectionLost', 'cutShort'];
+/** Faults that show that a target was lost under a request. */
+export const LOST: readonly outcome.Fault[] = ['connectionLost', 'cutShort'];
 
 /** What to do after the latest of `attempts` failed. */
 export function decide(
