--- a/packages/daemon/src/entry/__tests__/chooser.test.ts
+++ b/packages/daemon/src/entry/__tests__/chooser.test.ts
@@ -58,6 +58,11 @@
   };
 }
 
+/** A prompt that takes nearly all memory of an engine. */
+function long(patienceMs: number): chooser.Wish {
+  return { ...wish(patienceMs), tokens: 280_000, objectiveMs: 10_000, pauseMs: 1_000 };
+}
+
 function pause(ms: number): Promise<void> {
   return clock.pause(ms);
 }
@@ -184,6 +189,41 @@
     expect(link.leader).to.equal('');
   });
 
+  /** The leader is gone, and all memory of the only engine is taken. */
+  async function lostAndFull(): Promise<chooser.Choice> {
+    link.stop();
+    link.doubt(link.leader);
+    return made.choose({ ...long(0), id: 'r0/0.0' });
+  }
+
+  /*
+   * All keepers were off for a second. A manual of 280,000 tokens whose caller would wait fifteen seconds was refused at once, as
+   * no engine had room at that moment; the caller came back after half a second and heard the same.
+   */
+  it('lets a prompt wait for a place while nobody leads', async () => {
+    const first = await lostAndFull();
+    setTimeout(() => {
+      if (first.kind === 'placed') first.release('done');
+    }, 200);
+    const choice = await made.choose(long(2_000));
+    expect([first.kind, choice.kind]).to.deep.equal(['placed', 'placed']);
+  });
+
+  it('asks a leader that is found while a prompt waits', async () => {
+    await lostAndFull();
+    setTimeout(() => link.start(), 100);
+    const choice = await made.choose(long(2_000));
+    expect(choice.kind === 'placed' ? choice.placement.target : choice.kind).to.equal('led');
+  });
+
+  it('says when to come back where no place came free in time', async () => {
+    await lostAndFull();
+    const since = clock.steady();
+    const choice = await made.choose(long(150));
+    expect(choice.kind === 'noPlace' && choice.retryAfterMs).to.be.within(200, 2_000);
+    expect(clock.steady() - since).to.be.within(140, 600);
+  });
+
   /*
    * Engines seemed full that stood idle. A leader answered after the entry had gone on without it, and counted a
    * dispatch that nobody ended.
