Let prompts wait for a place while nobody leads

Cause: without a leader an entry tried once and refused with a constant pause, though its caller had seconds left and the same engines were free again in some hundred milliseconds. Change: the entry looks every 50 ms for a leader or a place of its own, for as long as the caller's patience; the Retry-After of a refusal is when the least busy engine is free.

--- a/packages/daemon/src/entry/chooser.ts
+++ b/packages/daemon/src/entry/chooser.ts
@@ -5,6 +5,7 @@
  */
 import * as domain from '@celerydrift/domain';
 import type { Result } from 'ts-results';
+import * as clock from '../clock';
 import type * as holding from '../fleet/holding';
 import type * as leaderLink from '../fleet/leaderLink';
 import type * as messages from '../fleet/messages';
@@ -71,6 +72,15 @@
 /** Ends of dispatches are gathered for so long before they are told to the leader, milliseconds. */
 const GATHER_MS = 5;
 
+/**
+ * Pause before a prompt without a place is considered again while nobody leads, milliseconds: about a pass of an engine. Refused
+ * at once, long prompts came back to the same full engines while their callers had seconds left.
+ */
+const LOOK_AGAIN_MS = 50;
+
+/** Bounds of what callers are told to stay away where engines are full, milliseconds. */
+const RETRY_AFTER_MS = { least: 200, most: 2_000 } as const;
+
 /** How long callers are told to stay away where no target is there, milliseconds. */
 const NO_TARGET_RETRY_MS = 500;
 
@@ -98,11 +108,22 @@
   async choose(wish: Wish): Promise<Choice> {
     const service = this.options.holding.directory?.service(wish.service);
     if (service?.engine === undefined) return this.choosePlain(wish);
-    const { link } = this.options;
+    const until = this.options.now() + wish.patienceMs;
+    for (;;) {
+      const choice = (await this.askAnyLeader(wish, until)) ?? this.chooseLocally(wish);
+      if (choice !== undefined) return choice;
+      const leftMs = until - this.options.now();
+      if (leftMs <= 0) return { kind: 'noPlace', retryAfterMs: this.nextPlaceMs(wish) };
+      await clock.pause(Math.min(leftMs, LOOK_AGAIN_MS));
+    }
+  }
+
+  /** The leader's answer; undefined where nobody leads, or the leader is lost meanwhile. */
+  private async askAnyLeader(wish: Wish, until: number): Promise<Choice | undefined> {
+    const { link, now } = this.options;
     const { leader } = link;
-    const usable = leader !== '' && link.age < LEADER_FRESH_MS;
-    const answer = usable ? await this.askLeader(leader, wish) : undefined;
-    return answer ?? this.chooseLocally(wish);
+    if (leader === '' || link.age >= LEADER_FRESH_MS) return undefined;
+    return this.askLeader(leader, { ...wish, patienceMs: Math.max(0, until - now()) });
   }
 
   private async askLeader(leader: string, wish: Wish): Promise<Choice | undefined> {
@@ -160,10 +181,11 @@
     this.tell(id, late.val.placement.target, 'cancelled');
   }
 
-  private chooseLocally(wish: Wish): Choice {
+  /** A place by this entry's own dispatches; undefined where no engine has room. */
+  private chooseLocally(wish: Wish): Choice | undefined {
     const { name, dataCentre, now, observer } = this.options;
     const placement = this.fallback.place({ ...wish, entry: name, dataCentre }, now());
-    if (placement === undefined) return { kind: 'noPlace', retryAfterMs: NO_TARGET_RETRY_MS };
+    if (placement === undefined) return undefined;
     observer.log('placedLocally', { request: wish.id, target: placement.target });
     this.running.set(wish.id, {
       request: { ...wish, entry: name, dataCentre },
@@ -176,6 +198,12 @@
     return { kind: 'placed', placement, release };
   }
 
+  private nextPlaceMs({ service }: Wish): number {
+    const predictedMs = this.fallback.nextPlaceMs(service, this.options.now());
+    const { least, most } = RETRY_AFTER_MS;
+    return Math.round(Math.min(most, Math.max(least, predictedMs)));
+  }
+
   private choosePlain(wish: Wish): Choice {
     const { holding, random, dataCentre, now } = this.options;
     const ready = holding.registry
