--- /dev/null
+++ b/packages/daemon/src/fleet/__tests__/leaderLink.test.ts
@@ -0,0 +1,70 @@
+/** How an entry finds a leader among keepers that are slow to answer. */
+import * as chai from 'chai';
+import { Err, Ok } from 'ts-results';
+import * as clock from '../../clock';
+import * as observer from '../../observability/observer';
+import type * as peerClient from '../../rpc/peerClient';
+import type * as holding from '../holding';
+import * as leaderLink from '../leaderLink';
+import * as messages from '../messages';
+
+const { expect } = chai;
+
+const KEEPERS = ['10.0.0.1:1', '10.0.0.2:1', '10.0.0.3:1', '10.0.0.4:1', '10.0.0.5:1'];
+
+/** Within which a follower gives an answer up, milliseconds. */
+const TIMEOUT_MS = 700;
+
+describe('leader link', () => {
+  /*
+   * Hundreds of entries came back to a new leader. While each waited for its first answer it asked the same keepers again, ten times
+   * a second; the leader answered each question, the last ones after their timeout, and the entries began anew.
+   */
+  it('asks each keeper one question at a time while it looks for a leader', async () => {
+    const underWay = new Map<string, number>();
+    let most = 0;
+    const client = {
+      call: async (address: string) => {
+        underWay.set(address, (underWay.get(address) ?? 0) + 1);
+        most = Math.max(most, ...underWay.values());
+        await clock.pause(TIMEOUT_MS);
+        underWay.set(address, (underWay.get(address) ?? 1) - 1);
+        const detail = `${TIMEOUT_MS} ms`;
+        return address === KEEPERS[4]
+          ? Ok({
+              kind: 'confirmed',
+              keepers: KEEPERS,
+              entries: 1,
+              lacksTargets: false,
+              crowding: [],
+              news: { edition: undefined, mark: messages.NO_MARK, since: messages.NO_MARK },
+            })
+          : Err({ kind: 'timeout', address, method: 'follow', detail });
+      },
+    };
+    const held = {
+      version: 0,
+      mark: messages.NO_MARK,
+      suspectsToTell: () => [],
+      takeNews: () => true,
+    };
+    const link = new leaderLink.LeaderLink({
+      name: 'entry',
+      role: 'entry',
+      address: '10.0.1.1:1',
+      dataCentre: 'dc0',
+      replica: () => undefined,
+      seeds: KEEPERS,
+      client: client as unknown as peerClient.PeerClient,
+      holding: held as unknown as holding.Holding,
+      observer: new observer.Observer('test', 'fatal', undefined),
+      moment: clock.moment,
+      dispatches: () => [],
+      onConfirmed: () => undefined,
+    });
+    link.start();
+    await clock.pause(2 * TIMEOUT_MS);
+    link.stop();
+    expect([most, link.leader]).to.deep.equal([1, KEEPERS[4]]);
+  });
+});
--- a/packages/daemon/src/keeper/__tests__/largeFleet.test.ts
+++ b/packages/daemon/src/keeper/__tests__/largeFleet.test.ts
@@ -134,4 +134,24 @@
     expect(firstBytes).to.be.below(LINK_BYTES_PER_S / 4);
     expect(rounds).to.be.below(20);
   });
+
+  /*
+   * A new leader stood still for half a second. While the targets that its disk had named spoke for themselves, each entry that asked
+   * got a copy that was packed anew, or packed changes of its own beside it.
+   */
+  it('packs few copies for all who ask while its targets speak for themselves', async () => {
+    const crowd = await fixture.crowd({ followers: 0, answerMs: 1 });
+    crowd.held.recall(Array.from({ length: TARGETS }, (_each, i) => announcement(i)));
+    const packed = new Set<Uint8Array>();
+    const perFollower = TARGETS / FOLLOWERS;
+    for (let i = 0; i < FOLLOWERS; i++) {
+      const answer = await crowd.led.follow(fixture.question(i));
+      const { packedRegistry, packedRecords } = answer?.news ?? {};
+      [packedRegistry, packedRecords].forEach((each) => each !== undefined && packed.add(each));
+      for (let j = 0; j < perFollower; j++) {
+        await crowd.led.announce({ ...announcement(i * perFollower + j), sequence: 2 });
+      }
+    }
+    expect(packed.size).to.be.at.most(12);
+  });
 });
