Look for a leader with one patient question to each keeper; share copies; skip a line for each confirmed target

Cause, by the logs of the own site after a kill of all: a keeper that others named was taken for the leader before it had confirmed anything, given up after 0.7 s with its connection, and asked anew; a leader of 100 entries answers their first questions after 0.7 s and more. It also followed itself, packed changes beside each copy, and wrote 1,431 lines for targets that it knew. Change: a named keeper is asked at once beside the others, is the leader once it confirms, and may take 2 s; each keeper has one question at a time, connections that aren't there are given up. Figures, tests: 5 questions at once to one keeper, now 1; 41 packed copies and changes for 300 questions, now at most 12.

--- a/packages/daemon/src/fleet/__tests__/leaderLink.test.ts
+++ b/packages/daemon/src/fleet/__tests__/leaderLink.test.ts
@@ -24,6 +24,7 @@
     const underWay = new Map<string, number>();
     let most = 0;
     const client = {
+      dropStuck: () => undefined,
       call: async (address: string) => {
         underWay.set(address, (underWay.get(address) ?? 0) + 1);
         most = Math.max(most, ...underWay.values());
--- a/packages/daemon/src/fleet/holding.ts
+++ b/packages/daemon/src/fleet/holding.ts
@@ -114,6 +114,13 @@
     return this.changed(this.registry.announce(announcement, this.options.now()));
   }
 
+  /** The same for a target that was only remembered, and says what was remembered; thousands may come within a second. */
+  takeConfirmation(announcement: Announcement): Announcement[] {
+    const changed = this.registry.announce(announcement, this.options.now());
+    changed.forEach((record) => this.options.onRecord(record));
+    return changed;
+  }
+
   private changed(changed: Announcement[]): Announcement[] {
     changed.forEach((record) => {
       const { id, service, address, state, sequence, bornAt, isRemembered } = record;
--- a/packages/daemon/src/fleet/leaderLink.ts
+++ b/packages/daemon/src/fleet/leaderLink.ts
@@ -26,13 +26,12 @@
   onConfirmed: (answer: messages.Confirmed) => void;
 }
 
-type Outcome = 'confirmed' | 'redirected' | 'failed';
+type Outcome = 'confirmed' | 'failed';
 
 /** Pause before the next question, by what came of the last, milliseconds. */
 const PAUSE_MS: Record<Outcome, number> = {
   // Eight fit into the shortest lease of 4 s.
   confirmed: 500,
-  redirected: 0,
   // No leader is known; a new one is elected within 0.8 to 1.2 s.
   failed: 100,
 };
@@ -56,9 +55,15 @@
  */
 const SIGN_FRESH_MS = 300;
 
-/** A leader that is silent for longer is looked for elsewhere; covers its wait for the next heartbeat. */
+/** A leader that is silent for longer is looked for elsewhere, milliseconds; covers its wait for the next heartbeat. */
 const FOLLOW_TIMEOUT_MS = 700;
 
+/**
+ * The same for a keeper that may lead and hasn't confirmed this follower yet; others are asked meanwhile. A new leader has the
+ * whole fleet's first questions at once, and a question that is given up begins anew with a connection.
+ */
+const SEARCH_TIMEOUT_MS = 2_000;
+
 /**
  * Keepers that are asked at once while no leader is known. With one, entries found a new leader 80 to 250 ms after its
  * election; any of the others knows it within a heartbeat.
@@ -75,11 +80,14 @@
 
   private next = 0;
 
-  /** Hints to a leader since the last confirmation. */
-  private redirects = 0;
-
   private timer: NodeJS.Timeout | undefined;
 
+  /**
+   * Keepers with a question under way. A new leader of hundreds of entries answers the first ones late; asked again by each
+   * meanwhile, it would answer several times as many, and all of them too late.
+   */
+  private readonly asked = new Set<string>();
+
   private stopped = false;
 
   private isVerifying = false;
@@ -165,6 +173,8 @@
 
   private async round(): Promise<void> {
     if (this.leader === '') {
+      // One that had no power when its connection was begun would be waited for until the question's timeout.
+      this.asked.forEach((address) => this.options.client.dropStuck(address));
       // One that is down or cut off doesn't answer, and one that has just started knows no leader.
       for (let i = 0; i < ASKED_AT_ONCE; i++) void this.search();
       this.schedule(PAUSE_MS.failed);
@@ -176,12 +186,13 @@
 
   private async search(): Promise<void> {
     const address = this.nextCandidate();
-    const outcome = address === '' ? 'failed' : await this.ask(address);
-    if (outcome === 'redirected') this.schedule(PAUSE_MS.redirected);
+    if (address !== '') await this.ask(address);
   }
 
   private nextCandidate(): string {
-    const candidates = this.keepers.filter((address) => address !== this.options.address);
+    const candidates = this.keepers.filter((address) => {
+      return address !== this.options.address && !this.asked.has(address);
+    });
     if (candidates.length === 0) return '';
     this.next = (this.next + 1) % candidates.length;
     return candidates[this.next];
@@ -189,19 +200,24 @@
 
   private async ask(address: string): Promise<Outcome> {
     const askedAt = this.options.moment();
+    this.asked.add(address);
     const answer = await this.options.client.call<messages.FollowAnswer>(
       address,
       'follow',
       this.question(address),
-      { timeoutMs: FOLLOW_TIMEOUT_MS },
+      { timeoutMs: address === this.leader ? FOLLOW_TIMEOUT_MS : SEARCH_TIMEOUT_MS },
     );
+    this.asked.delete(address);
     if (answer.err) {
       if (address === this.leader) this.lose(`${answer.val.kind}: ${answer.val.detail}`);
       return 'failed';
     }
     if (answer.val.kind === 'redirect') {
-      return this.redirect(address, answer.val.leader) ? 'redirected' : 'failed';
+      this.redirect(address, answer.val.leader);
+      return 'failed';
     }
+    // Another keeper may have been found while this one took its time.
+    if (this.leader !== '' && this.leader !== address) return 'failed';
     this.confirm(address, askedAt, answer.val);
     return 'confirmed';
   }
@@ -225,15 +241,12 @@
     };
   }
 
-  /** Whether there is a leader to turn to at once. */
-  private redirect(from: string, leader: string): boolean {
+  /** Asks the keeper that another one takes for the leader, at once. */
+  private redirect(from: string, leader: string): void {
     if (this.leader === from) this.lose('no longer the leader');
-    if (leader === '' || leader === from || this.leader !== '') return false;
+    if (leader === '' || leader === from || this.leader !== '') return;
     this.known.add(leader);
-    this.leader = leader;
-    // Two keepers may each take the other for the leader for a moment; only the first hint is free.
-    this.redirects += 1;
-    return this.redirects === 1;
+    if (!this.asked.has(leader)) void this.ask(leader);
   }
 
   private confirm(address: string, askedAt: clock.Moment, answer: messages.Confirmed): void {
@@ -241,8 +254,9 @@
       this.options.observer.log('leaderFound', { leader: address });
       this.told = address;
     }
+    const isFound = this.leader === '';
     this.leader = address;
-    this.redirects = 0;
+    if (isFound) this.schedule(PAUSE_MS.confirmed);
     this.isAskedForRecords = answer.lacksTargets;
     answer.keepers.forEach((keeper) => this.known.add(keeper));
     this.options.holding.takeNews(answer.news);
--- a/packages/daemon/src/fleet/registryCopies.ts
+++ b/packages/daemon/src/fleet/registryCopies.ts
@@ -23,7 +23,7 @@
 }
 
 /** Fewer records aren't worth the time to pack and unpack them. */
-const PACKED_FROM = 64;
+export const PACKED_FROM = 64;
 
 const packr = new msgpackr.Packr({ useRecords: true, structuredClone: false });
 
--- a/packages/daemon/src/keeper/__tests__/__fixtures__/crowd.ts
+++ b/packages/daemon/src/keeper/__tests__/__fixtures__/crowd.ts
@@ -50,6 +50,7 @@
     onRecord: () => undefined,
   });
   const led = new leadership.Leadership({
+    name: 'leader',
     host: host as unknown as logHost.LogHost,
     holding: held,
     client: client as unknown as peerClient.PeerClient,
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -262,6 +262,7 @@
 
   private makeLeadership(): leadership.Leadership {
     const made = new leadership.Leadership({
+      name: this.parts.settings.name,
       host: this.host,
       holding: this.holding,
       client: this.client,
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -20,6 +20,8 @@
 type Announcement = domain.registry.registry.Announcement;
 
 export interface Options {
+  /** Name of this keeper. */
+  name: string;
   host: logHost.LogHost;
   holding: holding.Holding;
   client: peerClient.PeerClient;
@@ -63,6 +65,9 @@
 
   readonly suspicions: suspicions.Suspicions;
 
+  /** Remembered targets that spoke since the last tick. */
+  private confirmed = 0;
+
   private averages: { at: number; of: domain.allocation.unseen.Crowding[] } | undefined;
 
   private leads = false;
@@ -124,10 +129,17 @@
     held.registry.forget(now());
     const silent = held.endRemembered(this.leadsSince);
     if (silent.length > 0) void this.news.publish(silent);
+    this.logConfirmed();
     this.suspicions.tick();
     this.placing.serveSoon();
   }
 
+  private logConfirmed(): void {
+    if (this.confirmed > 0)
+      this.options.observer.log('targetsConfirmed', { count: this.confirmed });
+    this.confirmed = 0;
+  }
+
   /** Answers a follower, or undefined when this keeper doesn't lead. */
   async follow(question: messages.Follow): Promise<messages.Confirmed | undefined> {
     const { now } = this.options;
@@ -136,7 +148,7 @@
     if (!(await this.options.host.confirm(isUrgent))) return undefined;
     if (!this.leads) this.turn(true);
     this.forgetFormerLife(question);
-    this.followers.heard(question);
+    if (question.name !== this.options.name) this.followers.heard(question);
     void this.take(registryCopies.unbundle(question));
     this.suspicions.merge(question.suspects);
     question.dispatches.forEach(({ request, target }) => {
@@ -179,11 +191,14 @@
     }
     this.suspicions.spoke(announcement);
     const isConfirmed = isConfirmation(held.registry.get(id), announcement);
+    if (isConfirmed) {
+      // Followers use a remembered target already; that it lives comes with the answer to their next question.
+      this.news.note(held.takeConfirmation(announcement));
+      this.confirmed += 1;
+      return;
+    }
     const changed = held.takeAnnouncement(announcement);
-    if (changed.length === 0) return;
-    // Followers use a remembered target already; that it lives comes with the answer to their next question.
-    if (isConfirmed) this.news.note(changed);
-    else await this.news.publish(changed);
+    if (changed.length > 0) await this.news.publish(changed);
   }
 
   /** Takes what a follower knows of targets. */
@@ -265,6 +280,8 @@
   }
 
   private missedBy(name: string, mark: messages.RegistryMark): registryNews.Missed {
+    // A leader follows itself, and has what it would send.
+    if (name === this.options.name) return this.news.nothing();
     this.waitsForCopy.delete(name);
     if (this.news.reaches(mark)) return this.news.since(mark);
     const whole = this.news.whole();
--- a/packages/daemon/src/keeper/registryNews.ts
+++ b/packages/daemon/src/keeper/registryNews.ts
@@ -62,7 +62,7 @@
 /** Packed changes that are kept: as many as there are states that followers may have during some pushes. */
 const KEPT_BUNDLES = 16;
 
-/** Part of the registry's size by which it may change before it is packed anew; the changes since go with the copy. */
+/** Part of the registry's size by which it may change before it is packed anew. */
 const STALE_SHARE = 0.1;
 
 interface Span {
@@ -148,6 +148,11 @@
     return messages.holds(this.mark, mark) && mark.change >= first.mark.change - 1;
   }
 
+  /** For whoever has the present state. */
+  nothing(): Missed {
+    return { mark: this.mark, since: this.mark, records: [], suspects: [] };
+  }
+
   /** What a follower at `mark` lacks; a whole copy where it doesn't reach the present state. */
   since(mark: messages.RegistryMark): Missed {
     if (!this.reaches(mark)) return this.whole();
@@ -159,7 +164,9 @@
   /** The whole registry, for a follower that knows nothing of it. */
   whole(): MissedAll {
     const { mark, packed } = this.wholeCopy();
-    const changes = this.changesIn({ from: mark, to: this.mark });
+    // Many changes since come with the next question: packed for each who asks, they would cost as much as new copies.
+    const isFew = this.mark.change - mark.change < registryCopies.PACKED_FROM;
+    const changes = this.changesIn({ from: mark, to: isFew ? this.mark : mark });
     return { ...changes, since: undefined, packedRegistry: packed };
   }
 
--- a/packages/daemon/src/rpc/peerClient.ts
+++ b/packages/daemon/src/rpc/peerClient.ts
@@ -167,6 +167,11 @@
     return result;
   }
 
+  /** Gives a connection up that isn't there in time, with all that waits for it. */
+  dropStuck(address: string): void {
+    if (this.connections.get(address)?.isStuck(this.connectMs)) this.drop(address, 'no connection');
+  }
+
   /** Sends without waiting for an answer; what is lost is sent again by the protocol above. */
   notify(address: string, method: string, parameters: unknown): void {
     this.connection(address)?.client.notify(method, parameters as jsonRpc.JSONRPCParams);
