Place short prompts without a leader that owes a sign of life

Change: a prompt with an objective under 0.9 s checks every 60 ms whether the leader owes a sign of life for 50 ms, and then goes on by the entry's own view; the leader isn't given up sooner for it, and one that answers signs of life keeps its prompts. Each further question for a place has an id of its own, so that a late place for the first one is given back.

--- a/packages/daemon/src/entry/__tests__/chooser.test.ts
+++ b/packages/daemon/src/entry/__tests__/chooser.test.ts
@@ -237,6 +237,8 @@
     }, 100);
     const choice = await made.choose(long(2_000));
     expect(choice.kind === 'placed' ? choice.placement.target : choice.kind).to.equal('led');
+    // Under an id of its own: a place that a leader gave for an earlier question is given back by that one's.
+    expect(made.dispatches.map(({ request: { id } }) => id)).to.not.include('r1/0.0');
   });
 
   it('says when to come back where no place came free in time', async () => {
--- a/packages/daemon/src/entry/chooser.ts
+++ b/packages/daemon/src/entry/chooser.ts
@@ -66,6 +66,15 @@
 /** What the leader's answer may take beyond the wait for a place, milliseconds: ten times the usual. */
 const PLACE_TIMEOUT_MS = 150;
 
+/**
+ * A prompt with a shorter objective must hurry, milliseconds: it would come late while its entry finds out whether the leader is
+ * lost. It goes on without the leader as soon as that owes a sign of life for `SILENT_MS`, thirty ways there and back; one that
+ * is only busy, or keeps the prompt waiting for a place, gives it within a few.
+ */
+const HURRIED_OBJECTIVE_MS = 900;
+const HURRIED_CHECK_MS = 60;
+const SILENT_MS = 50;
+
 /** An answer that comes later than this after it was due is not waited for to give its place back, milliseconds. */
 const ABANDONED_MS = 5_000;
 
@@ -109,8 +118,11 @@
     const service = this.options.holding.directory?.service(wish.service);
     if (service?.engine === undefined) return this.choosePlain(wish);
     const until = this.options.now() + wish.patienceMs;
-    for (;;) {
-      const choice = (await this.askAnyLeader(wish, until)) ?? this.chooseLocally(wish);
+    for (let asked = 0; ; asked++) {
+      // A leader that was given up may give a place for the first question yet, which must not be taken for one of a later.
+      const id = asked === 0 ? wish.id : `${wish.id}.${asked}`;
+      const choice =
+        (await this.askAnyLeader({ ...wish, id }, until)) ?? this.chooseLocally({ ...wish, id });
       if (choice !== undefined) return choice;
       const leftMs = until - this.options.now();
       if (leftMs <= 0) return { kind: 'noPlace', retryAfterMs: this.nextPlaceMs(wish) };
@@ -133,7 +145,7 @@
       timeoutMs: wish.patienceMs + ABANDONED_MS,
       toleratesDelay: true,
     });
-    const answer = await this.inTime(answering, wish.patienceMs + PLACE_TIMEOUT_MS);
+    const answer = await this.inTime(answering, wish);
     if (answer === undefined) {
       void answering.then((late) => this.giveBack(wish, late));
       return undefined;
@@ -155,21 +167,24 @@
     };
   }
 
-  /** The leader's answer; undefined where it comes too late or the leader is lost before. */
-  private async inTime<T>(answering: Promise<T>, timeoutMs: number): Promise<T | undefined> {
+  /** The leader's answer; undefined where it comes too late, or the leader is lost or seems to be before. */
+  private async inTime<T>(answering: Promise<T>, wish: Wish): Promise<T | undefined> {
     const { link } = this.options;
-    // Again and again, as one that has just given a sign of life isn't asked at once.
-    const verify = setInterval(() => {
-      void link.verify();
-    }, PLACE_TIMEOUT_MS);
-    let limit: NodeJS.Timeout | undefined;
-    let forget = (): void => undefined;
+    const mustHurry = wish.objectiveMs < HURRIED_OBJECTIVE_MS;
+    let giveUp = (): void => undefined;
     const given = new Promise<undefined>((resolve) => {
-      limit = setTimeout(() => resolve(undefined), timeoutMs);
-      forget = link.onLost(() => resolve(undefined));
+      giveUp = () => resolve(undefined);
     });
+    // Again and again, as one that has just given a sign of life isn't asked at once.
+    const check = (): void => {
+      void link.verify();
+      if (mustHurry && link.silentMs > SILENT_MS) giveUp();
+    };
+    const checks = setInterval(check, mustHurry ? HURRIED_CHECK_MS : PLACE_TIMEOUT_MS);
+    const limit = setTimeout(giveUp, wish.patienceMs + PLACE_TIMEOUT_MS);
+    const forget = link.onLost(giveUp);
     const answer = await Promise.race([answering, given]);
-    clearInterval(verify);
+    clearInterval(checks);
     clearTimeout(limit);
     forget();
     return answer;
--- a/packages/daemon/src/fleet/leaderLink.ts
+++ b/packages/daemon/src/fleet/leaderLink.ts
@@ -90,11 +90,12 @@
 
   private stopped = false;
 
-  private isVerifying = false;
-
   /** When the present leader last answered that it lives. */
   private signOfLifeAt = clock.NEVER;
 
+  /** When it was asked for a sign of life that hasn't come yet. */
+  private verifyingSince: clock.Moment | undefined;
+
   /** Called when the present leader is lost. */
   private readonly losses = new Set<() => void>();
 
@@ -131,6 +132,12 @@
     return clock.elapsed(this.confirmedAt, this.options.moment());
   }
 
+  /** How long the leader owes a sign of life, milliseconds; 0 where none was asked for. */
+  get silentMs(): number {
+    const { verifyingSince } = this;
+    return verifyingSince === undefined ? 0 : clock.elapsed(verifyingSince, this.options.moment());
+  }
+
   /** The leader didn't answer another call: the next question goes elsewhere. */
   doubt(address: string): void {
     if (address === this.leader) this.lose('a call to it failed');
@@ -147,13 +154,13 @@
    * waiting until the next `follow` times out; a busy one answers this at once.
    */
   async verify(): Promise<void> {
-    const { leader, isVerifying } = this;
+    const { leader, verifyingSince } = this;
     const sinceSignMs = clock.elapsed(this.signOfLifeAt, this.options.moment());
-    if (isVerifying || leader === '' || sinceSignMs < SIGN_FRESH_MS) return;
-    this.isVerifying = true;
+    if (verifyingSince !== undefined || leader === '' || sinceSignMs < SIGN_FRESH_MS) return;
+    this.verifyingSince = this.options.moment();
     const options = { timeoutMs: SIGN_OF_LIFE_MS };
     const answer = await this.options.client.call(leader, 'identify', {}, options);
-    this.isVerifying = false;
+    this.verifyingSince = undefined;
     if (this.leader !== leader) return;
     if (answer.ok) {
       this.signOfLifeAt = this.options.moment();
