Split the calls that only a leader can settle from the keeper

Change: leaderCalls.ts settles or passes on what targets and operators ask; the methods for other keepers are named ...Here alike. Behaviour is the same.

--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -20,12 +20,12 @@
 import * as announcementRelay from './announcementRelay';
 import * as catalogueMachine from './catalogueMachine';
 import * as controlServer from './controlServer';
+import * as leaderCalls from './leaderCalls';
 import * as leadership from './leadership';
 import * as memoryFile from './memoryFile';
 import * as suspectMemory from './suspectMemory';
 import * as targetMemory from './targetMemory';
 
-type Announcement = domain.registry.registry.Announcement;
 type Edition = domain.catalogue.versions.Edition;
 
 export interface Parts {
@@ -63,12 +63,6 @@
  */
 const DEAD_AFTER_MS = 2_000;
 
-/** Longest wait for the leader's answer to what another keeper passes on, milliseconds. */
-const PASS_ON_TIMEOUT_MS = 900;
-
-/** A catalogue waits longer: for a sync on a slow disk, and for a push to the entries. */
-const SUBMIT_TIMEOUT_MS = 3_000;
-
 export class Keeper {
   private readonly client: peerClient.PeerClient;
 
@@ -83,7 +77,7 @@
   private readonly machine: catalogueMachine.CatalogueMachine;
 
   private readonly relay = new announcementRelay.AnnouncementRelay((records) => {
-    return this.announce(records);
+    return this.calls.announce(records);
   });
 
   private readonly targetFile: memoryFile.MemoryFile;
@@ -101,6 +95,8 @@
 
   private leadership!: leadership.Leadership;
 
+  private calls!: leaderCalls.LeaderCalls;
+
   private founding = false;
 
   constructor(private readonly parts: Parts) {
@@ -143,9 +139,9 @@
       protocol,
       observer: observe,
       announce: (record) => this.relay.tell(record),
-      depart: (departed) => this.depart(departed),
-      submit: (edition) => this.submit(edition),
-      newest: () => this.newest(),
+      depart: (departed) => this.calls.depart(departed),
+      submit: (edition) => this.calls.submit(edition),
+      newest: () => this.calls.newest(),
     });
   }
 
@@ -168,6 +164,8 @@
     this.replicas = opened.val;
     this.host = this.replicas.hosts.get(LOG) as logHost.LogHost;
     this.leadership = this.makeLeadership();
+    const { host, leadership: led, machine, link, client } = this;
+    this.calls = new leaderCalls.LeaderCalls({ host, leadership: led, machine, link, client });
     await this.recallTargets();
     await this.recallQuarantine();
     this.serveMethods();
@@ -284,17 +282,17 @@
   }
 
   private serveMethods(): void {
-    const { server } = this;
+    const { server, calls } = this;
     server.add('identify', () => this.identity());
     server.add('follow', (question) => this.follow(question as messages.Follow));
     server.add('learn', (news) => {
       this.holding.takeNews(news as messages.News);
       return { mark: this.holding.mark } satisfies messages.Learned;
     });
-    server.add('announced', (content) => this.announced(content as messages.Announced));
-    server.add('departed', (content) => this.departedBy(content as messages.Departed));
-    server.add('submit', (content) => this.submitHere((content as messages.Submit).edition));
-    server.add('newest', () => this.newestHere());
+    server.add('announced', (content) => calls.announceHere(content as messages.Announced));
+    server.add('departed', (content) => calls.departHere(content as messages.Departed));
+    server.add('submit', (content) => calls.submitHere((content as messages.Submit).edition));
+    server.add('newest', () => calls.newestHere());
     server.add('place', (request) => this.place(request as messages.Place));
     server.add('ended', (content) => {
       this.leadership.ended(content as messages.Ended);
@@ -383,92 +381,4 @@
   private async place(request: messages.Place): Promise<messages.PlaceAnswer> {
     return this.host.isLeader ? this.leadership.place(request) : this.redirect();
   }
-
-  private announce(records: Announcement[]): Promise<boolean> {
-    const content = { records } satisfies messages.Announced;
-    return this.atLeader(
-      { method: 'announced', content, timeoutMs: PASS_ON_TIMEOUT_MS },
-      {
-        here: () => this.announced(content),
-        unavailable: () => false,
-      },
-    );
-  }
-
-  /** Resolves once followers know what is new. */
-  private async announced({ records }: messages.Announced): Promise<boolean> {
-    if (!this.host.isLeader) return false;
-    await Promise.all(records.map((record) => this.leadership.announce(record)));
-    return true;
-  }
-
-  private depart(content: messages.Departed): Promise<boolean> {
-    return this.atLeader(
-      { method: 'departed', content, timeoutMs: PASS_ON_TIMEOUT_MS },
-      {
-        here: () => this.departedBy(content),
-        unavailable: () => false,
-      },
-    );
-  }
-
-  private async departedBy(departed: messages.Departed): Promise<boolean> {
-    if (!this.host.isLeader) return false;
-    await this.leadership.depart(departed);
-    return true;
-  }
-
-  private submit(edition: Edition): Promise<messages.SubmitAnswer> {
-    const content = { edition } satisfies messages.Submit;
-    return this.atLeader<messages.SubmitAnswer>(
-      { method: 'submit', content, timeoutMs: SUBMIT_TIMEOUT_MS },
-      { here: () => this.submitHere(edition), unavailable },
-    );
-  }
-
-  private async submitHere(edition: Edition): Promise<messages.SubmitAnswer> {
-    const applied = await this.host.propose(edition);
-    if (applied.err) return unavailable(applied.val.kind);
-    const { version, changed } = applied.val.answer as domain.catalogue.versions.Acceptance;
-    if (changed) await this.leadership.publishEdition(edition);
-    return { kind: 'accepted', version };
-  }
-
-  private newest(): Promise<messages.NewestAnswer> {
-    return this.atLeader<messages.NewestAnswer>(
-      { method: 'newest', content: {}, timeoutMs: PASS_ON_TIMEOUT_MS },
-      { here: () => this.newestHere(), unavailable },
-    );
-  }
-
-  private async newestHere(): Promise<messages.NewestAnswer> {
-    const confirmed = await this.host.confirm(true);
-    if (!confirmed) return unavailable('not confirmed by a quorum');
-    return { kind: 'newest', edition: this.machine.versions.newest };
-  }
-
-  /** Has a call settled by the leader: here, or by passing it on. */
-  private async atLeader<T>(
-    { method, content, timeoutMs }: LeaderCall,
-    settle: { here: () => Promise<T>; unavailable: (detail: string) => T },
-  ): Promise<T> {
-    if (this.host.isLeader) return settle.here();
-    const { leader } = this;
-    if (leader === '') return settle.unavailable('no leader known');
-    const answer = await this.client.call<T>(leader, method, content, { timeoutMs });
-    if (answer.ok) return answer.val;
-    this.link.doubt(leader);
-    return settle.unavailable(answer.val.detail);
-  }
-}
-
-/** A call that only the leader can settle. */
-interface LeaderCall {
-  method: string;
-  content: object;
-  timeoutMs: number;
-}
-
-function unavailable(detail: string): { kind: 'unavailable'; detail: string } {
-  return { kind: 'unavailable', detail };
 }
--- /dev/null
+++ b/packages/daemon/src/keeper/leaderCalls.ts
@@ -0,0 +1,122 @@
+/**
+ * What targets and operators ask of a keeper and only the leader can settle: here, or by passing it on. What comes from another keeper
+ * is settled here or refused, so that it isn't passed round between two that take each other for the leader.
+ */
+import type * as domain from '@celerydrift/domain';
+import type * as leaderLink from '../fleet/leaderLink';
+import type * as messages from '../fleet/messages';
+import type * as logHost from '../replicas/logHost';
+import type * as peerClient from '../rpc/peerClient';
+import type * as catalogueMachine from './catalogueMachine';
+import type * as leadership from './leadership';
+
+type Announcement = domain.registry.registry.Announcement;
+type Edition = domain.catalogue.versions.Edition;
+
+export interface Parts {
+  host: logHost.LogHost;
+  leadership: leadership.Leadership;
+  machine: catalogueMachine.CatalogueMachine;
+  link: leaderLink.LeaderLink;
+  client: peerClient.PeerClient;
+}
+
+/** Longest wait for the leader's answer to what another keeper passes on, milliseconds. */
+const PASS_ON_TIMEOUT_MS = 900;
+
+/** A catalogue waits longer: for a sync on a slow disk, and for a push to the entries. */
+const SUBMIT_TIMEOUT_MS = 3_000;
+
+export class LeaderCalls {
+  constructor(private readonly parts: Parts) {}
+
+  /** Passes on what targets said; false where nobody leads. */
+  announce(records: Announcement[]): Promise<boolean> {
+    const content = { records } satisfies messages.Announced;
+    return this.atLeader(
+      { method: 'announced', content, timeoutMs: PASS_ON_TIMEOUT_MS },
+      {
+        here: () => this.announceHere(content),
+        unavailable: () => false,
+      },
+    );
+  }
+
+  /** Resolves once followers know what is new. */
+  async announceHere({ records }: messages.Announced): Promise<boolean> {
+    if (!this.parts.host.isLeader) return false;
+    await Promise.all(records.map((record) => this.parts.leadership.announce(record)));
+    return true;
+  }
+
+  depart(content: messages.Departed): Promise<boolean> {
+    return this.atLeader(
+      { method: 'departed', content, timeoutMs: PASS_ON_TIMEOUT_MS },
+      {
+        here: () => this.departHere(content),
+        unavailable: () => false,
+      },
+    );
+  }
+
+  async departHere(departed: messages.Departed): Promise<boolean> {
+    if (!this.parts.host.isLeader) return false;
+    await this.parts.leadership.depart(departed);
+    return true;
+  }
+
+  submit(edition: Edition): Promise<messages.SubmitAnswer> {
+    const content = { edition } satisfies messages.Submit;
+    return this.atLeader<messages.SubmitAnswer>(
+      { method: 'submit', content, timeoutMs: SUBMIT_TIMEOUT_MS },
+      { here: () => this.submitHere(edition), unavailable },
+    );
+  }
+
+  async submitHere(edition: Edition): Promise<messages.SubmitAnswer> {
+    const applied = await this.parts.host.propose(edition);
+    if (applied.err) return unavailable(applied.val.kind);
+    const { version, changed } = applied.val.answer as domain.catalogue.versions.Acceptance;
+    if (changed) await this.parts.leadership.publishEdition(edition);
+    return { kind: 'accepted', version };
+  }
+
+  newest(): Promise<messages.NewestAnswer> {
+    return this.atLeader<messages.NewestAnswer>(
+      { method: 'newest', content: {}, timeoutMs: PASS_ON_TIMEOUT_MS },
+      { here: () => this.newestHere(), unavailable },
+    );
+  }
+
+  async newestHere(): Promise<messages.NewestAnswer> {
+    const confirmed = await this.parts.host.confirm(true);
+    if (!confirmed) return unavailable('not confirmed by a quorum');
+    return { kind: 'newest', edition: this.parts.machine.versions.newest };
+  }
+
+  /** Has a call settled by the leader: here, or by passing it on. */
+  private async atLeader<T>(
+    { method, content, timeoutMs }: LeaderCall,
+    settle: { here: () => Promise<T>; unavailable: (detail: string) => T },
+  ): Promise<T> {
+    const { host, link, client } = this.parts;
+    if (host.isLeader) return settle.here();
+    const leader = host.leaderAddress || link.leader;
+    if (leader === '') return settle.unavailable('no leader known');
+    const answer = await client.call<T>(leader, method, content, { timeoutMs });
+    if (answer.ok) return answer.val;
+    link.doubt(leader);
+    return settle.unavailable(answer.val.detail);
+  }
+}
+
+/** A call that only the leader can settle. */
+interface LeaderCall {
+  method: string;
+  content: object;
+  timeoutMs: number;
+}
+
+function unavailable(detail: string): { kind: 'unavailable'; detail: string } {
+  return { kind: 'unavailable', detail };
+}
