Push to each follower what it lacks, also while it waits for its copy

Change: the leader keeps the state that each follower named or acknowledged, and pushes from there; one that waits for its copy gets what came since the last push. Who waits for its copy also hears of plain targets that leave or left, not only of the ready ones.

--- a/packages/daemon/src/keeper/followers.ts
+++ b/packages/daemon/src/keeper/followers.ts
@@ -13,6 +13,8 @@
   address: string;
   dataCentre: string;
   replica: string | undefined;
+  /** The state of the registry that it has, as far as it said. */
+  mark: messages.RegistryMark;
   heardAt: number;
 }
 
@@ -33,8 +35,6 @@
 
 /** What is on its way to one follower, and what waits until that has arrived. */
 interface Lane {
-  /** The state that the follower has with what is on its way. */
-  mark: messages.RegistryMark;
   isWaiting: boolean;
   /** The newest catalogue among what waits. */
   edition: domain.catalogue.versions.Edition | undefined;
@@ -42,7 +42,7 @@
   next: Promise<void>;
 }
 
-/** What a follower with a state lacks; undefined where only a whole copy would do, which isn't pushed. */
+/** What a follower with a state lacks at this moment; undefined where only a whole copy would do, which isn't pushed. */
 export type MissedSince = (
   mark: messages.RegistryMark,
 ) => Omit<messages.News, 'edition'> | undefined;
@@ -59,9 +59,9 @@
     private readonly missedSince: MissedSince,
   ) {}
 
-  heard({ name, role, address, dataCentre, replica }: messages.Follow): void {
+  heard({ name, role, address, dataCentre, replica, mark }: messages.Follow): void {
     const heardAt = this.now();
-    this.byName.set(name, { name, role, address, dataCentre, replica, heardAt });
+    this.byName.set(name, { name, role, address, dataCentre, replica, mark, heardAt });
   }
 
   all(): Follower[] {
@@ -87,20 +87,22 @@
     this.byName.clear();
   }
 
-  /** Pushes news to everyone; resolves when those in touch have them or after a bound. */
+  /** Pushes to everyone what it lacks, and `news` to those of whom that isn't known; resolves when those in touch have it or after a bound. */
   async push(news: messages.News): Promise<void> {
     const inTouch = this.all().filter(({ heardAt }) => this.now() - heardAt < IN_TOUCH_MS);
-    await Promise.all(inTouch.map(({ address }) => this.pushTo(address, news)));
+    await Promise.all(inTouch.map((follower) => this.pushTo(follower, news)));
   }
 
   /**
    * One push at a time to each follower; what it lacks by the time that this one is answered goes together. So a leader that can't
    * keep up sends fewer and larger pushes, where it would otherwise fall further behind with each.
    */
-  private async pushTo(address: string, news: messages.News): Promise<void> {
-    const lane = this.lanes.get(address);
+  private async pushTo(follower: Follower, news: messages.News): Promise<void> {
+    const lane = this.lanes.get(follower.address);
     if (lane === undefined) {
-      await Promise.race([this.send(address, news), clock.pause(ACKNOWLEDGED_MS)]);
+      const missed = this.missedSince(follower.mark);
+      const sent = this.send(follower, missed === undefined ? news : newsOf(news.edition, missed));
+      await Promise.race([sent, clock.pause(ACKNOWLEDGED_MS)]);
       return;
     }
     lane.isWaiting = true;
@@ -108,21 +110,24 @@
     await Promise.race([lane.next, clock.pause(ACKNOWLEDGED_MS)]);
   }
 
-  private async send(address: string, news: messages.News): Promise<void> {
+  private async send(follower: Follower, news: messages.News): Promise<void> {
+    const { address } = follower;
     let finish = (): void => undefined;
     const next = new Promise<void>((resolve) => {
       finish = resolve;
     });
-    const lane: Lane = { mark: news.mark, isWaiting: false, edition: undefined, next };
+    const lane: Lane = { isWaiting: false, edition: undefined, next };
     this.lanes.set(address, lane);
     const answer = await this.client.call<Partial<messages.Learned>>(address, 'learn', news, {
       timeoutMs: SILENT_MS,
     });
     this.lanes.delete(address);
-    const reached = answer.ok ? (answer.val.mark ?? lane.mark) : news.since;
-    const missed = lane.isWaiting && reached !== undefined ? this.missedSince(reached) : undefined;
-    if (missed === undefined && lane.edition === undefined) finish();
-    else void this.send(address, newsOf(lane.edition, missed)).then(finish);
+    if (answer.ok) follower.mark = answer.val.mark ?? news.mark;
+    const { isWaiting, edition } = lane;
+    // One that waits for its copy of the registry must hear of targets that leave all the same.
+    const missed = this.missedSince(follower.mark) ?? this.missedSince(news.mark);
+    if (isWaiting) void this.send(follower, newsOf(edition, missed)).then(finish);
+    else finish();
   }
 
   /** Keepers with a replica that asked lately, as spares for the replica set. */
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -76,7 +76,7 @@
 
   constructor(private readonly options: Options) {
     const { client, now, random, observer: observe } = options;
-    this.followers = new followers.Followers(client, now, (mark) => this.missedSince(mark));
+    this.followers = new followers.Followers(client, now, (mark) => this.news.allSince(mark));
     this.copies = new copyTurns.CopyTurns(options.linkMbps, now);
     this.news = new registryNews.RegistryNews({
       copy: () => this.copy(),
@@ -290,16 +290,14 @@
     return { mark, since: mark, records: this.plainTargets(), suspects: [] };
   }
 
-  /** What is pushed to a follower that missed some; one that needs a whole copy gets it when it asks. */
-  private missedSince(mark: messages.RegistryMark): registryNews.Missed | undefined {
-    return this.news.reaches(mark) ? this.news.since(mark) : undefined;
-  }
-
-  /** Targets of services without engines: entries choose among these by themselves. */
+  /** Targets of services without engines, also those that leave or left: entries choose among these by themselves. */
   private plainTargets(): Announcement[] {
     const { directory, registry } = this.options.holding;
-    const plain = directory?.catalogue.services.filter(({ engine }) => engine === undefined) ?? [];
-    return plain.flatMap(({ name }) => registry.ready(name));
+    const services = directory?.catalogue.services ?? [];
+    const plain = new Set(
+      services.filter(({ engine }) => engine === undefined).map(({ name }) => name),
+    );
+    return registry.records().filter(({ service }) => plain.has(service));
   }
 }
 
--- a/packages/daemon/src/keeper/registryNews.ts
+++ b/packages/daemon/src/keeper/registryNews.ts
@@ -161,6 +161,11 @@
     return this.changesIn({ from: mark, to: messages.holds(to, mark) ? to : mark });
   }
 
+  /** All that a follower at `mark` lacks at this moment; undefined where only a whole copy would do. */
+  allSince(mark: messages.RegistryMark): Missed | undefined {
+    return this.reaches(mark) ? this.changesIn({ from: mark, to: this.mark }) : undefined;
+  }
+
   /** The whole registry, for a follower that knows nothing of it. */
   whole(): MissedAll {
     const { mark, packed } = this.wholeCopy();
