--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -11,9 +11,10 @@
 import * as holding from '../fleet/holding';
 import * as leaderLink from '../fleet/leaderLink';
 import type * as messages from '../fleet/messages';
+import * as peers from '../fleet/peers';
 import * as listening from '../http/listening';
 import type * as observer from '../observability/observer';
-import * as peerClient from '../rpc/peerClient';
+import type * as peerClient from '../rpc/peerClient';
 import * as peerServer from '../rpc/peerServer';
 import * as chooser from './chooser';
 import * as crashWatch from './crashWatch';
@@ -78,13 +79,7 @@
 
   constructor(private readonly parts: Parts) {
     const { settings, observer: observe, control, random } = parts;
-    this.client = new peerClient.PeerClient(
-      settings.secret,
-      undefined,
-      observe,
-      settings.source,
-      leaderLink.CONNECT_MS,
-    );
+    this.client = peers.clientOf(settings, observe);
     this.targets = new targetClient.TargetClient(settings.source);
     this.server = new peerServer.PeerServer(settings.secret, undefined, observe);
     this.budgets = new domain.request.repeatBudget.RepeatBudgets(settings.repeats);
--- /dev/null
+++ b/packages/daemon/src/fleet/peers.ts
@@ -0,0 +1,13 @@
+/** Calls among entries and keepers. */
+import type * as roleSettings from '../configuration/roleSettings';
+import type * as observer from '../observability/observer';
+import * as peerClient from '../rpc/peerClient';
+import * as leaderLink from './leaderLink';
+
+/** A client for the peers of a role, whose VMs are near each other. */
+export function clientOf(
+  { secret, source }: roleSettings.Settings,
+  observe: observer.Observer,
+): peerClient.PeerClient {
+  return new peerClient.PeerClient(secret, undefined, observe, source, leaderLink.CONNECT_MS);
+}
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -10,12 +10,13 @@
 import * as holding from '../fleet/holding';
 import * as leaderLink from '../fleet/leaderLink';
 import * as messages from '../fleet/messages';
+import * as peers from '../fleet/peers';
 import type * as observer from '../observability/observer';
 import * as founding from '../replicas/founding';
 import type * as logHost from '../replicas/logHost';
 import * as repairer from '../replicas/repairer';
 import * as replicaSet from '../replicas/replicaSet';
-import * as peerClient from '../rpc/peerClient';
+import type * as peerClient from '../rpc/peerClient';
 import * as peerServer from '../rpc/peerServer';
 import * as announcementRelay from './announcementRelay';
 import * as catalogueMachine from './catalogueMachine';
@@ -101,13 +102,7 @@
 
   constructor(private readonly parts: Parts) {
     const { settings, observer: observe, protocol } = parts;
-    this.client = new peerClient.PeerClient(
-      settings.secret,
-      undefined,
-      observe,
-      settings.source,
-      leaderLink.CONNECT_MS,
-    );
+    this.client = peers.clientOf(settings, observe);
     this.server = new peerServer.PeerServer(settings.secret, undefined, observe);
     this.machine = new catalogueMachine.CatalogueMachine((edition) => this.take(edition));
     this.holding = new holding.Holding({
--- a/packages/domain/src/allocation/weights.ts
+++ b/packages/domain/src/allocation/weights.ts
@@ -1,6 +1,6 @@
 /**
  * What the planner weighs, in one place, so that a simulation can switch each off. Shares are of what the request is
- * worth; what each buys is told in docs/DECISIONS-UNDER-LOAD.md, measured by switching it off.
+ * worth; what each buys is told in docs/DECISIONS-UNDER-LOAD.md.
  */
 
 export interface Weights {
--- a/packages/domain/src/routing/cell.ts
+++ b/packages/domain/src/routing/cell.ts
@@ -1,6 +1,6 @@
 /**
  * Which daemon places requests for whom. Daemons that place each for itself on second-old views of the
- * others collide: in the measured mix every seventh short request met another daemon's. So the targets
+ * others collide: every seventh short request would meet another daemon's. So the targets
  * are split into cells, and in each cell one daemon, the allocator, places the requests of all; it knows
  * every dispatch exactly. Allocators are picked by rendezvous hashing, so there is nothing to elect, and
  * a daemon that can't reach its allocator places by itself until another takes over.
