Work out what a follower lacks only where it is pushed; drop a branch that nobody reaches

Cause, found in reading the whole change: each acknowledged push worked out what its follower lacks, also where nothing waited; RegistryNews.since could answer with a whole copy, which its only caller asks for by itself. Behaviour is the same.

--- a/packages/daemon/src/keeper/followers.ts
+++ b/packages/daemon/src/keeper/followers.ts
@@ -127,11 +127,13 @@
     });
     this.lanes.delete(address);
     if (answer.ok) follower.mark = answer.val.mark ?? news.mark;
-    const { isWaiting, edition } = lane;
+    if (!lane.isWaiting) {
+      finish();
+      return;
+    }
     // One that waits for its copy of the registry must hear of targets that leave all the same.
     const missed = this.missedSince(follower.mark) ?? this.missedSince(news.mark);
-    if (isWaiting) void this.send(follower, newsOf(edition, missed)).then(finish);
-    else finish();
+    void this.send(follower, newsOf(lane.edition, missed)).then(finish);
   }
 
   /** Keepers with a replica that asked lately, as spares for the replica set. */
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -288,7 +288,8 @@
   private missedBy(name: string, mark: messages.RegistryMark): registryNews.Missed {
     if (this.isOwn(name)) return this.news.nothing();
     this.waitsForCopy.delete(name);
-    if (this.news.reaches(mark)) return this.news.since(mark);
+    const missed = this.news.since(mark);
+    if (missed !== undefined) return missed;
     const whole = this.news.whole();
     if (this.copies.take(whole.packedRegistry.length)) return whole;
     this.waitsForCopy.add(name);
--- a/packages/daemon/src/keeper/registryNews.ts
+++ b/packages/daemon/src/keeper/registryNews.ts
@@ -142,20 +142,14 @@
     await this.parts.push({ edition, mark: pushed, since: pushed, records: [], suspects: [] });
   }
 
-  /** Whether a state leads to the present one by the changes that are kept. */
-  reaches(mark: messages.RegistryMark): boolean {
-    const first = this.changes[0] ?? { mark: { ...this.mark, change: this.mark.change + 1 } };
-    return messages.holds(this.mark, mark) && mark.change >= first.mark.change - 1;
-  }
-
   /** For whoever has the present state. */
   nothing(): Missed {
     return { mark: this.mark, since: this.mark, records: [], suspects: [] };
   }
 
-  /** What a follower at `mark` lacks; a whole copy where it doesn't reach the present state. */
-  since(mark: messages.RegistryMark): Missed {
-    if (!this.reaches(mark)) return this.whole();
+  /** What a follower at `mark` lacks, up to a state that it shares with others; undefined where only a whole copy would do. */
+  since(mark: messages.RegistryMark): Missed | undefined {
+    if (!this.reaches(mark)) return undefined;
     const isFew = this.mark.change - mark.change <= MOST_UNSHARED;
     const to = isFew ? this.mark : this.offeredMark();
     return this.changesIn({ from: mark, to: messages.holds(to, mark) ? to : mark });
@@ -175,6 +169,12 @@
     return { ...changes, since: undefined, packedRegistry: packed };
   }
 
+  /** Whether a state leads to the present one by the changes that are kept. */
+  private reaches(mark: messages.RegistryMark): boolean {
+    const first = this.changes[0] ?? { mark: { ...this.mark, change: this.mark.change + 1 } };
+    return messages.holds(this.mark, mark) && mark.change >= first.mark.change - 1;
+  }
+
   private changesIn({ from, to }: Span): Missed {
     const before = (this.changes[0]?.mark.change ?? 0) - 1;
     const changes = this.changes.slice(
