Show the limits that targets name in logs and metrics

Change: the adapter decodes the header; an entry logs 4114 when a target names a limit or another one, 4115 when it names none any more, and counts answers that name one (limits.named) or one that can't be read (limits.unreadable). Nothing is decided by it yet.

--- a/packages/daemon/src/edges/protocols.ts
+++ b/packages/daemon/src/edges/protocols.ts
@@ -48,6 +48,10 @@
   resumeAfter: string | undefined;
 }
 
+/** What a target's answer says of how much the target takes; in requests a second of the whole fleet. */
+export type NamedLimit =
+  { kind: 'named'; perSecond: number } | { kind: 'none' } | { kind: 'unreadable' };
+
 /** What the head of a target's answer proves. */
 export interface AnswerFacts {
   requestId: string | undefined;
@@ -61,6 +65,7 @@
   faulty: string | undefined;
   /** Whether the body is encoded though nobody asked for it; it isn't the target's then. */
   isEncoded: boolean;
+  limit: NamedLimit;
 }
 
 /** The protocol of callers and targets. */
--- a/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
@@ -11,6 +11,7 @@
 import * as exchange from '../../exchange';
 import * as ingress from '../../ingress';
 import * as lifeChecks from '../../lifeChecks';
+import * as limitWatch from '../../limitWatch';
 import * as peerClient from '../../../rpc/peerClient';
 import * as targetClient from '../../targetClient';
 
@@ -43,6 +44,10 @@
     isWrongLifetime: status === 421,
     faulty: undefined,
     isEncoded: false,
+    limit:
+      headers.limit === undefined
+        ? { kind: 'none' }
+        : { kind: 'named', perSecond: Number(headers.limit) },
   }),
   reserve: () => ({ method: 'POST', path: '/', headers: [], body: '' }),
   release: () => ({ method: 'POST', path: '/', headers: [], body: '' }),
@@ -146,6 +151,7 @@
       chooser: { choose: (wish: chooser.Wish) => this.choose(wish) } as chooser.Chooser,
       targets: this.targets,
       lifeChecks: checks,
+      limits: new limitWatch.LimitWatch({ observer: observe }),
       crashes: this.crashes,
       budgets,
       observer: observe,
--- a/packages/daemon/src/entry/answer.ts
+++ b/packages/daemon/src/entry/answer.ts
@@ -49,6 +49,8 @@
 
   private heldBytes = 0;
 
+  private onLimit: (limit: protocols.NamedLimit, status: number) => void = () => undefined;
+
   private attempt: targetClient.Attempt | undefined;
 
   /** Whether a held answer has grown too long and goes on as it comes. */
@@ -66,7 +68,9 @@
     return this.response.headersSent && (!this.isStream || this.lastEventId === undefined);
   }
 
-  beginAttempt(): void {
+  /** `onLimit` gets what an answer of this attempt's target says of how much the target takes. */
+  beginAttempt(onLimit: (limit: protocols.NamedLimit, status: number) => void): void {
+    this.onLimit = onLimit;
     this.head = undefined;
     this.facts = undefined;
     this.attempt = undefined;
@@ -83,6 +87,10 @@
   onHead(head: targetClient.Head): void {
     this.head = head;
     this.facts = this.protocol.answerFacts(head.status, head.headers);
+    const { limit, isNotRun, isWrongLifetime } = this.facts;
+    // Only the target's own answer to this request shows that it names no limit.
+    const isTold = limit.kind === 'named' ? !isWrongLifetime : isNotRun || this.isUsable;
+    if (isTold) this.onLimit(limit, head.status);
   }
 
   onData(chunk: Buffer): void {
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -21,6 +21,7 @@
 import * as exchange from './exchange';
 import * as ingress from './ingress';
 import * as lifeChecks from './lifeChecks';
+import * as limitWatch from './limitWatch';
 import * as targetClient from './targetClient';
 
 export interface Parts {
@@ -67,6 +68,8 @@
 
   private readonly lifeChecks: lifeChecks.LifeChecks;
 
+  private readonly limits: limitWatch.LimitWatch;
+
   private readonly crashes: crashWatch.CrashWatch;
 
   private readonly budgets: domain.request.repeatBudget.RepeatBudgets;
@@ -123,6 +126,7 @@
       observer: observe,
       source: settings.source,
     });
+    this.limits = new limitWatch.LimitWatch({ observer: observe });
     this.crashes = new crashWatch.CrashWatch({
       name: settings.name,
       holding: this.holding,
@@ -206,6 +210,7 @@
       chooser: this.chooser,
       targets: this.targets,
       lifeChecks: this.lifeChecks,
+      limits: this.limits,
       crashes: this.crashes,
       budgets: this.budgets,
       observer: observe,
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -15,6 +15,7 @@
 import * as exchangeLog from './exchangeLog';
 import * as fingerprint from './fingerprint';
 import type * as lifeChecks from './lifeChecks';
+import type * as limitWatch from './limitWatch';
 import * as outcomes from './outcome';
 import * as reservations from './reservations';
 import * as silence from './silence';
@@ -29,6 +30,7 @@
   chooser: chooser.Chooser;
   targets: targetClient.TargetClient;
   lifeChecks: Pick<lifeChecks.LifeChecks, 'isAlive'>;
+  limits: Pick<limitWatch.LimitWatch, 'answered'>;
   crashes: Pick<crashWatch.CrashWatch, 'permit' | 'cut' | 'isQuarantined'>;
   budgets: domain.request.repeatBudget.RepeatBudgets;
   observer: observer.Observer;
@@ -283,7 +285,10 @@
     const { request, body, organisation } = this.admitted;
     const { protocol, targets } = this.services;
     this.attempts.begin(placement.target);
-    this.reply.beginAttempt();
+    this.reply.beginAttempt((limit, status) => {
+      const { requestId } = this.admitted.facts;
+      this.services.limits.answered({ requestId, target: placement.target, status }, limit);
+    });
     const resumeAfter = this.reply.lastEventId;
     const headers = protocol.requestHeaders(request.rawHeaders, {
       target: placement.target,
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -62,6 +62,8 @@
   memoryNotWritten: { number: 4111, level: 'warn', text: 'file of soft state not written' },
   registryTaken: { number: 4112, level: 'info', text: 'registry or many changes taken' },
   targetsConfirmed: { number: 4113, level: 'info', text: 'remembered targets spoke' },
+  targetLimited: { number: 4114, level: 'warn', text: 'target named its limit' },
+  targetLimitEnded: { number: 4115, level: 'info', text: 'target names no limit any more' },
   requestEnded: { number: 5001, level: 'info', text: 'request ended' },
   attemptFailed: { number: 5002, level: 'warn', text: 'attempt failed' },
   frameCrossed: { number: 5003, level: 'error', text: 'frame of another request dropped' },
