--- a/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
@@ -1,6 +1,6 @@
 /**
  * A target that ends when it begins to run a request whose body says so, and comes back at its address as another lifetime.
- * Other requests get a stream that lasts long enough to run beside one of those.
+ * Other requests get a stream that lasts long enough to run beside one of those. It may be in need and name a limit.
  */
 import * as http from 'node:http';
 import type * as net from 'node:net';
@@ -29,16 +29,29 @@
   at: number;
 }
 
+/** A message of whatever kind that a target got. */
+export interface Message {
+  /** Name of the target, the same for all its lifetimes. */
+  name: string;
+  isRequest: boolean;
+  /** On the steady clock, milliseconds. */
+  at: number;
+}
+
 export interface Options {
   name: string;
   service: string;
   port: number;
   announce: (record: domain.registry.registry.Announcement) => Promise<void>;
+  onMessage: (message: Message) => void;
   onArrival: (arrival: Arrival) => void;
   onEnd: (target: string, at: number) => void;
 }
 
 export class CrashableTarget {
+  /** Requests a second that it takes from the whole fleet; undefined while it isn't in need. */
+  limit: number | undefined;
+
   private lifetime = 0;
 
   private sequence = 0;
@@ -81,6 +94,13 @@
     await this.announce();
   }
 
+  /** Ends, and comes back at its address under another id; still in need if it was. */
+  async startAgain(): Promise<void> {
+    this.end();
+    await clock.pause(DOWN_MS);
+    await this.start();
+  }
+
   stop(): void {
     this.isStopped = true;
     this.end();
@@ -101,6 +121,8 @@
     response.on('error', () => undefined);
     request.on('end', () => {
       const { id } = this;
+      const isRequest = request.url !== bench.REPORT_PATH;
+      this.options.onMessage({ name: this.options.name, isRequest, at: clock.steady() });
       if (request.headers.target !== id) this.reply(request, response, 421);
       else if (request.url === bench.REPORT_PATH) this.reply(request, response, 200);
       else this.run(request, response, Buffer.concat(chunks).toString());
@@ -113,7 +135,12 @@
     status: number,
   ): void {
     const notRun = status === 200 ? [] : ['not-run', '1'];
-    response.writeHead(status, ['id', String(request.headers.id), 'signed', '1', ...notRun]).end();
+    response.writeHead(status, [...this.headOf(request), ...notRun]).end();
+  }
+
+  private headOf(request: http.IncomingMessage): string[] {
+    const limit = this.limit === undefined ? [] : ['limit', String(this.limit)];
+    return ['id', String(request.headers.id), 'signed', '1', ...limit];
   }
 
   private run(request: http.IncomingMessage, response: http.ServerResponse, body: string): void {
@@ -134,7 +161,7 @@
   }
 
   private stream(request: http.IncomingMessage, response: http.ServerResponse): void {
-    response.writeHead(200, ['id', String(request.headers.id), 'signed', '1']);
+    response.writeHead(200, this.headOf(request));
     let next = Number(request.headers['resume-after'] ?? 0) + 1;
     const timer = setInterval(() => {
       response.write(`id: ${next}\ndata: x\n\n`);
--- a/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
@@ -131,11 +131,14 @@
 
   readonly arrivals: crashableTarget.Arrival[] = [];
 
+  /** All that targets got. */
+  readonly messages: crashableTarget.Message[] = [];
+
   readonly ends: { target: string; at: number }[] = [];
 
   private readonly observer = new observer.Observer('test', 'fatal', undefined);
 
-  private readonly targets: crashableTarget.CrashableTarget[] = [];
+  readonly targets: crashableTarget.CrashableTarget[] = [];
 
   private asked = 0;
 
@@ -315,6 +318,7 @@
         announce: async (record) => {
           await this.tell('PUT', `/${record.id}`, record);
         },
+        onMessage: (message) => this.messages.push(message),
         onArrival: (arrival) => this.arrivals.push(arrival),
         onEnd: (ended, at) => this.ends.push({ target: ended, at }),
       });
