Keep to the limits that targets name, all entries together

What callers saw: a target in need, whose limit the fleet ignored, got several times what it takes, and was late for those it had. Cause: the limit was never read; nothing but free slots bounded what a target gets. Its class: an explicit back-pressure signal that is ignored, and a bound of the whole fleet that only a fleet-wide count can keep. Change: domain/rateLimits holds the limits by place, with a token bucket each. Entries tell the leader what answers name and end (limitWatch); the leader gives out the whole of a limit, through the allocator for prompts and their parts, by 'grant' for calls to plain targets and life checks; what can't wait (orders about memory) is told and counted as owed. While nobody leads, each entry gives out its part. Whoever begins does so with nothing, so leaders and entries that take over from each other stay within the limit together (property test, 200 orders). A limit holds for the next target at the place, whatever its id, until an answer to a later request names none. Followers learn limits with the registry, new leaders from followers. What can't be served within its patience is refused at once with the time at which the limits let it pass.

--- a/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
@@ -11,7 +11,6 @@
 import * as exchange from '../../exchange';
 import * as ingress from '../../ingress';
 import * as lifeChecks from '../../lifeChecks';
-import * as limitWatch from '../../limitWatch';
 import * as peerClient from '../../../rpc/peerClient';
 import * as targetClient from '../../targetClient';
 
@@ -129,8 +128,14 @@
     const budgets = new domain.request.repeatBudget.RepeatBudgets(rule);
     budgets.shareWith(1, clock.steady());
     const observe = new observer.Observer('test', 'fatal', undefined);
+    const limits = {
+      answered: () => undefined,
+      spent: () => undefined,
+      mayCheck: async () => true,
+    };
     const checks = new lifeChecks.LifeChecks({
       protocol: PROTOCOL,
+      limits,
       observer: observe,
       source: undefined,
     });
@@ -151,7 +156,7 @@
       chooser: { choose: (wish: chooser.Wish) => this.choose(wish) } as chooser.Chooser,
       targets: this.targets,
       lifeChecks: checks,
-      limits: new limitWatch.LimitWatch({ observer: observe }),
+      limits,
       crashes: this.crashes,
       budgets,
       observer: observe,
--- a/packages/daemon/src/entry/__tests__/chooser.test.ts
+++ b/packages/daemon/src/entry/__tests__/chooser.test.ts
@@ -117,6 +117,7 @@
         since: undefined,
         records: [],
         suspects: [],
+        limits: [],
       },
     };
     server.add('follow', () => after(delays.other, confirmed));
@@ -125,6 +126,7 @@
     const held = {
       directory: { service: () => SERVICE },
       registry: new domain.registry.registry.Registry(),
+      limits: new domain.rateLimits.rateLimits.RateLimits(),
       suspectsToTell: () => [],
       takeNews: () => true,
     } as unknown as holding.Holding;
@@ -148,6 +150,10 @@
       holding: held,
       link,
       client,
+      limits: {
+        grant: async () => ({ kind: 'wait', waitMs: Infinity }),
+        spent: () => undefined,
+      },
       observer: observe,
       random: domain.shared.random.seeded(1),
       now: clock.steady,
--- a/packages/daemon/src/entry/chooser.ts
+++ b/packages/daemon/src/entry/chooser.ts
@@ -12,7 +12,9 @@
 import type * as observer from '../observability/observer';
 import type * as errors from '../rpc/errors';
 import type * as peerClient from '../rpc/peerClient';
+import type * as limitWatch from './limitWatch';
 
+type Announcement = domain.registry.registry.Announcement;
 type Ending = domain.allocation.soundness.Ending;
 type Placement = domain.allocation.allocator.Placement;
 type LateAnswer = Result<messages.PlaceAnswer, errors.CallError>;
@@ -55,6 +57,7 @@
   holding: holding.Holding;
   link: leaderLink.LeaderLink;
   client: peerClient.PeerClient;
+  limits: Pick<limitWatch.LimitWatch, 'grant' | 'spent'>;
   observer: observer.Observer;
   random: domain.shared.random.Random;
   now: () => number;
@@ -87,6 +90,9 @@
  */
 const LOOK_AGAIN_MS = 50;
 
+/** Pause before a limited target is asked for once more, milliseconds. */
+const LEAST_WAIT_MS = 10;
+
 /** Bounds of what callers are told to stay away where engines are full, milliseconds. */
 const RETRY_AFTER_MS = { least: 200, most: 2_000 } as const;
 
@@ -107,7 +113,8 @@
   private ends: messages.Ended['dispatches'] = [];
 
   constructor(private readonly options: Options) {
-    this.fallback = new domain.allocation.allocator.Allocator(options.random);
+    const { random, holding: held } = options;
+    this.fallback = new domain.allocation.allocator.Allocator(random, undefined, held.limits);
   }
 
   get dispatches(): messages.Dispatched[] {
@@ -202,6 +209,7 @@
     const placement = this.fallback.place({ ...wish, entry: name, dataCentre }, now());
     if (placement === undefined) return undefined;
     observer.log('placedLocally', { request: wish.id, target: placement.target });
+    [placement, ...placement.helpers].forEach(({ target }) => this.options.limits.spent(target));
     this.running.set(wish.id, {
       request: { ...wish, entry: name, dataCentre },
       target: placement.target,
@@ -214,32 +222,64 @@
   }
 
   private nextPlaceMs({ service }: Wish): number {
-    const predictedMs = this.fallback.nextPlaceMs(service, this.options.now());
-    const { least, most } = RETRY_AFTER_MS;
-    return Math.round(Math.min(most, Math.max(least, predictedMs)));
+    const now = this.options.now();
+    const waitMs = this.fallback.limitedForMs(service, 0, now);
+    return Math.max(bounded(this.fallback.nextPlaceMs(service, now)), limitedFor({ waitMs }));
+  }
+
+  /** Targets with limits get what the others can't take, one request for each grant. */
+  private async choosePlain(wish: Wish): Promise<Choice> {
+    const { holding: held, limits, now } = this.options;
+    const until = now() + wish.patienceMs;
+    for (;;) {
+      const ready = held.registry.ready(wish.service).filter(({ id }) => {
+        return !wish.excluded.includes(id) && wish.writers?.includes(id) !== false;
+      });
+      const open = ready.filter((record) => !held.limits.isLimited(record));
+      const sound = this.soundOf(open);
+      if (sound.length > 0) return this.placePlain(this.leastBusy(sound));
+      const limited = ready.filter((record) => held.limits.isLimited(record));
+      if (limited.length === 0) {
+        if (open.length > 0) return this.placePlain(this.leastBusy(open));
+        return { kind: 'noPlace', retryAfterMs: NO_TARGET_RETRY_MS };
+      }
+      const able = this.soundOf(limited);
+      const grant = await limits.grant(able.length > 0 ? able : limited);
+      if (grant.kind === 'granted') {
+        const granted = limited.find(({ address }) => address === grant.place.address);
+        if (granted !== undefined) return this.placePlain(granted);
+      } else {
+        if (open.length > 0) return this.placePlain(this.leastBusy(open));
+        const waitMs = Number.isFinite(grant.waitMs) ? grant.waitMs : LOOK_AGAIN_MS;
+        if (now() + waitMs > until) return { kind: 'noPlace', retryAfterMs: limitedFor(grant) };
+        await clock.pause(Math.max(LEAST_WAIT_MS, waitMs));
+      }
+    }
   }
 
-  private choosePlain(wish: Wish): Choice {
-    const { holding, random, dataCentre, now } = this.options;
-    const ready = holding.registry
-      .ready(wish.service)
-      .filter(({ id }) => !wish.excluded.includes(id) && wish.writers?.includes(id) !== false);
-    const sound = ready.filter(({ id }) => {
-      return this.soundness.get(id)?.isUsable(now(), !this.calls.has(id)) !== false;
+  /** Those that take work; one that hasn't spoken since all keepers were down may be gone, and gets one call at a time. */
+  private soundOf(records: Announcement[]): Announcement[] {
+    const sound = records.filter(({ id }) => {
+      return this.soundness.get(id)?.isUsable(this.options.now(), !this.calls.has(id)) !== false;
     });
-    // One that hasn't spoken since all keepers were down may be gone; a call finds out, and the others go elsewhere.
     const careful = sound.filter(({ id, isRemembered }) => !(isRemembered && this.calls.has(id)));
-    const candidates = [careful, sound, ready].find(({ length }) => length > 0) ?? [];
-    if (candidates.length === 0) return { kind: 'noPlace', retryAfterMs: NO_TARGET_RETRY_MS };
-    const scored = candidates.map((record) => {
+    return careful.length > 0 ? careful : sound;
+  }
+
+  private leastBusy(records: readonly Announcement[]): Announcement {
+    const { random, dataCentre } = this.options;
+    const scored = records.map((record) => {
       const far = record.dataCentre === dataCentre ? 0 : 0.5;
       const calls = this.calls.get(record.id) ?? 0;
       return { record, score: calls + far + random.uniform() };
     });
-    const { record } = scored.reduce((best, each) => (each.score < best.score ? each : best));
-    this.calls.set(record.id, (this.calls.get(record.id) ?? 0) + 1);
-    const placement = { target: record.id, address: record.address, helpers: [], firstTokenMs: 0 };
-    return { kind: 'placed', placement, release: (ending) => this.releasePlain(record.id, ending) };
+    return scored.reduce((best, each) => (each.score < best.score ? each : best)).record;
+  }
+
+  private placePlain({ id, address }: Announcement): Choice {
+    this.calls.set(id, (this.calls.get(id) ?? 0) + 1);
+    const placement = { target: id, address, helpers: [], firstTokenMs: 0 };
+    return { kind: 'placed', placement, release: (ending) => this.releasePlain(id, ending) };
   }
 
   private releasePlain(target: string, ending: Ending): void {
@@ -272,3 +312,14 @@
     this.options.client.notify(leader, 'ended', { dispatches } satisfies messages.Ended);
   }
 }
+
+/** How long to stay away for the limits of targets; while nobody leads, nobody knows. */
+function limitedFor({ waitMs }: { waitMs: number }): number {
+  return bounded(Number.isFinite(waitMs) ? waitMs : NO_TARGET_RETRY_MS);
+}
+
+/** A time to stay away that callers bear. */
+function bounded(ms: number): number {
+  const { least, most } = RETRY_AFTER_MS;
+  return Math.round(Math.min(most, Math.max(least, ms)));
+}
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -76,6 +76,8 @@
 
   private readonly readiness: http.Server;
 
+  private readonly loseLeader = (): void => this.limits.leaderLost();
+
   private isLeaving = false;
 
   private wasFresh = false;
@@ -107,26 +109,36 @@
       dispatches: () => this.chooser.dispatches,
       onConfirmed: ({ entries, crowding }) => {
         this.chooser.fallback.assume(crowding);
+        this.limits.leaderFound(entries);
+        this.link.onLost(this.loseLeader);
         if (entries > 0) this.budgets.shareWith(entries, clock.steady());
         this.ingress.wake();
       },
     });
+    this.limits = new limitWatch.LimitWatch({
+      holding: this.holding,
+      link: this.link,
+      client: this.client,
+      observer: observe,
+      now: clock.steady,
+    });
     this.chooser = new chooser.Chooser({
       name: settings.name,
       dataCentre: settings.dataCentre,
       holding: this.holding,
       link: this.link,
       client: this.client,
+      limits: this.limits,
       observer: observe,
       random,
       now: clock.steady,
     });
     this.lifeChecks = new lifeChecks.LifeChecks({
       protocol: parts.traffic,
+      limits: this.limits,
       observer: observe,
       source: settings.source,
     });
-    this.limits = new limitWatch.LimitWatch({ observer: observe });
     this.crashes = new crashWatch.CrashWatch({
       name: settings.name,
       holding: this.holding,
@@ -171,6 +183,7 @@
       await clock.pause(STOP_CHECK_MS);
     this.link.stop();
     this.crashes.close();
+    this.limits.close();
     this.readiness.close();
     this.targets.close();
     await this.server.close();
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -30,7 +30,7 @@
   chooser: chooser.Chooser;
   targets: targetClient.TargetClient;
   lifeChecks: Pick<lifeChecks.LifeChecks, 'isAlive'>;
-  limits: Pick<limitWatch.LimitWatch, 'answered'>;
+  limits: Pick<limitWatch.LimitWatch, 'answered' | 'spent'>;
   crashes: Pick<crashWatch.CrashWatch, 'permit' | 'cut' | 'isQuarantined'>;
   budgets: domain.request.repeatBudget.RepeatBudgets;
   observer: observer.Observer;
@@ -113,6 +113,9 @@
   /** What `content` has worked out. */
   private knownContent: string | undefined;
 
+  /** Service that the request goes to; empty before it is chosen. */
+  private service = '';
+
   /** Repeats of the service that the request goes to; undefined before that is chosen. */
   private budget: domain.request.repeatBudget.RepeatBudget | undefined;
 
@@ -160,6 +163,7 @@
   private async untilAnswered(): Promise<void> {
     const { route } = this.admitted;
     const service = domain.catalogue.directory.pickService(route, this.services.random);
+    this.service = service;
     this.budget = this.services.budgets.of(service);
     this.budget.countFirst(this.services.now());
     let goesOn = true;
@@ -287,7 +291,10 @@
     this.attempts.begin(placement.target);
     this.reply.beginAttempt((limit, status) => {
       const { requestId } = this.admitted.facts;
-      this.services.limits.answered({ requestId, target: placement.target, status }, limit);
+      const { target, address } = placement;
+      const { service, sentAt } = this;
+      const answered = { requestId, target, service, address, status, sentAt };
+      this.services.limits.answered(answered, limit);
     });
     const resumeAfter = this.reply.lastEventId;
     const headers = protocol.requestHeaders(request.rawHeaders, {
--- a/packages/daemon/src/entry/lifeChecks.ts
+++ b/packages/daemon/src/entry/lifeChecks.ts
@@ -4,10 +4,12 @@
  */
 import type * as protocols from '../edges/protocols';
 import type * as observer from '../observability/observer';
+import type * as limitWatch from './limitWatch';
 import * as targetClient from './targetClient';
 
 export interface Parts {
   protocol: protocols.TrafficProtocol;
+  limits: Pick<limitWatch.LimitWatch, 'mayCheck'>;
   observer: observer.Observer;
   /** IP address that connections come from; undefined where the operating system chooses. */
   source: string | undefined;
@@ -22,7 +24,7 @@
 
   constructor(private readonly parts: Parts) {}
 
-  /** Whether this lifetime of a target answers. */
+  /** Whether this lifetime of a target answers; also one counts as alive that names a limit and may not be asked now. */
   isAlive(target: string, address: string): Promise<boolean> {
     const known = this.asking.get(target);
     if (known !== undefined) return known;
@@ -32,6 +34,10 @@
   }
 
   private async ask(target: string, address: string): Promise<boolean> {
+    if (!(await this.parts.limits.mayCheck(target))) {
+      this.parts.observer.count('lifeChecks.withheld');
+      return true;
+    }
     const client = new targetClient.TargetClient(this.parts.source);
     const call = this.parts.protocol.report(target);
     const status = await client.call(target, address, call, ANSWER_TIMEOUT_MS);
--- a/packages/daemon/src/entry/limitWatch.ts
+++ b/packages/daemon/src/entry/limitWatch.ts
@@ -1,41 +1,188 @@
 /**
- * Notes the limits that targets name in their answers: how many requests a second a target in need takes from the whole fleet, for as
- * long as it says so.
+ * An entry's part in keeping to the limits that targets name. Tells the leader what answers say of them, and what it sent without
+ * asking; asks it for messages that the allocator doesn't place. While nobody leads, the entry gives out its own part of each limit.
  */
+import type * as domain from '@celerydrift/domain';
+import * as clock from '../clock';
 import type * as protocols from '../edges/protocols';
+import type * as holding from '../fleet/holding';
+import type * as leaderLink from '../fleet/leaderLink';
+import type * as messages from '../fleet/messages';
 import type * as observer from '../observability/observer';
+import type * as peerClient from '../rpc/peerClient';
 
-/** Where a target's answer comes from, and which request it answers. */
-export interface Answered {
+type Place = domain.rateLimits.rateLimits.Place;
+type RateLimit = domain.rateLimits.rateLimits.RateLimit;
+
+/** A request that a target answered. */
+export interface Answered extends Place {
   requestId: string;
   target: string;
   status: number;
+  /** On the steady clock, milliseconds. */
+  sentAt: number;
 }
 
+export type Grant = Exclude<messages.GrantAnswer, messages.Redirect>;
+
 export interface Parts {
+  holding: Pick<holding.Holding, 'limits' | 'registry'>;
+  link: Pick<leaderLink.LeaderLink, 'leader' | 'doubt'>;
+  client: Pick<peerClient.PeerClient, 'call'>;
   observer: observer.Observer;
+  now: () => number;
 }
 
+/** Longest wait for the leader's word, milliseconds: ten times the usual, as for a place. */
+const LEADER_MS = 150;
+
+/** Pause before the leader is told again what none took, milliseconds. */
+const TELL_AGAIN_MS = 100;
+
 export class LimitWatch {
-  /** Limits by target, requests a second. */
-  private readonly limits = new Map<string, number>();
+  private untold: messages.Limited = { limits: [], spent: [] };
+
+  private isTelling = false;
+
+  private isClosed = false;
+
+  /** How many entries share the limits while nobody leads; 0 while that isn't known. */
+  private entries = 0;
 
   constructor(private readonly parts: Parts) {}
 
+  /** A leader confirmed this entry, and gives out the limits. */
+  leaderFound(entries: number): void {
+    if (entries > 0) this.entries = entries;
+    this.parts.holding.limits.giveOut(0, this.parts.now());
+  }
+
+  leaderLost(): void {
+    const share = this.entries === 0 ? 0 : 1 / this.entries;
+    this.parts.holding.limits.giveOut(share, this.parts.now());
+  }
+
   /** A target answered a request of a caller. */
   answered(answer: Answered, limit: protocols.NamedLimit): void {
-    const { target } = answer;
-    const { observer: observe } = this.parts;
-    const before = this.limits.get(target);
-    if (limit.kind === 'none') {
-      if (before === undefined) return;
-      this.limits.delete(target);
-      observe.log('targetLimitEnded', { ...answer, before });
-      return;
+    const { observer: observe, holding: held } = this.parts;
+    if (limit.kind !== 'none') observe.count(`limits.${limit.kind}`);
+    if (limit.kind === 'unreadable') return;
+    const since = held.limits.knownSince(answer);
+    // An answer to a request from before the limit was known may be older than the limit.
+    if (limit.kind === 'none' && (since === undefined || answer.sentAt <= since)) return;
+    const before = held.limits.at(answer);
+    const perSecond = limit.kind === 'none' ? undefined : limit.perSecond;
+    const { service, address } = answer;
+    if (!held.limits.set({ service, address, perSecond }, this.parts.now())) return;
+    const event = perSecond === undefined ? 'targetLimitEnded' : 'targetLimited';
+    observe.log(event, { ...answer, sentAt: undefined, perSecond, before });
+    this.tell({ service, address, perSecond });
+  }
+
+  /** A message went to a target without the leader's word. */
+  spent(target: string): void {
+    const record = this.parts.holding.registry.get(target);
+    if (record !== undefined) this.spentAt(record);
+  }
+
+  /** Whether a target may be asked whether it lives. */
+  async mayCheck(target: string): Promise<boolean> {
+    const record = this.parts.holding.registry.get(target);
+    if (record === undefined || !this.parts.holding.limits.isLimited(record)) return true;
+    const answer = await this.ask({ places: [placeOf(record)], purpose: 'check' });
+    return answer?.kind === 'granted';
+  }
+
+  /** One request for one of some places with limits. */
+  async grant(places: readonly Place[]): Promise<Grant> {
+    const question = { places: places.map(placeOf), purpose: 'request' } as const;
+    return (await this.ask(question)) ?? this.grantLocally(places);
+  }
+
+  /** What no leader has taken by now stays untold. */
+  close(): void {
+    this.isClosed = true;
+  }
+
+  /** The leader's word; undefined where nobody leads. */
+  private async ask(question: messages.GrantQuestion): Promise<Grant | undefined> {
+    const { client, link } = this.parts;
+    const { leader } = link;
+    if (leader === '') return undefined;
+    const answer = await client.call<messages.GrantAnswer>(leader, 'grant', question, {
+      timeoutMs: LEADER_MS,
+      toleratesDelay: true,
+    });
+    return answer.err || answer.val.kind === 'redirect' ? undefined : answer.val;
+  }
+
+  private grantLocally(places: readonly Place[]): Grant {
+    const { holding: held, now } = this.parts;
+    const place = places.find((each) => held.limits.mayTake(each, now()));
+    if (place === undefined) {
+      return { kind: 'wait', waitMs: held.limits.waitMs(places, 0, now()) };
     }
-    observe.count(`limits.${limit.kind}`);
-    if (limit.kind === 'unreadable' || limit.perSecond === before) return;
-    this.limits.set(target, limit.perSecond);
-    observe.log('targetLimited', { ...answer, perSecond: limit.perSecond, before });
+    held.limits.take(place, 1, now());
+    this.spentAt(place);
+    return { kind: 'granted', place };
+  }
+
+  private spentAt(place: Place): void {
+    if (!this.parts.holding.limits.isLimited(place)) return;
+    const known = this.untold.spent.find((each) => isSame(each, place));
+    if (known === undefined) this.untold.spent.push({ ...placeOf(place), count: 1 });
+    else known.count += 1;
+    void this.tellLeader();
+  }
+
+  private tell(limit: RateLimit): void {
+    const others = this.untold.limits.filter((each) => !isSame(each, limit));
+    this.untold.limits = [...others, limit];
+    void this.tellLeader();
   }
+
+  /** Tells the leader until one has taken it. */
+  private async tellLeader(): Promise<void> {
+    if (this.isTelling) return;
+    this.isTelling = true;
+    while (this.untold.limits.length + this.untold.spent.length > 0 && !this.isClosed) {
+      const told = this.untold;
+      this.untold = { limits: [], spent: [] };
+      if (!(await this.isTaken(told))) {
+        this.putBack(told);
+        await clock.pause(TELL_AGAIN_MS);
+      }
+    }
+    this.isTelling = false;
+  }
+
+  private async isTaken(told: messages.Limited): Promise<boolean> {
+    const { client, link } = this.parts;
+    if (link.leader === '') return false;
+    const answer = await client.call<messages.LimitedAnswer>(link.leader, 'limited', told, {
+      timeoutMs: LEADER_MS,
+      toleratesDelay: true,
+    });
+    return answer.ok && answer.val.kind === 'taken';
+  }
+
+  /** What was learned meanwhile is newer. */
+  private putBack({ limits, spent }: messages.Limited): void {
+    const { untold } = this;
+    const older = limits.filter((limit) => !untold.limits.some((each) => isSame(each, limit)));
+    const added = spent.filter((each) => {
+      const known = untold.spent.find((other) => isSame(each, other));
+      if (known !== undefined) known.count += each.count;
+      return known === undefined;
+    });
+    this.untold = { limits: [...older, ...untold.limits], spent: [...added, ...untold.spent] };
+  }
+}
+
+function isSame(a: Place, b: Place): boolean {
+  return a.service === b.service && a.address === b.address;
+}
+
+function placeOf({ service, address }: Place): Place {
+  return { service, address };
 }
--- a/packages/daemon/src/entry/reservations.ts
+++ b/packages/daemon/src/entry/reservations.ts
@@ -7,6 +7,7 @@
 import * as clock from '../clock';
 import type * as protocols from '../edges/protocols';
 import type * as observer from '../observability/observer';
+import type * as limitWatch from './limitWatch';
 import type * as targetClient from './targetClient';
 
 type Helper = domain.allocation.allocator.Helper;
@@ -14,6 +15,7 @@
 export interface Parts {
   protocol: protocols.TrafficProtocol;
   targets: targetClient.TargetClient;
+  limits: Pick<limitWatch.LimitWatch, 'spent'>;
   observer: observer.Observer;
 }
 
@@ -90,6 +92,7 @@
 
   private async reserve({ helper, id }: Held): Promise<number> {
     const call = this.parts.protocol.reserve(helper.target, id, helper.keptTokens, HOLD_MS);
+    this.parts.limits.spent(helper.target);
     return this.parts.targets.call(helper.target, helper.address, call, ORDER_TIMEOUT_MS);
   }
 
@@ -97,6 +100,7 @@
     const call = this.parts.protocol.release(helper.target, id);
     for (let i = 0; i < RELEASE_TRIES; i++) {
       const { target, address } = helper;
+      this.parts.limits.spent(target);
       const status = await this.parts.targets.call(target, address, call, ORDER_TIMEOUT_MS);
       if (status >= 200) return;
       this.parts.observer.log('releaseRetried', { request: this.request, target });
--- a/packages/daemon/src/fleet/__tests__/leaderLink.test.ts
+++ b/packages/daemon/src/fleet/__tests__/leaderLink.test.ts
@@ -47,6 +47,7 @@
       version: 0,
       mark: messages.NO_MARK,
       suspectsToTell: () => [],
+      limits: { all: () => [] },
       takeNews: () => true,
     };
     const link = new leaderLink.LeaderLink({
--- a/packages/daemon/src/fleet/holding.ts
+++ b/packages/daemon/src/fleet/holding.ts
@@ -34,6 +34,9 @@
   /** Requests under which targets end. */
   readonly quarantine = new domain.quarantine.quarantine.Quarantine();
 
+  /** Limits that targets name. */
+  readonly limits = new domain.rateLimits.rateLimits.RateLimits();
+
   mark: messages.RegistryMark = messages.NO_MARK;
 
   private current: Directory | undefined;
@@ -81,8 +84,9 @@
     return this.changed(this.registry.merge(records, this.options.now()));
   }
 
-  private takeCopy({ records, suspects }: registryCopies.Copy): void {
+  private takeCopy({ records, suspects, limits }: registryCopies.Copy): void {
     this.takeRegistry(records);
+    this.limits.setAll(limits, this.options.now());
     this.quarantine.takeAll(suspects, this.options.now());
     this.options.onSuspects?.();
   }
@@ -144,8 +148,11 @@
     if (edition !== undefined) this.takeEdition(edition);
     if (packedRegistry !== undefined) this.takeCopy(registryCopies.unpack(packedRegistry));
     this.takeMany(registryCopies.unbundle(news));
-    // A push that was held up comes after the answer to a question: what it says of suspects is no longer so.
-    if (!isLater(this.mark, mark)) this.takeSuspects(news.suspects);
+    // A push that was held up comes after the answer to a question: what it says of suspects and limits is no longer so.
+    if (!isLater(this.mark, mark)) {
+      this.takeSuspects(news.suspects);
+      news.limits.forEach((limit) => this.limits.set(limit, this.options.now()));
+    }
     if (since !== undefined && !messages.holds(this.mark, since)) return false;
     if (!isLater(this.mark, mark)) this.mark = mark;
     return true;
--- a/packages/daemon/src/fleet/leaderLink.ts
+++ b/packages/daemon/src/fleet/leaderLink.ts
@@ -243,6 +243,7 @@
       ...registryCopies.bundle(sendsRecords ? holding.registry.records() : []),
       dispatches: isNew ? this.options.dispatches() : [],
       suspects: isNew ? holding.suspectsToTell() : [],
+      limits: isNew ? holding.limits.all() : [],
       replica: replica(),
       dataCentre,
     };
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -4,6 +4,8 @@
 
 type Announcement = domain.registry.registry.Announcement;
 type SuspectReport = domain.quarantine.suspect.Report;
+type RateLimit = domain.rateLimits.rateLimits.RateLimit;
+type LimitedPlace = domain.rateLimits.rateLimits.Place;
 
 /** A state of the registry at one leader; numbers of different leaderships don't compare. */
 export interface RegistryMark {
@@ -28,6 +30,8 @@
   dispatches: Dispatched[];
   /** Requests under which targets ended, for a leader that it meets for the first time. */
   suspects: SuspectReport[];
+  /** Limits of targets that are known here, for a leader that it meets for the first time. */
+  limits: RateLimit[];
   /** A keeper's replica, for a leader that may need it as a voter. */
   replica: string | undefined;
   dataCentre: string;
@@ -70,7 +74,9 @@
   since: RegistryMark | undefined;
   /** Requests under which targets ended, as they are known after the change. */
   suspects: SuspectReport[];
-  /** A whole registry and all suspects, as `registryCopies` packs them. */
+  /** Limits of targets that changed or ended. */
+  limits: RateLimit[];
+  /** A whole registry, all suspects and all limits, as `registryCopies` packs them. */
   packedRegistry?: Uint8Array;
 }
 
@@ -155,6 +161,32 @@
   dispatches: EndedDispatch[];
 }
 
+/** Messages to a target with a limit that no leader gave out: those that couldn't wait, or were sent while nobody led. */
+export interface Spent extends LimitedPlace {
+  count: number;
+}
+
+/** `limited`: limits that an entry's targets named, or don't name any more, and what it sent them. */
+export interface Limited {
+  limits: RateLimit[];
+  spent: Spent[];
+}
+
+export type LimitedAnswer = { kind: 'taken' } | Redirect;
+
+/** `grant`: whether one of some targets with limits may be sent a message now. */
+export interface GrantQuestion {
+  places: LimitedPlace[];
+  /** A check whether the target lives may be asked for where a request has to wait. */
+  purpose: 'request' | 'check';
+}
+
+export type GrantAnswer =
+  | { kind: 'granted'; place: LimitedPlace }
+  /** None of them takes another one before so long, milliseconds. */
+  | { kind: 'wait'; waitMs: number }
+  | Redirect;
+
 /** `announced`: what targets said to the keeper that sends it. */
 export interface Announced {
   records: Announcement[];
--- a/packages/daemon/src/fleet/registryCopies.ts
+++ b/packages/daemon/src/fleet/registryCopies.ts
@@ -14,6 +14,7 @@
   records: readonly Announcement[];
   /** Requests under which targets ended. */
   suspects: readonly domain.quarantine.suspect.Report[];
+  limits: readonly domain.rateLimits.rateLimits.RateLimit[];
 }
 
 /** Records as they travel: many of them packed, some 20 bytes each in place of 230. */
@@ -37,7 +38,7 @@
 
 export function bundle(records: Announcement[]): Bundle {
   if (records.length < PACKED_FROM) return { records };
-  return { records: [], packedRecords: pack({ records, suspects: [] }) };
+  return { records: [], packedRecords: pack({ records, suspects: [], limits: [] }) };
 }
 
 export function unbundle({ records, packedRecords }: Bundle): readonly Announcement[] {
--- a/packages/daemon/src/keeper/__tests__/__fixtures__/crowd.ts
+++ b/packages/daemon/src/keeper/__tests__/__fixtures__/crowd.ts
@@ -95,6 +95,7 @@
     records: [],
     dispatches: [],
     suspects: [],
+    limits: [],
     replica: undefined,
     dataCentre: 'dc0',
   };
--- a/packages/daemon/src/keeper/followers.ts
+++ b/packages/daemon/src/keeper/followers.ts
@@ -150,6 +150,12 @@
   edition: domain.catalogue.versions.Edition | undefined,
   missed: Omit<messages.News, 'edition'> | undefined,
 ): messages.News {
-  const nothing = { mark: messages.NO_MARK, since: messages.NO_MARK, records: [], suspects: [] };
+  const nothing = {
+    mark: messages.NO_MARK,
+    since: messages.NO_MARK,
+    records: [],
+    suspects: [],
+    limits: [],
+  };
   return { edition, ...(missed ?? nothing) };
 }
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -308,6 +308,15 @@
         ? suspicions.permit(question as messages.PermitQuestion)
         : this.redirect();
     });
+    const { limiting } = this.leadership;
+    server.add('limited', (content): messages.LimitedAnswer => {
+      return this.host.isLeader ? limiting.told(content as messages.Limited) : this.redirect();
+    });
+    server.add('grant', (question): messages.GrantAnswer => {
+      return this.host.isLeader
+        ? limiting.grant(question as messages.GrantQuestion)
+        : this.redirect();
+    });
     server.add('trialEnded', (content) => {
       suspicions.trialEnded(content as messages.TrialEnded);
       return {};
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -12,6 +12,7 @@
 import type * as peerClient from '../rpc/peerClient';
 import * as copyTurns from './copyTurns';
 import * as followers from './followers';
+import * as limiting from './limiting';
 import * as placing from './placing';
 import * as registryNews from './registryNews';
 import * as suspicions from './suspicions';
@@ -47,7 +48,7 @@
 export class Leadership {
   readonly followers: followers.Followers;
 
-  readonly allocator = new domain.allocation.allocator.Allocator();
+  readonly allocator: domain.allocation.allocator.Allocator;
 
   private readonly placing: placing.Placing;
 
@@ -65,6 +66,8 @@
 
   readonly suspicions: suspicions.Suspicions;
 
+  readonly limiting: limiting.Limiting;
+
   /** Remembered targets that spoke since the last tick. */
   private confirmed = 0;
 
@@ -75,7 +78,8 @@
   private leadsSince = 0;
 
   constructor(private readonly options: Options) {
-    const { client, now, random, observer: observe } = options;
+    const { client, now, random, observer: observe, holding: held } = options;
+    this.allocator = new domain.allocation.allocator.Allocator(undefined, undefined, held.limits);
     this.followers = new followers.Followers(client, now, (mark) => this.news.allSince(mark));
     this.copies = new copyTurns.CopyTurns(options.linkMbps, now);
     this.news = new registryNews.RegistryNews({
@@ -85,10 +89,10 @@
       push: (news) => this.followers.push(news),
     });
     this.suspicions = new suspicions.Suspicions({
-      quarantine: options.holding.quarantine,
-      registry: options.holding.registry,
+      quarantine: held.quarantine,
+      registry: held.registry,
       isAllocated: (service) => {
-        return options.holding.directory?.service(service)?.engine !== undefined;
+        return held.directory?.service(service)?.engine !== undefined;
       },
       observer: observe,
       now,
@@ -97,6 +101,13 @@
         this.news.publishSuspects(reports);
       },
     });
+    this.limiting = new limiting.Limiting({
+      limits: held.limits,
+      registry: held.registry,
+      observer: observe,
+      now,
+      publish: (limits) => this.news.publishLimits(limits),
+    });
     this.placing = new placing.Placing({
       allocator: this.allocator,
       clock: { now, after: (ms, action) => setTimeout(action, ms) },
@@ -131,6 +142,7 @@
     if (silent.length > 0) void this.news.publish(silent);
     this.logConfirmed();
     this.suspicions.tick();
+    this.limiting.tick();
     this.placing.serveSoon();
   }
 
@@ -152,6 +164,7 @@
     if (!this.isOwn(question.name)) this.followers.heard(question);
     void this.take(registryCopies.unbundle(question));
     this.suspicions.merge(question.suspects);
+    this.limiting.merge(question.limits);
     question.dispatches.forEach(({ request, target }) => {
       this.allocator.restore(request, target, now());
     });
@@ -260,6 +273,7 @@
     this.waitsForCopy.clear();
     this.askedForRecords.clear();
     this.suspicions.turn();
+    this.limiting.turn(leads);
     if (leads) this.placing.open();
     else this.placing.close();
     this.leadsSince = this.options.now();
@@ -268,7 +282,11 @@
 
   private copy(): registryCopies.Copy {
     const { holding: held, now } = this.options;
-    return { records: held.registry.records(), suspects: held.quarantine.reports(now()) };
+    return {
+      records: held.registry.records(),
+      suspects: held.quarantine.reports(now()),
+      limits: held.limits.all(),
+    };
   }
 
   private averagesNow(): domain.allocation.unseen.Crowding[] {
@@ -293,7 +311,13 @@
     const whole = this.news.whole();
     if (this.copies.take(whole.packedRegistry.length)) return whole;
     this.waitsForCopy.add(name);
-    return { mark, since: mark, records: this.plainTargets(), suspects: [] };
+    return {
+      mark,
+      since: mark,
+      records: this.plainTargets(),
+      suspects: [],
+      limits: this.options.holding.limits.all(),
+    };
   }
 
   /** Targets of services without engines, also those that leave or left: entries choose among these by themselves. */
--- a/packages/daemon/src/keeper/placing.ts
+++ b/packages/daemon/src/keeper/placing.ts
@@ -1,6 +1,6 @@
 /**
  * Gives prompts their engines: at once, when it is better begun later, or when a place is free again; and refuses, as
- * soon as waiting longer would win nothing, with the time at which to come back.
+ * soon as waiting longer would win nothing or the limits of the engines leave no place in time, with the time at which to come back.
  */
 import type * as domain from '@celerydrift/domain';
 import * as waitingLine from './waitingLine';
@@ -177,6 +177,10 @@
   }
 
   private standInLine({ request, since, settle }: Candidate): void {
+    if (this.limitedForMs(request.service) > request.patienceMs) {
+      settle(undefined);
+      return;
+    }
     const attempt = (): Placement | undefined => {
       const { now } = this;
       const waitedMs = request.waitedMs + now - since;
@@ -189,9 +193,17 @@
     this.serveSoon();
   }
 
+  /** Until the limits of the engines let one request more pass than those who wait, milliseconds. */
+  private limitedForMs(service: string): number {
+    return this.parts.allocator.limitedForMs(service, this.line.length, this.now);
+  }
+
   private refusal(request: Request, waitedMs: number): Answer {
     const { least, most } = RETRY_AFTER_MS;
-    const predicted = this.parts.allocator.nextPlaceMs(request.service, this.now);
+    const predicted = Math.max(
+      this.parts.allocator.nextPlaceMs(request.service, this.now),
+      this.limitedForMs(request.service),
+    );
     // One that waited in vain finds others in its place if all come back at once.
     const spread = SPREAD.least + (SPREAD.most - SPREAD.least) * this.parts.random.uniform();
     const expected = Math.max(least, predicted, spread * waitedMs);
--- a/packages/daemon/src/keeper/registryNews.ts
+++ b/packages/daemon/src/keeper/registryNews.ts
@@ -1,5 +1,5 @@
 /**
- * The changes of the registry and of suspects under one leader: numbered, kept for followers that missed some, and pushed to those in touch.
+ * The changes of the registry, of suspects and of limits under one leader: numbered, kept for followers that missed some, and pushed to those in touch.
  * What a follower lacks follows from the last number that it has; one that is too far behind, or comes from another
  * leader, gets a whole copy.
  */
@@ -10,6 +10,7 @@
 
 type Announcement = domain.registry.registry.Announcement;
 type SuspectReport = domain.quarantine.suspect.Report;
+type RateLimit = domain.rateLimits.rateLimits.RateLimit;
 
 /** What a follower lacks, without an edition. */
 export type Missed = Omit<messages.News, 'edition'>;
@@ -76,11 +77,12 @@
   push: () => void;
 }
 
-/** A change of the registry, or of what is known of a suspect. */
+/** A change of the registry, of what is known of a suspect, or of a limit. */
 interface Change {
   mark: messages.RegistryMark;
   record?: Announcement;
   suspect?: SuspectReport;
+  limit?: RateLimit;
 }
 
 export class RegistryNews {
@@ -128,6 +130,12 @@
     setTimeout(this.gather().push, SUSPECTS_GATHER_MS);
   }
 
+  /** Notes limits that changed or ended, and pushes them with what is gathered. */
+  publishLimits(limits: readonly RateLimit[]): void {
+    this.add(limits.map((limit) => ({ limit })));
+    this.gather();
+  }
+
   /** Notes changes and pushes them; resolves when the followers in touch have them. */
   publish(records: readonly Announcement[]): Promise<void> {
     this.note(records);
@@ -139,12 +147,19 @@
   /** Pushes an edition; it changes nothing of the registry. */
   async publishEdition(edition: domain.catalogue.versions.Edition): Promise<void> {
     const { pushed } = this;
-    await this.parts.push({ edition, mark: pushed, since: pushed, records: [], suspects: [] });
+    await this.parts.push({
+      edition,
+      mark: pushed,
+      since: pushed,
+      records: [],
+      suspects: [],
+      limits: [],
+    });
   }
 
   /** For whoever has the present state. */
   nothing(): Missed {
-    return { mark: this.mark, since: this.mark, records: [], suspects: [] };
+    return { mark: this.mark, since: this.mark, records: [], suspects: [], limits: [] };
   }
 
   /** What a follower at `mark` lacks, up to a state that it shares with others; undefined where only a whole copy would do. */
@@ -182,7 +197,8 @@
       Math.max(0, to.change - before),
     );
     const suspects = changes.flatMap(({ suspect }) => (suspect === undefined ? [] : [suspect]));
-    return { mark: to, since: from, ...this.bundleOf({ from, to }, changes), suspects };
+    const limits = changes.flatMap(({ limit }) => (limit === undefined ? [] : [limit]));
+    return { mark: to, since: from, ...this.bundleOf({ from, to }, changes), suspects, limits };
   }
 
   private bundleOf({ from, to }: Span, changes: readonly Change[]): registryCopies.Bundle {
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -64,6 +64,8 @@
   targetsConfirmed: { number: 4113, level: 'info', text: 'remembered targets spoke' },
   targetLimited: { number: 4114, level: 'warn', text: 'target named its limit' },
   targetLimitEnded: { number: 4115, level: 'info', text: 'target names no limit any more' },
+  limitInForce: { number: 4116, level: 'warn', text: 'limit of a target in force' },
+  limitEnded: { number: 4117, level: 'info', text: 'limit of a target ended' },
   requestEnded: { number: 5001, level: 'info', text: 'request ended' },
   attemptFailed: { number: 5002, level: 'warn', text: 'attempt failed' },
   frameCrossed: { number: 5003, level: 'error', text: 'frame of another request dropped' },
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -4,6 +4,7 @@
  * counts: entries then choose by their own dispatches until another one has taken over.
  */
 import type * as catalogue from '../catalogue/catalogue';
+import * as rateLimits from '../rateLimits/rateLimits';
 import type * as registry from '../registry/registry';
 import * as random from '../shared/random';
 import * as cells from './cells';
@@ -105,6 +106,7 @@
   constructor(
     private readonly chance?: random.Random,
     private readonly weighed: weights.Weights = weights.WEIGHTS,
+    private readonly limits = new rateLimits.RateLimits(),
   ) {}
 
   /** Takes the engines of a new catalogue; loads of an engine that changed begin anew. */
@@ -170,8 +172,12 @@
       this.decideNear(made, request, { ...scope, all: usable }, now) ??
       made.decide(request, usable, now, mayWait);
     if (decision.kind !== 'begin') return decision;
-    this.occupy(request, decision.plan, now);
-    return { kind: 'placed', placement: placementOf(decision.plan) };
+    const { plan } = decision;
+    this.occupy(request, plan, now);
+    [plan.writer, ...plan.helpers.map((each) => each.load)].forEach(({ record }) => {
+      this.limits.take(record, 1, now);
+    });
+    return { kind: 'placed', placement: placementOf(plan) };
   }
 
   /** Engines that are asked for a request: all of a small service, else some cells and those that it is bound to. */
@@ -216,6 +222,16 @@
     return Math.min(Infinity, ...waits);
   }
 
+  /** Until the limits of a service's engines let one more request pass, with so many before it, milliseconds; 0 where some engine has none. */
+  limitedForMs(service: string, ahead: number, now: number): number {
+    if (this.limits.size === 0) return 0;
+    const ready = this.cellsOf(service)
+      .all()
+      .map(({ record }) => record)
+      .filter(({ state }) => state === 'ready');
+    return this.limits.waitMs(ready, ahead, now);
+  }
+
   /** Counts a dispatch that another allocator made, whose reading is over by now. */
   restore(request: Request, target: string, now: number): void {
     const writer = this.loads.get(target);
@@ -273,7 +289,7 @@
   }
 
   private loadOf(engine: catalogue.Engine, record: registry.Announcement): load.Load {
-    const made = new load.Load(engine, record);
+    const made = new load.Load(engine, record, (place) => this.limits.isLimited(place));
     this.assumeOthers(made);
     return made;
   }
@@ -283,15 +299,16 @@
     if (crowding !== undefined) unseen.assume(on, crowding);
   }
 
-  /** Engines that take work; those that failed lately only where there are no others. */
+  /** Engines that take work, of which limited ones only while their limits let a request pass; those that failed lately only where there are no others. */
   private usable(
     { excluded, writers, endings }: Request,
     asked: readonly load.Load[],
     now: number,
   ): load.Load[] {
-    const ready = asked.filter(
-      ({ record }) => record.state === 'ready' && !excluded.includes(record.id),
-    );
+    const ready = asked.filter(({ record }) => {
+      const isReady = record.state === 'ready' && !excluded.includes(record.id);
+      return isReady && this.limits.mayTake(record, now);
+    });
     const sound = ready.filter((each) => each.soundness.isUsable(now, each.writers === 0));
     const able = sound.length > 0 ? sound : ready;
     // Whoever is bound to a target that has the request already can't go elsewhere.
--- a/packages/domain/src/allocation/load.ts
+++ b/packages/domain/src/allocation/load.ts
@@ -4,6 +4,7 @@
  * from them; what the model gets wrong ends when the request does.
  */
 import type * as catalogue from '../catalogue/catalogue';
+import type * as rateLimits from '../rateLimits/rateLimits';
 import type * as registry from '../registry/registry';
 import * as cost from './cost';
 import type * as reading from './reading';
@@ -78,6 +79,7 @@
   constructor(
     readonly engine: catalogue.Engine,
     public record: registry.Announcement,
+    private readonly isLimitedAt: (place: rateLimits.Place) => boolean = () => false,
   ) {
     this.figures = this.figuresNow();
   }
@@ -97,6 +99,11 @@
     return this.helping(now) < Math.min(most, this.engine.slots);
   }
 
+  /** Whether it names how many requests it takes. */
+  get isLimited(): boolean {
+    return this.isLimitedAt(this.record);
+  }
+
   /** Requests, written or read for, that it may still get before it has spoken. */
   private get unconfirmedLeft(): number {
     return MOST_UNCONFIRMED - (this.tasks.size - this.assumed.size);
--- a/packages/domain/src/allocation/planner.ts
+++ b/packages/domain/src/allocation/planner.ts
@@ -194,11 +194,11 @@
       return harm - value * this.weighed.packGain * alikeWriters(prompt, candidate.load);
     });
     const helpers = parts === 1 ? [] : bestHelpers(scored, writer, parts - 1);
-    const storage = store(
-      prompt,
-      writer.candidate.load,
-      helpers.map(({ candidate }) => candidate.load),
-    );
+    const storing = helpers.map(({ candidate }) => candidate.load);
+    // A reservation takes several messages, of which an engine with a limit takes few.
+    const storage =
+      store(prompt, writer.candidate.load, storing, ({ isLimited }) => !isLimited) ??
+      store(prompt, writer.candidate.load, storing, () => true);
     if (storage === undefined) return undefined;
     const all = [writer, ...helpers];
     const outlookOf = all.map(({ candidate }) => candidate.outlook);
@@ -253,12 +253,13 @@
   { tokens, answerTokens }: Prompt,
   writer: load.Load,
   helpers: readonly load.Load[],
+  mayKeep: (helper: load.Load) => boolean,
 ): Pick<Plan, 'writerTokens' | 'helpers'> | undefined {
   const whole = tokens + answerTokens;
   const writerTokens = whole <= writer.freeMemory ? whole : RESERVED_SHARE * writer.freeMemory;
   let rest = whole - writerTokens;
   const storing = helpers.map((each) => {
-    const room = RESERVED_SHARE * each.freeMemory;
+    const room = mayKeep(each) ? RESERVED_SHARE * each.freeMemory : 0;
     const keptTokens = Math.ceil(room >= LEAST_KEPT_TOKENS ? Math.min(room, rest) : 0);
     rest -= keptTokens;
     return { load: each, keptTokens };
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -7,6 +7,7 @@
 export * as memory from './memory';
 export * as placement from './placement';
 export * as quarantine from './quarantine';
+export * as rateLimits from './rateLimits';
 export * as registry from './registry';
 export * as replication from './replication';
 export * as request from './request';
--- /dev/null
+++ b/packages/domain/src/rateLimits/__tests__/rateLimits.test.ts
@@ -0,0 +1,125 @@
+/** Limits that targets name for the whole fleet, and who gives them out. */
+import * as chai from 'chai';
+import * as fc from 'fast-check';
+import * as rateLimits from '../rateLimits';
+
+const { expect } = chai;
+
+const PLACE: rateLimits.Place = { service: 's', address: '10.0.0.1:80' };
+
+function limited(perSecond: number, share = 1, now = 0): rateLimits.RateLimits {
+  const made = new rateLimits.RateLimits();
+  made.giveOut(share, now);
+  made.set({ ...PLACE, perSecond }, now);
+  return made;
+}
+
+/** Takes what it can, every 10 ms; the times come back. */
+function takeAll(limits: rateLimits.RateLimits, from: number, to: number): number[] {
+  const taken: number[] = [];
+  for (let now = from; now < to; now += 10) {
+    if (limits.mayTake(PLACE, now)) {
+      limits.take(PLACE, 1, now);
+      taken.push(now);
+    }
+  }
+  return taken;
+}
+
+describe('rate limits', () => {
+  it('give out so many a second, beginning with none', () => {
+    expect(takeAll(limited(2), 0, 2_000)).to.deep.equal([500, 1_000, 1_500]);
+  });
+
+  it('let anything pass where no limit is known', () => {
+    const limits = new rateLimits.RateLimits();
+    expect([limits.mayTake(PLACE, 0), limits.mayCheck(PLACE, 0)]).to.deep.equal([true, true]);
+    expect(limits.waitMs([PLACE], 5, 0)).to.equal(0);
+  });
+
+  /** Guards against a target that takes none for good, as nobody asks it any more. */
+  it('try a target that takes none now and then', () => {
+    expect(takeAll(limited(0), 0, 25_000)).to.deep.equal([10_000, 20_000]);
+  });
+
+  /** Guards against a target that comes back in need under another id and gets all at once. */
+  it('hold for whoever listens at the place next, and for that service only', () => {
+    const limits = limited(1);
+    expect(limits.at({ ...PLACE })).to.equal(1);
+    expect(limits.at({ ...PLACE, service: 'other' })).to.equal(undefined);
+  });
+
+  it('end when the target names none any more', () => {
+    const limits = limited(1);
+    expect(limits.set({ ...PLACE, perSecond: undefined }, 10)).to.equal(true);
+    expect(limits.mayTake(PLACE, 11)).to.equal(true);
+  });
+
+  it('are forgotten some time after the last target left the place', () => {
+    const limits = limited(1);
+    limits.forget(() => true, 50_000);
+    expect(limits.forget(() => false, 100_000)).to.deep.equal([]);
+    expect(limits.forget(() => false, 120_000)).to.deep.equal([{ ...PLACE, perSecond: undefined }]);
+  });
+
+  it('count what was sent without asking as owed', () => {
+    const limits = limited(1);
+    limits.take(PLACE, 2, 1_000);
+    expect(limits.waitMs([PLACE], 0, 1_000)).to.equal(2_000);
+    expect(limits.waitMs([PLACE], 3, 1_000)).to.equal(5_000);
+  });
+
+  it('leave one more for a check whether the target lives', () => {
+    const limits = limited(1);
+    limits.take(PLACE, 1, 1_000);
+    expect([limits.mayTake(PLACE, 1_000), limits.mayCheck(PLACE, 1_000)]).to.deep.equal([
+      false,
+      true,
+    ]);
+    limits.take(PLACE, 1, 1_000);
+    expect(limits.mayCheck(PLACE, 1_000)).to.equal(false);
+  });
+
+  it('say that nobody knows when, while nothing is given out here', () => {
+    expect(limited(1, 0).waitMs([PLACE], 0, 60_000)).to.equal(Infinity);
+  });
+
+  /*
+   * Guards against more than the limit when leaders and entries take over from each other: each begins with nothing, so the sum of all
+   * who give out in turn stays that of one.
+   */
+  it('hold whoever gives them out, in whatever order they take over', () => {
+    const windowMs = 4_000;
+    const handovers = fc.array(fc.tuple(fc.integer({ min: 10, max: 3_000 }), fc.nat(3)), {
+      minLength: 1,
+      maxLength: 12,
+    });
+    fc.assert(
+      fc.property(handovers, fc.double({ min: 0.2, max: 30, noNaN: true }), (turns, perSecond) => {
+        const entries = 5;
+        const keepers = Array.from({ length: 4 }, () => limited(perSecond, 0));
+        const parts = Array.from({ length: entries }, () => limited(perSecond, 0));
+        const taken: number[] = [];
+        let now = 0;
+        turns.forEach(([forMs, leader]) => {
+          keepers.forEach((each, i) => each.giveOut(i === leader ? 1 : 0, now));
+          parts.forEach((each) => each.giveOut(0, now));
+          taken.push(...takeAll(keepers[leader], now, now + forMs));
+          now += forMs;
+          keepers[leader].giveOut(0, now);
+          parts.forEach((each) => {
+            each.giveOut(1 / entries, now);
+            taken.push(...takeAll(each, now, now + 500));
+          });
+          now += 500;
+        });
+        const most = Math.max(
+          0,
+          ...taken.map((from) => taken.filter((at) => at >= from && at < from + windowMs).length),
+        );
+        return most <= (1.5 * perSecond * windowMs) / 1_000 + 5;
+      }),
+      { numRuns: 200, seed: 1 },
+    );
+  });
+});
--- /dev/null
+++ b/packages/domain/src/rateLimits/index.ts
@@ -0,0 +1,2 @@
+export * as rateLimits from './rateLimits';
+export * as tokenBucket from './tokenBucket';
--- /dev/null
+++ b/packages/domain/src/rateLimits/tokenBucket.ts
@@ -0,0 +1,56 @@
+/**
+ * A token bucket that starts empty. It may fall into debt, as some messages can't wait: those that end or renew what a
+ * request began.
+ */
+
+/** Seconds of the rate that may be used in one burst. */
+const BURST_SECONDS = 0.5;
+
+/** A request costs one token, so fewer would never let one pass. */
+const LEAST_CAPACITY = 1;
+
+/** Seconds of the rate that may be owed at most; what was sent longer ago counts no more. */
+const DEBT_SECONDS = 4;
+const LEAST_DEBT = 4;
+
+export class TokenBucket {
+  private tokens = 0;
+
+  constructor(
+    private perSecond: number,
+    private filledAt: number,
+  ) {}
+
+  /** Whether one more message may be sent. */
+  isReady(now: number): boolean {
+    return this.levelAt(now) >= 1;
+  }
+
+  /** Tokens that are there, negative while some are owed. */
+  levelAt(now: number): number {
+    const gained = (Math.max(0, now - this.filledAt) / 1_000) * this.perSecond;
+    return Math.min(this.capacity, this.tokens + gained);
+  }
+
+  take(count: number, now: number): void {
+    const mostDebt = Math.max(LEAST_DEBT, this.perSecond * DEBT_SECONDS);
+    this.tokens = Math.max(-mostDebt, this.levelAt(now) - count);
+    this.filledAt = now;
+  }
+
+  /** Another rate from now on; what was gained by the old one is kept. */
+  setRate(perSecond: number, now: number): void {
+    this.tokens = this.levelAt(now);
+    this.filledAt = now;
+    this.perSecond = perSecond;
+  }
+
+  empty(now: number): void {
+    this.tokens = 0;
+    this.filledAt = now;
+  }
+
+  private get capacity(): number {
+    return Math.max(LEAST_CAPACITY, this.perSecond * BURST_SECONDS);
+  }
+}
--- a/packages/domain/src/registry/registry.ts
+++ b/packages/domain/src/registry/registry.ts
@@ -182,6 +182,11 @@
       .filter(({ state }) => state === 'ready');
   }
 
+  /** Whether a target of a service listens at an address. */
+  isServed({ service, address }: Pick<Announcement, 'service' | 'address'>): boolean {
+    return this.live.at(address).some(({ record }) => record.service === service);
+  }
+
   /** Drops lifetimes that ended long ago. */
   forget(now: number): void {
     this.entries.forEach(({ record, heardAt }, id) => {
--- a/packages/measure/src/quarantine/quarantine.ts
+++ b/packages/measure/src/quarantine/quarantine.ts
@@ -86,6 +86,10 @@
   const before = heap();
   const full = table(most, OTHER_BYTES);
   const heapBytes = heap() - before;
-  const copyBytes = registryCopies.pack({ records: [], suspects: full.reports(0) }).length;
+  const copyBytes = registryCopies.pack({
+    records: [],
+    suspects: full.reports(0),
+    limits: [],
+  }).length;
   return { costs, full: { suspects: most, heapBytes, copyBytes }, blameFullMs: blameFullMs(full) };
 }
