Soak: targets in need name limits; check what all entries together send them

Cause: nothing but one test in one process held the rule about limits; restarts, cuts and changes of leader while targets are limited weren't played. Change: targets name a limit of 0.3 to 5 requests a second for 8 to 20 s, up to four in five of them at once, also under a new id; drawn from a seed of its own, so the steps of a seed stay. The forwarders keep the caller's address, so a target tells who calls. Counted are messages of every kind. Figures: the check's own test finds 12 in 4 s at a limit of 1 and allows 11.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -69,7 +69,28 @@
   }
 }
 
+/** Target 0 takes one request a second from 10 s on, told entry 0 so at once, and gets one from it each `everyMs`, told so each time. */
+function limited(good: Observations, everyMs: number): void {
+  good.limited.push({ index: 0, perSecond: 1, from: 10_000, until: 20_000 });
+  for (let at = 10_000; at < 20_000; at += everyMs) {
+    good.got.push({ target: 't0-1', entry: 0, at });
+    good.told.push({ target: 't0-1', entry: 0, at });
+  }
+}
+
 describe('soak: checks', () => {
+  it('allow a target half more than its limit and some, and all from an entry that was harmed', () => {
+    // 11 in 4 s.
+    expect(seen((good) => limited(good, 370))).to.deep.equal([]);
+    expect(seen((good) => limited(good, 350))).to.deep.equal(['overLimit']);
+    const harmed = seen((good) => {
+      limited(good, 100);
+      const what = { subject: 'entry', index: 0, what: 'entryCut' } as const;
+      good.disturbances.push({ ...what, from: 10_000, until: 20_000 });
+    });
+    expect(harmed).to.deep.equal([]);
+  });
+
   it('allow a few copies after a third end, and all from an entry that is out of touch', () => {
     expect(seen((good) => crashing(good, MOST_LATER))).to.deep.equal([]);
     const found = seen((good) => {
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -31,6 +31,8 @@
   | 'cutByStop'
   /** A request under which three targets had ended went on reaching targets. */
   | 'crashedOn'
+  /** A target got more than it had said that it takes. */
+  | 'overLimit'
   | 'memoryLeft'
   | 'notRecovered';
 
@@ -81,6 +83,7 @@
   plannedStops,
   crashes,
   crashersNotRun,
+  limits,
   memory,
   recovery,
 ];
@@ -284,6 +287,57 @@
     .map(({ request }) => ({ promise: 'falseNotRun', detail: `${request} ran and crashed` }));
 }
 
+/** By the users' pages: in each such span at most so many times what a limit allows, and some messages more. */
+const LIMIT_SPAN_MS = 4_000;
+const LIMIT_SHARE = 1.5;
+const LIMIT_MORE = 5;
+
+/** An entry must know a limit so long after an answer that named it, milliseconds. */
+const TOLD_MS = 500;
+
+function limits(seen: Observations): Violation[] {
+  return seen.limited.flatMap((span): Violation[] => {
+    const { index, perSecond, from, until } = span;
+    const lifetimes = new Set(
+      seen.lifetimes.filter((each) => each.index === index).map(({ target }) => target),
+    );
+    const isIt = ({ target, at }: observations.Exchanged): boolean =>
+      lifetimes.has(target) && at >= from && at <= until;
+    const told = seen.told.filter(isIt);
+    const first = Math.min(...told.map(({ at }) => at));
+    const counted = seen.got
+      .filter((each) => isIt(each) && each.at >= first + STABLE_MS)
+      .filter((each) => mustKeepTo(seen, told, each))
+      .map(({ at }) => at);
+    const counts = counted.map((begin) => {
+      return counted.filter((at) => at >= begin && at < begin + LIMIT_SPAN_MS).length;
+    });
+    const most = Math.max(0, ...counts);
+    const allowed = LIMIT_SHARE * perSecond * (LIMIT_SPAN_MS / 1_000) + LIMIT_MORE;
+    if (most <= allowed) return [];
+    const detail = `target ${index} takes ${perSecond.toFixed(2)} a second and got ${most} in 4 s`;
+    return [{ promise: 'overLimit', detail }];
+  });
+}
+
+/** Whether an entry was told of a limit and not harmed since. */
+function mustKeepTo(
+  seen: Observations,
+  told: readonly observations.Exchanged[],
+  { entry, at }: observations.Exchanged,
+): boolean {
+  const last = told.filter((each) => each.entry === entry && each.at <= at - TOLD_MS);
+  const since = Math.max(...last.map((each) => each.at));
+  const isStopped = seen.stopped.some((each) => {
+    return each.entry === entry && each.from <= at && each.until >= since;
+  });
+  const isItself = seen.disturbances.some((each) => {
+    const isIt = each.subject === 'entry' && each.index === entry;
+    return isIt && each.from <= at && each.until >= since;
+  });
+  return last.length > 0 && !isStopped && !isItself;
+}
+
 function memory({ reservationsLeft }: Observations): Violation[] {
   return reservationsLeft === 0
     ? []
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -32,6 +32,8 @@
   lifetime: string;
   process: child.Child;
   setMode: (mode: targetMain.Mode) => void;
+  /** Requests a second that it takes; undefined while it isn't in need. */
+  setLimit: (perSecond: number | undefined) => void;
 }
 
 export interface Options {
@@ -228,6 +230,7 @@
     const { folder, layout: sizes, onLine } = this.options;
     const isEngine = index < sizes.engines;
     const modeFile = path.join(folder, `target-${index}.mode`);
+    const limitFile = path.join(folder, `target-${index}.limit`);
     const host = this.addresses.host('target', index);
     const forwarded = this.addresses.host('targetForwarded', index);
     const options: targetMain.Options = {
@@ -241,6 +244,7 @@
       memoryTokens: isEngine ? ENGINE_MEMORY_TOKENS : 0,
       keepers: this.controls,
       modeFile,
+      limitFile,
     };
     return {
       index,
@@ -248,6 +252,7 @@
       forwarded,
       lifetime: '',
       setMode: (mode) => replaceFile(modeFile, mode),
+      setLimit: (perSecond) => replaceFile(limitFile, String(perSecond ?? '')),
       process: new child.Child({
         name: `target-${index}`,
         words: [path.join(__dirname, 'targetMain.js'), JSON.stringify(options)],
--- a/packages/soak/src/forwarder.ts
+++ b/packages/soak/src/forwarder.ts
@@ -76,9 +76,16 @@
   }
 
   private accept(caller: net.Socket, target: string, port: number): void {
-    const callee = net.connect({ host: target, port, allowHalfOpen: true, noDelay: true });
-    caller.setNoDelay(true);
     const source = caller.remoteAddress ?? '';
+    // The callee, too, tells by the address who calls.
+    const callee = net.connect({
+      host: target,
+      port,
+      localAddress: source,
+      allowHalfOpen: true,
+      noDelay: true,
+    });
+    caller.setNoDelay(true);
     const pair: Pair = { source, target, caller, callee, isSilent: false };
     this.pairs.add(pair);
     this.pump(pair, 'forth');
--- a/packages/soak/src/harm.ts
+++ b/packages/soak/src/harm.ts
@@ -88,6 +88,20 @@
     },
   };
 
+  /** Targets in need name a limit for a while. */
+  async limit({ targets, perSecond, forSeconds }: schedule.Limiting): Promise<void> {
+    const spans = targets.map((index) => {
+      this.running.targets[index].setLimit(perSecond);
+      return { index, perSecond, from: Date.now(), until: Infinity };
+    });
+    this.seen.limited.push(...spans);
+    await operator.pause(forSeconds * 1_000);
+    spans.forEach((span) => {
+      this.running.targets[span.index].setLimit(undefined);
+      Object.assign(span, { until: Date.now() });
+    });
+  }
+
   /** Ends everything that lasts, and starts what is down. */
   heal(): void {
     const { network, vms, targets } = this.running;
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -49,6 +49,23 @@
   at: number;
 }
 
+/** A message that a target got from an entry, or an answer by which it told that entry its limit. */
+export interface Exchanged {
+  target: string;
+  entry: number;
+  at: number;
+}
+
+/** A span in which a target names its limit. */
+export interface LimitedSpan {
+  /** Number of the target. */
+  index: number;
+  perSecond: number;
+  from: number;
+  /** Infinite while it lasts. */
+  until: number;
+}
+
 /** A document that the operator sent. */
 export interface Sent {
   version: number;
@@ -98,6 +115,9 @@
   crashers: Crasher[];
   crashed: Crashed[];
   ran: Ran[];
+  got: Exchanged[];
+  told: Exchanged[];
+  limited: LimitedSpan[];
   sent: Sent[];
   revoked: Revoked[];
   drained: Drained[];
@@ -120,6 +140,9 @@
     crashers: [],
     crashed: [],
     ran: [],
+    got: [],
+    told: [],
+    limited: [],
     sent: [],
     revoked: [],
     drained: [],
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -14,6 +14,7 @@
 import * as observations from './observations';
 import * as operator from './operator';
 import * as schedule from './schedule';
+import type * as targetMain from './targetMain';
 
 export interface Options {
   seed: number;
@@ -87,6 +88,7 @@
       onLine: (line) => {
         if (line.kind === 'ran') this.seen.ran.push(line);
         else if (line.kind === 'draining') this.seen.drained.push(line);
+        else if (line.kind !== 'crashed') this.exchanged(line);
         else this.crashers.ended(line);
       },
     });
@@ -129,6 +131,11 @@
     }
   }
 
+  private exchanged({ kind, target, source, at }: targetMain.Exchange): void {
+    const entry = this.running.entries.findIndex(({ host }) => host === source);
+    this.seen[kind].push({ target, entry, at });
+  }
+
   private async untilServing(): Promise<void> {
     const until = Date.now() + START_TIMEOUT_MS;
     for (const entry of this.running.entries) {
@@ -145,7 +152,7 @@
     return ending.kind === 'answered' && ending.status === 200;
   }
 
-  private async follow({ steps, crashing, seconds }: schedule.Plan): Promise<void> {
+  private async follow({ steps, crashing, limiting, seconds }: schedule.Plan): Promise<void> {
     const begun = Date.now();
     const until = async (at: number): Promise<void> =>
       operator.pause(Math.max(0, begun + at * 1_000 - Date.now()));
@@ -153,12 +160,16 @@
       await until(each.at);
       await this.crashers.carryOut(each);
     });
+    const limits = limiting.map(async (each) => {
+      await until(each.at);
+      await this.harm.limit(each);
+    });
     for (const step of steps) {
       await until(step.at);
       under.push(this.harm.carryOut(step));
     }
     await until(seconds);
-    await Promise.all(under);
+    await Promise.all([...under, ...limits]);
   }
 
   private async foreignLoop(): Promise<void> {
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -106,11 +106,22 @@
   pauseSeconds: number;
 }
 
+/** Targets in need that name a limit in their answers. */
+export interface Limiting {
+  at: number;
+  forSeconds: number;
+  /** Numbers of the targets. */
+  targets: number[];
+  /** Requests a second that each takes from the whole fleet. */
+  perSecond: number;
+}
+
 export interface Plan {
   seed: number;
   seconds: number;
   steps: Step[];
   crashing: Crashing[];
+  limiting: Limiting[];
 }
 
 const CRASHING_KINDS: readonly observations.RequestKind[] = ['stream', 'safe', 'unsafe'];
@@ -134,6 +145,36 @@
   return drawn;
 }
 
+/** Added to the seed for draws apart from the steps and from requests that crash targets. */
+const LIMITING_SEED = 1_000_003;
+const MEAN_PAUSE_BETWEEN_LIMITING_SECONDS = 3;
+/** A limit holds from some seconds after it is named, in spans of some seconds. */
+const LIMITED_SECONDS = { least: 8, most: 20 } as const;
+const LIMIT_PER_SECOND = { least: 0.3, most: 5 } as const;
+/** Part of the targets that are in need at once, at most. */
+const MOST_LIMITED_SHARE = 0.8;
+
+function drawLimiting(seed: number, seconds: number, targets: number): Limiting[] {
+  const random = domain.shared.random.independent(seed + LIMITING_SEED);
+  const numbers = Array.from({ length: targets }, (_, i) => i);
+  const between = ({ least, most }: { least: number; most: number }): number =>
+    least + (most - least) * random.uniform();
+  const drawn: Limiting[] = [];
+  const mean = MEAN_PAUSE_BETWEEN_LIMITING_SECONDS;
+  let at = domain.shared.random.exponential(random, mean);
+  while (at < seconds) {
+    const count = Math.ceil(MOST_LIMITED_SHARE * random.uniform() * targets);
+    drawn.push({
+      at,
+      forSeconds: between(LIMITED_SECONDS),
+      targets: domain.shared.random.shuffled(random, numbers).slice(0, count),
+      perSecond: between(LIMIT_PER_SECOND),
+    });
+    at += LIMITED_SECONDS.most + domain.shared.random.exponential(random, mean);
+  }
+  return drawn;
+}
+
 function drawKind(random: domain.shared.random.Random): Kind {
   const kinds = Object.entries(WEIGHTS) as [Kind, number][];
   let left = random.uniform() * kinds.reduce((sum, [, weight]) => sum + weight, 0);
@@ -183,5 +224,7 @@
     };
     if (!isTooMuch(step, steps)) steps.push(step);
   }
-  return { seed, seconds, steps, crashing: drawCrashing(seed, seconds) };
+  const crashing = drawCrashing(seed, seconds);
+  const limiting = drawLimiting(seed, seconds, size.engines + size.services);
+  return { seed, seconds, steps, crashing, limiting };
 }
--- a/packages/soak/src/targetMain.ts
+++ b/packages/soak/src/targetMain.ts
@@ -27,10 +27,21 @@
   keepers: string[];
   /** Holds the mode of the moment. */
   modeFile: string;
+  /** Holds the limit of the moment, requests a second; empty for none. */
+  limitFile: string;
+}
+
+/** A message of whatever kind that it got, or an answer that names its limit; `source` is the sender's IP address. */
+export interface Exchange {
+  kind: 'got' | 'told';
+  target: string;
+  source: string;
+  at: number;
 }
 
 /** A line of its output. */
 export type Line =
+  | Exchange
   | { kind: 'ran'; request: string; target: string; organisation: string; at: number }
   | { kind: 'draining'; target: string; at: number }
   /** It ends now, under a request with this body. */
@@ -82,6 +93,7 @@
       response.end(JSON.stringify({ reservations: this.reservations.size }));
       return;
     }
+    this.note('got', request);
     const order = counterpart.memoryOrder(path, body);
     if (order !== undefined) {
       response.writeHead(this.obey(order)).end('{"free":0}');
@@ -125,7 +137,8 @@
     const { id, slots } = this.options;
     if (target !== id || this.running >= slots) {
       const status = target === id ? 503 : 421;
-      response.writeHead(status, counterpart.answerHeaders(requestId, id, true)).end();
+      const refusal = { ...this.answerTo(request), requestId, notRun: true };
+      response.writeHead(status, counterpart.answerHeaders(refusal)).end();
       return;
     }
     say({ kind: 'ran', request: requestId, target: id, organisation, at: Date.now() });
@@ -140,13 +153,28 @@
     const mode = this.mode();
     if (mode === 'mute') return;
     const named = mode === 'crossed' ? `${requestId}x` : requestId;
-    const headers = counterpart.answerHeaders(named, id);
+    const headers = counterpart.answerHeaders({ ...this.answerTo(request), requestId: named });
     if (mode === 'failing') response.writeHead(500, headers).end('failed');
     else if (path.includes(answers.STREAM_WORD)) {
       this.stream(response, headers, named, resumeAfter, mode === 'cutting');
     } else this.call(response, headers, answers.callBody(named, path), mode);
   }
 
+  /** What its answer says of it, also of its limit. */
+  private answerTo(
+    request: http.IncomingMessage,
+  ): Pick<counterpart.TargetAnswer, 'target' | 'limit'> {
+    const target = this.options.id;
+    const limit = this.read(this.options.limitFile);
+    if (limit === '') return { target };
+    this.note('told', request);
+    return { target, limit: Number(limit) };
+  }
+
+  private note(kind: Exchange['kind'], { socket }: http.IncomingMessage): void {
+    say({ kind, target: this.options.id, source: socket.remoteAddress ?? '', at: Date.now() });
+  }
+
   private crash(body: string): void {
     say({ kind: 'crashed', target: this.options.id, body, at: Date.now() });
     process.kill(process.pid, 'SIGKILL');
@@ -191,10 +219,15 @@
   }
 
   private mode(): Mode {
+    return (this.read(this.options.modeFile) || 'sound') as Mode;
+  }
+
+  /** A file's content; empty where there is none. */
+  private read(file: string): string {
     try {
-      return fs.readFileSync(this.options.modeFile, 'utf8') as Mode;
+      return fs.readFileSync(file, 'utf8');
     } catch {
-      return 'sound';
+      return '';
     }
   }
 
