Take back no limit from a follower that its leader has seen end

Cause: a leader took limits from every follower that found it anew, also from one that had been cut off and had missed their end. Change: a follower with this leadership's own news has nothing to add; of others none is taken that ended under this leadership. Conclusion: a limit that comes back in other ways ends with the next answer, as before.

--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -176,7 +176,7 @@
 
 /** `grant`: whether one of some targets with limits may be sent a message now. */
 export interface GrantQuestion {
-  places: LimitedPlace[];
+  places: readonly LimitedPlace[];
   /** A check whether the target lives may be asked for where a request has to wait. */
   purpose: 'request' | 'check';
 }
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -164,7 +164,8 @@
     if (!this.isOwn(question.name)) this.followers.heard(question);
     void this.take(registryCopies.unbundle(question));
     this.suspicions.merge(question.suspects);
-    this.limiting.merge(question.limits);
+    // One that has this leader's news has missed the end of no limit but those on their way.
+    if (!this.news.isOwn(question.mark)) this.limiting.merge(question.limits);
     question.dispatches.forEach(({ request, target }) => {
       this.allocator.restore(request, target, now());
     });
--- a/packages/daemon/src/keeper/limiting.ts
+++ b/packages/daemon/src/keeper/limiting.ts
@@ -2,10 +2,12 @@
  * What a leader does about targets that name a limit: takes what entries were told, tells all followers, and gives out messages one
  * by one where the allocator doesn't place them, so that all entries together stay within a limit.
  */
-import type * as domain from '@celerydrift/domain';
+import * as domain from '@celerydrift/domain';
 import type * as messages from '../fleet/messages';
 import type * as observer from '../observability/observer';
 
+const { keyOf } = domain.rateLimits.rateLimits;
+
 type RateLimit = domain.rateLimits.rateLimits.RateLimit;
 
 export interface Parts {
@@ -18,12 +20,16 @@
 }
 
 export class Limiting {
+  /** Places whose limit ended under this leadership, against followers that haven't heard of it. */
+  private readonly ended = new Set<string>();
+
   constructor(private readonly parts: Parts) {}
 
   /** A leadership begins or ends. */
   turn(leads: boolean): void {
     const { limits, now } = this.parts;
     limits.giveOut(leads ? 1 : 0, now());
+    this.ended.clear();
   }
 
   tick(): void {
@@ -31,10 +37,10 @@
     this.changed(limits.forget((place) => registry.isServed(place), now()));
   }
 
-  /** Takes limits that a follower knows and this leader doesn't; it may have missed their end, which the next answers show. */
+  /** Takes limits that a follower of another leader knows and this one doesn't. */
   merge(reports: readonly RateLimit[]): void {
     const { limits } = this.parts;
-    this.take(reports.filter((place) => !limits.isLimited(place)));
+    this.take(reports.filter((place) => !limits.isLimited(place) && !this.ended.has(keyOf(place))));
   }
 
   /** Takes what an entry was told by its targets, and what it sent them. */
@@ -70,6 +76,8 @@
     if (changes.length === 0) return;
     const { observer: observe } = this.parts;
     changes.forEach(({ service, address, perSecond }) => {
+      if (perSecond === undefined) this.ended.add(keyOf({ service, address }));
+      else this.ended.delete(keyOf({ service, address }));
       if (perSecond === undefined) observe.log('limitEnded', { service, address });
       else observe.log('limitInForce', { service, address, perSecond });
     });
--- a/packages/daemon/src/keeper/registryNews.ts
+++ b/packages/daemon/src/keeper/registryNews.ts
@@ -157,6 +157,11 @@
     });
   }
 
+  /** Whether a state came from this leadership. */
+  isOwn(mark: messages.RegistryMark): boolean {
+    return mark.epoch === this.mark.epoch;
+  }
+
   /** For whoever has the present state. */
   nothing(): Missed {
     return { mark: this.mark, since: this.mark, records: [], suspects: [], limits: [] };
--- a/packages/domain/src/rateLimits/rateLimits.ts
+++ b/packages/domain/src/rateLimits/rateLimits.ts
@@ -162,6 +162,7 @@
   }
 }
 
-function keyOf({ service, address }: Place): string {
+/** One text for each place. */
+export function keyOf({ service, address }: Place): string {
   return `${service} ${address}`;
 }
