Tell the leader the end of a trial also when none leads at that moment

Cause: an entry told the end of a suspect's trial once and without an answer; while it had no leader, or its connection was reset, nothing was told, and the leader took the trial for running for a minute. Change: ends of trials and of targets go through one outbox, which tells again what no leader took; a keeper that doesn't lead says so.

--- a/packages/daemon/src/entry/__tests__/crashWatch.test.ts
+++ b/packages/daemon/src/entry/__tests__/crashWatch.test.ts
@@ -31,7 +31,6 @@
           await clock.pause(1);
           return Ok({ kind: 'taken', reports: [nothing] } as T);
         },
-        notify: () => undefined,
       },
       lifeChecks: { isAlive: async () => false },
       observer: new observer.Observer('test', 'fatal', undefined),
@@ -48,3 +47,40 @@
     ]);
   });
 });
+
+describe('a trial that ends while nobody leads', () => {
+  /** Guards against a trial that the leader never hears the end of: all copies of an innocent request were refused for a minute. */
+  it('is told to the leader as soon as there is one', async () => {
+    const quarantine = new domain.quarantine.quarantine.Quarantine();
+    ['a', 'b'].forEach((lifetime) => {
+      quarantine.blame(CONTENT, lifetime, { sentAt: 0, isTrial: true }, 1);
+    });
+    const link = { leader: '10.0.0.1:1' };
+    const told: unknown[] = [];
+    const made = new crashWatch.CrashWatch({
+      name: 'e0',
+      holding: { quarantine, registry: new domain.registry.registry.Registry() },
+      link,
+      client: {
+        call: async <T>(_address: string, method: string, content: object) => {
+          if (method === 'trialEnded') told.push(content);
+          const granted = { kind: 'granted', endings: 2, target: undefined };
+          return Ok((method === 'permit' ? granted : { kind: 'taken' }) as T);
+        },
+      },
+      lifeChecks: { isAlive: async () => true },
+      observer: new observer.Observer('test', 'fatal', undefined),
+      now: clock.steady,
+    });
+    const permit = await made.permit(request('r1'));
+    if (permit.kind !== 'granted') throw new Error(permit.kind);
+    link.leader = '';
+    permit.end(true);
+    await clock.pause(150);
+    expect(told).to.deep.equal([]);
+    link.leader = '10.0.0.2:1';
+    await clock.pause(150);
+    made.close();
+    expect(told).to.deep.equal([{ content: CONTENT, id: 'r1', ranWhole: true }]);
+  });
+});
--- a/packages/daemon/src/entry/crashWatch.ts
+++ b/packages/daemon/src/entry/crashWatch.ts
@@ -10,6 +10,7 @@
 import type * as messages from '../fleet/messages';
 import type * as observer from '../observability/observer';
 import type * as peerClient from '../rpc/peerClient';
+import * as leaderOutbox from './leaderOutbox';
 import type * as lifeChecks from './lifeChecks';
 
 /** A request as far as it matters here. */
@@ -52,7 +53,7 @@
   name: string;
   holding: Pick<holding.Holding, 'quarantine' | 'registry'>;
   link: Pick<leaderLink.LeaderLink, 'leader'>;
-  client: Pick<peerClient.PeerClient, 'call' | 'notify'>;
+  client: Pick<peerClient.PeerClient, 'call'>;
   lifeChecks: Pick<lifeChecks.LifeChecks, 'isAlive'>;
   observer: observer.Observer;
   now: () => number;
@@ -67,12 +68,12 @@
 /** Longest wait for the leader's word, milliseconds: ten times the usual, as for a place. */
 const LEADER_MS = 150;
 
-/** Pause before ends are told again that no leader took, milliseconds. */
-const TELL_AGAIN_MS = 100;
-
 /** Most ends that wait for a leader; those of an entry that is cut off from all targets for some seconds. */
 const MOST_UNTOLD = 500;
 
+/** Most ended trials that wait for a leader; an entry runs one for each suspect. */
+const MOST_UNTOLD_TRIALS = 100;
+
 /** A target's end that the leader is told of; `at` is this entry's clock. */
 type Noticed = Omit<messages.EndedTarget, 'agoMs' | 'sentAgoMs'> & { at: number; sentAt: number };
 
@@ -80,11 +81,17 @@
   /** Suspects that run here; the leader's view is wider, but may be out of reach. */
   private readonly trials = new domain.quarantine.trials.Trials();
 
-  private untold: Noticed[] = [];
-
-  private isTellingAgain = false;
+  /** An end that is lost would cost a further target. */
+  private readonly ends = new leaderOutbox.LeaderOutbox<Noticed>(
+    (noticed) => this.tellEnds(noticed),
+    MOST_UNTOLD,
+  );
 
-  private isClosed = false;
+  /** A trial that the leader takes for running keeps all copies of its request waiting. */
+  private readonly endedTrials = new leaderOutbox.LeaderOutbox<messages.TrialEnded>(
+    (trials) => this.tellTrials(trials),
+    MOST_UNTOLD_TRIALS,
+  );
 
   constructor(private readonly parts: Parts) {}
 
@@ -123,7 +130,8 @@
 
   /** Ends that no leader has taken by now stay untold. */
   close(): void {
-    this.isClosed = true;
+    this.ends.close();
+    this.endedTrials.close();
   }
 
   private standing({ bodyBytes, content }: Suspectable): domain.quarantine.quarantine.Standing {
@@ -147,18 +155,28 @@
   private ender(request: Suspectable): (ranWhole: boolean) => void {
     return (ranWhole) => {
       if (!ranWhole || this.standing(request) === 'free') return;
-      this.tellTrialEnded({ content: request.content(), id: request.requestId, ranWhole });
+      void this.endedTrials.tell({ content: request.content(), id: request.requestId, ranWhole });
     };
   }
 
   private endTrial(ended: messages.TrialEnded): void {
     this.trials.end(ended.content, ended.id);
-    this.tellTrialEnded(ended);
+    void this.endedTrials.tell(ended);
   }
 
-  private tellTrialEnded(ended: messages.TrialEnded): void {
+  private async tellTrials(trials: readonly messages.TrialEnded[]): Promise<boolean> {
     const { client, link } = this.parts;
-    if (link.leader !== '') client.notify(link.leader, 'trialEnded', ended);
+    const { leader } = link;
+    if (leader === '') return false;
+    const answers = await Promise.all(
+      trials.map((trial) => {
+        return client.call<messages.TakenAnswer>(leader, 'trialEnded', trial, {
+          timeoutMs: LEADER_MS,
+          toleratesDelay: true,
+        });
+      }),
+    );
+    return answers.every((answer) => answer.ok && answer.val.kind === 'taken');
   }
 
   private async askLeader(
@@ -188,28 +206,11 @@
     const lifetime = { id: target, bornAt };
     const key = domain.quarantine.endedLifetimes.lifetimeOf(lifetime);
     held.quarantine.blame(content, key, { sentAt, isTrial }, now());
-    void this.tell({ content, lifetime, isTrial, sentAt, at: now() });
-  }
-
-  /**
-   * At once, also while an earlier word is under way: on one connection it then comes before the question whether its request
-   * may run again. An end that is lost would cost a further target, so what no leader took is told again.
-   */
-  private async tell(ended: Noticed): Promise<void> {
-    if (await this.tellLeader([ended])) return;
-    this.untold = [...this.untold, ended].slice(-MOST_UNTOLD);
-    if (this.isTellingAgain) return;
-    this.isTellingAgain = true;
-    while (this.untold.length > 0 && !this.isClosed) {
-      await clock.pause(TELL_AGAIN_MS);
-      const told = this.untold;
-      const isTaken = await this.tellLeader(told);
-      if (isTaken) this.untold = this.untold.filter((each) => !told.includes(each));
-    }
-    this.isTellingAgain = false;
+    void this.ends.tell({ content, lifetime, isTrial, sentAt, at: now() });
   }
 
-  private async tellLeader(noticed: readonly Noticed[]): Promise<boolean> {
+  /** At once, also while an earlier word is under way: on one connection it then comes before the question whether its request may run again. */
+  private async tellEnds(noticed: readonly Noticed[]): Promise<boolean> {
     const { client, link, holding: held, now } = this.parts;
     if (link.leader === '') return false;
     const ended = noticed.map(({ at, sentAt, ...each }) => {
--- a/packages/daemon/src/entry/limitWatch.ts
+++ b/packages/daemon/src/entry/limitWatch.ts
@@ -159,7 +159,7 @@
   private async isTaken(told: messages.Limited): Promise<boolean> {
     const { client, link } = this.parts;
     if (link.leader === '') return false;
-    const answer = await client.call<messages.LimitedAnswer>(link.leader, 'limited', told, {
+    const answer = await client.call<messages.TakenAnswer>(link.leader, 'limited', told, {
       timeoutMs: LEADER_MS,
       toleratesDelay: true,
     });
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -133,6 +133,9 @@
   ranWhole: boolean;
 }
 
+/** The leader has it. */
+export type TakenAnswer = { kind: 'taken' } | Redirect;
+
 /** `place`: a request that needs an engine. */
 export type Place = Omit<domain.allocation.allocator.Request, 'entry'> & {
   entry: string;
@@ -172,8 +175,6 @@
   spent: Spent[];
 }
 
-export type LimitedAnswer = { kind: 'taken' } | Redirect;
-
 /** `grant`: whether one of some targets with limits may be sent a message now. */
 export interface GrantQuestion {
   places: readonly LimitedPlace[];
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -309,7 +309,7 @@
         : this.redirect();
     });
     const { limiting } = this.leadership;
-    server.add('limited', (content): messages.LimitedAnswer => {
+    server.add('limited', (content): messages.TakenAnswer => {
       return this.host.isLeader ? limiting.told(content as messages.Limited) : this.redirect();
     });
     server.add('grant', (question): messages.GrantAnswer => {
@@ -317,9 +317,10 @@
         ? limiting.grant(question as messages.GrantQuestion)
         : this.redirect();
     });
-    server.add('trialEnded', (content) => {
+    server.add('trialEnded', (content): messages.TakenAnswer => {
+      if (!this.host.isLeader) return this.redirect();
       suspicions.trialEnded(content as messages.TrialEnded);
-      return {};
+      return { kind: 'taken' };
     });
   }
 
--- a/packages/daemon/src/keeper/limiting.ts
+++ b/packages/daemon/src/keeper/limiting.ts
@@ -44,7 +44,7 @@
   }
 
   /** Takes what an entry was told by its targets, and what it sent them. */
-  told({ limits, spent }: messages.Limited): messages.LimitedAnswer {
+  told({ limits, spent }: messages.Limited): messages.TakenAnswer {
     this.take(limits);
     const { now } = this.parts;
     spent.forEach(({ count, ...place }) => this.parts.limits.take(place, count, now()));
