Test limits where all targets are in need, through handovers, and after their end

Change: on fleets of engines and of plain targets: all targets limited (the rest is refused at once with a Retry-After, at least half of what the limits allow is served), the leader stopped while a target comes back under another id and an entry restarts, and limits that end.

--- a/packages/daemon/src/__tests__/limitedTargets.test.ts
+++ b/packages/daemon/src/__tests__/limitedTargets.test.ts
@@ -18,6 +18,9 @@
 
 const ASK_EVERY_MS = 40;
 
+/** Nobody is refused later, milliseconds: about the part of a stream's time that may go by without a place. */
+const MOST_WAIT_MS = 1_000;
+
 /** One round of requests through all entries in turn. */
 async function press(
   fleet: smallFleet.SmallFleet,
@@ -64,21 +67,49 @@
   return Math.max(0, ...counts);
 }
 
+function limit(
+  targets: readonly crashableTarget.CrashableTarget[],
+  perSecond: number | undefined,
+): void {
+  targets.forEach((target) => Object.assign(target, { limit: perSecond }));
+}
+
+/** The same for the target that got most. */
+function mostOf(fleet: smallFleet.SmallFleet, since: number): number {
+  return Math.max(...fleet.targets.map((target) => mostInWindow(fleet, target, since)));
+}
+
+/** Does the same on a fleet of engines and on one of plain targets, side by side. */
+async function onBoth(
+  act: (service: smallFleet.Service, kind: 'streaming' | 'safe') => Promise<void>,
+): Promise<void> {
+  await Promise.all([act('engines', 'streaming'), act('plain', 'safe')]);
+}
+
 const ALLOWED = (SHARE * PER_SECOND * WINDOW_MS) / 1_000 + MORE;
 
 describe('targets that name a limit', () => {
-  let fleet: smallFleet.SmallFleet;
+  let fleets: smallFleet.SmallFleet[] = [];
 
-  afterEach(async () => fleet.stop());
+  const start = async (service: smallFleet.Service): Promise<smallFleet.SmallFleet> => {
+    const started = await smallFleet.SmallFleet.start(service);
+    fleets.push(started);
+    return started;
+  };
+
+  afterEach(async () => {
+    await Promise.all(fleets.map((each) => each.stop()));
+    fleets = [];
+  });
 
   /** Guards against a limit that nobody reads, or that each entry keeps to by itself. */
   (['engines', 'plain'] as const).forEach((service) => {
     it(`get no more from all entries together, as ${service}; the others serve the rest`, async () => {
-      fleet = await smallFleet.SmallFleet.start(service);
+      const fleet = await start(service);
       const kind = service === 'engines' ? 'streaming' : 'safe';
       await press(fleet, { service, kind }, 1_000);
       const limited = busiest(fleet, 2);
-      limited.forEach((target) => Object.assign(target, { limit: PER_SECOND }));
+      limit(limited, PER_SECOND);
       const since = clock.steady() + TOLD_WITHIN_MS;
       const replies = await press(fleet, { service, kind }, TOLD_WITHIN_MS + WINDOW_MS);
       const most = limited.map((target) => mostInWindow(fleet, target, since));
@@ -86,4 +117,51 @@
       expect(new Set(replies.map(({ status }) => status))).to.deep.equal(new Set([200]));
     });
   });
+
+  /** Guards against callers that wait until their time is over, or are told to come back too soon, where all targets are in need. */
+  it('all of them refuse the rest at once, and serve what they take', async () => {
+    await onBoth(async (service, kind) => {
+      const started = await start(service);
+      limit(started.targets, PER_SECOND);
+      await press(started, { service, kind }, TOLD_WITHIN_MS);
+      const since = clock.steady();
+      const replies = await press(started, { service, kind }, WINDOW_MS);
+      expect(mostOf(started, since)).to.be.at.most(ALLOWED);
+      const served = replies.filter(({ status }) => status === 200);
+      const taken = (started.targets.length * PER_SECOND * WINDOW_MS) / 1_000;
+      expect(served.length).to.be.at.least(taken / 2);
+      const others = replies.filter(({ status }) => status !== 200);
+      expect(new Set(others.map(({ status }) => status))).to.deep.equal(new Set([503]));
+      expect(others.every(({ retryAfter }) => Number(retryAfter) > 0)).to.equal(true);
+      expect(Math.max(...others.map(({ tookMs }) => tookMs))).to.be.below(MOST_WAIT_MS);
+    });
+  });
+
+  /** Guards against a limit that is forgotten, or given out twice, when processes take over from each other. */
+  it('are kept to through a change of leader, a restart and another id', async () => {
+    await onBoth(async (service, kind) => {
+      const started = await start(service);
+      limit(started.targets, PER_SECOND);
+      const since = clock.steady() + TOLD_WITHIN_MS;
+      const pressing = press(started, { service, kind }, 9_000);
+      await clock.pause(2_000);
+      await started.stopKeeper(started.leader);
+      await started.targets[0].startAgain();
+      await started.stopEntry(0);
+      await started.startEntry(0);
+      await pressing;
+      expect(mostOf(started, since)).to.be.at.most(ALLOWED);
+    });
+  });
+
+  /** Guards against a limit that stays when the target is well again. */
+  it('get as much as before once they name it no more', async () => {
+    const fleet = await start('engines');
+    limit(fleet.targets, PER_SECOND);
+    await press(fleet, { service: 'engines' }, TOLD_WITHIN_MS);
+    limit(fleet.targets, undefined);
+    await press(fleet, { service: 'engines' }, 2_000);
+    const replies = await press(fleet, { service: 'engines' }, 1_000);
+    expect(new Set(replies.map(({ status }) => status))).to.deep.equal(new Set([200]));
+  });
 });
