Remember limits of targets over a loss of all VMs

What callers would see: after a loss of all, targets in need get their full part of the crowd that comes back, until each has answered once. Cause: limits were known only in memory, at the leader, its followers and the entries; all of them start anew. Change: keepers keep limits in a file of their data folder beside the targets' and the quarantine's, written some time after a change. 4118 tells what was read. Also: only a target's own success shows that it names none; a failure, or its promise that it didn't run a request, doesn't. Conclusion: what the disks name too much ends with each target's first answer.

--- a/packages/daemon/src/__tests__/limitedTargets.test.ts
+++ b/packages/daemon/src/__tests__/limitedTargets.test.ts
@@ -154,6 +154,18 @@
     });
   });
 
+  /** Guards against a crowd that comes back to targets in need, whose first answers are still to come. */
+  it('are known to all entries after a loss of all, before any target has answered', async () => {
+    const fleet = await start('engines');
+    limit(fleet.targets, PER_SECOND);
+    await press(fleet, { service: 'engines' }, TOLD_WITHIN_MS);
+    const known = [...fleet.keepers.values()].map((each) => each.gauges().limits);
+    await fleet.loseAll();
+    const kept = [...fleet.entries.values()].map((each) => each.gauges().limits);
+    expect(Math.max(...known)).to.be.above(0);
+    expect(kept).to.deep.equal(kept.map(() => Math.max(...known)));
+  });
+
   /** Guards against a limit that stays when the target is well again. */
   it('get as much as before once they name it no more', async () => {
     const fleet = await start('engines');
--- a/packages/daemon/src/entry/answer.ts
+++ b/packages/daemon/src/entry/answer.ts
@@ -14,6 +14,9 @@
 /** Answers up to this size are held until they are whole, so that a broken one can be had elsewhere. */
 const HELD_BYTES = 1_048_576;
 
+/** From this status on, an answer of a target's own doesn't show that it ran the request to its end. */
+export const FAILURE_STATUS = 500;
+
 /** Fewer pauses than this say nothing of a target's speed. */
 const FEWEST_GAPS = 6;
 
@@ -87,9 +90,10 @@
   onHead(head: targetClient.Head): void {
     this.head = head;
     this.facts = this.protocol.answerFacts(head.status, head.headers);
-    const { limit, isNotRun, isWrongLifetime } = this.facts;
-    // Only the target's own answer to this request shows that it names no limit.
-    const isTold = limit.kind === 'named' ? !isWrongLifetime : isNotRun || this.isUsable;
+    const { limit, isWrongLifetime } = this.facts;
+    // Only the target's own success shows that it names no limit; others write some of its failures.
+    const isSuccess = this.isUsable && head.status < FAILURE_STATUS;
+    const isTold = limit.kind === 'none' ? isSuccess : !isWrongLifetime;
     if (isTold) this.onLimit(limit, head.status);
   }
 
@@ -109,7 +113,7 @@
       return { kind: 'notRun', detail: `target refused: ${head.status}`, isWrongLifetime, faulty };
     }
     if (!this.isUsable) return { kind: 'unusable', detail: `unusable answer: ${head.status}` };
-    if (mayRepeat && head.status >= 500) {
+    if (mayRepeat && head.status >= FAILURE_STATUS) {
       return { kind: 'unusable', detail: `target failed: ${head.status}` };
     }
     if (!this.isStream) return this.passHeld(head);
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -196,6 +196,7 @@
       catalogueVersion: this.holding.version,
       confirmedMsAgo: Math.min(this.link.age, Number.MAX_SAFE_INTEGER),
       targets: this.holding.registry.records().length,
+      limits: this.holding.limits.size,
       suspects: this.holding.quarantine.size,
       quarantined: this.holding.quarantine.quarantined,
       activeRequests: this.ingress.activeRequests,
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -69,9 +69,6 @@
 /** Pause before a request that was cut asks again whether the trial of its copy is over, milliseconds. */
 const TRIAL_PAUSE_MS = 100;
 
-/** From this status on, an answer of a target's own doesn't show that it ran the request to its end. */
-const FAILURE_STATUS = 500;
-
 /** How often a prompt larger than an engine looks for memory, and the pause between; milliseconds. */
 const RESERVATION_TRIES = 5;
 const RESERVATION_PAUSE_MS = 200;
@@ -182,7 +179,7 @@
     try {
       outcome = this.isOver ? undefined : await this.tryOnce(service, permit);
     } finally {
-      permit.end(outcome?.kind === 'answered' && this.reply.status < FAILURE_STATUS);
+      permit.end(outcome?.kind === 'answered' && this.reply.status < answer.FAILURE_STATUS);
     }
     return outcome !== undefined && this.goesOn(service, outcome);
   }
--- a/packages/daemon/src/fleet/holding.ts
+++ b/packages/daemon/src/fleet/holding.ts
@@ -10,6 +10,7 @@
 import * as registryCopies from './registryCopies';
 
 type Announcement = domain.registry.registry.Announcement;
+type RateLimit = domain.rateLimits.rateLimits.RateLimit;
 type Directory = domain.catalogue.directory.Directory;
 
 export interface Options {
@@ -20,6 +21,8 @@
   onRecord: (record: Announcement) => void;
   /** What is known of suspects changed by news. */
   onSuspects?: () => void;
+  /** Limits of targets changed by news. */
+  onLimits?: () => void;
 }
 
 /** Endings from which on a suspect is worth telling to a new leader; most with fewer are innocent, and they are many. */
@@ -86,7 +89,7 @@
 
   private takeCopy({ records, suspects, limits }: registryCopies.Copy): void {
     this.takeRegistry(records);
-    this.limits.setAll(limits, this.options.now());
+    if (this.limits.setAll(limits, this.options.now())) this.options.onLimits?.();
     this.quarantine.takeAll(suspects, this.options.now());
     this.options.onSuspects?.();
   }
@@ -151,7 +154,7 @@
     // A push that was held up comes after the answer to a question: what it says of suspects and limits is no longer so.
     if (!isLater(this.mark, mark)) {
       this.takeSuspects(news.suspects);
-      news.limits.forEach((limit) => this.limits.set(limit, this.options.now()));
+      this.takeLimits(news.limits);
     }
     if (since !== undefined && !messages.holds(this.mark, since)) return false;
     if (!isLater(this.mark, mark)) this.mark = mark;
@@ -163,6 +166,12 @@
     if (suspects.length > 0) this.options.onSuspects?.();
   }
 
+  /** Takes limits that changed or ended. */
+  takeLimits(limits: readonly RateLimit[]): void {
+    const changed = limits.filter((limit) => this.limits.set(limit, this.options.now()));
+    if (changed.length > 0) this.options.onLimits?.();
+  }
+
   /** Takes changes; many in one line of the log, like a whole copy. */
   private takeMany(records: readonly Announcement[]): void {
     if (records.length > MOST_LINES) this.takeRegistry(records);
--- a/packages/daemon/src/keeper/__tests__/__fixtures__/crowd.ts
+++ b/packages/daemon/src/keeper/__tests__/__fixtures__/crowd.ts
@@ -74,6 +74,7 @@
     linkMbps: 170,
     newest: () => undefined,
     onSuspects: () => undefined,
+    onLimits: () => undefined,
   });
   led.tick();
   for (let i = 0; i < followers; i++) await led.follow(question(i));
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -23,6 +23,7 @@
 import * as controlServer from './controlServer';
 import * as leaderCalls from './leaderCalls';
 import * as leadership from './leadership';
+import * as limitMemory from './limitMemory';
 import * as memoryFile from './memoryFile';
 import * as suspectMemory from './suspectMemory';
 import * as targetMemory from './targetMemory';
@@ -85,6 +86,8 @@
 
   private readonly quarantineFile: memoryFile.MemoryFile;
 
+  private readonly limitFile: memoryFile.MemoryFile;
+
   /** Contents that the file of the quarantine holds or will hold. */
   private writtenQuarantine = '';
 
@@ -115,6 +118,7 @@
         this.targetFile.changed();
       },
       onSuspects: () => this.noteSuspects(),
+      onLimits: () => this.limitFile.changed(),
     });
     const { dataFolder: folder } = settings;
     this.targetFile = new memoryFile.MemoryFile({
@@ -129,6 +133,12 @@
       observer: observe,
       content: () => suspectMemory.contentOf(this.holding.quarantine, clock.steady()),
     });
+    this.limitFile = new memoryFile.MemoryFile({
+      folder,
+      name: limitMemory.FILE,
+      observer: observe,
+      content: () => this.holding.limits.all(),
+    });
     this.link = this.makeLink();
     this.control = new controlServer.ControlServer({
       protocol,
@@ -163,6 +173,7 @@
     this.calls = new leaderCalls.LeaderCalls({ host, leadership: led, machine, link, client });
     await this.recallTargets();
     await this.recallQuarantine();
+    await this.recallLimits();
     this.serveMethods();
     this.serveSuspicions();
     this.replicas.start(this.server);
@@ -188,6 +199,7 @@
       catalogueVersion: this.holding.version,
       targets: this.holding.registry.records().length,
       dispatches: this.leadership.allocator.size,
+      limits: this.holding.limits.size,
       suspects: this.holding.quarantine.size,
       quarantined: this.holding.quarantine.quarantined,
     };
@@ -197,7 +209,8 @@
     this.timers.forEach((timer) => clearInterval(timer));
     this.link.stop();
     this.control.close();
-    await Promise.all([this.targetFile.close(), this.quarantineFile.close()]);
+    const files = [this.targetFile, this.quarantineFile, this.limitFile];
+    await Promise.all(files.map((each) => each.close()));
     await this.replicas.stop();
     await this.server.close();
     this.client.close();
@@ -226,6 +239,17 @@
     observe.log('quarantineRecalled', { contents: recalled.val.length });
   }
 
+  private async recallLimits(): Promise<void> {
+    const { settings, observer: observe } = this.parts;
+    const recalled = await limitMemory.read(settings.dataFolder);
+    if (recalled.err) {
+      observe.log('memoryNotRead', { file: limitMemory.FILE, reason: recalled.val.detail });
+      return;
+    }
+    this.holding.limits.setAll(recalled.val, clock.steady());
+    observe.log('limitsRecalled', { limits: recalled.val.length });
+  }
+
   /** Most suspects are never in quarantine, and cost the disk nothing. */
   private noteSuspects(): void {
     const reports = suspectMemory.contentOf(this.holding.quarantine, clock.steady());
@@ -264,6 +288,7 @@
       random: this.parts.random,
       newest: () => this.machine.versions.newest,
       onSuspects: () => this.noteSuspects(),
+      onLimits: () => this.limitFile.changed(),
       linkMbps: this.parts.settings.linkMbps,
     });
     const { directory } = this.holding;
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -32,6 +32,8 @@
   newest: () => domain.catalogue.versions.Edition | undefined;
   /** What is known of suspects changed. */
   onSuspects: () => void;
+  /** Limits of targets changed. */
+  onLimits: () => void;
   /** What this VM's link carries, megabits a second. */
   linkMbps: number;
 }
@@ -106,7 +108,10 @@
       registry: held.registry,
       observer: observe,
       now,
-      publish: (limits) => this.news.publishLimits(limits),
+      publish: (limits) => {
+        options.onLimits();
+        this.news.publishLimits(limits);
+      },
     });
     this.placing = new placing.Placing({
       allocator: this.allocator,
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -66,6 +66,7 @@
   targetLimitEnded: { number: 4115, level: 'info', text: 'target names no limit any more' },
   limitInForce: { number: 4116, level: 'warn', text: 'limit of a target in force' },
   limitEnded: { number: 4117, level: 'info', text: 'limit of a target ended' },
+  limitsRecalled: { number: 4118, level: 'info', text: 'limits of targets read from the disk' },
   requestEnded: { number: 5001, level: 'info', text: 'request ended' },
   attemptFailed: { number: 5002, level: 'warn', text: 'attempt failed' },
   frameCrossed: { number: 5003, level: 'error', text: 'frame of another request dropped' },
--- a/packages/domain/src/rateLimits/rateLimits.ts
+++ b/packages/domain/src/rateLimits/rateLimits.ts
@@ -85,13 +85,13 @@
     return true;
   }
 
-  /** Takes all limits that are known elsewhere in place of those that are known here. */
-  setAll(limits: readonly RateLimit[], now: number): void {
+  /** Takes all limits that are known elsewhere in place of those that are known here; whether anything changed. */
+  setAll(limits: readonly RateLimit[], now: number): boolean {
     const kept = new Set(limits.map(keyOf));
-    [...this.limited.keys()]
-      .filter((key) => !kept.has(key))
-      .forEach((key) => this.limited.delete(key));
-    limits.forEach((limit) => this.set(limit, now));
+    const ended = this.all()
+      .filter((limit) => !kept.has(keyOf(limit)))
+      .map((limit) => ({ ...limit, perSecond: undefined }));
+    return [...ended, ...limits].filter((limit) => this.set(limit, now)).length > 0;
   }
 
   all(): RateLimit[] {
