Let a prompt that only some targets may take hold up no others

What callers would see: prompts wait up to their patience beside free engines while one that is bound to a limited target waits for that. Cause: a serving of the waiting line skips what is larger than a request that has just found no place, also where that one may go to few targets only, or belongs to another service. Rare so far; with limits a bound request waits for up to a second, not for a pass. Evidence: placing.test, virtual time: a new prompt beside a free engine was placed at 1,000 ms, with the bound one; at 10 ms now. Change: what was refused by some targets, or is bound to some, or is of another service says nothing of others. Conclusion: fixed; the bound on attempts in one serving stays.

--- a/packages/daemon/src/keeper/__tests__/placing.test.ts
+++ b/packages/daemon/src/keeper/__tests__/placing.test.ts
@@ -97,3 +97,55 @@
     expect(allocator.attempts * ATTEMPT_MS).to.be.within(100, 300);
   });
 });
+
+describe('placing beside a target with a limit', () => {
+  /** Guards against prompts that wait beside free engines while one that is bound to a limited target waits for that. */
+  it('holds up no prompt for one that only a limited target may take', () => {
+    let now = 0;
+    const limits = new domain.rateLimits.rateLimits.RateLimits();
+    limits.giveOut(1, now);
+    const allocator = new domain.allocation.allocator.Allocator(undefined, undefined, limits);
+    allocator.setServices([{ name: 's', healthPath: '/', maxConnections: 200, engine: ENGINE }]);
+    ['bound', 'free'].forEach((id) => {
+      const about = { service: 's', address: `10.0.0.${id.length}:80`, dataCentre: 'east' };
+      allocator.observe({ id, ...about, bornAt: 1, slots: 7, state: 'ready', sequence: 1 });
+    });
+    limits.set({ service: 's', address: '10.0.0.5:80', perSecond: 1 }, now);
+    const timers: { at: number; action: () => void }[] = [];
+    const tested = new placing.Placing({
+      allocator,
+      clock: { now: () => now, after: (ms, action) => timers.push({ at: now + ms, action }) },
+      random: random.seeded(1),
+      onRefused: () => undefined,
+    });
+    tested.open();
+    const prompt = {
+      entry: 'e',
+      service: 's',
+      excluded: [],
+      tokens: 1_000,
+      answerTokens: 100,
+      objectiveMs: 3_000,
+      pauseMs: 250,
+      waitedMs: 0,
+      dataCentre: 'east',
+      patienceMs: 2_000,
+    };
+    const placed: [string, number][] = [];
+    const ask = (id: string, writers?: string[]): void => {
+      tested.ask({ ...prompt, id, writers }, ({ kind }) => placed.push([`${id} ${kind}`, now]));
+    };
+    ask('returning', ['bound']);
+    ask('new');
+    while (now < 2_000) {
+      const next = timers.sort((a, b) => a.at - b.at).shift();
+      if (next === undefined) break;
+      now = next.at;
+      next.action();
+    }
+    expect(placed).to.deep.equal([
+      ['new placed', 10],
+      ['returning placed', 1_000],
+    ]);
+  });
+});
--- a/packages/daemon/src/keeper/__tests__/waitingLine.test.ts
+++ b/packages/daemon/src/keeper/__tests__/waitingLine.test.ts
@@ -17,6 +17,8 @@
     this.line.add({
       tokens: needed,
       pauseMs: 250,
+      service: 's',
+      isRestricted: false,
       since,
       inTimeUntil: since + inTimeMs,
       until: since + 1_000,
--- a/packages/daemon/src/keeper/placing.ts
+++ b/packages/daemon/src/keeper/placing.ts
@@ -188,8 +188,10 @@
     };
     const until = since + request.patienceMs;
     const inTimeUntil = since + START_SHARE * request.objectiveMs - request.waitedMs;
-    const { tokens, pauseMs } = request;
-    this.line.add({ tokens, pauseMs, since, inTimeUntil, until, attempt, resolve: settle });
+    const { tokens, pauseMs, service, excluded, writers } = request;
+    const isRestricted = excluded.length > 0 || writers !== undefined;
+    const about = { tokens, pauseMs, service, isRestricted };
+    this.line.add({ ...about, since, inTimeUntil, until, attempt, resolve: settle });
     this.serveSoon();
   }
 
--- a/packages/daemon/src/keeper/waitingLine.ts
+++ b/packages/daemon/src/keeper/waitingLine.ts
@@ -8,9 +8,12 @@
  */
 
 export interface Waiting<T> {
-  /** Prompt tokens; where a request finds no place, a larger one with the same `pauseMs` finds none either. */
+  /** Prompt tokens; where a request finds no place, a larger one of the service with the same `pauseMs` finds none either. */
   tokens: number;
   pauseMs: number;
+  service: string;
+  /** Whether only some targets of the service may take it: that it finds no place says nothing of others. */
+  isRestricted: boolean;
   since: number;
   /** Before this a place may still lead to an answer in time. */
   inTimeUntil: number;
@@ -67,8 +70,7 @@
   const failed: Waiting<T>[] = [];
   let served = 0;
   const left = line.filter((waiting) => {
-    const { tokens, pauseMs } = waiting;
-    const isHopeless = failed.some((each) => each.pauseMs === pauseMs && each.tokens <= tokens);
+    const isHopeless = failed.some((each) => tellsOf(each, waiting));
     if (isHopeless || failed.length >= MOST_FAILED) return true;
     const found = waiting.attempt();
     if (found === undefined) {
@@ -81,3 +83,9 @@
   });
   return { left, attempts: served + failed.length };
 }
+
+/** Whether a request that found no place shows that another one finds none. */
+function tellsOf<T>(failed: Waiting<T>, other: Waiting<T>): boolean {
+  const isAlike = failed.service === other.service && failed.pauseMs === other.pauseMs;
+  return isAlike && !failed.isRestricted && failed.tokens <= other.tokens;
+}
