Try a target with a limit now and then while others take all calls

What callers would see: a plain target that was in need for a moment stays out of use for good, and the others carry its part. Cause: a limit ends with an answer that names none, and entries sent all calls to targets without limits; nobody asked the one with a limit any more. Evidence: limitedTargets.test 'are used again when they are well': 5 s after the need was over, all three entries still knew the limit (1, 1, 1). Change: each entry sends such a target a call a second where the leader grants it, fewer where more than five entries share the trials. Figures: 0, 0, 0 now; the other tests of limits and of the chooser green.

--- a/packages/daemon/src/__tests__/limitedTargets.test.ts
+++ b/packages/daemon/src/__tests__/limitedTargets.test.ts
@@ -97,11 +97,17 @@
     return started;
   };
 
-  afterEach(async () => {
-    await Promise.all(fleets.map((each) => each.stop()));
+  const stopping: Promise<void>[] = [];
+
+  afterEach(() => {
+    stopping.push(...fleets.map((each) => each.stop()));
     fleets = [];
   });
 
+  after(async () => {
+    await Promise.all(stopping);
+  });
+
   /** Guards against a limit that nobody reads, or that each entry keeps to by itself. */
   (['engines', 'plain'] as const).forEach((service) => {
     it(`get no more from all entries together, as ${service}; the others serve the rest`, async () => {
@@ -176,4 +182,17 @@
     const replies = await press(fleet, { service: 'engines' }, 1_000);
     expect(new Set(replies.map(({ status }) => status))).to.deep.equal(new Set([200]));
   });
+
+  /** Guards against a target that stays out of use for good, as nobody asks it whether it still is in need. */
+  it('are used again when they are well, also where others take all calls', async () => {
+    const fleet = await start('plain');
+    await press(fleet, { service: 'plain', kind: 'safe' }, 1_000);
+    const limited = busiest(fleet, 1);
+    limit(limited, PER_SECOND);
+    await press(fleet, { service: 'plain', kind: 'safe' }, TOLD_WITHIN_MS);
+    limit(limited, undefined);
+    await press(fleet, { service: 'plain', kind: 'safe' }, 5_000);
+    const known = [...fleet.entries.values()].map((each) => each.gauges().limits);
+    expect(known).to.deep.equal(known.map(() => 0));
+  });
 });
--- a/packages/daemon/src/entry/__tests__/chooser.test.ts
+++ b/packages/daemon/src/entry/__tests__/chooser.test.ts
@@ -152,6 +152,7 @@
       client,
       limits: {
         grant: async () => ({ kind: 'wait', waitMs: Infinity }),
+        grantTrial: async () => undefined,
         spent: () => undefined,
       },
       observer: observe,
--- a/packages/daemon/src/entry/chooser.ts
+++ b/packages/daemon/src/entry/chooser.ts
@@ -57,7 +57,7 @@
   holding: holding.Holding;
   link: leaderLink.LeaderLink;
   client: peerClient.PeerClient;
-  limits: Pick<limitWatch.LimitWatch, 'grant' | 'spent'>;
+  limits: Pick<limitWatch.LimitWatch, 'grant' | 'grantTrial' | 'spent'>;
   observer: observer.Observer;
   random: domain.shared.random.Random;
   now: () => number;
@@ -227,36 +227,51 @@
     return Math.max(bounded(this.fallback.nextPlaceMs(service, now)), limitedFor({ waitMs }));
   }
 
-  /** Targets with limits get what the others can't take, one request for each grant. */
+  /** Targets with limits get what the others can't take, and now and then a call that shows whether the limit is over. */
   private async choosePlain(wish: Wish): Promise<Choice> {
-    const { holding: held, limits, now } = this.options;
+    const { limits, now } = this.options;
     const until = now() + wish.patienceMs;
     for (;;) {
-      const ready = held.registry.ready(wish.service).filter(({ id }) => {
-        return !wish.excluded.includes(id) && wish.writers?.includes(id) !== false;
-      });
-      const open = ready.filter((record) => !held.limits.isLimited(record));
+      const { open, limited } = this.readyFor(wish);
       const sound = this.soundOf(open);
-      if (sound.length > 0) return this.placePlain(this.leastBusy(sound));
-      const limited = ready.filter((record) => held.limits.isLimited(record));
+      const soundLimited = this.soundOf(limited);
+      if (sound.length > 0) {
+        const trial = await limits.grantTrial(soundLimited);
+        const tried = limited.find(({ address }) => address === trial?.address);
+        return this.placePlain(tried ?? this.leastBusy(sound));
+      }
       if (limited.length === 0) {
         if (open.length > 0) return this.placePlain(this.leastBusy(open));
         return { kind: 'noPlace', retryAfterMs: NO_TARGET_RETRY_MS };
       }
-      const able = this.soundOf(limited);
-      const grant = await limits.grant(able.length > 0 ? able : limited);
+      const able = soundLimited.length > 0 ? soundLimited : limited;
+      const grant = await limits.grant(able);
       if (grant.kind === 'granted') {
-        const granted = limited.find(({ address }) => address === grant.place.address);
-        if (granted !== undefined) return this.placePlain(granted);
-      } else {
-        if (open.length > 0) return this.placePlain(this.leastBusy(open));
-        const waitMs = Number.isFinite(grant.waitMs) ? grant.waitMs : LOOK_AGAIN_MS;
-        if (now() + waitMs > until) return { kind: 'noPlace', retryAfterMs: limitedFor(grant) };
-        await clock.pause(Math.max(LEAST_WAIT_MS, waitMs));
+        const granted = able.find(({ address }) => address === grant.place.address);
+        return this.placePlain(granted ?? able[0]);
       }
+      if (open.length > 0) return this.placePlain(this.leastBusy(open));
+      const waitMs = Number.isFinite(grant.waitMs) ? grant.waitMs : LOOK_AGAIN_MS;
+      if (now() + waitMs > until) return { kind: 'noPlace', retryAfterMs: limitedFor(grant) };
+      await clock.pause(Math.max(LEAST_WAIT_MS, waitMs));
     }
   }
 
+  /** Ready targets that may take a call, those without and those with a limit. */
+  private readyFor({ service, excluded, writers }: Wish): {
+    open: Announcement[];
+    limited: Announcement[];
+  } {
+    const { holding: held } = this.options;
+    const ready = held.registry.ready(service).filter(({ id }) => {
+      return !excluded.includes(id) && writers?.includes(id) !== false;
+    });
+    return {
+      open: ready.filter((record) => !held.limits.isLimited(record)),
+      limited: ready.filter((record) => held.limits.isLimited(record)),
+    };
+  }
+
   /** Those that take work; one that hasn't spoken since all keepers were down may be gone, and gets one call at a time. */
   private soundOf(records: Announcement[]): Announcement[] {
     const sound = records.filter(({ id }) => {
--- a/packages/daemon/src/entry/limitWatch.ts
+++ b/packages/daemon/src/entry/limitWatch.ts
@@ -2,7 +2,7 @@
  * An entry's part in keeping to the limits that targets name. Tells the leader what answers say of them, and what it sent without
  * asking; asks it for messages that the allocator doesn't place. While nobody leads, the entry gives out its own part of each limit.
  */
-import type * as domain from '@celerydrift/domain';
+import * as domain from '@celerydrift/domain';
 import * as clock from '../clock';
 import type * as protocols from '../edges/protocols';
 import type * as holding from '../fleet/holding';
@@ -11,6 +11,8 @@
 import type * as observer from '../observability/observer';
 import type * as peerClient from '../rpc/peerClient';
 
+const { keyOf } = domain.rateLimits.rateLimits;
+
 type Place = domain.rateLimits.rateLimits.Place;
 type RateLimit = domain.rateLimits.rateLimits.RateLimit;
 
@@ -39,7 +41,17 @@
 /** Pause before the leader is told again what none took, milliseconds. */
 const TELL_AGAIN_MS = 100;
 
+/**
+ * Pause between an entry's trials of a target with a limit while other targets take all calls, milliseconds; longer where more
+ * entries share the trials.
+ */
+const TRIAL_EVERY_MS = 1_000;
+const ENTRIES_TRYING = 5;
+
 export class LimitWatch {
+  /** When this entry tries a target with a limit next, by place. */
+  private readonly trials = new Map<string, number>();
+
   private untold: messages.Limited = { limits: [], spent: [] };
 
   private isTelling = false;
@@ -74,6 +86,7 @@
     const perSecond = limit.kind === 'none' ? undefined : limit.perSecond;
     const { service, address } = answer;
     if (!held.limits.set({ service, address, perSecond }, this.parts.now())) return;
+    if (perSecond === undefined) this.trials.delete(keyOf(answer));
     const event = perSecond === undefined ? 'targetLimitEnded' : 'targetLimited';
     observe.log(event, { ...answer, sentAt: undefined, perSecond, before });
     this.tell({ service, address, perSecond });
@@ -99,6 +112,20 @@
     return (await this.ask(question)) ?? this.grantLocally(places);
   }
 
+  /** One request for a target whose limit may be over; without any, nobody would learn that. */
+  async grantTrial(places: readonly Place[]): Promise<Place | undefined> {
+    const { now, holding: held } = this.parts;
+    const pauseMs = TRIAL_EVERY_MS * Math.max(1, this.entries / ENTRIES_TRYING);
+    const due = places.find((place) => {
+      const since = held.limits.knownSince(place) ?? now();
+      return now() >= (this.trials.get(keyOf(place)) ?? since + pauseMs);
+    });
+    if (due === undefined) return undefined;
+    this.trials.set(keyOf(due), now() + pauseMs);
+    const grant = await this.grant([due]);
+    return grant.kind === 'granted' ? due : undefined;
+  }
+
   /** What no leader has taken by now stays untold. */
   close(): void {
     this.isClosed = true;
