Tell a refusal for limits from one for want of room in the log

Change: 5011 says how long the limits of the engines let nothing pass (limitedForMs, 0 where some engine has none); a call to plain targets is refused with a detail of its own; the leader counts grants and waits (limits.grants, limits.waits). Conclusion: nothing is decided differently.

--- a/packages/daemon/src/entry/chooser.ts
+++ b/packages/daemon/src/entry/chooser.ts
@@ -49,7 +49,7 @@
 
 export type Choice =
   | { kind: 'placed'; placement: Placement; release: Release }
-  | { kind: 'noPlace'; retryAfterMs: number };
+  | { kind: 'noPlace'; retryAfterMs: number; isLimited?: boolean };
 
 export interface Options {
   name: string;
@@ -252,7 +252,9 @@
       }
       if (open.length > 0) return this.placePlain(this.leastBusy(open));
       const waitMs = Number.isFinite(grant.waitMs) ? grant.waitMs : LOOK_AGAIN_MS;
-      if (now() + waitMs > until) return { kind: 'noPlace', retryAfterMs: limitedFor(grant) };
+      if (now() + waitMs > until) {
+        return { kind: 'noPlace', retryAfterMs: limitedFor(grant), isLimited: true };
+      }
       await clock.pause(Math.max(LEAST_WAIT_MS, waitMs));
     }
   }
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -69,6 +69,10 @@
 /** Pause before a request that was cut asks again whether the trial of its copy is over, milliseconds. */
 const TRIAL_PAUSE_MS = 100;
 
+/** Why a request wasn't sent, for the log; of engines the leader's line says more. */
+const NO_PLACE_DETAIL = 'no target with a free place';
+const LIMITED_DETAIL = 'the limits of its targets let no request pass in time';
+
 /** How often a prompt larger than an engine looks for memory, and the pause between; milliseconds. */
 const RESERVATION_TRIES = 5;
 const RESERVATION_PAUSE_MS = 200;
@@ -201,7 +205,8 @@
       return undefined;
     }
     if (choice.kind === 'noPlace') {
-      this.fail('no target with a free place', choice.retryAfterMs);
+      const detail = choice.isLimited === true ? LIMITED_DETAIL : NO_PLACE_DETAIL;
+      this.fail(detail, choice.retryAfterMs);
       return undefined;
     }
     if (!this.services.isFresh() && this.admitted.organisation !== undefined) {
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -117,12 +117,13 @@
       allocator: this.allocator,
       clock: { now, after: (ms, action) => setTimeout(action, ms) },
       random,
-      onRefused: ({ request: { id, tokens }, waitedMs, waiting, retryAfterMs }) => {
+      onRefused: ({ request: { id, tokens }, waitedMs, waiting, limitedForMs, retryAfterMs }) => {
         observe.log('requestNotPlaced', {
           request: id,
           tokens,
           waitedMs: Math.round(waitedMs),
           waiting,
+          limitedForMs: Math.round(limitedForMs),
           dispatches: this.allocator.size,
           retryAfterMs,
         });
--- a/packages/daemon/src/keeper/limiting.ts
+++ b/packages/daemon/src/keeper/limiting.ts
@@ -57,6 +57,7 @@
     const able = places.filter((place) => {
       return purpose === 'check' ? limits.mayCheck(place, now()) : limits.mayTake(place, now());
     });
+    this.parts.observer.count(`limits.${able.length === 0 ? 'waits' : 'grants'}`);
     if (able.length === 0) {
       return { kind: 'wait', waitMs: Math.ceil(limits.waitMs(places, 0, now())) };
     }
--- a/packages/daemon/src/keeper/placing.ts
+++ b/packages/daemon/src/keeper/placing.ts
@@ -25,6 +25,8 @@
   request: Request;
   waitedMs: number;
   waiting: number;
+  /** How long the limits of the engines let no request more pass, milliseconds; 0 where some engine has none. */
+  limitedForMs: number;
   retryAfterMs: number;
 }
 
@@ -202,15 +204,15 @@
 
   private refusal(request: Request, waitedMs: number): Answer {
     const { least, most } = RETRY_AFTER_MS;
-    const predicted = Math.max(
-      this.parts.allocator.nextPlaceMs(request.service, this.now),
-      this.limitedForMs(request.service),
-    );
+    const limitedForMs = this.limitedForMs(request.service);
+    const free = this.parts.allocator.nextPlaceMs(request.service, this.now);
+    const predicted = Math.max(free, limitedForMs);
     // One that waited in vain finds others in its place if all come back at once.
     const spread = SPREAD.least + (SPREAD.most - SPREAD.least) * this.parts.random.uniform();
     const expected = Math.max(least, predicted, spread * waitedMs);
     const retryAfterMs = Math.round(Math.min(most, expected));
-    this.parts.onRefused({ request, waitedMs, waiting: this.line.length, retryAfterMs });
+    const waiting = this.line.length;
+    this.parts.onRefused({ request, waitedMs, waiting, limitedForMs, retryAfterMs });
     return { kind: 'noPlace', retryAfterMs };
   }
 }
