--- /dev/null
+++ b/packages/daemon/src/entry/__tests__/limitWatch.test.ts
@@ -0,0 +1,161 @@
+/** What an entry notes, tells and asks about targets that name a limit. */
+import * as chai from 'chai';
+import * as domain from '@celerydrift/domain';
+import { Err, Ok } from 'ts-results';
+import * as clock from '../../clock';
+import type * as messages from '../../fleet/messages';
+import * as observer from '../../observability/observer';
+import type * as peerClient from '../../rpc/peerClient';
+import * as lifeChecks from '../lifeChecks';
+import * as limitWatch from '../limitWatch';
+import * as reservations from '../reservations';
+import * as bench from './__fixtures__/bench';
+
+const { expect } = chai;
+
+const PLACE = { service: 's', address: '127.0.0.1:1' };
+
+const RECORD: domain.registry.registry.Announcement = {
+  ...PLACE,
+  id: 't',
+  dataCentre: 'dc0',
+  slots: 8,
+  state: 'ready',
+  bornAt: 0,
+  sequence: 1,
+};
+
+const ENTRIES = 4;
+
+/** Longer than an entry waits before it tells a leader again. */
+const TOLD_AGAIN_MS = 150;
+
+class Fleet {
+  readonly link = { leader: '10.0.0.1:1', doubt: () => undefined };
+
+  readonly registry = new domain.registry.registry.Registry();
+
+  readonly limits = new domain.rateLimits.rateLimits.RateLimits();
+
+  readonly told: messages.Limited[] = [];
+
+  /** What the leader answers when it is asked for a message. */
+  grant: messages.GrantAnswer = { kind: 'wait', waitMs: 1_000 };
+
+  /** Whether calls reach a leader. */
+  isReached = true;
+
+  now = 0;
+
+  readonly watch: limitWatch.LimitWatch;
+
+  constructor() {
+    this.registry.announce(RECORD, 0);
+    const call = async (address: string, method: string, content: object): Promise<unknown> => {
+      if (!this.isReached) return Err({ kind: 'timeout', address, method, detail: 'lost' });
+      if (method === 'grant') return Ok(this.grant);
+      this.told.push(JSON.parse(JSON.stringify(content)) as messages.Limited);
+      return Ok({ kind: 'taken' });
+    };
+    this.watch = new limitWatch.LimitWatch({
+      holding: this,
+      link: this.link,
+      client: { call: call as peerClient.PeerClient['call'] },
+      observer: new observer.Observer('test', 'fatal', undefined),
+      now: () => this.now,
+    });
+    this.watch.leaderFound(ENTRIES);
+  }
+
+  answer(perSecond: number | undefined, sentAt = this.now): void {
+    const answered = { ...PLACE, requestId: 'r', target: 't', status: 200, sentAt };
+    const limit = perSecond === undefined ? ({ kind: 'none' } as const) : undefined;
+    this.watch.answered(answered, limit ?? { kind: 'named', perSecond: perSecond as number });
+  }
+}
+
+describe('an entry whose target names a limit', () => {
+  let fleet: Fleet;
+
+  beforeEach(() => {
+    fleet = new Fleet();
+  });
+
+  afterEach(() => fleet.watch.close());
+
+  /** Guards against an old answer that ends a limit: its head was on the way when the target came into need. */
+  it('takes it for over only by an answer to a request that was sent since', () => {
+    fleet.now = 100;
+    fleet.answer(2);
+    fleet.answer(undefined, 100);
+    expect(fleet.limits.at(PLACE)).to.equal(2);
+    fleet.answer(undefined, 101);
+    expect(fleet.limits.at(PLACE)).to.equal(undefined);
+  });
+
+  it('goes on with the limit where one can not be read', () => {
+    fleet.answer(2);
+    const answered = { ...PLACE, requestId: 'r', target: 't', status: 200, sentAt: 50 };
+    fleet.watch.answered(answered, { kind: 'unreadable' });
+    expect(fleet.limits.at(PLACE)).to.equal(2);
+  });
+
+  /** Guards against a limit that only one entry knows, as it was told while nobody led. */
+  it('tells the next leader, and of several words the last', async () => {
+    fleet.isReached = false;
+    fleet.answer(2);
+    await clock.pause(10);
+    fleet.answer(3);
+    fleet.isReached = true;
+    await clock.pause(TOLD_AGAIN_MS);
+    expect(fleet.told).to.deep.equal([{ limits: [{ ...PLACE, perSecond: 3 }], spent: [] }]);
+  });
+
+  it('gives out its part while nobody leads, and tells what it gave out', async () => {
+    fleet.answer(2);
+    await clock.pause(10);
+    fleet.link.leader = '';
+    fleet.watch.leaderLost();
+    expect((await fleet.watch.grant([PLACE])).kind).to.equal('wait');
+    // A part of 0.5 a second takes two seconds for the first request.
+    fleet.now = 2_000;
+    expect((await fleet.watch.grant([PLACE])).kind).to.equal('granted');
+    expect((await fleet.watch.grant([PLACE])).kind).to.equal('wait');
+    fleet.link.leader = '10.0.0.2:1';
+    await clock.pause(TOLD_AGAIN_MS);
+    expect(fleet.told.at(-1)?.spent).to.deep.equal([{ ...PLACE, count: 1 }]);
+  });
+
+  /** Guards against life checks beside the limit: each entry asked a silent target once a second. */
+  it('asks a target whether it lives only where the leader lets it', async () => {
+    fleet.answer(2);
+    const made = new lifeChecks.LifeChecks({
+      protocol: bench.PROTOCOL,
+      limits: fleet.watch,
+      observer: new observer.Observer('test', 'fatal', undefined),
+      source: undefined,
+    });
+    // Nobody listens there, so whoever asks finds it dead.
+    expect(await made.isAlive('t', PLACE.address)).to.equal(true);
+    fleet.grant = { kind: 'granted', place: PLACE };
+    expect(await made.isAlive('t', PLACE.address)).to.equal(false);
+  });
+
+  /** Guards against orders beside the limit: a reservation and its release are messages as well. */
+  it('counts orders about memory', async () => {
+    fleet.answer(2);
+    await clock.pause(10);
+    const call = async (): Promise<number> => 200;
+    const held = new reservations.Reservations('r', {
+      protocol: bench.PROTOCOL,
+      targets: { call } as unknown as reservations.Parts['targets'],
+      limits: fleet.watch,
+      observer: new observer.Observer('test', 'fatal', undefined),
+    });
+    await held.take([{ target: 't', address: PLACE.address, keptTokens: 1_000 }]);
+    held.release();
+    await clock.pause(10);
+    const spent = fleet.told.flatMap((each) => each.spent);
+    expect(spent.reduce((sum, { count }) => sum + count, 0)).to.equal(2);
+  });
+});
