Test placement on engines with limits; share the fixtures of the allocator's tests

Change: five tests of limitedEngines; target, request and LONG stand once, in the fixtures. Assertions of allocator.test unchanged.

--- a/packages/domain/src/allocation/__tests__/__fixtures__/engine.ts
+++ b/packages/domain/src/allocation/__tests__/__fixtures__/engine.ts
@@ -1,5 +1,7 @@
-/** An engine with the users' published figures. */
+/** An engine with the users' published figures, targets that run one, and prompts for them. */
 import type * as catalogue from '../../../catalogue/catalogue';
+import type * as registry from '../../../registry/registry';
+import type * as allocator from '../../allocator';
 
 export const ENGINE: catalogue.Engine = {
   slots: 11,
@@ -14,3 +16,43 @@
   hopMs: 0.05,
   usualAnswerTokens: 1_600,
 };
+
+export const SERVICE: catalogue.Service = {
+  name: 'engines',
+  healthPath: '/health',
+  maxConnections: 200,
+  engine: ENGINE,
+};
+
+export function target(index: number): registry.Announcement {
+  return {
+    id: `t${index}`,
+    service: 'engines',
+    address: `10.0.0.${index}:80`,
+    dataCentre: 'east',
+    slots: 11,
+    state: 'ready',
+    bornAt: 0,
+    sequence: 1,
+  };
+}
+
+/** A short prompt. */
+export function request(id: string, more: Partial<allocator.Request> = {}): allocator.Request {
+  return {
+    id,
+    entry: 'e1',
+    service: 'engines',
+    tokens: 5_000,
+    answerTokens: 1_600,
+    objectiveMs: 300,
+    pauseMs: 250,
+    waitedMs: 0,
+    dataCentre: 'east',
+    excluded: [],
+    ...more,
+  };
+}
+
+/** What a long prompt has other than a short one. */
+export const LONG = { tokens: 154_000, answerTokens: 800, objectiveMs: 3_000, pauseMs: 1_000 };
--- a/packages/domain/src/allocation/__tests__/allocator.test.ts
+++ b/packages/domain/src/allocation/__tests__/allocator.test.ts
@@ -1,6 +1,5 @@
 /** Placement of prompts on engines, with the users' published figures. */
 import * as chai from 'chai';
-import type * as registry from '../../registry/registry';
 import * as random from '../../shared/random';
 import * as allocator from '../allocator';
 import * as cost from '../cost';
@@ -9,48 +8,15 @@
 
 const { expect } = chai;
 
-const { ENGINE } = fixture;
-
-function target(index: number): registry.Announcement {
-  return {
-    id: `t${index}`,
-    service: 'engines',
-    address: `10.0.0.${index}:80`,
-    dataCentre: 'east',
-    slots: 11,
-    state: 'ready',
-    bornAt: 0,
-    sequence: 1,
-  };
-}
+const { ENGINE, LONG, SERVICE, request, target } = fixture;
 
 function fleet(size: number, chance?: random.Random): allocator.Allocator {
   const made = new allocator.Allocator(chance);
-  made.setServices([
-    { name: 'engines', healthPath: '/health', maxConnections: 200, engine: ENGINE },
-  ]);
+  made.setServices([SERVICE]);
   for (let i = 0; i < size; i++) made.observe(target(i));
   return made;
 }
 
-function request(id: string, more: Partial<allocator.Request> = {}): allocator.Request {
-  return {
-    id,
-    entry: 'e1',
-    service: 'engines',
-    tokens: 5_000,
-    answerTokens: 1_600,
-    objectiveMs: 300,
-    pauseMs: 250,
-    waitedMs: 0,
-    dataCentre: 'east',
-    excluded: [],
-    ...more,
-  };
-}
-
-const LONG = { tokens: 154_000, answerTokens: 800, objectiveMs: 3_000, pauseMs: 1_000 };
-
 describe('cost of an engine', () => {
   it('follows the published figures', () => {
     const readings = [5_000, 45_000, 154_000, 220_000].map((tokens) => {
@@ -131,9 +97,7 @@
   it('uses targets that announced themselves before the catalogue came', () => {
     const made = new allocator.Allocator();
     made.observe(target(0));
-    made.setServices([
-      { name: 'engines', healthPath: '/health', maxConnections: 200, engine: ENGINE },
-    ]);
+    made.setServices([SERVICE]);
     expect(made.place(request('a'), 0)?.target).to.equal('t0');
   });
 
--- /dev/null
+++ b/packages/domain/src/allocation/__tests__/limitedEngines.test.ts
@@ -0,0 +1,70 @@
+/** Placement where engines name how many requests a second they take. */
+import * as chai from 'chai';
+import * as rateLimits from '../../rateLimits/rateLimits';
+import * as allocator from '../allocator';
+import * as fixture from './__fixtures__/engine';
+
+const { expect } = chai;
+
+const { LONG, SERVICE, request, target } = fixture;
+
+/** More than the memory of an engine. */
+const LARGER = { ...LONG, tokens: 400_000 };
+
+interface Fleet {
+  limits: rateLimits.RateLimits;
+  made: allocator.Allocator;
+}
+
+/** The first `limited` of `size` engines take one request a second. */
+function fleet(size: number, limited: number): Fleet {
+  const limits = new rateLimits.RateLimits();
+  limits.giveOut(1, 0);
+  const made = new allocator.Allocator(undefined, undefined, limits);
+  made.setServices([SERVICE]);
+  for (let i = 0; i < size; i++) made.observe(target(i));
+  for (let i = 0; i < limited; i++) limits.set({ ...target(i), perSecond: 1 }, 0);
+  return { limits, made };
+}
+
+describe('engines with a limit', () => {
+  /** Guards against parts of prompts beside the limit: an engine that helps to read gets a message as well. */
+  it('are counted for each prompt that they write or help to read', () => {
+    const { limits, made } = fleet(4, 4);
+    const placed = made.place(request('long', LONG), 1_000);
+    const used = [placed?.target, ...(placed?.helpers ?? []).map((helper) => helper.target)];
+    expect(used.length).to.be.above(1);
+    const left = [0, 1, 2, 3].map((i) => limits.mayTake(target(i), 1_000));
+    expect(left).to.deep.equal([0, 1, 2, 3].map((i) => !used.includes(`t${i}`)));
+  });
+
+  it('are left to others until their limits let a request pass', () => {
+    const { made } = fleet(2, 1);
+    const targets = ['a', 'b', 'c'].map((id) => made.place(request(id), 0)?.target);
+    expect(targets).to.deep.equal(['t1', 't1', 't1']);
+  });
+
+  /** Guards against reservations on engines in need, each of which takes several messages. */
+  it('keep no memory for others while those without a limit have room', () => {
+    const { made } = fleet(8, 4);
+    const placed = made.place(request('larger', LARGER), 1_000);
+    const kept = placed?.helpers.filter(({ keptTokens }) => keptTokens > 0) ?? [];
+    expect(kept.length).to.be.above(0);
+    expect(kept.filter(({ target: id }) => ['t0', 't1', 't2', 't3'].includes(id))).to.deep.equal(
+      [],
+    );
+  });
+
+  it('keep memory where all are limited, as the prompt could not be served otherwise', () => {
+    const { made } = fleet(4, 4);
+    expect(made.place(request('larger', LARGER), 1_000)).to.not.equal(undefined);
+  });
+
+  it('tell how long they let nothing pass, with those who wait before', () => {
+    const { made } = fleet(2, 2);
+    expect([made.limitedForMs('engines', 0, 0), made.limitedForMs('engines', 4, 0)]).to.deep.equal([
+      1_000, 3_000,
+    ]);
+    expect(fleet(2, 1).made.limitedForMs('engines', 4, 0)).to.equal(0);
+  });
+});
