Keep what is untold of limits, and a keeper's files of soft state, in rooms of their own

Change: untoldLimits holds the last word on each place and what was sent there; keptMemory holds the three files of soft state and reads them at the start.

--- a/packages/daemon/src/entry/__tests__/limitWatch.test.ts
+++ b/packages/daemon/src/entry/__tests__/limitWatch.test.ts
@@ -31,7 +31,7 @@
 const TOLD_AGAIN_MS = 150;
 
 class Fleet {
-  readonly link = { leader: '10.0.0.1:1', doubt: () => undefined };
+  readonly link = { leader: '10.0.0.1:1' };
 
   readonly registry = new domain.registry.registry.Registry();
 
--- a/packages/daemon/src/entry/limitWatch.ts
+++ b/packages/daemon/src/entry/limitWatch.ts
@@ -10,11 +10,11 @@
 import type * as messages from '../fleet/messages';
 import type * as observer from '../observability/observer';
 import type * as peerClient from '../rpc/peerClient';
+import * as untoldLimits from './untoldLimits';
 
 const { keyOf } = domain.rateLimits.rateLimits;
 
 type Place = domain.rateLimits.rateLimits.Place;
-type RateLimit = domain.rateLimits.rateLimits.RateLimit;
 
 /** A request that a target answered. */
 export interface Answered extends Place {
@@ -29,7 +29,7 @@
 
 export interface Parts {
   holding: Pick<holding.Holding, 'limits' | 'registry'>;
-  link: Pick<leaderLink.LeaderLink, 'leader' | 'doubt'>;
+  link: Pick<leaderLink.LeaderLink, 'leader'>;
   client: Pick<peerClient.PeerClient, 'call'>;
   observer: observer.Observer;
   now: () => number;
@@ -52,7 +52,7 @@
   /** When this entry tries a target with a limit next, by place. */
   private readonly trials = new Map<string, number>();
 
-  private untold: messages.Limited = { limits: [], spent: [] };
+  private readonly untold = new untoldLimits.UntoldLimits();
 
   private isTelling = false;
 
@@ -89,7 +89,8 @@
     if (perSecond === undefined) this.trials.delete(keyOf(answer));
     const event = perSecond === undefined ? 'targetLimitEnded' : 'targetLimited';
     observe.log(event, { ...answer, sentAt: undefined, perSecond, before });
-    this.tell({ service, address, perSecond });
+    this.untold.note({ service, address, perSecond });
+    void this.tellLeader();
   }
 
   /** A message went to a target without the leader's word. */
@@ -156,15 +157,7 @@
 
   private spentAt(place: Place): void {
     if (!this.parts.holding.limits.isLimited(place)) return;
-    const known = this.untold.spent.find((each) => isSame(each, place));
-    if (known === undefined) this.untold.spent.push({ ...placeOf(place), count: 1 });
-    else known.count += 1;
-    void this.tellLeader();
-  }
-
-  private tell(limit: RateLimit): void {
-    const others = this.untold.limits.filter((each) => !isSame(each, limit));
-    this.untold.limits = [...others, limit];
+    this.untold.spend(place, 1);
     void this.tellLeader();
   }
 
@@ -172,11 +165,10 @@
   private async tellLeader(): Promise<void> {
     if (this.isTelling) return;
     this.isTelling = true;
-    while (this.untold.limits.length + this.untold.spent.length > 0 && !this.isClosed) {
-      const told = this.untold;
-      this.untold = { limits: [], spent: [] };
+    while (!this.untold.isEmpty && !this.isClosed) {
+      const told = this.untold.take();
       if (!(await this.isTaken(told))) {
-        this.putBack(told);
+        this.untold.putBack(told);
         await clock.pause(TELL_AGAIN_MS);
       }
     }
@@ -192,22 +184,6 @@
     });
     return answer.ok && answer.val.kind === 'taken';
   }
-
-  /** What was learned meanwhile is newer. */
-  private putBack({ limits, spent }: messages.Limited): void {
-    const { untold } = this;
-    const older = limits.filter((limit) => !untold.limits.some((each) => isSame(each, limit)));
-    const added = spent.filter((each) => {
-      const known = untold.spent.find((other) => isSame(each, other));
-      if (known !== undefined) known.count += each.count;
-      return known === undefined;
-    });
-    this.untold = { limits: [...older, ...untold.limits], spent: [...added, ...untold.spent] };
-  }
-}
-
-function isSame(a: Place, b: Place): boolean {
-  return a.service === b.service && a.address === b.address;
 }
 
 function placeOf({ service, address }: Place): Place {
--- /dev/null
+++ b/packages/daemon/src/entry/untoldLimits.ts
@@ -0,0 +1,44 @@
+/** What an entry has still to tell the leader of limits: the last word on each place, and how much it sent there without asking. */
+import * as domain from '@celerydrift/domain';
+import type * as messages from '../fleet/messages';
+
+const { keyOf } = domain.rateLimits.rateLimits;
+
+type Place = domain.rateLimits.rateLimits.Place;
+type RateLimit = domain.rateLimits.rateLimits.RateLimit;
+
+export class UntoldLimits {
+  private limits = new Map<string, RateLimit>();
+
+  private spent = new Map<string, messages.Spent>();
+
+  get isEmpty(): boolean {
+    return this.limits.size + this.spent.size === 0;
+  }
+
+  note(limit: RateLimit): void {
+    this.limits.set(keyOf(limit), limit);
+  }
+
+  spend({ service, address }: Place, count: number): void {
+    const key = keyOf({ service, address });
+    const before = this.spent.get(key)?.count ?? 0;
+    this.spent.set(key, { service, address, count: before + count });
+  }
+
+  /** All of it, which counts as told. */
+  take(): messages.Limited {
+    const taken = { limits: [...this.limits.values()], spent: [...this.spent.values()] };
+    this.limits.clear();
+    this.spent.clear();
+    return taken;
+  }
+
+  /** Takes back what no leader took; what was noted meanwhile is newer. */
+  putBack({ limits, spent }: messages.Limited): void {
+    limits
+      .filter((limit) => !this.limits.has(keyOf(limit)))
+      .forEach((limit) => this.limits.set(keyOf(limit), limit));
+    spent.forEach((each) => this.spend(each, each.count));
+  }
+}
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -21,12 +21,9 @@
 import * as announcementRelay from './announcementRelay';
 import * as catalogueMachine from './catalogueMachine';
 import * as controlServer from './controlServer';
+import * as keptMemory from './keptMemory';
 import * as leaderCalls from './leaderCalls';
 import * as leadership from './leadership';
-import * as limitMemory from './limitMemory';
-import * as memoryFile from './memoryFile';
-import * as suspectMemory from './suspectMemory';
-import * as targetMemory from './targetMemory';
 
 type Edition = domain.catalogue.versions.Edition;
 
@@ -82,14 +79,7 @@
     return this.calls.announce(records);
   });
 
-  private readonly targetFile: memoryFile.MemoryFile;
-
-  private readonly quarantineFile: memoryFile.MemoryFile;
-
-  private readonly limitFile: memoryFile.MemoryFile;
-
-  /** Contents that the file of the quarantine holds or will hold. */
-  private writtenQuarantine = '';
+  private readonly memory: keptMemory.KeptMemory;
 
   private readonly timers: NodeJS.Timeout[] = [];
 
@@ -115,29 +105,15 @@
       onCatalogue: ({ catalogue }) => this.leadership?.allocator.setServices(catalogue.services),
       onRecord: (record) => {
         this.leadership?.allocator.observe(record);
-        this.targetFile.changed();
+        this.memory.targetsChanged();
       },
-      onSuspects: () => this.noteSuspects(),
-      onLimits: () => this.limitFile.changed(),
-    });
-    const { dataFolder: folder } = settings;
-    this.targetFile = new memoryFile.MemoryFile({
-      folder,
-      name: targetMemory.FILE,
-      observer: observe,
-      content: () => this.holding.registry.durable(),
+      onSuspects: () => this.memory.suspectsChanged(),
+      onLimits: () => this.memory.limitsChanged(),
     });
-    this.quarantineFile = new memoryFile.MemoryFile({
-      folder,
-      name: suspectMemory.FILE,
-      observer: observe,
-      content: () => suspectMemory.contentOf(this.holding.quarantine, clock.steady()),
-    });
-    this.limitFile = new memoryFile.MemoryFile({
-      folder,
-      name: limitMemory.FILE,
+    this.memory = new keptMemory.KeptMemory({
+      folder: settings.dataFolder,
+      holding: this.holding,
       observer: observe,
-      content: () => this.holding.limits.all(),
     });
     this.link = this.makeLink();
     this.control = new controlServer.ControlServer({
@@ -171,9 +147,7 @@
     this.leadership = this.makeLeadership();
     const { host, leadership: led, machine, link, client } = this;
     this.calls = new leaderCalls.LeaderCalls({ host, leadership: led, machine, link, client });
-    await this.recallTargets();
-    await this.recallQuarantine();
-    await this.recallLimits();
+    await this.memory.recall();
     this.serveMethods();
     this.serveSuspicions();
     this.replicas.start(this.server);
@@ -209,56 +183,12 @@
     this.timers.forEach((timer) => clearInterval(timer));
     this.link.stop();
     this.control.close();
-    const files = [this.targetFile, this.quarantineFile, this.limitFile];
-    await Promise.all(files.map((each) => each.close()));
+    await this.memory.close();
     await this.replicas.stop();
     await this.server.close();
     this.client.close();
   }
 
-  private async recallTargets(): Promise<void> {
-    const { settings, observer: observe } = this.parts;
-    const remembered = await targetMemory.read(settings.dataFolder);
-    if (remembered.err) {
-      observe.log('memoryNotRead', { file: targetMemory.FILE, reason: remembered.val.detail });
-      return;
-    }
-    const records = this.holding.recall(remembered.val);
-    const ready = records.filter(({ state }) => state === 'ready');
-    observe.log('targetsRemembered', { known: records.length, ready: ready.length });
-  }
-
-  private async recallQuarantine(): Promise<void> {
-    const { settings, observer: observe } = this.parts;
-    const recalled = await suspectMemory.read(settings.dataFolder);
-    if (recalled.err) {
-      observe.log('memoryNotRead', { file: suspectMemory.FILE, reason: recalled.val.detail });
-      return;
-    }
-    this.holding.quarantine.merge(recalled.val, clock.steady());
-    observe.log('quarantineRecalled', { contents: recalled.val.length });
-  }
-
-  private async recallLimits(): Promise<void> {
-    const { settings, observer: observe } = this.parts;
-    const recalled = await limitMemory.read(settings.dataFolder);
-    if (recalled.err) {
-      observe.log('memoryNotRead', { file: limitMemory.FILE, reason: recalled.val.detail });
-      return;
-    }
-    this.holding.limits.setAll(recalled.val, clock.steady());
-    observe.log('limitsRecalled', { limits: recalled.val.length });
-  }
-
-  /** Most suspects are never in quarantine, and cost the disk nothing. */
-  private noteSuspects(): void {
-    const reports = suspectMemory.contentOf(this.holding.quarantine, clock.steady());
-    const contents = reports.map(({ content }) => content).join(' ');
-    if (contents === this.writtenQuarantine) return;
-    this.writtenQuarantine = contents;
-    this.quarantineFile.changed();
-  }
-
   private makeLink(): leaderLink.LeaderLink {
     const { settings, observer: observe } = this.parts;
     return new leaderLink.LeaderLink({
@@ -287,8 +217,8 @@
       now: clock.steady,
       random: this.parts.random,
       newest: () => this.machine.versions.newest,
-      onSuspects: () => this.noteSuspects(),
-      onLimits: () => this.limitFile.changed(),
+      onSuspects: () => this.memory.suspectsChanged(),
+      onLimits: () => this.memory.limitsChanged(),
       linkMbps: this.parts.settings.linkMbps,
     });
     const { directory } = this.holding;
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -222,7 +222,7 @@
     return Math.min(Infinity, ...waits);
   }
 
-  /** Until the limits of a service's engines let one more request pass, with so many before it, milliseconds; 0 where some engine has none. */
+  /** How long the limits of a service's engines let no more pass than `ahead` requests, milliseconds; 0 where one has none. */
   limitedForMs(service: string, ahead: number, now: number): number {
     if (this.limits.size === 0) return 0;
     const ready = this.cellsOf(service)
@@ -299,7 +299,7 @@
     if (crowding !== undefined) unseen.assume(on, crowding);
   }
 
-  /** Engines that take work, of which limited ones only while their limits let a request pass; those that failed lately only where there are no others. */
+  /** Engines that take work, and whose limits let a request pass; those that failed lately only where there are no others. */
   private usable(
     { excluded, writers, endings }: Request,
     asked: readonly load.Load[],
