Never end a stream with another target's failure as its last text

A caller whose stream had begun got the body of an error as the end of the stream, and the answer looked whole: 200, chunks, last chunk.

Cause: a stream that was cut goes on at another target. Where that target answered with a status of its own (500 from a faulty one, 404, 413) and no attempt was left, or with any status below 500, the answer wasn't a stream and so went on as a held answer: its head was dropped, as the caller already had one, and its body and a regular end were written after the events.

Evidence: the new test, two statuses, before the change: status 200, whole, body 'id: 1, data: a' followed by 'failed'; after it: broken off after the last event.

Change: an answer remembers whether the caller has the beginning of a stream when an attempt begins; then only a stream is usable. Another target goes on where one is left, else the stream is broken off.

--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -127,6 +127,28 @@
     expect(made.wishes[1].waitedMs).to.equal(100);
   });
 
+  /*
+   * A reader's stream ended with another target's failure as its last text, and looked whole. Its first target was cut
+   * midway, and the last one that it could go on at answered with a status of its own.
+   */
+  [500, 404].forEach((status) => {
+    it(`doesn't end a stream with the ${status} of the target that was to go on with it`, async () => {
+      const cut: bench.Behaviour = (_request, socket) => {
+        socket.write(bench.STREAM + bench.chunk('id: 1\ndata: a\n\n'));
+        setTimeout(() => socket.resetAndDestroy(), 50);
+      };
+      const fails: bench.Behaviour = (_request, socket) =>
+        socket.write(bench.answer('failed', status));
+      made = await bench.Bench.start(cut, fails);
+      const reply = await made.ask('/streaming/1');
+      expect([reply.status, reply.isWhole, reply.body]).to.deep.equal([
+        200,
+        false,
+        'id: 1\ndata: a\n\n',
+      ]);
+    });
+  });
+
   it('has a safe call answered by another target when the first fails', async () => {
     made = await bench.Bench.start(
       (_request, socket) => socket.write(bench.answer('broken', 500)),
--- a/packages/daemon/src/entry/answer.ts
+++ b/packages/daemon/src/entry/answer.ts
@@ -56,6 +56,9 @@
 
   private attempt: targetClient.Attempt | undefined;
 
+  /** Whether the caller already has the beginning of a stream, which only a stream can go on with. */
+  private isContinued = false;
+
   /** Whether a held answer has grown too long and goes on as it comes. */
   private isOverflowing = false;
 
@@ -74,6 +77,7 @@
   /** `onLimit` gets what an answer of this attempt's target says of how much the target takes. */
   beginAttempt(onLimit: (limit: protocols.NamedLimit, status: number) => void): void {
     this.onLimit = onLimit;
+    this.isContinued = this.response.headersSent;
     this.head = undefined;
     this.facts = undefined;
     this.attempt = undefined;
@@ -116,6 +120,9 @@
     if (mayRepeat && head.status >= FAILURE_STATUS) {
       return { kind: 'unusable', detail: `target failed: ${head.status}` };
     }
+    if (this.isContinued && !this.isStream) {
+      return { kind: 'unusable', detail: `the stream can't go on with: ${head.status}` };
+    }
     if (!this.isStream) return this.passHeld(head);
     if (this.splitter.isInsideEvent)
       return { kind: 'unusable', detail: 'half an event at the end' };
@@ -191,7 +198,8 @@
     }
     this.held.push(chunk);
     this.heldBytes += chunk.length;
-    if (this.heldBytes <= HELD_BYTES || !this.isUsable || this.head === undefined) return;
+    if (this.heldBytes <= HELD_BYTES || this.head === undefined) return;
+    if (!this.isUsable || this.isContinued) return;
     this.isOverflowing = true;
     this.writeHead(this.head);
     this.held.splice(0).forEach((each) => this.write(each));
