--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -39,9 +39,14 @@
   crashing: { contents: number; copies: number; ended: number };
   /** Number of violations by promise; empty for a good run. */
   broken: Partial<Record<checks.Breach | 'notPlayed', number>>;
+  /** The first violations, as the folder of a run on another machine may be lost. */
+  violations: checks.Violation[];
   folder: string;
 }
 
+/** So many violations of a run are in its report; its folder has all. */
+const REPORTED_VIOLATIONS = 5;
+
 const START_TIMEOUT_MS = 20_000;
 /** Pause between two announcements of another program, milliseconds. */
 const FOREIGN_EVERY_MS = 300;
@@ -286,6 +291,7 @@
       ended: seen.crashed.length,
     },
     broken,
+    violations: found.slice(0, REPORTED_VIOLATIONS),
     folder,
   };
 }
@@ -303,5 +309,5 @@
   fs.writeFileSync(path.join(folder, 'error.txt'), `${String((error as Error).stack ?? error)}\n`);
   const crashing = { contents: 0, copies: 0, ended: 0 };
   const counts = { steps: 0, asked: 0, served: 0, changes: 0, crashing };
-  return { seed, ...counts, broken: { notPlayed: 1 }, folder };
+  return { seed, ...counts, broken: { notPlayed: 1 }, violations: [], folder };
 }
