Let a request out of quarantine that a culprit explains which came no more

Cause: it had three ends: two beside a culprit, one of a loss of power. A quarantine is in doubt only where its ends are those of another content that was convicted. The culprit had two ends, came no more, and so was never convicted; its ends spoke against the innocent content only.

Change: a suspect whose next end would convict it puts a quarantine in doubt as well; then one trial after two seconds decides.

Evidence: the test with these ends fails without the change ('quarantined' at 4,000 ms) and passes with it. A second test bounds what the change costs: a culprit whose rival in two ends stays suspected ends two further targets at most (none before the change).

--- a/packages/domain/src/quarantine/__tests__/quarantine.test.ts
+++ b/packages/domain/src/quarantine/__tests__/quarantine.test.ts
@@ -192,6 +192,35 @@
     expect(made.standing(BESIDE)).to.equal('suspected');
   });
 
+  /*
+   * A lookup that many callers send was refused for two minutes. Two of its ends were those of a culprit that came no more, so
+   * that its third end, which would have convicted it, never came; the lookup's third one was a loss of power.
+   */
+  it('ends soon also where what explains it came no more', () => {
+    const made = afterEnds(2);
+    const trial = { sentAt: 0, isTrial: true };
+    ['t0', 't1', 'u0'].forEach((id) => made.blame(BESIDE, life(id), trial, 2_000));
+    made.tick(3_900);
+    expect(made.standing(BESIDE)).to.equal('quarantined');
+    made.tick(4_000);
+    expect(made.standing(BESIDE)).to.equal('suspected');
+  });
+
+  /* A culprit goes on to be refused although requests beside it shared two of its ends: those that it has alone are enough. */
+  it('costs at most two further targets where what ran beside it twice is suspected', () => {
+    const made = afterEnds(3);
+    ['t1', 't2'].forEach((id) => made.blame(BESIDE, life(id), { sentAt: 0, isTrial: true }, 2_000));
+    let further = 0;
+    for (let at = 2_000; at < 110_000; at += 100) {
+      made.tick(at);
+      if (made.standing(CULPRIT) !== 'quarantined') {
+        made.blame(CULPRIT, life(`u${further}`), { sentAt: at, isTrial: true }, at);
+        further += 1;
+      }
+    }
+    expect(further).to.be.at.most(2);
+  });
+
   it('lasts two minutes at first, then one run decides, and longer each time', () => {
     const made = afterEnds(3);
     const [minute, since] = [60_000, 2_000];
--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -41,8 +41,8 @@
 export const MOST_SUSPECTS = 1_000;
 
 /**
- * A quarantine is in doubt where at most one of its ends isn't one of another convicted content too: when several culprits end
- * most targets at one moment, what many callers send was beside them each time, its trials included. After so long,
+ * A quarantine is in doubt where at most one of its ends isn't one of another content too that was convicted or nearly so: when
+ * several culprits end most targets at one moment, what many callers send was beside them each time, its trials included. After so long,
  * milliseconds, twice as long each further time, one more trial decides. An innocent content is refused for two seconds in
  * place of two minutes; a culprit costs up to two targets more, as these ends are its own.
  */
@@ -287,15 +287,17 @@
     const own = suspect.endings.filter(({ lifetime }) => {
       if (suspect.explained.has(lifetime)) return false;
       const others = this.lifetimes.blamed(lifetime).filter((other) => other !== suspect.content);
-      return !others.some((other) => this.wasConvicted(other));
+      return !others.some((other) => this.mayBeCulprit(other));
     });
     return suspects.countOf({ endings: own }) < LEFT_AFTER_QUARANTINE;
   }
 
-  /** Also one that doubt let out: it may be the culprit, and its trial is to come. */
-  private wasConvicted(content: string): boolean {
+  /** Also one that doubt let out, as its trial is to come, and one whose next end would convict it: it may come no more. */
+  private mayBeCulprit(content: string): boolean {
     const suspect = this.suspects.get(content);
-    return suspect !== undefined && (suspects.isQuarantined(suspect) || suspect.doubts > 0);
+    if (suspect === undefined) return false;
+    if (suspects.isQuarantined(suspect) || suspect.doubts > 0) return true;
+    return suspects.countOf(suspect) >= MOST_ENDINGS - 1;
   }
 
   /**
