Believe an end that is told after a change of leader

Cause: a leader doesn't believe that a target ended where the target has announced itself since. 'Since' was taken from heardAt, which any copy of the registry renews, also for what the copy says of the past. A new leader takes the followers' copies, so for its first moments it took all targets for having spoken just now, and dropped every end that entries had kept for it while nobody led.

Evidence: keeper-4 leads from 12.168. Entries 0 and 1 had noticed at 10.06 that t6-2 ended under the culprit; no line 5014 of keeper-4 follows for it. What entry 0 noticed at 12.291 on the same dead target, of an innocent content, was believed. So the culprit's later ends counted as one, it was never convicted, and nothing put the innocent contents' quarantine in doubt. The new test fails without the change ('free'), and passes with it.

Change: the registry keeps apart when a lifetime announced itself here (spokeAt) and when anything was heard of it; only the former contradicts an end. Where all was heard from copies, ends are believed until targets announce themselves, which acquits as before.

--- a/packages/daemon/src/keeper/__tests__/suspicions.test.ts
+++ b/packages/daemon/src/keeper/__tests__/suspicions.test.ts
@@ -18,7 +18,7 @@
     const published: domain.quarantine.suspect.Report[] = [];
     const made = new suspicions.Suspicions({
       quarantine,
-      registry: { heardAt: ({ id }) => (id === 'silent' ? 0 : 9_500), ready: () => [] },
+      registry: { spokeAt: ({ id }) => (id === 'silent' ? 0 : 9_500), ready: () => [] },
       isAllocated: () => false,
       observer: new observer.Observer('test', 'fatal', undefined),
       now: () => 10_000,
@@ -37,4 +37,25 @@
     tell('silent', 5_000);
     expect(published.map(({ endings }) => endings.length)).to.deep.equal([1, 2]);
   });
+
+  /** Guards against a new leader that takes followers' copies of the registry for the targets' own words: a culprit's ends didn't count. */
+  it('believes an end although a copy of the registry came since that has the target', () => {
+    const quarantine = new domain.quarantine.quarantine.Quarantine();
+    const registry = new domain.registry.registry.Registry();
+    const target = { id: 'a', bornAt: 1, state: 'ready', sequence: 7 } as const;
+    const place = { service: 'plain', address: '10.0.0.2:1', dataCentre: 'east', slots: 4 };
+    registry.announce({ ...target, ...place }, 1_000);
+    registry.merge([{ ...target, ...place, sequence: 8 }], 9_900);
+    const made = new suspicions.Suspicions({
+      quarantine,
+      registry,
+      isAllocated: () => false,
+      observer: new observer.Observer('test', 'fatal', undefined),
+      now: () => 10_000,
+      publish: () => undefined,
+    });
+    const run = { isTrial: true, agoMs: 5_000, sentAgoMs: 5_100 };
+    made.blame({ ended: [{ content: CONTENT, lifetime: target, ...run }] });
+    expect(quarantine.standing(CONTENT)).to.equal('suspected');
+  });
 });
--- a/packages/daemon/src/keeper/suspicions.ts
+++ b/packages/daemon/src/keeper/suspicions.ts
@@ -17,7 +17,7 @@
 
 export interface Parts {
   quarantine: domain.quarantine.quarantine.Quarantine;
-  registry: Pick<domain.registry.registry.Registry, 'heardAt' | 'ready'>;
+  registry: Pick<domain.registry.registry.Registry, 'spokeAt' | 'ready'>;
   /** Whether the allocator chooses targets of a service; it keeps suspects apart by itself. */
   isAllocated: (service: string) => boolean;
   observer: observer.Observer;
@@ -112,7 +112,7 @@
   private hasSpokenSince({ lifetime, agoMs }: messages.EndedTarget): boolean {
     const { registry, now } = this.parts;
     const endedAt = now() - agoMs;
-    return (registry.heardAt(lifetime) ?? -Infinity) > endedAt + HELD_UP_MS;
+    return registry.spokeAt(lifetime) > endedAt + HELD_UP_MS;
   }
 
   private changed(changes: readonly Change[]): void {
--- a/packages/domain/src/registry/registry.ts
+++ b/packages/domain/src/registry/registry.ts
@@ -58,9 +58,15 @@
  */
 export const REMEMBERED_MS = 2_400;
 
+/** Before all time: when a lifetime announced itself that is only known from copies. */
+const NEVER = -Infinity;
+
 interface Entry {
   record: Announcement;
+  /** When something was heard of it last, from whomever. */
   heardAt: number;
+  /** When it announced itself here last; a copy of the registry doesn't say when the target spoke. */
+  spokeAt: number;
   /** First announcement after it was presumed dead; 0 if none came. */
   contradictedAt: number;
 }
@@ -72,12 +78,10 @@
 
   /** Takes what a target says of itself; the records that changed with it come back. */
   announce(announcement: Announcement, now: number): Announcement[] {
-    const known = this.entries.get(announcement.id);
-    if (known === undefined) return this.add(announcement, now);
-    if (announcement.bornAt > known.record.bornAt) return this.startAgain(known, announcement, now);
-    if (announcement.bornAt < known.record.bornAt) return [];
-    if (isPresumedDead(known)) return this.contradict(known, announcement, now);
-    return this.update(known, announcement, now);
+    const changed = this.takeAnnouncement(announcement, now);
+    const entry = this.entries.get(announcement.id);
+    if (entry?.record.bornAt === announcement.bornAt) entry.spokeAt = now;
+    return changed;
   }
 
   /** The lifetime ended or announced that it does; `bornAt` where it said which one. */
@@ -148,11 +152,11 @@
     return this.entries.get(id)?.record;
   }
 
-  /** When a lifetime announced itself last; undefined where it isn't known, or known as gone. */
-  heardAt({ id, bornAt }: Pick<Announcement, 'id' | 'bornAt'>): number | undefined {
+  /** When a lifetime announced itself here last; before all time where it didn't, or is known as gone. */
+  spokeAt({ id, bornAt }: Pick<Announcement, 'id' | 'bornAt'>): number {
     const known = this.entries.get(id);
     const isIt = known?.record.bornAt === bornAt && known.record.state !== 'gone';
-    return isIt ? known.heardAt : undefined;
+    return isIt ? known.spokeAt : NEVER;
   }
 
   get size(): number {
@@ -194,13 +198,23 @@
     });
   }
 
+  private takeAnnouncement(announcement: Announcement, now: number): Announcement[] {
+    const known = this.entries.get(announcement.id);
+    if (known === undefined) return this.add(announcement, now);
+    if (announcement.bornAt > known.record.bornAt) return this.startAgain(known, announcement, now);
+    if (announcement.bornAt < known.record.bornAt) return [];
+    if (isPresumedDead(known)) return this.contradict(known, announcement, now);
+    return this.update(known, announcement, now);
+  }
+
   private keep(record: Announcement, now: number): Entry {
     const known = this.entries.get(record.id);
     if (known !== undefined) {
+      if (record.bornAt !== known.record.bornAt) known.spokeAt = NEVER;
       this.write(known, record);
       return Object.assign(known, { heardAt: now, contradictedAt: 0 });
     }
-    const entry = { record, heardAt: now, contradictedAt: 0 };
+    const entry = { record, heardAt: now, spokeAt: NEVER, contradictedAt: 0 };
     this.entries.set(record.id, entry);
     this.live.moved(entry, undefined, placeOf(record));
     return entry;
