Don't count as a caller's wait what the soak itself couldn't read

A timer that is due fires before what the sockets hold is read.

Change: a caller's time counts only while the soak's event loop turns; its bound stays. Requests of a fleet that doesn't answer are found as before: while the soak runs, both clocks are the same.

--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -3,6 +3,7 @@
 import * as domain from '@celerydrift/domain';
 import { counterpart } from '@celerydrift/platform';
 import * as answers from './answers';
+import * as awakeTime from './awakeTime';
 import type * as fleet from './fleet';
 import * as layout from './layout';
 import type * as observations from './observations';
@@ -37,9 +38,13 @@
 export class Callers {
   private readonly agent = new http.Agent({ keepAlive: true, maxSockets: Infinity });
 
+  private readonly awake = new awakeTime.AwakeTime(Date.now);
+
   private count = 0;
 
-  constructor(private readonly random: domain.shared.random.Random) {}
+  constructor(private readonly random: domain.shared.random.Random) {
+    this.awake.start();
+  }
 
   async ask({ entry, kind, path, key, body = USUAL_BODY }: Question): Promise<observations.Asked> {
     this.count += 1;
@@ -53,6 +58,7 @@
 
   close(): void {
     this.agent.destroy();
+    this.awake.stop();
   }
 
   private send(
@@ -79,10 +85,17 @@
         headers: { ...headers, host: HOST },
         agent,
       });
-      const hung = setTimeout(() => {
+      const hungAt = this.awake.ms + patienceMs + HANG_MS;
+      const watch = (): void => {
+        const leftMs = hungAt - this.awake.ms;
+        if (leftMs > 0) {
+          hung = setTimeout(watch, leftMs);
+          return;
+        }
         resolve({ kind: 'hung' });
         request.destroy();
-      }, patienceMs + HANG_MS);
+      };
+      let hung = setTimeout(watch, patienceMs + HANG_MS);
       const settle = (ending: observations.Ending): void => {
         clearTimeout(hung);
         resolve(ending);
