Let the soak find lost syncs and leases by the time of day

Two of the eight broken versions of the program weren't found: records acknowledged without a sync (newer documents hid what a loss of all keepers took, as only the last one was read back), and leases measured by the time of day only (it takes a cut longer than the lease, a clock that goes back and a key that is taken away, all at once).

- After a loss of power of all keepers the operator sends nothing until the document in force was read back; it must not be older than what had been acknowledged before the loss.
- A file that a process opens again counts as synced as far as it goes, so a second loss takes what was written since; before, the table of syncs began empty with each start.
- Drawn apart from the steps: an entry is cut off for 10 s, its time of day set back by 3 s, a key taken away, and callers go on with it there.
- A key counted as taken away by the acknowledgement of whichever document was sent last; now by that of its own.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -133,6 +133,14 @@
     ],
     ['twoContents', ({ probes }) => probes.push({ ...probe(1, 9_000, 200), label: 'b' })],
     ['lost', ({ sent: all }) => all.push(sent(2, 19_000))],
+    [
+      'lost',
+      ({ sent: all, restartReads, readBack }) => {
+        all.push(sent(2, 6_000), sent(3, 8_900));
+        restartReads.push({ lostAt: 7_000, document: { version: 1, label: '' } });
+        Object.assign(readBack as object, { version: 3 });
+      },
+    ],
     [
       'revokedKeyRan',
       ({ revoked, ran, asked: all }) => {
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -207,16 +207,19 @@
     .map(([version]) => ({ promise: 'twoContents', detail: `version ${version}` }));
 }
 
-function nothingLost({ sent, readBack }: Observations): Violation[] {
-  const acked = sent.filter(({ ackedAt }) => ackedAt !== undefined);
-  const newest = Math.max(0, ...acked.map(({ version }) => version));
-  if (readBack === undefined) return [{ promise: 'lost', detail: 'no document read back' }];
-  const isSent = sent.some(
-    ({ version, label }) => version === readBack.version && label === readBack.label,
-  );
-  return readBack.version >= newest && isSent
-    ? []
-    : [{ promise: 'lost', detail: `${readBack.version}${readBack.label} read, ${newest} acked` }];
+function nothingLost({ sent, readBack, restartReads }: Observations): Violation[] {
+  const atEnd: observations.RestartRead = { lostAt: Infinity, document: readBack };
+  return [...restartReads, atEnd].flatMap(({ lostAt, document }): Violation[] => {
+    const acked = sent.filter(({ ackedAt = Infinity }) => ackedAt < lostAt);
+    const newest = Math.max(0, ...acked.map(({ version }) => version));
+    if (document === undefined) return [{ promise: 'lost', detail: 'no document read back' }];
+    const isSent = sent.some(
+      ({ version, label }) => version === document.version && label === document.label,
+    );
+    return document.version >= newest && isSent
+      ? []
+      : [{ promise: 'lost', detail: `${document.version}${document.label} read, ${newest} acked` }];
+  });
 }
 
 function revokedKeys({ asked, ran, revoked }: Observations): Violation[] {
--- a/packages/soak/src/harm.ts
+++ b/packages/soak/src/harm.ts
@@ -28,6 +28,9 @@
 const CLOCK_STEP_MS = 3_000;
 const DELAY_MS = 60;
 
+/** Pause between two requests with a key that was taken away, milliseconds. */
+const ASK_EVERY_MS = 100;
+
 /** A process needs so long after its start to be of use again, milliseconds. */
 const WARM_MS = 1_000;
 
@@ -55,8 +58,8 @@
     keeperCut: (step) => this.around(this.keeper(step), step, (vm) => this.cut(vm, step)),
     keeperWipe: (step) => this.lose(step, (vm) => this.running.wipe(vm)),
     keeperTear: (step) => this.lose(step, (vm) => this.running.tear(vm)),
-    keepersKill: (step) => this.together(this.running.keepers, step),
-    fleetKill: (step) => this.together(this.running.vms, step),
+    keepersKill: (step) => this.loseAllKeepers(this.running.keepers, step),
+    fleetKill: (step) => this.loseAllKeepers(this.running.vms, step),
     diskFull: (step) => this.around(this.keeper(step), step, (vm) => spoilDisk(vm, 'full', step)),
     diskStall: (step) =>
       this.around(this.keeper(step), step, (vm) => spoilDisk(vm, 'stalled', step)),
@@ -79,7 +82,9 @@
     targetGrey: (step) => this.aroundTarget(step, (target) => turnGrey(target, step)),
     changes: () => this.storm(),
     race: ({ variant }) => this.operators.race(variant < 0.5),
-    revoke: ({ index }) => this.operators.revoke(index),
+    revoke: async ({ index }) => {
+      await this.operators.revoke(index);
+    },
     invalid: () => this.operators.invalid(),
     reload: async (step) => {
       const entry = this.entry(step);
@@ -102,6 +107,27 @@
     });
   }
 
+  /** Cuts an entry off, sets its time of day back, and takes a key away; resolves when the entry is back. */
+  async isolate(
+    { index, organisation, forSeconds }: schedule.Isolating,
+    ask: (entry: fleet.Vm, key: string) => void,
+  ): Promise<void> {
+    const entry = this.running.entries[index];
+    const end = this.begin('entry', index, 'isolated');
+    this.running.cut(entry, 'both');
+    entry.setFaults({ clockMs: -CLOCK_STEP_MS, disk: 'sound' });
+    const until = Date.now() + forSeconds * 1_000;
+    const revoked = await this.operators.revoke(organisation);
+    while (revoked !== undefined && Date.now() < until) {
+      ask(entry, revoked.key);
+      await operator.pause(ASK_EVERY_MS);
+    }
+    await operator.pause(Math.max(0, until - Date.now()));
+    entry.setFaults(runtimeFaults.SOUND);
+    this.running.mend(entry);
+    end();
+  }
+
   /** Ends everything that lasts, and starts what is down. */
   heal(): void {
     const { network, vms, targets } = this.running;
@@ -197,6 +223,15 @@
     await Promise.all(vms.map((vm) => this.around(vm, step, () => this.restart(vm, lasts(step)))));
   }
 
+  /** What was acknowledged before must be there after it, so it is read before newer documents hide a loss. */
+  private async loseAllKeepers(vms: readonly fleet.Vm[], step: Step): Promise<void> {
+    await this.operators.whileSilent(async () => {
+      const lostAt = Date.now();
+      await this.together(vms, step);
+      this.seen.restartReads.push({ lostAt, document: await this.operators.readBack() });
+    });
+  }
+
   private async cut(vm: fleet.Vm, step: Step): Promise<void> {
     this.running.cut(vm, DIRECTIONS[Math.floor(step.variant * DIRECTIONS.length)]);
     await operator.pause(lasts(step));
--- a/packages/soak/src/layout.ts
+++ b/packages/soak/src/layout.ts
@@ -22,6 +22,9 @@
 
 export const PORT = { peers: 7_000, callers: 7_001, readiness: 7_002, control: 7_003 } as const;
 
+/** Organisations whose callers send requests. */
+export const ORGANISATIONS = 3;
+
 export const TARGET_PORT = 7_100;
 
 /** Third byte of an address in 127/8. */
--- a/packages/soak/src/operator.ts
+++ b/packages/soak/src/operator.ts
@@ -7,12 +7,12 @@
 import * as callers from './callers';
 import * as controlClient from './controlClient';
 import * as fleet from './fleet';
+import * as layout from './layout';
 import type * as observations from './observations';
 
 type Catalogue = domain.catalogue.catalogue.Catalogue;
 type Route = domain.catalogue.catalogue.Route;
 
-const ORGANISATIONS = 3;
 export const KINDS = ['safe', 'unsafe', 'stream'] as const;
 const PAUSE_MS = 100;
 /** A change without an acknowledgement is given up after so long; it may still come into force. */
@@ -68,8 +68,11 @@
   /** One key after the other is taken away. */
   private revoking: Promise<void> = Promise.resolve();
 
+  /** While nothing may be sent; resolves when that ends. */
+  private silence: Promise<void> = Promise.resolve();
+
   /** Number of the key of each organisation; a new one takes the old one away. */
-  private readonly generations = Array.from({ length: ORGANISATIONS }, () => 1);
+  private readonly generations = Array.from({ length: layout.ORGANISATIONS }, () => 1);
 
   constructor(
     private readonly controls: readonly string[],
@@ -79,7 +82,7 @@
 
   /** A key that every document so far has had since it came. */
   key(): string {
-    return this.keyOf(domain.shared.random.below(this.random, ORGANISATIONS));
+    return this.keyOf(domain.shared.random.below(this.random, layout.ORGANISATIONS));
   }
 
   /** The newest documents that may be in force, newest first. */
@@ -87,9 +90,9 @@
     return this.seen.sent.slice(-3).reverse();
   }
 
-  change(): Promise<void> {
+  async change(): Promise<void> {
     this.step();
-    return this.submit(this.catalogue(this.version, ''), '');
+    await this.submit(this.catalogue(this.version, ''), '');
   }
 
   /** Two documents at once, with one version or with two. */
@@ -101,13 +104,14 @@
     await Promise.all([this.submit(first, 'a'), this.submit(second, 'b')]);
   }
 
-  /** Takes a key away from an organisation that gets a new one instead. */
-  revoke(index: number): Promise<void> {
-    this.revoking = this.revoking.then(() => this.replaceKey(index % ORGANISATIONS));
-    return this.revoking;
+  /** Takes a key away from an organisation that gets a new one instead; undefined where nobody acknowledged that. */
+  revoke(index: number): Promise<observations.Revoked | undefined> {
+    const replaced = this.revoking.then(() => this.replaceKey(index % layout.ORGANISATIONS));
+    this.revoking = replaced.then(() => undefined);
+    return replaced;
   }
 
-  private async replaceKey(organisation: number): Promise<void> {
+  private async replaceKey(organisation: number): Promise<observations.Revoked | undefined> {
     const key = this.keyOf(organisation);
     // Callers go on with the old key for a while; the new one must be in force before they use it.
     this.step();
@@ -115,9 +119,12 @@
     await this.submit(this.catalogue(this.version, '', new Map([[organisation, keys]])), '');
     this.generations[organisation] += 1;
     this.step();
-    await this.submit(this.catalogue(this.version, '', new Map([[organisation, [`${key}+`]]])), '');
-    const done = this.seen.sent.at(-1);
-    if (done?.ackedAt !== undefined) this.seen.revoked.push({ key, ackedAt: done.ackedAt });
+    const newKeyOnly = this.catalogue(this.version, '', new Map([[organisation, [`${key}+`]]]));
+    const { ackedAt } = await this.submit(newKeyOnly, '');
+    if (ackedAt === undefined) return undefined;
+    const revoked = { key, ackedAt };
+    this.seen.revoked.push(revoked);
+    return revoked;
   }
 
   /** A document that nobody may put in force. */
@@ -142,6 +149,19 @@
     return undefined;
   }
 
+  /** Sends nothing to keepers while something is done; calls that are under way end by themselves. */
+  async whileSilent<T>(act: () => Promise<T>): Promise<T> {
+    let end = (): void => undefined;
+    this.silence = new Promise((resolve) => {
+      end = resolve;
+    });
+    try {
+      return await act();
+    } finally {
+      end();
+    }
+  }
+
   private step(): void {
     this.version += 1 + domain.shared.random.below(this.random, LARGEST_STEP);
   }
@@ -174,7 +194,7 @@
     };
   }
 
-  private async submit(catalogue: Catalogue, label: string): Promise<void> {
+  private async submit(catalogue: Catalogue, label: string): Promise<observations.Sent> {
     const sent: observations.Sent = {
       version: catalogue.version,
       label,
@@ -186,13 +206,15 @@
     const call = counterpart.submit(catalogue);
     const until = Date.now() + GIVE_UP_MS;
     while (Date.now() < until) {
+      await this.silence;
       const { status } = await controlClient.call(this.anyKeeper(), call);
       if (status === 200) {
         sent.ackedAt = Date.now();
-        return;
+        return sent;
       }
       await pause(PAUSE_MS);
     }
+    return sent;
   }
 
   private anyKeeper(): string {
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -157,7 +157,8 @@
     return ending.kind === 'answered' && ending.status === 200;
   }
 
-  private async follow({ steps, crashing, limiting, seconds }: schedule.Plan): Promise<void> {
+  private async follow(plan: schedule.Plan): Promise<void> {
+    const { steps, crashing, limiting, isolating, seconds } = plan;
     const begun = Date.now();
     const until = async (at: number): Promise<void> =>
       operator.pause(Math.max(0, begun + at * 1_000 - Date.now()));
@@ -169,12 +170,16 @@
       await until(each.at);
       await this.harm.limit(each);
     });
+    const isolated = isolating.map(async (each) => {
+      await until(each.at);
+      await this.harm.isolate(each, (entry, key) => this.askAt(entry, key));
+    });
     for (const step of steps) {
       await until(step.at);
       under.push(this.harm.carryOut(step));
     }
     await until(seconds);
-    await Promise.all([...under, ...limits]);
+    await Promise.all([...under, ...limits, ...isolated]);
   }
 
   private async foreignLoop(): Promise<void> {
@@ -193,15 +198,23 @@
     while (this.isAsking) {
       const kind = domain.shared.random.pick(this.random, operator.KINDS);
       const entry = domain.shared.random.pick(this.random, this.running.entries);
-      const question = { entry, kind, path: operator.basePath(kind), key: this.key() };
-      const asking = this.callers.ask(question).then((asked) => {
-        this.seen.asked.push(asked);
-      });
-      this.track(asking);
+      this.ask({ entry, kind, path: operator.basePath(kind), key: this.key() });
       await operator.pause(domain.shared.random.exponential(this.random, meanMs));
     }
   }
 
+  private ask(question: callers.Question): void {
+    const asking = this.callers.ask(question).then((asked) => {
+      this.seen.asked.push(asked);
+    });
+    this.track(asking);
+  }
+
+  private askAt(entry: fleet.Vm, key: string): void {
+    const kind = 'safe';
+    this.ask({ entry, kind, path: operator.basePath(kind), key });
+  }
+
   private key(): string {
     const { revoked } = this.seen;
     const isRevoked = revoked.length > 0 && this.random.uniform() < REVOKED_SHARE;
--- a/packages/soak/src/runtimeFaults.ts
+++ b/packages/soak/src/runtimeFaults.ts
@@ -31,6 +31,11 @@
 
   constructor(private readonly file: string) {}
 
+  /** Of a file that was there before, all is on the disk: a power loss took the rest when it came. */
+  open(path: string, size: number): void {
+    if (this.bytes[path] === undefined) this.note(path, size);
+  }
+
   note(path: string, size: number): void {
     this.bytes[path] = size;
     // Whole at every moment: the process may be killed while it writes.
@@ -64,7 +69,10 @@
     const handle = await open(...parameters);
     harm(handle, () => current.disk);
     const path = String(parameters[0]);
-    if (!(await handle.stat()).isDirectory()) countSyncs(handle, path, syncs);
+    const stat = await handle.stat();
+    if (stat.isDirectory()) return handle;
+    syncs.open(path, stat.size);
+    countSyncs(handle, path, syncs);
     return handle;
   };
   const { rename } = fs.promises;
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -1,6 +1,6 @@
 /** What is done to a fleet in one run, from a seed: harm in series and overlapping with changes and planned stops. */
 import * as domain from '@celerydrift/domain';
-import type * as layout from './layout';
+import * as layout from './layout';
 import type * as observations from './observations';
 
 export type Kind =
@@ -116,12 +116,27 @@
   perSecond: number;
 }
 
+/**
+ * An entry is cut off from all other VMs, its time of day goes back, and a key is taken away, all at once: only a lease that
+ * is measured by a clock that nobody steps ends the key there in time.
+ */
+export interface Isolating {
+  at: number;
+  /** Longer than the bound on a revoked key. */
+  forSeconds: number;
+  /** Number of the entry. */
+  index: number;
+  /** Number of the organisation whose key is taken away. */
+  organisation: number;
+}
+
 export interface Plan {
   seed: number;
   seconds: number;
   steps: Step[];
   crashing: Crashing[];
   limiting: Limiting[];
+  isolating: Isolating[];
 }
 
 const CRASHING_KINDS: readonly observations.RequestKind[] = ['stream', 'safe', 'unsafe'];
@@ -175,6 +190,28 @@
   return drawn;
 }
 
+/** Added to the seed for draws apart from all others. */
+const ISOLATING_SEED = 2_000_003;
+const MEAN_PAUSE_BETWEEN_ISOLATING_SECONDS = 6;
+const ISOLATED_SECONDS = 10;
+
+function drawIsolating(seed: number, seconds: number, entries: number): Isolating[] {
+  const random = domain.shared.random.independent(seed + ISOLATING_SEED);
+  const drawn: Isolating[] = [];
+  const mean = MEAN_PAUSE_BETWEEN_ISOLATING_SECONDS;
+  let at = domain.shared.random.exponential(random, mean);
+  while (at < seconds) {
+    drawn.push({
+      at,
+      forSeconds: ISOLATED_SECONDS,
+      index: domain.shared.random.below(random, entries),
+      organisation: domain.shared.random.below(random, layout.ORGANISATIONS),
+    });
+    at += ISOLATED_SECONDS + domain.shared.random.exponential(random, mean);
+  }
+  return drawn;
+}
+
 function drawKind(random: domain.shared.random.Random): Kind {
   const kinds = Object.entries(WEIGHTS) as [Kind, number][];
   let left = random.uniform() * kinds.reduce((sum, [, weight]) => sum + weight, 0);
@@ -226,5 +263,6 @@
   }
   const crashing = drawCrashing(seed, seconds);
   const limiting = drawLimiting(seed, seconds, size.engines + size.services);
-  return { seed, seconds, steps, crashing, limiting };
+  const isolating = drawIsolating(seed, seconds, size.entries);
+  return { seed, seconds, steps, crashing, limiting, isolating };
 }
