Let a request that its entry suspects run as a trial

Cause: the leader's count replaced the entry's own also where it was smaller, though an entry may know of an end that the leader hasn't heard of yet.

Change: the larger of both counts. A leader that knows better (the target lives) takes the entry's note back with its report, as before. The new test fails without the change (0 in place of 1).

--- a/packages/daemon/src/entry/__tests__/crashWatch.test.ts
+++ b/packages/daemon/src/entry/__tests__/crashWatch.test.ts
@@ -84,3 +84,25 @@
     expect(told).to.deep.equal([{ content: CONTENT, id: 'r1', ranWhole: true }]);
   });
 });
+
+describe('a request that its entry suspects and the leader does not yet', () => {
+  /** Guards against runs of a culprit that counted as one, as if they had been under way together: it was never convicted. */
+  it('runs as a trial', async () => {
+    const quarantine = new domain.quarantine.quarantine.Quarantine();
+    quarantine.blame(CONTENT, 'a', { sentAt: 0, isTrial: false }, 1);
+    const made = new crashWatch.CrashWatch({
+      name: 'e0',
+      holding: { quarantine, registry: new domain.registry.registry.Registry() },
+      link: { leader: '10.0.0.1:1' },
+      client: {
+        call: async <T>() => Ok({ kind: 'granted', endings: 0, target: undefined } as T),
+      },
+      lifeChecks: { isAlive: async () => true },
+      observer: new observer.Observer('test', 'fatal', undefined),
+      now: clock.steady,
+    });
+    const permit = await made.permit(request('r1'));
+    made.close();
+    expect(permit.kind === 'granted' && permit.endings).to.equal(1);
+  });
+});
--- a/packages/daemon/src/entry/crashWatch.ts
+++ b/packages/daemon/src/entry/crashWatch.ts
@@ -109,11 +109,10 @@
     if (!this.trials.begin(content, trial, now())) return { kind: 'busy' };
     const answer = await this.askLeader({ content, id, entry: name, service, excluded });
     const end = (ranWhole: boolean): void => this.endTrial({ content, id, ranWhole });
-    if (answer?.kind === 'granted') return { ...answer, end };
-    if (answer === undefined) {
-      // Without a leader the count that is known here decides.
-      const endings = this.parts.holding.quarantine.count(content);
-      return { kind: 'granted', endings, target: undefined, end };
+    if (answer === undefined || answer.kind === 'granted') {
+      // A leader may not have heard yet of what was seen here.
+      const endings = Math.max(answer?.endings ?? 0, this.parts.holding.quarantine.count(content));
+      return { kind: 'granted', endings, target: answer?.target, end };
     }
     this.trials.end(content, id);
     return answer.kind === 'busy' ? { kind: 'busy' } : this.refuse(request);
