Let a doubted culprit's ends explain also what is convicted later

What callers would see: an innocent content refused for two minutes.

Cause: ends that a doubted content gives up were noted only for those in quarantine at that moment, not for suspects that are convicted afterwards.

Change: noted for all that the end counts against. The unit test fails without the change ('quarantined' two seconds after) and passes with it; the test that a content's own later ends still convict it passes as before.

--- a/packages/domain/src/quarantine/__tests__/quarantine.test.ts
+++ b/packages/domain/src/quarantine/__tests__/quarantine.test.ts
@@ -206,6 +206,20 @@
     expect(made.standing(BESIDE)).to.equal('suspected');
   });
 
+  /** Guards against an innocent request that is refused for minutes as its culprit was let out for doubt before it was convicted. */
+  it('ends soon also where what explains it was doubted before it began', () => {
+    const made = afterEnds(3);
+    ['t0', 't2'].forEach((id, i) => {
+      made.blame(BESIDE, life(id), { sentAt: 0, isTrial: i > 0 }, 2_000);
+    });
+    made.tick(4_000);
+    expect(made.standing(CULPRIT)).to.equal('suspected');
+    made.blame(BESIDE, life('u0'), { sentAt: 4_000, isTrial: true }, 4_100);
+    expect(made.standing(BESIDE)).to.equal('quarantined');
+    made.tick(6_100);
+    expect(made.standing(BESIDE)).to.equal('suspected');
+  });
+
   /* A culprit goes on to be refused although requests beside it shared two of its ends: those that it has alone are enough. */
   it('costs at most two further targets where what ran beside it twice is suspected', () => {
     const made = afterEnds(3);
--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -278,8 +278,7 @@
    */
   private noteExplained(lifetime: string): void {
     this.lifetimes.blamed(lifetime).forEach((content) => {
-      const beside = this.suspects.get(content);
-      if (beside !== undefined && suspects.isQuarantined(beside)) beside.explained.add(lifetime);
+      this.suspects.get(content)?.explained.add(lifetime);
     });
   }
 
--- a/packages/domain/src/quarantine/suspect.ts
+++ b/packages/domain/src/quarantine/suspect.ts
@@ -17,7 +17,7 @@
   quarantinedAt: number | undefined;
   /** Doubtful quarantines of it that were ended. */
   doubts: number;
-  /** Lifetimes that ended under it and also under one whose quarantine was ended for doubt since this one's began. */
+  /** Lifetimes that ended under it and under one whose quarantine was ended for doubt, since its own last one ended. */
   explained: Set<string>;
 }
 
