Check the quarantine in all orders of a small scope

The first model: culprits that crash targets, innocent contents beside them, one loss of power, runs that go to their end, time. Promises: innocent contents are served again 8 s after all harm, as the soak has it, unless they were convicted while a culprit beside them had ended one target only; under a leader a culprit that goes on coming reaches at most three targets later than 3 s after its third (the users' bound).

--- /dev/null
+++ b/packages/check/bin/check.js
@@ -0,0 +1,4 @@
+#!/usr/bin/env node
+'use strict';
+
+require('../dist/main').main(process.argv);
--- /dev/null
+++ b/packages/check/src/__tests__/check.test.ts
@@ -0,0 +1,99 @@
+/** The explorer finds the shortest story; models find nothing in the domain's code, and each broken version of a rule. */
+import * as chai from 'chai';
+import * as domain from '@celerydrift/domain';
+import * as explorer from '../explorer';
+import * as models from '../models';
+
+const { expect } = chai;
+
+type Quarantine = domain.quarantine.quarantine.Quarantine;
+
+/** Counts up by one or three; seven is wrong. */
+const COUNTER: explorer.Model<{ sum: number }, number> = {
+  begin: () => ({ sum: 0 }),
+  events: () => [1, 3],
+  play: (world, by) => {
+    world.sum += by;
+  },
+  fingerprint: ({ sum }) => String(sum),
+  problem: (replay) => (replay().sum === 7 ? 'seven' : undefined),
+  describe: (by) => `+${by}`,
+};
+
+describe('explorer', () => {
+  it('finds a shortest story, and counts states that differ once', () => {
+    expect(explorer.explore(COUNTER, 2)).to.deep.equal({ states: 6, steps: 6, finding: undefined });
+    expect(explorer.explore(COUNTER, 3).finding).to.deep.equal({
+      problem: 'seven',
+      story: ['+1', '+3', '+3'],
+    });
+  });
+
+  it('shortens what it draws', () => {
+    const eleven = {
+      ...COUNTER,
+      problem: (replay: () => { sum: number }) => {
+        return replay().sum >= 11 ? 'eleven or more' : undefined;
+      },
+    };
+    const { finding } = explorer.walk(eleven, { seed: 1, count: 20, length: 12 });
+    expect(finding?.problem).to.equal('eleven or more');
+    expect(finding?.story.length).to.be.below(12);
+  });
+});
+
+/** A quarantine with some of its rules replaced. */
+function broken(rules: object): Quarantine {
+  return Object.assign(new domain.quarantine.quarantine.Quarantine(), rules);
+}
+
+/** The parts of a suspect that these versions look at. */
+interface Suspect {
+  quarantinedAt: number | undefined;
+  doubts: number;
+}
+
+function wasConvicted(this: { suspects: Map<string, Suspect> }, content: string): boolean {
+  const suspect = this.suspects.get(content);
+  return suspect !== undefined && (suspect.quarantinedAt !== undefined || suspect.doubts > 0);
+}
+
+function isDueSoon({ quarantinedAt }: Suspect, now: number): 'doubtful' | undefined {
+  return quarantinedAt !== undefined && now - quarantinedAt >= 2_000 ? 'doubtful' : undefined;
+}
+
+function quarantineModel(
+  make: () => Quarantine,
+  isApart: boolean,
+): explorer.Model<models.quarantineModel.World, models.quarantineModel.Event> {
+  return models.quarantineModel.quarantineModel({ culprits: 1, innocents: 1, isApart, make });
+}
+
+describe('quarantine, checked', () => {
+  [true, false].forEach((isApart) => {
+    const where = isApart ? 'under a leader' : 'without a leader';
+    it(`serves what is innocent and stops what is not, in all orders of five events ${where}`, () => {
+      const make = (): Quarantine => new domain.quarantine.quarantine.Quarantine();
+      expect(explorer.explore(quarantineModel(make, isApart), 5)).toMatchSnapshot();
+    });
+  });
+
+  const versions: [string, object][] = [
+    ['nothing is ever in doubt', { isDoubtful: () => false }],
+    ['only what was convicted explains ends', { mayBeCulprit: wasConvicted }],
+    ['nothing of a doubted content goes on explaining', { noteExplained: () => undefined }],
+    ['doubt returns every two seconds', { dueReason: isDueSoon }],
+    ['nothing is ever refused', { standing: () => 'suspected' }],
+  ];
+
+  versions.forEach(([what, rules]) => {
+    it(`finds the version in which ${what}`, () => {
+      const stories = [true, false].map((isApart) => {
+        const model = quarantineModel(() => broken(rules), isApart);
+        return explorer.explore(model, 5).finding;
+      });
+      expect(stories).toMatchSnapshot();
+      expect(stories.some((story) => story !== undefined)).to.equal(true);
+    });
+  });
+});
--- /dev/null
+++ b/packages/check/src/models/index.ts
@@ -0,0 +1,1 @@
+export * as quarantineModel from './quarantineModel';
