Tell a lifetime that leaves by its birth, also where it isn't known

Cause: the word by which a target leaves names its birth, and depart used it only to ignore old words. (1) A target that left before any announcement of it arrived was noted with the latest birth there is, so the next life under its id came 'before' that. (2) Where only a former life was known, that one was ended and the one that left wasn't; its announcement, held up, came later and was taken.

Evidence: two tests with the model's stories fail without the change ('gone' in place of 'ready', and the other way round). Change: the end is noted for the birth that was named; only a word without one counts for all lives.

--- a/packages/domain/src/registry/__tests__/registry.test.ts
+++ b/packages/domain/src/registry/__tests__/registry.test.ts
@@ -160,6 +160,27 @@
   });
 });
 
+describe('a registry that missed something', () => {
+  /** Guards against a target that is unknown for minutes, as its former life left before the leader had heard of it. */
+  it('takes a lifetime whose predecessor left before it announced itself', () => {
+    const made = new registry.Registry();
+    made.depart('a', 0, 1);
+    made.announce(announcement('a', { bornAt: 1 }), 10);
+    expect(states(made)).to.deep.equal({ a: 'gone' });
+    made.announce(announcement('a', { bornAt: 2 }), 20);
+    expect(states(made)).to.deep.equal({ a: 'ready' });
+  });
+
+  /** Guards against work for a target that left: the leader knew only its former life when it did. */
+  it('never takes back a lifetime that left before it announced itself', () => {
+    const made = new registry.Registry();
+    made.announce(announcement('a', { bornAt: 1 }), 0);
+    made.depart('a', 10, 2);
+    made.announce(announcement('a', { bornAt: 2 }), 20);
+    expect(states(made)).to.deep.equal({ a: 'gone' });
+  });
+});
+
 describe('an announcement', () => {
   /*
    * Each request would fail that is sent to an address that is none, and other programs announce themselves too. What
--- a/packages/domain/src/registry/registry.ts
+++ b/packages/domain/src/registry/registry.ts
@@ -87,15 +87,13 @@
   /** The lifetime ended or announced that it does; `bornAt` where it said which one. */
   depart(id: string, now: number, bornAt = Infinity): Announcement[] {
     const known = this.entries.get(id);
-    if (known !== undefined && bornAt < known.record.bornAt) return [];
-    if (known === undefined) {
-      const record: Announcement = { ...UNKNOWN, id };
-      this.keep(record, now);
-      return [record];
-    }
-    this.write(known, { ...known.record, isPresumed: undefined });
-    if (known.record.state === 'gone') return [];
-    return [this.end(known, now)];
+    if (known === undefined) return [this.keep(unknownEnd(id, bornAt), now).record];
+    if (bornAt < known.record.bornAt) return [];
+    const isLater = bornAt !== Infinity && bornAt > known.record.bornAt;
+    const hasEnded = known.record.state === 'gone' && !isLater;
+    const ofLifetime = isLater ? { ...known.record, bornAt } : known.record;
+    this.write(known, { ...ofLifetime, isPresumed: undefined });
+    return hasEnded ? [] : [this.end(known, now)];
   }
 
   /** Somebody else answered at the address of this lifetime. It may revive by announcing itself. */
@@ -318,10 +316,14 @@
   return isRemembered === true;
 }
 
-/** What is known of a lifetime whose end came before its first announcement. */
+/** The end of a lifetime that came before its first announcement; where it didn't say which one, of all under its id. */
+function unknownEnd(id: string, bornAt: number): Announcement {
+  return { ...UNKNOWN, id, bornAt: Math.min(bornAt, Number.MAX_SAFE_INTEGER) };
+}
+
 const UNKNOWN: Announcement = {
   id: '',
-  bornAt: Number.MAX_SAFE_INTEGER,
+  bornAt: 0,
   service: '',
   address: '',
   dataCentre: '',
