Follow the leader where two lifetimes have one address

What callers would see, found by the registry's model in no play: an entry has no work for a target from a change of leader on, for good.

Cause: a copy of the registry doesn't take a lifetime whose address another one has here, as a copy can't say which came later. That holds between equals; but an entry also refused its leader's word so. Where the entry had heard of the former target at an address and the new leader hadn't (it missed a push and then led), the entry kept the dead one and left the living one out; the leader had nothing to end, so nothing ever told the entry.

Change: what comes from the leader that is followed, in order, or as a whole copy, counts where two lifetimes have one address. Records that it only remembers from a disk, news that were held up or come from a former leader, and copies that followers tell a leader, count as before.

--- a/packages/daemon/src/fleet/holding.ts
+++ b/packages/daemon/src/fleet/holding.ts
@@ -31,6 +31,9 @@
 /** Changes of targets that are taken together and still get a line of the log each. */
 const MOST_LINES = 20;
 
+/** Takes records into the registry; those that changed with them come back. */
+type TakeRecords = (records: readonly Announcement[]) => Announcement[];
+
 export class Holding {
   readonly registry = new domain.registry.registry.Registry();
 
@@ -88,7 +91,7 @@
   }
 
   private takeCopy({ records, suspects, limits }: registryCopies.Copy): void {
-    this.takeRegistry(records);
+    this.takeRegistry(records, (each) => this.registry.follow(each, this.options.now()));
     if (this.limits.setAll(limits, this.options.now())) this.options.onLimits?.();
     this.quarantine.takeAll(suspects, this.options.now());
     this.options.onSuspects?.();
@@ -98,8 +101,8 @@
    * Takes a whole copy of the registry, in one line of the log: an entry that has just started has callers waiting, and a
    * line for each of 155 targets took it 40 KB of log before it could serve the first of them.
    */
-  private takeRegistry(records: readonly Announcement[]): void {
-    const changed = this.registry.merge(records, this.options.now());
+  private takeRegistry(records: readonly Announcement[], take: TakeRecords): void {
+    const changed = take(records);
     changed.forEach((record) => this.options.onRecord(record));
     const ready = records.filter(({ state }) => state === 'ready');
     this.options.observer.log('registryTaken', {
@@ -150,13 +153,15 @@
     const { edition, mark, since, packedRegistry } = news;
     if (edition !== undefined) this.takeEdition(edition);
     if (packedRegistry !== undefined) this.takeCopy(registryCopies.unpack(packedRegistry));
-    this.takeMany(registryCopies.unbundle(news));
+    const isNext = since === undefined || messages.holds(this.mark, since);
+    // News of a leader that isn't followed any more, or that was held up, says nothing of what came later.
+    this.takeMany(registryCopies.unbundle(news), isNext && !isLater(this.mark, mark));
     // A push that was held up comes after the answer to a question: what it says of suspects and limits is no longer so.
     if (!isLater(this.mark, mark)) {
       this.takeSuspects(news.suspects);
       this.takeLimits(news.limits);
     }
-    if (since !== undefined && !messages.holds(this.mark, since)) return false;
+    if (!isNext) return false;
     if (!isLater(this.mark, mark)) this.mark = mark;
     return true;
   }
@@ -173,9 +178,12 @@
   }
 
   /** Takes changes; many in one line of the log, like a whole copy. */
-  private takeMany(records: readonly Announcement[]): void {
-    if (records.length > MOST_LINES) this.takeRegistry(records);
-    else this.takeRecords(records);
+  private takeMany(records: readonly Announcement[], isNext: boolean): void {
+    const now = this.options.now();
+    const take: TakeRecords = (each) =>
+      isNext ? this.registry.follow(each, now) : this.registry.merge(each, now);
+    if (records.length > MOST_LINES) this.takeRegistry(records, take);
+    else this.changed(take(records));
   }
 }
 
--- a/packages/domain/src/registry/__tests__/registry.test.ts
+++ b/packages/domain/src/registry/__tests__/registry.test.ts
@@ -179,6 +179,18 @@
     made.announce(announcement('a', { bornAt: 2 }), 20);
     expect(states(made)).to.deep.equal({ a: 'gone' });
   });
+
+  /**
+   * Guards against an entry that has no work for a target for good: it held on to the former one at that address, of which the new
+   * leader never heard.
+   */
+  it('follows a leader that has another lifetime at an address', () => {
+    const leader = new registry.Registry();
+    const follower = new registry.Registry();
+    follower.announce(announcement('old', { sequence: 5 }), 0);
+    follower.follow(leader.announce(announcement('new'), 1_000), 1_000);
+    expect(states(follower)).to.deep.equal({ old: 'gone', new: 'ready' });
+  });
 });
 
 describe('an announcement', () => {
--- a/packages/domain/src/registry/registry.ts
+++ b/packages/domain/src/registry/registry.ts
@@ -128,22 +128,16 @@
 
   /** Takes over what other copies of the registry know. */
   merge(records: readonly Announcement[], now: number): Announcement[] {
-    // Ends first: one lifetime's end and its successor at the same address come in one copy, in any order.
-    const ends = records.filter(({ state }) => state === 'gone');
-    const others = records.filter(({ state }) => state !== 'gone');
-    return [...ends, ...others].flatMap((record) => {
-      const known = this.entries.get(record.id);
-      if (known !== undefined) return this.mergeKnown(known, record, now);
-      if (record.state === 'gone') return [this.keep(record, now).record];
-      // Which of two lifetimes at an address came later, a copy can't say. The one that lives announces
-      // itself again. Only a remembered one yields at once.
-      const isContested = this.live.at(record.address).some(({ record: other }) => {
-        return !isOnlyRemembered(other) || isOnlyRemembered(record);
-      });
-      if (!isContested) return this.add(record, now);
-      this.keep({ ...record, state: 'gone', isPresumed: true }, now);
-      return [];
-    });
+    return this.takeCopies(records, now, false);
+  }
+
+  /**
+   * Takes over what the leader knows that this copy follows. Which of two lifetimes at one address came later, a copy can't say, but
+   * targets announce themselves to the leader: whatever it has wrong is put right there, and a copy that held on to a lifetime
+   * that the leader never knew would be wrong for good.
+   */
+  follow(records: readonly Announcement[], now: number): Announcement[] {
+    return this.takeCopies(records, now, true);
   }
 
   get(id: string): Announcement | undefined {
@@ -205,6 +199,36 @@
     return this.update(known, announcement, now);
   }
 
+  private takeCopies(
+    records: readonly Announcement[],
+    now: number,
+    isLeaders: boolean,
+  ): Announcement[] {
+    // Ends first: one lifetime's end and its successor at the same address come in one copy, in any order.
+    const ends = records.filter(({ state }) => state === 'gone');
+    const others = records.filter(({ state }) => state !== 'gone');
+    return [...ends, ...others].flatMap((record) => {
+      const known = this.entries.get(record.id);
+      if (known !== undefined) return this.mergeKnown(known, record, now, isLeaders);
+      if (record.state === 'gone') return [this.keep(record, now).record];
+      if (!this.isContested(record, isLeaders)) return this.add(record, now);
+      this.keep({ ...record, state: 'gone', isPresumed: true }, now);
+      return [];
+    });
+  }
+
+  /**
+   * Whether another lifetime has the address that a copy gives this one. Without the leader's word the one that lives has to
+   * announce itself again. Only a remembered one yields at once.
+   */
+  private isContested(record: Announcement, isLeaders: boolean): boolean {
+    const isBelieved = isLeaders && !isOnlyRemembered(record);
+    if (isBelieved) return false;
+    return this.live.at(record.address).some(({ record: other }) => {
+      return !isOnlyRemembered(other) || isOnlyRemembered(record);
+    });
+  }
+
   private keep(record: Announcement, now: number): Entry {
     const known = this.entries.get(record.id);
     if (known !== undefined) {
@@ -237,7 +261,12 @@
     return entry.record;
   }
 
-  private mergeKnown(known: Entry, record: Announcement, now: number): Announcement[] {
+  private mergeKnown(
+    known: Entry,
+    record: Announcement,
+    now: number,
+    isLeaders: boolean,
+  ): Announcement[] {
     if (record.bornAt > known.record.bornAt) return this.startAgain(known, record, now);
     if (record.bornAt < known.record.bornAt) return [];
     // Whoever heard it speak has judged whether that was a word held up since before its death.
@@ -247,7 +276,7 @@
       !isOnlyRemembered(record) &&
       record.sequence > known.record.sequence &&
       // A copy that missed the end must not take the address from the one that lives there.
-      this.live.at(record.address).length === 0;
+      (isLeaders || this.live.at(record.address).length === 0);
     return isRevived ? this.add(record, now) : this.update(known, record, now);
   }
 
