Check the registry in all orders of a small scope

Two copies, one address; targets start, announce themselves (heard everywhere, by the leader only, or held up), crash, leave, start again under the same id or another one; copies are handed on, leadership moves with and without telling. Promises: never two lifetimes in use at the address, none in use that left and is known to have; the living one in use in both copies, and alone, once it has announced itself three times to a leader that the other copy hears.

The quarantine's model counts as misled also where the other ends of a culprit were another one's too: quarantineOfTwo had found such a story at six events.

--- a/packages/check/src/__tests__/check.test.ts
+++ b/packages/check/src/__tests__/check.test.ts
@@ -7,6 +7,7 @@
 const { expect } = chai;
 
 type Quarantine = domain.quarantine.quarantine.Quarantine;
+type Registry = domain.registry.registry.Registry;
 
 /** Counts up by one or three; seven is wrong. */
 const COUNTER: explorer.Model<{ sum: number }, number> = {
@@ -97,3 +98,42 @@
     });
   });
 });
+
+function newRegistry(): Registry {
+  return new domain.registry.registry.Registry();
+}
+
+/** A registry whose methods are replaced by what `change` makes of it. */
+function brokenRegistry(change: (made: Registry) => object): Registry {
+  const made = newRegistry();
+  return Object.assign(made, change(made));
+}
+
+describe('registry, checked', () => {
+  it('has one lifetime at an address, the living one once it speaks, in all orders of six events', () => {
+    const found = explorer.explore(models.registryModel.registryModel(newRegistry), 6);
+    expect(found).toMatchSnapshot();
+  });
+
+  const versions: [string, (made: Registry) => object][] = [
+    ['a leader counts no more than others', (made) => ({ follow: made.merge.bind(made) })],
+    [
+      'it does not matter which lifetime leaves',
+      (made) => {
+        const depart = made.depart.bind(made);
+        return { depart: (id: string, now: number) => depart(id, now) };
+      },
+    ],
+    ['a lifetime that was wrongly taken for dead stays so', () => ({ contradict: () => [] })],
+    ['a new lifetime ends no other at its address', () => ({ presumeDead: () => [] })],
+  ];
+
+  versions.forEach(([what, change]) => {
+    it(`finds the version in which ${what}`, () => {
+      const model = models.registryModel.registryModel(() => brokenRegistry(change));
+      const { finding } = explorer.explore(model, 6);
+      expect(finding).toMatchSnapshot();
+      expect(finding).not.to.equal(undefined);
+    });
+  });
+});
--- a/packages/check/src/main.ts
+++ b/packages/check/src/main.ts
@@ -16,6 +16,9 @@
   quarantineWithoutLeader: exploration(
     quarantineModel({ culprits: 2, innocents: 1, isApart: false, make }),
   ),
+  registry: exploration(
+    models.registryModel.registryModel(() => new domain.registry.registry.Registry()),
+  ),
 };
 
 type Explore = (depth: number, walks: explorer.Walks) => Counts;
--- a/packages/check/src/models/index.ts
+++ b/packages/check/src/models/index.ts
@@ -1,1 +1,2 @@
 export * as quarantineModel from './quarantineModel';
+export * as registryModel from './registryModel';
--- a/packages/check/src/models/quarantineModel.ts
+++ b/packages/check/src/models/quarantineModel.ts
@@ -27,8 +27,8 @@
   /** What each target that ended had run, by lifetime. */
   ran: Map<string, readonly string[]>;
   /**
-   * Whether an innocent content was convicted while a culprit beside it had ended one target only: nothing tells that end from
-   * chance, and the innocent's three look like its own.
+   * Whether an innocent content was convicted while a culprit beside it had ended one target only as the only culprit there:
+   * nothing tells that end from chance, and the innocent's three look like its own.
    */
   isMisled: boolean;
 }
@@ -196,16 +196,18 @@
   });
 }
 
-/** Whether an innocent content is convicted with an end of a culprit that has no other. */
+/** Whether an innocent content is convicted with an end of a culprit that ended no other target as the only culprit there. */
 function isMisledBy(
-  { quarantine, ran, arrivals }: World,
+  { quarantine, ran }: World,
   innocent: string,
   guilty: readonly string[],
 ): boolean {
   if (quarantine.standing(innocent) !== 'quarantined') return false;
   const beside = quarantine.endings(innocent).flatMap((lifetime) => ran.get(lifetime) ?? []);
+  const own = [...ran.values()].map((contents) => contents.filter((each) => guilty.includes(each)));
   return guilty.some((culprit) => {
-    return beside.includes(culprit) && arrivals.get(culprit)?.length === 1;
+    const alone = own.filter((culprits) => culprits.length === 1 && culprits[0] === culprit);
+    return beside.includes(culprit) && alone.length <= 1;
   });
 }
 
