Let ends at one moment explain, also after an innocent one's conviction

Cause, by the trace: crash 4 ended t8-2 (12.747) and t7-2 (12.794) at one moment, which counts as one end, and came no more. The lookup ran on both, the second time as a trial, and on t8-3, which another culprit ended (18.488): three ends, quarantine at 18.745. It was not in doubt as no content was convicted or had two counted ends, and its own conviction explained half a second later the ends of the true culprit (7-KkdlQV, line 5016 at 19.324).

Change: a content under which two targets ended may be a culprit, whether they count as one or two; and where a conviction explains ends of such a one, the convicted remembers them as explained, so that it is in doubt after two seconds.

The new test fails without the change ('quarantined' 2 s after).

--- a/packages/domain/src/quarantine/__tests__/quarantine.test.ts
+++ b/packages/domain/src/quarantine/__tests__/quarantine.test.ts
@@ -206,6 +206,22 @@
     expect(made.standing(BESIDE)).to.equal('suspected');
   });
 
+  /**
+   * Guards against an innocent request that is refused for minutes as its culprit ended its targets at one moment: that counts once,
+   * and the innocent one's conviction explained even that.
+   */
+  it('ends soon also where what explains it ended two targets at one moment', () => {
+    const made = new quarantine.Quarantine();
+    ['t0', 't1'].forEach((id, i) => {
+      made.blame(CULPRIT, life(id), { sentAt: 0, isTrial: false }, 100);
+      made.blame(BESIDE, life(id), { sentAt: 0, isTrial: i > 0 }, 100);
+    });
+    made.blame(BESIDE, life('u0'), { sentAt: 5_000, isTrial: true }, 6_000);
+    expect(made.standing(BESIDE)).to.equal('quarantined');
+    [6_500, 8_000].forEach((at) => made.tick(at));
+    expect(made.standing(BESIDE)).to.equal('suspected');
+  });
+
   /** Guards against an innocent request that is refused for minutes as its culprit was let out for doubt before it was convicted. */
   it('ends soon also where what explains it was doubted before it began', () => {
     const made = afterEnds(3);
--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -291,12 +291,12 @@
     return suspects.countOf({ endings: own }) < LEFT_AFTER_QUARANTINE;
   }
 
-  /** Also one that doubt let out, as its trial is to come, and one whose next end would convict it: it may come no more. */
+  /** Also one that doubt let out, as its trial is to come, and one that ended two targets, at one moment or not: it may come no more. */
   private mayBeCulprit(content: string): boolean {
     const suspect = this.suspects.get(content);
     if (suspect === undefined) return false;
     if (suspects.isQuarantined(suspect) || suspect.doubts > 0) return true;
-    return suspects.countOf(suspect) >= MOST_ENDINGS - 1;
+    return suspect.endings.length >= MOST_ENDINGS - 1;
   }
 
   /**
@@ -307,14 +307,23 @@
     const culprits = [...this.suspects.values()].filter(({ quarantinedAt = Infinity }) => {
       return now - quarantinedAt >= EXPLAINS_AFTER_MS;
     });
-    return culprits
-      .flatMap(({ endings }) => endings)
-      .flatMap(({ lifetime }) => {
-        const beside = this.lifetimes
-          .blamed(lifetime)
-          .filter((content) => this.count(content) === 1);
-        return beside.map((content) => this.acquit(content, lifetime, 'explained'));
-      });
+    return culprits.flatMap((culprit) => this.explainBeside(culprit));
+  }
+
+  private explainBeside(culprit: Suspect): Change[] {
+    const lifetimes = culprit.endings.map(({ lifetime }) => lifetime);
+    // What is acquitted now may be the culprit, and the one in quarantine was beside it.
+    lifetimes
+      .filter((lifetime) => this.blamedOnce(lifetime).some((each) => this.mayBeCulprit(each)))
+      .forEach((lifetime) => culprit.explained.add(lifetime));
+    return lifetimes.flatMap((lifetime) => {
+      return this.blamedOnce(lifetime).map((each) => this.acquit(each, lifetime, 'explained'));
+    });
+  }
+
+  /** Contents that an end counts against, and no other one. */
+  private blamedOnce(lifetime: string): string[] {
+    return this.lifetimes.blamed(lifetime).filter((content) => this.count(content) === 1);
   }
 
   /** Makes room: whoever is blamed for least goes first, and of those the one that was blamed longest ago. */
