Let the quarantine's model end two targets at one moment

Copies of a culprit at several entries end several targets before the first end is known; these count as one.

--- a/packages/check/src/__tests__/check.test.ts
+++ b/packages/check/src/__tests__/check.test.ts
@@ -50,6 +50,7 @@
 
 /** The parts of a suspect that these versions look at. */
 interface Suspect {
+  endings: { lifetime: string; at: number; isTrial: boolean }[];
   quarantinedAt: number | undefined;
   doubts: number;
 }
@@ -59,6 +60,12 @@
   return suspect !== undefined && (suspect.quarantinedAt !== undefined || suspect.doubts > 0);
 }
 
+function hasTwoCounted(this: { suspects: Map<string, Suspect> }, content: string): boolean {
+  const suspect = this.suspects.get(content);
+  if (suspect === undefined) return false;
+  return wasConvicted.call(this, content) || domain.quarantine.suspect.countOf(suspect) >= 2;
+}
+
 function isDueSoon({ quarantinedAt }: Suspect, now: number): 'doubtful' | undefined {
   return quarantinedAt !== undefined && now - quarantinedAt >= 2_000 ? 'doubtful' : undefined;
 }
@@ -82,6 +89,7 @@
   const versions: [string, object][] = [
     ['nothing is ever in doubt', { isDoubtful: () => false }],
     ['only what was convicted explains ends', { mayBeCulprit: wasConvicted }],
+    ['only counted ends make a possible culprit', { mayBeCulprit: hasTwoCounted }],
     ['nothing of a doubted content goes on explaining', { noteExplained: () => undefined }],
     ['doubt returns every two seconds', { dueReason: isDueSoon }],
     ['nothing is ever refused', { standing: () => 'suspected' }],
--- a/packages/check/src/models/quarantineModel.ts
+++ b/packages/check/src/models/quarantineModel.ts
@@ -9,8 +9,8 @@
 type Quarantine = domain.quarantine.quarantine.Quarantine;
 
 export type Event =
-  /** A target ends while it runs these contents; `isCrash` where one of them is the cause. */
-  | { kind: 'end'; contents: readonly string[]; isCrash: boolean }
+  /** Targets end at one moment while each runs these contents; `isCrash` where one of them is the cause. */
+  | { kind: 'end'; contents: readonly string[]; isCrash: boolean; targets: number }
   /** An innocent request runs to its end. */
   | { kind: 'whole'; content: string }
   | { kind: 'wait'; ms: number };
@@ -47,6 +47,9 @@
 
 const MOST_KILLS = 1;
 
+/** Targets that copies of one request end at one moment. */
+const AT_ONE_MOMENT = [1, 2];
+
 /** After the last harm all must be served again within so long, milliseconds. */
 const RECOVER_MS = 8_000;
 
@@ -98,7 +101,9 @@
     while (world.now < until) {
       guilty
         .filter((content) => mayRun(world, [content]))
-        .forEach((content) => end(world, [content], true));
+        .forEach((content) => {
+          end(world, { contents: [content], isCrash: true, targets: 1 });
+        });
       pass(world, TICK_MS);
       if (areInnocentsAsked) runInnocent(world);
     }
@@ -124,9 +129,13 @@
     events: (world) => {
       const crashes = subsets([...guilty, ...innocent])
         .filter((contents) => contents.some((content) => guilty.includes(content)))
-        .map((contents): Event => ({ kind: 'end', contents, isCrash: true }));
+        .flatMap((contents) => {
+          return AT_ONE_MOMENT.map((targets): Event => {
+            return { kind: 'end', contents, isCrash: true, targets };
+          });
+        });
       const kills = subsets(innocent).map((contents): Event => {
-        return { kind: 'end', contents, isCrash: false };
+        return { kind: 'end', contents, isCrash: false, targets: 1 };
       });
       const ends = [...crashes, ...(world.kills < MOST_KILLS ? kills : [])];
       const wholes = innocent
@@ -143,7 +152,7 @@
       if (event.kind === 'wait') pass(world, event.ms);
       else if (event.kind === 'whole') world.quarantine.ranWhole(event.content);
       else {
-        end(world, event.contents, event.isCrash);
+        end(world, event);
         world.isMisled ||= innocent.some((content) => isMisledBy(world, content, guilty));
       }
     },
@@ -168,7 +177,8 @@
       if (event.kind === 'wait') return `${event.ms} ms pass`;
       if (event.kind === 'whole') return `${event.content} runs to its end`;
       const cause = event.isCrash ? 'crashes' : 'loses its power';
-      return `a target ${cause} while it runs ${event.contents.join(' and ')}`;
+      const who = event.targets === 1 ? 'a target' : `each of ${event.targets} targets`;
+      return `${who} ${cause} while it runs ${event.contents.join(' and ')}`;
     },
   };
 }
@@ -178,22 +188,24 @@
   world.quarantine.tick(world.now);
 }
 
-function end(world: World, contents: readonly string[], isCrash: boolean): void {
-  const { quarantine, now } = world;
-  const lifetime = domain.quarantine.endedLifetimes.lifetimeOf({
-    id: `t${world.ended}`,
-    bornAt: 1,
-  });
-  world.ended += 1;
-  world.ran.set(lifetime, contents);
+type Ends = Omit<Event & { kind: 'end' }, 'kind'>;
+
+function end(world: World, { contents, isCrash, targets }: Ends): void {
+  const { quarantine, now, ran, arrivals } = world;
   if (!isCrash) world.kills += 1;
   const runs = contents.map((content) => {
     return { content, isTrial: quarantine.standing(content) === 'suspected' };
   });
-  runs.forEach(({ content, isTrial }) => {
-    quarantine.blame(content, lifetime, { sentAt: now, isTrial }, now);
-    world.arrivals.set(content, [...(world.arrivals.get(content) ?? []), now]);
-  });
+  for (let i = 0; i < targets; i++) {
+    const target = { id: `t${world.ended}`, bornAt: 1 };
+    const lifetime = domain.quarantine.endedLifetimes.lifetimeOf(target);
+    world.ended += 1;
+    ran.set(lifetime, contents);
+    runs.forEach(({ content, isTrial }) => {
+      quarantine.blame(content, lifetime, { sentAt: now, isTrial }, now);
+      arrivals.set(content, [...(arrivals.get(content) ?? []), now]);
+    });
+  }
 }
 
 /** Whether an innocent content is convicted with an end of a culprit that ended no other target as the only culprit there. */
