Ask the leader in one place

Five calls of an entry to its leader (permit, blame, trialEnded, grant, limited) each had the address, the timeout and the answer that names another leader; two modules had the constants. leaderCall.ask has them now.

--- a/packages/daemon/src/entry/crashWatch.ts
+++ b/packages/daemon/src/entry/crashWatch.ts
@@ -6,10 +6,9 @@
 import * as domain from '@celerydrift/domain';
 import * as clock from '../clock';
 import type * as holding from '../fleet/holding';
-import type * as leaderLink from '../fleet/leaderLink';
 import type * as messages from '../fleet/messages';
 import type * as observer from '../observability/observer';
-import type * as peerClient from '../rpc/peerClient';
+import * as leaderCall from './leaderCall';
 import * as leaderOutbox from './leaderOutbox';
 import type * as lifeChecks from './lifeChecks';
 
@@ -48,12 +47,10 @@
   | { kind: 'busy' }
   | { kind: 'quarantined' };
 
-export interface Parts {
+export interface Parts extends leaderCall.Parts {
   /** Name of this entry. */
   name: string;
   holding: Pick<holding.Holding, 'quarantine' | 'registry'>;
-  link: Pick<leaderLink.LeaderLink, 'leader'>;
-  client: Pick<peerClient.PeerClient, 'call'>;
   lifeChecks: Pick<lifeChecks.LifeChecks, 'isAlive'>;
   observer: observer.Observer;
   now: () => number;
@@ -65,9 +62,6 @@
  */
 const VERDICT_MS = 20;
 
-/** Longest wait for the leader's word, milliseconds: ten times the usual, as for a place. */
-const LEADER_MS = 150;
-
 /** Most ends that wait for a leader; those of an entry that is cut off from all targets for some seconds. */
 const MOST_UNTOLD = 500;
 
@@ -164,30 +158,18 @@
   }
 
   private async tellTrials(trials: readonly messages.TrialEnded[]): Promise<boolean> {
-    const { client, link } = this.parts;
-    const { leader } = link;
-    if (leader === '') return false;
     const answers = await Promise.all(
       trials.map((trial) => {
-        return client.call<messages.TakenAnswer>(leader, 'trialEnded', trial, {
-          timeoutMs: LEADER_MS,
-          toleratesDelay: true,
-        });
+        return leaderCall.ask<messages.TakenAnswer>(this.parts, 'trialEnded', trial);
       }),
     );
-    return answers.every((answer) => answer.ok && answer.val.kind === 'taken');
+    return answers.every((answer) => answer !== undefined);
   }
 
-  private async askLeader(
+  private askLeader(
     question: messages.PermitQuestion,
   ): Promise<Exclude<messages.PermitAnswer, messages.Redirect> | undefined> {
-    const { client, link } = this.parts;
-    if (link.leader === '') return undefined;
-    const answer = await client.call<messages.PermitAnswer>(link.leader, 'permit', question, {
-      timeoutMs: LEADER_MS,
-      toleratesDelay: true,
-    });
-    return answer.err || answer.val.kind === 'redirect' ? undefined : answer.val;
+    return leaderCall.ask<messages.PermitAnswer>(this.parts, 'permit', question);
   }
 
   private async judge(
@@ -210,19 +192,15 @@
 
   /** At once, also while an earlier word is under way: on one connection it then comes before the question whether its request may run again. */
   private async tellEnds(noticed: readonly Noticed[]): Promise<boolean> {
-    const { client, link, holding: held, now } = this.parts;
-    if (link.leader === '') return false;
+    const { holding: held, now } = this.parts;
     const ended = noticed.map(({ at, sentAt, ...each }) => {
       return { ...each, agoMs: now() - at, sentAgoMs: now() - sentAt };
     });
     const blame: messages.Blame = { ended };
-    const answer = await client.call<messages.BlameAnswer>(link.leader, 'blame', blame, {
-      timeoutMs: LEADER_MS,
-      toleratesDelay: true,
-    });
-    if (answer.err || answer.val.kind === 'redirect') return false;
+    const answer = await leaderCall.ask<messages.BlameAnswer>(this.parts, 'blame', blame);
+    if (answer === undefined) return false;
     // A leader that doesn't believe an end changes nothing and tells nobody else.
-    answer.val.reports.forEach((report) => held.quarantine.take(report, now()));
+    answer.reports.forEach((report) => held.quarantine.take(report, now()));
     return true;
   }
 }
--- a/packages/daemon/src/entry/leaderOutbox.ts
+++ b/packages/daemon/src/entry/leaderOutbox.ts
@@ -4,8 +4,8 @@
  */
 import * as clock from '../clock';
 
-/** Pause before items are told again, milliseconds. */
-const TELL_AGAIN_MS = 100;
+/** Pause before items that no leader took are told again, milliseconds. */
+export const TELL_AGAIN_MS = 100;
 
 export class LeaderOutbox<T> {
   private untold: T[] = [];
--- a/packages/daemon/src/entry/limitWatch.ts
+++ b/packages/daemon/src/entry/limitWatch.ts
@@ -6,10 +6,10 @@
 import * as clock from '../clock';
 import type * as protocols from '../edges/protocols';
 import type * as holding from '../fleet/holding';
-import type * as leaderLink from '../fleet/leaderLink';
 import type * as messages from '../fleet/messages';
 import type * as observer from '../observability/observer';
-import type * as peerClient from '../rpc/peerClient';
+import * as leaderCall from './leaderCall';
+import * as leaderOutbox from './leaderOutbox';
 import * as untoldLimits from './untoldLimits';
 
 const { keyOf } = domain.rateLimits.rateLimits;
@@ -27,20 +27,12 @@
 
 export type Grant = Exclude<messages.GrantAnswer, messages.Redirect>;
 
-export interface Parts {
+export interface Parts extends leaderCall.Parts {
   holding: Pick<holding.Holding, 'limits' | 'registry'>;
-  link: Pick<leaderLink.LeaderLink, 'leader'>;
-  client: Pick<peerClient.PeerClient, 'call'>;
   observer: observer.Observer;
   now: () => number;
 }
 
-/** Longest wait for the leader's word, milliseconds: ten times the usual, as for a place. */
-const LEADER_MS = 150;
-
-/** Pause before the leader is told again what none took, milliseconds. */
-const TELL_AGAIN_MS = 100;
-
 /**
  * Pause between an entry's trials of a target with a limit while other targets take all calls, milliseconds; longer where more
  * entries share the trials.
@@ -133,15 +125,8 @@
   }
 
   /** The leader's word; undefined where nobody leads. */
-  private async ask(question: messages.GrantQuestion): Promise<Grant | undefined> {
-    const { client, link } = this.parts;
-    const { leader } = link;
-    if (leader === '') return undefined;
-    const answer = await client.call<messages.GrantAnswer>(leader, 'grant', question, {
-      timeoutMs: LEADER_MS,
-      toleratesDelay: true,
-    });
-    return answer.err || answer.val.kind === 'redirect' ? undefined : answer.val;
+  private ask(question: messages.GrantQuestion): Promise<Grant | undefined> {
+    return leaderCall.ask<messages.GrantAnswer>(this.parts, 'grant', question);
   }
 
   private grantLocally(places: readonly Place[]): Grant {
@@ -169,20 +154,15 @@
       const told = this.untold.take();
       if (!(await this.isTaken(told))) {
         this.untold.putBack(told);
-        await clock.pause(TELL_AGAIN_MS);
+        await clock.pause(leaderOutbox.TELL_AGAIN_MS);
       }
     }
     this.isTelling = false;
   }
 
   private async isTaken(told: messages.Limited): Promise<boolean> {
-    const { client, link } = this.parts;
-    if (link.leader === '') return false;
-    const answer = await client.call<messages.TakenAnswer>(link.leader, 'limited', told, {
-      timeoutMs: LEADER_MS,
-      toleratesDelay: true,
-    });
-    return answer.ok && answer.val.kind === 'taken';
+    const answer = await leaderCall.ask<messages.TakenAnswer>(this.parts, 'limited', told);
+    return answer !== undefined;
   }
 }
 
