Doubt a conviction only while few targets ended late under it

What callers would see: two culprits that always come together explain each other's ends, so each doubt is followed by another: after 2, 4, 8, 16, 32 s, one target each; by the users' pages a request that ended three targets may reach three more at most later than the stable window after that.

Change: a suspect counts the targets that ended under it later than 3 s after its third, also those that were acquitted; with three of them doubt doesn't let it out any more. The test fails without the change (4 later ones) and passes with it (3).

--- a/packages/domain/src/quarantine/__tests__/quarantine.test.ts
+++ b/packages/domain/src/quarantine/__tests__/quarantine.test.ts
@@ -251,6 +251,22 @@
     expect(further).to.be.at.most(2);
   });
 
+  /** Guards against culprits that always come together, explain each other, and are let out for doubt again and again. */
+  it('lets a content out for doubt as long as three targets at most end much later than the third', () => {
+    const made = new quarantine.Quarantine();
+    const both = [CULPRIT, BESIDE];
+    const ends: number[] = [];
+    for (let at = 0; at < 110_000; at += 100) {
+      made.tick(at);
+      if (both.every((content) => made.standing(content) !== 'quarantined')) {
+        const run = { sentAt: at, isTrial: ends.length > 0 };
+        both.forEach((content) => made.blame(content, life(`t${ends.length}`), run, at));
+        ends.push(at);
+      }
+    }
+    expect(ends.filter((at) => at > ends[2] + 3_000).length).to.equal(3);
+  });
+
   it('lasts two minutes at first, then one run decides, and longer each time', () => {
     const made = afterEnds(3);
     const [minute, since] = [60_000, 2_000];
--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -48,6 +48,13 @@
  */
 const DOUBT_AFTER_MS = 2_000;
 
+/**
+ * A content that ended this many targets later than so long after its third, milliseconds, isn't let out for doubt any more. By the
+ * users' pages that many further arrivals are allowed.
+ */
+const MOST_LATER_ENDS = 3;
+const LATER_MS = 3_000;
+
 /** Endings that are left after a quarantine: the next one is the third again. */
 const LEFT_AFTER_QUARANTINE = MOST_ENDINGS - 1;
 
@@ -118,6 +125,7 @@
     const known = this.suspects.get(content) ?? this.add(content, now);
     if (known.endings.some((each) => each.lifetime === lifetime)) return undefined;
     known.endings.push({ lifetime, at: now, isTrial });
+    countEnd(known, now);
     this.lifetimes.blame(content, lifetime);
     if (suspects.countOf(known) >= MOST_ENDINGS && !suspects.isQuarantined(known)) {
       known.quarantinedAt = now;
@@ -210,6 +218,7 @@
   private restore(report: suspects.Report, now: number): Suspect {
     if (this.suspects.size >= MOST_SUSPECTS) this.evict(now);
     const made = suspects.suspectOf(report, now);
+    if (made.ends >= MOST_ENDINGS) made.thirdEndAt = suspects.blamedAt(made);
     this.suspects.set(made.content, made);
     made.endings.forEach(({ lifetime, at }) => {
       this.lifetimes.blame(made.content, lifetime);
@@ -251,6 +260,7 @@
     if (quarantinedAt === undefined) return undefined;
     const lastedMs = now - quarantinedAt;
     if (lastedMs >= suspects.quarantineMs(suspect)) return 'expired';
+    if (suspect.laterEnds >= MOST_LATER_ENDS) return undefined;
     if (lastedMs < DOUBT_AFTER_MS * 2 ** doubts) return undefined;
     return this.isDoubtful(suspect) ? 'doubtful' : undefined;
   }
@@ -348,6 +358,13 @@
   }
 }
 
+/** Counts an end also when it counts no longer against the content. */
+function countEnd(suspect: Suspect, now: number): void {
+  suspect.ends += 1;
+  if (suspect.ends === MOST_ENDINGS) suspect.thirdEndAt = now;
+  if (now > suspect.thirdEndAt + LATER_MS) suspect.laterEnds += 1;
+}
+
 /** Contents begin with the length of the body. */
 function lengthOf(content: string): string {
   return content.slice(0, content.indexOf('-'));
--- a/packages/domain/src/quarantine/suspect.ts
+++ b/packages/domain/src/quarantine/suspect.ts
@@ -17,6 +17,12 @@
   quarantinedAt: number | undefined;
   /** Doubtful quarantines of it that were ended. */
   doubts: number;
+  /** Lifetimes that ended under it, whether they still count or not. */
+  ends: number;
+  /** When the third of them was told; infinite before. */
+  thirdEndAt: number;
+  /** Those that came much later than that; see the quarantine. */
+  laterEnds: number;
   /** Lifetimes that ended under it and under one whose quarantine was ended for doubt, since its own last one ended. */
   explained: Set<string>;
 }
@@ -86,6 +92,9 @@
     quarantines,
     quarantinedAt: quarantinedForMs === undefined ? undefined : now - quarantinedForMs,
     doubts: 0,
+    ends: endings.length,
+    thirdEndAt: Infinity,
+    laterEnds: 0,
     explained: new Set(),
   };
 }
