--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -41,7 +41,7 @@
 export const MOST_SUSPECTS = 1_000;
 
 /**
- * A quarantine is in doubt where at most one of its ends isn't one of another content too that was convicted or nearly so: when
+ * A quarantine is in doubt where at most one of its ends isn't one of another content too that may be the culprit: when
  * several culprits end most targets at one moment, what many callers send was beside them each time, its trials included. After so long,
  * milliseconds, twice as long each further time, one more trial decides. An innocent content is refused for two seconds in
  * place of two minutes; a culprit costs up to two targets more, as these ends are its own.
@@ -49,10 +49,10 @@
 const DOUBT_AFTER_MS = 2_000;
 
 /**
- * A content that ended this many targets later than so long after its third, milliseconds, isn't let out for doubt any more. By the
- * users' pages that many further arrivals are allowed.
+ * A content isn't let out for doubt any more when so many targets ended under it later than so long after its third, milliseconds.
+ * Contents that explain each other would otherwise cost a target with each doubt, for as long as they come.
  */
-const MOST_LATER_ENDS = 3;
+const MOST_LATER_ENDINGS = 3;
 const LATER_MS = 3_000;
 
 /** Endings that are left after a quarantine: the next one is the third again. */
@@ -125,7 +125,7 @@
     const known = this.suspects.get(content) ?? this.add(content, now);
     if (known.endings.some((each) => each.lifetime === lifetime)) return undefined;
     known.endings.push({ lifetime, at: now, isTrial });
-    countEnd(known, now);
+    countEnding(known, now);
     this.lifetimes.blame(content, lifetime);
     if (suspects.countOf(known) >= MOST_ENDINGS && !suspects.isQuarantined(known)) {
       known.quarantinedAt = now;
@@ -218,7 +218,7 @@
   private restore(report: suspects.Report, now: number): Suspect {
     if (this.suspects.size >= MOST_SUSPECTS) this.evict(now);
     const made = suspects.suspectOf(report, now);
-    if (made.ends >= MOST_ENDINGS) made.thirdEndAt = suspects.blamedAt(made);
+    if (made.totalEndings >= MOST_ENDINGS) made.thirdEndAt = suspects.blamedAt(made);
     this.suspects.set(made.content, made);
     made.endings.forEach(({ lifetime, at }) => {
       this.lifetimes.blame(made.content, lifetime);
@@ -260,7 +260,7 @@
     if (quarantinedAt === undefined) return undefined;
     const lastedMs = now - quarantinedAt;
     if (lastedMs >= suspects.quarantineMs(suspect)) return 'expired';
-    if (suspect.laterEnds >= MOST_LATER_ENDS) return undefined;
+    if (suspect.laterEndings >= MOST_LATER_ENDINGS) return undefined;
     if (lastedMs < DOUBT_AFTER_MS * 2 ** doubts) return undefined;
     return this.isDoubtful(suspect) ? 'doubtful' : undefined;
   }
@@ -359,10 +359,10 @@
 }
 
 /** Counts an end also when it counts no longer against the content. */
-function countEnd(suspect: Suspect, now: number): void {
-  suspect.ends += 1;
-  if (suspect.ends === MOST_ENDINGS) suspect.thirdEndAt = now;
-  if (now > suspect.thirdEndAt + LATER_MS) suspect.laterEnds += 1;
+function countEnding(suspect: Suspect, now: number): void {
+  suspect.totalEndings += 1;
+  if (suspect.totalEndings === MOST_ENDINGS) suspect.thirdEndAt = now;
+  if (now > suspect.thirdEndAt + LATER_MS) suspect.laterEndings += 1;
 }
 
 /** Contents begin with the length of the body. */
--- a/packages/domain/src/quarantine/suspect.ts
+++ b/packages/domain/src/quarantine/suspect.ts
@@ -17,13 +17,13 @@
   quarantinedAt: number | undefined;
   /** Doubtful quarantines of it that were ended. */
   doubts: number;
-  /** Lifetimes that ended under it, whether they still count or not. */
-  ends: number;
+  /** Lifetimes that ended under it, also those that no longer count. */
+  totalEndings: number;
   /** When the third of them was told; infinite before. */
   thirdEndAt: number;
-  /** Those that came much later than that; see the quarantine. */
-  laterEnds: number;
-  /** Lifetimes that ended under it and under one whose quarantine was ended for doubt, since its own last one ended. */
+  /** Those that came well after that, as the quarantine counts them. */
+  laterEndings: number;
+  /** Lifetimes whose end may be another content's doing, although it no longer counts against that one. */
   explained: Set<string>;
 }
 
@@ -92,9 +92,9 @@
     quarantines,
     quarantinedAt: quarantinedForMs === undefined ? undefined : now - quarantinedForMs,
     doubts: 0,
-    ends: endings.length,
+    totalEndings: endings.length,
     thirdEndAt: Infinity,
-    laterEnds: 0,
+    laterEndings: 0,
     explained: new Set(),
   };
 }
--- a/packages/domain/src/registry/registry.ts
+++ b/packages/domain/src/registry/registry.ts
@@ -202,16 +202,16 @@
   private takeCopies(
     records: readonly Announcement[],
     now: number,
-    isLeaders: boolean,
+    isFromLeader: boolean,
   ): Announcement[] {
     // Ends first: one lifetime's end and its successor at the same address come in one copy, in any order.
     const ends = records.filter(({ state }) => state === 'gone');
     const others = records.filter(({ state }) => state !== 'gone');
     return [...ends, ...others].flatMap((record) => {
       const known = this.entries.get(record.id);
-      if (known !== undefined) return this.mergeKnown(known, record, now, isLeaders);
+      if (known !== undefined) return this.mergeKnown(known, record, now, isFromLeader);
       if (record.state === 'gone') return [this.keep(record, now).record];
-      if (!this.isContested(record, isLeaders)) return this.add(record, now);
+      if (!this.isContested(record, isFromLeader)) return this.add(record, now);
       this.keep({ ...record, state: 'gone', isPresumed: true }, now);
       return [];
     });
@@ -221,8 +221,8 @@
    * Whether another lifetime has the address that a copy gives this one. Without the leader's word the one that lives has to
    * announce itself again. Only a remembered one yields at once.
    */
-  private isContested(record: Announcement, isLeaders: boolean): boolean {
-    const isBelieved = isLeaders && !isOnlyRemembered(record);
+  private isContested(record: Announcement, isFromLeader: boolean): boolean {
+    const isBelieved = isFromLeader && !isOnlyRemembered(record);
     if (isBelieved) return false;
     return this.live.at(record.address).some(({ record: other }) => {
       return !isOnlyRemembered(other) || isOnlyRemembered(record);
@@ -265,7 +265,7 @@
     known: Entry,
     record: Announcement,
     now: number,
-    isLeaders: boolean,
+    isFromLeader: boolean,
   ): Announcement[] {
     if (record.bornAt > known.record.bornAt) return this.startAgain(known, record, now);
     if (record.bornAt < known.record.bornAt) return [];
@@ -276,7 +276,7 @@
       !isOnlyRemembered(record) &&
       record.sequence > known.record.sequence &&
       // A copy that missed the end must not take the address from the one that lives there.
-      (isLeaders || this.live.at(record.address).length === 0);
+      (isFromLeader || this.live.at(record.address).length === 0);
     return isRevived ? this.add(record, now) : this.update(known, record, now);
   }
 
@@ -350,6 +350,7 @@
   return { ...UNKNOWN, id, bornAt: Math.min(bornAt, Number.MAX_SAFE_INTEGER) };
 }
 
+/** What isn't known of such a lifetime, and a sequence that no announcement of it exceeds. */
 const UNKNOWN: Announcement = {
   id: '',
   bornAt: 0,
