Don't take back from followers what a leader has acquitted

Cause, by the trace: keeper-3 let the lookup out for doubt at 55.814, with two ends left of five, and put it back at 55.879 with all five. Nothing had ended: followers that hadn't heard of the release told the leader in their next question what they knew of suspects, and the leader took the ends that it had just acquitted for new ones. The same had happened to two culprits before (43.492 and 45.110).

Change: an end of which a content was acquitted counts no longer against it, whoever tells of it again, until the target turns out to live. Kept beside the lifetimes that ended, and bounded with them (500).

The test fails without the change (quarantined 50 ms after it was let out).

--- a/packages/domain/src/quarantine/__tests__/quarantine.test.ts
+++ b/packages/domain/src/quarantine/__tests__/quarantine.test.ts
@@ -267,6 +267,28 @@
     expect(ends.filter((at) => at > ends[2] + 3_000).length).to.equal(3);
   });
 
+  /**
+   * Guards against an innocent request that is refused again as soon as it was let out, or had run whole: a follower that hadn't heard
+   * of that yet told the leader of its ends once more.
+   */
+  it("doesn't take back from a follower what it has acquitted", () => {
+    const made = afterEnds(3);
+    const trial = { sentAt: 0, isTrial: true };
+    ['t0', 't1', 't2'].forEach((id) => made.blame(BESIDE, life(id), trial, 2_000));
+    const reports = made.reports(3_900);
+    made.tick(4_000);
+    made.merge(reports, 4_050);
+    expect(made.standing(BESIDE)).to.equal('suspected');
+    made.ranWhole(BESIDE);
+    made.merge(reports, 4_100);
+    expect(made.standing(BESIDE)).to.equal('free');
+    // Of a target that lives the next word is news.
+    made.spoke({ id: 't1', bornAt: 1 }, 7);
+    made.spoke({ id: 't1', bornAt: 1 }, 8);
+    made.blame(CULPRIT, life('t1'), { sentAt: 9_000, isTrial: true }, 9_100);
+    expect(made.endings(CULPRIT)).to.include(life('t1'));
+  });
+
   it('lasts two minutes at first, then one run decides, and longer each time', () => {
     const made = afterEnds(3);
     const [minute, since] = [60_000, 2_000];
--- a/packages/domain/src/quarantine/endedLifetimes.ts
+++ b/packages/domain/src/quarantine/endedLifetimes.ts
@@ -30,6 +30,9 @@
 
   private readonly contents = new Map<string, Set<string>>();
 
+  /** Contents that were acquitted of an end, by lifetime. */
+  private readonly acquitted = new Map<string, Set<string>>();
+
   has(lifetime: string): boolean {
     return this.ended.has(lifetime);
   }
@@ -45,6 +48,7 @@
     if (this.ended.size <= MOST_ENDED) return;
     const [oldest] = this.ended.keys();
     this.ended.delete(oldest);
+    this.acquitted.delete(oldest);
   }
 
   /**
@@ -56,6 +60,7 @@
     if (ended === undefined) return false;
     ended.heard ??= sequence;
     if (sequence <= ended.heard) return false;
+    this.acquitted.delete(lifetime);
     return this.ended.delete(lifetime);
   }
 
@@ -69,6 +74,17 @@
     this.contents.set(lifetime, contents.add(content));
   }
 
+  /** An end counts no longer against a content, whoever tells of it again. */
+  noteAcquittal(content: string, lifetime: string): void {
+    if (!this.ended.has(lifetime)) return;
+    const contents = this.acquitted.get(lifetime) ?? new Set();
+    this.acquitted.set(lifetime, contents.add(content));
+  }
+
+  isAcquitted(content: string, lifetime: string): boolean {
+    return this.acquitted.get(lifetime)?.has(content) === true;
+  }
+
   acquit(content: string, lifetime: string): void {
     const contents = this.contents.get(lifetime);
     contents?.delete(content);
--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -121,6 +121,7 @@
     now: number,
   ): Change | undefined {
     if ((this.lifetimes.at(lifetime) ?? Infinity) < sentAt) return undefined;
+    if (this.lifetimes.isAcquitted(content, lifetime)) return undefined;
     this.lifetimes.note(lifetime, now);
     const known = this.suspects.get(content) ?? this.add(content, now);
     if (known.endings.some((each) => each.lifetime === lifetime)) return undefined;
@@ -192,7 +193,8 @@
 
   /** Adds what another copy knows, for a new leader; the contents that changed. */
   merge(reports: readonly suspects.Report[], now: number): Change[] {
-    return reports.flatMap((report) => {
+    return reports.flatMap((told) => {
+      const report = this.withoutAcquitted(told);
       const known = this.suspects.get(report.content);
       if (known === undefined) {
         return report.endings.length === 0
@@ -211,6 +213,17 @@
     });
   }
 
+  /** A follower may not have heard yet of what the content was acquitted of. */
+  private withoutAcquitted(report: suspects.Report): suspects.Report {
+    const { content } = report;
+    const endings = report.endings.filter(({ lifetime }) => {
+      return !this.lifetimes.isAcquitted(content, lifetime);
+    });
+    if (endings.length === report.endings.length) return report;
+    const quarantinedForMs = endings.length < MOST_ENDINGS ? undefined : report.quarantinedForMs;
+    return { ...report, endings, quarantinedForMs };
+  }
+
   private add(content: string, now: number): Suspect {
     return this.restore(suspects.nothingOf(content), now);
   }
@@ -240,8 +253,10 @@
   }
 
   private drop(suspect: Suspect, reason: Reason): Change {
+    const { content, endings } = suspect;
     this.remove(suspect);
-    return { content: suspect.content, standing: 'free', endings: 0, reason };
+    endings.forEach(({ lifetime }) => this.lifetimes.noteAcquittal(content, lifetime));
+    return { content, standing: 'free', endings: 0, reason };
   }
 
   /** A lifetime no longer counts against a content. */
@@ -249,6 +264,7 @@
     const suspect = this.suspects.get(content) as Suspect;
     suspect.endings = suspect.endings.filter((each) => each.lifetime !== lifetime);
     this.lifetimes.acquit(content, lifetime);
+    this.lifetimes.noteAcquittal(content, lifetime);
     if (suspect.endings.length === 0) return this.drop(suspect, reason);
     if (suspects.countOf(suspect) < MOST_ENDINGS) suspect.quarantinedAt = undefined;
     return this.changeOf(suspect, reason);
@@ -274,6 +290,7 @@
     const kept = suspect.endings.slice(-LEFT_AFTER_QUARANTINE);
     suspect.endings.slice(0, -LEFT_AFTER_QUARANTINE).forEach(({ lifetime }) => {
       this.lifetimes.acquit(suspect.content, lifetime);
+      this.lifetimes.noteAcquittal(suspect.content, lifetime);
       if (reason === 'doubtful') this.noteExplained(lifetime);
     });
     suspect.endings = kept.map(({ lifetime }) => ({ lifetime, at: now, isTrial: true }));
