--- a/packages/soak/src/awakeTime.ts
+++ b/packages/soak/src/awakeTime.ts
@@ -13,18 +13,9 @@
 
   private lastLookAt: number;
 
-  private timer: NodeJS.Timeout | undefined;
-
   constructor(private readonly now: () => number) {
     this.lastLookAt = now();
-  }
-
-  start(): void {
-    this.timer = setInterval(() => this.look(), LOOK_EVERY_MS);
-  }
-
-  stop(): void {
-    clearInterval(this.timer);
+    setInterval(() => this.look(), LOOK_EVERY_MS).unref();
   }
 
   /** Milliseconds since it was made, without those in which nothing ran. */
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -42,9 +42,7 @@
 
   private count = 0;
 
-  constructor(private readonly random: domain.shared.random.Random) {
-    this.awake.start();
-  }
+  constructor(private readonly random: domain.shared.random.Random) {}
 
   async ask({ entry, kind, path, key, body = USUAL_BODY }: Question): Promise<observations.Asked> {
     this.count += 1;
@@ -58,7 +56,6 @@
 
   close(): void {
     this.agent.destroy();
-    this.awake.stop();
   }
 
   private send(
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -208,8 +208,8 @@
 }
 
 function nothingLost({ sent, readBack, restartReads }: Observations): Violation[] {
-  const atEnd: observations.RestartRead = { lostAt: Infinity, document: readBack };
-  return [...restartReads, atEnd].flatMap(({ lostAt, document }): Violation[] => {
+  const reads = [...restartReads, { lostAt: Infinity, document: readBack }];
+  return reads.flatMap(({ lostAt, document }): Violation[] => {
     const acked = sent.filter(({ ackedAt = Infinity }) => ackedAt < lostAt);
     const newest = Math.max(0, ...acked.map(({ version }) => version));
     if (document === undefined) return [{ promise: 'lost', detail: 'no document read back' }];
--- a/packages/soak/src/harm.ts
+++ b/packages/soak/src/harm.ts
@@ -82,9 +82,7 @@
     targetGrey: (step) => this.aroundTarget(step, (target) => turnGrey(target, step)),
     changes: () => this.storm(),
     race: ({ variant }) => this.operators.race(variant < 0.5),
-    revoke: async ({ index }) => {
-      await this.operators.revoke(index);
-    },
+    revoke: ({ index }) => this.operators.revoke(index).then(() => undefined),
     invalid: () => this.operators.invalid(),
     reload: async (step) => {
       const entry = this.entry(step);
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -82,14 +82,6 @@
   ackedAt: number;
 }
 
-/** A document read back after all keepers had lost their power, before the operator sent anything newer. */
-export interface RestartRead {
-  /** When the power was lost. */
-  lostAt: number;
-  /** Undefined where no keeper answered. */
-  document: { version: number; label: string } | undefined;
-}
-
 export interface Drained {
   target: string;
   /** When its announcement was acknowledged. */
@@ -133,7 +125,8 @@
   disturbances: Disturbance[];
   /** Lifetime of each target by its number, with the time of its start. */
   lifetimes: { target: string; index: number }[];
-  restartReads: RestartRead[];
+  /** Read back after all keepers had lost their power, before the operator sent anything newer. */
+  restartReads: { lostAt: number; document: Observations['readBack'] }[];
   /** The document read back at the end; undefined where no keeper answered. */
   readBack: { version: number; label: string } | undefined;
   /** Reservations that engines still held at the end. */
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -172,7 +172,9 @@
     });
     const isolated = isolating.map(async (each) => {
       await until(each.at);
-      await this.harm.isolate(each, (entry, key) => this.askAt(entry, key));
+      await this.harm.isolate(each, (entry, key) => {
+        this.ask({ entry, kind: 'safe', path: operator.basePath('safe'), key });
+      });
     });
     for (const step of steps) {
       await until(step.at);
@@ -210,11 +212,6 @@
     this.track(asking);
   }
 
-  private askAt(entry: fleet.Vm, key: string): void {
-    const kind = 'safe';
-    this.ask({ entry, kind, path: operator.basePath(kind), key });
-  }
-
   private key(): string {
     const { revoked } = this.seen;
     const isRevoked = revoked.length > 0 && this.random.uniform() < REVOKED_SHARE;
