Write a model's state in one place

Both models had the same function that makes text of what the domain knows, with ages in place of times, and the registry's model turned sets into lists once more around it. One fingerprintOf serves them.

--- a/packages/check/src/models/quarantineModel.ts
+++ b/packages/check/src/models/quarantineModel.ts
@@ -5,6 +5,7 @@
  */
 import * as domain from '@celerydrift/domain';
 import type * as explorer from '../explorer';
+import * as fingerprint from '../fingerprint';
 
 type Quarantine = domain.quarantine.quarantine.Quarantine;
 
@@ -62,6 +63,9 @@
 
 const TICK_MS = 200;
 
+/** Fields of a quarantine that hold a moment. */
+const TIMES = new Set(['at', 'quarantinedAt']);
+
 export function quarantineModel({
   culprits,
   innocents,
@@ -161,7 +165,12 @@
 
     fingerprint: ({ quarantine, now, kills, arrivals, isMisled }) => {
       const times = [...arrivals].map(([content, all]) => [content, all.map((at) => now - at)]);
-      return JSON.stringify([stateOf(quarantine, now), kills, times, isMisled]);
+      return JSON.stringify([
+        fingerprint.fingerprintOf(quarantine, now, TIMES),
+        kills,
+        times,
+        isMisled,
+      ]);
     },
 
     problem: (replay) => {
@@ -231,15 +240,3 @@
     .reduce<T[][]>((all, each) => [...all, ...all.map((some) => [...some, each])], [[]])
     .slice(1);
 }
-
-/** What a quarantine knows, with ages in place of times. */
-function stateOf(quarantine: Quarantine, now: number): unknown {
-  return JSON.parse(
-    JSON.stringify(quarantine, (key, value: unknown) => {
-      if (value instanceof Map) return [...value];
-      if (value instanceof Set) return [...value];
-      const isTime = key === 'at' || key === 'quarantinedAt';
-      return isTime && typeof value === 'number' ? now - value : value;
-    }),
-  );
-}
--- a/packages/check/src/models/registryModel.ts
+++ b/packages/check/src/models/registryModel.ts
@@ -6,6 +6,7 @@
  */
 import * as domain from '@celerydrift/domain';
 import type * as explorer from '../explorer';
+import * as fingerprint from '../fingerprint';
 
 type Registry = domain.registry.registry.Registry;
 type Announcement = domain.registry.registry.Announcement;
@@ -59,6 +60,9 @@
 /** A target that lives is known everywhere after so many announcements. */
 const SETTLING_ANNOUNCEMENTS = 3;
 
+/** Fields of a registry that hold a moment. */
+const TIMES = new Set(['heardAt', 'spokeAt', 'contradictedAt']);
+
 const MOST_HELD_UP = 2;
 const MOST_BIRTHS = 3;
 
@@ -76,10 +80,7 @@
     }),
     events: eventsOf,
     play,
-    fingerprint: ({ registries, now, sequence, ...rest }) =>
-      JSON.stringify([registries.map((each) => stateOf(each, now)), rest], (_key, value) =>
-        value instanceof Set ? [...(value as Set<number>)] : (value as unknown),
-      ),
+    fingerprint: ({ now, sequence, ...rest }) => fingerprint.fingerprintOf(rest, now, TIMES),
     problem: (replay) => problemNow(replay()) ?? problemSettled(replay()),
     describe,
   };
@@ -241,15 +242,3 @@
   };
   return `the target announces itself, ${heard[event.how]}`;
 }
-
-/** What a registry knows, with ages in place of times. */
-function stateOf(registry: Registry, now: number): unknown {
-  return JSON.parse(
-    JSON.stringify(registry, (key, value: unknown) => {
-      if (value instanceof Map) return [...value];
-      if (value instanceof Set) return [...value];
-      const isTime = key === 'heardAt' || key === 'spokeAt' || key === 'contradictedAt';
-      return isTime && typeof value === 'number' ? now - value : value;
-    }),
-  );
-}
