Log that a target asked this VM to back off, and for how long

The logs of the incident hold the target's 503, but not the Retry-After that came with it, so nothing told 'not read' from 'read and noted for the wrong one'.

No decision changes.

--- a/packages/daemon/src/edges/protocols.ts
+++ b/packages/daemon/src/edges/protocols.ts
@@ -52,6 +52,9 @@
 export type NamedLimit =
   { kind: 'named'; perSecond: number } | { kind: 'none' } | { kind: 'unreadable' };
 
+/** How long a target that turned a message away wants nothing more from this VM. */
+export type BackOff = { kind: 'none' } | { kind: 'asked'; forMs: number } | { kind: 'unreadable' };
+
 /** What the head of a target's answer proves. */
 export interface AnswerFacts {
   requestId: string | undefined;
@@ -66,6 +69,7 @@
   /** Whether the body is encoded though nobody asked for it; it isn't the target's then. */
   isEncoded: boolean;
   limit: NamedLimit;
+  backOff: BackOff;
 }
 
 /** The protocol of callers and targets. */
--- a/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
@@ -47,6 +47,10 @@
       headers.limit === undefined
         ? { kind: 'none' }
         : { kind: 'named', perSecond: Number(headers.limit) },
+    backOff:
+      headers['back-off'] === undefined
+        ? { kind: 'none' }
+        : { kind: 'asked', forMs: Number(headers['back-off']) },
   }),
   reserve: () => ({ method: 'POST', path: '/', headers: [], body: '' }),
   release: () => ({ method: 'POST', path: '/', headers: [], body: '' }),
--- a/packages/daemon/src/entry/answer.ts
+++ b/packages/daemon/src/entry/answer.ts
@@ -54,6 +54,8 @@
 
   private onLimit: (limit: protocols.NamedLimit, status: number) => void = () => undefined;
 
+  private onBackOff: (backOff: protocols.BackOff, status: number) => void = () => undefined;
+
   private attempt: targetClient.Attempt | undefined;
 
   /** Whether the caller already has the beginning of a stream, which only a stream can go on with. */
@@ -74,9 +76,13 @@
     return this.response.headersSent && (!this.isStream || this.lastEventId === undefined);
   }
 
-  /** `onLimit` gets what an answer of this attempt's target says of how much the target takes. */
-  beginAttempt(onLimit: (limit: protocols.NamedLimit, status: number) => void): void {
+  /** `onLimit` gets what an answer of this attempt's target says of how much the target takes, `onBackOff` that it wants nothing for a while. */
+  beginAttempt(
+    onLimit: (limit: protocols.NamedLimit, status: number) => void,
+    onBackOff: (backOff: protocols.BackOff, status: number) => void,
+  ): void {
     this.onLimit = onLimit;
+    this.onBackOff = onBackOff;
     this.isContinued = this.response.headersSent;
     this.head = undefined;
     this.facts = undefined;
@@ -94,11 +100,12 @@
   onHead(head: targetClient.Head): void {
     this.head = head;
     this.facts = this.protocol.answerFacts(head.status, head.headers);
-    const { limit, isWrongLifetime } = this.facts;
+    const { limit, backOff, isWrongLifetime } = this.facts;
     // Only the target's own success shows that it names no limit; others write some of its failures.
     const isSuccess = this.isUsable && head.status < FAILURE_STATUS;
     const isTold = limit.kind === 'none' ? isSuccess : !isWrongLifetime;
     if (isTold) this.onLimit(limit, head.status);
+    if (backOff.kind !== 'none' && !isWrongLifetime) this.onBackOff(backOff, head.status);
   }
 
   onData(chunk: Buffer): void {
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -291,13 +291,16 @@
     const { request, body, organisation } = this.admitted;
     const { protocol, targets } = this.services;
     this.attempts.begin(placement.target);
-    this.reply.beginAttempt((limit, status) => {
-      const { requestId } = this.admitted.facts;
-      const { target, address } = placement;
-      const { service, sentAt } = this;
-      const answered = { requestId, target, service, address, status, sentAt };
-      this.services.limits.answered(answered, limit);
-    });
+    this.reply.beginAttempt(
+      (limit, status) => {
+        const { requestId } = this.admitted.facts;
+        const { target, address } = placement;
+        const { service, sentAt } = this;
+        const answered = { requestId, target, service, address, status, sentAt };
+        this.services.limits.answered(answered, limit);
+      },
+      (backOff, status) => this.log.backOffAsked(placement, status, backOff),
+    );
     const resumeAfter = this.reply.lastEventId;
     const headers = protocol.requestHeaders(request.rawHeaders, {
       target: placement.target,
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -67,6 +67,7 @@
   limitInForce: { number: 4116, level: 'warn', text: 'limit of a target in force' },
   limitEnded: { number: 4117, level: 'info', text: 'limit of a target ended' },
   limitsRecalled: { number: 4118, level: 'info', text: 'limits of targets read from the disk' },
+  backOffAsked: { number: 4119, level: 'warn', text: 'target asked this VM to back off' },
   requestEnded: { number: 5001, level: 'info', text: 'request ended' },
   attemptFailed: { number: 5002, level: 'warn', text: 'attempt failed' },
   frameCrossed: { number: 5003, level: 'error', text: 'frame of another request dropped' },
