Show that nobody keeps to the time that a target asks for

A small fleet (three entries, three keepers, eight targets), once as engines and once as plain targets, whose targets answer 503, not run, and ask each entry to back off for 1.5 s.

Entries of the fleet send from addresses of their own, so that a target knows who sent; pressing a fleet moved from the test of limits to the fleet.

--- a/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
@@ -1,6 +1,7 @@
 /**
  * A target that ends when it begins to run a request whose body says so, and comes back at its address as another lifetime.
- * Other requests get a stream that lasts long enough to run beside one of those. It may be in need and name a limit.
+ * Other requests get a stream that lasts long enough to run beside one of those. It may be in need and name a limit, or turn
+ * requests away and ask their senders to back off.
  */
 import * as http from 'node:http';
 import type * as net from 'node:net';
@@ -29,11 +30,23 @@
   at: number;
 }
 
+/** An answer by which a target asked its sender to back off. */
+export interface TurnedAway {
+  name: string;
+  source: string;
+  /** On the steady clock, milliseconds. */
+  at: number;
+  /** When the target takes messages of the sender again. */
+  until: number;
+}
+
 /** A message of whatever kind that a target got. */
 export interface Message {
   /** Name of the target, the same for all its lifetimes. */
   name: string;
   isRequest: boolean;
+  /** IP address of the sender. */
+  source: string;
   /** On the steady clock, milliseconds. */
   at: number;
 }
@@ -44,6 +57,7 @@
   port: number;
   announce: (record: domain.registry.registry.Announcement) => Promise<void>;
   onMessage: (message: Message) => void;
+  onTurnedAway: (answer: TurnedAway) => void;
   onArrival: (arrival: Arrival) => void;
   onEnd: (target: string, at: number) => void;
 }
@@ -52,6 +66,9 @@
   /** Requests a second that it takes from the whole fleet; undefined while it isn't in need. */
   limit: number | undefined;
 
+  /** For how long each request that it turns away asks its sender to back off, milliseconds; undefined while it takes requests. */
+  backOffMs: number | undefined;
+
   private lifetime = 0;
 
   private sequence = 0;
@@ -122,9 +139,12 @@
     request.on('end', () => {
       const { id } = this;
       const isRequest = request.url !== bench.REPORT_PATH;
-      this.options.onMessage({ name: this.options.name, isRequest, at: clock.steady() });
+      const { name } = this.options;
+      const source = request.socket.remoteAddress ?? '';
+      this.options.onMessage({ name, isRequest, source, at: clock.steady() });
       if (request.headers.target !== id) this.reply(request, response, 421);
       else if (request.url === bench.REPORT_PATH) this.reply(request, response, 200);
+      else if (this.backOffMs !== undefined) this.turnAway(request, response, this.backOffMs);
       else this.run(request, response, Buffer.concat(chunks).toString());
     });
   }
@@ -138,6 +158,19 @@
     response.writeHead(status, [...this.headOf(request), ...notRun]).end();
   }
 
+  private turnAway(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    forMs: number,
+  ): void {
+    const { name } = this.options;
+    const source = request.socket.remoteAddress ?? '';
+    const at = clock.steady();
+    this.options.onTurnedAway({ name, source, at, until: at + forMs });
+    response.writeHead(503, [...this.headOf(request), 'not-run', '1', 'back-off', String(forMs)]);
+    response.end();
+  }
+
   private headOf(request: http.IncomingMessage): string[] {
     const limit = this.limit === undefined ? [] : ['limit', String(this.limit)];
     return ['id', String(request.headers.id), 'signed', '1', ...limit];
--- a/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
@@ -19,6 +19,14 @@
 export const ENTRIES = 3;
 const TARGETS = 8;
 
+/** Pause between two requests of those that come through all entries in turn, milliseconds. */
+const ASK_EVERY_MS = 40;
+
+/** IP address from which an entry sends, by its number. */
+export function sourceOf(entryIndex: number): string {
+  return `127.0.0.${10 + entryIndex}`;
+}
+
 /** Until a new leader has told all entries how many share the budget for repeats, milliseconds. */
 const BUDGET_MS = 2_000;
 
@@ -134,6 +142,8 @@
   /** All that targets got. */
   readonly messages: crashableTarget.Message[] = [];
 
+  readonly turnedAway: crashableTarget.TurnedAway[] = [];
+
   readonly ends: { target: string; at: number }[] = [];
 
   private readonly observer = new observer.Observer('test', 'fatal', undefined);
@@ -221,6 +231,7 @@
 callers = 127.0.0.1:${this.at.callers[i]}
 readiness = 127.0.0.1:${this.at.ready[i]}
 peers = 127.0.0.1:${this.at.peers[KEEPERS + i]}
+source = ${sourceOf(i)}
 [bounds]
 stop-seconds = 8
 `),
@@ -292,6 +303,20 @@
     });
   }
 
+  /** Requests through all entries in turn. */
+  async press(question: Omit<Question, 'body'>, forMs: number): Promise<Reply[]> {
+    const replies: Promise<Reply>[] = [];
+    const end = clock.steady() + forMs;
+    for (let i = 0; clock.steady() < end; i++) {
+      const entryIndex = i % ENTRIES;
+      if (this.entries.has(entryIndex)) {
+        replies.push(this.ask(entryIndex, { ...question, body: `${i}` }));
+      }
+      await clock.pause(ASK_EVERY_MS);
+    }
+    return Promise.all(replies);
+  }
+
   /** Arrivals of one body at targets. */
   arrivalsOf(body: string): crashableTarget.Arrival[] {
     return this.arrivals.filter((each) => each.body === body);
@@ -319,6 +344,7 @@
           await this.tell('PUT', `/${record.id}`, record);
         },
         onMessage: (message) => this.messages.push(message),
+        onTurnedAway: (answer) => this.turnedAway.push(answer),
         onArrival: (arrival) => this.arrivals.push(arrival),
         onEnd: (ended, at) => this.ends.push({ target: ended, at }),
       });
--- /dev/null
+++ b/packages/daemon/src/__tests__/backingOffTargets.test.ts
@@ -0,0 +1,110 @@
+/** Targets that turn requests away and ask each VM that meets them to back off. */
+import * as chai from 'chai';
+import * as clock from '../clock';
+import type * as crashableTarget from './__fixtures__/crashableTarget';
+import * as smallFleet from './__fixtures__/smallFleet';
+
+const { expect } = chai;
+
+const BACK_OFF_MS = 1_500;
+
+/** What was under way to a target when it asked may arrive for so long after that, milliseconds. */
+const GRACE_MS = 500;
+
+/** So many messages of whatever kind may reach a target from a VM after that, until the time is over. */
+const MOST_MESSAGES = 2;
+
+/** A request that can't be served is refused this soon, milliseconds: well before a caller gives it up. */
+const REFUSED_WITHIN_MS = 300;
+
+/** Most messages that one VM sent to a target between its asking for a pause and the end of that. */
+function mostDuringBackOff({ turnedAway, messages }: smallFleet.SmallFleet): number {
+  const counts = turnedAway.map(({ name, source, at, until }) => {
+    const during = messages.filter((each) => {
+      const isIt = each.name === name && each.source === source;
+      return isIt && each.at > at + GRACE_MS && each.at < until;
+    });
+    return during.length;
+  });
+  return Math.max(0, ...counts);
+}
+
+function turnAway(
+  targets: readonly crashableTarget.CrashableTarget[],
+  backOffMs: number | undefined,
+): void {
+  targets.forEach((target) => Object.assign(target, { backOffMs }));
+}
+
+describe('targets that ask a VM to back off', () => {
+  const fleets: smallFleet.SmallFleet[] = [];
+
+  afterEach(async () => {
+    await Promise.all(fleets.splice(0).map((each) => each.stop()));
+  });
+
+  /** Does the same on a fleet of engines and on one of plain targets, side by side. */
+  const onBoth = async (
+    act: (
+      fleet: smallFleet.SmallFleet,
+      question: Omit<smallFleet.Question, 'body'>,
+    ) => Promise<void>,
+  ): Promise<void> => {
+    const acting = (['engines', 'plain'] as const).map(async (service) => {
+      const fleet = await smallFleet.SmallFleet.start(service);
+      fleets.push(fleet);
+      const kind = service === 'engines' ? 'streaming' : 'safe';
+      await act(fleet, { service, kind });
+    });
+    await Promise.all(acting);
+  };
+
+  /** Guards against a target that wants nothing for some seconds and goes on getting requests from the VM that it told. */
+  it('get nothing more from it until the time is over, and the others serve the rest', async () => {
+    await onBoth(async (fleet, question) => {
+      turnAway(fleet.targets.slice(0, 2), BACK_OFF_MS);
+      const replies = await fleet.press(question, 3 * BACK_OFF_MS);
+      expect(fleet.turnedAway).to.not.deep.equal([]);
+      expect(mostDuringBackOff(fleet)).to.be.at.most(MOST_MESSAGES);
+      expect(new Set(replies.map(({ status }) => status))).to.deep.equal(new Set([200]));
+    });
+  });
+
+  /** Guards against callers that wait in vain, or come back too soon, where no target of a service takes anything. */
+  it('all of them refuse the rest at once, and take requests again after it', async () => {
+    await onBoth(async (fleet, question) => {
+      turnAway(fleet.targets, BACK_OFF_MS);
+      // Each entry has met all targets by then.
+      await fleet.press(question, BACK_OFF_MS);
+      const replies = await fleet.press(question, 2 * BACK_OFF_MS);
+      expect(mostDuringBackOff(fleet)).to.be.at.most(MOST_MESSAGES);
+      expect(new Set(replies.map(({ status }) => status))).to.deep.equal(new Set([503]));
+      expect(replies.every(({ retryAfter }) => Number(retryAfter) > 0)).to.equal(true);
+      const inTime = replies.filter(({ tookMs }) => tookMs < REFUSED_WITHIN_MS);
+      expect(inTime.length).to.be.above(0.9 * replies.length);
+
+      turnAway(fleet.targets, undefined);
+      await fleet.press(question, 2 * BACK_OFF_MS);
+      const again = await fleet.press(question, BACK_OFF_MS);
+      expect(new Set(again.map(({ status }) => status))).to.deep.equal(new Set([200]));
+    });
+  });
+
+  /** Guards against a target that is kept out of use for what its predecessor at the address asked. */
+  it('are used at once in their next lifetime', async () => {
+    await onBoth(async (fleet, question) => {
+      const others = fleet.targets.slice(1);
+      turnAway(fleet.targets, 60_000);
+      await fleet.press(question, BACK_OFF_MS);
+      turnAway([fleet.targets[0]], undefined);
+      await fleet.targets[0].startAgain();
+      await clock.pause(BACK_OFF_MS);
+      const before = fleet.arrivals.length;
+      const replies = await fleet.press(question, BACK_OFF_MS);
+      const served = fleet.arrivals.slice(before).map(({ target }) => target);
+      expect(new Set(served)).to.deep.equal(new Set([fleet.targets[0].id]));
+      expect(new Set(replies.map(({ status }) => status))).to.deep.equal(new Set([200]));
+      turnAway(others, undefined);
+    });
+  });
+});
--- a/packages/daemon/src/__tests__/limitedTargets.test.ts
+++ b/packages/daemon/src/__tests__/limitedTargets.test.ts
@@ -16,27 +16,9 @@
 
 const PER_SECOND = 1;
 
-const ASK_EVERY_MS = 40;
-
 /** Nobody is refused later, milliseconds: about the part of a stream's time that may go by without a place. */
 const MOST_WAIT_MS = 1_000;
 
-/** One round of requests through all entries in turn. */
-async function press(
-  fleet: smallFleet.SmallFleet,
-  question: Omit<smallFleet.Question, 'body'>,
-  forMs: number,
-): Promise<smallFleet.Reply[]> {
-  const replies: Promise<smallFleet.Reply>[] = [];
-  const end = clock.steady() + forMs;
-  for (let i = 0; clock.steady() < end; i++) {
-    const entry = i % smallFleet.ENTRIES;
-    if (fleet.entries.has(entry)) replies.push(fleet.ask(entry, { ...question, body: `${i}` }));
-    await clock.pause(ASK_EVERY_MS);
-  }
-  return Promise.all(replies);
-}
-
 function messagesOf(
   fleet: smallFleet.SmallFleet,
   target: crashableTarget.CrashableTarget,
@@ -113,11 +95,11 @@
     it(`get no more from all entries together, as ${service}; the others serve the rest`, async () => {
       const fleet = await start(service);
       const kind = service === 'engines' ? 'streaming' : 'safe';
-      await press(fleet, { service, kind }, 1_000);
+      await fleet.press({ service, kind }, 1_000);
       const limited = busiest(fleet, 2);
       limit(limited, PER_SECOND);
       const since = clock.steady() + TOLD_WITHIN_MS;
-      const replies = await press(fleet, { service, kind }, TOLD_WITHIN_MS + WINDOW_MS);
+      const replies = await fleet.press({ service, kind }, TOLD_WITHIN_MS + WINDOW_MS);
       const most = limited.map((target) => mostInWindow(fleet, target, since));
       expect(Math.max(...most)).to.be.at.most(ALLOWED);
       expect(new Set(replies.map(({ status }) => status))).to.deep.equal(new Set([200]));
@@ -129,9 +111,9 @@
     await onBoth(async (service, kind) => {
       const started = await start(service);
       limit(started.targets, PER_SECOND);
-      await press(started, { service, kind }, TOLD_WITHIN_MS);
+      await started.press({ service, kind }, TOLD_WITHIN_MS);
       const since = clock.steady();
-      const replies = await press(started, { service, kind }, WINDOW_MS);
+      const replies = await started.press({ service, kind }, WINDOW_MS);
       expect(mostOf(started, since)).to.be.at.most(ALLOWED);
       const served = replies.filter(({ status }) => status === 200);
       const taken = (started.targets.length * PER_SECOND * WINDOW_MS) / 1_000;
@@ -149,7 +131,7 @@
       const started = await start(service);
       limit(started.targets, PER_SECOND);
       const since = clock.steady() + TOLD_WITHIN_MS;
-      const pressing = press(started, { service, kind }, 9_000);
+      const pressing = started.press({ service, kind }, 9_000);
       await clock.pause(2_000);
       await started.stopKeeper(started.leader);
       await started.targets[0].startAgain();
@@ -164,7 +146,7 @@
   it('are known to all entries after a loss of all, before any target has answered', async () => {
     const fleet = await start('engines');
     limit(fleet.targets, PER_SECOND);
-    await press(fleet, { service: 'engines' }, TOLD_WITHIN_MS);
+    await fleet.press({ service: 'engines' }, TOLD_WITHIN_MS);
     const known = [...fleet.keepers.values()].map((each) => each.gauges().limits);
     await fleet.loseAll();
     const kept = [...fleet.entries.values()].map((each) => each.gauges().limits);
@@ -176,22 +158,22 @@
   it('get as much as before once they name it no more', async () => {
     const fleet = await start('engines');
     limit(fleet.targets, PER_SECOND);
-    await press(fleet, { service: 'engines' }, TOLD_WITHIN_MS);
+    await fleet.press({ service: 'engines' }, TOLD_WITHIN_MS);
     limit(fleet.targets, undefined);
-    await press(fleet, { service: 'engines' }, 2_000);
-    const replies = await press(fleet, { service: 'engines' }, 1_000);
+    await fleet.press({ service: 'engines' }, 2_000);
+    const replies = await fleet.press({ service: 'engines' }, 1_000);
     expect(new Set(replies.map(({ status }) => status))).to.deep.equal(new Set([200]));
   });
 
   /** Guards against a target that stays out of use for good, as nobody asks it whether it still is in need. */
   it('are used again when they are well, also where others take all calls', async () => {
     const fleet = await start('plain');
-    await press(fleet, { service: 'plain', kind: 'safe' }, 1_000);
+    await fleet.press({ service: 'plain', kind: 'safe' }, 1_000);
     const limited = busiest(fleet, 1);
     limit(limited, PER_SECOND);
-    await press(fleet, { service: 'plain', kind: 'safe' }, TOLD_WITHIN_MS);
+    await fleet.press({ service: 'plain', kind: 'safe' }, TOLD_WITHIN_MS);
     limit(limited, undefined);
-    await press(fleet, { service: 'plain', kind: 'safe' }, 5_000);
+    await fleet.press({ service: 'plain', kind: 'safe' }, 5_000);
     const known = [...fleet.entries.values()].map((each) => each.gauges().limits);
     expect(known).to.deep.equal(known.map(() => 0));
   });
