Keep to the time for which a target asks to be left alone

What callers saw: calls that may not be repeated ended with 503 at a target that had said it wanted nothing for 3 s, with two others free; the target got what its neighbours got (up to 3 requests from one VM in that time, two allowed). Cause: nobody read the wish. A refusal shut a target out for 250 ms, whatever it said, and being idle it was then the likeliest choice.

Change: one place. TargetClient, through which every message goes (requests, orders, checks), asks a gate before it sends and tells it of each answer's head. TargetSignals is that gate: it decides whose word an answer is (this message's own, of the lifetime that was meant, signed or a promise of not-run), keeps the time (domain/backOff: the longest of several, ten minutes at most, by lifetime, few requests at first after it) and notes limits, which moves there from the answer. The choice leaves such targets out for the leader, the fallback, plain targets and trials of suspects; a request that was placed before the wish and would be sent after it is chosen anew; memory that is held on such a target is renewed once for all of the time. Where all targets of a service want nothing, a request is refused at once (503, not run) with the least time that is left, spread by up to a half.

New: 2,000 random orders of wishes, sends, answers and losses never let more than two messages pass; whose word counts, by a table.

Limits named in orders and checks count now too, and those in an answer to another request no longer.

--- a/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
@@ -34,6 +34,8 @@
 export interface TurnedAway {
   name: string;
   source: string;
+  /** Id of the request. */
+  request: string;
   /** On the steady clock, milliseconds. */
   at: number;
   /** When the target takes messages of the sender again. */
@@ -166,7 +168,8 @@
     const { name } = this.options;
     const source = request.socket.remoteAddress ?? '';
     const at = clock.steady();
-    this.options.onTurnedAway({ name, source, at, until: at + forMs });
+    const id = String(request.headers.id);
+    this.options.onTurnedAway({ name, source, request: id, at, until: at + forMs });
     response.writeHead(503, [...this.headOf(request), 'not-run', '1', 'back-off', String(forMs)]);
     response.end();
   }
--- a/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
@@ -109,6 +109,8 @@
 };
 
 export interface Reply {
+  /** Id of the request. */
+  id: string;
   status: number;
   retryAfter: string | undefined;
   body: string;
@@ -270,8 +272,8 @@
     const since = clock.steady();
     const id = `r${this.asked}`;
     return new Promise((resolve) => {
-      const ended = (reply: Omit<Reply, 'tookMs'>): void => {
-        resolve({ ...reply, tookMs: clock.steady() - since });
+      const ended = (reply: Omit<Reply, 'id' | 'tookMs'>): void => {
+        resolve({ id, ...reply, tookMs: clock.steady() - since });
       };
       const request = http.request(
         {
@@ -304,7 +306,11 @@
   }
 
   /** Requests through all entries in turn. */
-  async press(question: Omit<Question, 'body'>, forMs: number): Promise<Reply[]> {
+  async press(
+    question: Omit<Question, 'body'>,
+    forMs: number,
+    everyMs = ASK_EVERY_MS,
+  ): Promise<Reply[]> {
     const replies: Promise<Reply>[] = [];
     const end = clock.steady() + forMs;
     for (let i = 0; clock.steady() < end; i++) {
@@ -312,7 +318,7 @@
       if (this.entries.has(entryIndex)) {
         replies.push(this.ask(entryIndex, { ...question, body: `${i}` }));
       }
-      await clock.pause(ASK_EVERY_MS);
+      await clock.pause(everyMs);
     }
     return Promise.all(replies);
   }
--- a/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
@@ -13,6 +13,7 @@
 import * as lifeChecks from '../../lifeChecks';
 import * as peerClient from '../../../rpc/peerClient';
 import * as targetClient from '../../targetClient';
+import * as targetSignals from '../../targetSignals';
 
 /** Where targets of these tests are asked whether they live. */
 export const REPORT_PATH = '/alive';
@@ -57,6 +58,11 @@
   report: () => ({ method: 'GET', path: REPORT_PATH, headers: [], body: '' }),
 };
 
+/** A gate that lets every message pass. */
+export const OPEN_GATE: targetClient.Gate = {
+  admit: () => ({ answered: () => undefined, ended: () => undefined }),
+};
+
 export type Behaviour = (request: string, socket: net.Socket) => void;
 
 export interface Reply {
@@ -93,6 +99,17 @@
   },
 };
 
+const RECORD: domain.registry.registry.Announcement = {
+  id: '',
+  service: 'app',
+  address: '',
+  dataCentre: 'dc0',
+  slots: 8,
+  state: 'ready',
+  bornAt: 1,
+  sequence: 1,
+};
+
 async function listen(server: net.Server): Promise<number> {
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
@@ -113,6 +130,9 @@
   /** How placements ended. */
   readonly endings: string[] = [];
 
+  /** How long the chooser takes, milliseconds. */
+  chooseMs = 0;
+
   isFresh = true;
 
   hasCatalogue = true;
@@ -125,7 +145,11 @@
 
   private readonly crashes: crashWatch.CrashWatch;
 
-  private readonly targets = new targetClient.TargetClient();
+  private readonly registry = new domain.registry.registry.Registry();
+
+  private readonly signals: targetSignals.TargetSignals;
+
+  private readonly targets: targetClient.TargetClient;
 
   private constructor(private readonly addresses: string[]) {
     const rule = { ratio: 1, slack: 100, windowMs: 10_000 };
@@ -137,9 +161,18 @@
       spent: () => undefined,
       mayCheck: async () => true,
     };
+    const { registry } = this;
+    this.signals = new targetSignals.TargetSignals({
+      holding: { registry },
+      limits,
+      observer: observe,
+      now: clock.steady,
+    });
+    this.targets = new targetClient.TargetClient({ protocol: PROTOCOL, gate: this.signals });
     const checks = new lifeChecks.LifeChecks({
       protocol: PROTOCOL,
       limits,
+      gate: this.signals,
       observer: observe,
       source: undefined,
     });
@@ -147,7 +180,7 @@
       name: 'e0',
       holding: {
         quarantine: new domain.quarantine.quarantine.Quarantine(),
-        registry: new domain.registry.registry.Registry(),
+        registry,
       },
       link: { leader: '' },
       client: new peerClient.PeerClient('secret', undefined, observe),
@@ -157,10 +190,14 @@
     });
     const services: exchange.Services = {
       protocol: PROTOCOL,
-      chooser: { choose: (wish: chooser.Wish) => this.choose(wish) } as chooser.Chooser,
+      chooser: {
+        choose: (wish: chooser.Wish) => this.choose(wish),
+        closedForMs: () => 0,
+      } as unknown as chooser.Chooser,
       targets: this.targets,
       lifeChecks: checks,
       limits,
+      signals: this.signals,
       crashes: this.crashes,
       budgets,
       observer: observe,
@@ -194,7 +231,9 @@
         });
       });
       made.servers.push(server);
-      addresses.push(`127.0.0.1:${await listen(server)}`);
+      const address = `127.0.0.1:${await listen(server)}`;
+      made.registry.announce({ ...RECORD, id: `t${addresses.length}`, address }, 0);
+      addresses.push(address);
     }
     made.port = await ports.freePort();
     await made.ingress.listen({ host: '127.0.0.1', port: made.port });
@@ -252,7 +291,9 @@
   private async choose(wish: chooser.Wish): Promise<chooser.Choice> {
     this.wishes.push(wish);
     const again = wish.writers?.[0];
-    const index = again === undefined ? wish.excluded.length : Number(again.slice(1));
+    const excluded = new Set([...wish.excluded, ...this.signals.closed('app')]);
+    const index = again === undefined ? excluded.size : Number(again.slice(1));
+    await clock.pause(this.chooseMs);
     const address = this.addresses[index];
     if (address === undefined) return { kind: 'noPlace', retryAfterMs: 250 };
     const placement = { target: `t${index}`, address, helpers: [], firstTokenMs: 0 };
--- a/packages/daemon/src/entry/__tests__/chooser.test.ts
+++ b/packages/daemon/src/entry/__tests__/chooser.test.ts
@@ -155,6 +155,7 @@
         grantTrial: async () => undefined,
         spent: () => undefined,
       },
+      signals: { closed: () => [], waitMs: () => 0 },
       observer: observe,
       random: domain.shared.random.seeded(1),
       now: clock.steady,
--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -1,6 +1,7 @@
 /** What a caller gets, and what targets see, when targets fail in each of their ways. */
 import * as net from 'node:net';
 import * as chai from 'chai';
+import * as clock from '../../clock';
 import * as bench from './__fixtures__/bench';
 
 const { expect } = chai;
@@ -78,6 +79,19 @@
     expect(made.wishes[2].writers).to.deep.equal(['t0', 't1']);
   });
 
+  /** Guards against a request that was placed before its target asked this VM to back off, and is sent after it. */
+  it('goes elsewhere where its target wants nothing more by the time it is sent', async () => {
+    const refuse = bench.answer('', 503, 'not-run: 1\r\nback-off: 2000\r\n');
+    made = await bench.Bench.start((_request, socket) => socket.write(refuse), WHOLE);
+    made.chooseMs = 60;
+    const first = made.ask('/unsafe/1');
+    await clock.pause(40);
+    const second = made.ask('/unsafe/1');
+    expect([(await first).status, (await second).body]).to.deep.equal([503, 'whole']);
+    expect(made.endings).to.deep.equal(['full', 'cancelled', 'done']);
+    expect(made.seen.length).to.equal(2);
+  });
+
   /*
    * Each request found out by itself that a server was gone and another one had its address: the refusal that said
    * so was taken for a full server, and nobody was told.
--- /dev/null
+++ b/packages/daemon/src/entry/__tests__/targetSignals.test.ts
@@ -0,0 +1,153 @@
+/** Whose word an answer is, and what an entry believes of its target from then on. */
+import * as chai from 'chai';
+import * as domain from '@celerydrift/domain';
+import type * as protocols from '../../edges/protocols';
+import * as observer from '../../observability/observer';
+import type * as targetClient from '../targetClient';
+import * as targetSignals from '../targetSignals';
+
+const { expect } = chai;
+
+const RECORD: domain.registry.registry.Announcement = {
+  id: 't',
+  service: 's',
+  address: '127.0.0.1:1',
+  dataCentre: 'dc0',
+  slots: 8,
+  state: 'ready',
+  bornAt: 1,
+  sequence: 1,
+};
+
+const REQUEST: targetClient.Sending = {
+  target: 't',
+  address: RECORD.address,
+  purpose: 'request',
+  requestId: 'r1',
+  method: 'GET',
+  path: '/',
+  headers: [],
+  body: Buffer.alloc(0),
+};
+
+const ORDER: targetClient.Sending = { ...REQUEST, purpose: 'order', requestId: undefined };
+
+/** A target's refusal of the request above, with a wish of a second. */
+const REFUSAL: protocols.AnswerFacts = {
+  requestId: 'r1',
+  isSigned: false,
+  isNotRun: true,
+  isWrongLifetime: false,
+  faulty: undefined,
+  isEncoded: false,
+  limit: { kind: 'none' },
+  backOff: { kind: 'asked', forMs: 1_000 },
+};
+
+const NO_WISH = { backOff: { kind: 'none' } } as const;
+
+class Bench {
+  readonly registry = new domain.registry.registry.Registry();
+
+  readonly observer = new observer.Observer('test', 'fatal', undefined);
+
+  readonly limits: (number | undefined)[] = [];
+
+  now = 0;
+
+  readonly signals: targetSignals.TargetSignals;
+
+  constructor() {
+    this.registry.announce(RECORD, 0);
+    this.signals = new targetSignals.TargetSignals({
+      holding: this,
+      limits: {
+        answered: (_answer, limit) => {
+          this.limits.push(limit.kind === 'named' ? limit.perSecond : undefined);
+        },
+      },
+      observer: this.observer,
+      now: () => this.now,
+    });
+  }
+
+  /** Sends a message that is answered so; whether it was sent. */
+  exchange(facts: Partial<protocols.AnswerFacts>, sending = REQUEST, status = 503): boolean {
+    const delivery = this.signals.admit(sending);
+    delivery?.answered({ status, raw: [], facts: { ...REFUSAL, ...facts } });
+    delivery?.ended();
+    return delivery !== undefined;
+  }
+
+  takes(purpose: targetClient.Purpose): boolean {
+    return this.signals.admit({ ...REQUEST, purpose }) !== undefined;
+  }
+}
+
+describe('what targets say of themselves', () => {
+  let made: Bench;
+
+  beforeEach(() => {
+    made = new Bench();
+  });
+
+  /** Guards against a target that is left alone for what a proxy, another request's late answer or another lifetime said. */
+  it('counts only as an answer to the message itself, from the lifetime that was meant', () => {
+    const answers: [string, Partial<protocols.AnswerFacts>, targetClient.Sending][] = [
+      ['its own refusal', {}, REQUEST],
+      ['its own signed failure', { isSigned: true, isNotRun: false }, REQUEST],
+      ['its refusal of an order', { requestId: undefined, isNotRun: false }, ORDER],
+      ['an answer to another request', { requestId: 'r2' }, REQUEST],
+      ['an answer without an id', { requestId: undefined }, REQUEST],
+      ['a request’s answer after an order', {}, ORDER],
+      ['an answer of another lifetime', { isWrongLifetime: true }, REQUEST],
+      ['an answer that nobody vouches for', { isNotRun: false }, REQUEST],
+    ];
+    const believed = answers.map(([what, facts, sending]) => {
+      const each = new Bench();
+      each.exchange(facts, sending);
+      return [what, each.signals.closed('s').length > 0];
+    });
+    expect(believed).toMatchSnapshot();
+  });
+
+  /** Guards against kinds of messages that go on to a target that wants nothing; memory that is held there is still seen to. */
+  it('holds for requests, orders and checks alike', () => {
+    made.exchange({});
+    const kinds = ['request', 'order', 'check', 'upkeep', 'upkeep', 'upkeep'] as const;
+    expect(kinds.map((kind) => made.takes(kind))).to.deep.equal([
+      ...[false, false, false],
+      ...[true, true, false],
+    ]);
+    expect(made.signals.backOffMs('t')).to.equal(1_000);
+    made.now = 1_000;
+    expect([made.takes('request'), made.takes('request')]).to.deep.equal([true, false]);
+  });
+
+  it('is noted once where it can not be read, and changes nothing', () => {
+    made.exchange({ backOff: { kind: 'unreadable' } });
+    made.exchange({ backOff: { kind: 'unreadable' } });
+    expect(made.takes('request')).to.equal(true);
+    const { 'event.backOffAsked': lines, 'backOffs.unreadable': answers } =
+      made.observer.counters();
+    expect([lines, answers]).to.deep.equal([1, 2]);
+  });
+
+  it('is forgotten with the lifetime, also where the next one has its id', () => {
+    made.exchange({});
+    made.registry.announce({ ...RECORD, bornAt: 2 }, 0);
+    expect(made.takes('request')).to.equal(true);
+  });
+
+  /** Guards against a limit that ends by a failure, and one that only answers to callers' requests may name. */
+  it('names a limit in any answer of its own, and none only in a success', () => {
+    const limit = { kind: 'named', perSecond: 2 } as const;
+    made.exchange({ ...NO_WISH, limit });
+    made.exchange({ ...NO_WISH, limit, requestId: undefined, isNotRun: false }, ORDER);
+    made.exchange({ ...NO_WISH, limit, requestId: 'r2' });
+    made.exchange({ ...NO_WISH }, REQUEST, 503);
+    made.exchange({ ...NO_WISH, isSigned: true, isNotRun: false }, REQUEST, 500);
+    made.exchange({ ...NO_WISH, isSigned: true, isNotRun: false }, REQUEST, 200);
+    expect(made.limits).to.deep.equal([2, 2, undefined]);
+  });
+});
--- a/packages/daemon/src/entry/answer.ts
+++ b/packages/daemon/src/entry/answer.ts
@@ -44,18 +44,12 @@
 
   private head: targetClient.Head | undefined;
 
-  private facts: protocols.AnswerFacts | undefined;
-
   private splitter = new domain.request.eventSplitter.EventSplitter();
 
   private held: Buffer[] = [];
 
   private heldBytes = 0;
 
-  private onLimit: (limit: protocols.NamedLimit, status: number) => void = () => undefined;
-
-  private onBackOff: (backOff: protocols.BackOff, status: number) => void = () => undefined;
-
   private attempt: targetClient.Attempt | undefined;
 
   /** Whether the caller already has the beginning of a stream, which only a stream can go on with. */
@@ -68,7 +62,6 @@
     private readonly response: http.ServerResponse,
     private readonly route: Route,
     private readonly caller: protocols.CallerFacts,
-    private readonly protocol: protocols.TrafficProtocol,
   ) {}
 
   /** Whether the caller has bytes that no other target can go on from. */
@@ -76,16 +69,9 @@
     return this.response.headersSent && (!this.isStream || this.lastEventId === undefined);
   }
 
-  /** `onLimit` gets what an answer of this attempt's target says of how much the target takes, `onBackOff` that it wants nothing for a while. */
-  beginAttempt(
-    onLimit: (limit: protocols.NamedLimit, status: number) => void,
-    onBackOff: (backOff: protocols.BackOff, status: number) => void,
-  ): void {
-    this.onLimit = onLimit;
-    this.onBackOff = onBackOff;
+  beginAttempt(): void {
     this.isContinued = this.response.headersSent;
     this.head = undefined;
-    this.facts = undefined;
     this.attempt = undefined;
     this.splitter = new domain.request.eventSplitter.EventSplitter();
     this.held = [];
@@ -99,13 +85,6 @@
 
   onHead(head: targetClient.Head): void {
     this.head = head;
-    this.facts = this.protocol.answerFacts(head.status, head.headers);
-    const { limit, backOff, isWrongLifetime } = this.facts;
-    // Only the target's own success shows that it names no limit; others write some of its failures.
-    const isSuccess = this.isUsable && head.status < FAILURE_STATUS;
-    const isTold = limit.kind === 'none' ? isSuccess : !isWrongLifetime;
-    if (isTold) this.onLimit(limit, head.status);
-    if (backOff.kind !== 'none' && !isWrongLifetime) this.onBackOff(backOff, head.status);
   }
 
   onData(chunk: Buffer): void {
@@ -115,12 +94,12 @@
 
   /** The target's answer is whole. With `mayRepeat` a failure of the target's own may be tried elsewhere. */
   complete(mayRepeat: boolean): Verdict {
-    const { head, facts } = this;
-    if (head === undefined || facts === undefined) {
+    const { head } = this;
+    if (head === undefined) {
       return { kind: 'unusable', detail: 'no answer' };
     }
-    if (facts.isNotRun) {
-      const { isWrongLifetime, faulty } = facts;
+    const { isNotRun, isWrongLifetime, faulty } = head.facts;
+    if (isNotRun) {
       return { kind: 'notRun', detail: `target refused: ${head.status}`, isWrongLifetime, faulty };
     }
     if (!this.isUsable) return { kind: 'unusable', detail: `unusable answer: ${head.status}` };
@@ -161,8 +140,9 @@
 
   /** Whether the head shows an answer of this target to this request. */
   private get isUsable(): boolean {
-    const { head, facts, caller } = this;
-    if (head === undefined || facts === undefined || facts.isNotRun) return false;
+    const { head, caller } = this;
+    if (head === undefined || head.facts.isNotRun) return false;
+    const { facts } = head;
     const isOurs = facts.requestId === caller.requestId;
     if (!isOurs || facts.isEncoded) return false;
     return facts.isSigned && !PROMISES.has(head.status);
--- a/packages/daemon/src/entry/chooser.ts
+++ b/packages/daemon/src/entry/chooser.ts
@@ -13,6 +13,7 @@
 import type * as errors from '../rpc/errors';
 import type * as peerClient from '../rpc/peerClient';
 import type * as limitWatch from './limitWatch';
+import type * as targetSignals from './targetSignals';
 
 type Announcement = domain.registry.registry.Announcement;
 type Ending = domain.allocation.soundness.Ending;
@@ -47,9 +48,29 @@
 /** Says how a dispatch ended. */
 export type Release = (ending: Ending, seen?: Seen) => void;
 
-export type Choice =
-  | { kind: 'placed'; placement: Placement; release: Release }
-  | { kind: 'noPlace'; retryAfterMs: number; isLimited?: boolean };
+/** Why there is no place; `closed` where all targets want nothing from this VM for a while. */
+export type NoPlaceReason = 'full' | 'limited' | 'closed';
+
+/** No target has a place; `reason` is missing where it is the usual one, that all are full or gone. */
+interface NoPlace {
+  kind: 'noPlace';
+  retryAfterMs: number;
+  reason?: NoPlaceReason;
+}
+
+export type Choice = { kind: 'placed'; placement: Placement; release: Release } | NoPlace;
+
+/** Until when a request waits for a place, and for targets that want nothing from this VM. */
+interface Bounds {
+  until: number;
+  heldUntil: number;
+}
+
+/** Some target takes requests from this VM; `excluded` are those that the request mustn't go to. */
+interface Opening {
+  kind: 'open';
+  excluded: readonly string[];
+}
 
 export interface Options {
   name: string;
@@ -58,6 +79,7 @@
   link: leaderLink.LeaderLink;
   client: peerClient.PeerClient;
   limits: Pick<limitWatch.LimitWatch, 'grant' | 'grantTrial' | 'spent'>;
+  signals: Pick<targetSignals.TargetSignals, 'closed' | 'waitMs'>;
   observer: observer.Observer;
   random: domain.shared.random.Random;
   now: () => number;
@@ -96,6 +118,15 @@
 /** Bounds of what callers are told to stay away where engines are full, milliseconds. */
 const RETRY_AFTER_MS = { least: 200, most: 2_000 } as const;
 
+/**
+ * Part of its objective for which a request waits for targets that want nothing from this VM. Held longer, it would be late even if
+ * the first one took it; refused, its caller may find another VM that they didn't turn away.
+ */
+const HELD_SHARE = 0.5;
+
+/** Callers whom all targets turned away are told to stay away up to this part longer, so that they don't return together. */
+const CLOSED_SPREAD = 0.5;
+
 /** How long callers are told to stay away where no target is there, milliseconds. */
 const NO_TARGET_RETRY_MS = 500;
 
@@ -123,13 +154,16 @@
 
   async choose(wish: Wish): Promise<Choice> {
     const service = this.options.holding.directory?.service(wish.service);
-    if (service?.engine === undefined) return this.choosePlain(wish);
     const until = this.options.now() + wish.patienceMs;
+    const heldUntil = Math.min(until, this.options.now() + heldMs(wish));
+    if (service?.engine === undefined) return this.choosePlain(wish, { until, heldUntil });
     for (let asked = 0; ; asked++) {
       // A leader that was given up may give a place for the first question yet, which must not be taken for one of a later.
       const id = asked === 0 ? wish.id : `${wish.id}.${asked}`;
-      const choice =
-        (await this.askAnyLeader({ ...wish, id }, until)) ?? this.chooseLocally({ ...wish, id });
+      const opening = await this.awaitOpen(wish, heldUntil);
+      if (opening.kind === 'noPlace') return opening;
+      const open = { ...wish, id, excluded: opening.excluded };
+      const choice = (await this.askAnyLeader(open, until)) ?? this.chooseLocally(open);
       if (choice !== undefined) return choice;
       const leftMs = until - this.options.now();
       if (leftMs <= 0) return { kind: 'noPlace', retryAfterMs: this.nextPlaceMs(wish) };
@@ -137,6 +171,40 @@
     }
   }
 
+  /** Until the first target of a service takes a request from this VM, milliseconds; 0 where one does, or where there is none. */
+  closedForMs(service: string): number {
+    return this.closedMs({ service, excluded: [] }, this.options.signals.closed(service));
+  }
+
+  /** Waits for a target that takes requests from this VM, if there may be one in time. */
+  private async awaitOpen(wish: Wish, until: number): Promise<Opening | NoPlace> {
+    const { now, signals, random } = this.options;
+    for (;;) {
+      const closed = signals.closed(wish.service);
+      const waitMs = this.closedMs(wish, closed);
+      if (waitMs === 0) return { kind: 'open', excluded: [...wish.excluded, ...closed] };
+      if (now() + waitMs > until) {
+        const spread = 1 + CLOSED_SPREAD * random.uniform();
+        const retryAfterMs = Math.round(Math.max(RETRY_AFTER_MS.least, waitMs) * spread);
+        return { kind: 'noPlace', retryAfterMs, reason: 'closed' };
+      }
+      await clock.pause(Math.max(LEAST_WAIT_MS, waitMs));
+    }
+  }
+
+  /** How long all targets that may take a request are closed, milliseconds; 0 where one isn't, or where there is none. */
+  private closedMs(
+    { service, excluded, writers }: Pick<Wish, 'service' | 'excluded' | 'writers'>,
+    closed: readonly string[],
+  ): number {
+    if (closed.length === 0) return 0;
+    const able = this.options.holding.registry.ready(service).filter(({ id }) => {
+      return !excluded.includes(id) && writers?.includes(id) !== false;
+    });
+    if (able.length === 0 || able.some(({ id }) => !closed.includes(id))) return 0;
+    return Math.min(...able.map(({ id }) => this.options.signals.waitMs(id)));
+  }
+
   /** The leader's answer; undefined where nobody leads, or the leader is lost meanwhile. */
   private async askAnyLeader(wish: Wish, until: number): Promise<Choice | undefined> {
     const { link, now } = this.options;
@@ -228,11 +296,12 @@
   }
 
   /** Targets with limits get what the others can't take, and now and then a call that shows whether the limit is over. */
-  private async choosePlain(wish: Wish): Promise<Choice> {
+  private async choosePlain(wish: Wish, { until, heldUntil }: Bounds): Promise<Choice> {
     const { limits, now } = this.options;
-    const until = now() + wish.patienceMs;
     for (;;) {
-      const { open, limited } = this.readyFor(wish);
+      const opening = await this.awaitOpen(wish, heldUntil);
+      if (opening.kind === 'noPlace') return opening;
+      const { open, limited } = this.readyFor({ ...wish, excluded: opening.excluded });
       const sound = this.soundOf(open);
       const soundLimited = this.soundOf(limited);
       if (sound.length > 0) {
@@ -253,7 +322,7 @@
       if (open.length > 0) return this.placePlain(this.leastBusy(open));
       const waitMs = Number.isFinite(grant.waitMs) ? grant.waitMs : LOOK_AGAIN_MS;
       if (now() + waitMs > until) {
-        return { kind: 'noPlace', retryAfterMs: limitedFor(grant), isLimited: true };
+        return { kind: 'noPlace', retryAfterMs: limitedFor(grant), reason: 'limited' };
       }
       await clock.pause(Math.max(LEAST_WAIT_MS, waitMs));
     }
@@ -330,6 +399,11 @@
   }
 }
 
+/** How long a request may wait for targets that want nothing from this VM, milliseconds. */
+function heldMs({ objectiveMs, waitedMs }: Wish): number {
+  return Math.max(0, HELD_SHARE * objectiveMs - waitedMs);
+}
+
 /** How long to stay away for the limits of targets; while nobody leads, nobody knows. */
 function limitedFor({ waitMs }: { waitMs: number }): number {
   return bounded(Number.isFinite(waitMs) ? waitMs : NO_TARGET_RETRY_MS);
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -23,6 +23,7 @@
 import * as lifeChecks from './lifeChecks';
 import * as limitWatch from './limitWatch';
 import * as targetClient from './targetClient';
+import * as targetSignals from './targetSignals';
 
 export interface Parts {
   settings: roleSettings.Settings;
@@ -70,6 +71,8 @@
 
   private readonly limits: limitWatch.LimitWatch;
 
+  private readonly signals: targetSignals.TargetSignals;
+
   private readonly crashes: crashWatch.CrashWatch;
 
   private readonly budgets: domain.request.repeatBudget.RepeatBudgets;
@@ -85,7 +88,6 @@
   constructor(private readonly parts: Parts) {
     const { settings, observer: observe, control, random } = parts;
     this.client = peers.clientOf(settings, observe);
-    this.targets = new targetClient.TargetClient(settings.source);
     this.server = new peerServer.PeerServer(settings.secret, undefined, observe);
     this.budgets = new domain.request.repeatBudget.RepeatBudgets(settings.repeats);
     this.holding = new holding.Holding({
@@ -122,6 +124,17 @@
       observer: observe,
       now: clock.steady,
     });
+    this.signals = new targetSignals.TargetSignals({
+      holding: this.holding,
+      limits: this.limits,
+      observer: observe,
+      now: clock.steady,
+    });
+    this.targets = new targetClient.TargetClient({
+      protocol: parts.traffic,
+      gate: this.signals,
+      source: settings.source,
+    });
     this.chooser = new chooser.Chooser({
       name: settings.name,
       dataCentre: settings.dataCentre,
@@ -129,6 +142,7 @@
       link: this.link,
       client: this.client,
       limits: this.limits,
+      signals: this.signals,
       observer: observe,
       random,
       now: clock.steady,
@@ -136,6 +150,7 @@
     this.lifeChecks = new lifeChecks.LifeChecks({
       protocol: parts.traffic,
       limits: this.limits,
+      gate: this.signals,
       observer: observe,
       source: settings.source,
     });
@@ -197,6 +212,7 @@
       confirmedMsAgo: Math.min(this.link.age, Number.MAX_SAFE_INTEGER),
       targets: this.holding.registry.records().length,
       limits: this.holding.limits.size,
+      backingOff: this.signals.backingOff,
       suspects: this.holding.quarantine.size,
       quarantined: this.holding.quarantine.quarantined,
       activeRequests: this.ingress.activeRequests,
@@ -225,6 +241,7 @@
       targets: this.targets,
       lifeChecks: this.lifeChecks,
       limits: this.limits,
+      signals: this.signals,
       crashes: this.crashes,
       budgets: this.budgets,
       observer: observe,
@@ -253,5 +270,6 @@
     if (record.state !== 'gone') return;
     this.targets.forget(record.id);
     this.chooser.forget(record.id);
+    this.signals.forget(record);
   }
 }
--- a/packages/daemon/src/entry/exchangeLog.ts
+++ b/packages/daemon/src/entry/exchangeLog.ts
@@ -1,6 +1,5 @@
 /** What is logged and counted of one caller's request: its placements, failed attempts and its end. */
 import type * as domain from '@celerydrift/domain';
-import type * as protocols from '../edges/protocols';
 import type * as observer from '../observability/observer';
 import type * as answer from './answer';
 import type * as attempts from './attempts';
@@ -73,15 +72,6 @@
     this.ended(status, { detail });
   }
 
-  /** The target turned it away and wants nothing more from this VM for a while. */
-  backOffAsked({ target }: Placement, status: number, backOff: protocols.BackOff): void {
-    const { admitted, observer: observe } = this.parts;
-    const { requestId: request } = admitted.facts;
-    observe.count(`backOffs.${backOff.kind}`);
-    const forMs = backOff.kind === 'asked' ? backOff.forMs : undefined;
-    observe.log('backOffAsked', { request, target, status, forMs });
-  }
-
   callerGone(): void {
     this.parts.observer.log('callerGone', { request: this.parts.admitted.facts.requestId });
   }
--- a/packages/daemon/src/entry/lifeChecks.ts
+++ b/packages/daemon/src/entry/lifeChecks.ts
@@ -10,6 +10,7 @@
 export interface Parts {
   protocol: protocols.TrafficProtocol;
   limits: Pick<limitWatch.LimitWatch, 'mayCheck'>;
+  gate: targetClient.Gate;
   observer: observer.Observer;
   /** IP address that connections come from; undefined where the operating system chooses. */
   source: string | undefined;
@@ -24,7 +25,7 @@
 
   constructor(private readonly parts: Parts) {}
 
-  /** Whether this lifetime of a target answers; also one counts as alive that names a limit and may not be asked now. */
+  /** Whether this lifetime of a target answers; also one counts as alive that may not be asked now, as it named a limit or wants nothing. */
   isAlive(target: string, address: string): Promise<boolean> {
     const known = this.asking.get(target);
     if (known !== undefined) return known;
@@ -38,10 +39,16 @@
       this.parts.observer.count('lifeChecks.withheld');
       return true;
     }
-    const client = new targetClient.TargetClient(this.parts.source);
-    const call = this.parts.protocol.report(target);
-    const status = await client.call(target, address, call, ANSWER_TIMEOUT_MS);
+    const { protocol, gate, source } = this.parts;
+    const client = new targetClient.TargetClient({ protocol, gate, source });
+    const about = { target, address, purpose: 'check' } as const;
+    const end = await client.call(about, protocol.report(target), ANSWER_TIMEOUT_MS);
     client.close();
+    if (end.kind === 'withheld') {
+      this.parts.observer.count('lifeChecks.withheld');
+      return true;
+    }
+    const status = end.kind === 'answered' ? end.status : 0;
     const isAlive = status === 200;
     this.parts.observer.count(isAlive ? 'lifeChecks.alive' : 'lifeChecks.dead');
     this.parts.observer.log('targetAsked', { target, status, isAlive });
--- a/packages/daemon/src/entry/outcome.ts
+++ b/packages/daemon/src/entry/outcome.ts
@@ -16,6 +16,8 @@
       /** Whether nothing came to an end: the connection broke, or the target fell silent. */
       isCut: boolean;
     }
+  /** The target wants no request from this VM now; nothing was sent. */
+  | { kind: 'withheld' }
   /** The helpers had no memory to reserve; nothing was sent. */
   | { kind: 'noMemory' }
   | { kind: 'gone' }
--- a/packages/daemon/src/entry/reservations.ts
+++ b/packages/daemon/src/entry/reservations.ts
@@ -9,6 +9,7 @@
 import type * as observer from '../observability/observer';
 import type * as limitWatch from './limitWatch';
 import type * as targetClient from './targetClient';
+import type * as targetSignals from './targetSignals';
 
 type Helper = domain.allocation.allocator.Helper;
 
@@ -16,7 +17,9 @@
   protocol: protocols.TrafficProtocol;
   targets: targetClient.TargetClient;
   limits: Pick<limitWatch.LimitWatch, 'spent'>;
+  signals: Pick<targetSignals.TargetSignals, 'backOffMs'>;
   observer: observer.Observer;
+  now: () => number;
 }
 
 /**
@@ -25,6 +28,8 @@
  */
 const HOLD_MS = 3_500;
 
+const OK = 200;
+
 /** A third, so that two renewals in a row may be lost. */
 const RENEW_EVERY_MS = 1_100;
 
@@ -35,9 +40,14 @@
 const RELEASE_AGAIN_MS = 600;
 const RELEASE_TRIES = 6;
 
+/** Longest time for which a target is asked to keep memory, milliseconds; more it refuses. */
+const LONGEST_HOLD_MS = 20_000;
+
 interface Held {
   helper: Helper;
   id: string;
+  /** Until when the target keeps it without another renewal. */
+  until: number;
 }
 
 export class Reservations {
@@ -54,10 +64,10 @@
   async take(helpers: readonly Helper[]): Promise<boolean> {
     this.held = helpers
       .filter(({ keptTokens }) => keptTokens > 0)
-      .map((helper) => ({ helper, id: crypto.randomUUID() }));
+      .map((helper) => ({ helper, id: crypto.randomUUID(), until: 0 }));
     if (this.held.length === 0) return true;
-    const statuses = await Promise.all(this.held.map((each) => this.reserve(each)));
-    const isComplete = statuses.every((status) => status === 200);
+    const statuses = await Promise.all(this.held.map((each) => this.reserve(each, 'order')));
+    const isComplete = statuses.every((status) => status === OK);
     const { request } = this;
     this.parts.observer.log('memoryReserved', { request, statuses, complete: isComplete });
     if (!isComplete) {
@@ -85,15 +95,25 @@
   }
 
   private renew(): void {
-    this.held.forEach((each) => {
-      void this.reserve(each);
-    });
+    const now = this.parts.now();
+    this.held
+      .filter(({ until }) => until - now < HOLD_MS)
+      .forEach((each) => {
+        void this.reserve(each, 'upkeep');
+      });
   }
 
-  private async reserve({ helper, id }: Held): Promise<number> {
-    const call = this.parts.protocol.reserve(helper.target, id, helper.keptTokens, HOLD_MS);
-    this.parts.limits.spent(helper.target);
-    return this.parts.targets.call(helper.target, helper.address, call, ORDER_TIMEOUT_MS);
+  /** The target's status; 0 where it gave none. One that wants nothing for a while is asked once for all of that time. */
+  private async reserve(held: Held, purpose: 'order' | 'upkeep'): Promise<number> {
+    const { protocol, signals, targets, limits, now } = this.parts;
+    const { target, address, keptTokens } = held.helper;
+    const holdMs = Math.min(LONGEST_HOLD_MS, HOLD_MS + signals.backOffMs(target));
+    const call = protocol.reserve(target, held.id, keptTokens, holdMs);
+    limits.spent(target);
+    const end = await targets.call({ target, address, purpose }, call, ORDER_TIMEOUT_MS);
+    if (end.kind !== 'answered') return 0;
+    if (end.status === OK) Object.assign(held, { until: now() + holdMs - ORDER_TIMEOUT_MS });
+    return end.status;
   }
 
   private async releaseOne({ helper, id }: Held): Promise<void> {
@@ -101,8 +121,9 @@
     for (let i = 0; i < RELEASE_TRIES; i++) {
       const { target, address } = helper;
       this.parts.limits.spent(target);
-      const status = await this.parts.targets.call(target, address, call, ORDER_TIMEOUT_MS);
-      if (status >= 200) return;
+      const about = { target, address, purpose: 'upkeep' } as const;
+      const end = await this.parts.targets.call(about, call, ORDER_TIMEOUT_MS);
+      if (end.kind === 'answered') return;
       this.parts.observer.log('releaseRetried', { request: this.request, target });
       await clock.pause(RELEASE_AGAIN_MS);
     }
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -13,7 +13,7 @@
   status: number;
   /** Names and values in turn, as received. */
   raw: string[];
-  headers: Readonly<Record<string, unknown>>;
+  facts: protocols.AnswerFacts;
 }
 
 export interface Receiver {
@@ -27,19 +27,52 @@
   | { kind: 'complete' }
   /** No byte was written: the target certainly didn't run it. */
   | { kind: 'notSent'; detail: string }
+  /** Nothing was sent, as the target wants no such message now. */
+  | { kind: 'withheld' }
   /** Bytes were written and no whole answer came. */
   | { kind: 'broken'; detail: string }
   | { kind: 'cancelled' };
 
+/** What a message is for: a caller's request, an order that begins something, one about what runs already, or a check. */
+export type Purpose = 'request' | 'order' | 'upkeep' | 'check';
+
 export interface Sending {
   target: string;
   address: string;
+  purpose: Purpose;
+  /** The request's id, which its answer repeats; undefined for messages of our own. */
+  requestId?: string;
   method: string;
   path: string;
   headers: string[];
   body: Buffer;
 }
 
+/** A message under way to a target. */
+export interface Delivery {
+  /** An answer to it began. */
+  answered: (head: Head) => void;
+  /** It is over, with or without an answer. */
+  ended: () => void;
+}
+
+/** Decides on each message to a target, and hears of each answer. */
+export interface Gate {
+  /** Undefined where the target wants no such message now. */
+  admit(sending: Sending): Delivery | undefined;
+}
+
+export interface Parts {
+  protocol: Pick<protocols.TrafficProtocol, 'answerFacts'>;
+  gate: Gate;
+  /** IP address that connections come from; undefined where the operating system chooses. */
+  source?: string;
+}
+
+/** How a call of our own ended. */
+export type CallEnd =
+  { kind: 'answered'; status: number } | { kind: 'silent' } | { kind: 'withheld' };
+
 /**
  * Longest time for a new connection, milliseconds. One way takes a few; a lost opening packet is sent again
  * after a second, and by then another target has the request. Nothing was sent, so any request may go elsewhere.
@@ -135,13 +168,22 @@
 
   private isChunked = false;
 
+  /** `delivery` is undefined where nothing is sent. */
   constructor(
     private readonly receiver: Receiver,
     private readonly connections: Connections,
+    private readonly protocol: Parts['protocol'],
+    private readonly delivery: Delivery | undefined,
   ) {
     this.end = new Promise((resolve) => {
       this.settle = resolve;
     });
+    if (delivery === undefined) this.finish({ kind: 'withheld' });
+  }
+
+  /** Whether the target wants no such message now, and gets none. */
+  get isWithheld(): boolean {
+    return this.delivery === undefined;
   }
 
   cancel(): void {
@@ -179,8 +221,12 @@
   ): void {
     if (this.isSettled || status < 200) return;
     this.isChunked = headers['transfer-encoding'] !== undefined;
-    const raw = (controller.rawHeaders ?? []) as (Buffer | string)[];
-    this.receiver.onHead({ status, headers, raw: raw.map((part) => part.toString('latin1')) });
+    const raw = ((controller.rawHeaders ?? []) as (Buffer | string)[]).map((part) =>
+      part.toString('latin1'),
+    );
+    const head = { status, raw, facts: this.protocol.answerFacts(status, headers) };
+    this.delivery?.answered(head);
+    this.receiver.onHead(head);
   }
 
   onResponseData(_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
@@ -202,6 +248,7 @@
   private finish(end: End): void {
     if (this.isSettled) return;
     this.isSettled = true;
+    this.delivery?.ended();
     this.settle(end);
   }
 }
@@ -211,13 +258,15 @@
 
   private readonly connections: Connections;
 
-  /** `source` is the IP address that connections come from; undefined where the operating system chooses. */
-  constructor(source?: string) {
-    this.connections = new Connections(source);
+  constructor(private readonly parts: Parts) {
+    this.connections = new Connections(parts.source);
   }
 
-  send({ target, address, method, path, headers, body }: Sending, receiver: Receiver): Attempt {
-    const attempt = new Attempt(receiver, this.connections);
+  send(sending: Sending, receiver: Receiver): Attempt {
+    const { protocol, gate } = this.parts;
+    const { target, address, method, path, headers, body } = sending;
+    const attempt = new Attempt(receiver, this.connections, protocol, gate.admit(sending));
+    if (attempt.isWithheld) return attempt;
     this.pool(target, address).dispatch(
       {
         method,
@@ -232,13 +281,12 @@
     return attempt;
   }
 
-  /** A call of our own; its status, or 0 where no answer came in time. */
+  /** A call of our own. */
   async call(
-    target: string,
-    address: string,
+    { target, address, purpose }: Pick<Sending, 'target' | 'address' | 'purpose'>,
     { method, path, headers, body }: protocols.TargetCall,
     timeoutMs: number,
-  ): Promise<number> {
+  ): Promise<CallEnd> {
     let status = 0;
     const receiver: Receiver = {
       onHead: (head) => {
@@ -246,12 +294,14 @@
       },
       onData: () => undefined,
     };
-    const sending = { target, address, method, path, headers, body: Buffer.from(body) };
+    const about = { target, address, purpose };
+    const sending = { ...about, method, path, headers, body: Buffer.from(body) };
     const attempt = this.send(sending, receiver);
     const timer = setTimeout(() => attempt.cancel(), timeoutMs);
     const end = await attempt.end;
     clearTimeout(timer);
-    return end.kind === 'complete' ? status : 0;
+    if (end.kind === 'withheld') return end;
+    return end.kind === 'complete' ? { kind: 'answered', status } : { kind: 'silent' };
   }
 
   /** The lifetime ended: its idle connections are closed, running answers go on. */
--- /dev/null
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -0,0 +1,142 @@
+/**
+ * What targets say of themselves in their answers, and what this entry believes and tells from then on. Every message to a target,
+ * whatever it is for, passes here twice: before it is sent, as its target may want none, and when its answer begins.
+ *
+ * Only a lifetime's own word counts: an answer to this very message, from the target that was meant. One that belongs to another
+ * request, or that nobody signed and that promises nothing, says nothing of the target.
+ */
+import * as domain from '@celerydrift/domain';
+import type * as protocols from '../edges/protocols';
+import type * as holding from '../fleet/holding';
+import type * as observer from '../observability/observer';
+import * as answer from './answer';
+import type * as limitWatch from './limitWatch';
+import type * as targetClient from './targetClient';
+
+type Lifetime = domain.quarantine.endedLifetimes.Lifetime;
+
+export interface Parts {
+  holding: Pick<holding.Holding, 'registry'>;
+  limits: Pick<limitWatch.LimitWatch, 'answered'>;
+  observer: observer.Observer;
+  now: () => number;
+}
+
+/** A message that was sent. */
+interface Sent {
+  sending: targetClient.Sending;
+  lifetime: Lifetime;
+  passage: domain.backOff.backOffs.Passage;
+  at: number;
+}
+
+/** How long whoever may not try a target waits for what the trials of others show, milliseconds; some ways there and back. */
+const TRIAL_MS = 50;
+
+export class TargetSignals implements targetClient.Gate {
+  private readonly backOffs = new domain.backOff.backOffs.BackOffs();
+
+  /** Targets whose wish couldn't be read, each with one line of the log. */
+  private readonly unreadable = new Set<string>();
+
+  constructor(private readonly parts: Parts) {}
+
+  get backingOff(): number {
+    return this.backOffs.size;
+  }
+
+  admit(sending: targetClient.Sending): targetClient.Delivery | undefined {
+    const { now } = this.parts;
+    const lifetime = this.lifetimeOf(sending.target);
+    if (!this.takes(lifetime, sending.purpose)) {
+      this.parts.observer.count(`messages.withheld.${sending.purpose}`);
+      return undefined;
+    }
+    const passage = this.backOffs.sent(lifetime, now());
+    const sent = { sending, lifetime, passage, at: now() };
+    return { answered: (head) => this.answered(sent, head), ended: passage.ended };
+  }
+
+  /** Targets of a service that take no request from this entry now. */
+  closed(service: string): string[] {
+    const { registry } = this.parts.holding;
+    return this.backOffs.targets.filter((id) => {
+      const isOfService = registry.get(id)?.service === service;
+      return isOfService && !this.takes(this.lifetimeOf(id), 'request');
+    });
+  }
+
+  /** For how long a target still wants nothing, milliseconds; 0 where it didn't ask for that, or the time is over. */
+  backOffMs(target: string): number {
+    return this.backOffs.waitMs(this.lifetimeOf(target), this.parts.now());
+  }
+
+  /** Until a target that is closed may take a request, milliseconds. */
+  waitMs(target: string): number {
+    return Math.max(TRIAL_MS, this.backOffMs(target));
+  }
+
+  /** A lifetime ended: its successor under the same id begins without what it asked for. */
+  forget(lifetime: Lifetime): void {
+    this.backOffs.forget(lifetime);
+    this.unreadable.delete(lifetime.id);
+  }
+
+  private takes(lifetime: Lifetime, purpose: targetClient.Purpose): boolean {
+    const now = this.parts.now();
+    if (purpose === 'upkeep') return this.backOffs.takesUpkeep(lifetime, now);
+    return this.backOffs.takesRequest(lifetime, now);
+  }
+
+  private answered(sent: Sent, head: targetClient.Head): void {
+    if (!isOwn(sent.sending, head.facts)) return;
+    this.takeBackOff(sent, head);
+    this.takeLimit(sent, head);
+  }
+
+  private takeBackOff(sent: Sent, { status, facts }: targetClient.Head): void {
+    const { sending, lifetime, passage } = sent;
+    const { backOff } = facts;
+    const { observer: observe, now } = this.parts;
+    if (backOff.kind === 'none') {
+      passage.answered();
+      return;
+    }
+    observe.count(`backOffs.${backOff.kind}`);
+    const { requestId: request, target, purpose } = sending;
+    if (backOff.kind === 'unreadable') {
+      if (this.unreadable.has(target)) return;
+      this.unreadable.add(target);
+      observe.log('backOffAsked', { request, target, purpose, status });
+      return;
+    }
+    const { forMs } = backOff;
+    const keptMs = Math.round(this.backOffs.ask(lifetime, forMs, now()));
+    observe.log('backOffAsked', { request, target, purpose, status, forMs, keptMs });
+  }
+
+  private takeLimit({ sending, at }: Sent, { status, facts }: targetClient.Head): void {
+    const { requestId = '', target, address } = sending;
+    const { limit, isSigned, isEncoded, isNotRun } = facts;
+    // Only the target's own success shows that it names no limit; others write some of its failures.
+    const isSuccess = isSigned && !isEncoded && !isNotRun && status < answer.FAILURE_STATUS;
+    if (limit.kind === 'none' && !isSuccess) return;
+    const service = this.parts.holding.registry.get(target)?.service;
+    if (service === undefined) return;
+    const answered = { requestId, target, service, address, status, sentAt: at };
+    this.parts.limits.answered(answered, limit);
+  }
+
+  private lifetimeOf(id: string): Lifetime {
+    return { id, bornAt: this.parts.holding.registry.get(id)?.bornAt ?? 0 };
+  }
+}
+
+/** Whether an answer is what the target that was meant says to this message. */
+function isOwn(
+  { requestId }: targetClient.Sending,
+  { requestId: answeredId, isWrongLifetime, isSigned, isNotRun }: protocols.AnswerFacts,
+): boolean {
+  if (isWrongLifetime || answeredId !== requestId) return false;
+  return requestId === undefined || isSigned || isNotRun;
+}
--- /dev/null
+++ b/packages/domain/src/backOff/__tests__/backOffs.test.ts
@@ -0,0 +1,93 @@
+/** Targets that ask to be left alone, in virtual time. */
+import * as chai from 'chai';
+import * as fc from 'fast-check';
+import * as backOffs from '../backOffs';
+
+const { expect } = chai;
+
+const TARGET = { id: 't', bornAt: 1 };
+
+/** Of what a sender sends within half a second, some may be under way when the target asks. */
+const GRACE_MS = 500;
+
+describe('back-offs', () => {
+  let known: backOffs.BackOffs;
+
+  beforeEach(() => {
+    known = new backOffs.BackOffs();
+  });
+
+  /** Guards against a shorter wish that ends a longer one, and against one that takes a target out of use for good. */
+  it('keep to the longest wish, up to a bound', () => {
+    known.ask(TARGET, 3_000, 0);
+    known.ask(TARGET, 100, 1_000);
+    known.ask(TARGET, 0, 1_500);
+    expect([known.waitMs(TARGET, 2_000), known.takesRequest(TARGET, 2_999)]).to.deep.equal([
+      1_000,
+      false,
+    ]);
+    expect(known.takesRequest(TARGET, 3_000)).to.equal(true);
+    known.ask(TARGET, 1e12, 3_000);
+    expect(known.waitMs(TARGET, 3_000)).to.equal(backOffs.LONGEST_MS);
+  });
+
+  it('are one lifetime’s own', () => {
+    known.ask(TARGET, 3_000, 0);
+    expect(known.takesRequest({ ...TARGET, bornAt: 2 }, 1_000)).to.equal(true);
+    known.forget({ ...TARGET, bornAt: 2 });
+    expect(known.takesRequest(TARGET, 1_000)).to.equal(false);
+    known.forget(TARGET);
+    expect(known.size).to.equal(0);
+  });
+
+  /** Guards against a crowd that waits for the end of the time and arrives in its first millisecond. */
+  it('let few requests pass after the time, twice as many with each answer', () => {
+    known.ask(TARGET, 1_000, 0);
+    const passed: number[] = [];
+    while (known.size > 0) {
+      const passages: backOffs.Passage[] = [];
+      while (known.takesRequest(TARGET, 1_000)) passages.push(known.sent(TARGET, 1_000));
+      passed.push(passages.length);
+      passages[0].answered();
+      passages.forEach(({ ended }) => ended());
+    }
+    expect(passed).to.deep.equal([1, 2, 4, 8]);
+  });
+
+  /** Guards against more than two messages in the time that a target asked for, whatever was sent, answered or lost before. */
+  it('let no more than two messages pass, in any order of wishes, answers and losses', () => {
+    const step = fc.record({
+      kind: fc.constantFrom('request', 'upkeep', 'answer', 'lose', 'ask'),
+      waitMs: fc.integer({ min: 0, max: 400 }),
+      forMs: fc.integer({ min: 1, max: 3_000 }),
+    });
+    fc.assert(
+      fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
+        const tried = new backOffs.BackOffs();
+        const sent: number[] = [];
+        const wishes: { from: number; until: number }[] = [];
+        let underWay: backOffs.Passage[] = [];
+        let now = 0;
+        steps.forEach(({ kind, waitMs, forMs }) => {
+          now += waitMs;
+          const takes =
+            kind === 'request' ? tried.takesRequest(TARGET, now) : tried.takesUpkeep(TARGET, now);
+          if ((kind === 'request' || kind === 'upkeep') && takes) {
+            sent.push(now);
+            underWay.push(tried.sent(TARGET, now));
+          } else if (kind === 'ask') {
+            tried.ask(TARGET, forMs, now);
+            wishes.push({ from: now + GRACE_MS, until: now + forMs });
+          } else if (kind === 'answer') underWay.at(0)?.answered();
+          if (kind === 'answer' || kind === 'lose') underWay.at(0)?.ended();
+          if (kind === 'answer' || kind === 'lose') underWay = underWay.slice(1);
+        });
+        const counts = wishes.map(({ from, until }) => {
+          return sent.filter((at) => at > from && at < until).length;
+        });
+        return Math.max(0, ...counts) <= 2;
+      }),
+      { numRuns: 2_000, seed: 1 },
+    );
+  });
+});
--- /dev/null
+++ b/packages/domain/src/backOff/backOffs.ts
@@ -0,0 +1,113 @@
+/**
+ * Targets that turned a message of this VM away and asked it to back off. Until the time is over they get nothing but what keeps alive
+ * the requests that they have. After it they get few requests at first, twice as many with each answer: all that waited for the
+ * moment would only be turned away again.
+ *
+ * A wish is one lifetime's own. Whatever starts at its address, or under its id, begins without.
+ */
+import type * as endedLifetimes from '../quarantine/endedLifetimes';
+
+type Lifetime = endedLifetimes.Lifetime;
+
+/** Longest time that is kept to, milliseconds: one that is meant for good, or mistaken, must not take a target out of use for good. */
+export const LONGEST_MS = 600_000;
+
+/** Messages about requests that run already which a target gets while it wants nothing. */
+const MOST_UPKEEP = 2;
+
+/** So many answers after its end show that a wish is over. */
+const ANSWERS_TO_FORGET = 4;
+
+interface BackOff {
+  bornAt: number;
+  until: number;
+  /** Messages about running requests that were sent since it began. */
+  upkeep: number;
+  /** Requests sent after it ended whose answers are still to come, and the answers so far. */
+  underWay: number;
+  answers: number;
+}
+
+/** A message under way to a target; knows what it counts against. */
+export interface Passage {
+  /** An answer came that asks for nothing. */
+  answered: () => void;
+  /** It is over, with or without an answer. */
+  ended: () => void;
+}
+
+const FREE: Passage = { answered: () => undefined, ended: () => undefined };
+
+export class BackOffs {
+  private readonly backOffs = new Map<string, BackOff>();
+
+  get size(): number {
+    return this.backOffs.size;
+  }
+
+  /** Ids of targets that have asked, also those whose time is over and that haven't answered often enough since. */
+  get targets(): string[] {
+    return [...this.backOffs.keys()];
+  }
+
+  /** A target asks; how long it is left alone from now on comes back, milliseconds. */
+  ask({ id, bornAt }: Lifetime, forMs: number, now: number): number {
+    const known = this.find({ id, bornAt });
+    const until = Math.max(known?.until ?? now, now + Math.min(forMs, LONGEST_MS));
+    if (until <= now) return 0;
+    const upkeep = known !== undefined && now < known.until ? known.upkeep : 0;
+    this.backOffs.set(id, { bornAt, until, upkeep, underWay: 0, answers: 0 });
+    return until - now;
+  }
+
+  /** Whether a target takes a request from this VM now. */
+  takesRequest(target: Lifetime, now: number): boolean {
+    const known = this.find(target);
+    if (known === undefined) return true;
+    return now >= known.until && known.underWay < 2 ** known.answers;
+  }
+
+  /** Whether it takes a message about a request that it has. */
+  takesUpkeep(target: Lifetime, now: number): boolean {
+    const known = this.find(target);
+    return known === undefined || now >= known.until || known.upkeep < MOST_UPKEEP;
+  }
+
+  /** How long a target still wants nothing, milliseconds; 0 where it may get a request, also if others are tried first. */
+  waitMs(target: Lifetime, now: number): number {
+    return Math.max(0, (this.find(target)?.until ?? now) - now);
+  }
+
+  /** A message is sent to a target. */
+  sent(target: Lifetime, now: number): Passage {
+    const known = this.find(target);
+    if (known === undefined) return FREE;
+    if (now < known.until) {
+      known.upkeep += 1;
+      return FREE;
+    }
+    known.underWay += 1;
+    return {
+      answered: () => this.answered(target.id, known),
+      ended: () => {
+        known.underWay -= 1;
+      },
+    };
+  }
+
+  /** A lifetime ended. */
+  forget(target: Lifetime): void {
+    if (this.find(target) !== undefined) this.backOffs.delete(target.id);
+  }
+
+  private answered(id: string, known: BackOff): void {
+    known.answers += 1;
+    const isOver = known.answers >= ANSWERS_TO_FORGET;
+    if (isOver && this.backOffs.get(id) === known) this.backOffs.delete(id);
+  }
+
+  private find({ id, bornAt }: Lifetime): BackOff | undefined {
+    const known = this.backOffs.get(id);
+    return known?.bornAt === bornAt ? known : undefined;
+  }
+}
--- /dev/null
+++ b/packages/domain/src/backOff/index.ts
@@ -0,0 +1,1 @@
+export * as backOffs from './backOffs';
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -1,5 +1,6 @@
 /** The aggregates of celerydrift: state and rules, without input, output, clock or chance. */
 export * as allocation from './allocation';
+export * as backOff from './backOff';
 export * as catalogue from './catalogue';
 export * as control from './control';
 export * as ledger from './ledger';
