Believe a target that says in an answer that it leaves

Nobody read it, so an entry without a leader, or one that the announcement hadn't reached, went on.

The word comes to the same place as the wish to be left alone. The entry sends no request and no reservation there from that moment, whoever leads; streams that run there and their memory go on. It tells the leader, again whenever it finds a new one; the leader notes the lifetime as draining and tells all followers, so others hear it before they meet an answer of their own. A late announcement that says ready does not undo it within that lifetime, also not for one that was read from a disk after a loss of all.

--- a/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
@@ -60,6 +60,7 @@
   announce: (record: domain.registry.registry.Announcement) => Promise<void>;
   onMessage: (message: Message) => void;
   onTurnedAway: (answer: TurnedAway) => void;
+  onLeaving: () => void;
   onArrival: (arrival: Arrival) => void;
   onEnd: (target: string, at: number) => void;
 }
@@ -71,6 +72,9 @@
   /** For how long each request that it turns away asks its sender to back off, milliseconds; undefined while it takes requests. */
   backOffMs: number | undefined;
 
+  /** Whether its answers say that it leaves; it announces itself as ready all the same. */
+  isLeaving = false;
+
   private lifetime = 0;
 
   private sequence = 0;
@@ -176,7 +180,9 @@
 
   private headOf(request: http.IncomingMessage): string[] {
     const limit = this.limit === undefined ? [] : ['limit', String(this.limit)];
-    return ['id', String(request.headers.id), 'signed', '1', ...limit];
+    const leaving = this.isLeaving ? ['leaving', '1'] : [];
+    if (this.isLeaving) this.options.onLeaving();
+    return ['id', String(request.headers.id), 'signed', '1', ...limit, ...leaving];
   }
 
   private run(request: http.IncomingMessage, response: http.ServerResponse, body: string): void {
--- a/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
@@ -146,6 +146,9 @@
 
   readonly turnedAway: crashableTarget.TurnedAway[] = [];
 
+  /** When a target first answered that it leaves. */
+  leavingSince: number | undefined;
+
   readonly ends: { target: string; at: number }[] = [];
 
   private readonly observer = new observer.Observer('test', 'fatal', undefined);
@@ -351,6 +354,9 @@
         },
         onMessage: (message) => this.messages.push(message),
         onTurnedAway: (answer) => this.turnedAway.push(answer),
+        onLeaving: () => {
+          this.leavingSince ??= clock.steady();
+        },
         onArrival: (arrival) => this.arrivals.push(arrival),
         onEnd: (ended, at) => this.ends.push({ target: ended, at }),
       });
--- a/packages/daemon/src/edges/protocols.ts
+++ b/packages/daemon/src/edges/protocols.ts
@@ -70,6 +70,8 @@
   isEncoded: boolean;
   limit: NamedLimit;
   backOff: BackOff;
+  /** Whether the target says that it leaves: from now on it wants no new request. */
+  isLeaving: boolean;
 }
 
 /** The protocol of callers and targets. */
--- a/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
@@ -48,6 +48,7 @@
       headers.limit === undefined
         ? { kind: 'none' }
         : { kind: 'named', perSecond: Number(headers.limit) },
+    isLeaving: headers.leaving !== undefined,
     backOff:
       headers['back-off'] === undefined
         ? { kind: 'none' }
@@ -162,9 +163,12 @@
       mayCheck: async () => true,
     };
     const { registry } = this;
+    const client = new peerClient.PeerClient('secret', undefined, observe);
     this.signals = new targetSignals.TargetSignals({
-      holding: { registry },
+      holding: { registry, takeLeaving: () => [] },
       limits,
+      link: { leader: '' },
+      client,
       observer: observe,
       now: clock.steady,
     });
@@ -183,7 +187,7 @@
         registry,
       },
       link: { leader: '' },
-      client: new peerClient.PeerClient('secret', undefined, observe),
+      client,
       lifeChecks: checks,
       observer: observe,
       now: clock.steady,
--- a/packages/daemon/src/entry/__tests__/targetSignals.test.ts
+++ b/packages/daemon/src/entry/__tests__/targetSignals.test.ts
@@ -8,7 +8,9 @@
 
 const { expect } = chai;
 
-const RECORD: domain.registry.registry.Announcement = {
+type Announcement = domain.registry.registry.Announcement;
+
+const RECORD: Announcement = {
   id: 't',
   service: 's',
   address: '127.0.0.1:1',
@@ -42,6 +44,7 @@
   isEncoded: false,
   limit: { kind: 'none' },
   backOff: { kind: 'asked', forMs: 1_000 },
+  isLeaving: false,
 };
 
 const NO_WISH = { backOff: { kind: 'none' } } as const;
@@ -49,6 +52,10 @@
 class Bench {
   readonly registry = new domain.registry.registry.Registry();
 
+  readonly takeLeaving = ({ id, bornAt }: { id: string; bornAt: number }): Announcement[] => {
+    return this.registry.leave(id, bornAt);
+  };
+
   readonly observer = new observer.Observer('test', 'fatal', undefined);
 
   readonly limits: (number | undefined)[] = [];
@@ -61,6 +68,8 @@
     this.registry.announce(RECORD, 0);
     this.signals = new targetSignals.TargetSignals({
       holding: this,
+      link: { leader: '' },
+      client: { call: () => Promise.reject(new Error('no leader')) },
       limits: {
         answered: (_answer, limit) => {
           this.limits.push(limit.kind === 'named' ? limit.perSecond : undefined);
@@ -133,6 +142,17 @@
     expect([lines, answers]).to.deep.equal([1, 2]);
   });
 
+  /** Guards against new work for a target that leaves, and against memory that is lost to streams that go on there. */
+  it('keeps requests and orders from a target that leaves, in that lifetime only', () => {
+    made.exchange({ ...NO_WISH, isLeaving: true });
+    made.registry.announce({ ...RECORD, sequence: 2 }, 0);
+    const kinds = ['request', 'order', 'check', 'upkeep'] as const;
+    expect(kinds.map((kind) => made.takes(kind))).to.deep.equal([false, false, true, true]);
+    expect([made.signals.closed('s'), made.registry.ready('s')]).to.deep.equal([['t'], []]);
+    made.registry.announce({ ...RECORD, bornAt: 2 }, 0);
+    expect([made.takes('request'), made.signals.closed('s')]).to.deep.equal([true, []]);
+  });
+
   it('is forgotten with the lifetime, also where the next one has its id', () => {
     made.exchange({});
     made.registry.announce({ ...RECORD, bornAt: 2 }, 0);
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -79,7 +79,10 @@
 
   private readonly readiness: http.Server;
 
-  private readonly loseLeader = (): void => this.limits.leaderLost();
+  private readonly loseLeader = (): void => {
+    this.limits.leaderLost();
+    this.signals.leaderLost();
+  };
 
   private isLeaving = false;
 
@@ -112,6 +115,7 @@
       onConfirmed: ({ entries, crowding }) => {
         this.chooser.fallback.assume(crowding);
         this.limits.leaderFound(entries);
+        this.signals.leaderFound(this.link.leader);
         this.link.onLost(this.loseLeader);
         if (entries > 0) this.budgets.shareWith(entries, clock.steady());
         this.ingress.wake();
@@ -127,6 +131,8 @@
     this.signals = new targetSignals.TargetSignals({
       holding: this.holding,
       limits: this.limits,
+      link: this.link,
+      client: this.client,
       observer: observe,
       now: clock.steady,
     });
@@ -199,6 +205,7 @@
     this.link.stop();
     this.crashes.close();
     this.limits.close();
+    this.signals.close();
     this.readiness.close();
     this.targets.close();
     await this.server.close();
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -8,15 +8,18 @@
 import * as domain from '@celerydrift/domain';
 import type * as protocols from '../edges/protocols';
 import type * as holding from '../fleet/holding';
+import type * as messages from '../fleet/messages';
 import type * as observer from '../observability/observer';
 import * as answer from './answer';
+import * as leaderCall from './leaderCall';
+import * as leaderOutbox from './leaderOutbox';
 import type * as limitWatch from './limitWatch';
 import type * as targetClient from './targetClient';
 
 type Lifetime = domain.quarantine.endedLifetimes.Lifetime;
 
-export interface Parts {
-  holding: Pick<holding.Holding, 'registry'>;
+export interface Parts extends leaderCall.Parts {
+  holding: Pick<holding.Holding, 'registry' | 'takeLeaving'>;
   limits: Pick<limitWatch.LimitWatch, 'answered'>;
   observer: observer.Observer;
   now: () => number;
@@ -30,12 +33,27 @@
   at: number;
 }
 
+/** Most targets that leave and of which no leader has heard. */
+const MOST_UNTOLD = 500;
+
 /** How long whoever may not try a target waits for what the trials of others show, milliseconds; some ways there and back. */
 const TRIAL_MS = 50;
 
 export class TargetSignals implements targetClient.Gate {
   private readonly backOffs = new domain.backOff.backOffs.BackOffs();
 
+  /** Births of targets that leave, by id. */
+  private readonly leaving = new Map<string, number>();
+
+  /** Other entries hear it from the leader, before each has met an answer of its own. */
+  private readonly departures = new leaderOutbox.LeaderOutbox<Lifetime>(
+    (lifetimes) => this.tellLeader(lifetimes),
+    MOST_UNTOLD,
+  );
+
+  /** The leader that has heard of all that leave; empty for none. */
+  private told = '';
+
   /** Targets whose wish couldn't be read, each with one line of the log. */
   private readonly unreadable = new Set<string>();
 
@@ -60,7 +78,9 @@
   /** Targets of a service that take no request from this entry now. */
   closed(service: string): string[] {
     const { registry } = this.parts.holding;
-    return this.backOffs.targets.filter((id) => {
+    if (this.backOffs.size + this.leaving.size === 0) return [];
+    const ids = new Set([...this.backOffs.targets, ...this.leaving.keys()]);
+    return [...ids].filter((id) => {
       const isOfService = registry.get(id)?.service === service;
       return isOfService && !this.takes(this.lifetimeOf(id), 'request');
     });
@@ -80,10 +100,32 @@
   forget(lifetime: Lifetime): void {
     this.backOffs.forget(lifetime);
     this.unreadable.delete(lifetime.id);
+    if (this.leaves(lifetime)) this.leaving.delete(lifetime.id);
+  }
+
+  /** A leader confirmed this entry: one that is new may not know yet who leaves. */
+  leaderFound(leader: string): void {
+    if (leader === this.told) return;
+    this.told = leader;
+    this.leaving.forEach((bornAt, id) => {
+      void this.departures.tell({ id, bornAt });
+    });
+  }
+
+  leaderLost(): void {
+    this.told = '';
+  }
+
+  /** What no leader has taken by now stays untold. */
+  close(): void {
+    this.departures.close();
   }
 
   private takes(lifetime: Lifetime, purpose: targetClient.Purpose): boolean {
     const now = this.parts.now();
+    // What runs there goes on, and its memory with it.
+    const isNew = purpose === 'request' || purpose === 'order';
+    if (isNew && this.leaves(lifetime)) return false;
     if (purpose === 'upkeep') return this.backOffs.takesUpkeep(lifetime, now);
     return this.backOffs.takesRequest(lifetime, now);
   }
@@ -92,6 +134,16 @@
     if (!isOwn(sent.sending, head.facts)) return;
     this.takeBackOff(sent, head);
     this.takeLimit(sent, head);
+    if (head.facts.isLeaving) this.takeLeaving(sent);
+  }
+
+  private takeLeaving({ sending, lifetime }: Sent): void {
+    if (this.leaves(lifetime)) return;
+    const { id, bornAt } = lifetime;
+    this.leaving.set(id, bornAt);
+    this.parts.observer.log('targetLeaving', { target: id, bornAt, request: sending.requestId });
+    this.parts.holding.takeLeaving(lifetime);
+    void this.departures.tell(lifetime);
   }
 
   private takeBackOff(sent: Sent, { status, facts }: targetClient.Head): void {
@@ -127,6 +179,16 @@
     this.parts.limits.answered(answered, limit);
   }
 
+  private leaves({ id, bornAt }: Lifetime): boolean {
+    return this.leaving.get(id) === bornAt;
+  }
+
+  private async tellLeader(lifetimes: readonly Lifetime[]): Promise<boolean> {
+    const content: messages.Leaving = { lifetimes: [...lifetimes] };
+    const answered = await leaderCall.ask<messages.TakenAnswer>(this.parts, 'leaving', content);
+    return answered !== undefined;
+  }
+
   private lifetimeOf(id: string): Lifetime {
     return { id, bornAt: this.parts.holding.registry.get(id)?.bornAt ?? 0 };
   }
--- a/packages/daemon/src/fleet/holding.ts
+++ b/packages/daemon/src/fleet/holding.ts
@@ -124,6 +124,11 @@
     return this.changed(this.registry.announce(announcement, this.options.now()));
   }
 
+  /** Takes a lifetime's word, from an answer, that it leaves. */
+  takeLeaving({ id, bornAt }: domain.quarantine.endedLifetimes.Lifetime): Announcement[] {
+    return this.changed(this.registry.leave(id, bornAt));
+  }
+
   /** The same for a target that was only remembered, and says what was remembered; thousands may come within a second. */
   takeConfirmation(announcement: Announcement): Announcement[] {
     const changed = this.registry.announce(announcement, this.options.now());
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -199,6 +199,11 @@
   bornAt: number | undefined;
 }
 
+/** `leaving`: lifetimes that said in answers to an entry that they leave. */
+export interface Leaving {
+  lifetimes: domain.quarantine.endedLifetimes.Lifetime[];
+}
+
 /** `submit`: a catalogue from the keeper that an operator talked to. */
 export interface Submit {
   edition: domain.catalogue.versions.Edition;
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -241,6 +241,11 @@
     });
     server.add('announced', (content) => calls.announceHere(content as messages.Announced));
     server.add('departed', (content) => calls.departHere(content as messages.Departed));
+    server.add('leaving', (content): messages.TakenAnswer => {
+      return this.host.isLeader
+        ? this.leadership.leaving(content as messages.Leaving)
+        : this.redirect();
+    });
     server.add('submit', (content) => calls.submitHere((content as messages.Submit).edition));
     server.add('newest', () => calls.newestHere());
     server.add('place', (request) => this.place(request as messages.Place));
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -246,6 +246,13 @@
     await this.news.publish(changed);
   }
 
+  /** Takes what answers to entries said, sooner than others of them hear it. */
+  leaving({ lifetimes }: messages.Leaving): messages.TakenAnswer {
+    const changed = lifetimes.flatMap((each) => this.options.holding.takeLeaving(each));
+    if (changed.length > 0) void this.news.publish(changed);
+    return { kind: 'taken' };
+  }
+
   /** Pushes a catalogue that was accepted. */
   publishEdition(edition: domain.catalogue.versions.Edition): Promise<void> {
     return this.news.publishEdition(edition);
--- a/packages/domain/src/registry/__tests__/registry.test.ts
+++ b/packages/domain/src/registry/__tests__/registry.test.ts
@@ -25,6 +25,23 @@
     expect(states(made)).to.deep.equal({ a: 'draining' });
   });
 
+  /** Guards against a target that is used again for what it announced before it left, or that was read from a disk before. */
+  it('never takes a lifetime back that said in an answer that it leaves', () => {
+    const made = new registry.Registry();
+    made.remember([announcement('a', { sequence: 4 })], 0);
+    expect(made.leave('a', 0).map(({ state }) => state)).to.deep.equal(['draining']);
+    made.announce(announcement('a', { sequence: 9 }), 20);
+    made.merge([announcement('a', { sequence: 10 })], 30);
+    made.follow([announcement('a', { sequence: 11 })], 40);
+    expect([states(made), made.leave('a', 0), made.leave('b', 0)]).to.deep.equal([
+      { a: 'draining' },
+      [],
+      [],
+    ]);
+    made.announce(announcement('a', { bornAt: 5, sequence: 1 }), 50);
+    expect([made.leave('a', 0), states(made)]).to.deep.equal([[], { a: 'ready' }]);
+  });
+
   /*
    * Requests would go to a dead server's id at an address that serves another one by now. The old lifetime
    * crashed behind a partition; its last announcement was held up there and comes after the new one's.
--- a/packages/domain/src/registry/registry.ts
+++ b/packages/domain/src/registry/registry.ts
@@ -96,6 +96,14 @@
     return hasEnded ? [] : [this.end(known, now)];
   }
 
+  /** A lifetime said in an answer that it leaves. What it announced before that and comes later doesn't undo it. */
+  leave(id: string, bornAt: number): Announcement[] {
+    const known = this.entries.get(id);
+    if (known?.record.bornAt !== bornAt || known.record.state !== 'ready') return [];
+    this.write(known, { ...known.record, state: 'draining', isRemembered: undefined });
+    return [known.record];
+  }
+
   /** Somebody else answered at the address of this lifetime. It may revive by announcing itself. */
   presumeEnded(id: string, now: number): Announcement[] {
     const known = this.entries.get(id);
