Go on with a stream past a target that can't take it

What callers saw: a stream that a crash had cut was broken off though other targets were there and the route allowed another attempt, when the target that was to go on with it couldn't be reached, or turned it away as full or as wanting nothing. Found by reading: whether a caller already has the beginning of a stream was asked of the last target's head, which isn't a stream's where there is none or where it is a refusal. It is asked of the caller's own answer now. The test fails on the code before with 'event 1 and a broken answer' in both cases.

--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -79,6 +79,33 @@
     expect(made.wishes[2].writers).to.deep.equal(['t0', 't1']);
   });
 
+  /** Guards against a stream that is given up at the first target that can't be reached, though another one is there. */
+  it('goes on with a stream past a target that can not be reached, or that turns it away', async () => {
+    const cut: bench.Behaviour = (_request, socket) => {
+      socket.write(bench.STREAM + bench.chunk('id: 1\ndata: a\n\n'));
+      setTimeout(() => socket.resetAndDestroy(), 50);
+    };
+    const rest: bench.Behaviour = (_request, socket) =>
+      socket.write(bench.STREAM + bench.chunk('id: 2\ndata: b\n\n') + bench.LAST_CHUNK);
+    made = await bench.Bench.start(cut, WHOLE, rest);
+    await made.crash(1);
+    const whole = ['id: 1\ndata: a\n\nid: 2\ndata: b\n\n', true];
+    const reply = await made.ask('/streaming/1');
+    expect([reply.body, reply.isWhole]).to.deep.equal(whole);
+    made.stop();
+
+    const refuse = bench.answer('', 503, 'not-run: 1\r\n');
+    let asked = 0;
+    const secondTime: bench.Behaviour = (request, socket) => {
+      asked += 1;
+      if (asked === 1) socket.write(refuse);
+      else rest(request, socket);
+    };
+    made = await bench.Bench.start(cut, secondTime);
+    const again = await made.ask('/streaming/1');
+    expect([again.body, again.isWhole]).to.deep.equal(whole);
+  });
+
   /** Guards against a request that was placed before its target asked this VM to back off, and is sent after it. */
   it('goes elsewhere where its target wants nothing more by the time it is sent', async () => {
     const refuse = bench.answer('', 503, 'not-run: 1\r\nback-off: 2000\r\n');
--- a/packages/daemon/src/entry/answer.ts
+++ b/packages/daemon/src/entry/answer.ts
@@ -14,6 +14,9 @@
 /** Answers up to this size are held until they are whole, so that a broken one can be had elsewhere. */
 const HELD_BYTES = 1_048_576;
 
+/** Status of a stream; other answers on its route are whole ones. */
+const STREAM_STATUS = 200;
+
 /** From this status on, an answer of a target's own doesn't show that it ran the request to its end. */
 export const FAILURE_STATUS = 500;
 
@@ -66,7 +69,9 @@
 
   /** Whether the caller has bytes that no other target can go on from. */
   get isBeyondRepair(): boolean {
-    return this.response.headersSent && (!this.isStream || this.lastEventId === undefined);
+    const { response, route, lastEventId } = this;
+    const isStream = route.kind === 'streaming' && response.statusCode === STREAM_STATUS;
+    return response.headersSent && !(isStream && lastEventId !== undefined);
   }
 
   beginAttempt(): void {
@@ -135,7 +140,7 @@
   }
 
   private get isStream(): boolean {
-    return this.route.kind === 'streaming' && this.head?.status === 200;
+    return this.route.kind === 'streaming' && this.head?.status === STREAM_STATUS;
   }
 
   /** Whether the head shows an answer of this target to this request. */
