Start the fleets of a suite together

All fleets of a suite start before its first test and stop in the background; the tests run one after the other as before, with all their assertions. A test of signals left an outbox open, which kept the process from ending.

--- a/packages/daemon/src/__tests__/backingOffTargets.test.ts
+++ b/packages/daemon/src/__tests__/backingOffTargets.test.ts
@@ -2,7 +2,8 @@
 import * as chai from 'chai';
 import * as clock from '../clock';
 import type * as crashableTarget from './__fixtures__/crashableTarget';
-import * as smallFleet from './__fixtures__/smallFleet';
+import * as fleets from './__fixtures__/fleets';
+import type * as smallFleet from './__fixtures__/smallFleet';
 
 const { expect } = chai;
 
@@ -43,11 +44,7 @@
 }
 
 describe('targets that ask a VM to back off', () => {
-  const fleets: smallFleet.SmallFleet[] = [];
-
-  afterEach(async () => {
-    await Promise.all(fleets.splice(0).map((each) => each.stop()));
-  });
+  const started = new fleets.Fleets({ engines: 3, plain: 3 });
 
   /** Does the same on a fleet of engines and on one of plain targets, side by side. */
   const onBoth = async (
@@ -57,8 +54,7 @@
     ) => Promise<void>,
   ): Promise<void> => {
     const acting = (['engines', 'plain'] as const).map(async (service) => {
-      const fleet = await smallFleet.SmallFleet.start(service);
-      fleets.push(fleet);
+      const fleet = await started.take(service);
       const kind = service === 'engines' ? 'streaming' : 'safe';
       await act(fleet, { service, kind });
     });
--- a/packages/daemon/src/__tests__/crashingRequests.test.ts
+++ b/packages/daemon/src/__tests__/crashingRequests.test.ts
@@ -2,6 +2,7 @@
 import * as chai from 'chai';
 import * as clock from '../clock';
 import * as crashableTarget from './__fixtures__/crashableTarget';
+import * as fleets from './__fixtures__/fleets';
 import * as smallFleet from './__fixtures__/smallFleet';
 
 const { expect } = chai;
@@ -15,9 +16,7 @@
 const CRASHING = `${crashableTarget.CRASH_WORD} one`;
 
 describe('requests under which targets end', () => {
-  let fleet: smallFleet.SmallFleet;
-
-  afterEach(async () => fleet.stop());
+  const started = new fleets.Fleets({ engines: 3, plain: 2 });
 
   /*
    * Foremen saw their summaries break off for half a minute: 44 of 23 engines and their successors had ended. One request
@@ -27,7 +26,7 @@
    */
   (['engines', 'plain'] as const).forEach((service) => {
     it(`stay away from ${service} after the third, at whichever entry they come`, async () => {
-      fleet = await smallFleet.SmallFleet.start(service);
+      const fleet = await started.take(service);
       const kind = service === 'engines' ? 'streaming' : 'safe';
       const statuses: number[] = [];
       for (let i = 0; i < 12; i++) {
@@ -47,7 +46,7 @@
    * once. None of them may have to learn it anew, as that would cost three targets each time.
    */
   it('are known to an entry that starts again, to another leader, and after a loss of all', async () => {
-    fleet = await smallFleet.SmallFleet.start('plain');
+    const fleet = await started.take('plain');
     const copy = { service: 'plain', kind: 'safe', body: CRASHING } as const;
     for (let i = 0; i < MOST_ENDS; i++) await fleet.ask(i % smallFleet.ENTRIES, copy);
     await fleet.stopEntry(0);
@@ -70,7 +69,7 @@
    * engines had ended under them too. Each is served here, also by the same engines at the same moments.
    */
   it('cost nothing to requests that run beside them', async () => {
-    fleet = await smallFleet.SmallFleet.start('engines');
+    const fleet = await started.take('engines');
     const innocent = Array.from({ length: 40 }, async (_, i) => {
       await clock.pause(20 * i);
       return fleet.ask(i % smallFleet.ENTRIES, { service: 'engines', body: `summary ${i}` });
@@ -86,7 +85,7 @@
 
   /* Copies come faster than one of them ends a target: those that came before that run, and no other one after the third. */
   it('stop at once when copies come all together', async () => {
-    fleet = await smallFleet.SmallFleet.start('engines');
+    const fleet = await started.take('engines');
     const copies = Array.from({ length: 30 }, async (_, i) => {
       await clock.pause(15 * i);
       return fleet.ask(i % smallFleet.ENTRIES, { service: 'engines', body: CRASHING });
--- a/packages/daemon/src/__tests__/leavingTargets.test.ts
+++ b/packages/daemon/src/__tests__/leavingTargets.test.ts
@@ -1,6 +1,7 @@
 /** Targets that say in their answers that they leave, and that no announcement says so of. */
 import * as chai from 'chai';
 import * as clock from '../clock';
+import * as fleets from './__fixtures__/fleets';
 import * as smallFleet from './__fixtures__/smallFleet';
 
 const { expect } = chai;
@@ -23,22 +24,12 @@
 }
 
 describe('targets that say in an answer that they leave', () => {
-  const fleets: smallFleet.SmallFleet[] = [];
-
-  const start = async (service: smallFleet.Service): Promise<smallFleet.SmallFleet> => {
-    const fleet = await smallFleet.SmallFleet.start(service);
-    fleets.push(fleet);
-    return fleet;
-  };
-
-  afterEach(async () => {
-    await Promise.all(fleets.splice(0).map((each) => each.stop()));
-  });
+  const started = new fleets.Fleets({ engines: 2, plain: 1 });
 
   /** Guards against entries that go on sending to a target that leaves until each has met an answer of its own. */
   (['engines', 'plain'] as const).forEach((service) => {
     it(`get no new request from any entry, as ${service}; a later word that they are ready changes nothing`, async () => {
-      const fleet = await start(service);
+      const fleet = await started.take(service);
       const question = { service, kind: 'safe' } as const;
       await fleet.press(question, PRESS_MS);
       fleet.targets[0].isLeaving = true;
@@ -65,7 +56,7 @@
 
   /** Guards against an entry that waits for a leader's word while nobody leads. */
   it('get no new request from an entry that has read it, where nobody leads, and finish their streams', async () => {
-    const fleet = await start('engines');
+    const fleet = await started.take('engines');
     const question = { service: 'engines', kind: 'streaming' } as const;
     await Promise.all([0, 1].map((i) => fleet.stopKeeper(i)));
     await smallFleet.until('no leader', () => fleet.leader < 0);
--- a/packages/daemon/src/__tests__/limitedTargets.test.ts
+++ b/packages/daemon/src/__tests__/limitedTargets.test.ts
@@ -2,6 +2,7 @@
 import * as chai from 'chai';
 import * as clock from '../clock';
 import type * as crashableTarget from './__fixtures__/crashableTarget';
+import * as fleets from './__fixtures__/fleets';
 import * as smallFleet from './__fixtures__/smallFleet';
 
 const { expect } = chai;
@@ -71,29 +72,12 @@
 const ALLOWED = (SHARE * PER_SECOND * WINDOW_MS) / 1_000 + MORE;
 
 describe('targets that name a limit', () => {
-  let fleets: smallFleet.SmallFleet[] = [];
-
-  const start = async (service: smallFleet.Service): Promise<smallFleet.SmallFleet> => {
-    const started = await smallFleet.SmallFleet.start(service);
-    fleets.push(started);
-    return started;
-  };
-
-  const stopping: Promise<void>[] = [];
-
-  afterEach(() => {
-    stopping.push(...fleets.map((each) => each.stop()));
-    fleets = [];
-  });
-
-  after(async () => {
-    await Promise.all(stopping);
-  });
+  const fleetsOfSuite = new fleets.Fleets({ engines: 5, plain: 4 });
 
   /** Guards against a limit that nobody reads, or that each entry keeps to by itself. */
   (['engines', 'plain'] as const).forEach((service) => {
     it(`get no more from all entries together, as ${service}; the others serve the rest`, async () => {
-      const fleet = await start(service);
+      const fleet = await fleetsOfSuite.take(service);
       const kind = service === 'engines' ? 'streaming' : 'safe';
       await fleet.press({ service, kind }, 1_000);
       const limited = busiest(fleet, 2);
@@ -109,7 +93,7 @@
   /** Guards against callers that wait until their time is over, or are told to come back too soon, where all targets are in need. */
   it('all of them refuse the rest at once, and serve what they take', async () => {
     await onBoth(async (service, kind) => {
-      const started = await start(service);
+      const started = await fleetsOfSuite.take(service);
       limit(started.targets, PER_SECOND);
       await started.press({ service, kind }, TOLD_WITHIN_MS);
       const since = clock.steady();
@@ -128,7 +112,7 @@
   /** Guards against a limit that is forgotten, or given out twice, when processes take over from each other. */
   it('are kept to through a change of leader, a restart and another id', async () => {
     await onBoth(async (service, kind) => {
-      const started = await start(service);
+      const started = await fleetsOfSuite.take(service);
       limit(started.targets, PER_SECOND);
       const since = clock.steady() + TOLD_WITHIN_MS;
       const pressing = started.press({ service, kind }, 9_000);
@@ -144,7 +128,7 @@
 
   /** Guards against a crowd that comes back to targets in need, whose first answers are still to come. */
   it('are known to all entries after a loss of all, before any target has answered', async () => {
-    const fleet = await start('engines');
+    const fleet = await fleetsOfSuite.take('engines');
     limit(fleet.targets, PER_SECOND);
     await fleet.press({ service: 'engines' }, TOLD_WITHIN_MS);
     const known = [...fleet.keepers.values()].map((each) => each.gauges().limits);
@@ -156,7 +140,7 @@
 
   /** Guards against a limit that stays when the target is well again. */
   it('get as much as before once they name it no more', async () => {
-    const fleet = await start('engines');
+    const fleet = await fleetsOfSuite.take('engines');
     limit(fleet.targets, PER_SECOND);
     await fleet.press({ service: 'engines' }, TOLD_WITHIN_MS);
     limit(fleet.targets, undefined);
@@ -167,7 +151,7 @@
 
   /** Guards against a target that stays out of use for good, as nobody asks it whether it still is in need. */
   it('are used again when they are well, also where others take all calls', async () => {
-    const fleet = await start('plain');
+    const fleet = await fleetsOfSuite.take('plain');
     await fleet.press({ service: 'plain', kind: 'safe' }, 1_000);
     const limited = busiest(fleet, 1);
     limit(limited, PER_SECOND);
--- a/packages/daemon/src/entry/__tests__/targetSignals.test.ts
+++ b/packages/daemon/src/entry/__tests__/targetSignals.test.ts
@@ -100,6 +100,8 @@
     made = new Bench();
   });
 
+  afterEach(() => made.signals.close());
+
   /** Guards against a target that is left alone for what a proxy, another request's late answer or another lifetime said. */
   it('counts only as an answer to the message itself, from the lifetime that was meant', () => {
     const answers: [string, Partial<protocols.AnswerFacts>, targetClient.Sending][] = [
