Let targets of the soak ask to be left alone, and leave by word of answers only

No target of the soak said either, so it couldn't find this class of fault. In every run now up to four in five targets turn half of their requests away and ask for 0.3 to 5 s, and one says in its answers that it leaves while it announces itself as ready, until it goes. Half of the losses of all keepers take the disks of two with them, as many as may be lost.

The three drawings of spans are one function, and the limit of a target is one of the words that its answers hold.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -166,6 +166,18 @@
         good.crashers.push({ ...asked('r90', { ending: answered(503) }), body: 'crash 1' });
       },
     ],
+    [
+      'notLeftAlone',
+      ({ got, turnedAway }) => {
+        const way = { target: 't0-1', entry: 0 };
+        turnedAway.push({ ...way, at: 10_000, backOffSeconds: 2 });
+        got.push(...[10_600, 11_200, 11_900].map((at) => ({ ...way, at })));
+      },
+    ],
+    [
+      'drainedTargetRan',
+      ({ saidLeaving }) => saidLeaving.push({ target: 't0-1', entry: 0, at: 7_000 }),
+    ],
     [
       'memoryLeft',
       (good) => {
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -33,6 +33,8 @@
   | 'crashedOn'
   /** A target got more than it had said that it takes. */
   | 'overLimit'
+  /** A target that asked an entry to leave it alone got more from it. */
+  | 'notLeftAlone'
   | 'memoryLeft'
   | 'notRecovered';
 
@@ -84,6 +86,8 @@
   crashes,
   crashersNotRun,
   limits,
+  backOffs,
+  leavingTargets,
   memory,
   recovery,
 ];
@@ -298,6 +302,9 @@
 /** An entry must know a limit so long after an answer that named it, milliseconds. */
 const TOLD_MS = 500;
 
+/** Messages that a target may get after it asked an entry to leave it alone. */
+const MOST_DURING_BACK_OFF = 2;
+
 function limits(seen: Observations): Violation[] {
   return seen.limited.flatMap((span): Violation[] => {
     const { index, perSecond, from, until } = span;
@@ -331,6 +338,11 @@
 ): boolean {
   const last = told.filter((each) => each.entry === entry && each.at <= at - TOLD_MS);
   const since = Math.max(...last.map((each) => each.at));
+  return last.length > 0 && remembers(seen, entry, since, at);
+}
+
+/** Whether an entry that was told something at `since` must know it yet: it wasn't harmed or stopped meanwhile. */
+function remembers(seen: Observations, entry: number, since: number, at: number): boolean {
   const isStopped = seen.stopped.some((each) => {
     return each.entry === entry && each.from <= at && each.until >= since;
   });
@@ -338,7 +350,35 @@
     const isIt = each.subject === 'entry' && each.index === entry;
     return isIt && each.from <= at && each.until >= since;
   });
-  return last.length > 0 && !isStopped && !isItself;
+  return !isStopped && !isItself;
+}
+
+function backOffs(seen: Observations): Violation[] {
+  return seen.turnedAway.flatMap((asked): Violation[] => {
+    const { target, bornAt, entry, at, backOffSeconds = 0 } = asked;
+    const during = seen.got.filter((each) => {
+      const isIt = each.target === target && each.bornAt === bornAt && each.entry === entry;
+      const isThen = each.at > at + TOLD_MS && each.at < at + backOffSeconds * 1_000;
+      return isIt && isThen && remembers(seen, entry, at, each.at);
+    });
+    if (during.length <= MOST_DURING_BACK_OFF) return [];
+    const detail = `${target} got ${during.length} from entry ${entry} in ${backOffSeconds} s from ${at}`;
+    return [{ promise: 'notLeftAlone', detail }];
+  });
+}
+
+/** Requests of callers at targets that had said to the same entry that they leave. */
+function leavingTargets(seen: Observations): Violation[] {
+  const asked = new Map(seen.asked.map((each) => [each.request, each]));
+  return seen.ran.flatMap(({ request, target, bornAt, at }): Violation[] => {
+    const { entry, sentAt } = asked.get(request) ?? { entry: -1, sentAt: 0 };
+    const isLate = seen.saidLeaving.some((said) => {
+      const isIt = said.target === target && said.bornAt === bornAt && said.entry === entry;
+      const isThen = said.at < sentAt - layout.BOUNDS.drainMs;
+      return isIt && isThen && remembers(seen, entry, said.at, at);
+    });
+    return isLate ? [{ promise: 'drainedTargetRan', detail: `${request} at ${target}` }] : [];
+  });
 }
 
 function memory({ reservationsLeft }: Observations): Violation[] {
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -32,8 +32,8 @@
   lifetime: string;
   process: child.Child;
   setMode: (mode: targetMain.Mode) => void;
-  /** Requests a second that it takes; undefined while it isn't in need. */
-  setLimit: (perSecond: number | undefined) => void;
+  /** Changes what its answers say of it. */
+  setWords: (words: targetMain.Words) => void;
 }
 
 export interface Options {
@@ -230,7 +230,8 @@
     const { folder, layout: sizes, onLine } = this.options;
     const isEngine = index < sizes.engines;
     const modeFile = path.join(folder, `target-${index}.mode`);
-    const limitFile = path.join(folder, `target-${index}.limit`);
+    const words: targetMain.Words = {};
+    const wordsFile = path.join(folder, `target-${index}.words`);
     const host = this.addresses.host('target', index);
     const forwarded = this.addresses.host('targetForwarded', index);
     const options: targetMain.Options = {
@@ -244,7 +245,7 @@
       memoryTokens: isEngine ? ENGINE_MEMORY_TOKENS : 0,
       keepers: this.controls,
       modeFile,
-      limitFile,
+      wordsFile,
     };
     return {
       index,
@@ -252,7 +253,7 @@
       forwarded,
       lifetime: '',
       setMode: (mode) => replaceFile(modeFile, mode),
-      setLimit: (perSecond) => replaceFile(limitFile, String(perSecond ?? '')),
+      setWords: (changed) => replaceFile(wordsFile, JSON.stringify(Object.assign(words, changed))),
       process: new child.Child({
         name: `target-${index}`,
         words: [path.join(__dirname, 'targetMain.js'), JSON.stringify(options)],
--- a/packages/soak/src/harm.ts
+++ b/packages/soak/src/harm.ts
@@ -23,6 +23,10 @@
 /** Part of the killed targets that start again under the id that they had. */
 const REBORN_SHARE = 0.4;
 
+/** Part of the losses of all keepers in which some of them lose their disks too, as many as the settings tolerate. */
+const WIPED_SHARE = 0.5;
+const WIPED_KEEPERS = 2;
+
 const STORM_CHANGES = 6;
 const STORM_PAUSE_MS = 150;
 const CLOCK_STEP_MS = 3_000;
@@ -94,17 +98,30 @@
   /** Targets in need name a limit for a while. */
   async limit({ targets, perSecond, forSeconds }: schedule.Limiting): Promise<void> {
     const spans = targets.map((index) => {
-      this.running.targets[index].setLimit(perSecond);
+      this.running.targets[index].setWords({ limit: perSecond });
       return { index, perSecond, from: Date.now(), until: Infinity };
     });
     this.seen.limited.push(...spans);
     await operator.pause(forSeconds * 1_000);
     spans.forEach((span) => {
-      this.running.targets[span.index].setLimit(undefined);
+      this.running.targets[span.index].setWords({ limit: undefined });
       Object.assign(span, { until: Date.now() });
     });
   }
 
+  /** Targets turn requests away and ask to be left alone, but for one that says it leaves, and does so at the end. */
+  async shed({ targets, backOffSeconds, forSeconds }: schedule.Shedding): Promise<void> {
+    const shedding = targets.map((index) => this.running.targets[index]);
+    shedding.forEach((target, i) =>
+      target.setWords(i === 0 ? { isLeaving: true } : { backOffSeconds }),
+    );
+    await operator.pause(forSeconds * 1_000);
+    shedding.forEach((target) =>
+      target.setWords({ isLeaving: undefined, backOffSeconds: undefined }),
+    );
+    await Promise.all(shedding.slice(0, 1).map((target) => this.leave(target)));
+  }
+
   /** Cuts an entry off, sets its time of day back, and takes a key away; resolves when the entry is back. */
   async isolate(
     { index, organisation, forSeconds }: schedule.Isolating,
@@ -218,7 +235,12 @@
   }
 
   private async together(vms: readonly fleet.Vm[], step: Step): Promise<void> {
-    await Promise.all(vms.map((vm) => this.around(vm, step, () => this.restart(vm, lasts(step)))));
+    const wiped = this.running.keepers.slice(0, step.variant < WIPED_SHARE ? WIPED_KEEPERS : 0);
+    const wipe = (vm: fleet.Vm): void => {
+      if (wiped.includes(vm)) this.running.wipe(vm);
+    };
+    const lose = (vm: fleet.Vm): Promise<void> => this.restart(vm, lasts(step), wipe);
+    await Promise.all(vms.map((vm) => this.around(vm, step, lose)));
   }
 
   /** What was acknowledged before must be there after it, so it is read before newer documents hide a loss. */
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -46,14 +46,19 @@
 export interface Ran {
   request: string;
   target: string;
+  bornAt?: number;
   at: number;
 }
 
-/** A message that a target got from an entry, or an answer by which it told that entry its limit. */
+/** A message that a target got from an entry, or what it said in an answer to that entry. */
 export interface Exchanged {
   target: string;
+  /** Tells lifetimes with one id apart. */
+  bornAt?: number;
   entry: number;
   at: number;
+  /** For how long it is to be left alone, where it asked for that. */
+  backOffSeconds?: number;
 }
 
 /** A span in which a target names its limit. */
@@ -109,51 +114,41 @@
   until: number;
 }
 
-export interface Observations {
-  asked: Asked[];
-  probes: Probe[];
-  crashers: Crasher[];
-  crashed: Crashed[];
-  ran: Ran[];
-  got: Exchanged[];
-  told: Exchanged[];
-  limited: LimitedSpan[];
-  sent: Sent[];
-  revoked: Revoked[];
-  drained: Drained[];
-  stopped: Stopped[];
-  disturbances: Disturbance[];
-  /** Lifetime of each target by its number, with the time of its start. */
-  lifetimes: { target: string; index: number }[];
-  /** Read back after all keepers had lost their power, before the operator sent anything newer. */
-  restartReads: { lostAt: number; document: Observations['readBack'] }[];
-  /** The document read back at the end; undefined where no keeper answered. */
-  readBack: { version: number; label: string } | undefined;
-  /** Reservations that engines still held at the end. */
-  reservationsLeft: number;
-  /** When everything was well again. */
-  healedAt: number;
+/** A document as it is told from others with its version. */
+export interface Document {
+  version: number;
+  label: string;
 }
 
-export function empty(): Observations {
+/** Nothing seen yet. */
+export function empty() {
   return {
-    asked: [],
-    probes: [],
-    crashers: [],
-    crashed: [],
-    ran: [],
-    got: [],
-    told: [],
-    limited: [],
-    sent: [],
-    revoked: [],
-    drained: [],
-    stopped: [],
-    disturbances: [],
-    lifetimes: [],
-    restartReads: [],
-    readBack: undefined,
+    asked: [] as Asked[],
+    probes: [] as Probe[],
+    crashers: [] as Crasher[],
+    crashed: [] as Crashed[],
+    ran: [] as Ran[],
+    got: [] as Exchanged[],
+    told: [] as Exchanged[],
+    saidLeaving: [] as Exchanged[],
+    turnedAway: [] as Exchanged[],
+    limited: [] as LimitedSpan[],
+    sent: [] as Sent[],
+    revoked: [] as Revoked[],
+    drained: [] as Drained[],
+    stopped: [] as Stopped[],
+    disturbances: [] as Disturbance[],
+    /** Lifetime of each target by its number, with the time of its start. */
+    lifetimes: [] as { target: string; index: number }[],
+    /** Read back after all keepers had lost their power, before the operator sent anything newer. */
+    restartReads: [] as { lostAt: number; document: Document | undefined }[],
+    /** The document read back at the end; undefined where no keeper answered. */
+    readBack: undefined as Document | undefined,
+    /** Reservations that engines still held at the end. */
     reservationsLeft: 0,
+    /** When everything was well again. */
     healedAt: Infinity,
   };
 }
+
+export type Observations = ReturnType<typeof empty>;
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -136,9 +136,9 @@
     }
   }
 
-  private exchanged({ kind, target, source, at }: targetMain.Exchange): void {
+  private exchanged({ kind, source, ...rest }: targetMain.Exchange): void {
     const entry = this.running.entries.findIndex(({ host }) => host === source);
-    this.seen[kind].push({ target, entry, at });
+    this.seen[kind].push({ ...rest, entry });
   }
 
   private async untilServing(): Promise<void> {
@@ -158,21 +158,22 @@
   }
 
   private async follow(plan: schedule.Plan): Promise<void> {
-    const { steps, crashing, limiting, isolating, seconds } = plan;
+    const { steps, crashing, limiting, shedding, isolating, seconds } = plan;
     const begun = Date.now();
     const until = async (at: number): Promise<void> =>
       operator.pause(Math.max(0, begun + at * 1_000 - Date.now()));
-    const under: Promise<void>[] = crashing.map(async (each) => {
-      await until(each.at);
-      await this.crashers.carryOut(each);
-    });
-    const limits = limiting.map(async (each) => {
-      await until(each.at);
-      await this.harm.limit(each);
-    });
-    const isolated = isolating.map(async (each) => {
-      await until(each.at);
-      await this.harm.isolate(each, (entry, key) => {
+    const each = <T extends { at: number }>(
+      drawn: T[],
+      carryOut: (one: T) => Promise<void>,
+    ): void => {
+      under.push(...drawn.map((one) => until(one.at).then(() => carryOut(one))));
+    };
+    const under: Promise<void>[] = [];
+    each(crashing, (one) => this.crashers.carryOut(one));
+    each(limiting, (one) => this.harm.limit(one));
+    each(shedding, (one) => this.harm.shed(one));
+    each(isolating, (one) => {
+      return this.harm.isolate(one, (entry, key) => {
         this.ask({ entry, kind: 'safe', path: operator.basePath('safe'), key });
       });
     });
@@ -181,7 +182,7 @@
       under.push(this.harm.carryOut(step));
     }
     await until(seconds);
-    await Promise.all([...under, ...limits, ...isolated]);
+    await Promise.all(under);
   }
 
   private async foreignLoop(): Promise<void> {
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -130,12 +130,16 @@
   organisation: number;
 }
 
+/** Targets that turn requests away and ask their senders to leave them alone; the first one says that it leaves. */
+export type Shedding = Omit<Limiting, 'perSecond'> & { backOffSeconds: number };
+
 export interface Plan {
   seed: number;
   seconds: number;
   steps: Step[];
   crashing: Crashing[];
   limiting: Limiting[];
+  shedding: Shedding[];
   isolating: Isolating[];
 }
 
@@ -143,23 +147,40 @@
 const MEAN_PAUSE_BETWEEN_CRASHING_SECONDS = 4;
 const COPY_PAUSE_SECONDS = { least: 0.01, most: 0.5 } as const;
 
-/** Drawn apart from the steps, so that the steps of a seed stay what they are. */
-function drawCrashing(seed: number, seconds: number): Crashing[] {
+type Random = domain.shared.random.Random;
+
+/** Bounds of what is drawn evenly between them. */
+interface Range {
+  least: number;
+  most: number;
+}
+
+function between(random: Random, { least, most }: Range): number {
+  return least + (most - least) * random.uniform();
+}
+
+/** Spans with pauses between them, drawn apart from the steps, so that the steps of a seed stay what they are. */
+function drawSpans<T>(
+  { seed, seconds, meanPause, apart }: Record<'seed' | 'seconds' | 'meanPause' | 'apart', number>,
+  make: (random: Random, at: number) => T,
+): T[] {
   const random = domain.shared.random.independent(seed);
-  const drawn: Crashing[] = [];
-  const mean = MEAN_PAUSE_BETWEEN_CRASHING_SECONDS;
-  const { least, most } = COPY_PAUSE_SECONDS;
-  let at = domain.shared.random.exponential(random, mean);
-  while (at < seconds) {
-    const forSeconds = SHORTEST_SECONDS + (LONGEST_SECONDS - SHORTEST_SECONDS) * random.uniform();
-    const kind = domain.shared.random.pick(random, CRASHING_KINDS);
-    const pauseSeconds = least + (most - least) * random.uniform() ** 2;
-    drawn.push({ at, forSeconds, kind, pauseSeconds });
-    at += domain.shared.random.exponential(random, mean);
-  }
+  const pause = (): number => domain.shared.random.exponential(random, meanPause);
+  const drawn: T[] = [];
+  for (let at = pause(); at < seconds; at += apart + pause()) drawn.push(make(random, at));
   return drawn;
 }
 
+function drawCrashing(seed: number, seconds: number): Crashing[] {
+  const meanPause = MEAN_PAUSE_BETWEEN_CRASHING_SECONDS;
+  return drawSpans({ seed, seconds, meanPause, apart: 0 }, (random, at) => {
+    const forSeconds = between(random, { least: SHORTEST_SECONDS, most: LONGEST_SECONDS });
+    const kind = domain.shared.random.pick(random, CRASHING_KINDS);
+    const { least, most } = COPY_PAUSE_SECONDS;
+    return { at, forSeconds, kind, pauseSeconds: least + (most - least) * random.uniform() ** 2 };
+  });
+}
+
 /** Added to the seed for draws apart from the steps and from requests that crash targets. */
 const LIMITING_SEED = 1_000_003;
 const MEAN_PAUSE_BETWEEN_LIMITING_SECONDS = 3;
@@ -170,46 +191,32 @@
 const MOST_LIMITED_SHARE = 0.8;
 
 function drawLimiting(seed: number, seconds: number, targets: number): Limiting[] {
-  const random = domain.shared.random.independent(seed + LIMITING_SEED);
   const numbers = Array.from({ length: targets }, (_, i) => i);
-  const between = ({ least, most }: { least: number; most: number }): number =>
-    least + (most - least) * random.uniform();
-  const drawn: Limiting[] = [];
-  const mean = MEAN_PAUSE_BETWEEN_LIMITING_SECONDS;
-  let at = domain.shared.random.exponential(random, mean);
-  while (at < seconds) {
+  const meanPause = MEAN_PAUSE_BETWEEN_LIMITING_SECONDS;
+  return drawSpans({ seed, seconds, meanPause, apart: LIMITED_SECONDS.most }, (random, at) => {
     const count = Math.ceil(MOST_LIMITED_SHARE * random.uniform() * targets);
-    drawn.push({
-      at,
-      forSeconds: between(LIMITED_SECONDS),
-      targets: domain.shared.random.shuffled(random, numbers).slice(0, count),
-      perSecond: between(LIMIT_PER_SECOND),
-    });
-    at += LIMITED_SECONDS.most + domain.shared.random.exponential(random, mean);
-  }
-  return drawn;
+    const forSeconds = between(random, LIMITED_SECONDS);
+    const drawn = domain.shared.random.shuffled(random, numbers).slice(0, count);
+    return { at, forSeconds, targets: drawn, perSecond: between(random, LIMIT_PER_SECOND) };
+  });
 }
 
+const SHEDDING_SEED = 3_000_003;
+
 /** Added to the seed for draws apart from all others. */
 const ISOLATING_SEED = 2_000_003;
 const MEAN_PAUSE_BETWEEN_ISOLATING_SECONDS = 6;
 const ISOLATED_SECONDS = 10;
 
 function drawIsolating(seed: number, seconds: number, entries: number): Isolating[] {
-  const random = domain.shared.random.independent(seed + ISOLATING_SEED);
-  const drawn: Isolating[] = [];
-  const mean = MEAN_PAUSE_BETWEEN_ISOLATING_SECONDS;
-  let at = domain.shared.random.exponential(random, mean);
-  while (at < seconds) {
-    drawn.push({
-      at,
-      forSeconds: ISOLATED_SECONDS,
-      index: domain.shared.random.below(random, entries),
-      organisation: domain.shared.random.below(random, layout.ORGANISATIONS),
-    });
-    at += ISOLATED_SECONDS + domain.shared.random.exponential(random, mean);
-  }
-  return drawn;
+  const about = { seconds, meanPause: MEAN_PAUSE_BETWEEN_ISOLATING_SECONDS };
+  const apart = ISOLATED_SECONDS;
+  return drawSpans({ seed: seed + ISOLATING_SEED, ...about, apart }, (random, at) => ({
+    at,
+    forSeconds: ISOLATED_SECONDS,
+    index: domain.shared.random.below(random, entries),
+    organisation: domain.shared.random.below(random, layout.ORGANISATIONS),
+  }));
 }
 
 function drawKind(random: domain.shared.random.Random): Kind {
@@ -262,7 +269,10 @@
     if (!isTooMuch(step, steps)) steps.push(step);
   }
   const crashing = drawCrashing(seed, seconds);
-  const limiting = drawLimiting(seed, seconds, size.engines + size.services);
+  const limiting = drawLimiting(seed + LIMITING_SEED, seconds, size.engines + size.services);
+  const shedding = drawLimiting(seed + SHEDDING_SEED, seconds, size.engines + size.services).map(
+    ({ perSecond, ...rest }) => ({ ...rest, backOffSeconds: perSecond }),
+  );
   const isolating = drawIsolating(seed, seconds, size.entries);
-  return { seed, seconds, steps, crashing, limiting, isolating };
+  return { seed, seconds, steps, crashing, limiting, shedding, isolating };
 }
--- a/packages/soak/src/targetMain.ts
+++ b/packages/soak/src/targetMain.ts
@@ -27,14 +27,26 @@
   keepers: string[];
   /** Holds the mode of the moment. */
   modeFile: string;
-  /** Holds the limit of the moment, requests a second; empty for none. */
-  limitFile: string;
+  /** Holds what its answers say of it at the moment, as `Words`. */
+  wordsFile: string;
 }
 
-/** A message of whatever kind that it got, or an answer that names its limit; `source` is the sender's IP address. */
+export interface Words {
+  /** Requests a second that it takes; undefined while it isn't in need. */
+  limit?: number;
+  /** For how long those that it turns away are to leave it alone; undefined where it turns nobody away. */
+  backOffSeconds?: number;
+  /** Whether it says that it leaves, though it announces itself as ready. */
+  isLeaving?: boolean;
+}
+
+/** A message of whatever kind that it got, or what its answer said; `source` is the sender's IP address. */
 export interface Exchange {
-  kind: 'got' | 'told';
+  kind: 'got' | 'told' | 'saidLeaving' | 'turnedAway';
+  /** For how long the sender is to leave it alone. */
+  backOffSeconds?: number;
   target: string;
+  bornAt: number;
   source: string;
   at: number;
 }
@@ -42,7 +54,14 @@
 /** A line of its output. */
 export type Line =
   | Exchange
-  | { kind: 'ran'; request: string; target: string; organisation: string; at: number }
+  | {
+      kind: 'ran';
+      request: string;
+      target: string;
+      bornAt: number;
+      organisation: string;
+      at: number;
+    }
   | { kind: 'draining'; target: string; at: number }
   /** It ends now, under a request with this body. */
   | { kind: 'crashed'; target: string; body: string; at: number };
@@ -52,6 +71,8 @@
 const DRAIN_MS = 3_000;
 const CALL_MS = 20;
 const EVENT_MS = 30;
+/** Part of the requests that a target turns away which asks its senders to leave it alone. */
+const TURNED_AWAY_SHARE = 0.5;
 /** How long a request that crashes its target runs there. */
 const CRASH_MS = 20;
 
@@ -141,7 +162,15 @@
       response.writeHead(status, counterpart.answerHeaders(refusal)).end();
       return;
     }
-    say({ kind: 'ran', request: requestId, target: id, organisation, at: Date.now() });
+    const { backOffSeconds } = this.words();
+    if (backOffSeconds !== undefined && Math.random() < TURNED_AWAY_SHARE) {
+      this.note('turnedAway', request, backOffSeconds);
+      const refusal = { ...this.answerTo(request), requestId, notRun: true, backOffSeconds };
+      response.writeHead(503, counterpart.answerHeaders(refusal)).end();
+      return;
+    }
+    const { bornAt } = this;
+    say({ kind: 'ran', request: requestId, target: id, bornAt, organisation, at: Date.now() });
     this.running += 1;
     response.once('close', () => {
       this.running -= 1;
@@ -163,16 +192,26 @@
   /** What its answer says of it, also of its limit. */
   private answerTo(
     request: http.IncomingMessage,
-  ): Pick<counterpart.TargetAnswer, 'target' | 'limit'> {
+  ): Pick<counterpart.TargetAnswer, 'target' | 'limit' | 'isLeaving'> {
     const target = this.options.id;
-    const limit = this.read(this.options.limitFile);
-    if (limit === '') return { target };
-    this.note('told', request);
-    return { target, limit: Number(limit) };
+    const { limit, isLeaving } = this.words();
+    if (limit !== undefined) this.note('told', request);
+    if (isLeaving === true) this.note('saidLeaving', request);
+    return { target, limit, isLeaving };
+  }
+
+  private words(): Words {
+    return JSON.parse(this.read(this.options.wordsFile) || '{}') as Words;
   }
 
-  private note(kind: Exchange['kind'], { socket }: http.IncomingMessage): void {
-    say({ kind, target: this.options.id, source: socket.remoteAddress ?? '', at: Date.now() });
+  private note(
+    kind: Exchange['kind'],
+    { socket }: http.IncomingMessage,
+    backOffSeconds?: number,
+  ): void {
+    const source = socket.remoteAddress ?? '';
+    const { bornAt } = this;
+    say({ kind, target: this.options.id, bornAt, source, at: Date.now(), backOffSeconds });
   }
 
   private crash(body: string): void {
