Keep each target within the connections that it accepts

maxConnections of a service was read and not kept to: a target resets what all VMs together open beyond it, and a reset may have run. The gate that knows what targets said counts what is under way to each, and an entry uses an equal part of the bound, one connection at least; a target whose part is used is left out like one that wants nothing, for as long as that.

--- a/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/bench.ts
@@ -165,7 +165,7 @@
     const { registry } = this;
     const client = new peerClient.PeerClient('secret', undefined, observe);
     this.signals = new targetSignals.TargetSignals({
-      holding: { registry, takeLeaving: () => [] },
+      holding: { registry, directory: undefined, takeLeaving: () => [] },
       limits,
       link: { leader: '' },
       client,
--- a/packages/daemon/src/entry/__tests__/targetSignals.test.ts
+++ b/packages/daemon/src/entry/__tests__/targetSignals.test.ts
@@ -49,6 +49,16 @@
 
 const NO_WISH = { backOff: { kind: 'none' } } as const;
 
+const SERVICE = { name: 's', healthPath: '/', maxConnections: 1, engine: undefined };
+
+const CATALOGUE: domain.catalogue.catalogue.Catalogue = {
+  version: 1,
+  routes: [],
+  services: [],
+  organisations: undefined,
+  limits: { maxHeaderBytes: 1, maxBodyBytes: 1, headerTimeoutMs: 1, idleTimeoutMs: 1 },
+};
+
 class Bench {
   readonly registry = new domain.registry.registry.Registry();
 
@@ -56,6 +66,13 @@
     return this.registry.leave(id, bornAt);
   };
 
+  maxConnections = Infinity;
+
+  get directory(): domain.catalogue.directory.Directory {
+    const service = { ...SERVICE, maxConnections: this.maxConnections };
+    return new domain.catalogue.directory.Directory({ ...CATALOGUE, services: [service] });
+  }
+
   readonly observer = new observer.Observer('test', 'fatal', undefined);
 
   readonly limits: (number | undefined)[] = [];
@@ -155,6 +172,20 @@
     expect([made.takes('request'), made.signals.closed('s')]).to.deep.equal([true, []]);
   });
 
+  /** Guards against connections that a target resets, as all entries together open more than it accepts. */
+  it('leaves each target its bound on connections, in equal parts for all entries', () => {
+    made.maxConnections = 7;
+    made.signals.leaderFound('', 3);
+    const deliveries = Array.from({ length: 3 }, () => made.signals.admit(REQUEST));
+    expect(deliveries.map((each) => each !== undefined)).to.deep.equal([true, true, false]);
+    expect(made.signals.closed('s')).to.deep.equal(['t']);
+    deliveries.forEach((each) => each?.ended());
+    expect(made.signals.closed('s')).to.deep.equal([]);
+    made.signals.leaderFound('', 30);
+    const kinds = ['request', 'request', 'upkeep'] as const;
+    expect(kinds.map((kind) => made.takes(kind))).to.deep.equal([true, false, true]);
+  });
+
   it('is forgotten with the lifetime, also where the next one has its id', () => {
     made.exchange({});
     made.registry.announce({ ...RECORD, bornAt: 2 }, 0);
--- a/packages/daemon/src/entry/chooser.ts
+++ b/packages/daemon/src/entry/chooser.ts
@@ -48,7 +48,7 @@
 /** Says how a dispatch ended. */
 export type Release = (ending: Ending, seen?: Seen) => void;
 
-/** Why there is no place; `closed` where all targets want nothing from this VM for a while. */
+/** Why there is no place; `closed` where no target takes a further request from this VM for a while. */
 export type NoPlaceReason = 'full' | 'limited' | 'closed';
 
 /** No target has a place; `reason` is missing where it is the usual one, that all are full or gone. */
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -115,7 +115,7 @@
       onConfirmed: ({ entries, crowding }) => {
         this.chooser.fallback.assume(crowding);
         this.limits.leaderFound(entries);
-        this.signals.leaderFound(this.link.leader);
+        this.signals.leaderFound(this.link.leader, entries);
         this.link.onLost(this.loseLeader);
         if (entries > 0) this.budgets.shareWith(entries, clock.steady());
         this.ingress.wake();
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -75,7 +75,7 @@
 const NO_PLACE_DETAIL: Record<chooser.NoPlaceReason, string> = {
   full: 'no target with a free place',
   limited: 'the limits of its targets let no request pass in time',
-  closed: 'its targets asked this VM to back off',
+  closed: 'its targets take no further request from this VM',
 };
 
 /** How often a prompt larger than an engine looks for memory, and the pause between; milliseconds. */
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -19,7 +19,7 @@
 type Lifetime = domain.quarantine.endedLifetimes.Lifetime;
 
 export interface Parts extends leaderCall.Parts {
-  holding: Pick<holding.Holding, 'registry' | 'takeLeaving'>;
+  holding: Pick<holding.Holding, 'registry' | 'directory' | 'takeLeaving'>;
   limits: Pick<limitWatch.LimitWatch, 'answered'>;
   observer: observer.Observer;
   now: () => number;
@@ -54,6 +54,12 @@
   /** The leader that has heard of all that leave; empty for none. */
   private told = '';
 
+  /** Messages under way by target, each on a connection of its own. */
+  private readonly underWay = new Map<string, number>();
+
+  /** Entries that share the connections that a target accepts; 0 while that isn't known. */
+  private entries = 0;
+
   /** Targets whose wish couldn't be read, each with one line of the log. */
   private readonly unreadable = new Set<string>();
 
@@ -72,14 +78,24 @@
     }
     const passage = this.backOffs.sent(lifetime, now());
     const sent = { sending, lifetime, passage, at: now() };
-    return { answered: (head) => this.answered(sent, head), ended: passage.ended };
+    this.countUnderWay(lifetime.id, 1);
+    return {
+      answered: (head) => this.answered(sent, head),
+      ended: () => {
+        passage.ended();
+        this.countUnderWay(lifetime.id, -1);
+      },
+    };
   }
 
   /** Targets of a service that take no request from this entry now. */
   closed(service: string): string[] {
     const { registry } = this.parts.holding;
-    if (this.backOffs.size + this.leaving.size === 0) return [];
-    const ids = new Set([...this.backOffs.targets, ...this.leaving.keys()]);
+    const ids = new Set([
+      ...this.backOffs.targets,
+      ...this.leaving.keys(),
+      ...this.underWay.keys(),
+    ]);
     return [...ids].filter((id) => {
       const isOfService = registry.get(id)?.service === service;
       return isOfService && !this.takes(this.lifetimeOf(id), 'request');
@@ -103,8 +119,9 @@
     if (this.leaves(lifetime)) this.leaving.delete(lifetime.id);
   }
 
-  /** A leader confirmed this entry: one that is new may not know yet who leaves. */
-  leaderFound(leader: string): void {
+  /** A leader confirmed this entry, one of so many: one that is new may not know yet who leaves. */
+  leaderFound(leader: string, entries: number): void {
+    if (entries > 0) this.entries = entries;
     if (leader === this.told) return;
     this.told = leader;
     this.leaving.forEach((bornAt, id) => {
@@ -125,7 +142,7 @@
     const now = this.parts.now();
     // What runs there goes on, and its memory with it.
     const isNew = purpose === 'request' || purpose === 'order';
-    if (isNew && this.leaves(lifetime)) return false;
+    if (isNew && (this.leaves(lifetime) || !this.hasConnection(lifetime.id))) return false;
     if (purpose === 'upkeep') return this.backOffs.takesUpkeep(lifetime, now);
     return this.backOffs.takesRequest(lifetime, now);
   }
@@ -179,6 +196,21 @@
     this.parts.limits.answered(answered, limit);
   }
 
+  private countUnderWay(target: string, more: 1 | -1): void {
+    const count = (this.underWay.get(target) ?? 0) + more;
+    if (count > 0) this.underWay.set(target, count);
+    else this.underWay.delete(target);
+  }
+
+  /** Whether a target has a connection left for this entry. Each has an equal part of what the target accepts, and one at least. */
+  private hasConnection(target: string): boolean {
+    const { registry, directory } = this.parts.holding;
+    const service = directory?.service(registry.get(target)?.service ?? '');
+    if (service === undefined) return true;
+    const share = Math.floor(service.maxConnections / Math.max(1, this.entries));
+    return (this.underWay.get(target) ?? 0) < Math.max(1, share);
+  }
+
   private leaves({ id, bornAt }: Lifetime): boolean {
     return this.leaving.get(id) === bornAt;
   }
