--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -217,12 +217,10 @@
     const acked = sent.filter(({ ackedAt = Infinity }) => ackedAt < lostAt);
     const newest = Math.max(0, ...acked.map(({ version }) => version));
     if (document === undefined) return [{ promise: 'lost', detail: 'no document read back' }];
-    const isSent = sent.some(
-      ({ version, label }) => version === document.version && label === document.label,
-    );
-    return document.version >= newest && isSent
-      ? []
-      : [{ promise: 'lost', detail: `${document.version}${document.label} read, ${newest} acked` }];
+    const { version, label } = document;
+    const isSent = sent.some((each) => each.version === version && each.label === label);
+    const detail = `${version}${label} read, ${newest} acked`;
+    return version >= newest && isSent ? [] : [{ promise: 'lost', detail }];
   });
 }
 
@@ -336,19 +334,19 @@
   told: readonly observations.Exchanged[],
   { entry, at }: observations.Exchanged,
 ): boolean {
-  const last = told.filter((each) => each.entry === entry && each.at <= at - TOLD_MS);
-  const since = Math.max(...last.map((each) => each.at));
-  return last.length > 0 && remembers(seen, entry, since, at);
+  return told.some((each) => {
+    const isTold = each.entry === entry && each.at <= at - TOLD_MS;
+    return isTold && remembers(seen, entry, each.at, at);
+  });
 }
 
 /** Whether an entry that was told something at `since` must know it yet: it wasn't harmed or stopped meanwhile. */
 function remembers(seen: Observations, entry: number, since: number, at: number): boolean {
-  const isStopped = seen.stopped.some((each) => {
-    return each.entry === entry && each.from <= at && each.until >= since;
-  });
+  const isSince = (each: Record<'from' | 'until', number>): boolean =>
+    each.from <= at && each.until >= since;
+  const isStopped = seen.stopped.some((each) => each.entry === entry && isSince(each));
   const isItself = seen.disturbances.some((each) => {
-    const isIt = each.subject === 'entry' && each.index === entry;
-    return isIt && each.from <= at && each.until >= since;
+    return each.subject === 'entry' && each.index === entry && isSince(each);
   });
   return !isStopped && !isItself;
 }
@@ -382,9 +380,8 @@
 }
 
 function memory({ reservationsLeft }: Observations): Violation[] {
-  return reservationsLeft === 0
-    ? []
-    : [{ promise: 'memoryLeft', detail: `${reservationsLeft} reservations` }];
+  const detail = `${reservationsLeft} reservations`;
+  return reservationsLeft === 0 ? [] : [{ promise: 'memoryLeft', detail }];
 }
 
 function recovery({ asked, revoked, healedAt }: Observations): Violation[] {
--- a/packages/soak/src/harm.ts
+++ b/packages/soak/src/harm.ts
@@ -64,11 +64,10 @@
     keeperTear: (step) => this.lose(step, (vm) => this.running.tear(vm)),
     keepersKill: (step) => this.loseAllKeepers(this.running.keepers, step),
     fleetKill: (step) => this.loseAllKeepers(this.running.vms, step),
-    diskFull: (step) => this.around(this.keeper(step), step, (vm) => spoilDisk(vm, 'full', step)),
-    diskStall: (step) =>
-      this.around(this.keeper(step), step, (vm) => spoilDisk(vm, 'stalled', step)),
+    diskFull: (step) => this.spoilDisk(step, 'full'),
+    diskStall: (step) => this.spoilDisk(step, 'stalled'),
     clockStep: (step) =>
-      this.around(this.running.vms[step.index], step, (vm) => stepClock(vm, step)),
+      this.around(this.running.vms[step.index], step, (vm) => spoil(vm, step, clockStep(step))),
     silence: (step) => {
       return this.acrossNetwork(step, 0, (network) => network.silence(this.hits(step.variant)));
     },
@@ -234,24 +233,24 @@
     return this.around(this.keeper(step), step, (vm) => this.restart(vm, lasts(step), meanwhile));
   }
 
-  private async together(vms: readonly fleet.Vm[], step: Step): Promise<void> {
+  /** What was acknowledged before must be there after it, so it is read before newer documents hide a loss. */
+  private async loseAllKeepers(vms: readonly fleet.Vm[], step: Step): Promise<void> {
     const wiped = this.running.keepers.slice(0, step.variant < WIPED_SHARE ? WIPED_KEEPERS : 0);
     const wipe = (vm: fleet.Vm): void => {
       if (wiped.includes(vm)) this.running.wipe(vm);
     };
     const lose = (vm: fleet.Vm): Promise<void> => this.restart(vm, lasts(step), wipe);
-    await Promise.all(vms.map((vm) => this.around(vm, step, lose)));
-  }
-
-  /** What was acknowledged before must be there after it, so it is read before newer documents hide a loss. */
-  private async loseAllKeepers(vms: readonly fleet.Vm[], step: Step): Promise<void> {
     await this.operators.whileSilent(async () => {
       const lostAt = Date.now();
-      await this.together(vms, step);
+      await Promise.all(vms.map((vm) => this.around(vm, step, lose)));
       this.seen.restartReads.push({ lostAt, document: await this.operators.readBack() });
     });
   }
 
+  private spoilDisk(step: Step, disk: runtimeFaults.Disk): Promise<void> {
+    return this.around(this.keeper(step), step, (vm) => spoil(vm, step, { clockMs: 0, disk }));
+  }
+
   private async cut(vm: fleet.Vm, step: Step): Promise<void> {
     this.running.cut(vm, DIRECTIONS[Math.floor(step.variant * DIRECTIONS.length)]);
     await operator.pause(lasts(step));
@@ -302,17 +301,14 @@
   process.signal('SIGCONT');
 }
 
-async function spoilDisk(vm: fleet.Vm, disk: runtimeFaults.Disk, step: Step): Promise<void> {
-  vm.setFaults({ clockMs: 0, disk });
+async function spoil(vm: fleet.Vm, step: Step, faults: runtimeFaults.RuntimeFaults): Promise<void> {
+  vm.setFaults(faults);
   await operator.pause(lasts(step));
   vm.setFaults(runtimeFaults.SOUND);
 }
 
-async function stepClock(vm: fleet.Vm, step: Step): Promise<void> {
-  const clockMs = step.variant < 0.5 ? -CLOCK_STEP_MS : CLOCK_STEP_MS;
-  vm.setFaults({ clockMs, disk: 'sound' });
-  await operator.pause(lasts(step));
-  vm.setFaults(runtimeFaults.SOUND);
+function clockStep({ variant }: Step): runtimeFaults.RuntimeFaults {
+  return { clockMs: variant < 0.5 ? -CLOCK_STEP_MS : CLOCK_STEP_MS, disk: 'sound' };
 }
 
 async function turnGrey(target: fleet.TargetVm, step: Step): Promise<void> {
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -1,6 +1,5 @@
 /** One soak run: starts a fleet, carries out a plan under traffic, heals everything, and checks the promises. */
 import * as fs from 'node:fs';
-import * as http from 'node:http';
 import * as path from 'node:path';
 import * as domain from '@celerydrift/domain';
 import * as answers from './answers';
@@ -251,20 +250,9 @@
   }
 }
 
-function reservationsAt(host: string): Promise<number> {
-  return new Promise((resolve, reject) => {
-    const options = { host, port: layout.TARGET_PORT, path: answers.STATE_PATH, agent: false };
-    const request = http.get(options, (response) => {
-      let text = '';
-      response.on('data', (chunk: Buffer) => {
-        text += chunk.toString();
-      });
-      response.on('end', () => {
-        resolve((JSON.parse(text) as { reservations: number }).reservations);
-      });
-    });
-    request.on('error', reject);
-  });
+async function reservationsAt(host: string): Promise<number> {
+  const answer = await fetch(`http://${host}:${layout.TARGET_PORT}${answers.STATE_PATH}`);
+  return ((await answer.json()) as { reservations: number }).reservations;
 }
 
 /** Plays a seed and writes the plan, what was seen and the violations into the run's folder. */
@@ -278,7 +266,10 @@
   write('plan.json', plan);
   // A run goes on with the program that it began with, also while another one is built.
   const program = path.join(folder, 'program', path.basename(options.program));
-  copyFiles(path.dirname(options.program), path.dirname(program));
+  fs.cpSync(path.dirname(options.program), path.dirname(program), {
+    recursive: true,
+    filter: (source) => source === path.dirname(options.program) || fs.statSync(source).isFile(),
+  });
   const seen = await new Run({ ...options, program }).carryOut(plan);
   const found = checks.violations(seen);
   write('seen.json', seen);
@@ -307,14 +298,6 @@
   };
 }
 
-/** The files of a folder, without its folders. */
-function copyFiles(from: string, to: string): void {
-  fs.mkdirSync(to, { recursive: true });
-  fs.readdirSync(from, { withFileTypes: true })
-    .filter((entry) => entry.isFile())
-    .forEach(({ name }) => fs.copyFileSync(path.join(from, name), path.join(to, name)));
-}
-
 /** The report of a run that the soak itself couldn't carry out; it counts as failed. */
 export function notPlayed(seed: number, folder: string, error: unknown): Report {
   fs.writeFileSync(path.join(folder, 'error.txt'), `${String((error as Error).stack ?? error)}\n`);
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -149,13 +149,7 @@
 
 type Random = domain.shared.random.Random;
 
-/** Bounds of what is drawn evenly between them. */
-interface Range {
-  least: number;
-  most: number;
-}
-
-function between(random: Random, { least, most }: Range): number {
+function between(random: Random, { least, most }: Record<'least' | 'most', number>): number {
   return least + (most - least) * random.uniform();
 }
 
--- a/packages/soak/src/targetMain.ts
+++ b/packages/soak/src/targetMain.ts
@@ -8,6 +8,7 @@
 import { counterpart } from '@celerydrift/platform';
 import * as answers from './answers';
 import * as controlClient from './controlClient';
+import type * as observations from './observations';
 
 /** How a target behaves; `sound` in all but grey times. */
 export type Mode = 'sound' | 'failing' | 'mute' | 'cutting' | 'crossed' | 'extra';
@@ -34,34 +35,22 @@
 export interface Words {
   /** Requests a second that it takes; undefined while it isn't in need. */
   limit?: number;
-  /** For how long those that it turns away are to leave it alone; undefined where it turns nobody away. */
+  /** The Retry-After of those that it turns away, seconds; undefined where it turns nobody away. */
   backOffSeconds?: number;
   /** Whether it says that it leaves, though it announces itself as ready. */
   isLeaving?: boolean;
 }
 
 /** A message of whatever kind that it got, or what its answer said; `source` is the sender's IP address. */
-export interface Exchange {
+export type Exchange = Omit<observations.Exchanged, 'entry'> & {
   kind: 'got' | 'told' | 'saidLeaving' | 'turnedAway';
-  /** For how long the sender is to leave it alone. */
-  backOffSeconds?: number;
-  target: string;
-  bornAt: number;
   source: string;
-  at: number;
-}
+};
 
 /** A line of its output. */
 export type Line =
   | Exchange
-  | {
-      kind: 'ran';
-      request: string;
-      target: string;
-      bornAt: number;
-      organisation: string;
-      at: number;
-    }
+  | (observations.Ran & { kind: 'ran'; organisation: string })
   | { kind: 'draining'; target: string; at: number }
   /** It ends now, under a request with this body. */
   | { kind: 'crashed'; target: string; body: string; at: number };
@@ -204,14 +193,10 @@
     return JSON.parse(this.read(this.options.wordsFile) || '{}') as Words;
   }
 
-  private note(
-    kind: Exchange['kind'],
-    { socket }: http.IncomingMessage,
-    backOffSeconds?: number,
-  ): void {
-    const source = socket.remoteAddress ?? '';
-    const { bornAt } = this;
-    say({ kind, target: this.options.id, bornAt, source, at: Date.now(), backOffSeconds });
+  private note(kind: Exchange['kind'], from: http.IncomingMessage, backOffSeconds?: number): void {
+    const { socket } = from;
+    const about = { target: this.options.id, bornAt: this.bornAt, at: Date.now() };
+    say({ kind, ...about, source: socket.remoteAddress ?? '', backOffSeconds });
   }
 
   private crash(body: string): void {
