Leave a target alone also where its start becomes known late

All keepers were down while the target started again under its id; the entry sent to it as the lifetime that it knew, heard of the new birth 10 ms later and of the wish another 10 ms later, noted the wish for the birth at the time of sending, and found no wish of the new one. Noted at the time of the answer it would be lost the other way round, when the birth becomes known after it.

Nothing in an answer says which of two lifetimes with one id gave it, so the wish belongs to the id and outlasts what becomes known of births: a target that starts again under its id is left alone for the rest of the time, one under another id isn't. Nor does a presumed end of the target end it any more. That a target leaves is noted for the lifetime that is known when the answer comes. Two tests said that a birth ends the wish; they are replaced by the case of the trace, which fails on the code before.

--- a/packages/daemon/src/entry/__tests__/targetSignals.test.ts
+++ b/packages/daemon/src/entry/__tests__/targetSignals.test.ts
@@ -34,7 +34,7 @@
 
 const ORDER: targetClient.Sending = { ...REQUEST, purpose: 'order', requestId: undefined };
 
-/** A target's refusal of the request above, with a wish of a second. */
+/** A target's refusal of the request above, which asks for a second. */
 const REFUSAL: protocols.AnswerFacts = {
   requestId: 'r1',
   isSigned: false,
@@ -47,7 +47,7 @@
   isLeaving: false,
 };
 
-const NO_WISH = { backOff: { kind: 'none' } } as const;
+const NOTHING_ASKED = { backOff: { kind: 'none' } } as const;
 
 const SERVICE = { name: 's', healthPath: '/', maxConnections: 1, engine: undefined };
 
@@ -163,7 +163,7 @@
 
   /** Guards against new work for a target that leaves, and against memory that is lost to streams that go on there. */
   it('keeps requests and orders from a target that leaves, in that lifetime only', () => {
-    made.exchange({ ...NO_WISH, isLeaving: true });
+    made.exchange({ ...NOTHING_ASKED, isLeaving: true });
     made.registry.announce({ ...RECORD, sequence: 2 }, 0);
     const kinds = ['request', 'order', 'check', 'upkeep'] as const;
     expect(kinds.map((kind) => made.takes(kind))).to.deep.equal([false, false, true, true]);
@@ -186,21 +186,26 @@
     expect(kinds.map((kind) => made.takes(kind))).to.deep.equal([true, false, true]);
   });
 
-  it('is forgotten with the lifetime, also where the next one has its id', () => {
+  /** Guards against a target that is asked in vain, as its entry heard only after the answer that it had started again. */
+  it('holds on where the target turns out to have started again under its id', () => {
     made.exchange({});
-    made.registry.announce({ ...RECORD, bornAt: 2 }, 0);
-    expect(made.takes('request')).to.equal(true);
+    made.registry.announce({ ...RECORD, bornAt: 2 }, 0).forEach((record) => {
+      if (record.state === 'gone') made.signals.forget(record);
+    });
+    expect(made.takes('request')).to.equal(false);
+    made.registry.announce({ ...RECORD, id: 'u', bornAt: 3 }, 0);
+    expect(made.signals.admit({ ...REQUEST, target: 'u' })).to.not.equal(undefined);
   });
 
   /** Guards against a limit that ends by a failure, and one that only answers to callers' requests may name. */
   it('names a limit in any answer of its own, and none only in a success', () => {
     const limit = { kind: 'named', perSecond: 2 } as const;
-    made.exchange({ ...NO_WISH, limit });
-    made.exchange({ ...NO_WISH, limit, requestId: undefined, isNotRun: false }, ORDER);
-    made.exchange({ ...NO_WISH, limit, requestId: 'r2' });
-    made.exchange({ ...NO_WISH }, REQUEST, 503);
-    made.exchange({ ...NO_WISH, isSigned: true, isNotRun: false }, REQUEST, 500);
-    made.exchange({ ...NO_WISH, isSigned: true, isNotRun: false }, REQUEST, 200);
+    made.exchange({ ...NOTHING_ASKED, limit });
+    made.exchange({ ...NOTHING_ASKED, limit, requestId: undefined, isNotRun: false }, ORDER);
+    made.exchange({ ...NOTHING_ASKED, limit, requestId: 'r2' });
+    made.exchange({ ...NOTHING_ASKED }, REQUEST, 503);
+    made.exchange({ ...NOTHING_ASKED, isSigned: true, isNotRun: false }, REQUEST, 500);
+    made.exchange({ ...NOTHING_ASKED, isSigned: true, isNotRun: false }, REQUEST, 200);
     expect(made.limits).to.deep.equal([2, 2, undefined]);
   });
 });
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -28,7 +28,6 @@
 /** A message that was sent. */
 interface Sent {
   sending: targetClient.Sending;
-  lifetime: Lifetime;
   passage: domain.backOff.backOffs.Passage;
   at: number;
 }
@@ -60,7 +59,7 @@
   /** Entries that share the connections that a target accepts; 0 while that isn't known. */
   private entries = 0;
 
-  /** Targets whose wish couldn't be read, each with one line of the log. */
+  /** Targets that asked for a time that couldn't be read, each with one line of the log. */
   private readonly unreadable = new Set<string>();
 
   constructor(private readonly parts: Parts) {}
@@ -71,19 +70,19 @@
 
   admit(sending: targetClient.Sending): targetClient.Delivery | undefined {
     const { now } = this.parts;
-    const lifetime = this.lifetimeOf(sending.target);
-    if (!this.takes(lifetime, sending.purpose)) {
-      this.parts.observer.count(`messages.withheld.${sending.purpose}`);
+    const { target, purpose } = sending;
+    if (!this.takes(target, purpose)) {
+      this.parts.observer.count(`messages.withheld.${purpose}`);
       return undefined;
     }
-    const passage = this.backOffs.sent(lifetime, now());
-    const sent = { sending, lifetime, passage, at: now() };
-    this.countUnderWay(lifetime.id, 1);
+    const passage = this.backOffs.sent(target, now());
+    const sent = { sending, passage, at: now() };
+    this.countUnderWay(target, 1);
     return {
       answered: (head) => this.answered(sent, head),
       ended: () => {
         passage.ended();
-        this.countUnderWay(lifetime.id, -1);
+        this.countUnderWay(target, -1);
       },
     };
   }
@@ -98,13 +97,13 @@
     ]);
     return [...ids].filter((id) => {
       const isOfService = registry.get(id)?.service === service;
-      return isOfService && !this.takes(this.lifetimeOf(id), 'request');
+      return isOfService && !this.takes(id, 'request');
     });
   }
 
   /** For how long a target still wants nothing, milliseconds; 0 where it didn't ask for that, or the time is over. */
   backOffMs(target: string): number {
-    return this.backOffs.waitMs(this.lifetimeOf(target), this.parts.now());
+    return this.backOffs.waitMs(target, this.parts.now());
   }
 
   /** Until a target that is closed may take a request, milliseconds. */
@@ -112,11 +111,11 @@
     return Math.max(TRIAL_MS, this.backOffMs(target));
   }
 
-  /** A lifetime ended: its successor under the same id begins without what it asked for. */
-  forget(lifetime: Lifetime): void {
-    this.backOffs.forget(lifetime);
-    this.unreadable.delete(lifetime.id);
-    if (this.leaves(lifetime)) this.leaving.delete(lifetime.id);
+  /** A lifetime ended. */
+  forget({ id, bornAt }: Lifetime): void {
+    this.backOffs.forget(id, this.parts.now());
+    this.unreadable.delete(id);
+    if (this.leaving.get(id) === bornAt) this.leaving.delete(id);
   }
 
   /** A leader confirmed this entry, one of so many: one that is new may not know yet who leaves. */
@@ -138,13 +137,13 @@
     this.departures.close();
   }
 
-  private takes(lifetime: Lifetime, purpose: targetClient.Purpose): boolean {
+  private takes(target: string, purpose: targetClient.Purpose): boolean {
     const now = this.parts.now();
     // What runs there goes on, and its memory with it.
     const isNew = purpose === 'request' || purpose === 'order';
-    if (isNew && (this.leaves(lifetime) || !this.hasConnection(lifetime.id))) return false;
-    if (purpose === 'upkeep') return this.backOffs.takesUpkeep(lifetime, now);
-    return this.backOffs.takesRequest(lifetime, now);
+    if (isNew && (this.leaves(target) || !this.hasConnection(target))) return false;
+    if (purpose === 'upkeep') return this.backOffs.takesUpkeep(target, now);
+    return this.backOffs.takesRequest(target, now);
   }
 
   private answered(sent: Sent, head: targetClient.Head): void {
@@ -154,17 +153,19 @@
     if (head.facts.isLeaving) this.takeLeaving(sent);
   }
 
-  private takeLeaving({ sending, lifetime }: Sent): void {
-    if (this.leaves(lifetime)) return;
-    const { id, bornAt } = lifetime;
-    this.leaving.set(id, bornAt);
-    this.parts.observer.log('targetLeaving', { target: id, bornAt, request: sending.requestId });
+  /** Of two lifetimes with one id the later one answered: connections to the other one ended with it. */
+  private takeLeaving({ sending: { target, requestId: request } }: Sent): void {
+    if (this.leaves(target)) return;
+    const lifetime = this.lifetimeOf(target);
+    const { bornAt } = lifetime;
+    this.leaving.set(target, bornAt);
+    this.parts.observer.log('targetLeaving', { target, bornAt, request });
     this.parts.holding.takeLeaving(lifetime);
     void this.departures.tell(lifetime);
   }
 
   private takeBackOff(sent: Sent, { status, facts }: targetClient.Head): void {
-    const { sending, lifetime, passage } = sent;
+    const { sending, passage } = sent;
     const { backOff } = facts;
     const { observer: observe, now } = this.parts;
     if (backOff.kind === 'none') {
@@ -180,7 +181,7 @@
       return;
     }
     const { forMs } = backOff;
-    const keptMs = Math.round(this.backOffs.ask(lifetime, forMs, now()));
+    const keptMs = Math.round(this.backOffs.ask(target, forMs, now()));
     observe.log('backOffAsked', { request, target, purpose, status, forMs, keptMs });
   }
 
@@ -211,8 +212,8 @@
     return (this.underWay.get(target) ?? 0) < Math.max(1, share);
   }
 
-  private leaves({ id, bornAt }: Lifetime): boolean {
-    return this.leaving.get(id) === bornAt;
+  private leaves(target: string): boolean {
+    return this.leaving.get(target) === this.lifetimeOf(target).bornAt;
   }
 
   private async tellLeader(lifetimes: readonly Lifetime[]): Promise<boolean> {
--- a/packages/domain/src/backOff/__tests__/backOffs.test.ts
+++ b/packages/domain/src/backOff/__tests__/backOffs.test.ts
@@ -5,7 +5,7 @@
 
 const { expect } = chai;
 
-const TARGET = { id: 't', bornAt: 1 };
+const TARGET = 't';
 
 /** Of what a sender sends within half a second, some may be under way when the target asks. */
 const GRACE_MS = 500;
@@ -17,8 +17,8 @@
     known = new backOffs.BackOffs();
   });
 
-  /** Guards against a shorter wish that ends a longer one, and against one that takes a target out of use for good. */
-  it('keep to the longest wish, up to a bound', () => {
+  /** Guards against a shorter time that ends a longer one, and against one that takes a target out of use for good. */
+  it('keep to the longest time, up to a bound', () => {
     known.ask(TARGET, 3_000, 0);
     known.ask(TARGET, 100, 1_000);
     known.ask(TARGET, 0, 1_500);
@@ -31,12 +31,13 @@
     expect(known.waitMs(TARGET, 3_000)).to.equal(backOffs.LONGEST_MS);
   });
 
-  it('are one lifetime’s own', () => {
+  /** Guards against a target that is only presumed gone, and asks in vain once it is back. */
+  it('outlast the end of a target until their time is over', () => {
     known.ask(TARGET, 3_000, 0);
-    expect(known.takesRequest({ ...TARGET, bornAt: 2 }, 1_000)).to.equal(true);
-    known.forget({ ...TARGET, bornAt: 2 });
+    known.forget(TARGET, 1_000);
     expect(known.takesRequest(TARGET, 1_000)).to.equal(false);
-    known.forget(TARGET);
+    expect(known.takesRequest('other', 1_000)).to.equal(true);
+    known.forget(TARGET, 3_000);
     expect(known.size).to.equal(0);
   });
 
@@ -55,7 +56,7 @@
   });
 
   /** Guards against more than two messages in the time that a target asked for, whatever was sent, answered or lost before. */
-  it('let no more than two messages pass, in any order of wishes, answers and losses', () => {
+  it('let no more than two messages pass, in any order of answers and losses', () => {
     const step = fc.record({
       kind: fc.constantFrom('request', 'upkeep', 'answer', 'lose', 'ask'),
       waitMs: fc.integer({ min: 0, max: 400 }),
@@ -65,7 +66,7 @@
       fc.property(fc.array(step, { maxLength: 60 }), (steps) => {
         const tried = new backOffs.BackOffs();
         const sent: number[] = [];
-        const wishes: { from: number; until: number }[] = [];
+        const asked: { from: number; until: number }[] = [];
         let underWay: backOffs.Passage[] = [];
         let now = 0;
         steps.forEach(({ kind, waitMs, forMs }) => {
@@ -77,12 +78,12 @@
             underWay.push(tried.sent(TARGET, now));
           } else if (kind === 'ask') {
             tried.ask(TARGET, forMs, now);
-            wishes.push({ from: now + GRACE_MS, until: now + forMs });
+            asked.push({ from: now + GRACE_MS, until: now + forMs });
           } else if (kind === 'answer') underWay.at(0)?.answered();
           if (kind === 'answer' || kind === 'lose') underWay.at(0)?.ended();
           if (kind === 'answer' || kind === 'lose') underWay = underWay.slice(1);
         });
-        const counts = wishes.map(({ from, until }) => {
+        const counts = asked.map(({ from, until }) => {
           return sent.filter((at) => at > from && at < until).length;
         });
         return Math.max(0, ...counts) <= 2;
--- a/packages/domain/src/backOff/backOffs.ts
+++ b/packages/domain/src/backOff/backOffs.ts
@@ -3,11 +3,9 @@
  * the requests that they have. After it they get few requests at first, twice as many with each answer: all that waited for the
  * moment would only be turned away again.
  *
- * A wish is one lifetime's own. Whatever starts at its address, or under its id, begins without.
+ * What starts at a target's address under another id begins without. One that starts again under its id doesn't: its sender may hear of
+ * the start after the answer, and couldn't tell which lifetime gave it.
  */
-import type * as endedLifetimes from '../quarantine/endedLifetimes';
-
-type Lifetime = endedLifetimes.Lifetime;
 
 /** Longest time that is kept to, milliseconds: one that is meant for good, or mistaken, must not take a target out of use for good. */
 export const LONGEST_MS = 600_000;
@@ -15,11 +13,10 @@
 /** Messages about requests that run already which a target gets while it wants nothing. */
 const MOST_UPKEEP = 2;
 
-/** So many answers after its end show that a wish is over. */
+/** So many answers after the time show that a target takes requests like any other. */
 const ANSWERS_TO_FORGET = 4;
 
 interface BackOff {
-  bornAt: number;
   until: number;
   /** Messages about running requests that were sent since it began. */
   upkeep: number;
@@ -51,36 +48,36 @@
   }
 
   /** A target asks; how long it is left alone from now on comes back, milliseconds. */
-  ask({ id, bornAt }: Lifetime, forMs: number, now: number): number {
-    const known = this.find({ id, bornAt });
+  ask(target: string, forMs: number, now: number): number {
+    const known = this.backOffs.get(target);
     const until = Math.max(known?.until ?? now, now + Math.min(forMs, LONGEST_MS));
     if (until <= now) return 0;
     const upkeep = known !== undefined && now < known.until ? known.upkeep : 0;
-    this.backOffs.set(id, { bornAt, until, upkeep, underWay: 0, answers: 0 });
+    this.backOffs.set(target, { until, upkeep, underWay: 0, answers: 0 });
     return until - now;
   }
 
   /** Whether a target takes a request from this VM now. */
-  takesRequest(target: Lifetime, now: number): boolean {
-    const known = this.find(target);
+  takesRequest(target: string, now: number): boolean {
+    const known = this.backOffs.get(target);
     if (known === undefined) return true;
     return now >= known.until && known.underWay < 2 ** known.answers;
   }
 
   /** Whether it takes a message about a request that it has. */
-  takesUpkeep(target: Lifetime, now: number): boolean {
-    const known = this.find(target);
+  takesUpkeep(target: string, now: number): boolean {
+    const known = this.backOffs.get(target);
     return known === undefined || now >= known.until || known.upkeep < MOST_UPKEEP;
   }
 
   /** How long a target still wants nothing, milliseconds; 0 where it may get a request, also if others are tried first. */
-  waitMs(target: Lifetime, now: number): number {
-    return Math.max(0, (this.find(target)?.until ?? now) - now);
+  waitMs(target: string, now: number): number {
+    return Math.max(0, (this.backOffs.get(target)?.until ?? now) - now);
   }
 
   /** A message is sent to a target. */
-  sent(target: Lifetime, now: number): Passage {
-    const known = this.find(target);
+  sent(target: string, now: number): Passage {
+    const known = this.backOffs.get(target);
     if (known === undefined) return FREE;
     if (now < known.until) {
       known.upkeep += 1;
@@ -88,26 +85,21 @@
     }
     known.underWay += 1;
     return {
-      answered: () => this.answered(target.id, known),
+      answered: () => this.answered(target, known),
       ended: () => {
         known.underWay -= 1;
       },
     };
   }
 
-  /** A lifetime ended. */
-  forget(target: Lifetime): void {
-    if (this.find(target) !== undefined) this.backOffs.delete(target.id);
+  /** A target is gone; one that is only presumed to be may come back before its time is over. */
+  forget(target: string, now: number): void {
+    if (this.waitMs(target, now) === 0) this.backOffs.delete(target);
   }
 
-  private answered(id: string, known: BackOff): void {
+  private answered(target: string, known: BackOff): void {
     known.answers += 1;
     const isOver = known.answers >= ANSWERS_TO_FORGET;
-    if (isOver && this.backOffs.get(id) === known) this.backOffs.delete(id);
-  }
-
-  private find({ id, bornAt }: Lifetime): BackOff | undefined {
-    const known = this.backOffs.get(id);
-    return known?.bornAt === bornAt ? known : undefined;
+    if (isOver && this.backOffs.get(target) === known) this.backOffs.delete(target);
   }
 }
