Take a target for alive that is too busy to say how it is

All three had turned life checks away with 503. The answer repeated an empty request id, which wasn't taken for none, so the wish counted as another request's; and any status but 200 counted as dead, so what the target ran was blamed for its end. An empty id is none now, and whoever refuses a check as the lifetime that was meant lives; 421, 404 and a 503 without the promise still don't.

--- a/packages/daemon/src/entry/__tests__/limitWatch.test.ts
+++ b/packages/daemon/src/entry/__tests__/limitWatch.test.ts
@@ -147,7 +147,11 @@
   it('counts orders about memory', async () => {
     fleet.answer(2);
     await clock.pause(10);
-    const call = async (): Promise<targetClient.CallEnd> => ({ kind: 'answered', status: 200 });
+    const call = async (): Promise<targetClient.CallEnd> => ({
+      kind: 'answered',
+      status: 200,
+      facts: bench.PROTOCOL.answerFacts(200, {}),
+    });
     const held = new reservations.Reservations('r', {
       protocol: bench.PROTOCOL,
       targets: { call } as unknown as reservations.Parts['targets'],
--- a/packages/daemon/src/entry/__tests__/targetSignals.test.ts
+++ b/packages/daemon/src/entry/__tests__/targetSignals.test.ts
@@ -125,6 +125,7 @@
       ['its own refusal', {}, REQUEST],
       ['its own signed failure', { isSigned: true, isNotRun: false }, REQUEST],
       ['its refusal of an order', { requestId: undefined, isNotRun: false }, ORDER],
+      ['its refusal of an order, with an empty id', { requestId: '' }, ORDER],
       ['an answer to another request', { requestId: 'r2' }, REQUEST],
       ['an answer without an id', { requestId: undefined }, REQUEST],
       ['a request’s answer after an order', {}, ORDER],
--- a/packages/daemon/src/entry/lifeChecks.ts
+++ b/packages/daemon/src/entry/lifeChecks.ts
@@ -19,6 +19,8 @@
 /** Longest wait for the answer, milliseconds: a new connection and a hundred ways there and back. */
 const ANSWER_TIMEOUT_MS = 300;
 
+const OK = 200;
+
 export class LifeChecks {
   /** Questions under way; requests on the same target share one. */
   private readonly asking = new Map<string, Promise<boolean>>();
@@ -49,9 +51,14 @@
       return true;
     }
     const status = end.kind === 'answered' ? end.status : 0;
-    const isAlive = status === 200;
+    const isAlive = end.kind === 'answered' && isOfLiving(end);
     this.parts.observer.count(isAlive ? 'lifeChecks.alive' : 'lifeChecks.dead');
     this.parts.observer.log('targetAsked', { target, status, isAlive });
     return isAlive;
   }
 }
+
+/** Whether the lifetime that was asked answered; also one does that turns the question away as it is too busy. */
+function isOfLiving({ status, facts }: targetClient.CallEnd & { kind: 'answered' }): boolean {
+  return status === OK || (facts.isNotRun && !facts.isWrongLifetime);
+}
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -71,7 +71,9 @@
 
 /** How a call of our own ended. */
 export type CallEnd =
-  { kind: 'answered'; status: number } | { kind: 'silent' } | { kind: 'withheld' };
+  | { kind: 'answered'; status: number; facts: protocols.AnswerFacts }
+  | { kind: 'silent' }
+  | { kind: 'withheld' };
 
 /**
  * Longest time for a new connection, milliseconds. One way takes a few; a lost opening packet is sent again
@@ -287,10 +289,10 @@
     { method, path, headers, body }: protocols.TargetCall,
     timeoutMs: number,
   ): Promise<CallEnd> {
-    let status = 0;
+    let head: Head | undefined;
     const receiver: Receiver = {
-      onHead: (head) => {
-        status = head.status;
+      onHead: (received) => {
+        head = received;
       },
       onData: () => undefined,
     };
@@ -301,7 +303,8 @@
     const end = await attempt.end;
     clearTimeout(timer);
     if (end.kind === 'withheld') return end;
-    return end.kind === 'complete' ? { kind: 'answered', status } : { kind: 'silent' };
+    if (end.kind !== 'complete' || head === undefined) return { kind: 'silent' };
+    return { kind: 'answered', status: head.status, facts: head.facts };
   }
 
   /** The lifetime ended: its idle connections are closed, running answers go on. */
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -229,9 +229,9 @@
 
 /** Whether an answer is what the target that was meant says to this message. */
 function isOwn(
-  { requestId }: targetClient.Sending,
-  { requestId: answeredId, isWrongLifetime, isSigned, isNotRun }: protocols.AnswerFacts,
+  { requestId = '' }: targetClient.Sending,
+  { requestId: answeredId = '', isWrongLifetime, isSigned, isNotRun }: protocols.AnswerFacts,
 ): boolean {
   if (isWrongLifetime || answeredId !== requestId) return false;
-  return requestId === undefined || isSigned || isNotRun;
+  return requestId === '' || isSigned || isNotRun;
 }
