Hold the refusals of targets that back off to a bound that the design gives

Traced on a quiet machine by the times of all replies: none over 335 ms, 3 to 13 over 250. They come where the time of all targets ends within half of the objective (250 ms, an eighth of the 2 s): such a request is held until then, by design, and then turned away by one or two targets with a pause of 100 ms between. So one in eight may lie at the old bound, and the share of nine in ten was a coin's toss.

In its place: nobody later than a second, which wasn't checked before (the bound of the same test for limits), and three in four within the time for which one may be held.

--- a/packages/daemon/src/__tests__/backingOffTargets.test.ts
+++ b/packages/daemon/src/__tests__/backingOffTargets.test.ts
@@ -21,8 +21,15 @@
 /** Targets that a request may be sent to. */
 const MOST_ATTEMPTS = 2;
 
-/** A request that can't be served is refused this soon, milliseconds: well before a caller gives it up. */
-const REFUSED_WITHIN_MS = 300;
+/** Nobody is refused later, milliseconds: about the part of a stream's time that may go by without a place. */
+const MOST_WAIT_MS = 1_000;
+
+/**
+ * Half of the objective: who comes when the time of all targets ends within that is held until then, and may be turned away by those
+ * that it tries. That is an eighth of all; most of the others are refused at once.
+ */
+const HELD_MS = 250;
+const REFUSED_BEFORE_SHARE = 0.75;
 
 /** Most messages that one VM sent to a target between its asking for a pause and the end of that. */
 function mostDuringBackOff({ turnedAway, messages }: smallFleet.SmallFleet): number {
@@ -86,8 +93,9 @@
       expect(mostDuringBackOff(fleet)).to.be.at.most(MOST_MESSAGES);
       expect(new Set(replies.map(({ status }) => status))).to.deep.equal(new Set([503]));
       expect(replies.every(({ retryAfter }) => Number(retryAfter) > 0)).to.equal(true);
-      const inTime = replies.filter(({ tookMs }) => tookMs < REFUSED_WITHIN_MS);
-      expect(inTime.length).to.be.above(0.9 * replies.length);
+      expect(Math.max(...replies.map(({ tookMs }) => tookMs))).to.be.below(MOST_WAIT_MS);
+      const atOnce = replies.filter(({ tookMs }) => tookMs < HELD_MS);
+      expect(atOnce.length).to.be.above(REFUSED_BEFORE_SHARE * replies.length);
 
       turnAway(fleet.targets, undefined);
       await fleet.press(question, 2 * BACK_OFF_MS);
