Answer callers after unexpected errors, and report commands that may have arrived

An exception in an exchange left its caller without an answer and ended the process as an unhandled rejection; the caller now gets 503 or 502. A command whose connection was closed by the timeout of another call was reported as `noLeader` although the leader may have received it; calls now say whether they may have arrived.

--- a/packages/daemon/src/control/logClient.ts
+++ b/packages/daemon/src/control/logClient.ts
@@ -60,8 +60,7 @@
         } else {
           detail = `${response.val.kind} ${response.val.detail}`;
           this.leaders.delete(log);
-          // A connection that was closed before the response may have carried the command.
-          mayHaveTakenEffect ||= response.val.kind !== 'unreachable' || detail.includes('closed');
+          mayHaveTakenEffect ||= response.val.mayHaveArrived;
         }
         if (this.now() >= deadline) break;
       }
--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -134,6 +134,9 @@
   /** How long the selector takes, milliseconds. */
   placementDelayMs = 0;
 
+  /** Thrown by the selector, if set. */
+  placementError: Error | undefined;
+
   isFresh = true;
 
   hasCatalogue = true;
@@ -294,6 +297,7 @@
 
   private async choose(request: targetSelector.PlacementRequest): Promise<targetSelector.Choice> {
     this.placementRequests.push(request);
+    if (this.placementError !== undefined) throw this.placementError;
     const allowedTarget = request.writers?.[0];
     const excluded = new Set([...request.excluded, ...this.signals.unavailable('app')]);
     const index = allowedTarget === undefined ? excluded.size : Number(allowedTarget.slice(1));
--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -34,6 +34,14 @@
     expect([reply.status, setup.received.length]).to.deep.equal([502, 1]);
   });
 
+  // Guards against a caller that waits for an answer until its own timeout after an unexpected error of the entry.
+  it('answers after an unexpected error, and reports that the call did not run', async () => {
+    setup = await harness.TestHarness.start(RESPOND);
+    setup.placementError = new Error('unexpected');
+    const reply = await setup.send('/unsafe/1');
+    expect([reply.status, setup.received.length]).to.deep.equal([503, 0]);
+  });
+
   it('reports that an unsafe call did not run if the target states so', async () => {
     const refuse = harness.answer('', 503, 'not-run: 1\r\n');
     setup = await harness.TestHarness.start((_request, socket) => socket.write(refuse), RESPOND);
--- a/packages/daemon/src/entry/__tests__/rateLimitClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/rateLimitClient.test.ts
@@ -53,7 +53,9 @@
   constructor() {
     this.registry.announce(RECORD, 0);
     const call = async (address: string, method: string, content: object): Promise<unknown> => {
-      if (!this.isLeaderReachable) return Err({ kind: 'timeout', address, method, detail: 'lost' });
+      if (!this.isLeaderReachable) {
+        return Err({ kind: 'timeout', address, method, mayHaveArrived: true, detail: 'lost' });
+      }
       if (method === 'grant') return Ok(this.grant);
       this.reports.push(JSON.parse(JSON.stringify(content)) as messages.LimitReport);
       return Ok({ kind: 'taken' });
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -114,6 +114,9 @@
   /** Whether the last target's response was overdue when its attempt ended. */
   private wasOverdue = false;
 
+  /** Releases the placement of the current attempt; undefined if there is none. */
+  private releaseCurrent: targetSelector.Release | undefined;
+
   private sentAt = 0;
 
   /** Whether the last target may have crashed while running the request. */
@@ -165,11 +168,23 @@
     const timer = setTimeout(() => this.cancel({ kind: 'late' }), Math.max(0, this.timeLeftMs));
     try {
       await this.attemptUntilAnswered();
+    } catch (error) {
+      this.failUnexpectedly(error);
     } finally {
       clearTimeout(timer);
     }
   }
 
+  /** An unexpected error must neither leave the caller without an answer nor a target occupied. */
+  private failUnexpectedly(error: unknown): void {
+    const { facts } = this.admitted;
+    this.dependencies.observer.log('crashed', { request: facts.requestId, detail: String(error) });
+    this.mayHaveRun ||= this.attempt?.wasSent === true;
+    this.attempt?.cancel();
+    this.releaseCurrent?.('cancelled');
+    this.fail('internal error', RETRY_AFTER_MS);
+  }
+
   private async attemptUntilAnswered(): Promise<void> {
     const { route } = this.admitted;
     const service = domain.catalogue.directory.pickService(route, this.dependencies.random);
@@ -312,11 +327,13 @@
       this.admitted.facts.requestId,
       this.dependencies,
     );
-    const isReserved = await helperReservations.reserveAll(placement.helpers);
     const release: targetSelector.Release = (dispatchOutcome, observed) => {
+      this.releaseCurrent = undefined;
       helperReservations.release();
       choice.release(dispatchOutcome, observed);
     };
+    this.releaseCurrent = release;
+    const isReserved = await helperReservations.reserveAll(placement.helpers);
     if (this.isOver || !isReserved) {
       release('cancelled');
       return { kind: 'noMemory' };
--- a/packages/daemon/src/rpc/errors.ts
+++ b/packages/daemon/src/rpc/errors.ts
@@ -6,5 +6,7 @@
   kind: Kind;
   address: string;
   method: string;
+  /** Whether the callee may have received the call. */
+  mayHaveArrived: boolean;
   detail: string;
 }
--- a/packages/daemon/src/rpc/peerClient.ts
+++ b/packages/daemon/src/rpc/peerClient.ts
@@ -89,6 +89,11 @@
     this.socket.setTimeout(IDLE_TIMEOUT_MS, () => this.close('idle'));
   }
 
+  /** Whether calls were sent; before authentication they are held back. */
+  get hasSentCalls(): boolean {
+    return this.isAuthenticated;
+  }
+
   /** Whether the socket is still connecting after `timeoutMs`. */
   isConnectOverdue(timeoutMs: number): boolean {
     return this.socket.connecting && clock.steady() - this.openedAt > timeoutMs;
@@ -155,13 +160,17 @@
     if (fresh) this.drop(address, 'replaced');
     const connection = this.connection(address);
     if (connection === undefined) {
-      return Err({ kind: 'unreachable', address, method, detail: 'address is blocked' });
+      const detail = 'address is blocked';
+      return Err({ kind: 'unreachable', address, method, mayHaveArrived: false, detail });
     }
     let timer: NodeJS.Timeout | undefined;
     const timeout = new Promise<Result<T, errors.CallError>>((resolve) => {
       timer = setTimeout(() => {
         if (!toleratesDelay) connection.close('timeout');
-        resolve(Err({ kind: 'timeout', address, method, detail: `${timeoutMs} ms` }));
+        // A connection that stays open may still send the call once it is authenticated.
+        const mayHaveArrived = toleratesDelay || connection.hasSentCalls;
+        const detail = `${timeoutMs} ms`;
+        resolve(Err({ kind: 'timeout', address, method, mayHaveArrived, detail }));
       }, timeoutMs);
     });
     const answer = this.request<T>(connection, address, method, parameters);
@@ -201,7 +210,8 @@
     } catch (error) {
       const detail = error instanceof Error ? error.message : String(error);
       const kind = error instanceof jsonRpc.JSONRPCErrorException ? 'rejected' : 'unreachable';
-      return Err({ kind, address, method, detail });
+      const { hasSentCalls: mayHaveArrived } = connection;
+      return Err({ kind, address, method, mayHaveArrived, detail });
     }
   }
 
