--- a/packages/daemon/src/fleet/__tests__/leaderLink.test.ts
+++ b/packages/daemon/src/fleet/__tests__/leaderLink.test.ts
@@ -41,7 +41,7 @@
               crowding: [],
               news: { edition: undefined, mark: messages.NO_VERSION, since: messages.NO_VERSION },
             })
-          : Err({ kind: 'timeout', address, method: 'follow', detail });
+          : Err({ kind: 'timeout', address, method: 'follow', mayHaveArrived: true, detail });
       },
     };
     const state = {
@@ -49,6 +49,7 @@
       registryVersion: messages.NO_VERSION,
       reportableSuspects: () => [],
       limits: { all: () => [] },
+      evacuations: { revision: 0 },
       applyUpdate: () => true,
     };
     const link = new leaderLink.LeaderLink({
--- a/packages/daemon/src/fleet/fleetState.ts
+++ b/packages/daemon/src/fleet/fleetState.ts
@@ -23,6 +23,8 @@
   onSuspects?: () => void;
   /** Called when an update changed rate limits of targets. */
   onLimits?: () => void;
+  /** Called when the set of evacuated data centres changed. */
+  onEvacuations?: () => void;
 }
 
 /**
@@ -46,6 +48,8 @@
   /** Rate limits that targets reported. */
   readonly limits = new domain.rateLimits.rateLimits.RateLimits();
 
+  readonly evacuations = new domain.evacuation.evacuations.Evacuations();
+
   /** Version of the registry that is in force here. */
   registryVersion: messages.RegistryVersion = messages.NO_VERSION;
 
@@ -77,6 +81,16 @@
     this.options.onCatalogue(this.current);
   }
 
+  /** Applies the evacuations of the log or of an update, if they are newer than those in force here. */
+  applyEvacuations(state: domain.evacuation.evacuations.EvacuationState): void {
+    if (!this.evacuations.replace(state)) return;
+    this.options.observer.log('evacuationsInForce', {
+      revision: state.revision,
+      dataCentres: state.evacuations.map(({ dataCentre }) => dataCentre),
+    });
+    this.options.onEvacuations?.();
+  }
+
   /** Loads records that were stored on this process's disk. */
   loadRecords(records: readonly Announcement[]): Announcement[] {
     const loaded = this.registry.loadFromDisk(records, this.options.now());
@@ -165,7 +179,8 @@
    * snapshot.
    */
   applyUpdate(update: messages.FleetUpdate): boolean {
-    const { edition, mark, since, packedRegistry } = update;
+    const { evacuations, edition, mark, since, packedRegistry } = update;
+    if (evacuations !== undefined) this.applyEvacuations(evacuations);
     if (edition !== undefined) this.applyCatalogue(edition);
     if (packedRegistry !== undefined) this.applySnapshot(registrySnapshots.unpack(packedRegistry));
     const isConsecutive = since === undefined || messages.includes(this.registryVersion, since);
--- a/packages/daemon/src/fleet/leaderLink.ts
+++ b/packages/daemon/src/fleet/leaderLink.ts
@@ -249,6 +249,7 @@
       dispatches: isNew ? this.options.dispatches() : [],
       suspects: isNew ? state.reportableSuspects() : [],
       limits: isNew ? state.limits.all() : [],
+      evacuationRevision: state.evacuations.revision,
       replica: replica(),
       dataCentre,
     };
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -5,6 +5,7 @@
 type Announcement = domain.registry.registry.Announcement;
 type SuspectReport = domain.quarantine.suspect.SuspectReport;
 type RateLimit = domain.rateLimits.rateLimits.RateLimit;
+type EvacuationState = domain.evacuation.evacuations.EvacuationState;
 type Endpoint = domain.rateLimits.rateLimits.Endpoint;
 
 /** A version of the registry at one leader; versions of different leaderships aren't comparable. */
@@ -34,6 +35,8 @@
   suspects: SuspectReport[];
   /** Rate limits of targets known to the follower, sent to a leader that it polls for the first time. */
   limits: RateLimit[];
+  /** Revision of the evacuations in force at the follower; absent from a daemon that doesn't know evacuations. */
+  evacuationRevision?: number;
   /** Id of a keeper's replica, for a leader that may need it as a voter. */
   replica: string | undefined;
   dataCentre: string;
@@ -69,6 +72,8 @@
 
 /** Update with the changes that a follower lacks; the records follow those of `packedRegistry`. */
 export interface FleetUpdate extends registrySnapshots.RecordBatch {
+  /** All evacuations, where the follower lacks the last change; a catalogue always comes with them. */
+  evacuations?: EvacuationState;
   /** A newer catalogue. */
   edition: domain.catalogue.newestCatalogue.PackedCatalogue | undefined;
   /** The registry version after the records. */
--- /dev/null
+++ b/packages/domain/src/evacuation/index.ts
@@ -0,0 +1,1 @@
+export * as evacuations from './evacuations';
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -3,6 +3,7 @@
 export * as backOff from './backOff';
 export * as catalogue from './catalogue';
 export * as control from './control';
+export * as evacuation from './evacuation';
 export * as ledger from './ledger';
 export * as membership from './membership';
 export * as memory from './memory';
