Replicate evacuations beside catalogues, and stop at unknown commands

Cause: orders to evacuate a data centre have to survive whatever catalogues survive, and a keeper that skipped a command of a newer program would diverge.

--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -2,7 +2,7 @@
  * A keeper: a process with a disk that holds a replica of the log and serves targets and operators. One keeper leads;
  * the others forward to it what they receive and hold a copy of the registry.
  */
-import * as domain from '@celerydrift/domain';
+import type * as domain from '@celerydrift/domain';
 import * as clock from '../clock';
 import * as codecs from '../configuration/codecs';
 import type * as roleSettings from '../configuration/roleSettings';
@@ -25,8 +25,6 @@
 import * as leadership from './leadership';
 import * as softStateStore from './softStateStore';
 
-type PackedCatalogue = domain.catalogue.newestCatalogue.PackedCatalogue;
-
 export interface Dependencies {
   settings: roleSettings.Settings;
   protocol: protocols.ControlProtocol;
@@ -98,7 +96,7 @@
     const { settings, observer: observe, protocol } = dependencies;
     this.client = peers.clientOf(settings, observe);
     this.server = new peerServer.PeerServer(settings.secret, undefined, observe);
-    this.machine = new catalogueMachine.CatalogueMachine((edition) => this.applyCatalogue(edition));
+    this.machine = new catalogueMachine.CatalogueMachine(() => this.applyCommitted());
     this.fleetState = new fleetState.FleetState({
       protocol,
       observer: observe,
@@ -177,6 +175,7 @@
       limits: this.fleetState.limits.size,
       suspects: this.fleetState.quarantine.size,
       quarantined: this.fleetState.quarantine.quarantined,
+      evacuations: this.fleetState.evacuations.state.evacuations.length,
     };
   }
 
@@ -227,9 +226,11 @@
     return leader;
   }
 
-  /** Puts a committed catalogue into force here; the leader pushes it to its followers. */
-  private applyCatalogue(edition: PackedCatalogue): void {
-    this.fleetState.applyCatalogue(edition);
+  /** Puts committed evacuations and catalogues into force here; the leader pushes them to its followers. */
+  private applyCommitted(): void {
+    const { evacuations, catalogue } = this.machine;
+    this.fleetState.applyEvacuations(evacuations.state);
+    if (catalogue.newest !== undefined) this.fleetState.applyCatalogue(catalogue.newest);
   }
 
   private serveMethods(): void {
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -28,6 +28,11 @@
   spareWaiting: { number: 2008, level: 'info', text: 'spare replica waits to be added' },
   diskRefused: { number: 2009, level: 'warn', text: 'disk write failed; replica suspended' },
   diskAccepted: { number: 2010, level: 'info', text: 'disk accepts writes again' },
+  commandUnknown: {
+    number: 2011,
+    level: 'error',
+    text: 'command of a newer program in the log; process stopped',
+  },
   settingAccepted: { number: 3001, level: 'info', text: 'settings change accepted' },
   settingRefused: { number: 3002, level: 'warn', text: 'settings change refused' },
   settingInForce: { number: 3003, level: 'debug', text: 'settings applied' },
--- a/packages/daemon/src/replicas/logHost.ts
+++ b/packages/daemon/src/replicas/logHost.ts
@@ -10,7 +10,7 @@
 import type * as observer from '../observability/observer';
 import type * as journal from '../storage/journal';
 import type * as errors from './errors';
-import type * as stateMachine from './stateMachine';
+import * as stateMachine from './stateMachine';
 
 type Replica = domain.replication.replica.Replica;
 type Effects = domain.replication.messages.Effects;
@@ -34,7 +34,9 @@
   reopen: (durable: domain.replication.messages.DurableState) => Replica;
   /** Log length in entries at which the log is compacted into a snapshot; undefined for the default. */
   snapshotIntervalEntries: number | undefined;
-  /** Called when the disk lost synced data; the process must exit. */
+  /**
+   * Called when the disk lost synced data, or with an `UnknownCommand` of the state machine; the process must exit.
+   */
   onDiskFailure: (error: unknown) => void;
 }
 
@@ -96,6 +98,7 @@
 
   private quorumCheckTimer: NodeJS.Timeout | undefined;
 
+  /** Whether no input is processed, because the journal is being recovered or a command is unknown. */
   private isRecovering = false;
 
   private isClosed = false;
@@ -218,6 +221,10 @@
     try {
       while (this.inputs.length > 0 || this.proposals.length > 0) await this.processBatch();
     } catch (error) {
+      if (error instanceof stateMachine.UnknownCommand) {
+        this.stopAt(error);
+        return;
+      }
       this.dependencies.observer.log('diskRefused', { log: this.id, detail: String(error) });
       void this.recover();
     } finally {
@@ -225,6 +232,14 @@
     }
   }
 
+  /** Stops for good: nothing more is applied, answered or written to a snapshot. */
+  private stopAt(error: stateMachine.UnknownCommand): void {
+    this.isRecovering = true;
+    this.rejectPending();
+    this.dependencies.observer.log('commandUnknown', { log: this.id, detail: error.message });
+    this.dependencies.onDiskFailure(error);
+  }
+
   /**
    * A full disk refuses writes for a while. The effects of the failed batch were never sent, so the replica
    * is recreated from disk and stays silent until a write succeeds; if it led, another leader is elected.
--- a/packages/daemon/src/roleMain.ts
+++ b/packages/daemon/src/roleMain.ts
@@ -14,6 +14,7 @@
 import * as keeper from './keeper/keeper';
 import * as boundedOutput from './observability/boundedOutput';
 import * as observer from './observability/observer';
+import * as stateMachine from './replicas/stateMachine';
 
 export interface Adapter {
   traffic: protocols.TrafficProtocol;
@@ -84,7 +85,9 @@
     observer: observe,
     random,
     onDiskFailure: (error) => {
-      observe.log('journalCorrupt', { detail: JSON.stringify(error) });
+      // The replica logs an unknown command itself.
+      if (!(error instanceof stateMachine.UnknownCommand))
+        observe.log('journalCorrupt', { detail: JSON.stringify(error) });
       process.exit(EXIT.diskFailure);
     },
   });
