Take orders to evacuate a data centre at any keeper

Cause: operators need to take a data centre out of use, and the order has to hold at every entry and after any failure that the catalogue survives.

Change: any keeper checks an order and forwards it to the leader (peer method `evacuate`). The leader proposes it, pushes the state to its followers and acknowledges it after at most 150 ms more. Answers to polls and pushes carry the evacuations that a follower lacks. Orders need all voters to have announced that they know evacuations; keepers pass this knowledge on to the next leader, so that a voter that is down doesn't block orders. A leader that rejects an unknown method is no longer given up. Settings `evacuation-ms` (0, off) and `data-centres`. An order whose operator has closed the connection is dropped.

--- a/packages/daemon/src/configuration/__tests__/roleSettings.test.ts
+++ b/packages/daemon/src/configuration/__tests__/roleSettings.test.ts
@@ -51,9 +51,17 @@
   });
 
   it('accept the deployment templates', () => {
-    const problems = ['entry', 'keeper'].flatMap((role) => {
+    const templates = [
+      ['entry', ''],
+      // Without and with the values for evacuations.
+      ['keeper', ''],
+      ['keeper', 'east,west'],
+    ];
+    const problems = templates.flatMap(([role, zones]) => {
       const template = fs.readFileSync(path.join(ROOT, `deploy/${role}.ini`), 'utf8');
       const filled = template
+        .replace('{{#zones}}{{@}}{{,}}{{/zones}}', zones)
+        .replace(/\{\{#bounds\.evacMs\}\}(.*)\{\{\/bounds\.evacMs\}\}/, zones && '$1')
         .replace(/\{\{nodeName\}\}|\{\{zone\}\}/g, 'east-1')
         .replace(/\{\{listen\.\w+\}\}/g, '10.0.0.1:80')
         .replace('{{ip}}:{{internalPorts.0}}', '10.0.0.1:7000')
--- a/packages/daemon/src/configuration/codecs.ts
+++ b/packages/daemon/src/configuration/codecs.ts
@@ -61,6 +61,12 @@
   parseAddresses,
   'give IP:PORT, several separated by commas',
 );
+export const OPTIONAL_NAMES = schema.textCodec(
+  'names',
+  (text) =>
+    schema.list(text).every((part) => schema.NAME.test(part)) ? schema.list(text) : undefined,
+  'leave it out or give names, separated by commas',
+);
 export const TEXT = schema.textCodec('text', (text) => text, 'give a text');
 export const SECRET = schema.textCodec(
   'secret',
--- a/packages/daemon/src/configuration/roleSettings.ts
+++ b/packages/daemon/src/configuration/roleSettings.ts
@@ -12,6 +12,8 @@
   role: Role;
   name: string;
   dataCentre: string;
+  /** Data centres that a keeper lets operators evacuate; empty for those of the announced targets. */
+  dataCentres: string[];
   /** Address on which an entry listens for callers; undefined for a keeper. */
   callers: codecs.Address | undefined;
   /** Address of an entry's readiness check for the load balancer. */
@@ -42,6 +44,11 @@
   revokeMs: number;
   /** Time after which a target that announced that it drains gets no more requests, milliseconds. */
   drainMs: number;
+  /**
+   * Time after which an evacuated data centre gets no more requests, milliseconds; 0 if operators can't evacuate data
+   * centres.
+   */
+  evacuationMs: number;
   /** Retry budget: limits the requests that are sent to a second target. */
   repeats: domain.request.repeatBudget.Rule;
 }
@@ -49,6 +56,7 @@
 /** Defaults of optional keys. Keys that are not listed are required. */
 export const DEFAULTS = {
   role: 'entry',
+  'data-centres': '',
   callers: '',
   readiness: '',
   control: '',
@@ -65,16 +73,22 @@
   'stop-seconds': '8',
   'revoke-ms': '5000',
   'drain-ms': '2000',
+  'evacuation-ms': '0',
   'repeat-ratio': '0.2',
   'repeat-slack': '100',
   'repeat-window-seconds': '10',
 } as const;
 
-const { ADDRESS, ADDRESSES, NAME, OPTIONAL_ADDRESS, OPTIONAL_IP, SECRET, TEXT, oneOf, range } =
-  codecs;
+const { ADDRESS, ADDRESSES, NAME, OPTIONAL_ADDRESS, OPTIONAL_IP, OPTIONAL_NAMES } = codecs;
+const { SECRET, TEXT, oneOf, range } = codecs;
 
 const SECTIONS: codecs.Sections = {
-  daemon: { role: oneOf('entry', 'keeper'), name: NAME, 'data-centre': NAME },
+  daemon: {
+    role: oneOf('entry', 'keeper'),
+    name: NAME,
+    'data-centre': NAME,
+    'data-centres': OPTIONAL_NAMES,
+  },
   listen: {
     callers: OPTIONAL_ADDRESS,
     readiness: OPTIONAL_ADDRESS,
@@ -92,6 +106,7 @@
     'stop-seconds': range(1, 3_600),
     'revoke-ms': range(500, 3_600_000),
     'drain-ms': range(100, 3_600_000),
+    'evacuation-ms': range(0, 3_600_000),
     'repeat-ratio': range(0, 10),
     'repeat-slack': range(0, 1_000_000),
     'repeat-window-seconds': range(1, 3_600),
@@ -138,6 +153,7 @@
     role: values.get('daemon.role') as Role,
     name: values.get('daemon.name') as string,
     dataCentre: values.get('daemon.data-centre') as string,
+    dataCentres: values.get('daemon.data-centres') as string[],
     ...readListeners(values),
     seeds: readSeeds(values),
     secret: values.get('keepers.secret') as string,
@@ -149,6 +165,7 @@
     stopMs: readNumber('bounds.stop-seconds') * 1_000,
     revokeMs: readNumber('bounds.revoke-ms'),
     drainMs: readNumber('bounds.drain-ms'),
+    evacuationMs: readNumber('bounds.evacuation-ms'),
     repeats: {
       ratio: readNumber('bounds.repeat-ratio'),
       slack: readNumber('bounds.repeat-slack'),
--- a/packages/daemon/src/edges/protocols.ts
+++ b/packages/daemon/src/edges/protocols.ts
@@ -93,7 +93,10 @@
   | { kind: 'announce'; id: string }
   | { kind: 'depart'; id: string }
   | { kind: 'submit' }
-  | { kind: 'read' };
+  | { kind: 'read' }
+  /** Orders about a data centre; its name is undefined if it can't be decoded. */
+  | { kind: 'evacuate' | 'endEvacuation'; dataCentre: string | undefined }
+  | { kind: 'listEvacuations' };
 
 /** Why a document or an announcement can't be parsed. */
 export interface ParseError {
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -6,6 +6,7 @@
 type SuspectReport = domain.quarantine.suspect.SuspectReport;
 type RateLimit = domain.rateLimits.rateLimits.RateLimit;
 type EvacuationState = domain.evacuation.evacuations.EvacuationState;
+type EvacuationCommand = domain.evacuation.evacuations.EvacuationCommand;
 type Endpoint = domain.rateLimits.rateLimits.Endpoint;
 
 /** A version of the registry at one leader; versions of different leaderships aren't comparable. */
@@ -60,6 +61,11 @@
   crowding: domain.allocation.assumedLoad.AverageLoad[];
   /** The changes that the follower lacks. */
   news: FleetUpdate;
+  /**
+   * Members of the replica set that know evacuations, for a keeper that may lead later; absent from a leader of a
+   * version that doesn't know evacuations.
+   */
+  evacuationReplicas?: string[];
 }
 
 /** The keeper that was asked doesn't lead; `leader` is empty if it knows none. */
@@ -241,6 +247,30 @@
   | { kind: 'newest'; edition: domain.catalogue.newestCatalogue.PackedCatalogue | undefined }
   | { kind: 'unavailable'; detail: string };
 
+/** `evacuate`: an order forwarded by the keeper that received it from an operator. */
+export interface EvacuateRequest {
+  command: EvacuationCommand;
+}
+
+/** `revision` is the revision of the evacuations that include the order. */
+export type EvacuateAnswer =
+  { kind: 'accepted'; revision: number } | { kind: 'unavailable'; detail: string };
+
+/** The evacuations and the entries at which they are in force, as operators see them. */
+export interface EvacuationListing extends EvacuationState {
+  inForce: {
+    entries: number;
+    /** Number of entries that follow the leader. */
+    of: number;
+    /** Names of the entries that lack the last change. */
+    behind: string[];
+  };
+}
+
+/** `evacuations`: the listing at the time of the call. */
+export type EvacuationsAnswer =
+  { kind: 'listed'; listing: EvacuationListing } | { kind: 'unavailable'; detail: string };
+
 export const NO_VERSION: RegistryVersion = { epoch: '', change: 0 };
 
 /** Whether a version contains all changes of another one of the same leadership. */
--- a/packages/daemon/src/keeper/__tests__/__fixtures__/leaderFixture.ts
+++ b/packages/daemon/src/keeper/__tests__/__fixtures__/leaderFixture.ts
@@ -73,6 +73,7 @@
     random: random.seeded(1),
     linkMbps: 170,
     newestCatalogue: () => undefined,
+    evacuations: () => fleet.evacuations.state,
     onSuspects: () => undefined,
     onLimits: () => undefined,
   });
--- a/packages/daemon/src/keeper/controlServer.ts
+++ b/packages/daemon/src/keeper/controlServer.ts
@@ -4,12 +4,14 @@
  */
 import * as http from 'node:http';
 import * as domain from '@celerydrift/domain';
+import * as clock from '../clock';
 import type * as codecs from '../configuration/codecs';
 import type * as protocols from '../edges/protocols';
 import type * as messages from '../fleet/messages';
 import * as packedCatalogue from '../fleet/packedCatalogue';
 import * as listening from '../http/listening';
 import type * as observer from '../observability/observer';
+import type * as evacuationOrders from './evacuationOrders';
 
 type Announcement = domain.registry.registry.Announcement;
 
@@ -24,11 +26,14 @@
     edition: domain.catalogue.newestCatalogue.PackedCatalogue,
   ) => Promise<messages.SubmitAnswer>;
   newest: () => Promise<messages.NewestAnswer>;
+  orders: evacuationOrders.EvacuationOrders;
+  evacuations: () => Promise<messages.EvacuationsAnswer>;
 }
 
 interface Reply {
   status: number;
   body: Buffer | string;
+  retryAfterS?: number;
 }
 
 /** Maximum size of a document or announcement; 350 routes take some 100 KB. */
@@ -37,6 +42,17 @@
 /** How long a target or operator may keep an idle connection, in milliseconds. */
 const KEEP_ALIVE_MS = 15_000;
 
+/** A keeper finds a new leader within this time, in seconds. */
+const RETRY_AFTER_S = 1;
+
+/**
+ * Time for the operating system to report that an operator has closed the connection, in milliseconds. A keeper that
+ * was frozen reads calls that were given up long ago, and an order among them would undo a later one.
+ */
+const CLOSED_CHECK_MS = 5;
+
+const NOT_FOUND: Reply = { status: 404, body: '' };
+
 const UNAVAILABLE: Reply = { status: 503, body: '{"error":"no leader is reachable"}' };
 
 export class ControlServer {
@@ -62,21 +78,45 @@
     if (body === 'broken') return;
     const reply = body === 'tooLarge' ? { status: 413, body: '' } : await this.reply(request, body);
     if (response.destroyed) return;
-    const { status } = reply;
+    const { status, retryAfterS } = reply;
     const length = Buffer.byteLength(reply.body);
-    response.writeHead(status, { 'Content-Type': 'application/json', 'Content-Length': length });
+    response.writeHead(status, {
+      'Content-Type': 'application/json',
+      'Content-Length': length,
+      ...(retryAfterS === undefined ? {} : { 'Retry-After': String(retryAfterS) }),
+    });
     response.end(reply.body);
   }
 
   private async reply(request: http.IncomingMessage, body: Buffer): Promise<Reply> {
     const path = (request.url ?? '').split('?')[0];
     const call = this.dependencies.protocol.parseCall(request.method ?? '', path);
-    if (call === undefined) return { status: 404, body: '' };
+    if (call === undefined) return NOT_FOUND;
     if (call.kind === 'announce') return this.announce(call.id, body);
     if (call.kind === 'depart') return this.depart(call.id, body);
+    if (call.kind === 'listEvacuations') return this.listEvacuations();
+    if (call.kind === 'evacuate' || call.kind === 'endEvacuation') return this.order(call, request);
     return call.kind === 'submit' ? this.submit(body) : this.read();
   }
 
+  private async order(
+    { kind, dataCentre }: Omit<evacuationOrders.Order, 'requestedBy'>,
+    { socket }: http.IncomingMessage,
+  ): Promise<Reply> {
+    const requestedBy = socket.remoteAddress ?? '';
+    await clock.sleep(CLOSED_CHECK_MS);
+    if (socket.destroyed || socket.readableEnded) return UNAVAILABLE;
+    return replyTo(await this.dependencies.orders.handle({ kind, dataCentre, requestedBy }));
+  }
+
+  private async listEvacuations(): Promise<Reply> {
+    const { orders, evacuations } = this.dependencies;
+    if (!orders.isEnabled) return NOT_FOUND;
+    const answer = await evacuations();
+    if (answer.kind === 'unavailable') return { ...UNAVAILABLE, retryAfterS: RETRY_AFTER_S };
+    return { status: 200, body: JSON.stringify(answer.listing) };
+  }
+
   private async announce(id: string, body: Buffer): Promise<Reply> {
     const decoded = this.dependencies.protocol.parseAnnouncement(id, body);
     const problem = decoded.err
@@ -125,6 +165,24 @@
   }
 }
 
+function replyTo(result: evacuationOrders.OrderResult): Reply {
+  const error = (text: string, details: object = {}): string => {
+    return JSON.stringify({ error: text, ...details });
+  };
+  switch (result.kind) {
+    case 'disabled':
+      return NOT_FOUND;
+    case 'malformed':
+      return { status: 400, body: error('malformed name of a data centre') };
+    case 'unknown':
+      return { status: 404, body: error('unknown data centre', { known: result.known }) };
+    case 'unavailable':
+      return { status: 503, body: error(result.reason), retryAfterS: RETRY_AFTER_S };
+    default:
+      return { status: 200, body: JSON.stringify({ revision: result.revision }) };
+  }
+}
+
 async function readBody(request: http.IncomingMessage): Promise<Buffer | 'tooLarge' | 'broken'> {
   const chunks: Buffer[] = [];
   let length = 0;
--- a/packages/daemon/src/keeper/followers.ts
+++ b/packages/daemon/src/keeper/followers.ts
@@ -15,6 +15,11 @@
   replica: string | undefined;
   /** The registry version that it last reported. */
   mark: messages.RegistryVersion;
+  /**
+   * The revision of the evacuations that it last reported or acknowledged; undefined for a version that doesn't know
+   * evacuations.
+   */
+  evacuationRevision: number | undefined;
   polledAt: number;
 }
 
@@ -48,6 +53,11 @@
   mark: messages.RegistryVersion,
 ) => Omit<messages.FleetUpdate, 'edition'> | undefined;
 
+/** The evacuations that a follower at a revision lacks. */
+export type MissingEvacuations = (
+  revision: number | undefined,
+) => domain.evacuation.evacuations.EvacuationState | undefined;
+
 export class Followers {
   private readonly byName = new Map<string, Follower>();
 
@@ -58,11 +68,14 @@
     private readonly client: peerClient.PeerClient,
     private readonly now: () => number,
     private readonly updateSince: UpdateSince,
+    private readonly missingEvacuations: MissingEvacuations,
   ) {}
 
-  recordPoll({ name, role, address, dataCentre, replica, mark }: messages.FollowRequest): void {
+  recordPoll(request: messages.FollowRequest): void {
+    const { name, role, address, dataCentre, replica, mark, evacuationRevision } = request;
     const polledAt = this.now();
-    this.byName.set(name, { name, role, address, dataCentre, replica, mark, polledAt });
+    const version = { mark, evacuationRevision };
+    this.byName.set(name, { name, role, address, dataCentre, replica, polledAt, ...version });
   }
 
   has(name: string): boolean {
@@ -93,7 +106,7 @@
   }
 
   /**
-   * Pushes to each reachable follower what it lacks, or `update` if that isn't known; resolves when they have it or
+   * Pushes to each reachable follower what it lacks, including evacuations, or `update` if that isn't known; resolves when they have it or
    * after a time limit.
    */
   async push(update: messages.FleetUpdate): Promise<void> {
@@ -129,11 +142,18 @@
     });
     const push: InFlightPush = { hasQueued: false, edition: undefined, next };
     this.inFlight.set(address, push);
-    const answer = await this.client.call<Partial<messages.UpdateAck>>(address, 'learn', update, {
+    const evacuations = this.missingEvacuations(follower.evacuationRevision);
+    const sent = evacuations === undefined ? update : { ...update, evacuations };
+    const answer = await this.client.call<Partial<messages.UpdateAck>>(address, 'learn', sent, {
       timeoutMs: PUSH_TIMEOUT_MS,
     });
     this.inFlight.delete(address);
-    if (answer.ok) follower.mark = answer.val.mark ?? update.mark;
+    if (answer.ok) {
+      follower.mark = answer.val.mark ?? update.mark;
+      const knowsEvacuations = follower.evacuationRevision !== undefined;
+      if (knowsEvacuations)
+        follower.evacuationRevision = evacuations?.revision ?? follower.evacuationRevision;
+    }
     if (!push.hasQueued) {
       finish();
       return;
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -21,6 +21,7 @@
 import * as announcementRelay from './announcementRelay';
 import * as catalogueMachine from './catalogueMachine';
 import * as controlServer from './controlServer';
+import * as evacuationOrders from './evacuationOrders';
 import * as leaderCalls from './leaderCalls';
 import * as leadership from './leadership';
 import * as softStateStore from './softStateStore';
@@ -122,6 +123,8 @@
       depart: (departed) => this.calls.depart(departed),
       submit: (edition) => this.calls.submit(edition),
       newest: () => this.calls.newest(),
+      orders: this.makeOrders(),
+      evacuations: () => this.calls.evacuations(),
     });
   }
 
@@ -203,7 +206,26 @@
       observer: observe,
       readClocks: clock.readClocks,
       dispatches: () => [],
-      onConfirmed: () => undefined,
+      onConfirmed: ({ evacuationReplicas }) => {
+        if (this.host.isLeader) return;
+        this.leadership.evacuations.replaceInformed(evacuationReplicas ?? []);
+      },
+    });
+  }
+
+  private makeOrders(): evacuationOrders.EvacuationOrders {
+    const { settings, observer: observe } = this.dependencies;
+    return new evacuationOrders.EvacuationOrders({
+      isEnabled: settings.evacuationMs > 0,
+      dataCentres: settings.dataCentres,
+      announcedDataCentres: () => [
+        settings.dataCentre,
+        ...this.fleetState.registry.records().map(({ dataCentre }) => dataCentre),
+      ],
+      isEvacuated: (dataCentre) => this.fleetState.evacuations.isEvacuated(dataCentre),
+      submit: (command) => this.calls.evacuate(command),
+      observer: observe,
+      timeOfDay: clock.timeOfDay,
     });
   }
 
@@ -217,6 +239,7 @@
       now: clock.steady,
       random: this.dependencies.random,
       newestCatalogue: () => this.machine.catalogue.newest,
+      evacuations: () => this.machine.evacuations.state,
       onSuspects: () => this.softState.suspectsChanged(),
       onLimits: () => this.softState.limitsChanged(),
       linkMbps: this.dependencies.settings.linkMbps,
@@ -252,6 +275,8 @@
       calls.submitHere((content as messages.SubmitRequest).edition),
     );
     server.add('newest', () => calls.newestHere());
+    server.add('evacuate', (content) => calls.evacuateHere(content as messages.EvacuateRequest));
+    server.add('evacuations', () => calls.evacuationsHere());
     server.add('place', (request) => this.place(request as messages.PlaceRequest));
     server.add('ended', (content) => {
       this.leadership.ended(content as messages.FinishedDispatches);
@@ -292,7 +317,7 @@
       deadAfterMs: DEAD_AFTER_MS,
       observer: this.dependencies.observer,
       now: clock.steady,
-      spares: () => this.leadership.followers.spares(),
+      spares: () => this.leadership.spares(),
       recordAudit: () => undefined,
     });
     const duties = (): void => {
--- a/packages/daemon/src/keeper/leaderCalls.ts
+++ b/packages/daemon/src/keeper/leaderCalls.ts
@@ -4,6 +4,7 @@
  * forward it back and forth.
  */
 import type * as domain from '@celerydrift/domain';
+import * as clock from '../clock';
 import type * as leaderLink from '../fleet/leaderLink';
 import type * as messages from '../fleet/messages';
 import type * as logHost from '../replicas/logHost';
@@ -12,6 +13,7 @@
 import type * as leadership from './leadership';
 
 type Announcement = domain.registry.registry.Announcement;
+type EvacuationCommand = domain.evacuation.evacuations.EvacuationCommand;
 type PackedCatalogue = domain.catalogue.newestCatalogue.PackedCatalogue;
 
 export interface Dependencies {
@@ -28,6 +30,21 @@
 /** A catalogue takes longer, in milliseconds: it waits for a sync on a slow disk and a push to the entries. */
 const SUBMIT_TIMEOUT_MS = 3_000;
 
+/**
+ * An order to evacuate, in milliseconds. Operators send it again for 5 s while there is no answer, so a leader that
+ * reaches no quorum is given up early enough to try another keeper.
+ */
+const ORDER_TIMEOUT_MS = 1_200;
+
+/** Maximum wait for a quorum to sync an order, in milliseconds. */
+const ORDER_COMMIT_TIMEOUT_MS = 800;
+
+/**
+ * Maximum wait for the followers after the commit, in milliseconds; with the sync, half of the 300 ms within which an
+ * order is acknowledged. A follower that doesn't answer gets the evacuations with its next poll.
+ */
+const ORDER_PUSH_WAIT_MS = 150;
+
 export class LeaderCalls {
   constructor(private readonly dependencies: Dependencies) {}
 
@@ -95,6 +112,50 @@
     return { kind: 'newest', edition: this.dependencies.machine.catalogue.newest };
   }
 
+  /** Forwards an operator's order about an evacuation. */
+  evacuate(command: EvacuationCommand): Promise<messages.EvacuateAnswer> {
+    const content = { command } satisfies messages.EvacuateRequest;
+    return this.atLeader<messages.EvacuateAnswer>(
+      { method: 'evacuate', content, timeoutMs: ORDER_TIMEOUT_MS },
+      { here: () => this.evacuateHere(content), unavailable },
+    );
+  }
+
+  /** Resolves once a quorum has the order and the followers that answer in time have applied it. */
+  async evacuateHere({ command }: messages.EvacuateRequest): Promise<messages.EvacuateAnswer> {
+    const { host, leadership } = this.dependencies;
+    if (!host.isLeader) return unavailable('not the leader');
+    const uninformed = leadership.evacuations.uninformedVoters(host.replica.members);
+    if (uninformed.length > 0) {
+      return unavailable(`voters that have not announced evacuations: ${uninformed.join(', ')}`);
+    }
+    // Also an order that already holds is proposed: only its commit proves that this keeper still leads.
+    const applied = await Promise.race([
+      host.propose(command),
+      clock.sleep(ORDER_COMMIT_TIMEOUT_MS),
+    ]);
+    if (applied === undefined) return unavailable('not committed in time');
+    if (applied.err) return unavailable(applied.val.kind);
+    await Promise.race([leadership.publishEvacuations(), clock.sleep(ORDER_PUSH_WAIT_MS)]);
+    const { revision } = applied.val.answer as catalogueMachine.EvacuationResult;
+    return { kind: 'accepted', revision };
+  }
+
+  evacuations(): Promise<messages.EvacuationsAnswer> {
+    return this.atLeader<messages.EvacuationsAnswer>(
+      { method: 'evacuations', content: {}, timeoutMs: FORWARD_TIMEOUT_MS },
+      { here: () => this.evacuationsHere(), unavailable },
+    );
+  }
+
+  async evacuationsHere(): Promise<messages.EvacuationsAnswer> {
+    const { host, leadership } = this.dependencies;
+    const confirmed = await host.confirmLeadership(true);
+    if (!confirmed) return unavailable('not confirmed by a quorum');
+    const listing = leadership.evacuations.listing(leadership.followers.all());
+    return { kind: 'listed', listing };
+  }
+
   /** Settles a call here if this keeper leads, or else at the leader. */
   private async atLeader<T>(
     { method, content, timeoutMs }: LeaderCall,
@@ -106,7 +167,8 @@
     if (leader === '') return settle.unavailable('no leader is known');
     const answer = await client.call<T>(leader, method, content, { timeoutMs });
     if (answer.ok) return answer.val;
-    link.reportFailure(leader);
+    // A leader of the previous version rejects a method that it doesn't know; it still leads.
+    if (answer.val.kind !== 'rejected') link.reportFailure(leader);
     return settle.unavailable(answer.val.detail);
   }
 }
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -11,6 +11,7 @@
 import type * as logHost from '../replicas/logHost';
 import type * as peerClient from '../rpc/peerClient';
 import * as batchQueue from './batchQueue';
+import * as evacuationCoordinator from './evacuationCoordinator';
 import * as followers from './followers';
 import * as limitCoordinator from './limitCoordinator';
 import * as placer from './placer';
@@ -30,6 +31,8 @@
   now: () => number;
   random: domain.shared.random.Random;
   newestCatalogue: () => domain.catalogue.newestCatalogue.PackedCatalogue | undefined;
+  /** The committed evacuations. */
+  evacuations: () => domain.evacuation.evacuations.EvacuationState;
   /** Called when the known suspect requests change. */
   onSuspects: () => void;
   /** Called when the rate limits of targets change. */
@@ -76,6 +79,8 @@
 
   readonly limits: limitCoordinator.LimitCoordinator;
 
+  readonly evacuations: evacuationCoordinator.EvacuationCoordinator;
+
   /** Number of targets loaded from disk that announced themselves since the last tick. */
   private confirmedTargets = 0;
 
@@ -88,8 +93,15 @@
   constructor(private readonly options: Options) {
     const { client, now, random, observer: observe, fleetState: fleet } = options;
     this.allocator = new domain.allocation.allocator.Allocator(undefined, undefined, fleet.limits);
-    this.followers = new followers.Followers(client, now, (mark) =>
-      this.updates.fullUpdateSince(mark),
+    this.evacuations = new evacuationCoordinator.EvacuationCoordinator(
+      () => options.host.replica.id,
+      options.evacuations,
+    );
+    this.followers = new followers.Followers(
+      client,
+      now,
+      (mark) => this.updates.fullUpdateSince(mark),
+      (revision) => this.evacuations.missingAt(revision),
     );
     this.snapshotThrottle = new snapshotThrottle.SnapshotThrottle(options.linkMbps, now);
     this.updates = new registryUpdates.RegistryUpdates({
@@ -176,7 +188,13 @@
     if (!(await this.options.host.confirmLeadership(isUrgent))) return undefined;
     if (!this.isLeading) this.setLeading(true);
     this.endCanariesOfPreviousProcess(follower);
-    if (!this.isSelf(follower.name)) this.followers.recordPoll(follower);
+    if (!this.isSelf(follower.name)) {
+      this.followers.recordPoll(follower);
+      this.evacuations.recordPoll({
+        replica: follower.replica,
+        evacuationRevision: follower.evacuationRevision,
+      });
+    }
     void this.mergeRecords(registrySnapshots.unpackRecords(follower));
     this.suspects.merge(follower.suspects);
     // A follower on this leader's epoch has missed the end of no limit except those still being pushed, so its report
@@ -185,13 +203,17 @@
     follower.dispatches.forEach(({ request, target }) => {
       this.allocator.restore(request, target, now());
     });
+    const { members } = this.options.host.replica;
     return {
       kind: 'confirmed',
-      keepers: this.options.host.replica.members.map(({ address }) => address),
+      keepers: members.map(({ address }) => address),
       entries: now() - this.leadingSince < ENTRY_DISCOVERY_MS ? 0 : this.followers.entries(),
       lacksTargets: this.shouldSendRecords(follower.name),
       crowding: follower.role === 'entry' ? this.currentAverages() : [],
       news: this.updateFor(follower),
+      ...(follower.role === 'keeper'
+        ? { evacuationReplicas: this.evacuations.informedReplicas(members) }
+        : {}),
     };
   }
 
@@ -280,6 +302,16 @@
     return this.updates.publishCatalogue(edition);
   }
 
+  /** Pushes the evacuations to the followers that lack them. */
+  publishEvacuations(): Promise<void> {
+    return this.updates.publishEvacuations();
+  }
+
+  /** Replicas that may become voters. */
+  spares(): domain.replication.repair.Spare[] {
+    return this.followers.spares().filter(({ id }) => this.evacuations.mayVote(id));
+  }
+
   /** Places a request; a small batch of the requests that arrive together is handled per turn of the event loop. */
   async place(request: messages.PlaceRequest): Promise<messages.PlaceAnswer> {
     const answer = await this.placementQueue.run(() => this.placer.place(request));
@@ -338,10 +370,13 @@
     return this.averages.of;
   }
 
-  private updateFor({ name, version, mark }: messages.FollowRequest): messages.FleetUpdate {
+  private updateFor(follower: messages.FollowRequest): messages.FleetUpdate {
+    const { name, version, mark, evacuationRevision } = follower;
     const newest = this.options.newestCatalogue();
     const edition = newest !== undefined && newest.version > version ? newest : undefined;
-    return { edition, ...this.registryUpdateFor(name, mark) };
+    const evacuations = this.evacuations.missingAt(evacuationRevision);
+    const update = { edition, ...this.registryUpdateFor(name, mark) };
+    return evacuations === undefined ? update : { ...update, evacuations };
   }
 
   private registryUpdateFor(
--- a/packages/daemon/src/keeper/registryUpdates.ts
+++ b/packages/daemon/src/keeper/registryUpdates.ts
@@ -148,8 +148,20 @@
     return pending.done;
   }
 
-  /** Pushes a catalogue, which leaves the registry version unchanged. */
-  async publishCatalogue(edition: domain.catalogue.newestCatalogue.PackedCatalogue): Promise<void> {
+  /** Pushes a catalogue. */
+  publishCatalogue(edition: domain.catalogue.newestCatalogue.PackedCatalogue): Promise<void> {
+    return this.pushUnversioned(edition);
+  }
+
+  /** Pushes the evacuations that followers lack, which each push includes. */
+  publishEvacuations(): Promise<void> {
+    return this.pushUnversioned(undefined);
+  }
+
+  /** Pushes what leaves the registry version unchanged. */
+  private async pushUnversioned(
+    edition: domain.catalogue.newestCatalogue.PackedCatalogue | undefined,
+  ): Promise<void> {
     const { pushedVersion } = this;
     await this.dependencies.push({
       edition,
