--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -2,7 +2,7 @@
  * A keeper: a process with a disk that holds a replica of the log and serves targets and operators. One keeper leads;
  * the others forward to it what they receive and hold a copy of the registry.
  */
-import * as domain from '@celerydrift/domain';
+import type * as domain from '@celerydrift/domain';
 import * as clock from '../clock';
 import * as codecs from '../configuration/codecs';
 import type * as roleSettings from '../configuration/roleSettings';
@@ -21,12 +21,11 @@
 import * as announcementRelay from './announcementRelay';
 import * as catalogueMachine from './catalogueMachine';
 import * as controlServer from './controlServer';
+import * as evacuationOrders from './evacuationOrders';
 import * as leaderCalls from './leaderCalls';
 import * as leadership from './leadership';
 import * as softStateStore from './softStateStore';
 
-type PackedCatalogue = domain.catalogue.newestCatalogue.PackedCatalogue;
-
 export interface Dependencies {
   settings: roleSettings.Settings;
   protocol: protocols.ControlProtocol;
@@ -98,7 +97,7 @@
     const { settings, observer: observe, protocol } = dependencies;
     this.client = peers.clientOf(settings, observe);
     this.server = new peerServer.PeerServer(settings.secret, undefined, observe);
-    this.machine = new catalogueMachine.CatalogueMachine((edition) => this.applyCatalogue(edition));
+    this.machine = new catalogueMachine.CatalogueMachine(() => this.applyCommitted());
     this.fleetState = new fleetState.FleetState({
       protocol,
       observer: observe,
@@ -124,6 +123,8 @@
       depart: (departed) => this.calls.depart(departed),
       submit: (edition) => this.calls.submit(edition),
       newest: () => this.calls.newest(),
+      orders: this.makeOrders(),
+      evacuations: () => this.calls.evacuations(),
     });
   }
 
@@ -177,6 +178,7 @@
       limits: this.fleetState.limits.size,
       suspects: this.fleetState.quarantine.size,
       quarantined: this.fleetState.quarantine.quarantined,
+      evacuations: this.fleetState.evacuations.state.evacuations.length,
     };
   }
 
@@ -204,7 +206,26 @@
       observer: observe,
       readClocks: clock.readClocks,
       dispatches: () => [],
-      onConfirmed: () => undefined,
+      onConfirmed: ({ evacuationReplicas }) => {
+        if (this.host.isLeader) return;
+        this.leadership.evacuations.replaceInformed(evacuationReplicas ?? []);
+      },
+    });
+  }
+
+  private makeOrders(): evacuationOrders.EvacuationOrders {
+    const { settings, observer: observe } = this.dependencies;
+    return new evacuationOrders.EvacuationOrders({
+      isEnabled: settings.evacuationMs > 0,
+      dataCentres: settings.dataCentres,
+      announcedDataCentres: () => [
+        settings.dataCentre,
+        ...this.fleetState.registry.records().map(({ dataCentre }) => dataCentre),
+      ],
+      isEvacuated: (dataCentre) => this.fleetState.evacuations.isEvacuated(dataCentre),
+      submit: (command) => this.calls.evacuate(command),
+      observer: observe,
+      timeOfDay: clock.timeOfDay,
     });
   }
 
@@ -218,6 +239,7 @@
       now: clock.steady,
       random: this.dependencies.random,
       newestCatalogue: () => this.machine.catalogue.newest,
+      evacuations: () => this.machine.evacuations.state,
       onSuspects: () => this.softState.suspectsChanged(),
       onLimits: () => this.softState.limitsChanged(),
       linkMbps: this.dependencies.settings.linkMbps,
@@ -227,9 +249,11 @@
     return leader;
   }
 
-  /** Puts a committed catalogue into force here; the leader pushes it to its followers. */
-  private applyCatalogue(edition: PackedCatalogue): void {
-    this.fleetState.applyCatalogue(edition);
+  /** Puts committed evacuations and catalogues into force here; the leader pushes them to its followers. */
+  private applyCommitted(): void {
+    const { evacuations, catalogue } = this.machine;
+    this.fleetState.applyEvacuations(evacuations.state);
+    if (catalogue.newest !== undefined) this.fleetState.applyCatalogue(catalogue.newest);
   }
 
   private serveMethods(): void {
@@ -251,6 +275,8 @@
       calls.submitHere((content as messages.SubmitRequest).edition),
     );
     server.add('newest', () => calls.newestHere());
+    server.add('evacuate', (content) => calls.evacuateHere(content as messages.EvacuateRequest));
+    server.add('evacuations', () => calls.evacuationsHere());
     server.add('place', (request) => this.place(request as messages.PlaceRequest));
     server.add('ended', (content) => {
       this.leadership.ended(content as messages.FinishedDispatches);
@@ -291,7 +317,7 @@
       deadAfterMs: DEAD_AFTER_MS,
       observer: this.dependencies.observer,
       now: clock.steady,
-      spares: () => this.leadership.followers.spares(),
+      spares: () => this.leadership.spares(),
       recordAudit: () => undefined,
     });
     const duties = (): void => {
