Send nothing that starts work to targets of evacuated data centres

Evacuations reached every process, but nothing used them. Where no other target is left, the request is refused at once with the reason `evacuated`, by the leader also while it waits in the queue. An entry applies no pushed catalogue without evacuations before a leader has answered it.

A request that was withheld was placed again under the same id, so the leader could take the end of the first placement for that of the second one and kept the first one's slot; each placement now has its own id.

--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -104,7 +104,7 @@
   id: '',
   service: 'app',
   address: '',
-  dataCentre: 'dc0',
+  dataCentre: '',
   slots: 8,
   state: 'ready',
   bornAt: 1,
@@ -149,6 +149,8 @@
 
   private readonly quarantine: quarantineClient.QuarantineClient;
 
+  readonly evacuations = new domain.evacuation.evacuations.Evacuations();
+
   private readonly registry = new domain.registry.registry.Registry();
 
   private readonly signals: targetSignals.TargetSignals;
@@ -165,10 +167,10 @@
       spent: () => undefined,
       mayProbe: async () => true,
     };
-    const { registry } = this;
+    const { registry, evacuations } = this;
     const client = new peerClient.PeerClient('secret', undefined, observe);
     this.signals = new targetSignals.TargetSignals({
-      fleetState: { registry, directory: undefined, applyDraining: () => [] },
+      fleetState: { registry, evacuations, directory: undefined, applyDraining: () => [] },
       limits,
       link: { leader: '' },
       client,
@@ -223,7 +225,7 @@
     });
   }
 
-  /** Starts a target for each behavior; targets are selected in this order. */
+  /** Starts a target for each behavior, each in a data centre of its own; targets are selected in this order. */
   static async start(...behaviours: TargetBehaviour[]): Promise<TestHarness> {
     const addresses: string[] = [];
     const harness = new TestHarness(addresses);
@@ -239,7 +241,8 @@
       });
       harness.servers.push(server);
       const address = `127.0.0.1:${await listen(server)}`;
-      harness.registry.announce({ ...RECORD, id: `t${addresses.length}`, address }, 0);
+      const i = addresses.length;
+      harness.registry.announce({ ...RECORD, id: `t${i}`, dataCentre: `dc${i}`, address }, 0);
       addresses.push(address);
     }
     harness.port = await ports.freePort();
--- a/packages/daemon/src/entry/__tests__/targetSelector.test.ts
+++ b/packages/daemon/src/entry/__tests__/targetSelector.test.ts
@@ -127,6 +127,7 @@
       directory: { service: () => SERVICE },
       registry: new domain.registry.registry.Registry(),
       limits: new domain.rateLimits.rateLimits.RateLimits(),
+      evacuations: new domain.evacuation.evacuations.Evacuations(),
       reportableSuspects: () => [],
       applyUpdate: () => true,
     } as unknown as fleetState.FleetState;
--- a/packages/daemon/src/entry/__tests__/targetSignals.test.ts
+++ b/packages/daemon/src/entry/__tests__/targetSignals.test.ts
@@ -60,6 +60,8 @@
 };
 
 class Harness {
+  readonly evacuations = new domain.evacuation.evacuations.Evacuations();
+
   readonly registry = new domain.registry.registry.Registry();
 
   readonly applyDraining = ({ id, bornAt }: { id: string; bornAt: number }): Announcement[] => {
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -21,6 +21,7 @@
 import * as exchange from './exchange';
 import * as ingress from './ingress';
 import * as livenessProbes from './livenessProbes';
+import * as pushedUpdate from './pushedUpdate';
 import * as rateLimitClient from './rateLimitClient';
 import * as targetClient from './targetClient';
 import * as targetSignals from './targetSignals';
@@ -180,7 +181,10 @@
   async start(): Promise<void> {
     const { settings } = this.dependencies;
     this.server.add('learn', (update) => {
-      this.fleetState.applyUpdate(update as messages.FleetUpdate);
+      const wasConfirmed = Number.isFinite(this.link.confirmationAgeMs);
+      this.fleetState.applyUpdate(
+        pushedUpdate.usablePart(update as messages.FleetUpdate, wasConfirmed),
+      );
       return { mark: this.fleetState.registryVersion } satisfies messages.UpdateAck;
     });
     await this.server.listen(settings.peers);
@@ -223,6 +227,7 @@
       targets: this.fleetState.registry.records().length,
       limits: this.fleetState.limits.size,
       backingOff: this.signals.backingOff,
+      evacuations: this.fleetState.evacuations.size,
       suspects: this.fleetState.quarantine.size,
       quarantined: this.fleetState.quarantine.quarantined,
       activeRequests: this.ingress.activeRequests,
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -32,7 +32,7 @@
   targets: targetClient.TargetClient;
   liveness: Pick<livenessProbes.LivenessProbes, 'isAlive'>;
   limits: Pick<rateLimitClient.RateLimitClient, 'spent'>;
-  signals: Pick<targetSignals.TargetSignals, 'unavailable' | 'backOffMs'>;
+  signals: Pick<targetSignals.TargetSignals, 'unavailable' | 'backOffMs' | 'hasEvacuations'>;
   quarantine: Pick<quarantineClient.QuarantineClient, 'permit' | 'checkForCrash' | 'isQuarantined'>;
   budgets: domain.request.repeatBudget.RepeatBudgets;
   observer: observer.Observer;
@@ -79,12 +79,19 @@
   full: 'no target has a free slot',
   limited: 'rate limits of the targets allow no request in time',
   unavailable: 'all targets are unavailable to this VM',
+  evacuated: 'all targets are in evacuated data centres',
 };
 
 /** Retries of a memory reservation for a prompt larger than one engine, and the pause between them, milliseconds. */
 const MAX_RESERVATION_RETRIES = 5;
 const RESERVATION_RETRY_MS = 200;
 
+/**
+ * Pause before a request that was withheld repeatedly during an evacuation is placed again, milliseconds. A leader that
+ * doesn't know the order yet places it where it can't be sent; updates take a few round trips, or up to a poll interval.
+ */
+const WITHHELD_RETRY_MS = 100;
+
 export class Exchange {
   private readonly deadline: number;
 
@@ -106,6 +113,9 @@
 
   private reservationRetries = 0;
 
+  /** Attempts that were withheld from their targets. */
+  private withheldAttempts = 0;
+
   private attempt: targetClient.Attempt | undefined;
 
   /** Target of the current attempt. */
@@ -250,8 +260,7 @@
   /** Whether the request is attempted again after this outcome; otherwise its caller gets the final response. */
   private async shouldRetry(service: string, outcome: Outcome): Promise<boolean> {
     if (outcome.kind === 'answered' || this.isOver) return false;
-    // The target became unavailable between its selection and the attempt; the next selection excludes it.
-    if (outcome.kind === 'withheld') return true;
+    if (outcome.kind === 'withheld') return this.placeAgain();
     if (outcome.kind === 'noMemory' && this.reservationRetries < MAX_RESERVATION_RETRIES) {
       this.reservationRetries += 1;
       await clock.sleep(RESERVATION_RETRY_MS);
@@ -269,6 +278,15 @@
     return true;
   }
 
+  /** The target became unavailable between its selection and the attempt; the next selection excludes it. */
+  private async placeAgain(): Promise<boolean> {
+    this.withheldAttempts += 1;
+    if (this.withheldAttempts > 1 && this.dependencies.signals.hasEvacuations) {
+      await clock.sleep(WITHHELD_RETRY_MS);
+    }
+    return !this.isOver;
+  }
+
   /**
    * Refuses a quarantined request, which crashed three targets, or one whose copy makes a canary run. The first has
    * run, if under another id, so a 503 would be false, and its caller would send it again. The second hasn't run, so a
@@ -292,8 +310,10 @@
     const { facts, route } = this.admitted;
     const maxAnswerTokens = facts.maxAnswerTokens ?? Infinity;
     const answerTokens = Math.min(maxAnswerTokens, facts.likelyAnswerTokens ?? maxAnswerTokens);
+    // Each placement has its own id: the leader gets the end of one after it has placed the next.
+    const retries = this.reservationRetries + this.withheldAttempts;
     return this.dependencies.selector.choose({
-      id: `${facts.requestId}/${this.attempts.targets.length}.${this.reservationRetries}`,
+      id: `${facts.requestId}/${this.attempts.targets.length}.${retries}`,
       service,
       tokens: facts.promptTokens ?? 0,
       answerTokens: Number.isFinite(answerTokens) ? answerTokens : 0,
@@ -353,6 +373,7 @@
         target: placement.target,
         address: placement.address,
         purpose: 'request',
+        helpers: placement.helpers.map(({ target }) => target),
         requestId: this.admitted.facts.requestId,
         method: request.method ?? 'GET',
         path: request.url ?? '/',
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -44,6 +44,8 @@
   target: string;
   address: string;
   purpose: MessagePurpose;
+  /** Ids of the prefill helpers that get a part of the request from the target; absent where there are none. */
+  helpers?: readonly string[];
   /** Id of the caller's request, which its response repeats; undefined for messages that this daemon originates. */
   requestId?: string;
   method: string;
--- a/packages/daemon/src/entry/targetSelector.ts
+++ b/packages/daemon/src/entry/targetSelector.ts
@@ -51,9 +51,10 @@
 export type Release = (outcome: DispatchOutcome, observed?: DispatchObservations) => void;
 
 /**
- * Why there is no placement; `unavailable` if all targets are in back-off, draining or out of connections for this VM.
+ * Why there is no placement; `unavailable` if all targets are in back-off, draining or out of connections for this VM,
+ * `evacuated` if all that would accept the request are in evacuated data centres.
  */
-export type NoPlaceReason = 'full' | 'limited' | 'unavailable';
+export type NoPlaceReason = 'full' | 'limited' | 'unavailable' | 'evacuated';
 
 /** No target can take the request; `reason` is absent for the usual one, that all targets are full or gone. */
 interface NoPlace {
@@ -133,6 +134,12 @@
  */
 const RETRY_AFTER_JITTER = 0.5;
 
+/**
+ * Retry-After where all targets are evacuated, milliseconds: the longest that callers get otherwise, as nobody knows
+ * when the evacuation ends.
+ */
+const EVACUATED_RETRY_MS = RETRY_AFTER_MS.max;
+
 /** Retry-After where the service has no target, milliseconds. */
 const NO_TARGET_RETRY_MS = 500;
 
@@ -152,6 +159,7 @@
   constructor(private readonly options: Options) {
     const { random, fleetState: state } = options;
     this.fallback = new domain.allocation.allocator.Allocator(random, undefined, state.limits);
+    this.fallback.setEvacuated((name) => state.evacuations.isEvacuated(name));
   }
 
   get dispatches(): messages.RunningDispatch[] {
@@ -179,12 +187,12 @@
 
   /**
    * Time until a target of the service accepts requests from this VM, milliseconds; 0 if one does or if there is none.
+   * Where all are evacuated, the time after which a caller may ask again.
    */
   unavailableForMs(service: string): number {
-    return this.untilAvailableMs(
-      { service, excluded: [] },
-      this.options.signals.unavailable(service),
-    );
+    const unavailable = this.options.signals.unavailable(service);
+    const waitMs = this.untilAvailableMs({ service, excluded: [] }, unavailable);
+    return Number.isFinite(waitMs) ? waitMs : EVACUATED_RETRY_MS;
   }
 
   /** Waits for a target that accepts requests from this VM, unless all stay unavailable beyond the deadline. */
@@ -199,15 +207,20 @@
       if (waitMs === 0)
         return { kind: 'available', excluded: [...request.excluded, ...unavailable] };
       if (now() + waitMs > until) {
+        const isEvacuated = waitMs === Infinity;
         const jitter = 1 + RETRY_AFTER_JITTER * random.uniform();
-        const retryAfterMs = Math.round(Math.max(RETRY_AFTER_MS.min, waitMs) * jitter);
-        return { kind: 'noPlace', retryAfterMs, reason: 'unavailable' };
+        const leastMs = isEvacuated ? EVACUATED_RETRY_MS : Math.max(RETRY_AFTER_MS.min, waitMs);
+        const retryAfterMs = Math.round(leastMs * jitter);
+        return { kind: 'noPlace', retryAfterMs, reason: isEvacuated ? 'evacuated' : 'unavailable' };
       }
       await clock.sleep(Math.max(MIN_WAIT_MS, waitMs));
     }
   }
 
-  /** Time until a candidate target becomes available, milliseconds; 0 if one is or if there is none. */
+  /**
+   * Time until a candidate target becomes available, milliseconds; 0 if one is or if there is none, infinite if all are
+   * evacuated.
+   */
   private untilAvailableMs(
     { service, excluded, writers }: Pick<PlacementRequest, 'service' | 'excluded' | 'writers'>,
     unavailable: readonly string[],
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -1,7 +1,7 @@
 /**
  * Handles the signals that targets give in their responses: back-off, rate limits and draining. Every message to a
- * target passes here twice: before it is sent, as the target may be unavailable, and when the head of its response
- * arrives.
+ * target passes here twice: before it is sent, as the target may be unavailable or in an evacuated data centre, and
+ * when the head of its response arrives.
  *
  * Only a response to the message itself, from the addressed lifetime, counts as a signal of the target. A response to
  * another request, or one that is neither signed nor a guarantee that the request didn't run, is ignored.
@@ -20,7 +20,10 @@
 type Lifetime = domain.quarantine.crashedLifetimes.Lifetime;
 
 export interface Dependencies extends leaderCall.Dependencies {
-  fleetState: Pick<fleetState.FleetState, 'registry' | 'directory' | 'applyDraining'>;
+  fleetState: Pick<
+    fleetState.FleetState,
+    'registry' | 'directory' | 'evacuations' | 'applyDraining'
+  >;
   limits: Pick<rateLimitClient.RateLimitClient, 'answered'>;
   observer: observer.Observer;
   now: () => number;
@@ -76,7 +79,9 @@
   admit(message: targetClient.TargetMessage): targetClient.DeliveryCallbacks | undefined {
     const { now } = this.dependencies;
     const { target, purpose } = message;
-    if (!this.accepts(target, purpose)) {
+    const evacuated = this.evacuatedOf(message);
+    if (evacuated !== undefined) this.logEvacuated(message, evacuated);
+    if (evacuated !== undefined || !this.accepts(target, purpose)) {
       this.dependencies.observer.count(`messages.withheld.${purpose}`);
       return undefined;
     }
@@ -100,10 +105,17 @@
       ...this.draining.keys(),
       ...this.activeMessages.keys(),
     ]);
-    return [...ids].filter((id) => {
+    const unavailable = [...ids].filter((id) => {
       const isOfService = registry.get(id)?.service === service;
       return isOfService && !this.accepts(id, 'request');
     });
+    if (!this.hasEvacuations) return unavailable;
+    const ready = registry.ready(service).map(({ id }) => id);
+    return [...new Set([...unavailable, ...ready.filter((id) => this.isEvacuated(id))])];
+  }
+
+  get hasEvacuations(): boolean {
+    return this.dependencies.fleetState.evacuations.size > 0;
   }
 
   /** Remaining back-off of a target, milliseconds; 0 if it asked for none or it has expired. */
@@ -111,8 +123,9 @@
     return this.backOffs.waitMs(target, this.dependencies.now());
   }
 
-  /** Time until an unavailable target may accept a request, milliseconds. */
+  /** Time until an unavailable target may accept a request, milliseconds; infinite during an evacuation. */
   waitMs(target: string): number {
+    if (this.isEvacuated(target)) return Infinity;
     return Math.max(CANARY_RESULT_WAIT_MS, this.backOffMs(target));
   }
 
@@ -142,10 +155,38 @@
     this.drainReports.close();
   }
 
+  /** The target that keeps a message from being sent, as its data centre is evacuated: the recipient or a helper. */
+  private evacuatedOf({
+    target,
+    purpose,
+    helpers = [],
+  }: targetClient.TargetMessage): string | undefined {
+    if (!startsWork(purpose) || !this.hasEvacuations) return undefined;
+    return [target, ...helpers].find((id) => this.isEvacuated(id));
+  }
+
+  /** During an evacuation, a target whose data centre isn't known here counts as evacuated. */
+  private isEvacuated(target: string): boolean {
+    if (!this.hasEvacuations) return false;
+    const { registry, evacuations } = this.dependencies.fleetState;
+    const dataCentre = registry.get(target)?.dataCentre;
+    return dataCentre === undefined || evacuations.isEvacuated(dataCentre);
+  }
+
+  private logEvacuated(
+    { target, purpose, requestId: request }: targetClient.TargetMessage,
+    evacuated: string,
+  ): void {
+    const { observer: observe, fleetState: state } = this.dependencies;
+    const dataCentre = state.registry.get(evacuated)?.dataCentre;
+    observe.count(`messages.evacuated.${purpose}`);
+    observe.log('messageEvacuated', { request, target, purpose, evacuated, dataCentre });
+  }
+
   private accepts(target: string, purpose: targetClient.MessagePurpose): boolean {
     const now = this.dependencies.now();
     // A draining target still gets checks, and upkeep of the requests that run there and of their memory.
-    const isNew = purpose === 'request' || purpose === 'order';
+    const isNew = startsWork(purpose);
     if (isNew && (this.isDraining(target) || !this.hasFreeConnection(target))) return false;
     if (purpose === 'upkeep') return this.backOffs.mayReceiveUpkeep(target, now);
     return this.backOffs.mayReceiveRequest(target, now);
@@ -245,6 +286,11 @@
   }
 }
 
+/** Whether a message makes its target begin something, rather than serving what runs there already. */
+function startsWork(purpose: targetClient.MessagePurpose): boolean {
+  return purpose === 'request' || purpose === 'order';
+}
+
 /** Whether a response belongs to the message and comes from the addressed lifetime. */
 function isFromTarget(
   { requestId = '' }: targetClient.TargetMessage,
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -162,7 +162,12 @@
 
 export type PlaceAnswer =
   | { kind: 'placed'; placement: domain.allocation.allocator.Placement }
-  | { kind: 'noPlace'; retryAfterMs: number }
+  | {
+      kind: 'noPlace';
+      retryAfterMs: number;
+      /** Absent where all engines are full or gone, and from a leader that doesn't know evacuations. */
+      reason?: 'evacuated';
+    }
   | Redirect;
 
 export interface FinishedDispatch {
--- a/packages/daemon/src/keeper/__tests__/placer.test.ts
+++ b/packages/daemon/src/keeper/__tests__/placer.test.ts
@@ -151,3 +151,44 @@
     ]);
   });
 });
+
+describe('placement during evacuations', () => {
+  /** Guards against requests that wait until their callers leave for engines of an evacuated data centre. */
+  it('refuses waiting and new requests at once where all engines are evacuated', () => {
+    let now = 0;
+    let isEvacuated = false;
+    const allocator = new domain.allocation.allocator.Allocator();
+    allocator.setServices([{ name: 's', healthPath: '/', maxConnections: 200, engine: ENGINE }]);
+    allocator.setEvacuated(() => isEvacuated);
+    const location = { service: 's', address: '10.0.0.1:80', dataCentre: 'east' };
+    allocator.observe({ id: 't', ...location, bornAt: 1, slots: 1, state: 'ready', sequence: 1 });
+    const timers: (() => void)[] = [];
+    const tested = new placer.Placer({
+      allocator,
+      clock: { now: () => now, after: (_ms, action) => timers.push(action) },
+      random: random.seeded(1),
+      onRefused: ({ request: { id }, reason }) => results.push([now, id, reason]),
+    });
+    const results: unknown[] = [];
+    const place = (id: string): void => {
+      const prompt = { id, entry: 'e', service: 's', tokens: 1_000, answerTokens: 100 };
+      const limits = { objectiveMs: 300, pauseMs: 250, waitedMs: 0, patienceMs: 2_000 };
+      const request = { ...prompt, ...limits, dataCentre: 'east', excluded: [] };
+      tested.placeWithCallback(request, (answer) => results.push([now, id, answer.kind]));
+    };
+    tested.open();
+    ['running', 'waiting'].forEach(place);
+    isEvacuated = true;
+    now = 10;
+    timers.shift()?.();
+    place('new');
+    expect(results).to.deep.equal([
+      [0, 'running', 'placed'],
+      [10, 'waiting', 'evacuated'],
+      [10, 'waiting', 'noPlace'],
+      [10, 'new', 'evacuated'],
+      [10, 'new', 'noPlace'],
+    ]);
+    expect(timers).to.deep.equal([]);
+  });
+});
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -222,6 +222,7 @@
       onLimits: () => this.softState.limitsChanged(),
       linkMbps: this.dependencies.settings.linkMbps,
     });
+    leader.allocator.setEvacuated((name) => this.fleetState.evacuations.isEvacuated(name));
     const { directory } = this.fleetState;
     if (directory !== undefined) leader.allocator.setServices(directory.catalogue.services);
     return leader;
--- a/packages/daemon/src/keeper/placer.ts
+++ b/packages/daemon/src/keeper/placer.ts
@@ -8,12 +8,21 @@
 
 type Placement = domain.allocation.allocator.Placement;
 
+/** A result that ends the wait of a request. */
+type Settlement = Exclude<
+  domain.allocation.allocator.PlacementResult,
+  { kind: 'full' } | { kind: 'later' }
+>;
+
+/** Why a request can't be placed, if not because all engines are full; the entry reports it in its log. */
+export type RefusalReason = 'evacuated';
+
 /** A prompt, and how long its caller's entry waits for a placement, in milliseconds. */
 export type Request = domain.allocation.allocator.Request & { patienceMs: number };
 
 export type Answer =
   | { kind: 'placed'; placement: Placement }
-  | { kind: 'noPlace'; retryAfterMs: number }
+  | { kind: 'noPlace'; retryAfterMs: number; reason?: RefusalReason }
   /** This placer was closed: it no longer leads. */
   | { kind: 'closed' };
 
@@ -29,6 +38,8 @@
   /** Time until the engines' rate limits admit one more request, in milliseconds; 0 if some engine has no limit. */
   limitedForMs: number;
   retryAfterMs: number;
+  /** Absent where all engines were full or gone. */
+  reason?: RefusalReason;
 }
 
 export interface Dependencies {
@@ -88,11 +99,11 @@
 interface PendingRequest {
   request: Request;
   since: number;
-  settle: (placement: Placement | undefined) => void;
+  settle: (result: Settlement | undefined) => void;
 }
 
 export class Placer {
-  private readonly queue = new waitQueue.WaitQueue<Placement>();
+  private readonly queue = new waitQueue.WaitQueue<Settlement>();
 
   private isOpen = false;
 
@@ -121,9 +132,9 @@
   /** Callback variant of `place`, for virtual clocks that can't drive promises. */
   placeWithCallback(request: Request, answer: (answer: Answer) => void): void {
     const since = this.now;
-    const settle = (placement: Placement | undefined): void => {
-      if (placement !== undefined) answer({ kind: 'placed', placement });
-      else if (this.isOpen) answer(this.refuse(request, this.now - since));
+    const settle = (result: Settlement | undefined): void => {
+      if (result?.kind === 'placed') answer(result);
+      else if (this.isOpen) answer(this.refuse(request, this.now - since, result?.kind));
       else answer({ kind: 'closed' });
     };
     this.tryPlace({ request, since, settle });
@@ -168,9 +179,9 @@
     const waitedMs = request.waitedMs + now - since;
     const mayWait = now - since < request.patienceMs;
     const result = this.dependencies.allocator.choose({ ...request, waitedMs }, now, mayWait);
-    if (result.kind === 'placed') settle(result.placement);
-    else if (result.kind === 'full') this.enqueue(pending);
-    else this.defer(pending, result.inMs);
+    if (result.kind === 'full') this.enqueue(pending);
+    else if (result.kind === 'later') this.defer(pending, result.inMs);
+    else settle(result);
   }
 
   private defer(pending: PendingRequest, suggestedMs: number): void {
@@ -185,10 +196,11 @@
       settle(undefined);
       return;
     }
-    const attempt = (): Placement | undefined => {
+    const attempt = (): Settlement | undefined => {
       const { now } = this;
       const waitedMs = request.waitedMs + now - since;
-      return this.dependencies.allocator.place({ ...request, waitedMs }, now);
+      const result = this.dependencies.allocator.choose({ ...request, waitedMs }, now, false);
+      return result.kind === 'full' || result.kind === 'later' ? undefined : result;
     };
     const until = since + request.patienceMs;
     const inTimeUntil = since + START_BY_SHARE * request.objectiveMs - request.waitedMs;
@@ -204,7 +216,7 @@
     return this.dependencies.allocator.limitedForMs(service, this.queue.length, this.now);
   }
 
-  private refuse(request: Request, waitedMs: number): Answer {
+  private refuse(request: Request, waitedMs: number, reason?: RefusalReason): Answer {
     const { min, max } = RETRY_AFTER_MS;
     const limitedForMs = this.limitedForMs(request.service);
     const nextAvailableMs = this.dependencies.allocator.nextAvailableMs(request.service, this.now);
@@ -216,7 +228,7 @@
     const delayMs = Math.max(min, predictedMs, waitFactor * waitedMs);
     const retryAfterMs = Math.round(Math.min(max, delayMs));
     const waiting = this.queue.length;
-    this.dependencies.onRefused({ request, waitedMs, waiting, limitedForMs, retryAfterMs });
-    return { kind: 'noPlace', retryAfterMs };
+    this.dependencies.onRefused({ request, waitedMs, waiting, limitedForMs, retryAfterMs, reason });
+    return { kind: 'noPlace', retryAfterMs, reason };
   }
 }
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -95,6 +95,11 @@
     text: 'suspicion of a request cleared or reduced',
   },
   quarantineRecalled: { number: 5017, level: 'info', text: 'quarantine loaded from disk' },
+  messageEvacuated: {
+    number: 5018,
+    level: 'info',
+    text: 'message to an evacuated target not sent',
+  },
   claimUnknown: {
     number: 5101,
     level: 'warn',
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -52,7 +52,10 @@
 }
 
 export type PlacementResult =
-  { kind: 'placed'; placement: Placement } | Exclude<planner.Decision, { kind: 'begin' }>;
+  | { kind: 'placed'; placement: Placement }
+  | Exclude<planner.Decision, { kind: 'begin' }>
+  /** All engines that the request may use are in evacuated data centres; waiting is in vain. */
+  | { kind: 'evacuated' };
 
 /** What an entry observed of a dispatch beside its outcome. */
 export interface DispatchObservations {
@@ -105,6 +108,8 @@
   /** Average load reported by the leader, by service; assumed on each engine. */
   private readonly averageLoads = new Map<string, assumedLoad.AverageLoad>();
 
+  private isEvacuated: (dataCentre: string) => boolean = () => false;
+
   /**
    * `randomSource` is for an allocator that sees only part of all dispatches: it shuffles the
    * candidates, so that ties are broken randomly. Otherwise all entries that lost the leader chose
@@ -153,13 +158,18 @@
     else if (engine !== undefined) this.replaceLoad(this.createLoad(engine, record));
   }
 
+  /**
+   * Excludes the engines of evacuated data centres from new placements; their running dispatches
+   * stay counted. The function is called for each decision, so it may change its answers.
+   */
+  setEvacuated(isEvacuated: (dataCentre: string) => boolean): void {
+    this.isEvacuated = isEvacuated;
+  }
+
   /** Average load of the engines of each service, for allocators that see only part of it. */
   averageLoadByService(): assumedLoad.AverageLoad[] {
     return [...this.engines.keys()].map((name) => {
-      const ready = this.cellsOf(name)
-        .all()
-        .filter(({ record }) => record.state === 'ready');
-      return assumedLoad.averageLoadOf(name, ready);
+      return assumedLoad.averageLoadOf(name, this.openEngines(name));
     });
   }
 
@@ -184,6 +194,7 @@
     const decision =
       this.decideNearby(enginePlanner, request, { ...scope, all: usable }, now) ??
       enginePlanner.decide(request, usable, now, mayWait);
+    if (decision.kind === 'full' && this.isEvacuatedFor(request)) return { kind: 'evacuated' };
     if (decision.kind !== 'begin') return decision;
     const { plan } = decision;
     this.recordDispatch(request, plan, now);
@@ -198,7 +209,7 @@
    * engines that the request is bound to (`writers`).
    */
   private candidateScope({ service, dataCentre, writers = [] }: Request): cells.Scope {
-    const scope = this.cellsOf(service).scope(dataCentre);
+    const scope = this.cellsOf(service).scope(dataCentre, this.isEvacuated);
     const bound = writers.flatMap((id) => this.loads.get(id) ?? []);
     return { ...scope, all: [...new Set([...scope.all, ...bound])] };
   }
@@ -237,10 +248,9 @@
    * the slot.
    */
   nextAvailableMs(service: string, now: number): number {
-    const waits = this.cellsOf(service)
-      .all()
-      .filter(({ record }) => record.state === 'ready')
-      .map((each) => each.pendingPrefillMs(now) + each.engineStepMs());
+    const waits = this.openEngines(service).map(
+      (each) => each.pendingPrefillMs(now) + each.engineStepMs(),
+    );
     return Math.min(Infinity, ...waits);
   }
 
@@ -250,11 +260,8 @@
    */
   limitedForMs(service: string, ahead: number, now: number): number {
     if (this.limits.size === 0) return 0;
-    const ready = this.cellsOf(service)
-      .all()
-      .map(({ record }) => record)
-      .filter(({ state }) => state === 'ready');
-    return this.limits.waitMs(ready, ahead, now);
+    const records = this.openEngines(service).map(({ record }) => record);
+    return this.limits.waitMs(records, ahead, now);
   }
 
   /** Restores a dispatch that another allocator made, assuming that its prefill is over. */
@@ -336,9 +343,11 @@
     candidates: readonly load.Load[],
     now: number,
   ): load.Load[] {
+    // During an evacuation an entry excludes hundreds of targets.
+    const excludedIds = new Set(excluded);
     const ready = candidates.filter(({ record }) => {
-      const isReady = record.state === 'ready' && !excluded.includes(record.id);
-      return isReady && this.limits.maySend(record, now);
+      const isOpen = this.isOpen(record) && !excludedIds.has(record.id);
+      return isOpen && this.limits.maySend(record, now);
     });
     const healthy = ready.filter((each) => each.health.isUsable(now, each.decodingCount === 0));
     const available = healthy.length > 0 ? healthy : ready;
@@ -350,6 +359,28 @@
       : random.shuffled(this.randomSource, eligible);
   }
 
+  /** Whether a target takes new requests: it is ready, and its data centre isn't evacuated. */
+  private isOpen({ state, dataCentre }: registry.Announcement): boolean {
+    return state === 'ready' && !this.isEvacuated(dataCentre);
+  }
+
+  private openEngines(service: string): load.Load[] {
+    return this.cellsOf(service)
+      .all()
+      .filter(({ record }) => this.isOpen(record));
+  }
+
+  /** Whether evacuations leave the request no engine, though some are ready. */
+  private isEvacuatedFor({ service, excluded, writers }: Request): boolean {
+    const ready = this.cellsOf(service)
+      .all()
+      .filter(({ record }) => {
+        return record.state === 'ready' && writers?.includes(record.id) !== false;
+      });
+    if (!ready.some(({ record }) => this.isEvacuated(record.dataCentre))) return false;
+    return !ready.some(({ record }) => this.isOpen(record) && !excluded.includes(record.id));
+  }
+
   private recordDispatch(
     request: Request,
     {
--- a/packages/domain/src/allocation/cells.ts
+++ b/packages/domain/src/allocation/cells.ts
@@ -83,15 +83,15 @@
     return [...this.engines];
   }
 
-  /** Candidates for a prompt from a data centre. */
-  scope(dataCentre: string): Scope {
+  /** Candidates for a prompt from a data centre; cells of evacuated data centres aren't among them. */
+  scope(dataCentre: string, isEvacuated: (name: string) => boolean): Scope {
     if (this.size <= MAX_SINGLE_CELL_ENGINES) return { first: undefined, all: this.all() };
     this.nextCell += 1;
-    const own = this.dataCentres.get(dataCentre)?.cells ?? [];
-    const others = [...this.dataCentres]
-      .filter(([name]) => name !== dataCentre)
-      .flatMap(([, { cells }]) => cells);
+    const open = [...this.dataCentres].filter(([name]) => !isEvacuated(name));
+    const own = open.filter(([name]) => name === dataCentre).flatMap(([, { cells }]) => cells);
+    const others = open.filter(([name]) => name !== dataCentre).flatMap(([, { cells }]) => cells);
     const nearby = own.length > 0 ? own : others;
+    if (nearby.length === 0) return { first: undefined, all: [] };
     // Power of two choices: the less loaded of two cells spreads prompts nearly as evenly as the
     // least loaded of all, at a bounded cost.
     const pair = [
--- a/packages/domain/src/evacuation/evacuations.ts
+++ b/packages/domain/src/evacuation/evacuations.ts
@@ -36,6 +36,10 @@
     return { revision: this.currentRevision, evacuations: [...this.inForce.values()] };
   }
 
+  get size(): number {
+    return this.inForce.size;
+  }
+
   isEvacuated(dataCentre: string): boolean {
     return this.inForce.has(dataCentre);
   }
