Test entries during evacuations, and release no withheld reservation

The targets of the entry's test harness have a data centre each, and small fleets may spread theirs.

--- a/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
@@ -61,6 +61,7 @@
   name: string;
   service: string;
   port: number;
+  dataCentre: string;
   announce: (record: domain.registry.registry.Announcement) => Promise<void>;
   onMessage: (message: Message) => void;
   onBackOffResponse: (response: BackOffResponse) => void;
@@ -229,14 +230,14 @@
 
   private async announce(): Promise<void> {
     this.sequence += 1;
-    const { service, port } = this.options;
+    const { service, port, dataCentre } = this.options;
     await this.options
       .announce({
         id: this.id,
         bornAt: this.lifetime,
         service,
         address: `127.0.0.1:${port}`,
-        dataCentre: 'dc0',
+        dataCentre,
         slots: 8,
         state: 'ready',
         sequence: this.sequence,
--- a/packages/daemon/src/__tests__/__fixtures__/fleetPool.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/fleetPool.ts
@@ -14,9 +14,11 @@
   private stopping: Promise<void>[] = [];
 
   /** Registers the hooks of a suite that needs `counts` fleets of each service. */
-  constructor(counts: Record<smallFleet.Service, number>) {
+  constructor(counts: Record<smallFleet.Service, number>, dataCentres?: readonly string[]) {
     const startAll = (service: smallFleet.Service): Promise<smallFleet.SmallFleet>[] => {
-      return Array.from({ length: counts[service] }, () => smallFleet.SmallFleet.start(service));
+      return Array.from({ length: counts[service] }, () =>
+        smallFleet.SmallFleet.start(service, dataCentres),
+      );
     };
     before(async () => {
       this.available = { engines: startAll('engines'), plain: startAll('plain') };
--- a/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
@@ -10,11 +10,15 @@
 import type * as protocols from '../../edges/protocols';
 import * as entry from '../../entry/entry';
 import * as entryHarness from '../../entry/__tests__/__fixtures__/harness';
+import * as messages from '../../fleet/messages';
 import * as keeper from '../../keeper/keeper';
 import * as observer from '../../observability/observer';
+import * as peerClient from '../../rpc/peerClient';
 import * as crashableTarget from './crashableTarget';
 import * as ports from './ports';
 
+const SECRET = 'a-secret-of-the-test';
+
 const KEEPERS = 3;
 export const ENTRIES = 3;
 const TARGETS = 8;
@@ -160,6 +164,8 @@
 
   private requestCount = 0;
 
+  private evacuationRevision = 0;
+
   private constructor(
     private readonly folder: string,
     private readonly listenPorts: Record<
@@ -168,7 +174,11 @@
     >,
   ) {}
 
-  static async start(service: Service): Promise<SmallFleet> {
+  /** Starts a fleet whose targets are in these data centres in turn; its entries are in `dc0`. */
+  static async start(
+    service: Service,
+    dataCentres: readonly string[] = ['dc0'],
+  ): Promise<SmallFleet> {
     const folder = await fs.mkdtemp(path.join(os.tmpdir(), 'fleet-'));
     const freePorts = async (count: number): Promise<number[]> => {
       const found: number[] = [];
@@ -186,7 +196,7 @@
     await until('a leader', () => fleet.leader >= 0);
     await until('a catalogue', () => fleet.submitCatalogue());
     for (let i = 0; i < ENTRIES; i++) await fleet.startEntry(i);
-    await fleet.startTargets(service);
+    await fleet.startTargets(service, dataCentres);
     await until('all targets at all entries', () => fleet.entriesKnowAllTargets());
     await clock.sleep(RETRY_BUDGET_SYNC_MS);
     return fleet;
@@ -334,6 +344,25 @@
     return Promise.all(replies);
   }
 
+  /** Puts these evacuations into force at all keepers and entries, by a push as a leader sends it. */
+  async evacuate(...dataCentres: string[]): Promise<void> {
+    this.evacuationRevision += 1;
+    const evacuations: domain.evacuation.evacuations.EvacuationState = {
+      revision: this.evacuationRevision,
+      evacuations: dataCentres.map((each) => {
+        return { dataCentre: each, startedAt: 0, requestedBy: 'test' };
+      }),
+    };
+    const client = new peerClient.PeerClient(SECRET, undefined, this.observer);
+    const changes = { records: [], suspects: [], limits: [], edition: undefined };
+    const version = { mark: messages.NO_VERSION, since: messages.NO_VERSION };
+    const update: messages.FleetUpdate = { ...version, ...changes, evacuations };
+    await Promise.all(
+      this.listenPorts.peers.map((port) => client.call(`127.0.0.1:${port}`, 'learn', update)),
+    );
+    client.close();
+  }
+
   /** Requests with this body that targets started to run. */
   arrivalsWithBody(body: string): crashableTarget.Arrival[] {
     return this.arrivals.filter((each) => each.body === body);
@@ -341,7 +370,7 @@
 
   private settings(text: string): roleSettings.Settings {
     const seeds = this.listenPorts.peers.slice(0, KEEPERS).map((port) => `127.0.0.1:${port}`);
-    const common = `[keepers]\nseeds = ${seeds.join(',')}\nsecret = a-secret-of-the-test\n`;
+    const common = `[keepers]\nseeds = ${seeds.join(',')}\nsecret = ${SECRET}\n`;
     const read = roleSettings.read(`[daemon]${text}${common}`);
     if (read.err) throw new Error(JSON.stringify(read.val));
     return read.val;
@@ -351,12 +380,13 @@
     return this.sendToKeeper('PUT', '/catalogue', CATALOGUE);
   }
 
-  private async startTargets(service: Service): Promise<void> {
+  private async startTargets(service: Service, dataCentres: readonly string[]): Promise<void> {
     for (let i = 0; i < TARGETS; i++) {
       const target = new crashableTarget.CrashableTarget({
         name: `t${i}`,
         service,
         port: this.listenPorts.targets[i],
+        dataCentre: dataCentres[i % dataCentres.length],
         announce: async (record) => {
           await this.sendToKeeper('PUT', `/${record.id}`, record);
         },
--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -137,6 +137,12 @@
   /** Thrown by the selector, if set. */
   placementError: Error | undefined;
 
+  /** Helper of each placement: the first of these targets that is available. */
+  helper: { keptTokens: number; ids: string[] } = { keptTokens: 0, ids: [] };
+
+  /** Whether the selector knows nothing of unavailable targets. */
+  isLeaderBehind = false;
+
   isFresh = true;
 
   hasCatalogue = true;
@@ -145,6 +151,8 @@
 
   port = 0;
 
+  private readonly messageCounts: number[] = [];
+
   private readonly servers: net.Server[] = [];
 
   private readonly quarantine: quarantineClient.QuarantineClient;
@@ -229,11 +237,12 @@
   static async start(...behaviours: TargetBehaviour[]): Promise<TestHarness> {
     const addresses: string[] = [];
     const harness = new TestHarness(addresses);
-    for (const behave of behaviours) {
+    for (const [i, behave] of behaviours.entries()) {
       const server = net.createServer((socket) => {
         socket.on('error', () => undefined);
         socket.on('data', (data) => {
           const text = data.toString();
+          harness.messageCounts[i] = harness.messagesTo(i) + 1;
           if (text.includes(REPORT_PATH)) harness.probes += 1;
           else harness.received.push(text);
           behave(text, socket);
@@ -241,7 +250,6 @@
       });
       harness.servers.push(server);
       const address = `127.0.0.1:${await listen(server)}`;
-      const i = addresses.length;
       harness.registry.announce({ ...RECORD, id: `t${i}`, dataCentre: `dc${i}`, address }, 0);
       addresses.push(address);
     }
@@ -250,6 +258,11 @@
     return harness;
   }
 
+  /** Number of messages of any kind that a target received. */
+  messagesTo(index: number): number {
+    return this.messageCounts[index] ?? 0;
+  }
+
   /** Simulates the crash of a target: its address refuses connections from then on. */
   crash(index: number): Promise<void> {
     return new Promise((resolve) => {
@@ -302,12 +315,18 @@
     this.placementRequests.push(request);
     if (this.placementError !== undefined) throw this.placementError;
     const allowedTarget = request.writers?.[0];
-    const excluded = new Set([...request.excluded, ...this.signals.unavailable('app')]);
+    const unavailable = this.isLeaderBehind ? [] : this.signals.unavailable('app');
+    const excluded = new Set([...request.excluded, ...unavailable]);
     const index = allowedTarget === undefined ? excluded.size : Number(allowedTarget.slice(1));
     await clock.sleep(this.placementDelayMs);
     const address = this.addresses[index];
     if (address === undefined) return { kind: 'noPlace', retryAfterMs: 250 };
-    const placement = { target: `t${index}`, address, helpers: [], firstTokenMs: 0 };
+    const { ids, keptTokens } = this.helper;
+    const helpers = ids
+      .filter((id) => !excluded.has(id))
+      .slice(0, 1)
+      .map((id) => ({ target: id, address: this.addresses[Number(id.slice(1))], keptTokens }));
+    const placement = { target: `t${index}`, address, helpers, firstTokenMs: 0 };
     const release = (outcome: string): void => {
       this.outcomes.push(outcome);
     };
--- a/packages/daemon/src/entry/__tests__/targetSelector.test.ts
+++ b/packages/daemon/src/entry/__tests__/targetSelector.test.ts
@@ -75,9 +75,14 @@
   let selector: targetSelector.TargetSelector;
   let reported: messages.FinishedDispatch[];
 
+  let registry: domain.registry.registry.Registry;
+
   /** Number of liveness probes that the leader received. */
   let probes: number;
 
+  /** Targets that are unavailable, with the time until each becomes available. */
+  let unavailableForMs: Map<string, number>;
+
   /** Delay of the leader's answers to each call, milliseconds; infinite for no answer. */
   let delays: { place: number; other: number };
 
@@ -95,6 +100,7 @@
     delays = { place: 0, other: 0 };
     reported = [];
     probes = 0;
+    unavailableForMs = new Map();
     server = new peerServer.PeerServer('a-secret-of-the-test', undefined, observe);
     server.add('place', () => answerAfter(delays.place, PLACED));
     server.add('identify', () => {
@@ -123,9 +129,10 @@
     server.add('follow', () => answerAfter(delays.other, confirmed));
     const address = `127.0.0.1:${await server.listen({ host: '127.0.0.1', port: 0 })}`;
     client = new peerClient.PeerClient('a-secret-of-the-test', undefined, observe);
+    registry = new domain.registry.registry.Registry();
     const state = {
       directory: { service: () => SERVICE },
-      registry: new domain.registry.registry.Registry(),
+      registry,
       limits: new domain.rateLimits.rateLimits.RateLimits(),
       evacuations: new domain.evacuation.evacuations.Evacuations(),
       reportableSuspects: () => [],
@@ -156,7 +163,10 @@
         grantProbe: async () => undefined,
         spent: () => undefined,
       },
-      signals: { unavailable: () => [], waitMs: () => 0 },
+      signals: {
+        unavailable: () => [...unavailableForMs.keys()],
+        waitMs: (target) => unavailableForMs.get(target) ?? 0,
+      },
       observer: observe,
       random: domain.shared.random.seeded(1),
       now: clock.steady,
@@ -288,4 +298,19 @@
     // The first after 150 ms, the last after 1.4 s, 300 ms apart.
     expect(probes).to.be.within(2, 5);
   });
+
+  /** Guards against requests that wait for the end of an evacuation, which nobody knows. */
+  it('refuses a request at once where all targets are evacuated, but waits for one in back-off', async () => {
+    ['evacuated', 'backingOff'].forEach((id, i) => {
+      registry.announce({ ...RECORD, id, address: `127.0.0.1:${i}` }, 0);
+    });
+    unavailableForMs.set('evacuated', Infinity).set('backingOff', 50);
+    setTimeout(() => unavailableForMs.delete('backingOff'), 40);
+    expect((await place(2_000))[0]).to.equal('led');
+    const since = clock.steady();
+    const choice = await selector.choose({ ...placementRequest(2_000), excluded: ['backingOff'] });
+    expect(choice.kind === 'noPlace' && choice.reason).to.equal('evacuated');
+    expect(choice.kind === 'noPlace' && choice.retryAfterMs).to.be.within(2_000, 3_000);
+    expect(clock.steady() - since).to.be.below(50);
+  });
 });
--- a/packages/daemon/src/entry/__tests__/targetSignals.test.ts
+++ b/packages/daemon/src/entry/__tests__/targetSignals.test.ts
@@ -183,6 +183,40 @@
     expect([setup.accepts('request'), setup.signals.unavailable('s')]).to.deep.equal([true, []]);
   });
 
+  /**
+   * Guards against new work on evacuated targets, as recipients or helpers, and against the loss of work that runs
+   * there. A target that the registry doesn't know may be in an evacuated data centre.
+   */
+  it('don’t admit requests and orders during an evacuation, but upkeep and checks', () => {
+    setup.registry.announce({ ...RECORD, id: 'u', address: '127.0.0.1:2', dataCentre: 'dc1' }, 0);
+    const admitted = (): string[] => {
+      const messages: [string, Partial<targetClient.TargetMessage>][] = [
+        ...(['request', 'order', 'check', 'upkeep'] as const).map(
+          (purpose): [string, Partial<targetClient.TargetMessage>] => [purpose, { purpose }],
+        ),
+        ['elsewhere', { target: 'u' }],
+        ['elsewhere, with a helper there', { target: 'u', helpers: ['u', 't'] }],
+        ['unknown', { target: 'v' }],
+        ['elsewhere, with an unknown helper', { target: 'u', helpers: ['v'] }],
+      ];
+      return messages.flatMap(([what, more]) => {
+        return setup.signals.admit({ ...REQUEST, ...more }) === undefined ? [] : [what];
+      });
+    };
+    const before = admitted();
+    const order = { dataCentre: 'dc0', startedAt: 0, requestedBy: '' };
+    setup.evacuations.apply({ kind: 'evacuate', evacuation: order }, 1);
+    const { signals } = setup;
+    const unavailable = [signals.unavailable('s'), signals.waitMs('t'), signals.waitMs('u')];
+    const during = admitted();
+    const counted = Object.entries(setup.observer.counters()).filter(([name]) => {
+      return name.startsWith('messages.');
+    });
+    setup.evacuations.apply({ kind: 'endEvacuation', dataCentre: 'dc0' }, 2);
+    expect({ during, unavailable, counted: Object.fromEntries(counted) }).toMatchSnapshot();
+    expect(admitted()).to.deep.equal(before).and.have.length(8);
+  });
+
   /** Guards against connections that a target resets because all entries together open more than it accepts. */
   it('limit the connections to a target, in equal shares for all entries', () => {
     setup.maxConnections = 7;
--- a/packages/daemon/src/entry/reservations.ts
+++ b/packages/daemon/src/entry/reservations.ts
@@ -118,12 +118,18 @@
     const call = protocol.reserve(target, reservation.id, keptTokens, leaseMs);
     limits.spent(target);
     const result = await targets.call({ target, address, purpose }, call, ORDER_TIMEOUT_MS);
+    // Nothing was reserved, so there is nothing to release.
+    if (result.kind === 'withheld' && purpose === 'order') this.forget(reservation);
     if (result.kind !== 'answered') return 0;
     if (result.status === OK)
       Object.assign(reservation, { until: now() + leaseMs - ORDER_TIMEOUT_MS });
     return result.status;
   }
 
+  private forget(reservation: Reservation): void {
+    this.reservations = this.reservations.filter((each) => each !== reservation);
+  }
+
   private async releaseOne({ helper, id }: Reservation): Promise<void> {
     const call = this.dependencies.protocol.release(helper.target, id);
     for (let i = 0; i < MAX_RELEASE_TRIES; i++) {
