--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -104,7 +104,7 @@
   id: '',
   service: 'app',
   address: '',
-  dataCentre: 'dc0',
+  dataCentre: '',
   slots: 8,
   state: 'ready',
   bornAt: 1,
@@ -137,6 +137,12 @@
   /** Thrown by the selector, if set. */
   placementError: Error | undefined;
 
+  /** Helper of each placement: the first of these targets that is available. */
+  helper: { keptTokens: number; ids: string[] } = { keptTokens: 0, ids: [] };
+
+  /** Whether the selector knows nothing of unavailable targets. */
+  isLeaderBehind = false;
+
   isFresh = true;
 
   hasCatalogue = true;
@@ -145,10 +151,14 @@
 
   port = 0;
 
+  private readonly messageCounts: number[] = [];
+
   private readonly servers: net.Server[] = [];
 
   private readonly quarantine: quarantineClient.QuarantineClient;
 
+  readonly evacuations = new domain.evacuation.evacuations.Evacuations();
+
   private readonly registry = new domain.registry.registry.Registry();
 
   private readonly signals: targetSignals.TargetSignals;
@@ -165,10 +175,10 @@
       spent: () => undefined,
       mayProbe: async () => true,
     };
-    const { registry } = this;
+    const { registry, evacuations } = this;
     const client = new peerClient.PeerClient('secret', undefined, observe);
     this.signals = new targetSignals.TargetSignals({
-      fleetState: { registry, directory: undefined, applyDraining: () => [] },
+      fleetState: { registry, evacuations, directory: undefined, applyDraining: () => [] },
       limits,
       link: { leader: '' },
       client,
@@ -223,15 +233,16 @@
     });
   }
 
-  /** Starts a target for each behavior; targets are selected in this order. */
+  /** Starts a target for each behavior, each in a data centre of its own; targets are selected in this order. */
   static async start(...behaviours: TargetBehaviour[]): Promise<TestHarness> {
     const addresses: string[] = [];
     const harness = new TestHarness(addresses);
-    for (const behave of behaviours) {
+    for (const [i, behave] of behaviours.entries()) {
       const server = net.createServer((socket) => {
         socket.on('error', () => undefined);
         socket.on('data', (data) => {
           const text = data.toString();
+          harness.messageCounts[i] = harness.messagesTo(i) + 1;
           if (text.includes(REPORT_PATH)) harness.probes += 1;
           else harness.received.push(text);
           behave(text, socket);
@@ -239,7 +250,7 @@
       });
       harness.servers.push(server);
       const address = `127.0.0.1:${await listen(server)}`;
-      harness.registry.announce({ ...RECORD, id: `t${addresses.length}`, address }, 0);
+      harness.registry.announce({ ...RECORD, id: `t${i}`, dataCentre: `dc${i}`, address }, 0);
       addresses.push(address);
     }
     harness.port = await ports.freePort();
@@ -247,6 +258,11 @@
     return harness;
   }
 
+  /** Number of messages of any kind that a target received. */
+  messagesTo(index: number): number {
+    return this.messageCounts[index] ?? 0;
+  }
+
   /** Simulates the crash of a target: its address refuses connections from then on. */
   crash(index: number): Promise<void> {
     return new Promise((resolve) => {
@@ -299,12 +315,18 @@
     this.placementRequests.push(request);
     if (this.placementError !== undefined) throw this.placementError;
     const allowedTarget = request.writers?.[0];
-    const excluded = new Set([...request.excluded, ...this.signals.unavailable('app')]);
+    const unavailable = this.isLeaderBehind ? [] : this.signals.unavailable('app');
+    const excluded = new Set([...request.excluded, ...unavailable]);
     const index = allowedTarget === undefined ? excluded.size : Number(allowedTarget.slice(1));
     await clock.sleep(this.placementDelayMs);
     const address = this.addresses[index];
     if (address === undefined) return { kind: 'noPlace', retryAfterMs: 250 };
-    const placement = { target: `t${index}`, address, helpers: [], firstTokenMs: 0 };
+    const { ids, keptTokens } = this.helper;
+    const helpers = ids
+      .filter((id) => !excluded.has(id))
+      .slice(0, 1)
+      .map((id) => ({ target: id, address: this.addresses[Number(id.slice(1))], keptTokens }));
+    const placement = { target: `t${index}`, address, helpers, firstTokenMs: 0 };
     const release = (outcome: string): void => {
       this.outcomes.push(outcome);
     };
