--- a/packages/cli/src/main.ts
+++ b/packages/cli/src/main.ts
@@ -2,7 +2,9 @@
 import * as commander from 'commander';
 import { Ok, Result } from 'ts-results';
 import * as errors from './errors';
+import * as evacuationCommands from './evacuationCommands';
 import * as fleetCommands from './fleetCommands';
+import * as keepersClient from './keepersClient';
 import * as operatorsClient from './operatorsClient';
 import * as output from './output';
 import * as settingsCommands from './settingsCommands';
@@ -15,12 +17,13 @@
 
 const HELP = `
 Exit codes: 0 success, 2 usage error or invalid settings, 3 conflict, 4 refused,
-5 no daemon reachable, 6 accepted but not in force on all daemons within the timeout.
+5 no daemon or keeper gave a definite answer, 6 accepted but not in force on all daemons within the timeout.
 
 Examples:
   celerydrift settings check fitters.ini
   celerydrift settings apply fitters fitters.ini --wait
   celerydrift stop announce target engine-7 --grace 60
+  celerydrift evacuate ruaraka --keeper 10.0.0.7:8080,10.0.0.8:8080
   celerydrift --json status`;
 
 function reportOutcome(result: Result<void, errors.CommandError>): void {
@@ -33,7 +36,7 @@
 export function buildProgram(): commander.Command {
   const root = new commander.Command('celerydrift');
   root
-    .description('Manages the settings and planned stops of a celerydrift fleet.')
+    .description('Manages the settings, planned stops and evacuations of a celerydrift fleet.')
     .option(
       '--entry <urls>',
       'base URLs of the operators API of one or more daemons, separated by commas',
@@ -49,6 +52,7 @@
   };
   addSettingsCommands(root, global, client);
   addFleetCommands(root, global, client);
+  addEvacuationCommands(root, global);
   return root;
 }
 
@@ -146,6 +150,34 @@
     .action(async () => reportOutcome(await fleetCommands.listStops(client(), global().json)));
 }
 
+function addEvacuationCommands(root: commander.Command, global: () => GlobalOptions): void {
+  const addCommand = (name: string, description: string): commander.Command => {
+    const { CELERYDRIFT_KEEPER: keeper } = process.env;
+    const option = new commander.Option(
+      '--keeper <addresses>',
+      'control addresses of one or more keepers as HOST:PORT, separated by commas',
+    ).makeOptionMandatory(true);
+    const command = root.command(name).description(description);
+    return command.addOption(keeper === undefined ? option : option.default(keeper));
+  };
+  const clientOf = ({ keeper }: { keeper: string }): keepersClient.KeepersClient => {
+    return new keepersClient.KeepersClient(keeper.split(','));
+  };
+  addCommand('evacuate <data-centre>', 'send nothing more to the targets of a data centre')
+    .option('--end', 'end the evacuation', false)
+    .action(async (dataCentre: string, options: { keeper: string; end: boolean }) => {
+      const { json } = global();
+      const { end } = options;
+      reportOutcome(await evacuationCommands.order(clientOf(options), dataCentre, { end, json }));
+    });
+  addCommand(
+    'evacuations',
+    'list evacuated data centres, and the entries that lack a change',
+  ).action(async (options: { keeper: string }) => {
+    reportOutcome(await evacuationCommands.list(clientOf(options), global().json));
+  });
+}
+
 export async function main(argv: readonly string[]): Promise<void> {
   await buildProgram().parseAsync([...argv]);
 }
