Decide which targets are cold and limit their requests per second

A cold target crashes at a rate well above what it handles, and with many entries one request from each already exceeds that. coldTargets decides by announcements, answers and time which lifetimes are cold, and rateLimits gets a second limit per address, without bursts, that answers don't end. The leader and the entries without a leader have fixed parts of the rate, as neither can tell whether the other one is sending.

In virtual time, a leader and 74 entries that are cut off together send no more than the rate in any second, for rates from 2 to 200, and less than 1.5 times the rate plus 5 across changes of leader.

--- a/packages/domain/src/catalogue/catalogue.ts
+++ b/packages/domain/src/catalogue/catalogue.ts
@@ -72,6 +72,10 @@
   /** Connections that one target accepts from all callers together. */
   maxConnections: number;
   engine: Engine | undefined;
+  /** How long a target is cold after its start, milliseconds. */
+  coldStartMs?: number;
+  /** Requests per second that one cold target handles; 0 or undefined where it needs no limit. */
+  coldPerSecond?: number;
 }
 
 export interface Organisation {
--- /dev/null
+++ b/packages/domain/src/coldTargets/__tests__/coldTargets.test.ts
@@ -0,0 +1,200 @@
+/** Tests of which targets are cold, until when, and how many requests they get. */
+import * as chai from 'chai';
+import * as fc from 'fast-check';
+import * as rateLimits from '../../rateLimits/rateLimits';
+import type * as registry from '../../registry/registry';
+import * as coldShares from '../coldShares';
+import * as coldTargets from '../coldTargets';
+
+const { expect } = chai;
+
+const RULE: coldTargets.ColdRule = { coldStartMs: 3_000, perSecond: 17 };
+
+function target(index: number, more: Partial<registry.Announcement> = {}): registry.Announcement {
+  return {
+    id: `t${index}`,
+    bornAt: 1,
+    service: 's',
+    address: `10.0.0.${index}:80`,
+    dataCentre: 'a',
+    slots: 8,
+    state: 'ready',
+    sequence: 1,
+    ...more,
+  };
+}
+
+const TARGET = target(1);
+
+/** From the end of the cold period to that of the ramp, with the largest spread. */
+const RAMP_MS = 1_500;
+
+describe('cold targets', () => {
+  let cold: coldTargets.ColdTargets;
+  const rateAt = (now: number): number => cold.limitOf(TARGET, now)?.perSecond ?? Infinity;
+  const isWarmAt = (now: number): boolean => rateAt(now) === Infinity;
+
+  beforeEach(() => {
+    cold = new coldTargets.ColdTargets((service) => (service === 's' ? RULE : undefined));
+  });
+
+  it('of other services have no limit', () => {
+    expect(cold.limitOf(target(1, { service: 'other' }), 0)).to.equal(undefined);
+  });
+
+  /** Guards against a target that died and claims to be warm by an announcement of before. */
+  it('are cold for the stated time after their first announcement, whatever that says', () => {
+    cold.observe({ ...TARGET, coldLeftMs: 0 }, 0);
+    cold.observe({ ...TARGET, coldLeftMs: 0 }, 10);
+    expect([rateAt(10), rateAt(2_990), isWarmAt(3_000 + RAMP_MS)]).to.deep.equal([17, 17, true]);
+  });
+
+  it('are warm once a later announcement says so, and cold again when one says that', () => {
+    cold.observe({ ...TARGET, coldLeftMs: 2_900 }, 0);
+    cold.observe({ ...TARGET, coldLeftMs: 0, sequence: 2 }, 1_200);
+    expect([rateAt(1_199), isWarmAt(1_200 + RAMP_MS)]).to.deep.equal([17, true]);
+    cold.observe({ ...TARGET, coldLeftMs: 4_000, sequence: 3 }, 5_000);
+    expect([rateAt(8_999), isWarmAt(9_000 + RAMP_MS)]).to.deep.equal([17, true]);
+  });
+
+  it('are warm at once where nothing has been sent to them yet', () => {
+    cold.observe({ ...TARGET, coldLeftMs: 0 }, 0, false);
+    expect(isWarmAt(0)).to.equal(true);
+  });
+
+  it('are cold again in a new lifetime', () => {
+    cold.begin([TARGET], () => false, 0);
+    expect(isWarmAt(0)).to.equal(true);
+    cold.observe({ ...TARGET, bornAt: 2 }, 10);
+    expect(cold.limitOf({ ...TARGET, bornAt: 2 }, 10)?.perSecond).to.equal(17);
+  });
+
+  /** Guards against announcements of before the event that arrive seconds later. */
+  it('stay cold after an evacuation and after an answer, whatever late announcements say', () => {
+    cold.begin([TARGET], () => false, 0);
+    cold.restart([TARGET], 1_000);
+    cold.observe({ ...TARGET, coldLeftMs: 0, sequence: 2 }, 3_000);
+    expect(rateAt(3_990)).to.equal(17);
+    cold.answered(TARGET, 5_000, 20_000);
+    cold.observe({ ...TARGET, coldLeftMs: 0, sequence: 3 }, 22_000);
+    expect(rateAt(24_990)).to.equal(17);
+    cold.observe({ ...TARGET, coldLeftMs: 0, sequence: 4 }, 23_000);
+    expect(isWarmAt(23_000 + RAMP_MS)).to.equal(true);
+  });
+
+  /** Guards against a leader that takes over and doesn't know since when targets are cold. */
+  it('count as just started for a new leader, if limited or loaded from disk', () => {
+    const loaded = target(2, { isRemembered: true });
+    cold.begin([TARGET, loaded, target(3)], ({ id }) => id === 't1', 7_000);
+    expect(cold.limits([TARGET, loaded, target(3)], 9_990)).to.have.length(2);
+  });
+
+  /** Load: 40 targets of a data centre start at once; a step of all of them would be a surge. */
+  it('get a rising rate for a second, each beginning at another time', () => {
+    const all = Array.from({ length: 40 }, (_, i) => target(i));
+    all.forEach((each) => cold.observe(each, 0));
+    const counts = [3_000, 3_250, 3_500, 4_500].map((now) => {
+      return all.filter((each) => cold.limitOf(each, now)?.perSecond === 17).length;
+    });
+    expect(counts[0]).to.be.above(35);
+    expect(counts[1]).to.be.within(10, 30);
+    expect(counts[2]).to.equal(0);
+    expect(cold.limits(all, 4_500)).to.deep.equal([]);
+    const rates = Array.from({ length: 16 }, (_, i) => rateAt(3_000 + 100 * i));
+    const steps = rates.slice(1).map((rate, i) => Math.min(rate, 16 * 17) / rates[i]);
+    expect(Math.max(...steps)).to.be.below(1.5);
+  });
+});
+
+describe('requests to a cold target', () => {
+  const ENTRIES = 74;
+
+  interface Sender {
+    limits: rateLimits.RateLimits;
+    share: rateLimits.ColdShare;
+  }
+
+  function sender(share: rateLimits.ColdShare): Sender {
+    const limits = new rateLimits.RateLimits();
+    return { limits, share };
+  }
+
+  /** Sends as much as a sender may, every 5 ms. */
+  function sendAll({ limits }: Sender, from: number, to: number): number[] {
+    const times: number[] = [];
+    for (let now = from; now < to; now += 5) {
+      if (limits.maySend(TARGET, now)) {
+        limits.countSent(TARGET, 1, now);
+        times.push(now);
+      }
+    }
+    return times;
+  }
+
+  function maxInSecond(times: readonly number[]): number {
+    const counts = times.map((from) => times.filter((at) => at >= from && at < from + 1_000));
+    return Math.max(0, ...counts.map(({ length }) => length));
+  }
+
+  const entries = (): Sender[] => {
+    return Array.from({ length: ENTRIES }, (_, rank) => {
+      return sender((limit) => coldShares.leaderlessShare(limit, { rank, entries: ENTRIES }));
+    });
+  };
+
+  /**
+   * Load: more requests than the target handles, from a leader and from 74 entries that were cut
+   * off and don't know of each other. Guards against a sum over the target's rate.
+   */
+  it('stay within its rate while a leader grants and all entries are cut off', () => {
+    fc.assert(
+      fc.property(fc.integer({ min: 2, max: 200 }), (perSecond) => {
+        const senders = [sender(() => coldShares.LEADER_SHARE), ...entries()];
+        const times = senders.flatMap((each) => {
+          each.limits.setColdShare(each.share, 0);
+          each.limits.set({ ...TARGET, perSecond, source: 'cold' }, 0);
+          return sendAll(each, 0, 4_000);
+        });
+        return maxInSecond(times) <= perSecond;
+      }),
+      { numRuns: 30, seed: 1 },
+    );
+  });
+
+  /** Load: as above, while leaders follow each other; guards against the sum of two full rates. */
+  it('stay under the bound across changes of leader', () => {
+    const leaderships = fc.array(fc.integer({ min: 5, max: 1_500 }), {
+      minLength: 2,
+      maxLength: 9,
+    });
+    fc.assert(
+      fc.property(leaderships, fc.integer({ min: 1, max: 100 }), (durations, perSecond) => {
+        let now = 0;
+        const times = durations.flatMap((forMs) => {
+          const leader = sender(() => coldShares.LEADER_SHARE);
+          leader.limits.setColdShare(leader.share, now);
+          leader.limits.set({ ...TARGET, perSecond, source: 'cold' }, now);
+          const sent = sendAll(leader, now, now + forMs);
+          now += forMs;
+          return sent;
+        });
+        entries().forEach((each) => {
+          each.limits.setColdShare(each.share, 0);
+          each.limits.set({ ...TARGET, perSecond, source: 'cold' }, 0);
+          times.push(...sendAll(each, 0, now));
+        });
+        return maxInSecond(times) < 1.5 * perSecond + 5;
+      }),
+      { numRuns: 50, seed: 1 },
+    );
+  });
+
+  /** Guards against entries that all stop sending, so that cold targets idle without a leader. */
+  it('are sent by two entries without a leader', () => {
+    const limit = { ...TARGET, perSecond: 17 };
+    const shares = Array.from({ length: ENTRIES }, (_, rank) => {
+      return coldShares.leaderlessShare(limit, { rank, entries: ENTRIES });
+    });
+    expect(shares.filter((share) => share > 0)).to.have.length(2);
+  });
+});
--- /dev/null
+++ b/packages/domain/src/coldTargets/index.ts
@@ -0,0 +1,2 @@
+export * as coldTargets from './coldTargets';
+export * as coldShares from './coldShares';
--- a/packages/domain/src/rateLimits/__tests__/rateLimits.test.ts
+++ b/packages/domain/src/rateLimits/__tests__/rateLimits.test.ts
@@ -88,6 +88,19 @@
     expect(limits.mayProbe(ENDPOINT, 1_000)).to.equal(false);
   });
 
+  /** Guards against an answer of a cold target that lifts its limit, and against the higher of two. */
+  it('apply beside that of a cold target, the lower of the two', () => {
+    const limits = limited(5);
+    limits.setColdShare(() => 1, 0);
+    limits.set({ ...ENDPOINT, perSecond: 2, source: 'cold' }, 0);
+    expect(takeAll(limits, 0, 2_000)).to.deep.equal([530, 1_060, 1_590]);
+    expect(limits.waitMs([ENDPOINT], 0, 1_590)).to.be.closeTo(525, 0.1);
+    limits.set({ ...ENDPOINT, perSecond: 1 }, 2_000);
+    expect(takeAll(limits, 2_000, 4_500)).to.deep.equal([2_120, 3_120, 4_120]);
+    limits.set({ ...ENDPOINT, perSecond: undefined }, 4_500);
+    expect(limits.all()).to.deep.equal([{ ...ENDPOINT, perSecond: 2, source: 'cold' }]);
+  });
+
   it('report an infinite wait where this process hands out nothing', () => {
     expect(limited(1, 0).waitMs([ENDPOINT], 0, 60_000)).to.equal(Infinity);
   });
--- a/packages/domain/src/rateLimits/rateLimits.ts
+++ b/packages/domain/src/rateLimits/rateLimits.ts
@@ -6,6 +6,10 @@
  *
  * A limit belongs to the address at which a target listens. A target that restarts there, under
  * whatever id, is limited until an answer of its own shows otherwise.
+ *
+ * A second limit may apply at an address while its target is cold. The leader sets and ends it;
+ * answers don't. It allows no bursts, as a cold target crashes from them: over any second it admits
+ * no more than its rate.
  */
 import * as tokenBucket from './tokenBucket';
 
@@ -19,6 +23,8 @@
 /** The limit at an address, requests per second; undefined where it ended. */
 export interface RateLimit extends Endpoint {
   perSecond: number | undefined;
+  /** Absent for a limit that the target reported itself. */
+  source?: 'cold';
 }
 
 /**
@@ -36,8 +42,20 @@
  */
 const PROBE_DEBT_TOKENS = 1;
 
+/**
+ * Requests to a cold target are spaced as if a second were longer by this factor, since their
+ * transit times differ.
+ */
+const COLD_SPACING = 1.05;
+
+/** The part of a cold limit that this process hands out, from 0 to 1. */
+export type ColdShare = (limit: RateLimit) => number;
+
 interface Limited extends Endpoint {
+  source: RateLimit['source'];
   perSecond: number;
+  /** Messages per second that this process may send or grant. */
+  rate: number;
   bucket: tokenBucket.TokenBucket;
   /** When this process learned of the limit. */
   knownAt: number;
@@ -46,91 +64,125 @@
 }
 
 export class RateLimits {
-  private readonly limited = new Map<string, Limited>();
+  /** Limits that targets reported. */
+  private readonly reported = new Map<string, Limited>();
+
+  /** Limits of cold targets. */
+  private readonly cold = new Map<string, Limited>();
 
-  /** Share of each limit that this process hands out, from 0 to 1. */
+  /** Share of each reported limit that this process hands out, from 0 to 1. */
   private share = 0;
 
+  private coldShare: ColdShare = () => 0;
+
+  /** Number of limits of either sort. */
   get size(): number {
-    return this.limited.size;
+    return this.reported.size + this.cold.size;
   }
 
-  /** Sets the share of each limit that this process hands out; it starts with empty buckets. */
+  get coldSize(): number {
+    return this.cold.size;
+  }
+
+  /**
+   * Sets the share of each reported limit that this process hands out; it starts with empty buckets.
+   */
   setShare(share: number, now: number): void {
     if (share === this.share) return;
     this.share = share;
-    this.limited.forEach(({ bucket, perSecond }) => {
-      bucket.setRate(this.rateOf(perSecond), now);
-      bucket.empty(now);
+    this.reported.forEach((each) => this.restart(each, now));
+  }
+
+  /** Sets the share of each cold limit; the buckets of those that change start empty. */
+  setColdShare(share: ColdShare, now: number): void {
+    this.coldShare = share;
+    this.cold.forEach((each) => {
+      if (this.rateOf(each) !== each.rate) this.restart(each, now);
     });
   }
 
-  /** The known limit at an address; undefined where there is none. */
+  /** The reported limit at an address; undefined where there is none. */
   limitAt(endpoint: Endpoint): number | undefined {
-    return this.find(endpoint)?.perSecond;
+    return this.reported.get(keyOf(endpoint))?.perSecond;
   }
 
-  /** When the limit at an address became known; undefined where there is none. */
+  /** When the reported limit at an address became known; undefined where there is none. */
   knownSince(endpoint: Endpoint): number | undefined {
-    return this.find(endpoint)?.knownAt;
+    return this.reported.get(keyOf(endpoint))?.knownAt;
   }
 
   /** Sets or ends a limit; returns whether anything changed. */
-  set({ service, address, perSecond }: RateLimit, now: number): boolean {
+  set({ service, address, perSecond, source }: RateLimit, now: number): boolean {
+    const limits = this.limitsOf(source);
     const key = keyOf({ service, address });
-    const current = this.limited.get(key);
+    const current = limits.get(key);
     if (current?.perSecond === perSecond) return false;
     if (perSecond === undefined) {
-      this.limited.delete(key);
+      limits.delete(key);
     } else if (current === undefined) {
-      const bucket = new tokenBucket.TokenBucket(this.rateOf(perSecond), now);
-      this.limited.set(key, { service, address, perSecond, bucket, knownAt: now, servedAt: now });
+      limits.set(key, this.create({ service, address, perSecond, source }, now));
     } else {
       current.perSecond = perSecond;
-      current.bucket.setRate(this.rateOf(perSecond), now);
+      current.rate = this.rateOf(current);
+      current.bucket.setRate(current.rate, now);
     }
     return true;
   }
 
   /** Replaces the known limits by those of another process; returns whether anything changed. */
   setAll(limits: readonly RateLimit[], now: number): boolean {
-    const kept = new Set(limits.map(keyOf));
+    const kept = new Set(limits.map(sourcedKeyOf));
     const ended = this.all()
-      .filter((limit) => !kept.has(keyOf(limit)))
+      .filter((limit) => !kept.has(sourcedKeyOf(limit)))
       .map((limit) => ({ ...limit, perSecond: undefined }));
     return [...ended, ...limits].filter((limit) => this.set(limit, now)).length > 0;
   }
 
   all(): RateLimit[] {
-    return [...this.limited.values()].map(({ service, address, perSecond }) => {
+    const reported = [...this.reported.values()].map(({ service, address, perSecond }) => {
       return { service, address, perSecond };
     });
+    return [...reported, ...this.allCold()];
+  }
+
+  allCold(): RateLimit[] {
+    return [...this.cold.values()].map(({ service, address, perSecond }) => {
+      return { service, address, perSecond, source: 'cold' };
+    });
   }
 
   isLimited(endpoint: Endpoint): boolean {
-    return this.find(endpoint) !== undefined;
+    return this.find(endpoint).length > 0;
+  }
+
+  isCold(endpoint: Endpoint): boolean {
+    return this.cold.size > 0 && this.cold.has(keyOf(endpoint));
   }
 
   /** Whether a request may be sent to an address now. */
   maySend(endpoint: Endpoint, now: number): boolean {
-    return this.find(endpoint)?.bucket.isReady(now) !== false;
+    return this.find(endpoint).every(({ bucket }) => bucket.isReady(now));
   }
 
-  /** Whether a liveness probe may be sent to an address now. */
+  /**
+   * Whether a liveness probe may be sent to an address now. To a cold target it counts like a
+   * request, since one more message may be too many.
+   */
   mayProbe(endpoint: Endpoint, now: number): boolean {
-    const current = this.find(endpoint);
-    if (current === undefined) return true;
-    return this.share > 0 && current.bucket.levelAt(now) >= 1 - PROBE_DEBT_TOKENS;
+    return this.find(endpoint).every(({ bucket, source }) => {
+      if (source === 'cold') return bucket.isReady(now);
+      return this.share > 0 && bucket.levelAt(now) >= 1 - PROBE_DEBT_TOKENS;
+    });
   }
 
   /** Messages that may be sent to an address at once; infinite where there is no limit. */
   availableTokens(endpoint: Endpoint, now: number): number {
-    return this.find(endpoint)?.bucket.levelAt(now) ?? Infinity;
+    return Math.min(Infinity, ...this.find(endpoint).map(({ bucket }) => bucket.levelAt(now)));
   }
 
   /** Counts messages that were sent or will be. */
   countSent(endpoint: Endpoint, count: number, now: number): void {
-    this.find(endpoint)?.bucket.take(count, now);
+    this.find(endpoint).forEach(({ bucket }) => bucket.take(count, now));
   }
 
   /**
@@ -138,37 +190,77 @@
    * it; 0 where one of them has no limit, infinite where this process hands out nothing.
    */
   waitMs(endpoints: readonly Endpoint[], ahead: number, now: number): number {
-    const limited = endpoints.flatMap((endpoint) => this.find(endpoint) ?? []);
-    if (limited.length < endpoints.length || limited.length === 0) return 0;
-    if (this.share === 0) return Infinity;
-    const missingTokens = limited.map(({ bucket }) => 1 - bucket.levelAt(now));
-    const waits = missingTokens.map((tokens, i) => tokens / this.rateOf(limited[i].perSecond));
-    const perSecond = limited.reduce((sum, each) => sum + this.rateOf(each.perSecond), 0);
+    const limited = endpoints.map((endpoint) => this.find(endpoint));
+    if (limited.length === 0 || limited.some((limits) => limits.length === 0)) return 0;
+    // An address of which this process hands out nothing neither admits a request nor shortens the queue.
+    const usable = limited.filter((limits) => limits.every(({ rate }) => rate > 0));
+    if (usable.length === 0) return Infinity;
+    const waits = usable.map((limits) => {
+      return Math.max(...limits.map(({ bucket, rate }) => (1 - bucket.levelAt(now)) / rate));
+    });
+    const perSecond = usable.reduce((sum, limits) => {
+      return sum + Math.min(...limits.map(({ rate }) => rate));
+    }, 0);
     return Math.max(0, Math.min(...waits) + ahead / perSecond) * 1_000;
   }
 
   /** Removes and returns the limits of addresses at which no target listens any more. */
   forget(isServed: (endpoint: Endpoint) => boolean, now: number): RateLimit[] {
-    this.limited.forEach((each) => {
+    const limited = [...this.reported.values(), ...this.cold.values()];
+    limited.forEach((each) => {
       if (isServed(each)) each.servedAt = now;
     });
-    const unserved = [...this.limited.values()].filter(
-      (each) => now - each.servedAt > RETENTION_MS,
-    );
-    return unserved.map(({ service, address }) => {
-      const ended = { service, address, perSecond: undefined };
+    const unserved = limited.filter((each) => now - each.servedAt > RETENTION_MS);
+    return unserved.map(({ service, address, source }) => {
+      const ended = { service, address, perSecond: undefined, ...(source && { source }) };
       this.set(ended, now);
       return ended;
     });
   }
 
-  private rateOf(perSecond: number): number {
-    return this.share * Math.max(perSecond, 1 / CANARY_INTERVAL_SECONDS);
+  private limitsOf(source: RateLimit['source']): Map<string, Limited> {
+    return source === 'cold' ? this.cold : this.reported;
   }
 
-  private find(endpoint: Endpoint): Limited | undefined {
-    return this.limited.size === 0 ? undefined : this.limited.get(keyOf(endpoint));
+  private create(
+    { service, address, perSecond, source }: RateLimit & { perSecond: number },
+    now: number,
+  ): Limited {
+    const rate = this.rateOf({ service, address, perSecond, source });
+    const burstSeconds = source === 'cold' ? 0 : undefined;
+    const bucket = new tokenBucket.TokenBucket(rate, now, burstSeconds);
+    return { service, address, source, perSecond, rate, bucket, knownAt: now, servedAt: now };
   }
+
+  /** Applies a changed share. */
+  private restart(limited: Limited, now: number): void {
+    limited.rate = this.rateOf(limited);
+    limited.bucket.setRate(limited.rate, now);
+    limited.bucket.empty(now);
+  }
+
+  private rateOf({
+    service,
+    address,
+    source,
+    perSecond,
+  }: RateLimit & { perSecond: number }): number {
+    if (source === undefined) return this.share * Math.max(perSecond, 1 / CANARY_INTERVAL_SECONDS);
+    const whole = perSecond * this.coldShare({ service, address, source, perSecond });
+    // With this spacing, a second that begins with a request contains no more than a whole number.
+    return (whole < 1 ? whole : Math.floor(whole)) / COLD_SPACING;
+  }
+
+  /** The limits at an address. */
+  private find(endpoint: Endpoint): Limited[] {
+    if (this.size === 0) return [];
+    const key = keyOf(endpoint);
+    return [this.reported.get(key), this.cold.get(key)].flatMap((limited) => limited ?? []);
+  }
+}
+
+function sourcedKeyOf(limit: RateLimit): string {
+  return `${keyOf(limit)} ${limit.source ?? ''}`;
 }
 
 /** A unique string per address. */
--- a/packages/domain/src/rateLimits/tokenBucket.ts
+++ b/packages/domain/src/rateLimits/tokenBucket.ts
@@ -22,6 +22,7 @@
   constructor(
     private perSecond: number,
     private filledAt: number,
+    private readonly burstSeconds = BURST_SECONDS,
   ) {}
 
   /** Whether one more message may be sent. */
@@ -54,6 +55,6 @@
   }
 
   private get capacity(): number {
-    return Math.max(MIN_CAPACITY, this.perSecond * BURST_SECONDS);
+    return Math.max(MIN_CAPACITY, this.perSecond * this.burstSeconds);
   }
 }
--- a/packages/domain/src/registry/registry.ts
+++ b/packages/domain/src/registry/registry.ts
@@ -25,6 +25,11 @@
   state: State;
   /** Rises with each announcement of the lifetime. */
   sequence: number;
+  /**
+   * How long the target remains cold, milliseconds; 0 for a warm one. Only in announcements on their
+   * way to the leader: records leave it out, as a copy would be outdated.
+   */
+  coldLeftMs?: number;
   /**
    * Whether the record was loaded from the disk of a restarted keeper, and the target hasn't
    * announced itself since. It may have gone meanwhile, so such a target is used with care.
--- a/packages/domain/src/registry/validity.ts
+++ b/packages/domain/src/registry/validity.ts
@@ -13,6 +13,9 @@
 /** More concurrent requests than any target serves. */
 const MAX_SLOTS = 100_000;
 
+/** Longer than any target remains cold, milliseconds. */
+export const MAX_COLD_MS = 600_000;
+
 function isIntegerUpTo(text: string | undefined, max: number): boolean {
   return text !== undefined && /^\d{1,5}$/.test(text) && Number(text) <= max;
 }
@@ -37,5 +40,8 @@
   if (!isAddress(address)) return `address ${address.slice(0, 64)} is not IPV4:PORT`;
   if (!isCount(slots, MAX_SLOTS)) return `slots ${slots} is not a whole number in range`;
   if (!isCount(sequence)) return `sequence ${sequence} is not a whole number in range`;
-  return isCount(bornAt) ? undefined : `start ${bornAt} is not a whole number in range`;
+  if (!isCount(bornAt)) return `start ${bornAt} is not a whole number in range`;
+  const { coldLeftMs = 0 } = announcement;
+  const isColdTime = coldLeftMs >= 0 && coldLeftMs <= MAX_COLD_MS;
+  return isColdTime ? undefined : `cold time ${coldLeftMs} is not a number in range`;
 }
