Publish the limits of cold targets from the leader, and prefer warm engines

An entry could use a target before it knew that it is cold, and a leader that was frozen granted rates that its successor granted too. The leader now records the limit of a lifetime before its record, grants rates of cold targets only while a quorum has confirmed it recently, and every process limits the targets of a data centre whose evacuation ends. Plans that use a cold engine have a small penalty.

--- a/packages/daemon/src/edges/protocols.ts
+++ b/packages/daemon/src/edges/protocols.ts
@@ -73,6 +73,8 @@
   backOff: BackOff;
   /** Whether the target reports that it drains and accepts no new requests. */
   isLeaving: boolean;
+  /** How long the target remains cold, in milliseconds; 0 for a warm one, absent if not stated. */
+  coldForMs?: number;
 }
 
 /** Protocol of callers' requests and of calls to targets. */
--- a/packages/daemon/src/fleet/fleetState.ts
+++ b/packages/daemon/src/fleet/fleetState.ts
@@ -9,8 +9,11 @@
 import * as packedCatalogue from './packedCatalogue';
 import * as registrySnapshots from './registrySnapshots';
 
+const { keyOf } = domain.rateLimits.rateLimits;
+
 type Announcement = domain.registry.registry.Announcement;
 type RateLimit = domain.rateLimits.rateLimits.RateLimit;
+type Endpoint = domain.rateLimits.rateLimits.Endpoint;
 type Directory = domain.catalogue.directory.Directory;
 
 export interface Options {
@@ -25,6 +28,8 @@
   onLimits?: () => void;
   /** Called when the set of evacuated data centres changed. */
   onEvacuations?: () => void;
+  /** Called when the evacuation of a data centre has ended, before any request can be sent there. */
+  onEvacuationEnded?: (dataCentre: string) => void;
 }
 
 /**
@@ -36,6 +41,13 @@
 /** Maximum number of records changed together that are still logged in a line each. */
 const MAX_LOGGED_RECORDS = 20;
 
+/**
+ * How long after its cold period a limit stays that this process set by itself and the leader didn't publish,
+ * milliseconds. The leader publishes it within the time of a few polls, unless it ended there before this process learned
+ * of the end of the evacuation.
+ */
+const UNPUBLISHED_LIMIT_MS = 5_000;
+
 /** Applies records to the registry; returns the changed ones. */
 type ApplyRecords = (records: readonly Announcement[]) => Announcement[];
 
@@ -55,6 +67,9 @@
 
   private current: Directory | undefined;
 
+  /** Limits of cold targets that this process set by itself and no leader has published since. */
+  private readonly unpublishedLimits = new Set<string>();
+
   constructor(private readonly options: Options) {}
 
   get directory(): Directory | undefined {
@@ -83,14 +98,47 @@
 
   /** Applies the evacuations of the log or of an update, if they are newer than those in force here. */
   applyEvacuations(state: domain.evacuation.evacuations.EvacuationState): void {
+    const before = this.evacuations.state.evacuations;
     if (!this.evacuations.replace(state)) return;
     this.options.observer.log('evacuationsInForce', {
       revision: state.revision,
       dataCentres: state.evacuations.map(({ dataCentre }) => dataCentre),
     });
+    before
+      .filter(({ dataCentre }) => !this.evacuations.isEvacuated(dataCentre))
+      .forEach(({ dataCentre }) => this.evacuationEnded(dataCentre));
     this.options.onEvacuations?.();
   }
 
+  /**
+   * Limits the targets of a data centre whose evacuation has ended, as they may be cold. Every process does so by itself,
+   * since the end may reach it before the limits of the leader.
+   */
+  evacuationEnded(dataCentre: string): void {
+    this.options.onEvacuationEnded?.(dataCentre);
+    const now = this.options.now();
+    const records = this.registry.records().filter((record) => {
+      return record.dataCentre === dataCentre && record.state !== 'gone';
+    });
+    records.forEach(({ service, address }) => {
+      const { coldPerSecond: perSecond = 0, coldStartMs = 0 } =
+        this.current?.service(service) ?? {};
+      if (perSecond === 0 || this.limits.isCold({ service, address })) return;
+      this.limits.set({ service, address, perSecond, source: 'cold' }, now);
+      this.expectPublication({ service, address }, coldStartMs + UNPUBLISHED_LIMIT_MS);
+    });
+  }
+
+  private expectPublication(endpoint: Endpoint, withinMs: number): void {
+    const key = keyOf(endpoint);
+    this.unpublishedLimits.add(key);
+    const end = (): void => {
+      if (!this.unpublishedLimits.delete(key)) return;
+      this.limits.set({ ...endpoint, perSecond: undefined, source: 'cold' }, this.options.now());
+    };
+    setTimeout(end, withinMs).unref();
+  }
+
   /** Loads records that were stored on this process's disk. */
   loadRecords(records: readonly Announcement[]): Announcement[] {
     const loaded = this.registry.loadFromDisk(records, this.options.now());
@@ -110,6 +158,7 @@
 
   private applySnapshot({ records, suspects, limits }: registrySnapshots.RegistrySnapshot): void {
     this.applyManyRecords(records, (each) => this.registry.follow(each, this.options.now()));
+    this.unpublishedLimits.clear();
     if (this.limits.setAll(limits, this.options.now())) this.options.onLimits?.();
     this.quarantine.replaceAll(suspects, this.options.now());
     this.options.onSuspects?.();
@@ -206,6 +255,9 @@
 
   /** Applies rate limits that changed or ended. */
   applyLimits(limits: readonly RateLimit[]): void {
+    limits
+      .filter(({ source }) => source === 'cold')
+      .forEach((limit) => this.unpublishedLimits.delete(keyOf(limit)));
     const changed = limits.filter((limit) => this.limits.set(limit, this.options.now()));
     if (changed.length > 0) this.options.onLimits?.();
   }
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -54,6 +54,8 @@
   keepers: string[];
   /** Number of entries that follow the leader; 0 while it hasn't led long enough to know all. */
   entries: number;
+  /** Position of an entry among all entries that follow the leader, from 0; absent while that isn't known. */
+  entryRank?: number;
   /** Whether the leader knows no targets, so that the follower should send its registry records. */
   lacksTargets: boolean;
   /** Average load per service, for an entry that loses the leader and then sees only its own dispatches. */
@@ -195,6 +197,13 @@
   limits: RateLimit[];
   /** Messages that the entry sent without a grant. */
   spent: UngrantedMessages[];
+  /** Targets that answered that they are cold. */
+  cold?: ColdAnswer[];
+}
+
+/** The target at an address answered that it remains cold. */
+export interface ColdAnswer extends Endpoint {
+  coldForMs: number;
 }
 
 /** `grant`: asks whether one of several limited targets may be sent a message now. */
--- a/packages/daemon/src/keeper/followers.ts
+++ b/packages/daemon/src/keeper/followers.ts
@@ -77,6 +77,11 @@
     return this.all().filter(({ role }) => role === 'entry').length;
   }
 
+  /** Position of an entry among all entries, in the order of their names. */
+  rankOf(name: string): number {
+    return this.all().filter((each) => each.role === 'entry' && each.name < name).length;
+  }
+
   get size(): number {
     return this.byName.size;
   }
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -103,13 +103,17 @@
       protocol,
       observer: observe,
       now: clock.steady,
-      onCatalogue: ({ catalogue }) => this.leadership?.allocator.setServices(catalogue.services),
+      onCatalogue: ({ catalogue }) => {
+        this.leadership?.allocator.setServices(catalogue.services);
+        this.leadership?.catalogueChanged();
+      },
       onRecord: (record) => {
         this.leadership?.allocator.observe(record);
         this.softState.targetsChanged();
       },
       onSuspects: () => this.softState.suspectsChanged(),
       onLimits: () => this.softState.limitsChanged(),
+      onEvacuationEnded: (dataCentre) => this.leadership?.evacuationEnded(dataCentre),
     });
     this.softState = new softStateStore.SoftStateStore({
       folder: settings.dataFolder,
@@ -174,7 +178,8 @@
       catalogueVersion: this.fleetState.version,
       targets: this.fleetState.registry.records().length,
       dispatches: this.leadership.allocator.size,
-      limits: this.fleetState.limits.size,
+      limits: this.fleetState.limits.size - this.fleetState.limits.coldSize,
+      cold: this.fleetState.limits.coldSize,
       suspects: this.fleetState.quarantine.size,
       quarantined: this.fleetState.quarantine.quarantined,
     };
@@ -271,12 +276,12 @@
         ? suspects.permit(request as messages.PermitRequest)
         : this.redirect();
     });
-    const { limits } = this.leadership;
+    const { leadership: leader } = this;
     server.add('limited', (content): messages.AppliedAnswer => {
-      return this.host.isLeader ? limits.report(content as messages.LimitReport) : this.redirect();
+      return this.host.isLeader ? leader.limited(content as messages.LimitReport) : this.redirect();
     });
     server.add('grant', (request): messages.GrantAnswer => {
-      return this.host.isLeader ? limits.grant(request as messages.GrantRequest) : this.redirect();
+      return this.host.isLeader ? leader.grant(request as messages.GrantRequest) : this.redirect();
     });
     server.add('trialEnded', (content): messages.AppliedAnswer => {
       if (!this.host.isLeader) return this.redirect();
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -11,6 +11,7 @@
 import type * as logHost from '../replicas/logHost';
 import type * as peerClient from '../rpc/peerClient';
 import * as batchQueue from './batchQueue';
+import * as coldCoordinator from './coldCoordinator';
 import * as followers from './followers';
 import * as limitCoordinator from './limitCoordinator';
 import * as placer from './placer';
@@ -76,6 +77,8 @@
 
   readonly limits: limitCoordinator.LimitCoordinator;
 
+  private readonly cold: coldCoordinator.ColdCoordinator;
+
   /** Number of targets loaded from disk that announced themselves since the last tick. */
   private confirmedTargets = 0;
 
@@ -121,9 +124,27 @@
         this.updates.publishLimits(limits);
       },
     });
+    this.cold = new coldCoordinator.ColdCoordinator({
+      limits: fleet.limits,
+      registry: fleet.registry,
+      directory: () => fleet.directory,
+      hasQuorumContact: () => options.host.hasQuorumContact(),
+      observer: observe,
+      now,
+      publish: (limits) => {
+        options.onLimits();
+        this.updates.publishLimits(limits);
+      },
+    });
+    const after: placer.Clock['after'] = (ms, action) => {
+      setTimeout(() => {
+        this.cold.checkQuorum();
+        action();
+      }, ms);
+    };
     this.placer = new placer.Placer({
       allocator: this.allocator,
-      clock: { now, after: (ms, action) => setTimeout(action, ms) },
+      clock: { now, after },
       random,
       onRefused: ({ request: { id, tokens }, waitedMs, waiting, limitedForMs, retryAfterMs }) => {
         observe.log('requestNotPlaced', {
@@ -156,6 +177,7 @@
     if (expired.length > 0) void this.updates.publish(expired);
     this.logConfirmed();
     this.suspects.tick();
+    this.cold.tick();
     this.limits.tick();
     this.placer.scheduleServing();
   }
@@ -181,14 +203,19 @@
     this.suspects.merge(follower.suspects);
     // A follower on this leader's epoch has missed the end of no limit except those still being pushed, so its report
     // has nothing to add.
-    if (!this.updates.isCurrentEpoch(follower.mark)) this.limits.merge(follower.limits);
+    if (!this.updates.isCurrentEpoch(follower.mark)) {
+      this.limits.merge(follower.limits);
+      this.cold.merge(follower.limits);
+    }
     follower.dispatches.forEach(({ request, target }) => {
       this.allocator.restore(request, target, now());
     });
+    const knowsEntries = now() - this.leadingSince >= ENTRY_DISCOVERY_MS;
     return {
       kind: 'confirmed',
       keepers: this.options.host.replica.members.map(({ address }) => address),
-      entries: now() - this.leadingSince < ENTRY_DISCOVERY_MS ? 0 : this.followers.entries(),
+      entries: knowsEntries ? this.followers.entries() : 0,
+      entryRank: knowsEntries ? this.followers.rankOf(follower.name) : undefined,
       lacksTargets: this.shouldSendRecords(follower.name),
       crowding: follower.role === 'entry' ? this.currentAverages() : [],
       news: this.updateFor(follower),
@@ -224,7 +251,8 @@
   /** Applies a target's own announcement; resolves once the reachable followers know what changed. */
   async announce(announcement: Announcement): Promise<void> {
     const { fleetState: fleet, observer } = this.options;
-    const { id, service } = announcement;
+    const { coldLeftMs, ...record } = announcement;
+    const { id, service } = record;
     const isUsable =
       fleet.directory === undefined || fleet.directory.service(service) !== undefined;
     if (!isUsable && fleet.registry.get(id) === undefined) {
@@ -233,22 +261,26 @@
       observer.log('announcementIgnored', { target: id, reason: `unknown service "${service}"` });
       return;
     }
-    this.suspects.handleAnnouncement(announcement);
-    const isConfirmed = isConfirmation(fleet.registry.get(id), announcement);
+    this.suspects.handleAnnouncement(record);
+    const isConfirmed = isConfirmation(fleet.registry.get(id), record);
     if (isConfirmed) {
       // Followers already use a target that was loaded from disk; its confirmation comes with the answer to their
       // next poll.
-      this.updates.record(fleet.applyConfirmation(announcement));
+      const confirmed = fleet.applyConfirmation(record);
+      this.cold.announced(announcement);
+      this.updates.record(confirmed);
       this.confirmedTargets += 1;
       return;
     }
-    const changed = fleet.applyAnnouncement(announcement);
+    const changed = fleet.applyAnnouncement(record);
+    this.cold.announced(announcement);
     if (changed.length > 0) await this.updates.publish(changed);
   }
 
   /** Merges registry records received from a follower. */
   private async mergeRecords(records: readonly Announcement[]): Promise<void> {
     const changed = this.options.fleetState.mergeRecords(records);
+    this.cold.recorded(changed);
     if (changed.length > 0) await this.updates.publish(changed);
   }
 
@@ -282,10 +314,35 @@
 
   /** Places a request; a small batch of the requests that arrive together is handled per turn of the event loop. */
   async place(request: messages.PlaceRequest): Promise<messages.PlaceAnswer> {
-    const answer = await this.placementQueue.run(() => this.placer.place(request));
+    const answer = await this.placementQueue.run(() => {
+      this.cold.checkQuorum();
+      return this.placer.place(request);
+    });
     return answer.kind === 'closed' ? { kind: 'redirect', leader: '' } : answer;
   }
 
+  /** Grants one message to a target with a rate limit. */
+  grant(request: messages.GrantRequest): messages.GrantAnswer {
+    this.cold.checkQuorum();
+    return this.limits.grant(request);
+  }
+
+  /** Applies the limits and cold targets that an entry reports. */
+  limited(report: messages.LimitReport): messages.AppliedAnswer {
+    this.cold.answered(report.cold ?? []);
+    return this.limits.report(report);
+  }
+
+  /** Applies what a new catalogue states about cold targets, before it is pushed to the followers. */
+  catalogueChanged(): void {
+    if (this.isLeading) this.cold.tick();
+  }
+
+  /** Takes the targets of a data centre for cold, as its evacuation has ended. */
+  evacuationEnded(dataCentre: string): void {
+    this.cold.evacuationEnded(dataCentre);
+  }
+
   /** Applies finished dispatches of an entry, and serves the wait queue, as they leave slots free. */
   ended({ dispatches }: messages.FinishedDispatches): void {
     const now = this.options.now();
@@ -319,6 +376,7 @@
     else this.placer.close();
     this.leadingSince = this.options.now();
     if (isLeading) this.updates.beginEpoch();
+    this.cold.setLeading(isLeading);
   }
 
   private snapshot(): registrySnapshots.RegistrySnapshot {
--- a/packages/daemon/src/keeper/limitCoordinator.ts
+++ b/packages/daemon/src/keeper/limitCoordinator.ts
@@ -43,7 +43,10 @@
     const { limits } = this.dependencies;
     this.apply(
       reports.filter(
-        (endpoint) => !limits.isLimited(endpoint) && !this.endedLimits.has(keyOf(endpoint)),
+        (limit) =>
+          limit.source === undefined &&
+          limits.limitAt(limit) === undefined &&
+          !this.endedLimits.has(keyOf(limit)),
       ),
     );
   }
--- a/packages/daemon/src/keeper/limitStore.ts
+++ b/packages/daemon/src/keeper/limitStore.ts
@@ -1,7 +1,7 @@
 /**
  * Rate limits of targets, stored on a keeper's disk. After an outage of all VMs no other process knows them, and all
  * callers return at once: each overloaded target would get its share of them before its first answer. A limit loaded
- * from the file ends with the target's first answer that names none.
+ * from the file ends with the target's first answer that names none, that of a cold target by the next leader.
  */
 import type * as domain from '@celerydrift/domain';
 import * as Either from 'fp-ts/Either';
@@ -13,7 +13,12 @@
 
 export const FILE = 'limits';
 
-const LIMITS = t.array(t.type({ service: t.string, address: t.string, perSecond: t.number }));
+const LIMITS = t.array(
+  t.intersection([
+    t.type({ service: t.string, address: t.string, perSecond: t.number }),
+    t.partial({ source: t.literal('cold') }),
+  ]),
+);
 
 /** Reads the file; empty if there is none yet. */
 export async function read(folder: string): Promise<Result<RateLimit[], softStateFile.Unusable>> {
--- a/packages/daemon/src/replicas/logHost.ts
+++ b/packages/daemon/src/replicas/logHost.ts
@@ -189,6 +189,11 @@
     );
   }
 
+  /** Whether a quorum confirmed so recently that this replica leads that it wasn't frozen since. */
+  hasQuorumContact(): boolean {
+    return this.replica.hasQuorumContact(this.dependencies.now());
+  }
+
   /** Peer address of the leader that this replica knows, or empty. */
   get leaderAddress(): string {
     const { leader, members } = this.replica;
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -320,7 +320,7 @@
   }
 
   private createLoad(engine: catalogue.Engine, record: registry.Announcement): load.Load {
-    const created = new load.Load(engine, record, (endpoint) => this.limits.isLimited(endpoint));
+    const created = new load.Load(engine, record, this.limits);
     this.applyAverageLoad(created);
     return created;
   }
--- a/packages/domain/src/allocation/load.ts
+++ b/packages/domain/src/allocation/load.ts
@@ -79,7 +79,7 @@
   constructor(
     readonly engine: catalogue.Engine,
     public record: registry.Announcement,
-    private readonly isLimitedAt: (endpoint: rateLimits.Endpoint) => boolean = () => false,
+    private readonly limits?: Pick<rateLimits.RateLimits, 'isLimited' | 'isCold'>,
   ) {
     this.aggregates = this.computeAggregates();
   }
@@ -99,9 +99,14 @@
     return this.helpingCount(now) < Math.min(maxHelped, this.engine.slots);
   }
 
-  /** Whether the target has announced a rate limit. */
+  /** Whether the target has a rate limit. */
   get isLimited(): boolean {
-    return this.isLimitedAt(this.record);
+    return this.limits?.isLimited(this.record) === true;
+  }
+
+  /** Whether the target has a rate limit because it is cold. */
+  get isCold(): boolean {
+    return this.limits?.isCold(this.record) === true;
   }
 
   /** Requests that it may still get, in either role, before it has announced itself. */
--- a/packages/domain/src/allocation/planner.ts
+++ b/packages/domain/src/allocation/planner.ts
@@ -168,7 +168,10 @@
           engine: this.engine,
           prompt,
           value,
-          penalty: best.penalty,
+          // The forecasts of a later start don't contain the preference for warm engines.
+          penalty:
+            best.penalty -
+            value * this.coldPenalty([best.decoder, ...best.helpers.map((each) => each.load)]),
           partCounts: usefulPartCounts,
           forecasts: candidates.map(({ forecast }) => forecast),
         });
@@ -241,10 +244,15 @@
         gapPenalty +
         delayPenalty +
         latenessPenalty +
-        value * (parts * partPenalty + blockPenalty * blocked),
+        value * (parts * partPenalty + blockPenalty * blocked) +
+        value * this.coldPenalty(all.map(({ candidate }) => candidate.load)),
     };
   }
 
+  private coldPenalty(loads: readonly load.Load[]): number {
+    return this.planWeights.coldPenalty * loads.filter(({ isCold }) => isCold).length;
+  }
+
   /** Penalty of delaying queued prefills on these engines by a further part. */
   private delayPenalty(
     { prefillMs, isShared }: Part,
@@ -284,7 +292,7 @@
     const penalty =
       gapPenalty +
       this.delayPenalty(part, [forecast]) +
-      value * (waitPenalty + queuePenalty + failurePenalty);
+      value * (waitPenalty + queuePenalty + failurePenalty + this.coldPenalty([engineLoad]));
     const spread = this.planWeights.spreadPenalty * helperRank(prompt, candidate);
     return {
       candidate,
--- a/packages/domain/src/allocation/weights.ts
+++ b/packages/domain/src/allocation/weights.ts
@@ -25,6 +25,11 @@
   waitPenalty: number;
   /** Penalty of a failure: a second target answers most failed requests, but most of them late. */
   failurePenalty: number;
+  /**
+   * Penalty per cold engine. Above the other preferences, so that warm engines are used while these
+   * are in time, and well below the penalty of a late first token.
+   */
+  coldPenalty: number;
   /** Penalty per engine: it may fail, and prefills for no other prompt meanwhile. */
   partPenalty: number;
   /**
@@ -54,6 +59,7 @@
   packBonus: 0.01,
   waitPenalty: 0.002,
   failurePenalty: 0.5,
+  coldPenalty: 0.1,
   partPenalty: 0.001,
   blockPenalty: 0.02,
   tightGapFactor: 2,
--- a/packages/domain/src/rateLimits/rateLimits.ts
+++ b/packages/domain/src/rateLimits/rateLimits.ts
@@ -159,6 +159,11 @@
     return this.cold.size > 0 && this.cold.has(keyOf(endpoint));
   }
 
+  /** The rate of a cold target at an address; undefined where none is known to be cold. */
+  coldRateAt(endpoint: Endpoint): number | undefined {
+    return this.cold.get(keyOf(endpoint))?.perSecond;
+  }
+
   /** Whether a request may be sent to an address now. */
   maySend(endpoint: Endpoint, now: number): boolean {
     return this.find(endpoint).every(({ bucket }) => bucket.isReady(now));
