Keep entries within the rates of cold targets, also without a leader

An entry that slept could use old placements, and one that was cut off had no bound for cold targets. Without a leader, two entries per target send a fixed part of its rate, selected by the rank that the leader gave them. Answers that say how long a target remains cold limit it at once and are reported to the leader. A call goes to a cold plain target when every warm one has more running calls.

--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -18,6 +18,7 @@
 import * as peerServer from '../rpc/peerServer';
 import * as targetSelector from './targetSelector';
 import * as quarantineClient from './quarantineClient';
+import * as coldGrants from './coldGrants';
 import * as exchange from './exchange';
 import * as ingress from './ingress';
 import * as livenessProbes from './livenessProbes';
@@ -74,6 +75,8 @@
 
   private readonly signals: targetSignals.TargetSignals;
 
+  private readonly coldGrants: coldGrants.ColdGrants;
+
   private readonly quarantine: quarantineClient.QuarantineClient;
 
   private readonly budgets: domain.request.repeatBudget.RepeatBudgets;
@@ -113,9 +116,9 @@
       observer: observe,
       readClocks: clock.readClocks,
       dispatches: () => this.selector.dispatches,
-      onConfirmed: ({ entries, crowding }) => {
+      onConfirmed: ({ entries, entryRank, crowding }) => {
         this.selector.fallback.assumeAverageLoads(crowding);
-        this.limits.leaderFound(entries);
+        this.limits.leaderFound(entries, entryRank);
         this.signals.leaderFound(this.link.leader, entries);
         this.link.onLost(this.onLeaderLost);
         if (entries > 0) this.budgets.setEntryCount(entries, clock.steady());
@@ -129,9 +132,15 @@
       observer: observe,
       now: clock.steady,
     });
+    this.coldGrants = new coldGrants.ColdGrants({
+      limits: this.fleetState.limits,
+      registry: this.fleetState.registry,
+      readClocks: clock.readClocks,
+    });
     this.signals = new targetSignals.TargetSignals({
       fleetState: this.fleetState,
       limits: this.limits,
+      coldGrants: this.coldGrants,
       link: this.link,
       client: this.client,
       observer: observe,
@@ -149,6 +158,7 @@
       link: this.link,
       client: this.client,
       limits: this.limits,
+      coldGrants: this.coldGrants,
       signals: this.signals,
       observer: observe,
       random,
@@ -186,6 +196,7 @@
     await this.server.listen(settings.peers);
     await this.ingress.listen(settings.callers as codecs.Address, this.dependencies.earlyListener);
     await listening.listen(this.readiness, settings.readiness as codecs.Address);
+    this.coldGrants.start();
     this.link.start();
   }
 
@@ -208,6 +219,7 @@
     this.link.stop();
     this.quarantine.close();
     this.limits.close();
+    this.coldGrants.stop();
     this.signals.close();
     this.readiness.close();
     this.targets.close();
--- a/packages/daemon/src/entry/rateLimitClient.ts
+++ b/packages/daemon/src/entry/rateLimitClient.ts
@@ -29,11 +29,15 @@
 export type Grant = Exclude<messages.GrantAnswer, messages.Redirect>;
 
 export interface Dependencies extends leaderCall.Dependencies {
-  fleetState: Pick<fleetState.FleetState, 'limits' | 'registry'>;
+  fleetState: Pick<fleetState.FleetState, 'limits' | 'registry'> &
+    Partial<Pick<fleetState.FleetState, 'directory'>>;
   observer: observer.Observer;
   now: () => number;
 }
 
+/** Interval at which an entry reports again that a target is cold, milliseconds, as it may be cold for longer. */
+const COLD_REPORT_INTERVAL_MS = 1_000;
+
 /**
  * Interval at which an entry probes whether a target's limit is over while other targets take all calls, milliseconds.
  * Grows in proportion with more than `PROBING_ENTRIES` entries, which share the probes.
@@ -54,17 +58,48 @@
   /** Number of entries that share the limits while there is no leader; 0 while unknown. */
   private entries = 0;
 
+  /** This entry's position among them; undefined while unknown. */
+  private rank: domain.coldTargets.coldShares.EntryRank | undefined;
+
+  /** When this entry last reported that a target is cold, by service and address. */
+  private readonly coldReports = new Map<string, number>();
+
   constructor(private readonly dependencies: Dependencies) {}
 
   /** Called when a leader confirms this entry; the leader grants messages from then on. */
-  leaderFound(entries: number): void {
+  leaderFound(entries: number, rank?: number): void {
     if (entries > 0) this.entries = entries;
-    this.dependencies.fleetState.limits.setShare(0, this.dependencies.now());
+    if (entries > 0 && rank !== undefined) this.rank = { rank, entries };
+    const { now, fleetState: state } = this.dependencies;
+    state.limits.setShare(0, now());
+    state.limits.setColdShare(() => 0, now());
   }
 
   leaderLost(): void {
     const share = this.entries === 0 ? 0 : 1 / this.entries;
-    this.dependencies.fleetState.limits.setShare(share, this.dependencies.now());
+    const { rank } = this;
+    const { now, fleetState: state } = this.dependencies;
+    state.limits.setShare(share, now());
+    state.limits.setColdShare((limit) => {
+      return rank === undefined ? 0 : domain.coldTargets.coldShares.leaderlessShare(limit, rank);
+    }, now());
+  }
+
+  /** Limits a target that answered that it remains cold, until the leader ends that. */
+  coldAnswered({ service, address, target, requestId }: AnsweredRequest, statedMs: number): void {
+    const { observer: observe, fleetState: state, now } = this.dependencies;
+    const perSecond = state.directory?.service(service)?.coldPerSecond ?? 0;
+    if (perSecond === 0 || statedMs === 0) return;
+    const coldForMs = Math.min(statedMs, domain.registry.validity.MAX_COLD_MS);
+    if (!state.limits.isCold({ service, address })) {
+      observe.log('coldAnswered', { request: requestId, target, coldForMs });
+      state.limits.set({ service, address, perSecond, source: 'cold' }, now());
+    }
+    const key = keyOf({ service, address });
+    if (now() - (this.coldReports.get(key) ?? -Infinity) < COLD_REPORT_INTERVAL_MS) return;
+    this.coldReports.set(key, now());
+    this.unreported.setCold({ service, address, coldForMs });
+    void this.reportToLeader();
   }
 
   /** Applies the limit that a response names; a response that names none lifts the limit. */
--- a/packages/daemon/src/entry/targetSelector.ts
+++ b/packages/daemon/src/entry/targetSelector.ts
@@ -12,6 +12,7 @@
 import type * as observer from '../observability/observer';
 import type * as errors from '../rpc/errors';
 import type * as peerClient from '../rpc/peerClient';
+import type * as coldGrants from './coldGrants';
 import type * as rateLimitClient from './rateLimitClient';
 import type * as targetSignals from './targetSignals';
 
@@ -76,6 +77,9 @@
   excluded: readonly string[];
 }
 
+/** A grant for one of several targets. */
+type TargetGrant = { kind: 'granted'; target: Announcement } | { kind: 'wait'; waitMs: number };
+
 export interface Options {
   name: string;
   dataCentre: string;
@@ -83,6 +87,8 @@
   link: leaderLink.LeaderLink;
   client: peerClient.PeerClient;
   limits: Pick<rateLimitClient.RateLimitClient, 'grant' | 'grantProbe' | 'spent'>;
+  /** Grants for requests to cold targets; without them nothing is known of cold targets. */
+  coldGrants?: Pick<coldGrants.ColdGrants, 'begin' | 'add'>;
   signals: Pick<targetSignals.TargetSignals, 'unavailable' | 'waitMs'>;
   observer: observer.Observer;
   random: domain.shared.random.Random;
@@ -119,6 +125,9 @@
 /** Minimum pause before targets that are unavailable or limited are checked again, milliseconds. */
 const MIN_WAIT_MS = 10;
 
+/** Longest pause before the leader is asked again for a cold target that only relieves the others, milliseconds. */
+const MAX_COLD_PAUSE_MS = 100;
+
 /** Bounds of the Retry-After that callers get when targets are full or limited, milliseconds. */
 const RETRY_AFTER_MS = { min: 200, max: 2_000 } as const;
 
@@ -147,6 +156,9 @@
   /** Running dispatches on engines, by request id. */
   private readonly running = new Map<string, messages.RunningDispatch>();
 
+  /** When the leader is next asked for a cold target that only relieves the others. */
+  private askForColdAt = 0;
+
   private finishedDispatches: messages.FinishedDispatches['dispatches'] = [];
 
   constructor(private readonly options: Options) {
@@ -237,6 +249,7 @@
   ): Promise<Choice | undefined> {
     const { name, dataCentre, client, link } = this.options;
     const message: messages.PlaceRequest = { ...request, entry: name, dataCentre };
+    const ticket = this.options.coldGrants?.begin() ?? 0;
     const pending = client.call<messages.PlaceAnswer>(leader, 'place', message, {
       timeoutMs: request.patienceMs + LATE_ANSWER_WINDOW_MS,
       toleratesDelay: true,
@@ -252,6 +265,7 @@
     }
     if (answer.val.kind === 'noPlace') return answer.val;
     const { placement } = answer.val;
+    this.options.coldGrants?.add(placement.target, ticket);
     this.running.set(request.id, {
       request: { ...request, entry: name, dataCentre },
       target: placement.target,
@@ -304,6 +318,7 @@
     const placement = this.fallback.place({ ...request, entry: name, dataCentre }, now());
     if (placement === undefined) return undefined;
     observer.log('placedLocally', { request: request.id, target: placement.target });
+    this.options.coldGrants?.add(placement.target, this.options.coldGrants.begin());
     [placement, ...placement.helpers].forEach(({ target }) => this.options.limits.spent(target));
     this.running.set(request.id, {
       request: { ...request, entry: name, dataCentre },
@@ -345,20 +360,19 @@
       const healthy = this.usableOf(unlimited);
       const healthyLimited = this.usableOf(limited);
       if (healthy.length > 0) {
-        const probe = await limits.grantProbe(healthyLimited);
+        const { cold, others } = this.splitCold(healthyLimited);
+        const probe = await limits.grantProbe(others);
         const probed = limited.find(({ address }) => address === probe?.address);
-        return this.placePlain(probed ?? this.leastBusy(healthy));
+        const granted = probed ?? (await this.grantCold(cold, healthy));
+        return this.placePlain(granted ?? this.leastBusy(healthy));
       }
       if (limited.length === 0) {
         if (unlimited.length > 0) return this.placePlain(this.leastBusy(unlimited));
         return { kind: 'noPlace', retryAfterMs: NO_TARGET_RETRY_MS };
       }
       const candidates = healthyLimited.length > 0 ? healthyLimited : limited;
-      const grant = await limits.grant(candidates);
-      if (grant.kind === 'granted') {
-        const granted = candidates.find(({ address }) => address === grant.place.address);
-        return this.placePlain(granted ?? candidates[0]);
-      }
+      const grant = await this.grant(candidates);
+      if (grant.kind === 'granted') return this.placePlain(grant.target);
       if (unlimited.length > 0) return this.placePlain(this.leastBusy(unlimited));
       const waitMs = Number.isFinite(grant.waitMs) ? grant.waitMs : PLACEMENT_RETRY_MS;
       if (now() + waitMs > until) {
@@ -368,6 +382,47 @@
     }
   }
 
+  private splitCold(limited: readonly Announcement[]): {
+    cold: Announcement[];
+    others: Announcement[];
+  } {
+    const { limits } = this.options.fleetState;
+    return {
+      cold: limited.filter((record) => limits.isCold(record)),
+      others: limited.filter((record) => !limits.isCold(record)),
+    };
+  }
+
+  /**
+   * A cold target for a call, if every warm one has more running calls. While the leader grants none, the warm ones are
+   * used without another question.
+   */
+  private async grantCold(
+    cold: readonly Announcement[],
+    warm: readonly Announcement[],
+  ): Promise<Announcement | undefined> {
+    const { now } = this.options;
+    const callsOf = ({ id }: Announcement): number => this.activeCalls.get(id) ?? 0;
+    const least = Math.min(...warm.map(callsOf));
+    const candidates = cold.filter((record) => callsOf(record) < least);
+    if (candidates.length === 0 || now() < this.askForColdAt) return undefined;
+    const grant = await this.grant(candidates);
+    if (grant.kind === 'granted') return grant.target;
+    this.askForColdAt = now() + Math.min(grant.waitMs, MAX_COLD_PAUSE_MS);
+    return undefined;
+  }
+
+  private async grant(candidates: readonly Announcement[]): Promise<TargetGrant> {
+    const { limits, coldGrants: grants } = this.options;
+    const ticket = grants?.begin() ?? 0;
+    const grant = await limits.grant(candidates);
+    if (grant.kind !== 'granted') return grant;
+    const target =
+      candidates.find(({ address }) => address === grant.place.address) ?? candidates[0];
+    grants?.add(target.id, ticket);
+    return { kind: 'granted', target };
+  }
+
   /** Ready targets that may take a call, split into those without a rate limit and those with one. */
   private eligibleTargets({ service, excluded, writers }: PlacementRequest): {
     unlimited: Announcement[];
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -12,6 +12,7 @@
 import type * as messages from '../fleet/messages';
 import type * as observer from '../observability/observer';
 import * as callerResponse from './callerResponse';
+import type * as coldGrants from './coldGrants';
 import * as leaderCall from './leaderCall';
 import * as leaderOutbox from './leaderOutbox';
 import type * as rateLimitClient from './rateLimitClient';
@@ -21,7 +22,10 @@
 
 export interface Dependencies extends leaderCall.Dependencies {
   fleetState: Pick<fleetState.FleetState, 'registry' | 'directory' | 'applyDraining'>;
-  limits: Pick<rateLimitClient.RateLimitClient, 'answered'>;
+  limits: Pick<rateLimitClient.RateLimitClient, 'answered'> &
+    Partial<Pick<rateLimitClient.RateLimitClient, 'coldAnswered'>>;
+  /** Grants for requests to cold targets; without them nothing is known of cold targets. */
+  coldGrants?: Pick<coldGrants.ColdGrants, 'take'>;
   observer: observer.Observer;
   now: () => number;
 }
@@ -76,7 +80,7 @@
   admit(message: targetClient.TargetMessage): targetClient.DeliveryCallbacks | undefined {
     const { now } = this.dependencies;
     const { target, purpose } = message;
-    if (!this.accepts(target, purpose)) {
+    if (!this.accepts(target, purpose) || !this.hasGrant(message)) {
       this.dependencies.observer.count(`messages.withheld.${purpose}`);
       return undefined;
     }
@@ -151,6 +155,11 @@
     return this.backOffs.mayReceiveRequest(target, now);
   }
 
+  /** Whether a request has the grant that it needs if its target is cold; other messages get theirs elsewhere. */
+  private hasGrant({ target, purpose }: targetClient.TargetMessage): boolean {
+    return purpose !== 'request' || this.dependencies.coldGrants?.take(target) !== false;
+  }
+
   private answered(sentMessage: SentMessage, head: targetClient.ResponseHead): void {
     if (!isFromTarget(sentMessage.message, head.facts)) return;
     this.recordBackOff(sentMessage, head);
@@ -198,13 +207,15 @@
     { status, facts }: targetClient.ResponseHead,
   ): void {
     const { requestId = '', target, address } = message;
-    const { limit, isSigned, isEncoded, isNotRun } = facts;
+    const { limit, isSigned, isEncoded, isNotRun, coldForMs = 0 } = facts;
     // Only a success of the target itself shows that the limit is over; failures may come from a proxy.
     const isSuccess = isSigned && !isEncoded && !isNotRun && status < callerResponse.FAILURE_STATUS;
-    if (limit.kind === 'none' && !isSuccess) return;
+    if (limit.kind === 'none' && !isSuccess && coldForMs === 0) return;
     const service = this.dependencies.fleetState.registry.get(target)?.service;
     if (service === undefined) return;
     const answeredRequest = { requestId, target, service, address, status, sentAt: at };
+    this.dependencies.limits.coldAnswered?.(answeredRequest, coldForMs);
+    if (limit.kind === 'none' && !isSuccess) return;
     this.dependencies.limits.answered(answeredRequest, limit);
   }
 
