Order waiting requests by urgency, fairness and lateness in mode adaptive

In bursts the wait queue was first in, first out, so each request waited until it was just too late. The decisions are modules of their own in domain/contention, used by the placer through a policy; mode arrival, the default, is as before.

--- a/packages/daemon/src/index.ts
+++ b/packages/daemon/src/index.ts
@@ -5,6 +5,7 @@
 export * as hopByHop from './edges/hopByHop';
 export * as listening from './http/listening';
 export * as main from './main';
+export * as contentionPolicy from './keeper/contentionPolicy';
 export * as placer from './keeper/placer';
 export * as protocols from './edges/protocols';
 export * as registrySnapshots from './fleet/registrySnapshots';
--- /dev/null
+++ b/packages/daemon/src/keeper/contentionPolicy.ts
@@ -0,0 +1,178 @@
+/**
+ * What the leader does when requests compete for engines. Mode `arrival` serves them in order of arrival and lets each
+ * wait for its patience. Mode `adaptive` applies the decisions of `domain.contention`, which differ from `arrival` only
+ * while requests wait.
+ */
+import * as domain from '@celerydrift/domain';
+import * as waitQueue from './waitQueue';
+
+export type Mode = 'arrival' | 'adaptive';
+
+/** A prompt, and what its caller's entry knows of the caller. */
+export type Request = domain.allocation.allocator.Request & {
+  /** How long its entry waits for a placement in mode `arrival`, in milliseconds. */
+  patienceMs: number;
+  organisation?: string;
+  /** Urgency class; 0 is the most urgent. Absent where all requests of the service are of one class. */
+  urgency?: number;
+  /** Fingerprint of the request. */
+  content?: string;
+  /** Time until its caller leaves, in milliseconds; absent if the entry waits for `patienceMs` only. */
+  leavesInMs?: number;
+};
+
+/** A request that waits for a placement since it arrived at the leader. */
+export interface Arrival {
+  request: Request;
+  since: number;
+  /** Whether it was refused before, or was already sent to a target. */
+  isReturning: boolean;
+}
+
+export interface Refused {
+  arrival: Arrival;
+  /** Time until an engine is predicted to be available, in milliseconds. */
+  predictedMs: number;
+  /** Retry-After in mode `arrival`, in milliseconds. */
+  usualDelayMs: number;
+}
+
+export interface Policy {
+  readonly order: waitQueue.Order;
+  /** Whether a request that arrives now returns after a refusal. */
+  arrived(request: Request, now: number): boolean;
+  boundsOf(arrival: Arrival, now: number): domain.contention.admission.Bounds;
+  placed(request: Request, firstTokenMs: number, now: number): void;
+  /** Retry-After of a request that is refused now, in milliseconds. */
+  delayMs(refused: Refused, now: number): number;
+  /** Forgets what was observed; for the end of a leadership. */
+  reset(): void;
+}
+
+/**
+ * Share of its objective within which a request must be placed to still be on time; prefill and the first step take
+ * the rest. In a burst that exceeds all engines, requests that are already late must not delay the others until those
+ * are late too.
+ */
+const START_BY_SHARE = 0.5;
+
+export class ArrivalPolicy implements Policy {
+  readonly order = new waitQueue.ArrivalOrder();
+
+  arrived(): boolean {
+    return false;
+  }
+
+  boundsOf({ request, since }: Arrival): domain.contention.admission.Bounds {
+    const { objectiveMs, waitedMs, patienceMs } = request;
+    return {
+      inTimeUntil: since + START_BY_SHARE * objectiveMs - waitedMs,
+      until: since + patienceMs,
+    };
+  }
+
+  placed(): void {
+    // Nothing depends on earlier placements.
+  }
+
+  delayMs({ usualDelayMs }: Refused): number {
+    return usualDelayMs;
+  }
+
+  reset(): void {
+    // Nothing was observed.
+  }
+}
+
+/**
+ * Least planned delay of a return, in milliseconds: a few engine steps, so that callers refused together don't return
+ * together for the same few slots.
+ */
+const MIN_DELAY_MS = 200;
+
+type OnOverload = (change: domain.contention.waitingOrder.OverloadChange) => void;
+
+export class AdaptivePolicy implements Policy {
+  order: domain.contention.waitingOrder.WaitingOrder;
+
+  private readonly usual = new ArrivalPolicy();
+
+  private readonly forecast = new domain.contention.admission.FirstEventForecast();
+
+  private readonly refused = new domain.contention.returnPlan.RefusedRequests();
+
+  /** Planned returns by service. */
+  private readonly plans = new Map<string, domain.contention.returnPlan.ReturnPlan>();
+
+  constructor(
+    private readonly allocator: domain.allocation.allocator.Allocator,
+    private readonly onOverload: OnOverload,
+  ) {
+    this.order = new domain.contention.waitingOrder.WaitingOrder(onOverload);
+  }
+
+  arrived(request: Request, now: number): boolean {
+    const { content, service, organisation = '', tokens } = request;
+    const wasRefused = content !== undefined && this.refused.has(content, now);
+    if (wasRefused || wasSent(request)) return true;
+    this.planOf(service).countArrival(now);
+    this.order.demand.count(organisation, tokens, now);
+    return false;
+  }
+
+  boundsOf(arrival: Arrival, now: number): domain.contention.admission.Bounds {
+    const { request, since, isReturning } = arrival;
+    if (request.leavesInMs === undefined) return this.usual.boundsOf(arrival);
+    const { service, objectiveMs } = request;
+    const prefillMs = this.allocator.minPrefillMs(request);
+    const stepMs = this.allocator.nextAvailableMs(service, now);
+    const kind = domain.contention.waitingOrder.kindOf({ service, objectiveMs });
+    const predictedMs = this.forecast.predict(kind, prefillMs, stepMs);
+    const { waitedMs, leavesInMs } = request;
+    return domain.contention.admission.boundsOf(
+      { objectiveMs, waitedMs, leavesInMs, isReturning },
+      predictedMs,
+      since,
+    );
+  }
+
+  placed(request: Request, firstTokenMs: number, now: number): void {
+    const kind = domain.contention.waitingOrder.kindOf(request);
+    this.forecast.observe(kind, firstTokenMs, this.allocator.minPrefillMs(request));
+    this.planOf(request.service).countPlacement(now);
+  }
+
+  delayMs({ arrival, predictedMs, usualDelayMs }: Refused, now: number): number {
+    const { request, since, isReturning } = arrival;
+    const { content, leavesInMs } = request;
+    if (isReturning || content === undefined || leavesInMs === undefined) return usualDelayMs;
+    this.refused.add(content, now);
+    const minDelayMs = Math.max(MIN_DELAY_MS, predictedMs);
+    return this.planOf(request.service).plan(leavesInMs - (now - since), minDelayMs, now);
+  }
+
+  reset(): void {
+    this.order = new domain.contention.waitingOrder.WaitingOrder(this.onOverload);
+    this.refused.clear();
+    this.plans.clear();
+  }
+
+  private planOf(service: string): domain.contention.returnPlan.ReturnPlan {
+    const plan = this.plans.get(service) ?? new domain.contention.returnPlan.ReturnPlan();
+    this.plans.set(service, plan);
+    return plan;
+  }
+}
+
+/** Whether the request was already sent to a target; a refusal of such a request is final. */
+function wasSent({ excluded, writers }: Request): boolean {
+  return excluded.length > 0 || writers !== undefined;
+}
+
+export function policyOf(
+  mode: Mode,
+  allocator: domain.allocation.allocator.Allocator,
+  onOverload: OnOverload,
+): Policy {
+  return mode === 'adaptive' ? new AdaptivePolicy(allocator, onOverload) : new ArrivalPolicy();
+}
--- a/packages/daemon/src/keeper/placer.ts
+++ b/packages/daemon/src/keeper/placer.ts
@@ -4,12 +4,12 @@
  * leave no slot in time.
  */
 import type * as domain from '@celerydrift/domain';
+import * as contentionPolicy from './contentionPolicy';
 import * as waitQueue from './waitQueue';
 
 type Placement = domain.allocation.allocator.Placement;
 
-/** A prompt, and how long its caller's entry waits for a placement, in milliseconds. */
-export type Request = domain.allocation.allocator.Request & { patienceMs: number };
+export type Request = contentionPolicy.Request;
 
 export type Answer =
   | { kind: 'placed'; placement: Placement }
@@ -36,6 +36,9 @@
   clock: Clock;
   random: domain.shared.random.Random;
   onRefused: (refused: Refusal) => void;
+  /** `arrival` by default. */
+  mode?: contentionPolicy.Mode;
+  onOverload?: (change: domain.contention.waitingOrder.OverloadChange) => void;
 }
 
 /**
@@ -45,13 +48,6 @@
  */
 const RETRY_AFTER_MS = { min: 200, max: 2_000 } as const;
 
-/**
- * Share of its objective within which a request must be placed to still be on time; prefill and the first step take
- * the rest. In a burst that exceeds all engines, requests that are already late must not delay the others until those
- * are late too.
- */
-const START_BY_SHARE = 0.5;
-
 /**
  * Bounds of the delay before a deferred prompt is tried again, in milliseconds: engines may become free earlier than
  * predicted, and each try costs the leader up to a millisecond.
@@ -85,14 +81,14 @@
 const RETRY_SPREAD = { min: 1, max: 2 } as const;
 
 /** A request without a placement. */
-interface PendingRequest {
-  request: Request;
-  since: number;
+interface PendingRequest extends contentionPolicy.Arrival {
   settle: (placement: Placement | undefined) => void;
 }
 
 export class Placer {
-  private readonly queue = new waitQueue.WaitQueue<Placement>();
+  private readonly queue: waitQueue.WaitQueue<Placement>;
+
+  private readonly policy: contentionPolicy.Policy;
 
   private isOpen = false;
 
@@ -100,7 +96,11 @@
 
   private serveIntervalMs = SERVE_INTERVAL_MS;
 
-  constructor(private readonly dependencies: Dependencies) {}
+  constructor(private readonly dependencies: Dependencies) {
+    const { allocator, mode = 'arrival', onOverload = () => undefined } = dependencies;
+    this.policy = contentionPolicy.policyOf(mode, allocator, onOverload);
+    this.queue = new waitQueue.WaitQueue<Placement>(this.policy);
+  }
 
   open(): void {
     this.isOpen = true;
@@ -110,6 +110,7 @@
   close(): void {
     this.isOpen = false;
     this.queue.clear();
+    this.policy.reset();
   }
 
   place(request: Request): Promise<Answer> {
@@ -121,17 +122,20 @@
   /** Callback variant of `place`, for virtual clocks that can't drive promises. */
   placeWithCallback(request: Request, answer: (answer: Answer) => void): void {
     const since = this.now;
+    const arrival = { request, since, isReturning: this.policy.arrived(request, since) };
     const settle = (placement: Placement | undefined): void => {
-      if (placement !== undefined) answer({ kind: 'placed', placement });
-      else if (this.isOpen) answer(this.refuse(request, this.now - since));
+      if (placement !== undefined) {
+        this.policy.placed(request, placement.firstTokenMs, this.now);
+        answer({ kind: 'placed', placement });
+      } else if (this.isOpen) answer(this.refuse(arrival));
       else answer({ kind: 'closed' });
     };
-    this.tryPlace({ request, since, settle });
+    this.tryPlace({ ...arrival, settle });
   }
 
   /** Schedules a round that serves the wait queue, as slots may have become free. */
   scheduleServing(): void {
-    if (this.isServeScheduled || this.queue.length === 0) return;
+    if (this.isServeScheduled || this.queue.isIdle) return;
     this.isServeScheduled = true;
     // Reschedules itself while requests wait: slots also become free over time as engines work off their prefill.
     this.dependencies.clock.after(this.serveIntervalMs, () => {
@@ -180,7 +184,8 @@
     this.dependencies.clock.after(inMs, () => this.tryPlace(pending));
   }
 
-  private enqueue({ request, since, settle }: PendingRequest): void {
+  private enqueue(pending: PendingRequest): void {
+    const { request, since, isReturning, settle } = pending;
     if (this.limitedForMs(request.service) > request.patienceMs) {
       settle(undefined);
       return;
@@ -190,12 +195,25 @@
       const waitedMs = request.waitedMs + now - since;
       return this.dependencies.allocator.place({ ...request, waitedMs }, now);
     };
-    const until = since + request.patienceMs;
-    const inTimeUntil = since + START_BY_SHARE * request.objectiveMs - request.waitedMs;
-    const { tokens, pauseMs, service, excluded, writers } = request;
-    const isRestricted = excluded.length > 0 || writers !== undefined;
-    const attributes = { tokens, pauseMs, service, isRestricted };
-    this.queue.add({ ...attributes, since, inTimeUntil, until, attempt, resolve: settle });
+    const { tokens, pauseMs, objectiveMs, service, organisation = '', urgency = 0 } = request;
+    const isRestricted = request.excluded.length > 0 || request.writers !== undefined;
+    this.queue.add({
+      ...{
+        tokens,
+        pauseMs,
+        objectiveMs,
+        service,
+        organisation,
+        urgency,
+        isRestricted,
+        isReturning,
+      },
+      since,
+      callerSince: since - request.waitedMs,
+      ...this.policy.boundsOf(pending, this.now),
+      attempt,
+      resolve: settle,
+    });
     this.scheduleServing();
   }
 
@@ -204,7 +222,9 @@
     return this.dependencies.allocator.limitedForMs(service, this.queue.length, this.now);
   }
 
-  private refuse(request: Request, waitedMs: number): Answer {
+  private refuse(arrival: contentionPolicy.Arrival): Answer {
+    const { request, since } = arrival;
+    const waitedMs = this.now - since;
     const { min, max } = RETRY_AFTER_MS;
     const limitedForMs = this.limitedForMs(request.service);
     const nextAvailableMs = this.dependencies.allocator.nextAvailableMs(request.service, this.now);
@@ -213,8 +233,10 @@
     // again.
     const waitFactor =
       RETRY_SPREAD.min + (RETRY_SPREAD.max - RETRY_SPREAD.min) * this.dependencies.random.uniform();
-    const delayMs = Math.max(min, predictedMs, waitFactor * waitedMs);
-    const retryAfterMs = Math.round(Math.min(max, delayMs));
+    const usualDelayMs = Math.min(max, Math.max(min, predictedMs, waitFactor * waitedMs));
+    const retryAfterMs = Math.round(
+      this.policy.delayMs({ arrival, predictedMs, usualDelayMs }, this.now),
+    );
     const waiting = this.queue.length;
     this.dependencies.onRefused({ request, waitedMs, waiting, limitedForMs, retryAfterMs });
     return { kind: 'noPlace', retryAfterMs };
--- a/packages/daemon/src/keeper/waitQueue.ts
+++ b/packages/daemon/src/keeper/waitQueue.ts
@@ -1,37 +1,67 @@
 /**
- * Queue of requests that wait for an engine slot, each for a bounded time. Requests that can still be on time go
- * before late ones, and older ones before newer ones. An attempt costs the leader up to a millisecond. In a burst
+ * Queue of requests that wait for an engine slot, each for a bounded time, in an order given by a policy. An attempt costs the leader up to a millisecond. In a burst
  * hundreds of requests wait while hundreds of slots become free each second; trying all of them each time kept a
  * leader busy for seconds, so that entries took it for lost and each chose engines by itself. A round therefore
  * skips requests that can't succeed because a smaller one has just failed.
  */
+import type * as domain from '@celerydrift/domain';
 
-export interface QueuedRequest<T> {
-  /** Prompt tokens. If a request finds no slot, a larger one of the same service and `pauseMs` finds none either. */
-  tokens: number;
+type Waiting = domain.contention.waitingOrder.Waiting & {
+  /** Time of its arrival at the leader. */
+  since: number;
+};
+
+/** If a request finds no slot, one with more `tokens` of the same service and `pauseMs` finds none either. */
+export interface QueuedRequest<T> extends Waiting {
   pauseMs: number;
-  service: string;
   /** Whether only some targets of the service may take it; its failure then implies nothing for other requests. */
   isRestricted: boolean;
-  since: number;
-  /** Time until which a placement can still lead to an answer on time. */
-  inTimeUntil: number;
   until: number;
   /** Tries to place the request; returns undefined if there is still no slot. */
   attempt: () => T | undefined;
   resolve: (found: T | undefined) => void;
 }
 
+/** The order in which waiting requests are tried. */
+export interface Order {
+  /** Whether nothing depends on further rounds while no request waits. */
+  readonly isIdle: boolean;
+  arrange<R extends Waiting>(requests: readonly R[], now: number): R[];
+  /** Counts a request that got a slot while others waited. */
+  served(request: Waiting, now: number): void;
+}
+
+/** Requests that can still be on time go before late ones, and older ones before newer ones. */
+export class ArrivalOrder implements Order {
+  readonly isIdle = true;
+
+  arrange<R extends Waiting>(requests: readonly R[], now: number): R[] {
+    const isLate = ({ inTimeUntil }: R): number => (inTimeUntil <= now ? 1 : 0);
+    return [...requests].sort((a, b) => isLate(a) - isLate(b) || a.since - b.since);
+  }
+
+  served(): void {
+    // The order doesn't depend on what was served.
+  }
+}
+
 /** Maximum number of failed attempts in one round; enough to try a few requests of each class. */
 const MAX_FAILED_ATTEMPTS = 8;
 
 export class WaitQueue<T> {
   private requests: QueuedRequest<T>[] = [];
 
+  constructor(private readonly policy: { readonly order: Order } = { order: new ArrivalOrder() }) {}
+
   get length(): number {
     return this.requests.length;
   }
 
+  /** Whether no further round is needed. */
+  get isIdle(): boolean {
+    return this.requests.length === 0 && this.policy.order.isIdle;
+  }
+
   /** Whether a queued request can still be on time; new requests must not overtake it. */
   hasInTime(now: number): boolean {
     return this.requests.some(({ inTimeUntil }) => inTimeUntil > now);
@@ -47,14 +77,15 @@
    */
   serve(now: number): number {
     const expired = this.requests.filter(({ until }) => until <= now);
-    const isLate = (waiting: QueuedRequest<T>): number => (waiting.inTimeUntil <= now ? 1 : 0);
-    const unexpired = this.requests
-      .filter(({ until }) => until > now)
-      .sort((a, b) => isLate(a) - isLate(b) || a.since - b.since);
+    const unexpired = this.policy.order.arrange(
+      this.requests.filter(({ until }) => until > now),
+      now,
+    );
     this.requests = unexpired;
     expired.forEach(({ resolve }) => resolve(undefined));
-    const { left, attempts } = attemptEach(unexpired);
+    const { left, served, attempts } = attemptEach(unexpired);
     this.requests = left;
+    served.forEach((each) => this.policy.order.served(each, now));
     return attempts;
   }
 
@@ -67,10 +98,11 @@
 /** Tries the requests in order; returns those that are still waiting. */
 function attemptEach<T>(requests: readonly QueuedRequest<T>[]): {
   left: QueuedRequest<T>[];
+  served: QueuedRequest<T>[];
   attempts: number;
 } {
   const failed: QueuedRequest<T>[] = [];
-  let served = 0;
+  const served: QueuedRequest<T>[] = [];
   const left = requests.filter((waiting) => {
     const willFail = failed.some((each) => impliesFailure(each, waiting));
     if (willFail || failed.length >= MAX_FAILED_ATTEMPTS) return true;
@@ -79,11 +111,11 @@
       failed.push(waiting);
       return true;
     }
-    served += 1;
+    served.push(waiting);
     waiting.resolve(placement);
     return false;
   });
-  return { left, attempts: served + failed.length };
+  return { left, served, attempts: served.length + failed.length };
 }
 
 /** Whether the failure of one request implies that another one fails too. */
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -257,6 +257,11 @@
     return this.limits.waitMs(ready, ahead, now);
   }
 
+  /** Shortest prefill time of a prompt, divided among as many engines as is useful, in milliseconds. */
+  minPrefillMs({ service, tokens }: Pick<Request, 'service' | 'tokens'>): number {
+    return this.planners.get(service)?.minPrefillMs(tokens) ?? 0;
+  }
+
   /** Restores a dispatch that another allocator made, assuming that its prefill is over. */
   restore(request: Request, target: string, now: number): void {
     const decoder = this.loads.get(target);
--- a/packages/domain/src/allocation/planner.ts
+++ b/packages/domain/src/allocation/planner.ts
@@ -183,6 +183,13 @@
     return Math.max(1, cost.prefillMs(this.engine, tokens) / MIN_PART_MS);
   }
 
+  /** Prefill time of a prompt that is divided among as many engines as is useful, in milliseconds. */
+  minPrefillMs(tokens: number): number {
+    const wholeMs = cost.prefillMs(this.engine, tokens);
+    const useful = PART_COUNTS.filter((count) => wholeMs / count >= MIN_PART_MS);
+    return wholeMs / Math.min(this.planWeights.maxParts, Math.max(1, ...useful));
+  }
+
   /**
    * Free memory that a decoder needs: as much as the whole request takes or, if that exceeds an
    * engine's memory, a fixed fraction of the engine's; helpers keep the rest.
--- /dev/null
+++ b/packages/domain/src/contention/admission.ts
@@ -0,0 +1,61 @@
+/**
+ * Decides how long a request may wait for an engine. Handles bursts in which not all requests can be on time: one that
+ * can't be on time any more is told at once when to return, while its caller still has time to do so; one that was
+ * refused before waits until its caller leaves, because callers give up after a second refusal.
+ */
+
+export interface Request {
+  /** Objective for the first event, in milliseconds. */
+  objectiveMs: number;
+  /** How long the caller has waited, in milliseconds. */
+  waitedMs: number;
+  /** Time until the caller leaves, in milliseconds. */
+  leavesInMs: number;
+  /** Whether it was refused before, or was already sent to a target. */
+  isReturning: boolean;
+}
+
+export interface Bounds {
+  /** Time until which a placement still leads to a first event on time. */
+  inTimeUntil: number;
+  /** Time at which the request is refused. */
+  until: number;
+}
+
+/** Bounds of the wait; `predictedMs` is the predicted time from a placement to the first event. */
+export function boundsOf(request: Request, predictedMs: number, now: number): Bounds {
+  const { objectiveMs, waitedMs, leavesInMs, isReturning } = request;
+  const inTimeUntil = now + objectiveMs - waitedMs - predictedMs;
+  const reachableUntil = now + leavesInMs - predictedMs;
+  return {
+    inTimeUntil,
+    until: isReturning ? reachableUntil : Math.min(inTimeUntil, reachableUntil),
+  };
+}
+
+/** Weight of a new placement in the usual overhead. Some ten placements change it, within tens of milliseconds. */
+const OVERHEAD_WEIGHT = 0.1;
+
+/** Kinds of requests whose overhead is remembered; there are as many as routes. */
+const MAX_KINDS = 1_000;
+
+/**
+ * Predicts the time from a placement to the first event: the prefill of the prompt itself, plus the usual time that
+ * recent placements of its kind were predicted to spend on engine steps and prefills of others.
+ */
+export class FirstEventForecast {
+  private readonly overheads = new Map<string, number>();
+
+  /** Takes the allocator's prediction for a placement. */
+  observe(kind: string, firstTokenMs: number, prefillMs: number): void {
+    const sample = Math.max(0, firstTokenMs - prefillMs);
+    const usual = this.overheads.get(kind) ?? sample;
+    if (this.overheads.size >= MAX_KINDS) this.overheads.clear();
+    this.overheads.set(kind, usual + OVERHEAD_WEIGHT * (sample - usual));
+  }
+
+  /** Predicted time in milliseconds; `stepMs` is used before any placement of the kind. */
+  predict(kind: string, prefillMs: number, stepMs: number): number {
+    return prefillMs + (this.overheads.get(kind) ?? stepMs);
+  }
+}
--- /dev/null
+++ b/packages/domain/src/contention/waitingOrder.ts
@@ -0,0 +1,163 @@
+/**
+ * The order in which waiting requests are tried: by urgency class; then those that can still be on time, those that
+ * were refused before, and the other late ones; then fairly between organisations by prompt tokens; then by waiting
+ * time as a share of the objective. During an overload of a kind its newest requests go first, because oldest first
+ * makes every request wait until it is just too late.
+ */
+import * as overload from './overload';
+import * as usualDemand from './usualDemand';
+import * as virtualTime from './virtualTime';
+
+export interface Waiting {
+  service: string;
+  organisation: string;
+  /** Urgency class; 0 is the most urgent. */
+  urgency: number;
+  tokens: number;
+  objectiveMs: number;
+  /** Time since which its caller waits. */
+  callerSince: number;
+  inTimeUntil: number;
+  /** Whether it was refused before, or was already sent to a target. */
+  isReturning: boolean;
+}
+
+export interface OverloadChange {
+  service: string;
+  objectiveMs: number;
+  change: 'began' | 'ended';
+}
+
+/**
+ * Share of its objective after which a request is raised by one urgency class. Later it couldn't be on time even if it
+ * got the next slot, so less urgent requests would only be served late.
+ */
+const AGEING_SHARE = 0.6;
+
+/**
+ * Slots that late requests get for each slot of a request that can be on time while both wait. A late answer is worth a
+ * quarter of one on time, so the share is small, but without it a size that is always late would never be served.
+ */
+const LATE_PER_IN_TIME = 0.1;
+
+/** Most slots that late requests may be owed, so that they don't take a series of slots after a long burst. */
+const MAX_OWED = 2;
+
+interface Ranked<T> {
+  item: T;
+  urgency: number;
+  lateness: number;
+  start: number;
+  position: number;
+}
+
+export class WaitingOrder {
+  readonly demand = new usualDemand.UsualDemand();
+
+  private readonly virtualTime = new virtualTime.VirtualTime();
+
+  private readonly overloads = new Map<string, overload.Overload>();
+
+  /** Slots that late requests are owed. */
+  private owedSlots = 0;
+
+  private weights = this.demand.weights(0);
+
+  constructor(private readonly onOverload: (change: OverloadChange) => void = () => undefined) {}
+
+  /** Whether nothing depends on a further call of `arrange` while no request waits. */
+  get isIdle(): boolean {
+    return this.overloads.size === 0 && this.virtualTime.isClear;
+  }
+
+  /** The requests in the order in which they should be tried. */
+  arrange<T extends Waiting>(items: readonly T[], now: number): T[] {
+    if (items.length === 0) this.virtualTime.clear();
+    this.observeOverload(items, now);
+    this.weights = this.demand.weights(now);
+    const ranked = items.map((item) => this.rank(item, now)).sort(compareClasses);
+    if (this.demand.isObserved(now)) this.setStarts(ranked);
+    ranked.sort((a, b) => compareClasses(a, b) || a.start - b.start || b.position - a.position);
+    return this.promoteOwed(ranked).map(({ item }) => item);
+  }
+
+  /** Counts a request that got a slot while others waited. */
+  served(item: Waiting, now: number): void {
+    const { organisation, tokens } = item;
+    const start = this.virtualTime.startOf(organisation);
+    this.virtualTime.charge(organisation, start, tokens / this.weights.of(organisation));
+    this.virtualTime.advance(start);
+    if (item.inTimeUntil <= now) this.owedSlots = Math.max(0, this.owedSlots - 1);
+    else this.owedSlots = Math.min(MAX_OWED, this.owedSlots + LATE_PER_IN_TIME);
+  }
+
+  private rank<T extends Waiting>(item: T, now: number): Ranked<T> {
+    const { urgency, objectiveMs, callerSince, inTimeUntil, isReturning } = item;
+    const share = (now - callerSince) / objectiveMs;
+    const raised = Math.floor(share / AGEING_SHARE);
+    const isNewestFirst = this.overloads.get(kindOf(item))?.isOn === true;
+    const lateRank = isReturning ? 1 : 2;
+    return {
+      item,
+      urgency: Math.max(0, urgency - raised),
+      lateness: inTimeUntil > now ? 0 : lateRank,
+      start: 0,
+      position: isNewestFirst ? 1 - share : share,
+    };
+  }
+
+  /** Sets the virtual start times that the requests would have if all were served in this order. */
+  private setStarts<T extends Waiting>(ranked: Ranked<T>[]): void {
+    const starts = new Map<string, number>();
+    ranked
+      .sort((a, b) => compareClasses(a, b) || b.position - a.position)
+      .forEach((each) => {
+        const { organisation, tokens } = each.item;
+        const start = starts.get(organisation) ?? this.virtualTime.startOf(organisation);
+        each.start = start;
+        starts.set(organisation, start + tokens / this.weights.of(organisation));
+      });
+  }
+
+  /** Puts late requests first that are owed a slot. */
+  private promoteOwed<T extends Waiting>(ranked: readonly Ranked<T>[]): readonly Ranked<T>[] {
+    const owed = Math.floor(this.owedSlots);
+    const late = owed === 0 ? [] : ranked.filter(({ lateness }) => lateness > 0).slice(0, owed);
+    return late.length === 0 ? ranked : [...late, ...ranked.filter((each) => !late.includes(each))];
+  }
+
+  private observeOverload(items: readonly Waiting[], now: number): void {
+    const longest = new Map<string, Waiting>();
+    items
+      .filter(({ inTimeUntil }) => inTimeUntil > now)
+      .forEach((item) => {
+        const current = longest.get(kindOf(item));
+        if (current === undefined || item.callerSince < current.callerSince) {
+          longest.set(kindOf(item), item);
+        }
+      });
+    longest.forEach(({ objectiveMs }, kind) => {
+      if (!this.overloads.has(kind)) this.overloads.set(kind, new overload.Overload(objectiveMs));
+    });
+    this.overloads.forEach((each, kind) => {
+      const oldest = longest.get(kind);
+      const change = each.observe(oldest === undefined ? 0 : now - oldest.callerSince, now);
+      if (change !== undefined) this.report(kind, change);
+      if (oldest === undefined && !each.isOn) this.overloads.delete(kind);
+    });
+  }
+
+  private report(kind: string, change: 'began' | 'ended'): void {
+    const [objectiveMs, service] = kind.split(' ');
+    this.onOverload({ service, objectiveMs: Number(objectiveMs), change });
+  }
+}
+
+/** Requests of one service with the same objective are of one kind. */
+export function kindOf({ service, objectiveMs }: Pick<Waiting, 'service' | 'objectiveMs'>): string {
+  return `${objectiveMs} ${service}`;
+}
+
+function compareClasses<T>(a: Ranked<T>, b: Ranked<T>): number {
+  return a.urgency - b.urgency || a.lateness - b.lateness;
+}
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -2,6 +2,7 @@
 export * as allocation from './allocation';
 export * as backOff from './backOff';
 export * as catalogue from './catalogue';
+export * as contention from './contention';
 export * as control from './control';
 export * as evacuation from './evacuation';
 export * as ledger from './ledger';
--- a/packages/domain/src/routing/fairQueue.ts
+++ b/packages/domain/src/routing/fairQueue.ts
@@ -3,6 +3,7 @@
  * (start-time fair queueing; Goyal, Vin, Cheng, 1996) within priority classes, with ageing so that
  * no class starves. The caller bounds tokens and requests and refuses what exceeds them.
  */
+import * as virtualTime from '../contention/virtualTime';
 import * as document from '../settings/document';
 
 export interface Item {
@@ -28,9 +29,7 @@
 export class FairQueue<T extends Item> {
   private readonly waiting: Tagged<T>[] = [];
 
-  private readonly virtualFinish = new Map<string, number>();
-
-  private virtualTime = 0;
+  private readonly virtualTime = new virtualTime.VirtualTime();
 
   private waitingTokens = 0;
 
@@ -46,8 +45,8 @@
   }
 
   push(item: T): void {
-    const start = Math.max(this.virtualTime, this.virtualFinish.get(item.organisation) ?? 0);
-    this.virtualFinish.set(item.organisation, start + item.tokens / item.share);
+    const start = this.virtualTime.startOf(item.organisation);
+    this.virtualTime.charge(item.organisation, start, item.tokens / item.share);
     this.waiting.push({ item, start });
     this.waitingTokens += item.tokens;
   }
@@ -69,8 +68,8 @@
     if (position === -1) return undefined;
     const [removed] = this.waiting.splice(position, 1) as [Tagged<T>];
     this.waitingTokens -= removed.item.tokens;
-    this.virtualTime = Math.max(this.virtualTime, removed.start);
-    if (this.waiting.length === 0) this.virtualFinish.clear();
+    this.virtualTime.advance(removed.start);
+    if (this.waiting.length === 0) this.virtualTime.clear();
     return removed;
   }
 
--- a/packages/measure/src/decisions/allocationSimulation.ts
+++ b/packages/measure/src/decisions/allocationSimulation.ts
@@ -2,7 +2,7 @@
  * Runs a workload in virtual time against the production allocator, wait queue and admission, with simulated engines. A
  * seed gives the same requests whatever mechanism is switched off, so that results can be compared in pairs.
  */
-import { placer } from '@celerydrift/daemon';
+import { contentionPolicy, placer } from '@celerydrift/daemon';
 import * as domain from '@celerydrift/domain';
 import * as eventQueue from '../mixed/eventQueue';
 import * as engines from './engine';
@@ -24,6 +24,10 @@
   workload: workloads.Workload;
   seed: number;
   weights: domain.allocation.weights.Weights;
+  /** Policy of the wait queue; `arrival` by default. */
+  mode?: contentionPolicy.Mode;
+  /** Whether callers leave at their time limit, and return once after a refusal, as callers of a fleet do. */
+  callersReturn?: boolean;
 }
 
 interface Request {
@@ -33,6 +37,7 @@
   events: number;
   at: number;
   attempt: number;
+  refusals: number;
   firstAt: number;
   lastAt: number;
   longestGapMs: number;
@@ -56,6 +61,9 @@
 
 const MAX_ATTEMPTS = 2;
 
+/** Most of the time that it has left for which a refused caller waits before it returns. */
+const MAX_RETURN_SHARE = 1 / 3;
+
 const ENTRY = 'entry';
 
 export class AllocationSimulation {
@@ -89,6 +97,7 @@
       },
       random: domain.shared.random.independent(seed + 1),
       onRefused: () => undefined,
+      mode: options.mode,
     });
     this.placer.open();
   }
@@ -151,6 +160,7 @@
       events: Math.min(events, 3 * kind.events),
       at,
       attempt: 0,
+      refusals: 0,
       firstAt: 0,
       lastAt: 0,
       longestGapMs: 0,
@@ -179,7 +189,9 @@
 
   private requestPlacement(request: Request): void {
     const { kind, tokens, events, at } = request;
-    const callerTimeoutMs = Math.max(2_000, 4 * kind.objectiveMs, 8 * kind.pauseMs);
+    const callerTimeoutMs = callerTimeoutOf(kind);
+    const leavesInMs =
+      request.firstAt > 0 ? callerTimeoutMs : at + callerTimeoutMs - this.events.now;
     this.placer.placeWithCallback(
       {
         id: `${request.id}/${request.attempt}`,
@@ -193,14 +205,31 @@
         dataCentre: '',
         excluded: [],
         patienceMs: PLACEMENT_WAIT_SHARE * callerTimeoutMs,
+        organisation: kind.organisation,
+        urgency: kind.urgency,
+        ...(this.options.mode === 'adaptive' && { content: request.id, leavesInMs }),
       },
       (result) => {
         if (result.kind === 'placed') this.dispatch(request, result.placement);
+        else if (result.kind === 'noPlace') this.returnLater(request, result.retryAfterMs);
         else this.finish(request, 'refused');
       },
     );
   }
 
+  /** Lets a caller that was refused once return; a second refusal is final. */
+  private returnLater(request: Request, retryAfterMs: number): void {
+    const leftMs = request.at + callerTimeoutOf(request.kind) - this.events.now;
+    request.refusals += 1;
+    const mayReturn = this.options.callersReturn === true && request.attempt === 0;
+    if (!mayReturn || request.refusals > 1 || leftMs <= 0) {
+      this.finish(request, 'refused');
+      return;
+    }
+    const delayMs = Math.min(retryAfterMs, MAX_RETURN_SHARE * leftMs);
+    this.events.at(this.events.now + delayMs, () => this.requestPlacement(request));
+  }
+
   private dispatch(request: Request, { target, helpers, firstTokenMs }: Placement): void {
     if (request.attempt === 0) request.predictedMs = this.events.now - request.at + firstTokenMs;
     request.attempt += 1;
@@ -237,7 +266,9 @@
     this.release(id, 'done');
     const { kind, firstAt, at, longestGapMs } = request;
     const isInTime = firstAt - at <= kind.objectiveMs && longestGapMs <= kind.pauseMs;
-    this.finish(request, isInTime ? 'inTime' : 'late');
+    const hasLeft = this.options.callersReturn === true && firstAt - at > callerTimeoutOf(kind);
+    const served = isInTime ? 'inTime' : 'late';
+    this.finish(request, hasLeft ? 'lost' : served);
   }
 
   /** Retries a request elsewhere, up to `MAX_ATTEMPTS`, once one of its engines has become unresponsive. */
@@ -267,3 +298,8 @@
     this.outcomes.push({ kind, arrivedAt: at / 1_000, result, firstMs: firstAt - at, predictedMs });
   }
 }
+
+/** Time without an event after which the caller leaves, in milliseconds. */
+function callerTimeoutOf({ objectiveMs, pauseMs }: workloads.RequestKind): number {
+  return Math.max(2_000, 4 * objectiveMs, 8 * pauseMs);
+}
--- a/packages/measure/src/decisions/workloads.ts
+++ b/packages/measure/src/decisions/workloads.ts
@@ -22,6 +22,9 @@
   worth: number;
   /** Worth of a late answer. */
   lateWorth: number;
+  organisation?: string;
+  /** Urgency class; 0 is the most urgent. */
+  urgency?: number;
 }
 
 export interface Burst {
