--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -248,6 +248,7 @@
       onSuspects: () => this.softState.suspectsChanged(),
       onLimits: () => this.softState.limitsChanged(),
       linkMbps: this.dependencies.settings.linkMbps,
+      contentionMode: this.dependencies.settings.contentionMode,
     });
     leader.allocator.setEvacuated((name) => this.fleetState.evacuations.isEvacuated(name));
     const { directory } = this.fleetState;
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -40,6 +40,8 @@
   onLimits: () => void;
   /** Bandwidth of this VM's link, in megabits per second. */
   linkMbps: number;
+  /** `arrival` by default. */
+  contentionMode?: placer.Mode;
 }
 
 /** Time after which a new leader has heard from all entries, in milliseconds: three of their poll intervals. */
@@ -158,6 +160,7 @@
       allocator: this.allocator,
       clock: { now, after },
       random,
+      mode: options.contentionMode,
       onRefused: ({ request: { id, tokens }, waitedMs, waiting, limitedForMs, retryAfterMs }) => {
         observe.log('requestNotPlaced', {
           request: id,
--- a/packages/daemon/src/keeper/placer.ts
+++ b/packages/daemon/src/keeper/placer.ts
@@ -4,6 +4,7 @@
  * leave no slot in time.
  */
 import type * as domain from '@celerydrift/domain';
+import * as contentionPolicy from './contentionPolicy';
 import * as waitQueue from './waitQueue';
 
 type Placement = domain.allocation.allocator.Placement;
@@ -17,8 +18,9 @@
 /** Why a request can't be placed, if not because all engines are full; the entry reports it in its log. */
 export type RefusalReason = 'evacuated';
 
-/** A prompt, and how long its caller's entry waits for a placement, in milliseconds. */
-export type Request = domain.allocation.allocator.Request & { patienceMs: number };
+export type Request = contentionPolicy.Request;
+
+export type Mode = contentionPolicy.Mode;
 
 export type Answer =
   | { kind: 'placed'; placement: Placement }
@@ -47,6 +49,9 @@
   clock: Clock;
   random: domain.shared.random.Random;
   onRefused: (refused: Refusal) => void;
+  /** `arrival` by default. */
+  mode?: contentionPolicy.Mode;
+  onOverload?: (change: domain.contention.waitingOrder.OverloadChange) => void;
 }
 
 /**
@@ -56,13 +61,6 @@
  */
 const RETRY_AFTER_MS = { min: 200, max: 2_000 } as const;
 
-/**
- * Share of its objective within which a request must be placed to still be on time; prefill and the first step take
- * the rest. In a burst that exceeds all engines, requests that are already late must not delay the others until those
- * are late too.
- */
-const START_BY_SHARE = 0.5;
-
 /**
  * Bounds of the delay before a deferred prompt is tried again, in milliseconds: engines may become free earlier than
  * predicted, and each try costs the leader up to a millisecond.
@@ -96,14 +94,14 @@
 const RETRY_SPREAD = { min: 1, max: 2 } as const;
 
 /** A request without a placement. */
-interface PendingRequest {
-  request: Request;
-  since: number;
+interface PendingRequest extends contentionPolicy.Arrival {
   settle: (result: Settlement | undefined) => void;
 }
 
 export class Placer {
-  private readonly queue = new waitQueue.WaitQueue<Settlement>();
+  private readonly queue: waitQueue.WaitQueue<Settlement>;
+
+  private readonly policy: contentionPolicy.Policy;
 
   private isOpen = false;
 
@@ -111,7 +109,11 @@
 
   private serveIntervalMs = SERVE_INTERVAL_MS;
 
-  constructor(private readonly dependencies: Dependencies) {}
+  constructor(private readonly dependencies: Dependencies) {
+    const { allocator, mode = 'arrival', onOverload = () => undefined } = dependencies;
+    this.policy = contentionPolicy.policyOf(mode, allocator, onOverload);
+    this.queue = new waitQueue.WaitQueue<Settlement>(this.policy);
+  }
 
   open(): void {
     this.isOpen = true;
@@ -121,6 +123,7 @@
   close(): void {
     this.isOpen = false;
     this.queue.clear();
+    this.policy.reset();
   }
 
   place(request: Request): Promise<Answer> {
@@ -132,17 +135,20 @@
   /** Callback variant of `place`, for virtual clocks that can't drive promises. */
   placeWithCallback(request: Request, answer: (answer: Answer) => void): void {
     const since = this.now;
+    const arrival = { request, since, isReturning: this.policy.arrived(request, since) };
     const settle = (result: Settlement | undefined): void => {
-      if (result?.kind === 'placed') answer(result);
-      else if (this.isOpen) answer(this.refuse(request, this.now - since, result?.kind));
+      if (result?.kind === 'placed') {
+        this.policy.placed(request, result.placement.firstTokenMs, this.now);
+        answer(result);
+      } else if (this.isOpen) answer(this.refuse(arrival, result?.kind));
       else answer({ kind: 'closed' });
     };
-    this.tryPlace({ request, since, settle });
+    this.tryPlace({ ...arrival, settle });
   }
 
   /** Schedules a round that serves the wait queue, as slots may have become free. */
   scheduleServing(): void {
-    if (this.isServeScheduled || this.queue.length === 0) return;
+    if (this.isServeScheduled || this.queue.isIdle) return;
     this.isServeScheduled = true;
     // Reschedules itself while requests wait: slots also become free over time as engines work off their prefill.
     this.dependencies.clock.after(this.serveIntervalMs, () => {
@@ -172,7 +178,7 @@
     }
     const { now } = this;
     // A new request queues behind those that can still be on time; late ones in the queue don't hold it up.
-    if (this.queue.hasInTime(now)) {
+    if (this.queue.hasInTime(now) || this.policy.mustWait(pending, now)) {
       this.enqueue(pending);
       return;
     }
@@ -191,7 +197,8 @@
     this.dependencies.clock.after(inMs, () => this.tryPlace(pending));
   }
 
-  private enqueue({ request, since, settle }: PendingRequest): void {
+  private enqueue(pending: PendingRequest): void {
+    const { request, since, isReturning, settle } = pending;
     if (this.limitedForMs(request.service) > request.patienceMs) {
       settle(undefined);
       return;
@@ -202,12 +209,25 @@
       const result = this.dependencies.allocator.choose({ ...request, waitedMs }, now, false);
       return result.kind === 'full' || result.kind === 'later' ? undefined : result;
     };
-    const until = since + request.patienceMs;
-    const inTimeUntil = since + START_BY_SHARE * request.objectiveMs - request.waitedMs;
-    const { tokens, pauseMs, service, excluded, writers } = request;
-    const isRestricted = excluded.length > 0 || writers !== undefined;
-    const attributes = { tokens, pauseMs, service, isRestricted };
-    this.queue.add({ ...attributes, since, inTimeUntil, until, attempt, resolve: settle });
+    const { tokens, pauseMs, objectiveMs, service, organisation = '', urgency = 0 } = request;
+    const isRestricted = request.excluded.length > 0 || request.writers !== undefined;
+    this.queue.add({
+      ...{
+        tokens,
+        pauseMs,
+        objectiveMs,
+        service,
+        organisation,
+        urgency,
+        isRestricted,
+        isReturning,
+      },
+      since,
+      callerSince: since - request.waitedMs,
+      ...this.policy.boundsOf(pending, this.now),
+      attempt,
+      resolve: settle,
+    });
     this.scheduleServing();
   }
 
@@ -216,7 +236,9 @@
     return this.dependencies.allocator.limitedForMs(service, this.queue.length, this.now);
   }
 
-  private refuse(request: Request, waitedMs: number, reason?: RefusalReason): Answer {
+  private refuse(arrival: contentionPolicy.Arrival, reason?: RefusalReason): Answer {
+    const { request, since } = arrival;
+    const waitedMs = this.now - since;
     const { min, max } = RETRY_AFTER_MS;
     const limitedForMs = this.limitedForMs(request.service);
     const nextAvailableMs = this.dependencies.allocator.nextAvailableMs(request.service, this.now);
@@ -225,8 +247,10 @@
     // again.
     const waitFactor =
       RETRY_SPREAD.min + (RETRY_SPREAD.max - RETRY_SPREAD.min) * this.dependencies.random.uniform();
-    const delayMs = Math.max(min, predictedMs, waitFactor * waitedMs);
-    const retryAfterMs = Math.round(Math.min(max, delayMs));
+    const usualDelayMs = Math.min(max, Math.max(min, predictedMs, waitFactor * waitedMs));
+    const retryAfterMs = Math.round(
+      this.policy.delayMs({ arrival, predictedMs, usualDelayMs }, this.now),
+    );
     const waiting = this.queue.length;
     this.dependencies.onRefused({ request, waitedMs, waiting, limitedForMs, retryAfterMs, reason });
     return { kind: 'noPlace', retryAfterMs, reason };
