Evacuate data centres in the soak test

Cause: evacuations have to hold under the faults that the soak test injects.

Change: one data centre at a time is evacuated for 7 to 12 s, with half of the acknowledgements treated as lost. From outside it is checked that no target there runs a request after the bound, from entries that were in touch, and that the keepers still list the evacuation before its end.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -97,7 +97,19 @@
   }
 }
 
+/** An evacuation of a data centre without targets; target 0 runs a request 5.2 s after its acknowledgement. */
+const EVACUATION = { dataCentre: 'west', ackedAt: 4_850, endedAt: 20_000, isListed: true };
+
 describe('soak: checks', () => {
+  it('allow requests to an evacuated data centre from an entry that was cut off since the order', () => {
+    const violated = violatedGuarantees((good) => {
+      good.evacuated.push({ ...EVACUATION, dataCentre: 'east' });
+      const disturbance = { subject: 'entry', index: 0, what: 'entryCut' } as const;
+      good.disturbances.push({ ...disturbance, from: 4_900, until: 8_000 });
+    });
+    expect(violated).to.deep.equal([]);
+  });
+
   it('allow one and a half times a limit and a few messages more, and any number from a disturbed entry', () => {
     // The allowed maximum is 11 messages in 4 s.
     expect(violatedGuarantees((good) => addLimitedTarget(good, 370))).to.deep.equal([]);
@@ -172,6 +184,11 @@
       },
     ],
     ['drainedTargetRan', ({ drained }) => drained.push({ target: 't0-1', at: 7_000 })],
+    [
+      'evacuatedTargetRan',
+      ({ evacuated }) => evacuated.push({ ...EVACUATION, dataCentre: 'east' }),
+    ],
+    ['evacuationLost', ({ evacuated }) => evacuated.push({ ...EVACUATION, isListed: false })],
     [
       'cutByStop',
       ({ asked: all, ran, stopped }) => {
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -33,6 +33,10 @@
   | 'revokedKeyRan'
   /** A target ran a request after the bound on draining targets. */
   | 'drainedTargetRan'
+  /** A target in an evacuated data centre ran a request after the bound. */
+  | 'evacuatedTargetRan'
+  /** An acknowledged evacuation no longer held before its end was ordered. */
+  | 'evacuationLost'
   /** A planned stop truncated the response to a request that the entry had accepted. */
   | 'cutByStop'
   /** A request that had crashed three targets kept reaching further ones. */
@@ -64,6 +68,9 @@
 /** The response to a probe may reflect the state this long before the probe was sent. */
 const PROBE_TOLERANCE_MS = 500;
 
+/** Number of keepers that may have faults while the others serve; equals `tolerated-losses` in their settings. */
+const TOLERATED_LOSSES = 2;
+
 /** Maximum transit time of a request from an entry to a target. */
 const TRANSIT_MS = 150;
 
@@ -91,6 +98,8 @@
   lostDocuments,
   revokedKeyRuns,
   drainedTargetRuns,
+  evacuatedTargetRuns,
+  lostEvacuations,
   requestsCutByStops,
   quarantineBypasses,
   falselyRefusedCrashers,
@@ -267,6 +276,52 @@
   });
 }
 
+/**
+ * An entry knows an evacuation at the latest once it has been in touch with a leader for the bound, and keeps it
+ * through later faults.
+ */
+function evacuatedTargetRuns(observed: Observations): Violation[] {
+  const entries = new Map(
+    [...observed.asked, ...observed.crashers].map(({ request, entry }) => [request, entry]),
+  );
+  const indexes = new Map(observed.lifetimes.map(({ target, index }) => [target, index]));
+  return observed.ran.flatMap(({ request, target, at }): Violation[] => {
+    const index = indexes.get(target);
+    const entry = entries.get(request);
+    if (index === undefined || entry === undefined) return [];
+    const evacuation = observed.evacuated.find(({ dataCentre, ackedAt, endedAt }) => {
+      const isHere = dataCentre === layout.dataCentreOf(index);
+      return isHere && at > ackedAt + layout.BOUNDS.evacuationMs + TRANSIT_MS && at < endedAt;
+    });
+    if (evacuation === undefined || !wasInTouch(observed, entry, evacuation.ackedAt, at)) return [];
+    return [{ promise: 'evacuatedTargetRan', detail: `${request} at ${target}` }];
+  });
+}
+
+/** Whether an entry and enough keepers for a quorum had no fault for the bound at some time between two others. */
+function wasInTouch(observed: Observations, entry: number, from: number, until: number): boolean {
+  const { disturbances } = observed;
+  const ends = disturbances.map((each) => each.until).filter((each) => each > from);
+  return [from, ...ends].some((start) => {
+    const end = start + layout.BOUNDS.evacuationMs;
+    if (end > until || isDisturbed(observed, 'entry', entry, start + 1, end)) return false;
+    const keepers = disturbances.filter((each) => {
+      return each.subject === 'keeper' && each.from <= end && each.until > start;
+    });
+    return new Set(keepers.map(({ index }) => index)).size <= TOLERATED_LOSSES;
+  });
+}
+
+function lostEvacuations({ evacuated }: Observations): Violation[] {
+  return evacuated
+    .filter(({ isListed }) => isListed !== true)
+    .map(({ dataCentre, isListed }) => {
+      const detail =
+        isListed === undefined ? `${dataCentre}: no listing` : `${dataCentre}: not listed`;
+      return { promise: 'evacuationLost', detail };
+    });
+}
+
 /** A request that a stopping entry had forwarded must get its complete response, unless its target was disturbed. */
 function requestsCutByStops(observed: Observations): Violation[] {
   const ran = new Map(observed.ran.map((each) => [each.request, each]));
--- a/packages/soak/src/faultInjector.ts
+++ b/packages/soak/src/faultInjector.ts
@@ -132,6 +132,22 @@
     await Promise.all(sheddingTargets.slice(0, 1).map((target) => this.drainTarget(target)));
   }
 
+  /** Evacuates a data centre for a while, and lists it before the end: whatever failed meanwhile, it must still hold. */
+  async evacuate({ dataCentre, forSeconds }: schedule.EvacuationSpan): Promise<void> {
+    if (!(await this.operators.orderEvacuation(dataCentre, 'start'))) return;
+    const ackedAt = Date.now();
+    await operator.sleep(forSeconds * 1_000);
+    const listed = await this.operators.listEvacuated();
+    const endedAt = Date.now();
+    this.observed.evacuated.push({
+      dataCentre,
+      ackedAt,
+      endedAt,
+      isListed: listed?.includes(dataCentre),
+    });
+    await this.operators.orderEvacuation(dataCentre, 'end');
+  }
+
   /** Isolates an entry, sets its wall clock back, and revokes a key; resolves when the entry is connected again. */
   async isolate(
     { index, organisation, forSeconds }: schedule.IsolationSpan,
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -51,7 +51,6 @@
 export const ENGINE_SLOTS = 16;
 export const ENGINE_MEMORY_TOKENS = 300_000;
 const PLAIN_SLOTS = 40;
-const DATA_CENTRES = ['east', 'west', 'south'];
 
 export class Fleet {
   readonly network = new forwarder.Network();
@@ -218,7 +217,8 @@
       '[daemon]',
       `role = ${role}`,
       `name = ${role}-${index}`,
-      `data-centre = ${DATA_CENTRES[index % DATA_CENTRES.length]}`,
+      `data-centre = ${layout.dataCentreOf(index)}`,
+      `data-centres = ${layout.DATA_CENTRES.join(', ')}`,
       '[listen]',
       ...listeners,
       `peers = ${host}:${PORT.peers}`,
@@ -231,6 +231,7 @@
       '[bounds]',
       `revoke-ms = ${BOUNDS.revokeMs}`,
       `drain-ms = ${BOUNDS.drainMs}`,
+      `evacuation-ms = ${BOUNDS.evacuationMs}`,
       `stop-seconds = ${BOUNDS.stopMs / 1_000}`,
     ];
     replaceFile(vm.settingsFile, `${lines.join('\n')}\n`);
@@ -247,7 +248,7 @@
     const options: targetMain.Options = {
       id: '',
       service: isEngine ? SERVICE.engines : SERVICE.plain,
-      dataCentre: DATA_CENTRES[index % DATA_CENTRES.length],
+      dataCentre: layout.dataCentreOf(index),
       host,
       port: layout.TARGET_PORT,
       address: `${advertisedHost}:${layout.TARGET_PORT}`,
--- a/packages/soak/src/layout.ts
+++ b/packages/soak/src/layout.ts
@@ -40,4 +40,17 @@
 }
 
 /** Bounds that the fleet is configured with and checked against, the same as in deployments. */
-export const BOUNDS = { revokeMs: 5_000, drainMs: 2_000, applyMs: 2_000, stopMs: 8_000 } as const;
+export const BOUNDS = {
+  revokeMs: 5_000,
+  drainMs: 2_000,
+  evacuationMs: 5_000,
+  applyMs: 2_000,
+  stopMs: 8_000,
+} as const;
+
+/** VMs and targets are distributed over the data centres by their index. */
+export const DATA_CENTRES = ['east', 'west', 'south'] as const;
+
+export function dataCentreOf(index: number): string {
+  return DATA_CENTRES[index % DATA_CENTRES.length];
+}
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -96,6 +96,17 @@
   at: number;
 }
 
+/** A period in which a data centre is evacuated. */
+export interface EvacuationWindow {
+  dataCentre: string;
+  /** When a keeper acknowledged the evacuation. */
+  ackedAt: number;
+  /** When the operator first ordered its end. */
+  endedAt: number;
+  /** Whether the keepers listed it just before that; undefined if none answered. */
+  isListed: boolean | undefined;
+}
+
 export type DisturbedSubject = 'entry' | 'keeper' | 'target' | 'network';
 
 /** A fault of one process, or of the network between all processes. */
@@ -147,6 +158,7 @@
     sent: [] as SubmittedDocument[],
     revoked: [] as RevokedKey[],
     drained: [] as DrainedTarget[],
+    evacuated: [] as EvacuationWindow[],
     stopped: [] as PlannedStop[],
     disturbances: [] as Disturbance[],
     /** Ids that each target, by index, has run under. */
--- a/packages/soak/src/operator.ts
+++ b/packages/soak/src/operator.ts
@@ -16,6 +16,8 @@
 
 export const REQUEST_KINDS = ['safe', 'unsafe', 'stream'] as const;
 const RETRY_INTERVAL_MS = 100;
+/** Share of acknowledged evacuation orders whose acknowledgement is treated as lost, so that they are sent again. */
+const LOST_ACK_SHARE = 0.5;
 /** Calls are no longer retried after this. A document that wasn't acknowledged by then may still come into force. */
 const CALL_TIMEOUT_MS = 20_000;
 
@@ -141,6 +143,33 @@
     if (status === 200) throw new Error('an invalid document was acknowledged');
   }
 
+  /** Evacuates a data centre, or ends that; resolves with false if no keeper acknowledged it in time. */
+  async orderEvacuation(dataCentre: string, order: 'start' | 'end'): Promise<boolean> {
+    const call =
+      order === 'start' ? counterpart.evacuate(dataCentre) : counterpart.endEvacuation(dataCentre);
+    let isAckLost = this.random.uniform() < LOST_ACK_SHARE;
+    const until = Date.now() + CALL_TIMEOUT_MS;
+    while (Date.now() < until) {
+      const { status } = await controlClient.call(this.pickKeeper(), call);
+      if (status === 200 && !isAckLost) return true;
+      if (status === 200) isAckLost = false;
+      else await sleep(RETRY_INTERVAL_MS);
+    }
+    return false;
+  }
+
+  /** Lists the evacuated data centres; undefined if no keeper answers in time. */
+  async listEvacuated(): Promise<string[] | undefined> {
+    const until = Date.now() + CALL_TIMEOUT_MS;
+    while (Date.now() < until) {
+      const call = counterpart.listEvacuations();
+      const { status, body } = await controlClient.call(this.pickKeeper(), call);
+      if (status === 200) return counterpart.parseEvacuations(body);
+      await sleep(RETRY_INTERVAL_MS);
+    }
+    return undefined;
+  }
+
   /** Reads back the newest document; undefined if no keeper answers in time. */
   async readNewest(): Promise<observations.Observations['readBack']> {
     const until = Date.now() + CALL_TIMEOUT_MS;
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -152,6 +152,13 @@
  */
 export type SheddingSpan = Omit<LimitingSpan, 'perSecond'> & { backOffSeconds: number };
 
+/** A period in which a data centre is evacuated. */
+export interface EvacuationSpan {
+  at: number;
+  forSeconds: number;
+  dataCentre: string;
+}
+
 export interface Plan {
   seed: number;
   seconds: number;
@@ -160,6 +167,7 @@
   limiting: LimitingSpan[];
   shedding: SheddingSpan[];
   isolating: IsolationSpan[];
+  evacuating: EvacuationSpan[];
 }
 
 const CRASHING_REQUEST_KINDS: readonly observations.RequestKind[] = ['stream', 'safe', 'unsafe'];
@@ -230,6 +238,21 @@
 const MEAN_ISOLATION_INTERVAL_SECONDS = 6;
 const ISOLATION_SECONDS = 10;
 
+const EVACUATION_SEED_OFFSET = 4_000_003;
+const MEAN_EVACUATION_INTERVAL_SECONDS = 4;
+/** Longer than the bound, so that some traffic is checked after it. */
+const EVACUATION_SECONDS = { min: 7, max: 12 } as const;
+
+function drawEvacuations(seed: number, seconds: number): EvacuationSpan[] {
+  const timing = { seconds, meanPause: MEAN_EVACUATION_INTERVAL_SECONDS };
+  const minGap = EVACUATION_SECONDS.max;
+  return drawSpans({ seed: seed + EVACUATION_SEED_OFFSET, ...timing, minGap }, (random, at) => ({
+    at,
+    forSeconds: uniformBetween(random, EVACUATION_SECONDS),
+    dataCentre: domain.shared.random.pick(random, layout.DATA_CENTRES),
+  }));
+}
+
 function drawIsolation(seed: number, seconds: number, entries: number): IsolationSpan[] {
   const timing = { seconds, meanPause: MEAN_ISOLATION_INTERVAL_SECONDS };
   const minGap = ISOLATION_SECONDS;
@@ -304,5 +327,6 @@
     size.engines + size.services,
   ).map(({ perSecond, ...rest }) => ({ ...rest, backOffSeconds: perSecond }));
   const isolating = drawIsolation(seed, seconds, size.entries);
-  return { seed, seconds, steps, crashing, limiting, shedding, isolating };
+  const evacuating = drawEvacuations(seed, seconds);
+  return { seed, seconds, steps, crashing, limiting, shedding, isolating, evacuating };
 }
