Keep the knowledge of voters about evacuations over a loss of all keepers

Cause: a new leader takes orders only once all voters have announced that they know evacuations.

Change: keepers with the part turned on store the announcements in the file `evacuation-replicas`.

Existing tests: the leader's fixture passes the new callback.

--- a/packages/daemon/src/keeper/__tests__/__fixtures__/leaderFixture.ts
+++ b/packages/daemon/src/keeper/__tests__/__fixtures__/leaderFixture.ts
@@ -74,6 +74,7 @@
     linkMbps: 170,
     newestCatalogue: () => undefined,
     evacuations: () => fleet.evacuations.state,
+    onInformed: () => undefined,
     onSuspects: () => undefined,
     onLimits: () => undefined,
   });
--- a/packages/daemon/src/keeper/__tests__/evacuationCoordinator.test.ts
+++ b/packages/daemon/src/keeper/__tests__/evacuationCoordinator.test.ts
@@ -11,10 +11,11 @@
 
 function coordinatorAt(revision: number): evacuationCoordinator.EvacuationCoordinator {
   const state = { revision, evacuations: [] };
-  return new evacuationCoordinator.EvacuationCoordinator(
-    () => 'own',
-    () => state,
-  );
+  return new evacuationCoordinator.EvacuationCoordinator({
+    ownReplica: () => 'own',
+    state: () => state,
+    onInformed: () => undefined,
+  });
 }
 
 describe('EvacuationCoordinator', () => {
--- a/packages/daemon/src/keeper/__tests__/evacuations.test.ts
+++ b/packages/daemon/src/keeper/__tests__/evacuations.test.ts
@@ -7,6 +7,7 @@
 import * as messages from '../../fleet/messages';
 import * as peerClient from '../../rpc/peerClient';
 import * as peerServer from '../../rpc/peerServer';
+import * as evacuationStore from '../evacuationStore';
 import * as keeperFleet from './__fixtures__/keeperFleet';
 import * as leaderFixture from './__fixtures__/leaderFixture';
 
@@ -134,6 +135,25 @@
     expect(evacuated(state)).to.deep.equal(['dc0', 'dc2']);
   });
 
+  /*
+   * Guards against orders that are refused because a keeper of the failed data centre doesn't come back after a loss of
+   * all keepers.
+   */
+  it('are taken while a voter that announced itself before is down', async () => {
+    await start(SETTINGS);
+    await order(fleet, 'POST', 'dc0');
+    const files = [0, 1].map((i) => fleet.configurations[i].folder);
+    await until('the replicas on the disks', async () => {
+      const stored = await Promise.all(files.map((folder) => evacuationStore.read(folder)));
+      return stored.every((each) => each.unwrapOr([]).length >= 2);
+    });
+    for (const i of [0, 1, 2]) await fleet.stop(i);
+    for (const i of [0, 1]) await fleet.start(i, false);
+    await until('a leader', () => fleet.leader >= 0);
+    await order(fleet, 'POST', 'dc2');
+    expect((await listing(fleet)).evacuations).to.have.length(2);
+  });
+
   // Guards against a voter that stores snapshots without the evacuations that were acknowledged.
   it('are refused while a voter has not announced that it knows them', async () => {
     await start(SETTINGS);
--- a/packages/daemon/src/keeper/evacuationCoordinator.ts
+++ b/packages/daemon/src/keeper/evacuationCoordinator.ts
@@ -17,34 +17,45 @@
   evacuationRevision: number | undefined;
 }
 
+export interface Options {
+  ownReplica: () => string;
+  /** The committed state. */
+  state: () => EvacuationState;
+  /** Called when the replicas that are known to know evacuations change. */
+  onInformed: () => void;
+}
+
 export class EvacuationCoordinator {
   /**
    * Ids of the replicas that announced that they know evacuations. A voter that is down remains one of them:
    * evacuations are needed most while VMs are down.
    */
-  private readonly informed = new Set<string>();
+  private informed = new Set<string>();
 
-  /** `state` returns the committed state. */
-  constructor(
-    private readonly ownReplica: () => string,
-    private readonly state: () => EvacuationState,
-  ) {}
+  constructor(private readonly options: Options) {}
 
   recordPoll({ replica, evacuationRevision }: Omit<InformedFollower, 'name' | 'role'>): void {
     if (replica === undefined) return;
+    const others = [...this.informed].filter((each) => each !== replica);
     // A replica may come back with the previous version.
-    if (evacuationRevision === undefined) this.informed.delete(replica);
-    else this.informed.add(replica);
+    this.replaceInformed(evacuationRevision === undefined ? others : [...others, replica]);
   }
 
-  /** Takes over what the leader knows, for the time when this keeper leads. */
+  /** Takes over what the leader knows, or what was stored, for the time when this keeper leads. */
   replaceInformed(replicas: readonly string[]): void {
-    this.informed.clear();
-    replicas.forEach((replica) => this.informed.add(replica));
+    const previous = this.informed;
+    this.informed = new Set(replicas);
+    const isSame =
+      previous.size === this.informed.size && replicas.every((each) => previous.has(each));
+    if (!isSame) this.options.onInformed();
+  }
+
+  storedReplicas(): string[] {
+    return [...this.informed];
   }
 
   knows(replica: string): boolean {
-    return replica === this.ownReplica() || this.informed.has(replica);
+    return replica === this.options.ownReplica() || this.informed.has(replica);
   }
 
   informedReplicas(members: readonly Member[]): string[] {
@@ -60,17 +71,17 @@
 
   /** Whether a replica may become a voter. */
   mayVote(replica: string): boolean {
-    return this.state().revision === 0 || this.knows(replica);
+    return this.options.state().revision === 0 || this.knows(replica);
   }
 
   /** The state, if a follower with the given revision lacks its last change. */
   missingAt(revision: number | undefined): EvacuationState | undefined {
-    const state = this.state();
+    const state = this.options.state();
     return state.revision > (revision ?? 0) ? state : undefined;
   }
 
   listing(followers: readonly InformedFollower[]): messages.EvacuationListing {
-    const { evacuations, revision } = this.state();
+    const { evacuations, revision } = this.options.state();
     const entries = followers.filter(({ role }) => role === 'entry');
     const behind = entries
       .filter(({ evacuationRevision }) => (evacuationRevision ?? -1) < revision)
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -113,6 +113,7 @@
     this.softState = new softStateStore.SoftStateStore({
       folder: settings.dataFolder,
       fleetState: this.fleetState,
+      evacuations: settings.evacuationMs > 0 ? () => this.leadership.evacuations : undefined,
       observer: observe,
     });
     this.link = this.makeLink();
@@ -240,6 +241,7 @@
       random: this.dependencies.random,
       newestCatalogue: () => this.machine.catalogue.newest,
       evacuations: () => this.machine.evacuations.state,
+      onInformed: () => this.softState.evacuationReplicasChanged(),
       onSuspects: () => this.softState.suspectsChanged(),
       onLimits: () => this.softState.limitsChanged(),
       linkMbps: this.dependencies.settings.linkMbps,
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -33,6 +33,8 @@
   newestCatalogue: () => domain.catalogue.newestCatalogue.PackedCatalogue | undefined;
   /** The committed evacuations. */
   evacuations: () => domain.evacuation.evacuations.EvacuationState;
+  /** Called when the replicas that are known to know evacuations change. */
+  onInformed: () => void;
   /** Called when the known suspect requests change. */
   onSuspects: () => void;
   /** Called when the rate limits of targets change. */
@@ -93,10 +95,11 @@
   constructor(private readonly options: Options) {
     const { client, now, random, observer: observe, fleetState: fleet } = options;
     this.allocator = new domain.allocation.allocator.Allocator(undefined, undefined, fleet.limits);
-    this.evacuations = new evacuationCoordinator.EvacuationCoordinator(
-      () => options.host.replica.id,
-      options.evacuations,
-    );
+    this.evacuations = new evacuationCoordinator.EvacuationCoordinator({
+      ownReplica: () => options.host.replica.id,
+      state: options.evacuations,
+      onInformed: options.onInformed,
+    });
     this.followers = new followers.Followers(
       client,
       now,
--- a/packages/daemon/src/keeper/softStateStore.ts
+++ b/packages/daemon/src/keeper/softStateStore.ts
@@ -1,10 +1,12 @@
 /**
- * Soft state on a keeper's disk, with a file each for targets, quarantined requests and rate limits. An outage of all
- * VMs removes it everywhere else; where a file is outdated, the targets' next announcements and answers correct it.
+ * Soft state on a keeper's disk, with a file each for targets, quarantined requests, rate limits and the replicas that
+ * know evacuations. An outage of all VMs removes it everywhere else; where a file is outdated, the targets' next announcements and answers correct it.
  */
 import * as clock from '../clock';
 import type * as fleetState from '../fleet/fleetState';
 import type * as observer from '../observability/observer';
+import type * as evacuationCoordinator from './evacuationCoordinator';
+import * as evacuationStore from './evacuationStore';
 import * as limitStore from './limitStore';
 import * as softStateFile from './softStateFile';
 import * as suspectStore from './suspectStore';
@@ -13,6 +15,8 @@
 export interface Dependencies {
   folder: string;
   fleetState: fleetState.FleetState;
+  /** Undefined if operators can't evacuate data centres. */
+  evacuations: (() => evacuationCoordinator.EvacuationCoordinator) | undefined;
   observer: observer.Observer;
 }
 
@@ -23,6 +27,8 @@
 
   private readonly limits: softStateFile.SoftStateFile;
 
+  private readonly evacuationReplicas: softStateFile.SoftStateFile;
+
   /** Fingerprints of the quarantined requests that are stored or about to be. */
   private storedQuarantine = '';
 
@@ -31,6 +37,9 @@
     this.targets = this.file(targetStore.FILE, () => fleet.registry.durableRecords());
     this.quarantine = this.file(suspectStore.FILE, () => this.quarantineReports());
     this.limits = this.file(limitStore.FILE, () => fleet.limits.all());
+    this.evacuationReplicas = this.file(evacuationStore.FILE, () =>
+      dependencies.evacuations?.().storedReplicas(),
+    );
   }
 
   /** Loads the files; an unreadable one is logged and skipped. */
@@ -38,6 +47,7 @@
     await this.loadTargets();
     await this.loadQuarantine();
     await this.loadLimits();
+    await this.loadEvacuationReplicas();
   }
 
   targetsChanged(): void {
@@ -58,8 +68,12 @@
     this.limits.markChanged();
   }
 
+  evacuationReplicasChanged(): void {
+    if (this.dependencies.evacuations !== undefined) this.evacuationReplicas.markChanged();
+  }
+
   async close(): Promise<void> {
-    const files = [this.targets, this.quarantine, this.limits];
+    const files = [this.targets, this.quarantine, this.limits, this.evacuationReplicas];
     await Promise.all(files.map((each) => each.close()));
   }
 
@@ -106,6 +120,14 @@
     observe.log('limitsRecalled', { limits: loaded.val.length });
   }
 
+  private async loadEvacuationReplicas(): Promise<void> {
+    const { folder, evacuations } = this.dependencies;
+    if (evacuations === undefined) return;
+    const loaded = await evacuationStore.read(folder);
+    if (loaded.ok) evacuations().replaceInformed(loaded.val);
+    else this.logUnreadable(evacuationStore.FILE, loaded.val);
+  }
+
   private logUnreadable(file: string, { detail }: softStateFile.Unusable): void {
     this.dependencies.observer.log('memoryNotRead', { file, reason: detail });
   }
