Check learners too before an order, and push only what a follower lacks

An order that is sent again was pushed to all followers although they had it.

Change: an order needs all members of the replica set to have announced that they know evacuations; the leader pushes only if a follower is behind.

--- a/packages/daemon/src/keeper/__tests__/evacuationCoordinator.test.ts
+++ b/packages/daemon/src/keeper/__tests__/evacuationCoordinator.test.ts
@@ -7,7 +7,7 @@
   return { id, address: `${id}:1`, dataCentre: 'a', role };
 }
 
-const MEMBERS = [member('own'), member('r1'), member('r2'), member('spare', 'learner')];
+const MEMBERS = [member('own'), member('r1'), member('r2'), member('learner', 'learner')];
 
 function coordinatorAt(revision: number): evacuationCoordinator.EvacuationCoordinator {
   const state = { revision, evacuations: [] };
@@ -20,23 +20,25 @@
 
 describe('EvacuationCoordinator', () => {
   // Guards against a voter of the previous version that drops evacuations from its snapshots.
-  it('names the voters that have not announced that they know evacuations', () => {
+  it('names the members that have not announced that they know evacuations', () => {
     const coordinator = coordinatorAt(0);
-    coordinator.recordPoll({ replica: 'r1', evacuationRevision: 0 });
-    coordinator.recordPoll({ replica: 'r2', evacuationRevision: 0 });
-    expect(coordinator.uninformedVoters(MEMBERS)).to.deep.equal([]);
+    ['r1', 'r2'].forEach((replica) => coordinator.recordPoll({ replica, evacuationRevision: 0 }));
+    expect(coordinator.uninformedMembers(MEMBERS)).to.deep.equal(['learner:1']);
+    coordinator.recordPoll({ replica: 'learner', evacuationRevision: 0 });
+    expect(coordinator.uninformedMembers(MEMBERS)).to.deep.equal([]);
     coordinator.recordPoll({ replica: 'r2', evacuationRevision: undefined });
-    expect(coordinator.uninformedVoters(MEMBERS)).to.deep.equal(['r2:1']);
+    expect(coordinator.uninformedMembers(MEMBERS)).to.deep.equal(['r2:1']);
   });
 
   // Guards against orders that are refused after a change of leader because a keeper of the failed data centre is down.
   it('hands what the voters announced to the next leader', () => {
     const leader = coordinatorAt(0);
-    leader.recordPoll({ replica: 'r1', evacuationRevision: 0 });
-    leader.recordPoll({ replica: 'r2', evacuationRevision: 0 });
+    ['r1', 'r2', 'learner'].forEach((replica) => {
+      leader.recordPoll({ replica, evacuationRevision: 0 });
+    });
     const next = coordinatorAt(0);
     next.replaceInformed(leader.informedReplicas(MEMBERS));
-    expect(next.uninformedVoters(MEMBERS)).to.deep.equal([]);
+    expect(next.uninformedMembers(MEMBERS)).to.deep.equal([]);
   });
 
   // Guards against a spare of the previous version that becomes a voter while a data centre is evacuated.
--- a/packages/daemon/src/keeper/evacuationCoordinator.ts
+++ b/packages/daemon/src/keeper/evacuationCoordinator.ts
@@ -62,11 +62,9 @@
     return members.map(({ id }) => id).filter((id) => this.knows(id));
   }
 
-  /** Addresses of the voters that would drop evacuations from their snapshots. */
-  uninformedVoters(members: readonly Member[]): string[] {
-    return members
-      .filter(({ id, role }) => role === 'voter' && !this.knows(id))
-      .map(({ address }) => address);
+  /** Addresses of the voters, and of learners that become voters, that would drop evacuations from their snapshots. */
+  uninformedMembers(members: readonly Member[]): string[] {
+    return members.filter(({ id }) => !this.knows(id)).map(({ address }) => address);
   }
 
   /** Whether a replica may become a voter. */
--- a/packages/daemon/src/keeper/followers.ts
+++ b/packages/daemon/src/keeper/followers.ts
@@ -106,8 +106,8 @@
   }
 
   /**
-   * Pushes to each reachable follower what it lacks, including evacuations, or `update` if that isn't known; resolves when they have it or
-   * after a time limit.
+   * Pushes to each reachable follower what it lacks, or `update` if that isn't known, and the evacuations that it
+   * lacks; resolves when they have it or after a time limit.
    */
   async push(update: messages.FleetUpdate): Promise<void> {
     const reachable = this.all().filter(({ polledAt }) => this.now() - polledAt < RECENT_POLL_MS);
--- a/packages/daemon/src/keeper/leaderCalls.ts
+++ b/packages/daemon/src/keeper/leaderCalls.ts
@@ -125,7 +125,7 @@
   async evacuateHere({ command }: messages.EvacuateRequest): Promise<messages.EvacuateAnswer> {
     const { host, leadership } = this.dependencies;
     if (!host.isLeader) return unavailable('not the leader');
-    const uninformed = leadership.evacuations.uninformedVoters(host.replica.members);
+    const uninformed = leadership.evacuations.uninformedMembers(host.replica.members);
     if (uninformed.length > 0) {
       return unavailable(`voters that have not announced evacuations: ${uninformed.join(', ')}`);
     }
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -305,9 +305,12 @@
     return this.updates.publishCatalogue(edition);
   }
 
-  /** Pushes the evacuations to the followers that lack them. */
-  publishEvacuations(): Promise<void> {
-    return this.updates.publishEvacuations();
+  /** Pushes the evacuations if a follower lacks them; an order that is sent again mostly finds them in force. */
+  async publishEvacuations(): Promise<void> {
+    const isLacking = this.followers.all().some(({ evacuationRevision: revision }) => {
+      return revision !== undefined && this.evacuations.missingAt(revision) !== undefined;
+    });
+    if (isLacking) await this.updates.publishEvacuations();
   }
 
   /** Replicas that may become voters. */
