--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -34,6 +34,8 @@
   newestCatalogue: () => domain.catalogue.newestCatalogue.PackedCatalogue | undefined;
   /** The committed evacuations. */
   evacuations: () => domain.evacuation.evacuations.EvacuationState;
+  /** Called when the replicas that are known to know evacuations change. */
+  onInformed: () => void;
   /** Called when the known suspect requests change. */
   onSuspects: () => void;
   /** Called when the rate limits of targets change. */
@@ -98,10 +100,11 @@
   constructor(private readonly options: Options) {
     const { client, now, random, observer: observe, fleetState: fleet } = options;
     this.allocator = new domain.allocation.allocator.Allocator(undefined, undefined, fleet.limits);
-    this.evacuations = new evacuationCoordinator.EvacuationCoordinator(
-      () => options.host.replica.id,
-      options.evacuations,
-    );
+    this.evacuations = new evacuationCoordinator.EvacuationCoordinator({
+      ownReplica: () => options.host.replica.id,
+      state: options.evacuations,
+      onInformed: options.onInformed,
+    });
     this.followers = new followers.Followers(
       client,
       now,
@@ -337,9 +340,12 @@
     return this.updates.publishCatalogue(edition);
   }
 
-  /** Pushes the evacuations to the followers that lack them. */
-  publishEvacuations(): Promise<void> {
-    return this.updates.publishEvacuations();
+  /** Pushes the evacuations if a follower lacks them; an order that is sent again mostly finds them in force. */
+  async publishEvacuations(): Promise<void> {
+    const isLacking = this.followers.all().some(({ evacuationRevision: revision }) => {
+      return revision !== undefined && this.evacuations.missingAt(revision) !== undefined;
+    });
+    if (isLacking) await this.updates.publishEvacuations();
   }
 
   /** Replicas that may become voters. */
