Test cold targets in small fleets and look their records up by address

Reports of cold targets looked through the whole registry for each; they now use its index of addresses.

--- a/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
@@ -351,6 +351,12 @@
     return this.sendToKeeper('PUT', '/catalogue', CATALOGUE);
   }
 
+  /** Submits a catalogue whose services limit their cold targets. */
+  async limitColdTargets(coldStartMs: number, coldPerSecond: number): Promise<boolean> {
+    const services = CATALOGUE.services.map((each) => ({ ...each, coldStartMs, coldPerSecond }));
+    return this.sendToKeeper('PUT', '/catalogue', { ...CATALOGUE, version: 2, services });
+  }
+
   private async startTargets(service: Service): Promise<void> {
     for (let i = 0; i < TARGETS; i++) {
       const target = new crashableTarget.CrashableTarget({
--- a/packages/daemon/src/entry/__tests__/rateLimitClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/rateLimitClient.test.ts
@@ -38,6 +38,10 @@
 
   readonly limits = new domain.rateLimits.rateLimits.RateLimits();
 
+  readonly directory = {
+    service: () => ({ coldPerSecond: 17 }),
+  } as unknown as domain.catalogue.directory.Directory;
+
   readonly reports: messages.LimitReport[] = [];
 
   /** The leader's answer to a call for a grant. */
@@ -105,6 +109,36 @@
     expect(setup.limits.limitAt(PLACE)).to.equal(2);
   });
 
+  /** Guards against a target that became cold without a restart and crashes before its next announcement. */
+  it('limits a target that answers that it is cold, and reports it', async () => {
+    const answered = { ...PLACE, requestId: 'r', target: 't', status: 200, sentAt: 0 };
+    setup.client.coldAnswered(answered, 0);
+    setup.client.coldAnswered(answered, 900);
+    setup.client.coldAnswered(answered, 800);
+    await clock.sleep(10);
+    const cold = [{ ...PLACE, coldForMs: 900 }];
+    expect(setup.reports).to.deep.equal([{ limits: [], spent: [], cold }]);
+    expect(setup.limits.all()).to.deep.equal([{ ...PLACE, perSecond: 17, source: 'cold' }]);
+    setup.answer(undefined, 100);
+    expect(setup.limits.isCold(PLACE)).to.equal(true);
+  });
+
+  /** Guards against entries that each send to a cold target once there is no leader. */
+  it('sends to cold targets without a leader only if its rank is selected', async () => {
+    setup.limits.set({ ...PLACE, perSecond: 17, source: 'cold' }, 0);
+    setup.link.leader = '';
+    const granting: number[] = [];
+    for (let rank = 0; rank < ENTRIES; rank++) {
+      setup.client.leaderFound(ENTRIES, rank);
+      setup.client.leaderLost();
+      setup.now += 2_000;
+      const grants = [await setup.client.grant([PLACE]), await setup.client.grant([PLACE])];
+      if (grants[0].kind === 'granted') granting.push(rank);
+      expect(grants[1].kind).to.equal('wait');
+    }
+    expect(granting).to.have.length(2);
+  });
+
   /** Guards against a limit that only one entry knows because it was reported while there was no leader. */
   it('reports the latest value to the next leader', async () => {
     setup.isLeaderReachable = false;
--- a/packages/daemon/src/keeper/coldCoordinator.ts
+++ b/packages/daemon/src/keeper/coldCoordinator.ts
@@ -14,7 +14,7 @@
 
 export interface Dependencies {
   limits: domain.rateLimits.rateLimits.RateLimits;
-  registry: Pick<domain.registry.registry.Registry, 'get' | 'records'>;
+  registry: Pick<domain.registry.registry.Registry, 'get' | 'records' | 'targetsAt'>;
   directory: () => domain.catalogue.directory.Directory | undefined;
   /** Whether a quorum confirmed the leadership recently; it may have ended unnoticed while this process was frozen. */
   hasQuorumContact: () => boolean;
@@ -88,18 +88,18 @@
 
   /** Takes limits that a follower of another leader knows. */
   merge(reports: readonly RateLimit[]): void {
-    const { limits } = this.dependencies;
+    const { limits, registry } = this.dependencies;
     const unknown = reports.filter((limit) => {
       return limit.source === 'cold' && !limits.isCold(limit) && !this.ended.has(keyOf(limit));
     });
-    this.restart(unknown.flatMap((limit) => this.targetAt(limit)));
+    this.restart(unknown.flatMap((limit) => registry.targetsAt(limit)));
   }
 
   /** Takes what entries' targets answered. */
   answered(answers: readonly messages.ColdAnswer[]): void {
+    const { registry, now } = this.dependencies;
     answers.forEach((answer) => {
-      const records = this.targetAt(answer);
-      const { now } = this.dependencies;
+      const records = registry.targetsAt(answer);
       records.forEach((record) => this.targets.answered(record, answer.coldForMs, now()));
       this.recorded(records);
     });
@@ -133,12 +133,6 @@
     return this.dependencies.registry.records().filter(({ state }) => state !== 'gone');
   }
 
-  private targetAt({ service, address }: domain.rateLimits.rateLimits.Endpoint): Announcement[] {
-    return this.liveTargets().filter((record) => {
-      return record.address === address && record.service === service;
-    });
-  }
-
   /**
    * Sets limits and publishes those that begin, end or become lower. Only the leader needs the rising rates after a cold
    * period, so they aren't sent to hundreds of followers.
--- a/packages/domain/src/allocation/__tests__/limitedEngines.test.ts
+++ b/packages/domain/src/allocation/__tests__/limitedEngines.test.ts
@@ -60,6 +60,32 @@
     expect(placer.place(request('larger', LARGER), 1_000)).to.not.equal(undefined);
   });
 
+  /** Load: more prompts than warm engines take in time. Guards against cold engines that serve first, or never. */
+  it('are used after warm ones if they are cold, as far as their rate allows', () => {
+    const { limits, placer } = fleet(3, 0);
+    limits.setColdShare(() => 1, 0);
+    limits.set({ ...target(0), perSecond: 2, source: 'cold' }, 0);
+    const place = (i: number): string | undefined => placer.place(request(`r${i}`), 5_000)?.target;
+    const targets = Array.from({ length: 24 }, (_, i) => place(i));
+    expect(new Set(targets.slice(0, 6))).to.deep.equal(new Set(['t1', 't2']));
+    expect(targets.filter((id) => id === 't0')).to.have.length(1);
+  });
+
+  /**
+   * Load: all engines of the caller's data centre are cold at once. Guards against prompts that stay there while the
+   * engines elsewhere are idle.
+   */
+  it('leave prompts to the other data centres while these serve in time', () => {
+    const { limits, placer } = fleet(60, 0);
+    limits.setColdShare(() => 1, 0);
+    for (let i = 0; i < 60; i++)
+      placer.observe({ ...target(i), dataCentre: i < 30 ? 'east' : 'west' });
+    for (let i = 0; i < 30; i++) limits.set({ ...target(i), perSecond: 17, source: 'cold' }, 0);
+    const placements = Array.from({ length: 60 }, (_, i) => placer.place(request(`r${i}`), 5_000));
+    const onCold = placements.filter((each) => Number(each?.target.slice(1)) < 30);
+    expect([placements.includes(undefined), onCold.length]).to.deep.equal([false, 0]);
+  });
+
   it('report how long they admit nothing, with the requests queued ahead', () => {
     const { placer } = fleet(2, 2);
     expect([
--- a/packages/domain/src/registry/registry.ts
+++ b/packages/domain/src/registry/registry.ts
@@ -208,8 +208,14 @@
   }
 
   /** Whether a target of a service listens at an address. */
-  isServed({ service, address }: Pick<Announcement, 'service' | 'address'>): boolean {
-    return this.live.atAddress(address).some(({ record }) => record.service === service);
+  isServed(endpoint: Pick<Announcement, 'service' | 'address'>): boolean {
+    return this.targetsAt(endpoint).length > 0;
+  }
+
+  /** Targets of a service that listen at an address; one, or several while that is contradictory. */
+  targetsAt({ service, address }: Pick<Announcement, 'service' | 'address'>): Announcement[] {
+    const records = this.live.atAddress(address).map(({ record }) => record);
+    return records.filter((record) => record.service === service);
   }
 
   /** Removes lifetimes that are gone for longer than `GONE_RETENTION_MS`. */
