--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -354,6 +354,7 @@
         address: placement.address,
         purpose: 'request',
         requestId: this.admitted.facts.requestId,
+        helpers: placement.helpers.map(({ target }) => target),
         method: request.method ?? 'GET',
         path: request.url ?? '/',
         headers,
--- a/packages/daemon/src/entry/targetSelector.ts
+++ b/packages/daemon/src/entry/targetSelector.ts
@@ -249,7 +249,7 @@
   ): Promise<Choice | undefined> {
     const { name, dataCentre, client, link } = this.options;
     const message: messages.PlaceRequest = { ...request, entry: name, dataCentre };
-    const ticket = this.options.coldGrants?.begin() ?? 0;
+    const ticket = this.options.coldGrants?.begin();
     const pending = client.call<messages.PlaceAnswer>(leader, 'place', message, {
       timeoutMs: request.patienceMs + LATE_ANSWER_WINDOW_MS,
       toleratesDelay: true,
@@ -265,7 +265,7 @@
     }
     if (answer.val.kind === 'noPlace') return answer.val;
     const { placement } = answer.val;
-    this.options.coldGrants?.add(placement.target, ticket);
+    this.addColdGrants(placement, ticket);
     this.running.set(request.id, {
       request: { ...request, entry: name, dataCentre },
       target: placement.target,
@@ -318,7 +318,7 @@
     const placement = this.fallback.place({ ...request, entry: name, dataCentre }, now());
     if (placement === undefined) return undefined;
     observer.log('placedLocally', { request: request.id, target: placement.target });
-    this.options.coldGrants?.add(placement.target, this.options.coldGrants.begin());
+    this.addColdGrants(placement, this.options.coldGrants?.begin());
     [placement, ...placement.helpers].forEach(({ target }) => this.options.limits.spent(target));
     this.running.set(request.id, {
       request: { ...request, entry: name, dataCentre },
@@ -331,6 +331,13 @@
     return { kind: 'placed', placement, release };
   }
 
+  /** A placement contains the grants for its engines. */
+  private addColdGrants({ target, helpers }: Placement, ticket = 0): void {
+    [target, ...helpers.map((helper) => helper.target)].forEach((each) => {
+      this.options.coldGrants?.add(each, ticket);
+    });
+  }
+
   /** Retry-After where no engine became free in time, milliseconds. */
   private retryAfterMs({ service }: PlacementRequest): number {
     const now = this.options.now();
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -155,9 +155,11 @@
     return this.backOffs.mayReceiveRequest(target, now);
   }
 
-  /** Whether a request has the grant that it needs if its target is cold; other messages get theirs elsewhere. */
-  private hasGrant({ target, purpose }: targetClient.TargetMessage): boolean {
-    return purpose !== 'request' || this.dependencies.coldGrants?.take(target) !== false;
+  /** Whether a request has the grants that it needs for cold targets; other messages get theirs elsewhere. */
+  private hasGrant({ target, helpers = [], purpose }: targetClient.TargetMessage): boolean {
+    const { coldGrants: grants } = this.dependencies;
+    if (purpose !== 'request' || grants === undefined) return true;
+    return [target, ...helpers].every((each) => grants.take(each));
   }
 
   private answered(sentMessage: SentMessage, head: targetClient.ResponseHead): void {
