--- a/packages/daemon/src/entry/coldGrants.ts
+++ b/packages/daemon/src/entry/coldGrants.ts
@@ -20,8 +20,11 @@
   at: clock.ClockReading;
 }
 
-/** How long a grant may be used, milliseconds; reserving memory on helpers takes some ten before a request is sent. */
-const MAX_AGE_MS = 250;
+/**
+ * How long a grant may be used, milliseconds. Reserving memory on helpers takes some ten before a request is sent; a
+ * longer time would let more grants meet at the target within a second.
+ */
+const MAX_AGE_MS = 150;
 
 /**
  * Interval at which this process checks whether it was suspended, milliseconds, and from which gap between two checks on
--- a/packages/daemon/src/entry/rateLimitClient.ts
+++ b/packages/daemon/src/entry/rateLimitClient.ts
@@ -30,7 +30,7 @@
 
 export interface Dependencies extends leaderCall.Dependencies {
   fleetState: Pick<fleetState.FleetState, 'limits' | 'registry'> &
-    Partial<Pick<fleetState.FleetState, 'directory'>>;
+    Partial<Pick<fleetState.FleetState, 'assumeCold'>>;
   observer: observer.Observer;
   now: () => number;
 }
@@ -88,13 +88,12 @@
   /** Limits a target that answered that it remains cold, until the leader ends that. */
   coldAnswered({ service, address, target, requestId }: AnsweredRequest, statedMs: number): void {
     const { observer: observe, fleetState: state, now } = this.dependencies;
-    const perSecond = state.directory?.service(service)?.coldPerSecond ?? 0;
-    if (perSecond === 0 || statedMs === 0) return;
+    if (statedMs === 0) return;
     const coldForMs = Math.min(statedMs, domain.registry.validity.MAX_COLD_MS);
-    if (!state.limits.isCold({ service, address })) {
+    if (state.assumeCold?.({ service, address }, coldForMs) === true) {
       observe.log('coldAnswered', { request: requestId, target, coldForMs });
-      state.limits.set({ service, address, perSecond, source: 'cold' }, now());
     }
+    if (!state.limits.isCold({ service, address })) return;
     const key = keyOf({ service, address });
     if (now() - (this.coldReports.get(key) ?? -Infinity) < COLD_REPORT_INTERVAL_MS) return;
     this.coldReports.set(key, now());
--- a/packages/daemon/src/fleet/fleetState.ts
+++ b/packages/daemon/src/fleet/fleetState.ts
@@ -116,27 +116,31 @@
    */
   evacuationEnded(dataCentre: string): void {
     this.options.onEvacuationEnded?.(dataCentre);
-    const now = this.options.now();
     const records = this.registry.records().filter((record) => {
       return record.dataCentre === dataCentre && record.state !== 'gone';
     });
-    records.forEach(({ service, address }) => {
-      const { coldPerSecond: perSecond = 0, coldStartMs = 0 } =
-        this.current?.service(service) ?? {};
-      if (perSecond === 0 || this.limits.isCold({ service, address })) return;
-      this.limits.set({ service, address, perSecond, source: 'cold' }, now);
-      this.expectPublication({ service, address }, coldStartMs + UNPUBLISHED_LIMIT_MS);
+    records.forEach((record) => {
+      this.assumeCold(record, this.current?.service(record.service)?.coldStartMs ?? 0);
     });
   }
 
-  private expectPublication(endpoint: Endpoint, withinMs: number): void {
-    const key = keyOf(endpoint);
+  /**
+   * Limits the target at an address as cold before the leader does; returns whether that is new here. The limit ends by
+   * itself if no leader publishes it.
+   */
+  assumeCold({ service, address }: Endpoint, forMs: number): boolean {
+    const perSecond = this.current?.service(service)?.coldPerSecond ?? 0;
+    if (perSecond === 0 || this.limits.isCold({ service, address })) return false;
+    const limit: RateLimit = { service, address, perSecond, source: 'cold' };
+    const key = keyOf(limit);
+    this.limits.set(limit, this.options.now());
     this.unpublishedLimits.add(key);
     const end = (): void => {
       if (!this.unpublishedLimits.delete(key)) return;
-      this.limits.set({ ...endpoint, perSecond: undefined, source: 'cold' }, this.options.now());
+      this.limits.set({ ...limit, perSecond: undefined }, this.options.now());
     };
-    setTimeout(end, withinMs).unref();
+    setTimeout(end, forMs + UNPUBLISHED_LIMIT_MS).unref();
+    return true;
   }
 
   /** Loads records that were stored on this process's disk. */
--- a/packages/domain/src/allocation/planner.ts
+++ b/packages/domain/src/allocation/planner.ts
@@ -51,6 +51,8 @@
    * preferences of the weights.
    */
   penalty: number;
+  /** Part of the penalty for the use of cold engines, as a fraction of the request's value. */
+  coldPenalty: number;
 }
 
 export type Decision =
@@ -106,6 +108,7 @@
   mayHelp: boolean;
   /** Share of its recent dispatches that failed. */
   failureShare: number;
+  isCold: boolean;
 }
 
 /** The part that each engine prefills. */
@@ -147,6 +150,7 @@
         forecast: new loadForecast.LoadForecast(each, now),
         mayHelp: each.mayHelp(this.planWeights.maxHelpedPrompts, now),
         failureShare: each.health.failureShare(now),
+        isCold: each.isCold,
       };
     });
     const maxParts = Math.min(loads.length, this.planWeights.maxParts);
@@ -162,22 +166,21 @@
     if (plans.length === 0) return { kind: 'full' };
     const best = minBy(plans, ({ penalty }) => penalty);
     const value = valueOf(prompt);
+    // The preference for warm engines is no reason to wait for them or to refuse a request.
+    const penalty = best.penalty - value * best.coldPenalty;
     const deferralMs = !(mayWait && this.planWeights.mayDefer)
       ? undefined
       : deferral.deferralMs({
           engine: this.engine,
           prompt,
           value,
-          // The forecasts of a later start don't contain the preference for warm engines.
-          penalty:
-            best.penalty -
-            value * this.coldPenalty([best.decoder, ...best.helpers.map((each) => each.load)]),
+          penalty,
           partCounts: usefulPartCounts,
           forecasts: candidates.map(({ forecast }) => forecast),
         });
     if (deferralMs !== undefined) return { kind: 'later', inMs: deferralMs };
     // A request whose penalty exceeds its value, or whose caller will have left, isn't started.
-    const isWorthIt = best.penalty < value || !this.planWeights.refusesAboveValue;
+    const isWorthIt = penalty < value || !this.planWeights.refusesAboveValue;
     return isWorthIt ? { kind: 'begin', plan: best } : { kind: 'full' };
   }
 
@@ -233,6 +236,8 @@
     const delayPenalty = this.delayPenalty(part, forecasts);
     const { partPenalty, blockPenalty } = this.planWeights;
     const blocked = Math.max(0, part.prefillMs - MAX_NONBLOCKING_PART_MS) / prompt.objectiveMs;
+    const coldShare = all.filter(({ candidate }) => candidate.isCold).length / all.length;
+    const coldPenalty = this.planWeights.coldPenalty * coldShare;
     const latenessPenalty =
       value * lateness.latenessPenalty(prompt.waitedMs + firstTokenMs, prompt.objectiveMs);
     return {
@@ -244,15 +249,11 @@
         gapPenalty +
         delayPenalty +
         latenessPenalty +
-        value * (parts * partPenalty + blockPenalty * blocked) +
-        value * this.coldPenalty(all.map(({ candidate }) => candidate.load)),
+        value * (parts * partPenalty + blockPenalty * blocked + coldPenalty),
+      coldPenalty,
     };
   }
 
-  private coldPenalty(loads: readonly load.Load[]): number {
-    return this.planWeights.coldPenalty * loads.filter(({ isCold }) => isCold).length;
-  }
-
   /** Penalty of delaying queued prefills on these engines by a further part. */
   private delayPenalty(
     { prefillMs, isShared }: Part,
@@ -288,11 +289,12 @@
     const queuePenalty =
       (waitWeight * (forecast.pendingMs + firstTokenMs + distanceMs)) / prompt.objectiveMs;
     const failurePenalty = failureWeight * candidate.failureShare;
+    const coldPenalty = candidate.isCold ? this.planWeights.coldPenalty : 0;
     const value = valueOf(prompt);
     const penalty =
       gapPenalty +
       this.delayPenalty(part, [forecast]) +
-      value * (waitPenalty + queuePenalty + failurePenalty + this.coldPenalty([engineLoad]));
+      value * (waitPenalty + queuePenalty + failurePenalty + coldPenalty);
     const spread = this.planWeights.spreadPenalty * helperRank(prompt, candidate);
     return {
       candidate,
--- a/packages/domain/src/allocation/weights.ts
+++ b/packages/domain/src/allocation/weights.ts
@@ -26,8 +26,8 @@
   /** Penalty of a failure: a second target answers most failed requests, but most of them late. */
   failurePenalty: number;
   /**
-   * Penalty per cold engine. Above the other preferences, so that warm engines are used while these
-   * are in time, and well below the penalty of a late first token.
+   * Penalty of a plan on cold engines alone. Above the other preferences, so that warm engines are
+   * used while these are in time, and well below the penalty of a late first token.
    */
   coldPenalty: number;
   /** Penalty per engine: it may fail, and prefills for no other prompt meanwhile. */
