--- a/packages/daemon/src/entry/__tests__/rateLimitClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/rateLimitClient.test.ts
@@ -38,6 +38,10 @@
 
   readonly limits = new domain.rateLimits.rateLimits.RateLimits();
 
+  readonly assumeCold = (): boolean => {
+    return this.limits.set({ ...PLACE, perSecond: 17, source: 'cold' }, this.now);
+  };
+
   readonly reports: messages.LimitReport[] = [];
 
   /** The leader's answer to a call for a grant. */
@@ -105,6 +109,32 @@
     expect(setup.limits.limitAt(PLACE)).to.equal(2);
   });
 
+  /** Guards against a target that became cold without a restart and crashes before its next announcement. */
+  it('limits a target that answers that it is cold, and reports it', async () => {
+    const answered = { ...PLACE, requestId: 'r', target: 't', status: 200, sentAt: 0 };
+    setup.client.coldAnswered(answered, 0);
+    setup.client.coldAnswered(answered, 900);
+    setup.client.coldAnswered(answered, 800);
+    await clock.sleep(10);
+    const cold = [{ ...PLACE, coldForMs: 900 }];
+    expect(setup.reports).to.deep.equal([{ limits: [], spent: [], cold }]);
+    expect(setup.limits.all()).to.deep.equal([{ ...PLACE, perSecond: 17, source: 'cold' }]);
+    setup.answer(undefined, 100);
+    expect(setup.limits.isCold(PLACE)).to.equal(true);
+  });
+
+  /** Guards against entries that each send to a cold target once there is no leader. */
+  it('sends to cold targets without a leader only if its rank is selected', () => {
+    setup.limits.set({ ...PLACE, perSecond: 17, source: 'cold' }, 0);
+    const ranks = [0, 1, 2, 3].filter((rank) => {
+      setup.client.leaderFound(ENTRIES, rank);
+      setup.client.leaderLost();
+      setup.now += 2_000;
+      return setup.limits.maySend(PLACE, setup.now);
+    });
+    expect(ranks).to.have.length(2);
+  });
+
   /** Guards against a limit that only one entry knows because it was reported while there was no leader. */
   it('reports the latest value to the next leader', async () => {
     setup.isLeaderReachable = false;
