--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -397,7 +397,6 @@
         purpose: 'request',
         helpers: placement.helpers.map(({ target }) => target),
         requestId: this.admitted.facts.requestId,
-        helpers: placement.helpers.map(({ target }) => target),
         method: request.method ?? 'GET',
         path: request.url ?? '/',
         headers,
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -48,8 +48,6 @@
   helpers?: readonly string[];
   /** Id of the caller's request, which its response repeats; undefined for messages that this daemon originates. */
   requestId?: string;
-  /** Ids of the targets that prefill parts of the request; undefined for none. */
-  helpers?: readonly string[];
   method: string;
   path: string;
   headers: string[];
