Refuse unreadable announcements and departures, and limit their log lines

Announcements with infinite or fractional numbers were decoded, a departure with an unreadable body ended whichever lifetime was known, an unknown service replaced the record of a known id, names had no maximum length, and a log line repeated whatever the sender wrote. A target that restarted while its former lifetime was loaded from disk was not pushed to followers.

Two fakes of ControlProtocol return the new type of parseDepartedLifetime.

--- a/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
@@ -94,7 +94,7 @@
   },
   parseAnnouncement: (_id, body) =>
     Ok(JSON.parse(body.toString()) as domain.registry.registry.Announcement),
-  parseDepartedLifetime: () => undefined,
+  parseDepartedLifetime: () => Ok(undefined),
   parseCatalogue: (document) =>
     Ok(JSON.parse(document.toString()) as domain.catalogue.catalogue.Catalogue),
 };
--- a/packages/daemon/src/edges/protocols.ts
+++ b/packages/daemon/src/edges/protocols.ts
@@ -88,19 +88,20 @@
   stateCall(target: string): TargetCall;
 }
 
-/** A call of a target or an operator that the keepers' listener recognises. */
-export type ControlCall =
-  | { kind: 'announce'; id: string }
-  | { kind: 'depart'; id: string }
-  | { kind: 'submit' }
-  | { kind: 'read' };
-
-/** Why a document or an announcement can't be parsed. */
+/** Why a path, a document or an announcement can't be parsed. */
 export interface ParseError {
   kind: 'unreadable';
   detail: string;
 }
 
+/** A call of a target or an operator that the keepers' listener recognises, readable or not. */
+export type ControlCall =
+  | { kind: 'announce'; id: string }
+  | { kind: 'depart'; id: string }
+  | { kind: 'submit' }
+  | { kind: 'read' }
+  | ParseError;
+
 /** Protocol of targets' announcements and of operators' calls. */
 export interface ControlProtocol {
   parseCall(method: string, path: string): ControlCall | undefined;
@@ -109,6 +110,6 @@
     body: Buffer,
   ): Result<domain.registry.registry.Announcement, ParseError>;
   /** Start time of the departing lifetime, in Unix milliseconds; undefined if not stated. */
-  parseDepartedLifetime(body: Buffer): number | undefined;
+  parseDepartedLifetime(body: Buffer): Result<number | undefined, ParseError>;
   parseCatalogue(document: Buffer): Result<domain.catalogue.catalogue.Catalogue, ParseError>;
 }
--- a/packages/daemon/src/keeper/__tests__/__fixtures__/leaderFixture.ts
+++ b/packages/daemon/src/keeper/__tests__/__fixtures__/leaderFixture.ts
@@ -12,6 +12,12 @@
 
 const observe = new observer.Observer('test', 'fatal', undefined);
 
+/** Documents are catalogues as JSON. */
+const PROTOCOL: Partial<fleetState.Options['protocol']> = {
+  parseCatalogue: (document) =>
+    Ok(JSON.parse(document.toString()) as domain.catalogue.catalogue.Catalogue),
+};
+
 export interface Push {
   address: string;
   update: messages.FleetUpdate;
@@ -57,7 +63,7 @@
   };
   const host = { isLeader: true, confirmLeadership: confirm, replica: { members: [] } };
   const fleet = new fleetState.FleetState({
-    protocol: {} as fleetState.Options['protocol'],
+    protocol: PROTOCOL as fleetState.Options['protocol'],
     observer: observe,
     now: clock.steady,
     onCatalogue: () => undefined,
--- a/packages/daemon/src/keeper/__tests__/keeper.test.ts
+++ b/packages/daemon/src/keeper/__tests__/keeper.test.ts
@@ -39,7 +39,7 @@
     const record = JSON.parse(body.toString()) as domain.registry.registry.Announcement;
     return Ok({ ...record, id });
   },
-  parseDepartedLifetime: () => undefined,
+  parseDepartedLifetime: () => Ok(undefined),
   parseCatalogue: (document) => {
     const { version, valid } = JSON.parse(document.toString()) as {
       version: number;
--- a/packages/daemon/src/keeper/controlServer.ts
+++ b/packages/daemon/src/keeper/controlServer.ts
@@ -4,12 +4,14 @@
  */
 import * as http from 'node:http';
 import * as domain from '@celerydrift/domain';
+import * as clock from '../clock';
 import type * as codecs from '../configuration/codecs';
 import type * as protocols from '../edges/protocols';
 import type * as messages from '../fleet/messages';
 import * as packedCatalogue from '../fleet/packedCatalogue';
 import * as listening from '../http/listening';
 import type * as observer from '../observability/observer';
+import * as ignoredAnnouncements from './ignoredAnnouncements';
 
 type Announcement = domain.registry.registry.Announcement;
 
@@ -26,6 +28,9 @@
   newest: () => Promise<messages.NewestAnswer>;
 }
 
+/** Who sent a call about a target, and the id that it names. */
+type Sender = Pick<ignoredAnnouncements.IgnoredAnnouncement, 'writer' | 'target'>;
+
 interface Reply {
   status: number;
   body: Buffer | string;
@@ -42,7 +47,13 @@
 export class ControlServer {
   private readonly server: http.Server;
 
+  private readonly ignored: ignoredAnnouncements.IgnoredAnnouncements;
+
   constructor(private readonly dependencies: Dependencies) {
+    this.ignored = new ignoredAnnouncements.IgnoredAnnouncements({
+      observer: dependencies.observer,
+      now: clock.steady,
+    });
     this.server = http.createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (request, response) => {
       void this.serve(request, response);
     });
@@ -72,32 +83,40 @@
     const path = (request.url ?? '').split('?')[0];
     const call = this.dependencies.protocol.parseCall(request.method ?? '', path);
     if (call === undefined) return { status: 404, body: '' };
-    if (call.kind === 'announce') return this.announce(call.id, body);
-    if (call.kind === 'depart') return this.depart(call.id, body);
+    const writer = request.socket.remoteAddress ?? '';
+    if (call.kind === 'unreadable') return this.ignore({ writer, target: path }, call.detail);
+    if (call.kind === 'announce') return this.announce({ writer, target: call.id }, body);
+    if (call.kind === 'depart') return this.depart({ writer, target: call.id }, body);
     return call.kind === 'submit' ? this.submit(body) : this.read();
   }
 
-  private async announce(id: string, body: Buffer): Promise<Reply> {
-    const decoded = this.dependencies.protocol.parseAnnouncement(id, body);
-    const problem = decoded.err
-      ? decoded.val.detail
-      : domain.registry.validity.problemOf(decoded.val);
-    if (decoded.err || problem !== undefined) {
-      this.dependencies.observer.log('announcementIgnored', { target: id, reason: problem });
-      return { status: 400, body: JSON.stringify({ error: problem }) };
-    }
+  private async announce(sender: Sender, body: Buffer): Promise<Reply> {
+    const decoded = this.dependencies.protocol.parseAnnouncement(sender.target, body);
+    if (decoded.err) return this.ignore(sender, decoded.val.detail);
+    const problem = domain.registry.validity.problemOf(decoded.val);
+    if (problem !== undefined) return this.ignore(sender, problem);
     return (await this.dependencies.announce(decoded.val))
       ? { status: 200, body: '{}' }
       : UNAVAILABLE;
   }
 
-  private async depart(id: string, body: Buffer): Promise<Reply> {
+  private async depart(sender: Sender, body: Buffer): Promise<Reply> {
+    const { target: id } = sender;
     const bornAt = this.dependencies.protocol.parseDepartedLifetime(body);
-    return (await this.dependencies.depart({ id, bornAt }))
+    if (bornAt.err) return this.ignore(sender, bornAt.val.detail);
+    const problem = domain.registry.validity.problemOfId(id);
+    if (problem !== undefined) return this.ignore(sender, problem);
+    return (await this.dependencies.depart({ id, bornAt: bornAt.val }))
       ? { status: 200, body: '{}' }
       : UNAVAILABLE;
   }
 
+  /** Refuses a call of a target that can't be used; it changes nothing that is known of any target. */
+  private ignore(sender: Sender, reason: string): Reply {
+    this.ignored.report({ ...sender, reason });
+    return { status: 400, body: JSON.stringify({ error: reason }) };
+  }
+
   private async submit(body: Buffer): Promise<Reply> {
     const decoded = this.dependencies.protocol.parseCatalogue(body);
     if (decoded.err) return this.refuse(0, decoded.val.detail);
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -12,6 +12,7 @@
 import type * as peerClient from '../rpc/peerClient';
 import * as batchQueue from './batchQueue';
 import * as followers from './followers';
+import * as ignoredAnnouncements from './ignoredAnnouncements';
 import * as limitCoordinator from './limitCoordinator';
 import * as placer from './placer';
 import * as registryUpdates from './registryUpdates';
@@ -76,6 +77,8 @@
 
   readonly limits: limitCoordinator.LimitCoordinator;
 
+  private readonly ignored: ignoredAnnouncements.IgnoredAnnouncements;
+
   /** Number of targets loaded from disk that announced themselves since the last tick. */
   private confirmedTargets = 0;
 
@@ -91,6 +94,7 @@
     this.followers = new followers.Followers(client, now, (mark) =>
       this.updates.fullUpdateSince(mark),
     );
+    this.ignored = new ignoredAnnouncements.IgnoredAnnouncements({ observer: observe, now });
     this.snapshotThrottle = new snapshotThrottle.SnapshotThrottle(options.linkMbps, now);
     this.updates = new registryUpdates.RegistryUpdates({
       snapshot: () => this.snapshot(),
@@ -223,14 +227,14 @@
 
   /** Applies a target's own announcement; resolves once the reachable followers know what changed. */
   async announce(announcement: Announcement): Promise<void> {
-    const { fleetState: fleet, observer } = this.options;
+    const { fleetState: fleet } = this.options;
     const { id, service } = announcement;
     const isUsable =
       fleet.directory === undefined || fleet.directory.service(service) !== undefined;
-    if (!isUsable && fleet.registry.get(id) === undefined) {
-      // Accepting it would replace the target known at its address. The target announces itself again once the
-      // service exists.
-      observer.log('announcementIgnored', { target: id, reason: `unknown service "${service}"` });
+    if (!isUsable && fleet.registry.get(id)?.service !== service) {
+      // Accepting it would replace the target known by its id or at its address. The target announces itself again
+      // once the service exists. One whose service has left the catalogue is still followed, so that it can drain.
+      this.ignored.report({ writer: id, target: id, reason: `unknown service "${service}"` });
       return;
     }
     this.suspects.handleAnnouncement(announcement);
@@ -378,7 +382,8 @@
 /** Whether an announcement confirms what was loaded from disk about a target. */
 function isConfirmation(
   loaded: Announcement | undefined,
-  { state, address }: Announcement,
+  { state, address, bornAt }: Announcement,
 ): boolean {
-  return loaded?.isRemembered === true && loaded.state === state && loaded.address === address;
+  if (loaded?.isRemembered !== true || loaded.bornAt !== bornAt) return false;
+  return loaded.state === state && loaded.address === address;
 }
--- a/packages/domain/src/registry/validity.ts
+++ b/packages/domain/src/registry/validity.ts
@@ -13,6 +13,9 @@
 /** More concurrent requests than any target serves. */
 const MAX_SLOTS = 100_000;
 
+/** Longest name of a service or data centre, in characters; every process stores and forwards it. */
+const MAX_NAME_CHARACTERS = 256;
+
 function isIntegerUpTo(text: string | undefined, max: number): boolean {
   return text !== undefined && /^\d{1,5}$/.test(text) && Number(text) <= max;
 }
@@ -28,12 +31,24 @@
   return Number.isSafeInteger(value) && value >= 0 && value <= max;
 }
 
+function problemOfName(field: string, name: string): string | undefined {
+  if (name === '') return `${field} is empty`;
+  return name.length > MAX_NAME_CHARACTERS ? `${field} is too long` : undefined;
+}
+
+/** Describes what is wrong with the id of a target; undefined where it is valid. */
+export function problemOfId(id: string): string | undefined {
+  return ID.test(id) ? undefined : 'id is empty, too long or not printable';
+}
+
 /** Describes what is wrong with an announcement; undefined where it is valid. */
 export function problemOf(announcement: registry.Announcement): string | undefined {
   const { id, address, slots, sequence, bornAt, service, dataCentre } = announcement;
-  if (!ID.test(id)) return 'id is empty, too long or not printable';
-  if (service === '') return 'service is empty';
-  if (dataCentre === '') return 'data centre is empty';
+  const nameProblem =
+    problemOfId(id) ??
+    problemOfName('service', service) ??
+    problemOfName('data centre', dataCentre);
+  if (nameProblem !== undefined) return nameProblem;
   if (!isAddress(address)) return `address ${address.slice(0, 64)} is not IPV4:PORT`;
   if (!isCount(slots, MAX_SLOTS)) return `slots ${slots} is not a whole number in range`;
   if (!isCount(sequence)) return `sequence ${sequence} is not a whole number in range`;
