Keep nothing of a target's former lifetime when it restarts under its id

The allocator kept load, health and learned speed of an id that returned at the same place, and an engine reserved for a suspect of its former lifetime. A new leader restored dispatches of the former lifetime. Entries counted its open connections, calls and late failures against the later one, renewed its memory reservations there, and honoured its back-off. A late report that it was replaced took the later one out of use.

These are now counted by lifetime. Running and finished dispatches name the lifetime in an optional field. A back-off ends unless the later lifetime may have asked for it: within 2 s before the news of the restart, or while there was no leader.

Back-off tests pass a lifetime instead of an id.

--- /dev/null
+++ b/packages/daemon/src/entry/__tests__/lifetimes.test.ts
@@ -0,0 +1,87 @@
+/** Targets that restart under their id while an entry has calls and reservations of their former lifetime. */
+import * as chai from 'chai';
+import * as domain from '@celerydrift/domain';
+import * as clock from '../../clock';
+import * as observer from '../../observability/observer';
+import * as reservations from '../reservations';
+import * as targetSelector from '../targetSelector';
+import * as harness from './__fixtures__/harness';
+
+const { expect } = chai;
+
+const RECORD: domain.registry.registry.Announcement = {
+  id: 'a',
+  service: 's',
+  address: '127.0.0.1:1',
+  dataCentre: 'dc0',
+  slots: 8,
+  state: 'ready',
+  bornAt: 1,
+  sequence: 1,
+};
+
+const OTHER = { ...RECORD, id: 'b', address: '127.0.0.1:2' };
+
+const observe = new observer.Observer('test', 'fatal', undefined);
+
+/** A selector of plain targets without a leader. */
+function makeSelector(registry: domain.registry.registry.Registry): targetSelector.TargetSelector {
+  const options = {
+    fleetState: { registry, limits: new domain.rateLimits.rateLimits.RateLimits() },
+    limits: { grantProbe: async () => undefined },
+    signals: { unavailable: () => [] },
+    random: domain.shared.random.seeded(1),
+    now: clock.steady,
+  };
+  return new targetSelector.TargetSelector(options as unknown as targetSelector.Options);
+}
+
+describe('a target that restarted under its id', () => {
+  let registry: domain.registry.registry.Registry;
+
+  beforeEach(() => {
+    registry = new domain.registry.registry.Registry();
+    [RECORD, OTHER].forEach((record) => registry.announce(record, 0));
+  });
+
+  /** Guards against an idle target without calls: those that its former lifetime left unanswered count against it. */
+  it('holds no calls of its former lifetime, nor their failures', async () => {
+    const selector = makeSelector(registry);
+    const request = { service: 's', excluded: [], patienceMs: 9, objectiveMs: 9, waitedMs: 0 };
+    const choose = async (excluded: string[]): Promise<targetSelector.Choice> =>
+      selector.choose({ ...request, excluded } as unknown as targetSelector.PlacementRequest);
+    const old = [await choose(['b']), await choose(['b'])];
+    registry.announce({ ...RECORD, bornAt: 2, sequence: 0 }, 0);
+    selector.forget('a');
+    old.forEach((choice) => choice.kind === 'placed' && choice.release('unreachable'));
+    const targets = [];
+    for (let i = 0; i < 4; i++) {
+      const choice = await choose([]);
+      targets.push(choice.kind === 'placed' ? choice.placement.target : '');
+    }
+    expect(targets.sort()).to.deep.equal(['a', 'a', 'b', 'b']);
+  });
+
+  /** Guards against memory of the new lifetime that a renewal reserves for a prompt which the former one held. */
+  it('gets no renewal or release of memory that its former lifetime reserved', async () => {
+    let calls = 0;
+    const call = async (): Promise<object> => {
+      calls += 1;
+      return { kind: 'answered', status: 200, facts: harness.PROTOCOL.responseMetadata(200, {}) };
+    };
+    const memory = new reservations.Reservations('r', {
+      protocol: harness.PROTOCOL,
+      targets: { call } as unknown as reservations.Dependencies['targets'],
+      limits: { spent: () => undefined },
+      signals: { backOffMs: () => 0, bornAt: (id) => registry.get(id)?.bornAt ?? 0 },
+      observer: observe,
+      now: clock.steady,
+    });
+    await memory.reserveAll([{ target: 'a', address: RECORD.address, keptTokens: 9 }]);
+    registry.announce({ ...RECORD, bornAt: 2 }, 0);
+    await clock.sleep(1_300);
+    memory.release();
+    await clock.sleep(1);
+    expect(calls).to.equal(1);
+  });
+});
--- a/packages/daemon/src/entry/__tests__/rateLimitClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/rateLimitClient.test.ts
@@ -160,7 +160,7 @@
       protocol: harness.PROTOCOL,
       targets: { call } as unknown as reservations.Dependencies['targets'],
       limits: setup.client,
-      signals: { backOffMs: () => 0 },
+      signals: { backOffMs: () => 0, bornAt: () => 1 },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
--- a/packages/daemon/src/entry/__tests__/targetSignals.test.ts
+++ b/packages/daemon/src/entry/__tests__/targetSignals.test.ts
@@ -206,6 +206,20 @@
     expect(setup.signals.admit({ ...REQUEST, target: 'u' })).to.not.equal(undefined);
   });
 
+  /** Guards against a restarted target that gets nothing for what its former lifetime asked, or left unanswered. */
+  it('hold nothing of a former lifetime', () => {
+    setup.maxConnections = 1;
+    setup.signals.leaderFound('leader', 1);
+    setup.exchange({ backOff: { kind: 'asked', forMs: 300_000 } });
+    setup.now = 3_000;
+    setup.signals.admit({ ...REQUEST, purpose: 'upkeep' });
+    expect(setup.accepts('request')).to.equal(false);
+    const reborn = { ...RECORD, bornAt: 2, sequence: 0 };
+    setup.registry.announce(reborn, 3_000);
+    setup.signals.observe(reborn);
+    expect([setup.accepts('request'), setup.accepts('request')]).to.deep.equal([true, false]);
+  });
+
   /**
    * Guards against a limit that a failure lifts, and against limits that are read in responses to callers' requests
    * only.
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -279,7 +279,10 @@
 
   private applyRecord(record: domain.registry.registry.Announcement): void {
     this.selector.fallback.observe(record);
-    if (record.state !== 'gone') return;
+    if (record.state !== 'gone') {
+      this.signals.observe(record);
+      return;
+    }
     this.targets.forget(record.id);
     this.selector.forget(record.id);
     this.signals.forget(record);
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -32,7 +32,7 @@
   targets: targetClient.TargetClient;
   liveness: Pick<livenessProbes.LivenessProbes, 'isAlive'>;
   limits: Pick<rateLimitClient.RateLimitClient, 'spent'>;
-  signals: Pick<targetSignals.TargetSignals, 'unavailable' | 'backOffMs'>;
+  signals: Pick<targetSignals.TargetSignals, 'unavailable' | 'backOffMs' | 'bornAt'>;
   quarantine: Pick<quarantineClient.QuarantineClient, 'permit' | 'checkForCrash' | 'isQuarantined'>;
   budgets: domain.request.repeatBudget.RepeatBudgets;
   observer: observer.Observer;
--- a/packages/daemon/src/entry/reservations.ts
+++ b/packages/daemon/src/entry/reservations.ts
@@ -17,7 +17,7 @@
   protocol: protocols.TrafficProtocol;
   targets: targetClient.TargetClient;
   limits: Pick<rateLimitClient.RateLimitClient, 'spent'>;
-  signals: Pick<targetSignals.TargetSignals, 'backOffMs'>;
+  signals: Pick<targetSignals.TargetSignals, 'backOffMs' | 'bornAt'>;
   observer: observer.Observer;
   now: () => number;
 }
@@ -48,6 +48,8 @@
 
 interface Reservation {
   helper: Helper;
+  /** Start time of the helper's lifetime; a later one holds nothing of it. */
+  bornAt: number;
   id: string;
   /** When the lease expires without another renewal. */
   until: number;
@@ -67,7 +69,10 @@
   async reserveAll(helpers: readonly Helper[]): Promise<boolean> {
     this.reservations = helpers
       .filter(({ keptTokens }) => keptTokens > 0)
-      .map((helper) => ({ helper, id: crypto.randomUUID(), until: 0 }));
+      .map((helper) => {
+        const bornAt = this.dependencies.signals.bornAt(helper.target);
+        return { helper, bornAt, id: crypto.randomUUID(), until: 0 };
+      });
     if (this.reservations.length === 0) return true;
     const statuses = await Promise.all(
       this.reservations.map((each) => this.reserveOne(each, 'order')),
@@ -102,7 +107,7 @@
   private renew(): void {
     const now = this.dependencies.now();
     this.reservations
-      .filter(({ until }) => until - now < LEASE_MS)
+      .filter((each) => each.until - now < LEASE_MS && this.isHeld(each))
       .forEach((each) => {
         void this.reserveOne(each, 'upkeep');
       });
@@ -124,9 +129,15 @@
     return result.status;
   }
 
-  private async releaseOne({ helper, id }: Reservation): Promise<void> {
+  /** Whether the lifetime that made the reservation still runs; a renewal would reserve memory at the next one anew. */
+  private isHeld({ helper, bornAt }: Reservation): boolean {
+    return this.dependencies.signals.bornAt(helper.target) === bornAt;
+  }
+
+  private async releaseOne(reservation: Reservation): Promise<void> {
+    const { helper, id } = reservation;
     const call = this.dependencies.protocol.release(helper.target, id);
-    for (let i = 0; i < MAX_RELEASE_TRIES; i++) {
+    for (let i = 0; i < MAX_RELEASE_TRIES && this.isHeld(reservation); i++) {
       const { target, address } = helper;
       this.dependencies.limits.spent(target);
       const recipient = { target, address, purpose: 'upkeep' } as const;
--- a/packages/daemon/src/entry/targetSelector.ts
+++ b/packages/daemon/src/entry/targetSelector.ts
@@ -18,8 +18,12 @@
 type Announcement = domain.registry.registry.Announcement;
 type DispatchOutcome = domain.allocation.targetHealth.DispatchOutcome;
 type Placement = domain.allocation.allocator.Placement;
+type Lifetime = domain.quarantine.crashedLifetimes.Lifetime;
+type DispatchTarget = Pick<messages.FinishedDispatch, 'target' | 'bornAt'>;
 type PlaceResult = Result<messages.PlaceAnswer, errors.CallError>;
 
+const { lifetimeKey } = domain.quarantine.crashedLifetimes;
+
 /** A request that needs a target. Sent to the leader as it is, in `messages.PlaceRequest`. */
 export interface PlacementRequest {
   id: string;
@@ -140,6 +144,7 @@
   /** Places by this entry's dispatches alone, while there is no leader. */
   readonly fallback: domain.allocation.allocator.Allocator;
 
+  /** Number of calls to plain targets from here, by lifetime. */
   private readonly activeCalls = new Map<string, number>();
 
   private readonly targetHealth = new Map<string, domain.allocation.targetHealth.TargetHealth>();
@@ -252,14 +257,12 @@
     }
     if (answer.val.kind === 'noPlace') return answer.val;
     const { placement } = answer.val;
-    this.running.set(request.id, {
-      request: { ...request, entry: name, dataCentre },
-      target: placement.target,
-    });
+    const target = this.dispatchTarget(placement.target);
+    this.running.set(request.id, { request: { ...request, entry: name, dataCentre }, ...target });
     return {
       kind: 'placed',
       placement,
-      release: (outcome, observed) => this.report(request.id, placement.target, outcome, observed),
+      release: (outcome, observed) => this.report(request.id, target, outcome, observed),
     };
   }
 
@@ -295,7 +298,7 @@
   /** Releases a placement that came after the deadline, so that the leader doesn't count an unused dispatch. */
   private releaseLatePlacement({ id }: PlacementRequest, late: PlaceResult): void {
     if (late.err || late.val.kind !== 'placed') return;
-    this.report(id, late.val.placement.target, 'cancelled');
+    this.report(id, this.dispatchTarget(late.val.placement.target), 'cancelled');
   }
 
   /** Places by this entry's own dispatches; undefined if no engine has room. */
@@ -305,13 +308,11 @@
     if (placement === undefined) return undefined;
     observer.log('placedLocally', { request: request.id, target: placement.target });
     [placement, ...placement.helpers].forEach(({ target }) => this.options.limits.spent(target));
-    this.running.set(request.id, {
-      request: { ...request, entry: name, dataCentre },
-      target: placement.target,
-    });
+    const target = this.dispatchTarget(placement.target);
+    this.running.set(request.id, { request: { ...request, entry: name, dataCentre }, ...target });
     const release: Release = (outcome, observed) => {
       this.fallback.endDispatch(request.id, outcome, now(), observed);
-      this.report(request.id, placement.target, outcome, observed);
+      this.report(request.id, target, outcome, observed);
     };
     return { kind: 'placed', placement, release };
   }
@@ -388,14 +389,12 @@
    * one call at a time, unless there is no other.
    */
   private usableOf(records: Announcement[]): Announcement[] {
-    const healthy = records.filter(({ id }) => {
-      return (
-        this.targetHealth.get(id)?.isUsable(this.options.now(), !this.activeCalls.has(id)) !== false
-      );
+    const isIdle = (record: Announcement): boolean => !this.activeCalls.has(lifetimeKey(record));
+    const healthy = records.filter((record) => {
+      const health = this.targetHealth.get(record.id);
+      return health?.isUsable(this.options.now(), isIdle(record)) !== false;
     });
-    const preferred = healthy.filter(
-      ({ id, isRemembered }) => !(isRemembered && this.activeCalls.has(id)),
-    );
+    const preferred = healthy.filter((record) => !record.isRemembered || isIdle(record));
     return preferred.length > 0 ? preferred : healthy;
   }
 
@@ -403,28 +402,37 @@
     const { random, dataCentre } = this.options;
     const scored = records.map((record) => {
       const distance = record.dataCentre === dataCentre ? 0 : 0.5;
-      const calls = this.activeCalls.get(record.id) ?? 0;
+      const calls = this.activeCalls.get(lifetimeKey(record)) ?? 0;
       return { record, score: calls + distance + random.uniform() };
     });
     return scored.reduce((best, each) => (each.score < best.score ? each : best)).record;
   }
 
-  private placePlain({ id, address }: Announcement): Choice {
-    this.activeCalls.set(id, (this.activeCalls.get(id) ?? 0) + 1);
+  private placePlain({ id, address, bornAt }: Announcement): Choice {
+    const key = lifetimeKey({ id, bornAt });
+    this.activeCalls.set(key, (this.activeCalls.get(key) ?? 0) + 1);
     const placement = { target: id, address, helpers: [], firstTokenMs: 0 };
-    return { kind: 'placed', placement, release: (outcome) => this.releasePlain(id, outcome) };
+    return {
+      kind: 'placed',
+      placement,
+      release: (outcome) => this.releasePlain({ id, bornAt }, outcome),
+    };
   }
 
-  private releasePlain(target: string, outcome: DispatchOutcome): void {
-    const remaining = (this.activeCalls.get(target) ?? 1) - 1;
-    if (remaining > 0) this.activeCalls.set(target, remaining);
-    else this.activeCalls.delete(target);
+  private releasePlain(lifetime: Lifetime, outcome: DispatchOutcome): void {
+    const key = lifetimeKey(lifetime);
+    const remaining = (this.activeCalls.get(key) ?? 1) - 1;
+    if (remaining > 0) this.activeCalls.set(key, remaining);
+    else this.activeCalls.delete(key);
+    const { id: target, bornAt } = lifetime;
+    // The outcome of a call to a former lifetime tells nothing about the present one.
+    if (this.options.fleetState.registry.get(target)?.bornAt !== bornAt) return;
     const health =
       this.targetHealth.get(target) ?? new domain.allocation.targetHealth.TargetHealth();
     health.recordOutcome(outcome, this.options.now());
     this.targetHealth.set(target, health);
     // The leader is informed as well: it may be the only one that can presume the lifetime ended, for all entries.
-    if (outcome === 'replaced') this.report('', target, outcome);
+    if (outcome === 'replaced') this.report('', { target, bornAt }, outcome);
   }
 
   /** Discards the health of a target whose lifetime ended. */
@@ -432,18 +440,23 @@
     this.targetHealth.delete(target);
   }
 
+  /** The target of a placement with the lifetime that is known here, if any. */
+  private dispatchTarget(target: string): DispatchTarget {
+    return { target, bornAt: this.options.fleetState.registry.get(target)?.bornAt };
+  }
+
   /**
    * Reports to the current leader, even if an earlier one placed the dispatch: the current one may count it as well.
    */
   private report(
     id: string,
-    target: string,
+    target: DispatchTarget,
     outcome: DispatchOutcome,
     observed: DispatchObservations = {},
   ): void {
     this.running.delete(id);
     if (this.finishedDispatches.length === 0) setTimeout(() => this.sendReports(), REPORT_BATCH_MS);
-    this.finishedDispatches.push({ id, ending: outcome, target, ...observed });
+    this.finishedDispatches.push({ id, ending: outcome, ...target, ...observed });
   }
 
   private sendReports(): void {
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -19,6 +19,8 @@
 
 type Lifetime = domain.quarantine.crashedLifetimes.Lifetime;
 
+const { lifetimeKey } = domain.quarantine.crashedLifetimes;
+
 export interface Dependencies extends leaderCall.Dependencies {
   fleetState: Pick<fleetState.FleetState, 'registry' | 'directory' | 'applyDraining'>;
   limits: Pick<rateLimitClient.RateLimitClient, 'answered'>;
@@ -58,8 +60,11 @@
   /** The leader that all draining targets were reported to; empty for none. */
   private informedLeader = '';
 
-  /** Number of messages in flight by target, each on its own connection. */
-  private readonly activeMessages = new Map<string, number>();
+  /** Since when a leader has reported restarts of targets without an interruption; infinite without a leader. */
+  private informedSince = Infinity;
+
+  /** Messages in flight by lifetime, each on its own connection; a restarted target has none of its former lifetime. */
+  private readonly activeMessages = new Map<string, { id: string; count: number }>();
 
   /** Number of entries that share the connections that a target accepts; 0 while unknown. */
   private entries = 0;
@@ -82,12 +87,13 @@
     }
     const inFlight = this.backOffs.sent(target, now());
     const sent = { message, inFlight, at: now() };
-    this.countActive(target, 1);
+    const lifetime = this.lifetimeOf(target);
+    this.countActive(lifetime, 1);
     return {
       answered: (head) => this.answered(sent, head),
       ended: () => {
         inFlight.ended();
-        this.countActive(target, -1);
+        this.countActive(lifetime, -1);
       },
     };
   }
@@ -98,7 +104,7 @@
     const ids = new Set([
       ...this.backOffs.targets,
       ...this.draining.keys(),
-      ...this.activeMessages.keys(),
+      ...[...this.activeMessages.values()].map(({ id }) => id),
     ]);
     return [...ids].filter((id) => {
       const isOfService = registry.get(id)?.service === service;
@@ -116,6 +122,16 @@
     return Math.max(CANARY_RESULT_WAIT_MS, this.backOffMs(target));
   }
 
+  /** A lifetime is known to run; what another one under its id signalled no longer counts. */
+  observe(lifetime: Lifetime): void {
+    this.backOffs.observe(lifetime, this.informedSince, this.dependencies.now());
+  }
+
+  /** Start time of the lifetime that is known under an id; 0 if there is none. */
+  bornAt(target: string): number {
+    return this.lifetimeOf(target).bornAt;
+  }
+
   /** Discards the signals of a lifetime that ended. */
   forget({ id, bornAt }: Lifetime): void {
     this.backOffs.forget(id, this.dependencies.now());
@@ -126,6 +142,7 @@
   /** Called when a leader confirms this entry, one of `entries`. A new leader may not know the draining targets yet. */
   leaderFound(leader: string, entries: number): void {
     if (entries > 0) this.entries = entries;
+    this.informedSince = Math.min(this.informedSince, this.dependencies.now());
     if (leader === this.informedLeader) return;
     this.informedLeader = leader;
     this.draining.forEach((bornAt, id) => {
@@ -135,6 +152,7 @@
 
   leaderLost(): void {
     this.informedLeader = '';
+    this.informedSince = Infinity;
   }
 
   /** Drops reports that no leader has accepted yet. */
@@ -189,7 +207,7 @@
       return;
     }
     const { forMs } = backOff;
-    const keptMs = Math.round(this.backOffs.start(target, forMs, now()));
+    const keptMs = Math.round(this.backOffs.start(this.lifetimeOf(target), forMs, now()));
     observe.log('backOffAsked', { request, target, purpose, status, forMs, keptMs });
   }
 
@@ -208,10 +226,11 @@
     this.dependencies.limits.answered(answeredRequest, limit);
   }
 
-  private countActive(target: string, change: 1 | -1): void {
-    const count = (this.activeMessages.get(target) ?? 0) + change;
-    if (count > 0) this.activeMessages.set(target, count);
-    else this.activeMessages.delete(target);
+  private countActive(lifetime: Lifetime, change: 1 | -1): void {
+    const key = lifetimeKey(lifetime);
+    const count = (this.activeMessages.get(key)?.count ?? 0) + change;
+    if (count > 0) this.activeMessages.set(key, { id: lifetime.id, count });
+    else this.activeMessages.delete(key);
   }
 
   /**
@@ -223,7 +242,8 @@
     const service = directory?.service(registry.get(target)?.service ?? '');
     if (service === undefined) return true;
     const share = Math.floor(service.maxConnections / Math.max(1, this.entries));
-    return (this.activeMessages.get(target) ?? 0) < Math.max(1, share);
+    const active = this.activeMessages.get(lifetimeKey(this.lifetimeOf(target)));
+    return (active?.count ?? 0) < Math.max(1, share);
   }
 
   private isDraining(target: string): boolean {
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -46,6 +46,8 @@
 export interface RunningDispatch {
   request: domain.allocation.allocator.Request;
   target: string;
+  /** Start time of the target's lifetime; absent from an entry that doesn't know it or of an earlier version. */
+  bornAt?: number;
 }
 
 export interface Confirmation {
@@ -175,6 +177,8 @@
   gapMs?: number;
   /** Id of the target that got the request. */
   target: string;
+  /** Start time of the target's lifetime; absent from an entry that doesn't know it or of an earlier version. */
+  bornAt?: number;
 }
 
 /** `ended`: finished dispatches of an entry, collected for a short time and sent together. */
--- a/packages/daemon/src/keeper/__tests__/otherWriters.test.ts
+++ b/packages/daemon/src/keeper/__tests__/otherWriters.test.ts
@@ -54,4 +54,15 @@
       ['ready', 2],
     ]);
   });
+
+  /** Guards against a restarted target out of use because another one answers at its former address. */
+  it('of a restarted target outlast a late report that its former lifetime was replaced', async () => {
+    const { leader, fleet } = setup;
+    await leader.announce({ ...announcement(1), bornAt: 2 });
+    const dispatch = { id: 'r', ending: 'replaced', target: announcement(1).id } as const;
+    leader.ended({ dispatches: [{ ...dispatch, bornAt: 1 }] });
+    expect(fleet.registry.get(dispatch.target)?.state).to.equal('ready');
+    leader.ended({ dispatches: [{ ...dispatch, bornAt: 2 }] });
+    expect(fleet.registry.get(dispatch.target)?.state).to.equal('gone');
+  });
 });
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -186,8 +186,8 @@
     // A follower on this leader's epoch has missed the end of no limit except those still being pushed, so its report
     // has nothing to add.
     if (!this.updates.isCurrentEpoch(follower.mark)) this.limits.merge(follower.limits);
-    follower.dispatches.forEach(({ request, target }) => {
-      this.allocator.restore(request, target, now());
+    follower.dispatches.forEach(({ request, target: id, bornAt }) => {
+      this.allocator.restore(request, { id, bornAt }, now());
     });
     return {
       kind: 'confirmed',
@@ -293,19 +293,24 @@
   /** Applies finished dispatches of an entry, and serves the wait queue, as they leave slots free. */
   ended({ dispatches }: messages.FinishedDispatches): void {
     const now = this.options.now();
-    dispatches.forEach(({ id, ending, faulty, gapMs, target }) => {
+    dispatches.forEach(({ id, ending, faulty, gapMs, target, bornAt }) => {
       this.allocator.endDispatch(id, ending, now, { faulty, gapMs });
-      if (ending === 'replaced') this.reportReplaced(faulty ?? target);
+      if (ending !== 'replaced') return;
+      if (faulty === undefined) this.reportReplaced(target, bornAt);
+      else this.reportReplaced(faulty);
     });
     this.placer.scheduleServing();
   }
 
   /**
    * Marks a target as gone whose address now belongs to another lifetime; otherwise each request would find that out
-   * by itself.
+   * by itself. One that restarted since, at another address, isn't replaced; `bornAt` is undefined if the entry doesn't
+   * report it.
    */
-  private reportReplaced(id: string): void {
-    const changed = this.options.fleetState.registry.reportReplaced(id, this.options.now());
+  private reportReplaced(id: string, bornAt?: number): void {
+    const { registry } = this.options.fleetState;
+    if (bornAt !== undefined && registry.get(id)?.bornAt !== bornAt) return;
+    const changed = registry.reportReplaced(id, this.options.now());
     if (changed.length === 0) return;
     this.options.observer.log('targetAnnounced', { target: id, state: 'gone', presumed: true });
     changed.forEach((record) => this.allocator.observe(record));
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -54,6 +54,12 @@
 export type PlacementResult =
   { kind: 'placed'; placement: Placement } | Exclude<planner.Decision, { kind: 'begin' }>;
 
+/** The target of a dispatch; `bornAt` is undefined where the entry doesn't report it. */
+export interface DispatchTarget {
+  id: string;
+  bornAt?: number;
+}
+
 /** What an entry observed of a dispatch beside its outcome. */
 export interface DispatchObservations {
   /** The target that made it fail, if not the decoder. */
@@ -149,7 +155,7 @@
     this.records.set(record.id, record);
     const current = this.loads.get(record.id);
     const engine = this.engines.get(record.service);
-    if (current !== undefined && hasSameLocation(current.record, record)) current.record = record;
+    if (current !== undefined && isContinued(current.record, record)) current.record = record;
     else if (engine !== undefined) this.replaceLoad(this.createLoad(engine, record));
   }
 
@@ -257,10 +263,14 @@
     return this.limits.waitMs(ready, ahead, now);
   }
 
-  /** Restores a dispatch that another allocator made, assuming that its prefill is over. */
-  restore(request: Request, target: string, now: number): void {
-    const decoder = this.loads.get(target);
+  /**
+   * Restores a dispatch that another allocator made, assuming that its prefill is over. One at a
+   * former lifetime of the target ended with it.
+   */
+  restore(request: Request, { id, bornAt }: DispatchTarget, now: number): void {
+    const decoder = this.loads.get(id);
     if (decoder === undefined || this.dispatches.has(request.id)) return;
+    if (bornAt !== undefined && bornAt !== decoder.record.bornAt) return;
     const decoderTokens = request.tokens + request.answerTokens;
     this.recordDispatch({ ...request, tokens: 0 }, { decoder, decoderTokens, helpers: [] }, now);
   }
@@ -279,8 +289,11 @@
     const { faulty, gapMs } = observations;
     if (gapMs !== undefined) dispatch.decoder.observeStep(gapMs);
     dispatch.loads.forEach((each) => each.remove(id, now));
+    // The loads of the dispatch are those of the lifetimes that it was placed on.
     const responsible =
-      (faulty === undefined ? undefined : this.loads.get(faulty)) ?? dispatch.decoder;
+      dispatch.loads.find(({ record }) => record.id === faulty) ??
+      (faulty === undefined ? undefined : this.loads.get(faulty)) ??
+      dispatch.decoder;
     responsible.health.recordOutcome(outcome, now);
   }
 
@@ -395,8 +408,9 @@
   }
 }
 
-function hasSameLocation(a: registry.Announcement, b: registry.Announcement): boolean {
-  return a.service === b.service && a.dataCentre === b.dataCentre;
+/** Whether an announcement continues the lifetime that has the load, at the same place. */
+function isContinued(a: registry.Announcement, b: registry.Announcement): boolean {
+  return a.bornAt === b.bornAt && a.service === b.service && a.dataCentre === b.dataCentre;
 }
 
 function placementOf({ decoder, helpers, firstTokenMs }: planner.Plan): Placement {
--- a/packages/domain/src/allocation/isolation.ts
+++ b/packages/domain/src/allocation/isolation.ts
@@ -5,8 +5,11 @@
  * apart, only that one counts two crashes. A suspect with two crashes runs on a nearly empty
  * engine, and nothing is added there while it runs.
  */
+import * as crashedLifetimes from '../quarantine/crashedLifetimes';
 import type * as load from './load';
 
+const { lifetimeKey } = crashedLifetimes;
+
 /** Crashes from which on a suspect runs alone. */
 const MIN_CRASHES_TO_RUN_ALONE = 2;
 
@@ -31,10 +34,10 @@
 
 export class SuspectIsolation {
   /** Running suspects by request id. */
-  private readonly running = new Map<string, { endings: number; target: string }>();
+  private readonly running = new Map<string, { endings: number; lifetime: string }>();
 
   begin({ id, endings = 0 }: Suspect, { record }: load.Load): void {
-    if (endings > 0) this.running.set(id, { endings, target: record.id });
+    if (endings > 0) this.running.set(id, { endings, lifetime: lifetimeKey(record) });
   }
 
   end(id: string): void {
@@ -51,8 +54,8 @@
     const alone = running.filter((suspect) => suspect.endings >= MIN_CRASHES_TO_RUN_ALONE);
     const maxReserved = Math.ceil(MAX_RESERVED_FRACTION * loads.length);
     const avoidedSuspects = endings > 0 ? running : alone.slice(0, maxReserved);
-    const avoided = new Set(avoidedSuspects.map(({ target }) => target));
-    const apart = loads.filter(({ record }) => !avoided.has(record.id));
+    const avoided = new Set(avoidedSuspects.map(({ lifetime }) => lifetime));
+    const apart = loads.filter(({ record }) => !avoided.has(lifetimeKey(record)));
     if (apart.length === 0) return loads;
     return endings < MIN_CRASHES_TO_RUN_ALONE ? apart : leastLoaded(apart);
   }
--- a/packages/domain/src/backOff/__tests__/backOffs.test.ts
+++ b/packages/domain/src/backOff/__tests__/backOffs.test.ts
@@ -7,6 +7,8 @@
 
 const TARGET = 't';
 
+const LIFETIME = { id: TARGET, bornAt: 1 };
+
 /** Messages sent within half a second may be in flight when the target requests a back-off. */
 const GRACE_MS = 500;
 
@@ -22,15 +24,15 @@
    * out of use for good.
    */
   it('last for the longest requested time, up to a bound', () => {
-    tested.start(TARGET, 3_000, 0);
-    tested.start(TARGET, 100, 1_000);
-    tested.start(TARGET, 0, 1_500);
+    tested.start(LIFETIME, 3_000, 0);
+    tested.start(LIFETIME, 100, 1_000);
+    tested.start(LIFETIME, 0, 1_500);
     expect([tested.waitMs(TARGET, 2_000), tested.mayReceiveRequest(TARGET, 2_999)]).to.deep.equal([
       1_000,
       false,
     ]);
     expect(tested.mayReceiveRequest(TARGET, 3_000)).to.equal(true);
-    tested.start(TARGET, 1e12, 3_000);
+    tested.start(LIFETIME, 1e12, 3_000);
     expect(tested.waitMs(TARGET, 3_000)).to.equal(backOffs.MAX_BACK_OFF_MS);
   });
 
@@ -38,7 +40,7 @@
    * Guards against a target that is only presumed gone and whose back-off is lost when it returns.
    */
   it('outlast the target until their time is over', () => {
-    tested.start(TARGET, 3_000, 0);
+    tested.start(LIFETIME, 3_000, 0);
     tested.forget(TARGET, 1_000);
     expect(tested.mayReceiveRequest(TARGET, 1_000)).to.equal(false);
     expect(tested.mayReceiveRequest('other', 1_000)).to.equal(true);
@@ -46,12 +48,34 @@
     expect(tested.size).to.equal(0);
   });
 
+  /** Guards against an idle target without requests, as its former lifetime asked for a long back-off. */
+  it('end when the target restarts under its id', () => {
+    tested.start(LIFETIME, 300_000, 0);
+    tested.forget(TARGET, 3_000);
+    tested.observe(LIFETIME, 0, 3_000);
+    expect(tested.mayReceiveRequest(TARGET, 3_000)).to.equal(false);
+    tested.observe({ ...LIFETIME, bornAt: 2 }, 0, 3_000);
+    expect([tested.mayReceiveRequest(TARGET, 3_000), tested.size]).to.deep.equal([true, 0]);
+  });
+
+  /**
+   * Guards against a back-off that is dropped because the restart of the target is announced after
+   * its response, as usual or after a time without a leader.
+   */
+  it('last if the later lifetime may have asked for them', () => {
+    tested.start(LIFETIME, 30_000, 0);
+    tested.observe({ ...LIFETIME, bornAt: 2 }, 0, 1_500);
+    tested.observe({ ...LIFETIME, bornAt: 2 }, 0, 3_000);
+    tested.observe({ ...LIFETIME, bornAt: 3 }, 8_000, 9_000);
+    expect(tested.waitMs(TARGET, 9_000)).to.equal(21_000);
+  });
+
   /**
    * Guards against a thundering herd: requests that wait for the end of the back-off and are all
    * sent in its first millisecond.
    */
   it('admit few requests after the time, twice as many with each answer', () => {
-    tested.start(TARGET, 1_000, 0);
+    tested.start(LIFETIME, 1_000, 0);
     const sentCounts: number[] = [];
     while (tested.size > 0) {
       const messages: backOffs.InFlightMessage[] = [];
@@ -90,7 +114,7 @@
             sent.push(now);
             inFlight.push(fresh.sent(TARGET, now));
           } else if (kind === 'backOff') {
-            fresh.start(TARGET, forMs, now);
+            fresh.start(LIFETIME, forMs, now);
             backOffPeriods.push({ from: now + GRACE_MS, until: now + forMs });
           } else if (kind === 'answer') inFlight.at(0)?.answered();
           if (kind === 'answer' || kind === 'lose') inFlight.at(0)?.ended();
--- a/packages/domain/src/backOff/backOffs.ts
+++ b/packages/domain/src/backOff/backOffs.ts
@@ -4,10 +4,13 @@
  * first, twice as many with each answer: all requests that waited for that moment would only be
  * rejected again.
  *
- * A target that starts under another id at the same address begins without a back-off. One that
- * restarts under its id keeps it: the sender may learn of the restart after the answer and couldn't
- * tell which lifetime sent it.
+ * A back-off ends with the lifetime that asked for it. An answer doesn't tell which of two
+ * lifetimes under one id sent it, so one that came shortly before the news of a restart is taken
+ * for the later lifetime's.
  */
+import type * as crashedLifetimes from '../quarantine/crashedLifetimes';
+
+type Lifetime = crashedLifetimes.Lifetime;
 
 /**
  * Longest back-off that is honoured, milliseconds: one that is permanent or mistaken must not take
@@ -15,6 +18,12 @@
  */
 export const MAX_BACK_OFF_MS = 600_000;
 
+/**
+ * How long after a restart its news may arrive, milliseconds: a target that a partition hid
+ * announces itself within 1,200, and a follower that missed the push polls after 500.
+ */
+const NEWS_DELAY_MS = 2_000;
+
 /** Messages about running requests that a target gets during its back-off. */
 const MAX_UPKEEP_MESSAGES = 2;
 
@@ -22,6 +31,9 @@
 const ANSWERS_TO_RECOVER = 4;
 
 interface BackOff {
+  /** Start time of the lifetime that asked for it, and when it last did. */
+  bornAt: number;
+  askedAt: number;
   until: number;
   /** Messages about running requests that were sent during it. */
   upkeep: number;
@@ -58,15 +70,29 @@
   /**
    * A target requests a back-off; returns for how long it is honoured from now on, milliseconds.
    */
-  start(target: string, forMs: number, now: number): number {
+  start({ id: target, bornAt }: Lifetime, forMs: number, now: number): number {
     const backOff = this.backOffs.get(target);
     const until = Math.max(backOff?.until ?? now, now + Math.min(forMs, MAX_BACK_OFF_MS));
     if (until <= now) return 0;
     const upkeep = backOff !== undefined && now < backOff.until ? backOff.upkeep : 0;
-    this.backOffs.set(target, { until, upkeep, inFlight: 0, answers: 0 });
+    const counts = { upkeep, inFlight: 0, answers: 0 };
+    this.backOffs.set(target, { bornAt, askedAt: now, until, ...counts });
     return until - now;
   }
 
+  /**
+   * A lifetime is known to run; ends the back-off of another one under its id. `informedSince` is
+   * the time since which news of restarts have reached this VM without an interruption.
+   */
+  observe({ id, bornAt }: Lifetime, informedSince: number, now: number): void {
+    const backOff = this.backOffs.get(id);
+    if (backOff === undefined || backOff.bornAt === bornAt) return;
+    const { askedAt } = backOff;
+    const isOfFormer = askedAt >= informedSince && now - askedAt > NEWS_DELAY_MS;
+    if (isOfFormer) this.backOffs.delete(id);
+    else backOff.bornAt = bornAt;
+  }
+
   /** Whether a target may get a request from this VM now. */
   mayReceiveRequest(target: string, now: number): boolean {
     const backOff = this.backOffs.get(target);
