Bound the bytes that an entry holds for its callers

Bodies, buffered responses and unsent response bytes were neither counted nor bounded, and a target whose response was not read, as its caller was slow, was probed as overdue and ejected when it cut the response.

The setting held-mb (64 by default) bounds them, and the gauge heldBytes counts them. A target is neither overdue nor blamed while it is not read.

--- a/packages/daemon/src/configuration/roleSettings.ts
+++ b/packages/daemon/src/configuration/roleSettings.ts
@@ -42,6 +42,8 @@
   revokeMs: number;
   /** Time after which a target that announced that it drains gets no more requests, milliseconds. */
   drainMs: number;
+  /** Most bytes that an entry holds for its callers. */
+  heldBytes: number;
   /** Retry budget: limits the requests that are sent to a second target. */
   repeats: domain.request.repeatBudget.Rule;
 }
@@ -65,6 +67,7 @@
   'stop-seconds': '8',
   'revoke-ms': '5000',
   'drain-ms': '2000',
+  'held-mb': '64',
   'repeat-ratio': '0.2',
   'repeat-slack': '100',
   'repeat-window-seconds': '10',
@@ -92,12 +95,15 @@
     'stop-seconds': range(1, 3_600),
     'revoke-ms': range(500, 3_600_000),
     'drain-ms': range(100, 3_600_000),
+    'held-mb': range(1, 1_000_000),
     'repeat-ratio': range(0, 10),
     'repeat-slack': range(0, 1_000_000),
     'repeat-window-seconds': range(1, 3_600),
   },
 };
 
+const BYTES_PER_MB = 1_048_576;
+
 type Values = domain.settings.schema.Values;
 
 /**
@@ -149,6 +155,7 @@
     stopMs: readNumber('bounds.stop-seconds') * 1_000,
     revokeMs: readNumber('bounds.revoke-ms'),
     drainMs: readNumber('bounds.drain-ms'),
+    heldBytes: readNumber('bounds.held-mb') * BYTES_PER_MB,
     repeats: {
       ratio: readNumber('bounds.repeat-ratio'),
       slack: readNumber('bounds.repeat-slack'),
--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -9,6 +9,7 @@
 import type * as targetSelector from '../../targetSelector';
 import * as quarantineClient from '../../quarantineClient';
 import * as exchange from '../../exchange';
+import * as heldBytes from '../../heldBytes';
 import * as ingress from '../../ingress';
 import * as livenessProbes from '../../livenessProbes';
 import * as peerClient from '../../../rpc/peerClient';
@@ -143,6 +144,12 @@
 
   readonly ingress: ingress.Ingress;
 
+  readonly held = new heldBytes.HeldBytes({
+    boundBytes: 8 * 1_048_576,
+    now: clock.steady,
+    observer: new observer.Observer('test', 'fatal', undefined),
+  });
+
   port = 0;
 
   private readonly servers: net.Server[] = [];
@@ -219,6 +226,7 @@
       now: clock.steady,
       directory: () => (this.hasCatalogue ? directory : undefined),
       isFresh: services.isFresh,
+      held: this.held,
       serve: (admitted) => new exchange.Exchange(admitted, services).run(),
     });
   }
--- a/packages/daemon/src/entry/callerResponse.ts
+++ b/packages/daemon/src/entry/callerResponse.ts
@@ -7,6 +7,7 @@
 import * as clock from '../clock';
 import * as hopByHop from '../edges/hopByHop';
 import type * as protocols from '../edges/protocols';
+import type * as heldBytes from './heldBytes';
 import type * as targetClient from './targetClient';
 
 type Route = domain.catalogue.catalogue.Route;
@@ -14,12 +15,18 @@
 /** Responses up to this size are buffered until complete, so that a broken one can be retried at another target. */
 const MAX_BUFFERED_BYTES = 1_048_576;
 
+/** The same under memory pressure: most responses of calls are shorter, and can still be retried. */
+const MAX_PRESSED_BYTES = 65_536;
+
 /** Status of a stream; responses with another status on a streaming route are buffered. */
 const STREAM_STATUS = 200;
 
 /** From this status on, a target's own response doesn't show that it completed the request. */
 export const FAILURE_STATUS = 500;
 
+/** Targets cut a response that isn't read for some seconds; the shortest such time, milliseconds. */
+const UNREAD_CUT_MS = 2_000;
+
 /** Minimum number of inter-token gaps from which a target's speed is derived. */
 const MIN_GAPS = 6;
 
@@ -62,12 +69,36 @@
   /** Whether a buffered response grew too large and is forwarded as it arrives. */
   private isOverflowing = false;
 
+  /** When reading from the target stopped, as the caller reads too slowly; undefined while it is read. */
+  private pausedAt: number | undefined;
+
+  /** When reading from the target continued; 0 if it never stopped. */
+  private resumedAt = 0;
+
+  /** Longest time for which the current target wasn't read, milliseconds. */
+  private maxPauseMs = 0;
+
   constructor(
     private readonly response: http.ServerResponse,
     private readonly route: Route,
     private readonly caller: protocols.CallerMetadata,
+    private readonly held: Pick<heldBytes.Holding, 'setBuffered' | 'offered' | 'isUnderPressure'>,
   ) {}
 
+  /**
+   * When the target last could have been expected to send: the time of the last event, or until when it wasn't read.
+   * A target that isn't read can't be told from a silent one.
+   */
+  lastProgressAt(now: number): number {
+    return this.pausedAt === undefined ? Math.max(this.lastEventAt, this.resumedAt) : now;
+  }
+
+  /** Whether the current target went unread for so long that it may have cut the response for that reason. */
+  wentUnread(now: number): boolean {
+    const currentMs = this.pausedAt === undefined ? 0 : now - this.pausedAt;
+    return Math.max(this.maxPauseMs, currentMs) >= UNREAD_CUT_MS;
+  }
+
   /** Whether the caller has received bytes that no other target can continue from. */
   get isUnrecoverable(): boolean {
     const { response, route, lastEventId } = this;
@@ -82,7 +113,10 @@
     this.splitter = new domain.request.eventSplitter.EventSplitter();
     this.buffered = [];
     this.bufferedBytes = 0;
+    this.held.setBuffered(0);
     this.gaps = [];
+    this.pausedAt = undefined;
+    this.maxPauseMs = 0;
   }
 
   attach(attempt: targetClient.Attempt): void {
@@ -196,24 +230,53 @@
     }
     this.buffered.push(chunk);
     this.bufferedBytes += chunk.length;
-    if (this.bufferedBytes <= MAX_BUFFERED_BYTES || this.head === undefined) return;
+    this.held.setBuffered(this.bufferedBytes);
+    if (this.bufferedBytes <= this.maxBufferedBytes || this.head === undefined) return;
     if (!this.isForCaller || this.isContinuation) return;
     this.isOverflowing = true;
     this.writeHead(this.head);
-    this.buffered.splice(0).forEach((each) => this.write(each));
+    this.takeBuffered().forEach((each) => this.write(each));
+  }
+
+  /** Under memory pressure a long response is forwarded early: its caller's pace then limits what is read. */
+  private get maxBufferedBytes(): number {
+    const isFailure = (this.head?.status ?? FAILURE_STATUS) >= FAILURE_STATUS;
+    return this.held.isUnderPressure && !isFailure ? MAX_PRESSED_BYTES : MAX_BUFFERED_BYTES;
+  }
+
+  private takeBuffered(): Buffer[] {
+    this.held.setBuffered(0);
+    return this.buffered.splice(0);
   }
 
   private forwardBuffered(head: targetClient.ResponseHead): CompletionResult {
     this.writeHead(head);
-    this.buffered.splice(0).forEach((each) => this.response.write(each));
+    this.takeBuffered().forEach((each) => {
+      this.response.write(each);
+      this.held.offered(each.length);
+    });
     this.response.end();
     return { kind: 'passedOn' };
   }
 
   private write(bytes: Buffer): void {
-    if (this.response.write(bytes)) return;
-    this.attempt?.pause();
-    this.response.once('drain', () => this.attempt?.resume());
+    const isTaken = this.response.write(bytes);
+    this.held.offered(bytes.length);
+    if (isTaken || this.pausedAt !== undefined) return;
+    this.pausedAt = clock.steady();
+    const { attempt } = this;
+    attempt?.pause();
+    this.response.once('drain', () => {
+      if (attempt !== this.attempt) return;
+      this.recordResumption(clock.steady());
+      attempt?.resume();
+    });
+  }
+
+  private recordResumption(now: number): void {
+    this.maxPauseMs = Math.max(this.maxPauseMs, now - (this.pausedAt ?? now));
+    this.pausedAt = undefined;
+    this.resumedAt = now;
   }
 
   private writeHead({ status, raw }: targetClient.ResponseHead): void {
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -19,6 +19,7 @@
 import * as targetSelector from './targetSelector';
 import * as quarantineClient from './quarantineClient';
 import * as exchange from './exchange';
+import * as heldBytes from './heldBytes';
 import * as ingress from './ingress';
 import * as livenessProbes from './livenessProbes';
 import * as rateLimitClient from './rateLimitClient';
@@ -62,6 +63,8 @@
 
   private readonly link: leaderLink.LeaderLink;
 
+  private readonly held: heldBytes.HeldBytes;
+
   private readonly ingress: ingress.Ingress;
 
   private readonly targets: targetClient.TargetClient;
@@ -170,6 +173,11 @@
       observer: observe,
       now: clock.steady,
     });
+    this.held = new heldBytes.HeldBytes({
+      boundBytes: settings.heldBytes,
+      now: clock.steady,
+      observer: observe,
+    });
     this.ingress = this.makeIngress();
     this.readiness = http.createServer((_request, response) => {
       response.writeHead(this.isReady ? 200 : 503, { 'Content-Length': 0 });
@@ -209,6 +217,7 @@
     this.quarantine.close();
     this.limits.close();
     this.signals.close();
+    this.held.close();
     this.readiness.close();
     this.targets.close();
     await this.server.close();
@@ -226,6 +235,7 @@
       suspects: this.fleetState.quarantine.size,
       quarantined: this.fleetState.quarantine.quarantined,
       activeRequests: this.ingress.activeRequests,
+      heldBytes: this.held.total,
     };
   }
 
@@ -267,6 +277,7 @@
       now: clock.steady,
       directory: () => this.fleetState.directory,
       isFresh: () => this.isFresh(),
+      held: this.held,
       serve: (admitted) => new exchange.Exchange(admitted, services).run(),
     });
   }
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -14,6 +14,7 @@
 import type * as quarantineClient from './quarantineClient';
 import * as exchangeLog from './exchangeLog';
 import * as fingerprint from './fingerprint';
+import type * as heldBytes from './heldBytes';
 import type * as livenessProbes from './livenessProbes';
 import type * as rateLimitClient from './rateLimitClient';
 import * as outcomes from './outcome';
@@ -50,6 +51,7 @@
   organisation: string | undefined;
   body: Buffer;
   arrivedAt: number;
+  held: heldBytes.Holding;
 }
 
 /**
@@ -139,7 +141,7 @@
     const { route, facts, arrivedAt, response, request } = admitted;
     this.deadline = arrivedAt + Math.min(route.timeoutMs, facts.patienceMs ?? Infinity);
     this.attempts = new attempts.Attempts(route.maxAttempts);
-    this.reply = new callerResponse.CallerResponse(response, route, facts);
+    this.reply = new callerResponse.CallerResponse(response, route, facts, admitted.held);
     const { attempts: attemptsMade, reply } = this;
     const { observer: observe, now } = dependencies;
     this.requestLog = new exchangeLog.ExchangeLog({
@@ -386,11 +388,14 @@
     });
     if (wasSent && outcome.kind !== 'notRun') this.mayHaveRun = true;
     if (outcome.kind === 'answered') this.requestLog.answered(placement);
-    release(outcomes.dispatchOutcomeOf(outcome), {
+    // A target that cuts a response which its caller doesn't read is neither ill nor crashed.
+    const wentUnread = outcome.kind === 'failed' && this.reply.wentUnread(this.dependencies.now());
+    release(wentUnread ? 'cancelled' : outcomes.dispatchOutcomeOf(outcome), {
       faulty,
       gapMs: this.reply.typicalGapMs,
     });
-    this.mayHaveCrashed = wasSent && outcomes.mayHaveCrashed(outcome, this.wasOverdue);
+    this.mayHaveCrashed =
+      wasSent && !wentUnread && outcomes.mayHaveCrashed(outcome, this.wasOverdue);
     return outcome;
   }
 
@@ -477,7 +482,7 @@
       thresholds: responseTimeout.thresholdsOf(this.admitted.route, firstTokenMs),
       sentAt: now(),
       now,
-      lastEventAt: () => this.reply.lastEventAt,
+      lastEventAt: () => this.reply.lastProgressAt(now()),
       isAlive: () => probes.isAlive(target, address),
       hasAlternative: () => this.hasAttemptsLeft,
       onTimeout,
--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -10,6 +10,7 @@
 import * as listening from '../http/listening';
 import type * as observer from '../observability/observer';
 import type * as exchange from './exchange';
+import type * as heldBytes from './heldBytes';
 import * as settingsWait from './settingsWait';
 
 type Directory = domain.catalogue.directory.Directory;
@@ -22,6 +23,7 @@
   directory: () => Directory | undefined;
   /** Whether the settings in force were confirmed recently enough to admit keys. */
   isFresh: () => boolean;
+  held: Pick<heldBytes.HeldBytes, 'open'>;
   serve: (admitted: exchange.AdmittedRequest) => Promise<void>;
 }
 
@@ -34,6 +36,7 @@
   request: http.IncomingMessage;
   response: http.ServerResponse;
   arrivedAt: number;
+  held: heldBytes.Holding;
 }
 
 /** A request body, or why there is none. */
@@ -126,8 +129,10 @@
   ): Promise<void> {
     const arrivedAt = this.dependencies.now();
     this.active += 1;
+    const held = this.dependencies.held.open(this.connectionOf(request, response));
     response.once('close', () => {
       this.active -= 1;
+      held.close();
     });
     if (this.isDraining) response.setHeader('Connection', 'close');
     // An error of the caller's connection ends its exchange through `close`; it needs no other handling.
@@ -136,14 +141,27 @@
       this.refuse(request, response, { status: 503, reason: 'entry is stopping' });
       return;
     }
-    const earlyBody = this.hasUsableSettings ? undefined : await this.readAndWait(request);
+    const earlyBody = this.hasUsableSettings ? undefined : await this.readAndWait(request, held);
     if (earlyBody === 'broken' || response.destroyed) return;
     const directory = this.dependencies.directory();
     if (directory === undefined) {
       this.refuse(request, response, { status: 503, reason: 'no catalogue yet' });
       return;
     }
-    await this.admit(directory, { request, response, arrivedAt }, earlyBody);
+    await this.admit(directory, { request, response, arrivedAt, held }, earlyBody);
+  }
+
+  private connectionOf(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): heldBytes.Connection {
+    return {
+      request: this.dependencies.protocol.callerMetadata(request.headers).requestId,
+      unsentBytes: () => response.writableLength,
+      cut: () => response.destroy(),
+      pauseBody: () => request.pause(),
+      resumeBody: () => request.resume(),
+    };
   }
 
   private get hasUsableSettings(): boolean {
@@ -151,8 +169,8 @@
   }
 
   /** Reads the body before the wait, because callers leave an entry that doesn't read their request. */
-  private async readAndWait(request: http.IncomingMessage): Promise<Body> {
-    const body = await readBody(request, MAX_EARLY_BODY_BYTES);
+  private async readAndWait(request: http.IncomingMessage, held: heldBytes.Holding): Promise<Body> {
+    const body = await readBody(request, MAX_EARLY_BODY_BYTES, held);
     await this.settingsWait.wait(
       this.dependencies.protocol.callerMetadata(request.headers).patienceMs,
     );
@@ -161,7 +179,7 @@
 
   private async admit(
     directory: Directory,
-    { request, response, arrivedAt }: Arrival,
+    { request, response, arrivedAt, held }: Arrival,
     earlyBody: Body | undefined,
   ): Promise<void> {
     const facts = this.dependencies.protocol.callerMetadata(request.headers);
@@ -176,7 +194,7 @@
       this.refuse(request, response, refusal ?? { status: 404, reason: 'no route' });
       return;
     }
-    const body = earlyBody ?? (await readBody(request, limits.maxBodyBytes));
+    const body = earlyBody ?? (await readBody(request, limits.maxBodyBytes, held));
     if (body === 'broken') return;
     if (body === 'tooLarge' || body.length > limits.maxBodyBytes) {
       this.refuse(request, response, { status: 413, reason: 'body too large' });
@@ -190,6 +208,7 @@
       organisation: isKeyed ? organisation?.name : undefined,
       body,
       arrivedAt,
+      held,
     });
   }
 
@@ -239,16 +258,28 @@
   }
 }
 
-async function readBody(request: http.IncomingMessage, maxBytes: number): Promise<Body> {
+async function readBody(
+  request: http.IncomingMessage,
+  maxBytes: number,
+  held: heldBytes.Holding,
+): Promise<Body> {
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let length = 0;
     request.on('data', (chunk: Buffer) => {
       length += chunk.length;
-      if (length > maxBytes) resolve('tooLarge');
-      else chunks.push(chunk);
+      if (length > maxBytes) {
+        held.bodyEnded();
+        resolve('tooLarge');
+        return;
+      }
+      chunks.push(chunk);
+      held.bodyArrived(chunk.length);
+    });
+    request.once('end', () => {
+      held.bodyEnded();
+      resolve(Buffer.concat(chunks));
     });
-    request.once('end', () => resolve(Buffer.concat(chunks)));
     request.once('error', () => resolve('broken'));
     request.once('close', () => resolve('broken'));
   });
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -95,6 +95,7 @@
     text: 'suspicion of a request cleared or reduced',
   },
   quarantineRecalled: { number: 5017, level: 'info', text: 'quarantine loaded from disk' },
+  callerCut: { number: 5020, level: 'warn', text: 'slow caller cut to free memory' },
   claimUnknown: {
     number: 5101,
     level: 'warn',
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -8,6 +8,7 @@
 export * as membership from './membership';
 export * as memory from './memory';
 export * as placement from './placement';
+export * as pressure from './pressure';
 export * as quarantine from './quarantine';
 export * as rateLimits from './rateLimits';
 export * as registry from './registry';
--- /dev/null
+++ b/packages/domain/src/pressure/index.ts
@@ -0,0 +1,1 @@
+export * as pressure from './pressure';
