Attribute a crash to the lifetime that the request was sent to

A request whose target restarted under its id, at another address, before the crash check reported the later lifetime as crashed. The lifetime is now the one known when the request was sent.

The new test failed before and passes after. One test passes the new field.

--- a/packages/daemon/src/entry/__tests__/lifetimes.test.ts
+++ b/packages/daemon/src/entry/__tests__/lifetimes.test.ts
@@ -3,6 +3,7 @@
 import * as domain from '@celerydrift/domain';
 import * as clock from '../../clock';
 import * as observer from '../../observability/observer';
+import * as quarantineClient from '../quarantineClient';
 import * as reservations from '../reservations';
 import * as targetSelector from '../targetSelector';
 import * as harness from './__fixtures__/harness';
@@ -84,4 +85,28 @@
     await clock.sleep(1);
     expect(calls).to.equal(1);
   });
+
+  /** Guards against a restarted target that is taken for crashed, as its former lifetime was. */
+  it('is not taken for crashed, as its former lifetime was', async () => {
+    const quarantine = new domain.quarantine.quarantine.Quarantine();
+    const client = new quarantineClient.QuarantineClient({
+      name: 'e0',
+      fleetState: { quarantine, registry },
+      link: { leader: '' },
+      client: { call: () => Promise.reject(new Error('no leader')) },
+      liveness: { isAlive: async () => false },
+      observer: observe,
+      now: clock.steady,
+    });
+    const { id: target, address, bornAt } = RECORD;
+    const request = { requestId: 'r', bodyBytes: 4, service: 's', excluded: [] };
+    registry.announce({ ...RECORD, address: '127.0.0.1:3', bornAt: 2 }, 0);
+    await client.checkForCrash(
+      { ...request, fingerprint: () => '4-content' },
+      { target, address, bornAt, sentAt: clock.steady(), isTrial: true },
+    );
+    client.close();
+    const hasCrashed = [1, 2].map((each) => quarantine.hasCrashed({ id: target, bornAt: each }));
+    expect(hasCrashed).to.deep.equal([true, false]);
+  });
 });
--- a/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
@@ -38,7 +38,8 @@
       now: clock.steady,
     });
     for (const target of ['a', 'b', 'c']) {
-      const sent = { target, address: '10.0.0.2:1', sentAt: clock.steady(), isTrial: true };
+      const sentAt = clock.steady();
+      const sent = { target, address: '10.0.0.2:1', bornAt: 0, sentAt, isTrial: true };
       await client.checkForCrash(request('r1'), sent);
     }
     await clock.sleep(10);
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -121,6 +121,9 @@
 
   private sentAt = 0;
 
+  /** Start time of the lifetime that the current attempt was sent to. */
+  private sentToBornAt = 0;
+
   /** Whether the last target may have crashed while running the request. */
   private mayHaveCrashed = false;
 
@@ -371,6 +374,7 @@
     this.reply.beginAttempt();
     this.requestLog.placed(placement, this.waitedMs);
     this.sentAt = this.dependencies.now();
+    this.sentToBornAt = this.dependencies.signals.bornAt(placement.target);
     this.attempt = attempt;
     this.activeTarget = placement.target;
     this.reply.attach(attempt);
@@ -406,7 +410,8 @@
     { target, address }: domain.allocation.allocator.Placement,
   ): Promise<void> {
     if (!this.mayHaveCrashed) return;
-    const sent = { target, address, sentAt: this.sentAt, isTrial: endings > 0 };
+    const { sentAt, sentToBornAt: bornAt } = this;
+    const sent = { target, address, bornAt, sentAt, isTrial: endings > 0 };
     await this.dependencies.quarantine.checkForCrash(this.requestInfo(service), sent);
   }
 
--- a/packages/daemon/src/entry/quarantineClient.ts
+++ b/packages/daemon/src/entry/quarantineClient.ts
@@ -28,6 +28,8 @@
 export interface SentRequest {
   target: string;
   address: string;
+  /** Start time of the lifetime that it was sent to. */
+  bornAt: number;
   sentAt: number;
   /** Whether it was a canary run; see `Grant`. */
   isTrial: boolean;
@@ -198,16 +200,15 @@
 
   private async reportIfCrashed(
     request: RequestInfo,
-    { target, address, sentAt, isTrial }: SentRequest,
+    { target, address, bornAt, sentAt, isTrial }: SentRequest,
   ): Promise<void> {
     const { liveness: probes, observer: observe, fleetState: state, now } = this.dependencies;
     if (await probes.isAlive(target, address)) return;
     const record = state.registry.get(target);
-    if (record !== undefined && hasStoppedItself(record)) return;
+    if (record?.bornAt === bornAt && hasStoppedItself(record)) return;
     const content = request.fingerprint();
     observe.count('targets.endedUnderRequest');
     observe.log('targetEndedUnder', { request: request.requestId, content, target });
-    const { bornAt } = record ?? { bornAt: 0 };
     const lifetime = { id: target, bornAt };
     const key = domain.quarantine.crashedLifetimes.lifetimeKey(lifetime);
     state.quarantine.reportCrash(content, key, { sentAt, isTrial }, now());
