Test the answers of a keeper to calls of targets that it can't use

The test sends an id and bodies that can't be read, and an id that is too long, over a real socket: all get 400, are counted and aren't forwarded.

--- /dev/null
+++ b/packages/daemon/src/keeper/__tests__/controlServer.test.ts
@@ -0,0 +1,56 @@
+/** How a keeper answers targets' calls that it can't use, over a real socket. */
+import * as chai from 'chai';
+import { Err, Ok } from 'ts-results';
+import * as ports from '../../__tests__/__fixtures__/ports';
+import type * as protocols from '../../edges/protocols';
+import * as observer from '../../observability/observer';
+import * as controlServer from '../controlServer';
+
+const { expect } = chai;
+
+const UNREADABLE = { kind: 'unreadable', detail: 'not readable' } as const;
+
+/** Paths are ids; `%` can't be read, nor can the body `?`. */
+const PROTOCOL: Partial<protocols.ControlProtocol> = {
+  parseCall: (method, path) => {
+    if (path === '/%') return UNREADABLE;
+    return { kind: method === 'PUT' ? 'announce' : 'depart', id: path.slice(1) };
+  },
+  parseAnnouncement: () => Err(UNREADABLE),
+  parseDepartedLifetime: (body) => (body.toString() === '?' ? Err(UNREADABLE) : Ok(undefined)),
+};
+
+describe('calls of targets that can’t be used', () => {
+  /** Guards against a target that another program ends or replaces by a call that can't be read. */
+  it('are refused with a reason, counted, and not forwarded to the leader', async () => {
+    const forwarded: string[] = [];
+    const observe = new observer.Observer('test', 'fatal', undefined);
+    const server = new controlServer.ControlServer({
+      protocol: PROTOCOL,
+      observer: observe,
+      announce: async ({ id }: { id: string }) => forwarded.push(id) > 0,
+      depart: async ({ id }: { id: string }) => forwarded.push(id) > 0,
+    } as unknown as controlServer.Dependencies);
+    const port = await ports.freePort();
+    await server.listen({ host: '127.0.0.1', port });
+    const call = async (method: string, path: string, body = ''): Promise<string> => {
+      const answer = await fetch(`http://127.0.0.1:${port}${path}`, { method, body });
+      return `${answer.status} ${await answer.text()}`;
+    };
+    const answers = [
+      await call('PUT', '/%'),
+      await call('PUT', '/a'),
+      await call('DELETE', '/a', '?'),
+      await call('DELETE', `/${'a'.repeat(200)}`),
+      await call('DELETE', '/a'),
+    ];
+    server.close();
+    expect(answers).to.deep.equal([
+      ...['400 {"error":"not readable"}', '400 {"error":"not readable"}'],
+      '400 {"error":"not readable"}',
+      '400 {"error":"id is empty, too long or not printable"}',
+      '200 {}',
+    ]);
+    expect([forwarded, observe.counters()['announcements.ignored']]).to.deep.equal([['a'], 4]);
+  });
+});
