Merge announcements by other writers and the bytes held for callers

Unreadable announcements and departures are refused with one bounded line, a reborn target keeps nothing of its former lifetime, and the bytes that an entry holds for its callers are bounded.

--- a/packages/daemon/src/configuration/roleSettings.ts
+++ b/packages/daemon/src/configuration/roleSettings.ts
@@ -52,6 +52,8 @@
    * centres.
    */
   evacuationMs: number;
+  /** Most bytes that an entry holds for its callers. */
+  heldBytes: number;
   /** Retry budget: limits the requests that are sent to a second target. */
   repeats: domain.request.repeatBudget.Rule;
   contentionMode: ContentionMode;
@@ -78,6 +80,7 @@
   'revoke-ms': '5000',
   'drain-ms': '2000',
   'evacuation-ms': '0',
+  'held-mb': '64',
   'repeat-ratio': '0.2',
   'repeat-slack': '100',
   'repeat-window-seconds': '10',
@@ -112,6 +115,7 @@
     'revoke-ms': range(500, 3_600_000),
     'drain-ms': range(100, 3_600_000),
     'evacuation-ms': range(0, 3_600_000),
+    'held-mb': range(1, 1_000_000),
     'repeat-ratio': range(0, 10),
     'repeat-slack': range(0, 1_000_000),
     'repeat-window-seconds': range(1, 3_600),
@@ -119,6 +123,8 @@
   contention: { mode: oneOf('arrival', 'adaptive') },
 };
 
+const BYTES_PER_MB = 1_048_576;
+
 type Values = domain.settings.schema.Values;
 
 /**
@@ -172,6 +178,7 @@
     revokeMs: readNumber('bounds.revoke-ms'),
     drainMs: readNumber('bounds.drain-ms'),
     evacuationMs: readNumber('bounds.evacuation-ms'),
+    heldBytes: readNumber('bounds.held-mb') * BYTES_PER_MB,
     repeats: {
       ratio: readNumber('bounds.repeat-ratio'),
       slack: readNumber('bounds.repeat-slack'),
--- a/packages/daemon/src/edges/protocols.ts
+++ b/packages/daemon/src/edges/protocols.ts
@@ -90,7 +90,13 @@
   stateCall(target: string): TargetCall;
 }
 
-/** A call of a target or an operator that the keepers' listener recognises. */
+/** Why a path, a document or an announcement can't be parsed. */
+export interface ParseError {
+  kind: 'unreadable';
+  detail: string;
+}
+
+/** A call of a target or an operator that the keepers' listener recognises, readable or not. */
 export type ControlCall =
   | { kind: 'announce'; id: string }
   | { kind: 'depart'; id: string }
@@ -98,13 +104,8 @@
   | { kind: 'read' }
   /** Orders about a data centre; its name is undefined if it can't be decoded. */
   | { kind: 'evacuate' | 'endEvacuation'; dataCentre: string | undefined }
-  | { kind: 'listEvacuations' };
-
-/** Why a document or an announcement can't be parsed. */
-export interface ParseError {
-  kind: 'unreadable';
-  detail: string;
-}
+  | { kind: 'listEvacuations' }
+  | ParseError;
 
 /** Protocol of targets' announcements and of operators' calls. */
 export interface ControlProtocol {
@@ -114,6 +115,6 @@
     body: Buffer,
   ): Result<domain.registry.registry.Announcement, ParseError>;
   /** Start time of the departing lifetime, in Unix milliseconds; undefined if not stated. */
-  parseDepartedLifetime(body: Buffer): number | undefined;
+  parseDepartedLifetime(body: Buffer): Result<number | undefined, ParseError>;
   parseCatalogue(document: Buffer): Result<domain.catalogue.catalogue.Catalogue, ParseError>;
 }
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -20,6 +20,7 @@
 import * as quarantineClient from './quarantineClient';
 import * as coldGrants from './coldGrants';
 import * as exchange from './exchange';
+import * as heldBytes from './heldBytes';
 import * as ingress from './ingress';
 import * as livenessProbes from './livenessProbes';
 import * as pushedUpdate from './pushedUpdate';
@@ -64,6 +65,8 @@
 
   private readonly link: leaderLink.LeaderLink;
 
+  private readonly held: heldBytes.HeldBytes;
+
   private readonly ingress: ingress.Ingress;
 
   private readonly targets: targetClient.TargetClient;
@@ -181,6 +184,11 @@
       observer: observe,
       now: clock.steady,
     });
+    this.held = new heldBytes.HeldBytes({
+      boundBytes: settings.heldBytes,
+      now: clock.steady,
+      observer: observe,
+    });
     this.ingress = this.makeIngress();
     this.readiness = http.createServer((_request, response) => {
       response.writeHead(this.isReady ? 200 : 503, { 'Content-Length': 0 });
@@ -225,6 +233,7 @@
     this.limits.close();
     this.coldGrants.stop();
     this.signals.close();
+    this.held.close();
     this.readiness.close();
     this.targets.close();
     await this.server.close();
@@ -244,6 +253,7 @@
       suspects: this.fleetState.quarantine.size,
       quarantined: this.fleetState.quarantine.quarantined,
       activeRequests: this.ingress.activeRequests,
+      heldBytes: this.held.total,
     };
   }
 
@@ -286,6 +296,7 @@
       now: clock.steady,
       directory: () => this.fleetState.directory,
       isFresh: () => this.isFresh(),
+      held: this.held,
       serve: (admitted) => new exchange.Exchange(admitted, services).run(),
     });
   }
@@ -298,7 +309,10 @@
 
   private applyRecord(record: domain.registry.registry.Announcement): void {
     this.selector.fallback.observe(record);
-    if (record.state !== 'gone') return;
+    if (record.state !== 'gone') {
+      this.signals.observe(record);
+      return;
+    }
     this.targets.forget(record.id);
     this.selector.forget(record.id);
     this.signals.forget(record);
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -15,6 +15,7 @@
 import type * as quarantineClient from './quarantineClient';
 import * as exchangeLog from './exchangeLog';
 import * as fingerprint from './fingerprint';
+import type * as heldBytes from './heldBytes';
 import type * as livenessProbes from './livenessProbes';
 import type * as rateLimitClient from './rateLimitClient';
 import * as outcomes from './outcome';
@@ -33,7 +34,10 @@
   targets: targetClient.TargetClient;
   liveness: Pick<livenessProbes.LivenessProbes, 'isAlive'>;
   limits: Pick<rateLimitClient.RateLimitClient, 'spent'>;
-  signals: Pick<targetSignals.TargetSignals, 'unavailable' | 'backOffMs' | 'hasEvacuations'>;
+  signals: Pick<
+    targetSignals.TargetSignals,
+    'unavailable' | 'backOffMs' | 'bornAt' | 'hasEvacuations'
+  >;
   quarantine: Pick<quarantineClient.QuarantineClient, 'permit' | 'checkForCrash' | 'isQuarantined'>;
   budgets: domain.request.repeatBudget.RepeatBudgets;
   observer: observer.Observer;
@@ -55,6 +59,7 @@
   urgencyAt?: (service: string) => number | undefined;
   body: Buffer;
   arrivedAt: number;
+  held: heldBytes.Holding;
 }
 
 /**
@@ -134,6 +139,9 @@
 
   private sentAt = 0;
 
+  /** Start time of the lifetime that the current attempt was sent to. */
+  private sentToBornAt = 0;
+
   /** Whether the last target may have crashed while running the request. */
   private mayHaveCrashed = false;
 
@@ -154,7 +162,7 @@
     const { route, facts, arrivedAt, response, request } = admitted;
     this.deadline = arrivedAt + Math.min(route.timeoutMs, facts.patienceMs ?? Infinity);
     this.attempts = new attempts.Attempts(route.maxAttempts);
-    this.reply = new callerResponse.CallerResponse(response, route, facts);
+    this.reply = new callerResponse.CallerResponse(response, route, facts, admitted.held);
     const { attempts: attemptsMade, reply } = this;
     const { observer: observe, now } = dependencies;
     this.requestLog = new exchangeLog.ExchangeLog({
@@ -412,6 +420,7 @@
     this.reply.beginAttempt();
     this.requestLog.placed(placement, this.waitedMs);
     this.sentAt = this.dependencies.now();
+    this.sentToBornAt = this.dependencies.signals.bornAt(placement.target);
     this.attempt = attempt;
     this.activeTarget = placement.target;
     this.reply.attach(attempt);
@@ -429,11 +438,14 @@
     });
     if (wasSent && outcome.kind !== 'notRun') this.mayHaveRun = true;
     if (outcome.kind === 'answered') this.requestLog.answered(placement);
-    release(outcomes.dispatchOutcomeOf(outcome), {
+    // A target that cuts a response which its caller doesn't read is neither ill nor crashed.
+    const wentUnread = outcome.kind === 'failed' && this.reply.wentUnread(this.dependencies.now());
+    release(wentUnread ? 'cancelled' : outcomes.dispatchOutcomeOf(outcome), {
       faulty,
       gapMs: this.reply.typicalGapMs,
     });
-    this.mayHaveCrashed = wasSent && outcomes.mayHaveCrashed(outcome, this.wasOverdue);
+    this.mayHaveCrashed =
+      wasSent && !wentUnread && outcomes.mayHaveCrashed(outcome, this.wasOverdue);
     return outcome;
   }
 
@@ -444,7 +456,8 @@
     { target, address }: domain.allocation.allocator.Placement,
   ): Promise<void> {
     if (!this.mayHaveCrashed) return;
-    const sent = { target, address, sentAt: this.sentAt, isTrial: endings > 0 };
+    const { sentAt, sentToBornAt: bornAt } = this;
+    const sent = { target, address, bornAt, sentAt, isTrial: endings > 0 };
     await this.dependencies.quarantine.checkForCrash(this.requestInfo(service), sent);
   }
 
@@ -520,7 +533,7 @@
       thresholds: responseTimeout.thresholdsOf(this.admitted.route, firstTokenMs),
       sentAt: now(),
       now,
-      lastEventAt: () => this.reply.lastEventAt,
+      lastEventAt: () => this.reply.lastProgressAt(now()),
       isAlive: () => probes.isAlive(target, address),
       hasAlternative: () => this.hasAttemptsLeft,
       onTimeout,
--- a/packages/daemon/src/keeper/controlServer.ts
+++ b/packages/daemon/src/keeper/controlServer.ts
@@ -12,6 +12,7 @@
 import * as listening from '../http/listening';
 import type * as observer from '../observability/observer';
 import type * as evacuationOrders from './evacuationOrders';
+import * as ignoredAnnouncements from './ignoredAnnouncements';
 
 type Announcement = domain.registry.registry.Announcement;
 
@@ -30,6 +31,9 @@
   evacuations: () => Promise<messages.EvacuationsAnswer>;
 }
 
+/** Who sent a call about a target, and the id that it names. */
+type Sender = Pick<ignoredAnnouncements.IgnoredAnnouncement, 'writer' | 'target'>;
+
 interface Reply {
   status: number;
   body: Buffer | string;
@@ -58,7 +62,13 @@
 export class ControlServer {
   private readonly server: http.Server;
 
+  private readonly ignored: ignoredAnnouncements.IgnoredAnnouncements;
+
   constructor(private readonly dependencies: Dependencies) {
+    this.ignored = new ignoredAnnouncements.IgnoredAnnouncements({
+      observer: dependencies.observer,
+      now: clock.steady,
+    });
     this.server = http.createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (request, response) => {
       void this.serve(request, response);
     });
@@ -92,8 +102,10 @@
     const path = (request.url ?? '').split('?')[0];
     const call = this.dependencies.protocol.parseCall(request.method ?? '', path);
     if (call === undefined) return NOT_FOUND;
-    if (call.kind === 'announce') return this.announce(call.id, body);
-    if (call.kind === 'depart') return this.depart(call.id, body);
+    const writer = request.socket.remoteAddress ?? '';
+    if (call.kind === 'unreadable') return this.ignore({ writer, target: path }, call.detail);
+    if (call.kind === 'announce') return this.announce({ writer, target: call.id }, body);
+    if (call.kind === 'depart') return this.depart({ writer, target: call.id }, body);
     if (call.kind === 'listEvacuations') return this.listEvacuations();
     if (call.kind === 'evacuate' || call.kind === 'endEvacuation') return this.order(call, request);
     return call.kind === 'submit' ? this.submit(body) : this.read();
@@ -117,27 +129,33 @@
     return { status: 200, body: JSON.stringify(answer.listing) };
   }
 
-  private async announce(id: string, body: Buffer): Promise<Reply> {
-    const decoded = this.dependencies.protocol.parseAnnouncement(id, body);
-    const problem = decoded.err
-      ? decoded.val.detail
-      : domain.registry.validity.problemOf(decoded.val);
-    if (decoded.err || problem !== undefined) {
-      this.dependencies.observer.log('announcementIgnored', { target: id, reason: problem });
-      return { status: 400, body: JSON.stringify({ error: problem }) };
-    }
+  private async announce(sender: Sender, body: Buffer): Promise<Reply> {
+    const decoded = this.dependencies.protocol.parseAnnouncement(sender.target, body);
+    if (decoded.err) return this.ignore(sender, decoded.val.detail);
+    const problem = domain.registry.validity.problemOf(decoded.val);
+    if (problem !== undefined) return this.ignore(sender, problem);
     return (await this.dependencies.announce(decoded.val))
       ? { status: 200, body: '{}' }
       : UNAVAILABLE;
   }
 
-  private async depart(id: string, body: Buffer): Promise<Reply> {
+  private async depart(sender: Sender, body: Buffer): Promise<Reply> {
+    const { target: id } = sender;
     const bornAt = this.dependencies.protocol.parseDepartedLifetime(body);
-    return (await this.dependencies.depart({ id, bornAt }))
+    if (bornAt.err) return this.ignore(sender, bornAt.val.detail);
+    const problem = domain.registry.validity.problemOfId(id);
+    if (problem !== undefined) return this.ignore(sender, problem);
+    return (await this.dependencies.depart({ id, bornAt: bornAt.val }))
       ? { status: 200, body: '{}' }
       : UNAVAILABLE;
   }
 
+  /** Refuses a call of a target that can't be used; it changes nothing that is known of any target. */
+  private ignore(sender: Sender, reason: string): Reply {
+    this.ignored.report({ ...sender, reason });
+    return { status: 400, body: JSON.stringify({ error: reason }) };
+  }
+
   private async submit(body: Buffer): Promise<Reply> {
     const decoded = this.dependencies.protocol.parseCatalogue(body);
     if (decoded.err) return this.refuse(0, decoded.val.detail);
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -14,6 +14,7 @@
 import * as coldCoordinator from './coldCoordinator';
 import * as evacuationCoordinator from './evacuationCoordinator';
 import * as followers from './followers';
+import * as ignoredAnnouncements from './ignoredAnnouncements';
 import * as limitCoordinator from './limitCoordinator';
 import * as placer from './placer';
 import * as registryUpdates from './registryUpdates';
@@ -88,6 +89,8 @@
 
   private readonly cold: coldCoordinator.ColdCoordinator;
 
+  private readonly ignored: ignoredAnnouncements.IgnoredAnnouncements;
+
   /** Number of targets loaded from disk that announced themselves since the last tick. */
   private confirmedTargets = 0;
 
@@ -111,6 +114,7 @@
       (mark) => this.updates.fullUpdateSince(mark),
       (revision) => this.evacuations.missingAt(revision),
     );
+    this.ignored = new ignoredAnnouncements.IgnoredAnnouncements({ observer: observe, now });
     this.snapshotThrottle = new snapshotThrottle.SnapshotThrottle(options.linkMbps, now);
     this.updates = new registryUpdates.RegistryUpdates({
       snapshot: () => this.snapshot(),
@@ -231,8 +235,8 @@
       this.limits.merge(follower.limits);
       this.cold.merge(follower.limits);
     }
-    follower.dispatches.forEach(({ request, target }) => {
-      this.allocator.restore(request, target, now());
+    follower.dispatches.forEach(({ request, target: id, bornAt }) => {
+      this.allocator.restore(request, { id, bornAt }, now());
     });
     const { members } = this.options.host.replica;
     const knowsEntries = now() - this.leadingSince >= ENTRY_DISCOVERY_MS;
@@ -278,15 +282,15 @@
 
   /** Applies a target's own announcement; resolves once the reachable followers know what changed. */
   async announce(announcement: Announcement): Promise<void> {
-    const { fleetState: fleet, observer } = this.options;
+    const { fleetState: fleet } = this.options;
     const { coldLeftMs, ...record } = announcement;
     const { id, service } = record;
     const isUsable =
       fleet.directory === undefined || fleet.directory.service(service) !== undefined;
-    if (!isUsable && fleet.registry.get(id) === undefined) {
-      // Accepting it would replace the target known at its address. The target announces itself again once the
-      // service exists.
-      observer.log('announcementIgnored', { target: id, reason: `unknown service "${service}"` });
+    if (!isUsable && fleet.registry.get(id)?.service !== service) {
+      // Accepting it would replace the target known by its id or at its address. The target announces itself again
+      // once the service exists. One whose service has left the catalogue is still followed, so that it can drain.
+      this.ignored.report({ writer: id, target: id, reason: `unknown service "${service}"` });
       return;
     }
     this.suspects.handleAnnouncement(record);
@@ -387,19 +391,24 @@
   /** Applies finished dispatches of an entry, and serves the wait queue, as they leave slots free. */
   ended({ dispatches }: messages.FinishedDispatches): void {
     const now = this.options.now();
-    dispatches.forEach(({ id, ending, faulty, gapMs, target }) => {
+    dispatches.forEach(({ id, ending, faulty, gapMs, target, bornAt }) => {
       this.allocator.endDispatch(id, ending, now, { faulty, gapMs });
-      if (ending === 'replaced') this.reportReplaced(faulty ?? target);
+      if (ending !== 'replaced') return;
+      if (faulty === undefined) this.reportReplaced(target, bornAt);
+      else this.reportReplaced(faulty);
     });
     this.placer.scheduleServing();
   }
 
   /**
    * Marks a target as gone whose address now belongs to another lifetime; otherwise each request would find that out
-   * by itself.
+   * by itself. One that restarted since, at another address, isn't replaced; `bornAt` is undefined if the entry doesn't
+   * report it.
    */
-  private reportReplaced(id: string): void {
-    const changed = this.options.fleetState.registry.reportReplaced(id, this.options.now());
+  private reportReplaced(id: string, bornAt?: number): void {
+    const { registry } = this.options.fleetState;
+    if (bornAt !== undefined && registry.get(id)?.bornAt !== bornAt) return;
+    const changed = registry.reportReplaced(id, this.options.now());
     if (changed.length === 0) return;
     this.options.observer.log('targetAnnounced', { target: id, state: 'gone', presumed: true });
     changed.forEach((record) => this.allocator.observe(record));
@@ -480,7 +489,8 @@
 /** Whether an announcement confirms what was loaded from disk about a target. */
 function isConfirmation(
   loaded: Announcement | undefined,
-  { state, address }: Announcement,
+  { state, address, bornAt }: Announcement,
 ): boolean {
-  return loaded?.isRemembered === true && loaded.state === state && loaded.address === address;
+  if (loaded?.isRemembered !== true || loaded.bornAt !== bornAt) return false;
+  return loaded.state === state && loaded.address === address;
 }
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -108,6 +108,7 @@
     level: 'info',
     text: 'message to an evacuated target not sent',
   },
+  callerCut: { number: 5020, level: 'warn', text: 'slow caller cut to free memory' },
   claimUnknown: {
     number: 5101,
     level: 'warn',
