Test what entries send in mode adaptive and how long they wait

The stub of the fleet state in the selector's tests lacked the evacuations, which LeaderLink reads for each poll, so that none of these tests got past its first hook.

--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -139,6 +139,8 @@
 
   isFresh = true;
 
+  contentionMode: exchange.Dependencies['contentionMode'];
+
   hasCatalogue = true;
 
   readonly ingress: ingress.Ingress;
@@ -219,7 +221,10 @@
       now: clock.steady,
       directory: () => (this.hasCatalogue ? directory : undefined),
       isFresh: services.isFresh,
-      serve: (admitted) => new exchange.Exchange(admitted, services).run(),
+      serve: (admitted) => {
+        const { contentionMode } = this;
+        return new exchange.Exchange(admitted, { ...services, contentionMode }).run();
+      },
     });
   }
 
--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -123,6 +123,21 @@
     expect([again.body, again.isWhole]).to.deep.equal(whole);
   });
 
+  /** Guards against a leader that can't tell callers apart, and against new fields where the mode isn't set. */
+  it('states the caller and its time left only in mode adaptive', async () => {
+    const stream = harness.STREAM_HEAD + harness.chunk('id: 1\ndata: a\n\n') + harness.LAST_CHUNK;
+    setup = await harness.TestHarness.start((_request, socket) => socket.write(stream));
+    await setup.send('/streaming/1');
+    setup.contentionMode = 'adaptive';
+    await setup.send('/streaming/1');
+    await setup.send('/unsafe/1');
+    const [usual, ofStream, call] = setup.placementRequests;
+    expect(usual).to.not.have.any.keys('organisation', 'urgency', 'content', 'leavesInMs');
+    expect(ofStream.content).to.be.a('string').and.not.equal(call.content);
+    expect(ofStream.leavesInMs).to.be.within(1_000, 1_500);
+    expect(call).to.not.have.any.keys('urgency', 'leavesInMs');
+  });
+
   /** Guards against a request that is placed before its target asks this VM to back off, and sent afterwards. */
   it('selects another target if the first is in back-off by the time the request is sent', async () => {
     const refuse = harness.answer('', 503, 'not-run: 1\r\nback-off: 2000\r\n');
--- a/packages/daemon/src/entry/__tests__/targetSelector.test.ts
+++ b/packages/daemon/src/entry/__tests__/targetSelector.test.ts
@@ -127,6 +127,7 @@
       directory: { service: () => SERVICE },
       registry: new domain.registry.registry.Registry(),
       limits: new domain.rateLimits.rateLimits.RateLimits(),
+      evacuations: new domain.evacuation.evacuations.Evacuations(),
       reportableSuspects: () => [],
       applyUpdate: () => true,
     } as unknown as fleetState.FleetState;
@@ -252,6 +253,21 @@
     expect(selector.dispatches.map(({ request: { id } }) => id)).to.not.include('r1/0.0');
   });
 
+  /** Guards against an entry that gives up while the leader still has the caller's consent to wait. */
+  it('waits for the leader as long as the caller stays, beyond its own patience', async () => {
+    delays.place = 500;
+    const [where, ms] = await place(100, { leavesInMs: 1_500, objectiveMs: 3_000 });
+    expect([where, ms > 450]).to.deep.equal(['led', true]);
+  });
+
+  /** Guards against callers that wait in vain without a leader: the prompt's prefill outlasts their time limit. */
+  it('refuses at once what cannot be answered before the caller leaves', async () => {
+    await loseLeaderAndFillEngine();
+    const since = clock.steady();
+    const choice = await selector.choose({ ...longPrompt(2_000), leavesInMs: 50 });
+    expect([choice.kind, clock.steady() - since < 1_000]).to.deep.equal(['noPlace', true]);
+  });
+
   it('returns a Retry-After if no engine became free in time', async () => {
     await loseLeaderAndFillEngine();
     const since = clock.steady();
