Bound the share of a leader's time that ordering the wait queue takes

Ordering 2,000 waiting requests takes 2.4 to 2.6 ms; repeated every 10 ms it took a quarter of a leader's time. In mode adaptive the interval now grows with the queue, so that ordering stays under a tenth.

--- a/packages/daemon/src/keeper/contentionPolicy.ts
+++ b/packages/daemon/src/keeper/contentionPolicy.ts
@@ -39,6 +39,8 @@
 
 export interface Policy {
   readonly order: waitQueue.Order;
+  /** Cost of ordering one waiting request in a round, in milliseconds. */
+  readonly orderingMs: number;
   /** Whether a request that arrives now returns after a refusal. */
   arrived(request: Request, now: number): boolean;
   boundsOf(arrival: Arrival, now: number): domain.contention.admission.Bounds;
@@ -63,6 +65,9 @@
 export class ArrivalPolicy implements Policy {
   readonly order = new waitQueue.ArrivalOrder();
 
+  /** Not bounded: a round costs little beside its attempts. */
+  readonly orderingMs = 0;
+
   arrived(): boolean {
     return false;
   }
@@ -102,6 +107,9 @@
  */
 const MIN_DELAY_MS = 200;
 
+/** Ordering 2,000 waiting requests of 50 organisations took 2.4 to 2.6 ms. */
+const ORDERING_MS = 0.0012;
+
 export interface Dependencies {
   allocator: domain.allocation.allocator.Allocator;
   mode?: Mode;
@@ -112,6 +120,8 @@
 export class AdaptivePolicy implements Policy {
   order: domain.contention.waitingOrder.WaitingOrder;
 
+  readonly orderingMs = ORDERING_MS;
+
   private readonly usual = new ArrivalPolicy();
 
   private readonly forecast = new domain.contention.admission.FirstEventForecast();
--- a/packages/daemon/src/keeper/placer.ts
+++ b/packages/daemon/src/keeper/placer.ts
@@ -82,6 +82,9 @@
  */
 const SERVE_SHARE = 0.25;
 
+/** Share of its time that a leader spends on ordering the wait queue. */
+const ORDERING_SHARE = 0.08;
+
 /** Range of the factor by which a caller's wait is multiplied to get its retry time after it waited in vain. */
 const RETRY_SPREAD = { min: 1, max: 2 } as const;
 
@@ -146,7 +149,11 @@
       this.isServeScheduled = false;
       const attempts = this.queue.serve(this.now);
       const workMs = attempts * this.attemptMs;
-      this.serveIntervalMs = Math.max(SERVE_INTERVAL_MS, workMs / SERVE_SHARE);
+      this.serveIntervalMs = Math.max(
+        SERVE_INTERVAL_MS,
+        workMs / SERVE_SHARE,
+        (this.queue.length * this.policy.orderingMs) / ORDERING_SHARE,
+      );
       this.scheduleServing();
     });
   }
--- a/packages/domain/src/contention/waitingOrder.ts
+++ b/packages/domain/src/contention/waitingOrder.ts
@@ -50,6 +50,7 @@
 
 interface Ranked<T> {
   item: T;
+  kind: string;
   urgency: number;
   lateness: number;
   start: number;
@@ -86,7 +87,7 @@
     if (items.length === 0) this.virtualTime.clear();
     this.observeOverload(items, now);
     this.weights = this.demand.weights(now);
-    const ranked = items.map((item) => this.rank(item, now)).sort(compareClasses);
+    const ranked = items.map((item) => this.rank(item, now));
     if (this.demand.isObserved(now)) this.setStarts(ranked);
     ranked.sort((a, b) => compareClasses(a, b) || a.start - b.start || b.position - a.position);
     return this.limitLate(ranked, now).map(({ item }) => item);
@@ -94,7 +95,11 @@
 
   /** Whether late requests of this kind leave the slots to those that can be on time. */
   holdsLate(request: Pick<Waiting, 'service' | 'objectiveMs'>, now: number): boolean {
-    return (this.lateHeldUntil.get(kindOf(request)) ?? 0) > now;
+    return this.holdsLateOf(kindOf(request), now);
+  }
+
+  private holdsLateOf(kind: string, now: number): boolean {
+    return (this.lateHeldUntil.get(kind) ?? 0) > now;
   }
 
   /** Counts a request that got a slot while others waited. */
@@ -111,10 +116,12 @@
     const { urgency, objectiveMs, callerSince, inTimeUntil, isReturning } = item;
     const share = (now - callerSince) / objectiveMs;
     const raised = Math.floor(share / AGEING_SHARE);
-    const isNewestFirst = this.overloads.get(kindOf(item))?.isOn === true;
+    const kind = kindOf(item);
+    const isNewestFirst = this.overloads.get(kind)?.isOn === true;
     const lateRank = isReturning ? 1 : 2;
     return {
       item,
+      kind,
       urgency: Math.max(0, urgency - raised),
       lateness: inTimeUntil > now ? 0 : lateRank,
       start: 0,
@@ -145,7 +152,7 @@
       Math.max(0, ...late.map(({ item }) => item.tokens)),
     );
     const owed = late.filter(({ item }) => item.tokens <= this.owedTokens).slice(0, 1);
-    const isFree = (each: Ranked<T>): boolean => !isLate(each) || !this.holdsLate(each.item, now);
+    const isFree = (each: Ranked<T>): boolean => !isLate(each) || !this.holdsLateOf(each.kind, now);
     return [...owed, ...ranked.filter((each) => isFree(each) && !owed.includes(each))];
   }
 
@@ -154,10 +161,10 @@
     items
       .filter(({ inTimeUntil }) => inTimeUntil > now)
       .forEach((item) => {
-        const current = longest.get(kindOf(item));
-        if (current === undefined || item.callerSince < current.callerSince) {
-          longest.set(kindOf(item), item);
-        }
+        const kind = kindOf(item);
+        const current = longest.get(kind);
+        if (current === undefined || item.callerSince < current.callerSince)
+          longest.set(kind, item);
       });
     longest.forEach(({ objectiveMs }, kind) => {
       this.lateHeldUntil.set(kind, now + LATE_PAUSE_OBJECTIVES * objectiveMs);
