--- a/packages/daemon/src/keeper/__tests__/waitQueue.test.ts
+++ b/packages/daemon/src/keeper/__tests__/waitQueue.test.ts
@@ -75,6 +75,14 @@
     expect(fixture.outcomes).to.deep.equal(['small']);
   });
 
+  /** Guards against late requests that are refused beside free engines because another service's requests wait. */
+  it('distinguishes the services of queued requests', () => {
+    const fixture = new Fixture();
+    fixture.wait('one', 0);
+    const has = ['s', 'other'].map((service) => fixture.queue.hasInTime(0, service));
+    expect(has).to.deep.equal([true, false]);
+  });
+
   it('reports whether a queued request can still be on time', () => {
     const fixture = new Fixture();
     fixture.wait('one', 0);
--- a/packages/daemon/src/keeper/contentionPolicy.ts
+++ b/packages/daemon/src/keeper/contentionPolicy.ts
@@ -39,6 +39,8 @@
 
 export interface Policy {
   readonly order: waitQueue.Order;
+  /** Whether requests wait only for earlier ones of their own service. */
+  readonly isPerService: boolean;
   /** Cost of ordering one waiting request in a round, in milliseconds. */
   readonly orderingMs: number;
   /** Whether a request that arrives now returns after a refusal. */
@@ -65,6 +67,8 @@
 export class ArrivalPolicy implements Policy {
   readonly order = new waitQueue.ArrivalOrder();
 
+  readonly isPerService = false;
+
   /** Not bounded: a round costs little beside its attempts. */
   readonly orderingMs = 0;
 
@@ -120,6 +124,8 @@
 export class AdaptivePolicy implements Policy {
   order: domain.contention.waitingOrder.WaitingOrder;
 
+  readonly isPerService = true;
+
   readonly orderingMs = ORDERING_MS;
 
   private readonly usual = new ArrivalPolicy();
--- a/packages/daemon/src/keeper/placer.ts
+++ b/packages/daemon/src/keeper/placer.ts
@@ -176,7 +176,8 @@
     }
     const { now } = this;
     // A new request queues behind those that can still be on time; late ones in the queue don't hold it up.
-    if (this.queue.hasInTime(now) || this.policy.mustWait(pending, now)) {
+    const only = this.policy.isPerService ? request.service : undefined;
+    if (this.queue.hasInTime(now, only) || this.policy.mustWait(pending, now)) {
       this.enqueue(pending);
       return;
     }
--- a/packages/daemon/src/keeper/waitQueue.ts
+++ b/packages/daemon/src/keeper/waitQueue.ts
@@ -63,9 +63,11 @@
     return this.requests.length === 0 && this.policy.order.isIdle;
   }
 
-  /** Whether a queued request can still be on time; new requests must not overtake it. */
-  hasInTime(now: number): boolean {
-    return this.requests.some(({ inTimeUntil }) => inTimeUntil > now);
+  /** Whether a queued request, of one service if named, can still be on time; new requests must not overtake it. */
+  hasInTime(now: number, only?: string): boolean {
+    return this.requests.some(({ inTimeUntil, service }) => {
+      return inTimeUntil > now && (only === undefined || only === service);
+    });
   }
 
   add(request: QueuedRequest<T>): void {
