--- a/packages/daemon/src/keeper/waitQueue.ts
+++ b/packages/daemon/src/keeper/waitQueue.ts
@@ -82,7 +82,10 @@
     const expired = this.requests.filter(({ until }) => until <= now);
     this.requests = this.requests.filter(({ until }) => until > now);
     expired.forEach(({ resolve }) => resolve(undefined));
-    const { served, attempts } = attemptEach(this.policy.order.arrange(this.requests, now));
+    const arranged = this.policy.order.arrange(this.requests, now);
+    // Requests of equal rank keep the order of the last round.
+    if (arranged.length === this.requests.length) this.requests = arranged;
+    const { served, attempts } = attemptEach(arranged);
     this.requests = this.requests.filter((each) => !served.has(each));
     served.forEach((each) => this.policy.order.served(each, now));
     return attempts;
