--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -146,6 +146,8 @@
 
   isFresh = true;
 
+  contentionMode: exchange.Dependencies['contentionMode'];
+
   hasCatalogue = true;
 
   readonly ingress: ingress.Ingress;
@@ -237,7 +239,10 @@
       directory: () => (this.hasCatalogue ? directory : undefined),
       isFresh: services.isFresh,
       held: this.held,
-      serve: (admitted) => new exchange.Exchange(admitted, services).run(),
+      serve: (admitted) => {
+        const { contentionMode } = this;
+        return new exchange.Exchange(admitted, { ...services, contentionMode }).run();
+      },
     });
   }
 
--- a/packages/daemon/src/keeper/contentionPolicy.ts
+++ b/packages/daemon/src/keeper/contentionPolicy.ts
@@ -28,8 +28,21 @@
   usualDelayMs: number;
 }
 
+export interface RefusalDetails {
+  /** Urgency class. */
+  class?: number;
+  /** Whether the request could not be on time any more. */
+  isLate?: boolean;
+  /** Whether its caller has a planned time to return at. */
+  returns?: boolean;
+}
+
 export interface Policy {
   readonly order: waitQueue.Order;
+  /** Whether requests wait only for earlier ones of their own service. */
+  readonly isPerService: boolean;
+  /** Cost of ordering one waiting request in a round, in milliseconds. */
+  readonly orderingMs: number;
   /** Whether a request that arrives now returns after a refusal. */
   arrived(request: Request, now: number): boolean;
   boundsOf(arrival: Arrival, now: number): domain.contention.admission.Bounds;
@@ -38,6 +51,8 @@
   placed(request: Request, firstTokenMs: number, now: number): void;
   /** Retry-After of a request that is refused now, in milliseconds. */
   delayMs(refused: Refused, now: number): number;
+  /** What the log says of a refusal, beside its figures. */
+  describe(arrival: Arrival, now: number): RefusalDetails;
   /** Forgets what was observed; for the end of a leadership. */
   reset(): void;
 }
@@ -52,6 +67,11 @@
 export class ArrivalPolicy implements Policy {
   readonly order = new waitQueue.ArrivalOrder();
 
+  readonly isPerService = false;
+
+  /** Not bounded: a round costs little beside its attempts. */
+  readonly orderingMs = 0;
+
   arrived(): boolean {
     return false;
   }
@@ -76,6 +96,10 @@
     return usualDelayMs;
   }
 
+  describe(): RefusalDetails {
+    return {};
+  }
+
   reset(): void {
     // Nothing was observed.
   }
@@ -87,11 +111,23 @@
  */
 const MIN_DELAY_MS = 200;
 
-type OnOverload = (change: domain.contention.waitingOrder.OverloadChange) => void;
+/** Ordering 2,000 waiting requests of 50 organisations took 2.4 to 2.6 ms. */
+const ORDERING_MS = 0.0012;
+
+export interface Dependencies {
+  allocator: domain.allocation.allocator.Allocator;
+  mode?: Mode;
+  onOverload?: (change: domain.contention.waitingOrder.OverloadChange) => void;
+  onReturned?: () => void;
+}
 
 export class AdaptivePolicy implements Policy {
   order: domain.contention.waitingOrder.WaitingOrder;
 
+  readonly isPerService = true;
+
+  readonly orderingMs = ORDERING_MS;
+
   private readonly usual = new ArrivalPolicy();
 
   private readonly forecast = new domain.contention.admission.FirstEventForecast();
@@ -101,16 +137,18 @@
   /** Planned returns by service. */
   private readonly plans = new Map<string, domain.contention.returnPlan.ReturnPlan>();
 
-  constructor(
-    private readonly allocator: domain.allocation.allocator.Allocator,
-    private readonly onOverload: OnOverload,
-  ) {
-    this.order = new domain.contention.waitingOrder.WaitingOrder(onOverload);
+  constructor(private readonly dependencies: Dependencies) {
+    this.order = new domain.contention.waitingOrder.WaitingOrder(dependencies.onOverload);
+  }
+
+  private get allocator(): domain.allocation.allocator.Allocator {
+    return this.dependencies.allocator;
   }
 
   arrived(request: Request, now: number): boolean {
     const { content, service, organisation = '', tokens } = request;
     const wasRefused = content !== undefined && this.refused.has(content, now);
+    if (wasRefused) this.dependencies.onReturned?.();
     if (wasRefused || wasSent(request)) return true;
     this.planOf(service).countArrival(now);
     this.order.demand.count(organisation, tokens, now);
@@ -124,11 +162,11 @@
     const prefillMs = this.allocator.minPrefillMs(request);
     const stepMs = this.allocator.nextAvailableMs(service, now);
     const kind = domain.contention.waitingOrder.kindOf({ service, objectiveMs });
-    const predictedMs = this.forecast.predict(kind, prefillMs, stepMs);
+    const predicted = this.forecast.predict(kind, prefillMs, stepMs);
     const { waitedMs, leavesInMs } = request;
     return domain.contention.admission.boundsOf(
       { objectiveMs, waitedMs, leavesInMs, isReturning },
-      predictedMs,
+      predicted,
       since,
     );
   }
@@ -153,8 +191,18 @@
     return this.planOf(request.service).plan(timeLeftMs - (now - since), minDelayMs, now);
   }
 
+  describe(arrival: Arrival, now: number): RefusalDetails {
+    const { request, isReturning } = arrival;
+    const isPlanned = request.content !== undefined && request.leavesInMs !== undefined;
+    return {
+      class: request.urgency ?? 0,
+      isLate: this.boundsOf(arrival, now).inTimeUntil <= now,
+      returns: isPlanned && !isReturning,
+    };
+  }
+
   reset(): void {
-    this.order = new domain.contention.waitingOrder.WaitingOrder(this.onOverload);
+    this.order = new domain.contention.waitingOrder.WaitingOrder(this.dependencies.onOverload);
     this.refused.clear();
     this.plans.clear();
   }
@@ -171,10 +219,6 @@
   return excluded.length > 0 || writers !== undefined;
 }
 
-export function policyOf(
-  mode: Mode,
-  allocator: domain.allocation.allocator.Allocator,
-  onOverload: OnOverload,
-): Policy {
-  return mode === 'adaptive' ? new AdaptivePolicy(allocator, onOverload) : new ArrivalPolicy();
+export function policyOf(dependencies: Dependencies): Policy {
+  return dependencies.mode === 'adaptive' ? new AdaptivePolicy(dependencies) : new ArrivalPolicy();
 }
--- a/packages/daemon/src/keeper/placer.ts
+++ b/packages/daemon/src/keeper/placer.ts
@@ -33,7 +33,8 @@
   after: (ms: number, action: () => void) => void;
 }
 
-export interface Refusal {
+/** The last three fields are present in mode `adaptive`. */
+export interface Refusal extends contentionPolicy.RefusalDetails {
   request: Request;
   waitedMs: number;
   waiting: number;
@@ -52,6 +53,8 @@
   /** `arrival` by default. */
   mode?: contentionPolicy.Mode;
   onOverload?: (change: domain.contention.waitingOrder.OverloadChange) => void;
+  /** Called for each request that returns after a refusal. */
+  onReturned?: () => void;
 }
 
 /**
@@ -90,6 +93,9 @@
  */
 const SERVE_SHARE = 0.25;
 
+/** Share of its time that a leader spends on ordering the wait queue. */
+const ORDERING_SHARE = 0.08;
+
 /** Range of the factor by which a caller's wait is multiplied to get its retry time after it waited in vain. */
 const RETRY_SPREAD = { min: 1, max: 2 } as const;
 
@@ -110,8 +116,7 @@
   private serveIntervalMs = SERVE_INTERVAL_MS;
 
   constructor(private readonly dependencies: Dependencies) {
-    const { allocator, mode = 'arrival', onOverload = () => undefined } = dependencies;
-    this.policy = contentionPolicy.policyOf(mode, allocator, onOverload);
+    this.policy = contentionPolicy.policyOf(dependencies);
     this.queue = new waitQueue.WaitQueue<Settlement>(this.policy);
   }
 
@@ -155,7 +160,11 @@
       this.isServeScheduled = false;
       const attempts = this.queue.serve(this.now);
       const workMs = attempts * this.attemptMs;
-      this.serveIntervalMs = Math.max(SERVE_INTERVAL_MS, workMs / SERVE_SHARE);
+      this.serveIntervalMs = Math.max(
+        SERVE_INTERVAL_MS,
+        workMs / SERVE_SHARE,
+        (this.queue.length * this.policy.orderingMs) / ORDERING_SHARE,
+      );
       this.scheduleServing();
     });
   }
@@ -178,7 +187,8 @@
     }
     const { now } = this;
     // A new request queues behind those that can still be on time; late ones in the queue don't hold it up.
-    if (this.queue.hasInTime(now) || this.policy.mustWait(pending, now)) {
+    const only = this.policy.isPerService ? request.service : undefined;
+    if (this.queue.hasInTime(now, only) || this.policy.mustWait(pending, now)) {
       this.enqueue(pending);
       return;
     }
@@ -252,7 +262,11 @@
       this.policy.delayMs({ arrival, predictedMs, usualDelayMs }, this.now),
     );
     const waiting = this.queue.length;
-    this.dependencies.onRefused({ request, waitedMs, waiting, limitedForMs, retryAfterMs, reason });
+    const details = this.policy.describe(arrival, this.now);
+    this.dependencies.onRefused({
+      ...{ request, waitedMs, waiting, limitedForMs, retryAfterMs, reason },
+      ...details,
+    });
     return { kind: 'noPlace', retryAfterMs, reason };
   }
 }
--- a/packages/daemon/src/keeper/waitQueue.ts
+++ b/packages/daemon/src/keeper/waitQueue.ts
@@ -63,9 +63,11 @@
     return this.requests.length === 0 && this.policy.order.isIdle;
   }
 
-  /** Whether a queued request can still be on time; new requests must not overtake it. */
-  hasInTime(now: number): boolean {
-    return this.requests.some(({ inTimeUntil }) => inTimeUntil > now);
+  /** Whether a queued request, of one service if named, can still be on time; new requests must not overtake it. */
+  hasInTime(now: number, only?: string): boolean {
+    return this.requests.some(({ inTimeUntil, service }) => {
+      return inTimeUntil > now && (only === undefined || only === service);
+    });
   }
 
   add(request: QueuedRequest<T>): void {
@@ -80,7 +82,10 @@
     const expired = this.requests.filter(({ until }) => until <= now);
     this.requests = this.requests.filter(({ until }) => until > now);
     expired.forEach(({ resolve }) => resolve(undefined));
-    const { served, attempts } = attemptEach(this.policy.order.arrange(this.requests, now));
+    const arranged = this.policy.order.arrange(this.requests, now);
+    // Requests of equal rank keep the order of the last round.
+    if (arranged.length === this.requests.length) this.requests = arranged;
+    const { served, attempts } = attemptEach(arranged);
     this.requests = this.requests.filter((each) => !served.has(each));
     served.forEach((each) => this.policy.order.served(each, now));
     return attempts;
