--- a/packages/daemon/src/entry/targetSelector.ts
+++ b/packages/daemon/src/entry/targetSelector.ts
@@ -80,8 +80,8 @@
 /** Until when a request waits for a placement, and until when for targets that are unavailable to this VM. */
 interface WaitDeadlines {
   until: number;
-  /** Until when the leader may answer. */
-  answerUntil: number;
+  /** When the caller leaves; infinite where that isn't known. */
+  leavesAt: number;
   backOffUntil: number;
 }
 
@@ -198,7 +198,7 @@
     const backOffUntil = Math.min(until, this.options.now() + maxUnavailableWaitMs(request));
     const deadlines = {
       until,
-      answerUntil: this.options.now() + longestWaitMs(request),
+      leavesAt: this.options.now() + (request.leavesInMs ?? Infinity),
       backOffUntil,
     };
     if (service?.engine === undefined) return this.choosePlain(request, deadlines);
@@ -211,7 +211,7 @@
       const choice = (await this.placeByLeader(allowed, deadlines)) ?? this.placeLocally(allowed);
       if (choice !== undefined) return choice;
       const leftMs = until - this.options.now();
-      if (leftMs <= 0 || this.isHopeless(request, deadlines.answerUntil))
+      if (leftMs <= 0 || this.isHopeless(request, deadlines.leavesAt))
         return { kind: 'noPlace', retryAfterMs: this.retryAfterMs(request) };
       await clock.sleep(Math.min(leftMs, PLACEMENT_RETRY_MS));
     }
@@ -268,7 +268,7 @@
   /** Asks the leader for a placement; undefined if there is no leader, or it is lost meanwhile. */
   private async placeByLeader(
     request: PlacementRequest,
-    { until, answerUntil }: WaitDeadlines,
+    { until, leavesAt }: WaitDeadlines,
   ): Promise<Choice | undefined> {
     const { link, now } = this.options;
     const { leader } = link;
@@ -276,7 +276,7 @@
     return this.requestPlacement(leader, {
       ...request,
       patienceMs: Math.max(0, until - now()),
-      ...(request.leavesInMs !== undefined && { leavesInMs: Math.max(0, answerUntil - now()) }),
+      ...(request.leavesInMs !== undefined && { leavesInMs: Math.max(0, leavesAt - now()) }),
     });
   }
 
@@ -451,7 +451,8 @@
     warm: readonly Announcement[],
   ): Promise<Announcement | undefined> {
     const { now } = this.options;
-    const callsOf = ({ id }: Announcement): number => this.activeCalls.get(id) ?? 0;
+    const callsOf = (record: Announcement): number =>
+      this.activeCalls.get(lifetimeKey(record)) ?? 0;
     const least = Math.min(...warm.map(callsOf));
     const candidates = cold.filter((record) => callsOf(record) < least);
     if (candidates.length === 0 || now() < this.askForColdAt) return undefined;
--- a/packages/daemon/src/keeper/contentionPolicy.ts
+++ b/packages/daemon/src/keeper/contentionPolicy.ts
@@ -26,6 +26,8 @@
   predictedMs: number;
   /** Retry-After in mode `arrival`, in milliseconds. */
   usualDelayMs: number;
+  /** Absent where engines are full or gone; the plan of returns knows nothing of other reasons. */
+  reason?: string;
 }
 
 export interface RefusalDetails {
@@ -182,10 +184,11 @@
     this.planOf(request.service).countPlacement(now);
   }
 
-  delayMs({ arrival, predictedMs, usualDelayMs }: Refused, now: number): number {
+  delayMs({ arrival, predictedMs, usualDelayMs, reason }: Refused, now: number): number {
     const { request, since, isReturning } = arrival;
     const { content, leavesInMs, timeLeftMs = leavesInMs } = request;
-    if (isReturning || content === undefined || timeLeftMs === undefined) return usualDelayMs;
+    const isPlanned = !isReturning && reason === undefined;
+    if (!isPlanned || content === undefined || timeLeftMs === undefined) return usualDelayMs;
     this.refused.add(content, now);
     const minDelayMs = Math.max(MIN_DELAY_MS, predictedMs);
     return this.planOf(request.service).plan(timeLeftMs - (now - since), minDelayMs, now);
--- a/packages/daemon/src/keeper/placer.ts
+++ b/packages/daemon/src/keeper/placer.ts
@@ -188,7 +188,8 @@
     const { now } = this;
     // A new request queues behind those that can still be on time; late ones in the queue don't hold it up.
     const only = this.policy.isPerService ? request.service : undefined;
-    if (this.queue.hasInTime(now, only) || this.policy.mustWait(pending, now)) {
+    const isHeld = this.queue.length > 0 && this.policy.mustWait(pending, now);
+    if (this.queue.hasInTime(now, only) || isHeld) {
       this.enqueue(pending);
       return;
     }
@@ -259,7 +260,7 @@
       RETRY_SPREAD.min + (RETRY_SPREAD.max - RETRY_SPREAD.min) * this.dependencies.random.uniform();
     const usualDelayMs = Math.min(max, Math.max(min, predictedMs, waitFactor * waitedMs));
     const retryAfterMs = Math.round(
-      this.policy.delayMs({ arrival, predictedMs, usualDelayMs }, this.now),
+      this.policy.delayMs({ arrival, predictedMs, usualDelayMs, reason }, this.now),
     );
     const waiting = this.queue.length;
     const details = this.policy.describe(arrival, this.now);
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -265,8 +265,10 @@
     nearby: planner.Decision,
     amongAll: planner.Decision,
   ): planner.Decision {
+    // Where no plan can begin now, waiting sends nothing elsewhere, so the stream doesn't spill over.
+    if (amongAll.kind !== 'begin') return amongAll;
     const excess =
-      nearby.kind === 'begin' && amongAll.kind === 'begin'
+      nearby.kind === 'begin'
         ? (nearby.plan.penalty - amongAll.plan.penalty) / planner.valueOf(request)
         : Infinity;
     const stream = JSON.stringify([request.service, request.dataCentre, request.objectiveMs]);
--- a/packages/domain/src/contention/returnPlan.ts
+++ b/packages/domain/src/contention/returnPlan.ts
@@ -12,6 +12,9 @@
 /** Most of the time left to a caller that a Retry-After may take; callers wait no longer. */
 const MAX_DELAY_SHARE = 1 / 3;
 
+/** Longest planned delay, in milliseconds; a caller that returns later wouldn't be recognised in time. */
+const MAX_DELAY_MS = 5_000;
+
 /** How long a refused request is remembered, in milliseconds; callers with longer objectives return within it. */
 const MEMORY_MS = 10_000;
 
@@ -61,7 +64,7 @@
    */
   plan(timeLeftMs: number, minDelayMs: number, now: number): number {
     this.forgetPast(now);
-    const maxDelayMs = Math.max(0, MAX_DELAY_SHARE * timeLeftMs);
+    const maxDelayMs = Math.min(MAX_DELAY_MS, Math.max(0, MAX_DELAY_SHARE * timeLeftMs));
     const earliest = Math.ceil((now + Math.min(minDelayMs, maxDelayMs)) / SLOT_MS);
     const latest = Math.floor((now + maxDelayMs) / SLOT_MS);
     const room = SLOT_MS * (this.placements.perMs(now) - this.arrivals.perMs(now));
--- a/packages/domain/src/contention/usualDemand.ts
+++ b/packages/domain/src/contention/usualDemand.ts
@@ -41,6 +41,9 @@
 
   private firstAt: number | undefined;
 
+  /** Lower bound of the weights, from which a new organisation grows, in tokens a second. */
+  private leastUsual = 1;
+
   /** Counts the work of a request that arrived for the first time. */
   count(organisation: string, tokens: number, now: number): void {
     this.firstAt ??= now;
@@ -59,13 +62,14 @@
     return this.firstAt !== undefined && now - this.firstAt >= MIN_OBSERVED_MS;
   }
 
-  /** Weights by organisation; undefined for one without demand. */
+  /** Weights by organisation; one without demand has the lower bound. */
   weights(now: number): { of: (organisation: string) => number } {
     this.demands.forEach((demand) => this.advance(demand, now));
     const total = [...this.demands.values()].reduce((sum, { usual }) => sum + usual, 0);
-    const least = Math.max(1, (MIN_WEIGHT_SHARE * total) / Math.max(1, this.demands.size));
+    this.leastUsual = Math.max(1, (MIN_WEIGHT_SHARE * total) / Math.max(1, this.demands.size));
+    const { leastUsual } = this;
     return {
-      of: (organisation) => Math.max(least, this.demands.get(organisation)?.usual ?? 0),
+      of: (organisation) => Math.max(leastUsual, this.demands.get(organisation)?.usual ?? 0),
     };
   }
 
@@ -84,10 +88,4 @@
     const counted = Math.min(perSecond, MAX_GROWTH * Math.max(demand.usual, this.leastUsual));
     demand.usual += (counted - demand.usual) * (1 - Math.exp(-elapsedMs / USUAL_MS));
   }
-
-  /** Demand from which a new organisation grows, in tokens a second. */
-  private get leastUsual(): number {
-    const [first] = this.demands.values();
-    return Math.max(1, MIN_WEIGHT_SHARE * (first?.usual ?? 0));
-  }
 }
--- a/packages/domain/src/contention/waitingOrder.ts
+++ b/packages/domain/src/contention/waitingOrder.ts
@@ -115,7 +115,8 @@
   private rank<T extends Waiting>(item: T, now: number): Ranked<T> {
     const { urgency, objectiveMs, callerSince, inTimeUntil, isReturning } = item;
     const share = (now - callerSince) / objectiveMs;
-    const raised = Math.floor(share / AGEING_SHARE);
+    // A late request gains nothing from a higher class, and would delay those of that class that can be on time.
+    const raised = inTimeUntil > now ? Math.floor(share / AGEING_SHARE) : 0;
     const kind = kindOf(item);
     const isNewestFirst = this.overloads.get(kind)?.isOn === true;
     const lateRank = isReturning ? 1 : 2;
