--- a/packages/daemon/src/configuration/roleSettings.ts
+++ b/packages/daemon/src/configuration/roleSettings.ts
@@ -52,7 +52,7 @@
    * centres.
    */
   evacuationMs: number;
-  /** Most bytes that an entry holds for its callers. */
+  /** Most bytes that an entry holds for its callers; 0 for no bound. */
   heldBytes: number;
   /** Retry budget: limits the requests that are sent to a second target. */
   repeats: domain.request.repeatBudget.Rule;
@@ -80,7 +80,7 @@
   'revoke-ms': '5000',
   'drain-ms': '2000',
   'evacuation-ms': '0',
-  'held-mb': '64',
+  'held-mb': '0',
   'repeat-ratio': '0.2',
   'repeat-slack': '100',
   'repeat-window-seconds': '10',
@@ -115,7 +115,7 @@
     'revoke-ms': range(500, 3_600_000),
     'drain-ms': range(100, 3_600_000),
     'evacuation-ms': range(0, 3_600_000),
-    'held-mb': range(1, 1_000_000),
+    'held-mb': range(0, 1_000_000),
     'repeat-ratio': range(0, 10),
     'repeat-slack': range(0, 1_000_000),
     'repeat-window-seconds': range(1, 3_600),
--- a/packages/daemon/src/entry/callerResponse.ts
+++ b/packages/daemon/src/entry/callerResponse.ts
@@ -87,10 +87,12 @@
 
   /**
    * When the target last could have been expected to send: the time of the last event, or until when it wasn't read.
-   * A target that isn't read can't be told from a silent one.
+   * A target that isn't read can't be told from a silent one; after `UNREAD_CUT_MS` it may have cut the response, so the
+   * attempt may end.
    */
   lastProgressAt(now: number): number {
-    return this.pausedAt === undefined ? Math.max(this.lastEventAt, this.resumedAt) : now;
+    if (this.pausedAt === undefined) return Math.max(this.lastEventAt, this.resumedAt);
+    return Math.min(now, this.pausedAt + UNREAD_CUT_MS);
   }
 
   /** Whether the current target went unread for so long that it may have cut the response for that reason. */
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -185,7 +185,7 @@
       now: clock.steady,
     });
     this.held = new heldBytes.HeldBytes({
-      boundBytes: settings.heldBytes,
+      boundBytes: settings.heldBytes > 0 ? settings.heldBytes : Infinity,
       now: clock.steady,
       observer: observe,
     });
--- a/packages/daemon/src/entry/heldBytes.ts
+++ b/packages/daemon/src/entry/heldBytes.ts
@@ -67,7 +67,8 @@
   /** Part of the caller's body arrived. */
   bodyArrived(bytes: number): void {
     this.isReadingBody = true;
-    this.behindSince ??= this.now();
+    // A body that keeps arriving isn't behind, however long it takes.
+    this.behindSince = this.now();
     this.bodyBytes += bytes;
     this.count();
     this.owner.steerBodies();
--- a/packages/daemon/src/entry/reservations.ts
+++ b/packages/daemon/src/entry/reservations.ts
@@ -135,9 +135,12 @@
     this.reservations = this.reservations.filter((each) => each !== reservation);
   }
 
-  /** Whether the lifetime that made the reservation still runs; a renewal would reserve memory at the next one anew. */
+  /**
+   * Whether the lifetime that made the reservation still runs; a renewal would reserve memory at the next one anew. Where
+   * the lifetime wasn't known at the time (`bornAt` is 0), the reservation is renewed and released all the same.
+   */
   private isHeld({ helper, bornAt }: Reservation): boolean {
-    return this.dependencies.signals.bornAt(helper.target) === bornAt;
+    return bornAt === 0 || this.dependencies.signals.bornAt(helper.target) === bornAt;
   }
 
   private async releaseOne(reservation: Reservation): Promise<void> {
--- a/packages/daemon/src/fleet/fleetState.ts
+++ b/packages/daemon/src/fleet/fleetState.ts
@@ -66,7 +66,7 @@
   private current: Directory | undefined;
 
   /** Limits of cold targets that this process set by itself and no leader has published since. */
-  private readonly unpublishedLimits = new Set<string>();
+  private readonly unpublishedLimits = new Map<string, RateLimit>();
 
   constructor(private readonly options: Options) {}
 
@@ -131,9 +131,11 @@
     const limit: RateLimit = { service, address, perSecond, source: 'cold' };
     const key = keyOf(limit);
     this.limits.set(limit, this.options.now());
-    this.unpublishedLimits.add(key);
+    this.unpublishedLimits.set(key, limit);
     const end = (): void => {
-      if (!this.unpublishedLimits.delete(key)) return;
+      // The limit may have been published since, and assumed again later.
+      if (this.unpublishedLimits.get(key) !== limit) return;
+      this.unpublishedLimits.delete(key);
       this.limits.set({ ...limit, perSecond: undefined }, this.options.now());
     };
     setTimeout(end, forMs + UNPUBLISHED_LIMIT_MS).unref();
--- a/packages/daemon/src/keeper/__tests__/evacuationOrders.test.ts
+++ b/packages/daemon/src/keeper/__tests__/evacuationOrders.test.ts
@@ -55,6 +55,14 @@
     expect(await handle('north')).to.deep.equal({ kind: 'accepted', revision: 5 });
   });
 
+  // Guards against an end that is sent again, as its acknowledgement was lost, and refused for want of targets there.
+  it('ends an evacuation again where the last target of its data centre is gone', async () => {
+    const { handle } = ordersWith({ dataCentres: [] });
+    expect((await handle('east', 'endEvacuation')).kind).to.equal('accepted');
+    const listed = ordersWith({});
+    expect((await listed.handle('north', 'endEvacuation')).kind).to.equal('unknown');
+  });
+
   // Guards against an evacuation that can't be ended because its data centre has been removed from the settings.
   it('ends an evacuation of a data centre that is no longer listed', async () => {
     const { handle, submitted } = ordersWith({
--- a/packages/daemon/src/keeper/coldCoordinator.ts
+++ b/packages/daemon/src/keeper/coldCoordinator.ts
@@ -50,7 +50,11 @@
 
   tick(): void {
     this.checkQuorum();
-    if (!this.isNeeded) return;
+    if (!this.isNeeded) {
+      // The lifetimes known as warm are kept for a catalogue that limits cold targets later.
+      this.targets.retain(this.liveTargets());
+      return;
+    }
     const { limits, now } = this.dependencies;
     const desired = this.targets.limits(this.liveTargets(), now());
     const kept = new Set(desired.map(keyOf));
--- a/packages/daemon/src/keeper/evacuationOrders.ts
+++ b/packages/daemon/src/keeper/evacuationOrders.ts
@@ -45,7 +45,7 @@
   }
 
   async handle(order: Order): Promise<OrderResult> {
-    const { isEnabled, isEvacuated } = this.dependencies;
+    const { isEnabled, isEvacuated, dataCentres } = this.dependencies;
     const { kind, dataCentre, requestedBy } = order;
     if (!isEnabled) return { kind: 'disabled' };
     if (dataCentre === undefined || !domain.settings.schema.NAME.test(dataCentre)) {
@@ -53,8 +53,10 @@
       return { kind: 'malformed' };
     }
     const known = this.knownDataCentres();
-    // An evacuation can be ended after its data centre has been removed from the settings.
-    const isKnown = known.includes(dataCentre) || isEvacuated(dataCentre);
+    // An evacuation can be ended after its data centre has been removed from the settings or, where these list none, by a
+    // repeated order after its last target is gone.
+    const isEnd = kind === 'endEvacuation' && dataCentres.length === 0;
+    const isKnown = known.includes(dataCentre) || isEvacuated(dataCentre) || isEnd;
     if (!isKnown) {
       this.logRefusal(order, 'unknown data centre');
       return { kind: 'unknown', known };
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -108,9 +108,9 @@
     level: 'info',
     text: 'message to an evacuated target not sent',
   },
+  callerCut: { number: 5020, level: 'warn', text: 'slow caller cut to free memory' },
   overloadBegan: { number: 5021, level: 'warn', text: 'overload began; newest requests go first' },
   overloadEnded: { number: 5022, level: 'info', text: 'overload ended' },
-  callerCut: { number: 5020, level: 'warn', text: 'slow caller cut to free memory' },
   claimUnknown: {
     number: 5101,
     level: 'warn',
--- a/packages/domain/src/coldTargets/coldTargets.ts
+++ b/packages/domain/src/coldTargets/coldTargets.ts
@@ -115,11 +115,16 @@
 
   /** The limits of the cold ones among the present targets; others are forgotten. */
   limits(records: readonly Announcement[], now: number): rateLimits.RateLimit[] {
+    this.retain(records);
+    return records.flatMap((record) => this.limitOf(record, now) ?? []);
+  }
+
+  /** Forgets all targets but these. */
+  retain(records: readonly Announcement[]): void {
     const present = new Set(records.map(({ id }) => id));
     [...this.lifetimes.keys()]
       .filter((id) => !present.has(id))
       .forEach((id) => this.lifetimes.delete(id));
-    return records.flatMap((record) => this.limitOf(record, now) ?? []);
   }
 
   /** The limit of a target; undefined where it has none. */
--- a/packages/domain/src/pressure/__tests__/pressure.test.ts
+++ b/packages/domain/src/pressure/__tests__/pressure.test.ts
@@ -45,6 +45,14 @@
     expect([cuts[0], cuts[1], cuts[2] > 0]).to.deep.equal([0, 0, true]);
   });
 
+  /** Guards against a body that stalls between the shares at which reading stops and continues, and stops all others. */
+  it('cuts down to the share at which reading continues', () => {
+    const stalled = { heldBytes: 40, unsentBytes: 0, takenPerSecond: 0, behindMs: 5_000 };
+    const held = { totalBytes: 641, boundBytes: 1_000 };
+    expect(pressure.mustStopReading(held, true)).to.equal(true);
+    expect(pressure.callersToCut([stalled], held, 2_000)).to.deep.equal([stalled]);
+  });
+
   /** Guards against a cut caller that keeps up, and against more than one caller too many. */
   it('spares whoever keeps up, at any load', () => {
     const load = fc.record({
--- a/packages/domain/src/pressure/pressure.ts
+++ b/packages/domain/src/pressure/pressure.ts
@@ -72,7 +72,8 @@
   { totalBytes, boundBytes }: Held,
   stoppedMs: number,
 ): T[] {
-  const limit = stoppedMs > MAX_STOP_MS ? boundBytes * STOP_SHARE : boundBytes;
+  // Between the two shares reading stays stopped, so the lower one has to be reached to continue.
+  const limit = stoppedMs > MAX_STOP_MS ? boundBytes * CONTINUE_SHARE : boundBytes;
   if (totalBytes <= limit) return [];
   const behind = callers
     .map((caller) => ({ caller, lag: lagMs(caller) }))
