Let organisations that a new leader sees late reach their weight

The usual demand of an organisation was averaged from the leader's first request on, so one that came later kept the lower bound for minutes. Its first averages are now formed from its own first four seconds. Tests for the planned returns, for a late request on an idle fleet and for the virtual time.

--- a/packages/daemon/src/keeper/__tests__/placer.test.ts
+++ b/packages/daemon/src/keeper/__tests__/placer.test.ts
@@ -249,4 +249,36 @@
       [130, 600],
     ]);
   });
+
+  /** Guards against a refusal while engines are idle, because others waited a moment ago. */
+  it('places a late request at once where nothing waits any more', () => {
+    let now = 0;
+    const timers: (() => void)[] = [];
+    const allocator = new domain.allocation.allocator.Allocator();
+    allocator.setServices([{ name: 's', healthPath: '/', maxConnections: 200, engine: ENGINE }]);
+    const location = { service: 's', address: '10.0.0.1:80', dataCentre: 'east' };
+    allocator.observe({ id: 't', ...location, bornAt: 1, slots: 1, state: 'ready', sequence: 1 });
+    const tested = new placer.Placer({
+      allocator,
+      clock: { now: () => now, after: (_ms, action) => timers.push(action) },
+      random: random.seeded(1),
+      onRefused: () => undefined,
+      mode: 'adaptive',
+    });
+    tested.open();
+    const answers: string[] = [];
+    const place = (id: string, waitedMs: number): void => {
+      const request = { ...REQUEST, id, waitedMs, content: id, leavesInMs: 1_000 };
+      tested.placeWithCallback(request, ({ kind }) => answers.push(`${id} ${kind}`));
+    };
+    place('first', 0);
+    place('second', 0);
+    now = 20;
+    allocator.endDispatch('first', 'done', now);
+    timers.shift()?.();
+    allocator.endDispatch('second', 'done', now);
+    now = 30;
+    place('late', 290);
+    expect(answers).to.deep.equal(['first placed', 'second placed', 'late placed']);
+  });
 });
--- a/packages/domain/src/contention/__tests__/contention.test.ts
+++ b/packages/domain/src/contention/__tests__/contention.test.ts
@@ -4,6 +4,7 @@
 import * as overload from '../overload';
 import * as returnPlan from '../returnPlan';
 import * as usualDemand from '../usualDemand';
+import * as virtualTime from '../virtualTime';
 import * as waitingOrder from '../waitingOrder';
 
 const { expect } = chai;
@@ -203,6 +204,13 @@
     expect(delays).to.deep.equal([200, 300, 400, 500, 600, 600]);
   });
 
+  /** Guards against callers with minutes left that return after their refusal is forgotten. */
+  it('plans no return that it would not recognise', () => {
+    const plan = new returnPlan.ReturnPlan();
+    for (let now = 0; now < 2_000; now += 4) plan.countArrival(now);
+    expect(plan.plan(120_000, 200, 2_000)).to.equal(5_000);
+  });
+
   it('recognises a refused request for ten seconds', () => {
     const refused = new returnPlan.RefusedRequests();
     refused.add('a', 0);
@@ -222,6 +230,19 @@
     expect(demand.weights(70_000).of('a') / before).to.be.within(1.05, 1.33);
   });
 
+  /** Guards against a large organisation that a new leader sees late and takes for a small one for minutes. */
+  it('lets a large organisation that was seen late grow within a minute', () => {
+    const demand = new usualDemand.UsualDemand();
+    demand.count('dormant', 10, 0);
+    for (let now = 0; now < 66_000; now += 100) {
+      demand.count('big', 1_000, now);
+      if (now >= 6_000) demand.count('late', 1_000, now);
+      if (now % 1_000 === 0) demand.weights(now);
+    }
+    const weights = demand.weights(66_000);
+    expect(weights.of('late') / weights.of('big')).to.be.above(0.4);
+  });
+
   it('gives a rare organisation a quarter of the mean weight', () => {
     const demand = new usualDemand.UsualDemand();
     for (let now = 0; now < 30_000; now += 100) demand.count('a', 500, now);
@@ -230,3 +251,16 @@
     expect(weights.of('b') / weights.of('a')).to.be.within(0.12, 0.13);
   });
 });
+
+describe('virtual time', () => {
+  /** Guards against a flow that was idle and then is served alone until it has caught up. */
+  it('starts a flow that was idle at the present time', () => {
+    const time = new virtualTime.VirtualTime();
+    [0, 10, 20].forEach((start) => {
+      expect(time.startOf('busy')).to.equal(start);
+      time.charge('busy', start, 10);
+      time.advance(start);
+    });
+    expect([time.startOf('idle'), time.startOf('busy')]).to.deep.equal([20, 30]);
+  });
+});
--- a/packages/domain/src/contention/usualDemand.ts
+++ b/packages/domain/src/contention/usualDemand.ts
@@ -16,7 +16,10 @@
  */
 const MAX_GROWTH = 2;
 
-/** Time within which the first averages are formed from the present demand alone, in milliseconds. */
+/**
+ * Time within which an organisation's first averages are formed from its present demand alone, in milliseconds. A new
+ * leader knows nothing of the usual demand, and some organisations send their first request to it late.
+ */
 const WARM_UP_MS = 4_000;
 
 /** Time of demand that must have been observed before the averages are used, in milliseconds. */
@@ -34,6 +37,7 @@
   /** Tokens a second. */
   usual: number;
   at: number;
+  firstAt: number;
 }
 
 export class UsualDemand {
@@ -47,7 +51,12 @@
   /** Counts the work of a request that arrived for the first time. */
   count(organisation: string, tokens: number, now: number): void {
     this.firstAt ??= now;
-    const demand = this.demands.get(organisation) ?? { present: 0, usual: 0, at: now };
+    const demand = this.demands.get(organisation) ?? {
+      present: 0,
+      usual: 0,
+      at: now,
+      firstAt: now,
+    };
     this.advance(demand, now);
     demand.present += tokens;
     this.demands.delete(organisation);
@@ -75,7 +84,7 @@
 
   private advance(demand: Demand, now: number): void {
     const elapsedMs = now - demand.at;
-    const age = now - (this.firstAt ?? now);
+    const age = now - demand.firstAt;
     // Less than the whole averaging time may have passed since the first request.
     const averagedMs = PRESENT_MS * (1 - Math.exp(-Math.max(MIN_OBSERVED_MS, age) / PRESENT_MS));
     demand.present *= Math.exp(-elapsedMs / PRESENT_MS);
