--- a/packages/domain/src/allocation/locality.ts
+++ b/packages/domain/src/allocation/locality.ts
@@ -1,9 +1,7 @@
 /**
  * Decides whether a prompt stays on the few engines of its caller's data centre. Traffic between
- * data centres is most of the cost of operation, and the preferences of the planner, such as
- * packing short prompts together, outweigh the distance: in simulations with three data centres of
- * seven engines, 50% of the prompt tokens went elsewhere although there was room, and 14 to 19% do
- * with this decision.
+ * data centres costs operators most and suffers from lossy links, and the planner's preferences,
+ * such as packing short prompts together, outweigh the distance.
  *
  * The load that it handles is uneven demand: one data centre has more callers than its engines can
  * serve in time, the others have fewer. Work stays while the plan among the engines nearby is about
@@ -12,17 +10,13 @@
  * each prompt that spills would make room for the next one to return.
  */
 
-/**
- * Fewest engines nearby. In simulations with one or two of them, three times as many answers were
- * late; with seven, about as many as without this decision. Numbers between were not simulated.
- */
+/** Fewest engines nearby; with fewer, one long prompt blocks them for all short ones. */
 export const MIN_ENGINES = 4;
 
 /**
  * Largest excess of the penalty of the plan nearby over that of the best plan, as a fraction of the
- * request's value: while prompts stay, and while they spill over. In simulations, limits of 0.02
- * and 0.005 had a lower worth in bursts (0.962 in place of 0.971), others below them differed no
- * more than runs do, and a limit on the occupancy nearby sent twice as much elsewhere in bursts.
+ * request's value: while prompts stay, and while they spill over. Below the smallest delay that a
+ * caller can notice, so that staying costs no time.
  */
 const MAX_EXCESS = { staying: 0.003, spilling: 0.001 } as const;
 
--- a/packages/domain/src/contention/admission.ts
+++ b/packages/domain/src/contention/admission.ts
@@ -36,9 +36,8 @@
 }
 
 /**
- * Bounds of the wait. A first attempt is refused once it would be late even on an idle engine. By then it has been among
- * the late ones since the usual prediction made it late. Refused by that prediction, 0.924 of the short prompts in a
- * simulated day with a burst were on time instead of 0.931.
+ * Bounds of the wait. A first attempt is refused once it would be late even on an idle engine: until then an engine may
+ * become free earlier than predicted. It counts as late from the usual prediction on.
  */
 export function boundsOf(request: Request, predicted: Prediction, now: number): Bounds {
   const { objectiveMs, waitedMs, leavesInMs, isReturning } = request;
--- a/packages/domain/src/contention/waitingOrder.ts
+++ b/packages/domain/src/contention/waitingOrder.ts
@@ -37,8 +37,7 @@
 /**
  * Prompt tokens of late requests that are served for each token of those that can be on time, while both wait. A late
  * answer is worth a quarter of one on time, so the share is small, but without it a size that is always late would
- * starve. Counted in tokens, as a long prompt delays many short ones. With 0.05, a burst of short prompts at 4.6 times
- * their rate earned 0.867 of the worth in simulations, with 0.01 0.876.
+ * starve. Counted in tokens, as a long prompt delays many short ones.
  */
 const LATE_SHARE = 0.01;
 
