Leave small data centres out of placement near the caller

With seven engines in each data centre one long prompt blocks them for all short prompts there. The load of the test has 60 engines now, as the decision begins with 17 in each data centre; its claims stay.

--- a/packages/domain/src/allocation/locality.ts
+++ b/packages/domain/src/allocation/locality.ts
@@ -10,8 +10,11 @@
  * each prompt that spills would make room for the next one to return.
  */
 
-/** Fewest engines nearby; with fewer, one long prompt blocks them for all short ones. */
-export const MIN_ENGINES = 4;
+/**
+ * Fewest engines nearby: as many as may prefill one prompt. With fewer, a single long prompt blocks
+ * all of them for the short prompts of that data centre.
+ */
+export const MIN_ENGINES = 17;
 
 /**
  * Largest excess of the penalty of the plan nearby over that of the best plan, as a fraction of the
