--- a/packages/daemon/src/keeper/contentionPolicy.ts
+++ b/packages/daemon/src/keeper/contentionPolicy.ts
@@ -159,7 +159,9 @@
 
   boundsOf(arrival: Arrival, now: number): domain.contention.admission.Bounds {
     const { request, since, isReturning } = arrival;
-    if (request.leavesInMs === undefined) return this.usual.boundsOf(arrival);
+    // A new leader learns of its targets within about a second; refused meanwhile, callers would come back for nothing.
+    const isNew = !this.order.demand.isObserved(now);
+    if (request.leavesInMs === undefined || isNew) return this.usual.boundsOf(arrival);
     const { service, objectiveMs } = request;
     const prefillMs = this.allocator.minPrefillMs(request);
     const stepMs = this.allocator.nextAvailableMs(service, now);
