Log which targets the leader ejects, and by whose report

A leader that ejects an engine after a failed dispatch does so for all entries, and no line said so: whether entries that were refused during the incident met engines that others had reported couldn't be told from the logs. Event 4123 names the target, the reporting entry, the outcome and the length. Ejections of full engines are left out, as every busy fleet has them all the time.

--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -404,7 +404,10 @@
   ended({ dispatches }: messages.FinishedDispatches): void {
     const now = this.options.now();
     dispatches.forEach(({ id, ending, faulty, gapMs, target, bornAt }) => {
-      this.allocator.endDispatch(id, ending, now, { faulty, gapMs });
+      const ejection = this.allocator.endDispatch(id, ending, now, { faulty, gapMs });
+      // A full engine is ejected for a few steps, which happens all the time under load.
+      if (ejection !== undefined && ending !== 'full')
+        this.options.observer.log('targetEjected', { ...ejection, outcome: ending });
       if (ending !== 'replaced') return;
       if (faulty === undefined) this.reportReplaced(target, bornAt);
       else this.reportReplaced(faulty);
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -83,6 +83,7 @@
   targetCold: { number: 4120, level: 'info', text: 'rate limit of a cold target applied' },
   coldEnded: { number: 4121, level: 'info', text: 'rate limit of a cold target ended' },
   coldAnswered: { number: 4122, level: 'info', text: 'target answered that it is cold' },
+  targetEjected: { number: 4123, level: 'info', text: 'target ejected after a failed dispatch' },
   requestEnded: { number: 5001, level: 'info', text: 'request ended' },
   attemptFailed: { number: 5002, level: 'warn', text: 'attempt failed' },
   frameCrossed: { number: 5003, level: 'error', text: 'frame of another request dropped' },
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -89,6 +89,15 @@
  */
 const MAX_NEARBY_PENALTY_FRACTION = 0.05;
 
+/** A target that gets no requests for some time, as a dispatch to it failed. */
+export interface Ejection {
+  target: string;
+  /** Time without requests, milliseconds. */
+  forMs: number;
+  /** The entry that reported the failure. */
+  reportedBy: string;
+}
+
 interface Dispatch {
   entry: string;
   loads: load.Load[];
@@ -314,15 +323,15 @@
     this.recordDispatch({ ...request, tokens: 0 }, { decoder, decoderTokens, helpers: [] }, now);
   }
 
-  /** Records the end of a dispatch. */
+  /** Records the end of a dispatch; returns the ejection that follows from it, if any. */
   endDispatch(
     id: string,
     outcome: targetHealth.DispatchOutcome,
     now: number,
     observations: DispatchObservations = {},
-  ): void {
+  ): Ejection | undefined {
     const dispatch = this.dispatches.get(id);
-    if (dispatch === undefined) return;
+    if (dispatch === undefined) return undefined;
     this.dispatches.delete(id);
     this.suspects.end(id);
     const { faulty, gapMs } = observations;
@@ -333,7 +342,9 @@
       dispatch.loads.find(({ record }) => record.id === faulty) ??
       (faulty === undefined ? undefined : this.loads.get(faulty)) ??
       dispatch.decoder;
-    responsible.health.recordOutcome(outcome, now);
+    const forMs = responsible.health.recordOutcome(outcome, now);
+    if (forMs === 0) return undefined;
+    return { target: responsible.record.id, forMs, reportedBy: dispatch.entry };
   }
 
   /** Ends all dispatches of an entry that is gone. */
--- a/packages/domain/src/allocation/targetHealth.ts
+++ b/packages/domain/src/allocation/targetHealth.ts
@@ -70,16 +70,18 @@
     return this.lastFailureShare * Math.exp((this.lastOutcomeAt - now) / FAILURE_DECAY_MS);
   }
 
-  recordOutcome(outcome: DispatchOutcome, now: number): void {
+  /** Returns for how long the outcome ejects the target, milliseconds; 0 if it doesn't. */
+  recordOutcome(outcome: DispatchOutcome, now: number): number {
     if (outcome !== 'cancelled') this.updateFailureShare(outcome === 'done' ? 0 : 1, now);
     if (outcome === 'done') this.failures = 0;
-    if (EJECTION_MS[outcome] === 0) return;
+    if (EJECTION_MS[outcome] === 0) return 0;
     // Concurrent requests fail together; they count as one failure.
-    if (now < this.ejectedUntil) return;
-    const ejectionMs = EJECTION_MS[outcome] * 2 ** Math.min(this.failures, MAX_DOUBLINGS);
-    this.ejectedUntil = now + Math.min(MAX_EJECTION_MS, ejectionMs);
-    if (outcome === 'full') return;
-    this.failures += outcome === 'broken' ? 1 : FAILURES_TO_CANARY;
+    if (now < this.ejectedUntil) return 0;
+    const wantedMs = EJECTION_MS[outcome] * 2 ** Math.min(this.failures, MAX_DOUBLINGS);
+    const ejectionMs = Math.min(MAX_EJECTION_MS, wantedMs);
+    this.ejectedUntil = now + ejectionMs;
+    if (outcome !== 'full') this.failures += outcome === 'broken' ? 1 : FAILURES_TO_CANARY;
+    return ejectionMs;
   }
 
   /**
