Reproduce VMs without a path to any target, as known red

Callers of VMs that have lost their paths to all targets are refused, though the other VMs reach the targets. Test fleets can now sever an entry's paths: without a notice, by resets and refusals, or with new connections refused alone. With new connections refused alone the callers are served, as open ones are kept in use: that test passes and stays as a guard.

--- a/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
@@ -27,6 +27,8 @@
 export interface Arrival {
   /** Id of the target, different for each lifetime. */
   target: string;
+  /** Id of the request. */
+  request: string;
   body: string;
   /** On the steady clock, milliseconds. */
   at: number;
@@ -66,6 +68,8 @@
   onMessage: (message: Message) => void;
   onBackOffResponse: (response: BackOffResponse) => void;
   onDraining: () => void;
+  /** Whether nothing passes any more on the open connections from an IP address. */
+  isSilenced: (source: string) => boolean;
   onArrival: (arrival: Arrival) => void;
   onCrash: (target: string, at: number) => void;
 }
@@ -152,6 +156,7 @@
       const isRequest = request.url !== entryHarness.REPORT_PATH;
       const { name } = this.options;
       const source = request.socket.remoteAddress ?? '';
+      if (this.options.isSilenced(source)) return;
       this.options.onMessage({ name, isRequest, source, at: clock.steady() });
       if (request.headers.target !== id) this.reply(request, response, 421);
       else if (request.url === entryHarness.REPORT_PATH) this.reply(request, response, 200);
@@ -201,7 +206,12 @@
   /** Runs a request: streams a response, or crashes and restarts. */
   private run(request: http.IncomingMessage, response: http.ServerResponse, body: string): void {
     const { id } = this;
-    this.options.onArrival({ target: id, body, at: clock.steady() });
+    this.options.onArrival({
+      target: id,
+      request: String(request.headers.id),
+      body,
+      at: clock.steady(),
+    });
     if (!body.includes(CRASH_MARKER)) {
       this.stream(request, response);
       return;
@@ -219,7 +229,9 @@
   private stream(request: http.IncomingMessage, response: http.ServerResponse): void {
     response.writeHead(200, this.headersOf(request));
     let next = Number(request.headers['resume-after'] ?? 0) + 1;
+    const source = request.socket.remoteAddress ?? '';
     const timer = setInterval(() => {
+      if (this.options.isSilenced(source)) return;
       response.write(`id: ${next}\ndata: x\n\n`);
       next += 1;
       if (next > STREAM_EVENTS) response.end();
--- a/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
@@ -16,6 +16,7 @@
 import * as peerClient from '../../rpc/peerClient';
 import * as crashableTarget from './crashableTarget';
 import * as ports from './ports';
+import * as severablePaths from './severablePaths';
 
 export const SECRET = 'a-secret-of-the-test';
 
@@ -126,6 +127,7 @@
 export interface Reply {
   /** Id of the request. */
   id: string;
+  entryIndex: number;
   status: number;
   retryAfter: string | undefined;
   body: string;
@@ -168,6 +170,9 @@
 
   readonly crashes: { target: string; at: number }[] = [];
 
+  /** Paths from each entry to the targets. */
+  readonly paths = Array.from({ length: ENTRIES }, () => new severablePaths.SeverablePaths());
+
   private readonly observer = new observer.Observer('test', 'fatal', undefined);
 
   readonly targets: crashableTarget.CrashableTarget[] = [];
@@ -271,6 +276,7 @@
       traffic: TRAFFIC,
       observer: this.observer,
       random: domain.shared.random.seeded(100 + i),
+      openSocket: this.paths[i].openSocket,
     });
     await newEntry.start();
     this.entries.set(i, newEntry);
@@ -303,8 +309,8 @@
     const startedAt = clock.steady();
     const id = `r${this.requestCount}`;
     return new Promise((resolve) => {
-      const finish = (reply: Omit<Reply, 'id' | 'tookMs'>): void => {
-        resolve({ id, ...reply, tookMs: clock.steady() - startedAt });
+      const finish = (reply: Omit<Reply, 'id' | 'entryIndex' | 'tookMs'>): void => {
+        resolve({ id, entryIndex, ...reply, tookMs: clock.steady() - startedAt });
       };
       const request = http.request(
         {
@@ -406,6 +412,10 @@
         },
         onMessage: (message) => this.messages.push(message),
         onBackOffResponse: (response) => this.backOffResponses.push(response),
+        isSilenced: (source) =>
+          this.paths.some((each, entryIndex) => {
+            return each.isSilent && source === sourceAddress(entryIndex);
+          }),
         onDraining: () => {
           this.drainingSince ??= clock.steady();
         },
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -35,6 +35,8 @@
   observer: observer.Observer;
   random: domain.shared.random.Random;
   earlyListener?: listening.EarlyListener;
+  /** Opens connections to targets; `net.connect` by default. */
+  openSocket?: targetClient.SocketOpener;
 }
 
 /**
@@ -154,6 +156,7 @@
       protocol: dependencies.traffic,
       gate: this.signals,
       source: settings.source,
+      openSocket: dependencies.openSocket,
     });
     this.selector = new targetSelector.TargetSelector({
       name: settings.name,
@@ -174,6 +177,7 @@
       gate: this.signals,
       observer: observe,
       source: settings.source,
+      openSocket: dependencies.openSocket,
     });
     this.quarantine = new quarantineClient.QuarantineClient({
       name: settings.name,
--- a/packages/daemon/src/entry/livenessProbes.ts
+++ b/packages/daemon/src/entry/livenessProbes.ts
@@ -14,6 +14,8 @@
   observer: observer.Observer;
   /** IP address that connections come from; undefined where the operating system chooses. */
   source: string | undefined;
+  /** Opens connections to targets; `net.connect` by default. */
+  openSocket?: targetClient.SocketOpener;
 }
 
 /** Probe timeout, milliseconds: a new connection and a hundred round trips. */
@@ -44,8 +46,8 @@
       this.dependencies.observer.count('lifeChecks.withheld');
       return true;
     }
-    const { protocol, gate, source } = this.dependencies;
-    const client = new targetClient.TargetClient({ protocol, gate, source });
+    const { protocol, gate, source, openSocket } = this.dependencies;
+    const client = new targetClient.TargetClient({ protocol, gate, source, openSocket });
     const recipient = { target, address, purpose: 'check' } as const;
     const result = await client.call(recipient, protocol.stateCall(target), PROBE_TIMEOUT_MS);
     client.close();
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -68,9 +68,14 @@
   admit(message: TargetMessage): DeliveryCallbacks | undefined;
 }
 
+/** Opens a TCP connection. */
+export type SocketOpener = (endpoint: net.TcpNetConnectOpts) => net.Socket;
+
 export interface Dependencies {
   protocol: Pick<protocols.TrafficProtocol, 'responseMetadata'>;
   gate: AdmissionGate;
+  /** Opens connections to targets; `net.connect` by default. */
+  openSocket?: SocketOpener;
   /** IP address that connections come from; undefined where the operating system chooses. */
   source?: string;
 }
@@ -120,7 +125,10 @@
 class ConnectionTracker {
   private event: ConnectionEvent = 'none';
 
-  constructor(private readonly localAddress: string | undefined) {}
+  constructor(
+    private readonly localAddress: string | undefined,
+    private readonly openSocket: SocketOpener,
+  ) {}
 
   get current(): ConnectionEvent {
     return this.event;
@@ -131,7 +139,7 @@
     callback: (error: Error | null, socket: net.Socket | null) => void,
   ): void => {
     const { hostname, port } = options;
-    const socket = net.connect({
+    const socket = this.openSocket({
       host: hostname,
       port: Number(port),
       localAddress: this.localAddress,
@@ -267,7 +275,10 @@
   private readonly connections: ConnectionTracker;
 
   constructor(private readonly dependencies: Dependencies) {
-    this.connections = new ConnectionTracker(dependencies.source);
+    this.connections = new ConnectionTracker(
+      dependencies.source,
+      dependencies.openSocket ?? net.connect,
+    );
   }
 
   send(message: TargetMessage, handler: ResponseHandler): Attempt {
