Let connections between daemons carry HTTP after their handshake

Only JSON-RPC frames passed between daemons, which suit no response that is streamed with back-pressure. The caller now says in the handshake what the connection carries, and the callee confirms it; a daemon of an earlier version confirms nothing, and the caller then sends nothing. The handshake's own module serves both kinds of caller.

--- a/packages/daemon/src/rpc/peerClient.ts
+++ b/packages/daemon/src/rpc/peerClient.ts
@@ -11,7 +11,7 @@
 import type * as observer from '../observability/observer';
 import * as errors from './errors';
 import * as framing from './framing';
-import * as challengeResponse from './challengeResponse';
+import * as handshake from './handshake';
 
 export interface CallOptions {
   timeoutMs?: number;
@@ -37,13 +37,6 @@
  */
 const CONNECT_TIMEOUT_MS = 400;
 
-interface Handshake {
-  /** The sender's challenge. */
-  nonce?: string;
-  /** Response to the receiver's challenge. */
-  answer?: string;
-}
-
 class Connection {
   readonly client: jsonRpc.JSONRPCClient;
 
@@ -53,20 +46,21 @@
 
   private readonly openedAt = clock.steady();
 
+  private readonly handshake: handshake.CallerHandshake;
+
   private isAuthenticated = false;
 
   /** Frames held back until the connection is authenticated. */
   private readonly unsentFrames: Buffer[] = [];
 
-  private readonly nonce = challengeResponse.createNonce();
-
   constructor(
     address: string,
-    private readonly secret: string,
+    secret: string,
     tlsOptions: tls.ConnectionOptions | undefined,
     private readonly observer: observer.Observer,
     localAddress: string | undefined,
   ) {
+    this.handshake = new handshake.CallerHandshake(secret, 'rpc');
     const colon = address.lastIndexOf(':');
     const host = address.slice(0, colon);
     const port = Number(address.slice(colon + 1));
@@ -119,15 +113,13 @@
       this.client.receive(value as jsonRpc.JSONRPCResponse);
       return;
     }
-    const handshake = value as Handshake;
-    if (handshake.nonce !== undefined) {
-      const answer = challengeResponse.responseTo(this.secret, 'caller', handshake.nonce);
-      this.socket.write(framing.encode({ nonce: this.nonce, answer } satisfies Handshake));
+    const step = this.handshake.handle(value);
+    if (step === 'rejected') {
+      this.close('peer failed authentication');
       return;
     }
-    const expected = challengeResponse.responseTo(this.secret, 'callee', this.nonce);
-    if (!challengeResponse.isEqualInConstantTime(String(handshake.answer), expected)) {
-      this.close('peer failed authentication');
+    if (step !== 'authenticated') {
+      this.socket.write(step);
       return;
     }
     this.isAuthenticated = true;
--- a/packages/daemon/src/rpc/peerServer.ts
+++ b/packages/daemon/src/rpc/peerServer.ts
@@ -1,4 +1,5 @@
 /** Server for calls from other daemons: framed JSON-RPC 2.0 after mutual authentication. */
+import type * as http from 'node:http';
 import * as net from 'node:net';
 import * as tls from 'node:tls';
 import * as jsonRpc from 'json-rpc-2.0';
@@ -6,22 +7,13 @@
 import type * as observer from '../observability/observer';
 import * as framing from './framing';
 import * as challengeResponse from './challengeResponse';
+import * as handshakes from './handshake';
 
 export type Method = (parameters: unknown) => unknown;
 
 /** A connection that isn't authenticated by then is closed, milliseconds. */
 const HANDSHAKE_TIMEOUT_MS = 3_000;
 
-/** Longest frame accepted before a connection is authenticated. */
-const MAX_HANDSHAKE_FRAME_BYTES = 1_024;
-
-interface Handshake {
-  /** The sender's challenge. */
-  nonce: string;
-  /** Response to the receiver's challenge. */
-  answer?: string;
-}
-
 export class PeerServer {
   private readonly methods = new jsonRpc.JSONRPCServer({ errorListener: () => undefined });
 
@@ -29,6 +21,8 @@
 
   private readonly sockets = new Set<net.Socket>();
 
+  private http: http.Server | undefined;
+
   constructor(
     private readonly secret: string,
     tlsOptions: tls.TlsOptions | undefined,
@@ -41,6 +35,11 @@
         : tls.createServer({ ...tlsOptions, requestCert: true }, accept);
   }
 
+  /** Serves the connections that carry HTTP; without it they are treated as JSON-RPC. */
+  serveHttp(server: http.Server): void {
+    this.http = server;
+  }
+
   add(name: string, method: Method): void {
     this.methods.addMethod(name, async (parameters) => method(parameters));
   }
@@ -68,7 +67,7 @@
     const nonce = challengeResponse.createNonce();
     let isAuthenticated = false;
     const handshakeDecoder = new framing.FrameDecoder((value) => {
-      const handshake = value as Handshake;
+      const handshake = value as handshakes.Handshake;
       isAuthenticated = challengeResponse.isEqualInConstantTime(
         String(handshake.answer),
         challengeResponse.responseTo(this.secret, 'caller', nonce),
@@ -80,8 +79,12 @@
       }
       socket.setTimeout(0);
       const answer = challengeResponse.responseTo(this.secret, 'callee', String(handshake.nonce));
-      socket.write(framing.encode({ answer }));
-    }, MAX_HANDSHAKE_FRAME_BYTES);
+      const isHttp = handshake.carrier === 'http' && this.http !== undefined;
+      if (isHttp) socket.removeAllListeners('data');
+      const accepted: handshakes.Handshake = isHttp ? { answer, carrier: 'http' } : { answer };
+      socket.write(framing.encode(accepted));
+      if (isHttp) this.http?.emit('connection', socket);
+    }, handshakes.MAX_HANDSHAKE_FRAME_BYTES);
     const requestDecoder = new framing.FrameDecoder((value, bytes) =>
       this.serve(socket, value, bytes),
     );
@@ -92,7 +95,7 @@
         socket.destroy();
       }
     });
-    socket.write(framing.encode({ nonce } satisfies Handshake));
+    socket.write(framing.encode({ nonce } satisfies handshakes.Handshake));
   }
 
   private serve(socket: net.Socket, value: unknown, bytes: number): void {
