--- a/packages/daemon/src/entry/callerResponse.ts
+++ b/packages/daemon/src/entry/callerResponse.ts
@@ -8,6 +8,7 @@
 import * as hopByHop from '../edges/hopByHop';
 import type * as protocols from '../edges/protocols';
 import type * as heldBytes from './heldBytes';
+import type * as targetAttempt from './targetAttempt';
 import type * as targetClient from './targetClient';
 
 type Route = domain.catalogue.catalogue.Route;
@@ -61,7 +62,7 @@
 
   private bufferedBytes = 0;
 
-  private attempt: targetClient.Attempt | undefined;
+  private attempt: targetAttempt.Attempt | undefined;
 
   /** Whether the caller already has the beginning of a stream, which only another stream can continue. */
   private isContinuation = false;
@@ -121,7 +122,7 @@
     this.maxPauseMs = 0;
   }
 
-  attach(attempt: targetClient.Attempt): void {
+  attach(attempt: targetAttempt.Attempt): void {
     this.attempt = attempt;
   }
 
--- /dev/null
+++ b/packages/daemon/src/entry/directDispatch.ts
@@ -0,0 +1,62 @@
+/** Carries an attempt over a direct connection to its target, as the handler of an undici dispatch. */
+import type * as undici from 'undici';
+import type * as protocols from '../edges/protocols';
+import type * as targetAttempt from './targetAttempt';
+import type * as connectionTracker from './connectionTracker';
+import type * as pathMonitor from './pathMonitor';
+
+export interface Options {
+  attempt: targetAttempt.Attempt;
+  connections: connectionTracker.ConnectionTracker;
+  protocol: Pick<protocols.TrafficProtocol, 'responseMetadata'>;
+  paths?: Pick<pathMonitor.PathMonitor, 'responded'>;
+  /** Called instead of ending the attempt if no connection could be made. */
+  onUnreachable: (detail: string) => void;
+}
+
+export class DirectDispatch implements undici.Dispatcher.DispatchHandler {
+  private isStarted = false;
+
+  private isChunked = false;
+
+  constructor(private readonly options: Options) {}
+
+  onRequestStart(controller: undici.Dispatcher.DispatchController): void {
+    this.isStarted = true;
+    this.options.attempt.started(controller);
+  }
+
+  onResponseStart(
+    controller: undici.Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void {
+    if (status < 200) return;
+    this.options.paths?.responded();
+    this.isChunked = headers['transfer-encoding'] !== undefined;
+    const raw = ((controller.rawHeaders ?? []) as (Buffer | string)[]).map((part) =>
+      part.toString('latin1'),
+    );
+    const facts = this.options.protocol.responseMetadata(status, headers);
+    this.options.attempt.answered({ status, raw, facts });
+  }
+
+  onResponseData(_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+    this.options.attempt.data(chunk);
+  }
+
+  onResponseEnd(): void {
+    const { current } = this.options.connections;
+    const isCut = current === 'reset' || (current === 'closedByTarget' && this.isChunked);
+    this.options.attempt.finish(
+      isCut ? { kind: 'broken', detail: `${current} midway` } : { kind: 'complete' },
+    );
+  }
+
+  onResponseError(_controller: undici.Dispatcher.DispatchController, error: Error): void {
+    const { code = '' } = error as { code?: string };
+    const detail = `${code} ${error.message}`.trim();
+    if (this.isStarted) this.options.attempt.finish({ kind: 'broken', detail });
+    else this.options.onUnreachable(detail);
+  }
+}
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -19,12 +19,14 @@
 import * as targetSelector from './targetSelector';
 import * as quarantineClient from './quarantineClient';
 import * as coldGrants from './coldGrants';
+import type * as connectionTracker from './connectionTracker';
 import * as exchange from './exchange';
 import * as heldBytes from './heldBytes';
 import * as ingress from './ingress';
 import * as livenessProbes from './livenessProbes';
 import * as pushedUpdate from './pushedUpdate';
 import * as rateLimitClient from './rateLimitClient';
+import * as reachability from './reachability';
 import * as targetClient from './targetClient';
 import * as targetSignals from './targetSignals';
 
@@ -36,7 +38,7 @@
   random: domain.shared.random.Random;
   earlyListener?: listening.EarlyListener;
   /** Opens connections to targets; `net.connect` by default. */
-  openSocket?: targetClient.SocketOpener;
+  openSocket?: connectionTracker.SocketOpener;
 }
 
 /**
@@ -73,6 +75,8 @@
 
   private readonly targets: targetClient.TargetClient;
 
+  private readonly reachability: reachability.Reachability;
+
   private readonly selector: targetSelector.TargetSelector;
 
   private readonly liveness: livenessProbes.LivenessProbes;
@@ -122,7 +126,9 @@
       observer: observe,
       readClocks: clock.readClocks,
       dispatches: () => this.selector.dispatches,
-      onConfirmed: ({ entries, entryRank, crowding }) => {
+      reachability: () => this.reachability.statement,
+      onConfirmed: ({ entries, entryRank, crowding, relays }) => {
+        if (relays !== undefined) this.reachability.applyRelays(relays);
         this.selector.fallback.assumeAverageLoads(crowding);
         this.limits.leaderFound(entries, entryRank);
         this.signals.leaderFound(this.link.leader, entries);
@@ -152,11 +158,24 @@
       observer: observe,
       now: clock.steady,
     });
+    this.reachability = new reachability.Reachability({
+      settings,
+      protocol: dependencies.traffic,
+      fleetState: this.fleetState,
+      client: this.client,
+      targets: () => this.targets,
+      liveness: () => this.liveness,
+      isServing: () => this.isServing,
+      observer: observe,
+      random,
+    });
     this.targets = new targetClient.TargetClient({
       protocol: dependencies.traffic,
       gate: this.signals,
       source: settings.source,
       openSocket: dependencies.openSocket,
+      paths: this.reachability.paths,
+      relays: this.reachability.relays,
     });
     this.selector = new targetSelector.TargetSelector({
       name: settings.name,
@@ -178,6 +197,8 @@
       observer: observe,
       source: settings.source,
       openSocket: dependencies.openSocket,
+      paths: this.reachability.paths,
+      peers: this.reachability.peers,
     });
     this.quarantine = new quarantineClient.QuarantineClient({
       name: settings.name,
@@ -209,10 +230,12 @@
       );
       return { mark: this.fleetState.registryVersion } satisfies messages.UpdateAck;
     });
+    this.reachability.serve(this.server);
     await this.server.listen(settings.peers);
     await this.ingress.listen(settings.callers as codecs.Address, this.dependencies.earlyListener);
     await listening.listen(this.readiness, settings.readiness as codecs.Address);
     this.coldGrants.start();
+    this.reachability.start();
     this.link.start();
   }
 
@@ -230,12 +253,12 @@
     await clock.sleep(LINGER_MS);
     this.ingress.refuseNew();
     const deadline = startedAt + this.dependencies.settings.stopMs - STOP_MARGIN_MS;
-    while (this.ingress.activeRequests > 0 && clock.steady() < deadline)
-      await clock.sleep(STOP_POLL_MS);
+    while (this.hasWork && clock.steady() < deadline) await clock.sleep(STOP_POLL_MS);
     this.link.stop();
     this.quarantine.close();
     this.limits.close();
     this.coldGrants.stop();
+    this.reachability.stop();
     this.signals.close();
     this.held.close();
     this.readiness.close();
@@ -258,12 +281,22 @@
       quarantined: this.fleetState.quarantine.quarantined,
       activeRequests: this.ingress.activeRequests,
       heldBytes: this.held.total,
+      ...this.reachability.gauges(),
     };
   }
 
   /** Whether the balancer should send callers here. */
   get isReady(): boolean {
-    return !this.isDraining && this.fleetState.directory !== undefined && this.isFresh();
+    return this.isServing && this.isFresh() && !this.reachability.isCutOff;
+  }
+
+  /** Whether this entry has settings and isn't being stopped. */
+  private get isServing(): boolean {
+    return !this.isDraining && this.fleetState.directory !== undefined;
+  }
+
+  private get hasWork(): boolean {
+    return this.ingress.activeRequests > 0 || this.reachability.relayedMessages > 0;
   }
 
   private isFresh(): boolean {
@@ -284,6 +317,7 @@
       selector: this.selector,
       targets: this.targets,
       liveness: this.liveness,
+      reachability: this.reachability,
       limits: this.limits,
       signals: this.signals,
       quarantine: this.quarantine,
@@ -318,6 +352,7 @@
       return;
     }
     this.targets.forget(record.id);
+    this.reachability.paths.forget(record.id);
     this.selector.forget(record.id);
     this.signals.forget(record);
   }
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -17,11 +17,15 @@
 import * as fingerprint from './fingerprint';
 import type * as heldBytes from './heldBytes';
 import type * as livenessProbes from './livenessProbes';
+import type * as pathMonitor from './pathMonitor';
+import type * as reachability from './reachability';
+import type * as relayPeers from './relayPeers';
 import type * as rateLimitClient from './rateLimitClient';
 import * as outcomes from './outcome';
 import * as reservations from './reservations';
 import * as responseTimeout from './responseTimeout';
 import * as responseWatchdog from './responseWatchdog';
+import type * as targetAttempt from './targetAttempt';
 import type * as targetClient from './targetClient';
 import type * as targetSignals from './targetSignals';
 
@@ -32,7 +36,12 @@
   protocol: protocols.TrafficProtocol;
   selector: targetSelector.TargetSelector;
   targets: targetClient.TargetClient;
-  liveness: Pick<livenessProbes.LivenessProbes, 'isAlive'>;
+  liveness: Pick<livenessProbes.LivenessProbes, 'check' | 'askElsewhere'>;
+  /** Which paths of this VM are lost, and the entries that relay messages; without it no path is lost. */
+  reachability?: Pick<reachability.Reachability, 'isCutOff'> & {
+    paths: Pick<pathMonitor.PathMonitor, 'isLost'>;
+    peers: Pick<relayPeers.RelayPeers, 'isReady'>;
+  };
   limits: Pick<rateLimitClient.RateLimitClient, 'spent'>;
   signals: Pick<
     targetSignals.TargetSignals,
@@ -126,7 +135,7 @@
   /** Attempts that were withheld from their targets. */
   private withheldAttempts = 0;
 
-  private attempt: targetClient.Attempt | undefined;
+  private attempt: targetAttempt.Attempt | undefined;
 
   /** Target of the current attempt. */
   private activeTarget: string | undefined;
@@ -250,6 +259,10 @@
     service: string,
     permit: quarantineClient.Grant,
   ): Promise<Outcome | undefined> {
+    if (this.dependencies.reachability?.isCutOff === true) {
+      this.fail('no path to targets', RETRY_AFTER_MS);
+      return undefined;
+    }
     const choice = await this.choose(service, permit);
     if (this.isOver) {
       if (choice.kind === 'placed') choice.release('cancelled');
@@ -397,14 +410,15 @@
     const { request, body, organisation } = this.admitted;
     const { protocol, targets } = this.dependencies;
     const resumeAfter = this.reply.lastEventId;
-    const headers = protocol.requestHeaders(request.rawHeaders, {
-      target: placement.target,
-      organisation,
-      timeLeftMs: this.timeLeftMs,
-      helpers: helperReservations.withReservations(placement.helpers),
-      ...this.urgency,
-      resumeAfter,
-    });
+    const currentHeaders = (): string[] =>
+      protocol.requestHeaders(request.rawHeaders, {
+        target: placement.target,
+        organisation,
+        timeLeftMs: this.timeLeftMs,
+        helpers: helperReservations.withReservations(placement.helpers),
+        ...this.urgency,
+        resumeAfter,
+      });
     const attempt = targets.send(
       {
         target: placement.target,
@@ -414,7 +428,8 @@
         requestId: this.admitted.facts.requestId,
         method: request.method ?? 'GET',
         path: request.url ?? '/',
-        headers,
+        headers: currentHeaders(),
+        currentHeaders,
         body,
       },
       this.reply,
@@ -432,7 +447,7 @@
     this.activeTarget = placement.target;
     this.reply.attach(attempt);
     const outcome = await this.awaitOutcome(attempt, placement);
-    const { wasSent } = attempt;
+    const { wasSent, relay } = attempt;
     attempt.cancel();
     this.attempt = undefined;
     this.activeTarget = undefined;
@@ -447,15 +462,40 @@
     if (outcome.kind === 'answered') this.requestLog.answered(placement);
     // A target that cuts a response which its caller doesn't read is neither ill nor crashed.
     const wentUnread = outcome.kind === 'failed' && this.reply.wentUnread(this.dependencies.now());
-    release(wentUnread ? 'cancelled' : outcomes.dispatchOutcomeOf(outcome), {
+    const isOwnFault = outcomes.mayBePathLoss(outcome) && this.isPathLost(placement.target, relay);
+    release(wentUnread || isOwnFault ? 'cancelled' : outcomes.dispatchOutcomeOf(outcome), {
       faulty,
       gapMs: this.reply.typicalGapMs,
     });
+    if (outcomes.mayBePathLoss(outcome) && !wentUnread && !isOwnFault)
+      void this.verifyFailure(outcome, placement);
     this.mayHaveCrashed =
       wasSent && !wentUnread && outcomes.mayHaveCrashed(outcome, this.wasOverdue);
     return outcome;
   }
 
+  /** Whether an attempt at the target failed because this VM, or the relay that it used, has lost its path. */
+  private isPathLost(target: string, relay: string | undefined): boolean {
+    const { reachability: reach } = this.dependencies;
+    if (relay !== undefined) return reach?.peers.isReady(relay) !== true;
+    return reach?.paths.isLost(target) === true;
+  }
+
+  /** Asks another VM whether the target is down, which was reported to the leader on this VM's evidence alone. */
+  private async verifyFailure(
+    outcome: Outcome,
+    { target, address }: domain.allocation.allocator.Placement,
+  ): Promise<void> {
+    const { liveness: probes, selector } = this.dependencies;
+    const verdict =
+      outcome.kind === 'failed'
+        ? await probes.check(target, address)
+        : await probes.askElsewhere(target, address);
+    if (verdict === 'pathLost' || verdict === 'dead') {
+      selector.reportVerdict(target, verdict === 'pathLost');
+    }
+  }
+
   /** Checks whether a target that didn't answer crashed while running the request. */
   private async checkForCrash(
     service: string,
@@ -494,7 +534,7 @@
 
   /** Waits until the attempt completes, times out or is interrupted, whichever comes first. */
   private async awaitOutcome(
-    attempt: targetClient.Attempt,
+    attempt: targetAttempt.Attempt,
     placement: domain.allocation.allocator.Placement,
   ): Promise<Outcome> {
     const interrupted = new Promise<Outcome>((resolve) => {
@@ -513,7 +553,8 @@
 
   private classify(result: targetClient.SendResult): Outcome {
     if (result.kind === 'notSent') {
-      return { kind: 'notRun', ending: 'unreachable', detail: result.detail };
+      const { detail, isConfirmed } = result;
+      return { kind: 'notRun', ending: 'unreachable', detail, isConfirmed };
     }
     if (result.kind === 'broken') {
       return { kind: 'failed', ending: 'broken', detail: result.detail, isCut: true };
@@ -535,18 +576,27 @@
     onTimeout: (detail: string) => void,
   ): responseWatchdog.ResponseWatchdog | undefined {
     if (!this.isRepeatable) return undefined;
-    const { now, liveness: probes } = this.dependencies;
+    const { now } = this.dependencies;
     return new responseWatchdog.ResponseWatchdog({
       thresholds: responseTimeout.thresholdsOf(this.admitted.route, firstTokenMs),
       sentAt: now(),
       now,
       lastEventAt: () => this.reply.lastProgressAt(now()),
-      isAlive: () => probes.isAlive(target, address),
+      isAlive: () => this.isResponsive(target, address),
       hasAlternative: () => this.hasAttemptsLeft,
       onTimeout,
     });
   }
 
+  /** Whether a response may still arrive the way that the current attempt takes. */
+  private async isResponsive(target: string, address: string): Promise<boolean> {
+    const relay = this.attempt?.relay;
+    const verdict = await this.dependencies.liveness.check(target, address);
+    if (relay === undefined) return verdict === 'alive';
+    const isUp = verdict === 'alive' || verdict === 'pathLost';
+    return isUp && this.dependencies.reachability?.peers.isReady(relay) === true;
+  }
+
   private get hasAttemptsLeft(): boolean {
     const isSent = this.attempt?.wasSent === true;
     return this.attempts.hasAttemptLeft(isSent ? this.activeTarget : undefined);
--- a/packages/daemon/src/entry/livenessProbes.ts
+++ b/packages/daemon/src/entry/livenessProbes.ts
@@ -5,6 +5,9 @@
 import type * as protocols from '../edges/protocols';
 import type * as observer from '../observability/observer';
 import type * as rateLimitClient from './rateLimitClient';
+import type * as connectionTracker from './connectionTracker';
+import type * as pathMonitor from './pathMonitor';
+import type * as relayPeers from './relayPeers';
 import * as targetClient from './targetClient';
 
 export interface Dependencies {
@@ -15,7 +18,13 @@
   /** IP address that connections come from; undefined where the operating system chooses. */
   source: string | undefined;
   /** Opens connections to targets; `net.connect` by default. */
-  openSocket?: targetClient.SocketOpener;
+  openSocket?: connectionTracker.SocketOpener;
+  paths?: Pick<
+    pathMonitor.PathMonitor,
+    'connected' | 'failed' | 'responded' | 'reachedElsewhere' | 'isLost' | 'scopesOf'
+  >;
+  /** Other VMs that can be asked about a target. */
+  peers?: Pick<relayPeers.RelayPeers, 'reach'>;
 }
 
 /** Probe timeout, milliseconds: a new connection and a hundred round trips. */
@@ -23,22 +32,45 @@
 
 const OK = 200;
 
+/**
+ * What is known of a target that gave no response. `alive`: it responds to this VM. `pathLost`: it responds to another
+ * VM only. `dead`: it responds to neither. `unknown`: it doesn't respond here, and no other VM could be asked.
+ */
+export type Verdict = 'alive' | 'pathLost' | 'dead' | 'unknown';
+
 export class LivenessProbes {
   /** Probes in flight by target; requests on the same target share one. */
   private readonly pending = new Map<string, Promise<boolean>>();
 
+  private readonly pendingVerdicts = new Map<string, Promise<Verdict>>();
+
   constructor(private readonly dependencies: Dependencies) {}
 
   /**
-   * Whether this lifetime of a target responds. A target that can't be probed, as it is limited or in back-off, counts
-   * as alive.
+   * Whether this lifetime of a target responds to this VM. A target that can't be probed, as it is limited or in
+   * back-off, counts as alive.
    */
   isAlive(target: string, address: string): Promise<boolean> {
-    const pending = this.pending.get(target);
-    if (pending !== undefined) return pending;
-    const probe = this.probe(target, address).finally(() => this.pending.delete(target));
-    this.pending.set(target, probe);
-    return probe;
+    return shared(this.pending, target, () => this.probe(target, address));
+  }
+
+  /** Probes a target, and asks another VM about it if it doesn't respond. */
+  check(target: string, address: string): Promise<Verdict> {
+    return shared(this.pendingVerdicts, target, async () => {
+      const isLost = this.dependencies.paths?.isLost(target) === true;
+      if (!isLost && (await this.isAlive(target, address))) return 'alive';
+      return this.askElsewhere(target, address);
+    });
+  }
+
+  /** Asks another VM about a target that this one doesn't reach. */
+  async askElsewhere(target: string, address: string): Promise<Verdict> {
+    const { peers, paths, observer: observe } = this.dependencies;
+    const isAlive = await peers?.reach({ target, address }, paths?.scopesOf(target) ?? []);
+    if (isAlive === undefined) return 'unknown';
+    if (isAlive) paths?.reachedElsewhere(target);
+    observe.log('targetAsked', { target, isAlive, elsewhere: true });
+    return isAlive ? 'pathLost' : 'dead';
   }
 
   private async probe(target: string, address: string): Promise<boolean> {
@@ -46,8 +78,8 @@
       this.dependencies.observer.count('lifeChecks.withheld');
       return true;
     }
-    const { protocol, gate, source, openSocket } = this.dependencies;
-    const client = new targetClient.TargetClient({ protocol, gate, source, openSocket });
+    const { protocol, gate, source, openSocket, paths } = this.dependencies;
+    const client = new targetClient.TargetClient({ protocol, gate, source, openSocket, paths });
     const recipient = { target, address, purpose: 'check' } as const;
     const result = await client.call(recipient, protocol.stateCall(target), PROBE_TIMEOUT_MS);
     client.close();
@@ -57,12 +89,26 @@
     }
     const status = result.kind === 'answered' ? result.status : 0;
     const isAlive = result.kind === 'answered' && isFromLiveTarget(result);
+    if (result.kind === 'silent') paths?.failed(target);
     this.dependencies.observer.count(isAlive ? 'lifeChecks.alive' : 'lifeChecks.dead');
     this.dependencies.observer.log('targetAsked', { target, status, isAlive });
     return isAlive;
   }
 }
 
+/** The pending result for a key, or a new one. */
+function shared<T>(
+  pending: Map<string, Promise<T>>,
+  key: string,
+  begin: () => Promise<T>,
+): Promise<T> {
+  const existing = pending.get(key);
+  if (existing !== undefined) return existing;
+  const begun = begin().finally(() => pending.delete(key));
+  pending.set(key, begun);
+  return begun;
+}
+
 /** Whether the addressed lifetime responded, which includes refusing the probe because it is too busy. */
 function isFromLiveTarget({
   status,
--- a/packages/daemon/src/entry/outcome.ts
+++ b/packages/daemon/src/entry/outcome.ts
@@ -10,7 +10,14 @@
   /** The caller has the final response. */
   | { kind: 'answered' }
   /** The target is known not to have run it. */
-  | { kind: 'notRun'; ending: DispatchOutcome; detail: string; faulty?: string }
+  | {
+      kind: 'notRun';
+      ending: DispatchOutcome;
+      detail: string;
+      faulty?: string;
+      /** Whether another VM didn't reach the target either. */
+      isConfirmed?: boolean;
+    }
   /** It may have run, and the caller has received nothing or part of a stream. */
   | {
       kind: 'failed';
@@ -43,6 +50,14 @@
   return 'ending' in outcome ? outcome.ending : 'cancelled';
 }
 
+/** Whether a lost path of this VM would look the same: nothing came from the target, and no other VM was asked. */
+export function mayBePathLoss(outcome: Outcome): boolean {
+  if (outcome.kind === 'failed') return outcome.isCut;
+  return (
+    outcome.kind === 'notRun' && outcome.ending === 'unreachable' && outcome.isConfirmed !== true
+  );
+}
+
 /**
  * Whether the target may have crashed: its connection broke, or it was overdue when its caller left or the deadline
  * passed.
--- /dev/null
+++ b/packages/daemon/src/entry/pathMonitor.ts
@@ -0,0 +1,179 @@
+/**
+ * Watches this VM's paths to the targets: records the outcomes of its connections, probes lost paths until they are
+ * back, and logs what is lost and restored. A probe is a connection that is closed at once.
+ */
+import * as domain from '@celerydrift/domain';
+import type * as fleetState from '../fleet/fleetState';
+import type * as observer from '../observability/observer';
+import type * as connectionTracker from './connectionTracker';
+
+type ScopeChange = domain.reachability.targetPaths.ScopeChange;
+type Announcement = domain.registry.registry.Announcement;
+
+export interface Dependencies {
+  fleetState: Pick<fleetState.FleetState, 'registry'>;
+  observer: observer.Observer;
+  random: domain.shared.random.Random;
+  now: () => number;
+  /** Opens a connection to a target and closes it at once; the outcome is reported like that of any other. */
+  tryConnection: (target: string, address: string) => void;
+  /** Called with targets whose paths are lost; open connections to them may never convey anything again. */
+  onLost: (targets: readonly string[]) => void;
+  /** Called while paths are lost, so that the status of the VMs that relay messages stays known. */
+  onImpaired: () => void;
+}
+
+/** Interval between checks of lost paths, milliseconds; a return is noticed at most that much later. */
+const CHECK_INTERVAL_MS = 300;
+
+/** Targets of each lost scope to which a connection is tried at each check. */
+const PROBES_PER_SCOPE = 1;
+
+/** The same when a scope is lost, at once: one success shows that only some targets are down. */
+const FIRST_PROBES = 2;
+
+/** Targets whose own paths are lost that are tried at each check, and the shortest interval for each, milliseconds. */
+const PROBES_OF_LOST = 3;
+const PROBE_INTERVAL_MS = 1_000;
+
+/**
+ * Time without any contact to targets after which a connection is tried, milliseconds. Without it an entry with few
+ * callers would notice lost paths only by the requests that fail.
+ */
+const QUIET_MS = 1_500;
+
+export class PathMonitor implements connectionTracker.ConnectionListener {
+  private readonly paths = new domain.reachability.targetPaths.TargetPaths(() => this.ready());
+
+  private timer: NodeJS.Timeout | undefined;
+
+  constructor(private readonly dependencies: Dependencies) {}
+
+  start(): void {
+    this.timer = setInterval(() => this.check(), CHECK_INTERVAL_MS);
+  }
+
+  stop(): void {
+    clearInterval(this.timer);
+  }
+
+  connected(target: string): void {
+    const { fleetState: state, observer: observe, now } = this.dependencies;
+    observe.count('connections.opened');
+    const record = state.registry.get(target);
+    if (record !== undefined) this.apply(this.paths.connected(record, now()));
+  }
+
+  /** A connection attempt failed, or a probe of the target was not answered. */
+  failed(target: string): void {
+    const { fleetState: state, observer: observe, now } = this.dependencies;
+    observe.count('connections.failed');
+    const record = state.registry.get(target);
+    if (record !== undefined) this.apply(this.paths.failed(record, now()));
+  }
+
+  responded(): void {
+    this.paths.responded(this.dependencies.now());
+  }
+
+  reachedElsewhere(target: string): void {
+    this.paths.reachedElsewhere(target, this.dependencies.now());
+  }
+
+  forget(target: string): void {
+    this.paths.forget(target);
+  }
+
+  /** Whether messages to the target should go by way of another VM. */
+  isLost(target: string): boolean {
+    const record = this.dependencies.fleetState.registry.get(target);
+    return record !== undefined && this.paths.isLost(record);
+  }
+
+  /** Whether this VM reaches no target at all. */
+  get isIsolated(): boolean {
+    return this.paths.isolatedSince !== undefined;
+  }
+
+  /** Milliseconds since this VM lost its paths to all targets; 0 if it reaches some. */
+  get isolatedMs(): number {
+    const { isolatedSince } = this.paths;
+    return isolatedSince === undefined ? 0 : this.dependencies.now() - isolatedSince;
+  }
+
+  /** Scopes of targets that this VM doesn't reach. */
+  get lostScopes(): string[] {
+    return this.paths.scopes;
+  }
+
+  /** The scopes that a target belongs to; none if it isn't known. */
+  scopesOf(target: string): string[] {
+    const record = this.dependencies.fleetState.registry.get(target);
+    return record === undefined ? [] : domain.reachability.targetPaths.scopesOf(record);
+  }
+
+  get lostTargets(): number {
+    return this.paths.lostTargets;
+  }
+
+  private get isImpaired(): boolean {
+    return this.paths.scopes.length > 0 || this.paths.lostTargets > 0;
+  }
+
+  private apply(changes: readonly ScopeChange[]): void {
+    changes.forEach((change) => {
+      const targets = this.targetsOf(change.scope);
+      if (change.change === 'lost') this.lose(change.scope, targets);
+      else {
+        const { scope, afterMs } = change;
+        this.dependencies.observer.log('pathsRestored', {
+          scope,
+          targets: targets.length,
+          afterMs: Math.round(afterMs),
+        });
+      }
+    });
+  }
+
+  private lose(scope: string, targets: readonly Announcement[]): void {
+    const { observer: observe, onLost, onImpaired } = this.dependencies;
+    observe.log('pathsLost', { scope, targets: targets.length });
+    onLost(targets.map(({ id }) => id));
+    onImpaired();
+    this.probe(scope, FIRST_PROBES);
+  }
+
+  private check(): void {
+    const { fleetState: state, now } = this.dependencies;
+    if (this.isImpaired) this.dependencies.onImpaired();
+    this.paths.scopes.forEach((scope) => this.probe(scope, PROBES_PER_SCOPE));
+    this.paths
+      .dueForProbe(PROBES_OF_LOST, PROBE_INTERVAL_MS, now())
+      .forEach((id) => this.tryConnection(state.registry.get(id)));
+    if (!this.isImpaired && this.paths.quietMs(now()) >= QUIET_MS)
+      this.probe(domain.reachability.targetPaths.ALL, 1);
+  }
+
+  /** Tries connections to random targets of a scope. */
+  private probe(scope: string, count: number): void {
+    domain.shared.random
+      .shuffled(this.dependencies.random, this.targetsOf(scope))
+      .slice(0, count)
+      .forEach((record) => this.tryConnection(record));
+  }
+
+  private tryConnection(record: Announcement | undefined): void {
+    if (record !== undefined) this.dependencies.tryConnection(record.id, record.address);
+  }
+
+  private ready(): Announcement[] {
+    const { registry } = this.dependencies.fleetState;
+    return registry.records().filter(({ state }) => state === 'ready');
+  }
+
+  private targetsOf(scope: string): Announcement[] {
+    return this.ready().filter((record) => {
+      return domain.reachability.targetPaths.scopesOf(record).includes(scope);
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/reachability.ts
@@ -0,0 +1,149 @@
+/**
+ * This entry's part in reaching targets where VMs have lost their paths: it watches its own paths, sends messages by way
+ * of other entries where they are lost, and sends those of other entries.
+ */
+import type * as domain from '@celerydrift/domain';
+import * as clock from '../clock';
+import type * as roleSettings from '../configuration/roleSettings';
+import type * as protocols from '../edges/protocols';
+import type * as fleetState from '../fleet/fleetState';
+import type * as messages from '../fleet/messages';
+import type * as observer from '../observability/observer';
+import type * as peerClient from '../rpc/peerClient';
+import type * as peerServer from '../rpc/peerServer';
+import * as pathMonitor from './pathMonitor';
+import * as relayClient from './relayClient';
+import * as relayPeers from './relayPeers';
+import type * as relayProtocol from './relayProtocol';
+import * as relayServer from './relayServer';
+import type * as livenessProbes from './livenessProbes';
+import type * as targetClient from './targetClient';
+
+export interface Dependencies {
+  settings: Pick<roleSettings.Settings, 'dataCentre' | 'secret' | 'source'>;
+  protocol: protocols.TrafficProtocol;
+  fleetState: Pick<fleetState.FleetState, 'registry'>;
+  client: peerClient.PeerClient;
+  targets: () => targetClient.TargetClient;
+  liveness: () => Pick<livenessProbes.LivenessProbes, 'isAlive'>;
+  /** Whether this entry serves and goes on running, apart from its paths. */
+  isServing: () => boolean;
+  observer: observer.Observer;
+  random: domain.shared.random.Random;
+}
+
+/** What an entry states to the leader. */
+export type Statement = Pick<messages.FollowRequest, 'isRelay' | 'isIsolated' | 'wantsRelays'>;
+
+/** Interval at which an entry asks the leader for entries that relay its messages, milliseconds. */
+const RELAYS_REFRESH_MS = 5_000;
+
+/**
+ * Time after the loss of all paths from which requests are refused at once while no other entry relays them,
+ * milliseconds: the relays have been asked by then.
+ */
+const UNSERVED_AFTER_MS = 500;
+
+export class Reachability {
+  readonly paths: pathMonitor.PathMonitor;
+
+  readonly peers: relayPeers.RelayPeers;
+
+  readonly relays: relayClient.RelayClient;
+
+  private readonly server: relayServer.RelayServer;
+
+  /** When the leader last named the entries that relay messages for this one. */
+  private relaysKnownAt = -Infinity;
+
+  constructor(private readonly dependencies: Dependencies) {
+    const { settings, protocol, client, observer: observe, random, targets } = dependencies;
+    const { dataCentre, secret, source } = settings;
+    this.peers = new relayPeers.RelayPeers({ client, dataCentre, now: clock.steady });
+    this.paths = new pathMonitor.PathMonitor({
+      fleetState: dependencies.fleetState,
+      observer: observe,
+      random,
+      now: clock.steady,
+      tryConnection: (target, address) => targets().tryConnection(target, address),
+      onLost: (lost) => lost.forEach((target) => targets().forget(target)),
+      onImpaired: () => {
+        void this.peers.refresh();
+      },
+    });
+    this.relays = new relayClient.RelayClient({
+      ...{ protocol, secret, source, observer: observe },
+      peers: this.peers,
+      scopesOf: (target) => this.paths.scopesOf(target),
+    });
+    this.server = new relayServer.RelayServer({
+      targets: { sendDirectly: (message, handler) => targets().sendDirectly(message, handler) },
+      isReady: () => this.isRelay,
+      isLost: (target) => this.paths.isLost(target),
+      lostScopes: () => this.paths.lostScopes,
+      observer: observe,
+    });
+  }
+
+  /** Registers the calls of other entries, and the connections on which they hand over messages. */
+  serve(server: peerServer.PeerServer): void {
+    server.add('relayStatus', () => this.server.status);
+    server.add('reach', (request) => this.reach(request as relayProtocol.ReachRequest));
+    server.serveHttp(this.server.server);
+  }
+
+  start(): void {
+    this.paths.start();
+  }
+
+  stop(): void {
+    this.paths.stop();
+    this.relays.close();
+  }
+
+  /** Number of messages of other entries that are being sent. */
+  get relayedMessages(): number {
+    return this.server.active;
+  }
+
+  /** Whether this entry has reached no target for a while, directly or by way of another entry. */
+  get isCutOff(): boolean {
+    return this.paths.isolatedMs > UNSERVED_AFTER_MS && !this.peers.isAvailable;
+  }
+
+  get statement(): Statement {
+    const { isIsolated } = this.paths;
+    const isOld = clock.steady() - this.relaysKnownAt > RELAYS_REFRESH_MS;
+    return { isRelay: this.isRelay, isIsolated, wantsRelays: isOld || isIsolated };
+  }
+
+  /** Applies the relays that the leader named. */
+  applyRelays(relays: readonly messages.Relay[]): void {
+    this.peers.replace(relays);
+    if (relays.length > 0) this.relaysKnownAt = clock.steady();
+  }
+
+  gauges(): Record<string, number> {
+    return {
+      isolated: this.paths.isIsolated ? 1 : 0,
+      lostTargets: this.paths.lostTargets,
+      relays: this.peers.size,
+      relayedMessages: this.relayedMessages,
+    };
+  }
+
+  /** Whether this entry sends messages of others to targets. */
+  private get isRelay(): boolean {
+    return this.dependencies.isServing() && !this.paths.isIsolated;
+  }
+
+  /** Whether a target responds to this VM; left open if this VM's own path to it is lost. */
+  private async reach({
+    target,
+    address,
+  }: relayProtocol.ReachRequest): Promise<relayProtocol.ReachAnswer> {
+    if (this.paths.isLost(target)) return {};
+    const isAlive = await this.dependencies.liveness().isAlive(target, address);
+    return !isAlive && this.paths.isLost(target) ? {} : { isAlive };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/relayDispatch.ts
@@ -0,0 +1,101 @@
+/** Carries an attempt by way of another entry, as the handler of an undici dispatch to that entry. */
+import type * as undici from 'undici';
+import type * as protocols from '../edges/protocols';
+import type * as targetAttempt from './targetAttempt';
+import * as relayProtocol from './relayProtocol';
+
+/** The attempt is over, or it never reached its target and may go another way. */
+export type DispatchEnd =
+  { kind: 'over' } | Extract<relayProtocol.RelayResult, { kind: 'notSent' | 'refused' }>;
+
+export interface Options {
+  attempt: targetAttempt.Attempt;
+  /** Address of the relay. */
+  relay: string;
+  protocol: Pick<protocols.TrafficProtocol, 'responseMetadata'>;
+  onEnd: (end: DispatchEnd) => void;
+}
+
+export class RelayDispatch implements undici.Dispatcher.DispatchHandler {
+  private isStarted = false;
+
+  /** Whether the target's response has begun; otherwise the body is a `RelayResult`. */
+  private hasHead = false;
+
+  private readonly result: Buffer[] = [];
+
+  constructor(private readonly options: Options) {}
+
+  onRequestStart(controller: undici.Dispatcher.DispatchController): void {
+    const { attempt, relay } = this.options;
+    this.isStarted = true;
+    attempt.relay = relay;
+    attempt.started(controller);
+  }
+
+  onResponseStart(
+    _controller: undici.Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void {
+    const encoded = headers[relayProtocol.HEAD_HEADER];
+    if (status !== 200 || typeof encoded !== 'string') return;
+    this.hasHead = true;
+    const { attempt, protocol } = this.options;
+    const head = relayProtocol.decode<relayProtocol.RelayedHead>(encoded);
+    const facts = protocol.responseMetadata(head.status, relayProtocol.headersOf(head.raw));
+    attempt.answered({ ...head, facts });
+  }
+
+  onResponseData(_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.hasHead) this.options.attempt.data(chunk);
+    else this.result.push(chunk);
+  }
+
+  onResponseEnd(
+    _controller: undici.Dispatcher.DispatchController,
+    trailers: Record<string, string | string[] | undefined>,
+  ): void {
+    const { attempt, onEnd } = this.options;
+    if (!this.hasHead) {
+      this.endWithout(parseResult(Buffer.concat(this.result)));
+      return;
+    }
+    const isComplete = trailers?.[relayProtocol.END_TRAILER] === relayProtocol.COMPLETE;
+    attempt.finish(
+      isComplete ? { kind: 'complete' } : { kind: 'broken', detail: 'cut at the relay' },
+    );
+    onEnd({ kind: 'over' });
+  }
+
+  onResponseError(_controller: undici.Dispatcher.DispatchController, error: Error): void {
+    const detail = `relay: ${error.message}`;
+    this.endWithout({ kind: this.isStarted ? 'broken' : 'refused', detail });
+  }
+
+  private endWithout(result: relayProtocol.RelayResult): void {
+    const { attempt, onEnd } = this.options;
+    if (attempt.isOver) {
+      onEnd({ kind: 'over' });
+      return;
+    }
+    if (result.kind === 'broken') {
+      attempt.finish(result);
+      onEnd({ kind: 'over' });
+      return;
+    }
+    attempt.retracted();
+    onEnd(result);
+  }
+}
+
+/** A relay's result; anything else leaves open what became of the message. */
+function parseResult(body: Buffer): relayProtocol.RelayResult {
+  try {
+    const { kind, detail } = JSON.parse(body.toString()) as relayProtocol.RelayResult;
+    if (kind === 'notSent' || kind === 'refused') return { kind, detail: String(detail) };
+    return { kind: 'broken', detail: String(detail) };
+  } catch {
+    return { kind: 'broken', detail: 'unreadable result of the relay' };
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/relayPeers.ts
@@ -0,0 +1,180 @@
+/**
+ * The entries that relay messages for this one: a few that the leader names, some of this data centre and some of
+ * others. Their status is asked for only while paths are lost; the list is kept without a leader.
+ */
+import type * as domain from '@celerydrift/domain';
+import type * as messages from '../fleet/messages';
+import type * as peerClient from '../rpc/peerClient';
+import type * as relayProtocol from './relayProtocol';
+
+export interface Dependencies {
+  client: Pick<peerClient.PeerClient, 'call'>;
+  dataCentre: string;
+  now: () => number;
+}
+
+/** Timeout of a status call, milliseconds: ten round trips between data centres, and a busy entry. */
+const STATUS_TIMEOUT_MS = 150;
+
+/** A status is used for this long, milliseconds: two intervals between the calls. */
+const STATUS_VALID_MS = 700;
+
+/** A relay in another data centre is used once those of this one have so many more messages in flight. */
+const REMOTE_HANDICAP = 8;
+
+/** Number of relays that are asked about a target: two of them may have lost their paths as well. */
+const MAX_ASKED = 3;
+
+/** Timeout of a question about a target, milliseconds: a liveness probe and a round trip. */
+const REACH_TIMEOUT_MS = 350;
+
+type Scope = domain.reachability.targetPaths.Scope;
+
+/** Which relays a message may go to. */
+export interface Restriction {
+  /** Addresses of relays that were tried. */
+  excluded?: readonly string[];
+  /** Scopes of its target; a relay that has lost one of them can't reach it. */
+  scopes?: readonly Scope[];
+}
+
+interface Peer extends messages.Relay {
+  status: relayProtocol.RelayStatus;
+  /** When the status was received. */
+  at: number;
+  /** Messages in flight from this entry. */
+  inFlight: number;
+}
+
+export class RelayPeers {
+  private peers = new Map<string, Peer>();
+
+  private refreshing: Promise<void> | undefined;
+
+  constructor(private readonly dependencies: Dependencies) {}
+
+  /** Replaces the list; an empty one is ignored, as the leader may not know all entries yet. */
+  replace(relays: readonly messages.Relay[]): void {
+    if (relays.length === 0) return;
+    const known = this.peers;
+    const unasked = { status: { isReady: false, active: 0, lost: [] }, at: -Infinity, inFlight: 0 };
+    this.peers = new Map(
+      relays.map((relay) => [relay.address, known.get(relay.address) ?? { ...unasked, ...relay }]),
+    );
+  }
+
+  get size(): number {
+    return this.peers.size;
+  }
+
+  /** Whether a relay that was asked lately is ready. */
+  get isAvailable(): boolean {
+    return this.ready().length > 0;
+  }
+
+  /** Whether a relay answered lately that it relays messages. */
+  isReady(address: string): boolean {
+    return this.ready().some((peer) => peer.address === address);
+  }
+
+  /** Address of the ready relay with the fewest messages, asking them all if none is known to be ready. */
+  async choose(restriction: Restriction = {}): Promise<string | undefined> {
+    return (await this.candidates(restriction)).at(0)?.address;
+  }
+
+  /** Asks all relays for their status; calls made meanwhile share one round. */
+  refresh(): Promise<void> {
+    this.refreshing ??= this.askAll().finally(() => {
+      this.refreshing = undefined;
+    });
+    return this.refreshing;
+  }
+
+  /** Counts a message that a relay got; the result is to be called when it is over. */
+  begin(address: string): () => void {
+    const peer = this.peers.get(address);
+    if (peer !== undefined) peer.inFlight += 1;
+    return () => {
+      if (peer !== undefined) peer.inFlight -= 1;
+    };
+  }
+
+  /** A relay took no message: it isn't used until it answers again. */
+  failed(address: string): void {
+    const peer = this.peers.get(address);
+    if (peer !== undefined) peer.at = -Infinity;
+  }
+
+  /**
+   * Whether a target responds to another entry; undefined if none can tell. Several are asked, as one that hasn't noticed
+   * yet that it lost its own paths takes every target for dead.
+   */
+  async reach(
+    request: relayProtocol.ReachRequest,
+    scopes: readonly Scope[],
+  ): Promise<boolean | undefined> {
+    const asked = (await this.candidates({ scopes })).slice(0, MAX_ASKED);
+    const answers = asked.map(({ address }) => this.askAbout(address, request));
+    const found = answers.map(async (answer) => {
+      if ((await answer) !== true) throw new Error('not reached');
+    });
+    const isReached = await Promise.any(found).then(
+      () => true,
+      () => false,
+    );
+    if (isReached) return true;
+    return (await Promise.all(answers)).includes(false) ? false : undefined;
+  }
+
+  private async askAbout(
+    address: string,
+    request: relayProtocol.ReachRequest,
+  ): Promise<boolean | undefined> {
+    const options = { timeoutMs: REACH_TIMEOUT_MS, toleratesDelay: true };
+    const answer = await this.dependencies.client.call<relayProtocol.ReachAnswer>(
+      address,
+      'reach',
+      request,
+      options,
+    );
+    return answer.ok ? answer.val.isAlive : undefined;
+  }
+
+  /** The ready relays, the least loaded first. */
+  private async candidates(restriction: Restriction): Promise<Peer[]> {
+    if (this.ready(restriction).length === 0) await this.refresh();
+    const { dataCentre } = this.dependencies;
+    const loadOf = (peer: Peer): number => {
+      const handicap = peer.dataCentre === dataCentre ? 0 : REMOTE_HANDICAP;
+      return Math.max(peer.inFlight, peer.status.active) + handicap;
+    };
+    return this.ready(restriction).sort((a, b) => loadOf(a) - loadOf(b));
+  }
+
+  /** Resolves once one is ready or all have answered. */
+  private async askAll(): Promise<void> {
+    const asked = [...this.peers.values()].map(async (peer) => {
+      const answer = await this.dependencies.client.call<relayProtocol.RelayStatus>(
+        peer.address,
+        'relayStatus',
+        {},
+        { timeoutMs: STATUS_TIMEOUT_MS, toleratesDelay: true },
+      );
+      if (answer.err || !answer.val.isReady) {
+        this.failed(peer.address);
+        throw new Error('not ready');
+      }
+      Object.assign(peer, { status: answer.val, at: this.dependencies.now() });
+    });
+    await Promise.any(asked).catch(() => undefined);
+  }
+
+  private ready({ excluded = [], scopes = [] }: Restriction = {}): Peer[] {
+    const now = this.dependencies.now();
+    return [...this.peers.values()].filter(({ address, status, at }) => {
+      const isKnown = status.isReady && now - at <= STATUS_VALID_MS;
+      const isCut = scopes.some((scope) => status.lost.includes(scope));
+      return isKnown && !isCut && !excluded.includes(address);
+    });
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/relayProtocol.ts
@@ -0,0 +1,77 @@
+/**
+ * How an entry hands a message to another entry that reaches its target: an HTTP request on an authenticated connection
+ * between them. The message's head is in a header and its body in the request's body. The response has the head of the
+ * target's response in a header, its body, and a trailer that says whether it is complete; or, without such a head, how
+ * the attempt ended.
+ */
+import type * as domain from '@celerydrift/domain';
+import * as msgpackr from 'msgpackr';
+import type * as targetClient from './targetClient';
+
+export const RELAY_PATH = '/messages';
+
+export const MESSAGE_HEADER = 'x-message';
+
+export const HEAD_HEADER = 'x-response-head';
+
+export const END_TRAILER = 'x-end';
+
+/** Value of the trailer of a response that the target completed. */
+export const COMPLETE = 'complete';
+
+/** A message without its body. */
+export type MessageHead = Omit<targetClient.TargetMessage, 'body' | 'currentHeaders'>;
+
+/** The head of a target's response; the receiver derives the rest. */
+export type RelayedHead = Pick<targetClient.ResponseHead, 'status' | 'raw'>;
+
+/** How an attempt ended without a response of the target. */
+export type RelayResult =
+  /** The relay couldn't connect to the target either. */
+  | { kind: 'notSent'; detail: string }
+  /** The relay doesn't take the message; another one may. */
+  | { kind: 'refused'; detail: string }
+  /** The target may have run it. */
+  | { kind: 'broken'; detail: string };
+
+/** `relayStatus`: asks an entry whether it would relay messages. */
+export interface RelayStatus {
+  isReady: boolean;
+  /** Messages that it is relaying. */
+  active: number;
+  /** Scopes of targets that it doesn't reach itself. */
+  lost: readonly domain.reachability.targetPaths.Scope[];
+}
+
+/** `reach`: asks an entry whether a target responds to it. */
+export interface ReachRequest {
+  target: string;
+  address: string;
+}
+
+export interface ReachAnswer {
+  /** Absent if the entry can't tell. */
+  isAlive?: boolean;
+}
+
+const packr = new msgpackr.Packr({ useRecords: false });
+
+export function encode(value: MessageHead | RelayedHead): string {
+  return packr.pack(value).toString('base64');
+}
+
+/** @throws Error when the text isn't an encoded value */
+export function decode<T>(text: string): T {
+  return packr.unpack(Buffer.from(text, 'base64')) as T;
+}
+
+/** The headers of a response by lower-case name; a repeated one as a list. */
+export function headersOf(raw: readonly string[]): Record<string, string | string[]> {
+  const headers: Record<string, string | string[]> = {};
+  for (let i = 0; i + 1 < raw.length; i += 2) {
+    const name = raw[i].toLowerCase();
+    const earlier = headers[name];
+    headers[name] = earlier === undefined ? raw[i + 1] : [earlier, raw[i + 1]].flat();
+  }
+  return headers;
+}
--- /dev/null
+++ b/packages/daemon/src/entry/relayServer.ts
@@ -0,0 +1,172 @@
+/**
+ * Sends messages of other entries to targets that these can't reach. The gate of this entry admits them like its own,
+ * for the target sees them come from this VM; what the other entry's gate decides isn't decided again.
+ */
+import * as http from 'node:http';
+import type * as observer from '../observability/observer';
+import type * as targetAttempt from './targetAttempt';
+import * as relayProtocol from './relayProtocol';
+import type * as targetClient from './targetClient';
+
+export interface Dependencies {
+  targets: Pick<targetClient.TargetClient, 'sendDirectly'>;
+  /** Whether this entry reaches targets and goes on running. */
+  isReady: () => boolean;
+  /** Whether this entry's own path to a target is lost. */
+  isLost: (target: string) => boolean;
+  /** Scopes of targets that this entry doesn't reach. */
+  lostScopes: () => relayProtocol.RelayStatus['lost'];
+  observer: observer.Observer;
+}
+
+/** Longest head of a message, bytes; a caller's head, encoded. */
+const MAX_HEADER_BYTES = 262_144;
+
+/** Most bytes of messages and of responses that wait for their receivers, in total. */
+const MAX_HELD_BYTES = 16 * 1024 * 1024;
+
+/** An idle connection of another entry is closed after this time, milliseconds; longer than the entry keeps it. */
+const IDLE_TIMEOUT_MS = 8_000;
+
+const PATH_LOST: relayProtocol.RelayResult = {
+  kind: 'refused',
+  detail: "the relay's own path to the target is lost",
+};
+
+export class RelayServer {
+  /** Serves the connections that the peers' listener hands over. */
+  readonly server: http.Server;
+
+  private activeMessages = 0;
+
+  private heldBytes = 0;
+
+  constructor(private readonly dependencies: Dependencies) {
+    this.server = http.createServer(
+      { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, keepAliveTimeout: IDLE_TIMEOUT_MS },
+      (request, response) => {
+        void this.handle(request, response);
+      },
+    );
+  }
+
+  get active(): number {
+    return this.activeMessages;
+  }
+
+  get status(): relayProtocol.RelayStatus {
+    const { isReady, activeMessages: active } = this;
+    return { isReady, active, lost: this.dependencies.lostScopes() };
+  }
+
+  private get isReady(): boolean {
+    return this.dependencies.isReady() && this.heldBytes < MAX_HELD_BYTES;
+  }
+
+  private async handle(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    request.on('error', () => undefined);
+    response.on('error', () => undefined);
+    if (!this.isReady) {
+      this.end(response, { kind: 'refused', detail: 'relay not ready' });
+      return;
+    }
+    this.activeMessages += 1;
+    response.once('close', () => {
+      this.activeMessages -= 1;
+    });
+    const body = await this.read(request);
+    if (body === undefined) return;
+    response.once('close', () => {
+      this.heldBytes -= body.length;
+    });
+    const head = messageOf(request);
+    if (head === undefined) this.end(response, { kind: 'refused', detail: 'unreadable message' });
+    else if (this.dependencies.isLost(head.target)) this.end(response, PATH_LOST);
+    else await this.relay({ ...head, body }, response);
+  }
+
+  /** The whole body, counted as held; undefined if the other entry cancelled. */
+  private async read(request: http.IncomingMessage): Promise<Buffer | undefined> {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    const isWhole = await new Promise<boolean>((resolve) => {
+      request.on('data', (chunk: Buffer) => {
+        chunks.push(chunk);
+        length += chunk.length;
+        this.heldBytes += chunk.length;
+      });
+      request.once('end', () => resolve(true));
+      request.once('close', () => resolve(false));
+    });
+    if (isWhole) return Buffer.concat(chunks);
+    this.heldBytes -= length;
+    return undefined;
+  }
+
+  private async relay(
+    message: targetClient.TargetMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const { targets, observer: observe } = this.dependencies;
+    observe.count(`relay.served.${message.purpose}`);
+    const attempt = targets.sendDirectly(message, {
+      onHead: ({ status, raw }) => {
+        const head = relayProtocol.encode({ status, raw });
+        response.writeHead(200, {
+          [relayProtocol.HEAD_HEADER]: head,
+          Trailer: relayProtocol.END_TRAILER,
+        });
+        response.flushHeaders();
+      },
+      onData: (chunk) => this.forward(chunk, response, attempt),
+    });
+    response.once('close', () => attempt.cancel());
+    const result = await attempt.result;
+    if (message.purpose === 'request') {
+      const { requestId: request, target } = message;
+      observe.log('messageRelayed', { request, target, outcome: result.kind });
+    }
+    // A target that only this entry doesn't reach may be reached by the next one.
+    const isOwnFault = result.kind === 'notSent' && this.dependencies.isLost(message.target);
+    if (isOwnFault) this.end(response, PATH_LOST);
+    else this.endWith(result, response);
+  }
+
+  private forward(
+    chunk: Buffer,
+    response: http.ServerResponse,
+    attempt: targetAttempt.Attempt,
+  ): void {
+    if (response.write(chunk)) return;
+    attempt.pause();
+    response.once('drain', () => attempt.resume());
+  }
+
+  private endWith(result: targetClient.SendResult, response: http.ServerResponse): void {
+    if (result.kind === 'complete') {
+      response.addTrailers({ [relayProtocol.END_TRAILER]: relayProtocol.COMPLETE });
+      response.end();
+    } else if (response.headersSent || result.kind === 'cancelled') response.destroy();
+    else if (result.kind === 'withheld')
+      this.end(response, { kind: 'refused', detail: 'target unavailable to the relay' });
+    else this.end(response, { kind: result.kind, detail: result.detail });
+  }
+
+  private end(response: http.ServerResponse, result: relayProtocol.RelayResult): void {
+    const body = JSON.stringify(result);
+    response.writeHead(503, { 'Content-Length': Buffer.byteLength(body) });
+    response.end(body);
+  }
+}
+
+function messageOf(request: http.IncomingMessage): relayProtocol.MessageHead | undefined {
+  try {
+    const encoded = String(request.headers[relayProtocol.MESSAGE_HEADER]);
+    return relayProtocol.decode<relayProtocol.MessageHead>(encoded);
+  } catch {
+    return undefined;
+  }
+}
--- /dev/null
+++ b/packages/daemon/src/entry/targetAttempt.ts
@@ -0,0 +1,103 @@
+/**
+ * One attempt to deliver a message to a target, whichever way it goes. The dispatch that carries it reports here what
+ * happened; `cancel` ends that dispatch, which also stops the target's work.
+ */
+import type * as targetClient from './targetClient';
+
+/** What an attempt needs of the dispatch that carries it. */
+export interface Carrier {
+  abort: (reason: Error) => void;
+  pause: () => void;
+  resume: () => void;
+}
+
+export class Attempt {
+  readonly result: Promise<targetClient.SendResult>;
+
+  private settle!: (result: targetClient.SendResult) => void;
+
+  private carrier: Carrier | undefined;
+
+  private cancelled = false;
+
+  private isSettled = false;
+
+  /** Whether the head of the target's response arrived. */
+  wasAnswered = false;
+
+  /** Address of the VM that relays the message; undefined for a direct connection. */
+  relay: string | undefined;
+
+  /** `callbacks` is undefined if the message is withheld. */
+  constructor(
+    private readonly handler: targetClient.ResponseHandler,
+    private readonly callbacks: targetClient.DeliveryCallbacks | undefined,
+  ) {
+    this.result = new Promise((resolve) => {
+      this.settle = resolve;
+    });
+    if (callbacks === undefined) this.finish({ kind: 'withheld' });
+  }
+
+  /** Whether the message was withheld because the target is unavailable to it. */
+  get isWithheld(): boolean {
+    return this.callbacks === undefined;
+  }
+
+  get isOver(): boolean {
+    return this.isSettled;
+  }
+
+  cancel(): void {
+    if (this.isSettled) return;
+    this.cancelled = true;
+    this.carrier?.abort(new Error('cancelled'));
+    this.finish({ kind: 'cancelled' });
+  }
+
+  /** Whether bytes of the request may have been written to the target. */
+  get wasSent(): boolean {
+    return this.carrier !== undefined;
+  }
+
+  pause(): void {
+    this.carrier?.pause();
+  }
+
+  resume(): void {
+    this.carrier?.resume();
+  }
+
+  /** From now on bytes of the request may reach the target. */
+  started(carrier: Carrier): void {
+    if (this.cancelled) {
+      carrier.abort(new Error('cancelled'));
+      return;
+    }
+    this.carrier = carrier;
+  }
+
+  /** The dispatch that had started ended before it wrote to the target; another one may follow. */
+  retracted(): void {
+    this.carrier = undefined;
+    this.relay = undefined;
+  }
+
+  answered(head: targetClient.ResponseHead): void {
+    if (this.isSettled) return;
+    this.wasAnswered = true;
+    this.callbacks?.answered(head);
+    this.handler.onHead(head);
+  }
+
+  data(chunk: Buffer): void {
+    if (!this.isSettled) this.handler.onData(chunk);
+  }
+
+  finish(result: targetClient.SendResult): void {
+    if (this.isSettled) return;
+    this.isSettled = true;
+    this.callbacks?.ended();
+    this.settle(result);
+  }
+}
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -1,12 +1,16 @@
 /**
  * HTTP client for targets, built on undici. Each lifetime of a target has its own connection pool, so a restarted
  * target never gets a connection of its predecessor. A request whose first byte was never written is known not to
- * have run.
+ * have run. Where this VM's path to a target is lost, the message goes by way of another entry.
  */
-import * as fs from 'node:fs';
 import * as net from 'node:net';
 import * as undici from 'undici';
 import type * as protocols from '../edges/protocols';
+import * as targetAttempt from './targetAttempt';
+import * as connectionTracker from './connectionTracker';
+import * as directDispatch from './directDispatch';
+import type * as pathMonitor from './pathMonitor';
+import type * as relayClient from './relayClient';
 
 /** Status and headers of a target's response. */
 export interface ResponseHead {
@@ -25,8 +29,10 @@
 /** How an attempt ended. */
 export type SendResult =
   | { kind: 'complete' }
-  /** No byte was written: the target can't have run it. */
-  | { kind: 'notSent'; detail: string }
+  /**
+   * No byte was written: the target can't have run it. `isConfirmed` if another VM couldn't connect to it either.
+   */
+  | { kind: 'notSent'; detail: string; isConfirmed?: boolean }
   /** Nothing was sent, because the target is unavailable to such messages. */
   | { kind: 'withheld' }
   /** Bytes were written, but no complete response arrived. */
@@ -51,6 +57,8 @@
   method: string;
   path: string;
   headers: string[];
+  /** The headers as they would be now, for a message that is sent again later; absent if they don't depend on time. */
+  currentHeaders?: () => string[];
   body: Buffer;
 }
 
@@ -64,20 +72,26 @@
 
 /** Admits or withholds each message to a target, and is notified of each response. */
 export interface AdmissionGate {
-  /** Undefined if the message is withheld. */
-  admit(message: TargetMessage): DeliveryCallbacks | undefined;
+  /**
+   * Undefined if the message is withheld. `isRelayed` for a message of another entry, whose own gate has admitted it.
+   */
+  admit(message: TargetMessage, isRelayed?: boolean): DeliveryCallbacks | undefined;
 }
 
-/** Opens a TCP connection. */
-export type SocketOpener = (endpoint: net.TcpNetConnectOpts) => net.Socket;
-
 export interface Dependencies {
   protocol: Pick<protocols.TrafficProtocol, 'responseMetadata'>;
   gate: AdmissionGate;
   /** Opens connections to targets; `net.connect` by default. */
-  openSocket?: SocketOpener;
+  openSocket?: connectionTracker.SocketOpener;
   /** IP address that connections come from; undefined where the operating system chooses. */
   source?: string;
+  /** Judges which paths are lost; without it all messages are sent directly. */
+  paths?: Pick<
+    pathMonitor.PathMonitor,
+    'connected' | 'failed' | 'responded' | 'reachedElsewhere' | 'isLost'
+  >;
+  /** Sends messages by way of other entries. */
+  relays?: Pick<relayClient.RelayClient, 'deliver'>;
 }
 
 /** Result of a call that this daemon originates; `silent` if no complete response arrived in time. */
@@ -86,217 +100,38 @@
   | { kind: 'silent' }
   | { kind: 'withheld' };
 
-/**
- * Connect timeout, milliseconds. A one-way trip takes a few; a lost SYN is sent again after a second, too late to wait
- * for. Nothing was sent by then, so even an unsafe request may go to another target.
- */
-const CONNECT_TIMEOUT_MS = 250;
-
 /** An idle connection is closed this long before the target would close it, milliseconds. */
 const IDLE_TIMEOUT_MARGIN_MS = 500;
 
 /** How long an idle connection is kept if the target doesn't announce a timeout, milliseconds. */
 const IDLE_TIMEOUT_MS = 4_000;
 
-/** Event of a connection whose listeners are running right now. */
-type ConnectionEvent = 'none' | 'closedByTarget' | 'reset';
-
-/**
- * Whether a connection that appears to have been closed cleanly was reset. When data and a reset arrive together, libuv
- * reads the data and reports an end without reading again. The reset stays pending in the socket, and one more read
- * returns it; after a clean close that read returns no bytes.
- */
-function wasReset(socket: net.Socket): boolean {
-  // There is no public API for the descriptor. A socket without one is closed already and can't prove a clean close.
-  const { _handle: handle } = socket as unknown as { _handle?: { fd?: number } | null };
-  if (handle?.fd === undefined || handle.fd < 0) return true;
-  try {
-    return fs.readSync(handle.fd, Buffer.alloc(1)) > 0;
-  } catch {
-    return true;
-  }
-}
-
-/**
- * Records how a connection ended before undici handles the event. undici treats a response with `Connection: close` as
- * complete when its connection ends, even if the connection was reset or a chunked body lacks its last chunk. A caller
- * would get a truncated response that looks complete.
- */
-class ConnectionTracker {
-  private event: ConnectionEvent = 'none';
-
-  constructor(
-    private readonly localAddress: string | undefined,
-    private readonly openSocket: SocketOpener,
-  ) {}
-
-  get current(): ConnectionEvent {
-    return this.event;
-  }
-
-  readonly connect = (
-    options: { hostname: string; port: string },
-    callback: (error: Error | null, socket: net.Socket | null) => void,
-  ): void => {
-    const { hostname, port } = options;
-    const socket = this.openSocket({
-      host: hostname,
-      port: Number(port),
-      localAddress: this.localAddress,
-      noDelay: true,
-    });
-    const fail = (error: Error): void => {
-      clearTimeout(timer);
-      socket.destroy();
-      callback(error, null);
-    };
-    const timer = setTimeout(() => fail(new Error('connect timeout')), CONNECT_TIMEOUT_MS);
-    socket.once('error', fail);
-    socket.once('connect', () => {
-      clearTimeout(timer);
-      socket.off('error', fail);
-      socket.on('error', () => this.record('reset'));
-      socket.on('end', () => this.record(wasReset(socket) ? 'reset' : 'closedByTarget'));
-      callback(null, socket);
-    });
-  };
-
-  /** Listeners run in the order in which they were added, all before the next microtask. */
-  private record(event: ConnectionEvent): void {
-    this.event = event;
-    queueMicrotask(() => {
-      this.event = 'none';
-    });
-  }
-}
-
-/** One attempt to send a message; `cancel` closes its connection, which also stops the target's work. */
-export class Attempt implements undici.Dispatcher.DispatchHandler {
-  readonly result: Promise<SendResult>;
-
-  private settle!: (result: SendResult) => void;
-
-  private controller: undici.Dispatcher.DispatchController | undefined;
-
-  private cancelled = false;
-
-  private isSettled = false;
-
-  private isChunked = false;
-
-  /** `callbacks` is undefined if the message is withheld. */
-  constructor(
-    private readonly handler: ResponseHandler,
-    private readonly connections: ConnectionTracker,
-    private readonly protocol: Dependencies['protocol'],
-    private readonly callbacks: DeliveryCallbacks | undefined,
-  ) {
-    this.result = new Promise((resolve) => {
-      this.settle = resolve;
-    });
-    if (callbacks === undefined) this.finish({ kind: 'withheld' });
-  }
-
-  /** Whether the message was withheld because the target is unavailable to it. */
-  get isWithheld(): boolean {
-    return this.callbacks === undefined;
-  }
-
-  cancel(): void {
-    if (this.isSettled) return;
-    this.cancelled = true;
-    this.controller?.abort(new Error('cancelled'));
-    this.finish({ kind: 'cancelled' });
-  }
-
-  /** Whether bytes of the request may have been written. */
-  get wasSent(): boolean {
-    return this.controller !== undefined;
-  }
-
-  pause(): void {
-    this.controller?.pause();
-  }
-
-  resume(): void {
-    this.controller?.resume();
-  }
-
-  onRequestStart(controller: undici.Dispatcher.DispatchController): void {
-    if (this.cancelled) {
-      controller.abort(new Error('cancelled'));
-      return;
-    }
-    this.controller = controller;
-  }
-
-  onResponseStart(
-    controller: undici.Dispatcher.DispatchController,
-    status: number,
-    headers: Record<string, string | string[] | undefined>,
-  ): void {
-    if (this.isSettled || status < 200) return;
-    this.isChunked = headers['transfer-encoding'] !== undefined;
-    const raw = ((controller.rawHeaders ?? []) as (Buffer | string)[]).map((part) =>
-      part.toString('latin1'),
-    );
-    const head = { status, raw, facts: this.protocol.responseMetadata(status, headers) };
-    this.callbacks?.answered(head);
-    this.handler.onHead(head);
-  }
-
-  onResponseData(_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
-    if (!this.isSettled) this.handler.onData(chunk);
-  }
-
-  onResponseEnd(): void {
-    const { current } = this.connections;
-    const isCut = current === 'reset' || (current === 'closedByTarget' && this.isChunked);
-    this.finish(isCut ? { kind: 'broken', detail: `${current} midway` } : { kind: 'complete' });
-  }
-
-  onResponseError(_controller: undici.Dispatcher.DispatchController, error: Error): void {
-    const { code = '' } = error as { code?: string };
-    const detail = `${code} ${error.message}`.trim();
-    this.finish(this.wasSent ? { kind: 'broken', detail } : { kind: 'notSent', detail });
-  }
-
-  private finish(result: SendResult): void {
-    if (this.isSettled) return;
-    this.isSettled = true;
-    this.callbacks?.ended();
-    this.settle(result);
-  }
-}
-
 export class TargetClient {
   private readonly pools = new Map<string, undici.Pool>();
 
-  private readonly connections: ConnectionTracker;
+  private readonly connections: connectionTracker.ConnectionTracker;
 
   constructor(private readonly dependencies: Dependencies) {
-    this.connections = new ConnectionTracker(
-      dependencies.source,
-      dependencies.openSocket ?? net.connect,
-    );
+    const { source, openSocket = net.connect, paths } = dependencies;
+    this.connections = new connectionTracker.ConnectionTracker(source, openSocket, paths);
   }
 
-  send(message: TargetMessage, handler: ResponseHandler): Attempt {
-    const { protocol, gate } = this.dependencies;
-    const { target, address, method, path, headers, body } = message;
-    const attempt = new Attempt(handler, this.connections, protocol, gate.admit(message));
+  /** Sends a message directly, or by way of another entry if the path to its target is lost. */
+  send(message: TargetMessage, handler: ResponseHandler): targetAttempt.Attempt {
+    const { gate, paths, relays } = this.dependencies;
+    const attempt = new targetAttempt.Attempt(handler, gate.admit(message));
     if (attempt.isWithheld) return attempt;
-    this.pool(target, address).dispatch(
-      {
-        method,
-        path,
-        headers,
-        body: body.length === 0 ? null : body,
-        headersTimeout: 0,
-        bodyTimeout: 0,
-      },
-      attempt,
-    );
+    if (relays !== undefined && paths?.isLost(message.target) === true) {
+      void this.relay(message, attempt, (detail) => this.dispatchLast(message, attempt, detail));
+    } else this.dispatch(message, attempt, (detail) => this.sendAround(message, attempt, detail));
+    return attempt;
+  }
+
+  /** Sends a message of another entry, directly in any case. */
+  sendDirectly(message: TargetMessage, handler: ResponseHandler): targetAttempt.Attempt {
+    const attempt = new targetAttempt.Attempt(handler, this.dependencies.gate.admit(message, true));
+    if (attempt.isWithheld) return attempt;
+    this.dispatch(message, attempt, (detail) => attempt.finish({ kind: 'notSent', detail }));
     return attempt;
   }
 
@@ -339,11 +174,74 @@
     this.pools.clear();
   }
 
+  /** Opens a connection to a target and closes it at once, to see whether there is a path. */
+  tryConnection(target: string, address: string): void {
+    const [hostname, port] = address.split(':');
+    this.connections.connectorFor(target)({ hostname, port }, (_error, socket) => {
+      socket?.destroy();
+    });
+  }
+
+  private dispatch(
+    { target, address, method, path, headers, body, currentHeaders }: TargetMessage,
+    attempt: targetAttempt.Attempt,
+    onUnreachable: (detail: string) => void,
+  ): void {
+    const { connections } = this;
+    const { protocol, paths } = this.dependencies;
+    this.pool(target, address).dispatch(
+      {
+        method,
+        path,
+        headers: currentHeaders?.() ?? headers,
+        body: body.length === 0 ? null : body,
+        headersTimeout: 0,
+        bodyTimeout: 0,
+      },
+      new directDispatch.DirectDispatch({ attempt, connections, protocol, paths, onUnreachable }),
+    );
+  }
+
+  /** No connection could be made; if that is this VM's fault, the message goes by way of another entry. */
+  private sendAround(message: TargetMessage, attempt: targetAttempt.Attempt, detail: string): void {
+    const { paths, relays } = this.dependencies;
+    const fail = (): void => attempt.finish({ kind: 'notSent', detail });
+    if (relays === undefined || paths?.isLost(message.target) !== true) fail();
+    else void this.relay(message, attempt, fail);
+  }
+
+  /** No entry relays the message; a direct connection is the last resort. */
+  private dispatchLast(
+    message: TargetMessage,
+    attempt: targetAttempt.Attempt,
+    detail: string,
+  ): void {
+    this.dispatch(message, attempt, (directDetail) => {
+      attempt.finish({ kind: 'notSent', detail: `${directDetail}; ${detail}` });
+    });
+  }
+
+  private async relay(
+    message: TargetMessage,
+    attempt: targetAttempt.Attempt,
+    onUnavailable: (detail: string) => void,
+  ): Promise<void> {
+    const { paths, relays } = this.dependencies;
+    const end = await relays?.deliver(message, attempt);
+    if (end === undefined || end.kind === 'over') {
+      if (attempt.wasAnswered) paths?.reachedElsewhere(message.target);
+      return;
+    }
+    const { kind, detail } = end;
+    if (kind === 'notSent') attempt.finish({ kind, detail, isConfirmed: true });
+    else if (!attempt.isOver) onUnavailable(detail);
+  }
+
   private pool(target: string, address: string): undici.Pool {
     const existing = this.pools.get(target);
     if (existing !== undefined) return existing;
     const created = new undici.Pool(`http://${address}`, {
-      connect: this.connections.connect as unknown as undici.buildConnector.connector,
+      connect: this.connections.connectorFor(target) as unknown as undici.buildConnector.connector,
       pipelining: 1,
       allowH2: false,
       connections: null,
--- a/packages/daemon/src/entry/targetSelector.ts
+++ b/packages/daemon/src/entry/targetSelector.ts
@@ -182,6 +182,8 @@
 
   private finishedDispatches: messages.FinishedDispatches['dispatches'] = [];
 
+  private verdicts: messages.TargetVerdict[] = [];
+
   constructor(private readonly options: Options) {
     const { random, fleetState: state } = options;
     this.fallback = new domain.allocation.allocator.Allocator(random, undefined, state.limits);
@@ -559,16 +561,29 @@
     observed: DispatchObservations = {},
   ): void {
     this.running.delete(id);
-    if (this.finishedDispatches.length === 0) setTimeout(() => this.sendReports(), REPORT_BATCH_MS);
+    this.scheduleReports();
     this.finishedDispatches.push({ id, ending: outcome, ...target, ...observed });
   }
 
+  /** Reports whether another VM reaches a target that a dispatch of this entry didn't reach. */
+  reportVerdict(target: string, isAlive: boolean): void {
+    this.scheduleReports();
+    this.verdicts.push({ ...this.dispatchTarget(target), isAlive });
+  }
+
+  private scheduleReports(): void {
+    const isScheduled = this.finishedDispatches.length > 0 || this.verdicts.length > 0;
+    if (!isScheduled) setTimeout(() => this.sendReports(), REPORT_BATCH_MS);
+  }
+
   private sendReports(): void {
     const dispatches = this.finishedDispatches.splice(0);
+    const verdicts = this.verdicts.splice(0);
     const { leader } = this.options.link;
     if (leader === '') return;
     this.options.client.notify(leader, 'ended', {
       dispatches,
+      ...(verdicts.length > 0 && { verdicts }),
     } satisfies messages.FinishedDispatches);
   }
 }
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -85,13 +85,17 @@
     return this.backOffs.size;
   }
 
-  admit(message: targetClient.TargetMessage): targetClient.DeliveryCallbacks | undefined {
+  admit(
+    message: targetClient.TargetMessage,
+    isRelayed = false,
+  ): targetClient.DeliveryCallbacks | undefined {
     const { now } = this.dependencies;
     const { target, purpose } = message;
     const evacuated = this.evacuatedOf(message);
     if (evacuated !== undefined) this.logEvacuated(message, evacuated);
     const isRefused = evacuated !== undefined || !this.accepts(target, purpose);
-    if (isRefused || !this.hasGrant(message)) {
+    // The entry that a relayed message comes from has used its grant.
+    if (isRefused || !(isRelayed || this.hasGrant(message))) {
       this.dependencies.observer.count(`messages.withheld.${purpose}`);
       return undefined;
     }
--- a/packages/daemon/src/fleet/leaderLink.ts
+++ b/packages/daemon/src/fleet/leaderLink.ts
@@ -24,6 +24,8 @@
   /** Returns the dispatches running here, for a new leader's allocator. */
   dispatches: () => messages.RunningDispatch[];
   onConfirmed: (answer: messages.Confirmation) => void;
+  /** Returns what an entry states about its paths to targets; absent for a keeper. */
+  reachability?: () => Pick<messages.FollowRequest, 'isRelay' | 'isIsolated' | 'wantsRelays'>;
 }
 
 type PollOutcome = 'confirmed' | 'failed';
@@ -252,6 +254,7 @@
       evacuationRevision: state.evacuations.revision,
       replica: replica(),
       dataCentre,
+      ...this.options.reachability?.(),
     };
   }
 
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -38,6 +38,12 @@
   limits: RateLimit[];
   /** Revision of the evacuations in force at the follower; absent from a daemon that doesn't know evacuations. */
   evacuationRevision?: number;
+  /** Whether an entry relays messages of others now; absent from a version that doesn't know relays. */
+  isRelay?: boolean;
+  /** Whether an entry has lost its paths to all targets. */
+  isIsolated?: boolean;
+  /** Whether the follower wants to know entries that relay its messages. */
+  wantsRelays?: boolean;
   /** Id of a keeper's replica, for a leader that may need it as a voter. */
   replica: string | undefined;
   dataCentre: string;
@@ -63,6 +69,8 @@
   lacksTargets: boolean;
   /** Average load per service, for an entry that loses the leader and then sees only its own dispatches. */
   crowding: domain.allocation.assumedLoad.AverageLoad[];
+  /** Entries that relay messages for the follower, if it asked. */
+  relays?: Relay[];
   /** The changes that the follower lacks. */
   news: FleetUpdate;
   /**
@@ -72,6 +80,13 @@
   evacuationReplicas?: string[];
 }
 
+/** An entry that sends messages of others to targets. */
+export interface Relay {
+  /** Peer address. */
+  address: string;
+  dataCentre: string;
+}
+
 /** The keeper that was asked doesn't lead; `leader` is empty if it knows none. */
 export interface Redirect {
   kind: 'redirect';
@@ -122,6 +137,8 @@
 
 /** `blame`: crashes of targets that ran an entry's requests. */
 export interface CrashReport {
+  /** The entry that reports; absent from an earlier version. */
+  entry?: string;
   ended: TargetCrash[];
 }
 
@@ -209,6 +226,15 @@
 /** `ended`: finished dispatches of an entry, collected for a short time and sent together. */
 export interface FinishedDispatches {
   dispatches: FinishedDispatch[];
+  /** What other VMs found out about targets that an earlier dispatch of this entry didn't reach. */
+  verdicts?: TargetVerdict[];
+}
+
+/** Whether a target that an entry didn't reach is up. */
+export interface TargetVerdict {
+  target: string;
+  bornAt?: number;
+  isAlive: boolean;
 }
 
 /**
--- a/packages/daemon/src/keeper/followers.ts
+++ b/packages/daemon/src/keeper/followers.ts
@@ -20,6 +20,8 @@
    * evacuations.
    */
   evacuationRevision: number | undefined;
+  /** Whether it is an entry that relays messages of others now. */
+  isRelay: boolean;
   polledAt: number;
 }
 
@@ -39,6 +41,9 @@
  */
 const PUSH_TIMEOUT_MS = 1_500;
 
+/** Number of relays of its own data centre that a follower is told of, and of others. */
+const RELAYS_PER_GROUP = 3;
+
 /** A push to one follower that isn't acknowledged yet, and what is queued behind it. */
 interface InFlightPush {
   hasQueued: boolean;
@@ -73,9 +78,11 @@
 
   recordPoll(request: messages.FollowRequest): void {
     const { name, role, address, dataCentre, replica, mark, evacuationRevision } = request;
+    const { isRelay = false } = request;
     const polledAt = this.now();
     const version = { mark, evacuationRevision };
-    this.byName.set(name, { name, role, address, dataCentre, replica, polledAt, ...version });
+    const state = { replica, isRelay, polledAt, ...version };
+    this.byName.set(name, { name, role, address, dataCentre, ...state });
   }
 
   has(name: string): boolean {
@@ -95,6 +102,29 @@
     return this.all().filter((each) => each.role === 'entry' && each.name < name).length;
   }
 
+  /**
+   * Entries that relay messages for a follower: some of its data centre and some of others, as a whole data centre may
+   * lose its paths at once. Neighbours by name get different ones, so that the load spreads.
+   */
+  relaysFor({ name, dataCentre }: Pick<Follower, 'name' | 'dataCentre'>): messages.Relay[] {
+    const relays = this.all()
+      .filter((each) => each.isRelay && each.name !== name)
+      .filter(({ polledAt }) => this.now() - polledAt < RECENT_POLL_MS)
+      .sort((a, b) => (a.name < b.name ? -1 : 1));
+    const rank = this.rankOf(name);
+    const pick = (candidates: readonly Follower[]): messages.Relay[] => {
+      const start = (rank * RELAYS_PER_GROUP) % Math.max(1, candidates.length);
+      const rotated = [...candidates.slice(start), ...candidates.slice(0, start)];
+      return rotated
+        .slice(0, RELAYS_PER_GROUP)
+        .map((each) => ({ address: each.address, dataCentre: each.dataCentre }));
+    };
+    return [
+      ...pick(relays.filter((each) => each.dataCentre === dataCentre)),
+      ...pick(relays.filter((each) => each.dataCentre !== dataCentre)),
+    ];
+  }
+
   get size(): number {
     return this.byName.size;
   }
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -259,6 +259,7 @@
       entryRank: knowsEntries ? this.followers.rankOf(follower.name) : undefined,
       lacksTargets: this.shouldSendRecords(follower.name),
       crowding: follower.role === 'entry' ? this.currentAverages() : [],
+      ...(follower.wantsRelays === true && { relays: this.followers.relaysFor(follower) }),
       news: this.updateFor(follower),
       ...(follower.role === 'keeper'
         ? { evacuationReplicas: this.evacuations.informedReplicas(members) }
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -84,6 +84,9 @@
   coldEnded: { number: 4121, level: 'info', text: 'rate limit of a cold target ended' },
   coldAnswered: { number: 4122, level: 'info', text: 'target answered that it is cold' },
   targetEjected: { number: 4123, level: 'info', text: 'target ejected after a failed dispatch' },
+  pathsLost: { number: 4124, level: 'warn', text: 'paths from this VM to targets lost' },
+  pathsRestored: { number: 4125, level: 'info', text: 'path from this VM to a target restored' },
+  targetVerdict: { number: 4126, level: 'info', text: 'another VM was asked about a target' },
   requestEnded: { number: 5001, level: 'info', text: 'request ended' },
   attemptFailed: { number: 5002, level: 'warn', text: 'attempt failed' },
   frameCrossed: { number: 5003, level: 'error', text: 'frame of another request dropped' },
@@ -112,6 +115,7 @@
   callerCut: { number: 5020, level: 'warn', text: 'slow caller cut to free memory' },
   overloadBegan: { number: 5021, level: 'warn', text: 'overload began; newest requests go first' },
   overloadEnded: { number: 5022, level: 'info', text: 'overload ended' },
+  messageRelayed: { number: 5023, level: 'info', text: 'request of another VM sent to a target' },
   claimUnknown: {
     number: 5101,
     level: 'warn',
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -13,6 +13,7 @@
 export * as pressure from './pressure';
 export * as quarantine from './quarantine';
 export * as rateLimits from './rateLimits';
+export * as reachability from './reachability';
 export * as registry from './registry';
 export * as replication from './replication';
 export * as request from './request';
--- /dev/null
+++ b/packages/domain/src/reachability/__tests__/targetPaths.test.ts
@@ -0,0 +1,98 @@
+/** Which failed connections point to lost paths of this VM, and which to targets that are down. */
+import * as chai from 'chai';
+import * as targetPaths from '../targetPaths';
+
+const { expect } = chai;
+
+/** Six engines and two plain targets in two data centres. */
+const TARGETS: targetPaths.Endpoint[] = [0, 1, 2, 3, 4, 5, 6, 7].map((i) => ({
+  id: `t${i}`,
+  service: i < 6 ? 'engines' : 'plain',
+  dataCentre: i % 2 === 0 ? 'east' : 'west',
+}));
+
+/** Targets that messages reach by way of another VM only. */
+function lostOf(paths: targetPaths.TargetPaths): string[] {
+  return TARGETS.filter((each) => paths.isLost(each)).map(({ id }) => id);
+}
+
+function failAll(paths: targetPaths.TargetPaths, ids: readonly number[], now: number): void {
+  ids.forEach((i) => paths.failed(TARGETS[i], now));
+}
+
+describe('paths to targets', () => {
+  let paths: targetPaths.TargetPaths;
+
+  beforeEach(() => {
+    paths = new targetPaths.TargetPaths(() => TARGETS);
+  });
+
+  /** Guards against a VM that takes a crashed target for a fault of its own paths. */
+  it('are not lost because one target fails', () => {
+    failAll(paths, [0, 0, 0], 10);
+    expect(lostOf(paths)).to.deep.equal([]);
+  });
+
+  /** Guards against engines that crash together and are taken for lost paths, although others accept connections. */
+  it('are not lost while others of the same scope accept connections between the failures', () => {
+    paths.failed(TARGETS[0], 10);
+    paths.connected(TARGETS[2], 11);
+    paths.failed(TARGETS[4], 12);
+    paths.connected(TARGETS[3], 13);
+    paths.failed(TARGETS[1], 14);
+    expect(lostOf(paths)).to.deep.equal([]);
+  });
+
+  /** Guards against a VM that goes on trying one target after the other although it reaches none. */
+  it('to all targets are lost once targets of each service fail', () => {
+    failAll(paths, [0, 1], 10);
+    expect(lostOf(paths)).to.deep.equal(['t0', 't1', 't2', 't3', 't4', 't5']);
+    expect(paths.isolatedSince).to.equal(undefined);
+    paths.failed(TARGETS[6], 20);
+    expect(paths.isolatedSince).to.equal(20);
+    expect(lostOf(paths)).to.have.length(TARGETS.length);
+  });
+
+  /** Guards against the targets of one data centre that take those of the others along. */
+  it('to one data centre leave the others direct', () => {
+    failAll(paths, [0, 2, 4], 10);
+    expect(lostOf(paths)).to.deep.equal(['t0', 't2', 't4']);
+  });
+
+  /** Guards against a path that is used again before a connection shows that it is back, or that stays unused after. */
+  it('are restored by a connection, for its scopes at once', () => {
+    failAll(paths, [0, 1, 6, 7], 10);
+    const changes = paths.connected(TARGETS[2], 5_000);
+    const scopes = changes.map(({ scope, change }) => `${scope} ${change}`);
+    expect(scopes).to.deep.equal(['all restored', 'engines restored']);
+    expect(lostOf(paths)).to.deep.equal(['t6', 't7']);
+  });
+
+  /** Guards against a target that a VM doesn't reach and keeps choosing, as all others reach it. */
+  it('to a single target are lost if another VM reaches it', () => {
+    paths.failed(TARGETS[0], 10);
+    paths.reachedElsewhere('t0', 12);
+    expect(lostOf(paths)).to.deep.equal(['t0']);
+    expect(paths.dueForProbe(3, 1_000, 500)).to.deep.equal([]);
+    expect(paths.dueForProbe(3, 1_000, 1_100)).to.deep.equal(['t0']);
+    paths.connected(TARGETS[0], 1_200);
+    expect(lostOf(paths)).to.deep.equal([]);
+  });
+
+  /** Guards against a scope that is lost and restored in turn while probes of known failures go on failing. */
+  it('are not lost again by probes of targets that failed before', () => {
+    failAll(paths, [0, 1], 10);
+    ['t0', 't1'].forEach((id) => paths.reachedElsewhere(id, 20));
+    paths.connected(TARGETS[2], 100);
+    failAll(paths, [0, 1], 1_200);
+    expect(lostOf(paths)).to.deep.equal(['t0', 't1']);
+  });
+
+  /** Guards against a service with a single target that can't be reached any other way. */
+  it('to the only target of a service are lost when it fails', () => {
+    const single = new targetPaths.TargetPaths(() => [TARGETS[0], TARGETS[6]]);
+    single.failed(TARGETS[6], 10);
+    expect(single.isLost(TARGETS[6])).to.equal(true);
+    expect(single.isLost(TARGETS[0])).to.equal(false);
+  });
+});
--- /dev/null
+++ b/packages/domain/src/reachability/index.ts
@@ -0,0 +1,1 @@
+export * as targetPaths from './targetPaths';
