--- a/packages/daemon/src/entry/__tests__/lifetimes.test.ts
+++ b/packages/daemon/src/entry/__tests__/lifetimes.test.ts
@@ -94,7 +94,7 @@
       fleetState: { quarantine, registry },
       link: { leader: '' },
       client: { call: () => Promise.reject(new Error('no leader')) },
-      liveness: { isAlive: async () => false },
+      liveness: { check: async () => 'dead' },
       observer: observe,
       now: clock.steady,
     });
--- a/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
@@ -33,7 +33,7 @@
           return Ok({ kind: 'taken', reports: [emptyReport] } as T);
         },
       },
-      liveness: { isAlive: async () => false },
+      liveness: { check: async () => 'dead' },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
@@ -72,7 +72,7 @@
           return Ok((method === 'permit' ? granted : { kind: 'taken' }) as T);
         },
       },
-      liveness: { isAlive: async () => true },
+      liveness: { check: async () => 'alive' },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
@@ -104,7 +104,7 @@
       client: {
         call: async <T>() => Ok({ kind: 'granted', endings: 0, target: undefined } as T),
       },
-      liveness: { isAlive: async () => true },
+      liveness: { check: async () => 'alive' },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -206,6 +206,7 @@
       link: this.link,
       client: this.client,
       liveness: this.liveness,
+      isPathLost: (target) => this.reachability.paths.isLost(target),
       observer: observe,
       now: clock.steady,
     });
--- a/packages/daemon/src/entry/quarantineClient.ts
+++ b/packages/daemon/src/entry/quarantineClient.ts
@@ -58,7 +58,9 @@
   /** Name of this entry. */
   name: string;
   fleetState: Pick<fleetState.FleetState, 'quarantine' | 'registry'>;
-  liveness: Pick<livenessProbes.LivenessProbes, 'isAlive'>;
+  liveness: Pick<livenessProbes.LivenessProbes, 'check'>;
+  /** Whether this VM has lost its path to a target, which then needn't have crashed. */
+  isPathLost?: (target: string) => boolean;
   observer: observer.Observer;
   now: () => number;
 }
@@ -203,7 +205,10 @@
     { target, address, bornAt, sentAt, isTrial }: SentRequest,
   ): Promise<void> {
     const { liveness: probes, observer: observe, fleetState: state, now } = this.dependencies;
-    if (await probes.isAlive(target, address)) return;
+    const verdict = await probes.check(target, address);
+    const isPathLost = this.dependencies.isPathLost?.(target) === true;
+    const hasCrashed = verdict === 'dead' || (verdict === 'unknown' && !isPathLost);
+    if (!hasCrashed) return;
     const record = state.registry.get(target);
     if (record?.bornAt === bornAt && hasStoppedItself(record)) return;
     const content = request.fingerprint();
@@ -224,7 +229,7 @@
     const ended = crashes.map(({ at, sentAt, ...each }) => {
       return { ...each, agoMs: now() - at, sentAgoMs: now() - sentAt };
     });
-    const blame: messages.CrashReport = { ended };
+    const blame: messages.CrashReport = { entry: this.dependencies.name, ended };
     const answer = await leaderCall.call<messages.CrashReportAnswer>(
       this.dependencies,
       'blame',
