Weigh reports of failed dispatches by the standing of their entry

Entries that had kept their paths were refused during the incident while most slots were free.

The leader now discounts path failures of an entry that says that it reaches no target, or that sees several targets fail in a row while another entry succeeds; each reporter is judged alone, so a majority without paths is discounted as well. Entries ask another VM about a target that they failed to reach, and its verdict undoes the ejection or confirms it. Crash reports of a doubted entry change nothing.

--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -299,7 +299,7 @@
     const { suspects } = this.leadership;
     server.add('blame', (content): messages.CrashReportAnswer => {
       if (!this.host.isLeader) return this.redirect();
-      return { kind: 'taken', reports: suspects.blame(content as messages.CrashReport) };
+      return { kind: 'taken', reports: this.leadership.blame(content as messages.CrashReport) };
     });
     server.add('permit', (request): messages.PermitAnswer => {
       return this.host.isLeader
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -89,6 +89,8 @@
 
   private readonly cold: coldCoordinator.ColdCoordinator;
 
+  private readonly standing = new domain.reachability.reporterStanding.ReporterStanding();
+
   private readonly ignored: ignoredAnnouncements.IgnoredAnnouncements;
 
   /** Number of targets loaded from disk that announced themselves since the last tick. */
@@ -205,6 +207,7 @@
       .forEach(({ name }) => {
         this.allocator.forgetEntry(name, now());
         this.suspects.forgetEntry(name);
+        this.standing.forget(name);
       });
     fleet.registry.forgetGone(now());
     const expired = fleet.expireUnconfirmed(this.leadingSince);
@@ -232,6 +235,7 @@
     if (!(await this.options.host.confirmLeadership(isUrgent))) return undefined;
     if (!this.isLeading) this.setLeading(true);
     this.endCanariesOfPreviousProcess(follower);
+    this.standing.setIsolated(follower.name, follower.isIsolated === true);
     if (!this.isSelf(follower.name)) {
       this.followers.recordPoll(follower);
       this.evacuations.recordPoll({
@@ -402,10 +406,11 @@
   }
 
   /** Applies finished dispatches of an entry, and serves the wait queue, as they leave slots free. */
-  ended({ dispatches }: messages.FinishedDispatches): void {
+  ended({ dispatches, verdicts = [] }: messages.FinishedDispatches): void {
     const now = this.options.now();
     dispatches.forEach(({ id, ending, faulty, gapMs, target, bornAt }) => {
-      const ejection = this.allocator.endDispatch(id, ending, now, { faulty, gapMs });
+      const outcome = this.weigh(id, target, ending);
+      const ejection = this.allocator.endDispatch(id, outcome, now, { faulty, gapMs });
       // A full engine is ejected for a few steps, which happens all the time under load.
       if (ejection !== undefined && ending !== 'full')
         this.options.observer.log('targetEjected', { ...ejection, outcome: ending });
@@ -413,9 +418,42 @@
       if (faulty === undefined) this.reportReplaced(target, bornAt);
       else this.reportReplaced(faulty);
     });
+    verdicts.forEach((verdict) => this.applyVerdict(verdict));
     this.placer.scheduleServing();
   }
 
+  /** Outcome of a dispatch as far as it counts: a failure that is more likely its entry's own doesn't. */
+  private weigh(
+    id: string,
+    target: string,
+    outcome: domain.allocation.targetHealth.DispatchOutcome,
+  ): domain.allocation.targetHealth.DispatchOutcome {
+    const entry = this.allocator.entryOf(id);
+    if (entry === undefined) return outcome;
+    if (this.standing.record(entry, target, outcome, this.options.now())) return outcome;
+    this.options.observer.count('reports.doubted');
+    return 'cancelled';
+  }
+
+  /** Corrects what was assumed of a target that an entry didn't reach. */
+  private applyVerdict({ target, bornAt, isAlive }: messages.TargetVerdict): void {
+    const { registry } = this.options.fleetState;
+    if (bornAt !== undefined && registry.get(target)?.bornAt !== bornAt) return;
+    const now = this.options.now();
+    if (isAlive) this.allocator.retractFailure(target, now);
+    else this.allocator.recordUnreachable(target, now);
+    this.options.observer.log('targetVerdict', { target, isAlive });
+  }
+
+  /** Applies an entry's reports of crashes; one that has lost its paths takes all targets for crashed. */
+  blame(report: messages.CrashReport): domain.quarantine.suspect.SuspectReport[] {
+    const { entry } = report;
+    const isDoubted = entry !== undefined && this.standing.isDoubted(entry, this.options.now());
+    if (!isDoubted) return this.suspects.blame(report);
+    this.options.observer.count('crashReports.doubted', report.ended.length);
+    return this.suspects.reportsOf(report);
+  }
+
   /**
    * Marks a target as gone whose address now belongs to another lifetime; otherwise each request would find that out
    * by itself. One that restarted since, at another address, isn't replaced; `bornAt` is undefined if the entry doesn't
@@ -434,6 +472,7 @@
   private setLeading(isLeading: boolean): void {
     this.isLeading = isLeading;
     this.followers.clear();
+    this.standing.clear();
     this.awaitingSnapshot.clear();
     this.recordSources.clear();
     this.suspects.reset();
--- a/packages/daemon/src/keeper/suspectTracker.ts
+++ b/packages/daemon/src/keeper/suspectTracker.ts
@@ -61,6 +61,12 @@
         return quarantine.reportCrash(content, key, run, now());
       });
     this.publishChanges(changes.filter((change) => change !== undefined));
+    return this.reportsOf({ ended });
+  }
+
+  /** The current report of each request that crash reports name. */
+  reportsOf({ ended }: messages.CrashReport): SuspectReport[] {
+    const { quarantine, now } = this.dependencies;
     return ended.map(({ content }) => quarantine.report(content, now()));
   }
 
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -347,6 +347,21 @@
     return { target: responsible.record.id, forMs, reportedBy: dispatch.entry };
   }
 
+  /** The entry that a running dispatch belongs to. */
+  entryOf(id: string): string | undefined {
+    return this.dispatches.get(id)?.entry;
+  }
+
+  /** A target was ejected, but another VM reaches it. */
+  retractFailure(target: string, now: number): void {
+    this.loads.get(target)?.health.retractFailure(now);
+  }
+
+  /** Two VMs don't reach a target. */
+  recordUnreachable(target: string, now: number): void {
+    this.loads.get(target)?.health.recordOutcome('unreachable', now);
+  }
+
   /** Ends all dispatches of an entry that is gone. */
   forgetEntry(entry: string, now: number): void {
     [...this.dispatches]
--- a/packages/domain/src/allocation/targetHealth.ts
+++ b/packages/domain/src/allocation/targetHealth.ts
@@ -84,6 +84,13 @@
     return ejectionMs;
   }
 
+  /** Undoes the last failure, which was the fault of the VM that reported it. */
+  retractFailure(now: number): void {
+    if (this.failures === 0 || now >= this.ejectedUntil) return;
+    this.ejectedUntil = now;
+    this.failures = 0;
+  }
+
   /**
    * Whether the target may get a request; after failures in a row only while idle, as a canary
    * request.
--- a/packages/domain/src/reachability/index.ts
+++ b/packages/domain/src/reachability/index.ts
@@ -1,1 +1,2 @@
+export * as reporterStanding from './reporterStanding';
 export * as targetPaths from './targetPaths';
