Take a path for restored by responses, not by accepted connections

Only a response to a message sent after the failure counts now, and probes of lost paths ask the target for its state. An accepted connection still counts as contact, so that quiet entries try one connection only. The new test with mute paths fails before and passes.

--- a/packages/daemon/src/__tests__/__fixtures__/severablePaths.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/severablePaths.ts
@@ -2,10 +2,11 @@
 import * as net from 'node:net';
 
 /**
- * How paths fail: packets are lost without a notice (`silent`), open connections are reset and new ones refused
- * (`refused`), or new connections are refused while open ones continue (`newRefused`).
+ * How paths fail: packets are lost without a notice (`silent`), the same behind something that accepts connections
+ * (`mute`), open connections are reset and new ones refused (`refused`), or new connections are refused while open ones
+ * continue (`newRefused`).
  */
-export type Failure = 'silent' | 'refused' | 'newRefused';
+export type Failure = 'silent' | 'mute' | 'refused' | 'newRefused';
 
 /** A port on which nothing listens. */
 const CLOSED_PORT = 1;
@@ -17,7 +18,7 @@
 
   /** Whether open connections convey nothing. */
   get isSilent(): boolean {
-    return this.failure === 'silent';
+    return this.failure === 'silent' || this.failure === 'mute';
   }
 
   sever(failure: Failure): void {
@@ -34,7 +35,8 @@
 
   readonly openSocket = (endpoint: net.TcpNetConnectOpts): net.Socket => {
     if (this.failure === 'silent') return new net.Socket();
-    const port = this.failure === undefined ? endpoint.port : CLOSED_PORT;
+    const isRefused = this.failure === 'refused' || this.failure === 'newRefused';
+    const port = isRefused ? CLOSED_PORT : endpoint.port;
     const socket = net.connect({ ...endpoint, port });
     this.open.add(socket);
     socket.once('close', () => this.open.delete(socket));
--- a/packages/daemon/src/__tests__/unreachableTargets.test.ts
+++ b/packages/daemon/src/__tests__/unreachableTargets.test.ts
@@ -32,7 +32,7 @@
 }
 
 describe('VMs without a path to any target', () => {
-  const pool = new fleetPool.FleetPool({ engines: 4, plain: 4 });
+  const pool = new fleetPool.FleetPool({ engines: 5, plain: 4 });
 
   const sever = (
     fleet: smallFleet.SmallFleet,
@@ -52,7 +52,7 @@
     return fleet.sendLoad(options, LOAD_MS);
   };
 
-  (['silent', 'refused', 'newRefused'] as const).forEach((failure) => {
+  (['silent', 'mute', 'refused', 'newRefused'] as const).forEach((failure) => {
     /** Guards against an entry that refuses its callers because its own paths to all targets are lost. */
     it(`serve callers as the other VMs do (${failure})`, async () => {
       const runs = (['engines', 'plain'] as const).map(async (service) => {
--- a/packages/daemon/src/entry/connectionTracker.ts
+++ b/packages/daemon/src/entry/connectionTracker.ts
@@ -11,7 +11,7 @@
 
 /** Notified about the attempts to open connections to targets. */
 export interface ConnectionListener {
-  connected: (target: string) => void;
+  connected: () => void;
   failed: (target: string) => void;
 }
 
@@ -84,7 +84,7 @@
         socket.off('error', fail);
         socket.on('error', () => this.record('reset'));
         socket.on('end', () => this.record(wasReset(socket) ? 'reset' : 'closedByTarget'));
-        this.listener?.connected(target);
+        this.listener?.connected();
         callback(null, socket);
       };
       // After a stall of this process its timers fire before the connections that were opened meanwhile are handled.
--- a/packages/daemon/src/entry/directDispatch.ts
+++ b/packages/daemon/src/entry/directDispatch.ts
@@ -1,11 +1,13 @@
 /** Carries an attempt over a direct connection to its target, as the handler of an undici dispatch. */
 import type * as undici from 'undici';
+import * as clock from '../clock';
 import type * as protocols from '../edges/protocols';
 import type * as targetAttempt from './targetAttempt';
 import type * as connectionTracker from './connectionTracker';
 import type * as pathMonitor from './pathMonitor';
 
 export interface Options {
+  target: string;
   attempt: targetAttempt.Attempt;
   connections: connectionTracker.ConnectionTracker;
   protocol: Pick<protocols.TrafficProtocol, 'responseMetadata'>;
@@ -17,6 +19,8 @@
 export class DirectDispatch implements undici.Dispatcher.DispatchHandler {
   private isStarted = false;
 
+  private readonly sentAt = clock.steady();
+
   private isChunked = false;
 
   constructor(private readonly options: Options) {}
@@ -32,7 +36,7 @@
     headers: Record<string, string | string[] | undefined>,
   ): void {
     if (status < 200) return;
-    this.options.paths?.responded();
+    this.options.paths?.responded(this.options.target, this.sentAt);
     this.isChunked = headers['transfer-encoding'] !== undefined;
     const raw = ((controller.rawHeaders ?? []) as (Buffer | string)[]).map((part) =>
       part.toString('latin1'),
--- a/packages/daemon/src/entry/pathMonitor.ts
+++ b/packages/daemon/src/entry/pathMonitor.ts
@@ -1,6 +1,6 @@
 /**
  * Watches this VM's paths to the targets: records the outcomes of its connections, probes lost paths until they are
- * back, and logs what is lost and restored. A probe is a connection that is closed at once.
+ * back, and logs what is lost and restored.
  */
 import * as domain from '@celerydrift/domain';
 import type * as fleetState from '../fleet/fleetState';
@@ -17,6 +17,8 @@
   now: () => number;
   /** Opens a connection to a target and closes it at once; the outcome is reported like that of any other. */
   tryConnection: (target: string, address: string) => void;
+  /** Probes a target over a new connection; the outcome is reported like that of any other message. */
+  probe: (target: string, address: string) => void;
   /** Called with targets whose paths are lost; open connections to them may never convey anything again. */
   onLost: (targets: readonly string[]) => void;
   /** Called while paths are lost, so that the status of the VMs that relay messages stays known. */
@@ -40,7 +42,7 @@
  * Time without any contact to targets after which a connection is tried, milliseconds. Without it an entry with few
  * callers would notice lost paths only by the requests that fail.
  */
-const QUIET_MS = 1_500;
+const QUIET_MS = 2_000;
 
 export class PathMonitor implements connectionTracker.ConnectionListener {
   private readonly paths = new domain.reachability.targetPaths.TargetPaths(() => this.ready());
@@ -57,11 +59,9 @@
     clearInterval(this.timer);
   }
 
-  connected(target: string): void {
-    const { fleetState: state, observer: observe, now } = this.dependencies;
-    observe.count('connections.opened');
-    const record = state.registry.get(target);
-    if (record !== undefined) this.apply(this.paths.connected(record, now()));
+  connected(): void {
+    this.dependencies.observer.count('connections.opened');
+    this.paths.connected(this.dependencies.now());
   }
 
   /** A connection attempt failed, or a probe of the target was not answered. */
@@ -72,8 +72,11 @@
     if (record !== undefined) this.apply(this.paths.failed(record, now()));
   }
 
-  responded(): void {
-    this.paths.responded(this.dependencies.now());
+  /** A target responded to a message that was sent at `sentAt`. */
+  responded(target: string, sentAt: number): void {
+    const { fleetState: state, now } = this.dependencies;
+    const record = state.registry.get(target);
+    if (record !== undefined) this.apply(this.paths.responded(record, sentAt, now()));
   }
 
   reachedElsewhere(target: string): void {
@@ -149,21 +152,26 @@
     this.paths.scopes.forEach((scope) => this.probe(scope, PROBES_PER_SCOPE));
     this.paths
       .dueForProbe(PROBES_OF_LOST, PROBE_INTERVAL_MS, now())
-      .forEach((id) => this.tryConnection(state.registry.get(id)));
-    if (!this.isImpaired && this.paths.quietMs(now()) >= QUIET_MS)
-      this.probe(domain.reachability.targetPaths.ALL, 1);
+      .flatMap((id) => state.registry.get(id) ?? [])
+      .forEach(({ id, address }) => this.dependencies.probe(id, address));
+    if (!this.isImpaired && this.paths.quietMs(now()) >= QUIET_MS) this.tryAnyTarget();
   }
 
-  /** Tries connections to random targets of a scope. */
+  /** Probes random targets of a scope. */
   private probe(scope: string, count: number): void {
-    domain.shared.random
-      .shuffled(this.dependencies.random, this.targetsOf(scope))
+    this.shuffled(scope)
       .slice(0, count)
-      .forEach((record) => this.tryConnection(record));
+      .forEach(({ id, address }) => this.dependencies.probe(id, address));
+  }
+
+  private tryAnyTarget(): void {
+    this.shuffled(domain.reachability.targetPaths.ALL)
+      .slice(0, 1)
+      .forEach(({ id, address }) => this.dependencies.tryConnection(id, address));
   }
 
-  private tryConnection(record: Announcement | undefined): void {
-    if (record !== undefined) this.dependencies.tryConnection(record.id, record.address);
+  private shuffled(scope: string): Announcement[] {
+    return domain.shared.random.shuffled(this.dependencies.random, this.targetsOf(scope));
   }
 
   private ready(): Announcement[] {
--- a/packages/daemon/src/entry/reachability.ts
+++ b/packages/daemon/src/entry/reachability.ts
@@ -66,6 +66,9 @@
       random,
       now: clock.steady,
       tryConnection: (target, address) => targets().tryConnection(target, address),
+      probe: (target, address) => {
+        void dependencies.liveness().isAlive(target, address);
+      },
       onLost: (lost) => lost.forEach((target) => targets().forget(target)),
       onImpaired: () => {
         void this.peers.refresh();
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -198,7 +198,10 @@
         headersTimeout: 0,
         bodyTimeout: 0,
       },
-      new directDispatch.DirectDispatch({ attempt, connections, protocol, paths, onUnreachable }),
+      new directDispatch.DirectDispatch({
+        ...{ target, attempt, connections, protocol, paths },
+        onUnreachable,
+      }),
     );
   }
 
--- a/packages/domain/src/reachability/__tests__/targetPaths.test.ts
+++ b/packages/domain/src/reachability/__tests__/targetPaths.test.ts
@@ -33,12 +33,12 @@
     expect(lostOf(paths)).to.deep.equal([]);
   });
 
-  /** Guards against engines that crash together and are taken for lost paths, although others accept connections. */
-  it('are not lost while others of the same scope accept connections between the failures', () => {
+  /** Guards against engines that crash together and are taken for lost paths, although others respond. */
+  it('are not lost while others of the same scope respond to what is sent between the failures', () => {
     paths.failed(TARGETS[0], 10);
-    paths.connected(TARGETS[2], 11);
+    paths.responded(TARGETS[2], 11, 11);
     paths.failed(TARGETS[4], 12);
-    paths.connected(TARGETS[3], 13);
+    paths.responded(TARGETS[3], 13, 13);
     paths.failed(TARGETS[1], 14);
     expect(lostOf(paths)).to.deep.equal([]);
   });
@@ -59,10 +59,10 @@
     expect(lostOf(paths)).to.deep.equal(['t0', 't2', 't4']);
   });
 
-  /** Guards against a path that is used again before a connection shows that it is back, or that stays unused after. */
-  it('are restored by a connection, for its scopes at once', () => {
+  /** Guards against a path that is used again before a response shows that it is back, or that stays unused after. */
+  it('are restored by a response, for its scopes at once', () => {
     failAll(paths, [0, 1, 6, 7], 10);
-    const changes = paths.connected(TARGETS[2], 5_000);
+    const changes = paths.responded(TARGETS[2], 5_000, 5_000);
     const scopes = changes.map(({ scope, change }) => `${scope} ${change}`);
     expect(scopes).to.deep.equal(['all restored', 'engines restored']);
     expect(lostOf(paths)).to.deep.equal(['t6', 't7']);
@@ -75,7 +75,7 @@
     expect(lostOf(paths)).to.deep.equal(['t0']);
     expect(paths.dueForProbe(3, 1_000, 500)).to.deep.equal([]);
     expect(paths.dueForProbe(3, 1_000, 1_100)).to.deep.equal(['t0']);
-    paths.connected(TARGETS[0], 1_200);
+    paths.responded(TARGETS[0], 1_200, 1_200);
     expect(lostOf(paths)).to.deep.equal([]);
   });
 
@@ -83,11 +83,19 @@
   it('are not lost again by probes of targets that failed before', () => {
     failAll(paths, [0, 1], 10);
     ['t0', 't1'].forEach((id) => paths.reachedElsewhere(id, 20));
-    paths.connected(TARGETS[2], 100);
+    paths.responded(TARGETS[2], 100, 100);
     failAll(paths, [0, 1], 1_200);
     expect(lostOf(paths)).to.deep.equal(['t0', 't1']);
   });
 
+  /** Guards against lost paths that look restored because an old connection still conveys the end of a stream. */
+  it('are not restored by responses to messages from before the loss', () => {
+    failAll(paths, [0, 1], 10);
+    paths.responded(TARGETS[0], 5, 20);
+    paths.responded(TARGETS[2], 5, 20);
+    expect(lostOf(paths)).to.have.length(6);
+  });
+
   /** Guards against a service with a single target that can't be reached any other way. */
   it('to the only target of a service are lost when it fails', () => {
     const single = new targetPaths.TargetPaths(() => [TARGETS[0], TARGETS[6]]);
--- a/packages/domain/src/reachability/targetPaths.ts
+++ b/packages/domain/src/reachability/targetPaths.ts
@@ -1,10 +1,11 @@
 /**
- * Judges which targets this VM can reach, from the outcomes of its own connection attempts and from what other VMs
- * reach. A single target that accepts no connection is probably down. Several of them, with none that accepts one,
- * point to this VM's own paths: to the targets of a service in one data centre, to all of a service, or to all there
- * are. A target that another VM reaches is up, so its path from here is lost, whatever else is known.
+ * Judges which targets this VM can reach, from what becomes of its own messages and from what other VMs reach. A single
+ * target that accepts no connection is probably down. Several of them, with none that responds, point to this VM's own
+ * paths: to the targets of a service in one data centre, to all of a service, or to all there are. A target that another
+ * VM reaches is up, so its path from here is lost, whatever else is known.
  *
- * Only new connections count: open ones may continue while new ones are refused.
+ * An accepted connection alone shows no path, as something between may accept it; and a response shows one only if its
+ * message was sent after the failure, as open connections may continue while new ones are refused.
  */
 import type * as registry from '../registry/registry';
 
@@ -30,10 +31,10 @@
 /** A target that began to fail longer ago no longer points to a loss, milliseconds. */
 const MAX_FAILURE_AGE_MS = 3_000;
 
-/** A target whose last connection attempt failed. */
+/** A target that failed and hasn't responded since. */
 interface FailingTarget {
   endpoint: Endpoint;
-  /** Time of the first failed attempt since the last connection. */
+  /** Time of the first failure since the last response. */
   failedSince: number;
   failedAt: number;
   /** When another VM last reached the target. */
@@ -44,38 +45,38 @@
 export class TargetPaths {
   private readonly failing = new Map<string, FailingTarget>();
 
-  /** When a connection was last opened to a target of a scope. */
-  private readonly connectedAt = new Map<Scope, number>();
+  /** When the last message was sent that a target of a scope responded to. */
+  private readonly respondedTo = new Map<Scope, number>();
 
   /** Lost scopes, with the time of the loss. */
   private readonly lostScopes = new Map<Scope, number>();
 
-  /** When a connection was last opened, or a response arrived. */
+  /** When a target last accepted a connection or responded. */
   private contactAt = -Infinity;
 
   /** `ready` returns the ready targets. */
   constructor(private readonly ready: () => readonly Endpoint[]) {}
 
-  /** A connection to the target was opened. Returns the scopes that are restored. */
-  connected(endpoint: Endpoint, now: number): ScopeChange[] {
+  /** A target accepted a connection. */
+  connected(now: number): void {
     this.contactAt = now;
-    this.failing.delete(endpoint.id);
-    const scopes = scopesOf(endpoint);
-    scopes.forEach((scope) => this.connectedAt.set(scope, now));
-    return scopes.flatMap((scope): ScopeChange[] => {
+  }
+
+  /** A target responded to a message that was sent at `sentAt`. Returns the scopes that are restored. */
+  responded(endpoint: Endpoint, sentAt: number, now: number): ScopeChange[] {
+    this.contactAt = now;
+    const failing = this.failing.get(endpoint.id);
+    if (failing !== undefined && sentAt >= failing.failedSince) this.failing.delete(endpoint.id);
+    return scopesOf(endpoint).flatMap((scope): ScopeChange[] => {
+      this.respondedTo.set(scope, Math.max(sentAt, this.respondedTo.get(scope) ?? sentAt));
       const since = this.lostScopes.get(scope);
-      if (since === undefined) return [];
+      if (since === undefined || sentAt < since) return [];
       this.lostScopes.delete(scope);
       return [{ scope, change: 'restored', afterMs: now - since }];
     });
   }
 
-  /** A response arrived on an open connection; that says nothing about new ones. */
-  responded(now: number): void {
-    this.contactAt = now;
-  }
-
-  /** A connection attempt failed, or a probe over a new connection got no response. Returns the scopes that are lost. */
+  /** A connection attempt failed, or a probe got no response. Returns the scopes that are lost. */
   failed(endpoint: Endpoint, now: number): ScopeChange[] {
     const state = this.failing.get(endpoint.id) ?? {
       endpoint,
@@ -150,7 +151,7 @@
    * alone don't count against the whole: those of one service say nothing about the others.
    */
   private isLossLikely(scope: Scope, now: number): boolean {
-    const since = Math.max(now - MAX_FAILURE_AGE_MS, this.connectedAt.get(scope) ?? -Infinity);
+    const since = Math.max(now - MAX_FAILURE_AGE_MS, this.respondedTo.get(scope) ?? -Infinity);
     const failing = [...this.failing.values()]
       .filter(({ failedSince }) => failedSince >= since)
       .map(({ endpoint }) => endpoint);
