Send nothing directly on a lost path that no entry relays

A message that no other entry takes is now reported as not sent, so its caller is told the truth and may come back; probes find the path once it is there. Where no other entry is known at all, messages still go directly.

--- a/packages/daemon/src/entry/__tests__/relay.test.ts
+++ b/packages/daemon/src/entry/__tests__/relay.test.ts
@@ -85,6 +85,7 @@
         choose: async ({ excluded = [] } = {}) => relays.find((each) => !excluded.includes(each)),
         begin: () => () => undefined,
         failed: () => undefined,
+        size: relays.length,
       },
       protocol: harness.PROTOCOL,
       secret: SECRET,
--- a/packages/daemon/src/entry/relayClient.ts
+++ b/packages/daemon/src/entry/relayClient.ts
@@ -15,7 +15,7 @@
 import type * as targetClient from './targetClient';
 
 export interface Dependencies {
-  peers: Pick<relayPeers.RelayPeers, 'choose' | 'begin' | 'failed'>;
+  peers: Pick<relayPeers.RelayPeers, 'choose' | 'begin' | 'failed' | 'size'>;
   protocol: Pick<protocols.TrafficProtocol, 'responseMetadata'>;
   secret: string;
   source: string | undefined;
@@ -41,6 +41,11 @@
 
   constructor(private readonly dependencies: Dependencies) {}
 
+  /** Whether any other entry is known that relays messages. */
+  get hasPeers(): boolean {
+    return this.dependencies.peers.size > 0;
+  }
+
   /** Offers the message to one relay after the other; resolves when the attempt is over or may go another way. */
   async deliver(
     message: targetClient.TargetMessage,
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -91,7 +91,7 @@
     'connected' | 'failed' | 'responded' | 'reachedElsewhere' | 'isLost'
   >;
   /** Sends messages by way of other entries. */
-  relays?: Pick<relayClient.RelayClient, 'deliver'>;
+  relays?: Pick<relayClient.RelayClient, 'deliver' | 'hasPeers'>;
 }
 
 /** Result of a call that this daemon originates; `silent` if no complete response arrived in time. */
@@ -118,12 +118,10 @@
 
   /** Sends a message directly, or by way of another entry if the path to its target is lost. */
   send(message: TargetMessage, handler: ResponseHandler): targetAttempt.Attempt {
-    const { gate, paths, relays } = this.dependencies;
-    const attempt = new targetAttempt.Attempt(handler, gate.admit(message));
+    const attempt = new targetAttempt.Attempt(handler, this.dependencies.gate.admit(message));
     if (attempt.isWithheld) return attempt;
-    if (relays !== undefined && paths?.isLost(message.target) === true) {
-      void this.relay(message, attempt, (detail) => this.dispatchLast(message, attempt, detail));
-    } else this.dispatch(message, attempt, (detail) => this.sendAround(message, attempt, detail));
+    if (this.mustRelay(message.target)) void this.relay(message, attempt);
+    else this.dispatch(message, attempt, (detail) => this.sendAround(message, attempt, detail));
     return attempt;
   }
 
@@ -205,39 +203,29 @@
     );
   }
 
-  /** No connection could be made; if that is this VM's fault, the message goes by way of another entry. */
-  private sendAround(message: TargetMessage, attempt: targetAttempt.Attempt, detail: string): void {
+  /** Whether the path to a target is lost, and there are entries that may reach it. */
+  private mustRelay(target: string): boolean {
     const { paths, relays } = this.dependencies;
-    const fail = (): void => attempt.finish({ kind: 'notSent', detail });
-    if (relays === undefined || paths?.isLost(message.target) !== true) fail();
-    else void this.relay(message, attempt, fail);
+    return relays?.hasPeers === true && paths?.isLost(target) === true;
   }
 
-  /** No entry relays the message; a direct connection is the last resort. */
-  private dispatchLast(
-    message: TargetMessage,
-    attempt: targetAttempt.Attempt,
-    detail: string,
-  ): void {
-    this.dispatch(message, attempt, (directDetail) => {
-      attempt.finish({ kind: 'notSent', detail: `${directDetail}; ${detail}` });
-    });
+  /** No connection could be made; if that is this VM's fault, the message goes by way of another entry. */
+  private sendAround(message: TargetMessage, attempt: targetAttempt.Attempt, detail: string): void {
+    if (this.mustRelay(message.target)) void this.relay(message, attempt);
+    else attempt.finish({ kind: 'notSent', detail });
   }
 
-  private async relay(
-    message: TargetMessage,
-    attempt: targetAttempt.Attempt,
-    onUnavailable: (detail: string) => void,
-  ): Promise<void> {
+  /**
+   * Sends a message by way of another entry. One that no entry takes isn't sent directly all the same: on a lost path it
+   * could arrive unnoticed, and must then not be sent again.
+   */
+  private async relay(message: TargetMessage, attempt: targetAttempt.Attempt): Promise<void> {
     const { paths, relays } = this.dependencies;
     const end = await relays?.deliver(message, attempt);
-    if (end === undefined || end.kind === 'over') {
-      if (attempt.wasAnswered) paths?.reachedElsewhere(message.target);
-      return;
-    }
+    if (attempt.wasAnswered) paths?.reachedElsewhere(message.target);
+    if (end === undefined || end.kind === 'over') return;
     const { kind, detail } = end;
-    if (kind === 'notSent') attempt.finish({ kind, detail, isConfirmed: true });
-    else if (!attempt.isOver) onUnavailable(detail);
+    attempt.finish({ kind: 'notSent', detail, isConfirmed: kind === 'notSent' });
   }
 
   private pool(target: string, address: string): undici.Pool {
