Let the soak take the paths to all targets from entries

Drawn separately from the other faults: a third, two thirds or all entries of one or two data centres lose their paths to all targets for 6 to 12 s, without a notice, one way, or by resets and refusals. From 3 s on their callers must be served two thirds as often as those of other entries, but for the numbers that the users' rule allows and three standard deviations, where an entry that could relay was undisturbed.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -97,6 +97,18 @@
   }
 }
 
+/** Requests to a severed entry and to another one, for which the severed one's end with `status`. */
+function addSeveredEntry({ asked, severed }: Observations, count: number, status: number): void {
+  severed.push({ entries: [0], from: 9_000, until: 19_000 });
+  for (let i = 0; i < count; i++) {
+    const times = { sentAt: 12_100 + i, endedAt: 12_200 + i };
+    const own = { kind: 'safe', ...times } as const;
+    asked.push(requestRecord(`s${i}`, { ...own, entry: 0, ending: answered(status) }));
+    const body = answers.callBody(`o${i}`, PATH);
+    asked.push(requestRecord(`o${i}`, { ...own, entry: 1, ending: answered(200, body) }));
+  }
+}
+
 /** An evacuation of a data centre without targets; target 0 runs a request 5.2 s after its acknowledgement. */
 const EVACUATION = { dataCentre: 'west', ackedAt: 4_850, endedAt: 20_000, isListed: true };
 
@@ -110,6 +122,25 @@
     expect(violated).to.deep.equal([]);
   });
 
+  it('allow a few failures at an entry without paths to targets, and any number if it is disturbed as well', () => {
+    expect(violatedGuarantees((good) => addSeveredEntry(good, 10, 503))).to.deep.equal([]);
+    const disturbed = violatedGuarantees((good) => {
+      addSeveredEntry(good, 40, 503);
+      const disturbance = { subject: 'entry', index: 0, what: 'entryPause' } as const;
+      good.disturbances.push({ ...disturbance, from: 9_500, until: 10_000 });
+    });
+    expect(disturbed).to.deep.equal([]);
+  });
+
+  it('allow messages to a target whose back-off was lost on a severed path', () => {
+    const violated = violatedGuarantees((good) => {
+      good.severed.push({ entries: [0], from: 9_000, until: 10_500 });
+      good.turnedAway.push({ target: 't0-1', entry: 0, at: 10_000, backOffSeconds: 5 });
+      for (let at = 11_000; at < 14_000; at += 300) good.got.push({ target: 't0-1', entry: 0, at });
+    });
+    expect(violated).to.deep.equal([]);
+  });
+
   it('allow one and a half times a limit and a few messages more, and any number from a disturbed entry', () => {
     // The allowed maximum is 11 messages in 4 s.
     expect(violatedGuarantees((good) => addLimitedTarget(good, 370))).to.deep.equal([]);
@@ -188,6 +219,7 @@
       'evacuatedTargetRan',
       ({ evacuated }) => evacuated.push({ ...EVACUATION, dataCentre: 'east' }),
     ],
+    ['unservedWithoutPaths', (good) => addSeveredEntry(good, 40, 503)],
     ['evacuationLost', ({ evacuated }) => evacuated.push({ ...EVACUATION, isListed: false })],
     [
       'cutByStop',
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -45,6 +45,8 @@
   | 'overLimit'
   /** An entry kept sending to a target during the back-off that it had requested. */
   | 'notLeftAlone'
+  /** Callers of entries without a path to targets were served far less often than those of the others. */
+  | 'unservedWithoutPaths'
   /** Engines still held memory reservations at the end. */
   | 'memoryLeft'
   /** Too few requests succeeded after all faults had ended. */
@@ -82,6 +84,15 @@
 /** Share of requests that must succeed after recovery. */
 const MIN_RECOVERED_SHARE = 0.95;
 
+/** An entry without paths to targets must serve its callers this long after the loss. */
+const PATH_LOSS_MS = 3_000;
+
+/** Callers there may be served this share as often as those of other entries, or fail in the given number. */
+const MIN_SHARE_WITHOUT_PATHS = 2 / 3;
+/** Rate limits and suspects refuse callers at all entries, so small numbers differ by chance, in standard deviations. */
+const DEVIATIONS = 3;
+const UNSERVED_WITHOUT_PATHS = { base: 10, share: 1 / 50 } as const;
+
 /** The fleet must have recovered this long after all faults ended. */
 export const RECOVERY_MS = 8_000;
 
@@ -106,6 +117,7 @@
   limitOverruns,
   backOffBreaches,
   drainingTargetRuns,
+  unservedWithoutPaths,
   leftReservations,
   unrecoveredService,
 ];
@@ -447,6 +459,16 @@
   return !isStopped && !isEntryDisturbed;
 }
 
+/**
+ * Whether a response that a target sent at a time could reach the entry: not one on a severed path, nor one to a message
+ * that the path held back until it was restored, when the entry had given it up.
+ */
+function hadPaths({ severed }: Observations, entry: number, at: number): boolean {
+  return !severed.some(({ entries, from, until }) => {
+    return entries.includes(entry) && at >= from - TRANSIT_MS && at <= until + TRANSIT_MS;
+  });
+}
+
 function backOffBreaches(observed: Observations): Violation[] {
   return observed.turnedAway.flatMap((rejection): Violation[] => {
     const { target, bornAt, entry, at, backOffSeconds = 0 } = rejection;
@@ -454,7 +476,8 @@
       const isSamePair = each.target === target && each.bornAt === bornAt && each.entry === entry;
       const isDuringBackOff =
         each.at > at + REPORT_DELAY_MS && each.at < at + backOffSeconds * 1_000;
-      return isSamePair && isDuringBackOff && isUninterrupted(observed, entry, at, each.at);
+      const isInTouch = isUninterrupted(observed, entry, at, each.at);
+      return isSamePair && isDuringBackOff && isInTouch && hadPaths(observed, entry, at);
     });
     if (during.length <= MAX_DURING_BACK_OFF) return [];
     const detail = `${target}: ${during.length} messages from entry ${entry} in a back-off of ${backOffSeconds} s from ${at}`;
@@ -477,6 +500,39 @@
   });
 }
 
+/**
+ * Compares the callers of severed entries with those of the others, where nothing else happened to their entries and
+ * some entry that could relay for them was undisturbed as well.
+ */
+function unservedWithoutPaths(observed: Observations): Violation[] {
+  const { asked, severed, revoked } = observed;
+  const revokedKeySet = new Set(revoked.map(({ key }) => key));
+  const allEntries = [...new Set(asked.map(({ entry }) => entry))];
+  return severed.flatMap(({ entries, from, until }): Violation[] => {
+    const relays = allEntries.filter((each) => !entries.includes(each));
+    const sent = asked.filter(({ sentAt, endedAt, entry, key }) => {
+      const isDuring = sentAt >= from + PATH_LOSS_MS && endedAt <= until;
+      const isCalm = (each: number): boolean => isUninterrupted(observed, each, from, endedAt);
+      return isDuring && !revokedKeySet.has(key) && isCalm(entry) && relays.some(isCalm);
+    });
+    const atSevered = sent.filter(({ entry }) => entries.includes(entry));
+    const others = sent.filter(({ entry }) => !entries.includes(entry));
+    const failed = atSevered.filter((each) => !isServed(each)).length;
+    const { base, share } = UNSERVED_WITHOUT_PATHS;
+    const isFew = failed <= base + share * sent.length;
+    const expected = MIN_SHARE_WITHOUT_PATHS * servedShare(others) * atSevered.length;
+    const served = atSevered.length - failed;
+    if (isFew || served + DEVIATIONS * Math.sqrt(expected) >= expected) return [];
+    const elsewhere = servedShare(others).toFixed(2);
+    const detail = `entries ${entries.join(', ')} from ${from}: ${failed} of ${atSevered.length} failed, share elsewhere ${elsewhere}`;
+    return [{ promise: 'unservedWithoutPaths', detail }];
+  });
+}
+
+function servedShare(requests: readonly RequestRecord[]): number {
+  return requests.length === 0 ? 0 : requests.filter(isServed).length / requests.length;
+}
+
 function leftReservations({ reservationsLeft }: Observations): Violation[] {
   const detail = `${reservationsLeft} reservations left`;
   return reservationsLeft === 0 ? [] : [{ promise: 'memoryLeft', detail }];
--- a/packages/soak/src/faultInjector.ts
+++ b/packages/soak/src/faultInjector.ts
@@ -148,6 +148,17 @@
     await this.operators.orderEvacuation(dataCentre, 'end');
   }
 
+  /** Takes the paths of entries to all targets for a while. */
+  async sever({ entries, failure, forSeconds }: schedule.SeveringSpan): Promise<void> {
+    const severed = entries.map((index) => this.fleet.entries[index]);
+    severed.forEach((entry) => this.fleet.severPaths(entry, failure));
+    const span = { entries, from: Date.now(), until: Infinity };
+    this.observed.severed.push(span);
+    await operator.sleep(forSeconds * 1_000);
+    span.until = Date.now();
+    severed.forEach((entry) => this.fleet.restorePaths(entry));
+  }
+
   /** Isolates an entry, sets its wall clock back, and revokes a key; resolves when the entry is connected again. */
   async isolate(
     { index, organisation, forSeconds }: schedule.IsolationSpan,
--- a/packages/soak/src/fleet.ts
+++ b/packages/soak/src/fleet.ts
@@ -4,6 +4,7 @@
 import * as child from './child';
 import * as forwarder from './forwarder';
 import * as layout from './layout';
+import type * as schedule from './schedule';
 import * as runtimeFaults from './runtimeFaults';
 import type * as targetMain from './targetMain';
 
@@ -161,6 +162,26 @@
     });
   }
 
+  /** Takes an entry's paths to all targets, while callers and the other VMs still reach it. */
+  severPaths(entry: Vm, failure: schedule.PathFailure): void {
+    this.targets.forEach(({ host }) => {
+      if (failure === 'refused') {
+        this.network.refuse(entry.host, host);
+        return;
+      }
+      this.network.cut(host, entry.host);
+      if (failure === 'silent') this.network.cut(entry.host, host);
+    });
+  }
+
+  restorePaths(entry: Vm): void {
+    this.targets.forEach(({ host }) => {
+      this.network.restore(host, entry.host);
+      this.network.restore(entry.host, host);
+      this.network.accept(entry.host, host);
+    });
+  }
+
   /** Kills all processes of the run and closes the forwarders. */
   async stop(): Promise<void> {
     const all = [...this.vms, ...this.targets].map(({ process: each }) => each);
--- a/packages/soak/src/forwarder.ts
+++ b/packages/soak/src/forwarder.ts
@@ -23,6 +23,9 @@
   /** Links that are cut, as SOURCE>TARGET. */
   private readonly cutLinks = new Set<string>();
 
+  /** Links on which connections are refused, as SOURCE>TARGET. */
+  private readonly refusedLinks = new Set<string>();
+
   private readonly connections = new Set<ForwardedConnection>();
 
   private readonly servers: net.Server[] = [];
@@ -32,7 +35,7 @@
   /** Listens at `forwarded` and forwards connections to the same port of `target`. */
   async forward(forwarded: string, target: string, port: number): Promise<void> {
     const server = net.createServer({ allowHalfOpen: true }, (caller) => {
-      this.accept(caller, target, port);
+      this.connect(caller, target, port);
     });
     this.servers.push(server);
     await new Promise<void>((resolve, reject) => {
@@ -49,8 +52,21 @@
     this.cutLinks.delete(`${source}>${target}`);
   }
 
+  /** Resets the open connections of a link and refuses new ones. */
+  refuse(source: string, target: string): void {
+    this.refusedLinks.add(`${source}>${target}`);
+    const isOnLink = (each: ForwardedConnection): boolean =>
+      each.source === source && each.target === target;
+    [...this.connections].filter(isOnLink).forEach(resetBoth);
+  }
+
+  accept(source: string, target: string): void {
+    this.refusedLinks.delete(`${source}>${target}`);
+  }
+
   restoreAll(): void {
     this.cutLinks.clear();
+    this.refusedLinks.clear();
     this.delayMs = 0;
   }
 
@@ -62,10 +78,7 @@
   }
 
   reset(isSelected: () => boolean): void {
-    [...this.connections].filter(isSelected).forEach(({ caller, callee }) => {
-      caller.resetAndDestroy();
-      callee.resetAndDestroy();
-    });
+    [...this.connections].filter(isSelected).forEach(resetBoth);
   }
 
   close(): void {
@@ -76,8 +89,12 @@
     });
   }
 
-  private accept(caller: net.Socket, target: string, port: number): void {
+  private connect(caller: net.Socket, target: string, port: number): void {
     const source = caller.remoteAddress ?? '';
+    if (this.refusedLinks.has(`${source}>${target}`)) {
+      caller.resetAndDestroy();
+      return;
+    }
     // Keeps the caller's address as the source, as the callee identifies callers by it too.
     const callee = net.connect({
       host: target,
@@ -132,3 +149,8 @@
     from.on('close', () => enqueue(() => to.destroy()));
   }
 }
+
+function resetBoth({ caller, callee }: ForwardedConnection): void {
+  caller.resetAndDestroy();
+  callee.resetAndDestroy();
+}
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -107,6 +107,15 @@
   isListed: boolean | undefined;
 }
 
+/** A period in which entries have no path to any target. */
+export interface SeveredWindow {
+  /** Indexes of the entries. */
+  entries: number[];
+  from: number;
+  /** Infinity while the period lasts. */
+  until: number;
+}
+
 export type DisturbedSubject = 'entry' | 'keeper' | 'target' | 'network';
 
 /** A fault of one process, or of the network between all processes. */
@@ -159,6 +168,7 @@
     revoked: [] as RevokedKey[],
     drained: [] as DrainedTarget[],
     evacuated: [] as EvacuationWindow[],
+    severed: [] as SeveredWindow[],
     stopped: [] as PlannedStop[],
     disturbances: [] as Disturbance[],
     /** Ids that each target, by index, has run under. */
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -165,7 +165,7 @@
   }
 
   private async executePlan(plan: schedule.Plan): Promise<void> {
-    const { steps, crashing, limiting, shedding, isolating, evacuating, seconds } = plan;
+    const { steps, crashing, limiting, shedding, isolating, evacuating, severing, seconds } = plan;
     const startedAt = Date.now();
     const untilSecond = async (at: number): Promise<void> =>
       operator.sleep(Math.max(0, startedAt + at * 1_000 - Date.now()));
@@ -180,6 +180,7 @@
     scheduleAll(limiting, (span) => this.faultInjector.limitRate(span));
     scheduleAll(shedding, (span) => this.faultInjector.shedLoad(span));
     scheduleAll(evacuating, (span) => this.faultInjector.evacuate(span));
+    scheduleAll(severing, (span) => this.faultInjector.sever(span));
     scheduleAll(isolating, (span) => {
       return this.faultInjector.isolate(span, (entry, key) => {
         this.send({ entry, kind: 'safe', path: operator.basePath('safe'), key });
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -159,6 +159,19 @@
   dataCentre: string;
 }
 
+/** How paths fail: without a notice in both directions or towards the entry only, or by resets and refusals. */
+export const PATH_FAILURES = ['silent', 'oneWay', 'refused'] as const;
+export type PathFailure = (typeof PATH_FAILURES)[number];
+
+/** A period in which entries lose their paths to all targets, and to nothing else. */
+export interface SeveringSpan {
+  at: number;
+  forSeconds: number;
+  /** Indexes of the entries. */
+  entries: number[];
+  failure: PathFailure;
+}
+
 export interface Plan {
   seed: number;
   seconds: number;
@@ -168,6 +181,7 @@
   shedding: SheddingSpan[];
   isolating: IsolationSpan[];
   evacuating: EvacuationSpan[];
+  severing: SeveringSpan[];
 }
 
 const CRASHING_REQUEST_KINDS: readonly observations.RequestKind[] = ['stream', 'safe', 'unsafe'];
@@ -253,6 +267,33 @@
   }));
 }
 
+const SEVERING_SEED_OFFSET = 5_000_003;
+const MEAN_SEVERING_INTERVAL_SECONDS = 5;
+/** Longer than the time after which such entries must serve their callers again. */
+const SEVERING_SECONDS = { min: 6, max: 12 } as const;
+/** Shares of the entries of a data centre that lose their paths together. */
+const SEVERED_SHARES = [0.34, 0.67, 1] as const;
+/** Number of data centres whose entries lose their paths together; some entries always keep theirs. */
+const MAX_SEVERED_DATA_CENTRES = layout.DATA_CENTRES.length - 1;
+
+function drawSevering(seed: number, seconds: number, entries: number): SeveringSpan[] {
+  const timing = { seconds, meanPause: MEAN_SEVERING_INTERVAL_SECONDS };
+  const minGap = SEVERING_SECONDS.max;
+  return drawSpans({ seed: seed + SEVERING_SEED_OFFSET, ...timing, minGap }, (random, at) => {
+    const count = 1 + domain.shared.random.below(random, MAX_SEVERED_DATA_CENTRES);
+    const share = domain.shared.random.pick(random, SEVERED_SHARES);
+    const drawn = domain.shared.random.shuffled(random, layout.DATA_CENTRES).slice(0, count);
+    const severed = drawn.flatMap((dataCentre) => {
+      const local = Array.from({ length: entries }, (_, i) => i).filter((i) => {
+        return layout.dataCentreOf(i) === dataCentre;
+      });
+      return local.slice(0, Math.ceil(share * local.length));
+    });
+    const failure = domain.shared.random.pick(random, PATH_FAILURES);
+    return { at, forSeconds: uniformBetween(random, SEVERING_SECONDS), entries: severed, failure };
+  });
+}
+
 function drawIsolation(seed: number, seconds: number, entries: number): IsolationSpan[] {
   const timing = { seconds, meanPause: MEAN_ISOLATION_INTERVAL_SECONDS };
   const minGap = ISOLATION_SECONDS;
@@ -328,5 +369,6 @@
   ).map(({ perSecond, ...rest }) => ({ ...rest, backOffSeconds: perSecond }));
   const isolating = drawIsolation(seed, seconds, size.entries);
   const evacuating = drawEvacuations(seed, seconds);
-  return { seed, seconds, steps, crashing, limiting, shedding, isolating, evacuating };
+  const severing = drawSevering(seed, seconds, size.entries);
+  return { seed, seconds, steps, crashing, limiting, shedding, isolating, evacuating, severing };
 }
