Tell crashed targets from lost paths by the others of their scope

Two failing targets now only raise a suspicion, and targets of the scope that haven't failed are probed at once: a response ends it. Four failing ones, or all of a smaller scope but never a single one, are a loss. Failures of targets that failed before are no news. Other entries are asked about a target without asking for their status first, over connections that are open already: in the first test four targets crashed instead of three while the question took longer than the 20 ms that a request waits for it.

--- a/packages/daemon/src/entry/livenessProbes.ts
+++ b/packages/daemon/src/entry/livenessProbes.ts
@@ -24,7 +24,7 @@
     'connected' | 'failed' | 'responded' | 'reachedElsewhere' | 'isLost' | 'scopesOf'
   >;
   /** Other VMs that can be asked about a target. */
-  peers?: Pick<relayPeers.RelayPeers, 'reach'>;
+  peers?: Pick<relayPeers.RelayPeers, 'reach' | 'size' | 'isAvailable'>;
 }
 
 /** Probe timeout, milliseconds: a new connection and a hundred round trips. */
@@ -34,9 +34,10 @@
 
 /**
  * What is known of a target that gave no response. `alive`: it responds to this VM. `pathLost`: it responds to another
- * VM only. `dead`: it responds to neither. `unknown`: it doesn't respond here, and no other VM could be asked.
+ * VM only. `dead`: it responds to neither. `unknown`: it doesn't respond here, and no other VM can tell. `unasked`: the
+ * same, and none of the other VMs that are known answered, so that this VM may be the one that is cut off.
  */
-export type Verdict = 'alive' | 'pathLost' | 'dead' | 'unknown';
+export type Verdict = 'alive' | 'pathLost' | 'dead' | 'unknown' | 'unasked';
 
 export class LivenessProbes {
   /** Probes in flight by target; requests on the same target share one. */
@@ -67,7 +68,9 @@
   async askElsewhere(target: string, address: string): Promise<Verdict> {
     const { peers, paths, observer: observe } = this.dependencies;
     const isAlive = await peers?.reach({ target, address }, paths?.scopesOf(target) ?? []);
-    if (isAlive === undefined) return 'unknown';
+    if (isAlive === undefined) {
+      return peers === undefined || peers.size === 0 || peers.isAvailable ? 'unknown' : 'unasked';
+    }
     if (isAlive) paths?.reachedElsewhere(target);
     observe.log('targetAsked', { target, isAlive, elsewhere: true });
     return isAlive ? 'pathLost' : 'dead';
--- a/packages/daemon/src/entry/pathMonitor.ts
+++ b/packages/daemon/src/entry/pathMonitor.ts
@@ -31,8 +31,8 @@
 /** Targets of each lost scope to which a connection is tried at each check. */
 const PROBES_PER_SCOPE = 1;
 
-/** The same when a scope is lost, at once: one success shows that only some targets are down. */
-const FIRST_PROBES = 2;
+/** The same when a scope is suspected or lost, at once: one response shows that only some targets are down. */
+const SUSPICION_PROBES = 2;
 
 /** Targets whose own paths are lost that are tried at each check, and the shortest interval for each, milliseconds. */
 const PROBES_OF_LOST = 3;
@@ -125,25 +125,25 @@
 
   private apply(changes: readonly ScopeChange[]): void {
     changes.forEach((change) => {
-      const targets = this.targetsOf(change.scope);
-      if (change.change === 'lost') this.lose(change.scope, targets);
-      else {
-        const { scope, afterMs } = change;
-        this.dependencies.observer.log('pathsRestored', {
-          scope,
-          targets: targets.length,
-          afterMs: Math.round(afterMs),
-        });
-      }
+      const { scope } = change;
+      const targets = this.targetsOf(scope);
+      if (change.change === 'lost') this.lose(scope, targets);
+      else if (change.change === 'suspected') this.probe(scope, SUSPICION_PROBES);
+      else this.logRestored(scope, targets.length, change.afterMs);
     });
   }
 
+  private logRestored(scope: string, targets: number, afterMs: number): void {
+    const { observer: observe } = this.dependencies;
+    observe.log('pathsRestored', { scope, targets, afterMs: Math.round(afterMs) });
+  }
+
   private lose(scope: string, targets: readonly Announcement[]): void {
     const { observer: observe, onLost, onImpaired } = this.dependencies;
     observe.log('pathsLost', { scope, targets: targets.length });
     onLost(targets.map(({ id }) => id));
     onImpaired();
-    this.probe(scope, FIRST_PROBES);
+    this.probe(scope, SUSPICION_PROBES);
   }
 
   private check(): void {
@@ -157,9 +157,10 @@
     if (!this.isImpaired && this.paths.quietMs(now()) >= QUIET_MS) this.tryAnyTarget();
   }
 
-  /** Probes random targets of a scope. */
+  /** Probes random targets of a scope, those that haven't failed first. */
   private probe(scope: string, count: number): void {
     this.shuffled(scope)
+      .sort((a, b) => Number(this.paths.isFailing(a.id)) - Number(this.paths.isFailing(b.id)))
       .slice(0, count)
       .forEach(({ id, address }) => this.dependencies.probe(id, address));
   }
--- a/packages/daemon/src/entry/quarantineClient.ts
+++ b/packages/daemon/src/entry/quarantineClient.ts
@@ -72,6 +72,9 @@
  */
 const CRASH_CHECK_WAIT_MS = 20;
 
+/** Time after which a target that no other VM could be asked about is checked again, milliseconds. */
+const RECHECK_MS = 1_000;
+
 /** Maximum number of unreported crashes: enough for an entry that is cut off from all targets for some seconds. */
 const MAX_UNREPORTED_CRASHES = 500;
 
@@ -204,11 +207,9 @@
     request: RequestInfo,
     { target, address, bornAt, sentAt, isTrial }: SentRequest,
   ): Promise<void> {
-    const { liveness: probes, observer: observe, fleetState: state, now } = this.dependencies;
-    const verdict = await probes.check(target, address);
-    const isPathLost = this.dependencies.isPathLost?.(target) === true;
-    const hasCrashed = verdict === 'dead' || (verdict === 'unknown' && !isPathLost);
-    if (!hasCrashed) return;
+    const { observer: observe, fleetState: state, now } = this.dependencies;
+    const evidence = await this.crashEvidence(target, address);
+    if (evidence === 'none') return;
     const record = state.registry.get(target);
     if (record?.bornAt === bornAt && hasStoppedItself(record)) return;
     const content = request.fingerprint();
@@ -217,7 +218,27 @@
     const lifetime = { id: target, bornAt };
     const key = domain.quarantine.crashedLifetimes.lifetimeKey(lifetime);
     state.quarantine.reportCrash(content, key, { sentAt, isTrial }, now());
-    void this.crashReports.send({ content, lifetime, isTrial, sentAt, at: now() });
+    const isConfirmed = evidence === 'confirmed';
+    void this.crashReports.send({ content, lifetime, isTrial, isConfirmed, sentAt, at: now() });
+  }
+
+  /**
+   * What shows that a target which didn't respond has crashed. While no other VM answers, this one's own paths may be lost before
+   * it knows, so the target is checked once more.
+   */
+  private async crashEvidence(
+    target: string,
+    address: string,
+  ): Promise<'confirmed' | 'own' | 'none'> {
+    const { liveness: probes, isPathLost } = this.dependencies;
+    let verdict = await probes.check(target, address);
+    if (verdict === 'unasked') {
+      await clock.sleep(RECHECK_MS);
+      verdict = await probes.check(target, address);
+    }
+    if (verdict === 'dead') return 'confirmed';
+    const isUndecided = verdict === 'unknown' || verdict === 'unasked';
+    return isUndecided && isPathLost?.(target) !== true ? 'own' : 'none';
   }
 
   /**
--- a/packages/daemon/src/entry/relayPeers.ts
+++ b/packages/daemon/src/entry/relayPeers.ts
@@ -61,6 +61,8 @@
     this.peers = new Map(
       relays.map((relay) => [relay.address, known.get(relay.address) ?? { ...unasked, ...relay }]),
     );
+    // Opens the connections, so that a later question takes one round trip.
+    void this.refresh();
   }
 
   get size(): number {
@@ -113,7 +115,9 @@
     request: relayProtocol.ReachRequest,
     scopes: readonly Scope[],
   ): Promise<boolean | undefined> {
-    const asked = (await this.candidates({ scopes })).slice(0, MAX_ASKED);
+    const ready = this.ready({ scopes });
+    // A crash must be reported within a few round trips, so nobody's status is asked for first.
+    const asked = (ready.length > 0 ? ready : this.spread()).slice(0, MAX_ASKED);
     const answers = asked.map(({ address }) => this.askAbout(address, request));
     const found = answers.map(async (answer) => {
       if ((await answer) !== true) throw new Error('not reached');
@@ -140,6 +144,17 @@
     return answer.ok ? answer.val.isAlive : undefined;
   }
 
+  /** All relays, those of this data centre and of others in turn. */
+  private spread(): Peer[] {
+    const all = [...this.peers.values()];
+    const isLocal = ({ dataCentre }: Peer): boolean => dataCentre === this.dependencies.dataCentre;
+    const remote = all.filter((each) => !isLocal(each));
+    const local = all.filter(isLocal);
+    return all
+      .flatMap((_, i) => [remote.at(i), local.at(i)].filter((each) => each !== undefined))
+      .slice(0, all.length);
+  }
+
   /** The ready relays, the least loaded first. */
   private async candidates(restriction: Restriction): Promise<Peer[]> {
     if (this.ready(restriction).length === 0) await this.refresh();
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -127,6 +127,8 @@
   lifetime: domain.quarantine.crashedLifetimes.Lifetime;
   /** Whether that run was a canary run, allowed while the request was already suspect. */
   isTrial: boolean;
+  /** Whether another VM didn't reach the target either; absent from an earlier version. */
+  isConfirmed?: boolean;
   /**
    * Time from the crash's detection, and from sending the request, to this message, in milliseconds; an entry that
    * was cut off reports later.
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -446,12 +446,13 @@
   }
 
   /** Applies an entry's reports of crashes; one that has lost its paths takes all targets for crashed. */
-  blame(report: messages.CrashReport): domain.quarantine.suspect.SuspectReport[] {
-    const { entry } = report;
+  blame({ entry, ended }: messages.CrashReport): domain.quarantine.suspect.SuspectReport[] {
     const isDoubted = entry !== undefined && this.standing.isDoubted(entry, this.options.now());
-    if (!isDoubted) return this.suspects.blame(report);
-    this.options.observer.count('crashReports.doubted', report.ended.length);
-    return this.suspects.reportsOf(report);
+    const counted = ended.filter(({ isConfirmed }) => !isDoubted || isConfirmed === true);
+    const doubted = ended.length - counted.length;
+    if (doubted > 0) this.options.observer.count('crashReports.doubted', doubted);
+    this.suspects.blame({ ended: counted });
+    return this.suspects.reportsOf({ ended });
   }
 
   /**
--- a/packages/domain/src/reachability/targetPaths.ts
+++ b/packages/domain/src/reachability/targetPaths.ts
@@ -15,18 +15,27 @@
 /** Scope of a loss: all targets, those of a service, or those of a service in a data centre, as `SERVICE@NAME`. */
 export type Scope = string;
 
-/** What changed for a scope; `afterMs` is how long it was lost. */
+/**
+ * What changed for a scope. A `suspected` one is to be probed at targets that haven't failed: they tell whether the others
+ * crashed. `afterMs` is how long a restored one was lost.
+ */
 export type ScopeChange =
-  { scope: Scope; change: 'lost' } | { scope: Scope; change: 'restored'; afterMs: number };
+  | { scope: Scope; change: 'lost' }
+  | { scope: Scope; change: 'suspected' }
+  | { scope: Scope; change: 'restored'; afterMs: number };
 
 /** Scope of all targets. */
 export const ALL: Scope = 'all';
 
 /**
- * Number of parts of a scope that must fail, with no success in the scope between, before it counts as lost: targets of
- * a data centre, data centres of a service, services. A scope with fewer parts counts as lost when all of them fail.
+ * Number of targets of a scope that must fail, with no response from the scope between, before it is suspected and before
+ * it counts as lost; a smaller scope counts as lost when all of them fail, but never because of one.
  */
-const FAILURES_TO_LOSS = 2;
+const FAILURES_TO_SUSPICION = 2;
+const FAILURES_TO_LOSS = 4;
+
+/** Number of parts of a scope that must fail: data centres of a service, or services. */
+const MIN_FAILING_PARTS = 2;
 
 /** A target that began to fail longer ago no longer points to a loss, milliseconds. */
 const MAX_FAILURE_AGE_MS = 3_000;
@@ -76,9 +85,10 @@
     });
   }
 
-  /** A connection attempt failed, or a probe got no response. Returns the scopes that are lost. */
+  /** A connection attempt failed, or a probe got no response. Returns the scopes that are lost or suspected. */
   failed(endpoint: Endpoint, now: number): ScopeChange[] {
-    const state = this.failing.get(endpoint.id) ?? {
+    const known = this.failing.get(endpoint.id);
+    const state = known ?? {
       endpoint,
       failedSince: now,
       failedAt: now,
@@ -87,12 +97,18 @@
     };
     state.failedAt = now;
     this.failing.set(endpoint.id, state);
-    return scopesOf(endpoint)
-      .filter((scope) => !this.lostScopes.has(scope) && this.isLossLikely(scope, now))
-      .map((scope) => {
-        this.lostScopes.set(scope, now);
-        return { scope, change: 'lost' };
-      });
+    // Only what began to fail now can be news.
+    if (known !== undefined) return [];
+    return scopesOf(endpoint).flatMap((scope): ScopeChange[] => {
+      const change = this.lostScopes.has(scope) ? 'none' : this.judge(scope, now);
+      if (change === 'lost') this.lostScopes.set(scope, now);
+      return change === 'none' ? [] : [{ scope, change }];
+    });
+  }
+
+  /** Whether the last message to a target failed. */
+  isFailing(id: string): boolean {
+    return this.failing.has(id);
   }
 
   /** Another VM reached a target that this one may not reach. */
@@ -147,16 +163,20 @@
   }
 
   /**
-   * Whether enough parts of a scope have begun to fail, recently and since the last success in it. Failures of one part
-   * alone don't count against the whole: those of one service say nothing about the others.
+   * What the targets of a scope point to that began to fail recently and since the last response from it. Failures of one
+   * part alone don't count against the whole: those of one service say nothing about the others.
    */
-  private isLossLikely(scope: Scope, now: number): boolean {
+  private judge(scope: Scope, now: number): 'lost' | 'suspected' | 'none' {
     const since = Math.max(now - MAX_FAILURE_AGE_MS, this.respondedTo.get(scope) ?? -Infinity);
     const failing = [...this.failing.values()]
       .filter(({ failedSince }) => failedSince >= since)
-      .map(({ endpoint }) => endpoint);
-    const parts = partsOf(scope, this.ready());
-    return partsOf(scope, failing).size >= Math.min(FAILURES_TO_LOSS, Math.max(1, parts.size));
+      .map(({ endpoint }) => endpoint)
+      .filter((endpoint) => scopesOf(endpoint).includes(scope));
+    const all = this.ready().filter((endpoint) => scopesOf(endpoint).includes(scope));
+    const parts = partsOf(scope, all).size;
+    if (partsOf(scope, failing).size < Math.min(MIN_FAILING_PARTS, parts)) return 'none';
+    if (failing.length < FAILURES_TO_SUSPICION) return 'none';
+    return failing.length >= Math.min(FAILURES_TO_LOSS, all.length) ? 'lost' : 'suspected';
   }
 }
 
@@ -165,13 +185,12 @@
   return [ALL, service, `${service}@${dataCentre}`];
 }
 
-/** The parts of a scope that the endpoints belong to. */
+/** The parts of a scope that its endpoints belong to. */
 function partsOf(scope: Scope, endpoints: readonly Endpoint[]): Set<string> {
-  const parts = endpoints.flatMap((endpoint) => {
+  const parts = endpoints.map((endpoint) => {
     const [all, service, cell] = scopesOf(endpoint);
-    if (scope === all) return [service];
-    if (scope === service) return [cell];
-    return scope === cell ? [endpoint.id] : [];
+    if (scope === all) return service;
+    return scope === service ? cell : endpoint.id;
   });
   return new Set(parts);
 }
