--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -484,9 +484,27 @@
   });
 }
 
+/** Whether a target answers what it received while it was paused; its entry has given that up. */
+function wasPausedBefore(
+  { disturbances, lifetimes }: Observations,
+  target: string,
+  at: number,
+): boolean {
+  const index = lifetimes.find((each) => each.target === target)?.index;
+  return disturbances.some((each) => {
+    const isOfTarget = each.subject === 'target' && each.index === index;
+    return isOfTarget && each.what === 'targetPause' && isWithinTransit(each.until, at);
+  });
+}
+
+function isWithinTransit(end: number, at: number): boolean {
+  return Math.abs(at - end) <= TRANSIT_MS;
+}
+
 function backOffBreaches(observed: Observations): Violation[] {
   return observed.turnedAway.flatMap((rejection): Violation[] => {
     const { target, bornAt, entry, at, backOffSeconds = 0 } = rejection;
+    if (wasPausedBefore(observed, target, at)) return [];
     const during = observed.got.filter((each) => {
       const isSamePair = each.target === target && each.bornAt === bornAt && each.entry === entry;
       const isDuringBackOff =
