Keep a relay in use that declined one target only

Relays now decline such a message, and only a relay that takes none is left out. relay.test.ts checks which relays the client reports as failed; it failed before with both.

--- a/packages/daemon/src/entry/__tests__/relay.test.ts
+++ b/packages/daemon/src/entry/__tests__/relay.test.ts
@@ -30,8 +30,12 @@
 describe('relay', () => {
   const closers: (() => void)[] = [];
 
+  /** Relays that took no messages, as reported by the client. */
+  const failedRelays: string[] = [];
+
   afterEach(() => {
     closers.splice(0).forEach((close) => close());
+    failedRelays.length = 0;
   });
 
   const listen = async (handle: (socket: net.Socket) => void): Promise<number> => {
@@ -84,7 +88,7 @@
       peers: {
         choose: async ({ excluded = [] } = {}) => relays.find((each) => !excluded.includes(each)),
         begin: () => () => undefined,
-        failed: () => undefined,
+        failed: (relay) => failedRelays.push(relay),
         size: relays.length,
       },
       protocol: harness.PROTOCOL,
@@ -192,6 +196,8 @@
       await startRelay(),
     ];
     expect((await deliver(relays, target)).body).to.equal('whole');
+    // The second one declined this target only.
+    expect(failedRelays).to.deep.equal([relays[0]]);
     const withheld = await startRelay({ gate: { admit: () => undefined } });
     const other = await startTarget((socket) => socket.write(WHOLE));
     expect((await deliver([withheld, await startRelay()], other)).body).to.equal('whole');
--- a/packages/daemon/src/entry/relayClient.ts
+++ b/packages/daemon/src/entry/relayClient.ts
@@ -8,6 +8,7 @@
 import type * as protocols from '../edges/protocols';
 import type * as observer from '../observability/observer';
 import * as authenticatedSocket from '../rpc/authenticatedSocket';
+import type * as connectionTracker from './connectionTracker';
 import type * as targetAttempt from './targetAttempt';
 import * as relayDispatch from './relayDispatch';
 import type * as relayPeers from './relayPeers';
@@ -62,7 +63,7 @@
       tried.push(relay);
       observe.count(`relay.sent.${message.purpose}`);
       const end = await this.deliverBy(relay, message, attempt);
-      if (end.kind !== 'refused') return end;
+      if (end.kind !== 'refused' && end.kind !== 'declined') return end;
       observe.count('relay.refused');
       refusals.push(end.detail);
     }
@@ -107,9 +108,9 @@
     if (existing !== undefined) return existing;
     const { secret, source: localAddress } = this.dependencies;
     const options = { secret, localAddress, timeoutMs: CONNECT_TIMEOUT_MS };
-    const connect: Parameters<typeof authenticatedSocket.open>[2] extends infer Callback
-      ? (endpoint: { hostname: string; port: string }, callback: Callback) => void
-      : never = (endpoint, callback) => authenticatedSocket.open(endpoint, options, callback);
+    const connect: connectionTracker.Connector = (endpoint, callback) => {
+      authenticatedSocket.open(endpoint, options, callback);
+    };
     const created = new undici.Pool(`http://${relay}`, {
       connect: connect as unknown as undici.buildConnector.connector,
       pipelining: 1,
--- a/packages/daemon/src/entry/relayDispatch.ts
+++ b/packages/daemon/src/entry/relayDispatch.ts
@@ -5,8 +5,7 @@
 import * as relayProtocol from './relayProtocol';
 
 /** The attempt is over, or it never reached its target and may go another way. */
-export type DispatchEnd =
-  { kind: 'over' } | Extract<relayProtocol.RelayResult, { kind: 'notSent' | 'refused' }>;
+export type DispatchEnd = { kind: 'over' } | Exclude<relayProtocol.RelayResult, { kind: 'broken' }>;
 
 export interface Options {
   attempt: targetAttempt.Attempt;
@@ -93,7 +92,8 @@
 function parseResult(body: Buffer): relayProtocol.RelayResult {
   try {
     const { kind, detail } = JSON.parse(body.toString()) as relayProtocol.RelayResult;
-    if (kind === 'notSent' || kind === 'refused') return { kind, detail: String(detail) };
+    const isUnsent = kind === 'notSent' || kind === 'refused' || kind === 'declined';
+    if (isUnsent) return { kind, detail: String(detail) };
     return { kind: 'broken', detail: String(detail) };
   } catch {
     return { kind: 'broken', detail: 'unreadable result of the relay' };
--- a/packages/daemon/src/entry/relayProtocol.ts
+++ b/packages/daemon/src/entry/relayProtocol.ts
@@ -29,8 +29,10 @@
 export type RelayResult =
   /** The relay couldn't connect to the target either. */
   | { kind: 'notSent'; detail: string }
-  /** The relay doesn't take the message; another one may. */
+  /** The relay takes no messages now; another one may. */
   | { kind: 'refused'; detail: string }
+  /** The relay doesn't take this message, because of its target; another one may. */
+  | { kind: 'declined'; detail: string }
   /** The target may have run it. */
   | { kind: 'broken'; detail: string };
 
--- a/packages/daemon/src/entry/relayServer.ts
+++ b/packages/daemon/src/entry/relayServer.ts
@@ -29,7 +29,7 @@
 const IDLE_TIMEOUT_MS = 8_000;
 
 const PATH_LOST: relayProtocol.RelayResult = {
-  kind: 'refused',
+  kind: 'declined',
   detail: "the relay's own path to the target is lost",
 };
 
@@ -151,7 +151,7 @@
       response.end();
     } else if (response.headersSent || result.kind === 'cancelled') response.destroy();
     else if (result.kind === 'withheld')
-      this.end(response, { kind: 'refused', detail: 'target unavailable to the relay' });
+      this.end(response, { kind: 'declined', detail: 'target unavailable to the relay' });
     else this.end(response, { kind: result.kind, detail: result.detail });
   }
 
