Hold a request until other VMs have confirmed the crash that interrupted it

Callers of a request that crashes targets cost the fleet a fourth target instead of three, and with it requests that ran beside it.

Cause: since a crash counts only when another VM confirms it, its report takes another round trip or two. The request that it interrupted waits 20 ms for its report and then runs again, with the crash still unreported, so that its next crash isn't attributed to a suspect.

While other VMs are being asked about a target, its request now waits for their word, up to the time limit of the question. A target that is silent isn't waited for, as nobody is asked before this VM's own probe has timed out. The new test fails without the change (0 crashes known instead of 1).

--- a/packages/daemon/src/entry/__tests__/lifetimes.test.ts
+++ b/packages/daemon/src/entry/__tests__/lifetimes.test.ts
@@ -94,7 +94,7 @@
       fleetState: { quarantine, registry },
       link: { leader: '' },
       client: { call: () => Promise.reject(new Error('no leader')) },
-      liveness: { check: async () => 'dead' },
+      liveness: { check: async () => 'dead', isAskingOthers: () => false },
       observer: observe,
       now: clock.steady,
     });
--- a/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
@@ -33,7 +33,7 @@
           return Ok({ kind: 'taken', reports: [emptyReport] } as T);
         },
       },
-      liveness: { check: async () => 'dead' },
+      liveness: { check: async () => 'dead', isAskingOthers: () => false },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
@@ -72,7 +72,7 @@
           return Ok((method === 'permit' ? granted : { kind: 'taken' }) as T);
         },
       },
-      liveness: { check: async () => 'alive' },
+      liveness: { check: async () => 'alive', isAskingOthers: () => false },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
@@ -104,7 +104,7 @@
       client: {
         call: async <T>() => Ok({ kind: 'granted', endings: 0, target: undefined } as T),
       },
-      liveness: { check: async () => 'alive' },
+      liveness: { check: async () => 'alive', isAskingOthers: () => false },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
@@ -113,3 +113,30 @@
     expect(permit.kind === 'granted' && permit.endings).to.equal(1);
   });
 });
+
+describe('a crash that other VMs confirm late', () => {
+  /** Guards against a request that crashes a fourth target, as it runs again before its third crash is reported. */
+  it('is reported before the request runs again', async () => {
+    const quarantine = new domain.quarantine.quarantine.Quarantine();
+    const client = new quarantineClient.QuarantineClient({
+      name: 'e0',
+      fleetState: { quarantine, registry: new domain.registry.registry.Registry() },
+      link: { leader: '' },
+      client: { call: async <T>() => Ok({ kind: 'taken', reports: [] } as T) },
+      liveness: {
+        check: async () => {
+          await clock.sleep(100);
+          return 'dead';
+        },
+        isAskingOthers: () => true,
+      },
+      observer: new observer.Observer('test', 'fatal', undefined),
+      now: clock.steady,
+    });
+    const sentAt = clock.steady();
+    const sent = { target: 'a', address: '10.0.0.2:1', bornAt: 0, sentAt, isTrial: false };
+    await client.checkForCrash(request('r1'), sent);
+    client.close();
+    expect(quarantine.crashCount(CONTENT)).to.equal(1);
+  });
+});
--- a/packages/daemon/src/entry/livenessProbes.ts
+++ b/packages/daemon/src/entry/livenessProbes.ts
@@ -45,6 +45,9 @@
 
   private readonly pendingVerdicts = new Map<string, Promise<Verdict>>();
 
+  /** Questions to other VMs in flight, by target. */
+  private readonly pendingQuestions = new Map<string, Promise<Verdict>>();
+
   constructor(private readonly dependencies: Dependencies) {}
 
   /**
@@ -64,8 +67,17 @@
     });
   }
 
+  /** Whether other VMs are being asked about a target, so that its verdict is due within their time limit. */
+  isAskingOthers(target: string): boolean {
+    return this.pendingQuestions.has(target);
+  }
+
   /** Asks another VM about a target that this one doesn't reach. */
-  async askElsewhere(target: string, address: string): Promise<Verdict> {
+  askElsewhere(target: string, address: string): Promise<Verdict> {
+    return shared(this.pendingQuestions, target, () => this.question(target, address));
+  }
+
+  private async question(target: string, address: string): Promise<Verdict> {
     const { peers, paths, observer: observe } = this.dependencies;
     const isAlive = await peers?.reach({ target, address }, paths?.scopesOf(target) ?? []);
     if (isAlive === undefined) {
--- a/packages/daemon/src/entry/quarantineClient.ts
+++ b/packages/daemon/src/entry/quarantineClient.ts
@@ -58,7 +58,7 @@
   /** Name of this entry. */
   name: string;
   fleetState: Pick<fleetState.FleetState, 'quarantine' | 'registry'>;
-  liveness: Pick<livenessProbes.LivenessProbes, 'check'>;
+  liveness: Pick<livenessProbes.LivenessProbes, 'check' | 'isAskingOthers'>;
   /** Whether this VM has lost its path to a target, which then needn't have crashed. */
   isPathLost?: (target: string) => boolean;
   observer: observer.Observer;
@@ -72,6 +72,12 @@
  */
 const CRASH_CHECK_WAIT_MS = 20;
 
+/**
+ * How long it waits beyond that while other VMs are asked whether they reach the target, milliseconds: a question that
+ * none answers. A request that continues before its crash is reported may crash one target more.
+ */
+const CONFIRMATION_WAIT_MS = 350;
+
 /** Time after which a target that no other VM could be asked about is checked again, milliseconds. */
 const RECHECK_MS = 1_000;
 
@@ -136,11 +142,14 @@
   }
 
   /**
-   * Probes the target of an attempt without a response, and reports a crash. Resolves with the probe, or after a short
+   * Probes the target of an attempt without a response, and reports a crash. Resolves with the report, or after a short
    * wait.
    */
   async checkForCrash(request: RequestInfo, sent: SentRequest): Promise<void> {
-    await Promise.race([this.reportIfCrashed(request, sent), clock.sleep(CRASH_CHECK_WAIT_MS)]);
+    const reported = this.reportIfCrashed(request, sent);
+    await Promise.race([reported, clock.sleep(CRASH_CHECK_WAIT_MS)]);
+    if (!this.dependencies.liveness.isAskingOthers(sent.target)) return;
+    await Promise.race([reported, clock.sleep(CONFIRMATION_WAIT_MS)]);
   }
 
   /** Drops reports that no leader has accepted yet. */
