Take a silent target for crashed only if it stays silent

A sound target may fall silent for a second and go on. Requests that it ran were reported as having crashed it, and copies of them were refused with 503 ("another request with the same fingerprint is running") until it announced itself.

Cause: a probe without a response counted like one that is refused, and the other VMs that were asked saw the same silence and confirmed it.

Probes now tell a refusal, or a response of another lifetime, from silence; the answer to another VM says which (an old one that doesn't say counts as a refusal, as before). A target that is silent for all is checked once more after a second before its requests become suspects. Ejections and repeats are as before: a silent target is left out at once. A cancelled attempt now ends as cancelled: its abort ended it as broken before, so that a probe that timed out looked like a reset.

The test protocol now names the lifetime in its probes, as the platform's does: every probe in the test fleets was answered with 421 before, as if each target had been replaced.

--- a/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
@@ -81,6 +81,9 @@
   /** Back-off that it asks the sender of each request for, milliseconds; undefined while it accepts requests. */
   backOffMs: number | undefined;
 
+  /** Time on the steady clock until which it sends nothing, milliseconds; what it receives meanwhile is handled then. */
+  private silentUntil = 0;
+
   /** Whether its responses report that it drains; its announcements still say that it is ready. */
   isDraining = false;
 
@@ -133,6 +136,11 @@
     await this.start();
   }
 
+  /** Sends nothing for a while, and then goes on. */
+  silence(forMs: number): void {
+    this.silentUntil = clock.steady() + forMs;
+  }
+
   stop(): void {
     this.isStopped = true;
     this.terminate();
@@ -151,7 +159,8 @@
     request.on('data', (chunk: Buffer) => chunks.push(chunk));
     request.on('error', () => undefined);
     response.on('error', () => undefined);
-    request.on('end', () => {
+    request.on('end', async () => {
+      await this.endOfSilence();
       const { id } = this;
       const isRequest = request.url !== entryHarness.REPORT_PATH;
       const { name } = this.options;
@@ -231,7 +240,7 @@
     let next = Number(request.headers['resume-after'] ?? 0) + 1;
     const source = request.socket.remoteAddress ?? '';
     const timer = setInterval(() => {
-      if (this.options.isSilenced(source)) return;
+      if (this.options.isSilenced(source) || clock.steady() < this.silentUntil) return;
       response.write(`id: ${next}\ndata: x\n\n`);
       next += 1;
       if (next > STREAM_EVENTS) response.end();
@@ -240,7 +249,12 @@
     response.once('close', () => clearInterval(timer));
   }
 
+  private async endOfSilence(): Promise<void> {
+    while (clock.steady() < this.silentUntil) await clock.sleep(this.silentUntil - clock.steady());
+  }
+
   private async announce(): Promise<void> {
+    await this.endOfSilence();
     this.sequence += 1;
     const { service, port, dataCentre } = this.options;
     await this.options
--- a/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
@@ -229,6 +229,11 @@
     return [...this.keepers].find(([, each]) => each.gauges().leads === 1)?.[0] ?? -1;
   }
 
+  /** Value of a counter of all processes together. */
+  countOf(metric: string): number {
+    return this.observer.counters()[metric] ?? 0;
+  }
+
   async startKeeper(i: number): Promise<void> {
     const newKeeper = new keeper.Keeper({
       settings: this.settings(`
--- a/packages/daemon/src/__tests__/crashingRequests.test.ts
+++ b/packages/daemon/src/__tests__/crashingRequests.test.ts
@@ -13,10 +13,13 @@
 /** Time until all entries know of a crash: a probe of the target, a report to the leader and its broadcast. */
 const PROPAGATION_MS = 100;
 
+/** How long a sound target may be silent. */
+const SILENCE_MS = 1_500;
+
 const CRASHING_BODY = `${crashableTarget.CRASH_MARKER} one`;
 
 describe('requests that crash targets', () => {
-  const pool = new fleetPool.FleetPool({ engines: 3, plain: 2 });
+  const pool = new fleetPool.FleetPool({ engines: 4, plain: 2 });
 
   /*
    * Guards against a request that crashes every engine that runs it and takes down a whole fleet: 44 lifetimes of 23
@@ -106,4 +109,19 @@
       .filter(({ at }) => at > thirdCrashAt + PROPAGATION_MS);
     expect(later).to.deep.equal([]);
   });
+
+  /** Guards against a suspicion of requests whose target was only silent for a second: their copies were refused. */
+  it('do not include those that run on a target that is silent for a second', async () => {
+    const fleet = await pool.take('engines');
+    const copy = { service: 'engines', body: 'summary' } as const;
+    const replies: Promise<smallFleet.Reply>[] = [];
+    for (let i = 0; i < 60; i++) {
+      if (i === 5) fleet.targets.slice(0, 2).forEach((target) => target.silence(SILENCE_MS));
+      replies.push(fleet.send(i % smallFleet.ENTRIES, copy));
+      await clock.sleep(40);
+    }
+    const statuses = (await Promise.all(replies)).map(({ status }) => status);
+    expect(new Set(statuses)).to.deep.equal(new Set([200]));
+    expect(fleet.countOf('event.targetEndedUnder')).to.equal(0);
+  });
 });
--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -57,7 +57,12 @@
   }),
   reserve: () => ({ method: 'POST', path: '/', headers: [], body: '' }),
   release: () => ({ method: 'POST', path: '/', headers: [], body: '' }),
-  stateCall: () => ({ method: 'GET', path: REPORT_PATH, headers: [], body: '' }),
+  stateCall: (target) => ({
+    method: 'GET',
+    path: REPORT_PATH,
+    headers: ['target', target],
+    body: '',
+  }),
 };
 
 /** A gate that admits every message. */
--- a/packages/daemon/src/entry/directDispatch.ts
+++ b/packages/daemon/src/entry/directDispatch.ts
@@ -6,6 +6,13 @@
 import type * as connectionTracker from './connectionTracker';
 import type * as pathMonitor from './pathMonitor';
 
+/** Why no connection to a target could be made. */
+export interface ConnectionFailure {
+  detail: string;
+  /** Whether the connection was refused, rather than left unanswered. */
+  isRefused: boolean;
+}
+
 export interface Options {
   target: string;
   attempt: targetAttempt.Attempt;
@@ -13,7 +20,7 @@
   protocol: Pick<protocols.TrafficProtocol, 'responseMetadata'>;
   paths?: Pick<pathMonitor.PathMonitor, 'responded'>;
   /** Called instead of ending the attempt if no connection could be made. */
-  onUnreachable: (detail: string) => void;
+  onUnreachable: (failure: ConnectionFailure) => void;
 }
 
 export class DirectDispatch implements undici.Dispatcher.DispatchHandler {
@@ -61,6 +68,6 @@
     const { code = '' } = error as { code?: string };
     const detail = `${code} ${error.message}`.trim();
     if (this.isStarted) this.options.attempt.finish({ kind: 'broken', detail });
-    else this.options.onUnreachable(detail);
+    else this.options.onUnreachable({ detail, isRefused: code === 'ECONNREFUSED' });
   }
 }
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -491,7 +491,7 @@
       outcome.kind === 'failed'
         ? await probes.check(target, address)
         : await probes.askElsewhere(target, address);
-    if (verdict === 'pathLost' || verdict === 'dead') {
+    if (verdict === 'pathLost' || verdict === 'dead' || verdict === 'silent') {
       selector.reportVerdict(target, verdict === 'pathLost');
     }
   }
--- a/packages/daemon/src/entry/livenessProbes.ts
+++ b/packages/daemon/src/entry/livenessProbes.ts
@@ -32,16 +32,20 @@
 
 const OK = 200;
 
+/** `refused`: nothing serves this lifetime any more. `silent`: no response in time, which a sound target may fail to give. */
+export type ProbeResult = 'alive' | 'refused' | 'silent';
+
 /**
  * What is known of a target that gave no response. `alive`: it responds to this VM. `pathLost`: it responds to another
- * VM only. `dead`: it responds to neither. `unknown`: it doesn't respond here, and no other VM can tell. `unasked`: the
- * same, and none of the other VMs that are known answered, so that this VM may be the one that is cut off.
+ * VM only. `dead`: it responds to neither, and refuses one of them. `silent`: it responds to neither. `unknown`: it
+ * doesn't respond here, and no other VM can tell. `unasked`: the same, and none of the other VMs that are known answered,
+ * so that this VM may be the one that is cut off.
  */
-export type Verdict = 'alive' | 'pathLost' | 'dead' | 'unknown' | 'unasked';
+export type Verdict = 'alive' | 'pathLost' | 'dead' | 'silent' | 'unknown' | 'unasked';
 
 export class LivenessProbes {
   /** Probes in flight by target; requests on the same target share one. */
-  private readonly pending = new Map<string, Promise<boolean>>();
+  private readonly pending = new Map<string, Promise<ProbeResult>>();
 
   private readonly pendingVerdicts = new Map<string, Promise<Verdict>>();
 
@@ -50,20 +54,24 @@
 
   constructor(private readonly dependencies: Dependencies) {}
 
-  /**
-   * Whether this lifetime of a target responds to this VM. A target that can't be probed, as it is limited or in
-   * back-off, counts as alive.
-   */
-  isAlive(target: string, address: string): Promise<boolean> {
-    return shared(this.pending, target, () => this.probe(target, address));
+  /** Whether this lifetime of a target responds to this VM; one that can't be probed counts as alive. */
+  async isAlive(target: string, address: string): Promise<boolean> {
+    return (await this.probe(target, address)) === 'alive';
+  }
+
+  /** Probes a target. One that can't be probed, as it is limited or in back-off, counts as alive. */
+  probe(target: string, address: string): Promise<ProbeResult> {
+    return shared(this.pending, target, () => this.sendProbe(target, address));
   }
 
   /** Probes a target, and asks another VM about it if it doesn't respond. */
   check(target: string, address: string): Promise<Verdict> {
     return shared(this.pendingVerdicts, target, async () => {
       const isLost = this.dependencies.paths?.isLost(target) === true;
-      if (!isLost && (await this.isAlive(target, address))) return 'alive';
-      return this.askElsewhere(target, address);
+      const result = isLost ? 'silent' : await this.probe(target, address);
+      if (result === 'alive') return 'alive';
+      const verdict = await this.askElsewhere(target, address);
+      return verdict === 'silent' && result === 'refused' ? 'dead' : verdict;
     });
   }
 
@@ -79,19 +87,21 @@
 
   private async question(target: string, address: string): Promise<Verdict> {
     const { peers, paths, observer: observe } = this.dependencies;
-    const isAlive = await peers?.reach({ target, address }, paths?.scopesOf(target) ?? []);
-    if (isAlive === undefined) {
+    const result = await peers?.reach({ target, address }, paths?.scopesOf(target) ?? []);
+    if (result === undefined) {
       return peers === undefined || peers.size === 0 || peers.isAvailable ? 'unknown' : 'unasked';
     }
+    const isAlive = result === 'alive';
     if (isAlive) paths?.reachedElsewhere(target);
-    observe.log('targetAsked', { target, isAlive, elsewhere: true });
+    observe.log('targetAsked', { target, isAlive, isSilent: result === 'silent', elsewhere: true });
+    if (result === 'silent') return 'silent';
     return isAlive ? 'pathLost' : 'dead';
   }
 
-  private async probe(target: string, address: string): Promise<boolean> {
+  private async sendProbe(target: string, address: string): Promise<ProbeResult> {
     if (!(await this.dependencies.limits.mayProbe(target))) {
       this.dependencies.observer.count('lifeChecks.withheld');
-      return true;
+      return 'alive';
     }
     const { protocol, gate, source, openSocket, paths } = this.dependencies;
     const client = new targetClient.TargetClient({ protocol, gate, source, openSocket, paths });
@@ -100,14 +110,16 @@
     client.close();
     if (result.kind === 'withheld') {
       this.dependencies.observer.count('lifeChecks.withheld');
-      return true;
+      return 'alive';
     }
     const status = result.kind === 'answered' ? result.status : 0;
     const isAlive = result.kind === 'answered' && isFromLiveTarget(result);
-    if (result.kind === 'silent') paths?.failed(target);
+    const isSilent = result.kind === 'silent';
+    if (result.kind !== 'answered') paths?.failed(target);
     this.dependencies.observer.count(isAlive ? 'lifeChecks.alive' : 'lifeChecks.dead');
-    this.dependencies.observer.log('targetAsked', { target, status, isAlive });
-    return isAlive;
+    this.dependencies.observer.log('targetAsked', { target, status, isAlive, isSilent });
+    if (isAlive) return 'alive';
+    return isSilent ? 'silent' : 'refused';
   }
 }
 
--- a/packages/daemon/src/entry/quarantineClient.ts
+++ b/packages/daemon/src/entry/quarantineClient.ts
@@ -78,7 +78,10 @@
  */
 const CONFIRMATION_WAIT_MS = 350;
 
-/** Time after which a target that no other VM could be asked about is checked again, milliseconds. */
+/**
+ * Time after which a target is checked again that no other VM could be asked about, or that is silent, milliseconds. A
+ * sound target may be silent for a second.
+ */
 const RECHECK_MS = 1_000;
 
 /** Maximum number of unreported crashes: enough for an entry that is cut off from all targets for some seconds. */
@@ -232,8 +235,8 @@
   }
 
   /**
-   * What shows that a target which didn't respond has crashed. While no other VM answers, this one's own paths may be lost before
-   * it knows, so the target is checked once more.
+   * What shows that a target which didn't respond has crashed. It is checked once more if it is silent, and if no other VM
+   * answers: this one's own paths may be lost before it knows.
    */
   private async crashEvidence(
     target: string,
@@ -241,11 +244,11 @@
   ): Promise<'confirmed' | 'own' | 'none'> {
     const { liveness: probes, isPathLost } = this.dependencies;
     let verdict = await probes.check(target, address);
-    if (verdict === 'unasked') {
+    if (verdict === 'unasked' || verdict === 'silent') {
       await clock.sleep(RECHECK_MS);
       verdict = await probes.check(target, address);
     }
-    if (verdict === 'dead') return 'confirmed';
+    if (verdict === 'dead' || verdict === 'silent') return 'confirmed';
     const isUndecided = verdict === 'unknown' || verdict === 'unasked';
     return isUndecided && isPathLost?.(target) !== true ? 'own' : 'none';
   }
--- a/packages/daemon/src/entry/reachability.ts
+++ b/packages/daemon/src/entry/reachability.ts
@@ -25,7 +25,7 @@
   fleetState: Pick<fleetState.FleetState, 'registry'>;
   client: peerClient.PeerClient;
   targets: () => targetClient.TargetClient;
-  liveness: () => Pick<livenessProbes.LivenessProbes, 'isAlive'>;
+  liveness: () => Pick<livenessProbes.LivenessProbes, 'probe'>;
   /** Whether this entry serves and goes on running, apart from its paths. */
   isServing: () => boolean;
   observer: observer.Observer;
@@ -67,7 +67,7 @@
       now: clock.steady,
       tryConnection: (target, address) => targets().tryConnection(target, address),
       probe: (target, address) => {
-        void dependencies.liveness().isAlive(target, address);
+        void dependencies.liveness().probe(target, address);
       },
       onLost: (lost) => lost.forEach((target) => targets().forget(target)),
       onImpaired: () => {
@@ -146,7 +146,8 @@
     address,
   }: relayProtocol.ReachRequest): Promise<relayProtocol.ReachAnswer> {
     if (this.paths.isLost(target)) return {};
-    const isAlive = await this.dependencies.liveness().isAlive(target, address);
-    return !isAlive && this.paths.isLost(target) ? {} : { isAlive };
+    const result = await this.dependencies.liveness().probe(target, address);
+    if (result === 'alive') return { isAlive: true };
+    return this.paths.isLost(target) ? {} : { isAlive: false, isSilent: result === 'silent' };
   }
 }
--- a/packages/daemon/src/entry/relayPeers.ts
+++ b/packages/daemon/src/entry/relayPeers.ts
@@ -5,6 +5,7 @@
 import type * as domain from '@celerydrift/domain';
 import type * as messages from '../fleet/messages';
 import type * as peerClient from '../rpc/peerClient';
+import type * as livenessProbes from './livenessProbes';
 import type * as relayProtocol from './relayProtocol';
 
 export interface Dependencies {
@@ -108,32 +109,33 @@
   }
 
   /**
-   * Whether a target responds to another entry; undefined if none can tell. Several are asked, as one that hasn't noticed
-   * yet that it lost its own paths takes every target for dead.
+   * How a target responds to other entries: the best that one of them sees, or undefined if none can tell. Several are
+   * asked, as one that hasn't noticed yet that it lost its own paths takes every target for dead.
    */
   async reach(
     request: relayProtocol.ReachRequest,
     scopes: readonly Scope[],
-  ): Promise<boolean | undefined> {
+  ): Promise<livenessProbes.ProbeResult | undefined> {
     const ready = this.ready({ scopes });
     // A crash must be reported within a few round trips, so nobody's status is asked for first.
     const asked = (ready.length > 0 ? ready : this.spread()).slice(0, MAX_ASKED);
     const answers = asked.map(({ address }) => this.askAbout(address, request));
     const found = answers.map(async (answer) => {
-      if ((await answer) !== true) throw new Error('not reached');
+      if ((await answer) !== 'alive') throw new Error('not reached');
     });
     const isReached = await Promise.any(found).then(
       () => true,
       () => false,
     );
-    if (isReached) return true;
-    return (await Promise.all(answers)).includes(false) ? false : undefined;
+    if (isReached) return 'alive';
+    const results = await Promise.all(answers);
+    return results.includes('refused') ? 'refused' : results.find((each) => each !== undefined);
   }
 
   private async askAbout(
     address: string,
     request: relayProtocol.ReachRequest,
-  ): Promise<boolean | undefined> {
+  ): Promise<livenessProbes.ProbeResult | undefined> {
     const options = { timeoutMs: REACH_TIMEOUT_MS, toleratesDelay: true };
     const answer = await this.dependencies.client.call<relayProtocol.ReachAnswer>(
       address,
@@ -141,7 +143,10 @@
       request,
       options,
     );
-    return answer.ok ? answer.val.isAlive : undefined;
+    if (answer.err || answer.val.isAlive === undefined) return undefined;
+    const { isAlive, isSilent } = answer.val;
+    if (isAlive) return 'alive';
+    return isSilent === true ? 'silent' : 'refused';
   }
 
   /** All relays, those of this data centre and of others in turn. */
--- a/packages/daemon/src/entry/relayProtocol.ts
+++ b/packages/daemon/src/entry/relayProtocol.ts
@@ -54,6 +54,8 @@
 export interface ReachAnswer {
   /** Absent if the entry can't tell. */
   isAlive?: boolean;
+  /** Whether the target gave no response at all, rather than refuse. */
+  isSilent?: boolean;
 }
 
 const packr = new msgpackr.Packr({ useRecords: false });
--- a/packages/daemon/src/entry/targetAttempt.ts
+++ b/packages/daemon/src/entry/targetAttempt.ts
@@ -51,8 +51,9 @@
   cancel(): void {
     if (this.isSettled) return;
     this.cancelled = true;
-    this.carrier?.abort(new Error('cancelled'));
+    // Settled first, as the abort ends the dispatch with an error at once.
     this.finish({ kind: 'cancelled' });
+    this.carrier?.abort(new Error('cancelled'));
   }
 
   /** Whether bytes of the request may have been written to the target. */
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -30,9 +30,10 @@
 export type SendResult =
   | { kind: 'complete' }
   /**
-   * No byte was written: the target can't have run it. `isConfirmed` if another VM couldn't connect to it either.
+   * No byte was written: the target can't have run it. `isRefused` if the connection was refused rather than left
+   * unanswered; `isConfirmed` if another VM couldn't connect to it either.
    */
-  | { kind: 'notSent'; detail: string; isConfirmed?: boolean }
+  | { kind: 'notSent'; detail: string; isRefused?: boolean; isConfirmed?: boolean }
   /** Nothing was sent, because the target is unavailable to such messages. */
   | { kind: 'withheld' }
   /** Bytes were written, but no complete response arrived. */
@@ -94,9 +95,13 @@
   relays?: Pick<relayClient.RelayClient, 'deliver' | 'hasPeers'>;
 }
 
-/** Result of a call that this daemon originates; `silent` if no complete response arrived in time. */
+/**
+ * Result of a call that this daemon originates: `refused` if the connection was refused or broke, `silent` if no complete
+ * response arrived in time.
+ */
 export type CallResult =
   | { kind: 'answered'; status: number; facts: protocols.ResponseMetadata }
+  | { kind: 'refused' }
   | { kind: 'silent' }
   | { kind: 'withheld' };
 
@@ -121,7 +126,7 @@
     const attempt = new targetAttempt.Attempt(handler, this.dependencies.gate.admit(message));
     if (attempt.isWithheld) return attempt;
     if (this.mustRelay(message.target)) void this.relay(message, attempt);
-    else this.dispatch(message, attempt, (detail) => this.sendAround(message, attempt, detail));
+    else this.dispatch(message, attempt, (failure) => this.sendAround(message, attempt, failure));
     return attempt;
   }
 
@@ -129,7 +134,7 @@
   sendDirectly(message: TargetMessage, handler: ResponseHandler): targetAttempt.Attempt {
     const attempt = new targetAttempt.Attempt(handler, this.dependencies.gate.admit(message, true));
     if (attempt.isWithheld) return attempt;
-    this.dispatch(message, attempt, (detail) => attempt.finish({ kind: 'notSent', detail }));
+    this.dispatch(message, attempt, (failure) => attempt.finish({ kind: 'notSent', ...failure }));
     return attempt;
   }
 
@@ -153,6 +158,8 @@
     const result = await attempt.result;
     clearTimeout(timer);
     if (result.kind === 'withheld') return result;
+    if (result.kind === 'broken' || (result.kind === 'notSent' && result.isRefused === true))
+      return { kind: 'refused' };
     if (result.kind !== 'complete' || head === undefined) return { kind: 'silent' };
     return { kind: 'answered', status: head.status, facts: head.facts };
   }
@@ -183,7 +190,7 @@
   private dispatch(
     { target, address, method, path, headers, body, currentHeaders }: TargetMessage,
     attempt: targetAttempt.Attempt,
-    onUnreachable: (detail: string) => void,
+    onUnreachable: (failure: directDispatch.ConnectionFailure) => void,
   ): void {
     const { connections } = this;
     const { protocol, paths } = this.dependencies;
@@ -210,9 +217,13 @@
   }
 
   /** No connection could be made; if that is this VM's fault, the message goes by way of another entry. */
-  private sendAround(message: TargetMessage, attempt: targetAttempt.Attempt, detail: string): void {
+  private sendAround(
+    message: TargetMessage,
+    attempt: targetAttempt.Attempt,
+    failure: directDispatch.ConnectionFailure,
+  ): void {
     if (this.mustRelay(message.target)) void this.relay(message, attempt);
-    else attempt.finish({ kind: 'notSent', detail });
+    else attempt.finish({ kind: 'notSent', ...failure });
   }
 
   /**
