Report crashes from an entry that can ask no other VM

It waited a second before it checked once more, and then reported nothing where its path counted as lost; in a data centre with two engines that is so as soon as both have crashed.

Where no other VM answers, a response of any target to a later message now shows that this VM's paths are sound, and its own probe is enough: the crash is reported at once, not a second later. Only an entry that reaches no target at all keeps quiet. A silent target that restarts under its id before it is checked again counts as crashed.

--- a/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
@@ -4,6 +4,7 @@
 import { Ok } from 'ts-results';
 import * as clock from '../../clock';
 import * as observer from '../../observability/observer';
+import type * as livenessProbes from '../livenessProbes';
 import * as quarantineClient from '../quarantineClient';
 
 const { expect } = chai;
@@ -140,3 +141,77 @@
     expect(quarantine.crashCount(CONTENT)).to.equal(1);
   });
 });
+
+describe('a crash that no other VM can be asked about', () => {
+  /** An entry whose every target is found dead; returns the crashes that are known after a while. */
+  const crashesOf = async (
+    paths: quarantineClient.Dependencies['paths'],
+    afterMs: number,
+    bornAt = 0,
+  ): Promise<number> => {
+    const quarantine = new domain.quarantine.quarantine.Quarantine();
+    const registry = new domain.registry.registry.Registry();
+    const client = new quarantineClient.QuarantineClient({
+      name: 'e0',
+      fleetState: { quarantine, registry },
+      link: { leader: '' },
+      client: { call: async <T>() => Ok({ kind: 'taken', reports: [] } as T) },
+      liveness: { check: async () => 'unasked', isAskingOthers: () => false },
+      paths,
+      observer: new observer.Observer('test', 'fatal', undefined),
+      now: clock.steady,
+    });
+    const sentAt = clock.steady();
+    const sent = { target: 'a', address: '10.0.0.2:1', bornAt, sentAt, isTrial: false };
+    await client.checkForCrash(request('r1'), sent);
+    await clock.sleep(afterMs);
+    client.close();
+    return quarantine.crashCount(CONTENT);
+  };
+
+  /** Guards against crashes that an entry which is cut off from other VMs keeps to itself, or reports too late. */
+  it('is reported once another target responds', async () => {
+    const sound = { isIsolated: false, hasResponseSince: () => true };
+    expect(await crashesOf(sound, 100)).to.equal(1);
+  });
+
+  /** Guards against crash reports by an entry that has lost its paths to all targets. */
+  it('is not reported while no target responds', async () => {
+    const isolated = { isIsolated: true, hasResponseSince: () => false };
+    expect(await crashesOf(isolated, 100)).to.equal(0);
+  });
+});
+
+describe('a silent target that restarts under its id', () => {
+  /** Guards against a crash that isn't reported because the next lifetime responds to the second probe. */
+  it('counts as crashed', async () => {
+    const quarantine = new domain.quarantine.quarantine.Quarantine();
+    const registry = new domain.registry.registry.Registry();
+    const record = {
+      id: 'a',
+      service: 'plain',
+      address: '10.0.0.2:1',
+      dataCentre: 'dc0',
+      slots: 1,
+      state: 'ready',
+      sequence: 1,
+    } as const;
+    registry.announce({ ...record, bornAt: 1 }, 0);
+    const verdicts: livenessProbes.Verdict[] = ['silent', 'alive'];
+    const client = new quarantineClient.QuarantineClient({
+      name: 'e0',
+      fleetState: { quarantine, registry },
+      link: { leader: '' },
+      client: { call: async <T>() => Ok({ kind: 'taken', reports: [] } as T) },
+      liveness: { check: async () => verdicts.shift() ?? 'alive', isAskingOthers: () => false },
+      observer: new observer.Observer('test', 'fatal', undefined),
+      now: clock.steady,
+    });
+    const sent = { target: 'a', address: '10.0.0.2:1', bornAt: 1, sentAt: 0, isTrial: false };
+    await client.checkForCrash(request('r1'), sent);
+    registry.announce({ ...record, bornAt: 2 }, 0);
+    await clock.sleep(1_200);
+    client.close();
+    expect(quarantine.crashCount(CONTENT)).to.equal(1);
+  });
+});
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -206,7 +206,7 @@
       link: this.link,
       client: this.client,
       liveness: this.liveness,
-      isPathLost: (target) => this.reachability.paths.isLost(target),
+      paths: this.reachability.paths,
       observer: observe,
       now: clock.steady,
     });
--- a/packages/daemon/src/entry/pathMonitor.ts
+++ b/packages/daemon/src/entry/pathMonitor.ts
@@ -93,6 +93,11 @@
     return record !== undefined && this.paths.isLost(record);
   }
 
+  /** Whether some target responded to a message that was sent since a time. */
+  hasResponseSince(time: number): boolean {
+    return this.paths.respondedAt >= time;
+  }
+
   /** Whether this VM reaches no target at all. */
   get isIsolated(): boolean {
     return this.paths.isolatedSince !== undefined;
--- a/packages/daemon/src/entry/quarantineClient.ts
+++ b/packages/daemon/src/entry/quarantineClient.ts
@@ -12,6 +12,7 @@
 import * as leaderCall from './leaderCall';
 import * as leaderOutbox from './leaderOutbox';
 import type * as livenessProbes from './livenessProbes';
+import type * as pathMonitor from './pathMonitor';
 
 /** A request that may be a suspect. */
 export interface RequestInfo {
@@ -59,8 +60,8 @@
   name: string;
   fleetState: Pick<fleetState.FleetState, 'quarantine' | 'registry'>;
   liveness: Pick<livenessProbes.LivenessProbes, 'check' | 'isAskingOthers'>;
-  /** Whether this VM has lost its path to a target, which then needn't have crashed. */
-  isPathLost?: (target: string) => boolean;
+  /** This VM's own paths: while they are lost, a target that doesn't respond needn't have crashed. */
+  paths?: Pick<pathMonitor.PathMonitor, 'isIsolated' | 'hasResponseSince'>;
   observer: observer.Observer;
   now: () => number;
 }
@@ -78,11 +79,15 @@
  */
 const CONFIRMATION_WAIT_MS = 350;
 
+/** Time after which a silent target is checked again, milliseconds. A sound target may be silent for a second. */
+const RECHECK_MS = 1_000;
+
 /**
- * Time after which a target is checked again that no other VM could be asked about, or that is silent, milliseconds. A
- * sound target may be silent for a second.
+ * While no other VM answers, how long this one waits for a response of any target, which shows that its own paths aren't
+ * lost, and the interval at which it looks for one, milliseconds. By then the loss of all paths is known.
  */
-const RECHECK_MS = 1_000;
+const OWN_PATHS_WAIT_MS = 1_000;
+const OWN_PATHS_POLL_MS = 50;
 
 /** Maximum number of unreported crashes: enough for an entry that is cut off from all targets for some seconds. */
 const MAX_UNREPORTED_CRASHES = 500;
@@ -220,7 +225,7 @@
     { target, address, bornAt, sentAt, isTrial }: SentRequest,
   ): Promise<void> {
     const { observer: observe, fleetState: state, now } = this.dependencies;
-    const evidence = await this.crashEvidence(target, address);
+    const evidence = await this.crashEvidence({ target, address, bornAt });
     if (evidence === 'none') return;
     const record = state.registry.get(target);
     if (record?.bornAt === bornAt && hasStoppedItself(record)) return;
@@ -235,22 +240,37 @@
   }
 
   /**
-   * What shows that a target which didn't respond has crashed. It is checked once more if it is silent, and if no other VM
-   * answers: this one's own paths may be lost before it knows.
+   * What shows that a target which didn't respond has crashed: the word of another VM, or this VM's own probe where no
+   * other one can tell and its own paths are sound.
    */
-  private async crashEvidence(
-    target: string,
-    address: string,
-  ): Promise<'confirmed' | 'own' | 'none'> {
-    const { liveness: probes, isPathLost } = this.dependencies;
+  private async crashEvidence({
+    target,
+    address,
+    bornAt,
+  }: Pick<SentRequest, 'target' | 'address' | 'bornAt'>): Promise<'confirmed' | 'own' | 'none'> {
+    const { liveness: probes, paths, now, fleetState: state } = this.dependencies;
+    const checkedAt = now();
     let verdict = await probes.check(target, address);
-    if (verdict === 'unasked' || verdict === 'silent') {
+    if (verdict === 'silent') {
       await clock.sleep(RECHECK_MS);
       verdict = await probes.check(target, address);
+      // One that restarted under its id meanwhile responds again.
+      if ((state.registry.get(target)?.bornAt ?? bornAt) > bornAt) return 'own';
     }
     if (verdict === 'dead' || verdict === 'silent') return 'confirmed';
+    if (verdict === 'unasked') await this.awaitResponseSince(checkedAt);
     const isUndecided = verdict === 'unknown' || verdict === 'unasked';
-    return isUndecided && isPathLost?.(target) !== true ? 'own' : 'none';
+    return isUndecided && paths?.isIsolated !== true ? 'own' : 'none';
+  }
+
+  /** Waits until some target has responded to a message sent since a time, or until the loss of all paths is known. */
+  private async awaitResponseSince(time: number): Promise<void> {
+    const { paths, now } = this.dependencies;
+    const deadline = now() + OWN_PATHS_WAIT_MS;
+    while (paths?.hasResponseSince(time) !== true && paths?.isIsolated !== true) {
+      if (now() >= deadline) return;
+      await clock.sleep(OWN_PATHS_POLL_MS);
+    }
   }
 
   /**
--- a/packages/domain/src/reachability/targetPaths.ts
+++ b/packages/domain/src/reachability/targetPaths.ts
@@ -134,6 +134,11 @@
     return this.lostScopes.get(ALL);
   }
 
+  /** When the last message was sent that any target responded to. */
+  get respondedAt(): number {
+    return this.respondedTo.get(ALL) ?? -Infinity;
+  }
+
   get scopes(): Scope[] {
     return [...this.lostScopes.keys()];
   }
