Count a target that crashes repeatedly once among lost paths

Cause: each lifetime of a target fails under its own id, and those that were replaced stayed among the failing ones, so that one target that crashed twice within 3 s looked like two. Only targets that are ready count now.

--- a/packages/domain/src/reachability/__tests__/targetPaths.test.ts
+++ b/packages/domain/src/reachability/__tests__/targetPaths.test.ts
@@ -33,6 +33,13 @@
     expect(lostOf(paths)).to.deep.equal([]);
   });
 
+  /** Guards against a target that crashes repeatedly, under a new id each time, and is taken for several targets. */
+  it('are not lost because several lifetimes of one target fail', () => {
+    paths = new targetPaths.TargetPaths(() => TARGETS.slice(0, 1));
+    ['t0-1', 't0-2', 't0-3', 't0'].forEach((id, i) => paths.failed({ ...TARGETS[0], id }, i));
+    expect(paths.scopes).to.deep.equal([]);
+  });
+
   /** Guards against engines that crash together and are taken for lost paths, although others respond. */
   it('are not lost while others of the same scope respond to what is sent between the failures', () => {
     paths.failed(TARGETS[0], 10);
--- a/packages/domain/src/reachability/targetPaths.ts
+++ b/packages/domain/src/reachability/targetPaths.ts
@@ -173,11 +173,11 @@
    */
   private judge(scope: Scope, now: number): 'lost' | 'suspected' | 'none' {
     const since = Math.max(now - MAX_FAILURE_AGE_MS, this.respondedTo.get(scope) ?? -Infinity);
-    const failing = [...this.failing.values()]
-      .filter(({ failedSince }) => failedSince >= since)
-      .map(({ endpoint }) => endpoint)
-      .filter((endpoint) => scopesOf(endpoint).includes(scope));
     const all = this.ready().filter((endpoint) => scopesOf(endpoint).includes(scope));
+    // Only ready ones count: a target that crashes repeatedly fails under several ids, one for each lifetime.
+    const failing = all.filter(
+      ({ id }) => (this.failing.get(id)?.failedSince ?? -Infinity) >= since,
+    );
     const parts = partsOf(scope, all).size;
     if (partsOf(scope, failing).size < Math.min(MIN_FAILING_PARTS, parts)) return 'none';
     if (failing.length < FAILURES_TO_SUSPICION) return 'none';
