Don't expect an entry to hear a rejection of a request that it cancelled

Trace: entry 2 had been paused for 3.3 s, and placed three requests whose callers had left 9 to 266 ms before (5006 r1091, r1094, r1102, then 5009 within 5 ms). Their connections were closed before the target's rejections arrived, so no back-off was read (no 4119), and the entry sent on. That is allowed: it can't read what comes on a connection that it closed because its caller left.

The soak now records which request a target rejected, and leaves a rejection out if that request's caller had its end before it. A test holds both sides of that bound. The comment of the evacuation check is back at its function.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -140,6 +140,18 @@
     expect(violated).to.deep.equal([]);
   });
 
+  it('allow messages to a target whose back-off answered a request that its caller had given up, but no other', () => {
+    const messagesAfter = (endedAt: number): string[] =>
+      violatedGuarantees(({ asked: all, got, turnedAway }) => {
+        const exchange = { target: 't0-1', entry: 0 };
+        all.push(requestRecord('r3', { endedAt, ending: { kind: 'hung' } }));
+        turnedAway.push({ ...exchange, at: 10_000, backOffSeconds: 2, rejected: 'r3' });
+        got.push(...[10_600, 11_200, 11_900].map((at) => ({ ...exchange, at })));
+      });
+    expect(messagesAfter(9_990)).to.not.include('notLeftAlone');
+    expect(messagesAfter(10_010)).to.include('notLeftAlone');
+  });
+
   it('allow messages to a target whose back-off was lost on a severed path', () => {
     const violated = violatedGuarantees((good) => {
       good.severed.push({ entries: [0], from: 9_000, until: 10_500 });
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -288,10 +288,6 @@
   });
 }
 
-/**
- * An entry knows an evacuation at the latest once it has been in touch with a leader for the bound, and keeps it
- * through later faults.
- */
 /** Whether a severed path held a request back until it was restored; its entry can't recall it. */
 function wasHeldBack(
   { severed }: Observations,
@@ -305,6 +301,10 @@
   });
 }
 
+/**
+ * An entry knows an evacuation at the latest once it has been in touch with a leader for the bound, and keeps it
+ * through later faults.
+ */
 function evacuatedTargetRuns(observed: Observations): Violation[] {
   const requests = new Map(
     [...observed.asked, ...observed.crashers].map((each) => [each.request, each]),
@@ -501,10 +501,18 @@
   return Math.abs(at - end) <= TRANSIT_MS;
 }
 
+/** Whether the caller had left before its request was rejected: its entry cancels it and reads no response. */
+function hadCallerLeft(
+  { asked }: Observations,
+  { rejected, at }: observations.TargetExchange,
+): boolean {
+  return asked.some(({ request, endedAt }) => request === rejected && endedAt <= at);
+}
+
 function backOffBreaches(observed: Observations): Violation[] {
   return observed.turnedAway.flatMap((rejection): Violation[] => {
     const { target, bornAt, entry, at, backOffSeconds = 0 } = rejection;
-    if (wasPausedBefore(observed, target, at)) return [];
+    if (wasPausedBefore(observed, target, at) || hadCallerLeft(observed, rejection)) return [];
     const during = observed.got.filter((each) => {
       const isSamePair = each.target === target && each.bornAt === bornAt && each.entry === entry;
       const isDuringBackOff =
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -60,8 +60,9 @@
   bornAt?: number;
   entry: number;
   at: number;
-  /** The back-off period that the target requested, if any. */
+  /** The back-off period that the target requested, if any, and the request that it rejected with it. */
   backOffSeconds?: number;
+  rejected?: string;
 }
 
 /** A period in which a target reports a rate limit. */
--- a/packages/soak/src/targetMain.ts
+++ b/packages/soak/src/targetMain.ts
@@ -158,7 +158,7 @@
     }
     const { backOffSeconds } = this.selfReport();
     if (backOffSeconds !== undefined && Math.random() < REJECTED_SHARE) {
-      this.reportExchange('turnedAway', request, backOffSeconds);
+      this.reportExchange('turnedAway', request, { backOffSeconds, rejected: requestId });
       const refusal = {
         ...this.selfReportFields(request),
         requestId,
@@ -216,11 +216,11 @@
   private reportExchange(
     kind: ExchangeLine['kind'],
     request: http.IncomingMessage,
-    backOffSeconds?: number,
+    rejection: Pick<observations.TargetExchange, 'backOffSeconds' | 'rejected'> = {},
   ): void {
     const { socket } = request;
     const exchange = { target: this.options.id, bornAt: this.bornAt, at: Date.now() };
-    printLine({ kind, ...exchange, source: socket.remoteAddress ?? '', backOffSeconds });
+    printLine({ kind, ...exchange, source: socket.remoteAddress ?? '', ...rejection });
   }
 
   private crash(body: string): void {
