Send no probes to a lifetime whose address another one has taken

Trace: liveness probes of the lifetime that had crashed at that address (4108 t6-1, status 421, four times), asked for by entry 2, which had no path itself. An entry knew since 0.7 s (4106) that t6-1 was gone and t6-2 there.

A probe of a lifetime that is gone, with another one at its address, is now answered by the registry: it is refused. The new test fails without the change (one message instead of none).

--- a/packages/daemon/src/entry/__tests__/livenessProbes.test.ts
+++ b/packages/daemon/src/entry/__tests__/livenessProbes.test.ts
@@ -2,31 +2,40 @@
 import * as http from 'node:http';
 import type * as net from 'node:net';
 import * as chai from 'chai';
+import * as domain from '@celerydrift/domain';
 import * as observer from '../../observability/observer';
 import * as livenessProbes from '../livenessProbes';
 import * as harness from './__fixtures__/harness';
 
 const { expect } = chai;
 
-/** Whether a target with this response counts as alive. */
-async function isAlive(status: number, headers: http.OutgoingHttpHeaders): Promise<boolean> {
+/** Probes a target with this response; `registry` gets the target's address. */
+async function probe(
+  status: number,
+  headers: http.OutgoingHttpHeaders,
+  registryFor: (address: string) => livenessProbes.Dependencies['registry'] = () => undefined,
+): Promise<{ isAlive: boolean; messages: number }> {
+  let messages = 0;
   const server = http.createServer((_request, response) => {
+    messages += 1;
     response.writeHead(status, headers).end();
   });
   await new Promise<void>((resolve) => {
     server.listen(0, '127.0.0.1', resolve);
   });
+  const { port } = server.address() as net.AddressInfo;
+  const address = `127.0.0.1:${port}`;
   const probes = new livenessProbes.LivenessProbes({
     protocol: harness.PROTOCOL,
+    registry: registryFor(address),
     limits: { mayProbe: async () => true },
     gate: harness.PERMISSIVE_GATE,
     observer: new observer.Observer('test', 'fatal', undefined),
     source: undefined,
   });
-  const { port } = server.address() as net.AddressInfo;
-  const alive = await probes.isAlive('t', `127.0.0.1:${port}`);
+  const isAlive = await probes.isAlive('t', address);
   server.close();
-  return alive;
+  return { isAlive, messages };
 }
 
 describe('liveness probes', () => {
@@ -36,12 +45,25 @@
    */
   it('count a target that refuses them as alive, but no other responder', async () => {
     const answers = [
-      await isAlive(200, {}),
-      await isAlive(503, { 'not-run': '1' }),
-      await isAlive(421, { 'not-run': '1' }),
-      await isAlive(404, {}),
-      await isAlive(503, {}),
+      (await probe(200, {})).isAlive,
+      (await probe(503, { 'not-run': '1' })).isAlive,
+      (await probe(421, { 'not-run': '1' })).isAlive,
+      (await probe(404, {})).isAlive,
+      (await probe(503, {})).isAlive,
     ];
     expect(answers).to.deep.equal([true, true, false, false, false]);
   });
+
+  /** Guards against probes of a crashed target that reach the next lifetime at its address, which wants no messages. */
+  it('are not sent to a lifetime that was replaced', async () => {
+    const registryFor = (address: string): domain.registry.registry.Registry => {
+      const registry = new domain.registry.registry.Registry();
+      const target = { service: 's', address, dataCentre: 'dc0', slots: 1, sequence: 1 };
+      registry.announce({ ...target, id: 't', bornAt: 1, state: 'ready' }, 0);
+      registry.announce({ ...target, id: 'next', bornAt: 2, state: 'ready' }, 1);
+      return registry;
+    };
+    const { isAlive, messages } = await probe(421, { 'not-run': '1' }, registryFor);
+    expect([isAlive, messages]).to.deep.equal([false, 0]);
+  });
 });
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -192,6 +192,7 @@
     });
     this.liveness = new livenessProbes.LivenessProbes({
       protocol: dependencies.traffic,
+      registry: this.fleetState.registry,
       limits: this.limits,
       gate: this.signals,
       observer: observe,
--- a/packages/daemon/src/entry/livenessProbes.ts
+++ b/packages/daemon/src/entry/livenessProbes.ts
@@ -2,6 +2,7 @@
  * Liveness probes of targets. A connection may be dead while its target is healthy, and a late target may be busy, so a
  * probe uses a connection of its own, and only a response of the addressed lifetime counts.
  */
+import type * as domain from '@celerydrift/domain';
 import type * as protocols from '../edges/protocols';
 import type * as observer from '../observability/observer';
 import type * as rateLimitClient from './rateLimitClient';
@@ -12,6 +13,7 @@
 
 export interface Dependencies {
   protocol: protocols.TrafficProtocol;
+  registry?: Pick<domain.registry.registry.Registry, 'isReplaced'>;
   limits: Pick<rateLimitClient.RateLimitClient, 'mayProbe'>;
   gate: targetClient.AdmissionGate;
   observer: observer.Observer;
@@ -59,8 +61,12 @@
     return (await this.probe(target, address)) === 'alive';
   }
 
-  /** Probes a target. One that can't be probed, as it is limited or in back-off, counts as alive. */
-  probe(target: string, address: string): Promise<ProbeResult> {
+  /**
+   * Probes a target. One that can't be probed, as it is limited or in back-off, counts as alive. A lifetime that was
+   * replaced is gone; the one at its address now may not want messages.
+   */
+  async probe(target: string, address: string): Promise<ProbeResult> {
+    if (this.dependencies.registry?.isReplaced(target) === true) return 'refused';
     return shared(this.pending, target, () => this.sendProbe(target, address));
   }
 
--- a/packages/domain/src/registry/registry.ts
+++ b/packages/domain/src/registry/registry.ts
@@ -218,6 +218,12 @@
     return records.filter((record) => record.service === service);
   }
 
+  /** Whether a lifetime is gone and another one listens at its address. */
+  isReplaced(id: string): boolean {
+    const record = this.get(id);
+    return record?.state === 'gone' && this.live.atAddress(record.address).length > 0;
+  }
+
   /** Removes lifetimes that are gone for longer than `GONE_RETENTION_MS`. */
   forgetGone(now: number): void {
     this.entries.forEach(({ record, heardAt }, id) => {
