Hold callers without paths to the users' bound in the soak, without three deviations more

The check allowed three standard deviations beyond two thirds of what other callers are served, and 10 and one in 50 of all requests. The rule has no such room, and the 10 are there for small numbers. The bound is now the rule's.

--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -89,8 +89,6 @@
 
 /** Callers there may be served this share as often as those of other entries, or fail in the given number. */
 const MIN_SHARE_WITHOUT_PATHS = 2 / 3;
-/** Rate limits and suspects refuse callers at all entries, so small numbers differ by chance, in standard deviations. */
-const DEVIATIONS = 3;
 const UNSERVED_WITHOUT_PATHS = { base: 10, share: 1 / 50 } as const;
 
 /** The fleet must have recovered this long after all faults ended. */
@@ -562,8 +560,7 @@
     const { base, share } = UNSERVED_WITHOUT_PATHS;
     const isFew = failed <= base + share * sent.length;
     const expected = MIN_SHARE_WITHOUT_PATHS * servedShare(others) * atSevered.length;
-    const served = atSevered.length - failed;
-    if (isFew || served + DEVIATIONS * Math.sqrt(expected) >= expected) return [];
+    if (isFew || atSevered.length - failed >= expected) return [];
     const elsewhere = servedShare(others).toFixed(2);
     const detail = `entries ${entries.join(', ')} from ${from}: ${failed} of ${atSevered.length} failed, share elsewhere ${elsewhere}`;
     return [{ promise: 'unservedWithoutPaths', detail }];
