Name relays that reach what an entry has lost

Cause: the leader names three relays of the entry's data centre and three of others, by rank.

Entries now state which scopes they have lost. The leader fills the six places from either group, puts relays first that reach what the asking entry has lost, and adds up to three for each scope that none of the six reaches, twelve at most. An entry asks at each poll while scopes are lost.

--- a/packages/daemon/src/entry/reachability.ts
+++ b/packages/daemon/src/entry/reachability.ts
@@ -32,9 +32,6 @@
   random: domain.shared.random.Random;
 }
 
-/** What an entry states to the leader. */
-export type Statement = Pick<messages.FollowRequest, 'isRelay' | 'isIsolated' | 'wantsRelays'>;
-
 /** Interval at which an entry asks the leader for entries that relay its messages, milliseconds. */
 const RELAYS_REFRESH_MS = 5_000;
 
@@ -114,10 +111,11 @@
     return this.paths.isolatedMs > UNSERVED_AFTER_MS && !this.peers.isAvailable;
   }
 
-  get statement(): Statement {
-    const { isIsolated } = this.paths;
+  get statement(): messages.PathStatement {
+    const { isIsolated, lostScopes } = this.paths;
     const isOld = clock.steady() - this.relaysKnownAt > RELAYS_REFRESH_MS;
-    return { isRelay: this.isRelay, isIsolated, wantsRelays: isOld || isIsolated };
+    const wantsRelays = isOld || lostScopes.length > 0;
+    return { isRelay: this.isRelay, isIsolated, lostScopes, wantsRelays };
   }
 
   /** Applies the relays that the leader named. */
--- a/packages/daemon/src/fleet/leaderLink.ts
+++ b/packages/daemon/src/fleet/leaderLink.ts
@@ -25,7 +25,7 @@
   dispatches: () => messages.RunningDispatch[];
   onConfirmed: (answer: messages.Confirmation) => void;
   /** Returns what an entry states about its paths to targets; absent for a keeper. */
-  reachability?: () => Pick<messages.FollowRequest, 'isRelay' | 'isIsolated' | 'wantsRelays'>;
+  reachability?: () => messages.PathStatement;
 }
 
 type PollOutcome = 'confirmed' | 'failed';
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -42,6 +42,8 @@
   isRelay?: boolean;
   /** Whether an entry has lost its paths to all targets. */
   isIsolated?: boolean;
+  /** Scopes of targets that an entry doesn't reach. */
+  lostScopes?: readonly domain.reachability.targetPaths.Scope[];
   /** Whether the follower wants to know entries that relay its messages. */
   wantsRelays?: boolean;
   /** Id of a keeper's replica, for a leader that may need it as a voter. */
@@ -80,6 +82,12 @@
   evacuationReplicas?: string[];
 }
 
+/** What an entry states to the leader about its paths to targets. */
+export type PathStatement = Pick<
+  FollowRequest,
+  'isRelay' | 'isIsolated' | 'lostScopes' | 'wantsRelays'
+>;
+
 /** An entry that sends messages of others to targets. */
 export interface Relay {
   /** Peer address. */
--- a/packages/daemon/src/keeper/followers.ts
+++ b/packages/daemon/src/keeper/followers.ts
@@ -2,7 +2,7 @@
  * The leader's list of its followers, and the pushing of updates to them. A follower acknowledges a push once it is
  * in force there, so the reply to a target or an operator can wait for all reachable followers.
  */
-import type * as domain from '@celerydrift/domain';
+import * as domain from '@celerydrift/domain';
 import * as clock from '../clock';
 import * as messages from '../fleet/messages';
 import type * as peerClient from '../rpc/peerClient';
@@ -22,9 +22,14 @@
   evacuationRevision: number | undefined;
   /** Whether it is an entry that relays messages of others now. */
   isRelay: boolean;
+  /** Scopes of targets that it doesn't reach. */
+  lostScopes: readonly domain.reachability.targetPaths.Scope[];
   polledAt: number;
 }
 
+/** A follower that wants to know relays. */
+export type RelayRequest = Pick<messages.FollowRequest, 'name' | 'dataCentre' | 'lostScopes'>;
+
 /** A follower is reachable if it polled within this time, in milliseconds; more than two poll intervals. */
 const RECENT_POLL_MS = 1_300;
 
@@ -44,6 +49,9 @@
 /** Number of relays of its own data centre that a follower is told of, and of others. */
 const RELAYS_PER_GROUP = 3;
 
+/** Number of relays that a follower is told of at most, where few of them reach what it has lost. */
+const MAX_RELAYS = 12;
+
 /** A push to one follower that isn't acknowledged yet, and what is queued behind it. */
 interface InFlightPush {
   hasQueued: boolean;
@@ -78,10 +86,10 @@
 
   recordPoll(request: messages.FollowRequest): void {
     const { name, role, address, dataCentre, replica, mark, evacuationRevision } = request;
-    const { isRelay = false } = request;
+    const { isRelay = false, lostScopes = [] } = request;
     const polledAt = this.now();
     const version = { mark, evacuationRevision };
-    const state = { replica, isRelay, polledAt, ...version };
+    const state = { replica, isRelay, lostScopes, polledAt, ...version };
     this.byName.set(name, { name, role, address, dataCentre, ...state });
   }
 
@@ -104,25 +112,32 @@
 
   /**
    * Entries that relay messages for a follower: some of its data centre and some of others, as a whole data centre may
-   * lose its paths at once. Neighbours by name get different ones, so that the load spreads.
+   * lose its paths at once. Those that reach what it has lost come first, and each lost scope gets some that reach it.
+   * Neighbours by name get different ones, so that the load spreads.
    */
-  relaysFor({ name, dataCentre }: Pick<Follower, 'name' | 'dataCentre'>): messages.Relay[] {
+  relaysFor({ name, dataCentre, lostScopes = [] }: RelayRequest): messages.Relay[] {
     const relays = this.all()
       .filter((each) => each.isRelay && each.name !== name)
       .filter(({ polledAt }) => this.now() - polledAt < RECENT_POLL_MS)
       .sort((a, b) => (a.name < b.name ? -1 : 1));
-    const rank = this.rankOf(name);
-    const pick = (candidates: readonly Follower[]): messages.Relay[] => {
-      const start = (rank * RELAYS_PER_GROUP) % Math.max(1, candidates.length);
-      const rotated = [...candidates.slice(start), ...candidates.slice(0, start)];
-      return rotated
-        .slice(0, RELAYS_PER_GROUP)
-        .map((each) => ({ address: each.address, dataCentre: each.dataCentre }));
+    const start = this.rankOf(name) * RELAYS_PER_GROUP;
+    const order = (candidates: readonly Follower[]): Follower[] => {
+      return rotated(candidates, start).sort((a, b) => {
+        return unreachedBy(a, lostScopes).length - unreachedBy(b, lostScopes).length;
+      });
     };
-    return [
-      ...pick(relays.filter((each) => each.dataCentre === dataCentre)),
-      ...pick(relays.filter((each) => each.dataCentre !== dataCentre)),
-    ];
+    const local = order(relays.filter((each) => each.dataCentre === dataCentre));
+    const remote = order(relays.filter((each) => each.dataCentre !== dataCentre));
+    const first = [...local.splice(0, RELAYS_PER_GROUP), ...remote.splice(0, RELAYS_PER_GROUP)];
+    const rest = [...local, ...remote];
+    const chosen = [...first, ...rest.splice(0, 2 * RELAYS_PER_GROUP - first.length)];
+    lostScopes.forEach((scope) => {
+      const reaches = (each: Follower): boolean => unreachedBy(each, [scope]).length === 0;
+      const missing = Math.max(0, RELAYS_PER_GROUP - chosen.filter(reaches).length);
+      const added = rest.filter((each) => reaches(each) && !chosen.includes(each));
+      chosen.push(...added.slice(0, Math.min(missing, MAX_RELAYS - chosen.length)));
+    });
+    return chosen.map((each) => ({ address: each.address, dataCentre: each.dataCentre }));
   }
 
   get size(): number {
@@ -221,3 +236,19 @@
   };
   return { edition, ...(missing ?? empty) };
 }
+
+function rotated<T>(items: readonly T[], by: number): T[] {
+  const start = by % Math.max(1, items.length);
+  return [...items.slice(start), ...items.slice(0, start)];
+}
+
+/** The scopes among these that a follower doesn't reach either, as it lost them or a scope that encloses them. */
+function unreachedBy(
+  { lostScopes }: Pick<Follower, 'lostScopes'>,
+  scopes: readonly domain.reachability.targetPaths.Scope[],
+): domain.reachability.targetPaths.Scope[] {
+  return scopes.filter((scope) => {
+    const enclosing = domain.reachability.targetPaths.enclosingScopes(scope);
+    return lostScopes.some((lost) => enclosing.includes(lost));
+  });
+}
--- a/packages/domain/src/reachability/targetPaths.ts
+++ b/packages/domain/src/reachability/targetPaths.ts
@@ -190,6 +190,12 @@
   return [ALL, service, `${service}@${dataCentre}`];
 }
 
+/** A scope and those that enclose it. */
+export function enclosingScopes(scope: Scope): Scope[] {
+  const [service] = scope.split('@');
+  return [...new Set([ALL, service, scope])];
+}
+
 /** The parts of a scope that its endpoints belong to. */
 function partsOf(scope: Scope, endpoints: readonly Endpoint[]): Set<string> {
   const parts = endpoints.map((endpoint) => {
