Let an entry confirm a crash itself while others of the service respond

Cause, traced: entry 0 reported at 10,062 ms that "crash 6" had crashed t5-2, 17 ms after the crash, without another VM's word: both engines of that data centre had crashed, so that the one VM that it could ask took its own path for lost. The leader doubted entry 0, which had seen three targets fail in a row while others succeeded, as crashing requests do to a small fleet, and drops unconfirmed reports of a doubted entry.

While others of the target's service respond to what is sent after the crash, the entry's own paths are sound, and its probe is as good as another VM's: the report counts as confirmed. It keeps quiet only if the paths to the whole service are lost; the paths to a data centre with two engines look lost when these crash.

--- a/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
@@ -145,9 +145,8 @@
 describe('a crash that no other VM can be asked about', () => {
   /** An entry whose every target is found dead; returns the crashes that are known after a while. */
   const crashesOf = async (
-    paths: quarantineClient.Dependencies['paths'],
+    reach: domain.reachability.targetPaths.Reach,
     afterMs: number,
-    bornAt = 0,
   ): Promise<number> => {
     const quarantine = new domain.quarantine.quarantine.Quarantine();
     const registry = new domain.registry.registry.Registry();
@@ -157,12 +156,12 @@
       link: { leader: '' },
       client: { call: async <T>() => Ok({ kind: 'taken', reports: [] } as T) },
       liveness: { check: async () => 'unasked', isAskingOthers: () => false },
-      paths,
+      paths: { reachOfService: () => reach },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
     const sentAt = clock.steady();
-    const sent = { target: 'a', address: '10.0.0.2:1', bornAt, sentAt, isTrial: false };
+    const sent = { target: 'a', address: '10.0.0.2:1', bornAt: 0, sentAt, isTrial: false };
     await client.checkForCrash(request('r1'), sent);
     await clock.sleep(afterMs);
     client.close();
@@ -170,15 +169,13 @@
   };
 
   /** Guards against crashes that an entry which is cut off from other VMs keeps to itself, or reports too late. */
-  it('is reported once another target responds', async () => {
-    const sound = { isIsolated: false, hasResponseSince: () => true };
-    expect(await crashesOf(sound, 100)).to.equal(1);
+  it('is reported once another target of the service responds', async () => {
+    expect(await crashesOf('reached', 100)).to.equal(1);
   });
 
-  /** Guards against crash reports by an entry that has lost its paths to all targets. */
-  it('is not reported while no target responds', async () => {
-    const isolated = { isIsolated: true, hasResponseSince: () => false };
-    expect(await crashesOf(isolated, 100)).to.equal(0);
+  /** Guards against crash reports by an entry that has lost its paths. */
+  it('is not reported while the paths to the service are lost', async () => {
+    expect(await crashesOf('lost', 100)).to.equal(0);
   });
 });
 
--- a/packages/daemon/src/entry/pathMonitor.ts
+++ b/packages/daemon/src/entry/pathMonitor.ts
@@ -93,9 +93,10 @@
     return record !== undefined && this.paths.isLost(record);
   }
 
-  /** Whether some target responded to a message that was sent since a time. */
-  hasResponseSince(time: number): boolean {
-    return this.paths.respondedAt >= time;
+  /** Whether this VM reaches the service of a target, judged by messages that were sent since a time. */
+  reachOfService(target: string, since: number): domain.reachability.targetPaths.Reach {
+    const service = this.dependencies.fleetState.registry.get(target)?.service;
+    return this.paths.reachOf(service ?? domain.reachability.targetPaths.ALL, since);
   }
 
   /** Whether this VM reaches no target at all. */
--- a/packages/daemon/src/entry/quarantineClient.ts
+++ b/packages/daemon/src/entry/quarantineClient.ts
@@ -61,7 +61,7 @@
   fleetState: Pick<fleetState.FleetState, 'quarantine' | 'registry'>;
   liveness: Pick<livenessProbes.LivenessProbes, 'check' | 'isAskingOthers'>;
   /** This VM's own paths: while they are lost, a target that doesn't respond needn't have crashed. */
-  paths?: Pick<pathMonitor.PathMonitor, 'isIsolated' | 'hasResponseSince'>;
+  paths?: Pick<pathMonitor.PathMonitor, 'reachOfService'>;
   observer: observer.Observer;
   now: () => number;
 }
@@ -83,8 +83,8 @@
 const RECHECK_MS = 1_000;
 
 /**
- * While no other VM answers, how long this one waits for a response of any target, which shows that its own paths aren't
- * lost, and the interval at which it looks for one, milliseconds. By then the loss of all paths is known.
+ * While no other VM can tell, how long this one waits for a response of the service, which shows that its own paths are
+ * sound, and the interval at which it looks for one, milliseconds. By then a loss of the paths to a service is known.
  */
 const OWN_PATHS_WAIT_MS = 1_000;
 const OWN_PATHS_POLL_MS = 50;
@@ -240,15 +240,15 @@
   }
 
   /**
-   * What shows that a target which didn't respond has crashed: the word of another VM, or this VM's own probe where no
-   * other one can tell and its own paths are sound.
+   * What shows that a target which didn't respond has crashed: the word of another VM or, where none can tell, this VM's
+   * own probe, which is as good while others of the service respond.
    */
   private async crashEvidence({
     target,
     address,
     bornAt,
   }: Pick<SentRequest, 'target' | 'address' | 'bornAt'>): Promise<'confirmed' | 'own' | 'none'> {
-    const { liveness: probes, paths, now, fleetState: state } = this.dependencies;
+    const { liveness: probes, now, fleetState: state } = this.dependencies;
     const checkedAt = now();
     let verdict = await probes.check(target, address);
     if (verdict === 'silent') {
@@ -258,19 +258,25 @@
       if ((state.registry.get(target)?.bornAt ?? bornAt) > bornAt) return 'own';
     }
     if (verdict === 'dead' || verdict === 'silent') return 'confirmed';
-    if (verdict === 'unasked') await this.awaitResponseSince(checkedAt);
-    const isUndecided = verdict === 'unknown' || verdict === 'unasked';
-    return isUndecided && paths?.isIsolated !== true ? 'own' : 'none';
+    if (verdict !== 'unknown' && verdict !== 'unasked') return 'none';
+    const reach = await this.reachOfService(target, checkedAt);
+    if (reach === 'reached') return 'confirmed';
+    return reach === 'lost' ? 'none' : 'own';
   }
 
-  /** Waits until some target has responded to a message sent since a time, or until the loss of all paths is known. */
-  private async awaitResponseSince(time: number): Promise<void> {
+  /** Whether this VM reaches the target's service; waits for a while until that is known. */
+  private async reachOfService(
+    target: string,
+    since: number,
+  ): Promise<domain.reachability.targetPaths.Reach> {
     const { paths, now } = this.dependencies;
     const deadline = now() + OWN_PATHS_WAIT_MS;
-    while (paths?.hasResponseSince(time) !== true && paths?.isIsolated !== true) {
-      if (now() >= deadline) return;
+    let reach = paths?.reachOfService(target, since) ?? 'unknown';
+    while (reach === 'unknown' && paths !== undefined && now() < deadline) {
       await clock.sleep(OWN_PATHS_POLL_MS);
+      reach = paths.reachOfService(target, since);
     }
+    return reach;
   }
 
   /**
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -135,7 +135,10 @@
   lifetime: domain.quarantine.crashedLifetimes.Lifetime;
   /** Whether that run was a canary run, allowed while the request was already suspect. */
   isTrial: boolean;
-  /** Whether another VM didn't reach the target either; absent from an earlier version. */
+  /**
+   * Whether another VM didn't reach the target either, or others of its service responded to the entry meanwhile; absent
+   * from an earlier version.
+   */
   isConfirmed?: boolean;
   /**
    * Time from the crash's detection, and from sending the request, to this message, in milliseconds; an entry that
--- a/packages/domain/src/reachability/__tests__/targetPaths.test.ts
+++ b/packages/domain/src/reachability/__tests__/targetPaths.test.ts
@@ -119,4 +119,17 @@
     single.failed(TARGETS[6], 10);
     expect(single.isLost(TARGETS[6])).to.equal(false);
   });
+
+  /** Guards against a crash that is taken for a lost path because both targets of a small data centre crashed. */
+  it('to a service are sound while others of it respond, whatever is lost in one data centre', () => {
+    failAll(paths, [0, 2, 4], 10);
+    paths.responded(TARGETS[1], 11, 12);
+    expect([paths.reachOf('engines', 11), paths.reachOf('engines', 12)]).to.deep.equal([
+      'reached',
+      'unknown',
+    ]);
+    const severed = new targetPaths.TargetPaths(() => TARGETS);
+    failAll(severed, [0, 1, 2, 3], 10);
+    expect(severed.reachOf('engines', 10)).to.equal('lost');
+  });
 });
--- a/packages/domain/src/reachability/targetPaths.ts
+++ b/packages/domain/src/reachability/targetPaths.ts
@@ -24,6 +24,9 @@
   | { scope: Scope; change: 'suspected' }
   | { scope: Scope; change: 'restored'; afterMs: number };
 
+/** Whether targets of a service responded; `lost` if the paths to all of them are. */
+export type Reach = 'reached' | 'lost' | 'unknown';
+
 /** Scope of all targets. */
 export const ALL: Scope = 'all';
 
@@ -134,9 +137,10 @@
     return this.lostScopes.get(ALL);
   }
 
-  /** When the last message was sent that any target responded to. */
-  get respondedAt(): number {
-    return this.respondedTo.get(ALL) ?? -Infinity;
+  /** Whether this VM reaches targets of a service, judged by responses to messages that were sent since a time. */
+  reachOf(service: string, since: number): Reach {
+    if ((this.respondedTo.get(service) ?? -Infinity) >= since) return 'reached';
+    return this.lostScopes.has(ALL) || this.lostScopes.has(service) ? 'lost' : 'unknown';
   }
 
   get scopes(): Scope[] {
