Don't hold a planned stop liable for streams whose paths were severed meanwhile

A stop guarantees the responses only where no other fault happens, and severed paths aren't among the disturbances that the check looks at. It leaves such requests out now; a test holds that those at an entry whose paths are sound still count.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -322,4 +322,15 @@
       });
     expect([cutAfter(8_000), cutAfter(6_900)]).to.deep.equal([[], ['cutByStop']]);
   });
+
+  it('allow a stop to truncate responses whose paths were severed meanwhile, but not those at other entries', () => {
+    const cutWith = (severedEntry: number): string[] =>
+      violatedGuarantees(({ asked: all, ran, stopped, severed }) => {
+        all.push(requestRecord('r3', { ending: { kind: 'broken' } }));
+        ran.push({ request: 'r3', target: 't0-1', at: 10_050 });
+        stopped.push({ entry: 0, incarnation: 1, from: 9_000, until: 12_000 });
+        severed.push({ entries: [severedEntry], from: 10_060, until: 20_000 });
+      });
+    expect([cutWith(0), cutWith(1)]).to.deep.equal([[], ['cutByStop']]);
+  });
 });
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -347,6 +347,13 @@
     });
 }
 
+/** Whether an entry's paths to targets were severed within a period. */
+function isSevered({ severed }: Observations, entry: number, from: number, until: number): boolean {
+  return severed.some((each) => {
+    return each.entries.includes(entry) && each.from <= until && each.until >= from;
+  });
+}
+
 /** A request that a stopping entry had forwarded must get its complete response, unless its target was disturbed. */
 function requestsCutByStops(observed: Observations): Violation[] {
   const ran = new Map(observed.ran.map((each) => [each.request, each]));
@@ -360,6 +367,7 @@
         ({ request }) => ran.has(request) && !isTargetDisturbed(observed, ran.get(request)?.target),
       )
       .filter(({ sentAt }) => !isDisturbed(observed, 'entry', entry, sentAt - SETTLING_MS, until))
+      .filter(({ sentAt }) => !isSevered(observed, entry, sentAt - SETTLING_MS, until))
       .map(({ request }) => ({ promise: 'cutByStop', detail: `${request} at entry ${entry}` }));
   });
 }
