Compare callers without paths only while no link is harmed, and record no limit in a 421

Two findings of the soak's checks, both traced.

A VM whose links are harmed isn't held to the bound until they were sound for 3 s; the check looked at faults of single entries only. A test holds both sides.

The stand-in still sends its limit with a 421, but no longer counts it as reported.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -132,6 +132,17 @@
     expect(disturbed).to.deep.equal([]);
   });
 
+  it('compare callers without paths to targets while no link is harmed, and 3 s after', () => {
+    const violatedWith = (until: number): string[] =>
+      violatedGuarantees((good) => {
+        addSeveredEntry(good, 40, 503);
+        const delay = { subject: 'network', index: 0, what: 'delay' } as const;
+        good.disturbances.push({ ...delay, from: 9_000, until });
+      });
+    expect(violatedWith(12_000)).to.not.include('unservedWithoutPaths');
+    expect(violatedWith(9_050)).to.include('unservedWithoutPaths');
+  });
+
   it('allow a request to an evacuated data centre that a severed path held back', () => {
     const violated = violatedGuarantees((good) => {
       good.evacuated.push({ ...EVACUATION, dataCentre: 'east' });
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -560,7 +560,9 @@
     const sent = asked.filter(({ sentAt, endedAt, entry, key }) => {
       const isDuring = sentAt >= from + PATH_LOSS_MS && endedAt <= until;
       const isCalm = (each: number): boolean => isUninterrupted(observed, each, from, endedAt);
-      return isDuring && !revokedKeySet.has(key) && isCalm(entry) && relays.some(isCalm);
+      const isNetworkCalm = !isNetworkDisturbed(observed, sentAt - SETTLING_MS, endedAt);
+      const isComparable = isCalm(entry) && relays.some(isCalm) && isNetworkCalm;
+      return isDuring && !revokedKeySet.has(key) && isComparable;
     });
     const atSevered = sent.filter(({ entry }) => entries.includes(entry));
     const others = sent.filter(({ entry }) => !entries.includes(entry));
@@ -575,6 +577,13 @@
   });
 }
 
+/** Whether all links were harmed within a period. */
+function isNetworkDisturbed({ disturbances }: Observations, from: number, until: number): boolean {
+  return disturbances.some((each) => {
+    return each.subject === 'network' && each.from <= until && each.until >= from;
+  });
+}
+
 function servedShare(requests: readonly RequestRecord[]): number {
   return requests.length === 0 ? 0 : requests.filter(isServed).length / requests.length;
 }
--- a/packages/soak/src/targetMain.ts
+++ b/packages/soak/src/targetMain.ts
@@ -150,10 +150,16 @@
       resumeAfter,
     } = counterpart.parseRequest(request.headers);
     const { id, slots } = this.options;
-    if (target !== id || this.running >= slots) {
-      const status = target === id ? 503 : 421;
+    if (target !== id) {
+      // Not recorded as reported: an entry takes no report from a lifetime that it didn't address.
+      const { limit, isLeaving } = this.selfReport();
+      const refusal = { target: id, limit, isLeaving, requestId, notRun: true };
+      response.writeHead(421, counterpart.answerHeaders(refusal)).end();
+      return;
+    }
+    if (this.running >= slots) {
       const refusal = { ...this.selfReportFields(request), requestId, notRun: true };
-      response.writeHead(status, counterpart.answerHeaders(refusal)).end();
+      response.writeHead(503, counterpart.answerHeaders(refusal)).end();
       return;
     }
     const { backOffSeconds } = this.selfReport();
