Compare callers without paths by the kind of their requests

The severed entry happened to get fewer streams.

What is expected at a severed entry now follows the share that is served elsewhere of each kind. A test holds both sides: a kind that fails everywhere is allowed, one that is served elsewhere isn't.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -132,6 +132,21 @@
     expect(disturbed).to.deep.equal([]);
   });
 
+  it('compare callers without paths to targets by the kind of their requests', () => {
+    const violatedWith = (served: boolean): string[] =>
+      violatedGuarantees((good) => {
+        addSeveredEntry(good, 40, 503);
+        const elsewhere = good.asked.filter(({ entry }) => entry === 1);
+        // What fails at the severed entry fails elsewhere too; another kind is served there.
+        const ending = answered(503);
+        if (!served) elsewhere.forEach((each) => Object.assign(each, { ending }));
+        const stream = { kind: 'stream', entry: 1, sentAt: 12_500, endedAt: 12_600 } as const;
+        for (let i = 0; i < 60; i++) good.asked.push(requestRecord(`x${i}`, stream));
+      });
+    expect(violatedWith(false)).to.not.include('unservedWithoutPaths');
+    expect(violatedWith(true)).to.include('unservedWithoutPaths');
+  });
+
   it('compare callers without paths to targets while no link is harmed, and 3 s after', () => {
     const violatedWith = (until: number): string[] =>
       violatedGuarantees((good) => {
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -569,7 +569,7 @@
     const failed = atSevered.filter((each) => !isServed(each)).length;
     const { base, share } = UNSERVED_WITHOUT_PATHS;
     const isFew = failed <= base + share * sent.length;
-    const expected = MIN_SHARE_WITHOUT_PATHS * servedShare(others) * atSevered.length;
+    const expected = MIN_SHARE_WITHOUT_PATHS * expectedToBeServed(atSevered, others);
     if (isFew || atSevered.length - failed >= expected) return [];
     const elsewhere = servedShare(others).toFixed(2);
     const detail = `entries ${entries.join(', ')} from ${from}: ${failed} of ${atSevered.length} failed, share elsewhere ${elsewhere}`;
@@ -584,6 +584,18 @@
   });
 }
 
+/** How many requests would be served if those of each kind were as often as others of it, or as all others. */
+function expectedToBeServed(
+  requests: readonly RequestRecord[],
+  others: readonly RequestRecord[],
+): number {
+  const shares = requests.map((request) => {
+    const sameKind = others.filter(({ kind }) => kind === request.kind);
+    return servedShare(sameKind.length > 0 ? sameKind : others);
+  });
+  return shares.reduce((sum, share) => sum + share, 0);
+}
+
 function servedShare(requests: readonly RequestRecord[]): number {
   return requests.length === 0 ? 0 : requests.filter(isServed).length / requests.length;
 }
