Ask a relay over a new connection after a call that it didn't answer

Cause: six seconds before, three quarters of the open connections between VMs had gone silent for good, the one to the only relay among them. Status calls and questions about targets leave their connection open after a timeout, so that a late answer doesn't fail the others on it, and no other call between entries would have closed it.

A call that got no answer is now followed by one over a new connection.

--- a/packages/daemon/src/entry/relayPeers.ts
+++ b/packages/daemon/src/entry/relayPeers.ts
@@ -3,7 +3,9 @@
  * others. Their status is asked for only while paths are lost; the list is kept without a leader.
  */
 import type * as domain from '@celerydrift/domain';
+import type { Result } from 'ts-results';
 import type * as messages from '../fleet/messages';
+import type * as errors from '../rpc/errors';
 import type * as peerClient from '../rpc/peerClient';
 import type * as livenessProbes from './livenessProbes';
 import type * as relayProtocol from './relayProtocol';
@@ -45,6 +47,8 @@
   at: number;
   /** Messages in flight from this entry. */
   inFlight: number;
+  /** Whether the last call got no answer: its connection may be silent for good, so the next call opens another one. */
+  isUnanswered: boolean;
 }
 
 export class RelayPeers {
@@ -58,9 +62,8 @@
   replace(relays: readonly messages.Relay[]): void {
     if (relays.length === 0) return;
     const known = this.peers;
-    const unasked = { status: { isReady: false, active: 0, lost: [] }, at: -Infinity, inFlight: 0 };
     this.peers = new Map(
-      relays.map((relay) => [relay.address, known.get(relay.address) ?? { ...unasked, ...relay }]),
+      relays.map((relay) => [relay.address, known.get(relay.address) ?? unasked(relay)]),
     );
     // Opens the connections, so that a later question takes one round trip.
     void this.refresh();
@@ -119,7 +122,7 @@
     const ready = this.ready({ scopes });
     // A crash must be reported within a few round trips, so nobody's status is asked for first.
     const asked = (ready.length > 0 ? ready : this.spread()).slice(0, MAX_ASKED);
-    const answers = asked.map(({ address }) => this.askAbout(address, request));
+    const answers = asked.map((peer) => this.askAbout(peer, request));
     const found = answers.map(async (answer) => {
       if ((await answer) !== 'alive') throw new Error('not reached');
     });
@@ -133,15 +136,14 @@
   }
 
   private async askAbout(
-    address: string,
+    peer: Peer,
     request: relayProtocol.ReachRequest,
   ): Promise<livenessProbes.ProbeResult | undefined> {
-    const options = { timeoutMs: REACH_TIMEOUT_MS, toleratesDelay: true };
-    const answer = await this.dependencies.client.call<relayProtocol.ReachAnswer>(
-      address,
+    const answer = await this.call<relayProtocol.ReachAnswer>(
+      peer,
       'reach',
       request,
-      options,
+      REACH_TIMEOUT_MS,
     );
     if (answer.err || answer.val.isAlive === undefined) return undefined;
     const { isAlive, isSilent } = answer.val;
@@ -149,6 +151,20 @@
     return isSilent === true ? 'silent' : 'refused';
   }
 
+  /** Calls a relay; a late answer doesn't fail the other calls on its connection. */
+  private async call<T>(
+    peer: Peer,
+    method: string,
+    request: object,
+    timeoutMs: number,
+  ): Promise<Result<T, errors.CallError>> {
+    const options = { timeoutMs, toleratesDelay: true, fresh: peer.isUnanswered };
+    Object.assign(peer, { isUnanswered: false });
+    const answer = await this.dependencies.client.call<T>(peer.address, method, request, options);
+    if (answer.err && answer.val.kind === 'timeout') Object.assign(peer, { isUnanswered: true });
+    return answer;
+  }
+
   /** All relays, those of this data centre and of others in turn. */
   private spread(): Peer[] {
     const all = [...this.peers.values()];
@@ -174,11 +190,11 @@
   /** Resolves once one is ready or all have answered. */
   private async askAll(): Promise<void> {
     const asked = [...this.peers.values()].map(async (peer) => {
-      const answer = await this.dependencies.client.call<relayProtocol.RelayStatus>(
-        peer.address,
+      const answer = await this.call<relayProtocol.RelayStatus>(
+        peer,
         'relayStatus',
         {},
-        { timeoutMs: STATUS_TIMEOUT_MS, toleratesDelay: true },
+        STATUS_TIMEOUT_MS,
       );
       if (answer.err || !answer.val.isReady) {
         this.failed(peer.address);
@@ -198,3 +214,8 @@
     });
   }
 }
+
+function unasked(relay: messages.Relay): Peer {
+  const status = { isReady: false, active: 0, lost: [] };
+  return { ...relay, status, at: -Infinity, inFlight: 0, isUnanswered: false };
+}
