--- a/packages/daemon/src/keeper/__tests__/followers.test.ts
+++ b/packages/daemon/src/keeper/__tests__/followers.test.ts
@@ -60,6 +60,13 @@
     expect([relays.length, local.length, relays.includes('e4')]).to.deep.equal([6, 3, false]);
   });
 
+  /** Guards against a data centre that loses its paths and sends everything by way of the same few entries. */
+  it('are different ones for neighbours in the same data centre', () => {
+    const lost = Array.from({ length: 60 }, () => []);
+    const remote = [0, 3, 6, 9].flatMap((asking) => relaysOf(lost, asking).slice(3));
+    expect(new Set(remote).size).to.equal(remote.length);
+  });
+
   /** Guards against an entry of a small fleet that isn't told of the only VM that reaches a service. */
   it('are all others in a small fleet', () => {
     const relays = relaysOf(
--- a/packages/daemon/src/keeper/followers.ts
+++ b/packages/daemon/src/keeper/followers.ts
@@ -116,30 +116,29 @@
    * Neighbours by name get different ones, so that the load spreads.
    */
   relaysFor({ name, dataCentre, lostScopes = [] }: RelayRequest): messages.Relay[] {
-    const relays = this.all()
-      .filter((each) => each.isRelay && each.name !== name)
-      .filter(({ polledAt }) => this.now() - polledAt < RECENT_POLL_MS)
-      .sort((a, b) => (a.name < b.name ? -1 : 1));
     const start = this.rankOf(name) * RELAYS_PER_GROUP;
-    const order = (candidates: readonly Follower[]): Follower[] => {
-      return rotated(candidates, start).sort((a, b) => {
+    const byReach = (candidates: readonly Follower[]): Follower[] =>
+      rotated(candidates, start).sort((a, b) => {
         return unreachedBy(a, lostScopes).length - unreachedBy(b, lostScopes).length;
       });
-    };
-    const local = order(relays.filter((each) => each.dataCentre === dataCentre));
-    const remote = order(relays.filter((each) => each.dataCentre !== dataCentre));
-    const first = [...local.splice(0, RELAYS_PER_GROUP), ...remote.splice(0, RELAYS_PER_GROUP)];
-    const rest = [...local, ...remote];
-    const chosen = [...first, ...rest.splice(0, 2 * RELAYS_PER_GROUP - first.length)];
-    lostScopes.forEach((scope) => {
-      const reaches = (each: Follower): boolean => unreachedBy(each, [scope]).length === 0;
-      const missing = Math.max(0, RELAYS_PER_GROUP - chosen.filter(reaches).length);
-      const added = rest.filter((each) => reaches(each) && !chosen.includes(each));
-      chosen.push(...added.slice(0, Math.min(missing, MAX_RELAYS - chosen.length)));
-    });
+    const candidates = this.relayCandidates(name);
+    const local = byReach(candidates.filter((each) => each.dataCentre === dataCentre));
+    const remote = byReach(candidates.filter((each) => each.dataCentre !== dataCentre));
+    const both = [...local.slice(0, RELAYS_PER_GROUP), ...remote.slice(0, RELAYS_PER_GROUP)];
+    const ordered = [...new Set([...both, ...local, ...remote])];
+    const chosen = ordered.slice(0, 2 * RELAYS_PER_GROUP);
+    lostScopes.forEach((scope) => addThoseThatReach(scope, chosen, ordered));
     return chosen.map((each) => ({ address: each.address, dataCentre: each.dataCentre }));
   }
 
+  /** The other entries that relay messages now, by name. */
+  private relayCandidates(name: string): Follower[] {
+    return this.all()
+      .filter((each) => each.isRelay && each.name !== name)
+      .filter(({ polledAt }) => this.now() - polledAt < RECENT_POLL_MS)
+      .sort((a, b) => (a.name < b.name ? -1 : 1));
+  }
+
   get size(): number {
     return this.byName.size;
   }
@@ -242,6 +241,19 @@
   return [...items.slice(start), ...items.slice(0, start)];
 }
 
+/** Adds relays that reach a scope to those chosen, until enough of them do or there are too many. */
+function addThoseThatReach(
+  scope: domain.reachability.targetPaths.Scope,
+  chosen: Follower[],
+  candidates: readonly Follower[],
+): void {
+  const reaches = (each: Follower): boolean => unreachedBy(each, [scope]).length === 0;
+  const missing = RELAYS_PER_GROUP - chosen.filter(reaches).length;
+  const room = MAX_RELAYS - chosen.length;
+  const others = candidates.filter((each) => reaches(each) && !chosen.includes(each));
+  chosen.push(...others.slice(0, Math.max(0, Math.min(missing, room))));
+}
+
 /** The scopes among these that a follower doesn't reach either, as it lost them or a scope that encloses them. */
 function unreachedBy(
   { lostScopes }: Pick<Follower, 'lostScopes'>,
