Don't wait for a frozen VM before a crash is confirmed

A request that a crash interrupted waits for the word of other VMs, and each question had to wait for all three of them: with one frozen or cut off, every such request stood still for 350 ms, longer than a short prompt's objective.

Once a relay was refused by the target, the others have 100 ms to contradict it. One that reaches the target still decides at once, also after a refusal that another one, itself without paths, saw first.

--- a/packages/daemon/src/entry/relayPeers.ts
+++ b/packages/daemon/src/entry/relayPeers.ts
@@ -5,6 +5,7 @@
 import type * as domain from '@celerydrift/domain';
 import type { Result } from 'ts-results';
 import type * as messages from '../fleet/messages';
+import * as clock from '../clock';
 import type * as errors from '../rpc/errors';
 import type * as peerClient from '../rpc/peerClient';
 import type * as livenessProbes from './livenessProbes';
@@ -28,6 +29,12 @@
 /** Number of relays that are asked about a target: two of them may have lost their paths as well. */
 const MAX_ASKED = 3;
 
+/** Time in which others may contradict a relay that a target refused, milliseconds; one that is frozen isn't waited for. */
+const OTHERS_WAIT_MS = 100;
+
+/** What counts where relays see a target differently. */
+const RESULTS_BY_WEIGHT: readonly livenessProbes.ProbeResult[] = ['alive', 'refused', 'silent'];
+
 /** Timeout of a question about a target, milliseconds: a liveness probe and a round trip. */
 const REACH_TIMEOUT_MS = 350;
 
@@ -122,17 +129,20 @@
     const ready = this.ready({ scopes });
     // A crash must be reported within a few round trips, so nobody's status is asked for first.
     const asked = (ready.length > 0 ? ready : this.spread()).slice(0, MAX_ASKED);
-    const answers = asked.map((peer) => this.askAbout(peer, request));
-    const found = answers.map(async (answer) => {
-      if ((await answer) !== 'alive') throw new Error('not reached');
+    const seen: livenessProbes.ProbeResult[] = [];
+    const answers = asked.map(async (peer) => {
+      const result = await this.askAbout(peer, request);
+      if (result !== undefined) seen.push(result);
+      return result;
     });
-    const isReached = await Promise.any(found).then(
-      () => true,
-      () => false,
-    );
-    if (isReached) return 'alive';
-    const results = await Promise.all(answers);
-    return results.includes('refused') ? 'refused' : results.find((each) => each !== undefined);
+    const decisions = answers.map(async (answer) => {
+      const result = await answer;
+      if (result === 'refused') await clock.sleep(OTHERS_WAIT_MS);
+      else if (result !== 'alive') throw new Error('undecided');
+    });
+    const isDecided = Promise.any(decisions).catch(() => undefined);
+    await Promise.race([isDecided, Promise.all(answers)]);
+    return RESULTS_BY_WEIGHT.find((each) => seen.includes(each));
   }
 
   private async askAbout(
