--- a/packages/daemon/src/entry/reachability.ts
+++ b/packages/daemon/src/entry/reachability.ts
@@ -33,7 +33,7 @@
 }
 
 /** Interval at which an entry asks the leader for entries that relay its messages, milliseconds. */
-const RELAYS_REFRESH_MS = 5_000;
+const RELAYS_REFRESH_MS = 2_000;
 
 /**
  * Time after the loss of all paths from which requests are refused at once while no other entry relays them,
