Report no crash to a request that was sent after it

Two of the three crashes counted against it weren't its culprit's: one was a kill, and the third, t5-3, had crashed 0.46 s before the request was sent there. Its entry knew that (5012 at 18,853 ms, sent at 18,968) but reported it all the same when the request's time was over 5.6 s later; the leader that had the earlier report was gone, and the new one took the crash for later than the request.

An entry now reports nothing for a request that it sent after it knew of the crash. The new test fails without the change (one report instead of none).

--- a/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
@@ -212,3 +212,31 @@
     expect(quarantine.crashCount(CONTENT)).to.equal(1);
   });
 });
+
+describe('a request that was sent to a target after it had crashed', () => {
+  /** Guards against a request that is suspected of a crash from before, at a leader that hasn't heard of it. */
+  it('is not reported', async () => {
+    const quarantine = new domain.quarantine.quarantine.Quarantine();
+    const methods: string[] = [];
+    const client = new quarantineClient.QuarantineClient({
+      name: 'e0',
+      fleetState: { quarantine, registry: new domain.registry.registry.Registry() },
+      link: { leader: '10.0.0.1:1' },
+      client: {
+        call: async <T>(_address: string, method: string) => {
+          methods.push(method);
+          return Ok({ kind: 'taken', reports: [] } as T);
+        },
+      },
+      liveness: { check: async () => 'dead', isAskingOthers: () => false },
+      observer: new observer.Observer('test', 'fatal', undefined),
+      now: clock.steady,
+    });
+    const lifetime = domain.quarantine.crashedLifetimes.lifetimeKey({ id: 'a', bornAt: 0 });
+    quarantine.reportCrash('4-other', lifetime, { sentAt: 0, isTrial: false }, 1);
+    const sent = { target: 'a', address: '10.0.0.2:1', bornAt: 0, sentAt: 2, isTrial: false };
+    await client.checkForCrash(request('r1'), sent);
+    client.close();
+    expect([quarantine.crashCount(CONTENT), methods]).to.deep.equal([0, []]);
+  });
+});
--- a/packages/daemon/src/entry/quarantineClient.ts
+++ b/packages/daemon/src/entry/quarantineClient.ts
@@ -229,11 +229,13 @@
     if (evidence === 'none') return;
     const record = state.registry.get(target);
     if (record?.bornAt === bornAt && hasStoppedItself(record)) return;
+    const lifetime = { id: target, bornAt };
+    const key = domain.quarantine.crashedLifetimes.lifetimeKey(lifetime);
+    // A leader that is new may learn of the crash only now, and would take it for later than the request.
+    if (state.quarantine.hadCrashed(key, sentAt)) return;
     const content = request.fingerprint();
     observe.count('targets.endedUnderRequest');
     observe.log('targetEndedUnder', { request: request.requestId, content, target });
-    const lifetime = { id: target, bornAt };
-    const key = domain.quarantine.crashedLifetimes.lifetimeKey(lifetime);
     state.quarantine.reportCrash(content, key, { sentAt, isTrial }, now());
     const isConfirmed = evidence === 'confirmed';
     void this.crashReports.send({ content, lifetime, isTrial, isConfirmed, sentAt, at: now() });
--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -143,7 +143,7 @@
     { sentAt, isTrial }: UnansweredRun,
     now: number,
   ): StatusChange | undefined {
-    if ((this.lifetimes.reportedAt(lifetime) ?? Infinity) < sentAt) return undefined;
+    if (this.hadCrashed(lifetime, sentAt)) return undefined;
     if (this.lifetimes.isCleared(fingerprint, lifetime)) return undefined;
     this.lifetimes.record(lifetime, now);
     const suspect = this.suspects.get(fingerprint) ?? this.add(fingerprint, now);
@@ -175,6 +175,11 @@
     return this.lifetimes.has(crashedLifetimes.lifetimeKey(lifetime));
   }
 
+  /** Whether the crash of a lifetime was known before a time, so that no request sent since caused it. */
+  hadCrashed(lifetime: string, before: number): boolean {
+    return (this.lifetimes.reportedAt(lifetime) ?? Infinity) < before;
+  }
+
   /** The request ran to completion, so it didn't cause the crashes that happened beside it. */
   completed(fingerprint: string): StatusChange | undefined {
     const suspect = this.suspects.get(fingerprint);
