Don't expect an entry to hear that a target drains over a severed path

The check now leaves out reports on severed paths, as the one of back-offs does; a test holds both sides.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -132,6 +132,16 @@
     expect(disturbed).to.deep.equal([]);
   });
 
+  it('allow a request to a target whose report that it drains was lost on a severed path, but no other', () => {
+    const violatedWith = (until: number): string[] =>
+      violatedGuarantees(({ saidLeaving, severed }) => {
+        saidLeaving.push({ target: 't0-1', entry: 0, at: 7_000 });
+        severed.push({ entries: [0], from: 5_000, until });
+      });
+    expect(violatedWith(7_100)).to.not.include('drainedTargetRan');
+    expect(violatedWith(6_500)).to.include('drainedTargetRan');
+  });
+
   it('compare callers without paths to targets by the kind of their requests', () => {
     const violatedWith = (served: boolean): string[] =>
       violatedGuarantees((good) => {
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -541,7 +541,10 @@
       const isSamePair =
         report.target === target && report.bornAt === bornAt && report.entry === entry;
       const isPastBound = report.at < sentAt - layout.BOUNDS.drainMs;
-      return isSamePair && isPastBound && isUninterrupted(observed, entry, report.at, at);
+      const isHeard = hadPaths(observed, entry, report.at);
+      return (
+        isSamePair && isPastBound && isHeard && isUninterrupted(observed, entry, report.at, at)
+      );
     });
     return isLate ? [{ promise: 'drainedTargetRan', detail: `${request} at ${target}` }] : [];
   });
