Log the shared parts of a prompt whose target crashed, and whether its stream had begun

Nothing else reads the parts yet. The fixtures of the fleet tests can send requests with parts, and their targets crash on one.

--- a/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
@@ -1,6 +1,6 @@
 /**
- * A target that crashes shortly after it receives a request whose body contains the crash marker, and restarts at
- * the same address as a new lifetime. Other requests get a stream that is long enough to overlap with a crashing
+ * A target that crashes shortly after it receives a request whose body contains the crash marker, or whose prompt has
+ * the crashing part, and restarts at the same address as a new lifetime. Other requests get a stream that is long enough to overlap with a crashing
  * one. A test may make it report a rate limit, drain, or ask the senders of requests to back off.
  */
 import * as http from 'node:http';
@@ -12,6 +12,9 @@
 /** A request whose body contains this text crashes the target. */
 export const CRASH_MARKER = 'crash';
 
+/** A request that lists this part of its prompt crashes the target, whatever its body. */
+export const CRASHING_PART = 'c0ffee';
+
 /** How long a target runs such a request before it crashes. */
 const CRASH_DELAY_MS = 30;
 
@@ -221,7 +224,8 @@
       body,
       at: clock.steady(),
     });
-    if (!body.includes(CRASH_MARKER)) {
+    const hasCrashingPart = String(request.headers.parts ?? '').includes(CRASHING_PART);
+    if (!body.includes(CRASH_MARKER) && !hasCrashingPart) {
       this.stream(request, response);
       return;
     }
--- a/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/smallFleet.ts
@@ -142,6 +142,8 @@
   body: string;
   key?: string;
   path?: string;
+  /** Parts of its prompt, in order; the last one belongs to this request alone. */
+  parts?: readonly string[];
 }
 
 /** Waits until `check` returns true; throws after 15 seconds. */
@@ -310,6 +312,7 @@
   /** Sends a request to an entry; resolves when the response has ended or the connection has failed. */
   send(entryIndex: number, options: RequestOptions): Promise<Reply> {
     const { service, kind = 'streaming', body, key = 'k', path: pathSuffix = 'a' } = options;
+    const parts = options.parts?.map((part) => `${part}:100`).join(',');
     this.requestCount += 1;
     const startedAt = clock.steady();
     const id = `r${this.requestCount}`;
@@ -323,7 +326,7 @@
           port: this.listenPorts.callers[entryIndex],
           path: `/${service}/${kind}/${pathSuffix}`,
           method: 'POST',
-          headers: { host: 'a.example', id, key },
+          headers: { host: 'a.example', id, key, ...(parts !== undefined && { parts }) },
           agent: false,
         },
         (response) => {
--- a/packages/daemon/src/edges/protocols.ts
+++ b/packages/daemon/src/edges/protocols.ts
@@ -82,6 +82,8 @@
 /** Protocol of callers' requests and of calls to targets. */
 export interface TrafficProtocol {
   callerMetadata(headers: http.IncomingHttpHeaders): CallerMetadata;
+  /** Ids of the parts of the prompt that other requests may share, each once and in order. */
+  sharedParts(headers: http.IncomingHttpHeaders): readonly string[];
   /** Headers of a request to a target: the caller's, with those that the entry adds or replaces. */
   requestHeaders(raw: readonly string[], dispatch: ForwardingMetadata): string[];
   responseMetadata(status: number, headers: Readonly<Record<string, unknown>>): ResponseMetadata;
--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -19,6 +19,9 @@
 /** Path of liveness probes to the targets of these tests. */
 export const REPORT_PATH = '/alive';
 
+/** Headers of a caller that targets receive. */
+const FORWARDED_HEADERS: ReadonlySet<string> = new Set(['id', 'parts']);
+
 /** A minimal protocol with plain headers, such as `id`, `signed`, `not-run`, `limit`, `back-off` and `resume-after`. */
 export const PROTOCOL: protocols.TrafficProtocol = {
   callerMetadata: (headers) => ({
@@ -30,13 +33,17 @@
     likelyAnswerTokens: undefined,
     lastEventId: undefined,
   }),
+  sharedParts: ({ parts }) => {
+    const entries = parts === undefined ? [] : String(parts).split(',');
+    return entries.slice(0, -1).map((entry) => entry.split(':')[0]);
+  },
   requestHeaders: (raw, { target, resumeAfter }) => {
-    const idHeader = raw.flatMap((value, i) => {
-      const isId = i % 2 === 0 && value.toLowerCase() === 'id';
-      return isId ? [value, raw[i + 1]] : [];
+    const forwarded = raw.flatMap((value, i) => {
+      const isForwarded = i % 2 === 0 && FORWARDED_HEADERS.has(value.toLowerCase());
+      return isForwarded ? [value, raw[i + 1]] : [];
     });
     const resume = resumeAfter === undefined ? [] : ['resume-after', resumeAfter];
-    return [...idHeader, 'target', target, ...resume];
+    return [...forwarded, 'target', target, ...resume];
   },
   responseMetadata: (status, headers) => ({
     requestId: headers.id as string | undefined,
--- a/packages/daemon/src/entry/__tests__/lifetimes.test.ts
+++ b/packages/daemon/src/entry/__tests__/lifetimes.test.ts
@@ -99,11 +99,14 @@
       now: clock.steady,
     });
     const { id: target, address, bornAt } = RECORD;
-    const request = { requestId: 'r', bodyBytes: 4, service: 's', excluded: [] };
+    const request = {
+      ...{ requestId: 'r', bodyBytes: 4, service: 's', excluded: [] },
+      sharedParts: () => [],
+    };
     registry.announce({ ...RECORD, address: '127.0.0.1:3', bornAt: 2 }, 0);
     await client.checkForCrash(
       { ...request, fingerprint: () => '4-content' },
-      { target, address, bornAt, sentAt: clock.steady(), isTrial: true },
+      { target, address, bornAt, sentAt: clock.steady(), isTrial: true, hasBegun: false },
     );
     client.close();
     const hasCrashed = [1, 2].map((each) => quarantine.hasCrashed({ id: target, bornAt: each }));
--- a/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
@@ -12,7 +12,14 @@
 const CONTENT = '4-content';
 
 function request(requestId: string): quarantineClient.RequestInfo {
-  return { requestId, bodyBytes: 4, fingerprint: () => CONTENT, service: 'plain', excluded: [] };
+  return {
+    requestId,
+    bodyBytes: 4,
+    fingerprint: () => CONTENT,
+    sharedParts: () => [],
+    service: 'plain',
+    excluded: [],
+  };
 }
 
 describe('an entry that was cut off from all targets', () => {
@@ -40,7 +47,14 @@
     });
     for (const target of ['a', 'b', 'c']) {
       const sentAt = clock.steady();
-      const sent = { target, address: '10.0.0.2:1', bornAt: 0, sentAt, isTrial: true };
+      const sent = {
+        target,
+        address: '10.0.0.2:1',
+        bornAt: 0,
+        sentAt,
+        isTrial: true,
+        hasBegun: false,
+      };
       await client.checkForCrash(request('r1'), sent);
     }
     await clock.sleep(10);
@@ -135,7 +149,14 @@
       now: clock.steady,
     });
     const sentAt = clock.steady();
-    const sent = { target: 'a', address: '10.0.0.2:1', bornAt: 0, sentAt, isTrial: false };
+    const sent = {
+      target: 'a',
+      address: '10.0.0.2:1',
+      bornAt: 0,
+      sentAt,
+      isTrial: false,
+      hasBegun: false,
+    };
     await client.checkForCrash(request('r1'), sent);
     client.close();
     expect(quarantine.crashCount(CONTENT)).to.equal(1);
@@ -161,7 +182,14 @@
       now: clock.steady,
     });
     const sentAt = clock.steady();
-    const sent = { target: 'a', address: '10.0.0.2:1', bornAt: 0, sentAt, isTrial: false };
+    const sent = {
+      target: 'a',
+      address: '10.0.0.2:1',
+      bornAt: 0,
+      sentAt,
+      isTrial: false,
+      hasBegun: false,
+    };
     await client.checkForCrash(request('r1'), sent);
     await clock.sleep(afterMs);
     client.close();
@@ -204,7 +232,14 @@
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
-    const sent = { target: 'a', address: '10.0.0.2:1', bornAt: 1, sentAt: 0, isTrial: false };
+    const sent = {
+      target: 'a',
+      address: '10.0.0.2:1',
+      bornAt: 1,
+      sentAt: 0,
+      isTrial: false,
+      hasBegun: false,
+    };
     await client.checkForCrash(request('r1'), sent);
     registry.announce({ ...record, bornAt: 2 }, 0);
     await clock.sleep(1_200);
@@ -234,7 +269,14 @@
     });
     const lifetime = domain.quarantine.crashedLifetimes.lifetimeKey({ id: 'a', bornAt: 0 });
     quarantine.reportCrash('4-other', lifetime, { sentAt: 0, isTrial: false }, 1);
-    const sent = { target: 'a', address: '10.0.0.2:1', bornAt: 0, sentAt: 2, isTrial: false };
+    const sent = {
+      target: 'a',
+      address: '10.0.0.2:1',
+      bornAt: 0,
+      sentAt: 2,
+      isTrial: false,
+      hasBegun: false,
+    };
     await client.checkForCrash(request('r1'), sent);
     client.close();
     expect([quarantine.crashCount(CONTENT), methods]).to.deep.equal([0, []]);
--- a/packages/daemon/src/entry/callerResponse.ts
+++ b/packages/daemon/src/entry/callerResponse.ts
@@ -42,6 +42,9 @@
   /** Id of the last event that was forwarded to the caller. */
   lastEventId: string | undefined;
 
+  /** Whether an event of the current attempt was forwarded. */
+  hasBegun = false;
+
   /** When the first event was forwarded; 0 before. */
   firstEventAt = 0;
 
@@ -118,6 +121,7 @@
     this.bufferedBytes = 0;
     this.held.setBuffered(0);
     this.gaps = [];
+    this.hasBegun = false;
     this.pausedAt = undefined;
     this.maxPauseMs = 0;
   }
@@ -207,6 +211,7 @@
   }
 
   private recordEvent(now: number): void {
+    this.hasBegun = true;
     if (this.firstEventAt === 0) this.firstEventAt = now;
     else this.recordGap(now - this.lastEventAt);
     this.lastEventAt = now;
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -158,6 +158,8 @@
 
   private cachedFingerprint: string | undefined;
 
+  private cachedSharedParts: readonly string[] | undefined;
+
   /** Service that the request goes to; empty until it is selected. */
   private service = '';
 
@@ -504,7 +506,8 @@
   ): Promise<void> {
     if (!this.mayHaveCrashed) return;
     const { sentAt, sentToBornAt: bornAt } = this;
-    const sent = { target, address, bornAt, sentAt, isTrial: endings > 0 };
+    const { hasBegun } = this.reply;
+    const sent = { target, address, bornAt, sentAt, isTrial: endings > 0, hasBegun };
     await this.dependencies.quarantine.checkForCrash(this.requestInfo(service), sent);
   }
 
@@ -514,11 +517,20 @@
       requestId: facts.requestId,
       bodyBytes: body.length,
       fingerprint: () => this.fingerprint,
+      sharedParts: () => this.sharedParts,
       service,
       excluded: [...this.attempts.targets, ...this.dependencies.signals.unavailable(service)],
     };
   }
 
+  /** Parsed only while the quarantine asks for it. */
+  private get sharedParts(): readonly string[] {
+    this.cachedSharedParts ??= this.dependencies.protocol.sharedParts(
+      this.admitted.request.headers,
+    );
+    return this.cachedSharedParts;
+  }
+
   /** Fingerprint that all copies of the request share, whatever their ids. */
   private get fingerprint(): string {
     const { request, organisation, body } = this.admitted;
--- a/packages/daemon/src/entry/quarantineClient.ts
+++ b/packages/daemon/src/entry/quarantineClient.ts
@@ -20,6 +20,8 @@
   bodyBytes: number;
   /** Computes the fingerprint; see the module `fingerprint`. */
   fingerprint: () => string;
+  /** Ids of the parts of its prompt that other requests may share. */
+  sharedParts: () => readonly string[];
   service: string;
   /** Targets that it was sent to before, or that are unavailable to it. */
   excluded: readonly string[];
@@ -34,6 +36,8 @@
   sentAt: number;
   /** Whether it was a canary run; see `Grant`. */
   isTrial: boolean;
+  /** Whether an event of its stream had arrived. */
+  hasBegun: boolean;
 }
 
 /**
@@ -222,7 +226,7 @@
 
   private async reportIfCrashed(
     request: RequestInfo,
-    { target, address, bornAt, sentAt, isTrial }: SentRequest,
+    { target, address, bornAt, sentAt, isTrial, hasBegun }: SentRequest,
   ): Promise<void> {
     const { observer: observe, fleetState: state, now } = this.dependencies;
     const evidence = await this.crashEvidence({ target, address, bornAt });
@@ -235,7 +239,13 @@
     if (state.quarantine.hadCrashed(key, sentAt)) return;
     const content = request.fingerprint();
     observe.count('targets.endedUnderRequest');
-    observe.log('targetEndedUnder', { request: request.requestId, content, target });
+    observe.log('targetEndedUnder', {
+      request: request.requestId,
+      content,
+      parts: request.sharedParts(),
+      hasBegun,
+      target,
+    });
     state.quarantine.reportCrash(content, key, { sentAt, isTrial }, now());
     const isConfirmed = evidence === 'confirmed';
     void this.crashReports.send({ content, lifetime, isTrial, isConfirmed, sentAt, at: now() });
