Add a failing test of requests that crash engines by a part of their prompt

50 requests, ten a second, each with another body, share one part of their prompts, which crashes each engine that begins to answer; 150 others share their first parts and their caller.

--- a/packages/daemon/src/__tests__/crashingRequests.test.ts
+++ b/packages/daemon/src/__tests__/crashingRequests.test.ts
@@ -10,6 +10,16 @@
 /** Target crashes after which a request is quarantined. */
 const MAX_CRASHES = 3;
 
+/** Engines that requests with one crashing part may crash: those of the runs in flight at the first crash, and two. */
+const MAX_CRASHES_BY_PART = 5;
+
+/** Different first parts of prompts. */
+const FIRST_PARTS = 5;
+
+/** Other requests are served again this long after the last crash, milliseconds, and at least this share of them. */
+const RECOVERY_MS = 1_000;
+const SERVED_SHARE = 0.9;
+
 /** Time until all entries know of a crash: a probe of the target, a report to the leader and its broadcast. */
 const PROPAGATION_MS = 100;
 
@@ -19,7 +29,7 @@
 const CRASHING_BODY = `${crashableTarget.CRASH_MARKER} one`;
 
 describe('requests that crash targets', () => {
-  const pool = new fleetPool.FleetPool({ engines: 4, plain: 2 });
+  const pool = new fleetPool.FleetPool({ engines: 5, plain: 2 });
 
   /*
    * Guards against a request that crashes every engine that runs it and takes down a whole fleet: 44 lifetimes of 23
@@ -124,4 +134,44 @@
     expect(new Set(statuses)).to.deep.equal(new Set([200]));
     expect(fleet.countOf('event.targetEndedUnder')).to.equal(0);
   });
+
+  /**
+   * Guards against requests that share one part of their prompts, and no body, and crash every engine that begins to
+   * answer them: each body was quarantined by itself, and callers with the same first part were cut or refused.
+   */
+  it('by a part of their prompt reach few engines, and others with the same first part are served', async () => {
+    const fleet = await pool.take('engines');
+    const sentAt = (index: number, perSecond: number): Promise<void> =>
+      clock.sleep((1_000 * index) / perSecond);
+    const culprits = Array.from({ length: 50 }, async (_, i) => {
+      await sentAt(i, 10);
+      const parts = [`a${i % FIRST_PARTS}`, crashableTarget.CRASHING_PART, `b${i}`];
+      return fleet.send(i % smallFleet.ENTRIES, { service: 'engines', body: `part ${i}`, parts });
+    });
+    const innocents = Array.from({ length: 150 }, async (_, i) => {
+      await sentAt(i, 25);
+      const parts = [`a${i % FIRST_PARTS}`, `c${i}`];
+      const at = clock.steady();
+      const body = `summary ${i}`;
+      return {
+        at,
+        ...(await fleet.send(i % smallFleet.ENTRIES, { service: 'engines', body, parts })),
+      };
+    });
+    const culpritReplies = await Promise.all(culprits);
+    const innocentReplies = await Promise.all(innocents);
+    expect(fleet.crashes.length).to.be.at.most(MAX_CRASHES_BY_PART);
+    const lastCrashAt = fleet.crashes.at(-1)?.at ?? 0;
+    const later = innocentReplies.filter(({ at }) => at > lastCrashAt + RECOVERY_MS);
+    const served = later.filter(({ status, isComplete }) => status === 200 && isComplete);
+    expect(later.length).to.be.at.least(50);
+    expect(served.length / later.length).to.be.at.least(SERVED_SHARE);
+    const arrived = new Set(fleet.arrivals.map(({ request }) => request));
+    const refused = culpritReplies.filter(({ status }) => status === 503);
+    expect(refused.filter(({ id }) => arrived.has(id))).to.deep.equal([]);
+    expect(refused.length).to.be.at.least(40);
+    expect(Math.min(...refused.slice(-30).map(({ retryAfter }) => Number(retryAfter)))).to.be.above(
+      60,
+    );
+  });
 });
