Quarantine parts of prompts that crash targets

Cause: the quarantine holds crashes against whole requests (address, caller, body). Requests that share something else are new to it each time, and each body costs three engines.

A crash now counts against each shared part of the prompts that had not begun to be answered there, as well as against the bodies: both are fingerprints in one table, with the same reports, canary runs and restarts. A part is cleared by the first event of any request with it that was sent after its last crash; others wait for that. In quarantine, requests get 503 with the rest of the quarantine as Retry-After: they haven't run. A part whose crashes another suspect explains as well refuses only requests with both, so that sound requests with the same first part, or another body, free it.

An earlier leader and earlier entries are understood: new fields are optional.

--- a/packages/daemon/src/entry/__tests__/lifetimes.test.ts
+++ b/packages/daemon/src/entry/__tests__/lifetimes.test.ts
@@ -106,7 +106,14 @@
     registry.announce({ ...RECORD, address: '127.0.0.1:3', bornAt: 2 }, 0);
     await client.checkForCrash(
       { ...request, fingerprint: () => '4-content' },
-      { target, address, bornAt, sentAt: clock.steady(), isTrial: true, hasBegun: false },
+      {
+        target,
+        address,
+        bornAt,
+        sentAt: clock.steady(),
+        run: { isCanaryOf: () => true },
+        hasBegun: false,
+      },
     );
     client.close();
     const hasCrashed = [1, 2].map((each) => quarantine.hasCrashed({ id: target, bornAt: each }));
--- a/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
@@ -11,6 +11,10 @@
 
 const CONTENT = '4-content';
 
+/** A run of a suspect request, and one of a request that wasn't suspect. */
+const CANARY = { isCanaryOf: () => true };
+const FIRST_RUN = { isCanaryOf: () => false };
+
 function request(requestId: string): quarantineClient.RequestInfo {
   return {
     requestId,
@@ -52,7 +56,7 @@
         address: '10.0.0.2:1',
         bornAt: 0,
         sentAt,
-        isTrial: true,
+        run: CANARY,
         hasBegun: false,
       };
       await client.checkForCrash(request('r1'), sent);
@@ -154,7 +158,7 @@
       address: '10.0.0.2:1',
       bornAt: 0,
       sentAt,
-      isTrial: false,
+      run: FIRST_RUN,
       hasBegun: false,
     };
     await client.checkForCrash(request('r1'), sent);
@@ -187,7 +191,7 @@
       address: '10.0.0.2:1',
       bornAt: 0,
       sentAt,
-      isTrial: false,
+      run: FIRST_RUN,
       hasBegun: false,
     };
     await client.checkForCrash(request('r1'), sent);
@@ -237,7 +241,7 @@
       address: '10.0.0.2:1',
       bornAt: 1,
       sentAt: 0,
-      isTrial: false,
+      run: FIRST_RUN,
       hasBegun: false,
     };
     await client.checkForCrash(request('r1'), sent);
@@ -274,7 +278,7 @@
       address: '10.0.0.2:1',
       bornAt: 0,
       sentAt: 2,
-      isTrial: false,
+      run: FIRST_RUN,
       hasBegun: false,
     };
     await client.checkForCrash(request('r1'), sent);
@@ -282,3 +286,76 @@
     expect([quarantine.crashCount(CONTENT), methods]).to.deep.equal([0, []]);
   });
 });
+
+describe('requests that share a part of their prompts', () => {
+  const [PART] = domain.quarantine.partFingerprint.ofParts(['c0ffee']);
+
+  function withPart(requestId: string): quarantineClient.RequestInfo {
+    return {
+      ...request(requestId),
+      fingerprint: () => `4-${requestId}`,
+      sharedParts: () => ['c0ffee'],
+    };
+  }
+
+  /** A client, with what it sent to the leader, which grants every canary run. */
+  function clientOf(quarantine: domain.quarantine.quarantine.Quarantine): {
+    client: quarantineClient.QuarantineClient;
+    sent: { method: string; content: object }[];
+  } {
+    const sent: { method: string; content: object }[] = [];
+    const client = new quarantineClient.QuarantineClient({
+      name: 'e0',
+      fleetState: { quarantine, registry: new domain.registry.registry.Registry() },
+      link: { leader: '10.0.0.1:1' },
+      client: {
+        call: async <T>(_address: string, method: string, content: object) => {
+          sent.push({ method, content });
+          const granted = { kind: 'granted', endings: 1, target: undefined };
+          return Ok((method === 'permit' ? granted : { kind: 'taken', reports: [] }) as T);
+        },
+      },
+      liveness: { check: async () => 'dead', isAskingOthers: () => false },
+      observer: new observer.Observer('test', 'fatal', undefined),
+      now: clock.steady,
+    });
+    return { client, sent };
+  }
+
+  /** Guards against parts of all streams on a target that become suspect, although they had begun to answer. */
+  it('have it reported if their target crashes before it begins to answer', async () => {
+    const quarantine = new domain.quarantine.quarantine.Quarantine();
+    const { client, sent } = clientOf(quarantine);
+    const sentAt = clock.steady();
+    const attempt = { address: '10.0.0.2:1', bornAt: 0, sentAt, run: FIRST_RUN };
+    await client.checkForCrash(withPart('r1'), { ...attempt, target: 'a', hasBegun: true });
+    expect(quarantine.hasSuspectParts).to.equal(false);
+    await client.checkForCrash(withPart('r2'), { ...attempt, target: 'b', hasBegun: false });
+    client.close();
+    const reported = sent.map(({ content }) => {
+      return (content as { ended: { content: string }[] }).ended.map((each) => each.content);
+    });
+    expect(reported).to.deep.equal([['4-r1'], ['4-r2', PART]]);
+  });
+
+  /** Guards against a sound part that stays suspect, with its requests one after the other, until an answer is complete. */
+  it('wait for one of them, until its answer begins', async () => {
+    const quarantine = new domain.quarantine.quarantine.Quarantine();
+    const { client, sent } = clientOf(quarantine);
+    quarantine.reportCrash(PART, 'a/0', { sentAt: 0, isTrial: false }, clock.steady() - 1);
+    const canary = await client.permit(withPart('r1'));
+    const second = await client.permit(withPart('r2'));
+    expect(second).to.deep.equal({ kind: 'busy', isCopy: false });
+    if (canary.kind !== 'granted') throw new Error(canary.kind);
+    canary.sent();
+    canary.began();
+    const third = await client.permit(withPart('r3'));
+    client.close();
+    expect([third.kind, third.kind === 'granted' && third.endings]).to.deep.equal(['granted', 0]);
+    const { sentAgoMs, ...proof } = sent[1].content as { sentAgoMs: number };
+    expect([sentAgoMs >= 0, proof]).to.deep.equal([
+      true,
+      { content: PART, id: 'r1', ranWhole: true },
+    ]);
+  });
+});
--- a/packages/daemon/src/entry/callerResponse.ts
+++ b/packages/daemon/src/entry/callerResponse.ts
@@ -57,6 +57,8 @@
   /** Inter-token gaps of the current target, milliseconds. */
   private gaps: number[] = [];
 
+  private onBegin: () => void = () => undefined;
+
   private head: targetClient.ResponseHead | undefined;
 
   private splitter = new domain.request.eventSplitter.EventSplitter();
@@ -112,7 +114,9 @@
     return response.headersSent && !(isStream && lastEventId !== undefined);
   }
 
-  beginAttempt(): void {
+  /** `onBegin` is called when the first event of the attempt's response is forwarded. */
+  beginAttempt(onBegin: () => void = () => undefined): void {
+    this.onBegin = onBegin;
     this.isContinuation = this.response.headersSent;
     this.head = undefined;
     this.attempt = undefined;
@@ -211,6 +215,7 @@
   }
 
   private recordEvent(now: number): void {
+    if (!this.hasBegun) this.onBegin();
     this.hasBegun = true;
     if (this.firstEventAt === 0) this.firstEventAt = now;
     else this.recordGap(now - this.lastEventAt);
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -12,6 +12,7 @@
 import * as callerResponse from './callerResponse';
 import * as attempts from './attempts';
 import type * as targetSelector from './targetSelector';
+import type * as permittedRun from './permittedRun';
 import type * as quarantineClient from './quarantineClient';
 import * as exchangeLog from './exchangeLog';
 import * as fingerprint from './fingerprint';
@@ -232,9 +233,9 @@
   /** Makes one attempt, if the request is permitted to run; resolves to whether another one should follow. */
   private async attemptWithPermit(service: string): Promise<boolean> {
     const permit = await this.dependencies.quarantine.permit(this.requestInfo(service));
-    if (permit.kind === 'busy' && this.mayHaveRun) return this.awaitCanary();
+    if (permit.kind === 'busy' && this.awaitsCanary(permit)) return this.awaitCanary();
     if (permit.kind !== 'granted') {
-      this.refuseSuspect(permit.kind);
+      this.refuseSuspect(permit);
       return false;
     }
     let outcome: Outcome | undefined;
@@ -247,10 +248,17 @@
   }
 
   /**
-   * Waits while a copy of this request, interrupted by the same crash, makes its canary run. This one has run already,
-   * so a refusal would be final although targets are free; the canary run shows within a second or two whether it may
-   * continue.
+   * Whether to wait for another request's canary run. One that has run already always does, as a refusal would be final
+   * although targets are free. One that merely shares a part with a suspect is probably innocent, and the canary run
+   * shows within a few hundred milliseconds whether it may run.
    */
+  private awaitsCanary({ isCopy }: { isCopy: boolean }): boolean {
+    if (this.mayHaveRun) return true;
+    const elapsedMs = this.dependencies.now() - this.admitted.arrivedAt;
+    return !isCopy && elapsedMs < this.patienceMs;
+  }
+
+  /** Waits while another request makes the canary run. */
   private async awaitCanary(): Promise<boolean> {
     await clock.sleep(CANARY_POLL_MS);
     return !this.isOver;
@@ -259,7 +267,7 @@
   /** Places and sends the request once; undefined if it ended without being sent. */
   private async attemptOnce(
     service: string,
-    permit: quarantineClient.Grant,
+    permit: permittedRun.PermittedRun,
   ): Promise<Outcome | undefined> {
     if (this.dependencies.reachability?.isCutOff === true) {
       this.fail('no path to targets', RETRY_AFTER_MS);
@@ -280,7 +288,7 @@
       return undefined;
     }
     this.mayHaveCrashed = false;
-    const outcome = await this.send(choice);
+    const outcome = await this.send(choice, permit);
     await this.checkForCrash(service, permit, choice.placement);
     return outcome;
   }
@@ -316,24 +324,35 @@
   }
 
   /**
-   * Refuses a quarantined request, which crashed three targets, or one whose copy makes a canary run. The first has
-   * run, if under another id, so a 503 would be false, and its caller would send it again. The second hasn't run, so a
-   * 503 tells its caller to retry.
+   * Refuses a request that crashed three targets, or that waits for a canary run. The first has run, if under another
+   * id, so a 503 would be false, and its caller would send it again. One with a quarantined part, or that waits, hasn't
+   * run, so a 503 tells its caller when to retry.
    */
-  private refuseSuspect(kind: 'quarantined' | 'busy'): void {
-    this.mayHaveRun ||= kind === 'quarantined';
-    const isBusy = kind === 'busy';
+  private refuseSuspect(permit: Exclude<quarantineClient.Permit, { kind: 'granted' }>): void {
+    if (permit.kind === 'busy') {
+      this.fail('another request with the same fingerprint is running', SUSPECT_RETRY_AFTER_MS);
+      return;
+    }
+    const { retryAfterMs } = permit;
+    this.mayHaveRun ||= retryAfterMs === undefined;
     this.fail(
-      isBusy
-        ? 'another request with the same fingerprint is running'
-        : 'quarantined: it crashed targets',
-      SUSPECT_RETRY_AFTER_MS,
+      retryAfterMs === undefined
+        ? 'quarantined: it crashed targets'
+        : 'quarantined: a part of its prompt crashed targets',
+      Math.max(SUSPECT_RETRY_AFTER_MS, retryAfterMs ?? 0),
     );
   }
 
+  /** How long the request may wait for a placement, milliseconds. */
+  private get patienceMs(): number {
+    const { route } = this.admitted;
+    const availableMs = Math.min(this.timeLeftMs, responseTimeout.callerTimeoutMs(route));
+    return Math.max(0, MAX_WAIT_SHARE * availableMs);
+  }
+
   private choose(
     service: string,
-    { endings, target }: quarantineClient.Grant,
+    { endings, target }: permittedRun.PermittedRun,
   ): Promise<targetSelector.Choice> {
     const { facts, route } = this.admitted;
     const maxAnswerTokens = facts.maxAnswerTokens ?? Infinity;
@@ -351,10 +370,7 @@
       writers: this.attempts.writers ?? (target === undefined ? undefined : [target]),
       endings: endings > 0 ? endings : undefined,
       waitedMs: this.waitedMs,
-      patienceMs: Math.max(
-        0,
-        MAX_WAIT_SHARE * Math.min(this.timeLeftMs, responseTimeout.callerTimeoutMs(route)),
-      ),
+      patienceMs: this.patienceMs,
       ...this.competition,
     });
   }
@@ -392,7 +408,10 @@
     return Math.min(this.dependencies.now() - arrivedAt, route.objectiveMs);
   }
 
-  private async send(choice: targetSelector.Choice & { kind: 'placed' }): Promise<Outcome> {
+  private async send(
+    choice: targetSelector.Choice & { kind: 'placed' },
+    permit: permittedRun.PermittedRun,
+  ): Promise<Outcome> {
     const { placement } = choice;
     const helperReservations = new reservations.Reservations(
       this.admitted.facts.requestId,
@@ -441,9 +460,10 @@
       return { kind: 'withheld' };
     }
     this.attempts.begin(placement.target);
-    this.reply.beginAttempt();
+    this.reply.beginAttempt(() => permit.began());
     this.requestLog.placed(placement, this.waitedMs);
     this.sentAt = this.dependencies.now();
+    permit.sent();
     this.sentToBornAt = this.dependencies.signals.bornAt(placement.target);
     this.attempt = attempt;
     this.activeTarget = placement.target;
@@ -501,13 +521,13 @@
   /** Checks whether a target that didn't answer crashed while running the request. */
   private async checkForCrash(
     service: string,
-    { endings }: quarantineClient.Grant,
+    run: permittedRun.PermittedRun,
     { target, address }: domain.allocation.allocator.Placement,
   ): Promise<void> {
     if (!this.mayHaveCrashed) return;
     const { sentAt, sentToBornAt: bornAt } = this;
     const { hasBegun } = this.reply;
-    const sent = { target, address, bornAt, sentAt, isTrial: endings > 0, hasBegun };
+    const sent = { target, address, bornAt, sentAt, run, hasBegun };
     await this.dependencies.quarantine.checkForCrash(this.requestInfo(service), sent);
   }
 
--- a/packages/daemon/src/entry/quarantineClient.ts
+++ b/packages/daemon/src/entry/quarantineClient.ts
@@ -1,8 +1,8 @@
 /**
  * Protects targets from requests that crash them. Reports the fingerprints of requests that a target ran when it
- * crashed, refuses quarantined requests, and asks the leader for permission before a suspect request runs. Without
- * suspects a request costs one lookup in an empty map; its fingerprint is computed only if a suspect has a body of the
- * same length.
+ * crashed, and of the parts of their prompts; refuses quarantined requests, and asks the leader for permission before a
+ * suspect request runs. Without suspects a request costs one lookup in an empty map; its fingerprint is computed only if
+ * a suspect has a body of the same length, and its parts are parsed only while one is suspect.
  */
 import * as domain from '@celerydrift/domain';
 import * as clock from '../clock';
@@ -13,6 +13,7 @@
 import * as leaderOutbox from './leaderOutbox';
 import type * as livenessProbes from './livenessProbes';
 import type * as pathMonitor from './pathMonitor';
+import * as permittedRun from './permittedRun';
 
 /** A request that may be a suspect. */
 export interface RequestInfo {
@@ -34,30 +35,20 @@
   /** Start time of the lifetime that it was sent to. */
   bornAt: number;
   sentAt: number;
-  /** Whether it was a canary run; see `Grant`. */
-  isTrial: boolean;
+  run: Pick<permittedRun.PermittedRun, 'isCanaryOf'>;
   /** Whether an event of its stream had arrived. */
   hasBegun: boolean;
 }
 
-/**
- * The request may run; `endings` is the number of crashes attributed to its fingerprint. If there are any, it is a
- * canary run.
- */
-export interface Grant {
-  kind: 'granted';
-  endings: number;
-  /** The target that must run it; undefined for any. */
-  target: string | undefined;
-  /** To be called when the run is over, with whether it completed. */
-  end: (ranWhole: boolean) => void;
-}
-
 export type Permit =
-  | Grant
-  /** Another request with the same fingerprint makes a canary run, which soon shows whether it crashes its target. */
-  | { kind: 'busy' }
-  | { kind: 'quarantined' };
+  | permittedRun.PermittedRun
+  /**
+   * Another request with the same fingerprint makes a canary run, which soon shows whether it crashes its target.
+   * `isCopy` if that is the fingerprint of the whole request.
+   */
+  | { kind: 'busy'; isCopy: boolean }
+  /** `retryAfterMs` where a part of its prompt is in quarantine: the time until that ends, milliseconds. */
+  | { kind: 'quarantined'; retryAfterMs: number | undefined };
 
 export interface Dependencies extends leaderCall.Dependencies {
   /** Name of this entry. */
@@ -110,13 +101,13 @@
   private readonly canaryRuns = new domain.quarantine.canaryRuns.CanaryRuns();
 
   /** Reports of crashes. A lost one would cost another target, as the request would run once more. */
-  private readonly crashReports = new leaderOutbox.LeaderOutbox<ObservedCrash>(
-    (crashes) => this.reportCrashes(crashes),
+  private readonly crashReports = new leaderOutbox.LeaderOutbox<readonly ObservedCrash[]>(
+    (crashes) => this.reportCrashes(crashes.flat()),
     MAX_UNREPORTED_CRASHES,
   );
 
   /** Reports of finished canary runs. While the leader counts one as running, all copies of its request wait. */
-  private readonly canaryReports = new leaderOutbox.LeaderOutbox<messages.CanaryEnded>(
+  private readonly canaryReports = new leaderOutbox.LeaderOutbox<permittedRun.Conclusion>(
     (runs) => this.reportCanaries(runs),
     MAX_UNREPORTED_CANARIES,
   );
@@ -125,32 +116,26 @@
 
   /** Whether a request may be sent to a target now. */
   async permit(request: RequestInfo): Promise<Permit> {
-    const status = this.statusOf(request);
-    if (status === 'quarantined') return this.refuse(request);
-    if (status === 'free') {
-      return { kind: 'granted', endings: 0, target: undefined, end: this.completionOf(request) };
-    }
-    const { name, now } = this.dependencies;
-    const { requestId: id, service, excluded } = request;
-    const content = request.fingerprint();
-    const run = { id, entry: name, target: undefined };
-    if (!this.canaryRuns.begin(content, run, now())) return { kind: 'busy' };
-    const answer = await this.requestPermit({ content, id, entry: name, service, excluded });
-    const end = (ranWhole: boolean): void => this.endCanary({ content, id, ranWhole });
+    const assessment = this.assess(request);
+    if (assessment.kind === 'quarantined') return this.refuse(request, assessment.culprit);
+    if (assessment.kind === 'free') return this.grant(request, [], { endings: 0 });
+    const { suspects } = assessment;
+    if (!this.beginCanary(request, suspects)) return busy(suspects);
+    const { quarantine } = this.dependencies.fleetState;
+    const answer = await this.requestPermit(request, suspects);
     if (answer === undefined || answer.kind === 'granted') {
       // The leader may not have received this entry's crash reports yet.
-      const endings = Math.max(
-        answer?.endings ?? 0,
-        this.dependencies.fleetState.quarantine.crashCount(content),
-      );
-      return { kind: 'granted', endings, target: answer?.target, end };
+      const counts = suspects.map((each) => quarantine.crashCount(each));
+      const endings = Math.max(answer?.endings ?? 0, ...counts);
+      return this.grant(request, suspects, { endings, target: answer?.target });
     }
-    this.canaryRuns.end(content, id);
-    return answer.kind === 'busy' ? { kind: 'busy' } : this.refuse(request);
+    suspects.forEach((each) => this.canaryRuns.end(each, request.requestId));
+    if (answer.kind === 'busy') return busy(suspects);
+    return this.refuse(request, answer.culprit ?? suspects[0]);
   }
 
   isQuarantined(request: RequestInfo): boolean {
-    return this.statusOf(request) === 'quarantined';
+    return this.assess(request).kind === 'quarantined';
   }
 
   /**
@@ -170,63 +155,93 @@
     this.canaryReports.close();
   }
 
-  private statusOf({
-    bodyBytes,
-    fingerprint,
-  }: RequestInfo): domain.quarantine.quarantine.QuarantineStatus {
+  /** Fingerprints of a request that may be suspect; those that no suspect can have aren't computed. */
+  private suspectableFingerprints(request: RequestInfo): string[] {
     const { quarantine } = this.dependencies.fleetState;
-    return quarantine.mayHaveSuspect(bodyBytes) ? quarantine.standing(fingerprint()) : 'free';
+    const whole = quarantine.mayHaveSuspect(request.bodyBytes) ? [request.fingerprint()] : [];
+    return quarantine.hasSuspectParts ? [...whole, ...partsOf(request)] : whole;
   }
 
-  private refuse(request: RequestInfo): Permit {
-    const { observer: observe, fleetState: state } = this.dependencies;
-    const content = request.fingerprint();
+  private assess(request: RequestInfo): domain.quarantine.quarantine.Assessment {
+    const { quarantine } = this.dependencies.fleetState;
+    return quarantine.assess(this.suspectableFingerprints(request));
+  }
+
+  private refuse(request: RequestInfo, culprit: string): Permit {
+    const { observer: observe, fleetState: state, now } = this.dependencies;
+    const { quarantine } = state;
     observe.count('quarantine.refused');
     observe.log('requestHeldBack', {
       request: request.requestId,
-      content,
-      lifetimes: state.quarantine.crashesOf(content),
+      content: culprit,
+      lifetimes: quarantine.crashesOf(culprit),
     });
-    return { kind: 'quarantined' };
+    const isPart = domain.quarantine.partFingerprint.isPart(culprit);
+    return {
+      kind: 'quarantined',
+      retryAfterMs: isPart ? quarantine.remainingMs(culprit, now()) : undefined,
+    };
   }
 
-  /**
-   * For a request that wasn't a suspect when it started: its completion still clears a suspicion that arose meanwhile.
-   */
-  private completionOf(request: RequestInfo): (ranWhole: boolean) => void {
-    return (ranWhole) => {
-      if (!ranWhole || this.statusOf(request) === 'free') return;
-      void this.canaryReports.send({
-        content: request.fingerprint(),
-        id: request.requestId,
-        ranWhole,
-      });
+  private grant(
+    request: RequestInfo,
+    canaryOf: readonly string[],
+    { endings, target }: { endings: number; target?: string },
+  ): permittedRun.PermittedRun {
+    const { quarantine } = this.dependencies.fleetState;
+    const suspects = (): string[] => {
+      const possible = this.suspectableFingerprints(request);
+      return possible.filter((each) => quarantine.standing(each) !== 'free');
     };
+    return new permittedRun.PermittedRun(
+      { id: request.requestId, canaryOf, endings, target, suspects },
+      {
+        quarantine,
+        canaryRuns: this.canaryRuns,
+        report: (conclusion) => {
+          void this.canaryReports.send(conclusion);
+        },
+        now: this.dependencies.now,
+      },
+    );
   }
 
-  private endCanary(run: messages.CanaryEnded): void {
-    this.canaryRuns.end(run.content, run.id);
-    void this.canaryReports.send(run);
+  /** Begins a canary run of all these fingerprints; false while another request makes one of any of them. */
+  private beginCanary({ requestId: id }: RequestInfo, suspects: readonly string[]): boolean {
+    const { name, now } = this.dependencies;
+    const run = { id, entry: name, target: undefined };
+    if (!suspects.every((each) => this.canaryRuns.mayBegin(each, run, now()))) return false;
+    suspects.forEach((each) => this.canaryRuns.begin(each, run, now()));
+    return true;
   }
 
-  private async reportCanaries(runs: readonly messages.CanaryEnded[]): Promise<boolean> {
+  private async reportCanaries(runs: readonly permittedRun.Conclusion[]): Promise<boolean> {
     const answers = await Promise.all(
-      runs.map((run) => {
-        return leaderCall.call<messages.AppliedAnswer>(this.dependencies, 'trialEnded', run);
+      runs.map(({ sentAt, ...run }) => {
+        const age = sentAt === undefined ? {} : { sentAgoMs: this.dependencies.now() - sentAt };
+        const message: messages.CanaryEnded = { ...run, ...age };
+        return leaderCall.call<messages.AppliedAnswer>(this.dependencies, 'trialEnded', message);
       }),
     );
     return answers.every((answer) => answer !== undefined);
   }
 
   private requestPermit(
-    message: messages.PermitRequest,
+    request: RequestInfo,
+    [content]: readonly string[],
   ): Promise<Exclude<messages.PermitAnswer, messages.Redirect> | undefined> {
+    const { requestId: id, service, excluded } = request;
+    const fingerprints = [request.fingerprint(), ...partsOf(request)];
+    const { name: entry } = this.dependencies;
+    const message: messages.PermitRequest = {
+      ...{ content, fingerprints, id, entry, service, excluded },
+    };
     return leaderCall.call<messages.PermitAnswer>(this.dependencies, 'permit', message);
   }
 
   private async reportIfCrashed(
     request: RequestInfo,
-    { target, address, bornAt, sentAt, isTrial, hasBegun }: SentRequest,
+    { target, address, bornAt, sentAt, run, hasBegun }: SentRequest,
   ): Promise<void> {
     const { observer: observe, fleetState: state, now } = this.dependencies;
     const evidence = await this.crashEvidence({ target, address, bornAt });
@@ -246,9 +261,15 @@
       hasBegun,
       target,
     });
-    state.quarantine.reportCrash(content, key, { sentAt, isTrial }, now());
     const isConfirmed = evidence === 'confirmed';
-    void this.crashReports.send({ content, lifetime, isTrial, isConfirmed, sentAt, at: now() });
+    // A part that crashes targets does so before the first event.
+    const suspects = hasBegun ? [content] : [content, ...partsOf(request)];
+    const crashes = suspects.map((each): ObservedCrash => {
+      const isTrial = run.isCanaryOf(each);
+      state.quarantine.reportCrash(each, key, { sentAt, isTrial }, now());
+      return { content: each, lifetime, isTrial, isConfirmed, sentAt, at: now() };
+    });
+    void this.crashReports.send(crashes);
   }
 
   /**
@@ -313,6 +334,15 @@
   }
 }
 
+/** Fingerprints of the parts of a request's prompt. */
+function partsOf(request: RequestInfo): string[] {
+  return domain.quarantine.partFingerprint.ofParts(request.sharedParts());
+}
+
+function busy(suspects: readonly string[]): Permit {
+  return { kind: 'busy', isCopy: !suspects.every(domain.quarantine.partFingerprint.isPart) };
+}
+
 /** Whether a target announced its stop, so that no request that it interrupted is to blame. */
 function hasStoppedItself({
   state,
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -128,12 +128,12 @@
   mark: RegistryVersion;
 }
 
-/** A target lifetime that crashed while it ran a request. */
+/** A target lifetime that crashed while it ran a request; one for each fingerprint that may be the cause. */
 export interface TargetCrash {
-  /** Fingerprint of the request. */
+  /** Fingerprint of the request, or of a part of its prompt. */
   content: string;
   lifetime: domain.quarantine.crashedLifetimes.Lifetime;
-  /** Whether that run was a canary run, allowed while the request was already suspect. */
+  /** Whether that run was a canary run, allowed while this fingerprint was already suspect. */
   isTrial: boolean;
   /**
    * Whether another VM didn't reach the target either, or others of its service responded to the entry meanwhile; absent
@@ -160,8 +160,10 @@
 
 /** `permit`: asks whether a suspect request may run now. */
 export interface PermitRequest {
-  /** Fingerprint of the request. */
+  /** The first of its fingerprints that are suspect. */
   content: string;
+  /** All fingerprints of the request that may be suspect; absent from an earlier version. */
+  fingerprints?: readonly string[];
   /** Id of the request, and the entry that holds it. */
   id: string;
   entry: string;
@@ -176,18 +178,21 @@
    * leader suspects nothing. `target` is where it must run; undefined for any target.
    */
   | { kind: 'granted'; endings: number; target: string | undefined }
-  /** Another request with its fingerprint is running, or every target runs another suspect. */
+  /** Another request with one of its fingerprints is running, or every target runs another suspect. */
   | { kind: 'busy' }
-  | { kind: 'quarantined' }
+  /** `culprit` is the fingerprint in quarantine; absent from an earlier version. */
+  | { kind: 'quarantined'; culprit?: string }
   | Redirect;
 
-/** `trialEnded`: a canary run has ended. */
+/** `trialEnded`: a canary run has ended, or a run has proved a suspicion wrong. */
 export interface CanaryEnded {
-  /** Fingerprint of the request. */
+  /** Fingerprint of the request, or of a part of its prompt. */
   content: string;
   id: string;
-  /** Whether the request got its complete answer. */
+  /** Whether the request got its complete answer; for a part, whether its answer has begun. */
   ranWhole: boolean;
+  /** Time from sending the request to this message, milliseconds; only for a part. */
+  sentAgoMs?: number;
 }
 
 /** The leader has applied the message. */
--- a/packages/daemon/src/keeper/__tests__/suspectTracker.test.ts
+++ b/packages/daemon/src/keeper/__tests__/suspectTracker.test.ts
@@ -62,4 +62,31 @@
     tracker.blame({ ended: [{ content: CONTENT, lifetime: target, ...run }] });
     expect(quarantine.standing(CONTENT)).to.equal('suspected');
   });
+
+  /** Guards against a part that an earlier, still running request clears, and against entries of an earlier version. */
+  it('clears a part by a request that was sent after its last crash, and grants it one canary run at a time', () => {
+    const quarantine = new domain.quarantine.quarantine.Quarantine();
+    const [part] = domain.quarantine.partFingerprint.ofParts(['a1']);
+    const tracker = new suspectTracker.SuspectTracker({
+      quarantine,
+      registry: new domain.registry.registry.Registry(),
+      isAllocated: () => true,
+      observer: new observer.Observer('test', 'fatal', undefined),
+      now: () => 10_000,
+      publish: () => undefined,
+    });
+    quarantine.reportCrash(part, 'a/1', { sentAt: 0, isTrial: false }, 9_000);
+    const permit = (id: string, fingerprints?: string[]): string => {
+      const common = { id, entry: 'e0', service: 'engines', excluded: [] };
+      return tracker.permit({ ...common, content: part, ...(fingerprints && { fingerprints }) })
+        .kind;
+    };
+    expect([permit('r1', [part, '4-r1']), permit('r2', [part]), permit('r3')]).to.deep.equal([
+      ...['granted', 'busy', 'busy'],
+    ]);
+    tracker.trialEnded({ content: part, id: 'r1', ranWhole: true, sentAgoMs: 1_500 });
+    expect(quarantine.standing(part)).to.equal('suspected');
+    tracker.trialEnded({ content: part, id: 'r1', ranWhole: true, sentAgoMs: 500 });
+    expect(quarantine.standing(part)).to.equal('free');
+  });
 });
--- a/packages/daemon/src/keeper/suspectTracker.ts
+++ b/packages/daemon/src/keeper/suspectTracker.ts
@@ -77,27 +77,34 @@
     this.publishChanges(quarantine.applyAnnouncement({ id, bornAt }, sequence));
   }
 
-  /** Decides whether a suspect request may run now, as the only canary run with its fingerprint. */
+  /** Decides whether a suspect request may run now, as the only canary run with its suspect fingerprints. */
   permit(request: messages.PermitRequest): messages.PermitAnswer {
     const { quarantine, now } = this.dependencies;
-    const { content, id, entry } = request;
-    const status = quarantine.standing(content);
-    if (status === 'quarantined') return { kind: 'quarantined' };
-    if (status === 'free') return { kind: 'granted', endings: 0, target: undefined };
-    if (!this.canaries.mayBegin(content, { id, entry }, now())) return { kind: 'busy' };
-    const endings = quarantine.crashCount(content);
+    const { content, fingerprints = [content], id, entry } = request;
+    const assessment = quarantine.assess(fingerprints);
+    if (assessment.kind === 'quarantined') return assessment;
+    if (assessment.kind === 'free') return { kind: 'granted', endings: 0, target: undefined };
+    const { suspects } = assessment;
+    if (!suspects.every((each) => this.canaries.mayBegin(each, { id, entry }, now())))
+      return { kind: 'busy' };
+    const endings = Math.max(...suspects.map((each) => quarantine.crashCount(each)));
     const choice = this.chooseTarget(request);
     // The crash that would be the last one counted must not be caused by another suspect on the same target.
     if (choice === 'none' && endings >= CRASHES_BEFORE_LAST_CANARY) return { kind: 'busy' };
     const target = choice === 'any' || choice === 'none' ? undefined : choice.id;
-    this.canaries.begin(content, { id, entry, target }, now());
+    suspects.forEach((each) => this.canaries.begin(each, { id, entry, target }, now()));
     return { kind: 'granted', endings, target };
   }
 
-  /** Ends a canary run; one with a complete answer clears the suspicion. */
-  trialEnded({ content, id, ranWhole }: messages.CanaryEnded): void {
+  /** Ends a canary run; one with a complete answer, or whose answer has begun for a part, clears the suspicion. */
+  trialEnded({ content, id, ranWhole, sentAgoMs }: messages.CanaryEnded): void {
     this.canaries.end(content, id);
-    const change = ranWhole ? this.dependencies.quarantine.completed(content) : undefined;
+    if (!ranWhole) return;
+    const { quarantine, now } = this.dependencies;
+    const change =
+      sentAgoMs === undefined
+        ? quarantine.completed(content)
+        : quarantine.began(content, now() - sentAgoMs);
     if (change !== undefined) this.publishChanges([change]);
   }
 
--- /dev/null
+++ b/packages/domain/src/quarantine/__tests__/parts.test.ts
@@ -0,0 +1,117 @@
+/** Suspicion and quarantine of parts that requests share in their prompts. */
+import * as chai from 'chai';
+import * as canaryRuns from '../canaryRuns';
+import * as crashedLifetimes from '../crashedLifetimes';
+import * as partFingerprint from '../partFingerprint';
+import * as quarantine from '../quarantine';
+
+const { expect } = chai;
+
+const [FIRST, CRASHING] = partFingerprint.ofParts(['a1', 'c0ffee']);
+const BODY = '9-body';
+
+/** Crashes of a target each, one a second, under a run with these fingerprints; all but the first are canary runs. */
+function crash(tested: quarantine.Quarantine, ...runs: string[][]): void {
+  runs.forEach((run, i) => {
+    const lifetime = crashedLifetimes.lifetimeKey({ id: `t${tested.size}-${i}`, bornAt: 1 });
+    run.forEach((each) => {
+      const isTrial = tested.standing(each) !== 'free';
+      tested.reportCrash(each, lifetime, { sentAt: 1_000 * i, isTrial }, 1_000 * i);
+    });
+  });
+}
+
+describe('quarantine of parts', () => {
+  it('begins with the third crash, for requests of any body', () => {
+    const tested = new quarantine.Quarantine();
+    crash(tested, ['5-x', CRASHING], ['6-y', CRASHING], ['7-z', CRASHING]);
+    expect(tested.assess([CRASHING, '8-new'])).to.deep.equal({
+      kind: 'quarantined',
+      culprit: CRASHING,
+    });
+    expect(tested.assess(['8-new'])).to.deep.equal({ kind: 'free' });
+    expect([tested.hasSuspectParts, tested.mayHaveSuspect(8)]).to.deep.equal([true, false]);
+  });
+
+  /** Guards against a first part that is refused with the part behind it, although other requests have it alone. */
+  it('leaves requests with a part alone to a canary run, if it crashed targets only beside another one', () => {
+    const tested = new quarantine.Quarantine();
+    crash(tested, ['5-x', FIRST, CRASHING], ['6-y', FIRST, CRASHING], ['7-z', FIRST, CRASHING]);
+    expect(tested.assess([FIRST, CRASHING]).kind).to.equal('quarantined');
+    expect(tested.assess([FIRST, '8-new'])).to.deep.equal({ kind: 'suspected', suspects: [FIRST] });
+    tested.began(FIRST, 9_000);
+    expect(tested.assess([FIRST, '8-new']).kind).to.equal('free');
+    expect(tested.assess([CRASHING, '8-new']).kind).to.equal('quarantined');
+  });
+
+  /** Guards against all requests with a sound part being refused because one body with it crashes targets. */
+  it('leaves other bodies with a part to a canary run, if it crashed targets only with one body', () => {
+    const tested = new quarantine.Quarantine();
+    crash(tested, [BODY, FIRST], [BODY, FIRST], [BODY, FIRST]);
+    expect(tested.assess([BODY, FIRST]).kind).to.equal('quarantined');
+    expect(tested.assess(['8-new', FIRST]).kind).to.equal('suspected');
+    tested.began(FIRST, 9_000);
+    expect([BODY, FIRST].map((each) => tested.standing(each))).to.deep.equal([
+      'quarantined',
+      'free',
+    ]);
+  });
+
+  /** Guards against a part that becomes harmful and is cleared by requests that were sent before. */
+  it('is not ended by a request that was sent before the last crash', () => {
+    const tested = new quarantine.Quarantine();
+    crash(tested, ['5-x', CRASHING], ['6-y', CRASHING], ['7-z', CRASHING]);
+    expect(tested.began(CRASHING, 2_000)).to.equal(undefined);
+    expect(tested.standing(CRASHING)).to.equal('quarantined');
+    expect(tested.began(CRASHING, 2_001)?.reason).to.equal('began');
+  });
+
+  /** Guards against canary runs every few seconds of a part that is quarantined beside the bodies that it came with. */
+  it('is never ended as doubtful, and lasts two minutes at first', () => {
+    const tested = new quarantine.Quarantine();
+    crash(tested, [BODY, CRASHING], [BODY, CRASHING], [BODY, CRASHING]);
+    for (let now = 2_000; now < 121_000; now += 500) {
+      tested.tick(now);
+      expect(tested.assess([BODY, CRASHING]).kind).to.equal('quarantined');
+    }
+    expect(tested.remainingMs(CRASHING, 62_000)).to.equal(60_000);
+    tested.tick(122_000);
+    expect(tested.standing(CRASHING)).to.equal('suspected');
+  });
+
+  /** Guards against a part that a new leader, or all VMs after a loss of power, must learn again with three targets. */
+  it('is taken over from the reports of another copy', () => {
+    const tested = new quarantine.Quarantine();
+    crash(tested, ['5-x', FIRST, CRASHING], ['6-y', FIRST, CRASHING], ['7-z', FIRST, CRASHING]);
+    const copy = new quarantine.Quarantine();
+    copy.merge(tested.reports(3_000), 50);
+    expect(copy.assess([FIRST, CRASHING]).kind).to.equal('quarantined');
+    expect(copy.assess([FIRST]).kind).to.equal('suspected');
+    copy.replaceAll([], 60);
+    expect(copy.hasSuspectParts).to.equal(false);
+  });
+
+  /** Guards against one request with thousands of parts that displaces all other suspects. */
+  it('covers a bounded number of parts of a prompt', () => {
+    const ids = Array.from({ length: 1_000 }, (_, i) => String(i));
+    expect(partFingerprint.ofParts(ids)).to.have.lengthOf(64);
+  });
+});
+
+describe('canary runs of a part', () => {
+  /** Guards against short prompts that wait until a long one with the same part begins its answer. */
+  it('keep other requests waiting for a second at most', () => {
+    const tested = new canaryRuns.CanaryRuns();
+    const run = (id: string): canaryRuns.CanaryRun => ({ id, entry: 'e', target: undefined });
+    tested.begin(FIRST, run('long'), 0);
+    tested.begin(BODY, run('long'), 0);
+    const begun = [900, 1_001].map((now) => tested.begin(FIRST, run('short'), now));
+    expect([...begun, tested.mayBegin(BODY, run('short'), 1_001)]).to.deep.equal([
+      false,
+      true,
+      false,
+    ]);
+    tested.end(FIRST, 'long');
+    expect(tested.mayBegin(FIRST, run('third'), 1_002)).to.equal(false);
+  });
+});
--- a/packages/domain/src/quarantine/canaryRuns.ts
+++ b/packages/domain/src/quarantine/canaryRuns.ts
@@ -4,11 +4,19 @@
  * known to count against them all.
  */
 
+import * as partFingerprint from './partFingerprint';
+
 /**
  * A run without a reported end is over after this long, milliseconds; longer than any caller waits.
  */
 const MAX_CANARY_RUN_MS = 60_000;
 
+/**
+ * How long a canary run of a part keeps others with the part waiting, milliseconds. A long prompt takes longer to begin
+ * its answer, and many requests may share its part; another canary run costs one more target at most.
+ */
+const MAX_PART_CANARY_RUN_MS = 1_000;
+
 export interface CanaryRun {
   id: string;
   entry: string;
@@ -28,7 +36,7 @@
 
   mayBegin(fingerprint: string, { id, entry }: Omit<CanaryRun, 'target'>, now: number): boolean {
     const current = this.byFingerprint.get(fingerprint);
-    if (current === undefined || now - current.since > MAX_CANARY_RUN_MS) return true;
+    if (current === undefined || now - current.since > maxRunMs(fingerprint)) return true;
     return current.id === id && current.entry === entry;
   }
 
@@ -54,3 +62,7 @@
     this.byFingerprint.clear();
   }
 }
+
+function maxRunMs(fingerprint: string): number {
+  return partFingerprint.isPart(fingerprint) ? MAX_PART_CANARY_RUN_MS : MAX_CANARY_RUN_MS;
+}
--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -5,12 +5,17 @@
  * than a suspicion: suspects run one at a time and apart from each other, and then only the
  * culprit's count keeps rising. After the third crash a request is quarantined and runs nowhere.
  *
- * A suspicion is cleared when the target turns out to be alive, when the request completes, when a
- * quarantined request explains the crash, or after some time. A quarantine expires too; one canary
- * run then decides.
+ * Requests without a common body may share the part of their prompts that crashes targets, so the
+ * parts of a prompt have fingerprints too, and a crash counts against those of all requests that
+ * had not begun to answer.
+ *
+ * A suspicion is cleared when the target turns out to be alive, when the request completes or a
+ * request with the part begins to answer, when a quarantined request explains the crash, or after
+ * some time. A quarantine expires too; one canary run then decides.
  */
 
 import * as crashedLifetimes from './crashedLifetimes';
+import * as partFingerprint from './partFingerprint';
 import * as suspects from './suspect';
 
 type Suspect = suspects.Suspect;
@@ -19,7 +24,16 @@
 export type QuarantineStatus = 'free' | 'suspected' | 'quarantined';
 
 /** Why a suspicion was cleared or reduced. */
-export type ClearanceReason = 'targetLives' | 'ranWhole' | 'explained' | 'doubtful' | 'expired';
+export type ClearanceReason =
+  'targetLives' | 'ranWhole' | 'began' | 'explained' | 'doubtful' | 'expired';
+
+/** What its fingerprints mean for a request. */
+export type Assessment =
+  | { kind: 'free' }
+  /** It may run as a canary of these fingerprints. */
+  | { kind: 'suspected'; suspects: string[] }
+  /** It must not run because of this fingerprint. */
+  | { kind: 'quarantined'; culprit: string };
 
 /**
  * Crashes that quarantine a request. One is chance, and two may be the fault of a request beside
@@ -100,6 +114,9 @@
    */
   private readonly lengths = new Map<string, number>();
 
+  /** Number of suspects that are parts of prompts. */
+  private partCount = 0;
+
   get size(): number {
     return this.suspects.size;
   }
@@ -116,6 +133,21 @@
     return this.lengths.has(String(bodyBytes));
   }
 
+  /** Whether some part of a prompt is suspect; a cheap check before a prompt's parts are parsed. */
+  get hasSuspectParts(): boolean {
+    return this.partCount > 0;
+  }
+
+  /** Assesses a request by all its fingerprints; those that can't be suspect may be left out. */
+  assess(fingerprints: readonly string[]): Assessment {
+    const found = fingerprints.filter((each) => this.suspects.has(each));
+    if (found.length === 0) return { kind: 'free' };
+    const culprit = found.find((each) => this.isRefused(each, fingerprints));
+    return culprit === undefined
+      ? { kind: 'suspected', suspects: found }
+      : { kind: 'quarantined', culprit };
+  }
+
   standing(fingerprint: string): QuarantineStatus {
     const suspect = this.suspects.get(fingerprint);
     if (suspect === undefined) return 'free';
@@ -186,6 +218,24 @@
     return suspect === undefined ? undefined : this.clearSuspicion(suspect, 'ranWhole');
   }
 
+  /**
+   * A request with this part that was sent at that time has begun to answer, so the part doesn't
+   * crash targets. Crashes reported since it was sent may be the first ones of a part that has only
+   * now become harmful.
+   */
+  began(fingerprint: string, sentAt: number): StatusChange | undefined {
+    const suspect = this.suspects.get(fingerprint);
+    if (suspect === undefined || suspects.lastCrashAt(suspect) >= sentAt) return undefined;
+    return this.clearSuspicion(suspect, 'began');
+  }
+
+  /** Time until the quarantine ends, milliseconds; 0 outside of one. */
+  remainingMs(fingerprint: string, now: number): number {
+    const suspect = this.suspects.get(fingerprint);
+    if (suspect?.quarantinedAt === undefined) return 0;
+    return Math.max(0, suspect.quarantinedAt + suspects.quarantineDurationMs(suspect) - now);
+  }
+
   /**
    * Advances time: ends quarantines, drops old suspicions and explains crashes by quarantined
    * requests.
@@ -283,8 +333,7 @@
       this.lifetimes.addSuspect(restored.content, lifetime);
       this.lifetimes.record(lifetime, at);
     });
-    const length = bodyLengthOf(restored.content);
-    this.lengths.set(length, (this.lengths.get(length) ?? 0) + 1);
+    this.countKind(restored.content, 1);
     return restored;
   }
 
@@ -292,12 +341,43 @@
     const { content, endings } = suspect;
     this.suspects.delete(content);
     endings.forEach(({ lifetime }) => this.lifetimes.removeSuspect(content, lifetime));
-    const length = bodyLengthOf(content);
-    const remaining = (this.lengths.get(length) ?? 1) - 1;
-    if (remaining > 0) this.lengths.set(length, remaining);
+    this.countKind(content, -1);
+  }
+
+  /** Counts a suspect by the length of its body, or as a part. */
+  private countKind(fingerprint: string, change: 1 | -1): void {
+    if (partFingerprint.isPart(fingerprint)) {
+      this.partCount += change;
+      return;
+    }
+    const length = bodyLengthOf(fingerprint);
+    const count = (this.lengths.get(length) ?? 0) + change;
+    if (count > 0) this.lengths.set(length, count);
     else this.lengths.delete(length);
   }
 
+  /**
+   * Whether a request with these fingerprints is refused because of one of them. Requests that
+   * crash targets by their body share their parts with innocent ones; those may run as canaries.
+   */
+  private isRefused(fingerprint: string, requestFingerprints: readonly string[]): boolean {
+    if (this.standing(fingerprint) !== 'quarantined') return false;
+    if (!partFingerprint.isPart(fingerprint)) return true;
+    return this.alternativesOf(fingerprint).every((each) => requestFingerprints.includes(each));
+  }
+
+  /** Other suspects that explain all crashes of this one as well. */
+  private alternativesOf(fingerprint: string): string[] {
+    const suspect = this.suspects.get(fingerprint);
+    const [first, ...others] = (suspect?.endings ?? [])
+      .map(({ lifetime }) => lifetime)
+      .filter((lifetime) => !suspect?.explained.has(lifetime) && !suspect?.shared.has(lifetime))
+      .map((lifetime) => this.lifetimes.suspectsOf(lifetime));
+    return (first ?? []).filter(
+      (each) => each !== fingerprint && others.every((suspected) => suspected.includes(each)),
+    );
+  }
+
   private clearSuspicion(suspect: Suspect, reason: ClearanceReason): StatusChange {
     const { content, endings } = suspect;
     this.deleteSuspect(suspect);
@@ -322,6 +402,8 @@
     if (quarantinedAt === undefined) return undefined;
     const lastedMs = now - quarantinedAt;
     if (lastedMs >= suspects.quarantineDurationMs(suspect)) return 'expired';
+    // Requests that have the part without what else explains its crashes run as canaries meanwhile.
+    if (partFingerprint.isPart(suspect.content)) return undefined;
     if (suspect.laterEndings >= MAX_LATE_CRASHES) return undefined;
     if (lastedMs < DOUBT_DELAY_MS * 2 ** doubts) return undefined;
     return this.isDoubtful(suspect) ? 'doubtful' : undefined;
