Let timeouts expire only after pending events are handled

An overloaded entry took its own delay for the silence of others. All callers of three other data centres moved to one entry (a trial): its event loop took 100 to 350 ms a turn, the leader's answers lay unread meanwhile, and the entry gave it up ('no sign of life', 3011), as it did its targets (4124).

Timers of a process fire before what arrived during a stall is read. Connect timeouts waited for one turn of the event loop for that reason; a call over a new connection needs four. All timeouts of calls, probes and connections now expire through clock.startTimeout, four turns after their timers, which takes an idle process less than a millisecond; a placement is given up only if the leader's probe is still unanswered then.

--- a/packages/daemon/src/clock.ts
+++ b/packages/daemon/src/clock.ts
@@ -45,3 +45,38 @@
     setTimeout(resolve, ms);
   });
 }
+
+/** Turns of the event loop in which a connection is opened, authenticated, and a call over it answered. */
+const TURNS_OF_A_CALL = 4;
+
+/**
+ * Calls back when the events that had arrived before have been handled, and those that these lead to. After a stall the
+ * timers of a process fire before what arrived meanwhile is read, and under overload each turn of its event loop takes
+ * long: a timeout must not take that delay for the silence of others. An idle process needs less than a millisecond.
+ */
+export function afterPendingEvents(onHandled: () => void): () => void {
+  let turns = TURNS_OF_A_CALL;
+  let immediate: NodeJS.Immediate;
+  const next = (): void => {
+    if (turns === 0) {
+      onHandled();
+      return;
+    }
+    turns -= 1;
+    immediate = setImmediate(next);
+  };
+  next();
+  return () => clearImmediate(immediate);
+}
+
+/** Calls `onTimeout` after `ms` and after pending events; the result cancels that. */
+export function startTimeout(ms: number, onTimeout: () => void): () => void {
+  let cancelPending = (): void => undefined;
+  const timer = setTimeout(() => {
+    cancelPending = afterPendingEvents(onTimeout);
+  }, ms);
+  return () => {
+    clearTimeout(timer);
+    cancelPending();
+  };
+}
--- a/packages/daemon/src/entry/connectionTracker.ts
+++ b/packages/daemon/src/entry/connectionTracker.ts
@@ -5,6 +5,7 @@
  */
 import * as fs from 'node:fs';
 import * as net from 'node:net';
+import * as clock from '../clock';
 
 /** Opens a TCP connection. */
 export type SocketOpener = (endpoint: net.TcpNetConnectOpts) => net.Socket;
@@ -72,7 +73,7 @@
       const fail = (error: Error): void => {
         if (isSettled) return;
         isSettled = true;
-        clearTimeout(timer);
+        stopTimeout();
         socket.destroy();
         this.listener?.failed(target);
         callback(error, null);
@@ -80,17 +81,16 @@
       const succeed = (): void => {
         if (isSettled) return;
         isSettled = true;
-        clearTimeout(timer);
+        stopTimeout();
         socket.off('error', fail);
         socket.on('error', () => this.record('reset'));
         socket.on('end', () => this.record(wasReset(socket) ? 'reset' : 'closedByTarget'));
         this.listener?.connected();
         callback(null, socket);
       };
-      // After a stall of this process its timers fire before the connections that were opened meanwhile are handled.
-      const timer = setTimeout(() => {
-        setImmediate(() => fail(new Error('connect timeout')));
-      }, CONNECT_TIMEOUT_MS);
+      const stopTimeout = clock.startTimeout(CONNECT_TIMEOUT_MS, () => {
+        fail(new Error('connect timeout'));
+      });
       socket.once('error', fail);
       socket.once('connect', succeed);
     };
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -5,6 +5,7 @@
  */
 import * as net from 'node:net';
 import * as undici from 'undici';
+import * as clock from '../clock';
 import type * as protocols from '../edges/protocols';
 import * as targetAttempt from './targetAttempt';
 import * as connectionTracker from './connectionTracker';
@@ -154,9 +155,9 @@
     const recipient = { target, address, purpose };
     const message = { ...recipient, method, path, headers, body: Buffer.from(body) };
     const attempt = this.send(message, handler);
-    const timer = setTimeout(() => attempt.cancel(), timeoutMs);
+    const stopTimeout = clock.startTimeout(timeoutMs, () => attempt.cancel());
     const result = await attempt.result;
-    clearTimeout(timer);
+    stopTimeout();
     if (result.kind === 'withheld') return result;
     if (result.kind === 'broken' || (result.kind === 'notSent' && result.isRefused === true))
       return { kind: 'refused' };
--- a/packages/daemon/src/entry/targetSelector.ts
+++ b/packages/daemon/src/entry/targetSelector.ts
@@ -328,17 +328,20 @@
     // Repeated, because a leader that responded a moment ago isn't probed at once.
     const check = (): void => {
       void link.probe();
-      if (hasShortObjective && link.unansweredMs > LEADER_OVERDUE_MS) giveUp();
+      if (!hasShortObjective || link.unansweredMs <= LEADER_OVERDUE_MS) return;
+      clock.afterPendingEvents(() => {
+        if (link.unansweredMs > LEADER_OVERDUE_MS) giveUp();
+      });
     };
     const checks = setInterval(
       check,
       hasShortObjective ? SHORT_CHECK_INTERVAL_MS : PLACE_TIMEOUT_MS,
     );
-    const limit = setTimeout(giveUp, longestWaitMs(request) + PLACE_TIMEOUT_MS);
+    const stopTimeout = clock.startTimeout(longestWaitMs(request) + PLACE_TIMEOUT_MS, giveUp);
     const stopListening = link.onLost(giveUp);
     const answer = await Promise.race([pending, gaveUp]);
     clearInterval(checks);
-    clearTimeout(limit);
+    stopTimeout();
     stopListening();
     return answer;
   }
--- a/packages/daemon/src/rpc/authenticatedSocket.ts
+++ b/packages/daemon/src/rpc/authenticatedSocket.ts
@@ -1,5 +1,6 @@
 /** Opens an authenticated connection to another daemon that carries HTTP instead of JSON-RPC frames. */
 import * as net from 'node:net';
+import * as clock from '../clock';
 import * as framing from './framing';
 import * as handshake from './handshake';
 
@@ -22,7 +23,7 @@
   const socket = net.connect({ host: hostname, port: Number(port), localAddress, noDelay: true });
   const exchange = new handshake.CallerHandshake(secret, 'http');
   const finish = (error: Error | null): void => {
-    clearTimeout(timer);
+    stopTimeout();
     socket.off('error', finish).off('close', onClose).off('data', onData);
     // undici adds its own listeners; until then an error must not be unhandled.
     socket.on('error', () => undefined);
@@ -43,7 +44,7 @@
       finish(new Error('malformed frame'));
     }
   };
-  const timer = setTimeout(() => finish(new Error('connect timeout')), timeoutMs);
+  const stopTimeout = clock.startTimeout(timeoutMs, () => finish(new Error('connect timeout')));
   socket.once('error', finish);
   socket.once('close', onClose);
   socket.on('data', onData);
--- a/packages/daemon/src/rpc/peerClient.ts
+++ b/packages/daemon/src/rpc/peerClient.ts
@@ -155,19 +155,19 @@
       const detail = 'address is blocked';
       return Err({ kind: 'unreachable', address, method, mayHaveArrived: false, detail });
     }
-    let timer: NodeJS.Timeout | undefined;
+    let stopTimeout = (): void => undefined;
     const timeout = new Promise<Result<T, errors.CallError>>((resolve) => {
-      timer = setTimeout(() => {
+      stopTimeout = clock.startTimeout(timeoutMs, () => {
         if (!toleratesDelay) connection.close('timeout');
         // A connection that stays open may still send the call once it is authenticated.
         const mayHaveArrived = toleratesDelay || connection.hasSentCalls;
         const detail = `${timeoutMs} ms`;
         resolve(Err({ kind: 'timeout', address, method, mayHaveArrived, detail }));
-      }, timeoutMs);
+      });
     });
     const answer = this.request<T>(connection, address, method, parameters);
     const result = await Promise.race([answer, timeout]);
-    clearTimeout(timer);
+    stopTimeout();
     return result;
   }
 
