Close the listener of an overloaded entry for a while

Cause: Node accepts one connection in each turn of its event loop, so a saturated entry reads what it can serve, but in the order of a queue that is seconds long; it serves callers that have left. The delay of the loop, which stayed under 10 ms in the first two seconds, doesn't show it.

The entry now notices that its listener's queue isn't empty for 150 ms, or that its loop is delayed, limits the requests in progress by the utilisation of the loop, and closes the listener while there are more, for half a second at most. The operating system then refuses connections at no cost, unread, and callers try another VM at once.

--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -283,6 +283,7 @@
       quarantined: this.fleetState.quarantine.quarantined,
       activeRequests: this.ingress.activeRequests,
       heldBytes: this.held.total,
+      ...this.ingress.gauges(),
       ...this.reachability.gauges(),
     };
   }
--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -9,6 +9,7 @@
 import type * as protocols from '../edges/protocols';
 import * as listening from '../http/listening';
 import type * as observer from '../observability/observer';
+import * as connectionGate from './connectionGate';
 import type * as exchange from './exchange';
 import type * as heldBytes from './heldBytes';
 import * as settingsWait from './settingsWait';
@@ -69,6 +70,11 @@
 
   private readonly settingsWait: settingsWait.SettingsWait;
 
+  private readonly gate: connectionGate.ConnectionGate;
+
+  /** Address of the callers' listener; undefined before it listens. */
+  private address: codecs.Address | undefined;
+
   constructor(private readonly dependencies: Dependencies) {
     this.settingsWait = new settingsWait.SettingsWait(() => this.hasUsableSettings);
     this.server = http.createServer(
@@ -82,6 +88,12 @@
         void this.handle(request, response);
       },
     );
+    this.gate = new connectionGate.ConnectionGate(this.server, {
+      observer: dependencies.observer,
+      now: dependencies.now,
+      active: () => this.active,
+      listen: () => this.listenAgain(),
+    });
     this.server.on('connection', (socket) => {
       this.sockets.add(socket);
       socket.once('close', () => this.sockets.delete(socket));
@@ -89,14 +101,23 @@
   }
 
   listen(address: codecs.Address, early?: listening.EarlyListener): Promise<void> {
+    this.address = address;
     return listening.listenOrTakeOver(this.server, address, early);
   }
 
+  private async listenAgain(): Promise<void> {
+    if (this.address !== undefined) await listening.listenAgain(this.server, this.address);
+  }
+
   /** Number of requests without a final response. */
   get activeRequests(): number {
     return this.active;
   }
 
+  gauges(): Record<string, number> {
+    return this.gate.gauges();
+  }
+
   applyLimits({ idleTimeoutMs, headerTimeoutMs }: Limits): void {
     this.server.keepAliveTimeout = idleTimeoutMs;
     this.server.headersTimeout = headerTimeoutMs;
@@ -119,6 +140,7 @@
   }
 
   close(): void {
+    this.gate.stop();
     this.server.close();
     this.server.closeIdleConnections();
   }
@@ -129,6 +151,7 @@
   ): Promise<void> {
     const arrivedAt = this.dependencies.now();
     this.active += 1;
+    this.gate.used(request.socket);
     const held = this.dependencies.held.open(this.connectionOf(request, response));
     response.once('close', () => {
       this.active -= 1;
--- a/packages/daemon/src/http/listening.ts
+++ b/packages/daemon/src/http/listening.ts
@@ -21,6 +21,17 @@
   });
 }
 
+/** Listens once more with a server whose listener was closed; may be called any number of times. */
+export async function listenAgain(server: net.Server, address: codecs.Address): Promise<void> {
+  await new Promise<void>((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(address.port, address.host, () => {
+      server.off('error', reject);
+      resolve();
+    });
+  });
+}
+
 /** Passes an early listener and its accepted connections to a server. */
 export async function takeOver(server: net.Server, early: EarlyListener): Promise<void> {
   await new Promise<void>((resolve, reject) => {
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -116,6 +116,12 @@
   overloadBegan: { number: 5021, level: 'warn', text: 'overload began; newest requests go first' },
   overloadEnded: { number: 5022, level: 'info', text: 'overload ended' },
   messageRelayed: { number: 5023, level: 'info', text: 'request of another VM sent to a target' },
+  vmOverloaded: {
+    number: 5024,
+    level: 'warn',
+    text: 'this VM is overloaded; closes new connections',
+  },
+  vmOverloadEnded: { number: 5025, level: 'info', text: 'this VM is no longer overloaded' },
   claimUnknown: {
     number: 5101,
     level: 'warn',
--- a/packages/domain/src/index.ts
+++ b/packages/domain/src/index.ts
@@ -9,6 +9,7 @@
 export * as ledger from './ledger';
 export * as membership from './membership';
 export * as memory from './memory';
+export * as overload from './overload';
 export * as placement from './placement';
 export * as pressure from './pressure';
 export * as quarantine from './quarantine';
--- /dev/null
+++ b/packages/domain/src/overload/index.ts
@@ -0,0 +1,1 @@
+export * as concurrencyLimit from './concurrencyLimit';
