Send prompts with a crashing part in the soak

Requests that crash engines were copies of one body. In seven of ten periods of streams they now share only a part of their prompts, each with a body of its own; all streams share their first parts with them. The rest of a seed's plan is as before: what is new is drawn apart.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -71,7 +71,7 @@
  */
 function addCrashes(good: Observations, later: number): void {
   for (let i = 0; i < 3; i++) {
-    good.crashed.push({ target: `t9-${i}`, body: 'crash 1', at: 11_000 + 100 * i });
+    good.crashed.push({ target: `t9-${i}`, cause: 'crash 1', at: 11_000 + 100 * i });
   }
   for (let i = 0; i < later; i++) {
     const at = 14_300 + 100 * i;
@@ -79,7 +79,7 @@
     const ending = answered(502);
     good.crashers.push({
       ...requestRecord(request, { sentAt: at, endedAt: at, ending }),
-      body: 'crash 1',
+      cause: 'crash 1',
     });
     good.ran.push({ request, target: 't0-1', at });
   }
@@ -290,7 +290,10 @@
       'falseNotRun',
       (good) => {
         addCrashes(good, 1);
-        good.crashers.push({ ...requestRecord('r90', { ending: answered(503) }), body: 'crash 1' });
+        good.crashers.push({
+          ...requestRecord('r90', { ending: answered(503) }),
+          cause: 'crash 1',
+        });
       },
     ],
     [
--- a/packages/soak/src/answers.ts
+++ b/packages/soak/src/answers.ts
@@ -28,3 +28,6 @@
 
 /** Requests whose body begins with this crash the target that runs them. */
 export const CRASH_MARKER = 'crash';
+
+/** Prompts with a part whose id begins with this crash the engine that begins to answer them. */
+export const CRASHING_PART = 'dead';
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -30,6 +30,8 @@
   path: string;
   key: string;
   body?: string;
+  /** Shared parts of its prompt; those of an innocent stream by default. */
+  parts?: readonly string[];
 }
 
 /**
@@ -38,6 +40,9 @@
  */
 const DEFAULT_BODY = 'soak';
 
+/** Different first parts of the prompts. */
+const FIRST_PARTS = 4;
+
 export class Callers {
   private readonly agent = new http.Agent({ keepAlive: true, maxSockets: Infinity });
 
@@ -53,12 +58,13 @@
     path,
     key,
     body = DEFAULT_BODY,
+    parts = [this.firstPart()],
   }: CallerRequest): Promise<observations.RequestRecord> {
     this.count += 1;
     const request = `r${this.count}`;
     const sentAt = Date.now();
     const { incarnation } = entry.process;
-    const outcome = await this.exchange(entry.host, request, { kind, path, key, body });
+    const outcome = await this.exchange(entry.host, request, { kind, path, key, body, parts });
     const endedAt = Date.now();
     return {
       request,
@@ -73,6 +79,11 @@
     };
   }
 
+  /** A first part that innocent streams and those with a crashing part share. */
+  firstPart(): string {
+    return `a${this.count % FIRST_PARTS}`;
+  }
+
   close(): void {
     this.agent.destroy();
   }
@@ -80,7 +91,7 @@
   private exchange(
     host: string,
     requestId: string,
-    { kind, path, key, body }: Omit<Required<CallerRequest>, 'entry'>,
+    { kind, path, key, body, parts }: Omit<Required<CallerRequest>, 'entry'>,
   ): Promise<observations.RequestOutcome> {
     const isLarge = kind === 'stream' && this.random.uniform() < LARGE_PROMPT_SHARE;
     const patienceMs = CALLER_TIMEOUT_MS[kind];
@@ -90,6 +101,7 @@
       patienceMs,
       promptTokens: isLarge ? LARGE_PROMPT_TOKENS : SMALL_PROMPT_TOKENS,
       answerTokens: answers.STREAM_EVENTS,
+      ...(kind === 'stream' && { parts: [...parts, requestId.slice(1)] }),
     });
     const agent = this.random.uniform() < NEW_CONNECTION_SHARE ? false : this.agent;
     return new Promise((resolve) => {
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -379,15 +379,15 @@
 const MAX_LATER_ARRIVALS = 3;
 
 function quarantineBypasses(observed: Observations): Violation[] {
-  const contents = new Set(observed.crashed.map(({ body }) => body));
-  return [...contents].flatMap((body): Violation[] => {
+  const causes = new Set(observed.crashed.map(({ cause }) => cause));
+  return [...causes].flatMap((cause): Violation[] => {
     const crashes = observed.crashed
-      .filter((each) => each.body === body)
+      .filter((each) => each.cause === cause)
       .sort((a, b) => a.at - b.at);
     if (crashes.length < CRASHES_TO_QUARANTINE) return [];
     const quarantinedAt = crashes[CRASHES_TO_QUARANTINE - 1].at + SETTLING_MS;
     const copies = new Map(
-      observed.crashers.filter((each) => each.body === body).map((each) => [each.request, each]),
+      observed.crashers.filter((each) => each.cause === cause).map((each) => [each.request, each]),
     );
     const later = observed.ran.filter(({ request, at }) => {
       const copy = copies.get(request);
@@ -398,7 +398,7 @@
       );
     });
     if (later.length <= MAX_LATER_ARRIVALS) return [];
-    const detail = `"${body}" reached ${later.length} further targets; ${crashes.length} crashed in total`;
+    const detail = `"${cause}" reached ${later.length} further targets; ${crashes.length} crashed in total`;
     return [{ promise: 'crashedOn', detail }];
   });
 }
--- a/packages/soak/src/crashingCallers.ts
+++ b/packages/soak/src/crashingCallers.ts
@@ -1,6 +1,6 @@
 /**
- * Callers whose requests crash every target that runs them. They send copies of one request to the entries in turn,
- * at the plan's rate and regardless of the responses. Crashed targets are restarted as new lifetimes.
+ * Callers whose requests crash every target that runs them: copies of one request, or requests that share only one part
+ * of their prompts. They are sent to the entries in turn, at the plan's rate and regardless of the responses. Crashed targets are restarted as new lifetimes.
  */
 import * as domain from '@celerydrift/domain';
 import * as answers from './answers';
@@ -29,9 +29,16 @@
   constructor(private readonly dependencies: Dependencies) {}
 
   /** Sends the copies of one planned period; resolves when all have an outcome and no crashed target is down. */
-  async carryOut({ forSeconds, kind, pauseSeconds }: schedule.CrashingSpan): Promise<void> {
+  async carryOut({
+    forSeconds,
+    kind,
+    pauseSeconds,
+    isByPart,
+  }: schedule.CrashingSpan): Promise<void> {
     this.count += 1;
-    const body = `${answers.CRASH_MARKER} ${this.count}`;
+    const cause = isByPart
+      ? `${answers.CRASHING_PART}${this.count}`
+      : `${answers.CRASH_MARKER} ${this.count}`;
     // The key is part of the request fingerprint, so all copies use the same one.
     const key = this.dependencies.key();
     const until = Date.now() + forSeconds * 1_000;
@@ -39,7 +46,12 @@
     const { random, fleet } = this.dependencies;
     for (let i = this.count; Date.now() < until; i++) {
       const entry = fleet.entries[i % fleet.entries.length];
-      copies.push(this.send({ entry, kind, path: operator.basePath(kind), key, body }));
+      const request = { entry, kind, path: operator.basePath(kind), key };
+      const { callers: sender } = this.dependencies;
+      const attributes = isByPart
+        ? { body: `prompt ${i}`, parts: [sender.firstPart(), cause] }
+        : { body: cause, parts: [sender.firstPart()] };
+      copies.push(this.send({ ...request, ...attributes }, cause));
       await operator.sleep(domain.shared.random.exponential(random, 1_000 * pauseSeconds));
     }
     await Promise.all(copies);
@@ -68,9 +80,9 @@
     });
   }
 
-  private async send(request: Required<callers.CallerRequest>): Promise<void> {
+  private async send(request: Required<callers.CallerRequest>, cause: string): Promise<void> {
     const record = await this.dependencies.callers.send(request);
-    this.dependencies.observed.crashers.push({ ...record, body: request.body });
+    this.dependencies.observed.crashers.push({ ...record, cause });
   }
 
   private async untilTargetsRestart(): Promise<void> {
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -34,15 +34,15 @@
   label: string;
 }
 
-/** A request that crashes the target that runs it. */
+/** A request that crashes the target that runs it, by its body or a part of its prompt. */
 export interface CrashingRequest extends RequestRecord {
-  body: string;
+  cause: string;
 }
 
-/** The crash of a target while it ran a request with this body. */
+/** The crash of a target because of this body, or this part of a prompt. */
 export interface TargetCrash {
   target: string;
-  body: string;
+  cause: string;
   at: number;
 }
 
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -37,7 +37,7 @@
   asked: number;
   served: number;
   changes: number;
-  /** Distinct request bodies that crash targets, requests sent with them, and target processes that crashed. */
+  /** Distinct bodies and parts of prompts that crash targets, requests sent with them, and target processes that crashed. */
   crashing: { contents: number; copies: number; ended: number };
   /** Number of violations per promise; empty for a run that passed. */
   broken: Partial<Record<checks.Guarantee | 'notPlayed', number>>;
@@ -303,7 +303,7 @@
     served: served.length,
     changes: observed.sent.length,
     crashing: {
-      contents: new Set(observed.crashers.map(({ body }) => body)).size,
+      contents: new Set(observed.crashers.map(({ cause }) => cause)).size,
       copies: observed.crashers.length,
       ended: observed.crashed.length,
     },
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -113,13 +113,15 @@
 const MAX_DURATION_SECONDS = 8;
 const MIN_DURATION_SECONDS = 0.5;
 
-/** A period in which copies of a request that crashes its target are sent. */
+/** A period in which requests that crash their targets are sent: copies of one, or prompts that share a part. */
 export interface CrashingSpan {
   at: number;
   forSeconds: number;
   kind: observations.RequestKind;
   /** Mean interval between two copies, seconds; from well below to well above the time that a crash takes. */
   pauseSeconds: number;
+  /** Whether the requests share only a part of their prompts. */
+  isByPart: boolean;
 }
 
 /** A period in which overloaded targets report a rate limit in their responses. */
@@ -186,6 +188,10 @@
 
 const CRASHING_REQUEST_KINDS: readonly observations.RequestKind[] = ['stream', 'safe', 'unsafe'];
 const MEAN_CRASHING_INTERVAL_SECONDS = 4;
+
+/** Share of the streams that crash engines by a part of their prompts. */
+const CRASHING_PART_SHARE = 0.7;
+const CRASHING_PART_SEED_OFFSET = 7_000_003;
 const COPY_INTERVAL_SECONDS = { min: 0.01, max: 0.5 } as const;
 
 type Random = domain.shared.random.Random;
@@ -212,6 +218,8 @@
 
 function drawCrashing(seed: number, seconds: number): CrashingSpan[] {
   const meanPause = MEAN_CRASHING_INTERVAL_SECONDS;
+  // Drawn apart, so that the rest of the plan stays the same for a seed.
+  const partRandom = domain.shared.random.independent(seed + CRASHING_PART_SEED_OFFSET);
   return drawSpans({ seed, seconds, meanPause, minGap: 0 }, (random, at) => {
     const forSeconds = uniformBetween(random, {
       min: MIN_DURATION_SECONDS,
@@ -219,7 +227,9 @@
     });
     const kind = domain.shared.random.pick(random, CRASHING_REQUEST_KINDS);
     const { min, max } = COPY_INTERVAL_SECONDS;
-    return { at, forSeconds, kind, pauseSeconds: min + (max - min) * random.uniform() ** 2 };
+    const pauseSeconds = min + (max - min) * random.uniform() ** 2;
+    const isByPart = kind === 'stream' && partRandom.uniform() < CRASHING_PART_SHARE;
+    return { at, forSeconds, kind, pauseSeconds, isByPart };
   });
 }
 
--- a/packages/soak/src/targetMain.ts
+++ b/packages/soak/src/targetMain.ts
@@ -57,8 +57,8 @@
   | ExchangeLine
   | (observations.Execution & { kind: 'ran'; organisation: string })
   | { kind: 'draining'; target: string; at: number }
-  /** The target is about to crash, while running a request with this body. */
-  | { kind: 'crashed'; target: string; body: string; at: number };
+  /** The target is about to crash because of this body, or this part of a prompt. */
+  | { kind: 'crashed'; target: string; cause: string; at: number };
 
 const ANNOUNCE_INTERVAL_MS = 500;
 /** How long a draining target serves after the acknowledgement. */
@@ -187,8 +187,12 @@
     response.once('close', () => {
       this.running -= 1;
     });
-    if (body.startsWith(answers.CRASH_MARKER)) {
-      setTimeout(() => this.crash(body), CRASH_DELAY_MS);
+    const part = counterpart
+      .partsOf(request.headers)
+      .find((each) => each.startsWith(answers.CRASHING_PART));
+    const cause = body.startsWith(answers.CRASH_MARKER) ? body : part;
+    if (cause !== undefined) {
+      setTimeout(() => this.crash(cause), CRASH_DELAY_MS);
       return;
     }
     const mode = this.mode();
@@ -229,8 +233,8 @@
     printLine({ kind, ...exchange, source: socket.remoteAddress ?? '', ...rejection });
   }
 
-  private crash(body: string): void {
-    printLine({ kind: 'crashed', target: this.options.id, body, at: Date.now() });
+  private crash(cause: string): void {
+    printLine({ kind: 'crashed', target: this.options.id, cause, at: Date.now() });
     process.kill(process.pid, 'SIGKILL');
   }
 
