Test responses that end with their connection

Responses and streams with neither a length nor chunks: ended by a close or a reset, inside an event and after one, and a status without a body. Not tested: by way of a relay, over TLS, in answer to HEAD.

--- /dev/null
+++ b/packages/daemon/src/entry/__tests__/unframedResponses.test.ts
@@ -0,0 +1,94 @@
+/** Responses with neither a length nor chunks, which end with their connection. */
+import * as chai from 'chai';
+import * as harness from './__fixtures__/harness';
+
+const { expect } = chai;
+
+const HEAD = 'HTTP/1.1 200 OK\r\nid: r1\r\nsigned: 1\r\n\r\n';
+
+/** Time after which a connection ends, milliseconds; the caller has what was sent before by then. */
+const END_DELAY_MS = 30;
+
+const RESPOND: harness.TargetBehaviour = (_request, socket) =>
+  socket.write(harness.answer('elsewhere'));
+
+const FIRST_EVENT = 'id: 1\ndata: a\n\n';
+const SECOND_EVENT = 'id: 2\ndata: b\n\n';
+
+/** Sends the rest of the stream, in whichever way. */
+const RESUME: harness.TargetBehaviour = (_request, socket) =>
+  socket.write(harness.STREAM_HEAD + harness.chunk(SECOND_EVENT) + harness.LAST_CHUNK);
+
+type End = 'closed' | 'reset';
+
+function respondUnframed(body: string, end: End): harness.TargetBehaviour {
+  return (_request, socket) => {
+    socket.write(HEAD + body);
+    setTimeout(() => {
+      if (end === 'closed') socket.end();
+      else socket.resetAndDestroy();
+    }, END_DELAY_MS);
+  };
+}
+
+describe('a response with neither a length nor chunks', () => {
+  let setup: harness.TestHarness;
+
+  afterEach(() => setup.stop());
+
+  it('is complete when its connection is closed, and reaches the caller with chunks', async () => {
+    setup = await harness.TestHarness.start(respondUnframed('whole', 'closed'), RESPOND);
+    const reply = await setup.send('/unsafe/1');
+    expect([reply.status, reply.body, reply.isWhole, setup.received.length]).to.deep.equal([
+      ...[200, 'whole', true, 1],
+    ]);
+    expect(reply.headers['transfer-encoding']).to.equal('chunked');
+  });
+
+  /** Guards against a truncated response that looks complete to its caller. */
+  it('is incomplete when its connection is reset', async () => {
+    setup = await harness.TestHarness.start(respondUnframed('who', 'reset'), RESPOND);
+    const repeated = await setup.send('/safe/1');
+    expect([repeated.status, repeated.body]).to.deep.equal([200, 'elsewhere']);
+    setup.stop();
+    setup = await harness.TestHarness.start(respondUnframed('who', 'reset'), RESPOND);
+    const reply = await setup.send('/unsafe/1');
+    expect([reply.status, reply.body, setup.received.length]).to.deep.equal([502, '', 1]);
+  });
+
+  it('is complete as a stream when its connection is closed after an event', async () => {
+    const stream = respondUnframed(FIRST_EVENT + SECOND_EVENT, 'closed');
+    setup = await harness.TestHarness.start(stream, RESUME);
+    const reply = await setup.send('/streaming/1');
+    expect([reply.body, reply.isWhole]).to.deep.equal([FIRST_EVENT + SECOND_EVENT, true]);
+    expect([setup.received.length, setup.outcomes]).to.deep.equal([1, ['done']]);
+  });
+
+  /** Guards against a stream that ends as complete although it was broken off, or repeats what the caller has. */
+  const broken: [string, string, End][] = [
+    ['closed inside an event', `${FIRST_EVENT}id: 2\nda`, 'closed'],
+    ['reset inside an event', `${FIRST_EVENT}id: 2\nda`, 'reset'],
+    ['reset after an event', FIRST_EVENT, 'reset'],
+  ];
+  broken.forEach(([how, body, end]) => {
+    it(`is resumed elsewhere as a stream when its connection is ${how}`, async () => {
+      setup = await harness.TestHarness.start(respondUnframed(body, end), RESUME);
+      const reply = await setup.send('/streaming/1');
+      expect([reply.body, reply.isWhole]).to.deep.equal([FIRST_EVENT + SECOND_EVENT, true]);
+      expect(setup.received[1]).to.contain('resume-after: 1');
+    });
+  });
+
+  /** Guards against a caller that waits for the end of a connection after a response without a body. */
+  it('ends with its head if its status has no body', async () => {
+    const head = 'HTTP/1.1 204 No Content\r\nid: r1\r\nsigned: 1\r\n\r\n';
+    setup = await harness.TestHarness.start((_request, socket) => socket.write(head));
+    const replies = [await setup.send('/safe/1'), await setup.send('/safe/1')];
+    expect(replies.map(({ status, isWhole }) => [status, isWhole])).to.deep.equal([
+      ...[
+        [204, true],
+        [204, true],
+      ],
+    ]);
+  });
+});
