Release a sound part that several culprits share

Found by a model of crashing parts (new in packages/check, two events deep): where a culprit by its body and one by a part share a first part, and a target loses its power beside them, the first part counts three crashes before any sound request with it runs. All requests with it would have been refused for two minutes, although none of them crashes anything.

A part in quarantine refused what had every other suspect that explains all of its crashes. Here no other one explains all, but several explain each. Now two of its crashes at least must be unexplained by possible culprits that the request doesn't have, not counting those that have only some of the part's own crashes; and the first quarantine of a part lasts a second, after which one canary run decides.

The model failed before (innocent refused 1100 ms after the last event, after one event; the order of arrivals was fixed so that innocent requests come in turn with the others, and a canary run whose target loses its power by chance isn't modelled). Now all sequences of three events pass, and three broken versions of the rule are found.

--- a/packages/check/src/__tests__/check.test.ts
+++ b/packages/check/src/__tests__/check.test.ts
@@ -84,6 +84,30 @@
   });
 }
 
+describe('quarantine of parts, checked', () => {
+  const explore = (rules: object): explorer.Exploration =>
+    explorer.explore(
+      models.partModel.partModel(() => newBrokenQuarantine(rules)),
+      3,
+    );
+
+  it('serves innocent requests and stops culprits, in all sequences of three events', () => {
+    expect(explore({}).finding).to.equal(undefined);
+  });
+
+  /** Guards against checks that hold whatever the quarantine does. */
+  const versions: [string, object][] = [
+    ['a quarantined part refuses all requests that have it', { isExplained: () => false }],
+    ['no request that begins its answer clears a part', { began: () => undefined }],
+    ['parts are never suspect', { isRefused: () => false }],
+  ];
+  versions.forEach(([rule, rules]) => {
+    it(`is violated if ${rule}`, () => {
+      expect(explore(rules).finding?.problem).to.be.a('string');
+    });
+  });
+});
+
 describe('quarantine, checked', () => {
   [true, false].forEach((areSuspectsIsolated) => {
     const where = areSuspectsIsolated ? 'under a leader' : 'without a leader';
--- a/packages/check/src/main.ts
+++ b/packages/check/src/main.ts
@@ -38,6 +38,7 @@
       newQuarantine,
     }),
   ),
+  parts: exploreModel(models.partModel.partModel(newQuarantine)),
   registry: exploreModel(
     models.registryModel.registryModel(() => new domain.registry.registry.Registry()),
   ),
--- a/packages/check/src/models/index.ts
+++ b/packages/check/src/models/index.ts
@@ -1,2 +1,3 @@
+export * as partModel from './partModel';
 export * as quarantineModel from './quarantineModel';
 export * as registryModel from './registryModel';
--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -358,23 +358,41 @@
 
   /**
    * Whether a request with these fingerprints is refused because of one of them. Requests that
-   * crash targets by their body share their parts with innocent ones; those may run as canaries.
+   * crash targets by their body, or by another part, share parts with innocent ones: these may run
+   * as canaries as long as suspects that they don't have explain all crashes of the part but one.
    */
   private isRefused(fingerprint: string, requestFingerprints: readonly string[]): boolean {
     if (this.standing(fingerprint) !== 'quarantined') return false;
     if (!partFingerprint.isPart(fingerprint)) return true;
-    return this.alternativesOf(fingerprint).every((each) => requestFingerprints.includes(each));
+    const lifetimes = this.relevantCrashes(fingerprint);
+    const unexplained = this.suspects.get(fingerprint)?.endings.filter(({ lifetime }) => {
+      return (
+        lifetimes.has(lifetime) && !this.isExplained(fingerprint, lifetime, requestFingerprints)
+      );
+    });
+    return suspects.crashCountOf({ endings: unexplained ?? [] }) >= CRASHES_KEPT_ON_RELEASE;
   }
 
-  /** Other suspects that explain all crashes of this one as well. */
-  private alternativesOf(fingerprint: string): string[] {
-    const suspect = this.suspects.get(fingerprint);
-    const [first, ...others] = (suspect?.endings ?? [])
-      .map(({ lifetime }) => lifetime)
-      .filter((lifetime) => !suspect?.explained.has(lifetime) && !suspect?.shared.has(lifetime))
-      .map((lifetime) => this.lifetimes.suspectsOf(lifetime));
-    return (first ?? []).filter(
-      (each) => each !== fingerprint && others.every((suspected) => suspected.includes(each)),
+  /** Whether another possible culprit, which a request doesn't have, explains a crash of a part. */
+  private isExplained(
+    part: string,
+    lifetime: string,
+    requestFingerprints: readonly string[],
+  ): boolean {
+    const own = this.relevantCrashes(part);
+    return this.lifetimes.suspectsOf(lifetime).some((other) => {
+      if (other === part || requestFingerprints.includes(other)) return false;
+      return this.mayBeCulprit(other) && !isStrictSubset(this.relevantCrashes(other), own);
+    });
+  }
+
+  /** Lifetimes whose crash isn't known to be possibly another request's fault. */
+  private relevantCrashes(fingerprint: string): Set<string> {
+    const { endings = [], explained, shared } = this.suspects.get(fingerprint) ?? {};
+    return new Set(
+      endings
+        .map(({ lifetime }) => lifetime)
+        .filter((lifetime) => !explained?.has(lifetime) && !shared?.has(lifetime)),
     );
   }
 
@@ -531,3 +549,8 @@
 function bodyLengthOf(fingerprint: string): string {
   return fingerprint.slice(0, fingerprint.indexOf('-'));
 }
+
+/** A suspect with only some of another one's crashes explains fewer of them, and not better. */
+function isStrictSubset(some: ReadonlySet<string>, all: ReadonlySet<string>): boolean {
+  return some.size < all.size && [...some].every((each) => all.has(each));
+}
--- a/packages/domain/src/quarantine/suspect.ts
+++ b/packages/domain/src/quarantine/suspect.ts
@@ -1,5 +1,7 @@
 /** A suspect request: the crashes that count against it, and its form in messages between VMs. */
 
+import * as partFingerprint from './partFingerprint';
+
 /**
  * A crash of a lifetime that was running the request; `at` is by the clock of the process that
  * holds the quarantine, milliseconds.
@@ -65,12 +67,20 @@
 const QUARANTINE_GROWTH = 10;
 const MAX_QUARANTINE_MS = 86_400_000;
 
+/**
+ * Length of the first quarantine of a part, milliseconds. Many innocent requests may share a part,
+ * and several culprits with it may crash three targets before one of these runs; one more canary
+ * run tells. Further quarantines last as long as those of a request.
+ */
+const FIRST_PART_QUARANTINE_MS = 1_000;
+
 export function isQuarantined({ quarantinedAt }: Suspect): boolean {
   return quarantinedAt !== undefined;
 }
 
 /** Length of the present quarantine, milliseconds. */
-export function quarantineDurationMs({ quarantines }: Suspect): number {
+export function quarantineDurationMs({ content, quarantines }: Suspect): number {
+  if (quarantines <= 1 && partFingerprint.isPart(content)) return FIRST_PART_QUARANTINE_MS;
   const grown = FIRST_QUARANTINE_MS * QUARANTINE_GROWTH ** Math.max(0, quarantines - 1);
   return Math.min(MAX_QUARANTINE_MS, grown);
 }
