Clear the crashes of a part before a request that begins its answer

Cause: a part was cleared only by a request sent after its last crash. A hot part is beside crash after crash of several culprits, so for none of its requests that held, although many were sent and began between two crashes. Now such a request clears the crashes that were known when it was sent; the later ones still count, as the part may have become harmful meanwhile. The test failed before (no crash was cleared).

The model of parts passes as before.

--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -219,14 +219,16 @@
   }
 
   /**
-   * A request with this part that was sent at that time has begun to answer, so the part doesn't
-   * crash targets. Crashes reported since it was sent may be the first ones of a part that has only
-   * now become harmful.
+   * A request with this part that was sent at that time has begun to answer, so the part didn't
+   * cause the crashes before. Those reported since it was sent may be the first ones of a part that
+   * has only now become harmful.
    */
   began(fingerprint: string, sentAt: number): StatusChange | undefined {
-    const suspect = this.suspects.get(fingerprint);
-    if (suspect === undefined || suspects.lastCrashAt(suspect) >= sentAt) return undefined;
-    return this.clearSuspicion(suspect, 'began');
+    const endings = this.suspects.get(fingerprint)?.endings ?? [];
+    return endings
+      .filter(({ at }) => at < sentAt)
+      .map(({ lifetime }) => this.clearCrash(fingerprint, lifetime, 'began'))
+      .at(-1);
   }
 
   /** Time until the quarantine ends, milliseconds; 0 outside of one. */
