End the quarantine of a part that is doubtful after ten seconds

Cause: the first quarantine of a part was made short, as several causes at once can crash three targets under a sound part; the second jumped to twenty minutes, although both sets of crashes had other possible culprits. Quarantines of bodies end as doubtful by that rule, those of parts never did: it was thought that requests without what explains the crashes run as canaries, but a culprit that has only some of the crashes doesn't explain them. Now parts are released as doubtful as well, after 10 s and ten times as long for each further doubt. A part that crashes targets with any body has no other suspect beside it and keeps its twenty minutes.

--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -72,6 +72,14 @@
  */
 const DOUBT_DELAY_MS = 2_000;
 
+/**
+ * The same for a part, and the factor for each further doubt: meanwhile requests that have the part
+ * without what else explains its crashes run as canaries, but what has only some of its crashes
+ * doesn't explain them, and several causes may.
+ */
+const PART_DOUBT_DELAY_MS = 10_000;
+const PART_DOUBT_GROWTH = 10;
+
 /**
  * A request is no longer released as doubtful once this many targets crashed under it later than
  * this long after its third crash, milliseconds. Requests that explain each other would otherwise
@@ -418,14 +426,15 @@
 
   /** Why a quarantine ends now; undefined where it goes on. */
   private dueReason(suspect: Suspect, now: number): 'expired' | 'doubtful' | undefined {
-    const { quarantinedAt, doubts } = suspect;
+    const { content, quarantinedAt, doubts } = suspect;
     if (quarantinedAt === undefined) return undefined;
     const lastedMs = now - quarantinedAt;
     if (lastedMs >= suspects.quarantineDurationMs(suspect)) return 'expired';
-    // Requests that have the part without what else explains its crashes run as canaries meanwhile.
-    if (partFingerprint.isPart(suspect.content)) return undefined;
     if (suspect.laterEndings >= MAX_LATE_CRASHES) return undefined;
-    if (lastedMs < DOUBT_DELAY_MS * 2 ** doubts) return undefined;
+    const doubtDelayMs = partFingerprint.isPart(content)
+      ? PART_DOUBT_DELAY_MS * PART_DOUBT_GROWTH ** doubts
+      : DOUBT_DELAY_MS * 2 ** doubts;
+    if (lastedMs < doubtDelayMs) return undefined;
     return this.isDoubtful(suspect) ? 'doubtful' : undefined;
   }
 
