Let bodies released as doubtful explain the crashes of a part

Cause: a suspect with only some of a part's crashes doesn't explain them, as the part explains more. One that was released so has more crashes than those that still count; it explains the ones it has.

The new test failed before (quarantined) and passes. A crashing part costs at most the targets of one or two more requests for each body that was released as doubtful, and a body needs three crashes of its own for that (by reasoning).

--- a/packages/domain/src/quarantine/__tests__/parts.test.ts
+++ b/packages/domain/src/quarantine/__tests__/parts.test.ts
@@ -71,6 +71,24 @@
     ]);
   });
 
+  /** Guards against a sound part refused for the crashes of two culprits, one of which was released with only the last of its own. */
+  it('leaves other requests to a canary run, if bodies released as doubtful may have caused the crashes', () => {
+    const tested = new quarantine.Quarantine();
+    crash(tested, [BODY, FIRST], [BODY, FIRST], [BODY, FIRST]);
+    tested.tick(3_000);
+    tested.tick(4_000);
+    expect([BODY, FIRST].map((each) => tested.standing(each))).to.deep.equal([
+      'suspected',
+      'suspected',
+    ]);
+    const other = { sentAt: 4_100, isTrial: true };
+    ['x/1', 'y/1', 'z/1'].forEach((each) => tested.reportCrash(CRASHING, each, other, 4_200));
+    tested.reportCrash(FIRST, 'z/1', other, 4_200);
+    expect(tested.standing(FIRST)).to.equal('quarantined');
+    expect(tested.assess(['8-new', FIRST]).kind).to.equal('suspected');
+    expect(tested.assess([BODY, FIRST]).kind).to.equal('quarantined');
+  });
+
   /** Guards against a part that becomes harmful and is cleared by requests that were sent before. */
   it('counts the crashes on since a request was sent that begins its answer', () => {
     const tested = new quarantine.Quarantine();
--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -392,10 +392,19 @@
     const own = this.relevantCrashes(part);
     return this.lifetimes.suspectsOf(lifetime).some((other) => {
       if (other === part || requestFingerprints.includes(other)) return false;
-      return this.mayBeCulprit(other) && !isStrictSubset(this.relevantCrashes(other), own);
+      return this.mayBeCulprit(other) && !this.hasFewerCrashes(other, own);
     });
   }
 
+  /**
+   * Whether a suspect has only some of another one's crashes: it explains fewer of them, and not
+   * better. One released as doubtful had more than those that are kept.
+   */
+  private hasFewerCrashes(fingerprint: string, others: ReadonlySet<string>): boolean {
+    const isReduced = (this.suspects.get(fingerprint)?.doubts ?? 0) > 0;
+    return !isReduced && isStrictSubset(this.relevantCrashes(fingerprint), others);
+  }
+
   /** Lifetimes whose crash isn't known to be possibly another request's fault. */
   private relevantCrashes(fingerprint: string): Set<string> {
     const { endings = [], explained, shared } = this.suspects.get(fingerprint) ?? {};
@@ -561,7 +570,6 @@
   return fingerprint.slice(0, fingerprint.indexOf('-'));
 }
 
-/** A suspect with only some of another one's crashes explains fewer of them, and not better. */
 function isStrictSubset(some: ReadonlySet<string>, all: ReadonlySet<string>): boolean {
   return some.size < all.size && [...some].every((each) => all.has(each));
 }
