Spread prompts over the engines nearby before they leave their data centre

At the usual rate of a fleet with 20 engines in each data centre 13 of 168 prompts were prefilled in another data centre than the caller's, past idle engines of their own: more bytes between data centres, and lossy paths, for nothing.

Cause: the planner prefers engines that already write similar streams, by 0.01 of a prompt's value for each, which may cost several hundredths of the value in delay. The comparison of the plan nearby with the best one sees that delay and not the preference. Two decisions in sequence weighed the same plan by different measures.

Now a packed plan nearby that is over the limit is made again without packing, and the prompt leaves only if that one is over it too.

--- a/packages/domain/src/allocation/__tests__/locality.test.ts
+++ b/packages/domain/src/allocation/__tests__/locality.test.ts
@@ -8,11 +8,13 @@
 
 const { SERVICE, request, target } = fixture;
 
-/** A fleet of 60 engines in three data centres, and four of five callers in one of them. */
-function unevenFleet(): (perSecond: number, seconds: number) => { nearby: number; late: number } {
+/** A fleet with three data centres, and four of five callers in one of them. */
+function unevenFleet(
+  engines = 60,
+): (perSecond: number, seconds: number) => { nearby: number; late: number } {
   const placer = new allocator.Allocator();
   placer.setServices([SERVICE]);
-  for (let i = 0; i < 60; i++) placer.observe({ ...target(i), dataCentre: `dc${i % 3}` });
+  for (let i = 0; i < engines; i++) placer.observe({ ...target(i), dataCentre: `dc${i % 3}` });
   let now = 0;
   const running: { id: string; until: number }[] = [];
   return (perSecond: number, seconds: number): { nearby: number; late: number } => {
@@ -68,4 +70,10 @@
   it('leaves all prompts nearby at the usual rate of a larger fleet', () => {
     expect(unevenFleet()(28, 6)).to.deep.equal({ nearby: 1, late: 0 });
   });
+
+  /** Guards against traffic between data centres where a busier engine is preferred to an idle one beside it. */
+  it('leaves all prompts nearby in fleets with many engines in each data centre', () => {
+    const results = [75, 150, 300].map((engines) => unevenFleet(engines)(28, 6));
+    results.forEach((each) => expect(each).to.deep.equal({ nearby: 1, late: 0 }));
+  });
 });
--- a/packages/domain/src/allocation/__tests__/prefill.test.ts
+++ b/packages/domain/src/allocation/__tests__/prefill.test.ts
@@ -100,7 +100,7 @@
     now: number,
   ): prefills.Prefill {
     const prompt = { ...PROMPT, tokens };
-    const decision = new planner.Planner(ENGINE).decide(prompt, loads, now, false);
+    const decision = new planner.Planner(ENGINE).decide(prompt, loads, now);
     const started = new prefills.Prefill(name, planner.valueOf(prompt), PROMPT.objectiveMs, now);
     if (decision.kind !== 'begin') throw new Error(`no plan for ${name}`);
     const { helpers, decoder, partMs, decoderTokens } = decision.plan;
@@ -165,7 +165,7 @@
     startPrefill(loads, 'first', 250_000, 0);
     const decideAt = (now: number, waitedMs: number): planner.Decision => {
       const prompt = { ...PROMPT, tokens: 100_000, waitedMs };
-      return new planner.Planner(ENGINE).decide(prompt, loads, now, true);
+      return new planner.Planner(ENGINE).decide(prompt, loads, now, { mayWait: true });
     };
     const first = decideAt(100, 0);
     if (first.kind !== 'later') throw new Error(first.kind);
@@ -175,7 +175,7 @@
 
   it('is started at once where a deferral has no benefit', () => {
     const prompt = { ...PROMPT, tokens: 100_000 };
-    const decision = new planner.Planner(ENGINE).decide(prompt, fleet(4), 0, true);
+    const decision = new planner.Planner(ENGINE).decide(prompt, fleet(4), 0, { mayWait: true });
     expect(decision.kind).to.equal('begin');
   });
 });
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -234,7 +234,8 @@
 
   /**
    * Decides among the engines of the first cell or, without cells, of the caller's data centre; among
-   * all if the plan there costs time.
+   * all if the plan there costs time. Packing prompts together saves engines and may cost time, so a
+   * plan there is made again without packing before a prompt leaves.
    */
   private decide(
     enginePlanner: planner.Planner,
@@ -250,7 +251,7 @@
         : ofFirst.has(each);
     });
     const decideAmongAll = (): planner.Decision => {
-      return enginePlanner.decide(request, all, now, mayWait);
+      return enginePlanner.decide(request, all, now, { mayWait });
     };
     if (nearby.length === all.length) return decideAmongAll();
     const minForParts = NEARBY_ENGINES_PER_PART * enginePlanner.maxUsefulParts(request);
@@ -260,28 +261,37 @@
     const isFew = nearby.length < enough;
     const isTooFew = first !== undefined || nearby.length < locality.MIN_ENGINES;
     if (isFew && isTooFew) return decideAmongAll();
-    const decision = enginePlanner.decide(request, nearby, now, false);
-    if (isFew) return this.decideNearFew(request, decision, decideAmongAll());
-    const isGood =
-      decision.kind === 'begin' &&
-      decision.plan.penalty <= MAX_NEARBY_PENALTY_FRACTION * planner.valueOf(request);
-    return isGood ? decision : decideAmongAll();
+    const decideNearby = (mayPack: boolean): planner.Decision => {
+      return enginePlanner.decide(request, nearby, now, { mayPack });
+    };
+    if (isFew) return this.decideNearFew(request, decideNearby, decideAmongAll());
+    const isGood = (decision: planner.Decision): boolean => {
+      if (decision.kind !== 'begin') return false;
+      return decision.plan.penalty <= MAX_NEARBY_PENALTY_FRACTION * planner.valueOf(request);
+    };
+    const packed = decideNearby(true);
+    if (isGood(packed)) return packed;
+    const spread = decideNearby(false);
+    return isGood(spread) ? spread : decideAmongAll();
   }
 
   /** Chooses between the decision among few engines nearby and the one among all. */
   private decideNearFew(
     request: Request,
-    nearby: planner.Decision,
+    decideNearby: (mayPack: boolean) => planner.Decision,
     amongAll: planner.Decision,
   ): planner.Decision {
     // Where no plan can begin now, waiting sends nothing elsewhere, so the stream doesn't spill over.
     if (amongAll.kind !== 'begin') return amongAll;
-    const excess =
-      nearby.kind === 'begin'
-        ? (nearby.plan.penalty - amongAll.plan.penalty) / planner.valueOf(request)
-        : Infinity;
+    const excessOf = (decision: planner.Decision): number => {
+      if (decision.kind !== 'begin') return Infinity;
+      return (decision.plan.penalty - amongAll.plan.penalty) / planner.valueOf(request);
+    };
     const stream = JSON.stringify([request.service, request.dataCentre, request.objectiveMs]);
-    return this.locality.staysNearby(stream, excess) ? nearby : amongAll;
+    const packed = decideNearby(true);
+    const isGood = excessOf(packed) <= this.locality.maxExcess(stream);
+    const nearby = isGood ? packed : decideNearby(false);
+    return this.locality.staysNearby(stream, excessOf(nearby)) ? nearby : amongAll;
   }
 
   /**
--- a/packages/domain/src/allocation/locality.ts
+++ b/packages/domain/src/allocation/locality.ts
@@ -27,13 +27,17 @@
   /** Streams of prompts that spill over. */
   private readonly spilling = new Set<string>();
 
+  /** Largest excess with which the next prompt of this stream stays nearby. */
+  maxExcess(stream: string): number {
+    return this.spilling.has(stream) ? MAX_EXCESS.spilling : MAX_EXCESS.staying;
+  }
+
   /**
    * Whether a prompt stays nearby. `stream` names prompts of one data centre and alike; `excess` is
    * infinite without a plan nearby.
    */
   staysNearby(stream: string, excess: number): boolean {
-    const isSpilling = this.spilling.has(stream);
-    const stays = excess <= (isSpilling ? MAX_EXCESS.spilling : MAX_EXCESS.staying);
+    const stays = excess <= this.maxExcess(stream);
     if (stays) this.spilling.delete(stream);
     else this.spilling.add(stream);
     return stays;
--- a/packages/domain/src/allocation/planner.ts
+++ b/packages/domain/src/allocation/planner.ts
@@ -55,6 +55,13 @@
   coldPenalty: number;
 }
 
+export interface Options {
+  /** Whether the decision may be a deferral. */
+  mayWait?: boolean;
+  /** Whether a short prompt may be packed with others where an idle engine would cost less time. */
+  mayPack?: boolean;
+}
+
 export type Decision =
   | { kind: 'begin'; plan: Plan }
   /** Starting `inMs` later, when queued prefills have ended, has a lower penalty. */
@@ -134,8 +141,13 @@
     private readonly planWeights: weights.Weights = weights.WEIGHTS,
   ) {}
 
-  /** Best decision for a prompt over `loads`; with `mayWait` that may be a deferral. */
-  decide(prompt: Prompt, loads: readonly load.Load[], now: number, mayWait: boolean): Decision {
+  /** Best decision for a prompt over `loads`. */
+  decide(
+    prompt: Prompt,
+    loads: readonly load.Load[],
+    now: number,
+    { mayWait = false, mayPack = true }: Options = {},
+  ): Decision {
     const needed = this.minDecoderMemory(prompt);
     const mayDecode = new Set(
       loads.filter(({ freeSlots, freeMemory, record }) => {
@@ -159,8 +171,9 @@
     const usefulPartCounts = partCounts.filter(
       (count) => count === 1 || wholeMs / count >= MIN_PART_MS,
     );
+    const packBonus = mayPack ? this.planWeights.packBonus : 0;
     const plans = usefulPartCounts.flatMap((parts) => {
-      const plan = this.planWithParts(prompt, parts, candidates, mayDecode);
+      const plan = this.planWithParts(prompt, parts, candidates, mayDecode, packBonus);
       return plan === undefined ? [] : [plan];
     });
     if (plans.length === 0) return { kind: 'full' };
@@ -211,6 +224,7 @@
     parts: number,
     candidates: readonly Candidate[],
     mayDecode: ReadonlySet<load.Load>,
+    packBonus: number,
   ): Plan | undefined {
     const part = {
       prefillMs: cost.prefillMs(this.engine, prompt.tokens, parts),
@@ -223,9 +237,7 @@
     const decoderCandidates = scored.filter(({ candidate }) => mayDecode.has(candidate.load));
     if (decoderCandidates.length === 0) return undefined;
     const decoder = minBy(decoderCandidates, ({ candidate, penalty }) => {
-      return (
-        penalty - value * this.planWeights.packBonus * similarDecodingCount(prompt, candidate.load)
-      );
+      return penalty - value * packBonus * similarDecodingCount(prompt, candidate.load);
     });
     const helpers = parts === 1 ? [] : bestHelpers(scored, decoder, parts - 1);
     const storing = helpers.map(({ candidate }) => candidate.load);
