Let released parts go on explaining the crashes that they no longer count

Streams of one body got 502 to the end of the run.

Evidence: 5015 of that body names three crashes, of which targets t0-1 and t3-3 were crashed by culprits that were quarantined as well. The part that crashed t0-1 was quarantined 0.9 s before with four crashes, and released by the end of its first second 90 ms after, which drops all but the last two. From then on t0-1 looked like the body's own crash, its quarantine wasn't doubtful, and lasted two minutes.

Cause: what a release as doubtful drops goes on explaining the crashes of others; what any other release drops doesn't, which fits quarantines of minutes. The first one of a part lasts a second, for the same doubt. Now all that a part drops goes on explaining.

The new test failed before (quarantined after two seconds).

--- a/packages/domain/src/quarantine/__tests__/parts.test.ts
+++ b/packages/domain/src/quarantine/__tests__/parts.test.ts
@@ -133,6 +133,20 @@
     });
   });
 
+  /** Guards against an innocent request refused for two minutes, as a part that crashed its targets was released meanwhile. */
+  it('goes on explaining the crashes that it no longer counts', () => {
+    const tested = new quarantine.Quarantine();
+    const run = { sentAt: 0, isTrial: true };
+    ['c1/1', 'c2/1', 'c3/1', 'c4/1'].forEach((each) => tested.reportCrash(CRASHING, each, run, 0));
+    ['c1/1', 'c2/1'].forEach((each) => tested.reportCrash(BODY, each, run, 100));
+    tested.tick(1_000);
+    expect(tested.crashesOf(CRASHING)).to.deep.equal(['c3/1', 'c4/1']);
+    tested.reportCrash(BODY, 'other/1', run, 1_100);
+    expect(tested.standing(BODY)).to.equal('quarantined');
+    tested.tick(3_100);
+    expect(tested.standing(BODY)).to.equal('suspected');
+  });
+
   /** Guards against a part that a new leader, or all VMs after a loss of power, must learn again with three targets. */
   it('is taken over from the reports of another copy', () => {
     const tested = new quarantine.Quarantine();
--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -457,7 +457,9 @@
     suspect.endings.slice(0, -CRASHES_KEPT_ON_RELEASE).forEach(({ lifetime }) => {
       this.lifetimes.removeSuspect(suspect.content, lifetime);
       this.lifetimes.recordCleared(suspect.content, lifetime);
-      if (reason === 'doubtful') this.noteExplained(lifetime);
+      if (reason === 'doubtful' || partFingerprint.isPart(suspect.content)) {
+        this.noteExplained(lifetime);
+      }
     });
     suspect.endings = remaining.map(({ lifetime }) => ({ lifetime, at: now, isTrial: true }));
     suspect.quarantinedAt = undefined;
@@ -466,9 +468,10 @@
   }
 
   /**
-   * Notes that a crash of a request released as doubtful may still be that request's fault. Without
-   * the note the crash would look like the fault of the requests beside it as soon as it no longer
-   * counts, and they would stay refused for their whole quarantine.
+   * Notes that a crash of a request released as doubtful, or of a part, whose first quarantine is
+   * short, may still be its fault. Without the note the crash would look like the fault of the
+   * requests beside it as soon as it no longer counts, and they would stay refused for their whole
+   * quarantine.
    */
   private noteExplained(lifetime: string): void {
     this.lifetimes.suspectsOf(lifetime).forEach((content) => {
