Let the first quarantine of a part explain no crash to others

Cause: the first quarantine of a part lasts a second because it is no good evidence, but half a second of it sufficed to clear the suspects beside it. Now it explains nothing until a canary run has failed as well. A sound body stays suspect for that much longer, which refuses it nothing as long as it has one crash.

The new test failed before (the body was cleared) and passes. The models pass as before. The fleet's test of crashing requests ran 7 times, 6 passed; one run beside a load of 14 on 8 cores failed `are stopped immediately when many copies arrive together` (one arrival later than 100 ms after the third crash), which has no part and doesn't reach this code. Listed as open.

--- a/packages/domain/src/quarantine/__tests__/parts.test.ts
+++ b/packages/domain/src/quarantine/__tests__/parts.test.ts
@@ -147,6 +147,21 @@
     expect(tested.standing(BODY)).to.equal('suspected');
   });
 
+  /** Guards against a culprit by its body that is cleared because a sound part was quarantined beside it. */
+  it('explains no crash to other suspects before its canary run', () => {
+    const tested = new quarantine.Quarantine();
+    const copy = { sentAt: 0, isTrial: false };
+    ['c1/1', 'c2/1'].forEach((each) => tested.reportCrash(BODY, each, copy, 0));
+    crash(tested, [FIRST], [FIRST], [FIRST]);
+    ['c1/1', 'c2/1'].forEach((each) => tested.reportCrash(FIRST, each, copy, 2_000));
+    tested.tick(2_900);
+    expect(tested.crashesOf(BODY)).to.deep.equal(['c1/1', 'c2/1']);
+    tested.tick(3_000);
+    tested.reportCrash(FIRST, 'c3/1', { sentAt: 3_100, isTrial: true }, 3_100);
+    tested.tick(3_600);
+    expect(tested.standing(FIRST)).to.equal('quarantined');
+  });
+
   /** Guards against a part that a new leader, or all VMs after a loss of power, must learn again with three targets. */
   it('is taken over from the reports of another copy', () => {
     const tested = new quarantine.Quarantine();
--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -504,11 +504,13 @@
 
   /**
    * Crashes of a quarantined request no longer count against suspects whose crashes count as one.
-   * Suspects with a crash in a canary run as well may be culprits of their own.
+   * Suspects with a crash in a canary run as well may be culprits of their own. A provisional
+   * quarantine explains nothing: what it clears may be the culprit.
    */
   private explain(now: number): StatusChange[] {
-    const culprits = [...this.suspects.values()].filter(({ quarantinedAt = Infinity }) => {
-      return now - quarantinedAt >= EXPLANATION_DELAY_MS;
+    const culprits = [...this.suspects.values()].filter((each) => {
+      const { quarantinedAt = Infinity } = each;
+      return now - quarantinedAt >= EXPLANATION_DELAY_MS && !suspects.isProvisional(each);
     });
     return culprits.flatMap((culprit) => this.explainCrashesOf(culprit));
   }
--- a/packages/domain/src/quarantine/suspect.ts
+++ b/packages/domain/src/quarantine/suspect.ts
@@ -78,9 +78,15 @@
   return quarantinedAt !== undefined;
 }
 
+/** Whether its quarantine is the first one of a part, which only holds until a canary run decides. */
+export function isProvisional({ content, quarantines }: Suspect): boolean {
+  return quarantines <= 1 && partFingerprint.isPart(content);
+}
+
 /** Length of the present quarantine, milliseconds. */
-export function quarantineDurationMs({ content, quarantines }: Suspect): number {
-  if (quarantines <= 1 && partFingerprint.isPart(content)) return FIRST_PART_QUARANTINE_MS;
+export function quarantineDurationMs(suspect: Suspect): number {
+  if (isProvisional(suspect)) return FIRST_PART_QUARANTINE_MS;
+  const { quarantines } = suspect;
   const grown = FIRST_QUARANTINE_MS * QUARANTINE_GROWTH ** Math.max(0, quarantines - 1);
   return Math.min(MAX_QUARANTINE_MS, grown);
 }
