Compare callers without paths in the soak only while a target could take their requests

Traced: in the 1.6 s that were compared all three plain targets were out for 0.3 to 0.7 s: t8 was evacuated, t6 crashed at 3.95 s after the loss and started 0.7 s later, and t7 had asked the relay to back off for 0.85 s. Requests at the entries with paths failed in the same moments (503 `all targets are unavailable to this VM`); there were only 8 to 9 of them, most sent before. The check compared all 1.6 s. Requests sent while no target of their kind was up, outside an evacuation and a back-off aren't compared now; the bound is as it was.

A test holds both sides; it failed before.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -157,6 +157,20 @@
     expect(violatedWith(true)).to.include('unservedWithoutPaths');
   });
 
+  it('compare callers without paths to targets while some target could take their requests', () => {
+    const violatedWith = (backOffSeconds: number): string[] =>
+      violatedGuarantees((good) => {
+        addSeveredEntry(good, 40, 503);
+        good.lifetimes.push({ target: 't1-1', index: 1 });
+        good.ran.push({ request: 'o0', target: 't0-1', at: 12_150 });
+        good.ran.push({ request: 'o1', target: 't1-1', at: 12_150 });
+        good.evacuated.push({ ...EVACUATION, dataCentre: 'west' });
+        good.turnedAway.push({ target: 't0-1', entry: 1, at: 12_000, backOffSeconds });
+      });
+    expect(violatedWith(1)).to.not.include('unservedWithoutPaths');
+    expect(violatedWith(0.1)).to.include('unservedWithoutPaths');
+  });
+
   it('compare callers without paths to targets while no link is harmed, and 3 s after', () => {
     const violatedWith = (until: number): string[] =>
       violatedGuarantees((good) => {
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -3,6 +3,7 @@
  * hold; those with one hold only for processes that weren't disturbed, which each check takes into account.
  */
 import * as answers from './answers';
+import * as availability from './availability';
 import * as layout from './layout';
 import type * as observations from './observations';
 
@@ -551,8 +552,8 @@
 }
 
 /**
- * Compares the callers of severed entries with those of the others, where nothing else happened to their entries and
- * some entry that could relay for them was undisturbed as well.
+ * Compares the callers of severed entries with those of the others, where nothing else happened to their entries,
+ * some entry that could relay for them was undisturbed as well, and some target could take their requests.
  */
 function unservedWithoutPaths(observed: Observations): Violation[] {
   const { asked, severed, revoked } = observed;
@@ -560,11 +561,13 @@
   const allEntries = [...new Set(asked.map(({ entry }) => entry))];
   return severed.flatMap(({ entries, from, until }): Violation[] => {
     const relays = allEntries.filter((each) => !entries.includes(each));
-    const sent = asked.filter(({ sentAt, endedAt, entry, key }) => {
+    const sent = asked.filter((request) => {
+      const { sentAt, endedAt, entry, key } = request;
       const isDuring = sentAt >= from + PATH_LOSS_MS && endedAt <= until;
       const isCalm = (each: number): boolean => isUninterrupted(observed, each, from, endedAt);
       const isNetworkCalm = !isNetworkDisturbed(observed, sentAt - SETTLING_MS, endedAt);
-      const isComparable = isCalm(entry) && relays.some(isCalm) && isNetworkCalm;
+      const isServable = availability.hadAvailableTarget(observed, request);
+      const isComparable = isCalm(entry) && relays.some(isCalm) && isNetworkCalm && isServable;
       return isDuring && !revokedKeySet.has(key) && isComparable;
     });
     const atSevered = sent.filter(({ entry }) => entries.includes(entry));
