--- a/packages/daemon/src/entry/__tests__/connectionGate.test.ts
+++ b/packages/daemon/src/entry/__tests__/connectionGate.test.ts
@@ -12,6 +12,9 @@
 /** Processor time of a request; the server bears fifty a second. */
 const WORK_MS = 20;
 
+/** Processor time of a long one: four of them take longer than a queue may last. */
+const LONG_WORK_MS = 50;
+
 /** Four times as many connections. */
 const LOAD_INTERVAL_MS = 5;
 const LOAD_FOR_MS = 2_500;
@@ -29,16 +32,18 @@
   let server: http.Server;
   let gate: connectionGate.ConnectionGate;
   let [active, read] = [0, 0];
+  let workMs = WORK_MS;
 
   const port = (): number => (server.address() as net.AddressInfo).port;
 
   beforeEach(async () => {
     [active, read] = [0, 0];
+    workMs = WORK_MS;
     server = http.createServer((request, response) => {
       active += 1;
       read += 1;
       gate.used(request.socket);
-      const end = clock.steady() + WORK_MS;
+      const end = clock.steady() + workMs;
       while (clock.steady() < end);
       response.once('close', () => {
         active -= 1;
@@ -103,6 +108,17 @@
     expect(await send(to)).to.equal('answered');
   });
 
+  /** Guards against a VM that refuses nearly all connections for seconds, as a few arrived within long turns of its loop. */
+  it('refuses nothing of a few callers at the same time', async () => {
+    workMs = LONG_WORK_MS;
+    for (let i = 0; i < 3; i++) {
+      const outcomes = await Promise.all(Array.from({ length: 4 }, () => send(port())));
+      expect(new Set(outcomes)).to.deep.equal(new Set(['answered']));
+      await clock.sleep(500);
+    }
+    expect(gate.gauges().requestLimit).to.equal(0);
+  });
+
   it('refuses nothing that the VM can serve', async () => {
     const outcomes: Outcome[] = [];
     for (let i = 0; i < 20; i++) outcomes.push(await send(port()));
