--- a/packages/domain/src/allocation/planner.ts
+++ b/packages/domain/src/allocation/planner.ts
@@ -55,6 +55,7 @@
   coldPenalty: number;
 }
 
+/** What a decision may be. */
 export interface Options {
   /** Whether the decision may be a deferral. */
   mayWait?: boolean;
