--- a/review/2/scenario.mjs
+++ b/review/2/scenario.mjs
@@ -33,11 +33,42 @@
 const desired = (version) => ({
   version,
   routes: [
-    { name: 'lookup', host: HOST, pathPrefix: '/lookup/', kind: 'safe', timeoutMs: 1_000, sloMs: 193, priority: 1, service: 'yard-app', maxAttempts: 2, public: false },
-    ...(version > 7 ? [{ name: `added-${version}`, host: HOST, pathPrefix: `/added-${version}/`, kind: 'safe', timeoutMs: 1_000, sloMs: 193, priority: 1, service: 'yard-app', maxAttempts: 2, public: false }] : []),
+    {
+      name: 'lookup',
+      host: HOST,
+      pathPrefix: '/lookup/',
+      kind: 'safe',
+      timeoutMs: 1_000,
+      sloMs: 193,
+      priority: 1,
+      service: 'yard-app',
+      maxAttempts: 2,
+      public: false,
+    },
+    ...(version > 7
+      ? [
+          {
+            name: `added-${version}`,
+            host: HOST,
+            pathPrefix: `/added-${version}/`,
+            kind: 'safe',
+            timeoutMs: 1_000,
+            sloMs: 193,
+            priority: 1,
+            service: 'yard-app',
+            maxAttempts: 2,
+            public: false,
+          },
+        ]
+      : []),
   ],
   services: [{ name: 'yard-app', healthPath: '/health', maxConns: 49, protocol: 'h1', tls: false }],
-  limits: { maxHeaderBytes: 16_384, maxBodyBytes: 4_194_304, headerTimeoutMs: 3_000, idleTimeoutMs: 15_000 },
+  limits: {
+    maxHeaderBytes: 16_384,
+    maxBodyBytes: 4_194_304,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 15_000,
+  },
   tenants: [{ name: 'hule930', apiKeys: [KEY], priority: 1 }],
 });
 
@@ -47,8 +78,15 @@
   while (Date.now() < until) {
     const pages = await Promise.all(
       deployment.keepers.map(async (keeper) => {
-        const { body } = await call({ host: keeper.ip, port: METRICS_PORT }, 'GET', '/metrics', '', 200);
-        const number = (name) => Number(new RegExp(`^\\S*${name}\\S* ([\\d.e+]+)$`, 'm').exec(body)?.[1] ?? 0);
+        const { body } = await call(
+          { host: keeper.ip, port: METRICS_PORT },
+          'GET',
+          '/metrics',
+          '',
+          200,
+        );
+        const number = (name) =>
+          Number(new RegExp(`^\\S*${name}\\S* ([\\d.e+]+)$`, 'm').exec(body)?.[1] ?? 0);
         return { keeper, leads: number('leads'), term: number('term') };
       }),
     );
@@ -81,7 +119,10 @@
 async function main() {
   const record = new RunRecord(path.join(HERE, 'record.txt'));
   const deployment = await Deployment.create({ keepers: 5, entries: 3 });
-  const servers = ZONE_NAMES.map((zone, i) => new Server(deployment, { id: `i-yard${i}`, service: 'yard-app', zone, events: record.add }));
+  const servers = ZONE_NAMES.map(
+    (zone, i) =>
+      new Server(deployment, { id: `i-yard${i}`, service: 'yard-app', zone, events: record.add }),
+  );
   await deployment.start(desired(7));
   await Promise.all(servers.map((server) => server.start()));
   const requester = new Requester(deployment, { key: KEY, events: record.add });
@@ -90,7 +131,9 @@
   const traffic = (async () => {
     for (let i = 0; !isOver; i++) {
       const at = Date.now();
-      void requester.send(deployment.entries[i % 3], { path: '/lookup/2f', method: 'GET' }).then(({ status }) => answers.push({ at, status }));
+      void requester
+        .send(deployment.entries[i % 3], { path: '/lookup/2f', method: 'GET' })
+        .then(({ status }) => answers.push({ at, status }));
       await sleep(50);
     }
   })();
@@ -110,12 +153,23 @@
     const leader = await leaderOf(deployment);
     if (leader === undefined) return undefined;
     version += 1;
-    const { status } = await call({ host: leader.ip, port: deployment.ports.control }, 'PUT', '/celerydrift/config', JSON.stringify(desired(version)));
+    const { status } = await call(
+      { host: leader.ip, port: deployment.ports.control },
+      'PUT',
+      '/celerydrift/config',
+      JSON.stringify(desired(version)),
+    );
     const at = Date.now();
-    record.note(`${leader.name}, which leads, answers ${status} to version ${version}${HAS_TROUBLE ? ', and loses its disk' : ''}`);
+    record.note(
+      `${leader.name}, which leads, answers ${status} to version ${version}${HAS_TROUBLE ? ', and loses its disk' : ''}`,
+    );
     if (status !== 200) return undefined;
     const back = HAS_TROUBLE ? wipe(deployment, leader) : Promise.resolve(at);
-    void back.then((ms) => record.note(`${leader.name} has been back for ${Date.now() - ms} ms, ${ms - at} ms after its loss`));
+    void back.then((ms) =>
+      record.note(
+        `${leader.name} has been back for ${Date.now() - ms} ms, ${ms - at} ms after its loss`,
+      ),
+    );
     return { leader, at, back };
   };
   const first = await strike();
@@ -135,7 +189,9 @@
   const checkFrom = Date.now();
   const reads = [];
   while (Date.now() < checkFrom + CHECK_MS) {
-    const results = await Promise.all(deployment.controls.map((keeper) => call(keeper, 'GET', '/celerydrift/config')));
+    const results = await Promise.all(
+      deployment.controls.map((keeper) => call(keeper, 'GET', '/celerydrift/config')),
+    );
     results.forEach(({ status, body }, i) => {
       const read = { status, version: status === 200 ? JSON.parse(body).version : undefined };
       reads.push(read);
--- a/review/harness/deployment.mjs
+++ b/review/harness/deployment.mjs
@@ -45,7 +45,9 @@
 function lookup(scope, name) {
   if (name === '.') return scope.at(-1);
   const [first, ...rest] = name.split('.');
-  const owner = [...scope].reverse().find((each) => each !== null && typeof each === 'object' && first in each);
+  const owner = [...scope]
+    .reverse()
+    .find((each) => each !== null && typeof each === 'object' && first in each);
   return rest.reduce((value, key) => value?.[key], owner?.[first]);
 }
 
@@ -64,7 +66,9 @@
     if (typeof value !== 'object') return inner;
     const keys = Object.keys(value);
     return keys
-      .map((key, i) => inner.replace(/\{\{@\}\}/g, key).replace(/\{\{,\}\}/g, i < keys.length - 1 ? ',' : ''))
+      .map((key, i) =>
+        inner.replace(/\{\{@\}\}/g, key).replace(/\{\{,\}\}/g, i < keys.length - 1 ? ',' : ''),
+      )
       .join('');
   });
   return expanded.replace(/\{\{([\w.]+)\}\}/g, (_, name) => text(lookup([fields], name)));
@@ -73,7 +77,9 @@
 function deployFile() {
   const roles = {};
   let role;
-  for (const line of fs.readFileSync(path.join(ROOT, 'deploy', 'system.toml'), 'utf8').split('\n')) {
+  for (const line of fs
+    .readFileSync(path.join(ROOT, 'deploy', 'system.toml'), 'utf8')
+    .split('\n')) {
     const head = /^\[roles\.(.+)\]$/.exec(line);
     if (head) role = roles[head[1]] = {};
     const field = /^(run|template)\s*=\s*"(.*)"$/.exec(line);
@@ -133,7 +139,11 @@
     const log = fs.openSync(this.logFile, 'a');
     const child = childProcess.spawn(process.execPath, args, {
       cwd: ROOT,
-      env: { CELERYDRIFT_NODE_FILE: this.settingsFile, PATH: process.env.PATH, HOME: process.env.HOME },
+      env: {
+        CELERYDRIFT_NODE_FILE: this.settingsFile,
+        PATH: process.env.PATH,
+        HOME: process.env.HOME,
+      },
       stdio: ['ignore', log, log],
     });
     fs.closeSync(log);
@@ -170,7 +180,8 @@
     Object.assign(this, { prefix, ports, bounds });
     this.folder = fs.mkdtempSync(path.join(os.tmpdir(), 'celerydrift-review-'));
     process.on('exit', () => {
-      if (process.env.KEEP_LOGS === undefined) fs.rmSync(this.folder, { recursive: true, force: true });
+      if (process.env.KEEP_LOGS === undefined)
+        fs.rmSync(this.folder, { recursive: true, force: true });
     });
     this.nextServer = 100;
     this.seeds = [0, 1, 2].map((i) => `${this.hostOf(1 + i)}:${ports.control}`);
@@ -222,7 +233,9 @@
     [...this.keepers, ...this.entries].forEach((machine) => machine.start());
     await sleep(300);
     await this.submit(desired, 30_000);
-    [...this.keepers, ...this.entries].forEach((machine) => Object.assign(machine.fields, { bootstrap: false }));
+    [...this.keepers, ...this.entries].forEach((machine) =>
+      Object.assign(machine.fields, { bootstrap: false }),
+    );
     await this.untilReady(this.entries, 20_000);
   }
 
@@ -237,7 +250,11 @@
   }
 
   async isReady({ ip }) {
-    const { status } = await call({ host: ip, port: this.ports.ready }, 'GET', '/celerydrift/readiness');
+    const { status } = await call(
+      { host: ip, port: this.ports.ready },
+      'GET',
+      '/celerydrift/readiness',
+    );
     return status === 200;
   }
 
@@ -246,9 +263,15 @@
     const until = Date.now() + withinMs;
     for (let i = 0; Date.now() < until; i++) {
       const keeper = this.controls[i % this.controls.length];
-      const { status, body } = await call(keeper, 'PUT', '/celerydrift/config', JSON.stringify(desired));
+      const { status, body } = await call(
+        keeper,
+        'PUT',
+        '/celerydrift/config',
+        JSON.stringify(desired),
+      );
       if (status === 200) return Date.now();
-      if (status >= 400 && status < 500) throw new Error(`desired state refused: ${status} ${body}`);
+      if (status >= 400 && status < 500)
+        throw new Error(`desired state refused: ${status} ${body}`);
       await sleep(100);
     }
     throw new Error('desired state not acknowledged');
@@ -265,13 +288,32 @@
   return new Promise((resolve) => {
     const unanswered = () => resolve({ status: 0, body: '' });
     const request = http.request(
-      { host, port, method, path: target, agent: false, headers: body === '' ? headers : { 'content-type': 'application/json', 'content-length': Buffer.byteLength(body), ...headers } },
+      {
+        host,
+        port,
+        method,
+        path: target,
+        agent: false,
+        headers:
+          body === ''
+            ? headers
+            : {
+                'content-type': 'application/json',
+                'content-length': Buffer.byteLength(body),
+                ...headers,
+              },
+      },
       (response) => {
         const chunks = [];
         response.on('data', (chunk) => chunks.push(chunk));
         response.on('error', unanswered);
         response.on('close', () => {
-          if (response.complete) resolve({ status: response.statusCode, headers: response.headers, body: Buffer.concat(chunks).toString() });
+          if (response.complete)
+            resolve({
+              status: response.statusCode,
+              headers: response.headers,
+              body: Buffer.concat(chunks).toString(),
+            });
           else unanswered();
         });
       },
--- a/review/harness/record.mjs
+++ b/review/harness/record.mjs
@@ -15,7 +15,9 @@
 
   runsByRequest() {
     const runs = new Map();
-    this.events.filter(({ event }) => event === 'ran').forEach((each) => runs.set(each.request, [...(runs.get(each.request) ?? []), each]));
+    this.events
+      .filter(({ event }) => event === 'ran')
+      .forEach((each) => runs.set(each.request, [...(runs.get(each.request) ?? []), each]));
     return runs;
   }
 
--- a/review/harness/requester.mjs
+++ b/review/harness/requester.mjs
@@ -12,7 +12,10 @@
   }
 
   /** Sends one attempt; resolves with the status, 0 without a whole answer. */
-  send(entry, { path, method = 'POST', patienceMs = 1_000, body = 'x'.repeat(600), headers = {}, onHead }) {
+  send(
+    entry,
+    { path, method = 'POST', patienceMs = 1_000, body = 'x'.repeat(600), headers = {}, onHead },
+  ) {
     this.count += 1;
     const id = `${this.prefix}${this.count.toString(16).padStart(8, '0')}`;
     this.events({ event: 'sent', request: id, entry: entry.name, path });
@@ -42,7 +45,13 @@
           const chunks = [];
           response.on('data', (chunk) => chunks.push(chunk));
           response.on('error', () => undefined);
-          response.on('close', () => end(response.complete ? response.statusCode : 0, Buffer.concat(chunks).toString(), response.headers['x-celerydrift-server-stamp']));
+          response.on('close', () =>
+            end(
+              response.complete ? response.statusCode : 0,
+              Buffer.concat(chunks).toString(),
+              response.headers['x-celerydrift-server-stamp'],
+            ),
+          );
         },
       );
       const timer = timers.setTimeout(() => request.destroy(), patienceMs + 1_000);
--- a/review/harness/server.mjs
+++ b/review/harness/server.mjs
@@ -11,8 +11,21 @@
 
 export class Server {
   /** `events` gets a line for each request that arrives, runs or is refused. */
-  constructor(deployment, { id, service, zone, slots = 6, queue = 6, workMs = 40, events, healthPath = '/health' }) {
-    Object.assign(this, { deployment, id, service, zone, slots, queue, workMs, events, healthPath });
+  constructor(
+    deployment,
+    { id, service, zone, slots = 6, queue = 6, workMs = 40, events, healthPath = '/health' },
+  ) {
+    Object.assign(this, {
+      deployment,
+      id,
+      service,
+      zone,
+      slots,
+      queue,
+      workMs,
+      events,
+      healthPath,
+    });
     Object.assign(this, deployment.serverAddress());
     this.born = Date.now();
     this.sequence = 0;
@@ -92,9 +105,25 @@
 
   async answer(request) {
     if (request.path === '/celerydrift/report') {
-      return reply(200, {}, JSON.stringify({ stage: 'both', models: [], busy: false, sequence: this.sequence, waiting: this.waiting.length, running: this.running }));
+      return reply(
+        200,
+        {},
+        JSON.stringify({
+          stage: 'both',
+          models: [],
+          busy: false,
+          sequence: this.sequence,
+          waiting: this.waiting.length,
+          running: this.running,
+        }),
+      );
     }
-    if (request.path === this.healthPath) return reply(this.state === 'ready' ? 200 : 503, { 'X-Celerydrift-Instance-Id': this.id }, '');
+    if (request.path === this.healthPath)
+      return reply(
+        this.state === 'ready' ? 200 : 503,
+        { 'X-Celerydrift-Instance-Id': this.id },
+        '',
+      );
     const echoed = { 'X-Celerydrift-Request-Id': request.id ?? '' };
     const { server } = { server: this.id };
     const expected = request.headers['x-celerydrift-expect-instance'];
@@ -106,11 +135,20 @@
       this.events({ event: 'refused', server, request: request.id, status: 503 });
       return reply(503, { ...echoed, 'X-Celerydrift-Not-Run': '1' }, '');
     }
-    this.events({ event: 'ran', server, request: request.id, tenant: request.headers['x-celerydrift-tenant'] });
+    this.events({
+      event: 'ran',
+      server,
+      request: request.id,
+      tenant: request.headers['x-celerydrift-tenant'],
+    });
     await new Promise((resolve) => timers.setTimeout(resolve, this.workMs));
     this.running -= 1;
     this.waiting.shift()?.();
-    return reply(200, { ...echoed, 'X-Celerydrift-Server-Stamp': `${this.id}.${request.id}` }, bodyOf(request.id));
+    return reply(
+      200,
+      { ...echoed, 'X-Celerydrift-Server-Stamp': `${this.id}.${request.id}` },
+      bodyOf(request.id),
+    );
   }
 
   /** Waits for a slot; false if the server is full. */
@@ -129,8 +167,15 @@
 }
 
 function reply(status, headers, body) {
-  const lines = Object.entries({ ...headers, 'Content-Length': Buffer.byteLength(body) }).map(([name, value]) => `${name}: ${value}\r\n`);
-  return { status, bytes: Buffer.from(`HTTP/1.1 ${status} ${status === 200 ? 'OK' : 'Refused'}\r\n${lines.join('')}\r\n${body}`) };
+  const lines = Object.entries({ ...headers, 'Content-Length': Buffer.byteLength(body) }).map(
+    ([name, value]) => `${name}: ${value}\r\n`,
+  );
+  return {
+    status,
+    bytes: Buffer.from(
+      `HTTP/1.1 ${status} ${status === 200 ? 'OK' : 'Refused'}\r\n${lines.join('')}\r\n${body}`,
+    ),
+  };
 }
 
 /** Takes a whole request with a length off the front of a channel's buffer. */
