--- a/review/harness/deployment.mjs
+++ b/review/harness/deployment.mjs
@@ -171,7 +171,15 @@
 
 export class Deployment {
   static async create({ keepers = 5, entries = 2, ports = {}, bounds = {} } = {}) {
-    const all = { peers: 7340, control: 8229, front: 8227, ready: 8220, server: 8080, ...ports };
+    const all = {
+      peers: 7340,
+      control: 8229,
+      front: 8227,
+      ready: 8220,
+      server: 8080,
+      metrics: 9464,
+      ...ports,
+    };
     const prefix = await freeNetwork(Object.values(all));
     return new Deployment(prefix, all, keepers, entries, { ...BOUNDS, ...bounds });
   }
