Give the lowest id priority among replicas that miss their leader

Callers saw: after the loss of two of five keepers, seconds without a leader now and then. Where all three remaining votes are needed, two candidates that pass their pre-votes within a round trip split them, and a further election timeout passes.

Change: a replica with the lowest id refuses the pre-votes of others with the same log while its own are in flight, as freshly started replicas did before. It loses that priority when its own pre-votes have been in flight for a heartbeat, so that a replica that is cut off from a quorum doesn't block the others.

--- a/packages/domain/src/replication/__tests__/replica.test.ts
+++ b/packages/domain/src/replication/__tests__/replica.test.ts
@@ -334,4 +334,26 @@
       }
     });
   });
+
+  // Guards against seconds without a leader where each vote of the remaining replicas is needed, and candidates split them.
+  it('elects a leader at the first attempt after the loss of two of five', () => {
+    for (let seed = 1; seed <= 40; seed++) {
+      const simulation = newSet(seed);
+      const leader = simulation.leader()?.id as string;
+      const other = [...simulation.nodes.keys()].find((id) => id !== leader) as string;
+      [leader, other].forEach((id) => simulation.destroy(id));
+      simulation.advance(EAGER.electionMax + 200);
+      expect(simulation.leader(), `seed ${seed}`).not.to.equal(undefined);
+    }
+  });
 });
+
+const VOTERS = 5;
+
+/** A replica set that has elected a leader. */
+function newSet(seed: number, spares = 0): schedule.Schedule {
+  const options = { voters: VOTERS, spares, steps: 0, crash: 0, loss: 0, timing: EAGER };
+  const simulation = new schedule.Schedule(seed, options);
+  simulation.heal(1_500);
+  return simulation;
+}
--- a/packages/domain/src/replication/replica.ts
+++ b/packages/domain/src/replication/replica.ts
@@ -91,6 +91,8 @@
 
   private grantedVotes = new Set<string>();
 
+  private preVoteAt = -Infinity;
+
   private progress = new Map<string, Progress>();
 
   private effects = messages.noEffects();
@@ -341,6 +343,7 @@
     this.leader = '';
     if (!this.isVoter) return;
     this.state = 'preCandidate';
+    this.preVoteAt = now;
     this.requestVotes(true, this.term + 1);
     if (this.isQuorum(this.grantedVotes.size)) this.startElection(now);
   }
@@ -366,7 +369,7 @@
   }
 
   private handleVoteRequest(request: messages.VoteRequest, now: number): void {
-    const granted = this.mayGrant(request, now) && !this.hasElectionPriority(request);
+    const granted = this.mayGrant(request, now) && !this.hasElectionPriority(request, now);
     if (granted && !request.pre) {
       this.persistVote({ term: request.term, votedFor: request.from });
       this.resetElection(now);
@@ -384,12 +387,18 @@
 
   /**
    * Whether this replica has priority over the one that requests a pre-vote. Replicas that start
-   * together all request pre-votes within milliseconds; if those that aren't candidates grant each
-   * request, the votes are split, and there is no leader until a further timeout has passed. So
-   * among freshly started replicas with the same log only the one with the lowest id goes on.
+   * together, or miss their leader at the same time, request pre-votes within milliseconds; if each
+   * gets them, the votes are split, and there is no leader until a further timeout has passed. So
+   * among replicas with the same log the one with the lowest id goes on. It loses its priority when
+   * its own pre-votes are overdue, as it may be cut off from a quorum.
    */
-  private hasElectionPriority({ pre, from, lastIndex, lastTerm }: messages.VoteRequest): boolean {
-    if (!pre || this.state !== 'preCandidate' || !this.isFreshlyStarted) return false;
+  private hasElectionPriority(
+    { pre, from, lastIndex, lastTerm }: messages.VoteRequest,
+    now: number,
+  ): boolean {
+    if (!pre || this.state !== 'preCandidate') return false;
+    const isOverdue = now - this.preVoteAt >= this.timing.heartbeat;
+    if (isOverdue && !this.isFreshlyStarted) return false;
     const isSameLog = lastTerm === this.log.lastTerm && lastIndex === this.log.lastIndex;
     return isSameLog && this.id < from;
   }
