Replace a voter that is gone, whoever led when it was lost

No read of the settings was answered, and all requests with a key got 503.

Cause: a new leader counted the silence of each voter from its own election. A voter lost with one leader was replaced 5 s after its loss if the next leader was lost too, although only two VMs counted as lost at any moment.

Change: - A replica that polls from the address of a voter, later than that voter was last heard, is its successor: the voter is gone at once, not after 2 s. An address belongs to one VM and a replica id to one data folder. A registry entry that nobody heard from doesn't count, and a voter that answers later contradicts it. A wrong guess moves data, but loses nothing: members still change one at a time, each change committed before the next. - For VMs that never return, leaders state in their requests which members have been silent for how long, so a new leader goes on counting. What predecessors saw counts once the member has had the time of an election to answer.

--- a/packages/daemon/src/keeper/followers.ts
+++ b/packages/daemon/src/keeper/followers.ts
@@ -215,8 +215,9 @@
   /** Keepers with a replica that polled recently, as spares for the replica set. */
   spares(): domain.replication.repair.Spare[] {
     return this.all().flatMap(({ replica, address, dataCentre, polledAt }) => {
-      const fresh = replica !== undefined && this.now() - polledAt < RECENT_POLL_MS;
-      return fresh ? [{ id: replica, address, dataCentre }] : [];
+      const silentFor = this.now() - polledAt;
+      const fresh = replica !== undefined && silentFor < RECENT_POLL_MS;
+      return fresh ? [{ id: replica, address, dataCentre, silentFor }] : [];
     });
   }
 }
--- /dev/null
+++ b/packages/daemon/src/replicas/__tests__/wire.test.ts
@@ -0,0 +1,31 @@
+/** Messages between replicas of this version and the last one. */
+import * as chai from 'chai';
+import type * as domain from '@celerydrift/domain';
+import * as wire from '../wire';
+
+const { expect } = chai;
+
+const REQUEST: domain.replication.messages.AppendRequest = {
+  kind: 'appendRequest',
+  from: 'a',
+  term: 3,
+  previousIndex: 7,
+  previousTerm: 2,
+  entries: [],
+  commit: 6,
+  sentAt: 1_000,
+};
+
+describe('replication messages', () => {
+  it('carry the silence of members, after the fields that the last version knows', () => {
+    const request = { ...REQUEST, silences: [{ id: 'b', ms: 700 }] };
+    const packed = wire.pack(request);
+    expect(packed.slice(0, 7)).to.deep.equal([2, 'a', 3, 7, 2, 6, 1_000]);
+    expect(wire.unpack(JSON.parse(JSON.stringify(packed)))).to.deep.equal(request);
+  });
+
+  it('are the same as those of the last version where no member is silent', () => {
+    expect(wire.pack(REQUEST)).to.deep.equal([2, 'a', 3, 7, 2, 6, 1_000]);
+    expect(wire.unpack([2, 'a', 3, 7, 2, 6, 1_000])).to.deep.equal(REQUEST);
+  });
+});
--- a/packages/daemon/src/replicas/repairer.ts
+++ b/packages/daemon/src/replicas/repairer.ts
@@ -30,12 +30,13 @@
       .filter(({ id }) => id !== host.replica.id)
       .map(({ id }) => ({
         id,
-        silentFor: now - host.replica.contactAt(id),
+        silentFor: host.replica.silentFor(id, now),
         caughtUp: host.replica.isCaughtUp(id),
       }));
     const { size, deadAfterMs } = this.options;
     const spares = this.options.spares();
-    const step = domain.replication.repair.nextStep(members, health, spares, size, deadAfterMs);
+    const situation = { members, health, spares, size, deadAfterMs };
+    const step = domain.replication.repair.nextStep(situation);
     if (step === undefined) return;
     const { reason, subject } = step;
     host.changeMembers(step.members, () => {
--- a/packages/daemon/src/replicas/wire.ts
+++ b/packages/daemon/src/replicas/wire.ts
@@ -26,8 +26,9 @@
   if (message.kind === 'voteRequest') return [message.pre, message.lastIndex, message.lastTerm];
   if (message.kind === 'voteAnswer') return [message.pre, message.granted, message.knowsLeader];
   if (message.kind === 'appendRequest') {
-    const { previousIndex, previousTerm, commit, sentAt, entries } = message;
+    const { previousIndex, previousTerm, commit, sentAt, entries, silences } = message;
     const base = [previousIndex, previousTerm, commit, sentAt];
+    if (silences !== undefined) return [...base, entries, silences];
     return entries.length === 0 ? base : [...base, entries];
   }
   if (message.kind === 'appendAnswer') return [message.success, message.matched, message.sentAt];
@@ -56,8 +57,9 @@
   if (kind === 'voteRequest') return { pre: fields[0], lastIndex: fields[1], lastTerm: fields[2] };
   if (kind === 'voteAnswer') return { pre: fields[0], granted: fields[1], knowsLeader: fields[2] };
   if (kind === 'appendRequest') {
-    const [previousIndex, previousTerm, commit, sentAt, entries = []] = fields;
-    return { previousIndex, previousTerm, commit, sentAt, entries };
+    const [previousIndex, previousTerm, commit, sentAt, entries = [], silences] = fields;
+    const base = { previousIndex, previousTerm, commit, sentAt, entries };
+    return silences === undefined ? base : { ...base, silences };
   }
   if (kind === 'appendAnswer') return { success: fields[0], matched: fields[1], sentAt: fields[2] };
   return { sentAt: fields[0], snapshot: fields[1] };
--- a/packages/domain/src/replication/__tests__/replica.test.ts
+++ b/packages/domain/src/replication/__tests__/replica.test.ts
@@ -346,10 +346,57 @@
       expect(simulation.leader(), `seed ${seed}`).not.to.equal(undefined);
     }
   });
+
+  /*
+   * Guards against a set without a quorum after leaders lost their disks one after the other, each before it had counted
+   * the silence of its predecessor's replica for long enough.
+   */
+  it('keeps a quorum when three leaders in turn lose their disks, two at a time', () => {
+    for (let seed = 1; seed <= 40; seed++) {
+      const simulation = newSet(seed);
+      const losses = [0, 2_300, 2_100].map((tenureMs) => {
+        simulation.advanceWithRepair(tenureMs, VOTERS, DEAD_AFTER_MS);
+        return simulation.wipe(simulation.leader()?.id as string);
+      });
+      expect(losses).to.have.length(3);
+      expect(acceptsCommand(simulation), `seed ${seed}`).to.equal(true);
+      expect(simulation.problem, `seed ${seed}`).to.equal('');
+    }
+  });
+
+  // Guards against the same where VMs never return and a spare is elsewhere, so that only their silence tells.
+  it('replaces a voter in time that went silent under an earlier leader', () => {
+    for (let seed = 1; seed <= 40; seed++) {
+      const simulation = newSet(seed, 1);
+      const leader = simulation.leader()?.id as string;
+      const silent = [...simulation.nodes.keys()].find((id) => id !== leader) as string;
+      simulation.destroy(silent);
+      simulation.advanceWithRepair(1_900, VOTERS, DEAD_AFTER_MS);
+      simulation.destroy(simulation.leader()?.id as string);
+      simulation.advanceWithRepair(2_100, VOTERS, DEAD_AFTER_MS);
+      simulation.destroy(simulation.leader()?.id as string);
+      expect(acceptsCommand(simulation), `seed ${seed}`).to.equal(true);
+    }
+  });
+
+  // Guards against a repair that takes a voter for gone because its new leader knows of no contact with it yet.
+  it('counts no silence of a voter that answers its new leader', () => {
+    const simulation = newSet(1, 1);
+    const first = simulation.leader()?.id as string;
+    const cut = [...simulation.nodes.keys()].find((id) => id !== first) as string;
+    simulation.cutLink(first, cut);
+    simulation.advance(1_900);
+    simulation.destroy(first);
+    simulation.advance(900);
+    const leader = simulation.leader();
+    expect(leader?.replica?.silentFor(cut, simulation.clockOf(leader.id))).to.be.below(450);
+  });
 });
 
 const VOTERS = 5;
 
+const DEAD_AFTER_MS = 2_000;
+
 /** A replica set that has elected a leader. */
 function newSet(seed: number, spares = 0): schedule.Schedule {
   const options = { voters: VOTERS, spares, steps: 0, crash: 0, loss: 0, timing: EAGER };
@@ -357,3 +404,11 @@
   simulation.heal(1_500);
   return simulation;
 }
+
+/** Whether the set acknowledges a command in time, with repair and without further faults. */
+function acceptsCommand(simulation: schedule.Schedule): boolean {
+  simulation.advanceWithRepair(4_000, VOTERS, DEAD_AFTER_MS);
+  const command = simulation.propose();
+  simulation.advance(500);
+  return simulation.acknowledged.has(command);
+}
--- a/packages/domain/src/replication/__tests__/schedule.ts
+++ b/packages/domain/src/replication/__tests__/schedule.ts
@@ -14,6 +14,8 @@
 
 interface Node {
   id: string;
+  /** Its VM; a replica that starts with an empty disk has the address of its predecessor. */
+  address: string;
   disk: Disk;
   replica: replica.Replica | undefined;
   /** Commands applied by this process, by index. */
@@ -46,6 +48,9 @@
 
 const LATENCY_MS = 5;
 
+/** Interval between two checks of the leader's repair. */
+const REPAIR_INTERVAL_MS = 100;
+
 function applyRecord(
   durable: messages.DurableState,
   record: messages.StorageRecord,
@@ -89,6 +94,8 @@
 
   private proposals = 0;
 
+  private wiped = 0;
+
   problem = '';
 
   /** Whether the faults are over, so that writes no longer crash. */
@@ -138,6 +145,11 @@
     return this.now;
   }
 
+  /** The clock of one node. */
+  clockOf(id: string): number {
+    return this.nowAt(this.nodes.get(id) as Node);
+  }
+
   leader(): Node | undefined {
     return [...this.nodes.values()].find((node) =>
       node.replica?.hasQuorumContact(this.nowAt(node)),
@@ -163,6 +175,24 @@
     this.nodes.delete(id);
   }
 
+  /** Empties the disk of a VM, which restarts as a new replica; returns the id of that. */
+  wipe(id: string): string {
+    const { address } = this.nodes.get(id) as Node;
+    this.destroy(id);
+    this.wiped += 1;
+    const successor = `s${address}.${this.wiped}`;
+    this.addNode(successor, messages.emptyDurable(), address);
+    return successor;
+  }
+
+  /** Advances time with the leader's repair. */
+  advanceWithRepair(ms: number, size: number, deadAfterMs: number): void {
+    for (let t = 0; t < ms && this.problem === ''; t += REPAIR_INTERVAL_MS) {
+      this.repairStep(size, deadAfterMs);
+      this.advance(REPAIR_INTERVAL_MS);
+    }
+  }
+
   /** One check of the leader's repair; spares are the nodes in no replica set. */
   repairStep(size: number, deadAfterMs: number): repair.RepairStep | undefined {
     const node = this.leader();
@@ -173,13 +203,14 @@
       .filter(({ id }) => id !== node.id)
       .map(({ id }) => ({
         id,
-        silentFor: now - leader.contactAt(id),
+        silentFor: leader.silentFor(id, now),
         caughtUp: leader.isCaughtUp(id),
       }));
     const spares = [...this.nodes.values()]
       .filter(({ id }) => id.startsWith('s'))
-      .map(({ id }) => ({ id, address: id, dataCentre: `dc${id}` }));
-    const step = repair.nextStep(leader.members, health, spares, size, deadAfterMs);
+      .map(({ id, address }) => ({ id, address, dataCentre: `dc${id}`, silentFor: 0 }));
+    const { members } = leader;
+    const step = repair.nextStep({ members, health, spares, size, deadAfterMs });
     if (step === undefined) return undefined;
     const { refusal, effects } = leader.changeMembers(step.members, now);
     this.applyEffects(node, effects);
@@ -202,9 +233,10 @@
     this.start(node);
   }
 
-  private addNode(id: string, durable: messages.DurableState): void {
+  private addNode(id: string, durable: messages.DurableState, address = id): void {
     const skew = Math.floor(this.source.uniform() * 1_000);
-    const node: Node = { id, disk: { durable }, replica: undefined, applied: new Map(), skew };
+    const disk = { durable };
+    const node: Node = { id, address, disk, replica: undefined, applied: new Map(), skew };
     this.nodes.set(id, node);
     this.start(node);
   }
--- a/packages/domain/src/replication/messages.ts
+++ b/packages/domain/src/replication/messages.ts
@@ -73,6 +73,12 @@
   knowsLeader: boolean;
 }
 
+/** How long a member has been silent towards the leader. */
+export interface Silence {
+  id: string;
+  ms: number;
+}
+
 export interface AppendRequest {
   kind: 'appendRequest';
   from: string;
@@ -86,6 +92,11 @@
    * sending.
    */
   sentAt: number;
+  /**
+   * Members that the leader hasn't heard for longer than an election takes; absent if there are none, and from leaders
+   * of the last version.
+   */
+  silences?: Silence[];
 }
 
 export interface AppendAnswer {
--- a/packages/domain/src/replication/repair.ts
+++ b/packages/domain/src/replication/repair.ts
@@ -1,15 +1,18 @@
 /**
- * Automatic repair of the replica set: a dead voter is replaced by a spare VM with a disk. The
+ * Automatic repair of the replica set: a voter that is gone is replaced by a spare VM with a disk. The
  * order is fixed: add the spare as a learner, promote it when it has everything committed, then
- * remove the dead voter. Each step is committed before the next, so the quorums of the old and the
+ * remove the voter. Each step is committed before the next, so the quorums of the old and the
  * new set always share a member, and a second loss right after the repair loses nothing.
+ *
+ * A voter is gone if it was silent for long, or as soon as another replica answers at its address: a
+ * VM that lost its disk returns with a new replica id, and nothing can serve the former replica any more.
  */
 import * as messages from './messages';
 
-/** The leader's view of one member or spare. */
+/** The leader's view of one member. */
 export interface Health {
   id: string;
-  /** Milliseconds since its last answer. */
+  /** Milliseconds since its last answer to this leader or an earlier one. */
   silentFor: number;
   caughtUp: boolean;
 }
@@ -19,6 +22,8 @@
   id: string;
   address: string;
   dataCentre: string;
+  /** Milliseconds since it was last heard from; undefined if its address wasn't confirmed by itself. */
+  silentFor?: number;
 }
 
 export interface RepairStep {
@@ -27,59 +32,133 @@
   members: messages.Member[];
 }
 
-/** A voter without an answer for this long counts as dead, milliseconds. */
+/** What the leader knows when it looks for the next step. */
+export interface Situation {
+  members: readonly messages.Member[];
+  /** Health of all members but the leader. */
+  health: readonly Health[];
+  /** Replicas that may become members; some may be members already. */
+  spares: readonly Spare[];
+  /** Number of voters that the replica set should have. */
+  size: number;
+  /** A member that was silent for longer counts as gone, milliseconds. */
+  deadAfterMs: number;
+}
+
+/** A voter without an answer for this long counts as gone, milliseconds. */
 export const DEFAULT_DEAD_AFTER_MS = 10_000;
 
+/** The next step towards `size` live voters; undefined when none is due or possible. */
+export function nextStep(situation: Situation): RepairStep | undefined {
+  const { members, health, size } = situation;
+  const voters = members.filter(({ role }) => role === 'voter');
+  const learner = members.find(({ role }) => role === 'learner');
+  const gone = goneMembers(situation);
+  const goneVoters = gone.filter(({ role }) => role === 'voter');
+  if (learner !== undefined) {
+    if (gone.includes(learner)) return without('dropLearner', learner, members);
+    const isCaughtUp = health.some(({ id, caughtUp }) => id === learner.id && caughtUp);
+    return isCaughtUp ? promoted(learner, members) : undefined;
+  }
+  if (goneVoters.length > 0 && voters.length > size) {
+    const isReplaced = ({ id, address }: messages.Member): boolean =>
+      members.some((other) => other.id !== id && other.address === address);
+    const removed = goneVoters.find(isReplaced) ?? goneVoters[0];
+    return without('removeDead', removed, members);
+  }
+  if (goneVoters.length === 0 && voters.length >= size) return undefined;
+  const spare = spareToAdd(situation, goneVoters);
+  if (spare === undefined) return undefined;
+  const { id, address, dataCentre } = spare;
+  const added: messages.Member = { id, address, dataCentre, role: 'learner' };
+  return { reason: 'addLearner', subject: id, members: [...members, added] };
+}
+
+function without(
+  reason: 'removeDead' | 'dropLearner',
+  member: messages.Member,
+  members: readonly messages.Member[],
+): RepairStep {
+  return { reason, subject: member.id, members: members.filter(({ id }) => id !== member.id) };
+}
+
+function promoted(learner: messages.Member, members: readonly messages.Member[]): RepairStep {
+  const changed = members.map((member): messages.Member => {
+    return member.id === learner.id ? { ...member, role: 'voter' } : member;
+  });
+  return { reason: 'promote', subject: learner.id, members: changed };
+}
+
+/** The members that are gone, the longest silent first: further VMs may be lost the soonest after its loss. */
+function goneMembers(situation: Situation): messages.Member[] {
+  const { members, deadAfterMs } = situation;
+  const silence = silenceById(situation);
+  const silentFor = ({ id }: messages.Member): number => silence.get(id) ?? 0;
+  return members
+    .filter((each) => silentFor(each) > deadAfterMs || hasSuccessor(each, situation, silence))
+    .sort((a, b) => silentFor(b) - silentFor(a));
+}
+
+/** Silence of the members but the leader, in milliseconds. */
+function silenceById({ health }: Situation): Map<string, number> {
+  return new Map(health.map(({ id, silentFor }) => [id, silentFor]));
+}
+
+/**
+ * Whether another replica was heard at a member's address after the member. An address belongs to one VM, and a replica
+ * to one data folder. A member that was heard later contradicts that, for instance as its disk is back.
+ */
+function hasSuccessor(
+  { id, address }: messages.Member,
+  { members, spares }: Situation,
+  silence: ReadonlyMap<string, number>,
+): boolean {
+  const silentFor = silence.get(id);
+  if (silentFor === undefined) return false;
+  const others: readonly Spare[] = [
+    ...spares,
+    ...members.map((member) => ({ ...member, silentFor: silence.get(member.id) ?? 0 })),
+  ];
+  return others.some((other) => {
+    const isElsewhere = other.id === id || other.address !== address;
+    return !isElsewhere && other.silentFor !== undefined && other.silentFor < silentFor;
+  });
+}
+
+/**
+ * The spare for the first of the voters to replace that has one. A successor replaces its predecessor rather than another
+ * voter: a voter that is merely silent may return with its disk.
+ */
+function spareToAdd(
+  { members, spares }: Situation,
+  goneVoters: readonly messages.Member[],
+): Spare | undefined {
+  const free = spares.filter(({ id }) => !members.some((member) => member.id === id));
+  const isSuccessor = ({ address }: Spare): boolean =>
+    goneVoters.some((voter) => voter.address === address);
+  const present = members.filter((member) => !goneVoters.includes(member));
+  const other = bestSpare(
+    present,
+    free.filter((spare) => !isSuccessor(spare)),
+  );
+  if (goneVoters.length === 0) return other;
+  const candidates = goneVoters.map((voter) => {
+    return free.find(({ address }) => address === voter.address) ?? other;
+  });
+  return candidates.find((spare) => spare !== undefined);
+}
+
 /**
- * The spare in the data centre with the fewest voters, so that the loss of a data centre costs as
- * few voters as possible.
+ * The spare in the data centre with the fewest voters, so that the loss of a data centre costs as few voters as possible.
  */
 function bestSpare(
-  members: readonly messages.Member[],
+  present: readonly messages.Member[],
   spares: readonly Spare[],
 ): Spare | undefined {
   const votersIn = (dataCentre: string): number =>
-    members.filter((member) => member.dataCentre === dataCentre && member.role === 'voter').length;
+    present.filter((member) => member.dataCentre === dataCentre && member.role === 'voter').length;
   const ranked = [...spares].sort(
     (a, b) => votersIn(a.dataCentre) - votersIn(b.dataCentre) || (a.id < b.id ? -1 : 1),
   );
   return ranked[0];
 }
-
-/** The next step towards `size` live voters; undefined when none is due or possible. */
-export function nextStep(
-  members: readonly messages.Member[],
-  health: readonly Health[],
-  spares: readonly Spare[],
-  size: number,
-  deadAfterMs: number,
-): RepairStep | undefined {
-  const healthOf = (id: string): Health | undefined => health.find((entry) => entry.id === id);
-  const isDead = (id: string): boolean => (healthOf(id)?.silentFor ?? 0) > deadAfterMs;
-  const voters = members.filter(({ role }) => role === 'voter');
-  const dead = voters.find(({ id }) => isDead(id));
-  const learner = members.find(({ role }) => role === 'learner');
-
-  if (learner !== undefined && isDead(learner.id)) {
-    const rest = members.filter(({ id }) => id !== learner.id);
-    return { reason: 'dropLearner', subject: learner.id, members: rest };
-  }
-  if (learner !== undefined) {
-    if (healthOf(learner.id)?.caughtUp !== true) return undefined;
-    const promoted = members.map((member): messages.Member => {
-      return member.id === learner.id ? { ...member, role: 'voter' } : member;
-    });
-    return { reason: 'promote', subject: learner.id, members: promoted };
-  }
-  if (dead !== undefined && voters.length > size) {
-    const rest = members.filter(({ id }) => id !== dead.id);
-    return { reason: 'removeDead', subject: dead.id, members: rest };
-  }
-  if (dead === undefined && voters.length >= size) return undefined;
-  const free = spares.filter(({ id }) => !members.some((member) => member.id === id));
-  const alive = members.filter(({ id }) => !isDead(id));
-  const spare = bestSpare(alive, free);
-  if (spare === undefined) return undefined;
-  const added: messages.Member = { ...spare, role: 'learner' };
-  return { reason: 'addLearner', subject: spare.id, members: [...members, added] };
-}
--- a/packages/domain/src/replication/replica.ts
+++ b/packages/domain/src/replication/replica.ts
@@ -5,6 +5,7 @@
  */
 import * as random from '../shared/random';
 import * as log from './log';
+import * as memberContacts from './memberContacts';
 import * as messages from './messages';
 
 export type State = 'follower' | 'preCandidate' | 'candidate' | 'leader';
@@ -95,6 +96,8 @@
 
   private progress = new Map<string, Progress>();
 
+  private readonly contacts = new memberContacts.MemberContacts();
+
   private effects = messages.noEffects();
 
   constructor(
@@ -167,6 +170,7 @@
 
   receive(message: messages.Message, now: number): messages.Effects {
     this.observeTerm(message, now);
+    this.contacts.heard(message.from, now);
     if (message.kind === 'voteRequest') this.handleVoteRequest(message, now);
     if (message.kind === 'voteAnswer') this.handleVoteAnswer(message, now);
     if (message.kind === 'appendRequest') this.handleAppendRequest(message, now);
@@ -202,6 +206,7 @@
     const refusal = this.refusalToChange(members, now);
     if (refusal !== undefined) return { refusal, effects: messages.noEffects() };
     const index = this.log.lastIndex + 1;
+    this.contacts.retain(members);
     this.appendOwn([{ kind: 'members', index, term: this.term, members }], now);
     return { effects: this.takeEffects() };
   }
@@ -244,10 +249,22 @@
   }
 
   /**
-   * When the leader last had contact with `id`: the sending time of the last request that `id`
-   * answered.
+   * Milliseconds since the leader or one of its predecessors last had contact with `id`. What predecessors saw counts
+   * only once `id` has had the time of an election to answer this leader.
    */
-  contactAt(id: string): number {
+  silentFor(id: string, now: number): number {
+    const progress = this.progress.get(id);
+    if (progress !== undefined && progress.answeredAt > -Infinity) return now - progress.answeredAt;
+    const askedSince = this.contactAt(id);
+    if (now - askedSince < this.timing.electionMin) return now - askedSince;
+    return now - Math.min(askedSince, this.contacts.lastAt(id) ?? askedSince);
+  }
+
+  /**
+   * When this leader last had contact with `id`: the sending time of the last request that `id` answered, or else when
+   * it became a leader or `id` a member.
+   */
+  private contactAt(id: string): number {
     return this.progress.get(id)?.contactAt ?? this.leaderSince;
   }
 
@@ -503,6 +520,7 @@
     }
     const entries = isPending ? [] : this.log.from(progress.next, MAX_BATCH_ENTRIES);
     if (entries.length > 0) progress.pendingSince = now;
+    const silences = this.silences(now);
     this.send(id, {
       kind: 'appendRequest',
       from: this.id,
@@ -512,9 +530,17 @@
       entries,
       commit: this.commit,
       sentAt: now,
+      ...(silences.length > 0 && { silences }),
     });
   }
 
+  /** Members that have been silent for longer than an election takes. */
+  private silences(now: number): messages.Silence[] {
+    return this.peers
+      .map(({ id }) => ({ id, ms: this.silentFor(id, now) }))
+      .filter(({ ms }) => ms >= this.timing.electionMin);
+  }
+
   private sendSnapshot(id: string, progress: Progress, now: number): void {
     progress.pendingSince = now;
     const { snapshot } = this.log;
@@ -533,6 +559,7 @@
       return;
     }
     this.followLeader(from, now);
+    this.contacts.stated(from, this.members, request.silences ?? [], now);
     // Everything that the snapshot covers is committed and therefore equal at any leader.
     const isCovered = request.previousIndex < this.log.snapshot.index;
     const ownTerm = this.log.termAt(request.previousIndex);
