Read nothing of a response before it is known to answer the message

Cause: a target's late second copy of a refusal arrives where the answer to the next message on its connection is due. `CallerResponse.complete` took any refusal for one of its own request; only successes and the statements about a target (back-off, limit, departure) were compared by id. The connection was kept and stayed one answer behind.

Change: the attempt that carries a message compares the ids before anything else of a response is read, in `responseOrigin.isResponseTo`, for requests, relayed ones at both ends, orders and probes. A response to another message, without an id or with several ends the attempt as `foreign` and its connection at once: the message was sent, so an unsafe call gets 502 and a repeatable one goes to another target. Waiting for the true answer behind it was weighed: one more guess about what a faulty target writes, where a wrong one tells a caller what isn't so. Event 4127 and the counters `responses.foreign.*` show it.

Two stand-ins in tests answered orders and probes, which have no id, with the id of a request. They now answer without.

--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -74,7 +74,7 @@
 
 /** A gate that admits every message. */
 export const PERMISSIVE_GATE: targetClient.AdmissionGate = {
-  admit: () => ({ answered: () => undefined, ended: () => undefined }),
+  admit: () => ({ answered: () => undefined, foreign: () => undefined, ended: () => undefined }),
 };
 
 export type TargetBehaviour = (request: string, socket: net.Socket) => void;
@@ -360,11 +360,22 @@
 }
 
 /** A complete signed response with a length. */
-export function answer(body: string, status = 200, more = ''): string {
-  const head = `HTTP/1.1 ${status} X\r\nid: r1\r\nsigned: 1\r\n${more}`;
+export function answer(body: string, status = 200, more = '', id = 'r1'): string {
+  const head = `HTTP/1.1 ${status} X\r\nid: ${id}\r\nsigned: 1\r\n${more}`;
   return `${head}Content-Length: ${body.length}\r\n\r\n${body}`;
 }
 
+/** Id of the request in a message to a target; undefined for an order or a liveness probe. */
+export function idOf(message: string): string | undefined {
+  return /^id: (.*)$/im.exec(message)?.[1].trim();
+}
+
+/** A complete signed response to a message, with the id of the message if it has one. */
+export function answerTo(message: string, body: string): string {
+  const id = idOf(message);
+  return id === undefined ? answer(body).replace('id: r1\r\n', '') : answer(body, 200, '', id);
+}
+
 /** The head of a signed stream. */
 export const STREAM_HEAD =
   'HTTP/1.1 200 OK\r\nid: r1\r\nsigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n';
--- a/packages/daemon/src/entry/__tests__/evacuatedTargets.test.ts
+++ b/packages/daemon/src/entry/__tests__/evacuatedTargets.test.ts
@@ -4,8 +4,8 @@
 
 const { expect } = chai;
 
-const RESPOND: harness.TargetBehaviour = (_request, socket) => {
-  socket.write(harness.answer('whole'));
+const RESPOND: harness.TargetBehaviour = (request, socket) => {
+  socket.write(harness.answerTo(request, 'whole'));
 };
 
 describe('an entry during evacuations', () => {
--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -273,7 +273,7 @@
    */
   it('keeps waiting for a target that is overdue but alive', async () => {
     const busy: harness.TargetBehaviour = (request, socket) => {
-      if (request.includes(harness.REPORT_PATH)) socket.write(harness.answer('{}'));
+      if (request.includes(harness.REPORT_PATH)) socket.write(harness.answerTo(request, '{}'));
       else setTimeout(() => socket.write(stream), 1_200);
     };
     const stream = `${harness.STREAM_HEAD}${harness.chunk('id: 1\ndata: a\n\n')}${harness.LAST_CHUNK}`;
--- a/packages/daemon/src/entry/__tests__/relay.test.ts
+++ b/packages/daemon/src/entry/__tests__/relay.test.ts
@@ -108,14 +108,12 @@
         body += chunk.toString();
       },
     };
-    const attempt = new targetAttempt.Attempt(handler, {
-      answered: () => undefined,
-      ended: () => undefined,
-    });
     const message: targetClient.TargetMessage = {
       ...{ target: 't', address, purpose: 'request', requestId: 'r1' },
       ...{ method: 'POST', path: '/a', headers: ['id', 'r1'], body: Buffer.from('asked') },
     };
+    const callbacks = harness.PERMISSIVE_GATE.admit(message);
+    const attempt = new targetAttempt.Attempt(message, handler, callbacks);
     const delivered = client.deliver(message, attempt).then(async (end) => {
       const result = attempt.isOver ? await attempt.result : undefined;
       return { end, result, body, status, wasSent: attempt.wasSent };
@@ -141,6 +139,14 @@
     expect(result?.kind).to.equal('broken');
   });
 
+  /** Guards against a refusal of another request that one entry recognises and another one believes. */
+  it('reports a response to another message as such, which guarantees nothing', async () => {
+    const refusal = harness.answer('', 503, 'not-run: 1\r\n', 'r0');
+    const target = await startTarget((socket) => socket.write(refusal));
+    const { result, status, wasSent } = await deliver([await startRelay()], target);
+    expect([result?.kind, status, wasSent]).to.deep.equal(['foreign', undefined, true]);
+  });
+
   /** Guards against a caller that is told that its request may have run, although no target received it. */
   it('reports a message that reached no target as not sent', async () => {
     const { end, wasSent, result } = await deliver([await startRelay()], '127.0.0.1:1');
--- a/packages/daemon/src/entry/callerResponse.ts
+++ b/packages/daemon/src/entry/callerResponse.ts
@@ -8,6 +8,7 @@
 import * as hopByHop from '../edges/hopByHop';
 import type * as protocols from '../edges/protocols';
 import type * as heldBytes from './heldBytes';
+import * as responseOrigin from './responseOrigin';
 import type * as targetAttempt from './targetAttempt';
 import type * as targetClient from './targetClient';
 
@@ -152,6 +153,9 @@
       return { kind: 'unusable', detail: 'no response' };
     }
     const { isNotRun, isWrongLifetime, faulty } = head.facts;
+    if (!responseOrigin.isResponseTo(this.caller.requestId, head.facts)) {
+      return { kind: 'unusable', detail: `response to another message: ${head.status}` };
+    }
     if (isNotRun) {
       return { kind: 'notRun', detail: `target refused: ${head.status}`, isWrongLifetime, faulty };
     }
@@ -199,8 +203,7 @@
     const { head, caller } = this;
     if (head === undefined || head.facts.isNotRun) return false;
     const { facts } = head;
-    const isToThisRequest = facts.requestId === caller.requestId;
-    if (!isToThisRequest || facts.isEncoded) return false;
+    if (!responseOrigin.isResponseTo(caller.requestId, facts) || facts.isEncoded) return false;
     return facts.isSigned && !NOT_RUN_STATUSES.has(head.status);
   }
 
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -591,6 +591,9 @@
     if (result.kind === 'broken') {
       return { kind: 'failed', ending: 'broken', detail: result.detail, isCut: true };
     }
+    if (result.kind === 'foreign') {
+      return { kind: 'failed', ending: 'broken', detail: result.detail, isCut: false };
+    }
     if (result.kind === 'cancelled') return { kind: 'gone' };
     if (result.kind === 'withheld') return result;
     const completion = this.reply.complete(this.isRepeatable && this.hasAttemptsLeft);
--- a/packages/daemon/src/entry/relayDispatch.ts
+++ b/packages/daemon/src/entry/relayDispatch.ts
@@ -5,7 +5,8 @@
 import * as relayProtocol from './relayProtocol';
 
 /** The attempt is over, or it never reached its target and may go another way. */
-export type DispatchEnd = { kind: 'over' } | Exclude<relayProtocol.RelayResult, { kind: 'broken' }>;
+export type DispatchEnd =
+  { kind: 'over' } | Exclude<relayProtocol.RelayResult, { kind: 'broken' | 'foreign' }>;
 
 export interface Options {
   attempt: targetAttempt.Attempt;
@@ -78,7 +79,7 @@
       onEnd({ kind: 'over' });
       return;
     }
-    if (result.kind === 'broken') {
+    if (result.kind === 'broken' || result.kind === 'foreign') {
       attempt.finish(result);
       onEnd({ kind: 'over' });
       return;
@@ -93,7 +94,7 @@
   try {
     const { kind, detail } = JSON.parse(body.toString()) as relayProtocol.RelayResult;
     const isUnsent = kind === 'notSent' || kind === 'refused' || kind === 'declined';
-    if (isUnsent) return { kind, detail: String(detail) };
+    if (isUnsent || kind === 'foreign') return { kind, detail: String(detail) };
     return { kind: 'broken', detail: String(detail) };
   } catch {
     return { kind: 'broken', detail: 'unreadable result of the relay' };
--- a/packages/daemon/src/entry/relayProtocol.ts
+++ b/packages/daemon/src/entry/relayProtocol.ts
@@ -34,7 +34,9 @@
   /** The relay doesn't take this message, because of its target; another one may. */
   | { kind: 'declined'; detail: string }
   /** The target may have run it. */
-  | { kind: 'broken'; detail: string };
+  | { kind: 'broken'; detail: string }
+  /** The same, as the target's response answers another message; the last version takes it for `broken`. */
+  | { kind: 'foreign'; detail: string };
 
 /** `relayStatus`: asks an entry whether it would relay messages. */
 export interface RelayStatus {
--- a/packages/daemon/src/entry/targetAttempt.ts
+++ b/packages/daemon/src/entry/targetAttempt.ts
@@ -2,6 +2,7 @@
  * One attempt to deliver a message to a target, whichever way it goes. The dispatch that carries it reports here what
  * happened; `cancel` ends that dispatch, which also stops the target's work.
  */
+import * as responseOrigin from './responseOrigin';
 import type * as targetClient from './targetClient';
 
 /** What an attempt needs of the dispatch that carries it. */
@@ -30,6 +31,7 @@
 
   /** `callbacks` is undefined if the message is withheld. */
   constructor(
+    private readonly message: Pick<targetClient.TargetMessage, 'requestId'>,
     private readonly handler: targetClient.ResponseHandler,
     private readonly callbacks: targetClient.DeliveryCallbacks | undefined,
   ) {
@@ -87,10 +89,24 @@
   answered(head: targetClient.ResponseHead): void {
     if (this.isSettled) return;
     this.wasAnswered = true;
+    if (!responseOrigin.isResponseTo(this.message.requestId, head.facts)) {
+      this.reject(head);
+      return;
+    }
     this.callbacks?.answered(head);
     this.handler.onHead(head);
   }
 
+  /**
+   * Ends the attempt, and its connection with it, for a response to another message. The connection would stay one answer
+   * behind. Whether the target runs this message is unknown.
+   */
+  private reject(head: targetClient.ResponseHead): void {
+    this.callbacks?.foreign(head);
+    this.finish({ kind: 'foreign', detail: `response to another message: ${head.status}` });
+    this.carrier?.abort(new Error('response to another message'));
+  }
+
   data(chunk: Buffer): void {
     if (!this.isSettled) this.handler.onData(chunk);
   }
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -39,6 +39,8 @@
   | { kind: 'withheld' }
   /** Bytes were written, but no complete response arrived. */
   | { kind: 'broken'; detail: string }
+  /** Bytes were written, and the response that arrived answers another message. */
+  | { kind: 'foreign'; detail: string }
   | { kind: 'cancelled' };
 
 /**
@@ -68,6 +70,8 @@
 export interface DeliveryCallbacks {
   /** The head of its response arrived. */
   answered: (head: ResponseHead) => void;
+  /** The head of a response to another message arrived instead. */
+  foreign: (head: ResponseHead) => void;
   /** It ended, with or without a response. */
   ended: () => void;
 }
@@ -124,7 +128,8 @@
 
   /** Sends a message directly, or by way of another entry if the path to its target is lost. */
   send(message: TargetMessage, handler: ResponseHandler): targetAttempt.Attempt {
-    const attempt = new targetAttempt.Attempt(handler, this.dependencies.gate.admit(message));
+    const callbacks = this.dependencies.gate.admit(message);
+    const attempt = new targetAttempt.Attempt(message, handler, callbacks);
     if (attempt.isWithheld) return attempt;
     if (this.mustRelay(message.target)) void this.relay(message, attempt);
     else this.dispatch(message, attempt, (failure) => this.sendAround(message, attempt, failure));
@@ -133,7 +138,8 @@
 
   /** Sends a message of another entry, directly in any case. */
   sendDirectly(message: TargetMessage, handler: ResponseHandler): targetAttempt.Attempt {
-    const attempt = new targetAttempt.Attempt(handler, this.dependencies.gate.admit(message, true));
+    const callbacks = this.dependencies.gate.admit(message, true);
+    const attempt = new targetAttempt.Attempt(message, handler, callbacks);
     if (attempt.isWithheld) return attempt;
     this.dispatch(message, attempt, (failure) => attempt.finish({ kind: 'notSent', ...failure }));
     return attempt;
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -16,6 +16,7 @@
 import * as leaderCall from './leaderCall';
 import * as leaderOutbox from './leaderOutbox';
 import type * as rateLimitClient from './rateLimitClient';
+import * as responseOrigin from './responseOrigin';
 import type * as targetClient from './targetClient';
 
 type Lifetime = domain.quarantine.crashedLifetimes.Lifetime;
@@ -105,6 +106,7 @@
     this.countActive(lifetime, 1);
     return {
       answered: (head) => this.answered(sent, head),
+      foreign: (head) => this.logForeign(message, head),
       ended: () => {
         inFlight.ended();
         this.countActive(lifetime, -1);
@@ -210,6 +212,16 @@
     observe.log('messageEvacuated', { request, target, purpose, evacuated, dataCentre });
   }
 
+  private logForeign(
+    { target, purpose, requestId: request }: targetClient.TargetMessage,
+    { status, facts }: targetClient.ResponseHead,
+  ): void {
+    const { observer: observe } = this.dependencies;
+    const { requestId: answered, isNotRun } = facts;
+    observe.count(`responses.foreign.${purpose}`);
+    observe.log('foreignResponse', { request, target, purpose, status, answered, isNotRun });
+  }
+
   private accepts(target: string, purpose: targetClient.MessagePurpose): boolean {
     const now = this.dependencies.now();
     // A draining target still gets checks, and upkeep of the requests that run there and of their memory.
@@ -332,8 +344,8 @@
 /** Whether a response belongs to the message and comes from the addressed lifetime. */
 function isFromTarget(
   { requestId = '' }: targetClient.TargetMessage,
-  { requestId: answeredId = '', isWrongLifetime, isSigned, isNotRun }: protocols.ResponseMetadata,
+  facts: protocols.ResponseMetadata,
 ): boolean {
-  if (isWrongLifetime || answeredId !== requestId) return false;
-  return requestId === '' || isSigned || isNotRun;
+  if (facts.isWrongLifetime || !responseOrigin.isResponseTo(requestId, facts)) return false;
+  return requestId === '' || facts.isSigned || facts.isNotRun;
 }
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -87,6 +87,7 @@
   pathsLost: { number: 4124, level: 'warn', text: 'paths from this VM to targets lost' },
   pathsRestored: { number: 4125, level: 'info', text: 'path from this VM to a target restored' },
   targetVerdict: { number: 4126, level: 'info', text: 'another VM was asked about a target' },
+  foreignResponse: { number: 4127, level: 'warn', text: 'response of a target to another message' },
   requestEnded: { number: 5001, level: 'info', text: 'request ended' },
   attemptFailed: { number: 5002, level: 'warn', text: 'attempt failed' },
   frameCrossed: { number: 5003, level: 'error', text: 'frame of another request dropped' },
