Send a request that returns to a target over a connection of its own

A request that all targets refused may return to one of them, under the same id. A late second copy of the former refusal then has the id of the request and would count as its answer, although the target runs it: the caller of an unsafe call would be told that it didn't run. No id can tell the two apart, so the request isn't sent on a connection that its target may answer out of turn: each return uses a new one, which costs one connection and happens only after a refusal.

The new test fails without the change (the request ends with 503 although the target ran it) and passes with it.

--- a/packages/daemon/src/entry/__tests__/foreignResponses.test.ts
+++ b/packages/daemon/src/entry/__tests__/foreignResponses.test.ts
@@ -128,4 +128,25 @@
       expect([...statuses]).to.include(200);
     });
   });
+
+  // Guards against a late copy of a refusal with the same id, which a request gets that returned to the same target.
+  it("don't reach a request that returns to a target that refused it", async () => {
+    let first: net.Socket | undefined;
+    const refuseTwice: harness.TargetBehaviour = (message, socket) => {
+      const id = idOf(message);
+      if (first === undefined) {
+        first = socket;
+        socket.write(refusal(id));
+      } else {
+        first.write(refusal(id));
+        setTimeout(() => socket.write(success(id)), 20);
+      }
+    };
+    setup = await harness.TestHarness.start(refuseTwice, (message, socket) => {
+      socket.write(refusal(idOf(message)));
+    });
+    const reply = await send('/safe/1', 'r1');
+    expect([reply.status, reply.body]).to.deep.equal([200, 'whole r1']);
+    expect(setup.outcomes).to.deep.equal(['full', 'full', 'done']);
+  });
 });
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -447,6 +447,7 @@
         purpose: 'request',
         helpers: placement.helpers.map(({ target }) => target),
         requestId: this.admitted.facts.requestId,
+        isRepeat: this.attempts.targets.includes(placement.target),
         method: request.method ?? 'GET',
         path: request.url ?? '/',
         headers: currentHeaders(),
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -58,6 +58,11 @@
   helpers?: readonly string[];
   /** Id of the caller's request, which its response repeats; undefined for messages that this daemon originates. */
   requestId?: string;
+  /**
+   * Whether the target has received the same id before. A late copy of its former answer would look like the answer to
+   * this message, so this one goes over a connection of its own.
+   */
+  isRepeat?: boolean;
   method: string;
   path: string;
   headers: string[];
@@ -195,13 +200,15 @@
   }
 
   private dispatch(
-    { target, address, method, path, headers, body, currentHeaders }: TargetMessage,
+    { target, address, method, path, headers, body, currentHeaders, isRepeat }: TargetMessage,
     attempt: targetAttempt.Attempt,
     onUnreachable: (failure: directDispatch.ConnectionFailure) => void,
   ): void {
     const { connections } = this;
     const { protocol, paths } = this.dependencies;
-    this.pool(target, address).dispatch(
+    const pool = isRepeat === true ? this.newPool(target, address) : this.pool(target, address);
+    if (isRepeat === true) void attempt.result.then(() => pool.destroy());
+    pool.dispatch(
       {
         method,
         path,
@@ -249,7 +256,13 @@
   private pool(target: string, address: string): undici.Pool {
     const existing = this.pools.get(target);
     if (existing !== undefined) return existing;
-    const created = new undici.Pool(`http://${address}`, {
+    const created = this.newPool(target, address);
+    this.pools.set(target, created);
+    return created;
+  }
+
+  private newPool(target: string, address: string): undici.Pool {
+    return new undici.Pool(`http://${address}`, {
       connect: this.connections.connectorFor(target) as unknown as undici.buildConnector.connector,
       pipelining: 1,
       allowH2: false,
@@ -257,7 +270,5 @@
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       keepAliveTimeoutThreshold: IDLE_TIMEOUT_MARGIN_MS,
     });
-    this.pools.set(target, created);
-    return created;
   }
 }
