Let the soak lose leading keepers in turn, and targets repeat answers late

Both faults of the review were within reach of the soak and neither was found: its spare answers had no id and came while the connection was idle, no full target refused beside them, and disks were lost one at a time by chance, or always those of the first keepers.

Change: targets refuse a third of the requests for some seconds and send copies of their answers, with their ids, where the answer to the next message is due. Some runs end with three leaders that lose their disks in turn, or with restarts of the leader while one keeper is down and one has lost its disk. A loss of all keepers takes any two disks, not the first.

--- a/packages/soak/src/faultInjector.ts
+++ b/packages/soak/src/faultInjector.ts
@@ -132,6 +132,14 @@
     await Promise.all(sheddingTargets.slice(0, 1).map((target) => this.drainTarget(target)));
   }
 
+  /** Makes targets refuse requests and repeat answers late for a while. */
+  async repeatAnswers({ targets, forSeconds }: schedule.RepeatingSpan): Promise<void> {
+    const repeating = targets.map((index) => this.fleet.targets[index]);
+    repeating.forEach((target) => target.setSelfReport({ repeatsAnswers: true }));
+    await operator.sleep(forSeconds * 1_000);
+    repeating.forEach((target) => target.setSelfReport({ repeatsAnswers: undefined }));
+  }
+
   /** The evacuation in progress; the end of one would end another of the same data centre. */
   private evacuation: Promise<void> = Promise.resolve();
 
@@ -266,6 +274,18 @@
     return () => this.random() < share;
   }
 
+  /** Simulates a power loss of a keeper, which loses its disk or keeps it; resolves when it answers again. */
+  async loseKeeper(keeper: fleet.Vm, isWiped: boolean): Promise<void> {
+    const endDisturbance = this.beginDisturbance('keeper', keeper.index, 'lossSeries');
+    await keeper.process.kill();
+    this.fleet.discardUnsynced(keeper);
+    if (isWiped) this.fleet.wipe(keeper);
+    await operator.sleep(RESTART_DELAY_MS);
+    keeper.process.start();
+    await this.operators.untilAnswers(keeper.index);
+    endDisturbance();
+  }
+
   private async powerCycle(
     vm: fleet.Vm,
     downMs: number,
@@ -291,7 +311,7 @@
    * survive it; the newest one is read back before later submissions can hide a loss.
    */
   private async powerCycleAll(vms: readonly fleet.Vm[], step: Step): Promise<void> {
-    const wiped = this.fleet.keepers.slice(0, step.variant < WIPE_SHARE ? WIPED_KEEPERS : 0);
+    const wiped = this.keepersToWipe(step.variant);
     const wipe = (vm: fleet.Vm): void => {
       if (wiped.includes(vm)) this.fleet.wipe(vm);
     };
@@ -304,6 +324,14 @@
     });
   }
 
+  /** The keepers that lose their disks with a power loss of all; a variant below `WIPE_SHARE` selects where they begin. */
+  private keepersToWipe(variant: number): fleet.Vm[] {
+    if (variant >= WIPE_SHARE) return [];
+    const { keepers } = this.fleet;
+    const first = Math.floor((variant / WIPE_SHARE) * keepers.length);
+    return [...keepers, ...keepers].slice(first, first + WIPED_KEEPERS);
+  }
+
   private breakDisk(step: Step, disk: runtimeFaults.Disk): Promise<void> {
     return this.disturbVm(this.keeper(step), step, (vm) =>
       applyFaults(vm, step, { clockMs: 0, disk }),
--- /dev/null
+++ b/packages/soak/src/lossSeries.ts
@@ -0,0 +1,140 @@
+/**
+ * Losses of keepers in turn, each of the one that leads, as soon as the number of losses that the fleet tolerates at once
+ * allows: a VM counts as lost until it has been back for some time, and no longer. They follow all other faults of a
+ * run, while callers go on and documents change.
+ */
+import * as fs from 'node:fs';
+import * as domain from '@celerydrift/domain';
+import type * as faultInjector from './faultInjector';
+import type * as fleet from './fleet';
+import * as operator from './operator';
+
+/** What happens to a keeper in a series of losses. */
+export interface KeeperLoss {
+  /** Time from the election of a leader, or from the end of the wait below, to the loss in seconds. */
+  afterSeconds: number;
+  /** Whether to wait until the first VM that was lost no longer counts as lost. */
+  awaitsFirst: boolean;
+  /** Whether its disk is lost too, or it merely restarts. */
+  isWiped: boolean;
+}
+
+/**
+ * Losses of keepers in turn after all other faults, each of the one that leads, as soon as the number of losses that the
+ * fleet tolerates at once allows.
+ */
+export interface LossSeries {
+  losses: KeeperLoss[];
+  /** Whether another keeper is down all the while, so that one loss less is tolerated beside it. */
+  hasAbsentKeeper: boolean;
+}
+
+const LOSS_SERIES_SEED_OFFSET = 8_000_003;
+/** Shares of the runs that end with losses of disks in turn, and with restarts in turn while a keeper is down. */
+const WIPE_SERIES_SHARE = 0.4;
+const ABSENT_KEEPER_SHARE = 0.2;
+/** Number of restarts in turn; a leader with a lost disk before is elected in one of a few. */
+const RESTARTS = 4;
+/** How long a leader leads before it is lost: just long enough to count a voter's silence, or shorter. */
+const TENURE_SECONDS = { min: 0.2, max: 1.95 } as const;
+/** Time from when the first VM ceases to count as lost to the next loss. */
+const LOSS_MARGIN_SECONDS = 0.05;
+
+export function draw(seed: number): LossSeries | undefined {
+  const random = domain.shared.random.independent(seed + LOSS_SERIES_SEED_OFFSET);
+  const drawn = random.uniform();
+  const { min, max } = TENURE_SECONDS;
+  const tenure = min + (max - min) * random.uniform();
+  const first = { afterSeconds: 0, awaitsFirst: false, isWiped: true };
+  const afterFirst = { afterSeconds: LOSS_MARGIN_SECONDS, awaitsFirst: true };
+  if (drawn < WIPE_SERIES_SHARE) {
+    const second = { afterSeconds: tenure, awaitsFirst: false, isWiped: true };
+    const losses = [first, second, { ...afterFirst, isWiped: true }];
+    return { losses, hasAbsentKeeper: false };
+  }
+  if (drawn >= WIPE_SERIES_SHARE + ABSENT_KEEPER_SHARE) return undefined;
+  const restarts = Array.from({ length: RESTARTS }, () => ({ ...afterFirst, isWiped: false }));
+  return { losses: [first, ...restarts], hasAbsentKeeper: true };
+}
+
+/** A VM that is back no longer counts as lost after this time, milliseconds. */
+const SYNC_MS = 4_000;
+
+/** Limit on the wait for a leader other than the last one, milliseconds. */
+const ELECTION_TIMEOUT_MS = 3_000;
+
+const LEADER_POLL_MS = 25;
+
+/** Numbers of log events of keepers. */
+const EVENT = { started: '"event":1001,', replicaRole: '"event":2002,' } as const;
+
+export interface Dependencies {
+  fleet: fleet.Fleet;
+  operators: Pick<operator.Operator, 'submitNext'>;
+  faultInjector: Pick<faultInjector.FaultInjector, 'loseKeeper'>;
+}
+
+/** Carries out a series; resolves when all keepers but an absent one answer again. */
+export async function carryOut(
+  { losses, hasAbsentKeeper }: LossSeries,
+  { fleet: { keepers }, operators, faultInjector: injector }: Dependencies,
+): Promise<void> {
+  if (hasAbsentKeeper) await followerOf(keepers)?.process.kill();
+  let lost: fleet.Vm | undefined;
+  let firstBack: Promise<void> | undefined;
+  const returns: Promise<void>[] = [];
+  for (const loss of losses) {
+    lost = await untilLeaderOtherThan(lost, keepers);
+    if (loss.awaitsFirst) await firstBack?.then(() => operator.sleep(SYNC_MS));
+    await operator.sleep(loss.afterSeconds * 1_000);
+    void operators.submitNext();
+    const back = injector.loseKeeper(lost, loss.isWiped);
+    // With a keeper absent, one loss at a time is tolerated beside it; each counts until its VM has been back.
+    if (firstBack === undefined || hasAbsentKeeper) firstBack = back;
+    returns.push(back);
+  }
+  await Promise.all(returns);
+}
+
+function followerOf(keepers: readonly fleet.Vm[]): fleet.Vm | undefined {
+  const leader = leaderOf(keepers);
+  return keepers.find((keeper) => keeper !== leader);
+}
+
+/** The leader, once it is another keeper than `last`; any running keeper if none is elected in time. */
+async function untilLeaderOtherThan(
+  last: fleet.Vm | undefined,
+  keepers: readonly fleet.Vm[],
+): Promise<fleet.Vm> {
+  const until = Date.now() + ELECTION_TIMEOUT_MS;
+  while (Date.now() < until) {
+    const leader = leaderOf(keepers);
+    if (leader !== undefined && leader !== last) return leader;
+    await operator.sleep(LEADER_POLL_MS);
+  }
+  const running = keepers.filter(({ process }) => process.isRunning);
+  return running.find((keeper) => keeper !== last) ?? keepers[0];
+}
+
+/** The running keeper that leads by its own log, in the highest term. */
+function leaderOf(keepers: readonly fleet.Vm[]): fleet.Vm | undefined {
+  const roles = keepers
+    .filter(({ process }) => process.isRunning)
+    .map((keeper) => ({ keeper, role: lastRole(keeper.process.command.logFile) }))
+    .filter(({ role }) => role?.state === 'leader');
+  roles.sort((a, b) => (b.role?.term ?? 0) - (a.role?.term ?? 0));
+  return roles[0]?.keeper;
+}
+
+interface Role {
+  state: string;
+  term: number;
+}
+
+/** The last replica state in a keeper's log since the process started. */
+function lastRole(logFile: string): Role | undefined {
+  const lines = fs.readFileSync(logFile, 'utf8').split('\n');
+  const start = lines.findLastIndex((line) => line.includes(EVENT.started));
+  const last = lines.findLastIndex((line) => line.includes(EVENT.replicaRole));
+  return last > start ? (JSON.parse(lines[last]) as Role) : undefined;
+}
--- a/packages/soak/src/operator.ts
+++ b/packages/soak/src/operator.ts
@@ -15,6 +15,7 @@
 type Route = domain.catalogue.catalogue.Route;
 
 export const REQUEST_KINDS = ['safe', 'unsafe', 'stream'] as const;
+const ANSWER_POLL_MS = 50;
 const RETRY_INTERVAL_MS = 100;
 /** Share of acknowledged evacuation orders whose acknowledgement is treated as lost, so that they are sent again. */
 const LOST_ACK_SHARE = 0.5;
@@ -170,6 +171,16 @@
     return undefined;
   }
 
+  /** Resolves when a keeper that was started answers calls, or after the time limit of a call. */
+  async untilAnswers(index: number): Promise<void> {
+    const until = Date.now() + CALL_TIMEOUT_MS;
+    while (Date.now() < until) {
+      const { status } = await controlClient.call(this.controlAddresses[index], counterpart.read());
+      if (status > 0) return;
+      await sleep(ANSWER_POLL_MS);
+    }
+  }
+
   /** Reads back the newest document; undefined if no keeper answers in time. */
   async readNewest(): Promise<observations.Observations['readBack']> {
     const until = Date.now() + CALL_TIMEOUT_MS;
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -13,6 +13,7 @@
 import * as malformedAnnouncer from './malformedAnnouncer';
 import * as faultInjector from './faultInjector';
 import * as layout from './layout';
+import * as lossSeries from './lossSeries';
 import * as observations from './observations';
 import * as operator from './operator';
 import * as schedule from './schedule';
@@ -126,6 +127,7 @@
       this.fleet.forbidFounding();
       const traffic = [this.trafficLoop(), this.probeLoop(), this.malformedAnnouncementLoop()];
       await this.executePlan(plan);
+      if (plan.lossSeries !== undefined) await this.executeLossSeries(plan.lossSeries);
       this.faultInjector.restoreAll();
       this.observed.healedAt = Date.now();
       await operator.sleep(checks.RECOVERY_MS + RECOVERED_TRAFFIC_MS);
@@ -166,6 +168,7 @@
 
   private async executePlan(plan: schedule.Plan): Promise<void> {
     const { steps, crashing, limiting, shedding, isolating, evacuating, severing, seconds } = plan;
+    const { repeating } = plan;
     const startedAt = Date.now();
     const untilSecond = async (at: number): Promise<void> =>
       operator.sleep(Math.max(0, startedAt + at * 1_000 - Date.now()));
@@ -181,6 +184,7 @@
     scheduleAll(shedding, (span) => this.faultInjector.shedLoad(span));
     scheduleAll(evacuating, (span) => this.faultInjector.evacuate(span));
     scheduleAll(severing, (span) => this.faultInjector.sever(span));
+    scheduleAll(repeating, (span) => this.faultInjector.repeatAnswers(span));
     scheduleAll(isolating, (span) => {
       return this.faultInjector.isolate(span, (entry, key) => {
         this.send({ entry, kind: 'safe', path: operator.basePath('safe'), key });
@@ -194,6 +198,11 @@
     await Promise.all(started);
   }
 
+  private executeLossSeries(series: lossSeries.LossSeries): Promise<void> {
+    const { fleet: vms, operators, faultInjector: injector } = this;
+    return lossSeries.carryOut(series, { fleet: vms, operators, faultInjector: injector });
+  }
+
   private async malformedAnnouncementLoop(): Promise<void> {
     const addresses = this.fleet.targets.map(
       ({ advertisedHost }) => `${advertisedHost}:${layout.TARGET_PORT}`,
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -4,6 +4,7 @@
  */
 import * as domain from '@celerydrift/domain';
 import * as layout from './layout';
+import * as lossSeries from './lossSeries';
 import type * as observations from './observations';
 
 export type StepKind =
@@ -174,6 +175,9 @@
   failure: PathFailure;
 }
 
+/** A period in which targets refuse a part of the requests and send a part of their answers a second time, late. */
+export type RepeatingSpan = Omit<LimitingSpan, 'perSecond'>;
+
 export interface Plan {
   seed: number;
   seconds: number;
@@ -184,6 +188,9 @@
   isolating: IsolationSpan[];
   evacuating: EvacuationSpan[];
   severing: SeveringSpan[];
+  repeating: RepeatingSpan[];
+  /** Undefined in runs without such losses. */
+  lossSeries: lossSeries.LossSeries | undefined;
 }
 
 const CRASHING_REQUEST_KINDS: readonly observations.RequestKind[] = ['stream', 'safe', 'unsafe'];
@@ -315,6 +322,22 @@
   }));
 }
 
+const REPEATING_SEED_OFFSET = 6_000_003;
+const MEAN_REPEATING_INTERVAL_SECONDS = 3;
+const REPEATING_SECONDS = { min: 3, max: 6 } as const;
+const MAX_REPEATING_SHARE = 0.6;
+
+function drawRepeating(seed: number, seconds: number, targets: number): RepeatingSpan[] {
+  const timing = { seconds, meanPause: MEAN_REPEATING_INTERVAL_SECONDS };
+  const minGap = REPEATING_SECONDS.max;
+  return drawSpans({ seed: seed + REPEATING_SEED_OFFSET, ...timing, minGap }, (random, at) => {
+    const indexes = Array.from({ length: targets }, (_, i) => i);
+    const count = Math.ceil(MAX_REPEATING_SHARE * targets);
+    const drawn = domain.shared.random.shuffled(random, indexes).slice(0, count);
+    return { at, forSeconds: uniformBetween(random, REPEATING_SECONDS), targets: drawn };
+  });
+}
+
 function drawKind(random: domain.shared.random.Random): StepKind {
   const kinds = Object.entries(WEIGHTS) as [StepKind, number][];
   let left = random.uniform() * kinds.reduce((sum, [, weight]) => sum + weight, 0);
@@ -380,5 +403,7 @@
   const isolating = drawIsolation(seed, seconds, size.entries);
   const evacuating = drawEvacuations(seed, seconds);
   const severing = drawSevering(seed, seconds, size.entries);
-  return { seed, seconds, steps, crashing, limiting, shedding, isolating, evacuating, severing };
+  const repeating = drawRepeating(seed, seconds, size.engines + size.services);
+  const spans = { crashing, limiting, shedding, isolating, evacuating, severing, repeating };
+  return { seed, seconds, steps, ...spans, lossSeries: lossSeries.draw(seed) };
 }
--- a/packages/soak/src/targetMain.ts
+++ b/packages/soak/src/targetMain.ts
@@ -8,6 +8,7 @@
 import { counterpart } from '@celerydrift/platform';
 import * as answers from './answers';
 import * as controlClient from './controlClient';
+import * as lateCopies from './lateCopies';
 import type * as observations from './observations';
 
 /**
@@ -44,6 +45,8 @@
   backOffSeconds?: number;
   /** Whether responses report that it is draining, although its announcements say `ready`. */
   isLeaving?: boolean;
+  /** Whether it refuses a part of the requests as if it were full, and sends a part of its answers a second time, late. */
+  repeatsAnswers?: boolean;
 }
 
 /** A message that the target received, or a report in its response; `source` is the sender's IP address. */
@@ -67,6 +70,9 @@
 const EVENT_INTERVAL_MS = 30;
 /** Share of requests that a target rejects while it requests back-off. */
 const REJECTED_SHARE = 0.5;
+/** Share of requests that a target refuses while it repeats answers, and the statuses of that. */
+const REFUSED_SHARE = 0.3;
+const REFUSAL_STATUSES = [503, 429] as const;
 /** How long a crashing request runs before the target crashes. */
 const CRASH_DELAY_MS = 20;
 
@@ -79,6 +85,8 @@
 
   private running = 0;
 
+  private readonly copies = new lateCopies.LateCopies();
+
   private readonly reservations = new Map<string, { tokens: number; expiresAt: number }>();
 
   constructor(private readonly options: Options) {}
@@ -109,6 +117,7 @@
       return;
     }
     this.reportExchange('got', request);
+    this.copies.messageArrived(request.socket);
     const order = counterpart.memoryOrder(path, body);
     if (order !== undefined) {
       response.writeHead(this.applyMemoryOrder(order)).end('{"free":0}');
@@ -162,7 +171,11 @@
       response.writeHead(503, counterpart.answerHeaders(refusal)).end();
       return;
     }
-    const { backOffSeconds } = this.selfReport();
+    const { backOffSeconds, repeatsAnswers = false } = this.selfReport();
+    if (repeatsAnswers && Math.random() < REFUSED_SHARE) {
+      this.refuse(request, response, requestId);
+      return;
+    }
     if (backOffSeconds !== undefined && Math.random() < REJECTED_SHARE) {
       this.reportExchange('turnedAway', request, { backOffSeconds, rejected: requestId });
       const refusal = {
@@ -205,7 +218,25 @@
     if (mode === 'failing') response.writeHead(500, headers).end('failed');
     else if (path.includes(answers.STREAM_MARKER)) {
       this.sendStream(response, headers, responseId, resumeAfter, mode === 'cutting');
-    } else this.sendResponse(response, headers, answers.callBody(responseId, path), mode);
+    } else {
+      const callBody = answers.callBody(responseId, path);
+      this.sendResponse(response, headers, callBody, mode);
+      if (repeatsAnswers && mode === 'sound')
+        this.copies.answered(request.socket, { status: 200, headers, body: callBody });
+    }
+  }
+
+  /** Refuses a request as a full target does, and perhaps repeats that later. */
+  private refuse(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    requestId: string,
+  ): void {
+    const status = REFUSAL_STATUSES[Math.floor(Math.random() * REFUSAL_STATUSES.length)];
+    const refusal = { ...this.selfReportFields(request), requestId, notRun: true };
+    const headers = counterpart.answerHeaders(refusal);
+    response.writeHead(status, [...headers, 'content-length', '0']).end();
+    this.copies.answered(request.socket, { status, headers, body: '' });
   }
 
   /** Response fields that report the target's state, also reported on standard output. */
