Address replication messages to a replica, not to a VM

Cause: a VM that lost its disk has a new replica at its old address. While the former replica was still a member, the new one, once elected, sent its append request for the former one to its own address, took it for that of another leader and stepped down, in every term. The repair had removed another dead voter, the first in the list, and kept the former one.

Change: messages name the replica that they are for, and any other one drops them; nor does a replica handle a message of its own. Peers of the last version name nobody and are understood as before.

Evidence: the new test ends as follower in term 9 without the change, and as leader in term 1 with it.

--- a/packages/daemon/src/replicas/logHost.ts
+++ b/packages/daemon/src/replicas/logHost.ts
@@ -27,7 +27,7 @@
   replica: Replica;
   journal: journal.Journal;
   machine: stateMachine.StateMachine;
-  send: (address: string, message: Message) => void;
+  send: (address: string, to: string, message: Message) => void;
   now: () => number;
   observer: observer.Observer;
   /** Recreates the replica from its durable state. */
@@ -116,10 +116,10 @@
     this.enqueue((now) => this.replica.tick(now));
   }
 
-  /** Queues a message received from the peer address `from`. */
-  receive(message: Message, from: string): void {
+  /** Queues a message to the replica `to`, received from the peer address `from`. */
+  receive(message: Message, from: string, to: string | undefined): void {
     this.senderAddresses.set(message.from, from);
-    this.enqueue((now) => this.replica.receive(message, now));
+    this.enqueue((now) => this.replica.receive(message, now, to));
   }
 
   /** Proposes a command; resolves with the state machine's answer once it is applied here. */
@@ -342,7 +342,7 @@
   private applyEffects({ send, install, apply }: Effects): void {
     send.forEach(({ to, message }) => {
       const address = this.addressOf(to);
-      if (address !== undefined) this.dependencies.send(address, message);
+      if (address !== undefined) this.dependencies.send(address, to, message);
     });
     if (install !== undefined) this.install(install);
     apply.forEach((entry) => this.apply(entry));
--- a/packages/daemon/src/replicas/replicaSet.ts
+++ b/packages/daemon/src/replicas/replicaSet.ts
@@ -37,7 +37,12 @@
 export interface Envelope {
   /** Peer address of the sender. */
   address: string;
-  messages: { log: string; message: wire.PackedMessage }[];
+  messages: {
+    log: string;
+    message: wire.PackedMessage;
+    /** Id of the replica that it is for; absent from peers of the last version. */
+    to?: string;
+  }[];
 }
 
 const TICK_MS = 50;
@@ -82,9 +87,9 @@
   start(server: peerServer.PeerServer): void {
     server.add('replicate', (parameters) => {
       const { address, messages } = parameters as Envelope;
-      messages.forEach(({ log, message }) => {
+      messages.forEach(({ log, message, to }) => {
         const unpacked = wire.unpack(message);
-        if (unpacked !== undefined) this.hosts.get(log)?.receive(unpacked, address);
+        if (unpacked !== undefined) this.hosts.get(log)?.receive(unpacked, address, to);
       });
     });
     server.add('found', async (parameters) => {
@@ -115,8 +120,8 @@
     if (opened.val.wasTorn) this.options.observer.log('journalCut', { log });
     if (durable.snapshot.index > 0) logMachine.restore(durable.snapshot.state);
     const { timing, random, observer: observe } = this.options;
-    const send = (to: string, message: domain.replication.messages.Message): void => {
-      this.outgoing.add(to, { log, message: wire.pack(message) });
+    const send: logHost.Dependencies['send'] = (peer, to, message) => {
+      this.outgoing.add(peer, { log, message: wire.pack(message), to });
     };
     const now = clock.steady;
     const createReplica = (
--- a/packages/domain/src/replication/__tests__/replica.test.ts
+++ b/packages/domain/src/replication/__tests__/replica.test.ts
@@ -379,6 +379,27 @@
     }
   });
 
+  // Guards against a leader that steps down in each term, as it takes its own request to its former replica for another's.
+  it('drops a message to another replica at its address', () => {
+    const members = ['former', 'b', 'c', 'a'].map((id): messages.Member => {
+      return { id, address: id === 'former' ? 'a' : id, dataCentre: id, role: 'voter' };
+    });
+    const empty = messages.emptyDurable();
+    const durable = { ...empty, snapshot: { ...empty.snapshot, members } };
+    const tested = new replica.Replica('a', durable, EAGER, random.seeded(1), 0);
+    const now = EAGER.electionMax + 1;
+    tested.tick(now);
+    const vote = { kind: 'voteAnswer', term: 1, granted: true, knowsLeader: false } as const;
+    const electing = [true, false].flatMap((pre) => {
+      return ['b', 'c'].map((from) => tested.receive({ ...vote, from, pre }, now));
+    });
+    const requests = electing.flatMap(({ send }) => send).filter(({ to }) => to === 'former');
+    const appendRequest = requests.find(({ message }) => message.kind === 'appendRequest');
+    tested.receive(appendRequest?.message as messages.Message, now + 1, 'former');
+    tested.receive({ ...vote, from: 'b', pre: false, term: 9 }, now + 1, 'former');
+    expect([appendRequest?.to, tested.state, tested.term]).to.deep.equal(['former', 'leader', 1]);
+  });
+
   // Guards against a repair that takes a voter for gone because its new leader knows of no contact with it yet.
   it('counts no silence of a voter that answers its new leader', () => {
     const simulation = newSet(1, 1);
--- a/packages/domain/src/replication/__tests__/schedule.ts
+++ b/packages/domain/src/replication/__tests__/schedule.ts
@@ -27,6 +27,8 @@
 interface InFlight {
   from: string;
   to: string;
+  /** The VM that it is sent to, which may run another replica by now. */
+  address: string;
   message: messages.Message;
   at: number;
 }
@@ -68,6 +70,9 @@
 export class Schedule {
   readonly nodes = new Map<string, Node>();
 
+  /** The node that runs at each address. */
+  private readonly byAddress = new Map<string, Node>();
+
   private now = 1_000;
 
   private inFlight: InFlight[] = [];
@@ -171,7 +176,10 @@
   /** Removes a VM and its disk for good. */
   destroy(id: string): void {
     const node = this.nodes.get(id);
-    if (node !== undefined) node.replica = undefined;
+    if (node !== undefined) {
+      node.replica = undefined;
+      this.byAddress.delete(node.address);
+    }
     this.nodes.delete(id);
   }
 
@@ -238,6 +246,7 @@
     const disk = { durable };
     const node: Node = { id, address, disk, replica: undefined, applied: new Map(), skew };
     this.nodes.set(id, node);
+    this.byAddress.set(address, node);
     this.start(node);
   }
 
@@ -335,13 +344,14 @@
   private deliverDue(loss: number): void {
     const due = this.inFlight.filter(({ at }) => at <= this.now);
     this.inFlight = this.inFlight.filter(({ at }) => at > this.now);
-    due.forEach(({ from, to, message }) => {
-      const node = this.nodes.get(to);
+    due.forEach(({ from, to, address, message }) => {
+      const node = this.byAddress.get(address);
       const isLinked = !this.cutLinks.has([from, to].sort().join());
       const isSameSide = this.isolated.has(from) === this.isolated.has(to);
       const isLost = !isLinked || !isSameSide || this.source.uniform() < loss;
       if (isLost || node?.replica === undefined) return;
-      this.applyEffects(node, node.replica.receive(structuredClone(message), this.nowAt(node)));
+      const received = structuredClone(message);
+      this.applyEffects(node, node.replica.receive(received, this.nowAt(node), to));
     });
   }
 
@@ -370,7 +380,8 @@
     effects.send.forEach(({ to, message }) => {
       const jitter = this.source.uniform() * LATENCY_MS * 4;
       const at = this.now + LATENCY_MS + jitter;
-      this.inFlight.push({ from: node.id, to, message: structuredClone(message), at });
+      const address = this.addressOf(to, running);
+      this.inFlight.push({ from: node.id, to, address, message: structuredClone(message), at });
     });
     if (effects.install !== undefined) {
       node.applied = new Map(effects.install.state as [number, unknown][]);
@@ -379,6 +390,12 @@
     if (running?.state === 'leader') this.checkLeader(node, running.term);
   }
 
+  /** The address of a replica as its peers know it, also when another one runs there. */
+  private addressOf(id: string, sender: replica.Replica | undefined): string {
+    const known = this.nodes.get(id)?.address;
+    return known ?? sender?.members.find((each) => each.id === id)?.address ?? id;
+  }
+
   private checkVote({ id, disk }: Node): void {
     const { term, votedFor } = disk.durable.vote;
     if (votedFor === '') return;
--- a/packages/domain/src/replication/replica.ts
+++ b/packages/domain/src/replication/replica.ts
@@ -168,7 +168,14 @@
     return this.takeEffects();
   }
 
-  receive(message: messages.Message, now: number): messages.Effects {
+  /**
+   * Handles a message that was addressed to the replica `to`. One for another replica is dropped: a VM that lost its disk
+   * receives messages for its former replica, and would otherwise answer them under its own id. A leader would even take
+   * its own request to its former replica for that of another leader and step down. Peers of the last version don't name
+   * the recipient.
+   */
+  receive(message: messages.Message, now: number, to: string = this.id): messages.Effects {
+    if (to !== this.id || message.from === this.id) return messages.noEffects();
     this.observeTerm(message, now);
     this.contacts.heard(message.from, now);
     if (message.kind === 'voteRequest') this.handleVoteRequest(message, now);
