Report that the keepers have no leader, and which voters are silent

When no quorum was left, the logs showed only replicas that changed between follower and candidate; on-call couldn't see whether an election was slow or a majority was gone. A keeper now logs event 2012 after 1.5 s without a leader and every 5 s while it lasts, with the voters that it hears, the silent ones and how many are needed, and 2013 at the end. The gauges `withoutLeaderMs` and `voters` show the same. A spare, which knows no voters, reports nothing.

--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -24,6 +24,7 @@
 import * as evacuationOrders from './evacuationOrders';
 import * as leaderCalls from './leaderCalls';
 import * as leadership from './leadership';
+import * as quorumWatch from './quorumWatch';
 import * as softStateStore from './softStateStore';
 
 export interface Dependencies {
@@ -91,11 +92,14 @@
 
   private calls!: leaderCalls.LeaderCalls;
 
+  private readonly quorum: quorumWatch.QuorumWatch;
+
   private isFounding = false;
 
   constructor(private readonly dependencies: Dependencies) {
     const { settings, observer: observe, protocol } = dependencies;
     this.client = peers.clientOf(settings, observe);
+    this.quorum = new quorumWatch.QuorumWatch({ observer: observe, now: clock.steady });
     this.server = new peerServer.PeerServer(settings.secret, undefined, observe);
     this.machine = new catalogueMachine.CatalogueMachine(() => this.applyCommitted());
     this.fleetState = new fleetState.FleetState({
@@ -177,6 +181,8 @@
       term: replica.term,
       committed: replica.commit,
       members: replica.members.length,
+      voters: replica.voters.length,
+      withoutLeaderMs: Math.round(this.quorum.missingMs),
       catalogueVersion: this.fleetState.version,
       targets: this.fleetState.registry.records().length,
       dispatches: this.leadership.allocator.size,
@@ -332,6 +338,7 @@
     const duties = (): void => {
       this.leadership.tick();
       repair.step(this.host);
+      this.quorum.check(this.host.replica);
       void this.found();
     };
     this.timers.push(setInterval(duties, DUTY_INTERVAL_MS));
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -33,6 +33,8 @@
     level: 'error',
     text: 'command of a newer program in the log; process stopped',
   },
+  quorumMissing: { number: 2012, level: 'error', text: 'no leader of the keepers' },
+  quorumRegained: { number: 2013, level: 'info', text: 'the keepers have a leader again' },
   settingAccepted: { number: 3001, level: 'info', text: 'settings change accepted' },
   settingRefused: { number: 3002, level: 'warn', text: 'settings change refused' },
   settingInForce: { number: 3003, level: 'debug', text: 'settings applied' },
--- a/packages/domain/src/replication/replica.ts
+++ b/packages/domain/src/replication/replica.ts
@@ -138,6 +138,17 @@
     return this.log.membersAt(this.log.lastIndex);
   }
 
+  get voters(): messages.Member[] {
+    return this.members.filter(({ role }) => role === 'voter');
+  }
+
+  /** The voters that sent something to this replica, or to the leader as that stated, since a time; itself included. */
+  votersHeardSince(since: number): messages.Member[] {
+    return this.voters.filter(({ id }) => {
+      return id === this.id || (this.contacts.lastAt(id) ?? -Infinity) >= since;
+    });
+  }
+
   /** State that the disk must hold, for rewriting the journal. */
   get durable(): messages.DurableState {
     const entries = this.log.from(this.log.snapshot.index + 1, Infinity);
@@ -302,10 +313,6 @@
     this.effects.send.push({ to, message });
   }
 
-  private get voters(): messages.Member[] {
-    return this.members.filter(({ role }) => role === 'voter');
-  }
-
   private get isVoter(): boolean {
     return this.voters.some(({ id }) => id === this.id);
   }
