Remove the former replica of a VM before its new one becomes a voter

A VM that lost its disk twice within seconds had two voters, both gone, while the repair first promoted its new replica and then removed the former one. With the loss of the leader's disk right after, three of six voters were gone although two VMs counted as lost, and no command was accepted any more.

Change: a voter with a successor at its address is removed first, as long as a majority of the size remains. That never lowers the number of losses that the other voters tolerate, as it can't vote in any case.

--- a/packages/domain/src/replication/repair.ts
+++ b/packages/domain/src/replication/repair.ts
@@ -1,11 +1,14 @@
 /**
  * Automatic repair of the replica set: a voter that is gone is replaced by a spare VM with a disk. The
- * order is fixed: add the spare as a learner, promote it when it has everything committed, then
- * remove the voter. Each step is committed before the next, so the quorums of the old and the
- * new set always share a member, and a second loss right after the repair loses nothing.
+ * spare is added as a learner and promoted when it has everything committed. Each step is committed
+ * before the next, so the quorums of the old and the new set always share a member, and a second loss
+ * right after the repair loses nothing.
  *
- * A voter is gone if it was silent for long, or as soon as another replica answers at its address: a
- * VM that lost its disk returns with a new replica id, and nothing can serve the former replica any more.
+ * A voter that was silent for long may return, so it is removed after its replacement was promoted. A
+ * VM that lost its disk returns with a new replica id, and nothing can serve the former replica any
+ * more: that one is removed first, as soon as the new one is heard at its address. Without it the
+ * other voters tolerate as many losses as before, and the VM never counts twice: with two voters,
+ * both gone, the loss of one VM would cost two votes.
  */
 import * as messages from './messages';
 
@@ -55,17 +58,17 @@
   const learner = members.find(({ role }) => role === 'learner');
   const gone = goneMembers(situation);
   const goneVoters = gone.filter(({ role }) => role === 'voter');
+  if (learner !== undefined && gone.includes(learner))
+    return without('dropLearner', learner, members);
+  const succeeded = goneVoters.find((voter) => hasSuccessor(voter, situation));
+  if (succeeded !== undefined && voters.length > majorityOf(size))
+    return without('removeDead', succeeded, members);
   if (learner !== undefined) {
-    if (gone.includes(learner)) return without('dropLearner', learner, members);
     const isCaughtUp = health.some(({ id, caughtUp }) => id === learner.id && caughtUp);
     return isCaughtUp ? promoted(learner, members) : undefined;
   }
-  if (goneVoters.length > 0 && voters.length > size) {
-    const isReplaced = ({ id, address }: messages.Member): boolean =>
-      members.some((other) => other.id !== id && other.address === address);
-    const removed = goneVoters.find(isReplaced) ?? goneVoters[0];
-    return without('removeDead', removed, members);
-  }
+  if (goneVoters.length > 0 && voters.length > size)
+    return without('removeDead', goneVoters[0], members);
   if (goneVoters.length === 0 && voters.length >= size) return undefined;
   const spare = spareToAdd(situation, goneVoters);
   if (spare === undefined) return undefined;
@@ -74,6 +77,10 @@
   return { reason: 'addLearner', subject: id, members: [...members, added] };
 }
 
+function majorityOf(size: number): number {
+  return Math.floor(size / 2) + 1;
+}
+
 function without(
   reason: 'removeDead' | 'dropLearner',
   member: messages.Member,
@@ -95,7 +102,7 @@
   const silence = silenceById(situation);
   const silentFor = ({ id }: messages.Member): number => silence.get(id) ?? 0;
   return members
-    .filter((each) => silentFor(each) > deadAfterMs || hasSuccessor(each, situation, silence))
+    .filter((each) => silentFor(each) > deadAfterMs || hasSuccessor(each, situation))
     .sort((a, b) => silentFor(b) - silentFor(a));
 }
 
@@ -108,11 +115,9 @@
  * Whether another replica was heard at a member's address after the member. An address belongs to one VM, and a replica
  * to one data folder. A member that was heard later contradicts that, for instance as its disk is back.
  */
-function hasSuccessor(
-  { id, address }: messages.Member,
-  { members, spares }: Situation,
-  silence: ReadonlyMap<string, number>,
-): boolean {
+function hasSuccessor({ id, address }: messages.Member, situation: Situation): boolean {
+  const { members, spares } = situation;
+  const silence = silenceById(situation);
   const silentFor = silence.get(id);
   if (silentFor === undefined) return false;
   const others: readonly Spare[] = [
