Check the replicated log with lost disks in a model over its real code

`packages/check` had models of the registry and of quarantines, none of the log. The new one runs five real replicas and the real repair; VMs lose their disks or restart, at most two at a time as the platform counts them, and messages are lost, repeated and delayed. It checks that no index has two entries, that a command is accepted once faults end and that no acknowledged one is missing.

--- a/packages/check/src/__tests__/check.test.ts
+++ b/packages/check/src/__tests__/check.test.ts
@@ -194,3 +194,36 @@
     });
   });
 });
+
+const { RULES, replicationModel } = models.replicationModel;
+
+/** The silence that a leader itself has seen, from its election on. */
+function ownSilence(leader: domain.replication.replica.Replica, id: string, now: number): number {
+  return now - (leader as unknown as { contactAt: (of: string) => number }).contactAt(id);
+}
+
+/** A repair that doesn't know that another replica was heard at an address. */
+function stepWithoutSuccessors(
+  situation: domain.replication.repair.Situation,
+): domain.replication.repair.RepairStep | undefined {
+  const spares = situation.spares.map(({ silentFor: _unknown, ...spare }) => spare);
+  return domain.replication.repair.nextStep({ ...situation, spares });
+}
+
+describe('replicated log with lost disks, checked', () => {
+  const WALKS = { seed: 1, count: 100, length: 12 };
+
+  (['any', 'leadersDisks'] as const).forEach((faults) => {
+    it(`accepts commands and loses none, in random walks with faults "${faults}"`, () => {
+      const { finding } = explorer.walk(replicationModel(RULES, faults), WALKS);
+      expect(finding).to.equal(undefined);
+    });
+  });
+
+  it('finds the version in which each leader counts the silence of voters anew', () => {
+    const rules = { ...RULES, nextStep: stepWithoutSuccessors, silentFor: ownSilence };
+    const { finding } = explorer.walk(replicationModel(rules, 'leadersDisks'), WALKS);
+    expect(finding).toMatchSnapshot();
+    expect(finding).not.to.equal(undefined);
+  });
+});
--- a/packages/check/src/main.ts
+++ b/packages/check/src/main.ts
@@ -39,6 +39,9 @@
     }),
   ),
   parts: exploreModel(models.partModel.partModel(newQuarantine)),
+  replication: exploreModel(
+    models.replicationModel.replicationModel(models.replicationModel.RULES),
+  ),
   registry: exploreModel(
     models.registryModel.registryModel(() => new domain.registry.registry.Registry()),
   ),
