Survive SIGHUP while the program starts, and take settings that changed meanwhile

The loader now handles the signal from its first statement on. The program compares the settings file with the text that its settings came from once it watches it; a change between the two was lost before, with or without a signal.

--- a/packages/daemon/src/roleMain.ts
+++ b/packages/daemon/src/roleMain.ts
@@ -39,14 +39,17 @@
 
 const DROPPED_LINES_REPORT_INTERVAL_MS = 1_000;
 
-function readSettings(file: string): roleSettings.Settings | undefined {
-  let text: string;
+/** The content of the settings file; undefined if it can't be read. */
+function readText(file: string): string | undefined {
   try {
-    text = fs.readFileSync(file, 'utf8');
+    return fs.readFileSync(file, 'utf8');
   } catch (error) {
     process.stderr.write(`celerydrift: ${file}: ${String(error)}\n`);
     return undefined;
   }
+}
+
+function parseSettings(file: string, text: string): roleSettings.Settings | undefined {
   const result = roleSettings.read(text);
   if (result.ok) return result.val;
   result.val.forEach((problem) => {
@@ -108,23 +111,28 @@
   });
 }
 
-/** Calls `onChange` with the new settings each time the file changes and is valid. */
+/**
+ * Calls `onChange` with the new settings each time the file changes and is valid, also if it changed since the settings in
+ * force were read.
+ */
 function watchSettingsFile(
   file: string,
+  textInForce: string,
   observe: observer.Observer,
   onChange: (settings: roleSettings.Settings) => void,
 ): void {
-  let text = fs.readFileSync(file, 'utf8');
+  let text = textInForce;
   let changedAt = fs.statSync(file).mtimeMs;
   const reload = (): void => {
     const currentText = fs.readFileSync(file, 'utf8');
     if (currentText === text) return;
     text = currentText;
-    const settings = readSettings(file);
+    const settings = parseSettings(file, text);
     observe.log('settingsFileRead', { valid: settings !== undefined });
     if (settings !== undefined) onChange(settings);
   };
   process.on('SIGHUP', reload);
+  reload();
   const poll = (): void => {
     const modifiedAt = fs.statSync(file, { throwIfNoEntry: false })?.mtimeMs;
     if (modifiedAt === undefined || modifiedAt === changedAt) return;
@@ -136,8 +144,9 @@
 
 /** Runs an entry or a keeper, as the settings file says, until a signal stops it. */
 export async function run(file: string, adapter: Adapter, checkOnly: boolean): Promise<void> {
-  const settings = readSettings(file);
-  if (settings === undefined) process.exit(EXIT.badSettings);
+  const text = readText(file);
+  const settings = text === undefined ? undefined : parseSettings(file, text);
+  if (text === undefined || settings === undefined) process.exit(EXIT.badSettings);
   if (checkOnly) return;
   const observe = createObserver(settings);
   const started = await start(settings, adapter, observe).catch((error: unknown) => {
@@ -148,7 +157,7 @@
   if (settings.metrics !== undefined) void serveMetrics(settings.metrics, observe, started);
   const { role, seeds, mayFound } = settings;
   observe.log('started', { role, seeds, mayFound, afterMs: Math.round(clock.steady()) });
-  watchSettingsFile(file, observe, (changed) => started.reload(changed));
+  watchSettingsFile(file, text, observe, (changed) => started.reload(changed));
   let isStopping = false;
   const stop = (signal: string): void => {
     if (isStopping) return;
--- a/packages/program/loader.cjs
+++ b/packages/program/loader.cjs
@@ -5,6 +5,10 @@
  */
 'use strict';
 
+// The default action of SIGHUP ends the process. The program handles it once it has started, and looks for changed
+// settings then.
+process.on('SIGHUP', () => undefined);
+
 const fs = require('node:fs');
 const Module = require('node:module');
 const path = require('node:path');
