--- a/packages/daemon/src/storage/__tests__/storage.test.ts
+++ b/packages/daemon/src/storage/__tests__/storage.test.ts
@@ -93,6 +93,31 @@
     ]).to.deep.equal([false, 2, 4]);
   });
 
+  // Guards against a replica that cuts its new journal to the length of the old one, and never starts again.
+  it('recovers the new journal if the folder cannot be synced after it replaced the old one', async () => {
+    const opened = (await journal.Journal.open(folder)).unwrap();
+    await opened.journal.rewrite(domain.replication.messages.emptyDurable());
+    const durable = {
+      ...domain.replication.messages.emptyDurable(),
+      entries: [1, 2, 3].map(entry),
+    };
+    const mutableFs = fs.promises as { open: typeof fs.promises.open };
+    const { open } = mutableFs;
+    mutableFs.open = async (file, flags) => {
+      if (file === folder) throw new Error('EIO');
+      return open(file, flags);
+    };
+    const failure = await opened.journal.rewrite(durable).catch(String);
+    mutableFs.open = open;
+    const recovered = (await opened.journal.recover()).unwrap();
+    await opened.journal.append([{ kind: 'append', entries: [entry(4)] }]);
+    await opened.journal.close();
+    const reopened = (await journal.Journal.open(folder)).unwrap();
+    await reopened.journal.close();
+    expect(failure).to.contain('EIO');
+    expect([recovered?.entries.length, reopened.durable?.entries.length]).to.deep.equal([3, 4]);
+  });
+
   it('keeps the id of a data folder, and creates another one for an emptied folder', async () => {
     const created = await identity.readOrCreate(folder);
     const again = await identity.readOrCreate(folder);
--- a/packages/daemon/src/storage/journal.ts
+++ b/packages/daemon/src/storage/journal.ts
@@ -78,6 +78,7 @@
     this.handle = await fs.open(path.join(this.folder, FILE), 'a+');
     await this.handle.truncate(this.syncedBytes);
     await this.handle.datasync();
+    await syncFolder(this.folder);
     const replayed = frames.replay(await this.handle.readFile());
     return replayed.map(({ payloads }) => rebuild(payloads as (Durable | Record[])[]));
   }
@@ -85,16 +86,14 @@
   /** Replaces the journal by a single frame with the given state. */
   async rewrite(durable: Durable): Promise<void> {
     const newPath = path.join(this.folder, `${FILE}.new`);
-    const handle = await fs.open(newPath, 'w');
     const frame = frames.encode(durable);
-    await handle.appendFile(frame);
-    await handle.sync();
+    await writeSynced(newPath, frame);
     await fs.rename(newPath, path.join(this.folder, FILE));
+    // The name means the new file from here on, also if the next step fails and `recover` follows.
+    this.syncedBytes = frame.length;
     await syncFolder(this.folder);
     await this.handle.close();
-    await handle.close();
     this.handle = await fs.open(path.join(this.folder, FILE), 'a+');
-    this.syncedBytes = frame.length;
   }
 
   async close(): Promise<void> {
@@ -108,9 +107,22 @@
   return (rest as Record[][]).flat().reduce(applyRecord, first as Durable);
 }
 
+async function writeSynced(file: string, content: Buffer): Promise<void> {
+  const handle = await fs.open(file, 'w');
+  try {
+    await handle.appendFile(content);
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
+}
+
 /** Syncs a folder; a rename in it is durable only after that. */
 export async function syncFolder(folder: string): Promise<void> {
   const handle = await fs.open(folder, 'r');
-  await handle.sync();
-  await handle.close();
+  try {
+    await handle.sync();
+  } finally {
+    await handle.close();
+  }
 }
