--- a/packages/soak/src/lossSeries.ts
+++ b/packages/soak/src/lossSeries.ts
@@ -70,7 +70,7 @@
 
 export interface Dependencies {
   fleet: fleet.Fleet;
-  operators: Pick<operator.Operator, 'submitNext'>;
+  operators: Pick<operator.Operator, 'submitNext' | 'untilAnswers'>;
   faultInjector: Pick<faultInjector.FaultInjector, 'loseKeeper'>;
 }
 
@@ -79,6 +79,7 @@
   { losses, hasAbsentKeeper }: LossSeries,
   { fleet: { keepers }, operators, faultInjector: injector }: Dependencies,
 ): Promise<void> {
+  await startAll(keepers, operators);
   if (hasAbsentKeeper) await followerOf(keepers)?.process.kill();
   let lost: fleet.Vm | undefined;
   let firstBack: Promise<void> | undefined;
@@ -96,6 +97,21 @@
   await Promise.all(returns);
 }
 
+/**
+ * Starts keepers that ended by themselves, such as one whose disk was full when it started, as the platform does. Until they
+ * have been back for some time, they count as lost.
+ */
+async function startAll(
+  keepers: readonly fleet.Vm[],
+  operators: Dependencies['operators'],
+): Promise<void> {
+  const ended = keepers.filter(({ process }) => !process.isRunning);
+  if (ended.length === 0) return;
+  ended.forEach(({ process }) => process.start());
+  await Promise.all(ended.map(({ index }) => operators.untilAnswers(index)));
+  await operator.sleep(SYNC_MS);
+}
+
 function followerOf(keepers: readonly fleet.Vm[]): fleet.Vm | undefined {
   const leader = leaderOf(keepers);
   return keepers.find((keeper) => keeper !== leader);
