Let the crashable stand-in echo an id only where there is one

Six tests failed since responses are compared with the id of their message: this stand-in answered liveness probes, which have no id, with the text `undefined` as one, so its targets counted as dead. No check or bound changed.

--- a/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/crashableTarget.ts
@@ -212,7 +212,9 @@
     const limit = this.limit === undefined ? [] : ['limit', String(this.limit)];
     const leaving = this.isDraining ? ['leaving', '1'] : [];
     if (this.isDraining) this.options.onDraining();
-    return ['id', String(request.headers.id), 'signed', '1', ...limit, ...leaving];
+    const { id } = request.headers;
+    const echoed = id === undefined ? [] : ['id', String(id)];
+    return [...echoed, 'signed', '1', ...limit, ...leaving];
   }
 
   /** Runs a request: streams a response, or crashes and restarts. */
