--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -14,6 +14,7 @@
 import * as livenessProbes from '../../livenessProbes';
 import * as peerClient from '../../../rpc/peerClient';
 import * as targetClient from '../../targetClient';
+import type * as targetMessage from '../../targetMessage';
 import * as targetSignals from '../../targetSignals';
 
 /** Path of liveness probes to the targets of these tests. */
@@ -73,7 +74,7 @@
 };
 
 /** A gate that admits every message. */
-export const PERMISSIVE_GATE: targetClient.AdmissionGate = {
+export const PERMISSIVE_GATE: targetMessage.AdmissionGate = {
   admit: () => ({ answered: () => undefined, foreign: () => undefined, ended: () => undefined }),
 };
 
--- a/packages/daemon/src/entry/__tests__/rateLimitClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/rateLimitClient.test.ts
@@ -9,7 +9,7 @@
 import * as livenessProbes from '../livenessProbes';
 import * as rateLimitClient from '../rateLimitClient';
 import * as reservations from '../reservations';
-import type * as targetClient from '../targetClient';
+import type * as targetMessage from '../targetMessage';
 import * as harness from './__fixtures__/harness';
 
 const { expect } = chai;
@@ -181,7 +181,7 @@
   it('counts messages that reserve and release memory', async () => {
     setup.answer(2);
     await clock.sleep(10);
-    const call = async (): Promise<targetClient.CallResult> => ({
+    const call = async (): Promise<targetMessage.CallResult> => ({
       kind: 'answered',
       status: 200,
       facts: harness.PROTOCOL.responseMetadata(200, {}),
--- a/packages/daemon/src/entry/__tests__/relay.test.ts
+++ b/packages/daemon/src/entry/__tests__/relay.test.ts
@@ -8,6 +8,7 @@
 import * as relayServer from '../relayServer';
 import * as targetAttempt from '../targetAttempt';
 import * as targetClient from '../targetClient';
+import type * as targetMessage from '../targetMessage';
 import * as harness from './__fixtures__/harness';
 
 const { expect } = chai;
@@ -21,7 +22,7 @@
 interface Delivery {
   end: relayClient.RelayEnd;
   /** Undefined if the attempt may go another way. */
-  result: targetClient.SendResult | undefined;
+  result: targetMessage.SendResult | undefined;
   body: string;
   status: number | undefined;
   wasSent: boolean;
@@ -58,7 +59,7 @@
 
   /** An entry that relays; returns its address. */
   const startRelay = async (
-    options: Partial<relayServer.Dependencies> & { gate?: targetClient.AdmissionGate } = {},
+    options: Partial<relayServer.Dependencies> & { gate?: targetMessage.AdmissionGate } = {},
   ): Promise<string> => {
     const { gate = harness.PERMISSIVE_GATE, ...others } = options;
     const targets = new targetClient.TargetClient({ protocol: harness.PROTOCOL, gate });
@@ -100,7 +101,7 @@
     closers.push(() => client.close());
     let body = '';
     let status: number | undefined;
-    const handler: targetClient.ResponseHandler = {
+    const handler: targetMessage.ResponseHandler = {
       onHead: (head) => {
         ({ status } = head);
       },
@@ -108,7 +109,7 @@
         body += chunk.toString();
       },
     };
-    const message: targetClient.TargetMessage = {
+    const message: targetMessage.TargetMessage = {
       ...{ target: 't', address, purpose: 'request', requestId: 'r1' },
       ...{ method: 'POST', path: '/a', headers: ['id', 'r1'], body: Buffer.from('asked') },
     };
--- a/packages/daemon/src/entry/__tests__/targetClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/targetClient.test.ts
@@ -2,12 +2,13 @@
 import * as net from 'node:net';
 import * as chai from 'chai';
 import * as targetClient from '../targetClient';
+import type * as targetMessage from '../targetMessage';
 import * as harness from './__fixtures__/harness';
 
 const { expect } = chai;
 
 interface Result {
-  end: targetClient.SendResult;
+  end: targetMessage.SendResult;
   body: string;
 }
 
--- a/packages/daemon/src/entry/__tests__/targetSignals.test.ts
+++ b/packages/daemon/src/entry/__tests__/targetSignals.test.ts
@@ -3,7 +3,7 @@
 import * as domain from '@celerydrift/domain';
 import type * as protocols from '../../edges/protocols';
 import * as observer from '../../observability/observer';
-import type * as targetClient from '../targetClient';
+import type * as targetMessage from '../targetMessage';
 import * as targetSignals from '../targetSignals';
 
 const { expect } = chai;
@@ -21,7 +21,7 @@
   sequence: 1,
 };
 
-const REQUEST: targetClient.TargetMessage = {
+const REQUEST: targetMessage.TargetMessage = {
   target: 't',
   address: RECORD.address,
   purpose: 'request',
@@ -32,7 +32,7 @@
   body: Buffer.alloc(0),
 };
 
-const ORDER: targetClient.TargetMessage = { ...REQUEST, purpose: 'order', requestId: undefined };
+const ORDER: targetMessage.TargetMessage = { ...REQUEST, purpose: 'order', requestId: undefined };
 
 /** A target's refusal of the request above, with a back-off of a second. */
 const REFUSAL: protocols.ResponseMetadata = {
@@ -107,7 +107,7 @@
     return delivery !== undefined;
   }
 
-  accepts(purpose: targetClient.MessagePurpose): boolean {
+  accepts(purpose: targetMessage.MessagePurpose): boolean {
     return this.signals.admit({ ...REQUEST, purpose }) !== undefined;
   }
 }
@@ -126,7 +126,7 @@
    * lifetime.
    */
   it('count only in a response to the message itself, from the addressed lifetime', () => {
-    const answers: [string, Partial<protocols.ResponseMetadata>, targetClient.TargetMessage][] = [
+    const answers: [string, Partial<protocols.ResponseMetadata>, targetMessage.TargetMessage][] = [
       ['its own refusal', {}, REQUEST],
       ['its own signed failure', { isSigned: true, isNotRun: false }, REQUEST],
       ['its refusal of an order', { requestId: undefined, isNotRun: false }, ORDER],
@@ -189,7 +189,7 @@
    */
   it('don’t admit requests and orders during an evacuation, but upkeep and checks', () => {
     setup.registry.announce({ ...RECORD, id: 'u', address: '127.0.0.1:2', dataCentre: 'dc1' }, 0);
-    const cases: Record<string, Partial<targetClient.TargetMessage>> = {
+    const cases: Record<string, Partial<targetMessage.TargetMessage>> = {
       request: {},
       order: { purpose: 'order' },
       check: { purpose: 'check' },
--- a/packages/daemon/src/entry/callerResponse.ts
+++ b/packages/daemon/src/entry/callerResponse.ts
@@ -10,7 +10,7 @@
 import type * as heldBytes from './heldBytes';
 import * as responseOrigin from './responseOrigin';
 import type * as targetAttempt from './targetAttempt';
-import type * as targetClient from './targetClient';
+import type * as targetMessage from './targetMessage';
 
 type Route = domain.catalogue.catalogue.Route;
 
@@ -39,7 +39,7 @@
   /** The response must not be forwarded to the caller. */
   | { kind: 'unusable'; detail: string };
 
-export class CallerResponse implements targetClient.ResponseHandler {
+export class CallerResponse implements targetMessage.ResponseHandler {
   /** Id of the last event that was forwarded to the caller. */
   lastEventId: string | undefined;
 
@@ -60,7 +60,7 @@
 
   private onBegin: () => void = () => undefined;
 
-  private head: targetClient.ResponseHead | undefined;
+  private head: targetMessage.ResponseHead | undefined;
 
   private splitter = new domain.request.eventSplitter.EventSplitter();
 
@@ -135,7 +135,7 @@
     this.attempt = attempt;
   }
 
-  onHead(head: targetClient.ResponseHead): void {
+  onHead(head: targetMessage.ResponseHead): void {
     this.head = head;
   }
 
@@ -265,7 +265,7 @@
     return this.buffered.splice(0);
   }
 
-  private forwardBuffered(head: targetClient.ResponseHead): CompletionResult {
+  private forwardBuffered(head: targetMessage.ResponseHead): CompletionResult {
     this.writeHead(head);
     this.takeBuffered().forEach((each) => {
       this.response.write(each);
@@ -295,7 +295,7 @@
     this.resumedAt = now;
   }
 
-  private writeHead({ status, raw }: targetClient.ResponseHead): void {
+  private writeHead({ status, raw }: targetMessage.ResponseHead): void {
     if (this.response.headersSent) return;
     const forwarded: string[] = [];
     // Another target may continue the stream, so the first one's length doesn't cover all of it.
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -28,6 +28,7 @@
 import * as responseWatchdog from './responseWatchdog';
 import type * as targetAttempt from './targetAttempt';
 import type * as targetClient from './targetClient';
+import type * as targetMessage from './targetMessage';
 import type * as targetSignals from './targetSignals';
 
 type Route = domain.catalogue.catalogue.Route;
@@ -584,7 +585,7 @@
     return outcome;
   }
 
-  private classify(result: targetClient.SendResult): Outcome {
+  private classify(result: targetMessage.SendResult): Outcome {
     if (result.kind === 'notSent') {
       const { detail, isConfirmed } = result;
       return { kind: 'notRun', ending: 'unreachable', detail, isConfirmed };
--- a/packages/daemon/src/entry/livenessProbes.ts
+++ b/packages/daemon/src/entry/livenessProbes.ts
@@ -10,12 +10,13 @@
 import type * as pathMonitor from './pathMonitor';
 import type * as relayPeers from './relayPeers';
 import * as targetClient from './targetClient';
+import type * as targetMessage from './targetMessage';
 
 export interface Dependencies {
   protocol: protocols.TrafficProtocol;
   registry?: Pick<domain.registry.registry.Registry, 'isReplaced'>;
   limits: Pick<rateLimitClient.RateLimitClient, 'mayProbe'>;
-  gate: targetClient.AdmissionGate;
+  gate: targetMessage.AdmissionGate;
   observer: observer.Observer;
   /** IP address that connections come from; undefined where the operating system chooses. */
   source: string | undefined;
@@ -146,6 +147,6 @@
 function isFromLiveTarget({
   status,
   facts,
-}: targetClient.CallResult & { kind: 'answered' }): boolean {
+}: targetMessage.CallResult & { kind: 'answered' }): boolean {
   return status === OK || (facts.isNotRun && !facts.isWrongLifetime);
 }
--- a/packages/daemon/src/entry/outcome.ts
+++ b/packages/daemon/src/entry/outcome.ts
@@ -1,5 +1,5 @@
 /**
- * Outcome of one attempt of a request. Unlike `targetClient.SendResult`, which says how the connection ended, it says
+ * Outcome of one attempt of a request. Unlike `targetMessage.SendResult`, which says how the connection ended, it says
  * whether the target may have run the request and what the caller has received.
  */
 import type * as domain from '@celerydrift/domain';
--- a/packages/daemon/src/entry/relayClient.ts
+++ b/packages/daemon/src/entry/relayClient.ts
@@ -13,7 +13,7 @@
 import * as relayDispatch from './relayDispatch';
 import type * as relayPeers from './relayPeers';
 import * as relayProtocol from './relayProtocol';
-import type * as targetClient from './targetClient';
+import type * as targetMessage from './targetMessage';
 
 export interface Dependencies {
   peers: Pick<relayPeers.RelayPeers, 'choose' | 'begin' | 'failed' | 'size'>;
@@ -49,7 +49,7 @@
 
   /** Offers the message to one relay after the other; resolves when the attempt is over or may go another way. */
   async deliver(
-    message: targetClient.TargetMessage,
+    message: targetMessage.TargetMessage,
     attempt: targetAttempt.Attempt,
   ): Promise<RelayEnd> {
     const { peers, observer: observe, scopesOf } = this.dependencies;
@@ -79,7 +79,7 @@
 
   private async deliverBy(
     relay: string,
-    { body, currentHeaders, ...head }: targetClient.TargetMessage,
+    { body, currentHeaders, ...head }: targetMessage.TargetMessage,
     attempt: targetAttempt.Attempt,
   ): Promise<relayDispatch.DispatchEnd> {
     const { peers, protocol } = this.dependencies;
--- a/packages/daemon/src/entry/relayProtocol.ts
+++ b/packages/daemon/src/entry/relayProtocol.ts
@@ -6,7 +6,7 @@
  */
 import type * as domain from '@celerydrift/domain';
 import * as msgpackr from 'msgpackr';
-import type * as targetClient from './targetClient';
+import type * as targetMessage from './targetMessage';
 
 export const RELAY_PATH = '/messages';
 
@@ -20,10 +20,10 @@
 export const COMPLETE = 'complete';
 
 /** A message without its body. */
-export type MessageHead = Omit<targetClient.TargetMessage, 'body' | 'currentHeaders'>;
+export type MessageHead = Omit<targetMessage.TargetMessage, 'body' | 'currentHeaders'>;
 
 /** The head of a target's response; the receiver derives the rest. */
-export type RelayedHead = Pick<targetClient.ResponseHead, 'status' | 'raw'>;
+export type RelayedHead = Pick<targetMessage.ResponseHead, 'status' | 'raw'>;
 
 /** How an attempt ended without a response of the target. */
 export type RelayResult =
--- a/packages/daemon/src/entry/relayServer.ts
+++ b/packages/daemon/src/entry/relayServer.ts
@@ -7,6 +7,7 @@
 import type * as targetAttempt from './targetAttempt';
 import * as relayProtocol from './relayProtocol';
 import type * as targetClient from './targetClient';
+import type * as targetMessage from './targetMessage';
 
 export interface Dependencies {
   targets: Pick<targetClient.TargetClient, 'sendDirectly'>;
@@ -107,7 +108,7 @@
   }
 
   private async relay(
-    message: targetClient.TargetMessage,
+    message: targetMessage.TargetMessage,
     response: http.ServerResponse,
   ): Promise<void> {
     const { targets, observer: observe } = this.dependencies;
@@ -145,7 +146,7 @@
     response.once('drain', () => attempt.resume());
   }
 
-  private endWith(result: targetClient.SendResult, response: http.ServerResponse): void {
+  private endWith(result: targetMessage.SendResult, response: http.ServerResponse): void {
     if (result.kind === 'complete') {
       response.addTrailers({ [relayProtocol.END_TRAILER]: relayProtocol.COMPLETE });
       response.end();
--- a/packages/daemon/src/entry/targetAttempt.ts
+++ b/packages/daemon/src/entry/targetAttempt.ts
@@ -3,7 +3,7 @@
  * happened; `cancel` ends that dispatch, which also stops the target's work.
  */
 import * as responseOrigin from './responseOrigin';
-import type * as targetClient from './targetClient';
+import type * as targetMessage from './targetMessage';
 
 /** What an attempt needs of the dispatch that carries it. */
 export interface Carrier {
@@ -13,9 +13,9 @@
 }
 
 export class Attempt {
-  readonly result: Promise<targetClient.SendResult>;
+  readonly result: Promise<targetMessage.SendResult>;
 
-  private settle!: (result: targetClient.SendResult) => void;
+  private settle!: (result: targetMessage.SendResult) => void;
 
   private carrier: Carrier | undefined;
 
@@ -31,9 +31,9 @@
 
   /** `callbacks` is undefined if the message is withheld. */
   constructor(
-    private readonly message: Pick<targetClient.TargetMessage, 'requestId'>,
-    private readonly handler: targetClient.ResponseHandler,
-    private readonly callbacks: targetClient.DeliveryCallbacks | undefined,
+    private readonly message: Pick<targetMessage.TargetMessage, 'requestId'>,
+    private readonly handler: targetMessage.ResponseHandler,
+    private readonly callbacks: targetMessage.DeliveryCallbacks | undefined,
   ) {
     this.result = new Promise((resolve) => {
       this.settle = resolve;
@@ -86,7 +86,7 @@
     this.relay = undefined;
   }
 
-  answered(head: targetClient.ResponseHead): void {
+  answered(head: targetMessage.ResponseHead): void {
     if (this.isSettled) return;
     this.wasAnswered = true;
     if (!responseOrigin.isResponseTo(this.message.requestId, head.facts)) {
@@ -101,7 +101,7 @@
    * Ends the attempt, and its connection with it, for a response to another message. The connection would stay one answer
    * behind. Whether the target runs this message is unknown.
    */
-  private reject(head: targetClient.ResponseHead): void {
+  private reject(head: targetMessage.ResponseHead): void {
     this.callbacks?.foreign(head);
     this.finish({ kind: 'foreign', detail: `response to another message: ${head.status}` });
     this.carrier?.abort(new Error('response to another message'));
@@ -111,7 +111,7 @@
     if (!this.isSettled) this.handler.onData(chunk);
   }
 
-  finish(result: targetClient.SendResult): void {
+  finish(result: targetMessage.SendResult): void {
     if (this.isSettled) return;
     this.isSettled = true;
     this.callbacks?.ended();
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -12,86 +12,11 @@
 import * as directDispatch from './directDispatch';
 import type * as pathMonitor from './pathMonitor';
 import type * as relayClient from './relayClient';
-
-/** Status and headers of a target's response. */
-export interface ResponseHead {
-  status: number;
-  /** Header names and values, alternating, as received. */
-  raw: string[];
-  facts: protocols.ResponseMetadata;
-}
-
-export interface ResponseHandler {
-  /** Called when the head of the response arrives. */
-  onHead: (head: ResponseHead) => void;
-  onData: (chunk: Buffer) => void;
-}
-
-/** How an attempt ended. */
-export type SendResult =
-  | { kind: 'complete' }
-  /**
-   * No byte was written: the target can't have run it. `isRefused` if the connection was refused rather than left
-   * unanswered; `isConfirmed` if another VM couldn't connect to it either.
-   */
-  | { kind: 'notSent'; detail: string; isRefused?: boolean; isConfirmed?: boolean }
-  /** Nothing was sent, because the target is unavailable to such messages. */
-  | { kind: 'withheld' }
-  /** Bytes were written, but no complete response arrived. */
-  | { kind: 'broken'; detail: string }
-  /** Bytes were written, and the response that arrived answers another message. */
-  | { kind: 'foreign'; detail: string }
-  | { kind: 'cancelled' };
-
-/**
- * Purpose of a message: a caller's request, an order that starts something, the upkeep of something that runs, or a
- * liveness probe (`check`).
- */
-export type MessagePurpose = 'request' | 'order' | 'upkeep' | 'check';
-
-/** An HTTP request to a target. */
-export interface TargetMessage {
-  target: string;
-  address: string;
-  purpose: MessagePurpose;
-  /** Ids of the prefill helpers that get a part of the request from the target; absent where there are none. */
-  helpers?: readonly string[];
-  /** Id of the caller's request, which its response repeats; undefined for messages that this daemon originates. */
-  requestId?: string;
-  /**
-   * Whether the target has received the same id before. A late copy of its former answer would look like the answer to
-   * this message, so this one goes over a connection of its own.
-   */
-  isRepeat?: boolean;
-  method: string;
-  path: string;
-  headers: string[];
-  /** The headers as they would be now, for a message that is sent again later; absent if they don't depend on time. */
-  currentHeaders?: () => string[];
-  body: Buffer;
-}
-
-/** Notified about a message that was sent to a target. */
-export interface DeliveryCallbacks {
-  /** The head of its response arrived. */
-  answered: (head: ResponseHead) => void;
-  /** The head of a response to another message arrived instead. */
-  foreign: (head: ResponseHead) => void;
-  /** It ended, with or without a response. */
-  ended: () => void;
-}
-
-/** Admits or withholds each message to a target, and is notified of each response. */
-export interface AdmissionGate {
-  /**
-   * Undefined if the message is withheld. `isRelayed` for a message of another entry, whose own gate has admitted it.
-   */
-  admit(message: TargetMessage, isRelayed?: boolean): DeliveryCallbacks | undefined;
-}
+import type * as targetMessage from './targetMessage';
 
 export interface Dependencies {
   protocol: Pick<protocols.TrafficProtocol, 'responseMetadata'>;
-  gate: AdmissionGate;
+  gate: targetMessage.AdmissionGate;
   /** Opens connections to targets; `net.connect` by default. */
   openSocket?: connectionTracker.SocketOpener;
   /** IP address that connections come from; undefined where the operating system chooses. */
@@ -105,16 +30,6 @@
   relays?: Pick<relayClient.RelayClient, 'deliver' | 'hasPeers'>;
 }
 
-/**
- * Result of a call that this daemon originates: `refused` if the connection was refused or broke, `silent` if no complete
- * response arrived in time.
- */
-export type CallResult =
-  | { kind: 'answered'; status: number; facts: protocols.ResponseMetadata }
-  | { kind: 'refused' }
-  | { kind: 'silent' }
-  | { kind: 'withheld' };
-
 /** An idle connection is closed this long before the target would close it, milliseconds. */
 const IDLE_TIMEOUT_MARGIN_MS = 500;
 
@@ -132,7 +47,10 @@
   }
 
   /** Sends a message directly, or by way of another entry if the path to its target is lost. */
-  send(message: TargetMessage, handler: ResponseHandler): targetAttempt.Attempt {
+  send(
+    message: targetMessage.TargetMessage,
+    handler: targetMessage.ResponseHandler,
+  ): targetAttempt.Attempt {
     const callbacks = this.dependencies.gate.admit(message);
     const attempt = new targetAttempt.Attempt(message, handler, callbacks);
     if (attempt.isWithheld) return attempt;
@@ -142,7 +60,10 @@
   }
 
   /** Sends a message of another entry, directly in any case. */
-  sendDirectly(message: TargetMessage, handler: ResponseHandler): targetAttempt.Attempt {
+  sendDirectly(
+    message: targetMessage.TargetMessage,
+    handler: targetMessage.ResponseHandler,
+  ): targetAttempt.Attempt {
     const callbacks = this.dependencies.gate.admit(message, true);
     const attempt = new targetAttempt.Attempt(message, handler, callbacks);
     if (attempt.isWithheld) return attempt;
@@ -152,12 +73,16 @@
 
   /** Sends a message that this daemon originates, and discards the body of its response. */
   async call(
-    { target, address, purpose }: Pick<TargetMessage, 'target' | 'address' | 'purpose'>,
+    {
+      target,
+      address,
+      purpose,
+    }: Pick<targetMessage.TargetMessage, 'target' | 'address' | 'purpose'>,
     { method, path, headers, body }: protocols.TargetCall,
     timeoutMs: number,
-  ): Promise<CallResult> {
-    let head: ResponseHead | undefined;
-    const handler: ResponseHandler = {
+  ): Promise<targetMessage.CallResult> {
+    let head: targetMessage.ResponseHead | undefined;
+    const handler: targetMessage.ResponseHandler = {
       onHead: (received) => {
         head = received;
       },
@@ -200,7 +125,16 @@
   }
 
   private dispatch(
-    { target, address, method, path, headers, body, currentHeaders, isRepeat }: TargetMessage,
+    {
+      target,
+      address,
+      method,
+      path,
+      headers,
+      body,
+      currentHeaders,
+      isRepeat,
+    }: targetMessage.TargetMessage,
     attempt: targetAttempt.Attempt,
     onUnreachable: (failure: directDispatch.ConnectionFailure) => void,
   ): void {
@@ -232,7 +166,7 @@
 
   /** No connection could be made; if that is this VM's fault, the message goes by way of another entry. */
   private sendAround(
-    message: TargetMessage,
+    message: targetMessage.TargetMessage,
     attempt: targetAttempt.Attempt,
     failure: directDispatch.ConnectionFailure,
   ): void {
@@ -244,7 +178,10 @@
    * Sends a message by way of another entry. One that no entry takes isn't sent directly all the same: on a lost path it
    * could arrive unnoticed, and must then not be sent again.
    */
-  private async relay(message: TargetMessage, attempt: targetAttempt.Attempt): Promise<void> {
+  private async relay(
+    message: targetMessage.TargetMessage,
+    attempt: targetAttempt.Attempt,
+  ): Promise<void> {
     const { paths, relays } = this.dependencies;
     const end = await relays?.deliver(message, attempt);
     if (attempt.wasAnswered) paths?.reachedElsewhere(message.target);
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -17,7 +17,7 @@
 import * as leaderOutbox from './leaderOutbox';
 import type * as rateLimitClient from './rateLimitClient';
 import * as responseOrigin from './responseOrigin';
-import type * as targetClient from './targetClient';
+import type * as targetMessage from './targetMessage';
 
 type Lifetime = domain.quarantine.crashedLifetimes.Lifetime;
 
@@ -38,7 +38,7 @@
 
 /** A message that was sent; `at` is its time on the steady clock, milliseconds. */
 interface SentMessage {
-  message: targetClient.TargetMessage;
+  message: targetMessage.TargetMessage;
   inFlight: domain.backOff.backOffs.InFlightMessage;
   at: number;
 }
@@ -51,7 +51,7 @@
  */
 const CANARY_RESULT_WAIT_MS = 50;
 
-export class TargetSignals implements targetClient.AdmissionGate {
+export class TargetSignals implements targetMessage.AdmissionGate {
   private readonly backOffs = new domain.backOff.backOffs.BackOffs();
 
   /** Start times of draining targets, by id. */
@@ -87,9 +87,9 @@
   }
 
   admit(
-    message: targetClient.TargetMessage,
+    message: targetMessage.TargetMessage,
     isRelayed = false,
-  ): targetClient.DeliveryCallbacks | undefined {
+  ): targetMessage.DeliveryCallbacks | undefined {
     const { now } = this.dependencies;
     const { target, purpose } = message;
     const evacuated = this.evacuatedOf(message);
@@ -189,7 +189,7 @@
     target,
     purpose,
     helpers = [],
-  }: targetClient.TargetMessage): string | undefined {
+  }: targetMessage.TargetMessage): string | undefined {
     if (!startsWork(purpose) || !this.hasEvacuations) return undefined;
     return [target, ...helpers].find((id) => this.isEvacuated(id));
   }
@@ -203,7 +203,7 @@
   }
 
   private logEvacuated(
-    { target, purpose, requestId: request }: targetClient.TargetMessage,
+    { target, purpose, requestId: request }: targetMessage.TargetMessage,
     evacuated: string,
   ): void {
     const { observer: observe, fleetState: state } = this.dependencies;
@@ -213,8 +213,8 @@
   }
 
   private logForeign(
-    { target, purpose, requestId: request }: targetClient.TargetMessage,
-    { status, facts }: targetClient.ResponseHead,
+    { target, purpose, requestId: request }: targetMessage.TargetMessage,
+    { status, facts }: targetMessage.ResponseHead,
   ): void {
     const { observer: observe } = this.dependencies;
     const { requestId: answered, isNotRun } = facts;
@@ -222,7 +222,7 @@
     observe.log('foreignResponse', { request, target, purpose, status, answered, isNotRun });
   }
 
-  private accepts(target: string, purpose: targetClient.MessagePurpose): boolean {
+  private accepts(target: string, purpose: targetMessage.MessagePurpose): boolean {
     const now = this.dependencies.now();
     // A draining target still gets checks, and upkeep of the requests that run there and of their memory.
     const isNew = startsWork(purpose);
@@ -232,13 +232,13 @@
   }
 
   /** Whether a request has the grants that it needs for cold targets; other messages get theirs elsewhere. */
-  private hasGrant({ target, helpers = [], purpose }: targetClient.TargetMessage): boolean {
+  private hasGrant({ target, helpers = [], purpose }: targetMessage.TargetMessage): boolean {
     const { coldGrants: grants } = this.dependencies;
     if (purpose !== 'request' || grants === undefined) return true;
     return [target, ...helpers].every((each) => grants.take(each));
   }
 
-  private answered(sentMessage: SentMessage, head: targetClient.ResponseHead): void {
+  private answered(sentMessage: SentMessage, head: targetMessage.ResponseHead): void {
     if (!isFromTarget(sentMessage.message, head.facts)) return;
     this.recordBackOff(sentMessage, head);
     this.recordLimit(sentMessage, head);
@@ -258,7 +258,7 @@
 
   private recordBackOff(
     sentMessage: SentMessage,
-    { status, facts }: targetClient.ResponseHead,
+    { status, facts }: targetMessage.ResponseHead,
   ): void {
     const { message, inFlight } = sentMessage;
     const { backOff } = facts;
@@ -282,7 +282,7 @@
 
   private recordLimit(
     { message, at }: SentMessage,
-    { status, facts }: targetClient.ResponseHead,
+    { status, facts }: targetMessage.ResponseHead,
   ): void {
     const { requestId = '', target, address } = message;
     const { limit, isSigned, isEncoded, isNotRun, coldForMs = 0 } = facts;
@@ -337,13 +337,13 @@
 }
 
 /** Whether a message makes its target begin something, rather than serving what runs there already. */
-function startsWork(purpose: targetClient.MessagePurpose): boolean {
+function startsWork(purpose: targetMessage.MessagePurpose): boolean {
   return purpose === 'request' || purpose === 'order';
 }
 
 /** Whether a response belongs to the message and comes from the addressed lifetime. */
 function isFromTarget(
-  { requestId = '' }: targetClient.TargetMessage,
+  { requestId = '' }: targetMessage.TargetMessage,
   facts: protocols.ResponseMetadata,
 ): boolean {
   if (facts.isWrongLifetime || !responseOrigin.isResponseTo(requestId, facts)) return false;
