Send each message to a target that answers out of turn over a connection of its own

Callers saw: at targets that send second copies of their answers, each copy cost the caller of an unsafe call a 502. The entry ended the connection, and the next kept connection to the same target met the next copy.

Cause: connections are shared with a target that is known to answer out of turn. A copy comes on the connection of its first message, so a message on a connection of its own can't meet one.

The target gets all its work meanwhile; one that did it once costs some connections. Gauge outOfTurnTargets.

--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -278,6 +278,7 @@
       limits: this.fleetState.limits.size - this.fleetState.limits.coldSize,
       cold: this.fleetState.limits.coldSize,
       backingOff: this.signals.backingOff,
+      outOfTurnTargets: this.targets.outOfTurnCount,
       evacuations: this.fleetState.evacuations.size,
       suspects: this.fleetState.quarantine.size,
       quarantined: this.fleetState.quarantine.quarantined,
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -10,6 +10,7 @@
 import * as targetAttempt from './targetAttempt';
 import * as connectionTracker from './connectionTracker';
 import * as directDispatch from './directDispatch';
+import * as outOfTurnTargets from './outOfTurnTargets';
 import type * as pathMonitor from './pathMonitor';
 import type * as relayClient from './relayClient';
 import type * as targetMessage from './targetMessage';
@@ -41,6 +42,8 @@
 
   private readonly connections: connectionTracker.ConnectionTracker;
 
+  private readonly outOfTurn = new outOfTurnTargets.OutOfTurnTargets(clock.steady);
+
   constructor(private readonly dependencies: Dependencies) {
     const { source, openSocket = net.connect, paths } = dependencies;
     this.connections = new connectionTracker.ConnectionTracker(source, openSocket, paths);
@@ -103,6 +106,7 @@
 
   /** Closes the idle connections of a lifetime that ended; responses in progress continue. */
   forget(target: string): void {
+    this.outOfTurn.forget(target);
     const pool = this.pools.get(target);
     this.pools.delete(target);
     // Fails only if the pool is closed already.
@@ -116,6 +120,11 @@
     this.pools.clear();
   }
 
+  /** Number of targets to which connections aren't shared, as they answered out of turn. */
+  get outOfTurnCount(): number {
+    return this.outOfTurn.size;
+  }
+
   /** Opens a connection to a target and closes it at once, to see whether there is a path. */
   tryConnection(target: string, address: string): void {
     const [hostname, port] = address.split(':');
@@ -140,8 +149,12 @@
   ): void {
     const { connections } = this;
     const { protocol, paths } = this.dependencies;
-    const pool = isRepeat === true ? this.newPool(target, address) : this.pool(target, address);
-    if (isRepeat === true) void attempt.result.then(() => pool.destroy());
+    const needsOwnConnection = isRepeat === true || this.outOfTurn.includes(target);
+    const pool = needsOwnConnection ? this.newPool(target, address) : this.pool(target, address);
+    void attempt.result.then(({ kind }) => {
+      if (kind === 'foreign') this.outOfTurn.add(target);
+      if (needsOwnConnection) void pool.destroy();
+    });
     pool.dispatch(
       {
         method,
