Make a refusal after a send impossible to write without proof that nothing ran

Callers saw: with an unexpected error between the send of an unsafe call and the line that records it, 503 for a call that then ran.

Cause: whether a request may have run was a flag of the exchange that each path had to set: after an attempt, at the time limit, at an unexpected error, in a quarantine. A path that missed it, or came between, refused by default.

Change: each attempt itself records that it was sent, and the complete refusal of its target. Only Deliveries sends a request, and a 503 can be written only with a NotRunGuarantee, which Deliveries.end() alone makes: it cancels all attempts, and an attempt that is over never starts. 502 and 504 are the default.

5026 states, at level warn, on which evidence a request was refused after a send: target, relay, status and id of the response, local port of the connection and how many messages it had carried; 4127 has the latter too. undici publishes the socket on a diagnostics channel.

The test with the unexpected error failed before (503, and the target received the call 50 ms later); the others are new.

--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -139,6 +139,9 @@
   /** Number of liveness probes that targets received. */
   probes = 0;
 
+  /** Lines of log, from level `warn` on. */
+  readonly logged: Record<string, unknown>[] = [];
+
   /** Requests that the selector received. */
   readonly placementRequests: targetSelector.PlacementRequest[] = [];
 
@@ -148,6 +151,9 @@
   /** How long the selector takes, milliseconds. */
   placementDelayMs = 0;
 
+  /** Thrown when a request has just been sent, if set. */
+  errorAfterSend: Error | undefined;
+
   /** Thrown by the selector, if set. */
   placementError: Error | undefined;
 
@@ -191,7 +197,8 @@
     const rule = { ratio: 1, slack: 100, windowMs: 10_000 };
     const budgets = new domain.request.repeatBudget.RepeatBudgets(rule);
     budgets.setEntryCount(1, clock.steady());
-    const observe = new observer.Observer('test', 'fatal', undefined);
+    const output = { write: (line: string) => this.logged.push(JSON.parse(line)) };
+    const observe = new observer.Observer('test', 'warn', undefined, output as never);
     const limits = {
       answered: () => undefined,
       spent: () => undefined,
@@ -236,7 +243,7 @@
       targets: this.targets,
       liveness,
       limits,
-      signals: this.signals,
+      signals: this.failingSignals(),
       quarantine: this.quarantine,
       budgets,
       observer: observe,
@@ -337,6 +344,15 @@
     });
   }
 
+  /** Signals that throw `errorAfterSend` where the exchange asks them about a request that it has just sent. */
+  private failingSignals(): exchange.Dependencies['signals'] {
+    const bornAt = (target: string): number => {
+      if (this.errorAfterSend !== undefined) throw this.errorAfterSend;
+      return this.signals.bornAt(target);
+    };
+    return Object.assign(Object.create(this.signals) as targetSignals.TargetSignals, { bornAt });
+  }
+
   private async choose(request: targetSelector.PlacementRequest): Promise<targetSelector.Choice> {
     this.placementRequests.push(request);
     if (this.placementError !== undefined) throw this.placementError;
--- a/packages/daemon/src/entry/callerResponse.ts
+++ b/packages/daemon/src/entry/callerResponse.ts
@@ -8,6 +8,7 @@
 import * as hopByHop from '../edges/hopByHop';
 import type * as protocols from '../edges/protocols';
 import type * as heldBytes from './heldBytes';
+import type * as notRunGuarantee from './notRunGuarantee';
 import * as responseOrigin from './responseOrigin';
 import type * as targetAttempt from './targetAttempt';
 import type * as targetMessage from './targetMessage';
@@ -26,6 +27,12 @@
 /** From this status on, a target's own response doesn't show that it completed the request. */
 export const FAILURE_STATUS = 500;
 
+/** Status of the entry's own refusals, which guarantees that the request did not run and never will. */
+export const NOT_RUN_STATUS = 503;
+
+/** Statuses of the entry's own failures, which guarantee nothing. */
+export type FailureStatus = 502 | 504;
+
 /** Targets cut a response that isn't read for some seconds; the shortest such time, milliseconds. */
 const UNREAD_CUT_MS = 2_000;
 
@@ -174,18 +181,23 @@
     return { kind: 'passedOn' };
   }
 
-  /**
-   * Sends a response of the entry itself; one that has begun is aborted, so that it can't be mistaken for a complete
-   * one.
-   */
-  refuse(status: number, retryAfterMs: number | undefined): void {
+  /** Tells the caller that no target ran the request and none will; the guarantee shows it. */
+  refuse(_guarantee: notRunGuarantee.NotRunGuarantee, retryAfterMs: number): void {
+    this.end(NOT_RUN_STATUS, { 'Retry-After': (retryAfterMs / 1_000).toFixed(2) });
+  }
+
+  /** Tells the caller that the request failed; a target may have run it. */
+  fail(status: FailureStatus): void {
+    this.end(status, {});
+  }
+
+  /** Sends a response of the entry itself. One that has begun is aborted, so that it can't be taken for complete. */
+  private end(status: number, headers: http.OutgoingHttpHeaders): void {
     if (this.response.headersSent) {
       this.response.destroy();
       return;
     }
-    const headers: http.OutgoingHttpHeaders = { 'Content-Length': 0 };
-    if (retryAfterMs !== undefined) headers['Retry-After'] = (retryAfterMs / 1_000).toFixed(2);
-    this.response.writeHead(status, headers);
+    this.response.writeHead(status, { ...headers, 'Content-Length': 0 });
     this.response.end();
   }
 
--- a/packages/daemon/src/entry/directDispatch.ts
+++ b/packages/daemon/src/entry/directDispatch.ts
@@ -5,6 +5,7 @@
 import type * as targetAttempt from './targetAttempt';
 import type * as connectionTracker from './connectionTracker';
 import type * as pathMonitor from './pathMonitor';
+import * as sentMessages from './sentMessages';
 
 /** Why no connection to a target could be made. */
 export interface ConnectionFailure {
@@ -33,8 +34,12 @@
   constructor(private readonly options: Options) {}
 
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
+    const { attempt } = this.options;
     this.isStarted = true;
-    this.options.attempt.started(controller);
+    sentMessages.awaitConnection((connection) => {
+      attempt.connection = connection;
+    });
+    attempt.started(controller);
   }
 
   onResponseStart(
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -11,6 +11,7 @@
 import type * as observer from '../observability/observer';
 import * as callerResponse from './callerResponse';
 import * as attempts from './attempts';
+import * as deliveries from './deliveries';
 import type * as targetSelector from './targetSelector';
 import type * as permittedRun from './permittedRun';
 import type * as quarantineClient from './quarantineClient';
@@ -122,8 +123,8 @@
 
   private readonly requestLog: exchangeLog.ExchangeLog;
 
-  /** Whether any target may have run the request. */
-  private mayHaveRun = false;
+  /** The only way to send the request, so it knows whether any target may have run it. */
+  private readonly deliveries: deliveries.Deliveries;
 
   private isOver = false;
 
@@ -175,6 +176,7 @@
     const { route, facts, arrivedAt, response, request } = admitted;
     this.deadline = arrivedAt + Math.min(route.timeoutMs, facts.patienceMs ?? Infinity);
     this.attempts = new attempts.Attempts(route.maxAttempts);
+    this.deliveries = new deliveries.Deliveries(dependencies.targets);
     this.reply = new callerResponse.CallerResponse(response, route, facts, admitted.held);
     const { attempts: attemptsMade, reply } = this;
     const { observer: observe, now } = dependencies;
@@ -215,7 +217,6 @@
   private failUnexpectedly(error: unknown): void {
     const { facts } = this.admitted;
     this.dependencies.observer.log('crashed', { request: facts.requestId, detail: String(error) });
-    this.mayHaveRun ||= this.attempt?.wasSent === true;
     this.attempt?.cancel();
     this.releaseCurrent?.('cancelled');
     this.fail('internal error', RETRY_AFTER_MS);
@@ -254,7 +255,7 @@
    * shows within a few hundred milliseconds whether it may run.
    */
   private awaitsCanary({ isCopy }: { isCopy: boolean }): boolean {
-    if (this.mayHaveRun) return true;
+    if (this.deliveries.mayHaveRun) return true;
     const elapsedMs = this.dependencies.now() - this.admitted.arrivedAt;
     return !isCopy && elapsedMs < this.patienceMs;
   }
@@ -335,7 +336,7 @@
       return;
     }
     const { retryAfterMs } = permit;
-    this.mayHaveRun ||= retryAfterMs === undefined;
+    if (retryAfterMs === undefined) this.deliveries.presumeRun();
     this.fail(
       retryAfterMs === undefined
         ? 'quarantined: it crashed targets'
@@ -430,7 +431,7 @@
       return { kind: 'noMemory' };
     }
     const { request, body, organisation } = this.admitted;
-    const { protocol, targets } = this.dependencies;
+    const { protocol } = this.dependencies;
     const resumeAfter = this.reply.lastEventId;
     const currentHeaders = (): string[] =>
       protocol.requestHeaders(request.rawHeaders, {
@@ -441,7 +442,7 @@
         ...this.urgency,
         resumeAfter,
       });
-    const attempt = targets.send(
+    const attempt = this.deliveries.send(
       {
         target: placement.target,
         address: placement.address,
@@ -482,7 +483,6 @@
       wasRefused: outcome.kind === 'notRun' && outcome.ending === 'full',
       wasHelperAtFault: faulty !== undefined,
     });
-    if (wasSent && outcome.kind !== 'notRun') this.mayHaveRun = true;
     if (outcome.kind === 'answered') this.requestLog.answered(placement);
     // A target that cuts a response which its caller doesn't read is neither ill nor crashed.
     const wentUnread = outcome.kind === 'failed' && this.reply.wentUnread(this.dependencies.now());
@@ -661,7 +661,6 @@
   private cancel(outcome: Outcome): void {
     if (this.isOver || this.admitted.response.writableFinished) return;
     if (outcome.kind === 'late') {
-      this.mayHaveRun ||= this.attempt?.wasSent === true;
       this.isLate = true;
       this.fail('deadline exceeded', RETRY_AFTER_MS);
     } else {
@@ -674,13 +673,14 @@
   private fail(detail: string, retryAfterMs: number): void {
     if (this.isOver) return;
     this.isOver = true;
-    const status = this.status();
-    this.requestLog.refused(status, detail);
-    this.reply.refuse(status, status === 503 ? retryAfterMs : undefined);
-  }
-
-  private status(): number {
-    if (!this.mayHaveRun) return 503;
-    return this.isLate ? 504 : 502;
+    const guarantee = this.deliveries.end();
+    if (guarantee === undefined) {
+      const status = this.isLate ? 504 : 502;
+      this.requestLog.failed(status, detail);
+      this.reply.fail(status);
+      return;
+    }
+    this.requestLog.refused(guarantee, detail);
+    this.reply.refuse(guarantee, retryAfterMs);
   }
 }
--- a/packages/daemon/src/entry/exchangeLog.ts
+++ b/packages/daemon/src/entry/exchangeLog.ts
@@ -1,9 +1,10 @@
 /** Logs and counts the placements, the failed attempts and the end of one caller's request. */
 import type * as domain from '@celerydrift/domain';
 import type * as observer from '../observability/observer';
-import type * as callerResponse from './callerResponse';
+import * as callerResponse from './callerResponse';
 import type * as attempts from './attempts';
 import type * as exchange from './exchange';
+import type * as notRunGuarantee from './notRunGuarantee';
 
 type Placement = domain.allocation.allocator.Placement;
 
@@ -66,12 +67,30 @@
     });
   }
 
-  /** The caller gets a response of the entry itself. */
-  refused(status: number, detail: string): void {
+  /** The caller is told that the request failed, and may have run. */
+  failed(status: callerResponse.FailureStatus, detail: string): void {
     this.dependencies.observer.count(`answers.${status}.own`);
     this.ended(status, { detail });
   }
 
+  /** The caller is told that no target ran the request. */
+  refused({ refusals }: notRunGuarantee.NotRunGuarantee, detail: string): void {
+    const { admitted, observer: observe } = this.dependencies;
+    const status = callerResponse.NOT_RUN_STATUS;
+    observe.count(`answers.${status}.own`);
+    if (refusals.length > 0) {
+      const evidence = refusals.map(({ connection, ...refusal }) => ({
+        ...refusal,
+        connection: connection?.port,
+        messages: connection?.messages,
+      }));
+      const { facts, route } = admitted;
+      const request = facts.requestId;
+      observe.log('refusedAfterSend', { request, route: route.name, status, detail, evidence });
+    }
+    this.ended(status, { detail });
+  }
+
   callerGone(): void {
     this.dependencies.observer.log('callerGone', {
       request: this.dependencies.admitted.facts.requestId,
--- a/packages/daemon/src/entry/targetAttempt.ts
+++ b/packages/daemon/src/entry/targetAttempt.ts
@@ -3,6 +3,7 @@
  * happened; `cancel` ends that dispatch, which also stops the target's work.
  */
 import * as responseOrigin from './responseOrigin';
+import type * as sentMessages from './sentMessages';
 import type * as targetMessage from './targetMessage';
 
 /** What an attempt needs of the dispatch that carries it. */
@@ -12,6 +13,18 @@
   resume: () => void;
 }
 
+/** A target's complete response that states that it didn't run the message, and how it arrived. */
+export interface Refusal {
+  target: string;
+  /** Address of the VM that relayed the message; undefined for a direct connection. */
+  relay: string | undefined;
+  status: number;
+  /** Id in the response. */
+  answered: string | undefined;
+  /** Undefined for a relayed message. */
+  connection: sentMessages.Connection | undefined;
+}
+
 export class Attempt {
   readonly result: Promise<targetMessage.SendResult>;
 
@@ -19,8 +32,6 @@
 
   private carrier: Carrier | undefined;
 
-  private cancelled = false;
-
   private isSettled = false;
 
   /** Whether the head of the target's response arrived. */
@@ -29,9 +40,17 @@
   /** Address of the VM that relays the message; undefined for a direct connection. */
   relay: string | undefined;
 
+  /** The direct connection that carries it. */
+  connection: sentMessages.Connection | undefined;
+
+  /** The response to this message; undefined until its head arrived. */
+  private head: targetMessage.ResponseHead | undefined;
+
+  private isComplete = false;
+
   /** `callbacks` is undefined if the message is withheld. */
   constructor(
-    private readonly message: Pick<targetMessage.TargetMessage, 'requestId'>,
+    private readonly message: Pick<targetMessage.TargetMessage, 'target' | 'requestId'>,
     private readonly handler: targetMessage.ResponseHandler,
     private readonly callbacks: targetMessage.DeliveryCallbacks | undefined,
   ) {
@@ -52,7 +71,6 @@
 
   cancel(): void {
     if (this.isSettled) return;
-    this.cancelled = true;
     // Settled first, as the abort ends the dispatch with an error at once.
     this.finish({ kind: 'cancelled' });
     this.carrier?.abort(new Error('cancelled'));
@@ -63,6 +81,19 @@
     return this.carrier !== undefined;
   }
 
+  /** The target's statement that it didn't run the message; undefined if it made none, or not completely. */
+  get refusal(): Refusal | undefined {
+    const { head, relay, connection } = this;
+    if (head === undefined || !this.isComplete || !head.facts.isNotRun) return undefined;
+    const { target } = this.message;
+    return { target, relay, status: head.status, answered: head.facts.requestId, connection };
+  }
+
+  /** Whether the target may have run the message, or run it now. */
+  get mayHaveRun(): boolean {
+    return this.wasSent && this.refusal === undefined;
+  }
+
   pause(): void {
     this.carrier?.pause();
   }
@@ -71,9 +102,9 @@
     this.carrier?.resume();
   }
 
-  /** From now on bytes of the request may reach the target. */
+  /** From now on bytes of the message may reach the target; an attempt that is over never starts. */
   started(carrier: Carrier): void {
-    if (this.cancelled) {
+    if (this.isSettled) {
       carrier.abort(new Error('cancelled'));
       return;
     }
@@ -93,6 +124,7 @@
       this.reject(head);
       return;
     }
+    this.head = head;
     this.callbacks?.answered(head);
     this.handler.onHead(head);
   }
@@ -102,7 +134,7 @@
    * behind. Whether the target runs this message is unknown.
    */
   private reject(head: targetMessage.ResponseHead): void {
-    this.callbacks?.foreign(head);
+    this.callbacks?.foreign(head, this.connection);
     this.finish({ kind: 'foreign', detail: `response to another message: ${head.status}` });
     this.carrier?.abort(new Error('response to another message'));
   }
@@ -114,6 +146,7 @@
   finish(result: targetMessage.SendResult): void {
     if (this.isSettled) return;
     this.isSettled = true;
+    this.isComplete = result.kind === 'complete';
     this.callbacks?.ended();
     this.settle(result);
   }
--- a/packages/daemon/src/entry/targetMessage.ts
+++ b/packages/daemon/src/entry/targetMessage.ts
@@ -3,6 +3,7 @@
  * share.
  */
 import type * as protocols from '../edges/protocols';
+import type * as sentMessages from './sentMessages';
 
 /** Status and headers of a target's response. */
 export interface ResponseHead {
@@ -66,8 +67,8 @@
 export interface DeliveryCallbacks {
   /** The head of its response arrived. */
   answered: (head: ResponseHead) => void;
-  /** The head of a response to another message arrived instead. */
-  foreign: (head: ResponseHead) => void;
+  /** The head of a response to another message arrived instead; `connection` is undefined for a relayed message. */
+  foreign: (head: ResponseHead, connection?: sentMessages.Connection) => void;
   /** It ended, with or without a response. */
   ended: () => void;
 }
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -17,6 +17,7 @@
 import * as leaderOutbox from './leaderOutbox';
 import type * as rateLimitClient from './rateLimitClient';
 import * as responseOrigin from './responseOrigin';
+import type * as sentMessages from './sentMessages';
 import type * as targetMessage from './targetMessage';
 
 type Lifetime = domain.quarantine.crashedLifetimes.Lifetime;
@@ -106,7 +107,7 @@
     this.countActive(lifetime, 1);
     return {
       answered: (head) => this.answered(sent, head),
-      foreign: (head) => this.logForeign(message, head),
+      foreign: (head, connection) => this.recordForeign(message, head, connection),
       ended: () => {
         inFlight.ended();
         this.countActive(lifetime, -1);
@@ -212,14 +213,18 @@
     observe.log('messageEvacuated', { request, target, purpose, evacuated, dataCentre });
   }
 
-  private logForeign(
+  private recordForeign(
     { target, purpose, requestId: request }: targetMessage.TargetMessage,
-    { status, facts }: targetMessage.ResponseHead,
+    head: targetMessage.ResponseHead,
+    connection: sentMessages.Connection | undefined,
   ): void {
     const { observer: observe } = this.dependencies;
-    const { requestId: answered, isNotRun } = facts;
+    const { requestId: answered, isNotRun } = head.facts;
     observe.count(`responses.foreign.${purpose}`);
-    observe.log('foreignResponse', { request, target, purpose, status, answered, isNotRun });
+    observe.log('foreignResponse', {
+      ...{ request, target, purpose, status: head.status, answered, isNotRun },
+      ...{ connection: connection?.port, messages: connection?.messages },
+    });
   }
 
   private accepts(target: string, purpose: targetMessage.MessagePurpose): boolean {
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -125,6 +125,11 @@
     text: 'this VM is overloaded; closes new connections',
   },
   vmOverloadEnded: { number: 5025, level: 'info', text: 'this VM is no longer overloaded' },
+  refusedAfterSend: {
+    number: 5026,
+    level: 'warn',
+    text: 'request refused as not run after it was sent',
+  },
   claimUnknown: {
     number: 5101,
     level: 'warn',
