Report a guarantee of not-run that a target contradicts

A caller was the only one to notice that its refused call had run. The test failed before, as there was no such event.

--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -9,6 +9,7 @@
 import type * as targetSelector from '../../targetSelector';
 import * as quarantineClient from '../../quarantineClient';
 import * as exchange from '../../exchange';
+import * as guaranteeAudit from '../../guaranteeAudit';
 import * as heldBytes from '../../heldBytes';
 import * as ingress from '../../ingress';
 import * as livenessProbes from '../../livenessProbes';
@@ -199,6 +200,7 @@
     budgets.setEntryCount(1, clock.steady());
     const output = { write: (line: string) => this.logged.push(JSON.parse(line)) };
     const observe = new observer.Observer('test', 'warn', undefined, output as never);
+    const audit = new guaranteeAudit.GuaranteeAudit({ observer: observe, now: clock.steady });
     const limits = {
       answered: () => undefined,
       spent: () => undefined,
@@ -211,6 +213,7 @@
       limits,
       link: { leader: '' },
       client,
+      audit,
       observer: observe,
       now: clock.steady,
     });
@@ -241,6 +244,7 @@
         unavailableForMs: () => 0,
       } as unknown as targetSelector.TargetSelector,
       targets: this.targets,
+      audit,
       liveness,
       limits,
       signals: this.failingSignals(),
--- a/packages/daemon/src/entry/__tests__/foreignResponses.test.ts
+++ b/packages/daemon/src/entry/__tests__/foreignResponses.test.ts
@@ -109,6 +109,19 @@
     expect(statuses).to.deep.equal([200, 502, 200, 200, 200, 200, 200, 200]);
   });
 
+  // Guards against a guarantee whose break nobody notices but the caller.
+  it('show that a request was run that was refused', async () => {
+    const statements: Record<string, string> = { r1: refusal('r1'), r2: success('r1') };
+    setup = await harness.TestHarness.start((message, socket) => {
+      const id = idOf(message);
+      if (id !== '') socket.write(statements[id]);
+    });
+    expect((await send('/unsafe/1', 'r1')).status).to.equal(503);
+    expect((await send('/unsafe/1', 'r2')).status).to.equal(502);
+    const events = setup.logged.map(({ event, request }) => [event, request]);
+    expect(events).to.deep.include([5027, 'r1']);
+  });
+
   // Guards against spare answers that arrive on an idle connection, or together with the true one.
   const arrivals: Record<string, (id: string, socket: net.Socket) => void> = {
     'in one packet with the answer': (id, socket) => socket.write(success(id) + refusal(id)),
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -21,6 +21,7 @@
 import * as coldGrants from './coldGrants';
 import type * as connectionTracker from './connectionTracker';
 import * as exchange from './exchange';
+import * as guaranteeAudit from './guaranteeAudit';
 import * as heldBytes from './heldBytes';
 import * as ingress from './ingress';
 import * as livenessProbes from './livenessProbes';
@@ -83,6 +84,8 @@
 
   private readonly limits: rateLimitClient.RateLimitClient;
 
+  private readonly audit: guaranteeAudit.GuaranteeAudit;
+
   private readonly signals: targetSignals.TargetSignals;
 
   private readonly coldGrants: coldGrants.ColdGrants;
@@ -149,7 +152,9 @@
       registry: this.fleetState.registry,
       readClocks: clock.readClocks,
     });
+    this.audit = new guaranteeAudit.GuaranteeAudit({ observer: observe, now: clock.steady });
     this.signals = new targetSignals.TargetSignals({
+      audit: this.audit,
       fleetState: this.fleetState,
       limits: this.limits,
       coldGrants: this.coldGrants,
@@ -326,6 +331,7 @@
       signals: this.signals,
       quarantine: this.quarantine,
       budgets: this.budgets,
+      audit: this.audit,
       observer: observe,
       random,
       now: clock.steady,
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -12,6 +12,7 @@
 import * as callerResponse from './callerResponse';
 import * as attempts from './attempts';
 import * as deliveries from './deliveries';
+import type * as guaranteeAudit from './guaranteeAudit';
 import type * as targetSelector from './targetSelector';
 import type * as permittedRun from './permittedRun';
 import type * as quarantineClient from './quarantineClient';
@@ -52,6 +53,8 @@
   >;
   quarantine: Pick<quarantineClient.QuarantineClient, 'permit' | 'checkForCrash' | 'isQuarantined'>;
   budgets: domain.request.repeatBudget.RepeatBudgets;
+  /** Remembers which requests were refused as not run. */
+  audit?: Pick<guaranteeAudit.GuaranteeAudit, 'refused'>;
   observer: observer.Observer;
   random: domain.shared.random.Random;
   now: () => number;
@@ -680,6 +683,7 @@
       this.reply.fail(status);
       return;
     }
+    this.dependencies.audit?.refused(this.admitted.facts.requestId);
     this.requestLog.refused(guarantee, detail);
     this.reply.refuse(guarantee, retryAfterMs);
   }
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -16,6 +16,7 @@
 import * as leaderCall from './leaderCall';
 import * as leaderOutbox from './leaderOutbox';
 import type * as rateLimitClient from './rateLimitClient';
+import type * as guaranteeAudit from './guaranteeAudit';
 import * as responseOrigin from './responseOrigin';
 import type * as sentMessages from './sentMessages';
 import type * as targetMessage from './targetMessage';
@@ -33,6 +34,8 @@
     Partial<Pick<rateLimitClient.RateLimitClient, 'coldAnswered'>>;
   /** Grants for requests to cold targets; without them nothing is known of cold targets. */
   coldGrants?: Pick<coldGrants.ColdGrants, 'take'>;
+  /** Gets what targets answer out of turn. */
+  audit?: Pick<guaranteeAudit.GuaranteeAudit, 'check'>;
   observer: observer.Observer;
   now: () => number;
 }
@@ -218,13 +221,14 @@
     head: targetMessage.ResponseHead,
     connection: sentMessages.Connection | undefined,
   ): void {
-    const { observer: observe } = this.dependencies;
+    const { observer: observe, audit } = this.dependencies;
     const { requestId: answered, isNotRun } = head.facts;
     observe.count(`responses.foreign.${purpose}`);
     observe.log('foreignResponse', {
       ...{ request, target, purpose, status: head.status, answered, isNotRun },
       ...{ connection: connection?.port, messages: connection?.messages },
     });
+    audit?.check(target, head);
   }
 
   private accepts(target: string, purpose: targetMessage.MessagePurpose): boolean {
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -130,6 +130,11 @@
     level: 'warn',
     text: 'request refused as not run after it was sent',
   },
+  guaranteeContradicted: {
+    number: 5027,
+    level: 'error',
+    text: 'a target ran a request that was refused as not run',
+  },
   claimUnknown: {
     number: 5101,
     level: 'warn',
