--- a/packages/daemon/src/entry/targetAttempt.ts
+++ b/packages/daemon/src/entry/targetAttempt.ts
@@ -21,6 +21,7 @@
   status: number;
   /** Id in the response. */
   answered: string | undefined;
+  isSigned: boolean;
   /** Undefined for a relayed message. */
   connection: sentMessages.Connection | undefined;
 }
@@ -86,7 +87,8 @@
     const { head, relay, connection } = this;
     if (head === undefined || !this.isComplete || !head.facts.isNotRun) return undefined;
     const { target } = this.message;
-    return { target, relay, status: head.status, answered: head.facts.requestId, connection };
+    const { requestId: answered, isSigned } = head.facts;
+    return { target, relay, status: head.status, answered, isSigned, connection };
   }
 
   /** Whether the target may have run the message, or run it now. */
