Compare the id of a response with that of its message on the own interface

Callers of a repeatable call to a plain service received the body of another call, or were told that a call that ran hadn't run. An engine's late refusal made a running generation count as refused, and a late grant made a refused reservation count as granted.

Cause: the adapter and the proxy took whatever arrived on a pooled connection for the response to the message sent last. A target that sends a response twice, late, shifts it to the next message. Calls that run once weren't affected: each has a connection of its own.

The fix: each message has an id of its own in x-celerydrift-message-id, which targets repeat. The HTTP client compares it while the head of the response is parsed, before the adapter or the proxy can read it. A foreign response fails the message as sent, so neither "not run" nor a body is taken from it, and ends its connection, which would stay one response behind. It is ended there and not by the reader, for whom a short response would be complete and its connection in use again.

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -128,7 +128,11 @@
     this.observer = new observer.Observer(name, logLevel, statsd);
     this.peers = new peerClient.PeerClient(peerSecret, tlsOptions?.client, this.observer);
     this.server = new peerServer.PeerServer(peerSecret, tlsOptions?.server, this.observer);
-    this.targetsClient = new httpClient.HttpClient(timeouts.connectMs, tlsOptions?.client);
+    this.targetsClient = new httpClient.HttpClient(
+      timeouts.connectMs,
+      tlsOptions?.client,
+      this.observer,
+    );
     this.adapter = new httpAdapter.HttpAdapter(this.targetsClient);
     this.members = new members.Members({
       self: { id: name, address, dataCentre, incarnation: this.incarnation, status: 'alive' },
--- a/packages/daemon/src/http/callersApi.ts
+++ b/packages/daemon/src/http/callersApi.ts
@@ -38,6 +38,7 @@
   'trailer',
   'transfer-encoding',
   'upgrade',
+  'x-celerydrift-message-id',
   'x-deadline-ms',
   'x-organisation',
   'x-priority',
--- a/packages/daemon/src/requests/serviceProxy.ts
+++ b/packages/daemon/src/requests/serviceProxy.ts
@@ -235,6 +235,7 @@
       // The target may close a pooled connection at the moment of sending, which leaves it unknown whether
       // the call was received. A call that must run at most once always uses a new connection.
       newConnection,
+      purpose: 'request',
     });
     const content = Buffer.from(await body.arrayBuffer());
     if (headers['x-not-run'] === 'true') {
--- a/packages/daemon/src/targets/httpAdapter.ts
+++ b/packages/daemon/src/targets/httpAdapter.ts
@@ -115,7 +115,8 @@
     const body = JSON.stringify({ ...generation, system: domain.memory.leasedResources.SYSTEM });
     const headers = { 'content-type': 'application/json' };
     const call = { method: 'POST', path: '/v1/generate', body, headers, signal } as const;
-    return this.open(target, { ...call, headersTimeoutMs: 0 });
+    const { request } = generation;
+    return this.open(target, { ...call, headersTimeoutMs: 0, purpose: 'request', request });
   }
 
   async resume(target: Target, request: string, from: number): AdapterResult<adapter.EngineStream> {
--- a/packages/daemon/src/targets/httpClient.ts
+++ b/packages/daemon/src/targets/httpClient.ts
@@ -1,11 +1,13 @@
 /**
  * HTTP client for targets, based on undici. Repeatable calls share pooled connections; undici closes a
  * connection whose response was not read to the end. Calls that can't risk a pooled connection that died
- * unnoticed use a new one.
+ * unnoticed use a new one, and so do all calls to a target that isn't known to repeat the ids of messages.
  */
 import type * as tls from 'node:tls';
 import * as undici from 'undici';
+import type * as observer from '../observability/observer';
 import type * as errors from './errors';
+import * as messageIds from './messageIds';
 
 /** Timeout of control calls, which are retried later. */
 const CONTROL_TIMEOUT_MS = 2_000;
@@ -23,32 +25,45 @@
   newConnection?: boolean;
   /** Zero disables the timeout. */
   headersTimeoutMs?: number;
+  /** Why it is sent, for logs and counters. */
+  purpose?: 'request' | 'upkeep';
+  /** Id of the attempt that it belongs to, for logs. */
+  request?: string;
 }
 
 export class HttpClient {
   private readonly pools = new Map<string, undici.Pool>();
 
+  /** Addresses of targets whose latest response repeated the id of its message. */
+  private readonly repeatsIds = new Set<string>();
+
   /** Addresses treated as unreachable; tests cut network paths with it. */
   readonly blockedAddresses = new Set<string>();
 
   constructor(
     private readonly connectMs: number,
     private readonly tlsOptions: tls.ConnectionOptions | undefined,
+    private readonly observe: Pick<observer.Observer, 'log' | 'count'>,
   ) {}
 
   async request(address: string, call: Call): Promise<undici.Dispatcher.ResponseData> {
     if (this.blockedAddresses.has(address)) {
       throw Object.assign(new Error('address is blocked'), { code: 'EHOSTUNREACH' });
     }
-    const { newConnection = false, headersTimeoutMs = CONTROL_TIMEOUT_MS, ...rest } = call;
-    const dispatcher = newConnection ? this.singleUseClient(address) : this.pool(address);
+    const { headersTimeoutMs = CONTROL_TIMEOUT_MS, purpose, request, ...options } = call;
+    // On a shared connection a response without an id could be a late one to any earlier message.
+    const isOwnConnection = call.newConnection === true || !this.repeatsIds.has(address);
+    const dispatcher = isOwnConnection ? this.singleUseClient(address) : this.pool(address);
+    const onOwnResponse = (repeatsId: boolean): void => this.learn(address, repeatsId);
     const response = await dispatcher
-      .request({ ...rest, headersTimeout: headersTimeoutMs, bodyTimeout: 0 })
+      .compose(messageIds.interceptor({ isOwnConnection, onOwnResponse }))
+      .request({ ...options, headersTimeout: headersTimeoutMs, bodyTimeout: 0 })
       .catch((error: unknown) => {
-        if (newConnection) void dispatcher.destroy();
+        if (isOwnConnection) void dispatcher.destroy();
+        if (error instanceof messageIds.ForeignResponseError) this.onForeign(address, call, error);
         throw error;
       });
-    if (newConnection) {
+    if (isOwnConnection) {
       const close = (): void => {
         void dispatcher.destroy();
       };
@@ -67,6 +82,7 @@
   closePool(address: string): void {
     void this.pools.get(address)?.destroy();
     this.pools.delete(address);
+    this.repeatsIds.delete(address);
   }
 
   close(): void {
@@ -76,6 +92,23 @@
     this.pools.clear();
   }
 
+  private learn(address: string, repeatsId: boolean): void {
+    if (repeatsId) this.repeatsIds.add(address);
+    else this.repeatsIds.delete(address);
+  }
+
+  private onForeign(
+    address: string,
+    { method, path, purpose = 'upkeep', request }: Call,
+    { id, answered, status }: messageIds.ForeignResponseError,
+  ): void {
+    // The target may have been replaced at its address by one that doesn't repeat ids.
+    if (answered === undefined) this.learn(address, false);
+    this.observe.count(`responses.foreign.${purpose}`);
+    const fields = { request, address, purpose, method, path, status, message: id, answered };
+    this.observe.log('foreignResponse', fields);
+  }
+
   private origin(address: string): string {
     return this.tlsOptions === undefined ? `http://${address}` : `https://${address}`;
   }
@@ -104,11 +137,14 @@
 /** Converts an error of a call. Every error not known to precede the sending counts as sent. */
 export function targetErrorOf(error: unknown): errors.TargetError {
   const { code = '', message = String(error) } = error as { code?: string; message?: string };
+  const detail = `${code} ${message}`.trim();
+  if (error instanceof messageIds.ForeignResponseError)
+    return { progress: 'sent', fault: 'crossed', detail, retryAfterMs: 0 };
   const isNotSent = NOT_SENT_CODES.includes(code);
   return {
     progress: isNotSent ? 'notSent' : 'sent',
     fault: isNotSent ? 'connectFailed' : 'connectionLost',
-    detail: `${code} ${message}`.trim(),
+    detail,
     retryAfterMs: 0,
   };
 }
--- a/packages/domain/src/request/outcome.ts
+++ b/packages/domain/src/request/outcome.ts
@@ -13,7 +13,7 @@
   | 'connectionLost'
   /** Nothing arrived in time, and a probe of the request or the resumption of its stream failed. */
   | 'silent'
-  /** A frame of another request arrived, or frames are missing. */
+  /** A response to another message or a frame of another request arrived, or frames are missing. */
   | 'crossed'
   /** The stream broke off and could not be resumed. */
   | 'cutShort'
--- a/packages/standins/src/httpServer.ts
+++ b/packages/standins/src/httpServer.ts
@@ -2,6 +2,9 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 
+/** Id of a message, which the response repeats. */
+const MESSAGE_ID_HEADER = 'x-celerydrift-message-id';
+
 /** A received request with its body, and the response to it. */
 export interface Call {
   method: string;
@@ -66,6 +69,8 @@
     response: http.ServerResponse,
   ): Promise<void> {
     try {
+      const messageId = request.headers[MESSAGE_ID_HEADER];
+      if (messageId !== undefined) response.setHeader(MESSAGE_ID_HEADER, messageId);
       const body = await readBody(request);
       const url = new URL(request.url ?? '/', 'http://standin');
       const method = request.method ?? 'GET';
