Let Node's parser answer no call that is in progress

Callers saw: a caller that sends bytes on its connection while its call runs, such as the beginning of a next head that stays incomplete for the header timeout, got 408 where the answer to the running call is due. A 408 guarantees that the call didn't run; the target ran it. Other bytes got 400 or 431, and the call was cancelled.

Cause: without a clientError handler Node writes a status of its own on the socket, past the exchange. Both servers for callers did.

Change: one module answers malformed input. While a request that arrived whole is in progress, its own answer comes first and then the connection closes.

--- a/packages/daemon/src/entry/__tests__/deliveries.test.ts
+++ b/packages/daemon/src/entry/__tests__/deliveries.test.ts
@@ -1,4 +1,5 @@
 /** What an entry guarantees of the requests that it has sent. */
+import * as net from 'node:net';
 import * as chai from 'chai';
 import * as clock from '../../clock';
 import * as deliveries from '../deliveries';
@@ -78,6 +79,21 @@
     setup.stop();
     expect(status === 503 && hasRun).to.equal(false);
   });
+  // Guards against a status of Node's own parser in place of the answer to a call that runs.
+  it('keep their answer if their caller sends more bytes meanwhile', async () => {
+    const setup = await harness.TestHarness.start((message, target) => {
+      setTimeout(() => target.write(harness.answerTo(message, 'whole')), 50);
+    });
+    const received = await new Promise<string>((resolve) => {
+      const socket = net.connect(setup.port, '127.0.0.1', () => {
+        socket.write('POST /unsafe/1 HTTP/1.1\r\nHost: a.example\r\nid: r1\r\nkey: k\r\n');
+        socket.write('Content-Length: 0\r\n\r\ngarbage\r\n\r\n');
+      });
+      socket.once('data', (data) => resolve(data.toString()));
+    });
+    setup.stop();
+    expect(received).to.match(/^HTTP\/1\.1 200 /);
+  });
 });
 
 describe('log of refused requests', () => {
--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -8,6 +8,7 @@
 import type * as codecs from '../configuration/codecs';
 import type * as protocols from '../edges/protocols';
 import * as listening from '../http/listening';
+import * as malformedInput from '../http/malformedInput';
 import type * as observer from '../observability/observer';
 import * as connectionGate from './connectionGate';
 import type * as exchange from './exchange';
@@ -72,6 +73,8 @@
 
   private readonly gate: connectionGate.ConnectionGate;
 
+  private readonly malformedInput: malformedInput.MalformedInput;
+
   /** Address of the callers' listener; undefined before it listens. */
   private address: codecs.Address | undefined;
 
@@ -88,6 +91,7 @@
         void this.handle(request, response);
       },
     );
+    this.malformedInput = new malformedInput.MalformedInput(this.server, dependencies.observer);
     this.gate = new connectionGate.ConnectionGate(this.server, {
       observer: dependencies.observer,
       now: dependencies.now,
@@ -152,6 +156,7 @@
     const arrivedAt = this.dependencies.now();
     this.active += 1;
     this.gate.used(request.socket);
+    this.malformedInput.began(request, response);
     const held = this.dependencies.held.open(this.connectionOf(request, response));
     response.once('close', () => {
       this.active -= 1;
--- /dev/null
+++ b/packages/daemon/src/http/__tests__/malformedInput.test.ts
@@ -0,0 +1,53 @@
+/** Bytes of callers that are no request, beside a request in progress and without one. */
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as chai from 'chai';
+import * as clock from '../../clock';
+import * as listening from '../listening';
+import * as malformedInput from '../malformedInput';
+
+const CALL = 'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n';
+
+/** What a caller receives for these bytes from a server that answers a call after 300 ms, until its connection ends. */
+async function answersTo(bytes: string): Promise<string> {
+  const options = { headersTimeout: 50, connectionsCheckingInterval: 50 };
+  const server = http.createServer(options, (request, response) => {
+    input.began(request, response);
+    void clock.sleep(300).then(() => response.end('own answer'));
+  });
+  const input = new malformedInput.MalformedInput(server, { count: () => undefined });
+  await listening.listen(server, { host: '127.0.0.1', port: 0 });
+  const { port } = server.address() as net.AddressInfo;
+  const socket = net.connect(port, '127.0.0.1', () => socket.write(bytes));
+  let received = '';
+  socket.on('data', (data) => {
+    received += data.toString();
+  });
+  await new Promise((resolve) => {
+    socket.on('close', resolve);
+  });
+  server.close();
+  return received;
+}
+
+describe('malformed input of callers', () => {
+  // Guards against a 408, which guarantees that nothing ran, where the answer to a running call is due.
+  const behind = { 'the beginning of a head': 'P', 'no request at all': 'garbage\r\n\r\n' };
+  Object.entries(behind).forEach(([title, bytes]) => {
+    it(`leaves the answer to a call in progress as it is (${title})`, async () => {
+      const received = await answersTo(CALL + bytes);
+      chai
+        .expect(received)
+        .to.match(/^HTTP\/1\.1 200 OK/)
+        .and.to.include('own answer');
+      chai.expect(received.split('HTTP/1.1 ').length).to.equal(2);
+    });
+  });
+
+  it('is answered where no call is in progress', async () => {
+    chai.expect(await answersTo('P')).to.match(/^HTTP\/1\.1 408 /);
+    chai.expect(await answersTo('garbage\r\n\r\n')).to.match(/^HTTP\/1\.1 400 /);
+    const head = `POST / HTTP/1.1\r\nA: ${'a'.repeat(20_000)}\r\n\r\n`;
+    chai.expect(await answersTo(head)).to.match(/^HTTP\/1\.1 431 /);
+  });
+});
--- a/packages/daemon/src/http/listener.ts
+++ b/packages/daemon/src/http/listener.ts
@@ -8,6 +8,7 @@
 import type * as tls from 'node:tls';
 import type * as configuration from '../configuration/configuration';
 import * as errors from '../requests/errors';
+import * as malformedInput from './malformedInput';
 import * as reply from './reply';
 
 /** A request with its complete body, and the response to write. */
@@ -49,6 +50,8 @@
 export class Listener {
   private readonly server: http.Server | https.Server;
 
+  private readonly malformedInput: malformedInput.MalformedInput;
+
   constructor(
     private readonly limits: configuration.Configuration['limits'],
     tlsOptions: tls.TlsOptions | undefined,
@@ -64,12 +67,14 @@
       noDelay: true,
     };
     const serve = (request: http.IncomingMessage, response: http.ServerResponse): void => {
+      this.malformedInput.began(request, response);
       void this.serve(request, response);
     };
     this.server =
       tlsOptions === undefined
         ? http.createServer(options, serve)
         : https.createServer({ ...options, ...tlsOptions }, serve);
+    this.malformedInput = new malformedInput.MalformedInput(this.server, undefined);
     this.server.maxConnections = limits.connections;
   }
 
