Count only a possible copy against a target, and close its idle connections

Only connections that carried an earlier message count now. The idle connections of a marked target are closed at once, as they count against what it accepts and may have copies under way, and close() ends connections of one message too. A request without an id goes over a connection of its own, since no copy could be told from its answer. Found by review.

--- a/packages/daemon/src/entry/directDispatch.ts
+++ b/packages/daemon/src/entry/directDispatch.ts
@@ -36,10 +36,11 @@
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
     const { attempt } = this.options;
     this.isStarted = true;
+    attempt.started(controller);
+    if (attempt.isOver) return;
     sentMessages.awaitConnection((connection) => {
       attempt.connection = connection;
     });
-    attempt.started(controller);
   }
 
   onResponseStart(
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -40,6 +40,9 @@
 export class TargetClient {
   private readonly pools = new Map<string, undici.Pool>();
 
+  /** Pools with the connection of one message. */
+  private readonly ownPools = new Set<undici.Pool>();
+
   private readonly connections: connectionTracker.ConnectionTracker;
 
   private readonly outOfTurn = new outOfTurnTargets.OutOfTurnTargets(clock.steady);
@@ -107,17 +110,15 @@
   /** Closes the idle connections of a lifetime that ended; responses in progress continue. */
   forget(target: string): void {
     this.outOfTurn.forget(target);
-    const pool = this.pools.get(target);
-    this.pools.delete(target);
-    // Fails only if the pool is closed already.
-    void pool?.close().catch(() => undefined);
+    this.closePool(target);
   }
 
   close(): void {
-    this.pools.forEach((pool) => {
+    [...this.pools.values(), ...this.ownPools].forEach((pool) => {
       void pool.destroy();
     });
     this.pools.clear();
+    this.ownPools.clear();
   }
 
   /** Number of targets to which connections aren't shared, as they answered out of turn. */
@@ -143,17 +144,20 @@
       body,
       currentHeaders,
       isRepeat,
+      requestId,
     }: targetMessage.TargetMessage,
     attempt: targetAttempt.Attempt,
     onUnreachable: (failure: directDispatch.ConnectionFailure) => void,
   ): void {
     const { connections } = this;
     const { protocol, paths } = this.dependencies;
-    const needsOwnConnection = isRepeat === true || this.outOfTurn.includes(target);
+    const needsOwnConnection =
+      isRepeat === true || requestId === '' || this.outOfTurn.includes(target);
     const pool = needsOwnConnection ? this.newPool(target, address) : this.pool(target, address);
+    if (needsOwnConnection) this.ownPools.add(pool);
     void attempt.result.then(({ kind }) => {
-      if (kind === 'foreign') this.outOfTurn.add(target);
-      if (needsOwnConnection) void pool.destroy();
+      if (kind === 'foreign' && isLateCopy(attempt)) this.answeredOutOfTurn(target);
+      if (needsOwnConnection) this.destroyOwn(pool);
     });
     pool.dispatch(
       {
@@ -211,6 +215,25 @@
     return created;
   }
 
+  /** Idle connections to the target may have copies under way, and count against the connections that it accepts. */
+  private answeredOutOfTurn(target: string): void {
+    this.outOfTurn.add(target);
+    this.closePool(target);
+  }
+
+  /** Closes the idle connections to a target; responses in progress continue. */
+  private closePool(target: string): void {
+    const pool = this.pools.get(target);
+    this.pools.delete(target);
+    // Fails only if the pool is closed already.
+    void pool?.close().catch(() => undefined);
+  }
+
+  private destroyOwn(pool: undici.Pool): void {
+    this.ownPools.delete(pool);
+    void pool.destroy();
+  }
+
   private newPool(target: string, address: string): undici.Pool {
     return new undici.Pool(`http://${address}`, {
       connect: this.connections.connectorFor(target) as unknown as undici.buildConnector.connector,
@@ -222,3 +245,8 @@
     });
   }
 }
+
+/** Whether a response to another message may be a copy of an earlier one on its connection. */
+function isLateCopy({ connection }: targetAttempt.Attempt): boolean {
+  return connection !== undefined && connection.messages > 1;
+}
