--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -54,7 +54,7 @@
   quarantine: Pick<quarantineClient.QuarantineClient, 'permit' | 'checkForCrash' | 'isQuarantined'>;
   budgets: domain.request.repeatBudget.RepeatBudgets;
   /** Remembers which requests were refused as not run. */
-  audit?: Pick<guaranteeAudit.GuaranteeAudit, 'refused'>;
+  audit?: Pick<guaranteeAudit.GuaranteeAudit, 'received' | 'refused'>;
   observer: observer.Observer;
   random: domain.shared.random.Random;
   now: () => number;
@@ -183,6 +183,7 @@
     this.reply = new callerResponse.CallerResponse(response, route, facts, admitted.held);
     const { attempts: attemptsMade, reply } = this;
     const { observer: observe, now } = dependencies;
+    dependencies.audit?.received(facts.requestId);
     this.requestLog = new exchangeLog.ExchangeLog({
       admitted,
       attempts: attemptsMade,
--- a/packages/daemon/src/entry/guaranteeAudit.ts
+++ b/packages/daemon/src/entry/guaranteeAudit.ts
@@ -31,6 +31,11 @@
     if (this.refusedAt.size > MAX_REQUESTS) this.refusedAt.delete(oldest);
   }
 
+  /** A request arrives; under an id that was refused before it may run. */
+  received(request: string): void {
+    this.refusedAt.delete(request);
+  }
+
   /** A target sent a response that none of its requests in progress waited for. */
   check(target: string, { status, facts }: targetMessage.ResponseHead): void {
     const { requestId: request = '', isNotRun, isSigned } = facts;
