Claim nothing of a call that ended with an unexpected error

Callers of the product's own interface got 400 with outcome not-run after an unexpected error, also if a target had run the call: the listener refused by default. It answers 502 with outcome unknown now; input that can't be read is refused as before.

--- a/packages/daemon/src/http/listener.ts
+++ b/packages/daemon/src/http/listener.ts
@@ -134,10 +134,12 @@
     } else {
       const isMalformed = error instanceof SyntaxError || error instanceof URIError;
       if (!isMalformed) this.onError(error);
-      const message = isMalformed
-        ? `the request can't be read: ${error.message}`
-        : 'unexpected error';
-      reply.error(response, errors.notRun('badRequest', message));
+      reply.error(
+        response,
+        isMalformed
+          ? errors.notRun('badRequest', `the request can't be read: ${error.message}`)
+          : errors.unknown('unexpected error'),
+      );
     }
   }
 }
--- a/packages/daemon/src/requests/errors.ts
+++ b/packages/daemon/src/requests/errors.ts
@@ -51,3 +51,8 @@
 export function notRun(kind: ErrorKind, message: string, retryAfterMs = 0): RequestError {
   return { kind, outcome: 'notRun', message, retryAfterMs };
 }
+
+/** The error of a request of which nobody knows how far it got. */
+export function unknown(message: string): RequestError {
+  return { kind: 'outcomeUnknown', outcome: 'unknown', message, retryAfterMs: 0 };
+}
--- a/packages/daemon/src/requests/serviceProxy.ts
+++ b/packages/daemon/src/requests/serviceProxy.ts
@@ -283,7 +283,7 @@
   const outcome = domain.request.outcome.outcomeOf(attempts, repeatable);
   const last = attempts.at(-1);
   const message = `${last?.fault ?? 'failed'} at ${last?.target ?? 'no target'}`;
-  if (outcome === 'unknown') return { kind: 'outcomeUnknown', outcome, message, retryAfterMs: 0 };
+  if (outcome === 'unknown') return errors.unknown(message);
   return { kind: 'failed', outcome, message, retryAfterMs: outcome === 'notRun' ? 1_000 : 0 };
 }
 
@@ -304,5 +304,5 @@
     return Ok({ status, contentType, body: Buffer.from(body, 'base64'), replayed: true });
   }
   const message = 'an earlier call with this key ended without a known outcome';
-  return Err({ kind: 'outcomeUnknown', outcome: 'unknown', message, retryAfterMs: 0 });
+  return Err(errors.unknown(message));
 }
