Keep warnings and errors when log lines are dropped

Operators could not find the cause of a refused request: above 500 lines a second, or with a slow reader, the log dropped lines whatever they said, also the warnings about the requests in question and the report of dropped lines (7003) itself.

Cause: the rate and the buffer were one limit for all levels. Now part of both is reserved for warnings and errors, and part of that for errors; the rate of all levels together is still 500 a second, the burst is 3,000 lines and the buffer 448 K characters. 7003 and the counters `lines.dropped.*` say what was dropped by level. The observer has one bunyan logger for each level, since bunyan doesn't tell a stream the level of a line.

--- a/packages/daemon/src/observability/boundedOutput.ts
+++ b/packages/daemon/src/observability/boundedOutput.ts
@@ -1,16 +1,32 @@
 /**
  * Standard output that never blocks the event loop and uses bounded memory. Node writes to a pipe
  * synchronously, so a slow reader would block the process. Here lines are buffered and written by the thread
- * pool; lines that exceed the buffer or the rate limit are dropped and counted.
+ * pool; lines that exceed the buffer or the rate limit are dropped and counted by level. Part of both limits is
+ * reserved for warnings and errors, and part of that for errors, so that a flood of lines of one level doesn't drop
+ * those of a higher one.
  */
 import * as fs from 'node:fs';
+import type * as events from './events';
 
-/** Room for about 800 lines of 300 characters. */
-const MAX_BUFFERED_CHARACTERS = 256 * 1_024;
+/** Limit of the buffer for lines of each level, characters; what exceeds the level below is its reserve. */
+const MAX_BUFFERED_CHARACTERS: Record<events.Level, number> = {
+  debug: 256 * 1_024,
+  info: 256 * 1_024,
+  warn: 384 * 1_024,
+  error: 448 * 1_024,
+};
 
-/** Sustained rate and burst of lines; the rate is ten times that of a busy entry. */
+/** Sustained rate and burst of lines of all levels. */
 const MAX_LINES_PER_SECOND = 500;
-const MAX_BURST_LINES = 2_000;
+const MAX_BURST_LINES = 3_000;
+
+/** Part of the burst that lines of each level must leave to higher levels. */
+const RESERVED_LINES: Record<events.Level, number> = {
+  debug: 1_000,
+  info: 1_000,
+  warn: 250,
+  error: 0,
+};
 
 export class BoundedOutput {
   private bufferedLines: string[] = [];
@@ -23,7 +39,7 @@
 
   private refilledAt: number;
 
-  private droppedLines = 0;
+  private droppedLines = noLines();
 
   constructor(
     private readonly descriptor: number,
@@ -32,13 +48,13 @@
     this.refilledAt = now();
   }
 
-  write(line: string): boolean {
+  write(line: string, level: events.Level): boolean {
     this.refill();
     if (
-      this.bufferedCharacters + line.length > MAX_BUFFERED_CHARACTERS ||
-      this.availableLines < 1
+      this.bufferedCharacters + line.length > MAX_BUFFERED_CHARACTERS[level] ||
+      this.availableLines < 1 + RESERVED_LINES[level]
     ) {
-      this.droppedLines += 1;
+      this.droppedLines[level] += 1;
       return false;
     }
     this.availableLines -= 1;
@@ -48,10 +64,10 @@
     return true;
   }
 
-  /** Returns the number of lines dropped since the last call. */
-  takeDroppedLines(): number {
+  /** Returns the number of lines of each level dropped since the last call. */
+  takeDroppedLines(): Record<events.Level, number> {
     const { droppedLines } = this;
-    this.droppedLines = 0;
+    this.droppedLines = noLines();
     return droppedLines;
   }
 
@@ -80,3 +96,7 @@
     });
   }
 }
+
+function noLines(): Record<events.Level, number> {
+  return { debug: 0, info: 0, warn: 0, error: 0 };
+}
--- a/packages/daemon/src/observability/observer.ts
+++ b/packages/daemon/src/observability/observer.ts
@@ -7,8 +7,16 @@
 import type * as configuration from '../configuration/configuration';
 import * as events from './events';
 
+/** Where log lines go. */
+export interface LineOutput {
+  write(line: string, level: events.Level): unknown;
+}
+
+const STANDARD_OUTPUT: LineOutput = { write: (line) => process.stdout.write(line) };
+
 export class Observer {
-  private readonly logger: bunyan;
+  /** One logger for each level, as bunyan doesn't tell its streams the level of a line. */
+  private readonly loggers: Record<events.Level, bunyan>;
 
   private readonly statsd: StatsD | undefined;
 
@@ -22,11 +30,23 @@
     name: string,
     level: string,
     statsd: configuration.Address | undefined,
-    output?: NodeJS.WritableStream,
+    output = STANDARD_OUTPUT,
   ) {
-    const streams = output === undefined ? {} : { streams: [{ stream: output }] };
-    this.logger = bunyan.createLogger({ name: 'celerydriftd', daemon: name, ...streams });
-    this.logger.level(level as bunyan.LogLevel);
+    const loggerOf = (lineLevel: events.Level): bunyan => {
+      const stream = { write: (line: string) => output.write(line, lineLevel) };
+      return bunyan.createLogger({
+        name: 'celerydriftd',
+        daemon: name,
+        level: level as bunyan.LogLevel,
+        stream: stream as NodeJS.WritableStream,
+      });
+    };
+    this.loggers = {
+      debug: loggerOf('debug'),
+      info: loggerOf('info'),
+      warn: loggerOf('warn'),
+      error: loggerOf('error'),
+    };
     if (statsd !== undefined) {
       const { host, port } = statsd;
       this.statsd = new StatsD({ host, port, prefix: 'celerydrift.', errorHandler: () => {} });
@@ -36,7 +56,16 @@
   log(event: events.Name, fields: Record<string, unknown> = {}): void {
     const { number, level, text } = events.EVENTS[event];
     this.count(`event.${event}`);
-    this.logger[level]({ event: number, ...fields }, text);
+    this.loggers[level][level]({ event: number, ...fields }, text);
+  }
+
+  /** Reports lines that the output dropped. The counters hold the totals, as this line may be dropped as well. */
+  logDroppedLines(dropped: Record<events.Level, number>): void {
+    const byLevel = Object.entries(dropped).filter(([, lines]) => lines > 0);
+    if (byLevel.length === 0) return;
+    byLevel.forEach(([level, lines]) => this.count(`lines.dropped.${level}`, lines));
+    const lines = byLevel.reduce((sum, [, amount]) => sum + amount, 0);
+    this.log('linesDropped', { lines, byLevel: Object.fromEntries(byLevel) });
   }
 
   count(metric: string, amount = 1): void {
--- a/packages/daemon/src/roleMain.ts
+++ b/packages/daemon/src/roleMain.ts
@@ -60,13 +60,9 @@
 
 function createObserver(settings: roleSettings.Settings): observer.Observer {
   const output = new boundedOutput.BoundedOutput(1, clock.steady);
-  const stream = { write: (line: string) => output.write(line) } as NodeJS.WritableStream;
-  const observe = new observer.Observer(settings.name, settings.logLevel, undefined, stream);
-  const reportDroppedLines = (): void => {
-    const lines = output.takeDroppedLines();
-    if (lines > 0) observe.log('linesDropped', { lines });
-  };
-  setInterval(reportDroppedLines, DROPPED_LINES_REPORT_INTERVAL_MS).unref();
+  const observe = new observer.Observer(settings.name, settings.logLevel, undefined, output);
+  const report = (): void => observe.logDroppedLines(output.takeDroppedLines());
+  setInterval(report, DROPPED_LINES_REPORT_INTERVAL_MS).unref();
   process.on('exit', () => output.flushSync());
   return observe;
 }
