Write all log lines to a full non-blocking pipe

The output now writes what a full pipe hasn't taken after a pause, so that its bounded buffer fills and lines are dropped by level and counted.

--- a/packages/daemon/src/observability/__tests__/boundedOutput.test.ts
+++ b/packages/daemon/src/observability/__tests__/boundedOutput.test.ts
@@ -1,4 +1,5 @@
 /** Standard output under a flood of lines, within one turn of the event loop, so that nothing leaves the buffer. */
+import * as childProcess from 'node:child_process';
 import * as chai from 'chai';
 import * as boundedOutput from '../boundedOutput';
 import * as observer from '../observer';
@@ -38,4 +39,18 @@
     expect(output.takeDroppedLines()).to.deep.equal({ debug: 0, info: 0, warn: 0, error: 0 });
     expect(observe.counters()).to.not.have.property('lines.dropped.warn');
   });
+
+  // Guards against lines that are lost and torn, uncounted, where standard output shares a non-blocking pipe.
+  it('writes all lines to a non-blocking pipe that is read slowly', async () => {
+    const reader = childProcess.spawn('cat', { stdio: ['pipe', 'pipe', 'ignore'], timeout: 1_500 });
+    const { fd } = (reader.stdin as unknown as { _handle: { fd: number } })._handle;
+    const output = new boundedOutput.BoundedOutput(fd, () => 0);
+    for (let i = 0; i < 400; i += 1) output.write(`${'x'.repeat(1_000)}\n`, 'error');
+    let missing = 400 * 1_001;
+    for await (const chunk of reader.stdout) {
+      missing -= (chunk as Buffer).length;
+      if (missing === 0) reader.stdin.end();
+    }
+    expect(missing).to.equal(0);
+  });
 });
--- a/packages/daemon/src/observability/boundedOutput.ts
+++ b/packages/daemon/src/observability/boundedOutput.ts
@@ -20,6 +20,9 @@
 const MAX_LINES_PER_SECOND = 500;
 const MAX_BURST_LINES = 3_000;
 
+/** Pause before more is written to a full non-blocking pipe, milliseconds. */
+const FULL_PIPE_RETRY_MS = 10;
+
 /** Part of the burst that lines of each level must leave to higher levels. */
 const RESERVED_LINES: Record<events.Level, number> = {
   debug: 1_000,
@@ -35,6 +38,9 @@
 
   private isWriting = false;
 
+  /** What a full pipe has not taken yet. */
+  private rest: Buffer = Buffer.alloc(0);
+
   private availableLines = MAX_BURST_LINES;
 
   private refilledAt: number;
@@ -73,8 +79,11 @@
 
   /** Writes all buffered lines synchronously; called when the process exits. */
   flushSync(): void {
-    const text = this.bufferedLines.splice(0).join('');
-    if (text !== '') fs.writeSync(this.descriptor, text);
+    const bytes = Buffer.concat([
+      this.takeRest(),
+      Buffer.from(this.bufferedLines.splice(0).join('')),
+    ]);
+    if (bytes.length > 0) fs.writeSync(this.descriptor, bytes);
   }
 
   private refill(): void {
@@ -88,13 +97,35 @@
     if (this.isWriting || this.bufferedLines.length === 0) return;
     this.isWriting = true;
     const text = this.bufferedLines.splice(0).join('');
-    fs.write(this.descriptor, text, () => {
-      // A write error, such as a closed pipe, is ignored: the process runs on without its log.
+    this.writeAll(Buffer.from(text), () => {
       this.isWriting = false;
       this.bufferedCharacters -= text.length;
       this.flush();
     });
   }
+
+  /** Standard output is non-blocking if it shares a pipe with a standard error that Node has opened. */
+  private writeAll(bytes: Buffer, onEnd: () => void): void {
+    fs.write(this.descriptor, bytes, (error, written) => {
+      // Another write error, such as a closed pipe, is ignored: the process runs on without its log.
+      if (error !== null && error.code !== 'EAGAIN') {
+        onEnd();
+        return;
+      }
+      this.rest = error === null ? bytes.subarray(written) : bytes;
+      if (this.rest.length === 0) {
+        onEnd();
+        return;
+      }
+      setTimeout(() => this.writeAll(this.takeRest(), onEnd), FULL_PIPE_RETRY_MS).unref();
+    });
+  }
+
+  private takeRest(): Buffer {
+    const { rest } = this;
+    this.rest = Buffer.alloc(0);
+    return rest;
+  }
 }
 
 function noLines(): Record<events.Level, number> {
