--- a/packages/daemon/src/observability/boundedOutput.ts
+++ b/packages/daemon/src/observability/boundedOutput.ts
@@ -83,7 +83,11 @@
       this.takeRest(),
       Buffer.from(this.bufferedLines.splice(0).join('')),
     ]);
-    if (bytes.length > 0) fs.writeSync(this.descriptor, bytes);
+    try {
+      if (bytes.length > 0) fs.writeSync(this.descriptor, bytes);
+    } catch {
+      // The pipe is full or closed; an exit doesn't wait for its reader.
+    }
   }
 
   private refill(): void {
