--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -199,7 +199,7 @@
     const budgets = new domain.request.repeatBudget.RepeatBudgets(rule);
     budgets.setEntryCount(1, clock.steady());
     const output = { write: (line: string) => this.logged.push(JSON.parse(line)) };
-    const observe = new observer.Observer('test', 'warn', undefined, output as never);
+    const observe = new observer.Observer('test', 'warn', undefined, output);
     const audit = new guaranteeAudit.GuaranteeAudit({ observer: observe, now: clock.steady });
     const limits = {
       answered: () => undefined,
