Let the soak send unsafe calls in waves beside second copies of six forms

Cause: its second copies had one form and met some 13 unsafe calls a second at most; targets that refused were avoided for one that didn't; periods began at a random time, after faults that left hardly a plain target, and some runs had none.

Now all plain targets refuse half of their requests and repeat three in ten answers, streams included: where the next answer is due, 10 ms later, in two pieces, twice, without an id or with two. Three entries get eight unsafe calls each every 100 ms meanwhile. The first period starts 2 s before the steps and lasts into them; later ones are drawn as before. All are drawn from their own sequence, so the steps of a seed stay what they were. The counts under `refusals` show how often a refusal was put to the test.

What targets state in an answer behind a copy binds no entry, and none of them asks for a back-off there: an entry can't tell whose answer that is.

--- a/packages/soak/src/__tests__/schedule.test.ts
+++ b/packages/soak/src/__tests__/schedule.test.ts
@@ -33,6 +33,16 @@
     }
   });
 
+  it('repeats answers at all plain targets before the steps of each seed', () => {
+    const plain = Array.from({ length: LAYOUT.services }, (_, i) => LAYOUT.engines + i);
+    for (let seed = 0; seed < 300; seed++) {
+      const { steps, repeating } = schedule.drawPlan(seed, 6, LAYOUT);
+      expect(repeating[0].at).to.equal(schedule.FIRST_REPEATING_SECONDS);
+      expect(repeating[0].at + repeating[0].forSeconds).to.be.above(steps[0].at);
+      repeating.forEach(({ targets }) => expect(targets).to.include.members(plain));
+    }
+  });
+
   it('draws every kind sooner or later', () => {
     const drawn = new Set<string>();
     for (let seed = 0; seed < 300; seed++) {
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -78,7 +78,7 @@
 const TRANSIT_MS = 150;
 
 /** Statuses that guarantee that a request didn't run. */
-const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
+export const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
 
 const DENIAL_STATUSES = new Set([401, 403, 404]);
 
--- a/packages/soak/src/main.ts
+++ b/packages/soak/src/main.ts
@@ -6,6 +6,7 @@
 import * as path from 'node:path';
 import * as commander from 'commander';
 import type * as layout from './layout';
+import * as refusalCounts from './refusalCounts';
 import * as run from './run';
 
 interface CliOptions {
@@ -70,6 +71,7 @@
       copies: sum(({ crashing }) => crashing.copies),
       ended: sum(({ crashing }) => crashing.ended),
     },
+    refusals: refusalCounts.sum(reports.map(({ refusals }) => refusals)),
   };
   process.stdout.write(`${JSON.stringify(summary)}\n`);
   process.exit(failed.length === 0 ? 0 : 1);
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -2,6 +2,7 @@
  * What callers, targets and the operator observe during a run, and when which fault was active. All times are in
  * milliseconds. The fields are written to `seen.json` under their own names.
  */
+import type * as lateCopies from './lateCopies';
 
 /** Outcome of a request for its caller. */
 export type RequestOutcome =
@@ -65,6 +66,14 @@
   rejected?: string;
 }
 
+/** A second copy of an answer, sent late. */
+export interface SentCopy {
+  form: lateCopies.Form;
+  at: number;
+  /** The request whose answer was due where the copy was sent. */
+  request: string | undefined;
+}
+
 /** A period in which a target reports a rate limit. */
 export interface LimitWindow {
   /** Index of the target. */
@@ -163,6 +172,9 @@
     saidLeaving: [] as TargetExchange[],
     /** Responses in which a target rejected a request and requested back-off. */
     turnedAway: [] as TargetExchange[],
+    /** Requests that targets refused as not run. */
+    refused: [] as Omit<Execution, 'bornAt'>[],
+    copied: [] as SentCopy[],
     limited: [] as LimitWindow[],
     /** Documents that the operator submitted. */
     sent: [] as SubmittedDocument[],
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -16,8 +16,10 @@
 import * as lossSeries from './lossSeries';
 import * as observations from './observations';
 import * as operator from './operator';
+import * as refusalCounts from './refusalCounts';
 import * as schedule from './schedule';
 import type * as targetMain from './targetMain';
+import * as unsafeWaves from './unsafeWaves';
 
 export interface Options {
   seed: number;
@@ -40,6 +42,7 @@
   changes: number;
   /** Distinct bodies and parts of prompts that crash targets, requests sent with them, and target processes that crashed. */
   crashing: { contents: number; copies: number; ended: number };
+  refusals: refusalCounts.RefusalCounts;
   /** Number of violations per promise; empty for a run that passed. */
   broken: Partial<Record<checks.Guarantee | 'notPlayed', number>>;
   /** The first violations; included because the folder of a run on another machine may be lost. */
@@ -95,6 +98,8 @@
       onLine: (line) => {
         if (line.kind === 'ran') this.observed.ran.push(line);
         else if (line.kind === 'draining') this.observed.drained.push(line);
+        else if (line.kind === 'refused') this.observed.refused.push(line);
+        else if (line.kind === 'copied') this.observed.copied.push(line);
         else if (line.kind !== 'crashed') this.recordExchange(line);
         else this.crashingCallers.onCrash(line);
       },
@@ -169,7 +174,7 @@
   private async executePlan(plan: schedule.Plan): Promise<void> {
     const { steps, crashing, limiting, shedding, isolating, evacuating, severing, seconds } = plan;
     const { repeating } = plan;
-    const startedAt = Date.now();
+    const startedAt = Date.now() - 1_000 * schedule.FIRST_REPEATING_SECONDS;
     const untilSecond = async (at: number): Promise<void> =>
       operator.sleep(Math.max(0, startedAt + at * 1_000 - Date.now()));
     const scheduleAll = <T extends { at: number }>(
@@ -184,7 +189,16 @@
     scheduleAll(shedding, (span) => this.faultInjector.shedLoad(span));
     scheduleAll(evacuating, (span) => this.faultInjector.evacuate(span));
     scheduleAll(severing, (span) => this.faultInjector.sever(span));
-    scheduleAll(repeating, (span) => this.faultInjector.repeatAnswers(span));
+    scheduleAll(repeating, async (span) => {
+      const key = (): string => this.operators.currentKey();
+      const send = (request: callers.CallerRequest): void => this.send(request);
+      const waves = unsafeWaves.sendFor(span.forSeconds, {
+        entries: this.fleet.entries,
+        key,
+        send,
+      });
+      await Promise.all([this.faultInjector.repeatAnswers(span), waves]);
+    });
     scheduleAll(isolating, (span) => {
       return this.faultInjector.isolate(span, (entry, key) => {
         this.send({ entry, kind: 'safe', path: operator.basePath('safe'), key });
@@ -317,6 +331,7 @@
       copies: observed.crashers.length,
       ended: observed.crashed.length,
     },
+    refusals: refusalCounts.count(observed),
     broken,
     violations: violations.slice(0, REPORTED_VIOLATIONS),
     folder,
@@ -327,6 +342,7 @@
 export function failedReport(seed: number, folder: string, error: unknown): SeedReport {
   fs.writeFileSync(path.join(folder, 'error.txt'), `${String((error as Error).stack ?? error)}\n`);
   const crashing = { contents: 0, copies: 0, ended: 0 };
-  const counts = { steps: 0, asked: 0, served: 0, changes: 0, crashing };
+  const refusals = refusalCounts.count(observations.empty());
+  const counts = { steps: 0, asked: 0, served: 0, changes: 0, crashing, refusals };
   return { seed, ...counts, broken: { notPlayed: 1 }, violations: [], folder };
 }
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -175,7 +175,10 @@
   failure: PathFailure;
 }
 
-/** A period in which targets refuse a part of the requests and send a part of their answers a second time, late. */
+/**
+ * A period in which targets refuse a part of the requests and send a part of their answers a second time, late, while
+ * unsafe calls come in waves.
+ */
 export type RepeatingSpan = Omit<LimitingSpan, 'perSecond'>;
 
 export interface Plan {
@@ -214,11 +217,12 @@
 function drawSpans<T>(
   { seed, seconds, meanPause, minGap }: Record<'seed' | 'seconds' | 'meanPause' | 'minGap', number>,
   drawSpan: (random: Random, at: number) => T,
+  firstAt?: number,
 ): T[] {
   const random = domain.shared.random.independent(seed);
   const drawPause = (): number => domain.shared.random.exponential(random, meanPause);
   const drawn: T[] = [];
-  for (let at = drawPause(); at < seconds; at += minGap + drawPause())
+  for (let at = firstAt ?? drawPause(); at < seconds; at += minGap + drawPause())
     drawn.push(drawSpan(random, at));
   return drawn;
 }
@@ -324,18 +328,27 @@
 
 const REPEATING_SEED_OFFSET = 6_000_003;
 const MEAN_REPEATING_INTERVAL_SECONDS = 3;
-const REPEATING_SECONDS = { min: 3, max: 6 } as const;
-const MAX_REPEATING_SHARE = 0.6;
-
-function drawRepeating(seed: number, seconds: number, targets: number): RepeatingSpan[] {
-  const timing = { seconds, meanPause: MEAN_REPEATING_INTERVAL_SECONDS };
-  const minGap = REPEATING_SECONDS.max;
-  return drawSpans({ seed: seed + REPEATING_SEED_OFFSET, ...timing, minGap }, (random, at) => {
-    const indexes = Array.from({ length: targets }, (_, i) => i);
-    const count = Math.ceil(MAX_REPEATING_SHARE * targets);
-    const drawn = domain.shared.random.shuffled(random, indexes).slice(0, count);
-    return { at, forSeconds: uniformBetween(random, REPEATING_SECONDS), targets: drawn };
-  });
+const REPEATING_SECONDS = { min: 4, max: 8 } as const;
+/** Share of the engines; plain targets repeat answers together, as entries prefer one that refuses nothing. */
+const REPEATING_SHARE = 0.6;
+/** The first period starts before all steps, which also make targets unavailable. */
+export const FIRST_REPEATING_SECONDS = -2;
+
+function drawRepeating(
+  seed: number,
+  seconds: number,
+  { engines, services }: layout.Layout,
+): RepeatingSpan[] {
+  const meanPause = MEAN_REPEATING_INTERVAL_SECONDS;
+  const timing = { seed: seed + REPEATING_SEED_OFFSET, seconds, meanPause };
+  const indexes = Array.from({ length: engines }, (_, i) => i);
+  const plain = Array.from({ length: services }, (_, i) => engines + i);
+  const draw = (random: Random, at: number): RepeatingSpan => {
+    const shuffled = domain.shared.random.shuffled(random, indexes);
+    const targets = [...plain, ...shuffled.slice(0, Math.ceil(REPEATING_SHARE * engines))];
+    return { at, forSeconds: uniformBetween(random, REPEATING_SECONDS), targets };
+  };
+  return drawSpans({ ...timing, minGap: REPEATING_SECONDS.max }, draw, FIRST_REPEATING_SECONDS);
 }
 
 function drawKind(random: domain.shared.random.Random): StepKind {
@@ -403,7 +416,7 @@
   const isolating = drawIsolation(seed, seconds, size.entries);
   const evacuating = drawEvacuations(seed, seconds);
   const severing = drawSevering(seed, seconds, size.entries);
-  const repeating = drawRepeating(seed, seconds, size.engines + size.services);
+  const repeating = drawRepeating(seed, seconds, size);
   const spans = { crashing, limiting, shedding, isolating, evacuating, severing, repeating };
   return { seed, seconds, steps, ...spans, lossSeries: lossSeries.draw(seed) };
 }
--- a/packages/soak/src/targetMain.ts
+++ b/packages/soak/src/targetMain.ts
@@ -5,6 +5,7 @@
  */
 import * as fs from 'node:fs';
 import * as http from 'node:http';
+import * as domain from '@celerydrift/domain';
 import { counterpart } from '@celerydrift/platform';
 import * as answers from './answers';
 import * as controlClient from './controlClient';
@@ -59,6 +60,8 @@
 export type OutputLine =
   | ExchangeLine
   | (observations.Execution & { kind: 'ran'; organisation: string })
+  | (observations.Execution & { kind: 'refused' })
+  | (observations.SentCopy & { kind: 'copied' })
   | { kind: 'draining'; target: string; at: number }
   /** The target is about to crash because of this body, or this part of a prompt. */
   | { kind: 'crashed'; target: string; cause: string; at: number };
@@ -71,7 +74,7 @@
 /** Share of requests that a target rejects while it requests back-off. */
 const REJECTED_SHARE = 0.5;
 /** Share of requests that a target refuses while it repeats answers, and the statuses of that. */
-const REFUSED_SHARE = 0.3;
+const REFUSED_SHARE = 0.5;
 const REFUSAL_STATUSES = [503, 429] as const;
 /** How long a crashing request runs before the target crashes. */
 const CRASH_DELAY_MS = 20;
@@ -117,7 +120,11 @@
       return;
     }
     this.reportExchange('got', request);
-    this.copies.messageArrived(request.socket);
+    this.copies.messageArrived(request.socket, (form) => {
+      const { requestId } = counterpart.parseRequest(request.headers);
+      const isDue = !response.writableEnded;
+      printLine({ kind: 'copied', form, request: isDue ? requestId : undefined, at: Date.now() });
+    });
     const order = counterpart.memoryOrder(path, body);
     if (order !== undefined) {
       response.writeHead(this.applyMemoryOrder(order)).end('{"free":0}');
@@ -162,29 +169,22 @@
     if (target !== id) {
       // Not recorded as reported: an entry takes no report from a lifetime that it didn't address.
       const { limit, isLeaving } = this.selfReport();
-      const refusal = { target: id, limit, isLeaving, requestId, notRun: true };
-      response.writeHead(421, counterpart.answerHeaders(refusal)).end();
-      return;
-    }
-    if (this.running >= slots) {
-      const refusal = { ...this.selfReportFields(request), requestId, notRun: true };
-      response.writeHead(503, counterpart.answerHeaders(refusal)).end();
+      this.refuse(response, 421, { target: id, limit, isLeaving, requestId });
       return;
     }
+    const { socket } = request;
     const { backOffSeconds, repeatsAnswers = false } = this.selfReport();
-    if (repeatsAnswers && Math.random() < REFUSED_SHARE) {
-      this.refuse(request, response, requestId);
+    if (this.running >= slots || (repeatsAnswers && Math.random() < REFUSED_SHARE)) {
+      const status = domain.shared.random.pick({ uniform: Math.random }, REFUSAL_STATUSES);
+      const refusal = { ...this.selfReportFields(request), requestId };
+      const headers = this.refuse(response, status, refusal);
+      if (repeatsAnswers) this.copies.answered(socket, { requestId, status, headers, body: '' });
       return;
     }
-    if (backOffSeconds !== undefined && Math.random() < REJECTED_SHARE) {
+    const isShedding = backOffSeconds !== undefined && !this.copies.isMisaligned(socket);
+    if (isShedding && Math.random() < REJECTED_SHARE) {
       this.reportExchange('turnedAway', request, { backOffSeconds, rejected: requestId });
-      const refusal = {
-        ...this.selfReportFields(request),
-        requestId,
-        notRun: true,
-        backOffSeconds,
-      };
-      response.writeHead(503, counterpart.answerHeaders(refusal)).end();
+      this.refuse(response, 503, { ...this.selfReportFields(request), requestId, backOffSeconds });
       return;
     }
     const { bornAt } = this;
@@ -215,28 +215,33 @@
       ...this.selfReportFields(request),
       requestId: responseId,
     });
-    if (mode === 'failing') response.writeHead(500, headers).end('failed');
-    else if (path.includes(answers.STREAM_MARKER)) {
-      this.sendStream(response, headers, responseId, resumeAfter, mode === 'cutting');
-    } else {
-      const callBody = answers.callBody(responseId, path);
-      this.sendResponse(response, headers, callBody, mode);
-      if (repeatsAnswers && mode === 'sound')
-        this.copies.answered(request.socket, { status: 200, headers, body: callBody });
+    if (mode === 'failing') {
+      response.writeHead(500, headers).end('failed');
+      return;
     }
+    const isStream = path.includes(answers.STREAM_MARKER);
+    const responseBody = isStream
+      ? answers.streamBody(responseId)
+      : answers.callBody(responseId, path);
+    if (repeatsAnswers && mode === 'sound') {
+      const answer = { requestId, status: 200, headers, body: responseBody };
+      response.once('finish', () => this.copies.answered(socket, answer));
+    }
+    if (isStream) this.sendStream(response, headers, responseId, resumeAfter, mode === 'cutting');
+    else this.sendResponse(response, headers, responseBody, mode);
   }
 
-  /** Refuses a request as a full target does, and perhaps repeats that later. */
+  /** Refuses a request as not run; returns the headers. */
   private refuse(
-    request: http.IncomingMessage,
     response: http.ServerResponse,
-    requestId: string,
-  ): void {
-    const status = REFUSAL_STATUSES[Math.floor(Math.random() * REFUSAL_STATUSES.length)];
-    const refusal = { ...this.selfReportFields(request), requestId, notRun: true };
-    const headers = counterpart.answerHeaders(refusal);
-    response.writeHead(status, [...headers, 'content-length', '0']).end();
-    this.copies.answered(request.socket, { status, headers, body: '' });
+    status: number,
+    refusal: Omit<counterpart.TargetAnswer, 'notRun'>,
+  ): string[] {
+    const { requestId, target } = refusal;
+    printLine({ kind: 'refused', request: requestId, target, at: Date.now() });
+    const headers = counterpart.answerHeaders({ ...refusal, notRun: true });
+    response.writeHead(status, headers).end();
+    return headers;
   }
 
   /** Response fields that report the target's state, also reported on standard output. */
@@ -245,6 +250,8 @@
   ): Pick<counterpart.TargetAnswer, 'target' | 'limit' | 'isLeaving'> {
     const target = this.options.id;
     const { limit, isLeaving } = this.selfReport();
+    // Nothing that follows a copy on its connection is reported: it can't be told whose answer that is.
+    if (this.copies.isMisaligned(request.socket)) return { target, limit, isLeaving };
     if (limit !== undefined) this.reportExchange('told', request);
     if (isLeaving === true) this.reportExchange('saidLeaving', request);
     return { target, limit, isLeaving };
