Keep the soak's checks from blocking the runs beside them

Missed: with twice the requests of a run, its checks took 9 to 12 s on the event loop that forwards the messages of the runs beside it.

Cause: unservedWithoutPaths looked for an available target for every request of a run, before it looked at the request's time.

Now it looks at the time first, and for a target last; the same requests are compared.

--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -564,11 +564,11 @@
     const sent = asked.filter((request) => {
       const { sentAt, endedAt, entry, key } = request;
       const isDuring = sentAt >= from + PATH_LOSS_MS && endedAt <= until;
+      if (!isDuring || revokedKeySet.has(key)) return false;
       const isCalm = (each: number): boolean => isUninterrupted(observed, each, from, endedAt);
       const isNetworkCalm = !isNetworkDisturbed(observed, sentAt - SETTLING_MS, endedAt);
-      const isServable = availability.hadAvailableTarget(observed, request);
-      const isComparable = isCalm(entry) && relays.some(isCalm) && isNetworkCalm && isServable;
-      return isDuring && !revokedKeySet.has(key) && isComparable;
+      const isComparable = isCalm(entry) && relays.some(isCalm) && isNetworkCalm;
+      return isComparable && availability.hadAvailableTarget(observed, request);
     });
     const atSevered = sent.filter(({ entry }) => entries.includes(entry));
     const others = sent.filter(({ entry }) => !entries.includes(entry));
