--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -68,6 +68,9 @@
 /** Share of requests that use a revoked key. */
 const REVOKED_KEY_SHARE = 0.05;
 
+/** How long targets may be busy with a wave, seconds. */
+const WAVE_SECONDS = 3;
+
 class SoakRun {
   private readonly observed = observations.empty();
 
@@ -189,6 +192,11 @@
     scheduleAll(shedding, (span) => this.faultInjector.shedLoad(span));
     scheduleAll(evacuating, (span) => this.faultInjector.evacuate(span));
     scheduleAll(severing, (span) => this.faultInjector.sever(span));
+    // A wave fills the targets so that they read late what was sent before they asked to back off.
+    const isShedding = (now: number): boolean => {
+      const at = (now - startedAt) / 1_000;
+      return shedding.some((each) => at > each.at - WAVE_SECONDS && at < each.at + each.forSeconds);
+    };
     scheduleAll(repeating, async (span) => {
       const key = (): string => this.operators.currentKey();
       const send = (request: callers.CallerRequest): void => this.send(request);
@@ -196,6 +204,7 @@
         entries: this.fleet.entries,
         key,
         send,
+        isPaused: () => isShedding(Date.now()),
       });
       await Promise.all([this.faultInjector.repeatAnswers(span), waves]);
     });
--- a/packages/soak/src/targetMain.ts
+++ b/packages/soak/src/targetMain.ts
@@ -181,8 +181,7 @@
       if (repeatsAnswers) this.copies.answered(socket, { requestId, status, headers, body: '' });
       return;
     }
-    const isShedding = backOffSeconds !== undefined && !this.copies.isMisaligned(socket);
-    if (isShedding && Math.random() < REJECTED_SHARE) {
+    if (backOffSeconds !== undefined && Math.random() < REJECTED_SHARE) {
       this.reportExchange('turnedAway', request, { backOffSeconds, rejected: requestId });
       this.refuse(response, 503, { ...this.selfReportFields(request), requestId, backOffSeconds });
       return;
@@ -250,7 +249,7 @@
   ): Pick<counterpart.TargetAnswer, 'target' | 'limit' | 'isLeaving'> {
     const target = this.options.id;
     const { limit, isLeaving } = this.selfReport();
-    // Nothing that follows a copy on its connection is reported: it can't be told whose answer that is.
+    // An answer that follows a copy isn't passed on, and an entry owes a limit or a departure only to those that are.
     if (this.copies.isMisaligned(request.socket)) return { target, limit, isLeaving };
     if (limit !== undefined) this.reportExchange('told', request);
     if (isLeaving === true) this.reportExchange('saidLeaving', request);
--- a/packages/soak/src/unsafeWaves.ts
+++ b/packages/soak/src/unsafeWaves.ts
@@ -11,17 +11,20 @@
   entries: readonly fleet.Vm[];
   key: () => string;
   send: (request: callers.CallerRequest) => void;
+  /** Whether the next wave is left out. */
+  isPaused: () => boolean;
 }
 
 /** Sends waves for a while. Each wave has a body of its own, so that the quarantine of one doesn't stop the next. */
 export async function sendFor(
   forSeconds: number,
-  { entries, key, send }: Dependencies,
+  { entries, key, send, isPaused }: Dependencies,
 ): Promise<void> {
   const path = operator.basePath('unsafe');
   const until = Date.now() + forSeconds * 1_000;
   for (let wave = 1; Date.now() < until; wave++) {
-    for (let i = 0; i < ENTRIES * CALLS_PER_ENTRY; i++) {
+    const calls = isPaused() ? 0 : ENTRIES * CALLS_PER_ENTRY;
+    for (let i = 0; i < calls; i++) {
       const entry = entries[(wave + (i % ENTRIES)) % entries.length];
       send({ entry, kind: 'unsafe', path, key: key(), body: `wave ${wave}` });
     }
