--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -328,11 +328,11 @@
 
 const REPEATING_SEED_OFFSET = 6_000_003;
 const MEAN_REPEATING_INTERVAL_SECONDS = 3;
-const REPEATING_SECONDS = { min: 4, max: 8 } as const;
+const REPEATING_SECONDS = { min: 8, max: 12 } as const;
 /** Share of the engines; plain targets repeat answers together, as entries prefer one that refuses nothing. */
 const REPEATING_SHARE = 0.6;
-/** The first period starts before all steps, which also make targets unavailable. */
-export const FIRST_REPEATING_SECONDS = -2;
+/** The first period starts before all steps and back-offs, so that each run has some waves. */
+export const FIRST_REPEATING_SECONDS = -6;
 
 function drawRepeating(
   seed: number,
