--- a/packages/daemon/src/observability/__tests__/boundedOutput.test.ts
+++ b/packages/daemon/src/observability/__tests__/boundedOutput.test.ts
@@ -12,7 +12,7 @@
 describe('BoundedOutput', () => {
   // In a flood of short lines the rate is the limit, of long ones the buffer.
   [1, 2_000].forEach((characters) => {
-    // Guards against an incident whose log has no line that says why a request was refused.
+    // Guards against a log without the line that says why a request was refused.
     it(`keeps lines in a flood of lower levels, of ${characters} characters, within bounds`, () => {
       const output = new boundedOutput.BoundedOutput(CLOSED, () => 0);
       const line = 'x'.repeat(characters);
