--- a/packages/daemon/src/entry/outOfTurnTargets.ts
+++ b/packages/daemon/src/entry/outOfTurnTargets.ts
@@ -1,7 +1,7 @@
 /**
  * Targets that lately sent a response to another message than the one that waited. Copies come on the connection of their
- * first message, so a message on a connection of its own can't meet one: such a target goes on getting all its work, and
- * no further call fails for the copies.
+ * first message, so a message on a connection of its own can't meet one. Such a target goes on getting its work, and only
+ * messages already in flight on shared connections can still meet a copy.
  */
 
 /** How long connections to such a target aren't shared, milliseconds. */
