Wait until the newcomer votes in every log before the next crash of a test

Cause: the test crashed the second daemon too early. It waited for three members with a commit in each log; that holds while the replica with the lost disk is still a learner. The settings log was checked for a vote of the newcomer, the ledger was not. A crash in that moment leaves one of two voters, so the ledger is unavailable until the daemon is back.

Three voters, the newcomer among them, are now required of every log. What is expected afterwards is unchanged.

--- a/packages/daemon/src/__tests__/failures.test.ts
+++ b/packages/daemon/src/__tests__/failures.test.ts
@@ -2,6 +2,7 @@
 import * as crypto from 'node:crypto';
 import * as chai from 'chai';
 import * as undici from 'undici';
+import type * as logHost from '../replicas/logHost';
 import * as daemonFleet from './__fixtures__/daemonFleet';
 
 const { expect } = chai;
@@ -303,17 +304,13 @@
     await fleet.daemons[2]?.halt();
     fleet.deleteDataFolder(2);
     await fleet.startDaemon(2);
-    const host = fleet.daemons[2]?.control.host;
-    await daemonFleet.until('the settings log to be repaired', () => {
-      const members = host?.replica.members ?? [];
-      const voter = members.find(({ id }) => id === host?.replica.id)?.role === 'voter';
-      return voter && members.length === 3;
-    });
-    const areLogsRepaired = (index: number) =>
-      [...(fleet.daemons[index]?.control.hosts.values() ?? [])].every(
-        ({ replica }) => replica.members.length === 3 && replica.commit > 0,
-      );
-    await daemonFleet.until('all logs to be repaired', () => areLogsRepaired(2));
+    const isRepaired = ({ replica }: logHost.LogHost): boolean => {
+      const voters = replica.members.filter(({ role }) => role === 'voter');
+      return voters.length === 3 && voters.some(({ id }) => id === replica.id);
+    };
+    const hosts = [...(fleet.daemons[2]?.control.hosts.values() ?? [])];
+    expect(hosts.length).to.be.greaterThan(1);
+    await daemonFleet.until('all logs to be repaired', () => hosts.every(isRepaired));
     await fleet.daemons[0]?.halt();
     await daemonFleet.until('settings to be accepted', async () => {
       const change = { id: 'after', basedOn: 0, text: '; kept' };
