--- a/testing/knownRed.js
+++ b/testing/knownRed.js
@@ -78,6 +78,13 @@
 function main([kind, report, list]) {
   const text = fs.existsSync(list) ? fs.readFileSync(list, 'utf8') : '';
   const content = fs.readFileSync(report, 'utf8');
+  if (kind === 'tests' && !content.includes('fullTitle')) {
+    console.log(
+      'the tests wrote no report: none ended, or the process was blocked until it was killed',
+    );
+    process.exitCode = 1;
+    return;
+  }
   if (kind === 'soak') checkSoak(content, text);
   else checkTests(JSON.parse(content), text);
 }
