--- a/testing/__tests__/knownRed.test.ts
+++ b/testing/__tests__/knownRed.test.ts
@@ -26,6 +26,15 @@
     expect(knownRed.findProblems(testRun(['x'], []), listed)).toMatchSnapshot();
   });
 
+  /** Guards against a run that passes although one of its processes reported nothing. */
+  it('are looked for in the reports of all processes of a run', () => {
+    const reports = [testRun(['x'], []), testRun(['y'], ['a loses b'])].map((run) =>
+      JSON.stringify(run),
+    );
+    expect(knownRed.mergeResults(reports)).to.deep.equal(testRun(['x', 'y'], ['a loses b']));
+    expect(knownRed.mergeResults([...reports, ''])).to.equal(undefined);
+  });
+
   it('may be seeds of the soak, which may pass as well, but break no other guarantee', () => {
     const text =
       'soak 2 hung | npm run soak | seen | cause | 10\na loses b | npm test | x | y | 1\n';
--- a/testing/knownRed.d.ts
+++ b/testing/knownRed.d.ts
@@ -15,3 +15,8 @@
 
 export function parseSoakSeeds(text: string): string[];
 export function findSoakProblems(summary: SoakSummary, listed: readonly string[]): string[];
+
+/** The results in the contents of several reports as one; undefined if a run wrote no report. */
+export function mergeResults(
+  reports: string[],
+): { passes: TestResult[]; failures: TestResult[] } | undefined;
--- a/testing/knownRed.js
+++ b/testing/knownRed.js
@@ -75,20 +75,32 @@
   process.exitCode = problems.length === 0 && results.passes.length > 0 ? 0 : 1;
 }
 
-function main([kind, report, list]) {
+/** The results of several runs as one; undefined if a run wrote no report. */
+function mergeResults(reports) {
+  if (!reports.every((report) => report.includes('fullTitle'))) return undefined;
+  const results = reports.map((report) => JSON.parse(report));
+  return {
+    passes: results.flatMap(({ passes }) => passes),
+    failures: results.flatMap(({ failures }) => failures),
+  };
+}
+
+function main([kind, list, ...reports]) {
   const text = fs.existsSync(list) ? fs.readFileSync(list, 'utf8') : '';
-  const content = fs.readFileSync(report, 'utf8');
-  if (kind === 'tests' && !content.includes('fullTitle')) {
+  const contents = reports.map((report) => fs.readFileSync(report, 'utf8'));
+  if (kind === 'soak') {
+    checkSoak(contents[0], text);
+    return;
+  }
+  const results = mergeResults(contents);
+  if (results === undefined) {
     console.log(
-      'the tests wrote no report: none ended, or the process was blocked until it was killed',
+      'a test run wrote no report: no test ended, or its process was blocked until it was killed',
     );
     process.exitCode = 1;
-    return;
-  }
-  if (kind === 'soak') checkSoak(content, text);
-  else checkTests(JSON.parse(content), text);
+  } else checkTests(results, text);
 }
 
-module.exports = { parseTitles, findProblems, parseSoakSeeds, findSoakProblems };
+module.exports = { parseTitles, findProblems, parseSoakSeeds, findSoakProblems, mergeResults };
 
 if (require.main === module) main(process.argv.slice(2));
