--- a/packages/daemon/src/roleMain.ts
+++ b/packages/daemon/src/roleMain.ts
@@ -21,6 +21,8 @@
   control: protocols.ControlProtocol;
   /** The callers' listener, if it was started before the program was loaded. */
   earlyListener?: listening.EarlyListener;
+  /** Identifies the program in the log, so that a log tells which one a process ran. */
+  programDigest: string;
 }
 
 /** A running entry or keeper. */
@@ -152,7 +154,8 @@
   if (started === undefined) process.exit(EXIT.cannotStart);
   if (settings.metrics !== undefined) void serveMetrics(settings.metrics, observe, started);
   const { role, seeds, mayFound } = settings;
-  observe.log('started', { role, seeds, mayFound, afterMs: Math.round(clock.steady()) });
+  const afterMs = Math.round(clock.steady());
+  observe.log('started', { program: adapter.programDigest, role, seeds, mayFound, afterMs });
   watchSettingsFile(file, text, observe, (changed) => started.reload(changed));
   let isStopping = false;
   const stop = (signal: string): void => {
--- a/packages/program/bundle.mjs
+++ b/packages/program/bundle.mjs
@@ -3,6 +3,7 @@
  * code is removed: a restarted VM's start-up time is charged in full, and most of it is spent loading code.
  */
 import * as childProcess from 'node:child_process';
+import * as crypto from 'node:crypto';
 import * as fs from 'node:fs';
 import * as esbuild from 'esbuild';
 
@@ -10,8 +11,13 @@
 const NODE_FLAGS = ['--max-old-space-size=160'];
 
 const LOADER_FILE = 'target/celerydrift.js';
+const PROGRAM_FILE = 'target/program.js';
+
 const CACHE_FILE = 'target/program.cache';
 
+/** Length of the program's digest in logs, hexadecimal digits. */
+const DIGEST_LENGTH = 12;
+
 /** Valid settings for the run that writes the cache, which only checks them. */
 const PLACEHOLDER_SETTINGS = `
 [daemon]
@@ -26,10 +32,11 @@
 secret = only-for-the-check-of-settings
 `;
 
-await esbuild.build({
+const BUILD_OPTIONS = {
   entryPoints: ['packages/program/src/main.ts'],
-  outfile: 'target/program.js',
+  outfile: PROGRAM_FILE,
   bundle: true,
+  write: false,
   platform: 'node',
   target: 'node20',
   treeShaking: true,
@@ -45,7 +52,24 @@
   },
   // Optional dependencies of bunyan and msgpackr.
   external: ['dtrace-provider', 'mv', 'source-map-support', 'msgpackr-extract'],
-});
+};
+
+/** The bundled program, with `digest` as the one that it reports at its start. */
+async function bundle(digest) {
+  const define = { PROGRAM_DIGEST: JSON.stringify(digest) };
+  const { outputFiles } = await esbuild.build({ ...BUILD_OPTIONS, define });
+  return outputFiles[0].text;
+}
+
+// Logs of a process must tell which program it ran. The program can't contain its own digest, so it contains the one of
+// a bundle that is the same but for that.
+const digest = crypto
+  .createHash('sha256')
+  .update(await bundle(''))
+  .digest('hex')
+  .slice(0, DIGEST_LENGTH);
+fs.mkdirSync('target', { recursive: true });
+fs.writeFileSync(PROGRAM_FILE, await bundle(digest));
 
 fs.rmSync(CACHE_FILE, { force: true });
 fs.copyFileSync('packages/program/loader.cjs', LOADER_FILE);
@@ -58,3 +82,4 @@
 );
 if (cacheRun.status !== 0)
   throw new Error(`the bundled program failed to load: ${cacheRun.status ?? cacheRun.signal}`);
+console.log(`program ${digest}`);
--- a/packages/program/src/main.ts
+++ b/packages/program/src/main.ts
@@ -11,6 +11,9 @@
 /** Key on `globalThis` under which the loader stores its early listener; see earlyListener.cjs. */
 const EARLY_LISTENER = Symbol.for('celerydrift.earlyListener');
 
+/** Identifies the bundled program; defined by the bundler. */
+declare const PROGRAM_DIGEST: string;
+
 type Adapter = daemon.roleMain.Adapter;
 
 function earlyListener(): Adapter['earlyListener'] {
@@ -31,6 +34,7 @@
     traffic: new platform.traffic.Traffic(),
     control: new platform.control.Control(),
     earlyListener: earlyListener(),
+    programDigest: PROGRAM_DIGEST,
   };
   void daemon.roleMain.run(settingsFile, adapter, checkOnly);
 }
