Log why an attempt without a response is not counted as a crash

Where a request that crashes targets was not recognised, the log had 5002 (the attempt failed) without 5012 (its target crashed), and four different reasons for that looked the same. 5028 names the reason: the target responds here or elsewhere, it had stopped or crashed before the request was sent, or this VM's own paths are lost and no other VM can tell. Behaviour is as before; the type of the evidence distinguishes the cases by name.

--- a/packages/daemon/src/entry/quarantineClient.ts
+++ b/packages/daemon/src/entry/quarantineClient.ts
@@ -90,6 +90,9 @@
 /** Maximum number of unreported canary runs; an entry makes one at a time for each suspect. */
 const MAX_UNREPORTED_CANARIES = 100;
 
+/** What is known of a target that didn't respond: it has crashed, by the word of others or of this VM, or needn't have. */
+type Evidence = 'confirmed' | 'own' | 'responds' | 'respondsElsewhere' | 'ownPathsLost';
+
 /** A crash to be reported to the leader; `at` and `sentAt` are on this entry's clock. */
 type ObservedCrash = Omit<messages.TargetCrash, 'agoMs' | 'sentAgoMs'> & {
   at: number;
@@ -245,13 +248,13 @@
   ): Promise<void> {
     const { observer: observe, fleetState: state, now } = this.dependencies;
     const evidence = await this.crashEvidence({ target, address, bornAt });
-    if (evidence === 'none') return;
-    const record = state.registry.get(target);
-    if (record?.bornAt === bornAt && hasStoppedItself(record)) return;
     const lifetime = { id: target, bornAt };
+    const acquittal = isCrash(evidence) ? this.acquittalOf(lifetime, sentAt) : evidence;
+    if (acquittal !== undefined) {
+      observe.log('crashNotCounted', { request: request.requestId, target, reason: acquittal });
+      return;
+    }
     const key = domain.quarantine.crashedLifetimes.lifetimeKey(lifetime);
-    // A leader that is new may learn of the crash only now, and would take it for later than the request.
-    if (state.quarantine.hadCrashed(key, sentAt)) return;
     const content = request.fingerprint();
     observe.count('targets.endedUnderRequest');
     observe.log('targetEndedUnder', {
@@ -272,15 +275,28 @@
     void this.crashReports.send(crashes);
   }
 
+  /** Why the end of a lifetime is not the fault of a request that was sent to it; undefined if it may be. */
+  private acquittalOf(
+    lifetime: domain.quarantine.crashedLifetimes.Lifetime,
+    sentAt: number,
+  ): 'stopped' | 'crashedBefore' | undefined {
+    const { registry, quarantine } = this.dependencies.fleetState;
+    const record = registry.get(lifetime.id);
+    if (record?.bornAt === lifetime.bornAt && hasStoppedItself(record)) return 'stopped';
+    const key = domain.quarantine.crashedLifetimes.lifetimeKey(lifetime);
+    // A leader that is new may learn of the crash only now, and would take it for later than the request.
+    return quarantine.hadCrashed(key, sentAt) ? 'crashedBefore' : undefined;
+  }
+
   /**
-   * What shows that a target which didn't respond has crashed: the word of another VM or, where none can tell, this VM's
-   * own probe, which is as good while others of the service respond.
+   * Whether a target that didn't respond has crashed, by the word of another VM or, where none can tell, this VM's own
+   * probe, which is as good while others of the service respond.
    */
   private async crashEvidence({
     target,
     address,
     bornAt,
-  }: Pick<SentRequest, 'target' | 'address' | 'bornAt'>): Promise<'confirmed' | 'own' | 'none'> {
+  }: Pick<SentRequest, 'target' | 'address' | 'bornAt'>): Promise<Evidence> {
     const { liveness: probes, now, fleetState: state } = this.dependencies;
     const checkedAt = now();
     let verdict = await probes.check(target, address);
@@ -291,10 +307,11 @@
       if ((state.registry.get(target)?.bornAt ?? bornAt) > bornAt) return 'own';
     }
     if (verdict === 'dead' || verdict === 'silent') return 'confirmed';
-    if (verdict !== 'unknown' && verdict !== 'unasked') return 'none';
+    if (verdict === 'alive') return 'responds';
+    if (verdict === 'pathLost') return 'respondsElsewhere';
     const reach = await this.reachOfService(target, checkedAt);
     if (reach === 'reached') return 'confirmed';
-    return reach === 'lost' ? 'none' : 'own';
+    return reach === 'lost' ? 'ownPathsLost' : 'own';
   }
 
   /** Whether this VM reaches the target's service; waits for a while until that is known. */
@@ -334,6 +351,10 @@
   }
 }
 
+function isCrash(evidence: Evidence): evidence is 'confirmed' | 'own' {
+  return evidence === 'confirmed' || evidence === 'own';
+}
+
 /** Fingerprints of the parts of a request's prompt. */
 function partsOf(request: RequestInfo): string[] {
   return domain.quarantine.partFingerprint.ofParts(request.sharedParts());
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -135,6 +135,11 @@
     level: 'error',
     text: 'a target ran a request that was refused as not run',
   },
+  crashNotCounted: {
+    number: 5028,
+    level: 'info',
+    text: 'attempt without a response not counted as a crash',
+  },
   claimUnknown: {
     number: 5101,
     level: 'warn',
