Count a crash that the relay can't tell from a loss of its own paths

Cause: a culprit of an entry without paths crashes a target by way of a relay, the only VM that can tell. Where the last target of the service in a data centre has crashed, the relay takes that for a loss of its paths there (all that it tried failed) and leaves open whether the target responds. The asking entry then looks whether its own paths are sound, which they aren't, and counts nothing. The relay counts the crash against its own requests there, as others of the service respond to it: the same evidence, judged for one of the two.

Now the relay answers that it can't tell but that others of the service respond, and the asking entry counts that as confirmed, as it would with paths of its own. An answer of a VM that does tell outweighs it. It doesn't eject targets, and a target that another VM has reached is left open as before.

--- a/packages/daemon/src/entry/livenessProbes.ts
+++ b/packages/daemon/src/entry/livenessProbes.ts
@@ -40,11 +40,12 @@
 
 /**
  * What is known of a target that gave no response. `alive`: it responds to this VM. `pathLost`: it responds to another
- * VM only. `dead`: it responds to neither, and refuses one of them. `silent`: it responds to neither. `unknown`: it
+ * VM only. `dead`: it responds to neither, and refuses one of them. `silent`: it responds to neither. `missing`: it
+ * responds to neither, and the other VM may have lost its path to it, but reaches others of its service. `unknown`: it
  * doesn't respond here, and no other VM can tell. `unasked`: the same, and none of the other VMs that are known answered,
  * so that this VM may be the one that is cut off.
  */
-export type Verdict = 'alive' | 'pathLost' | 'dead' | 'silent' | 'unknown' | 'unasked';
+export type Verdict = 'alive' | 'pathLost' | 'dead' | 'silent' | 'missing' | 'unknown' | 'unasked';
 
 export class LivenessProbes {
   /** Probes in flight by target; requests on the same target share one. */
@@ -100,8 +101,14 @@
     }
     const isAlive = result === 'alive';
     if (isAlive) paths?.reachedElsewhere(target);
-    observe.log('targetAsked', { target, isAlive, isSilent: result === 'silent', elsewhere: true });
-    if (result === 'silent') return 'silent';
+    observe.log('targetAsked', {
+      target,
+      isAlive,
+      isSilent: result === 'silent',
+      isMissing: result === 'missing' || undefined,
+      elsewhere: true,
+    });
+    if (result === 'silent' || result === 'missing') return result;
     return isAlive ? 'pathLost' : 'dead';
   }
 
--- a/packages/daemon/src/entry/pathMonitor.ts
+++ b/packages/daemon/src/entry/pathMonitor.ts
@@ -93,6 +93,11 @@
     return record !== undefined && this.paths.isLost(record);
   }
 
+  /** Whether another VM has reached a target since it began to fail here, so that it is up. */
+  isReachedElsewhere(target: string): boolean {
+    return this.paths.isReachedElsewhere(target);
+  }
+
   /** Whether this VM reaches the service of a target, judged by messages that were sent since a time. */
   reachOfService(target: string, since: number): domain.reachability.targetPaths.Reach {
     const service = this.dependencies.fleetState.registry.get(target)?.service;
--- a/packages/daemon/src/entry/quarantineClient.ts
+++ b/packages/daemon/src/entry/quarantineClient.ts
@@ -306,7 +306,7 @@
       // One that restarted under its id meanwhile responds again.
       if ((state.registry.get(target)?.bornAt ?? bornAt) > bornAt) return 'own';
     }
-    if (verdict === 'dead' || verdict === 'silent') return 'confirmed';
+    if (verdict === 'dead' || verdict === 'silent' || verdict === 'missing') return 'confirmed';
     if (verdict === 'alive') return 'responds';
     if (verdict === 'pathLost') return 'respondsElsewhere';
     const reach = await this.reachOfService(target, checkedAt);
--- a/packages/daemon/src/entry/reachability.ts
+++ b/packages/daemon/src/entry/reachability.ts
@@ -41,6 +41,13 @@
  */
 const UNSERVED_AFTER_MS = 500;
 
+/**
+ * Time after a question about a target until which a response of others of its service is waited for, and the interval at
+ * which it is looked for, milliseconds. The asking VM waits 350 ms for the answer.
+ */
+const OTHERS_WAIT_MS = 300;
+const OTHERS_POLL_MS = 20;
+
 export class Reachability {
   readonly paths: pathMonitor.PathMonitor;
 
@@ -138,14 +145,32 @@
     return this.dependencies.isServing() && !this.paths.isIsolated;
   }
 
-  /** Whether a target responds to this VM; left open if this VM's own path to it is lost. */
+  /**
+   * Whether a target responds to this VM; left open if this VM's own path to it is lost. Where all targets of a data centre
+   * have crashed, that looks the same, so the answer then says whether others of the service respond: by that this VM
+   * judges the crashes under its own requests, and the asking VM, which has no paths, can't.
+   */
   private async reach({
     target,
     address,
   }: relayProtocol.ReachRequest): Promise<relayProtocol.ReachAnswer> {
-    if (this.paths.isLost(target)) return {};
+    const askedAt = clock.steady();
+    if (this.paths.isIsolated || this.paths.isReachedElsewhere(target)) return {};
     const result = await this.dependencies.liveness().probe(target, address);
     if (result === 'alive') return { isAlive: true };
-    return this.paths.isLost(target) ? {} : { isAlive: false, isSilent: result === 'silent' };
+    if (!this.paths.isLost(target)) return { isAlive: false, isSilent: result === 'silent' };
+    if (this.paths.isReachedElsewhere(target)) return {};
+    return (await this.doOthersRespond(target, askedAt)) ? { doOthersRespond: true } : {};
+  }
+
+  /** Whether a target's service responds to messages sent since a time; waits for a while until that is known. */
+  private async doOthersRespond(target: string, since: number): Promise<boolean> {
+    const deadline = since + OTHERS_WAIT_MS;
+    let reach = this.paths.reachOfService(target, since);
+    while (reach === 'unknown' && clock.steady() < deadline) {
+      await clock.sleep(OTHERS_POLL_MS);
+      reach = this.paths.reachOfService(target, since);
+    }
+    return reach === 'reached';
   }
 }
--- a/packages/daemon/src/entry/relayPeers.ts
+++ b/packages/daemon/src/entry/relayPeers.ts
@@ -32,8 +32,14 @@
 /** Time in which others may contradict a relay that a target refused, milliseconds; one that is frozen isn't waited for. */
 const OTHERS_WAIT_MS = 100;
 
+/**
+ * How a target responds to another entry. `missing`: it doesn't, like all of its service in its data centre, but others of
+ * the service do.
+ */
+export type ReachResult = livenessProbes.ProbeResult | 'missing';
+
 /** What counts where relays see a target differently. */
-const RESULTS_BY_WEIGHT: readonly livenessProbes.ProbeResult[] = ['alive', 'refused', 'silent'];
+const RESULTS_BY_WEIGHT: readonly ReachResult[] = ['alive', 'refused', 'silent', 'missing'];
 
 /** Timeout of a question about a target, milliseconds: a liveness probe and a round trip. */
 const REACH_TIMEOUT_MS = 350;
@@ -125,11 +131,11 @@
   async reach(
     request: relayProtocol.ReachRequest,
     scopes: readonly Scope[],
-  ): Promise<livenessProbes.ProbeResult | undefined> {
+  ): Promise<ReachResult | undefined> {
     const ready = this.ready({ scopes });
     // A crash must be reported within a few round trips, so nobody's status is asked for first.
     const asked = (ready.length > 0 ? ready : this.spread()).slice(0, MAX_ASKED);
-    const seen: livenessProbes.ProbeResult[] = [];
+    const seen: ReachResult[] = [];
     const answers = asked.map(async (peer) => {
       const result = await this.askAbout(peer, request);
       if (result !== undefined) seen.push(result);
@@ -148,15 +154,16 @@
   private async askAbout(
     peer: Peer,
     request: relayProtocol.ReachRequest,
-  ): Promise<livenessProbes.ProbeResult | undefined> {
+  ): Promise<ReachResult | undefined> {
     const answer = await this.call<relayProtocol.ReachAnswer>(
       peer,
       'reach',
       request,
       REACH_TIMEOUT_MS,
     );
-    if (answer.err || answer.val.isAlive === undefined) return undefined;
-    const { isAlive, isSilent } = answer.val;
+    if (answer.err) return undefined;
+    const { isAlive, isSilent, doOthersRespond } = answer.val;
+    if (isAlive === undefined) return doOthersRespond === true ? 'missing' : undefined;
     if (isAlive) return 'alive';
     return isSilent === true ? 'silent' : 'refused';
   }
--- a/packages/daemon/src/entry/relayProtocol.ts
+++ b/packages/daemon/src/entry/relayProtocol.ts
@@ -58,6 +58,11 @@
   isAlive?: boolean;
   /** Whether the target gave no response at all, rather than refuse. */
   isSilent?: boolean;
+  /**
+   * Whether others of its service respond to the entry, which can't tell because no target of its data centre does. Absent
+   * from an earlier version.
+   */
+  doOthersRespond?: boolean;
 }
 
 const packr = new msgpackr.Packr({ useRecords: false });
--- a/packages/domain/src/reachability/targetPaths.ts
+++ b/packages/domain/src/reachability/targetPaths.ts
@@ -120,6 +120,12 @@
     if (state !== undefined) state.reachedElsewhereAt = now;
   }
 
+  /** Whether another VM has reached a target since it began to fail here, so that it is up. */
+  isReachedElsewhere(id: string): boolean {
+    const state = this.failing.get(id);
+    return state !== undefined && isPathLost(state);
+  }
+
   /** The target is gone, or its lifetime ended. */
   forget(id: string): void {
     this.failing.delete(id);
@@ -127,8 +133,7 @@
 
   /** Whether messages to the target should go by way of another VM. */
   isLost(endpoint: Endpoint): boolean {
-    const state = this.failing.get(endpoint.id);
-    if (state !== undefined && isPathLost(state)) return true;
+    if (this.isReachedElsewhere(endpoint.id)) return true;
     return scopesOf(endpoint).some((scope) => this.lostScopes.has(scope));
   }
 
