Take a reset connection for a refusal, not for silence

A crash counted a second late or not at all against its culprit, so that copies of it reached more targets and a body beside it was suspected alone.

Cause: a probe whose connection was reset before this process learned that it was accepted ("connect ECONNRESET", usual while a target ends) was reported as silent, as only ECONNREFUSED counted as refused. A silent target is checked again after a second, since a sound one may be silent. An entry without paths asks the relay then, which may be late or may have lost the paths meanwhile; it counted nothing.

The new test fails on the code before ("silent").

`refused` is documented as refused or broken; a reset is an answer, which a target that is merely silent doesn't give.

--- a/packages/daemon/src/entry/__tests__/livenessProbes.test.ts
+++ b/packages/daemon/src/entry/__tests__/livenessProbes.test.ts
@@ -1,6 +1,6 @@
 /** Which responses to a liveness probe show that a target is alive. */
 import * as http from 'node:http';
-import type * as net from 'node:net';
+import * as net from 'node:net';
 import * as chai from 'chai';
 import * as domain from '@celerydrift/domain';
 import * as observer from '../../observability/observer';
@@ -54,6 +54,28 @@
     expect(answers).to.deep.equal([true, true, false, false, false]);
   });
 
+  /**
+   * Guards against crashes that are counted a second late or not at all: a connection that a target reset while it ended
+   * was taken for silence, and a second later the only other VM that could tell didn't answer.
+   */
+  it('take a connection that is reset for refused', async () => {
+    const openSocket = (): net.Socket => {
+      const socket = new net.Socket();
+      const reset = Object.assign(new Error('connect ECONNRESET'), { code: 'ECONNRESET' });
+      setImmediate(() => socket.destroy(reset));
+      return socket;
+    };
+    const probes = new livenessProbes.LivenessProbes({
+      protocol: harness.PROTOCOL,
+      limits: { mayProbe: async () => true },
+      gate: harness.PERMISSIVE_GATE,
+      observer: new observer.Observer('test', 'fatal', undefined),
+      source: undefined,
+      openSocket,
+    });
+    expect(await probes.probe('t', '127.0.0.1:1')).to.equal('refused');
+  });
+
   /** Guards against probes of a crashed target that reach the next lifetime at its address, which wants no messages. */
   it('are not sent to a lifetime that was replaced', async () => {
     const registryFor = (address: string): domain.registry.registry.Registry => {
--- a/packages/daemon/src/entry/directDispatch.ts
+++ b/packages/daemon/src/entry/directDispatch.ts
@@ -10,10 +10,13 @@
 /** Why no connection to a target could be made. */
 export interface ConnectionFailure {
   detail: string;
-  /** Whether the connection was refused, rather than left unanswered. */
+  /** Whether the connection was refused or reset, rather than left unanswered. */
   isRefused: boolean;
 }
 
+/** A target that ends may accept a connection and reset it before this process learns that it was accepted. */
+const REFUSALS: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET']);
+
 export interface Options {
   target: string;
   attempt: targetAttempt.Attempt;
@@ -74,6 +77,6 @@
     const { code = '' } = error as { code?: string };
     const detail = `${code} ${error.message}`.trim();
     if (this.isStarted) this.options.attempt.finish({ kind: 'broken', detail });
-    else this.options.onUnreachable({ detail, isRefused: code === 'ECONNREFUSED' });
+    else this.options.onUnreachable({ detail, isRefused: REFUSALS.has(code) });
   }
 }
--- a/packages/daemon/src/entry/targetMessage.ts
+++ b/packages/daemon/src/entry/targetMessage.ts
@@ -23,8 +23,8 @@
 export type SendResult =
   | { kind: 'complete' }
   /**
-   * No byte was written: the target can't have run it. `isRefused` if the connection was refused rather than left
-   * unanswered; `isConfirmed` if another VM couldn't connect to it either.
+   * No byte was written: the target can't have run it. `isRefused` if the connection was refused or reset rather
+   * than left unanswered; `isConfirmed` if another VM couldn't connect to it either.
    */
   | { kind: 'notSent'; detail: string; isRefused?: boolean; isConfirmed?: boolean }
   /** Nothing was sent, because the target is unavailable to such messages. */
