Notice that a target which may not be probed has crashed

Cause: a target that may get no probe counted as alive, whatever had become of it, also in the answer to an entry without paths that asks its relay. As the crash wasn't known, the target went on getting requests.

The test of a target that ended fails on the code before ("alive" for a limited one and for one in a back-off).

Such a target now gets a connection over which nothing is sent, no message: refused, it has ended; held for 50 ms, it counts as alive as before. One that resets the connection may have too many, so it counts as silent, which is looked at again after a second.

The test "probes a target only with a grant of the leader" took any target that it may not probe for alive, also one that doesn't exist. It now counts the messages at a target that does: none without a grant, one with it.

--- a/packages/daemon/src/entry/__tests__/livenessProbes.test.ts
+++ b/packages/daemon/src/entry/__tests__/livenessProbes.test.ts
@@ -76,6 +76,74 @@
     expect(await probes.probe('t', '127.0.0.1:1')).to.equal('refused');
   });
 
+  /**
+   * Probes a target that takes no messages now: one that ended, or one that handles each connection by `accept`. Returns
+   * how it responds, and how many bytes it received.
+   */
+  const probeWithheld = async (
+    withheldBy: Pick<livenessProbes.Dependencies, 'limits' | 'gate'>,
+    accept: ((socket: net.Socket) => void) | 'ended',
+  ): Promise<{ result: string; bytes: number }> => {
+    let bytes = 0;
+    const server = net.createServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.on('data', (chunk) => {
+        bytes += chunk.length;
+      });
+      if (accept !== 'ended') accept(socket);
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as net.AddressInfo;
+    const closed = new Promise((resolve) => {
+      server.once('close', resolve);
+    });
+    if (accept === 'ended') {
+      server.close();
+      await closed;
+    }
+    const probes = new livenessProbes.LivenessProbes({
+      protocol: harness.PROTOCOL,
+      ...withheldBy,
+      observer: new observer.Observer('test', 'fatal', undefined),
+      source: undefined,
+    });
+    const result = await probes.probe('t', `127.0.0.1:${port}`);
+    if (accept !== 'ended') server.close();
+    return { result, bytes };
+  };
+
+  const LIMITED = { limits: { mayProbe: async () => false }, gate: harness.PERMISSIVE_GATE };
+  const IN_BACK_OFF = { limits: { mayProbe: async () => true }, gate: { admit: () => undefined } };
+
+  /**
+   * Guards against crashes that are counted against nobody, or only against requests of other VMs: a target with a rate
+   * limit or in a back-off gets no probes, and counted as alive although nothing listened at its address any more.
+   */
+  it('notice that nothing serves a target which takes no messages now', async () => {
+    const ended = { result: 'refused', bytes: 0 };
+    expect([
+      await probeWithheld(LIMITED, 'ended'),
+      await probeWithheld(IN_BACK_OFF, 'ended'),
+    ]).to.deep.equal([ended, ended]);
+  });
+
+  /** Guards against sound targets that count as crashed at once because they reset connections beyond their limit. */
+  it('take a target that takes no messages now and resets connections for silent', async () => {
+    const reset = await probeWithheld(LIMITED, (socket) => socket.resetAndDestroy());
+    expect(reset).to.deep.equal({ result: 'silent', bytes: 0 });
+  });
+
+  /** Guards against messages that a target has asked not to get, and against sound ones that count as crashed. */
+  it('send nothing to a target which takes no messages now, and count it as alive', async () => {
+    const alive = { result: 'alive', bytes: 0 };
+    expect([
+      await probeWithheld(LIMITED, () => undefined),
+      await probeWithheld(IN_BACK_OFF, () => undefined),
+    ]).to.deep.equal([alive, alive]);
+  });
+
   /** Guards against probes of a crashed target that reach the next lifetime at its address, which wants no messages. */
   it('are not sent to a lifetime that was replaced', async () => {
     const registryFor = (address: string): domain.registry.registry.Registry => {
--- a/packages/daemon/src/entry/__tests__/rateLimitClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/rateLimitClient.test.ts
@@ -1,4 +1,6 @@
 /** What an entry records, reports and asks about targets that name a rate limit. */
+import * as http from 'node:http';
+import type * as net from 'node:net';
 import * as chai from 'chai';
 import * as domain from '@celerydrift/domain';
 import { Err, Ok } from 'ts-results';
@@ -171,10 +173,20 @@
       observer: new observer.Observer('test', 'fatal', undefined),
       source: undefined,
     });
-    // Nothing listens there, so a probe that is sent fails.
-    expect(await probes.isAlive('t', PLACE.address)).to.equal(true);
+    let messages = 0;
+    const server = http.createServer((_request, response) => {
+      messages += 1;
+      response.writeHead(404).end();
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const address = `127.0.0.1:${(server.address() as net.AddressInfo).port}`;
+    expect([await probes.isAlive('t', address), messages]).to.deep.equal([true, 0]);
     setup.grant = { kind: 'granted', place: PLACE };
-    expect(await probes.isAlive('t', PLACE.address)).to.equal(false);
+    // It doesn't know the probe's path, as another process at the address.
+    expect([await probes.isAlive('t', address), messages]).to.deep.equal([false, 1]);
+    server.close();
   });
 
   /** Guards against messages that bypass the limit: a reservation and its release count as well. */
--- a/packages/daemon/src/entry/livenessProbes.ts
+++ b/packages/daemon/src/entry/livenessProbes.ts
@@ -35,7 +35,10 @@
 
 const OK = 200;
 
-/** `refused`: nothing serves this lifetime any more. `silent`: no response in time, which a sound target may fail to give. */
+/**
+ * `refused`: nothing serves this lifetime any more. `silent`: no response in time, which a sound target may fail to give;
+ * or, where it may not be probed, a connection that it didn't hold, as it may have too many.
+ */
 export type ProbeResult = 'alive' | 'refused' | 'silent';
 
 /**
@@ -58,14 +61,14 @@
 
   constructor(private readonly dependencies: Dependencies) {}
 
-  /** Whether this lifetime of a target responds to this VM; one that can't be probed counts as alive. */
+  /** Whether this lifetime of a target responds to this VM. */
   async isAlive(target: string, address: string): Promise<boolean> {
     return (await this.probe(target, address)) === 'alive';
   }
 
   /**
-   * Probes a target. One that can't be probed, as it is limited or in back-off, counts as alive. A lifetime that was
-   * replaced is gone; the one at its address now may not want messages.
+   * Probes a target. One that may not be probed, as it is limited or in back-off, counts as alive if it holds a connection
+   * over which nothing is sent. A lifetime that was replaced is gone; the one at its address now may not want messages.
    */
   async probe(target: string, address: string): Promise<ProbeResult> {
     if (this.dependencies.registry?.isReplaced(target) === true) return 'refused';
@@ -113,19 +116,14 @@
   }
 
   private async sendProbe(target: string, address: string): Promise<ProbeResult> {
-    if (!(await this.dependencies.limits.mayProbe(target))) {
-      this.dependencies.observer.count('lifeChecks.withheld');
-      return 'alive';
-    }
+    if (!(await this.dependencies.limits.mayProbe(target)))
+      return this.tryConnection(target, address);
     const { protocol, gate, source, openSocket, paths } = this.dependencies;
     const client = new targetClient.TargetClient({ protocol, gate, source, openSocket, paths });
     const recipient = { target, address, purpose: 'check' } as const;
     const result = await client.call(recipient, protocol.stateCall(target), PROBE_TIMEOUT_MS);
     client.close();
-    if (result.kind === 'withheld') {
-      this.dependencies.observer.count('lifeChecks.withheld');
-      return 'alive';
-    }
+    if (result.kind === 'withheld') return this.tryConnection(target, address);
     const status = result.kind === 'answered' ? result.status : 0;
     const isAlive = result.kind === 'answered' && isFromLiveTarget(result);
     const isSilent = result.kind === 'silent';
@@ -135,6 +133,23 @@
     if (isAlive) return 'alive';
     return isSilent ? 'silent' : 'refused';
   }
+
+  /** Opens a connection to a target that may not be probed. */
+  private async tryConnection(target: string, address: string): Promise<ProbeResult> {
+    const { protocol, gate, source, openSocket, paths, observer: observe } = this.dependencies;
+    observe.count('lifeChecks.withheld');
+    const client = new targetClient.TargetClient({ protocol, gate, source, openSocket, paths });
+    const taken = await client.holdsConnection(target, address);
+    client.close();
+    if (taken === 'held') return 'alive';
+    observe.log('targetAsked', {
+      target,
+      isAlive: false,
+      isSilent: taken === 'lost',
+      isProbed: false,
+    });
+    return taken === 'refused' ? 'refused' : 'silent';
+  }
 }
 
 /** The pending result for a key, or a new one. */
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -37,6 +37,9 @@
 /** How long an idle connection is kept if the target doesn't announce a timeout, milliseconds. */
 const IDLE_TIMEOUT_MS = 4_000;
 
+/** Time after which a connection without a message counts as held, milliseconds: several round trips. */
+const HELD_CONNECTION_MS = 50;
+
 export class TargetClient {
   private readonly pools = new Map<string, undici.Pool>();
 
@@ -134,6 +137,33 @@
     });
   }
 
+  /**
+   * How a target takes a connection over which nothing is sent: `held` if it leaves it open for a while, `refused` if
+   * nothing listens, `lost` if it resets or closes it, or doesn't answer.
+   */
+  holdsConnection(target: string, address: string): Promise<'held' | 'refused' | 'lost'> {
+    const [hostname, port] = address.split(':');
+    return new Promise((resolve) => {
+      this.connections.connectorFor(target)({ hostname, port }, (error, socket) => {
+        if (socket === null) {
+          const { code = '' } = (error ?? {}) as { code?: string };
+          resolve(code === 'ECONNREFUSED' ? 'refused' : 'lost');
+          return;
+        }
+        const stopTimeout = clock.startTimeout(HELD_CONNECTION_MS, () => {
+          resolve('held');
+          socket.destroy();
+        });
+        socket.once('close', () => {
+          stopTimeout();
+          resolve('lost');
+        });
+        // An end is noticed only while the connection is read.
+        socket.resume();
+      });
+    });
+  }
+
   private dispatch(
     {
       target,
