Let an entry learn that a target it took for crashed is alive

Cause: a crash from before a request was sent isn't its fault, so an entry keeps the lifetimes that have crashed. The leader forgets a false one with the target's second announcement and clears the suspects; entries hear from no targets, and the update that clears the suspects leaves the lifetime as it was. So the entry counted no later crash of that lifetime against the requests that it had sent there, and other entries counted it against those beside them.

Now a response to a message that was sent after the crash was reported ends it at the entry, as a crashed process can't give one. Responses to earlier messages and of other lifetimes don't, as two more tests say. What counts against requests stays until the leader clears it.

--- a/packages/daemon/src/entry/__tests__/targetSignals.test.ts
+++ b/packages/daemon/src/entry/__tests__/targetSignals.test.ts
@@ -79,6 +79,8 @@
 
   readonly limits: (number | undefined)[] = [];
 
+  readonly quarantine = new domain.quarantine.quarantine.Quarantine();
+
   now = 0;
 
   readonly signals: targetSignals.TargetSignals;
@@ -270,3 +272,54 @@
     expect(setup.limits).to.deep.equal([2, 2, undefined]);
   });
 });
+
+describe('a target that responds after its crash was reported', () => {
+  const LIFETIME = domain.quarantine.crashedLifetimes.lifetimeKey({ id: 't', bornAt: 1 });
+
+  /** Crashes that count against a request which is running when the target crashes, after a false report of another. */
+  const crashesAfter = (respond: (setup: Harness) => void): number => {
+    const setup = new Harness();
+    setup.now = 10;
+    respond(setup);
+    setup.quarantine.reportCrash('4-culprit', LIFETIME, { sentAt: 30, isTrial: false }, 40);
+    return setup.quarantine.crashCount('4-culprit');
+  };
+
+  const reportFalsely = ({ quarantine }: Harness): void => {
+    quarantine.reportCrash('4-other', LIFETIME, { sentAt: 1, isTrial: false }, 15);
+  };
+
+  /**
+   * Guards against culprits that an entry never counts a crash against: only the leader hears from targets that they live,
+   * so a crash that was reported falsely stayed at the entry for the rest of the lifetime, and the real one came after it.
+   */
+  it('has not crashed yet', () => {
+    const count = crashesAfter((setup) => {
+      reportFalsely(setup);
+      setup.now = 20;
+      setup.exchange(NO_BACK_OFF);
+    });
+    expect(count).to.equal(1);
+  });
+
+  /** Guards against requests that meet the broken connections of a crashed target and count as causes of its crash. */
+  it('may have crashed if the response is to an earlier message', () => {
+    const count = crashesAfter((setup) => {
+      const delivery = setup.signals.admit(REQUEST);
+      reportFalsely(setup);
+      setup.now = 20;
+      delivery?.answered({ status: 503, raw: [], facts: { ...REFUSAL, ...NO_BACK_OFF } });
+    });
+    expect(count).to.equal(0);
+  });
+
+  /** Guards against the same where the next lifetime responds at the address. */
+  it('may have crashed if another lifetime responds', () => {
+    const count = crashesAfter((setup) => {
+      reportFalsely(setup);
+      setup.now = 20;
+      setup.exchange({ ...NO_BACK_OFF, isWrongLifetime: true });
+    });
+    expect(count).to.equal(0);
+  });
+});
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -29,7 +29,8 @@
   fleetState: Pick<
     fleetState.FleetState,
     'registry' | 'directory' | 'evacuations' | 'applyDraining'
-  >;
+  > &
+    Partial<Pick<fleetState.FleetState, 'quarantine'>>;
   limits: Pick<rateLimitClient.RateLimitClient, 'answered'> &
     Partial<Pick<rateLimitClient.RateLimitClient, 'coldAnswered'>>;
   /** Grants for requests to cold targets; without them nothing is known of cold targets. */
@@ -249,6 +250,8 @@
 
   private answered(sentMessage: SentMessage, head: targetMessage.ResponseHead): void {
     if (!isFromTarget(sentMessage.message, head.facts)) return;
+    const lifetime = this.lifetimeOf(sentMessage.message.target);
+    this.dependencies.fleetState.quarantine?.responded(lifetime, sentMessage.at);
     this.recordBackOff(sentMessage, head);
     this.recordLimit(sentMessage, head);
     if (head.facts.isLeaving) this.recordDraining(sentMessage);
--- a/packages/domain/src/quarantine/crashedLifetimes.ts
+++ b/packages/domain/src/quarantine/crashedLifetimes.ts
@@ -66,6 +66,11 @@
     if (crash === undefined) return false;
     crash.firstSequence ??= sequence;
     if (sequence <= crash.firstSequence) return false;
+    return this.forget(lifetime);
+  }
+
+  /** Forgets the crash of a lifetime that is alive; returns whether there was one. */
+  forget(lifetime: string): boolean {
     this.cleared.delete(lifetime);
     return this.crashes.delete(lifetime);
   }
--- a/packages/domain/src/quarantine/quarantine.ts
+++ b/packages/domain/src/quarantine/quarantine.ts
@@ -210,6 +210,16 @@
       .map((content) => this.clearCrash(content, key, 'targetLives'));
   }
 
+  /**
+   * Takes a response of a lifetime to a message that was sent at that time. One sent after the lifetime's reported crash
+   * shows that it hadn't crashed, so a later crash is a new one. What counts against requests stays until the leader hears
+   * from the target.
+   */
+  responded(lifetime: crashedLifetimes.Lifetime, sentAt: number): void {
+    const key = crashedLifetimes.lifetimeKey(lifetime);
+    if (this.hadCrashed(key, sentAt)) this.lifetimes.forget(key);
+  }
+
   /** Whether a lifetime is taken for crashed. */
   hasCrashed(lifetime: crashedLifetimes.Lifetime): boolean {
     return this.lifetimes.has(crashedLifetimes.lifetimeKey(lifetime));
