--- a/testing/__tests__/interruptibleReporter.test.ts
+++ b/testing/__tests__/interruptibleReporter.test.ts
@@ -8,6 +8,7 @@
 const { expect } = chai;
 
 const TESTS = `
+beforeEach(() => undefined);
 describe('a suite', () => {
   it('passes', () => undefined);
   it('fails', () => { throw new Error('wrong'); });
--- a/testing/interruptibleReporter.js
+++ b/testing/interruptibleReporter.js
@@ -7,7 +7,7 @@
 const fs = require('node:fs');
 const mocha = require('mocha');
 
-const { EVENT_TEST_BEGIN, EVENT_HOOK_BEGIN } = mocha.Runner.constants;
+const { EVENT_TEST_BEGIN, EVENT_HOOK_BEGIN, EVENT_HOOK_END } = mocha.Runner.constants;
 
 /** The exit code of `timeout`, whose signal ends the run. */
 const EXIT_TIMED_OUT = 124;
@@ -25,20 +25,27 @@
   constructor(runner, options) {
     super(runner, options);
     const { output } = options.reporterOption ?? {};
-    let running;
-    let runningSince = 0;
+    let test;
+    let hook;
+    let since = 0;
     const tests = [];
-    const begin = (runnable) => {
-      running = runnable;
-      runningSince = Date.now();
-    };
-    runner.on(EVENT_HOOK_BEGIN, begin);
-    runner.on(EVENT_TEST_BEGIN, (test) => {
-      tests.push(test);
-      begin(test);
+    runner.on(EVENT_TEST_BEGIN, (begun) => {
+      test = begun;
+      since = Date.now();
+      tests.push(begun);
+    });
+    runner.on(EVENT_HOOK_BEGIN, (begun) => {
+      hook = begun;
+      since = Date.now();
+    });
+    // The hooks before a test run after its beginning.
+    runner.on(EVENT_HOOK_END, () => {
+      hook = undefined;
+      since = Date.now();
     });
     process.once('SIGTERM', () => {
-      const seconds = Math.round((Date.now() - runningSince) / 1_000);
+      const seconds = Math.round((Date.now() - since) / 1_000);
+      const running = hook ?? test;
       console.error(`terminated; for ${seconds} s in: ${running?.fullTitle() ?? 'no test'}`);
       if (output !== undefined) fs.writeFileSync(output, JSON.stringify(resultsOf(tests)));
       process.exit(EXIT_TIMED_OUT);
