Ask the rest of a service at once where a data centre's targets look lost

Cause: the relay lost the paths to engines@east as both targets there had crashed, and says whether others of the service respond only by the responses that it happens to get within 300 ms. It probed the two dead targets, and had nothing to send to the others. The rest of a service was probed only where targets of several data centres had begun to fail.

The new test fails on the code before (0 crashes counted, 1 expected); it needed a second service in the test's fleet, as a fleet of one service suspects all its paths.

A loss of one data centre's targets now probes two more of the service, as a suspicion does.

--- a/packages/daemon/src/entry/__tests__/reachability.test.ts
+++ b/packages/daemon/src/entry/__tests__/reachability.test.ts
@@ -19,17 +19,19 @@
 
 const RELAY = { address: '10.0.0.1:1', dataCentre: 'dc0' };
 
-/** The only targets of a service in one data centre, and one in another. */
+/** The only targets of a service in one data centre, one in another, and one of another service. */
 const WEST = ['west-1', 'west-2'];
 const EAST = 'east-1';
+const OTHER = 'east-2';
 
 const CONTENT = '4-culprit';
 
 function registryOfAll(): domain.registry.registry.Registry {
   const registry = new domain.registry.registry.Registry();
-  [...WEST, EAST].forEach((id, i) => {
+  [...WEST, EAST, OTHER].forEach((id, i) => {
     const [dataCentre] = id.split('-');
-    const place = { service: 'engines', address: `10.0.1.${i}:1`, dataCentre };
+    const service = id === OTHER ? 'plain' : 'engines';
+    const place = { service, address: `10.0.1.${i}:1`, dataCentre };
     registry.announce({ ...place, id, bornAt: 1, slots: 1, state: 'ready', sequence: 1 }, 0);
   });
   return registry;
@@ -137,6 +139,24 @@
     expect(relay.paths.lostScopes).to.deep.equal(['engines@west']);
   });
 
+  /**
+   * Guards against the same where the relay has nothing else to send: it learned too late for the asking entry that others
+   * of the service respond.
+   */
+  it('counts against it although the relay sends no requests to others of the service', async () => {
+    const registry = registryOfAll();
+    const { relay, call } = relayAt(registry, (target, { paths }) => {
+      if (WEST.includes(target)) {
+        paths.failed(target);
+        return 'refused';
+      }
+      paths.responded(target, clock.steady());
+      return 'alive';
+    });
+    relay.paths.failed(WEST[0]);
+    expect(await crashesCounted(registry, WEST[1], call)).to.equal(1);
+  });
+
   /** Guards against sound targets that count as crashed as soon as a relay loses its paths, too. */
   it('does not count where no target responds to the relay', async () => {
     const registry = registryOfAll();
--- a/packages/daemon/src/entry/pathMonitor.ts
+++ b/packages/daemon/src/entry/pathMonitor.ts
@@ -31,7 +31,7 @@
 /** Targets of each lost scope to which a connection is tried at each check. */
 const PROBES_PER_SCOPE = 1;
 
-/** The same when a scope is suspected or lost, at once: one response shows that only some targets are down. */
+/** The same when a scope is suspected or lost, at once, and in its service: one response shows that only some are down. */
 const SUSPICION_PROBES = 2;
 
 /** Targets whose own paths are lost that are tried at each check, and the shortest interval for each, milliseconds. */
@@ -154,7 +154,9 @@
     observe.log('pathsLost', { scope, targets: targets.length });
     onLost(targets.map(({ id }) => id));
     onImpaired();
-    this.probe(scope, SUSPICION_PROBES);
+    // Whether the rest of the service responds tells whether the targets of a data centre may have crashed.
+    const [, service = scope] = domain.reachability.targetPaths.enclosingScopes(scope);
+    new Set([scope, service]).forEach((each) => this.probe(each, SUSPICION_PROBES));
   }
 
   private check(): void {
