--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -393,6 +393,28 @@
     expect(performance.now() - startedAt).to.be.within(900, 1_300);
   });
 
+  /*
+   * Guards against memory that stays set aside after its request: the engine went dark, and as its response was still
+   * awaited, the helper's reservation was renewed.
+   */
+  it('renews memory on a helper only while its engine responds', async () => {
+    const confirm: harness.TargetBehaviour = (_request, socket) =>
+      socket.write(harness.answer('').replace('id: r1\r\n', ''));
+    const messagesToHelper = async (answersProbes: boolean): Promise<number> => {
+      const engine: harness.TargetBehaviour = (request, socket) => {
+        if (answersProbes && request.includes(harness.REPORT_PATH)) confirm(request, socket);
+      };
+      setup = await harness.TestHarness.start(engine, confirm);
+      setup.helper = { keptTokens: 9, ids: ['t1'] };
+      expect((await setup.send('/unsafe/1')).status).to.equal(504);
+      await clock.sleep(50);
+      setup.stop();
+      return setup.messagesTo(1);
+    };
+    // A reservation and its release, with a renewal between them if the engine responds.
+    expect([await messagesToHelper(true), await messagesToHelper(false)]).to.deep.equal([3, 2]);
+  });
+
   it('limits what a caller may send', async () => {
     setup = await harness.TestHarness.start(RESPOND);
     const statuses = [
--- a/packages/daemon/src/entry/__tests__/lifetimes.test.ts
+++ b/packages/daemon/src/entry/__tests__/lifetimes.test.ts
@@ -79,6 +79,7 @@
       now: clock.steady,
     });
     await memory.reserveAll([{ target: 'a', address: RECORD.address, keptTokens: 9 }]);
+    memory.renewFor({ lastHeardAt: clock.steady, isResponsive: async () => true });
     registry.announce({ ...RECORD, bornAt: 2 }, 0);
     await clock.sleep(1_300);
     memory.release();
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -475,6 +475,10 @@
     this.attempt = attempt;
     this.activeTarget = placement.target;
     this.reply.attach(attempt);
+    helperReservations.renewFor({
+      lastHeardAt: () => attempt.lastHeardAt,
+      isResponsive: () => this.isResponsive(placement.target, placement.address),
+    });
     const outcome = await this.awaitOutcome(attempt, placement);
     const { wasSent, relay } = attempt;
     attempt.cancel();
--- a/packages/daemon/src/entry/reservations.ts
+++ b/packages/daemon/src/entry/reservations.ts
@@ -1,6 +1,10 @@
 /**
  * Memory that prefill helpers reserve for one prompt. Reservations are short leases that are renewed while the request
  * runs, so that an entry that dies, or a lost or late release, blocks memory for seconds only.
+ *
+ * An engine that has gone dark runs the request no longer, but can't be told from one that reads a long prompt: the
+ * request may await its response for longer than the memory may be held. So a lease begins when the engine was last
+ * heard from, not when it is renewed, and an engine without events is probed for each renewal.
  */
 import * as crypto from 'node:crypto';
 import type * as domain from '@celerydrift/domain';
@@ -23,15 +27,24 @@
 }
 
 /**
- * Lease without a renewal, milliseconds. Memory that no request uses must be free after 4 s, also if its entry dies
- * right after a renewal.
+ * Lease from the time at which the engine that uses the memory was last heard from, milliseconds. Memory that no request
+ * uses must be free after 4 s, also if the entry dies right after a renewal.
  */
 const LEASE_MS = 3_500;
 
 const OK = 200;
 
-/** Renewal interval, milliseconds: a third of the lease, so that two renewals in a row may be lost. */
-const RENEW_INTERVAL_MS = 1_100;
+/** An engine that was heard from this long ago isn't probed for a renewal, milliseconds: a few engine steps. */
+const RECENT_MS = 300;
+
+/**
+ * Renewal interval, milliseconds: a third of the lease that is left with an engine that was heard from `RECENT_MS` ago,
+ * so that two renewals in a row may be lost.
+ */
+const RENEW_INTERVAL_MS = 1_000;
+
+/** Pause before an engine that didn't respond is probed again, milliseconds; a sound one may be silent for a second. */
+const PROBE_RETRY_MS = 200;
 
 /** Timeout of a call to reserve, renew or release, milliseconds: a few round trips. */
 const ORDER_TIMEOUT_MS = 300;
@@ -55,10 +68,23 @@
   until: number;
 }
 
+/** The engine that runs the request and uses the memory, as seen by this entry. */
+export interface Engine {
+  /** When bytes of its response last arrived, on the steady clock, milliseconds; 0 before the first. */
+  lastHeardAt: () => number;
+  /** Probes it; resolves to whether its response may still arrive. */
+  isResponsive: () => Promise<boolean>;
+}
+
 export class Reservations {
   private reservations: Reservation[] = [];
 
-  private timer: NodeJS.Timeout | undefined;
+  private renewal: NodeJS.Timeout | undefined;
+
+  private stopExpiry: () => void = () => undefined;
+
+  /** When the engine was last known to be alive. */
+  private heardAt = 0;
 
   constructor(
     private readonly request: string,
@@ -84,10 +110,17 @@
       this.release();
       return false;
     }
-    this.timer = setInterval(() => this.renew(), RENEW_INTERVAL_MS);
     return true;
   }
 
+  /** Renews the reservations from now on, when the request is sent, and releases them if its engine goes dark. */
+  renewFor(engine: Engine): void {
+    if (this.reservations.length === 0) return;
+    this.heardAt = this.dependencies.now();
+    this.startRenewal(engine, RENEW_INTERVAL_MS);
+    this.startExpiry(engine);
+  }
+
   /** The helpers with their reservations, as the request lists them. */
   withReservations(helpers: readonly Helper[]): protocols.PrefillHelper[] {
     return helpers.map(({ target, address }) => {
@@ -98,13 +131,55 @@
 
   /** Releases everything; retries in the background until the targets have confirmed. */
   release(): void {
-    clearInterval(this.timer);
+    clearTimeout(this.renewal);
+    this.stopExpiry();
     this.reservations.splice(0).forEach((each) => {
       void this.releaseOne(each);
     });
   }
 
-  private renew(): void {
+  private startRenewal(engine: Engine, delayMs: number): void {
+    this.renewal = setTimeout(() => {
+      void this.renew(engine);
+    }, delayMs);
+  }
+
+  private async renew(engine: Engine): Promise<void> {
+    const isHeardFrom = await this.isHeardFrom(engine);
+    // They may have been released during the probe.
+    if (this.reservations.length === 0) return;
+    if (isHeardFrom) this.renewAll();
+    this.startRenewal(engine, isHeardFrom ? RENEW_INTERVAL_MS : PROBE_RETRY_MS);
+  }
+
+  private async isHeardFrom(engine: Engine): Promise<boolean> {
+    const askedAt = this.dependencies.now();
+    this.heardAt = Math.max(this.heardAt, engine.lastHeardAt());
+    if (askedAt - this.heardAt <= RECENT_MS) return true;
+    if (!(await engine.isResponsive())) return false;
+    this.heardAt = Math.max(this.heardAt, askedAt);
+    return true;
+  }
+
+  /** Leases end by themselves, except those at targets in back-off, which cover the back-off. */
+  private startExpiry(engine: Engine): void {
+    const leftMs = this.heardAt + LEASE_MS - this.dependencies.now();
+    this.stopExpiry = clock.startTimeout(Math.max(0, leftMs), () => this.expire(engine));
+  }
+
+  private expire(engine: Engine): void {
+    const { now, observer: observe } = this.dependencies;
+    this.heardAt = Math.max(this.heardAt, engine.lastHeardAt());
+    const silentMs = now() - this.heardAt;
+    if (silentMs < LEASE_MS) {
+      this.startExpiry(engine);
+      return;
+    }
+    observe.log('memoryExpired', { request: this.request, silentMs: Math.round(silentMs) });
+    this.release();
+  }
+
+  private renewAll(): void {
     const now = this.dependencies.now();
     this.reservations
       .filter((each) => each.until - now < LEASE_MS && this.isHeld(each))
@@ -119,7 +194,9 @@
   private async reserveOne(reservation: Reservation, purpose: 'order' | 'upkeep'): Promise<number> {
     const { protocol, signals, targets, limits, now } = this.dependencies;
     const { target, address, keptTokens } = reservation.helper;
-    const leaseMs = Math.min(MAX_LEASE_MS, LEASE_MS + signals.backOffMs(target));
+    const silentMs = purpose === 'order' ? 0 : now() - this.heardAt;
+    const wantedMs = Math.floor(LEASE_MS - silentMs + signals.backOffMs(target));
+    const leaseMs = Math.min(MAX_LEASE_MS, wantedMs);
     const call = protocol.reserve(target, reservation.id, keptTokens, leaseMs);
     limits.spent(target);
     const result = await targets.call({ target, address, purpose }, call, ORDER_TIMEOUT_MS);
--- a/packages/daemon/src/entry/targetAttempt.ts
+++ b/packages/daemon/src/entry/targetAttempt.ts
@@ -2,6 +2,7 @@
  * One attempt to deliver a message to a target, whichever way it goes. The dispatch that carries it reports here what
  * happened; `cancel` ends that dispatch, which also stops the target's work.
  */
+import * as clock from '../clock';
 import * as responseOrigin from './responseOrigin';
 import type * as sentMessages from './sentMessages';
 import type * as targetMessage from './targetMessage';
@@ -38,6 +39,9 @@
   /** Whether the head of the target's response arrived. */
   wasAnswered = false;
 
+  /** When bytes of the target's response last arrived, on the steady clock, milliseconds; 0 before the first. */
+  lastHeardAt = 0;
+
   /** Address of the VM that relays the message; undefined for a direct connection. */
   relay: string | undefined;
 
@@ -122,6 +126,7 @@
   answered(head: targetMessage.ResponseHead): void {
     if (this.isSettled) return;
     this.wasAnswered = true;
+    this.lastHeardAt = clock.steady();
     if (!responseOrigin.isResponseTo(this.message.requestId, head.facts)) {
       this.reject(head);
       return;
@@ -142,7 +147,9 @@
   }
 
   data(chunk: Buffer): void {
-    if (!this.isSettled) this.handler.onData(chunk);
+    if (this.isSettled) return;
+    this.lastHeardAt = clock.steady();
+    this.handler.onData(chunk);
   }
 
   finish(result: targetMessage.SendResult): void {
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -140,6 +140,11 @@
     level: 'info',
     text: 'attempt without a response not counted as a crash',
   },
+  memoryExpired: {
+    number: 5029,
+    level: 'warn',
+    text: 'memory on helpers released; their engine has gone dark',
+  },
   claimUnknown: {
     number: 5101,
     level: 'warn',
