Leave callers four in five of the messages that a limited target admits while paths are lost

Cause: an entry probes each lost scope every 0.3 s, and a liveness probe to a limited target is granted with a token less than a request needs. A bucket that is asked for probes all the time never holds the whole token of a request. Probes that follow from a request are bounded by requests; those on lost paths aren't.

Such probes now have a purpose of their own, "path". The leader, which sees all entries, grants them at most once in the time of five messages of the target, and tells the entry when to ask again; the entry tries others of the scope meanwhile. Probes that follow from a request or from a new failure are as before, so a loss is noticed as soon as before. A leader of an older program takes "path" for a request, which competes with the others.

--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -74,6 +74,13 @@
   }),
 };
 
+/** Lets all probes pass, as targets without limits do. */
+export const UNLIMITED = {
+  mayProbe: async () => true,
+  mayProbePath: async () => true,
+  isPathProbeDue: () => true,
+};
+
 /** A gate that admits every message. */
 export const PERMISSIVE_GATE: targetMessage.AdmissionGate = {
   admit: () => ({ answered: () => undefined, foreign: () => undefined, ended: () => undefined }),
@@ -204,7 +211,7 @@
     const limits = {
       answered: () => undefined,
       spent: () => undefined,
-      mayProbe: async () => true,
+      ...UNLIMITED,
     };
     const { registry, evacuations } = this;
     const client = new peerClient.PeerClient('secret', undefined, observe);
--- a/packages/daemon/src/entry/__tests__/livenessProbes.test.ts
+++ b/packages/daemon/src/entry/__tests__/livenessProbes.test.ts
@@ -9,6 +9,8 @@
 
 const { expect } = chai;
 
+const { UNLIMITED } = harness;
+
 /** Probes a target with this response; `registry` gets the target's address. */
 async function probe(
   status: number,
@@ -28,7 +30,7 @@
   const probes = new livenessProbes.LivenessProbes({
     protocol: harness.PROTOCOL,
     registry: registryFor(address),
-    limits: { mayProbe: async () => true },
+    limits: UNLIMITED,
     gate: harness.PERMISSIVE_GATE,
     observer: new observer.Observer('test', 'fatal', undefined),
     source: undefined,
@@ -67,7 +69,7 @@
     };
     const probes = new livenessProbes.LivenessProbes({
       protocol: harness.PROTOCOL,
-      limits: { mayProbe: async () => true },
+      limits: UNLIMITED,
       gate: harness.PERMISSIVE_GATE,
       observer: new observer.Observer('test', 'fatal', undefined),
       source: undefined,
@@ -114,8 +116,11 @@
     return { result, bytes };
   };
 
-  const LIMITED = { limits: { mayProbe: async () => false }, gate: harness.PERMISSIVE_GATE };
-  const IN_BACK_OFF = { limits: { mayProbe: async () => true }, gate: { admit: () => undefined } };
+  const LIMITED = {
+    limits: { ...UNLIMITED, mayProbe: async () => false },
+    gate: harness.PERMISSIVE_GATE,
+  };
+  const IN_BACK_OFF = { limits: UNLIMITED, gate: { admit: () => undefined } };
 
   /**
    * Guards against crashes that are counted against nobody, or only against requests of other VMs: a target with a rate
--- a/packages/daemon/src/entry/__tests__/reachability.test.ts
+++ b/packages/daemon/src/entry/__tests__/reachability.test.ts
@@ -49,7 +49,11 @@
     fleetState: { registry },
     client: {} as peerClient.PeerClient,
     targets: () => ({ forget: () => undefined }) as unknown as targetClient.TargetClient,
-    liveness: () => ({ probe: async (target) => probe(target, relay) }),
+    liveness: () => ({
+      probe: async (target) => probe(target, relay),
+      probePath: async () => undefined,
+      isPathProbeDue: () => true,
+    }),
     isServing: () => true,
     observer: OBSERVER,
     random: domain.shared.random.seeded(1),
@@ -80,7 +84,7 @@
   await peers.refresh();
   const liveness = new livenessProbes.LivenessProbes({
     protocol: harness.PROTOCOL,
-    limits: { mayProbe: async () => true },
+    limits: harness.UNLIMITED,
     gate: harness.PERMISSIVE_GATE,
     observer: OBSERVER,
     source: undefined,
--- a/packages/daemon/src/entry/livenessProbes.ts
+++ b/packages/daemon/src/entry/livenessProbes.ts
@@ -15,7 +15,7 @@
 export interface Dependencies {
   protocol: protocols.TrafficProtocol;
   registry?: Pick<domain.registry.registry.Registry, 'isReplaced'>;
-  limits: Pick<rateLimitClient.RateLimitClient, 'mayProbe'>;
+  limits: Pick<rateLimitClient.RateLimitClient, 'mayProbe' | 'mayProbePath' | 'isPathProbeDue'>;
   gate: targetMessage.AdmissionGate;
   observer: observer.Observer;
   /** IP address that connections come from; undefined where the operating system chooses. */
@@ -72,7 +72,23 @@
    */
   async probe(target: string, address: string): Promise<ProbeResult> {
     if (this.dependencies.registry?.isReplaced(target) === true) return 'refused';
-    return shared(this.pending, target, () => this.sendProbe(target, address));
+    return shared(this.pending, target, () => this.probeIfAllowed(target, address));
+  }
+
+  /** Whether `probePath` may send anything, as far as is known here. */
+  isPathProbeDue(target: string): boolean {
+    return this.dependencies.limits.isPathProbeDue(target);
+  }
+
+  /** Probes a target to see whether the path to it is back; one with a rate limit gets few such probes. */
+  async probePath(target: string, address: string): Promise<void> {
+    const { registry, limits, observer: observe } = this.dependencies;
+    if (registry?.isReplaced(target) === true || this.pending.has(target)) return;
+    if (await limits.mayProbePath(target)) {
+      await shared(this.pending, target, () => this.sendProbe(target, address));
+    } else {
+      observe.count('lifeChecks.withheld');
+    }
   }
 
   /** Probes a target, and asks another VM about it if it doesn't respond. */
@@ -115,9 +131,12 @@
     return isAlive ? 'pathLost' : 'dead';
   }
 
+  private async probeIfAllowed(target: string, address: string): Promise<ProbeResult> {
+    const isAllowed = await this.dependencies.limits.mayProbe(target);
+    return isAllowed ? this.sendProbe(target, address) : this.tryConnection(target, address);
+  }
+
   private async sendProbe(target: string, address: string): Promise<ProbeResult> {
-    if (!(await this.dependencies.limits.mayProbe(target)))
-      return this.tryConnection(target, address);
     const { protocol, gate, source, openSocket, paths } = this.dependencies;
     const client = new targetClient.TargetClient({ protocol, gate, source, openSocket, paths });
     const recipient = { target, address, purpose: 'check' } as const;
--- a/packages/daemon/src/entry/pathMonitor.ts
+++ b/packages/daemon/src/entry/pathMonitor.ts
@@ -19,6 +19,10 @@
   tryConnection: (target: string, address: string) => void;
   /** Probes a target over a new connection; the outcome is reported like that of any other message. */
   probe: (target: string, address: string) => void;
+  /** The same for a target on a lost path, which is tried all the time; one with a rate limit gets few such probes. */
+  probeLost: (target: string, address: string) => void;
+  /** Whether `probeLost` may send anything to a target. */
+  isProbeDue: (target: string) => boolean;
   /** Called with targets whose paths are lost; open connections to them may never convey anything again. */
   onLost: (targets: readonly string[]) => void;
   /** Called while paths are lost, so that the status of the VMs that relay messages stays known. */
@@ -139,7 +143,7 @@
       const { scope } = change;
       const targets = this.targetsOf(scope);
       if (change.change === 'lost') this.lose(scope, targets);
-      else if (change.change === 'suspected') this.probe(scope, SUSPICION_PROBES);
+      else if (change.change === 'suspected') this.probe(scope);
       else this.logRestored(scope, targets.length, change.afterMs);
     });
   }
@@ -156,28 +160,42 @@
     onImpaired();
     // Whether the rest of the service responds tells whether the targets of a data centre may have crashed.
     const [, service = scope] = domain.reachability.targetPaths.enclosingScopes(scope);
-    new Set([scope, service]).forEach((each) => this.probe(each, SUSPICION_PROBES));
+    new Set([scope, service]).forEach((each) => this.probe(each));
   }
 
   private check(): void {
     const { fleetState: state, now } = this.dependencies;
     if (this.isImpaired) this.dependencies.onImpaired();
-    this.paths.scopes.forEach((scope) => this.probe(scope, PROBES_PER_SCOPE));
+    this.paths.scopes.forEach((scope) => this.probeLost(scope));
     this.paths
       .dueForProbe(PROBES_OF_LOST, PROBE_INTERVAL_MS, now())
       .flatMap((id) => state.registry.get(id) ?? [])
-      .forEach(({ id, address }) => this.dependencies.probe(id, address));
+      .forEach(({ id, address }) => this.dependencies.probeLost(id, address));
     if (!this.isImpaired && this.paths.quietMs(now()) >= QUIET_MS) this.tryAnyTarget();
   }
 
-  /** Probes random targets of a scope, those that haven't failed first. */
-  private probe(scope: string, count: number): void {
-    this.shuffled(scope)
-      .sort((a, b) => Number(this.paths.isFailing(a.id)) - Number(this.paths.isFailing(b.id)))
-      .slice(0, count)
+  /** Probes targets of a scope at once, as a failure made it suspect or lost. */
+  private probe(scope: string): void {
+    this.candidates(scope)
+      .slice(0, SUSPICION_PROBES)
       .forEach(({ id, address }) => this.dependencies.probe(id, address));
   }
 
+  /** Tries whether a lost scope is back. */
+  private probeLost(scope: string): void {
+    this.candidates(scope)
+      .filter(({ id }) => this.dependencies.isProbeDue(id))
+      .slice(0, PROBES_PER_SCOPE)
+      .forEach(({ id, address }) => this.dependencies.probeLost(id, address));
+  }
+
+  /** The targets of a scope in random order, those that haven't failed first. */
+  private candidates(scope: string): Announcement[] {
+    return this.shuffled(scope).sort((a, b) => {
+      return Number(this.paths.isFailing(a.id)) - Number(this.paths.isFailing(b.id));
+    });
+  }
+
   private tryAnyTarget(): void {
     this.shuffled(domain.reachability.targetPaths.ALL)
       .slice(0, 1)
--- a/packages/daemon/src/entry/rateLimitClient.ts
+++ b/packages/daemon/src/entry/rateLimitClient.ts
@@ -45,10 +45,16 @@
 const PROBE_INTERVAL_MS = 1_000;
 const PROBING_ENTRIES = 5;
 
+/** Longest pause before the leader is asked again for a probe of a lost path, milliseconds, as limits change. */
+const MAX_PATH_PROBE_PAUSE_MS = 5_000;
+
 export class RateLimitClient {
   /** When this entry next probes a target with a limit, by service and address. */
   private readonly nextProbes = new Map<string, number>();
 
+  /** When the leader next grants a probe of a lost path to a target with a limit, by service and address. */
+  private readonly nextPathProbes = new Map<string, number>();
+
   private readonly unreported = new unreportedLimits.UnreportedLimits();
 
   private isReporting = false;
@@ -113,7 +119,10 @@
     const perSecond = limit.kind === 'none' ? undefined : limit.perSecond;
     const { service, address } = answer;
     if (!state.limits.set({ service, address, perSecond }, this.dependencies.now())) return;
-    if (perSecond === undefined) this.nextProbes.delete(keyOf(answer));
+    if (perSecond === undefined) {
+      this.nextProbes.delete(keyOf(answer));
+      this.nextPathProbes.delete(keyOf(answer));
+    }
     const event = perSecond === undefined ? 'targetLimitEnded' : 'targetLimited';
     observe.log(event, { ...answer, sentAt: undefined, perSecond, before });
     this.unreported.setLimit({ service, address, perSecond });
@@ -134,6 +143,27 @@
     return answer?.kind === 'granted';
   }
 
+  /** Whether the leader may grant a probe of a lost path to a target, as far as this entry knows. */
+  isPathProbeDue(target: string): boolean {
+    const { fleetState: state, now } = this.dependencies;
+    const record = state.registry.get(target);
+    if (record === undefined || !state.limits.isLimited(record)) return true;
+    return now() >= (this.nextPathProbes.get(keyOf(record)) ?? -Infinity);
+  }
+
+  /** Whether a probe may be sent to a target that only shows whether a path is back. */
+  async mayProbePath(target: string): Promise<boolean> {
+    const { fleetState: state, now } = this.dependencies;
+    const record = state.registry.get(target);
+    if (record === undefined || !state.limits.isLimited(record)) return true;
+    const answer = await this.requestGrant({ places: [endpointOf(record)], purpose: 'path' });
+    if (answer?.kind === 'wait') {
+      const pauseMs = Math.min(answer.waitMs, MAX_PATH_PROBE_PAUSE_MS);
+      this.nextPathProbes.set(keyOf(record), now() + pauseMs);
+    }
+    return answer?.kind === 'granted';
+  }
+
   /** Grants one request to one of several targets with limits. */
   async grant(places: readonly Endpoint[]): Promise<Grant> {
     const message = { places: places.map(endpointOf), purpose: 'request' } as const;
--- a/packages/daemon/src/entry/reachability.ts
+++ b/packages/daemon/src/entry/reachability.ts
@@ -25,7 +25,7 @@
   fleetState: Pick<fleetState.FleetState, 'registry'>;
   client: peerClient.PeerClient;
   targets: () => targetClient.TargetClient;
-  liveness: () => Pick<livenessProbes.LivenessProbes, 'probe'>;
+  liveness: () => Pick<livenessProbes.LivenessProbes, 'probe' | 'probePath' | 'isPathProbeDue'>;
   /** Whether this entry serves and goes on running, apart from its paths. */
   isServing: () => boolean;
   observer: observer.Observer;
@@ -73,6 +73,10 @@
       probe: (target, address) => {
         void dependencies.liveness().probe(target, address);
       },
+      probeLost: (target, address) => {
+        void dependencies.liveness().probePath(target, address);
+      },
+      isProbeDue: (target) => dependencies.liveness().isPathProbeDue(target),
       onLost: (lost) => lost.forEach((target) => targets().forget(target)),
       onImpaired: () => {
         void this.peers.refresh();
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -281,8 +281,11 @@
 export interface GrantRequest {
   /** Addresses of the targets. */
   places: readonly Endpoint[];
-  /** What the message is; a liveness probe (`check`) may be granted while a request has to wait. */
-  purpose: 'request' | 'check';
+  /**
+   * What the message is. A liveness probe (`check`) may be granted while a request has to wait; one that only shows
+   * whether a path is back (`path`) is granted rarely, and a leader of an older program treats it like a request.
+   */
+  purpose: 'request' | 'check' | 'path';
 }
 
 export type GrantAnswer =
--- a/packages/daemon/src/keeper/__tests__/limitCoordinator.test.ts
+++ b/packages/daemon/src/keeper/__tests__/limitCoordinator.test.ts
@@ -47,6 +47,17 @@
     expect(coordinator.grant(request)).to.deep.equal({ kind: 'wait', waitMs: 500 });
   });
 
+  it('grants probes of lost paths to any entry now and then, and says when to ask again', () => {
+    coordinator.report({ limits: [LIMITED], spent: [] });
+    const probe = { places: [ENDPOINTS[0]], purpose: 'path' } as const;
+    const granted = { kind: 'granted', place: ENDPOINTS[0] };
+    expect(coordinator.grant(probe)).to.deep.equal(granted);
+    now = 3_000;
+    expect(coordinator.grant(probe)).to.deep.equal({ kind: 'wait', waitMs: 2_000 });
+    now = 5_000;
+    expect(coordinator.grant(probe)).to.deep.equal(granted);
+  });
+
   it('counts messages that entries sent without a grant', () => {
     coordinator.report({ limits: [LIMITED], spent: [{ ...ENDPOINTS[0], count: 2 }] });
     now = 2_000;
--- a/packages/daemon/src/keeper/limitCoordinator.ts
+++ b/packages/daemon/src/keeper/limitCoordinator.ts
@@ -63,6 +63,7 @@
 
   /** Grants one message to the address with the most capacity left. */
   grant({ places, purpose }: messages.GrantRequest): messages.GrantAnswer {
+    if (purpose === 'path') return this.grantPathProbe(places);
     const { limits, now } = this.dependencies;
     const available = places.filter((endpoint) => {
       return purpose === 'check'
@@ -82,6 +83,18 @@
     return { kind: 'granted', place };
   }
 
+  /** Grants one probe of a lost path, to the first address that admits one. */
+  private grantPathProbe(places: messages.GrantRequest['places']): messages.GrantAnswer {
+    const { limits, now, observer: observe } = this.dependencies;
+    const waits = places.map((endpoint) => limits.pathProbeWaitMs(endpoint, now()));
+    const waitMs = Math.min(...waits);
+    observe.count(`limits.path.${waitMs > 0 ? 'waits' : 'grants'}`);
+    if (waitMs > 0) return { kind: 'wait', waitMs: Math.ceil(waitMs) };
+    const place = places[waits.indexOf(waitMs)];
+    limits.countPathProbe(place, now());
+    return { kind: 'granted', place };
+  }
+
   private apply(reports: readonly RateLimit[]): void {
     const { limits, now } = this.dependencies;
     this.publishChanges(reports.filter((limit) => limits.set(limit, now())));
--- a/packages/domain/src/rateLimits/__tests__/rateLimits.test.ts
+++ b/packages/domain/src/rateLimits/__tests__/rateLimits.test.ts
@@ -88,6 +88,22 @@
     expect(limits.mayProbe(ENDPOINT, 1_000)).to.equal(false);
   });
 
+  /** Guards against probes of lost paths that take precedence over all requests to a target. */
+  it('admit a probe of a lost path as every fifth message', () => {
+    const limits = limited(2);
+    expect(limits.pathProbeWaitMs(ENDPOINT, 0)).to.equal(0);
+    limits.countPathProbe(ENDPOINT, 0);
+    expect(limits.pathProbeWaitMs(ENDPOINT, 500)).to.equal(2_000);
+    expect(takeAll(limits, 500, 2_500)).to.deep.equal([1_000, 1_500, 2_000]);
+    expect(limits.pathProbeWaitMs(ENDPOINT, 2_500)).to.equal(0);
+  });
+
+  it('admit no probe of a lost path where this process hands out nothing, and all without a limit', () => {
+    const unlimited = new rateLimits.RateLimits();
+    expect(unlimited.pathProbeWaitMs(ENDPOINT, 0)).to.equal(0);
+    expect(limited(1, 0).pathProbeWaitMs(ENDPOINT, 60_000)).to.equal(Infinity);
+  });
+
   /** Guards against an answer of a cold target that lifts its limit, and against the higher of two. */
   it('apply beside that of a cold target, the lower of the two', () => {
     const limits = limited(5);
--- a/packages/domain/src/rateLimits/rateLimits.ts
+++ b/packages/domain/src/rateLimits/rateLimits.ts
@@ -42,6 +42,13 @@
  */
 const PROBE_DEBT_TOKENS = 1;
 
+/**
+ * A probe that only shows whether a path is back may be one in this many messages to a target.
+ * Liveness probes take precedence over requests, and those on lost paths come all the time, from
+ * each VM that lost them: without a bound they would take all that the limit admits.
+ */
+const MESSAGES_PER_PATH_PROBE = 5;
+
 /**
  * Requests to a cold target are spaced as if a second were longer by this factor, since their
  * transit times differ.
@@ -61,6 +68,8 @@
   knownAt: number;
   /** When a target last listened at the address. */
   servedAt: number;
+  /** When a probe of a lost path was last admitted. */
+  pathProbedAt: number;
 }
 
 export class RateLimits {
@@ -180,6 +189,29 @@
     });
   }
 
+  /**
+   * Milliseconds until a probe may be sent to an address that only shows whether a path is back;
+   * infinite where this process hands out nothing.
+   */
+  pathProbeWaitMs(endpoint: Endpoint, now: number): number {
+    const waits = this.find(endpoint).map(({ bucket, source, rate, pathProbedAt }) => {
+      if (rate === 0) return Infinity;
+      const tokens = source === 'cold' ? 1 : 1 - PROBE_DEBT_TOKENS;
+      const untilAdmitted = (tokens - bucket.levelAt(now)) / rate;
+      const untilDue = MESSAGES_PER_PATH_PROBE / rate - (now - pathProbedAt) / 1_000;
+      return Math.max(untilAdmitted, untilDue) * 1_000;
+    });
+    return Math.max(0, ...waits);
+  }
+
+  /** Counts a probe of a lost path that was sent or will be. */
+  countPathProbe(endpoint: Endpoint, now: number): void {
+    this.find(endpoint).forEach((limited) => {
+      limited.bucket.take(1, now);
+      limited.pathProbedAt = now;
+    });
+  }
+
   /** Messages that may be sent to an address at once; infinite where there is no limit. */
   availableTokens(endpoint: Endpoint, now: number): number {
     return Math.min(Infinity, ...this.find(endpoint).map(({ bucket }) => bucket.levelAt(now)));
@@ -234,7 +266,8 @@
     const rate = this.rateOf({ service, address, perSecond, source });
     const burstSeconds = source === 'cold' ? 0 : undefined;
     const bucket = new tokenBucket.TokenBucket(rate, now, burstSeconds);
-    return { service, address, source, perSecond, rate, bucket, knownAt: now, servedAt: now };
+    const times = { knownAt: now, servedAt: now, pathProbedAt: -Infinity };
+    return { service, address, source, perSecond, rate, bucket, ...times };
   }
 
   /** Applies a changed share. */
