Leave open whether a silent target has crashed where its data centre looks lost

A sound target that is silent for a second, together with all of its service in its data centre, counted as crashed at once under a request of an entry without paths: since a relay says that others of the service respond, the entry took that for a crash, without the second look that silence needs.

Evidence: the new test fails on the code before (1 crash counted, 0 expected).

A relay says so only where the target refuses connections; what it sees of a silent one stays open, as before.

--- a/packages/daemon/src/entry/__tests__/reachability.test.ts
+++ b/packages/daemon/src/entry/__tests__/reachability.test.ts
@@ -172,6 +172,21 @@
     expect(await crashesCounted(registry, WEST[1], call)).to.equal(0);
   });
 
+  /** Guards against sound targets that count as crashed because all of a data centre are silent for a second. */
+  it('does not count where the target is silent', async () => {
+    const registry = registryOfAll();
+    const { relay, call } = relayAt(registry, (target, { paths }) => {
+      if (WEST.includes(target)) {
+        paths.failed(target);
+        return 'silent';
+      }
+      paths.responded(target, clock.steady());
+      return 'alive';
+    });
+    relay.paths.failed(WEST[0]);
+    expect(await crashesCounted(registry, WEST[1], call)).to.equal(0);
+  });
+
   /** Guards against a sound target that counts as crashed because only the relay's path to it is lost. */
   it('does not count where the target has responded to another VM', async () => {
     const registry = registryOfAll();
--- a/packages/daemon/src/entry/reachability.ts
+++ b/packages/daemon/src/entry/reachability.ts
@@ -163,7 +163,8 @@
     const result = await this.dependencies.liveness().probe(target, address);
     if (result === 'alive') return { isAlive: true };
     if (!this.paths.isLost(target)) return { isAlive: false, isSilent: result === 'silent' };
-    if (this.paths.isReachedElsewhere(target)) return {};
+    // A sound target may be silent for a second, and with it all of its data centre.
+    if (result === 'silent' || this.paths.isReachedElsewhere(target)) return {};
     return (await this.doOthersRespond(target, askedAt)) ? { doOthersRespond: true } : {};
   }
 
--- a/packages/daemon/src/entry/relayPeers.ts
+++ b/packages/daemon/src/entry/relayPeers.ts
@@ -33,8 +33,8 @@
 const OTHERS_WAIT_MS = 100;
 
 /**
- * How a target responds to another entry. `missing`: it doesn't, like all of its service in its data centre, but others of
- * the service do.
+ * How a target responds to another entry. `missing`: it refuses connections, no other of its service in its data centre
+ * responds either, but others of the service do.
  */
 export type ReachResult = livenessProbes.ProbeResult | 'missing';
 
--- a/packages/daemon/src/entry/relayProtocol.ts
+++ b/packages/daemon/src/entry/relayProtocol.ts
@@ -59,8 +59,8 @@
   /** Whether the target gave no response at all, rather than refuse. */
   isSilent?: boolean;
   /**
-   * Whether others of its service respond to the entry, which can't tell because no target of its data centre does. Absent
-   * from an earlier version.
+   * Whether others of its service respond to the entry, while it refuses connections like all of its service in its data
+   * centre, so that the entry can't tell whether its own paths are lost. Absent from an earlier version.
    */
   doOthersRespond?: boolean;
 }
