Let the soak compare more callers without paths, and check what limited targets get

Requests now count until a document without their key is submitted. limitsTaken is new: of the messages that plain targets with a rate limit get while paths are lost, half are requests of callers, but for three. Nothing is allowed that wasn't.

The tests of the checks cover both changes, from both sides.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -109,6 +109,21 @@
   }
 }
 
+/** A limited target gets 20 messages while entry 0 has no paths; this many are requests of callers. */
+function addTakenLimit(good: Observations, requests: number): void {
+  good.severed.push({ entries: [0], from: 9_000, until: 18_000 });
+  good.limited.push({ index: 0, perSecond: 5, from: 5_000, until: 18_000 });
+  good.told.push({ target: 't0-1', entry: 1, at: 5_100 });
+  for (let i = 0; i < 20; i++) {
+    const at = 12_100 + 200 * i;
+    good.got.push({ target: 't0-1', entry: 0, at });
+    if (i < requests) {
+      good.asked.push(requestRecord(`v${i}`, { kind: 'safe', entry: 1, sentAt: at, endedAt: at }));
+      good.ran.push({ request: `v${i}`, target: 't0-1', at });
+    }
+  }
+}
+
 /** An evacuation of a data centre without targets; target 0 runs a request 5.2 s after its acknowledgement. */
 const EVACUATION = { dataCentre: 'west', ackedAt: 4_850, endedAt: 20_000, isListed: true };
 
@@ -171,6 +186,25 @@
     expect(violatedWith(0.1)).to.include('unservedWithoutPaths');
   });
 
+  it('compare callers without paths to targets until their keys are withdrawn', () => {
+    const violatedWith = (withdrawnAt: number): string[] =>
+      violatedGuarantees((good) => {
+        addSeveredEntry(good, 40, 503);
+        good.sent.push(submittedDocument(2, withdrawnAt + 100, ['k+']));
+        good.revoked.push({ key: 'k', ackedAt: withdrawnAt + 100 });
+      });
+    expect(violatedWith(13_000)).to.include('unservedWithoutPaths');
+    expect(violatedWith(12_100)).to.not.include('unservedWithoutPaths');
+  });
+
+  /** Guards against probes of an entry without paths that take what limits leave to callers. */
+  it('allow a few messages to limited targets that are no requests while an entry has no paths, but not most', () => {
+    const violatedWith = (requests: number): string[] =>
+      violatedGuarantees((good) => addTakenLimit(good, requests));
+    expect(violatedWith(6)).to.include('limitsTaken');
+    expect(violatedWith(7)).to.not.include('limitsTaken');
+  });
+
   it('compare callers without paths to targets while no link is harmed, and 3 s after', () => {
     const violatedWith = (until: number): string[] =>
       violatedGuarantees((good) => {
@@ -290,6 +324,7 @@
       ({ evacuated }) => evacuated.push({ ...EVACUATION, dataCentre: 'east' }),
     ],
     ['unservedWithoutPaths', (good) => addSeveredEntry(good, 40, 503)],
+    ['limitsTaken', (good) => addTakenLimit(good, 2)],
     ['evacuationLost', ({ evacuated }) => evacuated.push({ ...EVACUATION, isListed: false })],
     [
       'cutByStop',
--- a/packages/soak/src/availability.ts
+++ b/packages/soak/src/availability.ts
@@ -14,7 +14,7 @@
 }
 
 /** Indexes of the targets that ran requests of a kind. */
-function targetIndexes(observed: Observations, kind: observations.RequestKind): Set<number> {
+export function targetIndexes(observed: Observations, kind: observations.RequestKind): Set<number> {
   const kinds = new Map(observed.asked.map((each) => [each.request, each.kind]));
   const ran = observed.ran.filter(({ request }) => kinds.get(request) === kind);
   return new Set(ran.flatMap(({ target }) => indexOf(observed, target) ?? []));
@@ -25,7 +25,7 @@
 }
 
 /** Whether a target had no fault, wasn't evacuated and asked no entry, which may be a relay, to back off. */
-function isAvailable(observed: Observations, index: number, at: number): boolean {
+export function isAvailable(observed: Observations, index: number, at: number): boolean {
   const isFaulty = observed.disturbances.some((each) => {
     return each.subject === 'target' && each.index === index && each.from <= at && each.until >= at;
   });
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -5,6 +5,7 @@
 import * as answers from './answers';
 import * as availability from './availability';
 import * as layout from './layout';
+import * as limitUse from './limitUse';
 import type * as observations from './observations';
 
 type RequestRecord = observations.RequestRecord;
@@ -48,6 +49,8 @@
   | 'notLeftAlone'
   /** Callers of entries without a path to targets were served far less often than those of the others. */
   | 'unservedWithoutPaths'
+  /** While entries had no path to targets, most messages that limited targets got were no requests of callers. */
+  | 'limitsTaken'
   /** Engines still held memory reservations at the end. */
   | 'memoryLeft'
   /** Too few requests succeeded after all faults had ended. */
@@ -92,6 +95,9 @@
 const MIN_SHARE_WITHOUT_PATHS = 2 / 3;
 const UNSERVED_WITHOUT_PATHS = { base: 10, share: 1 / 50 } as const;
 
+/** Of the messages that limited targets get, this share are requests of callers, but for a few. */
+const MIN_LIMIT_USE = { share: 1 / 2, base: 3 } as const;
+
 /** The fleet must have recovered this long after all faults ended. */
 export const RECOVERY_MS = 8_000;
 
@@ -117,6 +123,7 @@
   backOffBreaches,
   drainingTargetRuns,
   unservedWithoutPaths,
+  takenLimits,
   leftReservations,
   unrecoveredService,
 ];
@@ -556,15 +563,14 @@
  * some entry that could relay for them was undisturbed as well, and some target could take their requests.
  */
 function unservedWithoutPaths(observed: Observations): Violation[] {
-  const { asked, severed, revoked } = observed;
-  const revokedKeySet = new Set(revoked.map(({ key }) => key));
+  const { asked, severed } = observed;
   const allEntries = [...new Set(asked.map(({ entry }) => entry))];
   return severed.flatMap(({ entries, from, until }): Violation[] => {
     const relays = allEntries.filter((each) => !entries.includes(each));
     const sent = asked.filter((request) => {
       const { sentAt, endedAt, entry, key } = request;
       const isDuring = sentAt >= from + PATH_LOSS_MS && endedAt <= until;
-      if (!isDuring || revokedKeySet.has(key)) return false;
+      if (!isDuring || endedAt >= keyWithdrawnAt(observed, key)) return false;
       const isCalm = (each: number): boolean => isUninterrupted(observed, each, from, endedAt);
       const isNetworkCalm = !isNetworkDisturbed(observed, sentAt - SETTLING_MS, endedAt);
       const isComparable = isCalm(entry) && relays.some(isCalm) && isNetworkCalm;
@@ -583,6 +589,29 @@
   });
 }
 
+/**
+ * What plain targets with a rate limit get while entries have no paths are requests of callers, whatever these entries send
+ * there meanwhile.
+ */
+function takenLimits(observed: Observations): Violation[] {
+  return observed.severed.flatMap(({ from, until }): Violation[] => {
+    const { messages, requests } = limitUse.during(observed, from + PATH_LOSS_MS, until);
+    const { share, base } = MIN_LIMIT_USE;
+    if (requests >= share * messages - base) return [];
+    const detail = `from ${from}: ${requests} of ${messages} messages are requests of callers`;
+    return [{ promise: 'limitsTaken', detail }];
+  });
+}
+
+/** When the first document without a key that is revoked was submitted; infinite if it isn't. */
+function keyWithdrawnAt({ sent, revoked }: Observations, key: string): number {
+  if (!revoked.some((each) => each.key === key)) return Infinity;
+  const versions = sent.filter(({ keys }) => keys.includes(key)).map(({ version }) => version);
+  const first = Math.min(...versions);
+  const later = sent.filter(({ version, keys }) => version > first && !keys.includes(key));
+  return Math.min(Infinity, ...later.map(({ sentAt }) => sentAt));
+}
+
 /** Whether all links were harmed within a period. */
 function isNetworkDisturbed({ disturbances }: Observations, from: number, until: number): boolean {
   return disturbances.some((each) => {
