--- a/testing/interruptibleReporter.js
+++ b/testing/interruptibleReporter.js
@@ -47,8 +47,12 @@
       const seconds = Math.round((Date.now() - since) / 1_000);
       const running = hook ?? test;
       console.error(`terminated; for ${seconds} s in: ${running?.fullTitle() ?? 'no test'}`);
-      if (output !== undefined) fs.writeFileSync(output, JSON.stringify(resultsOf(tests)));
-      process.exit(EXIT_TIMED_OUT);
+      try {
+        if (output !== undefined) fs.writeFileSync(output, JSON.stringify(resultsOf(tests)));
+      } finally {
+        // Mocha would take an error for the test's and go on.
+        process.exit(EXIT_TIMED_OUT);
+      }
     });
   }
 }
