Ask a keeper for its listing until it has found the leader in a test

The test sends its order to any keeper until one takes it, and then asked the first keeper once. After a restart that may be a follower which hasn't found the leader yet and rightly refuses.

--- a/packages/daemon/src/keeper/__tests__/evacuations.test.ts
+++ b/packages/daemon/src/keeper/__tests__/evacuations.test.ts
@@ -39,8 +39,15 @@
   });
 }
 
+/** What the first keeper lists. A follower that has just started refuses until it has found the leader. */
 async function listing(fleet: keeperFleet.Fleet): Promise<messages.EvacuationListing> {
-  const [status, body] = await fleet.call([...fleet.running.keys()][0], 'GET', '/evacuations');
+  const [first] = fleet.running.keys();
+  let status = 0;
+  let body = '';
+  await until('a listing', async () => {
+    [status, body] = await fleet.call(first, 'GET', '/evacuations');
+    return status !== 503;
+  });
   expect(status, body).to.equal(200);
   return JSON.parse(body) as messages.EvacuationListing;
 }
