Log and count each answer that an entry breaks off

A request that ended without an answer left only line 5001 with status 502, which its caller never saw, as its connection was closed. Neither the reason nor the age of the evidence was there, and no counter rose.

Event 5030 names the reason, the last attempt's detail and how long its target had sent nothing; answers.aborted.REASON counts them. 5001 has isAborted for such requests, and they no longer count as answers.502.own.

--- a/packages/daemon/src/entry/callerResponse.ts
+++ b/packages/daemon/src/entry/callerResponse.ts
@@ -122,6 +122,11 @@
     return response.headersSent && !(isStream && lastEventId !== undefined);
   }
 
+  /** Whether the caller has received the beginning of an answer, which can only be completed or broken off. */
+  get isBegun(): boolean {
+    return this.response.headersSent;
+  }
+
   /** `onBegin` is called when the first event of the attempt's response is forwarded. */
   beginAttempt(onBegin: () => void = () => undefined): void {
     this.onBegin = onBegin;
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -154,6 +154,9 @@
 
   private sentAt = 0;
 
+  /** When bytes of the last finished attempt's response last arrived; 0 for never. */
+  private lastHeardAt = 0;
+
   /** Start time of the lifetime that the current attempt was sent to. */
   private sentToBornAt = 0;
 
@@ -223,7 +226,7 @@
     this.dependencies.observer.log('crashed', { request: facts.requestId, detail: String(error) });
     this.attempt?.cancel();
     this.releaseCurrent?.('cancelled');
-    this.fail('internal error', RETRY_AFTER_MS);
+    this.fail('internal error', RETRY_AFTER_MS, 'internalError');
   }
 
   private async attemptUntilAnswered(): Promise<void> {
@@ -481,6 +484,7 @@
     });
     const outcome = await this.awaitOutcome(attempt, placement);
     const { wasSent, relay } = attempt;
+    this.lastHeardAt = attempt.lastHeardAt;
     attempt.cancel();
     this.attempt = undefined;
     this.activeTarget = undefined;
@@ -670,7 +674,7 @@
     if (this.isOver || this.admitted.response.writableFinished) return;
     if (outcome.kind === 'late') {
       this.isLate = true;
-      this.fail('deadline exceeded', RETRY_AFTER_MS);
+      this.fail('deadline exceeded', RETRY_AFTER_MS, 'deadline');
     } else {
       this.requestLog.callerGone();
     }
@@ -678,13 +682,22 @@
     this.interrupt?.(outcome);
   }
 
-  private fail(detail: string, retryAfterMs: number): void {
+  private fail(
+    detail: string,
+    retryAfterMs: number,
+    reason: exchangeLog.AbortReason = 'noTarget',
+  ): void {
     if (this.isOver) return;
     this.isOver = true;
     const guarantee = this.deliveries.end();
     if (guarantee === undefined) {
       const status = this.isLate ? 504 : 502;
-      this.requestLog.failed(status, detail);
+      this.requestLog.failed({
+        status,
+        detail,
+        reason,
+        lastHeardAt: this.attempt?.lastHeardAt ?? this.lastHeardAt,
+      });
       this.reply.fail(status);
       return;
     }
--- a/packages/daemon/src/entry/exchangeLog.ts
+++ b/packages/daemon/src/entry/exchangeLog.ts
@@ -16,6 +16,21 @@
   now: () => number;
 }
 
+/**
+ * Why a caller's connection was closed without a whole answer: no target could finish it, its time was over, or an
+ * unexpected error.
+ */
+export type AbortReason = 'noTarget' | 'deadline' | 'internalError';
+
+/** How a request failed. */
+export interface Failure {
+  status: callerResponse.FailureStatus;
+  detail: string;
+  reason: AbortReason;
+  /** When bytes of the last target's response last arrived, on the steady clock, milliseconds; 0 for never. */
+  lastHeardAt: number;
+}
+
 export interface FailedAttempt {
   content: string;
   detail: string;
@@ -67,10 +82,28 @@
     });
   }
 
-  /** The caller is told that the request failed, and may have run. */
-  failed(status: callerResponse.FailureStatus, detail: string): void {
-    this.dependencies.observer.count(`answers.${status}.own`);
-    this.ended(status, { detail });
+  /** The caller is told that the request failed, and may have run; if its answer has begun, by a closed connection. */
+  failed(failure: Failure): void {
+    const { status, detail } = failure;
+    const { isBegun } = this.dependencies.reply;
+    if (isBegun) this.aborted(failure);
+    else this.dependencies.observer.count(`answers.${status}.own`);
+    this.ended(status, { detail, ...(isBegun && { isAborted: true }) });
+  }
+
+  private aborted({ detail, reason, lastHeardAt }: Failure): void {
+    const { admitted, attempts: attemptsMade, reply, observer: observe, now } = this.dependencies;
+    observe.count(`answers.aborted.${reason}`);
+    observe.log('answerAborted', {
+      request: admitted.facts.requestId,
+      route: admitted.route.name,
+      reason,
+      detail,
+      targets: attemptsMade.targets,
+      lastEventId: reply.lastEventId,
+      lastHeardMs: lastHeardAt === 0 ? undefined : Math.round(now() - lastHeardAt),
+      tookMs: Math.round(now() - admitted.arrivedAt),
+    });
   }
 
   /** The caller is told that no target ran the request. */
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -145,6 +145,11 @@
     level: 'warn',
     text: 'memory on helpers released; their engine has gone dark',
   },
+  answerAborted: {
+    number: 5030,
+    level: 'warn',
+    text: 'connection of a caller closed without a whole answer',
+  },
   claimUnknown: {
     number: 5101,
     level: 'warn',
