Reproduce streams that are cut while their targets are sound

Callers of resumable streams found their connection closed after the first events, while all targets were sound and silent for a second. Two tests on real sockets fail on this code: a stream whose target is silent together with all others, and one whose target crashed while no other one was free.

--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -159,6 +159,9 @@
   /** How long the selector takes, milliseconds. */
   placementDelayMs = 0;
 
+  /** Whether the selector has no place for any request. */
+  isFull = false;
+
   /** Thrown when a request has just been sent, if set. */
   errorAfterSend: Error | undefined;
 
@@ -373,7 +376,7 @@
     const index = allowedTarget === undefined ? excluded.size : Number(allowedTarget.slice(1));
     await clock.sleep(this.placementDelayMs);
     const address = this.addresses[index];
-    if (address === undefined) return { kind: 'noPlace', retryAfterMs: 250 };
+    if (address === undefined || this.isFull) return { kind: 'noPlace', retryAfterMs: 250 };
     const { ids, keptTokens } = this.helper;
     const helpers = ids
       .filter((id) => !excluded.has(id))
--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -298,6 +298,44 @@
     expect(performance.now() - since).to.be.lessThan(950);
   });
 
+  // Guards against a stream that is cut although its target is sound: all targets are silent for a second.
+  it('keeps a stream on its silent target while no other one responds', async () => {
+    const silentUntil = performance.now() + 1_250;
+    const first: harness.TargetBehaviour = (request, socket) => {
+      if (request.includes(harness.REPORT_PATH)) return;
+      socket.write(harness.STREAM_HEAD + harness.chunk('id: 1\ndata: a\n\n'));
+      const rest = harness.chunk('id: 2\ndata: b\n\n') + harness.LAST_CHUNK;
+      setTimeout(() => socket.write(rest), silentUntil - performance.now());
+    };
+    setup = await harness.TestHarness.start(first, () => undefined);
+    const reply = await setup.send('/streaming/1');
+    expect([reply.body, reply.isWhole]).to.deep.equal([
+      'id: 1\ndata: a\n\nid: 2\ndata: b\n\n',
+      true,
+    ]);
+    expect(setup.received.length).to.equal(1);
+  });
+
+  // Guards against a stream that is cut because no target is free at the moment at which its own one crashes.
+  it('continues a stream whose target crashed once another one is free', async () => {
+    const crashing: harness.TargetBehaviour = (_request, socket) => {
+      socket.write(harness.STREAM_HEAD + harness.chunk('id: 1\ndata: a\n\n'));
+      setTimeout(() => socket.resetAndDestroy(), 20);
+      setup.isFull = true;
+      setTimeout(() => {
+        setup.isFull = false;
+      }, 600);
+    };
+    const rest: harness.TargetBehaviour = (_request, socket) =>
+      socket.write(harness.STREAM_HEAD + harness.chunk('id: 2\ndata: b\n\n') + harness.LAST_CHUNK);
+    setup = await harness.TestHarness.start(crashing, rest);
+    const reply = await setup.send('/streaming/1');
+    expect([reply.body, reply.isWhole]).to.deep.equal([
+      'id: 1\ndata: a\n\nid: 2\ndata: b\n\n',
+      true,
+    ]);
+  });
+
   /*
    * Guards against an immediate 502 for one of two equal requests that ran on a target when it crashed. The other one
    * made its canary run on a free target, and showed a moment later that both may run.
