Give up an overdue target only once another one responds

An entry cancelled an attempt as soon as its target had failed a liveness probe (some 0.9 s of silence) and looked for another place afterwards. With all targets silent each connection failed, this VM's paths counted as lost, and each way on ended the stream at once, while the target that had just been left went on.

A search for a successor now runs beside the overdue attempt: place the request, see that the target responds, here or by another VM, and spend the retry. Only then is the attempt given up. If its target sends on meanwhile, or no other one responds, it goes on.

Three older tests have a second target that answered liveness probes with the id of a request, which is a foreign response; that target now answers them like a sound one, and the assertions are as they were.

--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -407,6 +407,14 @@
   return id === undefined ? answer(body).replace('id: r1\r\n', '') : answer(body, 200, '', id);
 }
 
+/** A target that answers liveness probes at once, and all else as given. */
+export function answeringProbes(behave: TargetBehaviour): TargetBehaviour {
+  return (message, socket) => {
+    if (message.includes(REPORT_PATH)) socket.write(answerTo(message, '{}'));
+    else behave(message, socket);
+  };
+}
+
 /** The head of a signed stream. */
 export const STREAM_HEAD =
   'HTTP/1.1 200 OK\r\nid: r1\r\nsigned: 1\r\nTransfer-Encoding: chunked\r\n\r\n';
--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -6,8 +6,8 @@
 
 const { expect } = chai;
 
-const RESPOND: harness.TargetBehaviour = (_request, socket) =>
-  socket.write(harness.answer('whole'));
+const RESPOND: harness.TargetBehaviour = (request, socket) =>
+  socket.write(harness.answerTo(request, 'whole'));
 
 describe('exchange', () => {
   let setup: harness.TestHarness;
@@ -290,7 +290,7 @@
     const stream = `${harness.STREAM_HEAD}${harness.chunk('id: 1\ndata: a\n\n')}${harness.LAST_CHUNK}`;
     setup = await harness.TestHarness.start(
       () => undefined,
-      (_request, socket) => socket.write(stream),
+      harness.answeringProbes((_request, socket) => socket.write(stream)),
     );
     const since = performance.now();
     const reply = await setup.send('/streaming/1');
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -28,6 +28,7 @@
 import * as reservations from './reservations';
 import * as responseTimeout from './responseTimeout';
 import * as responseWatchdog from './responseWatchdog';
+import * as succession from './succession';
 import type * as targetAttempt from './targetAttempt';
 import type * as targetClient from './targetClient';
 import type * as targetMessage from './targetMessage';
@@ -126,6 +127,8 @@
 
   private readonly requestLog: exchangeLog.ExchangeLog;
 
+  private readonly succession: succession.Succession;
+
   /** The only way to send the request, so it knows whether any target may have run it. */
   private readonly deliveries: deliveries.Deliveries;
 
@@ -141,6 +144,12 @@
   /** Attempts that were withheld from their targets. */
   private withheldAttempts = 0;
 
+  /** Placements that a search for a successor made and discarded. */
+  private discardedPlacements = 0;
+
+  /** Continues what the overdue attempt began, once that has been given up. */
+  private successor: succession.Successor | undefined;
+
   private attempt: targetAttempt.Attempt | undefined;
 
   /** Target of the current attempt. */
@@ -187,6 +196,12 @@
     const { attempts: attemptsMade, reply } = this;
     const { observer: observe, now } = dependencies;
     dependencies.audit?.received(facts.requestId);
+    this.succession = new succession.Succession({
+      choose: (excluded) => this.chooseSuccessor(excluded),
+      liveness: dependencies.liveness,
+      spendRetry: () => this.spendRetry(),
+      now: dependencies.now,
+    });
     this.requestLog = new exchangeLog.ExchangeLog({
       admitted,
       attempts: attemptsMade,
@@ -217,6 +232,7 @@
       this.failUnexpectedly(error);
     } finally {
       clearTimeout(timer);
+      this.takeSuccessor()?.release('cancelled');
     }
   }
 
@@ -247,13 +263,13 @@
       this.refuseSuspect(permit);
       return false;
     }
-    let outcome: Outcome | undefined;
+    let outcome: Outcome = { kind: 'gone' };
     try {
-      outcome = this.isOver ? undefined : await this.attemptOnce(service, permit);
+      if (!this.isOver) outcome = await this.attemptOnce(service, permit);
     } finally {
-      permit.end(outcome?.kind === 'answered' && this.reply.status < callerResponse.FAILURE_STATUS);
+      permit.end(outcome.kind === 'answered' && this.reply.status < callerResponse.FAILURE_STATUS);
     }
-    return outcome !== undefined && this.shouldRetry(service, outcome);
+    return this.shouldRetry(service, outcome);
   }
 
   /**
@@ -273,28 +289,24 @@
     return !this.isOver;
   }
 
-  /** Places and sends the request once; undefined if it ended without being sent. */
-  private async attemptOnce(
-    service: string,
-    permit: permittedRun.PermittedRun,
-  ): Promise<Outcome | undefined> {
+  /** Places and sends the request once. */
+  private async attemptOnce(service: string, permit: permittedRun.PermittedRun): Promise<Outcome> {
     if (this.dependencies.reachability?.isCutOff === true) {
-      this.fail('no path to targets', RETRY_AFTER_MS);
-      return undefined;
+      return { kind: 'unplaced', detail: 'no path to targets', retryAfterMs: RETRY_AFTER_MS };
     }
-    const choice = await this.choose(service, permit);
+    const choice = await this.chooseOrSucceed(service, permit);
     if (this.isOver) {
       if (choice.kind === 'placed') choice.release('cancelled');
-      return undefined;
+      return { kind: 'gone' };
     }
     if (choice.kind === 'noPlace') {
-      this.fail(NO_PLACE_DETAIL[choice.reason ?? 'full'], choice.retryAfterMs);
-      return undefined;
+      const { reason = 'full', retryAfterMs } = choice;
+      return { kind: 'unplaced', detail: NO_PLACE_DETAIL[reason], retryAfterMs };
     }
     if (!this.dependencies.isFresh() && this.admitted.organisation !== undefined) {
       choice.release('cancelled');
-      this.fail('settings not confirmed fresh', RETRY_AFTER_MS);
-      return undefined;
+      const detail = 'settings not confirmed fresh';
+      return { kind: 'unplaced', detail, retryAfterMs: RETRY_AFTER_MS };
     }
     this.mayHaveCrashed = false;
     const outcome = await this.send(choice, permit);
@@ -311,16 +323,32 @@
       await clock.sleep(RESERVATION_RETRY_MS);
       return true;
     }
-    if (!this.mayRetry(service, outcome)) {
-      const retryAfterMs = Math.max(
-        RETRY_AFTER_MS,
-        this.dependencies.selector.unavailableForMs(service),
-      );
-      this.fail('detail' in outcome ? outcome.detail : outcome.kind, retryAfterMs);
-      return false;
+    const isGranted = this.mayRetry(service, outcome);
+    this.logFailure(outcome, isGranted);
+    if (isGranted) {
+      if (this.attempts.isAtTargetLimit) await clock.sleep(SAME_TARGET_RETRY_MS);
+      return true;
     }
-    if (this.attempts.isAtTargetLimit) await clock.sleep(SAME_TARGET_RETRY_MS);
-    return true;
+    this.failAfter(service, outcome);
+    return false;
+  }
+
+  private logFailure(outcome: Outcome, repeated: boolean): void {
+    if (outcome.kind !== 'failed' && outcome.kind !== 'notRun') return;
+    this.requestLog.attemptFailed({ content: this.fingerprint, detail: outcome.detail, repeated });
+  }
+
+  /** Ends a request that isn't attempted again. */
+  private failAfter(service: string, outcome: Outcome): void {
+    if (outcome.kind === 'unplaced') {
+      this.fail(outcome.detail, outcome.retryAfterMs);
+      return;
+    }
+    const retryAfterMs = Math.max(
+      RETRY_AFTER_MS,
+      this.dependencies.selector.unavailableForMs(service),
+    );
+    this.fail('detail' in outcome ? outcome.detail : outcome.kind, retryAfterMs);
   }
 
   /** The target became unavailable between its selection and the attempt; the next selection excludes it. */
@@ -359,15 +387,41 @@
     return Math.max(0, MAX_WAIT_SHARE * availableMs);
   }
 
+  /** The target that was found for this request before its last attempt was given up, or another one. */
+  private async chooseOrSucceed(
+    service: string,
+    permit: permittedRun.PermittedRun,
+  ): Promise<targetSelector.Choice> {
+    const successor = this.takeSuccessor();
+    // A canary run has a target of its own.
+    const isCanary = permit.endings > 0 || permit.target !== undefined;
+    if (successor !== undefined && !isCanary) return successor;
+    successor?.release('cancelled');
+    return this.choose(service, permit);
+  }
+
+  /** Places the request once more while its present attempt goes on. */
+  private chooseSuccessor(excluded: readonly string[]): Promise<targetSelector.Choice> {
+    this.discardedPlacements += 1;
+    return this.choose(this.service, { endings: 0, target: undefined }, excluded);
+  }
+
+  private takeSuccessor(): succession.Successor | undefined {
+    const { successor } = this;
+    this.successor = undefined;
+    return successor;
+  }
+
   private choose(
     service: string,
-    { endings, target }: permittedRun.PermittedRun,
+    { endings, target }: Pick<permittedRun.PermittedRun, 'endings' | 'target'>,
+    excluded: readonly string[] = [],
   ): Promise<targetSelector.Choice> {
     const { facts, route } = this.admitted;
     const maxAnswerTokens = facts.maxAnswerTokens ?? Infinity;
     const answerTokens = Math.min(maxAnswerTokens, facts.likelyAnswerTokens ?? maxAnswerTokens);
     // Each placement has its own id: the leader gets the end of one after it has placed the next.
-    const retries = this.reservationRetries + this.withheldAttempts;
+    const retries = this.reservationRetries + this.withheldAttempts + this.discardedPlacements;
     return this.dependencies.selector.choose({
       id: `${facts.requestId}/${this.attempts.targets.length}.${retries}`,
       service,
@@ -375,7 +429,7 @@
       answerTokens: Number.isFinite(answerTokens) ? answerTokens : 0,
       objectiveMs: route.objectiveMs,
       pauseMs: route.pauseMs,
-      excluded: this.attempts.excluded,
+      excluded: [...this.attempts.excluded, ...excluded],
       writers: this.attempts.writers ?? (target === undefined ? undefined : [target]),
       endings: endings > 0 ? endings : undefined,
       waitedMs: this.waitedMs,
@@ -587,7 +641,8 @@
       this.interrupt = resolve;
     });
     const watchdog = this.watchResponse(placement, (detail) => {
-      this.interrupt?.({ kind: 'failed', ending: 'broken', detail, isCut: true });
+      const isOverdue = (): boolean => !attempt.isOver && watchdog?.isOverdue === true;
+      void this.seekSuccessor({ isOverdue: () => isOverdue() && this.attempt === attempt, detail });
     });
     const completed = attempt.result.then((result) => this.classify(result));
     const outcome = await Promise.race([interrupted, completed]);
@@ -597,6 +652,24 @@
     return outcome;
   }
 
+  private async seekSuccessor({
+    isOverdue,
+    detail,
+  }: Pick<succession.OverdueAttempt, 'isOverdue'> & { detail: string }): Promise<void> {
+    try {
+      await this.succession.seek({
+        isOverdue,
+        giveUp: (successor) => {
+          this.successor = successor;
+          this.interrupt?.({ kind: 'failed', ending: 'broken', detail, isCut: true });
+        },
+      });
+    } catch (error) {
+      const { requestId: request } = this.admitted.facts;
+      this.dependencies.observer.log('crashed', { request, detail: String(error) });
+    }
+  }
+
   private classify(result: targetMessage.SendResult): Outcome {
     if (result.kind === 'notSent') {
       const { detail, isConfirmed } = result;
@@ -658,15 +731,13 @@
     if (!this.hasAttemptsLeft || this.timeLeftMs <= 0) return false;
     // The budget bounds what reaches targets, so a target that wasn't reached doesn't spend it.
     const isFree = outcome.kind === 'notRun' && outcome.ending === 'unreachable';
+    const isPaid = isFree || this.successor !== undefined;
     const isQuarantined = this.dependencies.quarantine.isQuarantined(this.requestInfo(service));
-    const isGranted =
-      !isQuarantined && (isFree || this.budget?.spend(this.dependencies.now()) === true);
-    this.requestLog.attemptFailed({
-      content: this.fingerprint,
-      detail: outcome.detail,
-      repeated: isGranted,
-    });
-    return isGranted;
+    return !isQuarantined && (isPaid || this.spendRetry());
+  }
+
+  private spendRetry(): boolean {
+    return this.budget?.spend(this.dependencies.now()) === true;
   }
 
   /** Stops whatever runs for a caller that disconnected or whose deadline passed. */
--- a/packages/daemon/src/entry/outcome.ts
+++ b/packages/daemon/src/entry/outcome.ts
@@ -28,6 +28,8 @@
     }
   /** The target is unavailable to this VM; nothing was sent. */
   | { kind: 'withheld' }
+  /** No target could take it; nothing was sent. */
+  | { kind: 'unplaced'; detail: string; retryAfterMs: number }
   /** The prefill helpers couldn't reserve memory; nothing was sent. */
   | { kind: 'noMemory' }
   /** The caller disconnected. */
--- /dev/null
+++ b/packages/daemon/src/entry/succession.ts
@@ -0,0 +1,75 @@
+/**
+ * Moves a request from a target that is overdue to another one. Silence doesn't tell a target that is down from a sound
+ * one, nor from a lost path of this VM, and all targets may be silent at once. So the present attempt goes on until another
+ * target is in hand: placed, and seen to respond.
+ */
+import type * as livenessProbes from './livenessProbes';
+import type * as targetSelector from './targetSelector';
+
+/** A target that may take over. */
+export type Successor = targetSelector.Choice & { kind: 'placed' };
+
+export interface Dependencies {
+  /** Places the request on a target that isn't among `excluded`. */
+  choose: (excluded: readonly string[]) => Promise<targetSelector.Choice>;
+  liveness: Pick<livenessProbes.LivenessProbes, 'check'>;
+  /** Spends the retry that a move takes; false if none is left. */
+  spendRetry: () => boolean;
+  now: () => number;
+}
+
+/** The attempt that may be given up. */
+export interface OverdueAttempt {
+  /** Whether it still is in progress and overdue. */
+  isOverdue: () => boolean;
+  /** Gives it up; called at most once. */
+  giveUp: (successor: Successor) => void;
+}
+
+/** Maximum number of targets that are tried in one search. */
+const MAX_CANDIDATES = 3;
+
+/** Pause between two searches for the same request, milliseconds. */
+const SEARCH_INTERVAL_MS = 250;
+
+export class Succession {
+  private isSearching = false;
+
+  private nextSearchAt = -Infinity;
+
+  constructor(private readonly dependencies: Dependencies) {}
+
+  /** Looks for a successor, unless a search is under way or ended a moment ago. */
+  async seek(attempt: OverdueAttempt): Promise<void> {
+    const { now } = this.dependencies;
+    if (this.isSearching || now() < this.nextSearchAt) return;
+    this.isSearching = true;
+    try {
+      await this.search(attempt);
+    } finally {
+      this.isSearching = false;
+      this.nextSearchAt = now() + SEARCH_INTERVAL_MS;
+    }
+  }
+
+  private async search(attempt: OverdueAttempt): Promise<void> {
+    const silent: string[] = [];
+    while (silent.length < MAX_CANDIDATES && attempt.isOverdue()) {
+      const choice = await this.dependencies.choose(silent);
+      if (choice.kind === 'noPlace') return;
+      const responds = attempt.isOverdue() && (await this.responds(choice));
+      if (responds && attempt.isOverdue() && this.dependencies.spendRetry()) {
+        attempt.giveUp(choice);
+        return;
+      }
+      choice.release('cancelled');
+      silent.push(choice.placement.target);
+    }
+  }
+
+  /** Whether the target responds to this VM, or to another one that can relay. */
+  private async responds({ placement: { target, address } }: Successor): Promise<boolean> {
+    const verdict = await this.dependencies.liveness.check(target, address);
+    return verdict === 'alive' || verdict === 'pathLost';
+  }
+}
