Let a stream that has begun wait for another target

Callers of streams found their connection closed at the moment at which their target crashed while no other one was free or within reach: three attempts on lost paths within 50 ms, no place, no retry budget, or settings not confirmed fresh each ended the answer, though its caller would have waited for seconds and can't be told to come back.

Such a stream is now attempted again every 100 ms until its caller leaves or its time is over. What bounds a request stays as it was: each attempt that may reach a target is paid for, a target that has run the request and failed isn't tried again, and a quarantined request ends. Attempts that ran nowhere (unreachable targets, refusals) no longer use up the attempts of such a stream.

'exchange continues a stream whose target crashed once another one is free' failed before (the stream ended after its first event) and passes now.

--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -25,6 +25,9 @@
   /** Targets of all attempts in order, also for the log. */
   readonly targets: string[] = [];
 
+  /** The same without those that no longer count. */
+  private counted: string[] = [];
+
   private readonly sent = new Set<string>();
 
   private readonly refused = new Set<string>();
@@ -38,6 +41,13 @@
   begin(target: string): void {
     if (this.sent.has(target)) this.sameTargetRetries += 1;
     this.targets.push(target);
+    this.counted.push(target);
+  }
+
+  /** Allows new attempts in place of those at targets that were unreachable, and of returns to targets that refused. */
+  startOver(): void {
+    this.counted = [...this.sent];
+    this.sameTargetRetries = 0;
   }
 
   ended({ target, wasSent, wasRefused, wasHelperAtFault }: AttemptOutcome): void {
@@ -56,7 +66,7 @@
   /** Targets that the request shouldn't be placed on. */
   get excluded(): string[] {
     if (this.isAtTargetLimit) return [];
-    return this.targets.filter((target) => !this.refusedForHelper.has(target));
+    return this.counted.filter((target) => !this.refusedForHelper.has(target));
   }
 
   /** The only targets that the request may be sent to; undefined for any. */
@@ -68,7 +78,7 @@
   hasAttemptLeft(activeTarget: string | undefined): boolean {
     const isSent = activeTarget !== undefined && !this.sent.has(activeTarget);
     if (this.sent.size + (isSent ? 1 : 0) < this.maxTargets) {
-      return this.targets.length - this.sameTargetRetries < this.maxTargets + MAX_UNREACHABLE;
+      return this.counted.length - this.sameTargetRetries < this.maxTargets + MAX_UNREACHABLE;
     }
     // A route that allows one target allows one attempt.
     if (this.maxTargets === 1 || activeTarget !== undefined) return false;
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -100,6 +100,9 @@
 /** Interval at which an interrupted request checks whether the canary run of its copy is over, milliseconds. */
 const CANARY_POLL_MS = 100;
 
+/** Pause before a stream that has begun, and has no target any more, is placed again, milliseconds. */
+const CONTINUATION_RETRY_MS = 100;
+
 /** Why a request wasn't sent, for the log; for engines the leader's own log line has the details. */
 const NO_PLACE_DETAIL: Record<targetSelector.NoPlaceReason, string> = {
   full: 'no target has a free slot',
@@ -325,11 +328,11 @@
     }
     const isGranted = this.mayRetry(service, outcome);
     this.logFailure(outcome, isGranted);
-    if (isGranted) {
+    if (isGranted || (await this.continueLater(service, outcome))) {
       if (this.attempts.isAtTargetLimit) await clock.sleep(SAME_TARGET_RETRY_MS);
       return true;
     }
-    this.failAfter(service, outcome);
+    if (!this.isOver) this.failAfter(service, outcome);
     return false;
   }
 
@@ -351,6 +354,29 @@
     this.fail('detail' in outcome ? outcome.detail : outcome.kind, retryAfterMs);
   }
 
+  /**
+   * Waits until a stream that has begun may be attempted again; false if it may not. Its caller can't be told to come back,
+   * and a target that is free or within reach only later still completes the answer.
+   */
+  private async continueLater(service: string, outcome: Outcome): Promise<boolean> {
+    const isUnsent = outcome.kind === 'unplaced' || outcome.kind === 'noMemory';
+    while (this.isContinuable(service)) {
+      this.attempts.startOver();
+      if (!isUnsent && !this.hasAttemptsLeft) return false;
+      await clock.sleep(CONTINUATION_RETRY_MS);
+      this.discardedPlacements += 1;
+      if (!this.isOver && (isUnsent || this.mayRetry(service, outcome))) return true;
+    }
+    return false;
+  }
+
+  /** Whether the request is a stream that has begun and may go on at another target. */
+  private isContinuable(service: string): boolean {
+    const { isBegun, isUnrecoverable } = this.reply;
+    if (this.isOver || !isBegun || isUnrecoverable || !this.isRepeatable) return false;
+    return !this.dependencies.quarantine.isQuarantined(this.requestInfo(service));
+  }
+
   /** The target became unavailable between its selection and the attempt; the next selection excludes it. */
   private async placeAgain(): Promise<boolean> {
     this.withheldAttempts += 1;
