Let a successor be tried whose predecessors in a search never respond

Where an allocator offers the same few silent targets first, each search for a successor ended at them, and the one target that responded wasn't reached. Targets that didn't respond are now remembered from one search to the next, until no other one is offered. A successor in hand is also used while this VM counts as cut off, and it isn't taken while the settings aren't fresh or the request is quarantined: the present attempt goes on then.

'succession goes on where the last search ended' failed before (no successor after two searches).

--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -202,7 +202,7 @@
     this.succession = new succession.Succession({
       choose: (excluded) => this.chooseSuccessor(excluded),
       liveness: dependencies.liveness,
-      spendRetry: () => this.spendRetry(),
+      mayMove: () => this.isAdmissible && !this.isQuarantined && this.spendRetry(),
       now: dependencies.now,
     });
     this.requestLog = new exchangeLog.ExchangeLog({
@@ -294,7 +294,7 @@
 
   /** Places and sends the request once. */
   private async attemptOnce(service: string, permit: permittedRun.PermittedRun): Promise<Outcome> {
-    if (this.dependencies.reachability?.isCutOff === true) {
+    if (this.successor === undefined && this.dependencies.reachability?.isCutOff === true) {
       return { kind: 'unplaced', detail: 'no path to targets', retryAfterMs: RETRY_AFTER_MS };
     }
     const choice = await this.chooseOrSucceed(service, permit);
@@ -306,7 +306,7 @@
       const { reason = 'full', retryAfterMs } = choice;
       return { kind: 'unplaced', detail: NO_PLACE_DETAIL[reason], retryAfterMs };
     }
-    if (!this.dependencies.isFresh() && this.admitted.organisation !== undefined) {
+    if (!this.isAdmissible) {
       choice.release('cancelled');
       const detail = 'settings not confirmed fresh';
       return { kind: 'unplaced', detail, retryAfterMs: RETRY_AFTER_MS };
@@ -317,6 +317,15 @@
     return outcome;
   }
 
+  /** Whether the key of the request, if it has one, may be believed now. */
+  private get isAdmissible(): boolean {
+    return this.admitted.organisation === undefined || this.dependencies.isFresh();
+  }
+
+  private get isQuarantined(): boolean {
+    return this.dependencies.quarantine.isQuarantined(this.requestInfo(this.service));
+  }
+
   /** Whether the request is attempted again after this outcome; otherwise its caller gets the final response. */
   private async shouldRetry(service: string, outcome: Outcome): Promise<boolean> {
     if (outcome.kind === 'answered' || this.isOver) return false;
@@ -326,9 +335,9 @@
       await clock.sleep(RESERVATION_RETRY_MS);
       return true;
     }
-    const isGranted = this.mayRetry(service, outcome);
+    const isGranted = this.mayRetry(outcome);
     this.logFailure(outcome, isGranted);
-    if (isGranted || (await this.continueLater(service, outcome))) {
+    if (isGranted || (await this.continueLater(outcome))) {
       if (this.attempts.isAtTargetLimit) await clock.sleep(SAME_TARGET_RETRY_MS);
       return true;
     }
@@ -358,23 +367,23 @@
    * Waits until a stream that has begun may be attempted again; false if it may not. Its caller can't be told to come back,
    * and a target that is free or within reach only later still completes the answer.
    */
-  private async continueLater(service: string, outcome: Outcome): Promise<boolean> {
+  private async continueLater(outcome: Outcome): Promise<boolean> {
     const isUnsent = outcome.kind === 'unplaced' || outcome.kind === 'noMemory';
-    while (this.isContinuable(service)) {
+    while (this.isContinuable) {
       this.attempts.startOver();
       if (!isUnsent && !this.hasAttemptsLeft) return false;
       await clock.sleep(CONTINUATION_RETRY_MS);
       this.discardedPlacements += 1;
-      if (!this.isOver && (isUnsent || this.mayRetry(service, outcome))) return true;
+      if (!this.isOver && (isUnsent || this.mayRetry(outcome))) return true;
     }
     return false;
   }
 
   /** Whether the request is a stream that has begun and may go on at another target. */
-  private isContinuable(service: string): boolean {
+  private get isContinuable(): boolean {
     const { isBegun, isUnrecoverable } = this.reply;
-    if (this.isOver || !isBegun || isUnrecoverable || !this.isRepeatable) return false;
-    return !this.dependencies.quarantine.isQuarantined(this.requestInfo(service));
+    const isOpen = !this.isOver && isBegun && !isUnrecoverable;
+    return isOpen && this.isRepeatable && !this.isQuarantined;
   }
 
   /** The target became unavailable between its selection and the attempt; the next selection excludes it. */
@@ -750,7 +759,7 @@
     return this.attempts.hasAttemptLeft(isSent ? this.activeTarget : undefined);
   }
 
-  private mayRetry(service: string, outcome: Outcome): boolean {
+  private mayRetry(outcome: Outcome): boolean {
     if (outcome.kind !== 'failed' && outcome.kind !== 'notRun') return false;
     if (outcome.kind === 'failed' && !this.isRepeatable) return false;
     if (this.reply.isUnrecoverable) return false;
@@ -758,8 +767,7 @@
     // The budget bounds what reaches targets, so a target that wasn't reached doesn't spend it.
     const isFree = outcome.kind === 'notRun' && outcome.ending === 'unreachable';
     const isPaid = isFree || this.successor !== undefined;
-    const isQuarantined = this.dependencies.quarantine.isQuarantined(this.requestInfo(service));
-    return !isQuarantined && (isPaid || this.spendRetry());
+    return !this.isQuarantined && (isPaid || this.spendRetry());
   }
 
   private spendRetry(): boolean {
--- a/packages/daemon/src/entry/succession.ts
+++ b/packages/daemon/src/entry/succession.ts
@@ -13,8 +13,8 @@
   /** Places the request on a target that isn't among `excluded`. */
   choose: (excluded: readonly string[]) => Promise<targetSelector.Choice>;
   liveness: Pick<livenessProbes.LivenessProbes, 'check'>;
-  /** Spends the retry that a move takes; false if none is left. */
-  spendRetry: () => boolean;
+  /** Whether the request may move now; if so, spends the retry that this takes. */
+  mayMove: () => boolean;
   now: () => number;
 }
 
@@ -37,6 +37,9 @@
 
   private nextSearchAt = -Infinity;
 
+  /** Targets that didn't respond; tried again once there is no other. */
+  private unresponsive: string[] = [];
+
   constructor(private readonly dependencies: Dependencies) {}
 
   /** Looks for a successor, unless a search is under way or ended a moment ago. */
@@ -53,17 +56,20 @@
   }
 
   private async search(attempt: OverdueAttempt): Promise<void> {
-    const silent: string[] = [];
-    while (silent.length < MAX_CANDIDATES && attempt.isOverdue()) {
-      const choice = await this.dependencies.choose(silent);
-      if (choice.kind === 'noPlace') return;
+    for (let tried = 0; tried < MAX_CANDIDATES && attempt.isOverdue(); tried++) {
+      const choice = await this.dependencies.choose(this.unresponsive);
+      if (choice.kind === 'noPlace') {
+        this.unresponsive = [];
+        return;
+      }
       const responds = attempt.isOverdue() && (await this.responds(choice));
-      if (responds && attempt.isOverdue() && this.dependencies.spendRetry()) {
+      if (responds && attempt.isOverdue() && this.dependencies.mayMove()) {
         attempt.giveUp(choice);
         return;
       }
       choice.release('cancelled');
-      silent.push(choice.placement.target);
+      if (responds) return;
+      this.unresponsive.push(choice.placement.target);
     }
   }
 
