Take a request's content and its terms for a placement out of the exchange

exchange.ts mixed the course of a request with what identifies its content and what it states to be placed. Both have modules of their own now; nothing of the behaviour changes.

--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -17,7 +17,6 @@
 import type * as permittedRun from './permittedRun';
 import type * as quarantineClient from './quarantineClient';
 import * as exchangeLog from './exchangeLog';
-import * as fingerprint from './fingerprint';
 import type * as heldBytes from './heldBytes';
 import type * as livenessProbes from './livenessProbes';
 import type * as pathMonitor from './pathMonitor';
@@ -25,6 +24,8 @@
 import type * as relayPeers from './relayPeers';
 import type * as rateLimitClient from './rateLimitClient';
 import * as outcomes from './outcome';
+import * as placementTerms from './placementTerms';
+import * as requestContent from './requestContent';
 import * as reservations from './reservations';
 import * as responseTimeout from './responseTimeout';
 import * as responseWatchdog from './responseWatchdog';
@@ -78,13 +79,6 @@
   held: heldBytes.Holding;
 }
 
-/**
- * Share of the caller's timeout that a request may wait for a placement; the rest is for the prefill and for a second
- * target. A late response is worth a quarter of one in time, a refusal nothing. With 0.5, short prompts that a burst
- * left without a placement (749 in a replay) were refused only after a second.
- */
-const MAX_WAIT_SHARE = 0.3;
-
 /** Default Retry-After, milliseconds. */
 const RETRY_AFTER_MS = 300;
 
@@ -122,7 +116,9 @@
 const WITHHELD_RETRY_MS = 100;
 
 export class Exchange {
-  private readonly deadline: number;
+  private readonly content: requestContent.RequestContent;
+
+  private readonly terms: placementTerms.PlacementTerms;
 
   private readonly attempts: attempts.Attempts;
 
@@ -177,10 +173,6 @@
 
   private interrupt: ((outcome: Outcome) => void) | undefined;
 
-  private cachedFingerprint: string | undefined;
-
-  private cachedSharedParts: readonly string[] | undefined;
-
   /** Service that the request goes to; empty until it is selected. */
   private service = '';
 
@@ -191,13 +183,21 @@
     private readonly admitted: AdmittedRequest,
     private readonly dependencies: Dependencies,
   ) {
-    const { route, facts, arrivedAt, response, request } = admitted;
-    this.deadline = arrivedAt + Math.min(route.timeoutMs, facts.patienceMs ?? Infinity);
+    const { route, facts, response, request } = admitted;
     this.attempts = new attempts.Attempts(route.maxAttempts);
     this.deliveries = new deliveries.Deliveries(dependencies.targets);
     this.reply = new callerResponse.CallerResponse(response, route, facts, admitted.held);
     const { attempts: attemptsMade, reply } = this;
-    const { observer: observe, now } = dependencies;
+    const { observer: observe, now, contentionMode } = dependencies;
+    this.content = new requestContent.RequestContent(admitted, dependencies.protocol);
+    const { content } = this;
+    this.terms = new placementTerms.PlacementTerms({
+      admitted,
+      content,
+      reply,
+      contentionMode,
+      now,
+    });
     dependencies.audit?.received(facts.requestId);
     this.succession = new succession.Succession({
       choose: (excluded) => this.chooseSuccessor(excluded),
@@ -223,12 +223,11 @@
     return kind === 'safe' || (kind === 'streaming' && isResumable);
   }
 
-  private get timeLeftMs(): number {
-    return this.deadline - this.dependencies.now();
-  }
-
   async run(): Promise<void> {
-    const timer = setTimeout(() => this.cancel({ kind: 'late' }), Math.max(0, this.timeLeftMs));
+    const timer = setTimeout(
+      () => this.cancel({ kind: 'late' }),
+      Math.max(0, this.terms.timeLeftMs),
+    );
     try {
       await this.attemptUntilAnswered();
     } catch (error) {
@@ -283,7 +282,7 @@
   private awaitsCanary({ isCopy }: { isCopy: boolean }): boolean {
     if (this.deliveries.mayHaveRun) return true;
     const elapsedMs = this.dependencies.now() - this.admitted.arrivedAt;
-    return !isCopy && elapsedMs < this.patienceMs;
+    return !isCopy && elapsedMs < this.terms.patienceMs;
   }
 
   /** Waits while another request makes the canary run. */
@@ -347,7 +346,11 @@
 
   private logFailure(outcome: Outcome, repeated: boolean): void {
     if (outcome.kind !== 'failed' && outcome.kind !== 'notRun') return;
-    this.requestLog.attemptFailed({ content: this.fingerprint, detail: outcome.detail, repeated });
+    this.requestLog.attemptFailed({
+      content: this.content.fingerprint,
+      detail: outcome.detail,
+      repeated,
+    });
   }
 
   /** Ends a request that isn't attempted again. */
@@ -415,13 +418,6 @@
     );
   }
 
-  /** How long the request may wait for a placement, milliseconds. */
-  private get patienceMs(): number {
-    const { route } = this.admitted;
-    const availableMs = Math.min(this.timeLeftMs, responseTimeout.callerTimeoutMs(route));
-    return Math.max(0, MAX_WAIT_SHARE * availableMs);
-  }
-
   /** The target that was found for this request before its last attempt was given up, or another one. */
   private async chooseOrSucceed(
     service: string,
@@ -452,60 +448,18 @@
     { endings, target }: Pick<permittedRun.PermittedRun, 'endings' | 'target'>,
     excluded: readonly string[] = [],
   ): Promise<targetSelector.Choice> {
-    const { facts, route } = this.admitted;
-    const maxAnswerTokens = facts.maxAnswerTokens ?? Infinity;
-    const answerTokens = Math.min(maxAnswerTokens, facts.likelyAnswerTokens ?? maxAnswerTokens);
     // Each placement has its own id: the leader gets the end of one after it has placed the next.
     const retries = this.reservationRetries + this.withheldAttempts + this.discardedPlacements;
     return this.dependencies.selector.choose({
-      id: `${facts.requestId}/${this.attempts.targets.length}.${retries}`,
+      ...this.terms.at(service),
+      id: `${this.admitted.facts.requestId}/${this.attempts.targets.length}.${retries}`,
       service,
-      tokens: facts.promptTokens ?? 0,
-      answerTokens: Number.isFinite(answerTokens) ? answerTokens : 0,
-      objectiveMs: route.objectiveMs,
-      pauseMs: route.pauseMs,
       excluded: [...this.attempts.excluded, ...excluded],
       writers: this.attempts.writers ?? (target === undefined ? undefined : [target]),
       endings: endings > 0 ? endings : undefined,
-      waitedMs: this.waitedMs,
-      patienceMs: this.patienceMs,
-      ...this.competition,
     });
   }
 
-  /** Urgency class, in mode `adaptive` where requests of the service are of several classes. */
-  private get urgency(): { urgency?: number } {
-    if (this.dependencies.contentionMode !== 'adaptive') return {};
-    const urgency = this.admitted.urgencyAt?.(this.service);
-    return urgency === undefined ? {} : { urgency };
-  }
-
-  /** What the leader needs to decide between callers that compete for engines. */
-  private get competition(): Partial<targetSelector.PlacementRequest> {
-    if (this.dependencies.contentionMode !== 'adaptive') return {};
-    const { route, arrivedAt, organisation } = this.admitted;
-    const silentMs = this.dependencies.now() - Math.max(arrivedAt, this.reply.lastEventAt);
-    const leavesInMs = Math.min(this.timeLeftMs, responseTimeout.callerTimeoutMs(route) - silentMs);
-    return {
-      ...(organisation !== undefined && { organisation }),
-      ...this.urgency,
-      content: this.fingerprint,
-      timeLeftMs: Math.max(0, this.timeLeftMs),
-      ...(route.kind === 'streaming' && { leavesInMs: Math.max(0, leavesInMs) }),
-    };
-  }
-
-  /**
-   * How long the caller has waited for a first event: 0 for a stream that resumes, as its first event has arrived, and
-   * the objective at most for a request that moves to a second target. With a longer wait the allocator would consider
-   * every engine too late to be worth using, and an interrupted stream would be aborted although engines are free.
-   */
-  private get waitedMs(): number {
-    if (this.reply.lastEventId !== undefined) return 0;
-    const { arrivedAt, route } = this.admitted;
-    return Math.min(this.dependencies.now() - arrivedAt, route.objectiveMs);
-  }
-
   private async send(
     choice: targetSelector.Choice & { kind: 'placed' },
     permit: permittedRun.PermittedRun,
@@ -533,9 +487,9 @@
       protocol.requestHeaders(request.rawHeaders, {
         target: placement.target,
         organisation,
-        timeLeftMs: this.timeLeftMs,
+        timeLeftMs: this.terms.timeLeftMs,
         helpers: helperReservations.withReservations(placement.helpers),
-        ...this.urgency,
+        ...this.terms.urgencyAt(this.service),
         resumeAfter,
       });
     const attempt = this.deliveries.send(
@@ -560,7 +514,7 @@
     }
     this.attempts.begin(placement.target);
     this.reply.beginAttempt(() => permit.began());
-    this.requestLog.placed(placement, this.waitedMs);
+    this.requestLog.placed(placement, this.terms.waitedMs);
     this.sentAt = this.dependencies.now();
     permit.sent();
     this.sentToBornAt = this.dependencies.signals.bornAt(placement.target);
@@ -635,38 +589,16 @@
   }
 
   private requestInfo(service: string): quarantineClient.RequestInfo {
-    const { facts, body } = this.admitted;
     return {
-      requestId: facts.requestId,
-      bodyBytes: body.length,
-      fingerprint: () => this.fingerprint,
-      sharedParts: () => this.sharedParts,
+      requestId: this.admitted.facts.requestId,
+      bodyBytes: this.content.bodyBytes,
+      fingerprint: () => this.content.fingerprint,
+      sharedParts: () => this.content.sharedParts,
       service,
       excluded: [...this.attempts.targets, ...this.dependencies.signals.unavailable(service)],
     };
   }
 
-  /** Parsed only while the quarantine asks for it. */
-  private get sharedParts(): readonly string[] {
-    this.cachedSharedParts ??= this.dependencies.protocol.sharedParts(
-      this.admitted.request.headers,
-    );
-    return this.cachedSharedParts;
-  }
-
-  /** Fingerprint that all copies of the request share, whatever their ids. */
-  private get fingerprint(): string {
-    const { request, organisation, body } = this.admitted;
-    this.cachedFingerprint ??= fingerprint.of({
-      host: request.headers.host ?? '',
-      method: request.method ?? 'GET',
-      path: request.url ?? '/',
-      organisation,
-      body,
-    });
-    return this.cachedFingerprint;
-  }
-
   /** Waits until the attempt completes, times out or is interrupted, whichever comes first. */
   private async awaitOutcome(
     attempt: targetAttempt.Attempt,
@@ -763,7 +695,7 @@
     if (outcome.kind !== 'failed' && outcome.kind !== 'notRun') return false;
     if (outcome.kind === 'failed' && !this.isRepeatable) return false;
     if (this.reply.isUnrecoverable) return false;
-    if (!this.hasAttemptsLeft || this.timeLeftMs <= 0) return false;
+    if (!this.hasAttemptsLeft || this.terms.timeLeftMs <= 0) return false;
     // The budget bounds what reaches targets, so a target that wasn't reached doesn't spend it.
     const isFree = outcome.kind === 'notRun' && outcome.ending === 'unreachable';
     const isPaid = isFree || this.successor !== undefined;
