Give up a response that can't be used and doesn't end

A target may answer with a head that shows that the response can't be passed on (not signed, a status that states nothing, no stream where only a stream can follow) and a body without end. The body was read to its end and kept without a bound, though nothing ever used it. Callers waited for their deadline and got 504, while other targets were sound, and the process grew.

The body of a response that isn't passed on is no longer kept. After 64 KiB, or 250 ms unless it states that the request didn't run, the attempt ends and its connection is closed. It counts as failed, not as a crash and not as refused: repeatable requests move on at once, others get 502.

--- /dev/null
+++ b/packages/daemon/src/entry/__tests__/endlessResponses.test.ts
@@ -0,0 +1,134 @@
+/** Responses of targets that don't end: what callers get, and when the entry stops reading. */
+import type * as net from 'node:net';
+import * as chai from 'chai';
+import * as clock from '../../clock';
+import * as harness from './__fixtures__/harness';
+
+const { expect } = chai;
+
+/** Most bytes that a target may write before its connection is closed: buffers of the operating system, mostly. */
+const MAX_WRITTEN_BYTES = 16 * 1_048_576;
+
+/** Time in which a caller of an unsafe call learns that it failed, milliseconds; its deadline is later. */
+const PROMPT_MS = 1_000;
+
+/** Time in which a target notices that its connection was closed, milliseconds, and the interval of the checks. */
+const CLOSE_MS = 500;
+const POLL_MS = 5;
+
+const PIECE_BYTES = 65_536;
+
+const CHUNKED = 'Transfer-Encoding: chunked\r\n\r\n';
+const UNSIGNED_HEAD = `HTTP/1.1 200 OK\r\nid: r1\r\n${CHUNKED}`;
+const EVENT = 'id: 1\ndata: a\n\n';
+
+/** A target that writes a head and then the same bytes for as long as its connection is open. */
+class EndlessTarget {
+  bytesWritten = 0;
+
+  isClosed = false;
+
+  constructor(
+    private readonly head: string,
+    private readonly part: string,
+  ) {}
+
+  readonly behave: harness.TargetBehaviour = (_message, socket) => {
+    socket.once('close', () => {
+      this.isClosed = true;
+    });
+    socket.write(this.head);
+    const piece = Buffer.from(this.part.repeat(Math.ceil(PIECE_BYTES / this.part.length)));
+    this.write(piece, socket);
+  };
+
+  /** Resolves when the connection is closed, or after a while. */
+  async closed(): Promise<void> {
+    const givenUpAt = clock.steady() + CLOSE_MS;
+    while (!this.isClosed && clock.steady() < givenUpAt) await clock.sleep(POLL_MS);
+  }
+
+  private write(piece: Buffer, socket: net.Socket): void {
+    if (socket.destroyed) return;
+    this.bytesWritten += piece.length;
+    socket.write(piece, () => this.write(piece, socket));
+  }
+}
+
+const RESPOND: harness.TargetBehaviour = (_request, socket) =>
+  socket.write(harness.answer('elsewhere'));
+
+describe('a response without an end', () => {
+  let setup: harness.TestHarness;
+
+  afterEach(() => setup.stop());
+
+  const start = async (
+    target: EndlessTarget,
+    second: harness.TargetBehaviour = RESPOND,
+  ): Promise<void> => {
+    setup = await harness.TestHarness.start(harness.answeringProbes(target.behave), second);
+  };
+
+  const expectClosed = async (target: EndlessTarget): Promise<void> => {
+    await target.closed();
+    expect([target.isClosed, setup.held.total]).to.deep.equal([true, 0]);
+    expect(target.bytesWritten).to.be.below(MAX_WRITTEN_BYTES);
+    const lines = setup.logged.filter(({ event }) => event === 5031);
+    expect(lines.map(({ target: id }) => id)).to.deep.equal(['t0']);
+  };
+
+  const plainChunk = harness.chunk('x'.repeat(1_000));
+  const kinds: Record<string, [head: string, part: string]> = {
+    'an unsigned body': [UNSIGNED_HEAD, plainChunk],
+    'a body of a status that states nothing': [
+      `HTTP/1.1 503 X\r\nid: r1\r\nsigned: 1\r\n${CHUNKED}`,
+      plainChunk,
+    ],
+  };
+  Object.entries(kinds).forEach(([title, [head, part]]) => {
+    // Guards against a call that waits for its deadline, and bytes that fill the memory, while other targets are sound.
+    it(`is given up at once, with ${title}`, async () => {
+      const safe = new EndlessTarget(head, part);
+      await start(safe);
+      const reply = await setup.send('/safe/1');
+      expect([reply.status, reply.body]).to.deep.equal([200, 'elsewhere']);
+      await expectClosed(safe);
+      setup.stop();
+      const unsafe = new EndlessTarget(head, part);
+      await start(unsafe);
+      const sentAt = clock.steady();
+      expect([(await setup.send('/unsafe/1')).status, setup.received.length]).to.deep.equal([
+        ...[502, 1],
+      ]);
+      expect(clock.steady() - sentAt).to.be.below(PROMPT_MS);
+      await expectClosed(unsafe);
+    });
+  });
+
+  // Guards against an answer to the second attempt that is kept without a bound, as it can't continue the stream.
+  it('is given up where only a stream can follow', async () => {
+    const first: harness.TargetBehaviour = (_request, socket) => {
+      socket.end(harness.STREAM_HEAD + harness.chunk(EVENT));
+    };
+    const head = `HTTP/1.1 404 X\r\nid: r1\r\nsigned: 1\r\n${CHUNKED}`;
+    const second = new EndlessTarget(head, plainChunk);
+    setup = await harness.TestHarness.start(first, second.behave);
+    const sentAt = clock.steady();
+    const reply = await setup.send('/streaming/1');
+    expect([reply.body, reply.isWhole]).to.deep.equal([EVENT, false]);
+    expect(clock.steady() - sentAt).to.be.below(PROMPT_MS);
+    await second.closed();
+    expect([second.isClosed, setup.held.total]).to.deep.equal([true, 0]);
+  });
+
+  // Guards against a head that shows that the response is unusable, and a body that trickles until the deadline.
+  it('is given up soon if nothing can make it usable', async () => {
+    setup = await harness.TestHarness.start((_request, socket) => {
+      socket.write(UNSIGNED_HEAD);
+    }, RESPOND);
+    const sentAt = clock.steady();
+    expect((await setup.send('/unsafe/1')).status).to.equal(502);
+    expect(clock.steady() - sentAt).to.be.below(PROMPT_MS);
+  });
+});
--- a/packages/daemon/src/entry/callerResponse.ts
+++ b/packages/daemon/src/entry/callerResponse.ts
@@ -21,6 +21,12 @@
 /** The same under memory pressure: most responses of calls are shorter, and can still be retried. */
 const MAX_PRESSED_BYTES = 65_536;
 
+/** Maximum size of the body of a response that isn't passed on; longer ones end the attempt. */
+const MAX_DISCARDED_BYTES = 65_536;
+
+/** How long an unusable response may take to end, so that its connection can be used again, milliseconds. */
+const MAX_DISCARD_MS = 250;
+
 /** Status of a stream; responses with another status on a streaming route are buffered. */
 const STREAM_STATUS = 200;
 
@@ -75,6 +81,12 @@
 
   private bufferedBytes = 0;
 
+  /** Bytes of a body that isn't passed on. */
+  private discardedBytes = 0;
+
+  /** Why the current attempt was given up before the end of its response; undefined if it wasn't. */
+  private unusableDetail: string | undefined;
+
   private attempt: targetAttempt.Attempt | undefined;
 
   /** Whether the caller already has the beginning of a stream, which only another stream can continue. */
@@ -136,6 +148,8 @@
     this.splitter = new domain.request.eventSplitter.EventSplitter();
     this.buffered = [];
     this.bufferedBytes = 0;
+    this.discardedBytes = 0;
+    this.unusableDetail = undefined;
     this.held.setBuffered(0);
     this.gaps = [];
     this.hasBegun = false;
@@ -149,18 +163,29 @@
 
   onHead(head: targetMessage.ResponseHead): void {
     this.head = head;
+    if (this.isPassedOn || head.facts.isNotRun) return;
+    const { attempt } = this;
+    clock.startTimeout(MAX_DISCARD_MS, () => {
+      attempt?.giveUp(`unusable response without an end: ${head.status}`);
+    });
   }
 
   onData(chunk: Buffer): void {
-    if (this.isStream && this.isForCaller) this.forwardEvents(chunk);
+    if (!this.isPassedOn) this.discard(chunk);
+    else if (this.isStream) this.forwardEvents(chunk);
     else this.buffer(chunk);
   }
 
+  onUnusable(detail: string): void {
+    this.unusableDetail = detail;
+  }
+
   /**
    * Handles the end of a complete response. With `mayRepeat` a failure reported by the target may be retried elsewhere.
    */
   complete(mayRepeat: boolean): CompletionResult {
-    const { head } = this;
+    const { head, unusableDetail } = this;
+    if (unusableDetail !== undefined) return { kind: 'unusable', detail: unusableDetail };
     if (head === undefined) {
       return { kind: 'unusable', detail: 'no response' };
     }
@@ -224,6 +249,18 @@
     return facts.isSigned && !NOT_RUN_STATUSES.has(head.status);
   }
 
+  /** Whether the response is passed on to the caller; one that isn't a stream can't continue a stream. */
+  private get isPassedOn(): boolean {
+    return this.isForCaller && (this.isStream || !this.isContinuation);
+  }
+
+  private discard(chunk: Buffer): void {
+    this.discardedBytes += chunk.length;
+    if (this.discardedBytes <= MAX_DISCARDED_BYTES) return;
+    const status = this.head?.status;
+    this.attempt?.giveUp(`unusable response of over ${MAX_DISCARDED_BYTES} bytes: ${status}`);
+  }
+
   private forwardEvents(chunk: Buffer): void {
     const { head } = this;
     const split = this.splitter.push(chunk);
@@ -265,7 +302,6 @@
     this.bufferedBytes += chunk.length;
     this.held.setBuffered(this.bufferedBytes);
     if (this.bufferedBytes <= this.maxBufferedBytes || this.head === undefined) return;
-    if (!this.isForCaller || this.isContinuation) return;
     this.isOverflowing = true;
     this.writeHead(this.head);
     this.takeBuffered().forEach((each) => this.write(each));
--- a/packages/daemon/src/entry/relayDispatch.ts
+++ b/packages/daemon/src/entry/relayDispatch.ts
@@ -6,7 +6,8 @@
 
 /** The attempt is over, or it never reached its target and may go another way. */
 export type DispatchEnd =
-  { kind: 'over' } | Exclude<relayProtocol.RelayResult, { kind: 'broken' | 'foreign' }>;
+  | { kind: 'over' }
+  | Exclude<relayProtocol.RelayResult, { kind: 'broken' | 'foreign' | 'unusable' }>;
 
 export interface Options {
   attempt: targetAttempt.Attempt;
@@ -79,7 +80,7 @@
       onEnd({ kind: 'over' });
       return;
     }
-    if (result.kind === 'broken' || result.kind === 'foreign') {
+    if (result.kind === 'broken' || result.kind === 'foreign' || result.kind === 'unusable') {
       attempt.finish(result);
       onEnd({ kind: 'over' });
       return;
@@ -94,7 +95,8 @@
   try {
     const { kind, detail } = JSON.parse(body.toString()) as relayProtocol.RelayResult;
     const isUnsent = kind === 'notSent' || kind === 'refused' || kind === 'declined';
-    if (isUnsent || kind === 'foreign') return { kind, detail: String(detail) };
+    if (isUnsent || kind === 'foreign' || kind === 'unusable')
+      return { kind, detail: String(detail) };
     return { kind: 'broken', detail: String(detail) };
   } catch {
     return { kind: 'broken', detail: 'unreadable result of the relay' };
--- a/packages/daemon/src/entry/relayProtocol.ts
+++ b/packages/daemon/src/entry/relayProtocol.ts
@@ -36,7 +36,9 @@
   /** The target may have run it. */
   | { kind: 'broken'; detail: string }
   /** The same, as the target's response answers another message; the last version takes it for `broken`. */
-  | { kind: 'foreign'; detail: string };
+  | { kind: 'foreign'; detail: string }
+  /** The same, as the target's response can't be used; the last version takes it for `broken`. */
+  | { kind: 'unusable'; detail: string };
 
 /** `relayStatus`: asks an entry whether it would relay messages. */
 export interface RelayStatus {
--- a/packages/daemon/src/entry/targetAttempt.ts
+++ b/packages/daemon/src/entry/targetAttempt.ts
@@ -146,6 +146,18 @@
     this.carrier?.abort(new Error('response to another message'));
   }
 
+  /**
+   * Ends the attempt, and its connection with it, as the response can't be used, whatever follows. Whether the target runs
+   * this message is unknown.
+   */
+  giveUp(detail: string): void {
+    if (this.isSettled) return;
+    this.callbacks?.unusable?.(detail);
+    this.handler.onUnusable?.(detail);
+    this.finish({ kind: 'unusable', detail });
+    this.carrier?.abort(new Error(detail));
+  }
+
   data(chunk: Buffer): void {
     if (this.isSettled) return;
     this.lastHeardAt = clock.steady();
--- a/packages/daemon/src/entry/targetMessage.ts
+++ b/packages/daemon/src/entry/targetMessage.ts
@@ -17,6 +17,8 @@
   /** Called when the head of the response arrives. */
   onHead: (head: ResponseHead) => void;
   onData: (chunk: Buffer) => void;
+  /** Called when the attempt ends because its response can't be used, whatever follows. */
+  onUnusable?: (detail: string) => void;
 }
 
 /** How an attempt ended. */
@@ -33,6 +35,8 @@
   | { kind: 'broken'; detail: string }
   /** Bytes were written, and the response that arrived answers another message. */
   | { kind: 'foreign'; detail: string }
+  /** Bytes were written, and the response can't be used, whatever follows; it may have no end. */
+  | { kind: 'unusable'; detail: string }
   | { kind: 'cancelled' };
 
 /**
@@ -69,6 +73,8 @@
   answered: (head: ResponseHead) => void;
   /** The head of a response to another message arrived instead; `connection` is undefined for a relayed message. */
   foreign: (head: ResponseHead, connection?: sentMessages.Connection) => void;
+  /** Its response was given up before its end, as it can't be used. */
+  unusable?: (detail: string) => void;
   /** It ended, with or without a response. */
   ended: () => void;
 }
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -20,6 +20,7 @@
 import * as responseOrigin from './responseOrigin';
 import type * as sentMessages from './sentMessages';
 import type * as targetMessage from './targetMessage';
+import * as unusableResponses from './unusableResponses';
 
 type Lifetime = domain.quarantine.crashedLifetimes.Lifetime;
 
@@ -85,7 +86,11 @@
   /** Targets whose unreadable back-off was logged; each is logged once. */
   private readonly loggedUnreadable = new Set<string>();
 
-  constructor(private readonly dependencies: Dependencies) {}
+  private readonly unusableResponses: unusableResponses.UnusableResponses;
+
+  constructor(private readonly dependencies: Dependencies) {
+    this.unusableResponses = new unusableResponses.UnusableResponses(dependencies);
+  }
 
   get backingOff(): number {
     return this.backOffs.size;
@@ -112,6 +117,7 @@
     return {
       answered: (head) => this.answered(sent, head),
       foreign: (head, connection) => this.recordForeign(message, head, connection),
+      unusable: (detail) => this.unusableResponses.report(message, detail),
       ended: () => {
         inFlight.ended();
         this.countActive(lifetime, -1);
@@ -165,6 +171,7 @@
   forget({ id, bornAt }: Lifetime): void {
     this.backOffs.forget(id, this.dependencies.now());
     this.loggedUnreadable.delete(id);
+    this.unusableResponses.forget(id);
     if (this.draining.get(id) === bornAt) this.draining.delete(id);
   }
 
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -150,6 +150,11 @@
     level: 'warn',
     text: 'connection of a caller closed without a whole answer',
   },
+  responseGivenUp: {
+    number: 5031,
+    level: 'warn',
+    text: 'response of a target given up before its end',
+  },
   claimUnknown: {
     number: 5101,
     level: 'warn',
