Bound what a target sends without a body

A target may send informational responses (103), a reason phrase or a chunk extension without end. undici limits the size of a head, but none of these: an attempt went on until its caller's deadline, at the full speed of the connection, and a begun stream was cut with it.

A meter beside the parser counts what is parsed on the connection since the last part of a body; after 64 KiB the attempt ends like one with an unusable response, and so it does after 32 informational responses. Fewer of them stay fine, as a test shows.

--- a/packages/daemon/src/entry/__tests__/endlessResponses.test.ts
+++ b/packages/daemon/src/entry/__tests__/endlessResponses.test.ts
@@ -20,7 +20,9 @@
 
 const CHUNKED = 'Transfer-Encoding: chunked\r\n\r\n';
 const UNSIGNED_HEAD = `HTTP/1.1 200 OK\r\nid: r1\r\n${CHUNKED}`;
+const EARLY_HINTS = 'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n';
 const EVENT = 'id: 1\ndata: a\n\n';
+const REST = 'id: 2\ndata: b\n\n';
 
 /** A target that writes a head and then the same bytes for as long as its connection is open. */
 class EndlessTarget {
@@ -58,6 +60,9 @@
 const RESPOND: harness.TargetBehaviour = (_request, socket) =>
   socket.write(harness.answer('elsewhere'));
 
+const RESUME: harness.TargetBehaviour = (_request, socket) =>
+  socket.write(harness.STREAM_HEAD + harness.chunk(REST) + harness.LAST_CHUNK);
+
 describe('a response without an end', () => {
   let setup: harness.TestHarness;
 
@@ -79,12 +84,16 @@
   };
 
   const plainChunk = harness.chunk('x'.repeat(1_000));
+  const extension = ';name=value'.repeat(100);
   const kinds: Record<string, [head: string, part: string]> = {
     'an unsigned body': [UNSIGNED_HEAD, plainChunk],
     'a body of a status that states nothing': [
       `HTTP/1.1 503 X\r\nid: r1\r\nsigned: 1\r\n${CHUNKED}`,
       plainChunk,
     ],
+    'informational responses': ['', EARLY_HINTS],
+    'a reason phrase': ['HTTP/1.1 200 ', 'x'],
+    'a chunk extension': [`${harness.STREAM_HEAD}5`, extension],
   };
   Object.entries(kinds).forEach(([title, [head, part]]) => {
     // Guards against a call that waits for its deadline, and bytes that fill the memory, while other targets are sound.
@@ -106,6 +115,21 @@
     });
   });
 
+  const inStreams: Record<string, [head: string, part: string]> = {
+    'a chunk extension': [`${harness.STREAM_HEAD + harness.chunk(EVENT)}5`, extension],
+  };
+  Object.entries(inStreams).forEach(([title, [head, part]]) => {
+    // Guards against an event that is kept until the memory is full, and against a stream that it ends.
+    it(`is resumed elsewhere as a stream, with ${title}`, async () => {
+      const target = new EndlessTarget(head, part);
+      await start(target, RESUME);
+      const reply = await setup.send('/streaming/1');
+      expect([reply.body, reply.isWhole]).to.deep.equal([EVENT + REST, true]);
+      expect(setup.received[1]).to.contain('resume-after: 1');
+      await expectClosed(target);
+    });
+  });
+
   // Guards against an answer to the second attempt that is kept without a bound, as it can't continue the stream.
   it('is given up where only a stream can follow', async () => {
     const first: harness.TargetBehaviour = (_request, socket) => {
@@ -131,4 +155,14 @@
     expect((await setup.send('/unsafe/1')).status).to.equal(502);
     expect(clock.steady() - sentAt).to.be.below(PROMPT_MS);
   });
+
+  // Guards against informational responses, and a long body of an answer to the caller, that are taken for endless.
+  it('is none if a few informational responses come first', async () => {
+    const body = 'x'.repeat(300_000);
+    setup = await harness.TestHarness.start((_request, socket) => {
+      socket.write(EARLY_HINTS.repeat(5) + harness.answer(body));
+    });
+    const reply = await setup.send('/unsafe/1');
+    expect([reply.status, reply.body === body]).to.deep.equal([200, true]);
+  });
 });
--- a/packages/daemon/src/entry/__tests__/relay.test.ts
+++ b/packages/daemon/src/entry/__tests__/relay.test.ts
@@ -148,6 +148,14 @@
     expect([result?.kind, status, wasSent]).to.deep.equal(['foreign', undefined, true]);
   });
 
+  /** Guards against a check for a crash of a target that only sent more than can be used. */
+  it('reports a response that the relay gave up as such', async () => {
+    const hints = 'HTTP/1.1 103 Early Hints\r\n\r\n'.repeat(100);
+    const target = await startTarget((socket) => socket.write(hints));
+    const { result, wasSent } = await deliver([await startRelay()], target);
+    expect([result?.kind, wasSent]).to.deep.equal(['unusable', true]);
+  });
+
   /** Guards against a caller that is told that its request may have run, although no target received it. */
   it('reports a message that reached no target as not sent', async () => {
     const { end, wasSent, result } = await deliver([await startRelay()], '127.0.0.1:1');
--- a/packages/daemon/src/entry/directDispatch.ts
+++ b/packages/daemon/src/entry/directDispatch.ts
@@ -4,6 +4,7 @@
 import type * as protocols from '../edges/protocols';
 import type * as targetAttempt from './targetAttempt';
 import type * as connectionTracker from './connectionTracker';
+import * as overheadMeter from './overheadMeter';
 import type * as pathMonitor from './pathMonitor';
 import * as sentMessages from './sentMessages';
 
@@ -14,6 +15,9 @@
   isRefused: boolean;
 }
 
+/** Maximum number of informational responses before the response to a message. */
+const MAX_INFORMATIONAL = 32;
+
 /** A target that ends may accept a connection and reset it before this process learns that it was accepted. */
 const REFUSALS: ReadonlySet<string> = new Set(['ECONNREFUSED', 'ECONNRESET']);
 
@@ -34,6 +38,10 @@
 
   private isChunked = false;
 
+  private informational = 0;
+
+  private meter: overheadMeter.OverheadMeter | undefined;
+
   constructor(private readonly options: Options) {}
 
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
@@ -41,8 +49,9 @@
     this.isStarted = true;
     attempt.started(controller);
     if (attempt.isOver) return;
-    sentMessages.awaitConnection((connection) => {
+    sentMessages.awaitConnection((connection, socket) => {
       attempt.connection = connection;
+      this.meter = new overheadMeter.OverheadMeter(socket, (detail) => attempt.giveUp(detail));
     });
   }
 
@@ -51,7 +60,10 @@
     status: number,
     headers: Record<string, string | string[] | undefined>,
   ): void {
-    if (status < 200) return;
+    if (status < 200) {
+      this.countInformational();
+      return;
+    }
     this.options.paths?.responded(this.options.target, this.sentAt);
     this.isChunked = headers['transfer-encoding'] !== undefined;
     const raw = ((controller.rawHeaders ?? []) as (Buffer | string)[]).map((part) =>
@@ -62,10 +74,12 @@
   }
 
   onResponseData(_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+    this.meter?.bodyArrived();
     this.options.attempt.data(chunk);
   }
 
   onResponseEnd(): void {
+    this.meter?.stop();
     const { current } = this.options.connections;
     const isCut = current === 'reset' || (current === 'closedByTarget' && this.isChunked);
     this.options.attempt.finish(
@@ -74,9 +88,17 @@
   }
 
   onResponseError(_controller: undici.Dispatcher.DispatchController, error: Error): void {
+    this.meter?.stop();
     const { code = '' } = error as { code?: string };
     const detail = `${code} ${error.message}`.trim();
     if (this.isStarted) this.options.attempt.finish({ kind: 'broken', detail });
     else this.options.onUnreachable({ detail, isRefused: REFUSALS.has(code) });
   }
+
+  private countInformational(): void {
+    this.informational += 1;
+    if (this.informational > MAX_INFORMATIONAL) {
+      this.options.attempt.giveUp(`more than ${MAX_INFORMATIONAL} informational responses`);
+    }
+  }
 }
--- a/packages/daemon/src/entry/sentMessages.ts
+++ b/packages/daemon/src/entry/sentMessages.ts
@@ -14,17 +14,19 @@
 
 const messageCounts = new WeakMap<net.Socket, number>();
 
-let onSent: ((connection: Connection) => void) | undefined;
+type Listener = (connection: Connection, socket: net.Socket) => void;
+
+let onSent: Listener | undefined;
 
 diagnosticsChannel.subscribe('undici:client:sendHeaders', (event) => {
   const { socket } = event as { socket: net.Socket };
   const messages = (messageCounts.get(socket) ?? 0) + 1;
   messageCounts.set(socket, messages);
-  onSent?.({ port: socket.localPort ?? 0, messages });
+  onSent?.({ port: socket.localPort ?? 0, messages }, socket);
   onSent = undefined;
 });
 
 /** Called from `onRequestStart`: the message that is sent next in this turn is the handler's. */
-export function awaitConnection(listener: (connection: Connection) => void): void {
+export function awaitConnection(listener: Listener): void {
   onSent = listener;
 }
