Bound an event of a stream, and count what it takes

An event without an end was kept whole, uncounted, and copied anew with each part, until the caller's deadline; then the stream was cut, though other targets could go on. And a buffered response counted as its bytes only, though each part takes some 100 bytes more: in parts of one byte it took far more memory than its bound.

An event of more than 1 MiB ends the attempt, and another target resumes the stream. The splitter keeps one buffer that doubles and scans only new bytes; its memory counts as held for the caller, and so does a fixed amount for each buffered part.

--- a/packages/daemon/src/entry/__tests__/endlessResponses.test.ts
+++ b/packages/daemon/src/entry/__tests__/endlessResponses.test.ts
@@ -116,6 +116,7 @@
   });
 
   const inStreams: Record<string, [head: string, part: string]> = {
+    'an event': [harness.STREAM_HEAD + harness.chunk(EVENT), plainChunk],
     'a chunk extension': [`${harness.STREAM_HEAD + harness.chunk(EVENT)}5`, extension],
   };
   Object.entries(inStreams).forEach(([title, [head, part]]) => {
--- a/packages/daemon/src/entry/__tests__/heldBytes.test.ts
+++ b/packages/daemon/src/entry/__tests__/heldBytes.test.ts
@@ -124,4 +124,12 @@
     });
     expect(isForwarded).to.deep.equal([false, true]);
   });
+
+  /** Guards against parts so small that what is kept with each takes a hundred times their bytes. */
+  it('is forwarded sooner if it arrives in tiny parts', () => {
+    const tested = makeResponse('safe', false);
+    const byte = Buffer.from('x');
+    for (let i = 0; i < 10_000; i++) tested.onData(byte);
+    expect(tested.wentUnread(Infinity)).to.equal(true);
+  });
 });
--- a/packages/daemon/src/entry/callerResponse.ts
+++ b/packages/daemon/src/entry/callerResponse.ts
@@ -27,6 +27,12 @@
 /** How long an unusable response may take to end, so that its connection can be used again, milliseconds. */
 const MAX_DISCARD_MS = 250;
 
+/** Maximum size of an event of a stream. */
+const MAX_EVENT_BYTES = 1_048_576;
+
+/** Memory that a buffered part of a response takes beside its bytes. */
+const PART_OVERHEAD_BYTES = 128;
+
 /** Status of a stream; responses with another status on a streaming route are buffered. */
 const STREAM_STATUS = 200;
 
@@ -263,7 +269,13 @@
 
   private forwardEvents(chunk: Buffer): void {
     const { head } = this;
+    const heldBefore = this.splitter.heldBytes;
     const split = this.splitter.push(chunk);
+    const { heldBytes: bytesHeld, partialBytes } = this.splitter;
+    if (bytesHeld !== heldBefore) this.held.setBuffered(bytesHeld);
+    if (partialBytes > MAX_EVENT_BYTES) {
+      this.attempt?.giveUp(`event of over ${MAX_EVENT_BYTES} bytes`);
+    }
     if (head === undefined || split.events === 0) return;
     this.writeHead(head);
     this.lastEventId = split.lastId ?? this.lastEventId;
@@ -299,7 +311,7 @@
       return;
     }
     this.buffered.push(chunk);
-    this.bufferedBytes += chunk.length;
+    this.bufferedBytes += chunk.length + PART_OVERHEAD_BYTES;
     this.held.setBuffered(this.bufferedBytes);
     if (this.bufferedBytes <= this.maxBufferedBytes || this.head === undefined) return;
     this.isOverflowing = true;
--- a/packages/domain/src/request/__tests__/streamsAndBudget.test.ts
+++ b/packages/domain/src/request/__tests__/streamsAndBudget.test.ts
@@ -36,6 +36,17 @@
       { seed: 11 },
     );
   });
+
+  // Guards against an event in many small parts that keeps the process busy or takes many times its size.
+  it('takes time and memory in proportion to an event', () => {
+    const splitter = new eventSplitter.EventSplitter();
+    const byte = Buffer.from('x');
+    const bytes = 300_000;
+    const startedAt = performance.now();
+    for (let i = 0; i < bytes; i++) splitter.push(byte);
+    expect(performance.now() - startedAt).to.be.below(1_000);
+    expect([splitter.partialBytes, splitter.heldBytes <= 2 * bytes]).to.deep.equal([bytes, true]);
+  });
 });
 
 describe('repeat budget', () => {
--- a/packages/domain/src/request/eventSplitter.ts
+++ b/packages/domain/src/request/eventSplitter.ts
@@ -39,25 +39,61 @@
   return undefined;
 }
 
+/** Bytes before the end of an incomplete event that may belong to its boundary. */
+const BOUNDARY_BYTES = 2;
+
+const NONE = Buffer.alloc(0);
+
 export class EventSplitter {
-  private partialEvent: Buffer = Buffer.alloc(0);
+  /** Holds the incomplete event; grows by doubling, as an event may arrive in many small parts. */
+  private store: Buffer = NONE;
+
+  private length = 0;
 
   /** Whether an incomplete event is buffered. */
   get isInsideEvent(): boolean {
-    return this.partialEvent.length > 0;
+    return this.partialBytes > 0;
+  }
+
+  /** Bytes of the incomplete event. */
+  get partialBytes(): number {
+    return this.length;
+  }
+
+  /** Memory that the incomplete event takes, bytes. */
+  get heldBytes(): number {
+    return this.store.length;
   }
 
   push(chunk: Buffer): SplitEvents {
-    const all = this.partialEvent.length === 0 ? chunk : Buffer.concat([this.partialEvent, chunk]);
+    const scannedBytes = Math.max(0, this.length - BOUNDARY_BYTES);
+    const all = this.length === 0 ? chunk : this.append(chunk);
     let end = 0;
     let events = 0;
     let lastId: string | undefined;
-    for (let next = endOfEvent(all, 0); next !== -1; next = endOfEvent(all, end)) {
+    for (let next = endOfEvent(all, scannedBytes); next !== -1; next = endOfEvent(all, end)) {
       lastId = idOf(all.subarray(end, next)) ?? lastId;
       events += 1;
       end = next;
     }
-    this.partialEvent = all.subarray(end);
+    if (events > 0 || all === chunk) this.keep(all.subarray(end));
     return { bytes: all.subarray(0, end), events, lastId };
   }
+
+  private append(chunk: Buffer): Buffer {
+    const { store, length } = this;
+    this.length += chunk.length;
+    if (this.length > store.length) {
+      this.store = Buffer.alloc(Math.max(this.length, 2 * store.length));
+      store.copy(this.store, 0, 0, length);
+    }
+    chunk.copy(this.store, length);
+    return this.store.subarray(0, this.length);
+  }
+
+  /** Copies the rest, so that neither a long chunk nor events that are passed on are kept with it. */
+  private keep(rest: Buffer): void {
+    this.length = rest.length;
+    this.store = rest.length === 0 ? NONE : Buffer.from(rest);
+  }
 }
