Bound the answers to calls of the daemon itself

The body of an answer to a probe or an order isn't used, but was read at full speed until the call's time limit.

After 64 KiB the call ends as it did at its time limit, without a complete answer, and its connection is closed.

--- a/packages/daemon/src/entry/__tests__/endlessResponses.test.ts
+++ b/packages/daemon/src/entry/__tests__/endlessResponses.test.ts
@@ -1,7 +1,8 @@
 /** Responses of targets that don't end: what callers get, and when the entry stops reading. */
-import type * as net from 'node:net';
+import * as net from 'node:net';
 import * as chai from 'chai';
 import * as clock from '../../clock';
+import * as targetClient from '../targetClient';
 import * as harness from './__fixtures__/harness';
 
 const { expect } = chai;
@@ -167,3 +168,31 @@
     expect([reply.status, reply.body === body]).to.deep.equal([200, true]);
   });
 });
+
+describe('an answer to a call of this daemon', () => {
+  // Guards against a probe or an order whose answer is read at full speed until its time limit.
+  it('is given up if it has no end', async () => {
+    const head = `HTTP/1.1 200 OK\r\nsigned: 1\r\n${CHUNKED}`;
+    const target = new EndlessTarget(head, harness.chunk('x'.repeat(1_000)));
+    const server = net.createServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.once('data', () => target.behave('', socket));
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as net.AddressInfo;
+    const { PROTOCOL: protocol, PERMISSIVE_GATE: gate } = harness;
+    const client = new targetClient.TargetClient({ protocol, gate });
+    const recipient = { target: 't', address: `127.0.0.1:${port}`, purpose: 'check' } as const;
+    const sentAt = clock.steady();
+    const result = await client.call(recipient, protocol.stateCall('t'), 2 * PROMPT_MS);
+    const tookMs = clock.steady() - sentAt;
+    await target.closed();
+    client.close();
+    server.close();
+    expect([result.kind, target.isClosed]).to.deep.equal(['silent', true]);
+    expect(tookMs).to.be.below(PROMPT_MS);
+    expect(target.bytesWritten).to.be.below(MAX_WRITTEN_BYTES);
+  });
+});
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -37,6 +37,9 @@
 /** How long an idle connection is kept if the target doesn't announce a timeout, milliseconds. */
 const IDLE_TIMEOUT_MS = 4_000;
 
+/** Maximum size of the body of an answer to a message that this daemon originates; its content isn't used. */
+const MAX_CALL_BYTES = 65_536;
+
 /** Time after which a connection without a message counts as held, milliseconds: several round trips. */
 const HELD_CONNECTION_MS = 50;
 
@@ -91,15 +94,19 @@
     timeoutMs: number,
   ): Promise<targetMessage.CallResult> {
     let head: targetMessage.ResponseHead | undefined;
+    let bytes = 0;
     const handler: targetMessage.ResponseHandler = {
       onHead: (received) => {
         head = received;
       },
-      onData: () => undefined,
+      onData: (chunk) => {
+        bytes += chunk.length;
+        if (bytes > MAX_CALL_BYTES) attempt.giveUp(`answer of over ${MAX_CALL_BYTES} bytes`);
+      },
     };
     const recipient = { target, address, purpose };
     const message = { ...recipient, method, path, headers, body: Buffer.from(body) };
-    const attempt = this.send(message, handler);
+    const attempt: targetAttempt.Attempt = this.send(message, handler);
     const stopTimeout = clock.startTimeout(timeoutMs, () => attempt.cancel());
     const result = await attempt.result;
     stopTimeout();
