Bound what entries that relay send each other

A relay's result was kept whole by the entry that had asked, and a message's body by the relay, however long. Callers' bodies have a bound of their own; these had none where the other process is at fault.

A result of more than 64 KiB ends its attempt as broken. A message whose body is longer than the longest frame between daemons (64 MiB) is declined, which is true as none of it was sent on, and its connection is closed.

--- a/packages/daemon/src/entry/__tests__/relay.test.ts
+++ b/packages/daemon/src/entry/__tests__/relay.test.ts
@@ -1,8 +1,10 @@
 /** Messages by way of another entry, over real sockets: what the sender learns, and what reaches the target. */
+import * as http from 'node:http';
 import * as net from 'node:net';
 import * as chai from 'chai';
 import * as clock from '../../clock';
 import * as observer from '../../observability/observer';
+import * as authenticatedSocket from '../../rpc/authenticatedSocket';
 import * as peerServer from '../../rpc/peerServer';
 import * as relayClient from '../relayClient';
 import * as relayServer from '../relayServer';
@@ -218,6 +220,61 @@
     expect((await deliver([withheld, await startRelay()], other)).body).to.equal('whole');
   });
 
+  /** Guards against a relay whose result fills the memory of the entry that asked it. */
+  it('is over if the result of the relay has no end', async () => {
+    const server = new peerServer.PeerServer(SECRET, undefined, OBSERVER);
+    const piece = Buffer.alloc(65_536, 'x');
+    let isClosed = false;
+    const relay = http.createServer((_request, response) => {
+      response.once('close', () => {
+        isClosed = true;
+      });
+      response.writeHead(503);
+      const write = (): void => {
+        if (!isClosed) response.write(piece, write);
+      };
+      write();
+    });
+    server.serveHttp(relay);
+    const port = await server.listen({ host: '127.0.0.1', port: 0 });
+    closers.push(() => {
+      void server.close();
+    });
+    const { attempt, delivered } = start([`127.0.0.1:${port}`], '127.0.0.1:1');
+    setTimeout(() => attempt.cancel(), 1_000);
+    const { result, wasSent } = await delivered;
+    expect([result?.kind, wasSent]).to.deep.equal(['broken', true]);
+  });
+
+  /** Guards against a message that fills the memory of a relay. */
+  it('declines a message without an end', async () => {
+    const options = { secret: SECRET, localAddress: undefined, timeoutMs: 1_000 };
+    const [hostname, port] = (await startRelay()).split(':');
+    const socket = await new Promise<net.Socket>((resolve, reject) => {
+      authenticatedSocket.open({ hostname, port }, options, (error, opened) => {
+        if (opened === null) reject(error);
+        else resolve(opened);
+      });
+    });
+    let answer = '';
+    socket.on('data', (data) => {
+      answer += data.toString();
+    });
+    const piece = Buffer.from(harness.chunk('x'.repeat(1_048_576)));
+    let bytesWritten = 0;
+    const write = (): void => {
+      bytesWritten += piece.length;
+      if (!socket.destroyed && bytesWritten < 200 * 1_048_576) socket.write(piece, write);
+      else socket.destroy();
+    };
+    socket.write('POST /messages HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n', write);
+    await new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    expect(answer).to.contain('declined');
+    expect(bytesWritten).to.be.below(100 * 1_048_576);
+  });
+
   /** Guards against an entry of an earlier version that gets HTTP where it expects calls. */
   it('is not attempted at an entry that does not know it', async () => {
     const server = new peerServer.PeerServer(SECRET, undefined, OBSERVER);
--- a/packages/daemon/src/entry/relayDispatch.ts
+++ b/packages/daemon/src/entry/relayDispatch.ts
@@ -9,6 +9,9 @@
   | { kind: 'over' }
   | Exclude<relayProtocol.RelayResult, { kind: 'broken' | 'foreign' | 'unusable' }>;
 
+/** Maximum size of a `RelayResult`. */
+const MAX_RESULT_BYTES = 65_536;
+
 export interface Options {
   attempt: targetAttempt.Attempt;
   /** Address of the relay. */
@@ -25,6 +28,8 @@
 
   private readonly result: Buffer[] = [];
 
+  private resultBytes = 0;
+
   constructor(private readonly options: Options) {}
 
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
@@ -48,9 +53,14 @@
     attempt.answered({ ...head, facts });
   }
 
-  onResponseData(_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
-    if (this.hasHead) this.options.attempt.data(chunk);
-    else this.result.push(chunk);
+  onResponseData(controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.hasHead) {
+      this.options.attempt.data(chunk);
+      return;
+    }
+    this.result.push(chunk);
+    this.resultBytes += chunk.length;
+    if (this.resultBytes > MAX_RESULT_BYTES) controller.abort(new Error('result is too long'));
   }
 
   onResponseEnd(
--- a/packages/daemon/src/entry/relayServer.ts
+++ b/packages/daemon/src/entry/relayServer.ts
@@ -4,6 +4,7 @@
  */
 import * as http from 'node:http';
 import type * as observer from '../observability/observer';
+import * as framing from '../rpc/framing';
 import type * as targetAttempt from './targetAttempt';
 import * as relayProtocol from './relayProtocol';
 import type * as targetClient from './targetClient';
@@ -26,9 +27,14 @@
 /** Most bytes of messages and of responses that wait for their receivers, in total. */
 const MAX_HELD_BYTES = 16 * 1024 * 1024;
 
+/** Longest body of a message, bytes. */
+const MAX_BODY_BYTES = framing.MAX_FRAME_BYTES;
+
 /** An idle connection of another entry is closed after this time, milliseconds; longer than the entry keeps it. */
 const IDLE_TIMEOUT_MS = 8_000;
 
+const TOO_LONG: relayProtocol.RelayResult = { kind: 'declined', detail: 'message is too long' };
+
 const PATH_LOST: relayProtocol.RelayResult = {
   kind: 'declined',
   detail: "the relay's own path to the target is lost",
@@ -79,7 +85,13 @@
       this.activeMessages -= 1;
     });
     const body = await this.read(request);
-    if (body === undefined) return;
+    if (body === 'cancelled') return;
+    if (body === 'tooLong') {
+      // The unread rest of the body must not be parsed as the next message.
+      response.setHeader('Connection', 'close');
+      this.end(response, TOO_LONG);
+      return;
+    }
     response.once('close', () => {
       this.heldBytes -= body.length;
     });
@@ -89,22 +101,24 @@
     else await this.relay({ ...head, body }, response);
   }
 
-  /** The whole body, counted as held; undefined if the other entry cancelled. */
-  private async read(request: http.IncomingMessage): Promise<Buffer | undefined> {
+  /** The whole body, counted as held; `cancelled` by the other entry. */
+  private async read(request: http.IncomingMessage): Promise<Buffer | 'cancelled' | 'tooLong'> {
     const chunks: Buffer[] = [];
     let length = 0;
-    const isWhole = await new Promise<boolean>((resolve) => {
+    const end = await new Promise<'whole' | 'cancelled' | 'tooLong'>((resolve) => {
       request.on('data', (chunk: Buffer) => {
+        if (length > MAX_BODY_BYTES) return;
         chunks.push(chunk);
         length += chunk.length;
         this.heldBytes += chunk.length;
+        if (length > MAX_BODY_BYTES) resolve('tooLong');
       });
-      request.once('end', () => resolve(true));
-      request.once('close', () => resolve(false));
+      request.once('end', () => resolve('whole'));
+      request.once('close', () => resolve('cancelled'));
     });
-    if (isWhole) return Buffer.concat(chunks);
+    if (end === 'whole') return Buffer.concat(chunks);
     this.heldBytes -= length;
-    return undefined;
+    return end;
   }
 
   private async relay(
