Bound the frames of a daemon that isn't authenticated yet

The callee of a connection limits frames to 1 KiB until the caller is authenticated, the caller took up to 64 MiB from whatever listens at the address. A call that tolerates delay would keep such a connection open.

Evidence: the test fails on the code before (the call ended with its time limit, '500 ms', instead of 'malformed frame').

The caller's limit is that of the handshake until the callee is authenticated.

--- a/packages/daemon/src/rpc/__tests__/rpc.test.ts
+++ b/packages/daemon/src/rpc/__tests__/rpc.test.ts
@@ -182,6 +182,23 @@
     expect(() => decoder.push(framing.encode('longer than ten bytes'))).to.throw(/over the limit/);
   });
 
+  /** Guards against an address where something else listens, and sends what looks like the beginning of a long frame. */
+  it('closes a connection on which an unknown peer sends a long frame', async () => {
+    const stranger = net.createServer((socket) => {
+      socket.on('error', () => undefined);
+      socket.write(Buffer.concat([Buffer.from([0, 32, 0, 0]), Buffer.alloc(10_000)]));
+    });
+    await new Promise<void>((resolve) => {
+      stranger.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = stranger.address() as net.AddressInfo;
+    const caller = client();
+    const result = await caller.call(`127.0.0.1:${port}`, 'echo', 1, { timeoutMs: 500 });
+    caller.close();
+    stranger.close();
+    expect(result.err && result.val.detail).to.equal('malformed frame');
+  });
+
   it('reassembles frames however the bytes are split', () => {
     const values = [{ a: 1 }, 'x', [1, 2, 3], null];
     const all = Buffer.concat(values.map(framing.encode));
--- a/packages/daemon/src/rpc/framing.ts
+++ b/packages/daemon/src/rpc/framing.ts
@@ -29,7 +29,8 @@
 
   constructor(
     private readonly onFrame: FrameHandler,
-    private readonly maxFrameBytes: number = MAX_FRAME_BYTES,
+    /** Applies to the frames that follow. */
+    public maxFrameBytes: number = MAX_FRAME_BYTES,
   ) {}
 
   /** @throws Error when the bytes aren't a valid frame */
--- a/packages/daemon/src/rpc/peerClient.ts
+++ b/packages/daemon/src/rpc/peerClient.ts
@@ -50,6 +50,8 @@
 
   private isAuthenticated = false;
 
+  private readonly decoder: framing.FrameDecoder;
+
   /** Frames held back until the connection is authenticated. */
   private readonly unsentFrames: Buffer[] = [];
 
@@ -70,10 +72,13 @@
         ? net.connect({ ...endpoint, noDelay: true })
         : tls.connect({ ...endpoint, ...tlsOptions });
     this.client = new jsonRpc.JSONRPCClient((request) => this.send(request));
-    const decoder = new framing.FrameDecoder((value, bytes) => this.handleFrame(value, bytes));
+    this.decoder = new framing.FrameDecoder(
+      (value, bytes) => this.handleFrame(value, bytes),
+      handshake.MAX_HANDSHAKE_FRAME_BYTES,
+    );
     this.socket.on('data', (chunk: Buffer) => {
       try {
-        decoder.push(chunk);
+        this.decoder.push(chunk);
       } catch {
         this.close('malformed frame');
       }
@@ -123,6 +128,7 @@
       return;
     }
     this.isAuthenticated = true;
+    this.decoder.maxFrameBytes = framing.MAX_FRAME_BYTES;
     this.unsentFrames.splice(0).forEach((frame) => this.socket.write(frame));
   }
 }
