Bound the calls of targets to keepers more tightly

A keeper kept up to 16 MiB of each announcement, which takes less than a kilobyte: the limit was that of a whole document of settings.

Evidence: the test fails on the code before (20.9 MB taken from one endless announcement; below 4 MiB expected, most of it buffers of the system).

Only documents of settings may take 16 MiB, all other calls 64 KiB. A longer one is answered 413, as before, now with `Connection: close`.

--- a/packages/daemon/src/keeper/__tests__/controlServer.test.ts
+++ b/packages/daemon/src/keeper/__tests__/controlServer.test.ts
@@ -1,4 +1,5 @@
 /** How a keeper answers targets' calls that it can't use, over a real socket. */
+import * as net from 'node:net';
 import * as chai from 'chai';
 import { Err, Ok } from 'ts-results';
 import * as ports from '../../__tests__/__fixtures__/ports';
@@ -53,4 +54,31 @@
     ]);
     expect([forwarded, observe.counters()['announcements.ignored']]).to.deep.equal([['a'], 4]);
   });
+
+  /** Guards against a target whose announcement fills the memory of a keeper. */
+  it('end with their connection if they have no end', async () => {
+    const server = new controlServer.ControlServer({
+      protocol: PROTOCOL,
+    } as unknown as controlServer.Dependencies);
+    const port = await ports.freePort();
+    await server.listen({ host: '127.0.0.1', port });
+    const socket = net.connect(port, '127.0.0.1');
+    socket.on('error', () => undefined);
+    let answer = '';
+    socket.on('data', (data) => {
+      answer += data.toString();
+    });
+    const bytes = 'x'.repeat(32_768);
+    const piece = `${bytes.length.toString(16)}\r\n${bytes}\r\n`;
+    const write = (): void => {
+      if (!socket.destroyed) socket.write(piece, () => setTimeout(write, 1));
+    };
+    socket.write('PUT /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n', write);
+    await new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    server.close();
+    expect(answer).to.match(/^HTTP\/1.1 413 /);
+    expect(socket.bytesWritten).to.be.below(4 * 1_048_576);
+  });
 });
--- a/packages/daemon/src/keeper/controlServer.ts
+++ b/packages/daemon/src/keeper/controlServer.ts
@@ -40,8 +40,11 @@
   retryAfterS?: number;
 }
 
-/** Maximum size of a document or announcement; 350 routes take some 100 KB. */
-const MAX_BODY_BYTES = 16 * 1024 * 1024;
+/** Maximum size of a document of settings; 350 routes take some 100 KB. */
+const MAX_SETTINGS_BYTES = 16 * 1024 * 1024;
+
+/** Maximum size of the body of any other call; an announcement takes less than 1 KB. */
+const MAX_BODY_BYTES = 64 * 1024;
 
 /** How long a target or operator may keep an idle connection, in milliseconds. */
 const KEEP_ALIVE_MS = 15_000;
@@ -55,6 +58,8 @@
  */
 const CLOSED_CHECK_MS = 5;
 
+const TOO_LARGE: Reply = { status: 413, body: '' };
+
 const NOT_FOUND: Reply = { status: 404, body: '' };
 
 const UNAVAILABLE: Reply = { status: 503, body: '{"error":"no leader is reachable"}' };
@@ -84,24 +89,35 @@
   }
 
   private async serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
-    const body = await readBody(request);
+    const call = this.callOf(request);
+    const maxBytes = call?.kind === 'submit' ? MAX_SETTINGS_BYTES : MAX_BODY_BYTES;
+    const body = await readBody(request, maxBytes);
     if (body === 'broken') return;
-    const reply = body === 'tooLarge' ? { status: 413, body: '' } : await this.reply(request, body);
+    const reply = body === 'tooLarge' ? TOO_LARGE : await this.reply(request, call, body);
     if (response.destroyed) return;
     const { status, retryAfterS } = reply;
     const length = Buffer.byteLength(reply.body);
     response.writeHead(status, {
       'Content-Type': 'application/json',
       'Content-Length': length,
+      // The unread rest of a body must not be parsed as the next call.
+      ...(reply === TOO_LARGE && { Connection: 'close' }),
       ...(retryAfterS === undefined ? {} : { 'Retry-After': String(retryAfterS) }),
     });
     response.end(reply.body);
   }
 
-  private async reply(request: http.IncomingMessage, body: Buffer): Promise<Reply> {
-    const path = (request.url ?? '').split('?')[0];
-    const call = this.dependencies.protocol.parseCall(request.method ?? '', path);
+  private callOf(request: http.IncomingMessage): protocols.ControlCall | undefined {
+    return this.dependencies.protocol.parseCall(request.method ?? '', pathOf(request));
+  }
+
+  private async reply(
+    request: http.IncomingMessage,
+    call: protocols.ControlCall | undefined,
+    body: Buffer,
+  ): Promise<Reply> {
     if (call === undefined) return NOT_FOUND;
+    const path = pathOf(request);
     const writer = request.socket.remoteAddress ?? '';
     if (call.kind === 'unreadable') return this.ignore({ writer, target: path }, call.detail);
     if (call.kind === 'announce') return this.announce({ writer, target: call.id }, body);
@@ -201,13 +217,21 @@
   }
 }
 
-async function readBody(request: http.IncomingMessage): Promise<Buffer | 'tooLarge' | 'broken'> {
+function pathOf(request: http.IncomingMessage): string {
+  return (request.url ?? '').split('?')[0];
+}
+
+async function readBody(
+  request: http.IncomingMessage,
+  maxBytes: number,
+): Promise<Buffer | 'tooLarge' | 'broken'> {
   const chunks: Buffer[] = [];
   let length = 0;
   try {
-    for await (const chunk of request) {
+    // The connection stays open for the answer to a body that is too long.
+    for await (const chunk of request.iterator({ destroyOnReturn: false })) {
       length += (chunk as Buffer).length;
-      if (length > MAX_BODY_BYTES) return 'tooLarge';
+      if (length > maxBytes) return 'tooLarge';
       chunks.push(chunk as Buffer);
     }
   } catch {
