--- a/packages/daemon/src/entry/__tests__/endlessResponses.test.ts
+++ b/packages/daemon/src/entry/__tests__/endlessResponses.test.ts
@@ -158,6 +158,14 @@
     expect(clock.steady() - sentAt).to.be.below(PROMPT_MS);
   });
 
+  // Guards against a target that fills the log.
+  it('is logged once a second for each target', async () => {
+    await start(new EndlessTarget(UNSIGNED_HEAD, plainChunk));
+    for (let i = 0; i < 5; i++) await setup.send('/unsafe/1');
+    const lines = setup.logged.filter(({ event }) => event === 5031);
+    expect(lines.length).to.be.within(1, 2);
+  });
+
   // Guards against informational responses, and a long body of an answer to the caller, that are taken for endless.
   it('is none if a few informational responses come first', async () => {
     const body = 'x'.repeat(300_000);
