--- a/packages/daemon/src/entry/relayDispatch.ts
+++ b/packages/daemon/src/entry/relayDispatch.ts
@@ -6,7 +6,11 @@
 
 /** The attempt is over, or it never reached its target and may go another way. */
 export type DispatchEnd =
-  { kind: 'over' } | Exclude<relayProtocol.RelayResult, { kind: 'broken' | 'foreign' }>;
+  | { kind: 'over' }
+  | Exclude<relayProtocol.RelayResult, { kind: 'broken' | 'foreign' | 'unusable' }>;
+
+/** Maximum size of a `RelayResult`. */
+const MAX_RESULT_BYTES = 65_536;
 
 export interface Options {
   attempt: targetAttempt.Attempt;
@@ -24,6 +28,8 @@
 
   private readonly result: Buffer[] = [];
 
+  private resultBytes = 0;
+
   constructor(private readonly options: Options) {}
 
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
@@ -47,9 +53,14 @@
     attempt.answered({ ...head, facts });
   }
 
-  onResponseData(_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
-    if (this.hasHead) this.options.attempt.data(chunk);
-    else this.result.push(chunk);
+  onResponseData(controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.hasHead) {
+      this.options.attempt.data(chunk);
+      return;
+    }
+    this.result.push(chunk);
+    this.resultBytes += chunk.length;
+    if (this.resultBytes > MAX_RESULT_BYTES) controller.abort(new Error('result is too long'));
   }
 
   onResponseEnd(
@@ -79,7 +90,7 @@
       onEnd({ kind: 'over' });
       return;
     }
-    if (result.kind === 'broken' || result.kind === 'foreign') {
+    if (result.kind === 'broken' || result.kind === 'foreign' || result.kind === 'unusable') {
       attempt.finish(result);
       onEnd({ kind: 'over' });
       return;
@@ -94,7 +105,8 @@
   try {
     const { kind, detail } = JSON.parse(body.toString()) as relayProtocol.RelayResult;
     const isUnsent = kind === 'notSent' || kind === 'refused' || kind === 'declined';
-    if (isUnsent || kind === 'foreign') return { kind, detail: String(detail) };
+    if (isUnsent || kind === 'foreign' || kind === 'unusable')
+      return { kind, detail: String(detail) };
     return { kind: 'broken', detail: String(detail) };
   } catch {
     return { kind: 'broken', detail: 'unreadable result of the relay' };
