Acknowledge announcements only as the confirmed leader

Targets that announced that they drain or leave were acknowledged, and no entry learned of it: requests went on to them until they were gone, and ended with them.

A leader whose disk stalls processes no message and no tick until the write ends, so it goes on to take itself for the leader while the others elect a successor and the entries follow that. Documents and orders are safe, as they wait for a commit, but announcements asked only whether this keeper takes itself for the leader. Its followers no longer poll it, so nothing was pushed, and the target, which stays with a keeper as long as that answers, was acknowledged again and again. The same holds for a process that was frozen, and for a moment for one that is cut off.

An announcement or departure is now acknowledged only if a quorum confirmed the leadership so recently that no other leader can have been elected, or confirms it then; otherwise the target gets 503 and calls the next keeper. In a calm fleet this costs nothing, as the last heartbeat is recent.

--- a/packages/daemon/src/keeper/__tests__/__fixtures__/keeperFleet.ts
+++ b/packages/daemon/src/keeper/__tests__/__fixtures__/keeperFleet.ts
@@ -16,6 +16,7 @@
 import * as observer from '../../../observability/observer';
 import * as peerClient from '../../../rpc/peerClient';
 import * as peerServer from '../../../rpc/peerServer';
+import type * as journal from '../../../storage/journal';
 import * as keeper from '../../keeper';
 
 const { expect } = chai;
@@ -64,6 +65,11 @@
   settings: roleSettings.Settings;
 }
 
+/** The part of a keeper that writes to its disk. */
+interface KeeperHost {
+  dependencies: { journal: journal.Journal };
+}
+
 export async function until(what: string, check: () => boolean | Promise<boolean>): Promise<void> {
   const deadline = clock.steady() + 15_000;
   while (!(await check())) {
@@ -145,6 +151,22 @@
     for (const i of [...this.running.keys()]) await this.stop(i);
   }
 
+  /** Stalls the disk of a keeper under its next write; returns a function that ends that. */
+  stallDisk(i: number): () => void {
+    const { host } = this.running.get(i) as unknown as { host: KeeperHost };
+    const { journal } = host.dependencies;
+    const append = journal.append.bind(journal);
+    let resume = (): void => undefined;
+    const stalled = new Promise<void>((resolve) => {
+      resume = resolve;
+    });
+    journal.append = async (records) => {
+      await stalled;
+      await append(records);
+    };
+    return resume;
+  }
+
   get leader(): number {
     return [...this.running].find(([, each]) => each.gauges().leads === 1)?.[0] ?? -1;
   }
--- a/packages/daemon/src/keeper/__tests__/keeper.test.ts
+++ b/packages/daemon/src/keeper/__tests__/keeper.test.ts
@@ -93,6 +93,30 @@
     expect(state.registry.get('i1')?.state).to.equal('gone');
   });
 
+  // Guards against an acknowledged drain that no entry learns of: a leader with a stalled disk doesn't notice its successor.
+  it('acknowledge no announcement at a former leader whose disk stalls', async () => {
+    const { state, link } = await fleet.follow();
+    await until('the target', async () => {
+      const [status] = await fleet.call(fleet.leader, 'PUT', '/i1', target('ready', 1));
+      return status === 200 && state.registry.get('i1')?.state === 'ready';
+    });
+    const former = fleet.leader;
+    const previousLeader = link.leader;
+    const resume = fleet.stallDisk(former);
+    void fleet.call(former, 'PUT', '/catalogue', { version: 3, valid: true });
+    await until('its successor', () => !['', previousLeader].includes(link.leader));
+    const answers = [
+      await fleet.call(former, 'PUT', '/i1', target('draining', 2)),
+      await fleet.call(former, 'PUT', '/i1', target('draining', 3)),
+      await fleet.call(former, 'DELETE', '/i1'),
+    ];
+    resume();
+    expect(answers.map(([status]) => status)).to.deep.equal([503, 503, 503]);
+    const other = [0, 1, 2].find((i) => i !== former) as number;
+    expect((await fleet.call(other, 'PUT', '/i1', target('draining', 4)))[0]).to.equal(200);
+    expect(state.registry.get('i1')?.state).to.equal('draining');
+  });
+
   /*
    * Guards against an engine that stays unused: it crashed without departing, and another one started at its address.
    * The keepers must accept the new one without waiting for the old one to depart.
--- a/packages/daemon/src/keeper/leaderCalls.ts
+++ b/packages/daemon/src/keeper/leaderCalls.ts
@@ -60,11 +60,15 @@
     );
   }
 
-  /** Resolves once the followers know the changes. */
+  /** Resolves with true once the followers know the changes. */
   async announceHere({ records }: messages.AnnouncementBatch): Promise<boolean> {
-    if (!this.dependencies.host.isLeader) return false;
-    await Promise.all(records.map((record) => this.dependencies.leadership.announce(record)));
-    return true;
+    const { host, leadership } = this.dependencies;
+    if (!host.isLeader) return false;
+    const [isConfirmed] = await Promise.all([
+      this.stillLeads(),
+      ...records.map((record) => leadership.announce(record)),
+    ]);
+    return isConfirmed;
   }
 
   depart(content: messages.Departure): Promise<boolean> {
@@ -78,9 +82,19 @@
   }
 
   async departHere(departed: messages.Departure): Promise<boolean> {
-    if (!this.dependencies.host.isLeader) return false;
-    await this.dependencies.leadership.depart(departed);
-    return true;
+    const { host, leadership } = this.dependencies;
+    if (!host.isLeader) return false;
+    const [isConfirmed] = await Promise.all([this.stillLeads(), leadership.depart(departed)]);
+    return isConfirmed;
+  }
+
+  /**
+   * Whether a quorum confirms that this keeper leads. One whose disk stalls takes itself for the leader while others
+   * follow its successor, and no follower would learn what it acknowledged.
+   */
+  private async stillLeads(): Promise<boolean> {
+    const { host } = this.dependencies;
+    return host.hasQuorumContact() || host.confirmLeadership(true);
   }
 
   submit(edition: PackedCatalogue): Promise<messages.SubmitAnswer> {
