Test orders and settings that outlive their leader and a stalled disk

No fault was found here; no test covered the combination. While a voter's disk is stalled, a document and two orders are acknowledged. The leader and that voter then lose power together, and the voter comes back without what it had not written: the document, the evacuation and the end of another one must still be in force, as the third voter has them.

--- a/packages/daemon/src/keeper/__tests__/__fixtures__/keeperFleet.ts
+++ b/packages/daemon/src/keeper/__tests__/__fixtures__/keeperFleet.ts
@@ -151,20 +151,22 @@
     for (const i of [...this.running.keys()]) await this.stop(i);
   }
 
-  /** Stalls the disk of a keeper under its next write; returns a function that ends that. */
-  stallDisk(i: number): () => void {
+  /** Stalls the disk of a keeper under its next write; the writes are done or lost in the end. */
+  stallDisk(i: number): { resume: () => void; lose: () => void } {
     const { host } = this.running.get(i) as unknown as { host: KeeperHost };
     const { journal } = host.dependencies;
     const append = journal.append.bind(journal);
     let resume = (): void => undefined;
-    const stalled = new Promise<void>((resolve) => {
+    let lose = (): void => undefined;
+    const stalled = new Promise<void>((resolve, reject) => {
       resume = resolve;
+      lose = () => reject(new Error('lost'));
     });
     journal.append = async (records) => {
       await stalled;
       await append(records);
     };
-    return resume;
+    return { resume, lose };
   }
 
   get leader(): number {
--- a/packages/daemon/src/keeper/__tests__/evacuations.test.ts
+++ b/packages/daemon/src/keeper/__tests__/evacuations.test.ts
@@ -238,6 +238,34 @@
     expect(names).to.deep.equal(['dc1', 'dc2']);
   });
 
+  // Guards against orders and a revoked key that are lost with their leader, and with what a stalled disk hadn't written.
+  it('and catalogues survive the loss of their leader and of a keeper whose disk had stalled', async () => {
+    await start(SETTINGS);
+    await order(fleet, 'POST', 'dc0');
+    const { leader } = fleet;
+    const stalled = (leader + 1) % 3;
+    const disk = fleet.stallDisk(stalled);
+    await Promise.all([
+      fleet.submit(7),
+      order(fleet, 'DELETE', 'dc0'),
+      order(fleet, 'POST', 'dc1'),
+    ]);
+    const losses = [fleet.stop(leader), fleet.stop(stalled)];
+    await losses[0];
+    disk.lose();
+    await losses[1];
+    const [last] = fleet.running.values();
+    await until('the loss to be noticed', () => last.gauges().withoutLeaderMs > 0);
+    await fleet.start(stalled, false);
+    const { state } = await fleet.follow();
+    await until('the catalogue', () => state.version === 7);
+    expect(evacuated(state)).to.deep.equal(['dc1']);
+    expect(await fleet.version()).to.equal(7);
+    expect((await listing(fleet)).evacuations.map(({ dataCentre }) => dataCentre)).to.deep.equal([
+      'dc1',
+    ]);
+  });
+
   // Guards against an order or a catalogue that overwrites the other, and against an order that undoes another.
   it('and catalogues may be submitted at once', async () => {
     await start(SETTINGS);
--- a/packages/daemon/src/keeper/__tests__/keeper.test.ts
+++ b/packages/daemon/src/keeper/__tests__/keeper.test.ts
@@ -102,7 +102,7 @@
     });
     const former = fleet.leader;
     const previousLeader = link.leader;
-    const resume = fleet.stallDisk(former);
+    const disk = fleet.stallDisk(former);
     void fleet.call(former, 'PUT', '/catalogue', { version: 3, valid: true });
     await until('its successor', () => !['', previousLeader].includes(link.leader));
     const answers = [
@@ -110,7 +110,7 @@
       await fleet.call(former, 'PUT', '/i1', target('draining', 3)),
       await fleet.call(former, 'DELETE', '/i1'),
     ];
-    resume();
+    disk.resume();
     expect(answers.map(([status]) => status)).to.deep.equal([503, 503, 503]);
     const other = [0, 1, 2].find((i) => i !== former) as number;
     expect((await fleet.call(other, 'PUT', '/i1', target('draining', 4)))[0]).to.equal(200);
