--- a/packages/daemon/src/replicas/__tests__/unknownCommand.test.ts
+++ b/packages/daemon/src/replicas/__tests__/replicaSet.test.ts
@@ -11,23 +11,21 @@
 
 const { expect } = chai;
 
+const MACHINE = { apply: () => undefined, snapshot: () => undefined, restore: () => undefined };
+
 describe('a replica', () => {
-  /*
-   * Guards against a command of a newer program that is skipped, or that is taken for a full disk and tried again
-   * forever.
-   */
-  it('stops at a command that its state machine does not know', async () => {
-    const failures: unknown[] = [];
-    const machine: stateMachine.StateMachine = {
-      apply: (command, index) => {
-        if (command === 'later') throw new stateMachine.UnknownCommand(command, index);
-        return command;
-      },
-      snapshot: () => undefined,
-      restore: () => undefined,
-    };
+  let folder = '';
+
+  let failures: unknown[] = [];
+
+  beforeEach(async () => {
+    folder = await fs.mkdtemp(path.join(os.tmpdir(), 'replica-'));
+    failures = [];
+  });
+
+  async function open(machine: stateMachine.StateMachine): Promise<replicaSet.ReplicaSet> {
     const opened = await replicaSet.ReplicaSet.open({
-      folder: await fs.mkdtemp(path.join(os.tmpdir(), 'replica-')),
+      folder,
       address: '127.0.0.1:1',
       dataCentre: 'a',
       machines: new Map([['log', machine]]),
@@ -37,7 +35,21 @@
       observer: new observer.Observer('test', 'fatal', undefined),
       onDiskFailure: (error) => failures.push(error),
     });
-    const set = opened.unwrap();
+    return opened.unwrap();
+  }
+
+  /*
+   * Guards against a command of a newer program that is skipped, or that is taken for a full disk and tried again
+   * forever.
+   */
+  it('stops at a command that its state machine does not know', async () => {
+    const set = await open({
+      ...MACHINE,
+      apply: (command, index) => {
+        if (command === 'later') throw new stateMachine.UnknownCommand(command, index);
+        return command;
+      },
+    });
     const [host] = set.hosts.values();
     set.start({ add: () => undefined } as unknown as peerServer.PeerServer);
     await set.found([set.member('voter')]);
@@ -49,4 +61,21 @@
     expect(await host.confirmLeadership(true)).to.equal(false);
     await set.stop();
   });
+
+  // Guards against lost settings: without its journal, a voter helps to elect a leader that lacks what it acknowledged.
+  it('keeps its id when it comes back, unless the disk has lost its journal', async () => {
+    const journal = path.join(folder, 'log', 'journal');
+    const idAfterStart = async (): Promise<string> => {
+      const set = await open(MACHINE);
+      await set.stop();
+      return set.id;
+    };
+    const ids = [await idAfterStart(), await idAfterStart()];
+    await fs.rm(journal);
+    ids.push(await idAfterStart(), await idAfterStart());
+    await fs.writeFile(journal, (await fs.readFile(journal)).subarray(0, 5));
+    ids.push(await idAfterStart());
+    const numbers = ids.map((id) => [...new Set(ids)].indexOf(id));
+    expect(numbers).to.deep.equal([0, 0, 1, 1, 2]);
+  });
 });
--- a/packages/daemon/src/replicas/replicaSet.ts
+++ b/packages/daemon/src/replicas/replicaSet.ts
@@ -65,12 +65,18 @@
   }
 
   static async open(options: Options): Promise<Result<ReplicaSet, frames.CorruptFrame>> {
-    const id = await identity.readOrCreate(options.folder);
-    const set = new ReplicaSet(id, options);
-    for (const [log, machine] of options.machines) {
-      const opened = await set.openLog(log, machine);
+    const { folder, machines } = options;
+    const journals = new Map<string, journal.OpenedJournal>();
+    for (const log of machines.keys()) {
+      const opened = await journal.Journal.open(path.join(folder, log));
       if (opened.err) return Err(opened.val);
+      journals.set(log, opened.val);
     }
+    // Without a journal the replica has lost its votes and entries, like one with an empty disk.
+    const hasState = [...journals.values()].some(({ durable }) => durable !== undefined);
+    const id = await (hasState ? identity.readOrCreate(folder) : identity.create(folder));
+    const set = new ReplicaSet(id, options);
+    for (const [log, opened] of journals) await set.addLog(log, opened);
     return Ok(set);
   }
 
@@ -109,15 +115,11 @@
     for (const host of this.hosts.values()) await host.close();
   }
 
-  private async openLog(
-    log: string,
-    logMachine: stateMachine.StateMachine,
-  ): Promise<Result<void, frames.CorruptFrame>> {
-    const opened = await journal.Journal.open(path.join(this.options.folder, log));
-    if (opened.err) return opened;
-    const durable = opened.val.durable ?? domain.replication.messages.emptyDurable();
-    if (opened.val.durable === undefined) await opened.val.journal.rewrite(durable);
-    if (opened.val.wasTorn) this.options.observer.log('journalCut', { log });
+  private async addLog(log: string, opened: journal.OpenedJournal): Promise<void> {
+    const logMachine = this.options.machines.get(log) as stateMachine.StateMachine;
+    const durable = opened.durable ?? domain.replication.messages.emptyDurable();
+    if (opened.durable === undefined) await opened.journal.rewrite(durable);
+    if (opened.wasTorn) this.options.observer.log('journalCut', { log });
     if (durable.snapshot.index > 0) logMachine.restore(durable.snapshot.state);
     const { timing, random, observer: observe } = this.options;
     const send: logHost.Dependencies['send'] = (peer, to, message) => {
@@ -134,7 +136,7 @@
         id: log,
         replica: createReplica(durable),
         reopen: createReplica,
-        journal: opened.val.journal,
+        journal: opened.journal,
         machine: logMachine,
         send,
         now,
@@ -143,6 +145,5 @@
         onDiskFailure: this.options.onDiskFailure,
       }),
     );
-    return Ok(undefined);
   }
 }
--- a/packages/daemon/src/storage/identity.ts
+++ b/packages/daemon/src/storage/identity.ts
@@ -1,6 +1,6 @@
 /**
- * Replica id of a data folder, written when the folder is created. A VM that restarts with an empty disk
- * gets a new id and is a new replica: it must not vote under the old id, whose votes and entries it lost.
+ * Replica id of a data folder, written when the folder is created. A VM that restarts with an empty disk, or without its
+ * journals, gets a new id and is a new replica: it must not vote under the old id, whose votes and entries it lost.
  */
 import * as crypto from 'node:crypto';
 import * as fs from 'node:fs/promises';
@@ -11,10 +11,14 @@
 
 /** Reads the replica id of a data folder, or creates the folder and a random id. */
 export async function readOrCreate(folder: string): Promise<string> {
-  await fs.mkdir(folder, { recursive: true });
   const file = path.join(folder, FILE);
   const existing = await fs.readFile(file, 'utf8').catch(() => '');
-  if (existing.trim() !== '') return existing.trim();
+  return existing.trim() === '' ? create(folder) : existing.trim();
+}
+
+/** Creates a random id, which replaces one that the folder may have. */
+export async function create(folder: string): Promise<string> {
+  await fs.mkdir(folder, { recursive: true });
   const created = `replica-${crypto.randomBytes(8).toString('hex')}`;
   await replaceFile.replaceFile(folder, FILE, `${created}\n`);
   return created;
