--- a/packages/daemon/src/storage/__tests__/storage.test.ts
+++ b/packages/daemon/src/storage/__tests__/storage.test.ts
@@ -118,6 +118,21 @@
     expect([recovered?.entries.length, reopened.durable?.entries.length]).to.deep.equal([3, 4]);
   });
 
+  // Guards against a loss of power that takes a new journal with its folder, whose name wasn't synced.
+  it('syncs the folder in which it creates its own', async () => {
+    const mutableFs = fs.promises as { open: typeof fs.promises.open };
+    const { open } = mutableFs;
+    const opened: unknown[] = [];
+    mutableFs.open = async (file, flags) => {
+      opened.push(file);
+      return open(file, flags);
+    };
+    const created = await journal.Journal.open(path.join(folder, 'a'));
+    mutableFs.open = open;
+    await created.unwrap().journal.close();
+    expect(opened).to.include(folder);
+  });
+
   it('keeps the id of a data folder, and creates another one for an emptied folder', async () => {
     const created = await identity.readOrCreate(folder);
     const again = await identity.readOrCreate(folder);
--- a/packages/daemon/src/storage/journal.ts
+++ b/packages/daemon/src/storage/journal.ts
@@ -43,7 +43,7 @@
   ) {}
 
   static async open(folder: string): Promise<Result<OpenedJournal, frames.CorruptFrame>> {
-    await fs.mkdir(folder, { recursive: true });
+    await createFolder(folder);
     await fs.rm(path.join(folder, `${FILE}.new`), { force: true });
     const handle = await fs.open(path.join(folder, FILE), 'a+');
     const replayed = frames.replay(await handle.readFile());
@@ -107,6 +107,14 @@
   return (rest as Record[][]).flat().reduce(applyRecord, first as Durable);
 }
 
+/** Creates a folder where it is missing, so that a loss of power doesn't take it with what is synced in it. */
+async function createFolder(folder: string): Promise<void> {
+  const parent = path.dirname(folder);
+  await fs.mkdir(parent, { recursive: true });
+  const created = await fs.mkdir(folder, { recursive: true });
+  if (created !== undefined) await syncFolder(parent);
+}
+
 async function writeSynced(file: string, content: Buffer): Promise<void> {
   const handle = await fs.open(file, 'w');
   try {
