Test that answers outlive the removal of their target

No fault was found here. A target whose end was announced or presumed leaves the registry, and its connection pool is closed; no test covered what is under way there. A message whose connection is still being made, and a response in progress, must both complete.

--- a/packages/daemon/src/entry/__tests__/targetClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/targetClient.test.ts
@@ -12,8 +12,11 @@
   body: string;
 }
 
-/** Sends one request to a target that handles its connection by `behave`. */
-async function sendTo(behave: (socket: net.Socket) => void): Promise<Result> {
+/** Sends one request to a target that handles its connection by `behave`; `afterSend` is called once it is sent. */
+async function sendTo(
+  behave: (socket: net.Socket) => void,
+  afterSend: (client: targetClient.TargetClient) => void = () => undefined,
+): Promise<Result> {
   const server = net.createServer((socket) => {
     socket.on('error', () => undefined);
     socket.once('data', () => behave(socket));
@@ -44,6 +47,7 @@
       },
     },
   );
+  afterSend(client);
   const end = await attempt.result;
   client.close();
   server.close();
@@ -59,6 +63,18 @@
     expect([end.kind, body]).to.deep.equal(['complete', 'whole']);
   });
 
+  // Guards against answers that end because a change of the registry removes their target.
+  it('finishes what is under way when its target is gone', async () => {
+    const behave = (socket: net.Socket): void => {
+      socket.write(`${CHUNKED}${harness.chunk('wh')}`);
+      setTimeout(() => socket.end(harness.chunk('ole') + harness.LAST_CHUNK), 100);
+    };
+    const unconnected = await sendTo(behave, (client) => client.forget('t'));
+    const midway = await sendTo(behave, (client) => setTimeout(() => client.forget('t'), 50));
+    const seen = [unconnected, midway].map(({ end, body }) => `${end.kind} ${body}`);
+    expect(seen).to.deep.equal(['complete whole', 'complete whole']);
+  });
+
   /*
    * Guards against a truncated response that looks complete to the caller. The target crashes while it sends a response
    * that is delimited by the end of the connection: data and reset arrive together, and libuv reports an end.
