Answer a request whose handling fails before its exchange

An error between a request's arrival and its exchange (what its caller states, the settings, the count of its bytes) had no handler. One in a promise left the caller without an answer and, as an unhandled rejection, ended the process; one in the listener for the body's bytes was an uncaught exception.

The ingress now handles them: 503 if the request wasn't passed on to its exchange, so that no target can have got it; 502 if it was; a closed connection with 5030 and a counter if its answer had begun; and 1006 in each case.

--- /dev/null
+++ b/packages/daemon/src/entry/__tests__/ingress.test.ts
@@ -0,0 +1,125 @@
+/** Ends of callers' requests at an ingress: errors in it, bodies that are refused, and stops. */
+import * as net from 'node:net';
+import * as chai from 'chai';
+import type * as domain from '@celerydrift/domain';
+import * as ports from '../../__tests__/__fixtures__/ports';
+import * as clock from '../../clock';
+import * as observer from '../../observability/observer';
+import * as heldBytes from '../heldBytes';
+import * as ingress from '../ingress';
+import * as harness from './__fixtures__/harness';
+
+type Directory = domain.catalogue.directory.Directory;
+
+const { expect } = chai;
+
+const LIMITS = { maxHeaderBytes: 9_000, maxBodyBytes: 1e6, headerTimeoutMs: 500, idleTimeoutMs: 0 };
+
+const DIRECTORY = {
+  version: 1,
+  needsKeys: false,
+  catalogue: { limits: LIMITS },
+  route: (_host: string, path: string) => (path === '/none' ? undefined : { isPublic: true }),
+} as unknown as Directory;
+
+const fail = (): never => {
+  throw new Error('unexpected');
+};
+
+describe('an ingress', () => {
+  let tested: ingress.Ingress;
+  let held: heldBytes.HeldBytes;
+  let observe: observer.Observer;
+  let port: number;
+  let logged: Record<string, unknown>[];
+
+  async function start(dependencies: Partial<ingress.Dependencies>): Promise<void> {
+    logged = [];
+    const output = { write: (line: string) => logged.push(JSON.parse(line)) };
+    observe = new observer.Observer('test', 'warn', undefined, output);
+    held = new heldBytes.HeldBytes({ boundBytes: 1e9, now: clock.steady, observer: observe });
+    tested = new ingress.Ingress({
+      protocol: harness.PROTOCOL,
+      observer: observe,
+      now: clock.steady,
+      directory: () => DIRECTORY,
+      isFresh: () => true,
+      held,
+      serve: async ({ response }) => {
+        response.end('served');
+      },
+      ...dependencies,
+    });
+    port = await ports.freePort();
+    await tested.listen({ host: '127.0.0.1', port });
+  }
+
+  afterEach(() => {
+    tested.close();
+    held.close();
+  });
+
+  /** All that a caller receives for a request, until its connection ends. */
+  async function receive(
+    head: string,
+    act: (socket: net.Socket) => unknown = () => undefined,
+  ): Promise<string> {
+    const socket = net.connect(port, '127.0.0.1');
+    socket.write(`${head} HTTP/1.1\r\nHost: a\r\nid: r1\r\nConnection: close\r\n`);
+    let received = '';
+    socket.on('data', (data) => {
+      received += data.toString();
+    });
+    const ended = new Promise<string>((resolve) => {
+      socket.on('error', (error: NodeJS.ErrnoException) => resolve(`${error.code} ${received}`));
+      socket.on('close', () => resolve(received));
+    });
+    await act(socket);
+    return ended;
+  }
+
+  const sendBody = (socket: net.Socket): unknown => socket.write('Content-Length: 2\r\n\r\nab');
+
+  // Guards against an error that ends the process, and with it the answers to all other callers.
+  const errors: Record<string, [Partial<ingress.Dependencies>, RegExp]> = {
+    'in the settings': [
+      { directory: () => ({ ...DIRECTORY, route: fail }) as unknown as Directory },
+      /^HTTP\/1.1 503 /,
+    ],
+    'in what its caller states': [
+      { protocol: { ...harness.PROTOCOL, callerMetadata: fail } },
+      /^HTTP\/1.1 503 /,
+    ],
+    'while its body is counted': [
+      {
+        held: {
+          open: () => ({ bodyArrived: fail, bodyEnded: fail, close: () => undefined }),
+        } as unknown as heldBytes.HeldBytes,
+      },
+      /^HTTP\/1.1 503 /,
+    ],
+    'once it may have been sent': [{ serve: async () => fail() }, /^HTTP\/1.1 502 /],
+  };
+  Object.entries(errors).forEach(([title, [dependencies, status]]) => {
+    it(`answers a request after an unexpected error ${title}`, async () => {
+      await start(dependencies);
+      expect(await receive('POST /', sendBody)).to.match(status);
+      await clock.sleep(10);
+      expect([tested.activeRequests, observe.counters()['event.crashed']]).to.deep.equal([0, 1]);
+    });
+  });
+
+  // Guards against an answer cut by an error that leaves no trace.
+  it('reports an answer that an unexpected error breaks off', async () => {
+    await start({
+      serve: async ({ response }) => {
+        response.write('begun');
+        await clock.sleep(20);
+        fail();
+      },
+    });
+    expect(await receive('POST /', sendBody)).to.include('begun');
+    expect(observe.counters()['answers.aborted.internalError']).to.equal(1);
+    expect(logged.map(({ event, request }) => [event, request])).to.deep.include([5030, 'r1']);
+  });
+});
--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -63,6 +63,9 @@
 
   private readonly sockets = new Set<net.Socket>();
 
+  /** Requests that were passed on to be served, so that targets may run them. */
+  private readonly passedOn = new WeakSet<http.IncomingMessage>();
+
   private active = 0;
 
   private isDraining = false;
@@ -88,7 +91,7 @@
         noDelay: true,
       },
       (request, response) => {
-        void this.handle(request, response);
+        void this.answer(request, response);
       },
     );
     this.malformedInput = new malformedInput.MalformedInput(this.server, dependencies.observer);
@@ -149,22 +152,33 @@
     this.server.closeIdleConnections();
   }
 
-  private async handle(
+  private async answer(
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    const arrivedAt = this.dependencies.now();
     this.active += 1;
-    this.gate.used(request.socket);
-    this.malformedInput.began(request, response);
-    const held = this.dependencies.held.open(this.connectionOf(request, response));
     response.once('close', () => {
       this.active -= 1;
-      held.close();
     });
-    if (this.isDraining) response.setHeader('Connection', 'close');
     // An error of the caller's connection ends its exchange through `close`; it needs no other handling.
     response.on('error', () => undefined);
+    try {
+      await this.handle(request, response);
+    } catch (error) {
+      this.failUnexpectedly(request, response, error);
+    }
+  }
+
+  private async handle(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    const arrivedAt = this.dependencies.now();
+    this.gate.used(request.socket);
+    this.malformedInput.began(request, response);
+    const held = this.dependencies.held.open(this.connectionOf(request, response));
+    response.once('close', () => held.close());
+    if (this.isDraining) response.setHeader('Connection', 'close');
     if (this.isRefusing) {
       this.refuse(request, response, { status: 503, reason: 'entry is stopping' });
       return;
@@ -179,6 +193,37 @@
     await this.admit(directory, { request, response, arrivedAt, held }, earlyBody);
   }
 
+  /** An unexpected error must neither leave the caller without an answer nor end the process with all other answers. */
+  private failUnexpectedly(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    error: unknown,
+  ): void {
+    const { observer: observe } = this.dependencies;
+    const requestId = this.requestIdOf(request);
+    const detail = String(error);
+    observe.log('crashed', { request: requestId, detail });
+    if (response.writableEnded || response.destroyed) return;
+    if (response.headersSent) {
+      observe.count('answers.aborted.internalError');
+      observe.log('answerAborted', { request: requestId, reason: 'internalError', detail });
+      response.destroy();
+      return;
+    }
+    const status = this.passedOn.has(request) ? 502 : 503;
+    observe.count(`answers.${status}.own`);
+    this.end(request, response, status);
+  }
+
+  /** Id of a request; empty if its headers can't be read. */
+  private requestIdOf({ headers }: http.IncomingMessage): string {
+    try {
+      return this.dependencies.protocol.callerMetadata(headers).requestId;
+    } catch {
+      return '';
+    }
+  }
+
   private connectionOf(
     request: http.IncomingMessage,
     response: http.ServerResponse,
@@ -228,6 +273,7 @@
       this.refuse(request, response, { status: 413, reason: 'body too large' });
       return;
     }
+    this.passedOn.add(request);
     await this.dependencies.serve({
       request,
       response,
@@ -279,6 +325,11 @@
       detail: reason,
       version,
     });
+    this.end(request, response, status);
+  }
+
+  /** Sends an answer of the entry itself. */
+  private end(request: http.IncomingMessage, response: http.ServerResponse, status: number): void {
     const headers: http.OutgoingHttpHeaders = { 'Content-Length': 0 };
     if (status === 503) headers['Retry-After'] = RETRY_AFTER_SECONDS;
     // The unread rest of a body must not be parsed as the next request.
@@ -293,22 +344,34 @@
   maxBytes: number,
   held: heldBytes.Holding,
 ): Promise<Body> {
-  return new Promise((resolve) => {
+  return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
     let length = 0;
-    request.on('data', (chunk: Buffer) => {
+    /** An error in a listener would end the process. */
+    const orReject = (action: () => void): void => {
+      try {
+        action();
+      } catch (error) {
+        reject(error);
+      }
+    };
+    const add = (chunk: Buffer): void => {
       length += chunk.length;
       if (length > maxBytes) {
+        chunks.length = 0;
         held.bodyEnded();
         resolve('tooLarge');
         return;
       }
       chunks.push(chunk);
       held.bodyArrived(chunk.length);
-    });
+    };
+    request.on('data', (chunk: Buffer) => orReject(() => add(chunk)));
     request.once('end', () => {
-      held.bodyEnded();
-      resolve(Buffer.concat(chunks));
+      orReject(() => {
+        held.bodyEnded();
+        resolve(Buffer.concat(chunks));
+      });
     });
     request.once('error', () => resolve('broken'));
     request.once('close', () => resolve('broken'));
