Let callers finish bodies that are refused

A refusal (401, 404, 413, 431, 503) of a request whose body was still arriving closed its connection at once. With unread bytes the operating system resets such a connection, so a caller that sends its whole body before it reads got a broken connection in place of the status. The listener of the other interface closed it even before it wrote its 413, as iteration over a request that stops early destroys the connection, if the length wasn't stated.

--- a/packages/daemon/src/entry/__tests__/ingress.test.ts
+++ b/packages/daemon/src/entry/__tests__/ingress.test.ts
@@ -122,4 +122,24 @@
     expect(observe.counters()['answers.aborted.internalError']).to.equal(1);
     expect(logged.map(({ event, request }) => [event, request])).to.deep.include([5030, 'r1']);
   });
+
+  // Guards against a refusal that its caller can't read, as the connection is reset while it sends its body.
+  it('lets callers finish a body that is refused, for a bounded time', async () => {
+    await start({});
+    const chunk = `10000\r\n${'x'.repeat(0x10000)}\r\n`;
+    const sendChunks = (isLast: boolean) => async (socket: net.Socket) => {
+      socket.pause();
+      socket.write('Transfer-Encoding: chunked\r\n\r\n');
+      for (let i = 0; i < 40; i++) {
+        socket.write(chunk);
+        await clock.sleep(2);
+      }
+      if (isLast) socket.write('0\r\n\r\n');
+      socket.resume();
+    };
+    expect(await receive('POST /none', sendChunks(true))).to.match(/^HTTP\/1.1 404 /);
+    expect(await receive('POST /', sendChunks(true))).to.match(/^HTTP\/1.1 413 /);
+    expect(await receive('POST /', sendChunks(false))).to.match(/^HTTP\/1.1 413 /);
+    expect(tested.activeRequests).to.equal(0);
+  });
 });
--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -7,6 +7,7 @@
 import type * as domain from '@celerydrift/domain';
 import type * as codecs from '../configuration/codecs';
 import type * as protocols from '../edges/protocols';
+import * as earlyResponse from '../http/earlyResponse';
 import * as listening from '../http/listening';
 import * as malformedInput from '../http/malformedInput';
 import type * as observer from '../observability/observer';
@@ -330,11 +331,13 @@
 
   /** Sends an answer of the entry itself. */
   private end(request: http.IncomingMessage, response: http.ServerResponse, status: number): void {
-    const headers: http.OutgoingHttpHeaders = { 'Content-Length': 0 };
+    const headers: http.OutgoingHttpHeaders = {};
     if (status === 503) headers['Retry-After'] = RETRY_AFTER_SECONDS;
-    // The unread rest of a body must not be parsed as the next request.
-    if (!request.complete) headers.Connection = 'close';
-    response.writeHead(status, headers);
+    if (!request.complete) {
+      earlyResponse.send(request, response, { status, headers, content: '' });
+      return;
+    }
+    response.writeHead(status, { ...headers, 'Content-Length': 0 });
     response.end();
   }
 }
--- a/packages/daemon/src/http/__tests__/listener.test.ts
+++ b/packages/daemon/src/http/__tests__/listener.test.ts
@@ -1,5 +1,7 @@
 /** What the listener answers by itself. */
+import * as net from 'node:net';
 import * as chai from 'chai';
+import * as clock from '../../clock';
 import * as listener from '../listener';
 
 describe('listener', () => {
@@ -17,4 +19,39 @@
     await http.close();
     chai.expect([response.status, content.error.outcome]).to.deep.equal([502, 'unknown']);
   });
+
+  // Guards against a connection that is reset in place of the error, as the length of a body isn't stated.
+  it('tells a caller that its body is too large while it still sends', async () => {
+    const limits = { headerSeconds: 1, bodySeconds: 5, connections: 9, bodyBytes: 9 };
+    const http = new listener.Listener(
+      limits,
+      undefined,
+      async () => undefined,
+      () => undefined,
+    );
+    const port = await http.listen({ host: '127.0.0.1', port: 0 });
+    const socket = net.connect(port, '127.0.0.1').pause();
+    let received = '';
+    socket.on('data', (data) => {
+      received += data.toString();
+    });
+    socket.on('error', ({ message }) => {
+      received += message;
+    });
+    const closed = new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    socket.write('POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n');
+    for (let i = 0; i < 40; i++) {
+      socket.write(`1000\r\n${'x'.repeat(0x1000)}\r\n`);
+      await clock.sleep(2);
+    }
+    socket.resume().write('0\r\n\r\n');
+    await closed;
+    await http.close();
+    chai
+      .expect(received)
+      .to.match(/^HTTP\/1.1 413 /)
+      .and.to.match(/"tooLarge".*$/s);
+  });
 });
--- a/packages/daemon/src/http/listener.ts
+++ b/packages/daemon/src/http/listener.ts
@@ -8,6 +8,7 @@
 import type * as tls from 'node:tls';
 import type * as configuration from '../configuration/configuration';
 import * as errors from '../requests/errors';
+import * as earlyResponse from './earlyResponse';
 import * as malformedInput from './malformedInput';
 import * as reply from './reply';
 
@@ -29,16 +30,25 @@
 /** Thrown when a body exceeds the limit. */
 class BodyTooLarge extends Error {}
 
+/** Reads a body. Iteration over a request would close its connection where it stops early, before any answer. */
 async function readBody(request: http.IncomingMessage, limit: number): Promise<Buffer> {
   if (Number(request.headers['content-length'] ?? 0) > limit) throw new BodyTooLarge();
-  const chunks: Buffer[] = [];
-  let length = 0;
-  for await (const chunk of request) {
-    length += (chunk as Buffer).length;
-    if (length > limit) throw new BodyTooLarge();
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks);
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    request.on('data', (chunk: Buffer) => {
+      length += chunk.length;
+      if (length <= limit) {
+        chunks.push(chunk);
+        return;
+      }
+      chunks.length = 0;
+      reject(new BodyTooLarge());
+    });
+    request.once('end', () => resolve(Buffer.concat(chunks)));
+    request.once('error', reject);
+    request.once('close', () => reject(new Error('the body is incomplete')));
+  });
 }
 
 /** Extracts the bearer token or API key; empty if there is none. */
@@ -123,9 +133,7 @@
   private fail(request: http.IncomingMessage, response: http.ServerResponse, error: unknown): void {
     if (error instanceof BodyTooLarge) {
       const message = `the body is over ${this.limits.bodyBytes} bytes`;
-      response.setHeader('connection', 'close');
-      reply.error(response, errors.notRun('tooLarge', message));
-      request.resume();
+      earlyResponse.send(request, response, reply.errorOf(errors.notRun('tooLarge', message)));
     } else if (request.destroyed && !request.complete) {
       response.destroy();
     } else if (response.headersSent) {
--- a/packages/daemon/src/http/reply.ts
+++ b/packages/daemon/src/http/reply.ts
@@ -2,6 +2,7 @@
 import type * as http from 'node:http';
 import * as domain from '@celerydrift/domain';
 import * as errors from '../requests/errors';
+import type * as earlyResponse from './earlyResponse';
 
 export const OUTCOME_HEADER = 'x-celerydrift-outcome';
 
@@ -12,6 +13,8 @@
   unknown: 'unknown',
 };
 
+const JSON_HEADERS = { 'content-type': 'application/json' };
+
 export function json(
   response: http.ServerResponse,
   status: number,
@@ -19,7 +22,7 @@
   headers: Record<string, string> = {},
 ): void {
   if (response.headersSent || response.destroyed) return;
-  response.writeHead(status, { 'content-type': 'application/json', ...headers });
+  response.writeHead(status, { ...JSON_HEADERS, ...headers });
   response.end(JSON.stringify(content));
 }
 
@@ -32,10 +35,22 @@
   return { error: { message, type: kind, code: kind, outcome: OUTCOME_HEADER_VALUES[outcome] } };
 }
 
+function errorHeaders({ outcome, retryAfterMs }: errors.RequestError): Record<string, string> {
+  const headers = outcomeHeader(outcome);
+  if (retryAfterMs > 0) headers['retry-after'] = String(Math.ceil(retryAfterMs / 1_000));
+  return headers;
+}
+
 export function error(response: http.ServerResponse, requestError: errors.RequestError): void {
-  const headers = outcomeHeader(requestError.outcome);
-  if (requestError.retryAfterMs > 0) {
-    headers['retry-after'] = String(Math.ceil(requestError.retryAfterMs / 1_000));
-  }
-  json(response, errors.STATUS_BY_KIND[requestError.kind], errorBody(requestError), headers);
+  const status = errors.STATUS_BY_KIND[requestError.kind];
+  json(response, status, errorBody(requestError), errorHeaders(requestError));
+}
+
+/** The response that `error` sends. */
+export function errorOf(requestError: errors.RequestError): earlyResponse.Content {
+  return {
+    status: errors.STATUS_BY_KIND[requestError.kind],
+    headers: { ...JSON_HEADERS, ...errorHeaders(requestError) },
+    content: JSON.stringify(errorBody(requestError)),
+  };
 }
