Send answers to the end before idle connections are closed

A stop cut answers that were complete but not yet sent: a caller that reads slowly has the last part in the entry's buffer, and to Node its connection is idle as soon as the response has been ended. Both `close` and `closeIdleConnections` of an HTTP server close such connections, without any line of log.

Listeners now close idle connections only when no ended response is left to be sent, and then at once.

--- a/packages/daemon/src/entry/__tests__/ingress.test.ts
+++ b/packages/daemon/src/entry/__tests__/ingress.test.ts
@@ -142,4 +142,22 @@
     expect(await receive('POST /', sendChunks(false))).to.match(/^HTTP\/1.1 413 /);
     expect(tested.activeRequests).to.equal(0);
   });
+
+  // Guards against a whole answer that a stop cuts because its caller has yet to receive the last part.
+  it('stops without cutting answers that are still being sent', async () => {
+    const bytes = 32 * 1_048_576;
+    await start({
+      serve: async ({ response }) => {
+        response.end(Buffer.alloc(bytes));
+      },
+    });
+    const received = await receive('GET /', async (socket) => {
+      socket.write('\r\n');
+      socket.pause();
+      await clock.sleep(100);
+      tested.refuseNew();
+      socket.resume();
+    });
+    expect(received.length).to.be.above(bytes);
+  });
 });
--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -10,6 +10,7 @@
 import * as earlyResponse from '../http/earlyResponse';
 import * as listening from '../http/listening';
 import * as malformedInput from '../http/malformedInput';
+import * as serverStop from '../http/serverStop';
 import type * as observer from '../observability/observer';
 import * as connectionGate from './connectionGate';
 import type * as exchange from './exchange';
@@ -79,6 +80,8 @@
 
   private readonly malformedInput: malformedInput.MalformedInput;
 
+  private readonly serverStop: serverStop.ServerStop;
+
   /** Address of the callers' listener; undefined before it listens. */
   private address: codecs.Address | undefined;
 
@@ -96,6 +99,7 @@
       },
     );
     this.malformedInput = new malformedInput.MalformedInput(this.server, dependencies.observer);
+    this.serverStop = new serverStop.ServerStop(this.server);
     this.gate = new connectionGate.ConnectionGate(this.server, {
       observer: dependencies.observer,
       now: dependencies.now,
@@ -149,8 +153,7 @@
 
   close(): void {
     this.gate.stop();
-    this.server.close();
-    this.server.closeIdleConnections();
+    this.serverStop.stop();
   }
 
   private async answer(
@@ -177,6 +180,7 @@
     const arrivedAt = this.dependencies.now();
     this.gate.used(request.socket);
     this.malformedInput.began(request, response);
+    this.serverStop.began(response);
     const held = this.dependencies.held.open(this.connectionOf(request, response));
     response.once('close', () => held.close());
     if (this.isDraining) response.setHeader('Connection', 'close');
--- a/packages/daemon/src/http/listener.ts
+++ b/packages/daemon/src/http/listener.ts
@@ -11,6 +11,7 @@
 import * as earlyResponse from './earlyResponse';
 import * as malformedInput from './malformedInput';
 import * as reply from './reply';
+import * as serverStop from './serverStop';
 
 /** A request with its complete body, and the response to write. */
 export interface Call {
@@ -62,6 +63,8 @@
 
   private readonly malformedInput: malformedInput.MalformedInput;
 
+  private readonly serverStop: serverStop.ServerStop;
+
   constructor(
     private readonly limits: configuration.Configuration['limits'],
     tlsOptions: tls.TlsOptions | undefined,
@@ -78,6 +81,7 @@
     };
     const serve = (request: http.IncomingMessage, response: http.ServerResponse): void => {
       this.malformedInput.began(request, response);
+      this.serverStop.began(response);
       void this.serve(request, response);
     };
     this.server =
@@ -85,6 +89,7 @@
         ? http.createServer(options, serve)
         : https.createServer({ ...options, ...tlsOptions }, serve);
     this.malformedInput = new malformedInput.MalformedInput(this.server, undefined);
+    this.serverStop = new serverStop.ServerStop(this.server);
     this.server.maxConnections = limits.connections;
   }
 
@@ -99,10 +104,9 @@
   /** Stops accepting connections and resolves when the open calls have finished. */
   async close(): Promise<void> {
     const closed = new Promise<void>((resolve) => {
-      this.server.close(() => resolve());
+      this.serverStop.stop(resolve);
     });
-    this.server.closeIdleConnections();
-    const idle = setInterval(() => this.server.closeIdleConnections(), 100);
+    const idle = setInterval(() => this.serverStop.closeIdle(), 100);
     await closed;
     clearInterval(idle);
   }
