Answer bytes behind a call in progress, and requests for a tunnel

A malformed body that followed a call on the same connection left it open for ever once the call's answer had begun: the connection was to end when no response was open, and that of the malformed request never ended. A CONNECT got a closed connection without an answer, by Node itself.

The connection now ends with the last answer to a whole request, and CONNECT is answered with 405 and counted in callers.malformed.TUNNEL.

--- a/packages/daemon/src/http/__tests__/malformedInput.test.ts
+++ b/packages/daemon/src/http/__tests__/malformedInput.test.ts
@@ -9,10 +9,11 @@
 const CALL = 'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n';
 
 /** What a caller receives for these bytes from a server that answers a call after 300 ms, until its connection ends. */
-async function answersTo(bytes: string): Promise<string> {
+async function answersTo(bytes: string, hasBegun = false): Promise<string> {
   const options = { headersTimeout: 50, connectionsCheckingInterval: 50 };
   const server = http.createServer(options, (request, response) => {
     input.began(request, response);
+    if (hasBegun) response.flushHeaders();
     void clock.sleep(300).then(() => response.end('own answer'));
   });
   const input = new malformedInput.MalformedInput(server, { count: () => undefined });
@@ -44,6 +45,21 @@
     });
   });
 
+  // Guards against a connection that stays open although neither side has anything to send.
+  it('ends the connection after the answer to a call in progress if it is a body', async () => {
+    const head = 'POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n';
+    const received = await answersTo(`${CALL}${head}garbage\r\n`, true);
+    chai
+      .expect(received)
+      .to.match(/^HTTP\/1\.1 200 OK/)
+      .and.to.include('own answer');
+  });
+
+  it('is answered if it asks for a tunnel', async () => {
+    const received = await answersTo('CONNECT a:1 HTTP/1.1\r\nHost: a:1\r\n\r\n');
+    chai.expect(received).to.match(/^HTTP\/1\.1 405 /);
+  });
+
   it('is answered where no call is in progress', async () => {
     chai.expect(await answersTo('P')).to.match(/^HTTP\/1\.1 408 /);
     chai.expect(await answersTo('garbage\r\n\r\n')).to.match(/^HTTP\/1\.1 400 /);
--- a/packages/daemon/src/http/malformedInput.ts
+++ b/packages/daemon/src/http/malformedInput.ts
@@ -11,10 +11,14 @@
   ERR_HTTP_REQUEST_TIMEOUT: 408,
   HPE_CHUNK_EXTENSIONS_OVERFLOW: 413,
   HPE_HEADER_OVERFLOW: 431,
+  TUNNEL: 405,
 };
 
 const BAD_REQUEST = 400;
 
+/** Code, among those of Node's parser, of a request for a tunnel. */
+const TUNNEL = 'TUNNEL';
+
 export class MalformedInput {
   /** Responses without an end, by connection. */
   private readonly open = new WeakMap<stream.Duplex, Set<http.ServerResponse>>();
@@ -26,6 +30,12 @@
     server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
       this.answer(error.code ?? '', socket);
     });
+    // Node closes a connection that is to become a tunnel without an answer, unless something handles it.
+    server.on('connect', (_request, socket) => {
+      // Node no longer handles the errors of this connection.
+      socket.on('error', () => socket.destroy());
+      this.answer(TUNNEL, socket);
+    });
   }
 
   /** A request begins; once it has arrived whole, its own answer comes before any other on its connection. */
@@ -51,10 +61,12 @@
       );
       return;
     }
+    const unanswered = new Set(inProgress);
     inProgress.forEach((response) => {
       if (!response.headersSent) response.setHeader('Connection', 'close');
       response.once('close', () => {
-        if (open.size === 0) socket.end();
+        unanswered.delete(response);
+        if (unanswered.size === 0) socket.end();
       });
     });
   }
