Count and log the connections that an ingress ends

Requests that were still in progress at the end of a planned stop lost their connections without an answer or a line of log; callers that were cut as slow weren't counted among the broken answers; and a request that waited behind another one on its connection stayed active for ever when the connection ended (Node emits 'close' for the first response only), so that a stop waited for its whole time and the bytes held for it were never released.

At the end of a stop a request whose answer hasn't begun now gets 502, or 503 if no target can have got it; others are logged as 5030 and counted.

--- a/packages/daemon/src/entry/__tests__/heldBytes.test.ts
+++ b/packages/daemon/src/entry/__tests__/heldBytes.test.ts
@@ -31,6 +31,7 @@
 describe('bytes held for callers', () => {
   let now: number;
   let events: string[];
+  let counted: string[];
   let tested: heldBytes.HeldBytes;
 
   const open = (request: string, unsentBytes = (): number => 0): heldBytes.Holding => {
@@ -46,7 +47,8 @@
   beforeEach(() => {
     now = 0;
     events = [];
-    const observer = { log: () => undefined };
+    counted = [];
+    const observer = { log: () => undefined, count: (metric: string) => counted.push(metric) };
     tested = new heldBytes.HeldBytes({ boundBytes: 1_000, now: () => now, observer });
   });
 
@@ -77,6 +79,7 @@
       tested.check();
     }
     expect([events, tested.total]).to.deep.equal([['cut stalled'], 50]);
+    expect(counted).to.deep.equal(['answers.aborted.callerTooSlow']);
   });
 });
 
--- a/packages/daemon/src/entry/__tests__/ingress.test.ts
+++ b/packages/daemon/src/entry/__tests__/ingress.test.ts
@@ -78,6 +78,10 @@
     return ended;
   }
 
+  async function until(isDone: () => boolean): Promise<void> {
+    while (!isDone()) await clock.sleep(5);
+  }
+
   const sendBody = (socket: net.Socket): unknown => socket.write('Content-Length: 2\r\n\r\nab');
 
   // Guards against an error that ends the process, and with it the answers to all other callers.
@@ -104,8 +108,8 @@
     it(`answers a request after an unexpected error ${title}`, async () => {
       await start(dependencies);
       expect(await receive('POST /', sendBody)).to.match(status);
-      await clock.sleep(10);
-      expect([tested.activeRequests, observe.counters()['event.crashed']]).to.deep.equal([0, 1]);
+      await until(() => tested.activeRequests === 0);
+      expect(observe.counters()['event.crashed']).to.equal(1);
     });
   });
 
@@ -140,24 +144,70 @@
     expect(await receive('POST /none', sendChunks(true))).to.match(/^HTTP\/1.1 404 /);
     expect(await receive('POST /', sendChunks(true))).to.match(/^HTTP\/1.1 413 /);
     expect(await receive('POST /', sendChunks(false))).to.match(/^HTTP\/1.1 413 /);
-    expect(tested.activeRequests).to.equal(0);
+    await until(() => tested.activeRequests === 0);
   });
 
   // Guards against a whole answer that a stop cuts because its caller has yet to receive the last part.
   it('stops without cutting answers that are still being sent', async () => {
     const bytes = 32 * 1_048_576;
+    let isEnded = false;
     await start({
       serve: async ({ response }) => {
         response.end(Buffer.alloc(bytes));
+        isEnded = true;
       },
     });
     const received = await receive('GET /', async (socket) => {
       socket.write('\r\n');
       socket.pause();
-      await clock.sleep(100);
+      await until(() => isEnded);
       tested.refuseNew();
       socket.resume();
     });
     expect(received.length).to.be.above(bytes);
   });
+
+  // Guards against requests that the end of the process leaves without an answer or a trace.
+  it('answers or reports all requests that a stop can’t wait for', async () => {
+    let served = 0;
+    await start({
+      serve: async ({ request, response }) => {
+        served += 1;
+        if (request.url === '/begun') response.write('begun');
+      },
+    });
+    let onAborted = (): void => undefined;
+    const aborted = new Promise<void>((resolve) => {
+      onAborted = resolve;
+    });
+    const replies = [
+      receive('POST /begun', sendBody),
+      receive('POST /', sendBody),
+      receive('POST /', async (socket) => {
+        socket.write('Content-Length: 2\r\n\r\na');
+        await aborted;
+        socket.write('b');
+      }),
+    ];
+    await until(() => tested.activeRequests === 3 && served === 2);
+    tested.abort();
+    onAborted();
+    const [begun, sent, unsent] = await Promise.all(replies);
+    expect(begun).to.match(/begun\r\n$/);
+    expect(sent).to.match(/^HTTP\/1.1 502 /);
+    expect(unsent).to.match(/^HTTP\/1.1 503 /);
+    expect(observe.counters()['answers.aborted.stopped']).to.equal(1);
+    expect(logged.map(({ event, reason }) => [event, reason])).to.deep.equal([[5030, 'stopped']]);
+    await until(() => tested.activeRequests === 0);
+  });
+
+  // Guards against requests that count as active for ever, as their turn to be answered never came.
+  it('forgets requests that follow another one on a connection when it ends', async () => {
+    await start({ serve: async () => undefined });
+    const socket = net.connect(port, '127.0.0.1');
+    socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n'.repeat(3));
+    await until(() => tested.activeRequests === 3);
+    socket.destroy();
+    await until(() => tested.activeRequests === 0);
+  });
 });
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -261,6 +261,7 @@
     this.ingress.refuseNew();
     const deadline = startedAt + this.dependencies.settings.stopMs - STOP_MARGIN_MS;
     while (this.hasWork && clock.steady() < deadline) await clock.sleep(STOP_POLL_MS);
+    this.ingress.abort();
     this.link.stop();
     this.quarantine.close();
     this.limits.close();
--- a/packages/daemon/src/entry/heldBytes.ts
+++ b/packages/daemon/src/entry/heldBytes.ts
@@ -10,7 +10,7 @@
 export interface Dependencies {
   boundBytes: number;
   now: () => number;
-  observer: Pick<observer.Observer, 'log'>;
+  observer: Pick<observer.Observer, 'log' | 'count'>;
 }
 
 /** A caller's connection, as far as it holds bytes. */
@@ -219,6 +219,7 @@
       const lagMs = Math.round(domain.pressure.pressure.lagMs(load));
       const { request } = holding.connection;
       observe.log('callerCut', { request, heldBytes, unsentBytes, lagMs, total: this.totalBytes });
+      observe.count('answers.aborted.callerTooSlow');
       holding.connection.cut();
       holding.close();
     });
--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -63,12 +63,14 @@
 export class Ingress {
   private readonly server: http.Server;
 
-  private readonly sockets = new Set<net.Socket>();
-
   /** Requests that were passed on to be served, so that targets may run them. */
   private readonly passedOn = new WeakSet<http.IncomingMessage>();
 
-  private active = 0;
+  /** Responses that aren't complete. */
+  private readonly open = new Set<http.ServerResponse>();
+
+  /** Those that arrived behind another request of their connection. */
+  private readonly queued = new Set<http.ServerResponse>();
 
   private isDraining = false;
 
@@ -103,12 +105,11 @@
     this.gate = new connectionGate.ConnectionGate(this.server, {
       observer: dependencies.observer,
       now: dependencies.now,
-      active: () => this.active,
+      active: () => this.open.size,
       listen: () => this.listenAgain(),
     });
     this.server.on('connection', (socket) => {
-      this.sockets.add(socket);
-      socket.once('close', () => this.sockets.delete(socket));
+      socket.once('close', () => this.forgetQueued(socket));
     });
   }
 
@@ -123,7 +124,7 @@
 
   /** Number of requests without a final response. */
   get activeRequests(): number {
-    return this.active;
+    return this.open.size;
   }
 
   gauges(): Record<string, number> {
@@ -156,13 +157,33 @@
     this.serverStop.stop();
   }
 
+  /** Ends all requests: with a status, if their answers haven't begun. */
+  abort(): void {
+    const failure = { reason: 'stopped', detail: 'the entry has stopped' } as const;
+    this.open.forEach((response) => {
+      const { req: request } = response;
+      this.fail(request, response, failure);
+      // Ends the exchange, which must not answer as well.
+      if (this.passedOn.has(request)) request.emit('error', new Error(failure.detail));
+    });
+  }
+
+  /** Node tells only the response whose turn it is that its connection has ended, not those queued behind it. */
+  private forgetQueued(socket: net.Socket): void {
+    this.queued.forEach((response) => {
+      if (response.req.socket === socket) response.emit('close');
+    });
+  }
+
   private async answer(
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    this.active += 1;
+    this.open.add(response);
+    if (response.socket === null) this.queued.add(response);
     response.once('close', () => {
-      this.active -= 1;
+      this.open.delete(response);
+      this.queued.delete(response);
     });
     // An error of the caller's connection ends its exchange through `close`; it needs no other handling.
     response.on('error', () => undefined);
@@ -204,19 +225,29 @@
     response: http.ServerResponse,
     error: unknown,
   ): void {
-    const { observer: observe } = this.dependencies;
-    const requestId = this.requestIdOf(request);
     const detail = String(error);
-    observe.log('crashed', { request: requestId, detail });
+    this.dependencies.observer.log('crashed', { request: this.requestIdOf(request), detail });
+    this.fail(request, response, { reason: 'internalError', detail });
+  }
+
+  /** Answers a request that can't be served any more, with what is known, or breaks its answer off. */
+  private fail(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    failure: { reason: 'internalError' | 'stopped'; detail: string },
+  ): void {
+    const { observer: observe } = this.dependencies;
     if (response.writableEnded || response.destroyed) return;
     if (response.headersSent) {
-      observe.count('answers.aborted.internalError');
-      observe.log('answerAborted', { request: requestId, reason: 'internalError', detail });
+      observe.count(`answers.aborted.${failure.reason}`);
+      observe.log('answerAborted', { request: this.requestIdOf(request), ...failure });
       response.destroy();
       return;
     }
     const status = this.passedOn.has(request) ? 502 : 503;
     observe.count(`answers.${status}.own`);
+    const { detail } = failure;
+    observe.log('requestEnded', { request: this.requestIdOf(request), status, detail });
     this.end(request, response, status);
   }
 
