Bound what is held for one response of a target

In the interface of its own nothing limited a response: a body without end of a service or an engine, an event without end, or events that arrived faster than they were read filled the memory of the daemon, whose end takes all its requests along.

--- a/packages/daemon/src/requests/serviceProxy.ts
+++ b/packages/daemon/src/requests/serviceProxy.ts
@@ -225,7 +225,7 @@
   ): Promise<Result<ServiceAnswer, FailedAttempt>> {
     const remainingMs = Math.max(1, Math.ceil(call.deadline - this.options.now()));
     const timeoutMs = Math.min(remainingMs, call.service.timeoutSeconds * 1_000);
-    const { statusCode, headers, body } = await this.options.client.request(target.address, {
+    const sent: httpClient.Call = {
       method: call.method,
       path: call.path,
       headers: { ...call.headers, 'x-organisation': call.tenant.organisation.name },
@@ -236,8 +236,10 @@
       // the call was received. A call that must run at most once always uses a new connection.
       newConnection,
       purpose: 'request',
-    });
-    const content = Buffer.from(await body.arrayBuffer());
+    };
+    const { client } = this.options;
+    const { statusCode, headers, body } = await client.request(target.address, sent);
+    const content = await client.read(target.address, sent, body);
     if (headers['x-not-run'] === 'true') {
       const attempt = {
         target: target.name,
--- /dev/null
+++ b/packages/daemon/src/targets/boundedBody.ts
@@ -0,0 +1,23 @@
+/** Reads responses of targets that may be endless: what is held for one is bounded. */
+import type * as stream from 'node:stream';
+
+/** A response or one of its events exceeds its bound. Whether the target runs the call is unknown. */
+export class ResponseTooLargeError extends Error {
+  readonly code = 'RESPONSE_TOO_LARGE';
+
+  constructor(maxBytes: number) {
+    super(`more than ${maxBytes} bytes`);
+  }
+}
+
+/** Reads a body to its end; a longer one than `maxBytes` is given up, and its connection is closed. */
+export async function read(body: stream.Readable, maxBytes: number): Promise<Buffer> {
+  const chunks: Buffer[] = [];
+  let length = 0;
+  for await (const chunk of body) {
+    length += (chunk as Buffer).length;
+    if (length > maxBytes) throw new ResponseTooLargeError(maxBytes);
+    chunks.push(chunk as Buffer);
+  }
+  return Buffer.concat(chunks);
+}
--- a/packages/daemon/src/targets/httpAdapter.ts
+++ b/packages/daemon/src/targets/httpAdapter.ts
@@ -5,6 +5,7 @@
 import { Err, Ok, Result } from 'ts-results';
 import type * as undici from 'undici';
 import type * as adapter from './adapter';
+import * as boundedBody from './boundedBody';
 import type * as errors from './errors';
 import * as httpClient from './httpClient';
 
@@ -24,6 +25,12 @@
   reject: (error: Error) => void;
 }
 
+/** Maximum length of one event of a stream, characters. */
+const MAX_EVENT_LENGTH = 1_048_576;
+
+/** Number of unread frames from which the connection isn't read on. */
+const MAX_UNREAD_FRAMES = 1_000;
+
 /** Frames of a server-sent event stream, queued until they are read. */
 class EventStream implements adapter.EngineStream {
   private readonly frames: adapter.EngineFrame[] = [];
@@ -37,6 +44,11 @@
   constructor(private readonly body: undici.Dispatcher.ResponseData['body']) {
     const parser = eventSource.createParser({
       onEvent: ({ data }) => this.deliver(JSON.parse(data) as adapter.EngineFrame),
+      onError: ({ type }) => {
+        if (type !== 'max-buffer-size-exceeded') return;
+        throw new boundedBody.ResponseTooLargeError(MAX_EVENT_LENGTH);
+      },
+      maxBufferSize: MAX_EVENT_LENGTH,
     });
     // A multi-byte character may be split between two chunks.
     const decoder = new stringDecoder.StringDecoder('utf8');
@@ -54,6 +66,7 @@
 
   next(): Promise<adapter.EngineFrame | undefined> {
     const frame = this.frames.shift();
+    if (this.frames.length === 0 && this.body.isPaused()) this.body.resume();
     if (frame !== undefined) return Promise.resolve(frame);
     if (this.failure !== undefined) return Promise.reject(this.failure);
     if (this.isEnded) return Promise.resolve(undefined);
@@ -69,8 +82,12 @@
   }
 
   private deliver(frame: adapter.EngineFrame): void {
-    if (this.waiter === undefined) this.frames.push(frame);
-    else this.settleWaiter((waiter) => waiter.resolve(frame));
+    if (this.waiter !== undefined) {
+      this.settleWaiter((waiter) => waiter.resolve(frame));
+      return;
+    }
+    this.frames.push(frame);
+    if (this.frames.length >= MAX_UNREAD_FRAMES) this.body.pause();
   }
 
   private finish(): void {
@@ -104,6 +121,15 @@
   };
 }
 
+/** Body of an error response; empty if it can't be read. */
+function refusalOf(content: Buffer): RefusalBody {
+  try {
+    return JSON.parse(content.toString()) as RefusalBody;
+  } catch {
+    return {};
+  }
+}
+
 export class HttpAdapter implements adapter.EngineAdapter {
   constructor(private readonly client: httpClient.HttpClient) {}
 
@@ -175,7 +201,9 @@
     try {
       const { statusCode, body, headers } = await this.client.request(target.address, call);
       if (statusCode === 200) return Ok(new EventStream(body));
-      const content = (await body.json().catch(() => ({}))) as RefusalBody;
+      const content = await this.client
+        .read(target.address, call, body)
+        .then(refusalOf, () => ({}));
       return Err(refusalError(statusCode, content, String(headers['retry-after'] ?? '')));
     } catch (error) {
       return Err(httpClient.targetErrorOf(error));
--- a/packages/daemon/src/targets/httpClient.ts
+++ b/packages/daemon/src/targets/httpClient.ts
@@ -6,12 +6,16 @@
 import type * as tls from 'node:tls';
 import * as undici from 'undici';
 import type * as observer from '../observability/observer';
+import * as boundedBody from './boundedBody';
 import type * as errors from './errors';
 import * as messageIds from './messageIds';
 
 /** Timeout of control calls, which are retried later. */
 const CONTROL_TIMEOUT_MS = 2_000;
 
+/** Maximum response that is held, bytes; listings of engines and most answers of services are far smaller. */
+const MAX_RESPONSE_BYTES = 32 * 1_048_576;
+
 /** Error codes that prove that nothing was sent. */
 const NOT_SENT_CODES = ['ECONNREFUSED', 'EHOSTUNREACH', 'ENETUNREACH', 'UND_ERR_CONNECT_TIMEOUT'];
 
@@ -75,7 +79,27 @@
   async json<T>(address: string, call: Call): Promise<{ status: number; content: T }> {
     const signal = AbortSignal.timeout(CONTROL_TIMEOUT_MS);
     const { statusCode, body } = await this.request(address, { signal, ...call });
-    return { status: statusCode, content: (await body.json()) as T };
+    const content = await this.read(address, call, body);
+    return { status: statusCode, content: JSON.parse(content.toString()) as T };
+  }
+
+  /** Reads the body of a response that is held as a whole. */
+  async read(
+    address: string,
+    { method, path, purpose = 'upkeep', request }: Call,
+    body: undici.Dispatcher.ResponseData['body'],
+  ): Promise<Buffer> {
+    try {
+      return await boundedBody.read(body, MAX_RESPONSE_BYTES);
+    } catch (error) {
+      if (error instanceof boundedBody.ResponseTooLargeError) {
+        this.observe.count(`responses.tooLarge.${purpose}`);
+        const { code, message } = error;
+        const detail = `${code}: ${message}`;
+        this.observe.log('attemptFailed', { request, address, purpose, method, path, detail });
+      }
+      throw error;
+    }
   }
 
   /** Closes the pooled connections of a target that is gone or restarted. */
