Stay with a silent engine until another one responds

In the interface of its own an engine that sent nothing for the response timeout, and didn't answer a probe, was given up before another one was known to respond.

The same silence showed a second fault: a frame that arrived while its engine was probed went to the abandoned read of the stream and was lost, so the next frame looked like one after a gap and the engine like one at fault.

An engine is now given up only if it refuses connections or the request, doesn't know the request, or if another engine that serves the model responds to a probe; else the attempt goes on until the request's deadline. The pending read is kept while the engine is probed, and a probe no longer delays the end of a request whose caller left or whose deadline passed.

--- a/packages/daemon/src/requests/execution.ts
+++ b/packages/daemon/src/requests/execution.ts
@@ -15,6 +15,7 @@
 import type * as router from './router';
 
 type Dispatch = domain.routing.dispatcher.Dispatch;
+type Target = domain.target.target.Target;
 type Fault = domain.request.outcome.Fault;
 
 /** Receives the text of the answer as it is generated. */
@@ -84,12 +85,27 @@
 /** Faults that don't count against the target. */
 const NON_TARGET_FAULTS: readonly Fault[] = ['callerGone', 'deadline', 'targetStopped', 'refused'];
 
+/** Maximum number of other engines that are probed before a silent one is given up. */
+const MAX_PROBED_ENGINES = 3;
+
 /** Nothing arrived within the response timeout. */
 const OVERDUE = Symbol('overdue');
 
 /** The attempt was aborted while it waited for a frame. */
 const ABORTED = Symbol('aborted');
 
+/** The next frame of a stream, or why there is none; undefined at its end. */
+type Arrival = adapter.EngineFrame | undefined | 'broken';
+
+function nextOf(stream: adapter.EngineStream): Promise<Arrival> {
+  return stream.next().catch(() => 'broken' as const);
+}
+
+/** Whether an error shows that an engine runs, or that none does at its address; silence shows neither. */
+function isConclusive({ fault, detail }: targetErrors.TargetError): boolean {
+  return fault === 'refused' || detail.includes('ECONNREFUSED');
+}
+
 export class Execution {
   private readonly check: domain.request.stream.StreamCheck;
 
@@ -307,7 +323,7 @@
    * engine never received it.
    */
   private async open(
-    target: domain.target.target.Target,
+    target: Target,
     generation: adapter.GenerateRequest,
   ): Promise<Result<adapter.EngineStream, targetErrors.TargetError>> {
     const openController = new AbortController();
@@ -317,7 +333,8 @@
       const opened = await this.orOverdue(generated);
       if (opened !== OVERDUE) return opened;
       const { request } = generation;
-      const state = await this.dependencies.adapter.stateOf(target, request);
+      const state = await this.untilAborted(this.stateOf(target, request));
+      if (state === ABORTED || (state.err && state.val === 'waiting')) continue;
       if (state.err || state.val === 'unknown') {
         openController.abort();
         return Err({ progress: 'sent', fault: 'silent', detail: 'no headers', retryAfterMs: 0 });
@@ -351,25 +368,35 @@
 
   private async readFrames(
     id: string,
-    target: domain.target.target.Target,
+    target: Target,
     first: adapter.EngineStream,
   ): Promise<AttemptFailure | undefined> {
     let stream = first;
     let hasFrame = false;
+    // Kept while the engine is probed: a frame that arrives meanwhile must not get lost.
+    let next: Promise<Arrival> | undefined;
     try {
       for (;;) {
-        const frame = await this.nextFrame(stream);
+        next ??= nextOf(stream);
+        const frame = await this.untilAborted(this.orOverdue(next));
         if (frame === ABORTED)
           return this.streamFailure(target.name, this.abortReason ?? 'callerGone');
         if (frame === OVERDUE) {
-          const resumed = await this.probeOverdueStream(id, target);
-          if (resumed.err) return this.streamFailure(target.name, resumed.val);
+          const resumed = await this.untilAborted(this.probeOverdueStream(id, target));
+          if (resumed === ABORTED) continue;
+          if (resumed.err) {
+            const hasArrived = (await Promise.race([next, OVERDUE])) !== OVERDUE;
+            if (hasArrived) continue;
+            return this.streamFailure(target.name, resumed.val);
+          }
           if (resumed.val !== undefined) {
             stream.close();
             stream = resumed.val;
+            next = undefined;
           }
           continue;
         }
+        next = undefined;
         if (frame === 'broken' || frame === undefined) {
           const resumed = await this.dependencies.adapter.resume(target, id, this.check.position);
           if (resumed.err) return this.streamFailure(target.name, 'cutShort');
@@ -392,37 +419,57 @@
     return this.attemptFailure(target, 'answering', this.abortReason ?? fault, 0);
   }
 
-  private async nextFrame(
-    stream: adapter.EngineStream,
-  ): Promise<adapter.EngineFrame | undefined | 'broken' | typeof OVERDUE | typeof ABORTED> {
-    if (this.abortController.signal.aborted) return ABORTED;
+  private async untilAborted<T>(promise: Promise<T>): Promise<T | typeof ABORTED> {
+    const { signal } = this.abortController;
+    if (signal.aborted) return ABORTED;
     let onAbort: (() => void) | undefined;
-    const stopped = new Promise<typeof ABORTED>((resolve) => {
+    const aborted = new Promise<typeof ABORTED>((resolve) => {
       onAbort = () => resolve(ABORTED);
-      this.abortController.signal.addEventListener('abort', onAbort);
+      signal.addEventListener('abort', onAbort);
     });
-    const next = stream.next().catch(() => 'broken' as const);
     try {
-      return await this.orOverdue(Promise.race([next, stopped]));
+      return await Promise.race([promise, aborted]);
     } finally {
-      if (onAbort !== undefined) this.abortController.signal.removeEventListener('abort', onAbort);
+      if (onAbort !== undefined) signal.removeEventListener('abort', onAbort);
     }
   }
 
+  /**
+   * State of a request at an engine. Silence doesn't tell an engine that is down from one that is sound but stuck for a
+   * moment, perhaps with all others, so a silent one is `waiting` unless another engine responds.
+   */
+  private async stateOf(
+    target: Target,
+    request: string,
+  ): Promise<Result<adapter.RequestState, 'waiting' | 'silent'>> {
+    const state = await this.dependencies.adapter.stateOf(target, request);
+    if (state.ok) return state;
+    const canLeave = isConclusive(state.val) || (await this.doesAnotherRespond(target, request));
+    return Err(canLeave ? 'silent' : 'waiting');
+  }
+
+  private async doesAnotherRespond(target: Target, request: string): Promise<boolean> {
+    const others = this.dependencies.router.alternatives(target).slice(0, MAX_PROBED_ENGINES);
+    const states = await Promise.all(
+      others.map((other) => this.dependencies.adapter.stateOf(other, request)),
+    );
+    return states.some((state) => state.ok || state.val.fault === 'refused');
+  }
+
   /**
    * Probes the engine over a new connection when a stream is overdue: a long prompt may legitimately take
    * this long, and a connection can die unnoticed while the engine works on.
    *
    * - `queued`, `prefilling`: keep waiting.
    * - `decoding`, `finished`: this connection is dead; resume the stream over a new one.
-   * - `unknown` or no answer: the attempt has failed.
+   * - `unknown`, or no answer while another engine responds: the attempt has failed.
    */
   private async probeOverdueStream(
     id: string,
-    target: domain.target.target.Target,
+    target: Target,
   ): Promise<Result<adapter.EngineStream | undefined, Fault>> {
-    const state = await this.dependencies.adapter.stateOf(target, id);
-    if (state.err) return Err('silent');
+    const state = await this.stateOf(target, id);
+    if (state.err) return state.val === 'waiting' ? Ok(undefined) : Err('silent');
     if (state.val === 'unknown') return Err('connectionLost');
     if (state.val === 'queued' || state.val === 'prefilling') return Ok(undefined);
     this.dependencies.observer.log('connectionSilent', { target: target.name, request: id });
--- a/packages/daemon/src/requests/router.ts
+++ b/packages/daemon/src/requests/router.ts
@@ -71,6 +71,14 @@
     this.poll();
   }
 
+  /** Engines that serve a model of this one and whose circuits aren't open. */
+  alternatives(target: Target): Target[] {
+    return this.engines.filter((engine) => {
+      if (engine.name === target.name || this.isCircuitOpen(engine.name)) return false;
+      return target.models.some((model) => domain.target.target.serves(engine, model));
+    });
+  }
+
   /** Queues a request; resolves once it is dispatched, withdrawn or expired, or at once if it is refused. */
   async acquire(
     request: domain.routing.dispatcher.Request,
