Give up engines that send what can't be part of an answer

An engine whose stream couldn't be read (an event that is no JSON, or one beyond the bound) was asked to resume it, again and again until the deadline; and one that never ended its answer was read on, and its text kept, until then.

The test failed before: 3,000 tokens were accepted where two were asked for. The unreadable stream has no test of its own here; its error has (endlessResponses).

--- a/packages/daemon/src/requests/__tests__/execution.test.ts
+++ b/packages/daemon/src/requests/__tests__/execution.test.ts
@@ -164,4 +164,18 @@
     expect(result.map(({ text }) => text)).to.deep.equal(Ok('ab'));
     expect(used).to.deep.equal(['e1']);
   });
+
+  // Guards against an engine whose answer never ends and fills the memory.
+  it('leaves an engine that sends far more tokens than were asked for', async () => {
+    const result = await run(
+      {
+        generate: async (_target, { request }) => {
+          return Ok(streamOf(request, Array<string>(3_000).fill('x'), []));
+        },
+        stateOf: async () => Ok('decoding'),
+      },
+      noRetries(),
+    );
+    expect(result.err && result.val.message).to.include('crossed at e1');
+  });
 });
--- a/packages/daemon/src/requests/execution.ts
+++ b/packages/daemon/src/requests/execution.ts
@@ -6,6 +6,7 @@
 import { Err, Ok, Result } from 'ts-results';
 import type * as observer from '../observability/observer';
 import type * as adapter from '../targets/adapter';
+import * as boundedBody from '../targets/boundedBody';
 import type * as targetErrors from '../targets/errors';
 import type * as allocationClient from './allocationClient';
 import type * as promptQuarantine from './promptQuarantine';
@@ -85,6 +86,9 @@
 /** Faults that don't count against the target. */
 const NON_TARGET_FAULTS: readonly Fault[] = ['callerGone', 'deadline', 'targetStopped', 'refused'];
 
+/** Tokens beyond those asked for that an engine may send in one attempt; more are taken for an answer without end. */
+const MAX_EXCESS_TOKENS = 1_000;
+
 /** Maximum number of other engines that are probed before a silent one is given up. */
 const MAX_PROBED_ENGINES = 3;
 
@@ -95,10 +99,14 @@
 const ABORTED = Symbol('aborted');
 
 /** The next frame of a stream, or why there is none; undefined at its end. */
-type Arrival = adapter.EngineFrame | undefined | 'broken';
+type Arrival = adapter.EngineFrame | undefined | 'broken' | 'unusable';
 
 function nextOf(stream: adapter.EngineStream): Promise<Arrival> {
-  return stream.next().catch(() => 'broken' as const);
+  return stream.next().catch((error: unknown) => {
+    const isUnusable =
+      error instanceof SyntaxError || error instanceof boundedBody.ResponseTooLargeError;
+    return isUnusable ? 'unusable' : 'broken';
+  });
 }
 
 /** Whether an error shows that an engine runs, or that none does at its address; silence shows neither. */
@@ -373,6 +381,7 @@
   ): Promise<AttemptFailure | undefined> {
     let stream = first;
     let hasFrame = false;
+    let received = 0;
     // Kept while the engine is probed: a frame that arrives meanwhile must not get lost.
     let next: Promise<Arrival> | undefined;
     try {
@@ -397,6 +406,7 @@
           continue;
         }
         next = undefined;
+        if (frame === 'unusable') return this.unusable(target.name, 'unreadable');
         if (frame === 'broken' || frame === undefined) {
           const resumed = await this.dependencies.adapter.resume(target, id, this.check.position);
           if (resumed.err) return this.streamFailure(target.name, 'cutShort');
@@ -406,6 +416,9 @@
         }
         if (!hasFrame) this.dependencies.allocationClient.firstToken(id, target.name, frame.load);
         hasFrame = true;
+        received += Math.max(1, frame.tokens);
+        if (received > 2 * this.request.answerTokens + MAX_EXCESS_TOKENS)
+          return this.unusable(target.name, 'excess');
         const finding = this.acceptFrame(target.name, frame);
         if (finding === 'whole') return undefined;
         if (finding === 'wrong') return this.streamFailure(target.name, 'crossed');
@@ -419,6 +432,12 @@
     return this.attemptFailure(target, 'answering', this.abortReason ?? fault, 0);
   }
 
+  /** Gives up an engine that sends what can't be part of the answer. */
+  private unusable(target: string, finding: 'unreadable' | 'excess'): AttemptFailure {
+    this.dependencies.observer.log('frameCrossed', { target, finding });
+    return this.streamFailure(target, 'crossed');
+  }
+
   private async untilAborted<T>(promise: Promise<T>): Promise<T | typeof ABORTED> {
     const { signal } = this.abortController;
     if (signal.aborted) return ABORTED;
