Count and log the calls that a listener breaks off

In the interface of its own an unexpected error after the beginning of an answer, and the end of a stop, closed connections without a counter; the latter without a line of log as well. The end of a tunnel or of other malformed input wasn't counted either.

The test failed before: there was no counter (the listener only had a callback for errors).

--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -441,16 +441,13 @@
       status: () => this.status(),
       targets: () => this.targets.list(),
     });
-    const onError = (error: unknown): void => {
-      this.observer.log('crashed', { error: String(error) });
-    };
     const routes: listener.Route[] = [
       (call) => this.callers.route(call),
       (call) => targets.route(call),
       (call) => operators.route(call),
     ];
     return routes.map(
-      (route) => new listener.Listener(settings.limits, tlsOptions, route, onError),
+      (route) => new listener.Listener(settings.limits, tlsOptions, route, this.observer),
     );
   }
 
--- a/packages/daemon/src/http/__tests__/listener.test.ts
+++ b/packages/daemon/src/http/__tests__/listener.test.ts
@@ -2,16 +2,23 @@
 import * as net from 'node:net';
 import * as chai from 'chai';
 import * as clock from '../../clock';
+import * as observer from '../../observability/observer';
 import * as listener from '../listener';
 
 describe('listener', () => {
+  let observe: observer.Observer;
+
+  beforeEach(() => {
+    observe = new observer.Observer('test', 'fatal', undefined);
+  });
+
   // Guards against an unexpected error that is reported as not run although a target may have run the call.
   it('claims nothing of a call that ended with an unexpected error', async () => {
     const limits = { headerSeconds: 1, bodySeconds: 1, connections: 9, bodyBytes: 9 };
     const route = async (): Promise<void> => {
       throw new TypeError('unexpected');
     };
-    const http = new listener.Listener(limits, undefined, route, () => undefined);
+    const http = new listener.Listener(limits, undefined, route, observe);
     const port = await http.listen({ host: '127.0.0.1', port: 0 });
     const response = await fetch(`http://127.0.0.1:${port}/`);
     const content = (await response.json()) as { error: { outcome: string } };
@@ -23,12 +30,7 @@
   // Guards against a connection that is reset in place of the error, as the length of a body isn't stated.
   it('tells a caller that its body is too large while it still sends', async () => {
     const limits = { headerSeconds: 1, bodySeconds: 5, connections: 9, bodyBytes: 9 };
-    const http = new listener.Listener(
-      limits,
-      undefined,
-      async () => undefined,
-      () => undefined,
-    );
+    const http = new listener.Listener(limits, undefined, async () => undefined, observe);
     const port = await http.listen({ host: '127.0.0.1', port: 0 });
     const socket = net.connect(port, '127.0.0.1').pause();
     let received = '';
@@ -54,4 +56,29 @@
       .to.match(/^HTTP\/1.1 413 /)
       .and.to.match(/"tooLarge".*$/s);
   });
+
+  // Guards against answers that are broken off without a trace.
+  it('counts the answers that it breaks off', async () => {
+    const limits = { headerSeconds: 1, bodySeconds: 1, connections: 9, bodyBytes: 9 };
+    const route = async ({ path, response }: listener.Call): Promise<void> => {
+      response.write('begun');
+      if (path === '/error') throw new TypeError('unexpected');
+    };
+    const http = new listener.Listener(limits, undefined, route, observe);
+    const port = await http.listen({ host: '127.0.0.1', port: 0 });
+    for (const path of ['error', 'endless']) {
+      const content = await fetch(`http://127.0.0.1:${port}/${path}`).then(
+        (response) => {
+          if (path === 'endless') http.abort();
+          return response.text().catch(() => 'broken');
+        },
+        () => 'broken',
+      );
+      chai.expect(content).to.equal('broken');
+    }
+    await http.close();
+    chai
+      .expect(observe.counters())
+      .to.include({ 'answers.aborted.internalError': 1, 'answers.aborted.stopped': 1 });
+  });
 });
--- a/packages/daemon/src/http/listener.ts
+++ b/packages/daemon/src/http/listener.ts
@@ -7,6 +7,7 @@
 import type * as net from 'node:net';
 import type * as tls from 'node:tls';
 import type * as configuration from '../configuration/configuration';
+import type * as observer from '../observability/observer';
 import * as errors from '../requests/errors';
 import * as earlyResponse from './earlyResponse';
 import * as malformedInput from './malformedInput';
@@ -69,7 +70,7 @@
     private readonly limits: configuration.Configuration['limits'],
     tlsOptions: tls.TlsOptions | undefined,
     private readonly route: Route,
-    private readonly onError: (error: unknown) => void,
+    private readonly observe: Pick<observer.Observer, 'log' | 'count'>,
   ) {
     const options = {
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -88,7 +89,7 @@
       tlsOptions === undefined
         ? http.createServer(options, serve)
         : https.createServer({ ...options, ...tlsOptions }, serve);
-    this.malformedInput = new malformedInput.MalformedInput(this.server, undefined);
+    this.malformedInput = new malformedInput.MalformedInput(this.server, observe);
     this.serverStop = new serverStop.ServerStop(this.server);
     this.server.maxConnections = limits.connections;
   }
@@ -113,6 +114,9 @@
 
   /** Closes all connections at once, including those with open calls. */
   abort(): void {
+    this.serverStop.unfinished.forEach((response) => {
+      this.reportAborted(response, 'stopped', 'the daemon has stopped');
+    });
     this.server.closeAllConnections();
   }
 
@@ -141,11 +145,13 @@
     } else if (request.destroyed && !request.complete) {
       response.destroy();
     } else if (response.headersSent) {
-      this.onError(error);
+      this.reportError(error);
+      if (response.writableEnded) return;
+      this.reportAborted(response, 'internalError', String(error));
       response.destroy();
     } else {
       const isMalformed = error instanceof SyntaxError || error instanceof URIError;
-      if (!isMalformed) this.onError(error);
+      if (!isMalformed) this.reportError(error);
       reply.error(
         response,
         isMalformed
@@ -154,4 +160,18 @@
       );
     }
   }
+
+  private reportError(error: unknown): void {
+    this.observe.log('crashed', { error: String(error) });
+  }
+
+  /** Reports a call whose connection is closed without a whole answer. */
+  private reportAborted(
+    { req: { method, url } }: http.ServerResponse,
+    reason: 'internalError' | 'stopped',
+    detail: string,
+  ): void {
+    this.observe.count(`answers.aborted.${reason}`);
+    this.observe.log('answerAborted', { method, path: url, reason, detail });
+  }
 }
--- a/packages/daemon/src/http/serverStop.ts
+++ b/packages/daemon/src/http/serverStop.ts
@@ -23,6 +23,13 @@
     });
   }
 
+  /** Responses whose last part isn't sent, although their connections are open. */
+  get unfinished(): http.ServerResponse[] {
+    return [...this.open].filter(({ writableFinished, req }) => {
+      return !writableFinished && !req.socket.destroyed;
+    });
+  }
+
   /** Accepts no new connections and closes the idle ones; `onClosed` is called when all are closed. */
   stop(onClosed?: () => void): void {
     net.Server.prototype.close.call(this.server, onClosed);
