--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -7,8 +7,10 @@
 import type * as domain from '@celerydrift/domain';
 import type * as codecs from '../configuration/codecs';
 import type * as protocols from '../edges/protocols';
+import * as earlyResponse from '../http/earlyResponse';
 import * as listening from '../http/listening';
 import * as malformedInput from '../http/malformedInput';
+import * as serverStop from '../http/serverStop';
 import type * as observer from '../observability/observer';
 import * as connectionGate from './connectionGate';
 import type * as exchange from './exchange';
@@ -61,9 +63,14 @@
 export class Ingress {
   private readonly server: http.Server;
 
-  private readonly sockets = new Set<net.Socket>();
+  /** Requests that were passed on to be served, so that targets may run them. */
+  private readonly passedOn = new WeakSet<http.IncomingMessage>();
 
-  private active = 0;
+  /** Responses that aren't complete. */
+  private readonly open = new Set<http.ServerResponse>();
+
+  /** Those that arrived behind another request of their connection. */
+  private readonly queued = new Set<http.ServerResponse>();
 
   private isDraining = false;
 
@@ -75,6 +82,8 @@
 
   private readonly malformedInput: malformedInput.MalformedInput;
 
+  private readonly serverStop: serverStop.ServerStop;
+
   /** Address of the callers' listener; undefined before it listens. */
   private address: codecs.Address | undefined;
 
@@ -88,19 +97,19 @@
         noDelay: true,
       },
       (request, response) => {
-        void this.handle(request, response);
+        void this.answer(request, response);
       },
     );
     this.malformedInput = new malformedInput.MalformedInput(this.server, dependencies.observer);
+    this.serverStop = new serverStop.ServerStop(this.server);
     this.gate = new connectionGate.ConnectionGate(this.server, {
       observer: dependencies.observer,
       now: dependencies.now,
-      active: () => this.active,
+      active: () => this.open.size,
       listen: () => this.listenAgain(),
     });
     this.server.on('connection', (socket) => {
-      this.sockets.add(socket);
-      socket.once('close', () => this.sockets.delete(socket));
+      socket.once('close', () => this.forgetQueued(socket));
     });
   }
 
@@ -115,7 +124,7 @@
 
   /** Number of requests without a final response. */
   get activeRequests(): number {
-    return this.active;
+    return this.open.size;
   }
 
   gauges(): Record<string, number> {
@@ -145,8 +154,44 @@
 
   close(): void {
     this.gate.stop();
-    this.server.close();
-    this.server.closeIdleConnections();
+    this.serverStop.stop();
+  }
+
+  /** Ends all requests: with a status, if their answers haven't begun. */
+  abort(): void {
+    const failure = { reason: 'stopped', detail: 'the entry has stopped' } as const;
+    this.open.forEach((response) => {
+      const { req: request } = response;
+      this.fail(request, response, failure);
+      // Ends the exchange, which must not answer as well.
+      if (this.passedOn.has(request)) request.emit('error', new Error(failure.detail));
+    });
+  }
+
+  /** Node tells only the response whose turn it is that its connection has ended, not those queued behind it. */
+  private forgetQueued(socket: net.Socket): void {
+    this.queued.forEach((response) => {
+      if (response.req.socket === socket) response.emit('close');
+    });
+  }
+
+  private async answer(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    this.open.add(response);
+    if (response.socket === null) this.queued.add(response);
+    response.once('close', () => {
+      this.open.delete(response);
+      this.queued.delete(response);
+    });
+    // An error of the caller's connection ends its exchange through `close`; it needs no other handling.
+    response.on('error', () => undefined);
+    try {
+      await this.handle(request, response);
+    } catch (error) {
+      this.failUnexpectedly(request, response, error);
+    }
   }
 
   private async handle(
@@ -154,17 +199,12 @@
     response: http.ServerResponse,
   ): Promise<void> {
     const arrivedAt = this.dependencies.now();
-    this.active += 1;
     this.gate.used(request.socket);
     this.malformedInput.began(request, response);
+    this.serverStop.began(response);
     const held = this.dependencies.held.open(this.connectionOf(request, response));
-    response.once('close', () => {
-      this.active -= 1;
-      held.close();
-    });
+    response.once('close', () => held.close());
     if (this.isDraining) response.setHeader('Connection', 'close');
-    // An error of the caller's connection ends its exchange through `close`; it needs no other handling.
-    response.on('error', () => undefined);
     if (this.isRefusing) {
       this.refuse(request, response, { status: 503, reason: 'entry is stopping' });
       return;
@@ -179,6 +219,47 @@
     await this.admit(directory, { request, response, arrivedAt, held }, earlyBody);
   }
 
+  /** An unexpected error must neither leave the caller without an answer nor end the process with all other answers. */
+  private failUnexpectedly(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    error: unknown,
+  ): void {
+    const detail = String(error);
+    this.dependencies.observer.log('crashed', { request: this.requestIdOf(request), detail });
+    this.fail(request, response, { reason: 'internalError', detail });
+  }
+
+  /** Answers a request that can't be served any more, with what is known, or breaks its answer off. */
+  private fail(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    failure: { reason: 'internalError' | 'stopped'; detail: string },
+  ): void {
+    const { observer: observe } = this.dependencies;
+    if (response.writableEnded || response.destroyed) return;
+    if (response.headersSent) {
+      observe.count(`answers.aborted.${failure.reason}`);
+      observe.log('answerAborted', { request: this.requestIdOf(request), ...failure });
+      response.destroy();
+      return;
+    }
+    const status = this.passedOn.has(request) ? 502 : 503;
+    observe.count(`answers.${status}.own`);
+    const { detail } = failure;
+    observe.log('requestEnded', { request: this.requestIdOf(request), status, detail });
+    this.end(request, response, status);
+  }
+
+  /** Id of a request; empty if its headers can't be read. */
+  private requestIdOf({ headers }: http.IncomingMessage): string {
+    try {
+      return this.dependencies.protocol.callerMetadata(headers).requestId;
+    } catch {
+      return '';
+    }
+  }
+
   private connectionOf(
     request: http.IncomingMessage,
     response: http.ServerResponse,
@@ -228,6 +309,7 @@
       this.refuse(request, response, { status: 413, reason: 'body too large' });
       return;
     }
+    this.passedOn.add(request);
     await this.dependencies.serve({
       request,
       response,
@@ -279,11 +361,18 @@
       detail: reason,
       version,
     });
-    const headers: http.OutgoingHttpHeaders = { 'Content-Length': 0 };
+    this.end(request, response, status);
+  }
+
+  /** Sends an answer of the entry itself. */
+  private end(request: http.IncomingMessage, response: http.ServerResponse, status: number): void {
+    const headers: http.OutgoingHttpHeaders = {};
     if (status === 503) headers['Retry-After'] = RETRY_AFTER_SECONDS;
-    // The unread rest of a body must not be parsed as the next request.
-    if (!request.complete) headers.Connection = 'close';
-    response.writeHead(status, headers);
+    if (!request.complete) {
+      earlyResponse.send(request, response, { status, headers, content: '' });
+      return;
+    }
+    response.writeHead(status, { ...headers, 'Content-Length': 0 });
     response.end();
   }
 }
@@ -293,22 +382,34 @@
   maxBytes: number,
   held: heldBytes.Holding,
 ): Promise<Body> {
-  return new Promise((resolve) => {
+  return new Promise((resolve, reject) => {
     const chunks: Buffer[] = [];
     let length = 0;
-    request.on('data', (chunk: Buffer) => {
+    /** An error in a listener would end the process. */
+    const orReject = (action: () => void): void => {
+      try {
+        action();
+      } catch (error) {
+        reject(error);
+      }
+    };
+    const add = (chunk: Buffer): void => {
       length += chunk.length;
       if (length > maxBytes) {
+        chunks.length = 0;
         held.bodyEnded();
         resolve('tooLarge');
         return;
       }
       chunks.push(chunk);
       held.bodyArrived(chunk.length);
-    });
+    };
+    request.on('data', (chunk: Buffer) => orReject(() => add(chunk)));
     request.once('end', () => {
-      held.bodyEnded();
-      resolve(Buffer.concat(chunks));
+      orReject(() => {
+        held.bodyEnded();
+        resolve(Buffer.concat(chunks));
+      });
     });
     request.once('error', () => resolve('broken'));
     request.once('close', () => resolve('broken'));
--- a/packages/daemon/src/http/listener.ts
+++ b/packages/daemon/src/http/listener.ts
@@ -7,9 +7,12 @@
 import type * as net from 'node:net';
 import type * as tls from 'node:tls';
 import type * as configuration from '../configuration/configuration';
+import type * as observer from '../observability/observer';
 import * as errors from '../requests/errors';
+import * as earlyResponse from './earlyResponse';
 import * as malformedInput from './malformedInput';
 import * as reply from './reply';
+import * as serverStop from './serverStop';
 
 /** A request with its complete body, and the response to write. */
 export interface Call {
@@ -29,16 +32,25 @@
 /** Thrown when a body exceeds the limit. */
 class BodyTooLarge extends Error {}
 
+/** Reads a body. Iteration over a request would close its connection where it stops early, before any answer. */
 async function readBody(request: http.IncomingMessage, limit: number): Promise<Buffer> {
   if (Number(request.headers['content-length'] ?? 0) > limit) throw new BodyTooLarge();
-  const chunks: Buffer[] = [];
-  let length = 0;
-  for await (const chunk of request) {
-    length += (chunk as Buffer).length;
-    if (length > limit) throw new BodyTooLarge();
-    chunks.push(chunk as Buffer);
-  }
-  return Buffer.concat(chunks);
+  return new Promise((resolve, reject) => {
+    const chunks: Buffer[] = [];
+    let length = 0;
+    request.on('data', (chunk: Buffer) => {
+      length += chunk.length;
+      if (length <= limit) {
+        chunks.push(chunk);
+        return;
+      }
+      chunks.length = 0;
+      reject(new BodyTooLarge());
+    });
+    request.once('end', () => resolve(Buffer.concat(chunks)));
+    request.once('error', reject);
+    request.once('close', () => reject(new Error('the body is incomplete')));
+  });
 }
 
 /** Extracts the bearer token or API key; empty if there is none. */
@@ -52,11 +64,13 @@
 
   private readonly malformedInput: malformedInput.MalformedInput;
 
+  private readonly serverStop: serverStop.ServerStop;
+
   constructor(
     private readonly limits: configuration.Configuration['limits'],
     tlsOptions: tls.TlsOptions | undefined,
     private readonly route: Route,
-    private readonly onError: (error: unknown) => void,
+    private readonly observe: Pick<observer.Observer, 'log' | 'count'>,
   ) {
     const options = {
       maxHeaderSize: MAX_HEADER_BYTES,
@@ -68,13 +82,15 @@
     };
     const serve = (request: http.IncomingMessage, response: http.ServerResponse): void => {
       this.malformedInput.began(request, response);
+      this.serverStop.began(response);
       void this.serve(request, response);
     };
     this.server =
       tlsOptions === undefined
         ? http.createServer(options, serve)
         : https.createServer({ ...options, ...tlsOptions }, serve);
-    this.malformedInput = new malformedInput.MalformedInput(this.server, undefined);
+    this.malformedInput = new malformedInput.MalformedInput(this.server, observe);
+    this.serverStop = new serverStop.ServerStop(this.server);
     this.server.maxConnections = limits.connections;
   }
 
@@ -89,16 +105,18 @@
   /** Stops accepting connections and resolves when the open calls have finished. */
   async close(): Promise<void> {
     const closed = new Promise<void>((resolve) => {
-      this.server.close(() => resolve());
+      this.serverStop.stop(resolve);
     });
-    this.server.closeIdleConnections();
-    const idle = setInterval(() => this.server.closeIdleConnections(), 100);
+    const idle = setInterval(() => this.serverStop.closeIdle(), 100);
     await closed;
     clearInterval(idle);
   }
 
   /** Closes all connections at once, including those with open calls. */
   abort(): void {
+    this.serverStop.unfinished.forEach((response) => {
+      this.reportAborted(response, 'stopped', 'the daemon has stopped');
+    });
     this.server.closeAllConnections();
   }
 
@@ -123,17 +141,17 @@
   private fail(request: http.IncomingMessage, response: http.ServerResponse, error: unknown): void {
     if (error instanceof BodyTooLarge) {
       const message = `the body is over ${this.limits.bodyBytes} bytes`;
-      response.setHeader('connection', 'close');
-      reply.error(response, errors.notRun('tooLarge', message));
-      request.resume();
+      earlyResponse.send(request, response, reply.errorOf(errors.notRun('tooLarge', message)));
     } else if (request.destroyed && !request.complete) {
       response.destroy();
     } else if (response.headersSent) {
-      this.onError(error);
+      this.reportError(error);
+      if (response.writableEnded) return;
+      this.reportAborted(response, 'internalError', String(error));
       response.destroy();
     } else {
       const isMalformed = error instanceof SyntaxError || error instanceof URIError;
-      if (!isMalformed) this.onError(error);
+      if (!isMalformed) this.reportError(error);
       reply.error(
         response,
         isMalformed
@@ -142,4 +160,18 @@
       );
     }
   }
+
+  private reportError(error: unknown): void {
+    this.observe.log('crashed', { error: String(error) });
+  }
+
+  /** Reports a call whose connection is closed without a whole answer. */
+  private reportAborted(
+    { req: { method, url } }: http.ServerResponse,
+    reason: 'internalError' | 'stopped',
+    detail: string,
+  ): void {
+    this.observe.count(`answers.aborted.${reason}`);
+    this.observe.log('answerAborted', { method, path: url, reason, detail });
+  }
 }
