Show that a stream is cut as its next target was replaced

Callers of streams that had begun lost their connection although other targets were free: their first target crashed, and the second one, which had restarted under its address, refused with 421 and a statement that it ran nothing.

The cause: Exchange.send passes wasSent to Attempts.ended for a lifetime that was replaced, and wasRefused only for one that is full. So the replaced target counts against the two targets of the route, hasAttemptsLeft is false, and continueLater gives up as well.

--- a/packages/daemon/src/entry/__tests__/lifetimes.test.ts
+++ b/packages/daemon/src/entry/__tests__/lifetimes.test.ts
@@ -37,6 +37,8 @@
   return new targetSelector.TargetSelector(options as unknown as targetSelector.Options);
 }
 
+const eventOf = (id: number): string => harness.chunk(`id: ${id}\ndata: x\n\n`);
+
 describe('a target that restarted under its id', () => {
   let registry: domain.registry.registry.Registry;
 
@@ -120,4 +122,27 @@
     const hasCrashed = [1, 2].map((each) => quarantine.hasCrashed({ id: target, bornAt: each }));
     expect(hasCrashed).to.deep.equal([true, false]);
   });
+
+  /** Guards against a stream that is cut as a target that was replaced, and ran nothing, counts as one of its targets. */
+  it('is passed over by a stream that has begun, which goes on at a third one', async () => {
+    const setup = await harness.TestHarness.start(
+      harness.answeringProbes((_request, socket) => {
+        socket.write(harness.STREAM_HEAD + eventOf(1));
+        setTimeout(() => socket.resetAndDestroy(), 50);
+      }),
+      harness.answeringProbes((_request, socket) => {
+        socket.write(harness.answer('', 421, 'not-run: 1\r\n'));
+      }),
+      harness.answeringProbes((_request, socket) => {
+        socket.write(harness.STREAM_HEAD + eventOf(2) + harness.LAST_CHUNK);
+      }),
+    );
+    const reply = await setup.send('/streaming/');
+    setup.stop();
+    expect([reply.status, reply.isWhole, reply.body]).to.deep.equal([
+      200,
+      true,
+      'id: 1\ndata: x\n\nid: 2\ndata: x\n\n',
+    ]);
+  });
 });
