Don't count a replaced target among those that a request was sent to

Callers of streams that had begun lost their connection although other targets were free: their first target had crashed, and the second, which had restarted under its address, refused with 421. In a trace of requests that crash targets this broke off two of 40 streams (5030 noTarget, 'target refused: 421').

The replaced lifetime counted against the two targets that a route allows, although it ran nothing.

--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -532,9 +532,11 @@
     this.attempt = undefined;
     this.activeTarget = undefined;
     const faulty = outcomes.faultyHelperOf(outcome, placement);
+    // A lifetime that was replaced ran nothing, and its successor isn't the target that the request was sent to.
+    const wasReplaced = outcome.kind === 'notRun' && outcome.ending === 'replaced';
     this.attempts.ended({
       target: placement.target,
-      wasSent,
+      wasSent: wasSent && !wasReplaced,
       wasRefused: outcome.kind === 'notRun' && outcome.ending === 'full',
       wasHelperAtFault: faulty !== undefined,
     });
