Silence sound targets in the soak and find the streams it cuts

Callers' streams that had begun were closed while their targets were sound but silent for a second or two. The soak couldn't show it: a silent target was one with a fault, which excuses whatever happens, and its streams lasted 240 ms, too short for a silence to begin midway.

Targets are now silent in a series drawn for itself, so the steps of a seed stay what they were: by SIGSTOP, or by held bytes while the target goes on announcing itself. One stream in three has 60 events.

A silence is recorded beside the disturbances, so no check excuses anything by it. The check `streamCut` blames an entry for a stream that had begun and ended early, unless the entry, a target that ran the stream, or all paths explain it.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -124,6 +124,21 @@
   }
 }
 
+/** A stream that had begun on target 0 ended without its last event while that target was silent. */
+function addCutStream({ asked, ran, silenced }: Observations): void {
+  const ending = { kind: 'broken', hasBegun: true } as const;
+  asked.push(requestRecord('r3', { kind: 'stream', endedAt: 12_000, ending }));
+  ran.push({ request: 'r3', target: 't0-1', at: 10_050 });
+  silenced.push({ targets: [0], from: 10_500, until: 12_500 });
+}
+
+/** Adds a fault of entry or target 0, half a second long, to a run. */
+function addFault(subject: 'entry' | 'target', from: number) {
+  return ({ disturbances }: Observations): void => {
+    disturbances.push({ subject, index: 0, what: 'fault', from, until: from + 500 });
+  };
+}
+
 /** An evacuation of a data centre without targets; target 0 runs a request 5.2 s after its acknowledgement. */
 const EVACUATION = { dataCentre: 'west', ackedAt: 4_850, endedAt: 20_000, isListed: true };
 
@@ -334,6 +349,7 @@
         stopped.push({ entry: 0, incarnation: 1, from: 9_000, until: 12_000 });
       },
     ],
+    ['streamCut', addCutStream],
     ['crashedOn', (good) => addCrashes(good, MAX_LATER_ARRIVALS + 1)],
     [
       'falseNotRun',
@@ -375,6 +391,33 @@
     });
   });
 
+  it('excuse a cut stream only for faults of its entry, of its targets or of all paths', () => {
+    const isBlamedBeside = (change: (good: Observations) => void): boolean =>
+      violatedGuarantees((good) => {
+        addCutStream(good);
+        change(good);
+      }).includes('streamCut');
+    const sever = ({ severed }: Observations): unknown =>
+      severed.push({ entries: [0], from: 11_000, until: 18_000 });
+    const excuses: ((good: Observations) => void)[] = [
+      addFault('entry', 7_100),
+      addFault('target', 11_000),
+      ({ crashed }) => crashed.push({ target: 't0-1', cause: 'crash', at: 11_000 }),
+      ({ drained }) => drained.push({ target: 't0-1', at: 8_500 }),
+      ({ stopped }) => stopped.push({ entry: 0, incarnation: 1, from: 3_000, until: 11_500 }),
+      ({ asked: all }) => Object.assign(all[2], { endedAt: 15_950 }),
+      sever,
+    ];
+    const others: typeof excuses = [
+      addFault('entry', 6_000),
+      addFault('target', 9_000),
+      ({ stopped }) => stopped.push({ entry: 0, incarnation: 1, from: 10_500, until: 12_000 }),
+      (good) => sever(good) && good.asked.push(requestRecord('r4', { entry: 1 })),
+    ];
+    expect(excuses.filter(isBlamedBeside)).to.deep.equal([]);
+    expect(others.filter(isBlamedBeside)).to.deep.equal(others);
+  });
+
   it('allow what may happen to a disturbed process', () => {
     const found = violatedGuarantees(({ probes, asked: all, disturbances, sent: documents }) => {
       const disturbance = {
--- a/packages/soak/src/__tests__/schedule.test.ts
+++ b/packages/soak/src/__tests__/schedule.test.ts
@@ -43,6 +43,16 @@
     }
   });
 
+  it('silences all targets before all other faults of each seed', () => {
+    for (let seed = 0; seed < 300; seed++) {
+      const { repeating, silencing } = schedule.drawPlan(seed, 6, LAYOUT);
+      const [{ at, forSeconds, targets }] = silencing;
+      expect(at).to.equal(schedule.FIRST_SILENCE_SECONDS);
+      expect(at + forSeconds).to.be.below(repeating[0].at);
+      expect(targets).to.have.lengthOf(LAYOUT.engines + LAYOUT.services);
+    }
+  });
+
   it('draws every kind sooner or later', () => {
     const drawn = new Set<string>();
     for (let seed = 0; seed < 300; seed++) {
--- a/packages/soak/src/answers.ts
+++ b/packages/soak/src/answers.ts
@@ -1,7 +1,10 @@
 /** Responses of stand-in targets. They follow from the request alone, so that callers can verify them. */
 
-/** Number of events in a complete stream. */
-export const STREAM_EVENTS = 8;
+/** Number of events in a complete stream; the longer ones last long enough for silences to begin midway. */
+const STREAM_EVENTS = 8;
+const LONG_STREAM_EVENTS = 60;
+/** One in so many requests for streams gets a longer one. */
+const LONG_STREAM_PERIOD = 3;
 
 /** Requests whose path contains this get a stream. */
 export const STREAM_MARKER = 'stream';
@@ -13,12 +16,19 @@
   return `answer to ${request} at ${path}`;
 }
 
+/** Number of events in the complete stream for a request. */
+export function streamLength(request: string): number {
+  const isLong = Number.parseInt(request.slice(1), 10) % LONG_STREAM_PERIOD === 0;
+  return isLong ? LONG_STREAM_EVENTS : STREAM_EVENTS;
+}
+
 export function streamEvent(request: string, id: number): string {
-  return `id: ${id}\ndata: ${request} ${id} of ${STREAM_EVENTS}\n\n`;
+  return `id: ${id}\ndata: ${request} ${id} of ${streamLength(request)}\n\n`;
 }
 
 export function streamBody(request: string): string {
-  return Array.from({ length: STREAM_EVENTS }, (_, i) => streamEvent(request, i + 1)).join('');
+  const length = streamLength(request);
+  return Array.from({ length }, (_, i) => streamEvent(request, i + 1)).join('');
 }
 
 /** The complete response body for a request. */
--- a/packages/soak/src/callers.ts
+++ b/packages/soak/src/callers.ts
@@ -11,7 +11,7 @@
 export const HOST = 'soak.example';
 
 /** Timeout that callers state in their requests, milliseconds. */
-const CALLER_TIMEOUT_MS = { safe: 1_500, unsafe: 1_500, stream: 6_000 } as const;
+export const CALLER_TIMEOUT_MS = { safe: 1_500, unsafe: 1_500, stream: 6_000 } as const;
 
 /** A request without an outcome this long after the caller's timeout counts as hung. */
 const HANG_GRACE_MS = 1_500;
@@ -100,7 +100,7 @@
       key,
       patienceMs,
       promptTokens: isLarge ? LARGE_PROMPT_TOKENS : SMALL_PROMPT_TOKENS,
-      answerTokens: answers.STREAM_EVENTS,
+      answerTokens: answers.streamLength(requestId),
       ...(kind === 'stream' && { parts: [...parts, requestId.slice(1)] }),
     });
     const agent = this.random.uniform() < NEW_CONNECTION_SHARE ? false : this.agent;
@@ -128,8 +128,10 @@
         clearTimeout(hangTimer);
         resolve(outcome);
       };
-      request.on('error', () => settle({ kind: 'broken' }));
+      let hasBegun = false;
+      request.on('error', () => settle({ kind: 'broken', hasBegun }));
       request.on('response', (response) => {
+        hasBegun = response.statusCode === 200;
         const chunks: Buffer[] = [];
         response.on('data', (chunk: Buffer) => chunks.push(chunk));
         response.on('error', () => undefined);
@@ -141,7 +143,7 @@
 }
 
 function outcomeOf(response: http.IncomingMessage, body: Buffer): observations.RequestOutcome {
-  if (!response.complete) return { kind: 'broken' };
+  if (!response.complete) return { kind: 'broken', hasBegun: response.statusCode === 200 };
   return {
     kind: 'answered',
     status: response.statusCode ?? 0,
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -4,6 +4,7 @@
  */
 import * as answers from './answers';
 import * as availability from './availability';
+import * as cutStreams from './cutStreams';
 import * as layout from './layout';
 import * as limitUse from './limitUse';
 import type * as observations from './observations';
@@ -41,6 +42,8 @@
   | 'evacuationLost'
   /** A planned stop truncated the response to a request that the entry had accepted. */
   | 'cutByStop'
+  /** A stream that had begun ended before its last event and its time, although its entry and targets had no fault but silence. */
+  | 'streamCut'
   /** A request that had crashed three targets kept reaching further ones. */
   | 'crashedOn'
   /** A target got more messages than the limit it reported. */
@@ -117,6 +120,7 @@
   evacuatedTargetRuns,
   lostEvacuations,
   requestsCutByStops,
+  streamsCut,
   quarantineBypasses,
   falselyRefusedCrashers,
   limitOverruns,
@@ -380,6 +384,13 @@
   });
 }
 
+function streamsCut(observed: Observations): Violation[] {
+  return cutStreams.find(observed).map(({ request, entry, sentAt, endedAt }) => {
+    const detail = `${request} at entry ${entry} after ${endedAt - sentAt} ms`;
+    return { promise: 'streamCut', detail };
+  });
+}
+
 /**
  * After three crashes and the settling time, a request may reach at most three more targets from undisturbed entries.
  */
--- a/packages/soak/src/faultInjector.ts
+++ b/packages/soak/src/faultInjector.ts
@@ -176,6 +176,22 @@
     severed.forEach((entry) => this.fleet.restorePaths(entry));
   }
 
+  /** Makes sound targets silent for a while: stops their processes, or holds what they receive and send. */
+  async silence({ targets, isStopped, forSeconds }: schedule.SilenceSpan): Promise<void> {
+    const silent = targets.map((index) => this.fleet.targets[index]);
+    const { network } = this.fleet;
+    const span = { targets, from: Date.now(), until: Infinity };
+    this.observed.silenced.push(span);
+    silent.forEach(({ process, host }) =>
+      isStopped ? process.signal('SIGSTOP') : network.hold(host),
+    );
+    await operator.sleep(forSeconds * 1_000);
+    span.until = Date.now();
+    silent.forEach(({ process, host }) =>
+      isStopped ? process.signal('SIGCONT') : network.release(host),
+    );
+  }
+
   /** Isolates an entry, sets its wall clock back, and revokes a key; resolves when the entry is connected again. */
   async isolate(
     { index, organisation, forSeconds }: schedule.IsolationSpan,
--- a/packages/soak/src/forwarder.ts
+++ b/packages/soak/src/forwarder.ts
@@ -26,6 +26,9 @@
   /** Links on which connections are refused, as SOURCE>TARGET. */
   private readonly refusedLinks = new Set<string>();
 
+  /** Processes whose connections are accepted, but carry no bytes. */
+  private readonly heldTargets = new Set<string>();
+
   private readonly connections = new Set<ForwardedConnection>();
 
   private readonly servers: net.Server[] = [];
@@ -64,7 +67,17 @@
     this.refusedLinks.delete(`${source}>${target}`);
   }
 
+  /** Holds all bytes to and from a process. */
+  hold(target: string): void {
+    this.heldTargets.add(target);
+  }
+
+  release(target: string): void {
+    this.heldTargets.delete(target);
+  }
+
   restoreAll(): void {
+    this.heldTargets.clear();
     this.cutLinks.clear();
     this.refusedLinks.clear();
     this.delayMs = 0;
@@ -115,7 +128,7 @@
     { isBlackholed, source, target }: ForwardedConnection,
     direction: Direction,
   ): boolean {
-    if (isBlackholed) return false;
+    if (isBlackholed || this.heldTargets.has(target)) return false;
     const link = direction === 'forward' ? `${source}>${target}` : `${target}>${source}`;
     return !this.cutLinks.has(link);
   }
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -8,8 +8,8 @@
 export type RequestOutcome =
   /** A complete HTTP response; `isSigned` if it carries the signature header of the target that produced it. */
   | { kind: 'answered'; status: number; isSigned: boolean; body: string }
-  /** The response was truncated, or the connection closed without one. */
-  | { kind: 'broken' }
+  /** The response was truncated, or the connection closed without one; `hasBegun` if it was a successful one. */
+  | { kind: 'broken'; hasBegun?: boolean }
   /** No response well after the caller's timeout. */
   | { kind: 'hung' };
 
@@ -182,6 +182,8 @@
     drained: [] as DrainedTarget[],
     evacuated: [] as EvacuationWindow[],
     severed: [] as SeveredWindow[],
+    /** Periods in which sound targets, by index, were silent, which is no fault. */
+    silenced: [] as { targets: number[]; from: number; until: number }[],
     stopped: [] as PlannedStop[],
     disturbances: [] as Disturbance[],
     /** Ids that each target, by index, has run under. */
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -176,8 +176,8 @@
 
   private async executePlan(plan: schedule.Plan): Promise<void> {
     const { steps, crashing, limiting, shedding, isolating, evacuating, severing, seconds } = plan;
-    const { repeating } = plan;
-    const startedAt = Date.now() - 1_000 * schedule.FIRST_REPEATING_SECONDS;
+    const { repeating, silencing } = plan;
+    const startedAt = Date.now() - 1_000 * schedule.TRAFFIC_START_SECONDS;
     const untilSecond = async (at: number): Promise<void> =>
       operator.sleep(Math.max(0, startedAt + at * 1_000 - Date.now()));
     const scheduleAll = <T extends { at: number }>(
@@ -192,6 +192,7 @@
     scheduleAll(shedding, (span) => this.faultInjector.shedLoad(span));
     scheduleAll(evacuating, (span) => this.faultInjector.evacuate(span));
     scheduleAll(severing, (span) => this.faultInjector.sever(span));
+    scheduleAll(silencing, (span) => this.faultInjector.silence(span));
     // A wave fills the targets so that they read late what was sent before they asked to back off.
     const isShedding = (now: number): boolean => {
       const at = (now - startedAt) / 1_000;
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -181,6 +181,12 @@
  */
 export type RepeatingSpan = Omit<LimitingSpan, 'perSecond'>;
 
+/** A period in which sound targets are silent; several in a row concern the same ones. */
+export type SilenceSpan = Omit<LimitingSpan, 'perSecond'> & {
+  /** Whether their processes are stopped, so that they don't announce themselves either. */
+  isStopped: boolean;
+};
+
 export interface Plan {
   seed: number;
   seconds: number;
@@ -192,6 +198,7 @@
   evacuating: EvacuationSpan[];
   severing: SeveringSpan[];
   repeating: RepeatingSpan[];
+  silencing: SilenceSpan[];
   /** Undefined in runs without such losses. */
   lossSeries: lossSeries.LossSeries | undefined;
 }
@@ -351,6 +358,45 @@
   return drawSpans({ ...timing, minGap: REPEATING_SECONDS.max }, draw, FIRST_REPEATING_SECONDS);
 }
 
+const SILENCE_SEED_OFFSET = 9_000_003;
+const MEAN_SILENCE_INTERVAL_SECONDS = 3;
+const SILENCE_SECONDS = { min: 0.3, max: 2.5 } as const;
+/** Number of periods in a row, and the time from the start of one to that of the next. */
+const MAX_SILENCES = 2;
+const SILENCE_PERIOD_SECONDS = { min: 3.5, max: 5 } as const;
+const SILENT_SCOPES = ['one', 'localService', 'service', 'all'] as const;
+/** All targets are silent first, before all other faults and long enough to be noticed, with streams under way. */
+export const FIRST_SILENCE_SECONDS = -9;
+export const TRAFFIC_START_SECONDS = -10;
+const FIRST_SILENCE = { min: 1.8, max: 2.5 } as const;
+
+function drawSilences(seed: number, seconds: number, size: layout.Layout): SilenceSpan[] {
+  const { engines, services } = size;
+  const targets = Array.from({ length: engines + services }, (_, i) => i);
+  const timing = { seed: seed + SILENCE_SEED_OFFSET, seconds };
+  const meanPause = MEAN_SILENCE_INTERVAL_SECONDS;
+  const minGap = MAX_SILENCES * SILENCE_PERIOD_SECONDS.max;
+  const draw = (random: Random, firstAt: number): SilenceSpan[] => {
+    const isFirst = firstAt === FIRST_SILENCE_SECONDS;
+    const scope = isFirst ? 'all' : domain.shared.random.pick(random, SILENT_SCOPES);
+    const one = domain.shared.random.pick(random, targets);
+    const silent = targets.filter((each) => {
+      if (scope === 'one') return each === one;
+      const isLocal = layout.dataCentreOf(each) === layout.dataCentreOf(one);
+      const isSameService = each < engines === one < engines;
+      return scope === 'all' || (isSameService && (scope === 'service' || isLocal));
+    });
+    const isStopped = random.uniform() < 0.5;
+    const pause = uniformBetween(random, SILENCE_PERIOD_SECONDS);
+    const count = 1 + domain.shared.random.below(random, MAX_SILENCES);
+    return Array.from({ length: count }, (_, i) => {
+      const forSeconds = uniformBetween(random, isFirst ? FIRST_SILENCE : SILENCE_SECONDS);
+      return { at: firstAt + i * pause, forSeconds, targets: silent, isStopped };
+    }).filter(({ at }) => at < seconds);
+  };
+  return drawSpans({ ...timing, meanPause, minGap }, draw, FIRST_SILENCE_SECONDS).flat();
+}
+
 function drawKind(random: domain.shared.random.Random): StepKind {
   const kinds = Object.entries(WEIGHTS) as [StepKind, number][];
   let left = random.uniform() * kinds.reduce((sum, [, weight]) => sum + weight, 0);
@@ -417,6 +463,8 @@
   const evacuating = drawEvacuations(seed, seconds);
   const severing = drawSevering(seed, seconds, size.entries);
   const repeating = drawRepeating(seed, seconds, size);
-  const spans = { crashing, limiting, shedding, isolating, evacuating, severing, repeating };
+  const silencing = drawSilences(seed, seconds, size);
+  const drawn = { crashing, limiting, shedding, isolating, evacuating, severing };
+  const spans = { ...drawn, repeating, silencing };
   return { seed, seconds, steps, ...spans, lossSeries: lossSeries.draw(seed) };
 }
--- a/packages/soak/src/targetMain.ts
+++ b/packages/soak/src/targetMain.ts
@@ -313,7 +313,7 @@
       }
       response.write(event);
       next += 1;
-      if (next > answers.STREAM_EVENTS) response.end();
+      if (next > answers.streamLength(requestId)) response.end();
     }, EVENT_INTERVAL_MS);
     response.once('close', () => clearInterval(timer));
   }
