Let calls to services return to targets that were out of reach

A call that may be repeated was tried once at each target. If all were out of reach for a moment (connections that aren't established within a second), it failed as soon as each had been tried, long before its deadline.

The test failed before: [ 'notRun', 2 ] in place of [ 'served', 4 ].

It now returns to targets that it couldn't be sent to, within the limits of all retries. Targets that it was sent to, and calls that run at most once, are treated as before.

--- a/packages/daemon/src/requests/serviceProxy.ts
+++ b/packages/daemon/src/requests/serviceProxy.ts
@@ -191,7 +191,7 @@
     attempts: readonly domain.request.outcome.Attempt[],
     newConnection: boolean,
   ): Promise<Result<ServiceAnswer, FailedAttempt | 'noTarget'>> {
-    const target = this.chooseTarget(call, attempts);
+    const target = this.chooseTarget(call, attempts, newConnection);
     if (target === undefined) return Err('noTarget');
     try {
       const answer = await this.send(call, target, newConnection);
@@ -205,14 +205,25 @@
     }
   }
 
+  /**
+   * A target, untried if possible. All may be out of reach for a moment, so a call that may be repeated returns to those
+   * that it couldn't be sent to.
+   */
   private chooseTarget(
     call: ServiceCall,
     attempts: readonly domain.request.outcome.Attempt[],
+    isOnceOnly: boolean,
   ): Target | undefined {
     const tried = new Set(attempts.map(({ target }) => target));
-    const untried = this.options.targets(call.service.name).filter(({ name }) => !tried.has(name));
-    const healthy = untried.filter(({ name }) => !this.options.router.isCircuitOpen(name));
-    const candidates = healthy.length > 0 ? healthy : untried;
+    const reached = new Set(
+      attempts.filter(({ progress }) => progress !== 'notSent').map(({ target }) => target),
+    );
+    const all = this.options.targets(call.service.name);
+    const untried = all.filter(({ name }) => !tried.has(name));
+    const unreached = isOnceOnly ? [] : all.filter(({ name }) => !reached.has(name));
+    const allowed = untried.length > 0 ? untried : unreached;
+    const healthy = allowed.filter(({ name }) => !this.options.router.isCircuitOpen(name));
+    const candidates = healthy.length > 0 ? healthy : allowed;
     const counter = (this.roundRobinCounters.get(call.service.name) ?? 0) + 1;
     this.roundRobinCounters.set(call.service.name, counter);
     return candidates[counter % Math.max(1, candidates.length)];
