Reset the connection of each HTTP/1.0 caller whose answer is broken off

A caller of HTTP/1.0 gets no chunks, so an answer that a stop of the entry, an internal error or its own slowness broke off ended with a clean close and looked complete. Only answers that targets had broken off were reset.

One function ends such connections now, at entries and at the listener of the own interface.

--- a/packages/daemon/src/entry/__tests__/unframedResponses.test.ts
+++ b/packages/daemon/src/entry/__tests__/unframedResponses.test.ts
@@ -57,24 +57,30 @@
     expect([reply.status, reply.body, setup.received.length]).to.deep.equal([502, '', 1]);
   });
 
-  /** Guards against the same for a caller of HTTP/1.0, which gets no chunks. */
-  it('is incomplete for a caller of HTTP/1.0 when its connection is reset', async () => {
-    const stream: harness.TargetBehaviour = (_request, socket) => {
-      socket.write(harness.STREAM_HEAD + harness.chunk(FIRST_EVENT));
-      setTimeout(() => socket.resetAndDestroy(), END_DELAY_MS);
-    };
-    setup = await harness.TestHarness.start(stream);
-    const caller = net.connect(setup.port, '127.0.0.1');
-    caller.write('POST /streaming/1 HTTP/1.0\r\nhost: a.example\r\nid: r1\r\nkey: k\r\n\r\n');
-    let text = '';
-    const ending = await new Promise<string>((resolve) => {
-      caller.on('data', (data) => {
-        text += data.toString();
+  const causes: Record<string, (socket: net.Socket) => void> = {
+    'its connection is reset': (socket) => socket.resetAndDestroy(),
+    'the entry stops': () => setup.ingress.abort(),
+  };
+  Object.entries(causes).forEach(([cause, cut]) => {
+    /** Guards against the same for a caller of HTTP/1.0, which gets no chunks. */
+    it(`is incomplete for a caller of HTTP/1.0 when ${cause}`, async () => {
+      const stream: harness.TargetBehaviour = (_request, socket) => {
+        socket.write(harness.STREAM_HEAD + harness.chunk(FIRST_EVENT));
+        setTimeout(() => cut(socket), END_DELAY_MS);
+      };
+      setup = await harness.TestHarness.start(stream);
+      const caller = net.connect(setup.port, '127.0.0.1');
+      caller.write('POST /streaming/1 HTTP/1.0\r\nhost: a.example\r\nid: r1\r\nkey: k\r\n\r\n');
+      let text = '';
+      const ending = await new Promise<string>((resolve) => {
+        caller.on('data', (data) => {
+          text += data.toString();
+        });
+        caller.once('end', () => resolve('closed'));
+        caller.once('error', ({ message }) => resolve(message));
       });
-      caller.once('end', () => resolve('closed'));
-      caller.once('error', ({ message }) => resolve(message));
+      expect([ending, text.endsWith(FIRST_EVENT)]).to.deep.equal(['read ECONNRESET', true]);
     });
-    expect([ending, text.endsWith(FIRST_EVENT)]).to.deep.equal(['read ECONNRESET', true]);
   });
 
   it('is complete as a stream when its connection is closed after an event', async () => {
--- a/packages/daemon/src/entry/callerResponse.ts
+++ b/packages/daemon/src/entry/callerResponse.ts
@@ -7,6 +7,7 @@
 import * as clock from '../clock';
 import * as hopByHop from '../edges/hopByHop';
 import type * as protocols from '../edges/protocols';
+import * as breakOff from '../http/breakOff';
 import type * as heldBytes from './heldBytes';
 import type * as notRunGuarantee from './notRunGuarantee';
 import * as responseOrigin from './responseOrigin';
@@ -230,20 +231,13 @@
   /** Sends a response of the entry itself. One that has begun is aborted, so that it can't be taken for complete. */
   private end(status: number, headers: http.OutgoingHttpHeaders): void {
     if (this.response.headersSent) {
-      this.abort();
+      breakOff.breakOff(this.response);
       return;
     }
     this.response.writeHead(status, { ...headers, 'Content-Length': 0 });
     this.response.end();
   }
 
-  private abort(): void {
-    const { response } = this;
-    // A caller of HTTP/1.0 gets no chunks, so that a response ends with its connection; a reset shows that it is cut.
-    if (response.req.httpVersion === '1.0') response.socket?.resetAndDestroy();
-    response.destroy();
-  }
-
   /** Status of the response to the caller. */
   get status(): number {
     return this.response.statusCode;
--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -7,6 +7,7 @@
 import type * as domain from '@celerydrift/domain';
 import type * as codecs from '../configuration/codecs';
 import type * as protocols from '../edges/protocols';
+import * as breakOff from '../http/breakOff';
 import * as earlyResponse from '../http/earlyResponse';
 import * as listening from '../http/listening';
 import * as malformedInput from '../http/malformedInput';
@@ -241,7 +242,7 @@
     if (response.headersSent) {
       observe.count(`answers.aborted.${failure.reason}`);
       observe.log('answerAborted', { request: this.requestIdOf(request), ...failure });
-      response.destroy();
+      breakOff.breakOff(response);
       return;
     }
     const status = this.passedOn.has(request) ? 502 : 503;
@@ -267,7 +268,7 @@
     return {
       request: this.dependencies.protocol.callerMetadata(request.headers).requestId,
       unsentBytes: () => response.writableLength,
-      cut: () => response.destroy(),
+      cut: () => breakOff.breakOff(response),
       pauseBody: () => request.pause(),
       resumeBody: () => request.resume(),
     };
--- a/packages/daemon/src/http/listener.ts
+++ b/packages/daemon/src/http/listener.ts
@@ -9,6 +9,7 @@
 import type * as configuration from '../configuration/configuration';
 import type * as observer from '../observability/observer';
 import * as errors from '../requests/errors';
+import * as breakOff from './breakOff';
 import * as earlyResponse from './earlyResponse';
 import * as malformedInput from './malformedInput';
 import * as reply from './reply';
@@ -143,12 +144,12 @@
       const message = `the body is over ${this.limits.bodyBytes} bytes`;
       earlyResponse.send(request, response, reply.errorOf(errors.notRun('tooLarge', message)));
     } else if (request.destroyed && !request.complete) {
-      response.destroy();
+      breakOff.breakOff(response);
     } else if (response.headersSent) {
       this.reportError(error);
       if (response.writableEnded) return;
       this.reportAborted(response, 'internalError', String(error));
-      response.destroy();
+      breakOff.breakOff(response);
     } else {
       const isMalformed = error instanceof SyntaxError || error instanceof URIError;
       if (!isMalformed) this.reportError(error);
