Don't pass on a request that was answered when the entry stopped

An unsafe call whose body was still arriving, or that waited for settings, when the entry's time to stop was over got 503, which guarantees that it doesn't run; when its body or the settings came a moment later it was sent to a target and ran. The time is short, from the end of the stop to the end of the process.

A request that has its answer isn't passed on. The test failed before: two calls answered with 503 had reached the target.

--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -497,4 +497,28 @@
     expect(setup.received.length).to.equal(1);
     late.destroy();
   });
+
+  // Guards against an unsafe call that is refused as not run when the entry stops, and runs all the same.
+  it('never runs a call that it has refused at its stop', async () => {
+    setup = await harness.TestHarness.start(RESPOND);
+    const caller = net.connect(setup.port, '127.0.0.1');
+    let text = '';
+    caller.on('data', (data) => {
+      text += data.toString();
+    });
+    const head = 'POST /unsafe/1 HTTP/1.1\r\nhost: a.example\r\nid: r1\r\nkey: k\r\n';
+    caller.write(`${head}Content-Length: 4\r\n\r\nbo`);
+    await clock.sleep(50);
+    setup.isFresh = false;
+    const waiting = setup.send('/unsafe/1', {}, 'body');
+    await clock.sleep(50);
+    setup.ingress.abort();
+    setup.isFresh = true;
+    setup.ingress.wake();
+    caller.write('dy');
+    const { status } = await waiting;
+    await clock.sleep(200);
+    caller.destroy();
+    expect([/ 503 /.test(text), status, setup.received.length]).to.deep.equal([true, 503, 0]);
+  });
 });
--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -165,7 +165,8 @@
       const { req: request } = response;
       this.fail(request, response, failure);
       // Ends the exchange, which must not answer as well.
-      if (this.passedOn.has(request)) request.emit('error', new Error(failure.detail));
+      const isServed = this.passedOn.has(request) && request.listenerCount('error') > 0;
+      if (isServed) request.emit('error', new Error(failure.detail));
     });
   }
 
@@ -211,7 +212,7 @@
       return;
     }
     const earlyBody = this.hasUsableSettings ? undefined : await this.readAndWait(request, held);
-    if (earlyBody === 'broken' || response.destroyed) return;
+    if (earlyBody === 'broken' || isAnswered(response)) return;
     const directory = this.dependencies.directory();
     if (directory === undefined) {
       this.refuse(request, response, { status: 503, reason: 'no catalogue yet' });
@@ -305,7 +306,7 @@
       return;
     }
     const body = earlyBody ?? (await readBody(request, limits.maxBodyBytes, held));
-    if (body === 'broken') return;
+    if (body === 'broken' || isAnswered(response)) return;
     if (body === 'tooLarge' || body.length > limits.maxBodyBytes) {
       this.refuse(request, response, { status: 413, reason: 'body too large' });
       return;
@@ -378,6 +379,11 @@
   }
 }
 
+/** Whether a request got its answer, or lost its connection, before it was passed on. */
+function isAnswered({ headersSent, destroyed }: http.ServerResponse): boolean {
+  return headersSent || destroyed;
+}
+
 async function readBody(
   request: http.IncomingMessage,
   maxBytes: number,
