Let targets of the soak answer without an end and bound the memory of entries

Bytes without end from a target held requests until their callers left, and filled the memory of entries. The soak had no such target and didn't look at memory.

The loopback forwarders now stop reading a side whose other side is full. The check `memoryExceeded` reads the resident memory of entries every half second and allows the 350 MB of their VMs; `hung` and `notRecovered` judge the callers.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -350,6 +350,7 @@
       },
     ],
     ['streamCut', addCutStream],
+    ['memoryExceeded', ({ memory }) => memory.push({ entry: 0, bytes: 400e6, at: 10_000 })],
     ['crashedOn', (good) => addCrashes(good, MAX_LATER_ARRIVALS + 1)],
     [
       'falseNotRun',
--- a/packages/soak/src/checks.ts
+++ b/packages/soak/src/checks.ts
@@ -54,6 +54,8 @@
   | 'unservedWithoutPaths'
   /** While entries had no path to targets, most messages that limited targets got were no requests of callers. */
   | 'limitsTaken'
+  /** The process of an entry occupied more memory than its VM has. */
+  | 'memoryExceeded'
   /** Engines still held memory reservations at the end. */
   | 'memoryLeft'
   /** Too few requests succeeded after all faults had ended. */
@@ -128,6 +130,7 @@
   drainingTargetRuns,
   unservedWithoutPaths,
   takenLimits,
+  exceededMemory,
   leftReservations,
   unrecoveredService,
 ];
@@ -646,6 +649,15 @@
   return requests.length === 0 ? 0 : requests.filter(isServed).length / requests.length;
 }
 
+function exceededMemory({ memory }: Observations): Violation[] {
+  const excesses = memory.filter(({ bytes }) => bytes > layout.VM_MEMORY_BYTES);
+  return [...new Set(excesses.map(({ entry }) => entry))].map((entry) => {
+    const all = excesses.filter((each) => each.entry === entry).map(({ bytes }) => bytes);
+    const detail = `entry ${entry}: ${Math.round(Math.max(...all) / 1_024 ** 2)} MB`;
+    return { promise: 'memoryExceeded', detail };
+  });
+}
+
 function leftReservations({ reservationsLeft }: Observations): Violation[] {
   const detail = `${reservationsLeft} reservations left`;
   return reservationsLeft === 0 ? [] : [{ promise: 'memoryLeft', detail }];
--- a/packages/soak/src/child.ts
+++ b/packages/soak/src/child.ts
@@ -41,6 +41,14 @@
     return this.process !== undefined;
   }
 
+  /** Memory that the process occupies, in bytes; undefined if it doesn't run. */
+  get residentBytes(): number | undefined {
+    if (this.process === undefined) return undefined;
+    const status = fs.readFileSync(`/proc/${this.process.pid}/status`, 'utf8');
+    const [, kilobytes] = /^VmRSS:\s+(\d+) kB$/m.exec(status) ?? [];
+    return kilobytes === undefined ? undefined : 1_024 * Number(kilobytes);
+  }
+
   start(): void {
     if (this.process !== undefined) return;
     const { args, environment, logFile, onLine } = this.command;
--- a/packages/soak/src/faultInjector.ts
+++ b/packages/soak/src/faultInjector.ts
@@ -176,6 +176,17 @@
     severed.forEach((entry) => this.fleet.restorePaths(entry));
   }
 
+  /** Makes targets answer a part of their requests without an end for a while. */
+  async floodEntries({ targets, form, forSeconds }: schedule.FloodingSpan): Promise<void> {
+    const setEndless = (endless: schedule.FloodingSpan['form'] | undefined): void =>
+      targets.forEach((index) => this.fleet.targets[index].setSelfReport({ endless }));
+    const ends = targets.map((index) => this.beginDisturbance('target', index, 'endless'));
+    setEndless(form);
+    await operator.sleep(forSeconds * 1_000);
+    setEndless(undefined);
+    ends.forEach((end) => end());
+  }
+
   /** Makes sound targets silent for a while: stops their processes, or holds what they receive and send. */
   async silence({ targets, isStopped, forSeconds }: schedule.SilenceSpan): Promise<void> {
     const silent = targets.map((index) => this.fleet.targets[index]);
--- a/packages/soak/src/forwarder.ts
+++ b/packages/soak/src/forwarder.ts
@@ -16,6 +16,9 @@
   isBlackholed: boolean;
 }
 
+/** A side of a connection isn't read while this many pieces of its bytes wait for the other one. */
+const MAX_QUEUED_PIECES = 64;
+
 /** How often a cut link is checked. Its bytes are held until it is restored, as TCP would retransmit them. */
 const CUT_POLL_MS = 50;
 
@@ -148,6 +151,7 @@
       }
       queue.splice(0).forEach((step) => step());
       isDraining = false;
+      if (!to.writableNeedDrain) from.resume();
     };
     const enqueue = (action: () => void): void => {
       queue.push(action);
@@ -156,7 +160,13 @@
       if (this.delayMs > 0) setTimeout(drain, this.delayMs);
       else drain();
     };
-    from.on('data', (bytes: Buffer) => enqueue(() => to.write(bytes)));
+    from.on('data', (bytes: Buffer) => {
+      enqueue(() => {
+        if (!to.write(bytes)) from.pause();
+      });
+      if (queue.length >= MAX_QUEUED_PIECES) from.pause();
+    });
+    to.on('drain', () => from.resume());
     from.on('end', () => enqueue(() => to.end()));
     from.on('error', () => enqueue(() => to.resetAndDestroy()));
     from.on('close', () => enqueue(() => to.destroy()));
--- a/packages/soak/src/layout.ts
+++ b/packages/soak/src/layout.ts
@@ -48,6 +48,9 @@
   stopMs: 8_000,
 } as const;
 
+/** Memory of a VM, bytes. */
+export const VM_MEMORY_BYTES = 350 * 1_024 ** 2;
+
 /** VMs and targets are distributed over the data centres by their index. */
 export const DATA_CENTRES = ['east', 'west', 'south'] as const;
 
--- a/packages/soak/src/observations.ts
+++ b/packages/soak/src/observations.ts
@@ -184,6 +184,8 @@
     severed: [] as SeveredWindow[],
     /** Periods in which sound targets, by index, were silent, which is no fault. */
     silenced: [] as { targets: number[]; from: number; until: number }[],
+    /** Memory that the processes of entries occupied. */
+    memory: [] as { entry: number; bytes: number; at: number }[],
     stopped: [] as PlannedStop[],
     disturbances: [] as Disturbance[],
     /** Ids that each target, by index, has run under. */
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -58,6 +58,7 @@
 
 const READY_POLL_MS = 200;
 const PROBE_INTERVAL_MS = 250;
+const MEMORY_INTERVAL_MS = 500;
 
 /** How long traffic continues after the fleet must have recovered, which `notRecovered` is measured on. */
 const RECOVERED_TRAFFIC_MS = 4_000;
@@ -133,7 +134,12 @@
       await this.operators.submitNext();
       await this.untilEntriesServe();
       this.fleet.forbidFounding();
-      const traffic = [this.trafficLoop(), this.probeLoop(), this.malformedAnnouncementLoop()];
+      const traffic = [
+        this.trafficLoop(),
+        this.probeLoop(),
+        this.malformedAnnouncementLoop(),
+        this.memoryLoop(),
+      ];
       await this.executePlan(plan);
       if (plan.lossSeries !== undefined) await this.executeLossSeries(plan.lossSeries);
       this.faultInjector.restoreAll();
@@ -176,7 +182,7 @@
 
   private async executePlan(plan: schedule.Plan): Promise<void> {
     const { steps, crashing, limiting, shedding, isolating, evacuating, severing, seconds } = plan;
-    const { repeating, silencing } = plan;
+    const { repeating, silencing, flooding } = plan;
     const startedAt = Date.now() - 1_000 * schedule.TRAFFIC_START_SECONDS;
     const untilSecond = async (at: number): Promise<void> =>
       operator.sleep(Math.max(0, startedAt + at * 1_000 - Date.now()));
@@ -193,6 +199,7 @@
     scheduleAll(evacuating, (span) => this.faultInjector.evacuate(span));
     scheduleAll(severing, (span) => this.faultInjector.sever(span));
     scheduleAll(silencing, (span) => this.faultInjector.silence(span));
+    scheduleAll(flooding, (span) => this.faultInjector.floodEntries(span));
     // A wave fills the targets so that they read late what was sent before they asked to back off.
     const isShedding = (now: number): boolean => {
       const at = (now - startedAt) / 1_000;
@@ -287,6 +294,16 @@
     }
   }
 
+  private async memoryLoop(): Promise<void> {
+    while (this.isSendingTraffic) {
+      this.fleet.entries.forEach(({ index, process: { residentBytes } }) => {
+        const sample = { entry: index, bytes: residentBytes ?? 0, at: Date.now() };
+        this.observed.memory.push(sample);
+      });
+      await operator.sleep(MEMORY_INTERVAL_MS);
+    }
+  }
+
   private track(work: Promise<void>): void {
     this.pending.add(work);
     void work.finally(() => this.pending.delete(work));
--- a/packages/soak/src/schedule.ts
+++ b/packages/soak/src/schedule.ts
@@ -3,6 +3,7 @@
  * overlapping.
  */
 import * as domain from '@celerydrift/domain';
+import * as endlessAnswers from './endlessAnswers';
 import * as layout from './layout';
 import * as lossSeries from './lossSeries';
 import type * as observations from './observations';
@@ -187,6 +188,9 @@
   isStopped: boolean;
 };
 
+/** A period in which targets answer a part of their requests without an end. */
+export type FloodingSpan = Omit<LimitingSpan, 'perSecond'> & { form: endlessAnswers.Form };
+
 export interface Plan {
   seed: number;
   seconds: number;
@@ -199,6 +203,7 @@
   severing: SeveringSpan[];
   repeating: RepeatingSpan[];
   silencing: SilenceSpan[];
+  flooding: FloodingSpan[];
   /** Undefined in runs without such losses. */
   lossSeries: lossSeries.LossSeries | undefined;
 }
@@ -397,6 +402,28 @@
   return drawSpans({ ...timing, meanPause, minGap }, draw, FIRST_SILENCE_SECONDS).flat();
 }
 
+const FLOODING_SEED_OFFSET = 12_000_003;
+const MEAN_FLOODING_INTERVAL_SECONDS = 12;
+const FLOODING_SECONDS = { min: 4, max: 10 } as const;
+/** Share of the targets that flood entries at once; some are always sound. */
+const FLOODING_SHARE = 0.5;
+
+function drawFlooding(seed: number, seconds: number, targets: number): FloodingSpan[] {
+  const numbers = Array.from({ length: targets }, (_, i) => i);
+  // Drawn from the start of the waves on, which give many of these targets' answers no end.
+  const startsAt = FIRST_REPEATING_SECONDS;
+  const timing = { seconds: seconds - startsAt, meanPause: MEAN_FLOODING_INTERVAL_SECONDS };
+  const minGap = FLOODING_SECONDS.max;
+  return drawSpans({ seed: seed + FLOODING_SEED_OFFSET, ...timing, minGap }, (random, at) => ({
+    at: at + startsAt,
+    forSeconds: uniformBetween(random, FLOODING_SECONDS),
+    targets: domain.shared.random
+      .shuffled(random, numbers)
+      .slice(0, Math.ceil(FLOODING_SHARE * targets)),
+    form: domain.shared.random.pick(random, endlessAnswers.FORMS),
+  }));
+}
+
 function drawKind(random: domain.shared.random.Random): StepKind {
   const kinds = Object.entries(WEIGHTS) as [StepKind, number][];
   let left = random.uniform() * kinds.reduce((sum, [, weight]) => sum + weight, 0);
@@ -465,6 +492,7 @@
   const repeating = drawRepeating(seed, seconds, size);
   const silencing = drawSilences(seed, seconds, size);
   const drawn = { crashing, limiting, shedding, isolating, evacuating, severing };
-  const spans = { ...drawn, repeating, silencing };
+  const flooding = drawFlooding(seed, seconds, size.engines + size.services);
+  const spans = { ...drawn, repeating, silencing, flooding };
   return { seed, seconds, steps, ...spans, lossSeries: lossSeries.draw(seed) };
 }
--- a/packages/soak/src/targetMain.ts
+++ b/packages/soak/src/targetMain.ts
@@ -9,6 +9,7 @@
 import { counterpart } from '@celerydrift/platform';
 import * as answers from './answers';
 import * as controlClient from './controlClient';
+import * as endlessAnswers from './endlessAnswers';
 import * as lateCopies from './lateCopies';
 import type * as observations from './observations';
 
@@ -48,6 +49,8 @@
   isLeaving?: boolean;
   /** Whether it refuses a part of the requests as if it were full, and sends a part of its answers a second time, late. */
   repeatsAnswers?: boolean;
+  /** Form of the answers without an end that a part of the requests gets. */
+  endless?: endlessAnswers.Form;
 }
 
 /** A message that the target received, or a report in its response; `source` is the sender's IP address. */
@@ -76,6 +79,8 @@
 /** Share of requests that a target refuses while it repeats answers, and the statuses of that. */
 const REFUSED_SHARE = 0.5;
 const REFUSAL_STATUSES = [503, 429] as const;
+/** Share of requests that get an answer without an end. */
+const ENDLESS_SHARE = 0.1;
 /** How long a crashing request runs before the target crashes. */
 const CRASH_DELAY_MS = 20;
 
@@ -173,7 +178,7 @@
       return;
     }
     const { socket } = request;
-    const { backOffSeconds, repeatsAnswers = false } = this.selfReport();
+    const { backOffSeconds, repeatsAnswers = false, endless } = this.selfReport();
     if (this.running >= slots || (repeatsAnswers && Math.random() < REFUSED_SHARE)) {
       const status = domain.shared.random.pick({ uniform: Math.random }, REFUSAL_STATUSES);
       const refusal = { ...this.selfReportFields(request), requestId };
@@ -207,6 +212,11 @@
       setTimeout(() => this.crash(cause), CRASH_DELAY_MS);
       return;
     }
+    if (endless !== undefined && Math.random() < ENDLESS_SHARE) {
+      const [name, value] = counterpart.answerHeaders({ requestId, target: id });
+      endlessAnswers.send(socket, endless, [name, value]);
+      return;
+    }
     const mode = this.mode();
     if (mode === 'mute') return;
     const responseId = mode === 'crossed' ? `${requestId}x` : requestId;
