Give each placement of a request an id of its own

A search for a successor and the next attempt could ask for places under the same id, where the present target broke off during the search. The leader kept one of the two dispatches, and the end of the discarded one ended the one in use: its load was no longer counted, and a new leader didn't learn of it.

One counter numbers all placements of a request. The test failed before: two of three ids were the same.

--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -316,6 +316,24 @@
     expect(setup.received.length).to.equal(1);
   });
 
+  // Guards against the end of a discarded placement that is taken for that of the one in use.
+  it('gives each placement an id of its own, also while its target breaks off during a search', async () => {
+    const first: harness.TargetBehaviour = (request, socket) => {
+      if (request.includes(harness.REPORT_PATH)) return;
+      socket.write(harness.STREAM_HEAD + harness.chunk('id: 1\ndata: a\n\n'));
+      setTimeout(() => socket.resetAndDestroy(), 1_100);
+    };
+    const second: harness.TargetBehaviour = (request, socket) => {
+      if (request.includes(harness.REPORT_PATH)) return;
+      socket.write(harness.STREAM_HEAD + harness.chunk('id: 2\ndata: b\n\n') + harness.LAST_CHUNK);
+    };
+    setup = await harness.TestHarness.start(first, second);
+    expect((await setup.send('/long/1')).isWhole).to.equal(true);
+    const ids = setup.placementRequests.map(({ id }) => id);
+    expect(ids.length).to.be.above(2);
+    expect(new Set(ids).size).to.equal(ids.length);
+  });
+
   // Guards against a stream that is cut because no target is free at the moment at which its own one crashes.
   it('continues a stream whose target crashed once another one is free', async () => {
     const crashing: harness.TargetBehaviour = (_request, socket) => {
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -143,8 +143,8 @@
   /** Attempts that were withheld from their targets. */
   private withheldAttempts = 0;
 
-  /** Placements that a search for a successor made and discarded. */
-  private discardedPlacements = 0;
+  /** Placements that were asked for. */
+  private placements = 0;
 
   /** Continues what the overdue attempt began, once that has been given up. */
   private successor: succession.Successor | undefined;
@@ -376,7 +376,6 @@
       this.attempts.startOver();
       if (!isUnsent && !this.hasAttemptsLeft) return false;
       await clock.sleep(CONTINUATION_RETRY_MS);
-      this.discardedPlacements += 1;
       if (!this.isOver && (isUnsent || this.mayRetry(outcome))) return true;
     }
     return false;
@@ -433,7 +432,6 @@
 
   /** Places the request once more while its present attempt goes on. */
   private chooseSuccessor(excluded: readonly string[]): Promise<targetSelector.Choice> {
-    this.discardedPlacements += 1;
     return this.choose(this.service, { endings: 0, target: undefined }, excluded);
   }
 
@@ -449,10 +447,10 @@
     excluded: readonly string[] = [],
   ): Promise<targetSelector.Choice> {
     // Each placement has its own id: the leader gets the end of one after it has placed the next.
-    const retries = this.reservationRetries + this.withheldAttempts + this.discardedPlacements;
+    this.placements += 1;
     return this.dependencies.selector.choose({
       ...this.terms.at(service),
-      id: `${this.admitted.facts.requestId}/${this.attempts.targets.length}.${retries}`,
+      id: `${this.admitted.facts.requestId}/${this.placements}`,
       service,
       excluded: [...this.attempts.excluded, ...excluded],
       writers: this.attempts.writers ?? (target === undefined ? undefined : [target]),
