Keep an overdue attempt until its successor has its memory and may run

A successor is in hand only with its memory reserved. A suspect request isn't moved on silence, as it may have to wait for a run of its copy. A placement is released also where a probe fails unexpectedly, and such a failure no longer rejects unhandled.

Both tests failed before: the stream ended after its first event, and the suspect one was sent to two targets.

--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -9,6 +9,7 @@
 import type * as targetSelector from '../../targetSelector';
 import * as quarantineClient from '../../quarantineClient';
 import * as exchange from '../../exchange';
+import * as fingerprint from '../../fingerprint';
 import * as guaranteeAudit from '../../guaranteeAudit';
 import * as heldBytes from '../../heldBytes';
 import * as ingress from '../../ingress';
@@ -210,6 +211,8 @@
 
   private readonly quarantine: quarantineClient.QuarantineClient;
 
+  private readonly suspects = new domain.quarantine.quarantine.Quarantine();
+
   readonly evacuations = new domain.evacuation.evacuations.Evacuations();
 
   private readonly registry = new domain.registry.registry.Registry();
@@ -252,7 +255,7 @@
     this.quarantine = new quarantineClient.QuarantineClient({
       name: 'e0',
       fleetState: {
-        quarantine: new domain.quarantine.quarantine.Quarantine(),
+        quarantine: this.suspects,
         registry,
       },
       link: { leader: '' },
@@ -331,6 +334,15 @@
     });
   }
 
+  /** Counts a crash against a request, as if a copy of it had crashed another target. */
+  suspect(method: string, path: string, body: string): void {
+    const content = fingerprint.of({
+      ...{ host: 'a.example', method, path, organisation: 'north' },
+      body: Buffer.from(body),
+    });
+    this.suspects.reportCrash(content, 'other@1', { sentAt: 0, isTrial: false }, clock.steady());
+  }
+
   stop(): void {
     this.ingress.close();
     this.targets.close();
--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -316,6 +316,43 @@
     expect(setup.received.length).to.equal(1);
   });
 
+  /** A stream whose target is silent for a while after its first event, when `interlude` is called. */
+  const pausing =
+    (interlude: () => void): harness.TargetBehaviour =>
+    (request, socket) => {
+      if (request.includes(harness.REPORT_PATH)) return;
+      socket.write(harness.STREAM_HEAD + harness.chunk('id: 1\ndata: a\n\n'));
+      interlude();
+      setTimeout(() => socket.write(REST), 1_500);
+    };
+  const REST = harness.chunk('id: 2\ndata: b\n\n') + harness.LAST_CHUNK;
+  const WHOLE = 'id: 1\ndata: a\n\nid: 2\ndata: b\n\n';
+
+  // Guards against a stream that is cut because the helpers of its next target have no memory, while its own one is sound.
+  it('keeps a stream on its silent target until the next one has its memory', async () => {
+    const first = pausing(() => {
+      setup.helper = { keptTokens: 10, ids: ['t2'] };
+    });
+    const second = harness.answeringProbes(() => undefined);
+    const full: harness.TargetBehaviour = (_request, socket) => {
+      socket.write('HTTP/1.1 409 X\r\nsigned: 1\r\nContent-Length: 0\r\n\r\n');
+    };
+    setup = await harness.TestHarness.start(first, second, full);
+    const reply = await setup.send('/long/1', { patience: '4000' });
+    expect([reply.body, reply.isWhole]).to.deep.equal([WHOLE, true]);
+  });
+
+  // Guards against a stream that is cut as it may not run at its next target yet, while its own one is sound.
+  it('keeps a suspect stream on its silent target', async () => {
+    const first = pausing(() => setup.suspect('POST', '/long/1', ''));
+    const second = harness.answeringProbes((_request, socket) =>
+      socket.write(harness.STREAM_HEAD + REST),
+    );
+    setup = await harness.TestHarness.start(first, second);
+    const reply = await setup.send('/long/1', { patience: '4000' });
+    expect([reply.body, reply.isWhole, setup.received.length]).to.deep.equal([WHOLE, true, 1]);
+  });
+
   // Guards against the end of a discarded placement that is taken for that of the one in use.
   it('gives each placement an id of its own, also while its target breaks off during a search', async () => {
     const first: harness.TargetBehaviour = (request, socket) => {
--- a/packages/daemon/src/entry/__tests__/succession.test.ts
+++ b/packages/daemon/src/entry/__tests__/succession.test.ts
@@ -12,6 +12,8 @@
   /** What is known of each target that is offered in turn; none is free after the last. */
   verdicts: livenessProbes.Verdict[];
   mayMove?: boolean;
+  /** Whether prefill helpers have the memory that the request needs there. */
+  hasMemory?: boolean;
   searches?: number;
   /** Number of probes after which the present target sends on. */
   recoversAfterProbes?: number;
@@ -21,6 +23,7 @@
 async function seek({
   verdicts,
   mayMove = true,
+  hasMemory = true,
   searches = 1,
   recoversAfterProbes = Infinity,
 }: Scene): Promise<{
@@ -43,6 +46,11 @@
         return verdicts[Number(target.slice(1))];
       },
     },
+    newMemory: () =>
+      ({
+        reserveAll: async () => hasMemory,
+        release: () => undefined,
+      }) as unknown as succession.Successor['memory'],
     mayMove: () => mayMove,
     now: () => searchedAt,
   });
@@ -50,8 +58,8 @@
   for (let i = 0; i < searches; i++) {
     await tested.seek({
       isOverdue: () => probes < recoversAfterProbes,
-      giveUp: ({ placement }) => {
-        successor = placement.target;
+      giveUp: ({ choice }) => {
+        successor = choice.placement.target;
       },
     });
     searchedAt += PAUSE_MS;
@@ -89,5 +97,6 @@
     const kept = { released: ['t0'], successor: undefined };
     expect(await seek({ verdicts: ['alive'], recoversAfterProbes: 1 })).to.deep.equal(kept);
     expect(await seek({ verdicts: ['alive'], mayMove: false })).to.deep.equal(kept);
+    expect(await seek({ verdicts: ['alive'], hasMemory: false })).to.deep.equal(kept);
   });
 });
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -53,7 +53,7 @@
     targetSignals.TargetSignals,
     'unavailable' | 'backOffMs' | 'bornAt' | 'hasEvacuations'
   >;
-  quarantine: Pick<quarantineClient.QuarantineClient, 'permit' | 'checkForCrash' | 'isQuarantined'>;
+  quarantine: Pick<quarantineClient.QuarantineClient, 'permit' | 'checkForCrash' | 'standingOf'>;
   budgets: domain.request.repeatBudget.RepeatBudgets;
   /** Remembers which requests were refused as not run. */
   audit?: Pick<guaranteeAudit.GuaranteeAudit, 'received' | 'refused'>;
@@ -202,7 +202,9 @@
     this.succession = new succession.Succession({
       choose: (excluded) => this.chooseSuccessor(excluded),
       liveness: dependencies.liveness,
-      mayMove: () => this.isAdmissible && !this.isQuarantined && this.spendRetry(),
+      newMemory: () => this.newMemory(),
+      // A suspect one may have to wait for its next run, which only its end makes worth the wait.
+      mayMove: () => this.isAdmissible && this.standing === 'free' && this.spendRetry(),
       now: dependencies.now,
     });
     this.requestLog = new exchangeLog.ExchangeLog({
@@ -234,7 +236,8 @@
       this.failUnexpectedly(error);
     } finally {
       clearTimeout(timer);
-      this.takeSuccessor()?.release('cancelled');
+      const unused = this.takeSuccessor();
+      if (unused !== undefined) succession.release(unused);
     }
   }
 
@@ -260,7 +263,7 @@
   /** Makes one attempt, if the request is permitted to run; resolves to whether another one should follow. */
   private async attemptWithPermit(service: string): Promise<boolean> {
     const permit = await this.dependencies.quarantine.permit(this.requestInfo(service));
-    if (permit.kind === 'busy' && this.awaitsCanary(permit)) return this.awaitCanary();
+    if (permit.kind === 'busy' && this.awaitsCanary(permit)) return this.awaitRetry(CANARY_POLL_MS);
     if (permit.kind !== 'granted') {
       this.refuseSuspect(permit);
       return false;
@@ -285,9 +288,9 @@
     return !isCopy && elapsedMs < this.terms.patienceMs;
   }
 
-  /** Waits while another request makes the canary run. */
-  private async awaitCanary(): Promise<boolean> {
-    await clock.sleep(CANARY_POLL_MS);
+  /** Waits before the next attempt; resolves to whether it is still wanted. */
+  private async awaitRetry(ms: number): Promise<boolean> {
+    await clock.sleep(ms);
     return !this.isOver;
   }
 
@@ -296,22 +299,20 @@
     if (this.successor === undefined && this.dependencies.reachability?.isCutOff === true) {
       return { kind: 'unplaced', detail: 'no path to targets', retryAfterMs: RETRY_AFTER_MS };
     }
-    const choice = await this.chooseOrSucceed(service, permit);
-    if (this.isOver) {
-      if (choice.kind === 'placed') choice.release('cancelled');
-      return { kind: 'gone' };
-    }
+    const successor = this.takeSuccessorFor(permit);
+    const choice = successor?.choice ?? (await this.choose(service, permit));
     if (choice.kind === 'noPlace') {
       const { reason = 'full', retryAfterMs } = choice;
       return { kind: 'unplaced', detail: NO_PLACE_DETAIL[reason], retryAfterMs };
     }
-    if (!this.isAdmissible) {
-      choice.release('cancelled');
+    const placed = { choice, memory: successor?.memory ?? this.newMemory() };
+    if (this.isOver || !this.isAdmissible) {
+      succession.release(placed);
       const detail = 'settings not confirmed fresh';
       return { kind: 'unplaced', detail, retryAfterMs: RETRY_AFTER_MS };
     }
     this.mayHaveCrashed = false;
-    const outcome = await this.send(choice, permit);
+    const outcome = await this.send(placed, permit);
     await this.checkForCrash(service, permit, choice.placement);
     return outcome;
   }
@@ -321,8 +322,13 @@
     return this.admitted.organisation === undefined || this.dependencies.isFresh();
   }
 
-  private get isQuarantined(): boolean {
-    return this.dependencies.quarantine.isQuarantined(this.requestInfo(this.service));
+  private get standing(): quarantineClient.Standing {
+    return this.dependencies.quarantine.standingOf(this.requestInfo(this.service));
+  }
+
+  /** Whether the quarantine keeps the request from running now. */
+  private get isRefused(): boolean {
+    return this.standing === 'quarantined' || this.standing === 'partQuarantined';
   }
 
   /** Whether the request is attempted again after this outcome; otherwise its caller gets the final response. */
@@ -385,7 +391,7 @@
   private get isContinuable(): boolean {
     const { isBegun, isUnrecoverable } = this.reply;
     const isOpen = !this.isOver && isBegun && !isUnrecoverable;
-    return isOpen && this.isRepeatable && !this.isQuarantined;
+    return isOpen && this.isRepeatable && !this.isRefused;
   }
 
   /** The target became unavailable between its selection and the attempt; the next selection excludes it. */
@@ -417,17 +423,16 @@
     );
   }
 
-  /** The target that was found for this request before its last attempt was given up, or another one. */
-  private async chooseOrSucceed(
-    service: string,
-    permit: permittedRun.PermittedRun,
-  ): Promise<targetSelector.Choice> {
+  /** The target that was found before the last attempt was given up; none for a canary run, which has its own. */
+  private takeSuccessorFor({
+    endings,
+    target,
+  }: permittedRun.PermittedRun): succession.Successor | undefined {
     const successor = this.takeSuccessor();
-    // A canary run has a target of its own.
-    const isCanary = permit.endings > 0 || permit.target !== undefined;
-    if (successor !== undefined && !isCanary) return successor;
-    successor?.release('cancelled');
-    return this.choose(service, permit);
+    const isCanary = endings > 0 || target !== undefined;
+    if (successor === undefined || !isCanary) return successor;
+    succession.release(successor);
+    return undefined;
   }
 
   /** Places the request once more while its present attempt goes on. */
@@ -458,22 +463,22 @@
     });
   }
 
+  private newMemory(): reservations.Reservations {
+    return new reservations.Reservations(this.admitted.facts.requestId, this.dependencies);
+  }
+
   private async send(
-    choice: targetSelector.Choice & { kind: 'placed' },
+    { choice, memory }: succession.Successor,
     permit: permittedRun.PermittedRun,
   ): Promise<Outcome> {
     const { placement } = choice;
-    const helperReservations = new reservations.Reservations(
-      this.admitted.facts.requestId,
-      this.dependencies,
-    );
     const release: targetSelector.Release = (dispatchOutcome, observed) => {
       this.releaseCurrent = undefined;
-      helperReservations.release();
+      memory.release();
       choice.release(dispatchOutcome, observed);
     };
     this.releaseCurrent = release;
-    const isReserved = await helperReservations.reserveAll(placement.helpers);
+    const isReserved = await memory.reserveAll(placement.helpers);
     if (this.isOver || !isReserved) {
       release('cancelled');
       return { kind: 'noMemory' };
@@ -486,7 +491,7 @@
         target: placement.target,
         organisation,
         timeLeftMs: this.terms.timeLeftMs,
-        helpers: helperReservations.withReservations(placement.helpers),
+        helpers: memory.withReservations(placement.helpers),
         ...this.terms.urgencyAt(this.service),
         resumeAfter,
       });
@@ -519,7 +524,7 @@
     this.attempt = attempt;
     this.activeTarget = placement.target;
     this.reply.attach(attempt);
-    helperReservations.renewFor({
+    memory.renewFor({
       lastHeardAt: () => attempt.lastHeardAt,
       isResponsive: () => this.isResponsive(placement.target, placement.address),
     });
@@ -699,7 +704,7 @@
     // The budget bounds what reaches targets, so a target that wasn't reached doesn't spend it.
     const isFree = outcome.kind === 'notRun' && outcome.ending === 'unreachable';
     const isPaid = isFree || this.successor !== undefined;
-    return !this.isQuarantined && (isPaid || this.spendRetry());
+    return !this.isRefused && (isPaid || this.spendRetry());
   }
 
   private spendRetry(): boolean {
--- a/packages/daemon/src/entry/quarantineClient.ts
+++ b/packages/daemon/src/entry/quarantineClient.ts
@@ -50,6 +50,8 @@
   /** `retryAfterMs` where a part of its prompt is in quarantine: the time until that ends, milliseconds. */
   | { kind: 'quarantined'; retryAfterMs: number | undefined };
 
+export type Standing = 'free' | 'suspected' | 'partQuarantined' | 'quarantined';
+
 export interface Dependencies extends leaderCall.Dependencies {
   /** Name of this entry. */
   name: string;
@@ -137,8 +139,12 @@
     return this.refuse(request, answer.culprit ?? suspects[0]);
   }
 
-  isQuarantined(request: RequestInfo): boolean {
-    return this.assess(request).kind === 'quarantined';
+  /** What is known of a request; `partQuarantined` if that is all that keeps it from running. */
+  standingOf(request: RequestInfo): Standing {
+    const assessment = this.assess(request);
+    if (assessment.kind !== 'quarantined') return assessment.kind;
+    const isPart = domain.quarantine.partFingerprint.isPart(assessment.culprit);
+    return isPart ? 'partQuarantined' : 'quarantined';
   }
 
   /**
--- a/packages/daemon/src/entry/reservations.ts
+++ b/packages/daemon/src/entry/reservations.ts
@@ -91,8 +91,9 @@
     private readonly dependencies: Dependencies,
   ) {}
 
-  /** Reserves memory on all helpers that are to keep tokens, or on none. */
+  /** Reserves memory on all helpers that are to keep tokens, or on none; nothing more if it is reserved already. */
   async reserveAll(helpers: readonly Helper[]): Promise<boolean> {
+    if (this.reservations.length > 0) return true;
     this.reservations = helpers
       .filter(({ keptTokens }) => keptTokens > 0)
       .map((helper) => {
--- a/packages/daemon/src/entry/responseWatchdog.ts
+++ b/packages/daemon/src/entry/responseWatchdog.ts
@@ -52,7 +52,8 @@
     const { now, isAlive } = this.dependencies;
     if (this.isProbing || now() < this.nextProbeAt) return;
     this.isProbing = true;
-    const alive = await isAlive();
+    // A probe that fails unexpectedly says nothing of the target.
+    const alive = await isAlive().catch(() => true);
     this.isProbing = false;
     this.nextProbeAt = now() + responseTimeout.PROBE_INTERVAL_MS;
     // An event may have arrived during the probe.
--- a/packages/daemon/src/entry/succession.ts
+++ b/packages/daemon/src/entry/succession.ts
@@ -4,15 +4,23 @@
  * target is in hand: placed, and seen to respond.
  */
 import type * as livenessProbes from './livenessProbes';
+import type * as reservations from './reservations';
 import type * as targetSelector from './targetSelector';
 
-/** A target that may take over. */
-export type Successor = targetSelector.Choice & { kind: 'placed' };
+type Placed = targetSelector.Choice & { kind: 'placed' };
+
+/** A target that may take over, with the memory that the request needs on its prefill helpers. */
+export interface Successor {
+  choice: Placed;
+  memory: reservations.Reservations;
+}
 
 export interface Dependencies {
   /** Places the request on a target that isn't among `excluded`. */
   choose: (excluded: readonly string[]) => Promise<targetSelector.Choice>;
   liveness: Pick<livenessProbes.LivenessProbes, 'check'>;
+  /** Memory of the request on prefill helpers; nothing is reserved yet. */
+  newMemory: () => Successor['memory'];
   /** Whether the request may move now; if so, spends the retry that this takes. */
   mayMove: () => boolean;
   now: () => number;
@@ -62,20 +70,46 @@
         this.unresponsive = [];
         return;
       }
-      const responds = attempt.isOverdue() && (await this.responds(choice));
-      if (responds && attempt.isOverdue() && this.dependencies.mayMove()) {
-        attempt.giveUp(choice);
-        return;
-      }
-      choice.release('cancelled');
-      if (responds) return;
+      const successor = { choice, memory: this.dependencies.newMemory() };
+      const end = await this.tryOut(successor, attempt);
+      if (end === 'taken') return;
+      release(successor);
+      if (end === 'notNeeded') return;
       this.unresponsive.push(choice.placement.target);
     }
   }
 
+  /** Gives up the attempt if a successor responds, has its memory, and may take over. */
+  private async tryOut(
+    successor: Successor,
+    attempt: OverdueAttempt,
+  ): Promise<'taken' | 'notNeeded' | 'unfit'> {
+    const { choice, memory } = successor;
+    try {
+      const isFit =
+        attempt.isOverdue() &&
+        (await this.responds(choice)) &&
+        (await memory.reserveAll(choice.placement.helpers));
+      if (!attempt.isOverdue()) return 'notNeeded';
+      if (!isFit) return 'unfit';
+      if (!this.dependencies.mayMove()) return 'notNeeded';
+    } catch (error) {
+      release(successor);
+      throw error;
+    }
+    attempt.giveUp(successor);
+    return 'taken';
+  }
+
   /** Whether the target responds to this VM, or to another one that can relay. */
-  private async responds({ placement: { target, address } }: Successor): Promise<boolean> {
+  private async responds({ placement: { target, address } }: Placed): Promise<boolean> {
     const verdict = await this.dependencies.liveness.check(target, address);
     return verdict === 'alive' || verdict === 'pathLost';
   }
 }
+
+/** Releases a successor that isn't used. */
+export function release({ choice, memory }: Successor): void {
+  memory.release();
+  choice.release('cancelled');
+}
