Let a stream that has begun wait for a part of its prompt

A stream whose target crashed while a part that it shares with others was in its first quarantine, which lasts for a second, was closed at once with seconds left. A request that hasn't begun gets 503 with a Retry-After; this one can't be told to come back, so it waits until the part may run again.

The test failed before: the stream ended after its first event.

--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -343,6 +343,16 @@
     this.suspects.reportCrash(content, 'other@1', { sentAt: 0, isTrial: false }, clock.steady());
   }
 
+  /** Counts crashes against a part of prompts until it is quarantined, and lets that end as a leader would. */
+  quarantinePart(part: string, forMs: number): void {
+    ['a@1', 'b@1', 'c@1'].forEach((lifetime) => {
+      const report = { sentAt: 0, isTrial: true };
+      this.suspects.reportCrash(`part:${part}`, lifetime, report, clock.steady());
+    });
+    const remainingMs = this.suspects.remainingMs(`part:${part}`, clock.steady());
+    setTimeout(() => this.suspects.tick(clock.steady() + remainingMs), forMs);
+  }
+
   stop(): void {
     this.ingress.close();
     this.targets.close();
--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -353,6 +353,23 @@
     expect([reply.body, reply.isWhole, setup.received.length]).to.deep.equal([WHOLE, true, 1]);
   });
 
+  // Guards against a stream that is cut by a short quarantine of a part that it shares, when its target crashes.
+  it('continues a stream once a part of its prompt leaves the quarantine', async () => {
+    const first: harness.TargetBehaviour = (_request, socket) => {
+      socket.write(harness.STREAM_HEAD + harness.chunk('id: 1\ndata: a\n\n'));
+      setTimeout(() => {
+        setup.quarantinePart('system', 500);
+        socket.resetAndDestroy();
+      }, 50);
+    };
+    const second = harness.answeringProbes((_request, socket) =>
+      socket.write(harness.STREAM_HEAD + REST),
+    );
+    setup = await harness.TestHarness.start(first, second);
+    const reply = await setup.send('/long/1', { parts: 'system:10,own:5' });
+    expect([reply.body, reply.isWhole]).to.deep.equal([WHOLE, true]);
+  });
+
   // Guards against the end of a discarded placement that is taken for that of the one in use.
   it('gives each placement an id of its own, also while its target breaks off during a search', async () => {
     const first: harness.TargetBehaviour = (request, socket) => {
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -265,6 +265,7 @@
     const permit = await this.dependencies.quarantine.permit(this.requestInfo(service));
     if (permit.kind === 'busy' && this.awaitsCanary(permit)) return this.awaitRetry(CANARY_POLL_MS);
     if (permit.kind !== 'granted') {
+      if (this.awaitsRelease(permit)) return this.awaitRetry(CONTINUATION_RETRY_MS);
       this.refuseSuspect(permit);
       return false;
     }
@@ -288,6 +289,12 @@
     return !isCopy && elapsedMs < this.terms.patienceMs;
   }
 
+  /** Whether to wait until a part of the prompt leaves the quarantine, as the caller can't be told to come back. */
+  private awaitsRelease(permit: Exclude<quarantineClient.Permit, { kind: 'granted' }>): boolean {
+    const isPart = permit.kind === 'quarantined' && permit.retryAfterMs !== undefined;
+    return isPart && this.isContinuable;
+  }
+
   /** Waits before the next attempt; resolves to whether it is still wanted. */
   private async awaitRetry(ms: number): Promise<boolean> {
     await clock.sleep(ms);
@@ -391,7 +398,7 @@
   private get isContinuable(): boolean {
     const { isBegun, isUnrecoverable } = this.reply;
     const isOpen = !this.isOver && isBegun && !isUnrecoverable;
-    return isOpen && this.isRepeatable && !this.isRefused;
+    return isOpen && this.isRepeatable && this.standing !== 'quarantined';
   }
 
   /** The target became unavailable between its selection and the attempt; the next selection excludes it. */
