--- a/packages/daemon/src/__tests__/__fixtures__/ports.ts
+++ b/packages/daemon/src/__tests__/__fixtures__/ports.ts
@@ -9,8 +9,8 @@
 const MIN_PORT = 20_000;
 const PORT_LIMIT = 32_000;
 
-/** Differs between concurrent test processes, so that they start with different ports. */
-let nextPort = MIN_PORT + ((process.pid * 97) % (PORT_LIMIT - MIN_PORT));
+/** Ports of one test process. */
+const SLICE_PORTS = 1_000;
 
 async function isFree(port: number): Promise<boolean> {
   const server = net.createServer();
@@ -22,11 +22,38 @@
   });
 }
 
-/** Returns a port that nothing listens on; none is returned twice before the range wraps around. */
+/** Listens on a port for as long as this process runs; false if another one does. */
+async function hold(port: number): Promise<boolean> {
+  const server = net.createServer();
+  return new Promise((resolve) => {
+    server.once('error', () => resolve(false));
+    server.listen(port, '127.0.0.1', () => resolve(true));
+    server.unref();
+  });
+}
+
+/**
+ * The first port of a slice that no other test process uses. Without it a process could take a port that a target of
+ * another one leaves for a moment while it restarts.
+ */
+async function claimSlice(): Promise<number> {
+  for (let first = MIN_PORT; first < PORT_LIMIT; first += SLICE_PORTS) {
+    if (await hold(first)) return first;
+  }
+  throw new Error('too many test processes run at once');
+}
+
+let claimed: Promise<number> | undefined;
+
+let given = 0;
+
+/** Returns a port that nothing listens on; none is returned twice before the slice wraps around. */
 export async function freePort(): Promise<number> {
+  claimed ??= claimSlice();
+  const first = await claimed;
   for (;;) {
-    const port = nextPort;
-    nextPort = nextPort + 1 < PORT_LIMIT ? nextPort + 1 : MIN_PORT;
+    const port = first + 1 + (given % (SLICE_PORTS - 1));
+    given += 1;
     if (await isFree(port)) return port;
   }
 }
