--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -203,7 +203,7 @@
       choose: (excluded) => this.chooseSuccessor(excluded),
       liveness: dependencies.liveness,
       newMemory: () => this.newMemory(),
-      // A suspect one may have to wait for its next run, which only its end makes worth the wait.
+      // A suspect request may have to wait for permission to run again, so it keeps the attempt that it has.
       mayMove: () => this.isAdmissible && this.standing === 'free' && this.spendRetry(),
       now: dependencies.now,
     });
--- a/packages/daemon/src/entry/succession.ts
+++ b/packages/daemon/src/entry/succession.ts
@@ -1,7 +1,7 @@
 /**
  * Moves a request from a target that is overdue to another one. Silence doesn't tell a target that is down from a sound
  * one, nor from a lost path of this VM, and all targets may be silent at once. So the present attempt goes on until another
- * target is in hand: placed, and seen to respond.
+ * target is in hand: placed, seen to respond, with the memory that the request needs on its prefill helpers.
  */
 import type * as livenessProbes from './livenessProbes';
 import type * as reservations from './reservations';
