--- a/packages/daemon/src/entry/__tests__/evacuatedTargets.test.ts
+++ b/packages/daemon/src/entry/__tests__/evacuatedTargets.test.ts
@@ -32,7 +32,7 @@
     expect(setup.received).to.have.length(1);
     expect(setup.received[0]).to.include('target: t1');
     // The leader counts each placement by its own id.
-    expect(setup.placementRequests.map(({ id }) => id)).to.deep.equal(['r1/0.0', 'r1/0.1']);
+    expect(setup.placementRequests.map(({ id }) => id)).to.deep.equal(['r1/1', 'r1/2']);
   });
 
   /** Guards against a repeat that is sent to an evacuated target after the first target broke off. */
