--- a/packages/daemon/src/targets/__tests__/endlessResponses.test.ts
+++ b/packages/daemon/src/targets/__tests__/endlessResponses.test.ts
@@ -85,13 +85,13 @@
     });
   });
 
-  it('to calls of the daemon itself are given up at a bound', async () => {
-    for (const status of ['200 OK', '503 Busy']) {
+  ['200 OK', '503 Busy'].forEach((status) => {
+    it(`to calls of the daemon itself are given up at a bound, with ${status}`, async () => {
       await start(status, ' '.repeat(MIB));
       const answer = await new httpAdapter.HttpAdapter(client).holdings(target);
       expect(answer.err && answer.val.detail).to.include('RESPONSE_TOO_LARGE');
       expect(sentBytes).to.be.below(64 * MIB);
-    }
+    });
   });
 
   async function open(): Promise<adapter.EngineStream> {
