Split the exchange by who decides what

exchange.ts mixed the course of a request, one attempt, the decision what follows, and the end of the caller's response, so that nothing showed at one glance who may end an answer that has begun. No behaviour changes.

- to admittedRequest.ts: AdmittedRequest, which was in an import circle with its users

The time at which bytes last arrived, for the log of an aborted answer, is now read from the deliveries. It can differ only after an unexpected error between the sending of a message and its record.

--- /dev/null
+++ b/packages/daemon/src/entry/admittedRequest.ts
@@ -0,0 +1,18 @@
+/** A caller's request after its admission, as the ingress hands it to an exchange. */
+import type * as http from 'node:http';
+import type * as domain from '@celerydrift/domain';
+import type * as protocols from '../edges/protocols';
+import type * as heldBytes from './heldBytes';
+
+export interface AdmittedRequest {
+  request: http.IncomingMessage;
+  response: http.ServerResponse;
+  facts: protocols.CallerMetadata;
+  route: domain.catalogue.catalogue.Route;
+  organisation: string | undefined;
+  /** Urgency class at a service; undefined where all requests of the service are of one class. */
+  urgencyAt?: (service: string) => number | undefined;
+  body: Buffer;
+  arrivedAt: number;
+  held: heldBytes.Holding;
+}
--- a/packages/daemon/src/entry/callerResponse.ts
+++ b/packages/daemon/src/entry/callerResponse.ts
@@ -374,5 +374,8 @@
   }
 }
 
+/** What may be done with a response without ending it. */
+export type OpenResponse = Omit<CallerResponse, 'complete' | 'refuse' | 'fail'>;
+
 /** Statuses that mean the request did not run; only valid if the target states so in its headers. */
 const NOT_RUN_STATUSES = new Set([408, 421, 429, 503]);
--- a/packages/daemon/src/entry/deliveries.ts
+++ b/packages/daemon/src/entry/deliveries.ts
@@ -35,6 +35,11 @@
     return this.isRunPresumed || this.attempts.some(({ mayHaveRun }) => mayHaveRun);
   }
 
+  /** When bytes of the last target's response last arrived, on the steady clock, milliseconds; 0 for never. */
+  get lastHeardAt(): number {
+    return this.attempts.findLast(({ isWithheld }) => !isWithheld)?.lastHeardAt ?? 0;
+  }
+
   /** Cancels what isn't over; undefined if a target may have run the request. */
   end(): notRunGuarantee.NotRunGuarantee | undefined {
     const guarantee = notRunGuarantee.NotRunGuarantee.of(this.attempts);
--- a/packages/daemon/src/entry/exchangeLog.ts
+++ b/packages/daemon/src/entry/exchangeLog.ts
@@ -3,13 +3,13 @@
 import type * as observer from '../observability/observer';
 import * as callerResponse from './callerResponse';
 import type * as attempts from './attempts';
-import type * as exchange from './exchange';
+import type * as admittedRequest from './admittedRequest';
 import type * as notRunGuarantee from './notRunGuarantee';
 
 type Placement = domain.allocation.allocator.Placement;
 
 export interface Dependencies {
-  admitted: exchange.AdmittedRequest;
+  admitted: admittedRequest.AdmittedRequest;
   attempts: attempts.Attempts;
   reply: callerResponse.CallerResponse;
   observer: observer.Observer;
--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -14,7 +14,7 @@
 import * as serverStop from '../http/serverStop';
 import type * as observer from '../observability/observer';
 import * as connectionGate from './connectionGate';
-import type * as exchange from './exchange';
+import type * as admittedRequest from './admittedRequest';
 import type * as heldBytes from './heldBytes';
 import * as settingsWait from './settingsWait';
 
@@ -29,7 +29,7 @@
   /** Whether the settings in force were confirmed recently enough to admit keys. */
   isFresh: () => boolean;
   held: Pick<heldBytes.HeldBytes, 'open'>;
-  serve: (admitted: exchange.AdmittedRequest) => Promise<void>;
+  serve: (admitted: admittedRequest.AdmittedRequest) => Promise<void>;
 }
 
 interface Refusal {
--- a/packages/daemon/src/entry/outcome.ts
+++ b/packages/daemon/src/entry/outcome.ts
@@ -3,6 +3,8 @@
  * whether the target may have run the request and what the caller has received.
  */
 import type * as domain from '@celerydrift/domain';
+import type * as callerResponse from './callerResponse';
+import type * as targetMessage from './targetMessage';
 
 type DispatchOutcome = domain.allocation.targetHealth.DispatchOutcome;
 
@@ -37,6 +39,35 @@
   /** The deadline passed. */
   | { kind: 'late' };
 
+/** Outcome of an attempt that reached out to its target and wasn't completed there. */
+export type FailedOutcome = Outcome & { kind: 'failed' | 'notRun' };
+
+/** Outcome of an attempt whose delivery ended; `complete` passes a complete response on to the caller, if it is usable. */
+export function ofResult(
+  result: targetMessage.SendResult,
+  complete: () => callerResponse.CompletionResult,
+): Outcome {
+  if (result.kind === 'notSent') {
+    const { detail, isConfirmed } = result;
+    return { kind: 'notRun', ending: 'unreachable', detail, isConfirmed };
+  }
+  if (result.kind === 'broken') {
+    return { kind: 'failed', ending: 'broken', detail: result.detail, isCut: true };
+  }
+  if (result.kind === 'foreign') {
+    return { kind: 'failed', ending: 'broken', detail: result.detail, isCut: false };
+  }
+  if (result.kind === 'cancelled') return { kind: 'gone' };
+  if (result.kind === 'withheld') return result;
+  const completion = complete();
+  if (completion.kind === 'passedOn') return { kind: 'answered' };
+  if (completion.kind === 'notRun') {
+    const { detail, faulty, isWrongLifetime } = completion;
+    return { kind: 'notRun', ending: isWrongLifetime ? 'replaced' : 'full', detail, faulty };
+  }
+  return { kind: 'failed', ending: 'broken', detail: completion.detail, isCut: false };
+}
+
 /** The prefill helper that made a request fail; undefined if it was the selected target itself. */
 export function faultyHelperOf(
   outcome: Outcome,
--- a/packages/daemon/src/entry/placementTerms.ts
+++ b/packages/daemon/src/entry/placementTerms.ts
@@ -1,13 +1,13 @@
 /** What a request states about itself to be placed: its size, the time that it has, and what sets it apart from others. */
 import type * as roleSettings from '../configuration/roleSettings';
 import type * as callerResponse from './callerResponse';
-import type * as exchange from './exchange';
+import type * as admittedRequest from './admittedRequest';
 import type * as requestContent from './requestContent';
 import * as responseTimeout from './responseTimeout';
 import type * as targetSelector from './targetSelector';
 
 export interface Dependencies {
-  admitted: exchange.AdmittedRequest;
+  admitted: admittedRequest.AdmittedRequest;
   content: Pick<requestContent.RequestContent, 'fingerprint'>;
   reply: Pick<callerResponse.CallerResponse, 'lastEventAt' | 'lastEventId'>;
   contentionMode: roleSettings.ContentionMode | undefined;
--- a/packages/daemon/src/entry/quarantineClient.ts
+++ b/packages/daemon/src/entry/quarantineClient.ts
@@ -50,6 +50,9 @@
   /** `retryAfterMs` where a part of its prompt is in quarantine: the time until that ends, milliseconds. */
   | { kind: 'quarantined'; retryAfterMs: number | undefined };
 
+/** Keeps a request from running now. */
+export type Denial = Exclude<Permit, { kind: 'granted' }>;
+
 export type Standing = 'free' | 'suspected' | 'partQuarantined' | 'quarantined';
 
 export interface Dependencies extends leaderCall.Dependencies {
--- a/packages/daemon/src/entry/requestContent.ts
+++ b/packages/daemon/src/entry/requestContent.ts
@@ -1,6 +1,6 @@
 /** What identifies the content of a request, computed once and only where it is asked for. */
 import type * as protocols from '../edges/protocols';
-import type * as exchange from './exchange';
+import type * as admittedRequest from './admittedRequest';
 import * as fingerprint from './fingerprint';
 
 export class RequestContent {
@@ -9,7 +9,10 @@
   private cachedSharedParts: readonly string[] | undefined;
 
   constructor(
-    private readonly admitted: Pick<exchange.AdmittedRequest, 'request' | 'organisation' | 'body'>,
+    private readonly admitted: Pick<
+      admittedRequest.AdmittedRequest,
+      'request' | 'organisation' | 'body'
+    >,
     private readonly protocol: Pick<protocols.TrafficProtocol, 'sharedParts'>,
   ) {}
 
