Leave an answer that only its target can finish to that target

Callers saw a connection closed in the middle of an answer although its target was sound: it was silent for a moment, or even went on sending. It was so for a stream whose events bear no ids, and for a safe call whose answer was passed on as it grew beyond what is buffered.

Cause: neither the watchdog nor the search for a successor asked whether another target could continue the answer. The attempt was given up once another target responded to a probe; then the retry was refused, and the answer broken off.

Now such an attempt has no alternative, and `retryPolicy.mayMove` asks for it once more when a target is in hand.

--- a/packages/daemon/src/entry/__tests__/retryPolicy.test.ts
+++ b/packages/daemon/src/entry/__tests__/retryPolicy.test.ts
@@ -14,6 +14,7 @@
   isBegun: false,
   isUnrecoverable: false,
   isRepeatable: true,
+  isAdmissible: true,
   mayHaveRun: true,
   hasAttemptsLeft: true,
   hasSuccessor: false,
@@ -119,6 +120,18 @@
     );
   });
 
+  it('gives up an attempt only where the request may run and be completed elsewhere', () => {
+    expect(retryPolicy.mayMove(STREAMING)).to.equal(true);
+    const staying: Partial<retryPolicy.State>[] = [
+      { isAdmissible: false },
+      { isUnrecoverable: true },
+      { standing: 'suspected' },
+    ];
+    staying.forEach((change) =>
+      expect(retryPolicy.mayMove({ ...STREAMING, ...change })).to.equal(false),
+    );
+  });
+
   it('waits for the canary run of a request that has run, or briefly if it is probably innocent', () => {
     const unsent = but({ mayHaveRun: false });
     expect(retryPolicy.awaitsCanary(BUSY, unsent)).to.equal(true);
--- a/packages/daemon/src/entry/placedAttempt.ts
+++ b/packages/daemon/src/entry/placedAttempt.ts
@@ -177,7 +177,7 @@
       now,
       lastEventAt: () => reply.lastProgressAt(now()),
       isAlive: () => evidence.isResponsive(placement, this.delivery?.relay),
-      hasAlternative: () => this.hasAttemptsLeft,
+      hasAlternative: () => this.hasAttemptsLeft && !reply.isUnrecoverable,
       onTimeout,
     });
   }
--- a/packages/daemon/src/entry/requestPlacements.ts
+++ b/packages/daemon/src/entry/requestPlacements.ts
@@ -13,6 +13,7 @@
 import type * as requestState from './requestState';
 import * as reservations from './reservations';
 import * as responseEnd from './responseEnd';
+import * as retryPolicy from './retryPolicy';
 import * as succession from './succession';
 import type * as targetSelector from './targetSelector';
 
@@ -20,7 +21,10 @@
   admitted: Pick<admittedRequest.AdmittedRequest, 'facts'>;
   terms: Pick<placementTerms.PlacementTerms, 'at'>;
   attempts: Pick<attempts.Attempts, 'excluded' | 'writers'>;
-  state: Pick<requestState.RequestState, 'service' | 'isOver' | 'isAdmissible' | 'standing'>;
+  state: Pick<
+    requestState.RequestState,
+    'service' | 'isOver' | 'isAdmissible' | 'isUnrecoverable' | 'standing'
+  >;
   selector: Pick<targetSelector.TargetSelector, 'choose'>;
   /** Where this VM has lost its paths; without it, it has lost none. */
   reachability?: Pick<reachability.Reachability, 'isCutOff'>;
@@ -57,8 +61,7 @@
       choose: (excluded) => this.choose({ endings: 0, target: undefined }, excluded),
       liveness,
       newMemory: () => this.newMemory(),
-      // A suspect request may have to wait for permission to run again, so it keeps the attempt that it has.
-      mayMove: () => state.isAdmissible && state.standing === 'free' && spendRetry(),
+      mayMove: () => retryPolicy.mayMove(state) && spendRetry(),
       now,
     });
   }
--- a/packages/daemon/src/entry/requestState.ts
+++ b/packages/daemon/src/entry/requestState.ts
@@ -76,7 +76,6 @@
     return this.dependencies.terms.patienceMs;
   }
 
-  /** Whether the key of the request, if it has one, may be believed now. */
   get isAdmissible(): boolean {
     return this.dependencies.admitted.organisation === undefined || this.dependencies.isFresh();
   }
--- a/packages/daemon/src/entry/retryPolicy.ts
+++ b/packages/daemon/src/entry/retryPolicy.ts
@@ -18,6 +18,8 @@
   /** Whether the caller has received bytes that no other target can continue from. */
   readonly isUnrecoverable: boolean;
   readonly isRepeatable: boolean;
+  /** Whether the key of the request, if it has one, may be believed now. */
+  readonly isAdmissible: boolean;
   /** Whether any target may have run the request. */
   readonly mayHaveRun: boolean;
   readonly hasAttemptsLeft: boolean;
@@ -51,6 +53,16 @@
   return isFree || state.hasSuccessor ? 'free' : 'budget';
 }
 
+/**
+ * Whether an attempt that goes on may be given up for another target. A suspect request may have to wait for permission
+ * to run again, and what only its own target can complete must stay there.
+ */
+export function mayMove(
+  state: Pick<State, 'isAdmissible' | 'isUnrecoverable' | 'standing'>,
+): boolean {
+  return state.isAdmissible && !state.isUnrecoverable && state.standing === 'free';
+}
+
 /** Whether the request is a stream that has begun and may go on at another target. */
 export function isContinuable(state: State): boolean {
   const isOpen = !state.isOver && state.isBegun && !state.isUnrecoverable;
