Pass on no request whose connection closes before its answer

Callers that send requests behind another one on their connection got one answer and a closed connection while the entry was drained, or where the head of a later request took too long; the requests behind it had been read and passed on to targets, and got neither an answer nor a refusal.

Cause: Node closes a connection after the first response that announces it, whatever is queued behind it, and goes on parsing what arrives. Each response of a draining entry announced it, and so did each response beside malformed input.

Now only the last of a connection's responses announces its end (`openResponses.ts`, which holds in one place what two modules knew of a connection), and a request that arrives after that is not passed on. After a 408 or 400 for bytes that are no request nothing further of that connection runs either.

--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -11,6 +11,7 @@
 import * as earlyResponse from '../http/earlyResponse';
 import * as listening from '../http/listening';
 import * as malformedInput from '../http/malformedInput';
+import * as openResponses from '../http/openResponses';
 import * as serverStop from '../http/serverStop';
 import type * as observer from '../observability/observer';
 import * as connectionGate from './connectionGate';
@@ -81,7 +82,7 @@
 
   private readonly gate: connectionGate.ConnectionGate;
 
-  private readonly malformedInput: malformedInput.MalformedInput;
+  private readonly responses = new openResponses.OpenResponses();
 
   private readonly serverStop: serverStop.ServerStop;
 
@@ -101,7 +102,7 @@
         void this.answer(request, response);
       },
     );
-    this.malformedInput = new malformedInput.MalformedInput(this.server, dependencies.observer);
+    malformedInput.handle(this.server, this.responses, dependencies.observer);
     this.serverStop = new serverStop.ServerStop(this.server);
     this.gate = new connectionGate.ConnectionGate(this.server, {
       observer: dependencies.observer,
@@ -202,11 +203,15 @@
   ): Promise<void> {
     const arrivedAt = this.dependencies.now();
     this.gate.used(request.socket);
-    this.malformedInput.began(request, response);
+    if (this.responses.isClosing(request.socket)) {
+      request.resume();
+      return;
+    }
+    this.responses.began(request, response);
     this.serverStop.began(response);
     const held = this.dependencies.held.open(this.connectionOf(request, response));
     response.once('close', () => held.close());
-    if (this.isDraining) response.setHeader('Connection', 'close');
+    if (this.isDraining) openResponses.closeAfterLast(this.responses.of(request.socket));
     if (this.isRefusing) {
       this.refuse(request, response, { status: 503, reason: 'entry is stopping' });
       return;
--- a/packages/daemon/src/http/__tests__/malformedInput.test.ts
+++ b/packages/daemon/src/http/__tests__/malformedInput.test.ts
@@ -5,6 +5,7 @@
 import * as clock from '../../clock';
 import * as listening from '../listening';
 import * as malformedInput from '../malformedInput';
+import * as openResponses from '../openResponses';
 
 const CALL = 'POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 0\r\n\r\n';
 
@@ -12,11 +13,12 @@
 async function answersTo(bytes: string, hasBegun = false): Promise<string> {
   const options = { headersTimeout: 50, connectionsCheckingInterval: 50 };
   const server = http.createServer(options, (request, response) => {
-    input.began(request, response);
+    responses.began(request, response);
     if (hasBegun) response.flushHeaders();
     void clock.sleep(300).then(() => response.end('own answer'));
   });
-  const input = new malformedInput.MalformedInput(server, { count: () => undefined });
+  const responses = new openResponses.OpenResponses();
+  malformedInput.handle(server, responses, { count: () => undefined });
   await listening.listen(server, { host: '127.0.0.1', port: 0 });
   const { port } = server.address() as net.AddressInfo;
   const socket = net.connect(port, '127.0.0.1', () => socket.write(bytes));
--- a/packages/daemon/src/http/earlyResponse.ts
+++ b/packages/daemon/src/http/earlyResponse.ts
@@ -15,7 +15,8 @@
   { status, headers, content }: Content,
 ): void {
   const length = Buffer.byteLength(content);
-  response.writeHead(status, { ...headers, 'Content-Length': length, Connection: 'close' });
+  response.setHeader('Connection', 'close');
+  response.writeHead(status, { ...headers, 'Content-Length': length });
   if (content === '') response.flushHeaders();
   else response.write(content);
   let timer: NodeJS.Timeout | undefined;
--- a/packages/daemon/src/http/listener.ts
+++ b/packages/daemon/src/http/listener.ts
@@ -12,6 +12,7 @@
 import * as breakOff from './breakOff';
 import * as earlyResponse from './earlyResponse';
 import * as malformedInput from './malformedInput';
+import * as openResponses from './openResponses';
 import * as reply from './reply';
 import * as serverStop from './serverStop';
 
@@ -63,7 +64,7 @@
 export class Listener {
   private readonly server: http.Server | https.Server;
 
-  private readonly malformedInput: malformedInput.MalformedInput;
+  private readonly responses = new openResponses.OpenResponses();
 
   private readonly serverStop: serverStop.ServerStop;
 
@@ -82,7 +83,11 @@
       noDelay: true,
     };
     const serve = (request: http.IncomingMessage, response: http.ServerResponse): void => {
-      this.malformedInput.began(request, response);
+      if (this.responses.isClosing(request.socket)) {
+        request.resume();
+        return;
+      }
+      this.responses.began(request, response);
       this.serverStop.began(response);
       void this.serve(request, response);
     };
@@ -90,7 +95,7 @@
       tlsOptions === undefined
         ? http.createServer(options, serve)
         : https.createServer({ ...options, ...tlsOptions }, serve);
-    this.malformedInput = new malformedInput.MalformedInput(this.server, observe);
+    malformedInput.handle(this.server, this.responses, observe);
     this.serverStop = new serverStop.ServerStop(this.server);
     this.server.maxConnections = limits.connections;
   }
--- a/packages/daemon/src/http/malformedInput.ts
+++ b/packages/daemon/src/http/malformedInput.ts
@@ -5,6 +5,7 @@
 import * as http from 'node:http';
 import type * as stream from 'node:stream';
 import type * as observer from '../observability/observer';
+import * as openResponses from './openResponses';
 
 /** Statuses by the error code of Node's parser; 400 for others. */
 const STATUSES: Readonly<Record<string, number>> = {
@@ -19,55 +20,47 @@
 /** Code, among those of Node's parser, of a request for a tunnel. */
 const TUNNEL = 'TUNNEL';
 
-export class MalformedInput {
-  /** Responses without an end, by connection. */
-  private readonly open = new WeakMap<stream.Duplex, Set<http.ServerResponse>>();
-
-  constructor(
-    server: http.Server,
-    private readonly observe: Pick<observer.Observer, 'count'> | undefined,
-  ) {
-    server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
-      this.answer(error.code ?? '', socket);
-    });
-    // Node closes a connection that is to become a tunnel without an answer, unless something handles it.
-    server.on('connect', (_request, socket) => {
-      // Node no longer handles the errors of this connection.
-      socket.on('error', () => socket.destroy());
-      this.answer(TUNNEL, socket);
-    });
-  }
-
-  /** A request begins; once it has arrived whole, its own answer comes before any other on its connection. */
-  began({ socket }: http.IncomingMessage, response: http.ServerResponse): void {
-    const responses = this.open.get(socket) ?? new Set();
-    this.open.set(socket, responses.add(response));
-    response.once('close', () => responses.delete(response));
-  }
-
-  private answer(code: string, socket: stream.Duplex): void {
-    const open = this.open.get(socket) ?? new Set();
-    const inProgress = [...open].filter(({ req }) => req.complete);
+/** A request that has arrived whole gets its own answer before any other on its connection. */
+export function handle(
+  server: http.Server,
+  responses: openResponses.OpenResponses,
+  observe: Pick<observer.Observer, 'count'> | undefined,
+): void {
+  const answerCode = (code: string, socket: stream.Duplex): void => {
     if (!socket.writable || socket.destroyed) {
       socket.destroy();
       return;
     }
-    this.observe?.count(`callers.malformed.${code}`);
-    if (inProgress.length === 0) {
-      const status = STATUSES[code] ?? BAD_REQUEST;
-      const line = `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}`;
-      socket.end(`${line}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`, () =>
-        socket.destroy(),
-      );
-      return;
-    }
-    const unanswered = new Set(inProgress);
-    inProgress.forEach((response) => {
-      if (!response.headersSent) response.setHeader('Connection', 'close');
-      response.once('close', () => {
-        unanswered.delete(response);
-        if (unanswered.size === 0) socket.end();
-      });
-    });
+    observe?.count(`callers.malformed.${code}`);
+    answer(code, socket, responses);
+  };
+  server.on('clientError', (error: NodeJS.ErrnoException, socket) => {
+    answerCode(error.code ?? '', socket);
+  });
+  // Node closes a connection that is to become a tunnel without an answer, unless something handles it.
+  server.on('connect', (_request, socket) => {
+    // Node no longer handles the errors of this connection.
+    socket.on('error', () => socket.destroy());
+    answerCode(TUNNEL, socket);
+  });
+}
+
+function answer(code: string, socket: stream.Duplex, responses: openResponses.OpenResponses): void {
+  // Node's parser goes on, also with what follows a head that took too long.
+  responses.endInput(socket);
+  const inProgress = responses.of(socket).filter(({ req }) => req.complete);
+  if (inProgress.length === 0) {
+    const status = STATUSES[code] ?? BAD_REQUEST;
+    const line = `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}`;
+    socket.end(`${line}\r\nConnection: close\r\nContent-Length: 0\r\n\r\n`, () => socket.destroy());
+    return;
   }
+  openResponses.closeAfterLast(inProgress);
+  const unanswered = new Set(inProgress);
+  inProgress.forEach((response) => {
+    response.once('close', () => {
+      unanswered.delete(response);
+      if (unanswered.size === 0) socket.end();
+    });
+  });
 }
