Survive a settings file that is missing when SIGHUP comes

Beside a change of the settings all callers of an entry lost their requests with neither an answer nor a refusal: whoever replaces the settings file by removing and writing it sends SIGHUP, or the file is missing for a moment, and the process ended with code 1 (ENOENT). The same held for an unreadable file, also without a signal, and for keepers.

Cause: the handler of SIGHUP and the poll read the file without handling errors, and nothing else does.

--- a/packages/daemon/src/roleMain.ts
+++ b/packages/daemon/src/roleMain.ts
@@ -3,11 +3,11 @@
  * is passed in, so this module doesn't depend on the protocols of a platform.
  */
 import * as crypto from 'node:crypto';
-import * as fs from 'node:fs';
 import * as domain from '@celerydrift/domain';
 import * as clock from './clock';
 import type * as codecs from './configuration/codecs';
-import * as roleSettings from './configuration/roleSettings';
+import type * as roleSettings from './configuration/roleSettings';
+import * as settingsFile from './configuration/settingsFile';
 import type * as protocols from './edges/protocols';
 import * as entry from './entry/entry';
 import type * as listening from './http/listening';
@@ -41,25 +41,6 @@
 
 const DROPPED_LINES_REPORT_INTERVAL_MS = 1_000;
 
-/** The content of the settings file; undefined if it can't be read. */
-function readText(file: string): string | undefined {
-  try {
-    return fs.readFileSync(file, 'utf8');
-  } catch (error) {
-    process.stderr.write(`celerydrift: ${file}: ${String(error)}\n`);
-    return undefined;
-  }
-}
-
-function parseSettings(file: string, text: string): roleSettings.Settings | undefined {
-  const result = roleSettings.read(text);
-  if (result.ok) return result.val;
-  result.val.forEach((problem) => {
-    process.stderr.write(`celerydrift: ${file}: ${domain.settings.schema.describe(problem)}\n`);
-  });
-  return undefined;
-}
-
 function createObserver(settings: roleSettings.Settings): observer.Observer {
   const output = new boundedOutput.BoundedOutput(1, clock.steady);
   const observe = new observer.Observer(settings.name, settings.logLevel, undefined, output);
@@ -109,41 +90,17 @@
   });
 }
 
-/**
- * Calls `onChange` with the new settings each time the file changes and is valid, also if it changed since the settings in
- * force were read.
- */
-function watchSettingsFile(
-  file: string,
-  textInForce: string,
-  observe: observer.Observer,
-  onChange: (settings: roleSettings.Settings) => void,
-): void {
-  let text = textInForce;
-  let changedAt = fs.statSync(file).mtimeMs;
-  const reload = (): void => {
-    const currentText = fs.readFileSync(file, 'utf8');
-    if (currentText === text) return;
-    text = currentText;
-    const settings = parseSettings(file, text);
-    observe.log('settingsFileRead', { valid: settings !== undefined });
-    if (settings !== undefined) onChange(settings);
-  };
-  process.on('SIGHUP', reload);
-  reload();
-  const poll = (): void => {
-    const modifiedAt = fs.statSync(file, { throwIfNoEntry: false })?.mtimeMs;
-    if (modifiedAt === undefined || modifiedAt === changedAt) return;
-    changedAt = modifiedAt;
-    reload();
-  };
-  setInterval(poll, FILE_CHECK_INTERVAL_MS).unref();
+/** Reads the settings file at SIGHUP, when it was modified, and once now, as it may have changed during the start. */
+function watchSettingsFile(file: settingsFile.SettingsFile): void {
+  process.on('SIGHUP', () => file.reload());
+  file.reload();
+  setInterval(() => file.poll(), FILE_CHECK_INTERVAL_MS).unref();
 }
 
 /** Runs an entry or a keeper, as the settings file says, until a signal stops it. */
 export async function run(file: string, adapter: Adapter, checkOnly: boolean): Promise<void> {
-  const text = readText(file);
-  const settings = text === undefined ? undefined : parseSettings(file, text);
+  const text = settingsFile.readText(file);
+  const settings = text === undefined ? undefined : settingsFile.parse(file, text);
   if (text === undefined || settings === undefined) process.exit(EXIT.badSettings);
   if (checkOnly) return;
   const observe = createObserver(settings);
@@ -156,7 +113,9 @@
   const { role, seeds, mayFound } = settings;
   const afterMs = Math.round(clock.steady());
   observe.log('started', { program: adapter.programDigest, role, seeds, mayFound, afterMs });
-  watchSettingsFile(file, text, observe, (changed) => started.reload(changed));
+  watchSettingsFile(
+    new settingsFile.SettingsFile(file, text, observe, (changed) => started.reload(changed)),
+  );
   let isStopping = false;
   const stop = (signal: string): void => {
     if (isStopping) return;
