Move the results of liveness probes to a module of their own

livenessProbes, relayClient, relayPeers and targetClient imported each other in a circle, as the type of a probe's result lived with its first user. ProbeResult, Verdict and ReachResult move to livenessVerdict.ts, unchanged. No imports of src/entry form a circle any more, types included; import-x/no-cycle, which is on, doesn't see those of types.

--- a/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
@@ -4,7 +4,7 @@
 import { Ok } from 'ts-results';
 import * as clock from '../../clock';
 import * as observer from '../../observability/observer';
-import type * as livenessProbes from '../livenessProbes';
+import type * as livenessVerdict from '../livenessVerdict';
 import * as quarantineClient from '../quarantineClient';
 
 const { expect } = chai;
@@ -226,7 +226,7 @@
       sequence: 1,
     } as const;
     registry.announce({ ...record, bornAt: 1 }, 0);
-    const verdicts: livenessProbes.Verdict[] = ['silent', 'alive'];
+    const verdicts: livenessVerdict.Verdict[] = ['silent', 'alive'];
     const client = new quarantineClient.QuarantineClient({
       name: 'e0',
       fleetState: { quarantine, registry },
--- a/packages/daemon/src/entry/__tests__/reachability.test.ts
+++ b/packages/daemon/src/entry/__tests__/reachability.test.ts
@@ -7,6 +7,7 @@
 import type * as peerClient from '../../rpc/peerClient';
 import type * as peerServer from '../../rpc/peerServer';
 import * as livenessProbes from '../livenessProbes';
+import type * as livenessVerdict from '../livenessVerdict';
 import * as quarantineClient from '../quarantineClient';
 import * as reachability from '../reachability';
 import * as relayPeers from '../relayPeers';
@@ -40,7 +41,7 @@
 /** An entry that relays, at which probes of a target end in `probe`; with the calls that it serves. */
 function relayAt(
   registry: domain.registry.registry.Registry,
-  probe: (target: string, relay: reachability.Reachability) => livenessProbes.ProbeResult,
+  probe: (target: string, relay: reachability.Reachability) => livenessVerdict.ProbeResult,
 ): { relay: reachability.Reachability; call: (method: string, request: object) => unknown } {
   const methods = new Map<string, (request: object) => unknown>();
   const relay: reachability.Reachability = new reachability.Reachability({
--- a/packages/daemon/src/entry/__tests__/succession.test.ts
+++ b/packages/daemon/src/entry/__tests__/succession.test.ts
@@ -1,6 +1,6 @@
 /** When an overdue attempt is given up for another target, without a network. */
 import * as chai from 'chai';
-import type * as livenessProbes from '../livenessProbes';
+import type * as livenessVerdict from '../livenessVerdict';
 import * as succession from '../succession';
 
 const { expect } = chai;
@@ -10,7 +10,7 @@
 
 interface Scene {
   /** What is known of each target that is offered in turn; none is free after the last. */
-  verdicts: livenessProbes.Verdict[];
+  verdicts: livenessVerdict.Verdict[];
   mayMove?: boolean;
   /** Whether prefill helpers have the memory that the request needs there. */
   hasMemory?: boolean;
@@ -77,7 +77,7 @@
 
   // Guards against a search that always ends at the same few targets, while the one that responds is never tried.
   it('goes on where the last search ended', async () => {
-    const verdicts: livenessProbes.Verdict[] = ['silent', 'dead', 'unasked', 'alive'];
+    const verdicts: livenessVerdict.Verdict[] = ['silent', 'dead', 'unasked', 'alive'];
     expect((await seek({ verdicts, searches: 1 })).successor).to.equal(undefined);
     expect((await seek({ verdicts, searches: 2 })).successor).to.equal('t3');
   });
--- a/packages/daemon/src/entry/livenessProbes.ts
+++ b/packages/daemon/src/entry/livenessProbes.ts
@@ -7,6 +7,7 @@
 import type * as observer from '../observability/observer';
 import type * as rateLimitClient from './rateLimitClient';
 import type * as connectionTracker from './connectionTracker';
+import type * as livenessVerdict from './livenessVerdict';
 import type * as pathMonitor from './pathMonitor';
 import type * as relayPeers from './relayPeers';
 import * as targetClient from './targetClient';
@@ -35,20 +36,8 @@
 
 const OK = 200;
 
-/**
- * `refused`: nothing serves this lifetime any more. `silent`: no response in time, which a sound target may fail to give;
- * or, where it may not be probed, a connection that it didn't hold, as it may have too many.
- */
-export type ProbeResult = 'alive' | 'refused' | 'silent';
-
-/**
- * What is known of a target that gave no response. `alive`: it responds to this VM. `pathLost`: it responds to another
- * VM only. `dead`: it responds to neither, and refuses one of them. `silent`: it responds to neither. `missing`: it
- * responds to neither, and the other VM, which it refuses, may have lost its path to it, but reaches others of its
- * service. `unknown`: it doesn't respond here, and no other VM can tell. `unasked`: the same, and none of the other VMs
- * that are known answered, so that this VM may be the one that is cut off.
- */
-export type Verdict = 'alive' | 'pathLost' | 'dead' | 'silent' | 'missing' | 'unknown' | 'unasked';
+type ProbeResult = livenessVerdict.ProbeResult;
+type Verdict = livenessVerdict.Verdict;
 
 export class LivenessProbes {
   /** Probes in flight by target; requests on the same target share one. */
--- a/packages/daemon/src/entry/relayPeers.ts
+++ b/packages/daemon/src/entry/relayPeers.ts
@@ -8,7 +8,7 @@
 import * as clock from '../clock';
 import type * as errors from '../rpc/errors';
 import type * as peerClient from '../rpc/peerClient';
-import type * as livenessProbes from './livenessProbes';
+import type * as livenessVerdict from './livenessVerdict';
 import type * as relayProtocol from './relayProtocol';
 
 export interface Dependencies {
@@ -32,18 +32,13 @@
 /** Time in which others may contradict a relay that a target refused, milliseconds; one that is frozen isn't waited for. */
 const OTHERS_WAIT_MS = 100;
 
-/**
- * How a target responds to another entry. `missing`: it refuses connections, no other of its service in its data centre
- * responds either, but others of the service do.
- */
-export type ReachResult = livenessProbes.ProbeResult | 'missing';
-
 /** What counts where relays see a target differently. */
 const RESULTS_BY_WEIGHT: readonly ReachResult[] = ['alive', 'refused', 'silent', 'missing'];
 
 /** Timeout of a question about a target, milliseconds: a liveness probe and a round trip. */
 const REACH_TIMEOUT_MS = 350;
 
+type ReachResult = livenessVerdict.ReachResult;
 type Scope = domain.reachability.targetPaths.Scope;
 
 /** Which relays a message may go to. */
