Split the checks of the soak test by subject

checks.ts held 24 checks with their bounds and the faults that excuse a breach. Each check, bound and excuse moves unchanged: to answerChecks, settingsChecks, targetChecks, quarantineChecks, limitChecks, recoveryChecks and memoryChecks; what excuses a breach to faults, statuses to endings, and the types of a breach to violation. checks.ts keeps the list, in the same order.

--- a/packages/soak/src/__tests__/checks.test.ts
+++ b/packages/soak/src/__tests__/checks.test.ts
@@ -3,6 +3,7 @@
 import * as answers from '../answers';
 import * as checks from '../checks';
 import * as observations from '../observations';
+import type * as violation from '../violation';
 
 const { expect } = chai;
 
@@ -286,7 +287,7 @@
     expect(violatedGuarantees(() => undefined)).to.deep.equal([]);
   });
 
-  const violationCases: [checks.Guarantee, (good: Observations) => void][] = [
+  const violationCases: [violation.Guarantee, (good: Observations) => void][] = [
     [
       'wrongAnswer',
       ({ asked: all }) => all.push(requestRecord('r3', { ending: answered(200, 'other') })),
--- a/packages/soak/src/refusalCounts.ts
+++ b/packages/soak/src/refusalCounts.ts
@@ -1,5 +1,5 @@
 /** How often a run put the guarantee of a refusal to the test; a run without such cases shows nothing about it. */
-import * as checks from './checks';
+import * as endings from './endings';
 import * as lateCopies from './lateCopies';
 import type * as observations from './observations';
 
@@ -18,7 +18,7 @@
 export function count({ asked, ran, refused, copied }: observations.Observations): RefusalCounts {
   const unsafe = asked.filter(({ kind }) => kind === 'unsafe');
   const unsafeRefused = unsafe.filter(({ ending }) => {
-    return ending.kind === 'answered' && checks.NOT_RUN_STATUSES.has(ending.status);
+    return ending.kind === 'answered' && endings.NOT_RUN_STATUSES.has(ending.status);
   });
   const met = new Set(copied.map(({ request }) => request));
   const arrived = new Set([...ran, ...refused].map(({ request }) => request));
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -16,10 +16,12 @@
 import * as lossSeries from './lossSeries';
 import * as observations from './observations';
 import * as operator from './operator';
+import * as recoveryChecks from './recoveryChecks';
 import * as refusalCounts from './refusalCounts';
 import * as schedule from './schedule';
 import type * as targetMain from './targetMain';
 import * as unsafeWaves from './unsafeWaves';
+import type * as violation from './violation';
 
 export interface Options {
   seed: number;
@@ -44,9 +46,9 @@
   crashing: { contents: number; copies: number; ended: number };
   refusals: refusalCounts.RefusalCounts;
   /** Number of violations per promise; empty for a run that passed. */
-  broken: Partial<Record<checks.Guarantee | 'notPlayed', number>>;
+  broken: Partial<Record<violation.Guarantee | 'notPlayed', number>>;
   /** The first violations; included because the folder of a run on another machine may be lost. */
-  violations: checks.Violation[];
+  violations: violation.Violation[];
   folder: string;
 }
 
@@ -144,7 +146,7 @@
       if (plan.lossSeries !== undefined) await this.executeLossSeries(plan.lossSeries);
       this.faultInjector.restoreAll();
       this.observed.healedAt = Date.now();
-      await operator.sleep(checks.RECOVERY_MS + RECOVERED_TRAFFIC_MS);
+      await operator.sleep(recoveryChecks.RECOVERY_MS + RECOVERED_TRAFFIC_MS);
       this.isSendingTraffic = false;
       await Promise.all(traffic);
       await Promise.all(this.pending);
