Split the selection of targets by who places

targetSelector.ts mixed placements by the leader, by this entry and of plain calls with the wait for available targets and the reports to the leader. No behaviour changes.

--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -6,6 +6,7 @@
 import type * as protocols from '../../../edges/protocols';
 import * as ports from '../../../__tests__/__fixtures__/ports';
 import * as observer from '../../../observability/observer';
+import type * as placementChoice from '../../placementChoice';
 import type * as targetSelector from '../../targetSelector';
 import * as quarantineClient from '../../quarantineClient';
 import * as exchange from '../../exchange';
@@ -166,7 +167,7 @@
   readonly logged: Record<string, unknown>[] = [];
 
   /** Requests that the selector received. */
-  readonly placementRequests: targetSelector.PlacementRequest[] = [];
+  readonly placementRequests: placementChoice.PlacementRequest[] = [];
 
   /** Outcomes of dispatches, as they were reported. */
   readonly outcomes: string[] = [];
@@ -267,7 +268,7 @@
     const services: exchange.Dependencies = {
       protocol: PROTOCOL,
       selector: {
-        choose: (request: targetSelector.PlacementRequest) => this.choose(request),
+        choose: (request: placementChoice.PlacementRequest) => this.choose(request),
         unavailableForMs: () => 0,
       } as unknown as targetSelector.TargetSelector,
       targets: this.targets,
@@ -403,7 +404,7 @@
     return Object.assign(Object.create(this.signals) as targetSignals.TargetSignals, { bornAt });
   }
 
-  private async choose(request: targetSelector.PlacementRequest): Promise<targetSelector.Choice> {
+  private async choose(request: placementChoice.PlacementRequest): Promise<placementChoice.Choice> {
     this.placementRequests.push(request);
     if (this.placementError !== undefined) throw this.placementError;
     const allowedTarget = request.writers?.[0];
--- a/packages/daemon/src/entry/__tests__/lifetimes.test.ts
+++ b/packages/daemon/src/entry/__tests__/lifetimes.test.ts
@@ -5,6 +5,7 @@
 import * as observer from '../../observability/observer';
 import * as quarantineClient from '../quarantineClient';
 import * as reservations from '../reservations';
+import type * as placementChoice from '../placementChoice';
 import * as targetSelector from '../targetSelector';
 import * as harness from './__fixtures__/harness';
 
@@ -51,8 +52,8 @@
   it('holds no calls of its former lifetime, nor their failures', async () => {
     const selector = makeSelector(registry);
     const request = { service: 's', excluded: [], patienceMs: 9, objectiveMs: 9, waitedMs: 0 };
-    const choose = async (excluded: string[]): Promise<targetSelector.Choice> =>
-      selector.choose({ ...request, excluded } as unknown as targetSelector.PlacementRequest);
+    const choose = async (excluded: string[]): Promise<placementChoice.Choice> =>
+      selector.choose({ ...request, excluded } as unknown as placementChoice.PlacementRequest);
     const old = [await choose(['b']), await choose(['b'])];
     registry.announce({ ...RECORD, bornAt: 2, sequence: 0 }, 0);
     selector.forget('a');
--- a/packages/daemon/src/entry/__tests__/targetSelector.test.ts
+++ b/packages/daemon/src/entry/__tests__/targetSelector.test.ts
@@ -8,6 +8,7 @@
 import * as observer from '../../observability/observer';
 import * as peerClient from '../../rpc/peerClient';
 import * as peerServer from '../../rpc/peerServer';
+import type * as placementChoice from '../placementChoice';
 import * as targetSelector from '../targetSelector';
 
 const { expect } = chai;
@@ -44,7 +45,7 @@
   placement: { target: 'led', address: '127.0.0.1:2', helpers: [], firstTokenMs: 1 },
 };
 
-function placementRequest(patienceMs: number): targetSelector.PlacementRequest {
+function placementRequest(patienceMs: number): placementChoice.PlacementRequest {
   return {
     id: 'r1/0.0',
     service: 's',
@@ -59,7 +60,7 @@
 }
 
 /** A prompt that takes nearly all the memory of an engine. */
-function longPrompt(patienceMs: number): targetSelector.PlacementRequest {
+function longPrompt(patienceMs: number): placementChoice.PlacementRequest {
   return { ...placementRequest(patienceMs), tokens: 280_000, objectiveMs: 10_000, pauseMs: 1_000 };
 }
 
@@ -185,7 +186,7 @@
 
   async function place(
     patienceMs: number,
-    more: Partial<targetSelector.PlacementRequest> = {},
+    more: Partial<placementChoice.PlacementRequest> = {},
   ): Promise<[string, number]> {
     const since = clock.steady();
     const choice = await selector.choose({ ...placementRequest(patienceMs), ...more });
@@ -232,7 +233,7 @@
   });
 
   /** Loses the leader, and takes all memory of the only engine. */
-  async function loseLeaderAndFillEngine(): Promise<targetSelector.Choice> {
+  async function loseLeaderAndFillEngine(): Promise<placementChoice.Choice> {
     delays.other = Infinity;
     link.reportFailure(link.leader);
     return selector.choose({ ...longPrompt(0), id: 'r0/0.0' });
--- a/packages/daemon/src/entry/coldGrants.ts
+++ b/packages/daemon/src/entry/coldGrants.ts
@@ -101,3 +101,14 @@
     return record !== undefined && this.dependencies.limits.isCold(record);
   }
 }
+
+/** A placement contains the grants for its engines. */
+export function addPlacement(
+  grants: Pick<ColdGrants, 'add'> | undefined,
+  { target, helpers }: domain.allocation.allocator.Placement,
+  ticket: Ticket = 0,
+): void {
+  [target, ...helpers.map((helper) => helper.target)].forEach((each) => {
+    grants?.add(each, ticket);
+  });
+}
--- a/packages/daemon/src/entry/placedAttempt.ts
+++ b/packages/daemon/src/entry/placedAttempt.ts
@@ -21,7 +21,7 @@
 import type * as targetAttempt from './targetAttempt';
 import type * as targetEvidence from './targetEvidence';
 import type * as targetMessage from './targetMessage';
-import type * as targetSelector from './targetSelector';
+import type * as placementChoice from './placementChoice';
 import type * as targetSignals from './targetSignals';
 
 type Outcome = outcomes.Outcome;
@@ -107,7 +107,7 @@
     return { target, address, bornAt, sentAt, run, hasBegun };
   }
 
-  private readonly release: targetSelector.Release = (dispatchOutcome, observed) => {
+  private readonly release: placementChoice.Release = (dispatchOutcome, observed) => {
     this.isReleased = true;
     this.placed.memory.release();
     this.placed.choice.release(dispatchOutcome, observed);
--- a/packages/daemon/src/entry/placementTerms.ts
+++ b/packages/daemon/src/entry/placementTerms.ts
@@ -4,7 +4,7 @@
 import type * as admittedRequest from './admittedRequest';
 import type * as requestContent from './requestContent';
 import * as responseTimeout from './responseTimeout';
-import type * as targetSelector from './targetSelector';
+import type * as placementChoice from './placementChoice';
 
 export interface Dependencies {
   admitted: admittedRequest.AdmittedRequest;
@@ -15,7 +15,7 @@
 }
 
 export type Terms = Omit<
-  targetSelector.PlacementRequest,
+  placementChoice.PlacementRequest,
   'id' | 'service' | 'excluded' | 'writers' | 'endings'
 >;
 
--- a/packages/daemon/src/entry/requestPlacements.ts
+++ b/packages/daemon/src/entry/requestPlacements.ts
@@ -14,6 +14,7 @@
 import * as reservations from './reservations';
 import * as responseEnd from './responseEnd';
 import * as succession from './succession';
+import type * as placementChoice from './placementChoice';
 import type * as targetSelector from './targetSelector';
 
 export interface Dependencies {
@@ -35,7 +36,7 @@
 type Unplaced = outcomes.Outcome & { kind: 'unplaced' };
 
 /** Why a request wasn't sent, for the log; for engines the leader's own log line has the details. */
-const NO_PLACE_DETAIL: Record<targetSelector.NoPlaceReason, string> = {
+const NO_PLACE_DETAIL: Record<placementChoice.NoPlaceReason, string> = {
   full: 'no target has a free slot',
   limited: 'rate limits of the targets allow no request in time',
   unavailable: 'all targets are unavailable to this VM',
@@ -130,7 +131,7 @@
   private choose(
     { endings, target }: Pick<permittedRun.PermittedRun, 'endings' | 'target'>,
     excluded: readonly string[] = [],
-  ): Promise<targetSelector.Choice> {
+  ): Promise<placementChoice.Choice> {
     const { admitted, terms, attempts: made, selector, state } = this.dependencies;
     const { service } = state;
     // Each placement has its own id: the leader gets the end of one after it has placed the next.
--- a/packages/daemon/src/entry/succession.ts
+++ b/packages/daemon/src/entry/succession.ts
@@ -5,9 +5,9 @@
  */
 import type * as livenessProbes from './livenessProbes';
 import type * as reservations from './reservations';
-import type * as targetSelector from './targetSelector';
+import type * as placementChoice from './placementChoice';
 
-type Placed = targetSelector.Choice & { kind: 'placed' };
+type Placed = placementChoice.Choice & { kind: 'placed' };
 
 /** A target that may take over, with the memory that the request needs on its prefill helpers. */
 export interface Successor {
@@ -17,7 +17,7 @@
 
 export interface Dependencies {
   /** Places the request on a target that isn't among `excluded`. */
-  choose: (excluded: readonly string[]) => Promise<targetSelector.Choice>;
+  choose: (excluded: readonly string[]) => Promise<placementChoice.Choice>;
   liveness: Pick<livenessProbes.LivenessProbes, 'check'>;
   /** Memory of the request on prefill helpers; nothing is reserved yet. */
   newMemory: () => Successor['memory'];
