--- a/packages/daemon/src/entry/requestPlacements.ts
+++ b/packages/daemon/src/entry/requestPlacements.ts
@@ -15,6 +15,7 @@
 import * as responseEnd from './responseEnd';
 import * as retryPolicy from './retryPolicy';
 import * as succession from './succession';
+import type * as placementChoice from './placementChoice';
 import type * as targetSelector from './targetSelector';
 
 export interface Dependencies {
@@ -39,7 +40,7 @@
 type Unplaced = outcomes.Outcome & { kind: 'unplaced' };
 
 /** Why a request wasn't sent, for the log; for engines the leader's own log line has the details. */
-const NO_PLACE_DETAIL: Record<targetSelector.NoPlaceReason, string> = {
+const NO_PLACE_DETAIL: Record<placementChoice.NoPlaceReason, string> = {
   full: 'no target has a free slot',
   limited: 'rate limits of the targets allow no request in time',
   unavailable: 'all targets are unavailable to this VM',
@@ -133,7 +134,7 @@
   private choose(
     { endings, target }: Pick<permittedRun.PermittedRun, 'endings' | 'target'>,
     excluded: readonly string[] = [],
-  ): Promise<targetSelector.Choice> {
+  ): Promise<placementChoice.Choice> {
     const { admitted, terms, attempts: made, selector, state } = this.dependencies;
     const { service } = state;
     // Each placement has its own id: the leader gets the end of one after it has placed the next.
