Return a stream that has begun to the targets that it was sent to

Cause: a route allows a number of targets, and once a request had been sent to that many, only those that had refused it could get it again. A target counts as soon as bytes may have reached it, whatever ended the attempt: the loss of this VM's own paths, a move away from a silent target, a late copy of another answer on a relay's connection. None of these says that the target can't go on, but together they used up the attempts, and a stream that has begun can only be closed then.

Now such a stream may return to any of its targets, one attempt after the other, each paid by the retry budget and 100 ms apart as before. The number of different targets that run it stays within the route's limit. A request that crashes targets still ends in quarantine, and a route that allows one target still allows one attempt.

--- a/packages/daemon/src/entry/__tests__/attempts.test.ts
+++ b/packages/daemon/src/entry/__tests__/attempts.test.ts
@@ -43,6 +43,17 @@
     ).to.equal(false);
   });
 
+  // Guards against a stream that is cut with its time left as each target that its route allows has broken off once.
+  it('return to all targets of a stream that has begun, and to no others', () => {
+    const begun = attemptsAfter({ target: 'a', ...SENT }, { target: 'b', ...SENT });
+    begun.startOver();
+    expect([begun.excluded, begun.writers, begun.hasAttemptLeft(undefined)]).to.deep.equal([
+      [],
+      ['a', 'b'],
+      true,
+    ]);
+  });
+
   it('may stay at a target that refused because of its prefill helper', () => {
     const spared = attemptsAfter({ target: 'a', ...REFUSED, wasHelperAtFault: true });
     expect(spared.excluded).to.deep.equal([]);
--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -1,7 +1,8 @@
 /**
  * Tracks the targets of a request, and decides where it may go next. A route limits the number of targets that a
- * request is sent to, but it may return to a target that guaranteed not to have run it. Without that, requests failed
- * with seconds left because a prefill helper of their second target had died.
+ * request is sent to, but it may return to a target that guaranteed not to have run it, and a stream that has begun to
+ * any of its targets. Without the former, requests failed with seconds left because a prefill helper of their second
+ * target had died.
  */
 
 /** Outcome of an attempt at a target. */
@@ -36,6 +37,9 @@
 
   private sameTargetRetries = 0;
 
+  /** Whether the request may return to any target that it was sent to, not only to those that refused it. */
+  private mayReturnToAll = false;
+
   constructor(private readonly maxTargets: number) {}
 
   begin(target: string): void {
@@ -44,10 +48,14 @@
     this.counted.push(target);
   }
 
-  /** Allows new attempts in place of those at targets that were unreachable, and of returns to targets that refused. */
+  /**
+   * Allows new attempts in place of those at targets that were unreachable, and returns to all targets, for a stream that
+   * has begun. Its caller can't be told to come back, and returns add no target to those that have run it.
+   */
   startOver(): void {
     this.counted = [...this.sent];
     this.sameTargetRetries = 0;
+    this.mayReturnToAll = true;
   }
 
   ended({ target, wasSent, wasRefused, wasHelperAtFault }: AttemptOutcome): void {
@@ -58,7 +66,7 @@
     else this.refusedForHelper.delete(target);
   }
 
-  /** Whether the route's limit is reached, so that only targets that refused the request may still get it. */
+  /** Whether the route's limit is reached, so that no further target may get the request. */
   get isAtTargetLimit(): boolean {
     return this.sent.size >= this.maxTargets;
   }
@@ -71,7 +79,11 @@
 
   /** The only targets that the request may be sent to; undefined for any. */
   get writers(): string[] | undefined {
-    return this.isAtTargetLimit ? [...this.refused] : undefined;
+    return this.isAtTargetLimit ? [...this.returnable] : undefined;
+  }
+
+  private get returnable(): ReadonlySet<string> {
+    return this.mayReturnToAll ? this.sent : this.refused;
   }
 
   /** Whether another attempt is allowed, at any target; `activeTarget` is the target of the current attempt, if any. */
@@ -82,6 +94,6 @@
     }
     // A route that allows one target allows one attempt.
     if (this.maxTargets === 1 || activeTarget !== undefined) return false;
-    return this.refused.size > 0 && this.sameTargetRetries < MAX_SAME_TARGET_RETRIES;
+    return this.returnable.size > 0 && this.sameTargetRetries < MAX_SAME_TARGET_RETRIES;
   }
 }
