Let other targets take the place of those that are gone

Callers saw streams that had begun end, or wait until their time was over, after their targets had crashed, although other targets were free.

Cause: a target that a request was sent to counted against its route's limit for good, also once it was gone. At the limit the stream was closed; where one of its targets had refused it, it was offered to that one alone, gone or not, and so waited until its time was over. Since streams that have begun may return to all of their targets, they would wait so too.

Now a lifetime that the registry knows to be gone, or to have been replaced under its id, no longer counts for a stream that has begun. What the registry doesn't know, such as a crash that this VM suspects, changes nothing, so silence doesn't raise the number of targets that run a request. One that crashes its targets ends in quarantine as before.

Tests: without the change the one in exchange.test.ts ended after two events, as its caller's time was over.

--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -334,6 +334,12 @@
     });
   }
 
+  /** Announces a later lifetime of a target, as one that restarted does. */
+  restart(index: number): void {
+    const record = this.registry.get(`t${index}`) ?? RECORD;
+    this.registry.announce({ ...record, bornAt: record.bornAt + 1 }, clock.steady());
+  }
+
   /** Counts a crash against a request, as if a copy of it had crashed another target. */
   suspect(method: string, path: string, body: string): void {
     const content = fingerprint.of({
--- a/packages/daemon/src/entry/__tests__/attempts.test.ts
+++ b/packages/daemon/src/entry/__tests__/attempts.test.ts
@@ -46,7 +46,7 @@
   // Guards against a stream that is cut with its time left as each target that its route allows has broken off once.
   it('return to all targets of a stream that has begun, and to no others', () => {
     const begun = attemptsAfter({ target: 'a', ...SENT }, { target: 'b', ...SENT });
-    begun.startOver();
+    begun.startOver(() => false);
     expect([begun.excluded, begun.writers, begun.hasAttemptLeft(undefined)]).to.deep.equal([
       [],
       ['a', 'b'],
@@ -54,6 +54,17 @@
     ]);
   });
 
+  // Guards against a stream that is cut, or waits until its time is over, as targets that it was sent to have crashed.
+  it('reach others in place of targets that are gone', () => {
+    const begun = attemptsAfter({ target: 'a', ...SENT }, { target: 'b', ...SENT });
+    begun.startOver(({ id }) => id === 'a');
+    expect([begun.excluded, begun.writers, begun.hasAttemptLeft(undefined)]).to.deep.equal([
+      ['b'],
+      undefined,
+      true,
+    ]);
+  });
+
   it('may stay at a target that refused because of its prefill helper', () => {
     const spared = attemptsAfter({ target: 'a', ...REFUSED, wasHelperAtFault: true });
     expect(spared.excluded).to.deep.equal([]);
--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -436,6 +436,28 @@
     expect(setup.messagesTo(2)).to.equal(0);
   });
 
+  // Guards against a stream without an end although other targets are free, as those that it was sent to have crashed.
+  it('sends a stream that has begun to another target once one that it was sent to is gone', async () => {
+    const crashing =
+      (index: number): harness.TargetBehaviour =>
+      (_request, socket) => {
+        socket.write(harness.STREAM_HEAD + harness.chunk(`id: ${index + 1}\ndata: a\n\n`));
+        setTimeout(() => {
+          socket.resetAndDestroy();
+          void setup.crash(index);
+        }, 20);
+        setTimeout(() => setup.restart(index), 300);
+      };
+    const rest: harness.TargetBehaviour = (_request, socket) =>
+      socket.write(harness.STREAM_HEAD + harness.chunk('id: 3\ndata: b\n\n') + harness.LAST_CHUNK);
+    setup = await harness.TestHarness.start(crashing(0), crashing(1), rest);
+    const reply = await setup.send('/streaming/1');
+    expect([reply.body, reply.isWhole]).to.deep.equal([
+      'id: 1\ndata: a\n\nid: 2\ndata: a\n\nid: 3\ndata: b\n\n',
+      true,
+    ]);
+  });
+
   /*
    * Guards against an immediate 502 for one of two equal requests that ran on a target when it crashed. The other one
    * made its canary run on a free target, and showed a moment later that both may run.
--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -4,6 +4,9 @@
  * any of its targets. Without the former, requests failed with seconds left because a prefill helper of their second
  * target had died.
  */
+import type * as domain from '@celerydrift/domain';
+
+type Lifetime = domain.quarantine.crashedLifetimes.Lifetime;
 
 /** Outcome of an attempt at a target. */
 export interface AttemptOutcome {
@@ -29,7 +32,11 @@
   /** The same without those that no longer count. */
   private counted: string[] = [];
 
-  private readonly sent = new Set<string>();
+  /** Start time of the lifetime that the last attempt was made at; 0 if it isn't known. */
+  private lastBornAt = 0;
+
+  /** Start times of the lifetimes that it was sent to. */
+  private readonly sent = new Map<string, number>();
 
   private readonly refused = new Set<string>();
 
@@ -42,7 +49,8 @@
 
   constructor(private readonly maxTargets: number) {}
 
-  begin(target: string): void {
+  begin(target: string, bornAt = 0): void {
+    this.lastBornAt = bornAt;
     if (this.sent.has(target)) this.sameTargetRetries += 1;
     this.targets.push(target);
     this.counted.push(target);
@@ -50,16 +58,22 @@
 
   /**
    * Allows new attempts in place of those at targets that were unreachable, and returns to all targets, for a stream that
-   * has begun. Its caller can't be told to come back, and returns add no target to those that have run it.
+   * has begun. Its caller can't be told to come back, and returns add no target to those that have run it. Targets that
+   * are gone make room for others: it can't return to them, and whatever they ran has ended.
    */
-  startOver(): void {
-    this.counted = [...this.sent];
+  startOver(isGone: (lifetime: Lifetime) => boolean): void {
+    this.sent.forEach((bornAt, id) => {
+      if (!isGone({ id, bornAt })) return;
+      this.sent.delete(id);
+      this.refused.delete(id);
+    });
+    this.counted = [...this.sent.keys()];
     this.sameTargetRetries = 0;
     this.mayReturnToAll = true;
   }
 
   ended({ target, wasSent, wasRefused, wasHelperAtFault }: AttemptOutcome): void {
-    if (wasSent) this.sent.add(target);
+    if (wasSent) this.sent.set(target, this.lastBornAt);
     if (wasRefused) this.refused.add(target);
     else this.refused.delete(target);
     if (wasRefused && wasHelperAtFault) this.refusedForHelper.add(target);
@@ -79,10 +93,10 @@
 
   /** The only targets that the request may be sent to; undefined for any. */
   get writers(): string[] | undefined {
-    return this.isAtTargetLimit ? [...this.returnable] : undefined;
+    return this.isAtTargetLimit ? [...this.returnable.keys()] : undefined;
   }
 
-  private get returnable(): ReadonlySet<string> {
+  private get returnable(): ReadonlySet<string> | ReadonlyMap<string, number> {
     return this.mayReturnToAll ? this.sent : this.refused;
   }
 
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -51,7 +51,7 @@
   limits: Pick<rateLimitClient.RateLimitClient, 'spent'>;
   signals: Pick<
     targetSignals.TargetSignals,
-    'unavailable' | 'backOffMs' | 'bornAt' | 'hasEvacuations'
+    'unavailable' | 'backOffMs' | 'bornAt' | 'isGone' | 'hasEvacuations'
   >;
   quarantine: Pick<quarantineClient.QuarantineClient, 'permit' | 'checkForCrash' | 'standingOf'>;
   budgets: domain.request.repeatBudget.RepeatBudgets;
@@ -386,7 +386,7 @@
   private async continueLater(outcome: Outcome): Promise<boolean> {
     const isUnsent = outcome.kind === 'unplaced' || outcome.kind === 'noMemory';
     while (this.isContinuable) {
-      this.attempts.startOver();
+      this.attempts.startOver((lifetime) => this.dependencies.signals.isGone(lifetime));
       if (!isUnsent && !this.hasAttemptsLeft) return false;
       await clock.sleep(CONTINUATION_RETRY_MS);
       if (!this.isOver && (isUnsent || this.mayRetry(outcome))) return true;
@@ -522,12 +522,12 @@
       release('cancelled');
       return { kind: 'withheld' };
     }
-    this.attempts.begin(placement.target);
+    this.sentToBornAt = this.dependencies.signals.bornAt(placement.target);
+    this.attempts.begin(placement.target, this.sentToBornAt);
     this.reply.beginAttempt(() => permit.began());
     this.requestLog.placed(placement, this.terms.waitedMs);
     this.sentAt = this.dependencies.now();
     permit.sent();
-    this.sentToBornAt = this.dependencies.signals.bornAt(placement.target);
     this.attempt = attempt;
     this.activeTarget = placement.target;
     this.reply.attach(attempt);
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -167,6 +167,14 @@
     return this.lifetimeOf(target).bornAt;
   }
 
+  /** Whether a lifetime is known to have ended. */
+  isGone({ id, bornAt }: Lifetime): boolean {
+    const record = this.dependencies.fleetState.registry.get(id);
+    if (record === undefined) return false;
+    // Without a start time it was sent to before the registry knew it.
+    return record.state === 'gone' || (bornAt > 0 && record.bornAt > bornAt);
+  }
+
   /** Discards the signals of a lifetime that ended. */
   forget({ id, bornAt }: Lifetime): void {
     this.backOffs.forget(id, this.dependencies.now());
