Merge the fixes of streams that have begun and lost their targets

Taken over into the modules that the exchange was split into: retries.ts tells attempts which lifetimes are gone, placedAttempt.ts records the lifetime that an attempt is made at.

--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -1,8 +1,12 @@
 /**
  * Tracks the targets of a request, and decides where it may go next. A route limits the number of targets that a
- * request is sent to, but it may return to a target that guaranteed not to have run it. Without that, requests failed
- * with seconds left because a prefill helper of their second target had died.
+ * request is sent to, but it may return to a target that guaranteed not to have run it, and a stream that has begun to
+ * any of its targets. Without the former, requests failed with seconds left because a prefill helper of their second
+ * target had died.
  */
+import type * as domain from '@celerydrift/domain';
+
+type Lifetime = domain.quarantine.crashedLifetimes.Lifetime;
 
 /** Outcome of an attempt at a target. */
 export interface AttemptOutcome {
@@ -28,7 +32,11 @@
   /** The same without those that no longer count. */
   private counted: string[] = [];
 
-  private readonly sent = new Set<string>();
+  /** Start time of the lifetime that the last attempt was made at; 0 if it isn't known. */
+  private lastBornAt = 0;
+
+  /** Start times of the lifetimes that it was sent to. */
+  private readonly sent = new Map<string, number>();
 
   private readonly refused = new Set<string>();
 
@@ -36,29 +44,43 @@
 
   private sameTargetRetries = 0;
 
+  /** Whether the request may return to any target that it was sent to, not only to those that refused it. */
+  private mayReturnToAll = false;
+
   constructor(private readonly maxTargets: number) {}
 
-  begin(target: string): void {
+  begin(target: string, bornAt = 0): void {
+    this.lastBornAt = bornAt;
     if (this.sent.has(target)) this.sameTargetRetries += 1;
     this.targets.push(target);
     this.counted.push(target);
   }
 
-  /** Allows new attempts in place of those at targets that were unreachable, and of returns to targets that refused. */
-  startOver(): void {
-    this.counted = [...this.sent];
+  /**
+   * Allows new attempts in place of those at targets that were unreachable, and returns to all targets, for a stream that
+   * has begun. Its caller can't be told to come back, and returns add no target to those that have run it. Targets that
+   * are gone make room for others: it can't return to them, and whatever they ran has ended.
+   */
+  startOver(isGone: (lifetime: Lifetime) => boolean): void {
+    this.sent.forEach((bornAt, id) => {
+      if (!isGone({ id, bornAt })) return;
+      this.sent.delete(id);
+      this.refused.delete(id);
+    });
+    this.counted = [...this.sent.keys()];
     this.sameTargetRetries = 0;
+    this.mayReturnToAll = true;
   }
 
   ended({ target, wasSent, wasRefused, wasHelperAtFault }: AttemptOutcome): void {
-    if (wasSent) this.sent.add(target);
+    if (wasSent) this.sent.set(target, this.lastBornAt);
     if (wasRefused) this.refused.add(target);
     else this.refused.delete(target);
     if (wasRefused && wasHelperAtFault) this.refusedForHelper.add(target);
     else this.refusedForHelper.delete(target);
   }
 
-  /** Whether the route's limit is reached, so that only targets that refused the request may still get it. */
+  /** Whether the route's limit is reached, so that no further target may get the request. */
   get isAtTargetLimit(): boolean {
     return this.sent.size >= this.maxTargets;
   }
@@ -71,7 +93,11 @@
 
   /** The only targets that the request may be sent to; undefined for any. */
   get writers(): string[] | undefined {
-    return this.isAtTargetLimit ? [...this.refused] : undefined;
+    return this.isAtTargetLimit ? [...this.returnable.keys()] : undefined;
+  }
+
+  private get returnable(): ReadonlySet<string> | ReadonlyMap<string, number> {
+    return this.mayReturnToAll ? this.sent : this.refused;
   }
 
   /** Whether another attempt is allowed, at any target; `activeTarget` is the target of the current attempt, if any. */
@@ -82,6 +108,6 @@
     }
     // A route that allows one target allows one attempt.
     if (this.maxTargets === 1 || activeTarget !== undefined) return false;
-    return this.refused.size > 0 && this.sameTargetRetries < MAX_SAME_TARGET_RETRIES;
+    return this.returnable.size > 0 && this.sameTargetRetries < MAX_SAME_TARGET_RETRIES;
   }
 }
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -52,7 +52,7 @@
   limits: Pick<rateLimitClient.RateLimitClient, 'spent'>;
   signals: Pick<
     targetSignals.TargetSignals,
-    'unavailable' | 'backOffMs' | 'bornAt' | 'hasEvacuations'
+    'unavailable' | 'backOffMs' | 'bornAt' | 'isGone' | 'hasEvacuations'
   >;
   quarantine: Pick<quarantineClient.QuarantineClient, 'permit' | 'checkForCrash' | 'standingOf'>;
   budgets: domain.request.repeatBudget.RepeatBudgets;
@@ -237,7 +237,7 @@
     return new retries.Retries({
       ...{ state, attempts: made },
       spendRetry: () => this.spendRetry(),
-      hasEvacuations: () => dependencies.signals.hasEvacuations,
+      signals: dependencies.signals,
       onFailure: ({ detail }, repeated) => {
         requestLog.attemptFailed({ content: content.fingerprint, detail, repeated });
       },
--- a/packages/daemon/src/entry/placedAttempt.ts
+++ b/packages/daemon/src/entry/placedAttempt.ts
@@ -130,12 +130,12 @@
     const { choice, memory } = this.placed;
     const { placement } = choice;
     const { attempts: made, reply, requestLog, terms, signals, now, evidence } = this.dependencies;
-    made.begin(placement.target);
+    this.sentToBornAt = signals.bornAt(placement.target);
+    made.begin(placement.target, this.sentToBornAt);
     reply.beginAttempt(() => this.run.began());
     requestLog.placed(placement, terms.waitedMs);
     this.sentAt = now();
     this.run.sent();
-    this.sentToBornAt = signals.bornAt(placement.target);
     this.delivery = delivery;
     reply.attach(delivery);
     memory.renewFor({
--- a/packages/daemon/src/entry/retries.ts
+++ b/packages/daemon/src/entry/retries.ts
@@ -4,6 +4,7 @@
 import type * as outcomes from './outcome';
 import type * as quarantineClient from './quarantineClient';
 import * as retryPolicy from './retryPolicy';
+import type * as targetSignals from './targetSignals';
 
 type Outcome = outcomes.Outcome;
 
@@ -12,7 +13,7 @@
   attempts: Pick<attempts.Attempts, 'startOver' | 'isAtTargetLimit'>;
   /** Takes one retry out of the budget, if there is one. */
   spendRetry: () => boolean;
-  hasEvacuations: () => boolean;
+  signals: Pick<targetSignals.TargetSignals, 'isGone' | 'hasEvacuations'>;
   /** Called after a failed attempt with whether it is retried at once. */
   onFailure: (outcome: outcomes.FailedOutcome, isRetried: boolean) => void;
 }
@@ -73,7 +74,7 @@
   /** The target became unavailable between its selection and the attempt; the next selection excludes it. */
   private async placeAgain(): Promise<boolean> {
     this.withheldAttempts += 1;
-    if (this.withheldAttempts > 1 && this.dependencies.hasEvacuations()) {
+    if (this.withheldAttempts > 1 && this.dependencies.signals.hasEvacuations) {
       await clock.sleep(WITHHELD_RETRY_MS);
     }
     return !this.dependencies.state.isOver;
@@ -89,10 +90,10 @@
    * and a target that is free or within reach only later still completes the answer.
    */
   private async continueLater(outcome: Outcome): Promise<boolean> {
-    const { state, attempts: made } = this.dependencies;
+    const { state, attempts: made, signals } = this.dependencies;
     const isUnsent = retryPolicy.isUnsent(outcome);
     while (retryPolicy.isContinuable(state)) {
-      made.startOver();
+      made.startOver((lifetime) => signals.isGone(lifetime));
       if (!isUnsent && !state.hasAttemptsLeft) return false;
       await clock.sleep(CONTINUATION_RETRY_MS);
       if (!state.isOver && (isUnsent || this.takeRetry(outcome))) return true;
