Return a stream that has begun to its targets where there are no others

Callers saw a stream that had begun wait until its time was over after its target had reset the connection, although that target was sound again and merely no other one of its service was free.

Cause: below the route's limit of targets, the targets that a request was sent to are excluded from its next placement. With no other target, each placement failed until the caller's time was over; only a stream at the limit could return.

Others still come first: the stream returns only once a placement without these targets has failed, and 100 ms later, so that a target that refuses connections isn't tried in a tight loop. The retry is paid as before, and no further target runs the request.

--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -436,6 +436,23 @@
     expect(setup.messagesTo(2)).to.equal(0);
   });
 
+  // Guards against a stream without an end although its only target is sound again, as it isn't sent there a second time.
+  it('returns a stream that has begun to its target if the service has no other', async () => {
+    let requests = 0;
+    const resetting: harness.TargetBehaviour = (_request, socket) => {
+      requests += 1;
+      if (requests > 1) {
+        socket.write(harness.STREAM_HEAD + REST);
+        return;
+      }
+      socket.write(harness.STREAM_HEAD + harness.chunk('id: 1\ndata: a\n\n'));
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    };
+    setup = await harness.TestHarness.start(harness.answeringProbes(resetting));
+    const reply = await setup.send('/streaming/1');
+    expect([reply.body, reply.isWhole]).to.deep.equal([WHOLE, true]);
+  });
+
   // Guards against a stream without an end although other targets are free, as those that it was sent to have crashed.
   it('sends a stream that has begun to another target once one that it was sent to is gone', async () => {
     const crashing =
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -82,7 +82,7 @@
 /** Default Retry-After, milliseconds. */
 const RETRY_AFTER_MS = 300;
 
-/** Pause before a request returns to a target that refused it, milliseconds: two engine steps. */
+/** Pause before a request returns to a target that it was sent to, milliseconds: two engine steps. */
 const SAME_TARGET_RETRY_MS = 100;
 
 /**
@@ -307,7 +307,7 @@
       return { kind: 'unplaced', detail: 'no path to targets', retryAfterMs: RETRY_AFTER_MS };
     }
     const successor = this.takeSuccessorFor(permit);
-    const choice = successor?.choice ?? (await this.choose(service, permit));
+    const choice = successor?.choice ?? (await this.chooseOrReturn(service, permit));
     if (choice.kind === 'noPlace') {
       const { reason = 'full', retryAfterMs } = choice;
       return { kind: 'unplaced', detail: NO_PLACE_DETAIL[reason], retryAfterMs };
@@ -444,7 +444,8 @@
 
   /** Places the request once more while its present attempt goes on. */
   private chooseSuccessor(excluded: readonly string[]): Promise<targetSelector.Choice> {
-    return this.choose(this.service, { endings: 0, target: undefined }, excluded);
+    const run = { endings: 0, target: undefined };
+    return this.choose(this.service, run, [...this.attempts.excluded, ...excluded]);
   }
 
   private takeSuccessor(): succession.Successor | undefined {
@@ -453,10 +454,22 @@
     return successor;
   }
 
+  /** Places the request; a stream that has begun also returns to targets that it was sent to, if there is no other. */
+  private async chooseOrReturn(
+    service: string,
+    permit: permittedRun.PermittedRun,
+  ): Promise<targetSelector.Choice> {
+    const choice = await this.choose(service, permit);
+    const hasTargets = this.attempts.excluded.length > 0;
+    if (choice.kind === 'placed' || !hasTargets || !this.isContinuable) return choice;
+    await clock.sleep(SAME_TARGET_RETRY_MS);
+    return this.choose(service, permit, []);
+  }
+
   private choose(
     service: string,
     { endings, target }: Pick<permittedRun.PermittedRun, 'endings' | 'target'>,
-    excluded: readonly string[] = [],
+    excluded: readonly string[] = this.attempts.excluded,
   ): Promise<targetSelector.Choice> {
     // Each placement has its own id: the leader gets the end of one after it has placed the next.
     this.placements += 1;
@@ -464,7 +477,7 @@
       ...this.terms.at(service),
       id: `${this.admitted.facts.requestId}/${this.placements}`,
       service,
-      excluded: [...this.attempts.excluded, ...excluded],
+      excluded,
       writers: this.attempts.writers ?? (target === undefined ? undefined : [target]),
       endings: endings > 0 ? endings : undefined,
     });
