Return a stream to targets that fail ever more rarely

A stream that has begun may now return to its targets for as long as its caller waits. One that none of them can go on with, for instance because they answer each resumption with 404, was sent to them some five times a second until its time was over, each time at the cost of a retry, which other requests of its service may then lack.

The pause before a return now doubles, from 100 ms to 1.6 s, with each return that fails. Refusals don't lengthen it, as the target may have room the next time.

--- a/packages/daemon/src/entry/__tests__/attempts.test.ts
+++ b/packages/daemon/src/entry/__tests__/attempts.test.ts
@@ -65,6 +65,18 @@
     ]);
   });
 
+  // Guards against a stream that no target can go on with, and that spends the retries of all other requests.
+  it('return ever more rarely while returns fail, but not while targets refuse', () => {
+    const begun = attemptsAfter({ target: 'a', ...SENT }, { target: 'b', ...SENT });
+    const pauses = [SENT, REFUSED, SENT, SENT, SENT, SENT, SENT].map((outcome) => {
+      begun.startOver(() => false);
+      begun.begin('a');
+      begun.ended({ target: 'a', ...outcome });
+      return begun.returnPauseMs;
+    });
+    expect(pauses).to.deep.equal([200, 200, 400, 800, 1_600, 1_600, 1_600]);
+  });
+
   it('may stay at a target that refused because of its prefill helper', () => {
     const spared = attemptsAfter({ target: 'a', ...REFUSED, wasHelperAtFault: true });
     expect(spared.excluded).to.deep.equal([]);
--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -511,6 +511,18 @@
     expect([reply.status, reply.isWhole]).to.deep.equal([200, false]);
   });
 
+  // Guards against a stream that no target can resume, and that spends the retries of all other requests of its service.
+  it('returns a stream to targets that fail ever more rarely', async () => {
+    const half: harness.TargetBehaviour = (_request, socket) => {
+      socket.write(harness.STREAM_HEAD + harness.chunk('id: 1\ndata: a\n\n'));
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    };
+    setup = await harness.TestHarness.start(half, half);
+    const reply = await setup.send('/long/1', { patience: '3000' });
+    expect([reply.status, reply.isWhole]).to.deep.equal([200, false]);
+    expect(setup.received.length).to.be.within(3, 7);
+  });
+
   it('closes the connection to the target when the caller disconnects', async () => {
     let closed = false;
     setup = await harness.TestHarness.start((_request, socket) => {
--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -25,6 +25,12 @@
 /** Maximum number of returns to targets that refused the request. */
 const MAX_SAME_TARGET_RETRIES = 2;
 
+/** Pause before a request returns to a target that it was sent to, milliseconds: two engine steps. */
+const RETURN_PAUSE_MS = 100;
+
+/** The longest such pause; it doubles with each return that fails, which another one may well do too. */
+const MAX_RETURN_PAUSE_MS = 1_600;
+
 export class Attempts {
   /** Targets of all attempts in order, also for the log. */
   readonly targets: string[] = [];
@@ -44,6 +50,9 @@
 
   private sameTargetRetries = 0;
 
+  /** Returns to targets that neither completed the request nor refused it. */
+  private failedReturns = 0;
+
   /** Whether the request may return to any target that it was sent to, not only to those that refused it. */
   private mayReturnToAll = false;
 
@@ -73,6 +82,7 @@
   }
 
   ended({ target, wasSent, wasRefused, wasHelperAtFault }: AttemptOutcome): void {
+    if (wasSent && !wasRefused && this.sent.has(target)) this.failedReturns += 1;
     if (wasSent) this.sent.set(target, this.lastBornAt);
     if (wasRefused) this.refused.add(target);
     else this.refused.delete(target);
@@ -85,6 +95,11 @@
     return this.sent.size >= this.maxTargets;
   }
 
+  /** How long to wait before the request returns to a target, milliseconds. */
+  get returnPauseMs(): number {
+    return Math.min(MAX_RETURN_PAUSE_MS, RETURN_PAUSE_MS * 2 ** this.failedReturns);
+  }
+
   /** Targets that the request shouldn't be placed on. */
   get excluded(): string[] {
     if (this.isAtTargetLimit) return [];
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -82,9 +82,6 @@
 /** Default Retry-After, milliseconds. */
 const RETRY_AFTER_MS = 300;
 
-/** Pause before a request returns to a target that it was sent to, milliseconds: two engine steps. */
-const SAME_TARGET_RETRY_MS = 100;
-
 /**
  * Retry-After while a copy of the request runs as a canary, milliseconds. Whether it crashes its target is known within
  * the time to a first event.
@@ -350,7 +347,7 @@
     const isGranted = this.mayRetry(outcome);
     this.logFailure(outcome, isGranted);
     if (isGranted || (await this.continueLater(outcome))) {
-      if (this.attempts.isAtTargetLimit) await clock.sleep(SAME_TARGET_RETRY_MS);
+      if (this.attempts.isAtTargetLimit) await clock.sleep(this.attempts.returnPauseMs);
       return true;
     }
     if (!this.isOver) this.failAfter(service, outcome);
@@ -462,7 +459,7 @@
     const choice = await this.choose(service, permit);
     const hasTargets = this.attempts.excluded.length > 0;
     if (choice.kind === 'placed' || !hasTargets || !this.isContinuable) return choice;
-    await clock.sleep(SAME_TARGET_RETRY_MS);
+    await clock.sleep(this.attempts.returnPauseMs);
     return this.choose(service, permit, []);
   }
 
