--- a/packages/daemon/src/entry/requestPlacements.ts
+++ b/packages/daemon/src/entry/requestPlacements.ts
@@ -2,6 +2,7 @@
  * Places one request on targets: for its next attempt, or on a successor while the present attempt is overdue. A
  * successor that was found is used by the next attempt.
  */
+import * as clock from '../clock';
 import type * as observer from '../observability/observer';
 import type * as admittedRequest from './admittedRequest';
 import type * as attempts from './attempts';
@@ -21,11 +22,8 @@
 export interface Dependencies {
   admitted: Pick<admittedRequest.AdmittedRequest, 'facts'>;
   terms: Pick<placementTerms.PlacementTerms, 'at'>;
-  attempts: Pick<attempts.Attempts, 'excluded' | 'writers'>;
-  state: Pick<
-    requestState.RequestState,
-    'service' | 'isOver' | 'isAdmissible' | 'isUnrecoverable' | 'standing'
-  >;
+  attempts: Pick<attempts.Attempts, 'excluded' | 'writers' | 'returnPauseMs'>;
+  state: requestState.RequestState;
   selector: Pick<targetSelector.TargetSelector, 'choose'>;
   /** Where this VM has lost its paths; without it, it has lost none. */
   reachability?: Pick<reachability.Reachability, 'isCutOff'>;
@@ -59,7 +57,10 @@
   constructor(private readonly dependencies: Dependencies) {
     const { state, liveness, now, spendRetry } = dependencies;
     this.succession = new succession.Succession({
-      choose: (excluded) => this.choose({ endings: 0, target: undefined }, excluded),
+      choose: (excluded) => {
+        const run = { endings: 0, target: undefined };
+        return this.choose(run, [...dependencies.attempts.excluded, ...excluded]);
+      },
       liveness,
       newMemory: () => this.newMemory(),
       mayMove: () => retryPolicy.mayMove(state) && spendRetry(),
@@ -78,7 +79,7 @@
     const { reachability: reach, state } = this.dependencies;
     if (!this.hasSuccessor && reach?.isCutOff === true) return unplaced('no path to targets');
     const successor = this.takeSuccessorFor(run);
-    const choice = successor?.choice ?? (await this.choose(run));
+    const choice = successor?.choice ?? (await this.chooseOrReturn(run));
     if (choice.kind === 'noPlace') {
       const { reason = 'full', retryAfterMs } = choice;
       return unplaced(NO_PLACE_DETAIL[reason], retryAfterMs);
@@ -131,9 +132,19 @@
     return successor;
   }
 
+  /** Places the request; a stream that has begun also returns to targets that it was sent to, if there is no other. */
+  private async chooseOrReturn(run: permittedRun.PermittedRun): Promise<placementChoice.Choice> {
+    const { attempts: made, state } = this.dependencies;
+    const choice = await this.choose(run);
+    const hasTargets = made.excluded.length > 0;
+    if (choice.kind === 'placed' || !hasTargets || !retryPolicy.isContinuable(state)) return choice;
+    await clock.sleep(made.returnPauseMs);
+    return this.choose(run, []);
+  }
+
   private choose(
     { endings, target }: Pick<permittedRun.PermittedRun, 'endings' | 'target'>,
-    excluded: readonly string[] = [],
+    excluded: readonly string[] = this.dependencies.attempts.excluded,
   ): Promise<placementChoice.Choice> {
     const { admitted, terms, attempts: made, selector, state } = this.dependencies;
     const { service } = state;
@@ -143,7 +154,7 @@
       ...terms.at(service),
       id: `${admitted.facts.requestId}/${this.placements}`,
       service,
-      excluded: [...made.excluded, ...excluded],
+      excluded,
       writers: made.writers ?? (target === undefined ? undefined : [target]),
       endings: endings > 0 ? endings : undefined,
     });
--- a/packages/daemon/src/entry/retries.ts
+++ b/packages/daemon/src/entry/retries.ts
@@ -10,7 +10,7 @@
 
 export interface Dependencies {
   state: retryPolicy.State;
-  attempts: Pick<attempts.Attempts, 'startOver' | 'isAtTargetLimit'>;
+  attempts: Pick<attempts.Attempts, 'startOver' | 'isAtTargetLimit' | 'returnPauseMs'>;
   /** Takes one retry out of the budget, if there is one. */
   spendRetry: () => boolean;
   signals: Pick<targetSignals.TargetSignals, 'isGone' | 'hasEvacuations'>;
@@ -18,9 +18,6 @@
   onFailure: (outcome: outcomes.FailedOutcome, isRetried: boolean) => void;
 }
 
-/** Pause before a request returns to a target that refused it, milliseconds: two engine steps. */
-const SAME_TARGET_RETRY_MS = 100;
-
 /** Interval at which an interrupted request checks whether the canary run of its copy is over, milliseconds. */
 const CANARY_POLL_MS = 100;
 
@@ -67,7 +64,7 @@
     const isGranted = this.takeRetry(outcome);
     this.reportFailure(outcome, isGranted);
     if (!isGranted && !(await this.continueLater(outcome))) return false;
-    if (made.isAtTargetLimit) await clock.sleep(SAME_TARGET_RETRY_MS);
+    if (made.isAtTargetLimit) await clock.sleep(made.returnPauseMs);
     return true;
   }
 
