Take silence for a crash only if it lasts, also where no other VM can tell

With three targets of a data centre silent for a second, and others of their service responding, requests that ran there became suspects at once: copies get 503 or wait, and canary runs on three such targets make a quarantine, which ends streams.

Cause: a second check was made only for the verdict `silent`. Where the other VMs can't tell, as their paths to the silent data centre count as lost too, the verdict was `unknown`, and a response of any other target of the service was taken for a confirmation: it shows that this VM's paths are sound, not that the target crashed. `unknown` didn't say whether the target refuses this VM or is only silent.

Fix: the verdict `refused` says that the target refuses this VM and no other one can tell; it counts at once, as before. `unknown` and `unasked` are silence, and are checked again a second later like `silent`. A target whose path counts as lost is probed once where no other VM can tell, so that a crashed one is still refused, not silent. A true crash is counted 1 s later only if nobody is refused.

Tests: the stub of "a crash that no other VM can be asked about" returned `unasked` for targets "found dead"; it now returns `refused`, which is what `check` gives for them, and its bound of 100 ms is as it was. The test of a silent target that restarts under its id now covers `unknown` too, on three targets.

--- a/packages/daemon/src/entry/__tests__/livenessProbes.test.ts
+++ b/packages/daemon/src/entry/__tests__/livenessProbes.test.ts
@@ -161,4 +161,39 @@
     const { isAlive, messages } = await probe(421, { 'not-run': '1' }, registryFor);
     expect([isAlive, messages]).to.deep.equal([false, 0]);
   });
+
+  /** Guards against silence that counts as a crash, and against a refusal that is noticed late as its path counts as lost. */
+  it('tell a refusal from silence where no other VM can tell', async () => {
+    const silent = net.createServer();
+    await new Promise<void>((resolve) => {
+      silent.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = silent.address() as net.AddressInfo;
+    const verdictOf = (address: string, isLost: boolean): Promise<livenessProbes.Verdict> => {
+      const paths = {
+        isLost: () => isLost,
+        scopesOf: () => [],
+        connected: () => undefined,
+        failed: () => undefined,
+        responded: () => undefined,
+        reachedElsewhere: () => undefined,
+      };
+      const probes = new livenessProbes.LivenessProbes({
+        protocol: harness.PROTOCOL,
+        limits: UNLIMITED,
+        gate: harness.PERMISSIVE_GATE,
+        observer: new observer.Observer('test', 'fatal', undefined),
+        source: undefined,
+        paths,
+        peers: { reach: async () => undefined, size: 2, isAvailable: true },
+      });
+      return probes.check('t', address);
+    };
+    const verdicts = [false, true].flatMap((isLost) => {
+      return ['127.0.0.1:1', `127.0.0.1:${port}`].map((address) => verdictOf(address, isLost));
+    });
+    const found = await Promise.all(verdicts);
+    silent.close();
+    expect(found).to.deep.equal(['refused', 'unknown', 'refused', 'unknown']);
+  });
 });
--- a/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
@@ -168,7 +168,7 @@
 });
 
 describe('a crash that no other VM can be asked about', () => {
-  /** An entry whose every target is found dead; returns the crashes that are known after a while. */
+  /** An entry that every target refuses; returns the crashes that are known after a while. */
   const crashesOf = async (
     reach: domain.reachability.targetPaths.Reach,
     afterMs: number,
@@ -180,7 +180,7 @@
       fleetState: { quarantine, registry },
       link: { leader: '' },
       client: { call: async <T>() => Ok({ kind: 'taken', reports: [] } as T) },
-      liveness: { check: async () => 'unasked', isAskingOthers: () => false },
+      liveness: { check: async () => 'refused', isAskingOthers: () => false },
       paths: { reachOfService: () => reach },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
@@ -211,44 +211,76 @@
   });
 });
 
-describe('a silent target that restarts under its id', () => {
-  /** Guards against a crash that isn't reported because the next lifetime responds to the second probe. */
-  it('counts as crashed', async () => {
+describe('silent targets, of which other VMs can tell nothing else', () => {
+  const TARGETS = ['a', 'b', 'c'];
+
+  /** Time by which a second check must have counted a crash, milliseconds. */
+  const COUNTED_MS = 1_200;
+
+  const RECORD = {
+    service: 'plain',
+    address: '10.0.0.2:1',
+    dataCentre: 'dc0',
+    slots: 1,
+    state: 'ready',
+    sequence: 1,
+  } as const;
+
+  /**
+   * Canary runs of a request on three targets, checked with these results while others of their service respond. Returns
+   * the crashes that count against the request; the targets announce `announced` before the second check.
+   */
+  const crashesAfter = async (
+    first: livenessProbes.Verdict,
+    second: livenessProbes.Verdict,
+    announced = 1,
+  ): Promise<number> => {
     const quarantine = new domain.quarantine.quarantine.Quarantine();
     const registry = new domain.registry.registry.Registry();
-    const record = {
-      id: 'a',
-      service: 'plain',
-      address: '10.0.0.2:1',
-      dataCentre: 'dc0',
-      slots: 1,
-      state: 'ready',
-      sequence: 1,
-    } as const;
-    registry.announce({ ...record, bornAt: 1 }, 0);
-    const verdicts: livenessProbes.Verdict[] = ['silent', 'alive'];
+    TARGETS.forEach((id) => registry.announce({ ...RECORD, id, bornAt: 1 }, 0));
+    const checked = new Set<string>();
+    const check = async (target: string): Promise<livenessProbes.Verdict> => {
+      if (checked.has(target)) return second;
+      checked.add(target);
+      return first;
+    };
     const client = new quarantineClient.QuarantineClient({
       name: 'e0',
       fleetState: { quarantine, registry },
       link: { leader: '' },
       client: { call: async <T>() => Ok({ kind: 'taken', reports: [] } as T) },
-      liveness: { check: async () => verdicts.shift() ?? 'alive', isAskingOthers: () => false },
+      liveness: { check, isAskingOthers: () => false },
+      paths: { reachOfService: () => 'reached' },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
-    const sent = {
-      target: 'a',
-      address: '10.0.0.2:1',
-      bornAt: 1,
-      sentAt: 0,
-      run: FIRST_RUN,
-      hasBegun: false,
-    };
-    await client.checkForCrash(request('r1'), sent);
-    registry.announce({ ...record, bornAt: 2 }, 0);
-    await clock.sleep(1_200);
+    const runs = TARGETS.map((target) => {
+      const attempt = { target, address: RECORD.address, bornAt: 1, sentAt: clock.steady() };
+      return client.checkForCrash(request(target), { ...attempt, run: CANARY, hasBegun: false });
+    });
+    await Promise.all(runs);
+    TARGETS.forEach((id) => registry.announce({ ...RECORD, id, bornAt: announced }, 0));
+    await clock.sleep(COUNTED_MS);
     client.close();
-    expect(quarantine.crashCount(CONTENT)).to.equal(1);
+    return quarantine.crashCount(CONTENT);
+  };
+
+  /** Guards against a quarantine of requests whose targets were only silent for a second. */
+  it('do not count as crashed if they respond again', async () => {
+    const crashes = [crashesAfter('unknown', 'alive'), crashesAfter('unasked', 'pathLost')];
+    expect(await Promise.all(crashes)).to.deep.equal([0, 0]);
+  });
+
+  /** Guards against a request that goes on to crash targets because no refusal and no other VM shows that they crashed. */
+  it('count as crashed if they stay silent', async () => {
+    const crashes = [crashesAfter('unknown', 'unknown'), crashesAfter('unasked', 'silent')];
+    expect(await Promise.all(crashes)).to.deep.equal([3, 3]);
+  });
+
+  /** Guards against a crash that isn't reported because the next lifetime responds to the second probe. */
+  it('count as crashed if they restart under their ids', async () => {
+    const crashes = [crashesAfter('silent', 'alive', 2), crashesAfter('unknown', 'alive', 2)];
+    expect(await Promise.all(crashes)).to.deep.equal([3, 3]);
   });
 });
 
--- a/packages/daemon/src/entry/livenessProbes.ts
+++ b/packages/daemon/src/entry/livenessProbes.ts
@@ -45,10 +45,12 @@
  * What is known of a target that gave no response. `alive`: it responds to this VM. `pathLost`: it responds to another
  * VM only. `dead`: it responds to neither, and refuses one of them. `silent`: it responds to neither. `missing`: it
  * responds to neither, and the other VM, which it refuses, may have lost its path to it, but reaches others of its
- * service. `unknown`: it doesn't respond here, and no other VM can tell. `unasked`: the same, and none of the other VMs
- * that are known answered, so that this VM may be the one that is cut off.
+ * service. `refused`: it refuses this VM, and no other VM can tell. `unknown`: it is silent here, and no other VM can
+ * tell. `unasked`: the same, and none of the other VMs that are known answered, so that this VM may be the one that is
+ * cut off.
  */
-export type Verdict = 'alive' | 'pathLost' | 'dead' | 'silent' | 'missing' | 'unknown' | 'unasked';
+export type Verdict =
+  'alive' | 'pathLost' | 'dead' | 'silent' | 'missing' | 'refused' | 'unknown' | 'unasked';
 
 export class LivenessProbes {
   /** Probes in flight by target; requests on the same target share one. */
@@ -95,10 +97,14 @@
   check(target: string, address: string): Promise<Verdict> {
     return shared(this.pendingVerdicts, target, async () => {
       const isLost = this.dependencies.paths?.isLost(target) === true;
-      const result = isLost ? 'silent' : await this.probe(target, address);
+      const result = isLost ? undefined : await this.probe(target, address);
       if (result === 'alive') return 'alive';
       const verdict = await this.askElsewhere(target, address);
-      return verdict === 'silent' && result === 'refused' ? 'dead' : verdict;
+      if (verdict === 'silent') return result === 'refused' ? 'dead' : 'silent';
+      if (verdict !== 'unknown' && verdict !== 'unasked') return verdict;
+      // Nobody else can tell, so a lost path is tried all the same.
+      const ownResult = result ?? (await this.probe(target, address));
+      return ownResult === 'silent' ? verdict : ownResult;
     });
   }
 
--- a/packages/daemon/src/entry/quarantineClient.ts
+++ b/packages/daemon/src/entry/quarantineClient.ts
@@ -296,7 +296,8 @@
 
   /**
    * Whether a target that didn't respond has crashed, by the word of another VM or, where none can tell, this VM's own
-   * probe, which is as good while others of the service respond.
+   * probe, which is as good while others of the service respond. A refusal shows a crash at once, and silence only if it
+   * lasts.
    */
   private async crashEvidence({
     target,
@@ -306,7 +307,7 @@
     const { liveness: probes, now, fleetState: state } = this.dependencies;
     const checkedAt = now();
     let verdict = await probes.check(target, address);
-    if (verdict === 'silent') {
+    if (isOnlySilent(verdict)) {
       await clock.sleep(RECHECK_MS);
       verdict = await probes.check(target, address);
       // One that restarted under its id meanwhile responds again.
@@ -357,6 +358,11 @@
   }
 }
 
+/** Whether nothing but silence tells that a target has crashed. */
+function isOnlySilent(verdict: livenessProbes.Verdict): boolean {
+  return verdict === 'silent' || verdict === 'unknown' || verdict === 'unasked';
+}
+
 function isCrash(evidence: Evidence): evidence is 'confirmed' | 'own' {
   return evidence === 'confirmed' || evidence === 'own';
 }
