Use a target again once it responds after a silence

A sound target that two VMs found silent for a moment got no new requests for three seconds after that, and then one at a time, although it responded again after a second or two; with half of the targets silent that is half of the capacity.

Cause: the leader takes the verdict `silent` for an unreachable target. Only the word of an entry that the target is alive ends that ejection, and no entry looked again.

Evidence: the new test on the extracted verification, with the code as it was: a target that was given up, whose next check ends in `alive` or `pathLost`, was unusable 1.2 s later. Stubbed verdicts and the leader's health model; not measured in a fleet.

Fix: the entry that gave up a silent target checks it each second while the ejection may last, and reports its response. Targets that refuse are not checked, as before. `verifyFailure` moved from the exchange to a module of its own, unchanged apart from that.

--- /dev/null
+++ b/packages/daemon/src/entry/__tests__/failureVerification.test.ts
@@ -0,0 +1,43 @@
+/** How long a target is left out of use that fell silent and goes on. */
+import * as chai from 'chai';
+import * as domain from '@celerydrift/domain';
+import * as clock from '../../clock';
+import * as failureVerification from '../failureVerification';
+import type * as livenessProbes from '../livenessProbes';
+
+const { expect } = chai;
+
+/** Time by which a target that responds to the second check is used again, milliseconds. */
+const USED_AGAIN_MS = 1_200;
+
+/** Whether a target that was given up is usable, as its leader sees it, with these results of its checks. */
+async function isUsableAfter(verdicts: livenessProbes.Verdict[]): Promise<boolean> {
+  const health = new domain.allocation.targetHealth.TargetHealth();
+  health.recordOutcome('broken', clock.steady() - 600);
+  const next = async (): Promise<livenessProbes.Verdict> => verdicts.shift() ?? 'silent';
+  const verification = new failureVerification.FailureVerification({
+    liveness: { check: next, askElsewhere: next },
+    selector: {
+      reportVerdict: (_target, isAlive) => {
+        if (isAlive) health.retractFailure(clock.steady());
+        else health.recordOutcome('unreachable', clock.steady());
+      },
+    },
+  });
+  void verification.verify({ target: 'a', address: '10.0.0.2:1', wasSent: true });
+  await clock.sleep(USED_AGAIN_MS);
+  return health.isUsable(clock.steady(), false);
+}
+
+describe('a target that was given up', () => {
+  /** Guards against sound targets that are out of use for seconds after a silence of one or two. */
+  it('is used again soon after it responds, and not before', async () => {
+    const usable = await Promise.all([
+      isUsableAfter(['silent', 'alive']),
+      isUsableAfter(['silent', 'pathLost']),
+      isUsableAfter(['silent', 'silent']),
+      isUsableAfter(['dead', 'alive']),
+    ]);
+    expect(usable).to.deep.equal([true, true, false, false]);
+  });
+});
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -17,6 +17,7 @@
 import type * as permittedRun from './permittedRun';
 import type * as quarantineClient from './quarantineClient';
 import * as exchangeLog from './exchangeLog';
+import * as failureVerification from './failureVerification';
 import type * as heldBytes from './heldBytes';
 import type * as livenessProbes from './livenessProbes';
 import type * as pathMonitor from './pathMonitor';
@@ -128,6 +129,8 @@
 
   private readonly succession: succession.Succession;
 
+  private readonly verification: failureVerification.FailureVerification;
+
   /** The only way to send the request, so it knows whether any target may have run it. */
   private readonly deliveries: deliveries.Deliveries;
 
@@ -207,6 +210,7 @@
       mayMove: () => this.isAdmissible && this.standing === 'free' && this.spendRetry(),
       now: dependencies.now,
     });
+    this.verification = new failureVerification.FailureVerification(dependencies);
     this.requestLog = new exchangeLog.ExchangeLog({
       admitted,
       attempts: attemptsMade,
@@ -558,8 +562,10 @@
       faulty,
       gapMs: this.reply.typicalGapMs,
     });
-    if (outcomes.mayBePathLoss(outcome) && !wentUnread && !isOwnFault)
-      void this.verifyFailure(outcome, placement);
+    if (outcomes.mayBePathLoss(outcome) && !wentUnread && !isOwnFault) {
+      const { target, address } = placement;
+      void this.verification.verify({ target, address, wasSent: outcome.kind === 'failed' });
+    }
     this.mayHaveCrashed =
       wasSent && !wentUnread && outcomes.mayHaveCrashed(outcome, this.wasOverdue);
     return outcome;
@@ -572,21 +578,6 @@
     return reach?.paths.isLost(target) === true;
   }
 
-  /** Asks another VM whether the target is down, which was reported to the leader on this VM's evidence alone. */
-  private async verifyFailure(
-    outcome: Outcome,
-    { target, address }: domain.allocation.allocator.Placement,
-  ): Promise<void> {
-    const { liveness: probes, selector } = this.dependencies;
-    const verdict =
-      outcome.kind === 'failed'
-        ? await probes.check(target, address)
-        : await probes.askElsewhere(target, address);
-    if (verdict === 'pathLost' || verdict === 'dead' || verdict === 'silent') {
-      selector.reportVerdict(target, verdict === 'pathLost');
-    }
-  }
-
   /** Checks whether a target that didn't answer crashed while running the request. */
   private async checkForCrash(
     service: string,
