Count no crash of a target that responded between two silences

What callers saw: requests that ran on a target that is silent in series became suspects, and copies of them may be refused with 503 or wait.

Cause: the second check of a silent target looks at one moment. Where the target responds and falls silent again within the second between the two checks, both find silence, and that counted as one that lasts.

Evidence: the new test counted 1 crash instead of 0 before the change.

Fix: two probes between the checks, of the kind that rate limits bound, and a look at when the target began to fail here: if that was after the first check, it has responded since, and the request that ran there before didn't crash it. A restart under the same id still counts first.

--- a/packages/daemon/src/entry/__tests__/lifetimes.test.ts
+++ b/packages/daemon/src/entry/__tests__/lifetimes.test.ts
@@ -97,7 +97,11 @@
       fleetState: { quarantine, registry },
       link: { leader: '' },
       client: { call: () => Promise.reject(new Error('no leader')) },
-      liveness: { check: async () => 'dead', isAskingOthers: () => false },
+      liveness: {
+        check: async () => 'dead',
+        isAskingOthers: () => false,
+        probePath: async () => undefined,
+      },
       observer: observe,
       now: clock.steady,
     });
--- a/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
@@ -15,6 +15,8 @@
 const CANARY = { isCanaryOf: () => true };
 const FIRST_RUN = { isCanaryOf: () => false };
 
+const NO_PROBE = async (): Promise<void> => undefined;
+
 function request(requestId: string): quarantineClient.RequestInfo {
   return {
     requestId,
@@ -45,7 +47,7 @@
           return Ok({ kind: 'taken', reports: [emptyReport] } as T);
         },
       },
-      liveness: { check: async () => 'dead', isAskingOthers: () => false },
+      liveness: { check: async () => 'dead', isAskingOthers: () => false, probePath: NO_PROBE },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
@@ -91,7 +93,7 @@
           return Ok((method === 'permit' ? granted : { kind: 'taken' }) as T);
         },
       },
-      liveness: { check: async () => 'alive', isAskingOthers: () => false },
+      liveness: { check: async () => 'alive', isAskingOthers: () => false, probePath: NO_PROBE },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
@@ -123,7 +125,7 @@
       client: {
         call: async <T>() => Ok({ kind: 'granted', endings: 0, target: undefined } as T),
       },
-      liveness: { check: async () => 'alive', isAskingOthers: () => false },
+      liveness: { check: async () => 'alive', isAskingOthers: () => false, probePath: NO_PROBE },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
@@ -148,6 +150,7 @@
           return 'dead';
         },
         isAskingOthers: () => true,
+        probePath: NO_PROBE,
       },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
@@ -180,8 +183,8 @@
       fleetState: { quarantine, registry },
       link: { leader: '' },
       client: { call: async <T>() => Ok({ kind: 'taken', reports: [] } as T) },
-      liveness: { check: async () => 'refused', isAskingOthers: () => false },
-      paths: { reachOfService: () => reach },
+      liveness: { check: async () => 'refused', isAskingOthers: () => false, probePath: NO_PROBE },
+      paths: { reachOfService: () => reach, failingSince: () => undefined },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
@@ -249,8 +252,8 @@
       fleetState: { quarantine, registry },
       link: { leader: '' },
       client: { call: async <T>() => Ok({ kind: 'taken', reports: [] } as T) },
-      liveness: { check, isAskingOthers: () => false },
-      paths: { reachOfService: () => 'reached' },
+      liveness: { check, isAskingOthers: () => false, probePath: NO_PROBE },
+      paths: { reachOfService: () => 'reached', failingSince: () => undefined },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
@@ -284,6 +287,49 @@
   });
 });
 
+describe('a target that is silent twice, and responds between', () => {
+  /** When it responds, and when a second check has counted a crash, milliseconds after the first check. */
+  const RESPONDS_MS = { from: 200, to: 800 };
+  const COUNTED_MS = 1_200;
+
+  /** Guards against requests that become suspects of a crash as both checks of their target fell into a silence. */
+  it('does not count as crashed', async () => {
+    const quarantine = new domain.quarantine.quarantine.Quarantine();
+    const target = { id: 'a', service: 'plain', dataCentre: 'dc0' };
+    const paths = new domain.reachability.targetPaths.TargetPaths(() => [target]);
+    const startedAt = clock.steady();
+    const probe = async (): Promise<void> => {
+      const now = clock.steady();
+      const { from, to } = RESPONDS_MS;
+      const isSilent = now - startedAt < from || now - startedAt > to;
+      if (isSilent) paths.failed(target, now);
+      else paths.responded(target, now, now);
+    };
+    const client = new quarantineClient.QuarantineClient({
+      name: 'e0',
+      fleetState: { quarantine, registry: new domain.registry.registry.Registry() },
+      link: { leader: '' },
+      client: { call: async <T>() => Ok({ kind: 'taken', reports: [] } as T) },
+      liveness: {
+        check: async () => {
+          await probe();
+          return 'silent';
+        },
+        isAskingOthers: () => false,
+        probePath: probe,
+      },
+      paths: { reachOfService: () => 'reached', failingSince: (id) => paths.failingSince(id) },
+      observer: new observer.Observer('test', 'fatal', undefined),
+      now: clock.steady,
+    });
+    const attempt = { target: 'a', address: '10.0.0.2:1', bornAt: 0, sentAt: 0 };
+    await client.checkForCrash(request('r1'), { ...attempt, run: FIRST_RUN, hasBegun: false });
+    await clock.sleep(COUNTED_MS);
+    client.close();
+    expect(quarantine.crashCount(CONTENT)).to.equal(0);
+  });
+});
+
 describe('a request that was sent to a target after it had crashed', () => {
   /** Guards against a request that is suspected of a crash from before, at a leader that hasn't heard of it. */
   it('is not reported', async () => {
@@ -299,7 +345,7 @@
           return Ok({ kind: 'taken', reports: [] } as T);
         },
       },
-      liveness: { check: async () => 'dead', isAskingOthers: () => false },
+      liveness: { check: async () => 'dead', isAskingOthers: () => false, probePath: NO_PROBE },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
@@ -347,7 +393,7 @@
           return Ok((method === 'permit' ? granted : { kind: 'taken', reports: [] }) as T);
         },
       },
-      liveness: { check: async () => 'dead', isAskingOthers: () => false },
+      liveness: { check: async () => 'dead', isAskingOthers: () => false, probePath: NO_PROBE },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
--- a/packages/daemon/src/entry/__tests__/reachability.test.ts
+++ b/packages/daemon/src/entry/__tests__/reachability.test.ts
@@ -104,7 +104,7 @@
     link: { leader: '' },
     client: { call: async <T>() => Ok({ kind: 'taken', reports: [] } as T) },
     liveness,
-    paths: { reachOfService: () => 'lost' },
+    paths: { reachOfService: () => 'lost', failingSince: () => undefined },
     observer: OBSERVER,
     now: clock.steady,
   });
--- a/packages/daemon/src/entry/pathMonitor.ts
+++ b/packages/daemon/src/entry/pathMonitor.ts
@@ -102,6 +102,11 @@
     return this.paths.isReachedElsewhere(target);
   }
 
+  /** When a target that doesn't respond began to fail here; undefined for one that responds or wasn't tried. */
+  failingSince(target: string): number | undefined {
+    return this.paths.failingSince(target);
+  }
+
   /** Whether this VM reaches the service of a target, judged by messages that were sent since a time. */
   reachOfService(target: string, since: number): domain.reachability.targetPaths.Reach {
     const service = this.dependencies.fleetState.registry.get(target)?.service;
--- a/packages/daemon/src/entry/quarantineClient.ts
+++ b/packages/daemon/src/entry/quarantineClient.ts
@@ -56,9 +56,9 @@
   /** Name of this entry. */
   name: string;
   fleetState: Pick<fleetState.FleetState, 'quarantine' | 'registry'>;
-  liveness: Pick<livenessProbes.LivenessProbes, 'check' | 'isAskingOthers'>;
+  liveness: Pick<livenessProbes.LivenessProbes, 'check' | 'isAskingOthers' | 'probePath'>;
   /** This VM's own paths: while they are lost, a target that doesn't respond needn't have crashed. */
-  paths?: Pick<pathMonitor.PathMonitor, 'reachOfService'>;
+  paths?: Pick<pathMonitor.PathMonitor, 'reachOfService' | 'failingSince'>;
   observer: observer.Observer;
   now: () => number;
 }
@@ -79,6 +79,9 @@
 /** Time after which a silent target is checked again, milliseconds. A sound target may be silent for a second. */
 const RECHECK_MS = 1_000;
 
+/** Probes meanwhile, which see a response between two silences; the last one is over before the second check. */
+const PROBES_BETWEEN_CHECKS = 2;
+
 /**
  * While no other VM can tell, how long this one waits for a response of the service, which shows that its own paths are
  * sound, and the interval at which it looks for one, milliseconds. By then a loss of the paths to a service is known.
@@ -308,10 +311,12 @@
     const checkedAt = now();
     let verdict = await probes.check(target, address);
     if (isOnlySilent(verdict)) {
-      await clock.sleep(RECHECK_MS);
+      const silentAt = now();
+      await this.awaitRecheck(target, address);
       verdict = await probes.check(target, address);
       // One that restarted under its id meanwhile responds again.
       if ((state.registry.get(target)?.bornAt ?? bornAt) > bornAt) return 'own';
+      if (isOnlySilent(verdict) && this.hasRespondedSince(target, silentAt)) return 'responds';
     }
     if (verdict === 'dead' || verdict === 'silent' || verdict === 'missing') return 'confirmed';
     if (verdict === 'alive') return 'responds';
@@ -321,6 +326,20 @@
     return reach === 'lost' ? 'ownPathsLost' : 'own';
   }
 
+  private async awaitRecheck(target: string, address: string): Promise<void> {
+    const pauseMs = RECHECK_MS / (PROBES_BETWEEN_CHECKS + 1);
+    for (let probes = 0; probes < PROBES_BETWEEN_CHECKS; probes++) {
+      await clock.sleep(pauseMs);
+      void this.dependencies.liveness.probePath(target, address);
+    }
+    await clock.sleep(pauseMs);
+  }
+
+  /** Whether a target that was silent at that time, and is now, has responded between. */
+  private hasRespondedSince(target: string, silentAt: number): boolean {
+    return (this.dependencies.paths?.failingSince(target) ?? -Infinity) > silentAt;
+  }
+
   /** Whether this VM reaches the target's service; waits for a while until that is known. */
   private async reachOfService(
     target: string,
--- a/packages/domain/src/reachability/targetPaths.ts
+++ b/packages/domain/src/reachability/targetPaths.ts
@@ -114,6 +114,11 @@
     return this.failing.has(id);
   }
 
+  /** When a target began to fail; undefined if it hasn't failed since its last response. */
+  failingSince(id: string): number | undefined {
+    return this.failing.get(id)?.failedSince;
+  }
+
   /** Another VM reached a target that this one may not reach. */
   reachedElsewhere(id: string, now: number): void {
     const state = this.failing.get(id);
