--- a/packages/daemon/src/entry/livenessProbes.ts
+++ b/packages/daemon/src/entry/livenessProbes.ts
@@ -84,10 +84,14 @@
   check(target: string, address: string): Promise<Verdict> {
     return shared(this.pendingVerdicts, target, async () => {
       const isLost = this.dependencies.paths?.isLost(target) === true;
-      const result = isLost ? 'silent' : await this.probe(target, address);
+      const result = isLost ? undefined : await this.probe(target, address);
       if (result === 'alive') return 'alive';
       const verdict = await this.askElsewhere(target, address);
-      return verdict === 'silent' && result === 'refused' ? 'dead' : verdict;
+      if (verdict === 'silent') return result === 'refused' ? 'dead' : 'silent';
+      if (verdict !== 'unknown' && verdict !== 'unasked') return verdict;
+      // Nobody else can tell, so a lost path is tried all the same.
+      const ownResult = result ?? (await this.probe(target, address));
+      return ownResult === 'silent' ? verdict : ownResult;
     });
   }
 
--- a/packages/daemon/src/entry/targetEvidence.ts
+++ b/packages/daemon/src/entry/targetEvidence.ts
@@ -3,6 +3,7 @@
  * of it or because of a lost path.
  */
 import type * as domain from '@celerydrift/domain';
+import * as failureVerification from './failureVerification';
 import type * as livenessProbes from './livenessProbes';
 import type * as outcomes from './outcome';
 import type * as pathMonitor from './pathMonitor';
@@ -22,7 +23,11 @@
 }
 
 export class TargetEvidence {
-  constructor(private readonly dependencies: Dependencies) {}
+  private readonly verification: failureVerification.FailureVerification;
+
+  constructor(private readonly dependencies: Dependencies) {
+    this.verification = new failureVerification.FailureVerification(dependencies);
+  }
 
   /** Whether a response may still arrive from the target by way of the relay, or directly if that is undefined. */
   async isResponsive({ target, address }: Target, relay: string | undefined): Promise<boolean> {
@@ -40,14 +45,7 @@
 
   /** Asks another VM whether the target is down, which was reported to the leader on this VM's evidence alone. */
   async verifyFailure(outcome: outcomes.Outcome, { target, address }: Target): Promise<void> {
-    const { liveness: probes, selector } = this.dependencies;
-    const verdict =
-      outcome.kind === 'failed'
-        ? await probes.check(target, address)
-        : await probes.askElsewhere(target, address);
-    if (verdict === 'pathLost' || verdict === 'dead' || verdict === 'silent') {
-      selector.reportVerdict(target, verdict === 'pathLost');
-    }
+    await this.verification.verify({ target, address, wasSent: outcome.kind === 'failed' });
   }
 
   private isReady(relay: string): boolean {
