Leave out targets that all relays withhold

Callers of entries without paths to targets got 503 although targets were free. An entry whose paths are lost chose targets by its own knowledge alone. Its relays had been asked by some of these targets to back off, or knew that they drain, and sent them nothing (5023 withheld there). Each such message took a placement, a grant and one of the request's attempts; after three of them an unsafe call was refused.

The entry prefers relays that don't withhold a target. If all that reach it do, the target is left out like one in back-off here: by the selection, by canary runs and at the client of targets, before a grant for a cold target is taken. An attempt that was withheld by relays is taken back, and its placement cancelled. Times are counted from the question on the steady clock. An earlier version ignores the new fields; where they are absent, all is as before.

A relay doesn't check rate limits for messages of others, and didn't before, so a spent rate limit isn't among what it withholds.

--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -14,6 +14,7 @@
 import * as heldBytes from '../../heldBytes';
 import * as ingress from '../../ingress';
 import * as livenessProbes from '../../livenessProbes';
+import * as reachability from '../../reachability';
 import * as peerClient from '../../../rpc/peerClient';
 import * as targetClient from '../../targetClient';
 import type * as targetMessage from '../../targetMessage';
@@ -221,7 +222,13 @@
 
   private readonly targets: targetClient.TargetClient;
 
-  private constructor(private readonly addresses: string[]) {
+  /** Of an entry that reaches its targets by way of other entries only. */
+  readonly reachability: reachability.Reachability | undefined;
+
+  private constructor(
+    private readonly addresses: string[],
+    isSevered = false,
+  ) {
     const rule = { ratio: 1, slack: 100, windowMs: 10_000 };
     const budgets = new domain.request.repeatBudget.RepeatBudgets(rule);
     budgets.setEntryCount(1, clock.steady());
@@ -244,7 +251,13 @@
       observer: observe,
       now: clock.steady,
     });
-    this.targets = new targetClient.TargetClient({ protocol: PROTOCOL, gate: this.signals });
+    this.reachability = isSevered ? this.severedReachability(client, observe) : undefined;
+    this.targets = new targetClient.TargetClient({
+      protocol: PROTOCOL,
+      gate: this.signals,
+      paths: this.reachability?.paths,
+      relays: this.reachability?.relays,
+    });
     const liveness = new livenessProbes.LivenessProbes({
       protocol: PROTOCOL,
       limits,
@@ -273,8 +286,10 @@
       targets: this.targets,
       audit,
       liveness,
+      reachability: this.reachability,
       limits,
       signals: this.failingSignals(),
+      availability: { unavailable: () => this.unavailable() },
       quarantine: this.quarantine,
       budgets,
       observer: observe,
@@ -299,27 +314,42 @@
 
   /** Starts a target for each behavior, each in a data centre of its own; targets are selected in this order. */
   static async start(...behaviours: TargetBehaviour[]): Promise<TestHarness> {
-    const addresses: string[] = [];
-    const harness = new TestHarness(addresses);
+    return new TestHarness([]).listen(behaviours);
+  }
+
+  /** The same for an entry that reaches its targets only by way of the entries at some addresses. */
+  static async startSevered(
+    relays: readonly string[],
+    ...behaviours: TargetBehaviour[]
+  ): Promise<TestHarness> {
+    const harness = await new TestHarness([], true).listen(behaviours);
+    const { paths, peers } = harness.reachability as reachability.Reachability;
+    harness.registry.records().forEach(({ id }) => paths.failed(id));
+    peers.replace(relays.map((address) => ({ address, dataCentre: 'dc0' })));
+    while (!relays.every((relay) => peers.isReady(relay))) await peers.refresh();
+    return harness;
+  }
+
+  private async listen(behaviours: readonly TargetBehaviour[]): Promise<this> {
     for (const [i, behave] of behaviours.entries()) {
       const server = net.createServer((socket) => {
         socket.on('error', () => undefined);
         socket.on('data', (data) => {
           const text = data.toString();
-          harness.messageCounts[i] = harness.messagesTo(i) + 1;
-          if (text.includes(REPORT_PATH)) harness.probes += 1;
-          else harness.received.push(text);
+          this.messageCounts[i] = this.messagesTo(i) + 1;
+          if (text.includes(REPORT_PATH)) this.probes += 1;
+          else this.received.push(text);
           behave(text, socket);
         });
       });
-      harness.servers.push(server);
+      this.servers.push(server);
       const address = `127.0.0.1:${await listen(server)}`;
-      harness.registry.announce({ ...RECORD, id: `t${i}`, dataCentre: `dc${i}`, address }, 0);
-      addresses.push(address);
+      this.registry.announce({ ...RECORD, id: `t${i}`, dataCentre: `dc${i}`, address }, 0);
+      this.addresses.push(address);
     }
-    harness.port = await ports.freePort();
-    await harness.ingress.listen({ host: '127.0.0.1', port: harness.port });
-    return harness;
+    this.port = await ports.freePort();
+    await this.ingress.listen({ host: '127.0.0.1', port: this.port });
+    return this;
   }
 
   /** Number of messages of any kind that a target received. */
@@ -394,6 +424,27 @@
     });
   }
 
+  private severedReachability(
+    client: peerClient.PeerClient,
+    observe: observer.Observer,
+  ): reachability.Reachability {
+    return new reachability.Reachability({
+      settings: { dataCentre: 'dc0', secret: 'secret', source: undefined },
+      protocol: PROTOCOL,
+      fleetState: { registry: this.registry },
+      client,
+      targets: () => this.targets,
+      liveness: () => ({
+        probe: async () => 'silent',
+        probePath: async () => undefined,
+        ...UNLIMITED,
+      }),
+      isServing: () => true,
+      observer: observe,
+      random: domain.shared.random.seeded(1),
+    });
+  }
+
   /** Signals that throw `errorAfterSend` where the exchange asks them about a request that it has just sent. */
   private failingSignals(): exchange.Dependencies['signals'] {
     const bornAt = (target: string): number => {
@@ -403,11 +454,16 @@
     return Object.assign(Object.create(this.signals) as targetSignals.TargetSignals, { bornAt });
   }
 
+  private unavailable(): string[] {
+    const withheld = this.reachability?.withheldTargets('app') ?? [];
+    return [...this.signals.unavailable('app'), ...withheld];
+  }
+
   private async choose(request: targetSelector.PlacementRequest): Promise<targetSelector.Choice> {
     this.placementRequests.push(request);
     if (this.placementError !== undefined) throw this.placementError;
     const allowedTarget = request.writers?.[0];
-    const unavailable = this.isLeaderBehind ? [] : this.signals.unavailable('app');
+    const unavailable = this.isLeaderBehind ? [] : this.unavailable();
     const excluded = new Set([...request.excluded, ...unavailable]);
     const index = allowedTarget === undefined ? excluded.size : Number(allowedTarget.slice(1));
     await clock.sleep(this.placementDelayMs);
--- a/packages/daemon/src/entry/__tests__/lifetimes.test.ts
+++ b/packages/daemon/src/entry/__tests__/lifetimes.test.ts
@@ -30,7 +30,7 @@
   const options = {
     fleetState: { registry, limits: new domain.rateLimits.rateLimits.RateLimits() },
     limits: { grantProbe: async () => undefined },
-    signals: { unavailable: () => [] },
+    availability: { unavailable: () => [] },
     random: domain.shared.random.seeded(1),
     now: clock.steady,
   };
--- a/packages/daemon/src/entry/__tests__/relay.test.ts
+++ b/packages/daemon/src/entry/__tests__/relay.test.ts
@@ -70,6 +70,8 @@
       isReady: () => true,
       isLost: () => false,
       lostScopes: () => [],
+      withheld: () => [],
+      withheldMs: () => undefined,
       observer: OBSERVER,
       ...others,
     });
@@ -93,6 +95,8 @@
         begin: () => () => undefined,
         failed: (relay) => failedRelays.push(relay),
         size: relays.length,
+        withheld: () => undefined,
+        withheldMs: () => 0,
       },
       protocol: harness.PROTOCOL,
       secret: SECRET,
--- a/packages/daemon/src/entry/__tests__/targetSelector.test.ts
+++ b/packages/daemon/src/entry/__tests__/targetSelector.test.ts
@@ -163,7 +163,7 @@
         grantProbe: async () => undefined,
         spent: () => undefined,
       },
-      signals: {
+      availability: {
         unavailable: () => [...unavailableForMs.keys()],
         waitMs: (target) => unavailableForMs.get(target) ?? 0,
       },
--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -44,6 +44,13 @@
     this.counted.push(target);
   }
 
+  /** Takes the last attempt back: nothing was sent, as the target is unavailable. */
+  withdraw(target: string): void {
+    if (this.sent.has(target)) this.sameTargetRetries -= 1;
+    this.targets.pop();
+    this.counted.pop();
+  }
+
   /** Allows new attempts in place of those at targets that were unreachable, and of returns to targets that refused. */
   startOver(): void {
     this.counted = [...this.sent];
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -28,6 +28,7 @@
 import * as pushedUpdate from './pushedUpdate';
 import * as rateLimitClient from './rateLimitClient';
 import * as reachability from './reachability';
+import * as targetAvailability from './targetAvailability';
 import * as targetClient from './targetClient';
 import * as targetSignals from './targetSignals';
 
@@ -78,6 +79,8 @@
 
   private readonly reachability: reachability.Reachability;
 
+  private readonly availability: targetAvailability.TargetAvailability;
+
   private readonly selector: targetSelector.TargetSelector;
 
   private readonly liveness: livenessProbes.LivenessProbes;
@@ -169,6 +172,7 @@
       fleetState: this.fleetState,
       client: this.client,
       targets: () => this.targets,
+      signals: this.signals,
       liveness: () => this.liveness,
       isServing: () => this.isServing,
       observer: observe,
@@ -182,6 +186,8 @@
       paths: this.reachability.paths,
       relays: this.reachability.relays,
     });
+    const { signals, reachability: reach } = this;
+    this.availability = new targetAvailability.TargetAvailability({ signals, reachability: reach });
     this.selector = new targetSelector.TargetSelector({
       name: settings.name,
       dataCentre: settings.dataCentre,
@@ -190,7 +196,7 @@
       client: this.client,
       limits: this.limits,
       coldGrants: this.coldGrants,
-      signals: this.signals,
+      availability: this.availability,
       observer: observe,
       random,
       now: clock.steady,
@@ -330,6 +336,7 @@
       reachability: this.reachability,
       limits: this.limits,
       signals: this.signals,
+      availability: this.availability,
       quarantine: this.quarantine,
       budgets: this.budgets,
       audit: this.audit,
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -31,6 +31,7 @@
 import * as responseWatchdog from './responseWatchdog';
 import * as succession from './succession';
 import type * as targetAttempt from './targetAttempt';
+import type * as targetAvailability from './targetAvailability';
 import type * as targetClient from './targetClient';
 import type * as targetMessage from './targetMessage';
 import type * as targetSignals from './targetSignals';
@@ -49,10 +50,8 @@
     peers: Pick<relayPeers.RelayPeers, 'isReady'>;
   };
   limits: Pick<rateLimitClient.RateLimitClient, 'spent'>;
-  signals: Pick<
-    targetSignals.TargetSignals,
-    'unavailable' | 'backOffMs' | 'bornAt' | 'hasEvacuations'
-  >;
+  signals: Pick<targetSignals.TargetSignals, 'backOffMs' | 'bornAt' | 'hasEvacuations'>;
+  availability: Pick<targetAvailability.TargetAvailability, 'unavailable'>;
   quarantine: Pick<quarantineClient.QuarantineClient, 'permit' | 'checkForCrash' | 'standingOf'>;
   budgets: domain.request.repeatBudget.RepeatBudgets;
   /** Remembers which requests were refused as not run. */
@@ -544,12 +543,15 @@
     const faulty = outcomes.faultyHelperOf(outcome, placement);
     // A lifetime that was replaced ran nothing, and its successor isn't the target that the request was sent to.
     const wasReplaced = outcome.kind === 'notRun' && outcome.ending === 'replaced';
-    this.attempts.ended({
-      target: placement.target,
-      wasSent: wasSent && !wasReplaced,
-      wasRefused: outcome.kind === 'notRun' && outcome.ending === 'full',
-      wasHelperAtFault: faulty !== undefined,
-    });
+    if (outcome.kind === 'withheld') this.attempts.withdraw(placement.target);
+    else {
+      this.attempts.ended({
+        target: placement.target,
+        wasSent: wasSent && !wasReplaced,
+        wasRefused: outcome.kind === 'notRun' && outcome.ending === 'full',
+        wasHelperAtFault: faulty !== undefined,
+      });
+    }
     if (outcome.kind === 'answered') this.requestLog.answered(placement);
     // A target that cuts a response which its caller doesn't read is neither ill nor crashed.
     const wentUnread = outcome.kind === 'failed' && this.reply.wentUnread(this.dependencies.now());
@@ -607,7 +609,7 @@
       fingerprint: () => this.content.fingerprint,
       sharedParts: () => this.content.sharedParts,
       service,
-      excluded: [...this.attempts.targets, ...this.dependencies.signals.unavailable(service)],
+      excluded: [...this.attempts.targets, ...this.dependencies.availability.unavailable(service)],
     };
   }
 
--- a/packages/daemon/src/entry/reachability.ts
+++ b/packages/daemon/src/entry/reachability.ts
@@ -18,6 +18,8 @@
 import * as relayServer from './relayServer';
 import type * as livenessProbes from './livenessProbes';
 import type * as targetClient from './targetClient';
+import type * as targetSignals from './targetSignals';
+import * as withheldLog from './withheldLog';
 
 export interface Dependencies {
   settings: Pick<roleSettings.Settings, 'dataCentre' | 'secret' | 'source'>;
@@ -25,6 +27,8 @@
   fleetState: Pick<fleetState.FleetState, 'registry'>;
   client: peerClient.PeerClient;
   targets: () => targetClient.TargetClient;
+  /** What the gate of this entry withholds, for entries whose messages this one sends; nothing by default. */
+  signals?: Pick<targetSignals.TargetSignals, 'withheld' | 'withheldMs'>;
   liveness: () => Pick<livenessProbes.LivenessProbes, 'probe' | 'probePath' | 'isPathProbeDue'>;
   /** Whether this entry serves and goes on running, apart from its paths. */
   isServing: () => boolean;
@@ -57,13 +61,19 @@
 
   private readonly server: relayServer.RelayServer;
 
+  private readonly withheldLog: withheldLog.WithheldLog;
+
   /** When the leader last named the entries that relay messages for this one. */
   private relaysKnownAt = -Infinity;
 
   constructor(private readonly dependencies: Dependencies) {
     const { settings, protocol, client, observer: observe, random, targets } = dependencies;
     const { dataCentre, secret, source } = settings;
-    this.peers = new relayPeers.RelayPeers({ client, dataCentre, now: clock.steady });
+    this.withheldLog = new withheldLog.WithheldLog(observe);
+    this.peers = new relayPeers.RelayPeers({
+      ...{ client, dataCentre, now: clock.steady },
+      onWithheld: () => this.withheldLog.update(this.withheld()),
+    });
     this.paths = new pathMonitor.PathMonitor({
       fleetState: dependencies.fleetState,
       observer: observe,
@@ -92,6 +102,8 @@
       isReady: () => this.isRelay,
       isLost: (target) => this.paths.isLost(target),
       lostScopes: () => this.paths.lostScopes,
+      withheld: () => dependencies.signals?.withheld ?? [],
+      withheldMs: (target) => dependencies.signals?.withheldMs(target),
       observer: observe,
     });
   }
@@ -122,6 +134,20 @@
     return this.paths.isolatedMs > UNSERVED_AFTER_MS && !this.peers.isAvailable;
   }
 
+  /** Targets of a service that this entry doesn't reach itself, and that all entries which relay withhold. */
+  withheldTargets(service: string): string[] {
+    const { registry } = this.dependencies.fleetState;
+    return this.withheld()
+      .map(({ target }) => target)
+      .filter((target) => registry.get(target)?.service === service);
+  }
+
+  /** Time for which the same holds for a target, milliseconds; 0 if it doesn't. */
+  withheldMs(target: string): number {
+    if (!this.paths.isLost(target)) return 0;
+    return this.peers.withheldMs(target, this.paths.scopesOf(target));
+  }
+
   get statement(): messages.PathStatement {
     const { isIsolated, lostScopes } = this.paths;
     const isOld = clock.steady() - this.relaysKnownAt > RELAYS_REFRESH_MS;
@@ -144,6 +170,12 @@
     };
   }
 
+  private withheld(): withheldLog.LeftOut[] {
+    return this.peers.withheldTargets
+      .map((target) => ({ target, forMs: this.withheldMs(target) }))
+      .filter(({ forMs }) => forMs > 0);
+  }
+
   /** Whether this entry sends messages of others to targets. */
   private get isRelay(): boolean {
     return this.dependencies.isServing() && !this.paths.isIsolated;
--- a/packages/daemon/src/entry/relayClient.ts
+++ b/packages/daemon/src/entry/relayClient.ts
@@ -13,10 +13,13 @@
 import * as relayDispatch from './relayDispatch';
 import type * as relayPeers from './relayPeers';
 import * as relayProtocol from './relayProtocol';
-import type * as targetMessage from './targetMessage';
+import * as targetMessage from './targetMessage';
 
 export interface Dependencies {
-  peers: Pick<relayPeers.RelayPeers, 'choose' | 'begin' | 'failed' | 'size'>;
+  peers: Pick<
+    relayPeers.RelayPeers,
+    'choose' | 'begin' | 'failed' | 'size' | 'withheld' | 'withheldMs'
+  >;
   protocol: Pick<protocols.TrafficProtocol, 'responseMetadata'>;
   secret: string;
   source: string | undefined;
@@ -25,8 +28,12 @@
   observer: observer.Observer;
 }
 
-/** How a message by way of other entries ended; `unavailable` if none of them took it. */
-export type RelayEnd = relayDispatch.DispatchEnd | { kind: 'unavailable'; detail: string };
+/**
+ * How a message by way of other entries ended; `withheld` if none of them took it and its target is unavailable to one,
+ * `unavailable` if none took it for another reason.
+ */
+export type RelayEnd =
+  relayDispatch.DispatchEnd | { kind: 'withheld' } | { kind: 'unavailable'; detail: string };
 
 /** Number of relays that a message is offered to. */
 const MAX_RELAYS = 3;
@@ -47,6 +54,15 @@
     return this.dependencies.peers.size > 0;
   }
 
+  /** Whether all entries that may relay a message would withhold it from its target. */
+  withholds({ target, purpose }: Pick<targetMessage.TargetMessage, 'target' | 'purpose'>): boolean {
+    const { peers, scopesOf, observer: observe } = this.dependencies;
+    if (!targetMessage.startsWork(purpose)) return false;
+    const isWithheld = peers.withheldMs(target, scopesOf(target)) > 0;
+    if (isWithheld) observe.count(`relay.withheld.${purpose}`);
+    return isWithheld;
+  }
+
   /** Offers the message to one relay after the other; resolves when the attempt is over or may go another way. */
   async deliver(
     message: targetMessage.TargetMessage,
@@ -56,8 +72,10 @@
     const refusals: string[] = [];
     const tried: string[] = [];
     const scopes = scopesOf(message.target);
+    const target = targetMessage.startsWork(message.purpose) ? message.target : undefined;
+    let isWithheld = false;
     while (tried.length < MAX_RELAYS) {
-      const relay = await peers.choose({ excluded: tried, scopes });
+      const relay = await peers.choose({ excluded: tried, scopes, target });
       if (attempt.isOver) return { kind: 'over' };
       if (relay === undefined) break;
       tried.push(relay);
@@ -66,7 +84,13 @@
       if (end.kind !== 'refused' && end.kind !== 'declined') return end;
       observe.count('relay.refused');
       refusals.push(end.detail);
+      if (end.kind === 'declined' && end.withheld !== undefined) {
+        isWithheld = true;
+        peers.withheld(relay, message.target, end.withheld);
+      }
     }
+    // Each end of this kind adds to what is known of the relays, so that requests don't return here in a loop.
+    if (isWithheld || (tried.length === 0 && this.withholds(message))) return { kind: 'withheld' };
     return { kind: 'unavailable', detail: refusals.at(-1) ?? 'no other VM reaches targets' };
   }
 
--- a/packages/daemon/src/entry/relayDispatch.ts
+++ b/packages/daemon/src/entry/relayDispatch.ts
@@ -103,8 +103,11 @@
 /** A relay's result; anything else leaves open what became of the message. */
 function parseResult(body: Buffer): relayProtocol.RelayResult {
   try {
-    const { kind, detail } = JSON.parse(body.toString()) as relayProtocol.RelayResult;
-    const isUnsent = kind === 'notSent' || kind === 'refused' || kind === 'declined';
+    const result = JSON.parse(body.toString()) as relayProtocol.RelayResult;
+    const { kind, detail } = result;
+    if (kind === 'declined')
+      return { kind, detail: String(detail), withheld: result.withheld ?? undefined };
+    const isUnsent = kind === 'notSent' || kind === 'refused';
     if (isUnsent || kind === 'foreign' || kind === 'unusable')
       return { kind, detail: String(detail) };
     return { kind: 'broken', detail: String(detail) };
--- a/packages/daemon/src/entry/relayPeers.ts
+++ b/packages/daemon/src/entry/relayPeers.ts
@@ -2,7 +2,7 @@
  * The entries that relay messages for this one: a few that the leader names, some of this data centre and some of
  * others. Their status is asked for only while paths are lost; the list is kept without a leader.
  */
-import type * as domain from '@celerydrift/domain';
+import * as domain from '@celerydrift/domain';
 import type { Result } from 'ts-results';
 import type * as messages from '../fleet/messages';
 import * as clock from '../clock';
@@ -15,6 +15,8 @@
   client: Pick<peerClient.PeerClient, 'call'>;
   dataCentre: string;
   now: () => number;
+  /** Called when a relay has said which targets it withholds. */
+  onWithheld?: () => void;
 }
 
 /** Timeout of a status call, milliseconds: ten round trips between data centres, and an entry on a slow VM. */
@@ -52,12 +54,15 @@
   excluded?: readonly string[];
   /** Scopes of its target; a relay that has lost one of them can't reach it. */
   scopes?: readonly Scope[];
+  /** Its target, which the relay must not withhold; absent for a message that starts nothing there. */
+  target?: string;
 }
 
 interface Peer extends messages.Relay {
   status: relayProtocol.RelayStatus;
   /** When the status was received. */
   at: number;
+  withheld: domain.reachability.withheldTargets.WithheldTargets;
   /** Messages in flight from this entry. */
   inFlight: number;
   /** Whether the last call got no answer: its connection may be silent for good, so the next call opens another one. */
@@ -124,6 +129,25 @@
     if (peer !== undefined) peer.at = -Infinity;
   }
 
+  /** A relay took no message because it sends the target nothing now. */
+  withheld(address: string, target: string, { forMs }: relayProtocol.Withheld): void {
+    this.peers.get(address)?.withheld.refused(target, forMs, this.dependencies.now());
+    this.dependencies.onWithheld?.();
+  }
+
+  /** Targets that a ready relay withholds. */
+  get withheldTargets(): string[] {
+    const now = this.dependencies.now();
+    return [...new Set(this.ready().flatMap(({ withheld }) => withheld.targets(now)))];
+  }
+
+  /** Time until a relay that reaches a target sends it requests, milliseconds; 0 if one does. */
+  withheldMs(target: string, scopes: readonly Scope[]): number {
+    const relays = this.ready({ scopes }).map(({ withheld }) => withheld);
+    const now = this.dependencies.now();
+    return domain.reachability.withheldTargets.leastWaitMs(relays, target, now);
+  }
+
   /**
    * How a target responds to other entries: the best that one of them sees, or undefined if none can tell. Several are
    * asked, as one that hasn't noticed yet that it lost its own paths takes every target for dead.
@@ -195,7 +219,8 @@
 
   /** The ready relays, the least loaded first. */
   private async candidates(restriction: Restriction): Promise<Peer[]> {
-    if (this.ready(restriction).length === 0) await this.refresh();
+    const { target, ...others } = restriction;
+    if (this.ready(others).length === 0) await this.refresh();
     const { dataCentre } = this.dependencies;
     const loadOf = (peer: Peer): number => {
       const handicap = peer.dataCentre === dataCentre ? 0 : REMOTE_HANDICAP;
@@ -206,6 +231,7 @@
 
   /** Resolves once one is ready or all have answered. */
   private async askAll(): Promise<void> {
+    const askedAt = this.dependencies.now();
     const asked = [...this.peers.values()].map(async (peer) => {
       const answer = await this.call<relayProtocol.RelayStatus>(
         peer,
@@ -218,21 +244,25 @@
         throw new Error('not ready');
       }
       Object.assign(peer, { status: answer.val, at: this.dependencies.now() });
+      peer.withheld.stated(answer.val.withheld, askedAt);
+      this.dependencies.onWithheld?.();
     });
     await Promise.any(asked).catch(() => undefined);
   }
 
-  private ready({ excluded = [], scopes = [] }: Restriction = {}): Peer[] {
+  private ready({ excluded = [], scopes = [], target }: Restriction = {}): Peer[] {
     const now = this.dependencies.now();
-    return [...this.peers.values()].filter(({ address, status, at }) => {
+    return [...this.peers.values()].filter(({ address, status, at, withheld }) => {
       const isKnown = status.isReady && now - at <= STATUS_VALID_MS;
       const isCut = scopes.some((scope) => status.lost.includes(scope));
-      return isKnown && !isCut && !excluded.includes(address);
+      const isWithheld = target !== undefined && withheld.waitMs(target, now) > 0;
+      return isKnown && !isCut && !isWithheld && !excluded.includes(address);
     });
   }
 }
 
 function unasked(relay: messages.Relay): Peer {
   const status = { isReady: false, active: 0, lost: [] };
-  return { ...relay, status, at: -Infinity, inFlight: 0, isUnanswered: false };
+  const withheld = new domain.reachability.withheldTargets.WithheldTargets();
+  return { ...relay, status, at: -Infinity, withheld, inFlight: 0, isUnanswered: false };
 }
--- a/packages/daemon/src/entry/relayProtocol.ts
+++ b/packages/daemon/src/entry/relayProtocol.ts
@@ -25,14 +25,20 @@
 /** The head of a target's response; the receiver derives the rest. */
 export type RelayedHead = Pick<targetMessage.ResponseHead, 'status' | 'raw'>;
 
+/** For how long a relay sends a target nothing, milliseconds; absent while that isn't known. */
+export type Withheld = Pick<domain.reachability.withheldTargets.WithheldTarget, 'forMs'>;
+
 /** How an attempt ended without a response of the target. */
 export type RelayResult =
   /** The relay couldn't connect to the target either. */
   | { kind: 'notSent'; detail: string }
   /** The relay takes no messages now; another one may. */
   | { kind: 'refused'; detail: string }
-  /** The relay doesn't take this message, because of its target; another one may. */
-  | { kind: 'declined'; detail: string }
+  /**
+   * The relay doesn't take this message, because of its target; another one may. With `withheld` if the target is
+   * unavailable to requests of the relay; absent from an earlier version.
+   */
+  | { kind: 'declined'; detail: string; withheld?: Withheld }
   /** The target may have run it. */
   | { kind: 'broken'; detail: string }
   /** The same, as the target's response answers another message; the last version takes it for `broken`. */
@@ -47,6 +53,8 @@
   active: number;
   /** Scopes of targets that it doesn't reach itself. */
   lost: readonly domain.reachability.targetPaths.Scope[];
+  /** Targets to which it sends no requests; absent from an earlier version. */
+  withheld?: readonly domain.reachability.withheldTargets.WithheldTarget[];
 }
 
 /** `reach`: asks an entry whether a target responds to it. */
--- a/packages/daemon/src/entry/relayServer.ts
+++ b/packages/daemon/src/entry/relayServer.ts
@@ -3,6 +3,7 @@
  * for the target sees them come from this VM; what the other entry's gate decides isn't decided again.
  */
 import * as http from 'node:http';
+import * as domain from '@celerydrift/domain';
 import type * as observer from '../observability/observer';
 import * as framing from '../rpc/framing';
 import type * as targetAttempt from './targetAttempt';
@@ -18,6 +19,10 @@
   isLost: (target: string) => boolean;
   /** Scopes of targets that this entry doesn't reach. */
   lostScopes: () => relayProtocol.RelayStatus['lost'];
+  /** Targets to which this entry sends no requests. */
+  withheld: () => readonly domain.reachability.withheldTargets.WithheldTarget[];
+  /** For how long this entry sends a target no requests, milliseconds; undefined while that isn't known. */
+  withheldMs: (target: string) => number | undefined;
   observer: observer.Observer;
 }
 
@@ -63,7 +68,9 @@
 
   get status(): relayProtocol.RelayStatus {
     const { isReady, activeMessages: active } = this;
-    return { isReady, active, lost: this.dependencies.lostScopes() };
+    const { lostScopes, withheld } = this.dependencies;
+    const named = domain.reachability.withheldTargets.statementOf(withheld());
+    return { isReady, active, lost: lostScopes(), withheld: named };
   }
 
   private get isReady(): boolean {
@@ -147,9 +154,15 @@
     // A target that only this entry doesn't reach may be reached by the next one.
     const isOwnFault = result.kind === 'notSent' && this.dependencies.isLost(message.target);
     if (isOwnFault) this.end(response, PATH_LOST);
+    else if (result.kind === 'withheld') this.end(response, this.withheldResult(message.target));
     else this.endWith(result, response);
   }
 
+  private withheldResult(target: string): relayProtocol.RelayResult {
+    const forMs = this.dependencies.withheldMs(target);
+    return { kind: 'declined', detail: 'target unavailable to the relay', withheld: { forMs } };
+  }
+
   private forward(
     chunk: Buffer,
     response: http.ServerResponse,
@@ -160,13 +173,14 @@
     response.once('drain', () => attempt.resume());
   }
 
-  private endWith(result: targetMessage.SendResult, response: http.ServerResponse): void {
+  private endWith(
+    result: Exclude<targetMessage.SendResult, { kind: 'withheld' }>,
+    response: http.ServerResponse,
+  ): void {
     if (result.kind === 'complete') {
       response.addTrailers({ [relayProtocol.END_TRAILER]: relayProtocol.COMPLETE });
       response.end();
     } else if (response.headersSent || result.kind === 'cancelled') response.destroy();
-    else if (result.kind === 'withheld')
-      this.end(response, { kind: 'declined', detail: 'target unavailable to the relay' });
     else this.end(response, { kind: result.kind, detail: result.detail });
   }
 
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -28,7 +28,7 @@
     'connected' | 'failed' | 'responded' | 'reachedElsewhere' | 'isLost'
   >;
   /** Sends messages by way of other entries. */
-  relays?: Pick<relayClient.RelayClient, 'deliver' | 'hasPeers'>;
+  relays?: Pick<relayClient.RelayClient, 'deliver' | 'hasPeers' | 'withholds'>;
 }
 
 /** An idle connection is closed this long before the target would close it, milliseconds. */
@@ -63,7 +63,8 @@
     message: targetMessage.TargetMessage,
     handler: targetMessage.ResponseHandler,
   ): targetAttempt.Attempt {
-    const callbacks = this.dependencies.gate.admit(message);
+    const isWithheld = this.isWithheldElsewhere(message);
+    const callbacks = isWithheld ? undefined : this.dependencies.gate.admit(message);
     const attempt = new targetAttempt.Attempt(message, handler, callbacks);
     if (attempt.isWithheld) return attempt;
     if (this.mustRelay(message.target)) void this.relay(message, attempt);
@@ -218,6 +219,11 @@
     return relays?.hasPeers === true && paths?.isLost(target) === true;
   }
 
+  /** Whether a message would go by way of other entries, which all withhold it. */
+  private isWithheldElsewhere(message: targetMessage.TargetMessage): boolean {
+    return this.mustRelay(message.target) && this.dependencies.relays?.withholds(message) === true;
+  }
+
   /** No connection could be made; if that is this VM's fault, the message goes by way of another entry. */
   private sendAround(
     message: targetMessage.TargetMessage,
@@ -240,6 +246,10 @@
     const end = await relays?.deliver(message, attempt);
     if (attempt.wasAnswered) paths?.reachedElsewhere(message.target);
     if (end === undefined || end.kind === 'over') return;
+    if (end.kind === 'withheld') {
+      attempt.finish(end);
+      return;
+    }
     const { kind, detail } = end;
     attempt.finish({ kind: 'notSent', detail, isConfirmed: kind === 'notSent' });
   }
--- a/packages/daemon/src/entry/targetMessage.ts
+++ b/packages/daemon/src/entry/targetMessage.ts
@@ -45,6 +45,11 @@
  */
 export type MessagePurpose = 'request' | 'order' | 'upkeep' | 'check';
 
+/** Whether a message makes its target begin something, rather than serving what runs there already. */
+export function startsWork(purpose: MessagePurpose): boolean {
+  return purpose === 'request' || purpose === 'order';
+}
+
 /** An HTTP request to a target. */
 export interface TargetMessage {
   target: string;
--- a/packages/daemon/src/entry/targetSelector.ts
+++ b/packages/daemon/src/entry/targetSelector.ts
@@ -14,7 +14,7 @@
 import type * as peerClient from '../rpc/peerClient';
 import type * as coldGrants from './coldGrants';
 import type * as rateLimitClient from './rateLimitClient';
-import type * as targetSignals from './targetSignals';
+import type * as targetAvailability from './targetAvailability';
 
 type Announcement = domain.registry.registry.Announcement;
 type DispatchOutcome = domain.allocation.targetHealth.DispatchOutcome;
@@ -103,7 +103,7 @@
   limits: Pick<rateLimitClient.RateLimitClient, 'grant' | 'grantProbe' | 'spent'>;
   /** Grants for requests to cold targets; without them nothing is known of cold targets. */
   coldGrants?: Pick<coldGrants.ColdGrants, 'begin' | 'add'>;
-  signals: Pick<targetSignals.TargetSignals, 'unavailable' | 'waitMs'>;
+  availability: Pick<targetAvailability.TargetAvailability, 'unavailable' | 'waitMs'>;
   observer: observer.Observer;
   random: domain.shared.random.Random;
   now: () => number;
@@ -224,7 +224,7 @@
    * Where all are evacuated, the time after which a caller may ask again.
    */
   unavailableForMs(service: string): number {
-    const unavailable = this.options.signals.unavailable(service);
+    const unavailable = this.options.availability.unavailable(service);
     const waitMs = this.untilAvailableMs({ service, excluded: [] }, unavailable);
     return Number.isFinite(waitMs) ? waitMs : EVACUATED_RETRY_MS;
   }
@@ -234,9 +234,9 @@
     request: PlacementRequest,
     until: number,
   ): Promise<Availability | NoPlace> {
-    const { now, signals, random } = this.options;
+    const { now, availability, random } = this.options;
     for (;;) {
-      const unavailable = signals.unavailable(request.service);
+      const unavailable = availability.unavailable(request.service);
       const waitMs = this.untilAvailableMs(request, unavailable);
       if (waitMs === 0)
         return { kind: 'available', excluded: [...request.excluded, ...unavailable] };
@@ -264,7 +264,7 @@
       return !excluded.includes(id) && writers?.includes(id) !== false;
     });
     if (candidates.length === 0 || candidates.some(({ id }) => !unavailable.includes(id))) return 0;
-    return Math.min(...candidates.map(({ id }) => this.options.signals.waitMs(id)));
+    return Math.min(...candidates.map(({ id }) => this.options.availability.waitMs(id)));
   }
 
   /** Asks the leader for a placement; undefined if there is no leader, or it is lost meanwhile. */
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -19,7 +19,7 @@
 import type * as guaranteeAudit from './guaranteeAudit';
 import * as responseOrigin from './responseOrigin';
 import type * as sentMessages from './sentMessages';
-import type * as targetMessage from './targetMessage';
+import * as targetMessage from './targetMessage';
 import * as unusableResponses from './unusableResponses';
 
 type Lifetime = domain.quarantine.crashedLifetimes.Lifetime;
@@ -142,6 +142,23 @@
     return [...new Set([...unavailable, ...ready.filter((id) => this.isEvacuated(id))])];
   }
 
+  /**
+   * Targets that asked this entry to back off or drain, for other entries whose messages it sends. Evacuations are known
+   * there, and connections in use change too fast to be of use.
+   */
+  get withheld(): domain.reachability.withheldTargets.WithheldTarget[] {
+    const draining = [...this.draining.keys()].filter((target) => this.isDraining(target));
+    const backingOff = this.backOffs.targets
+      .map((target) => ({ target, forMs: this.backOffMs(target) }))
+      .filter(({ target, forMs }) => forMs > 0 && !draining.includes(target));
+    return [...draining.map((target) => ({ target })), ...backingOff];
+  }
+
+  /** For how long a target is withheld from requests, milliseconds; undefined while that isn't known. */
+  withheldMs(target: string): number | undefined {
+    return this.isDraining(target) || this.isEvacuated(target) ? undefined : this.waitMs(target);
+  }
+
   get hasEvacuations(): boolean {
     return this.dependencies.fleetState.evacuations.size > 0;
   }
@@ -202,7 +219,7 @@
     purpose,
     helpers = [],
   }: targetMessage.TargetMessage): string | undefined {
-    if (!startsWork(purpose) || !this.hasEvacuations) return undefined;
+    if (!targetMessage.startsWork(purpose) || !this.hasEvacuations) return undefined;
     return [target, ...helpers].find((id) => this.isEvacuated(id));
   }
 
@@ -242,7 +259,7 @@
   private accepts(target: string, purpose: targetMessage.MessagePurpose): boolean {
     const now = this.dependencies.now();
     // A draining target still gets checks, and upkeep of the requests that run there and of their memory.
-    const isNew = startsWork(purpose);
+    const isNew = targetMessage.startsWork(purpose);
     if (isNew && (this.isDraining(target) || !this.hasFreeConnection(target))) return false;
     if (purpose === 'upkeep') return this.backOffs.mayReceiveUpkeep(target, now);
     return this.backOffs.mayReceiveRequest(target, now);
@@ -355,11 +372,6 @@
   }
 }
 
-/** Whether a message makes its target begin something, rather than serving what runs there already. */
-function startsWork(purpose: targetMessage.MessagePurpose): boolean {
-  return purpose === 'request' || purpose === 'order';
-}
-
 /** Whether a response belongs to the message and comes from the addressed lifetime. */
 function isFromTarget(
   { requestId = '' }: targetMessage.TargetMessage,
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -90,6 +90,11 @@
   pathsRestored: { number: 4125, level: 'info', text: 'path from this VM to a target restored' },
   targetVerdict: { number: 4126, level: 'info', text: 'another VM was asked about a target' },
   foreignResponse: { number: 4127, level: 'warn', text: 'response of a target to another message' },
+  targetsWithheld: {
+    number: 4128,
+    level: 'info',
+    text: 'targets left out, as all VMs that relay withhold them',
+  },
   requestEnded: { number: 5001, level: 'info', text: 'request ended' },
   attemptFailed: { number: 5002, level: 'warn', text: 'attempt failed' },
   frameCrossed: { number: 5003, level: 'error', text: 'frame of another request dropped' },
--- a/packages/domain/src/reachability/index.ts
+++ b/packages/domain/src/reachability/index.ts
@@ -1,2 +1,3 @@
 export * as reporterStanding from './reporterStanding';
 export * as targetPaths from './targetPaths';
+export * as withheldTargets from './withheldTargets';
