--- a/packages/daemon/src/entry/__tests__/lifetimes.test.ts
+++ b/packages/daemon/src/entry/__tests__/lifetimes.test.ts
@@ -31,7 +31,7 @@
   const options = {
     fleetState: { registry, limits: new domain.rateLimits.rateLimits.RateLimits() },
     limits: { grantProbe: async () => undefined },
-    signals: { unavailable: () => [] },
+    unavailableTargets: { of: () => [] },
     random: domain.shared.random.seeded(1),
     now: clock.steady,
   };
--- a/packages/daemon/src/entry/__tests__/targetSelector.test.ts
+++ b/packages/daemon/src/entry/__tests__/targetSelector.test.ts
@@ -164,8 +164,8 @@
         grantProbe: async () => undefined,
         spent: () => undefined,
       },
-      signals: {
-        unavailable: () => [...unavailableForMs.keys()],
+      unavailableTargets: {
+        of: () => [...unavailableForMs.keys()],
         waitMs: (target) => unavailableForMs.get(target) ?? 0,
       },
       observer: observe,
--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -65,6 +65,13 @@
     this.counted.push(target);
   }
 
+  /** Takes the last attempt back: nothing was sent, as the target is unavailable. */
+  withdraw(target: string): void {
+    if (this.sent.has(target)) this.sameTargetRetries -= 1;
+    this.targets.pop();
+    this.counted.pop();
+  }
+
   /**
    * Allows new attempts in place of those at targets that were unreachable, and returns to all targets, for a stream that
    * has begun. Its caller can't be told to come back, and returns add no target to those that have run it. Targets that
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -36,6 +36,7 @@
 import * as targetEvidence from './targetEvidence';
 import type * as targetSelector from './targetSelector';
 import type * as targetSignals from './targetSignals';
+import type * as unavailableTargets from './unavailableTargets';
 
 type Outcome = outcomes.Outcome;
 
@@ -50,10 +51,8 @@
     peers: Pick<relayPeers.RelayPeers, 'isReady'>;
   };
   limits: Pick<rateLimitClient.RateLimitClient, 'spent'>;
-  signals: Pick<
-    targetSignals.TargetSignals,
-    'unavailable' | 'backOffMs' | 'bornAt' | 'isGone' | 'hasEvacuations'
-  >;
+  signals: Pick<targetSignals.TargetSignals, 'backOffMs' | 'bornAt' | 'isGone' | 'hasEvacuations'>;
+  unavailableTargets: Pick<unavailableTargets.UnavailableTargets, 'of'>;
   quarantine: Pick<quarantineClient.QuarantineClient, 'permit' | 'checkForCrash' | 'standingOf'>;
   budgets: domain.request.repeatBudget.RepeatBudgets;
   /** Remembers which requests were refused as not run. */
@@ -213,10 +212,10 @@
 
   private newState(): requestState.RequestState {
     const { admitted, content, terms, attempts: made, deliveries: sent, reply, end } = this;
-    const { signals, quarantine, isFresh, now } = this.dependencies;
+    const { unavailableTargets: unavailable, quarantine, isFresh, now } = this.dependencies;
     return new requestState.RequestState({
       ...{ admitted, content, terms, attempts: made, deliveries: sent, reply, end },
-      ...{ signals, quarantine, isFresh, now },
+      ...{ unavailableTargets: unavailable, quarantine, isFresh, now },
       hasSuccessor: () => this.placements.hasSuccessor,
     });
   }
--- a/packages/daemon/src/entry/placedAttempt.ts
+++ b/packages/daemon/src/entry/placedAttempt.ts
@@ -212,10 +212,15 @@
   }
 
   private recordEnd(outcome: Outcome, wasSent: boolean, faulty: string | undefined): void {
+    const { target } = this.placed.choice.placement;
+    if (outcome.kind === 'withheld') {
+      this.dependencies.attempts.withdraw(target);
+      return;
+    }
     // A lifetime that was replaced ran nothing, and its successor isn't the target that the request was sent to.
     const wasReplaced = outcome.kind === 'notRun' && outcome.ending === 'replaced';
     this.dependencies.attempts.ended({
-      target: this.placed.choice.placement.target,
+      target,
       wasSent: wasSent && !wasReplaced,
       wasRefused: outcome.kind === 'notRun' && outcome.ending === 'full',
       wasHelperAtFault: faulty !== undefined,
--- a/packages/daemon/src/entry/requestState.ts
+++ b/packages/daemon/src/entry/requestState.ts
@@ -8,7 +8,7 @@
 import type * as requestContent from './requestContent';
 import type * as responseEnd from './responseEnd';
 import * as retryPolicy from './retryPolicy';
-import type * as targetSignals from './targetSignals';
+import type * as unavailableTargets from './unavailableTargets';
 
 export interface Dependencies {
   admitted: admittedRequest.AdmittedRequest;
@@ -19,7 +19,7 @@
   reply: Pick<callerResponse.CallerResponse, 'isBegun' | 'isUnrecoverable'>;
   end: Pick<responseEnd.ResponseEnd, 'isOver'>;
   hasSuccessor: () => boolean;
-  signals: Pick<targetSignals.TargetSignals, 'unavailable'>;
+  unavailableTargets: Pick<unavailableTargets.UnavailableTargets, 'of'>;
   quarantine: Pick<quarantineClient.QuarantineClient, 'standingOf'>;
   /** Whether the settings in force were confirmed recently enough to admit keys. */
   isFresh: () => boolean;
@@ -82,7 +82,12 @@
 
   /** What the quarantine is told of the request. */
   get info(): quarantineClient.RequestInfo {
-    const { admitted, content, attempts: made, signals } = this.dependencies;
+    const {
+      admitted,
+      content,
+      attempts: made,
+      unavailableTargets: unavailable,
+    } = this.dependencies;
     const { service } = this;
     return {
       requestId: admitted.facts.requestId,
@@ -90,7 +95,7 @@
       fingerprint: () => content.fingerprint,
       sharedParts: () => content.sharedParts,
       service,
-      excluded: [...made.targets, ...signals.unavailable(service)],
+      excluded: [...made.targets, ...unavailable.of(service)],
     };
   }
 }
--- a/packages/daemon/src/entry/targetAvailability.ts
+++ b/packages/daemon/src/entry/targetAvailability.ts
@@ -4,13 +4,13 @@
 import type * as fleetState from '../fleet/fleetState';
 import type * as placementChoice from './placementChoice';
 import * as retryAfter from './retryAfter';
-import type * as targetSignals from './targetSignals';
+import type * as unavailableTargets from './unavailableTargets';
 
 type PlacementRequest = placementChoice.PlacementRequest;
 
 export interface Dependencies {
   fleetState: Pick<fleetState.FleetState, 'registry'>;
-  signals: Pick<targetSignals.TargetSignals, 'unavailable' | 'waitMs'>;
+  unavailableTargets: Pick<unavailableTargets.UnavailableTargets, 'of' | 'waitMs'>;
   random: domain.shared.random.Random;
   now: () => number;
 }
@@ -49,7 +49,7 @@
    * Where all are evacuated, the time after which a caller may ask again.
    */
   unavailableForMs(service: string): number {
-    const unavailable = this.dependencies.signals.unavailable(service);
+    const unavailable = this.dependencies.unavailableTargets.of(service);
     const waitMs = this.untilAvailableMs({ service, excluded: [] }, unavailable);
     return Number.isFinite(waitMs) ? waitMs : EVACUATED_RETRY_MS;
   }
@@ -59,9 +59,9 @@
     request: PlacementRequest,
     until: number,
   ): Promise<Availability | placementChoice.NoPlace> {
-    const { now, signals, random } = this.dependencies;
+    const { now, unavailableTargets: targets, random } = this.dependencies;
     for (;;) {
-      const unavailable = signals.unavailable(request.service);
+      const unavailable = targets.of(request.service);
       const waitMs = this.untilAvailableMs(request, unavailable);
       if (waitMs === 0)
         return { kind: 'available', excluded: [...request.excluded, ...unavailable] };
@@ -91,7 +91,7 @@
       return !excluded.includes(id) && writers?.includes(id) !== false;
     });
     if (candidates.length === 0 || candidates.some(({ id }) => !unavailable.includes(id))) return 0;
-    return Math.min(...candidates.map(({ id }) => this.dependencies.signals.waitMs(id)));
+    return Math.min(...candidates.map(({ id }) => this.dependencies.unavailableTargets.waitMs(id)));
   }
 }
 
--- a/packages/daemon/src/entry/targetSelector.ts
+++ b/packages/daemon/src/entry/targetSelector.ts
@@ -18,7 +18,7 @@
 import * as plainSelection from './plainSelection';
 import type * as rateLimitClient from './rateLimitClient';
 import * as targetAvailability from './targetAvailability';
-import type * as targetSignals from './targetSignals';
+import type * as unavailableTargets from './unavailableTargets';
 
 type Choice = placementChoice.Choice;
 type PlacementRequest = placementChoice.PlacementRequest;
@@ -32,7 +32,7 @@
   limits: Pick<rateLimitClient.RateLimitClient, 'grant' | 'grantProbe' | 'spent'>;
   /** Grants for requests to cold targets; without them nothing is known of cold targets. */
   coldGrants?: Pick<coldGrants.ColdGrants, 'begin' | 'add'>;
-  signals: Pick<targetSignals.TargetSignals, 'unavailable' | 'waitMs'>;
+  unavailableTargets: Pick<unavailableTargets.UnavailableTargets, 'of' | 'waitMs'>;
   observer: observer.Observer;
   random: domain.shared.random.Random;
   now: () => number;
