Let the exchange answer its request when the entry has stopped

The caller of an unsafe call that waited for a place when the entry's time to stop was over got 502, which promises nothing and so isn't sent again, although no target had the call; and the call was still sent to a target after that answer.

Cause: the ingress answered each request that it had passed on, without asking its exchange what is known; and the error that it then emitted didn't end the exchange, which took the written answer for a finished one.

Now the exchange gets the end of the stop first and answers as it does otherwise: 503 if no target can have run the request, 502 if one may have, a reset of an answer that has begun; and it sends nothing more.

--- a/packages/daemon/src/entry/admittedRequest.ts
+++ b/packages/daemon/src/entry/admittedRequest.ts
@@ -16,3 +16,10 @@
   arrivedAt: number;
   held: heldBytes.Holding;
 }
+
+/** The error of a request whose entry has stopped: it is to be answered now, and not to be sent any more. */
+export class EntryStopped extends Error {
+  constructor() {
+    super('the entry has stopped');
+  }
+}
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -10,7 +10,7 @@
 import type * as roleSettings from '../configuration/roleSettings';
 import type * as protocols from '../edges/protocols';
 import type * as observer from '../observability/observer';
-import type * as admittedRequest from './admittedRequest';
+import * as admittedRequest from './admittedRequest';
 import * as attempts from './attempts';
 import * as callerResponse from './callerResponse';
 import * as deliveries from './deliveries';
@@ -197,7 +197,10 @@
     response.once('close', () => {
       if (!response.writableFinished) this.end.callerLeft();
     });
-    request.once('error', () => this.end.callerLeft());
+    request.once('error', (error) => {
+      if (error instanceof admittedRequest.EntryStopped) this.end.entryStopped(error.message);
+      else this.end.callerLeft();
+    });
   }
 
   private newEnd(): responseEnd.ResponseEnd {
--- a/packages/daemon/src/entry/exchangeLog.ts
+++ b/packages/daemon/src/entry/exchangeLog.ts
@@ -17,10 +17,10 @@
 }
 
 /**
- * Why a caller's connection was closed without a whole answer: no target could finish it, its time was over, or an
- * unexpected error.
+ * Why a caller's connection was closed without a whole answer: no target could finish it, its time was over, the entry
+ * has stopped, or an unexpected error.
  */
-export type AbortReason = 'noTarget' | 'deadline' | 'internalError';
+export type AbortReason = 'noTarget' | 'deadline' | 'stopped' | 'internalError';
 
 /** How a request failed. */
 export interface Failure {
--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -15,7 +15,7 @@
 import * as serverStop from '../http/serverStop';
 import type * as observer from '../observability/observer';
 import * as connectionGate from './connectionGate';
-import type * as admittedRequest from './admittedRequest';
+import * as admittedRequest from './admittedRequest';
 import type * as heldBytes from './heldBytes';
 import * as settingsWait from './settingsWait';
 
@@ -161,13 +161,13 @@
 
   /** Ends all requests: with a status, if their answers haven't begun. */
   abort(): void {
-    const failure = { reason: 'stopped', detail: 'the entry has stopped' } as const;
+    const stopped = new admittedRequest.EntryStopped();
     this.open.forEach((response) => {
       const { req: request } = response;
-      this.fail(request, response, failure);
-      // Ends the exchange, which must not answer as well.
+      // Its exchange knows whether a target may have run it.
       const isServed = this.passedOn.has(request) && request.listenerCount('error') > 0;
-      if (isServed) request.emit('error', new Error(failure.detail));
+      if (isServed) request.emit('error', stopped);
+      this.fail(request, response, { reason: 'stopped', detail: stopped.message });
     });
   }
 
--- a/packages/daemon/src/entry/responseEnd.ts
+++ b/packages/daemon/src/entry/responseEnd.ts
@@ -7,10 +7,11 @@
  * - `failAfter`: the outcome of an attempt, where `retryPolicy` allows no other one. Silence is no such outcome: an overdue
  *   attempt goes on until `succession` has another target that responds.
  * - `refuseSuspect`: the quarantine, where the request can't wait for it.
+ * - `entryStopped`: the end of the time that a stop may take.
  * - `failUnexpectedly`: an error of this process.
  *
- * Beside an exchange, the ingress ends what is open when the entry has stopped, and `heldBytes` the responses of callers
- * that read too slowly.
+ * Beside an exchange, the ingress ends requests that have none yet when the entry has stopped, and `heldBytes` the responses
+ * of callers that read too slowly.
  */
 import * as callerResponse from './callerResponse';
 import type * as admittedRequest from './admittedRequest';
@@ -80,6 +81,13 @@
     this.stop({ kind: 'late' });
   }
 
+  /** Stops whatever runs as the entry has stopped. */
+  entryStopped(detail: string): void {
+    if (this.isSettled) return;
+    this.fail(detail, RETRY_AFTER_MS, 'stopped');
+    this.stop({ kind: 'gone' });
+  }
+
   /** Ends a request that isn't attempted again after this outcome. */
   failAfter(outcome: Outcome): void {
     if (outcome.kind === 'unplaced') {
