Leave an engine whose stream can't be resumed only for another one

Callers of the interface of its own got 'silent at e1, no retries left' although the engine was sound and the connection that it sent on was open: it had paused for longer than silenceMs, stated `decoding`, and refused to let the stream be resumed.

Cause: `probeOverdueStream` took a resumption that fails for the end of the attempt. Neither another engine that responds nor a retry was asked for before the attempt was given up.

Now the execution goes on waiting at the open connection unless the state is `unknown` or the request can move: another engine responds, and a retry is left.

--- a/packages/daemon/src/requests/__tests__/execution.test.ts
+++ b/packages/daemon/src/requests/__tests__/execution.test.ts
@@ -10,6 +10,8 @@
 
 type Target = domain.target.target.Target;
 
+type State = Result<adapter.RequestState, targetErrors.TargetError>;
+
 const { expect } = chai;
 
 const SILENCE_MS = 10;
@@ -139,6 +141,37 @@
     expect(result.map(({ text }) => text)).to.deep.equal(Ok('ab'));
   });
 
+  // Guards against a sound engine that is given up as it takes no further connection while it is slow.
+  it('stays with an engine that decodes but lets nobody resume the stream', async () => {
+    const result = await run(
+      {
+        generate: async (_target, { request }) => {
+          return Ok(streamOf(request, ['a', 'b'], [0, 20 * SILENCE_MS]));
+        },
+        stateOf: async () => Ok('decoding'),
+      },
+      noRetries(),
+    );
+    expect(result.map(({ text }) => text)).to.deep.equal(Ok('ab'));
+  });
+
+  [
+    { title: 'stays with it while no other responds', other: Err(NO_ANSWER), expected: ['e1'] },
+    { title: 'leaves it when another responds', other: Ok('unknown'), expected: ['e1', 'e2'] },
+  ].forEach(({ title, other, expected }) => {
+    // Guards against an attempt that is given up with nothing better in hand, and one that is never given up.
+    it(`${title}, if nobody can resume the stream`, async () => {
+      const result = await run({
+        generate: async ({ name }, { request }) => {
+          return Ok(streamOf(request, ['a', 'b'], name === 'e1' ? [0, 20 * SILENCE_MS] : []));
+        },
+        stateOf: async ({ name }) => (name === 'e1' ? Ok('decoding') : (other as State)),
+      });
+      expect(result.map(({ text }) => text)).to.deep.equal(Ok('ab'));
+      expect(used).to.deep.equal(expected);
+    });
+  });
+
   it('leaves a silent engine when another one responds', async () => {
     const result = await run({
       generate: async (target, { request }) => {
--- a/packages/daemon/src/requests/execution.ts
+++ b/packages/daemon/src/requests/execution.ts
@@ -455,7 +455,7 @@
 
   /**
    * State of a request at an engine. Silence doesn't tell an engine that is down from one that is sound but stuck for a
-   * moment, perhaps with all others, so a silent one is `waiting` unless another engine responds.
+   * moment, perhaps with all others, so a silent one is `waiting` unless the request can move to another engine.
    */
   private async stateOf(
     target: Target,
@@ -463,10 +463,19 @@
   ): Promise<Result<adapter.RequestState, 'waiting' | 'silent'>> {
     const state = await this.dependencies.adapter.stateOf(target, request);
     if (state.ok) return state;
-    const canLeave = isConclusive(state.val) || (await this.doesAnotherRespond(target, request));
+    const canLeave = isConclusive(state.val) || (await this.canMove(target, request));
     return Err(canLeave ? 'silent' : 'waiting');
   }
 
+  /** Whether another attempt would be granted now, and another engine responds. */
+  private async canMove(target: Target, request: string): Promise<boolean> {
+    const hasRetry = domain.request.retry.isAvailable(
+      this.attempts.length + 1,
+      this.dependencies.budget,
+    );
+    return hasRetry && this.doesAnotherRespond(target, request);
+  }
+
   private async doesAnotherRespond(target: Target, request: string): Promise<boolean> {
     const others = this.dependencies.router.alternatives(target).slice(0, MAX_PROBED_ENGINES);
     const states = await Promise.all(
@@ -480,8 +489,9 @@
    * this long, and a connection can die unnoticed while the engine works on.
    *
    * - `queued`, `prefilling`: keep waiting.
-   * - `decoding`, `finished`: this connection is dead; resume the stream over a new one.
-   * - `unknown`, or no answer while another engine responds: the attempt has failed.
+   * - `decoding`, `finished`: resume the stream over a new connection. An engine that doesn't let it may only be slow, so
+   *   keep waiting on this one unless the request can move to another engine.
+   * - `unknown`, or no answer while the request can move: the attempt has failed.
    */
   private async probeOverdueStream(
     id: string,
@@ -491,9 +501,10 @@
     if (state.err) return state.val === 'waiting' ? Ok(undefined) : Err('silent');
     if (state.val === 'unknown') return Err('connectionLost');
     if (state.val === 'queued' || state.val === 'prefilling') return Ok(undefined);
-    this.dependencies.observer.log('connectionSilent', { target: target.name, request: id });
     const resumed = await this.dependencies.adapter.resume(target, id, this.check.position);
-    return resumed.ok ? Ok(resumed.val) : Err('silent');
+    if (resumed.err) return (await this.canMove(target, id)) ? Err('silent') : Ok(undefined);
+    this.dependencies.observer.log('connectionSilent', { target: target.name, request: id });
+    return Ok(resumed.val);
   }
 
   private acceptFrame(target: string, frame: adapter.EngineFrame): 'more' | 'whole' | 'wrong' {
--- a/packages/domain/src/request/retry.ts
+++ b/packages/domain/src/request/retry.ts
@@ -39,9 +39,13 @@
     );
   }
 
+  get hasRetry(): boolean {
+    return this.balance >= 1;
+  }
+
   /** Takes one retry out of the budget, if there is one. */
   spend(): boolean {
-    if (this.balance < 1) return false;
+    if (!this.hasRetry) return false;
     this.balance -= 1;
     return true;
   }
@@ -64,6 +68,15 @@
 /** Faults that indicate that a target was lost while it ran a request. */
 export const TARGET_LOST_FAULTS: readonly outcome.Fault[] = ['connectionLost', 'cutShort'];
 
+/** Whether another attempt would be granted after `made` of them, if the time suffices. */
+export function isAvailable(
+  made: number,
+  budget: Budget,
+  { maxAttempts }: Pick<Options, 'maxAttempts'> = DEFAULT_OPTIONS,
+): boolean {
+  return made < maxAttempts && budget.hasRetry;
+}
+
 /** Decides what to do after the latest of `attempts` failed. */
 export function decide(
   attempts: readonly outcome.Attempt[],
