Let a keeper live on after an unexpected error in a call

Targets and operators whose call met an unexpected error at a keeper got no answer, and the process ended, with a replica of all settings and perhaps the lead.

Cause: `ControlServer` handled no rejection of `serve`, and nothing handles unhandled ones.

Now such a call gets 500, so that its sender turns to another keeper; an answer that has begun is broken off.

--- a/packages/daemon/src/keeper/__tests__/controlServer.test.ts
+++ b/packages/daemon/src/keeper/__tests__/controlServer.test.ts
@@ -82,3 +82,34 @@
     expect(socket.bytesWritten).to.be.below(4 * 1_048_576);
   });
 });
+
+describe('a keeper that answers calls', () => {
+  let server: controlServer.ControlServer;
+  let observe: observer.Observer;
+  let port: number;
+
+  const start = async (dependencies: Partial<controlServer.Dependencies>): Promise<void> => {
+    observe = new observer.Observer('test', 'fatal', undefined);
+    const all = { protocol: PROTOCOL, observer: observe, ...dependencies };
+    server = new controlServer.ControlServer(all as controlServer.Dependencies);
+    port = await ports.freePort();
+    await server.listen({ host: '127.0.0.1', port });
+  };
+
+  // Guards against one unexpected error that ends the process, and with it a replica of all settings.
+  it('lives on after an unexpected error', async () => {
+    let calls = 0;
+    await start({
+      depart: async () => {
+        calls += 1;
+        if (calls === 1) throw new TypeError('unexpected');
+        return true;
+      },
+    });
+    const call = async (): Promise<number> => {
+      return (await fetch(`http://127.0.0.1:${port}/a`, { method: 'DELETE' })).status;
+    };
+    expect([await call(), await call()]).to.deep.equal([500, 200]);
+    await server.close();
+  });
+});
--- a/packages/daemon/src/keeper/controlServer.ts
+++ b/packages/daemon/src/keeper/controlServer.ts
@@ -9,6 +9,7 @@
 import type * as protocols from '../edges/protocols';
 import type * as messages from '../fleet/messages';
 import * as packedCatalogue from '../fleet/packedCatalogue';
+import * as breakOff from '../http/breakOff';
 import * as listening from '../http/listening';
 import type * as observer from '../observability/observer';
 import type * as evacuationOrders from './evacuationOrders';
@@ -62,6 +63,8 @@
 
 const NOT_FOUND: Reply = { status: 404, body: '' };
 
+const FAILED: Reply = { status: 500, body: '{"error":"unexpected error"}' };
+
 const UNAVAILABLE: Reply = { status: 503, body: '{"error":"no leader is reachable"}' };
 
 export class ControlServer {
@@ -88,23 +91,27 @@
     this.server.closeIdleConnections();
   }
 
+  /** Answers a call; an unexpected error must neither leave it without an answer nor end the process. */
   private async serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    try {
+      await this.answer(request, response);
+    } catch (error) {
+      const { method, url } = request;
+      this.dependencies.observer.log('crashed', { method, path: url, error: String(error) });
+      if (response.headersSent) breakOff.breakOff(response);
+      else send(response, FAILED);
+    }
+  }
+
+  private async answer(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
     const call = this.callOf(request);
     const maxBytes = call?.kind === 'submit' ? MAX_SETTINGS_BYTES : MAX_BODY_BYTES;
     const body = await readBody(request, maxBytes);
     if (body === 'broken') return;
-    const reply = body === 'tooLarge' ? TOO_LARGE : await this.reply(request, call, body);
-    if (response.destroyed) return;
-    const { status, retryAfterS } = reply;
-    const length = Buffer.byteLength(reply.body);
-    response.writeHead(status, {
-      'Content-Type': 'application/json',
-      'Content-Length': length,
-      // The unread rest of a body must not be parsed as the next call.
-      ...(reply === TOO_LARGE && { Connection: 'close' }),
-      ...(retryAfterS === undefined ? {} : { 'Retry-After': String(retryAfterS) }),
-    });
-    response.end(reply.body);
+    send(response, body === 'tooLarge' ? TOO_LARGE : await this.reply(request, call, body));
   }
 
   private callOf(request: http.IncomingMessage): protocols.ControlCall | undefined {
@@ -199,6 +206,20 @@
   }
 }
 
+function send(response: http.ServerResponse, reply: Reply): void {
+  if (response.destroyed) return;
+  const { status, retryAfterS } = reply;
+  const length = Buffer.byteLength(reply.body);
+  response.writeHead(status, {
+    'Content-Type': 'application/json',
+    'Content-Length': length,
+    // The unread rest of a body must not be parsed as the next call.
+    ...(reply === TOO_LARGE && { Connection: 'close' }),
+    ...(retryAfterS === undefined ? {} : { 'Retry-After': String(retryAfterS) }),
+  });
+  response.end(reply.body);
+}
+
 function replyTo(result: evacuationOrders.OrderResult): Reply {
   const error = (text: string, details: object = {}): string => {
     return JSON.stringify({ error: text, ...details });
