Answer announcements whose forwarding failed unexpectedly

Targets whose announcement met an unexpected error got no answer, and the keeper ended.

Cause: `AnnouncementRelay.forwardNext` isn't awaited by anyone, and let the rejection of `forward` pass. Where the process lived on, four such messages would also have counted as in flight for ever, and no announcement would have been forwarded any more.

The new test failed before: no answer within 15 s.

Now the rejection is passed to those who wait for the batch, which `ControlServer` answers with 500 and logs, and the next batch is sent.

--- a/packages/daemon/src/keeper/__tests__/announcementRelay.test.ts
+++ b/packages/daemon/src/keeper/__tests__/announcementRelay.test.ts
@@ -46,4 +46,19 @@
     expect(forwarded.map(({ length }) => length)).to.deep.equal([1]);
     expect(await relay.relay(fixture.announcement(2))).to.equal(true);
   });
+
+  // Guards against an error that ends the process, or keeps all later announcements from being forwarded.
+  it('are forwarded after others whose forwarding failed unexpectedly', async () => {
+    let failures = 9;
+    const relay = new announcementRelay.AnnouncementRelay(async () => {
+      failures -= 1;
+      if (failures >= 0) throw new TypeError('unexpected');
+      return true;
+    });
+    const answers: unknown[] = [];
+    for (let i = 0; i < 10; i++) {
+      answers.push(await relay.relay(fixture.announcement(i)).catch(() => 'failed'));
+    }
+    expect(answers).to.deep.equal([...Array<string>(9).fill('failed'), true]);
+  });
 });
--- a/packages/daemon/src/keeper/announcementRelay.ts
+++ b/packages/daemon/src/keeper/announcementRelay.ts
@@ -13,7 +13,8 @@
 
 interface PendingAnnouncement {
   record: Announcement;
-  settle: (isAccepted: boolean) => void;
+  resolve: (isAccepted: boolean) => void;
+  reject: (error: unknown) => void;
 }
 
 /** Maximum number of announcements in one message; some 50 KB. */
@@ -32,10 +33,10 @@
 
   constructor(private readonly forward: Forward) {}
 
-  /** Resolves with whether the leader has the announcement. */
+  /** Resolves with whether the leader has the announcement; rejects if its forwarding failed unexpectedly. */
   relay(record: Announcement): Promise<boolean> {
-    return new Promise((settle) => {
-      this.waiting.push({ record, settle });
+    return new Promise((resolve, reject) => {
+      this.waiting.push({ record, resolve, reject });
       void this.forwardNext();
     });
   }
@@ -44,8 +45,12 @@
     if (this.waiting.length === 0 || this.inFlight >= MAX_IN_FLIGHT) return;
     this.inFlight += 1;
     const batch = this.waiting.splice(0, MAX_BATCH_SIZE);
-    const isAccepted = await this.forward(batch.map(({ record }) => record));
-    batch.forEach(({ settle }) => settle(isAccepted));
+    try {
+      const isAccepted = await this.forward(batch.map(({ record }) => record));
+      batch.forEach(({ resolve }) => resolve(isAccepted));
+    } catch (error) {
+      batch.forEach(({ reject }) => reject(error));
+    }
     this.inFlight -= 1;
     void this.forwardNext();
   }
