Send what a stopping keeper has answered to its end

Operators who read a large document of settings got a part of it and a closed connection when the keeper stopped.

Cause: `ControlServer.close` closed idle connections as Node counts them: a connection is idle as soon as its response has been ended, although most of it has yet to be sent. And the keeper went on with its stop, whose end is that of the process.

Now `http/serverStop.ts` closes the connections, as for callers, and a keeper's stop begins with the answers to all open calls, for two seconds at most; it leads on until then.

--- a/packages/daemon/src/keeper/__tests__/controlServer.test.ts
+++ b/packages/daemon/src/keeper/__tests__/controlServer.test.ts
@@ -1,7 +1,10 @@
 /** How a keeper answers targets' calls that it can't use, over a real socket. */
+import * as crypto from 'node:crypto';
 import * as net from 'node:net';
 import * as chai from 'chai';
 import { Err, Ok } from 'ts-results';
+import * as clock from '../../clock';
+import * as packedCatalogue from '../../fleet/packedCatalogue';
 import * as ports from '../../__tests__/__fixtures__/ports';
 import type * as protocols from '../../edges/protocols';
 import * as observer from '../../observability/observer';
@@ -45,7 +48,7 @@
       await call('DELETE', `/${'a'.repeat(200)}`),
       await call('DELETE', '/a'),
     ];
-    server.close();
+    await server.close();
     expect(answers).to.deep.equal([
       ...['400 {"error":"not readable"}', '400 {"error":"not readable"}'],
       '400 {"error":"not readable"}',
@@ -77,7 +80,7 @@
     await new Promise((resolve) => {
       socket.once('close', resolve);
     });
-    server.close();
+    await server.close();
     expect(answer).to.match(/^HTTP\/1.1 413 /);
     expect(socket.bytesWritten).to.be.below(4 * 1_048_576);
   });
@@ -112,4 +115,30 @@
     expect([await call(), await call()]).to.deep.equal([500, 200]);
     await server.close();
   });
+
+  // Guards against a read of the settings that is cut as its connection counts as idle, or as the process ends.
+  it('sends what it has answered to the end when it stops', async () => {
+    const content = crypto.randomBytes(12 * 1_048_576);
+    const edition = packedCatalogue.pack(1, content);
+    await start({
+      protocol: { ...PROTOCOL, parseCall: () => ({ kind: 'read' }) } as protocols.ControlProtocol,
+      newest: async () => ({ kind: 'newest', edition }),
+    });
+    const socket = net.connect(port, '127.0.0.1').pause();
+    socket.on('error', () => undefined);
+    let received = 0;
+    socket.on('data', ({ length }) => {
+      received += length;
+    });
+    const closed = new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    socket.write('GET / HTTP/1.1\r\nHost: a\r\n\r\n');
+    await clock.sleep(500);
+    const stopped = server.close();
+    socket.resume();
+    await stopped;
+    await closed;
+    expect(received).to.be.above(content.length);
+  });
 });
--- a/packages/daemon/src/keeper/controlServer.ts
+++ b/packages/daemon/src/keeper/controlServer.ts
@@ -11,6 +11,7 @@
 import * as packedCatalogue from '../fleet/packedCatalogue';
 import * as breakOff from '../http/breakOff';
 import * as listening from '../http/listening';
+import * as serverStop from '../http/serverStop';
 import type * as observer from '../observability/observer';
 import type * as evacuationOrders from './evacuationOrders';
 import * as ignoredAnnouncements from './ignoredAnnouncements';
@@ -50,6 +51,12 @@
 /** How long a target or operator may keep an idle connection, in milliseconds. */
 const KEEP_ALIVE_MS = 15_000;
 
+/** Maximum time for which a stopping keeper sends answers, in milliseconds. */
+const MAX_CLOSE_MS = 2_000;
+
+/** Interval at which a stopping keeper closes idle connections, in milliseconds. */
+const CLOSE_POLL_MS = 20;
+
 /** A keeper finds a new leader within this time, in seconds. */
 const RETRY_AFTER_S = 1;
 
@@ -70,6 +77,8 @@
 export class ControlServer {
   private readonly server: http.Server;
 
+  private readonly serverStop: serverStop.ServerStop;
+
   private readonly ignored: ignoredAnnouncements.IgnoredAnnouncements;
 
   constructor(private readonly dependencies: Dependencies) {
@@ -78,17 +87,24 @@
       now: clock.steady,
     });
     this.server = http.createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (request, response) => {
+      this.serverStop.began(response);
       void this.serve(request, response);
     });
+    this.serverStop = new serverStop.ServerStop(this.server);
   }
 
   listen(address: codecs.Address): Promise<void> {
     return listening.listen(this.server, address);
   }
 
-  close(): void {
-    this.server.close();
-    this.server.closeIdleConnections();
+  /** Accepts no new connections; resolves when all calls are answered, or after a while. */
+  async close(): Promise<void> {
+    const givenUpAt = clock.steady() + MAX_CLOSE_MS;
+    this.serverStop.stop();
+    while (this.serverStop.unfinished.length > 0 && clock.steady() < givenUpAt) {
+      await clock.sleep(CLOSE_POLL_MS);
+      this.serverStop.closeIdle();
+    }
   }
 
   /** Answers a call; an unexpected error must neither leave it without an answer nor end the process. */
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -195,9 +195,9 @@
   }
 
   async stop(): Promise<void> {
+    await this.control.close();
     this.timers.forEach((timer) => clearInterval(timer));
     this.link.stop();
-    this.control.close();
     await this.softState.close();
     await this.replicas.stop();
     await this.server.close();
