Refuse a body that is too large at a keeper so that its sender sees it

Targets and operators that send a body of more than a keeper takes saw their connection reset in place of the 413.

Cause: `ControlServer` closed the connection with unread bytes of the body, which the operating system answers with a reset.

The new test failed before: expected 'write EPIPE' to match /^HTTP\/1.1 413/.

Now `http/earlyResponse.ts` answers, as for callers, and reads on for two seconds at most. A keeper discards no more of a body than it would have taken, as the existing test of an announcement without an end demands.

--- a/packages/daemon/src/http/earlyResponse.ts
+++ b/packages/daemon/src/http/earlyResponse.ts
@@ -8,11 +8,15 @@
 /** Longest time for which the rest of a body is read, milliseconds. */
 const MAX_DISCARD_MS = 2_000;
 
-/** Sends a whole response at once, and closes the connection when the body has arrived. */
+/**
+ * Sends a whole response at once, and closes the connection when the body has arrived, or `maxDiscardedBytes` more of it
+ * have.
+ */
 export function send(
   request: http.IncomingMessage,
   response: http.ServerResponse,
   { status, headers, content }: Content,
+  maxDiscardedBytes = Infinity,
 ): void {
   const length = Buffer.byteLength(content);
   response.setHeader('Connection', 'close');
@@ -25,6 +29,11 @@
     response.end();
   };
   timer = setTimeout(finish, MAX_DISCARD_MS);
+  let discardedBytes = 0;
+  request.on('data', ({ length: bytes }: Buffer) => {
+    discardedBytes += bytes;
+    if (discardedBytes > maxDiscardedBytes) finish();
+  });
   request.once('end', finish);
   request.once('close', finish);
   request.resume();
--- a/packages/daemon/src/keeper/__tests__/controlServer.test.ts
+++ b/packages/daemon/src/keeper/__tests__/controlServer.test.ts
@@ -141,4 +141,29 @@
     await closed;
     expect(received).to.be.above(content.length);
   });
+
+  // Guards against a connection that is reset in place of the refusal of a body that is still sent.
+  it('refuses a body that is too large with an answer that its sender receives', async () => {
+    await start({});
+    const socket = net.connect(port, '127.0.0.1').pause();
+    let received = '';
+    socket.on('data', (data) => {
+      received += data.toString();
+    });
+    socket.on('error', ({ message }) => {
+      received += message;
+    });
+    const closed = new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    socket.write('PUT /a HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n');
+    for (let i = 0; i < 25; i++) {
+      socket.write(`1000\r\n${'x'.repeat(0x1000)}\r\n`);
+      await clock.sleep(2);
+    }
+    socket.resume().write('0\r\n\r\n');
+    await closed;
+    await server.close();
+    expect(received).to.match(/^HTTP\/1.1 413 [^]*\r\n\r\n$/);
+  });
 });
--- a/packages/daemon/src/keeper/controlServer.ts
+++ b/packages/daemon/src/keeper/controlServer.ts
@@ -10,6 +10,7 @@
 import type * as messages from '../fleet/messages';
 import * as packedCatalogue from '../fleet/packedCatalogue';
 import * as breakOff from '../http/breakOff';
+import * as earlyResponse from '../http/earlyResponse';
 import * as listening from '../http/listening';
 import * as serverStop from '../http/serverStop';
 import type * as observer from '../observability/observer';
@@ -66,7 +67,7 @@
  */
 const CLOSED_CHECK_MS = 5;
 
-const TOO_LARGE: Reply = { status: 413, body: '' };
+const TOO_LARGE: earlyResponse.Content = { status: 413, headers: {}, content: '' };
 
 const NOT_FOUND: Reply = { status: 404, body: '' };
 
@@ -127,7 +128,8 @@
     const maxBytes = call?.kind === 'submit' ? MAX_SETTINGS_BYTES : MAX_BODY_BYTES;
     const body = await readBody(request, maxBytes);
     if (body === 'broken') return;
-    send(response, body === 'tooLarge' ? TOO_LARGE : await this.reply(request, call, body));
+    if (body === 'tooLarge') earlyResponse.send(request, response, TOO_LARGE, maxBytes);
+    else send(response, await this.reply(request, call, body));
   }
 
   private callOf(request: http.IncomingMessage): protocols.ControlCall | undefined {
@@ -229,8 +231,6 @@
   response.writeHead(status, {
     'Content-Type': 'application/json',
     'Content-Length': length,
-    // The unread rest of a body must not be parsed as the next call.
-    ...(reply === TOO_LARGE && { Connection: 'close' }),
     ...(retryAfterS === undefined ? {} : { 'Retry-After': String(retryAfterS) }),
   });
   response.end(reply.body);
