Pass on no queued request whose caller left during the wait for settings

A request behind another one on its connection was sent to a target although its caller had closed the connection while the entry waited for settings; an unsafe one ran for nobody.

Cause: Node tells only the response whose turn it is that its connection has ended. `Ingress.forgetQueued` emitted `close` for those behind it, but they didn't count as destroyed, so that `isAnswered` was false after the wait.

The new test failed before: expected 1 request passed on to equal 0.

Now such a response is destroyed as well, as the one whose turn it is.

--- a/packages/daemon/src/entry/__tests__/pipelinedRequests.test.ts
+++ b/packages/daemon/src/entry/__tests__/pipelinedRequests.test.ts
@@ -30,10 +30,12 @@
   let port: number;
   let passedOn: number;
   let servedAfterMs: number;
+  let isFresh: boolean;
 
   beforeEach(async () => {
     passedOn = 0;
     servedAfterMs = 100;
+    isFresh = true;
     const output = { write: () => undefined };
     const observe = new observer.Observer('test', 'warn', undefined, output);
     held = new heldBytes.HeldBytes({ boundBytes: 1e9, now: clock.steady, observer: observe });
@@ -42,7 +44,7 @@
       observer: observe,
       now: clock.steady,
       directory: () => DIRECTORY,
-      isFresh: () => true,
+      isFresh: () => isFresh,
       held,
       serve: async ({ response }) => {
         passedOn += 1;
@@ -94,4 +96,18 @@
     await closed;
     expect(received.split('HTTP/1.1 200').length - 1).to.equal(passedOn);
   });
+
+  // Guards against a request that is sent to a target for a caller that left while it waited for settings.
+  it('are not passed on once their connection has closed', async () => {
+    isFresh = false;
+    const socket = net.connect(port, '127.0.0.1');
+    socket.write(REQUEST.repeat(2));
+    while (tested.activeRequests < 2) await clock.sleep(5);
+    socket.destroy();
+    while (tested.activeRequests > 0) await clock.sleep(5);
+    isFresh = true;
+    tested.wake();
+    await clock.sleep(50);
+    expect(passedOn).to.equal(0);
+  });
 });
--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -174,7 +174,9 @@
   /** Node tells only the response whose turn it is that its connection has ended, not those queued behind it. */
   private forgetQueued(socket: net.Socket): void {
     this.queued.forEach((response) => {
-      if (response.req.socket === socket) response.emit('close');
+      if (response.req.socket !== socket) return;
+      response.destroy();
+      response.emit('close');
     });
   }
 
