Take no request between the last response of a connection and its end

A request that arrives on a connection just after the response that announces its end, for example behind a refused body, could be passed on to a target, and its caller got neither an answer nor a refusal.

Cause: `OpenResponses.isClosing` knew of a connection's end only while the response that announces it was open. Node emits its `close` when the bytes are with the operating system, and reads on until the connection is shut down, perhaps a turn later.

Found while following a review's question whether a request behind a refused body is answered or not passed on. The two tests over sockets, of a request behind a refused body, passed before and after; none shows the loss at a caller.

Now such a connection stays closed to further requests.

--- a/packages/daemon/src/entry/__tests__/pipelinedRequests.test.ts
+++ b/packages/daemon/src/entry/__tests__/pipelinedRequests.test.ts
@@ -110,4 +110,27 @@
     await clock.sleep(50);
     expect(passedOn).to.equal(0);
   });
+
+  [
+    { title: 'alone', before: '' },
+    { title: 'behind another one', before: REQUEST },
+  ].forEach(({ title, before }) => {
+    // Guards against a request that is passed on behind a body that is refused with the end of its connection.
+    it(`are answered, or not passed on, if they follow a body that is refused ${title}`, async () => {
+      const socket = net.connect(port, '127.0.0.1');
+      let received = '';
+      socket.on('data', (data) => {
+        received += data.toString();
+      });
+      const closed = new Promise((resolve) => {
+        socket.once('close', resolve);
+      });
+      const length = 2 * LIMITS.maxBodyBytes;
+      socket.write(`${before}POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ${length}\r\n\r\n`);
+      socket.write('x'.repeat(length) + REQUEST.repeat(2));
+      await closed;
+      expect(received).to.include('HTTP/1.1 413');
+      expect(received.split('HTTP/1.1 200').length - 1).to.equal(passedOn);
+    });
+  });
 });
--- a/packages/daemon/src/http/openResponses.ts
+++ b/packages/daemon/src/http/openResponses.ts
@@ -14,7 +14,11 @@
   began({ socket }: http.IncomingMessage, response: http.ServerResponse): void {
     const responses = this.byConnection.get(socket) ?? new Set();
     this.byConnection.set(socket, responses.add(response));
-    response.once('close', () => responses.delete(response));
+    response.once('close', () => {
+      // Its connection is still read for a moment.
+      if (announcesEnd(response)) this.endInput(socket);
+      responses.delete(response);
+    });
   }
 
   /** Responses without an end, in the order of their requests. */
@@ -30,12 +34,15 @@
   /** Whether a request that arrives now would get no answer, as its connection closes after an earlier response. */
   isClosing(connection: stream.Duplex): boolean {
     if (this.closing.has(connection)) return true;
-    return this.of(connection).some((response) => {
-      return response.headersSent && response.getHeader('connection') === 'close';
-    });
+    return this.of(connection).some(announcesEnd);
   }
 }
 
+/** Whether the head of a response says that the connection closes after it. */
+function announcesEnd(response: http.ServerResponse): boolean {
+  return response.headersSent && response.getHeader('connection') === 'close';
+}
+
 /** Announces with the last of a connection's responses, and no earlier one, that the connection closes after it. */
 export function closeAfterLast(responses: readonly http.ServerResponse[]): void {
   const unsent = responses.filter(({ headersSent }) => !headersSent);
