Pause before a request that is withheld repeatedly is placed again

Cause: `Retries.placeAgain` paused only during an evacuation.

The new test failed before: expected [true, true, true] to equal [true, 'paused', 'paused'].

Now every request pauses for 100 ms from the second withheld attempt on, so that it makes some ten placements a second. The first one is placed again at once, as before.

--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -50,10 +50,7 @@
     peers: Pick<relayPeers.RelayPeers, 'isReady'>;
   };
   limits: Pick<rateLimitClient.RateLimitClient, 'spent'>;
-  signals: Pick<
-    targetSignals.TargetSignals,
-    'unavailable' | 'backOffMs' | 'bornAt' | 'hasEvacuations'
-  >;
+  signals: Pick<targetSignals.TargetSignals, 'unavailable' | 'backOffMs' | 'bornAt'>;
   quarantine: Pick<quarantineClient.QuarantineClient, 'permit' | 'checkForCrash' | 'standingOf'>;
   budgets: domain.request.repeatBudget.RepeatBudgets;
   /** Remembers which requests were refused as not run. */
@@ -233,11 +230,10 @@
   }
 
   private newRetries(): retries.Retries {
-    const { state, attempts: made, requestLog, content, dependencies } = this;
+    const { state, attempts: made, requestLog, content } = this;
     return new retries.Retries({
       ...{ state, attempts: made },
       spendRetry: () => this.spendRetry(),
-      hasEvacuations: () => dependencies.signals.hasEvacuations,
       onFailure: ({ detail }, repeated) => {
         requestLog.attemptFailed({ content: content.fingerprint, detail, repeated });
       },
--- a/packages/daemon/src/entry/retries.ts
+++ b/packages/daemon/src/entry/retries.ts
@@ -12,7 +12,6 @@
   attempts: Pick<attempts.Attempts, 'startOver' | 'isAtTargetLimit'>;
   /** Takes one retry out of the budget, if there is one. */
   spendRetry: () => boolean;
-  hasEvacuations: () => boolean;
   /** Called after a failed attempt with whether it is retried at once. */
   onFailure: (outcome: outcomes.FailedOutcome, isRetried: boolean) => void;
 }
@@ -31,8 +30,8 @@
 const RESERVATION_RETRY_MS = 200;
 
 /**
- * Pause before a request that was withheld repeatedly during an evacuation is placed again, milliseconds. A leader that
- * doesn't know the order yet places it where it can't be sent; updates take a few round trips, or up to a poll interval.
+ * Pause before a request that was withheld repeatedly is placed again, milliseconds. A leader that doesn't know yet why
+ * places it where it can't be sent; updates take a few round trips, or up to a poll interval.
  */
 const WITHHELD_RETRY_MS = 100;
 
@@ -73,9 +72,7 @@
   /** The target became unavailable between its selection and the attempt; the next selection excludes it. */
   private async placeAgain(): Promise<boolean> {
     this.withheldAttempts += 1;
-    if (this.withheldAttempts > 1 && this.dependencies.hasEvacuations()) {
-      await clock.sleep(WITHHELD_RETRY_MS);
-    }
+    if (this.withheldAttempts > 1) await clock.sleep(WITHHELD_RETRY_MS);
     return !this.dependencies.state.isOver;
   }
 
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -142,7 +142,7 @@
     return [...new Set([...unavailable, ...ready.filter((id) => this.isEvacuated(id))])];
   }
 
-  get hasEvacuations(): boolean {
+  private get hasEvacuations(): boolean {
     return this.dependencies.fleetState.evacuations.size > 0;
   }
 
