Fail a peer call whose address or answer is unusable

A process ended, with all requests that it held, where a peer named an address with an impossible port, or where the answer to a call between daemons couldn't be encoded.

Cause: `PeerClient.call`, whose callers rely on its Result, rejected if no socket could be made; `PeerServer.serve` awaited the answer without a handler.

The new test failed before: kinds [rejected, timeout, ok] instead of [unreachable, rejected, ok], with an unhandled TypeError. No process of ours was seen to end so. A message that isn't an object takes the same way through `PeerServer`; that was only read.

--- a/packages/daemon/src/rpc/__tests__/rpc.test.ts
+++ b/packages/daemon/src/rpc/__tests__/rpc.test.ts
@@ -68,6 +68,34 @@
     bad.close();
   });
 
+  // Guards against an address or an answer that ends the process of the caller or the callee.
+  it('fail with an error if their address or answer is unusable', async () => {
+    server.add('unencodable', () => ({
+      get a(): never {
+        throw new TypeError('unexpected');
+      },
+    }));
+    const caller = client();
+    const options = { timeoutMs: 5_000 };
+    const rejections: unknown[] = [];
+    const note = (error: unknown): void => {
+      rejections.push(error);
+    };
+    process.on('unhandledRejection', note);
+    const results = [
+      await caller.call('127.0.0.1:99999', 'echo', {}, options).catch(() => 'rejected'),
+      await caller.call(address, 'unencodable', {}, options),
+      await caller.call(address, 'echo', { a: 1 }, options),
+    ];
+    process.off('unhandledRejection', note);
+    caller.close();
+    const kinds = results.map((each) => {
+      if (typeof each === 'string') return each;
+      return each.ok ? 'ok' : each.val.kind;
+    });
+    expect([kinds, rejections]).to.deep.equal([['unreachable', 'rejected', 'ok'], []]);
+  });
+
   /*
    * Guards against 0.4 s of needless refusals after a power loss. A keeper that started before the others had power
    * kept its connections to them pending until TCP retransmitted the lost SYN, and its votes waited with them. A
--- a/packages/daemon/src/rpc/peerClient.ts
+++ b/packages/daemon/src/rpc/peerClient.ts
@@ -157,8 +157,8 @@
   ): Promise<Result<T, errors.CallError>> {
     if (fresh) this.drop(address, 'replaced');
     const connection = this.connection(address);
-    if (connection === undefined) {
-      const detail = 'address is blocked';
+    if (typeof connection === 'string') {
+      const detail = connection;
       return Err({ kind: 'unreachable', address, method, mayHaveArrived: false, detail });
     }
     let stopTimeout = (): void => undefined;
@@ -185,7 +185,9 @@
 
   /** Sends a notification without an answer; the protocol above must resend what is lost. */
   notify(address: string, method: string, parameters: unknown): void {
-    this.connection(address)?.client.notify(method, parameters as jsonRpc.JSONRPCParams);
+    const connection = this.connection(address);
+    if (typeof connection === 'string') return;
+    connection.client.notify(method, parameters as jsonRpc.JSONRPCParams);
   }
 
   close(): void {
@@ -213,23 +215,28 @@
     }
   }
 
-  private connection(address: string): Connection | undefined {
+  /** The connection to an address, or why there can't be one. */
+  private connection(address: string): Connection | string {
     if (this.blockedAddresses.has(address)) {
       this.drop(address, 'address is blocked');
-      return undefined;
+      return 'address is blocked';
     }
     const existing = this.connections.get(address);
     if (existing?.isConnectOverdue(this.connectTimeoutMs) === true) existing.close('no connection');
     if (existing !== undefined && !existing.closed) return existing;
-    const created = new Connection(
-      address,
-      this.secret,
-      this.tlsOptions,
-      this.observer,
-      this.localAddress,
-    );
-    this.connections.set(address, created);
-    return created;
+    try {
+      const created = new Connection(
+        address,
+        this.secret,
+        this.tlsOptions,
+        this.observer,
+        this.localAddress,
+      );
+      this.connections.set(address, created);
+      return created;
+    } catch (error) {
+      return `address is unusable: ${String(error)}`;
+    }
   }
 
   private drop(address: string, reason: string): void {
--- a/packages/daemon/src/rpc/peerServer.ts
+++ b/packages/daemon/src/rpc/peerServer.ts
@@ -103,11 +103,25 @@
     const method = String(request?.method);
     this.observer.count(`rpc.in.${method}.bytes`, bytes);
     this.observer.count(`rpc.in.${method}.calls`);
-    void this.methods.receive(request).then((response) => {
+    void this.answer(request, (response) => {
       if (response === null || socket.destroyed) return;
       const frame = framing.encode(response);
       this.observer.count(`rpc.out.${method}.bytes`, frame.length);
       socket.write(frame);
     });
   }
+
+  /** A message that can't be read, or an answer that can't be sent, must not end the process. */
+  private async answer(
+    request: jsonRpc.JSONRPCRequest,
+    send: (response: jsonRpc.JSONRPCResponse | null) => void,
+  ): Promise<void> {
+    try {
+      send(await this.methods.receive(request));
+    } catch (error) {
+      this.observer.log('crashed', { method: String(request?.method), error: String(error) });
+      const { InternalError: code } = jsonRpc.JSONRPCErrorCode;
+      send(jsonRpc.createJSONRPCErrorResponse(request?.id ?? null, code, String(error)));
+    }
+  }
 }
