Go on polling for a leader after an unexpected error

A process ended, with all requests that it held, where the handling of one answer of a keeper failed unexpectedly, for example on contents that can't be unpacked; an entry that lived on would have polled no leader again.

Cause: nobody awaits `LeaderLink.pollNext` and `search`, and neither handled a rejection.

The new test failed before: no leader within 15 s. No process of ours was seen to end so.

--- a/packages/daemon/src/fleet/__tests__/leaderLink.test.ts
+++ b/packages/daemon/src/fleet/__tests__/leaderLink.test.ts
@@ -15,6 +15,41 @@
 /** Time after which a follower gives up a poll, in milliseconds. */
 const TIMEOUT_MS = 700;
 
+const CONFIRMATION = {
+  kind: 'confirmed',
+  keepers: KEEPERS,
+  entries: 1,
+  lacksTargets: false,
+  crowding: [],
+  news: { edition: undefined, mark: messages.NO_VERSION, since: messages.NO_VERSION },
+};
+
+function linkOf(client: object, state: object = {}): leaderLink.LeaderLink {
+  const known = {
+    version: 0,
+    registryVersion: messages.NO_VERSION,
+    reportableSuspects: () => [],
+    limits: { all: () => [] },
+    evacuations: { revision: 0 },
+    applyUpdate: () => true,
+    ...state,
+  };
+  return new leaderLink.LeaderLink({
+    name: 'entry',
+    role: 'entry',
+    address: '10.0.1.1:1',
+    dataCentre: 'dc0',
+    replica: () => undefined,
+    seeds: KEEPERS,
+    client: client as peerClient.PeerClient,
+    fleetState: known as unknown as fleetState.FleetState,
+    observer: new observer.Observer('test', 'fatal', undefined),
+    readClocks: clock.readClocks,
+    dispatches: () => [],
+    onConfirmed: () => undefined,
+  });
+}
+
 describe('leader link', () => {
   /*
    * Guards against a new leader that is overloaded by repeated polls: while hundreds of entries waited for its first
@@ -33,42 +68,29 @@
         inFlight.set(address, (inFlight.get(address) ?? 1) - 1);
         const detail = `${TIMEOUT_MS} ms`;
         return address === KEEPERS[4]
-          ? Ok({
-              kind: 'confirmed',
-              keepers: KEEPERS,
-              entries: 1,
-              lacksTargets: false,
-              crowding: [],
-              news: { edition: undefined, mark: messages.NO_VERSION, since: messages.NO_VERSION },
-            })
+          ? Ok(CONFIRMATION)
           : Err({ kind: 'timeout', address, method: 'follow', mayHaveArrived: true, detail });
       },
     };
-    const state = {
-      version: 0,
-      registryVersion: messages.NO_VERSION,
-      reportableSuspects: () => [],
-      limits: { all: () => [] },
-      evacuations: { revision: 0 },
-      applyUpdate: () => true,
-    };
-    const link = new leaderLink.LeaderLink({
-      name: 'entry',
-      role: 'entry',
-      address: '10.0.1.1:1',
-      dataCentre: 'dc0',
-      replica: () => undefined,
-      seeds: KEEPERS,
-      client: client as unknown as peerClient.PeerClient,
-      fleetState: state as unknown as fleetState.FleetState,
-      observer: new observer.Observer('test', 'fatal', undefined),
-      readClocks: clock.readClocks,
-      dispatches: () => [],
-      onConfirmed: () => undefined,
-    });
+    const link = linkOf(client);
     link.start();
     await clock.sleep(2 * TIMEOUT_MS);
     link.stop();
     expect([maxInFlight, link.leader]).to.deep.equal([1, KEEPERS[4]]);
   });
+
+  // Guards against an unexpected error in one poll that ends the process, or the polls.
+  it('goes on polling after an unexpected error', async () => {
+    let errors = 2;
+    const fail = (): void => {
+      errors -= 1;
+      if (errors >= 0) throw new TypeError('unexpected');
+    };
+    const client = { dropOverdueConnection: () => undefined, call: async () => Ok(CONFIRMATION) };
+    const link = linkOf(client, { applyUpdate: fail });
+    link.start();
+    while (link.leader === '' || errors >= 0) await clock.sleep(5);
+    link.stop();
+    expect(Number.isFinite(link.confirmationAgeMs)).to.equal(true);
+  });
 });
--- a/packages/daemon/src/fleet/leaderLink.ts
+++ b/packages/daemon/src/fleet/leaderLink.ts
@@ -211,16 +211,27 @@
     return candidates[this.nextIndex];
   }
 
+  /** Polls a keeper; an unexpected error must neither end the process nor the polls. */
   private async poll(address: string): Promise<PollOutcome> {
-    const polledAt = this.options.readClocks();
     this.polling.add(address);
+    try {
+      return await this.pollOnce(address);
+    } catch (error) {
+      this.options.observer.log('crashed', { keeper: address, error: String(error) });
+      return 'failed';
+    } finally {
+      this.polling.delete(address);
+    }
+  }
+
+  private async pollOnce(address: string): Promise<PollOutcome> {
+    const polledAt = this.options.readClocks();
     const answer = await this.options.client.call<messages.FollowAnswer>(
       address,
       'follow',
       this.followRequest(address),
       { timeoutMs: address === this.leader ? POLL_TIMEOUT_MS : SEARCH_TIMEOUT_MS },
     );
-    this.polling.delete(address);
     if (answer.err) {
       if (address === this.leader) this.loseLeader(`${answer.val.kind}: ${answer.val.detail}`);
       return 'failed';
