Survive malformed listings of an engine

A daemon ended, with all requests that it held, where an engine answered a poll of its prefix cache or of its holdings with contents of another form, such as null.

Cause: nobody awaits `Router.pollCache` and `LeaseLoop.reclaim`, and neither handled a rejection; nothing handles unhandled ones.

--- a/packages/daemon/src/requests/leaseLoop.ts
+++ b/packages/daemon/src/requests/leaseLoop.ts
@@ -3,6 +3,7 @@
  * confirms them, and reclaims those of dead daemons. Among the survivors the keeper of the target reclaims.
  */
 import * as domain from '@celerydrift/domain';
+import * as background from '../background';
 import type * as observer from '../observability/observer';
 import type * as adapter from '../targets/adapter';
 
@@ -59,7 +60,7 @@
 
   private releaseDue(): void {
     this.leases.dueReleases(this.options.now()).forEach(({ target, id, kind }) => {
-      void this.releaseOne(target, id, kind);
+      background.run(this.releaseOne(target, id, kind), this.options.observer, { target, id });
     });
   }
 
@@ -79,13 +80,18 @@
     this.leases.renewable().forEach(({ target: name, id }) => {
       const target = this.options.target(name);
       if (target === undefined) return;
-      void this.options.adapter.renew(target, id, domain.memory.leasedResources.LEASE_MS);
+      const renewed = this.options.adapter.renew(
+        target,
+        id,
+        domain.memory.leasedResources.LEASE_MS,
+      );
+      background.run(renewed, this.options.observer, { target: name, id });
     });
   }
 
   private reclaimAll(): void {
     this.options.keptEngines().forEach((target) => {
-      void this.reclaim(target);
+      background.run(this.reclaim(target), this.options.observer, { target: target.name });
     });
   }
 
--- a/packages/daemon/src/requests/router.ts
+++ b/packages/daemon/src/requests/router.ts
@@ -3,6 +3,7 @@
  * states, and resolves each waiting request once a target is chosen for it.
  */
 import * as domain from '@celerydrift/domain';
+import * as background from '../background';
 import type * as observer from '../observability/observer';
 import type * as gossipRecords from '../membership/gossipRecords';
 import type * as adapter from '../targets/adapter';
@@ -259,7 +260,7 @@
 
   private pollCaches(): void {
     this.engines.forEach((target) => {
-      void this.pollCache(target);
+      background.run(this.pollCache(target), this.options.observer, { target: target.name });
     });
   }
 
