End an attempt whose relaying fails unexpectedly

A process ended, with all requests that it held, where a message couldn't be handed to a relay because of an unexpected error.

Cause: nobody awaits `TargetClient.relay`, and it handled no rejection; the attempt had no outcome either.

The new test failed before: no outcome within 10 s. No process of ours was seen to end so.

Now the attempt ends as one that may have been sent, as far as it was, and its request goes on as after any broken connection.

--- a/packages/daemon/src/entry/__tests__/targetClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/targetClient.test.ts
@@ -58,6 +58,25 @@
 const CHUNKED = 'HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n';
 
 describe('target client', () => {
+  // Guards against an error on the way to a relay that ends the process, or leaves a request without an outcome.
+  it('ends an attempt whose relaying fails unexpectedly', async () => {
+    const client = new targetClient.TargetClient({
+      protocol: harness.PROTOCOL,
+      gate: harness.PERMISSIVE_GATE,
+      paths: { isLost: () => true } as unknown as targetClient.Dependencies['paths'],
+      relays: {
+        hasPeers: true,
+        deliver: async () => {
+          throw new TypeError('unexpected');
+        },
+      },
+    });
+    const recipient = { target: 't', address: '127.0.0.1:1', purpose: 'request' } as const;
+    const message = { ...recipient, method: 'GET', path: '/', headers: [], body: Buffer.alloc(0) };
+    const { result } = client.send(message, { onHead: () => undefined, onData: () => undefined });
+    expect(await result).to.deep.equal({ kind: 'broken', detail: 'TypeError: unexpected' });
+  });
+
   it('accepts a response without a length as complete when its connection is closed cleanly', async () => {
     const { end, body } = await sendTo((socket) => socket.end(`${UNFRAMED}whole`));
     expect([end.kind, body]).to.deep.equal(['complete', 'whole']);
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -237,11 +237,16 @@
     attempt: targetAttempt.Attempt,
   ): Promise<void> {
     const { paths, relays } = this.dependencies;
-    const end = await relays?.deliver(message, attempt);
-    if (attempt.wasAnswered) paths?.reachedElsewhere(message.target);
-    if (end === undefined || end.kind === 'over') return;
-    const { kind, detail } = end;
-    attempt.finish({ kind: 'notSent', detail, isConfirmed: kind === 'notSent' });
+    try {
+      const end = await relays?.deliver(message, attempt);
+      if (attempt.wasAnswered) paths?.reachedElsewhere(message.target);
+      if (end === undefined || end.kind === 'over') return;
+      const { kind, detail } = end;
+      attempt.finish({ kind: 'notSent', detail, isConfirmed: kind === 'notSent' });
+    } catch (error) {
+      // How far the message got isn't known.
+      attempt.finish({ kind: 'broken', detail: String(error) });
+    }
   }
 
   private pool(target: string, address: string): undici.Pool {
