Take no call behind a body that is too large at a keeper

A call behind one whose body is more than a keeper takes, on the same connection, took effect and got no answer: a target's departure, for example.

Cause: Node goes on parsing a connection that the answer to the refused body is to close, and `ControlServer` took what arrived.

The new test failed before: one departure, no answer.

Now `http/openResponses.ts` tells which connections take no further calls, as for callers.

--- a/packages/daemon/src/keeper/__tests__/controlServer.test.ts
+++ b/packages/daemon/src/keeper/__tests__/controlServer.test.ts
@@ -166,4 +166,31 @@
     await server.close();
     expect(received).to.match(/^HTTP\/1.1 413 [^]*\r\n\r\n$/);
   });
+
+  // Guards against a call behind a body that is too large that takes effect without an answer.
+  it('answers a call behind a body that is too large, or ignores it', async () => {
+    let departures = 0;
+    const depart = async (): Promise<boolean> => {
+      departures += 1;
+      return true;
+    };
+    await start({ depart });
+    const socket = net.connect(port, '127.0.0.1');
+    let received = '';
+    socket.on('data', (data) => {
+      received += data.toString();
+    });
+    const closed = new Promise((resolve) => {
+      socket.once('close', resolve);
+    });
+    socket.write('PUT /a HTTP/1.1\r\nHost: a\r\nContent-Length: 100000\r\n\r\n');
+    socket.write('x'.repeat(99_000));
+    while (received === '') await clock.sleep(5);
+    socket.write(`${'x'.repeat(1_000)}DELETE /b HTTP/1.1\r\nHost: a\r\n\r\n`);
+    await closed;
+    await server.close();
+    expect([received.slice(0, 12), received.split('HTTP/1.1 200').length - 1]).to.deep.equal([
+      ...['HTTP/1.1 413', departures],
+    ]);
+  });
 });
--- a/packages/daemon/src/keeper/controlServer.ts
+++ b/packages/daemon/src/keeper/controlServer.ts
@@ -12,6 +12,7 @@
 import * as breakOff from '../http/breakOff';
 import * as earlyResponse from '../http/earlyResponse';
 import * as listening from '../http/listening';
+import * as openResponses from '../http/openResponses';
 import * as serverStop from '../http/serverStop';
 import type * as observer from '../observability/observer';
 import type * as evacuationOrders from './evacuationOrders';
@@ -78,6 +79,8 @@
 export class ControlServer {
   private readonly server: http.Server;
 
+  private readonly responses = new openResponses.OpenResponses();
+
   private readonly serverStop: serverStop.ServerStop;
 
   private readonly ignored: ignoredAnnouncements.IgnoredAnnouncements;
@@ -88,6 +91,11 @@
       now: clock.steady,
     });
     this.server = http.createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (request, response) => {
+      if (this.responses.isClosing(request.socket)) {
+        request.resume();
+        return;
+      }
+      this.responses.began(request, response);
       this.serverStop.began(response);
       void this.serve(request, response);
     });
