--- a/packages/daemon/src/entry/__tests__/pipelinedRequests.test.ts
+++ b/packages/daemon/src/entry/__tests__/pipelinedRequests.test.ts
@@ -30,10 +30,12 @@
   let port: number;
   let passedOn: number;
   let servedAfterMs: number;
+  let isFresh: boolean;
 
   beforeEach(async () => {
     passedOn = 0;
     servedAfterMs = 100;
+    isFresh = true;
     const output = { write: () => undefined };
     const observe = new observer.Observer('test', 'warn', undefined, output);
     held = new heldBytes.HeldBytes({ boundBytes: 1e9, now: clock.steady, observer: observe });
@@ -42,7 +44,7 @@
       observer: observe,
       now: clock.steady,
       directory: () => DIRECTORY,
-      isFresh: () => true,
+      isFresh: () => isFresh,
       held,
       serve: async ({ response }) => {
         passedOn += 1;
@@ -94,4 +96,41 @@
     await closed;
     expect(received.split('HTTP/1.1 200').length - 1).to.equal(passedOn);
   });
+
+  // Guards against a request that is sent to a target for a caller that left while it waited for settings.
+  it('are not passed on once their connection has closed', async () => {
+    isFresh = false;
+    const socket = net.connect(port, '127.0.0.1');
+    socket.write(REQUEST.repeat(2));
+    while (tested.activeRequests < 2) await clock.sleep(5);
+    socket.destroy();
+    while (tested.activeRequests > 0) await clock.sleep(5);
+    isFresh = true;
+    tested.wake();
+    await clock.sleep(50);
+    expect(passedOn).to.equal(0);
+  });
+
+  [
+    { title: 'alone', before: '' },
+    { title: 'behind another one', before: REQUEST },
+  ].forEach(({ title, before }) => {
+    // Guards against a request that is passed on behind a body that is refused with the end of its connection.
+    it(`are answered, or not passed on, if they follow a body that is refused ${title}`, async () => {
+      const socket = net.connect(port, '127.0.0.1');
+      let received = '';
+      socket.on('data', (data) => {
+        received += data.toString();
+      });
+      const closed = new Promise((resolve) => {
+        socket.once('close', resolve);
+      });
+      const length = 2 * LIMITS.maxBodyBytes;
+      socket.write(`${before}POST / HTTP/1.1\r\nHost: a\r\nContent-Length: ${length}\r\n\r\n`);
+      socket.write('x'.repeat(length) + REQUEST.repeat(2));
+      await closed;
+      expect(received).to.include('HTTP/1.1 413');
+      expect(received.split('HTTP/1.1 200').length - 1).to.equal(passedOn);
+    });
+  });
 });
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -51,7 +51,7 @@
     peers: Pick<relayPeers.RelayPeers, 'isReady'>;
   };
   limits: Pick<rateLimitClient.RateLimitClient, 'spent'>;
-  signals: Pick<targetSignals.TargetSignals, 'backOffMs' | 'bornAt' | 'isGone' | 'hasEvacuations'>;
+  signals: Pick<targetSignals.TargetSignals, 'backOffMs' | 'bornAt' | 'isGone'>;
   unavailableTargets: Pick<unavailableTargets.UnavailableTargets, 'of'>;
   quarantine: Pick<quarantineClient.QuarantineClient, 'permit' | 'checkForCrash' | 'standingOf'>;
   budgets: domain.request.repeatBudget.RepeatBudgets;
@@ -235,7 +235,7 @@
   }
 
   private newRetries(): retries.Retries {
-    const { state, attempts: made, requestLog, content, dependencies } = this;
+    const { state, attempts: made, requestLog, content } = this;
     return new retries.Retries({
       ...{ state, attempts: made },
       spendRetry: () => this.spendRetry(),
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -243,15 +243,20 @@
     attempt: targetAttempt.Attempt,
   ): Promise<void> {
     const { paths, relays } = this.dependencies;
-    const end = await relays?.deliver(message, attempt);
-    if (attempt.wasAnswered) paths?.reachedElsewhere(message.target);
-    if (end === undefined || end.kind === 'over') return;
-    if (end.kind === 'withheld') {
-      attempt.finish(end);
-      return;
+    try {
+      const end = await relays?.deliver(message, attempt);
+      if (attempt.wasAnswered) paths?.reachedElsewhere(message.target);
+      if (end === undefined || end.kind === 'over') return;
+      if (end.kind === 'withheld') {
+        attempt.finish(end);
+        return;
+      }
+      const { kind, detail } = end;
+      attempt.finish({ kind: 'notSent', detail, isConfirmed: kind === 'notSent' });
+    } catch (error) {
+      // How far the message got isn't known.
+      attempt.finish({ kind: 'broken', detail: String(error) });
     }
-    const { kind, detail } = end;
-    attempt.finish({ kind: 'notSent', detail, isConfirmed: kind === 'notSent' });
   }
 
   private pool(target: string, address: string): undici.Pool {
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -159,7 +159,7 @@
     return this.isDraining(target) || this.isEvacuated(target) ? undefined : this.waitMs(target);
   }
 
-  get hasEvacuations(): boolean {
+  private get hasEvacuations(): boolean {
     return this.dependencies.fleetState.evacuations.size > 0;
   }
 
