--- a/packages/daemon/src/entry/callerResponse.ts
+++ b/packages/daemon/src/entry/callerResponse.ts
@@ -25,7 +25,7 @@
 /** Maximum size of the body of a response that isn't passed on; longer ones end the attempt. */
 const MAX_DISCARDED_BYTES = 65_536;
 
-/** How long a response that isn't passed on may take to end, milliseconds. A refusal counts only once it is complete. */
+/** How long an unusable response may take to end, so that its connection can be used again, milliseconds. */
 const MAX_DISCARD_MS = 250;
 
 /** Maximum size of an event of a stream. */
@@ -170,7 +170,7 @@
 
   onHead(head: targetMessage.ResponseHead): void {
     this.head = head;
-    if (this.isPassedOn) return;
+    if (this.isPassedOn || head.facts.isNotRun) return;
     const { attempt } = this;
     clock.startTimeout(MAX_DISCARD_MS, () => {
       attempt?.giveUp(`unusable response without an end: ${head.status}`);
