--- a/packages/daemon/src/entry/__tests__/targetClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/targetClient.test.ts
@@ -66,6 +66,7 @@
       paths: { isLost: () => true } as unknown as targetClient.Dependencies['paths'],
       relays: {
         hasPeers: true,
+        withholds: () => false,
         deliver: async () => {
           throw new TypeError('unexpected');
         },
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -239,7 +239,7 @@
     return new retries.Retries({
       ...{ state, attempts: made },
       spendRetry: () => this.spendRetry(),
-      signals: dependencies.signals,
+      signals: this.dependencies.signals,
       onFailure: ({ detail }, repeated) => {
         requestLog.attemptFailed({ content: content.fingerprint, detail, repeated });
       },
