--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -9,6 +9,7 @@
 import type * as targetSelector from '../../targetSelector';
 import * as quarantineClient from '../../quarantineClient';
 import * as exchange from '../../exchange';
+import * as failureVerification from '../../failureVerification';
 import * as fingerprint from '../../fingerprint';
 import * as guaranteeAudit from '../../guaranteeAudit';
 import * as heldBytes from '../../heldBytes';
@@ -264,12 +265,14 @@
       observer: observe,
       now: clock.steady,
     });
+    const selector = {
+      choose: (request: targetSelector.PlacementRequest) => this.choose(request),
+      unavailableForMs: () => 0,
+    } as unknown as targetSelector.TargetSelector;
     const services: exchange.Dependencies = {
       protocol: PROTOCOL,
-      selector: {
-        choose: (request: targetSelector.PlacementRequest) => this.choose(request),
-        unavailableForMs: () => 0,
-      } as unknown as targetSelector.TargetSelector,
+      selector,
+      verification: new failureVerification.FailureVerification({ liveness, selector }),
       targets: this.targets,
       audit,
       liveness,
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -21,6 +21,7 @@
 import * as coldGrants from './coldGrants';
 import type * as connectionTracker from './connectionTracker';
 import * as exchange from './exchange';
+import * as failureVerification from './failureVerification';
 import * as guaranteeAudit from './guaranteeAudit';
 import * as heldBytes from './heldBytes';
 import * as ingress from './ingress';
@@ -322,11 +323,13 @@
 
   private makeIngress(): ingress.Ingress {
     const { traffic, observer: observe, random } = this.dependencies;
+    const { liveness, selector } = this;
     const services: exchange.Dependencies = {
       protocol: traffic,
-      selector: this.selector,
+      selector,
       targets: this.targets,
-      liveness: this.liveness,
+      liveness,
+      verification: new failureVerification.FailureVerification({ liveness, selector }),
       reachability: this.reachability,
       limits: this.limits,
       signals: this.signals,
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -17,7 +17,7 @@
 import type * as permittedRun from './permittedRun';
 import type * as quarantineClient from './quarantineClient';
 import * as exchangeLog from './exchangeLog';
-import * as failureVerification from './failureVerification';
+import type * as failureVerification from './failureVerification';
 import type * as heldBytes from './heldBytes';
 import type * as livenessProbes from './livenessProbes';
 import type * as pathMonitor from './pathMonitor';
@@ -43,7 +43,8 @@
   protocol: protocols.TrafficProtocol;
   selector: targetSelector.TargetSelector;
   targets: targetClient.TargetClient;
-  liveness: Pick<livenessProbes.LivenessProbes, 'check' | 'askElsewhere'>;
+  liveness: Pick<livenessProbes.LivenessProbes, 'check'>;
+  verification: Pick<failureVerification.FailureVerification, 'verify'>;
   /** Which paths of this VM are lost, and the entries that relay messages; without it no path is lost. */
   reachability?: Pick<reachability.Reachability, 'isCutOff'> & {
     paths: Pick<pathMonitor.PathMonitor, 'isLost'>;
@@ -129,8 +130,6 @@
 
   private readonly succession: succession.Succession;
 
-  private readonly verification: failureVerification.FailureVerification;
-
   /** The only way to send the request, so it knows whether any target may have run it. */
   private readonly deliveries: deliveries.Deliveries;
 
@@ -210,7 +209,6 @@
       mayMove: () => this.isAdmissible && this.standing === 'free' && this.spendRetry(),
       now: dependencies.now,
     });
-    this.verification = new failureVerification.FailureVerification(dependencies);
     this.requestLog = new exchangeLog.ExchangeLog({
       admitted,
       attempts: attemptsMade,
@@ -564,7 +562,8 @@
     });
     if (outcomes.mayBePathLoss(outcome) && !wentUnread && !isOwnFault) {
       const { target, address } = placement;
-      void this.verification.verify({ target, address, wasSent: outcome.kind === 'failed' });
+      const failed = { target, address, wasSent: outcome.kind === 'failed' };
+      void this.dependencies.verification.verify(failed);
     }
     this.mayHaveCrashed =
       wasSent && !wentUnread && outcomes.mayHaveCrashed(outcome, this.wasOverdue);
--- a/packages/daemon/src/entry/failureVerification.ts
+++ b/packages/daemon/src/entry/failureVerification.ts
@@ -27,6 +27,9 @@
 const MAX_RECHECKS = 3;
 
 export class FailureVerification {
+  /** Silent targets that are being checked again. */
+  private readonly awaited = new Set<string>();
+
   constructor(private readonly dependencies: Dependencies) {}
 
   async verify({ target, address, wasSent }: FailedTarget): Promise<void> {
@@ -37,7 +40,9 @@
     if (verdict === 'pathLost' || verdict === 'dead' || verdict === 'silent') {
       this.dependencies.selector.reportVerdict(target, verdict === 'pathLost');
     }
-    if (verdict === 'silent') await this.awaitResponse(target, address);
+    if (verdict !== 'silent' || this.awaited.has(target)) return;
+    this.awaited.add(target);
+    await this.awaitResponse(target, address).finally(() => this.awaited.delete(target));
   }
 
   /** Reports a target that was silent once it responds. */
