--- a/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
+++ b/packages/daemon/src/entry/__tests__/__fixtures__/harness.ts
@@ -12,6 +12,7 @@
 import * as exchange from '../../exchange';
 import * as fingerprint from '../../fingerprint';
 import * as guaranteeAudit from '../../guaranteeAudit';
+import * as failureVerification from '../../failureVerification';
 import * as heldBytes from '../../heldBytes';
 import * as ingress from '../../ingress';
 import * as livenessProbes from '../../livenessProbes';
@@ -278,12 +279,14 @@
       observer: observe,
       now: clock.steady,
     });
+    const selector = {
+      choose: (request: placementChoice.PlacementRequest) => this.choose(request),
+      unavailableForMs: () => 0,
+    } as unknown as targetSelector.TargetSelector;
     const services: exchange.Dependencies = {
       protocol: PROTOCOL,
-      selector: {
-        choose: (request: placementChoice.PlacementRequest) => this.choose(request),
-        unavailableForMs: () => 0,
-      } as unknown as targetSelector.TargetSelector,
+      selector,
+      verification: new failureVerification.FailureVerification({ liveness, selector }),
       targets: this.targets,
       audit,
       liveness,
--- a/packages/daemon/src/entry/exchange.ts
+++ b/packages/daemon/src/entry/exchange.ts
@@ -15,6 +15,7 @@
 import * as callerResponse from './callerResponse';
 import * as deliveries from './deliveries';
 import * as exchangeLog from './exchangeLog';
+import type * as failureVerification from './failureVerification';
 import type * as guaranteeAudit from './guaranteeAudit';
 import type * as livenessProbes from './livenessProbes';
 import type * as outcomes from './outcome';
@@ -44,7 +45,7 @@
   protocol: protocols.TrafficProtocol;
   selector: targetSelector.TargetSelector;
   targets: targetClient.TargetClient;
-  liveness: Pick<livenessProbes.LivenessProbes, 'check' | 'askElsewhere' | 'isRefusing'>;
+  liveness: Pick<livenessProbes.LivenessProbes, 'check' | 'isRefusing'>;
   /** Which paths of this VM are lost, and the entries that relay messages; without it no path is lost. */
   reachability?: Pick<reachability.Reachability, 'isCutOff'> & {
     paths: Pick<pathMonitor.PathMonitor, 'isLost'>;
@@ -53,6 +54,7 @@
   limits: Pick<rateLimitClient.RateLimitClient, 'spent'>;
   signals: Pick<targetSignals.TargetSignals, 'backOffMs' | 'bornAt' | 'isGone'>;
   unavailableTargets: Pick<unavailableTargets.UnavailableTargets, 'of'>;
+  verification: Pick<failureVerification.FailureVerification, 'verify'>;
   quarantine: Pick<quarantineClient.QuarantineClient, 'permit' | 'checkForCrash' | 'standingOf'>;
   budgets: domain.request.repeatBudget.RepeatBudgets;
   /** Remembers which requests were refused as not run. */
--- a/packages/daemon/src/entry/targetEvidence.ts
+++ b/packages/daemon/src/entry/targetEvidence.ts
@@ -3,31 +3,26 @@
  * of it or because of a lost path.
  */
 import type * as domain from '@celerydrift/domain';
-import * as failureVerification from './failureVerification';
+import type * as failureVerification from './failureVerification';
 import type * as livenessProbes from './livenessProbes';
 import type * as outcomes from './outcome';
 import type * as pathMonitor from './pathMonitor';
 import type * as relayPeers from './relayPeers';
-import type * as targetSelector from './targetSelector';
 
 type Target = Pick<domain.allocation.allocator.Placement, 'target' | 'address'>;
 
 export interface Dependencies {
-  liveness: Pick<livenessProbes.LivenessProbes, 'check' | 'askElsewhere'>;
+  liveness: Pick<livenessProbes.LivenessProbes, 'check'>;
   /** Which paths of this VM are lost, and the entries that relay messages; without it no path is lost. */
   reachability?: {
     paths: Pick<pathMonitor.PathMonitor, 'isLost'>;
     peers: Pick<relayPeers.RelayPeers, 'isReady'>;
   };
-  selector: Pick<targetSelector.TargetSelector, 'reportVerdict'>;
+  verification: Pick<failureVerification.FailureVerification, 'verify'>;
 }
 
 export class TargetEvidence {
-  private readonly verification: failureVerification.FailureVerification;
-
-  constructor(private readonly dependencies: Dependencies) {
-    this.verification = new failureVerification.FailureVerification(dependencies);
-  }
+  constructor(private readonly dependencies: Dependencies) {}
 
   /** Whether a response may still arrive from the target by way of the relay, or directly if that is undefined. */
   async isResponsive({ target, address }: Target, relay: string | undefined): Promise<boolean> {
@@ -45,7 +40,11 @@
 
   /** Asks another VM whether the target is down, which was reported to the leader on this VM's evidence alone. */
   async verifyFailure(outcome: outcomes.Outcome, { target, address }: Target): Promise<void> {
-    await this.verification.verify({ target, address, wasSent: outcome.kind === 'failed' });
+    await this.dependencies.verification.verify({
+      target,
+      address,
+      wasSent: outcome.kind === 'failed',
+    });
   }
 
   private isReady(relay: string): boolean {
