--- a/packages/daemon/src/keeper/__tests__/evacuations.test.ts
+++ b/packages/daemon/src/keeper/__tests__/evacuations.test.ts
@@ -242,6 +242,7 @@
   it('and catalogues survive the loss of their leader and of a keeper whose disk had stalled', async () => {
     await start(SETTINGS);
     await order(fleet, 'POST', 'dc0');
+    await until('a leader', () => fleet.leader >= 0);
     const { leader } = fleet;
     const stalled = (leader + 1) % 3;
     const disk = fleet.stallDisk(stalled);
