--- a/packages/daemon/src/entry/__tests__/attempts.test.ts
+++ b/packages/daemon/src/entry/__tests__/attempts.test.ts
@@ -43,6 +43,40 @@
     ).to.equal(false);
   });
 
+  // Guards against a stream that is cut with its time left as each target that its route allows has broken off once.
+  it('return to all targets of a stream that has begun, and to no others', () => {
+    const begun = attemptsAfter({ target: 'a', ...SENT }, { target: 'b', ...SENT });
+    begun.startOver(() => false);
+    expect([begun.excluded, begun.writers, begun.hasAttemptLeft(undefined)]).to.deep.equal([
+      [],
+      ['a', 'b'],
+      true,
+    ]);
+  });
+
+  // Guards against a stream that is cut, or waits until its time is over, as targets that it was sent to have crashed.
+  it('reach others in place of targets that are gone', () => {
+    const begun = attemptsAfter({ target: 'a', ...SENT }, { target: 'b', ...SENT });
+    begun.startOver(({ id }) => id === 'a');
+    expect([begun.excluded, begun.writers, begun.hasAttemptLeft(undefined)]).to.deep.equal([
+      ['b'],
+      undefined,
+      true,
+    ]);
+  });
+
+  // Guards against a stream that no target can go on with, and that spends the retries of all other requests.
+  it('return ever more rarely while returns fail, but not while targets refuse', () => {
+    const begun = attemptsAfter({ target: 'a', ...SENT }, { target: 'b', ...SENT });
+    const pauses = [SENT, REFUSED, SENT, SENT, SENT, SENT, SENT].map((outcome) => {
+      begun.startOver(() => false);
+      begun.begin('a');
+      begun.ended({ target: 'a', ...outcome });
+      return begun.returnPauseMs;
+    });
+    expect(pauses).to.deep.equal([200, 200, 400, 800, 1_600, 1_600, 1_600]);
+  });
+
   it('may stay at a target that refused because of its prefill helper', () => {
     const spared = attemptsAfter({ target: 'a', ...REFUSED, wasHelperAtFault: true });
     expect(spared.excluded).to.deep.equal([]);
--- a/packages/daemon/src/entry/__tests__/exchange.test.ts
+++ b/packages/daemon/src/entry/__tests__/exchange.test.ts
@@ -206,12 +206,16 @@
    */
   [500, 404].forEach((status) => {
     it(`doesn't end a stream with the ${status} of the target that was to resume it`, async () => {
-      const cut: harness.TargetBehaviour = (_request, socket) => {
+      const fails: harness.TargetBehaviour = (_request, socket) =>
+        socket.write(harness.answer('failed', status));
+      const cut: harness.TargetBehaviour = (request, socket) => {
+        if (request.includes('resume-after')) {
+          fails(request, socket);
+          return;
+        }
         socket.write(harness.STREAM_HEAD + harness.chunk('id: 1\ndata: a\n\n'));
         setTimeout(() => socket.resetAndDestroy(), 50);
       };
-      const fails: harness.TargetBehaviour = (_request, socket) =>
-        socket.write(harness.answer('failed', status));
       setup = await harness.TestHarness.start(cut, fails);
       const reply = await setup.send('/streaming/1');
       expect([reply.status, reply.isWhole, reply.body]).to.deep.equal([
@@ -408,6 +412,69 @@
     ]);
   });
 
+  // Guards against a stream that is cut as its last target's connection got a late answer, while its first one is sound.
+  it('returns a stream that has begun to a target that it was sent to if no further one is allowed', async () => {
+    let requests = 0;
+    const resetting: harness.TargetBehaviour = (_request, socket) => {
+      requests += 1;
+      if (requests > 1) {
+        socket.write(harness.STREAM_HEAD + REST);
+        return;
+      }
+      socket.write(harness.STREAM_HEAD + harness.chunk('id: 1\ndata: a\n\n'));
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    };
+    const foreign: harness.TargetBehaviour = (_request, socket) =>
+      socket.write(harness.answer('', 503, 'not-run: 1\r\n', 'r0'));
+    setup = await harness.TestHarness.start(
+      harness.answeringProbes(resetting),
+      harness.answeringProbes(foreign),
+      harness.answeringProbes(RESPOND),
+    );
+    const reply = await setup.send('/long/1');
+    expect([reply.body, reply.isWhole]).to.deep.equal([WHOLE, true]);
+    expect(setup.messagesTo(2)).to.equal(0);
+  });
+
+  // Guards against a stream without an end although its only target is sound again, as it isn't sent there a second time.
+  it('returns a stream that has begun to its target if the service has no other', async () => {
+    let requests = 0;
+    const resetting: harness.TargetBehaviour = (_request, socket) => {
+      requests += 1;
+      if (requests > 1) {
+        socket.write(harness.STREAM_HEAD + REST);
+        return;
+      }
+      socket.write(harness.STREAM_HEAD + harness.chunk('id: 1\ndata: a\n\n'));
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    };
+    setup = await harness.TestHarness.start(harness.answeringProbes(resetting));
+    const reply = await setup.send('/streaming/1');
+    expect([reply.body, reply.isWhole]).to.deep.equal([WHOLE, true]);
+  });
+
+  // Guards against a stream without an end although other targets are free, as those that it was sent to have crashed.
+  it('sends a stream that has begun to another target once one that it was sent to is gone', async () => {
+    const crashing =
+      (index: number): harness.TargetBehaviour =>
+      (_request, socket) => {
+        socket.write(harness.STREAM_HEAD + harness.chunk(`id: ${index + 1}\ndata: a\n\n`));
+        setTimeout(() => {
+          socket.resetAndDestroy();
+          void setup.crash(index);
+        }, 20);
+        setTimeout(() => setup.restart(index), 300);
+      };
+    const rest: harness.TargetBehaviour = (_request, socket) =>
+      socket.write(harness.STREAM_HEAD + harness.chunk('id: 3\ndata: b\n\n') + harness.LAST_CHUNK);
+    setup = await harness.TestHarness.start(crashing(0), crashing(1), rest);
+    const reply = await setup.send('/streaming/1');
+    expect([reply.body, reply.isWhole]).to.deep.equal([
+      'id: 1\ndata: a\n\nid: 2\ndata: a\n\nid: 3\ndata: b\n\n',
+      true,
+    ]);
+  });
+
   /*
    * Guards against an immediate 502 for one of two equal requests that ran on a target when it crashed. The other one
    * made its canary run on a free target, and showed a moment later that both may run.
@@ -444,6 +511,18 @@
     expect([reply.status, reply.isWhole]).to.deep.equal([200, false]);
   });
 
+  // Guards against a stream that no target can resume, and that spends the retries of all other requests of its service.
+  it('returns a stream to targets that fail ever more rarely', async () => {
+    const half: harness.TargetBehaviour = (_request, socket) => {
+      socket.write(harness.STREAM_HEAD + harness.chunk('id: 1\ndata: a\n\n'));
+      setTimeout(() => socket.resetAndDestroy(), 20);
+    };
+    setup = await harness.TestHarness.start(half, half);
+    const reply = await setup.send('/long/1', { patience: '3000' });
+    expect([reply.status, reply.isWhole]).to.deep.equal([200, false]);
+    expect(setup.received.length).to.be.within(3, 7);
+  });
+
   it('closes the connection to the target when the caller disconnects', async () => {
     let closed = false;
     setup = await harness.TestHarness.start((_request, socket) => {
--- a/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
+++ b/packages/daemon/src/entry/__tests__/quarantineClient.test.ts
@@ -4,7 +4,7 @@
 import { Ok } from 'ts-results';
 import * as clock from '../../clock';
 import * as observer from '../../observability/observer';
-import type * as livenessProbes from '../livenessProbes';
+import type * as livenessVerdict from '../livenessVerdict';
 import * as quarantineClient from '../quarantineClient';
 
 const { expect } = chai;
@@ -15,6 +15,8 @@
 const CANARY = { isCanaryOf: () => true };
 const FIRST_RUN = { isCanaryOf: () => false };
 
+const NO_PROBE = async (): Promise<void> => undefined;
+
 function request(requestId: string): quarantineClient.RequestInfo {
   return {
     requestId,
@@ -45,7 +47,7 @@
           return Ok({ kind: 'taken', reports: [emptyReport] } as T);
         },
       },
-      liveness: { check: async () => 'dead', isAskingOthers: () => false },
+      liveness: { check: async () => 'dead', isAskingOthers: () => false, probePath: NO_PROBE },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
@@ -91,7 +93,7 @@
           return Ok((method === 'permit' ? granted : { kind: 'taken' }) as T);
         },
       },
-      liveness: { check: async () => 'alive', isAskingOthers: () => false },
+      liveness: { check: async () => 'alive', isAskingOthers: () => false, probePath: NO_PROBE },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
@@ -123,7 +125,7 @@
       client: {
         call: async <T>() => Ok({ kind: 'granted', endings: 0, target: undefined } as T),
       },
-      liveness: { check: async () => 'alive', isAskingOthers: () => false },
+      liveness: { check: async () => 'alive', isAskingOthers: () => false, probePath: NO_PROBE },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
@@ -148,6 +150,7 @@
           return 'dead';
         },
         isAskingOthers: () => true,
+        probePath: NO_PROBE,
       },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
@@ -168,7 +171,7 @@
 });
 
 describe('a crash that no other VM can be asked about', () => {
-  /** An entry whose every target is found dead; returns the crashes that are known after a while. */
+  /** An entry that every target refuses; returns the crashes that are known after a while. */
   const crashesOf = async (
     reach: domain.reachability.targetPaths.Reach,
     afterMs: number,
@@ -180,8 +183,8 @@
       fleetState: { quarantine, registry },
       link: { leader: '' },
       client: { call: async <T>() => Ok({ kind: 'taken', reports: [] } as T) },
-      liveness: { check: async () => 'unasked', isAskingOthers: () => false },
-      paths: { reachOfService: () => reach },
+      liveness: { check: async () => 'refused', isAskingOthers: () => false, probePath: NO_PROBE },
+      paths: { reachOfService: () => reach, failingSince: () => undefined },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
@@ -211,44 +214,119 @@
   });
 });
 
-describe('a silent target that restarts under its id', () => {
-  /** Guards against a crash that isn't reported because the next lifetime responds to the second probe. */
-  it('counts as crashed', async () => {
+describe('silent targets, of which other VMs can tell nothing else', () => {
+  const TARGETS = ['a', 'b', 'c'];
+
+  /** Time by which a second check must have counted a crash, milliseconds. */
+  const COUNTED_MS = 1_200;
+
+  const RECORD = {
+    service: 'plain',
+    address: '10.0.0.2:1',
+    dataCentre: 'dc0',
+    slots: 1,
+    state: 'ready',
+    sequence: 1,
+  } as const;
+
+  /**
+   * Canary runs of a request on three targets, checked with these results while others of their service respond. Returns
+   * the crashes that count against the request; the targets announce `announced` before the second check.
+   */
+  const crashesAfter = async (
+    first: livenessVerdict.Verdict,
+    second: livenessVerdict.Verdict,
+    announced = 1,
+  ): Promise<number> => {
     const quarantine = new domain.quarantine.quarantine.Quarantine();
     const registry = new domain.registry.registry.Registry();
-    const record = {
-      id: 'a',
-      service: 'plain',
-      address: '10.0.0.2:1',
-      dataCentre: 'dc0',
-      slots: 1,
-      state: 'ready',
-      sequence: 1,
-    } as const;
-    registry.announce({ ...record, bornAt: 1 }, 0);
-    const verdicts: livenessProbes.Verdict[] = ['silent', 'alive'];
+    TARGETS.forEach((id) => registry.announce({ ...RECORD, id, bornAt: 1 }, 0));
+    const checked = new Set<string>();
+    const check = async (target: string): Promise<livenessVerdict.Verdict> => {
+      if (checked.has(target)) return second;
+      checked.add(target);
+      return first;
+    };
     const client = new quarantineClient.QuarantineClient({
       name: 'e0',
       fleetState: { quarantine, registry },
       link: { leader: '' },
       client: { call: async <T>() => Ok({ kind: 'taken', reports: [] } as T) },
-      liveness: { check: async () => verdicts.shift() ?? 'alive', isAskingOthers: () => false },
+      liveness: { check, isAskingOthers: () => false, probePath: NO_PROBE },
+      paths: { reachOfService: () => 'reached', failingSince: () => undefined },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
-    const sent = {
-      target: 'a',
-      address: '10.0.0.2:1',
-      bornAt: 1,
-      sentAt: 0,
-      run: FIRST_RUN,
-      hasBegun: false,
+    const runs = TARGETS.map((target) => {
+      const attempt = { target, address: RECORD.address, bornAt: 1, sentAt: clock.steady() };
+      return client.checkForCrash(request(target), { ...attempt, run: CANARY, hasBegun: false });
+    });
+    await Promise.all(runs);
+    TARGETS.forEach((id) => registry.announce({ ...RECORD, id, bornAt: announced }, 0));
+    await clock.sleep(COUNTED_MS);
+    client.close();
+    return quarantine.crashCount(CONTENT);
+  };
+
+  /** Guards against a quarantine of requests whose targets were only silent for a second. */
+  it('do not count as crashed if they respond again', async () => {
+    const crashes = [crashesAfter('unknown', 'alive'), crashesAfter('unasked', 'pathLost')];
+    expect(await Promise.all(crashes)).to.deep.equal([0, 0]);
+  });
+
+  /** Guards against a request that goes on to crash targets because no refusal and no other VM shows that they crashed. */
+  it('count as crashed if they stay silent', async () => {
+    const crashes = [crashesAfter('unknown', 'unknown'), crashesAfter('unasked', 'silent')];
+    expect(await Promise.all(crashes)).to.deep.equal([3, 3]);
+  });
+
+  /** Guards against a crash that isn't reported because the next lifetime responds to the second probe. */
+  it('count as crashed if they restart under their ids', async () => {
+    const crashes = [crashesAfter('silent', 'alive', 2), crashesAfter('unknown', 'alive', 2)];
+    expect(await Promise.all(crashes)).to.deep.equal([3, 3]);
+  });
+});
+
+describe('a target that is silent twice, and responds between', () => {
+  /** When it responds, and when a second check has counted a crash, milliseconds after the first check. */
+  const RESPONDS_MS = { from: 200, to: 800 };
+  const COUNTED_MS = 1_200;
+
+  /** Guards against requests that become suspects of a crash as both checks of their target fell into a silence. */
+  it('does not count as crashed', async () => {
+    const quarantine = new domain.quarantine.quarantine.Quarantine();
+    const target = { id: 'a', service: 'plain', dataCentre: 'dc0' };
+    const paths = new domain.reachability.targetPaths.TargetPaths(() => [target]);
+    const startedAt = clock.steady();
+    const probe = async (): Promise<void> => {
+      const now = clock.steady();
+      const { from, to } = RESPONDS_MS;
+      const isSilent = now - startedAt < from || now - startedAt > to;
+      if (isSilent) paths.failed(target, now);
+      else paths.responded(target, now, now);
     };
-    await client.checkForCrash(request('r1'), sent);
-    registry.announce({ ...record, bornAt: 2 }, 0);
-    await clock.sleep(1_200);
+    const client = new quarantineClient.QuarantineClient({
+      name: 'e0',
+      fleetState: { quarantine, registry: new domain.registry.registry.Registry() },
+      link: { leader: '' },
+      client: { call: async <T>() => Ok({ kind: 'taken', reports: [] } as T) },
+      liveness: {
+        check: async () => {
+          await probe();
+          return 'silent';
+        },
+        isAskingOthers: () => false,
+        probePath: probe,
+      },
+      paths: { reachOfService: () => 'reached', failingSince: (id) => paths.failingSince(id) },
+      observer: new observer.Observer('test', 'fatal', undefined),
+      now: clock.steady,
+    });
+    const attempt = { target: 'a', address: '10.0.0.2:1', bornAt: 0, sentAt: 0 };
+    await client.checkForCrash(request('r1'), { ...attempt, run: FIRST_RUN, hasBegun: false });
+    await clock.sleep(COUNTED_MS);
     client.close();
-    expect(quarantine.crashCount(CONTENT)).to.equal(1);
+    expect(quarantine.crashCount(CONTENT)).to.equal(0);
   });
 });
 
@@ -267,7 +345,7 @@
           return Ok({ kind: 'taken', reports: [] } as T);
         },
       },
-      liveness: { check: async () => 'dead', isAskingOthers: () => false },
+      liveness: { check: async () => 'dead', isAskingOthers: () => false, probePath: NO_PROBE },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
@@ -315,7 +393,7 @@
           return Ok((method === 'permit' ? granted : { kind: 'taken', reports: [] }) as T);
         },
       },
-      liveness: { check: async () => 'dead', isAskingOthers: () => false },
+      liveness: { check: async () => 'dead', isAskingOthers: () => false, probePath: NO_PROBE },
       observer: new observer.Observer('test', 'fatal', undefined),
       now: clock.steady,
     });
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -21,6 +21,7 @@
 import * as coldGrants from './coldGrants';
 import type * as connectionTracker from './connectionTracker';
 import * as exchange from './exchange';
+import * as failureVerification from './failureVerification';
 import * as guaranteeAudit from './guaranteeAudit';
 import * as heldBytes from './heldBytes';
 import * as ingress from './ingress';
@@ -30,6 +31,7 @@
 import * as reachability from './reachability';
 import * as targetClient from './targetClient';
 import * as targetSignals from './targetSignals';
+import * as unavailableTargets from './unavailableTargets';
 
 export interface Dependencies {
   settings: roleSettings.Settings;
@@ -78,6 +80,8 @@
 
   private readonly reachability: reachability.Reachability;
 
+  private readonly unavailableTargets: unavailableTargets.UnavailableTargets;
+
   private readonly selector: targetSelector.TargetSelector;
 
   private readonly liveness: livenessProbes.LivenessProbes;
@@ -169,6 +173,7 @@
       fleetState: this.fleetState,
       client: this.client,
       targets: () => this.targets,
+      signals: this.signals,
       liveness: () => this.liveness,
       isServing: () => this.isServing,
       observer: observe,
@@ -182,6 +187,11 @@
       paths: this.reachability.paths,
       relays: this.reachability.relays,
     });
+    const { signals, reachability: reach } = this;
+    this.unavailableTargets = new unavailableTargets.UnavailableTargets({
+      signals,
+      reachability: reach,
+    });
     this.selector = new targetSelector.TargetSelector({
       name: settings.name,
       dataCentre: settings.dataCentre,
@@ -190,7 +200,7 @@
       client: this.client,
       limits: this.limits,
       coldGrants: this.coldGrants,
-      signals: this.signals,
+      unavailableTargets: this.unavailableTargets,
       observer: observe,
       random,
       now: clock.steady,
@@ -322,14 +332,17 @@
 
   private makeIngress(): ingress.Ingress {
     const { traffic, observer: observe, random } = this.dependencies;
+    const { liveness, selector } = this;
     const services: exchange.Dependencies = {
       protocol: traffic,
-      selector: this.selector,
+      selector,
       targets: this.targets,
-      liveness: this.liveness,
+      liveness,
+      verification: new failureVerification.FailureVerification({ liveness, selector }),
       reachability: this.reachability,
       limits: this.limits,
       signals: this.signals,
+      unavailableTargets: this.unavailableTargets,
       quarantine: this.quarantine,
       budgets: this.budgets,
       audit: this.audit,
@@ -363,6 +376,7 @@
       return;
     }
     this.targets.forget(record.id);
+    this.liveness.forget(record.id);
     this.reachability.paths.forget(record.id);
     this.selector.forget(record.id);
     this.signals.forget(record);
--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -11,10 +11,11 @@
 import * as earlyResponse from '../http/earlyResponse';
 import * as listening from '../http/listening';
 import * as malformedInput from '../http/malformedInput';
+import * as openResponses from '../http/openResponses';
 import * as serverStop from '../http/serverStop';
 import type * as observer from '../observability/observer';
 import * as connectionGate from './connectionGate';
-import type * as exchange from './exchange';
+import * as admittedRequest from './admittedRequest';
 import type * as heldBytes from './heldBytes';
 import * as settingsWait from './settingsWait';
 
@@ -29,7 +30,7 @@
   /** Whether the settings in force were confirmed recently enough to admit keys. */
   isFresh: () => boolean;
   held: Pick<heldBytes.HeldBytes, 'open'>;
-  serve: (admitted: exchange.AdmittedRequest) => Promise<void>;
+  serve: (admitted: admittedRequest.AdmittedRequest) => Promise<void>;
 }
 
 interface Refusal {
@@ -81,7 +82,7 @@
 
   private readonly gate: connectionGate.ConnectionGate;
 
-  private readonly malformedInput: malformedInput.MalformedInput;
+  private readonly responses = new openResponses.OpenResponses();
 
   private readonly serverStop: serverStop.ServerStop;
 
@@ -101,7 +102,7 @@
         void this.answer(request, response);
       },
     );
-    this.malformedInput = new malformedInput.MalformedInput(this.server, dependencies.observer);
+    malformedInput.handle(this.server, this.responses, dependencies.observer);
     this.serverStop = new serverStop.ServerStop(this.server);
     this.gate = new connectionGate.ConnectionGate(this.server, {
       observer: dependencies.observer,
@@ -160,20 +161,22 @@
 
   /** Ends all requests: with a status, if their answers haven't begun. */
   abort(): void {
-    const failure = { reason: 'stopped', detail: 'the entry has stopped' } as const;
+    const stopped = new admittedRequest.EntryStopped();
     this.open.forEach((response) => {
       const { req: request } = response;
-      this.fail(request, response, failure);
-      // Ends the exchange, which must not answer as well.
+      // Its exchange knows whether a target may have run it.
       const isServed = this.passedOn.has(request) && request.listenerCount('error') > 0;
-      if (isServed) request.emit('error', new Error(failure.detail));
+      if (isServed) request.emit('error', stopped);
+      this.fail(request, response, { reason: 'stopped', detail: stopped.message });
     });
   }
 
   /** Node tells only the response whose turn it is that its connection has ended, not those queued behind it. */
   private forgetQueued(socket: net.Socket): void {
     this.queued.forEach((response) => {
-      if (response.req.socket === socket) response.emit('close');
+      if (response.req.socket !== socket) return;
+      response.destroy();
+      response.emit('close');
     });
   }
 
@@ -202,11 +205,15 @@
   ): Promise<void> {
     const arrivedAt = this.dependencies.now();
     this.gate.used(request.socket);
-    this.malformedInput.began(request, response);
+    if (this.responses.isClosing(request.socket)) {
+      request.resume();
+      return;
+    }
+    this.responses.began(request, response);
     this.serverStop.began(response);
     const held = this.dependencies.held.open(this.connectionOf(request, response));
     response.once('close', () => held.close());
-    if (this.isDraining) response.setHeader('Connection', 'close');
+    if (this.isDraining) openResponses.closeAfterLast(this.responses.of(request.socket));
     if (this.isRefusing) {
       this.refuse(request, response, { status: 503, reason: 'entry is stopping' });
       return;
--- a/packages/daemon/src/entry/livenessProbes.ts
+++ b/packages/daemon/src/entry/livenessProbes.ts
@@ -7,6 +7,7 @@
 import type * as observer from '../observability/observer';
 import type * as rateLimitClient from './rateLimitClient';
 import type * as connectionTracker from './connectionTracker';
+import type * as livenessVerdict from './livenessVerdict';
 import type * as pathMonitor from './pathMonitor';
 import type * as relayPeers from './relayPeers';
 import * as targetClient from './targetClient';
@@ -35,20 +36,8 @@
 
 const OK = 200;
 
-/**
- * `refused`: nothing serves this lifetime any more. `silent`: no response in time, which a sound target may fail to give;
- * or, where it may not be probed, a connection that it didn't hold, as it may have too many.
- */
-export type ProbeResult = 'alive' | 'refused' | 'silent';
-
-/**
- * What is known of a target that gave no response. `alive`: it responds to this VM. `pathLost`: it responds to another
- * VM only. `dead`: it responds to neither, and refuses one of them. `silent`: it responds to neither. `missing`: it
- * responds to neither, and the other VM, which it refuses, may have lost its path to it, but reaches others of its
- * service. `unknown`: it doesn't respond here, and no other VM can tell. `unasked`: the same, and none of the other VMs
- * that are known answered, so that this VM may be the one that is cut off.
- */
-export type Verdict = 'alive' | 'pathLost' | 'dead' | 'silent' | 'missing' | 'unknown' | 'unasked';
+type ProbeResult = livenessVerdict.ProbeResult;
+type Verdict = livenessVerdict.Verdict;
 
 export class LivenessProbes {
   /** Probes in flight by target; requests on the same target share one. */
@@ -59,8 +48,21 @@
   /** Questions to other VMs in flight, by target. */
   private readonly pendingQuestions = new Map<string, Promise<Verdict>>();
 
+  /** Targets that refused their last probe, as they would refuse a request. */
+  private readonly refusing = new Set<string>();
+
   constructor(private readonly dependencies: Dependencies) {}
 
+  /** Whether a target that responds takes no requests now. */
+  isRefusing(target: string): boolean {
+    return this.refusing.has(target);
+  }
+
+  /** Discards what is known of a target whose lifetime ended. */
+  forget(target: string): void {
+    this.refusing.delete(target);
+  }
+
   /** Whether this lifetime of a target responds to this VM. */
   async isAlive(target: string, address: string): Promise<boolean> {
     return (await this.probe(target, address)) === 'alive';
@@ -95,10 +97,14 @@
   check(target: string, address: string): Promise<Verdict> {
     return shared(this.pendingVerdicts, target, async () => {
       const isLost = this.dependencies.paths?.isLost(target) === true;
-      const result = isLost ? 'silent' : await this.probe(target, address);
+      const result = isLost ? undefined : await this.probe(target, address);
       if (result === 'alive') return 'alive';
       const verdict = await this.askElsewhere(target, address);
-      return verdict === 'silent' && result === 'refused' ? 'dead' : verdict;
+      if (verdict === 'silent') return result === 'refused' ? 'dead' : 'silent';
+      if (verdict !== 'unknown' && verdict !== 'unasked') return verdict;
+      // Nobody else can tell, so a lost path is tried all the same.
+      const ownResult = result ?? (await this.probe(target, address));
+      return ownResult === 'silent' ? verdict : ownResult;
     });
   }
 
@@ -145,6 +151,8 @@
     if (result.kind === 'withheld') return this.tryConnection(target, address);
     const status = result.kind === 'answered' ? result.status : 0;
     const isAlive = result.kind === 'answered' && isFromLiveTarget(result);
+    if (isAlive && status !== OK) this.refusing.add(target);
+    else this.refusing.delete(target);
     const isSilent = result.kind === 'silent';
     if (result.kind !== 'answered') paths?.failed(target);
     this.dependencies.observer.count(isAlive ? 'lifeChecks.alive' : 'lifeChecks.dead');
--- a/packages/daemon/src/keeper/controlServer.ts
+++ b/packages/daemon/src/keeper/controlServer.ts
@@ -9,7 +9,11 @@
 import type * as protocols from '../edges/protocols';
 import type * as messages from '../fleet/messages';
 import * as packedCatalogue from '../fleet/packedCatalogue';
+import * as breakOff from '../http/breakOff';
+import * as earlyResponse from '../http/earlyResponse';
 import * as listening from '../http/listening';
+import * as openResponses from '../http/openResponses';
+import * as serverStop from '../http/serverStop';
 import type * as observer from '../observability/observer';
 import type * as evacuationOrders from './evacuationOrders';
 import * as ignoredAnnouncements from './ignoredAnnouncements';
@@ -49,6 +53,12 @@
 /** How long a target or operator may keep an idle connection, in milliseconds. */
 const KEEP_ALIVE_MS = 15_000;
 
+/** Maximum time for which a stopping keeper sends answers, in milliseconds. */
+const MAX_CLOSE_MS = 2_000;
+
+/** Interval at which a stopping keeper closes idle connections, in milliseconds. */
+const CLOSE_POLL_MS = 20;
+
 /** A keeper finds a new leader within this time, in seconds. */
 const RETRY_AFTER_S = 1;
 
@@ -58,15 +68,21 @@
  */
 const CLOSED_CHECK_MS = 5;
 
-const TOO_LARGE: Reply = { status: 413, body: '' };
+const TOO_LARGE: earlyResponse.Content = { status: 413, headers: {}, content: '' };
 
 const NOT_FOUND: Reply = { status: 404, body: '' };
 
+const FAILED: Reply = { status: 500, body: '{"error":"unexpected error"}' };
+
 const UNAVAILABLE: Reply = { status: 503, body: '{"error":"no leader is reachable"}' };
 
 export class ControlServer {
   private readonly server: http.Server;
 
+  private readonly responses = new openResponses.OpenResponses();
+
+  private readonly serverStop: serverStop.ServerStop;
+
   private readonly ignored: ignoredAnnouncements.IgnoredAnnouncements;
 
   constructor(private readonly dependencies: Dependencies) {
@@ -75,36 +91,53 @@
       now: clock.steady,
     });
     this.server = http.createServer({ keepAliveTimeout: KEEP_ALIVE_MS }, (request, response) => {
+      if (this.responses.isClosing(request.socket)) {
+        request.resume();
+        return;
+      }
+      this.responses.began(request, response);
+      this.serverStop.began(response);
       void this.serve(request, response);
     });
+    this.serverStop = new serverStop.ServerStop(this.server);
   }
 
   listen(address: codecs.Address): Promise<void> {
     return listening.listen(this.server, address);
   }
 
-  close(): void {
-    this.server.close();
-    this.server.closeIdleConnections();
+  /** Accepts no new connections; resolves when all calls are answered, or after a while. */
+  async close(): Promise<void> {
+    const givenUpAt = clock.steady() + MAX_CLOSE_MS;
+    this.serverStop.stop();
+    while (this.serverStop.unfinished.length > 0 && clock.steady() < givenUpAt) {
+      await clock.sleep(CLOSE_POLL_MS);
+      this.serverStop.closeIdle();
+    }
   }
 
+  /** Answers a call; an unexpected error must neither leave it without an answer nor end the process. */
   private async serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    try {
+      await this.answer(request, response);
+    } catch (error) {
+      const { method, url } = request;
+      this.dependencies.observer.log('crashed', { method, path: url, error: String(error) });
+      if (response.headersSent) breakOff.breakOff(response);
+      else send(response, FAILED);
+    }
+  }
+
+  private async answer(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
     const call = this.callOf(request);
     const maxBytes = call?.kind === 'submit' ? MAX_SETTINGS_BYTES : MAX_BODY_BYTES;
     const body = await readBody(request, maxBytes);
     if (body === 'broken') return;
-    const reply = body === 'tooLarge' ? TOO_LARGE : await this.reply(request, call, body);
-    if (response.destroyed) return;
-    const { status, retryAfterS } = reply;
-    const length = Buffer.byteLength(reply.body);
-    response.writeHead(status, {
-      'Content-Type': 'application/json',
-      'Content-Length': length,
-      // The unread rest of a body must not be parsed as the next call.
-      ...(reply === TOO_LARGE && { Connection: 'close' }),
-      ...(retryAfterS === undefined ? {} : { 'Retry-After': String(retryAfterS) }),
-    });
-    response.end(reply.body);
+    if (body === 'tooLarge') earlyResponse.send(request, response, TOO_LARGE, maxBytes);
+    else send(response, await this.reply(request, call, body));
   }
 
   private callOf(request: http.IncomingMessage): protocols.ControlCall | undefined {
@@ -199,6 +232,18 @@
   }
 }
 
+function send(response: http.ServerResponse, reply: Reply): void {
+  if (response.destroyed) return;
+  const { status, retryAfterS } = reply;
+  const length = Buffer.byteLength(reply.body);
+  response.writeHead(status, {
+    'Content-Type': 'application/json',
+    'Content-Length': length,
+    ...(retryAfterS === undefined ? {} : { 'Retry-After': String(retryAfterS) }),
+  });
+  response.end(reply.body);
+}
+
 function replyTo(result: evacuationOrders.OrderResult): Reply {
   const error = (text: string, details: object = {}): string => {
     return JSON.stringify({ error: text, ...details });
