Break four circles of imports

Each was a type that lived in the module of one of its users: the load that engines report (agedLoad), the prompt that is placed on engines (allocation/prompt), what a prompt is quarantined by, and the soak's series of losses, which was drawn and carried out in one module (keeperLosses carries it out now). No logic changes.

--- a/packages/daemon/src/requests/allocationClient.ts
+++ b/packages/daemon/src/requests/allocationClient.ts
@@ -7,7 +7,7 @@
 import type * as observer from '../observability/observer';
 import * as outbox from '../replicas/outbox';
 import type * as peerClient from '../rpc/peerClient';
-import type * as adapter from '../targets/adapter';
+import type * as agedLoad from '../targets/agedLoad';
 import * as allocationMessages from './allocationMessages';
 import type * as router from './router';
 
@@ -63,7 +63,7 @@
   /** Requests the next target after an engine refused for lack of memory. */
   async requeue(
     id: string,
-    load: adapter.AgedLoad,
+    load: agedLoad.AgedLoad,
   ): Promise<Dispatch | router.DequeueReason | Refusal> {
     const remote = this.remoteRequests.get(id);
     if (remote === undefined) return this.options.router.requeue(id, load);
@@ -78,13 +78,13 @@
     else this.notify(remote, 'withdrawn', id, '', undefined);
   }
 
-  firstToken(id: string, target: string, load: adapter.AgedLoad | undefined): void {
+  firstToken(id: string, target: string, load: agedLoad.AgedLoad | undefined): void {
     const remote = this.remoteRequests.get(id);
     if (remote === undefined) this.options.router.firstToken(id);
     else this.notify(remote, 'first', id, target, load);
   }
 
-  finished(id: string, target: string, load: adapter.AgedLoad | undefined): void {
+  finished(id: string, target: string, load: agedLoad.AgedLoad | undefined): void {
     const remote = this.remoteRequests.get(id);
     this.remoteRequests.delete(id);
     if (remote === undefined) this.options.router.finished(id);
@@ -101,7 +101,7 @@
     kind: allocationMessages.NotificationKind,
     id: string,
     target: string,
-    load: adapter.AgedLoad | undefined,
+    load: agedLoad.AgedLoad | undefined,
   ): void {
     this.notifications.add(address, [kind, id, target, allocationMessages.packLoad(load)]);
   }
--- a/packages/daemon/src/requests/allocationMessages.ts
+++ b/packages/daemon/src/requests/allocationMessages.ts
@@ -1,6 +1,6 @@
 /** Messages between entries and allocators, encoded as tuples because they are sent for every request. */
 import type * as domain from '@celerydrift/domain';
-import type * as adapter from '../targets/adapter';
+import type * as agedLoad from '../targets/agedLoad';
 
 type Request = domain.routing.dispatcher.Request;
 
@@ -83,12 +83,12 @@
   };
 }
 
-export function packLoad(load: adapter.AgedLoad | undefined): Notification[3] {
+export function packLoad(load: agedLoad.AgedLoad | undefined): Notification[3] {
   if (load === undefined) return undefined;
   return [load.queuedTokens, load.streams, load.freeTokens, load.ageMs];
 }
 
-export function unpackLoad(packed: Notification[3] | null): adapter.AgedLoad | undefined {
+export function unpackLoad(packed: Notification[3] | null): agedLoad.AgedLoad | undefined {
   if (packed === undefined || packed === null) return undefined;
   const [queuedTokens, streams, freeTokens, ageMs] = packed;
   return { queuedTokens, streams, freeTokens, ageMs };
--- a/packages/daemon/src/requests/execution.ts
+++ b/packages/daemon/src/requests/execution.ts
@@ -6,6 +6,7 @@
 import { Err, Ok, Result } from 'ts-results';
 import type * as observer from '../observability/observer';
 import type * as adapter from '../targets/adapter';
+import type * as agedLoad from '../targets/agedLoad';
 import * as boundedBody from '../targets/boundedBody';
 import type * as targetErrors from '../targets/errors';
 import type * as allocationClient from './allocationClient';
@@ -27,11 +28,8 @@
 }
 
 /** An admitted request to a model. */
-export interface ModelRequest {
+export interface ModelRequest extends promptQuarantine.Prompt {
   id: string;
-  tenant: domain.settings.directory.Tenant;
-  model: domain.settings.document.Model;
-  prompt: string;
   promptTokens: number;
   answerTokens: number;
   prefixKeys: readonly number[];
@@ -80,7 +78,7 @@
   /** Whether the failure counts against the target's circuit; a planned stop or a closed connection doesn't. */
   isTargetFault: boolean;
   /** Load of an engine that refused for lack of memory. */
-  noRoom?: adapter.AgedLoad;
+  noRoom?: agedLoad.AgedLoad;
 }
 
 /** Faults that don't count against the target. */
@@ -128,7 +126,7 @@
   private promptTokens: number;
 
   /** Most recent load report of the target, from the frames of the current attempt. */
-  private lastLoad: adapter.AgedLoad | undefined;
+  private lastLoad: agedLoad.AgedLoad | undefined;
 
   /** Target of the current attempt; planned stops use it to find affected requests. */
   target = '';
@@ -520,7 +518,7 @@
     return finding.last ? 'whole' : 'more';
   }
 
-  private recordLoad(target: string, load: adapter.AgedLoad): void {
+  private recordLoad(target: string, load: agedLoad.AgedLoad): void {
     this.lastLoad = load;
     this.dependencies.router.reportLoad(target, load);
   }
--- a/packages/daemon/src/requests/promptQuarantine.ts
+++ b/packages/daemon/src/requests/promptQuarantine.ts
@@ -4,9 +4,13 @@
  */
 import * as domain from '@celerydrift/domain';
 import * as fingerprint from '../entry/fingerprint';
-import type * as execution from './execution';
 
-type Prompt = Pick<execution.ModelRequest, 'prompt' | 'tenant' | 'model'>;
+/** What a prompt that crashes engines is recognised by. */
+export interface Prompt {
+  prompt: string;
+  tenant: domain.settings.directory.Tenant;
+  model: domain.settings.document.Model;
+}
 
 /** An attempt without a complete answer because its engine was lost. */
 export interface EngineLoss {
--- a/packages/daemon/src/requests/router.ts
+++ b/packages/daemon/src/requests/router.ts
@@ -7,6 +7,7 @@
 import type * as observer from '../observability/observer';
 import type * as gossipRecords from '../membership/gossipRecords';
 import type * as adapter from '../targets/adapter';
+import type * as agedLoad from '../targets/agedLoad';
 
 type Target = domain.target.target.Target;
 type Dispatch = domain.routing.dispatcher.Dispatch;
@@ -93,7 +94,7 @@
   }
 
   /** Queues a request that an engine refused for lack of memory again; resolves to its next target. */
-  async requeue(id: string, load: adapter.AgedLoad): Promise<Dispatch | DequeueReason> {
+  async requeue(id: string, load: agedLoad.AgedLoad): Promise<Dispatch | DequeueReason> {
     const now = this.options.now();
     const { ageMs, ...report } = load;
     return new Promise((resolve) => {
@@ -122,7 +123,7 @@
     this.poll();
   }
 
-  reportLoad(target: string, load: adapter.AgedLoad): void {
+  reportLoad(target: string, load: agedLoad.AgedLoad): void {
     const now = this.options.now();
     const { ageMs, ...report } = load;
     this.dispatcher.reported(target, { ...report, measuredAt: now - ageMs });
--- a/packages/daemon/src/targets/adapter.ts
+++ b/packages/daemon/src/targets/adapter.ts
@@ -4,6 +4,7 @@
  */
 import type * as domain from '@celerydrift/domain';
 import type { Result } from 'ts-results';
+import type * as agedLoad from './agedLoad';
 import type * as errors from './errors';
 
 type Target = domain.target.target.Target;
@@ -27,16 +28,8 @@
   needsRoom: boolean;
 }
 
-/** Load report of an engine, measured `ageMs` before it was sent. */
-export interface AgedLoad {
-  queuedTokens: number;
-  streams: number;
-  freeTokens: number;
-  ageMs: number;
-}
-
 export interface EngineFrame extends domain.request.stream.Frame {
-  load?: AgedLoad;
+  load?: agedLoad.AgedLoad;
   promptTokens?: number;
 }
 
--- a/packages/daemon/src/targets/errors.ts
+++ b/packages/daemon/src/targets/errors.ts
@@ -1,6 +1,6 @@
 /** Errors of calls to targets, with what they prove about whether the call ran. */
 import type * as domain from '@celerydrift/domain';
-import type * as adapter from './adapter';
+import type * as agedLoad from './agedLoad';
 
 export interface TargetError {
   /** How far the call certainly got. */
@@ -10,5 +10,5 @@
   /** Delay that the target asked for before a retry; 0 if none. */
   retryAfterMs: number;
   /** Load of the engine when it refused for lack of memory; otherwise undefined. */
-  noRoom?: adapter.AgedLoad;
+  noRoom?: agedLoad.AgedLoad;
 }
--- a/packages/daemon/src/targets/httpAdapter.ts
+++ b/packages/daemon/src/targets/httpAdapter.ts
@@ -5,6 +5,7 @@
 import { Err, Ok, Result } from 'ts-results';
 import type * as undici from 'undici';
 import type * as adapter from './adapter';
+import type * as agedLoad from './agedLoad';
 import * as boundedBody from './boundedBody';
 import type * as errors from './errors';
 import * as httpClient from './httpClient';
@@ -17,7 +18,7 @@
   error?: string;
   notRun?: boolean;
   /** Load of the engine if it refused for lack of memory. */
-  noRoom?: adapter.AgedLoad;
+  noRoom?: agedLoad.AgedLoad;
 }
 
 interface Waiter {
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -14,13 +14,14 @@
 import * as load from './load';
 import * as locality from './locality';
 import * as planner from './planner';
+import type * as prompts from './prompt';
 import * as prefills from './prefill';
 import type * as prefillQueue from './prefillQueue';
 import type * as targetHealth from './targetHealth';
 import * as assumedLoad from './assumedLoad';
 import * as weights from './weights';
 
-export interface Request extends planner.Prompt {
+export interface Request extends prompts.Prompt {
   id: string;
   /** The entry that requests the placement; its dispatches end when it is gone. */
   entry: string;
--- a/packages/domain/src/allocation/deferral.ts
+++ b/packages/domain/src/allocation/deferral.ts
@@ -7,7 +7,7 @@
 import * as cost from './cost';
 import * as lateness from './lateness';
 import type * as loadForecast from './loadForecast';
-import type * as planner from './planner';
+import type * as prompts from './prompt';
 
 /**
  * Penalty of starting now, as a fraction of the request's value, below which no deferral is
@@ -26,7 +26,7 @@
 
 export interface DeferralInput {
   engine: catalogue.Engine;
-  prompt: planner.Prompt;
+  prompt: prompts.Prompt;
   /** Value of the request and penalty of starting now, in tokens of work. */
   value: number;
   penalty: number;
--- a/packages/domain/src/allocation/index.ts
+++ b/packages/domain/src/allocation/index.ts
@@ -4,6 +4,7 @@
 export * as load from './load';
 export * as loadForecast from './loadForecast';
 export * as planner from './planner';
+export * as prompt from './prompt';
 export * as deferral from './deferral';
 export * as prefill from './prefill';
 export * as prefillQueue from './prefillQueue';
--- a/packages/domain/src/allocation/planner.ts
+++ b/packages/domain/src/allocation/planner.ts
@@ -14,23 +14,9 @@
 import * as load from './load';
 import * as loadForecast from './loadForecast';
 import * as deferral from './deferral';
+import type * as prompts from './prompt';
 import * as weights from './weights';
 
-export interface Prompt {
-  tokens: number;
-  /** Expected length of the answer, tokens. */
-  answerTokens: number;
-  /** Objective for the time to the first token, milliseconds. */
-  objectiveMs: number;
-  /** Longest inter-token gap that the caller tolerates, milliseconds. */
-  pauseMs: number;
-  /** How long the caller has already waited, milliseconds. */
-  waitedMs: number;
-  dataCentre: string;
-  /** The only targets that may decode the answer; undefined for any. */
-  writers?: readonly string[];
-}
-
 /** A prefill helper, which also keeps part of the prompt's memory where the decoder lacks room. */
 export interface Helper {
   load: load.Load;
@@ -144,7 +130,7 @@
 
   /** Best decision for a prompt over `loads`. */
   decide(
-    prompt: Prompt,
+    prompt: prompts.Prompt,
     loads: readonly load.Load[],
     now: number,
     { mayWait = false, mayPack = true }: Options = {},
@@ -199,7 +185,7 @@
   }
 
   /** Most engines among which dividing a prompt's prefill pays off. */
-  maxUsefulParts({ tokens }: Prompt): number {
+  maxUsefulParts({ tokens }: prompts.Prompt): number {
     return Math.max(1, cost.prefillMs(this.engine, tokens) / MIN_PART_MS);
   }
 
@@ -214,14 +200,14 @@
    * Free memory that a decoder needs: as much as the whole request takes or, if that exceeds an
    * engine's memory, a fixed fraction of the engine's; helpers keep the rest.
    */
-  private minDecoderMemory({ tokens, answerTokens }: Prompt): number {
+  private minDecoderMemory({ tokens, answerTokens }: prompts.Prompt): number {
     const whole = tokens + answerTokens;
     const { memoryTokens } = this.engine;
     return whole <= memoryTokens ? whole : MIN_DECODER_MEMORY_FRACTION * memoryTokens;
   }
 
   private planWithParts(
-    prompt: Prompt,
+    prompt: prompts.Prompt,
     parts: number,
     candidates: readonly Candidate[],
     mayDecode: ReadonlySet<load.Load>,
@@ -286,7 +272,7 @@
   /**
    * Scores a part on this engine, with a preference for short queues and the caller's data centre.
    */
-  private score(prompt: Prompt, candidate: Candidate, part: Part): Scored {
+  private score(prompt: prompts.Prompt, candidate: Candidate, part: Part): Scored {
     const { load: engineLoad, forecast } = candidate;
     const { prefillMs, isShared } = part;
     const {
@@ -330,7 +316,7 @@
  * Never reserves all free memory, as some of it may be in use by now.
  */
 function distributeMemory(
-  { tokens, answerTokens }: Prompt,
+  { tokens, answerTokens }: prompts.Prompt,
   decoder: load.Load,
   helpers: readonly load.Load[],
   mayKeep: (helper: load.Load) => boolean,
@@ -349,19 +335,19 @@
 }
 
 /** Value of a request in tokens of work: lost if it fails, and most of it if it is late. */
-export function valueOf({ tokens, answerTokens }: Prompt): number {
+export function valueOf({ tokens, answerTokens }: prompts.Prompt): number {
   return tokens + ANSWER_WEIGHT * answerTokens;
 }
 
 /** Decoding requests that tolerate gaps about as long; the request is packed with them. */
-function similarDecodingCount({ pauseMs }: Prompt, engineLoad: load.Load): number {
+function similarDecodingCount({ pauseMs }: prompts.Prompt, engineLoad: load.Load): number {
   const tightest = engineLoad.tightestGapMs;
   const isSimilar = tightest <= pauseMs && tightest >= SIMILAR_GAP_FRACTION * pauseMs;
   return isSimilar ? engineLoad.decodingCount : 0;
 }
 
 /** Whether an engine's decoding requests tolerate only clearly shorter gaps than this request. */
-function hasTighterGaps(prompt: Prompt, engineLoad: load.Load): boolean {
+function hasTighterGaps(prompt: prompts.Prompt, engineLoad: load.Load): boolean {
   return engineLoad.tightestGapMs < SIMILAR_GAP_FRACTION * prompt.pauseMs;
 }
 
@@ -369,7 +355,7 @@
  * Preference among helpers of equal penalty: first those that serve equally tolerant callers, then
  * idle ones, last those with tight gaps, the least loaded first.
  */
-function helperRank(prompt: Prompt, { load: engineLoad, forecast }: Candidate): number {
+function helperRank(prompt: prompts.Prompt, { load: engineLoad, forecast }: Candidate): number {
   const isIdle = engineLoad.decodingCount === 0 && forecast.pendingMs === 0;
   return (isIdle ? 1 : 0) + (hasTighterGaps(prompt, engineLoad) ? 2 + engineLoad.decodingCount : 0);
 }
--- a/packages/soak/src/run.ts
+++ b/packages/soak/src/run.ts
@@ -13,7 +13,8 @@
 import * as malformedAnnouncer from './malformedAnnouncer';
 import * as faultInjector from './faultInjector';
 import * as layout from './layout';
-import * as lossSeries from './lossSeries';
+import * as keeperLosses from './keeperLosses';
+import type * as lossSeries from './lossSeries';
 import * as observations from './observations';
 import * as operator from './operator';
 import * as recoveryChecks from './recoveryChecks';
@@ -233,7 +234,7 @@
 
   private executeLossSeries(series: lossSeries.LossSeries): Promise<void> {
     const { fleet: vms, operators, faultInjector: injector } = this;
-    return lossSeries.carryOut(series, { fleet: vms, operators, faultInjector: injector });
+    return keeperLosses.carryOut(series, { fleet: vms, operators, faultInjector: injector });
   }
 
   private async malformedAnnouncementLoop(): Promise<void> {
