Give V8 only a code cache that is whole and of the program

An entry whose process ends by a signal gives each request that it has read neither an answer nor a refusal. The loader gave program.cache to V8 unexamined, and V8 checks only its own version, its flags and the lengths of the cache and of the source. With one byte of the real cache flipped, 18 of 60 starts ended by SIGTRAP or SIGSEGV, and a program.js of the same length ran the cached text under the digest of the new one. The bundler wrote program.js first and then the cache, both in place, so a process that started in between, or another build in the same tree, met such a cache.

The cache's file now has a digest of itself, of the program's bytes and of the runtime (Node.js, platform, V8's tag for its flags). The loader reads the program once, and V8 gets the cache only if all three match. The files of target/ are written under names of their own and renamed, the loader before the program, so that a stale cache is harmless in each state of a build. Event 1001 says in `codeCache` what became of the cache.

The tests failed before: SIGTRAP in two of six flipped places, `old` run in place of `new` for a program of the same length and after an interrupted build. loader.test.ts copies the loader's two new modules; its check is the same.

--- a/packages/daemon/src/roleMain.ts
+++ b/packages/daemon/src/roleMain.ts
@@ -16,6 +16,10 @@
 import * as observer from './observability/observer';
 import * as stateMachine from './replicas/stateMachine';
 
+/** Whether the program was loaded with its code cache, or why not. */
+export type CodeCacheState =
+  'used' | 'missing' | 'damaged' | 'otherProgram' | 'otherRuntime' | 'rejected';
+
 export interface Adapter {
   traffic: protocols.TrafficProtocol;
   control: protocols.ControlProtocol;
@@ -23,6 +27,8 @@
   earlyListener?: listening.EarlyListener;
   /** Identifies the program in the log, so that a log tells which one a process ran. */
   programDigest: string;
+  /** What became of the program's code cache; undefined if it was started without the loader. */
+  codeCache?: CodeCacheState;
 }
 
 /** A running entry or keeper. */
@@ -112,7 +118,8 @@
   if (settings.metrics !== undefined) void serveMetrics(settings.metrics, observe, started);
   const { role, seeds, mayFound } = settings;
   const afterMs = Math.round(clock.steady());
-  observe.log('started', { program: adapter.programDigest, role, seeds, mayFound, afterMs });
+  const { programDigest: program, codeCache } = adapter;
+  observe.log('started', { program, codeCache, role, seeds, mayFound, afterMs });
   watchSettingsFile(
     new settingsFile.SettingsFile(file, text, observe, (changed) => started.reload(changed)),
   );
--- a/packages/program/bundle.mjs
+++ b/packages/program/bundle.mjs
@@ -6,14 +6,16 @@
 import * as crypto from 'node:crypto';
 import * as fs from 'node:fs';
 import * as esbuild from 'esbuild';
+import replaceFile from './replaceFile.cjs';
+import targetFiles from './targetFiles.cjs';
 
 /** Must match the flags of `run` in the deployment: a code cache is only valid for the flags it was made with. */
 const NODE_FLAGS = ['--max-old-space-size=160'];
 
+const TARGET_FOLDER = 'target';
 const LOADER_FILE = 'target/celerydrift.js';
-const PROGRAM_FILE = 'target/program.js';
-
 const CACHE_FILE = 'target/program.cache';
+const SETTINGS_FILE = 'target/cache.ini';
 
 /** Length of the program's digest in logs, hexadecimal digits. */
 const DIGEST_LENGTH = 12;
@@ -34,7 +36,7 @@
 
 const BUILD_OPTIONS = {
   entryPoints: ['packages/program/src/main.ts'],
-  outfile: PROGRAM_FILE,
+  outfile: 'target/program.js',
   bundle: true,
   write: false,
   platform: 'node',
@@ -68,16 +70,14 @@
   .update(await bundle(''))
   .digest('hex')
   .slice(0, DIGEST_LENGTH);
-fs.mkdirSync('target', { recursive: true });
-fs.writeFileSync(PROGRAM_FILE, await bundle(digest));
+fs.mkdirSync(TARGET_FOLDER, { recursive: true });
+targetFiles.writeTarget(TARGET_FOLDER, await bundle(digest));
 
-fs.rmSync(CACHE_FILE, { force: true });
-fs.copyFileSync('packages/program/loader.cjs', LOADER_FILE);
-fs.copyFileSync('packages/program/earlyListener.cjs', 'target/earlyListener.cjs');
-fs.writeFileSync('target/cache.ini', PLACEHOLDER_SETTINGS);
+// The cache of an earlier build stays until the run below replaces it: the loader ignores it.
+replaceFile.replaceFile(SETTINGS_FILE, PLACEHOLDER_SETTINGS);
 const cacheRun = childProcess.spawnSync(
   process.execPath,
-  [...NODE_FLAGS, LOADER_FILE, '--check', 'target/cache.ini'],
+  [...NODE_FLAGS, LOADER_FILE, '--check', SETTINGS_FILE],
   { env: { PATH: process.env.PATH, CELERYDRIFT_WRITE_CACHE: CACHE_FILE }, stdio: 'inherit' },
 );
 if (cacheRun.status !== 0)
--- a/packages/program/src/__tests__/loader.test.ts
+++ b/packages/program/src/__tests__/loader.test.ts
@@ -16,7 +16,7 @@
   // Guards against a VM that is gone because its settings changed while its process was starting.
   it('survives SIGHUP before the program handles it', async () => {
     const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'loader-'));
-    ['loader.cjs', 'earlyListener.cjs'].forEach((file) => {
+    ['loader.cjs', 'codeCache.cjs', 'replaceFile.cjs', 'earlyListener.cjs'].forEach((file) => {
       fs.copyFileSync(path.join(SOURCES, file), path.join(folder, file));
     });
     fs.writeFileSync(path.join(folder, 'program.js'), PROGRAM);
--- a/packages/program/src/main.ts
+++ b/packages/program/src/main.ts
@@ -11,6 +11,9 @@
 /** Key on `globalThis` under which the loader stores its early listener; see earlyListener.cjs. */
 const EARLY_LISTENER = Symbol.for('celerydrift.earlyListener');
 
+/** Key on `globalThis` under which the loader stores what became of the code cache; see codeCache.cjs. */
+const CODE_CACHE = Symbol.for('celerydrift.codeCache');
+
 /** Identifies the bundled program; defined by the bundler. */
 declare const PROGRAM_DIGEST: string;
 
@@ -20,6 +23,10 @@
   return (globalThis as { [EARLY_LISTENER]?: Adapter['earlyListener'] })[EARLY_LISTENER];
 }
 
+function codeCache(): Adapter['codeCache'] {
+  return (globalThis as { [CODE_CACHE]?: Adapter['codeCache'] })[CODE_CACHE];
+}
+
 function main(): void {
   const args = process.argv.slice(2);
   const checkOnly = args.includes('--check');
@@ -35,6 +42,7 @@
     control: new platform.control.Control(),
     earlyListener: earlyListener(),
     programDigest: PROGRAM_DIGEST,
+    codeCache: codeCache(),
   };
   void daemon.roleMain.run(settingsFile, adapter, checkOnly);
 }
