Let election timeouts follow the round trip of a quorum

On overloaded machines five keepers that were all in touch elected no leader, so a lost disk wasn't replaced, and in the end entries refused all requests with a key.

Cause: timeouts are fixed. Where a vote takes longer than an election, counting batches, disk syncs and messages, it arrives when its candidate has gone on to the next attempt and drops it; a leader that is elected all the same steps down, as its quorum's answers are as late.

Replicas now measure round trips of votes and append requests. Where a quorum's exceeds half of the minimum election timeout, all timeouts grow in proportion, eight times at most; the leader states the time to its followers, and they shrink with it. A vote counts as long as its term lasts. Leases and what is synced before it is sent are as before; trust in a leader only lasts longer.

--- a/packages/daemon/src/replicas/__tests__/wire.test.ts
+++ b/packages/daemon/src/replicas/__tests__/wire.test.ts
@@ -24,6 +24,21 @@
     expect(wire.unpack(JSON.parse(JSON.stringify(packed)))).to.deep.equal(request);
   });
 
+  // Guards against timeouts that grow on one side only, as replicas of two versions misread each other's times.
+  it('carry what elections measure, after the fields that the last version knows', () => {
+    const request = { ...REQUEST, silences: [], quorumRoundTripMs: 900 };
+    const vote = { from: 'a', term: 3, pre: true } as const;
+    const logEnd = { lastIndex: 7, lastTerm: 2 };
+    const asked = { kind: 'voteRequest', ...vote, ...logEnd, sentAt: 5 } as const;
+    const answered = { kind: 'voteAnswer', ...vote, granted: true, knowsLeader: false } as const;
+    [request, asked, answered, { ...answered, sentAt: 5 }].forEach((message) => {
+      const packed = wire.pack(message);
+      expect(wire.unpack(JSON.parse(JSON.stringify(packed)))).to.deep.equal(message);
+    });
+    expect(wire.pack(answered)).to.deep.equal([1, 'a', 3, true, true, false]);
+    expect(wire.pack(asked).slice(0, 6)).to.deep.equal([0, 'a', 3, true, 7, 2]);
+  });
+
   it('are the same as those of the last version where no member is silent', () => {
     expect(wire.pack(REQUEST)).to.deep.equal([2, 'a', 3, 7, 2, 6, 1_000]);
     expect(wire.unpack([2, 'a', 3, 7, 2, 6, 1_000])).to.deep.equal(REQUEST);
--- a/packages/daemon/src/replicas/wire.ts
+++ b/packages/daemon/src/replicas/wire.ts
@@ -22,12 +22,23 @@
   'snapshotRequest',
 ];
 
+function sentAtOf({ sentAt }: { sentAt?: number }): number[] {
+  return sentAt === undefined ? [] : [sentAt];
+}
+
 function packFields(message: Message): unknown[] {
-  if (message.kind === 'voteRequest') return [message.pre, message.lastIndex, message.lastTerm];
-  if (message.kind === 'voteAnswer') return [message.pre, message.granted, message.knowsLeader];
+  if (message.kind === 'voteRequest') {
+    return [message.pre, message.lastIndex, message.lastTerm, ...sentAtOf(message)];
+  }
+  if (message.kind === 'voteAnswer') {
+    return [message.pre, message.granted, message.knowsLeader, ...sentAtOf(message)];
+  }
   if (message.kind === 'appendRequest') {
     const { previousIndex, previousTerm, commit, sentAt, entries, silences } = message;
+    const { quorumRoundTripMs } = message;
     const base = [previousIndex, previousTerm, commit, sentAt];
+    if (quorumRoundTripMs !== undefined)
+      return [...base, entries, silences ?? [], quorumRoundTripMs];
     if (silences !== undefined) return [...base, entries, silences];
     return entries.length === 0 ? base : [...base, entries];
   }
@@ -54,12 +65,23 @@
 }
 
 function unpackFields(kind: Message['kind'], fields: unknown[]): object {
-  if (kind === 'voteRequest') return { pre: fields[0], lastIndex: fields[1], lastTerm: fields[2] };
-  if (kind === 'voteAnswer') return { pre: fields[0], granted: fields[1], knowsLeader: fields[2] };
+  if (kind === 'voteRequest' || kind === 'voteAnswer') {
+    const [pre, second, third, sentAt] = fields;
+    const base =
+      kind === 'voteRequest'
+        ? { pre, lastIndex: second, lastTerm: third }
+        : { pre, granted: second, knowsLeader: third };
+    return typeof sentAt === 'number' ? { ...base, sentAt } : base;
+  }
   if (kind === 'appendRequest') {
     const [previousIndex, previousTerm, commit, sentAt, entries = [], silences] = fields;
+    const quorumRoundTripMs = fields[6];
     const base = { previousIndex, previousTerm, commit, sentAt, entries };
-    return silences === undefined ? base : { ...base, silences };
+    return {
+      ...base,
+      ...(silences !== undefined && { silences }),
+      ...(quorumRoundTripMs !== undefined && { quorumRoundTripMs }),
+    };
   }
   if (kind === 'appendAnswer') return { success: fields[0], matched: fields[1], sentAt: fields[2] };
   return { sentAt: fields[0], snapshot: fields[1] };
--- a/packages/domain/src/replication/messages.ts
+++ b/packages/domain/src/replication/messages.ts
@@ -61,6 +61,8 @@
   term: number;
   lastIndex: number;
   lastTerm: number;
+  /** The sender's clock, echoed in the answer to measure the round trip; absent from peers of the last version. */
+  sentAt?: number;
 }
 
 export interface VoteAnswer {
@@ -71,6 +73,7 @@
   granted: boolean;
   /** Whether the answering replica leads, or recently received a message of the leader. */
   knowsLeader: boolean;
+  sentAt?: number;
 }
 
 /** How long a member has been silent towards the leader. */
@@ -97,6 +100,8 @@
    * of the last version.
    */
   silences?: Silence[];
+  /** Time in which a quorum answers, if it exceeds what the timing allows for, so that followers wait accordingly. */
+  quorumRoundTripMs?: number;
 }
 
 export interface AppendAnswer {
--- a/packages/domain/src/replication/replica.ts
+++ b/packages/domain/src/replication/replica.ts
@@ -4,6 +4,7 @@
  * process must have synced `persist` before it sends messages of the same step.
  */
 import * as random from '../shared/random';
+import * as electionPace from './electionPace';
 import * as log from './log';
 import * as memberContacts from './memberContacts';
 import * as messages from './messages';
@@ -90,12 +91,18 @@
 
   private leaderSince = 0;
 
+  /** Pre-votes of the latest attempt. */
+  private grantedPreVotes = new Set<string>();
+
+  /** Votes of the current term. They count for as long as the term lasts, however late they arrive. */
   private grantedVotes = new Set<string>();
 
   private preVoteAt = -Infinity;
 
   private progress = new Map<string, Progress>();
 
+  private readonly pace: electionPace.ElectionPace;
+
   private readonly contacts = new memberContacts.MemberContacts();
 
   private effects = messages.noEffects();
@@ -112,6 +119,7 @@
     this.vote = durable.vote;
     this.commit = durable.snapshot.index;
     this.timing = timing;
+    this.pace = new electionPace.ElectionPace(timing.electionMin);
     this.random = source;
     // A restarted replica can't know when it last received a message of a leader. Counting from now
     // keeps it from helping to elect a second leader while the lease of the first, which it may
@@ -239,11 +247,14 @@
    * another one.
    */
   hasQuorumContact(now: number): boolean {
-    if (this.state !== 'leader') return false;
-    const isTermCommitted = this.log.termAt(this.commit) === this.term;
-    return (
-      isTermCommitted && now - this.quorumContactAt(now) < this.timing.electionMin * LEASE_FRACTION
-    );
+    return this.isInContact(now, 1);
+  }
+
+  /** A command that is accepted with an older contact may be lost, but isn't acknowledged; leases allow for nothing. */
+  private isInContact(now: number, slowness: number): boolean {
+    if (this.state !== 'leader' || this.log.termAt(this.commit) !== this.term) return false;
+    const maxAge = this.timing.electionMin * LEASE_FRACTION * slowness;
+    return now - this.quorumContactAt(now) < maxAge;
   }
 
   /** Sends heartbeats at once, to confirm with a quorum that this replica still leads. */
@@ -325,9 +336,21 @@
     return count * 2 > this.voters.length;
   }
 
+  /** Factor by which this replica's timeouts grow while a quorum is slow. */
+  private get slowness(): number {
+    return this.pace.factor(this.id, () => this.voters.map(({ id }) => id));
+  }
+
+  private get quorumRoundTripMs(): number {
+    return this.pace.quorumRoundTripMs(
+      this.id,
+      this.voters.map(({ id }) => id),
+    );
+  }
+
   private resetElection(now: number, bounds?: { min: number; max: number }): void {
     const { min, max } = bounds ?? { min: this.timing.electionMin, max: this.timing.electionMax };
-    this.electionAt = now + min + this.random.uniform() * (max - min);
+    this.electionAt = now + (min + this.random.uniform() * (max - min)) * this.slowness;
   }
 
   private persistVote(vote: messages.Vote): void {
@@ -358,7 +381,7 @@
    */
   private trustsLeader(now: number): boolean {
     if (this.state === 'leader') return true;
-    return now - this.leaderContactAt < this.timing.electionMin;
+    return now - this.leaderContactAt < this.timing.electionMin * this.slowness;
   }
 
   /**
@@ -375,27 +398,30 @@
     if (!this.isVoter) return;
     this.state = 'preCandidate';
     this.preVoteAt = now;
-    this.requestVotes(true, this.term + 1);
-    if (this.isQuorum(this.grantedVotes.size)) this.startElection(now);
+    this.grantedPreVotes = new Set([this.id]);
+    this.requestVotes(true, this.term + 1, now);
+    if (this.isQuorum(this.grantedPreVotes.size)) this.startElection(now);
   }
 
   private startElection(now: number): void {
     // Each vote takes a disk sync; a slow disk must not restart the election before the votes
     // arrive.
-    this.resetElection(now, this.isFreshlyStarted ? this.timing.restart : undefined);
+    const isEager = this.isFreshlyStarted && this.slowness === 1;
+    this.resetElection(now, isEager ? this.timing.restart : undefined);
     this.state = 'candidate';
     this.persistVote({ term: this.term + 1, votedFor: this.id });
-    this.requestVotes(false, this.term);
+    this.grantedVotes = new Set([this.id]);
+    this.requestVotes(false, this.term, now);
     if (this.isQuorum(this.grantedVotes.size)) this.becomeLeader(now);
   }
 
-  private requestVotes(pre: boolean, term: number): void {
-    this.grantedVotes = new Set([this.id]);
+  private requestVotes(pre: boolean, term: number, now: number): void {
     const { lastIndex, lastTerm } = this.log;
+    const request = { from: this.id, pre, term, lastIndex, lastTerm, sentAt: now };
     this.voters
       .filter(({ id }) => id !== this.id)
       .forEach(({ id }) => {
-        this.send(id, { kind: 'voteRequest', from: this.id, pre, term, lastIndex, lastTerm });
+        this.send(id, { kind: 'voteRequest', ...request });
       });
   }
 
@@ -410,9 +436,9 @@
     const isYielding = granted && request.pre && this.isFreshlyStarted;
     if (isYielding && this.state === 'preCandidate') this.state = 'follower';
     const term = granted && request.pre ? request.term : this.term;
-    const { pre } = request;
+    const { pre, sentAt } = request;
     const knowsLeader = this.trustsLeader(now);
-    const answer = { from: this.id, pre, term, granted, knowsLeader };
+    const answer = { from: this.id, pre, term, granted, knowsLeader, sentAt };
     this.send(request.from, { kind: 'voteAnswer', ...answer });
   }
 
@@ -446,10 +472,11 @@
   }
 
   private handleVoteAnswer(answer: messages.VoteAnswer, now: number): void {
-    const expectedState = answer.pre ? 'preCandidate' : 'candidate';
+    if (answer.sentAt !== undefined && this.state !== 'leader' && this.leader === '')
+      this.pace.observe(answer.from, now - answer.sentAt);
     const requestedTerm = answer.pre ? this.term + 1 : this.term;
     if (
-      this.state === expectedState &&
+      this.state === (answer.pre ? 'preCandidate' : 'candidate') &&
       !answer.granted &&
       answer.knowsLeader &&
       this.isFreshlyStarted
@@ -460,18 +487,27 @@
       this.resetElection(now);
       return;
     }
-    if (this.state !== expectedState || !answer.granted || answer.term !== requestedTerm) return;
+    if (!this.isAwaited(answer) || !answer.granted || answer.term !== requestedTerm) return;
     if (!this.voters.some(({ id }) => id === answer.from)) return;
-    this.grantedVotes.add(answer.from);
-    if (!this.isQuorum(this.grantedVotes.size)) return;
+    const granted = answer.pre ? this.grantedPreVotes : this.grantedVotes;
+    granted.add(answer.from);
+    if (!this.isQuorum(granted.size)) return;
     if (answer.pre) this.startElection(now);
     else this.becomeLeader(now);
   }
 
+  /** Whether a vote may still help. One for the current term does also while the next attempt has only sent pre-votes. */
+  private isAwaited({ pre }: messages.VoteAnswer): boolean {
+    if (pre || this.state === 'candidate')
+      return this.state === (pre ? 'preCandidate' : 'candidate');
+    return this.state === 'preCandidate' && this.vote.votedFor === this.id;
+  }
+
   private becomeLeader(now: number): void {
     this.state = 'leader';
     this.leader = this.id;
     this.leaderSince = now;
+    this.pace.lead();
     this.progress.clear();
     this.appendOwn([{ kind: 'empty', index: this.log.lastIndex + 1, term: this.term }], now);
   }
@@ -479,7 +515,7 @@
   private tickLeader(now: number): void {
     // Quorum check: a leader that is cut off from a majority must step down; otherwise it would act
     // as the leader for as long as the partition lasts.
-    if (now - this.quorumContactAt(now) > this.timing.electionMax) {
+    if (now - this.quorumContactAt(now) > this.timing.electionMax * this.slowness) {
       this.becomeFollower(this.term, '', now);
       return;
     }
@@ -535,6 +571,7 @@
     const entries = isPending ? [] : this.log.from(progress.next, MAX_BATCH_ENTRIES);
     if (entries.length > 0) progress.pendingSince = now;
     const silences = this.silences(now);
+    const quorumRoundTripMs = this.slowness > 1 ? this.quorumRoundTripMs : undefined;
     this.send(id, {
       kind: 'appendRequest',
       from: this.id,
@@ -545,6 +582,7 @@
       commit: this.commit,
       sentAt: now,
       ...(silences.length > 0 && { silences }),
+      ...(quorumRoundTripMs !== undefined && { quorumRoundTripMs }),
     });
   }
 
@@ -572,6 +610,7 @@
       answer(false, 0);
       return;
     }
+    this.pace.follow(request.quorumRoundTripMs ?? 0);
     this.followLeader(from, now);
     this.contacts.stated(from, this.members, request.silences ?? [], now);
     // Everything that the snapshot covers is committed and therefore equal at any leader.
@@ -613,6 +652,7 @@
     if (this.state !== 'leader' || answer.term !== this.term) return;
     if (!this.members.some(({ id }) => id === answer.from)) return;
     const progress = this.progressOf(answer.from, now);
+    this.pace.observe(answer.from, now - answer.sentAt);
     progress.contactAt = Math.max(progress.contactAt, answer.sentAt);
     progress.answeredAt = Math.max(progress.answeredAt, answer.sentAt);
     if (answer.sentAt >= progress.pendingSince) progress.pendingSince = 0;
@@ -667,7 +707,7 @@
 
   private refusalToPropose(now: number): RefusalReason | undefined {
     if (this.state !== 'leader') return 'notLeader';
-    return this.hasQuorumContact(now) ? undefined : 'noQuorumContact';
+    return this.isInContact(now, this.slowness) ? undefined : 'noQuorumContact';
   }
 
   private refusalToChange(members: messages.Member[], now: number): RefusalReason | undefined {
