Acknowledge the end of a target once it is on the keepers' disks

A target that had left, or had announced that it drains, got requests again after all keepers lost power: their files still had it as ready, and a remembered target is used until it is silent for 2.4 s.

Cause: the acknowledgement waited for the followers' memory, not for the files, which are written up to half a second later. A departure at the leader didn't even schedule a write there.

The leader and each keeper that takes the push now write such an end without the usual pause, and the acknowledgement waits for them beside the push that it waits for anyway. Ends that arrive together share a write. Weighed against using remembered targets only once they announce themselves, which would refuse callers for over a second after each outage; and a check wouldn't do, as a draining target answers it.

--- a/packages/daemon/src/fleet/fleetState.ts
+++ b/packages/daemon/src/fleet/fleetState.ts
@@ -194,6 +194,13 @@
     return this.notifyChanged(this.registry.announce(announcement, this.options.now()));
   }
 
+  /** Applies a target's departure, without logging it. */
+  applyDeparture({ id, bornAt }: { id: string; bornAt?: number }): Announcement[] {
+    const changed = this.registry.depart(id, this.options.now(), bornAt);
+    changed.forEach((record) => this.options.onRecord(record));
+    return changed;
+  }
+
   /** Applies a lifetime's notice, in an answer, that it drains. */
   applyDraining({ id, bornAt }: domain.quarantine.crashedLifetimes.Lifetime): Announcement[] {
     return this.notifyChanged(this.registry.reportDraining(id, bornAt));
--- a/packages/daemon/src/keeper/__tests__/keeper.test.ts
+++ b/packages/daemon/src/keeper/__tests__/keeper.test.ts
@@ -93,6 +93,32 @@
     expect(state.registry.get('i1')?.state).to.equal('gone');
   });
 
+  // Guards against requests to a target whose end was acknowledged before all keepers lost power: their disks still had it.
+  it('acknowledge the end of a target once it is on their disks', async () => {
+    const { state, link } = await fleet.follow();
+    await until('a confirmation', () => link.confirmationAgeMs < 700);
+    for (const id of ['i1', 'i2']) {
+      const announced = {
+        ...(target('ready', 1) as { address: string }),
+        address: `10.0.0.${id.slice(1)}:80`,
+      };
+      await until('the announcement', async () => {
+        return (await fleet.call(fleet.leader, 'PUT', `/${id}`, announced))[0] === 200;
+      });
+    }
+    await until('both targets on the disks', async () => {
+      return (await storedStates(fleet)).every((each) => each === 'ready ready');
+    });
+    const draining = target('draining', 2);
+    const statuses = await Promise.all([
+      fleet.call(fleet.leader, 'PUT', '/i1', draining),
+      fleet.call(fleet.leader, 'DELETE', '/i2'),
+    ]);
+    expect(statuses.map(([status]) => status)).to.deep.equal([200, 200]);
+    expect(await storedStates(fleet)).to.deep.equal(Array(3).fill('draining gone'));
+    expect(state.registry.get('i2')?.state).to.equal('gone');
+  });
+
   // Guards against an acknowledged drain that no entry learns of: a leader with a stalled disk doesn't notice its successor.
   it('acknowledge no announcement at a former leader whose disk stalls', async () => {
     const { state, link } = await fleet.follow();
@@ -201,6 +227,17 @@
   });
 });
 
+/** The states of targets `i1` and `i2` on the disk of each keeper. */
+function storedStates(fleet: keeperFleet.Fleet): Promise<string[]> {
+  const folders = [0, 1, 2].map((i) => fleet.configurations[i].folder);
+  return Promise.all(
+    folders.map(async (folder) => {
+      const records = (await targetStore.read(folder)).unwrapOr([]);
+      return ['i1', 'i2'].map((id) => records.find((each) => each.id === id)?.state).join(' ');
+    }),
+  );
+}
+
 async function sizeOf(file: string): Promise<number> {
   return (await fs.stat(file).catch(() => ({ size: 0 }))).size;
 }
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -112,7 +112,7 @@
       },
       onRecord: (record) => {
         this.leadership?.allocator.observe(record);
-        this.softState.targetsChanged();
+        this.softState.targetChanged(record);
       },
       onSuspects: () => this.softState.suspectsChanged(),
       onLimits: () => this.softState.limitsChanged(),
@@ -252,6 +252,7 @@
       random: this.dependencies.random,
       newestCatalogue: () => this.machine.catalogue.newest,
       evacuations: () => this.machine.evacuations.state,
+      endsStored: () => this.softState.endsStored(),
       onInformed: () => this.softState.evacuationReplicasChanged(),
       onSuspects: () => this.softState.suspectsChanged(),
       onLimits: () => this.softState.limitsChanged(),
@@ -275,8 +276,10 @@
     const { server, calls } = this;
     server.add('identify', () => this.identity());
     server.add('follow', (request) => this.follow(request as messages.FollowRequest));
-    server.add('learn', (update) => {
-      this.fleetState.applyUpdate(update as messages.FleetUpdate);
+    server.add('learn', async (update) => {
+      await this.softState.storing(() => {
+        this.fleetState.applyUpdate(update as messages.FleetUpdate);
+      });
       return { mark: this.fleetState.registryVersion } satisfies messages.UpdateAck;
     });
     server.add('announced', (content) => calls.announceHere(content as messages.AnnouncementBatch));
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -35,6 +35,8 @@
   newestCatalogue: () => domain.catalogue.newestCatalogue.PackedCatalogue | undefined;
   /** The committed evacuations. */
   evacuations: () => domain.evacuation.evacuations.EvacuationState;
+  /** Resolves once the ends of targets that this keeper knows are on its disk, or after a time limit. */
+  endsStored?: () => Promise<void>;
   /** Called when the replicas that are known to know evacuations change. */
   onInformed: () => void;
   /** Called when the known suspect requests change. */
@@ -323,7 +325,12 @@
     }
     const changed = fleet.applyAnnouncement(record);
     this.cold.announced(announcement);
-    if (changed.length > 0) await this.updates.publish(changed);
+    if (changed.length > 0) await this.publishDurably(changed);
+  }
+
+  /** Pushes changes of targets; resolves when the reachable followers know them and ends are on their and this disk. */
+  private async publishDurably(changed: readonly Announcement[]): Promise<void> {
+    await Promise.all([this.updates.publish(changed), this.options.endsStored?.()]);
   }
 
   /** Merges registry records received from a follower. */
@@ -335,15 +342,18 @@
 
   async depart({ id, bornAt }: messages.Departure): Promise<void> {
     const previous = this.options.fleetState.registry.get(id);
-    const changed = this.options.fleetState.registry.depart(id, this.options.now(), bornAt);
-    if (changed.length === 0) return;
+    const changed = this.options.fleetState.applyDeparture({ id, bornAt });
+    if (changed.length === 0) {
+      // A repeated departure: its first answer may have been lost before the disk had it.
+      await this.options.endsStored?.();
+      return;
+    }
     this.options.observer.log('targetAnnounced', {
       target: id,
       state: 'gone',
       before: previous?.state,
     });
-    changed.forEach((record) => this.allocator.observe(record));
-    await this.updates.publish(changed);
+    await this.publishDurably(changed);
   }
 
   /**
--- a/packages/daemon/src/keeper/softStateFile.ts
+++ b/packages/daemon/src/keeper/softStateFile.ts
@@ -1,6 +1,6 @@
 /**
  * A file on a keeper's disk that stores soft state as a hint for a restart. It is written in the background, some
- * time after each change, and may be lost; with a full or broken disk only this hint is missing.
+ * time after each change, or soon after an urgent one; with a full or broken disk only this hint is missing.
  */
 import * as fs from 'node:fs/promises';
 import * as path from 'node:path';
@@ -30,6 +30,15 @@
  */
 const WRITE_INTERVAL_MS = 500;
 
+/** Pause before the write of an urgent change, in milliseconds, so that the changes of a burst share their writes. */
+const URGENT_INTERVAL_MS = 10;
+
+/** Changes that a process waits for until they are on the disk. */
+interface UrgentChanges {
+  done: Promise<void>;
+  finish: () => void;
+}
+
 /** Reads a file; undefined if there is none yet. */
 export async function read(folder: string, name: string): Promise<Result<unknown, Unusable>> {
   let file: Buffer;
@@ -54,6 +63,14 @@
 
   private isFailing = false;
 
+  /** Urgent changes that no write has begun to store. */
+  private urgent: UrgentChanges | undefined;
+
+  /** Resolves when the urgent changes of the last writes are stored or given up. */
+  private urgentWritten: Promise<void> = Promise.resolve();
+
+  private endPause = (): void => undefined;
+
   constructor(private readonly dependencies: Dependencies) {}
 
   /** Schedules a write of the changed state. */
@@ -62,21 +79,47 @@
     this.writing ??= this.write();
   }
 
+  /** Schedules a write that doesn't wait for the usual pause. */
+  markUrgent(): void {
+    this.urgent ??= urgentChanges();
+    this.markChanged();
+    this.endPause();
+  }
+
+  /** Resolves once all urgent changes are on the disk, or their write has failed. */
+  async stored(): Promise<void> {
+    await Promise.all([this.urgentWritten, this.urgent?.done]);
+  }
+
   /** Stops writing; resolves when no write is in progress. */
   async close(): Promise<void> {
     this.isClosed = true;
+    this.endPause();
     await this.writing;
   }
 
   private async write(): Promise<void> {
     while (this.isChanged && !this.isClosed) {
       this.isChanged = false;
+      const { urgent } = this;
+      this.urgent = undefined;
+      if (urgent !== undefined) this.urgentWritten = urgent.done;
       await this.replace();
-      await clock.sleep(WRITE_INTERVAL_MS);
+      urgent?.finish();
+      await this.pause();
     }
+    this.urgent?.finish();
     this.writing = undefined;
   }
 
+  private async pause(): Promise<void> {
+    const isEnded = new Promise<void>((resolve) => {
+      this.endPause = resolve;
+    });
+    if (this.urgent === undefined) await Promise.race([isEnded, clock.sleep(WRITE_INTERVAL_MS)]);
+    if (this.urgent !== undefined) await clock.sleep(URGENT_INTERVAL_MS);
+  }
+
   /** Replaces the file; after a failure the next change tries again. */
   private async replace(): Promise<void> {
     const { folder, name, content, observer: observe } = this.dependencies;
@@ -89,3 +132,11 @@
     }
   }
 }
+
+function urgentChanges(): UrgentChanges {
+  let finish = (): void => undefined;
+  const done = new Promise<void>((resolve) => {
+    finish = resolve;
+  });
+  return { done, finish };
+}
--- a/packages/daemon/src/keeper/softStateStore.ts
+++ b/packages/daemon/src/keeper/softStateStore.ts
@@ -2,6 +2,7 @@
  * Soft state on a keeper's disk, with a file each for targets, quarantined requests, rate limits and the replicas that
  * know evacuations. An outage of all VMs removes it everywhere else; where a file is outdated, the targets' next announcements and answers correct it.
  */
+import type * as domain from '@celerydrift/domain';
 import * as clock from '../clock';
 import type * as fleetState from '../fleet/fleetState';
 import type * as observer from '../observability/observer';
@@ -20,6 +21,12 @@
   observer: observer.Observer;
 }
 
+/**
+ * Maximum wait for the disk before a departure or drain is acknowledged, in milliseconds; an eighth of the shortest
+ * drain time. A disk that stalls for longer isn't waited for.
+ */
+const MAX_STORE_WAIT_MS = 250;
+
 export class SoftStateStore {
   private readonly targets: softStateFile.SoftStateFile;
 
@@ -32,6 +39,12 @@
   /** Fingerprints of the quarantined requests that are stored or about to be. */
   private storedQuarantine = '';
 
+  /** Number of ends of targets that became known. */
+  private ends = 0;
+
+  /** Whether a write of the targets has taken longer than anybody waits. */
+  private isStalled = false;
+
   constructor(private readonly dependencies: Dependencies) {
     const { fleetState: fleet } = dependencies;
     this.targets = this.file(targetStore.FILE, () => fleet.registry.durableRecords());
@@ -50,8 +63,39 @@
     await this.loadEvacuationReplicas();
   }
 
-  targetsChanged(): void {
-    this.targets.markChanged();
+  /**
+   * Schedules a write of the targets, soon if one has announced its end: a keeper that has lost power would use it
+   * again.
+   */
+  targetChanged({ state, isPresumed, isRemembered }: domain.registry.registry.Announcement): void {
+    const isInferred = isPresumed === true || isRemembered === true;
+    if (state === 'ready' || isInferred) {
+      this.targets.markChanged();
+      return;
+    }
+    this.ends += 1;
+    this.targets.markUrgent();
+  }
+
+  /**
+   * Resolves once all ends of targets known here are on the disk, or after a time limit; at once while the disk is known
+   * to stall.
+   */
+  async endsStored(): Promise<void> {
+    if (this.isStalled) return;
+    const stored = this.targets.stored().then(() => {
+      this.isStalled = false;
+      return true;
+    });
+    const isStored = await Promise.race([stored, clock.sleep(MAX_STORE_WAIT_MS)]);
+    if (isStored !== true) this.isStalled = true;
+  }
+
+  /** Runs an update and waits for the disk if it ended targets. */
+  async storing(update: () => void): Promise<void> {
+    const before = this.ends;
+    update();
+    if (this.ends > before) await this.endsStored();
   }
 
   /** Schedules a write only if the quarantine changed: most suspects never get there and cost the disk nothing. */
