End the watch of an attempt that fails unexpectedly

Where a complete response couldn't be taken because of an unexpected error, its caller got an answer, but the watchdog of the attempt went on: it looked for successors, and probed the target each second, as long as the process lived. A probe that was in flight at the end of any attempt also began a search for a successor, which put off that of the next attempt by 250 ms.

The end of the wait is in one place now (finally), and a watchdog that is stopped reports nothing.

Evidence: placedAttempt.test.ts saw 36 calls for a successor within three seconds after the end, and responseWatchdog.test.ts one report after the stop; none now.

--- a/packages/daemon/src/entry/placedAttempt.ts
+++ b/packages/daemon/src/entry/placedAttempt.ts
@@ -95,6 +95,7 @@
   /** Stops the attempt after an unexpected error, wherever it is. */
   abandon(): void {
     this.delivery?.cancel();
+    this.delivery = undefined;
     if (!this.isReleased) this.release('cancelled');
   }
 
@@ -156,12 +157,16 @@
         giveUp: () => this.interrupt({ kind: 'failed', ending: 'broken', detail, isCut: true }),
       });
     });
-    const completed = delivery.result.then((result) => this.classify(result));
-    const outcome = await Promise.race([interrupted, completed]);
-    watchdog?.stop();
-    this.wasOverdue = watchdog?.isOverdue ?? outcome.kind === 'late';
-    this.resolveEarly = undefined;
-    return outcome;
+    try {
+      const completed = delivery.result.then((result) => this.classify(result));
+      const outcome = await Promise.race([interrupted, completed]);
+      this.wasOverdue = watchdog?.isOverdue ?? outcome.kind === 'late';
+      return outcome;
+    } finally {
+      // Also after an unexpected error, as the watchdog would probe the target for ever.
+      watchdog?.stop();
+      this.resolveEarly = undefined;
+    }
   }
 
   /** Only repeatable requests have a response timeout: a missing response doesn't prove that a request doesn't run. */
--- a/packages/daemon/src/entry/responseWatchdog.ts
+++ b/packages/daemon/src/entry/responseWatchdog.ts
@@ -16,6 +16,8 @@
 export class ResponseWatchdog {
   private readonly timer: NodeJS.Timeout;
 
+  private isStopped = false;
+
   private isProbing = false;
 
   private nextProbeAt = 0;
@@ -28,6 +30,7 @@
   }
 
   stop(): void {
+    this.isStopped = true;
     clearInterval(this.timer);
   }
 
@@ -56,8 +59,8 @@
     const alive = await isAlive().catch(() => true);
     this.isProbing = false;
     this.nextProbeAt = now() + responseTimeout.PROBE_INTERVAL_MS;
-    // An event may have arrived during the probe.
-    if (!alive && this.status !== 'fine')
+    // An event may have arrived during the probe, or the attempt may have ended.
+    if (!alive && !this.isStopped && this.status !== 'fine')
       this.dependencies.onTimeout('target failed its liveness probe');
   }
 }
