Return a begun stream to a former target if its present one is silent

A stream that had moved to a second target, which then fell silent for good, ended at its time limit, although its first target responded again all the time. At the route's limit of targets nothing was looked for, as the attempt in progress counted as the last one. Below the limit, a search left out all targets that the stream had been sent to, and so ended without a place where the service has no other.

While an attempt is overdue, a stream that has begun now also returns to a target that it was sent to: if no other is free, that one responds, and the present one leaves a probe unanswered. One that is merely slow is kept, as its predecessor was slow too. A return adds no target to those that have run the stream, and takes a retry from the budget like any other move. A successor in hand isn't paused for, as it has just responded.

--- a/packages/daemon/src/entry/__tests__/succession.test.ts
+++ b/packages/daemon/src/entry/__tests__/succession.test.ts
@@ -58,6 +58,7 @@
   let searchedAt = 0;
   for (let i = 0; i < searches; i++) {
     await tested.seek({
+      ...{ target: 'own', hasAttemptsLeft: () => true, isResponsive: async () => false },
       isOverdue: () => probes < recoversAfterProbes,
       giveUp: ({ choice }) => {
         successor = choice.placement.target;
--- a/packages/daemon/src/entry/attempts.ts
+++ b/packages/daemon/src/entry/attempts.ts
@@ -118,6 +118,12 @@
     return this.isAtTargetLimit ? [...this.returnable.keys()] : undefined;
   }
 
+  /** Targets that a stream that has begun may return to from another one; none on a route that allows one target. */
+  returnsFrom(activeTarget: string): string[] {
+    if (this.maxTargets === 1) return [];
+    return [...this.sent.keys()].filter((target) => target !== activeTarget);
+  }
+
   private get returnable(): ReadonlySet<string> | ReadonlyMap<string, number> {
     return this.mayReturnToAll ? this.sent : this.refused;
   }
--- a/packages/daemon/src/entry/placedAttempt.ts
+++ b/packages/daemon/src/entry/placedAttempt.ts
@@ -130,7 +130,7 @@
   private begin(delivery: targetAttempt.Attempt): void {
     const { choice, memory } = this.placed;
     const { placement } = choice;
-    const { attempts: made, reply, requestLog, terms, signals, now, evidence } = this.dependencies;
+    const { attempts: made, reply, requestLog, terms, signals, now } = this.dependencies;
     this.sentToBornAt = signals.bornAt(placement.target);
     made.begin(placement.target, this.sentToBornAt);
     reply.beginAttempt(() => this.run.began());
@@ -141,7 +141,7 @@
     reply.attach(delivery);
     memory.renewFor({
       lastHeardAt: () => delivery.lastHeardAt,
-      isResponsive: () => evidence.isResponsive(placement, this.delivery?.relay),
+      isResponsive: () => this.isResponsive(),
     });
   }
 
@@ -153,7 +153,10 @@
     const watchdog = this.watchResponse((detail) => {
       const isOverdue = (): boolean => !delivery.isOver && watchdog?.isOverdue === true;
       this.dependencies.onOverdue({
+        target: this.placed.choice.placement.target,
         isOverdue: () => isOverdue() && this.delivery === delivery,
+        hasAttemptsLeft: () => this.hasAttemptsLeft,
+        isResponsive: () => this.isResponsive(),
         giveUp: () => this.interrupt({ kind: 'failed', ending: 'broken', detail, isCut: true }),
       });
     });
@@ -173,7 +176,7 @@
   private watchResponse(
     onTimeout: (detail: string) => void,
   ): responseWatchdog.ResponseWatchdog | undefined {
-    const { admitted, now, reply, evidence } = this.dependencies;
+    const { admitted, now, reply } = this.dependencies;
     const { placement } = this.placed.choice;
     if (!this.isRepeatable) return undefined;
     return new responseWatchdog.ResponseWatchdog({
@@ -181,8 +184,8 @@
       sentAt: now(),
       now,
       lastEventAt: () => reply.lastProgressAt(now()),
-      isAlive: () => evidence.isResponsive(placement, this.delivery?.relay),
-      hasAlternative: () => this.hasAttemptsLeft && !reply.isUnrecoverable,
+      isAlive: () => this.isResponsive(),
+      hasAlternative: () => this.hasAlternative,
       onTimeout,
     });
   }
@@ -236,6 +239,19 @@
     return retryPolicy.isRepeatable(this.dependencies.admitted.route);
   }
 
+  private isResponsive(): Promise<boolean> {
+    const { placement } = this.placed.choice;
+    return this.dependencies.evidence.isResponsive(placement, this.delivery?.relay);
+  }
+
+  /** Whether another target may complete the request, if it responds. */
+  private get hasAlternative(): boolean {
+    const { reply, attempts: made } = this.dependencies;
+    const { target } = this.placed.choice.placement;
+    const mayReturn = reply.isBegun && made.returnsFrom(target).length > 0;
+    return (this.hasAttemptsLeft || mayReturn) && !reply.isUnrecoverable;
+  }
+
   private get hasAttemptsLeft(): boolean {
     const isSent = this.delivery?.wasSent === true;
     const { target } = this.placed.choice.placement;
--- a/packages/daemon/src/entry/requestPlacements.ts
+++ b/packages/daemon/src/entry/requestPlacements.ts
@@ -22,7 +22,7 @@
 export interface Dependencies {
   admitted: Pick<admittedRequest.AdmittedRequest, 'facts'>;
   terms: Pick<placementTerms.PlacementTerms, 'at'>;
-  attempts: Pick<attempts.Attempts, 'excluded' | 'writers' | 'returnPauseMs'>;
+  attempts: Pick<attempts.Attempts, 'excluded' | 'writers' | 'returnPauseMs' | 'returnsFrom'>;
   state: requestState.RequestState;
   selector: Pick<targetSelector.TargetSelector, 'choose'>;
   /** Where this VM has lost its paths; without it, it has lost none. */
@@ -45,6 +45,11 @@
   evacuated: 'all targets are in evacuated data centres',
 };
 
+const NO_PLACE: placementChoice.Choice = {
+  kind: 'noPlace',
+  retryAfterMs: responseEnd.RETRY_AFTER_MS,
+};
+
 export class RequestPlacements {
   private readonly succession: succession.Succession;
 
@@ -57,10 +62,7 @@
   constructor(private readonly dependencies: Dependencies) {
     const { state, liveness, now, spendRetry } = dependencies;
     this.succession = new succession.Succession({
-      choose: (excluded) => {
-        const run = { endings: 0, target: undefined };
-        return this.choose(run, [...dependencies.attempts.excluded, ...excluded]);
-      },
+      choose: (excluded, attempt) => this.chooseSuccessor(excluded, attempt),
       liveness,
       newMemory: () => this.newMemory(),
       mayMove: () => retryPolicy.mayMove(state) && spendRetry(),
@@ -93,13 +95,13 @@
   }
 
   /** Looks for a target that may take over from an overdue attempt. */
-  async seekSuccessor({ isOverdue, giveUp }: succession.OverdueAttempt): Promise<void> {
+  async seekSuccessor(attempt: succession.OverdueAttempt): Promise<void> {
     try {
       await this.succession.seek({
-        isOverdue,
+        ...attempt,
         giveUp: (successor) => {
           this.successor = successor;
-          giveUp(successor);
+          attempt.giveUp(successor);
         },
       });
     } catch (error) {
@@ -139,12 +141,31 @@
     const hasTargets = made.excluded.length > 0;
     if (choice.kind === 'placed' || !hasTargets || !retryPolicy.isContinuable(state)) return choice;
     await clock.sleep(made.returnPauseMs);
-    return this.choose(run, []);
+    return this.choose(run, { excluded: [] });
+  }
+
+  /**
+   * Places the request on another target beside its present one. A stream that has begun also returns to targets that it
+   * was sent to, if there is no other and the present one doesn't respond; if it is merely slow, the others were too.
+   */
+  private async chooseSuccessor(
+    excluded: readonly string[],
+    { target, hasAttemptsLeft, isResponsive }: succession.OverdueAttempt,
+  ): Promise<placementChoice.Choice> {
+    const { attempts: made, state } = this.dependencies;
+    const run = { endings: 0, target: undefined };
+    const choice = hasAttemptsLeft()
+      ? await this.choose(run, { excluded: [...made.excluded, ...excluded] })
+      : NO_PLACE;
+    const writers = made.returnsFrom(target);
+    const mayReturn = writers.length > 0 && retryPolicy.isContinuable(state);
+    if (choice.kind === 'placed' || !mayReturn || (await isResponsive())) return choice;
+    return this.choose(run, { excluded, writers });
   }
 
   private choose(
     { endings, target }: Pick<permittedRun.PermittedRun, 'endings' | 'target'>,
-    excluded: readonly string[] = this.dependencies.attempts.excluded,
+    limits: Partial<Pick<placementChoice.PlacementRequest, 'excluded' | 'writers'>> = {},
   ): Promise<placementChoice.Choice> {
     const { admitted, terms, attempts: made, selector, state } = this.dependencies;
     const { service } = state;
@@ -154,8 +175,8 @@
       ...terms.at(service),
       id: `${admitted.facts.requestId}/${this.placements}`,
       service,
-      excluded,
-      writers: made.writers ?? (target === undefined ? undefined : [target]),
+      excluded: limits.excluded ?? made.excluded,
+      writers: limits.writers ?? made.writers ?? (target === undefined ? undefined : [target]),
       endings: endings > 0 ? endings : undefined,
     });
   }
--- a/packages/daemon/src/entry/retries.ts
+++ b/packages/daemon/src/entry/retries.ts
@@ -64,7 +64,8 @@
     const isGranted = this.takeRetry(outcome);
     this.reportFailure(outcome, isGranted);
     if (!isGranted && !(await this.continueLater(outcome))) return false;
-    if (made.isAtTargetLimit) await clock.sleep(made.returnPauseMs);
+    // A successor has just responded.
+    if (made.isAtTargetLimit && !state.hasSuccessor) await clock.sleep(made.returnPauseMs);
     return true;
   }
 
--- a/packages/daemon/src/entry/retryPolicy.ts
+++ b/packages/daemon/src/entry/retryPolicy.ts
@@ -46,7 +46,8 @@
   if (outcome.kind !== 'failed' && outcome.kind !== 'notRun') return undefined;
   if (outcome.kind === 'failed' && !state.isRepeatable) return undefined;
   if (state.isUnrecoverable) return undefined;
-  if (!state.hasAttemptsLeft || state.timeLeftMs <= 0) return undefined;
+  const hasTarget = state.hasAttemptsLeft || state.hasSuccessor;
+  if (!hasTarget || state.timeLeftMs <= 0) return undefined;
   if (isRefused(state.standing)) return undefined;
   // The budget bounds what reaches targets, so a target that wasn't reached doesn't spend it.
   const isFree = outcome.kind === 'notRun' && outcome.ending === 'unreachable';
--- a/packages/daemon/src/entry/succession.ts
+++ b/packages/daemon/src/entry/succession.ts
@@ -16,8 +16,8 @@
 }
 
 export interface Dependencies {
-  /** Places the request on a target that isn't among `excluded`. */
-  choose: (excluded: readonly string[]) => Promise<placementChoice.Choice>;
+  /** Places the request on a target that isn't among `excluded` and may take over from the attempt. */
+  choose: (excluded: readonly string[], attempt: OverdueAttempt) => Promise<placementChoice.Choice>;
   liveness: Pick<livenessProbes.LivenessProbes, 'check' | 'isRefusing'>;
   /** Memory of the request on prefill helpers; nothing is reserved yet. */
   newMemory: () => Successor['memory'];
@@ -28,8 +28,13 @@
 
 /** The attempt that may be given up. */
 export interface OverdueAttempt {
+  target: string;
   /** Whether it still is in progress and overdue. */
   isOverdue: () => boolean;
+  /** Whether the request may be sent to another target beside this one. */
+  hasAttemptsLeft: () => boolean;
+  /** Whether a response may still arrive from its target. */
+  isResponsive: () => Promise<boolean>;
   /** Gives it up; called at most once. */
   giveUp: (successor: Successor) => void;
 }
@@ -65,7 +70,7 @@
 
   private async search(attempt: OverdueAttempt): Promise<void> {
     for (let tried = 0; tried < MAX_CANDIDATES && attempt.isOverdue(); tried++) {
-      const choice = await this.dependencies.choose(this.unresponsive);
+      const choice = await this.dependencies.choose(this.unresponsive, attempt);
       if (choice.kind === 'noPlace') {
         this.unresponsive = [];
         return;
