Survive errors that nobody handled

An entry whose process ends answers none of the requests that it has read. Node.js ends a process at the first unhandled rejection or uncaught exception, and nothing in the program listened for them.

Both are now counted (`errors.unexpected.*`), logged as 1006 with their stack, bounded in length and rate, and the process goes on. A process that isn't started yet ends too. Errors before there is a log go to standard error.

Shown with real processes that raise a rejection and then an exception: before, the entry and the keeper ended with exit code 1 at the rejection; now the entry logs both and stops as planned at SIGTERM, the keeper logs both and ends with 5 after the exception. The unit tests failed before, as there was no such module.

--- a/packages/daemon/src/roleMain.ts
+++ b/packages/daemon/src/roleMain.ts
@@ -14,6 +14,7 @@
 import * as keeper from './keeper/keeper';
 import * as boundedOutput from './observability/boundedOutput';
 import * as observer from './observability/observer';
+import * as unexpectedErrors from './observability/unexpectedErrors';
 import * as stateMachine from './replicas/stateMachine';
 
 export interface Adapter {
@@ -34,7 +35,7 @@
 }
 
 /** Process exit codes. */
-const EXIT = { badSettings: 2, cannotStart: 3, diskFailure: 4 } as const;
+const EXIT = { badSettings: 2, cannotStart: 3, diskFailure: 4, unexpectedError: 5 } as const;
 
 /** The settings file may change without a signal, so its modification time is polled. */
 const FILE_CHECK_INTERVAL_MS = 1_000;
@@ -97,18 +98,32 @@
   setInterval(() => file.poll(), FILE_CHECK_INTERVAL_MS).unref();
 }
 
+function watchErrors(): unexpectedErrors.UnexpectedErrors {
+  const options: unexpectedErrors.Options = {
+    now: clock.steady,
+    exit: (code) => process.exit(code),
+    writeLine: (line) => process.stderr.write(line),
+  };
+  const errors = new unexpectedErrors.UnexpectedErrors(options, EXIT.cannotStart);
+  errors.listen(process);
+  return errors;
+}
+
 /** Runs an entry or a keeper, as the settings file says, until a signal stops it. */
 export async function run(file: string, adapter: Adapter, checkOnly: boolean): Promise<void> {
+  const errors = watchErrors();
   const text = settingsFile.readText(file);
   const settings = text === undefined ? undefined : settingsFile.parse(file, text);
   if (text === undefined || settings === undefined) process.exit(EXIT.badSettings);
   if (checkOnly) return;
   const observe = createObserver(settings);
+  errors.reportTo(observe);
   const started = await start(settings, adapter, observe).catch((error: unknown) => {
     process.stderr.write(`celerydrift: failed to start: ${String(error)}\n`);
     return undefined;
   });
   if (started === undefined) process.exit(EXIT.cannotStart);
+  errors.exitCode = settings.role === 'keeper' ? EXIT.unexpectedError : undefined;
   if (settings.metrics !== undefined) void serveMetrics(settings.metrics, observe, started);
   const { role, seeds, mayFound } = settings;
   const afterMs = Math.round(clock.steady());
