Bundle the program without the native module of msgpackr

Three keepers have ended with code 139.

The bundle takes the entry of msgpackr that has no native part; the built program maps no .node file any more (process.report).

--- a/packages/program/bundle.mjs
+++ b/packages/program/bundle.mjs
@@ -49,11 +49,13 @@
     '@celerydrift/daemon': './packages/daemon/src/index.ts',
     '@celerydrift/domain': './packages/domain/src/index.ts',
     '@celerydrift/platform': './platform/src/index.ts',
+    // Without its native module, which takes longer to load than decoding gains by it, and whose faults would end the process.
+    msgpackr: './node_modules/msgpackr/index.js',
     undici: './packages/program/undiciPool.cjs',
     'undici/lib/dispatcher/pool': './node_modules/undici/lib/dispatcher/pool.js',
   },
-  // Optional dependencies of bunyan and msgpackr.
-  external: ['dtrace-provider', 'mv', 'source-map-support', 'msgpackr-extract'],
+  // Optional dependencies of bunyan.
+  external: ['dtrace-provider', 'mv', 'source-map-support'],
 };
 
 /** The bundled program, with `digest` as the one that it reports at its start. */
