Let a new leader order only once the start of its term is recorded

A target that ignores fencing could end in the state of a former leader's order. A new leader waits for 3.2 s until no such order can be left, but its start is recorded by duties that run each 250 ms, and up to then the start was given as 0: the wait seemed over, and the first round of a term could send at once. After a quick loss and regain it could be the start of an earlier term.

The start is now kept with its term, and without one there is no leadership.

--- a/packages/daemon/src/control/controlPlane.ts
+++ b/packages/daemon/src/control/controlPlane.ts
@@ -77,7 +77,8 @@
 
   private areDutiesRunning = false;
 
-  private leaderSince = 0;
+  /** Term in which this daemon leads with a fresh state, and since when. */
+  private tenure: { term: number; since: number } | undefined;
 
   constructor(private readonly options: Options) {
     const { configuration: settings, client, observer: observe, hash, now } = options;
@@ -152,11 +153,14 @@
     return this.machine.state.ordered;
   }
 
-  /** Term and start of this daemon's leadership of the settings log, while its lease holds. */
+  /**
+   * Term and start of this daemon's leadership of the settings log, while its lease holds. A leader whose start isn't
+   * recorded yet has none: its orders wait until those of its predecessor are over, counted from that start.
+   */
   leadership(): { term: number; since: number } | undefined {
-    const { host } = this;
+    const { host, tenure } = this;
     if (host === undefined || !host.replica.hasLease(this.options.now())) return undefined;
-    return { term: host.replica.term, since: this.leaderSince };
+    return tenure?.term === host.replica.term ? tenure : undefined;
   }
 
   replicaMembers(): domain.replication.messages.Member[] {
@@ -376,10 +380,11 @@
     const now = this.options.now();
     const { host } = this;
     if (host?.hasFreshState() === true) {
-      if (this.leaderSince === 0) this.leaderSince = now;
+      const { term } = host.replica;
+      if (this.tenure?.term !== term) this.tenure = { term, since: now };
       this.freshness.renewLease(now);
       this.recordSelfContact();
-    } else this.leaderSince = 0;
+    } else this.tenure = undefined;
     this.replicas?.hosts.forEach((each) => this.repairer?.step(each));
     if (this.areDutiesRunning) return;
     this.areDutiesRunning = true;
