Send engines the end of an order by the time of day

An engine that follows the interface refused every load and unload with 410: the end of an order was sent on the daemon's steady clock, which begins at the start of its process, and engines compare it with the time of day, as the stand-in does.

Found by reading; the new test failed before (the end lay some 57 years in the past). The adapter translates the clock at sending.

--- a/packages/daemon/src/targets/httpAdapter.ts
+++ b/packages/daemon/src/targets/httpAdapter.ts
@@ -4,6 +4,7 @@
 import * as eventSource from 'eventsource-parser';
 import { Err, Ok, Result } from 'ts-results';
 import type * as undici from 'undici';
+import * as clock from '../clock';
 import type * as adapter from './adapter';
 import * as boundedBody from './boundedBody';
 import type * as errors from './errors';
@@ -187,7 +188,9 @@
   }
 
   async order(target: Target, order: domain.placement.order.Order): AdapterResult<void> {
-    const body = JSON.stringify(order);
+    // The target compares the end of the order with its own time of day.
+    const expiresAt = clock.timeOfDay() + (order.expiresAt - clock.steady());
+    const body = JSON.stringify({ ...order, expiresAt });
     const answer = await this.json(target, { method: 'POST', path: '/v1/orders', body });
     return answer.map(() => undefined);
   }
