Take a refusal by its head where its body doesn't end

Callers of an unsafe call waited for its whole time and got 504, where a target sent the head of a refusal that states not-run, a part of its body, and then nothing. Repeatable calls waited until their response was overdue.

The attempt now ends at such a refusal after 250 ms or 64 KiB, as at any other response that isn't passed on, its connection is closed, and the statement counts. It was made by a complete head whose id was compared before anything else was read; a repeated id goes over a connection of its own. So a late copy of another refusal is still nobody's, and a whole body would prove nothing more. A refusal whose connection breaks counts for nothing, as before, since the protocol says so.

Evidence: the new test of endlessResponses.test.ts saw [504, 1] instead of [503, 1] before. A refusal under another id without an end gives 502.

--- a/packages/daemon/src/entry/__tests__/endlessResponses.test.ts
+++ b/packages/daemon/src/entry/__tests__/endlessResponses.test.ts
@@ -159,6 +159,24 @@
     expect(clock.steady() - sentAt).to.be.below(PROMPT_MS);
   });
 
+  // Guards against a refusal that holds a call until its deadline, and against one of another call that counts for it.
+  it('is a refusal if its head states so with the id of the request', async () => {
+    const refuse =
+      (id: string): harness.TargetBehaviour =>
+      (_request, socket) => {
+        const head = `HTTP/1.1 503 X\r\nid: ${id}\r\nsigned: 1\r\nnot-run: 1\r\n`;
+        socket.write(`${head}Content-Length: 10\r\n\r\nabc`);
+      };
+    const sentAt = clock.steady();
+    setup = await harness.TestHarness.start(refuse('r1'), RESPOND);
+    expect([(await setup.send('/unsafe/1')).status, setup.received.length]).to.deep.equal([503, 1]);
+    expect((await setup.send('/safe/1')).body).to.equal('elsewhere');
+    expect(clock.steady() - sentAt).to.be.below(PROMPT_MS);
+    setup.stop();
+    setup = await harness.TestHarness.start(refuse('r0'), RESPOND);
+    expect([(await setup.send('/unsafe/1')).status, setup.received.length]).to.deep.equal([502, 1]);
+  });
+
   // Guards against a target that fills the log.
   it('is logged once a second for each target', async () => {
     await start(new EndlessTarget(UNSIGNED_HEAD, plainChunk));
--- a/packages/daemon/src/entry/callerResponse.ts
+++ b/packages/daemon/src/entry/callerResponse.ts
@@ -25,7 +25,7 @@
 /** Maximum size of the body of a response that isn't passed on; longer ones end the attempt. */
 const MAX_DISCARDED_BYTES = 65_536;
 
-/** How long an unusable response may take to end, so that its connection can be used again, milliseconds. */
+/** How long a response that isn't passed on may take to end, so that its connection can be used again, milliseconds. */
 const MAX_DISCARD_MS = 250;
 
 /** Maximum size of an event of a stream. */
@@ -170,10 +170,10 @@
 
   onHead(head: targetMessage.ResponseHead): void {
     this.head = head;
-    if (this.isPassedOn || head.facts.isNotRun) return;
+    if (this.isPassedOn) return;
     const { attempt } = this;
     clock.startTimeout(MAX_DISCARD_MS, () => {
-      attempt?.giveUp(`unusable response without an end: ${head.status}`);
+      endDiscarded(attempt, head, `response without an end: ${head.status}`);
     });
   }
 
@@ -264,8 +264,9 @@
   private discard(chunk: Buffer): void {
     this.discardedBytes += chunk.length;
     if (this.discardedBytes <= MAX_DISCARDED_BYTES) return;
-    const status = this.head?.status;
-    this.attempt?.giveUp(`unusable response of over ${MAX_DISCARDED_BYTES} bytes: ${status}`);
+    const { head, attempt } = this;
+    if (head === undefined) return;
+    endDiscarded(attempt, head, `response of over ${MAX_DISCARDED_BYTES} bytes: ${head.status}`);
   }
 
   private forwardEvents(chunk: Buffer): void {
@@ -374,6 +375,16 @@
   }
 }
 
+/** Ends an attempt at a response that isn't passed on and doesn't end. */
+function endDiscarded(
+  attempt: targetAttempt.Attempt | undefined,
+  { facts }: targetMessage.ResponseHead,
+  detail: string,
+): void {
+  if (facts.isNotRun) attempt?.endRefusal(`refusal, ${detail}`);
+  else attempt?.giveUp(`unusable ${detail}`);
+}
+
 /** What may be done with a response without ending it. */
 export type OpenResponse = Omit<CallerResponse, 'complete' | 'refuse' | 'fail'>;
 
--- a/packages/daemon/src/entry/targetAttempt.ts
+++ b/packages/daemon/src/entry/targetAttempt.ts
@@ -86,7 +86,7 @@
     return this.carrier !== undefined;
   }
 
-  /** The target's statement that it didn't run the message; undefined if it made none, or not completely. */
+  /** The target's statement that it didn't run the message; undefined if it made none, or its connection broke. */
   get refusal(): Refusal | undefined {
     const { head, relay, connection } = this;
     if (head === undefined || !this.isComplete || !head.facts.isNotRun) return undefined;
@@ -158,6 +158,17 @@
     this.carrier?.abort(new Error(detail));
   }
 
+  /**
+   * Ends the attempt, and its connection with it, at a refusal whose body doesn't end. Its head is complete and was sent in
+   * response to this message, so what it states holds whatever its body does.
+   */
+  endRefusal(detail: string): void {
+    if (this.isSettled || this.head?.facts.isNotRun !== true) return;
+    this.callbacks?.unusable?.(detail);
+    this.finish({ kind: 'complete' });
+    this.carrier?.abort(new Error(detail));
+  }
+
   data(chunk: Buffer): void {
     if (this.isSettled) return;
     this.lastHeardAt = clock.steady();
