Refuse malformed messages at a relay

The relaying entry's process ended with all its open requests, and the sender got no answer.

The decoded head is now checked once, on both sides; a malformed one is refused like an unreadable one, and an unexpected error while a message is handled breaks off that one.

--- a/packages/daemon/src/entry/__tests__/relay.test.ts
+++ b/packages/daemon/src/entry/__tests__/relay.test.ts
@@ -2,6 +2,7 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as chai from 'chai';
+import * as msgpackr from 'msgpackr';
 import * as clock from '../../clock';
 import * as observer from '../../observability/observer';
 import * as authenticatedSocket from '../../rpc/authenticatedSocket';
@@ -250,6 +251,38 @@
     expect([result?.kind, wasSent]).to.deep.equal(['broken', true]);
   });
 
+  /** Guards against a message of another entry that ends the process of its relay, or is never answered. */
+  it('refuses a message whose head is malformed', async () => {
+    const options = { secret: SECRET, localAddress: undefined, timeoutMs: 1_000 };
+    const [hostname, port] = (await startRelay()).split(':');
+    const rejections: unknown[] = [];
+    const note = (error: unknown): number => rejections.push(error);
+    process.on('unhandledRejection', note);
+    const socket = await new Promise<net.Socket>((resolve, reject) => {
+      authenticatedSocket.open({ hostname, port }, options, (error, opened) => {
+        if (opened === null) reject(error);
+        else resolve(opened);
+      });
+    });
+    let answers = '';
+    socket.on('data', (data) => {
+      answers += data.toString();
+    });
+    const head = {
+      ...{ target: 't', address: '127.0.0.1:1', purpose: 'request', method: 'POST', path: '/' },
+      headers: null,
+    };
+    const malformed = ['wA==', msgpackr.pack(head).toString('base64'), '!', ''];
+    malformed.forEach((each) =>
+      socket.write(`POST /messages HTTP/1.1\r\nHost: a\r\nX-Message: ${each}\r\n\r\n`),
+    );
+    const countAnswers = (): number => answers.split('unreadable message').length - 1;
+    for (let i = 0; i < 50 && countAnswers() < malformed.length; i++) await clock.sleep(10);
+    process.off('unhandledRejection', note);
+    socket.destroy();
+    expect([countAnswers(), rejections]).to.deep.equal([malformed.length, []]);
+  });
+
   /** Guards against a message that fills the memory of a relay. */
   it('declines a message without an end', async () => {
     const options = { secret: SECRET, localAddress: undefined, timeoutMs: 1_000 };
--- a/packages/daemon/src/entry/relayDispatch.ts
+++ b/packages/daemon/src/entry/relayDispatch.ts
@@ -48,7 +48,7 @@
     if (status !== 200 || typeof encoded !== 'string') return;
     this.hasHead = true;
     const { attempt, protocol } = this.options;
-    const head = relayProtocol.decode<relayProtocol.RelayedHead>(encoded);
+    const head = relayProtocol.decodeHead(encoded);
     const facts = protocol.responseMetadata(head.status, relayProtocol.headersOf(head.raw));
     attempt.answered({ ...head, facts });
   }
--- a/packages/daemon/src/entry/relayProtocol.ts
+++ b/packages/daemon/src/entry/relayProtocol.ts
@@ -5,6 +5,7 @@
  * the attempt ended.
  */
 import type * as domain from '@celerydrift/domain';
+import * as t from 'io-ts';
 import * as msgpackr from 'msgpackr';
 import type * as targetMessage from './targetMessage';
 
@@ -75,15 +76,45 @@
   doOthersRespond?: boolean;
 }
 
+const MESSAGE_SHAPE = t.intersection([
+  t.type({
+    target: t.string,
+    address: t.string,
+    purpose: t.keyof({ request: null, order: null, upkeep: null, check: null }),
+    method: t.string,
+    path: t.string,
+    headers: t.array(t.string),
+  }),
+  t.partial({ helpers: t.array(t.string), requestId: t.string, isRepeat: t.boolean }),
+]);
+
+const HEAD_SHAPE = t.type({ status: t.number, raw: t.array(t.string) });
+
 const packr = new msgpackr.Packr({ useRecords: false });
 
 export function encode(value: MessageHead | RelayedHead): string {
   return packr.pack(value).toString('base64');
 }
 
-/** @throws Error when the text isn't an encoded value */
-export function decode<T>(text: string): T {
-  return packr.unpack(Buffer.from(text, 'base64')) as T;
+/** Undefined if the text isn't an encoded message. */
+export function decodeMessage(text: string): MessageHead | undefined {
+  const value = decode(text);
+  return MESSAGE_SHAPE.is(value) ? value : undefined;
+}
+
+/** @throws Error when the text isn't an encoded head */
+export function decodeHead(text: string): RelayedHead {
+  const value = decode(text);
+  if (!HEAD_SHAPE.is(value)) throw new Error('malformed head');
+  return value;
+}
+
+function decode(text: string): unknown {
+  try {
+    return packr.unpack(Buffer.from(text, 'base64'));
+  } catch {
+    return undefined;
+  }
 }
 
 /** The headers of a response by lower-case name; a repeated one as a list. */
--- a/packages/daemon/src/entry/relayServer.ts
+++ b/packages/daemon/src/entry/relayServer.ts
@@ -57,7 +57,7 @@
     this.server = http.createServer(
       { maxHeaderSize: MAX_HEADER_BYTES, requestTimeout: 0, keepAliveTimeout: IDLE_TIMEOUT_MS },
       (request, response) => {
-        void this.handle(request, response);
+        void this.serve(request, response);
       },
     );
   }
@@ -77,6 +77,16 @@
     return this.dependencies.isReady() && this.heldBytes < MAX_HELD_BYTES;
   }
 
+  /** Handles a message; an unexpected error breaks off this one, and its sender learns that it may have run. */
+  private async serve(request: http.IncomingMessage, response: http.ServerResponse): Promise<void> {
+    try {
+      await this.handle(request, response);
+    } catch (error) {
+      this.dependencies.observer.log('crashed', { path: request.url, detail: String(error) });
+      response.destroy();
+    }
+  }
+
   private async handle(
     request: http.IncomingMessage,
     response: http.ServerResponse,
@@ -102,7 +112,7 @@
     response.once('close', () => {
       this.heldBytes -= body.length;
     });
-    const head = messageOf(request);
+    const head = relayProtocol.decodeMessage(String(request.headers[relayProtocol.MESSAGE_HEADER]));
     if (head === undefined) this.end(response, { kind: 'refused', detail: 'unreadable message' });
     else if (this.dependencies.isLost(head.target)) this.end(response, PATH_LOST);
     else await this.relay({ ...head, body }, response);
@@ -190,12 +200,3 @@
     response.end(body);
   }
 }
-
-function messageOf(request: http.IncomingMessage): relayProtocol.MessageHead | undefined {
-  try {
-    const encoded = String(request.headers[relayProtocol.MESSAGE_HEADER]);
-    return relayProtocol.decode<relayProtocol.MessageHead>(encoded);
-  } catch {
-    return undefined;
-  }
-}
