Try a founding again after a disk error

A keeper whose disk refused a write while it founded its log never founded again: the promise of the founding was dropped with the other inputs of the failed batch, and `isFounding` stayed true. It could also resolve with a batch that was in progress before the founding was applied and synced.

Each founding is now settled with whether it was synced, like a leadership check; a keeper that can't write refuses the founder's call, so that it isn't acknowledged; and the next duty tries again.

The new test failed before with a timeout: `found` never resolved.

--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -350,14 +350,13 @@
     const isFounder = settings.mayFound && settings.seeds.includes(address);
     if (!isFounder || this.isFounding || this.replicas.isFounded) return;
     this.isFounding = true;
-    await founding.attempt({
-      set: this.replicas,
-      client: this.client,
-      founders: settings.seeds,
-      seeds: settings.seeds,
-      address,
-    });
-    this.isFounding = false;
+    const { replicas: set, client } = this;
+    try {
+      const { seeds } = settings;
+      await founding.attempt({ set, client, founders: seeds, seeds, address });
+    } finally {
+      this.isFounding = false;
+    }
   }
 
   private identity(): founding.Identity {
--- a/packages/daemon/src/replicas/__tests__/replicaSet.test.ts
+++ b/packages/daemon/src/replicas/__tests__/replicaSet.test.ts
@@ -6,6 +6,7 @@
 import * as observer from '../../observability/observer';
 import type * as peerClient from '../../rpc/peerClient';
 import type * as peerServer from '../../rpc/peerServer';
+import type * as logHost from '../logHost';
 import * as replicaSet from '../replicaSet';
 import * as stateMachine from '../stateMachine';
 
@@ -62,6 +63,24 @@
     await set.stop();
   });
 
+  // Guards against a founder that never founds, or ends its process, after a disk error in the middle of a founding.
+  it('is founded at another attempt if the disk refuses the first one', async () => {
+    const set = await open(MACHINE);
+    const [host] = set.hosts.values();
+    const { journal } = (host as unknown as { dependencies: logHost.Dependencies }).dependencies;
+    const { rewrite } = journal;
+    journal.rewrite = async () => {
+      journal.rewrite = rewrite;
+      throw new Error('EIO');
+    };
+    const members = [set.member('voter')];
+    const attempts = [await set.found(members)];
+    // The host recovers its journal after a pause, and refuses other attempts until then.
+    while (attempts.at(-1) !== true && attempts.length < 4) attempts.push(await set.found(members));
+    expect([attempts[0], attempts.at(-1), set.isFounded]).to.deep.equal([false, true, true]);
+    await set.stop();
+  });
+
   // Guards against lost settings: without its journal, a voter helps to elect a leader that lacks what it acknowledged.
   it('keeps its id when it comes back, unless the disk has lost its journal', async () => {
     const journal = path.join(folder, 'log', 'journal');
--- a/packages/daemon/src/replicas/founding.ts
+++ b/packages/daemon/src/replicas/founding.ts
@@ -49,8 +49,7 @@
   const otherFounders = await identifyAll(client, otherAddresses);
   const interrupted = otherFounders.find(({ members }) => members.some(({ id }) => id === set.id));
   if (interrupted !== undefined) {
-    await set.found(interrupted.members);
-    return true;
+    return set.found(interrupted.members);
   }
   const isInitiator = [...options.founders].sort()[0] === options.address;
   if (!isInitiator || otherFounders.length < otherAddresses.length) return false;
@@ -66,6 +65,5 @@
     otherAddresses.map((address) => client.call(address, 'found', { members })),
   );
   if (!acknowledgements.every(({ ok }) => ok)) return false;
-  await set.found(members);
-  return true;
+  return set.found(members);
 }
--- a/packages/daemon/src/replicas/logHost.ts
+++ b/packages/daemon/src/replicas/logHost.ts
@@ -71,6 +71,12 @@
   resolve: (confirmed: boolean) => void;
 }
 
+interface Founding {
+  /** Whether the batch in progress, or the next one that is synced, contains it. */
+  isApplied: boolean;
+  resolve: (isFounded: boolean) => void;
+}
+
 /** A message, tick or call for the replica, run at the time of its batch. */
 type Input = (now: number) => Effects;
 
@@ -92,7 +98,7 @@
 
   private lastLoggedState = '';
 
-  private onFounded: (() => void) | undefined;
+  private foundings: Founding[] = [];
 
   private leadershipChecks: LeadershipCheck[] = [];
 
@@ -173,11 +179,18 @@
     });
   }
 
-  /** Makes this replica a founding member; resolves once that is synced to disk. */
-  async found(members: domain.replication.messages.Member[]): Promise<void> {
-    await new Promise<void>((resolve) => {
-      this.onFounded = resolve;
-      this.enqueue(() => this.replica.found(members));
+  /**
+   * Makes this replica a founding member. Resolves with true once that is synced to disk, and with false if it can't be
+   * written; then it may be tried again.
+   */
+  found(members: domain.replication.messages.Member[]): Promise<boolean> {
+    return new Promise((resolve) => {
+      const founding: Founding = { isApplied: false, resolve };
+      this.foundings.push(founding);
+      this.enqueue(() => {
+        founding.isApplied = true;
+        return this.replica.found(members);
+      });
     });
   }
 
@@ -278,6 +291,7 @@
     this.pending.forEach(({ resolve }) => resolve(this.error('lost')));
     this.pending.clear();
     this.leadershipChecks.splice(0).forEach(({ resolve }) => resolve(false));
+    this.foundings.splice(0).forEach(({ resolve }) => resolve(false));
   }
 
   private async processBatch(): Promise<void> {
@@ -287,8 +301,9 @@
     effects.push(this.compact());
     await this.persist(effects.flatMap(({ persist }) => persist));
     this.logStateChange();
-    this.onFounded?.();
-    this.onFounded = undefined;
+    const founded = this.foundings.filter(({ isApplied }) => isApplied);
+    this.foundings = this.foundings.filter(({ isApplied }) => !isApplied);
+    founded.forEach(({ resolve }) => resolve(true));
     effects.forEach((each) => this.applyEffects(each));
     this.settleLeadershipChecks();
   }
--- a/packages/daemon/src/replicas/replicaSet.ts
+++ b/packages/daemon/src/replicas/replicaSet.ts
@@ -99,15 +99,18 @@
       });
     });
     server.add('found', async (parameters) => {
-      await this.found((parameters as { members: Member[] }).members);
+      const { members } = parameters as { members: Member[] };
+      if (!(await this.found(members))) throw new Error('disk write failed');
       return { founded: true };
     });
     this.timer = setInterval(() => this.hosts.forEach((host) => host.tick()), TICK_MS);
   }
 
-  async found(members: Member[]): Promise<void> {
-    for (const host of this.hosts.values()) await host.found(members);
+  /** Makes all replicas founding members; false if a disk error prevented it. */
+  async found(members: Member[]): Promise<boolean> {
+    for (const host of this.hosts.values()) if (!(await host.found(members))) return false;
     this.options.observer.log('replicaFounded', { members: members.map(({ id }) => id) });
+    return true;
   }
 
   async stop(): Promise<void> {
