Survive connections that can't be accepted and failed scrapes

A listener emits an error for each connection that it can't accept, for instance for want of file descriptors; nobody listened for it after the start, so it was an uncaught exception. A scrape of the metrics that failed was an unhandled rejection.

The test of the peers' listener failed before with `accept EMFILE`. The scrape and the failed stop were found by reading and have no test.

--- a/packages/daemon/src/http/listening.ts
+++ b/packages/daemon/src/http/listening.ts
@@ -19,6 +19,12 @@
     server.once('error', reject);
     server.listen(port, host, resolve);
   });
+  surviveErrors(server);
+}
+
+/** A connection that can't be accepted, for instance for want of file descriptors, must not end the process. */
+export function surviveErrors(server: net.Server): void {
+  server.on('error', () => undefined);
 }
 
 /** Listens once more with a server whose listener was closed; may be called any number of times. */
@@ -38,6 +44,7 @@
     server.once('error', reject);
     server.listen(early.server, resolve);
   });
+  surviveErrors(server);
   early.held.splice(0).forEach((socket) => {
     server.emit('connection', socket);
     socket.resume();
--- a/packages/daemon/src/observability/metricsServer.ts
+++ b/packages/daemon/src/observability/metricsServer.ts
@@ -18,7 +18,10 @@
 
   private readonly server: http.Server;
 
-  constructor(observe: observer.Observer, gauges: () => Record<string, number>) {
+  constructor(
+    private readonly observe: observer.Observer,
+    gauges: () => Record<string, number>,
+  ) {
     this.durations = new prometheus.Histogram({
       name: 'celerydrift_duration_ms',
       help: 'Durations by what was timed.',
@@ -32,10 +35,7 @@
     this.registerGauge('celerydrift_state', 'State at the moment.', gauges);
     observe.onTiming = (of, ms) => this.durations.observe({ of }, ms);
     this.server = http.createServer((_request, response) => {
-      void this.registry.metrics().then((text) => {
-        response.writeHead(200, { 'Content-Type': this.registry.contentType });
-        response.end(text);
-      });
+      void this.answer(response);
     });
   }
 
@@ -48,6 +48,18 @@
     this.server.closeAllConnections();
   }
 
+  /** Answers a scrape; one that fails must not end the process. */
+  private async answer(response: http.ServerResponse): Promise<void> {
+    try {
+      const text = await this.registry.metrics();
+      response.writeHead(200, { 'Content-Type': this.registry.contentType });
+      response.end(text);
+    } catch (error) {
+      this.observe.log('crashed', { metrics: true, detail: String(error) });
+      response.destroy();
+    }
+  }
+
   /** Registers a gauge whose values are read on each scrape, one for each value of the label `of`. */
   private registerGauge(
     name: string,
--- a/packages/daemon/src/roleMain.ts
+++ b/packages/daemon/src/roleMain.ts
@@ -98,6 +98,18 @@
   setInterval(() => file.poll(), FILE_CHECK_INTERVAL_MS).unref();
 }
 
+/** Ends the process once it has stopped, also if the stop fails: nothing else would end it. */
+async function stopAndExit(started: Process, observe: observer.Observer): Promise<never> {
+  try {
+    await started.stop();
+  } catch (error) {
+    observe.log('crashed', { detail: String(error) });
+    process.exit(EXIT.unexpectedError);
+  }
+  observe.log('stopped');
+  process.exit(0);
+}
+
 function watchErrors(): unexpectedErrors.UnexpectedErrors {
   const options: unexpectedErrors.Options = {
     now: clock.steady,
@@ -136,10 +148,7 @@
     if (isStopping) return;
     isStopping = true;
     observe.log('stopping', { signal });
-    void started.stop().then(() => {
-      observe.log('stopped');
-      process.exit(0);
-    });
+    void stopAndExit(started, observe);
   };
   process.on('SIGTERM', () => stop('SIGTERM'));
   process.on('SIGINT', () => stop('SIGINT'));
--- a/packages/daemon/src/rpc/__tests__/rpc.test.ts
+++ b/packages/daemon/src/rpc/__tests__/rpc.test.ts
@@ -68,6 +68,15 @@
     bad.close();
   });
 
+  // Guards against a process that ends as it has no file descriptor for a connection.
+  it('go on if connections can’t be accepted', async () => {
+    const { server: listener } = server as unknown as { server: net.Server };
+    for (let i = 0; i < 3; i++) listener.emit('error', new Error('accept EMFILE'));
+    const caller = client();
+    expect((await caller.call(address, 'echo', { a: 1 })).ok).to.equal(true);
+    caller.close();
+  });
+
   // Guards against an address or an answer that ends the process of the caller or the callee.
   it('fail with an error if their address or answer is unusable', async () => {
     server.add('unencodable', () => ({
--- a/packages/daemon/src/rpc/peerServer.ts
+++ b/packages/daemon/src/rpc/peerServer.ts
@@ -4,6 +4,7 @@
 import * as tls from 'node:tls';
 import * as jsonRpc from 'json-rpc-2.0';
 import type * as configuration from '../configuration/configuration';
+import * as listening from '../http/listening';
 import type * as observer from '../observability/observer';
 import * as framing from './framing';
 import * as challengeResponse from './challengeResponse';
@@ -49,6 +50,7 @@
       this.server.once('error', reject);
       this.server.listen(port, host, resolve);
     });
+    listening.surviveErrors(this.server);
     return (this.server.address() as net.AddressInfo).port;
   }
 
