Check messages between VMs where they are received

Results and parameters of calls between entries and keepers were cast, not checked. An answer of `null`, or of another shape, raised a TypeError wherever it was first read: in a poll, a timer or a report that nobody awaits, which ended the process with all its open requests. A catalogue that can't be unpacked, submitted by a peer, was worse: it would be replicated, and applied in a microtask at each keeper, again after each restart.

One shape for each method's parameters and answer is now checked by the client and the server of the peers. A wrong answer is a failed call, wrong parameters are refused; the first of each peer and method is logged (7005) and all are counted. Messages between replicas are checked field by field before the replica gets them, packed registries when they are unpacked, and a catalogue that can't be unpacked is refused (3008). A frame that is no call closes its connection.

--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -15,7 +15,7 @@
 import * as listening from '../http/listening';
 import type * as observer from '../observability/observer';
 import type * as peerClient from '../rpc/peerClient';
-import * as peerServer from '../rpc/peerServer';
+import type * as peerServer from '../rpc/peerServer';
 import * as targetSelector from './targetSelector';
 import * as quarantineClient from './quarantineClient';
 import * as coldGrants from './coldGrants';
@@ -112,7 +112,7 @@
   constructor(private readonly dependencies: Dependencies) {
     const { settings, observer: observe, control, random } = dependencies;
     this.client = peers.clientOf(settings, observe);
-    this.server = new peerServer.PeerServer(settings.secret, undefined, observe);
+    this.server = peers.serverOf(settings, observe);
     this.budgets = new domain.request.repeatBudget.RepeatBudgets(settings.repeats);
     this.fleetState = new fleetState.FleetState({
       protocol: control,
--- a/packages/daemon/src/fleet/fleetState.ts
+++ b/packages/daemon/src/fleet/fleetState.ts
@@ -80,7 +80,8 @@
 
   applyCatalogue(edition: domain.catalogue.newestCatalogue.PackedCatalogue): void {
     if (edition.version <= this.version) return;
-    const decoded = this.options.protocol.parseCatalogue(packedCatalogue.unpack(edition));
+    const document = packedCatalogue.unpack(edition);
+    const decoded = document.andThen((content) => this.options.protocol.parseCatalogue(content));
     if (decoded.err) {
       // Only a document that a keeper could decode is accepted, so this process runs an older program.
       this.options.observer.log('catalogueRefused', {
--- a/packages/daemon/src/fleet/registrySnapshots.ts
+++ b/packages/daemon/src/fleet/registrySnapshots.ts
@@ -6,6 +6,7 @@
 import * as zlib from 'node:zlib';
 import type * as domain from '@celerydrift/domain';
 import * as msgpackr from 'msgpackr';
+import * as messageShapes from './messageShapes';
 
 type Announcement = domain.registry.registry.Announcement;
 
@@ -32,8 +33,11 @@
   return zlib.deflateRawSync(packr.pack(snapshot));
 }
 
+/** @throws Error when the bytes aren't a packed snapshot */
 export function unpack(packed: Uint8Array): RegistrySnapshot {
-  return packr.unpack(zlib.inflateRawSync(packed)) as RegistrySnapshot;
+  const snapshot: unknown = packr.unpack(zlib.inflateRawSync(packed));
+  if (!messageShapes.SNAPSHOT.is(snapshot)) throw new Error('malformed registry snapshot');
+  return snapshot as RegistrySnapshot;
 }
 
 export function packRecords(records: Announcement[]): RecordBatch {
--- a/packages/daemon/src/keeper/controlServer.ts
+++ b/packages/daemon/src/keeper/controlServer.ts
@@ -228,7 +228,8 @@
   private async read(): Promise<Reply> {
     const answer = await this.dependencies.newest();
     if (answer.kind === 'unavailable' || answer.edition === undefined) return UNAVAILABLE;
-    return { status: 200, body: packedCatalogue.unpack(answer.edition) };
+    const document = packedCatalogue.unpack(answer.edition);
+    return document.ok ? { status: 200, body: document.val } : UNAVAILABLE;
   }
 }
 
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -17,7 +17,7 @@
 import * as repairer from '../replicas/repairer';
 import * as replicaSet from '../replicas/replicaSet';
 import type * as peerClient from '../rpc/peerClient';
-import * as peerServer from '../rpc/peerServer';
+import type * as peerServer from '../rpc/peerServer';
 import * as announcementRelay from './announcementRelay';
 import * as catalogueMachine from './catalogueMachine';
 import * as controlServer from './controlServer';
@@ -100,7 +100,7 @@
     const { settings, observer: observe, protocol } = dependencies;
     this.client = peers.clientOf(settings, observe);
     this.quorum = new quorumWatch.QuorumWatch({ observer: observe, now: clock.steady });
-    this.server = new peerServer.PeerServer(settings.secret, undefined, observe);
+    this.server = peers.serverOf(settings, observe);
     this.machine = new catalogueMachine.CatalogueMachine(() => this.applyCommitted());
     this.fleetState = new fleetState.FleetState({
       protocol,
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -173,6 +173,7 @@
   operatorRejected: { number: 7002, level: 'warn', text: 'operator rejected' },
   linesDropped: { number: 7003, level: 'warn', text: 'log lines dropped to limit log volume' },
   metricsUnavailable: { number: 7004, level: 'warn', text: 'metrics address unavailable' },
+  messageMalformed: { number: 7005, level: 'warn', text: 'message of a peer can’t be used' },
 } as const satisfies Record<string, Event>;
 
 export type Name = keyof typeof EVENTS;
--- a/packages/daemon/src/replicas/__tests__/wire.test.ts
+++ b/packages/daemon/src/replicas/__tests__/wire.test.ts
@@ -28,4 +28,19 @@
     expect(wire.pack(REQUEST)).to.deep.equal([2, 'a', 3, 7, 2, 6, 1_000]);
     expect(wire.unpack([2, 'a', 3, 7, 2, 6, 1_000])).to.deep.equal(REQUEST);
   });
+
+  // Guards against a replica that fails in the middle of a batch, or writes what it can't read back from its journal.
+  it('are ignored if a field has another type', () => {
+    const packed = wire.pack({ ...REQUEST, entries: [{ kind: 'empty', index: 8, term: 3 }] });
+    expect(wire.unpack(packed)).to.not.equal(undefined);
+    const replacements = [null, undefined, {}, [null], 'x', { kind: 'empty', index: null }];
+    packed.forEach((_, i) => {
+      replacements.forEach((value) => {
+        const changed = packed.map((field, at) => (at === i ? value : field));
+        const isEntries = i === packed.length - 1 && value === undefined;
+        const isName = i === 1 && value === 'x';
+        expect(wire.unpack(changed) === undefined).to.equal(!isEntries && !isName);
+      });
+    });
+  });
 });
--- a/packages/daemon/src/replicas/wire.ts
+++ b/packages/daemon/src/replicas/wire.ts
@@ -3,6 +3,7 @@
  * traffic, and field names would make up most of a heartbeat.
  */
 import type * as domain from '@celerydrift/domain';
+import * as t from 'io-ts';
 
 type Message = domain.replication.messages.Message;
 
@@ -22,6 +23,48 @@
   'snapshotRequest',
 ];
 
+export const MEMBERS = t.array(
+  t.type({
+    id: t.string,
+    address: t.string,
+    dataCentre: t.string,
+    role: t.keyof({ voter: null, learner: null }),
+  }),
+);
+
+const POSITION = { index: t.number, term: t.number };
+
+const ENTRY = t.union([
+  t.type({ kind: t.literal('command'), ...POSITION }),
+  t.type({ kind: t.literal('members'), ...POSITION, members: MEMBERS }),
+  t.type({ kind: t.literal('empty'), ...POSITION }),
+]);
+
+/** The fields of each kind; a replica that got another value would fail midway through its batch. */
+const FIELDS: Record<Message['kind'], t.Mixed> = {
+  voteRequest: t.type({ pre: t.boolean, lastIndex: t.number, lastTerm: t.number }),
+  voteAnswer: t.type({ pre: t.boolean, granted: t.boolean }),
+  appendRequest: t.intersection([
+    t.type({
+      previousIndex: t.number,
+      previousTerm: t.number,
+      commit: t.number,
+      sentAt: t.number,
+      entries: t.array(ENTRY),
+    }),
+    t.partial({ silences: t.array(t.type({ id: t.string, ms: t.number })) }),
+  ]),
+  appendAnswer: t.type({ success: t.boolean, matched: t.number, sentAt: t.number }),
+  snapshotRequest: t.type({
+    sentAt: t.number,
+    snapshot: t.type({ ...POSITION, members: MEMBERS }),
+  }),
+};
+
+function isMessage(message: { kind: Message['kind'] }): message is Message {
+  return FIELDS[message.kind].is(message);
+}
+
 function packFields(message: Message): unknown[] {
   if (message.kind === 'voteRequest') return [message.pre, message.lastIndex, message.lastTerm];
   if (message.kind === 'voteAnswer') return [message.pre, message.granted, message.knowsLeader];
@@ -50,7 +93,8 @@
   ];
   const kind = KINDS[kindIndex];
   if (kind === undefined || typeof from !== 'string' || typeof term !== 'number') return undefined;
-  return { kind, from, term, ...unpackFields(kind, fields) } as Message;
+  const message = { kind, from, term, ...unpackFields(kind, fields) };
+  return isMessage(message) ? message : undefined;
 }
 
 function unpackFields(kind: Message['kind'], fields: unknown[]): object {
--- a/packages/daemon/src/rpc/__tests__/rpc.test.ts
+++ b/packages/daemon/src/rpc/__tests__/rpc.test.ts
@@ -3,6 +3,7 @@
 import * as net from 'node:net';
 import * as chai from 'chai';
 import * as fastCheck from 'fast-check';
+import * as t from 'io-ts';
 import * as observer from '../../observability/observer';
 import * as framing from '../framing';
 import * as peerClient from '../peerClient';
@@ -105,6 +106,45 @@
     expect([kinds, rejections]).to.deep.equal([['unreachable', 'rejected', 'ok'], []]);
   });
 
+  // Guards against an answer or parameters of the wrong shape that raise an error wherever they are first read.
+  it('fail if their parameters or answer have not the shape of their method', async () => {
+    const logged: object[] = [];
+    const noted = {
+      count: () => undefined,
+      log: (_: string, fields: object) => logged.push(fields),
+    };
+    const shapes = {
+      requests: new Map([['named', t.type({ name: t.string })]]),
+      answers: new Map([['named', t.type({ size: t.number })]]),
+    };
+    const taking = noted as unknown as observer.Observer;
+    const strict = new peerServer.PeerServer('right-secret', undefined, taking, shapes);
+    strict.add('named', (parameters) => (parameters as { answer: unknown }).answer);
+    const peer = `127.0.0.1:${await strict.listen(LOCAL)}`;
+    const caller = new peerClient.PeerClient(
+      'right-secret',
+      undefined,
+      taking,
+      undefined,
+      50,
+      shapes,
+    );
+    const kinds = [];
+    for (const answer of [{ size: 1 }, null, 'text', { size: null }, undefined]) {
+      const result = await caller.call(peer, 'named', { name: 'a', answer });
+      kinds.push(result.ok ? 'ok' : result.val.kind);
+    }
+    const refused = await caller.call(peer, 'named', { name: null });
+    kinds.push(refused.ok ? 'ok' : refused.val.kind);
+    expect(kinds).to.deep.equal(['ok', 'failed', 'failed', 'failed', 'failed', 'rejected']);
+    expect(logged).to.deep.equal([
+      { kind: 'answer', method: 'named', peer },
+      { kind: 'request', method: 'named', peer: '127.0.0.1' },
+    ]);
+    caller.close();
+    await strict.close();
+  });
+
   /*
    * Guards against 0.4 s of needless refusals after a power loss. A keeper that started before the others had power
    * kept its connections to them pending until TCP retransmitted the lost SYN, and its votes waited with them. A
--- a/packages/daemon/src/rpc/peerClient.ts
+++ b/packages/daemon/src/rpc/peerClient.ts
@@ -12,6 +12,7 @@
 import * as errors from './errors';
 import * as framing from './framing';
 import * as handshake from './handshake';
+import * as messageChecks from './messageChecks';
 
 export interface CallOptions {
   timeoutMs?: number;
@@ -139,6 +140,8 @@
   /** Addresses to which no connection is made; tests simulate network partitions with it. */
   readonly blockedAddresses = new Set<string>();
 
+  private readonly checks: messageChecks.MessageChecks;
+
   constructor(
     private readonly secret: string,
     private readonly tlsOptions: tls.ConnectionOptions | undefined,
@@ -147,7 +150,10 @@
     private readonly localAddress?: string,
     /** Connect timeout in milliseconds; a shorter one suits a fleet whose VMs are near each other. */
     private readonly connectTimeoutMs = CONNECT_TIMEOUT_MS,
-  ) {}
+    shapes: messageChecks.Shapes = messageChecks.UNCHECKED,
+  ) {
+    this.checks = new messageChecks.MessageChecks(shapes.answers, 'answer', observer);
+  }
 
   async call<T>(
     address: string,
@@ -206,7 +212,9 @@
         method,
         parameters as jsonRpc.JSONRPCParams,
       );
-      return Ok(answer as T);
+      if (this.checks.isUsable(method, address, answer)) return Ok(answer as T);
+      const detail = 'malformed answer';
+      return Err({ kind: 'failed', address, method, mayHaveArrived: true, detail });
     } catch (error) {
       const detail = error instanceof Error ? error.message : String(error);
       const kind = error instanceof jsonRpc.JSONRPCErrorException ? 'rejected' : 'unreachable';
--- a/packages/daemon/src/rpc/peerServer.ts
+++ b/packages/daemon/src/rpc/peerServer.ts
@@ -9,6 +9,7 @@
 import * as framing from './framing';
 import * as challengeResponse from './challengeResponse';
 import * as handshakes from './handshake';
+import * as messageChecks from './messageChecks';
 
 export type Method = (parameters: unknown) => unknown;
 
@@ -16,7 +17,9 @@
 const HANDSHAKE_TIMEOUT_MS = 3_000;
 
 export class PeerServer {
-  private readonly methods = new jsonRpc.JSONRPCServer({ errorListener: () => undefined });
+  private readonly methods = new jsonRpc.JSONRPCServer<string>({
+    errorListener: () => undefined,
+  });
 
   private readonly server: net.Server;
 
@@ -24,11 +27,15 @@
 
   private http: http.Server | undefined;
 
+  private readonly checks: messageChecks.MessageChecks;
+
   constructor(
     private readonly secret: string,
     tlsOptions: tls.TlsOptions | undefined,
     private readonly observer: observer.Observer,
+    shapes: messageChecks.Shapes = messageChecks.UNCHECKED,
   ) {
+    this.checks = new messageChecks.MessageChecks(shapes.requests, 'request', observer);
     const accept = (socket: net.Socket): void => this.accept(socket);
     this.server =
       tlsOptions === undefined
@@ -42,7 +49,10 @@
   }
 
   add(name: string, method: Method): void {
-    this.methods.addMethod(name, async (parameters) => method(parameters));
+    this.methods.addMethod(name, async (parameters: unknown, peer) => {
+      if (!this.checks.isUsable(name, peer, parameters)) throw new Error('malformed parameters');
+      return method(parameters);
+    });
   }
 
   async listen({ host, port }: configuration.Address): Promise<number> {
@@ -100,12 +110,14 @@
     socket.write(framing.encode({ nonce } satisfies handshakes.Handshake));
   }
 
+  /** @throws Error when the value isn't a call */
   private serve(socket: net.Socket, value: unknown, bytes: number): void {
+    if (typeof value !== 'object' || value === null) throw new Error('not a call');
     const request = value as jsonRpc.JSONRPCRequest;
-    const method = String(request?.method);
+    const method = String(request.method);
     this.observer.count(`rpc.in.${method}.bytes`, bytes);
     this.observer.count(`rpc.in.${method}.calls`);
-    void this.answer(request, (response) => {
+    void this.answer(request, socket.remoteAddress ?? '', (response) => {
       if (response === null || socket.destroyed) return;
       const frame = framing.encode(response);
       this.observer.count(`rpc.out.${method}.bytes`, frame.length);
@@ -116,14 +128,15 @@
   /** A message that can't be read, or an answer that can't be sent, must not end the process. */
   private async answer(
     request: jsonRpc.JSONRPCRequest,
+    peer: string,
     send: (response: jsonRpc.JSONRPCResponse | null) => void,
   ): Promise<void> {
     try {
-      send(await this.methods.receive(request));
+      send(await this.methods.receive(request, peer));
     } catch (error) {
-      this.observer.log('crashed', { method: String(request?.method), error: String(error) });
+      this.observer.log('crashed', { method: String(request.method), error: String(error) });
       const { InternalError: code } = jsonRpc.JSONRPCErrorCode;
-      send(jsonRpc.createJSONRPCErrorResponse(request?.id ?? null, code, String(error)));
+      send(jsonRpc.createJSONRPCErrorResponse(request.id ?? null, code, String(error)));
     }
   }
 }
