--- a/packages/domain/src/replication/electionPace.ts
+++ b/packages/domain/src/replication/electionPace.ts
@@ -12,7 +12,7 @@
 const MAX_FACTOR = 8;
 
 /** Share of an earlier, longer round trip that still counts after a shorter one. */
-const DECAY = 0.8;
+const DECAY = 0.9;
 
 export class ElectionPace {
   /** Recent round trips to the peers in milliseconds. */
@@ -26,9 +26,7 @@
 
   /** Records how long a peer took to answer. */
   observe(id: string, ms: number): void {
-    // What exceeds the bound of the growth would only delay the return to the usual timeouts.
-    const counted = Math.min(ms, (MAX_FACTOR * this.electionMin) / ROUND_TRIPS_PER_TIMEOUT);
-    this.roundTrips.set(id, Math.max(counted, (this.roundTrips.get(id) ?? 0) * DECAY));
+    this.roundTrips.set(id, Math.max(ms, (this.roundTrips.get(id) ?? 0) * DECAY));
   }
 
   /** Records what the leader states; it replaces what this replica measured before. */
