Bound the round trips that lengthen election timeouts

An answer that a cut had held counted as a round trip of its whole delay, so for some seconds after the cut a lost leader was noticed up to eight times as late as usual; a faulty leader could state a time without end. Round trips longer than what the growth allows count as that now, and what is no time counts as quick.

--- a/packages/domain/src/replication/electionPace.ts
+++ b/packages/domain/src/replication/electionPace.ts
@@ -21,20 +21,31 @@
   /** Quorum's round trip in milliseconds as the leader stated it. */
   private stated = 0;
 
+  /** Longest round trip that counts; a longer one, such as of a message that a cut has held, changes no timeout. */
+  private readonly maxRoundTripMs: number;
+
   /** @param electionMin Minimum election timeout in milliseconds. */
-  constructor(private readonly electionMin: number) {}
+  constructor(private readonly electionMin: number) {
+    this.maxRoundTripMs = (MAX_FACTOR * electionMin) / ROUND_TRIPS_PER_TIMEOUT;
+  }
 
   /** Records how long a peer took to answer. */
   observe(id: string, ms: number): void {
-    this.roundTrips.set(id, Math.max(ms, (this.roundTrips.get(id) ?? 0) * DECAY));
+    const decayed = (this.roundTrips.get(id) ?? 0) * DECAY;
+    this.roundTrips.set(id, Math.max(this.bounded(ms), decayed));
   }
 
   /** Records what the leader states; it replaces what this replica measured before. */
   follow(quorumRoundTripMs: number): void {
-    this.stated = quorumRoundTripMs;
+    this.stated = this.bounded(quorumRoundTripMs);
     this.roundTrips.clear();
   }
 
+  /** What is no time at all, such as a value of a faulty peer, counts as quick. */
+  private bounded(ms: number): number {
+    return ms > 0 ? Math.min(ms, this.maxRoundTripMs) : 0;
+  }
+
   /** From now on only this replica's own measurements count. */
   lead(): void {
     this.stated = 0;
