Release what an entry's ended process held, and log which requests

Each process now states a random id in its polls and, once a planned stop has begun, that it stops; both fields are optional. When another process polls under an entry's name, the leader releases the dispatches of the one before and, unless that one stopped as planned, logs 4004 with up to 20 of its requests and counts `entries.ended`. Requests released earlier, while the entry was silent, are named too.

--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -266,6 +266,7 @@
   async stop(): Promise<void> {
     const startedAt = clock.steady();
     this.isDraining = true;
+    this.link.announceStop();
     this.ingress.drain();
     await clock.sleep(LINGER_MS);
     this.ingress.refuseNew();
--- a/packages/daemon/src/fleet/leaderLink.ts
+++ b/packages/daemon/src/fleet/leaderLink.ts
@@ -3,6 +3,7 @@
  * confirmation starts a lease. A daemon without one may be cut off from changes, such as a revoked key, and must not
  * serve what they could forbid.
  */
+import * as crypto from 'node:crypto';
 import * as clock from '../clock';
 import type * as observer from '../observability/observer';
 import type * as peerClient from '../rpc/peerClient';
@@ -28,6 +29,9 @@
   reachability?: () => messages.PathStatement;
 }
 
+/** Length of the id of a process, in bytes. */
+const PROCESS_ID_BYTES = 8;
+
 type PollOutcome = 'confirmed' | 'failed';
 
 /** Interval to the next poll, by the outcome of the last one, in milliseconds. */
@@ -94,6 +98,10 @@
    */
   private readonly polling = new Set<string>();
 
+  private readonly process = crypto.randomBytes(PROCESS_ID_BYTES).toString('hex');
+
+  private isStopping = false;
+
   private isStopped = false;
 
   /** Time at which the current leader last answered a probe. */
@@ -119,6 +127,12 @@
     this.schedule(0);
   }
 
+  /** States with the next polls that a planned stop has begun; the first one is sent now. */
+  announceStop(): void {
+    this.isStopping = true;
+    this.schedule(0);
+  }
+
   stop(): void {
     this.isStopped = true;
     clearTimeout(this.timer);
@@ -255,6 +269,8 @@
     return {
       name,
       role,
+      process: this.process,
+      ...(this.isStopping && { isStopping: true }),
       address: this.options.address,
       version: state.version,
       mark: state.registryVersion,
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -24,6 +24,10 @@
 export interface FollowRequest extends registrySnapshots.RecordBatch {
   name: string;
   role: 'entry' | 'keeper';
+  /** Drawn at random by each process at its start; absent from an earlier version. */
+  process?: string;
+  /** Whether a planned stop of the process has begun. */
+  isStopping?: boolean;
   /** Peer address of the follower, to which updates are pushed. */
   address: string;
   /** Version of the catalogue in force at the follower. */
--- a/packages/daemon/src/keeper/__tests__/__fixtures__/leaderFixture.ts
+++ b/packages/daemon/src/keeper/__tests__/__fixtures__/leaderFixture.ts
@@ -39,6 +39,8 @@
   acknowledgesWithoutVersion?: boolean;
   /** The leader's clock; with the default, followers stay reachable however long a test takes. */
   now?: () => number;
+  /** The leader's observer; by default one that logs nothing. */
+  observer?: observer.Observer;
 }
 
 /** A leader that all its followers have polled. */
@@ -47,6 +49,7 @@
   answerMs,
   acknowledgesWithoutVersion = false,
   now = () => 0,
+  observer: leaderObserver = observe,
 }: Setup): Promise<LeaderFixture> {
   const pushes: Push[] = [];
   const client = {
@@ -74,7 +77,7 @@
     host: host as unknown as logHost.LogHost,
     fleetState: fleet,
     client: client as unknown as peerClient.PeerClient,
-    observer: observe,
+    observer: leaderObserver,
     now,
     random: random.seeded(1),
     linkMbps: 170,
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -12,6 +12,7 @@
 import type * as peerClient from '../rpc/peerClient';
 import * as batchQueue from './batchQueue';
 import * as coldCoordinator from './coldCoordinator';
+import * as entryProcesses from './entryProcesses';
 import * as evacuationCoordinator from './evacuationCoordinator';
 import * as followers from './followers';
 import * as ignoredAnnouncements from './ignoredAnnouncements';
@@ -62,6 +63,9 @@
  */
 const AVERAGES_TTL_MS = 100;
 
+/** Number of requests of an ended process that are named in the log. */
+const MAX_LOGGED_REQUESTS = 20;
+
 export class Leadership {
   readonly followers: followers.Followers;
 
@@ -91,6 +95,8 @@
 
   private readonly standing = new domain.reachability.reporterStanding.ReporterStanding();
 
+  private readonly processes: entryProcesses.EntryProcesses;
+
   private readonly ignored: ignoredAnnouncements.IgnoredAnnouncements;
 
   /** Number of targets loaded from disk that announced themselves since the last tick. */
@@ -116,6 +122,7 @@
       (mark) => this.updates.fullUpdateSince(mark),
       (revision) => this.evacuations.missingAt(revision),
     );
+    this.processes = new entryProcesses.EntryProcesses(now);
     this.ignored = new ignoredAnnouncements.IgnoredAnnouncements({ observer: observe, now });
     this.snapshotThrottle = new snapshotThrottle.SnapshotThrottle(options.linkMbps, now);
     this.updates = new registryUpdates.RegistryUpdates({
@@ -205,7 +212,7 @@
       .removeSilent()
       .filter(({ role }) => role === 'entry')
       .forEach(({ name }) => {
-        this.allocator.forgetEntry(name, now());
+        this.processes.recordReleased(name, this.allocator.forgetEntry(name, now()));
         this.suspects.forgetEntry(name);
         this.standing.forget(name);
       });
@@ -235,6 +242,7 @@
     if (!(await this.options.host.confirmLeadership(isUrgent))) return undefined;
     if (!this.isLeading) this.setLeading(true);
     this.endCanariesOfPreviousProcess(follower);
+    if (follower.role === 'entry') this.endPreviousProcess(follower);
     this.standing.setIsolated(follower.name, follower.isIsolated === true);
     if (!this.isSelf(follower.name)) {
       this.followers.recordPoll(follower);
@@ -282,6 +290,40 @@
     if (isNew && !isAwaitingSnapshot) this.suspects.forgetEntry(name);
   }
 
+  /**
+   * Releases what the previous process of an entry had been granted, if another one polls now. A process that is back
+   * within a second is never missed as silent, and its engines would stay occupied for as long as this keeper leads.
+   */
+  private endPreviousProcess(follower: messages.FollowRequest): void {
+    const change = this.processes.recordPoll(follower);
+    if (change.kind === 'none') return;
+    const { name } = follower;
+    const released = this.allocator.forgetEntry(name, this.options.now());
+    this.suspects.forgetEntry(name);
+    this.standing.forget(name);
+    this.placer.scheduleServing();
+    if (change.kind === 'replaced') this.logEndedProcess(name, change.ended, released);
+  }
+
+  private logEndedProcess(
+    entry: string,
+    { process, lastPollMsAgo, released: releasedBefore }: entryProcesses.EndedProcess,
+    released: readonly string[],
+  ): void {
+    const { observer: observe } = this.options;
+    // A placement's id is the request's and its number.
+    const requests = [...releasedBefore, ...released].map((id) => id.replace(/\/\d+$/, ''));
+    const ids = [...new Set(requests)];
+    observe.count('entries.ended');
+    observe.log('entryProcessEnded', {
+      entry,
+      process,
+      lastPollMsAgo,
+      count: ids.length,
+      requests: ids.slice(0, MAX_LOGGED_REQUESTS),
+    });
+  }
+
   /** Whether a follower is this leader itself, which already has everything it would receive. */
   private isSelf(name: string): boolean {
     return name === this.options.name;
@@ -474,6 +516,7 @@
     this.isLeading = isLeading;
     this.followers.clear();
     this.standing.clear();
+    this.processes.clear();
     this.awaitingSnapshot.clear();
     this.recordSources.clear();
     this.suspects.reset();
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -59,6 +59,11 @@
   daemonSuspected: { number: 4001, level: 'warn', text: 'daemon suspected of failure' },
   daemonDead: { number: 4002, level: 'warn', text: 'daemon dead' },
   daemonAlive: { number: 4003, level: 'info', text: 'daemon alive' },
+  entryProcessEnded: {
+    number: 4004,
+    level: 'warn',
+    text: 'process of an entry ended without a planned stop',
+  },
   targetServing: { number: 4101, level: 'info', text: 'target serving' },
   targetLeaving: { number: 4102, level: 'info', text: 'target draining' },
   targetGone: { number: 4103, level: 'warn', text: 'target gone' },
--- a/packages/domain/src/allocation/allocator.ts
+++ b/packages/domain/src/allocation/allocator.ts
@@ -372,11 +372,13 @@
     this.loads.get(target)?.health.recordOutcome('unreachable', now);
   }
 
-  /** Ends all dispatches of an entry that is gone. */
-  forgetEntry(entry: string, now: number): void {
-    [...this.dispatches]
+  /** Ends all dispatches of an entry that is gone, and returns their ids. */
+  forgetEntry(entry: string, now: number): string[] {
+    const ended = [...this.dispatches]
       .filter(([, dispatch]) => dispatch.entry === entry)
-      .forEach(([id]) => this.endDispatch(id, 'cancelled', now));
+      .map(([id]) => id);
+    ended.forEach((id) => this.endDispatch(id, 'cancelled', now));
+    return ended;
   }
 
   /** Most engines that one placement considers. */
