--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -250,7 +250,11 @@
     this.reachability.serve(this.server);
     await this.server.listen(settings.peers);
     await this.ingress.listen(settings.callers as codecs.Address, this.dependencies.earlyListener);
-    await listening.listen(this.readiness, settings.readiness as codecs.Address);
+    await listening.listen(
+      this.readiness,
+      settings.readiness as codecs.Address,
+      this.dependencies.observer,
+    );
     this.coldGrants.start();
     this.reachability.start();
     this.link.start();
--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -117,7 +117,7 @@
 
   listen(address: codecs.Address, early?: listening.EarlyListener): Promise<void> {
     this.address = address;
-    return listening.listenOrTakeOver(this.server, address, early);
+    return listening.listenOrTakeOver(this.server, address, early, this.dependencies.observer);
   }
 
   private async listenAgain(): Promise<void> {
--- a/packages/daemon/src/keeper/controlServer.ts
+++ b/packages/daemon/src/keeper/controlServer.ts
@@ -103,7 +103,7 @@
   }
 
   listen(address: codecs.Address): Promise<void> {
-    return listening.listen(this.server, address);
+    return listening.listen(this.server, address, this.dependencies.observer);
   }
 
   /** Accepts no new connections; resolves when all calls are answered, or after a while. */
--- a/packages/daemon/src/observability/metricsServer.ts
+++ b/packages/daemon/src/observability/metricsServer.ts
@@ -40,7 +40,7 @@
   }
 
   listen(address: codecs.Address): Promise<void> {
-    return listening.listen(this.server, address);
+    return listening.listen(this.server, address, this.observe);
   }
 
   close(): void {
--- a/packages/daemon/src/rpc/peerServer.ts
+++ b/packages/daemon/src/rpc/peerServer.ts
@@ -60,7 +60,7 @@
       this.server.once('error', reject);
       this.server.listen(port, host, resolve);
     });
-    listening.surviveErrors(this.server);
+    listening.surviveErrors(this.server, this.observer);
     return (this.server.address() as net.AddressInfo).port;
   }
 
