Log problems of a changed settings file instead of writing them to standard error

A change of the settings file that isn't valid ended each process whose standard error nobody reads any more: the line that names the problem raised EPIPE, and nothing listened for it. At a keeper the last resort for errors ended it with code 5.

--- a/packages/daemon/src/configuration/settingsFile.ts
+++ b/packages/daemon/src/configuration/settingsFile.ts
@@ -7,22 +7,30 @@
 import type * as observer from '../observability/observer';
 import * as roleSettings from './roleSettings';
 
+/** Takes a description of why the file isn't usable. */
+type Report = (problem: string) => void;
+
+/** Problems of one file that are logged at most. */
+const MAX_LOGGED_PROBLEMS = 10;
+
 /** The content of the settings file; undefined if it can't be read. */
-export function readText(file: string): string | undefined {
+export function readText(file: string, report: Report): string | undefined {
   try {
     return fs.readFileSync(file, 'utf8');
   } catch (error) {
-    process.stderr.write(`celerydrift: ${file}: ${String(error)}\n`);
+    report(`${file}: ${String(error)}`);
     return undefined;
   }
 }
 
-export function parse(file: string, text: string): roleSettings.Settings | undefined {
+export function parse(
+  file: string,
+  text: string,
+  report: Report,
+): roleSettings.Settings | undefined {
   const result = roleSettings.read(text);
   if (result.ok) return result.val;
-  result.val.forEach((problem) => {
-    process.stderr.write(`celerydrift: ${file}: ${domain.settings.schema.describe(problem)}\n`);
-  });
+  result.val.forEach((problem) => report(`${file}: ${domain.settings.schema.describe(problem)}`));
   return undefined;
 }
 
@@ -51,11 +59,10 @@
   /** Reads the file. */
   reload(): void {
     const modifiedAt = modificationTimeOf(this.file);
-    const text = readText(this.file);
-    if (text === undefined) {
-      this.observe.log('settingsFileRead', { valid: false, detail: 'the file can’t be read' });
-      return;
-    }
+    const text = readText(this.file, (detail) =>
+      this.observe.log('settingsFileRead', { valid: false, detail }),
+    );
+    if (text === undefined) return;
     this.modifiedAt = modifiedAt ?? 0;
     if (text !== this.text) this.apply(text);
   }
@@ -68,8 +75,14 @@
 
   private apply(text: string): void {
     this.text = text;
-    const settings = parse(this.file, text);
-    this.observe.log('settingsFileRead', { valid: settings !== undefined });
-    if (settings !== undefined) this.onChange(settings);
+    const problems: string[] = [];
+    const settings = parse(this.file, text, (problem) => problems.push(problem));
+    if (settings === undefined) {
+      const logged = problems.slice(0, MAX_LOGGED_PROBLEMS);
+      this.observe.log('settingsFileRead', { valid: false, problems: logged });
+      return;
+    }
+    this.observe.log('settingsFileRead', { valid: true });
+    this.onChange(settings);
   }
 }
--- a/packages/daemon/src/observability/unexpectedErrors.ts
+++ b/packages/daemon/src/observability/unexpectedErrors.ts
@@ -83,7 +83,7 @@
 
   private report(source: Source, detail: string): void {
     if (this.observer === undefined) {
-      this.options.writeLine(`celerydrift: unexpected error (${source}): ${detail}\n`);
+      this.options.writeLine(`celerydrift: unexpected error (${source}): ${detail}`);
       return;
     }
     const { withheld } = this;
--- a/packages/daemon/src/roleMain.ts
+++ b/packages/daemon/src/roleMain.ts
@@ -14,6 +14,7 @@
 import * as keeper from './keeper/keeper';
 import * as boundedOutput from './observability/boundedOutput';
 import * as observer from './observability/observer';
+import * as standardError from './observability/standardError';
 import * as unexpectedErrors from './observability/unexpectedErrors';
 import * as stateMachine from './replicas/stateMachine';
 
@@ -120,7 +121,7 @@
   const options: unexpectedErrors.Options = {
     now: clock.steady,
     exit: (code) => process.exit(code),
-    writeLine: (line) => process.stderr.write(line),
+    writeLine: standardError.writeLine,
   };
   const errors = new unexpectedErrors.UnexpectedErrors(options, EXIT.cannotStart);
   errors.listen(process);
@@ -130,14 +131,15 @@
 /** Runs an entry or a keeper, as the settings file says, until a signal stops it. */
 export async function run(file: string, adapter: Adapter, checkOnly: boolean): Promise<void> {
   const errors = watchErrors();
-  const text = settingsFile.readText(file);
-  const settings = text === undefined ? undefined : settingsFile.parse(file, text);
+  const report = (problem: string): void => standardError.writeLine(`celerydrift: ${problem}`);
+  const text = settingsFile.readText(file, report);
+  const settings = text === undefined ? undefined : settingsFile.parse(file, text, report);
   if (text === undefined || settings === undefined) process.exit(EXIT.badSettings);
   if (checkOnly) return;
   const observe = createObserver(settings);
   errors.reportTo(observe);
   const started = await start(settings, adapter, observe).catch((error: unknown) => {
-    process.stderr.write(`celerydrift: failed to start: ${String(error)}\n`);
+    standardError.writeLine(`celerydrift: failed to start: ${String(error)}`);
     return undefined;
   });
   if (started === undefined) process.exit(EXIT.cannotStart);
