Finish a push to a follower whatever its answer

An acknowledgement that can't be used made the push reject, and everything that waited for it, such as the acknowledgement of a departure, waited for good: the process that used to end there lives on now. Pushes and what is queued behind them finish in any case.

--- a/packages/daemon/src/keeper/followers.ts
+++ b/packages/daemon/src/keeper/followers.ts
@@ -191,25 +191,42 @@
     });
     const push: InFlightPush = { hasQueued: false, edition: undefined, next };
     this.inFlight.set(address, push);
+    try {
+      await this.deliver(follower, update);
+    } finally {
+      this.inFlight.delete(address);
+      this.sendQueued(follower, update, push, finish);
+    }
+  }
+
+  private async deliver(follower: Follower, update: messages.FleetUpdate): Promise<void> {
+    const { address } = follower;
     const evacuations = this.missingEvacuations(follower.evacuationRevision);
     const sent = evacuations === undefined ? update : { ...update, evacuations };
     const answer = await this.client.call<Partial<messages.UpdateAck>>(address, 'learn', sent, {
       timeoutMs: PUSH_TIMEOUT_MS,
     });
-    this.inFlight.delete(address);
-    if (answer.ok) {
-      follower.mark = answer.val.mark ?? update.mark;
-      const knowsEvacuations = follower.evacuationRevision !== undefined;
-      if (knowsEvacuations)
-        follower.evacuationRevision = evacuations?.revision ?? follower.evacuationRevision;
-    }
+    if (answer.err) return;
+    follower.mark = answer.val.mark ?? update.mark;
+    const knowsEvacuations = follower.evacuationRevision !== undefined;
+    if (knowsEvacuations)
+      follower.evacuationRevision = evacuations?.revision ?? follower.evacuationRevision;
+  }
+
+  /** Sends what was queued behind a push, if anything; `finish` is called once that has arrived or was given up. */
+  private sendQueued(
+    follower: Follower,
+    update: messages.FleetUpdate,
+    push: InFlightPush,
+    finish: () => void,
+  ): void {
     if (!push.hasQueued) {
       finish();
       return;
     }
     // A follower that waits for its registry snapshot must still learn of draining targets.
     const missing = this.updateSince(follower.mark) ?? this.updateSince(update.mark);
-    void this.send(follower, updateOf(push.edition, missing)).then(finish);
+    void this.send(follower, updateOf(push.edition, missing)).finally(finish);
   }
 
   /** Keepers with a replica that polled recently, as spares for the replica set. */
--- a/packages/daemon/src/keeper/registryUpdates.ts
+++ b/packages/daemon/src/keeper/registryUpdates.ts
@@ -266,7 +266,7 @@
       push = () => {
         if (this.pendingPush?.done !== done) return;
         this.pendingPush = undefined;
-        void this.pushChanges().then(resolve);
+        void this.pushChanges().finally(resolve);
       };
     });
     this.pendingPush = { done, push };
