Wait for the disk also at a repeated end of a target, and repeat a failed write

A drain that was announced again was acknowledged at once, while its first announcement still waited for the disk. A write of the targets that failed wasn't repeated until something else changed, so after a loss of power an acknowledged end was gone.

--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -368,6 +368,8 @@
     const changed = fleet.applyAnnouncement(record);
     this.cold.announced(announcement);
     if (changed.length > 0) await this.publishDurably(changed);
+    // A repeated end: the first acknowledgement may still wait for the disk.
+    else if (record.state !== 'ready') await this.options.endsStored?.();
   }
 
   /** Pushes changes of targets; resolves when the reachable followers know them and ends are on their and this disk. */
--- a/packages/daemon/src/keeper/softStateFile.ts
+++ b/packages/daemon/src/keeper/softStateFile.ts
@@ -120,7 +120,7 @@
     if (this.urgent !== undefined) await clock.sleep(URGENT_INTERVAL_MS);
   }
 
-  /** Replaces the file; after a failure the next change tries again. */
+  /** Replaces the file; after a failure it is tried again after the usual pause. */
   private async replace(): Promise<void> {
     const { folder, name, content, observer: observe } = this.dependencies;
     try {
@@ -129,6 +129,7 @@
     } catch (error) {
       if (!this.isFailing) observe.log('memoryNotWritten', { file: name, reason: String(error) });
       this.isFailing = true;
+      this.isChanged = true;
     }
   }
 }
