Leave answers that waited for the replica itself out of its round trips

A leader that was frozen for seconds found the answers of that time in its buffers, took its quorum for slow, and stayed the leader up to eight times as long as usual. Answers to messages sent before a gap in its own ticks say nothing of its peers.

--- a/packages/domain/src/replication/electionPace.ts
+++ b/packages/domain/src/replication/electionPace.ts
@@ -21,6 +21,11 @@
   /** Quorum's round trip in milliseconds as the leader stated it. */
   private stated = 0;
 
+  private tickedAt = -Infinity;
+
+  /** End of the last time in which this replica itself stood still. */
+  private resumedAt = -Infinity;
+
   /** Longest round trip that counts; a longer one, such as of a message that a cut has held, changes no timeout. */
   private readonly maxRoundTripMs: number;
 
@@ -29,6 +34,18 @@
     this.maxRoundTripMs = (MAX_FACTOR * electionMin) / ROUND_TRIPS_PER_TIMEOUT;
   }
 
+  /** Called regularly; a long gap shows that this replica stood still. */
+  ticked(now: number): void {
+    if (now - this.tickedAt > this.maxRoundTripMs) this.resumedAt = now;
+    this.tickedAt = now;
+  }
+
+  /** Records an answer, unless it may have waited for this replica, which then says nothing of its peer. */
+  answered(id: string, sentAt: number, now: number): void {
+    const mayHaveWaited = sentAt < this.resumedAt || now - this.tickedAt > this.maxRoundTripMs;
+    if (!mayHaveWaited) this.observe(id, now - sentAt);
+  }
+
   /** Records how long a peer took to answer. */
   observe(id: string, ms: number): void {
     const decayed = (this.roundTrips.get(id) ?? 0) * DECAY;
--- a/packages/domain/src/replication/replica.ts
+++ b/packages/domain/src/replication/replica.ts
@@ -182,6 +182,7 @@
    * quorum.
    */
   tick(now: number): messages.Effects {
+    this.pace.ticked(now);
     if (this.state === 'leader') this.tickLeader(now);
     else if (now >= this.electionAt) this.startPreVote(now);
     return this.takeEffects();
@@ -473,7 +474,7 @@
 
   private handleVoteAnswer(answer: messages.VoteAnswer, now: number): void {
     if (answer.sentAt !== undefined && this.state !== 'leader' && this.leader === '')
-      this.pace.observe(answer.from, now - answer.sentAt);
+      this.pace.answered(answer.from, answer.sentAt, now);
     const requestedTerm = answer.pre ? this.term + 1 : this.term;
     if (
       this.state === (answer.pre ? 'preCandidate' : 'candidate') &&
@@ -652,7 +653,7 @@
     if (this.state !== 'leader' || answer.term !== this.term) return;
     if (!this.members.some(({ id }) => id === answer.from)) return;
     const progress = this.progressOf(answer.from, now);
-    this.pace.observe(answer.from, now - answer.sentAt);
+    this.pace.answered(answer.from, answer.sentAt, now);
     progress.contactAt = Math.max(progress.contactAt, answer.sentAt);
     progress.answeredAt = Math.max(progress.answeredAt, answer.sentAt);
     if (answer.sentAt >= progress.pendingSince) progress.pendingSince = 0;
