--- a/packages/domain/src/replication/__tests__/electionPaceBounds.test.ts
+++ b/packages/domain/src/replication/__tests__/electionPaceBounds.test.ts
@@ -55,7 +55,7 @@
   }
 
   // Guards against a second leader for seconds: answers held back by a freeze say nothing of how slow the quorum is.
-  it('lets a leader that gets old answers after a freeze step down, as without them', () => {
+  it('lets a leader that gets old answers after a freeze step down', () => {
     const each = new replica.Replica('a', messages.emptyDurable(), TIMING, random.seeded(1), 0);
     each.found(MEMBERS);
     let now = 0;
