--- a/packages/program/bundle.mjs
+++ b/packages/program/bundle.mjs
@@ -6,14 +6,16 @@
 import * as crypto from 'node:crypto';
 import * as fs from 'node:fs';
 import * as esbuild from 'esbuild';
+import replaceFile from './replaceFile.cjs';
+import targetFiles from './targetFiles.cjs';
 
 /** Must match the flags of `run` in the deployment: a code cache is only valid for the flags it was made with. */
 const NODE_FLAGS = ['--max-old-space-size=160'];
 
+const TARGET_FOLDER = 'target';
 const LOADER_FILE = 'target/celerydrift.js';
-const PROGRAM_FILE = 'target/program.js';
-
 const CACHE_FILE = 'target/program.cache';
+const SETTINGS_FILE = 'target/cache.ini';
 
 /** Length of the program's digest in logs, hexadecimal digits. */
 const DIGEST_LENGTH = 12;
@@ -34,7 +36,7 @@
 
 const BUILD_OPTIONS = {
   entryPoints: ['packages/program/src/main.ts'],
-  outfile: PROGRAM_FILE,
+  outfile: 'target/program.js',
   bundle: true,
   write: false,
   platform: 'node',
@@ -47,11 +49,13 @@
     '@celerydrift/daemon': './packages/daemon/src/index.ts',
     '@celerydrift/domain': './packages/domain/src/index.ts',
     '@celerydrift/platform': './platform/src/index.ts',
+    // Without its native module, which takes longer to load than decoding gains by it, and whose faults would end the process.
+    msgpackr: './node_modules/msgpackr/index.js',
     undici: './packages/program/undiciPool.cjs',
     'undici/lib/dispatcher/pool': './node_modules/undici/lib/dispatcher/pool.js',
   },
-  // Optional dependencies of bunyan and msgpackr.
-  external: ['dtrace-provider', 'mv', 'source-map-support', 'msgpackr-extract'],
+  // Optional dependencies of bunyan.
+  external: ['dtrace-provider', 'mv', 'source-map-support'],
 };
 
 /** The bundled program, with `digest` as the one that it reports at its start. */
@@ -68,16 +72,14 @@
   .update(await bundle(''))
   .digest('hex')
   .slice(0, DIGEST_LENGTH);
-fs.mkdirSync('target', { recursive: true });
-fs.writeFileSync(PROGRAM_FILE, await bundle(digest));
+fs.mkdirSync(TARGET_FOLDER, { recursive: true });
+targetFiles.writeTarget(TARGET_FOLDER, await bundle(digest));
 
-fs.rmSync(CACHE_FILE, { force: true });
-fs.copyFileSync('packages/program/loader.cjs', LOADER_FILE);
-fs.copyFileSync('packages/program/earlyListener.cjs', 'target/earlyListener.cjs');
-fs.writeFileSync('target/cache.ini', PLACEHOLDER_SETTINGS);
+// The cache of an earlier build stays until the run below replaces it: the loader ignores it.
+replaceFile.replaceFile(SETTINGS_FILE, PLACEHOLDER_SETTINGS);
 const cacheRun = childProcess.spawnSync(
   process.execPath,
-  [...NODE_FLAGS, LOADER_FILE, '--check', 'target/cache.ini'],
+  [...NODE_FLAGS, LOADER_FILE, '--check', SETTINGS_FILE],
   { env: { PATH: process.env.PATH, CELERYDRIFT_WRITE_CACHE: CACHE_FILE }, stdio: 'inherit' },
 );
 if (cacheRun.status !== 0)
