--- a/packages/daemon/src/keeper/controlServer.ts
+++ b/packages/daemon/src/keeper/controlServer.ts
@@ -103,7 +103,7 @@
   }
 
   listen(address: codecs.Address): Promise<void> {
-    return listening.listen(this.server, address);
+    return listening.listen(this.server, address, this.dependencies.observer);
   }
 
   /** Accepts no new connections; resolves when all calls are answered, or after a while. */
@@ -228,7 +228,8 @@
   private async read(): Promise<Reply> {
     const answer = await this.dependencies.newest();
     if (answer.kind === 'unavailable' || answer.edition === undefined) return UNAVAILABLE;
-    return { status: 200, body: packedCatalogue.unpack(answer.edition) };
+    const document = packedCatalogue.unpack(answer.edition);
+    return document.ok ? { status: 200, body: document.val } : UNAVAILABLE;
   }
 }
 
