--- a/review/5/run.mjs
+++ b/review/5/run.mjs
@@ -1,5 +1,5 @@
-/** See claim.txt. */
 /* eslint-disable */
+/** See claim.txt. */
 import * as path from 'node:path';
 import process from 'node:process';
 import * as url from 'node:url';
--- a/review/stand-ins-2/fleet.mjs
+++ b/review/stand-ins-2/fleet.mjs
@@ -1,9 +1,9 @@
+/* eslint-disable */
 /**
  * Starts keepers and entries of the built program as separate processes on loopback addresses, with the command of the
  * deploy file and settings like those of a small deployment, and stand-ins for what is around them: a server, an
  * operator's and a requester's call, and links that a partition can cut. Used by the scripts of review/4 and later.
  */
-/* eslint-disable */
 import { spawn } from 'node:child_process';
 import * as fs from 'node:fs';
 import * as http from 'node:http';
