--- a/review/stand-ins-2/fleet.mjs
+++ b/review/stand-ins-2/fleet.mjs
@@ -47,17 +47,31 @@
   }
 }
 
-function freePort(host) {
+/** The port if it is free there, or any free one for 0. */
+function freePort(host, wanted = 0) {
   return new Promise((resolve, reject) => {
     const server = net.createServer();
     server.once('error', reject);
-    server.listen(0, host, () => {
+    server.listen(wanted, host, () => {
       const { port } = server.address();
       server.close(() => resolve(port));
     });
   });
 }
 
+/** A port that is free at each of these addresses. */
+async function commonFreePort(hosts) {
+  for (let tries = 1; ; tries++) {
+    const port = await freePort(hosts[0]);
+    try {
+      for (const host of hosts.slice(1)) await freePort(host, port);
+      return port;
+    } catch (error) {
+      if (error.code !== 'EADDRINUSE' || tries === 100) throw error;
+    }
+  }
+}
+
 /** One HTTP call; status 0 where there is no answer. */
 export function call(
   host,
@@ -185,8 +199,9 @@
   }
 
   async start() {
-    this.peerPort = await freePort('0.0.0.0');
-    for (const machine of [...this.keepers, ...this.entries]) {
+    const machines = [...this.keepers, ...this.entries];
+    this.peerPort = await commonFreePort(machines.flatMap(({ ip, reached }) => [ip, reached]));
+    for (const machine of machines) {
       machine.port = await freePort(machine.ip);
       machine.readyPort = await freePort(machine.ip);
       machine.metricsPort = await freePort(machine.ip);
