Drop an order about an evacuation that reaches the leader after a later one

Callers' requests were sent to an evacuated data centre again, although nobody had ended its evacuation: an order to end it, held up by a cut between a keeper and the leader, given up and sent again elsewhere, was logged as the newest order when the cut healed, after the data centre had been evacuated again.

Cause: a forwarded order said nothing of when it was given, and the log orders commands by their arrival at the leader.

A keeper now asks the leader for the position of an order in its sequence while the operator still waits, and forwards the order with it; the leader drops an order of another term, or one that is older than the opposite order about the same data centre. It holds whatever becomes of the keeper or the leader in between, as a position ends with its term.

--- a/packages/daemon/src/fleet/messageShapes.ts
+++ b/packages/daemon/src/fleet/messageShapes.ts
@@ -58,6 +58,8 @@
   t.type({ kind: t.literal('endEvacuation'), dataCentre: t.string }),
 ]);
 
+const POSITION = t.type({ term: t.number, taken: t.number });
+
 const UPDATE = t.intersection([
   t.type({ records: RECORDS, mark: VERSION, suspects: SUSPECTS, limits: LIMITS }),
   t.partial({
@@ -210,7 +212,7 @@
     ['departed', t.intersection([t.type({ id: t.string }), t.partial({ bornAt: t.number })])],
     ['leaving', t.type({ lifetimes: t.array(LIFETIME) })],
     ['submit', t.type({ edition: EDITION })],
-    ['evacuate', t.type({ command: COMMAND })],
+    ['evacuate', t.intersection([t.type({ command: COMMAND }), t.partial({ position: POSITION })])],
     ['place', PLACE],
     ['ended', ENDED],
     ['blame', t.type({ ended: t.array(TARGET_CRASH) })],
@@ -250,6 +252,10 @@
       'evacuate',
       t.union([t.type({ kind: t.literal('accepted'), revision: t.number }), UNAVAILABLE]),
     ],
+    [
+      'orderPosition',
+      t.union([t.type({ kind: t.literal('position'), position: POSITION }), UNAVAILABLE]),
+    ],
     [
       'evacuations',
       t.union([t.type({ kind: t.literal('listed'), listing: t.UnknownRecord }), UNAVAILABLE]),
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -328,9 +328,25 @@
   | { kind: 'newest'; edition: domain.catalogue.newestCatalogue.PackedCatalogue | undefined }
   | { kind: 'unavailable'; detail: string };
 
+/**
+ * Place of an order among those that a leader takes: its term, and the number of orders that it had taken in it when a
+ * keeper received the order.
+ */
+export interface OrderPosition {
+  term: number;
+  taken: number;
+}
+
+/** `orderPosition`: the position of an order that the calling keeper has just received. */
+export type OrderPositionAnswer =
+  | { kind: 'position'; position: OrderPosition | undefined }
+  | { kind: 'unavailable'; detail: string };
+
 /** `evacuate`: an order forwarded by the keeper that received it from an operator. */
 export interface EvacuateRequest {
   command: EvacuationCommand;
+  /** Absent from an earlier version. */
+  position?: OrderPosition;
 }
 
 /** `revision` is the revision of the evacuations that include the order. */
--- a/packages/daemon/src/keeper/__tests__/evacuationOrders.test.ts
+++ b/packages/daemon/src/keeper/__tests__/evacuationOrders.test.ts
@@ -27,7 +27,12 @@
   return {
     submitted,
     handle: (dataCentre, kind) =>
-      orders.handle({ kind: kind ?? 'evacuate', dataCentre, requestedBy: '10.0.0.1' }),
+      orders.handle({
+        kind: kind ?? 'evacuate',
+        dataCentre,
+        requestedBy: '10.0.0.1',
+        isGivenUp: () => false,
+      }),
   };
 }
 
--- a/packages/daemon/src/keeper/controlServer.ts
+++ b/packages/daemon/src/keeper/controlServer.ts
@@ -224,13 +224,15 @@
   }
 
   private async order(
-    { kind, dataCentre }: Omit<evacuationOrders.Order, 'requestedBy'>,
+    { kind, dataCentre }: Pick<evacuationOrders.Order, 'kind' | 'dataCentre'>,
     { socket }: http.IncomingMessage,
   ): Promise<Reply> {
     const requestedBy = socket.remoteAddress ?? '';
+    const isGivenUp = (): boolean => socket.destroyed || socket.readableEnded;
     await clock.sleep(CLOSED_CHECK_MS);
-    if (socket.destroyed || socket.readableEnded) return UNAVAILABLE;
-    return replyTo(await this.dependencies.orders.handle({ kind, dataCentre, requestedBy }));
+    if (isGivenUp()) return UNAVAILABLE;
+    const order = { kind, dataCentre, requestedBy, isGivenUp };
+    return replyTo(await this.dependencies.orders.handle(order));
   }
 
   private async listEvacuations(): Promise<Reply> {
--- a/packages/daemon/src/keeper/evacuationOrders.ts
+++ b/packages/daemon/src/keeper/evacuationOrders.ts
@@ -12,8 +12,11 @@
   /** Data centres of the keeper itself and of the targets that it knows. */
   announcedDataCentres: () => string[];
   isEvacuated: (dataCentre: string) => boolean;
-  /** Hands a command to the leader; resolves once a quorum has it. */
-  submit: (command: EvacuationCommand) => Promise<messages.EvacuateAnswer>;
+  /** Hands a command to the leader, unless it is given up; resolves once a quorum has it. */
+  submit: (
+    command: EvacuationCommand,
+    isGivenUp: () => boolean,
+  ) => Promise<messages.EvacuateAnswer>;
   observer: observer.Observer;
   /** The time of day, in Unix milliseconds. */
   timeOfDay: () => number;
@@ -25,6 +28,8 @@
   dataCentre: string | undefined;
   /** Address of the operator. */
   requestedBy: string;
+  /** Whether the operator has closed the connection and may have sent the order elsewhere. */
+  isGivenUp: () => boolean;
 }
 
 export type OrderResult =
@@ -61,7 +66,8 @@
       this.logRefusal(order, 'unknown data centre');
       return { kind: 'unknown', known };
     }
-    const answer = await this.dependencies.submit(this.commandOf(kind, dataCentre, requestedBy));
+    const command = this.commandOf(kind, dataCentre, requestedBy);
+    const answer = await this.dependencies.submit(command, order.isGivenUp);
     if (answer.kind === 'unavailable') {
       this.logRefusal(order, answer.detail);
       return { kind: 'unavailable', reason: answer.detail };
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -171,7 +171,14 @@
     this.host = this.replicas.hosts.get(LOG) as logHost.LogHost;
     this.leadership = this.makeLeadership();
     const { host, leadership: leader, machine, link, client } = this;
-    this.calls = new leaderCalls.LeaderCalls({ host, leadership: leader, machine, link, client });
+    this.calls = new leaderCalls.LeaderCalls({
+      host,
+      leadership: leader,
+      machine,
+      link,
+      client,
+      observer: observe,
+    });
     await this.softState.load();
     this.serveMethods();
     this.serveLeaderMethods();
@@ -252,7 +259,7 @@
         ...this.fleetState.registry.records().map(({ dataCentre }) => dataCentre),
       ],
       isEvacuated: (dataCentre) => this.fleetState.evacuations.isEvacuated(dataCentre),
-      submit: (command) => this.calls.evacuate(command),
+      submit: (command, isGivenUp) => this.calls.evacuate(command, isGivenUp),
       observer: observe,
       timeOfDay: clock.timeOfDay,
     });
@@ -310,6 +317,7 @@
       calls.submitHere((content as messages.SubmitRequest).edition),
     );
     server.add('newest', () => calls.newestHere());
+    server.add('orderPosition', () => calls.orderPositionHere());
     server.add('evacuate', (content) => calls.evacuateHere(content as messages.EvacuateRequest));
     server.add('evacuations', () => calls.evacuationsHere());
     server.add('place', (request) => this.place(request as messages.PlaceRequest));
--- a/packages/daemon/src/keeper/leaderCalls.ts
+++ b/packages/daemon/src/keeper/leaderCalls.ts
@@ -7,10 +7,12 @@
 import * as clock from '../clock';
 import type * as leaderLink from '../fleet/leaderLink';
 import type * as messages from '../fleet/messages';
+import type * as observer from '../observability/observer';
 import type * as logHost from '../replicas/logHost';
 import type * as peerClient from '../rpc/peerClient';
 import type * as catalogueMachine from './catalogueMachine';
 import type * as leadership from './leadership';
+import * as orderSequence from './orderSequence';
 
 type Announcement = domain.registry.registry.Announcement;
 type EvacuationCommand = domain.evacuation.evacuations.EvacuationCommand;
@@ -22,6 +24,7 @@
   machine: catalogueMachine.CatalogueMachine;
   link: leaderLink.LeaderLink;
   client: peerClient.PeerClient;
+  observer: observer.Observer;
 }
 
 /** Maximum wait for the leader's answer to a forwarded call, in milliseconds. */
@@ -36,6 +39,12 @@
  */
 const ORDER_TIMEOUT_MS = 1_200;
 
+/**
+ * Maximum wait for the position of an order, in milliseconds. Half of the time that an operator waits for an answer, so
+ * that the position is one from before the operator sends the order, or another one, elsewhere.
+ */
+const POSITION_TIMEOUT_MS = 500;
+
 /** Maximum wait for a quorum to sync an order, in milliseconds. */
 const ORDER_COMMIT_TIMEOUT_MS = 800;
 
@@ -46,6 +55,8 @@
 const ORDER_PUSH_WAIT_MS = 150;
 
 export class LeaderCalls {
+  private readonly orders = new orderSequence.OrderSequence();
+
   constructor(private readonly dependencies: Dependencies) {}
 
   /** Forwards targets' announcements; resolves with false if no leader takes them. */
@@ -126,23 +137,54 @@
     return { kind: 'newest', edition: this.dependencies.machine.catalogue.newest };
   }
 
-  /** Forwards an operator's order about an evacuation. */
-  evacuate(command: EvacuationCommand): Promise<messages.EvacuateAnswer> {
-    const content = { command } satisfies messages.EvacuateRequest;
+  /** Forwards an operator's order about an evacuation, unless the operator has given it up meanwhile. */
+  async evacuate(
+    command: EvacuationCommand,
+    isGivenUp: () => boolean,
+  ): Promise<messages.EvacuateAnswer> {
+    const answer = await this.orderPosition();
+    if (answer.kind === 'unavailable') return answer;
+    if (isGivenUp()) return unavailable('given up by the operator');
+    const content: messages.EvacuateRequest = { command, position: answer.position };
     return this.atLeader<messages.EvacuateAnswer>(
       { method: 'evacuate', content, timeoutMs: ORDER_TIMEOUT_MS },
       { here: () => this.evacuateHere(content), unavailable },
     );
   }
 
+  /** The position of an order in the leader's sequence; a leader of an earlier version has none. */
+  private orderPosition(): Promise<messages.OrderPositionAnswer> {
+    return this.atLeader<messages.OrderPositionAnswer>(
+      { method: 'orderPosition', content: {}, timeoutMs: POSITION_TIMEOUT_MS },
+      {
+        here: async () => this.orderPositionHere(),
+        unavailable,
+        unknownMethod: () => ({ kind: 'position', position: undefined }),
+      },
+    );
+  }
+
+  orderPositionHere(): messages.OrderPositionAnswer {
+    const { host } = this.dependencies;
+    if (!host.isLeader) return unavailable('not the leader');
+    return { kind: 'position', position: this.orders.position(host.replica.term) };
+  }
+
   /** Resolves once a quorum has the order and the followers that answer in time have applied it. */
-  async evacuateHere({ command }: messages.EvacuateRequest): Promise<messages.EvacuateAnswer> {
+  async evacuateHere({
+    command,
+    position,
+  }: messages.EvacuateRequest): Promise<messages.EvacuateAnswer> {
     const { host, leadership } = this.dependencies;
     if (!host.isLeader) return unavailable('not the leader');
     const uninformed = leadership.evacuations.uninformedMembers(host.replica.members);
     if (uninformed.length > 0) {
       return unavailable(`voters that have not announced evacuations: ${uninformed.join(', ')}`);
     }
+    if (!this.orders.take(command, position, host.replica.term)) {
+      this.logOutdated(command, position);
+      return unavailable('outdated by a later order');
+    }
     // Also an order that already holds is proposed: only its commit proves that this keeper still leads.
     const applied = await Promise.race([
       host.propose(command),
@@ -155,6 +197,20 @@
     return { kind: 'accepted', revision };
   }
 
+  private logOutdated(
+    command: EvacuationCommand,
+    position: messages.OrderPosition | undefined,
+  ): void {
+    const { observer: observe, host } = this.dependencies;
+    observe.count('orders.outdated');
+    observe.log('orderOutdated', {
+      order: command.kind,
+      dataCentre: orderSequence.dataCentreOf(command),
+      sentAt: position,
+      now: this.orders.position(host.replica.term),
+    });
+  }
+
   evacuations(): Promise<messages.EvacuationsAnswer> {
     return this.atLeader<messages.EvacuationsAnswer>(
       { method: 'evacuations', content: {}, timeoutMs: FORWARD_TIMEOUT_MS },
@@ -173,7 +229,7 @@
   /** Settles a call here if this keeper leads, or else at the leader. */
   private async atLeader<T>(
     { method, content, timeoutMs }: LeaderCall,
-    settle: { here: () => Promise<T>; unavailable: (detail: string) => T },
+    settle: Settlement<T>,
   ): Promise<T> {
     const { host, link, client } = this.dependencies;
     if (host.isLeader) return settle.here();
@@ -183,6 +239,7 @@
     if (answer.ok) return answer.val;
     // A leader of the previous version rejects a method that it doesn't know; it still leads.
     if (answer.val.kind !== 'rejected') link.reportFailure(leader);
+    else if (settle.unknownMethod !== undefined) return settle.unknownMethod();
     return settle.unavailable(answer.val.detail);
   }
 }
@@ -194,6 +251,14 @@
   timeoutMs: number;
 }
 
+/** How a call is settled at the leader itself, and without an answer of the leader. */
+interface Settlement<T> {
+  here: () => Promise<T>;
+  unavailable: (detail: string) => T;
+  /** For a method that a leader of an earlier version doesn't know; `unavailable` by default. */
+  unknownMethod?: () => T;
+}
+
 function unavailable(detail: string): { kind: 'unavailable'; detail: string } {
   return { kind: 'unavailable', detail };
 }
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -56,6 +56,11 @@
   evacuationAccepted: { number: 3015, level: 'info', text: 'evacuation order accepted' },
   evacuationRefused: { number: 3016, level: 'warn', text: 'evacuation order refused' },
   evacuationsInForce: { number: 3017, level: 'info', text: 'evacuated data centres applied' },
+  orderOutdated: {
+    number: 3018,
+    level: 'warn',
+    text: 'evacuation order dropped that arrived after a later one',
+  },
   daemonSuspected: { number: 4001, level: 'warn', text: 'daemon suspected of failure' },
   daemonDead: { number: 4002, level: 'warn', text: 'daemon dead' },
   daemonAlive: { number: 4003, level: 'info', text: 'daemon alive' },
