Put a first catalogue of version 0 into force

The first document of an operator, with version 0, was acknowledged, and then each read of it and each request was answered 503.

Cause: 0 also stood for "no catalogue yet", in the log's state machine, in the state of entries and keepers and in the polls by which the leader learns what a follower lacks.

Without a catalogue there is no version now, in the types too, and a poll says whether there is one.

Two tests are changed, as strict as before: without a catalogue they expect no version (state, gauge) where they expected 0.

--- a/packages/daemon/src/entry/__tests__/entry.test.ts
+++ b/packages/daemon/src/entry/__tests__/entry.test.ts
@@ -43,10 +43,10 @@
     });
     await tested.start();
     const leader = new peerClient.PeerClient(smallFleet.SECRET, undefined, observe);
-    const push = async (more: Partial<messages.FleetUpdate>): Promise<number[]> => {
+    const push = async (more: Partial<messages.FleetUpdate>): Promise<(number | undefined)[]> => {
       const edition = packedCatalogue.pack(1, Buffer.from(JSON.stringify(CATALOGUE)));
       await leader.call(peers, 'learn', { ...smallFleet.NO_CHANGES, edition, ...more });
-      const { catalogueVersion, evacuations } = tested.gauges();
+      const { catalogueVersion, evacuations }: Partial<Record<string, number>> = tested.gauges();
       return [catalogueVersion, evacuations];
     };
     const order = { dataCentre: 'dc1', startedAt: 0, requestedBy: '' };
@@ -54,6 +54,6 @@
     const together = await push({ evacuations: { revision: 3, evacuations: [order] } });
     leader.close();
     await tested.stop();
-    expect([...alone, ...together]).to.deep.equal([0, 0, 1, 1]);
+    expect([...alone, ...together]).to.deep.equal([undefined, 0, 1, 1]);
   });
 });
--- a/packages/daemon/src/entry/entry.ts
+++ b/packages/daemon/src/entry/entry.ts
@@ -299,7 +299,7 @@
   gauges(): Record<string, number> {
     return {
       ready: this.isReady ? 1 : 0,
-      catalogueVersion: this.fleetState.version,
+      ...(this.fleetState.version !== undefined && { catalogueVersion: this.fleetState.version }),
       confirmedMsAgo: Math.min(this.link.confirmationAgeMs, Number.MAX_SAFE_INTEGER),
       targets: this.fleetState.registry.records().length,
       limits: this.fleetState.limits.size - this.fleetState.limits.coldSize,
--- a/packages/daemon/src/entry/ingress.ts
+++ b/packages/daemon/src/entry/ingress.ts
@@ -436,7 +436,7 @@
     { status, reason }: Refusal,
   ): void {
     const { requestId } = this.dependencies.protocol.callerMetadata(request.headers);
-    const version = this.dependencies.directory()?.version ?? 0;
+    const version = this.dependencies.directory()?.version;
     this.dependencies.observer.log('requestEnded', {
       request: requestId,
       status,
--- a/packages/daemon/src/fleet/__tests__/fleetState.test.ts
+++ b/packages/daemon/src/fleet/__tests__/fleetState.test.ts
@@ -17,6 +17,6 @@
       onRecord: () => expect.fail(),
     });
     state.applyCatalogue({ version: 7, packed: new Uint8Array([1, 2, 3]) });
-    expect(state.version).to.equal(0);
+    expect(state.version).to.equal(undefined);
   });
 });
--- a/packages/daemon/src/fleet/fleetState.ts
+++ b/packages/daemon/src/fleet/fleetState.ts
@@ -11,6 +11,8 @@
 
 const { keyOf } = domain.rateLimits.rateLimits;
 
+const { isNewerVersion } = domain.catalogue.newestCatalogue;
+
 type Announcement = domain.registry.registry.Announcement;
 type RateLimit = domain.rateLimits.rateLimits.RateLimit;
 type Endpoint = domain.rateLimits.rateLimits.Endpoint;
@@ -74,12 +76,13 @@
     return this.current;
   }
 
-  get version(): number {
-    return this.current?.version ?? 0;
+  /** Version of the catalogue in force; undefined without one. */
+  get version(): number | undefined {
+    return this.current?.version;
   }
 
   applyCatalogue(edition: domain.catalogue.newestCatalogue.PackedCatalogue): void {
-    if (edition.version <= this.version) return;
+    if (!isNewerVersion(edition.version, this.version)) return;
     const document = packedCatalogue.unpack(edition);
     const decoded = document.andThen((content) => this.options.protocol.parseCatalogue(content));
     if (decoded.err) {
--- a/packages/daemon/src/fleet/leaderLink.ts
+++ b/packages/daemon/src/fleet/leaderLink.ts
@@ -272,7 +272,7 @@
       process: this.process,
       ...(this.isStopping && { isStopping: true }),
       address: this.options.address,
-      version: state.version,
+      ...messages.catalogueStatementOf(state.version),
       mark: state.registryVersion,
       ...registrySnapshots.packRecords(sendsRecords ? state.registry.records() : []),
       dispatches: isNew ? this.options.dispatches() : [],
--- a/packages/daemon/src/fleet/messageShapes.ts
+++ b/packages/daemon/src/fleet/messageShapes.ts
@@ -137,6 +137,7 @@
     limits: LIMITS,
   }),
   t.partial({
+    hasCatalogue: t.boolean,
     packedRecords: BYTES,
     replica: t.string,
     evacuationRevision: t.number,
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -30,8 +30,10 @@
   isStopping?: boolean;
   /** Peer address of the follower, to which updates are pushed. */
   address: string;
-  /** Version of the catalogue in force at the follower. */
+  /** Version of the catalogue in force at the follower; also 0 without one. */
   version: number;
+  /** Whether a catalogue is in force at the follower; an earlier version has none with version 0. */
+  hasCatalogue?: boolean;
   /** Version of the registry in force at the follower. */
   mark: RegistryVersion;
   /** Running dispatches of an entry, sent to a leader that it polls for the first time. */
@@ -86,6 +88,9 @@
   evacuationReplicas?: string[];
 }
 
+/** What a follower states to the leader about its catalogue. */
+export type CatalogueStatement = Pick<FollowRequest, 'version' | 'hasCatalogue'>;
+
 /** What an entry states to the leader about its paths to targets. */
 export type PathStatement = Pick<
   FollowRequest,
@@ -370,6 +375,19 @@
 
 export const NO_VERSION: RegistryVersion = { epoch: '', change: 0 };
 
+/** How a follower states the version of its catalogue, if there is one. */
+export function catalogueStatementOf(version: number | undefined): CatalogueStatement {
+  return { version: version ?? 0, hasCatalogue: version !== undefined };
+}
+
+/** The version of a follower's catalogue; undefined without one. */
+export function catalogueVersionOf({
+  version,
+  hasCatalogue = version > 0,
+}: CatalogueStatement): number | undefined {
+  return hasCatalogue ? version : undefined;
+}
+
 /** Whether a version contains all changes of another one of the same leadership. */
 export function includes(a: RegistryVersion, b: RegistryVersion): boolean {
   return a.epoch === b.epoch && a.change >= b.change;
--- a/packages/daemon/src/keeper/__tests__/__fixtures__/leaderFixture.ts
+++ b/packages/daemon/src/keeper/__tests__/__fixtures__/leaderFixture.ts
@@ -39,6 +39,8 @@
   acknowledgesWithoutVersion?: boolean;
   /** The leader's clock; with the default, followers stay reachable however long a test takes. */
   now?: () => number;
+  /** None by default. */
+  newestCatalogue?: domain.catalogue.newestCatalogue.PackedCatalogue;
   /** The leader's observer; by default one that logs nothing. */
   observer?: observer.Observer;
 }
@@ -49,6 +51,7 @@
   answerMs,
   acknowledgesWithoutVersion = false,
   now = () => 0,
+  newestCatalogue,
   observer: leaderObserver = observe,
 }: Setup): Promise<LeaderFixture> {
   const pushes: Push[] = [];
@@ -81,7 +84,7 @@
     now,
     random: random.seeded(1),
     linkMbps: 170,
-    newestCatalogue: () => undefined,
+    newestCatalogue: () => newestCatalogue,
     evacuations: () => fleet.evacuations.state,
     onInformed: () => undefined,
     onSuspects: () => undefined,
--- a/packages/daemon/src/keeper/__tests__/catalogueMachine.test.ts
+++ b/packages/daemon/src/keeper/__tests__/catalogueMachine.test.ts
@@ -53,6 +53,15 @@
     expect(machine.evacuations.isEvacuated('a')).to.equal(true);
   });
 
+  // Guards against a first catalogue of version 0 that a snapshot or a repeated submission loses.
+  it('keeps a catalogue of version 0, and the first one of that version', () => {
+    const first = { ...CATALOGUE, version: 0 };
+    const machine = machineWith(first, ORDER);
+    const repeated = machine.apply({ version: 0, packed: new Uint8Array([2]) }, 3);
+    expect(repeated).to.deep.equal({ version: 0, changed: false });
+    expect(restored(machine.snapshot()).catalogue.newest).to.deep.equal(first);
+  });
+
   // Guards against replicas that diverge because one of them skips a command of a newer program.
   it('refuses a command of an unknown kind', () => {
     expect(() => machineWith(CATALOGUE, { kind: 'later', version: 9 })).to.throw(
--- a/packages/daemon/src/keeper/__tests__/keeper.test.ts
+++ b/packages/daemon/src/keeper/__tests__/keeper.test.ts
@@ -40,6 +40,17 @@
     expect([status, older, await fleet.version()]).to.deep.equal([400, 200, 3]);
   });
 
+  // Guards against a first catalogue that is acknowledged and dropped because its version is 0.
+  it('put a first catalogue of version 0 into force, and read it back', async () => {
+    const { state } = await fleet.follow();
+    await fleet.submit(0);
+    await until('the follower to have it', () => state.version === 0);
+    const [status, document] = await fleet.call(fleet.leader, 'GET', '/catalogue');
+    expect([status, JSON.parse(document)]).to.deep.equal([200, { version: 0, valid: true }]);
+    await fleet.submit(1);
+    await until('the follower to have the next one', () => state.version === 1);
+  });
+
   /*
    * Guards against accepted settings that are lost, or a revoked key that returns: the leader stops right after it
    * accepted a version, and its successor must show that version to operators and push the next one to entries.
--- a/packages/daemon/src/keeper/catalogueMachine.ts
+++ b/packages/daemon/src/keeper/catalogueMachine.ts
@@ -15,7 +15,10 @@
 /** A snapshot; undefined before the first catalogue and evacuation. */
 type Snapshot = (PackedCatalogue & { evacuations?: EvacuationState }) | undefined | null;
 
-/** Stands for a missing catalogue in a snapshot with evacuations; version 0 never comes into force. */
+/**
+ * Stands for a missing catalogue in a snapshot with evacuations; a version that knows no evacuations ignores version 0.
+ * A packed catalogue is never empty.
+ */
 const NO_CATALOGUE: PackedCatalogue = { version: 0, packed: new Uint8Array() };
 
 /** Result of an order: the revision of the evacuations afterwards. */
@@ -62,7 +65,7 @@
     const snapshot = state as Snapshot;
     if (snapshot === undefined || snapshot === null) return;
     const { version, packed, evacuations } = snapshot;
-    this.catalogue.restore({ version, packed });
+    if (packed.length > 0) this.catalogue.restore({ version, packed });
     if (evacuations !== undefined) this.evacuations.replace(evacuations);
     this.onChange();
   }
--- a/packages/daemon/src/keeper/controlServer.ts
+++ b/packages/daemon/src/keeper/controlServer.ts
@@ -272,9 +272,9 @@
 
   private async submit(body: Buffer): Promise<Reply> {
     const excess = boundedJson.excessOf(body);
-    if (excess !== undefined) return this.refuse(0, excess);
+    if (excess !== undefined) return this.refuse(undefined, excess);
     const decoded = this.dependencies.protocol.parseCatalogue(body);
-    if (decoded.err) return this.refuse(0, decoded.val.detail);
+    if (decoded.err) return this.refuse(undefined, decoded.val.detail);
     const { version } = decoded.val;
     const [problem] = domain.catalogue.catalogue.problemsOf(decoded.val);
     if (problem !== undefined) return this.refuse(version, `${problem.fault}: ${problem.subject}`);
@@ -287,7 +287,8 @@
     return { status: 200, body: JSON.stringify({ version: answer.version }) };
   }
 
-  private refuse(version: number, reason: string): Reply {
+  /** `version` is undefined for a document that can't be read. */
+  private refuse(version: number | undefined, reason: string): Reply {
     this.dependencies.observer.log('catalogueRefused', { version, reason });
     return { status: 400, body: JSON.stringify({ error: reason }) };
   }
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -204,7 +204,7 @@
       members: replica.members.length,
       voters: replica.voters.length,
       withoutLeaderMs: Math.round(this.quorum.missingMs),
-      catalogueVersion: this.fleetState.version,
+      ...(this.fleetState.version !== undefined && { catalogueVersion: this.fleetState.version }),
       targets: this.fleetState.registry.records().length,
       dispatches: this.leadership.allocator.size,
       limits: this.fleetState.limits.size - this.fleetState.limits.coldSize,
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -23,6 +23,8 @@
 import * as snapshotThrottle from './snapshotThrottle';
 import * as suspectTracker from './suspectTracker';
 
+const { isNewerVersion } = domain.catalogue.newestCatalogue;
+
 type Announcement = domain.registry.registry.Announcement;
 
 export interface Options {
@@ -243,7 +245,7 @@
     // A follower without a catalogue can't serve, and a new follower requests placements only once it is confirmed,
     // so neither waits for the next heartbeat.
     const isNew = !this.isSelf(follower.name) && !this.followers.has(follower.name);
-    const isUrgent = follower.version === 0 || isNew;
+    const isUrgent = messages.catalogueVersionOf(follower) === undefined || isNew;
     if (!(await this.options.host.confirmLeadership(isUrgent))) return undefined;
     if (!this.isLeading) this.setLeading(true);
     this.endCanariesOfPreviousProcess(follower);
@@ -288,10 +290,12 @@
    * Ends the canary runs of a follower that restarted: one that has received no registry version has just started,
    * and whatever its previous process ran under the same name ended with it.
    */
-  private endCanariesOfPreviousProcess({ name, mark, version }: messages.FollowRequest): void {
+  private endCanariesOfPreviousProcess(follower: messages.FollowRequest): void {
+    const { name, mark } = follower;
     const isNew = messages.isSameVersion(mark, messages.NO_VERSION);
+    const hasCatalogue = messages.catalogueVersionOf(follower) !== undefined;
     // A follower that has a catalogue but no registry version may simply be waiting for its registry snapshot.
-    const isAwaitingSnapshot = version > 0 && this.awaitingSnapshot.has(name);
+    const isAwaitingSnapshot = hasCatalogue && this.awaitingSnapshot.has(name);
     if (isNew && !isAwaitingSnapshot) this.suspects.forgetEntry(name);
   }
 
@@ -568,9 +572,11 @@
   }
 
   private updateFor(follower: messages.FollowRequest): messages.FleetUpdate {
-    const { name, version, mark, evacuationRevision } = follower;
+    const { name, mark, evacuationRevision } = follower;
     const newest = this.options.newestCatalogue();
-    const edition = newest !== undefined && newest.version > version ? newest : undefined;
+    const version = messages.catalogueVersionOf(follower);
+    const isLacking = newest !== undefined && isNewerVersion(newest.version, version);
+    const edition = isLacking ? newest : undefined;
     const evacuations = this.evacuations.missingAt(evacuationRevision);
     const update = { edition, ...this.registryUpdateFor(name, mark) };
     return evacuations === undefined ? update : { ...update, evacuations };
--- a/packages/domain/src/catalogue/newestCatalogue.ts
+++ b/packages/domain/src/catalogue/newestCatalogue.ts
@@ -18,6 +18,11 @@
   changed: boolean;
 }
 
+/** Whether a version is newer than the one in force, if there is any. */
+export function isNewerVersion(version: number, inForce: number | undefined): boolean {
+  return inForce === undefined || version > inForce;
+}
+
 export class NewestCatalogue {
   private current: PackedCatalogue | undefined;
 
@@ -25,14 +30,18 @@
     return this.current;
   }
 
-  get version(): number {
-    return this.current?.version ?? 0;
+  /** Undefined before the first catalogue, which may have any version, also 0. */
+  get version(): number | undefined {
+    return this.current?.version;
   }
 
   apply(candidate: PackedCatalogue): ApplyResult {
-    const changed = candidate.version > this.version;
-    if (changed) this.current = candidate;
-    return { version: this.version, changed };
+    const { current } = this;
+    if (current !== undefined && !isNewerVersion(candidate.version, current.version)) {
+      return { version: current.version, changed: false };
+    }
+    this.current = candidate;
+    return { version: candidate.version, changed: true };
   }
 
   restore(candidate: PackedCatalogue | undefined): void {
