Take an announcement numbered 0 for an old one once later ones were numbered

A cold target that counts its announcements from 0 could get requests as if it were warm: its first announcement, late, ended the coldness of which a later one had told, so that callers' requests could crash it.

Cause: 0 also stood for "announcements without numbers", which always count as later than the last one.

A target without numbers has 0 in all announcements, so 0 after a higher number is an old one. The new test failed before (warm at 12 s) and passes now.

--- a/packages/domain/src/coldTargets/__tests__/coldTargets.test.ts
+++ b/packages/domain/src/coldTargets/__tests__/coldTargets.test.ts
@@ -47,6 +47,16 @@
     expect(cold.limitOf({ ...TARGET, bornAt: 2 }, 20_000)?.perSecond).to.equal(17);
   });
 
+  // Guards against a late first announcement, numbered 0, that ends the coldness of which a later one has told.
+  it('stay cold when a late announcement numbered 0 says that they are warm', () => {
+    cold.observe(target(1, { sequence: 0, coldLeftMs: 0 }), 0);
+    cold.observe(target(1, { sequence: 1, coldLeftMs: 9_000 }), 4_000);
+    cold.observe(target(1, { sequence: 0, coldLeftMs: 0 }), 4_100);
+    expect(isWarmAt(12_000)).to.equal(false);
+    cold.observe(target(1, { sequence: 2, coldLeftMs: 0 }), 12_100);
+    expect(isWarmAt(12_100 + RAMP_MS)).to.equal(true);
+  });
+
   it('are warm at once where nothing has been sent to them yet', () => {
     cold.observe({ ...TARGET, coldLeftMs: 0 }, 0, false);
     expect(isWarmAt(0)).to.equal(true);
--- a/packages/domain/src/coldTargets/coldTargets.ts
+++ b/packages/domain/src/coldTargets/coldTargets.ts
@@ -88,7 +88,7 @@
     const { coldLeftMs, sequence } = announcement;
     const known = this.find(announcement);
     const lifetime = known ?? this.add(announcement, now);
-    const isLater = known !== undefined && (sequence === 0 || sequence > known.sequence);
+    const isLater = known !== undefined && isLaterThan(known, sequence);
     lifetime.sequence = Math.max(lifetime.sequence, sequence);
     if (coldLeftMs === undefined || (known !== undefined && !isLater)) return;
     if (coldLeftMs > 0) lifetime.reportedUntil = now + coldLeftMs;
@@ -166,3 +166,11 @@
 function spreadMs(address: string): number {
   return coldShares.hashOf(address) % RAMP_SPREAD_MS;
 }
+
+/**
+ * Whether an announcement comes after the last known one. A target that numbers none has 0 in all of them; one that
+ * counts from 0 has it only in its first.
+ */
+function isLaterThan({ sequence: last }: Lifetime, sequence: number): boolean {
+  return sequence > last || (sequence === 0 && last === 0);
+}
