Name the lifetime of a target in its departure

A target that had departed and started again under its id got no requests any more, though it announced itself all the time: its departure, held up by a cut between a keeper and the leader and acknowledged by another keeper since, ended the new lifetime when the cut healed.

Cause: a departure without a lifetime meant whatever lifetime the leader knew when it arrived; of the class of late orders to evacuate.

The keeper asks the leader for the present lifetime while the target still waits, and forwards the departure of that one. If the leader knows none, the departure counts only while that is so; otherwise the target gets 503 and sends it again. Leaders of earlier versions get the call as before.

The new test of keepers failed on (the new lifetime was gone) and passes now.

--- a/packages/daemon/src/fleet/messageShapes.ts
+++ b/packages/daemon/src/fleet/messageShapes.ts
@@ -210,7 +210,14 @@
     ['follow', FOLLOW],
     ['learn', UPDATE],
     ['announced', t.type({ records: RECORDS })],
-    ['departed', t.intersection([t.type({ id: t.string }), t.partial({ bornAt: t.number })])],
+    [
+      'departed',
+      t.intersection([
+        t.type({ id: t.string }),
+        t.partial({ bornAt: t.number, isUnknown: t.boolean }),
+      ]),
+    ],
+    ['lifetime', t.type({ id: t.string })],
     ['leaving', t.type({ lifetimes: t.array(LIFETIME) })],
     ['submit', t.type({ edition: EDITION })],
     ['evacuate', t.intersection([t.type({ command: COMMAND }), t.partial({ position: POSITION })])],
@@ -240,6 +247,13 @@
     ['learn', t.partial({ mark: VERSION })],
     ['announced', t.boolean],
     ['departed', t.boolean],
+    [
+      'lifetime',
+      t.union([
+        t.intersection([t.type({ kind: t.literal('lifetime') }), t.partial({ bornAt: t.number })]),
+        UNAVAILABLE,
+      ]),
+    ],
     ['leaving', APPLIED],
     ['submit', t.union([t.type({ kind: t.literal('accepted'), version: t.number }), UNAVAILABLE])],
     [
--- a/packages/daemon/src/fleet/messages.ts
+++ b/packages/daemon/src/fleet/messages.ts
@@ -311,10 +311,24 @@
 /** `departed`: a target lifetime that ended, as the target announced to the sending keeper. */
 export interface Departure {
   id: string;
-  /** Start time of the lifetime that ended, in Unix milliseconds; undefined if the target didn't report it. */
+  /**
+   * Start time of the lifetime that ended, in Unix milliseconds. If the target didn't report it, the one that the leader
+   * knew when the target's call arrived; undefined if that isn't known either.
+   */
   bornAt: number | undefined;
+  /** Whether the leader knew no lifetime of the target then. */
+  isUnknown?: boolean;
+}
+
+/** `lifetime`: asks for the present lifetime of a target. */
+export interface LifetimeRequest {
+  id: string;
 }
 
+export type LifetimeAnswer =
+  /** `bornAt` is undefined for a target that the leader doesn't know. */
+  { kind: 'lifetime'; bornAt: number | undefined } | { kind: 'unavailable'; detail: string };
+
 /** `leaving`: target lifetimes that announced, in answers to an entry, that they drain. */
 export interface DrainingReport {
   lifetimes: domain.quarantine.crashedLifetimes.Lifetime[];
--- a/packages/daemon/src/keeper/__tests__/__fixtures__/keeperFleet.ts
+++ b/packages/daemon/src/keeper/__tests__/__fixtures__/keeperFleet.ts
@@ -169,6 +169,25 @@
     return { resume, lose };
   }
 
+  /** Holds up the calls of a method that a keeper sends, as a cut does, until they are delivered. */
+  holdCalls(i: number, method: string): { held: () => number; deliver: () => void } {
+    const { client } = this.running.get(i) as unknown as { client: peerClient.PeerClient };
+    const call = client.call.bind(client);
+    let held = 0;
+    let deliver = (): void => undefined;
+    const healed = new Promise<void>((resolve) => {
+      deliver = resolve;
+    });
+    client.call = async (address, called, ...rest) => {
+      if (called === method) {
+        held += 1;
+        await healed;
+      }
+      return call(address, called, ...rest);
+    };
+    return { held: () => held, deliver };
+  }
+
   get leader(): number {
     return [...this.running].find(([, each]) => each.gauges().leads === 1)?.[0] ?? -1;
   }
--- a/packages/daemon/src/keeper/__tests__/evacuations.test.ts
+++ b/packages/daemon/src/keeper/__tests__/evacuations.test.ts
@@ -69,7 +69,6 @@
   function partsOf(i: number): {
     fleetState: fleetState.FleetState;
     link: leaderLink.LeaderLink;
-    client: peerClient.PeerClient;
     server: { methods: { removeMethod: (name: string) => void } };
     host: { replica: { durable: { snapshot: { index: number } } } };
   } {
@@ -226,37 +225,19 @@
     await order(fleet, 'POST', 'dc1');
     const cutOff = (fleet.leader + 1) % 3;
     await until('its follower', () => partsOf(cutOff).link.leader !== '');
-    const heal = holdOrders(cutOff);
+    const cut = fleet.holdCalls(cutOff, 'evacuate');
     const late = fleet.call(cutOff, 'DELETE', '/evacuations/dc1');
-    await until('the order to be held up', () => heal.held > 0);
+    await until('the order to be held up', () => cut.held() > 0);
     const { leader } = fleet;
     expect((await fleet.call(leader, 'DELETE', '/evacuations/dc1'))[0]).to.equal(200);
     expect((await fleet.call(leader, 'POST', '/evacuations/dc1'))[0]).to.equal(200);
-    heal.deliver();
+    cut.deliver();
     expect((await late)[0]).to.equal(503);
     expect((await listing(fleet)).evacuations.map(({ dataCentre }) => dataCentre)).to.deep.equal([
       'dc1',
     ]);
   });
 
-  /** Holds up the orders that a keeper forwards, until they are delivered. */
-  function holdOrders(i: number): { held: number; deliver: () => void } {
-    const { client } = partsOf(i);
-    const call = client.call.bind(client);
-    const hold = { held: 0, deliver: (): void => undefined };
-    const healed = new Promise<void>((resolve) => {
-      hold.deliver = resolve;
-    });
-    client.call = async (address, method, ...rest) => {
-      if (method === 'evacuate') {
-        hold.held += 1;
-        await healed;
-      }
-      return call(address, method, ...rest);
-    };
-    return hold;
-  }
-
   /*
    * Guards against an order that takes effect after a later one: a keeper that was frozen reads calls whose operators
    * have given them up and sent them to another keeper.
--- a/packages/daemon/src/keeper/__tests__/keeper.test.ts
+++ b/packages/daemon/src/keeper/__tests__/keeper.test.ts
@@ -155,6 +155,36 @@
     expect(known).to.not.equal('ready');
   });
 
+  // Guards against a target that gets no requests, as a cut held up the departure of its former lifetime.
+  it('end no later lifetime by a departure that reaches the leader late', async () => {
+    const { state } = await fleet.follow();
+    await fleet.submit(1);
+    const { leader } = fleet;
+    const cutOff = (leader + 1) % 3;
+    const announce = async (bornAt: number): Promise<void> => {
+      await until('an acknowledgement', async () => {
+        const record = { ...target('ready', 1), bornAt };
+        return (await fleet.call(leader, 'PUT', '/t1', record))[0] === 200;
+      });
+    };
+    await announce(1);
+    await until('the target at the keeper', async () => {
+      return (await fleet.call(cutOff, 'GET', '/catalogue'))[0] === 200;
+    });
+    const cut = fleet.holdCalls(cutOff, 'departed');
+    const late = fleet.call(cutOff, 'DELETE', '/t1');
+    await until('the departure to be held up', () => cut.held() > 0);
+    expect((await fleet.call(leader, 'DELETE', '/t1'))[0]).to.equal(200);
+    await announce(2);
+    cut.deliver();
+    await late;
+    await fleet.submit(2);
+    await until('the follower to have all', () => state.version === 2);
+    expect(state.registry.get('t1')).to.include({ bornAt: 2, state: 'ready' });
+    expect((await fleet.call(cutOff, 'DELETE', '/t1'))[0]).to.equal(200);
+    await until('its end', () => state.registry.get('t1')?.state === 'gone');
+  });
+
   /*
    * Guards against an engine that stays unused: it crashed without departing, and another one started at its address.
    * The keepers must accept the new one without waiting for the old one to depart.
--- a/packages/daemon/src/keeper/controlServer.ts
+++ b/packages/daemon/src/keeper/controlServer.ts
@@ -3,6 +3,7 @@
  * answers 503 to what it can't settle, so that the caller turns to another keeper.
  */
 import * as http from 'node:http';
+import type * as net from 'node:net';
 import * as domain from '@celerydrift/domain';
 import * as clock from '../clock';
 import type * as codecs from '../configuration/codecs';
@@ -23,6 +24,7 @@
 import type * as observer from '../observability/observer';
 import type * as evacuationOrders from './evacuationOrders';
 import * as ignoredAnnouncements from './ignoredAnnouncements';
+import type * as leaderCalls from './leaderCalls';
 
 type Announcement = domain.registry.registry.Announcement;
 
@@ -31,8 +33,8 @@
   observer: observer.Observer;
   /** Forwards an announcement; resolves with true once the leader has it. */
   announce: (record: Announcement) => Promise<boolean>;
-  /** Forwards a target's departure; resolves with true once the leader has it. */
-  depart: (departed: messages.Departure) => Promise<boolean>;
+  /** Forwards a target's departure, unless it is given up; resolves with true once the leader has it. */
+  depart: (departed: leaderCalls.ReportedDeparture, isGivenUp: () => boolean) => Promise<boolean>;
   submit: (
     edition: domain.catalogue.newestCatalogue.PackedCatalogue,
   ) => Promise<messages.SubmitAnswer>;
@@ -74,8 +76,9 @@
 const RETRY_AFTER_S = 1;
 
 /**
- * Time for the operating system to report that an operator has closed the connection, in milliseconds. A keeper that
- * was frozen reads calls that were given up long ago, and an order among them would undo a later one.
+ * Time for the operating system to report that a caller has closed the connection, in milliseconds. A keeper that was
+ * frozen reads calls that were given up long ago: an order among them would undo a later one, and a departure would end
+ * a later lifetime.
  */
 const CLOSED_CHECK_MS = 5;
 
@@ -217,7 +220,7 @@
     const writer = request.socket.remoteAddress ?? '';
     if (call.kind === 'unreadable') return this.ignore({ writer, target: path }, call.detail);
     if (call.kind === 'announce') return this.announce({ writer, target: call.id }, body);
-    if (call.kind === 'depart') return this.depart({ writer, target: call.id }, body);
+    if (call.kind === 'depart') return this.depart({ writer, target: call.id }, request, body);
     if (call.kind === 'listEvacuations') return this.listEvacuations();
     if (call.kind === 'evacuate' || call.kind === 'endEvacuation') return this.order(call, request);
     return call.kind === 'submit' ? this.submit(body) : this.read();
@@ -228,9 +231,9 @@
     { socket }: http.IncomingMessage,
   ): Promise<Reply> {
     const requestedBy = socket.remoteAddress ?? '';
-    const isGivenUp = (): boolean => socket.destroyed || socket.readableEnded;
     await clock.sleep(CLOSED_CHECK_MS);
-    if (isGivenUp()) return UNAVAILABLE;
+    if (isClosed(socket)) return UNAVAILABLE;
+    const isGivenUp = (): boolean => isClosed(socket);
     const order = { kind, dataCentre, requestedBy, isGivenUp };
     return replyTo(await this.dependencies.orders.handle(order));
   }
@@ -253,13 +256,18 @@
       : UNAVAILABLE;
   }
 
-  private async depart(sender: Sender, body: Buffer): Promise<Reply> {
+  private async depart(
+    sender: Sender,
+    { socket }: http.IncomingMessage,
+    body: Buffer,
+  ): Promise<Reply> {
     const { target: id } = sender;
     const bornAt = this.dependencies.protocol.parseDepartedLifetime(body);
     if (bornAt.err) return this.ignore(sender, bornAt.val.detail);
     const problem = domain.registry.validity.problemOfId(id);
     if (problem !== undefined) return this.ignore(sender, problem);
-    return (await this.dependencies.depart({ id, bornAt: bornAt.val }))
+    await clock.sleep(CLOSED_CHECK_MS);
+    return (await this.dependencies.depart({ id, bornAt: bornAt.val }, () => isClosed(socket)))
       ? { status: 200, body: '{}' }
       : UNAVAILABLE;
   }
@@ -331,6 +339,10 @@
   }
 }
 
+function isClosed(socket: net.Socket): boolean {
+  return socket.destroyed || socket.readableEnded;
+}
+
 function pathOf(request: http.IncomingMessage): string {
   return (request.url ?? '').split('?')[0];
 }
--- a/packages/daemon/src/keeper/keeper.ts
+++ b/packages/daemon/src/keeper/keeper.ts
@@ -141,7 +141,7 @@
       protocol,
       observer: observe,
       announce: (record) => this.relay.relay(record),
-      depart: (departed) => this.calls.depart(departed),
+      depart: (departed, isGivenUp) => this.calls.depart(departed, isGivenUp),
       submit: (edition) => this.calls.submit(edition),
       newest: () => this.calls.newest(),
       orders: this.makeOrders(),
@@ -308,6 +308,7 @@
     });
     server.add('announced', (content) => calls.announceHere(content as messages.AnnouncementBatch));
     server.add('departed', (content) => calls.departHere(content as messages.Departure));
+    server.add('lifetime', (content) => calls.lifetimeHere(content as messages.LifetimeRequest));
     server.add('leaving', (content): messages.AppliedAnswer => {
       return this.host.isLeader
         ? this.leadership.leaving(content as messages.DrainingReport)
--- a/packages/daemon/src/keeper/leaderCalls.ts
+++ b/packages/daemon/src/keeper/leaderCalls.ts
@@ -40,8 +40,8 @@
 const ORDER_TIMEOUT_MS = 1_200;
 
 /**
- * Maximum wait for the position of an order, in milliseconds. Half of the time that an operator waits for an answer, so
- * that the position is one from before the operator sends the order, or another one, elsewhere.
+ * Maximum wait for the position of an order, or for the lifetime that departs, in milliseconds. Half of the time that
+ * operators and targets wait for an answer, so that it is from before they send this call, or a later one, elsewhere.
  */
 const POSITION_TIMEOUT_MS = 500;
 
@@ -82,7 +82,10 @@
     return isConfirmed;
   }
 
-  depart(content: messages.Departure): Promise<boolean> {
+  /** Forwards a target's departure, unless the target has given up the call meanwhile. */
+  async depart(reported: ReportedDeparture, isGivenUp: () => boolean): Promise<boolean> {
+    const content = await this.departureOf(reported);
+    if (content === undefined || isGivenUp()) return false;
     return this.atLeader(
       { method: 'departed', content, timeoutMs: FORWARD_TIMEOUT_MS },
       {
@@ -92,9 +95,46 @@
     );
   }
 
+  /**
+   * A departure that names the lifetime that ended. One that a connection delivers late must not end a later lifetime of
+   * the target, so the leader is asked for the present one while the target waits; undefined if it can't be.
+   */
+  private async departureOf({
+    id,
+    bornAt,
+  }: ReportedDeparture): Promise<messages.Departure | undefined> {
+    if (bornAt !== undefined) return { id, bornAt };
+    const answer = await this.lifetime(id);
+    if (answer === 'unknownMethod') return { id, bornAt };
+    if (answer.kind === 'unavailable') return undefined;
+    return { id, bornAt: answer.bornAt, isUnknown: answer.bornAt === undefined };
+  }
+
+  /** The present lifetime of a target at the leader; one of an earlier version doesn't know the method. */
+  private lifetime(id: string): Promise<messages.LifetimeAnswer | 'unknownMethod'> {
+    const content = { id } satisfies messages.LifetimeRequest;
+    return this.atLeader<messages.LifetimeAnswer | 'unknownMethod'>(
+      { method: 'lifetime', content, timeoutMs: POSITION_TIMEOUT_MS },
+      {
+        here: () => this.lifetimeHere(content),
+        unavailable,
+        unknownMethod: () => 'unknownMethod',
+      },
+    );
+  }
+
+  async lifetimeHere({ id }: messages.LifetimeRequest): Promise<messages.LifetimeAnswer> {
+    const { host, leadership } = this.dependencies;
+    if (!host.isLeader || !(await this.stillLeads())) return unavailable('not the leader');
+    return { kind: 'lifetime', bornAt: leadership.lifetimeOf(id) };
+  }
+
   async departHere(departed: messages.Departure): Promise<boolean> {
     const { host, leadership } = this.dependencies;
     if (!host.isLeader) return false;
+    // Announced since: the target sends its departure again if that was before.
+    if (departed.isUnknown === true && leadership.lifetimeOf(departed.id) !== undefined)
+      return false;
     const [isConfirmed] = await Promise.all([this.stillLeads(), leadership.depart(departed)]);
     return isConfirmed;
   }
@@ -251,6 +291,9 @@
   timeoutMs: number;
 }
 
+/** A departure as a target's call reports it. */
+export type ReportedDeparture = Pick<messages.Departure, 'id' | 'bornAt'>;
+
 /** How a call is settled at the leader itself, and without an answer of the leader. */
 interface Settlement<T> {
   here: () => Promise<T>;
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -398,6 +398,11 @@
     if (changed.length > 0) await this.updates.publish(changed);
   }
 
+  /** Start time of the present lifetime of a target; undefined for an unknown target. */
+  lifetimeOf(id: string): number | undefined {
+    return this.options.fleetState.registry.get(id)?.bornAt;
+  }
+
   async depart({ id, bornAt }: messages.Departure): Promise<void> {
     const previous = this.options.fleetState.registry.get(id);
     const changed = this.options.fleetState.applyDeparture({ id, bornAt });
