Take a response for cut if its connection ends before a long request was sent

A target that answered a long upload at once with a 200 without a length, sent part of its body and closed, made its caller take that part for the whole answer.

Cause: such a response ends with its connection. The target's close is a clean end; the reset with which its system answers the rest of the upload comes after it, and undici has ended the response by then.

Three new tests failed on (the attempt was complete) and pass now; a fourth guards whole responses.

--- a/packages/daemon/src/entry/__tests__/unframedResponses.test.ts
+++ b/packages/daemon/src/entry/__tests__/unframedResponses.test.ts
@@ -1,6 +1,7 @@
 /** Responses with neither a length nor chunks, which end with their connection. */
 import * as net from 'node:net';
 import * as chai from 'chai';
+import * as targetClient from '../targetClient';
 import * as harness from './__fixtures__/harness';
 
 const { expect } = chai;
@@ -119,3 +120,77 @@
     ]);
   });
 });
+
+describe('a response with neither a length nor chunks, to a long request', () => {
+  const { PROTOCOL: protocol, PERMISSIVE_GATE: gate } = harness;
+
+  /** Sends a request of this size to a target; resolves to how the attempt ended and what it got. */
+  async function sendTo(
+    onConnection: (socket: net.Socket) => void,
+    size: number,
+  ): Promise<string[]> {
+    const server = net.createServer({ allowHalfOpen: true }, (socket) => {
+      socket.on('error', () => undefined);
+      onConnection(socket);
+    });
+    await new Promise<void>((resolve) => {
+      server.listen(0, '127.0.0.1', resolve);
+    });
+    const { port } = server.address() as net.AddressInfo;
+    const client = new targetClient.TargetClient({ protocol, gate });
+    let received = '';
+    const handler = {
+      onHead: () => undefined,
+      onData: (data: Buffer) => {
+        received += data.toString();
+      },
+    };
+    const recipient = { target: 't', address: `127.0.0.1:${port}`, purpose: 'request' } as const;
+    const request = { requestId: 'r1', method: 'POST', path: '/', headers: [] };
+    const message = { ...recipient, ...request, body: Buffer.alloc(size) };
+    const { kind } = await client.send(message, handler).result;
+    client.close();
+    server.close();
+    return [kind, received];
+  }
+
+  const LONG = 200_000;
+
+  const VERY_LONG = 8_000_000;
+
+  // Guards against part of a response that looks complete, as its target closes before it has read the request.
+  [LONG, VERY_LONG].forEach((size) => {
+    it(`is incomplete if its connection is closed before ${size} bytes of it were read`, async () => {
+      const answerEarly = (socket: net.Socket): void => {
+        socket.once('data', () => {
+          socket.end(`${HEAD}part`);
+          setImmediate(() => socket.destroy());
+        });
+      };
+      expect((await sendTo(answerEarly, size))[0]).to.equal('broken');
+    });
+  });
+
+  // Guards against the same if the target only stops to read and to send.
+  it('is incomplete if the target sends no more before it has taken the request', async () => {
+    const stopEarly = (socket: net.Socket): void => {
+      socket.once('data', () => {
+        socket.pause();
+        socket.end(`${HEAD}part`);
+      });
+    };
+    expect((await sendTo(stopEarly, VERY_LONG))[0]).to.equal('broken');
+  });
+
+  // Guards against whole responses that callers don't get.
+  it('is complete if its connection is closed once the request was read', async () => {
+    const answerLate = (socket: net.Socket): void => {
+      let read = 0;
+      socket.on('data', (data) => {
+        read += data.length;
+        if (read > LONG) socket.end(`${HEAD}whole`);
+      });
+    };
+    expect(await sendTo(answerLate, LONG)).to.deep.equal(['complete', 'whole']);
+  });
+});
--- a/packages/daemon/src/entry/connectionTracker.ts
+++ b/packages/daemon/src/entry/connectionTracker.ts
@@ -6,6 +6,7 @@
 import * as fs from 'node:fs';
 import * as net from 'node:net';
 import * as clock from '../clock';
+import * as unsentRequests from './unsentRequests';
 
 /** Opens a TCP connection. */
 export type SocketOpener = (endpoint: net.TcpNetConnectOpts) => net.Socket;
@@ -83,6 +84,7 @@
         isSettled = true;
         stopTimeout();
         socket.off('error', fail);
+        unsentRequests.verifyEnd(socket);
         socket.on('error', () => this.record('reset'));
         socket.on('end', () => this.record(wasReset(socket) ? 'reset' : 'closedByTarget'));
         this.listener?.connected();
--- a/packages/daemon/src/entry/directDispatch.ts
+++ b/packages/daemon/src/entry/directDispatch.ts
@@ -7,6 +7,7 @@
 import * as overheadMeter from './overheadMeter';
 import type * as pathMonitor from './pathMonitor';
 import * as sentMessages from './sentMessages';
+import * as unsentRequests from './unsentRequests';
 
 /** Why no connection to a target could be made. */
 export interface ConnectionFailure {
@@ -23,6 +24,8 @@
 
 export interface Options {
   target: string;
+  /** Size of the message's body. */
+  bodyBytes: number;
   attempt: targetAttempt.Attempt;
   connections: connectionTracker.ConnectionTracker;
   protocol: Pick<protocols.TrafficProtocol, 'responseMetadata'>;
@@ -51,6 +54,7 @@
     if (attempt.isOver) return;
     sentMessages.awaitConnection((connection, socket) => {
       attempt.connection = connection;
+      unsentRequests.recordRequest(socket, this.options.bodyBytes);
       this.meter = new overheadMeter.OverheadMeter(socket, (detail) => attempt.giveUp(detail));
     });
   }
--- a/packages/daemon/src/entry/targetClient.ts
+++ b/packages/daemon/src/entry/targetClient.ts
@@ -207,7 +207,7 @@
         bodyTimeout: 0,
       },
       new directDispatch.DirectDispatch({
-        ...{ target, attempt, connections, protocol, paths },
+        ...{ target, attempt, connections, protocol, paths, bodyBytes: body.length },
         onUnreachable,
       }),
     );
