Bound what surrounds the bytes of a response, and its share of the event loop

Causes: the bound on bytes beside the body began anew with each byte of it; a buffered byte kept all that was read with it; a response was read for as long as it had bytes; the gate took the busy loop for overload by callers.

Bytes beside the body are bounded over the whole response, buffered parts compacted, small parts joined, and a response that brings much waits for its turn, one in each turn of the event loop. The gate leaves such turns out. Event 5033 and a counter name the target.

Two cases of responses with an extension for each byte failed before, too, as did that of a small part.

A test of tiny parts is replaced by one as strict: it expected a response of 10,000 bytes to be forwarded because of what its parts take beside their bytes; they take nothing now, and the test bounds the memory instead.

--- a/packages/daemon/src/entry/__tests__/endlessResponses.test.ts
+++ b/packages/daemon/src/entry/__tests__/endlessResponses.test.ts
@@ -19,6 +19,9 @@
 
 const PIECE_BYTES = 65_536;
 
+/** A chunk with so many extensions of 1,100 bytes almost fills a piece. */
+const MANY_EXTENSIONS = 55;
+
 const CHUNKED = 'Transfer-Encoding: chunked\r\n\r\n';
 const UNSIGNED_HEAD = `HTTP/1.1 200 OK\r\nid: r1\r\n${CHUNKED}`;
 const EARLY_HINTS = 'HTTP/1.1 103 Early Hints\r\nlink: </a>\r\n\r\n';
@@ -95,6 +98,10 @@
     'informational responses': ['', EARLY_HINTS],
     'a reason phrase': ['HTTP/1.1 200 ', 'x'],
     'a chunk extension': [`${harness.STREAM_HEAD}5`, extension],
+    'a chunk extension for each byte': [
+      harness.STREAM_HEAD,
+      `1${extension.repeat(MANY_EXTENSIONS)}\r\nx\r\n`,
+    ],
   };
   Object.entries(kinds).forEach(([title, [head, part]]) => {
     // Guards against a call that waits for its deadline, and bytes that fill the memory, while other targets are sound.
@@ -119,6 +126,10 @@
   const inStreams: Record<string, [head: string, part: string]> = {
     'an event': [harness.STREAM_HEAD + harness.chunk(EVENT), plainChunk],
     'a chunk extension': [`${harness.STREAM_HEAD + harness.chunk(EVENT)}5`, extension],
+    'a chunk extension for each byte': [
+      harness.STREAM_HEAD + harness.chunk(EVENT),
+      `1${extension.repeat(MANY_EXTENSIONS)}\r\nx\r\n`,
+    ],
   };
   Object.entries(inStreams).forEach(([title, [head, part]]) => {
     // Guards against an event that is kept until the memory is full, and against a stream that it ends.
--- a/packages/daemon/src/entry/callerResponse.ts
+++ b/packages/daemon/src/entry/callerResponse.ts
@@ -8,6 +8,8 @@
 import * as hopByHop from '../edges/hopByHop';
 import type * as protocols from '../edges/protocols';
 import * as breakOff from '../http/breakOff';
+import * as coalescedParts from '../http/coalescedParts';
+import * as compactBytes from '../http/compactBytes';
 import type * as heldBytes from '../http/heldBytes';
 import type * as notRunGuarantee from './notRunGuarantee';
 import * as responseOrigin from './responseOrigin';
@@ -31,9 +33,6 @@
 /** Maximum size of an event of a stream. */
 const MAX_EVENT_BYTES = 1_048_576;
 
-/** Memory that a buffered part of a response takes beside its bytes. */
-const PART_OVERHEAD_BYTES = 128;
-
 /** Status of a stream; responses with another status on a streaming route are buffered. */
 const STREAM_STATUS = 200;
 
@@ -84,9 +83,7 @@
 
   private splitter = new domain.request.eventSplitter.EventSplitter();
 
-  private buffered: Buffer[] = [];
-
-  private bufferedBytes = 0;
+  private readonly buffered = new compactBytes.CompactBytes();
 
   /** Bytes of a body that isn't passed on. */
   private discardedBytes = 0;
@@ -102,6 +99,10 @@
   /** Whether a buffered response grew too large and is forwarded as it arrives. */
   private isOverflowing = false;
 
+  private readonly overflow = new coalescedParts.CoalescedParts((bytes) => {
+    if (!this.response.destroyed) this.write(bytes);
+  });
+
   /** When reading from the target stopped, as the caller reads too slowly; undefined while it is read. */
   private pausedAt: number | undefined;
 
@@ -153,8 +154,8 @@
     this.head = undefined;
     this.attempt = undefined;
     this.splitter = new domain.request.eventSplitter.EventSplitter();
-    this.buffered = [];
-    this.bufferedBytes = 0;
+    this.buffered.clear();
+    this.overflow.clear();
     this.discardedBytes = 0;
     this.unusableDetail = undefined;
     this.held.setBuffered(0);
@@ -231,6 +232,7 @@
   /** Sends a response of the entry itself. One that has begun is aborted, so that it can't be taken for complete. */
   private end(status: number, headers: http.OutgoingHttpHeaders): void {
     if (this.response.headersSent) {
+      this.overflow.clear();
       breakOff.breakOff(this.response);
       return;
     }
@@ -309,13 +311,12 @@
 
   private buffer(chunk: Buffer): void {
     if (this.isOverflowing) {
-      this.write(chunk);
+      this.overflow.push(chunk);
       return;
     }
-    this.buffered.push(chunk);
-    this.bufferedBytes += chunk.length + PART_OVERHEAD_BYTES;
-    this.held.setBuffered(this.bufferedBytes);
-    if (this.bufferedBytes <= this.maxBufferedBytes || this.head === undefined) return;
+    this.buffered.append(chunk);
+    this.held.setBuffered(this.buffered.allocatedBytes);
+    if (this.buffered.allocatedBytes <= this.maxBufferedBytes || this.head === undefined) return;
     this.isOverflowing = true;
     this.writeHead(this.head);
     this.takeBuffered().forEach((each) => this.write(each));
@@ -329,11 +330,12 @@
 
   private takeBuffered(): Buffer[] {
     this.held.setBuffered(0);
-    return this.buffered.splice(0);
+    return this.buffered.take();
   }
 
   private forwardBuffered(head: targetMessage.ResponseHead): CompletionResult {
     this.writeHead(head);
+    this.overflow.flush();
     this.takeBuffered().forEach((each) => {
       this.response.write(each);
       this.held.offered(each.length);
--- a/packages/daemon/src/entry/connectionGate.ts
+++ b/packages/daemon/src/entry/connectionGate.ts
@@ -8,6 +8,7 @@
 import * as net from 'node:net';
 import * as perfHooks from 'node:perf_hooks';
 import * as domain from '@celerydrift/domain';
+import * as turns from '../http/turns';
 import type * as observer from '../observability/observer';
 import * as listenerBacklog from './listenerBacklog';
 
@@ -46,6 +47,9 @@
   /** Utilisation of the event loop up to the last sample. */
   private utilisation = perfHooks.performance.eventLoopUtilization();
 
+  /** Time that turns had taken at the last sample, milliseconds. */
+  private turnsMs = turns.totalMs();
+
   private listener: ListenerState = 'listening';
 
   private closedAt = 0;
@@ -122,13 +126,15 @@
     this.timer = undefined;
   }
 
-  /** Utilisation of the event loop since the last call. */
+  /** Utilisation of the event loop since the last call, without the turns that take only what others leave. */
   private takeUtilisation(): number {
     const { performance } = perfHooks;
     const total = performance.eventLoopUtilization();
-    const { utilization } = performance.eventLoopUtilization(total, this.utilisation);
+    const { active, idle } = performance.eventLoopUtilization(total, this.utilisation);
+    const turnsMs = turns.totalMs() - this.turnsMs;
     this.utilisation = total;
-    return utilization;
+    this.turnsMs += turnsMs;
+    return active + idle === 0 ? 0 : Math.max(0, active - turnsMs) / (active + idle);
   }
 
   private logChange(change: 'began' | 'ended', active: number, backlogMs: number): void {
--- a/packages/daemon/src/entry/directDispatch.ts
+++ b/packages/daemon/src/entry/directDispatch.ts
@@ -5,6 +5,7 @@
 import type * as targetAttempt from './targetAttempt';
 import type * as connectionTracker from './connectionTracker';
 import * as overheadMeter from './overheadMeter';
+import * as pacedResponse from './pacedResponse';
 import type * as pathMonitor from './pathMonitor';
 import * as sentMessages from './sentMessages';
 import * as unsentRequests from './unsentRequests';
@@ -45,12 +46,15 @@
 
   private meter: overheadMeter.OverheadMeter | undefined;
 
+  private paced: pacedResponse.PacedResponse | undefined;
+
   constructor(private readonly options: Options) {}
 
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
     const { attempt } = this.options;
     this.isStarted = true;
-    attempt.started(controller);
+    this.paced = new pacedResponse.PacedResponse(controller, () => attempt.paced());
+    attempt.started(this.paced);
     if (attempt.isOver) return;
     sentMessages.awaitConnection((connection, socket) => {
       attempt.connection = connection;
@@ -78,8 +82,9 @@
   }
 
   onResponseData(_controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
-    this.meter?.bodyArrived();
+    this.meter?.bodyArrived(chunk.length);
     this.options.attempt.data(chunk);
+    this.paced?.received(chunk.length);
   }
 
   onResponseEnd(): void {
--- a/packages/daemon/src/entry/overheadMeter.ts
+++ b/packages/daemon/src/entry/overheadMeter.ts
@@ -1,14 +1,19 @@
 /**
- * Bounds what a target sends on a connection without any body in it. undici limits the size of a head, but neither the
- * number of heads of informational responses nor a reason phrase or a chunk extension.
+ * Bounds what a target sends beside the body of a response. undici limits the size of a head, but neither the number of
+ * heads of informational responses nor a reason phrase, chunk extensions or trailers.
  */
 import type * as net from 'node:net';
 
-/** Maximum number of bytes without a body; four times the longest head. */
+/** Maximum number of bytes beside the body; four times the longest head. */
 const MAX_OVERHEAD_BYTES = 65_536;
 
+/** The same for each byte of the body: a chunk of one byte takes five. */
+const OVERHEAD_PER_BODY_BYTE = 8;
+
 export class OverheadMeter {
-  private markedAt: number;
+  private readonly startedAt: number;
+
+  private bodyBytes = 0;
 
   private isStopped = false;
 
@@ -16,14 +21,14 @@
     private readonly socket: net.Socket,
     private readonly onExceeded: (detail: string) => void,
   ) {
-    this.markedAt = this.bytesParsed;
+    this.startedAt = this.bytesParsed;
     // undici's own listener comes first, so it has parsed what is readable.
     socket.on('readable', this.check);
   }
 
-  /** The bytes that are being parsed hold some of the body. */
-  bodyArrived(): void {
-    this.markedAt = this.bytesParsed;
+  /** A part of the body was parsed. */
+  bodyArrived(bytes: number): void {
+    this.bodyBytes += bytes;
   }
 
   stop(): void {
@@ -36,8 +41,10 @@
   }
 
   private readonly check = (): void => {
-    if (this.isStopped || this.bytesParsed - this.markedAt <= MAX_OVERHEAD_BYTES) return;
+    const overhead = this.bytesParsed - this.startedAt - this.bodyBytes;
+    const allowed = MAX_OVERHEAD_BYTES + OVERHEAD_PER_BODY_BYTE * this.bodyBytes;
+    if (this.isStopped || overhead <= allowed) return;
     this.stop();
-    this.onExceeded(`over ${MAX_OVERHEAD_BYTES} bytes without a body`);
+    this.onExceeded(`${overhead} bytes beside ${this.bodyBytes} of the body`);
   };
 }
--- a/packages/daemon/src/entry/relayDispatch.ts
+++ b/packages/daemon/src/entry/relayDispatch.ts
@@ -2,6 +2,7 @@
 import type * as undici from 'undici';
 import type * as protocols from '../edges/protocols';
 import type * as targetAttempt from './targetAttempt';
+import * as pacedResponse from './pacedResponse';
 import * as relayProtocol from './relayProtocol';
 
 /** The attempt is over, or it never reached its target and may go another way. */
@@ -30,13 +31,16 @@
 
   private resultBytes = 0;
 
+  private paced: pacedResponse.PacedResponse | undefined;
+
   constructor(private readonly options: Options) {}
 
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
     const { attempt, relay } = this.options;
     this.isStarted = true;
     attempt.relay = relay;
-    attempt.started(controller);
+    this.paced = new pacedResponse.PacedResponse(controller, () => attempt.paced());
+    attempt.started(this.paced);
   }
 
   onResponseStart(
@@ -56,6 +60,7 @@
   onResponseData(controller: undici.Dispatcher.DispatchController, chunk: Buffer): void {
     if (this.hasHead) {
       this.options.attempt.data(chunk);
+      this.paced?.received(chunk.length);
       return;
     }
     this.result.push(chunk);
--- a/packages/daemon/src/entry/relayServer.ts
+++ b/packages/daemon/src/entry/relayServer.ts
@@ -6,6 +6,7 @@
 import * as domain from '@celerydrift/domain';
 import type * as observer from '../observability/observer';
 import * as clock from '../clock';
+import * as coalescedParts from '../http/coalescedParts';
 import * as heldBytes from '../http/heldBytes';
 import * as requestBody from '../http/requestBody';
 import * as framing from '../rpc/framing';
@@ -140,6 +141,9 @@
   ): Promise<void> {
     const { targets, observer: observe } = this.dependencies;
     observe.count(`relay.served.${message.purpose}`);
+    const parts = new coalescedParts.CoalescedParts((bytes) => {
+      if (!response.destroyed) this.forward(bytes, response, attempt);
+    });
     const attempt = targets.sendDirectly(message, {
       onHead: ({ status, raw }) => {
         const head = relayProtocol.encode({ status, raw });
@@ -149,10 +153,11 @@
         });
         response.flushHeaders();
       },
-      onData: (chunk) => this.forward(chunk, response, attempt),
+      onData: (chunk) => parts.push(chunk),
     });
     response.once('close', () => attempt.cancel());
     const result = await attempt.result;
+    parts.flush();
     if (message.purpose === 'request') {
       const { requestId: request, target } = message;
       observe.log('messageRelayed', { request, target, outcome: result.kind });
--- a/packages/daemon/src/entry/targetAttempt.ts
+++ b/packages/daemon/src/entry/targetAttempt.ts
@@ -27,6 +27,9 @@
   connection: sentMessages.Connection | undefined;
 }
 
+/** A response that waited for so many turns is reported; some bring 128 KiB, others less. */
+const MANY_TURNS = 64;
+
 export class Attempt {
   readonly result: Promise<targetMessage.SendResult>;
 
@@ -53,6 +56,9 @@
 
   private isComplete = false;
 
+  /** Turns of the event loop that its response waited for. */
+  private turns = 0;
+
   /** `callbacks` is undefined if the message is withheld. */
   constructor(
     private readonly message: Pick<targetMessage.TargetMessage, 'target' | 'requestId'>,
@@ -169,6 +175,12 @@
     this.carrier?.abort(new Error(detail));
   }
 
+  /** Its response has waited for another turn of the event loop. */
+  paced(): void {
+    this.turns += 1;
+    if (!this.isSettled && this.turns === MANY_TURNS) this.callbacks?.paced?.(this.turns);
+  }
+
   data(chunk: Buffer): void {
     if (this.isSettled) return;
     this.lastHeardAt = clock.steady();
--- a/packages/daemon/src/entry/targetMessage.ts
+++ b/packages/daemon/src/entry/targetMessage.ts
@@ -80,6 +80,8 @@
   foreign: (head: ResponseHead, connection?: sentMessages.Connection) => void;
   /** Its response was given up before its end, as it can't be used. */
   unusable?: (detail: string) => void;
+  /** Its response has waited for so many turns of the event loop, as it brings bytes without a pause. */
+  paced?: (turns: number) => void;
   /** It ended, with or without a response. */
   ended: () => void;
 }
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -118,6 +118,7 @@
       answered: (head) => this.answered(sent, head),
       foreign: (head, connection) => this.recordForeign(message, head, connection),
       unusable: (detail) => this.unusableResponses.report(message, detail),
+      paced: (turns) => this.recordPaced(message, turns),
       ended: () => {
         inFlight.ended();
         this.countActive(lifetime, -1);
@@ -200,6 +201,16 @@
     if (this.draining.get(id) === bornAt) this.draining.delete(id);
   }
 
+  /** Tells of a target that sends without a pause; its callers take all of it, so it isn't given up. */
+  private recordPaced(
+    { requestId: request, target, purpose }: targetMessage.TargetMessage,
+    turns: number,
+  ): void {
+    const { observer: observe } = this.dependencies;
+    observe.count(`responses.paced.${purpose}`);
+    observe.log('responsePaced', { request, target, purpose, turns });
+  }
+
   /** Called when a leader confirms this entry, one of `entries`. A new leader may not know the draining targets yet. */
   leaderFound(leader: string, entries: number): void {
     if (entries > 0) this.entries = entries;
--- a/packages/daemon/src/http/__tests__/compactBytes.test.ts
+++ b/packages/daemon/src/http/__tests__/compactBytes.test.ts
@@ -26,6 +26,17 @@
     );
   });
 
+  // Guards against a byte that keeps all that was read with it, which isn't counted.
+  it('keep nothing of what was read with a small part', () => {
+    const read = Buffer.alloc(65_536);
+    [1, 30_000].forEach((size) => {
+      const tested = new compactBytes.CompactBytes();
+      tested.append(read.subarray(0, size));
+      const [part] = tested.take();
+      expect(part.buffer.byteLength).to.be.at.most(2 * size + SMALL_BLOCK);
+    });
+  });
+
   it('take no memory once they are cleared', () => {
     const tested = new compactBytes.CompactBytes();
     for (let i = 0; i < 3_000; i++) tested.append(Buffer.from([i & 0xff]));
--- a/packages/daemon/src/http/__tests__/heldBytes.test.ts
+++ b/packages/daemon/src/http/__tests__/heldBytes.test.ts
@@ -11,10 +11,14 @@
 
 const { expect } = chai;
 
+/** Most bytes of a response that are buffered until it is complete. */
+const MAX_BUFFERED_BYTES = 1_048_576;
+
 /** The response to a caller that takes nothing, with the head of its target's response. */
 function makeResponse(
   kind: domain.catalogue.catalogue.RouteKind,
   isUnderPressure: boolean,
+  setBuffered: (bytes: number) => void = () => undefined,
 ): callerResponse.CallerResponse {
   const response = { write: () => false, writeHead: () => undefined, once: () => undefined };
   const facts = { requestId: 'r1', isSigned: true } as protocols.ResponseMetadata;
@@ -22,7 +26,7 @@
     response as unknown as http.ServerResponse,
     { kind } as domain.catalogue.catalogue.Route,
     { requestId: 'r1' } as protocols.CallerMetadata,
-    { setBuffered: () => undefined, offered: () => undefined, isUnderPressure },
+    { setBuffered, offered: () => undefined, isUnderPressure },
   );
   made.beginAttempt();
   made.onHead({ status: 200, raw: [], facts });
@@ -175,10 +179,15 @@
   });
 
   /** Guards against parts so small that what is kept with each takes a hundred times their bytes. */
-  it('is forwarded sooner if it arrives in tiny parts', () => {
-    const tested = makeResponse('safe', false);
+  it('takes at most twice its memory if it arrives in tiny parts', () => {
+    let bytesHeld = 0;
+    const tested = makeResponse('safe', false, (bytes) => {
+      bytesHeld = bytes;
+    });
     const byte = Buffer.from('x');
     for (let i = 0; i < 10_000; i++) tested.onData(byte);
+    expect(bytesHeld).to.be.within(10_000, 20_000 + 1_024);
+    for (let i = 0; i < MAX_BUFFERED_BYTES; i++) tested.onData(byte);
     expect(tested.wentUnread(Infinity)).to.equal(true);
   });
 });
--- a/packages/daemon/src/http/compactBytes.ts
+++ b/packages/daemon/src/http/compactBytes.ts
@@ -10,6 +10,11 @@
 const MIN_BLOCK_BYTES = 1_024;
 const MAX_BLOCK_BYTES = 65_536;
 
+/** Whether a part would keep much more memory alive than its own: that of all that was read with it. */
+function isSmallShare(part: Buffer): boolean {
+  return part.buffer.byteLength > MIN_BLOCK_BYTES + 2 * part.length;
+}
+
 export class CompactBytes {
   private parts: Buffer[] = [];
 
@@ -34,7 +39,7 @@
   append(part: Buffer): void {
     // Most bodies are a single part. A large part within a block is copied too, as its rest would stay unused.
     const isLarge = part.length >= LARGE_PART_BYTES || this.contentBytes === 0;
-    const isKept = isLarge && this.block === undefined;
+    const isKept = isLarge && this.block === undefined && !isSmallShare(part);
     this.contentBytes += part.length;
     if (isKept) this.keep(part);
     else this.copy(part);
@@ -46,6 +51,14 @@
     return this.parts.length === 1 ? this.parts[0] : Buffer.concat(this.parts);
   }
 
+  /** All bytes in few parts, which aren't held here any more. */
+  take(): Buffer[] {
+    this.closeBlock();
+    const { parts } = this;
+    this.clear();
+    return parts;
+  }
+
   clear(): void {
     this.parts = [];
     this.block = undefined;
--- a/packages/daemon/src/http/pacedRequest.ts
+++ b/packages/daemon/src/http/pacedRequest.ts
@@ -6,6 +6,7 @@
  */
 import * as http from 'node:http';
 import type * as net from 'node:net';
+import * as turns from './turns';
 
 /** A part of at least this size costs little for what it brings, bytes. */
 const LARGE_PART_BYTES = 1_024;
@@ -13,22 +14,10 @@
 /** Small parts after which a connection waits for its turn. */
 const PARTS_PER_TURN = 256;
 
-/** Connections that wait for their turn, in that order; of all listeners, as they share the event loop. */
-const waiting = new Set<net.Socket>();
-
-function resumeNext(): void {
-  const [next] = waiting;
-  if (next === undefined) return;
-  waiting.delete(next);
-  next.resume();
-  if (waiting.size > 0) setImmediate(resumeNext);
-}
-
 function wait(socket: net.Socket): void {
-  if (socket.destroyed || waiting.has(socket)) return;
+  if (socket.destroyed || turns.isWaiting(socket)) return;
   socket.pause();
-  waiting.add(socket);
-  if (waiting.size === 1) setImmediate(resumeNext);
+  turns.wait(socket, () => socket.resume());
 }
 
 /** To be passed to a server as its `IncomingMessage`. */
@@ -45,6 +34,6 @@
 
   /** Node resumes a connection whenever a part of the body was taken. */
   override _read(size: number): void {
-    if (!waiting.has(this.socket)) super._read(size);
+    if (!turns.isWaiting(this.socket)) super._read(size);
   }
 }
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -175,6 +175,11 @@
     level: 'warn',
     text: 'clients turned away because of what they take',
   },
+  responsePaced: {
+    number: 5033,
+    level: 'warn',
+    text: 'response of a target is read in turns with other work',
+  },
   claimUnknown: {
     number: 5101,
     level: 'warn',
--- a/packages/program/src/__tests__/hostileClients/__fixtures__/deployment.ts
+++ b/packages/program/src/__tests__/hostileClients/__fixtures__/deployment.ts
@@ -40,6 +40,17 @@
 const LONG_ANSWER_PATH = '/plain/long';
 const LONG_ANSWER = Buffer.alloc(MAX_BODY_BYTES, 'x');
 
+/** Paths whose answers have no end, by what they consist of. */
+const ENDLESS_PATH = '/plain/endless/';
+const ENDLESS_PARTS = {
+  extensions: `1${';name=value'.repeat(5_450)}\r\nx\r\n`,
+  bytes: '1\r\nx\r\n'.repeat(10_000),
+  chunks: `10000\r\n${'x'.repeat(65_536)}\r\n`,
+  unframed: 'x'.repeat(65_536),
+};
+
+export type EndlessAnswer = keyof typeof ENDLESS_PARTS;
+
 const ANNOUNCE_INTERVAL_MS = 500;
 
 /** Longest wait for an answer or for the start of a process, milliseconds. */
@@ -165,6 +176,16 @@
     return request(this.addressOf('callers'), options, 'x'.repeat(bytes));
   }
 
+  /** A caller's request whose answer has no end; the caller reads all of it until it leaves. */
+  callEndless(kind: EndlessAnswer): { end: () => void } {
+    const options = { method: 'POST', path: `${ENDLESS_PATH}${kind}`, headers: callerHeaders() };
+    const sent = http.request({ ...this.addressOf('callers'), ...options, agent: false });
+    sent.on('error', () => undefined);
+    sent.on('response', (response) => response.on('error', () => undefined).resume());
+    sent.end();
+    return { end: () => sent.destroy() };
+  }
+
   checkReadiness(): Promise<Answer> {
     return request(this.addressOf('readiness'), { path: '/' });
   }
@@ -248,6 +269,11 @@
       bytes += data.length;
     });
     received.on('end', () => {
+      if (received.url?.startsWith(ENDLESS_PATH) === true) {
+        const kind = received.url.slice(ENDLESS_PATH.length) as EndlessAnswer;
+        serveEndless(received.socket, kind, { requestId: requestId ?? '', target: target ?? 't1' });
+        return;
+      }
       response.writeHead(200, counterpart.answerHeaders({ requestId, target: target ?? 't1' }));
       response.end(received.url === LONG_ANSWER_PATH ? LONG_ANSWER : String(bytes));
     });
@@ -289,3 +315,21 @@
     ].join('\n');
   }
 }
+
+/** Sends the same part again and again until the connection is closed. */
+function serveEndless(
+  socket: net.Socket,
+  kind: EndlessAnswer,
+  answered: counterpart.TargetAnswer,
+): void {
+  const fields = counterpart.answerHeaders(answered);
+  if (kind !== 'unframed') fields.push('Transfer-Encoding', 'chunked');
+  const lines = fields.flatMap((name, i) => (i % 2 === 0 ? [`${name}: ${fields[i + 1]}`] : []));
+  socket.on('error', () => undefined);
+  socket.write(['HTTP/1.1 200 OK', ...lines, '', ''].join('\r\n'));
+  const part = Buffer.from(ENDLESS_PARTS[kind]);
+  const send = (error?: Error | null): void => {
+    if (!error && socket.writable) socket.write(part, send);
+  };
+  send();
+}
