Pass on no response with a status above 599

A target in trouble that answered with status 999 had it passed on to the callers of unsafe calls and streams as an answer. Statuses below 100 were no answer before: undici refuses them (000, 099, 20).

HTTP defines no status above 599, so such a response isn't for the caller, like one without a stamp: 502, or another target for a call that may be repeated. The tests with 600 and 999 failed on and pass now.

--- a/packages/daemon/src/entry/callerResponse.ts
+++ b/packages/daemon/src/entry/callerResponse.ts
@@ -39,6 +39,9 @@
 /** From this status on, a target's own response doesn't show that it completed the request. */
 export const FAILURE_STATUS = 500;
 
+/** HTTP defines no status above it, so a response with one isn't passed on. */
+const MAX_STATUS = 599;
+
 /** Status of the entry's own refusals, which guarantees that the request did not run and never will. */
 export const NOT_RUN_STATUS = 503;
 
@@ -255,6 +258,7 @@
     if (head === undefined || head.facts.isNotRun) return false;
     const { facts } = head;
     if (!responseOrigin.isResponseTo(caller.requestId, facts) || facts.isEncoded) return false;
+    if (head.status > MAX_STATUS) return false;
     return facts.isSigned && !NOT_RUN_STATUSES.has(head.status);
   }
 
