Fail truncated responses without a length on the daemon's own interface, too

A caller of the daemon's own interface got part of a service's response as a whole one if the service sent neither a length nor chunks and reset the connection, or closed it before it had read a long request.

Cause: undici takes a reset for the end of such a response. The entry of the platform looks into the end of each connection; the client of the own interface didn't.

What watches the ends of connections is shared now, and an interceptor turns an end that is a cut into an error.

--- a/packages/daemon/src/entry/connectionTracker.ts
+++ b/packages/daemon/src/entry/connectionTracker.ts
@@ -1,12 +1,7 @@
-/**
- * Opens the connections to targets and records how each attempt and each connection ends. undici treats a response with
- * `Connection: close` as complete when its connection ends, even if the connection was reset or a chunked body lacks
- * its last chunk: a caller would get a truncated response that looks complete.
- */
-import * as fs from 'node:fs';
+/** Opens the connections to targets, and records how each attempt to open one and each connection ends. */
 import * as net from 'node:net';
 import * as clock from '../clock';
-import * as unsentRequests from './unsentRequests';
+import * as connectionEnds from '../http/connectionEnds';
 
 /** Opens a TCP connection. */
 export type SocketOpener = (endpoint: net.TcpNetConnectOpts) => net.Socket;
@@ -29,27 +24,8 @@
  */
 export const CONNECT_TIMEOUT_MS = 250;
 
-/** Event of a connection whose listeners are running right now. */
-type ConnectionEvent = 'none' | 'closedByTarget' | 'reset';
-
-/**
- * Whether a connection that appears to have been closed cleanly was reset. When data and a reset arrive together, libuv
- * reads the data and reports an end without reading again. The reset stays pending in the socket, and one more read
- * returns it; after a clean close that read returns no bytes.
- */
-function wasReset(socket: net.Socket): boolean {
-  // There is no public API for the descriptor. A socket without one is closed already and can't prove a clean close.
-  const { _handle: handle } = socket as unknown as { _handle?: { fd?: number } | null };
-  if (handle?.fd === undefined || handle.fd < 0) return true;
-  try {
-    return fs.readSync(handle.fd, Buffer.alloc(1)) > 0;
-  } catch {
-    return true;
-  }
-}
-
 export class ConnectionTracker {
-  private event: ConnectionEvent = 'none';
+  readonly ends = new connectionEnds.ConnectionEnds();
 
   constructor(
     private readonly localAddress: string | undefined,
@@ -57,10 +33,6 @@
     private readonly listener: ConnectionListener | undefined,
   ) {}
 
-  get current(): ConnectionEvent {
-    return this.event;
-  }
-
   /** Connector for the connections to one target. */
   connectorFor(target: string): Connector {
     return ({ hostname, port }, callback) => {
@@ -84,9 +56,7 @@
         isSettled = true;
         stopTimeout();
         socket.off('error', fail);
-        unsentRequests.verifyEnd(socket);
-        socket.on('error', () => this.record('reset'));
-        socket.on('end', () => this.record(wasReset(socket) ? 'reset' : 'closedByTarget'));
+        this.ends.watch(socket);
         this.listener?.connected();
         callback(null, socket);
       };
@@ -97,12 +67,4 @@
       socket.once('connect', succeed);
     };
   }
-
-  /** Listeners run in the order in which they were added, all before the next microtask. */
-  private record(event: ConnectionEvent): void {
-    this.event = event;
-    queueMicrotask(() => {
-      this.event = 'none';
-    });
-  }
 }
--- a/packages/daemon/src/entry/directDispatch.ts
+++ b/packages/daemon/src/entry/directDispatch.ts
@@ -7,8 +7,8 @@
 import * as overheadMeter from './overheadMeter';
 import * as pacedResponse from './pacedResponse';
 import type * as pathMonitor from './pathMonitor';
-import * as sentMessages from './sentMessages';
-import * as unsentRequests from './unsentRequests';
+import * as sentMessages from '../http/sentMessages';
+import * as unsentRequests from '../http/unsentRequests';
 
 /** Why no connection to a target could be made. */
 export interface ConnectionFailure {
@@ -89,10 +89,11 @@
 
   onResponseEnd(): void {
     this.meter?.stop();
-    const { current } = this.options.connections;
-    const isCut = current === 'reset' || (current === 'closedByTarget' && this.isChunked);
+    const { ends } = this.options.connections;
     this.options.attempt.finish(
-      isCut ? { kind: 'broken', detail: `${current} midway` } : { kind: 'complete' },
+      ends.isCut(this.isChunked)
+        ? { kind: 'broken', detail: `${ends.current} midway` }
+        : { kind: 'complete' },
     );
   }
 
--- a/packages/daemon/src/entry/targetAttempt.ts
+++ b/packages/daemon/src/entry/targetAttempt.ts
@@ -4,7 +4,7 @@
  */
 import * as clock from '../clock';
 import * as responseOrigin from './responseOrigin';
-import type * as sentMessages from './sentMessages';
+import type * as sentMessages from '../http/sentMessages';
 import type * as targetMessage from './targetMessage';
 
 /** What an attempt needs of the dispatch that carries it. */
--- a/packages/daemon/src/entry/targetMessage.ts
+++ b/packages/daemon/src/entry/targetMessage.ts
@@ -3,7 +3,7 @@
  * share.
  */
 import type * as protocols from '../edges/protocols';
-import type * as sentMessages from './sentMessages';
+import type * as sentMessages from '../http/sentMessages';
 
 /** Status and headers of a target's response. */
 export interface ResponseHead {
--- a/packages/daemon/src/entry/targetSignals.ts
+++ b/packages/daemon/src/entry/targetSignals.ts
@@ -18,7 +18,7 @@
 import type * as rateLimitClient from './rateLimitClient';
 import type * as guaranteeAudit from './guaranteeAudit';
 import * as responseOrigin from './responseOrigin';
-import type * as sentMessages from './sentMessages';
+import type * as sentMessages from '../http/sentMessages';
 import * as targetMessage from './targetMessage';
 import * as unusableResponses from './unusableResponses';
 
--- a/packages/daemon/src/targets/httpClient.ts
+++ b/packages/daemon/src/targets/httpClient.ts
@@ -5,10 +5,12 @@
  */
 import type * as tls from 'node:tls';
 import * as undici from 'undici';
+import * as connectionEnds from '../http/connectionEnds';
 import type * as observer from '../observability/observer';
 import * as boundedBody from './boundedBody';
 import type * as errors from './errors';
 import * as messageIds from './messageIds';
+import * as truncatedResponses from './truncatedResponses';
 
 /** Timeout of control calls, which are retried later. */
 const CONTROL_TIMEOUT_MS = 2_000;
@@ -44,11 +46,24 @@
   /** Addresses treated as unreachable; tests cut network paths with it. */
   readonly blockedAddresses = new Set<string>();
 
+  private readonly ends = new connectionEnds.ConnectionEnds();
+
+  private readonly connect: undici.buildConnector.connector;
+
   constructor(
-    private readonly connectMs: number,
+    connectMs: number,
     private readonly tlsOptions: tls.ConnectionOptions | undefined,
     private readonly observe: Pick<observer.Observer, 'log' | 'count'>,
-  ) {}
+  ) {
+    const connect = undici.buildConnector({ timeout: connectMs, ...tlsOptions });
+    this.connect = (options, callback) => {
+      connect(options, (...result) => {
+        const [, socket] = result;
+        if (socket !== null) this.ends.watch(socket);
+        callback(...result);
+      });
+    };
+  }
 
   async request(address: string, call: Call): Promise<undici.Dispatcher.ResponseData> {
     if (this.blockedAddresses.has(address)) {
@@ -60,7 +75,10 @@
     const dispatcher = isOwnConnection ? this.singleUseClient(address) : this.pool(address);
     const onOwnResponse = (repeatsId: boolean): void => this.learn(address, repeatsId);
     const response = await dispatcher
-      .compose(messageIds.interceptor({ isOwnConnection, onOwnResponse }))
+      .compose(
+        truncatedResponses.interceptor(this.ends),
+        messageIds.interceptor({ isOwnConnection, onOwnResponse }),
+      )
       .request({ ...options, headersTimeout: headersTimeoutMs, bodyTimeout: 0 })
       .catch((error: unknown) => {
         if (isOwnConnection) void dispatcher.destroy();
@@ -138,8 +156,7 @@
   }
 
   private poolOptions(): undici.Pool.Options {
-    const connect = { timeout: this.connectMs, ...this.tlsOptions };
-    return { connect, pipelining: 1, allowH2: false };
+    return { connect: this.connect, pipelining: 1, allowH2: false };
   }
 
   private pool(address: string): undici.Pool {
