Take no answer to a leader's former process for a contact

Operators read an old version, and callers with a revoked key were served, for 6 s in a cut of the core, if the leader's process had been restarted in an earlier cut and elected again: it confirmed reads and leases without a quorum.

Cause: a follower answered a request of an earlier term with the present one and with the request's sending time, which the leader took for one of its own clock. That clock begins anew with each process.

Such a request is answered by a statement of the term, which is no contact, and a leader drops answers to requests that it can't have sent, as followers of earlier versions still give them.

--- a/packages/domain/src/replication/__tests__/replica.test.ts
+++ b/packages/domain/src/replication/__tests__/replica.test.ts
@@ -400,6 +400,74 @@
     expect([appendRequest?.to, tested.state, tested.term]).to.deep.equal(['former', 'leader', 1]);
   });
 
+  /** A replica as the leader of term 2 with the vote of `c`, and the time at which it was elected. */
+  function leaderOfTermTwo(name: 'a' | 'b'): { leader: replica.Replica; now: number } {
+    const members = ['a', 'b', 'c'].map((id): messages.Member => {
+      return { id, address: id, dataCentre: id, role: 'voter' };
+    });
+    const empty = messages.emptyDurable();
+    const durable: messages.DurableState = {
+      ...empty,
+      vote: { term: 1, votedFor: '' },
+      snapshot: { ...empty.snapshot, members },
+    };
+    const leader = new replica.Replica(name, durable, EAGER, random.seeded(1), 0);
+    const now = EAGER.electionMax + 1;
+    leader.tick(now);
+    const vote = { kind: 'voteAnswer', from: 'c', term: 2, granted: true } as const;
+    leader.receive({ ...vote, knowsLeader: false, pre: true }, now);
+    leader.receive({ ...vote, knowsLeader: false, pre: false }, now);
+    const answer = { kind: 'appendAnswer', from: 'c', term: 2, success: true, matched: 1 } as const;
+    leader.receive({ ...answer, sentAt: now }, now + 1);
+    expect([leader.state, leader.term, leader.commit]).to.deep.equal(['leader', 2, 1]);
+    return { leader, now };
+  }
+
+  // Guards against a stale leader that confirms reads, as it takes answers to its former process for contacts of today.
+  it('takes no answer to a former process for a contact', () => {
+    const { leader, now } = leaderOfTermTwo('a');
+    const follower = leaderOfTermTwo('b').leader;
+    const request = { kind: 'appendRequest', from: 'a', term: 1, commit: 0 } as const;
+    [now + 5, 9_000_000].forEach((sentAt) => {
+      const late = { ...request, entries: [], previousIndex: 0, previousTerm: 0, sentAt };
+      const { send } = follower.receive(late, now);
+      const answers = send.filter(({ to }) => to === 'a');
+      expect(answers).to.have.length(1);
+      answers.forEach(({ message }) => leader.receive({ ...message, from: 'b' }, now + 10));
+      expect(leader.isConfirmedSince(now + 1)).to.equal(false);
+    });
+    expect(leader.state).to.equal('leader');
+  });
+
+  it('takes no answer of an earlier version to a former process for a contact', () => {
+    const { leader, now } = leaderOfTermTwo('a');
+    const answer = {
+      kind: 'appendAnswer',
+      from: 'b',
+      term: 2,
+      success: false,
+      matched: 0,
+    } as const;
+    leader.receive({ ...answer, sentAt: 9_000_000 }, now + 10);
+    expect(leader.isConfirmedSince(now + 1)).to.equal(false);
+    expect(leader.hasQuorumContact(now + 10 * EAGER.electionMax)).to.equal(false);
+  });
+
+  // Guards against a leader of an earlier term that goes on, as nobody tells it of the present one.
+  it('lets the leader of an earlier term step down when it sends a request', () => {
+    const follower = leaderOfTermTwo('b');
+    const former = leaderOfTermTwo('a');
+    follower.leader.receive(
+      { kind: 'voteAnswer', from: 'c', pre: false, term: 3, granted: false, knowsLeader: true },
+      follower.now,
+    );
+    const requests = former.leader.contactQuorum(former.now + 200).send;
+    const { message } = requests.find(({ to }) => to === 'b') as (typeof requests)[number];
+    const { send } = follower.leader.receive(message, follower.now + 200);
+    send.forEach(({ message: answer }) => former.leader.receive(answer, former.now + 201));
+    expect([former.leader.state, former.leader.term]).to.deep.equal(['follower', 3]);
+  });
+
   // Guards against a repair that takes a voter for gone because its new leader knows of no contact with it yet.
   it('counts no silence of a voter that answers its new leader', () => {
     const simulation = newSet(1, 1);
--- a/packages/domain/src/replication/replica.ts
+++ b/packages/domain/src/replication/replica.ts
@@ -608,7 +608,7 @@
       this.send(from, { kind: 'appendAnswer', from: this.id, term, success, matched, sentAt });
     };
     if (request.term < this.term) {
-      answer(false, 0);
+      this.stateTerm(from, now);
       return;
     }
     this.pace.follow(request.quorumRoundTripMs ?? 0);
@@ -627,6 +627,16 @@
     answer(true, matched);
   }
 
+  /**
+   * Tells the sender of a request of an earlier term which term it is. Not by an answer to the request: the sender may have
+   * been restarted since and lead this term, on a clock that began anew, so that it would take the answer for a contact.
+   */
+  private stateTerm(to: string, now: number): void {
+    const { id: from, term } = this;
+    const knowsLeader = this.trustsLeader(now);
+    this.send(to, { kind: 'voteAnswer', from, pre: true, term, granted: false, knowsLeader });
+  }
+
   private followLeader(leader: string, now: number): void {
     if (this.state !== 'follower' || this.leader !== leader) {
       this.becomeFollower(this.term, leader, now);
@@ -652,6 +662,8 @@
   private handleAppendAnswer(answer: messages.AppendAnswer, now: number): void {
     if (this.state !== 'leader' || answer.term !== this.term) return;
     if (!this.members.some(({ id }) => id === answer.from)) return;
+    // Replicas of earlier versions answer requests of this leader's former process, too.
+    if (answer.sentAt < this.leaderSince || answer.sentAt > now) return;
     const progress = this.progressOf(answer.from, now);
     this.pace.answered(answer.from, answer.sentAt, now);
     progress.contactAt = Math.max(progress.contactAt, answer.sentAt);
