Compare the hosts of routes as they are looked up

Callers of a route got the answers of another service if a document held a second route for the same prefix of the same host, written in other letters: it was acknowledged, and the first of the two took all requests.

Cause: documents were checked by hosts as written, and routes looked up in lower case. Both use one form now, and the document gets 400.

--- a/packages/domain/src/catalogue/__tests__/catalogue.test.ts
+++ b/packages/domain/src/catalogue/__tests__/catalogue.test.ts
@@ -57,6 +57,15 @@
     expect(problems).toMatchSnapshot();
   });
 
+  // Guards against a route that takes the requests of another one, as its host is written in another way.
+  it('reports two routes of one place whose hosts are written in different ways', () => {
+    const same = { pathPrefix: '/same/' };
+    const routes = [route('one', { ...same, host: 'A.Example' }), route('two', same)];
+    expect(catalogue.problemsOf(catalogueWith({ routes }))).to.deep.equal([
+      { fault: 'samePlace', subject: 'two' },
+    ]);
+  });
+
   it('finds the longest prefix of a host, ignoring its case and port', () => {
     const routes = [route('short', { pathPrefix: '/x/' }), route('long', { pathPrefix: '/x/y/' })];
     const found = new directory.Directory(catalogueWith({ routes }));
--- a/packages/domain/src/catalogue/catalogue.ts
+++ b/packages/domain/src/catalogue/catalogue.ts
@@ -4,6 +4,7 @@
  * defines which routes lead to which services, who may use them, and how the engines behind a
  * service perform.
  */
+import * as hosts from './hosts';
 
 /**
  * `safe` requests may be repeated, `unsafe` ones run at most once, and `streaming` ones are
@@ -137,7 +138,10 @@
 export function problemsOf({ routes, services, organisations = [] }: Catalogue): Problem[] {
   const names = new Set(services.map(({ name }) => name));
   const problems = routes.flatMap((route) => routeProblems(route, names));
-  const duplicate = firstDuplicate(routes, ({ host, pathPrefix }) => `${host}\n${pathPrefix}`);
+  const duplicate = firstDuplicate(
+    routes,
+    ({ host, pathPrefix }) => `${hosts.canonicalName(host)}\n${pathPrefix}`,
+  );
   if (duplicate !== undefined) problems.push({ fault: 'samePlace', subject: duplicate.name });
   const keyOwners = organisations.flatMap(({ name, keys }) =>
     [...new Set(keys)].map((key) => ({ name, key })),
--- a/packages/domain/src/catalogue/directory.ts
+++ b/packages/domain/src/catalogue/directory.ts
@@ -1,6 +1,7 @@
 /** Precomputed lookups in one catalogue: the route of a request, the organisation of a key. */
 import * as random from '../shared/random';
 import type * as catalogue from './catalogue';
+import * as hosts from './hosts';
 
 export class Directory {
   private readonly byHost = new Map<string, catalogue.Route[]>();
@@ -18,7 +19,7 @@
       catalogue.services.map(({ name }) => name).filter((name) => hasClasses(catalogue, name)),
     );
     catalogue.routes.forEach((route) => {
-      const host = route.host.toLowerCase();
+      const host = hosts.canonicalName(route.host);
       this.byHost.set(host, [...(this.byHost.get(host) ?? []), route]);
     });
     this.byHost.forEach((routes) => {
@@ -35,7 +36,7 @@
 
   /** The route with the longest prefix of the path. A port in `host` is ignored. */
   route(host: string, path: string): catalogue.Route | undefined {
-    const name = host.replace(/:\d+$/, '').toLowerCase();
+    const name = hosts.canonicalName(host.replace(/:\d+$/, ''));
     return this.byHost.get(name)?.find(({ pathPrefix }) => path.startsWith(pathPrefix));
   }
 
