Release placements that their entries have given up

An engine's slot could stay taken for as long as a keeper led, so that callers waited or were refused beside a free slot: a request for a placement that a cut held up was placed when it arrived, for an entry that had given it up. The same happened to what an entry reported as ended while it knew no leader, if the leader that it found was the one that it had lost.

Cause: the leader can't tell such a request from a new one, and the entry told it nothing of it; reports without a leader were dropped.

--- a/packages/daemon/src/entry/dispatchReports.ts
+++ b/packages/daemon/src/entry/dispatchReports.ts
@@ -20,6 +20,10 @@
 /** Outcomes of dispatches are batched for this long before they are reported to the leader, milliseconds. */
 const REPORT_BATCH_MS = 5;
 
+/** Interval at which reports are tried again while there is no leader, and how many of them are kept, at most. */
+const LEADER_RETRY_MS = 100;
+const MAX_KEPT = 4_096;
+
 export class DispatchReports {
   /** Running dispatches on engines, by request id. */
   private readonly running = new Map<string, messages.RunningDispatch>();
@@ -63,22 +67,44 @@
     this.finishedDispatches.push({ id, ending: outcome, ...target, ...observed });
   }
 
+  /**
+   * Reports that a placement was given up whose answer was lost, so that the leader releases it. A dispatch that runs under
+   * its id reports its own end.
+   */
+  withdraw(id: string): void {
+    if (this.running.has(id)) return;
+    this.scheduleReports();
+    this.finishedDispatches.push({ id, ending: 'cancelled', target: '' });
+  }
+
   /** Reports whether another VM reaches a target that a dispatch of this entry didn't reach. */
   reportVerdict(target: string, isAlive: boolean): void {
     this.scheduleReports();
     this.verdicts.push({ ...this.dispatchTarget(target), isAlive });
   }
 
+  /** The leader that is found may be the one that was lost, and counts what it placed until it is reported. */
+  private keepUntilLed(): void {
+    this.finishedDispatches.splice(0, this.finishedDispatches.length - MAX_KEPT);
+    this.verdicts = [];
+    if (this.finishedDispatches.length > 0) {
+      setTimeout(() => this.sendReports(), LEADER_RETRY_MS).unref();
+    }
+  }
+
   private scheduleReports(): void {
     const isScheduled = this.finishedDispatches.length > 0 || this.verdicts.length > 0;
     if (!isScheduled) setTimeout(() => this.sendReports(), REPORT_BATCH_MS);
   }
 
   private sendReports(): void {
+    const { leader } = this.dependencies.link;
+    if (leader === '') {
+      this.keepUntilLed();
+      return;
+    }
     const dispatches = this.finishedDispatches.splice(0);
     const verdicts = this.verdicts.splice(0);
-    const { leader } = this.dependencies.link;
-    if (leader === '') return;
     this.dependencies.client.notify(leader, 'ended', {
       dispatches,
       ...(verdicts.length > 0 && { verdicts }),
--- a/packages/daemon/src/entry/leaderPlacement.ts
+++ b/packages/daemon/src/entry/leaderPlacement.ts
@@ -18,7 +18,10 @@
   dataCentre: string;
   link: leaderLink.LeaderLink;
   client: Pick<peerClient.PeerClient, 'call'>;
-  reports: Pick<dispatchReports.DispatchReports, 'begin' | 'dispatchTarget' | 'report'>;
+  reports: Pick<
+    dispatchReports.DispatchReports,
+    'begin' | 'dispatchTarget' | 'report' | 'withdraw'
+  >;
   /** Grants for requests to cold targets; without them nothing is known of cold targets. */
   coldGrants?: Pick<coldGrants.ColdGrants, 'begin' | 'add'>;
   now: () => number;
@@ -77,6 +80,7 @@
       return undefined;
     }
     if (answer.err || answer.val.kind === 'redirect') {
+      if (answer.err && answer.val.mayHaveArrived) reports.withdraw(request.id);
       link.reportFailure(leader);
       return undefined;
     }
@@ -123,10 +127,11 @@
     return answer;
   }
 
-  /** Releases a placement that came after the deadline, so that the leader doesn't count an unused dispatch. */
+  /** Releases a placement whose answer came after the deadline or was lost; the leader would count an unused dispatch. */
   private releaseLatePlacement({ id }: PlacementRequest, late: PlaceResult): void {
-    if (late.err || late.val.kind !== 'placed') return;
     const { reports } = this.dependencies;
+    if (late.err && late.val.mayHaveArrived) reports.withdraw(id);
+    if (late.err || late.val.kind !== 'placed') return;
     reports.report(id, reports.dispatchTarget(late.val.placement.target), 'cancelled');
   }
 }
--- a/packages/daemon/src/keeper/leadership.ts
+++ b/packages/daemon/src/keeper/leadership.ts
@@ -22,6 +22,7 @@
 import * as registryUpdates from './registryUpdates';
 import * as snapshotThrottle from './snapshotThrottle';
 import * as suspectTracker from './suspectTracker';
+import * as withdrawnPlacements from './withdrawnPlacements';
 
 const { isNewerVersion } = domain.catalogue.newestCatalogue;
 
@@ -68,6 +69,9 @@
  */
 const AVERAGES_TTL_MS = 100;
 
+/** Answer to a request that this keeper places no longer. */
+const NO_PLACEMENT: messages.Redirect = { kind: 'redirect', leader: '' };
+
 /** Number of requests of an ended process that are named in the log. */
 const MAX_LOGGED_REQUESTS = 20;
 
@@ -111,6 +115,8 @@
 
   private readonly publishedEnds = new publishedEnds.PublishedEnds();
 
+  private readonly withdrawn: withdrawnPlacements.WithdrawnPlacements;
+
   private isLeading = false;
 
   private leadingSince = 0;
@@ -130,6 +136,7 @@
       (revision) => this.evacuations.missingAt(revision),
     );
     this.processes = new entryProcesses.EntryProcesses(now);
+    this.withdrawn = new withdrawnPlacements.WithdrawnPlacements(now);
     this.ignored = new ignoredAnnouncements.IgnoredAnnouncements({ observer: observe, now });
     this.snapshotThrottle = new snapshotThrottle.SnapshotThrottle(options.linkMbps, now);
     this.updates = new registryUpdates.RegistryUpdates({
@@ -452,7 +459,19 @@
       this.cold.checkQuorum();
       return this.placer.place(request);
     });
-    return answer.kind === 'closed' ? { kind: 'redirect', leader: '' } : answer;
+    if (answer.kind === 'closed') return NO_PLACEMENT;
+    if (answer.kind !== 'placed' || !this.withdrawn.includes(request.id)) return answer;
+    this.releaseWithdrawn(request);
+    return NO_PLACEMENT;
+  }
+
+  /** Releases the placement of an entry that had given it up, perhaps before its request arrived here. */
+  private releaseWithdrawn({ id, entry }: messages.PlaceRequest): void {
+    const { observer: observe, now } = this.options;
+    this.allocator.endDispatch(id, 'cancelled', now());
+    this.placer.scheduleServing();
+    observe.count('placements.withdrawn');
+    observe.log('placementWithdrawn', { request: id, entry });
   }
 
   /** Grants one message to a target with a rate limit. */
@@ -481,6 +500,8 @@
   ended({ dispatches, verdicts = [] }: messages.FinishedDispatches): void {
     const now = this.options.now();
     dispatches.forEach(({ id, ending, faulty, gapMs, target, bornAt }) => {
+      if (ending === 'cancelled' && this.allocator.entryOf(id) === undefined)
+        this.withdrawn.add(id);
       const outcome = this.weigh(id, target, ending);
       const ejection = this.allocator.endDispatch(id, outcome, now, { faulty, gapMs });
       // A full engine is ejected for a few steps, which happens all the time under load.
@@ -548,6 +569,7 @@
     this.followers.clear();
     this.standing.clear();
     this.processes.clear();
+    this.withdrawn.clear();
     this.awaitingSnapshot.clear();
     this.recordSources.clear();
     this.suspects.reset();
--- a/packages/daemon/src/observability/events.ts
+++ b/packages/daemon/src/observability/events.ts
@@ -69,6 +69,11 @@
     level: 'warn',
     text: 'process of an entry ended without a planned stop',
   },
+  placementWithdrawn: {
+    number: 4005,
+    level: 'info',
+    text: 'placement released that its entry had given up before',
+  },
   targetServing: { number: 4101, level: 'info', text: 'target serving' },
   targetLeaving: { number: 4102, level: 'info', text: 'target draining' },
   targetGone: { number: 4103, level: 'warn', text: 'target gone' },
