Survive connections that are refused on the daemon's own interface

A process that asked a target on its own interface (daemons for a list of servers, keepers for what a target has) ended with a TypeError at the first connection that was refused: everything it served ended with it.

Cause: since the ends of connections are watched there, the connector looks for the socket in the second argument of undici's callback. undici's types say null after a failure; it passes none at all.

--- a/packages/daemon/src/targets/httpClient.ts
+++ b/packages/daemon/src/targets/httpClient.ts
@@ -3,6 +3,7 @@
  * connection whose response was not read to the end. Calls that can't risk a pooled connection that died
  * unnoticed use a new one, and so do all calls to a target that isn't known to repeat the ids of messages.
  */
+import type * as net from 'node:net';
 import type * as tls from 'node:tls';
 import * as undici from 'undici';
 import * as connectionEnds from '../http/connectionEnds';
@@ -58,8 +59,9 @@
     const connect = undici.buildConnector({ timeout: connectMs, ...tlsOptions });
     this.connect = (options, callback) => {
       connect(options, (...result) => {
-        const [, socket] = result;
-        if (socket !== null) this.ends.watch(socket);
+        // undici passes no socket after a failure, although its types say null.
+        const [, socket] = result as [Error | null, net.Socket | null | undefined];
+        if (socket) this.ends.watch(socket);
         callback(...result);
       });
     };
