Give one turn of the event loop at a time, also to a single waiter

Beside one response that arrives without a pause an entry could do little else: the turns that it takes doubled with each turn of the event loop.

Cause: a waiter that asked again during its turn scheduled the next one, and so did the end of its turn. Several waiters hid that, as only a waiter that finds no other one schedules a turn.

Found by a test of the connection gate that was late for no visible reason.

--- a/packages/daemon/src/http/turns.ts
+++ b/packages/daemon/src/http/turns.ts
@@ -9,12 +9,22 @@
 
 let takenMs = 0;
 
+/** One turn at a time: a waiter may ask for its next turn during its present one. */
+let isScheduled = false;
+
 /** Time that all turns have taken, milliseconds; they take what others leave, so it tells nothing of the load. */
 export function totalMs(): number {
   return takenMs;
 }
 
+function schedule(): void {
+  if (isScheduled || waiting.size === 0) return;
+  isScheduled = true;
+  setImmediate(continueNext);
+}
+
 function continueNext(): void {
+  isScheduled = false;
   const [next] = waiting;
   if (next === undefined) return;
   const [waiter, proceed] = next;
@@ -22,14 +32,14 @@
   const startedAt = clock.steady();
   proceed();
   takenMs += clock.steady() - startedAt;
-  if (waiting.size > 0) setImmediate(continueNext);
+  schedule();
 }
 
 /** Calls `proceed` when it is the waiter's turn, once however often the waiter asks until then. */
 export function wait(waiter: object, proceed: () => void): void {
   if (waiting.has(waiter)) return;
   waiting.set(waiter, proceed);
-  if (waiting.size === 1) setImmediate(continueNext);
+  schedule();
 }
 
 export function isWaiting(waiter: object): boolean {
