Leave work that is done in turns out of the gate's view of the load

Causes, traced with the times of the turns: (1) 30 responses that begin together last long enough in the queue of connections (151 to 162 ms) for the gate to close, mostly with paced reading. (2) Endless responses stay among the requests in progress, above the limit that the gate then set. (3) A response held back by its caller was read on outside of the turns, so the event loop looked busy, and the limit didn't rise.

The time of turns is left out of the queue, the delay and the utilisation; a request that waits for a turn isn't load; all reading on is done in turns, which take at most one read.

The new tests of the gate and of paced responses failed before and pass now. 5033 is logged after 256 turns, as turns are smaller.

--- a/packages/daemon/src/entry/__tests__/connectionGate.test.ts
+++ b/packages/daemon/src/entry/__tests__/connectionGate.test.ts
@@ -4,6 +4,7 @@
 import * as chai from 'chai';
 import * as clock from '../../clock';
 import * as listening from '../../http/listening';
+import * as turns from '../../http/turns';
 import * as observer from '../../observability/observer';
 import * as connectionGate from '../connectionGate';
 
@@ -15,6 +16,9 @@
 /** Processor time of a long one: four of them take longer than a queue may last. */
 const LONG_WORK_MS = 50;
 
+/** Processor time of a turn; a queue of forty connections lasts longer than it may beside such turns. */
+const TURN_MS = 5;
+
 /** Four times as many connections. */
 const LOAD_INTERVAL_MS = 5;
 const LOAD_FOR_MS = 2_500;
@@ -119,6 +123,22 @@
     expect(gate.gauges().requestLimit).to.equal(0);
   });
 
+  /** Guards against a VM that refuses callers for as long as targets send without a pause. */
+  it('refuses nothing because of work that is done in turns with other work', async () => {
+    workMs = 1;
+    const endless = { isOver: false };
+    const proceed = (): void => {
+      const end = clock.steady() + TURN_MS;
+      while (clock.steady() < end);
+      if (!endless.isOver) turns.wait(endless, proceed);
+    };
+    proceed();
+    const outcomes = await Promise.all(Array.from({ length: 40 }, () => send(port())));
+    endless.isOver = true;
+    expect(new Set(outcomes)).to.deep.equal(new Set(['answered']));
+    expect(gate.gauges().requestLimit).to.equal(0);
+  });
+
   it('refuses nothing that the VM can serve', async () => {
     const outcomes: Outcome[] = [];
     for (let i = 0; i < 20; i++) outcomes.push(await send(port()));
--- a/packages/daemon/src/entry/__tests__/pacedResponse.test.ts
+++ b/packages/daemon/src/entry/__tests__/pacedResponse.test.ts
@@ -43,12 +43,24 @@
   // Guards against parts of a byte, of which a read brings thousands.
   it('waits after many small parts', () => {
     const tested = responseOf('a');
-    for (let i = 0; i < 511; i++) tested.received(1);
+    for (let i = 0; i < 63; i++) tested.received(1);
     expect(events).to.deep.equal([]);
     tested.received(1);
     expect(events).to.deep.equal(['a paused']);
   });
 
+  // Guards against responses that callers who take all of it read outside of the order of turns.
+  it('waits for its turn behind others once its caller has taken enough', async () => {
+    const tested = responseOf('a');
+    tested.pause();
+    responseOf('b').received(LARGE_PART_BYTES);
+    tested.resume();
+    await nextTurn();
+    expect(events.slice(2)).to.deep.equal(['b resumed']);
+    await nextTurn();
+    expect(events.slice(3)).to.deep.equal(['a resumed']);
+  });
+
   // Guards against a response that is read on although its caller takes too little of it.
   it('isn’t read on at its turn while its caller holds it back', async () => {
     const tested = responseOf('a');
@@ -57,6 +69,7 @@
     await nextTurn();
     expect(events).to.deep.equal(['a paused', 'a paused']);
     tested.resume();
+    await nextTurn();
     expect(events.slice(2)).to.deep.equal(['a resumed']);
   });
 });
--- a/packages/daemon/src/entry/connectionGate.ts
+++ b/packages/daemon/src/entry/connectionGate.ts
@@ -63,7 +63,7 @@
     private readonly server: http.Server,
     private readonly dependencies: Dependencies,
   ) {
-    this.backlog = new listenerBacklog.ListenerBacklog(dependencies.now);
+    this.backlog = new listenerBacklog.ListenerBacklog(() => dependencies.now() - turns.totalMs());
     server.on('connection', (socket: net.Socket) => this.accepted(socket));
   }
 
@@ -86,13 +86,16 @@
     clearInterval(this.timer);
   }
 
-  /** Requests in progress and connections that are about to bring one. */
+  /**
+   * Requests in progress and connections that are about to bring one. Those that wait for a turn of the event loop take
+   * only what others leave, however long they last.
+   */
   private get load(): number {
     const oldest = this.dependencies.now() - MAX_SILENT_MS;
     this.unused.forEach((openedAt, socket) => {
       if (openedAt < oldest) this.unused.delete(socket);
     });
-    return this.dependencies.active() + this.unused.size;
+    return Math.max(0, this.dependencies.active() + this.unused.size - turns.waiters());
   }
 
   private accepted(socket: net.Socket): void {
@@ -113,11 +116,12 @@
 
   private sample(): void {
     const at = this.dependencies.now();
-    const delayMs = Math.max(0, at - this.dueAt);
+    const turnsMs = this.takeTurnsMs();
+    const delayMs = Math.max(0, at - this.dueAt - turnsMs);
     this.dueAt = at + SAMPLE_INTERVAL_MS;
     const { load } = this;
     const { durationMs: backlogMs } = this.backlog;
-    const utilisation = this.takeUtilisation();
+    const utilisation = this.takeUtilisation(turnsMs);
     const change = this.limit.sample({ backlogMs, delayMs, utilisation, active: load }, at);
     if (change !== 'none') this.logChange(change, load, backlogMs);
     this.steerListener();
@@ -126,14 +130,20 @@
     this.timer = undefined;
   }
 
-  /** Utilisation of the event loop since the last call, without the turns that take only what others leave. */
-  private takeUtilisation(): number {
+  /** Time that turns have taken since the last call, milliseconds: they take only what others leave, so it is no load. */
+  private takeTurnsMs(): number {
+    const totalMs = turns.totalMs();
+    const sinceMs = totalMs - this.turnsMs;
+    this.turnsMs = totalMs;
+    return sinceMs;
+  }
+
+  /** Utilisation of the event loop since the last call, without turns. */
+  private takeUtilisation(turnsMs: number): number {
     const { performance } = perfHooks;
     const total = performance.eventLoopUtilization();
     const { active, idle } = performance.eventLoopUtilization(total, this.utilisation);
-    const turnsMs = turns.totalMs() - this.turnsMs;
     this.utilisation = total;
-    this.turnsMs += turnsMs;
     return active + idle === 0 ? 0 : Math.max(0, active - turnsMs) / (active + idle);
   }
 
--- a/packages/daemon/src/entry/pacedResponse.ts
+++ b/packages/daemon/src/entry/pacedResponse.ts
@@ -12,10 +12,10 @@
  * is copied for each turn, so a turn takes about as many of the smallest parts as one read brings.
  */
 const PARTS_PER_TURN = 8_192;
-const BYTES_PER_TURN = 131_072;
+const BYTES_PER_TURN = 32_768;
 
 /** The same before the first turn, which many responses may share. */
-const FIRST_PARTS = 512;
+const FIRST_PARTS = 64;
 
 export class PacedResponse implements targetAttempt.Carrier {
   private partsLeft = FIRST_PARTS;
@@ -45,7 +45,7 @@
 
   resume(): void {
     this.isHeldBack = false;
-    if (!turns.isWaiting(this)) this.controller.resume();
+    this.awaitTurn();
   }
 
   /** A part of the body has arrived. */
@@ -57,6 +57,11 @@
     this.bytesLeft = BYTES_PER_TURN;
     this.controller.pause();
     this.onWait();
+    this.awaitTurn();
+  }
+
+  /** All reading on is done in turns, as their time is told from that of other work. */
+  private awaitTurn(): void {
     turns.wait(this, () => {
       if (!this.isHeldBack) this.controller.resume();
     });
--- a/packages/daemon/src/entry/targetAttempt.ts
+++ b/packages/daemon/src/entry/targetAttempt.ts
@@ -27,8 +27,8 @@
   connection: sentMessages.Connection | undefined;
 }
 
-/** A response that waited for so many turns is reported; some bring 128 KiB, others less. */
-const MANY_TURNS = 64;
+/** A response that waited for so many turns is reported; some bring 64 KiB, others less. */
+const MANY_TURNS = 256;
 
 export class Attempt {
   readonly result: Promise<targetMessage.SendResult>;
--- a/packages/daemon/src/http/turns.ts
+++ b/packages/daemon/src/http/turns.ts
@@ -42,6 +42,11 @@
   schedule();
 }
 
+/** How many wait. */
+export function waiters(): number {
+  return waiting.size;
+}
+
 export function isWaiting(waiter: object): boolean {
   return waiting.has(waiter);
 }
