Raise the limit of the gate from what an idle VM evidently bears

After 100 clients had begun long bodies and stopped, an entry refused ordinary callers' connections for more than a second, although its event loop was busy for 2 in 100 only.

Cause, traced with each sample of the gate: the limit began at its minimum of 8, as a single request was in progress then; 20 were soon after, and stayed. It rose by a tenth every 200 ms from 8, whatever the utilisation.

It rises from the requests in progress now, if these are more, while the event loop has time left, and as long as it leaves no room.

The new test of the limit failed before and passes now, as do the others at 2 to 10 times the bearable load.

--- a/packages/domain/src/overload/__tests__/concurrencyLimit.test.ts
+++ b/packages/domain/src/overload/__tests__/concurrencyLimit.test.ts
@@ -103,6 +103,16 @@
     expect(limit.isLimited).to.equal(false);
   });
 
+  /** Guards against an idle VM that refuses callers for seconds, as its open requests are far above the limit. */
+  it('has room again within a second above the requests that an idle process bears', () => {
+    const limit = new concurrencyLimit.ConcurrencyLimit();
+    const busy = { backlogMs: 200, delayMs: 0, utilisation: 1, active: 1 };
+    expect(limit.sample(busy, 0)).to.equal('began');
+    const idle = { backlogMs: 0, delayMs: 0, utilisation: 0.02, active: 40 };
+    for (let now = SAMPLE_MS; now <= 1_000; now += SAMPLE_MS) limit.sample(idle, now);
+    expect(limit.hasRoom(idle.active)).to.equal(true);
+  });
+
   /** Guards against a VM that refuses callers after a freeze, or a long collection of garbage. */
   it('does not begin with a single long delay, and ends two seconds after it was last reached', () => {
     const limit = new concurrencyLimit.ConcurrencyLimit();
--- a/packages/domain/src/overload/concurrencyLimit.ts
+++ b/packages/domain/src/overload/concurrencyLimit.ts
@@ -128,8 +128,9 @@
     if (now - this.changedAt < CHANGE_INTERVAL_MS) return;
     if (this.utilisation > HIGH_UTILISATION)
       this.set(REDUCTION * Math.min(this.limit, active), now);
-    else if (this.utilisation < LOW_UTILISATION && active >= this.limit)
-      this.set(RISE * this.limit, now);
+    else if (this.utilisation < LOW_UTILISATION && !this.hasRoom(active))
+      // The process bears what is in progress, which may be far above a limit that began when little was.
+      this.set(RISE * Math.max(this.limit, active), now);
   }
 
   private set(limit: number, now: number): void {
