Say in the pacing of responses why they wait for turns

Comments only, from a read-through: what the flag of the turns' schedule means, and why a response that its caller held back waits for its turn.

--- a/packages/daemon/src/entry/pacedResponse.ts
+++ b/packages/daemon/src/entry/pacedResponse.ts
@@ -60,7 +60,7 @@
     this.awaitTurn();
   }
 
-  /** All reading on is done in turns, as their time is told from that of other work. */
+  /** Also after its caller held it back: reading outside of turns would look like the load of callers. */
   private awaitTurn(): void {
     turns.wait(this, () => {
       if (!this.isHeldBack) this.controller.resume();
--- a/packages/daemon/src/http/turns.ts
+++ b/packages/daemon/src/http/turns.ts
@@ -9,7 +9,7 @@
 
 let takenMs = 0;
 
-/** One turn at a time: a waiter may ask for its next turn during its present one. */
+/** Whether the next turn is scheduled already; a waiter may ask for it during its present turn. */
 let isScheduled = false;
 
 /** Time that all turns have taken, milliseconds; they take what others leave, so it tells nothing of the load. */
@@ -42,7 +42,7 @@
   schedule();
 }
 
-/** How many wait. */
+/** Number of those that wait for their turn. */
 export function waiters(): number {
   return waiting.size;
 }
--- a/packages/domain/src/overload/concurrencyLimit.ts
+++ b/packages/domain/src/overload/concurrencyLimit.ts
@@ -84,7 +84,7 @@
     return active >= this.limit || (this.isLimited && backlogMs > MAX_BACKLOG_MS);
   }
 
-  /** Whether new requests are accepted again after they were refused. */
+  /** Whether new requests are accepted again after they were refused. The limit rises while there is no room. */
   hasRoom(active: number): boolean {
     return active < ROOM_SHARE * this.limit;
   }
